--- a/tests/run.py
+++ b/tests/run.py
@@ -61,7 +61,7 @@
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
         formats = ('-f', 'json', '-o', str(report), '-f', 'progress3')
-        command = [str(BIN / 'behave'), '--no-capture', *formats]
+        command = [sys.executable, '-m', 'behave', '--no-capture', *formats]
         finished = subprocess.run(command, cwd=ROOT, check=False)
         outcomes = list(_scenarios(json.loads(report.read_text())))
     if finished.returncode and all(outcome.passed for outcome in outcomes):
