--- /dev/null
+++ b/laburnumwood/daemon/incarnation.py
@@ -0,0 +1,144 @@
+"""All that one incarnation of a node consists of."""
+
+import eventlet
+from eventlet.greenthread import GreenThread
+
+from laburnumwood.clock import Clock
+from laburnumwood.leases.lease import Lease
+from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.witness import Witness
+from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.reader import Reader
+from laburnumwood.membership.renewal import Renewer, WitnessDesk
+from laburnumwood.membership.spreading import Spreader
+from laburnumwood.membership.view import FleetView
+from laburnumwood.operators.api import OperatorApi
+from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.keeper import Keeper
+from laburnumwood.placement.writer import ShardWriter
+from laburnumwood.platform.client import Platform
+from laburnumwood.protocol.link import Link
+from laburnumwood.protocol.messages import Resign, Work
+from laburnumwood.protocol.peers import Dispatcher, Peers
+from laburnumwood.protocol.streams import Stream
+from laburnumwood.records import NodeName
+from laburnumwood.routing.door import Door
+from laburnumwood.routing.gate import Gate
+from laburnumwood.routing.router import Router
+from laburnumwood.settings import DaemonSettings
+from laburnumwood.upstream.granter import Granter
+from laburnumwood.upstream.worker import Worker
+
+
+class Incarnation:
+    """One run of a node from joining to its end, with all its tasks."""
+
+    def __init__(
+        self,
+        name: NodeName,
+        settings: DaemonSettings,
+        platform: Platform,
+        clock: Clock,
+    ) -> None:
+        self.name = name
+        self._settings = settings
+        self._tasks: list[GreenThread] = []
+        self.dispatcher = Dispatcher()
+        self.view = FleetView(Directory(), SealBook())
+        self.lease = Lease(name, settings.lease, clock)
+        self.holdings = Holdings()
+        self._peers = Peers(
+            name,
+            settings.shared_key,
+            self.view.address,
+            self.dispatcher,
+            clock,
+        )
+        self._reader = Reader(name, platform, self.view)
+        self._make_membership(clock)
+        self._make_placement(platform, clock)
+        self._make_routing(clock)
+
+    def start(self) -> None:
+        """Read the store and start all tasks; raises `PlatformError`."""
+        self._reader.list_all()
+        self._renewer.begin()
+        for task in (
+            self._reader.run,
+            self._renewer.run,
+            self._desk.run,
+            self._granter.run,
+            self._keeper.watch_standing,
+            self._keeper.write_records,
+        ):
+            self._tasks.append(eventlet.spawn(task))
+
+    def hand_over(self) -> None:
+        """Give every shard to another node and let the witnesses seal."""
+        self._keeper.hand_over_all()
+        witnesses = set(self.lease.witnesses.members)
+        self.lease.resign()
+        self._spreader.tell(witnesses - {self.name}, Resign(self.name))
+
+    def end(self) -> None:
+        """Stop all tasks; nothing acts for this incarnation afterwards."""
+        self.lease.resign()
+        self.holdings.drop_all()
+        for task in self._tasks:
+            task.kill()
+        self._peers.close()
+
+    def _make_membership(self, clock: Clock) -> None:
+        settings = self._settings.lease
+        witness = Witness(self.name, settings, clock)
+        self._spreader = Spreader(self.view, self._peers, self.dispatcher)
+        self._renewer = Renewer(
+            self.lease,
+            witness,
+            self._spreader,
+            self._peers,
+            self.view,
+            settings,
+            clock,
+        )
+        self._desk = WitnessDesk(
+            witness, self._spreader, self.view, self.dispatcher
+        )
+
+    def _make_placement(self, platform: Platform, clock: Clock) -> None:
+        writer = ShardWriter(
+            platform, self.view.directory, self.lease, self._renewer, clock
+        )
+        self._keeper = Keeper(
+            self._settings.service,
+            self.view,
+            self.lease,
+            self.holdings,
+            writer,
+            self._spreader,
+            clock,
+        )
+
+    def _make_routing(self, clock: Clock) -> None:
+        worker = Worker(self._settings.worker_url, self._settings.connections)
+        self._granter = Granter(
+            worker, self.holdings.tokens, self.lease.holds_until_ms, clock
+        )
+        gate = Gate(
+            self._settings,
+            self.lease,
+            self.holdings,
+            self._granter,
+            worker,
+            clock,
+        )
+        router = Router(self.name, self.view, self._peers, gate.serve, clock)
+        self.door = Door(
+            router, lambda: self.view.directory.declarations.services
+        )
+        self.operators = OperatorApi(self.view, self.lease, self.holdings, gate)
+        self.gate = gate
+
+        @self.dispatcher.on(Work)
+        def serve(_link: Link, stream: Stream, work: Work) -> None:
+            gate.serve(stream, work)
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -3,3 +3,67 @@
 
 class LaburnumwoodError(Exception):
     """The base of all errors of this package."""
+
+
+class SettingsError(LaburnumwoodError):
+    """A settings file can't be used; the text says where and why."""
+
+
+class DeclarationError(LaburnumwoodError):
+    """A configuration can't be accepted; the text says where and why."""
+
+
+class PlatformError(LaburnumwoodError):
+    """The base of what can go wrong with a call of the platform."""
+
+
+class PlatformUnreachableError(PlatformError):
+    """The platform gave no answer; a write may have taken effect."""
+
+
+class PlatformConflictError(PlatformError):
+    """The object had another version than the write asked for."""
+
+
+class CompactedError(PlatformError):
+    """The platform no longer keeps the changes asked for."""
+
+
+class RecordError(LaburnumwoodError):
+    """An object of the store has an unknown form."""
+
+
+class ProtocolError(LaburnumwoodError):
+    """A peer broke the protocol between nodes."""
+
+
+class LinkError(LaburnumwoodError):
+    """The base of what ends an exchange with a peer."""
+
+
+class LinkLostError(LinkError):
+    """The connection to a peer ended or went silent."""
+
+
+class LinkTimeoutError(LinkError):
+    """A peer did not answer in time."""
+
+
+class LinkRefusedError(LinkError):
+    """No connection to a peer could be made; nothing was sent."""
+
+
+class IncarnationOverError(LaburnumwoodError):
+    """The incarnation of this node has lapsed and must not act any more."""
+
+
+class WorkerError(LaburnumwoodError):
+    """The base of what can go wrong with a call of the worker."""
+
+
+class WorkerUnreachableError(WorkerError):
+    """No connection to the worker could be made; nothing was sent."""
+
+
+class WorkerCutError(WorkerError):
+    """The worker's answer ended early or never came."""
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -1,1 +1,127 @@
-"""The events of the package."""
+"""Numbered events.
+
+Everything that the daemon logs is an event of this catalogue, so that an
+operator can look its number up in docs/EVENTS.md.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+import logbook
+
+_LOG = logbook.Logger('laburnumwood')
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A kind of event: its number, its level, what it says and what to do."""
+
+    number: int
+    name: str
+    level: int
+    text: str
+    advice: str = 'nothing to do'
+
+    def report(self, **fields: Any) -> None:
+        """Log one event of this kind with its fields."""
+        details = ' '.join(f'{name}={what}' for name, what in fields.items())
+        line = f'LW{self.number} {self.name}: {self.text}; {details}'
+        _LOG.log(self.level, line)
+
+
+CATALOGUE: dict[int, Event] = {}
+
+
+def _event(number: int, level: int, name: str, *texts: str) -> Event:
+    if number in CATALOGUE:
+        raise ValueError(f'event number {number} stands twice')
+    CATALOGUE[number] = Event(number, name, level, *texts)
+    return CATALOGUE[number]
+
+
+NODE_JOINED = _event(
+    101, logbook.INFO, 'node-joined', 'this node announced itself'
+)
+NODE_LEFT = _event(102, logbook.INFO, 'node-left', 'this node ended its run')
+NODE_SEALED = _event(
+    103,
+    logbook.WARNING,
+    'node-sealed',
+    'a majority of witnesses sealed a node',
+    'find out why the VM stopped renewing its lease',
+)
+REJOINING = _event(
+    104,
+    logbook.WARNING,
+    'rejoining',
+    'this node gave up its incarnation and joins anew',
+    'check whether the VM was paused or cut off',
+)
+LEASE_HELD = _event(201, logbook.INFO, 'lease-held', 'the lease is held')
+LEASE_LOST = _event(
+    202,
+    logbook.WARNING,
+    'lease-lost',
+    'too few witnesses renewed the lease in time',
+    'check the links to the witnesses named',
+)
+WITNESSES_CHANGED = _event(
+    203, logbook.INFO, 'witnesses-changed', 'a new set of witnesses stands'
+)
+SHARD_CLAIMED = _event(
+    301, logbook.INFO, 'shard-claimed', 'this node became owner of a shard'
+)
+SHARD_TAKEN_OVER = _event(
+    302,
+    logbook.WARNING,
+    'shard-taken-over',
+    'this node follows an owner whose lease has lapsed',
+)
+SHARD_MOVED = _event(
+    303, logbook.INFO, 'shard-moved', 'this node handed a shard over'
+)
+RECORD_REFUSED = _event(
+    401,
+    logbook.ERROR,
+    'record-refused',
+    'an object of the store has an unknown form; the last good one stays',
+    'look at the object named and at who wrote it',
+)
+MESSAGE_REFUSED = _event(
+    402,
+    logbook.ERROR,
+    'message-refused',
+    'a message of a peer was refused and its link closed',
+    'check that the peer runs a version that fits',
+)
+STORE_UNREACHABLE = _event(
+    403,
+    logbook.WARNING,
+    'store-unreachable',
+    'the platform does not answer; ownership goes on without it',
+    'check the platform',
+)
+CONFIG_IN_FORCE = _event(
+    501, logbook.INFO, 'config-in-force', 'a configuration came into force'
+)
+CONFIG_REFUSED = _event(
+    502,
+    logbook.ERROR,
+    'config-refused',
+    'the stored configuration is not valid; the last good one stays in force',
+    'apply a corrected configuration',
+)
+WORKER_UNREACHABLE = _event(
+    601,
+    logbook.WARNING,
+    'worker-unreachable',
+    'the worker of this node does not answer',
+    'check the worker on this VM',
+)
+TASK_FAILED = _event(
+    901,
+    logbook.ERROR,
+    'task-failed',
+    'a task of the daemon failed and is started again',
+    'report this with the log',
+)
--- /dev/null
+++ b/laburnumwood/leases/lease.py
@@ -0,0 +1,167 @@
+"""The holder's side of a lease."""
+
+from laburnumwood.clock import Clock
+from laburnumwood.leases.backing import Backings
+from laburnumwood.protocol.messages import Renew
+from laburnumwood.records import Digest, NodeName, WitnessSet
+from laburnumwood.settings import LeaseSettings
+
+_CHANGE_PATIENCE_MS = 2_000
+
+
+class Lease:
+    """The lease of one incarnation, renewed by a majority of its witnesses.
+
+    While a change of witnesses is under way, a majority of both the old and
+    the new set is needed for everything.
+    """
+
+    def __init__(
+        self, holder: NodeName, settings: LeaseSettings, clock: Clock
+    ) -> None:
+        self._holder = holder
+        self._settings = settings
+        self._clock = clock
+        self._current = WitnessSet(0, ())
+        self._next: WitnessSet | None = None
+        self._next_since_ms = 0
+        self._superseding = False
+        self._backings = Backings()
+        self._floors: dict[str, int] = {}
+        self._resigned = False
+
+    @property
+    def holder(self) -> NodeName:
+        """Return the incarnation that this lease is of."""
+        return self._holder
+
+    @property
+    def witnesses(self) -> WitnessSet:
+        """Return the set of witnesses that stands."""
+        return self._current
+
+    @property
+    def is_changing(self) -> bool:
+        """Tell whether a change of witnesses is under way."""
+        return self._next is not None
+
+    @property
+    def asked(self) -> tuple[NodeName, ...]:
+        """Return the witnesses to ask for renewals now."""
+        names = {name for each in self._active for name in each.members}
+        return tuple(sorted(names))
+
+    @property
+    def lost(self) -> frozenset[NodeName]:
+        """Return the witnesses that will never renew again."""
+        return self._backings.lost()
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether too many witnesses are lost for it to be renewed."""
+        return self._resigned or any(
+            not self._backings.can_renew(each) for each in self._active
+        )
+
+    def begin(self, members: tuple[NodeName, ...]) -> None:
+        """Choose the first set of witnesses."""
+        self._current = WitnessSet(1, members)
+
+    def change(self, members: tuple[NodeName, ...]) -> None:
+        """Begin to replace the witnesses; only one change at a time."""
+        if self._next is not None:
+            raise ValueError('a change of witnesses is under way')
+        self._next = WitnessSet(self._current.version + 1, members)
+        self._next_since_ms = self._clock.now_ms()
+
+    def resign(self) -> None:
+        """Give the lease up for good."""
+        self._resigned = True
+
+    def raise_floor(self, shard: str, epoch: int) -> None:
+        """Say that a record of a shard may be written with an epoch."""
+        self._floors[shard] = max(epoch, self._floors.get(shard, 0))
+
+    def knows_floor(self, shard: str, epoch: int) -> bool:
+        """Tell whether enough witnesses know a floor to write the record."""
+        return all(
+            self._backings.know(each, {shard: epoch}) for each in self._active
+        )
+
+    def holds_until_ms(self) -> int:
+        """Return until when a majority of the witnesses backs the lease."""
+        if self._resigned or not self._current.members:
+            return 0
+        return min(self._backings.until_ms(each) for each in self._active)
+
+    def holds(self) -> bool:
+        """Tell whether the holder may act now."""
+        return self._clock.now_ms() < self.holds_until_ms()
+
+    def renewal(self, witness: NodeName, digest: Digest) -> Renew:
+        """Return what to ask of a witness; note the time before sending."""
+        backing = self._backings.of(witness)
+        wanted = [each for each in self._active if witness in each.members]
+        supersede = self._current.version if self._superseding else 0
+        if supersede:
+            wanted = [each for each in wanted if each.version > supersede]
+        unknown = (
+            each for each in wanted if each.version not in backing.until_ms
+        )
+        floors = self._floors.items()
+        return Renew(
+            holder=self._holder,
+            witness=witness,
+            versions=tuple(each.version for each in wanted),
+            sets=tuple(unknown),
+            supersede=supersede,
+            floors={
+                shard: epoch
+                for shard, epoch in floors
+                if backing.floors.get(shard, 0) < epoch
+            },
+            digest=digest,
+        )
+
+    def granted(self, request: Renew, sent_ms: int) -> None:
+        """Take in a witness's grant of a renewal sent at a time."""
+        backing = self._backings.of(request.witness)
+        margin = self._settings.drift_margin_ms
+        until_ms = sent_ms + self._settings.grant_ms - margin
+        for version in request.versions:
+            earlier_ms = backing.until_ms.get(version, 0)
+            backing.until_ms[version] = max(until_ms, earlier_ms)
+        backing.floors.update(request.floors)
+        backing.superseded = max(backing.superseded, request.supersede)
+        self._advance()
+
+    def refused(self, witness: NodeName) -> None:
+        """Take in that a witness will never renew again."""
+        self._backings.of(witness).lost = True
+
+    @property
+    def _active(self) -> tuple[WitnessSet, ...]:
+        if self._next is None:
+            return (self._current,)
+        return (self._current, self._next)
+
+    def _advance(self) -> None:
+        if self._next is None:
+            return
+        granted = self._backings.granted(self._next, self._floors)
+        if granted < self._next.majority:
+            return
+        if self._superseding:
+            self._finish_change(self._next)
+        elif granted == len(self._next.members) or self._change_is_slow():
+            self._superseding = True
+
+    def _change_is_slow(self) -> bool:
+        waited_ms = self._clock.now_ms() - self._next_since_ms
+        return waited_ms >= _CHANGE_PATIENCE_MS
+
+    def _finish_change(self, chosen: WitnessSet) -> None:
+        if self._backings.has_superseded(self._current):
+            self._current = chosen
+            self._next = None
+            self._superseding = False
--- /dev/null
+++ b/laburnumwood/membership/directory.py
@@ -0,0 +1,146 @@
+"""What a node knows of the store."""
+
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from sortedcontainers import SortedDict
+
+from laburnumwood.config.declarations import Declarations
+from laburnumwood.config.merge import merge
+from laburnumwood.errors import DeclarationError, RecordError
+from laburnumwood.events import (
+    CONFIG_IN_FORCE,
+    CONFIG_REFUSED,
+    RECORD_REFUSED,
+)
+from laburnumwood.platform.objects import CONFIG, NODES, SHARDS, to_record
+from laburnumwood.records import (
+    ConfigRecord,
+    NodeName,
+    NodeRecord,
+    ShardName,
+    ShardRecord,
+    StoredObject,
+)
+
+_Record = TypeVar('_Record')
+
+
+@dataclass(frozen=True, slots=True)
+class Entry(Generic[_Record]):
+    """A record and the version of the store that holds it."""
+
+    record: _Record
+    version: int
+
+
+class Directory:
+    """The newest records known of nodes, shards and configuration.
+
+    An object is replaced only by a newer version of itself, so that stale
+    reads and messages out of order do no harm.  `revision` is the revision of
+    the store up to which nothing is missing.
+    """
+
+    def __init__(self) -> None:
+        self._objects: dict[str, StoredObject] = {}
+        self._by_version: SortedDict[int, str] = SortedDict()
+        self._nodes: dict[str, Entry[NodeRecord]] = {}
+        self._shards: dict[str, dict[int, Entry[ShardRecord]]] = {}
+        self._config = ConfigRecord(0)
+        self._declarations = Declarations()
+        self.revision = 0
+
+    @property
+    def config(self) -> ConfigRecord:
+        """Return the configuration in force."""
+        return self._config
+
+    @property
+    def declarations(self) -> Declarations:
+        """Return what the configuration in force declares."""
+        return self._declarations
+
+    @property
+    def nodes(self) -> dict[str, Entry[NodeRecord]]:
+        """Return the records of nodes by their ids."""
+        return self._nodes
+
+    def node(self, name: NodeName) -> NodeRecord | None:
+        """Return the record of a node if it is of that incarnation."""
+        entry = self._nodes.get(name.node_id)
+        if entry is None or entry.record.incarnation != name.incarnation:
+            return None
+        return entry.record
+
+    def shard(self, shard: ShardName) -> Entry[ShardRecord] | None:
+        """Return the record of a shard."""
+        return self._shards.get(shard.service, {}).get(shard.number)
+
+    def shards(self, service: str) -> dict[int, Entry[ShardRecord]]:
+        """Return the records of a service's shards by their numbers."""
+        return self._shards.get(service, {})
+
+    def services(self) -> tuple[str, ...]:
+        """Return the services that have shards."""
+        return tuple(self._shards)
+
+    def apply(self, stored: StoredObject) -> bool:
+        """Take in an object; tell whether it was news."""
+        known = self._objects.get(stored.name)
+        if known is not None and known.version >= stored.version:
+            return False
+        try:
+            self._take(stored)
+        except RecordError as unknown:
+            RECORD_REFUSED.report(object=stored.name, reason=unknown)
+            return False
+        if known is not None:
+            self._by_version.pop(known.version, None)
+        self._objects[stored.name] = stored
+        self._by_version[stored.version] = stored.name
+        return True
+
+    def since(self, revision: int) -> tuple[StoredObject, ...]:
+        """Return the objects written after a revision, oldest first."""
+        versions = self._by_version.irange(revision, inclusive=(False, True))
+        return tuple(
+            self._objects[self._by_version[version]] for version in versions
+        )
+
+    def _take(self, stored: StoredObject) -> None:
+        if stored.name == CONFIG:
+            self._take_config(to_record(ConfigRecord, stored))
+        elif stored.name.startswith(NODES):
+            self._take_node(stored)
+        elif stored.name.startswith(SHARDS):
+            self._take_shard(stored)
+
+    def _take_config(self, record: ConfigRecord) -> None:
+        if record.generation <= self._config.generation:
+            return
+        try:
+            declared = merge(record.files)
+        except DeclarationError as invalid:
+            CONFIG_REFUSED.report(generation=record.generation, reason=invalid)
+            return
+        self._config = record
+        self._declarations = declared
+        CONFIG_IN_FORCE.report(generation=record.generation, who=record.who)
+
+    def _take_node(self, stored: StoredObject) -> None:
+        node_id = stored.name.removeprefix(NODES)
+        if stored.value is None:
+            self._nodes.pop(node_id, None)
+            return
+        record = to_record(NodeRecord, stored)
+        self._nodes[node_id] = Entry(record, stored.version)
+
+    def _take_shard(self, stored: StoredObject) -> None:
+        shard = ShardName.parse(stored.name.removeprefix(SHARDS))
+        known = self._shards.setdefault(shard.service, {})
+        if stored.value is None:
+            known.pop(shard.number, None)
+            return
+        record = to_record(ShardRecord, stored)
+        known[shard.number] = Entry(record, stored.version)
--- /dev/null
+++ b/laburnumwood/membership/renewal.py
@@ -0,0 +1,200 @@
+"""Renewal of this node's lease, and service to those it witnesses for."""
+
+import eventlet
+from eventlet.event import Event
+
+from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.errors import LinkError
+from laburnumwood.events import LEASE_HELD, LEASE_LOST, WITNESSES_CHANGED
+from laburnumwood.leases.lease import Lease
+from laburnumwood.leases.witness import Witness
+from laburnumwood.membership.choice import choose_witnesses, replace_witnesses
+from laburnumwood.membership.spreading import Spreader
+from laburnumwood.membership.view import FleetView
+from laburnumwood.protocol.link import Link
+from laburnumwood.protocol.messages import Done as Carried
+from laburnumwood.protocol.messages import (
+    Granted,
+    Refused,
+    Renew,
+    Resign,
+    SealNotice,
+)
+from laburnumwood.protocol.peers import Dispatcher, Peers
+from laburnumwood.protocol.streams import Stream
+from laburnumwood.records import NodeName, Seal
+from laburnumwood.settings import LeaseSettings
+
+_SEAL_TICK_MS = 100
+_REVIEW_MS = 500
+
+
+class Renewer:
+    """Keeps this node's lease renewed: a task for each witness."""
+
+    def __init__(
+        self,
+        lease: Lease,
+        witness: Witness,
+        spreader: Spreader,
+        peers: Peers,
+        view: FleetView,
+        settings: LeaseSettings,
+        clock: Clock,
+    ) -> None:
+        self._lease = lease
+        self._witness = witness
+        self._spreader = spreader
+        self._peers = peers
+        self._view = view
+        self._settings = settings
+        self._clock = clock
+        self._asking: set[NodeName] = set()
+        self._poke = Event()
+
+    def begin(self) -> None:
+        """Choose the first witnesses and ask them."""
+        live = dict(self._view.live())
+        chosen = choose_witnesses(self._lease.holder, live)
+        self._lease.begin(chosen)
+        self._ask_all()
+
+    def poke(self) -> None:
+        """Renew at once, so that witnesses hear of new floors."""
+        poked, self._poke = self._poke, Event()
+        poked.send(None)
+
+    def run(self) -> None:
+        """Review the set of witnesses until the incarnation is over."""
+        held = False
+        while not self._lease.is_over:
+            eventlet.sleep(_REVIEW_MS / MS_PER_SECOND)
+            self._review()
+            if self._lease.holds() != held:
+                held = not held
+                event = LEASE_HELD if held else LEASE_LOST
+                event.report(node=self._lease.holder)
+
+    def _review(self) -> None:
+        self._ask_all()
+        if self._lease.is_changing:
+            return
+        live = dict(self._view.live())
+        standing = self._lease.witnesses.members
+        good = set(standing).difference(self._lease.lost).intersection(live)
+        wanted = replace_witnesses(self._lease.holder, good, live)
+        if set(wanted) != set(standing) and self._lease.holds():
+            self._lease.change(wanted)
+            names = ','.join(str(name) for name in wanted)
+            WITNESSES_CHANGED.report(node=self._lease.holder, witnesses=names)
+            self._ask_all()
+
+    def _ask_all(self) -> None:
+        for name in self._lease.asked:
+            if name not in self._asking:
+                self._asking.add(name)
+                eventlet.spawn_n(self._ask_often, name)
+
+    def _ask_often(self, name: NodeName) -> None:
+        try:
+            while self._wants(name):
+                started_ms = self._clock.now_ms()
+                self._ask(name)
+                took_ms = self._clock.now_ms() - started_ms
+                self._pause(self._settings.renew_ms - took_ms)
+        finally:
+            self._asking.discard(name)
+
+    def _wants(self, name: NodeName) -> bool:
+        wanted = name in self._lease.asked and name not in self._lease.lost
+        return wanted and not self._lease.is_over
+
+    def _pause(self, pause_ms: int) -> None:
+        if pause_ms <= 0:
+            eventlet.sleep(0)
+            return
+        with eventlet.Timeout(pause_ms / MS_PER_SECOND, exception=False):
+            self._poke.wait()
+
+    def _ask(self, name: NodeName) -> None:
+        request = self._lease.renewal(name, self._view.digest())
+        sent_ms = self._clock.now_ms()
+        try:
+            reply = self._send(name, request)
+        except LinkError:
+            return
+        if isinstance(reply, Granted):
+            self._lease.granted(request, sent_ms)
+            self._spreader.compare(name, reply.digest)
+        elif isinstance(reply, Refused):
+            self._take_refusal(name, reply)
+
+    def _send(self, name: NodeName, request: Renew) -> object:
+        if name == self._witness.name:
+            return self._witness.renew(request, request.digest)
+        return self._peers.call(name, request, self._settings.renew_ms)
+
+    def _take_refusal(self, name: NodeName, refusal: Refused) -> None:
+        if refusal.reason != 'set-unknown':
+            self._lease.refused(name)
+        if refusal.seal is not None:
+            self._spreader.add_seals((refusal.seal,))
+
+
+class WitnessDesk:
+    """Serves the holders that this node is a witness of."""
+
+    def __init__(
+        self,
+        witness: Witness,
+        spreader: Spreader,
+        view: FleetView,
+        dispatcher: Dispatcher,
+    ) -> None:
+        self._witness = witness
+        self._spreader = spreader
+        self._view = view
+        dispatcher.on(Renew)(self._serve_renew)
+        dispatcher.on(Resign)(self._serve_resign)
+
+    def run(self) -> None:
+        """Seal the holders whose grants lapse; does not return."""
+        while True:
+            eventlet.sleep(_SEAL_TICK_MS / MS_PER_SECOND)
+            for seal in self._witness.seal_lapsed():
+                self.publish(seal)
+
+    def publish(self, seal: Seal) -> None:
+        """Take in a seal of this node and tell those who act on it."""
+        self._spreader.add_seals((seal,))
+        told = self._followers(seal.holder)
+        told.update(name for each in seal.sets for name in each.members)
+        told.difference_update((self._witness.name, seal.holder))
+        self._spreader.tell(told, SealNotice((seal,)))
+
+    def _followers(self, holder: NodeName) -> set[NodeName]:
+        directory = self._view.directory
+        record = directory.node(holder)
+        service = record.service if record else ''
+        return {
+            name
+            for entry in directory.shards(service).values()
+            if holder in entry.record.succession
+            for name in entry.record.succession
+        }
+
+    def _serve_renew(self, link: Link, stream: Stream, request: Renew) -> None:
+        if link.peer != request.holder:
+            stream.send(Refused('another-peer'))
+            return
+        stream.send(self._witness.renew(request, self._view.digest()))
+        self._spreader.compare(request.holder, request.digest)
+
+    def _serve_resign(
+        self, link: Link, stream: Stream, request: Resign
+    ) -> None:
+        if link.peer == request.holder:
+            seal = self._witness.seal(request.holder)
+            if seal is not None:
+                self.publish(seal)
+        stream.send(Carried())
--- /dev/null
+++ b/laburnumwood/membership/spreading.py
@@ -0,0 +1,111 @@
+"""Spreading of news from node to node."""
+
+from typing import Any
+
+import eventlet
+
+from laburnumwood.errors import LinkError
+from laburnumwood.events import NODE_SEALED
+from laburnumwood.membership.view import FleetView
+from laburnumwood.platform.objects import shard_object, to_value
+from laburnumwood.protocol.link import Link
+from laburnumwood.protocol.messages import (
+    Changes,
+    Done,
+    Pull,
+    SealNotice,
+    ShardNotice,
+)
+from laburnumwood.protocol.peers import Dispatcher, Peers
+from laburnumwood.protocol.streams import Stream
+from laburnumwood.records import (
+    Digest,
+    NodeName,
+    Seal,
+    ShardName,
+    StoredObject,
+)
+
+_CALL_TIMEOUT_MS = 1_000
+
+
+class Spreader:
+    """Pulls news from peers that know more, and tells peers of news."""
+
+    def __init__(
+        self, view: FleetView, peers: Peers, dispatcher: Dispatcher
+    ) -> None:
+        self._view = view
+        self._peers = peers
+        self._pulling: set[NodeName] = set()
+        dispatcher.on(Pull)(self._serve_pull)
+        dispatcher.on(SealNotice)(self._serve_seals)
+        dispatcher.on(ShardNotice)(self._serve_shard)
+
+    def compare(self, peer: NodeName, digest: Digest) -> None:
+        """Pull from a peer if its digest shows something new."""
+        own = self._view.digest()
+        newer = digest.revision > own.revision or digest.seals != own.seals
+        if newer and peer not in self._pulling:
+            self._pulling.add(peer)
+            eventlet.spawn_n(self._pull, peer)
+
+    def add_seals(self, seals: tuple[Seal, ...]) -> None:
+        """Take in seals and tell of the nodes that they prove lapsed."""
+        for seal in seals:
+            if self._view.seals.add(seal):
+                NODE_SEALED.report(node=seal.holder)
+
+    def tell(self, names: set[NodeName], message: Any) -> None:
+        """Send a notice to nodes, each in a task of its own."""
+        for name in names:
+            eventlet.spawn_n(self._tell_one, name, message)
+
+    def _tell_one(self, name: NodeName, message: Any) -> None:
+        try:
+            self._peers.call(name, message, _CALL_TIMEOUT_MS)
+        except LinkError:
+            return  # the digests of renewals bring it later
+
+    def _pull(self, peer: NodeName) -> None:
+        request = Pull(self._view.directory.revision)
+        try:
+            changes = self._peers.call(peer, request, _CALL_TIMEOUT_MS)
+        except LinkError:
+            return
+        finally:
+            self._pulling.discard(peer)
+        if isinstance(changes, Changes):
+            self._take(changes)
+
+    def _take(self, changes: Changes) -> None:
+        directory = self._view.directory
+        for stored in changes.objects:
+            directory.apply(stored)
+        directory.revision = max(changes.revision, directory.revision)
+        self.add_seals(changes.seals)
+
+    def _serve_pull(self, _link: Link, stream: Stream, request: Pull) -> None:
+        directory = self._view.directory
+        stream.send(
+            Changes(
+                objects=directory.since(request.revision),
+                revision=directory.revision,
+                whole=not request.revision,
+                seals=self._view.seals.seals(),
+            )
+        )
+
+    def _serve_seals(
+        self, _link: Link, stream: Stream, notice: SealNotice
+    ) -> None:
+        self.add_seals(notice.seals)
+        stream.send(Done())
+
+    def _serve_shard(
+        self, _link: Link, stream: Stream, notice: ShardNotice
+    ) -> None:
+        name = shard_object(ShardName.parse(notice.shard))
+        value = to_value(notice.record)
+        self._view.directory.apply(StoredObject(name, value, notice.version))
+        stream.send(Done())
--- /dev/null
+++ b/laburnumwood/membership/view.py
@@ -0,0 +1,61 @@
+"""What one incarnation of a node knows of the fleet."""
+
+from collections.abc import Iterator
+
+from laburnumwood.leases.seals import SealBook
+from laburnumwood.membership.directory import Directory
+from laburnumwood.records import Digest, NodeName, NodeRecord, ShardName
+
+
+class FleetView:
+    """The directory together with the seals: who is there and alive."""
+
+    def __init__(self, directory: Directory, seals: SealBook) -> None:
+        self.directory = directory
+        self.seals = seals
+
+    def digest(self) -> Digest:
+        """Return how much is known, for peers to compare."""
+        return Digest(
+            self.directory.config.generation,
+            self.directory.revision,
+            self.seals.digest(),
+        )
+
+    def live(self) -> Iterator[tuple[NodeName, NodeRecord]]:
+        """Yield the nodes that are not known to have ended or to leave."""
+        for node_id, entry in self.directory.nodes.items():
+            record = entry.record
+            name = NodeName(node_id, record.incarnation)
+            ended = record.has_ended(record.incarnation)
+            if not ended and not record.leaving and not self.is_sealed(name):
+                yield name, record
+
+    def live_in(self, service: str) -> dict[NodeName, NodeRecord]:
+        """Return the live nodes of a service."""
+        return {
+            name: record
+            for name, record in self.live()
+            if record.service == service
+        }
+
+    def is_sealed(self, name: NodeName) -> bool:
+        """Tell whether an incarnation has lapsed for ever."""
+        if self.seals.is_sealed(name):
+            return True
+        entry = self.directory.nodes.get(name.node_id)
+        if entry is not None and entry.record.has_ended(name.incarnation):
+            self.seals.end(name)
+            return True
+        return False
+
+    def floor(self, holder: NodeName, shard: ShardName) -> int:
+        """Return the least epoch that a sealed holder may have written."""
+        return self.seals.floor(holder, shard)
+
+    def address(self, name: NodeName) -> tuple[str, int] | None:
+        """Return host and peer port of a node, if it is known."""
+        record = self.directory.node(name)
+        if record is None:
+            return None
+        return record.host, record.peer_port
--- /dev/null
+++ b/laburnumwood/placement/holdings.py
@@ -0,0 +1,80 @@
+"""The shards that this node may serve now."""
+
+from dataclasses import dataclass
+
+from eventlet.event import Event
+
+from laburnumwood.records import ShardName
+
+
+@dataclass(slots=True)
+class _Holding:
+    token: int
+    running: int = 0
+    closed: bool = False
+    idle: Event | None = None
+
+
+class Holdings:
+    """Counts what runs in each shard, and closes shards that move away."""
+
+    def __init__(self) -> None:
+        self._held: dict[ShardName, _Holding] = {}
+
+    def tokens(self) -> dict[ShardName, int]:
+        """Return the fencing tokens of the shards held."""
+        return {shard: held.token for shard, held in self._held.items()}
+
+    def hold(self, shard: ShardName, token: int) -> bool:
+        """Hold a shard under a token; tell whether it was not held before."""
+        held = self._held.get(shard)
+        if held is not None:
+            held.token = max(token, held.token)
+            return False
+        self._held[shard] = _Holding(token)
+        return True
+
+    def drop(self, shard: ShardName) -> None:
+        """Hold a shard no longer."""
+        self._held.pop(shard, None)
+
+    def drop_all(self) -> None:
+        """Hold nothing any more."""
+        self._held.clear()
+
+    def enter(self, shard: ShardName) -> int | None:
+        """Count a request in; return its token, None if it may not run."""
+        held = self._held.get(shard)
+        if held is None or held.closed:
+            return None
+        held.running += 1
+        return held.token
+
+    def leave(self, shard: ShardName) -> None:
+        """Count a request out."""
+        held = self._held.get(shard)
+        if held is None:
+            return
+        held.running -= 1
+        if not held.running and held.idle is not None:
+            held.idle.send(None)
+            held.idle = None
+
+    def close(self, shard: ShardName) -> None:
+        """Let no more requests in, and wait until none runs any more."""
+        held = self._held[shard]
+        held.closed = True
+        while held.running:
+            held.idle = held.idle or Event()
+            held.idle.wait()
+
+    def reopen(self, shard: ShardName) -> None:
+        """Let requests in again after a move that did not happen."""
+        held = self._held.get(shard)
+        if held is not None:
+            held.closed = False
+
+    def is_closed(self, shard: ShardName) -> bool:
+        """Tell whether a shard is on its way to another owner."""
+        held = self._held.get(shard)
+        return held is not None and held.closed
--- /dev/null
+++ b/laburnumwood/placement/ownership.py
@@ -0,0 +1,71 @@
+"""Who may act for a shard, decided from its record and the seals."""
+
+from enum import Enum
+from typing import Protocol
+
+from laburnumwood.records import NodeName, ShardName, ShardRecord
+
+_RANKS = 8  # more than the places of a succession
+
+
+class Seals(Protocol):
+    """What has to be known of lapsed leases."""
+
+    def is_sealed(self, holder: NodeName) -> bool:
+        """Tell whether an incarnation has lapsed for ever."""
+
+    def floor(self, holder: NodeName, shard: ShardName) -> int:
+        """Return the least epoch that a sealed holder may have written."""
+
+
+class Standing(Enum):
+    """How a node stands to a shard."""
+
+    OWNER = 'owner'
+    MUST_WIN = 'must win a write first'
+    ORPHANED = 'all of the succession have lapsed'
+    OTHER = 'another node is owner'
+
+
+def acting(record: ShardRecord, seals: Seals) -> NodeName | None:
+    """Return the first of a succession that is not sealed."""
+    return next(
+        (name for name in record.succession if not seals.is_sealed(name)),
+        None,
+    )
+
+
+def rank(record: ShardRecord, name: NodeName) -> int:
+    """Return the place of a node in a succession, from zero."""
+    return record.succession.index(name)
+
+
+def token(record: ShardRecord, name: NodeName) -> int:
+    """Return the fencing token of an acting node; it rises with every owner."""
+    return record.epoch * _RANKS + rank(record, name)
+
+
+def highest_floor(
+    shard: ShardName, record: ShardRecord, name: NodeName, seals: Seals
+) -> int:
+    """Return the highest floor among those before a node."""
+    before = record.succession[: rank(record, name)]
+    return max((seals.floor(each, shard) for each in before), default=0)
+
+
+def standing(
+    shard: ShardName, record: ShardRecord, name: NodeName, seals: Seals
+) -> Standing:
+    """Return how a node stands to a shard.
+
+    A successor whose record is older than a floor that the lapsed owners may
+    have written under is not owner yet: a newer record may be on its way.
+    """
+    first = acting(record, seals)
+    if first is None:
+        return Standing.ORPHANED
+    if first != name:
+        return Standing.OTHER
+    if highest_floor(shard, record, name, seals) > record.epoch:
+        return Standing.MUST_WIN
+    return Standing.OWNER
--- /dev/null
+++ b/laburnumwood/placement/succession.py
@@ -0,0 +1,40 @@
+"""Choice of who follows the owner of a shard."""
+
+from collections.abc import Mapping
+
+from laburnumwood.membership.choice import rendezvous
+from laburnumwood.records import NodeName, NodeRecord, ShardName
+
+SUCCESSORS = 2
+
+
+def _by_distance(
+    owner: NodeName, order: list[NodeName], nodes: Mapping[NodeName, NodeRecord]
+) -> list[NodeName]:
+    home = nodes[owner].failure_domain if owner in nodes else ''
+    return sorted(order, key=lambda name: nodes[name].failure_domain == home)
+
+
+def choose_succession(
+    shard: ShardName, owner: NodeName, nodes: Mapping[NodeName, NodeRecord]
+) -> tuple[NodeName, ...]:
+    """Return the owner and its successors among the live nodes of a service.
+
+    The first successor is in another failure domain where there is one.
+    """
+    others = [name for name in nodes if name != owner]
+    order = rendezvous(f'successor {shard}', others)
+    return (owner, *_by_distance(owner, order, nodes)[:SUCCESSORS])
+
+
+def needs_successors(
+    owner: NodeName,
+    succession: tuple[NodeName, ...],
+    nodes: Mapping[NodeName, NodeRecord],
+) -> bool:
+    """Tell whether a succession should be written anew."""
+    if succession[0] != owner:
+        return True
+    live = [name for name in succession[1:] if name in nodes]
+    possible = min(SUCCESSORS, len(set(nodes).difference((owner,))))
+    return len(live) < possible
--- /dev/null
+++ b/laburnumwood/platform/client.py
@@ -0,0 +1,114 @@
+"""Calls of the platform's object API."""
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+from urllib3 import HTTPConnectionPool, Retry, Timeout, connection_from_url
+from urllib3.exceptions import HTTPError
+from urllib3.response import BaseHTTPResponse
+
+from laburnumwood.errors import (
+    CompactedError,
+    PlatformConflictError,
+    PlatformError,
+    PlatformUnreachableError,
+)
+from laburnumwood.records import StoredObject
+
+_CALL_TIMEOUT_S = 2
+_WATCH_GRACE_S = 2
+_MS_PER_SECOND = 1_000
+_POOL_SIZE = 8
+_OK = 200
+_NOT_FOUND = 404
+_GONE = 410
+_CONFLICT = 412
+
+
+def _check(answer: BaseHTTPResponse, what: str) -> Any:
+    if answer.status == _CONFLICT:
+        raise PlatformConflictError(what)
+    if answer.status == _GONE:
+        raise CompactedError(what)
+    if answer.status != _OK:
+        raise PlatformError(f'{what}: status {answer.status}')
+    return answer.json()
+
+
+class Platform:
+    """The platform's store of objects, at a URL.
+
+    Every method raises `PlatformUnreachableError` if no answer came; a write
+    may then have taken effect all the same.
+    """
+
+    def __init__(self, url: str) -> None:
+        self._pool: HTTPConnectionPool = connection_from_url(
+            url,
+            maxsize=_POOL_SIZE,
+            retries=Retry(0, redirect=False),
+            timeout=Timeout(_CALL_TIMEOUT_S),
+        )
+
+    def get(self, name: str) -> StoredObject | None:
+        """Return an object, or None if there is none of that name."""
+        answer = self._call('GET', f'/objects/{quote(name)}')
+        if answer.status == _NOT_FOUND:
+            return None
+        return StoredObject(**_check(answer, name))
+
+    def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
+        """Return the objects under a prefix and the store's revision."""
+        answer = self._call('GET', '/objects', fields={'prefix': prefix})
+        listing = _check(answer, prefix)
+        found = tuple(StoredObject(**each) for each in listing['objects'])
+        return found, listing['revision']
+
+    def create(self, name: str, value: dict[str, Any]) -> int:
+        """Create an object and return its version.
+
+        Raises `PlatformConflictError` if there is one already.
+        """
+        return self._put(name, value, {'If-None-Match': '*'})
+
+    def update(self, name: str, value: dict[str, Any], version: int) -> int:
+        """Replace the given version of an object and return the new one.
+
+        Raises `PlatformConflictError` if the object has another version.
+        """
+        return self._put(name, value, {'If-Match': str(version)})
+
+    def watch(
+        self, since: int, wait_ms: int
+    ) -> tuple[tuple[StoredObject, ...], int]:
+        """Wait for changes after a revision and return them with the new one.
+
+        Raises `CompactedError` if the store no longer keeps them all.
+        """
+        answer = self._call(
+            'GET',
+            '/watch',
+            fields={'prefix': '', 'since': str(since), 'wait_ms': str(wait_ms)},
+            timeout=Timeout(wait_ms / _MS_PER_SECOND + _WATCH_GRACE_S),
+        )
+        changes = _check(answer, 'watch')
+        found = tuple(StoredObject(**each) for each in changes['events'])
+        return found, changes['revision']
+
+    def _put(
+        self, name: str, value: dict[str, Any], headers: dict[str, str]
+    ) -> int:
+        answer = self._call(
+            'PUT',
+            f'/objects/{quote(name)}',
+            body=json.dumps(value).encode(),
+            headers=headers,
+        )
+        return _check(answer, name)['version']
+
+    def _call(self, method: str, path: str, **more: Any) -> BaseHTTPResponse:
+        try:
+            return self._pool.request(method, path, **more)
+        except HTTPError as failure:
+            raise PlatformUnreachableError(f'{method} {path}') from failure
--- /dev/null
+++ b/laburnumwood/platform/objects.py
@@ -0,0 +1,50 @@
+"""Names and forms of the objects that the system keeps in the store."""
+
+from typing import Any, TypeVar
+
+from pydantic import TypeAdapter, ValidationError
+
+from laburnumwood.errors import RecordError
+from laburnumwood.records import (
+    ConfigRecord,
+    NodeRecord,
+    ShardName,
+    ShardRecord,
+    StoredObject,
+)
+
+CONFIG = 'config'
+NODES = 'nodes/'
+SHARDS = 'shards/'
+AUDIT = 'audit/'
+
+_Record = TypeVar('_Record', ConfigRecord, NodeRecord, ShardRecord)
+_ADAPTERS: dict[type[Any], TypeAdapter[Any]] = {
+    form: TypeAdapter(form) for form in (ConfigRecord, NodeRecord, ShardRecord)
+}
+
+
+def node_object(node_id: str) -> str:
+    """Return the name of a node's object."""
+    return f'{NODES}{node_id}'
+
+
+def shard_object(shard: ShardName) -> str:
+    """Return the name of a shard's object."""
+    return f'{SHARDS}{shard}'
+
+
+def to_value(record: ConfigRecord | NodeRecord | ShardRecord) -> dict[str, Any]:
+    """Return what the store keeps for a record."""
+    return _ADAPTERS[type(record)].dump_python(record, mode='json')
+
+
+def to_record(form: type[_Record], stored: StoredObject) -> _Record:
+    """Return the record that an object holds.
+
+    Raises `RecordError` if the object has an unknown form.
+    """
+    try:
+        return _ADAPTERS[form].validate_python(stored.value)
+    except ValidationError as invalid:
+        raise RecordError(f'{stored.name}: {invalid}') from invalid
--- /dev/null
+++ b/laburnumwood/platform/writes.py
@@ -0,0 +1,73 @@
+"""Conditional writes whose lost answers are settled by reading back."""
+
+from dataclasses import replace
+from typing import TypeVar
+from uuid import uuid4
+
+from laburnumwood.errors import PlatformConflictError, PlatformUnreachableError
+from laburnumwood.platform.client import Platform
+from laburnumwood.platform.objects import to_value
+from laburnumwood.records import (
+    ConfigRecord,
+    NodeRecord,
+    ShardRecord,
+    WriteMark,
+)
+
+_Record = TypeVar('_Record', ConfigRecord, NodeRecord, ShardRecord)
+
+
+def marked(record: _Record, writer: str) -> _Record:
+    """Return the record with a mark that no other write carries."""
+    return replace(record, mark=WriteMark(writer, uuid4().hex))
+
+
+def _put(
+    platform: Platform, name: str, record: _Record, version: int | None
+) -> int:
+    if version is None:
+        return platform.create(name, to_value(record))
+    return platform.update(name, to_value(record), version)
+
+
+def settle(platform: Platform, name: str, record: _Record) -> int:
+    """Return the version under which a marked record was written.
+
+    Raises `PlatformConflictError` if the store holds anything else, and
+    `PlatformUnreachableError` if it can't be asked.  Call it only when the
+    write itself can no longer be on its way, or retry the write afterwards.
+    """
+    stored = platform.get(name)
+    if stored is None or stored.value is None:
+        raise PlatformConflictError(name)
+    if stored.value.get('mark') != to_value(record)['mark']:
+        raise PlatformConflictError(name)
+    return stored.version
+
+
+def write(
+    platform: Platform, name: str, record: _Record, version: int | None
+) -> int:
+    """Write a marked record over a version (None: create it).
+
+    Returns the new version.  Raises `PlatformConflictError` if another write
+    came first, and `PlatformUnreachableError` if the outcome is not known:
+    then call again with the same record, until it is.
+    """
+    try:
+        return _put(platform, name, record, version)
+    except PlatformConflictError:
+        return settle(platform, name, record)
+    except PlatformUnreachableError:
+        return _put_again(platform, name, record, version)
+
+
+def _put_again(
+    platform: Platform, name: str, record: _Record, version: int | None
+) -> int:
+    # Writing again settles the first write too: both carry one mark and ask
+    # for one version, so at most one of them can take effect.
+    try:
+        return _put(platform, name, record, version)
+    except PlatformConflictError:
+        return settle(platform, name, record)
--- /dev/null
+++ b/laburnumwood/protocol/messages.py
@@ -0,0 +1,193 @@
+"""The messages between nodes.
+
+Each message is a plain value with a kind, under which the codec finds it.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from laburnumwood.records import (
+    Digest,
+    NodeName,
+    Seal,
+    ShardRecord,
+    StoredObject,
+    WitnessSet,
+)
+
+_Form = TypeVar('_Form', bound=type[Any])
+
+KINDS: dict[str, type[Any]] = {}
+
+
+def message(kind: str) -> Callable[[_Form], _Form]:
+    """Register a class as the message of a kind."""
+
+    def register(form: _Form) -> _Form:
+        if kind in KINDS:
+            raise ValueError(f'message kind {kind!r} stands twice')
+        KINDS[kind] = form
+        return form
+
+    return register
+
+
+@message('renew')
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """A holder asks a witness to renew its lease.
+
+    `versions` are the witness sets to renew under; `sets` spells those out
+    that the witness may not know.  Sets up to `supersede` are given up.
+    """
+
+    holder: NodeName
+    witness: NodeName
+    versions: tuple[int, ...]
+    sets: tuple[WitnessSet, ...]
+    supersede: int
+    floors: dict[str, int]
+    digest: Digest
+
+
+@message('granted')
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A witness renewed a lease, counted from when it was asked."""
+
+    digest: Digest
+
+
+@message('refused')
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A witness does not renew a lease; with its seal if it gave one."""
+
+    reason: str
+    seal: Seal | None = None
+
+
+@message('resign')
+@dataclass(frozen=True, slots=True)
+class Resign:
+    """A holder that has stopped for good asks a witness to seal it."""
+
+    holder: NodeName
+
+
+@message('seals')
+@dataclass(frozen=True, slots=True)
+class SealNotice:
+    """Seals that the receiver may not know."""
+
+    seals: tuple[Seal, ...]
+
+
+@message('pull')
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """Asks for all changes of the store after a revision, and all seals."""
+
+    revision: int
+
+
+@message('changes')
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Changes of the store up to a revision; `whole` if it is all of it."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+    whole: bool
+    seals: tuple[Seal, ...]
+
+
+@message('shard')
+@dataclass(frozen=True, slots=True)
+class ShardNotice:
+    """The record of a shard as its writer wrote it, with its version."""
+
+    shard: str
+    record: ShardRecord
+    version: int
+
+
+@message('done')
+@dataclass(frozen=True, slots=True)
+class Done:
+    """An order was carried out."""
+
+
+@message('work')
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A caller's request on its way to the owner of its shard.
+
+    `shard` is negative for a service that is not divided by key, and
+    `body_length` is negative if the caller did not say it.
+    """
+
+    request_id: str
+    service: str
+    shard: int
+    key: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body_length: int
+    deadline_ms: int
+
+
+@message('answer')
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The head of the worker's answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+
+@message('chunk')
+@dataclass(frozen=True, slots=True)
+class Chunk:
+    """A part of a body, of a request or of an answer."""
+
+    content: bytes
+
+
+@message('end')
+@dataclass(frozen=True, slots=True)
+class End:
+    """The end of a body, with the length of all its chunks."""
+
+    length: int
+
+
+@message('credit')
+@dataclass(frozen=True, slots=True)
+class Credit:
+    """Lets the other side send more bytes of a body."""
+
+    size: int
+
+
+@message('failure')
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Why a request has no answer, and whether it ran.
+
+    `kind` names the type of problem, `ran` is false only where it is proved
+    that nothing of the request left for a worker.
+    """
+
+    kind: str
+    ran: bool
+    detail: str
+    retry_after_ms: int = 0
+
+
+@message('cancel')
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """The asking side no longer wants the answer."""
--- /dev/null
+++ b/laburnumwood/protocol/peers.py
@@ -0,0 +1,135 @@
+"""Links to peers, made on demand, and the place where peers connect."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import eventlet
+from eventlet.green import socket
+from eventlet.semaphore import Semaphore
+
+from laburnumwood.clock import Clock
+from laburnumwood.errors import LinkRefusedError, ProtocolError
+from laburnumwood.events import MESSAGE_REFUSED
+from laburnumwood.protocol.handshake import dial, welcome
+from laburnumwood.protocol.link import Handler, Link
+from laburnumwood.protocol.streams import Stream
+from laburnumwood.records import NodeName
+
+_BACKLOG = 256
+
+Lookup = Callable[[NodeName], tuple[str, int] | None]
+_Handler = TypeVar('_Handler', bound=Callable[..., None])
+
+
+class Dispatcher:
+    """Finds the handler of a stream by the type of its first message."""
+
+    def __init__(self) -> None:
+        self._handlers: dict[type[Any], Callable[..., None]] = {}
+
+    def on(self, form: type[Any]) -> Callable[[_Handler], _Handler]:
+        """Register the handler of a type of message."""
+
+        def register(handler: _Handler) -> _Handler:
+            self._handlers[form] = handler
+            return handler
+
+        return register
+
+    def handle(self, link: Link, stream: Stream, message: Any) -> None:
+        """Run the handler of a message and end the stream after it."""
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            kind = type(message).__name__
+            MESSAGE_REFUSED.report(peer=link.peer, reason=f'opened by {kind}')
+            link.close()
+            return
+        try:
+            handler(link, stream, message)
+        finally:
+            stream.close()
+
+
+class Peers:
+    """The links of this node to others, one for each peer.
+
+    `lookup` returns host and port of a peer, or None if it is not known.
+    """
+
+    def __init__(
+        self,
+        own: NodeName,
+        key: str,
+        lookup: Lookup,
+        dispatcher: Dispatcher,
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._key = key
+        self._lookup = lookup
+        self._handler: Handler = dispatcher.handle
+        self._clock = clock
+        self._links: dict[NodeName, Link] = {}
+        self._locks: dict[NodeName, Semaphore] = {}
+
+    def open_stream(self, peer: NodeName) -> Stream:
+        """Return a new stream to a peer, over a new link if need be.
+
+        Raises `LinkRefusedError`.
+        """
+        lock = self._locks.setdefault(peer, Semaphore())
+        with lock:
+            link = self._links.get(peer)
+            if link is None or not link.is_open:
+                link = self._connect(peer)
+                self._links[peer] = link
+        return link.open_stream()
+
+    def call(self, peer: NodeName, message: Any, timeout_ms: int) -> Any:
+        """Send a message and return the one reply.
+
+        Raises the subclasses of `LinkError`.
+        """
+        stream = self.open_stream(peer)
+        try:
+            stream.send(message)
+            return stream.receive(timeout_ms)
+        finally:
+            stream.close()
+
+    def close(self) -> None:
+        """Close all links that this node made."""
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+
+    def _connect(self, peer: NodeName) -> Link:
+        address = self._lookup(peer)
+        if address is None:
+            raise LinkRefusedError(f'no address of {peer} is known')
+        protocol, sock = dial(*address, self._own, self._key)
+        link = Link(protocol, sock, peer, self._handler, self._clock)
+        eventlet.spawn_n(link.run)
+        return link
+
+
+def _serve(
+    sock: socket.socket, key: str, handler: Handler, clock: Clock
+) -> None:
+    try:
+        protocol, peer = welcome(sock, key)
+    except (OSError, ProtocolError) as refused:
+        MESSAGE_REFUSED.report(peer='unknown', reason=refused)
+        sock.close()
+        return
+    Link(protocol, sock, peer, handler, clock).run()
+
+
+def listen(
+    address: tuple[str, int], key: str, handler: Handler, clock: Clock
+) -> None:
+    """Serve peers that connect to a host and port; does not return."""
+    listener = eventlet.listen(address, backlog=_BACKLOG)
+    while True:
+        sock, _ = listener.accept()
+        eventlet.spawn_n(_serve, sock, key, handler, clock)
--- /dev/null
+++ b/laburnumwood/protocol/streams.py
@@ -0,0 +1,87 @@
+"""Streams: exchanges of messages that share one link."""
+
+from typing import Any, Protocol
+
+from eventlet import Timeout
+from eventlet.queue import Queue
+
+from laburnumwood.errors import LinkError, LinkLostError, LinkTimeoutError
+from laburnumwood.protocol.messages import Chunk, Credit
+
+WINDOW = 256 * 1024  # bytes that may be sent ahead of the reader
+_MS_PER_SECOND = 1_000
+
+
+class FrameSender(Protocol):
+    """What a stream needs of its link."""
+
+    def send(self, stream: int, message: Any) -> None:
+        """Send a message of a stream, or raise `LinkLostError`."""
+
+    def forget(self, stream: int) -> None:
+        """Drop a stream that has ended."""
+
+
+class Stream:
+    """One exchange with a peer: messages in both directions, in order.
+
+    Chunks of bodies are subject to flow control: at most `WINDOW` bytes are
+    under way that the other side has not read.
+    """
+
+    def __init__(self, number: int, link: FrameSender) -> None:
+        self._number = number
+        self._link = link
+        self._inbox: Queue = Queue()
+        self._credits: Queue = Queue()
+        self._window = WINDOW
+        self._failure: LinkError | None = None
+
+    def send(self, message: Any) -> None:
+        """Send a message; a chunk waits until the window lets it through.
+
+        Raises `LinkLostError`.
+        """
+        if isinstance(message, Chunk):
+            self._wait_for_window()
+            self._window -= len(message.content)
+        self._link.send(self._number, message)
+
+    def receive(self, timeout_ms: int) -> Any:
+        """Return the next message.
+
+        Raises `LinkTimeoutError` if none comes in time, `LinkLostError` if
+        none can come any more.
+        """
+        if self._failure and self._inbox.empty():
+            raise self._failure
+        with Timeout(timeout_ms / _MS_PER_SECOND, LinkTimeoutError('no reply')):
+            message = self._inbox.get()
+        if isinstance(message, LinkError):
+            raise message
+        if isinstance(message, Chunk):
+            self._link.send(self._number, Credit(len(message.content)))
+        return message
+
+    def close(self) -> None:
+        """End the stream on this side."""
+        self._link.forget(self._number)
+
+    def deliver(self, message: Any) -> None:
+        """Take in a message that the link received for this stream."""
+        if isinstance(message, Credit):
+            self._credits.put(message.size)
+        else:
+            self._inbox.put(message)
+
+    def fail(self, reason: LinkError) -> None:
+        """Let all that waits on this stream fail."""
+        self._failure = reason
+        self._inbox.put(reason)
+        self._credits.put(0)
+
+    def _wait_for_window(self) -> None:
+        while self._window <= 0 or not self._credits.empty():
+            self._window += self._credits.get()
+            if self._failure:
+                raise LinkLostError(str(self._failure))
--- /dev/null
+++ b/laburnumwood/routing/exchange.py
@@ -0,0 +1,45 @@
+"""Exchanges between a door and a gate, over a link or inside one node."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from laburnumwood.protocol.streams import Stream
+
+
+class Exchange(Protocol):
+    """What door and gate need of a stream."""
+
+    def send(self, message: Any) -> None:
+        """Send a message; raises `LinkLostError`."""
+
+    def receive(self, timeout_ms: int) -> Any:
+        """Return the next message; raises a `LinkError`."""
+
+    def close(self) -> None:
+        """End the exchange on this side."""
+
+
+class _Loop:
+    """Delivers what one stream of a pair sends to the other."""
+
+    def __init__(self) -> None:
+        self.other: Stream | None = None
+
+    def send(self, _stream: int, message: Any) -> None:
+        """Deliver a message."""
+        if self.other is not None:
+            self.other.deliver(message)
+
+    def forget(self, _stream: int) -> None:
+        """Do nothing: the pair ends with its tasks."""
+
+
+def local_pair() -> tuple[Stream, Stream]:
+    """Return two streams joined to each other without a connection."""
+    there, back = _Loop(), _Loop()
+    near, far = Stream(0, there), Stream(0, back)
+    there.other, back.other = far, near
+    return near, far
+
+
+Serve = Callable[[Exchange, Any], None]
--- /dev/null
+++ b/laburnumwood/routing/outcome.py
@@ -0,0 +1,89 @@
+"""What callers are told when there is no answer of a worker."""
+
+import json
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.protocol.messages import Failure
+
+OUTCOME_HEADER = 'Laburnumwood-Outcome'
+NOT_RUN = 'not-run'
+UNKNOWN = 'unknown'
+_TYPE_BASE = 'urn:laburnumwood:problem:'
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """A kind of problem: its HTTP status, title, and when to come again."""
+
+    status: HTTPStatus
+    title: str
+    retry_after_ms: int = 0
+
+
+PROBLEMS: dict[str, Problem] = {
+    'unknown-service': Problem(HTTPStatus.NOT_FOUND, 'No such service'),
+    'no-key': Problem(HTTPStatus.BAD_REQUEST, 'The request has no key'),
+    'bad-request': Problem(HTTPStatus.BAD_REQUEST, 'The request is malformed'),
+    'too-large': Problem(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'The body is too long'
+    ),
+    'overloaded': Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE, 'The owner is overloaded', 1_000
+    ),
+    'not-owner': Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE, 'The node does not own the key', 500
+    ),
+    'no-owner': Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE, 'The key has no owner now', 2_000
+    ),
+    'worker-unreachable': Problem(
+        HTTPStatus.BAD_GATEWAY, 'The worker does not answer', 1_000
+    ),
+    'worker-cut': Problem(
+        HTTPStatus.BAD_GATEWAY, 'The answer of the worker was cut'
+    ),
+    'link-lost': Problem(HTTPStatus.BAD_GATEWAY, 'The owner was lost'),
+    'deadline': Problem(HTTPStatus.GATEWAY_TIMEOUT, 'The deadline has passed'),
+}
+
+
+def failure(kind: str, detail: str, *, ran: bool) -> Failure:
+    """Return the message that says why a request has no answer."""
+    return Failure(kind, ran, detail, PROBLEMS[kind].retry_after_ms)
+
+
+def problem_body(told: Failure, request_id: str) -> bytes:
+    """Return a failure as the content of a problem+json answer."""
+    problem = PROBLEMS[told.kind]
+    content = {
+        'type': f'{_TYPE_BASE}{told.kind}',
+        'title': problem.title,
+        'status': problem.status.value,
+        'detail': told.detail,
+        'outcome': UNKNOWN if told.ran else NOT_RUN,
+        'request': request_id,
+    }
+    return json.dumps(content).encode()
+
+
+def problem_headers(told: Failure, length: int) -> list[tuple[str, str]]:
+    """Return the headers of a problem+json answer."""
+    headers = [
+        ('Content-Type', 'application/problem+json'),
+        ('Content-Length', str(length)),
+        (OUTCOME_HEADER, UNKNOWN if told.ran else NOT_RUN),
+    ]
+    if told.retry_after_ms:
+        seconds = -(-told.retry_after_ms // MS_PER_SECOND)
+        headers.append(('Retry-After', str(seconds)))
+    return headers
+
+
+def status_line(status: int) -> str:
+    """Return a status code with its phrase."""
+    try:
+        return f'{status} {HTTPStatus(status).phrase}'
+    except ValueError:
+        return f'{status} Unknown'
--- /dev/null
+++ b/laburnumwood/upstream/granter.py
@@ -0,0 +1,62 @@
+"""Fenced grants of the worker, renewed with the lease of its node."""
+
+from collections.abc import Callable
+
+import eventlet
+
+from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.events import WORKER_UNREACHABLE
+from laburnumwood.records import ShardName
+from laburnumwood.upstream.worker import Worker
+
+_RENEW_MS = 400
+_CHANGE_POLL_MS = 20
+
+Tokens = Callable[[], dict[ShardName, int]]
+
+
+class Granter:
+    """Keeps the worker's grants equal to what its node holds, while it does.
+
+    `tokens` returns what is held, `until_ms` until when.
+    """
+
+    def __init__(
+        self,
+        worker: Worker,
+        tokens: Tokens,
+        until_ms: Callable[[], int],
+        clock: Clock,
+    ) -> None:
+        self._worker = worker
+        self._tokens = tokens
+        self._until_ms = until_ms
+        self._clock = clock
+        self._granted: dict[ShardName, int] = {}
+        self._granted_ms = 0
+        self._reachable = True
+
+    def covers(self, shard: ShardName, token: int) -> bool:
+        """Tell whether the worker has a grant for a shard and a token."""
+        return self._granted.get(shard) == token
+
+    def run(self) -> None:
+        """Renew the grants and pass on every change; does not return."""
+        while True:
+            wanted = self._tokens()
+            due = self._clock.now_ms() - self._granted_ms >= _RENEW_MS
+            if due or wanted != self._granted:
+                self._grant(wanted)
+            eventlet.sleep(_CHANGE_POLL_MS / MS_PER_SECOND)
+
+    def _grant(self, wanted: dict[ShardName, int]) -> None:
+        ttl_ms = self._until_ms() - self._clock.now_ms()
+        if ttl_ms <= 0:
+            return
+        taken = self._worker.grant(wanted, ttl_ms)
+        if taken:
+            self._granted = wanted
+            self._granted_ms = self._clock.now_ms()
+        elif self._reachable:
+            WORKER_UNREACHABLE.report()
+        self._reachable = taken
--- /dev/null
+++ b/laburnumwood/upstream/worker.py
@@ -0,0 +1,126 @@
+"""Calls of the worker beside this node."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from urllib3 import Retry, Timeout, connection_from_url
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ProtocolError,
+)
+from urllib3.response import BaseHTTPResponse
+
+from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.errors import (
+    WorkerCutError,
+    WorkerUnreachableError,
+)
+from laburnumwood.records import ShardName
+
+_CONNECT_TIMEOUT_S = 0.5
+_CONTROL_TIMEOUT_S = 0.5
+_CHUNK_SIZE = 32_768
+_OK = 200
+_NEVER_SENT = (NewConnectionError, ConnectTimeoutError)
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """A request as it is sent to the worker; `timeout_ms` is what is left."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+    timeout_ms: int
+
+
+class WorkerAnswer:
+    """The head of a worker's answer and its body, read once."""
+
+    def __init__(self, response: BaseHTTPResponse) -> None:
+        self._response = response
+
+    @property
+    def status(self) -> int:
+        """Return the status code."""
+        return self._response.status
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers in their order."""
+        return tuple(self._response.headers.items())
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the body; raises `WorkerCutError` if it ends early."""
+        try:
+            yield from self._response.stream(_CHUNK_SIZE, decode_content=False)
+        except (HTTPError, ProtocolError) as cut:
+            raise WorkerCutError(str(cut)) from cut
+
+    def close(self) -> None:
+        """End the exchange and its connection."""
+        self._response.close()
+
+    def release(self) -> None:
+        """Give the connection back after the whole body was read."""
+        self._response.release_conn()
+
+
+class Worker:
+    """The worker at a URL."""
+
+    def __init__(self, url: str, connections: int) -> None:
+        self._pool = connection_from_url(
+            url, maxsize=connections, retries=Retry(0, redirect=False)
+        )
+
+    def run(self, order: Order) -> WorkerAnswer:
+        """Send a request once and return the head of its answer.
+
+        Raises `WorkerUnreachableError` if it is proved that nothing was
+        sent, and `WorkerCutError` if it may have run.
+        """
+        try:
+            response = self._pool.urlopen(
+                order.method,
+                order.target,
+                body=order.body,
+                headers=order.headers,
+                timeout=Timeout(
+                    connect=_CONNECT_TIMEOUT_S,
+                    read=order.timeout_ms / MS_PER_SECOND,
+                ),
+                preload_content=False,
+            )
+        except HTTPError as failure:
+            raise _typed(failure) from failure
+        return WorkerAnswer(response)
+
+    def grant(self, tokens: Mapping[ShardName, int], ttl_ms: int) -> bool:
+        """Replace the worker's grants; tell whether it took them."""
+        shards = [
+            {'service': shard.service, 'shard': shard.number, 'token': token}
+            for shard, token in tokens.items()
+        ]
+        return self._control('PUT', '/grants', ttl_ms=ttl_ms, shards=shards)
+
+    def _control(self, method: str, path: str, **fields: Any) -> bool:
+        timeout = Timeout(_CONTROL_TIMEOUT_S)
+        try:
+            answer = self._pool.request(
+                method, path, json=fields, timeout=timeout
+            )
+        except HTTPError:
+            return False
+        return answer.status == _OK
+
+
+def _typed(failure: HTTPError) -> WorkerUnreachableError | WorkerCutError:
+    reason = getattr(failure, 'reason', failure)
+    if isinstance(reason, _NEVER_SENT):
+        return WorkerUnreachableError(str(reason))
+    return WorkerCutError(str(reason))
