Keep a lease held while its witnesses change, and tasks alive after errors

A first run of three real nodes showed the lease lost for some milliseconds at each change of witnesses (the new set had not granted yet) and the writing task dead after a move of a shard that was not held yet. A new set can seal no earlier than one grant after the change began, so it counts as granting until then.

--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,242 @@
+"""A small deployment of real processes on loopback."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from urllib3 import PoolManager, Retry
+from urllib3.exceptions import HTTPError
+from urllib3.response import BaseHTTPResponse
+
+HOST = '127.0.0.1'
+SHARED_KEY = 'a key for loopback only'
+_START_S = 60
+_STOP_S = 60
+_POLL_S = 0.02
+_OK = 200
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+def wait_for(what: str, check: Callable[[], bool], limit_s: float) -> float:
+    """Wait until a check holds; return the seconds that it took.
+
+    Raises `TimeoutError` if it does not hold in time.
+    """
+    started = time.monotonic()
+    while not check():
+        if time.monotonic() - started > limit_s:
+            raise TimeoutError(f'waited {limit_s} s for: {what}')
+        time.sleep(_POLL_S)
+    return time.monotonic() - started
+
+
+class Process:
+    """A process of the deployment, ended by its id."""
+
+    def __init__(self, module: str, *arguments: str, log: Path) -> None:
+        command = [sys.executable, '-m', module, *arguments]
+        with log.open('ab') as output:
+            self._child = subprocess.Popen(
+                command, stdout=output, stderr=subprocess.STDOUT
+            )
+        self.log = log
+
+    @property
+    def pid(self) -> int:
+        """Return the id of the process."""
+        return self._child.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self._child.poll() is None
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._child.kill()
+        self._child.wait()
+
+    def pause(self) -> None:
+        """Stop the process until it is resumed."""
+        os.kill(self.pid, signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        os.kill(self.pid, signal.SIGCONT)
+
+    def stop(self, limit_s: float = _STOP_S) -> int:
+        """Ask the process to stop and return its exit status."""
+        self._child.terminate()
+        return self._child.wait(limit_s)
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a node of the deployment stands and what it serves."""
+
+    node_id: str
+    failure_domain: str
+    service: str
+    capacity_owner: str = 'licensing'
+    slots: int = 20
+    connections: int = 100
+
+
+@dataclass(slots=True)
+class Member:
+    """A node of the deployment with its worker."""
+
+    place: Place
+    settings: dict[str, Any]
+    path: Path
+    worker: Process
+    node: Process
+
+    @property
+    def door(self) -> str:
+        """Return the URL for callers."""
+        return f'http://{HOST}:{self.settings["door_port"]}'
+
+    @property
+    def operators(self) -> str:
+        """Return the URL for operators."""
+        return f'http://{HOST}:{self.settings["operator_port"]}'
+
+
+class Deployment:
+    """Stand-ins and nodes as processes, all ended by `close`."""
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self._root = Path(self._folder.name)
+        self.members: dict[str, Member] = {}
+        self.http = PoolManager(maxsize=64, retries=Retry(0), timeout=15)
+        platform_port, journal_port = free_port(), free_port()
+        self.platform_url = f'http://{HOST}:{platform_port}'
+        self.journal_url = f'http://{HOST}:{journal_port}'
+        self.platform = self._spawn(
+            'standins.platform', '--port', str(platform_port)
+        )
+        self.journal = self._spawn(
+            'standins.journal', '--port', str(journal_port)
+        )
+        self._answers(f'{self.platform_url}/counts')
+        self._answers(f'{self.journal_url}/journal')
+
+    def add(self, place: Place, **settings: Any) -> Member:
+        """Start a worker and its node; return without waiting for them."""
+        worker_port = free_port()
+        worker = self._start_worker(place, worker_port)
+        written = self._settings(place, worker_port)
+        written.update(settings)
+        path = self._root / f'{place.node_id}.json'
+        path.write_text(json.dumps(written))
+        node = self.start_node(path)
+        member = Member(place, written, path, worker, node)
+        self.members[place.node_id] = member
+        return member
+
+    def start_node(self, path: Path) -> Process:
+        """Start a node with a settings file."""
+        return self._spawn('laburnumwood.daemon.main', '--settings', str(path))
+
+    def restart_worker(self, member: Member) -> None:
+        """Start a member's worker again at its old port."""
+        port = int(member.settings['worker_url'].rsplit(':', 1)[1])
+        member.worker = self._start_worker(member.place, port)
+
+    def restart_node(self, member: Member) -> None:
+        """Start a member's node again with its old settings."""
+        member.node = self.start_node(member.path)
+
+    def get(self, url: str, **more: Any) -> BaseHTTPResponse:
+        """Return the answer to a GET."""
+        return self.http.request('GET', url, **more)
+
+    def page(self, member: Member, name: str) -> Any:
+        """Return a page of a node's operator port."""
+        return self.get(f'{member.operators}/{name}').json()
+
+    def is_serving(self, member: Member, path: str, **more: Any) -> bool:
+        """Tell whether a door answers a request with success."""
+        try:
+            answer = self.get(f'{member.door}{path}', **more)
+        except HTTPError:
+            return False
+        return answer.status == _OK
+
+    def entries(self) -> list[dict[str, Any]]:
+        """Return what the workers wrote into their journals."""
+        return self.get(f'{self.journal_url}/journal').json()
+
+    def close(self) -> None:
+        """End every process that is still there."""
+        for process in self._processes():
+            if process.is_running:
+                process.kill()
+        self._folder.cleanup()
+
+    def _processes(self) -> Iterable[Process]:
+        for member in self.members.values():
+            yield member.node
+            yield member.worker
+        yield self.platform
+        yield self.journal
+
+    def _spawn(self, module: str, *arguments: str) -> Process:
+        log = self._root / f'{module}.log'
+        return Process(module, *arguments, log=log)
+
+    def _start_worker(self, place: Place, port: int) -> Process:
+        return self._spawn(
+            'standins.worker',
+            '--name',
+            place.node_id,
+            '--port',
+            str(port),
+            '--slots',
+            str(place.slots),
+            '--journal-url',
+            f'{self.journal_url}/journal',
+        )
+
+    def _settings(self, place: Place, worker_port: int) -> dict[str, Any]:
+        return {
+            'node_id': place.node_id,
+            'failure_domain': place.failure_domain,
+            'host': HOST,
+            'peer_port': free_port(),
+            'door_port': free_port(),
+            'operator_port': free_port(),
+            'platform_url': self.platform_url,
+            'worker_url': f'http://{HOST}:{worker_port}',
+            'service': place.service,
+            'capacity_owner': place.capacity_owner,
+            'slots': place.slots,
+            'connections': place.connections,
+            'shared_key': SHARED_KEY,
+        }
+
+    def _answers(self, url: str) -> None:
+        wait_for(url, lambda: self._is_up(url), _START_S)
+
+    def _is_up(self, url: str) -> bool:
+        try:
+            return self.get(url).status == _OK
+        except HTTPError:
+            return False
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -1,9 +1,12 @@
 """All that one incarnation of a node consists of."""
 
+from collections.abc import Callable
+
 import eventlet
 from eventlet.greenthread import GreenThread
 
-from laburnumwood.clock import Clock
+from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.events import TASK_FAILED
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
@@ -29,6 +32,18 @@
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.worker import Worker
 
+_RESTART_MS = 200
+
+
+def _supervise(task: Callable[[], None]) -> None:
+    while True:
+        try:
+            return task()
+        except Exception as failure:
+            name = getattr(task, '__qualname__', task)
+            TASK_FAILED.report(task=name, reason=repr(failure))
+        eventlet.sleep(_RESTART_MS / MS_PER_SECOND)
+
 
 class Incarnation:
     """One run of a node from joining to its end, with all its tasks."""
@@ -71,7 +86,7 @@
             self._keeper.watch_standing,
             self._keeper.write_records,
         ):
-            self._tasks.append(eventlet.spawn(task))
+            self._tasks.append(eventlet.spawn(_supervise, task))
 
     def hand_over(self) -> None:
         """Give every shard to another node and let the witnesses seal."""
--- a/laburnumwood/daemon/main.py
+++ b/laburnumwood/daemon/main.py
@@ -1,6 +1,10 @@
 """The program laburnumwoodd."""
 
-import eventlet
+import warnings
+
+warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
+
+import eventlet  # noqa: E402
 
 eventlet.monkey_patch()
 
--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -92,7 +92,7 @@
         """Return until when a majority of the witnesses backs the lease."""
         if self._resigned or not self._current.members:
             return 0
-        return min(self._backings.until_ms(each) for each in self._active)
+        return min(self._backed_until_ms(each) for each in self._active)
 
     def holds(self) -> bool:
         """Tell whether the holder may act now."""
@@ -126,8 +126,7 @@
     def granted(self, request: Renew, sent_ms: int) -> None:
         """Take in a witness's grant of a renewal sent at a time."""
         backing = self._backings.of(request.witness)
-        margin = self._settings.drift_margin_ms
-        until_ms = sent_ms + self._settings.grant_ms - margin
+        until_ms = sent_ms + self._own_grant_ms
         for version in request.versions:
             earlier_ms = backing.until_ms.get(version, 0)
             backing.until_ms[version] = max(until_ms, earlier_ms)
@@ -145,6 +144,18 @@
             return (self._current,)
         return (self._current, self._next)
 
+    def _backed_until_ms(self, chosen: WitnessSet) -> int:
+        until_ms = self._backings.until_ms(chosen)
+        if chosen is not self._next:
+            return until_ms
+        # No witness can seal under a new set before a grant that it gave
+        # after the change began has run out.
+        return max(until_ms, self._next_since_ms + self._own_grant_ms)
+
+    @property
+    def _own_grant_ms(self) -> int:
+        return self._settings.grant_ms - self._settings.drift_margin_ms
+
     def _advance(self) -> None:
         if self._next is None:
             return
--- a/laburnumwood/membership/choice.py
+++ b/laburnumwood/membership/choice.py
@@ -56,10 +56,12 @@
 def choose_witnesses(
     holder: NodeName, nodes: Mapping[NodeName, NodeRecord]
 ) -> tuple[NodeName, ...]:
-    """Return the witnesses of a holder among live nodes, itself last."""
-    order = rendezvous(f'witness {holder}', nodes)
-    order.sort(key=lambda name: name == holder)
-    return spread(order, nodes, witness_count(len(nodes)))
+    """Return the witnesses of a holder among live nodes.
+
+    The holder itself comes last, but is the only one in a fleet too small
+    for a majority without it.
+    """
+    return replace_witnesses(holder, (), nodes)
 
 
 def replace_witnesses(
@@ -68,7 +70,10 @@
     nodes: Mapping[NodeName, NodeRecord],
 ) -> tuple[NodeName, ...]:
     """Return witnesses that keep as many as can be of those that stand."""
+    count = witness_count(len(nodes))
+    if count == 1:
+        return (holder,)
     standing = set(kept)
     order = rendezvous(f'witness {holder}', nodes)
     order.sort(key=lambda name: (name not in standing, name == holder))
-    return spread(order, nodes, witness_count(len(nodes)))
+    return spread(order, nodes, count)
--- a/laburnumwood/placement/holdings.py
+++ b/laburnumwood/placement/holdings.py
@@ -62,7 +62,9 @@
 
     def close(self, shard: ShardName) -> None:
         """Let no more requests in, and wait until none runs any more."""
-        held = self._held[shard]
+        held = self._held.get(shard)
+        if held is None:
+            return
         held.closed = True
         while held.running:
             held.idle = held.idle or Event()
@@ -74,6 +76,11 @@
         if held is not None:
             held.closed = False
 
+    def is_open(self, shard: ShardName) -> bool:
+        """Tell whether a shard is held and lets requests in."""
+        held = self._held.get(shard)
+        return held is not None and not held.closed
+
     def is_closed(self, shard: ShardName) -> bool:
         """Tell whether a shard is on its way to another owner."""
         held = self._held.get(shard)
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -167,7 +167,8 @@
                 shares[owner].append(shard.number)
         frozen = {name: tuple(numbers) for name, numbers in shares.items()}
         for move in POLICIES[_POLICY](frozen):
-            if move.source == self._own:
+            shard = ShardName(self._service, move.shard)
+            if move.source == self._own and self._holdings.is_open(shard):
                 self._move(move)
 
     def _move(self, move: Move) -> None:
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -47,6 +47,7 @@
         self._clock = clock
         self._streams: dict[int, Stream] = {}
         self._last_number = 0
+        self._last_opened = 0
         self._heard_ms = clock.now_ms()
         self._lock = Semaphore()
         self._open = True
@@ -117,7 +118,7 @@
         while self._open:
             try:
                 received = self._socket.recv(_READ_SIZE)
-            except OSError:
+            except (OSError, EOFError):
                 return
             if not received:
                 return
@@ -137,7 +138,8 @@
         stream = self._streams.get(-number)
         if stream is not None:
             stream.deliver(message)
-        elif number > 0:
+        elif number > self._last_opened:
+            self._last_opened = number
             opened = Stream(-number, self)
             self._streams[-number] = opened
             eventlet.spawn_n(self._handler, self, opened, message)
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.errors import LinkError, LinkRefusedError
+from laburnumwood.errors import LinkError
 from laburnumwood.membership.choice import rendezvous
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.ownership import acting
@@ -83,7 +83,8 @@
     ) -> tuple[Answer | Failure, Exchange | None]:
         try:
             exchange = self._open(target, work)
-        except LinkRefusedError as refused:
+        except LinkError as refused:
+            # The end of the body was not sent, so no worker got the request.
             return failure('no-owner', str(refused), ran=False), None
         try:
             return self._ask(exchange, work, body)
