Add stand-ins for the platform and for workers

The router needs something to run against: an object API with one global revision, watches and switchable faults, and a worker that takes fenced grants. Both run as processes of their own. A worker posts the start of its work to a small collector before it begins, so that a crash is seen.

--- /dev/null
+++ b/standins/journal/__init__.py
@@ -0,0 +1,1 @@
+"""A collector of the journals of workers, which outlives them."""
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for the object API of a platform."""
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,27 @@
+"""The HTTP server that all stand-ins share."""
+
+import socket
+
+from eventlet import wsgi
+
+from standins.application import Application
+
+HOST = '127.0.0.1'
+BACKLOG = 1_024
+MAX_CONNECTIONS = 20_000
+
+
+def serve(application: Application, port: int) -> None:
+    """Serve until the process ends; port 0 takes any free port."""
+    listener = socket.create_server((HOST, port), backlog=BACKLOG)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    bound_port = listener.getsockname()[1]
+    print(f'listening on {HOST}:{bound_port}', flush=True)
+    wsgi.server(
+        listener,
+        application,
+        max_size=MAX_CONNECTIONS,
+        minimum_chunk_size=1,
+        log_output=False,
+        debug=False,
+    )
--- /dev/null
+++ b/standins/worker/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for a worker of an upstream."""
--- /dev/null
+++ b/standins/worker/grants.py
@@ -0,0 +1,93 @@
+"""The fenced grants that let a worker serve shards."""
+
+from dataclasses import dataclass, field
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from standins.clock import monotonic_ms
+
+ShardId = tuple[str, int]
+
+
+class GrantedShard(BaseModel):
+    """One shard of a set of grants."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    service: str
+    shard: int = Field(ge=0)
+    token: int = Field(ge=0)
+
+    @property
+    def shard_id(self) -> ShardId:
+        """Return what names the shard among all services."""
+        return self.service, self.shard
+
+
+class GrantSet(BaseModel):
+    """The whole set of grants of a worker."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    ttl_ms: int = Field(ge=0)
+    shards: list[GrantedShard]
+
+
+@dataclass(slots=True)
+class _Grant:
+    token: int
+    warm_keys: set[str] = field(default_factory=set)
+
+
+class GrantTable:
+    """The grants in force, by the worker's own monotonic clock."""
+
+    def __init__(self, *, check_tokens: bool) -> None:
+        self._check_tokens = check_tokens
+        self._grants: dict[ShardId, _Grant] = {}
+        self._expires_ms = monotonic_ms()
+        self._highest_tokens: dict[ShardId, int] = {}
+
+    def replace(self, grant_set: GrantSet) -> list[GrantedShard]:
+        """Replace all grants; return those refused for their token."""
+        refused = []
+        granted: dict[ShardId, _Grant] = {}
+        for shard in grant_set.shards:
+            if self._refuses(shard):
+                refused.append(shard)
+            else:
+                granted[shard.shard_id] = self._renew(shard)
+        self._grants = granted
+        self._expires_ms = monotonic_ms() + grant_set.ttl_ms
+        return refused
+
+    def admits(self, shard_id: ShardId, token: int | None) -> bool:
+        """Tell whether work for a shard may run under this token."""
+        if not self._check_tokens:
+            return True
+        grant = self._in_force(shard_id)
+        return not (grant is None or token is None or token < grant.token)
+
+    def warm(self, shard_id: ShardId, key: str) -> bool:
+        """Note the use of a key; tell whether it is the first one."""
+        grant = self._in_force(shard_id)
+        if grant is None or key in grant.warm_keys:
+            return False
+        grant.warm_keys.add(key)
+        return True
+
+    def _refuses(self, shard: GrantedShard) -> bool:
+        highest = self._highest_tokens.get(shard.shard_id, 0)
+        self._highest_tokens[shard.shard_id] = max(highest, shard.token)
+        return self._check_tokens and shard.token < highest
+
+    def _renew(self, shard: GrantedShard) -> _Grant:
+        previous = self._in_force(shard.shard_id)
+        if previous is None:
+            return _Grant(shard.token)
+        return _Grant(shard.token, previous.warm_keys)
+
+    def _in_force(self, shard_id: ShardId) -> _Grant | None:
+        if monotonic_ms() >= self._expires_ms:
+            return None
+        return self._grants.get(shard_id)
