--- a/tests/features/steps/standins_steps.py
+++ b/tests/features/steps/standins_steps.py
@@ -30,7 +30,11 @@
     context.add_cleanup(process.stop)
     if not hasattr(context, 'standins'):
         context.standins = {}
-        context.client = urllib3.PoolManager(retries=False, maxsize=4)
+        context.client = urllib3.PoolManager(
+            retries=False,
+            maxsize=4,
+            timeout=PATIENCE_SECONDS,
+        )
         context.add_cleanup(context.client.clear)
     context.standins[name] = process
 
