--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -16,6 +16,7 @@
 from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
+from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
 from laburnumwood.placement.writer import ShardWriter
@@ -131,6 +132,7 @@
             self.holdings,
             writer,
             self._spreader,
+            Balancer(self._settings.service, self.name, self.view),
             clock,
         )
 
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -12,11 +12,11 @@
 from laburnumwood.membership.directory import Entry
 from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.balance import POLICIES, Move
+from laburnumwood.placement.balance import Move
+from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.ownership import (
     Standing,
-    acting,
     rank,
     standing,
     token,
@@ -32,7 +32,6 @@
 _STANDING_MS = 50
 _WRITING_MS = 200
 _BYSTANDER_PATIENCE_MS = 3_000
-_POLICY = 'even-count'
 
 
 class Keeper:
@@ -46,6 +45,7 @@
         holdings: Holdings,
         writer: ShardWriter,
         spreader: Spreader,
+        balancer: Balancer,
         clock: Clock,
     ) -> None:
         self._service = service
@@ -55,6 +55,7 @@
         self._holdings = holdings
         self._writer = writer
         self._spreader = spreader
+        self._balancer = balancer
         self._clock = clock
         self._wanting_since_ms: dict[ShardName, int] = {}
 
@@ -116,7 +117,8 @@
                 self._renew(shard)
         self._claim_missing()
         self._refresh_successions()
-        self._balance()
+        for move in self._balancer.moves():
+            self._move(move)
 
     def _is_my_turn(self, shard: ShardName) -> bool:
         now_ms = self._clock.now_ms()
@@ -159,17 +161,6 @@
             ):
                 self._renew(shard)
 
-    def _balance(self) -> None:
-        shares: dict[NodeName, list[int]] = {name: [] for name in self._live()}
-        for shard, entry in self._shards():
-            owner = acting(entry.record, self._view)
-            if owner in shares:
-                shares[owner].append(shard.number)
-        frozen = {name: tuple(numbers) for name, numbers in shares.items()}
-        for move in POLICIES[_POLICY](frozen):
-            if move.source == self._own:
-                self._move(move)
-
     def _move(self, move: Move) -> None:
         shard = ShardName(self._service, move.shard)
         if not self._holdings.is_open(shard):
