Add a TCP relay that cuts, silences and delays, and use it in deployments

Faults between processes need something that drops bytes while connections stay open; killing processes can't show that. Nodes may announce another peer port than they listen on (advertised_peer_port). What can't be cut: one stream of a link, and UDP.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -118,6 +118,7 @@
     path: Path
     worker: Process
     node: Process
+    worker_port: int
 
     @property
     def door(self) -> str:
@@ -137,6 +138,8 @@
         self._folder = tempfile.TemporaryDirectory()
         self._root = Path(self._folder.name)
         self.members: dict[str, Member] = {}
+        self.relay: Process | None = None
+        self.relay_url = ''
         self.http = PoolManager(maxsize=64, retries=Retry(0), timeout=15)
         platform_port, journal_port = free_port(), free_port()
         self.platform_url = f'http://{HOST}:{platform_port}'
@@ -150,16 +153,23 @@
         self._answers(f'{self.platform_url}/counts')
         self._answers(f'{self.journal_url}/journal')
 
-    def add(self, place: Place, **settings: Any) -> Member:
-        """Start a worker and its node; return without waiting for them."""
+    def add(
+        self, place: Place, *, relayed: bool = False, **settings: Any
+    ) -> Member:
+        """Start a worker and its node; return without waiting for them.
+
+        A relayed node is reached, and reaches what it needs, by relays.
+        """
         worker_port = free_port()
         worker = self._start_worker(place, worker_port)
         written = self._settings(place, worker_port)
         written.update(settings)
+        if relayed:
+            self._relay_all(written)
         path = self._root / f'{place.node_id}.json'
         path.write_text(json.dumps(written))
         node = self.start_node(path)
-        member = Member(place, written, path, worker, node)
+        member = Member(place, written, path, worker, node, worker_port)
         self.members[place.node_id] = member
         return member
 
@@ -169,13 +179,32 @@
 
     def restart_worker(self, member: Member) -> None:
         """Start a member's worker again at its old port."""
-        port = int(member.settings['worker_url'].rsplit(':', 1)[1])
-        member.worker = self._start_worker(member.place, port)
+        member.worker = self._start_worker(member.place, member.worker_port)
 
     def restart_node(self, member: Member) -> None:
         """Start a member's node again with its old settings."""
         member.node = self.start_node(member.path)
 
+    def hinder(self, route: str, **switches: Any) -> None:
+        """Set switches of a relay, named by node and what it leads to."""
+        url = f'{self.relay_url}/routes/{route}'
+        answer = self.http.request('POST', url, json=switches)
+        if answer.status != _OK:
+            raise ValueError(f'{route}: {answer.data!r}')
+
+    def routes(self) -> dict[str, dict[str, Any]]:
+        """Return what each relay has carried."""
+        return self.get(f'{self.relay_url}/routes').json()
+
+    def fault(self, **switches: Any) -> None:
+        """Set fault switches of the platform."""
+        self.http.request('POST', f'{self.platform_url}/faults', json=switches)
+
+    def worker_switch(self, member: Member, **switches: Any) -> None:
+        """Set switches of a member's worker, whatever the relay does."""
+        url = f'http://{HOST}:{member.worker_port}/switches'
+        self.http.request('POST', url, json=switches)
+
     def get(self, url: str, **more: Any) -> BaseHTTPResponse:
         """Return the answer to a GET."""
         return self.http.request('GET', url, **more)
@@ -211,6 +240,8 @@
             yield member.worker
         yield self.platform
         yield self.journal
+        if self.relay is not None:
+            yield self.relay
 
     def _spawn(self, module: str, *arguments: str) -> Process:
         log = self._root / f'{module}.log'
@@ -246,6 +277,29 @@
             'shared_key': SHARED_KEY,
         }
 
+    def _relay_all(self, written: dict[str, Any]) -> None:
+        if self.relay is None:
+            self._start_relay()
+        node_id = written['node_id']
+        for name in ('platform', 'worker'):
+            url = written[f'{name}_url']
+            port = self._relay(f'{node_id}.{name}', int(url.split(':')[-1]))
+            written[f'{name}_url'] = f'http://{HOST}:{port}'
+        written['advertised_peer_port'] = self._relay(
+            f'{node_id}.peer', written['peer_port']
+        )
+
+    def _start_relay(self) -> None:
+        port = free_port()
+        self.relay_url = f'http://{HOST}:{port}'
+        self.relay = self._spawn('standins.relay', '--control-port', str(port))
+        self._answers(f'{self.relay_url}/routes')
+
+    def _relay(self, route: str, port: int) -> int:
+        url = f'{self.relay_url}/routes/{route}'
+        answer = self.http.request('PUT', url, json={'target_port': port})
+        return int(answer.json()['port'])
+
     def _answers(self, url: str) -> None:
         wait_for(url, lambda: self._is_up(url), _START_S)
 
--- a/laburnumwood/membership/joining.py
+++ b/laburnumwood/membership/joining.py
@@ -18,7 +18,7 @@
         incarnation=0,
         open_incarnations=(),
         host=settings.host,
-        peer_port=settings.peer_port,
+        peer_port=settings.advertised_peer_port or settings.peer_port,
         door_port=settings.door_port,
         operator_port=settings.operator_port,
         failure_domain=settings.failure_domain,
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -31,6 +31,7 @@
     region: str = 'default'
     host: str = '127.0.0.1'
     peer_port: int = Field(ge=1, le=HIGHEST_PORT)
+    advertised_peer_port: int | None = Field(default=None, ge=1)
     door_port: int = Field(ge=1, le=HIGHEST_PORT)
     operator_port: int = Field(ge=1, le=HIGHEST_PORT)
     platform_url: str = Field(pattern='^https?://')
--- /dev/null
+++ b/standins/relay/__init__.py
@@ -0,0 +1,1 @@
+"""A TCP relay that cuts, silences and delays what passes through it."""
--- /dev/null
+++ b/tests/features/steps/relay_steps.py
@@ -0,0 +1,88 @@
+"""Steps about the relay, with the journal as what stands behind it."""
+
+import socket
+from urllib.parse import urlsplit
+
+import urllib3
+from behave import given, then, when
+from behave.runner import Context
+
+from tests.features.steps.processes import Process
+
+SILENCE_S = 0.5
+PATIENCE_S = 30
+REQUEST = b'GET /journal HTTP/1.1\r\nHost: journal\r\n\r\n'
+ROUTE = '/routes/journal'
+
+
+@given('a running relay before a running journal')
+def start_relay(context: Context) -> None:
+    journal = Process(('standins.journal',))
+    context.add_cleanup(journal.stop)
+    relay = Process(('standins.relay',))
+    context.add_cleanup(relay.stop)
+    context.route = f'{relay.url}{ROUTE}'
+    target = {'target_port': urlsplit(journal.url).port}
+    answer = urllib3.request('PUT', context.route, json=target)
+    context.port = answer.json()['port']
+
+
+@when("the relay is told '{switches}'")
+def set_switches(context: Context, switches: str) -> None:
+    answer = urllib3.request('POST', context.route, body=switches)
+    assert answer.status == 200, answer.data
+
+
+def _connect(context: Context) -> socket.socket:
+    opened = socket.create_connection(('127.0.0.1', context.port), PATIENCE_S)
+    context.add_cleanup(opened.close)
+    return opened
+
+
+def _ask(opened: socket.socket, limit_s: float) -> str:
+    opened.settimeout(limit_s)
+    try:
+        opened.sendall(REQUEST)
+        return 'answer' if opened.recv(1) else 'end'  # the rest stays unread
+    except TimeoutError:
+        return 'silence'
+    except ConnectionError:
+        return 'reset'
+
+
+@given('an open connection through the relay')
+def open_connection(context: Context) -> None:
+    context.opened = _connect(context)
+    assert _ask(context.opened, PATIENCE_S) == 'answer'
+
+
+@then('the open connection gets no answer')
+def check_silence(context: Context) -> None:
+    received = b''
+    while not received.endswith(b'[]'):
+        received += context.opened.recv(65_536)
+    assert _ask(context.opened, SILENCE_S) == 'silence'
+
+
+@when('a caller asks through the relay')
+def ask_through(context: Context) -> None:
+    context.opened = _connect(context)
+
+
+@then('the caller got an answer')
+def check_answer(context: Context) -> None:
+    got = _ask(context.opened, PATIENCE_S)
+    assert got == 'answer', got
+
+
+@then('the caller got no answer, by {how}')
+def check_none(context: Context, how: str) -> None:
+    got = _ask(context.opened, SILENCE_S if how == 'silence' else PATIENCE_S)
+    assert got == how, got
+
+
+@then('the relay has counted bytes in both directions')
+def check_counts(context: Context) -> None:
+    counted = urllib3.request('GET', context.route).json()['bytes']
+    assert counted['to_target'] == len(REQUEST), counted
+    assert counted['to_client'] > 0, counted
