Admit requests by a fair queue and an adaptive limit

The gate refused what came past twice its slots, whoever sent it and however long it could wait. It asks an admission policy now: a limit that follows the latency of the worker, before it a short queue that is fair to keys and weighs declared classes of traffic, and a refusal at once, with the time that the queue needs to drain, for what can't be answered in time. The load endpoint can only lower the limit, and what it says fades within seconds. What was ruled out: strict priorities (ordinary requests would starve), and deficits by cost (the cost of a request is not known beforehand).

--- /dev/null
+++ b/laburnumwood/admission/control.py
@@ -0,0 +1,238 @@
+"""Admission control: who may use the worker now, who waits, who is shed."""
+
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Protocol
+
+from laburnumwood.admission.limit import ConcurrencyLimit
+from laburnumwood.admission.queue import FairQueue
+from laburnumwood.admission.tickets import Result, State, Ticket
+from laburnumwood.clock import Clock
+from laburnumwood.decay import DecayingMean
+from laburnumwood.settings import DaemonSettings
+
+_TIMES_HALF_LIFE_MS = 2_000
+_LEAST_RETRY_MS = 100
+_MOST_RETRY_MS = 10_000
+
+
+class Admission(Protocol):
+    """Decides about tickets; it never waits."""
+
+    @property
+    def running(self) -> int:
+        """Return how many tickets have a slot."""
+
+    @property
+    def waiting(self) -> int:
+        """Return how many tickets wait."""
+
+    def offer(self, ticket: Ticket) -> None:
+        """Let a new ticket run, wait, or be shed."""
+
+    def finish(self, ticket: Ticket) -> None:
+        """Take back the slot of a ticket, or its place in the queue."""
+
+    def hint(self, reported: int) -> None:
+        """Take in how many requests the worker says it runs."""
+
+
+Maker = Callable[[DaemonSettings, Clock], Admission]
+ADMISSIONS: dict[str, Maker] = {}
+
+
+def admission(name: str) -> Callable[[Maker], Maker]:
+    """Register a way of admission under a name."""
+
+    def register(maker: Maker) -> Maker:
+        ADMISSIONS[name] = maker
+        return maker
+
+    return register
+
+
+@admission('adaptive')
+class AdaptiveAdmission:
+    """An adaptive limit, and before it a short queue that is fair to keys.
+
+    A ticket that could not be answered before its deadline, by the times that
+    were observed, is shed at once.
+    """
+
+    def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
+        self._clock = clock
+        self._limit = ConcurrencyLimit(settings.slots, clock)
+        capacity = settings.slots * settings.admission.queue_per_slot
+        self._queue = FairQueue(capacity)
+        self._running: dict[Ticket, None] = {}  # in the order of their start
+        self._by_key: Counter[str] = Counter()
+        self._peaks = (0, 0)  # of running, since the last two load reports
+        self._latencies = DecayingMean(_TIMES_HALF_LIFE_MS, clock)
+        self._slot_times = DecayingMean(_TIMES_HALF_LIFE_MS, clock)
+
+    @property
+    def running(self) -> int:
+        """Return how many tickets have a slot."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many tickets wait."""
+        return len(self._queue)
+
+    @property
+    def limit(self) -> int:
+        """Return how many tickets may have a slot."""
+        return self._limit.current
+
+    def offer(self, ticket: Ticket) -> None:
+        """Let a new ticket run, wait, or be shed."""
+        self._fill()
+        left_ms = ticket.deadline_ms - self._clock.now_ms()
+        if not self._queue and self.running < self.limit and left_ms > 0:
+            self._start(ticket)
+        elif self._may_wait(ticket, left_ms):
+            self._enqueue(ticket)
+        else:
+            ticket.shed(self._retry_after_ms())
+
+    def finish(self, ticket: Ticket) -> None:
+        """Take back the slot of a ticket, or its place in the queue."""
+        if ticket.state is State.WAITING:
+            self._queue.remove(ticket)
+            ticket.shed(self._retry_after_ms())
+        elif ticket.state is State.RUNNING:
+            self._learn(ticket)
+            self._running.pop(ticket)
+            self._by_key[ticket.key] -= 1
+            self._by_key += Counter()  # forgets the keys that have none
+            ticket.state = State.OVER
+        self._fill()
+
+    def hint(self, reported: int) -> None:
+        """Take in how many requests the worker says it runs."""
+        self._limit.hint(reported, max(self._peaks))
+        self._peaks = (self.running, self._peaks[0])
+
+    def _may_wait(self, ticket: Ticket, left_ms: int) -> bool:
+        ahead = self._queue.ahead_of(ticket.key, ticket.line)
+        needed_ms = self._drain_ms(ahead + 1) + self._latency_ms()
+        return needed_ms <= left_ms and self._queue.has_room(ticket.key)
+
+    def _enqueue(self, ticket: Ticket) -> None:
+        victim = self._queue.put(ticket)
+        if victim is not None:
+            victim.shed(self._retry_after_ms())
+
+    def _start(self, ticket: Ticket) -> None:
+        self._running[ticket] = None
+        self._by_key[ticket.key] += 1
+        self._peaks = (max(self._peaks[0], self.running), self._peaks[1])
+        ticket.start(self._clock.now_ms())
+
+    def _fill(self) -> None:
+        latest_ms = self._clock.now_ms() + round(self._latency_ms())
+        for late in self._queue.hopeless(latest_ms):
+            self._queue.remove(late)
+            late.shed(self._retry_after_ms())
+        while self._queue and self.running < self.limit:
+            self._start(self._queue.pop(self._by_key))
+
+    def _learn(self, ticket: Ticket) -> None:
+        if ticket.result is Result.REFUSED:
+            self._limit.refused()
+        elif ticket.result is Result.LOST:
+            self._limit.lost()
+        if ticket.answered_ms is None:
+            return
+        latency_ms = ticket.answered_ms - ticket.started_ms
+        self._latencies.note(latency_ms)
+        self._slot_times.note(self._clock.now_ms() - ticket.started_ms)
+        self._limit.observe(latency_ms, self.running)
+
+    def _latency_ms(self) -> float:
+        return max(self._latencies.mean, self._unanswered_ms())
+
+    def _unanswered_ms(self) -> float:
+        """Return the mean age of what the worker has not answered yet.
+
+        It grows while a worker is frozen and nothing can be observed.
+        """
+        now_ms = self._clock.now_ms()
+        ages = [
+            now_ms - ticket.started_ms
+            for ticket in self._running
+            if ticket.answered_ms is None
+        ]
+        return sum(ages) / len(ages) if ages else 0
+
+    def _drain_ms(self, count: int) -> float:
+        slot_ms = max(self._slot_times.mean, self._unanswered_ms())
+        return count * slot_ms / self.limit
+
+    def _retry_after_ms(self) -> int:
+        drain_ms = round(self._drain_ms(len(self._queue) + self.running))
+        return min(max(drain_ms, _LEAST_RETRY_MS), _MOST_RETRY_MS)
+
+
+class _CountingAdmission:
+    def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._running = 0
+        self._queue: deque[Ticket] = deque()
+
+    @property
+    def running(self) -> int:
+        """Return how many tickets have a slot."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Return how many tickets wait."""
+        return len(self._queue)
+
+    def finish(self, ticket: Ticket) -> None:
+        """Take back the slot of a ticket, or its place in the queue."""
+        if ticket.state is State.WAITING:
+            self._queue.remove(ticket)
+            ticket.shed(_LEAST_RETRY_MS)
+        elif ticket.state is State.RUNNING:
+            ticket.state = State.OVER
+            self._running -= 1
+        if self._queue and self._running < self._settings.slots:
+            self._start(self._queue.popleft())
+
+    def hint(self, reported: int) -> None:
+        """Ignore what the worker says of its load."""
+
+    def _start(self, ticket: Ticket) -> None:
+        self._running += 1
+        ticket.start(self._clock.now_ms())
+
+
+@admission('unlimited')
+class UnlimitedAdmission(_CountingAdmission):
+    """Lets everything in at once; a baseline for measurements."""
+
+    def offer(self, ticket: Ticket) -> None:
+        """Let a new ticket run."""
+        self._start(ticket)
+
+
+@admission('fixed-queue')
+class FixedQueueAdmission(_CountingAdmission):
+    """A queue of fixed length, first in, first out; a baseline."""
+
+    def offer(self, ticket: Ticket) -> None:
+        """Let a new ticket run, wait, or be shed."""
+        slots = self._settings.slots
+        if self._running < slots and not self._queue:
+            self._start(ticket)
+        elif len(self._queue) < slots * _FIXED_QUEUE_PER_SLOT:
+            self._queue.append(ticket)
+        else:
+            ticket.shed(_LEAST_RETRY_MS)
+
+
+_FIXED_QUEUE_PER_SLOT = 10
--- /dev/null
+++ b/laburnumwood/admission/queue.py
@@ -0,0 +1,132 @@
+"""A bounded queue that is fair to keys and weighs classes of traffic.
+
+Classes share by weight as in start-time fair queueing (P. Goyal, H. M. Vin
+and H. Cheng, 1996).  Among the keys of a class the one with the fewest
+requests in slots is next, in turn where they are equal: deficit round robin
+would have to know the cost of a request beforehand.  A full queue drops from
+the longest line, as in P. E. McKenney, "Stochastic fairness queueing", 1990.
+"""
+
+from collections import Counter, deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from laburnumwood.admission.tickets import Line, Ticket
+
+
+@dataclass(slots=True)
+class _Class:
+    weight: int
+    served: float = 0
+    keys: dict[str, deque[Ticket]] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        return sum(len(waiting) for waiting in self.keys.values())
+
+    def next_key(self, running: Counter[str]) -> str:
+        return min(self.keys, key=lambda key: running[key])
+
+    def take(self, key: str) -> Ticket:
+        waiting = self.keys.pop(key)
+        ticket = waiting.popleft()
+        if waiting:
+            self.keys[key] = waiting  # last in turn now
+        return ticket
+
+    def drop(self, ticket: Ticket) -> None:
+        waiting = self.keys[ticket.key]
+        waiting.remove(ticket)
+        if not waiting:
+            self.keys.pop(ticket.key)
+
+
+class FairQueue:
+    """Tickets that wait, at most `capacity` of them."""
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._classes: dict[str, _Class] = {}
+        self._length = 0
+        self._now_served: float = 0
+
+    def __len__(self) -> int:
+        """Return how many tickets wait."""
+        return self._length
+
+    def has_room(self, key: str) -> bool:
+        """Tell whether a key fills less than its share of the queue.
+
+        The share leaves room for one more key than those that wait.  What
+        has no key may fill the queue.
+        """
+        if not key:
+            return self._length < self._capacity
+        lines = [each.keys for each in self._classes.values()]
+        keys = {name for line in lines for name in line} | {key}
+        share = max(1, self._capacity // (len(keys) + 1))
+        own = sum(len(line.get(key, ())) for line in lines)
+        return own < share
+
+    def ahead_of(self, key: str, line: Line) -> int:
+        """Return how many would be served before a new ticket of a key."""
+        joined = self._classes.get(line.name, _Class(line.weight))
+        turns = len(joined.keys.get(key, ())) + 1
+        same = sum(min(len(each), turns) for each in joined.keys.values())
+        others = 0
+        for name, other in self._classes.items():
+            if name != line.name:
+                share = (same + 1) * other.weight // line.weight
+                others += min(len(other), share)
+        return same + others
+
+    def put(self, ticket: Ticket) -> Ticket | None:
+        """Add a ticket; return the one that had to leave for it, if any."""
+        joined = self._classes.get(ticket.line.name)
+        if joined is None:
+            joined = _Class(ticket.line.weight)
+            self._classes[ticket.line.name] = joined
+        if not joined.keys:
+            joined.served = max(joined.served, self._now_served)
+        joined.weight = ticket.line.weight
+        joined.keys.setdefault(ticket.key, deque()).append(ticket)
+        self._length += 1
+        if self._length <= self._capacity:
+            return None
+        victim = self._newest_of_longest()
+        self.remove(victim)
+        return victim
+
+    def pop(self, running: Counter[str]) -> Ticket:
+        """Return the ticket that is next, given what keys have in slots."""
+        waiting = [each for each in self._classes.values() if each.keys]
+        first = min(waiting, key=lambda each: each.served)
+        self._now_served = first.served
+        first.served += 1 / first.weight
+        self._length -= 1
+        return first.take(first.next_key(running))
+
+    def remove(self, ticket: Ticket) -> None:
+        """Take a waiting ticket out."""
+        self._classes[ticket.line.name].drop(ticket)
+        self._length -= 1
+
+    def hopeless(self, latest_ms: int) -> list[Ticket]:
+        """Return the tickets whose deadline is before a moment."""
+        return [
+            ticket
+            for line in self._lines()
+            for ticket in line
+            if ticket.deadline_ms < latest_ms
+        ]
+
+    def _lines(self) -> Iterator[deque[Ticket]]:
+        for each in self._classes.values():
+            yield from each.keys.values()
+
+    def _newest_of_longest(self) -> Ticket:
+        lines = [
+            (len(line) / each.weight, line)
+            for each in self._classes.values()
+            for line in each.keys.values()
+        ]
+        return max(lines, key=lambda weighed: weighed[0])[1][-1]
--- /dev/null
+++ b/laburnumwood/admission/tickets.py
@@ -0,0 +1,69 @@
+"""What is decided about one request that asks to be let in."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+ORDINARY = 'ordinary'
+
+
+class State(Enum):
+    """How far a request has come."""
+
+    WAITING = 'waits for a slot'
+    RUNNING = 'has a slot'
+    SHED = 'was refused'
+    OVER = 'has given its slot back'
+
+
+class Result(Enum):
+    """What became of a request that had a slot."""
+
+    UNTRIED = 'the worker was not asked'
+    SERVED = 'the worker answered'
+    REFUSED = 'the worker refused it for its load'
+    LOST = 'the worker gave no whole answer'
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """A declared class of traffic and its weight against the others."""
+
+    name: str = ORDINARY
+    weight: int = 1
+
+
+def _ignore() -> None:
+    """Tell nobody."""
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """One request at the gate; `deadline_ms` is a moment of the clock."""
+
+    key: str
+    deadline_ms: int
+    line: Line = Line()
+    state: State = State.WAITING
+    result: Result = Result.UNTRIED
+    started_ms: int = 0
+    answered_ms: int | None = None
+    retry_after_ms: int = 0
+    when_settled: Callable[[], None] = _ignore
+
+    def start(self, now_ms: int) -> None:
+        """Give the request a slot."""
+        self.started_ms = now_ms
+        self.state = State.RUNNING
+        self.when_settled()
+
+    def answer(self, now_ms: int) -> None:
+        """Note when the worker's answer began."""
+        self.answered_ms = now_ms
+        self.result = Result.SERVED
+
+    def shed(self, retry_after_ms: int) -> None:
+        """Refuse the request; its caller may come again after a time."""
+        self.retry_after_ms = retry_after_ms
+        self.state = State.SHED
+        self.when_settled()
--- /dev/null
+++ b/laburnumwood/admission/waiting.py
@@ -0,0 +1,58 @@
+"""Tasks that wait until they are let in."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from eventlet import Timeout
+from eventlet.event import Event
+
+from laburnumwood.admission.control import Admission
+from laburnumwood.admission.tickets import State, Ticket
+from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.errors import OverloadedError
+
+
+class Admitter:
+    """Lets the tasks of requests wait for what an admission decides."""
+
+    def __init__(self, admission: Admission, clock: Clock) -> None:
+        self._admission = admission
+        self._clock = clock
+
+    @property
+    def running(self) -> int:
+        """Return how many requests have a slot."""
+        return self._admission.running
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for one."""
+        return self._admission.waiting
+
+    def hint(self, reported: int) -> None:
+        """Take in how many requests the worker says it runs."""
+        self._admission.hint(reported)
+
+    @contextmanager
+    def admitted(self, ticket: Ticket) -> Iterator[None]:
+        """Hold a slot for the ticket while the block runs.
+
+        Raises `OverloadedError` as soon as it is clear that there is none.
+        """
+        try:
+            self._wait(ticket)
+            if ticket.state is not State.RUNNING:
+                raise OverloadedError(ticket.retry_after_ms)
+            yield
+        finally:
+            self._admission.finish(ticket)
+
+    def _wait(self, ticket: Ticket) -> None:
+        settled = Event()
+        ticket.when_settled = settled.send
+        self._admission.offer(ticket)
+        left_ms = max(ticket.deadline_ms - self._clock.now_ms(), 0)
+        with Timeout(left_ms / MS_PER_SECOND, False):
+            settled.wait()
+            return
+        self._admission.finish(ticket)
--- a/laburnumwood/config/declarations.py
+++ b/laburnumwood/config/declarations.py
@@ -24,6 +24,19 @@
     name: str = Field(min_length=1)
 
 
+class Priority(Declaration):
+    """A class of traffic that is weighed against the ordinary, of weight 1.
+
+    A request belongs to it by its method, or if its header field has the
+    text; without a text, any text will do.
+    """
+
+    weight: int = Field(default=4, ge=1, le=100)
+    methods: frozenset[str] = frozenset()
+    header: str | None = Field(default=None, min_length=1)
+    text: str | None = None
+
+
 class Service(Declaration):
     """A service; it is divided by key if `key` is given."""
 
@@ -36,6 +49,9 @@
     deadline_ms: int = Field(default=10_000, ge=10, le=3_600_000)
     cold_start_ms: int = Field(default=0, ge=0, le=600_000)
     longest_body: int = Field(default=8_388_608, ge=0, le=67_108_864)
+    priorities: dict[Literal['internal', 'paying'], Priority] = Field(
+        default_factory=dict,
+    )
 
 
 class CapacityOwner(Declaration):
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -31,6 +31,7 @@
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
+from laburnumwood.upstream.load import LoadPoller
 from laburnumwood.upstream.worker import Worker
 
 _RESTART_MS = 200
@@ -84,6 +85,7 @@
             self._renewer.run,
             self._desk.run,
             self._granter.run,
+            self._load_poller.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
         ):
@@ -147,8 +149,10 @@
             self.holdings,
             self._granter,
             worker,
+            lambda: self.view.directory.declarations.services,
             clock,
         )
+        self._load_poller = LoadPoller(worker, gate.hint)
         router = Router(self.name, self.view, self._peers, gate.serve, clock)
         self.door = Door(
             router, lambda: self.view.directory.declarations.services
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -131,7 +131,10 @@
 
     def _drain(self, incarnation: Incarnation) -> None:
         deadline_ms = self._clock.now_ms() + _DRAIN_PATIENCE_MS
-        while incarnation.gate.running and self._clock.now_ms() < deadline_ms:
+        gate = incarnation.gate
+        while gate.running or gate.waiting:
+            if self._clock.now_ms() >= deadline_ms:
+                return
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
 
 
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -67,3 +67,11 @@
 
 class WorkerCutError(WorkerError):
     """The worker's answer ended early or never came."""
+
+
+class OverloadedError(LaburnumwoodError):
+    """A request was not let in to the worker."""
+
+    def __init__(self, retry_after_ms: int) -> None:
+        super().__init__(f'come again after {retry_after_ms} ms')
+        self.retry_after_ms = retry_after_ms
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -1,12 +1,19 @@
 """The gate: the only way to the worker beside a node."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from dataclasses import replace
 
 import eventlet
 
+from laburnumwood.admission.control import ADMISSIONS
+from laburnumwood.admission.tickets import Ticket
+from laburnumwood.admission.waiting import Admitter
 from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.config.declarations import Service
 from laburnumwood.errors import (
     LinkError,
+    OverloadedError,
     WorkerCutError,
     WorkerUnreachableError,
 )
@@ -15,14 +22,17 @@
 from laburnumwood.protocol.messages import Answer, Chunk, End, Failure, Work
 from laburnumwood.records import ShardName
 from laburnumwood.routing.exchange import Exchange
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.observed import ObservedExchange
+from laburnumwood.routing.outcome import failure, overloaded
+from laburnumwood.routing.priorities import line_of
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.worker import Order, Worker, WorkerAnswer
 
+Services = Callable[[], Mapping[str, Service]]
+
 _GRANT_POLL_MS = 5
 _GRANT_PATIENCE_MS = 500
-_QUEUE_PER_SLOT = 2
 _HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -87,6 +97,7 @@
         holdings: Holdings,
         granter: Granter,
         worker: Worker,
+        services: Services,
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -94,27 +105,47 @@
         self._holdings = holdings
         self._granter = granter
         self._worker = worker
+        self._services = services
         self._clock = clock
-        self._running = 0
+        self._admitter = Admitter(
+            ADMISSIONS[settings.admission.policy](settings, clock), clock
+        )
 
     @property
     def running(self) -> int:
-        """Return how many requests are in flight."""
-        return self._running
+        """Return how many requests are in flight to the worker."""
+        return self._admitter.running
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait to be let in."""
+        return self._admitter.waiting
+
+    def hint(self, reported: int) -> None:
+        """Take in how many requests the worker says it runs."""
+        self._admitter.hint(reported)
 
     def serve(self, exchange: Exchange, work: Work) -> None:
         """Answer one request on its exchange."""
-        limit = self._settings.slots * _QUEUE_PER_SLOT
-        if self._running >= limit:
-            exchange.send(failure('overloaded', 'no slot is free', ran=False))
-            return
-        self._running += 1
-        try:
-            self._serve_admitted(exchange, work)
-        except LinkError:
-            return  # the asking side is gone: nobody is left to be told
-        finally:
-            self._running -= 1
+        # After a link error nobody is left to be told.
+        with suppress(LinkError):
+            try:
+                self._serve_in_turn(exchange, work, self._ticket(work))
+            except OverloadedError as shed:
+                exchange.send(overloaded(shed.retry_after_ms))
+
+    def _ticket(self, work: Work) -> Ticket:
+        deadline_ms = self._clock.now_ms() + work.deadline_ms
+        service = self._services().get(work.service)
+        return Ticket(work.key, deadline_ms, line_of(work, service))
+
+    def _serve_in_turn(
+        self, exchange: Exchange, work: Work, ticket: Ticket
+    ) -> None:
+        with self._admitter.admitted(ticket):
+            left_ms = max(ticket.deadline_ms - self._clock.now_ms(), 1)
+            observed = ObservedExchange(exchange, ticket, self._clock)
+            self._serve_admitted(observed, replace(work, deadline_ms=left_ms))
 
     def _serve_admitted(self, exchange: Exchange, work: Work) -> None:
         body = read_body(exchange, work.deadline_ms)
--- /dev/null
+++ b/laburnumwood/routing/observed.py
@@ -0,0 +1,44 @@
+"""What admission learns from the answers that pass the gate."""
+
+from typing import Any
+
+from laburnumwood.admission.tickets import Result, Ticket
+from laburnumwood.clock import Clock
+from laburnumwood.protocol.messages import Answer, Failure
+from laburnumwood.routing.exchange import Exchange
+
+_SHEDDING = frozenset((429, 503))
+_LOST = frozenset(('worker-cut', 'worker-unreachable'))
+
+
+class ObservedExchange:
+    """An exchange that notes on a ticket how its request went."""
+
+    def __init__(
+        self, exchange: Exchange, ticket: Ticket, clock: Clock
+    ) -> None:
+        self._exchange = exchange
+        self._ticket = ticket
+        self._clock = clock
+
+    def send(self, message: Any) -> None:
+        """Send a message; raises `LinkLostError`."""
+        if isinstance(message, Answer):
+            self._note(message)
+        elif isinstance(message, Failure) and message.kind in _LOST:
+            self._ticket.result = Result.LOST
+        self._exchange.send(message)
+
+    def receive(self, timeout_ms: int) -> Any:
+        """Return the next message; raises a `LinkError`."""
+        return self._exchange.receive(timeout_ms)
+
+    def close(self) -> None:
+        """End the exchange on this side."""
+        self._exchange.close()
+
+    def _note(self, answer: Answer) -> None:
+        if answer.status in _SHEDDING:
+            self._ticket.result = Result.REFUSED
+        else:
+            self._ticket.answer(self._clock.now_ms())
--- a/laburnumwood/routing/outcome.py
+++ b/laburnumwood/routing/outcome.py
@@ -54,6 +54,11 @@
     return Failure(kind, ran, detail, PROBLEMS[kind].retry_after_ms)
 
 
+def overloaded(retry_after_ms: int) -> Failure:
+    """Return the message that no slot is free before some time."""
+    return Failure('overloaded', False, 'no slot is free', retry_after_ms)
+
+
 def problem_body(told: Failure, request_id: str) -> bytes:
     """Return a failure as the content of a problem+json answer."""
     problem = PROBLEMS[told.kind]
--- /dev/null
+++ b/laburnumwood/routing/priorities.py
@@ -0,0 +1,33 @@
+"""Which declared class of traffic a request belongs to."""
+
+from collections.abc import Mapping
+
+from laburnumwood.admission.tickets import Line
+from laburnumwood.config.declarations import Priority, Service
+from laburnumwood.protocol.messages import Work
+
+_ORDINARY = Line()
+
+
+def _belongs(
+    priority: Priority, work: Work, headers: Mapping[str, str]
+) -> bool:
+    if work.method in priority.methods:
+        return True
+    if priority.header is None:
+        return False
+    found = headers.get(priority.header.lower())
+    return found is not None and priority.text in {None, found}
+
+
+def line_of(work: Work, service: Service | None) -> Line:
+    """Return the class of a request, the heaviest that it belongs to."""
+    if service is None or not service.priorities:
+        return _ORDINARY
+    headers = {name.lower(): text for name, text in work.headers}
+    lines = [
+        Line(name, priority.weight)
+        for name, priority in service.priorities.items()
+        if _belongs(priority, work, headers)
+    ]
+    return max(lines, key=lambda line: line.weight, default=_ORDINARY)
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -2,6 +2,7 @@
 
 import json
 from pathlib import Path
+from typing import Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -21,6 +22,15 @@
     guard_ms: int = Field(default=100, ge=0, le=5_000)
 
 
+class AdmissionSettings(BaseModel):
+    """How requests are let in to the worker."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
+
+    policy: Literal['adaptive', 'unlimited', 'fixed-queue'] = 'adaptive'
+    queue_per_slot: int = Field(default=2, ge=1, le=1_000)
+
+
 class DaemonSettings(BaseModel):
     """All that one daemon has to be told."""
 
@@ -42,6 +52,7 @@
     connections: int = Field(default=100, ge=1)
     shared_key: str = Field(min_length=16, repr=False)
     lease: LeaseSettings = LeaseSettings()
+    admission: AdmissionSettings = AdmissionSettings()
 
 
 def describe(error: ValidationError, file: str) -> str:
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from pydantic import BaseModel, Field, ValidationError
 from urllib3 import Retry, Timeout, connection_from_url
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -38,6 +39,12 @@
     timeout_ms: int
 
 
+class LoadReport(BaseModel):
+    """What a worker says of its load; more fields are ignored."""
+
+    running: int = Field(ge=0)
+
+
 class WorkerAnswer:
     """The head of a worker's answer and its body, read once."""
 
@@ -108,6 +115,16 @@
         ]
         return self._control('PUT', '/grants', ttl_ms=ttl_ms, shards=shards)
 
+    def load(self) -> int | None:
+        """Return how many requests the worker says it runs, if it does."""
+        timeout = Timeout(_CONTROL_TIMEOUT_S)
+        try:
+            answer = self._pool.request('GET', '/load', timeout=timeout)
+            report = LoadReport.model_validate_json(answer.data)
+        except (HTTPError, ValidationError):
+            return None
+        return report.running if answer.status == _OK else None
+
     def _control(self, method: str, path: str, **fields: Any) -> bool:
         timeout = Timeout(_CONTROL_TIMEOUT_S)
         try:
