Prove admission, the limit and the retry budget on a clock of the tests

The property over any order of events found two faults before it passed: with nothing observed yet a request past its deadline was put into the queue of an idle worker, and a share of the queue by the number of waiting keys left half of it empty. A key's share is half of the queue now, and a full queue drops the newest of its longest line.

--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -117,7 +117,7 @@
     def _may_wait(self, ticket: Ticket, left_ms: int) -> bool:
         ahead = self._queue.ahead_of(ticket.key, ticket.line)
         needed_ms = self._drain_ms(ahead + 1) + self._latency_ms()
-        return needed_ms <= left_ms and self._queue.has_room(ticket.key)
+        return needed_ms < left_ms and self._queue.has_room(ticket.key)
 
     def _enqueue(self, ticket: Ticket) -> None:
         victim = self._queue.put(ticket)
--- a/laburnumwood/admission/queue.py
+++ b/laburnumwood/admission/queue.py
@@ -56,16 +56,14 @@
     def has_room(self, key: str) -> bool:
         """Tell whether a key fills less than its share of the queue.
 
-        The share leaves room for one more key than those that wait.  What
-        has no key may fill the queue.
+        The share of a key is half of it.  What has no key may fill it all.
         """
         if not key:
             return self._length < self._capacity
-        lines = [each.keys for each in self._classes.values()]
-        keys = {name for line in lines for name in line} | {key}
-        share = max(1, self._capacity // (len(keys) + 1))
-        own = sum(len(line.get(key, ())) for line in lines)
-        return own < share
+        own = sum(
+            len(each.keys.get(key, ())) for each in self._classes.values()
+        )
+        return own < max(1, self._capacity // 2)
 
     def ahead_of(self, key: str, line: Line) -> int:
         """Return how many would be served before a new ticket of a key."""
@@ -92,7 +90,7 @@
         self._length += 1
         if self._length <= self._capacity:
             return None
-        victim = self._newest_of_longest()
+        victim = self._newest_of_longest(ticket)
         self.remove(victim)
         return victim
 
@@ -123,10 +121,7 @@
         for each in self._classes.values():
             yield from each.keys.values()
 
-    def _newest_of_longest(self) -> Ticket:
-        lines = [
-            (len(line) / each.weight, line)
-            for each in self._classes.values()
-            for line in each.keys.values()
-        ]
-        return max(lines, key=lambda weighed: weighed[0])[1][-1]
+    def _newest_of_longest(self, added: Ticket) -> Ticket:
+        own = len(self._classes[added.line.name].keys[added.key])
+        longest = max(self._lines(), key=len)
+        return added if len(longest) == own else longest[-1]
--- a/laburnumwood/decay.py
+++ b/laburnumwood/decay.py
@@ -57,4 +57,3 @@
     def _decayed(self) -> float:
         age_ms = self._clock.now_ms() - self._noted_ms
         return self._sum * weight_of_age(age_ms, self._half_life_ms)
-
--- /dev/null
+++ b/tests/features/admission.feature
@@ -0,0 +1,70 @@
+Feature: Admission of requests to the worker
+  Decisions only, on a clock of the test's own.
+
+  Background:
+    Given admission for a worker with 4 slots and 8 places to wait
+
+  Scenario: slots are used first, then the queue, then requests are shed
+    When 20 requests of different keys come
+    Then 4 run, 8 wait and 8 are shed
+
+  Scenario: a hot key fills only its share of the queue
+    When 50 requests of key "hot" come
+    And a request of key "cold" comes
+    Then the request of key "cold" waits
+    And 4 of key "hot" wait
+
+  Scenario: a key with fewer slots goes first
+    When 8 requests of key "hot" come
+    And a request of key "cold" comes
+    And the worker answers one after 10 ms
+    Then the request of key "cold" runs
+
+  Scenario: no key starves while a hot one keeps coming
+    Given answers of 10 ms were seen
+    When 200 rounds each bring 12 requests of key "hot" and 1 of key "cold"
+    Then at least 95 of 100 requests of key "cold" were served
+
+  Scenario: the newest of the longest line leaves for a key that is new
+    When 4 requests of key "hot" come
+    And 2 requests of each of 4 keys come
+    And a request of key "late" comes
+    Then the request of key "late" waits
+    And 8 wait in all
+
+  Scenario: what can't be answered in time is shed at once
+    Given answers of 100 ms were seen
+    When 8 requests of different keys come
+    And a request of key "hasty" comes that has 150 ms left
+    Then the request of key "hasty" is shed
+    And it may come again after 200 ms
+
+  Scenario: what waits is shed once the worker has slowed too far
+    Given answers of 10 ms were seen
+    When 4 requests of key "a" come
+    And a request of key "b" comes that has 500 ms left
+    And 400 ms pass without an answer
+    And a request of key "c" comes
+    Then the request of key "b" is shed
+
+  Scenario: a frozen worker gets no more than its slots
+    When 4 requests of key "a" come
+    And 5000 ms pass without an answer
+    And a request of key "b" comes that has 1000 ms left
+    Then the request of key "b" is shed
+
+  Scenario: a request past its deadline is never let in
+    When a request of key "old" comes that has 0 ms left
+    Then the request of key "old" is shed
+
+  Scenario: paying traffic gets its weight and the ordinary does not starve
+    When the queue always holds "paying" of weight 4 and ordinary requests
+    Then of 100 that start between 75 and 85 are "paying"
+
+  Scenario: slots given back twice count once
+    When 4 requests of different keys come
+    And each of them ends twice
+    Then 0 run, 0 wait and 0 are shed
+
+  Scenario: admission under any order of events
+    Then no order of events breaks the bounds of admission
--- /dev/null
+++ b/tests/features/steps/admission_limit_steps.py
@@ -0,0 +1,96 @@
+"""Steps about the concurrency limit and the retry budget."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from laburnumwood.admission.limit import ConcurrencyLimit
+from laburnumwood.admission.retries import RetryBudget
+from tests.features.steps.fake_clock import FakeClock
+
+ANSWER_MS = 10
+
+
+@given('a concurrency limit for {slots:d} slots')
+def make_limit(context: Context, slots: int) -> None:
+    context.clock = FakeClock()
+    context.limit = ConcurrencyLimit(slots, context.clock)
+
+
+@when('the worker answers in {latency:d} ms for {span:d} s')
+def answer_for(context: Context, latency: int, span: int) -> None:
+    end_ms = context.clock.now_ms() + span * 1_000
+    while context.clock.now_ms() < end_ms:
+        context.clock.pass_ms(ANSWER_MS)
+        context.limit.observe(latency, context.limit.current)
+
+
+@when('the worker refuses {count:d} requests over {span:d} s')
+def refuse_many(context: Context, count: int, span: int) -> None:
+    for _ in range(count):
+        context.limit.refused()
+        context.clock.pass_ms(span * 1_000 // count)
+    context.before = context.limit.current
+
+
+@when('the worker reports {reported:d} running while this node runs {own:d}')
+def report_load(context: Context, reported: int, own: int) -> None:
+    context.limit.hint(reported, own)
+
+
+@then('the limit is {limit:d}')
+def check_limit(context: Context, limit: int) -> None:
+    assert context.limit.current == limit, context.limit.current
+
+
+@then('the limit is below {limit:d}')
+def check_lower(context: Context, limit: int) -> None:
+    assert 1 <= context.limit.current < limit, context.limit.current
+
+
+@then('the limit is as before')
+def check_unchanged(context: Context) -> None:
+    assert context.limit.current == context.before
+
+
+@then('after {span:d} s the limit is {limit:d}')
+def check_limit_later(context: Context, span: int, limit: int) -> None:
+    context.clock.pass_ms(span * 1_000)
+    check_limit(context, limit)
+
+
+@given('a retry budget of {share:f}')
+def make_budget(context: Context, share: float) -> None:
+    context.clock = FakeClock()
+    context.budget = RetryBudget(share, context.clock)
+
+
+@when('{count:d} requests come over {span:d} s and each wants a retry')
+def earn_and_spend(context: Context, count: int, span: int) -> None:
+    context.retries = 0
+    for _ in range(count):
+        context.budget.earn()
+        context.retries += context.budget.spend()
+        context.clock.pass_ms(span * 1_000 // count)
+
+
+@when('{count:d} requests come over {span:d} s')
+def earn(context: Context, count: int, span: int) -> None:
+    for _ in range(count):
+        context.budget.earn()
+        context.clock.pass_ms(span * 1_000 // count)
+
+
+@when('{span:d} s pass and each of {count:d} requests wants a retry')
+def wait_and_spend(context: Context, span: int, count: int) -> None:
+    context.clock.pass_ms(span * 1_000)
+    earn_and_spend(context, count, 1)
+
+
+@then('at most {most:d} retries were let through')
+def check_most_retries(context: Context, most: int) -> None:
+    assert context.retries <= most, context.retries
+
+
+@then('at least {least:d} retries were let through')
+def check_least_retries(context: Context, least: int) -> None:
+    assert context.retries >= least, context.retries
--- /dev/null
+++ b/tests/features/steps/admission_steps.py
@@ -0,0 +1,265 @@
+"""Steps about admission."""
+
+from collections import Counter
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as given_any
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from laburnumwood.admission.control import AdaptiveAdmission
+from laburnumwood.admission.tickets import Line, Result, State, Ticket
+from laburnumwood.settings import AdmissionSettings, DaemonSettings
+from tests.features.steps.fake_clock import FakeClock
+
+LONG_MS = 60_000
+ANSWER_MS = 10
+SETTINGS = DaemonSettings(
+    node_id='a',
+    failure_domain='x',
+    peer_port=1,
+    door_port=1,
+    operator_port=1,
+    platform_url='http://x',
+    worker_url='http://x',
+    service='s',
+    capacity_owner='o',
+    shared_key='a key for tests only',
+)
+
+
+class Bench:
+    """An admission with a clock, and the tickets it was offered."""
+
+    def __init__(self, slots: int, places: int) -> None:
+        self.clock = FakeClock()
+        queue = AdmissionSettings(queue_per_slot=places // slots)
+        changes = {'slots': slots, 'admission': queue}
+        settings = SETTINGS.model_copy(update=changes)
+        self.admission = AdaptiveAdmission(settings, self.clock)
+        self.tickets: list[Ticket] = []
+
+    def offer(
+        self, key: str, left_ms: int = LONG_MS, line: Line | None = None
+    ) -> Ticket:
+        """Offer a new ticket of a key."""
+        ticket = Ticket(key, self.clock.now_ms() + left_ms, line or Line())
+        self.tickets.append(ticket)
+        self.admission.offer(ticket)
+        return ticket
+
+    def answer(self, ticket: Ticket) -> None:
+        """Let the worker answer a ticket now."""
+        ticket.answer(self.clock.now_ms())
+        self.admission.finish(ticket)
+
+    def having(self, state: State) -> list[Ticket]:
+        """Return the tickets in a state."""
+        return [each for each in self.tickets if each.state is state]
+
+    def count(self, state: State, key: str | None = None) -> int:
+        """Return how many tickets are in a state, of one key or of all."""
+        return sum(key in {None, each.key} for each in self.having(state))
+
+
+def last_of(context: Context, key: str) -> Ticket:
+    found = [each for each in context.bench.tickets if each.key == key]
+    return found[-1]
+
+
+@given(
+    'admission for a worker with {slots:d} slots and {places:d} places to wait'
+)
+def make_admission(context: Context, slots: int, places: int) -> None:
+    context.bench = Bench(slots, places)
+
+
+@given('answers of {latency:d} ms were seen')
+def see_answers(context: Context, latency: int) -> None:
+    ticket = context.bench.offer('seen')
+    context.bench.clock.pass_ms(latency)
+    context.bench.answer(ticket)
+    context.bench.tickets.clear()
+
+
+@when('{count:d} requests of different keys come')
+def offer_different(context: Context, count: int) -> None:
+    for number in range(count):
+        context.bench.offer(f'key-{number}')
+
+
+@when('{count:d} requests of key "{key}" come')
+def offer_many(context: Context, count: int, key: str) -> None:
+    for _ in range(count):
+        context.bench.offer(key)
+
+
+@when('{count:d} requests of each of {keys:d} keys come')
+def offer_of_each(context: Context, count: int, keys: int) -> None:
+    for _ in range(count):
+        offer_different(context, keys)
+
+
+@when('a request of key "{key}" comes')
+def offer_one(context: Context, key: str) -> None:
+    context.bench.offer(key)
+
+
+@when('a request of key "{key}" comes that has {left:d} ms left')
+def offer_hasty(context: Context, key: str, left: int) -> None:
+    context.bench.offer(key, left)
+
+
+@when('the worker answers one after {span:d} ms')
+def answer_one(context: Context, span: int) -> None:
+    context.bench.clock.pass_ms(span)
+    context.bench.answer(context.bench.having(State.RUNNING)[0])
+
+
+@when('{span:d} ms pass without an answer')
+def pass_time(context: Context, span: int) -> None:
+    context.bench.clock.pass_ms(span)
+
+
+@when(
+    '{rounds:d} rounds each bring {hot:d} requests of key "hot" '
+    'and 1 of key "cold"'
+)
+def run_rounds(context: Context, rounds: int, hot: int) -> None:
+    bench = context.bench
+    for _ in range(rounds):
+        for _ in range(hot):
+            bench.offer('hot')
+        bench.offer('cold')
+        bench.clock.pass_ms(ANSWER_MS)
+        for ticket in bench.having(State.RUNNING):
+            bench.answer(ticket)
+
+
+@then('at least {least:d} of 100 requests of key "cold" were served')
+def check_served(context: Context, least: int) -> None:
+    served = context.bench.count(State.OVER, 'cold')
+    asked = sum(each.key == 'cold' for each in context.bench.tickets)
+    assert served * 100 >= least * asked, (served, asked)
+
+
+@when(
+    'the queue always holds "{name}" of weight {weight:d} and ordinary requests'
+)
+def keep_full(context: Context, name: str, weight: int) -> None:
+    bench = context.bench
+    for _ in range(200):
+        for line in (Line(name, weight), Line()):
+            lines = [each.line for each in bench.having(State.WAITING)]
+            for _ in range(lines.count(line), 4):
+                bench.offer(f'key-{len(bench.tickets)}', line=line)
+        bench.clock.pass_ms(ANSWER_MS)
+        bench.answer(bench.having(State.RUNNING)[0])
+
+
+@then('of 100 that start between {least:d} and {most:d} are "{name}"')
+def check_weights(context: Context, least: int, most: int, name: str) -> None:
+    over = context.bench.having(State.OVER)
+    by_start = sorted(over, key=lambda each: each.started_ms)
+    counted = Counter(each.line.name for each in by_start[50:150])
+    assert least <= counted[name] <= most, counted
+
+
+@when('each of them ends twice')
+def end_twice(context: Context) -> None:
+    for ticket in context.bench.having(State.RUNNING):
+        context.bench.answer(ticket)
+        context.bench.admission.finish(ticket)
+
+
+@then('{running:d} run, {waiting:d} wait and {shed:d} are shed')
+def check_counts(
+    context: Context, running: int, waiting: int, shed: int
+) -> None:
+    admission = context.bench.admission
+    found = (admission.running, admission.waiting)
+    assert found == (running, waiting), found
+    assert context.bench.count(State.SHED) == shed
+
+
+@then('the request of key "{key}" {what}')
+def check_state(context: Context, key: str, what: str) -> None:
+    states = {
+        'waits': State.WAITING,
+        'runs': State.RUNNING,
+        'is shed': State.SHED,
+    }
+    assert last_of(context, key).state is states[what], last_of(context, key)
+
+
+@then('{count:d} of key "{key}" wait')
+def check_waiting(context: Context, count: int, key: str) -> None:
+    assert context.bench.count(State.WAITING, key) == count
+
+
+@then('{count:d} wait in all')
+def check_all_waiting(context: Context, count: int) -> None:
+    assert context.bench.admission.waiting == count
+
+
+@then('it may come again after {span:d} ms')
+def check_retry_after(context: Context, span: int) -> None:
+    found = context.bench.tickets[-1].retry_after_ms
+    assert found == span, found
+
+
+def _check_bounds(bench: Bench) -> None:
+    admission = bench.admission
+    assert admission.running == bench.count(State.RUNNING)
+    assert admission.waiting == bench.count(State.WAITING)
+    assert admission.running <= 3
+    assert admission.waiting <= 6
+    idle = admission.running < admission.limit
+    assert not (idle and admission.waiting), 'a slot stays free'
+    shed = bench.having(State.SHED)
+    assert all(0 < each.retry_after_ms <= 10_000 for each in shed)
+
+
+_EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(('offer', 'answer', 'REFUSED', 'LOST', 'leave')),
+        st.integers(0, 4),
+        st.integers(0, 300),
+    ),
+    max_size=60,
+)
+
+
+def _end(bench: Bench, what: str, number: int) -> None:
+    state = State.WAITING if what == 'leave' else State.RUNNING
+    chosen = bench.having(state)[number : number + 1]
+    for ticket in chosen:
+        if what == 'answer':
+            ticket.answer(bench.clock.now_ms())
+        elif what != 'leave':
+            ticket.result = Result[what]
+        bench.admission.finish(ticket)
+
+
+def _apply(bench: Bench, what: str, number: int, span: int) -> None:
+    bench.clock.pass_ms(span)
+    if what == 'offer':
+        bench.offer(f'key-{number}', 100 * span)
+    else:
+        _end(bench, what, number)
+
+
+@then('no order of events breaks the bounds of admission')
+def check_any_order(context: Context) -> None:
+    @hypothesis_settings(
+        max_examples=200, derandomize=True, database=None, deadline=None
+    )
+    @given_any(_EVENTS)
+    def check(events: list[tuple[str, int, int]]) -> None:
+        bench = Bench(3, 6)
+        for event in events:
+            _apply(bench, *event)
+            _check_bounds(bench)
+
+    check()
