Weigh moves against their cost, and spread keyless services by load

The policy even-count knew nothing of load, and services without keys were spread by a hash of the request's id. Now each node measures the work of its shards and its hot keys (a bounded sketch with decay), asks a few neighbours a second for theirs, and moves a shard only where the gain over 90 s exceeds its cold start and pause by the declared weights. Joiners get their part once settled, later each time they flap; a shard rests between moves, and moves a minute are bounded. Keyless requests go to the less busy of two nodes, by own counts first, past those that failed or shed.

Ruled out: moves planned by one node for all, which would need one that knows every load.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -6,6 +6,7 @@
 from eventlet.greenthread import GreenThread
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.daemon.load import LoadParts
 from laburnumwood.events import TASK_FAILED
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
@@ -16,7 +17,6 @@
 from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
-from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
 from laburnumwood.placement.writer import ShardWriter
@@ -71,6 +71,9 @@
             self.dispatcher,
             clock,
         )
+        self.load = LoadParts(
+            settings.service, name, self.view, self._peers, clock
+        )
         self._reader = Reader(name, platform, self.view)
         self._make_membership(clock)
         self._make_placement(platform, clock)
@@ -86,6 +89,7 @@
             self._desk.run,
             self._granter.run,
             self._load_poller.run,
+            self.load.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
         ):
@@ -134,7 +138,7 @@
             self.holdings,
             writer,
             self._spreader,
-            Balancer(self._settings.service, self.name, self.view),
+            self.load.balancer,
             clock,
         )
 
@@ -150,10 +154,19 @@
             self._granter,
             worker,
             lambda: self.view.directory.declarations.services,
+            self.load.meter,
             clock,
         )
         self._load_poller = LoadPoller(worker, gate.hint)
-        router = Router(self.name, self.view, self._peers, gate.serve, clock)
+        self.load.serve(self.dispatcher, gate)
+        router = Router(
+            self.name,
+            self.view,
+            self._peers,
+            gate.serve,
+            self.load.spread,
+            clock,
+        )
         self.door = Door(
             router, lambda: self.view.directory.declarations.services
         )
--- /dev/null
+++ b/laburnumwood/daemon/load.py
@@ -0,0 +1,46 @@
+"""The parts of an incarnation that measure and even out load."""
+
+from random import Random
+
+from laburnumwood.clock import Clock
+from laburnumwood.membership.view import FleetView
+from laburnumwood.placement.balancer import Balancer
+from laburnumwood.placement.exchange import LoadExchange
+from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.meter import LoadMeter
+from laburnumwood.protocol.peers import Dispatcher, Peers
+from laburnumwood.records import NodeName
+from laburnumwood.routing.gate import Gate
+from laburnumwood.routing.spread import Spread
+
+
+class LoadParts:
+    """What an incarnation knows of load, and those that use it."""
+
+    def __init__(
+        self,
+        service: str,
+        own: NodeName,
+        view: FleetView,
+        peers: Peers,
+        clock: Clock,
+    ) -> None:
+        book = LoadBook(clock)
+        self.meter = LoadMeter(clock)
+        self.balancer = Balancer(service, own, view, self.meter, book, clock)
+        self.spread = Spread(book, Random(str(own)), clock)
+        self._exchange = LoadExchange(
+            service, own, view, peers, self.meter, book
+        )
+
+    def serve(self, dispatcher: Dispatcher, gate: Gate) -> None:
+        """Tell peers from now on what passes the gate."""
+        self._exchange.serve(
+            dispatcher,
+            lambda: gate.running + gate.waiting,
+            self.spread.targets,
+        )
+
+    def run(self) -> None:
+        """Ask peers for their load; does not return."""
+        self._exchange.run()
--- a/laburnumwood/placement/balance.py
+++ b/laburnumwood/placement/balance.py
@@ -1,24 +1,78 @@
 """Policies that decide which shards move where."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from functools import partial
+from dataclasses import dataclass, field, replace
+from functools import cached_property, partial
 
+from laburnumwood.config.declarations import Weights
 from laburnumwood.records import NodeName
 
 Shares = Mapping[NodeName, tuple[int, ...]]
 
+_HORIZON_MS = 90_000  # how long a load is expected to stay as it is
+_MOVE_PAUSE_MS = 300  # how long a shard is not served while it moves
+_MOVE_COST_MS = 500  # what a move costs a service without cold starts
+_MARGIN = 1.2  # by how much the gain must exceed the cost
+_LEAST_GAIN = 0.02  # of all slots of a node
+_IDLE = 0.05  # of all slots of a node
+
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """A shard's number, the owner that gives it up and the one to follow."""
+    """A shard's number, the owner that gives it up and the one to follow.
+
+    A move is `urgent` if it gives a node that has few its part of the shards.
+    """
 
     shard: int
     source: NodeName
     target: NodeName
-
-
-Policy = Callable[[Shares], tuple[Move, ...]]
+    urgent: bool = False
+
+
+@dataclass(frozen=True)
+class Picture:
+    """What one node knows of its service when it decides about moves.
+
+    `loads` is the work of shards, in slots that it keeps busy.
+    """
+
+    own: NodeName
+    shares: Shares
+    slots: Mapping[NodeName, int] = field(default_factory=dict)
+    loads: Mapping[int, float] = field(default_factory=dict)
+    weights: Weights = field(default_factory=Weights)
+    cold_start_ms: int = 0
+
+    @cached_property
+    def usages(self) -> Mapping[NodeName, float]:
+        """Return how busy the slots of each node are."""
+        return {
+            name: sum(self.usage(shard, name) for shard in shards)
+            for name, shards in self.shares.items()
+        }
+
+    def usage(self, shard: int, name: NodeName) -> float:
+        """Return how much of a node's slots a shard keeps busy."""
+        return self.loads.get(shard, 0) / self.slots.get(name, 1)
+
+    def gain(self, move: Move) -> float:
+        """Return by how much the busier of two nodes gets less busy."""
+        source, target = self.usages[move.source], self.usages[move.target]
+        source_after = source - self.usage(move.shard, move.source)
+        target_after = target + self.usage(move.shard, move.target)
+        return max(source, target) - max(source_after, target_after)
+
+    def is_worth_it(self, move: Move) -> bool:
+        """Tell whether the gain of a move outlives its cold start."""
+        gain = self.gain(move)
+        gain_ms = self.weights.imbalance * gain * _HORIZON_MS
+        churn_ms = self.weights.churn * (_MOVE_COST_MS + self.cold_start_ms)
+        cost_ms = churn_ms + self.weights.unavailable * _MOVE_PAUSE_MS
+        return gain > _LEAST_GAIN and gain_ms > cost_ms * _MARGIN
+
+
+Policy = Callable[[Picture], tuple[Move, ...]]
 POLICIES: dict[str, Policy] = {}
 
 
@@ -38,16 +92,30 @@
     return len(owned[name]), name
 
 
+def _load(picture: Picture, shard: int) -> float:
+    return picture.loads.get(shard, 0)
+
+
+def _coldness_and_number(picture: Picture, shard: int) -> tuple[float, int]:
+    return -_load(picture, shard), shard
+
+
 @policy('never')
-def never(_shares: Shares) -> tuple[Move, ...]:
+def never(_picture: Picture) -> tuple[Move, ...]:
     """Move nothing."""
     return ()
 
 
 @policy('even-count')
-def even_count(shares: Shares) -> tuple[Move, ...]:
-    """Move as few shards as make their numbers differ by one at the most."""
-    owned = {name: sorted(numbers) for name, numbers in shares.items()}
+def even_count(picture: Picture) -> tuple[Move, ...]:
+    """Move as few shards as make their numbers differ by one at the most.
+
+    A node gives the least busy of its shards first.
+    """
+    owned = {
+        name: sorted(shards, key=partial(_coldness_and_number, picture))
+        for name, shards in picture.shares.items()
+    }
     moves: list[Move] = []
     while owned:
         by_count = sorted(owned, key=partial(_count_and_name, owned))
@@ -58,3 +126,72 @@
         owned[least].append(shard)
         moves.append(Move(shard, most, least))
     return tuple(moves)
+
+
+def _others(picture: Picture) -> list[NodeName]:
+    return [name for name in picture.shares if name != picture.own]
+
+
+def _emptiest(picture: Picture) -> NodeName | None:
+    others = _others(picture)
+    usages = picture.usages
+    return min(others, key=lambda name: (usages[name], name), default=None)
+
+
+@policy('emptiest')
+def emptiest(picture: Picture) -> tuple[Move, ...]:
+    """Move the busiest shard to the emptiest node while that is emptier."""
+    target = _emptiest(picture)
+    shards = picture.shares.get(picture.own, ())
+    if target is None or not shards:
+        return ()
+    shard = max(shards, key=lambda number: (_load(picture, number), number))
+    if picture.usages[target] >= picture.usages[picture.own]:
+        return ()
+    return (Move(shard, picture.own, target),)
+
+
+def _is_idle(picture: Picture, move: Move) -> bool:
+    usages = picture.usages
+    return max(usages[move.source], usages[move.target]) < _IDLE
+
+
+def _is_harmless(picture: Picture, move: Move) -> bool:
+    if _is_idle(picture, move):
+        return True
+    source, target = picture.usages[move.source], picture.usages[move.target]
+    after = target + picture.usage(move.shard, move.target)
+    return target + _IDLE < source and after <= source
+
+
+def _is_urgent(picture: Picture, move: Move) -> bool:
+    total = sum(len(shards) for shards in picture.shares.values())
+    fair = total / len(picture.shares)
+    owned = len(picture.shares[move.target])
+    return owned * 2 < fair or _is_idle(picture, move)
+
+
+@policy('weighed')
+def weighed(picture: Picture) -> tuple[Move, ...]:
+    """Move shards to nodes that have few, and else only what is worth it.
+
+    Numbers are evened only where the load allows it, so that a move for the
+    load is not undone for the count.
+    """
+    for_count = tuple(
+        replace(move, urgent=_is_urgent(picture, move))
+        for move in even_count(picture)
+        if move.source == picture.own and _is_harmless(picture, move)
+    )
+    target = _emptiest(picture)
+    if for_count or target is None:
+        return for_count
+    moves = [
+        Move(shard, picture.own, target)
+        for shard in picture.shares.get(picture.own, ())
+    ]
+    worth = [move for move in moves if picture.is_worth_it(move)]
+    best = max(
+        worth, key=lambda move: (picture.gain(move), -move.shard), default=None
+    )
+    return () if best is None else (best,)
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -1,11 +1,68 @@
 """The part of a node in keeping load even among the nodes of a service."""
 
+from collections.abc import Mapping
+from dataclasses import dataclass
+from itertools import chain
+from statistics import fmean
+
+from laburnumwood.clock import Clock
+from laburnumwood.config.declarations import Service, Weights
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.balance import POLICIES, Move, Shares
+from laburnumwood.placement.balance import Move, Picture, Shares
+from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.ownership import acting
-from laburnumwood.records import NodeName
+from laburnumwood.placement.planner import MovePlanner
+from laburnumwood.records import NodeName, NodeRecord
+
+DEFAULT_POLICY = 'weighed'
+
+
+@dataclass(frozen=True, slots=True)
+class _Estimate:
+    load: float
+    trust: float = 1
 
-DEFAULT_POLICY = 'even-count'
+    def towards(self, mean: float) -> float:
+        return mean + (self.load - mean) * self.trust
+
+
+def _reported(
+    name: NodeName, shard: int, book: LoadBook, measured: Mapping[int, float]
+) -> _Estimate | None:
+    """Return what is known of the load of another node's shard.
+
+    A shard that moved away lately counts with what was measured here, until
+    its new owner has measured more.
+    """
+    reported = book.shards(name).get(shard)
+    here = measured.get(shard)
+    if reported is not None and (here is None or here <= reported):
+        return _Estimate(reported, book.trust(name))
+    return None if here is None else _Estimate(here)
+
+
+def estimated_loads(
+    shares: Shares, own: NodeName, measured: Mapping[int, float], book: LoadBook
+) -> dict[int, float]:
+    """Return the loads of all shards by what is measured and reported.
+
+    A report counts less as it ages: towards the mean of the known shards.
+    """
+    known: dict[int, _Estimate] = {}
+    for name, shards in shares.items():
+        for shard in shards:
+            found = _reported(name, shard, book, measured)
+            if name == own:
+                known[shard] = _Estimate(measured.get(shard, 0))
+            elif found is not None:
+                known[shard] = found
+    mean = fmean(each.load for each in known.values()) if known else 0
+    unknown = _Estimate(mean)
+    return {
+        number: known.get(number, unknown).towards(mean)
+        for number in chain.from_iterable(shares.values())
+    }
 
 
 class Balancer:
@@ -14,18 +71,45 @@
     It only decides: the keeper of the shards carries the moves out.
     """
 
-    def __init__(self, service: str, own: NodeName, view: FleetView) -> None:
+    def __init__(
+        self,
+        service: str,
+        own: NodeName,
+        view: FleetView,
+        meter: LoadMeter,
+        book: LoadBook,
+        clock: Clock,
+    ) -> None:
         self._service = service
         self._own = own
         self._view = view
+        self._meter = meter
+        self._book = book
+        self._planner = MovePlanner(DEFAULT_POLICY, clock)
 
     def moves(self) -> tuple[Move, ...]:
         """Return the moves that this node should make now."""
-        wanted = POLICIES[DEFAULT_POLICY](self._shares())
-        return tuple(move for move in wanted if move.source == self._own)
-
-    def _shares(self) -> Shares:
         live = self._view.live_in(self._service)
+        if self._own not in live:
+            return ()
+        return self._planner.plan(self._picture(live))
+
+    def _picture(self, live: Mapping[NodeName, NodeRecord]) -> Picture:
+        declared = self._view.directory.declarations
+        service = declared.services.get(self._service, Service())
+        shares = self._shares(live)
+        return Picture(
+            own=self._own,
+            shares=shares,
+            slots={name: record.slots for name, record in live.items()},
+            loads=estimated_loads(
+                shares, self._own, self._meter.shards(), self._book
+            ),
+            weights=declared.weights or Weights(),
+            cold_start_ms=service.cold_start_ms,
+        )
+
+    def _shares(self, live: Mapping[NodeName, NodeRecord]) -> Shares:
         shares: dict[NodeName, list[int]] = {name: [] for name in live}
         shards = self._view.directory.shards(self._service)
         for number, entry in sorted(shards.items()):
--- /dev/null
+++ b/laburnumwood/placement/planner.py
@@ -0,0 +1,105 @@
+"""When a node moves shards: settled targets, rest between moves, bounds."""
+
+from collections import Counter, deque
+from dataclasses import replace
+
+from laburnumwood.clock import Clock
+from laburnumwood.placement.balance import POLICIES, Move, Picture, Shares
+from laburnumwood.records import NodeName
+
+_MINUTE_MS = 60_000
+_URGENT_PER_MINUTE = 60
+_WEIGHED_PER_MINUTE = 4
+_REST_MS = 30_000  # from the arrival of a shard to its next move
+_REST_PER_COLD_START = 10
+_SETTLED_MS = 1_000  # from the arrival of a node to its first shard
+_FLAP_MEMORY_MS = 600_000
+_MOST_FLAPS = 7
+
+
+class _Arrivals:
+    """When nodes came, and how often the same ones came lately."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._seen_ms: dict[NodeName, int] = {}
+
+    def note(self, live: Shares) -> None:
+        now_ms = self._clock.now_ms()
+        kept = {
+            known: seen_ms
+            for known, seen_ms in self._seen_ms.items()
+            if known in live or now_ms - seen_ms <= _FLAP_MEMORY_MS
+        }
+        self._seen_ms = dict.fromkeys(live, now_ms) | kept
+
+    def settled(self, live: Shares) -> set[NodeName]:
+        """Return the nodes that have been there long enough for shards.
+
+        Each return of a node within the last minutes doubles the wait.
+        """
+        came = Counter(name.node_id for name in self._seen_ms)
+        now_ms = self._clock.now_ms()
+        return {
+            name
+            for name in live
+            if now_ms - self._seen_ms[name]
+            >= _SETTLED_MS * 2 ** min(came[name.node_id] - 1, _MOST_FLAPS)
+        }
+
+
+class MovePlanner:
+    """Decides about the moves of one node, by a policy and in time."""
+
+    def __init__(self, policy: str, clock: Clock) -> None:
+        self._policy = POLICIES[policy]
+        self._clock = clock
+        self._nodes = _Arrivals(clock)
+        self._shards_ms: dict[int, int] = {}
+        self._made: deque[tuple[int, bool]] = deque()
+
+    def plan(self, picture: Picture) -> tuple[Move, ...]:
+        """Return the moves to make now, and count them as made."""
+        self._nodes.note(picture.shares)
+        self._note_shards(picture.shares.get(picture.own, ()))
+        settled = self._nodes.settled(picture.shares) | {picture.own}
+        known = replace(
+            picture,
+            shares={
+                name: shards
+                for name, shards in picture.shares.items()
+                if name in settled or shards
+            },
+        )
+        wanted = [
+            move
+            for move in self._policy(known)
+            if move.source == picture.own
+            and move.target in settled
+            and self._is_rested(move, picture.cold_start_ms)
+        ]
+        return tuple(move for move in wanted if self._take(move))
+
+    def _note_shards(self, own: tuple[int, ...]) -> None:
+        now_ms = self._clock.now_ms()
+        self._shards_ms = {
+            shard: self._shards_ms.get(shard, now_ms) for shard in own
+        }
+
+    def _is_rested(self, move: Move, cold_start_ms: int) -> bool:
+        if move.urgent:
+            return True
+        rest_ms = _REST_MS + cold_start_ms * _REST_PER_COLD_START
+        age_ms = self._clock.now_ms() - self._shards_ms[move.shard]
+        return age_ms >= rest_ms
+
+    def _take(self, move: Move) -> bool:
+        now_ms = self._clock.now_ms()
+        while self._made and now_ms - self._made[0][0] >= _MINUTE_MS:
+            self._made.popleft()
+        alike = sum(urgent == move.urgent for _, urgent in self._made)
+        most = _URGENT_PER_MINUTE if move.urgent else _WEIGHED_PER_MINUTE
+        if alike >= most:
+            return False
+        self._made.append((now_ms, move.urgent))
+        return True
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -191,3 +191,18 @@
 @dataclass(frozen=True, slots=True)
 class Cancel:
     """The asking side no longer wants the answer."""
+
+
+@message('load-ask')
+@dataclass(frozen=True, slots=True)
+class LoadAsk:
+    """Asks a node how busy it is."""
+
+
+@message('load')
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The requests in flight on a node, and the slots each shard keeps busy."""
+
+    running: int
+    shards: dict[int, float]
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -7,7 +7,7 @@
 import eventlet
 
 from laburnumwood.admission.control import ADMISSIONS
-from laburnumwood.admission.tickets import Ticket
+from laburnumwood.admission.tickets import Result, Ticket
 from laburnumwood.admission.waiting import Admitter
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.declarations import Service
@@ -19,6 +19,7 @@
 )
 from laburnumwood.leases.lease import Lease
 from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Answer, Chunk, End, Failure, Work
 from laburnumwood.records import ShardName
 from laburnumwood.routing.exchange import Exchange
@@ -98,6 +99,7 @@
         granter: Granter,
         worker: Worker,
         services: Services,
+        meter: LoadMeter,
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -106,6 +108,7 @@
         self._granter = granter
         self._worker = worker
         self._services = services
+        self._meter = meter
         self._clock = clock
         self._admitter = Admitter(
             ADMISSIONS[settings.admission.policy](settings, clock), clock
@@ -146,6 +149,9 @@
             left_ms = max(ticket.deadline_ms - self._clock.now_ms(), 1)
             observed = ObservedExchange(exchange, ticket, self._clock)
             self._serve_admitted(observed, replace(work, deadline_ms=left_ms))
+        if ticket.result is Result.SERVED:
+            busy_ms = self._clock.now_ms() - ticket.started_ms
+            self._meter.note(work.shard, work.key, busy_ms)
 
     def _serve_admitted(self, exchange: Exchange, work: Work) -> None:
         body = read_body(exchange, work.deadline_ms)
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -6,7 +6,6 @@
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError
-from laburnumwood.membership.choice import rendezvous
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.ownership import acting
 from laburnumwood.protocol.messages import Answer, Chunk, End, Failure, Work
@@ -14,6 +13,7 @@
 from laburnumwood.records import NodeName, ShardName
 from laburnumwood.routing.exchange import Exchange, Serve, local_pair
 from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.spread import AVOID_MS, Spread
 
 _RETRY_MS = 50
 _CHUNK_SIZE = 32_768
@@ -28,12 +28,14 @@
         view: FleetView,
         peers: Peers,
         serve: Serve,
+        spread: Spread,
         clock: Clock,
     ) -> None:
         self._own = own
         self._view = view
         self._peers = peers
         self._serve = serve
+        self._spread = spread
         self._clock = clock
 
     def send(
@@ -73,8 +75,7 @@
 
     def _target(self, work: Work) -> NodeName | None:
         if work.shard < 0:
-            live = self._view.live_in(work.service)
-            return next(iter(rendezvous(work.request_id, live)), None)
+            return self._spread.choose(self._view.live_in(work.service))
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         return acting(entry.record, self._view) if entry else None
 
@@ -83,8 +84,11 @@
     ) -> tuple[Answer | Failure, Exchange | None]:
         try:
             exchange = self._open(target, work)
+            if work.shard < 0:
+                exchange = self._spread.track(exchange, target)
         except LinkError as refused:
             # The end of the body was not sent, so no worker got the request.
+            self._spread.avoid(target, AVOID_MS)
             return failure('no-owner', str(refused), ran=False), None
         try:
             return self._ask(exchange, work, body)
--- /dev/null
+++ b/laburnumwood/routing/spread.py
@@ -0,0 +1,129 @@
+"""Choice of a node for services that are not divided by key.
+
+The power of two choices: M. Mitzenmacher, "The power of two choices in
+randomized load balancing", 2001.
+"""
+
+from collections import deque
+from collections.abc import Mapping
+from random import Random
+from typing import Any
+from weakref import WeakSet
+
+from laburnumwood.clock import Clock
+from laburnumwood.errors import LinkError
+from laburnumwood.placement.loads import LoadBook
+from laburnumwood.protocol.messages import Answer, Failure
+from laburnumwood.records import NodeName, NodeRecord
+from laburnumwood.routing.exchange import Exchange
+
+AVOID_MS = 1_000
+_REMEMBERED = 16  # choices
+_SHEDDING = frozenset((429, 503))
+
+
+class SpreadExchange:
+    """An exchange that counts as in flight until it is closed."""
+
+    def __init__(
+        self, exchange: Exchange, target: NodeName, spread: 'Spread'
+    ) -> None:
+        self._exchange = exchange
+        self._target = target
+        self._spread = spread
+
+    def send(self, message: Any) -> None:
+        """Send a message; raises `LinkLostError`."""
+        self._exchange.send(message)
+
+    def receive(self, timeout_ms: int) -> Any:
+        """Return the next message; raises a `LinkError`."""
+        try:
+            message = self._exchange.receive(timeout_ms)
+        except LinkError:
+            self._spread.avoid(self._target, AVOID_MS)
+            raise
+        if isinstance(message, Failure):
+            span_ms = max(message.retry_after_ms, AVOID_MS)
+            self._spread.avoid(self._target, span_ms)
+        elif isinstance(message, Answer) and message.status in _SHEDDING:
+            self._spread.avoid(self._target, AVOID_MS)
+        return message
+
+    def close(self) -> None:
+        """End the exchange on this side."""
+        self._spread.forget(self._target, self)
+        self._exchange.close()
+
+
+class Spread:
+    """Spreads requests by the load of nodes, as this node sees it.
+
+    Its own requests in flight come first; what nodes report of theirs counts
+    less as it ages.  Nodes that failed or shed are avoided for a while.
+    """
+
+    def __init__(self, loads: LoadBook, random: Random, clock: Clock) -> None:
+        self._loads = loads
+        self._random = random
+        self._clock = clock
+        self._in_flight: dict[NodeName, WeakSet[SpreadExchange]] = {}
+        self._avoided_until_ms: dict[NodeName, int] = {}
+        self._chosen: deque[NodeName] = deque(maxlen=_REMEMBERED)
+
+    def targets(self) -> tuple[NodeName, ...]:
+        """Return the nodes that were chosen lately."""
+        return tuple(self._chosen)
+
+    def choose(self, nodes: Mapping[NodeName, NodeRecord]) -> NodeName | None:
+        """Return the less loaded of two nodes drawn at random."""
+        now_ms = self._clock.now_ms()
+        usable = [
+            name
+            for name in sorted(nodes)
+            if self._avoided_until_ms.get(name, 0) <= now_ms
+        ]
+        if not usable:
+            return self._first_back(nodes)
+        drawn = self._random.sample(usable, min(2, len(usable)))
+        chosen = min(drawn, key=lambda name: self._load(name, nodes[name]))
+        self._chosen.append(chosen)
+        return chosen
+
+    def track(self, exchange: Exchange, target: NodeName) -> Exchange:
+        """Return an exchange that is counted for its target."""
+        tracked = SpreadExchange(exchange, target, self)
+        self._in_flight.setdefault(target, WeakSet()).add(tracked)
+        return tracked
+
+    def avoid(self, target: NodeName, span_ms: int) -> None:
+        """Choose other nodes for some time where there are any."""
+        now_ms = self._clock.now_ms()
+        self._avoided_until_ms = {
+            name: until_ms
+            for name, until_ms in self._avoided_until_ms.items()
+            if until_ms > now_ms
+        }
+        self._avoided_until_ms[target] = now_ms + span_ms
+
+    def forget(self, target: NodeName, tracked: SpreadExchange) -> None:
+        """Count an exchange no longer."""
+        counted = self._in_flight.get(target)
+        if counted is None:
+            return
+        counted.discard(tracked)
+        if not counted:
+            self._in_flight.pop(target)
+
+    def _load(self, name: NodeName, record: NodeRecord) -> float:
+        own = len(self._in_flight.get(name, ()))
+        return max(own, self._loads.running(name)) / record.slots
+
+    def _first_back(
+        self, nodes: Mapping[NodeName, NodeRecord]
+    ) -> NodeName | None:
+        return min(
+            nodes,
+            key=lambda name: (self._avoided_until_ms[name], name),
+            default=None,
+        )
--- /dev/null
+++ b/tests/features/balance.feature
@@ -0,0 +1,91 @@
+Feature: Balance of shards against churn
+  Decisions only, on a clock of the test's own.
+
+  Scenario: a node that joins gets its part once it has settled
+    Given shards 0 to 11 on "a" and 12 to 23 on "b"
+    When the node "c" joins
+    And the planners of all nodes run for 500 ms
+    Then "c" has 0 shards
+    When the planners of all nodes run for 1000 ms
+    Then each node has 8 shards
+
+  Scenario: a node that flaps gets its shards later each time
+    Given shards 0 to 11 on "a" and 12 to 23 on "b"
+    When the node "c" joins and goes 5 times within 10 s
+    And the node "c" joins
+    And the planners of all nodes run for 3000 ms
+    Then 0 shards were moved
+    When the planners of all nodes run for 40000 ms
+    Then each node has 8 shards
+
+  Scenario: a shard moves if the gain outlives its cold start
+    Given shards 0 to 3 on "a" and 4 to 7 on "b"
+    And shards with these loads in slots
+      | 0 | 1 |
+      | 4 | 4 |
+    And cold starts of 2000 ms
+    When the planners of all nodes run for 120000 ms
+    Then 1 shard was moved
+    And the shard 0 or 1 is on "b"
+
+  Scenario: a shard stays if its cold start costs more than the move gains
+    Given shards 0 to 3 on "a" and 4 to 7 on "b"
+    And shards with these loads in slots
+      | 0 | 1 |
+      | 4 | 4 |
+    And cold starts of 60000 ms
+    When the planners of all nodes run for 120000 ms
+    Then 0 shards were moved
+
+  Scenario: a service that weighs churn most keeps what another moves
+    Given shards 0 to 3 on "a" and 4 to 7 on "b"
+    And shards with these loads in slots
+      | 0 | 1 |
+      | 4 | 4 |
+    And cold starts of 2000 ms
+    And a weight of 20 for churn
+    When the planners of all nodes run for 120000 ms
+    Then 0 shards were moved
+
+  Scenario: one shard too hot for any node is not passed around
+    Given shards 0 to 3 on "a" and 4 to 7 on "b"
+    And shards with these loads in slots
+      | 0  |
+      | 12 |
+    When the planners of all nodes run for 300000 ms
+    Then 0 shards were moved
+
+  Scenario: moves for the load are bounded and never bounce
+    Then no loads make a shard bounce or a node move too much
+
+  Scenario: a load that swings makes no shard swing with it
+    Given shards 0 to 3 on "a" and 4 to 7 on "b"
+    When the load swings between "a" and "b" every 5 s for 60 s
+    Then no shard was moved more than 2 times
+
+  Scenario: reports fade towards the mean
+    Given a report of load 9 for shard 4 of "b", and of 1 for shard 5
+    Then the load of shard 4 is believed to be 9
+    And after 60 s the load of shard 4 is believed to be 5
+
+  Scenario: the hottest keys are found among many
+    When 20000 requests of 5000 keys come, where 100 keys make up half
+    Then 100 of the 100 hottest keys are found
+    And no more than 1024 keys are kept
+
+  Scenario: hot keys of before are forgotten within minutes
+    When 20000 requests of 5000 keys come, where 100 keys make up half
+    And other 100 keys make up half of 20000 requests 2 minutes later
+    Then 100 of the 100 hottest keys are found
+
+  Scenario: requests go to the less busy of two nodes
+    Given nodes "a", "b" and "c" of a service without keys
+    And "c" reported 20 requests in flight
+    When 30 requests are spread and none ends
+    Then each of "a" and "b" has at least 14 of them
+
+  Scenario: a node that sheds is avoided for a while
+    Given nodes "a", "b" and "c" of a service without keys
+    When a request to "a" is shed
+    Then none of 50 requests goes to "a"
+    And after 2 s some of 50 requests go to "a"
--- /dev/null
+++ b/tests/features/steps/balance_steps.py
@@ -0,0 +1,299 @@
+"""Steps about the balance of shards and the choice of nodes."""
+
+from collections import Counter
+from math import isclose
+from random import Random
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as given_any
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from laburnumwood.config.declarations import Weights
+from laburnumwood.placement.balance import Picture
+from laburnumwood.placement.balancer import estimated_loads
+from laburnumwood.placement.hotkeys import HotKeys
+from laburnumwood.placement.loads import LoadBook, LoadState
+from laburnumwood.placement.planner import MovePlanner
+from laburnumwood.protocol.messages import Failure
+from laburnumwood.records import NodeName, NodeRecord
+from laburnumwood.routing.exchange import local_pair
+from laburnumwood.routing.spread import Spread
+from tests.features.steps.fake_clock import FakeClock
+
+ROUND_MS = 200
+SLOTS = 10
+
+
+class Fleet:
+    """Planners of some nodes that see the same shares and loads."""
+
+    def __init__(self, shares: dict[NodeName, list[int]]) -> None:
+        self.clock = FakeClock()
+        self.shares = shares
+        self.loads: dict[int, float] = {}
+        self.weights = Weights()
+        self.cold_start_ms = 0
+        self.moved: list[int] = []
+        self._planners: dict[NodeName, MovePlanner] = {}
+        self.run(40_000)
+
+    def run(self, span_ms: int) -> None:
+        """Let all planners plan and carry their moves out for some time."""
+        for _ in range(span_ms // ROUND_MS):
+            self.clock.pass_ms(ROUND_MS)
+            for name in tuple(self.shares):
+                self._run_one(name)
+
+    def _run_one(self, name: NodeName) -> None:
+        planner = self._planners.setdefault(
+            name, MovePlanner('weighed', self.clock)
+        )
+        picture = Picture(
+            own=name,
+            shares={each: tuple(self.shares[each]) for each in self.shares},
+            slots=dict.fromkeys(self.shares, SLOTS),
+            loads=self.loads,
+            weights=self.weights,
+            cold_start_ms=self.cold_start_ms,
+        )
+        for move in planner.plan(picture):
+            self.shares[name].remove(move.shard)
+            self.shares[move.target].append(move.shard)
+            self.moved.append(move.shard)
+
+
+def two_nodes(half: int) -> Fleet:
+    """Return a fleet of nodes a and b with so many shards each."""
+    return Fleet(
+        {
+            NodeName('a', 1): list(range(half)),
+            NodeName('b', 1): list(range(half, half * 2)),
+        }
+    )
+
+
+@given('shards 0 to {last:d} on "a" and {first:d} to {end:d} on "b"')
+def make_fleet(context: Context, last: int, first: int, end: int) -> None:
+    context.fleet = two_nodes(first)
+    context.incarnation = 0
+
+
+@given('shards with these loads in slots')
+def set_loads(context: Context) -> None:
+    shards = context.table.headings
+    loads = context.table.rows[0].cells
+    pairs = zip(shards, loads, strict=True)
+    context.fleet.loads = {int(shard): float(load) for shard, load in pairs}
+
+
+@given('cold starts of {span:d} ms')
+def set_cold_start(context: Context, span: int) -> None:
+    context.fleet.cold_start_ms = span
+
+
+@given('a weight of {weight:d} for churn')
+def set_weight(context: Context, weight: int) -> None:
+    context.fleet.weights = Weights(churn=weight)
+
+
+@when('the node "{node_id}" joins')
+def join_node(context: Context, node_id: str) -> None:
+    context.incarnation += 1
+    name = NodeName(node_id, context.incarnation)
+    context.fleet.shares[name] = []
+
+
+@when('the node "{node_id}" joins and goes {times:d} times within {span:d} s')
+def flap(context: Context, node_id: str, times: int, span: int) -> None:
+    for _ in range(times):
+        join_node(context, node_id)
+        context.fleet.run(span * 1_000 // times // 4)
+        context.fleet.shares.pop(NodeName(node_id, context.incarnation))
+        context.fleet.run(span * 1_000 // times // 4 * 3)
+
+
+@when('the planners of all nodes run for {span:d} ms')
+def run_planners(context: Context, span: int) -> None:
+    context.fleet.run(span)
+
+
+@then('"{node_id}" has {count:d} shards')
+def check_count(context: Context, node_id: str, count: int) -> None:
+    found = context.fleet.shares[NodeName(node_id, 1)]
+    assert len(found) == count, found
+
+
+@then('each node has {count:d} shards')
+def check_each(context: Context, count: int) -> None:
+    shares = context.fleet.shares
+    assert all(len(each) == count for each in shares.values()), shares
+
+
+@when('the load swings between "a" and "b" every {turn:d} s for {span:d} s')
+def swing(context: Context, turn: int, span: int) -> None:
+    fleet = context.fleet
+    for number in range(span // turn):
+        name = NodeName('ab'[number % 2], 1)
+        busy = fleet.shares[name][:2]
+        fleet.loads = dict.fromkeys(busy, SLOTS / 2)
+        fleet.run(turn * 1_000)
+
+
+@then('no shard was moved more than {most:d} times')
+def check_bounces(context: Context, most: int) -> None:
+    times = Counter(context.fleet.moved).values()
+    assert max(times, default=0) <= most, context.fleet.moved
+
+
+@then('{count:d} shard was moved')
+@then('{count:d} shards were moved')
+def check_moved(context: Context, count: int) -> None:
+    assert len(context.fleet.moved) == count, context.fleet.moved
+
+
+@then('the shard 0 or 1 is on "b"')
+def check_on_b(context: Context) -> None:
+    found = context.fleet.shares[NodeName('b', 1)]
+    assert {0, 1} & set(found), found
+
+
+@then('no loads make a shard bounce or a node move too much')
+def check_any_loads(context: Context) -> None:
+    loads = st.lists(st.floats(0, 8), min_size=8, max_size=8)
+
+    @hypothesis_settings(
+        max_examples=15, derandomize=True, database=None, deadline=None
+    )
+    @given_any(loads)
+    def check(chosen: list[float]) -> None:
+        fleet = two_nodes(4)
+        fleet.loads = dict(enumerate(chosen))
+        fleet.run(180_000)
+        times = Counter(fleet.moved).values()
+        assert max(times, default=0) <= 1, fleet.moved
+        assert len(fleet.moved) <= 8, fleet.moved
+
+    check()
+
+
+@given(
+    'a report of load {load:d} for shard {shard:d} of "b", '
+    'and of {other:d} for shard {next_shard:d}'
+)
+def make_report(
+    context: Context, load: int, shard: int, other: int, next_shard: int
+) -> None:
+    context.clock = FakeClock()
+    context.book = LoadBook(context.clock)
+    state = LoadState(0, {shard: load, next_shard: other})
+    context.book.note(NodeName('b', 1), state)
+
+
+@then('the load of shard {shard:d} is believed to be {load:d}')
+def check_belief(context: Context, shard: int, load: int) -> None:
+    shares = {NodeName('a', 1): (), NodeName('b', 1): (4, 5)}
+    found = estimated_loads(shares, NodeName('a', 1), {}, context.book)
+    assert isclose(found[shard], load, abs_tol=0.01), found
+
+
+@then('after {span:d} s the load of shard {shard:d} is believed to be {load:d}')
+def check_belief_later(
+    context: Context, span: int, shard: int, load: int
+) -> None:
+    context.clock.pass_ms(span * 1_000)
+    check_belief(context, shard, load)
+
+
+def _bring(context: Context, count: int, keys: int, first_hot: int) -> None:
+    random = Random(first_hot)
+    for _ in range(count):
+        hot = random.randrange(2)
+        number = random.randrange(100) + first_hot
+        context.sketch.note(f'{number if hot else random.randrange(keys)}')
+        context.clock.pass_ms(1)
+    context.hot = {str(first_hot + number) for number in range(100)}
+
+
+@when('{count:d} requests of {keys:d} keys come, where 100 keys make up half')
+def bring_keys(context: Context, count: int, keys: int) -> None:
+    context.clock = FakeClock()
+    context.sketch = HotKeys(context.clock)
+    _bring(context, count, keys, keys)
+
+
+@when(
+    'other 100 keys make up half of {count:d} requests {span:d} minutes later'
+)
+def change_keys(context: Context, count: int, span: int) -> None:
+    context.clock.pass_ms(span * 60_000)
+    _bring(context, count, 5_000, 9_000)
+
+
+@then('{count:d} of the 100 hottest keys are found')
+def check_hottest(context: Context, count: int) -> None:
+    found = {hot.key for hot in context.sketch.hottest(100)}
+    assert len(found & context.hot) >= count, len(found & context.hot)
+
+
+@then('no more than {most:d} keys are kept')
+def check_bounded(context: Context, most: int) -> None:
+    assert len(context.sketch) <= most, len(context.sketch)
+
+
+@given('nodes "a", "b" and "c" of a service without keys')
+def make_spread(context: Context) -> None:
+    context.clock = FakeClock()
+    context.book = LoadBook(context.clock)
+    context.spread = Spread(context.book, Random(1), context.clock)
+    context.nodes = {
+        NodeName(each, 1): NodeRecord(
+            1, (1,), 'x', 1, 1, 1, 'x', 's', 'o', 20, 100
+        )
+        for each in 'abc'
+    }
+    context.chosen = Counter()
+
+
+@given('"{node_id}" reported {count:d} requests in flight')
+def report_running(context: Context, node_id: str, count: int) -> None:
+    context.book.note(NodeName(node_id, 1), LoadState(count, {}))
+
+
+@when('{count:d} requests are spread and none ends')
+def spread_requests(context: Context, count: int) -> None:
+    context.open = []
+    for _ in range(count):
+        target = context.spread.choose(context.nodes)
+        near, _ = local_pair()
+        context.open.append(context.spread.track(near, target))
+        context.chosen[target.node_id] += 1
+
+
+@then('each of "a" and "b" has at least {least:d} of them')
+def check_spread(context: Context, least: int) -> None:
+    fewest = min(context.chosen['a'], context.chosen['b'])
+    assert fewest >= least, context.chosen
+
+
+@when('a request to "{node_id}" is shed')
+def shed_request(context: Context, node_id: str) -> None:
+    near, far = local_pair()
+    tracked = context.spread.track(near, NodeName(node_id, 1))
+    far.send(Failure('overloaded', False, '', 1_000))
+    tracked.receive(1_000)
+    tracked.close()
+
+
+@then('none of {count:d} requests goes to "{node_id}"')
+def check_avoided(context: Context, count: int, node_id: str) -> None:
+    spread_requests(context, count)
+    assert not context.chosen[node_id], context.chosen
+
+
+@then('after {span:d} s some of {count:d} requests go to "{node_id}"')
+def check_back(context: Context, span: int, count: int, node_id: str) -> None:
+    context.clock.pass_ms(span * 1_000)
+    spread_requests(context, count)
+    assert context.chosen[node_id], context.chosen
