--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -5,6 +5,7 @@
 import eventlet
 from eventlet.greenthread import GreenThread
 
+from laburnumwood.admission.retries import RetryBudget
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import TASK_FAILED
 from laburnumwood.leases.lease import Lease
@@ -35,6 +36,7 @@
 from laburnumwood.upstream.worker import Worker
 
 _RESTART_MS = 200
+_RETRY_SHARE = 0.1  # of the requests
 
 
 def _supervise(task: Callable[[], None]) -> None:
@@ -153,7 +155,14 @@
             clock,
         )
         self._load_poller = LoadPoller(worker, gate.hint)
-        router = Router(self.name, self.view, self._peers, gate.serve, clock)
+        router = Router(
+            self.name,
+            self.view,
+            self._peers,
+            gate.serve,
+            RetryBudget(_RETRY_SHARE, clock),
+            clock,
+        )
         self.door = Door(
             router, lambda: self.view.directory.declarations.services
         )
