Let admission see refusals that the gate tells as failures

The gate now turns a worker's 503 into a failure message, so that admission no longer saw an answer with that status and the limit did not shrink.

--- a/laburnumwood/routing/observed.py
+++ b/laburnumwood/routing/observed.py
@@ -8,7 +8,11 @@
 from laburnumwood.routing.exchange import Exchange
 
 _SHEDDING = frozenset((429, 503))
-_LOST = frozenset(('worker-cut', 'worker-unreachable'))
+_RESULTS = {
+    'refused': Result.REFUSED,
+    'worker-cut': Result.LOST,
+    'worker-unreachable': Result.LOST,
+}
 
 
 class ObservedExchange:
@@ -25,8 +29,8 @@
         """Send a message; raises `LinkLostError`."""
         if isinstance(message, Answer):
             self._note(message)
-        elif isinstance(message, Failure) and message.kind in _LOST:
-            self._ticket.result = Result.LOST
+        elif isinstance(message, Failure) and message.kind in _RESULTS:
+            self._ticket.result = _RESULTS[message.kind]
         self._exchange.send(message)
 
     def receive(self, timeout_ms: int) -> Any:
