--- a/laburnumwood/routing/observed.py
+++ b/laburnumwood/routing/observed.py
@@ -8,7 +8,7 @@
 from laburnumwood.routing.exchange import Exchange
 
 _SHEDDING = frozenset((429, 503))
-_RESULTS = {
+_RESULT_OF = {
     'refused': Result.REFUSED,
     'worker-cut': Result.LOST,
     'worker-unreachable': Result.LOST,
@@ -29,8 +29,8 @@
         """Send a message; raises `LinkLostError`."""
         if isinstance(message, Answer):
             self._note(message)
-        elif isinstance(message, Failure) and message.kind in _RESULTS:
-            self._ticket.result = _RESULTS[message.kind]
+        elif isinstance(message, Failure) and message.kind in _RESULT_OF:
+            self._ticket.result = _RESULT_OF[message.kind]
         self._exchange.send(message)
 
     def receive(self, timeout_ms: int) -> Any:
