Decide and write shards by classes that can be stepped

Cause: the decisions of the keeper sat inside tasks that wait, so they could not be run on a clock of the tests; and reading them through showed four faults: - a write that met a conflict reopened a moving shard while its record was known to be stale (a successor may have written over a write whose answer was lost); now the shard is dropped until a newer record is known; - a status 5xx of the platform counted as 'nothing was written'; now the outcome is unknown and the write is settled; - a move whose floor could not be made known left the shard closed for ever and ended the round of writes; now it reopens, as nothing was sent; - one slow write held up all others; now up to eight run at a time.

Rewritten successions are spread over 10 ms for each live node, so that the loss of a failure domain gives the platform a few hundred writes a second.

Ruled out: reopening after a conflict once the record was read again, since the store may not answer the read.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -19,6 +19,7 @@
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
+from laburnumwood.placement.tenure import Tenure
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.platform.client import Platform
 from laburnumwood.protocol.link import Link
@@ -91,7 +92,7 @@
 
     def hand_over(self) -> None:
         """Give every shard to another node and let the witnesses seal."""
-        self._keeper.hand_over_all()
+        self._keeper.hand_over_all(self.name)
         witnesses = set(self.lease.witnesses.members)
         self.lease.resign()
         self._spreader.tell(witnesses - {self.name}, Resign(self.name))
@@ -122,17 +123,17 @@
         )
 
     def _make_placement(self, platform: Platform, clock: Clock) -> None:
-        writer = ShardWriter(
-            platform, self.view.directory, self.lease, self._renewer, clock
-        )
+        service = self._settings.service
+        writer = ShardWriter(platform, self.view.directory, self._renewer)
+        tenure = Tenure(service, self.view, self.lease, self.holdings, clock)
         self._keeper = Keeper(
-            self._settings.service,
+            service,
             self.view,
-            self.lease,
+            tenure,
             self.holdings,
             writer,
             self._spreader,
-            Balancer(self._settings.service, self.name, self.view),
+            Balancer(service, self.name, self.view),
             clock,
         )
 
--- a/laburnumwood/placement/holdings.py
+++ b/laburnumwood/placement/holdings.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass
 
-from eventlet.event import Event
-
 from laburnumwood.records import ShardName
 
 
@@ -12,7 +10,6 @@
     token: int
     running: int = 0
     closed: bool = False
-    idle: Event | None = None
 
 
 class Holdings:
@@ -53,22 +50,19 @@
     def leave(self, shard: ShardName) -> None:
         """Count a request out."""
         held = self._held.get(shard)
-        if held is None:
-            return
-        held.running -= 1
-        if not held.running and held.idle is not None:
-            held.idle.send(None)
-            held.idle = None
+        if held is not None:
+            held.running -= 1
 
     def close(self, shard: ShardName) -> None:
-        """Let no more requests in, and wait until none runs any more."""
+        """Let no more requests in; those that run go on."""
+        held = self._held.get(shard)
+        if held is not None:
+            held.closed = True
+
+    def is_idle(self, shard: ShardName) -> bool:
+        """Tell whether nothing runs in a shard."""
         held = self._held.get(shard)
-        if held is None:
-            return
-        held.closed = True
-        while held.running:
-            held.idle = held.idle or Event()
-            held.idle.wait()
+        return held is None or not held.running
 
     def reopen(self, shard: ShardName) -> None:
         """Let requests in again after a move that did not happen."""
--- /dev/null
+++ b/laburnumwood/placement/shard_write.py
@@ -0,0 +1,87 @@
+"""One write of a shard's record, step by step."""
+
+from enum import Enum
+
+from laburnumwood.clock import Clock
+from laburnumwood.errors import (
+    PlatformConflictError,
+    PlatformError,
+)
+from laburnumwood.leases.lease import Lease
+from laburnumwood.platform.client import Platform
+from laburnumwood.platform.objects import shard_object, to_value
+from laburnumwood.platform.writes import marked, write
+from laburnumwood.records import ShardName, ShardRecord, StoredObject
+
+_FLOOR_PATIENCE_MS = 3_000
+
+
+class Progress(Enum):
+    """How far a write has come."""
+
+    NEEDS_FLOOR = 'the witnesses do not know the floor yet'
+    UNSETTLED = 'the store gave no answer'
+    WRITTEN = 'the record is written'
+    CONFLICT = 'another write came first'
+    NOT_SENT = 'nothing was sent to the store'
+    ABANDONED = 'the lease is over; the record may be written or not'
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether there is nothing more to do."""
+        return self not in {Progress.NEEDS_FLOOR, Progress.UNSETTLED}
+
+
+class ShardWrite:
+    """A conditional write of a shard's record by one incarnation.
+
+    The floor is raised first, and nothing is sent before enough witnesses
+    know it.  A write whose answer was lost is repeated until it is settled.
+    `version` is the one to replace, or None to create the record.
+    """
+
+    def __init__(
+        self,
+        shard: ShardName,
+        record: ShardRecord,
+        version: int | None,
+        lease: Lease,
+        clock: Clock,
+    ) -> None:
+        self.shard = shard
+        self.record = marked(record, str(lease.holder))
+        self.version = version
+        self.stored: StoredObject | None = None
+        self._lease = lease
+        self._clock = clock
+        self._sent = False
+        self._floor_deadline_ms = clock.now_ms() + _FLOOR_PATIENCE_MS
+        if version is not None:
+            lease.raise_floor(str(shard), record.epoch)
+
+    def step(self, platform: Platform) -> Progress:
+        """Carry the write on by at most one exchange with the store."""
+        if self._lease.is_over:
+            return Progress.ABANDONED if self._sent else Progress.NOT_SENT
+        if not self._sent and not self._may_send():
+            late = self._clock.now_ms() >= self._floor_deadline_ms
+            return Progress.NOT_SENT if late else Progress.NEEDS_FLOOR
+        self._sent = True
+        try:
+            return self._send(platform)
+        except PlatformConflictError:
+            return Progress.CONFLICT
+        except PlatformError:
+            return Progress.UNSETTLED
+
+    def _may_send(self) -> bool:
+        if not self._lease.holds():
+            return False
+        known = self._lease.knows_floor(str(self.shard), self.record.epoch)
+        return known or self.version is None
+
+    def _send(self, platform: Platform) -> Progress:
+        name = shard_object(self.shard)
+        written = write(platform, name, self.record, self.version)
+        self.stored = StoredObject(name, to_value(self.record), written)
+        return Progress.WRITTEN
--- /dev/null
+++ b/laburnumwood/placement/tenure.py
@@ -0,0 +1,201 @@
+"""What a node decides about its shards, from records, seals and its lease."""
+
+import random
+from collections.abc import Iterator
+
+from laburnumwood.clock import Clock
+from laburnumwood.events import SHARD_CLAIMED, SHARD_MOVED, SHARD_TAKEN_OVER
+from laburnumwood.leases.lease import Lease
+from laburnumwood.membership.choice import rendezvous
+from laburnumwood.membership.directory import Entry
+from laburnumwood.membership.view import FleetView
+from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.ownership import (
+    Standing,
+    rank,
+    standing,
+    token,
+)
+from laburnumwood.placement.shard_write import Progress, ShardWrite
+from laburnumwood.placement.succession import (
+    choose_succession,
+    needs_successors,
+)
+from laburnumwood.records import NodeName, NodeRecord, ShardName, ShardRecord
+
+_BYSTANDER_PATIENCE_MS = 3_000
+# Spreads the writes after the loss of a failure domain, so that the platform
+# gets no more than a few hundred a second from a fleet of any size.
+_UNHURRIED_MS_PER_NODE = 10
+
+
+class Tenure:
+    """Which shards one incarnation holds, and which writes they need.
+
+    It takes no part in waiting: its tasks call it again and again.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        view: FleetView,
+        lease: Lease,
+        holdings: Holdings,
+        clock: Clock,
+    ) -> None:
+        self._service = service
+        self._own = lease.holder
+        self._view = view
+        self._lease = lease
+        self._holdings = holdings
+        self._clock = clock
+        self._writes: dict[ShardName, ShardWrite] = {}
+        self._stale: dict[ShardName, int] = {}
+        self._wanting_since_ms: dict[ShardName, int] = {}
+        self._due_ms: dict[ShardName, int] = {}
+
+    @property
+    def stale(self) -> tuple[ShardName, ...]:
+        """Return the shards whose record has to be read again."""
+        return tuple(self._stale)
+
+    def live(self) -> dict[NodeName, NodeRecord]:
+        """Return the live nodes of the service."""
+        return self._view.live_in(self._service)
+
+    def follow(self) -> None:
+        """Hold and drop shards as seals and records ask for it."""
+        if self._lease.holds():
+            for shard, entry in self._shards():
+                self._follow(shard, entry)
+
+    def wanted(self) -> list[ShardName]:
+        """Return the shards whose record this node should write now."""
+        if not self._lease.holds():
+            return []
+        known = (
+            shard
+            for shard, entry in self._shards()
+            if self._is_wanted(shard, entry)
+        )
+        return [
+            shard
+            for shard in (*known, *self._missing())
+            if shard not in self._writes and shard not in self._stale
+        ]
+
+    def begin_write(self, shard: ShardName) -> ShardWrite:
+        """Return the write that makes this node the first of a shard."""
+        return self._begin(shard, self._own)
+
+    def begin_move(
+        self, shard: ShardName, target: NodeName
+    ) -> ShardWrite | None:
+        """Let no more requests in; return the write, None if not possible.
+
+        Step the write only once nothing runs in the shard any more.
+        """
+        if shard in self._writes or not self._holdings.is_open(shard):
+            return None
+        self._holdings.close(shard)
+        return self._begin(shard, target)
+
+    def finish(self, write: ShardWrite, progress: Progress) -> None:
+        """Take in the final progress of a write."""
+        self._writes.pop(write.shard, None)
+        self._wanting_since_ms.pop(write.shard, None)
+        self._due_ms.pop(write.shard, None)
+        if progress is Progress.WRITTEN and write.stored is not None:
+            self._view.directory.apply(write.stored)
+            self._take_written(write)
+        elif progress is Progress.CONFLICT:
+            self._take_conflict(write)
+        elif progress is Progress.NOT_SENT:
+            self._holdings.reopen(write.shard)
+
+    def _shards(self) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
+        entries = self._view.directory.shards(self._service).items()
+        for number, entry in sorted(entries):
+            yield ShardName(self._service, number), entry
+
+    def _standing(self, shard: ShardName, record: ShardRecord) -> Standing:
+        return standing(shard, record, self._own, self._view)
+
+    def _follow(self, shard: ShardName, entry: Entry[ShardRecord]) -> None:
+        if entry.version > self._stale.get(shard, entry.version):
+            self._stale.pop(shard)
+            self._holdings.drop(shard)
+        if shard in self._stale:
+            return
+        if self._standing(shard, entry.record) is Standing.OWNER:
+            self._hold(shard, entry.record)
+        elif not self._holdings.is_closed(shard):
+            self._holdings.drop(shard)
+
+    def _hold(self, shard: ShardName, record: ShardRecord) -> None:
+        if not self._holdings.hold(shard, token(record, self._own)):
+            return
+        late = rank(record, self._own) > 0
+        event = SHARD_TAKEN_OVER if late else SHARD_CLAIMED
+        event.report(shard=shard, epoch=record.epoch)
+
+    def _is_wanted(self, shard: ShardName, entry: Entry[ShardRecord]) -> bool:
+        how = self._standing(shard, entry.record)
+        if how is Standing.OWNER:
+            return self._is_due(shard, entry.record)
+        if how is Standing.ORPHANED:
+            return self._is_my_turn(shard)
+        return how is Standing.MUST_WIN
+
+    def _is_due(self, shard: ShardName, record: ShardRecord) -> bool:
+        nodes = self.live()
+        if not needs_successors(self._own, record.succession, nodes):
+            self._due_ms.pop(shard, None)
+            return False
+        window_ms = _UNHURRIED_MS_PER_NODE * len(nodes)
+        now_ms = self._clock.now_ms()
+        due_ms = self._due_ms.get(shard)
+        if due_ms is None:
+            due_ms = now_ms + random.randrange(window_ms + 1)
+            self._due_ms[shard] = due_ms
+        return now_ms >= due_ms
+
+    def _is_my_turn(self, shard: ShardName) -> bool:
+        now_ms = self._clock.now_ms()
+        since_ms = self._wanting_since_ms.setdefault(shard, now_ms)
+        patient = now_ms - since_ms < _BYSTANDER_PATIENCE_MS
+        first = rendezvous(str(shard), self.live())[:1]
+        return first == [self._own] or not patient
+
+    def _missing(self) -> Iterator[ShardName]:
+        declared = self._view.directory.declarations.services.get(self._service)
+        known = self._view.directory.shards(self._service)
+        for number in range(declared.shards if declared else 0):
+            shard = ShardName(self._service, number)
+            if number not in known and self._is_my_turn(shard):
+                yield shard
+
+    def _begin(self, shard: ShardName, first: NodeName) -> ShardWrite:
+        succession = choose_succession(shard, first, self.live())
+        entry = self._view.directory.shard(shard)
+        write = ShardWrite(
+            shard,
+            ShardRecord(entry.record.epoch + 1 if entry else 1, succession),
+            entry.version if entry else None,
+            self._lease,
+            self._clock,
+        )
+        self._writes[shard] = write
+        return write
+
+    def _take_written(self, write: ShardWrite) -> None:
+        target = write.record.succession[0]
+        if target != self._own:
+            self._holdings.drop(write.shard)
+            epoch = write.record.epoch
+            SHARD_MOVED.report(shard=write.shard, target=target, epoch=epoch)
+
+    def _take_conflict(self, write: ShardWrite) -> None:
+        # Somebody else wrote, so what this node knows of the shard is stale.
+        self._holdings.drop(write.shard)
+        self._stale[write.shard] = write.version or 0
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -1,69 +1,54 @@
-"""Writing of shard records, with the floor raised first."""
+"""Tasks that carry writes of shard records through, a few at a time."""
 
 import eventlet
+from eventlet.greenpool import GreenPool
 
-from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.errors import (
-    IncarnationOverError,
-    PlatformConflictError,
-    PlatformUnreachableError,
-)
-from laburnumwood.leases.lease import Lease
+from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.errors import PlatformError
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.renewal import Renewer
+from laburnumwood.placement.shard_write import Progress, ShardWrite
 from laburnumwood.platform.client import Platform
-from laburnumwood.platform.objects import shard_object, to_value
-from laburnumwood.platform.writes import marked, write
-from laburnumwood.records import (
-    NodeName,
-    ShardName,
-    ShardRecord,
-    StoredObject,
-)
+from laburnumwood.platform.objects import shard_object
+from laburnumwood.records import ShardName
 
-_FLOOR_PATIENCE_MS = 3_000
+_CONCURRENT_WRITES = 8
 _FLOOR_POLL_MS = 10
 _RETRY_MS = 300
 
 
 class ShardWriter:
-    """Writes records of shards on behalf of one incarnation."""
+    """Carries writes of one incarnation to their ends."""
 
     def __init__(
-        self,
-        platform: Platform,
-        directory: Directory,
-        lease: Lease,
-        renewer: Renewer,
-        clock: Clock,
+        self, platform: Platform, directory: Directory, renewer: Renewer
     ) -> None:
         self._platform = platform
         self._directory = directory
-        self._lease = lease
         self._renewer = renewer
-        self._clock = clock
+        self._pool = GreenPool(_CONCURRENT_WRITES)
+        self._unsettled = 0
 
-    def create(
-        self, shard: ShardName, succession: tuple[NodeName, ...]
-    ) -> ShardRecord:
-        """Create the first record of a shard; raises `PlatformError`."""
-        return self._settle(shard, ShardRecord(1, succession), None)
+    @property
+    def pool(self) -> GreenPool:
+        """Return the tasks that write."""
+        return self._pool
 
-    def replace(
-        self, shard: ShardName, succession: tuple[NodeName, ...]
-    ) -> ShardRecord:
-        """Write the next record of a shard and return it.
+    @property
+    def is_healthy(self) -> bool:
+        """Tell whether no write waits for an answer of the store."""
+        return not self._unsettled
 
-        Returns only when the outcome of the write is known.  Raises
-        `PlatformConflictError` if another write came first, and
-        `IncarnationOverError` if the lease was lost before.
-        """
-        entry = self._directory.shard(shard)
-        if entry is None:
-            raise PlatformConflictError(str(shard))
-        record = ShardRecord(entry.record.epoch + 1, succession)
-        self._make_floor_known(shard, record.epoch)
-        return self._settle(shard, record, entry.version)
+    def carry(self, write: ShardWrite) -> Progress:
+        """Step a write until its progress is final, and return that."""
+        self._renewer.poke()
+        progress = write.step(self._platform)
+        while progress is Progress.NEEDS_FLOOR:
+            eventlet.sleep(_FLOOR_POLL_MS / MS_PER_SECOND)
+            progress = write.step(self._platform)
+        if progress is Progress.UNSETTLED:
+            return self._settle(write)
+        return progress
 
     def refresh(self, shard: ShardName) -> None:
         """Read a record again; raises `PlatformError`."""
@@ -71,29 +56,20 @@
         if stored is not None:
             self._directory.apply(stored)
 
-    def _make_floor_known(self, shard: ShardName, epoch: int) -> None:
-        self._lease.raise_floor(str(shard), epoch)
-        self._renewer.poke()
-        deadline_ms = self._clock.now_ms() + _FLOOR_PATIENCE_MS
-        while not self._lease.knows_floor(str(shard), epoch):
-            late = self._clock.now_ms() >= deadline_ms
-            if late or self._lease.is_over:
-                raise IncarnationOverError(f'floor of {shard} is not known')
-            eventlet.sleep(_FLOOR_POLL_MS / MS_PER_SECOND)
-        if not self._lease.holds():
-            raise IncarnationOverError('the lease is not held')
+    def refresh_if_possible(self, shard: ShardName) -> None:
+        """Read a record again unless the store does not answer."""
+        try:
+            self.refresh(shard)
+        except PlatformError:
+            return  # it is asked for again
 
-    def _settle(
-        self, shard: ShardName, record: ShardRecord, version: int | None
-    ) -> ShardRecord:
-        name = shard_object(shard)
-        record = marked(record, str(self._lease.holder))
-        while not self._lease.is_over:
-            try:
-                written = write(self._platform, name, record, version)
-            except PlatformUnreachableError:
+    def _settle(self, write: ShardWrite) -> Progress:
+        self._unsettled += 1
+        try:
+            progress = Progress.UNSETTLED
+            while not progress.is_final:
                 eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
-                continue
-            self._directory.apply(StoredObject(name, to_value(record), written))
-            return record
-        raise IncarnationOverError(f'{shard} was not settled in time')
+                progress = write.step(self._platform)
+        finally:
+            self._unsettled -= 1
+        return progress
--- a/laburnumwood/platform/client.py
+++ b/laburnumwood/platform/client.py
@@ -24,6 +24,7 @@
 _NOT_FOUND = 404
 _GONE = 410
 _CONFLICT = 412
+_SERVER_ERROR = 500
 
 
 def _check(answer: BaseHTTPResponse, what: str) -> Any:
@@ -31,6 +32,9 @@
         raise PlatformConflictError(what)
     if answer.status == _GONE:
         raise CompactedError(what)
+    if answer.status >= _SERVER_ERROR:
+        # The write may have taken effect before the platform failed.
+        raise PlatformUnreachableError(f'{what}: status {answer.status}')
     if answer.status != _OK:
         raise PlatformError(f'{what}: status {answer.status}')
     return answer.json()
