--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from laburnumwood.admission.retries import RetryBudget
 from laburnumwood.clock import Clock
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
@@ -13,6 +14,8 @@
 from laburnumwood.routing.gate import Gate
 from laburnumwood.routing.spread import Spread
 
+_RETRY_SHARE = 0.1  # of the requests
+
 
 class LoadParts:
     """What an incarnation knows of load, and those that use it."""
@@ -29,6 +32,7 @@
         self.meter = LoadMeter(clock)
         self.balancer = Balancer(service, own, view, self.meter, book, clock)
         self.spread = Spread(book, Random(str(own)), clock)
+        self.retries = RetryBudget(_RETRY_SHARE, clock)
         self._exchange = LoadExchange(
             service, own, view, peers, self.meter, book
         )
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -75,3 +75,7 @@
     def __init__(self, retry_after_ms: int) -> None:
         super().__init__(f'come again after {retry_after_ms} ms')
         self.retry_after_ms = retry_after_ms
+
+
+class WorkerTimeoutError(WorkerCutError):
+    """The worker did not answer in time."""
--- a/laburnumwood/routing/spread.py
+++ b/laburnumwood/routing/spread.py
@@ -15,7 +15,7 @@
 from laburnumwood.placement.loads import LoadBook
 from laburnumwood.protocol.messages import Answer, Failure
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.exchange import Exchange
+from laburnumwood.routing.exchange import Outgoing
 
 AVOID_MS = 1_000
 _REMEMBERED = 16  # choices
@@ -26,7 +26,7 @@
     """An exchange that counts as in flight until it is closed."""
 
     def __init__(
-        self, exchange: Exchange, target: NodeName, spread: 'Spread'
+        self, exchange: Outgoing, target: NodeName, spread: 'Spread'
     ) -> None:
         self._exchange = exchange
         self._target = target
@@ -50,6 +50,10 @@
             self._spread.avoid(self._target, AVOID_MS)
         return message
 
+    def fail(self, reason: LinkError) -> None:
+        """Let all that waits on the exchange fail."""
+        self._exchange.fail(reason)
+
     def close(self) -> None:
         """End the exchange on this side."""
         self._spread.forget(self._target, self)
@@ -90,7 +94,7 @@
         self._chosen.append(chosen)
         return chosen
 
-    def track(self, exchange: Exchange, target: NodeName) -> Exchange:
+    def track(self, exchange: Outgoing, target: NodeName) -> Outgoing:
         """Return an exchange that is counted for its target."""
         tracked = SpreadExchange(exchange, target, self)
         self._in_flight.setdefault(target, WeakSet()).add(tracked)
