--- /dev/null
+++ b/laburnumwood/config/audit.py
@@ -0,0 +1,89 @@
+"""The audit trail of accepted configurations."""
+
+from collections.abc import Iterator, Mapping
+
+from laburnumwood.config.files import Content, Files
+from laburnumwood.errors import DeclarationError, PlatformConflictError
+from laburnumwood.platform.client import Platform
+from laburnumwood.platform.objects import (
+    CONFIG,
+    audit_object,
+    to_record,
+    to_value,
+)
+from laburnumwood.records import AuditRecord, ConfigRecord, FileChange
+
+
+def entry_of(record: ConfigRecord) -> AuditRecord:
+    """Return the entry of the audit trail for an accepted configuration."""
+    changes = {
+        name: FileChange(before, record.files.get(name))
+        for name, before in sorted(record.replaced.items())
+    }
+    return AuditRecord(
+        generation=record.generation,
+        who=record.who,
+        when_ms=record.when_ms,
+        from_version=record.from_version,
+        changes=changes,
+        reason=record.reason,
+    )
+
+
+def complete(platform: Platform, record: ConfigRecord) -> None:
+    """Write the entry of the newest configuration if it is not there yet.
+
+    Raises `PlatformError` if the platform does not answer.
+    """
+    name = audit_object(record.generation)
+    try:
+        platform.create(name, to_value(entry_of(record)))
+    except PlatformConflictError:
+        return  # it is there, and an entry is never written again
+
+
+def read_newest(platform: Platform) -> Iterator[AuditRecord]:
+    """Yield the entries of the audit trail, the newest first.
+
+    An entry that its writer left out is completed.  Raises `PlatformError`.
+    """
+    stored = platform.get(CONFIG)
+    if stored is None:
+        return
+    record = to_record(ConfigRecord, stored)
+    for generation in range(record.generation, 0, -1):
+        found = platform.get(audit_object(generation))
+        if found is not None:
+            yield to_record(AuditRecord, found)
+        elif generation == record.generation:
+            complete(platform, record)
+            yield entry_of(record)
+
+
+def undo(files: Files, changes: Mapping[str, FileChange]) -> Files:
+    """Return files as they were before some changes."""
+    undone = {name: change.before for name, change in changes.items()}
+    before: dict[str, Content | None] = {**files, **undone}
+    return {
+        name: content for name, content in before.items() if content is not None
+    }
+
+
+def files_at(platform: Platform, now: ConfigRecord, generation: int) -> Files:
+    """Return the files of an accepted generation.
+
+    Raises `DeclarationError` if there is none such, and `PlatformError`.
+    """
+    if not 0 < generation <= now.generation:
+        raise DeclarationError(
+            f'generation {generation}: is not known; allowed: 1 to '
+            f'{now.generation}, see "laburnumwood history"'
+        )
+    files = dict(now.files)
+    for number in range(now.generation, generation, -1):
+        stored = platform.get(audit_object(number))
+        if stored is None and number != now.generation:
+            raise DeclarationError(f'generation {number}: no audit entry')
+        entry = to_record(AuditRecord, stored) if stored else entry_of(now)
+        files = undo(files, entry.changes)
+    return files
--- a/laburnumwood/config/declarations.py
+++ b/laburnumwood/config/declarations.py
@@ -1,11 +1,13 @@
 """The models of what operators declare."""
 
-from typing import Literal
+from typing import Annotated, Literal, Self
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 _MOST_SHARDS = 65_536
 
+Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
+
 
 class Declaration(BaseModel):
     """The base of all declarations: unknown fields and types are refused."""
@@ -23,12 +25,25 @@
     source: Literal['header', 'query', 'path']
     name: str = Field(min_length=1)
 
+    @model_validator(mode='after')
+    def _check_segment(self) -> Self:
+        if self.source == 'path' and not self._is_segment():
+            raise ValueError('for "path", name is a number from "1" up')
+        return self
+
+    def _is_segment(self) -> bool:
+        return self.name.isdecimal() and int(self.name) > 0
+
 
 class Service(Declaration):
-    """A service; it is divided by key if `key` is given."""
+    """A service; it is divided by key if `key` is given.
+
+    `owner` is the capacity owner that its requests are counted for.
+    """
 
     key: KeySource | None = None
     shards: int = Field(default=0, ge=0, le=_MOST_SHARDS)
+    owner: str | None = None
     idempotent_methods: frozenset[str] = frozenset(
         ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'),
     )
@@ -44,6 +59,34 @@
     contact: str = Field(min_length=1)
 
 
+class Pin(Declaration):
+    """Binds a key or a shard of a service to a failure domain or a node."""
+
+    service: str
+    key: str | None = Field(default=None, min_length=1)
+    shard: int | None = Field(default=None, ge=0)
+    failure_domain: str | None = None
+    node: str | None = None
+
+    @model_validator(mode='after')
+    def _check_choices(self) -> Self:
+        if (self.key is None) == (self.shard is None):
+            raise ValueError('give either "key" or "shard"')
+        if (self.failure_domain is None) == (self.node is None):
+            raise ValueError('give either "failure_domain" or "node"')
+        return self
+
+
+class Rule(Declaration):
+    """Lets files set values that an earlier file has set already.
+
+    A path is that of a value, or ends in `.*` for all below it.
+    """
+
+    files: tuple[str, ...] = Field(min_length=1)
+    may_override: tuple[str, ...] = Field(min_length=1)
+
+
 class Weights(Declaration):
     """How much each measure counts when shards are placed."""
 
@@ -55,7 +98,9 @@
 class Declarations(Declaration):
     """A whole configuration, or the part of it that one file sets."""
 
-    services: dict[str, Service] = Field(default_factory=dict)
-    failure_domains: tuple[str, ...] = Field(default=(), strict=False)
-    capacity_owners: dict[str, CapacityOwner] = Field(default_factory=dict)
+    services: dict[Name, Service] = Field(default_factory=dict)
+    failure_domains: tuple[Name, ...] = Field(default=(), strict=False)
+    capacity_owners: dict[Name, CapacityOwner] = Field(default_factory=dict)
+    pins: dict[Name, Pin] = Field(default_factory=dict)
+    rules: tuple[Rule, ...] = ()
     weights: Weights | None = None
--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -1,15 +1,39 @@
 """Merging of team files into one configuration."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 from typing import Any
 
-from pydantic import ValidationError
+from pydantic import BaseModel, ValidationError
 
-from laburnumwood.config.declarations import Declarations
+from laburnumwood.config.declarations import Declarations, Rule
+from laburnumwood.config.references import faults
 from laburnumwood.errors import DeclarationError
 from laburnumwood.settings import describe
 
+_ANYTHING_BELOW = '.*'
+_RULES = 'rules'
+
+
+@dataclass(frozen=True, slots=True)
+class Merged:
+    """A merged configuration, and which file set the value at each path."""
+
+    declarations: Declarations
+    set_by: dict[str, str]
+
+    def origin(self, path: str) -> str:
+        """Return the file that set a value or the nearest one above it."""
+        while path not in self.set_by and '.' in path:
+            path = path.rpartition('.')[0]
+        return self.set_by.get(path, _nearest(path, self.set_by))
+
+
+def _nearest(path: str, set_by: Mapping[str, str]) -> str:
+    below = (name for each, name in set_by.items() if each.startswith(path))
+    return next(below, 'merged files')
+
 
 def read_file(name: str, content: Mapping[str, Any]) -> Declarations:
     """Return what one file declares.
@@ -19,41 +43,127 @@
     try:
         return Declarations.model_validate_json(json.dumps(content))
     except ValidationError as invalid:
-        raise DeclarationError(describe(invalid, name)) from invalid
+        text = describe(invalid, name, Declarations)
+        raise DeclarationError(text) from invalid
+
+
+def _settings_of(declared: BaseModel, prefix: str) -> Iterator[tuple[str, Any]]:
+    """Yield what a part sets, with the path of each value."""
+    for name in sorted(declared.model_fields_set):
+        yield from _values(getattr(declared, name), f'{prefix}{name}')
+
+
+def _values(what: Any, path: str) -> Iterator[tuple[str, Any]]:
+    if isinstance(what, dict):
+        for name, entry in what.items():
+            yield from _values(entry, f'{path}.{name}')
+    elif isinstance(what, BaseModel):
+        if not what.model_fields_set:
+            yield path, {}
+        yield from _settings_of(what, f'{path}.')
+    else:
+        yield path, what
+
+
+def _covers(pattern: str, path: str) -> bool:
+    if pattern.endswith(_ANYTHING_BELOW):
+        return path.startswith(pattern.removesuffix('*'))
+    return path == pattern
 
 
-def _settings_of(part: Declarations) -> dict[str, Any]:
-    """Return what a part sets, by the path of each thing."""
-    found: dict[str, Any] = {}
-    for section in sorted(part.model_fields_set):
-        declared = getattr(part, section)
-        if isinstance(declared, dict):
-            for name, what in declared.items():
-                found[f'{section}.{name}'] = what
+class _Merger:
+    """Merges files one after another and collects every fault."""
+
+    def __init__(self) -> None:
+        self.faults: list[str] = []
+        self._set_by: dict[str, str] = {}
+        self._tops: dict[str, str] = {}
+        self._rules: tuple[Rule, ...] = ()
+        self._merged: dict[str, Any] = {}
+
+    def add(
+        self, name: str, content: Mapping[str, Any], *, first: bool
+    ) -> None:
+        """Merge one more file."""
+        try:
+            part = read_file(name, content)
+        except DeclarationError as faulty:
+            self.faults.append(str(faulty))
+            return
+        if part.rules and not first:
+            self.faults.append(
+                f'{name}: {_RULES}: only the first file may hold rules'
+            )
+        if first:
+            self._rules = part.rules
+        for path, what in _settings_of(part, ''):
+            self._set(name, path, what)
+
+    def result(self) -> Merged:
+        """Return the merged configuration; raises `DeclarationError`."""
+        self._raise_faults()
+        text = json.dumps(self._merged, default=_plain)
+        try:
+            declarations = Declarations.model_validate_json(text)
+        except ValidationError as invalid:
+            lines = describe(invalid, 'merged files', Declarations)
+            raise DeclarationError(lines) from invalid
+        merged = Merged(declarations, self._set_by)
+        for fault in faults(declarations):
+            file = merged.origin(fault.path)
+            self.faults.append(f'{file}: {fault.path}: {fault.text}')
+        self._raise_faults()
+        return merged
+
+    def _raise_faults(self) -> None:
+        if self.faults:
+            raise DeclarationError('\n'.join(self.faults))
+
+    def _set(self, name: str, path: str, what: Any) -> None:
+        entry = '.'.join(path.split('.')[:2])
+        before = self._tops.setdefault(entry, name)
+        if before != name and not self._may_override(name, path):
+            self.faults.append(
+                f'{name}: {path}: {entry} is set by {before} already; one '
+                f'file sets a thing, unless a rule of the first file lets '
+                f'{name} override {path}',
+            )
+            return
+        self._set_by[path] = name
+        *above, last = path.split('.')
+        node = self._merged
+        for step in above:
+            node = node.setdefault(step, {})
+        if isinstance(what, dict):
+            node.setdefault(last, {})
         else:
-            found[section] = declared
-    return found
+            node[last] = what
 
+    def _may_override(self, name: str, path: str) -> bool:
+        return any(
+            name in rule.files and _covers(pattern, path)
+            for rule in self._rules
+            for pattern in rule.may_override
+        )
 
-def merge(files: Mapping[str, Mapping[str, Any]]) -> Declarations:
+
+def _plain(what: Any) -> Any:
+    if isinstance(what, BaseModel):
+        return what.model_dump(mode='json', exclude_unset=True)
+    return sorted(what)
+
+
+def merge_files(files: Mapping[str, Mapping[str, Any]]) -> Merged:
     """Merge files in the order of their names.
 
-    Raises `DeclarationError` if a file is not valid or two files set one
-    thing.
+    Raises `DeclarationError` with a line for every fault of every file.
     """
-    set_by: dict[str, str] = {}
-    merged: dict[str, Any] = {}
-    for name in sorted(files):
-        for path, what in _settings_of(read_file(name, files[name])).items():
-            if path in set_by:
-                raise DeclarationError(
-                    f'{name}: {path}: is set by {set_by[path]} already; '
-                    'one thing is set by one file',
-                )
-            set_by[path] = name
-            section, _, entry = path.partition('.')
-            if entry:
-                merged.setdefault(section, {})[entry] = what
-            else:
-                merged[section] = what
-    return Declarations(**merged)
+    merger = _Merger()
+    for number, name in enumerate(sorted(files)):
+        merger.add(name, files[name], first=not number)
+    return merger.result()
+
+
+def merge(files: Mapping[str, Mapping[str, Any]]) -> Declarations:
+    """Return what `merge_files` declares."""
+    return merge_files(files).declarations
--- /dev/null
+++ b/laburnumwood/config/references.py
@@ -0,0 +1,96 @@
+"""Checks of a merged configuration: what one value says of another."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+
+from laburnumwood.config.declarations import Declarations, Pin
+
+Check = Callable[[Declarations], Iterator['Fault']]
+_CHECKS: list[Check] = []
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What is wrong with the value at a path."""
+
+    path: str
+    text: str
+
+
+def _check(found: Check) -> Check:
+    _CHECKS.append(found)
+    return found
+
+
+def faults(merged: Declarations) -> Iterator[Fault]:
+    """Yield every fault of a merged configuration."""
+    for check in _CHECKS:
+        yield from check(merged)
+
+
+def _unknown(path: str, found: str, kind: str, known: Iterable[str]) -> Fault:
+    names = ', '.join(sorted(known))
+    allowed = names or f'none, for no {kind} is declared'
+    return Fault(path, f'no {kind} {found!r} is declared; allowed: {allowed}')
+
+
+@_check
+def _check_owners(merged: Declarations) -> Iterator[Fault]:
+    known = merged.capacity_owners
+    for name, service in merged.services.items():
+        if service.owner is not None and service.owner not in known:
+            path = f'services.{name}.owner'
+            yield _unknown(path, service.owner, 'capacity owner', known)
+
+
+@_check
+def _check_shards(merged: Declarations) -> Iterator[Fault]:
+    for name, service in merged.services.items():
+        path = f'services.{name}.shards'
+        if service.key is not None and not service.shards:
+            yield Fault(path, 'found 0; a service with a key needs 1 or more')
+        elif service.key is None and service.shards:
+            text = f'found {service.shards}; a service without a key needs 0'
+            yield Fault(path, text)
+
+
+@_check
+def _check_domains(merged: Declarations) -> Iterator[Fault]:
+    for name, count in Counter(merged.failure_domains).items():
+        if count > 1:
+            yield Fault('failure_domains', f'{name!r} stands {count} times')
+
+
+@_check
+def _check_pins(merged: Declarations) -> Iterator[Fault]:
+    for name, pin in merged.pins.items():
+        yield from _pin_faults(merged, f'pins.{name}', pin)
+
+
+@_check
+def _check_same_target(merged: Declarations) -> Iterator[Fault]:
+    first: dict[tuple[object, ...], str] = {}
+    for name, pin in merged.pins.items():
+        bound = (pin.service, pin.key, pin.shard)
+        if bound in first:
+            text = f'binds what pins.{first[bound]} binds; keep one of them'
+            yield Fault(f'pins.{name}', text)
+        first.setdefault(bound, name)
+
+
+def _pin_faults(merged: Declarations, path: str, pin: Pin) -> Iterator[Fault]:
+    service = merged.services.get(pin.service)
+    if service is None:
+        keyed = [name for name, each in merged.services.items() if each.key]
+        yield _unknown(f'{path}.service', pin.service, 'service', keyed)
+    elif service.key is None:
+        text = f'{pin.service!r} is not divided by key; pins need that'
+        yield Fault(f'{path}.service', text)
+    elif pin.shard is not None and pin.shard >= service.shards:
+        text = f'found {pin.shard}; allowed: 0 to {service.shards - 1}'
+        yield Fault(f'{path}.shard', text)
+    known = merged.failure_domains
+    if pin.failure_domain is not None and pin.failure_domain not in known:
+        place = f'{path}.failure_domain'
+        yield _unknown(place, pin.failure_domain, 'failure domain', known)
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -13,6 +13,18 @@
     """A configuration can't be accepted; the text says where and why."""
 
 
+class ChangedSinceError(LaburnumwoodError):
+    """Files were changed by others since the operator saw them."""
+
+
+class NotInForceError(LaburnumwoodError):
+    """A configuration is accepted, but some node does not have it yet."""
+
+
+class OperatorCallError(LaburnumwoodError):
+    """A node did not do what an operator asked of it."""
+
+
 class PlatformError(LaburnumwoodError):
     """The base of what can go wrong with a call of the platform."""
 
--- a/laburnumwood/platform/objects.py
+++ b/laburnumwood/platform/objects.py
@@ -6,6 +6,7 @@
 
 from laburnumwood.errors import RecordError
 from laburnumwood.records import (
+    AuditRecord,
     ConfigRecord,
     NodeRecord,
     ShardName,
@@ -18,9 +19,10 @@
 SHARDS = 'shards/'
 AUDIT = 'audit/'
 
-_Record = TypeVar('_Record', ConfigRecord, NodeRecord, ShardRecord)
+_Record = TypeVar('_Record', AuditRecord, ConfigRecord, NodeRecord, ShardRecord)
 _ADAPTERS: dict[type[Any], TypeAdapter[Any]] = {
-    form: TypeAdapter(form) for form in (ConfigRecord, NodeRecord, ShardRecord)
+    form: TypeAdapter(form)
+    for form in (AuditRecord, ConfigRecord, NodeRecord, ShardRecord)
 }
 
 
@@ -34,7 +36,14 @@
     return f'{SHARDS}{shard}'
 
 
-def to_value(record: ConfigRecord | NodeRecord | ShardRecord) -> dict[str, Any]:
+def audit_object(generation: int) -> str:
+    """Return the name of the audit trail's object for a generation."""
+    return f'{AUDIT}{generation}'
+
+
+def to_value(
+    record: AuditRecord | ConfigRecord | NodeRecord | ShardRecord,
+) -> dict[str, Any]:
     """Return what the store keeps for a record."""
     return _ADAPTERS[type(record)].dump_python(record, mode='json')
 
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -164,10 +164,38 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigRecord:
-    """An accepted configuration: the team files by their names."""
+    """An accepted configuration: the team files by their names.
+
+    `replaced` holds the files that this change replaced as they were before
+    (None: there was none), and `from_version` the version of the object that
+    it replaced, so that anyone can complete the audit trail.
+    """
 
     generation: int
     files: dict[str, dict[str, Any]] = field(default_factory=dict)
     who: str = ''
     when_ms: int = 0
     mark: WriteMark | None = None
+    replaced: dict[str, dict[str, Any] | None] = field(default_factory=dict)
+    from_version: int | None = None
+    reason: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class FileChange:
+    """A file before and after a change (None: there was or is none)."""
+
+    before: dict[str, Any] | None
+    after: dict[str, Any] | None
+
+
+@dataclass(frozen=True, slots=True)
+class AuditRecord:
+    """What one accepted change did; written once and never again."""
+
+    generation: int
+    who: str
+    when_ms: int
+    from_version: int | None
+    changes: dict[str, FileChange]
+    reason: str = ''
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -2,12 +2,15 @@
 
 import json
 from pathlib import Path
+from typing import Any, get_args
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic_core import ErrorDetails
 
 from laburnumwood.errors import SettingsError
 
 HIGHEST_PORT = 65_535
+SECRETS = frozenset(('shared_key', 'token'))
 
 
 class LeaseSettings(BaseModel):
@@ -43,17 +46,42 @@
     lease: LeaseSettings = LeaseSettings()
 
 
-def describe(error: ValidationError, file: str) -> str:
+def _model_in(annotation: Any) -> type[BaseModel] | None:
+    """Return the model that an annotation names, at any depth."""
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation
+    inner = (_model_in(each) for each in get_args(annotation))
+    return next((model for model in inner if model is not None), None)
+
+
+def _fields_at(model: type[BaseModel], path: tuple[int | str, ...]) -> str:
+    for step in path[:-1]:
+        field = model.model_fields.get(str(step))
+        inner = _model_in(field.annotation) if field else None
+        model = inner or model
+    return ', '.join(sorted(model.model_fields))
+
+
+def _line(fault: ErrorDetails, model: type[BaseModel]) -> str:
+    path = fault['loc']
+    named = '.'.join(str(step) for step in path) or '(whole file)'
+    if SECRETS.intersection(path):
+        return f'{named}: {fault["msg"]}; what was found is secret'
+    if fault['type'] == 'extra_forbidden':
+        allowed = _fields_at(model, path)
+        return f'{named}: unknown field; allowed: {allowed}'
+    return f'{named}: {fault["msg"]}; found {fault["input"]!r}'
+
+
+def describe(error: ValidationError, file: str, model: type[BaseModel]) -> str:
     """Return one line for each fault that a model found in a file.
 
-    A line names the file, the path in it, what was found and what is wrong.
+    A line names the file, the path in it, what was found and what is
+    allowed, but for secrets, of which it tells nothing.
     """
-    lines = []
-    for fault in error.errors():
-        path = '.'.join(str(step) for step in fault['loc']) or '(whole file)'
-        found = repr(fault.get('input'))
-        lines.append(f'{file}: {path}: {fault["msg"]}; found {found}')
-    return '\n'.join(lines)
+    return '\n'.join(
+        f'{file}: {_line(fault, model)}' for fault in error.errors()
+    )
 
 
 def read_settings(path: Path) -> DaemonSettings:
@@ -68,4 +96,6 @@
     try:
         return DaemonSettings.model_validate(content)
     except ValidationError as invalid:
-        raise SettingsError(describe(invalid, str(path))) from invalid
+        raise SettingsError(
+            describe(invalid, str(path), DaemonSettings)
+        ) from invalid
