--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -16,6 +16,8 @@
 from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
+from laburnumwood.operators.capacity import CapacityAccount
+from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
 from laburnumwood.placement.writer import ShardWriter
@@ -30,6 +32,7 @@
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
+from laburnumwood.upstream.load import LoadPoller
 from laburnumwood.upstream.worker import Worker
 
 _RESTART_MS = 200
@@ -64,7 +67,7 @@
         self.holdings = Holdings()
         self._peers = Peers(
             name,
-            settings.shared_key,
+            settings,
             self.view.address,
             self.dispatcher,
             clock,
@@ -83,6 +86,8 @@
             self._renewer.run,
             self._desk.run,
             self._granter.run,
+            self._load_poller.run,
+            self._account.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
         ):
@@ -131,6 +136,7 @@
             self.holdings,
             writer,
             self._spreader,
+            Balancer(self._settings.service, self.name, self.view),
             clock,
         )
 
@@ -139,19 +145,27 @@
         self._granter = Granter(
             worker, self.holdings.tokens, self.lease.holds_until_ms, clock
         )
+        self._account = CapacityAccount(
+            self._settings, lambda: self.view.directory.declarations, clock
+        )
         gate = Gate(
             self._settings,
             self.lease,
             self.holdings,
             self._granter,
             worker,
+            lambda: self.view.directory.declarations.services,
+            self._account,
             clock,
         )
+        self._load_poller = LoadPoller(worker, gate.hint)
         router = Router(self.name, self.view, self._peers, gate.serve, clock)
         self.door = Door(
             router, lambda: self.view.directory.declarations.services
         )
-        self.operators = OperatorApi(self.view, self.lease, self.holdings, gate)
+        self.operators = OperatorApi(
+            self.view, self.lease, self.holdings, gate, self._account
+        )
         self.gate = gate
 
         @self.dispatcher.on(Work)
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -2,9 +2,15 @@
 
 import json
 from pathlib import Path
-from typing import Any, get_args
-
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from typing import Any, Literal, Self, get_args
+
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
 from pydantic_core import ErrorDetails
 
 from laburnumwood.errors import SettingsError
@@ -24,6 +30,34 @@
     guard_ms: int = Field(default=100, ge=0, le=5_000)
 
 
+class AdmissionSettings(BaseModel):
+    """How requests are let in to the worker."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
+
+    policy: Literal['adaptive', 'unlimited', 'fixed-queue'] = 'adaptive'
+    queue_per_slot: int = Field(default=2, ge=1, le=1_000)
+
+
+class OperatorSettings(BaseModel):
+    """An operator's token and what may be done with it."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
+
+    token: str = Field(min_length=16, repr=False)
+    may: Literal['read', 'change'] = 'read'
+
+
+class TlsSettings(BaseModel):
+    """Files of certificates, in PEM form, for links between nodes."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
+
+    certificate: str = Field(min_length=1)
+    key: str = Field(min_length=1)
+    authority: str = Field(min_length=1)
+
+
 class DaemonSettings(BaseModel):
     """All that one daemon has to be told."""
 
@@ -34,6 +68,7 @@
     region: str = 'default'
     host: str = '127.0.0.1'
     peer_port: int = Field(ge=1, le=HIGHEST_PORT)
+    advertised_peer_port: int | None = Field(default=None, ge=1)
     door_port: int = Field(ge=1, le=HIGHEST_PORT)
     operator_port: int = Field(ge=1, le=HIGHEST_PORT)
     platform_url: str = Field(pattern='^https?://')
@@ -42,8 +77,17 @@
     capacity_owner: str = Field(min_length=1)
     slots: int = Field(default=20, ge=1)
     connections: int = Field(default=100, ge=1)
-    shared_key: str = Field(min_length=16, repr=False)
+    shared_key: str | None = Field(default=None, min_length=16, repr=False)
+    tls: TlsSettings | None = None
+    operators: dict[str, OperatorSettings] = Field(default_factory=dict)
     lease: LeaseSettings = LeaseSettings()
+    admission: AdmissionSettings = AdmissionSettings()
+
+    @model_validator(mode='after')
+    def _check_links(self) -> Self:
+        if (self.shared_key is None) == (self.tls is None):
+            raise ValueError('give either "tls" or "shared_key"')
+        return self
 
 
 def _model_in(annotation: Any) -> type[BaseModel] | None:
@@ -65,8 +109,8 @@
 def _line(fault: ErrorDetails, model: type[BaseModel]) -> str:
     path = fault['loc']
     named = '.'.join(str(step) for step in path) or '(whole file)'
-    if SECRETS.intersection(path):
-        return f'{named}: {fault["msg"]}; what was found is secret'
+    if not path or SECRETS.intersection(path):
+        return f'{named}: {fault["msg"]}; what was found is not shown'
     if fault['type'] == 'extra_forbidden':
         allowed = _fields_at(model, path)
         return f'{named}: unknown field; allowed: {allowed}'
--- a/tests/features/config.feature
+++ b/tests/features/config.feature
@@ -37,7 +37,7 @@
   Scenario: all faults are told, each with what is allowed
     Given the file "40-bad.json"
       """
-      {"service": {}, "services": {"docs": {"deadline": 5, "deadline_ms": "10s"}}}
+      {"service": {}, "services": {"docs": {"key": {"from": 5}, "deadline_ms": "10s"}}}
       """
     And the file "50-more.json"
       """
@@ -45,8 +45,10 @@
       """
     Then the files are refused with
       """
+      40-bad.json: services.docs.key.source: Field required; found {'from': 5}
+      40-bad.json: services.docs.key.name: Field required; found {'from': 5}
+      40-bad.json: services.docs.key.from: unknown field; allowed: name, source
       40-bad.json: services.docs.deadline_ms: Input should be a valid integer; found '10s'
-      40-bad.json: services.docs.deadline: unknown field; allowed: check_tokens, cold_start_ms, deadline_ms, idempotent_methods, key, longest_body, owner, shards
       40-bad.json: service: unknown field; allowed: capacity_owners, failure_domains, pins, rules, services, weights
       50-more.json: weights.churn: Input should be greater than or equal to 0; found -1
       """
