--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -17,6 +17,7 @@
 from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
+from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
@@ -69,7 +70,7 @@
         self.holdings = Holdings()
         self._peers = Peers(
             name,
-            settings.shared_key,
+            settings,
             self.view.address,
             self.dispatcher,
             clock,
@@ -89,6 +90,7 @@
             self._desk.run,
             self._granter.run,
             self._load_poller.run,
+            self._account.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
         ):
@@ -146,6 +148,9 @@
         self._granter = Granter(
             worker, self.holdings.tokens, self.lease.holds_until_ms, clock
         )
+        self._account = CapacityAccount(
+            self._settings, lambda: self.view.directory.declarations, clock
+        )
         gate = Gate(
             self._settings,
             self.lease,
@@ -153,6 +158,7 @@
             self._granter,
             worker,
             lambda: self.view.directory.declarations.services,
+            self._account,
             clock,
         )
         self._load_poller = LoadPoller(worker, gate.hint)
@@ -167,7 +173,9 @@
         self.door = Door(
             router, lambda: self.view.directory.declarations.services
         )
-        self.operators = OperatorApi(self.view, self.lease, self.holdings, gate)
+        self.operators = OperatorApi(
+            self.view, self.lease, self.holdings, gate, self._account
+        )
         self.gate = gate
 
         @self.dispatcher.on(Work)
--- a/laburnumwood/daemon/main.py
+++ b/laburnumwood/daemon/main.py
@@ -32,12 +32,11 @@
 def main() -> int:
     """Run a node until it is told to stop; return the exit status."""
     try:
-        settings = read_settings(_arguments().settings)
+        node = Node(read_settings(_arguments().settings))
     except SettingsError as refused:
         sys.stderr.write(f'{refused}\n')
         return EXIT_USAGE
     logbook.StreamHandler(sys.stderr, level=logbook.INFO).push_application()
-    node = Node(settings)
 
     def begin_stop(_number: int, _frame: FrameType | None) -> None:
         node.stop()
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -1,8 +1,9 @@
 """The gate: the only way to the worker beside a node."""
 
 from collections.abc import Callable, Mapping
-from contextlib import suppress
+from contextlib import AbstractContextManager, suppress
 from dataclasses import replace
+from typing import Protocol
 
 import eventlet
 
@@ -27,6 +28,14 @@
 
 Services = Callable[[], Mapping[str, Service]]
 
+
+class Account(Protocol):
+    """Counts what each owner's capacity carries."""
+
+    def busy(self, service: str) -> AbstractContextManager[None]:
+        """Count a slot as busy for a service."""
+
+
 _GRANT_POLL_MS = 5
 _GRANT_PATIENCE_MS = 500
 
@@ -64,6 +73,7 @@
         granter: Granter,
         worker: Worker,
         services: Services,
+        account: Account,
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -72,6 +82,7 @@
         self._granter = granter
         self._services = services
         self._runner = Runner(worker, clock)
+        self._account = account
         self._clock = clock
         self._admitter = Admitter(
             ADMISSIONS[settings.admission.policy](settings, clock), clock
@@ -108,7 +119,8 @@
     def _serve_in_turn(
         self, exchange: Exchange, work: Work, ticket: Ticket
     ) -> None:
-        with self._admitter.admitted(ticket):
+        busy = self._account.busy(work.service)
+        with self._admitter.admitted(ticket), busy:
             left_ms = max(ticket.deadline_ms - self._clock.now_ms(), 1)
             observed = ObservedExchange(exchange, ticket, self._clock)
             self._serve_admitted(observed, replace(work, deadline_ms=left_ms))
