--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 import eventlet
-from eventlet.greenthread import GreenThread
 
+from laburnumwood.admission.retries import RetryBudget
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import TASK_FAILED
 from laburnumwood.leases.lease import Lease
@@ -22,13 +22,13 @@
 from laburnumwood.placement.keeper import Keeper
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.platform.client import Platform
-from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import Resign, Work
 from laburnumwood.protocol.peers import Dispatcher, Peers
+from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.door import Door
 from laburnumwood.routing.gate import Gate
+from laburnumwood.routing.measuring import MeasuredDoor
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
@@ -36,6 +36,7 @@
 from laburnumwood.upstream.worker import Worker
 
 _RESTART_MS = 200
+_RETRY_SHARE = 0.1  # of the requests
 
 
 def _supervise(task: Callable[[], None]) -> None:
@@ -60,14 +61,14 @@
     ) -> None:
         self.name = name
         self._settings = settings
-        self._tasks: list[GreenThread] = []
+        self._tasks: list[eventlet.greenthread.GreenThread] = []
         self.dispatcher = Dispatcher()
         self.view = FleetView(Directory(), SealBook())
         self.lease = Lease(name, settings.lease, clock)
         self.holdings = Holdings()
         self._peers = Peers(
             name,
-            settings,
+            LinkSecurity(settings.shared_key, settings.tls),
             self.view.address,
             self.dispatcher,
             clock,
@@ -159,9 +160,16 @@
             clock,
         )
         self._load_poller = LoadPoller(worker, gate.hint)
-        router = Router(self.name, self.view, self._peers, gate.serve, clock)
-        self.door = Door(
-            router, lambda: self.view.directory.declarations.services
+        router = Router(
+            self.name,
+            self.view,
+            self._peers,
+            gate.serve,
+            RetryBudget(_RETRY_SHARE, clock),
+            clock,
+        )
+        self.door = MeasuredDoor(
+            router, lambda: self.view.directory.declarations.services, clock
         )
         self.operators = OperatorApi(
             self.view, self.lease, self.holdings, gate, self._account
@@ -169,5 +177,5 @@
         self.gate = gate
 
         @self.dispatcher.on(Work)
-        def serve(_link: Link, stream: Stream, work: Work) -> None:
+        def serve(_link: object, stream: Stream, work: Work) -> None:
             gate.serve(stream, work)
--- a/laburnumwood/operators/capacity.py
+++ b/laburnumwood/operators/capacity.py
@@ -9,6 +9,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.declarations import Declarations
+from laburnumwood.metrics import BUSY_SLOTS
 from laburnumwood.settings import DaemonSettings
 
 _SAMPLE_MS = 1_000
@@ -71,13 +72,16 @@
         declared = self._declared().services.get(service)
         owner = declared.owner if declared else None
         served = Beneficiary(service, owner or self._owner)
-        self._advance()
-        self._running[served] += 1
+        self._count(served, 1)
         try:
             yield
         finally:
-            self._advance()
-            self._running[served] -= 1
+            self._count(served, -1)
+
+    @property
+    def idle_slots(self) -> int:
+        """Return how many slots carry nothing now."""
+        return max(0, self._slots - self._running.total())
 
     def usage(self, window_ms: int) -> Usage:
         """Return the usage over a window that ends now.
@@ -106,6 +110,12 @@
                 return sample
         return self._samples[0]
 
+    def _count(self, served: Beneficiary, change: int) -> None:
+        self._advance()
+        self._running[served] += change
+        labels = {'service': served.service, 'owner': served.owner}
+        BUSY_SLOTS.record(change, labels)
+
     def _advance(self) -> None:
         now_ms = self._clock.now_ms()
         passed_ms = now_ms - self._since_ms
--- a/laburnumwood/operators/door.py
+++ b/laburnumwood/operators/door.py
@@ -7,7 +7,6 @@
 
 from laburnumwood.errors import LaburnumwoodError
 from laburnumwood.events import OPERATOR_CHANGE, OPERATOR_REFUSED
-from laburnumwood.metrics import exposition
 from laburnumwood.operators.access import Access, AccessError
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.settings import DaemonSettings
@@ -76,10 +75,10 @@
             return _JSON, json.dumps({'draining': self._node_id}).encode()
         if method != 'GET':
             raise _PageError(405, f'{path} takes GET; {_DRAIN} takes POST')
-        if path == '/metrics':
-            return _METRICS, exposition()
         if pages is None:
             raise _PageError(503, 'the node has not joined yet; come again')
+        if path == '/metrics':
+            return _METRICS, pages.metrics()
         return _JSON, _page(pages, environ)
 
     def _admit(self, environ: Environ, *, changes: bool) -> str:
--- a/laburnumwood/platform/client.py
+++ b/laburnumwood/platform/client.py
@@ -14,6 +14,7 @@
     PlatformError,
     PlatformUnreachableError,
 )
+from laburnumwood.metrics import STORE_CALLS
 from laburnumwood.records import StoredObject
 
 _CALL_TIMEOUT_S = 2
@@ -109,6 +110,9 @@
 
     def _call(self, method: str, path: str, **more: Any) -> BaseHTTPResponse:
         try:
-            return self._pool.request(method, path, **more)
+            answer = self._pool.request(method, path, **more)
         except HTTPError as failure:
+            STORE_CALLS.record(1, {'method': method, 'status': 'none'})
             raise PlatformUnreachableError(f'{method} {path}') from failure
+        STORE_CALLS.record(1, {'method': method, 'status': answer.status})
+        return answer
--- /dev/null
+++ b/tests/features/steps/metrics_steps.py
@@ -0,0 +1,62 @@
+"""Steps about the pages that operators look things up in."""
+
+from collections.abc import Sequence
+
+import logbook
+from behave import then
+from behave.runner import Context
+
+from bench.deployment import OPERATOR_TOKEN
+from laburnumwood.events import CATALOGUE as EVENTS
+from laburnumwood.metrics import CATALOGUE as METRICS
+from tests.features.steps.processes import ROOT
+
+
+def _rows(page: str) -> list[tuple[str, ...]]:
+    lines = (ROOT / 'docs' / page).read_text().splitlines()
+    table = [line for line in lines if line.startswith('| ')][1:]
+    return [
+        tuple(cell.strip() for cell in line.strip('|').split(' | '))
+        for line in table
+    ]
+
+
+def _compare(page: str, wanted: Sequence[tuple[str, ...]]) -> None:
+    found = _rows(page)
+    expected = '\n'.join('| {} |'.format(' | '.join(row)) for row in wanted)
+    assert found == list(wanted), f'docs/{page} should hold\n{expected}'
+
+
+@then('docs/EVENTS.md has a row for each event and no other')
+def check_events(context: Context) -> None:
+    wanted = [
+        (
+            f'LW{event.number}',
+            event.name,
+            logbook.get_level_name(event.level).lower(),
+            event.text,
+            event.advice,
+        )
+        for _, event in sorted(EVENTS.items())
+    ]
+    _compare('EVENTS.md', wanted)
+
+
+@then('docs/METRICS.md has a row for each metric and no other')
+def check_metrics(context: Context) -> None:
+    wanted = [
+        (metric.name, metric.unit, metric.meaning)
+        for _, metric in sorted(METRICS.items())
+    ]
+    _compare('METRICS.md', wanted)
+
+
+@then('the metrics of "{node_id}" hold')
+def check_exposition(context: Context, node_id: str) -> None:
+    member = context.deployment.members[node_id]
+    headers = {'Authorization': f'Bearer {OPERATOR_TOKEN}'}
+    url = f'{member.operators}/metrics'
+    text = context.deployment.get(url, headers=headers).data.decode()
+    lines = text.splitlines()
+    for row in context.table:
+        assert row['line'] in lines, f'{row["line"]} not in\n{text}'
