--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -1,12 +1,10 @@
 """All that one incarnation of a node consists of."""
 
-from collections.abc import Callable
-
 import eventlet
 
 from laburnumwood.admission.retries import RetryBudget
-from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.events import TASK_FAILED
+from laburnumwood.clock import Clock
+from laburnumwood.daemon.supervision import supervise
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
@@ -36,20 +34,9 @@
 from laburnumwood.upstream.load import LoadPoller
 from laburnumwood.upstream.worker import Worker
 
-_RESTART_MS = 200
 _RETRY_SHARE = 0.1  # of the requests
 
 
-def _supervise(task: Callable[[], None]) -> None:
-    while True:
-        try:
-            return task()
-        except Exception as failure:
-            name = getattr(task, '__qualname__', task)
-            TASK_FAILED.report(task=name, reason=repr(failure))
-        eventlet.sleep(_RESTART_MS / MS_PER_SECOND)
-
-
 class Incarnation:
     """One run of a node from joining to its end, with all its tasks."""
 
@@ -93,7 +80,7 @@
             self._keeper.watch_standing,
             self._keeper.write_records,
         ):
-            self._tasks.append(eventlet.spawn(_supervise, task))
+            self._tasks.append(eventlet.spawn(supervise, task))
 
     def hand_over(self) -> None:
         """Give every shard to another node and let the witnesses seal."""
