Give operators a tool, with golden files of whole sessions

It now compares folder, accepted files and what the folder was based on (.laburnumwood-seen), waits until a generation is in force on every live node, and shows nodes, owners, idle capacity, audit and history.

Ruled out: removing accepted files that a folder never had (each team owns its own), and moving the base of unedited files on diff (the next apply would revert what others accepted).

--- /dev/null
+++ b/laburnumwood/cli/comparison.py
@@ -0,0 +1,92 @@
+"""Comparison of a folder with what is accepted and what was seen of it."""
+
+import difflib
+import json
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from laburnumwood.config.files import Content, Files, digest
+
+
+class State(Enum):
+    """How a file of the folder stands to the accepted one."""
+
+    SAME = 'same'
+    CHANGED = 'changed'
+    REMOVED = 'removed'
+    CONFLICT = 'changed by others too'
+    NEWER = 'accepted is newer'
+    ELSEWHERE = 'not in the folder'
+
+    @property
+    def is_proposed(self) -> bool:
+        """Tell whether applying the folder proposes this file."""
+        return self in {State.CHANGED, State.REMOVED, State.CONFLICT}
+
+
+@dataclass(frozen=True, slots=True)
+class FileState:
+    """A file as it is in the folder and as it is accepted."""
+
+    name: str
+    state: State
+    local: Content | None
+    accepted: Content | None
+
+    def lines(
+        self, before: str = 'accepted', after: str = 'folder'
+    ) -> Iterator[str]:
+        """Yield the difference from the accepted file, line by line."""
+        yield from difflib.unified_diff(
+            _text(self.accepted),
+            _text(self.local),
+            f'{self.name} ({before})',
+            f'{self.name} ({after})',
+            lineterm='',
+        )
+
+
+def _text(content: Content | None) -> list[str]:
+    if content is None:
+        return []
+    return json.dumps(content, indent=2, sort_keys=True).splitlines()
+
+
+def _mark(content: Content | None) -> str | None:
+    return None if content is None else digest(content)
+
+
+def _state(local: str | None, accepted: str | None, seen: str | None) -> State:
+    if local == accepted:
+        return State.SAME
+    if local is None and seen is None:
+        return State.ELSEWHERE
+    if local == seen:
+        return State.NEWER
+    if accepted != seen:
+        return State.CONFLICT
+    return State.REMOVED if local is None else State.CHANGED
+
+
+def compare(
+    local: Files, accepted: Files, seen: Mapping[str, str]
+) -> list[FileState]:
+    """Return how each file of the folder or of the configuration stands.
+
+    `seen` holds the digests of the accepted files that the folder is based
+    on.
+    """
+    return [
+        FileState(
+            name,
+            _state(
+                _mark(local.get(name)),
+                _mark(accepted.get(name)),
+                seen.get(name),
+            ),
+            local.get(name),
+            accepted.get(name),
+        )
+        for name in sorted({*local, *accepted, *seen})
+    ]
--- /dev/null
+++ b/laburnumwood/cli/configuring.py
@@ -0,0 +1,159 @@
+"""Commands about the configuration."""
+
+from collections.abc import Collection
+from pathlib import Path
+
+from laburnumwood.cli.changes import Changes, validate
+from laburnumwood.cli.comparison import FileState, State
+from laburnumwood.cli.fleet import Fleet
+from laburnumwood.cli.options import Options, UsageError
+from laburnumwood.cli.output import Output, moment
+from laburnumwood.cli.waiting import wait_until_in_force
+from laburnumwood.records import AuditRecord, ConfigRecord
+
+_TRAIL_COLUMNS = ('generation', 'when', 'who', 'files', 'reason')
+
+
+def show_validity(folder: Path, output: Output) -> None:
+    """Print which file sets each value of a valid folder."""
+    merged = validate(folder)
+    output.say(f'{folder}: valid')
+    output.table(('value', 'set by'), sorted(merged.set_by.items()))
+    output.data(merged.set_by)
+
+
+def _advice(each: FileState) -> str:
+    if each.state is State.CONFLICT:
+        return 'apply replaces the accepted file shown here'
+    if each.state is State.NEWER:
+        return f'yours is older and stays unused; get it by: show {each.name}'
+    if each.state is State.ELSEWHERE:
+        return 'stays as it is'
+    return 'apply changes it' if each.state.is_proposed else ''
+
+
+def _show_lines(changed: FileState, output: Output, *names: str) -> None:
+    for line in changed.lines(*names):
+        output.say(line)
+
+
+def show_difference(
+    options: Options, folder: Path, only: Collection[str], output: Output
+) -> None:
+    """Print how a folder differs from what is accepted."""
+    now, states = Changes(options).diff(folder, only)
+    output.say(f'accepted: generation {now.generation}')
+    rows = [(each.name, each.state.value, _advice(each)) for each in states]
+    output.table(('file', 'state', 'next'), rows)
+    for changed in states:
+        if changed.state.is_proposed:
+            _show_lines(changed, output)
+    output.data(
+        {
+            'generation': now.generation,
+            'files': {each.name: each.state.value for each in states},
+        }
+    )
+
+
+def show_accepted(options: Options, file: str, output: Output) -> None:
+    """Print the accepted configuration, or one file of it."""
+    record = Changes(options).current()
+    if file:
+        if file not in record.files:
+            known = ', '.join(sorted(record.files)) or 'none yet'
+            raise UsageError(
+                f'no file {file!r} is accepted; there are: {known}'
+            )
+        Output(as_json=True).data(record.files[file])
+        return
+    if not record.generation:
+        output.say('nothing is accepted yet; run "laburnumwood apply"')
+        output.data(record)
+        return
+    output.say(
+        f'generation {record.generation} by {record.who}, '
+        f'{moment(record.when_ms)}'
+    )
+    output.table(('file',), [(name,) for name in sorted(record.files)])
+    output.data(record)
+
+
+def _trail_row(entry: AuditRecord) -> tuple[object, ...]:
+    return (
+        entry.generation,
+        moment(entry.when_ms),
+        entry.who,
+        ', '.join(entry.changes),
+        entry.reason,
+    )
+
+
+def show_history(options: Options, most: int, output: Output) -> None:
+    """Print the newest accepted changes."""
+    entries = Changes(options).history(most)
+    if not entries:
+        output.say('nothing was accepted yet; run "laburnumwood apply"')
+    output.table(_TRAIL_COLUMNS, [_trail_row(entry) for entry in entries])
+    output.data(entries)
+
+
+def show_change(options: Options, generation: int, output: Output) -> None:
+    """Print one entry of the audit trail with the files it changed."""
+    changes = Changes(options)
+    newest = changes.current().generation
+    entries = changes.history(max(1, newest - generation + 1))
+    entry = next(
+        (each for each in entries if each.generation == generation), None
+    )
+    if entry is None:
+        raise UsageError(
+            f'no audit entry of generation {generation}; there are 1 to '
+            f'{newest}, see "laburnumwood history"'
+        )
+    output.table(_TRAIL_COLUMNS, [_trail_row(entry)])
+    for name, change in entry.changes.items():
+        changed = FileState(name, State.CHANGED, change.after, change.before)
+        _show_lines(changed, output, 'before', 'after')
+    output.data(entry)
+
+
+def _finish(
+    record: ConfigRecord, options: Options, limit_s: float, output: Output
+) -> None:
+    output.say(f'accepted: generation {record.generation}')
+    content: dict[str, int] = {'generation': record.generation}
+    if limit_s:
+        count = wait_until_in_force(
+            Fleet(options), record.generation, limit_s, output.console
+        )
+        output.say(f'in force on all {count} live nodes')
+        content['nodes'] = count
+    output.data(content)
+
+
+def apply_folder(
+    options: Options,
+    folder: Path,
+    only: Collection[str],
+    limit_s: float,
+    output: Output,
+) -> None:
+    """Apply a folder; wait up to a limit until it is in force (0: don't)."""
+    applied = Changes(options).apply(folder, only)
+    for name in applied.newer:
+        output.say(
+            f'{name}: others have accepted a newer one, which stays; get it '
+            f'by "laburnumwood show {name}"'
+        )
+    if not applied.changed:
+        output.say('the folder changes nothing')
+    _finish(applied.record, options, limit_s, output)
+
+
+def roll_back(
+    options: Options, generation: int, limit_s: float, output: Output
+) -> None:
+    """Apply the files of an older generation as a new one."""
+    record = Changes(options).roll_back(generation)
+    _finish(record, options, limit_s, output)
--- /dev/null
+++ b/laburnumwood/cli/fleet.py
@@ -0,0 +1,126 @@
+"""Calls of the operator ports of nodes."""
+
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from http import HTTPStatus
+from typing import Any, TypeVar
+
+from pydantic import TypeAdapter, ValidationError
+from urllib3 import PoolManager, Retry, Timeout
+from urllib3.exceptions import HTTPError
+from urllib3.response import BaseHTTPResponse
+
+from laburnumwood.cli.options import Options, UsageError
+from laburnumwood.cli.pages import NodeRow, Page
+from laburnumwood.errors import OperatorCallError, PlatformError
+from laburnumwood.platform.client import Platform
+from laburnumwood.platform.objects import NODES, to_record
+from laburnumwood.records import NodeRecord
+
+_TIMEOUT_S = 2
+_PARALLEL = 32
+
+_Page = TypeVar('_Page', bound=Page)
+_ROWS: TypeAdapter[list[NodeRow]] = TypeAdapter(list[NodeRow])
+
+
+def _detail(answer: BaseHTTPResponse) -> str:
+    try:
+        return str(answer.json()['detail'])
+    except (ValueError, LookupError, TypeError):
+        return f'status {answer.status}'
+
+
+class Fleet:
+    """The live nodes, reached through the one named or any that answers."""
+
+    def __init__(self, options: Options) -> None:
+        self._options = options
+        self._http = PoolManager(
+            maxsize=_PARALLEL,
+            retries=Retry(0, redirect=False),
+            timeout=Timeout(_TIMEOUT_S),
+        )
+
+    def nodes(self) -> list[NodeRow]:
+        """Return the live nodes; raises `OperatorCallError`."""
+        failure: OperatorCallError | None = None
+        for url in self._entries():
+            try:
+                return _ROWS.validate_python(self._call('GET', url, '/nodes'))
+            except OperatorCallError as failed:
+                failure = failed
+        raise failure or OperatorCallError('no node has announced itself yet')
+
+    def ask_any(self, path: str) -> Any:
+        """Return a page of the node named, or of any live one."""
+        if self._options.node:
+            return self._call('GET', _url(self._options.node), path)
+        return self._call('GET', self.nodes()[0].url, path)
+
+    def ask(self, row: NodeRow, path: str, form: type[_Page]) -> _Page:
+        """Return a page of one node; raises `OperatorCallError`."""
+        content = self._call('GET', row.url, path)
+        try:
+            return form.model_validate(content)
+        except ValidationError as unknown:
+            text = f'{row.node}: its version does not fit: {unknown}'
+            raise OperatorCallError(text) from unknown
+
+    def ask_all(
+        self, path: str, form: type[_Page]
+    ) -> list[tuple[NodeRow, _Page | OperatorCallError]]:
+        """Return a page of each live node, or why there is none."""
+
+        def ask(row: NodeRow) -> _Page | OperatorCallError:
+            try:
+                return self.ask(row, path, form)
+            except OperatorCallError as failed:
+                return failed
+
+        rows = self.nodes()
+        with ThreadPoolExecutor(_PARALLEL) as pool:
+            return list(zip(rows, pool.map(ask, rows), strict=True))
+
+    def drain(self, node_id: str) -> None:
+        """Begin the planned stop of a node; raises `OperatorCallError`."""
+        self._call('POST', self.find(node_id).url, '/drain')
+
+    def find(self, node_id: str) -> NodeRow:
+        """Return a live node by its id; raises `UsageError`."""
+        rows = {row.node.partition('#')[0]: row for row in self.nodes()}
+        if node_id not in rows:
+            known = ', '.join(rows)
+            raise UsageError(f'no live node {node_id!r}; live are: {known}')
+        return rows[node_id]
+
+    def _entries(self) -> Iterator[str]:
+        if self._options.node:
+            yield _url(self._options.node)
+            return
+        try:
+            stored, _ = Platform(self._options.platform_url).list(NODES)
+        except PlatformError as away:
+            raise OperatorCallError(
+                f'the platform does not answer ({away}); name a node by '
+                '--node=host:port or LABURNUMWOOD_NODE'
+            ) from away
+        for each in stored:
+            record = to_record(NodeRecord, each)
+            if record.open_incarnations:
+                yield _url(f'{record.host}:{record.operator_port}')
+
+    def _call(self, method: str, url: str, path: str) -> Any:
+        headers = {'Authorization': f'Bearer {self._options.token}'}
+        try:
+            answer = self._http.request(method, url + path, headers=headers)
+        except HTTPError as away:
+            text = f'{url} does not answer; check the node or name another one'
+            raise OperatorCallError(text) from away
+        if answer.status != HTTPStatus.OK:
+            raise OperatorCallError(f'{url}{path}: {_detail(answer)}')
+        return answer.json()
+
+
+def _url(address: str) -> str:
+    return address if '://' in address else f'http://{address}'
--- /dev/null
+++ b/laburnumwood/cli/looking.py
@@ -0,0 +1,132 @@
+"""Commands that show the fleet."""
+
+from collections import Counter
+from typing import Any
+from urllib.parse import urlencode
+
+from laburnumwood.cli.fleet import Fleet
+from laburnumwood.cli.idle import add_up
+from laburnumwood.cli.output import Output
+from laburnumwood.cli.pages import IdlePage, KeyOwner, StatusPage
+from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.errors import OperatorCallError
+
+_STATUS_COLUMNS = (
+    'node',
+    'lease',
+    'witnesses',
+    'generation',
+    'shards',
+    'running',
+    'waiting',
+)
+_IDLE_COLUMNS = (
+    'capacity owner',
+    'service',
+    'failure domain',
+    'capacity slot-s',
+    'for itself',
+    'for others',
+    'idle',
+    'idle %',
+)
+_PERCENT = 100
+
+
+def _status_row(name: str, page: StatusPage | OperatorCallError) -> list[Any]:
+    if isinstance(page, OperatorCallError):
+        return [name, str(page)]
+    return [
+        page.node,
+        'held' if page.holds_lease else 'not held',
+        len(page.witnesses),
+        page.generation,
+        len(page.shards),
+        page.running,
+        page.waiting,
+    ]
+
+
+def show_status(fleet: Fleet, output: Output) -> None:
+    """Print how each live node is."""
+    pages = fleet.ask_all('/status', StatusPage)
+    rows = [_status_row(row.node, page) for row, page in pages]
+    output.table(_STATUS_COLUMNS, rows)
+    output.data({row.node: page for row, page in pages})
+
+
+def show_nodes(fleet: Fleet, output: Output) -> None:
+    """Print the live nodes and where they are."""
+    rows = fleet.nodes()
+    output.table(
+        ('node', 'failure domain', 'service', 'capacity owner', 'slots'),
+        [
+            (
+                row.node,
+                row.failure_domain,
+                row.service,
+                row.capacity_owner,
+                row.slots,
+            )
+            for row in rows
+        ],
+    )
+    output.data(rows)
+
+
+def show_owners(fleet: Fleet, service: str, output: Output) -> None:
+    """Print how many shards of a service each node owns."""
+    owners = fleet.ask_any('/owners').get(service)
+    if owners is None:
+        raise OperatorCallError(
+            f'no shards of {service!r} are known; check the name by '
+            '"laburnumwood show"'
+        )
+    counts = Counter(owner or 'nobody' for owner in owners.values())
+    output.table(('owner', 'shards'), sorted(counts.items()))
+    output.data(owners)
+
+
+def show_owner(fleet: Fleet, service: str, key: str, output: Output) -> None:
+    """Print who owns a key."""
+    query = urlencode({'service': service, 'key': key})
+    found = KeyOwner.model_validate(fleet.ask_any(f'/owner?{query}'))
+    output.table(
+        ('service', 'key', 'shard', 'owner'),
+        [(found.service, found.key, found.shard, found.owner or 'nobody')],
+    )
+    output.data(found)
+
+
+def show_idle(fleet: Fleet, window_s: float, output: Output) -> None:
+    """Print what capacity carried and what lay idle, by who pays."""
+    window_ms = int(window_s * MS_PER_SECOND)
+    answers = fleet.ask_all(f'/idle?window_ms={window_ms}', IdlePage)
+    pages = [page for _, page in answers if isinstance(page, IdlePage)]
+    silent = [
+        row.node for row, page in answers if not isinstance(page, IdlePage)
+    ]
+    rows = add_up(pages)
+    output.table(
+        _IDLE_COLUMNS,
+        [
+            (
+                row.capacity_owner,
+                row.service,
+                row.failure_domain,
+                _seconds(row.capacity),
+                _seconds(row.own),
+                _seconds(row.others),
+                _seconds(row.idle),
+                f'{row.idle_share * _PERCENT:.0f}',
+            )
+            for row in rows
+        ],
+    )
+    if silent:
+        output.say('without: {}'.format(', '.join(silent)))
+    output.data({'rows': rows, 'without': silent})
+
+
+def _seconds(slot_ms: int) -> str:
+    return f'{slot_ms / MS_PER_SECOND:.1f}'
--- /dev/null
+++ b/laburnumwood/cli/output.py
@@ -0,0 +1,75 @@
+"""What the tool prints: tables for people, JSON for programs."""
+
+import json
+import sys
+from collections.abc import Sequence
+from dataclasses import asdict, is_dataclass
+from datetime import UTC, datetime
+from typing import Any
+
+from pydantic import BaseModel
+from rich.console import Console
+from rich.table import Table
+
+from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.platform.objects import to_value
+from laburnumwood.records import AuditRecord, ConfigRecord
+
+_NEVER_WRAPPED = frozenset(('when', 'node', 'owner'))
+_WIDTH = 100  # columns where the output is no terminal
+
+
+def make_console() -> Console:
+    """Return where people read."""
+    width = None if sys.stdout.isatty() else _WIDTH
+    return Console(width=width, highlight=False, soft_wrap=False)
+
+
+def moment(when_ms: int) -> str:
+    """Return a time of the wall clock as people read it."""
+    when = datetime.fromtimestamp(when_ms / MS_PER_SECOND, UTC)
+    return when.strftime('%Y-%m-%dT%H:%M:%SZ')
+
+
+def _plain(content: Any) -> Any:
+    if isinstance(content, (AuditRecord, ConfigRecord)):
+        return to_value(content)
+    if isinstance(content, BaseModel):
+        return content.model_dump(mode='json')
+    if is_dataclass(content) and not isinstance(content, type):
+        return asdict(content)
+    return str(content)
+
+
+class Output:
+    """Prints what a command found."""
+
+    def __init__(self, *, as_json: bool) -> None:
+        self._as_json = as_json
+        self.console = make_console()
+
+    def say(self, text: str) -> None:
+        """Tell people something; programs don't see it."""
+        if not self._as_json:
+            self.console.print(text, markup=False)
+
+    def data(self, content: Any) -> None:
+        """Print something for programs; people don't see it."""
+        if self._as_json:
+            sys.stdout.write(json.dumps(content, indent=2, default=_plain))
+            sys.stdout.write('\n')
+
+    def table(
+        self, columns: Sequence[str], rows: Sequence[Sequence[object]]
+    ) -> None:
+        """Print a table for people."""
+        if self._as_json:
+            return
+        table = Table()
+        for name in columns:
+            table.add_column(name, no_wrap=name in _NEVER_WRAPPED)
+        if not rows:
+            return
+        for row in rows:
+            table.add_row(*map(str, row))
+        self.console.print(table)
--- /dev/null
+++ b/laburnumwood/cli/seen.py
@@ -0,0 +1,37 @@
+"""What the folder of an operator is based on."""
+
+import json
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from laburnumwood.cli.options import UsageError
+
+_NAME = '.laburnumwood-seen'
+
+
+class Seen(BaseModel):
+    """Digests of the accepted files that the operator has seen."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    generation: int = 0
+    files: dict[str, str] = Field(default_factory=dict)
+
+
+def read_seen(folder: Path) -> Seen:
+    """Return what a folder is based on; nothing if it is new."""
+    path = folder / _NAME
+    if not path.exists():
+        return Seen()
+    try:
+        return Seen.model_validate_json(path.read_text())
+    except ValidationError as invalid:
+        text = f'{path} is not readable; remove it and run "laburnumwood diff"'
+        raise UsageError(text) from invalid
+
+
+def write_seen(folder: Path, seen: Seen) -> None:
+    """Note what a folder is based on now."""
+    text = json.dumps(seen.model_dump(), indent=2)
+    (folder / _NAME).write_text(f'{text}\n')
--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -130,7 +130,7 @@
         now, version = current(self._platform)
         changed = _changed_since(proposal, now)
         if changed:
-            raise ChangedSinceError(', '.join(changed))
+            raise ChangedSinceError(changed)
         files = _with(now.files, proposal.files)
         check_successor(files, now)
         if files == now.files:
@@ -182,8 +182,7 @@
             else:
                 return
         raise PlatformUnreachableError(
-            f'whether generation {record.generation} was accepted is not '
-            'known; run "laburnumwood history" when the platform answers'
+            f'whether generation {record.generation} was accepted is not known'
         )
 
 
--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -76,7 +76,7 @@
     """
     if not 0 < generation <= now.generation:
         raise DeclarationError(
-            f'generation {generation}: is not known; allowed: 1 to '
+            f'generation {generation} is not known; the newest is '
             f'{now.generation}, see "laburnumwood history"'
         )
     files = dict(now.files)
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -16,6 +16,10 @@
 class ChangedSinceError(LaburnumwoodError):
     """Files were changed by others since the operator saw them."""
 
+    def __init__(self, names: tuple[str, ...]) -> None:
+        super().__init__(', '.join(names))
+        self.names = names
+
 
 class NotInForceError(LaburnumwoodError):
     """A configuration is accepted, but some node does not have it yet."""
--- /dev/null
+++ b/tests/features/steps/tool_steps.py
@@ -0,0 +1,127 @@
+"""Steps that run the command-line tool and compare whole sessions."""
+
+import os
+import re
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from approvaltests import verify
+from approvaltests.core.options import Options
+from approvaltests.namer import NamerBase
+from approvaltests.reporters import PythonNativeReporter
+from behave import given, then, when
+from behave.runner import Context
+
+from bench.deployment import OPERATOR_TOKEN, wait_for
+from tests.features.steps.processes import ROOT
+
+LIMIT_S = 120
+GOLDEN = ROOT / 'tests' / 'features' / 'golden'
+PATTERNS = (
+    (re.compile(r'\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ'), '<------ time ------>'),
+    (re.compile(r'"when_ms": \d+'), '"when_ms": "<time>"'),
+    (re.compile(r'"write_id": "\w+"'), '"write_id": "<id>"'),
+    (re.compile(r'127\.0\.0\.1:\d+'), '<address>'),
+    (re.compile(' +$', re.MULTILINE), ''),
+)
+
+
+class _Golden(NamerBase):
+    """Names the file of a session."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__()
+        self._name = name
+
+    def get_file_name(self) -> str:
+        """Return the name without its ending."""
+        return self._name
+
+    def get_directory(self) -> str:
+        """Return the folder of the sessions."""
+        return str(GOLDEN)
+
+    def get_config(self) -> dict[str, str]:
+        """Return no settings."""
+        return {}
+
+
+def _folder(context: Context) -> Path:
+    if not hasattr(context, 'desk'):
+        desk = tempfile.TemporaryDirectory()
+        context.add_cleanup(desk.cleanup)
+        context.desk = Path(desk.name)
+        context.session = []
+    path: Path = context.desk
+    return path
+
+
+@given('the folder "{folder}" with the file "{name}"')
+def write_file(context: Context, folder: str, name: str) -> None:
+    path = _folder(context) / folder
+    path.mkdir(exist_ok=True)
+    (path / name).write_text(context.text)
+
+
+@when('the folder "{folder}" gets the file "{name}"')
+def change_file(context: Context, folder: str, name: str) -> None:
+    write_file(context, folder, name)
+    context.session.append(f'# {folder}/{name} is changed\n')
+
+
+def _environment(context: Context, who: str) -> dict[str, str]:
+    if hasattr(context, 'deployment'):
+        platform = context.deployment.platform_url
+    else:
+        platform = context.standins['platform'].url
+    return {
+        **os.environ,
+        'LABURNUMWOOD_PLATFORM': platform,
+        'LABURNUMWOOD_TOKEN': '' if 'stranger' in who else OPERATOR_TOKEN,
+        'LABURNUMWOOD_OPERATOR': who,
+        'PYTHONPATH': str(ROOT),
+        'PYTHONWARNINGS': 'ignore',
+    }
+
+
+@when('"{who}" runs "{command}"')
+def run(context: Context, who: str, command: str) -> None:
+    desk = _folder(context)
+    ended = subprocess.run(
+        (sys.executable, '-m', 'laburnumwood.cli.main', *command.split(' ')),
+        cwd=desk,
+        env=_environment(context, who),
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    text = f'{ended.stdout}{ended.stderr}'
+    for pattern, name in PATTERNS:
+        text = pattern.sub(name, text)
+    prompt = f'{who}$ laburnumwood {command}'
+    context.session.append(f'{prompt}\n{text}exit {ended.returncode}\n')
+
+
+@when('the shards of "{node_id}" have other owners')
+def wait_for_owners(context: Context, node_id: str) -> None:
+    def is_followed() -> bool:
+        owners: set[str] = set()
+        for member in context.deployment.members.values():
+            if member.node.is_running:
+                page = context.deployment.page(member, 'owners')
+                owners.update(map(str, page['trader-portal'].values()))
+        return not any(owner.startswith(node_id) for owner in owners)
+
+    wait_for('other owners', is_followed, LIMIT_S)
+
+
+@then('the session is the golden "{name}"')
+def check_session(context: Context, name: str) -> None:
+    verify(
+        '\n'.join(context.session),
+        options=Options()
+        .with_namer(_Golden(name))
+        .with_reporter(PythonNativeReporter()),
+    )
