--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -40,7 +40,7 @@
         self._platform = Platform(settings.platform_url)
         self._incarnation: Incarnation | None = None
         self._stopping = False
-        self._security = LinkSecurity(settings)
+        self._security = LinkSecurity(settings.shared_key, settings.tls)
         self._operators = OperatorDoor(settings, self.stop)
 
     def run(self) -> None:
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -9,6 +9,8 @@
 
 import logbook
 
+from laburnumwood.metrics import EVENTS
+
 _LOG = logbook.Logger('laburnumwood')
 
 
@@ -27,6 +29,7 @@
         details = ' '.join(f'{name}={what}' for name, what in fields.items())
         line = f'LW{self.number} {self.name}: {self.text}; {details}'
         _LOG.log(self.level, line)
+        EVENTS.record(1, {'name': self.name})
 
 
 CATALOGUE: dict[int, Event] = {}
--- a/laburnumwood/metrics.py
+++ b/laburnumwood/metrics.py
@@ -14,7 +14,9 @@
 
 
 def _make_meter() -> Meter:
-    reader = PrometheusMetricReader(disable_target_info=True)
+    reader = PrometheusMetricReader(
+        disable_target_info=True, scope_info_enabled=False
+    )
     return MeterProvider((reader,)).get_meter('laburnumwood')
 
 
@@ -47,10 +49,14 @@
     return _declare(_METER.create_counter, 'add', name, *texts)
 
 
-def _gauge(name: str, *texts: str) -> Metric:
+def _up_down(name: str, *texts: str) -> Metric:
     return _declare(_METER.create_up_down_counter, 'add', name, *texts)
 
 
+def _gauge(name: str, *texts: str) -> Metric:
+    return _declare(_METER.create_gauge, 'set', name, *texts)
+
+
 def _histogram(name: str, *texts: str) -> Metric:
     return _declare(_METER.create_histogram, 'record', name, *texts)
 
@@ -65,34 +71,45 @@
     'ms',
     'time from a request to the head of its answer at this door, by service',
 )
-BUSY_SLOTS = _gauge(
+BUSY_SLOTS = _up_down(
     'laburnumwood.slots.busy',
     '1',
-    'requests that the worker runs now, by service and capacity owner',
+    'requests that this gate has let in, by service and capacity owner',
+)
+IDLE_SLOTS = _gauge(
+    'laburnumwood.slots.idle',
+    '1',
+    'slots that carry nothing when asked, by the capacity owner who pays',
 )
-LEASE_CHANGES = _counter(
-    'laburnumwood.lease.changes',
+LEASE_HELD = _gauge(
+    'laburnumwood.lease.held', '1', '1 while the lease of this node is held'
+)
+SHARDS_OWNED = _gauge(
+    'laburnumwood.shards.owned', '1', 'shards that this node may serve now'
+)
+GENERATION = _gauge(
+    'laburnumwood.config.generation',
     '1',
-    'times that this node won or lost its lease, by state',
+    'generation of the configuration in force on this node',
 )
-TAKEOVERS = _counter(
-    'laburnumwood.takeovers', '1', 'shards taken over from lapsed owners'
+EVENTS = _counter(
+    'laburnumwood.events',
+    '1',
+    'events of docs/EVENTS.md by name: shard-taken-over counts takeovers, '
+    'shard-moved moves, lease-lost losses of the lease',
 )
-MOVES = _counter('laburnumwood.moves', '1', 'shards handed to other nodes')
 STORE_CALLS = _counter(
     'laburnumwood.store.calls',
     '1',
-    "calls of the platform's store, by method and outcome",
+    "calls of the platform's store, by method and status (none: no answer)",
 )
-CONTROL_BYTES = _counter(
-    'laburnumwood.control.bytes',
-    'By',
-    'bytes of messages to other nodes, by kind',
+MESSAGES = _counter(
+    'laburnumwood.messages', '1', 'messages for other nodes, by kind'
 )
-CONTROL_MESSAGES = _counter(
-    'laburnumwood.control.messages',
-    '1',
-    'messages to other nodes, by kind',
+MESSAGE_BYTES = _counter(
+    'laburnumwood.message.bytes',
+    'By',
+    'bytes of messages for other nodes, by kind',
 )
 
 
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -6,6 +6,13 @@
 
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.view import FleetView
+from laburnumwood.metrics import (
+    GENERATION,
+    IDLE_SLOTS,
+    LEASE_HELD,
+    SHARDS_OWNED,
+    exposition,
+)
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.ownership import acting
@@ -56,6 +63,16 @@
         fields = {name: texts[0] for name, texts in parse_qs(query).items()}
         return _PAGES[path](self, fields)
 
+    def metrics(self) -> bytes:
+        """Return all metrics, with the gauges as they stand now."""
+        record = self._view.directory.node(self._lease.holder)
+        owner = record.capacity_owner if record else ''
+        IDLE_SLOTS.record(self._account.idle_slots, {'owner': owner})
+        LEASE_HELD.record(int(self._lease.holds()))
+        SHARDS_OWNED.record(len(self._holdings.tokens()))
+        GENERATION.record(self._view.directory.config.generation)
+        return exposition()
+
     @_page('/status')
     def _status(self, _query: Query) -> dict[str, Any]:
         held = sorted(self._holdings.tokens())
--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -7,6 +7,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from laburnumwood.errors import ProtocolError
+from laburnumwood.metrics import MESSAGE_BYTES, MESSAGES
 from laburnumwood.protocol.messages import KINDS
 
 LARGEST_FRAME = 4 * 1024 * 1024  # bytes
@@ -25,7 +26,10 @@
     """Return the frame of a message on a stream."""
     kind = _KIND_OF[type(message)]
     content = _ADAPTERS[kind].dump_python(message)
-    return dumps((stream, kind, *content.values()))
+    frame = dumps((stream, kind, *content.values()))
+    MESSAGES.record(1, {'kind': kind})
+    MESSAGE_BYTES.record(len(frame), {'kind': kind})
+    return frame
 
 
 def decode(frame: bytes) -> tuple[int, Any]:
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -15,7 +15,6 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.settings import DaemonSettings
 
 _BACKLOG = 256
 
@@ -61,13 +60,13 @@
     def __init__(
         self,
         own: NodeName,
-        settings: DaemonSettings,
+        security: LinkSecurity,
         lookup: Lookup,
         dispatcher: Dispatcher,
         clock: Clock,
     ) -> None:
         self._own = own
-        self._security = LinkSecurity(settings)
+        self._security = security
         self._lookup = lookup
         self._handler: Handler = dispatcher.handle
         self._clock = clock
--- a/laburnumwood/protocol/security.py
+++ b/laburnumwood/protocol/security.py
@@ -7,7 +7,7 @@
 from eventlet.green import ssl as green_ssl
 
 from laburnumwood.errors import SettingsError
-from laburnumwood.settings import DaemonSettings, TlsSettings
+from laburnumwood.settings import TlsSettings
 
 _HANDSHAKE_TIMEOUT_S = 1
 
@@ -40,13 +40,15 @@
     Raises `SettingsError` if a file of the certificates can't be used.
     """
 
-    def __init__(self, settings: DaemonSettings) -> None:
-        self._key = settings.shared_key
+    def __init__(
+        self, shared_key: str | None, tls: TlsSettings | None = None
+    ) -> None:
+        self._key = shared_key
         self._client: ssl.SSLContext | None = None
         self._server: ssl.SSLContext | None = None
-        if settings.tls is not None:
-            self._client = _usable(settings.tls, server=False)
-            self._server = _usable(settings.tls, server=True)
+        if tls is not None:
+            self._client = _usable(tls, server=False)
+            self._server = _usable(tls, server=True)
 
     @property
     def proof(self) -> str:
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -81,8 +81,8 @@
         self._holdings = holdings
         self._granter = granter
         self._services = services
-        self._runner = Runner(worker, clock)
         self._account = account
+        self._runner = Runner(worker, clock)
         self._clock = clock
         self._admitter = Admitter(
             ADMISSIONS[settings.admission.policy](settings, clock), clock
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -21,6 +21,7 @@
     Peers,
     listen,
 )
+from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName
 from laburnumwood.routing.door import Door
 from laburnumwood.routing.gate import read_body
@@ -148,9 +149,10 @@
         body = read_body(stream, work.deadline_ms)
         runner.run(Run(work, body, None, until_ms), stream)
 
+    security = LinkSecurity(KEY)
     gate = (HOST, int(sys.argv[2]))
-    eventlet.spawn_n(listen, gate, KEY, dispatcher.handle, clock)
-    peers = Peers(DOOR, KEY, lambda _: gate, dispatcher, clock)
+    eventlet.spawn_n(listen, gate, security, dispatcher.handle, clock)
+    peers = Peers(DOOR, security, lambda _: gate, dispatcher, clock)
     budget = RetryBudget(0, clock)
     router = Router(DOOR, OneGate(), peers, serve, budget, clock)  # type: ignore[arg-type]
     listener = eventlet.listen((HOST, 0))
