--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -5,6 +5,7 @@
 import eventlet
 from eventlet.greenthread import GreenThread
 
+from laburnumwood.admission.retries import RetryBudget
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import TASK_FAILED
 from laburnumwood.leases.lease import Lease
@@ -32,9 +33,11 @@
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
+from laburnumwood.upstream.load import LoadPoller
 from laburnumwood.upstream.worker import Worker
 
 _RESTART_MS = 200
+_RETRY_SHARE = 0.1  # of the requests
 
 
 def _supervise(task: Callable[[], None]) -> None:
@@ -85,6 +88,7 @@
             self._renewer.run,
             self._desk.run,
             self._granter.run,
+            self._load_poller.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
         ):
@@ -148,9 +152,18 @@
             self.holdings,
             self._granter,
             worker,
+            lambda: self.view.directory.declarations.services,
+            clock,
+        )
+        self._load_poller = LoadPoller(worker, gate.hint)
+        router = Router(
+            self.name,
+            self.view,
+            self._peers,
+            gate.serve,
+            RetryBudget(_RETRY_SHARE, clock),
             clock,
         )
-        router = Router(self.name, self.view, self._peers, gate.serve, clock)
         self.door = Door(
             router, lambda: self.view.directory.declarations.services
         )
