--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -2,8 +2,8 @@
 
 import eventlet
 
-from laburnumwood.admission.retries import RetryBudget
 from laburnumwood.clock import Clock
+from laburnumwood.daemon.load import LoadParts
 from laburnumwood.daemon.supervision import supervise
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
@@ -15,7 +15,6 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
-from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
 from laburnumwood.placement.tenure import Tenure
@@ -34,8 +33,6 @@
 from laburnumwood.upstream.load import LoadPoller
 from laburnumwood.upstream.worker import Worker
 
-_RETRY_SHARE = 0.1  # of the requests
-
 
 class Incarnation:
     """One run of a node from joining to its end, with all its tasks."""
@@ -61,6 +58,9 @@
             self.dispatcher,
             clock,
         )
+        self.load = LoadParts(
+            settings.service, name, self.view, self._peers, clock
+        )
         self._reader = Reader(name, platform, self.view)
         self._make_membership(clock)
         self._make_placement(platform, clock)
@@ -77,6 +77,7 @@
             self._granter.run,
             self._load_poller.run,
             self._account.run,
+            self.load.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
         ):
@@ -125,7 +126,7 @@
             self.holdings,
             writer,
             self._spreader,
-            Balancer(service, self.name, self.view),
+            self.load.balancer,
             clock,
         )
 
@@ -145,15 +146,18 @@
             worker,
             lambda: self.view.directory.declarations.services,
             self._account,
+            self.load.meter,
             clock,
         )
         self._load_poller = LoadPoller(worker, gate.hint)
+        self.load.serve(self.dispatcher, gate)
         router = Router(
             self.name,
             self.view,
             self._peers,
             gate.serve,
-            RetryBudget(_RETRY_SHARE, clock),
+            self.load.spread,
+            self.load.retries,
             clock,
         )
         self.door = MeasuredDoor(
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -8,13 +8,14 @@
 import eventlet
 
 from laburnumwood.admission.control import ADMISSIONS
-from laburnumwood.admission.tickets import Ticket
+from laburnumwood.admission.tickets import Result, Ticket
 from laburnumwood.admission.waiting import Admitter
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.declarations import Service
 from laburnumwood.errors import LinkError, OverloadedError
 from laburnumwood.leases.lease import Lease
 from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Work
 from laburnumwood.records import ShardName
 from laburnumwood.routing.exchange import Exchange
@@ -74,6 +75,7 @@
         worker: Worker,
         services: Services,
         account: Account,
+        meter: LoadMeter,
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -82,6 +84,7 @@
         self._granter = granter
         self._services = services
         self._account = account
+        self._meter = meter
         self._runner = Runner(worker, clock)
         self._clock = clock
         self._admitter = Admitter(
@@ -124,6 +127,9 @@
             left_ms = max(ticket.deadline_ms - self._clock.now_ms(), 1)
             observed = ObservedExchange(exchange, ticket, self._clock)
             self._serve_admitted(observed, replace(work, deadline_ms=left_ms))
+        if ticket.result is Result.SERVED:
+            busy_ms = self._clock.now_ms() - ticket.started_ms
+            self._meter.note(work.shard, work.key, busy_ms)
 
     def _serve_admitted(self, exchange: Exchange, work: Work) -> None:
         until_ms = self._clock.now_ms() + work.deadline_ms
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -7,6 +7,7 @@
 import json
 import sys
 from collections.abc import Callable
+from random import Random
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -15,6 +16,7 @@
 from laburnumwood.admission.retries import RetryBudget
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import KeySource, Service
+from laburnumwood.placement.loads import LoadBook
 from laburnumwood.protocol.messages import Work
 from laburnumwood.protocol.peers import (
     Dispatcher,
@@ -22,12 +24,13 @@
     listen,
 )
 from laburnumwood.protocol.security import LinkSecurity
-from laburnumwood.records import NodeName
+from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.door import Door
 from laburnumwood.routing.gate import read_body
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.running import Run, Runner
 from laburnumwood.routing.server import serve_callers
+from laburnumwood.routing.spread import Spread
 from laburnumwood.upstream.worker import Worker
 
 HOST = '127.0.0.1'
@@ -125,9 +128,10 @@
 class OneGate:
     """A view of a fleet in which one node serves everything."""
 
-    def live_in(self, _service: str) -> dict[NodeName, None]:
+    def live_in(self, _service: str) -> dict[NodeName, NodeRecord]:
         """Return the one node."""
-        return {GATE: None}
+        record = NodeRecord(1, (1,), HOST, 1, 1, 1, 'x', 'x', 'x', 10, 10)
+        return {GATE: record}
 
 
 def _serve(make: Callable[..., None], listener: Any) -> None:
@@ -154,7 +158,16 @@
     eventlet.spawn_n(listen, gate, security, dispatcher.handle, clock)
     peers = Peers(DOOR, security, lambda _: gate, dispatcher, clock)
     budget = RetryBudget(0, clock)
-    router = Router(DOOR, OneGate(), peers, serve, budget, clock)  # type: ignore[arg-type]
+    spread = Spread(LoadBook(clock), Random(1), clock)
+    router = Router(
+        DOOR,
+        OneGate(),  # type: ignore[arg-type]
+        peers,
+        serve,  # type: ignore[arg-type]
+        spread,
+        budget,
+        clock,
+    )
     listener = eventlet.listen((HOST, 0))
     print(f'listening on {HOST}:{listener.getsockname()[1]}', flush=True)
     serve_callers(listener, Door(router, lambda: SERVICES))
