Run a request with an idempotency key at most once, across owners

Cause: a resend of a payment ran again, also after a takeover or a move.

The owner notes the key with a fingerprint of the request, and every successor of its record that is not sealed acknowledges the note before the worker gets the request; the first alone would leave a second successor that takes over without the note. Each node knows through which epoch it has all notes of a shard; an owner that may miss some answers past-unknown until the notes it might miss are too old to be resent. A move hands the ledger over before the record is written, and does not go on if the next owner did not take it.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -1,13 +1,8 @@
 """All that one incarnation of a node consists of."""
 
-from collections.abc import Callable
-
-import eventlet
-from eventlet.greenthread import GreenThread
-
 from laburnumwood.admission.retries import RetryBudget
-from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.events import TASK_FAILED
+from laburnumwood.clock import Clock
+from laburnumwood.daemon.tasks import Tasks
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
@@ -28,27 +23,18 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.door import Door
+from laburnumwood.routing.execution import Executor
 from laburnumwood.routing.gate import Gate
+from laburnumwood.routing.notary import Notary
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.load import LoadPoller
 from laburnumwood.upstream.worker import Worker
 
-_RESTART_MS = 200
 _RETRY_SHARE = 0.1  # of the requests
 
 
-def _supervise(task: Callable[[], None]) -> None:
-    while True:
-        try:
-            return task()
-        except Exception as failure:
-            name = getattr(task, '__qualname__', task)
-            TASK_FAILED.report(task=name, reason=repr(failure))
-        eventlet.sleep(_RESTART_MS / MS_PER_SECOND)
-
-
 class Incarnation:
     """One run of a node from joining to its end, with all its tasks."""
 
@@ -61,7 +47,7 @@
     ) -> None:
         self.name = name
         self._settings = settings
-        self._tasks: list[GreenThread] = []
+        self._tasks = Tasks()
         self.dispatcher = Dispatcher()
         self.view = FleetView(Directory(), SealBook())
         self.lease = Lease(name, settings.lease, clock)
@@ -90,8 +76,9 @@
             self._load_poller.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
+            self._notary.run,
         ):
-            self._tasks.append(eventlet.spawn(_supervise, task))
+            self._tasks.start(task)
 
     def hand_over(self) -> None:
         """Give every shard to another node and let the witnesses seal."""
@@ -104,8 +91,7 @@
         """Stop all tasks; nothing acts for this incarnation afterwards."""
         self.lease.resign()
         self.holdings.drop_all()
-        for task in self._tasks:
-            task.kill()
+        self._tasks.kill()
         self._peers.close()
 
     def _make_membership(self, clock: Clock) -> None:
@@ -145,12 +131,21 @@
         self._granter = Granter(
             worker, self.holdings.tokens, self.lease.holds_until_ms, clock
         )
+        self._notary = Notary(
+            self.name,
+            self.view,
+            self.holdings,
+            self._peers,
+            self.dispatcher,
+            clock,
+        )
+        self._keeper.before_move = self._notary.hand_over
         gate = Gate(
             self._settings,
             self.lease,
             self.holdings,
             self._granter,
-            worker,
+            Executor(worker, self._notary, clock),
             lambda: self.view.directory.declarations.services,
             clock,
         )
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -1,5 +1,6 @@
 """What a node knows of the store."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -34,6 +35,13 @@
     version: int
 
 
+ShardListener = Callable[[ShardName, ShardRecord], None]
+
+
+def _ignore(_shard: ShardName, _record: ShardRecord) -> None:
+    """Do nothing with a change."""
+
+
 class Directory:
     """The newest records known of nodes, shards and configuration.
 
@@ -50,6 +58,7 @@
         self._config = ConfigRecord(0)
         self._declarations = Declarations()
         self.revision = 0
+        self.when_shard_changes: ShardListener = _ignore
 
     @property
     def config(self) -> ConfigRecord:
@@ -144,3 +153,4 @@
             return
         record = to_record(ShardRecord, stored)
         known[shard.number] = Entry(record, stored.version)
+        self.when_shard_changes(shard, record)
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -1,5 +1,6 @@
 """The tasks that keep a node's shards: claim, take over, renew and move."""
 
+from collections.abc import Callable
 from contextlib import suppress
 
 import eventlet
@@ -34,6 +35,13 @@
 _BYSTANDER_PATIENCE_MS = 3_000
 
 
+BeforeMove = Callable[[ShardName, tuple[NodeName, ...]], bool]
+
+
+def _move_at_once(_shard: ShardName, _next: tuple[NodeName, ...]) -> bool:
+    return True
+
+
 class Keeper:
     """Keeps the shards of one incarnation of a node."""
 
@@ -58,6 +66,7 @@
         self._balancer = balancer
         self._clock = clock
         self._wanting_since_ms: dict[ShardName, int] = {}
+        self.before_move: BeforeMove = _move_at_once
 
     def watch_standing(self) -> None:
         """Take over and give up shards as seals and records ask for it."""
@@ -167,6 +176,9 @@
             return
         succession = choose_succession(shard, move.target, self._live())
         self._holdings.close(shard)
+        if not self.before_move(shard, succession):
+            self._holdings.reopen(shard)
+            return
         try:
             record = self._writer.replace(shard, succession)
         except PlatformError:
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -174,6 +174,39 @@
     size: int
 
 
+@dataclass(frozen=True, slots=True)
+class LedgerEntry:
+    """What is known of a request with an idempotency key.
+
+    Of two entries of a key the one with the higher attempt is newer, and
+    within an attempt the states follow each other as in `RunState`.
+    """
+
+    key: str
+    fingerprint: str
+    attempt: int
+    state: str
+    age_ms: int
+    head: Answer | None = None
+    body: bytes = b''
+
+
+@message('notes')
+@dataclass(frozen=True, slots=True)
+class LedgerNotes:
+    """Entries of a shard's run ledger, as its owner under an epoch has them.
+
+    `whole` closes a copy of all of them; `handover` says that the sender runs
+    nothing more for the shard under that epoch.
+    """
+
+    shard: str
+    epoch: int
+    entries: tuple[LedgerEntry, ...]
+    whole: bool
+    handover: bool
+
+
 @message('failure')
 @dataclass(frozen=True, slots=True)
 class Failure:
--- /dev/null
+++ b/laburnumwood/routing/execution.py
@@ -0,0 +1,59 @@
+"""Execution of requests that were let in, keyed ones at most once."""
+
+from collections.abc import Callable
+
+from laburnumwood.clock import Clock
+from laburnumwood.protocol.messages import Answer, Chunk, End, Failure
+from laburnumwood.routing.exchange import Exchange
+from laburnumwood.routing.ledger import LONGEST_BODY
+from laburnumwood.routing.notary import Notary
+from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.running import Result, Run, Runner
+from laburnumwood.upstream.worker import Worker
+
+MayAct = Callable[[], bool]
+
+
+class Executor:
+    """Runs requests; one with an idempotency key only if it is noted first.
+
+    `may_act` tells whether this node still may act for its shards.
+    """
+
+    def __init__(self, worker: Worker, notary: Notary, clock: Clock) -> None:
+        self._runner = Runner(worker, clock)
+        self._notary = notary
+
+    def execute(self, exchange: Exchange, run: Run, may_act: MayAct) -> None:
+        """Answer a request on its exchange."""
+        if run.work.idempotent or run.work.idempotency_key == '':
+            self._run(exchange, run, may_act)
+            return
+        instead = self._notary.admit(run)
+        if isinstance(instead, Failure):
+            exchange.send(instead)
+        elif instead is None:
+            self._run_noted(exchange, run, may_act)
+        else:
+            _replay(exchange, *instead)
+
+    def _run(self, exchange: Exchange, run: Run, may_act: MayAct) -> Result:
+        if may_act():
+            return self._runner.run(run, exchange, LONGEST_BODY)
+        detail = f'no lease to act for {run.work.service}/{run.work.shard}'
+        told = failure('not-owner', detail, ran=False)
+        exchange.send(told)
+        return Result(told=told)
+
+    def _run_noted(self, exchange: Exchange, run: Run, may_act: MayAct) -> None:
+        outcome = None
+        try:
+            outcome = self._run(exchange, run, may_act)
+        finally:
+            self._notary.settle(run, outcome)
+
+
+def _replay(exchange: Exchange, head: Answer, body: bytes) -> None:
+    exchange.send(head)
+    exchange.send(Chunk(body))
+    exchange.send(End(len(body)))
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -17,13 +17,13 @@
 from laburnumwood.protocol.messages import Chunk, End, Work
 from laburnumwood.records import ShardName
 from laburnumwood.routing.exchange import Exchange
+from laburnumwood.routing.execution import Executor
 from laburnumwood.routing.observed import ObservedExchange
 from laburnumwood.routing.outcome import failure, overloaded
 from laburnumwood.routing.priorities import line_of
-from laburnumwood.routing.running import Run, Runner
+from laburnumwood.routing.running import Run
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
-from laburnumwood.upstream.worker import Worker
 
 Services = Callable[[], Mapping[str, Service]]
 
@@ -53,6 +53,10 @@
     return body
 
 
+def _always() -> bool:
+    return True
+
+
 class Gate:
     """Lets a request through to the worker while this node may act for it."""
 
@@ -62,7 +66,7 @@
         lease: Lease,
         holdings: Holdings,
         granter: Granter,
-        worker: Worker,
+        executor: Executor,
         services: Services,
         clock: Clock,
     ) -> None:
@@ -71,7 +75,7 @@
         self._holdings = holdings
         self._granter = granter
         self._services = services
-        self._runner = Runner(worker, clock)
+        self._executor = executor
         self._clock = clock
         self._admitter = Admitter(
             ADMISSIONS[settings.admission.policy](settings, clock), clock
@@ -117,7 +121,8 @@
         until_ms = self._clock.now_ms() + work.deadline_ms
         body = read_body(exchange, work.deadline_ms)
         if work.shard < 0:
-            self._runner.run(Run(work, body, None, until_ms), exchange)
+            run = Run(replace(work, idempotency_key=''), body, None, until_ms)
+            self._executor.execute(exchange, run, _always)
             return
         shard = ShardName(work.service, work.shard)
         token = self._holdings.enter(shard)
@@ -133,11 +138,11 @@
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
         ready = self._wait_for_grant(shard, run.token)
-        if not ready or not self._may_act():
-            detail = f'{self._settings.node_id} may not act for {shard}'
+        if not ready:
+            detail = f'the worker has no grant for {shard}'
             exchange.send(failure('not-owner', detail, ran=False))
             return
-        self._runner.run(run, exchange)
+        self._executor.execute(exchange, run, self._may_act)
 
     def _may_act(self) -> bool:
         guard_ms = self._settings.lease.guard_ms
--- /dev/null
+++ b/laburnumwood/routing/ledger.py
@@ -0,0 +1,236 @@
+"""The run ledger: which requests with an idempotency key have run."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+from laburnumwood.clock import Clock
+from laburnumwood.protocol.messages import Answer, LedgerEntry
+from laburnumwood.records import ShardName, ShardRecord
+
+RETENTION_MS = 600_000  # how long a resend is recognized
+CAPACITY = 50_000  # entries of a node
+LONGEST_BODY = 4_096  # bytes of an answer that is kept
+
+
+class RunState(IntEnum):
+    """How far a request has come."""
+
+    NOTED = 0
+    RAN = 1
+    ANSWERED = 2
+    FORGOTTEN = 3
+
+
+class Verdict(Enum):
+    """What the owner does with a request that has an idempotency key."""
+
+    FRESH = 'it is noted now and may run'
+    RUNNING = 'it runs at this moment'
+    ANSWERED = 'it ran, and its answer is kept'
+    RAN = 'it may have run, and no answer is kept'
+    MISMATCH = 'its key was used for another request'
+    FULL = 'the ledger has no room to note it'
+    PAST_UNKNOWN = 'it may have run under an earlier owner'
+
+
+@dataclass(slots=True)
+class _Entry:
+    fingerprint: str
+    attempt: int
+    state: RunState
+    noted_ms: int
+    head: Answer | None = None
+    body: bytes = b''
+    is_running: bool = False
+
+
+class RunLedger:
+    """The ledger of one node, for shards that it owns or may come to own.
+
+    `knows_past` tells whether it has every entry of a shard.  A node has them
+    after the owner under an epoch sent it all of them, for as long as it
+    stands in every later record: an owner runs nothing before each node of
+    its succession has acknowledged the entry.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._shards: dict[ShardName, dict[str, _Entry]] = {}
+        self._known_epochs: dict[ShardName, int] = {}
+        self._handovers: dict[ShardName, tuple[int, str]] = {}
+        self._unknown_since_ms: dict[ShardName, int] = {}
+        self._last_attempt = 0
+        self._count = 0
+
+    def begin(
+        self, shard: ShardName, key: str, fingerprint: str, record: ShardRecord
+    ) -> Verdict:
+        """Decide on a request under the record that its owner acts under."""
+        entry = self._find(shard, key)
+        if entry is not None:
+            return _verdict(entry, fingerprint)
+        if not self.knows_past(shard, record):
+            return Verdict.PAST_UNKNOWN
+        if not self._has_room():
+            return Verdict.FULL
+        self._last_attempt += 1
+        now_ms = self._clock.now_ms()
+        self._put(
+            shard,
+            key,
+            _Entry(
+                fingerprint,
+                self._last_attempt,
+                RunState.NOTED,
+                now_ms,
+                is_running=True,
+            ),
+        )
+        return Verdict.FRESH
+
+    def finish(
+        self, shard: ShardName, key: str, head: Answer | None, body: bytes
+    ) -> None:
+        """Note that a request ran; with its answer if that is to be kept."""
+        entry = self._shards[shard][key]
+        entry.is_running = False
+        entry.state = RunState.RAN if head is None else RunState.ANSWERED
+        entry.head, entry.body = head, body
+
+    def forget(self, shard: ShardName, key: str) -> None:
+        """Drop a request of which it is proved that it did not run."""
+        if self._shards.get(shard, {}).pop(key, None) is not None:
+            self._count -= 1
+
+    def answer(self, shard: ShardName, key: str) -> tuple[Answer | None, bytes]:
+        """Return the answer that is kept for a request."""
+        entry = self._shards[shard][key]
+        return entry.head, entry.body
+
+    def entry(self, shard: ShardName, key: str) -> LedgerEntry:
+        """Return the entry of a request as it is told to other nodes."""
+        return self._told(key, self._shards[shard][key])
+
+    def entries(self, shard: ShardName) -> tuple[LedgerEntry, ...]:
+        """Return all entries of a shard as they are told to other nodes."""
+        self._drop_old(shard)
+        known = self._shards.get(shard, {})
+        return tuple(self._told(key, entry) for key, entry in known.items())
+
+    def take(self, shard: ShardName, entries: Iterable[LedgerEntry]) -> bool:
+        """Take in entries of another node; tell whether there was room."""
+        for told in entries:
+            if not self._has_room():
+                return False
+            self._take_one(shard, told)
+        return True
+
+    def take_whole(self, shard: ShardName, epoch: int) -> None:
+        """Note that all entries of the owner under an epoch are here."""
+        known = self._known_epochs.get(shard, 0)
+        self._known_epochs[shard] = max(known, epoch)
+
+    def take_handover(self, shard: ShardName, epoch: int, sender: str) -> None:
+        """Note that an owner handed all entries over before it moves."""
+        self._handovers[shard] = (epoch, sender)
+
+    def follow(self, shard: ShardName, record: ShardRecord) -> bool:
+        """Take in a record that this node stands in.
+
+        Tells whether the node has every entry, and then will have those of
+        this record too, since nothing runs under it that it has not noted.
+        """
+        before = record.epoch - 1
+        writer = record.mark.writer if record.mark else ''
+        handed = self._handovers.get(shard) == (before, writer)
+        if handed or self._known_epochs.get(shard, 0) >= before:
+            self.take_whole(shard, record.epoch)
+            return True
+        return False
+
+    def knows_past(self, shard: ShardName, record: ShardRecord) -> bool:
+        """Tell whether the owner under a record has all earlier entries."""
+        if self.follow(shard, record):
+            return True
+        if self._has_outlived(shard):
+            self.take_whole(shard, record.epoch)
+            return True
+        return False
+
+    def _has_outlived(self, shard: ShardName) -> bool:
+        now_ms = self._clock.now_ms()
+        since_ms = self._unknown_since_ms.setdefault(shard, now_ms)
+        return now_ms - since_ms >= RETENTION_MS
+
+    def _find(self, shard: ShardName, key: str) -> _Entry | None:
+        entry = self._shards.get(shard, {}).get(key)
+        if entry is None or not self._is_old(entry):
+            return entry
+        self.forget(shard, key)
+        return None
+
+    def _has_room(self) -> bool:
+        if self._count >= CAPACITY:
+            for shard in tuple(self._shards):
+                self._drop_old(shard)
+        return self._count < CAPACITY
+
+    def _drop_old(self, shard: ShardName) -> None:
+        known = self._shards.get(shard, {})
+        old = [key for key, entry in known.items() if self._is_old(entry)]
+        for key in old:
+            self.forget(shard, key)
+
+    def _is_old(self, entry: _Entry) -> bool:
+        age_ms = self._clock.now_ms() - entry.noted_ms
+        return age_ms >= RETENTION_MS and not entry.is_running
+
+    def _put(self, shard: ShardName, key: str, entry: _Entry) -> None:
+        known = self._shards.setdefault(shard, {})
+        self._count += key not in known
+        known[key] = entry
+
+    def _take_one(self, shard: ShardName, told: LedgerEntry) -> None:
+        self._last_attempt = max(self._last_attempt, told.attempt)
+        known = self._shards.get(shard, {}).get(told.key)
+        state = RunState[told.state]
+        if known is not None and (known.attempt, known.state) > (
+            told.attempt,
+            state,
+        ):
+            return
+        if state is RunState.FORGOTTEN:
+            self.forget(shard, told.key)
+            return
+        noted_ms = self._clock.now_ms() - told.age_ms
+        entry = _Entry(
+            told.fingerprint,
+            told.attempt,
+            state,
+            noted_ms,
+            told.head,
+            told.body,
+        )
+        self._put(shard, told.key, entry)
+
+    def _told(self, key: str, entry: _Entry) -> LedgerEntry:
+        return LedgerEntry(
+            key,
+            entry.fingerprint,
+            entry.attempt,
+            entry.state.name,
+            self._clock.now_ms() - entry.noted_ms,
+            entry.head,
+            entry.body,
+        )
+
+
+def _verdict(entry: _Entry, fingerprint: str) -> Verdict:
+    if entry.fingerprint != fingerprint:
+        return Verdict.MISMATCH
+    if entry.is_running:
+        return Verdict.RUNNING
+    if entry.state is RunState.ANSWERED:
+        return Verdict.ANSWERED
+    return Verdict.RAN
--- a/laburnumwood/routing/outcome.py
+++ b/laburnumwood/routing/outcome.py
@@ -62,6 +62,26 @@
     'refused': Problem(
         HTTPStatus.SERVICE_UNAVAILABLE, 'The worker refused the request', 500
     ),
+    'still-running': Problem(
+        HTTPStatus.CONFLICT, 'The request still runs', 1_000
+    ),
+    'ran-before': Problem(
+        HTTPStatus.CONFLICT, 'The request may have run before'
+    ),
+    'key-reused': Problem(
+        HTTPStatus.UNPROCESSABLE_ENTITY,
+        'The idempotency key belongs to another request',
+    ),
+    'past-unknown': Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The request may have run before a loss',
+        60_000,
+    ),
+    'no-successor': Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'No successor could note the request',
+        1_000,
+    ),
     'cancelled': Problem(HTTPStatus.BAD_GATEWAY, 'The request was cancelled'),
 }
 
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -1,6 +1,6 @@
 """One run of a request on the worker."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import eventlet
@@ -34,10 +34,10 @@
 
 @dataclass(slots=True)
 class Result:
-    """How a run ended: the worker's answer if it came whole, or a failure."""
+    """How a run ended: a failure, or the answer with its body if kept."""
 
     head: Answer | None = None
-    body: bytearray | None = None
+    body: bytes | None = None
     told: Failure | None = None
 
     @property
@@ -107,18 +107,19 @@
     def _take(
         self, run: Run, answer: WorkerAnswer, exchange: Exchange, kept: int
     ) -> Result:
-        result = Result(Answer(answer.status, answer.headers), bytearray())
+        result = Result(Answer(answer.status, answer.headers))
         try:
-            parts = _without_refusal(answer, result)
+            parts = _checked(answer, result, kept)
             if result.told is None:
-                _pass_on(parts, result, exchange, kept)
+                _pass_on(parts, result, exchange)
         except WorkerCutError as cut:
             answer.close()
             self._cancel(run)
             return _give_up(failure('worker-cut', str(cut), ran=True), exchange)
         except LinkError:
+            # What is kept of an answer does not depend on who hears it.
             answer.close()
-            raise
+            return result
         answer.release()
         if result.told is not None:
             exchange.send(result.told)
@@ -144,36 +145,30 @@
     return Result(told=told)
 
 
-def _without_refusal(answer: WorkerAnswer, result: Result) -> Iterable[bytes]:
-    """Return the parts of an answer, after a look for a refusal in it."""
-    if not may_be_refusal(answer):
+def _checked(
+    answer: WorkerAnswer, result: Result, kept: int
+) -> Iterable[bytes]:
+    """Return the parts of an answer; a short one is read to its end first."""
+    length = answer.body_length
+    short = length is not None and length <= kept
+    if not short and not may_be_refusal(answer):
         return answer.chunks()
     body = _NO_BODY.join(answer.chunks())
-    reason = refusal_in(answer, body)
+    reason = refusal_in(answer, body) if may_be_refusal(answer) else None
     if reason is not None:
         kind = 'not-owner' if reason == FENCED else 'refused'
         result.told = failure(kind, f'worker: {reason}', ran=False)
+    if short:
+        result.body = body
     return (body,)
 
 
 def _pass_on(
-    parts: Iterable[bytes], result: Result, exchange: Exchange, kept: int
+    parts: Iterable[bytes], result: Result, exchange: Exchange
 ) -> None:
     exchange.send(result.head)
     length = 0
-    for part in _keeping(parts, result, kept):
+    for part in parts:
         exchange.send(Chunk(part))
         length += len(part)
     exchange.send(End(length))
-
-
-def _keeping(
-    parts: Iterable[bytes], result: Result, kept: int
-) -> Iterator[bytes]:
-    """Yield parts; the result holds all of them, or none if they are long."""
-    for part in parts:
-        if result.body is not None and len(result.body) + len(part) <= kept:
-            result.body.extend(part)
-        else:
-            result.body = None
-        yield part
--- /dev/null
+++ b/tests/features/steps/ledger_steps.py
@@ -0,0 +1,91 @@
+"""Steps about the decisions of the run ledger."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+from behave.runner import Context
+
+from laburnumwood.clock import Clock
+from laburnumwood.protocol.messages import Answer
+from laburnumwood.records import NodeName, ShardName, ShardRecord, WriteMark
+from laburnumwood.routing.ledger import RunLedger, RunState
+
+SHARD = ShardName('s', 1)
+
+
+class SetClock(Clock):
+    """A clock that stands until it is moved."""
+
+    def __init__(self) -> None:
+        self.at_ms = 1_000_000
+
+    def now_ms(self) -> int:
+        """Return the time that was set."""
+        return self.at_ms
+
+
+@given('the run ledgers of the nodes a, b and c')
+def make_ledgers(context: Context) -> None:
+    context.clock = SetClock()
+    context.ledgers = {name: RunLedger(context.clock) for name in 'abc'}
+
+
+@given('the record {epoch:d} "{names}" written by "{writer}"')
+def set_record(context: Context, epoch: int, names: str, writer: str) -> None:
+    succession = tuple(NodeName(name, 1) for name in names.split())
+    context.record = ShardRecord(epoch, succession, WriteMark(writer, 'w'))
+
+
+@given('"{sender}" sends all it has to "{taker}" under {epoch:d}')
+@when('"{sender}" sends all it has to "{taker}" under {epoch:d}')
+def send_all(context: Context, sender: str, taker: str, epoch: int) -> None:
+    entries = context.ledgers[sender].entries(SHARD)
+    assert context.ledgers[taker].take(SHARD, entries)
+    context.ledgers[taker].take_whole(SHARD, epoch)
+
+
+@given('"{sender}" hands all it has over to "{taker}" under {epoch:d}')
+def hand_over(context: Context, sender: str, taker: str, epoch: int) -> None:
+    context.ledgers[taker].take_handover(SHARD, epoch, sender)
+
+
+@given('"{name}" has noted {count:d} requests')
+def note_many(context: Context, name: str, count: int) -> None:
+    ledger = context.ledgers[name]
+    for number in range(count):
+        ledger.begin(SHARD, str(number), 'x', context.record)
+        ledger.finish(SHARD, str(number), None, b'')
+
+
+@when('"{name}" begins "{key}" as "{fingerprint}"')
+def begin(context: Context, name: str, key: str, fingerprint: str) -> None:
+    ledger = context.ledgers[name]
+    context.verdict = ledger.begin(SHARD, key, fingerprint, context.record)
+
+
+@when('"{name}" finishes "{key}" with status {status:d}')
+def finish(context: Context, name: str, key: str, status: int) -> None:
+    context.ledgers[name].finish(SHARD, key, Answer(status, ()), b'body')
+
+
+@when('"{name}" forgets "{key}" but the news is late')
+def forget(context: Context, name: str, key: str) -> None:
+    ledger = context.ledgers[name]
+    entry = ledger.entry(SHARD, key)
+    ledger.forget(SHARD, key)
+    context.late = replace(entry, state=RunState.FORGOTTEN.name)
+
+
+@when('the late news reaches "{name}"')
+def deliver_late(context: Context, name: str) -> None:
+    context.ledgers[name].take(SHARD, (context.late,))
+
+
+@when('{passed:d} ms pass')
+def pass_time(context: Context, passed: int) -> None:
+    context.clock.at_ms += passed
+
+
+@then('the verdict is {verdict}')
+def check_verdict(context: Context, verdict: str) -> None:
+    assert context.verdict.name == verdict, context.verdict
