--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -1,10 +1,8 @@
 """All that one incarnation of a node consists of."""
 
-import eventlet
-
 from laburnumwood.clock import Clock
 from laburnumwood.daemon.load import LoadParts
-from laburnumwood.daemon.supervision import supervise
+from laburnumwood.daemon.tasks import Tasks
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
@@ -25,8 +23,10 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
+from laburnumwood.routing.execution import Executor
 from laburnumwood.routing.gate import Gate
 from laburnumwood.routing.measuring import MeasuredDoor
+from laburnumwood.routing.notary import Notary
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
@@ -46,7 +46,7 @@
     ) -> None:
         self.name = name
         self._settings = settings
-        self._tasks: list[eventlet.greenthread.GreenThread] = []
+        self._tasks = Tasks()
         self.dispatcher = Dispatcher()
         self.view = FleetView(Directory(), SealBook())
         self.lease = Lease(name, settings.lease, clock)
@@ -80,8 +80,9 @@
             self.load.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
+            self._notary.run,
         ):
-            self._tasks.append(eventlet.spawn(supervise, task))
+            self._tasks.start(task)
 
     def hand_over(self) -> None:
         """Give every shard to another node and let the witnesses seal."""
@@ -94,8 +95,7 @@
         """Stop all tasks; nothing acts for this incarnation afterwards."""
         self.lease.resign()
         self.holdings.drop_all()
-        for task in self._tasks:
-            task.kill()
+        self._tasks.kill()
         self._peers.close()
 
     def _make_membership(self, clock: Clock) -> None:
@@ -138,12 +138,21 @@
         self._account = CapacityAccount(
             self._settings, lambda: self.view.directory.declarations, clock
         )
+        self._notary = Notary(
+            self.name,
+            self.view,
+            self.holdings,
+            self._peers,
+            self.dispatcher,
+            clock,
+        )
+        self._keeper.before_move = self._notary.hand_over
         gate = Gate(
             self._settings,
             self.lease,
             self.holdings,
             self._granter,
-            worker,
+            Executor(worker, self._notary, clock),
             lambda: self.view.directory.declarations.services,
             self._account,
             self.load.meter,
