Add fault cases with real processes, judged by the journals

Owners that are killed, frozen, cut from witnesses, from the store or from one other node, links that go silent or break in mid-request, losses inside an outage, of a failure domain, two at once, planned stops with a long stream, payments and poison.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -80,7 +80,7 @@
         self._http = PoolManager(
             maxsize=load.callers * 2, retries=Retry(0), timeout=_TIMEOUT_S
         )
-        self._threads = ThreadPoolExecutor(load.callers)
+        self._threads = ThreadPoolExecutor(load.callers + 1)
         self._running: list[Future[None]] = []
 
     @property
@@ -96,6 +96,10 @@
             for number in range(self._load.callers)
         ]
 
+    def background(self, work: Callable[[], Call]) -> 'Future[Call]':
+        """Let one more caller do a piece of work."""
+        return self._threads.submit(work)
+
     def finish(self, *, early: bool = False) -> list[Call]:
         """Wait for the callers, or stop them, and return the log."""
         if early:
--- a/bench/checker.py
+++ b/bench/checker.py
@@ -91,16 +91,18 @@
     for call in calls:
         own[call.operation].add(call.request)
     known = set(_by_request(runs))
-    for call in calls:
+    for call in filter(_is_success, calls):
         requests = own[call.operation] if call.is_keyed else {call.request}
-        if call.told is not Told.answered or call.status not in _SUCCESS:
-            continue
         if not _is_whole(call, requests):
             yield Fault('not its whole answer', (call,))
         elif known.isdisjoint(requests):
             yield Fault('answered, never ran', (call,))
 
 
+def _is_success(call: Call) -> bool:
+    return call.told is Told.answered and call.status in _SUCCESS
+
+
 def _is_whole(call: Call, requests: set[str]) -> bool:
     if call.size is not None:
         expected = body_of(call.request, call.size)
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -91,11 +91,19 @@
         """Let a paused process go on."""
         os.kill(self.pid, signal.SIGCONT)
 
-    def stop(self, limit_s: float = _STOP_S) -> int:
-        """Ask the process to stop and return its exit status."""
+    def terminate(self) -> None:
+        """Ask the process to stop."""
         self._child.terminate()
+
+    def wait(self, limit_s: float = _STOP_S) -> int:
+        """Wait for the end of the process and return its exit status."""
         return self._child.wait(limit_s)
 
+    def stop(self, limit_s: float = _STOP_S) -> int:
+        """Ask the process to stop and return its exit status."""
+        self.terminate()
+        return self.wait(limit_s)
+
 
 @dataclass(frozen=True, slots=True)
 class Place:
--- a/standins/relay/pair.py
+++ b/standins/relay/pair.py
@@ -10,6 +10,7 @@
 from standins.relay.switches import Direction
 
 PIECE_BYTES = 65_536
+_ENDED = (OSError, EOFError)  # the latter when closed by another task
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
@@ -88,7 +89,7 @@
                 self._note(piece)
                 if self._route.passes(self, direction, len(piece)):
                     sink.sendall(piece)
-        except OSError:
+        except _ENDED:
             self.reset()
             return
         if not self.is_deaf(direction):
--- /dev/null
+++ b/tests/features/steps/fault_steps.py
@@ -0,0 +1,209 @@
+"""Steps that break deployments of real processes and judge the outcome."""
+
+import time
+from collections.abc import Iterator
+from functools import partial
+from itertools import count
+
+from behave import given, then, when
+from behave.runner import Context
+from pydantic import TypeAdapter
+
+from bench.caller import Callers, Load, Operation
+from bench.calls import Told
+from bench.checker import judge
+from bench.deployment import wait_for
+from bench.faults import Fleet
+from standins.journal.entry import JournalEntry
+from standins.worker.bodies import body_of
+
+SERVICE = 'trader-portal'
+LIMIT_S = 40
+SETTLE_S = 60
+BREATH_S = 0.7
+ENTRIES = TypeAdapter(list[JournalEntry])
+STREAM_BYTES = 400_000
+STREAM_QUERY = f'bytes={STREAM_BYTES}&chunk_ms=150&chunk_bytes=16384'
+
+_fleets: dict[str, Fleet] = {}
+_labels: Iterator[int] = count()
+
+
+def _drop_fleet() -> None:
+    for fleet in _fleets.values():
+        fleet.close()
+    _fleets.clear()
+
+
+@given('a shared deployment of {nodes:d} nodes')
+def share_fleet(context: Context, nodes: int) -> None:
+    name = context.feature.name
+    if name in _fleets and not _fleets[name].is_trusted:
+        _drop_fleet()
+    if name not in _fleets:
+        _fleets[name] = Fleet(SERVICE, nodes)
+        context.add_cleanup(_drop_fleet, layer='feature')
+    context.fleet = _fleets[name]
+    context.fleet.is_trusted = False
+    context.fleet.repair(SETTLE_S)
+
+
+@given('callers that go on until they are stopped')
+def start_callers(context: Context) -> None:
+    fleet = context.fleet
+    load = Load(SERVICE, 'Kiosk', operations=6_000, pause_ms=30)
+    label = f'case{next(_labels)}'
+    context.callers = Callers(load, fleet.doors, label)
+    context.callers.start()
+    context.add_cleanup(context.callers.finish, early=True)
+    time.sleep(BREATH_S)
+
+
+@when('the owner of a key is {event}')
+def strike_owner(context: Context, event: str) -> None:
+    victim = context.fleet.owner_of('kiosk-0')
+    context.victim = victim
+    context.fleet.strike(event, victim)
+
+
+@when('one of the others is {event}')
+def strike_other(context: Context, event: str) -> None:
+    fleet = context.fleet
+    other = next(each for each in fleet.reachable() if each != context.victim)
+    fleet.strike(event, other)
+
+
+@when('the failure domain of the owner of a key is lost')
+def lose_domain(context: Context) -> None:
+    fleet = context.fleet
+    domain = fleet.owner_of('kiosk-0').place.failure_domain
+    for member in fleet.members:
+        if member.place.failure_domain == domain:
+            fleet.strike('killed', member)
+
+
+@when('the store is {state}')
+def set_store(context: Context, state: str) -> None:
+    context.fleet.set_store(state)
+
+
+@when('{seconds:g} s pass')
+def let_pass(context: Context, seconds: float) -> None:
+    time.sleep(seconds)
+
+
+@when('everything is mended')
+def mend(context: Context) -> None:
+    context.fleet.repair(SETTLE_S)
+
+
+@when('every node is restarted in turn')
+def restart_all(context: Context) -> None:
+    for member in context.fleet.members:
+        status = context.fleet.restart(member, LIMIT_S)
+        assert status == 0, (member.place.node_id, status)
+
+
+@then('every key is served')
+def check_served(context: Context) -> None:
+    context.fleet.wait_served(LIMIT_S)
+
+
+@then('every key is served at the doors of the others')
+def check_served_elsewhere(context: Context) -> None:
+    context.fleet.hide(context.victim)
+    context.fleet.wait_served(LIMIT_S)
+
+
+@then('the callers and the journals agree')
+def check_log(context: Context) -> None:
+    time.sleep(BREATH_S)
+    calls = context.callers.finish(early=True)
+    entries = context.fleet.deployment.entries()
+    verdict = judge(calls, ENTRIES.validate_python(entries))
+    assert not verdict.faults, str(verdict)
+    answered = sum(call.told is Told.answered for call in calls)
+    assert answered > len(calls) / 4, f'{answered} of {len(calls)} answered'
+    context.fleet.is_trusted = True
+
+
+@then('the node of the owner joined again under a new incarnation')
+def check_rejoined(context: Context) -> None:
+    fleet, victim = context.fleet, context.victim
+    wait_for(
+        'a new incarnation',
+        lambda: fleet.incarnation(victim) > fleet.struck_incarnation,
+        LIMIT_S,
+    )
+
+
+@when('{what} is under way at its owner')
+def begin_request(context: Context, what: str) -> None:
+    context.victim = context.fleet.owner_of('kiosk-0')
+    query, method = {
+        'a long stream': (STREAM_QUERY, 'GET'),
+        'a slow payment': ('work_ms=1500', 'POST'),
+    }[what]
+    context.operation = Operation(
+        f'{what}-{next(_labels)}'.replace(' ', '-'),
+        'kiosk-0',
+        method,
+        f'/{SERVICE}/x?{query}',
+        STREAM_BYTES if method == 'GET' else None,
+    )
+    door = context.fleet.other_door(context.victim)
+    context.background = context.callers.background(
+        partial(context.callers.attempt, context.operation, 0, door)
+    )
+    time.sleep(BREATH_S)
+
+
+@when('that owner is {event}')
+def strike_that_owner(context: Context, event: str) -> None:
+    context.fleet.strike(event, context.victim)
+
+
+@when('the payment is sent again until its outcome is final')
+def resend(context: Context) -> None:
+    context.background.result()
+    for number in range(1, 30):
+        door = context.fleet.other_door(context.victim)
+        call = context.callers.attempt(context.operation, number, door)
+        if call.told in {Told.answered, Told.unknown}:
+            return
+        time.sleep(BREATH_S)
+    raise AssertionError('no final outcome')
+
+
+@then('the stream came whole')
+def check_stream(context: Context) -> None:
+    call = context.background.result()
+    expected = body_of(call.request, STREAM_BYTES)
+    assert call.status == 200, call.status
+    assert call.body == expected, (len(call.body), STREAM_BYTES)
+
+
+@then('the stopped node ended with status {status:d}')
+def check_stopped(context: Context, status: int) -> None:
+    ended = context.victim.node.wait(LIMIT_S)
+    assert ended == status, ended
+
+
+@when('a request that crashes workers is sent {times:d} times')
+def send_poison(context: Context, times: int) -> None:
+    target = f'/{SERVICE}/x?crash=1'
+    poison = Operation('poison', 'kiosk-0', 'GET', target)
+    for number in range(times):
+        door = context.fleet.doors()[0]
+        context.callers.attempt(poison, number, door)
+        time.sleep(BREATH_S)
+
+
+@then('at most {most:d} workers were lost')
+def check_lost(context: Context, most: int) -> None:
+    lost = [
+        member.place.node_id
+        for member in context.fleet.members
+        if not member.worker.is_running
+    ]
+    assert len(lost) <= most, lost
