--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -5,6 +5,7 @@
 import eventlet
 from eventlet.greenthread import GreenThread
 
+from laburnumwood.admission.retries import RetryBudget
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import TASK_FAILED
 from laburnumwood.leases.lease import Lease
@@ -19,6 +20,7 @@
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
+from laburnumwood.placement.tenure import Tenure
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.platform.client import Platform
 from laburnumwood.protocol.link import Link
@@ -31,9 +33,11 @@
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
+from laburnumwood.upstream.load import LoadPoller
 from laburnumwood.upstream.worker import Worker
 
 _RESTART_MS = 200
+_RETRY_SHARE = 0.1  # of the requests
 
 
 def _supervise(task: Callable[[], None]) -> None:
@@ -84,6 +88,7 @@
             self._renewer.run,
             self._desk.run,
             self._granter.run,
+            self._load_poller.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
         ):
@@ -91,7 +96,7 @@
 
     def hand_over(self) -> None:
         """Give every shard to another node and let the witnesses seal."""
-        self._keeper.hand_over_all()
+        self._keeper.hand_over_all(self.name)
         witnesses = set(self.lease.witnesses.members)
         self.lease.resign()
         self._spreader.tell(witnesses - {self.name}, Resign(self.name))
@@ -122,17 +127,17 @@
         )
 
     def _make_placement(self, platform: Platform, clock: Clock) -> None:
-        writer = ShardWriter(
-            platform, self.view.directory, self.lease, self._renewer, clock
-        )
+        service = self._settings.service
+        writer = ShardWriter(platform, self.view.directory, self._renewer)
+        tenure = Tenure(service, self.view, self.lease, self.holdings, clock)
         self._keeper = Keeper(
-            self._settings.service,
+            service,
             self.view,
-            self.lease,
+            tenure,
             self.holdings,
             writer,
             self._spreader,
-            Balancer(self._settings.service, self.name, self.view),
+            Balancer(service, self.name, self.view),
             clock,
         )
 
@@ -147,9 +152,18 @@
             self.holdings,
             self._granter,
             worker,
+            lambda: self.view.directory.declarations.services,
+            clock,
+        )
+        self._load_poller = LoadPoller(worker, gate.hint)
+        router = Router(
+            self.name,
+            self.view,
+            self._peers,
+            gate.serve,
+            RetryBudget(_RETRY_SHARE, clock),
             clock,
         )
-        router = Router(self.name, self.view, self._peers, gate.serve, clock)
         self.door = Door(
             router, lambda: self.view.directory.declarations.services
         )
