Lose a silent link however often requests are opened on it

A link that had gone silent was kept for good while new streams were opened more often than once a second: each of them moved the moment of the last word to 300 ms ago, so the limit of 1,000 ms was never reached, and every request and renewal on it timed out. A slow relay and the lease were ruled out: the same case over new connections works. The limit now counts from the first unanswered stream or ping.

Before: 'the owner is left with silent links' waits 40 s for kiosk-0 in vain. After: it passes in 10 s.

--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -49,6 +49,7 @@
         self._last_number = 0
         self._last_opened = 0
         self._heard_ms = clock.now_ms()
+        self._owed_since_ms: int | None = None
         self._lock = Semaphore()
         self._open = True
 
@@ -78,7 +79,7 @@
         self._last_number += 1
         stream = Stream(self._last_number, self)
         self._streams[self._last_number] = stream
-        self._heard_ms = max(self._heard_ms, self._clock.now_ms() - _PING_MS)
+        self._expect_answer()
         return stream
 
     def send(self, stream: int, message: Any) -> None:
@@ -123,6 +124,7 @@
             if not received:
                 return
             self._heard_ms = self._clock.now_ms()
+            self._owed_since_ms = None
             self._protocol.receive_data(received)
             self._take_events()
 
@@ -144,13 +146,19 @@
             self._streams[-number] = opened
             eventlet.spawn_n(self._handler, self, opened, message)
 
+    def _expect_answer(self) -> None:
+        if self._owed_since_ms is None:
+            self._owed_since_ms = self._clock.now_ms()
+
     def _watch_silence(self) -> None:
         while self._open:
             eventlet.sleep(_PING_MS / MS_PER_SECOND)
-            silent_ms = self._clock.now_ms() - self._heard_ms
-            if self._streams and silent_ms >= SILENCE_MS:
+            now_ms = self._clock.now_ms()
+            if now_ms - (self._owed_since_ms or now_ms) >= SILENCE_MS:
                 self.close()
-            elif self._streams and silent_ms >= _PING_MS:
+                return
+            if self._streams and now_ms - self._heard_ms >= _PING_MS:
+                self._expect_answer()
                 self._ping()
 
     def _ping(self) -> None:
