--- a/bench/faults.py
+++ b/bench/faults.py
@@ -117,11 +117,6 @@
         member.node.resume()
         self._paused.discard(member.place.node_id)
 
-    def hinder_pair(self, source: Member, sink: Member, **how: Any) -> None:
-        """Set switches for the link that one node makes to another."""
-        only = f'Laburnumwood-Node: {source.place.node_id}#'
-        self.deployment.hinder(f'{sink.place.node_id}.peer', only=only, **how)
-
     def set_store(self, state: str) -> None:
         """Let the store be out of service, in service, or lose answers."""
         self.deployment.fault(**_STORE_STATES[state])
@@ -151,25 +146,28 @@
         for member in self.reachable():
             for number in range(_KEYS):
                 key = f'kiosk-{number}'
-                check = partial(self._is_served, member.door, key)
+                check = partial(self.is_served, member.door, key)
                 wait_for(f'{key} at {member.place.node_id}', check, limit_s)
         return time.monotonic() - started
 
+    def is_served(self, door: str, key: str) -> bool:
+        """Tell whether a key is served at a door."""
+        answer = self._ask(door, key)
+        return answer.status == 200
+
+    def owned_by(self) -> dict[str, str]:
+        """Return the owner of each shard as one node sees it."""
+        page = self.deployment.page(self.reachable()[0], 'owners')
+        return page.get(self.service, {})
+
     def close(self) -> None:
         """End every process."""
-        for member in self.members:
-            if member.place.node_id in self._paused:
-                member.node.resume()
         self.deployment.close()
 
     def _ask(self, door: str, key: str) -> Any:
         url = f'{door}/{self.service}/x'
         return self.deployment.get(url, headers={KEY_HEADER: key}, timeout=3)
 
-    def _is_served(self, door: str, key: str) -> bool:
-        answer = self._ask(door, key)
-        return answer.status == 200
-
     def _repair_member(self, member: Member) -> None:
         if member.place.node_id in self._paused:
             self.resume(member)
@@ -206,6 +204,19 @@
         return whole and len(owned) == len(self.members)
 
 
+def imbalance(owners: dict[str, str]) -> float:
+    """Return the largest share of shards by the mean share."""
+    owned = Counter(owners.values())
+    return max(owned.values()) * len(owned) / owned.total()
+
+
+def _hinder_pair(
+    fleet: Fleet, source: Member, sink: Member, **how: Any
+) -> None:
+    only = f'Laburnumwood-Node: {source.place.node_id}#'
+    fleet.deployment.hinder(f'{sink.place.node_id}.peer', only=only, **how)
+
+
 @_strike('killed')
 def _kill(fleet: Fleet, member: Member) -> None:
     member.node.kill()
@@ -236,21 +247,21 @@
 def _cut_witnesses(fleet: Fleet, member: Member) -> None:
     for other in fleet.members:
         if other is not member:
-            fleet.hinder_pair(member, other, cut=True)
+            _hinder_pair(fleet, member, other, cut=True)
 
 
 @_strike('silently cut from its witnesses')
 def _silence_witnesses(fleet: Fleet, member: Member) -> None:
     for other in fleet.members:
         if other is not member:
-            fleet.hinder_pair(member, other, silent=True, silent_new=True)
+            _hinder_pair(fleet, member, other, silent=True, silent_new=True)
 
 
 @_strike('cut from one other node')
 def _cut_pair(fleet: Fleet, member: Member) -> None:
     other = next(each for each in fleet.members if each is not member)
-    fleet.hinder_pair(member, other, cut=True)
-    fleet.hinder_pair(other, member, cut=True)
+    _hinder_pair(fleet, member, other, cut=True)
+    _hinder_pair(fleet, other, member, cut=True)
 
 
 @_strike('cut from the store')
