--- a/bench/run.py
+++ b/bench/run.py
@@ -6,6 +6,7 @@
 
 MODULES = (
     'bench.spreading',
+    'bench.choosing',
     'bench.recovery',
     'bench.slopes',
     'bench.overload',
--- a/bench/spreading.py
+++ b/bench/spreading.py
@@ -32,7 +32,8 @@
     busiest: int
 
 
-def _record(number: int) -> NodeRecord:
+def record_of(number: int) -> NodeRecord:
+    """Return the record of a node in one of the domains."""
     return NodeRecord(
         incarnation=1,
         open_incarnations=(1,),
@@ -50,7 +51,9 @@
 
 def witness_graph(size: int) -> Graph:
     """Return the witnesses of each node of a fleet."""
-    nodes = {NodeName(f'n{place}', 1): _record(place) for place in range(size)}
+    nodes = {
+        NodeName(f'n{place}', 1): record_of(place) for place in range(size)
+    }
     return {name: choose_witnesses(name, nodes) for name in nodes}
 
 
