--- a/bench/run.py
+++ b/bench/run.py
@@ -7,6 +7,7 @@
 MODULES = (
     'bench.spreading',
     'bench.choosing',
+    'bench.holding',
     'bench.recovery',
     'bench.slopes',
     'bench.overload',
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -58,8 +58,9 @@
     return (int(stat[11]) + int(stat[12])) / _TICKS_A_SECOND
 
 
-def _memory_mb(pid: int) -> float:
-    pages = int(Path(f'/proc/{pid}/statm').read_text().split()[1])
+def memory_mb(process: Path) -> float:
+    """Return the resident memory of a process, by its folder in /proc."""
+    pages = int((process / 'statm').read_text().split()[1])
     return pages * _PAGE_BYTES / _MB
 
 
@@ -91,10 +92,10 @@
     last = _read(fleet)
     pids = _pids(fleet)
     node_s = (last.at_s - first.at_s) * len(pids)
-    memory_mb = sum(_memory_mb(pid) for pid in pids)
+    resident_mb = sum(memory_mb(Path(f'/proc/{pid}')) for pid in pids)
     return Cost(
         (last.cpu_s - first.cpu_s) / node_s * 100,
-        memory_mb / len(pids),
+        resident_mb / len(pids),
         (last.sent_bytes - first.sent_bytes) / node_s / _KB,
         (last.messages - first.messages) / node_s,
         (last.counts['writes'] - first.counts['writes']) / node_s,
