--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -19,6 +19,7 @@
 
 HOST = '127.0.0.1'
 SHARED_KEY = 'a key for loopback only'
+OPERATOR_TOKEN = 'a token for loopback only'
 _START_S = 60
 _STOP_S = 60
 _POLL_S = 0.02
@@ -91,11 +92,19 @@
         """Let a paused process go on."""
         os.kill(self.pid, signal.SIGCONT)
 
-    def stop(self, limit_s: float = _STOP_S) -> int:
-        """Ask the process to stop and return its exit status."""
+    def terminate(self) -> None:
+        """Ask the process to stop."""
         self._child.terminate()
+
+    def wait(self, limit_s: float = _STOP_S) -> int:
+        """Wait for the end of the process and return its exit status."""
         return self._child.wait(limit_s)
 
+    def stop(self, limit_s: float = _STOP_S) -> int:
+        """Ask the process to stop and return its exit status."""
+        self.terminate()
+        return self.wait(limit_s)
+
 
 @dataclass(frozen=True, slots=True)
 class Place:
@@ -214,7 +223,8 @@
 
         Raises `NotReadyError` if the node has none yet.
         """
-        answer = self.get(f'{member.operators}/{name}')
+        headers = {'Authorization': f'Bearer {OPERATOR_TOKEN}'}
+        answer = self.get(f'{member.operators}/{name}', headers=headers)
         if answer.status != _OK:
             raise NotReadyError(member.place.node_id)
         return answer.json()
@@ -275,6 +285,9 @@
             'slots': place.slots,
             'connections': place.connections,
             'shared_key': SHARED_KEY,
+            'operators': {
+                'bench': {'token': OPERATOR_TOKEN, 'may': 'change'},
+            },
         }
 
     def _relay_all(self, written: dict[str, Any]) -> None:
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -1,13 +1,8 @@
 """All that one incarnation of a node consists of."""
 
-from collections.abc import Callable
-
-import eventlet
-from eventlet.greenthread import GreenThread
-
-from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.clock import Clock
 from laburnumwood.daemon.load import LoadParts
-from laburnumwood.events import TASK_FAILED
+from laburnumwood.daemon.tasks import Tasks
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
@@ -17,36 +12,27 @@
 from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
+from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.platform.client import Platform
-from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import Resign, Work
 from laburnumwood.protocol.peers import Dispatcher, Peers
+from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.door import Door
+from laburnumwood.routing.execution import Executor
 from laburnumwood.routing.gate import Gate
+from laburnumwood.routing.measuring import MeasuredDoor
+from laburnumwood.routing.notary import Notary
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.load import LoadPoller
 from laburnumwood.upstream.worker import Worker
 
-_RESTART_MS = 200
-
-
-def _supervise(task: Callable[[], None]) -> None:
-    while True:
-        try:
-            return task()
-        except Exception as failure:
-            name = getattr(task, '__qualname__', task)
-            TASK_FAILED.report(task=name, reason=repr(failure))
-        eventlet.sleep(_RESTART_MS / MS_PER_SECOND)
-
 
 class Incarnation:
     """One run of a node from joining to its end, with all its tasks."""
@@ -60,14 +46,14 @@
     ) -> None:
         self.name = name
         self._settings = settings
-        self._tasks: list[GreenThread] = []
+        self._tasks = Tasks()
         self.dispatcher = Dispatcher()
         self.view = FleetView(Directory(), SealBook())
         self.lease = Lease(name, settings.lease, clock)
         self.holdings = Holdings()
         self._peers = Peers(
             name,
-            settings.shared_key,
+            LinkSecurity(settings.shared_key, settings.tls),
             self.view.address,
             self.dispatcher,
             clock,
@@ -90,11 +76,13 @@
             self._desk.run,
             self._granter.run,
             self._load_poller.run,
+            self._account.run,
             self.load.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
+            self._notary.run,
         ):
-            self._tasks.append(eventlet.spawn(_supervise, task))
+            self._tasks.start(task)
 
     def hand_over(self) -> None:
         """Give every shard to another node and let the witnesses seal."""
@@ -107,8 +95,7 @@
         """Stop all tasks; nothing acts for this incarnation afterwards."""
         self.lease.resign()
         self.holdings.drop_all()
-        for task in self._tasks:
-            task.kill()
+        self._tasks.kill()
         self._peers.close()
 
     def _make_membership(self, clock: Clock) -> None:
@@ -148,13 +135,26 @@
         self._granter = Granter(
             worker, self.holdings.tokens, self.lease.holds_until_ms, clock
         )
+        self._account = CapacityAccount(
+            self._settings, lambda: self.view.directory.declarations, clock
+        )
+        self._notary = Notary(
+            self.name,
+            self.view,
+            self.holdings,
+            self._peers,
+            self.dispatcher,
+            clock,
+        )
+        self._keeper.before_move = self._notary.hand_over
         gate = Gate(
             self._settings,
             self.lease,
             self.holdings,
             self._granter,
-            worker,
+            Executor(worker, self._notary, clock),
             lambda: self.view.directory.declarations.services,
+            self._account,
             self.load.meter,
             clock,
         )
@@ -169,12 +169,14 @@
             self.load.retries,
             clock,
         )
-        self.door = Door(
-            router, lambda: self.view.directory.declarations.services
+        self.door = MeasuredDoor(
+            router, lambda: self.view.directory.declarations.services, clock
+        )
+        self.operators = OperatorApi(
+            self.view, self.lease, self.holdings, gate, self._account
         )
-        self.operators = OperatorApi(self.view, self.lease, self.holdings, gate)
         self.gate = gate
 
         @self.dispatcher.on(Work)
-        def serve(_link: Link, stream: Stream, work: Work) -> None:
+        def serve(_link: object, stream: Stream, work: Work) -> None:
             gate.serve(stream, work)
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -2,13 +2,21 @@
 
 import json
 from pathlib import Path
-from typing import Literal
+from typing import Any, Literal, Self, get_args
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
+from pydantic_core import ErrorDetails
 
 from laburnumwood.errors import SettingsError
 
 HIGHEST_PORT = 65_535
+SECRETS = frozenset(('shared_key', 'token'))
 
 
 class LeaseSettings(BaseModel):
@@ -31,6 +39,25 @@
     queue_per_slot: int = Field(default=2, ge=1, le=1_000)
 
 
+class OperatorSettings(BaseModel):
+    """An operator's token and what may be done with it."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
+
+    token: str = Field(min_length=16, repr=False)
+    may: Literal['read', 'change'] = 'read'
+
+
+class TlsSettings(BaseModel):
+    """Files of certificates, in PEM form, for links between nodes."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
+
+    certificate: str = Field(min_length=1)
+    key: str = Field(min_length=1)
+    authority: str = Field(min_length=1)
+
+
 class DaemonSettings(BaseModel):
     """All that one daemon has to be told."""
 
@@ -50,22 +77,55 @@
     capacity_owner: str = Field(min_length=1)
     slots: int = Field(default=20, ge=1)
     connections: int = Field(default=100, ge=1)
-    shared_key: str = Field(min_length=16, repr=False)
+    shared_key: str | None = Field(default=None, min_length=16, repr=False)
+    tls: TlsSettings | None = None
+    operators: dict[str, OperatorSettings] = Field(default_factory=dict)
     lease: LeaseSettings = LeaseSettings()
     admission: AdmissionSettings = AdmissionSettings()
 
+    @model_validator(mode='after')
+    def _check_links(self) -> Self:
+        if (self.shared_key is None) == (self.tls is None):
+            raise ValueError('give either "tls" or "shared_key"')
+        return self
+
+
+def _model_in(annotation: Any) -> type[BaseModel] | None:
+    """Return the model that an annotation names, at any depth."""
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation
+    inner = (_model_in(each) for each in get_args(annotation))
+    return next((model for model in inner if model is not None), None)
+
+
+def _fields_at(model: type[BaseModel], path: tuple[int | str, ...]) -> str:
+    for step in path[:-1]:
+        field = model.model_fields.get(str(step))
+        inner = _model_in(field.annotation) if field else None
+        model = inner or model
+    return ', '.join(sorted(model.model_fields))
+
+
+def _line(fault: ErrorDetails, model: type[BaseModel]) -> str:
+    path = fault['loc']
+    named = '.'.join(str(step) for step in path) or '(whole file)'
+    if not path or SECRETS.intersection(path):
+        return f'{named}: {fault["msg"]}; what was found is not shown'
+    if fault['type'] == 'extra_forbidden':
+        allowed = _fields_at(model, path)
+        return f'{named}: unknown field; allowed: {allowed}'
+    return f'{named}: {fault["msg"]}; found {fault["input"]!r}'
+
 
-def describe(error: ValidationError, file: str) -> str:
+def describe(error: ValidationError, file: str, model: type[BaseModel]) -> str:
     """Return one line for each fault that a model found in a file.
 
-    A line names the file, the path in it, what was found and what is wrong.
+    A line names the file, the path in it, what was found and what is
+    allowed, but for secrets, of which it tells nothing.
     """
-    lines = []
-    for fault in error.errors():
-        path = '.'.join(str(step) for step in fault['loc']) or '(whole file)'
-        found = repr(fault.get('input'))
-        lines.append(f'{file}: {path}: {fault["msg"]}; found {found}')
-    return '\n'.join(lines)
+    return '\n'.join(
+        f'{file}: {_line(fault, model)}' for fault in error.errors()
+    )
 
 
 def read_settings(path: Path) -> DaemonSettings:
@@ -80,4 +140,6 @@
     try:
         return DaemonSettings.model_validate(content)
     except ValidationError as invalid:
-        raise SettingsError(describe(invalid, str(path))) from invalid
+        raise SettingsError(
+            describe(invalid, str(path), DaemonSettings)
+        ) from invalid
