Compare idle capacity with the journals of the workers

A scenario now serves work of known length on capacity of two owners and compares what was carried with the journals: at least what the workers say, at most the time that passed.

--- a/tests/features/operators.feature
+++ b/tests/features/operators.feature
@@ -43,3 +43,20 @@
 
   Scenario: what capacity carried and what lay idle add up
     Then used and idle slot-milliseconds are the capacity of any window
+
+  Scenario: idle capacity agrees with what workers did
+    Given a deployment of the nodes
+      | node     | failure_domain | service | capacity_owner |
+      | portal-1 | caerdydd       | portal  | traders        |
+      | portal-2 | abertawe       | portal  | inspections    |
+      | portal-3 | wrecsam        | portal  | inspections    |
+    And the applied configuration
+      """
+      {"capacity_owners": {"traders": {"contact": "t"}, "inspections": {"contact": "i"}},
+       "services": {"portal": {"owner": "inspections", "shards": 6,
+         "key": {"source": "header", "name": "Kiosk"}}}}
+      """
+    And the deployment of "portal" is settled
+    When 20 requests of 20 ms of work are made one after another
+    Then capacity of "traders" carried others' work and "inspections" its own
+    And both carried as much as the workers' journals say
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
@@ -17,7 +18,18 @@
 from hypothesis import strategies as st
 from urllib3 import request
 
-from bench.deployment import HOST, SHARED_KEY, Deployment, Place, wait_for
+from bench.deployment import (
+    HOST,
+    OPERATOR_TOKEN,
+    SHARED_KEY,
+    Deployment,
+    Place,
+    wait_for,
+)
+from laburnumwood.cli.fleet import Fleet
+from laburnumwood.cli.idle import add_up
+from laburnumwood.cli.options import read_options
+from laburnumwood.cli.pages import IdlePage
 from laburnumwood.clock import Clock
 from laburnumwood.config.acceptance import accept
 from laburnumwood.config.declarations import Declarations
@@ -29,6 +41,8 @@
 
 LIMIT_S = 120
 SHARDS = 6
+ROUNDING_MS = 20  # a millisecond for each request
+WHOLE_LIFE = '/idle?window_ms=3600000'
 HANDSHAKE = (
     b'GET / HTTP/1.1\r\nHost: peer\r\nUpgrade: websocket\r\n'
     b'Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n'
@@ -200,3 +214,46 @@
         assert owners.get('s1', 'o') == 'o'
 
     add_up()
+
+
+@when('{count:d} requests of {work_ms:d} ms of work are made one after another')
+def make_requests(context: Context, count: int, work_ms: int) -> None:
+    member = context.deployment.members['portal-1']
+    began = time.monotonic()
+    for number in range(count):
+        url = f'{member.door}/portal/x?work_ms={work_ms}'
+        headers = {'Kiosk': f'kiosk-{number}'}
+        answer = context.deployment.get(url, headers=headers)
+        assert answer.status == 200, answer.data
+    fleet = Fleet(
+        read_options(
+            context.deployment.platform_url, '', OPERATOR_TOKEN, as_json=True
+        )
+    )
+    rows = [fleet.ask(row, WHOLE_LIFE, IdlePage) for row in fleet.nodes()]
+    context.elapsed_ms = (time.monotonic() - began) * 1_000
+    context.idle = add_up(rows)
+
+
+@then('capacity of "{lender}" carried others\' work and "{user}" its own')
+def check_carried(context: Context, lender: str, user: str) -> None:
+    for row in context.idle:
+        if row.capacity_owner == lender:
+            assert row.others and not row.own, row
+        else:
+            assert row.own and not row.others, row
+            assert row.capacity_owner == user, row
+
+
+@then("both carried as much as the workers' journals say")
+def check_journals(context: Context) -> None:
+    rows = context.idle
+    carried = sum(row.own + row.others for row in rows)
+    worked = sum(
+        entry['finished_ms'] - entry['started_ms']
+        for entry in context.deployment.entries()
+    )
+    assert worked <= carried + ROUNDING_MS, (worked, carried)
+    assert carried <= context.elapsed_ms + ROUNDING_MS, context.elapsed_ms
+    for row in rows:
+        assert row.own + row.others + row.idle == row.capacity, row
