--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -1,10 +1,8 @@
 """All that one incarnation of a node consists of."""
 
-import eventlet
-
-from laburnumwood.admission.retries import RetryBudget
 from laburnumwood.clock import Clock
-from laburnumwood.daemon.supervision import supervise
+from laburnumwood.daemon.load import LoadParts
+from laburnumwood.daemon.tasks import Tasks
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
@@ -15,7 +13,6 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
-from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
 from laburnumwood.placement.tenure import Tenure
@@ -26,16 +23,16 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
+from laburnumwood.routing.execution import Executor
 from laburnumwood.routing.gate import Gate
 from laburnumwood.routing.measuring import MeasuredDoor
+from laburnumwood.routing.notary import Notary
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.load import LoadPoller
 from laburnumwood.upstream.worker import Worker
 
-_RETRY_SHARE = 0.1  # of the requests
-
 
 class Incarnation:
     """One run of a node from joining to its end, with all its tasks."""
@@ -49,7 +46,7 @@
     ) -> None:
         self.name = name
         self._settings = settings
-        self._tasks: list[eventlet.greenthread.GreenThread] = []
+        self._tasks = Tasks()
         self.dispatcher = Dispatcher()
         self.view = FleetView(Directory(), SealBook())
         self.lease = Lease(name, settings.lease, clock)
@@ -61,6 +58,9 @@
             self.dispatcher,
             clock,
         )
+        self.load = LoadParts(
+            settings.service, name, self.view, self._peers, clock
+        )
         self._reader = Reader(name, platform, self.view)
         self._make_membership(clock)
         self._make_placement(platform, clock)
@@ -77,10 +77,12 @@
             self._granter.run,
             self._load_poller.run,
             self._account.run,
+            self.load.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
+            self._notary.run,
         ):
-            self._tasks.append(eventlet.spawn(supervise, task))
+            self._tasks.start(task)
 
     def hand_over(self) -> None:
         """Give every shard to another node and let the witnesses seal."""
@@ -93,8 +95,7 @@
         """Stop all tasks; nothing acts for this incarnation afterwards."""
         self.lease.resign()
         self.holdings.drop_all()
-        for task in self._tasks:
-            task.kill()
+        self._tasks.kill()
         self._peers.close()
 
     def _make_membership(self, clock: Clock) -> None:
@@ -125,7 +126,7 @@
             self.holdings,
             writer,
             self._spreader,
-            Balancer(service, self.name, self.view),
+            self.load.balancer,
             clock,
         )
 
@@ -137,23 +138,35 @@
         self._account = CapacityAccount(
             self._settings, lambda: self.view.directory.declarations, clock
         )
+        self._notary = Notary(
+            self.name,
+            self.view,
+            self.holdings,
+            self._peers,
+            self.dispatcher,
+            clock,
+        )
+        self._keeper.before_move = self._notary.hand_over
         gate = Gate(
             self._settings,
             self.lease,
             self.holdings,
             self._granter,
-            worker,
+            Executor(worker, self._notary, clock),
             lambda: self.view.directory.declarations.services,
             self._account,
+            self.load.meter,
             clock,
         )
         self._load_poller = LoadPoller(worker, gate.hint)
+        self.load.serve(self.dispatcher, gate)
         router = Router(
             self.name,
             self.view,
             self._peers,
             gate.serve,
-            RetryBudget(_RETRY_SHARE, clock),
+            self.load.spread,
+            self.load.retries,
             clock,
         )
         self.door = MeasuredDoor(
--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from laburnumwood.errors import LinkError
 from laburnumwood.protocol.streams import Stream
 
 
@@ -19,6 +20,13 @@
         """End the exchange on this side."""
 
 
+class Outgoing(Exchange, Protocol):
+    """What a door needs of a stream."""
+
+    def fail(self, reason: LinkError) -> None:
+        """Let all that waits on the stream fail."""
+
+
 class _Loop:
     """Delivers what one stream of a pair sends to the other."""
 
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -8,23 +8,24 @@
 import eventlet
 
 from laburnumwood.admission.control import ADMISSIONS
-from laburnumwood.admission.tickets import Ticket
+from laburnumwood.admission.tickets import Result, Ticket
 from laburnumwood.admission.waiting import Admitter
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.declarations import Service
 from laburnumwood.errors import LinkError, OverloadedError
 from laburnumwood.leases.lease import Lease
 from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Work
 from laburnumwood.records import ShardName
 from laburnumwood.routing.exchange import Exchange
+from laburnumwood.routing.execution import Executor
 from laburnumwood.routing.observed import ObservedExchange
 from laburnumwood.routing.outcome import failure, overloaded
 from laburnumwood.routing.priorities import line_of
-from laburnumwood.routing.running import Run, Runner
+from laburnumwood.routing.running import Run
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
-from laburnumwood.upstream.worker import Worker
 
 Services = Callable[[], Mapping[str, Service]]
 
@@ -62,6 +63,10 @@
     return body
 
 
+def _always() -> bool:
+    return True
+
+
 class Gate:
     """Lets a request through to the worker while this node may act for it."""
 
@@ -71,9 +76,10 @@
         lease: Lease,
         holdings: Holdings,
         granter: Granter,
-        worker: Worker,
+        executor: Executor,
         services: Services,
         account: Account,
+        meter: LoadMeter,
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -82,7 +88,8 @@
         self._granter = granter
         self._services = services
         self._account = account
-        self._runner = Runner(worker, clock)
+        self._meter = meter
+        self._executor = executor
         self._clock = clock
         self._admitter = Admitter(
             ADMISSIONS[settings.admission.policy](settings, clock), clock
@@ -124,12 +131,16 @@
             left_ms = max(ticket.deadline_ms - self._clock.now_ms(), 1)
             observed = ObservedExchange(exchange, ticket, self._clock)
             self._serve_admitted(observed, replace(work, deadline_ms=left_ms))
+        if ticket.result is Result.SERVED:
+            busy_ms = self._clock.now_ms() - ticket.started_ms
+            self._meter.note(work.shard, work.key, busy_ms)
 
     def _serve_admitted(self, exchange: Exchange, work: Work) -> None:
         until_ms = self._clock.now_ms() + work.deadline_ms
         body = read_body(exchange, work.deadline_ms)
         if work.shard < 0:
-            self._runner.run(Run(work, body, None, until_ms), exchange)
+            run = Run(replace(work, idempotency_key=''), body, None, until_ms)
+            self._executor.execute(exchange, run, _always)
             return
         shard = ShardName(work.service, work.shard)
         token = self._holdings.enter(shard)
@@ -145,11 +156,11 @@
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
         ready = self._wait_for_grant(shard, run.token)
-        if not ready or not self._may_act():
-            detail = f'{self._settings.node_id} may not act for {shard}'
+        if not ready:
+            detail = f'the worker has no grant for {shard}'
             exchange.send(failure('not-owner', detail, ran=False))
             return
-        self._runner.run(run, exchange)
+        self._executor.execute(exchange, run, self._may_act)
 
     def _may_act(self) -> bool:
         guard_ms = self._settings.lease.guard_ms
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -8,7 +8,6 @@
 from laburnumwood.admission.retries import RetryBudget
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError, LinkTimeoutError
-from laburnumwood.membership.choice import rendezvous
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.ownership import acting
 from laburnumwood.protocol.messages import (
@@ -20,11 +19,11 @@
     Work,
 )
 from laburnumwood.protocol.peers import Peers
-from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName, ShardName
 from laburnumwood.routing.caller import Caller
-from laburnumwood.routing.exchange import Serve, local_pair
+from laburnumwood.routing.exchange import Outgoing, Serve, local_pair
 from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.spread import AVOID_MS, Spread
 
 PATIENCE_MS = 3_000  # how long a request waits for an owner at the most
 _RETRY_MS = 50
@@ -37,7 +36,7 @@
     """The head of an answer, and its body that is still to come."""
 
     def __init__(
-        self, head: Answer, exchange: Stream, until_ms: int, clock: Clock
+        self, head: Answer, exchange: Outgoing, until_ms: int, clock: Clock
     ) -> None:
         self.head = head
         self._exchange = exchange
@@ -66,14 +65,14 @@
         self._exchange.close()
 
 
-def abandon(exchange: Stream) -> None:
+def abandon(exchange: Outgoing) -> None:
     """Tell the gate that its answer is no longer wanted, and wait no more."""
     gone = LinkError('the caller has gone')
     exchange.fail(gone)
     eventlet.spawn_n(_tell_cancel, exchange)
 
 
-def _tell_cancel(exchange: Stream) -> None:
+def _tell_cancel(exchange: Outgoing) -> None:
     try:
         exchange.send(Cancel())
     except LinkError:
@@ -89,6 +88,7 @@
         view: FleetView,
         peers: Peers,
         serve: Serve,
+        spread: Spread,
         budget: RetryBudget,
         clock: Clock,
     ) -> None:
@@ -96,6 +96,7 @@
         self._view = view
         self._peers = peers
         self._serve = serve
+        self._spread = spread
         self._budget = budget
         self._clock = clock
 
@@ -127,8 +128,7 @@
 
     def _target(self, work: Work) -> NodeName | None:
         if work.shard < 0:
-            live = self._view.live_in(work.service)
-            return next(iter(rendezvous(work.request_id, live)), None)
+            return self._spread.choose(self._view.live_in(work.service))
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         return acting(entry.record, self._view) if entry else None
 
@@ -142,14 +142,17 @@
         try:
             exchange = self._open(target, replace(work, deadline_ms=left_ms))
         except LinkError as refused:
+            self._spread.avoid(target, AVOID_MS)
             return failure('no-owner', str(refused), ran=False)
+        if work.shard < 0:
+            exchange = self._spread.track(exchange, target)
         caller.when_gone(lambda: abandon(exchange))
         reply = self._ask(exchange, body, until_ms)
         if isinstance(reply, Failure):
             exchange.close()
         return reply
 
-    def _open(self, target: NodeName, work: Work) -> Stream:
+    def _open(self, target: NodeName, work: Work) -> Outgoing:
         if target != self._own:
             exchange = self._peers.open_stream(target)
             exchange.send(work)
@@ -159,7 +162,7 @@
         return near
 
     def _ask(
-        self, exchange: Stream, body: bytes, until_ms: int
+        self, exchange: Outgoing, body: bytes, until_ms: int
     ) -> Reply | Failure:
         ran = False
         try:
@@ -177,7 +180,7 @@
         return self._read_head(head, exchange, until_ms)
 
     def _read_head(
-        self, head: object, exchange: Stream, until_ms: int
+        self, head: object, exchange: Outgoing, until_ms: int
     ) -> Reply | Failure:
         if isinstance(head, Answer):
             return Reply(head, exchange, until_ms, self._clock)
