Close silent links for certain, and serve beside them meanwhile

Cause: a sender blocked on a dead connection kept the lock that the pinger waited for, so the link never closed; and a socket closed under a blocked sender leaves that sender asleep for good in eventlet (64 senders were still blocked after 60 s). A frame that was too large left its link open and deaf. The reader could wait for a sender.

Now the pinger never waits, the socket is shut down first and closed when its last sender has left, the reader waits for nobody, and a link that has been silent for 600 ms while it owes something gets a second one beside it for new calls. Streams a peer may open, and idle time, are bounded; only the side that opens streams closes an idle link, so that none is lost.

Ruled out: one queue and writer task a link (one more switch a message).

--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -19,6 +19,9 @@
 from laburnumwood.records import NodeName
 
 SILENCE_MS = 1_000  # a link that owes something is lost after this
+SUSPECT_MS = 600  # after this, new streams go over another link
+IDLE_MS = 60_000  # a link that carries nothing is closed after this
+MOST_STREAMS = 2_048  # that a peer may have open on a link
 _PING_MS = 300
 _READ_SIZE = 65_536
 
@@ -29,7 +32,8 @@
     """A connection to a peer after its handshake.
 
     `handler` is called in a task of its own for each stream that the peer
-    opens, with the first message on it.
+    opens, with the first message on it.  Only the side that opens streams may
+    close an idle link, so that none is lost on its way.
     """
 
     def __init__(
@@ -39,13 +43,17 @@
         peer: NodeName,
         handler: Handler,
         clock: Clock,
+        *,
+        closes_idle: bool = False,
     ) -> None:
         self._protocol = protocol
         self._socket = sock
         self._peer = peer
         self._handler = handler
         self._clock = clock
+        self._closes_idle = closes_idle
         self._streams: dict[int, Stream] = {}
+        self._used_ms = clock.now_ms()
         self._last_number = 0
         self._last_opened = 0
         self._heard_ms = clock.now_ms()
@@ -63,6 +71,12 @@
         """Tell whether messages can still be sent."""
         return self._open
 
+    @property
+    def is_suspect(self) -> bool:
+        """Tell whether the peer has been silent while something is owed."""
+        silent_ms = self._clock.now_ms() - self._heard_ms
+        return bool(self._streams) and silent_ms >= SUSPECT_MS
+
     def run(self) -> None:
         """Read until the connection ends; call it in a task of its own."""
         pinger = eventlet.spawn(self._watch_silence)
@@ -72,7 +86,7 @@
             MESSAGE_REFUSED.report(peer=self._peer, reason=refused)
         finally:
             pinger.kill()
-            self.close()
+            self._end()
 
     def open_stream(self) -> Stream:
         """Return a new stream to the peer."""
@@ -102,11 +116,16 @@
         self._open = False
         with suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
-        self._socket.close()
         for stream in tuple(self._streams.values()):
             stream.fail(LinkLostError(f'link to {self._peer} was lost'))
         self._streams.clear()
 
+    def _end(self) -> None:
+        self.close()
+        # Closed before a blocked sender has left, it would never wake.
+        with self._lock:
+            self._socket.close()
+
     def _flush(self) -> None:
         try:
             for part in self._protocol.data_to_send():
@@ -126,12 +145,22 @@
             self._heard_ms = self._clock.now_ms()
             self._owed_since_ms = None
             self._protocol.receive_data(received)
+            if self._protocol.parser_exc is not None:
+                raise ProtocolError(f'frame: {self._protocol.parser_exc}')
             self._take_events()
 
     def _take_events(self) -> None:
         for event in self._protocol.events_received():
-            if isinstance(event, Frame) and event.opcode is Opcode.BINARY:
+            if not isinstance(event, Frame) or event.opcode is Opcode.TEXT:
+                raise ProtocolError('an unexpected frame came')
+            if event.opcode is Opcode.BINARY:
                 self._dispatch(*decode(bytes(event.data)))
+            else:
+                # The reader never waits for a sender: two peers that wait
+                # for each other's reader would stop for good.
+                eventlet.spawn_n(self._send_pending)
+
+    def _send_pending(self) -> None:
         with self._lock, suppress(LinkLostError):
             self._flush()
 
@@ -142,6 +171,8 @@
             stream.deliver(message)
         elif number > self._last_opened:
             self._last_opened = number
+            if len(self._streams) >= MOST_STREAMS:
+                raise ProtocolError('the peer opened too many streams')
             opened = Stream(-number, self)
             self._streams[-number] = opened
             eventlet.spawn_n(self._handler, self, opened, message)
@@ -154,14 +185,27 @@
         while self._open:
             eventlet.sleep(_PING_MS / MS_PER_SECOND)
             now_ms = self._clock.now_ms()
-            if now_ms - (self._owed_since_ms or now_ms) >= SILENCE_MS:
+            if self._streams:
+                self._used_ms = now_ms
+                self._check_silence(now_ms - self._heard_ms)
+            elif self._closes_idle and now_ms - self._used_ms >= IDLE_MS:
                 self.close()
-                return
-            if self._streams and now_ms - self._heard_ms >= _PING_MS:
-                self._expect_answer()
-                self._ping()
+
+    def _check_silence(self, silent_ms: int) -> None:
+        if silent_ms >= SILENCE_MS:
+            self.close()
+        elif silent_ms >= _PING_MS:
+            self._ping()
 
     def _ping(self) -> None:
-        with self._lock, suppress(LinkLostError, InvalidState):
+        # A sender that is blocked holds the lock; waiting for it would keep
+        # this task from closing a dead connection.
+        if not self._lock.acquire(blocking=False):
+            return
+        try:
             self._protocol.send_ping(b'')
             self._flush()
+        except (LinkLostError, InvalidState):
+            return  # the reader ends the link
+        finally:
+            self._lock.release()
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -83,7 +83,9 @@
             link = self._links.get(peer)
             if link is None or not link.is_open:
                 link = self._connect(peer)
-                self._links[peer] = link
+            elif link.is_suspect:
+                link = self._connect_beside(link)
+            self._links[peer] = link
         return link.open_stream()
 
     def call(self, peer: NodeName, message: Any, timeout_ms: int) -> Any:
@@ -104,12 +106,26 @@
             link.close()
         self._links.clear()
 
+    def _connect_beside(self, link: Link) -> Link:
+        # What the silent link owes may still come: it closes by itself.
+        try:
+            return self._connect(link.peer)
+        except LinkRefusedError:
+            return link
+
     def _connect(self, peer: NodeName) -> Link:
         address = self._lookup(peer)
         if address is None:
             raise LinkRefusedError(f'no address of {peer} is known')
         protocol, sock = dial(*address, self._own, self._security)
-        link = Link(protocol, sock, peer, self._handler, self._clock)
+        link = Link(
+            protocol,
+            sock,
+            peer,
+            self._handler,
+            self._clock,
+            closes_idle=True,
+        )
         eventlet.spawn_n(link.run)
         return link
 
--- /dev/null
+++ b/tests/features/request_links.feature
@@ -0,0 +1,32 @@
+Feature: Links between nodes that go silent, are slow or break the protocol
+
+  Scenario: a silent link fails what it owes, and a new one serves meanwhile
+    Given a peer that falls silent on its first connection
+    When a call waits on the silent link
+    And another call is made once the link is suspect
+    Then the other call is answered over a second connection
+    And the call that waits fails with LinkLostError
+
+  Scenario: senders blocked on a dead connection fail
+    Given a peer that falls silent on its first connection
+    When 64 streams send more than the connection takes
+    Then all of them fail with LinkLostError
+
+  Scenario: a stream that nobody reads stalls no other
+    Given a peer that answers calls and reads no bodies
+    When a stream sends bodies until its window is closed
+    Then other calls are answered
+    And the stream sent no more than its window and one chunk
+
+  Scenario Outline: a peer that breaks the protocol loses only that link
+    Given a peer that answers calls and reads no bodies
+    When a link sends <what>
+    Then that link is closed
+    And other calls are answered
+
+    Examples:
+      | what                        |
+      | bytes that are no CBOR      |
+      | a message of unknown kind   |
+      | a frame that is too large   |
+      | more than the window allows |
--- /dev/null
+++ b/tests/features/steps/link_steps.py
@@ -0,0 +1,207 @@
+"""Steps about links between nodes, in one process on eventlet sockets."""
+
+from contextlib import suppress
+from typing import Any
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+from cbor2 import dumps
+from websockets.protocol import Protocol
+
+from laburnumwood.clock import Clock
+from laburnumwood.errors import LinkError
+from laburnumwood.protocol.codec import LARGEST_FRAME, encode
+from laburnumwood.protocol.handshake import dial, welcome
+from laburnumwood.protocol.link import SUSPECT_MS, Link
+from laburnumwood.protocol.messages import Cancel, Chunk, Done
+from laburnumwood.protocol.peers import Dispatcher, Peers, listen
+from laburnumwood.protocol.security import LinkSecurity
+from laburnumwood.protocol.streams import WINDOW, Stream
+from laburnumwood.records import NodeName
+
+HOST = '127.0.0.1'
+KEY = LinkSecurity('a key of the tests only')
+OWN, PEER = NodeName('own', 1), NodeName('peer', 1)
+LIMIT_S = 60
+LIMIT_MS = 60_000
+CHUNK = 32_768
+
+
+def _dispatcher(context: Context) -> Dispatcher:
+    dispatcher = Dispatcher()
+
+    @dispatcher.on(Cancel)
+    def answer(_link: Link, stream: Stream, _message: Any) -> None:
+        stream.send(Done())
+
+    @dispatcher.on(Chunk)
+    def hold(_link: Link, _stream: Stream, _message: Any) -> None:
+        eventlet.sleep(LIMIT_S)
+
+    return dispatcher
+
+
+def _serve(context: Context, listener: Any, dispatcher: Dispatcher) -> None:
+    while True:
+        sock, _ = listener.accept()
+        context.connections += 1
+        protocol, peer = welcome(sock, KEY)
+        if context.connections > 1:
+            link = Link(protocol, sock, peer, dispatcher.handle, Clock())
+            eventlet.spawn_n(link.run)
+        else:
+            context.silent = sock
+
+
+def _begin(context: Context, task: Any, address: Any) -> None:
+    context.connections = 0
+    context.address = address
+    server = eventlet.spawn(*task)
+    context.add_cleanup(server.kill)
+    dispatcher = Dispatcher()
+    lookup = {PEER: address}
+    context.peers = Peers(OWN, KEY, lookup.get, dispatcher, Clock())
+    context.add_cleanup(context.peers.close)
+
+
+@given('a peer that falls silent on its first connection')
+def start_silent(context: Context) -> None:
+    listener = eventlet.listen((HOST, 0))
+    task = (_serve, context, listener, _dispatcher(context))
+    _begin(context, task, listener.getsockname())
+
+
+@given('a peer that answers calls and reads no bodies')
+def start_peer(context: Context) -> None:
+    probe = eventlet.listen((HOST, 0))
+    address = probe.getsockname()
+    probe.close()
+    task = (listen, address, KEY, _dispatcher(context).handle, Clock())
+    _begin(context, task, address)
+    eventlet.sleep(0)
+
+
+def _outcome(call: Any, *arguments: Any) -> Any:
+    try:
+        return call(*arguments)
+    except LinkError as failure:
+        return failure
+
+
+@when('a call waits on the silent link')
+def call_silent(context: Context) -> None:
+    stream = context.peers.open_stream(PEER)
+    stream.send(Cancel())
+    context.waiting = eventlet.spawn(_outcome, stream.receive, LIMIT_MS)
+
+
+@when('another call is made once the link is suspect')
+def call_beside(context: Context) -> None:
+    eventlet.sleep((SUSPECT_MS + 100) / 1_000)
+    context.answer = _outcome(context.peers.call, PEER, Cancel(), LIMIT_MS)
+
+
+@then('the other call is answered over a second connection')
+def check_beside(context: Context) -> None:
+    assert isinstance(context.answer, Done), context.answer
+    assert context.connections == 2, context.connections
+
+
+@then('the call that waits fails with LinkLostError')
+def check_silent(context: Context) -> None:
+    with eventlet.Timeout(LIMIT_S):
+        failure = context.waiting.wait()
+    assert type(failure).__name__ == 'LinkLostError', failure
+
+
+def _send_window(stream: Stream) -> None:
+    for _ in range(WINDOW // CHUNK):
+        stream.send(Chunk(bytes(CHUNK)))
+    stream.receive(LIMIT_MS)
+
+
+@when('{count:d} streams send more than the connection takes')
+def send_much(context: Context, count: int) -> None:
+    streams = [context.peers.open_stream(PEER) for _ in range(count)]
+    context.senders = [
+        eventlet.spawn(_outcome, _send_window, stream) for stream in streams
+    ]
+
+
+@then('all of them fail with LinkLostError')
+def check_senders(context: Context) -> None:
+    with eventlet.Timeout(LIMIT_S):
+        failures = [sender.wait() for sender in context.senders]
+    kinds = {type(failure).__name__ for failure in failures}
+    assert kinds == {'LinkLostError'}, kinds
+
+
+@when('a stream sends bodies until its window is closed')
+def fill_window(context: Context) -> None:
+    context.stream = context.peers.open_stream(PEER)
+    context.sent = 0
+
+    def send() -> None:
+        while True:
+            context.stream.send(Chunk(bytes(CHUNK)))
+            context.sent += CHUNK
+
+    context.sender = eventlet.spawn(_outcome, send)
+    context.add_cleanup(context.sender.kill)
+
+
+@then('other calls are answered')
+def check_others(context: Context) -> None:
+    for _ in range(20):
+        answer = context.peers.call(PEER, Cancel(), LIMIT_MS)
+        assert isinstance(answer, Done), answer
+
+
+@then('the stream sent no more than its window and one chunk')
+def check_window(context: Context) -> None:
+    with eventlet.Timeout(LIMIT_S):
+        while context.sent < WINDOW:
+            eventlet.sleep(0)
+    assert WINDOW <= context.sent <= WINDOW + CHUNK, context.sent
+
+
+def _frames(what: str) -> list[bytes]:
+    if what == 'bytes that are no CBOR':
+        return [b'\xff\xff']
+    if what == 'a message of unknown kind':
+        return [dumps((1, 'unheard-of', 1))]
+    if what == 'a frame that is too large':
+        return [bytes(LARGEST_FRAME + 1)]
+    flood = encode(1, Chunk(bytes(CHUNK)))
+    return [flood for _ in range(4 * WINDOW // CHUNK)]
+
+
+@when('a link sends {what}')
+def send_frames(context: Context, what: str) -> None:
+    host, port = context.address
+    protocol, sock = dial(host, port, PEER, KEY)
+    context.broken = protocol, sock
+    try:
+        for frame in _frames(what):
+            protocol.send_binary(frame)
+            for part in protocol.data_to_send():
+                sock.sendall(part)
+    except OSError:
+        return  # the other side has closed it already
+
+
+def _answer_pings(protocol: Protocol, sock: Any) -> bool:
+    received = sock.recv(CHUNK)
+    protocol.receive_data(received)
+    for part in protocol.data_to_send():
+        sock.sendall(part)
+    return bool(received)
+
+
+@then('that link is closed')
+def check_closed(context: Context) -> None:
+    # A link that answers pings is not closed for its silence.
+    with eventlet.Timeout(LIMIT_S), suppress(ConnectionError):
+        while _answer_pings(*context.broken):
+            eventlet.sleep(0)
