--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -86,6 +86,10 @@
     )
 
 
+def _reads(reading: _Reading) -> float:
+    return reading.counts['reads'] + reading.counts['watches']
+
+
 def _observe(fleet: Fleet) -> Cost:
     first = _read(fleet)
     time.sleep(_WINDOW_S)
@@ -99,7 +103,7 @@
         (last.sent_bytes - first.sent_bytes) / node_s / _KB,
         (last.messages - first.messages) / node_s,
         (last.counts['writes'] - first.counts['writes']) / node_s,
-        (last.counts['reads'] - first.counts['reads']) / node_s,
+        (_reads(last) - _reads(first)) / node_s,
         last.counts['waiting'] / len(pids),
     )
 
