--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -1,46 +1,80 @@
-"""What a node tells operators, as JSON over HTTP."""
+"""The pages that a node shows to operators."""
 
-import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
+from urllib.parse import parse_qs
 
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.view import FleetView
+from laburnumwood.metrics import (
+    GENERATION,
+    IDLE_SLOTS,
+    LEASE_HELD,
+    SHARDS_OWNED,
+    exposition,
+)
+from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.ownership import acting
+from laburnumwood.placement.sharding import shard_of
+from laburnumwood.records import ShardRecord
 from laburnumwood.routing.gate import Gate
 
-Environ = dict[str, Any]
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Query = dict[str, str]
+Page = Callable[['OperatorApi', Query], Any]
+_PAGES: dict[str, Page] = {}
+_WINDOW_MS = 60_000
+
+
+def _page(path: str) -> Callable[[Page], Page]:
+    def register(show: Page) -> Page:
+        _PAGES[path] = show
+        return show
+
+    return register
 
 
 class OperatorApi:
-    """A WSGI application that shows what a node knows and does."""
+    """What one incarnation of a node knows and does."""
 
     def __init__(
-        self, view: FleetView, lease: Lease, holdings: Holdings, gate: Gate
+        self,
+        view: FleetView,
+        lease: Lease,
+        holdings: Holdings,
+        gate: Gate,
+        account: CapacityAccount,
     ) -> None:
         self._view = view
         self._lease = lease
         self._holdings = holdings
         self._gate = gate
-        self._pages: dict[str, Callable[[], Any]] = {
-            '/status': self._status,
-            '/owners': self._owners,
-            '/nodes': self._nodes,
-        }
+        self._account = account
 
-    def __call__(
-        self, environ: Environ, start_response: StartResponse
-    ) -> Iterable[bytes]:
-        """Answer one request of an operator."""
-        page = self._pages.get(environ['PATH_INFO'])
-        content = page() if page else {'error': 'no such page'}
-        status = '200 OK' if page else '404 Not Found'
-        start_response(status, [('Content-Type', 'application/json')])
-        return (json.dumps(content).encode(),)
-
-    def _status(self) -> dict[str, Any]:
+    @property
+    def paths(self) -> tuple[str, ...]:
+        """Return the paths of all pages."""
+        return tuple(sorted(_PAGES))
+
+    def page(self, path: str, query: str) -> Any:
+        """Return the content of a page; raises `LookupError`."""
+        if path not in _PAGES:
+            raise LookupError('no such page')
+        fields = {name: texts[0] for name, texts in parse_qs(query).items()}
+        return _PAGES[path](self, fields)
+
+    def metrics(self) -> bytes:
+        """Return all metrics, with the gauges as they stand now."""
+        record = self._view.directory.node(self._lease.holder)
+        owner = record.capacity_owner if record else ''
+        IDLE_SLOTS.record(self._account.idle_slots, {'owner': owner})
+        LEASE_HELD.record(int(self._lease.holds()))
+        SHARDS_OWNED.record(len(self._holdings.tokens()))
+        GENERATION.record(self._view.directory.config.generation)
+        return exposition()
+
+    @_page('/status')
+    def _status(self, _query: Query) -> dict[str, Any]:
         held = sorted(self._holdings.tokens())
         witnesses = self._lease.witnesses.members
         return {
@@ -50,19 +84,41 @@
             'generation': self._view.directory.config.generation,
             'shards': [str(shard) for shard in held],
             'running': self._gate.running,
+            'waiting': self._gate.waiting,
+        }
+
+    @_page('/generation')
+    def _generation(self, _query: Query) -> dict[str, Any]:
+        return {
+            'node': str(self._lease.holder),
+            'generation': self._view.directory.config.generation,
         }
 
-    def _owners(self) -> dict[str, dict[str, str | None]]:
+    @_page('/owners')
+    def _owners(self, _query: Query) -> dict[str, dict[str, str | None]]:
         directory = self._view.directory
         return {
             service: {
-                str(number): _text(acting(entry.record, self._view))
+                str(number): self._owner(entry.record)
                 for number, entry in sorted(directory.shards(service).items())
             }
             for service in directory.services()
         }
 
-    def _nodes(self) -> list[dict[str, Any]]:
+    @_page('/owner')
+    def _owner_of_key(self, query: Query) -> dict[str, Any]:
+        """Show who owns a key; `service` and `key` are in the query."""
+        name, key = query.get('service', ''), query.get('key', '')
+        service = self._view.directory.declarations.services.get(name)
+        if service is None or service.key is None:
+            raise LookupError(f'{name!r} is no service divided by key')
+        number = shard_of(key, service.shards)
+        entry = self._view.directory.shards(name).get(number)
+        owner = self._owner(entry.record) if entry else None
+        return {'service': name, 'key': key, 'shard': number, 'owner': owner}
+
+    @_page('/nodes')
+    def _nodes(self, _query: Query) -> list[dict[str, Any]]:
         return [
             {
                 'node': str(name),
@@ -70,12 +126,34 @@
                 'service': record.service,
                 'capacity_owner': record.capacity_owner,
                 'slots': record.slots,
+                'host': record.host,
                 'door_port': record.door_port,
                 'operator_port': record.operator_port,
             }
             for name, record in sorted(self._view.live())
         ]
 
+    @_page('/idle')
+    def _idle(self, query: Query) -> dict[str, Any]:
+        asked = query.get('window_ms', str(_WINDOW_MS))
+        if not asked.isdecimal():
+            raise LookupError(f'window_ms {asked!r} is no number')
+        usage = self._account.usage(int(asked))
+        record = self._view.directory.node(self._lease.holder)
+        return {
+            'node': str(self._lease.holder),
+            'capacity_owner': record.capacity_owner if record else '',
+            'failure_domain': record.failure_domain if record else '',
+            'service': record.service if record else '',
+            'window_ms': usage.window_ms,
+            'slots': usage.slots,
+            'idle': usage.idle,
+            'used': [
+                {'service': to.service, 'owner': to.owner, 'slot_ms': spent}
+                for to, spent in usage.used.items()
+            ],
+        }
 
-def _text(name: object) -> str | None:
-    return None if name is None else str(name)
+    def _owner(self, record: ShardRecord) -> str | None:
+        name = acting(record, self._view)
+        return None if name is None else str(name)
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -1,5 +1,7 @@
 """The tasks that keep a node's shards: claim, take over, renew and move."""
 
+from collections.abc import Callable
+
 import eventlet
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
@@ -20,6 +22,13 @@
 _HAND_OVER_MS = 2_500
 
 
+BeforeMove = Callable[[ShardName, tuple[NodeName, ...]], bool]
+
+
+def _move_at_once(_shard: ShardName, _next: tuple[NodeName, ...]) -> bool:
+    return True
+
+
 class Keeper:
     """Keeps the shards of one incarnation of a node."""
 
@@ -43,6 +52,7 @@
         self._balancer = balancer
         self._clock = clock
         self._stopping = False
+        self.before_move: BeforeMove = _move_at_once
 
     def watch_standing(self) -> None:
         """Take over and give up shards as seals and records ask for it."""
@@ -86,7 +96,10 @@
     def _move(self, write: ShardWrite) -> None:
         while not self._holdings.is_idle(write.shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
-        self._carry(write)
+        if self.before_move(write.shard, write.record.succession):
+            self._carry(write)
+        else:
+            self._finish(write, Progress.NOT_SENT)
 
     def _write_wanted(self) -> None:
         for shard in self._tenure.wanted():
@@ -103,7 +116,9 @@
             self._begin_move(shard, move.target)
 
     def _carry(self, write: ShardWrite) -> None:
-        progress = self._writer.carry(write)
+        self._finish(write, self._writer.carry(write))
+
+    def _finish(self, write: ShardWrite, progress: Progress) -> None:
         self._tenure.finish(write, progress)
         if self._stopping:
             self._holdings.close(write.shard)
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -12,6 +12,7 @@
 from laburnumwood.events import MESSAGE_REFUSED
 from laburnumwood.protocol.handshake import dial, welcome
 from laburnumwood.protocol.link import Handler, Link
+from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 
@@ -59,13 +60,13 @@
     def __init__(
         self,
         own: NodeName,
-        key: str,
+        security: LinkSecurity,
         lookup: Lookup,
         dispatcher: Dispatcher,
         clock: Clock,
     ) -> None:
         self._own = own
-        self._key = key
+        self._security = security
         self._lookup = lookup
         self._handler: Handler = dispatcher.handle
         self._clock = clock
@@ -107,17 +108,21 @@
         address = self._lookup(peer)
         if address is None:
             raise LinkRefusedError(f'no address of {peer} is known')
-        protocol, sock = dial(*address, self._own, self._key)
+        protocol, sock = dial(*address, self._own, self._security)
         link = Link(protocol, sock, peer, self._handler, self._clock)
         eventlet.spawn_n(link.run)
         return link
 
 
 def _serve(
-    sock: socket.socket, key: str, handler: Handler, clock: Clock
+    sock: socket.socket,
+    security: LinkSecurity,
+    handler: Handler,
+    clock: Clock,
 ) -> None:
     try:
-        protocol, peer = welcome(sock, key)
+        sock = security.wrap_accepted(sock)
+        protocol, peer = welcome(sock, security)
     except (OSError, ProtocolError) as refused:
         MESSAGE_REFUSED.report(peer='unknown', reason=refused)
         sock.close()
@@ -126,10 +131,13 @@
 
 
 def listen(
-    address: tuple[str, int], key: str, handler: Handler, clock: Clock
+    address: tuple[str, int],
+    security: LinkSecurity,
+    handler: Handler,
+    clock: Clock,
 ) -> None:
     """Serve peers that connect to a host and port; does not return."""
     listener = eventlet.listen(address, backlog=_BACKLOG)
     while True:
         sock, _ = listener.accept()
-        eventlet.spawn_n(_serve, sock, key, handler, clock)
+        eventlet.spawn_n(_serve, sock, security, handler, clock)
--- /dev/null
+++ b/tests/features/steps/operators_steps.py
@@ -0,0 +1,202 @@
+"""Steps about rights, secured links and the account of capacity."""
+
+import json
+import socket
+import ssl
+import subprocess
+import sys
+import tempfile
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+from urllib3 import request
+
+from bench.deployment import HOST, SHARED_KEY, Deployment, Place, wait_for
+from laburnumwood.clock import Clock
+from laburnumwood.config.acceptance import accept
+from laburnumwood.config.declarations import Declarations
+from laburnumwood.operators.capacity import CapacityAccount
+from laburnumwood.platform.client import Platform
+from laburnumwood.settings import DaemonSettings
+from tests.features.steps.certificates import write_certificates
+from tests.features.steps.fake_clock import FakeClock
+
+LIMIT_S = 120
+SHARDS = 6
+HANDSHAKE = (
+    b'GET / HTTP/1.1\r\nHost: peer\r\nUpgrade: websocket\r\n'
+    b'Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n'
+    b'Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n'
+    b'Authorization: certificate\r\nLaburnumwood-Node: x#1\r\n\r\n'
+)
+DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
+
+
+@when('the node "{node_id}" is restarted with the operators')
+def restart(context: Context, node_id: str) -> None:
+    member = context.deployment.members[node_id]
+    member.node.kill()
+    context.operators = json.loads(context.text)
+    member.settings['operators'] = context.operators
+    member.path.write_text(json.dumps(member.settings))
+    context.deployment.restart_node(member)
+    wait_for('the operator port', lambda: bool(_call(member, '')), LIMIT_S)
+
+
+def _call(member: Any, token: str, call: str = 'GET /status') -> int:
+    method, path = call.split(' ')
+    headers = {'Authorization': f'Bearer {token}'} if token else {}
+    url = f'{member.operators}{path}'
+    return int(request(method, url, headers=headers, retries=False).status)
+
+
+@then('the operator port of "{node_id}" answers')
+def check_answers(context: Context, node_id: str) -> None:
+    member = context.deployment.members[node_id]
+    token = next(iter(context.operators.values()))['token']
+    wait_for('joining', lambda: _call(member, token) == 200, LIMIT_S)
+    for call, given_token, status in context.table:
+        found = _call(member, given_token, call)
+        assert found == int(status), (call, given_token, found)
+
+
+@then('the node "{node_id}" ends with status {status:d}')
+def check_end(context: Context, node_id: str, status: int) -> None:
+    context.node = context.deployment.members[node_id].node
+    wait_for('end', lambda: not context.node.is_running, LIMIT_S)
+    assert context.node.stop() == status
+
+
+@then('its log names "{event}" and "{field}"')
+def check_log(context: Context, event: str, field: str) -> None:
+    lines = context.node.log.read_text().splitlines()
+    assert any(event in line and field in line for line in lines), lines
+
+
+@then('its log holds no token and no key')
+def check_secrets(context: Context) -> None:
+    text = context.node.log.read_text()
+    tokens = [each['token'] for each in context.operators.values()]
+    for secret in (SHARED_KEY, 'not a token of anyone', *tokens):
+        assert secret not in text, secret
+
+
+@given('three nodes of "{service}" whose links are secured by certificates')
+def start_secured(context: Context, service: str) -> None:
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = Path(folder.name)
+    context.deployment = Deployment()
+    context.add_cleanup(context.deployment.close)
+    tls = write_certificates(context.folder, 'fleet')
+    for number, domain in enumerate(DOMAINS, 1):
+        place = Place(f'{service}-{number}', domain, service)
+        context.deployment.add(place, shared_key=None, tls=tls)
+    key = {'source': 'header', 'name': 'Kiosk'}
+    declared = {'services': {service: {'key': key, 'shards': SHARDS}}}
+    platform = Platform(context.deployment.platform_url)
+    accept(platform, {'a.json': declared}, 'scenario', Clock())
+
+
+@then('each of them is owner of some of its shards')
+def check_owners(context: Context) -> None:
+    def is_shared_out() -> bool:
+        pages = [
+            context.deployment.page(member, 'owners')
+            for member in context.deployment.members.values()
+        ]
+        owners = [set(page.get('portal', {}).values()) for page in pages]
+        return all(len(each - {None}) == len(DOMAINS) for each in owners)
+
+    wait_for('owners', is_shared_out, LIMIT_S)
+
+
+@then('a peer with the certificate of a stranger is refused by "{node_id}"')
+def check_stranger(context: Context, node_id: str) -> None:
+    port = context.deployment.members[node_id].settings['peer_port']
+    files = write_certificates(context.folder, 'stranger')
+    client = ssl.create_default_context()
+    client.check_hostname = False
+    client.verify_mode = ssl.CERT_NONE
+    client.load_cert_chain(files['certificate'], files['key'])
+    with socket.create_connection((HOST, port)) as plain:
+        try:
+            with client.wrap_socket(plain) as sock:
+                sock.sendall(HANDSHAKE)
+                answer = sock.recv(1)
+        except (ssl.SSLError, ConnectionError):
+            return
+    assert not answer, 'the stranger got an answer'
+
+
+def _settings(**more: Any) -> dict[str, Any]:
+    return {
+        'node_id': 'n',
+        'failure_domain': 'd',
+        'peer_port': 1,
+        'door_port': 2,
+        'operator_port': 3,
+        'platform_url': 'http://p',
+        'worker_url': 'http://w',
+        'service': 's',
+        'capacity_owner': 'o',
+        'shared_key': SHARED_KEY,
+        **more,
+    }
+
+
+@then('a daemon with {changes} ends with status {status:d} and "{message}"')
+def check_refused_settings(
+    context: Context, changes: str, status: int, message: str
+) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'settings.json'
+        path.write_text(json.dumps(_settings(**json.loads(changes))))
+        module = 'laburnumwood.daemon.main'
+        ended = subprocess.run(
+            (sys.executable, '-m', module, '--settings', str(path)),
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+    assert ended.returncode == status, ended
+    assert message in ended.stderr, ended.stderr
+
+
+@then('used and idle slot-milliseconds are the capacity of any window')
+def check_sums(context: Context) -> None:
+    steps = st.tuples(st.integers(0, 3), st.integers(0, 5_000))
+
+    @settings(derandomize=True, database=None)
+    @for_all(st.lists(steps, min_size=1), st.integers(0, 20_000))
+    def add_up(story: list[tuple[int, int]], window_ms: int) -> None:
+        clock = FakeClock()
+        declared = Declarations.model_validate(
+            {'services': {'s0': {'owner': 'traders'}}}
+        )
+        own = DaemonSettings.model_validate(_settings(slots=3))
+        account = CapacityAccount(own, lambda: declared, clock)
+        ran_ms = 0
+        for running, span_ms in story:
+            with ExitStack() as busy:
+                for number in range(running):
+                    busy.enter_context(account.busy(f's{number}'))
+                clock.pass_ms(span_ms)
+                ran_ms += running * span_ms
+        usage = account.usage(window_ms)
+        carried = sum(usage.used.values())
+        assert carried + usage.idle == usage.slots * usage.window_ms
+        assert 0 <= carried <= usage.slots * usage.window_ms
+        whole = account.usage(10**9)
+        assert sum(whole.used.values()) == ran_ms
+        owners = {served.service: served.owner for served in whole.used}
+        assert owners.get('s0', 'traders') == 'traders'
+        assert owners.get('s1', 'o') == 'o'
+
+    add_up()
