Record proved ends, confirm losses, and forget what has ended

Cause, each found by reading and then shown by a scenario of membership.feature: - a node that lost a majority of its witnesses at once never renewed again and never joined anew, since only refusals counted as lost witnesses; sealed or ended ones now count as well, and it gives its incarnation up; - a join whose answer was lost was repeated as yet another incarnation, and each failed read of the store after it made one more; now one mark serves all attempts and the read is repeated alone; - a process whose id another one took went on and would have joined again; now its incarnation ends and the process stops (event 106); - ends were written only by planned stops; one live node now writes each proved end, a process its own earlier one on joining, and the command confirm-lost (joining.confirm_lost) what an operator asserts; - seals and the witnesses' tables grew for ever; seals of ended incarnations that are in no succession are forgotten, and of a witness's table only a number below which all incarnations of an id have ended is kept.

The random worlds now run all this too: forgetting and recording happen in every world. The example for the new name of a restarted witness needed its owner deaf to the store, which now tells it that it has ended.

Ruled out: giving up whenever the lease is not held; in a partition of regions each node would join anew every few seconds for its whole length. Ruled out: random times of rewritten successions; they made an example pass or fail by chance. They come from a hash of node, shard and epoch now.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -10,11 +10,9 @@
 from laburnumwood.events import TASK_FAILED
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
-from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.member import Member
 from laburnumwood.membership.reader import Reader
-from laburnumwood.membership.renewal import Renewer, WitnessDesk
-from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.placement.balancer import Balancer
@@ -75,18 +73,25 @@
             clock,
         )
         self._reader = Reader(name, platform, self.view)
-        self._make_membership(clock)
+        self._member = Member(
+            self.lease,
+            self.view,
+            self._peers,
+            self.dispatcher,
+            platform,
+            settings.lease,
+            clock,
+        )
         self._make_placement(platform, clock)
         self._make_routing(clock)
 
     def start(self) -> None:
         """Read the store and start all tasks; raises `PlatformError`."""
         self._reader.list_all()
-        self._renewer.begin()
+        self._member.renewer.begin()
         for task in (
             self._reader.run,
-            self._renewer.run,
-            self._desk.run,
+            *self._member.tasks,
             self._granter.run,
             self._load_poller.run,
             self._keeper.watch_standing,
@@ -99,7 +104,7 @@
         self._keeper.hand_over_all(self.name)
         witnesses = set(self.lease.witnesses.members)
         self.lease.resign()
-        self._spreader.tell(witnesses - {self.name}, Resign(self.name))
+        self._member.spreader.tell(witnesses - {self.name}, Resign(self.name))
 
     def end(self) -> None:
         """Stop all tasks; nothing acts for this incarnation afterwards."""
@@ -109,26 +114,11 @@
             task.kill()
         self._peers.close()
 
-    def _make_membership(self, clock: Clock) -> None:
-        settings = self._settings.lease
-        witness = Witness(self.name, settings, clock)
-        self._spreader = Spreader(self.view, self._peers, self.dispatcher)
-        self._renewer = Renewer(
-            self.lease,
-            witness,
-            self._spreader,
-            self._peers,
-            self.view,
-            settings,
-            clock,
-        )
-        self._desk = WitnessDesk(
-            witness, self._spreader, self.view, self.dispatcher
-        )
-
     def _make_placement(self, platform: Platform, clock: Clock) -> None:
         service = self._settings.service
-        writer = ShardWriter(platform, self.view.directory, self._renewer)
+        writer = ShardWriter(
+            platform, self.view.directory, self._member.renewer
+        )
         tenure = Tenure(service, self.view, self.lease, self.holdings, clock)
         self._keeper = Keeper(
             service,
@@ -136,7 +126,7 @@
             tenure,
             self.holdings,
             writer,
-            self._spreader,
+            self._member.spreader,
             Balancer(service, self.name, self.view),
             clock,
         )
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -1,7 +1,7 @@
 """The node: its listeners, and one incarnation after another."""
 
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 import eventlet
 
@@ -9,16 +9,20 @@
 from laburnumwood.daemon.incarnation import Incarnation
 from laburnumwood.errors import PlatformError
 from laburnumwood.events import (
+    NODE_ID_TAKEN,
     NODE_JOINED,
     NODE_LEFT,
     REJOINING,
     STORE_UNREACHABLE,
 )
+from laburnumwood.membership.endings import Fate, fate
 from laburnumwood.membership.joining import join, leave
 from laburnumwood.platform.client import Platform
+from laburnumwood.platform.writes import new_mark
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.peers import listen
 from laburnumwood.protocol.streams import Stream
+from laburnumwood.records import NodeName
 from laburnumwood.routing.outcome import StartResponse, failure, refuse
 from laburnumwood.routing.server import serve_callers
 from laburnumwood.settings import DaemonSettings
@@ -28,6 +32,8 @@
 _DRAIN_PATIENCE_MS = 30_000
 _BACKLOG = 1_024
 
+_Found = TypeVar('_Found')
+
 
 class Node:
     """One process beside one worker."""
@@ -42,14 +48,19 @@
     def run(self) -> None:
         """Serve until a planned stop is complete."""
         self._listen()
+        ended: NodeName | None = None
         while not self._stopping:
-            incarnation = self._join()
+            incarnation = self._join(ended)
             NODE_JOINED.report(node=incarnation.name)
-            while not incarnation.lease.is_over and not self._stopping:
-                eventlet.sleep(_POLL_MS / MS_PER_SECOND)
-            if not self._stopping:
-                REJOINING.report(node=incarnation.name)
-                incarnation.end()
+            known = self._live(incarnation)
+            if self._stopping:
+                break
+            incarnation.end()
+            if known is Fate.REPLACED:
+                NODE_ID_TAKEN.report(node=incarnation.name)
+                return
+            ended = incarnation.name
+            REJOINING.report(node=ended)
         self._leave()
 
     def stop(self) -> None:
@@ -94,20 +105,33 @@
             return _not_ready(start_response)
         return self._incarnation.operators(environ, start_response)
 
-    def _join(self) -> Incarnation:
+    def _live(self, incarnation: Incarnation) -> Fate:
+        while not self._stopping:
+            known = fate(incarnation.lease, incarnation.view)
+            if known is not Fate.GOES_ON:
+                return known
+            eventlet.sleep(_POLL_MS / MS_PER_SECOND)
+        return Fate.GOES_ON
+
+    def _join(self, ended: NodeName | None) -> Incarnation:
+        mark = new_mark(self._settings.node_id)
+        name, _ = self._persist(
+            lambda: join(self._platform, self._settings, mark, ended)
+        )
+        incarnation = Incarnation(
+            name, self._settings, self._platform, self._clock
+        )
+        self._persist(incarnation.start)
+        self._incarnation = incarnation
+        return incarnation
+
+    def _persist(self, call: Callable[[], _Found]) -> _Found:
         while True:
             try:
-                name, _ = join(self._platform, self._settings)
-                incarnation = Incarnation(
-                    name, self._settings, self._platform, self._clock
-                )
-                incarnation.start()
+                return call()
             except PlatformError as failure:
                 STORE_UNREACHABLE.report(reason=failure)
                 eventlet.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
-                continue
-            self._incarnation = incarnation
-            return incarnation
 
     def _leave(self) -> None:
         incarnation = self._incarnation
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -57,6 +57,26 @@
     'this node gave up its incarnation and joins anew',
     'check whether the VM was paused or cut off',
 )
+LOSS_CONFIRMED = _event(
+    105,
+    logbook.WARNING,
+    'loss-confirmed',
+    'an operator asserted that a node is lost; its shards get new owners',
+)
+NODE_ID_TAKEN = _event(
+    106,
+    logbook.ERROR,
+    'node-id-taken',
+    'another process announced itself under the id of this node',
+    'give each VM an id of its own, or stop the older process',
+)
+NODE_RESIGNED = _event(
+    107,
+    logbook.WARNING,
+    'node-resigned',
+    'the worker does not answer, so this node gives its shards up',
+    'check the worker on this VM',
+)
 LEASE_HELD = _event(201, logbook.INFO, 'lease-held', 'the lease is held')
 LEASE_LOST = _event(
     202,
--- a/laburnumwood/leases/backing.py
+++ b/laburnumwood/leases/backing.py
@@ -1,5 +1,6 @@
 """What the witnesses have given a holder."""
 
+from collections.abc import Set
 from dataclasses import dataclass, field
 
 from laburnumwood.records import NodeName, WitnessSet
@@ -40,9 +41,11 @@
         backings = self._backings.items()
         return frozenset(name for name, backing in backings if backing.lost)
 
-    def can_renew(self, chosen: WitnessSet) -> bool:
-        """Tell whether a majority of a set is not lost."""
-        lost = sum(self.of(name).lost for name in chosen.members)
+    def can_renew(self, chosen: WitnessSet, gone: Set[NodeName]) -> bool:
+        """Tell whether a majority of a set is neither lost nor gone."""
+        lost = sum(
+            name in gone or self.of(name).lost for name in chosen.members
+        )
         return len(chosen.members) - lost >= chosen.majority
 
     def until_ms(self, chosen: WitnessSet) -> int:
--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -1,5 +1,7 @@
 """The holder's side of a lease."""
 
+from collections.abc import Set
+
 from laburnumwood.clock import Clock
 from laburnumwood.leases.backing import Backings
 from laburnumwood.protocol.messages import Renew
@@ -59,8 +61,12 @@
     @property
     def is_over(self) -> bool:
         """Tell whether too many witnesses are lost for it to be renewed."""
-        return self._resigned or any(
-            not self._backings.can_renew(each) for each in self._active
+        return self._resigned or not self.can_renew_without(frozenset())
+
+    def can_renew_without(self, gone: Set[NodeName]) -> bool:
+        """Tell whether it can be renewed with some witnesses gone."""
+        return all(
+            self._backings.can_renew(each, gone) for each in self._active
         )
 
     def begin(self, members: tuple[NodeName, ...]) -> None:
--- a/laburnumwood/leases/seals.py
+++ b/laburnumwood/leases/seals.py
@@ -56,6 +56,21 @@
             self._sealed.add(seal.holder)
         return newly
 
+    def holders(self) -> tuple[NodeName, ...]:
+        """Return the incarnations of which a seal is known."""
+        return tuple(self._seals)
+
+    def is_proved(self, holder: NodeName) -> bool:
+        """Tell whether the seals known prove that an incarnation lapsed."""
+        return holder in self._sealed
+
+    def forget(self, holder: NodeName) -> None:
+        """Forget the seals of an incarnation that the store says has ended."""
+        for seal in self._seals.pop(holder, {}).values():
+            self._digest ^= _digest_of(seal)
+        self._sealed.discard(holder)
+        self._ended.add(holder)
+
     def end(self, holder: NodeName) -> None:
         """Take in from the store that an incarnation has ended."""
         self._ended.add(holder)
--- a/laburnumwood/leases/witness.py
+++ b/laburnumwood/leases/witness.py
@@ -34,6 +34,7 @@
         self._settings = settings
         self._clock = clock
         self._grants: dict[NodeName, _Grant] = {}
+        self._least_open: dict[str, int] = {}
         self._ticked_ms = clock.now_ms()
         self._patient_until_ms = 0
 
@@ -46,6 +47,8 @@
         """Answer a holder; `digest` tells it what this node knows."""
         if request.witness != self._name:
             return Refused('another-incarnation')
+        if self._has_ended(request.holder):
+            return Refused('ended')
         grant = self._grants.setdefault(request.holder, _Grant())
         if grant.seal is not None:
             return Refused('sealed', grant.seal)
@@ -71,6 +74,22 @@
             )
         return grant.seal
 
+    def forget_below(self, node_id: str, least_open: int) -> None:
+        """Forget the incarnations of a node that are known to have ended.
+
+        Their number alone is kept, so that none of them is renewed again.
+        """
+        if least_open <= self._least_open.get(node_id, 0):
+            return
+        self._least_open[node_id] = least_open
+        ended = [name for name in self._grants if self._has_ended(name)]
+        for name in ended:
+            self._grants.pop(name)
+
+    def _has_ended(self, holder: NodeName) -> bool:
+        least_open = self._least_open.get(holder.node_id, 0)
+        return holder.incarnation < least_open
+
     def seal_lapsed(self) -> tuple[Seal, ...]:
         """Seal the holders whose grants have expired; return the new seals.
 
--- a/laburnumwood/membership/joining.py
+++ b/laburnumwood/membership/joining.py
@@ -4,10 +4,16 @@
 from dataclasses import replace
 
 from laburnumwood.errors import PlatformConflictError
+from laburnumwood.events import LOSS_CONFIRMED
 from laburnumwood.platform.client import Platform
 from laburnumwood.platform.objects import node_object, to_record
-from laburnumwood.platform.writes import marked, write
-from laburnumwood.records import NodeName, NodeRecord
+from laburnumwood.platform.writes import new_mark, write
+from laburnumwood.records import (
+    NodeName,
+    NodeRecord,
+    WitnessSet,
+    WriteMark,
+)
 from laburnumwood.settings import DaemonSettings
 
 Change = Callable[[NodeRecord], NodeRecord]
@@ -39,7 +45,11 @@
 
 
 def change_record(
-    platform: Platform, node_id: str, change: Change, absent: NodeRecord | None
+    platform: Platform,
+    node_id: str,
+    change: Change,
+    absent: NodeRecord | None,
+    mark: WriteMark | None = None,
 ) -> NodeRecord:
     """Change a node's record, again and again until no other write is first.
 
@@ -47,12 +57,13 @@
     `PlatformError` if the platform does not answer.
     """
     name = node_object(node_id)
+    mark = mark or new_mark(node_id)
     while True:
         stored = platform.get(name)
         before = to_record(NodeRecord, stored) if stored else absent
         if before is None:
             raise PlatformConflictError(name)
-        record = marked(change(before), node_id)
+        record = replace(change(before), mark=mark)
         try:
             write(platform, name, record, stored.version if stored else None)
         except PlatformConflictError:
@@ -60,35 +71,77 @@
         return record
 
 
+def _without(record: NodeRecord, ended: NodeName | None) -> NodeRecord:
+    gone = ended.incarnation if ended else 0
+    still_open = set(record.open_incarnations).difference((gone,))
+    return replace(record, open_incarnations=tuple(sorted(still_open)))
+
+
 def join(
-    platform: Platform, settings: DaemonSettings
+    platform: Platform,
+    settings: DaemonSettings,
+    mark: WriteMark | None = None,
+    ended: NodeName | None = None,
 ) -> tuple[NodeName, NodeRecord]:
     """Announce this node under a new incarnation and return both.
 
-    Raises `PlatformError` if the platform does not answer.
+    `ended` is the earlier one of this process, which acts no more.
+    Raises `PlatformError` if the platform does not answer; then call again
+    with the same mark, so that a write whose answer was lost counts.
     """
-    record = change_record(
+    mark = mark or new_mark(settings.node_id)
+    stored = platform.get(node_object(settings.node_id))
+    known = to_record(NodeRecord, stored) if stored else None
+    record = known if known and known.mark == mark else None
+    record = record or change_record(
         platform,
         settings.node_id,
-        lambda before: _joined(settings, before),
+        lambda before: _joined(settings, _without(before, ended)),
         _first_record(settings),
+        mark,
     )
     return NodeName(settings.node_id, record.incarnation), record
 
 
-def _without(record: NodeRecord, incarnation: int) -> NodeRecord:
-    still_open = set(record.open_incarnations).difference((incarnation,))
-    return replace(record, open_incarnations=tuple(sorted(still_open)))
-
-
 def leave(platform: Platform, name: NodeName) -> None:
     """Record that an incarnation has ended.
 
     Raises `PlatformError` if the platform does not answer.
     """
+    _end(platform, name, new_mark(name.node_id))
+
+
+def confirm_lost(platform: Platform, name: NodeName, who: str) -> None:
+    """Record that an operator asserts that an incarnation has ended.
+
+    It must be certain that its process acts no more: with this its shards get
+    new owners, whatever its witnesses know.  Raises `PlatformError`.
+    """
+    _end(platform, name, new_mark(who))
+    LOSS_CONFIRMED.report(node=name, who=who)
+
+
+def record_witnesses(
+    platform: Platform, name: NodeName, chosen: WitnessSet
+) -> None:
+    """Record the witnesses of a live node, for operators to see.
+
+    Raises `PlatformError`, also if a later incarnation has joined.
+    """
+
+    def change(before: NodeRecord) -> NodeRecord:
+        if before.incarnation != name.incarnation:
+            raise PlatformConflictError(str(name))
+        return replace(before, witnesses=chosen)
+
+    change_record(platform, name.node_id, change, None)
+
+
+def _end(platform: Platform, name: NodeName, mark: WriteMark) -> None:
     change_record(
         platform,
         name.node_id,
-        lambda before: _without(before, name.incarnation),
+        lambda before: _without(before, name),
         None,
+        mark,
     )
--- /dev/null
+++ b/laburnumwood/membership/member.py
@@ -0,0 +1,41 @@
+"""The part of an incarnation in the fleet: its lease and its witnessing."""
+
+from collections.abc import Callable
+
+from laburnumwood.clock import Clock
+from laburnumwood.leases.lease import Lease
+from laburnumwood.leases.witness import Witness
+from laburnumwood.membership.endings import Recorder
+from laburnumwood.membership.renewal import Renewer, WitnessDesk
+from laburnumwood.membership.spreading import Spreader
+from laburnumwood.membership.view import FleetView
+from laburnumwood.platform.client import Platform
+from laburnumwood.protocol.peers import Dispatcher, Peers
+from laburnumwood.settings import LeaseSettings
+
+
+class Member:
+    """Renews a lease, serves as a witness and records what has ended."""
+
+    def __init__(
+        self,
+        lease: Lease,
+        view: FleetView,
+        peers: Peers,
+        dispatcher: Dispatcher,
+        platform: Platform,
+        settings: LeaseSettings,
+        clock: Clock,
+    ) -> None:
+        witness = Witness(lease.holder, settings, clock)
+        self.spreader = Spreader(view, peers, dispatcher)
+        self.renewer = Renewer(
+            lease, witness, self.spreader, peers, view, settings, clock
+        )
+        self._desk = WitnessDesk(witness, self.spreader, view, dispatcher)
+        self._recorder = Recorder(lease, witness, view, platform)
+
+    @property
+    def tasks(self) -> tuple[Callable[[], None], ...]:
+        """Return what has to run until the incarnation ends."""
+        return (self.renewer.run, self._desk.run, self._recorder.run)
--- a/laburnumwood/membership/spreading.py
+++ b/laburnumwood/membership/spreading.py
@@ -53,7 +53,7 @@
     def add_seals(self, seals: tuple[Seal, ...]) -> None:
         """Take in seals and tell of the nodes that they prove lapsed."""
         for seal in seals:
-            if self._view.seals.add(seal):
+            if self._view.add_seal(seal):
                 NODE_SEALED.report(node=seal.holder)
 
     def tell(self, names: set[NodeName], message: Any) -> None:
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -4,7 +4,7 @@
 
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
-from laburnumwood.records import Digest, NodeName, NodeRecord, ShardName
+from laburnumwood.records import Digest, NodeName, NodeRecord, Seal, ShardName
 
 
 class FleetView:
@@ -49,6 +49,29 @@
             return True
         return False
 
+    def add_seal(self, seal: Seal) -> bool:
+        """Take in a seal; tell whether its holder is sealed only by now.
+
+        One that nobody needs any more is left out.
+        """
+        return not self._is_past(seal.holder) and self.seals.add(seal)
+
+    def forget_past(self) -> None:
+        """Forget the seals that nobody needs any more."""
+        for holder in self.seals.holders():
+            if self._is_past(holder):
+                self.seals.forget(holder)
+
+    def _is_past(self, holder: NodeName) -> bool:
+        entry = self.directory.nodes.get(holder.node_id)
+        if entry is None or not entry.record.has_ended(holder.incarnation):
+            return False
+        return not any(
+            holder in shard.record.succession
+            for service in self.directory.services()
+            for shard in self.directory.shards(service).values()
+        )
+
     def floor(self, holder: NodeName, shard: ShardName) -> int:
         """Return the least epoch that a sealed holder may have written."""
         return self.seals.floor(holder, shard)
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -1,8 +1,9 @@
 """What a node decides about its shards, from records, seals and its lease."""
 
-import random
 from collections.abc import Iterator
 
+from xxhash import xxh3_64_intdigest
+
 from laburnumwood.clock import Clock
 from laburnumwood.events import SHARD_CLAIMED, SHARD_MOVED, SHARD_TAKEN_OVER
 from laburnumwood.leases.lease import Lease
@@ -156,7 +157,8 @@
         now_ms = self._clock.now_ms()
         due_ms = self._due_ms.get(shard)
         if due_ms is None:
-            due_ms = now_ms + random.randrange(window_ms + 1)
+            topic = f'{self._own} {shard} {record.epoch}'.encode()
+            due_ms = now_ms + xxh3_64_intdigest(topic) % (window_ms + 1)
             self._due_ms[shard] = due_ms
         return now_ms >= due_ms
 
--- a/laburnumwood/platform/writes.py
+++ b/laburnumwood/platform/writes.py
@@ -17,9 +17,14 @@
 _Record = TypeVar('_Record', ConfigRecord, NodeRecord, ShardRecord)
 
 
+def new_mark(writer: str) -> WriteMark:
+    """Return a mark that no other write carries."""
+    return WriteMark(writer, uuid4().hex)
+
+
 def marked(record: _Record, writer: str) -> _Record:
     """Return the record with a mark that no other write carries."""
-    return replace(record, mark=WriteMark(writer, uuid4().hex))
+    return replace(record, mark=new_mark(writer))
 
 
 def _put(
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -138,6 +138,11 @@
     leaving: bool = False
     mark: WriteMark | None = None
 
+    @property
+    def least_open(self) -> int:
+        """Return the number below which every incarnation has ended."""
+        return min(self.open_incarnations, default=self.incarnation + 1)
+
     def has_ended(self, incarnation: int) -> bool:
         """Tell whether an incarnation is known to have ended."""
         known = incarnation <= self.incarnation
--- /dev/null
+++ b/tests/features/membership.feature
@@ -0,0 +1,58 @@
+Feature: Joining, ending and losing nodes
+  The same small world as for ownership; nothing waits and no process starts.
+
+  Scenario: a join whose answer was lost is not repeated
+    Given a store that loses the answer to a write
+    When the node "a" joins, and again with the same mark once the store answers
+    Then it has incarnation 1
+
+  Scenario: the older of two processes with one id ends
+    Given the script
+      """
+      tick 4; twin a; tick 4
+      """
+    When the script is run
+    Then no process runs on "a"
+
+  Scenario: a proved end is written to the store by one node
+    Given the script
+      """
+      crash a; tick 100
+      """
+    When the script is run
+    Then the store says that "a#1" has ended, written once
+    And no node keeps a seal of "a#1"
+
+  Scenario: an ended incarnation is never renewed again
+    Given the script
+      """
+      cut a all; deaf a; tick 100; lose; heal a; tick 1
+      """
+    When the script is run
+    Then the node on "a" holds no lease
+
+  Scenario: the shards of a node lost with its witnesses wait for an operator
+    Given the script
+      """
+      crash a; crash c; crash d; tick 80
+      """
+    When the script is run
+    Then the shard 0 has no owner
+    When the loss of "a", "c" and "d" is confirmed
+    Then the shard 0 has an owner
+
+  Scenario: a record of unknown form changes nothing
+    Given the script
+      """
+      spoil 0; tick 20
+      """
+    When the script is run
+    Then the shard 0 has an owner
+
+  Scenario: a join waits for the store, and the others go on
+    Given the script
+      """
+      crash e; store down; tick 40; restart e; tick 4
+      """
+    When the script is run
+    Then the shard 0 has an owner
--- /dev/null
+++ b/tests/features/steps/membership_steps.py
@@ -0,0 +1,92 @@
+"""Steps about joining, ending and losing nodes."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from laburnumwood.errors import PlatformUnreachableError
+from laburnumwood.membership.joining import join
+from laburnumwood.platform.objects import node_object, to_record
+from laburnumwood.platform.writes import new_mark
+from laburnumwood.records import NodeName, NodeRecord
+from tests.ownership.node import Code
+from tests.ownership.store import FakeStore
+from tests.ownership.world import SHARDS, World, node_settings
+
+
+@given('a store that loses the answer to a write')
+def make_losing_store(context: Context) -> None:
+    context.store = FakeStore()
+    context.store.mode = 'lose-writes'
+
+
+@when(
+    'the node "{vm}" joins, and again with the same mark once the store answers'
+)
+def join_twice(context: Context, vm: str) -> None:
+    settings = node_settings(vm)
+    mark = new_mark(vm)
+    try:
+        join(context.store, settings, mark)
+    except PlatformUnreachableError:
+        context.store.mode = 'up'
+    context.joined = join(context.store, settings, mark)[0]
+
+
+@then('it has incarnation {number:d}')
+def check_incarnation(context: Context, number: int) -> None:
+    assert context.joined.incarnation == number, context.joined
+
+
+@when('the script is run')
+def run_script(context: Context) -> None:
+    context.world = World(Code())
+    for line in context.script:
+        context.world.run(line)
+
+
+@then('no process runs on "{vm}"')
+def check_process(context: Context, vm: str) -> None:
+    assert not context.world.is_up(vm)
+
+
+@then('the store says that "{name}" has ended, written once')
+def check_ended(context: Context, name: str) -> None:
+    ended = NodeName.parse(name)
+    path = node_object(ended.node_id)
+    history = [
+        to_record(NodeRecord, stored).has_ended(ended.incarnation)
+        for stored in context.world.store.history
+        if stored.name == path
+    ]
+    assert history.count(True) == 1, history
+
+
+@then('no node keeps a seal of "{name}"')
+def check_no_seal(context: Context, name: str) -> None:
+    holder = NodeName.parse(name)
+    for node in context.world.nodes:
+        assert holder not in node.view.seals.holders(), node.name
+
+
+@then('the node on "{vm}" holds no lease')
+def check_no_lease(context: Context, vm: str) -> None:
+    assert not context.world.node(vm).lease.holds()
+
+
+@then('the shard {number:d} has no owner')
+def check_no_owner(context: Context, number: int) -> None:
+    assert context.world.owner(SHARDS[number]) is None
+
+
+@when('the loss of "{first}", "{second}" and "{third}" is confirmed')
+def confirm_losses(
+    context: Context, first: str, second: str, third: str
+) -> None:
+    for vm in (first, second, third):
+        context.world.run(f'confirm {vm}')
+    context.world.run('tick 100')
+
+
+@then('the shard {number:d} has an owner')
+def check_owner(context: Context, number: int) -> None:
+    assert context.world.owner(SHARDS[number]) is not None
--- a/tests/ownership/machine.py
+++ b/tests/ownership/machine.py
@@ -163,6 +163,7 @@
     def restart_sealers(self, shard: int) -> None:
         """Restart witnesses that sealed an owner, before it knows."""
         owner, heir = self._world.first_two(shard)
+        self._run(f'deaf {owner}')
         self._run(f'cut {owner} all')
         self._run('tick 40')
         self._run('lose')
