--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -19,6 +19,7 @@
 
 HOST = '127.0.0.1'
 SHARED_KEY = 'a key for loopback only'
+OPERATOR_TOKEN = 'a token for loopback only'
 _START_S = 60
 _STOP_S = 60
 _POLL_S = 0.02
@@ -214,7 +215,8 @@
 
         Raises `NotReadyError` if the node has none yet.
         """
-        answer = self.get(f'{member.operators}/{name}')
+        headers = {'Authorization': f'Bearer {OPERATOR_TOKEN}'}
+        answer = self.get(f'{member.operators}/{name}', headers=headers)
         if answer.status != _OK:
             raise NotReadyError(member.place.node_id)
         return answer.json()
@@ -275,6 +277,9 @@
             'slots': place.slots,
             'connections': place.connections,
             'shared_key': SHARED_KEY,
+            'operators': {
+                'bench': {'token': OPERATOR_TOKEN, 'may': 'change'},
+            },
         }
 
     def _relay_all(self, written: dict[str, Any]) -> None:
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -1,13 +1,10 @@
 """All that one incarnation of a node consists of."""
 
-from collections.abc import Callable
-
 import eventlet
-from eventlet.greenthread import GreenThread
 
 from laburnumwood.admission.retries import RetryBudget
-from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.events import TASK_FAILED
+from laburnumwood.clock import Clock
+from laburnumwood.daemon.supervision import supervise
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
@@ -15,39 +12,29 @@
 from laburnumwood.membership.reader import Reader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
+from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.platform.client import Platform
-from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import Resign, Work
 from laburnumwood.protocol.peers import Dispatcher, Peers
+from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.door import Door
 from laburnumwood.routing.gate import Gate
+from laburnumwood.routing.measuring import MeasuredDoor
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.load import LoadPoller
 from laburnumwood.upstream.worker import Worker
 
-_RESTART_MS = 200
 _RETRY_SHARE = 0.1  # of the requests
 
 
-def _supervise(task: Callable[[], None]) -> None:
-    while True:
-        try:
-            return task()
-        except Exception as failure:
-            name = getattr(task, '__qualname__', task)
-            TASK_FAILED.report(task=name, reason=repr(failure))
-        eventlet.sleep(_RESTART_MS / MS_PER_SECOND)
-
-
 class Incarnation:
     """One run of a node from joining to its end, with all its tasks."""
 
@@ -60,14 +47,14 @@
     ) -> None:
         self.name = name
         self._settings = settings
-        self._tasks: list[GreenThread] = []
+        self._tasks: list[eventlet.greenthread.GreenThread] = []
         self.dispatcher = Dispatcher()
         self.view = FleetView(Directory(), SealBook())
         self.lease = Lease(name, settings.lease, clock)
         self.holdings = Holdings()
         self._peers = Peers(
             name,
-            settings.shared_key,
+            LinkSecurity(settings.shared_key, settings.tls),
             self.view.address,
             self.dispatcher,
             clock,
@@ -94,10 +81,11 @@
             *self._member.tasks,
             self._granter.run,
             self._load_poller.run,
+            self._account.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
         ):
-            self._tasks.append(eventlet.spawn(_supervise, task))
+            self._tasks.append(eventlet.spawn(supervise, task))
 
     def hand_over(self) -> None:
         """Give every shard to another node and let the witnesses seal."""
@@ -136,6 +124,9 @@
         self._granter = Granter(
             worker, self.holdings.tokens, self.lease.holds_until_ms, clock
         )
+        self._account = CapacityAccount(
+            self._settings, lambda: self.view.directory.declarations, clock
+        )
         gate = Gate(
             self._settings,
             self.lease,
@@ -143,6 +134,7 @@
             self._granter,
             worker,
             lambda: self.view.directory.declarations.services,
+            self._account,
             clock,
         )
         self._load_poller = LoadPoller(worker, gate.hint)
@@ -154,12 +146,14 @@
             RetryBudget(_RETRY_SHARE, clock),
             clock,
         )
-        self.door = Door(
-            router, lambda: self.view.directory.declarations.services
+        self.door = MeasuredDoor(
+            router, lambda: self.view.directory.declarations.services, clock
+        )
+        self.operators = OperatorApi(
+            self.view, self.lease, self.holdings, gate, self._account
         )
-        self.operators = OperatorApi(self.view, self.lease, self.holdings, gate)
         self.gate = gate
 
         @self.dispatcher.on(Work)
-        def serve(_link: Link, stream: Stream, work: Work) -> None:
+        def serve(_link: object, stream: Stream, work: Work) -> None:
             gate.serve(stream, work)
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -17,10 +17,12 @@
 )
 from laburnumwood.membership.endings import Fate, fate
 from laburnumwood.membership.joining import join, leave
+from laburnumwood.operators.door import OperatorDoor
 from laburnumwood.platform.client import Platform
 from laburnumwood.platform.writes import new_mark
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.peers import listen
+from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.outcome import StartResponse, failure, refuse
@@ -44,6 +46,8 @@
         self._platform = Platform(settings.platform_url)
         self._incarnation: Incarnation | None = None
         self._stopping = False
+        self._security = LinkSecurity(settings.shared_key, settings.tls)
+        self._operators = OperatorDoor(settings, self.stop)
 
     def run(self) -> None:
         """Serve until a planned stop is complete."""
@@ -72,7 +76,7 @@
         eventlet.spawn_n(
             listen,
             (settings.host, settings.peer_port),
-            settings.shared_key,
+            self._security,
             self._serve_peer,
             self._clock,
         )
@@ -101,9 +105,8 @@
     def _serve_operator(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        if self._incarnation is None:
-            return _not_ready(start_response)
-        return self._incarnation.operators(environ, start_response)
+        pages = self._incarnation.operators if self._incarnation else None
+        return self._operators.answer(environ, start_response, pages)
 
     def _live(self, incarnation: Incarnation) -> Fate:
         while not self._stopping:
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -9,6 +9,8 @@
 
 import logbook
 
+from laburnumwood.metrics import EVENTS
+
 _LOG = logbook.Logger('laburnumwood')
 
 
@@ -27,6 +29,7 @@
         details = ' '.join(f'{name}={what}' for name, what in fields.items())
         line = f'LW{self.number} {self.name}: {self.text}; {details}'
         _LOG.log(self.level, line)
+        EVENTS.record(1, {'name': self.name})
 
 
 CATALOGUE: dict[int, Event] = {}
@@ -131,6 +134,16 @@
     'the stored configuration is not valid; the last good one stays in force',
     'apply a corrected configuration',
 )
+OPERATOR_CHANGE = _event(
+    511, logbook.INFO, 'operator-change', 'an operator changed this node'
+)
+OPERATOR_REFUSED = _event(
+    512,
+    logbook.WARNING,
+    'operator-refused',
+    'a call of the operator port had no right to what it asked for',
+    'check the token of the caller against the settings of this node',
+)
 WORKER_UNREACHABLE = _event(
     601,
     logbook.WARNING,
--- a/laburnumwood/metrics.py
+++ b/laburnumwood/metrics.py
@@ -1,1 +1,118 @@
-"""The metrics of the package."""
+"""The metrics of a node, by OpenTelemetry.
+
+Every instrument is declared in this catalogue; docs/METRICS.md explains it.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Meter
+from opentelemetry.sdk.metrics import MeterProvider
+from prometheus_client import REGISTRY, generate_latest
+
+
+def _make_meter() -> Meter:
+    reader = PrometheusMetricReader(
+        disable_target_info=True, scope_info_enabled=False
+    )
+    return MeterProvider((reader,)).get_meter('laburnumwood')
+
+
+_METER = _make_meter()
+
+
+@dataclass(frozen=True, slots=True)
+class Metric:
+    """A metric: its name, unit and meaning, and how to record it."""
+
+    name: str
+    unit: str
+    meaning: str
+    record: Callable[..., None]
+
+
+CATALOGUE: dict[str, Metric] = {}
+
+
+def _declare(
+    make: Callable[..., Any], how: str, name: str, *texts: str
+) -> Metric:
+    unit, meaning = texts
+    instrument = make(name, unit=unit, description=meaning)
+    CATALOGUE[name] = Metric(name, unit, meaning, getattr(instrument, how))
+    return CATALOGUE[name]
+
+
+def _counter(name: str, *texts: str) -> Metric:
+    return _declare(_METER.create_counter, 'add', name, *texts)
+
+
+def _up_down(name: str, *texts: str) -> Metric:
+    return _declare(_METER.create_up_down_counter, 'add', name, *texts)
+
+
+def _gauge(name: str, *texts: str) -> Metric:
+    return _declare(_METER.create_gauge, 'set', name, *texts)
+
+
+def _histogram(name: str, *texts: str) -> Metric:
+    return _declare(_METER.create_histogram, 'record', name, *texts)
+
+
+REQUESTS = _counter(
+    'laburnumwood.requests',
+    '1',
+    'requests that this door answered, by service and status',
+)
+LATENCY = _histogram(
+    'laburnumwood.latency',
+    'ms',
+    'time from a request to the head of its answer at this door, by service',
+)
+BUSY_SLOTS = _up_down(
+    'laburnumwood.slots.busy',
+    '1',
+    'requests that this gate has let in, by service and capacity owner',
+)
+IDLE_SLOTS = _gauge(
+    'laburnumwood.slots.idle',
+    '1',
+    'slots that carry nothing when asked, by the capacity owner who pays',
+)
+LEASE_HELD = _gauge(
+    'laburnumwood.lease.held', '1', '1 while the lease of this node is held'
+)
+SHARDS_OWNED = _gauge(
+    'laburnumwood.shards.owned', '1', 'shards that this node may serve now'
+)
+GENERATION = _gauge(
+    'laburnumwood.config.generation',
+    '1',
+    'generation of the configuration in force on this node',
+)
+EVENTS = _counter(
+    'laburnumwood.events',
+    '1',
+    'events of docs/EVENTS.md by name: shard-taken-over counts takeovers, '
+    'shard-moved moves, lease-lost losses of the lease',
+)
+STORE_CALLS = _counter(
+    'laburnumwood.store.calls',
+    '1',
+    "calls of the platform's store, by method and status (none: no answer)",
+)
+MESSAGES = _counter(
+    'laburnumwood.messages', '1', 'messages for other nodes, by kind'
+)
+MESSAGE_BYTES = _counter(
+    'laburnumwood.message.bytes',
+    'By',
+    'bytes of messages for other nodes, by kind',
+)
+
+
+def exposition() -> bytes:
+    """Return all metrics in the text format of Prometheus."""
+    return generate_latest(REGISTRY)
--- a/laburnumwood/protocol/handshake.py
+++ b/laburnumwood/protocol/handshake.py
@@ -1,6 +1,4 @@
-"""Opening of links on both sides, with proof of the shared key."""
-
-import hmac
+"""Opening of links on both sides, with proof of who the peer is."""
 
 from eventlet.green import socket
 from websockets.client import ClientProtocol
@@ -12,6 +10,7 @@
 
 from laburnumwood.errors import LinkRefusedError, ProtocolError
 from laburnumwood.protocol.codec import LARGEST_FRAME
+from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName
 
 _NAME_HEADER = 'Laburnumwood-Node'
@@ -38,11 +37,13 @@
         sock.sendall(part)
 
 
-def _greet(sock: socket.socket, own: NodeName, key: str) -> Protocol:
+def _greet(
+    sock: socket.socket, own: NodeName, security: LinkSecurity
+) -> Protocol:
     protocol = ClientProtocol(parse_uri('ws://peer/'), max_size=LARGEST_FRAME)
     request = protocol.connect()
     request.headers[_NAME_HEADER] = str(own)
-    request.headers[_KEY_HEADER] = f'Bearer {key}'
+    request.headers[_KEY_HEADER] = security.proof
     protocol.send_request(request)
     _send(protocol, sock)
     answer = _receive_until_event(protocol, sock)
@@ -52,7 +53,7 @@
 
 
 def dial(
-    host: str, port: int, own: NodeName, key: str
+    host: str, port: int, own: NodeName, security: LinkSecurity
 ) -> tuple[Protocol, socket.socket]:
     """Connect to a peer and return the open connection.
 
@@ -61,7 +62,8 @@
     sock = None
     try:
         sock = socket.create_connection((host, port), _DIAL_TIMEOUT_S)
-        protocol = _greet(sock, own, key)
+        sock = security.wrap_dialled(sock)
+        protocol = _greet(sock, own, security)
     except OSError as unreachable:
         if sock is not None:
             sock.close()
@@ -71,9 +73,8 @@
     return protocol, sock
 
 
-def _name_in(headers: Headers, key: str) -> NodeName:
-    given = headers.get(_KEY_HEADER, '')
-    if not hmac.compare_digest(given.encode(), f'Bearer {key}'.encode()):
+def _name_in(headers: Headers, security: LinkSecurity) -> NodeName:
+    if not security.proves(headers.get(_KEY_HEADER, '')):
         raise ProtocolError('the shared key does not fit')
     try:
         return NodeName.parse(headers.get(_NAME_HEADER, ''))
@@ -81,8 +82,10 @@
         raise ProtocolError(str(unnamed)) from unnamed
 
 
-def welcome(sock: socket.socket, key: str) -> tuple[Protocol, NodeName]:
-    """Answer a peer that has connected and return its name.
+def welcome(
+    sock: socket.socket, security: LinkSecurity
+) -> tuple[Protocol, NodeName]:
+    """Answer a peer that has connected, secured already; return its name.
 
     Raises `ProtocolError` for a peer that does not know the key, and
     `OSError` if the connection ends.
@@ -93,7 +96,7 @@
     if not isinstance(request, Request):
         raise ProtocolError('no handshake')
     try:
-        peer = _name_in(request.headers, key)
+        peer = _name_in(request.headers, security)
     except ProtocolError:
         protocol.send_response(protocol.reject(_FORBIDDEN, 'key or name'))
         _send(protocol, sock)
--- /dev/null
+++ b/tests/features/metrics.feature
@@ -0,0 +1,29 @@
+Feature: What operators look up
+  The catalogues of the code and the pages say the same.
+
+  Scenario: the page of events lists every event as the code has it
+    Then docs/EVENTS.md has a row for each event and no other
+
+  Scenario: the page of metrics lists every metric as the code has it
+    Then docs/METRICS.md has a row for each metric and no other
+
+  Scenario: a node tells its metrics
+    Given a deployment of the nodes
+      | node     | failure_domain | service |
+      | portal-1 | caerdydd       | portal  |
+    And the applied configuration
+      """
+      {"services": {"portal": {
+        "key": {"source": "header", "name": "Kiosk"}, "shards": 2}}}
+      """
+    And the deployment of "portal" is settled
+    When 3 keys are asked for at each door of "portal"
+    Then the metrics of "portal-1" hold
+      | line                                                                              |
+      | laburnumwood_requests_total{service="portal",status="200"} 3.0                    |
+      | laburnumwood_latency_milliseconds_count{service="portal"} 3.0                     |
+      | laburnumwood_slots_idle{owner="licensing"} 20.0                                   |
+      | laburnumwood_lease_held 1.0                                                       |
+      | laburnumwood_shards_owned 2.0                                                     |
+      | laburnumwood_config_generation 1.0                                                |
+      | laburnumwood_events_total{name="node-joined"} 1.0                                 |
