--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -87,9 +87,17 @@
         ):
             self._tasks.append(eventlet.spawn(supervise, task))
 
-    def hand_over(self) -> None:
-        """Give every shard to another node and let the witnesses seal."""
-        self._keeper.hand_over_all(self.name)
+    @property
+    def has_lost_worker(self) -> bool:
+        """Tell whether the worker of this node no longer answers."""
+        return self._granter.health.is_lost
+
+    def hand_over(self, patience_ms: int) -> None:
+        """Give every shard to another node and let the witnesses seal.
+
+        What could not be moved in time goes to the successors by the seals.
+        """
+        self._keeper.hand_over_all(self.name, patience_ms)
         witnesses = set(self.lease.witnesses.members)
         self.lease.resign()
         self._member.spreader.tell(witnesses - {self.name}, Resign(self.name))
@@ -121,6 +129,7 @@
 
     def _make_routing(self, clock: Clock) -> None:
         worker = Worker(self._settings.worker_url, self._settings.connections)
+        self.worker = worker
         self._granter = Granter(
             worker, self.holdings.tokens, self.lease.holds_until_ms, clock
         )
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -12,6 +12,7 @@
     NODE_ID_TAKEN,
     NODE_JOINED,
     NODE_LEFT,
+    NODE_RESIGNED,
     REJOINING,
     STORE_UNREACHABLE,
 )
@@ -30,7 +31,10 @@
 from laburnumwood.settings import DaemonSettings
 
 _JOIN_RETRY_MS = 500
+_PROBE_TTL_MS = 1
 _POLL_MS = 100
+_HAND_OVER_MS = 2_500
+_RESIGN_MS = 800
 _DRAIN_PATIENCE_MS = 30_000
 _BACKLOG = 1_024
 
@@ -113,9 +117,19 @@
             known = fate(incarnation.lease, incarnation.view)
             if known is not Fate.GOES_ON:
                 return known
+            if incarnation.has_lost_worker:
+                self._resign(incarnation)
+                return Fate.LAPSED
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         return Fate.GOES_ON
 
+    def _resign(self, incarnation: Incarnation) -> None:
+        NODE_RESIGNED.report(node=incarnation.name)
+        incarnation.hand_over(_RESIGN_MS)
+        worker = incarnation.worker
+        while not self._stopping and not worker.grant({}, _PROBE_TTL_MS):
+            eventlet.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
+
     def _join(self, ended: NodeName | None) -> Incarnation:
         mark = new_mark(self._settings.node_id)
         name, _ = self._persist(
@@ -140,7 +154,7 @@
         incarnation = self._incarnation
         if incarnation is None:
             return
-        incarnation.hand_over()
+        incarnation.hand_over(_HAND_OVER_MS)
         self._drain(incarnation)
         try:
             leave(self._platform, incarnation.name)
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -17,7 +17,6 @@
 _STANDING_MS = 50
 _WRITING_MS = 200
 _IDLE_POLL_MS = 10
-_HAND_OVER_MS = 2_500
 
 
 class Keeper:
@@ -62,8 +61,8 @@
                 self._write_wanted()
                 self._balance()
 
-    def hand_over_all(self, own: NodeName) -> None:
-        """Move every shard to another node, for a planned stop.
+    def hand_over_all(self, own: NodeName, patience_ms: int) -> None:
+        """Move every shard to another node, before this one resigns.
 
         Shards that could not be moved in time are closed; their successors
         take over once the lease is resigned.
@@ -73,7 +72,7 @@
         for place, shard in enumerate(held):
             self._begin_move(shard, self._heir(shard, own, place))
             self._holdings.close(shard)
-        deadline_ms = self._clock.now_ms() + _HAND_OVER_MS
+        deadline_ms = self._clock.now_ms() + patience_ms
         while self._holdings.tokens() and self._clock.now_ms() < deadline_ms:
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
 
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -7,6 +7,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import WORKER_UNREACHABLE
 from laburnumwood.records import ShardName
+from laburnumwood.upstream.health import WorkerHealth
 from laburnumwood.upstream.worker import Worker
 
 _RENEW_MS = 400
@@ -35,6 +36,7 @@
         self._granted: dict[ShardName, int] = {}
         self._granted_ms = 0
         self._reachable = True
+        self.health = WorkerHealth(clock)
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
         """Tell whether the worker has a grant for a shard and a token."""
@@ -53,7 +55,9 @@
         ttl_ms = self._until_ms() - self._clock.now_ms()
         if ttl_ms <= 0:
             return
+        started_ms = self._clock.now_ms()
         taken = self._worker.grant(wanted, ttl_ms)
+        self.health.note(answered=taken, started_ms=started_ms)
         if taken:
             self._granted = wanted
             self._granted_ms = self._clock.now_ms()
--- a/tests/features/path.feature
+++ b/tests/features/path.feature
@@ -26,3 +26,9 @@
     When the node "portal-2" is stopped
     Then it ended with status 0
     And 60 keys of "trader-portal" are served at the doors of the others
+
+  Scenario: a node whose worker is frozen gives its shards up and comes back
+    When the worker of the node "portal-1" is frozen
+    Then 60 keys of "trader-portal" are served by the other workers
+    When the worker of the node "portal-1" is thawed
+    And the deployment of "trader-portal" is settled
