--- a/tests/features/steps/worker_loss_steps.py
+++ b/tests/features/steps/worker_loss_steps.py
@@ -5,7 +5,7 @@
 
 from bench.deployment import Member, wait_for
 
-_LIMIT_S = 60
+_LIMIT_S = 20
 _OK = 200
 
 
