--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -68,3 +68,15 @@
 
   Scenario: admission under any order of events
     Then no order of events breaks the bounds of admission
+
+  Scenario: requests belong to the heaviest declared class that fits
+    Given a service with these classes of traffic
+      """
+      {"paying": {"weight": 8, "methods": ["POST"]},
+       "internal": {"weight": 4, "header": "Caller", "text": "checks"}}
+      """
+    Then requests belong to these classes
+      | method | Caller | class    |
+      | GET    | trader | ordinary |
+      | GET    | checks | internal |
+      | POST   | checks | paying   |
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -10,6 +10,9 @@
 
 from laburnumwood.admission.control import AdaptiveAdmission
 from laburnumwood.admission.tickets import Line, Result, State, Ticket
+from laburnumwood.config.declarations import Service
+from laburnumwood.protocol.messages import Work
+from laburnumwood.routing.priorities import line_of
 from laburnumwood.settings import AdmissionSettings, DaemonSettings
 from tests.features.steps.fake_clock import FakeClock
 
@@ -263,3 +266,30 @@
             _check_bounds(bench)
 
     check()
+
+
+@given('a service with these classes of traffic')
+def declare_classes(context: Context) -> None:
+    declared = f'{{"priorities": {context.text}}}'
+    context.service = Service.model_validate_json(declared)
+
+
+@then('requests belong to these classes')
+def check_classes(context: Context) -> None:
+    for row in context.table:
+        method, caller, name = row.cells
+        work = Work(
+            request_id='r',
+            service='s',
+            shard=0,
+            key='k',
+            method=method,
+            target='/',
+            headers=(('Caller', caller),),
+            body_length=0,
+            deadline_ms=1,
+            idempotent=False,
+            idempotency_key='',
+        )
+        found = line_of(work, context.service)
+        assert found.name == name, (method, caller, found)
