--- a/tests/features/steps/tool_steps.py
+++ b/tests/features/steps/tool_steps.py
@@ -14,7 +14,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from bench.deployment import OPERATOR_TOKEN, wait_for
+from bench.deployment import OPERATOR_TOKEN, Place, wait_for
 from tests.features.steps.processes import ROOT
 
 LIMIT_S = 120
@@ -117,6 +117,31 @@
     wait_for('other owners', is_followed, LIMIT_S)
 
 
+@given('a node "{node_id}" of other operators has joined "{other}"')
+def add_foreign(context: Context, node_id: str, other: str) -> None:
+    deployment = context.deployment
+    theirs = {'theirs': {'token': 'a token of other operators'}}
+    place = Place(node_id, 'abertawe', 'portal')
+    deployment.add(place, operators=theirs)
+
+    def is_known() -> bool:
+        rows = deployment.page(deployment.members[other], 'nodes')
+        return any(row['node'] == f'{node_id}#1' for row in rows)
+
+    wait_for(node_id, is_known, LIMIT_S)
+
+
+@when('generation {number:d} is in force on "{node_id}"')
+def wait_for_generation(context: Context, number: int, node_id: str) -> None:
+    member = context.deployment.members[node_id]
+
+    def is_in_force() -> bool:
+        page = context.deployment.page(member, 'generation')
+        return bool(page['generation'] == number)
+
+    wait_for('the generation', is_in_force, LIMIT_S)
+
+
 @then('the session is the golden "{name}"')
 def check_session(context: Context, name: str) -> None:
     verify(
--- a/tests/features/tool.feature
+++ b/tests/features/tool.feature
@@ -136,3 +136,17 @@
     When "anna" runs "owners trader-portal"
     And "a stranger" runs "status"
     Then the session is the golden "a_takeover"
+
+  Scenario: a configuration that does not come into force everywhere in time
+    Given a deployment of the nodes
+      | node     | failure_domain | service |
+      | portal-1 | caerdydd       | portal  |
+    And a node "portal-2" of other operators has joined "portal-1"
+    And the folder "weights" with the file "20-weights.json"
+      """
+      {"weights": {"unavailable": 3}}
+      """
+    When "anna" runs "apply weights"
+    And generation 1 is in force on "portal-1"
+    And "anna" runs "apply weights --wait --limit-s=0.1"
+    Then the session is the golden "not_in_force"
