--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -94,6 +94,11 @@
         """Tell whether the worker of this node no longer answers."""
         return self._granter.health.is_lost
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether requests run on the worker or wait for it."""
+        return bool(self.gate.running or self.gate.waiting)
+
     def hand_over(self, patience_ms: int) -> None:
         """Give every shard to another node and let the witnesses seal.
 
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -64,8 +64,8 @@
             if known is Fate.REPLACED:
                 NODE_ID_TAKEN.report(node=incarnation.name)
                 return
-            ended = incarnation.name
-            REJOINING.report(node=ended)
+            REJOINING.report(node=incarnation.name)
+            ended = self._close(incarnation)
         self._leave()
 
     def stop(self) -> None:
@@ -137,23 +137,40 @@
                 STORE_UNREACHABLE.report(reason=failure)
                 eventlet.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
 
+    def _close(self, incarnation: Incarnation) -> NodeName | None:
+        """Return the name of an incarnation that has ended by now.
+
+        One that still has requests on the worker ends when they have.
+        """
+        if not incarnation.is_busy:
+            return incarnation.name
+        eventlet.spawn_n(self._close_later, incarnation)
+        return None
+
+    def _close_later(self, incarnation: Incarnation) -> None:
+        self._drain(incarnation)
+        if not incarnation.is_busy:
+            self._record_end(incarnation)
+
+    def _record_end(self, incarnation: Incarnation) -> None:
+        try:
+            leave(self._platform, incarnation.name)
+        except PlatformError as failure:
+            STORE_UNREACHABLE.report(reason=failure)
+
     def _leave(self) -> None:
         incarnation = self._incarnation
         if incarnation is None:
             return
         incarnation.hand_over(_HAND_OVER_MS)
         self._drain(incarnation)
-        try:
-            leave(self._platform, incarnation.name)
-        except PlatformError as failure:
-            STORE_UNREACHABLE.report(reason=failure)
+        self._record_end(incarnation)
         incarnation.end()
         NODE_LEFT.report(node=incarnation.name)
 
     def _drain(self, incarnation: Incarnation) -> None:
         deadline_ms = self._clock.now_ms() + _DRAIN_PATIENCE_MS
-        gate = incarnation.gate
-        while gate.running or gate.waiting:
+        while incarnation.is_busy:
             if self._clock.now_ms() >= deadline_ms:
                 return
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
