Give the shards of a frozen or dead worker up, and wait for payments on a stop

Grants now end at a time on the clock that node and worker share on their VM; a silent worker is granted nothing until it answers, and the node resigns only after the last grant sent has run out.

A planned stop resigned after 2.5 s whatever still ran, so a payment of 3 s ran on beside the next owner. It now waits for what runs, up to the setting stop_patience_ms; only the answer to an idempotent request that is on its way leaves its shard early. Counting out by shard name was wrong after a shard had moved away and back; a request now holds its own stay.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -99,6 +99,15 @@
         """Tell whether requests run on the worker or wait for it."""
         return bool(self.gate.running or self.gate.waiting)
 
+    def retire(self) -> int:
+        """Let nothing more in; return when the worker's grants run out."""
+        self._keeper.close_all()
+        return self._granter.retire()
+
+    def worker_answers(self) -> bool:
+        """Ask the worker whether it answers, by granting it nothing."""
+        return self._worker.grant({}, 0)
+
     def hand_over(self, patience_ms: int) -> None:
         """Give every shard to another node and let the witnesses seal.
 
@@ -135,6 +144,7 @@
 
     def _make_routing(self, clock: Clock) -> None:
         worker = Worker(self._settings.worker_url, self._settings.connections)
+        self._worker = worker
         self._granter = Granter(
             worker, self.holdings.tokens, self.lease.holds_until_ms, clock
         )
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -12,6 +12,7 @@
     NODE_ID_TAKEN,
     NODE_JOINED,
     NODE_LEFT,
+    NODE_RESIGNED,
     REJOINING,
     STORE_UNREACHABLE,
 )
@@ -31,8 +32,7 @@
 
 _JOIN_RETRY_MS = 500
 _POLL_MS = 100
-_HAND_OVER_MS = 2_500
-_DRAIN_PATIENCE_MS = 30_000
+_RESIGN_MS = 800
 _BACKLOG = 1_024
 
 _Found = TypeVar('_Found')
@@ -114,9 +114,26 @@
             known = fate(incarnation.lease, incarnation.view)
             if known is not Fate.GOES_ON:
                 return known
+            if incarnation.has_lost_worker:
+                self._resign(incarnation)
+                return Fate.LAPSED
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         return Fate.GOES_ON
 
+    def _resign(self, incarnation: Incarnation) -> None:
+        """Give the shards of a lost worker up, and wait for it to return.
+
+        A frozen worker may thaw and serve under its grants until they run
+        out; nobody may follow before.
+        """
+        NODE_RESIGNED.report(node=incarnation.name)
+        granted_until_ms = incarnation.retire()
+        while self._clock.now_ms() < granted_until_ms:
+            eventlet.sleep(_POLL_MS / MS_PER_SECOND)
+        incarnation.hand_over(_RESIGN_MS)
+        while not self._stopping and not incarnation.worker_answers():
+            eventlet.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
+
     def _join(self, ended: NodeName | None) -> Incarnation:
         mark = new_mark(self._settings.node_id)
         name, _ = self._persist(
@@ -162,14 +179,15 @@
         incarnation = self._incarnation
         if incarnation is None:
             return
-        incarnation.hand_over(_HAND_OVER_MS)
+        incarnation.hand_over(self._settings.stop_patience_ms)
         self._drain(incarnation)
         self._record_end(incarnation)
         incarnation.end()
         NODE_LEFT.report(node=incarnation.name)
 
     def _drain(self, incarnation: Incarnation) -> None:
-        deadline_ms = self._clock.now_ms() + _DRAIN_PATIENCE_MS
+        patience_ms = self._settings.stop_patience_ms
+        deadline_ms = self._clock.now_ms() + patience_ms
         while incarnation.is_busy:
             if self._clock.now_ms() >= deadline_ms:
                 return
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -73,6 +73,13 @@
     'another process announced itself under the id of this node',
     'give each VM an id of its own, or stop the older process',
 )
+NODE_RESIGNED = _event(
+    107,
+    logbook.WARNING,
+    'node-resigned',
+    'the worker does not answer, so this node gives its shards up',
+    'check the worker on this VM',
+)
 LEASE_HELD = _event(201, logbook.INFO, 'lease-held', 'the lease is held')
 LEASE_LOST = _event(
     202,
--- a/laburnumwood/placement/holdings.py
+++ b/laburnumwood/placement/holdings.py
@@ -12,6 +12,22 @@
     closed: bool = False
 
 
+class Stay:
+    """One request's stay in a shard, counted out once."""
+
+    def __init__(self, holding: _Holding) -> None:
+        self._holding = holding
+        self._over = False
+        self.token = holding.token
+        holding.running += 1
+
+    def leave(self) -> None:
+        """Count the request out; more calls change nothing."""
+        if not self._over:
+            self._over = True
+            self._holding.running -= 1
+
+
 class Holdings:
     """Counts what runs in each shard, and closes shards that move away."""
 
@@ -39,19 +55,12 @@
         """Hold nothing any more."""
         self._held.clear()
 
-    def enter(self, shard: ShardName) -> int | None:
-        """Count a request in; return its token, None if it may not run."""
+    def enter(self, shard: ShardName) -> Stay | None:
+        """Count a request in; return its stay, None if it may not run."""
         held = self._held.get(shard)
         if held is None or held.closed:
             return None
-        held.running += 1
-        return held.token
-
-    def leave(self, shard: ShardName) -> None:
-        """Count a request out."""
-        held = self._held.get(shard)
-        if held is not None:
-            held.running -= 1
+        return Stay(held)
 
     def close(self, shard: ShardName) -> None:
         """Let no more requests in; those that run go on."""
@@ -59,6 +68,14 @@
         if held is not None:
             held.closed = True
 
+    def are_idle(self) -> bool:
+        """Tell whether nothing runs in any shard."""
+        return not any(held.running for held in self._held.values())
+
+    def is_held(self, shard: ShardName) -> bool:
+        """Tell whether a shard is held, closed or not."""
+        return shard in self._held
+
     def is_idle(self, shard: ShardName) -> bool:
         """Tell whether nothing runs in a shard."""
         held = self._held.get(shard)
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -19,6 +19,7 @@
 _STANDING_MS = 50
 _WRITING_MS = 200
 _IDLE_POLL_MS = 10
+_HAND_OVER_MS = 2_500  # for the store to take the records
 
 
 BeforeMove = Callable[[ShardName, tuple[NodeName, ...]], bool]
@@ -71,21 +72,33 @@
                 self._write_wanted()
                 self._balance()
 
+    def close_all(self) -> None:
+        """Let no more requests in to any shard; those that run go on."""
+        self._stopping = True
+        for shard in self._holdings.tokens():
+            self._holdings.close(shard)
+
     def hand_over_all(self, own: NodeName, patience_ms: int) -> None:
-        """Move every shard to another node, before this one resigns.
+        """Move every shard to another node, for a planned stop.
 
-        Shards that could not be moved in time are closed; their successors
-        take over once the lease is resigned.
+        What still runs in a shard is waited for, `patience_ms` at the most.
+        Shards that could not be moved are closed; their successors take over
+        once the lease is resigned.
         """
-        self._stopping = True
-        held = sorted(self._holdings.tokens())
-        for place, shard in enumerate(held):
-            self._begin_move(shard, self._heir(shard, own, place))
-            self._holdings.close(shard)
-        deadline_ms = self._clock.now_ms() + patience_ms
-        while self._holdings.tokens() and self._clock.now_ms() < deadline_ms:
+        started_ms = self._clock.now_ms()
+        self.close_all()
+        while self._is_worth_waiting(started_ms, patience_ms):
+            for place, shard in enumerate(sorted(self._holdings.tokens())):
+                self._holdings.close(shard)
+                self._begin_move(shard, self._heir(shard, own, place))
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
 
+    def _is_worth_waiting(self, started_ms: int, patience_ms: int) -> bool:
+        waited_ms = self._clock.now_ms() - started_ms
+        if not self._holdings.tokens() or waited_ms >= patience_ms:
+            return False
+        return waited_ms < _HAND_OVER_MS or not self._holdings.are_idle()
+
     def _begin_move(self, shard: ShardName, target: NodeName | None) -> None:
         if target is not None:
             write = self._tenure.begin_move(shard, target)
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -96,7 +96,7 @@
 
         Step the write only once nothing runs in the shard any more.
         """
-        if shard in self._writes or not self._holdings.is_open(shard):
+        if shard in self._writes or not self._holdings.is_held(shard):
             return None
         self._holdings.close(shard)
         return self._begin(shard, target)
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -24,6 +24,7 @@
 from laburnumwood.routing.outcome import failure, overloaded
 from laburnumwood.routing.priorities import line_of
 from laburnumwood.routing.running import Run
+from laburnumwood.routing.staying import StayingExchange
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
 
@@ -143,15 +144,16 @@
             self._executor.execute(exchange, run, _always)
             return
         shard = ShardName(work.service, work.shard)
-        token = self._holdings.enter(shard)
-        if token is None:
+        stay = self._holdings.enter(shard)
+        if stay is None:
             detail = f'{self._settings.node_id} does not own {shard}'
             exchange.send(failure('not-owner', detail, ran=False))
             return
         try:
-            self._serve_owned(exchange, Run(work, body, token, until_ms))
+            run = Run(work, body, stay.token, until_ms)
+            self._serve_owned(StayingExchange(exchange, work, stay), run)
         finally:
-            self._holdings.leave(shard)
+            stay.leave()
 
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
--- /dev/null
+++ b/laburnumwood/routing/staying.py
@@ -0,0 +1,35 @@
+"""How long a request keeps its shard from moving."""
+
+from typing import Any
+
+from laburnumwood.placement.holdings import Stay
+from laburnumwood.protocol.messages import Answer, Work
+from laburnumwood.routing.exchange import Exchange
+
+
+class StayingExchange:
+    """An exchange whose request leaves its shard when that is safe.
+
+    The answer to an idempotent request may outlast a move once it is on its
+    way: a long download holds up neither a move nor a planned stop.  Any other
+    request stays to its end.
+    """
+
+    def __init__(self, exchange: Exchange, work: Work, stay: Stay) -> None:
+        self._exchange = exchange
+        self._leaves_early = work.idempotent
+        self._stay = stay
+
+    def send(self, message: Any) -> None:
+        """Send a message; raises `LinkLostError`."""
+        self._exchange.send(message)
+        if self._leaves_early and isinstance(message, Answer):
+            self._stay.leave()
+
+    def receive(self, timeout_ms: int) -> Any:
+        """Return the next message; raises a `LinkError`."""
+        return self._exchange.receive(timeout_ms)
+
+    def close(self) -> None:
+        """End the exchange on this side."""
+        self._exchange.close()
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -81,6 +81,7 @@
     tls: TlsSettings | None = None
     operators: dict[str, OperatorSettings] = Field(default_factory=dict)
     lease: LeaseSettings = LeaseSettings()
+    stop_patience_ms: int = Field(default=60_000, ge=0, le=3_600_000)
     admission: AdmissionSettings = AdmissionSettings()
 
     @model_validator(mode='after')
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -36,27 +36,36 @@
         self._granted: dict[ShardName, int] = {}
         self._granted_ms = 0
         self._reachable = True
+        self._retired = False
+        self._last_until_ms = 0
         self.health = WorkerHealth(clock)
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
         """Tell whether the worker has a grant for a shard and a token."""
         return self._granted.get(shard) == token
 
+    def retire(self) -> int:
+        """Grant nothing more; return when the last grants run out."""
+        self._retired = True
+        return self._last_until_ms
+
     def run(self) -> None:
         """Renew the grants and pass on every change; does not return."""
         while True:
-            wanted = self._tokens()
+            # A silent worker may take late what is sent to it now: until it
+            # answers again it is granted nothing.
+            may_grant = self._reachable and not self._retired
+            wanted = self._tokens() if may_grant else {}
             due = self._clock.now_ms() - self._granted_ms >= _RENEW_MS
             if due or wanted != self._granted:
                 self._grant(wanted)
             eventlet.sleep(_CHANGE_POLL_MS / MS_PER_SECOND)
 
     def _grant(self, wanted: dict[ShardName, int]) -> None:
-        ttl_ms = self._until_ms() - self._clock.now_ms()
-        if ttl_ms <= 0:
-            return
+        until_ms = self._until_ms() if wanted else 0
         started_ms = self._clock.now_ms()
-        taken = self._worker.grant(wanted, ttl_ms)
+        self._last_until_ms = max(self._last_until_ms, until_ms)
+        taken = self._worker.grant(wanted, until_ms)
         self.health.note(answered=taken, started_ms=started_ms)
         if taken:
             self._granted = wanted
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -150,13 +150,17 @@
         """Stop the work of a request; tell whether the worker did."""
         return self._control('POST', '/cancel', request=request_id)
 
-    def grant(self, tokens: Mapping[ShardName, int], ttl_ms: int) -> bool:
-        """Replace the worker's grants; tell whether it took them."""
+    def grant(self, tokens: Mapping[ShardName, int], until_ms: int) -> bool:
+        """Replace the worker's grants; tell whether it took them.
+
+        `until_ms` is on the clock of the VM, which node and worker share, so
+        that a grant that the worker takes late does not last longer.
+        """
         shards = [
             {'service': shard.service, 'shard': shard.number, 'token': token}
             for shard, token in tokens.items()
         ]
-        return self._control('PUT', '/grants', ttl_ms=ttl_ms, shards=shards)
+        return self._control('PUT', '/grants', until_ms=until_ms, shards=shards)
 
     def load(self) -> int | None:
         """Return how many requests the worker says it runs, if it does."""
--- a/standins/worker/grants.py
+++ b/standins/worker/grants.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, field
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-from standins.clock import monotonic_ms
+from standins.clock import boottime_ms
 
 ShardId = tuple[str, int]
 
@@ -25,13 +25,31 @@
 
 
 class GrantSet(BaseModel):
-    """The whole set of grants of a worker."""
+    """The whole set of grants of a worker, with their end.
+
+    The end is `until_ms` on CLOCK_BOOTTIME or `ttl_ms` from receipt.
+    """
 
     model_config = ConfigDict(extra='forbid')
 
-    ttl_ms: int = Field(ge=0)
+    ttl_ms: int | None = Field(default=None, ge=0)
+    until_ms: int | None = Field(default=None, ge=0)
     shards: list[GrantedShard]
 
+    @model_validator(mode='after')
+    def check_end(self) -> 'GrantSet':
+        """Refuse a set without an end, or with two."""
+        if (self.ttl_ms is None) == (self.until_ms is None):
+            raise ValueError('either ttl_ms or until_ms is expected')
+        return self
+
+    @property
+    def expires_ms(self) -> float:
+        """Return the end on CLOCK_BOOTTIME."""
+        if self.until_ms is not None:
+            return self.until_ms
+        return boottime_ms() + (self.ttl_ms or 0)
+
 
 @dataclass(slots=True)
 class _Grant:
@@ -40,12 +58,12 @@
 
 
 class GrantTable:
-    """The grants in force, by the worker's own monotonic clock."""
+    """The grants in force, by the clock of the VM."""
 
     def __init__(self, *, check_tokens: bool) -> None:
         self._check_tokens = check_tokens
         self._grants: dict[ShardId, _Grant] = {}
-        self._expires_ms = monotonic_ms()
+        self._expires_ms = boottime_ms()
         self._highest_tokens: dict[ShardId, int] = {}
 
     def replace(self, grant_set: GrantSet) -> list[GrantedShard]:
@@ -58,7 +76,7 @@
             else:
                 granted[shard.shard_id] = self._renew(shard)
         self._grants = granted
-        self._expires_ms = monotonic_ms() + grant_set.ttl_ms
+        self._expires_ms = grant_set.expires_ms
         return refused
 
     def admits(self, shard_id: ShardId, token: int | None) -> bool:
@@ -88,6 +106,6 @@
         return _Grant(shard.token, previous.warm_keys)
 
     def _in_force(self, shard_id: ShardId) -> _Grant | None:
-        if monotonic_ms() >= self._expires_ms:
+        if boottime_ms() >= self._expires_ms:
             return None
         return self._grants.get(shard_id)
