Let requests to a frozen node fail together, not one after another

Each request dialled under the lock of its peer and waited 500 ms for the answer to the handshake, so seven requests to a frozen owner took 3.5 s to learn it one by one, and were served after the bound. The lease was ruled out: a single request is served 1.8 s after the freeze. Those who waited for an attempt that failed now fail with it.

--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -72,14 +72,18 @@
         self._clock = clock
         self._links: dict[NodeName, Link] = {}
         self._locks: dict[NodeName, Semaphore] = {}
+        self._refused_ms: dict[NodeName, int] = {}
 
     def open_stream(self, peer: NodeName) -> Stream:
         """Return a new stream to a peer, over a new link if need be.
 
         Raises `LinkRefusedError`.
         """
+        asked_ms = self._clock.now_ms()
         lock = self._locks.setdefault(peer, Semaphore())
         with lock:
+            if self._refused_ms.get(peer, 0) > asked_ms:
+                raise LinkRefusedError(f'{peer} has just refused a link')
             link = self._links.get(peer)
             if link is None or not link.is_open:
                 link = self._connect(peer)
@@ -117,7 +121,12 @@
         address = self._lookup(peer)
         if address is None:
             raise LinkRefusedError(f'no address of {peer} is known')
-        protocol, sock = dial(*address, self._own, self._security)
+        try:
+            protocol, sock = dial(*address, self._own, self._security)
+        except LinkRefusedError:
+            # Those who waited for this attempt need not make their own.
+            self._refused_ms[peer] = self._clock.now_ms()
+            raise
         link = Link(
             protocol,
             sock,
