Say that a node leaves before its shards are handed over

Cause: while a node with a frozen worker gave its shards up, the others evened their numbers and moved shards back to it, up to ten times in a second each (seen in its log: shard 11 from epoch 4 to 11 within 0.8 s); a planned stop had the same race. The record has had a field for it that nobody set.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -1,11 +1,17 @@
 """All that one incarnation of a node consists of."""
 
+from contextlib import suppress
+
+import eventlet
+
 from laburnumwood.clock import Clock
 from laburnumwood.daemon.load import LoadParts
 from laburnumwood.daemon.tasks import Tasks
+from laburnumwood.errors import PlatformError
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.joining import announce_leaving
 from laburnumwood.membership.member import Member
 from laburnumwood.membership.reader import Reader
 from laburnumwood.membership.view import FleetView
@@ -43,6 +49,7 @@
         clock: Clock,
     ) -> None:
         self.name = name
+        self._platform = platform
         self._settings = settings
         self._tasks = Tasks()
         self.dispatcher = Dispatcher()
@@ -102,6 +109,7 @@
     def retire(self) -> int:
         """Let nothing more in; return when the worker's grants run out."""
         self._keeper.close_all()
+        eventlet.spawn_n(self._announce_leaving)
         return self._granter.retire()
 
     def worker_answers(self) -> bool:
@@ -113,6 +121,7 @@
 
         What could not be moved in time goes to the successors by the seals.
         """
+        eventlet.spawn_n(self._announce_leaving)
         self._keeper.hand_over_all(self.name, patience_ms)
         witnesses = set(self.lease.witnesses.members)
         self.lease.resign()
@@ -125,6 +134,12 @@
         self._tasks.kill()
         self._peers.close()
 
+    def _announce_leaving(self) -> None:
+        # Without it the others would go on moving shards to this node; a
+        # store that does not answer lets nobody move anything.
+        with suppress(PlatformError):
+            announce_leaving(self._platform, self.name)
+
     def _make_placement(self, platform: Platform, clock: Clock) -> None:
         service = self._settings.service
         writer = ShardWriter(
--- a/laburnumwood/membership/joining.py
+++ b/laburnumwood/membership/joining.py
@@ -103,6 +103,24 @@
     return NodeName(settings.node_id, record.incarnation), record
 
 
+def _leaving(record: NodeRecord, name: NodeName) -> NodeRecord:
+    same = record.incarnation == name.incarnation
+    return replace(record, leaving=record.leaving or same)
+
+
+def announce_leaving(platform: Platform, name: NodeName) -> None:
+    """Record that nothing more is to be given to an incarnation.
+
+    Raises `PlatformError` if the platform does not answer.
+    """
+    change_record(
+        platform,
+        name.node_id,
+        lambda before: _leaving(before, name),
+        None,
+    )
+
+
 def leave(platform: Platform, name: NodeName) -> None:
     """Record that an incarnation has ended.
 
