Quarantine requests that crash workers, and remember earlier tries

A request under which a worker dies is suspected on all nodes of the service before its caller is answered, runs alone from then on, and is barred for ten minutes after a second death. A worker whose death is not settled is asked for its health before it gets more, so that what is sent to a dead one is not blamed: without that, innocent requests were barred (keys unserved for 40 s).

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -32,6 +32,7 @@
 from laburnumwood.routing.measuring import MeasuredDoor
 from laburnumwood.routing.notary import Notary
 from laburnumwood.routing.router import Router
+from laburnumwood.routing.suspicions import Suspicions
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.load import LoadPoller
@@ -175,12 +176,15 @@
             clock,
         )
         self._keeper.before_move = self._notary.hand_over
+        suspicions = Suspicions(
+            self.name, self.view, self._peers, self.dispatcher, clock
+        )
         gate = Gate(
             self._settings,
             self.lease,
             self.holdings,
             self._granter,
-            Executor(worker, self._notary, clock),
+            Executor(worker, self._notary, suspicions, clock),
             lambda: self.view.directory.declarations.services,
             self._account,
             self.load.meter,
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -95,3 +95,7 @@
 
 class WorkerTimeoutError(WorkerCutError):
     """The worker did not answer in time."""
+
+
+class WorkerBusyError(WorkerError):
+    """A request could not have the worker for itself; nothing was sent."""
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -151,6 +151,20 @@
     'the worker of this node does not answer',
     'check the worker on this VM',
 )
+REQUEST_SUSPECTED = _event(
+    602,
+    logbook.WARNING,
+    'request-suspected',
+    'the worker died under a request, which runs alone from now on',
+    'find out why the worker died',
+)
+REQUEST_BARRED = _event(
+    603,
+    logbook.ERROR,
+    'request-barred',
+    'workers died whenever they ran a request, which is refused from now on',
+    'mend the workers; the request is let in again after ten minutes',
+)
 TASK_FAILED = _event(
     901,
     logbook.ERROR,
--- a/laburnumwood/membership/reader.py
+++ b/laburnumwood/membership/reader.py
@@ -20,12 +20,18 @@
 
 
 def is_reader(own: NodeName, view: FleetView) -> bool:
-    """Tell whether a node watches the store for its failure domain."""
-    record = view.directory.node(own)
+    """Tell whether a node watches the store for its failure domain.
+
+    One that leaves hears no more news by renewals and reads for itself.
+    """
+    live = dict(view.live())
+    record = live.get(own)
     if record is None:
         return True
     domain = record.failure_domain
-    near = (name for name, each in view.live() if each.failure_domain == domain)
+    near = (
+        name for name, each in live.items() if each.failure_domain == domain
+    )
     return own in rendezvous(f'reader {domain}', near)[:READERS_PER_DOMAIN]
 
 
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -241,3 +241,12 @@
 
     running: int
     shards: dict[int, float]
+
+
+@message('suspicion')
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """How many workers died under a request; none if it is cleared."""
+
+    fingerprint: str
+    deaths: int
--- a/laburnumwood/routing/execution.py
+++ b/laburnumwood/routing/execution.py
@@ -9,6 +9,7 @@
 from laburnumwood.routing.notary import Notary
 from laburnumwood.routing.outcome import failure
 from laburnumwood.routing.running import Result, Run, Runner
+from laburnumwood.routing.suspicions import Suspicions
 from laburnumwood.upstream.worker import Worker
 
 MayAct = Callable[[], bool]
@@ -20,9 +21,16 @@
     `may_act` tells whether this node still may act for its shards.
     """
 
-    def __init__(self, worker: Worker, notary: Notary, clock: Clock) -> None:
-        self._runner = Runner(worker, clock)
+    def __init__(
+        self,
+        worker: Worker,
+        notary: Notary,
+        suspicions: Suspicions,
+        clock: Clock,
+    ) -> None:
+        self._runner = Runner(worker, suspicions, clock)
         self._notary = notary
+        self._quarantine = suspicions.quarantine
 
     def execute(self, exchange: Exchange, run: Run, may_act: MayAct) -> None:
         """Answer a request on its exchange."""
@@ -38,6 +46,12 @@
             _replay(exchange, *instead)
 
     def _run(self, exchange: Exchange, run: Run, may_act: MayAct) -> Result:
+        barred_ms = self._quarantine.barred_for_ms(run.fingerprint)
+        if barred_ms:
+            detail = 'workers crashed whenever they ran this request'
+            told = Failure('quarantined', False, detail, barred_ms)
+            exchange.send(told)
+            return Result(told=told)
         if may_act():
             return self._runner.run(run, exchange, LONGEST_BODY)
         detail = f'no lease to act for {run.work.service}/{run.work.shard}'
--- a/laburnumwood/routing/notary.py
+++ b/laburnumwood/routing/notary.py
@@ -3,7 +3,6 @@
 from dataclasses import replace
 
 import eventlet
-from xxhash import xxh3_128
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError
@@ -43,13 +42,6 @@
 }
 
 
-def _fingerprint(run: Run) -> str:
-    digest = xxh3_128(run.body)
-    for part in (run.work.method, run.work.target, run.work.key):
-        digest.update(f'{len(part)}:{part}'.encode())
-    return digest.hexdigest()
-
-
 def _shard(work: Work) -> ShardName:
     return ShardName(work.service, work.shard)
 
@@ -85,9 +77,7 @@
         entry = self._view.directory.shard(shard)
         if entry is None:
             return failure('not-owner', f'{shard} is not known', ran=False)
-        verdict = self._ledger.begin(
-            shard, key, _fingerprint(run), entry.record
-        )
+        verdict = self._ledger.begin(shard, key, run.fingerprint, entry.record)
         if verdict is Verdict.ANSWERED:
             head, body = self._ledger.answer(shard, key)
             return (head, body) if head else _REFUSALS[Verdict.RAN]
--- a/laburnumwood/routing/outcome.py
+++ b/laburnumwood/routing/outcome.py
@@ -82,6 +82,9 @@
         'No successor could note the request',
         1_000,
     ),
+    'quarantined': Problem(
+        HTTPStatus.FORBIDDEN, 'The request crashes workers', 600_000
+    ),
     'cancelled': Problem(HTTPStatus.BAD_GATEWAY, 'The request was cancelled'),
 }
 
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -110,16 +110,19 @@
         self._budget.earn()
         until_ms = self._clock.now_ms() + work.deadline_ms
         patience_ms = self._clock.now_ms() + PATIENCE_MS
+        may_have_run = False
         while True:
             reply = self._try(work, body, until_ms, caller)
-            if not isinstance(reply, Failure) or caller.is_gone:
+            if not isinstance(reply, Failure):
                 return reply
+            may_have_run = may_have_run or reply.ran
             waits = not reply.ran and reply.kind in _AWAITS_OWNER
             limit_ms = min(until_ms, patience_ms) if waits else until_ms
-            if self._clock.now_ms() + _RETRY_MS >= limit_ms:
-                return reply
+            in_time = self._clock.now_ms() + _RETRY_MS < limit_ms
+            if caller.is_gone or not in_time:
+                return replace(reply, ran=may_have_run)
             if not waits and not self._may_go_again(work, reply):
-                return reply
+                return replace(reply, ran=may_have_run)
             eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
 
     def _may_go_again(self, work: Work, told: Failure) -> bool:
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -4,22 +4,31 @@
 from dataclasses import dataclass
 
 import eventlet
+from xxhash import xxh3_128
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import (
     LinkError,
     LinkTimeoutError,
+    WorkerBusyError,
     WorkerCutError,
+    WorkerError,
     WorkerTimeoutError,
     WorkerUnreachableError,
 )
 from laburnumwood.protocol.messages import Answer, Chunk, End, Failure, Work
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.solitude import Solitude
+from laburnumwood.routing.suspicions import Suspicions
 from laburnumwood.upstream.refusals import FENCED, may_be_refusal, refusal_in
 from laburnumwood.upstream.worker import Order, Worker, WorkerAnswer
 
 _NO_BODY = b''
+_NOT_SENT: dict[type[WorkerError], str] = {
+    WorkerBusyError: 'overloaded',
+    WorkerUnreachableError: 'worker-unreachable',
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +40,14 @@
     token: int | None
     until_ms: int
 
+    @property
+    def fingerprint(self) -> str:
+        """Return what two requests share only if they ask for the same."""
+        digest = xxh3_128(self.body)
+        for part in (self.work.method, self.work.target, self.work.key):
+            digest.update(f'{len(part)}:{part}'.encode())
+        return digest.hexdigest()
+
 
 @dataclass(slots=True)
 class Result:
@@ -67,8 +84,13 @@
     passes.
     """
 
-    def __init__(self, worker: Worker, clock: Clock) -> None:
+    def __init__(
+        self, worker: Worker, suspicions: Suspicions, clock: Clock
+    ) -> None:
         self._worker = worker
+        self._suspicions = suspicions
+        self._solitude = Solitude(clock)
+        self._is_in_doubt = False
         self._clock = clock
 
     def run(self, run: Run, exchange: Exchange, kept: int = 0) -> Result:
@@ -85,9 +107,10 @@
 
     def _exchange(self, run: Run, exchange: Exchange, kept: int) -> Result:
         try:
-            answer = self._worker.run(self._order(run))
-        except WorkerUnreachableError as unreachable:
-            told = failure('worker-unreachable', str(unreachable), ran=False)
+            answer = self._run_guarded(run)
+        except (WorkerBusyError, WorkerUnreachableError) as not_sent:
+            kind = _NOT_SENT[type(not_sent)]
+            told = failure(kind, str(not_sent), ran=False)
             return _give_up(told, exchange)
         except WorkerTimeoutError as late:
             self._cancel(run)
@@ -98,6 +121,29 @@
             return _give_up(told, exchange)
         return self._take(run, answer, exchange, kept)
 
+    def _run_guarded(self, run: Run) -> WorkerAnswer:
+        service, fingerprint = run.work.service, run.fingerprint
+        alone = self._suspicions.quarantine.is_suspected(fingerprint)
+        with self._solitude.entered(alone=alone):
+            answer = self._run_on_live_worker(run)
+        if alone:
+            self._suspicions.clear(service, fingerprint)
+        return answer
+
+    def _run_on_live_worker(self, run: Run) -> WorkerAnswer:
+        # What is sent to a worker that is dead already did not kill it.
+        if self._is_in_doubt and not self._worker.answers():
+            raise WorkerUnreachableError('the worker was lost')
+        self._is_in_doubt = False
+        try:
+            return self._worker.run(self._order(run))
+        except WorkerTimeoutError:
+            raise
+        except WorkerCutError:
+            self._is_in_doubt = True
+            self._suspicions.blame(run.work.service, run.fingerprint)
+            raise
+
     def _order(self, run: Run) -> Order:
         work = run.work
         left_ms = max(1, run.until_ms - self._clock.now_ms())
--- /dev/null
+++ b/laburnumwood/routing/solitude.py
@@ -0,0 +1,61 @@
+"""Runs that share a worker with others, and runs that must not."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import eventlet
+
+from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.errors import WorkerBusyError
+
+_POLL_MS = 2
+_PATIENCE_MS = 1_000
+
+
+class Solitude:
+    """Lets runs onto a worker side by side, or one alone.
+
+    A run that has to be alone waits a second for the others at the most, and
+    new ones wait as long for it.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._shared = 0
+        self._is_taken = False
+
+    @contextmanager
+    def entered(self, *, alone: bool) -> Iterator[None]:
+        """Hold a place on the worker; raises `WorkerBusyError`."""
+        if alone:
+            with self._alone():
+                yield
+            return
+        self._wait_until_free()
+        self._shared += 1
+        try:
+            yield
+        finally:
+            self._shared -= 1
+
+    @contextmanager
+    def _alone(self) -> Iterator[None]:
+        until_ms = self._wait_until_free()
+        self._is_taken = True
+        try:
+            while self._shared:
+                self._wait(until_ms)
+            yield
+        finally:
+            self._is_taken = False
+
+    def _wait_until_free(self) -> int:
+        until_ms = self._clock.now_ms() + _PATIENCE_MS
+        while self._is_taken:
+            self._wait(until_ms)
+        return until_ms
+
+    def _wait(self, until_ms: int) -> None:
+        if self._clock.now_ms() >= until_ms:
+            raise WorkerBusyError('no time alone on the worker')
+        eventlet.sleep(_POLL_MS / MS_PER_SECOND)
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -162,6 +162,15 @@
         ]
         return self._control('PUT', '/grants', until_ms=until_ms, shards=shards)
 
+    def answers(self) -> bool:
+        """Ask the worker for its health; tell whether it answers at all."""
+        timeout = Timeout(_CONTROL_TIMEOUT_S)
+        try:
+            self._pool.request('GET', '/health', timeout=timeout)
+        except HTTPError:
+            return False
+        return True
+
     def load(self) -> int | None:
         """Return how many requests the worker says it runs, if it does."""
         timeout = Timeout(_CONTROL_TIMEOUT_S)
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -31,6 +31,7 @@
 from laburnumwood.routing.running import Run, Runner
 from laburnumwood.routing.server import serve_callers
 from laburnumwood.routing.spread import Spread
+from laburnumwood.routing.suspicions import Suspicions
 from laburnumwood.upstream.worker import Worker
 
 HOST = '127.0.0.1'
@@ -144,8 +145,14 @@
     clock = Clock()
     worker_listener = eventlet.listen((HOST, int(sys.argv[1])))
     eventlet.spawn_n(_serve, ToldWorker().serve, worker_listener)
-    runner = Runner(Worker(f'http://{HOST}:{sys.argv[1]}', 10), clock)
     dispatcher = Dispatcher()
+    security = LinkSecurity(KEY)
+    gate = (HOST, int(sys.argv[2]))
+    peers = Peers(DOOR, security, lambda _: gate, dispatcher, clock)
+    view: Any = OneGate()
+    suspicions = Suspicions(GATE, view, peers, dispatcher, clock)
+    worker = Worker(f'http://{HOST}:{sys.argv[1]}', 10)
+    runner = Runner(worker, suspicions, clock)
 
     @dispatcher.on(Work)
     def serve(_link: Any, stream: Any, work: Work) -> None:
@@ -153,15 +160,12 @@
         body = read_body(stream, work.deadline_ms)
         runner.run(Run(work, body, None, until_ms), stream)
 
-    security = LinkSecurity(KEY)
-    gate = (HOST, int(sys.argv[2]))
     eventlet.spawn_n(listen, gate, security, dispatcher.handle, clock)
-    peers = Peers(DOOR, security, lambda _: gate, dispatcher, clock)
     budget = RetryBudget(0, clock)
     spread = Spread(LoadBook(clock), Random(1), clock)
     router = Router(
         DOOR,
-        OneGate(),  # type: ignore[arg-type]
+        view,
         peers,
         serve,  # type: ignore[arg-type]
         spread,
