--- a/laburnumwood/cli/losing.py
+++ b/laburnumwood/cli/losing.py
@@ -1,13 +1,12 @@
 """The command that asserts the loss of a node."""
 
 from contextlib import suppress
-from dataclasses import replace
 
 from laburnumwood.cli.options import Options, UsageError
 from laburnumwood.cli.output import Output
 from laburnumwood.clock import Clock
 from laburnumwood.errors import PlatformConflictError
-from laburnumwood.membership.joining import change_record
+from laburnumwood.membership.joining import confirm_lost
 from laburnumwood.platform.client import Platform
 from laburnumwood.platform.objects import AUDIT, node_object, to_record
 from laburnumwood.records import NodeName, NodeRecord
@@ -42,11 +41,6 @@
         platform.create(f'{AUDIT}lost/{name}', content)
 
 
-def _ended(record: NodeRecord, incarnation: int) -> NodeRecord:
-    kept = [each for each in record.open_incarnations if each > incarnation]
-    return replace(record, open_incarnations=tuple(kept))
-
-
 def confirm_loss(
     options: Options, node_id: str, output: Output, *, sure: bool
 ) -> None:
@@ -60,11 +54,6 @@
     record = _read(platform, node_id)
     name = NodeName(node_id, record.incarnation)
     _note(platform, name, options.who)
-    change_record(
-        platform,
-        node_id,
-        lambda before: _ended(before, name.incarnation),
-        None,
-    )
+    confirm_lost(platform, name, options.who)
     output.say(f'{name} is recorded as lost; its shards get new owners')
     output.data({'lost': str(name)})
--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -5,6 +5,7 @@
 
 import fire
 from fire.decorators import SetParseFns
+from logbook import NullHandler
 
 from laburnumwood.cli import configuring, looking
 from laburnumwood.cli.fleet import Fleet
@@ -187,6 +188,7 @@
 def main() -> int:
     """Run one command and return its exit status."""
     arguments = _join_only(sys.argv[1:])
+    NullHandler().push_application()  # the tool tells people itself
     try:
         fire.Fire(Tool, command=arguments, name='laburnumwood')
     except LaburnumwoodError as failure:
--- a/laburnumwood/membership/joining.py
+++ b/laburnumwood/membership/joining.py
@@ -103,6 +103,11 @@
     return NodeName(settings.node_id, record.incarnation), record
 
 
+def _without_up_to(record: NodeRecord, incarnation: int) -> NodeRecord:
+    kept = [each for each in record.open_incarnations if each > incarnation]
+    return replace(record, open_incarnations=tuple(kept))
+
+
 def _leaving(record: NodeRecord, name: NodeName) -> NodeRecord:
     same = record.incarnation == name.incarnation
     return replace(record, leaving=record.leaving or same)
@@ -132,10 +137,17 @@
 def confirm_lost(platform: Platform, name: NodeName, who: str) -> None:
     """Record that an operator asserts that an incarnation has ended.
 
-    It must be certain that its process acts no more: with this its shards get
-    new owners, whatever its witnesses know.  Raises `PlatformError`.
+    All earlier ones of that node have then ended too.  It must be certain
+    that its process acts no more: with this its shards get new owners,
+    whatever its witnesses know.  Raises `PlatformError`.
     """
-    _end(platform, name, new_mark(who))
+    change_record(
+        platform,
+        name.node_id,
+        lambda before: _without_up_to(before, name.incarnation),
+        None,
+        new_mark(who),
+    )
     LOSS_CONFIRMED.report(node=name, who=who)
 
 
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -115,17 +115,18 @@
             reply = self._try(work, body, until_ms, caller)
             if not isinstance(reply, Failure):
                 return reply
+            # An earlier try may have run, whatever the last one proves.
             may_have_run = may_have_run or reply.ran
             waits = not reply.ran and reply.kind in _AWAITS_OWNER
             limit_ms = min(until_ms, patience_ms) if waits else until_ms
-            in_time = self._clock.now_ms() + _RETRY_MS < limit_ms
-            if caller.is_gone or not in_time:
-                return replace(reply, ran=may_have_run)
-            if not waits and not self._may_go_again(work, reply):
+            is_late = self._clock.now_ms() + _RETRY_MS >= limit_ms
+            if caller.is_gone or is_late or not self._goes_again(work, reply):
                 return replace(reply, ran=may_have_run)
             eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
 
-    def _may_go_again(self, work: Work, told: Failure) -> bool:
+    def _goes_again(self, work: Work, told: Failure) -> bool:
+        if not told.ran and told.kind in _AWAITS_OWNER:
+            return True
         passing = told.kind in _MAY_PASS
         return passing and work.idempotent and self._budget.spend()
 
