Follow shards and list live nodes when something has changed, not on time

Cause: each node looked at all shards of its service twenty times a second and made the list of live nodes anew for each use, so its idle cost grew with the fleet (docs/CAPACITY.md). Both now wait for a change of directory, seals or lease. Ruled out: longer intervals, which would delay a takeover.

--- a/laburnumwood/leases/seals.py
+++ b/laburnumwood/leases/seals.py
@@ -43,6 +43,12 @@
         self._sealed: set[NodeName] = set()
         self._ended: set[NodeName] = set()
         self._digest = 0
+        self._changes = 0
+
+    @property
+    def changes(self) -> int:
+        """Return a number that is another one after each change."""
+        return self._changes
 
     def add(self, seal: Seal) -> bool:
         """Take in a seal; tell whether its holder is sealed only by now."""
@@ -50,6 +56,7 @@
         if seal.witness in known:
             return False  # a witness seals a holder once
         known[seal.witness] = seal
+        self._changes += 1
         self._digest ^= _digest_of(seal)
         newly = seal.holder not in self._sealed and _proves(known)
         if newly:
@@ -70,10 +77,13 @@
             self._digest ^= _digest_of(seal)
         self._sealed.discard(holder)
         self._ended.add(holder)
+        self._changes += 1
 
     def end(self, holder: NodeName) -> None:
         """Take in from the store that an incarnation has ended."""
-        self._ended.add(holder)
+        if holder not in self._ended:
+            self._ended.add(holder)
+            self._changes += 1
 
     def is_sealed(self, holder: NodeName) -> bool:
         """Tell whether an incarnation has lapsed for ever."""
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -47,7 +47,8 @@
 
     An object is replaced only by a newer version of itself, so that stale
     reads and messages out of order do no harm.  `revision` is the revision of
-    the store up to which nothing is missing.
+    the store up to which nothing is missing, `changes` is another number after
+    each change.
     """
 
     def __init__(self) -> None:
@@ -58,6 +59,7 @@
         self._config = ConfigRecord(0)
         self._declarations = Declarations()
         self.revision = 0
+        self.changes = 0
         self.when_shard_changes: ShardListener = _ignore
 
     @property
@@ -108,6 +110,7 @@
             self._by_version.pop(known.version, None)
         self._objects[stored.name] = stored
         self._by_version[stored.version] = stored.name
+        self.changes += 1
         return True
 
     def since(self, revision: int) -> tuple[StoredObject, ...]:
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -13,6 +13,14 @@
     def __init__(self, directory: Directory, seals: SealBook) -> None:
         self.directory = directory
         self.seals = seals
+        self._live: dict[NodeName, NodeRecord] = {}
+        self._live_in: dict[str, dict[NodeName, NodeRecord]] = {}
+        self._live_version = (-1, -1)
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return what is another value after each change."""
+        return self.directory.changes, self.seals.changes
 
     def digest(self) -> Digest:
         """Return how much is known, for peers to compare."""
@@ -24,6 +32,25 @@
 
     def live(self) -> Iterator[tuple[NodeName, NodeRecord]]:
         """Yield the nodes that are not known to have ended or to leave."""
+        self._refresh()
+        yield from tuple(self._live.items())
+
+    def live_in(self, service: str) -> dict[NodeName, NodeRecord]:
+        """Return the live nodes of a service."""
+        self._refresh()
+        return dict(self._live_in.get(service, {}))
+
+    def _refresh(self) -> None:
+        if self._live_version == self.version:
+            return
+        self._live = dict(self._find_live())
+        self._live_in = {}
+        for name, record in self._live.items():
+            self._live_in.setdefault(record.service, {})[name] = record
+        # Finding them may note ends, which changes the version itself.
+        self._live_version = self.version
+
+    def _find_live(self) -> Iterator[tuple[NodeName, NodeRecord]]:
         for node_id, entry in self.directory.nodes.items():
             record = entry.record
             name = NodeName(node_id, record.incarnation)
@@ -31,14 +58,6 @@
             if not ended and not record.leaving and not self.is_sealed(name):
                 yield name, record
 
-    def live_in(self, service: str) -> dict[NodeName, NodeRecord]:
-        """Return the live nodes of a service."""
-        return {
-            name: record
-            for name, record in self.live()
-            if record.service == service
-        }
-
     def is_sealed(self, name: NodeName) -> bool:
         """Tell whether an incarnation has lapsed for ever."""
         if self.seals.is_sealed(name):
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -56,8 +56,12 @@
 
     def watch_standing(self) -> None:
         """Take over and give up shards as seals and records ask for it."""
+        followed = None
         while True:
-            self._tenure.follow()
+            version = self._tenure.version
+            if version != followed:
+                self._tenure.follow()
+                followed = version
             eventlet.sleep(_STANDING_MS / MS_PER_SECOND)
 
     def write_records(self) -> None:
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -60,6 +60,11 @@
         """Return the shards whose record has to be read again."""
         return tuple(self._stale)
 
+    @property
+    def version(self) -> tuple[int, int, bool]:
+        """Return what is another value when there may be news to follow."""
+        return (*self._view.version, self._lease.holds())
+
     def live(self) -> dict[NodeName, NodeRecord]:
         """Return the live nodes of the service."""
         return self._view.live_in(self._service)
