Judge the one owner by tokens, and take a reset in connecting for one

Two checks that gave different verdicts from run to run: - 'any door answers for any key' asked for one worker a key, but a shard may move between two answers. Now tokens may only rise and each has one worker, which an answer of a second owner under an old token still fails. - 'it hinders new connections' failed when the relay's reset came before connect() had returned; that is the reset that the scenario asks for.

--- a/tests/features/path.feature
+++ b/tests/features/path.feature
@@ -16,7 +16,7 @@
 
   Scenario: any door answers for any key
     When 60 keys are asked for at each door of "trader-portal"
-    Then every answer is whole and of one worker for each key
+    Then every answer is whole and of the one owner of its key
 
   Scenario: keys of a killed node are served again
     When the node "portal-3" is killed
--- a/tests/features/steps/deployment_steps.py
+++ b/tests/features/steps/deployment_steps.py
@@ -16,16 +16,20 @@
 OK = 200
 
 
-def ask(context: Context, member: Member, service: str, key: str) -> str:
-    """Return the worker that answered for a key; the answer must be whole."""
+def ask(
+    context: Context, member: Member, service: str, key: str
+) -> tuple[int, str]:
+    """Return the token and the worker that answered for a key.
+
+    The answer must be whole.
+    """
     answer = context.deployment.get(
         f'{member.door}/{service}/x', headers={'Kiosk': key}
     )
     assert answer.status == OK, (key, answer.status, answer.data)
     content = answer.json()
     assert content['key'] == key, (key, content)
-    worker: str = content['worker']
-    return worker
+    return content['token'], content['worker']
 
 
 @given('a deployment of the nodes')
@@ -71,18 +75,21 @@
 
 @when('{count:d} keys are asked for at each door of "{service}"')
 def ask_everywhere(context: Context, count: int, service: str) -> None:
-    context.workers = defaultdict(set)
+    context.answers = defaultdict(list)
     for member in context.deployment.members.values():
         for number in range(count):
             key = f'kiosk-{number}'
-            worker = ask(context, member, service, key)
-            context.workers[key].add(worker)
+            answer = ask(context, member, service, key)
+            context.answers[key].append(answer)
 
 
-@then('every answer is whole and of one worker for each key')
-def check_workers(context: Context) -> None:
-    for key, workers in context.workers.items():
-        assert len(workers) == 1, (key, workers)
+@then('every answer is whole and of the one owner of its key')
+def check_owners(context: Context) -> None:
+    # A shard may move between two answers; then the token has risen.
+    for key, answers in context.answers.items():
+        assert answers == sorted(answers), (key, answers)
+        tokens = {token for token, _ in answers}
+        assert len(tokens) == len(set(answers)), (key, answers)
 
 
 @when('the node "{node_id}" is killed')
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -39,7 +39,9 @@
     return opened
 
 
-def _ask(opened: socket.socket, limit_s: float) -> str:
+def _ask(opened: socket.socket | None, limit_s: float) -> str:
+    if opened is None:
+        return 'reset'  # before connecting had returned
     opened.settimeout(limit_s)
     try:
         opened.sendall(REQUEST)
@@ -66,7 +68,10 @@
 
 @when('a caller asks through the relay')
 def ask_through(context: Context) -> None:
-    context.opened = _connect(context)
+    try:
+        context.opened = _connect(context)
+    except ConnectionResetError:
+        context.opened = None
 
 
 @then('the caller got an answer')
