--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -112,7 +112,9 @@
     def _move(self, write: ShardWrite) -> None:
         while not self._holdings.is_idle(write.shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
-        if self.before_move(write.shard, write.record.succession):
+        # A move that begins in an outage would keep its shard closed in it.
+        answers = self._writer.refresh_if_possible(write.shard)
+        if answers and self.before_move(write.shard, write.record.succession):
             self._carry(write)
         else:
             self._finish(write, Progress.NOT_SENT)
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -56,12 +56,13 @@
         if stored is not None:
             self._directory.apply(stored)
 
-    def refresh_if_possible(self, shard: ShardName) -> None:
-        """Read a record again unless the store does not answer."""
+    def refresh_if_possible(self, shard: ShardName) -> bool:
+        """Read a record again; tell whether the store answered."""
         try:
             self.refresh(shard)
         except PlatformError:
-            return  # it is asked for again
+            return False
+        return True
 
     def _settle(self, write: ShardWrite) -> Progress:
         self._unsettled += 1
