--- /dev/null
+++ b/laburnumwood/admission/retries.py
@@ -0,0 +1,55 @@
+"""The budget that keeps retries a small share of the load."""
+
+from collections import deque
+from dataclasses import dataclass
+
+from laburnumwood.clock import Clock
+
+_WINDOW_MS = 10_000
+_SLICE_MS = 500
+_FLOOR = 2  # retries a window that a node without load may make
+
+
+@dataclass(slots=True)
+class _Slice:
+    number: int
+    requests: int = 0
+    retries: int = 0
+
+
+class RetryBudget:
+    """Lets retries through while they are at most a share of the requests.
+
+    Both are counted over the same sliding window, so that neither a burst of
+    requests long ago nor one of retries now can raise the share.
+    """
+
+    def __init__(self, share: float, clock: Clock) -> None:
+        self._share = share
+        self._clock = clock
+        self._slices: deque[_Slice] = deque()
+
+    def earn(self) -> None:
+        """Count a request that is sent for the first time."""
+        self._current().requests += 1
+
+    def spend(self) -> bool:
+        """Count a retry and tell whether it may be made."""
+        current = self._current()
+        requests = sum(each.requests for each in self._slices)
+        retries = sum(each.retries for each in self._slices)
+        if retries + 1 > requests * self._share + _FLOOR:
+            return False
+        current.retries += 1
+        return True
+
+    def _current(self) -> _Slice:
+        number = self._clock.now_ms() // _SLICE_MS
+        while self._slices and self._is_old(self._slices[0], number):
+            self._slices.popleft()
+        if not self._slices or self._slices[-1].number != number:
+            self._slices.append(_Slice(number))
+        return self._slices[-1]
+
+    def _is_old(self, each: _Slice, number: int) -> bool:
+        return each.number <= number - _WINDOW_MS // _SLICE_MS
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -5,6 +5,7 @@
 import eventlet
 from eventlet.greenthread import GreenThread
 
+from laburnumwood.admission.retries import RetryBudget
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import TASK_FAILED
 from laburnumwood.leases.lease import Lease
@@ -33,6 +34,7 @@
 from laburnumwood.upstream.worker import Worker
 
 _RESTART_MS = 200
+_RETRY_SHARE = 0.1  # of the requests
 
 
 def _supervise(task: Callable[[], None]) -> None:
@@ -147,7 +149,14 @@
             worker,
             clock,
         )
-        router = Router(self.name, self.view, self._peers, gate.serve, clock)
+        router = Router(
+            self.name,
+            self.view,
+            self._peers,
+            gate.serve,
+            RetryBudget(_RETRY_SHARE, clock),
+            clock,
+        )
         self.door = Door(
             router, lambda: self.view.directory.declarations.services
         )
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 import eventlet
-from eventlet import wsgi
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.daemon.incarnation import Incarnation
@@ -20,7 +19,8 @@
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.peers import listen
 from laburnumwood.protocol.streams import Stream
-from laburnumwood.routing.door import StartResponse
+from laburnumwood.routing.outcome import StartResponse, failure, refuse
+from laburnumwood.routing.server import serve_callers
 from laburnumwood.settings import DaemonSettings
 
 _JOIN_RETRY_MS = 500
@@ -72,14 +72,7 @@
         listener = eventlet.listen(
             (self._settings.host, port), backlog=_BACKLOG
         )
-        eventlet.spawn_n(
-            wsgi.server,
-            listener,
-            application,
-            log_output=False,
-            debug=False,
-            max_size=_BACKLOG,
-        )
+        eventlet.spawn_n(serve_callers, listener, application)
 
     def _serve_peer(self, link: Link, stream: Stream, message: Any) -> None:
         if self._incarnation is None:
@@ -136,6 +129,5 @@
 
 
 def _not_ready(start_response: StartResponse) -> Iterable[bytes]:
-    headers = [('Retry-After', '1'), ('Laburnumwood-Outcome', 'not-run')]
-    start_response('503 Service Unavailable', headers)
-    return (b'',)
+    told = failure('not-ready', 'this node is joining', ran=False)
+    return refuse(told, '', start_response)
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -67,3 +67,7 @@
 
 class WorkerCutError(WorkerError):
     """The worker's answer ended early or never came."""
+
+
+class WorkerTimeoutError(WorkerCutError):
+    """The worker did not answer in time."""
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -124,8 +124,8 @@
 class Work:
     """A caller's request on its way to the owner of its shard.
 
-    `shard` is negative for a service that is not divided by key, and
-    `body_length` is negative if the caller did not say it.
+    `shard` is negative for a service that is not divided by key.
+    `deadline_ms` is what is left of the caller's patience when it is sent.
     """
 
     request_id: str
@@ -137,6 +137,8 @@
     headers: tuple[tuple[str, str], ...]
     body_length: int
     deadline_ms: int
+    idempotent: bool
+    idempotency_key: str
 
 
 @message('answer')
--- a/laburnumwood/protocol/streams.py
+++ b/laburnumwood/protocol/streams.py
@@ -5,10 +5,16 @@
 from eventlet import Timeout
 from eventlet.queue import Queue
 
-from laburnumwood.errors import LinkError, LinkLostError, LinkTimeoutError
-from laburnumwood.protocol.messages import Chunk, Credit
+from laburnumwood.errors import (
+    LinkError,
+    LinkLostError,
+    LinkTimeoutError,
+    ProtocolError,
+)
+from laburnumwood.protocol.messages import Chunk, Credit, Failure
 
 WINDOW = 256 * 1024  # bytes that may be sent ahead of the reader
+_MOST_UNREAD = 2 * WINDOW  # the last chunk of a window may exceed it
 _MS_PER_SECOND = 1_000
 
 
@@ -35,6 +41,8 @@
         self._inbox: Queue = Queue()
         self._credits: Queue = Queue()
         self._window = WINDOW
+        self._unread = 0
+        self._answered = False
         self._failure: LinkError | None = None
 
     def send(self, message: Any) -> None:
@@ -44,6 +52,8 @@
         """
         if isinstance(message, Chunk):
             self._wait_for_window()
+            if self._answered:
+                return  # whoever has answered reads no more of a body
             self._window -= len(message.content)
         self._link.send(self._number, message)
 
@@ -60,6 +70,7 @@
         if isinstance(message, LinkError):
             raise message
         if isinstance(message, Chunk):
+            self._unread -= len(message.content)
             self._link.send(self._number, Credit(len(message.content)))
         return message
 
@@ -71,8 +82,13 @@
         """Take in a message that the link received for this stream."""
         if isinstance(message, Credit):
             self._credits.put(message.size)
-        else:
+        elif isinstance(message, Chunk):
+            self._unread += len(message.content)
+            if self._unread > _MOST_UNREAD:
+                raise ProtocolError('more was sent than the window allows')
             self._inbox.put(message)
+        else:
+            self._take(message)
 
     def fail(self, reason: LinkError) -> None:
         """Let all that waits on this stream fail."""
@@ -80,8 +96,16 @@
         self._inbox.put(reason)
         self._credits.put(0)
 
+    def _take(self, message: Any) -> None:
+        self._inbox.put(message)
+        if isinstance(message, Failure):
+            self._answered = True
+            self._credits.put(0)
+
     def _wait_for_window(self) -> None:
         while self._window <= 0 or not self._credits.empty():
+            if self._answered:
+                return
             self._window += self._credits.get()
             if self._failure:
                 raise LinkLostError(str(self._failure))
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -1,42 +1,23 @@
 """The gate: the only way to the worker beside a node."""
 
-from collections.abc import Mapping
-
 import eventlet
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.errors import (
-    LinkError,
-    WorkerCutError,
-    WorkerUnreachableError,
-)
+from laburnumwood.errors import LinkError
 from laburnumwood.leases.lease import Lease
 from laburnumwood.placement.holdings import Holdings
-from laburnumwood.protocol.messages import Answer, Chunk, End, Failure, Work
+from laburnumwood.protocol.messages import Chunk, End, Work
 from laburnumwood.records import ShardName
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.running import Run, Runner
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.granter import Granter
-from laburnumwood.upstream.worker import Order, Worker, WorkerAnswer
+from laburnumwood.upstream.worker import Worker
 
 _GRANT_POLL_MS = 5
 _GRANT_PATIENCE_MS = 500
 _QUEUE_PER_SLOT = 2
-_HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        'host',
-        'content-length',
-    )
-)
 
 
 def read_body(exchange: Exchange, timeout_ms: int) -> bytes:
@@ -61,22 +42,6 @@
     return body
 
 
-def _headers(work: Work, token: int | None) -> Mapping[str, str]:
-    headers = {
-        name: text
-        for name, text in work.headers
-        if name.lower() not in _HOP_BY_HOP
-    }
-    headers['Laburnumwood-Service'] = work.service
-    headers['Laburnumwood-Key'] = work.key
-    headers['Laburnumwood-Request'] = work.request_id
-    headers['Laburnumwood-Deadline-Ms'] = str(work.deadline_ms)
-    if token is not None:
-        headers['Laburnumwood-Shard'] = str(work.shard)
-        headers['Laburnumwood-Token'] = str(token)
-    return headers
-
-
 class Gate:
     """Lets a request through to the worker while this node may act for it."""
 
@@ -93,7 +58,7 @@
         self._lease = lease
         self._holdings = holdings
         self._granter = granter
-        self._worker = worker
+        self._runner = Runner(worker, clock)
         self._clock = clock
         self._running = 0
 
@@ -117,9 +82,10 @@
             self._running -= 1
 
     def _serve_admitted(self, exchange: Exchange, work: Work) -> None:
+        until_ms = self._clock.now_ms() + work.deadline_ms
         body = read_body(exchange, work.deadline_ms)
         if work.shard < 0:
-            exchange_with_worker(self._worker, exchange, work, body, None)
+            self._runner.run(Run(work, body, None, until_ms), exchange)
             return
         shard = ShardName(work.service, work.shard)
         token = self._holdings.enter(shard)
@@ -128,69 +94,27 @@
             exchange.send(failure('not-owner', detail, ran=False))
             return
         try:
-            self._serve_owned(exchange, work, body, token)
+            self._serve_owned(exchange, Run(work, body, token, until_ms))
         finally:
             self._holdings.leave(shard)
 
-    def _serve_owned(
-        self, exchange: Exchange, work: Work, body: bytes, token: int
-    ) -> None:
-        shard = ShardName(work.service, work.shard)
-        ready = self._wait_for_grant(shard, token)
+    def _serve_owned(self, exchange: Exchange, run: Run) -> None:
+        shard = ShardName(run.work.service, run.work.shard)
+        ready = self._wait_for_grant(shard, run.token)
         if not ready or not self._may_act():
             detail = f'{self._settings.node_id} may not act for {shard}'
             exchange.send(failure('not-owner', detail, ran=False))
             return
-        exchange_with_worker(self._worker, exchange, work, body, token)
+        self._runner.run(run, exchange)
 
     def _may_act(self) -> bool:
         guard_ms = self._settings.lease.guard_ms
         left_ms = self._lease.holds_until_ms() - self._clock.now_ms()
         return left_ms > guard_ms
 
-    def _wait_for_grant(self, shard: ShardName, token: int) -> bool:
+    def _wait_for_grant(self, shard: ShardName, token: int | None) -> bool:
         for _ in range(_GRANT_PATIENCE_MS // _GRANT_POLL_MS):
             if self._granter.covers(shard, token):
                 return True
             eventlet.sleep(_GRANT_POLL_MS / MS_PER_SECOND)
         return False
-
-
-def exchange_with_worker(
-    worker: Worker,
-    exchange: Exchange,
-    work: Work,
-    body: bytes,
-    token: int | None,
-) -> None:
-    """Send a request to the worker once and pass its answer on."""
-    order = Order(
-        work.method, work.target, _headers(work, token), body, work.deadline_ms
-    )
-    try:
-        answer = worker.run(order)
-    except WorkerUnreachableError as unreachable:
-        told = failure('worker-unreachable', str(unreachable), ran=False)
-        exchange.send(told)
-    except WorkerCutError as cut:
-        exchange.send(failure('worker-cut', str(cut), ran=True))
-    else:
-        _pass_on(answer, exchange)
-
-
-def _pass_on(answer: WorkerAnswer, exchange: Exchange) -> None:
-    length = 0
-    try:
-        exchange.send(Answer(answer.status, answer.headers))
-        for part in answer.chunks():
-            exchange.send(Chunk(part))
-            length += len(part)
-    except WorkerCutError as cut:
-        answer.close()
-        exchange.send(Failure('worker-cut', ran=True, detail=str(cut)))
-    except LinkError:
-        answer.close()
-        raise
-    else:
-        answer.release()
-        exchange.send(End(length))
--- /dev/null
+++ b/laburnumwood/routing/headers.py
@@ -0,0 +1,57 @@
+"""Which headers pass from hop to hop."""
+
+from collections.abc import Iterable
+
+Header = tuple[str, str]
+
+OWN_PREFIX = 'laburnumwood-'
+_CONNECTION = 'connection'
+_HOP_BY_HOP = frozenset(
+    (
+        _CONNECTION,
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+_OF_THE_DOOR = frozenset(('host', 'content-length'))
+
+
+def _named_by_connection(headers: Iterable[Header]) -> set[str]:
+    return {
+        token.strip().lower()
+        for name, text in headers
+        if name.lower() == _CONNECTION
+        for token in text.split(',')
+    }
+
+
+def end_to_end(headers: tuple[Header, ...]) -> tuple[Header, ...]:
+    """Return the headers that are not meant for one connection only."""
+    dropped = _HOP_BY_HOP | _named_by_connection(headers)
+    return tuple(each for each in headers if each[0].lower() not in dropped)
+
+
+def request_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
+    """Return the headers of a caller's request that its worker gets.
+
+    Names and duplicates are kept; what only the router may say is dropped.
+    """
+    return tuple(
+        (name, text)
+        for name, text in end_to_end(headers)
+        if name.lower() not in _OF_THE_DOOR
+        and not name.lower().startswith(OWN_PREFIX)
+    )
+
+
+def find(headers: Iterable[Header], wanted: str) -> list[str]:
+    """Return every value of a header."""
+    lower = wanted.lower()
+    return [text for name, text in headers if name.lower() == lower]
--- a/laburnumwood/routing/outcome.py
+++ b/laburnumwood/routing/outcome.py
@@ -1,12 +1,16 @@
 """What callers are told when there is no answer of a worker."""
 
 import json
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Any
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.protocol.messages import Failure
 
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
 OUTCOME_HEADER = 'Laburnumwood-Outcome'
 NOT_RUN = 'not-run'
 UNKNOWN = 'unknown'
@@ -46,6 +50,19 @@
     ),
     'link-lost': Problem(HTTPStatus.BAD_GATEWAY, 'The owner was lost'),
     'deadline': Problem(HTTPStatus.GATEWAY_TIMEOUT, 'The deadline has passed'),
+    'headers-too-large': Problem(
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, 'The headers are too large'
+    ),
+    'target-too-long': Problem(
+        HTTPStatus.REQUEST_URI_TOO_LONG, 'The target is too long'
+    ),
+    'not-ready': Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE, 'The node is not ready', 1_000
+    ),
+    'refused': Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE, 'The worker refused the request', 500
+    ),
+    'cancelled': Problem(HTTPStatus.BAD_GATEWAY, 'The request was cancelled'),
 }
 
 
@@ -87,3 +104,13 @@
         return f'{status} {HTTPStatus(status).phrase}'
     except ValueError:
         return f'{status} Unknown'
+
+
+def refuse(
+    told: Failure, request_id: str, start_response: StartResponse
+) -> Iterable[bytes]:
+    """Answer a request with a problem."""
+    content = problem_body(told, request_id)
+    status = PROBLEMS[told.kind].status
+    start_response(status_line(status), problem_headers(told, len(content)))
+    return (content,)
--- /dev/null
+++ b/laburnumwood/routing/reading.py
@@ -0,0 +1,173 @@
+"""Reading of a caller's request from its WSGI environment."""
+
+import re
+from typing import Any
+from urllib.parse import parse_qs
+from uuid import uuid4
+
+from eventlet import Timeout
+from eventlet.wsgi import ChunkReadError
+
+from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.config.declarations import KeySource, Service
+from laburnumwood.errors import LaburnumwoodError
+from laburnumwood.placement.sharding import shard_of
+from laburnumwood.protocol.messages import Work
+from laburnumwood.routing.headers import find, request_headers
+from laburnumwood.routing.outcome import failure
+
+Environ = dict[str, Any]
+
+REQUEST_HEADER = 'Laburnumwood-Request'
+IDEMPOTENCY_HEADER = 'Idempotency-Key'
+_DEADLINE_HEADER = 'Laburnumwood-Deadline-Ms'
+_LONGEST_NAME = 256  # characters of an id or key
+_PIECE = 65_536  # bytes read at once
+_NUMBER = re.compile('-?[0-9]{1,12}')
+_METHOD = re.compile('[A-Z]{1,20}')
+_PRINTABLE = re.compile(r'[^\x00-\x1f\x7f]+')
+
+
+class RequestRefusedError(LaburnumwoodError):
+    """A request that is answered without being sent on."""
+
+    def __init__(self, kind: str, detail: str) -> None:
+        super().__init__(detail)
+        self.told = failure(kind, detail, ran=False)
+
+
+def _one_header(environ: Environ, name: str) -> str:
+    found = set(find(environ['headers_raw'], name))
+    if len(found) > 1:
+        raise RequestRefusedError('bad-request', f'{name} stands twice')
+    return found.pop() if found else ''
+
+
+def _name(environ: Environ, name: str) -> str:
+    text = _one_header(environ, name)
+    if text and not _is_name(text):
+        raise RequestRefusedError('bad-request', f'{name} is not usable')
+    return text
+
+
+def _is_name(text: str) -> bool:
+    return len(text) <= _LONGEST_NAME and bool(_PRINTABLE.fullmatch(text))
+
+
+def _key_of(environ: Environ, source: KeySource) -> str:
+    if source.source == 'header':
+        return _one_header(environ, source.name)
+    if source.source == 'query':
+        fields = parse_qs(environ.get('QUERY_STRING', ''))
+        found = set(fields.get(source.name, ()))
+        if len(found) > 1:
+            raise RequestRefusedError('bad-request', 'the key stands twice')
+        return found.pop() if found else ''
+    segments = environ['PATH_INFO'].split('/')[2:]
+    place = int(source.name) - 1
+    return segments[place] if place < len(segments) else ''
+
+
+def _placed(environ: Environ, service: Service) -> tuple[int, str]:
+    """Return the shard and the key of a request."""
+    if service.key is None:
+        return -1, ''
+    key = _key_of(environ, service.key)
+    if not key:
+        where = f'{service.key.source} {service.key.name}'
+        raise RequestRefusedError('no-key', f'the key is expected in {where}')
+    if not _is_name(key):
+        raise RequestRefusedError('bad-request', 'the key is not usable')
+    return shard_of(key, service.shards), key
+
+
+def _target(environ: Environ) -> str:
+    # The raw path keeps the caller's own percent-encoding.
+    segments = environ['RAW_PATH_INFO'].split('/')[2:]
+    path = '/'.join(segments)
+    query = environ.get('QUERY_STRING', '')
+    return f'/work/{path}?{query}' if query else f'/work/{path}'
+
+
+def _read_pieces(environ: Environ, longest: int) -> bytes:
+    stream = environ['wsgi.input']
+    body = bytearray()
+    while piece := stream.read(_PIECE):
+        body.extend(piece)
+        if len(body) > longest:
+            raise RequestRefusedError('too-large', f'over {longest} bytes')
+    return bytes(body)
+
+
+def _read_body(environ: Environ, longest: int, deadline_ms: int) -> bytes:
+    declared = environ.get('CONTENT_LENGTH')
+    if declared and int(declared) > longest:
+        raise RequestRefusedError('too-large', f'over {longest} bytes')
+    late = RequestRefusedError('deadline', 'the body did not come in time')
+    try:
+        with Timeout(deadline_ms / MS_PER_SECOND, late):
+            body = _read_pieces(environ, longest)
+    except (ChunkReadError, OSError) as cut:
+        raise RequestRefusedError('bad-request', f'body: {cut}') from cut
+    if declared and len(body) != int(declared):
+        raise RequestRefusedError('bad-request', 'the body is too short')
+    return body
+
+
+def _deadline_ms(environ: Environ, service: Service) -> int:
+    given = _one_header(environ, _DEADLINE_HEADER) or str(service.deadline_ms)
+    if not _NUMBER.fullmatch(given):
+        raise RequestRefusedError('bad-request', f'deadline of {given!r} ms')
+    if int(given) <= 0:
+        raise RequestRefusedError('deadline', 'it had passed on arrival')
+    return min(int(given), service.deadline_ms)
+
+
+def read_request_id(environ: Environ) -> str:
+    """Return the id that the caller gave its request, or a new one."""
+    given = ''.join(find(environ['headers_raw'], REQUEST_HEADER)[:1])
+    return given if given and _is_name(given) else uuid4().hex
+
+
+def _check_head(environ: Environ) -> None:
+    method = environ['REQUEST_METHOD']
+    if not _METHOD.fullmatch(method) or method == 'CONNECT':
+        raise RequestRefusedError('bad-request', f'method {method!r}')
+    for name, text in environ['headers_raw']:
+        if '\n' in text or '\r' in text:
+            raise RequestRefusedError('bad-request', f'{name} spans lines')
+
+
+def _service_name(environ: Environ) -> str:
+    return ''.join(environ['RAW_PATH_INFO'].split('/', 2)[1:2])
+
+
+def read_request(
+    environ: Environ, services: dict[str, Service], request_id: str
+) -> tuple[Work, bytes]:
+    """Return a caller's request and its whole body.
+
+    Raises `RequestRefusedError` for what can't be sent on.
+    """
+    name = _service_name(environ)
+    service = services.get(name)
+    if service is None:
+        raise RequestRefusedError('unknown-service', f'no service {name!r}')
+    _check_head(environ)
+    shard, key = _placed(environ, service)
+    deadline_ms = _deadline_ms(environ, service)
+    idempotency_key = _name(environ, IDEMPOTENCY_HEADER)
+    body = _read_body(environ, service.longest_body, deadline_ms)
+    return Work(
+        request_id=request_id,
+        service=name,
+        shard=shard,
+        key=key,
+        method=environ['REQUEST_METHOD'],
+        target=_target(environ),
+        headers=request_headers(environ['headers_raw']),
+        body_length=len(body),
+        deadline_ms=deadline_ms,
+        idempotent=environ['REQUEST_METHOD'] in service.idempotent_methods,
+        idempotency_key=idempotency_key,
+    ), body
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -1,22 +1,83 @@
 """From a caller's request to the node that answers it."""
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 import eventlet
 
+from laburnumwood.admission.retries import RetryBudget
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.errors import LinkError
+from laburnumwood.errors import LinkError, LinkTimeoutError
 from laburnumwood.membership.choice import rendezvous
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.ownership import acting
-from laburnumwood.protocol.messages import Answer, Chunk, End, Failure, Work
+from laburnumwood.protocol.messages import (
+    Answer,
+    Cancel,
+    Chunk,
+    End,
+    Failure,
+    Work,
+)
 from laburnumwood.protocol.peers import Peers
+from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName, ShardName
-from laburnumwood.routing.exchange import Exchange, Serve, local_pair
+from laburnumwood.routing.caller import Caller
+from laburnumwood.routing.exchange import Serve, local_pair
 from laburnumwood.routing.outcome import failure
 
+PATIENCE_MS = 3_000  # how long a request waits for an owner at the most
 _RETRY_MS = 50
 _CHUNK_SIZE = 32_768
+_AWAITS_OWNER = frozenset(('not-owner', 'no-owner'))
+_MAY_PASS = frozenset(('link-lost', 'worker-cut', 'worker-unreachable'))
+
+
+class Reply:
+    """The head of an answer, and its body that is still to come."""
+
+    def __init__(
+        self, head: Answer, exchange: Stream, until_ms: int, clock: Clock
+    ) -> None:
+        self.head = head
+        self._exchange = exchange
+        self._until_ms = until_ms
+        self._clock = clock
+        self._whole = False
+
+    def body(self) -> Iterator[bytes]:
+        """Yield the body; raises `LinkError` if it is cut short."""
+        length = 0
+        while True:
+            left_ms = max(0, self._until_ms - self._clock.now_ms())
+            message = self._exchange.receive(left_ms)
+            if isinstance(message, End) and message.length == length:
+                self._whole = True
+                return
+            if not isinstance(message, Chunk):
+                raise LinkError('the answer was cut')
+            length += len(message.content)
+            yield message.content
+
+    def close(self) -> None:
+        """End the exchange; an answer not read whole is cancelled."""
+        if not self._whole:
+            abandon(self._exchange)
+        self._exchange.close()
+
+
+def abandon(exchange: Stream) -> None:
+    """Tell the gate that its answer is no longer wanted, and wait no more."""
+    gone = LinkError('the caller has gone')
+    exchange.fail(gone)
+    eventlet.spawn_n(_tell_cancel, exchange)
+
+
+def _tell_cancel(exchange: Stream) -> None:
+    try:
+        exchange.send(Cancel())
+    except LinkError:
+        return  # the gate notices the lost link by itself
 
 
 class Router:
@@ -28,48 +89,41 @@
         view: FleetView,
         peers: Peers,
         serve: Serve,
+        budget: RetryBudget,
         clock: Clock,
     ) -> None:
         self._own = own
         self._view = view
         self._peers = peers
         self._serve = serve
+        self._budget = budget
         self._clock = clock
 
-    def send(
-        self, work: Work, body: bytes
-    ) -> tuple[Answer | Failure, Exchange | None]:
-        """Return the head of the answer and the exchange its body comes on.
+    def send(self, work: Work, body: bytes, caller: Caller) -> Reply | Failure:
+        """Return the answer to a request, or why there is none.
 
-        Where it is proved that nothing ran, the request is sent again, to
-        whoever is owner then, until its deadline.
+        A request that proved not to have run waits a while for an owner; one
+        that may have run is sent again only if it is idempotent.  Both end
+        with the deadline, and what was given up is answered at once.
         """
-        deadline_ms = self._clock.now_ms() + work.deadline_ms
-        told = failure('no-owner', f'shard {work.shard}', ran=False)
-        while self._clock.now_ms() < deadline_ms:
-            target = self._target(work)
-            if target is not None:
-                head, exchange = self._try(target, work, body)
-                if isinstance(head, Answer) or not _is_worth_a_retry(head):
-                    return head, exchange
-                told = head
+        self._budget.earn()
+        until_ms = self._clock.now_ms() + work.deadline_ms
+        patience_ms = self._clock.now_ms() + PATIENCE_MS
+        while True:
+            reply = self._try(work, body, until_ms, caller)
+            if not isinstance(reply, Failure) or caller.is_gone:
+                return reply
+            waits = not reply.ran and reply.kind in _AWAITS_OWNER
+            limit_ms = min(until_ms, patience_ms) if waits else until_ms
+            if self._clock.now_ms() + _RETRY_MS >= limit_ms:
+                return reply
+            if not waits and not self._may_go_again(work, reply):
+                return reply
             eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
-        return told, None
 
-    def body(self, exchange: Exchange, timeout_ms: int) -> Iterator[bytes]:
-        """Yield the body of an answer; raises `LinkError` if it is cut."""
-        length = 0
-        try:
-            while True:
-                message = exchange.receive(timeout_ms)
-                if isinstance(message, End) and message.length == length:
-                    return
-                if not isinstance(message, Chunk):
-                    raise LinkError('the answer was cut')
-                length += len(message.content)
-                yield message.content
-        finally:
-            exchange.close()
+    def _may_go_again(self, work: Work, told: Failure) -> bool:
+        passing = told.kind in _MAY_PASS
+        return passing and work.idempotent and self._budget.spend()
 
     def _target(self, work: Work) -> NodeName | None:
         if work.shard < 0:
@@ -79,20 +133,23 @@
         return acting(entry.record, self._view) if entry else None
 
     def _try(
-        self, target: NodeName, work: Work, body: bytes
-    ) -> tuple[Answer | Failure, Exchange | None]:
+        self, work: Work, body: bytes, until_ms: int, caller: Caller
+    ) -> Reply | Failure:
+        target = self._target(work)
+        if target is None:
+            return failure('no-owner', f'shard {work.shard}', ran=False)
+        left_ms = until_ms - self._clock.now_ms()
         try:
-            exchange = self._open(target, work)
+            exchange = self._open(target, replace(work, deadline_ms=left_ms))
         except LinkError as refused:
-            # The end of the body was not sent, so no worker got the request.
-            return failure('no-owner', str(refused), ran=False), None
-        try:
-            return self._ask(exchange, work, body)
-        except LinkError as lost:
+            return failure('no-owner', str(refused), ran=False)
+        caller.when_gone(lambda: abandon(exchange))
+        reply = self._ask(exchange, body, until_ms)
+        if isinstance(reply, Failure):
             exchange.close()
-            return failure('link-lost', str(lost), ran=True), None
+        return reply
 
-    def _open(self, target: NodeName, work: Work) -> Exchange:
+    def _open(self, target: NodeName, work: Work) -> Stream:
         if target != self._own:
             exchange = self._peers.open_stream(target)
             exchange.send(work)
@@ -102,19 +159,29 @@
         return near
 
     def _ask(
-        self, exchange: Exchange, work: Work, body: bytes
-    ) -> tuple[Answer | Failure, Exchange | None]:
-        for start in range(0, len(body), _CHUNK_SIZE):
-            exchange.send(Chunk(body[start : start + _CHUNK_SIZE]))
-        exchange.send(End(len(body)))
-        head = exchange.receive(work.deadline_ms)
+        self, exchange: Stream, body: bytes, until_ms: int
+    ) -> Reply | Failure:
+        ran = False
+        try:
+            for start in range(0, len(body), _CHUNK_SIZE):
+                exchange.send(Chunk(body[start : start + _CHUNK_SIZE]))
+            # A gate that has the whole body may run the request.
+            ran = True
+            exchange.send(End(len(body)))
+            head = exchange.receive(until_ms - self._clock.now_ms())
+        except LinkTimeoutError as late:
+            abandon(exchange)
+            return failure('deadline', str(late), ran=True)
+        except LinkError as lost:
+            return failure('link-lost', str(lost), ran=ran)
+        return self._read_head(head, exchange, until_ms)
+
+    def _read_head(
+        self, head: object, exchange: Stream, until_ms: int
+    ) -> Reply | Failure:
         if isinstance(head, Answer):
-            return head, exchange
-        exchange.close()
+            return Reply(head, exchange, until_ms, self._clock)
         if isinstance(head, Failure):
-            return head, None
-        raise LinkError('no answer but another message came')
-
-
-def _is_worth_a_retry(told: Failure) -> bool:
-    return not told.ran and told.kind in {'not-owner', 'no-owner'}
+            return head
+        abandon(exchange)
+        return failure('link-lost', 'another message came', ran=True)
--- /dev/null
+++ b/laburnumwood/routing/running.py
@@ -0,0 +1,179 @@
+"""One run of a request on the worker."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+import eventlet
+
+from laburnumwood.clock import Clock
+from laburnumwood.errors import (
+    LinkError,
+    LinkTimeoutError,
+    WorkerCutError,
+    WorkerTimeoutError,
+    WorkerUnreachableError,
+)
+from laburnumwood.protocol.messages import Answer, Chunk, End, Failure, Work
+from laburnumwood.routing.exchange import Exchange
+from laburnumwood.routing.outcome import failure
+from laburnumwood.upstream.refusals import FENCED, may_be_refusal, refusal_in
+from laburnumwood.upstream.worker import Order, Worker, WorkerAnswer
+
+_NO_BODY = b''
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A request that was let in: its body, token and end in time."""
+
+    work: Work
+    body: bytes
+    token: int | None
+    until_ms: int
+
+
+@dataclass(slots=True)
+class Result:
+    """How a run ended: the worker's answer if it came whole, or a failure."""
+
+    head: Answer | None = None
+    body: bytearray | None = None
+    told: Failure | None = None
+
+    @property
+    def ran(self) -> bool:
+        """Tell whether the request may have run."""
+        return self.told is None or self.told.ran
+
+
+def _headers(run: Run, left_ms: int) -> tuple[tuple[str, str], ...]:
+    work = run.work
+    own = [
+        ('Laburnumwood-Service', work.service),
+        ('Laburnumwood-Key', work.key),
+        ('Laburnumwood-Request', work.request_id),
+        ('Laburnumwood-Deadline-Ms', str(left_ms)),
+    ]
+    if run.token is not None:
+        own.append(('Laburnumwood-Shard', str(work.shard)))
+        own.append(('Laburnumwood-Token', str(run.token)))
+    return (*work.headers, *own)
+
+
+class Runner:
+    """Sends requests to the worker, each once, and passes answers on.
+
+    The work is cancelled when its asking side goes away or its deadline
+    passes.
+    """
+
+    def __init__(self, worker: Worker, clock: Clock) -> None:
+        self._worker = worker
+        self._clock = clock
+
+    def run(self, run: Run, exchange: Exchange, kept: int = 0) -> Result:
+        """Run a request; keep its answer up to a number of bytes."""
+        left_ms = run.until_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            told = failure('deadline', 'no time is left to run', ran=False)
+            return _give_up(told, exchange)
+        watcher = eventlet.spawn(self._watch, run, exchange)
+        try:
+            return self._exchange(run, exchange, kept)
+        finally:
+            watcher.kill()
+
+    def _exchange(self, run: Run, exchange: Exchange, kept: int) -> Result:
+        try:
+            answer = self._worker.run(self._order(run))
+        except WorkerUnreachableError as unreachable:
+            told = failure('worker-unreachable', str(unreachable), ran=False)
+            return _give_up(told, exchange)
+        except WorkerTimeoutError as late:
+            self._cancel(run)
+            told = failure('deadline', str(late), ran=True)
+            return _give_up(told, exchange)
+        except WorkerCutError as cut:
+            told = failure('worker-cut', str(cut), ran=True)
+            return _give_up(told, exchange)
+        return self._take(run, answer, exchange, kept)
+
+    def _order(self, run: Run) -> Order:
+        work = run.work
+        left_ms = max(1, run.until_ms - self._clock.now_ms())
+        headers = _headers(run, left_ms)
+        return Order(work.method, work.target, headers, run.body, left_ms)
+
+    def _take(
+        self, run: Run, answer: WorkerAnswer, exchange: Exchange, kept: int
+    ) -> Result:
+        result = Result(Answer(answer.status, answer.headers), bytearray())
+        try:
+            parts = _without_refusal(answer, result)
+            if result.told is None:
+                _pass_on(parts, result, exchange, kept)
+        except WorkerCutError as cut:
+            answer.close()
+            self._cancel(run)
+            return _give_up(failure('worker-cut', str(cut), ran=True), exchange)
+        except LinkError:
+            answer.close()
+            raise
+        answer.release()
+        if result.told is not None:
+            exchange.send(result.told)
+        return result
+
+    def _watch(self, run: Run, exchange: Exchange) -> None:
+        left_ms = run.until_ms - self._clock.now_ms()
+        try:
+            exchange.receive(left_ms)
+        except LinkTimeoutError:
+            return  # the limit of the call itself ends it
+        except LinkError:
+            self._cancel(run)
+        else:
+            self._cancel(run)
+
+    def _cancel(self, run: Run) -> None:
+        eventlet.spawn_n(self._worker.cancel, run.work.request_id)
+
+
+def _give_up(told: Failure, exchange: Exchange) -> Result:
+    exchange.send(told)
+    return Result(told=told)
+
+
+def _without_refusal(answer: WorkerAnswer, result: Result) -> Iterable[bytes]:
+    """Return the parts of an answer, after a look for a refusal in it."""
+    if not may_be_refusal(answer):
+        return answer.chunks()
+    body = _NO_BODY.join(answer.chunks())
+    reason = refusal_in(answer, body)
+    if reason is not None:
+        kind = 'not-owner' if reason == FENCED else 'refused'
+        result.told = failure(kind, f'worker: {reason}', ran=False)
+    return (body,)
+
+
+def _pass_on(
+    parts: Iterable[bytes], result: Result, exchange: Exchange, kept: int
+) -> None:
+    exchange.send(result.head)
+    length = 0
+    for part in _keeping(parts, result, kept):
+        exchange.send(Chunk(part))
+        length += len(part)
+    exchange.send(End(length))
+
+
+def _keeping(
+    parts: Iterable[bytes], result: Result, kept: int
+) -> Iterator[bytes]:
+    """Yield parts; the result holds all of them, or none if they are long."""
+    for part in parts:
+        if result.body is not None and len(result.body) + len(part) <= kept:
+            result.body.extend(part)
+        else:
+            result.body = None
+        yield part
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -36,7 +36,7 @@
         self._granted_ms = 0
         self._reachable = True
 
-    def covers(self, shard: ShardName, token: int) -> bool:
+    def covers(self, shard: ShardName, token: int | None) -> bool:
         """Tell whether the worker has a grant for a shard and a token."""
         return self._granted.get(shard) == token
 
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -4,24 +4,27 @@
 from dataclasses import dataclass
 from typing import Any
 
-from urllib3 import Retry, Timeout, connection_from_url
+from urllib3 import HTTPHeaderDict, Retry, Timeout, connection_from_url
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
-    ProtocolError,
+    ReadTimeoutError,
 )
 from urllib3.response import BaseHTTPResponse
+from urllib3.util import SKIP_HEADER
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import (
     WorkerCutError,
+    WorkerTimeoutError,
     WorkerUnreachableError,
 )
 from laburnumwood.records import ShardName
 
 _CONNECT_TIMEOUT_S = 0.5
 _CONTROL_TIMEOUT_S = 0.5
+_LONGEST_SILENCE_MS = 10_000  # between two parts of an answer
 _CHUNK_SIZE = 32_768
 _OK = 200
 _NEVER_SENT = (NewConnectionError, ConnectTimeoutError)
@@ -33,11 +36,36 @@
 
     method: str
     target: str
-    headers: Mapping[str, str]
+    headers: tuple[tuple[str, str], ...]
     body: bytes
     timeout_ms: int
 
 
+def _to_send(headers: tuple[tuple[str, str], ...]) -> HTTPHeaderDict:
+    # A list keeps duplicates; what the library would add is left out.
+    sent = HTTPHeaderDict()
+    for name, text in headers:
+        sent.add(name, text)
+    for unwanted in ('User-Agent', 'Accept-Encoding'):
+        sent.setdefault(unwanted, SKIP_HEADER)
+    return sent
+
+
+def _typed(failure: HTTPError) -> WorkerUnreachableError | WorkerCutError:
+    reason = getattr(failure, 'reason', failure)
+    if isinstance(reason, _NEVER_SENT):
+        return WorkerUnreachableError(str(reason))
+    if isinstance(reason, ReadTimeoutError):
+        return WorkerTimeoutError(str(reason))
+    return WorkerCutError(str(reason))
+
+
+def _limit_silence(response: BaseHTTPResponse, limit_ms: int) -> None:
+    sock = getattr(response.connection, 'sock', None)
+    if sock is not None:
+        sock.settimeout(limit_ms / MS_PER_SECOND)
+
+
 class WorkerAnswer:
     """The head of a worker's answer and its body, read once."""
 
@@ -54,12 +82,22 @@
         """Return the headers in their order."""
         return tuple(self._response.headers.items())
 
+    @property
+    def body_length(self) -> int | None:
+        """Return the length of the body, if the worker said it."""
+        declared = self._response.headers.get('Content-Length', '')
+        return int(declared) if declared.isdecimal() else None
+
     def chunks(self) -> Iterator[bytes]:
-        """Yield the body; raises `WorkerCutError` if it ends early."""
+        """Yield the body as it comes.
+
+        Raises `WorkerCutError` if it ends early or falls silent.
+        """
         try:
-            yield from self._response.stream(_CHUNK_SIZE, decode_content=False)
-        except (HTTPError, ProtocolError) as cut:
-            raise WorkerCutError(str(cut)) from cut
+            while part := self._response.read1(_CHUNK_SIZE, False):
+                yield part
+        except HTTPError as cut:
+            raise _typed(cut) from cut
 
     def close(self) -> None:
         """End the exchange and its connection."""
@@ -84,22 +122,27 @@
         Raises `WorkerUnreachableError` if it is proved that nothing was
         sent, and `WorkerCutError` if it may have run.
         """
+        limit = Timeout(
+            connect=_CONNECT_TIMEOUT_S, read=order.timeout_ms / MS_PER_SECOND
+        )
         try:
             response = self._pool.urlopen(
                 order.method,
                 order.target,
                 body=order.body,
-                headers=order.headers,
-                timeout=Timeout(
-                    connect=_CONNECT_TIMEOUT_S,
-                    read=order.timeout_ms / MS_PER_SECOND,
-                ),
+                headers=_to_send(order.headers),
+                timeout=limit,
                 preload_content=False,
             )
         except HTTPError as failure:
             raise _typed(failure) from failure
+        _limit_silence(response, min(order.timeout_ms, _LONGEST_SILENCE_MS))
         return WorkerAnswer(response)
 
+    def cancel(self, request_id: str) -> bool:
+        """Stop the work of a request; tell whether the worker did."""
+        return self._control('POST', '/cancel', request=request_id)
+
     def grant(self, tokens: Mapping[ShardName, int], ttl_ms: int) -> bool:
         """Replace the worker's grants; tell whether it took them."""
         shards = [
@@ -117,10 +160,3 @@
         except HTTPError:
             return False
         return answer.status == _OK
-
-
-def _typed(failure: HTTPError) -> WorkerUnreachableError | WorkerCutError:
-    reason = getattr(failure, 'reason', failure)
-    if isinstance(reason, _NEVER_SENT):
-        return WorkerUnreachableError(str(reason))
-    return WorkerCutError(str(reason))
--- a/standins/worker/pool.py
+++ b/standins/worker/pool.py
@@ -53,7 +53,7 @@
 
     def _stop_all(self) -> None:
         for run in tuple(self._runs):
-            run.stop('draining')
+            run.stop('stopped')
 
     def _close_run(self, run: Run) -> None:
         self._runs.discard(run)
--- a/standins/worker/service.py
+++ b/standins/worker/service.py
@@ -15,7 +15,7 @@
 from standins.worker.runs import Run
 from standins.worker.switches import Switches
 
-STOP_STATUSES = {'deadline': 504, 'cancelled': 499, 'draining': 503}
+STOP_STATUSES = {'deadline': 504, 'cancelled': 499, 'stopped': 503}
 CRASH_STATUS = 1
 
 
