Read heads and write answers in one piece, and keep one plain pool to the worker

Head and answer are read by one expression a line and sent in one write; framing of bodies stays with eventlet and http.client, connecting with urllib3.

A fault of an answer's application was dropped by the library; it is the event answer-failed now.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -90,7 +90,7 @@
             settings.lease,
             clock,
         )
-        self._worker = Worker(settings.worker_url, settings.connections)
+        self._worker = Worker(settings.worker_url, settings.connections, clock)
         self._granter: Granter | None = None
         self._grants = self._make_grants(clock)
         self._make_placement(platform, clock)
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -273,3 +273,10 @@
     'a task of the daemon failed and is started again',
     'report this with the log',
 )
+ANSWER_FAILED = _event(
+    902,
+    logbook.ERROR,
+    'answer-failed',
+    'a request met a fault of the daemon and got no answer of a worker',
+    'report this with the log',
+)
--- a/laburnumwood/header_index.py
+++ b/laburnumwood/header_index.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Iterable
 
+Header = tuple[str, str]
+
 
 class HeaderIndex:
     """Headers by their names in lower case, made once for many questions."""
 
-    def __init__(self, headers: Iterable[tuple[str, str]]) -> None:
+    def __init__(self, headers: Iterable[Header]) -> None:
         self._texts: dict[str, list[str]] = {}
         for name, text in headers:
             self._texts.setdefault(name.lower(), []).append(text)
@@ -16,6 +18,14 @@
         found = self._texts.get(lower_name)
         return found[0] if found else ''
 
+    def all(self, lower_name: str) -> list[str]:
+        """Return every value of a header."""
+        return self._texts.get(lower_name, [])
+
+    def get(self, lower_name: str) -> str | None:
+        """Return the first value of a header, None if there is none."""
+        return self.first(lower_name) if self.has(lower_name) else None
+
     def has(self, lower_name: str) -> bool:
         """Tell whether a header is there."""
         return lower_name in self._texts
--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -8,6 +8,7 @@
 from laburnumwood.header_index import HeaderIndex
 from laburnumwood.platform.names import ID_HEADER, TIME_LEFT_HEADER
 from laburnumwood.protocol.messages import Answer, Failure, Work
+from laburnumwood.routing.connection import HEADERS
 from laburnumwood.routing.face import HeaderList, Refusal
 from laburnumwood.routing.headers import end_to_end, request_headers
 from laburnumwood.routing.inquiry import Inquiry
@@ -24,7 +25,6 @@
 
 _NO_LIMIT_MS = 3_600_000
 _HOST = 'Host'
-_INDEX = 'laburnumwood.headers'
 # What the requester itself got wrong; all else that did not run is a 503.
 _REQUESTERS_FAULT = frozenset(
     (
@@ -39,10 +39,7 @@
 
 
 def _first(environ: Environ, name: str) -> str:
-    index = environ.get(_INDEX)
-    if index is None:
-        index = HeaderIndex(environ['headers_raw'])
-        environ[_INDEX] = index
+    index: HeaderIndex = environ[HEADERS]
     return index.first(name.lower())
 
 
--- /dev/null
+++ b/laburnumwood/routing/connection.py
@@ -0,0 +1,276 @@
+"""One connection of a caller: heads of requests in, answers out.
+
+Eventlet's server accepts connections and frames bodies.  Heads are read and
+answers are written here: the general parser of the standard library takes
+longer than all else that a request costs at the door.
+"""
+
+import re
+import traceback
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import unquote
+
+from eventlet import Timeout, wsgi
+from eventlet.green import socket
+
+from laburnumwood.events import ANSWER_FAILED
+from laburnumwood.header_index import Header, HeaderIndex
+from laburnumwood.routing.outcome import (
+    PROBLEMS,
+    failure,
+    problem_body,
+    problem_headers,
+    status_line,
+)
+
+CLOSE = 'laburnumwood.close'  # in the environment: ends with this answer
+HEADERS = 'laburnumwood.headers'  # in the environment: a `HeaderIndex`
+
+_REQUEST_LINE = re.compile(r'(\S+) (\S+) (HTTP/1\.[01])\r?\n')
+_HEADER_LINE = re.compile(
+    r"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n\0]*?)[ \t]*\r?\n"
+)
+_ENDS_OF_HEAD = frozenset((b'\r\n', b'\n'))
+_MOST_HEADERS = 100
+_LENGTH = re.compile('[0-9]{1,18}')
+_DRAIN_S = 0.5
+_DRAIN_SIZE = 1_048_576  # bytes that are read and dropped at the most
+_CONTINUE_LINE = b'HTTP/1.1 100 Continue\r\n'
+_BODYLESS = frozenset(('204', '304'))
+
+
+def _framing_fault(fields: HeaderIndex) -> str:
+    """Return why the length of a body is not certain, or nothing."""
+    lengths = fields.all('content-length')
+    codings = fields.all('transfer-encoding')
+    if lengths and codings:
+        return 'both Content-Length and Transfer-Encoding are given'
+    if len(lengths) > 1 or len(codings) > 1:
+        return 'the length of the body is given twice'
+    if lengths and not _LENGTH.fullmatch(lengths[0]):
+        return f'Content-Length {lengths[0]!r} is no number'
+    if codings and codings[0].lower() != 'chunked':
+        return f'Transfer-Encoding {codings[0]!r} is not known'
+    return ''
+
+
+class _HeadError(Exception):
+    """The head of a request can't be read."""
+
+
+class _Answer:
+    """Writes one answer; its head leaves together with the first bytes."""
+
+    def __init__(self, protocol: 'CallerProtocol') -> None:
+        self._protocol = protocol
+        self._head = b''
+        self._is_chunked = False
+        self._has_body = True
+        self.has_begun = False
+
+    def start(
+        self, status: str, headers: list[Header], _failed: Any = None
+    ) -> Callable[[bytes], None]:
+        """Take in status and headers, as WSGI asks for."""
+        protocol = self._protocol
+        code = status[:3]
+        self._has_body = protocol.command != 'HEAD' and code not in _BODYLESS
+        lines = [f'HTTP/1.1 {status}']
+        lines += [f'{name}: {text}' for name, text in headers]
+        has_length = any(
+            name.lower() == 'content-length' for name, _ in headers
+        )
+        if self._has_body and not has_length:
+            self._is_chunked = protocol.request_version == 'HTTP/1.1'
+            protocol.close_connection |= not self._is_chunked
+            if self._is_chunked:
+                lines.append('Transfer-Encoding: chunked')
+        if protocol.close_connection:
+            lines.append('Connection: close')
+        elif protocol.request_version != 'HTTP/1.1':
+            lines.append('Connection: keep-alive')
+        self._head = '\r\n'.join((*lines, '', '')).encode('latin1')
+        return self.write
+
+    def write(self, content: bytes) -> None:
+        """Send a part of the body."""
+        if content:
+            self._send(self._framed(content))
+
+    def finish(self) -> None:
+        """Send what is left after the last part."""
+        if self._is_chunked:
+            self._send(b'0\r\n\r\n')
+        elif not self.has_begun:
+            self._send(b'')
+
+    def _framed(self, content: bytes) -> bytes:
+        if not self._has_body:
+            return b''
+        if self._is_chunked:
+            return b'%x\r\n%b\r\n' % (len(content), content)
+        return content
+
+    def _send(self, content: bytes) -> None:
+        if not self.has_begun:
+            self.has_begun = True
+            content = self._head + content
+        if content:
+            self._protocol.connection.sendall(content)
+
+
+class CallerProtocol(wsgi.HttpProtocol):
+    """Answers what can't be read as a request with a problem."""
+
+    def parse_request(self) -> bool:
+        """Read the head of a request; tell whether it can be served."""
+        try:
+            self._read_head()
+        except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
+            return self._refuse('headers-too-large', 'a header or all of them')
+        except _HeadError as unreadable:
+            return self._refuse('bad-request', str(unreadable))
+        connection = self.headers.first('connection').lower()
+        if self.request_version == 'HTTP/1.1':
+            self.close_connection = connection == 'close'
+        else:
+            self.close_connection = connection != 'keep-alive'
+        return True
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment of a request."""
+        path, _, query = self.path.partition('?')
+        fields = self.headers
+        length = fields.first('content-length')
+        is_chunked = fields.has('transfer-encoding')
+        waits = fields.first('expect').lower() == '100-continue'
+        body = wsgi.Input(
+            self.rfile,
+            None if is_chunked else length or '0',
+            self.connection,
+            wfile=self.wfile if waits else None,
+            wfile_line=_CONTINUE_LINE,
+            chunked_input=is_chunked,
+        )
+        return {
+            'REQUEST_METHOD': self.command,
+            'SCRIPT_NAME': '',
+            'RAW_PATH_INFO': path,
+            'PATH_INFO': unquote(path, 'latin1') if '%' in path else path,
+            'QUERY_STRING': query,
+            'CONTENT_LENGTH': length,
+            'SERVER_PROTOCOL': self.request_version,
+            'REMOTE_ADDR': self.client_address[0],
+            'HTTP_AUTHORIZATION': fields.first('authorization'),
+            'wsgi.input': body,
+            'eventlet.input': body,
+            'headers_raw': self._fields,
+            HEADERS: fields,
+            CLOSE: self._close_after,
+        }
+
+    def handle_one_response(self) -> None:
+        """Let the application answer a request."""
+        answer = _Answer(self)
+        body = self.environ['wsgi.input']
+        parts: Iterable[bytes] = ()
+        wsgi.WSGI_LOCAL.already_handled = False
+        try:
+            parts = self.application(self.environ, answer.start)
+            for part in parts:
+                answer.write(part)
+            if wsgi.WSGI_LOCAL.already_handled:
+                self.close_connection = True
+            else:
+                answer.finish()
+        except OSError:
+            self.close_connection = True
+            raise
+        except (Exception, Timeout):
+            self._tell_failed(answer)
+        finally:
+            if hasattr(parts, 'close'):
+                parts.close()
+            self._drop_rest(body)
+
+    def _tell_failed(self, answer: _Answer) -> None:
+        self.close_connection = True
+        ANSWER_FAILED.report(
+            path=self.path, begun=answer.has_begun, trace=traceback.format_exc()
+        )
+        if not answer.has_begun:
+            status = status_line(HTTPStatus.INTERNAL_SERVER_ERROR)
+            answer.start(status, [('Content-Length', '0')])
+            answer.finish()
+
+    def _drop_rest(self, body: wsgi.Input) -> None:
+        """Read what the application left of a body, or end the connection."""
+        if body.should_send_hundred_continue:
+            self.close_connection = True
+        unread = body.chunked_input or body.position < body.content_length
+        if self.close_connection or not unread:
+            return
+        try:
+            body.discard()
+        except (wsgi.ChunkReadError, OSError):
+            self.close_connection = True
+
+    def _read_head(self) -> None:
+        line = self.raw_requestline.decode('latin1')
+        found = _REQUEST_LINE.fullmatch(line)
+        if found is None:
+            raise _HeadError(f'request line {line[:80]!r}')
+        self.requestline = line
+        self.command, self.path, self.request_version = found.groups()
+        self._fields = self._read_fields()
+        self.headers = HeaderIndex(self._fields)
+        fault = _framing_fault(self.headers)
+        if fault:
+            raise _HeadError(fault)
+
+    def _read_fields(self) -> tuple[Header, ...]:
+        fields: list[Header] = []
+        while (line := self.rfile.readline()) not in _ENDS_OF_HEAD:
+            found = _HEADER_LINE.fullmatch(line.decode('latin1'))
+            if found is None:
+                raise _HeadError(f'header {line[:80]!r}')
+            if len(fields) >= _MOST_HEADERS:
+                raise wsgi.HeadersTooLarge
+            fields.append((found[1], found[2]))
+        return tuple(fields)
+
+    def _close_after(self) -> None:
+        self.close_connection = True
+
+    def _read_request_line(self) -> bytes:
+        line: bytes = super()._read_request_line()
+        if line and len(line) >= self.server.url_length_limit:
+            self._refuse('target-too-long', 'the request line')
+            return b''
+        return line
+
+    def _refuse(self, kind: str, detail: str) -> bool:
+        told = failure(kind, detail, ran=False)
+        content = problem_body(told, '')
+        status = status_line(PROBLEMS[kind].status)
+        fields = [*problem_headers(told, len(content)), ('Connection', 'close')]
+        lines = ''.join(f'{name}: {text}\r\n' for name, text in fields)
+        head = f'HTTP/1.1 {status}\r\n{lines}\r\n'.encode()
+        self.close_connection = True
+        with suppress(OSError):
+            self.connection.sendall(head + content)
+            self._drain()
+        return False
+
+    def _drain(self) -> None:
+        # What is left unread at the close would reset the connection before
+        # the caller has read its answer.
+        self.request.shutdown(socket.SHUT_WR)
+        left = _DRAIN_SIZE
+        with Timeout(_DRAIN_S, exception=False):
+            while left > 0:
+                read = self.request.recv(left)
+                left -= len(read) or left
--- a/laburnumwood/routing/headers.py
+++ b/laburnumwood/routing/headers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-Header = tuple[str, str]
+from laburnumwood.header_index import Header
 
 OWN_PREFIX = 'laburnumwood-'
 _CONNECTION = 'connection'
--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -1,5 +1,13 @@
-"""A connection to the worker that notices how and when it ends."""
+"""Connections to the worker that notice how and when they end.
 
+A connection is opened by urllib3 and read by the standard library's framing
+of answers.  Heads are read here: the general parsers of both take longer than
+all else that a request costs on its way to the worker.
+"""
+
+import re
+from collections.abc import Iterable
+from http.client import BadStatusLine, HTTPResponse, LineTooLong
 from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any
 
@@ -7,6 +15,18 @@
 from eventlet.hubs import IOClosed
 from urllib3.connection import HTTPConnection
 
+from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.header_index import Header, HeaderIndex
+
+_LONGEST_LINE = 65_536  # bytes
+_MOST_HEADERS = 100
+_STATUS_LINE = re.compile(rb'HTTP/1\.([01]) ([1-9][0-9]{2})(?: .*)?\r?\n')
+_HEADER_LINE = re.compile(rb'([^\s:\0]+):[ \t]*([^\r\n\0]*?)[ \t]*\r?\n')
+_ENDS_OF_HEAD = frozenset((b'\r\n', b'\n'))
+_BODYLESS = frozenset((204, 304))
+_TIMEOUT_PARAMETER = re.compile(r'timeout\s*=\s*([0-9]+)', re.IGNORECASE)
+_IDLE_MARGIN_MS = 500  # before the worker closes an idle connection itself
+
 
 class _ResettableSocket(GreenSocket):
     """A socket whose reads fail after a reset.
@@ -34,20 +54,108 @@
             raise ConnectionAbortedError('closed on this side') from closed
 
 
+class WorkerResponse(HTTPResponse):
+    """An answer; only its head is read in another way than the library's."""
+
+    fields: tuple[Header, ...] = ()
+    index = HeaderIndex(())
+
+    def __init__(self, sock: Any, method: str) -> None:
+        super().__init__(sock, method=method)
+        self._has_no_body = method == 'HEAD'
+
+    def begin(self) -> None:
+        """Read the head; raises `HTTPException` or `OSError`."""
+        minor, status = self._read_status_line()
+        self.fields = self._read_fields()
+        while 100 <= status < 200:
+            minor, status = self._read_status_line()
+            self.fields = self._read_fields()
+        self.index = HeaderIndex(self.fields)
+        self.status = status
+        self.code = status
+        self.version = 10 + minor
+        self._frame()
+
+    def _read_line(self) -> bytes:
+        line: bytes = self.fp.readline(_LONGEST_LINE + 1)
+        if len(line) > _LONGEST_LINE:
+            raise LineTooLong('head')
+        return line
+
+    def _read_status_line(self) -> tuple[int, int]:
+        line = self._read_line()
+        found = _STATUS_LINE.fullmatch(line)
+        if found is None:
+            raise BadStatusLine(repr(line))
+        return int(found[1]), int(found[2])
+
+    def _read_fields(self) -> tuple[Header, ...]:
+        fields: list[Header] = []
+        while (line := self._read_line()) not in _ENDS_OF_HEAD:
+            found = _HEADER_LINE.fullmatch(line)
+            if found is None or len(fields) >= _MOST_HEADERS:
+                raise BadStatusLine(f'header {line!r}')
+            fields.append(
+                (found[1].decode('latin1'), found[2].decode('latin1'))
+            )
+        return tuple(fields)
+
+    def _frame(self) -> None:
+        coding = self.index.first('transfer-encoding').lower()
+        self.chunked = coding == 'chunked'
+        self.chunk_left = None
+        length = self.index.first('content-length')
+        self.length = None
+        if length.isdecimal() and not self.chunked:
+            self.length = int(length)
+        if self.status in _BODYLESS or self._has_no_body:
+            self.length = 0
+        is_framed = self.chunked or self.length is not None
+        connection = self.index.first('connection').lower()
+        stays = self.version == 11 or connection == 'keep-alive'
+        self.will_close = not (is_framed and stays) or connection == 'close'
+
+
 class WorkerConnection(HTTPConnection):
-    """A connection that finds out without waiting whether it was closed.
+    """A connection that sends a request in one piece."""
 
-    The library asks the hub, which costs a switch of tasks each time.
-    """
+    def __init__(self, *args: Any, clock: Clock, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._clock = clock
+        self._closes_ms: int | None = None  # when the worker closes it if idle
+
+    def send_request(
+        self, head: bytes, body: bytes, method: str, timeout_ms: int
+    ) -> WorkerResponse:
+        """Send a request and return its answer when the head has come.
+
+        Raises `OSError` or `HTTPException`.
+        """
+        self.sock.settimeout(timeout_ms / MS_PER_SECOND)
+        self.sock.sendall(head + body)
+        response = WorkerResponse(self.sock, method)
+        response.begin()
+        return response
+
+    def note_idle(self, answer_index: HeaderIndex) -> None:
+        """Take in for how long the worker keeps the connection when idle."""
+        found = _TIMEOUT_PARAMETER.search(answer_index.first('keep-alive'))
+        if found is not None:
+            limit_ms = int(found[1]) * MS_PER_SECOND - _IDLE_MARGIN_MS
+            self._closes_ms = self._clock.now_ms() + limit_ms
 
     @property
     def is_connected(self) -> bool:
         """Tell whether the connection can take another request."""
-        if self.sock is None:
+        sock: Any = self.sock
+        if sock is None:
+            return False
+        closes_ms = self._closes_ms
+        if closes_ms is not None and self._clock.now_ms() >= closes_ms:
             return False
         try:
             # Bytes that nobody asked for spoil a connection as an end does.
-            sock: Any = self.sock
             sock.fd.recv(1, MSG_PEEK | MSG_DONTWAIT)
         except BlockingIOError:
             return True
@@ -67,3 +175,13 @@
         )
         sock.settimeout(limit_s)
         return sock
+
+
+def request_head(method: str, target: str, headers: Iterable[Header]) -> bytes:
+    """Return the head of a request; raises `ValueError` if it can't be sent."""
+    lines = [f'{method} {target} HTTP/1.1']
+    lines += [f'{name}: {text}' for name, text in headers]
+    head = '\r\n'.join((*lines, '', ''))
+    if head.count('\n') != len(lines) + 1 or head.count('\r') != len(lines) + 1:
+        raise ValueError('a line break in the head of a request')
+    return head.encode('latin1')
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -1,31 +1,35 @@
 """Calls of the worker beside this node."""
 
+from collections import deque
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
-from functools import cached_property
+from http.client import HTTPException
 from typing import Any
 
 import eventlet
 from pydantic import BaseModel, Field, ValidationError
-from urllib3 import HTTPHeaderDict, Retry, Timeout, connection_from_url
+from urllib3 import Retry, Timeout, connection_from_url
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
     ReadTimeoutError,
 )
-from urllib3.response import BaseHTTPResponse
-from urllib3.util import SKIP_HEADER
+from urllib3.util import parse_url
 
-from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import (
     WorkerCutError,
     WorkerTimeoutError,
     WorkerUnreachableError,
 )
-from laburnumwood.header_index import HeaderIndex
+from laburnumwood.header_index import Header, HeaderIndex
 from laburnumwood.records import ShardName
-from laburnumwood.upstream.connection import WorkerConnection
+from laburnumwood.upstream.connection import (
+    WorkerConnection,
+    WorkerResponse,
+    request_head,
+)
 
 _CONNECT_TIMEOUT_S = 0.5
 _CONTROL_TIMEOUT_S = 0.5
@@ -33,7 +37,8 @@
 _CHUNK_SIZE = 32_768
 _OK = 200
 _DYING_MS = 30
-_NEVER_SENT = (NewConnectionError, ConnectTimeoutError)
+_CONTROL_CONNECTIONS = 2
+_USUALLY_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,10 +47,20 @@
 
     method: str
     target: str
-    headers: tuple[tuple[str, str], ...]
+    headers: tuple[Header, ...]
     body: bytes
     timeout_ms: int
 
+    @property
+    def all_headers(self) -> tuple[Header, ...]:
+        """Return the headers with those that the connection needs."""
+        added = []
+        if not any(name.lower() == 'host' for name, _ in self.headers):
+            added.append(('Host', 'worker'))
+        if self.body or self.method not in _USUALLY_WITHOUT_BODY:
+            added.append(('Content-Length', str(len(self.body))))
+        return (*self.headers, *added)
+
 
 class LoadReport(BaseModel):
     """What a worker says of its load; more fields are ignored."""
@@ -53,16 +68,6 @@
     running: int = Field(ge=0)
 
 
-def _to_send(headers: tuple[tuple[str, str], ...]) -> HTTPHeaderDict:
-    # A list keeps duplicates; what the library would add is left out.
-    sent = HTTPHeaderDict()
-    for name, text in headers:
-        sent.add(name, text)
-    for unwanted in ('User-Agent', 'Accept-Encoding'):
-        sent.setdefault(unwanted, SKIP_HEADER)
-    return sent
-
-
 def _reason(failure: HTTPError) -> object:
     return getattr(failure, 'reason', failure)
 
@@ -73,46 +78,44 @@
     return late and not isinstance(reason, NewConnectionError)
 
 
-def _typed(failure: HTTPError) -> WorkerUnreachableError | WorkerCutError:
-    reason = _reason(failure)
-    if isinstance(reason, _NEVER_SENT):
-        return WorkerUnreachableError(str(reason))
-    if isinstance(reason, ReadTimeoutError):
-        return WorkerTimeoutError(str(reason))
-    return WorkerCutError(str(reason))
-
-
-def _limit_silence(response: BaseHTTPResponse, limit_ms: int) -> None:
-    sock = getattr(response.connection, 'sock', None)
-    if sock is not None:
-        sock.settimeout(limit_ms / MS_PER_SECOND)
+def _cut(failure: Exception) -> WorkerCutError:
+    # Only a read that waited too long raises a timeout here.
+    late = isinstance(failure, TimeoutError)
+    return (WorkerTimeoutError if late else WorkerCutError)(repr(failure))
 
 
 class WorkerAnswer:
     """The head of a worker's answer and its body, read once."""
 
-    def __init__(self, response: BaseHTTPResponse) -> None:
+    def __init__(
+        self,
+        response: WorkerResponse,
+        connection: WorkerConnection,
+        pool: 'ConnectionPool',
+    ) -> None:
         self._response = response
+        self._connection = connection
+        self._pool = pool
 
     @property
     def status(self) -> int:
         """Return the status code."""
         return self._response.status
 
-    @cached_property
-    def headers(self) -> tuple[tuple[str, str], ...]:
+    @property
+    def headers(self) -> tuple[Header, ...]:
         """Return the headers in their order."""
-        return tuple(self._response.headers.items())
+        return self._response.fields
 
-    @cached_property
+    @property
     def index(self) -> HeaderIndex:
         """Return the headers by their names."""
-        return HeaderIndex(self.headers)
+        return self._response.index
 
     @property
     def body_length(self) -> int | None:
         """Return the length of the body, if the worker said it."""
-        declared = self._response.headers.get('Content-Length', '')
+        declared = self.index.first('content-length')
         return int(declared) if declared.isdecimal() else None
 
     def chunks(self) -> Iterator[bytes]:
@@ -121,28 +124,70 @@
         Raises `WorkerCutError` if it ends early or falls silent.
         """
         try:
-            while part := self._response.read1(_CHUNK_SIZE, False):
+            while part := self._response.read1(_CHUNK_SIZE):
                 yield part
-        except HTTPError as cut:
-            raise _typed(cut) from cut
+        except (HTTPException, OSError, ValueError) as cut:
+            raise _cut(cut) from cut
+        if self._response.length:
+            raise WorkerCutError(f'{self._response.length} bytes are missing')
 
     def close(self) -> None:
         """End the exchange and its connection."""
         self._response.close()
+        self._connection.close()
 
     def release(self) -> None:
         """Give the connection back after the whole body was read."""
-        self._response.release_conn()
+        will_close = self._response.will_close
+        self._response.close()
+        if will_close:
+            self._connection.close()
+        else:
+            self._connection.note_idle(self.index)
+            self._pool.give_back(self._connection)
+
+
+class ConnectionPool:
+    """Connections to one address; the one used last is used first again."""
+
+    def __init__(self, url: str, most_idle: int, clock: Clock) -> None:
+        parsed = parse_url(url)
+        self._host = parsed.host or ''
+        self._port = parsed.port
+        self._clock = clock
+        self._idle: deque[WorkerConnection] = deque(maxlen=most_idle)
+
+    def take(self) -> WorkerConnection:
+        """Return an open connection; raises the library's errors."""
+        while self._idle:
+            kept = self._idle.pop()
+            if kept.is_connected:
+                return kept
+            kept.close()
+        opened = WorkerConnection(
+            self._host,
+            self._port,
+            timeout=_CONNECT_TIMEOUT_S,
+            clock=self._clock,
+        )
+        opened.connect()
+        return opened
+
+    def give_back(self, connection: WorkerConnection) -> None:
+        """Keep a connection whose last answer was read whole."""
+        if len(self._idle) == self._idle.maxlen:
+            self._idle.popleft().close()
+        self._idle.append(connection)
 
 
 class Worker:
     """The worker at a URL."""
 
-    def __init__(self, url: str, connections: int) -> None:
-        self._pool = connection_from_url(
-            url, maxsize=connections, retries=Retry(0, redirect=False)
+    def __init__(self, url: str, connections: int, clock: Clock) -> None:
+        self._requests = ConnectionPool(url, connections, clock)
+        self._controls = connection_from_url(
+            url, maxsize=_CONTROL_CONNECTIONS, retries=Retry(0, redirect=False)
         )
-        self._pool.ConnectionCls = WorkerConnection
 
     def run(self, order: Order) -> WorkerAnswer:
         """Send a request once and return the head of its answer.
@@ -150,22 +195,24 @@
         Raises `WorkerUnreachableError` if it is proved that nothing was
         sent, and `WorkerCutError` if it may have run.
         """
-        limit = Timeout(
-            connect=_CONNECT_TIMEOUT_S, read=order.timeout_ms / MS_PER_SECOND
-        )
         try:
-            response = self._pool.urlopen(
-                order.method,
-                order.target,
-                body=order.body or None,
-                headers=_to_send(order.headers),
-                timeout=limit,
-                preload_content=False,
+            head = request_head(order.method, order.target, order.all_headers)
+            connection = self._requests.take()
+        except (HTTPError, OSError, ValueError) as failure:
+            raise WorkerUnreachableError(repr(failure)) from failure
+        response = None
+        try:
+            response = connection.send_request(
+                head, order.body, order.method, order.timeout_ms
             )
-        except HTTPError as failure:
-            raise _typed(failure) from failure
-        _limit_silence(response, min(order.timeout_ms, _LONGEST_SILENCE_MS))
-        return WorkerAnswer(response)
+        except (HTTPException, OSError) as failure:
+            raise _cut(failure) from failure
+        finally:
+            if response is None:
+                connection.close()
+        limit_ms = min(order.timeout_ms, _LONGEST_SILENCE_MS)
+        connection.sock.settimeout(limit_ms / MS_PER_SECOND)
+        return WorkerAnswer(response, connection, self._requests)
 
     def cancel(self, request_id: str) -> bool:
         """Stop the work of a request; tell whether the worker did."""
@@ -201,7 +248,7 @@
         """Return how many requests the worker says it runs, if it does."""
         timeout = Timeout(_CONTROL_TIMEOUT_S)
         try:
-            answer = self._pool.request('GET', '/load', timeout=timeout)
+            answer = self._controls.request('GET', '/load', timeout=timeout)
             report = LoadReport.model_validate_json(answer.data)
         except (HTTPError, ValidationError):
             return None
@@ -210,7 +257,7 @@
     def _health_failure(self) -> HTTPError | None:
         timeout = Timeout(_CONTROL_TIMEOUT_S)
         try:
-            self._pool.request('GET', '/health', timeout=timeout)
+            self._controls.request('GET', '/health', timeout=timeout)
         except HTTPError as failure:
             return failure
         return None
@@ -218,7 +265,7 @@
     def _control(self, method: str, path: str, **fields: Any) -> bool:
         timeout = Timeout(_CONTROL_TIMEOUT_S)
         try:
-            answer = self._pool.request(
+            answer = self._controls.request(
                 method, path, json=fields, timeout=timeout
             )
         except HTTPError:
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from laburnumwood.clock import Clock
 from laburnumwood.errors import WorkerCutError
 from laburnumwood.upstream.worker import Order, Worker
 
@@ -30,7 +31,7 @@
 def start_worker(context: Context) -> None:
     listener = eventlet.listen((HOST, 0))
     eventlet.spawn_n(_send_half, context, listener)
-    worker = Worker(f'http://{HOST}:{listener.getsockname()[1]}', 1)
+    worker = Worker(f'http://{HOST}:{listener.getsockname()[1]}', 1, Clock())
     context.answer = worker.run(Order('GET', '/', (), b'', LIMIT_MS))
 
 
@@ -69,7 +70,9 @@
     context.connected = 0
     listener = eventlet.listen((HOST, 0))
     eventlet.spawn_n(_answer_all, context, listener)
-    context.worker = Worker(f'http://{HOST}:{listener.getsockname()[1]}', 4)
+    context.worker = Worker(
+        f'http://{HOST}:{listener.getsockname()[1]}', 4, Clock()
+    )
 
 
 @when('{number:d} requests are sent to it and read one after the other')
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -164,7 +164,7 @@
     peers = Peers(DOOR, security, lambda _: gate, dispatcher, clock)
     view: Any = OneGate()
     suspicions = Suspicions(GATE, view, peers, dispatcher, clock)
-    worker = Worker(f'http://{HOST}:{sys.argv[1]}', 10)
+    worker = Worker(f'http://{HOST}:{sys.argv[1]}', 10, clock)
     runner = Runner(worker, OwnDialect(), suspicions, clock, longest_whole=0)
 
     @dispatcher.on(Work)
