Read the values of frequent messages by their types at once

Cause: decoding checked each value by a function of its own, and admission rebuilt its counter of keys for every request.

--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -114,7 +114,8 @@
             self._learn(ticket)
             self._running.pop(ticket)
             self._by_key[ticket.key] -= 1
-            self._by_key += Counter()  # forgets the keys that have none
+            if not self._by_key[ticket.key]:
+                self._by_key.pop(ticket.key)
             ticket.state = State.OVER
         self._fill()
 
--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -1,8 +1,7 @@
 """Encoding of messages as CBOR arrays of stream, kind and values."""
 
-from collections.abc import Callable
 from dataclasses import fields
-from operator import attrgetter
+from itertools import chain
 from typing import Any
 
 from cbor2 import CBORError, dumps, loads
@@ -22,51 +21,55 @@
     kind: tuple(each.name for each in fields(form))
     for kind, form in KINDS.items()
 }
-_GETTERS = {
-    kind: tuple(attrgetter(name) for name in _FIELDS[kind]) for kind in FREQUENT
-}
 
-Check = Callable[[Any], Any]
 
+class _Plain:
+    """How a frequent message, whose values are plain, goes into a frame.
+
+    Headers go as one list of names and texts in turn.
+    """
 
-def _exactly(wanted: type[Any]) -> Check:
-    def check(found: Any) -> Any:
-        is_flag = isinstance(found, bool) and wanted is not bool
-        if is_flag or not isinstance(found, wanted):
-            raise ProtocolError(f'{found!r} is no {wanted.__name__}')
+    def __init__(self, form: type[Any]) -> None:
+        types = [each.type for each in fields(form)]
+        self._form = form
+        self._names = tuple(each.name for each in fields(form))
+        self._headers_at = types.index(Headers) if Headers in types else -1
+        self._types = [list if each is Headers else each for each in types]
+
+    def values(self, message: Any) -> list[Any]:
+        """Return the values of a message as they are sent."""
+        found = [getattr(message, name) for name in self._names]
+        if self._headers_at >= 0:
+            pairs = found[self._headers_at]
+            found[self._headers_at] = list(chain.from_iterable(pairs))
         return found
 
-    return check
+    def message(self, values: list[Any]) -> Any:
+        """Return the message of some values; raises `ProtocolError`."""
+        if list(map(type, values)) != self._types:
+            raise ProtocolError(f'{self._form.__name__}: values of wrong types')
+        if self._headers_at >= 0:
+            values[self._headers_at] = _headers(values[self._headers_at])
+        return self._form(*values)
 
 
-def _headers(found: Any) -> Headers:
+def _headers(found: list[Any]) -> Headers:
     """Return pairs of names and texts as they were before they were sent."""
-    try:
-        headers = tuple((name, text) for name, text in found)
-    except (TypeError, ValueError) as unpaired:
-        raise ProtocolError(f'headers: {unpaired}') from None
-    for name, text in headers:
-        if not isinstance(name, str) or not isinstance(text, str):
-            raise ProtocolError(f'header {name!r} is no text')
-    return headers
-
-
-_CHECKS: dict[Any, Check] = {
-    **{wanted: _exactly(wanted) for wanted in (int, str, bytes, bool)},
-    Headers: _headers,
-}
-_CHECKS_OF = {
-    kind: tuple(_CHECKS[each.type] for each in fields(KINDS[kind]))
-    for kind in FREQUENT
-}
+    if len(found) % 2 or not _TEXT.issuperset(map(type, found)):
+        raise ProtocolError('headers are no pairs of texts')
+    return tuple(zip(found[::2], found[1::2], strict=True))
+
+
+_TEXT = frozenset((str,))
+_PLAIN = {kind: _Plain(KINDS[kind]) for kind in FREQUENT}
 
 
 def encode(stream: int, message: Any) -> bytes:
     """Return the frame of a message on a stream."""
     kind = _KIND_OF[type(message)]
-    if kind in FREQUENT:
-        values = (get(message) for get in _GETTERS[kind])
-        frame = dumps((stream, kind, *values))
+    plain = _PLAIN.get(kind)
+    if plain is not None:
+        frame = dumps((stream, kind, *plain.values(message)))
     else:
         content = _ADAPTERS[kind].dump_python(message)
         frame = dumps((stream, kind, *content.values()))
@@ -88,9 +91,9 @@
         raise ProtocolError(f'message kind {kind!r} is not known')
     if len(values) != len(_FIELDS[kind]):
         raise ProtocolError(f'message {kind!r} has {len(values)} values')
-    if kind in FREQUENT:
-        checks = zip(_CHECKS_OF[kind], values, strict=True)
-        return stream, KINDS[kind](*(check(found) for check, found in checks))
+    plain = _PLAIN.get(kind)
+    if plain is not None:
+        return stream, plain.message(values)
     content = dict(zip(_FIELDS[kind], values, strict=True))
     try:
         return stream, _ADAPTERS[kind].validate_python(content)
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -150,7 +150,9 @@
         until_ms = self._clock.now_ms() + work.deadline_ms
         if work.shard < 0:
             body = read_body(exchange, work)
-            run = Run(replace(work, idempotency_key=''), body, None, until_ms)
+            if work.idempotency_key:
+                work = replace(work, idempotency_key='')
+            run = Run(work, body, None, until_ms)
             self._serve_in_turn(exchange, run, _always)
             return
         shard = ShardName(work.service, work.shard)
