Wait for a grant that comes in time, and send the rest away with the time

They gave up after 150 ms and were told 500 ms, whatever was left. The gate knows when its worker reports: what can run after that waits, the rest goes at once with that time. A live owner that hands over is waited for 400 ms; one that is not known 150 ms as before.

--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -150,6 +150,8 @@
         while not self._grants.is_released(shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
         self._holdings.close(shard)
+        # Those who wait for a grant of it look for the next owner instead.
+        self._grants.news.tell()
         while not self._holdings.is_idle(shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
 
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -40,7 +40,7 @@
         """Count a slot as busy for a service."""
 
 
-_GRANT_PATIENCE_MS = 500
+_GRANT_SLACK_MS = 150  # by which a grant may come later than expected
 _ANSWER_MS = 60  # kept of the time left, to say that a request did not run
 
 
@@ -176,12 +176,10 @@
 
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
-        left_ms = run.work.deadline_ms - _ANSWER_MS
-        waits_ms = min(_GRANT_PATIENCE_MS, self._settings.owner_patience_ms)
-        patience_ms = min(waits_ms, left_ms)
-        if not self._wait_for_grant(shard, run.token, patience_ms):
+        wait_ms = self._grants.expected_in_ms() + _GRANT_SLACK_MS
+        if not self._may_await_grant(shard, run, wait_ms):
             detail = f'the worker has no grant for {shard}'
-            told = failure('not-owner', detail, ran=False)
+            told = Failure('not-owner', False, detail, wait_ms)
             self._return(exchange, run.work, told)
             return
         self._serve_in_turn(exchange, run, partial(self._may_act, shard, run))
@@ -231,6 +229,20 @@
         left_ms = self._lease.holds_until_ms() - self._clock.now_ms()
         return left_ms > guard_ms and self._grants.covers(shard, run.token)
 
+    def _may_await_grant(
+        self, shard: ShardName, run: Run, wait_ms: int
+    ) -> bool:
+        """Wait for a grant that comes early enough; tell whether it did.
+
+        There must be time left to run the request after it.
+        """
+        if self._grants.covers(shard, run.token):
+            return True
+        left_ms = run.until_ms - self._clock.now_ms() - _ANSWER_MS
+        if wait_ms + self._admitter.slot_ms > left_ms:
+            return False
+        return self._wait_for_grant(shard, run.token, wait_ms)
+
     def _wait_for_grant(
         self, shard: ShardName, token: int | None, patience_ms: int
     ) -> bool:
--- a/laburnumwood/routing/tries.py
+++ b/laburnumwood/routing/tries.py
@@ -8,11 +8,11 @@
 from laburnumwood.routing.inquiry import Inquiry
 
 PATIENCE_MS = 3_000  # how long a request waits for an owner at the most
+_MOVE_PATIENCE_MS = 400  # for a live owner to hand a shard over
 _OWNER_WAIT_MS = 300  # for news of an owner, before it is tried again
 _LEAST_LEFT_MS = 50  # before the deadline; less is not worth a try
 _MOST_ELSEWHERE = 3  # nodes that turn a request away before it gives up
 
-_AWAITS_OWNER = frozenset(('not-owner', 'no-owner'))
 _MAY_PASS = frozenset(('link-lost', 'worker-cut', 'worker-unreachable'))
 _TURNED_AWAY = frozenset(('overloaded', 'worker-unreachable', 'link-lost'))
 _AT_WORKER = frozenset(('refused', 'worker-cut', 'deadline'))
@@ -38,7 +38,11 @@
         self._clock = clock
         now_ms = clock.now_ms()
         self._until_ms = now_ms + inquiry.work.deadline_ms
-        self._patient_until_ms = min(self._until_ms, now_ms + patience_ms)
+        move_ms = max(patience_ms, _MOVE_PATIENCE_MS)
+        self._patient_until_ms = {
+            'no-owner': min(self._until_ms, now_ms + patience_ms),
+            'not-owner': min(self._until_ms, now_ms + move_ms),
+        }
         self._count = 0
         self.target: NodeName | None = None  # that the last try went to
         self._at_workers = 0
@@ -84,8 +88,8 @@
         """Return how long to wait before the next try, None to give up."""
         if self._clock.now_ms() + _LEAST_LEFT_MS >= self._until_ms:
             return None
-        if not told.ran and told.kind in _AWAITS_OWNER:
-            return self._owner_pause_ms()
+        if not told.ran and told.kind in self._patient_until_ms:
+            return self._owner_pause_ms(self._patient_until_ms[told.kind])
         if not told.ran and self._has_choice and told.kind in _TURNED_AWAY:
             return self._elsewhere_pause_ms()
         if not self._may_repeat(told) or not self._budget.spend():
@@ -96,8 +100,8 @@
     def _has_choice(self) -> bool:
         return self._work.shard < 0
 
-    def _owner_pause_ms(self) -> int | None:
-        left_ms = self._patient_until_ms - self._clock.now_ms()
+    def _owner_pause_ms(self, patient_until_ms: int) -> int | None:
+        left_ms = patient_until_ms - self._clock.now_ms()
         if left_ms <= _LEAST_LEFT_MS:
             return None
         if self._has_choice and self._elsewhere < _MOST_ELSEWHERE:
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -49,6 +49,11 @@
         """Tell whether the worker has a grant for a shard and a token."""
         return self._granted.get(shard) == token
 
+    def expected_in_ms(self) -> int:
+        """Return in what time the worker will get its next grants."""
+        age_ms = self._clock.now_ms() - self._granted_ms
+        return max(_CHANGE_POLL_MS, _RENEW_MS - age_ms)
+
     def withdraw(self, shard: ShardName) -> None:
         """Let no more requests in to a shard that gets another owner."""
         self._close(shard)
--- a/laburnumwood/upstream/grants.py
+++ b/laburnumwood/upstream/grants.py
@@ -12,6 +12,9 @@
     def covers(self, shard: ShardName, token: int | None) -> bool:
         """Tell whether the worker has a grant for a shard and a token."""
 
+    def expected_in_ms(self) -> int:
+        """Return in what time the worker will get its next grants."""
+
     @property
     def news(self) -> News:
         """Return what tells of changes of the grants."""
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -3,11 +3,16 @@
 from enum import Enum
 
 from laburnumwood.clock import Clock
+from laburnumwood.decay import DecayingMean
 from laburnumwood.events import WORKER_LEAVES, WORKER_SILENT
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.lives import LifeNews, WorkerLives
 from laburnumwood.upstream.reports import WorkerReport
 
+_USUAL_INTERVAL_MS = 1_000  # between reports, before any were seen
+_LEAST_INTERVAL_MS = 250  # shorter ones are reports of a release
+_GAPS_HALF_LIFE_MS = 5_000
+
 
 class Phase(Enum):
     """How the worker stands to its node."""
@@ -26,6 +31,7 @@
         self._clock = clock
         self._lives = WorkerLives()
         self._heard_ms: int | None = None
+        self._gaps_ms = DecayingMean(_GAPS_HALF_LIFE_MS, clock)
         self._left_ms: int | None = None
         self._was_silent = False
         self._holds_nothing = False
@@ -67,7 +73,7 @@
             return news
         if news is LifeNews.NEW:
             self._left_ms = None
-        self._heard_ms = self._clock.now_ms()
+        self._note_time(news)
         self._was_silent = False
         self._holds_nothing = not report.held
         self.slots = report.slots
@@ -75,6 +81,13 @@
             self._begin_leaving()
         return news
 
+    def next_report_in_ms(self) -> int:
+        """Return in what time the next report is to be expected."""
+        if self._heard_ms is None:
+            return _USUAL_INTERVAL_MS
+        gap_ms = round(self._gaps_ms.mean) or _USUAL_INTERVAL_MS
+        return max(0, gap_ms - self._silent_ms)
+
     def sign_off(self, worker_id: str) -> None:
         """Take in that a worker ends, without a report before."""
         if worker_id == self.worker_id or self._heard_ms is None:
@@ -93,6 +106,13 @@
     def _silent_ms(self) -> int:
         return self._clock.now_ms() - (self._heard_ms or 0)
 
+    def _note_time(self, news: LifeNews) -> None:
+        gap_ms = self._silent_ms
+        self._heard_ms = self._clock.now_ms()
+        is_usual = _LEAST_INTERVAL_MS <= gap_ms < self._settings.silent_ms
+        if news is LifeNews.SAME and is_usual:
+            self._gaps_ms.note(gap_ms)
+
     def _begin_leaving(self) -> None:
         if self._left_ms is None:
             self._left_ms = self._clock.now_ms()
--- a/laburnumwood/upstream/reporting.py
+++ b/laburnumwood/upstream/reporting.py
@@ -115,6 +115,10 @@
             return False
         return self._clock.now_ms() < given.until_ms
 
+    def expected_in_ms(self) -> int:
+        """Return in what time the worker will get its next grants."""
+        return self.presence.next_report_in_ms()
+
     def withdraw(self, shard: ShardName) -> None:
         """Give a shard no more, from the next report on."""
         if self._holder is None:
--- /dev/null
+++ b/tests/features/gate.feature
@@ -0,0 +1,20 @@
+Feature: A request whose shard is on its way to the worker
+  A worker learns of a shard with its next grants.  What can still be run then
+  waits for them; the rest is sent away at once and told when to come back.
+
+  Background:
+    Given a gate whose worker gets its next grants in 300 ms
+
+  Scenario: a request that has the time waits, and runs
+    When a request with 1000 ms left comes
+    Then it was answered by the worker after 300 ms
+
+  Scenario: a request that has too little time left is sent away at once
+    When a request with 400 ms left comes
+    Then it was returned as "not-owner" at once
+    And its caller is told to come again after 450 ms
+
+  Scenario: a request whose shard gets another owner waits no longer
+    Given the shard is closed after 100 ms
+    When a request with 1000 ms left comes
+    Then it was returned as "not-owner" after 100 ms
--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -10,6 +10,13 @@
     Then it is to hold the shards "1 2" for 2940 ms
     And the shard 1 is covered
 
+  Scenario: the next grants are expected with the next report
+    When the worker reports
+    And 870 ms pass
+    And the worker reports
+    And 300 ms pass
+    Then its next grants are expected in 570 ms
+
   Scenario: nothing is renewed without a lease, and nothing taken away
     When the worker reports
     And the lease of the node runs out
--- /dev/null
+++ b/tests/features/steps/gate_steps.py
@@ -0,0 +1,163 @@
+"""Steps about requests that wait at the gate for a grant of their shard."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+
+from laburnumwood.config.declarations import Declarations, Service
+from laburnumwood.operators.capacity import CapacityAccount
+from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.meter import LoadMeter
+from laburnumwood.protocol.messages import Failure, WholeAnswer, Work
+from laburnumwood.records import ShardName
+from laburnumwood.routing.exchange import Exchange, local_pair
+from laburnumwood.routing.gate import Gate
+from laburnumwood.settings import DaemonSettings
+from tests.features.steps.fake_clock import FakeClock
+
+SHARD = ShardName('s', 3)
+TOKEN = 8
+SETTINGS = DaemonSettings(
+    node_id='n',
+    failure_domain='a',
+    peer_port=1,
+    door_port=1,
+    platform_url='http://x',
+    worker_url='http://x',
+    service='s',
+    capacity_owner='o',
+    shared_key='a key for tests only',
+)
+
+
+class PlayedNews:
+    """Lets the time of the test go on to the next event instead of waiting."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        self._clock = clock
+        self.events: dict[int, Callable[[], None]] = {}
+
+    def wait(self, limit_ms: float) -> None:
+        """Go on to the next event, or by a time if there is none before."""
+        now_ms = self._clock.now_ms()
+        until_ms = min((*self.events, now_ms + round(limit_ms)))
+        self._clock.pass_ms(until_ms - now_ms)
+        self.events.pop(until_ms, _nothing)()
+
+
+def _nothing() -> None:
+    """Do nothing when a time is over."""
+
+
+class LateGrants:
+    """Grants that cover everything after some time."""
+
+    def __init__(self, in_ms: int, clock: FakeClock) -> None:
+        self._clock = clock
+        self._from_ms = clock.now_ms() + in_ms
+        self.news = PlayedNews(clock)
+        self.news.events[self._from_ms] = _nothing
+
+    def covers(self, _shard: ShardName, _token: int | None) -> bool:
+        """Tell whether the time has come."""
+        return self._clock.now_ms() >= self._from_ms
+
+    def expected_in_ms(self) -> int:
+        """Return how much time is left."""
+        return max(0, self._from_ms - self._clock.now_ms())
+
+
+class Answering:
+    """Answers each request at once in the place of a worker."""
+
+    def execute(self, exchange: Exchange, _run: Any, _may_act: Any) -> None:
+        """Answer one request."""
+        exchange.send(WholeAnswer(200, (), b''))
+
+
+class HeldLease:
+    """A lease that is held."""
+
+    def holds_until_ms(self) -> int:
+        """Return a time that never comes."""
+        return 1 << 62
+
+
+@given('a gate whose worker gets its next grants in {span:d} ms')
+def make_gate(context: Context, span: int) -> None:
+    clock = FakeClock()
+    declared = Declarations(services={'s': Service()})
+    context.clock = clock
+    context.holdings = Holdings()
+    context.holdings.hold(SHARD, TOKEN)
+    context.grants = LateGrants(span, clock)
+    gate: Any = Gate
+    context.gate = gate(
+        SETTINGS,
+        HeldLease(),
+        context.holdings,
+        context.grants,
+        Answering(),
+        lambda: declared.services,
+        lambda _service: {},
+        CapacityAccount(SETTINGS, lambda: declared, clock),
+        LoadMeter(1_500, clock),
+        lambda: True,
+        lambda: 4,
+        clock,
+    )
+
+
+@given('the shard is closed after {span:d} ms')
+def close_shard(context: Context, span: int) -> None:
+    at_ms = context.clock.now_ms() + span
+    close = partial(context.holdings.close, SHARD)
+    context.grants.news.events[at_ms] = close
+
+
+@when('a request with {left:d} ms left comes')
+def send(context: Context, left: int) -> None:
+    near, far = local_pair()
+    work = Work(
+        request_id='r',
+        service=SHARD.service,
+        shard=SHARD.number,
+        key='1',
+        method='GET',
+        target='/',
+        headers=(),
+        body_length=0,
+        deadline_ms=left,
+        idempotent=True,
+        idempotency_key='',
+    )
+    began_ms = context.clock.now_ms()
+    context.gate.serve(far, work)
+    context.took_ms = context.clock.now_ms() - began_ms
+    context.told = near.receive(left)
+
+
+@then('it was answered by the worker after {span:d} ms')
+def check_answered(context: Context, span: int) -> None:
+    assert isinstance(context.told, WholeAnswer), context.told
+    assert context.took_ms == span, context.took_ms
+
+
+@then('it was returned as "{kind}" at once')
+def check_at_once(context: Context, kind: str) -> None:
+    check_returned(context, kind, 0)
+
+
+@then('it was returned as "{kind}" after {span:d} ms')
+def check_returned(context: Context, kind: str, span: int) -> None:
+    assert isinstance(context.told, Failure), context.told
+    assert (context.told.kind, context.told.ran) == (kind, False)
+    assert context.took_ms == span, context.took_ms
+
+
+@then('its caller is told to come again after {span:d} ms')
+def check_again(context: Context, span: int) -> None:
+    assert context.told.retry_after_ms == span, context.told
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -271,3 +271,8 @@
 @then('it is known to hold nothing')
 def check_clear(context: Context) -> None:
     assert context.worker.is_clear
+
+
+@then('its next grants are expected in {span:d} ms')
+def check_expected(context: Context, span: int) -> None:
+    assert context.worker.expected_in_ms() == span
