--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -14,6 +14,7 @@
 _TIMES_HALF_LIFE_MS = 2_000
 _LEAST_RETRY_MS = 100
 _MOST_RETRY_MS = 10_000
+_LONGEST_BOOKED_MS = 1_000  # callers hardly come back after a longer time
 
 
 class Admission(Protocol):
@@ -72,6 +73,7 @@
         self._running: dict[Ticket, None] = {}  # in the order of their start
         self._by_key: Counter[str] = Counter()
         self._peaks = (0, 0)  # of running, since the last two load reports
+        self._booked_ms: float = 0  # the last place given to one sent away
         self._latencies = DecayingMean(_TIMES_HALF_LIFE_MS, clock)
         self._slot_times = DecayingMean(_TIMES_HALF_LIFE_MS, clock)
 
@@ -182,8 +184,18 @@
         return count * slot_ms / self.limit
 
     def _retry_after_ms(self) -> int:
-        drain_ms = round(self._drain_ms(len(self._queue) + self.running))
-        return min(max(drain_ms, _LEAST_RETRY_MS), _MOST_RETRY_MS)
+        """Return when a request that is sent away should come again.
+
+        Each is given the next place after all that run, wait or were sent
+        away before, so that they do not come back together.
+        """
+        now_ms = self._clock.now_ms()
+        ahead_ms = now_ms + self._drain_ms(len(self._queue) + self.running)
+        latest_ms = max(ahead_ms, now_ms + _LONGEST_BOOKED_MS)
+        place_ms = max(ahead_ms, self._booked_ms + self._drain_ms(1))
+        self._booked_ms = min(place_ms, latest_ms)
+        after_ms = round(self._booked_ms - now_ms)
+        return min(max(after_ms, _LEAST_RETRY_MS), _MOST_RETRY_MS)
 
 
 class _CountingAdmission:
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -44,6 +44,12 @@
     Then the request of key "hasty" is shed
     And it may come again after 200 ms
 
+  Scenario: what is sent away is told to come again one after the other
+    Given answers of 100 ms were seen
+    When 12 requests of different keys come
+    And 3 requests come that have 150 ms left
+    Then those may come again after 300, 325 and 350 ms
+
   Scenario: what waits is shed once the worker has slowed too far
     Given answers of 10 ms were seen
     When 4 requests of key "a" come
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -288,3 +288,17 @@
         )
         found = line_of(work, context.service)
         assert found.name == name, (method, caller, found)
+
+
+@when('{count:d} requests come that have {left:d} ms left')
+def offer_hasty(context: Context, count: int, left: int) -> None:
+    for number in range(count):
+        context.bench.offer(f'hasty-{number}', left)
+
+
+@then('those may come again after {first:d}, {second:d} and {third:d} ms')
+def check_in_turn(
+    context: Context, first: int, second: int, third: int
+) -> None:
+    found = [each.retry_after_ms for each in context.bench.tickets[-3:]]
+    assert found == [first, second, third], found
