--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -47,7 +47,7 @@
   Scenario: what is sent away is told to come again one after the other
     Given answers of 100 ms were seen
     When 12 requests of different keys come
-    And 3 requests come that have 150 ms left
+    And 3 hasty requests come that have 150 ms left
     Then those may come again after 300, 325 and 350 ms
 
   Scenario: what waits is shed once the worker has slowed too far
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -290,8 +290,8 @@
         assert found.name == name, (method, caller, found)
 
 
-@when('{count:d} requests come that have {left:d} ms left')
-def offer_hasty(context: Context, count: int, left: int) -> None:
+@when('{count:d} hasty requests come that have {left:d} ms left')
+def offer_several_hasty(context: Context, count: int, left: int) -> None:
     for number in range(count):
         context.bench.offer(f'hasty-{number}', left)
 
