Split a hot shard into several parts at once, and move for less where there is more work than slots

And workers of half the speed were left with more work than slots, since a move had to gain 0.15 of the slots, more than an ordinary shard takes.

--- a/laburnumwood/placement/balance.py
+++ b/laburnumwood/placement/balance.py
@@ -13,6 +13,8 @@
 _HORIZON_MS = 90_000  # how long a load is expected to stay as it is
 _MOVE_PAUSE_MS = 300  # how long a shard is not served while it moves
 _MOVE_COST_MS = 500  # what a move costs a service without cold starts
+_PRESSED = 1.0  # of the slots of a node; from there on smaller gains count
+_PRESSED_GAIN = 0.06  # of its slots
 _MARGIN = 1.2  # by how much the gain must exceed the cost
 _IDLE = 0.05  # of all slots of a node
 
@@ -72,7 +74,10 @@
         gain_ms = self.weights.imbalance * gain * _HORIZON_MS
         churn_ms = self.weights.churn * (_MOVE_COST_MS + self.cold_start_ms)
         cost_ms = churn_ms + self.weights.unavailable * _MOVE_PAUSE_MS
-        return gain > self.settings.least_gain and gain_ms > cost_ms * _MARGIN
+        least_gain = self.settings.least_gain
+        if self.usages[move.source] >= _PRESSED:
+            least_gain = min(least_gain, _PRESSED_GAIN)
+        return gain > least_gain and gain_ms > cost_ms * _MARGIN
 
 
 Policy = Callable[[Picture], tuple[Move, ...]]
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -14,7 +14,7 @@
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.ownership import acting
 from laburnumwood.placement.planner import MovePlanner
-from laburnumwood.placement.splitting import Split, Splitter, upper_half
+from laburnumwood.placement.splitting import Part, Split, Splitter, hot_parts
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.settings import PlacementSettings
 
@@ -111,15 +111,17 @@
             return None
         records = self._view.directory.shard_records(self._service)
         count = sum(1 for _ in parents(records))
-        shard, target = self._splitter.choose(self._picture(live), count)
-        if shard < 0:
+        shard, targets = self._splitter.choose(self._picture(live), count)
+        if not targets:
             return None
         ranges = ranges_of(shard, records.get(shard), service)
-        keys = upper_half(ranges, self._meter.key_counts())
-        if keys is None:
+        counts = self._meter.key_counts()
+        parts = hot_parts(ranges, counts, len(targets) + 1)
+        if not parts:
             return None
         self._splitter.note()
-        return Split(shard, keys, target)
+        pairs = zip(parts, targets, strict=False)
+        return Split(shard, tuple(Part(*pair) for pair in pairs))
 
     def _picture(self, live: Mapping[NodeName, NodeRecord]) -> Picture:
         declared = self._view.directory.declarations
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -15,7 +15,7 @@
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import split_number
 from laburnumwood.placement.shard_write import Progress, ShardWrite
-from laburnumwood.placement.splitting import Split
+from laburnumwood.placement.splitting import Part, Split
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.protocol.messages import ShardNotice
@@ -157,29 +157,34 @@
 
     def _begin_split(self, split: Split) -> None:
         shard = ShardName(self._service, split.shard)
-        write = self._tenure.begin_split(shard, split.keys)
+        write = self._tenure.begin_split(shard, split.ranges)
         if write is not None:
             eventlet.spawn_n(self._split, write, split)
 
     def _split(self, write: ShardWrite, split: Split) -> None:
         # The worker lets the whole shard go, so that nothing is held of the
-        # part while it belongs to nobody.
+        # parts while they belong to nobody.
         self._let_go(write.shard)
         if not self._writer.refresh_if_possible(write.shard):
             self._finish(write, Progress.NOT_SENT)
             return
-        handover = self._grants.handover_of(split.keys)
+        handovers = [self._grants.handover_of(keys) for keys in split.ranges]
         self._finish(write, self._writer.carry(write))
         entry = self._view.directory.shard(write.shard)
-        if entry is None or split.keys not in entry.record.split_off:
+        if entry is None:
             return
-        part = ShardName(self._service, split_number(split.keys))
+        for part, handover in zip(split.parts, handovers, strict=True):
+            if part.keys in entry.record.split_off:
+                self._create_part(write.shard, part, handover)
+
+    def _create_part(self, shard: ShardName, part: Part, handover: str) -> None:
+        name = ShardName(self._service, split_number(part.keys))
         SHARD_SPLIT.report(
-            shard=write.shard, part=part, keys=split.keys, target=split.target
+            shard=shard, part=name, keys=part.keys, target=part.target
         )
-        created = self._tenure.begin_new(part, split.target, handover)
+        created = self._tenure.begin_new(name, part.target, handover)
         if created is not None:
-            self._carry(created)
+            self._writer.pool.spawn_n(self._carry, created)
 
     def _write_wanted(self) -> None:
         for shard in self._tenure.wanted():
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from math import ceil
 
 from laburnumwood.clock import Clock
 from laburnumwood.placement.balance import Picture
@@ -10,38 +11,65 @@
 _BUSY = 0.6  # of a node's slots; a node that is less busy splits nothing
 _LEAST_GAP = 0.25  # between its usage and that of the least busy node
 _HEAVY = 0.3  # of a node's slots; a shard that takes less is moved whole
+_PIECE = 0.2  # of a node's slots; as much as a part should take
+_MOST_PIECES = 6  # of a shard in one split, with the one that stays
 _REST_MS = 800  # between two splits of a node
-_MOST_SPLIT_OFF = 32  # ranges of a service
+_MOST_SPLIT_OFF = 96  # ranges of a service
 
 
 @dataclass(frozen=True, slots=True)
-class Split:
+class Part:
     """A range of keys that should become a shard of its own elsewhere."""
 
-    shard: int
     keys: KeyRange
     target: NodeName
 
 
-def upper_half(
-    ranges: tuple[KeyRange, ...], counts: Mapping[int, float]
-) -> KeyRange | None:
-    """Return the upper part of the hottest range, with half of its requests.
+@dataclass(frozen=True, slots=True)
+class Split:
+    """The parts that should be split off a shard together."""
+
+    shard: int
+    parts: tuple[Part, ...]
+
+    @property
+    def ranges(self) -> tuple[KeyRange, ...]:
+        """Return the keys of all parts."""
+        return tuple(each.keys for each in self.parts)
+
+
+def hot_parts(
+    ranges: tuple[KeyRange, ...], counts: Mapping[int, float], pieces: int
+) -> tuple[KeyRange, ...]:
+    """Return the upper parts of the hottest range, with as many requests each.
 
-    It never begins where its range does, so that no two shards that were
-    split off begin with the same key.  None if there is no such part.
+    Of `pieces` pieces the lowest is left out.  None begins where the range
+    does, so that no two shards that were split off begin with the same key.
     """
     weights = {keys: _count_in(keys, counts) for keys in ranges}
     hottest = max(weights, key=lambda keys: weights[keys], default=None)
     if hottest is None or not weights[hottest]:
-        return None
+        return ()
     hot = sorted(key for key in counts if hottest.first < key <= hottest.last)
+    firsts: list[int] = []
     taken: float = 0
     for key in reversed(hot):
         taken += counts[key]
-        if taken * 2 >= weights[hottest]:
-            return KeyRange(key, hottest.last)
-    return KeyRange(hot[0], hottest.last) if hot else None
+        if taken * pieces >= weights[hottest]:
+            firsts.append(key)
+            taken = 0
+        if len(firsts) == pieces - 1:
+            break
+    return _up_to(firsts or hot[:1], hottest.last)
+
+
+def _up_to(firsts: list[int], last: int) -> tuple[KeyRange, ...]:
+    """Return the ranges that begin with some keys, the highest first."""
+    found: list[KeyRange] = []
+    for first in firsts:
+        found.append(KeyRange(first, last))
+        last = first - 1
+    return tuple(found)
 
 
 def _count_in(keys: KeyRange, counts: Mapping[int, float]) -> float:
@@ -57,25 +85,26 @@
         self._clock = clock
         self._split_ms: int | None = None
 
-    def choose(self, picture: Picture, split_off: int) -> tuple[int, NodeName]:
-        """Return the shard to split and who should get a part of it.
+    def choose(
+        self, picture: Picture, split_off: int
+    ) -> tuple[int, tuple[NodeName, ...]]:
+        """Return the shard to split and who should get its parts.
 
         The shard is -1 if there is none; `split_off` counts the ranges that
         were split off before.
         """
         usages, own = picture.usages, picture.own
-        target = min(usages, key=lambda name: (usages[name], name))
         shards = picture.shares[own]
         heaviest = max(
             shards, key=lambda shard: picture.usage(shard, own), default=-1
         )
-        gap = usages[own] - usages[target]
+        gap = usages[own] - min(usages.values())
         calm = usages[own] < _BUSY or gap < _LEAST_GAP
         if calm or split_off >= _MOST_SPLIT_OFF or not self._is_rested():
-            return -1, target
+            return -1, ()
         if heaviest < 0 or picture.usage(heaviest, own) < _HEAVY:
-            return -1, target
-        return heaviest, target
+            return -1, ()
+        return heaviest, _targets(picture, heaviest)
 
     def note(self) -> None:
         """Take in that a split begins."""
@@ -85,3 +114,20 @@
         if self._split_ms is None:
             return True
         return self._clock.now_ms() - self._split_ms >= _REST_MS
+
+
+def _targets(picture: Picture, shard: int) -> tuple[NodeName, ...]:
+    """Return a node for each piece but the one that stays.
+
+    Each goes to the node that is the least busy with those before it.
+    """
+    usages = dict(picture.usages)
+    own_usage = picture.usage(shard, picture.own)
+    pieces = max(2, min(ceil(own_usage / _PIECE), _MOST_PIECES, len(usages)))
+    usages[picture.own] -= own_usage * (pieces - 1) / pieces
+    targets: list[NodeName] = []
+    for _ in range(pieces - 1):
+        target = min(usages, key=lambda name: (usages[name], name))
+        usages[target] += picture.usage(shard, target) / pieces
+        targets.append(target)
+    return tuple(name for name in targets if name != picture.own)
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -135,9 +135,9 @@
         return self._begin(shard, target)
 
     def begin_split(
-        self, shard: ShardName, keys: KeyRange
+        self, shard: ShardName, ranges: tuple[KeyRange, ...]
     ) -> ShardWrite | None:
-        """Return the write that takes keys out of a shard, if it may be.
+        """Return the write that takes ranges out of a shard, if it may be.
 
         Step it only as that of a move.
         """
@@ -146,7 +146,7 @@
         if entry is None or not held or shard in self._writes:
             return None
         write = self._begin(shard, self._own)
-        split_off = (*entry.record.split_off, keys)
+        split_off = (*entry.record.split_off, *ranges)
         write.record = replace(write.record, split_off=split_off)
         return write
 
--- a/tests/features/layout.feature
+++ b/tests/features/layout.feature
@@ -24,6 +24,17 @@
       | 64:9                            | nothing    |
       | 0:100 70:1 4160:10 4161:10      | 4161 to 4223 |
 
+  Scenario Outline: several parts of the hottest range go at once
+    When keys come as often as <counts>
+    Then of <pieces> pieces <ranges> are to be split off shard 1
+
+    Examples:
+      | counts                               | pieces | ranges                          |
+      | 70:9 71:9 72:9 73:9                  | 4      | 73 to 127, 72 to 72, 71 to 71   |
+      | 70:5 71:5 72:5 73:5 74:5 75:5        | 3      | 74 to 127, 72 to 73             |
+      | 70:1 71:99                           | 4      | 71 to 127                       |
+      | 64:3 65:3 66:3                       | 3      | 66 to 127, 65 to 65             |
+
   Scenario Outline: a node splits only what it can't carry
     Given nodes "a" and "b" whose slots are busy by <own> and <other>
     And a shard of "a" that takes <heaviest> of its slots
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -11,7 +11,7 @@
     split_number,
 )
 from laburnumwood.placement.sharding import KEY_SPACE, place_key
-from laburnumwood.placement.splitting import Splitter, upper_half
+from laburnumwood.placement.splitting import Splitter, hot_parts
 from laburnumwood.records import KeyRange, NodeName, ShardRecord
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.report_steps import SERVICE
@@ -102,9 +102,19 @@
 
 @then('{wanted} is to be split off shard {number:d}')
 def check_half(context: Context, wanted: str, number: int) -> None:
-    found = upper_half(ranges_of(number, None, SERVICE), context.counts)
-    told = 'nothing' if found is None else f'{found.first} to {found.last}'
-    assert told == wanted, told
+    found = hot_parts(ranges_of(number, None, SERVICE), context.counts, 2)
+    told = [f'{keys.first} to {keys.last}' for keys in found] or ['nothing']
+    assert told == [wanted], told
+
+
+@then('of {pieces:d} pieces {wanted} are to be split off shard {number:d}')
+def check_parts(
+    context: Context, pieces: int, wanted: str, number: int
+) -> None:
+    ranges = ranges_of(number, None, SERVICE)
+    found = hot_parts(ranges, context.counts, pieces)
+    told = [f'{keys.first} to {keys.last}' for keys in found]
+    assert told == wanted.split(', '), told
 
 
 @given('nodes "a" and "b" whose slots are busy by {own:g} and {other:g}')
@@ -130,8 +140,8 @@
 @then('the shard to split off is {number:d}')
 def check_choice(context: Context, number: int) -> None:
     splitter = Splitter(FakeClock())
-    found, target = splitter.choose(context.picture, 0)
+    found, targets = splitter.choose(context.picture, 0)
     assert found == number, found
-    assert target == TWO
+    assert targets == ((TWO,) if number >= 0 else ()), targets
     splitter.note()
     assert splitter.choose(context.picture, 0)[0] == -1
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -195,7 +195,7 @@
 
     def split(self, shard: ShardName, keys: KeyRange) -> None:
         """Begin to split keys of a shard off."""
-        self._let_go(shard, self.tenure.begin_split(shard, keys))
+        self._let_go(shard, self.tenure.begin_split(shard, (keys,)))
 
     def end(self) -> None:
         """End all activity of this incarnation."""
