--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -35,7 +35,9 @@
         self.balancer = Balancer(
             service, own, view, self.meter, book, placement, clock
         )
-        self.spread = Spread(book, Random(str(own)), clock)
+        self.spread = Spread(
+            book, settings.failure_domain, Random(str(own)), clock
+        )
         self.retries = RetryBudgets(_RETRY_SHARE, clock)
         self._exchange = LoadExchange(
             service, own, view, peers, self.meter, book
--- a/laburnumwood/routing/spread.py
+++ b/laburnumwood/routing/spread.py
@@ -19,6 +19,7 @@
 
 AVOID_MS = 1_000
 _REMEMBERED = 16  # choices
+_NEAR_UNTIL = 0.5  # of its slots, a node of the same domain is taken
 _SHEDDING = frozenset((429, 503))
 
 
@@ -68,11 +69,16 @@
     """Spreads requests by the load of nodes, as this node sees it.
 
     Its own requests in flight come first; what nodes report of theirs counts
-    less as it ages.  Nodes that failed or shed are avoided for a while.
+    less as it ages.  Nodes that failed or shed are avoided for a while.  A
+    node of its own failure domain is taken while that is not busy, so that
+    few bodies cross domains.
     """
 
-    def __init__(self, loads: LoadBook, random: Random, clock: Clock) -> None:
+    def __init__(
+        self, loads: LoadBook, domain: str, random: Random, clock: Clock
+    ) -> None:
         self._loads = loads
+        self._domain = domain
         self._random = random
         self._clock = clock
         self._in_flight: dict[NodeName, WeakSet[SpreadExchange]] = {}
@@ -84,7 +90,7 @@
         return tuple(self._chosen)
 
     def choose(self, nodes: Mapping[NodeName, NodeRecord]) -> NodeName | None:
-        """Return the less loaded of two nodes drawn at random."""
+        """Return a near node that is not busy, or the better of two drawn."""
         now_ms = self._clock.now_ms()
         usable = [
             name
@@ -93,8 +99,16 @@
         ]
         if not usable:
             return self._first_back(nodes)
-        drawn = self._random.sample(usable, min(2, len(usable)))
-        chosen = min(drawn, key=lambda name: self._load(name, nodes[name]))
+        loads = {name: self._load(name, nodes[name]) for name in usable}
+        near = [
+            name
+            for name in usable
+            if nodes[name].failure_domain == self._domain
+        ]
+        chosen = min(near, key=loads.__getitem__, default=None)
+        if chosen is None or loads[chosen] >= _NEAR_UNTIL:
+            drawn = self._random.sample(usable, min(2, len(usable)))
+            chosen = min(drawn, key=loads.__getitem__)
         self._chosen.append(chosen)
         return chosen
 
--- a/tests/features/balance.feature
+++ b/tests/features/balance.feature
@@ -96,6 +96,14 @@
     When 30 requests are spread and none ends
     Then each of "a" and "b" has at least 14 of them
 
+  Scenario: a node of the door's failure domain is taken while it is not busy
+    Given nodes "a", "b" and "c" of a service without keys
+    And the door is in the failure domain of "b"
+    When 10 requests are spread and none ends
+    Then "b" has 10 of them
+    When 30 requests are spread and none ends
+    Then "b" has at most 24 of them
+
   Scenario: a node that sheds is avoided for a while
     Given nodes "a", "b" and "c" of a service without keys
     When a request to "a" is shed
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -318,16 +318,32 @@
 def make_spread(context: Context) -> None:
     context.clock = FakeClock()
     context.book = LoadBook(context.clock)
-    context.spread = Spread(context.book, Random(1), context.clock)
+    context.spread = Spread(context.book, 'x', Random(1), context.clock)
     context.nodes = {
         NodeName(each, 1): NodeRecord(
-            1, (1,), 'x', 1, 1, 1, 'x', 's', 'o', 20, 100
+            1, (1,), 'h', 1, 1, 1, f'domain {each}', 's', 'o', 20, 100
         )
         for each in 'abc'
     }
     context.chosen = Counter()
 
 
+@given('the door is in the failure domain of "{node_id}"')
+def place_door(context: Context, node_id: str) -> None:
+    domain = f'domain {node_id}'
+    context.spread = Spread(context.book, domain, Random(1), context.clock)
+
+
+@then('"{node_id}" has {count:d} of them')
+def check_near(context: Context, node_id: str, count: int) -> None:
+    assert context.chosen[node_id] == count, context.chosen
+
+
+@then('"{node_id}" has at most {count:d} of them')
+def check_not_all(context: Context, node_id: str, count: int) -> None:
+    assert context.chosen[node_id] <= count, context.chosen
+
+
 @given('"{node_id}" reported {count:d} requests in flight')
 def report_running(context: Context, node_id: str, count: int) -> None:
     context.book.note(NodeName(node_id, 1), LoadState(count, {}))
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -175,7 +175,7 @@
 
     eventlet.spawn_n(listen, gate, security, dispatcher.handle, clock)
     budgets = RetryBudgets(0, clock)
-    spread = Spread(LoadBook(clock), Random(1), clock)
+    spread = Spread(LoadBook(clock), 'a', Random(1), clock)
     router = Router(
         DOOR,
         view,
