--- a/laburnumwood/routing/reading.py
+++ b/laburnumwood/routing/reading.py
@@ -108,6 +108,8 @@
 def read_body(environ: Environ, longest: int, deadline_ms: int) -> bytes:
     """Return the whole body of a request; raises `RequestRefusedError`."""
     declared = environ.get('CONTENT_LENGTH')
+    if not declared and not environ['wsgi.input'].chunked_input:
+        return b''
     if declared and int(declared) > longest:
         raise RequestRefusedError('too-large', f'over {longest} bytes')
     late = RequestRefusedError('deadline', 'the body did not come in time')
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -108,6 +108,13 @@
         exchange.send(End(len(body)))
 
 
+def _with_short_body(inquiry: Inquiry) -> Work:
+    """Return a request that carries its body if that is short."""
+    if inquiry.body and len(inquiry.body) <= LONGEST_INLINE:
+        return replace(inquiry.work, body=inquiry.body)
+    return inquiry.work
+
+
 class Router:
     """Sends requests to the owners of their shards."""
 
@@ -138,7 +145,7 @@
         that may have run is sent again only if it is idempotent.  Both end
         with the deadline, and what was given up is answered at once.
         """
-        work = inquiry.work
+        work = _with_short_body(inquiry)
         budget = self._budgets.of(work.service)
         budget.earn()
         tries = Tries(inquiry, budget, self._clock, self._patience_ms)
@@ -192,17 +199,17 @@
         if target is None:
             return failure('no-owner', f'shard {work.shard}', ran=False)
         left_ms = until_ms - self._clock.now_ms()
-        inline = body if len(body) <= LONGEST_INLINE else b''
-        sent = replace(work, deadline_ms=left_ms, body=inline)
+        if left_ms < work.deadline_ms:
+            work = replace(work, deadline_ms=left_ms)
         try:
-            exchange = self._open(target, sent)
+            exchange = self._open(target, work)
         except LinkError as refused:
             self._spread.avoid(target, AVOID_MS)
             return failure('no-owner', str(refused), ran=False)
         if work.shard < 0:
             exchange = self._spread.track(exchange, target)
         caller.when_gone(lambda: abandon(exchange))
-        reply = self._ask(exchange, b'' if sent.is_whole else body, until_ms)
+        reply = self._ask(exchange, b'' if work.is_whole else body, until_ms)
         if isinstance(reply, Failure):
             exchange.close()
         return reply
