Ask the store only for what is not known, and let a shard with one successor wait

A change goes over the version that is known; a conflict shows that it is old. A shard that has one successor left waits 4 s, so that one write does for a rolling restart.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -14,7 +14,8 @@
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.joining import announce_leaving
+from laburnumwood.membership.joining import announce_leaving, leave
+from laburnumwood.membership.known import KnownStore
 from laburnumwood.membership.member import Member
 from laburnumwood.membership.reader import Reader
 from laburnumwood.membership.serving import Serving
@@ -80,13 +81,14 @@
         )
         self.load = LoadParts(settings, name, self.view, self._peers, clock)
         self._reader = Reader(name, platform, self.view)
+        self._known = KnownStore(platform, self.view.directory)
         self._member = Member(
             self.lease,
             witness,
             self.view,
             self._peers,
             self.dispatcher,
-            platform,
+            self._known,
             settings.lease,
             clock,
         )
@@ -155,6 +157,10 @@
         self.lease.resign()
         self._member.spreader.tell(witnesses - {self.name}, Resign(self.name))
 
+    def record_end(self) -> None:
+        """Write down that this incarnation has ended."""
+        leave(self._known, self.name)
+
     def end(self) -> None:
         """Act for no shard any more; requests are still passed on."""
         self.lease.resign()
@@ -170,7 +176,7 @@
         # Without it the others would go on moving shards to this node; a
         # store that does not answer lets nobody move anything.
         with suppress(PlatformError):
-            announce_leaving(self._platform, self.name)
+            announce_leaving(self._known, self.name)
 
     def _make_grants(self, clock: Clock) -> Grants:
         if self._borders.worker_reports:
@@ -196,9 +202,7 @@
         ledger = (self._notary.run,) * self._borders.has_idempotency_keys
         if self._granter is not None:
             return (*ledger, self._granter.run, self._load_poller.run)
-        serving = Serving(
-            self.name, self.view, self._platform, self._worker_state
-        )
+        serving = Serving(self.name, self.view, self._known, self._worker_state)
         return (*ledger, serving.run)
 
     def _worker_state(self) -> tuple[bool, int]:
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -21,7 +21,7 @@
 )
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.endings import Fate, Standstill, fate
-from laburnumwood.membership.joining import end_earlier, join, leave
+from laburnumwood.membership.joining import end_earlier, join
 from laburnumwood.metrics import exposition
 from laburnumwood.operators.door import OperatorDoor
 from laburnumwood.protocol.link import Link
@@ -268,7 +268,7 @@
 
     def _record_end(self, incarnation: Incarnation) -> None:
         try:
-            leave(self._platform, incarnation.name)
+            incarnation.record_end()
         except PlatformError as failure:
             STORE_UNREACHABLE.report(reason=failure)
 
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -80,6 +80,11 @@
         """Return the records of nodes by their ids."""
         return self._nodes
 
+    def stored(self, name: str) -> StoredObject | None:
+        """Return the newest version known of an object, None if unknown."""
+        known = self._objects.get(name)
+        return known if known is not None and known.value is not None else None
+
     def node(self, name: NodeName) -> NodeRecord | None:
         """Return the record of a node if it is of that incarnation."""
         entry = self._nodes.get(name.node_id)
--- a/laburnumwood/membership/serving.py
+++ b/laburnumwood/membership/serving.py
@@ -47,10 +47,7 @@
 
     def record(self) -> None:
         """Write what is so now; raises `PlatformError`."""
-        stored = change_record(
-            self._store, self._own.node_id, self._changed, None
-        )
-        self._view.directory.apply(stored)
+        change_record(self._store, self._own.node_id, self._changed, None)
 
     def _is_true(self) -> bool:
         record = self._view.directory.node(self._own)
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -36,6 +36,9 @@
 # Spreads the writes after the loss of a failure domain, so that the platform
 # gets no more than a few hundred a second from a fleet of any size.
 _UNHURRIED_MS_PER_NODE = 10
+# A shard with one successor left waits, so that one write does for all the
+# nodes of a rolling restart that come and go meanwhile.
+_ONE_LEFT_MS = 4_000
 
 
 class Tenure:
@@ -62,7 +65,7 @@
         self._stale: dict[ShardName, int] = {}
         self._wanting_since_ms: dict[ShardName, int] = {}
         self._wanted_before_ms: dict[ShardName, int] = {}
-        self._due_ms: dict[ShardName, int] = {}
+        self._lacking_since_ms: dict[ShardName, int] = {}
 
     @property
     def stale(self) -> tuple[ShardName, ...]:
@@ -77,7 +80,7 @@
     @property
     def is_settled(self) -> bool:
         """Tell whether no shard waits for a write of this node."""
-        waiting = self._writes or self._stale or self._due_ms
+        waiting = self._writes or self._stale or self._lacking_since_ms
         turns = self._wanting_since_ms or self._holdings.has_spent
         return not waiting and not turns
 
@@ -165,7 +168,7 @@
         """Take in the final progress of a write."""
         self._writes.pop(write.shard, None)
         self._wanting_since_ms.pop(write.shard, None)
-        self._due_ms.pop(write.shard, None)
+        self._lacking_since_ms.pop(write.shard, None)
         if progress is Progress.WRITTEN and write.stored is not None:
             self._view.directory.apply(write.stored)
             self._take_written(write)
@@ -213,16 +216,16 @@
     def _is_due(self, shard: ShardName, record: ShardRecord) -> bool:
         nodes = self.live()
         if not needs_successors(self._own, record.succession, nodes):
-            self._due_ms.pop(shard, None)
+            self._lacking_since_ms.pop(shard, None)
             return False
-        window_ms = _UNHURRIED_MS_PER_NODE * len(nodes)
         now_ms = self._clock.now_ms()
-        due_ms = self._due_ms.get(shard)
-        if due_ms is None:
-            topic = f'{self._own} {shard} {record.epoch}'.encode()
-            due_ms = now_ms + xxh3_64_intdigest(topic) % (window_ms + 1)
-            self._due_ms[shard] = due_ms
-        return now_ms >= due_ms
+        since_ms = self._lacking_since_ms.setdefault(shard, now_ms)
+        has_one = any(name in nodes for name in record.succession[1:])
+        wait_ms = _ONE_LEFT_MS if has_one else 0
+        window_ms = _UNHURRIED_MS_PER_NODE * len(nodes)
+        topic = f'{self._own} {shard} {record.epoch}'.encode()
+        wait_ms += xxh3_64_intdigest(topic) % (window_ms + 1)
+        return now_ms - since_ms >= wait_ms
 
     def _is_my_turn(self, shard: ShardName) -> bool:
         now_ms = self._clock.now_ms()
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -1,11 +1,19 @@
 """Steps about joining, ending and losing nodes."""
 
+from typing import Any
+
 from behave import given, then, when
 from behave.runner import Context
 
 from laburnumwood.errors import PlatformUnreachableError
-from laburnumwood.membership.joining import join
-from laburnumwood.records import NodeName, NodeRecord
+from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.joining import (
+    announce_leaving,
+    join,
+    record_witnesses,
+)
+from laburnumwood.membership.known import KnownStore
+from laburnumwood.records import NodeName, NodeRecord, StoredObject, WitnessSet
 from laburnumwood.store.objects import node_object, to_record
 from laburnumwood.store.writes import new_mark
 from tests.ownership.node import Code
@@ -95,3 +103,58 @@
 @then('the shard {number:d} has an owner')
 def check_owner(context: Context, number: int) -> None:
     assert context.world.owner(SHARDS[number]) is not None
+
+
+class CountingStore(FakeStore):
+    """Counts the calls that reach it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reads = 0
+        self.writes = 0
+
+    def get(self, name: str) -> StoredObject | None:
+        """Count and return an object."""
+        self.reads += 1
+        return super().get(name)
+
+    def update(self, name: str, value: dict[str, Any], version: int) -> int:
+        """Count and replace an object of a version."""
+        self.writes += 1
+        return super().update(name, value, version)
+
+
+@given('a node whose record is known')
+def make_known(context: Context) -> None:
+    context.store = CountingStore()
+    context.name, _ = join(context.store, node_settings('a'))
+    directory = Directory()
+    for stored in context.store.list()[0]:
+        directory.apply(stored)
+    context.known = KnownStore(context.store, directory)
+    context.store.reads = 0
+
+
+@given('the record was changed since')
+def change_behind(context: Context) -> None:
+    chosen = WitnessSet(1, (context.name,))
+    record_witnesses(context.store, context.name, (chosen,))
+    context.store.reads = 0
+    context.store.writes = 0
+
+
+@when('it records that it leaves')
+def record_leaving(context: Context) -> None:
+    announce_leaving(context.known, context.name)
+
+
+@then('the store was read {reads:d} and written {writes:d} times')
+def check_calls(context: Context, reads: int, writes: int) -> None:
+    found = context.store.reads, context.store.writes
+    assert found == (reads, writes), found
+
+
+@then('its record says that it leaves')
+def check_leaving(context: Context) -> None:
+    stored = context.store.get(node_object('a'))
+    assert to_record(NodeRecord, stored).leaving
