Tell a caller why no body came, where nothing was sent to it yet

The door had the head of the answer, waited for the body until the deadline and then reset the connection, although not even the head had left. The first part is awaited with the head now, and its loss is a failed try like others. Two examples fail before.

--- a/laburnumwood/placement/balance.py
+++ b/laburnumwood/placement/balance.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field, replace
 from functools import cached_property, partial
 
+from xxhash import xxh3_64_intdigest
+
 from laburnumwood.config.declarations import Weights
 from laburnumwood.records import NodeName
 from laburnumwood.settings import PlacementSettings
@@ -104,8 +106,9 @@
     return picture.loads.get(shard, 0)
 
 
-def _coldness_and_number(picture: Picture, shard: int) -> tuple[float, int]:
-    return -_load(picture, shard), shard
+def _coldness(picture: Picture, shard: int) -> tuple[float, int]:
+    # Neighbours are often hot together: of equal ones, not all go one way.
+    return -_load(picture, shard), xxh3_64_intdigest(str(shard).encode())
 
 
 @policy('never')
@@ -121,7 +124,7 @@
     A node gives the least busy of its shards first.
     """
     owned = {
-        name: sorted(shards, key=partial(_coldness_and_number, picture))
+        name: sorted(shards, key=partial(_coldness, picture))
         for name, shards in picture.shares.items()
     }
     moves: list[Move] = []
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -20,6 +20,8 @@
 
 DEFAULT_POLICY = 'weighed'
 
+Owners = Mapping[int, NodeName]  # of shards, by their numbers
+
 
 @dataclass(frozen=True, slots=True)
 class _Estimate:
@@ -93,14 +95,17 @@
         self._splitter = Splitter(clock)
         self._planner = MovePlanner(DEFAULT_POLICY, settings, clock)
 
-    def moves(self) -> tuple[Move, ...]:
-        """Return the moves that this node should make now."""
+    def moves(self, begun: Owners) -> tuple[Move, ...]:
+        """Return the moves that this node should make now.
+
+        Shards whose moves have `begun` count for their next owners.
+        """
         live = self._view.live_in(self._service)
         if self._own not in live:
             return ()
-        return self._planner.plan(self._picture(live))
+        return self._planner.plan(self._picture(live, begun))
 
-    def split(self) -> Split | None:
+    def split(self, begun: Owners) -> Split | None:
         """Return the hot keys that this node should split off now, if any."""
         live = self._view.live_in(self._service)
         declared = self._view.directory.declarations.services
@@ -111,7 +116,9 @@
             return None
         records = self._view.directory.shard_records(self._service)
         count = sum(1 for _ in parents(records))
-        shard, targets = self._splitter.choose(self._picture(live), count)
+        shard, targets = self._splitter.choose(
+            self._picture(live, begun), count
+        )
         if not targets:
             return None
         ranges = ranges_of(shard, records.get(shard), service)
@@ -123,10 +130,12 @@
         pairs = zip(parts, targets, strict=False)
         return Split(shard, tuple(Part(*pair) for pair in pairs))
 
-    def _picture(self, live: Mapping[NodeName, NodeRecord]) -> Picture:
+    def _picture(
+        self, live: Mapping[NodeName, NodeRecord], begun: Owners
+    ) -> Picture:
         declared = self._view.directory.declarations
         service = declared.services.get(self._service, Service())
-        shares = self._shares(live)
+        shares = self._shares(live, begun)
         return Picture(
             own=self._own,
             shares=shares,
@@ -139,11 +148,13 @@
             settings=self._settings,
         )
 
-    def _shares(self, live: Mapping[NodeName, NodeRecord]) -> Shares:
+    def _shares(
+        self, live: Mapping[NodeName, NodeRecord], begun: Owners
+    ) -> Shares:
         shares: dict[NodeName, list[int]] = {name: [] for name in live}
         shards = self._view.directory.shards(self._service)
         for number, entry in sorted(shards.items()):
-            owner = acting(entry.record, self._view)
+            owner = begun.get(number) or acting(entry.record, self._view)
             if owner in shares:
                 shares[owner].append(number)
         return {name: tuple(numbers) for name, numbers in shares.items()}
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -97,7 +97,7 @@
             self._give_all_away()
         elif self._writer.is_healthy:
             self._balance()
-            split = self._balancer.split()
+            split = self._balancer.split(self._tenure.begun)
             if split is not None:
                 self._begin_split(split)
 
@@ -200,7 +200,7 @@
             self._begin_move(shard, self._heir(shard, own, place))
 
     def _balance(self) -> None:
-        for move in self._balancer.moves():
+        for move in self._balancer.moves(self._tenure.begun):
             shard = ShardName(self._service, move.shard)
             self._begin_move(shard, move.target)
 
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -84,6 +84,14 @@
         turns = self._wanting_since_ms or self._holdings.has_spent
         return not waiting and not turns
 
+    @property
+    def begun(self) -> dict[int, NodeName]:
+        """Return who is to be first of the shards that are being written."""
+        return {
+            shard.number: write.record.succession[0]
+            for shard, write in self._writes.items()
+        }
+
     @property
     def own(self) -> NodeName:
         """Return the incarnation that holds the shards."""
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -52,24 +52,44 @@
         self._until_ms = until_ms
         self._clock = clock
         self._whole = False
+        self._length = 0
+        self._ahead: bytes | None = b''  # read, and not given out yet
+
+    def begin(self) -> Failure | None:
+        """Wait for the first part of the body; return why none came.
+
+        Nothing was sent to the caller by then, so that it can be told.
+        """
+        try:
+            self._ahead = self._next()
+        except LinkTimeoutError as late:
+            abandon(self._exchange)
+            return failure('deadline', str(late), ran=True)
+        except LinkError as lost:
+            return failure('link-lost', str(lost), ran=True)
+        return None
 
     def body(self) -> Iterator[bytes]:
         """Yield the body; raises `LinkError` if it is cut short."""
+        while self._ahead is not None:
+            if self._ahead:
+                yield self._ahead
+            self._ahead = None if self._whole else self._next()
+
+    def _next(self) -> bytes | None:
+        """Return the next part, None after the last one."""
         if isinstance(self.head, WholeAnswer):
             self._whole = True
-            yield self.head.body
-            return
-        length = 0
-        while True:
-            left_ms = max(0, self._until_ms - self._clock.now_ms())
-            message = self._exchange.receive(left_ms)
-            if isinstance(message, End) and message.length == length:
-                self._whole = True
-                return
-            if not isinstance(message, Chunk):
-                raise LinkError('the answer was cut')
-            length += len(message.content)
-            yield message.content
+            return self.head.body
+        left_ms = max(0, self._until_ms - self._clock.now_ms())
+        message = self._exchange.receive(left_ms)
+        if isinstance(message, End) and message.length == self._length:
+            self._whole = True
+            return None
+        if not isinstance(message, Chunk):
+            raise LinkError('the answer was cut')
+        self._length += len(message.content)
+        return message.content
 
     def close(self) -> None:
         """End the exchange; an answer not read whole is cancelled."""
@@ -242,7 +262,8 @@
         self, head: object, exchange: Outgoing, until_ms: int
     ) -> Reply | Failure:
         if isinstance(head, Answer):
-            return Reply(head, exchange, until_ms, self._clock)
+            reply = Reply(head, exchange, until_ms, self._clock)
+            return reply.begin() or reply
         if isinstance(head, Failure):
             return head
         abandon(exchange)
--- a/tests/features/request_answers.feature
+++ b/tests/features/request_answers.feature
@@ -25,6 +25,11 @@
       | POST /plain/x?do=no-answer |        |      | 502    | unknown | worker-cut | kept | 1 |
       | PUT /plain/x?do=no-answer  |        |      | 502    | unknown | worker-cut | kept | 3 |
 
+    Examples: answers of which nothing but the head came
+      | request                    | header                        | body | status | outcome | content   | end  | runs |
+      | GET /plain/x?do=head       | Laburnumwood-Deadline-Ms: 300 |      | 504    | unknown | deadline  | kept | 1    |
+      | GET /plain/x?do=cut-head   |                               |      | 502    | unknown | link-lost | kept | 3    |
+
     Examples: refusals of the worker
       | request                   | header | body | status | outcome | content | end  | runs |
       | POST /plain/x?do=busy     |        |      | 503    | not-run | refused | kept | 1    |
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -67,12 +67,13 @@
     'no-answer': b'',
     'no-content': b'HTTP/1.1 204 No Content\r\n\r\n',
     'head': b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n',
+    'cut-head': b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n',
     'fenced': _answer('409 Conflict', b'{"error": "fenced"}'),
     'busy': _answer('503 Busy', b'{"error": "busy"}'),
     'draining': _answer('503 Busy', b'{"error": "draining"}'),
     'own-503': _answer('503 Busy', b'{"error": "stopped"}'),
 }
-CLOSES = frozenset(('cut', 'cut-chunked', 'no-answer'))
+CLOSES = frozenset(('cut', 'cut-chunked', 'cut-head', 'no-answer'))
 
 
 class ToldWorker:
