--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -26,6 +26,7 @@
 _WRITING_MS = 200
 _TURNS_PER_BALANCE = 3
 _IDLE_POLL_MS = 10
+_MOST_TOLD = 100  # nodes; in a larger fleet only those of the service
 _HAND_OVER_MS = 2_500  # for the store to take the records
 
 
@@ -221,7 +222,17 @@
         if entry is None:
             return
         notice = ShardNotice(str(shard), entry.record, entry.version)
-        self._spreader.tell(set(self._tenure.live()), notice)
+        self._spreader.tell(self._told(), notice)
+
+    def _told(self) -> set[NodeName]:
+        """Return who is told of a record at once; others hear of it later.
+
+        In a small fleet all doors are, so that none asks the last owner.
+        """
+        told = {name for name, _ in self._view.live()}
+        if len(told) > _MOST_TOLD:
+            told = set(self._tenure.live())
+        return told.difference((self._tenure.own,))
 
     def _heir(
         self, shard: ShardName, own: NodeName, place: int
--- a/laburnumwood/routing/headers.py
+++ b/laburnumwood/routing/headers.py
@@ -1,6 +1,6 @@
 """Which headers pass from hop to hop."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from laburnumwood.header_index import Header
 
@@ -20,7 +20,7 @@
         'upgrade',
     )
 )
-_OF_THE_DOOR = frozenset(('host', 'content-length'))
+_DROPPED_FROM_REQUESTS = _HOP_BY_HOP | {'host', 'content-length'}
 
 
 def _named_by_connection(headers: Iterable[Header]) -> set[str]:
@@ -34,14 +34,18 @@
 
 def _kept(
     headers: tuple[Header, ...], dropped: frozenset[str]
-) -> tuple[Header, ...]:
-    unwanted = dropped | _named_by_connection(headers)
-    return tuple(each for each in headers if each[0].lower() not in unwanted)
+) -> list[tuple[str, Header]]:
+    """Return the headers that stay, each after its name in lower case."""
+    named = [(each[0].lower(), each) for each in headers]
+    unwanted: Set[str] = dropped
+    if any(lower == _CONNECTION for lower, _ in named):
+        unwanted = dropped | _named_by_connection(headers)
+    return [each for each in named if each[0] not in unwanted]
 
 
 def end_to_end(headers: tuple[Header, ...]) -> tuple[Header, ...]:
     """Return the headers that are not meant for one connection only."""
-    return _kept(headers, _HOP_BY_HOP)
+    return tuple(each for _, each in _kept(headers, _HOP_BY_HOP))
 
 
 def request_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
@@ -51,8 +55,8 @@
     """
     return tuple(
         each
-        for each in _kept(headers, _HOP_BY_HOP | _OF_THE_DOOR)
-        if not each[0].lower().startswith(OWN_PREFIX)
+        for lower, each in _kept(headers, _DROPPED_FROM_REQUESTS)
+        if not lower.startswith(OWN_PREFIX)
     )
 
 
