--- a/laburnumwood/daemon/main.py
+++ b/laburnumwood/daemon/main.py
@@ -5,6 +5,8 @@
 import sys
 import warnings
 from importlib import import_module
+from itertools import pairwise
+from pathlib import Path
 
 # Nodes know each other by numbers; a resolver of its own takes time to load.
 os.environ.setdefault('EVENTLET_NO_GREENDNS', 'yes')
@@ -15,11 +17,23 @@
 
 import eventlet  # noqa: E402
 
+from laburnumwood.listening import open_early  # noqa: E402
+
+_SETTINGS = '--settings'
 _NEW_OBJECTS = 10_000  # more than live at once for requests, per collection
 
 
+def _settings_path(arguments: list[str]) -> Path | None:
+    """Return the path of the settings, if it is named in the usual way."""
+    pairs = pairwise(arguments)
+    return next((Path(path) for name, path in pairs if name == _SETTINGS), None)
+
+
 def main() -> int:
     """Run a node until it is told to stop; return the exit status."""
+    path = _settings_path(sys.argv)
+    if path is not None:
+        open_early(path)
     # No other threads run, and no task waits while it holds a lock.
     eventlet.monkey_patch(thread=False)
     # What it imports has to find the patched library.
--- a/laburnumwood/platform/borders.py
+++ b/laburnumwood/platform/borders.py
@@ -6,12 +6,13 @@
 from typing import Any
 
 from laburnumwood.borders import Borders, Front, Listener, borders
+from laburnumwood.listening import split_address
 from laburnumwood.platform.callers import RequesterFace
 from laburnumwood.platform.reports import ReportDesk
 from laburnumwood.platform.store import ObjectStore
 from laburnumwood.platform.workers import WorkerDialect
 from laburnumwood.routing.outcome import StartResponse, status_line
-from laburnumwood.settings import DaemonSettings, split_address
+from laburnumwood.settings import DaemonSettings
 
 
 class ReadyPage:
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -17,6 +17,7 @@
 from laburnumwood.records import NodeName
 
 _BACKLOG = 256
+_REFUSED_REST_MS = 300  # in which a peer that refused a link is not dialled
 
 Lookup = Callable[[NodeName], tuple[str, int] | None]
 _Handler = TypeVar('_Handler', bound=Callable[..., None])
@@ -88,7 +89,8 @@
         asked_ms = self._clock.now_ms()
         lock = self._locks.setdefault(peer, Semaphore())
         with lock:
-            if self._refused_ms.get(peer, 0) > asked_ms:
+            refused_ms = self._refused_ms.get(peer, -_REFUSED_REST_MS)
+            if refused_ms + _REFUSED_REST_MS > asked_ms:
                 raise LinkRefusedError(f'{peer} has just refused a link')
             link = self._links.get(peer)
             if link is None or not link.is_open:
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -12,10 +12,10 @@
 from greenlet import GreenletExit
 
 from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.listening import Address, listen
 from laburnumwood.routing.connection import CLOSE, CallerProtocol
 
 _MOST_CONNECTIONS = 4_096
-_BACKLOG = 1_024
 _LINGER_NOT = struct.pack('ii', 1, 0)
 
 
@@ -52,8 +52,8 @@
 class Listening:
     """An address where an application is served, until it is closed."""
 
-    def __init__(self, address: tuple[str, int], application: Any) -> None:
-        self._listener = eventlet.listen(address, backlog=_BACKLOG)
+    def __init__(self, address: Address, application: Any) -> None:
+        self._listener = listen(address)
         self._server = eventlet.spawn(
             serve_callers, self._listener, application
         )
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -14,6 +14,7 @@
 from pydantic_core import ErrorDetails
 
 from laburnumwood.errors import SettingsError
+from laburnumwood.listening import split_address
 
 HIGHEST_PORT = 65_535
 _ADDRESS = r'^[^:]+:\d{1,5}$'
@@ -150,12 +151,6 @@
         return self.host, self.door_port or 0
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of an address of the form host:port."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 def _model_in(annotation: Any) -> type[BaseModel] | None:
     """Return the model that an annotation names, at any depth."""
     if isinstance(annotation, type) and issubclass(annotation, BaseModel):
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -7,6 +7,13 @@
     Then the other call is answered over a second connection
     And the call that waits fails with LinkLostError
 
+  Scenario: a peer that refuses links is left alone for a while
+    Given a peer whose address refuses connections
+    When 5 calls are made one after the other
+    Then it was dialled once
+    When 300 ms have passed and 2 calls are made
+    Then it was dialled 2 times in all
+
   Scenario: senders blocked on a dead connection fail
     Given a peer that falls silent on its first connection
     When 64 streams send more than the connection takes
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -11,7 +11,7 @@
 from websockets.protocol import Protocol
 
 from laburnumwood.clock import Clock
-from laburnumwood.errors import LinkError
+from laburnumwood.errors import LinkError, LinkRefusedError
 from laburnumwood.events import ANSWER_UNDELIVERED
 from laburnumwood.protocol.codec import LARGEST_FRAME, encode
 from laburnumwood.protocol.handshake import dial, welcome
@@ -21,6 +21,7 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import WINDOW, Stream
 from laburnumwood.records import NodeName
+from tests.features.steps.fake_clock import FakeClock
 
 HOST = '127.0.0.1'
 KEY = LinkSecurity('a key of the tests only')
@@ -80,6 +81,44 @@
     _begin(context, task, listener.getsockname())
 
 
+@given('a peer whose address refuses connections')
+def make_refusing(context: Context) -> None:
+    probe = eventlet.listen((HOST, 0))
+    address = probe.getsockname()
+    probe.close()
+    context.dialled = 0
+
+    def look_up(_peer: NodeName) -> tuple[str, int]:
+        context.dialled += 1
+        return HOST, address[1]
+
+    context.clock = FakeClock()
+    context.peers = Peers(OWN, KEY, look_up, Dispatcher(), context.clock)
+
+
+@when('{count:d} calls are made one after the other')
+def call_often(context: Context, count: int) -> None:
+    for _ in range(count):
+        found = _outcome(context.peers.call, PEER, Cancel(), LIMIT_MS)
+        assert isinstance(found, LinkRefusedError), found
+
+
+@when('{span:d} ms have passed and {count:d} calls are made')
+def call_later(context: Context, span: int, count: int) -> None:
+    context.clock.pass_ms(span)
+    call_often(context, count)
+
+
+@then('it was dialled once')
+def check_once(context: Context) -> None:
+    check_dialled(context, 1)
+
+
+@then('it was dialled {count:d} times in all')
+def check_dialled(context: Context, count: int) -> None:
+    assert context.dialled == count, context.dialled
+
+
 @given('a peer that answers calls and reads no bodies')
 def start_peer(context: Context) -> None:
     probe = eventlet.listen((HOST, 0))
--- /dev/null
+++ b/tests/features/steps/starting_steps.py
@@ -0,0 +1,72 @@
+"""Steps about addresses that are listened at early."""
+
+import json
+import tempfile
+from pathlib import Path
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+
+from laburnumwood import listening
+from laburnumwood.listening import listen, open_early
+
+HOST = '127.0.0.1'
+LIMIT_S = 10
+
+
+def _write(context: Context, content: str) -> None:
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.path = Path(folder.name) / 'settings.json'
+    context.path.write_text(content)
+
+
+def _free_address() -> tuple[str, int]:
+    probe = eventlet.listen((HOST, 0))
+    address = probe.getsockname()
+    probe.close()
+    return HOST, int(address[1])
+
+
+@given('a settings file with addresses for callers and reports')
+def write_settings(context: Context) -> None:
+    context.addresses = [_free_address(), _free_address()]
+    names = 'door_address', 'report_address'
+    texts = [f'{host}:{port}' for host, port in context.addresses]
+    _write(context, json.dumps(dict(zip(names, texts, strict=True))))
+
+
+@given('a settings file that holds {content}')
+def write_content(context: Context, content: str) -> None:
+    _write(context, content)
+
+
+@when('the addresses are opened early')
+def open_addresses(context: Context) -> None:
+    open_early(context.path)
+
+
+@when('a caller connects to each of them')
+def connect(context: Context) -> None:
+    context.callers = [eventlet.connect(each) for each in context.addresses]
+
+
+@when('the node listens at them')
+def listen_late(context: Context) -> None:
+    context.listeners = [listen(each) for each in context.addresses]
+
+
+@then('it accepts the connections that came before')
+def check_accepted(context: Context) -> None:
+    for listener, caller in zip(
+        context.listeners, context.callers, strict=True
+    ):
+        listener.settimeout(LIMIT_S)
+        accepted, _ = listener.accept()
+        assert accepted.getpeername() == caller.getsockname()
+
+
+@then('nothing was opened')
+def check_nothing(_context: Context) -> None:
+    assert not listening._opened
