--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -32,7 +32,7 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.execution import Executor
-from laburnumwood.routing.gate import Gate
+from laburnumwood.routing.gate import Gate, WorkerState
 from laburnumwood.routing.measuring import MeasuredDoor
 from laburnumwood.routing.notary import Notary
 from laburnumwood.routing.router import Router
@@ -267,8 +267,7 @@
             self.view.directory.shard_records,
             self._account,
             self.load.meter,
-            self._may_start,
-            self._slots,
+            WorkerState(self._may_start, self._slots),
             clock,
         )
         self._load_poller = LoadPoller(self._worker, gate.hint)
--- a/laburnumwood/listening.py
+++ b/laburnumwood/listening.py
@@ -5,6 +5,8 @@
 """
 
 import json
+from collections.abc import Iterator
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -23,19 +25,28 @@
     return host, int(port)
 
 
+def _addresses(path: Path) -> Iterator[Address]:
+    try:
+        content = json.loads(path.read_text())
+    except (OSError, ValueError):
+        return
+    named = content if isinstance(content, dict) else {}
+    for name in _EARLY:
+        address = named.get(name)
+        if isinstance(address, str):
+            with suppress(ValueError):
+                yield split_address(address)
+
+
 def open_early(path: Path) -> None:
     """Listen where callers and the worker of a settings file connect.
 
     What is wrong with the file or an address is told later, when the settings
     are read and checked.
     """
-    try:
-        content = json.loads(path.read_text())
-        for name in _EARLY:
-            address = split_address(content[name])
+    for address in _addresses(path):
+        with suppress(OSError):
             _opened[address] = eventlet.listen(address, backlog=_BACKLOG)
-    except (OSError, ValueError, LookupError, TypeError, AttributeError):
-        return
 
 
 def listen(address: Address) -> Any:
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -15,7 +15,7 @@
 from laburnumwood.placement.ownership import acting
 from laburnumwood.placement.planner import MovePlanner
 from laburnumwood.placement.splitting import Part, Split, Splitter, hot_parts
-from laburnumwood.records import NodeName, NodeRecord
+from laburnumwood.records import KeyRange, NodeName, NodeRecord
 from laburnumwood.settings import PlacementSettings
 
 DEFAULT_POLICY = 'weighed'
@@ -115,13 +115,20 @@
         if service is None or service.stripe_width is None:
             return None
         records = self._view.directory.shard_records(self._service)
-        count = sum(1 for _ in parents(records))
         shard, targets = self._splitter.choose(
-            self._picture(live, begun), count
+            self._picture(live, begun), sum(1 for _ in parents(records))
         )
         if not targets:
             return None
         ranges = ranges_of(shard, records.get(shard), service)
+        return self._split_into(shard, ranges, targets)
+
+    def _split_into(
+        self,
+        shard: int,
+        ranges: tuple[KeyRange, ...],
+        targets: tuple[NodeName, ...],
+    ) -> Split | None:
         counts = self._meter.key_counts()
         parts = hot_parts(ranges, counts, len(targets) + 1)
         if not parts:
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -116,6 +116,10 @@
         return self._clock.now_ms() - self._split_ms >= _REST_MS
 
 
+def _least_busy(usages: Mapping[NodeName, float]) -> NodeName:
+    return min(usages, key=lambda name: (usages[name], name))
+
+
 def _targets(picture: Picture, shard: int) -> tuple[NodeName, ...]:
     """Return a node for each piece but the one that stays.
 
@@ -127,7 +131,7 @@
     usages[picture.own] -= own_usage * (pieces - 1) / pieces
     targets: list[NodeName] = []
     for _ in range(pieces - 1):
-        target = min(usages, key=lambda name: (usages[name], name))
+        target = _least_busy(usages)
         usages[target] += picture.usage(shard, target) / pieces
         targets.append(target)
     return tuple(name for name in targets if name != picture.own)
--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -72,11 +72,11 @@
     """Return the frame of a message on a stream."""
     kind = _KIND_OF[type(message)]
     plain = _PLAIN.get(kind)
-    if plain is not None:
-        frame = dumps((stream, kind, *plain.values(message)))
+    if plain is None:
+        values = _adapter(kind).dump_python(message).values()
     else:
-        content = _adapter(kind).dump_python(message)
-        frame = dumps((stream, kind, *content.values()))
+        values = plain.values(message)
+    frame = dumps((stream, kind, *values))
     MESSAGES.record(1, {'kind': kind})
     MESSAGE_BYTES.record(len(frame), {'kind': kind})
     return frame
--- a/laburnumwood/routing/connection.py
+++ b/laburnumwood/routing/connection.py
@@ -233,7 +233,9 @@
 
     def _read_fields(self) -> tuple[Header, ...]:
         fields: list[Header] = []
-        while (line := self.rfile.readline()) not in _ENDS_OF_HEAD:
+        for line in iter(self.rfile.readline, None):
+            if line in _ENDS_OF_HEAD:
+                break
             found = _HEADER_LINE.fullmatch(line.decode('latin1'))
             if found is None:
                 raise _HeadError(f'header {line[:80]!r}')
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from contextlib import AbstractContextManager, suppress
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Protocol
 
@@ -40,6 +40,14 @@
         """Count a slot as busy for a service."""
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerState:
+    """Whether the worker takes requests now, and how many at once."""
+
+    may_start: Callable[[], bool]
+    slots: Slots
+
+
 _GRANT_SLACK_MS = 150  # by which a grant may come later than expected
 _ANSWER_MS = 60  # kept of the time left, to say that a request did not run
 
@@ -86,15 +94,14 @@
         records: Callable[[str], Records],
         account: Account,
         meter: LoadMeter,
-        may_start: Callable[[], bool],
-        slots: Slots,
+        worker: WorkerState,
         clock: Clock,
     ) -> None:
         self._settings = settings
         self._lease = lease
         self._holdings = holdings
         self._grants = grants
-        self._may_start = may_start
+        self._worker = worker
         self._services = services
         self._records = records
         self._account = account
@@ -103,7 +110,7 @@
         self._clock = clock
         self._admitter = Admitter(
             ADMISSIONS[settings.admission.policy](
-                settings.admission, slots, clock
+                settings.admission, worker.slots, clock
             ),
             clock,
         )
@@ -213,7 +220,7 @@
     def _serve_admitted(
         self, exchange: Exchange, run: Run, may_act: MayAct
     ) -> None:
-        if self._may_start():
+        if self._worker.may_start():
             self._executor.execute(exchange, run, may_act)
             return
         detail = f'the worker of {self._settings.node_id} takes no work'
--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -57,12 +57,11 @@
 class WorkerResponse(HTTPResponse):
     """An answer; only its head is read in another way than the library's."""
 
-    fields: tuple[Header, ...] = ()
-    index = HeaderIndex(())
-
     def __init__(self, sock: Any, method: str) -> None:
         super().__init__(sock, method=method)
         self._has_no_body = method == 'HEAD'
+        self.fields: tuple[Header, ...] = ()
+        self.index = HeaderIndex(())
 
     def begin(self) -> None:
         """Read the head; raises `HTTPException` or `OSError`."""
@@ -92,7 +91,9 @@
 
     def _read_fields(self) -> tuple[Header, ...]:
         fields: list[Header] = []
-        while (line := self._read_line()) not in _ENDS_OF_HEAD:
+        for line in iter(self._read_line, None):
+            if line in _ENDS_OF_HEAD:
+                break
             found = _HEADER_LINE.fullmatch(line)
             if found is None or len(fields) >= _MOST_HEADERS:
                 raise BadStatusLine(f'header {line!r}')
@@ -182,6 +183,7 @@
     lines = [f'{method} {target} HTTP/1.1']
     lines += [f'{name}: {text}' for name, text in headers]
     head = '\r\n'.join((*lines, '', ''))
-    if head.count('\n') != len(lines) + 1 or head.count('\r') != len(lines) + 1:
+    breaks = len(lines) + 1
+    if (head.count('\r'), head.count('\n')) != (breaks, breaks):
         raise ValueError('a line break in the head of a request')
     return head.encode('latin1')
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -14,7 +14,7 @@
 from laburnumwood.protocol.messages import Failure, WholeAnswer, Work
 from laburnumwood.records import ShardName
 from laburnumwood.routing.exchange import Exchange, local_pair
-from laburnumwood.routing.gate import Gate
+from laburnumwood.routing.gate import Gate, WorkerState
 from laburnumwood.settings import DaemonSettings
 from tests.features.steps.fake_clock import FakeClock
 
@@ -105,8 +105,7 @@
         lambda _service: {},
         CapacityAccount(SETTINGS, lambda: declared, clock),
         LoadMeter(1_500, clock),
-        lambda: True,
-        lambda: 4,
+        WorkerState(lambda: True, lambda: 4),
         clock,
     )
 
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -142,6 +142,6 @@
     splitter = Splitter(FakeClock())
     found, targets = splitter.choose(context.picture, 0)
     assert found == number, found
-    assert targets == ((TWO,) if number >= 0 else ()), targets
+    assert targets == (TWO,) * (number >= 0), targets
     splitter.note()
     assert splitter.choose(context.picture, 0)[0] == -1
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -127,7 +127,7 @@
 @given('a node whose record is known')
 def make_known(context: Context) -> None:
     context.store = CountingStore()
-    context.name, _ = join(context.store, node_settings('a'))
+    context.name = join(context.store, node_settings('a'))[0]
     directory = Directory()
     for stored in context.store.list()[0]:
         directory.apply(stored)
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -16,7 +16,7 @@
 HALF = b'half'
 HEAD = b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n'
 BODY = b'whole'
-WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n' + BODY
+WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n%b' % BODY
 LIMIT_MS = 10_000
 AT_ONCE = pack('ii', 1, 0)  # a close drops what is under way
 
