--- a/laburnumwood/header_index.py
+++ b/laburnumwood/header_index.py
@@ -18,6 +18,14 @@
         found = self._texts.get(lower_name)
         return found[0] if found else ''
 
+    def tokens(self, lower_name: str) -> set[str]:
+        """Return the parts of a header that lists them, in lower case."""
+        return {
+            token.strip().lower()
+            for text in self.all(lower_name)
+            for token in text.split(',')
+        }
+
     def all(self, lower_name: str) -> list[str]:
         """Return every value of a header."""
         return self._texts.get(lower_name, [])
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -57,16 +57,16 @@
     def check(self, run: Run, answer: WorkerAnswer) -> None:
         """Raise `WorkerCutError` if an answer is not that to a request.
 
-        A late or second answer on a connection carries another id, and an
-        encoded body is not the worker's own.
+        A late or second answer on a connection carries another id, a success
+        has one in any case, and an encoded body is not the worker's own.
         """
         index = answer.index
         given = index.first(_ID)
-        if given and given != run.work.request_id:
-            raise WorkerCutError(f'the answer is that to {given}')
+        succeeded = HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES
+        if given != run.work.request_id and (given or succeeded):
+            raise WorkerCutError(f'the answer is that to {given!r}')
         if index.has('content-encoding'):
             raise WorkerCutError('the body is encoded')
-        succeeded = HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES
         if succeeded and not index.has(_STAMP):
             raise WorkerCutError('a success without the stamp of a worker')
 
--- a/laburnumwood/routing/connection.py
+++ b/laburnumwood/routing/connection.py
@@ -133,11 +133,11 @@
             return self._refuse('headers-too-large', 'a header or all of them')
         except _HeadError as unreadable:
             return self._refuse('bad-request', str(unreadable))
-        connection = self.headers.first('connection').lower()
+        asked = self.headers.tokens('connection')
         if self.request_version == 'HTTP/1.1':
-            self.close_connection = connection == 'close'
+            self.close_connection = 'close' in asked
         else:
-            self.close_connection = connection != 'keep-alive'
+            self.close_connection = 'keep-alive' not in asked
         return True
 
     def get_environ(self) -> dict[str, Any]:
--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -113,9 +113,9 @@
         if self.status in _BODYLESS or self._has_no_body:
             self.length = 0
         is_framed = self.chunked or self.length is not None
-        connection = self.index.first('connection').lower()
-        stays = self.version == 11 or connection == 'keep-alive'
-        self.will_close = not (is_framed and stays) or connection == 'close'
+        told = self.index.tokens('connection')
+        stays = self.version == 11 or 'keep-alive' in told
+        self.will_close = not (is_framed and stays) or 'close' in told
 
 
 class WorkerConnection(HTTPConnection):
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -2,6 +2,7 @@
 
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
+from types import SimpleNamespace
 from typing import Any
 
 import eventlet
@@ -10,6 +11,8 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import WorkerCutError
+from laburnumwood.header_index import HeaderIndex
+from laburnumwood.platform.workers import WorkerDialect
 from laburnumwood.upstream.worker import Order, Worker
 
 HOST = '127.0.0.1'
@@ -86,3 +89,24 @@
 @then('it was connected to once')
 def check_connected(context: Context) -> None:
     assert context.connected == 1, context.connected
+
+
+@when('the platform\'s worker answers "own" with {status:d} and "{headers}"')
+def answer_own(context: Context, status: int, headers: str) -> None:
+    pairs = [each.split(': ') for each in headers.split(', ')]
+    index = HeaderIndex((name, text) for name, text in pairs)
+    work = SimpleNamespace(request_id='own')
+    run: Any = SimpleNamespace(work=work)
+    answer: Any = SimpleNamespace(status=status, index=index)
+    reporting: Any = None
+    try:
+        WorkerDialect(reporting).check(run, answer)
+    except WorkerCutError:
+        context.verdict = 'refused'
+    else:
+        context.verdict = 'taken'
+
+
+@then('that answer is {what}')
+def check_verdict(context: Context, what: str) -> None:
+    assert context.verdict == what, context.verdict
--- a/tests/features/worker_answers.feature
+++ b/tests/features/worker_answers.feature
@@ -10,6 +10,19 @@
       | a reset         | cut   |
       | an ordinary end | whole |
 
+  Scenario Outline: an answer to the request "own" with <headers> is <what>
+    When the platform's worker answers "own" with <status> and "<headers>"
+    Then that answer is <what>
+
+    Examples:
+      | status | headers                             | what    |
+      | 200    | Attempt-Id: own, Response-Stamp: s  | taken   |
+      | 200    | Attempt-Id: else, Response-Stamp: s | refused |
+      | 200    | Response-Stamp: s                   | refused |
+      | 200    | Attempt-Id: own                     | refused |
+      | 503    | Not-Executed: 1                     | taken   |
+      | 503    | Attempt-Id: else, Not-Executed: 1   | refused |
+
   Scenario: requests that follow each other share one connection
     Given a worker that answers every request on a connection
     When 5 requests are sent to it and read one after the other
