--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -13,8 +13,9 @@
 )
 from laburnumwood.routing.dialect import NOT_OWNER, REFUSED, Headers
 from laburnumwood.routing.run import Run
+from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.reporting import ReportingWorker
-from laburnumwood.upstream.worker import Worker, WorkerAnswer
+from laburnumwood.upstream.worker import Worker
 
 _ID = ID_HEADER.lower()
 _STAMP = STAMP_HEADER.lower()
--- a/laburnumwood/routing/dialect.py
+++ b/laburnumwood/routing/dialect.py
@@ -3,8 +3,9 @@
 from typing import Protocol
 
 from laburnumwood.routing.run import Run
+from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.refusals import FENCED, may_be_refusal, refusal_in
-from laburnumwood.upstream.worker import Worker, WorkerAnswer
+from laburnumwood.upstream.worker import Worker
 
 Headers = tuple[tuple[str, str], ...]
 
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -29,7 +29,8 @@
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.solitude import Solitude
 from laburnumwood.routing.suspicions import Suspicions
-from laburnumwood.upstream.worker import Order, Worker, WorkerAnswer
+from laburnumwood.upstream.pool import WorkerAnswer
+from laburnumwood.upstream.worker import Order, Worker
 
 _NO_BODY = b''
 _NOT_SENT: dict[type[WorkerError], str] = {
--- /dev/null
+++ b/laburnumwood/upstream/pool.py
@@ -0,0 +1,118 @@
+"""Connections that are kept between requests, and the answers on them."""
+
+from collections import deque
+from collections.abc import Iterator
+from http.client import HTTPException
+
+from urllib3.util import parse_url
+
+from laburnumwood.clock import Clock
+from laburnumwood.errors import WorkerCutError, WorkerTimeoutError
+from laburnumwood.header_index import Header, HeaderIndex
+from laburnumwood.upstream.connection import WorkerConnection, WorkerResponse
+
+_CONNECT_TIMEOUT_S = 0.5
+_CHUNK_SIZE = 32_768  # bytes
+
+
+def cut_error(failure: Exception) -> WorkerCutError:
+    """Return the error of an exchange that ended or stood still."""
+    # Only a read that waited too long raises a timeout here.
+    late = isinstance(failure, TimeoutError)
+    return (WorkerTimeoutError if late else WorkerCutError)(repr(failure))
+
+
+class WorkerAnswer:
+    """The head of a worker's answer and its body, read once."""
+
+    def __init__(
+        self,
+        response: WorkerResponse,
+        connection: WorkerConnection,
+        pool: 'ConnectionPool',
+    ) -> None:
+        self._response = response
+        self._connection = connection
+        self._pool = pool
+
+    @property
+    def status(self) -> int:
+        """Return the status code."""
+        return self._response.status
+
+    @property
+    def headers(self) -> tuple[Header, ...]:
+        """Return the headers in their order."""
+        return self._response.fields
+
+    @property
+    def index(self) -> HeaderIndex:
+        """Return the headers by their names."""
+        return self._response.index
+
+    @property
+    def body_length(self) -> int | None:
+        """Return the length of the body, if the worker said it."""
+        declared = self.index.first('content-length')
+        return int(declared) if declared.isdecimal() else None
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the body as it comes.
+
+        Raises `WorkerCutError` if it ends early or falls silent.
+        """
+        try:
+            while part := self._response.read1(_CHUNK_SIZE):
+                yield part
+        except (HTTPException, OSError, ValueError) as cut:
+            raise cut_error(cut) from cut
+        if self._response.length:
+            raise WorkerCutError(f'{self._response.length} bytes are missing')
+
+    def close(self) -> None:
+        """End the exchange and its connection."""
+        self._response.close()
+        self._connection.close()
+
+    def release(self) -> None:
+        """Give the connection back after the whole body was read."""
+        will_close = self._response.will_close
+        self._response.close()
+        if will_close:
+            self._connection.close()
+        else:
+            self._connection.note_idle(self.index)
+            self._pool.give_back(self._connection)
+
+
+class ConnectionPool:
+    """Connections to one address; the one used last is used first again."""
+
+    def __init__(self, url: str, most_idle: int, clock: Clock) -> None:
+        parsed = parse_url(url)
+        self._host = parsed.host or ''
+        self._port = parsed.port
+        self._clock = clock
+        self._idle: deque[WorkerConnection] = deque(maxlen=most_idle)
+
+    def take(self) -> WorkerConnection:
+        """Return an open connection; raises the library's errors."""
+        while self._idle:
+            kept = self._idle.pop()
+            if kept.is_connected:
+                return kept
+            kept.close()
+        opened = WorkerConnection(
+            self._host,
+            self._port,
+            timeout=_CONNECT_TIMEOUT_S,
+            clock=self._clock,
+        )
+        opened.connect()
+        return opened
+
+    def give_back(self, connection: WorkerConnection) -> None:
+        """Keep a connection whose last answer was read whole."""
+        if len(self._idle) == self._idle.maxlen:
+            self._idle.popleft().close()
+        self._idle.append(connection)
--- a/laburnumwood/upstream/refusals.py
+++ b/laburnumwood/upstream/refusals.py
@@ -2,7 +2,7 @@
 
 import json
 
-from laburnumwood.upstream.worker import WorkerAnswer
+from laburnumwood.upstream.pool import WorkerAnswer
 
 FENCED = 'fenced'  # the worker has seen a newer token or has no grant
 _REFUSALS = {409: frozenset((FENCED,)), 503: frozenset(('busy', 'draining'))}
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -1,7 +1,6 @@
 """Calls of the worker beside this node."""
 
-from collections import deque
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from http.client import HTTPException
 from typing import Any
@@ -15,26 +14,20 @@
     NewConnectionError,
     ReadTimeoutError,
 )
-from urllib3.util import parse_url
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.errors import (
-    WorkerCutError,
-    WorkerTimeoutError,
-    WorkerUnreachableError,
-)
-from laburnumwood.header_index import Header, HeaderIndex
+from laburnumwood.errors import WorkerUnreachableError
+from laburnumwood.header_index import Header
 from laburnumwood.records import ShardName
-from laburnumwood.upstream.connection import (
-    WorkerConnection,
-    WorkerResponse,
-    request_head,
+from laburnumwood.upstream.connection import request_head
+from laburnumwood.upstream.pool import (
+    ConnectionPool,
+    WorkerAnswer,
+    cut_error,
 )
 
-_CONNECT_TIMEOUT_S = 0.5
 _CONTROL_TIMEOUT_S = 0.5
 _LONGEST_SILENCE_MS = 10_000  # between two parts of an answer
-_CHUNK_SIZE = 32_768
 _OK = 200
 _DYING_MS = 30
 _CONTROL_CONNECTIONS = 2
@@ -78,108 +71,6 @@
     return late and not isinstance(reason, NewConnectionError)
 
 
-def _cut(failure: Exception) -> WorkerCutError:
-    # Only a read that waited too long raises a timeout here.
-    late = isinstance(failure, TimeoutError)
-    return (WorkerTimeoutError if late else WorkerCutError)(repr(failure))
-
-
-class WorkerAnswer:
-    """The head of a worker's answer and its body, read once."""
-
-    def __init__(
-        self,
-        response: WorkerResponse,
-        connection: WorkerConnection,
-        pool: 'ConnectionPool',
-    ) -> None:
-        self._response = response
-        self._connection = connection
-        self._pool = pool
-
-    @property
-    def status(self) -> int:
-        """Return the status code."""
-        return self._response.status
-
-    @property
-    def headers(self) -> tuple[Header, ...]:
-        """Return the headers in their order."""
-        return self._response.fields
-
-    @property
-    def index(self) -> HeaderIndex:
-        """Return the headers by their names."""
-        return self._response.index
-
-    @property
-    def body_length(self) -> int | None:
-        """Return the length of the body, if the worker said it."""
-        declared = self.index.first('content-length')
-        return int(declared) if declared.isdecimal() else None
-
-    def chunks(self) -> Iterator[bytes]:
-        """Yield the body as it comes.
-
-        Raises `WorkerCutError` if it ends early or falls silent.
-        """
-        try:
-            while part := self._response.read1(_CHUNK_SIZE):
-                yield part
-        except (HTTPException, OSError, ValueError) as cut:
-            raise _cut(cut) from cut
-        if self._response.length:
-            raise WorkerCutError(f'{self._response.length} bytes are missing')
-
-    def close(self) -> None:
-        """End the exchange and its connection."""
-        self._response.close()
-        self._connection.close()
-
-    def release(self) -> None:
-        """Give the connection back after the whole body was read."""
-        will_close = self._response.will_close
-        self._response.close()
-        if will_close:
-            self._connection.close()
-        else:
-            self._connection.note_idle(self.index)
-            self._pool.give_back(self._connection)
-
-
-class ConnectionPool:
-    """Connections to one address; the one used last is used first again."""
-
-    def __init__(self, url: str, most_idle: int, clock: Clock) -> None:
-        parsed = parse_url(url)
-        self._host = parsed.host or ''
-        self._port = parsed.port
-        self._clock = clock
-        self._idle: deque[WorkerConnection] = deque(maxlen=most_idle)
-
-    def take(self) -> WorkerConnection:
-        """Return an open connection; raises the library's errors."""
-        while self._idle:
-            kept = self._idle.pop()
-            if kept.is_connected:
-                return kept
-            kept.close()
-        opened = WorkerConnection(
-            self._host,
-            self._port,
-            timeout=_CONNECT_TIMEOUT_S,
-            clock=self._clock,
-        )
-        opened.connect()
-        return opened
-
-    def give_back(self, connection: WorkerConnection) -> None:
-        """Keep a connection whose last answer was read whole."""
-        if len(self._idle) == self._idle.maxlen:
-            self._idle.popleft().close()
-        self._idle.append(connection)
-
-
 class Worker:
     """The worker at a URL."""
 
@@ -206,7 +97,7 @@
                 head, order.body, order.method, order.timeout_ms
             )
         except (HTTPException, OSError) as failure:
-            raise _cut(failure) from failure
+            raise cut_error(failure) from failure
         finally:
             if response is None:
                 connection.close()
