Do not wait for the store at a planned stop when it is away, but always for the worker to let go

A live owner that hands over is waited for 250 ms instead of 400: requests were held to their ends by it.

--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -125,9 +125,16 @@
 
     def _is_worth_waiting(self, started_ms: int, patience_ms: int) -> bool:
         waited_ms = self._clock.now_ms() - started_ms
-        if not self._holdings.tokens() or waited_ms >= patience_ms:
+        held = self._holdings.tokens()
+        if not held or waited_ms >= patience_ms:
             return False
-        return waited_ms < _HAND_OVER_MS or not self._holdings.are_idle()
+        if not self._holdings.are_idle():
+            return True
+        # Without the store no record is written; once the worker has let go,
+        # the successors can follow the seals.
+        limit_ms = _HAND_OVER_MS if self._writer.is_answered else 0
+        released = all(self._grants.is_released(shard) for shard in held)
+        return waited_ms < limit_ms or not released
 
     def _begin_move(self, shard: ShardName, target: NodeName | None) -> None:
         if target is not None:
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -28,12 +28,18 @@
         self._renewer = renewer
         self._pool = GreenPool(_CONCURRENT_WRITES)
         self._unsettled = 0
+        self._is_answered = True
 
     @property
     def pool(self) -> GreenPool:
         """Return the tasks that write."""
         return self._pool
 
+    @property
+    def is_answered(self) -> bool:
+        """Tell whether the store answered when it was read last."""
+        return self._is_answered
+
     @property
     def is_healthy(self) -> bool:
         """Tell whether no write waits for an answer of the store."""
@@ -55,7 +61,9 @@
         try:
             stored = self._platform.get(shard_object(shard))
         except PlatformError:
+            self._is_answered = False
             return False
+        self._is_answered = True
         if stored is not None:
             self._directory.apply(stored)
         return True
--- a/laburnumwood/routing/tries.py
+++ b/laburnumwood/routing/tries.py
@@ -8,7 +8,7 @@
 from laburnumwood.routing.inquiry import Inquiry
 
 PATIENCE_MS = 3_000  # how long a request waits for an owner at the most
-_MOVE_PATIENCE_MS = 400  # for a live owner to hand a shard over
+_MOVE_PATIENCE_MS = 250  # for a live owner to hand a shard over
 _OWNER_WAIT_MS = 300  # for news of an owner, before it is tried again
 _LEAST_LEFT_MS = 50  # before the deadline; less is not worth a try
 _MOST_ELSEWHERE = 3  # nodes that turn a request away before it gives up
