--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
+from random import randrange
 from typing import Any
 
 from urllib3 import PoolManager, Retry
@@ -23,6 +24,10 @@
 _START_S = 60
 _STOP_S = 60
 _POLL_S = 0.02
+# Below those that the system gives to outgoing connections, which could take
+# a port before the process that it is meant for listens.
+_PORTS = 18_000, 32_000
+_GIVEN: set[int] = set()
 _OK = 200
 
 
@@ -30,11 +35,22 @@
     """A node does not answer operators yet."""
 
 
+def _can_bind(port: int) -> bool:
+    try:
+        with socket.socket() as probe:
+            probe.bind((HOST, port))
+    except OSError:
+        return False
+    return True
+
+
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a port that is free now, and that no connection is given."""
+    while True:
+        port = randrange(*_PORTS)
+        if port not in _GIVEN and _can_bind(port):
+            _GIVEN.add(port)
+            return port
 
 
 def _holds(check: Callable[[], bool]) -> bool:
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -165,7 +165,6 @@
             # What is kept of an answer does not depend on who hears it.
             answer.close()
             return result
-        answer.release()
         if result.told is not None:
             exchange.send(result.told)
         return result
@@ -180,7 +179,9 @@
         body = self._whole_body(answer, result)
         if body is None:
             _stream(answer, exchange)
-        elif result.told is None:
+        # Given back before the caller can send its next request.
+        answer.release()
+        if body is not None and result.told is None:
             result.body = body if len(body) <= kept else None
             exchange.send(WholeAnswer(answer.status, answer.headers, body))
 
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -34,6 +34,7 @@
         self._response = response
         self._connection = connection
         self._pool = pool
+        self._is_over = False
 
     @property
     def status(self) -> int:
@@ -70,12 +71,18 @@
             raise WorkerCutError(f'{self._response.length} bytes are missing')
 
     def close(self) -> None:
-        """End the exchange and its connection."""
+        """End the exchange and its connection, unless that was given back."""
+        if self._is_over:
+            return
+        self._is_over = True
         self._response.close()
         self._connection.close()
 
     def release(self) -> None:
-        """Give the connection back after the whole body was read."""
+        """Give the connection back, once, after the whole body was read."""
+        if self._is_over:
+            return
+        self._is_over = True
         will_close = self._response.will_close
         self._response.close()
         if will_close:
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -86,9 +86,34 @@
         answer.release()
 
 
+def _ask(context: Context) -> Any:
+    return context.worker.run(Order('GET', '/', (), b'', LIMIT_MS))
+
+
+@when('the answer to a request is given back twice and closed')
+def give_back_twice(context: Context) -> None:
+    answer = _ask(context)
+    assert b''.join(answer.chunks()) == BODY
+    answer.release()
+    answer.release()
+    answer.close()
+
+
+@when('{number:d} requests are sent to it before the first is read')
+def ask_together(context: Context, number: int) -> None:
+    answers = [_ask(context) for _ in range(number)]
+    bodies = [b''.join(answer.chunks()) for answer in answers]
+    assert set(bodies) == {BODY}, bodies
+
+
 @then('it was connected to once')
 def check_connected(context: Context) -> None:
-    assert context.connected == 1, context.connected
+    check_connections(context, 1)
+
+
+@then('it was connected to {number:d} times')
+def check_connections(context: Context, number: int) -> None:
+    assert context.connected == number, context.connected
 
 
 @when('the platform\'s worker answers "own" with {status:d} and "{headers}"')
--- a/tests/features/worker_answers.feature
+++ b/tests/features/worker_answers.feature
@@ -23,6 +23,12 @@
       | 503    | Not-Executed: 1                     | taken   |
       | 503    | Attempt-Id: else, Not-Executed: 1   | refused |
 
+  Scenario: a connection is given back once
+    Given a worker that answers every request on a connection
+    When the answer to a request is given back twice and closed
+    And 2 requests are sent to it before the first is read
+    Then it was connected to 2 times
+
   Scenario: requests that follow each other share one connection
     Given a worker that answers every request on a connection
     When 5 requests are sent to it and read one after the other
