Credit for bodies in halves of a window, longer answers in one message

Credits are sent for half a window at a time; a sender that waits has at least that much unread, so it can't wait for good. Answers and request bodies up to 128 KB go with their head: one message in place of four, and a worker that dies in the middle of one is told as 502 before anything was sent. Test first: 3 and 64 credits for 3 and 64 parts, now 0 and at most 16.

--- a/laburnumwood/protocol/streams.py
+++ b/laburnumwood/protocol/streams.py
@@ -16,6 +16,7 @@
 from laburnumwood.protocol.messages import Chunk, Credit, Failure
 
 WINDOW = 256 * 1024  # bytes that may be sent ahead of the reader
+_CREDIT_SIZE = WINDOW // 2  # bytes read before the sender is told of them
 _MOST_UNREAD = 2 * WINDOW  # the last chunk of a window may exceed it
 
 
@@ -46,6 +47,7 @@
         self._credits: LightQueue = LightQueue()
         self._window = WINDOW
         self._unread = 0
+        self._untold = 0  # bytes that were read, and the sender not told
         self._answered = False
         self._failure: LinkError | None = None
         self._watcher: Watcher | None = None
@@ -75,8 +77,7 @@
         if isinstance(message, LinkError):
             raise message
         if isinstance(message, Chunk):
-            self._unread -= len(message.content)
-            self._link.send(self._number, Credit(len(message.content)))
+            self._note_read(len(message.content))
         return message
 
     def when_message(self, act: Watcher | None) -> None:
@@ -111,6 +112,13 @@
         self._credits.put(0)
         self._tell_watcher()
 
+    def _note_read(self, size: int) -> None:
+        self._unread -= size
+        self._untold += size
+        if self._untold >= _CREDIT_SIZE:
+            told, self._untold = self._untold, 0
+            self._link.send(self._number, Credit(told))
+
     def _take(self, message: Any) -> None:
         self._inbox.put(message)
         if isinstance(message, Failure):
--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -6,7 +6,7 @@
 from laburnumwood.errors import LinkError
 from laburnumwood.protocol.streams import Stream
 
-LONGEST_INLINE = 32_768  # bytes of a body that goes with its head
+LONGEST_INLINE = 131_072  # bytes of a body that goes with its head
 
 
 class Exchange(Protocol):
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -43,3 +43,13 @@
       | a message of unknown kind   |
       | a frame that is too large   |
       | more than the window allows |
+
+  Scenario Outline: the sender of a body hears seldom how much was read
+    When a body of <parts> parts of <size> bytes is sent while it is read
+    Then the sender was told of what was read <told> times at the most
+
+    Examples:
+      | parts | size    | told |
+      | 3     | 32768   | 0    |
+      | 64    | 32768   | 16   |
+      | 9     | 300000  | 9    |
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -28,6 +28,7 @@
 OWN, PEER = NodeName('own', 1), NodeName('peer', 1)
 LIMIT_S = 60
 LIMIT_MS = 60_000
+NUMBER = 1
 CHUNK = 32_768
 
 
@@ -74,6 +75,46 @@
     context.add_cleanup(context.peers.close)
 
 
+class _Joint:
+    """Delivers what one stream sends to the other, and keeps what it saw."""
+
+    def __init__(self) -> None:
+        self.other: Stream | None = None
+        self.seen: list[Any] = []
+
+    def send(self, _number: int, message: Any) -> None:
+        self.seen.append(message)
+        assert self.other is not None
+        self.other.deliver(message)
+
+    def forget(self, _number: int) -> None:
+        self.other = None
+
+
+def _send_chunks(stream: Stream, count: int, size: int) -> None:
+    for _ in range(count):
+        stream.send(Chunk(bytes(size)))
+
+
+@when('a body of {count:d} parts of {size:d} bytes is sent while it is read')
+def send_body(context: Context, count: int, size: int) -> None:
+    there, context.back = _Joint(), _Joint()
+    near, far = Stream(NUMBER, there), Stream(NUMBER, context.back)
+    there.other, context.back.other = far, near
+    sender = eventlet.spawn(_send_chunks, near, count, size)
+    with eventlet.Timeout(LIMIT_S):
+        parts = [far.receive(LIMIT_MS) for _ in range(count)]
+        sender.wait()
+    assert {len(part.content) for part in parts} == {size}
+
+
+@then('the sender was told of what was read {count:d} times at the most')
+def check_told_seldom(context: Context, count: int) -> None:
+    told = [type(message).__name__ for message in context.back.seen]
+    assert set(told) <= {'Credit'}, told
+    assert len(told) <= count, len(told)
+
+
 @given('a peer that falls silent on its first connection')
 def start_silent(context: Context) -> None:
     listener = eventlet.listen((HOST, 0))
