One wrapper of a store, names of fields and tokens of headers kept once

KnownStore and GuardedStore passed the same calls on; the codec kept the names of fields twice; tokens of Connection were read in two places; the length of an answer's body was read again where its framing had it. No change in behaviour.

--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -27,10 +27,11 @@
     Headers go as one list of names and texts in turn.
     """
 
-    def __init__(self, form: type[Any]) -> None:
+    def __init__(self, kind: str) -> None:
+        form = KINDS[kind]
         types = [each.type for each in fields(form)]
         self._form = form
-        self._names = tuple(each.name for each in fields(form))
+        self._names = _FIELDS[kind]
         self._headers_at = types.index(Headers) if Headers in types else -1
         self._types = [list if each is Headers else each for each in types]
 
@@ -59,7 +60,7 @@
 
 
 _TEXT = frozenset((str,))
-_PLAIN = {kind: _Plain(KINDS[kind]) for kind in FREQUENT}
+_PLAIN = {kind: _Plain(kind) for kind in FREQUENT}
 
 
 @cache
--- a/laburnumwood/routing/headers.py
+++ b/laburnumwood/routing/headers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Set
 
-from laburnumwood.header_index import Header
+from laburnumwood.header_index import Header, HeaderIndex
 
 OWN_PREFIX = 'laburnumwood-'
 _CONNECTION = 'connection'
@@ -23,15 +23,6 @@
 _DROPPED_FROM_REQUESTS = _HOP_BY_HOP | {'host', 'content-length'}
 
 
-def _named_by_connection(headers: Iterable[Header]) -> set[str]:
-    return {
-        token.strip().lower()
-        for name, text in headers
-        if name.lower() == _CONNECTION
-        for token in text.split(',')
-    }
-
-
 def _kept(
     headers: tuple[Header, ...], dropped: frozenset[str]
 ) -> list[tuple[str, Header]]:
@@ -39,7 +30,7 @@
     named = [(each[0].lower(), each) for each in headers]
     unwanted: Set[str] = dropped
     if any(lower == _CONNECTION for lower, _ in named):
-        unwanted = dropped | _named_by_connection(headers)
+        unwanted = dropped | HeaderIndex(headers).tokens(_CONNECTION)
     return [each for each in named if each[0] not in unwanted]
 
 
--- a/laburnumwood/store/breaker.py
+++ b/laburnumwood/store/breaker.py
@@ -1,13 +1,13 @@
 """A store that is left alone for a while when it does not answer."""
 
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import PlatformUnreachableError
 from laburnumwood.events import STORE_REACHED, STORE_UNREACHABLE
-from laburnumwood.records import StoredObject
 from laburnumwood.store.interface import Store
+from laburnumwood.store.wrapped import WrappedStore
 
 _FAILURES = 2  # in a row, after which it is left alone
 _PAUSE_MS = 700  # between two calls that try it
@@ -41,44 +41,17 @@
         self._failures = 0 if answered else self._failures + 1
 
 
-class GuardedStore:
+class GuardedStore(WrappedStore):
     """Passes calls to a store on, unless it has not answered just now.
 
     A call that is not passed on fails like one without an answer.
     """
 
     def __init__(self, store: Store, clock: Clock) -> None:
-        self._store = store
+        super().__init__(store)
         self._breaker = Breaker(clock)
 
-    @property
-    def scopes(self) -> tuple[str, ...]:
-        """Return the prefixes to list and watch that make up the whole."""
-        return self._store.scopes
-
-    def get(self, name: str) -> StoredObject | None:
-        """Return an object, or None if there is none of that name."""
-        return self._guard(lambda: self._store.get(name))
-
-    def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
-        """Return the objects under a prefix and the store's revision."""
-        return self._guard(lambda: self._store.list(prefix))
-
-    def create(self, name: str, value: dict[str, Any]) -> int:
-        """Create an object and return its version."""
-        return self._guard(lambda: self._store.create(name, value))
-
-    def update(self, name: str, value: dict[str, Any], version: int) -> int:
-        """Replace the given version of an object and return the new one."""
-        return self._guard(lambda: self._store.update(name, value, version))
-
-    def watch(
-        self, prefix: str, since: int, wait_ms: int
-    ) -> tuple[tuple[StoredObject, ...], int]:
-        """Wait for changes under a prefix after a revision."""
-        return self._guard(lambda: self._store.watch(prefix, since, wait_ms))
-
-    def _guard(self, call: Callable[[], _Found]) -> _Found:
+    def _pass_on(self, call: Callable[[], _Found]) -> _Found:
         if not self._breaker.lets_through():
             raise PlatformUnreachableError('no answer to the last calls')
         was_open = self._breaker.is_open
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -53,9 +53,8 @@
 
     @property
     def body_length(self) -> int | None:
-        """Return the length of the body, if the worker said it."""
-        declared = self.index.first('content-length')
-        return int(declared) if declared.isdecimal() else None
+        """Return how much of the body is to come, if the worker said it."""
+        return self._response.length
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it comes.
