A node that comes back tells the next holders what its worker let go

Cause: a killed process comes back beside its worker after a second, before the worker's grants have run out, and has it release all keys; what the worker left for them was known to that node only, while the shards were with successors, whose workers took the keys cold (three times as slow for 5 s). Now it is told to the nodes of the service before the end of the earlier incarnation is written, which lets the successors act. Test first: reports.feature.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -6,6 +6,7 @@
 
 from laburnumwood.borders import Borders
 from laburnumwood.clock import Clock
+from laburnumwood.daemon.handover_news import HandoverNews
 from laburnumwood.daemon.holder import ShardHolder
 from laburnumwood.daemon.load import LoadParts
 from laburnumwood.daemon.tasks import Task, Tasks
@@ -14,7 +15,11 @@
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.joining import announce_leaving, leave
+from laburnumwood.membership.joining import (
+    announce_leaving,
+    leave,
+    store_answers,
+)
 from laburnumwood.membership.known import KnownStore
 from laburnumwood.membership.member import Member
 from laburnumwood.membership.reader import Reader
@@ -39,7 +44,6 @@
 from laburnumwood.routing.suspicions import Suspicions
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
-from laburnumwood.store.objects import node_object
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.grants import Grants
 from laburnumwood.upstream.load import LoadPoller
@@ -95,6 +99,14 @@
         self._worker = Worker(settings.worker_url, settings.connections, clock)
         self._granter: Granter | None = None
         self._grants = self._make_grants(clock)
+        self._handover_news = HandoverNews(
+            name,
+            settings.service,
+            reporting,
+            self.view,
+            self._member.spreader,
+            self.dispatcher,
+        )
         self._make_placement(platform, clock)
         self._make_routing(clock)
 
@@ -136,11 +148,7 @@
 
     def store_answers(self) -> bool:
         """Tell whether the platform answers now."""
-        try:
-            self._platform.get(node_object(self.name.node_id))
-        except PlatformError:
-            return False
-        return True
+        return store_answers(self._platform, self.name)
 
     def worker_answers(self) -> bool:
         """Ask the worker whether it answers, by granting it nothing."""
@@ -157,6 +165,10 @@
         self.lease.resign()
         self._member.spreader.tell(witnesses - {self.name}, Resign(self.name))
 
+    def tell_left(self) -> None:
+        """Tell the others of the service what the worker has let go."""
+        self._handover_news.tell()
+
     def record_end(self) -> None:
         """Write down that this incarnation has ended."""
         leave(self._known, self.name)
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -241,6 +241,8 @@
         until_ms = self._clock.now_ms() + self._settings.lease.grant_ms
         while self._clock.now_ms() < until_ms and not self.worker.is_clear:
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
+        if self._incarnation is not None:
+            self._incarnation.tell_left()
         self._persist(lambda: end_earlier(self._platform, name))
 
     def _persist(self, call: Callable[[], _Found]) -> _Found:
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -245,6 +245,12 @@
     'more shards are held than fit into one answer to the worker',
     'add workers to the service',
 )
+HANDOVERS_TOLD = _event(
+    616,
+    logbook.INFO,
+    'handovers-told',
+    'this node came back beside its worker and told others what it let go',
+)
 REQUEST_FAILED = _event(
     701,
     logbook.INFO,
--- a/laburnumwood/membership/joining.py
+++ b/laburnumwood/membership/joining.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 from dataclasses import replace
 
-from laburnumwood.errors import PlatformConflictError
+from laburnumwood.errors import PlatformConflictError, PlatformError
 from laburnumwood.events import LOSS_CONFIRMED
 from laburnumwood.records import (
     NodeName,
@@ -155,6 +155,15 @@
     )
 
 
+def store_answers(platform: Store, name: NodeName) -> bool:
+    """Tell whether a node's record can be read now."""
+    try:
+        platform.get(node_object(name.node_id))
+    except PlatformError:
+        return False
+    return True
+
+
 def end_seen(
     platform: Store, name: NodeName, seen: NodeRecord, version: int
 ) -> StoredObject:
--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -14,14 +14,13 @@
     decode_as,
     encode,
 )
-from laburnumwood.records import KeyRange
+from laburnumwood.records import KeyRange, ReleasedRange
 from laburnumwood.routing.outcome import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.reporting import ReportingWorker
 from laburnumwood.upstream.reports import (
     GrantReply,
     HeldRange,
-    ReleasedRange,
     WorkerReport,
 )
 
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -10,6 +10,7 @@
 from laburnumwood.records import (
     Digest,
     NodeName,
+    ReleasedRange,
     Seal,
     ShardRecord,
     StoredObject,
@@ -124,6 +125,14 @@
     version: int
 
 
+@message('left')
+@dataclass(frozen=True, slots=True)
+class Left:
+    """What the sender's worker let go, for those who get the keys next."""
+
+    released: tuple[ReleasedRange, ...]
+
+
 @message('done')
 @dataclass(frozen=True, slots=True)
 class Done:
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -79,6 +79,14 @@
     last: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReleasedRange:
+    """Keys that a worker let go, and what the next holder gets for them."""
+
+    keys: KeyRange
+    handover: str
+
+
 @dataclass(frozen=True, slots=True)
 class WitnessSet:
     """The witnesses of a node; versions of a node's sets only rise."""
--- a/laburnumwood/upstream/reporting.py
+++ b/laburnumwood/upstream/reporting.py
@@ -9,14 +9,14 @@
 worker may still hold a shard.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
 from laburnumwood.clock import Clock
 from laburnumwood.events import GRANTS_CUT, WORKER_STARTED
 from laburnumwood.news import News
-from laburnumwood.records import KeyRange, ShardName
+from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.handovers import Handovers
 from laburnumwood.upstream.lives import LifeNews
@@ -148,6 +148,15 @@
         """Return what the worker left for the next owner of some keys."""
         return self._left.of_range(keys)
 
+    @property
+    def left(self) -> tuple[ReleasedRange, ...]:
+        """Return what the worker let go since its life began."""
+        return self._left.all()
+
+    def take_left(self, released: Iterable[ReleasedRange]) -> None:
+        """Take in what the worker of another node let go."""
+        self._left.note_told(released)
+
     def _begin_life(self, report: WorkerReport) -> None:
         WORKER_STARTED.report(
             worker=report.worker_id,
--- a/laburnumwood/upstream/reports.py
+++ b/laburnumwood/upstream/reports.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from laburnumwood.records import KeyRange
+from laburnumwood.records import KeyRange, ReleasedRange
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,14 +13,6 @@
     token: int
 
 
-@dataclass(frozen=True, slots=True)
-class ReleasedRange:
-    """Keys that a worker let go, and what the next holder gets for them."""
-
-    keys: KeyRange
-    handover: str
-
-
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
     """One report of a worker.
--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -47,6 +47,11 @@
     And the worker reports
     Then it is to hold the shards "1 2" for 2940 ms
 
+  Scenario: keys come with what the worker of another node left for them
+    When another node tells what its worker left of shard 2
+    And the worker reports
+    Then shard 2 is given with what was left there, shard 1 not
+
   Scenario: a withdrawn shard is released once the worker says so
     When the worker reports
     And the shard 1 is withdrawn
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -6,12 +6,11 @@
 from laburnumwood.config.declarations import KeySource, Service
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import ranges_of
-from laburnumwood.records import KeyRange, ShardName
+from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.reporting import ReportingWorker
 from laburnumwood.upstream.reports import (
     HeldRange,
-    ReleasedRange,
     WorkerReport,
 )
 from tests.features.steps.fake_clock import FakeClock
@@ -138,6 +137,20 @@
     _report(context, released=gone)
 
 
+@when('another node tells what its worker left of shard {number:d}')
+def take_left(context: Context, number: int) -> None:
+    context.worker.take_left(
+        ReleasedRange(keys, 'left there') for keys in stripes(number)
+    )
+
+
+@then('shard {number:d} is given with what was left there, shard {cold:d} not')
+def check_given_left(context: Context, number: int, cold: int) -> None:
+    left = {row.keys: row.handover for row in context.reply.ranges}
+    assert {left[keys] for keys in stripes(number)} == {'left there'}, left
+    assert {left[keys] for keys in stripes(cold)} == {''}, left
+
+
 @when('the worker reports that it leaves')
 def report_leaving(context: Context) -> None:
     _report(context, leaves=True)
