A process that comes back beside its worker gets its shards back

Now the end of the earlier incarnation is written once the store says that the node serves, and its successors give its shards back to it, or write it first where they have to win a write.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -135,6 +135,13 @@
         """Tell whether the worker no longer answers what it is sent."""
         return self._granter is not None and self._granter.health.is_lost
 
+    @property
+    def is_told_to_serve(self) -> bool:
+        """Tell whether the store says of the worker what is so now."""
+        record = self.view.directory.node(self.name)
+        serves, _ = self._worker_state()
+        return record is None or record.serves == serves
+
     @property
     def is_busy(self) -> bool:
         """Tell whether requests run on the worker or wait for it."""
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -236,15 +236,21 @@
 
         Their process is over, since this one listens in its place.  What it
         granted to the worker may still be held: until the worker says that
-        it is not, or the longest grant has run out.
+        it is not, or the longest grant has run out.  The others are to know
+        by then that it serves, so that its shards come back to it.
         """
         until_ms = self._clock.now_ms() + self._settings.lease.grant_ms
-        while self._clock.now_ms() < until_ms and not self.worker.is_clear:
+        while self._clock.now_ms() < until_ms and not self._is_back():
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         if self._incarnation is not None:
             self._incarnation.tell_left()
         self._persist(lambda: end_earlier(self._platform, name))
 
+    def _is_back(self) -> bool:
+        incarnation = self._incarnation
+        is_told = incarnation is None or incarnation.is_told_to_serve
+        return self.worker.is_clear and is_told
+
     def _persist(self, call: Callable[[], _Found]) -> _Found:
         while True:
             try:
--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/endings.py
@@ -44,8 +44,9 @@
     if entry is not None and entry.record.incarnation > own.incarnation:
         return Fate.REPLACED
     gone = {name for name in lease.asked if view.is_away(name)}
-    stuck = not lease.holds() and not lease.can_renew_without(gone)
-    if stuck or lease.is_over or view.is_sealed(own):
+    # To join anew before the lease runs out shortens the gap after it.
+    is_doomed = not lease.can_renew_without(gone)
+    if is_doomed or lease.is_over or view.is_sealed(own):
         return Fate.LAPSED
     return Fate.GOES_ON
 
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -94,7 +94,7 @@
                 self._place()
 
     def _place(self) -> None:
-        if not self._tenure.serves:
+        if self._tenure.own not in self._tenure.live():
             self._give_all_away()
         elif self._writer.is_healthy:
             self._balance()
@@ -198,9 +198,16 @@
         for shard in self._tenure.wanted():
             if self._writer.pool.free() <= 0:
                 return
+            home = self._tenure.home(shard)
+            if self._holdings.is_held(shard) and self._may_go(home):
+                self._begin_move(shard, home)
+                continue
             write = self._tenure.begin_write(shard)
             self._writer.pool.spawn_n(self._carry, write)
 
+    def _may_go(self, home: NodeName | None) -> bool:
+        return home is not None and self._writer.is_healthy
+
     def _give_all_away(self) -> None:
         # The worker is lost or leaves: others are to serve its keys.
         own = self._tenure.own
--- a/laburnumwood/placement/succession.py
+++ b/laburnumwood/placement/succession.py
@@ -45,6 +45,27 @@
     return len(live) < possible
 
 
+def find_home(
+    record: ShardRecord, nodes: Mapping[NodeName, NodeRecord]
+) -> NodeName | None:
+    """Return what the node of a shard's first owner is called now, if live."""
+    node_id = record.succession[0].node_id
+    return next((name for name in nodes if name.node_id == node_id), None)
+
+
+def find_returned(
+    record: ShardRecord, nodes: Mapping[NodeName, NodeRecord]
+) -> NodeName | None:
+    """Return the node of a shard's first owner if its process is a new one.
+
+    A process that lost its lease and joined again may still be cut off.
+    """
+    home = find_home(record, nodes)
+    if home is None or nodes[home].witness_as != home.incarnation:
+        return None
+    return home
+
+
 def choose_heir(
     shard: ShardName,
     record: ShardRecord | None,
@@ -55,10 +76,9 @@
     The last owner's node if it is back: its worker may still have what the
     keys need.
     """
-    last = record.succession[0].node_id if record else ''
-    for name in nodes:
-        if name.node_id == last:
-            return name
+    back = find_home(record, nodes) if record else None
+    if back is not None:
+        return back
     # Neighbouring shards go to different nodes, and each gets as many.
     order = rendezvous(shard.service, nodes)
     return order[shard.number % len(order)]
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -22,6 +22,7 @@
 from laburnumwood.placement.succession import (
     choose_heir,
     choose_succession,
+    find_returned,
     needs_successors,
 )
 from laburnumwood.records import (
@@ -97,11 +98,6 @@
         """Return the incarnation that holds the shards."""
         return self._own
 
-    @property
-    def serves(self) -> bool:
-        """Tell whether this node is known to have a worker that serves."""
-        return self._own in self.live()
-
     def live(self) -> dict[NodeName, NodeRecord]:
         """Return the live nodes of the service."""
         return self._view.live_in(self._service)
@@ -129,9 +125,24 @@
             if shard not in self._writes and shard not in self._stale
         ]
 
+    def home(self, shard: ShardName) -> NodeName | None:
+        """Return the node that a shard was taken over from, if it is back."""
+        entry = self._view.directory.shard(shard)
+        home = find_returned(entry.record, self.live()) if entry else None
+        return None if home == self._own else home
+
     def begin_write(self, shard: ShardName) -> ShardWrite:
-        """Return the write that makes this node the first of a shard."""
-        return self._begin(shard, self._own)
+        """Return the write that makes this node the first of a shard.
+
+        Or the node that it was lost with, if that is back: its worker may
+        still have what the keys need.
+        """
+        entry = self._view.directory.shard(shard)
+        home = self.home(shard)
+        if entry is None or home is None:
+            return self._begin(shard, self._own)
+        must_win = self._standing(shard, entry.record) is Standing.MUST_WIN
+        return self._begin(shard, home if must_win else self._own)
 
     def begin_move(
         self, shard: ShardName, target: NodeName
@@ -214,7 +225,7 @@
     def _is_wanted(self, shard: ShardName, entry: Entry[ShardRecord]) -> bool:
         how = self._standing(shard, entry.record)
         if how is Standing.OWNER:
-            if self._holdings.is_spent(shard):
+            if self._holdings.is_spent(shard) or self.home(shard):
                 return True
             return self._is_due(shard, entry.record)
         if how is Standing.ORPHANED:
--- a/tests/features/orphans.feature
+++ b/tests/features/orphans.feature
@@ -1,5 +1,6 @@
-Feature: Shards that belong to nobody
-  After all processes were killed at once, no owner and no successor is left.
+Feature: Shards whose owner's process is lost
+  They go back to its node once that is back, since its worker may still have
+  what the keys need.
 
   Scenario: a shard goes back to the node that had it
     Given the nodes "a#2", "b#2" and "c#3" serve
@@ -15,3 +16,16 @@
     Given the nodes "a#2", "b#2" and "c#3" serve
     And 12 shards without a record
     Then each node is first for 4 of them
+
+  Scenario Outline: a shard that was taken over goes home
+    Given the nodes "a#2", "b#2" and "c#3" serve
+    And every shard of 1 was owned by "<owner>" with the successors "c#3" and "a#1"
+    And the process of "c#3" is the one that "c#2" had
+    Then it goes home to "<home>"
+
+    Examples:
+      | owner | home |
+      | b#1   | b#2  |
+      | b#2   | b#2  |
+      | c#2   | none |
+      | d#1   | none |
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -39,6 +39,10 @@
     When the process of node "p3" is killed
     Then every key of "portal" is served at "p1" within 20 s
 
+  Scenario: a node that is killed and started again gets its keys back
+    When the process of node "p3" is killed and started again
+    Then the keys that were served by its worker are so again within 20 s
+
   Scenario: all nodes are killed at once and started again
     When all nodes are killed and started again
     Then every key of "portal" is served at "p1" within 20 s
--- a/tests/features/steps/orphan_steps.py
+++ b/tests/features/steps/orphan_steps.py
@@ -1,11 +1,12 @@
 """Steps about shards that belong to nobody."""
 
 from collections import Counter
+from dataclasses import replace
 
 from behave import given, then
 from behave.runner import Context
 
-from laburnumwood.placement.succession import choose_heir
+from laburnumwood.placement.succession import choose_heir, find_returned
 from laburnumwood.records import (
     NodeName,
     NodeRecord,
@@ -27,6 +28,7 @@
         capacity_owner='o',
         slots=1,
         connections=1,
+        witness_as=incarnation,
     )
 
 
@@ -72,3 +74,17 @@
 def check_even(context: Context, count: int) -> None:
     heirs = _heirs(context)
     assert heirs == dict.fromkeys(context.nodes, count), heirs
+
+
+@given('the process of "{name}" is the one that "{before}" had')
+def keep_process(context: Context, name: str, before: str) -> None:
+    known = NodeName.parse(name)
+    first = NodeName.parse(before).incarnation
+    record = replace(context.nodes[known], witness_as=first)
+    context.nodes[known] = record
+
+
+@then('it goes home to "{home}"')
+def check_home(context: Context, home: str) -> None:
+    found = find_returned(context.records[0], context.nodes)
+    assert str(found).lower() == home, found
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -167,6 +167,35 @@
     context.fleet.members[node].node.kill()
 
 
+def _keys_of(context: Context, worker: str) -> set[int]:
+    member = context.fleet.members['p1']
+    answers = {key: _ask_key(context, member, key) for key in MANY}
+    return {
+        key
+        for key, answer in answers.items()
+        if answer.status == OK and answer.json()['worker'] == worker
+    }
+
+
+@when('the process of node "{node}" is killed and started again')
+def restart_one(context: Context, node: str) -> None:
+    member = context.fleet.members[node]
+    context.worker = f'worker-{node}'
+    context.keys = _keys_of(context, context.worker)
+    assert context.keys
+    member.node.kill()
+    member.node = context.fleet.start_node(member.path)
+
+
+def _has_keys_back(context: Context) -> bool:
+    return context.keys <= _keys_of(context, context.worker)
+
+
+@then('the keys that were served by its worker are so again within {limit:d} s')
+def check_back(context: Context, limit: int) -> None:
+    wait_for('its keys', partial(_has_keys_back, context), limit)
+
+
 @when('all nodes are killed and started again')
 def restart_all(context: Context) -> None:
     members = context.fleet.members.values()
