Calls that other work waits for wait until their deadline

A call of the first rank was refused once it could not be answered within its objective (100 ms), though it had 250 ms and its failure costs the request that made it; and a node that had refused a download for lack of room was avoided for a second for these calls too, which have other places in its queue. Tests first: admission.feature, balance.feature.

--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -24,7 +24,7 @@
 from laburnumwood.routing.execution import Executor, MayAct
 from laburnumwood.routing.observed import ObservedExchange
 from laburnumwood.routing.outcome import failure, overloaded
-from laburnumwood.routing.priorities import line_of
+from laburnumwood.routing.priorities import line_of, useful_until_ms
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.staying import StayingExchange
 from laburnumwood.settings import DaemonSettings
@@ -196,12 +196,10 @@
     ) -> None:
         work = run.work
         service = self._services().get(work.service)
-        until_ms = run.until_ms
-        if work.objective_ms:
-            useful_ms = self._clock.now_ms() + work.objective_ms
-            until_ms = min(until_ms, useful_ms)
+        now_ms = self._clock.now_ms()
+        useful_ms = useful_until_ms(work, now_ms, run.until_ms)
         line = line_of(work, service)
-        ticket = Ticket(work.key, run.until_ms, until_ms, line)
+        ticket = Ticket(work.key, run.until_ms, useful_ms, line)
         busy = self._account.busy(work.service)
         try:
             with self._admitter.admitted(ticket), busy:
--- a/laburnumwood/routing/priorities.py
+++ b/laburnumwood/routing/priorities.py
@@ -7,6 +7,7 @@
 from laburnumwood.protocol.messages import Work
 
 _ORDINARY = Line()
+_FIRST_RANK = 0
 _RANKS = tuple(
     Line(f'rank-{rank}', weight) for rank, weight in enumerate((16, 4, 1))
 )
@@ -36,3 +37,13 @@
         if _belongs(priority, work, headers)
     ]
     return max(lines, key=lambda line: line.weight, default=_ORDINARY)
+
+
+def useful_until_ms(work: Work, now_ms: int, until_ms: int) -> int:
+    """Return until when a request is worth waiting for a slot.
+
+    Other work waits for what is of the first rank: late is better than never.
+    """
+    if not work.objective_ms or work.priority == _FIRST_RANK:
+        return until_ms
+    return min(until_ms, now_ms + work.objective_ms)
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -208,7 +208,9 @@
 
     def _target(self, work: Work) -> NodeName | None:
         if work.shard < 0:
-            return self._spread.choose(self._view.live_in(work.service))
+            return self._spread.choose(
+                self._view.live_in(work.service), work.priority
+            )
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         return acting(entry.record, self._view) if entry else None
 
@@ -227,7 +229,7 @@
             self._spread.avoid(target, AVOID_MS)
             return failure('no-owner', str(refused), ran=False)
         if work.shard < 0:
-            exchange = self._spread.track(exchange, target)
+            exchange = self._spread.track(exchange, target, work.priority)
         caller.when_gone(lambda: abandon(exchange))
         reply = self._ask(exchange, b'' if work.is_whole else body, until_ms)
         if isinstance(reply, Failure):
--- a/laburnumwood/routing/spread.py
+++ b/laburnumwood/routing/spread.py
@@ -18,6 +18,7 @@
 from laburnumwood.routing.exchange import Outgoing
 
 AVOID_MS = 1_000
+ALL_RANKS = -1  # also that of requests without a rank
 _REMEMBERED = 16  # choices
 _NEAR_UNTIL = 0.5  # of its slots, a node of the same domain is taken
 _SHEDDING = frozenset((429, 503))
@@ -27,10 +28,15 @@
     """An exchange that counts as in flight until it is closed."""
 
     def __init__(
-        self, exchange: Outgoing, target: NodeName, spread: 'Spread'
+        self,
+        exchange: Outgoing,
+        target: NodeName,
+        rank: int,
+        spread: 'Spread',
     ) -> None:
         self._exchange = exchange
         self._target = target
+        self._rank = rank
         self._spread = spread
 
     def send(self, message: Any) -> None:
@@ -46,7 +52,10 @@
             raise
         if isinstance(message, Failure):
             span_ms = max(message.retry_after_ms, AVOID_MS)
-            self._spread.avoid(self._target, span_ms)
+            # There may be room for what is more urgent.
+            is_full = message.kind == 'overloaded'
+            rank = self._rank if is_full else ALL_RANKS
+            self._spread.avoid(self._target, span_ms, rank)
         elif isinstance(message, Answer) and message.status in _SHEDDING:
             self._spread.avoid(self._target, AVOID_MS)
         return message
@@ -82,23 +91,27 @@
         self._random = random
         self._clock = clock
         self._in_flight: dict[NodeName, WeakSet[SpreadExchange]] = {}
-        self._avoided_until_ms: dict[NodeName, int] = {}
+        # By node and the most urgent rank that it is avoided for.
+        self._avoided_until_ms: dict[tuple[NodeName, int], int] = {}
         self._chosen: deque[NodeName] = deque(maxlen=_REMEMBERED)
 
     def targets(self) -> tuple[NodeName, ...]:
         """Return the nodes that were chosen lately."""
         return tuple(self._chosen)
 
-    def choose(self, nodes: Mapping[NodeName, NodeRecord]) -> NodeName | None:
-        """Return a near node that is not busy, or the better of two drawn."""
-        now_ms = self._clock.now_ms()
-        usable = [
-            name
-            for name in sorted(nodes)
-            if self._avoided_until_ms.get(name, 0) <= now_ms
-        ]
+    def choose(
+        self, nodes: Mapping[NodeName, NodeRecord], rank: int = ALL_RANKS
+    ) -> NodeName | None:
+        """Return a near node that is not busy, or the better of two drawn.
+
+        Of ranks, 0 is the most urgent.
+        """
+        avoided = self._avoided(rank)
+        usable = [name for name in sorted(nodes) if name not in avoided]
         if not usable:
-            return self._first_back(nodes)
+            return min(
+                nodes, key=lambda name: (avoided[name], name), default=None
+            )
         loads = {name: self._load(name, nodes[name]) for name in usable}
         near = [
             name
@@ -112,21 +125,28 @@
         self._chosen.append(chosen)
         return chosen
 
-    def track(self, exchange: Outgoing, target: NodeName) -> Outgoing:
+    def track(
+        self, exchange: Outgoing, target: NodeName, rank: int = ALL_RANKS
+    ) -> Outgoing:
         """Return an exchange that is counted for its target."""
-        tracked = SpreadExchange(exchange, target, self)
+        tracked = SpreadExchange(exchange, target, rank, self)
         self._in_flight.setdefault(target, WeakSet()).add(tracked)
         return tracked
 
-    def avoid(self, target: NodeName, span_ms: int) -> None:
-        """Choose other nodes for some time where there are any."""
+    def avoid(
+        self, target: NodeName, span_ms: int, rank: int = ALL_RANKS
+    ) -> None:
+        """Choose other nodes for some time where there are any.
+
+        Requests that are more urgent than `rank` go on as before.
+        """
         now_ms = self._clock.now_ms()
         self._avoided_until_ms = {
-            name: until_ms
-            for name, until_ms in self._avoided_until_ms.items()
+            avoided: until_ms
+            for avoided, until_ms in self._avoided_until_ms.items()
             if until_ms > now_ms
         }
-        self._avoided_until_ms[target] = now_ms + span_ms
+        self._avoided_until_ms[target, rank] = now_ms + span_ms
 
     def forget(self, target: NodeName, tracked: SpreadExchange) -> None:
         """Count an exchange no longer."""
@@ -141,11 +161,11 @@
         own = len(self._in_flight.get(name, ()))
         return max(own, self._loads.running(name)) / record.slots
 
-    def _first_back(
-        self, nodes: Mapping[NodeName, NodeRecord]
-    ) -> NodeName | None:
-        return min(
-            nodes,
-            key=lambda name: (self._avoided_until_ms[name], name),
-            default=None,
-        )
+    def _avoided(self, rank: int) -> dict[NodeName, int]:
+        """Return the nodes to avoid for a rank, and until when."""
+        now_ms = self._clock.now_ms()
+        found: dict[NodeName, int] = {}
+        for (name, least), until_ms in self._avoided_until_ms.items():
+            if until_ms > now_ms and least <= rank:
+                found[name] = max(until_ms, found.get(name, 0))
+        return found
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -91,3 +91,15 @@
       | GET    | trader | ordinary |
       | GET    | checks | internal |
       | POST   | checks | paying   |
+
+  Scenario Outline: how long a request is worth waiting for a slot
+    When a request of rank <rank> with <left> ms left has an objective of <objective> ms
+    Then it is worth waiting for <useful> ms
+
+    Examples:
+      | rank | left | objective | useful |
+      | 0    | 250  | 100       | 250    |
+      | 1    | 250  | 100       | 100    |
+      | 2    | 80   | 100       | 80     |
+      | 2    | 250  | 0         | 250    |
+      | -1   | 250  | 0         | 250    |
--- a/tests/features/balance.feature
+++ b/tests/features/balance.feature
@@ -110,6 +110,18 @@
     Then none of 50 requests goes to "a"
     And after 2 s some of 50 requests go to "a"
 
+  Scenario Outline: a node that has no room is open to what is more urgent
+    Given nodes "a", "b" and "c" of a service without keys
+    When a request of rank 1 to "a" fails as "<kind>"
+    Then <how many> of 50 requests of rank <rank> go to "a"
+
+    Examples:
+      | kind       | rank | how many |
+      | overloaded | 0    | some     |
+      | overloaded | 1    | none     |
+      | overloaded | 2    | none     |
+      | refused    | 0    | none     |
+
   Scenario: a node that is not busy enough moves nothing for the load
     Given shards 0 to 3 on "a" and 4 to 7 on "b"
     And shards with these loads in slots
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -1,6 +1,7 @@
 """Steps about admission."""
 
 from collections import Counter
+from dataclasses import replace
 
 from behave import given, then, when
 from behave.runner import Context
@@ -12,7 +13,7 @@
 from laburnumwood.admission.tickets import Line, Result, State, Ticket
 from laburnumwood.config.declarations import Service
 from laburnumwood.protocol.messages import Work
-from laburnumwood.routing.priorities import line_of
+from laburnumwood.routing.priorities import line_of, useful_until_ms
 from laburnumwood.settings import AdmissionSettings
 from tests.features.steps.fake_clock import FakeClock
 
@@ -269,24 +270,27 @@
     context.service = Service.model_validate_json(declared)
 
 
+def _work(method: str, caller: str) -> Work:
+    return Work(
+        request_id='r',
+        service='s',
+        shard=0,
+        key='k',
+        method=method,
+        target='/',
+        headers=(('Caller', caller),),
+        body_length=0,
+        deadline_ms=1,
+        idempotent=False,
+        idempotency_key='',
+    )
+
+
 @then('requests belong to these classes')
 def check_classes(context: Context) -> None:
     for row in context.table:
         method, caller, name = row.cells
-        work = Work(
-            request_id='r',
-            service='s',
-            shard=0,
-            key='k',
-            method=method,
-            target='/',
-            headers=(('Caller', caller),),
-            body_length=0,
-            deadline_ms=1,
-            idempotent=False,
-            idempotency_key='',
-        )
-        found = line_of(work, context.service)
+        found = line_of(_work(method, caller), context.service)
         assert found.name == name, (method, caller, found)
 
 
@@ -302,3 +306,20 @@
 ) -> None:
     found = [each.retry_after_ms for each in context.bench.tickets[-3:]]
     assert found == [first, second, third], found
+
+
+@when(
+    'a request of rank {rank:d} with {left:d} ms left has an objective of '
+    '{objective:d} ms'
+)
+def make_ranked(context: Context, rank: int, left: int, objective: int) -> None:
+    work = _work('GET', '')
+    ranked = replace(work, priority=rank, objective_ms=objective)
+    now_ms = FakeClock().now_ms()
+    until_ms = useful_until_ms(ranked, now_ms, now_ms + left)
+    context.useful_ms = until_ms - now_ms
+
+
+@then('it is worth waiting for {useful:d} ms')
+def check_useful(context: Context, useful: int) -> None:
+    assert context.useful_ms == useful, context.useful_ms
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -374,6 +374,24 @@
     tracked.close()
 
 
+@when('a request of rank {rank:d} to "{node_id}" fails as "{kind}"')
+def fail_request(context: Context, rank: int, node_id: str, kind: str) -> None:
+    near, far = local_pair()
+    tracked = context.spread.track(near, NodeName(node_id, 1), rank)
+    far.send(Failure(kind, False, '', 0))
+    tracked.receive(1_000)
+    tracked.close()
+
+
+@then('{how_many} of {count:d} requests of rank {rank:d} go to "{node_id}"')
+def check_open(
+    context: Context, how_many: str, count: int, rank: int, node_id: str
+) -> None:
+    targets = [context.spread.choose(context.nodes, rank) for _ in range(count)]
+    found = sum(target.node_id == node_id for target in targets)
+    assert bool(found) == (how_many == 'some'), found
+
+
 @then('none of {count:d} requests goes to "{node_id}"')
 def check_avoided(context: Context, count: int, node_id: str) -> None:
     spread_requests(context, count)
