A process that comes again and again gets nothing back at once

A process that dies soon after each start would take its shards with it each time. After more than four arrivals within the minutes that the planner looks back it gets shards by the balance only, which waits longer each time. Test first: balance.feature.

--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -105,6 +105,10 @@
             return ()
         return self._planner.plan(self._picture(live, begun))
 
+    def is_steady(self, node_id: str) -> bool:
+        """Tell whether a node did not come again and again lately."""
+        return self._planner.is_steady(node_id)
+
     def split(self, begun: Owners) -> Split | None:
         """Return the hot keys that this node should split off now, if any."""
         live = self._view.live_in(self._service)
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -199,15 +199,24 @@
             if self._writer.pool.free() <= 0:
                 return
             home = self._tenure.home(shard)
-            if self._holdings.is_held(shard) and self._may_go(home):
-                self._begin_move(shard, home)
-                continue
-            write = self._tenure.begin_write(shard)
+            if home is not None and self._may_go_home(home):
+                self._give_back(shard, home)
+            else:
+                write = self._tenure.begin_write(shard)
+                self._writer.pool.spawn_n(self._carry, write)
+
+    def _may_go_home(self, home: NodeName) -> bool:
+        is_steady = self._balancer.is_steady(home.node_id)
+        return is_steady and self._writer.is_healthy
+
+    def _give_back(self, shard: ShardName, home: NodeName) -> None:
+        """Let a shard go to the node that lost it: its worker has its data."""
+        write = self._tenure.begin_return(shard, home)
+        if write is None:
+            self._begin_move(shard, home)
+        else:
             self._writer.pool.spawn_n(self._carry, write)
 
-    def _may_go(self, home: NodeName | None) -> bool:
-        return home is not None and self._writer.is_healthy
-
     def _give_all_away(self) -> None:
         # The worker is lost or leaves: others are to serve its keys.
         own = self._tenure.own
--- a/laburnumwood/placement/planner.py
+++ b/laburnumwood/placement/planner.py
@@ -14,6 +14,7 @@
 _SETTLED_MS = 1_000  # from the arrival of a node to its first shard
 _FLAP_MEMORY_MS = 600_000
 _MOST_FLAPS = 7
+_MOST_RETURNS = 4  # of a node, after which it is given nothing back at once
 
 
 class _Arrivals:
@@ -46,6 +47,10 @@
             >= _SETTLED_MS * 2 ** min(came[name.node_id] - 1, _MOST_FLAPS)
         }
 
+    def came(self, node_id: str) -> int:
+        """Return how often a node came within the last minutes."""
+        return sum(name.node_id == node_id for name in self._seen_ms)
+
 
 class MovePlanner:
     """Decides about the moves of one node, by a policy and in time."""
@@ -82,6 +87,10 @@
         ]
         return tuple(move for move in wanted if self._take(move))
 
+    def is_steady(self, node_id: str) -> bool:
+        """Tell whether a node did not come again and again lately."""
+        return self._nodes.came(node_id) <= _MOST_RETURNS
+
     def _note_shards(self, own: tuple[int, ...]) -> None:
         now_ms = self._clock.now_ms()
         self._shards_ms = {
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -42,6 +42,12 @@
 _ONE_LEFT_MS = 4_000
 
 
+def _parents(
+    view: FleetView, service: str
+) -> Iterator[tuple[KeyRange, ShardRecord]]:
+    return parents(view.directory.shard_records(service))
+
+
 class Tenure:
     """Which shards one incarnation holds, and which writes they need.
 
@@ -132,17 +138,21 @@
         return None if home == self._own else home
 
     def begin_write(self, shard: ShardName) -> ShardWrite:
-        """Return the write that makes this node the first of a shard.
+        """Return the write that makes this node the first of a shard."""
+        return self._begin(shard, self._own)
+
+    def begin_return(
+        self, shard: ShardName, home: NodeName
+    ) -> ShardWrite | None:
+        """Return the write that gives a shard back without holding it first.
 
-        Or the node that it was lost with, if that is back: its worker may
-        still have what the keys need.
+        None if this node need not win a write to follow the lost owner.
         """
         entry = self._view.directory.shard(shard)
-        home = self.home(shard)
-        if entry is None or home is None:
-            return self._begin(shard, self._own)
-        must_win = self._standing(shard, entry.record) is Standing.MUST_WIN
-        return self._begin(shard, home if must_win else self._own)
+        if entry is None or shard in self._writes:
+            return None
+        how = self._standing(shard, entry.record)
+        return self._begin(shard, home) if how is Standing.MUST_WIN else None
 
     def begin_move(
         self, shard: ShardName, target: NodeName
@@ -262,7 +272,10 @@
         declared = self._view.directory.declarations.services.get(self._service)
         known = self._view.directory.shards(self._service)
         numbers = list(range(declared.shards if declared else 0))
-        numbers.extend(split_number(keys) for keys, _ in self._parents())
+        numbers.extend(
+            split_number(keys)
+            for keys, _ in _parents(self._view, self._service)
+        )
         for number in numbers:
             shard = ShardName(self._service, number)
             if number not in known and self._is_my_turn(shard):
@@ -292,15 +305,12 @@
                 succession=succession,
                 handovers=(),
             )
-        for keys, parent in self._parents():
+        for keys, parent in _parents(self._view, self._service):
             if split_number(keys) == shard.number:
                 # Tokens of keys rise on from those of the shard they left.
                 return ShardRecord(parent.epoch, succession, keys=keys)
         return ShardRecord(1, succession)
 
-    def _parents(self) -> Iterator[tuple[KeyRange, ShardRecord]]:
-        return parents(self._view.directory.shard_records(self._service))
-
     def _take_written(self, write: ShardWrite) -> None:
         target = write.record.succession[0]
         if target == self._own:
--- a/tests/features/balance.feature
+++ b/tests/features/balance.feature
@@ -9,6 +9,16 @@
     When the planners of all nodes run for 1000 ms
     Then each node has 8 shards
 
+  Scenario Outline: only a node that does not come again and again is steady
+    When a node comes <times> times within a minute
+    Then it is <how>
+
+    Examples:
+      | times | how        |
+      | 1     | steady     |
+      | 4     | steady     |
+      | 5     | not steady |
+
   Scenario: a node that flaps gets its shards later each time
     Given shards 0 to 11 on "a" and 12 to 23 on "b"
     When the node "c" joins and goes 5 times within 10 s
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -403,3 +403,24 @@
     context.clock.pass_ms(span * 1_000)
     spread_requests(context, count)
     assert context.chosen[node_id], context.chosen
+
+
+@when('a node comes {times:d} times within a minute')
+def come_often(context: Context, times: int) -> None:
+    clock = FakeClock()
+    own = NodeName('own', 1)
+    context.planner = MovePlanner('weighed', PlacementSettings(), clock)
+    for number in range(1, times + 1):
+        clock.pass_ms(10_000)
+        shares = {own: (), NodeName('returning', number): ()}
+        context.planner.plan(Picture(own, shares))
+
+
+@then('it is steady')
+def check_steady(context: Context) -> None:
+    assert context.planner.is_steady('returning')
+
+
+@then('it is not steady')
+def check_not_steady(context: Context) -> None:
+    assert not context.planner.is_steady('returning')
