--- a/tests/features/steps/orphan_steps.py
+++ b/tests/features/steps/orphan_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then
 from behave.runner import Context
 
+from bench.spreading import record_of
 from laburnumwood.placement.succession import choose_heir, find_returned
 from laburnumwood.records import (
     NodeName,
@@ -15,19 +16,11 @@
 )
 
 
-def _record(node_id: str, incarnation: int) -> NodeRecord:
-    return NodeRecord(
+def _record(incarnation: int) -> NodeRecord:
+    return replace(
+        record_of(0),
         incarnation=incarnation,
         open_incarnations=(incarnation,),
-        host='127.0.0.1',
-        peer_port=1,
-        door_port=2,
-        operator_port=3,
-        failure_domain=f'domain {node_id}',
-        service='s',
-        capacity_owner='o',
-        slots=1,
-        connections=1,
         witness_as=incarnation,
     )
 
@@ -35,9 +28,7 @@
 @given('the nodes "{first}", "{second}" and "{third}" serve')
 def set_nodes(context: Context, first: str, second: str, third: str) -> None:
     names = [NodeName.parse(each) for each in (first, second, third)]
-    context.nodes = {
-        name: _record(name.node_id, name.incarnation) for name in names
-    }
+    context.nodes = {name: _record(name.incarnation) for name in names}
 
 
 @given(
