Answers that get lost now and then cost the worker no slots

Now the limit falls only if a window has four losses and more losses than answers; a worker that dies is found by other means.

--- a/laburnumwood/admission/limit.py
+++ b/laburnumwood/admission/limit.py
@@ -21,6 +21,7 @@
 _SMOOTHING = 0.2
 _REFUSED_FACTOR = 0.9
 _LOST_FACTOR = 0.7
+_LEAST_LOST = 4  # answers in a window
 _HINT_HALF_LIFE_MS = 1_000
 
 
@@ -41,6 +42,7 @@
         self._limit: float = slots()
         self._long = DecayingMean(_LONG_HALF_LIFE_MS, clock)
         self._samples: list[float] = []
+        self._lost = 0  # in this window
         self._busiest = 0
         self._window_ms = clock.now_ms()
         self._decreased_ms = clock.now_ms() - _WINDOW_MS
@@ -68,8 +70,15 @@
         self._decrease(_REFUSED_FACTOR)
 
     def lost(self) -> None:
-        """Lower the limit because the worker gave no whole answer."""
-        self._decrease(_LOST_FACTOR)
+        """Take in that the worker gave no whole answer to a request.
+
+        Only where most requests end so is the worker taken to be overloaded:
+        answers also get lost on their way.
+        """
+        self._lost += 1
+        if self._lost > max(len(self._samples), _LEAST_LOST - 1):
+            self._decrease(_LOST_FACTOR)
+            self._begin_window()
 
     def hint(self, reported: int, own: int) -> None:
         """Take in a load report, with the most that this node ran lately."""
@@ -93,6 +102,10 @@
         if aimed < self._limit or self._busiest * 2 >= self._limit:
             change = (aimed - self._limit) * _SMOOTHING
             self._limit = max(1, min(self._slots(), self._limit + change))
+        self._begin_window()
+
+    def _begin_window(self) -> None:
         self._samples.clear()
+        self._lost = 0
         self._busiest = 0
         self._window_ms = self._clock.now_ms()
--- a/tests/features/admission_limit.feature
+++ b/tests/features/admission_limit.feature
@@ -28,6 +28,17 @@
     And the worker answers in 100 ms for 60 s
     Then the limit is 20
 
+  Scenario Outline: only a worker that loses most answers loses slots for it
+    Given a concurrency limit for 20 slots
+    When 1 of <every> answers of the worker is lost for 4 s
+    Then the limit is <limit>
+
+    Examples:
+      | every | limit    |
+      | 20    | 20       |
+      | 3     | 20       |
+      | 1     | below 8  |
+
   Scenario: a load report of zero changes nothing
     Given a concurrency limit for 20 slots
     When the worker refuses 50 requests over 3 s
--- a/tests/features/steps/admission_limit_steps.py
+++ b/tests/features/steps/admission_limit_steps.py
@@ -32,6 +32,16 @@
     context.before = context.limit.current
 
 
+@when('1 of {every:d} answers of the worker is lost for {span:d} s')
+def lose_some(context: Context, every: int, span: int) -> None:
+    for number in range(span * 1_000 // ANSWER_MS):
+        context.clock.pass_ms(ANSWER_MS)
+        if number % every:
+            context.limit.observe(ANSWER_MS, context.limit.current)
+        else:
+            context.limit.lost()
+
+
 @when('the worker reports {reported:d} running while this node runs {own:d}')
 def report_load(context: Context, reported: int, own: int) -> None:
     context.limit.hint(reported, own)
