--- a/laburnumwood/admission/limit.py
+++ b/laburnumwood/admission/limit.py
@@ -76,7 +76,7 @@
         answers also get lost on their way.
         """
         self._lost += 1
-        if self._lost > max(len(self._samples), _LEAST_LOST - 1):
+        if self._lost >= _LEAST_LOST and self._lost > len(self._samples):
             self._decrease(_LOST_FACTOR)
             self._begin_window()
 
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -99,6 +99,9 @@
         self._worker = Worker(settings.worker_url, settings.connections, clock)
         self._granter: Granter | None = None
         self._grants = self._make_grants(clock)
+        self._serving = Serving(
+            name, self.view, self._known, self._worker_state
+        )
         self._handover_news = HandoverNews(
             name,
             settings.service,
@@ -138,9 +141,7 @@
     @property
     def is_told_to_serve(self) -> bool:
         """Tell whether the store says of the worker what is so now."""
-        record = self.view.directory.node(self.name)
-        serves, _ = self._worker_state()
-        return record is None or record.serves == serves
+        return self._serving.is_told
 
     @property
     def is_busy(self) -> bool:
@@ -221,8 +222,7 @@
         ledger = (self._notary.run,) * self._borders.has_idempotency_keys
         if self._granter is not None:
             return (*ledger, self._granter.run, self._load_poller.run)
-        serving = Serving(self.name, self.view, self._known, self._worker_state)
-        return (*ledger, serving.run)
+        return (*ledger, self._serving.run)
 
     def _worker_state(self) -> tuple[bool, int]:
         serves = self._reporting.presence.phase is Phase.SERVING
--- a/laburnumwood/membership/serving.py
+++ b/laburnumwood/membership/serving.py
@@ -39,7 +39,7 @@
         """Compare and write again and again; does not return."""
         while True:
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
-            if not self._is_true():
+            if not self.is_told:
                 with suppress(PlatformError):  # tried again below
                     self.record()
                     continue
@@ -49,7 +49,9 @@
         """Write what is so now; raises `PlatformError`."""
         change_record(self._store, self._own.node_id, self._changed, None)
 
-    def _is_true(self) -> bool:
+    @property
+    def is_told(self) -> bool:
+        """Tell whether the record says of the worker what is so now."""
         record = self._view.directory.node(self._own)
         return record is None or self._changed(record) == record
 
--- a/laburnumwood/placement/planner.py
+++ b/laburnumwood/placement/planner.py
@@ -38,7 +38,7 @@
 
         Each return of a node within the last minutes doubles the wait.
         """
-        came = Counter(name.node_id for name in self._seen_ms)
+        came = self.came()
         now_ms = self._clock.now_ms()
         return {
             name
@@ -47,9 +47,9 @@
             >= _SETTLED_MS * 2 ** min(came[name.node_id] - 1, _MOST_FLAPS)
         }
 
-    def came(self, node_id: str) -> int:
-        """Return how often a node came within the last minutes."""
-        return sum(name.node_id == node_id for name in self._seen_ms)
+    def came(self) -> Counter[str]:
+        """Return how often each node came within the last minutes."""
+        return Counter(name.node_id for name in self._seen_ms)
 
 
 class MovePlanner:
@@ -89,7 +89,7 @@
 
     def is_steady(self, node_id: str) -> bool:
         """Tell whether a node did not come again and again lately."""
-        return self._nodes.came(node_id) <= _MOST_RETURNS
+        return self._nodes.came()[node_id] <= _MOST_RETURNS
 
     def _note_shards(self, own: tuple[int, ...]) -> None:
         now_ms = self._clock.now_ms()
--- a/laburnumwood/routing/connection.py
+++ b/laburnumwood/routing/connection.py
@@ -17,7 +17,13 @@
 from eventlet.green import socket
 
 from laburnumwood.events import ANSWER_FAILED
-from laburnumwood.header_index import Header, HeaderIndex
+from laburnumwood.header_index import (
+    Header,
+    HeaderIndex,
+    HeadError,
+    TooManyHeadersError,
+    read_headers,
+)
 from laburnumwood.routing.outcome import (
     PROBLEMS,
     failure,
@@ -31,10 +37,13 @@
 
 _REQUEST_LINE = re.compile(r'(\S+) (\S+) (HTTP/1\.[01])\r?\n')
 _HEADER_LINE = re.compile(
-    r"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n\0]*?)[ \t]*\r?\n"
+    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n\0]*?)[ \t]*\r?\n"
+)
+_TOO_LARGE = (
+    wsgi.HeaderLineTooLong,
+    wsgi.HeadersTooLarge,
+    TooManyHeadersError,
 )
-_ENDS_OF_HEAD = frozenset((b'\r\n', b'\n'))
-_MOST_HEADERS = 100
 _LENGTH = re.compile('[0-9]{1,18}')
 _DRAIN_S = 0.5
 _DRAIN_SIZE = 1_048_576  # bytes that are read and dropped at the most
@@ -57,10 +66,6 @@
     return ''
 
 
-class _HeadError(Exception):
-    """The head of a request can't be read."""
-
-
 class _Answer:
     """Writes one answer; its head leaves together with the first bytes."""
 
@@ -129,9 +134,9 @@
         """Read the head of a request; tell whether it can be served."""
         try:
             self._read_head()
-        except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
+        except _TOO_LARGE:
             return self._refuse('headers-too-large', 'a header or all of them')
-        except _HeadError as unreadable:
+        except HeadError as unreadable:
             return self._refuse('bad-request', str(unreadable))
         asked = self.headers.tokens('connection')
         if self.request_version == 'HTTP/1.1':
@@ -222,27 +227,14 @@
         line = self.raw_requestline.decode('latin1')
         found = _REQUEST_LINE.fullmatch(line)
         if found is None:
-            raise _HeadError(f'request line {line[:80]!r}')
+            raise HeadError(f'request line {line[:80]!r}')
         self.requestline = line
         self.command, self.path, self.request_version = found.groups()
-        self._fields = self._read_fields()
+        self._fields = read_headers(self.rfile.readline, _HEADER_LINE)
         self.headers = HeaderIndex(self._fields)
         fault = _framing_fault(self.headers)
         if fault:
-            raise _HeadError(fault)
-
-    def _read_fields(self) -> tuple[Header, ...]:
-        fields: list[Header] = []
-        for line in iter(self.rfile.readline, None):
-            if line in _ENDS_OF_HEAD:
-                break
-            found = _HEADER_LINE.fullmatch(line.decode('latin1'))
-            if found is None:
-                raise _HeadError(f'header {line[:80]!r}')
-            if len(fields) >= _MOST_HEADERS:
-                raise wsgi.HeadersTooLarge
-            fields.append((found[1], found[2]))
-        return tuple(fields)
+            raise HeadError(fault)
 
     def _close_after(self) -> None:
         self.close_connection = True
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -55,19 +55,12 @@
         self._length = 0
         self._ahead: bytes | None = b''  # read, and not given out yet
 
-    def begin(self) -> Failure | None:
-        """Wait for the first part of the body; return why none came.
+    def begin(self) -> None:
+        """Wait for the first part of the body; raises `LinkError`.
 
         Nothing was sent to the caller by then, so that it can be told.
         """
-        try:
-            self._ahead = self._next()
-        except LinkTimeoutError as late:
-            abandon(self._exchange)
-            return failure('deadline', str(late), ran=True)
-        except LinkError as lost:
-            return failure('link-lost', str(lost), ran=True)
-        return None
+        self._ahead = self._next()
 
     def body(self) -> Iterator[bytes]:
         """Yield the body; raises `LinkError` if it is cut short."""
@@ -253,19 +246,20 @@
             _send_body(exchange, body, progress)
             left_ms = until_ms + _GRACE_MS - self._clock.now_ms()
             head = exchange.receive(left_ms)
+            return self._read_head(head, exchange, until_ms)
         except LinkTimeoutError as late:
             abandon(exchange)
             return failure('deadline', str(late), ran=True)
         except LinkError as lost:
             return failure('link-lost', str(lost), ran=progress.may_run)
-        return self._read_head(head, exchange, until_ms)
 
     def _read_head(
         self, head: object, exchange: Outgoing, until_ms: int
     ) -> Reply | Failure:
         if isinstance(head, Answer):
             reply = Reply(head, exchange, until_ms, self._clock)
-            return reply.begin() or reply
+            reply.begin()
+            return reply
         if isinstance(head, Failure):
             return head
         abandon(exchange)
--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -16,13 +16,16 @@
 from urllib3.connection import HTTPConnection
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.header_index import Header, HeaderIndex
+from laburnumwood.header_index import (
+    Header,
+    HeaderIndex,
+    HeadError,
+    read_headers,
+)
 
 _LONGEST_LINE = 65_536  # bytes
-_MOST_HEADERS = 100
 _STATUS_LINE = re.compile(rb'HTTP/1\.([01]) ([1-9][0-9]{2})(?: .*)?\r?\n')
 _HEADER_LINE = re.compile(rb'([^\s:\0]+):[ \t]*([^\r\n\0]*?)[ \t]*\r?\n')
-_ENDS_OF_HEAD = frozenset((b'\r\n', b'\n'))
 _BODYLESS = frozenset((204, 304))
 _TIMEOUT_PARAMETER = re.compile(r'timeout\s*=\s*([0-9]+)', re.IGNORECASE)
 _IDLE_MARGIN_MS = 500  # before the worker closes an idle connection itself
@@ -90,17 +93,10 @@
         return int(found[1]), int(found[2])
 
     def _read_fields(self) -> tuple[Header, ...]:
-        fields: list[Header] = []
-        for line in iter(self._read_line, None):
-            if line in _ENDS_OF_HEAD:
-                break
-            found = _HEADER_LINE.fullmatch(line)
-            if found is None or len(fields) >= _MOST_HEADERS:
-                raise BadStatusLine(f'header {line!r}')
-            fields.append(
-                (found[1].decode('latin1'), found[2].decode('latin1'))
-            )
-        return tuple(fields)
+        try:
+            return read_headers(self._read_line, _HEADER_LINE)
+        except HeadError as unreadable:
+            raise BadStatusLine(str(unreadable)) from unreadable
 
     def _frame(self) -> None:
         coding = self.index.first('transfer-encoding').lower()
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -16,6 +16,7 @@
 from laburnumwood.routing.priorities import line_of, useful_until_ms
 from laburnumwood.settings import AdmissionSettings
 from tests.features.steps.fake_clock import FakeClock
+from tests.features.steps.plain_work import PLAIN_WORK
 
 LONG_MS = 60_000
 ANSWER_MS = 10
@@ -271,19 +272,7 @@
 
 
 def _work(method: str, caller: str) -> Work:
-    return Work(
-        request_id='r',
-        service='s',
-        shard=0,
-        key='k',
-        method=method,
-        target='/',
-        headers=(('Caller', caller),),
-        body_length=0,
-        deadline_ms=1,
-        idempotent=False,
-        idempotency_key='',
-    )
+    return replace(PLAIN_WORK, method=method, headers=(('Caller', caller),))
 
 
 @then('requests belong to these classes')
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -1,6 +1,7 @@
 """Steps about requests that wait at the gate for a grant of their shard."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -11,26 +12,17 @@
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.meter import LoadMeter
-from laburnumwood.protocol.messages import Failure, WholeAnswer, Work
+from laburnumwood.protocol.messages import Failure, WholeAnswer
 from laburnumwood.records import ShardName
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.gate import Gate, WorkerState
-from laburnumwood.settings import DaemonSettings
 from tests.features.steps.fake_clock import FakeClock
+from tests.features.steps.plain_work import PLAIN_WORK
+from tests.ownership.world import node_settings
 
 SHARD = ShardName('s', 3)
 TOKEN = 8
-SETTINGS = DaemonSettings(
-    node_id='n',
-    failure_domain='a',
-    peer_port=1,
-    door_port=1,
-    platform_url='http://x',
-    worker_url='http://x',
-    service='s',
-    capacity_owner='o',
-    shared_key='a key for tests only',
-)
+SETTINGS = node_settings('a')
 
 
 class PlayedNews:
@@ -120,18 +112,13 @@
 @when('a request with {left:d} ms left comes')
 def send(context: Context, left: int) -> None:
     near, far = local_pair()
-    work = Work(
-        request_id='r',
+    work = replace(
+        PLAIN_WORK,
         service=SHARD.service,
         shard=SHARD.number,
         key='1',
-        method='GET',
-        target='/',
-        headers=(),
-        body_length=0,
         deadline_ms=left,
         idempotent=True,
-        idempotency_key='',
     )
     began_ms = context.clock.now_ms()
     context.gate.serve(far, work)
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -2,6 +2,7 @@
 
 from contextlib import suppress
 from typing import Any
+from unittest.mock import patch
 
 import eventlet
 from behave import given, then, when
@@ -21,6 +22,7 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import WINDOW, Stream
 from laburnumwood.records import NodeName
+from laburnumwood.routing.exchange import local_pair
 from tests.features.steps.fake_clock import FakeClock
 
 HOST = '127.0.0.1'
@@ -28,7 +30,6 @@
 OWN, PEER = NodeName('own', 1), NodeName('peer', 1)
 LIMIT_S = 60
 LIMIT_MS = 60_000
-NUMBER = 1
 CHUNK = 32_768
 
 
@@ -75,22 +76,6 @@
     context.add_cleanup(context.peers.close)
 
 
-class _Joint:
-    """Delivers what one stream sends to the other, and keeps what it saw."""
-
-    def __init__(self) -> None:
-        self.other: Stream | None = None
-        self.seen: list[Any] = []
-
-    def send(self, _number: int, message: Any) -> None:
-        self.seen.append(message)
-        assert self.other is not None
-        self.other.deliver(message)
-
-    def forget(self, _number: int) -> None:
-        self.other = None
-
-
 def _send_chunks(stream: Stream, count: int, size: int) -> None:
     for _ in range(count):
         stream.send(Chunk(bytes(size)))
@@ -98,19 +83,19 @@
 
 @when('a body of {count:d} parts of {size:d} bytes is sent while it is read')
 def send_body(context: Context, count: int, size: int) -> None:
-    there, context.back = _Joint(), _Joint()
-    near, far = Stream(NUMBER, there), Stream(NUMBER, context.back)
-    there.other, context.back.other = far, near
+    near, far = local_pair()
     sender = eventlet.spawn(_send_chunks, near, count, size)
-    with eventlet.Timeout(LIMIT_S):
+    deliver = patch.object(near, 'deliver', wraps=near.deliver)
+    with eventlet.Timeout(LIMIT_S), deliver as told:
         parts = [far.receive(LIMIT_MS) for _ in range(count)]
         sender.wait()
+        context.told = told.mock_calls
     assert {len(part.content) for part in parts} == {size}
 
 
 @then('the sender was told of what was read {count:d} times at the most')
 def check_told_seldom(context: Context, count: int) -> None:
-    told = [type(message).__name__ for message in context.back.seen]
+    told = [type(call.args[0]).__name__ for call in context.told]
     assert set(told) <= {'Credit'}, told
     assert len(told) <= count, len(told)
 
--- /dev/null
+++ b/tests/features/steps/plain_work.py
@@ -0,0 +1,17 @@
+"""A request as it goes to a gate, to be changed by those who need another."""
+
+from laburnumwood.protocol.messages import Work
+
+PLAIN_WORK = Work(
+    request_id='r',
+    service='s',
+    shard=0,
+    key='k',
+    method='GET',
+    target='/',
+    headers=(),
+    body_length=0,
+    deadline_ms=2_000,
+    idempotent=False,
+    idempotency_key='',
+)
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -1,6 +1,7 @@
 """Steps about routes, tries and the guarded store."""
 
 from contextlib import suppress
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -18,6 +19,7 @@
 from laburnumwood.routing.tries import Tries
 from laburnumwood.store.breaker import GuardedStore
 from tests.features.steps.fake_clock import FakeClock
+from tests.features.steps.plain_work import PLAIN_WORK
 
 
 def _route(host: str, prefix: str, **weights: int) -> Route:
@@ -67,19 +69,7 @@
 
 
 def _work(*, idempotent: bool, shard: int) -> Work:
-    return Work(
-        request_id='r',
-        service='s',
-        shard=shard,
-        key='',
-        method='GET',
-        target='/',
-        headers=(),
-        body_length=0,
-        deadline_ms=2_000,
-        idempotent=idempotent,
-        idempotency_key='',
-    )
+    return replace(PLAIN_WORK, idempotent=idempotent, shard=shard, key='')
 
 
 @given(
