--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -272,6 +272,19 @@
     'requests-served',
     'how many requests of each service and status this door has answered',
 )
+ANSWER_CUT = _event(
+    705,
+    logbook.WARNING,
+    'answer-cut',
+    'the connection of a caller is reset: its answer did not come whole',
+    'look for the node named in the request lines, or its link',
+)
+CALLER_LOST = _event(
+    706,
+    logbook.INFO,
+    'caller-lost',
+    'a connection of a caller ended while its request was being answered',
+)
 TASK_FAILED = _event(
     901,
     logbook.ERROR,
--- a/laburnumwood/routing/connection.py
+++ b/laburnumwood/routing/connection.py
@@ -16,7 +16,7 @@
 from eventlet import Timeout, wsgi
 from eventlet.green import socket
 
-from laburnumwood.events import ANSWER_FAILED
+from laburnumwood.events import ANSWER_FAILED, CALLER_LOST
 from laburnumwood.header_index import (
     Header,
     HeaderIndex,
@@ -34,6 +34,7 @@
 
 CLOSE = 'laburnumwood.close'  # in the environment: ends with this answer
 HEADERS = 'laburnumwood.headers'  # in the environment: a `HeaderIndex`
+REQUEST_ID = 'laburnumwood.request'  # in the environment, once it is known
 
 _REQUEST_LINE = re.compile(r'(\S+) (\S+) (HTTP/1\.[01])\r?\n')
 _HEADER_LINE = re.compile(
@@ -191,8 +192,9 @@
                 self.close_connection = True
             else:
                 answer.finish()
-        except OSError:
+        except OSError as ended:
             self.close_connection = True
+            self._tell_lost(answer, ended)
             raise
         except (Exception, Timeout):
             self._tell_failed(answer)
@@ -201,6 +203,14 @@
                 parts.close()
             self._drop_rest(body)
 
+    def _tell_lost(self, answer: _Answer, ended: OSError) -> None:
+        CALLER_LOST.report(
+            request=self.environ.get(REQUEST_ID, ''),
+            path=self.path,
+            begun=answer.has_begun,
+            reason=repr(ended),
+        )
+
     def _tell_failed(self, answer: _Answer) -> None:
         self.close_connection = True
         ANSWER_FAILED.report(
--- a/laburnumwood/routing/door.py
+++ b/laburnumwood/routing/door.py
@@ -4,8 +4,10 @@
 
 from laburnumwood.config.declarations import Declarations
 from laburnumwood.errors import LinkError
+from laburnumwood.events import ANSWER_CUT
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.routing.caller import Caller, Callers
+from laburnumwood.routing.connection import REQUEST_ID
 from laburnumwood.routing.face import Face, give
 from laburnumwood.routing.outcome import StartResponse, status_line
 from laburnumwood.routing.reading import Environ, RequestRefusedError
@@ -32,6 +34,7 @@
     ) -> Iterable[bytes]:
         """Answer one request."""
         request_id = self._face.request_id(environ)
+        environ[REQUEST_ID] = request_id
         try:
             inquiry = self._face.read(environ, self._declared(), request_id)
         except RequestRefusedError as refused:
@@ -53,7 +56,14 @@
 def _stream(environ: Environ, reply: Reply, caller: Caller) -> Iterator[bytes]:
     try:
         yield from reply.body()
-    except LinkError:
+    except LinkError as cut:
+        ANSWER_CUT.report(
+            request=environ[REQUEST_ID],
+            status=reply.head.status,
+            received=reply.received,
+            left_ms=reply.left_ms,
+            reason=cut,
+        )
         reset(environ)
     finally:
         caller.stop()
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -55,6 +55,16 @@
         self._length = 0
         self._ahead: bytes | None = b''  # read, and not given out yet
 
+    @property
+    def received(self) -> int:
+        """Return how many bytes of a streamed body have come."""
+        return self._length
+
+    @property
+    def left_ms(self) -> int:
+        """Return how much of the time for the request is left."""
+        return self._until_ms - self._clock.now_ms()
+
     def begin(self) -> None:
         """Wait for the first part of the body; raises `LinkError`.
 
@@ -74,8 +84,7 @@
         if isinstance(self.head, WholeAnswer):
             self._whole = True
             return self.head.body
-        left_ms = max(0, self._until_ms - self._clock.now_ms())
-        message = self._exchange.receive(left_ms)
+        message = self._exchange.receive(max(0, self.left_ms))
         if isinstance(message, End) and message.length == self._length:
             self._whole = True
             return None
--- /dev/null
+++ b/tests/features/callers.feature
@@ -0,0 +1,12 @@
+Feature: A request that was read is answered, and nothing ends unsaid
+
+  Scenario: a caller that goes away is told of in the log
+    Given a server of callers whose answer is long
+    When a caller sends a request and resets its connection
+    Then event "caller-lost" names the request and "ConnectionResetError"
+
+  Scenario: an answer that is cut is told of in the log
+    Given a door whose answer ends early
+    When a caller sends a request on a kept connection
+    Then its connection is reset
+    And event "answer-cut" names the request and "the link was lost"
--- /dev/null
+++ b/tests/features/steps/caller_steps.py
@@ -0,0 +1,191 @@
+"""Steps about connections of callers, served in this process."""
+
+import socket
+import struct
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+from eventlet import Timeout
+from eventlet.green import socket as green_socket
+from logbook import TestHandler
+
+from bench.deployment import free_port
+from laburnumwood.clock import Clock
+from laburnumwood.config.declarations import Declarations, Service
+from laburnumwood.errors import LinkLostError
+from laburnumwood.protocol.messages import Answer, Chunk
+from laburnumwood.routing.caller import Caller
+from laburnumwood.routing.connection import REQUEST_ID
+from laburnumwood.routing.door import Door
+from laburnumwood.routing.exchange import local_pair
+from laburnumwood.routing.face import OwnFace
+from laburnumwood.routing.inquiry import Inquiry
+from laburnumwood.routing.router import Reply
+from laburnumwood.routing.server import Listening
+
+HOST = '127.0.0.1'
+LIMIT_S = 20
+CLOSING_MS = 2_000
+DEADLINE_MS = 5_000
+ID = 'request-1'
+LONG = b'x' * 50_000_000  # bytes, more than a connection takes at once
+RESET_AT_CLOSE = struct.pack('ii', 1, 0)
+REQUEST = (
+    b'GET /plain/x HTTP/1.1\r\nHost: door\r\nLaburnumwood-Request: %b\r\n\r\n'
+    % ID.encode()
+)
+DECLARED = Declarations(services={'plain': Service()})
+
+Application = Callable[[dict[str, Any], Any], Iterable[bytes]]
+
+
+class _Counted:
+    """An application that answers with some bytes and counts its requests."""
+
+    def __init__(self, content: bytes) -> None:
+        self._content = content
+        self.ran = 0
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> tuple[bytes]:
+        environ[REQUEST_ID] = ID
+        self.ran += 1
+        start_response('200 OK', [('Content-Length', str(len(self._content)))])
+        return (self._content,)
+
+
+class _CutRouter:
+    """Answers with a head and the first part of a body, and nothing more."""
+
+    def send(self, _inquiry: Inquiry, _caller: Caller) -> Reply:
+        near, far = local_pair()
+        clock = Clock()
+        reply = Reply(
+            Answer(200, ()), near, clock.now_ms() + DEADLINE_MS, clock
+        )
+        far.send(Chunk(b'the beginning'))
+        reply.begin()
+        near.fail(LinkLostError('the link was lost'))
+        return reply
+
+
+def _fail(_environ: dict[str, Any], _start_response: Any) -> tuple[bytes]:
+    raise TimeoutError('a call that is not the connection of the caller')
+
+
+def _serve(context: Context, application: Application) -> None:
+    context.log = TestHandler()
+    context.log.push_application()
+    context.add_cleanup(context.log.pop_application)
+    address = HOST, free_port()
+    context.server = Listening(address, application)
+    context.add_cleanup(context.server.close, CLOSING_MS)
+    context.caller = green_socket.create_connection(address, LIMIT_S)
+    context.add_cleanup(context.caller.close)
+
+
+@given('a server of callers whose application fails with a system error')
+def serve_failing(context: Context) -> None:
+    _serve(context, _fail)
+
+
+@given('a server of callers')
+def serve_counting(context: Context) -> None:
+    context.application = _Counted(b'whole')
+    _serve(context, context.application)
+
+
+@given('a server of callers whose answer is long')
+def serve_long(context: Context) -> None:
+    _serve(context, _Counted(LONG))
+
+
+@given('a door whose answer ends early')
+def serve_cut(context: Context) -> None:
+    router: Any = _CutRouter()
+    _serve(context, Door(router, OwnFace(), lambda: DECLARED))
+
+
+@given('a caller whose connection is idle after an answer')
+def leave_idle(context: Context) -> None:
+    context.caller.sendall(REQUEST)
+    assert b'whole' in context.caller.recv(65_536)
+    eventlet.sleep(0)
+
+
+@when('a caller sends a request on a kept connection')
+def send_request(context: Context) -> None:
+    context.caller.sendall(REQUEST)
+    context.received = b''
+    context.end = 'kept'
+    with Timeout(1, exception=False):
+        _receive(context)
+
+
+def _receive(context: Context) -> None:
+    try:
+        while part := _next_part(context.caller.fd):
+            context.received += part
+        context.end = 'closed'
+    except ConnectionResetError:
+        context.end = 'reset'
+
+
+def _next_part(sock: socket.socket) -> bytes:
+    # The library's own read makes a reset look like an ordinary end.
+    while True:
+        try:
+            return sock.recv(65_536)
+        except BlockingIOError:
+            eventlet.sleep(0.01)
+
+
+@when('its next request comes while the server is closed')
+def cross_the_close(context: Context) -> None:
+    # Sent without a pause in which the server could read it before.
+    context.caller.fd.send(REQUEST)
+    context.server.close(CLOSING_MS)
+
+
+@when('a caller sends a request and resets its connection')
+def send_and_reset(context: Context) -> None:
+    context.caller.sendall(REQUEST)
+    assert context.caller.recv(10)
+    linger = socket.SOL_SOCKET, socket.SO_LINGER
+    context.caller.setsockopt(*linger, RESET_AT_CLOSE)
+    context.caller.close()
+    with Timeout(LIMIT_S):
+        while not context.log.records:
+            eventlet.sleep(0.01)
+
+
+@then('it is answered with status {status:d}')
+def check_status(context: Context, status: int) -> None:
+    first = context.received.split(b'\r\n')[0]
+    assert b' %d ' % status in first, (context.received, context.end)
+
+
+@then('the application ran {count:d} request')
+def check_ran(context: Context, count: int) -> None:
+    eventlet.sleep(0.1)
+    assert context.application.ran == count, context.application.ran
+
+
+@then('its connection is reset')
+def check_reset(context: Context) -> None:
+    assert context.end == 'reset', (context.received, context.end)
+
+
+@then('event "{name}" names the request and "{reason}"')
+def check_event(context: Context, name: str, reason: str) -> None:
+    events = [
+        record.extra
+        for record in context.log.records
+        if record.extra['event'] == name
+    ]
+    assert [each['request'] for each in events] == [ID], events
+    assert reason in str(events[0]['reason']), events
