Two ways in which callers lose their answers, as failing tests

Both fail on this code each time: an OSError of the application closes the caller's connection without an answer, and a request that crosses the close of an idle connection is passed on, though its answer can't be sent any more.

--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -1,5 +1,16 @@
 Feature: A request that was read is answered, and nothing ends unsaid
 
+  Scenario: a connection is kept when the application fails with a system error
+    Given a server of callers whose application fails with a system error
+    When a caller sends a request on a kept connection
+    Then it is answered with status 500
+
+  Scenario: a request that crosses the close of an idle connection is not run
+    Given a server of callers
+    And a caller whose connection is idle after an answer
+    When its next request comes while the server is closed
+    Then the application ran 1 request
+
   Scenario: a caller that goes away is told of in the log
     Given a server of callers whose answer is long
     When a caller sends a request and resets its connection
