Answer a request also when the application fails with a system error

Callers saw a kept connection closed without an answer, and nothing in the log. Cause: handle_one_response took each OSError for an end of the caller's own connection and let it through; so ended any TimeoutError or reset of another call that left the application. Only what fails while the answer is written counts as the caller's end now; all else is answered with 500 and told as answer-failed, like other faults. No call that leaves the application that way today was found by reading; this closes the way, not a known leak.

--- a/laburnumwood/routing/connection.py
+++ b/laburnumwood/routing/connection.py
@@ -67,6 +67,10 @@
     return ''
 
 
+class _CallerLostError(Exception):
+    """The connection of the caller ended under its answer."""
+
+
 class _Answer:
     """Writes one answer; its head leaves together with the first bytes."""
 
@@ -124,8 +128,12 @@
         if not self.has_begun:
             self.has_begun = True
             content = self._head + content
-        if content:
+        if not content:
+            return
+        try:
             self._protocol.connection.sendall(content)
+        except OSError as ended:
+            raise _CallerLostError(repr(ended)) from ended
 
 
 class CallerProtocol(wsgi.HttpProtocol):
@@ -192,10 +200,8 @@
                 self.close_connection = True
             else:
                 answer.finish()
-        except OSError as ended:
-            self.close_connection = True
-            self._tell_lost(answer, ended)
-            raise
+        except _CallerLostError as lost:
+            self._tell_lost(answer, lost)
         except (Exception, Timeout):
             self._tell_failed(answer)
         finally:
@@ -203,12 +209,13 @@
                 parts.close()
             self._drop_rest(body)
 
-    def _tell_lost(self, answer: _Answer, ended: OSError) -> None:
+    def _tell_lost(self, answer: _Answer, lost: _CallerLostError) -> None:
+        self.close_connection = True
         CALLER_LOST.report(
             request=self.environ.get(REQUEST_ID, ''),
             path=self.path,
             begun=answer.has_begun,
-            reason=repr(ended),
+            reason=lost,
         )
 
     def _tell_failed(self, answer: _Answer) -> None:
@@ -219,7 +226,8 @@
         if not answer.has_begun:
             status = status_line(HTTPStatus.INTERNAL_SERVER_ERROR)
             answer.start(status, [('Content-Length', '0')])
-            answer.finish()
+            with suppress(_CallerLostError):
+                answer.finish()
 
     def _drop_rest(self, body: wsgi.Input) -> None:
         """Read what the application left of a body, or end the connection."""
