Do not pass on a request that comes on a connection just closed as idle

Callers saw their connection close without an answer while their request ran: at a planned stop the server shuts down connections that are idle, and a request that had arrived but was not yet read was read afterwards and passed on, though no answer could be sent any more. It ends unread now, so callers may send even one that may not run twice again.

--- a/laburnumwood/routing/connection.py
+++ b/laburnumwood/routing/connection.py
@@ -259,6 +259,9 @@
 
     def _read_request_line(self) -> bytes:
         line: bytes = super()._read_request_line()
+        if self.conn_state[2] == wsgi.STATE_CLOSE:
+            # Closed while it was idle: no answer could be sent any more.
+            return b''
         if line and len(line) >= self.server.url_length_limit:
             self._refuse('target-too-long', 'the request line')
             return b''
