Count the silence of a link from what it owes, in looks instead of milliseconds

Callers got 502 although the worker was at work and its node well; after a SIGTERM this broke LOST. Cause: a link that had carried nothing for a second was closed at the next look, within 300 ms, once a request had been sent on it: silence was counted from what was last heard, not from when an answer was owed. So was each link after its process had stood still for a second.

Now a link counts looks, 200 ms apart, at which it owed something and had heard nothing since the one before: pinged after 2, no new streams after 3, lost after 5, which is within the 1,000 ms of before. Both new scenarios fail before (LinkLostError).

--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -18,11 +18,15 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 
-SILENCE_MS = 1_000  # a link that owes something is lost after this
-SUSPECT_MS = 600  # after this, new streams go over another link
 IDLE_MS = 60_000  # a link that carries nothing is closed after this
 MOST_STREAMS = 2_048  # that a peer may have open on a link
-_PING_MS = 300
+_LOOK_MS = 200  # between two looks at all links
+# Looks in a row after which a link that owes something and was not heard
+# meanwhile is pinged, gets no new streams, and is lost.
+_PING_LOOKS = 2
+_SUSPECT_LOOKS = 3
+_LOST_LOOKS = 5
+SUSPECT_MS = _SUSPECT_LOOKS * _LOOK_MS
 _READ_SIZE = 65_536
 
 Handler = Callable[['Link', Stream, Any], None]
@@ -48,7 +52,7 @@
 
     def _run(self) -> None:
         while self._links:
-            eventlet.sleep(_PING_MS / MS_PER_SECOND)
+            eventlet.sleep(_LOOK_MS / MS_PER_SECOND)
             for link in tuple(self._links):
                 link.look()
         self._is_running = False
@@ -85,8 +89,7 @@
         self._used_ms = clock.now_ms()
         self._last_number = 0
         self._last_opened = 0
-        self._heard_ms = clock.now_ms()
-        self._owed_since_ms: int | None = None
+        self._unheard_looks = 0
         self._lock = Semaphore()
         self._open = True
 
@@ -103,8 +106,7 @@
     @property
     def is_suspect(self) -> bool:
         """Tell whether the peer has been silent while something is owed."""
-        silent_ms = self._clock.now_ms() - self._heard_ms
-        return bool(self._streams) and silent_ms >= SUSPECT_MS
+        return self._unheard_looks >= _SUSPECT_LOOKS
 
     def run(self) -> None:
         """Read until the connection ends; call it in a task of its own."""
@@ -122,7 +124,6 @@
         self._last_number += 1
         stream = Stream(self._last_number, self)
         self._streams[self._last_number] = stream
-        self._expect_answer()
         return stream
 
     def send(self, stream: int, message: Any) -> None:
@@ -171,8 +172,7 @@
                 return
             if not received:
                 return
-            self._heard_ms = self._clock.now_ms()
-            self._owed_since_ms = None
+            self._unheard_looks = 0
             self._protocol.receive_data(received)
             if self._protocol.parser_exc is not None:
                 raise ProtocolError(f'frame: {self._protocol.parser_exc}')
@@ -206,23 +206,26 @@
             self._streams[-number] = opened
             eventlet.spawn_n(self._handler, self, opened, message)
 
-    def _expect_answer(self) -> None:
-        if self._owed_since_ms is None:
-            self._owed_since_ms = self._clock.now_ms()
-
     def look(self) -> None:
-        """Ping a silent link and close a dead or idle one; call it often."""
+        """Ping a silent link and close a dead or idle one; call it often.
+
+        Looks are counted, not milliseconds: between two of them all that came
+        is read, also after this process stood still.
+        """
         now_ms = self._clock.now_ms()
         if self._streams:
             self._used_ms = now_ms
-            self._check_silence(now_ms - self._heard_ms)
-        elif self._closes_idle and now_ms - self._used_ms >= IDLE_MS:
+            self._unheard_looks += 1
+            self._check_silence()
+            return
+        self._unheard_looks = 0
+        if self._closes_idle and now_ms - self._used_ms >= IDLE_MS:
             self.close()
 
-    def _check_silence(self, silent_ms: int) -> None:
-        if silent_ms >= SILENCE_MS:
+    def _check_silence(self) -> None:
+        if self._unheard_looks >= _LOST_LOOKS:
             self.close()
-        elif silent_ms >= _PING_MS:
+        elif self._unheard_looks >= _PING_LOOKS:
             self._ping()
 
     def _ping(self) -> None:
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -7,6 +7,19 @@
     Then the other call is answered over a second connection
     And the call that waits fails with LinkLostError
 
+  Scenario: a link that carried nothing for long is kept under the next call
+    Given a peer that answers calls and reads no bodies
+    When a call is made after the link carried nothing for 1300 ms
+    And it is answered 500 ms later
+    Then the call is answered
+    And one link was made
+
+  Scenario: a link is kept when its own process stood still
+    Given a peer that answers calls and reads no bodies
+    When the process stands still for 1300 ms under a call
+    Then the call is answered
+    And one link was made
+
   Scenario: a peer that refuses links is left alone for a while
     Given a peer whose address refuses connections
     When 5 calls are made one after the other
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -1,6 +1,7 @@
 """Steps about links between nodes, in one process on eventlet sockets."""
 
 from contextlib import suppress
+from time import sleep
 from typing import Any
 from unittest.mock import patch
 
@@ -17,7 +18,7 @@
 from laburnumwood.protocol.codec import LARGEST_FRAME, encode
 from laburnumwood.protocol.handshake import dial, welcome
 from laburnumwood.protocol.link import SUSPECT_MS, Link
-from laburnumwood.protocol.messages import Cancel, Chunk, Done
+from laburnumwood.protocol.messages import Cancel, Chunk, Done, End
 from laburnumwood.protocol.peers import Dispatcher, Peers, listen
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import WINDOW, Stream
@@ -40,6 +41,11 @@
     def answer(_link: Link, stream: Stream, _message: Any) -> None:
         stream.send(Done())
 
+    @dispatcher.on(End)
+    def answer_after(_link: Link, stream: Stream, message: End) -> None:
+        eventlet.sleep(message.length / 1_000)
+        stream.send(Done())
+
     @dispatcher.on(Chunk)
     def hold(_link: Link, _stream: Stream, _message: Any) -> None:
         eventlet.sleep(LIMIT_S)
@@ -71,8 +77,13 @@
     server = eventlet.spawn(*task)
     context.add_cleanup(server.kill)
     dispatcher = Dispatcher()
-    lookup = {PEER: address}
-    context.peers = Peers(OWN, KEY, lookup.get, dispatcher, Clock())
+    context.looked_up = 0
+
+    def look_up(_peer: NodeName) -> Any:
+        context.looked_up += 1
+        return address
+
+    context.peers = Peers(OWN, KEY, look_up, dispatcher, Clock())
     context.add_cleanup(context.peers.close)
 
 
@@ -107,6 +118,36 @@
     _begin(context, task, listener.getsockname())
 
 
+@when('a call is made after the link carried nothing for {idle:d} ms')
+def rest(context: Context, idle: int) -> None:
+    check_others(context)
+    eventlet.sleep(idle / 1_000)
+
+
+@when('it is answered {span:d} ms later')
+def call_slow(context: Context, span: int) -> None:
+    context.answer = _outcome(context.peers.call, PEER, End(span), LIMIT_MS)
+
+
+@when('the process stands still for {span:d} ms under a call')
+def stand_still(context: Context, span: int) -> None:
+    check_others(context)
+    call = eventlet.spawn(_outcome, context.peers.call, PEER, End(1), LIMIT_MS)
+    eventlet.sleep(0)
+    sleep(span / 1_000)
+    context.answer = call.wait()
+
+
+@then('the call is answered')
+def check_call(context: Context) -> None:
+    assert isinstance(context.answer, Done), context.answer
+
+
+@then('one link was made')
+def check_one_link(context: Context) -> None:
+    assert context.looked_up == 1, context.looked_up
+
+
 @given('a peer whose address refuses connections')
 def make_refusing(context: Context) -> None:
     probe = eventlet.listen((HOST, 0))
