Let nothing more into the gate of a node that is about to end

Callers could get 502 for a request that was at work: a node that stops answers what its own callers sent and then ends, but its gate went on taking requests of other nodes until the process was over; a store that is away or slow lengthens that, since the end is written last and the others don't know of the stop. The gate sends back what comes after the linger, as not run, and the door goes to another node.

--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -287,14 +287,22 @@
         NODE_STOPPING.report(node=incarnation.name)
         incarnation.hand_over(self._patience_ms())
         self._linger()
-        if self._door is not None:
-            self._door.close(self._patience_ms())
+        self._turn_away(incarnation)
         self._drain(incarnation, self._patience_ms())
         self._record_end(incarnation)
         incarnation.end()
         incarnation.close()
         NODE_LEFT.report(node=incarnation.name)
 
+    def _turn_away(self, incarnation: Incarnation) -> None:
+        """Take nothing more of other nodes and callers.
+
+        The others may not know yet, while the store is away, that it ends.
+        """
+        incarnation.gate.close()
+        if self._door is not None:
+            self._door.close(self._patience_ms())
+
     def _patience_ms(self) -> int:
         """Return how much of the time for a planned stop is left."""
         since_ms = self._stopping_since_ms or self._clock.now_ms()
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -114,6 +114,7 @@
             ),
             clock,
         )
+        self._is_closed = False
 
     @property
     def running(self) -> int:
@@ -129,6 +130,10 @@
         """Take in how many requests the worker says it runs."""
         self._admitter.hint(reported)
 
+    def close(self) -> None:
+        """Send back what comes from now on; what was let in goes on."""
+        self._is_closed = True
+
     def serve(self, exchange: Exchange, work: Work) -> None:
         """Answer one request on its exchange."""
         # After a link error nobody is left to be told.
@@ -160,6 +165,11 @@
 
     def _serve_in_shard(self, exchange: Exchange, work: Work) -> None:
         until_ms = self._clock.now_ms() + work.deadline_ms
+        if self._is_closed:
+            detail = f'{self._settings.node_id} is about to end'
+            told = failure('not-owner', detail, ran=False)
+            self._return(exchange, work, told)
+            return
         if work.shard < 0:
             body = read_body(exchange, work)
             if work.idempotency_key:
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -18,3 +18,8 @@
     Given the shard is closed after 100 ms
     When a request with 1000 ms left comes
     Then it was returned as "not-owner" after 100 ms
+
+  Scenario: a request that comes after the gate was closed goes elsewhere
+    Given the gate is closed for the end of its node
+    When a request for no shard comes
+    Then it was returned as "not-owner" at once
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -109,13 +109,23 @@
     context.grants.news.events[at_ms] = close
 
 
+@given('the gate is closed for the end of its node')
+def close_gate(context: Context) -> None:
+    context.gate.close()
+
+
+@when('a request for no shard comes')
+def send_unsharded(context: Context) -> None:
+    send(context, PLAIN_WORK.deadline_ms, shard=-1)
+
+
 @when('a request with {left:d} ms left comes')
-def send(context: Context, left: int) -> None:
+def send(context: Context, left: int, shard: int = SHARD.number) -> None:
     near, far = local_pair()
     work = replace(
         PLAIN_WORK,
         service=SHARD.service,
-        shard=SHARD.number,
+        shard=shard,
         key='1',
         deadline_ms=left,
         idempotent=True,
