Lose a silent link also when calls on it are short and seldom

A link owes something from the opening of a stream until a byte comes, also when the stream was given up meanwhile; it is pinged then like others, so a sound one stays.

--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -90,6 +90,7 @@
         self._last_number = 0
         self._last_opened = 0
         self._unheard_looks = 0
+        self._is_owed = False  # also after the stream was given up
         self._lock = Semaphore()
         self._open = True
 
@@ -124,6 +125,7 @@
         self._last_number += 1
         stream = Stream(self._last_number, self)
         self._streams[self._last_number] = stream
+        self._is_owed = True
         return stream
 
     def send(self, stream: int, message: Any) -> None:
@@ -173,6 +175,7 @@
             if not received:
                 return
             self._unheard_looks = 0
+            self._is_owed = False
             self._protocol.receive_data(received)
             if self._protocol.parser_exc is not None:
                 raise ProtocolError(f'frame: {self._protocol.parser_exc}')
@@ -213,7 +216,7 @@
         is read, also after this process stood still.
         """
         now_ms = self._clock.now_ms()
-        if self._streams:
+        if self._streams or self._is_owed:
             self._used_ms = now_ms
             self._unheard_looks += 1
             self._check_silence()
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -20,6 +20,11 @@
     Then the call is answered
     And one link was made
 
+  Scenario: a silent link is lost though calls on it are short and seldom
+    Given a peer that falls silent on its first connection
+    When calls that wait for 50 ms are made 300 ms apart
+    Then one of them is answered over a second connection
+
   Scenario: a peer that refuses links is left alone for a while
     Given a peer whose address refuses connections
     When 5 calls are made one after the other
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -12,7 +12,7 @@
 from logbook import TestHandler
 from websockets.protocol import Protocol
 
-from laburnumwood.clock import Clock
+from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError, LinkRefusedError
 from laburnumwood.events import ANSWER_UNDELIVERED
 from laburnumwood.protocol.codec import LARGEST_FRAME, encode
@@ -31,6 +31,7 @@
 OWN, PEER = NodeName('own', 1), NodeName('peer', 1)
 LIMIT_S = 60
 LIMIT_MS = 60_000
+LOSS_LIMIT_S = 10  # in which a dead link is given up
 CHUNK = 32_768
 
 
@@ -210,12 +211,22 @@
     context.waiting = eventlet.spawn(_outcome, stream.receive, LIMIT_MS)
 
 
+@when('calls that wait for {span:d} ms are made {pause:d} ms apart')
+def call_seldom(context: Context, span: int, pause: int) -> None:
+    context.answer = None
+    with eventlet.Timeout(LOSS_LIMIT_S, exception=False):
+        while not isinstance(context.answer, Done):
+            context.answer = _outcome(context.peers.call, PEER, Cancel(), span)
+            eventlet.sleep(pause / MS_PER_SECOND)
+
+
 @when('another call is made once the link is suspect')
 def call_beside(context: Context) -> None:
     eventlet.sleep((SUSPECT_MS + 100) / 1_000)
     context.answer = _outcome(context.peers.call, PEER, Cancel(), LIMIT_MS)
 
 
+@then('one of them is answered over a second connection')
 @then('the other call is answered over a second connection')
 def check_beside(context: Context) -> None:
     assert isinstance(context.answer, Done), context.answer
