Draw two of the near nodes of a service without keys, not always the first

A door took the least busy node of its failure domain, and of equal ones the first by name. With several such nodes and many doors that hear of loads once a second all doors of a domain take the same one: in a fleet of 82 machines, 6 nodes of inspection-docs in a domain and 30 doors, each door sends to it less than twenty requests a second, so that nearly all loads look equal to it.

Now the better of two drawn near nodes that are not busy is taken, as it was for all others. Where a domain has one such node nothing changes.

Test: 30 doors that know nothing choose among 6 near nodes; all 30 chose the first before.

--- a/laburnumwood/routing/spread.py
+++ b/laburnumwood/routing/spread.py
@@ -102,7 +102,7 @@
     def choose(
         self, nodes: Mapping[NodeName, NodeRecord], rank: int = ALL_RANKS
     ) -> NodeName | None:
-        """Return a near node that is not busy, or the better of two drawn.
+        """Return the better of two nodes drawn, near ones that are not busy.
 
         Of ranks, 0 is the most urgent.
         """
@@ -117,11 +117,13 @@
             name
             for name in usable
             if nodes[name].failure_domain == self._domain
+            and loads[name] < _NEAR_UNTIL
         ]
-        chosen = min(near, key=loads.__getitem__, default=None)
-        if chosen is None or loads[chosen] >= _NEAR_UNTIL:
-            drawn = self._random.sample(usable, min(2, len(usable)))
-            chosen = min(drawn, key=loads.__getitem__)
+        # Of many near nodes, too, two are drawn: doors that know the same
+        # would all choose the same one.
+        drawn_from = near or usable
+        drawn = self._random.sample(drawn_from, min(2, len(drawn_from)))
+        chosen = min(drawn, key=loads.__getitem__)
         self._chosen.append(chosen)
         return chosen
 
--- a/tests/features/balance.feature
+++ b/tests/features/balance.feature
@@ -114,6 +114,12 @@
     When 30 requests are spread and none ends
     Then "b" has at most 24 of them
 
+  # Guards against all doors of a domain choosing the same of its nodes.
+  Scenario: doors that know nothing of the nodes near them use all of these
+    Given 30 doors and 6 nodes without keys in one failure domain
+    When each door sends 1 request
+    Then each of the nodes has between 1 and 12 of them
+
   Scenario: a node that sheds is avoided for a while
     Given nodes "a", "b" and "c" of a service without keys
     When a request to "a" is shed
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -328,6 +328,35 @@
     context.chosen = Counter()
 
 
+@given('{doors:d} doors and {count:d} nodes without keys in one failure domain')
+def make_doors(context: Context, doors: int, count: int) -> None:
+    clock = FakeClock()
+    context.spreads = [
+        Spread(LoadBook(clock), 'near', Random(f'door {number}'), clock)
+        for number in range(doors)
+    ]
+    context.nodes = {
+        NodeName(f'node-{number}', 1): NodeRecord(
+            1, (1,), 'h', 1, 1, 1, 'near', 's', 'o', 7, 100
+        )
+        for number in range(count)
+    }
+
+
+@when('each door sends 1 request')
+def send_from_doors(context: Context) -> None:
+    context.chosen = Counter(
+        spread.choose(context.nodes) for spread in context.spreads
+    )
+
+
+@then('each of the nodes has between {least:d} and {most:d} of them')
+def check_between(context: Context, least: int, most: int) -> None:
+    found = [context.chosen[name] for name in context.nodes]
+    assert min(found) >= least, found
+    assert max(found) <= most, found
+
+
 @given('the door is in the failure domain of "{node_id}"')
 def place_door(context: Context, node_id: str) -> None:
     domain = f'domain {node_id}'
