Move and split for the load only to nodes whose load is known

Callers saw: on the grown Welsh deployment most look-ups refused from second 3 on ("no slot is free" at nodes that were given parts, "does not own" at those that gave them).

Cause: a node compares itself with the emptiest node of its whole service, and gives parts of its shards to the emptiest ones. In a service of 68 workers there are always some with nothing to do, so each of the others found itself too busy, and all chose the same targets within the second that a split takes.

Now work goes only to nodes whose load the node has asked for lately. The ranges that a service may split off rise with its nodes (4 a node, 96 at least).

Test: 64 busy nodes and 4 empty ones choose at once; with the choice among all each of the four was chosen by all of them.

--- a/laburnumwood/placement/balance.py
+++ b/laburnumwood/placement/balance.py
@@ -1,6 +1,6 @@
 """Policies that decide which shards move where."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Set
 from dataclasses import dataclass, field, replace
 from functools import cached_property, partial
 
@@ -38,17 +38,29 @@
 class Picture:
     """What one node knows of its service when it decides about moves.
 
-    `loads` is the work of shards, in slots that it keeps busy.
+    `loads` is the work of shards, in slots that it keeps busy.  `peers` are
+    the nodes whose load is known, None if that is all of them: work goes only
+    to these.  In a large service each node knows others, so that not all
+    nodes choose the same target.
     """
 
     own: NodeName
     shares: Shares
+    peers: Set[NodeName] | None = None
     slots: Mapping[NodeName, int] = field(default_factory=dict)
     loads: Mapping[int, float] = field(default_factory=dict)
     weights: Weights = field(default_factory=Weights)
     cold_start_ms: int = 0
     settings: PlacementSettings = field(default_factory=PlacementSettings)
 
+    @property
+    def targets(self) -> tuple[NodeName, ...]:
+        """Return the other nodes that work may go to for the load."""
+        others = (name for name in self.shares if name != self.own)
+        if self.peers is None:
+            return tuple(others)
+        return tuple(name for name in others if name in self.peers)
+
     @cached_property
     def usages(self) -> Mapping[NodeName, float]:
         """Return how busy the slots of each node are."""
@@ -139,14 +151,11 @@
     return tuple(moves)
 
 
-def _others(picture: Picture) -> list[NodeName]:
-    return [name for name in picture.shares if name != picture.own]
-
-
 def _emptiest(picture: Picture) -> NodeName | None:
-    others = _others(picture)
     usages = picture.usages
-    return min(others, key=lambda name: (usages[name], name), default=None)
+    return min(
+        picture.targets, key=lambda name: (usages[name], name), default=None
+    )
 
 
 @policy('emptiest')
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -150,6 +150,7 @@
         return Picture(
             own=self._own,
             shares=shares,
+            peers={name for name in shares if self._book.is_known(name)},
             slots={name: record.slots for name, record in live.items()},
             loads=estimated_loads(
                 shares, self._own, self._meter.shards(), self._book
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -14,7 +14,8 @@
 _PIECE = 0.2  # of a node's slots; as much as a part should take
 _MOST_PIECES = 6  # of a shard in one split, with the one that stays
 _REST_MS = 800  # between two splits of a node
-_MOST_SPLIT_OFF = 96  # ranges of a service
+_LEAST_SPLIT_OFF = 96  # ranges that a service of any size may split off
+_SPLIT_OFF_PER_NODE = 4  # ranges that a larger one may
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,14 +94,13 @@
         The shard is -1 if there is none; `split_off` counts the ranges that
         were split off before.
         """
-        usages, own = picture.usages, picture.own
+        own = picture.own
         shards = picture.shares[own]
         heaviest = max(
             shards, key=lambda shard: picture.usage(shard, own), default=-1
         )
-        gap = usages[own] - min(usages.values())
-        calm = usages[own] < _BUSY or gap < _LEAST_GAP
-        if calm or split_off >= _MOST_SPLIT_OFF or not self._is_rested():
+        most = max(_LEAST_SPLIT_OFF, _SPLIT_OFF_PER_NODE * len(picture.shares))
+        if split_off >= most or _is_calm(picture) or not self._is_rested():
             return -1, ()
         if heaviest < 0 or picture.usage(heaviest, own) < _HEAVY:
             return -1, ()
@@ -116,6 +116,14 @@
         return self._clock.now_ms() - self._split_ms >= _REST_MS
 
 
+def _is_calm(picture: Picture) -> bool:
+    """Tell whether a node can carry its work, or nobody could better."""
+    usages = picture.usages
+    own_usage = usages[picture.own]
+    least = min((usages[name] for name in picture.targets), default=own_usage)
+    return own_usage < _BUSY or own_usage - least < _LEAST_GAP
+
+
 def _least_busy(usages: Mapping[NodeName, float]) -> NodeName:
     return min(usages, key=lambda name: (usages[name], name))
 
@@ -125,7 +133,8 @@
 
     Each goes to the node that is the least busy with those before it.
     """
-    usages = dict(picture.usages)
+    chosen = (picture.own, *picture.targets)
+    usages = {name: picture.usages[name] for name in chosen}
     own_usage = picture.usage(shard, picture.own)
     pieces = max(2, min(ceil(own_usage / _PIECE), _MOST_PIECES, len(usages)))
     usages[picture.own] -= own_usage * (pieces - 1) / pieces
--- a/tests/features/layout.feature
+++ b/tests/features/layout.feature
@@ -46,3 +46,21 @@
       | 0.5 | 0.2   | 0.4      | -1    |
       | 0.9 | 0.8   | 0.6      | -1    |
       | 0.9 | 0.2   | 0.2      | -1    |
+
+  # Guards against all nodes of a large service choosing the same few targets.
+  Scenario: nodes of a large service give their hot keys to different nodes
+    Given 68 nodes with a shard each that is too much for it, but 4 with none
+    And each of them knows the load of 6 others
+    When all of them choose at once what to split off and to whom
+    Then no node is chosen by more than 15 of them
+    And parts go only to nodes whose load the owner knows
+
+  Scenario Outline: the larger a service, the more ranges may be split off
+    Given a service of <nodes> nodes of which one is far too busy
+    Then it splits while <ranges> ranges are split off, and with more no longer
+
+    Examples:
+      | nodes | ranges |
+      | 7     | 95     |
+      | 24    | 95     |
+      | 68    | 271    |
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -1,5 +1,10 @@
 """Steps about keys, shards and splits."""
 
+from collections import Counter
+from collections.abc import Set
+from itertools import chain
+from random import Random
+
 from behave import given, then, when
 from behave.runner import Context
 
@@ -145,3 +150,77 @@
     assert targets == (TWO,) * (number >= 0), targets
     splitter.note()
     assert splitter.choose(context.picture, 0)[0] == -1
+
+
+def _busy_picture(
+    own: int, count: int, empty: int, peers: Set[NodeName] | None
+) -> Picture:
+    """Return what one node knows, where the last `empty` have no shards."""
+    names = [NodeName(f'node-{number}', 1) for number in range(count)]
+    busy = count - empty
+    return Picture(
+        own=names[own],
+        shares={
+            name: (number,) if number < busy else ()
+            for number, name in enumerate(names)
+        },
+        peers=peers,
+        slots=dict.fromkeys(names, SLOTS),
+        loads=dict.fromkeys(range(busy), 1.2 * SLOTS),
+    )
+
+
+@given(
+    '{count:d} nodes with a shard each that is too much for it, '
+    'but {empty:d} with none'
+)
+def set_overload(context: Context, count: int, empty: int) -> None:
+    context.count, context.empty = count, empty
+
+
+@given('each of them knows the load of {known:d} others')
+def set_known(context: Context, known: int) -> None:
+    chance = Random(1)
+    context.pictures = []
+    for own in range(context.count - context.empty):
+        others = [other for other in range(context.count) if other != own]
+        peers = {
+            NodeName(f'node-{other}', 1)
+            for other in chance.sample(others, known)
+        }
+        context.pictures.append(
+            _busy_picture(own, context.count, context.empty, peers)
+        )
+
+
+@when('all of them choose at once what to split off and to whom')
+def choose_all(context: Context) -> None:
+    context.chosen = [
+        Splitter(FakeClock()).choose(picture, 0)[1]
+        for picture in context.pictures
+    ]
+
+
+@then('no node is chosen by more than {most:d} of them')
+def check_no_herd(context: Context, most: int) -> None:
+    choosers = Counter(chain.from_iterable(map(set, context.chosen)))
+    assert choosers, context.chosen
+    assert max(choosers.values()) <= most, choosers
+
+
+@then('parts go only to nodes whose load the owner knows')
+def check_known(context: Context) -> None:
+    for picture, targets in zip(context.pictures, context.chosen, strict=True):
+        assert set(targets) <= picture.peers, targets
+
+
+@given('a service of {count:d} nodes of which one is far too busy')
+def set_one_busy(context: Context, count: int) -> None:
+    context.picture = _busy_picture(0, count, count - 1, None)
+
+
+@then('it splits while {most:d} ranges are split off, and with more no longer')
+def check_most(context: Context, most: int) -> None:
+    splitter = Splitter(FakeClock())
+    assert splitter.choose(context.picture, most)[1]
+    assert not splitter.choose(context.picture, most + 1)[1]
