Pass no request on whose caller left while a link was being made

Cause, in part suspected: a door that has no link to a node makes one first, which may take half a second, and then sends the request on without looking whether its caller is still there.

Now the caller is looked at between the two. The peer is not avoided for it.

Test: a scenario of callers.feature, in which the request went over the new link before.

--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -226,9 +226,10 @@
         if left_ms < work.deadline_ms:
             work = replace(work, deadline_ms=left_ms)
         try:
-            exchange = self._open(target, work)
+            exchange = self._open(target, work, caller)
         except LinkError as refused:
-            self._spread.avoid(target, AVOID_MS)
+            if not caller.is_gone:
+                self._spread.avoid(target, AVOID_MS)
             return failure('no-owner', str(refused), ran=False)
         if work.shard < 0:
             exchange = self._spread.track(exchange, target, work.priority)
@@ -238,9 +239,13 @@
             exchange.close()
         return reply
 
-    def _open(self, target: NodeName, work: Work) -> Outgoing:
+    def _open(self, target: NodeName, work: Work, caller: Caller) -> Outgoing:
         if target != self._own:
             exchange = self._peers.open_stream(target)
+            # A link that had to be made first may have taken long.
+            if caller.is_gone:
+                exchange.close()
+                raise LinkError('the caller has gone')
             exchange.send(work)
             return exchange
         near, far = local_pair()
--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -21,3 +21,10 @@
     When a caller sends a request on a kept connection
     Then its connection is reset
     And event "answer-cut" names the request and "the link was lost"
+
+  # Guards against work for callers that left while a link was being made.
+  Scenario: a request is not passed on once its caller has gone
+    Given a router whose callers leave while a link is made
+    When a request is sent through it
+    Then nothing went over that link
+    And the request ends as not run
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -3,6 +3,8 @@
 import socket
 import struct
 from collections.abc import Callable, Iterable
+from contextlib import suppress
+from random import Random
 from typing import Any
 
 import eventlet
@@ -10,21 +12,28 @@
 from behave.runner import Context
 from eventlet import Timeout
 from eventlet.green import socket as green_socket
+from eventlet.greenio import GreenSocket
 from logbook import TestHandler
 
 from bench.deployment import free_port
+from laburnumwood.admission.retries import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations, Service
-from laburnumwood.errors import LinkLostError
-from laburnumwood.protocol.messages import Answer, Chunk
-from laburnumwood.routing.caller import Caller
+from laburnumwood.errors import LinkLostError, LinkTimeoutError
+from laburnumwood.placement.loads import LoadBook
+from laburnumwood.protocol.messages import Answer, Chunk, Failure, Work
+from laburnumwood.protocol.streams import Stream
+from laburnumwood.records import NodeName
+from laburnumwood.routing.caller import Caller, Callers
 from laburnumwood.routing.connection import REQUEST_ID
 from laburnumwood.routing.door import Door
-from laburnumwood.routing.exchange import local_pair
+from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.face import OwnFace
 from laburnumwood.routing.inquiry import Inquiry
-from laburnumwood.routing.router import Reply
+from laburnumwood.routing.router import Reply, Router
 from laburnumwood.routing.server import Listening
+from laburnumwood.routing.spread import Spread
+from tests.request_stack.stack import DOOR, OneGate
 
 HOST = '127.0.0.1'
 LIMIT_S = 20
@@ -110,6 +119,64 @@
     _serve(context, Door(router, OwnFace(), lambda: DECLARED))
 
 
+class _SlowLinks:
+    """Links of which each is made only after the caller has gone."""
+
+    def __init__(self, caller: Caller) -> None:
+        self._caller = caller
+        self.near, self.far = local_pair()
+
+    def open_stream(self, _peer: NodeName) -> Stream:
+        """Return the stream on the new link."""
+        self._caller.look()
+        return self.near
+
+
+@given('a router whose callers leave while a link is made')
+def make_router(context: Context) -> None:
+    left, right = socket.socketpair()
+    context.add_cleanup(right.close)
+    left.close()
+    right.setblocking(False)
+    clock = Clock()
+    context.gone = Callers().await_answer(GreenSocket(right))
+    context.links = _SlowLinks(context.gone)
+    view: Any = OneGate()
+    links: Any = context.links
+    context.router = Router(
+        DOOR,
+        view,
+        links,
+        _serve_nothing,
+        Spread(LoadBook(clock), 'x', Random(1), clock),
+        RetryBudgets(0, clock),
+        clock,
+    )
+
+
+def _serve_nothing(_exchange: Exchange, _work: Work) -> None:
+    raise AssertionError('the gate of this node was asked')
+
+
+@when('a request is sent through it')
+def route_request(context: Context) -> None:
+    work = Work(ID, 'plain', -1, '', 'GET', '/x', (), 0, DEADLINE_MS, True, '')
+    context.outcome = context.router.send(Inquiry(work, b''), context.gone)
+
+
+@then('nothing went over that link')
+def check_nothing_sent(context: Context) -> None:
+    with suppress(LinkTimeoutError):
+        message = context.links.far.receive(0)
+        raise AssertionError(message)
+
+
+@then('the request ends as not run')
+def check_not_run(context: Context) -> None:
+    assert isinstance(context.outcome, Failure), context.outcome
+    assert not context.outcome.ran, context.outcome
+
+
 @given('a caller whose connection is idle after an answer')
 def leave_idle(context: Context) -> None:
     context.caller.sendall(REQUEST)
