Reset a connection whose answer fails midway

Callers of HTTP/1.0 took the beginning of an answer without a length for the whole of it: where the application fails after the first bytes have left, the connection was closed in the ordinary way, which is how such an answer ends. It is reset now, as it is where the answer of a node is cut. Evidence: 'an answer of no length that breaks off does not look whole' got 'the beginning' and an ordinary close before, a reset now. No fault that leaves the application midway today was found by reading; this closes the way, not a known leak.

--- a/laburnumwood/routing/connection.py
+++ b/laburnumwood/routing/connection.py
@@ -5,7 +5,9 @@
 longer than all else that a request costs at the door.
 """
 
+import os
 import re
+import struct
 import traceback
 from collections.abc import Callable, Iterable
 from contextlib import suppress
@@ -15,6 +17,7 @@
 
 from eventlet import Timeout, wsgi
 from eventlet.green import socket
+from eventlet.hubs import notify_close
 
 from laburnumwood.events import ANSWER_FAILED, CALLER_LOST
 from laburnumwood.header_index import (
@@ -50,6 +53,7 @@
 _DRAIN_SIZE = 1_048_576  # bytes that are read and dropped at the most
 _CONTINUE_LINE = b'HTTP/1.1 100 Continue\r\n'
 _BODYLESS = frozenset(('204', '304'))
+_LINGER_NOT = struct.pack('ii', 1, 0)
 
 
 def _framing_fault(fields: HeaderIndex) -> str:
@@ -67,6 +71,15 @@
     return ''
 
 
+def reset_connection(sock: Any) -> None:
+    """Reset a connection: a mere shutdown would end it cleanly."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
+        number = sock.detach()
+        notify_close(number)
+        os.close(number)
+
+
 class _CallerLostError(Exception):
     """The connection of the caller ended under its answer."""
 
@@ -223,7 +236,9 @@
         ANSWER_FAILED.report(
             path=self.path, begun=answer.has_begun, trace=traceback.format_exc()
         )
-        if not answer.has_begun:
+        if answer.has_begun:
+            reset_connection(self.connection)
+        else:
             status = status_line(HTTPStatus.INTERNAL_SERVER_ERROR)
             answer.start(status, [('Content-Length', '0')])
             with suppress(_CallerLostError):
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -1,34 +1,27 @@
 """The HTTP server towards callers, on eventlet's WSGI server."""
 
-import os
-import struct
 from contextlib import suppress
 from typing import Any
 
 import eventlet
 from eventlet import Timeout, wsgi
-from eventlet.green import socket
-from eventlet.hubs import notify_close
 from greenlet import GreenletExit
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.listening import Address, listen
-from laburnumwood.routing.connection import CLOSE, CallerProtocol
+from laburnumwood.routing.connection import (
+    CLOSE,
+    CallerProtocol,
+    reset_connection,
+)
 
 _MOST_CONNECTIONS = 4_096
-_LINGER_NOT = struct.pack('ii', 1, 0)
 
 
 def reset(environ: dict[str, Any]) -> None:
     """Reset the connection of a caller, so that no answer looks whole."""
-    sock = environ['eventlet.input'].get_socket()
     wsgi.WSGI_LOCAL.already_handled = True
-    with suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
-        # A mere shutdown would end the connection cleanly.
-        number = sock.detach()
-        notify_close(number)
-        os.close(number)
+    reset_connection(environ['eventlet.input'].get_socket())
 
 
 def close_after(environ: dict[str, Any]) -> None:
--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -21,3 +21,8 @@
     When a caller sends a request on a kept connection
     Then its connection is reset
     And event "answer-cut" names the request and "the link was lost"
+
+  Scenario: an answer of no length that breaks off does not look whole
+    Given a server of callers whose application fails midway
+    When a caller of HTTP/1.0 sends a request
+    Then its connection is reset
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -77,6 +77,14 @@
     raise TimeoutError('a call that is not the connection of the caller')
 
 
+def _fail_midway(
+    _environ: dict[str, Any], start_response: Any
+) -> Iterable[bytes]:
+    start_response('200 OK', [])
+    yield b'the beginning'
+    raise ValueError('a fault of the application')
+
+
 def _serve(context: Context, application: Application) -> None:
     context.log = TestHandler()
     context.log.push_application()
@@ -93,6 +101,11 @@
     _serve(context, _fail)
 
 
+@given('a server of callers whose application fails midway')
+def serve_failing_midway(context: Context) -> None:
+    _serve(context, _fail_midway)
+
+
 @given('a server of callers')
 def serve_counting(context: Context) -> None:
     context.application = _Counted(b'whole')
@@ -127,6 +140,14 @@
         _receive(context)
 
 
+@when('a caller of HTTP/1.0 sends a request')
+def send_old_request(context: Context) -> None:
+    context.caller.sendall(REQUEST.replace(b'HTTP/1.1', b'HTTP/1.0'))
+    context.received = b''
+    with Timeout(LIMIT_S):
+        _receive(context)
+
+
 def _receive(context: Context) -> None:
     try:
         while part := _next_part(context.caller.fd):
