Let requests under way end on their links when a node joins again

Callers got 502, or an answer broken off, for requests that other nodes were running: a node whose lease had lapsed closed all links of its incarnation before as soon as it had joined again, though its door still waits on them. Those links end once they carry nothing now. Evidence: 'links that are released end after the calls on them' fails with LinkLostError where release closes at once, as the join did, and passes now; a test with a whole node that joins again is missing.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -187,6 +187,11 @@
         self.holdings.drop_all()
         self._tasks.kill()
 
+    def release(self) -> None:
+        """Stop what is left after the end, but for requests under way."""
+        self._sight.kill()
+        self._peers.release()
+
     def close(self) -> None:
         """Stop all that is left after the end."""
         self._sight.kill()
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -228,7 +228,7 @@
         self._persist(lambda: incarnation.start(avoided))
         before, self._incarnation = self._incarnation, incarnation
         if before is not None:
-            before.close()
+            before.release()
         return incarnation
 
     def _end_earlier(self, name: NodeName) -> None:
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -85,6 +85,7 @@
         self._handler = handler
         self._clock = clock
         self._closes_idle = closes_idle
+        self._idle_limit_ms = IDLE_MS
         self._streams: dict[int, Stream] = {}
         self._used_ms = clock.now_ms()
         self._last_number = 0
@@ -152,6 +153,10 @@
             stream.fail(LinkLostError(f'link to {self._peer} was lost'))
         self._streams.clear()
 
+    def release(self) -> None:
+        """Let the connection end once it carries nothing."""
+        self._idle_limit_ms = 0
+
     def _end(self) -> None:
         self.close()
         # Closed before a blocked sender has left, it would never wake.
@@ -222,7 +227,7 @@
             self._check_silence()
             return
         self._unheard_looks = 0
-        if self._closes_idle and now_ms - self._used_ms >= IDLE_MS:
+        if self._closes_idle and now_ms - self._used_ms >= self._idle_limit_ms:
             self.close()
 
     def _check_silence(self) -> None:
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -118,6 +118,11 @@
             link.close()
         self._links.clear()
 
+    def release(self) -> None:
+        """Close all links that this node made, each when it is idle."""
+        for link in self._links.values():
+            link.release()
+
     def _connect_beside(self, link: Link) -> Link:
         # What the silent link owes may still come: it closes by itself.
         try:
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -31,6 +31,12 @@
     When calls that wait for 50 ms are made 300 ms apart
     Then one of them is answered over a second connection
 
+  Scenario: links that are released end after the calls on them
+    Given a peer that answers calls and reads no bodies
+    When its links are released under a call of 500 ms
+    Then the call is answered
+    And the link of the call is closed afterwards
+
   Scenario: a peer that refuses links is left alone for a while
     Given a peer whose address refuses connections
     When 5 calls are made one after the other
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -139,6 +139,25 @@
     context.answer = call.wait()
 
 
+@when('its links are released under a call of {span:d} ms')
+def release_links(context: Context, span: int) -> None:
+    call = eventlet.spawn(
+        _outcome, context.peers.call, PEER, End(span), LIMIT_MS
+    )
+    eventlet.sleep(span / 2 / MS_PER_SECOND)
+    context.peers.release()
+    context.answer = call.wait()
+
+
+@then('the link of the call is closed afterwards')
+def check_closed_after(context: Context) -> None:
+    assert context.looked_up == 1, context.looked_up
+    eventlet.sleep(2 * SUSPECT_MS / MS_PER_SECOND)
+    # A call that follows needs another link.
+    check_others(context)
+    assert context.looked_up == 2, context.looked_up
+
+
 @then('the call is answered')
 def check_call(context: Context) -> None:
     assert isinstance(context.answer, Done), context.answer
