--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -69,7 +69,7 @@
             link = Link(protocol, sock, peer, dispatcher.handle, Clock())
             eventlet.spawn_n(link.run)
         else:
-            context.silent = sock
+            context.silent = protocol, sock
 
 
 def _begin(context: Context, task: Any, address: Any) -> None:
@@ -139,6 +139,25 @@
     context.answer = call.wait()
 
 
+@when('its links are released under a call of {span:d} ms')
+def release_links(context: Context, span: int) -> None:
+    call = eventlet.spawn(
+        _outcome, context.peers.call, PEER, End(span), LIMIT_MS
+    )
+    eventlet.sleep(span / 2 / MS_PER_SECOND)
+    context.peers.release()
+    context.answer = call.wait()
+
+
+@then('the link of the call is closed afterwards')
+def check_closed_after(context: Context) -> None:
+    assert context.looked_up == 1, context.looked_up
+    eventlet.sleep(2 * SUSPECT_MS / MS_PER_SECOND)
+    # A call that follows needs another link.
+    check_others(context)
+    assert context.looked_up == 2, context.looked_up
+
+
 @then('the call is answered')
 def check_call(context: Context) -> None:
     assert isinstance(context.answer, Done), context.answer
@@ -220,6 +239,28 @@
             eventlet.sleep(pause / MS_PER_SECOND)
 
 
+@when('a call waits on the silent link for {span:d} ms')
+def call_silent_for(context: Context, span: int) -> None:
+    stream = context.peers.open_stream(PEER)
+    stream.send(Cancel())
+    context.waiting = eventlet.spawn(_outcome, stream.receive, span)
+
+
+@when('its answer comes and the process stands still for {span:d} ms')
+def answer_and_stand_still(context: Context, span: int) -> None:
+    while context.connections == 0:
+        eventlet.sleep(0)
+    protocol, sock = context.silent
+    # After a read that waits, the event loop takes up timers before sockets.
+    for _ in ('the call', 'a ping'):
+        sock.recv(CHUNK)
+    protocol.send_binary(encode(-1, Done()))
+    for part in protocol.data_to_send():
+        sock.fd.sendall(part)
+    sleep(span / MS_PER_SECOND)
+    context.answer = context.waiting.wait()
+
+
 @when('another call is made once the link is suspect')
 def call_beside(context: Context) -> None:
     eventlet.sleep((SUSPECT_MS + 100) / 1_000)
