A randomized soak that holds nodes to an answer for what they read

Callers keep connections and note each end; lanes of faults strike beside each other. Judged afterwards: an answer for each request that ran while its node lived, no connection closed unsaid in a calm life, refusals that are true, no second run of what may run once, answers and bodies that belong to their requests, no answer of a node's own that no fault explains, ends with status 0, service again after all is mended. Logs of a failed run stay under build/soak/.

Signals of bench/deployment.py go through the library's own call, which sends none to a process that has been waited for.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -1,7 +1,6 @@
 """A small deployment of real processes on loopback."""
 
 import json
-import os
 import signal
 import socket
 import subprocess
@@ -102,15 +101,19 @@
 
     def pause(self) -> None:
         """Stop the process until it is resumed."""
-        os.kill(self.pid, signal.SIGSTOP)
+        self.signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Let a paused process go on."""
-        os.kill(self.pid, signal.SIGCONT)
+        self.signal(signal.SIGCONT)
 
     def terminate(self) -> None:
         """Ask the process to stop."""
-        self._child.terminate()
+        self.signal(signal.SIGTERM)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        self._child.send_signal(number)
 
     def wait(self, limit_s: float = _STOP_S) -> int:
         """Wait for the end of the process and return its exit status."""
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, strict callers."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,23 @@
+"""The command `python -m tests.soak`."""
+
+import sys
+from argparse import ArgumentParser
+
+from tests.soak.soak import Options, run
+
+
+def main() -> int:
+    """Run one soak; return 0 only if no promise was broken."""
+    parser = ArgumentParser(prog='tests.soak')
+    parser.add_argument('--seed', type=int, required=True)
+    parser.add_argument('--seconds', type=float, required=True)
+    parser.add_argument('--nodes', type=int, default=4)
+    parser.add_argument('--callers', type=int, default=16)
+    parser.add_argument('--lanes', type=int, default=3)
+    report = run(Options(**vars(parser.parse_args())))
+    print(report)
+    return 1 if report.broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,305 @@
+"""Callers that keep connections open and note how each request ended."""
+
+import socket
+from contextlib import suppress
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from itertools import count
+from random import Random
+from threading import Event, Thread
+from typing import BinaryIO
+
+from bench.deployment import HOST
+from bench.reporting import HOST_NAME
+from standins.clock import MS_PER_SECOND, boottime_ms
+from tests.soak.fleet import KEYED, PLAIN, SoakFleet
+from tests.soak.plans import Break, Form, Plan
+
+PATIENCE_MS = 15_000  # how long a caller waits beyond its deadline
+_CONNECT_S = 1
+_PAUSE_S = 0.05
+_KEYS = 65_536
+_BODY_SIZES = (0, 0, 0, 300, 200_000)
+_SIZES = (0, 40, 5_000, 150_000)  # of answers
+_BROKEN_SIZE = 20_000  # more than one piece of a worker
+_BROKEN_SHARE = 0.08  # answers that their worker breaks off
+_CLOSE_SHARE = 0.15  # answers that come about the deadline
+_LEAVING_SHARE = 0.04  # requests that their caller gives up early
+
+
+class End(StrEnum):
+    """How a request ended for its caller."""
+
+    answered = 'answered'
+    cut = 'cut'  # in the head or body of its answer
+    closed = 'closed'  # before any byte of an answer
+    silent = 'silent'  # the caller waited in vain
+    left = 'left'  # the caller gave up early
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """One request."""
+
+    attempt: str
+    node: str
+    is_relayed: bool  # by a relay that may break the caller's connection
+    is_idempotent: bool
+    service: str
+    plan: Plan
+    deadline_ms: int
+    key: int
+    body: bytes
+    leaves_ms: int | None  # when the caller gives up early
+
+    @property
+    def content(self) -> bytes:
+        """Return the request as it is sent."""
+        kind = 'safe' if self.is_idempotent else 'unsafe'
+        method = 'POST' if self.body else 'GET'
+        lines = (
+            f'{method} /{self.service}/{kind}/x?{self.plan.query} HTTP/1.1',
+            f'Host: {HOST_NAME}',
+            f'Attempt-Id: {self.attempt}',
+            f'Deadline-Ms: {self.deadline_ms}',
+            f'Shard-Key: {self.key}',
+            f'Content-Length: {len(self.body)}',
+        )
+        return '\r\n'.join((*lines, '', '')).encode() + self.body
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request and its end; times in ms of CLOCK_BOOTTIME."""
+
+    ask: Ask
+    opened_ms: float  # when its connection was opened
+    sent_ms: float
+    done_ms: float
+    end: End
+    status: int = 0
+    answer_id: str = ''
+    stamp: str = ''
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class _ClosedError(OSError):
+    """The connection ended before any byte of an answer."""
+
+
+class _CutError(OSError):
+    """The connection ended within an answer."""
+
+
+class _Connection:
+    """A kept connection of one caller to one door."""
+
+    def __init__(self, port: int) -> None:
+        self.opened_ms = boottime_ms()
+        self._sock = socket.create_connection((HOST, port), _CONNECT_S)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._stream: BinaryIO = self._sock.makefile('rb')
+
+    def ask(self, content: bytes, limit_ms: float) -> _Answer:
+        """Send a request and read its answer."""
+        self._sock.settimeout(limit_ms / MS_PER_SECOND)
+        with suppress(ConnectionError):
+            # An answer may have come before the connection ended.
+            self._sock.sendall(content)
+        line = self._first_line()
+        try:
+            return self._read(line)
+        except ConnectionError as reset:
+            raise _CutError(str(reset)) from reset
+
+    def close(self) -> None:
+        """End the connection."""
+        with suppress(OSError):
+            self._stream.close()
+        self._sock.close()
+
+    def _first_line(self) -> bytes:
+        try:
+            line = self._stream.readline()
+        except ConnectionError as reset:
+            raise _ClosedError(str(reset)) from reset
+        if not line:
+            raise _ClosedError
+        return line
+
+    def _read(self, line: bytes) -> _Answer:
+        headers = {}
+        while field := self._line().strip():
+            name, _, text = field.decode().partition(':')
+            headers[name.lower()] = text.strip()
+        status = int(line.split()[1])
+        if headers.get('transfer-encoding') == 'chunked':
+            body = b''.join(iter(self._chunk, b''))
+        else:
+            body = self._exactly(int(headers['content-length']))
+        return _Answer(status, headers, body)
+
+    def _chunk(self) -> bytes:
+        chunk = self._exactly(int(self._line(), 16))
+        self._line()
+        return chunk
+
+    def _line(self) -> bytes:
+        line = self._stream.readline()
+        if not line.endswith(b'\n'):
+            raise _CutError('in a line')
+        return line
+
+    def _exactly(self, size: int) -> bytes:
+        found = self._stream.read(size)
+        if len(found) < size:
+            raise _CutError('in the body')
+        return found
+
+
+class Caller:
+    """One caller: a request at a time, over one kept connection a door."""
+
+    def __init__(self, fleet: SoakFleet, number: int, chance: Random) -> None:
+        self.calls: list[Call] = []
+        self._fleet = fleet
+        self._chance = chance
+        self._is_relayed = number % 4 == 0
+        self._names = (f'c{number}-{each}' for each in count())
+        self._connections: dict[str, _Connection] = {}
+
+    def call_until(self, halt: Event) -> None:
+        """Send requests until told to stop."""
+        while not halt.is_set():
+            ask = self._draw()
+            with suppress(OSError):
+                self._call(ask)
+            pause_s = self._chance.choice((0, 0.01, _PAUSE_S))
+            halt.wait(self._chance.random() * pause_s * 2)
+        for connection in self._connections.values():
+            connection.close()
+
+    def _call(self, ask: Ask) -> None:
+        connection = self._connections.pop(ask.node, None)
+        if connection is None:
+            port = self._fleet.door_port(ask.node, relayed=ask.is_relayed)
+            connection = _Connection(port)
+        sent_ms = boottime_ms()
+        limit_ms = ask.leaves_ms or ask.deadline_ms + PATIENCE_MS
+        end, answer = _outcome(connection, ask, limit_ms)
+        call = Call(ask, connection.opened_ms, sent_ms, boottime_ms(), end)
+        if answer is None:
+            connection.close()
+        else:
+            call = _answered(call, answer)
+            self._keep(ask.node, connection, answer)
+        self.calls.append(call)
+
+    def _keep(
+        self, node: str, connection: _Connection, answer: _Answer
+    ) -> None:
+        if answer.headers.get('connection', '').lower() == 'close':
+            connection.close()
+        else:
+            self._connections[node] = connection
+
+    def _draw(self) -> Ask:
+        chance = self._chance
+        deadline_ms = chance.choice((chance.randint(100, 400), 1_000, 3_000))
+        plan = _draw_plan(chance)
+        if chance.random() < _CLOSE_SHARE:
+            plan = _timed(plan, deadline_ms, chance)
+        leaves = chance.random() < _LEAVING_SHARE
+        return Ask(
+            attempt=next(self._names),
+            node=chance.choice(list(self._fleet.members)),
+            is_relayed=self._is_relayed,
+            is_idempotent=chance.choice((False, True)),
+            service=chance.choice((KEYED, PLAIN)),
+            plan=plan,
+            deadline_ms=deadline_ms,
+            key=chance.randrange(_KEYS),
+            body=b'b' * chance.choice(_BODY_SIZES),
+            leaves_ms=chance.randint(1, 300) if leaves else None,
+        )
+
+
+def _draw_plan(chance: Random) -> Plan:
+    form = chance.choice(list(Form))
+    if chance.random() < _BROKEN_SHARE:
+        # Without a length, an ordinary end would make half a body look whole.
+        ends = [Break.before, Break.reset]
+        if form is not Form.unframed:
+            ends.append(Break.in_body)
+        return Plan(size=_BROKEN_SIZE, form=form, breaks=chance.choice(ends))
+    return Plan(
+        work_ms=chance.choice((0, 0, 5, 5, chance.randint(20, 300))),
+        body_ms=chance.choice((0, 0, 0, chance.randint(5, 300))),
+        size=chance.choice(_SIZES),
+        status=chance.choice((200,) * 9 + (500,)),
+        form=form,
+    )
+
+
+def _timed(plan: Plan, deadline_ms: int, chance: Random) -> Plan:
+    """Let the work of a plan end about the deadline."""
+    whole_ms = max(0, deadline_ms + chance.randint(-60, 60))
+    work_ms = chance.choice((0, whole_ms, whole_ms // 2))
+    return replace(plan, work_ms=work_ms, body_ms=whole_ms - work_ms)
+
+
+def _outcome(
+    connection: _Connection, ask: Ask, limit_ms: float
+) -> tuple[End, _Answer | None]:
+    try:
+        return End.answered, connection.ask(ask.content, limit_ms)
+    except TimeoutError:
+        return (End.left if ask.leaves_ms else End.silent), None
+    except _ClosedError:
+        return End.closed, None
+    except _CutError:
+        return End.cut, None
+
+
+def _answered(call: Call, answer: _Answer) -> Call:
+    return replace(
+        call,
+        status=answer.status,
+        answer_id=answer.headers.get('attempt-id', ''),
+        stamp=answer.headers.get('response-stamp', ''),
+        body=answer.body,
+    )
+
+
+class Callers:
+    """Some callers, each in a thread of its own."""
+
+    def __init__(self, fleet: SoakFleet, number: int, seed: int) -> None:
+        self._halt = Event()
+        self._callers = [
+            Caller(fleet, each, Random(f'{seed} caller {each}'))
+            for each in range(number)
+        ]
+        self._threads = [
+            Thread(target=caller.call_until, args=(self._halt,), daemon=True)
+            for caller in self._callers
+        ]
+
+    def start(self) -> None:
+        """Let all begin."""
+        for thread in self._threads:
+            thread.start()
+
+    def finish(self) -> list[Call]:
+        """Stop all, wait for what is under way and return the log."""
+        self._halt.set()
+        for thread in self._threads:
+            thread.join()
+        return [call for caller in self._callers for call in caller.calls]
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,213 @@
+"""Faults from outside, each begun, held for a while and mended."""
+
+import signal
+import time
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager, suppress
+from dataclasses import dataclass
+from random import Random
+from threading import Event, Thread
+from typing import Any
+
+from urllib3.exceptions import HTTPError
+
+from bench.reporting import ReportingMember
+from standins.clock import MS_PER_SECOND, boottime_ms
+from tests.soak.fleet import SoakFleet
+
+_LONGEST_PAUSE_MS = 2_500
+_LONGEST_HOLD_MS = 3_000
+_LONGEST_REST_MS = 1_500
+_BETWEEN_BREAKS_MS = 300
+_LINGER_MS = 300  # of nodes that stop, in their settings
+_WAYS = ('to_target', 'to_client')
+_LINKS = ('peer', 'peer', 'worker', 'store', 'reports', 'door')
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """What a fault strikes, and the random choices of its lane."""
+
+    fleet: SoakFleet
+    chance: Random
+
+    def member(self) -> ReportingMember:
+        """Choose a node with its worker."""
+        return self.chance.choice(list(self.fleet.members.values()))
+
+    def some_s(self, longest_ms: int) -> float:
+        """Return a random time in seconds."""
+        return self.chance.randint(0, longest_ms) / MS_PER_SECOND
+
+
+Fault = Callable[[Scene], AbstractContextManager[str]]
+FAULTS: dict[str, Fault] = {}
+
+
+def _fault(name: str) -> Callable[[Callable[[Scene], Iterator[str]]], Fault]:
+    def register(strike: Callable[[Scene], Iterator[str]]) -> Fault:
+        FAULTS[name] = contextmanager(strike)
+        return FAULTS[name]
+
+    return register
+
+
+@_fault('a node is killed')
+def kill_node(scene: Scene) -> Iterator[str]:
+    """Kill a node and start it again later."""
+    member = scene.member()
+    with scene.fleet.claim(f'node {member.name}'):
+        scene.fleet.kill_node(member)
+        yield member.name
+        scene.fleet.restart_node(member)
+
+
+@_fault('a node is told to stop')
+def stop_node(scene: Scene) -> Iterator[str]:
+    """Stop a node and start it again once it has ended."""
+    member = scene.member()
+    with scene.fleet.claim(f'node {member.name}'):
+        scene.fleet.stop_node(member)
+        yield member.name
+        scene.fleet.restart_node(member)
+
+
+@_fault('a node is paused while it stops')
+def pause_stopping(scene: Scene) -> Iterator[str]:
+    """Stop a node, and pause it about when it closes its door."""
+    member = scene.member()
+    with scene.fleet.claim(f'node {member.name}'):
+        pausing = Thread(target=_pause_soon, args=(scene, member))
+        pausing.start()
+        scene.fleet.stop_node(member)
+        pausing.join()
+        yield member.name
+        scene.fleet.restart_node(member)
+
+
+def _pause_soon(scene: Scene, member: ReportingMember) -> None:
+    time.sleep(scene.some_s(_LINGER_MS))
+    scene.fleet.pause_node(member, scene.some_s(_LONGEST_PAUSE_MS))
+
+
+@_fault('a node is paused')
+def pause_node(scene: Scene) -> Iterator[str]:
+    """Pause a node."""
+    member = scene.member()
+    scene.fleet.pause_node(member, scene.some_s(_LONGEST_PAUSE_MS))
+    yield member.name
+
+
+@_fault('a node reads its settings again')
+def reload_node(scene: Scene) -> Iterator[str]:
+    """Send SIGHUP."""
+    member = scene.member()
+    with scene.fleet.claim(f'node {member.name}'), suppress(HTTPError):
+        if scene.fleet.is_ready(member):
+            member.node.signal(signal.SIGHUP)
+    yield member.name
+
+
+@_fault('a worker is killed')
+def kill_worker(scene: Scene) -> Iterator[str]:
+    """Kill a worker and start it again later."""
+    member = scene.member()
+    with scene.fleet.claim(f'worker {member.name}'):
+        member.worker.kill()
+        yield member.name
+        scene.fleet.restart_worker(member)
+
+
+@_fault('a worker is paused')
+def pause_worker(scene: Scene) -> Iterator[str]:
+    """Pause a worker."""
+    member = scene.member()
+    worker = member.worker
+    worker.pause()
+    yield member.name
+    worker.resume()
+
+
+@_fault('links are hindered')
+def hinder_links(scene: Scene) -> Iterator[str]:
+    """Delay, reset, silence or deafen what leads to a node, or from it."""
+    route, switches = _draw_hindrance(scene)
+    scene.fleet.relays.hinder(route, **switches)
+    yield f'{route} {switches}'
+    scene.fleet.relays.clear(route)
+
+
+@_fault('a link breaks after some bytes')
+def break_link(scene: Scene) -> Iterator[str]:
+    """Reset a connection in the middle of a message, a few times."""
+    route, _ = _draw_hindrance(scene)
+    way = scene.chance.choice(_WAYS)
+    for _ in range(scene.chance.randint(1, 8)):
+        size = scene.chance.choice((10, 300, 3_000, 30_000, 100_000))
+        scene.fleet.relays.hinder(route, cut_after=size, cut_direction=way)
+        time.sleep(scene.some_s(_BETWEEN_BREAKS_MS))
+    yield f'{route} {way}'
+    scene.fleet.relays.clear(route)
+
+
+def _draw_hindrance(scene: Scene) -> tuple[str, dict[str, Any]]:
+    chance = scene.chance
+    switches: dict[str, Any] = chance.choice(
+        (
+            {'cut': True},
+            {'delay_ms': chance.choice((20, 80, 300))},
+            {'silent': True},
+            {'silent': True, 'silent_new': True},
+            {'drop': chance.choice(_WAYS)},
+        )
+    )
+    return f'{scene.member().name}.{chance.choice(_LINKS)}', switches
+
+
+@_fault('the store is away')
+def fault_store(scene: Scene) -> Iterator[str]:
+    """Let the store be out of service, slow, or lose answers."""
+    switches = scene.chance.choice(
+        ({'outage': True}, {'delay_ms': 400}, {'lose_answers': 5})
+    )
+    scene.fleet.fault_store(**switches)
+    yield str(switches)
+    scene.fleet.fault_store(outage=False, delay_ms=0, lose_answers=0)
+
+
+@_fault('the manifest changes')
+def change_manifest(scene: Scene) -> Iterator[str]:
+    """Write a manifest with other timeouts."""
+    timeout_ms = scene.chance.choice((1_500, 2_000, 2_500))
+    with suppress(HTTPError):  # another lane may have taken the store away
+        scene.fleet.declare_again(timeout_ms)
+    yield f'timeout {timeout_ms} ms'
+
+
+class Lane:
+    """Faults one after the other, beside those of other lanes."""
+
+    def __init__(self, fleet: SoakFleet, chance: Random) -> None:
+        self.log: list[str] = []
+        self.failed: list[str] = []
+        self._scene = Scene(fleet, chance)
+
+    def run_until(self, halt: Event) -> None:
+        """Strike and mend until told to stop; ends with all mended."""
+        while not halt.is_set():
+            name = self._scene.chance.choice(list(FAULTS))
+            try:
+                self._strike(name, halt)
+            except Exception as failure:
+                self.failed.append(f'{name}: {failure!r}')
+            self._wait(halt, _LONGEST_REST_MS)
+
+    def _strike(self, name: str, halt: Event) -> None:
+        begun_ms = boottime_ms()
+        with FAULTS[name](self._scene) as detail:
+            self.log.append(f'{begun_ms:.0f} {name}: {detail}')
+            self._wait(halt, _LONGEST_HOLD_MS)
+        self.log.append(f'{boottime_ms():.0f} mended: {name}')
+
+    def _wait(self, halt: Event, longest_ms: int) -> None:
+        halt.wait(self._scene.chance.randint(0, longest_ms) / MS_PER_SECOND)
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,235 @@
+"""The processes of a soak, each reached through relays, and their lives."""
+
+import time
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from shutil import copytree
+from threading import Lock
+from typing import Any
+
+from cbor2 import dumps
+
+from bench.deployment import HOST, Process, free_port, wait_for
+from bench.reporting import ReportingDeployment, ReportingMember, manifest
+from standins.clock import boottime_ms
+from standins.journal.entry import JournalEntry
+
+KEYED, PLAIN = 'portal', 'docs'
+DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
+START_S = 90
+STOP_S = 30
+_STARTED = b'"node-started"'
+_OK = 200
+_CLEAR: dict[str, Any] = {
+    'only': '',
+    'cut': False,
+    'silent': False,
+    'silent_new': False,
+    'delay_ms': 0,
+    'drop': None,
+    'cut_after': None,
+}
+
+
+@dataclass(slots=True)
+class Life:
+    """One process of a node; times in ms of CLOCK_BOOTTIME."""
+
+    node: str
+    process: Process = field(repr=False)
+    pid: int
+    stopped_ms: float | None = None  # when it was told to stop
+    killed_ms: float | None = None
+    ended_ms: float | None = None
+    status: int | None = None
+    pauses: list[tuple[float, float]] = field(default_factory=list)
+
+    @property
+    def has_started(self) -> bool:
+        """Tell whether the process had come so far as to handle signals."""
+        return _STARTED in self.process.log.read_bytes()
+
+
+@dataclass(slots=True)
+class Relays:
+    """Routes of one relay process, named by node and what they lead to."""
+
+    process: Process
+    url: str
+    http: Any
+    ports: dict[str, int] = field(default_factory=dict)
+
+    def open(self, route: str, port: int) -> int:
+        """Open a route to a port and return where it listens."""
+        url = f'{self.url}/routes/{route}'
+        answer = self.http.request('PUT', url, json={'target_port': port})
+        self.ports[route] = int(answer.json()['port'])
+        return self.ports[route]
+
+    def hinder(self, route: str, **switches: Any) -> None:
+        """Set switches of a route."""
+        url = f'{self.url}/routes/{route}'
+        answer = self.http.request('POST', url, json=switches)
+        if answer.status != _OK:
+            raise ValueError(f'{route}: {answer.data!r}')
+
+    def clear(self, route: str) -> None:
+        """Take all switches of a route back."""
+        self.hinder(route, **_CLEAR)
+
+
+class SoakFleet(ReportingDeployment):
+    """Nodes `n1`, `n2` ... in three failure domains, one in three `docs`."""
+
+    def __init__(self, nodes: int) -> None:
+        super().__init__({KEYED: True, PLAIN: False})
+        self.lives: list[Life] = []
+        self._versions = 1
+        self._worker_ports: dict[str, int] = {}
+        self._claims: dict[str, Lock] = {}
+        journal_port, relay_port = free_port(), free_port()
+        self.journal_url = f'http://{HOST}:{journal_port}/journal'
+        self.journal = self._spawn(
+            'standins.journal', '--port', str(journal_port)
+        )
+        relay = self._spawn('standins.relay', '--control-port', str(relay_port))
+        self.relays = Relays(relay, f'http://{HOST}:{relay_port}', self.http)
+        for url in (self.journal_url, f'{self.relays.url}/routes'):
+            wait_for(url, partial(self._is_ok, url), START_S)
+        self.declare()
+        for number in range(nodes):
+            service = KEYED if number % 3 else PLAIN
+            domain = DOMAINS[number // 2 % len(DOMAINS)]
+            self.add(f'n{number + 1}', domain, service)
+
+    def start_node(self, path: Path) -> Process:
+        """Start a node and note its life."""
+        process = super().start_node(path)
+        self.lives.append(Life(path.stem, process, process.pid))
+        return process
+
+    def life(self, member: ReportingMember) -> Life:
+        """Return the life of the process that a node has now."""
+        return next(life for life in self.lives if life.process is member.node)
+
+    def door_port(self, name: str, *, relayed: bool) -> int:
+        """Return where callers reach a node, at its relay or itself."""
+        if relayed:
+            return self.relays.ports[f'{name}.door']
+        address = self.members[name].settings['door_address']
+        return int(address.rpartition(':')[2])
+
+    def claim(self, what: str) -> Lock:
+        """Return the lock of who ends and starts a process."""
+        return self._claims.setdefault(what, Lock())
+
+    def kill_node(self, member: ReportingMember) -> None:
+        """End a node at once."""
+        life = self.life(member)
+        life.killed_ms = boottime_ms()
+        member.node.kill()
+        life.ended_ms = boottime_ms()
+
+    def stop_node(self, member: ReportingMember) -> None:
+        """Tell a node to stop and wait for its end."""
+        life = self.life(member)
+        life.stopped_ms = boottime_ms()
+        member.node.terminate()
+        life.status = member.node.wait(STOP_S)
+        life.ended_ms = boottime_ms()
+
+    def pause_node(self, member: ReportingMember, pause_s: float) -> None:
+        """Pause the process of a node for a while."""
+        life = self.life(member)
+        paused_ms = boottime_ms()
+        life.process.pause()
+        time.sleep(pause_s)
+        life.process.resume()
+        life.pauses.append((paused_ms, boottime_ms()))
+
+    def restart_node(self, member: ReportingMember) -> None:
+        """Start a node again."""
+        member.node = self.start_node(member.path)
+
+    def restart_worker(self, member: ReportingMember) -> None:
+        """Start the worker of a member again at its old port."""
+        port = self._worker_ports[member.name]
+        member.worker = self._start_worker(member.settings, port)
+
+    def declare_again(self, timeout_ms: int) -> None:
+        """Write another version of the manifest."""
+        self._versions += 1
+        content = manifest(self._versions, self._services)
+        for route in content['routes']:
+            route['timeout_ms'] = timeout_ms
+        body = dumps({'metadata': {'name': 'main'}, 'spec': content})
+        url = f'{self.store_url}/objects/config/main'
+        self.http.request('PUT', url, body=body)
+
+    def fault_store(self, **switches: Any) -> None:
+        """Set fault switches of the store."""
+        self.http.request('POST', f'{self.store_url}/faults', json=switches)
+
+    def entries(self) -> list[JournalEntry]:
+        """Return what the workers wrote into their journals."""
+        found = self.http.request('GET', self.journal_url).json()
+        return [JournalEntry(**each) for each in found]
+
+    def wait_ready(self) -> None:
+        """Wait until all nodes say that they are ready."""
+        for member in self.members.values():
+            ready = partial(self.is_ready, member)
+            wait_for(f'{member.name} to be ready', ready, START_S)
+
+    def keep_logs(self, folder: Path) -> None:
+        """Copy what the processes wrote."""
+        copytree(self._root, folder, dirs_exist_ok=True)
+
+    def close(self) -> None:
+        """End all processes by their ids."""
+        self.journal.kill()
+        self.relays.process.kill()
+        super().close()
+
+    def _start_worker(self, settings: dict[str, Any], port: int) -> Process:
+        name, service = settings['node_id'], settings['service']
+        flags = ['--sharded'] if self._services[service] else []
+        reports = self.relays.ports[f'{name}.reports']
+        return self._spawn(
+            'tests.soak.worker',
+            f'--name=worker-{name}',
+            f'--service={service}',
+            f'--node-url=http://{HOST}:{reports}',
+            f'--port={port}',
+            f'--journal-url={self.journal_url}',
+            *flags,
+        )
+
+    def _settings(
+        self, name: str, domain: str, service: str, worker_port: int
+    ) -> dict[str, Any]:
+        written = super()._settings(name, domain, service, worker_port)
+        self._worker_ports[name] = worker_port
+        targets = {
+            'peer': written['peer_port'],
+            'worker': worker_port,
+            'store': _port(self.store_url),
+            'door': _port(written['door_address']),
+            'reports': _port(written['report_address']),
+        }
+        for what, port in targets.items():
+            self.relays.open(f'{name}.{what}', port)
+        ports = self.relays.ports
+        written['reports'] = {'silent_ms': 800, 'most_bytes': 20_000}
+        written['advertised_peer_port'] = ports[f'{name}.peer']
+        written['worker_url'] = f'http://{HOST}:{ports[f"{name}.worker"]}'
+        written['platform_url'] = f'http://{HOST}:{ports[f"{name}.store"]}'
+        return written
+
+    def _is_ok(self, url: str) -> bool:
+        return bool(self.http.request('GET', url).status == _OK)
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(':')[2])
--- /dev/null
+++ b/tests/soak/judge.py
@@ -0,0 +1,222 @@
+"""Judges the log of the callers against the journals of the workers."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field, replace
+from itertools import chain
+from signal import SIGTERM
+
+from standins.journal.entry import JournalEntry, Outcome
+from standins.worker.bodies import body_of
+from tests.soak.callers import Call, End
+from tests.soak.fleet import Life
+from tests.soak.plans import Form
+
+_CROSSING_MS = 1_000  # more than a request takes to be read
+_SHOWN = 60  # bytes of a body in what shows a broken promise
+_SUCCESS = range(200, 300)
+_OWN_REFUSALS = frozenset((408, 421, 429, 503))  # each says: it has not run
+_MAY_BE_OWN = frozenset((502, 504)) | _OWN_REFUSALS
+
+
+@dataclass(slots=True)
+class Record:
+    """All that is known of a soak when it is over."""
+
+    calls: Sequence[Call]
+    lives: Sequence[Life]
+    runs: dict[str, list[JournalEntry]] = field(default_factory=dict)
+
+    @classmethod
+    def of(
+        cls,
+        calls: Sequence[Call],
+        lives: Sequence[Life],
+        entries: Sequence[JournalEntry],
+    ) -> 'Record':
+        """Return the record with runs grouped by request."""
+        runs = defaultdict(list)
+        for entry in entries:
+            runs[entry.request].append(entry)
+        return cls(calls, lives, runs)
+
+    def has_run(self, call: Call) -> bool:
+        """Tell whether a worker has run a request."""
+        return call.ask.attempt in self.runs
+
+    def ran_whole(self, call: Call) -> bool:
+        """Tell whether every worker came to the end of its answer."""
+        runs = self.runs.get(call.ask.attempt, ())
+        return all(run.outcome == Outcome.ran for run in runs)
+
+    def was_killed(self, call: Call) -> bool:
+        """Tell whether the node was killed while a connection was open."""
+        return any(
+            _overlap(call.opened_ms, call, life.killed_ms, life.ended_ms)
+            for life in self._lives_at(call)
+        )
+
+    def was_stopping(self, call: Call) -> bool:
+        """Tell whether the node stopped while a connection was open."""
+        return any(
+            _overlap(call.opened_ms, call, life.stopped_ms, life.ended_ms)
+            for life in self._lives_at(call)
+        )
+
+    def was_paused(self, call: Call) -> bool:
+        """Tell whether the node was paused while a call was under way."""
+        return any(
+            _overlap(call.sent_ms, call, *pause)
+            for life in self._lives_at(call)
+            for pause in life.pauses
+        )
+
+    def _lives_at(self, call: Call) -> Iterator[Life]:
+        return (life for life in self.lives if life.node == call.ask.node)
+
+
+def _overlap(
+    since_ms: float, call: Call, begun_ms: float | None, ended_ms: float | None
+) -> bool:
+    """Tell whether a span touches a call, counted from some moment of it."""
+    if begun_ms is None or begun_ms > call.done_ms:
+        return False
+    return ended_ms is None or ended_ms >= since_ms
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """A broken promise, and what shows it."""
+
+    rule: str
+    evidence: str
+
+
+Rule = Callable[[Record], Iterator[str]]
+RULES: dict[str, Rule] = {}
+
+
+def _rule(name: str) -> Callable[[Rule], Rule]:
+    def register(rule: Rule) -> Rule:
+        RULES[name] = rule
+        return rule
+
+    return register
+
+
+def _own(record: Record, end: End) -> Iterator[Call]:
+    """Yield the calls with an end that no relay can have caused."""
+    for call in record.calls:
+        if call.end is end and not call.ask.is_relayed:
+            yield call
+
+
+@_rule('ran, and its connection closed without an answer')
+def lost(record: Record) -> Iterator[str]:
+    """Yield requests that were passed on and got no answer."""
+    for call in _own(record, End.closed):
+        if record.has_run(call) and not record.was_killed(call):
+            yield _told(call, record)
+
+
+@_rule('a connection closed without an answer while its node lived')
+def closed(record: Record) -> Iterator[str]:
+    """Yield requests that were not passed on, and not answered either.
+
+    One that crosses the end of an idle connection is not read.
+    """
+    for call in _own(record, End.closed):
+        crosses = call.done_ms - call.sent_ms < _CROSSING_MS
+        crosses = crosses or record.was_paused(call)
+        ends = record.was_stopping(call) and crosses
+        if not (ends or record.was_killed(call) or record.has_run(call)):
+            yield _told(call, record)
+
+
+@_rule('no answer came at all')
+def silent(record: Record) -> Iterator[str]:
+    """Yield requests whose callers waited in vain."""
+    for call in _own(record, End.silent):
+        yield _told(call, record)
+
+
+@_rule('answered as not run, and ran')
+def refused(record: Record) -> Iterator[str]:
+    """Yield refusals that were not true, or are not any more."""
+    for call in record.calls:
+        is_refusal = call.status in _OWN_REFUSALS and not call.stamp
+        if is_refusal and record.has_run(call):
+            yield _told(call, record)
+
+
+@_rule('ran twice')
+def repeated(record: Record) -> Iterator[str]:
+    """Yield requests that may run once and ran more often."""
+    for call in record.calls:
+        runs = record.runs.get(call.ask.attempt, [])
+        if len(runs) > 1 and not call.ask.is_idempotent:
+            yield _told(call, record)
+
+
+@_rule('not the answer to its request')
+def mixed(record: Record) -> Iterator[str]:
+    """Yield answers of other requests, and bodies that are not whole."""
+    for call in record.calls:
+        if call.end is End.answered and not _fits(call, record):
+            yield _told(call, record)
+
+
+def _fits(call: Call, record: Record) -> bool:
+    ask = call.ask
+    if call.answer_id and call.answer_id != ask.attempt:
+        return False
+    if not call.stamp:
+        return call.status not in _SUCCESS
+    if call.stamp != f'{ask.attempt}.{call.status}':
+        return False
+    body = body_of(ask.attempt, ask.plan.size)
+    if ask.plan.form == Form.unframed and not record.ran_whole(call):
+        # Without a length, the end of a killed worker looks like any other.
+        return body.startswith(call.body)
+    return call.body == body
+
+
+@_rule('a proper request was denied or failed inside')
+def denied(record: Record) -> Iterator[str]:
+    """Yield answers of a node's own that no fault explains."""
+    for call in record.calls:
+        own = call.end is End.answered and not call.stamp
+        if own and call.status not in _MAY_BE_OWN:
+            yield _told(call, record)
+
+
+@_rule('a process did not end as it should')
+def ended(record: Record) -> Iterator[str]:
+    """Yield lives that ended by themselves or with a failure."""
+    for life in record.lives:
+        is_over = not life.process.is_running
+        by_itself = life.stopped_ms is None and life.killed_ms is None
+        failed = life.status not in {None, 0}
+        if life.status == -SIGTERM and not life.has_started:
+            failed = False
+        if (is_over and by_itself) or failed:
+            yield f'{life.node} pid {life.process.pid} status {life.status}'
+
+
+def _told(call: Call, record: Record) -> str:
+    runs = [
+        (run.worker, run.started_ms, run.finished_ms, run.outcome)
+        for run in record.runs.get(call.ask.attempt, ())
+    ]
+    ask = replace(call.ask, body=call.ask.body[:_SHOWN])
+    return f'{replace(call, ask=ask, body=call.body[:_SHOWN])} runs {runs}'
+
+
+def judge(record: Record) -> list[Broken]:
+    """Return each broken promise."""
+    return list(
+        chain.from_iterable(
+            (Broken(name, evidence) for evidence in rule(record))
+            for name, rule in RULES.items()
+        )
+    )
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,151 @@
+"""One soak: a fleet, callers, faults, and the verdict."""
+
+import time
+from collections import Counter
+from contextlib import closing
+from dataclasses import dataclass
+from functools import partial
+from itertools import count
+from pathlib import Path
+from random import Random
+from threading import Event, Thread
+
+from urllib3.exceptions import HTTPError
+
+from bench.deployment import wait_for
+from tests.soak.callers import Call, Callers
+from tests.soak.faults import Lane
+from tests.soak.fleet import KEYED, PLAIN, SoakFleet
+from tests.soak.judge import Broken, Record, judge
+
+FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
+_SERVED_S = 60  # after everything is mended
+_LATE_S = 4  # for what runs late
+_SHOWN = 12  # of what is broken
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What a soak is to be."""
+
+    seed: int
+    seconds: float
+    nodes: int = 4
+    callers: int = 16
+    lanes: int = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What a soak did and found."""
+
+    options: Options
+    calls: list[Call]
+    runs: int
+    faults: list[str]
+    broken: list[Broken]
+
+    def __str__(self) -> str:
+        """Return the report as lines."""
+        ends = Counter(str(call.end) for call in self.calls)
+        statuses = Counter(call.status for call in self.calls if call.status)
+        told = [line.partition(' ')[2] for line in self.faults]
+        kinds = Counter(
+            line.partition(':')[0]
+            for line in told
+            if not line.startswith('mended')
+        )
+        lines = [
+            f'{self.options}',
+            f'{len(self.calls)} requests, {self.runs} runs',
+            f'ends: {dict(ends)}; statuses: {dict(sorted(statuses.items()))}',
+            f'injected: {dict(sorted(kinds.items()))}',
+        ]
+        lines += [
+            f'BROKEN {rule}: {times}'
+            for rule, times in Counter(
+                each.rule for each in self.broken
+            ).items()
+        ]
+        lines += [f'  {each}' for each in self.broken[:_SHOWN]]
+        return '\n'.join((*lines, f'{len(self.broken)} broken'))
+
+
+def _inject(fleet: SoakFleet, options: Options) -> list[Lane]:
+    """Strike for the time of the soak; return the lanes, all mended."""
+    halt = Event()
+    lanes = [
+        Lane(fleet, Random(f'{options.seed} lane {number}'))
+        for number in range(options.lanes)
+    ]
+    threads = [
+        Thread(target=lane.run_until, args=(halt,), daemon=True)
+        for lane in lanes
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(options.seconds)
+    halt.set()
+    for ending in threads:
+        ending.join()
+    return lanes
+
+
+def _is_served(
+    fleet: SoakFleet, name: str, service: str, numbers: 'count[int]'
+) -> bool:
+    number = next(numbers)
+    answer = fleet.ask(
+        fleet.members[name],
+        f'/{service}/safe/x',
+        f'after-{number}',
+        Shard_Key=str(number * 997 % 65_536),
+    )
+    return answer.status == 200
+
+
+def _await_served(fleet: SoakFleet) -> list[Broken]:
+    """Wait until each service is served at each door."""
+    numbers = count()
+    for name in fleet.members:
+        for service in (KEYED, PLAIN):
+            served = partial(_is_served, fleet, name, service, numbers)
+            try:
+                wait_for(f'{service} at {name}', served, _SERVED_S)
+            except (TimeoutError, HTTPError) as late:
+                return [Broken('not served again', repr(late))]
+    return []
+
+
+def run(options: Options) -> Report:
+    """Run a soak; the logs of one that fails stay under `build/`."""
+    with closing(SoakFleet(options.nodes)) as fleet:
+        fleet.wait_ready()
+        callers = Callers(fleet, options.callers, options.seed)
+        callers.start()
+        lanes = _inject(fleet, options)
+        broken = _await_served(fleet)
+        calls = callers.finish()
+        time.sleep(_LATE_S)
+        entries = fleet.entries()
+        record = Record.of(calls, fleet.lives, entries)
+        broken += judge(record)
+        broken += [
+            Broken('an injection failed', failure)
+            for lane in lanes
+            for failure in lane.failed
+        ]
+        faults = sorted(line for lane in lanes for line in lane.log)
+        report = Report(options, calls, len(entries), faults, broken)
+        if broken:
+            _keep_logs(fleet, report)
+    return report
+
+
+def _keep_logs(fleet: SoakFleet, report: Report) -> None:
+    folder = FOLDER / f'seed-{report.options.seed}'
+    fleet.keep_logs(folder)
+    lines = [f'{each.rule}: {each.evidence}' for each in report.broken]
+    lives = [str(life) for life in fleet.lives]
+    content = '\n'.join((str(report), *lines, *lives, *report.faults))
+    (folder / 'report.txt').write_text(content)
--- /dev/null
+++ b/tests/soak/worker/__init__.py
@@ -0,0 +1,1 @@
+"""A worker that answers as each request asks, sound or broken."""
--- /dev/null
+++ b/tests/soak/worker/main.py
@@ -0,0 +1,175 @@
+"""The command line of the worker, and its connections."""
+
+import socket
+from argparse import ArgumentParser, Namespace
+from collections.abc import Iterator
+from contextlib import closing, suppress
+from typing import Any, BinaryIO
+
+import eventlet
+
+from standins.clock import MS_PER_SECOND
+from standins.journal.entry import Outcome
+from standins.relay.pair import RESET_ON_CLOSE
+from standins.reporter.holds import Holds
+from standins.reporter.reports import Reports
+from standins.serving import BACKLOG, HOST
+from standins.worker.bodies import body_of
+from standins.worker.journal import Journal
+from standins.worker.orders import Order
+from tests.soak.plans import Break, Form, Plan
+
+_PIECE = 4_096  # bytes of a chunk
+_MISDIRECTED = 421
+_BUSY = 503
+
+
+class _BrokenOffError(Exception):
+    """The answer ends here, and its connection with it."""
+
+
+def _parse_options() -> Namespace:
+    parser = ArgumentParser(prog='tests.soak.worker')
+    for option in ('--name', '--service', '--node-url', '--journal-url'):
+        parser.add_argument(option, required=True)
+    parser.add_argument('--sharded', action='store_true')
+    for number, default in (('port', 0), ('slots', 30), ('report-ms', 200)):
+        parser.add_argument(f'--{number}', type=int, default=default)
+    return parser.parse_args()
+
+
+def _read_head(stream: BinaryIO) -> tuple[str, str, dict[str, str]]:
+    method, target, _ = stream.readline().decode().split()
+    headers = {}
+    while line := stream.readline().strip().decode():
+        name, _, text = line.partition(':')
+        headers[name.lower()] = text.strip()
+    return method, target, headers
+
+
+def _head(status: int, **headers: object) -> bytes:
+    lines = [f'HTTP/1.1 {status} Told']
+    lines += [
+        f'{name.replace("_", "-")}: {text}' for name, text in headers.items()
+    ]
+    return '\r\n'.join((*lines, '', '')).encode()
+
+
+def _pieces(body: bytes, form: Form) -> Iterator[bytes]:
+    for start in range(0, len(body), _PIECE):
+        piece = body[start : start + _PIECE]
+        if form == Form.chunked:
+            piece = b'%x\r\n%b\r\n' % (len(piece), piece)
+        yield piece
+    if form == Form.chunked:
+        yield b'0\r\n\r\n'
+
+
+class _Worker:
+    def __init__(self, options: Namespace, holds: Holds | None) -> None:
+        self._options = options
+        self._holds = holds
+        self._journal = Journal(options.name, options.journal_url)
+        self._running = 0
+
+    def serve(self, sock: socket.socket) -> None:
+        """Serve one connection until either side ends it."""
+        ended = OSError, ValueError, _BrokenOffError
+        with closing(sock), suppress(*ended), sock.makefile('rb') as stream:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            while True:
+                self._serve_one(sock, stream)
+
+    def _serve_one(self, sock: socket.socket, stream: BinaryIO) -> None:
+        method, target, headers = _read_head(stream)
+        size = int(headers.get('content-length', '0'))
+        if len(stream.read(size)) < size:
+            raise _BrokenOffError
+        query = target.partition('?')[2]
+        attempt = headers.get('attempt-id', '')
+        refused = self._refusal(headers)
+        if refused:
+            facts = {'Attempt_Id': attempt, 'Not_Executed': 1}
+            sock.sendall(_head(refused, Content_Length=0, **facts))
+            return
+        order = _order(attempt, self._options.service, method)
+        self._run(sock, Plan.parse(query), order)
+
+    def _refusal(self, headers: dict[str, str]) -> int:
+        key = int(headers.get('shard-key', '-1'))
+        if headers.get('target-instance') != self._options.name:
+            return _MISDIRECTED
+        if self._holds and not self._holds.admits(key):
+            return _MISDIRECTED
+        return _BUSY if self._running >= self._options.slots else 0
+
+    def _run(self, sock: socket.socket, plan: Plan, order: Order) -> None:
+        self._running += 1
+        entry = self._journal.start(order)
+        outcome = Outcome.cut
+        try:
+            self._answer(sock, plan, order.request)
+            outcome = Outcome.ran
+        finally:
+            self._running -= 1
+            self._journal.finish(entry, outcome)
+
+    def _answer(self, sock: socket.socket, plan: Plan, attempt: str) -> None:
+        eventlet.sleep(plan.work_ms / MS_PER_SECOND)
+        if plan.breaks == Break.before:
+            raise _BrokenOffError
+        sock.sendall(_answer_head(plan, attempt))
+        eventlet.sleep(plan.body_ms / MS_PER_SECOND)
+        body = body_of(attempt, plan.size)
+        pieces = list(_pieces(body, plan.form))
+        if plan.breaks != Break.nowhere:
+            pieces = pieces[: len(pieces) // 2]
+        for piece in pieces:
+            sock.sendall(piece)
+        if plan.breaks == Break.reset:
+            linger = socket.SOL_SOCKET, socket.SO_LINGER
+            sock.setsockopt(*linger, RESET_ON_CLOSE)
+        if plan.breaks != Break.nowhere or plan.form == Form.unframed:
+            raise _BrokenOffError
+
+
+def _answer_head(plan: Plan, attempt: str) -> bytes:
+    headers: dict[str, object] = {
+        'Attempt_Id': attempt,
+        'Response_Stamp': f'{attempt}.{plan.status}',
+    }
+    if plan.form == Form.length:
+        headers['Content_Length'] = plan.size
+    elif plan.form == Form.chunked:
+        headers['Transfer_Encoding'] = 'chunked'
+    else:
+        headers['Connection'] = 'close'
+    return _head(plan.status, **headers)
+
+
+def _order(attempt: str, service: str, method: str) -> Order:
+    return Order(
+        request=attempt,
+        key='',
+        service=service,
+        shard=None,
+        token=None,
+        method=method,
+        deadline_ms=None,
+        work_ms=None,
+        crash=False,
+        download_bytes=None,
+        chunk_ms=0,
+        chunk_bytes=_PIECE,
+    )
+
+
+def main() -> None:
+    """Run the worker until the process ends."""
+    options = _parse_options()
+    holds = Holds() if options.sharded else None
+    eventlet.spawn_n(Reports(options, holds).run)
+    worker = _Worker(options, holds)
+    listener: Any = socket.create_server((HOST, options.port), backlog=BACKLOG)
+    while True:
+        eventlet.spawn_n(worker.serve, listener.accept()[0])
