--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -22,8 +22,14 @@
     Then its connection is reset
     And event "answer-cut" names the request and "the link was lost"
 
-
   Scenario: an answer of no length that breaks off does not look whole
     Given a server of callers whose application fails midway
     When a caller of HTTP/1.0 sends a request
     Then its connection is reset
+
+  # Guards against work for callers that left while a link was being made.
+  Scenario: a request is not passed on once its caller has gone
+    Given a router whose callers leave while a link is made
+    When a request is sent through it
+    Then nothing went over that link
+    And the request ends as not run
