End a node that is told to stop while it can't join

Callers of a node that joins again (its lease lapsed, its door still answering) lost what was under way when it was stopped with the store away: it went on asking the store for ever and was killed after the grace. A node that stops gives up a call of the store that is not answered, and leaves.

--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -1,6 +1,7 @@
 """The node: its listeners, and one incarnation after another."""
 
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from typing import Any, TypeVar
 
 import eventlet
@@ -8,7 +9,11 @@
 from laburnumwood.borders import BORDERS
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.daemon.incarnation import Incarnation
-from laburnumwood.errors import PlatformError, SettingsError
+from laburnumwood.errors import (
+    NodeStoppingError,
+    PlatformError,
+    SettingsError,
+)
 from laburnumwood.events import (
     NODE_ID_TAKEN,
     NODE_JOINED,
@@ -89,7 +94,10 @@
         ended: NodeName | None = None
         while not self._is_stopping:
             is_first = self._incarnation is None
-            incarnation = self._join(ended)
+            try:
+                incarnation = self._join(ended)
+            except NodeStoppingError:
+                break
             NODE_JOINED.report(node=incarnation.name)
             if is_first:
                 eventlet.spawn_n(self._end_earlier, incarnation.name)
@@ -244,7 +252,8 @@
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         if self._incarnation is not None:
             self._incarnation.tell_left()
-        self._persist(lambda: end_earlier(self._platform, name))
+        with suppress(NodeStoppingError):
+            self._persist(lambda: end_earlier(self._platform, name))
 
     def _is_back(self) -> bool:
         incarnation = self._incarnation
@@ -252,12 +261,18 @@
         return self.worker.is_clear and is_told
 
     def _persist(self, call: Callable[[], _Found]) -> _Found:
+        """Make a call of the store until it is answered.
+
+        Raises `NodeStoppingError` once the node is told to stop.
+        """
         while True:
             try:
                 return call()
-            except PlatformError:
+            except PlatformError as failure:
                 # The guarded store has told of it.
-                eventlet.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
+                if self._is_stopping:
+                    raise NodeStoppingError from failure
+            eventlet.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
 
     def _close(self, incarnation: Incarnation) -> NodeName | None:
         """Return the name of an incarnation that has ended by now.
--- a/tests/features/starting.feature
+++ b/tests/features/starting.feature
@@ -19,3 +19,9 @@
       | []                              |
       | {"door_address": 7}             |
       | {"door_address": "nowhere:x"}   |
+
+  # Guards against a stop that waits for a store that does not answer.
+  Scenario: a node that has not joined yet ends when it is told to
+    Given a node whose store does not answer
+    When it is told to stop while it joins
+    Then it ends with status 0 within 4 s
--- a/tests/features/steps/starting_steps.py
+++ b/tests/features/steps/starting_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from bench.deployment import Process, free_port, wait_for
 from laburnumwood import listening
 from laburnumwood.listening import listen, open_early
 
@@ -70,3 +71,36 @@
 @then('nothing was opened')
 def check_nothing(_context: Context) -> None:
     assert not listening._opened
+
+
+@given('a node whose store does not answer')
+def start_node(context: Context) -> None:
+    nowhere = f'http://{HOST}:{free_port()}'
+    settings = {
+        'node_id': 'a',
+        'failure_domain': 'x',
+        'peer_port': free_port(),
+        'door_port': free_port(),
+        'platform_url': nowhere,
+        'worker_url': nowhere,
+        'service': 's',
+        'capacity_owner': 's',
+        'shared_key': 'a key of the tests only',
+    }
+    _write(context, json.dumps(settings))
+    arguments = '--settings', str(context.path)
+    log = context.path.with_name('node.log')
+    context.node = Process('laburnumwood.daemon.main', *arguments, log=log)
+    context.add_cleanup(context.node.kill)
+
+
+@when('it is told to stop while it joins')
+def stop_node(context: Context) -> None:
+    log = context.node.log
+    wait_for('start', lambda: 'store-unreach' in log.read_text(), LIMIT_S)
+    context.node.terminate()
+
+
+@then('it ends with status {status:d} within {limit:d} s')
+def check_end(context: Context, status: int, limit: int) -> None:
+    assert context.node.wait(limit) == status
