Send a request once to each gate that has no room

Callers waited longer for a refusal, and nodes spent processor time on it: a request that any node of a service may answer was sent to up to three of them in a row, and where fewer were left, to the same full gate again.

The scenario 'a request is sent once to each gate that has no room' saw a, a, a and a, b, a before.

A request now remembers which nodes had no room, is sent to others only, and ends with the last gate's refusal when there are none. Links that were lost and workers that took no connection are tried again as before.

--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -174,12 +174,15 @@
         while True:
             work = self._placed(work, inquiry.work.shard)
             sign = self._sign(work)
-            tries.target = self._target(work)
+            tries.target = self._target(work, tries)
             reply = self._try(work, inquiry.body, tries, caller)
             if not isinstance(reply, Failure):
                 return reply
             tries.note(reply)
-            pause_ms = None if caller.is_gone else tries.pause_ms(reply)
+            nodes = self._view.live_in(work.service)
+            pause_ms = None
+            if not caller.is_gone:
+                pause_ms = tries.pause_ms(reply, nodes)
             tries.tell(reply, pause_ms)
             if pause_ms is None:
                 # An earlier try may have run, whatever the last one proves.
@@ -208,14 +211,18 @@
             return 0, None
         return entry.version, acting(entry.record, self._view)
 
-    def _target(self, work: Work) -> NodeName | None:
+    def _target(self, work: Work, tries: Tries) -> NodeName | None:
         if work.shard < 0:
-            return self._spread.choose(
-                self._view.live_in(work.service), work.priority
-            )
+            return self._choose(work, tries)
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         return acting(entry.record, self._view) if entry else None
 
+    def _choose(self, work: Work, tries: Tries) -> NodeName | None:
+        nodes = self._view.live_in(work.service)
+        return self._spread.choose(
+            tries.open_among(nodes) or nodes, work.priority
+        )
+
     def _try(
         self, work: Work, body: bytes, tries: Tries, caller: Caller
     ) -> Reply | Failure:
--- a/laburnumwood/routing/tries.py
+++ b/laburnumwood/routing/tries.py
@@ -1,10 +1,12 @@
 """When a request that failed is sent once more."""
 
+from collections.abc import Mapping
+
 from laburnumwood.admission.retries import RetryBudget
 from laburnumwood.clock import Clock
 from laburnumwood.events import REQUEST_AGAIN, REQUEST_FAILED
 from laburnumwood.protocol.messages import Failure
-from laburnumwood.records import NodeName
+from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.inquiry import Inquiry
 
 PATIENCE_MS = 3_000  # how long a request waits for an owner at the most
@@ -17,6 +19,8 @@
 _TURNED_AWAY = frozenset(('overloaded', 'worker-unreachable', 'link-lost'))
 _AT_WORKER = frozenset(('refused', 'worker-cut', 'deadline'))
 
+Nodes = Mapping[NodeName, NodeRecord]
+
 
 class Tries:
     """The tries of one request, and whether there is to be another.
@@ -45,6 +49,7 @@
         }
         self._count = 0
         self.target: NodeName | None = None  # that the last try went to
+        self._full: set[NodeName] = set()
         self._at_workers = 0
         self._elsewhere = 0
         self._may_have_run = False
@@ -63,6 +68,18 @@
         """Take in how a try failed."""
         self._may_have_run = self._may_have_run or told.ran
         self._at_workers += told.ran or told.kind in _AT_WORKER
+        if told.kind == 'overloaded' and self.target is not None:
+            self._full.add(self.target)
+
+    def open_among(self, nodes: Nodes) -> Nodes:
+        """Return the nodes that have not yet said that they have no room."""
+        if not self._full:
+            return nodes
+        return {
+            name: record
+            for name, record in nodes.items()
+            if name not in self._full
+        }
 
     def tell(self, told: Failure, pause_ms: int | None) -> None:
         """Log how a try failed and what follows."""
@@ -84,14 +101,17 @@
             retry_after_ms=told.retry_after_ms,
         )
 
-    def pause_ms(self, told: Failure) -> int | None:
-        """Return how long to wait before the next try, None to give up."""
+    def pause_ms(self, told: Failure, nodes: Nodes) -> int | None:
+        """Return how long to wait before the next try, None to give up.
+
+        `nodes` are those that serve requests of this kind now.
+        """
         if self._clock.now_ms() + _LEAST_LEFT_MS >= self._until_ms:
             return None
         if not told.ran and told.kind in self._patient_until_ms:
             return self._owner_pause_ms(self._patient_until_ms[told.kind])
         if not told.ran and self._has_choice and told.kind in _TURNED_AWAY:
-            return self._elsewhere_pause_ms()
+            return self._elsewhere_pause_ms(told, nodes)
         if not self._may_repeat(told) or not self._budget.spend():
             return None
         return 0 if self._has_choice else _LEAST_LEFT_MS
@@ -109,7 +129,9 @@
             return 0
         return min(_OWNER_WAIT_MS, left_ms)
 
-    def _elsewhere_pause_ms(self) -> int | None:
+    def _elsewhere_pause_ms(self, told: Failure, nodes: Nodes) -> int | None:
+        if told.kind == 'overloaded' and not self.open_among(nodes):
+            return None
         self._elsewhere += 1
         return 0 if self._elsewhere < _MOST_ELSEWHERE else None
 
--- a/tests/features/routes.feature
+++ b/tests/features/routes.feature
@@ -38,6 +38,18 @@
       | unsafe     | not divided | overloaded:not overloaded:not overloaded:not | ends and has not run |
       | unsafe     | divided     | overloaded:not                      | ends and has not run   |
 
+  # Guards against doors that ask a full gate again and again (SHORT of inc1).
+  Scenario Outline: a request is sent once to each gate that has no room
+    Given the gates of the nodes "<nodes>" of a service have no room
+    When a request comes that any of them may answer
+    Then each gate is asked once and the request is sent away
+
+    Examples:
+      | nodes |
+      | a     |
+      | a b   |
+      | a b c |
+
   Scenario: retries of one service leave the budget of another alone
     Given retry budgets of a tenth
     When 100 requests of "a" and 100 of "b" come
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -9,18 +9,32 @@
 from behave.runner import Context
 
 from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations, Route, Service
 from laburnumwood.decay import DecayingRate
 from laburnumwood.errors import PlatformUnreachableError
+from laburnumwood.membership.directory import Directory
+from laburnumwood.placement.loads import LoadBook
 from laburnumwood.protocol.messages import Work
+from laburnumwood.records import NodeName, NodeRecord
+from laburnumwood.routing.exchange import Outgoing, local_pair
 from laburnumwood.routing.inquiry import Inquiry
 from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
+from laburnumwood.routing.spread import Spread
 from laburnumwood.routing.tries import Tries
 from laburnumwood.store.breaker import GuardedStore
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
 
+NODES = {
+    NodeName(name, 1): NodeRecord(
+        1, (1,), 'h', 1, 1, 1, f'domain {name}', 's', 'o', 20, 100
+    )
+    for name in ('a', 'b', 'c')
+}
+
 
 def _route(host: str, prefix: str, **weights: int) -> Route:
     return Route(
@@ -91,7 +105,7 @@
         kind, _, ran = each.partition(':')
         told = failure(kind, 'detail', ran=ran == 'ran')
         context.tries.note(told)
-        context.pause_ms = context.tries.pause_ms(told)
+        context.pause_ms = context.tries.pause_ms(told, NODES)
 
 
 @then('it is sent again at once')
@@ -111,6 +125,72 @@
     assert context.tries.may_have_run is may
 
 
+class FullNodes:
+    """Nodes of a service whose gates send every request away."""
+
+    def __init__(self, names: list[str]) -> None:
+        self.directory = Directory()
+        self.asked: list[str] = []
+        self._nodes = {
+            name: record
+            for name, record in NODES.items()
+            if name.node_id in names
+        }
+
+    def live_in(self, _service: str) -> dict[NodeName, NodeRecord]:
+        """Return the nodes."""
+        return dict(self._nodes)
+
+    def open_stream(self, target: NodeName) -> Outgoing:
+        """Return an exchange with the gate of a node."""
+        near, far = local_pair()
+        self.asked.append(target.node_id)
+        far.send(failure('overloaded', 'no slot is free', ran=False))
+        return near
+
+
+class StayingCaller:
+    """A caller that waits for its answer."""
+
+    is_gone = False
+
+    def when_gone(self, act: Any) -> None:
+        """Do nothing: it does not go."""
+
+
+@given('the gates of the nodes "{names}" of a service have no room')
+def make_full_nodes(context: Context, names: str) -> None:
+    clock = Clock()
+    fleet: Any = FullNodes(names.split())
+    serve: Any = None
+    spread = Spread(LoadBook(clock), 'x', Random(1), clock)
+    context.fleet = fleet
+    context.router = Router(
+        NodeName('door', 1),
+        fleet,
+        fleet,
+        serve,
+        spread,
+        RetryBudgets(1, clock),
+        clock,
+    )
+
+
+@when('a request comes that any of them may answer')
+def send_to_full(context: Context) -> None:
+    inquiry = Inquiry(_work(idempotent=True, shard=-1), b'')
+    caller: Any = StayingCaller()
+    context.reply = context.router.send(inquiry, caller)
+
+
+@then('each gate is asked once and the request is sent away')
+def check_asked(context: Context) -> None:
+    nodes = sorted(name.node_id for name in context.fleet.live_in('s'))
+    assert sorted(context.fleet.asked) == nodes, context.fleet.asked
+    assert context.reply.kind == 'overloaded', context.reply
+    assert not context.reply.ran
+
+
 @given('retry budgets of a tenth')
 def make_budgets(context: Context) -> None:
     context.budgets = RetryBudgets(0.1, FakeClock())
