Keep the limit of a worker that rejects requests with free slots

Callers saw calls refused for want of a slot at workers that were idle: a worker that rejects half of what it gets, at any load, looked overloaded. Each such rejection lowered its gate's limit by a tenth (once in 200 ms), more than good answers raise it, and the limit went from 18 to 4 or 5 in 7 s; it took several seconds more to come back after the last rejection.

A rejection that says in Server-Load that slots are free and nobody waits is now 'rejected', not 'refused': it is sent elsewhere within the retry budget as before and leaves the limit alone. Without a readable load it counts as before. The scenarios read a load of 4,0,18 as 'refused' before, and knew no such result.

--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -22,6 +22,7 @@
     UNTRIED = 'the worker was not asked'
     SERVED = 'the worker answered'
     REFUSED = 'the worker refused it for its load'
+    REJECTED = 'the worker rejected it with slots free'
     LOST = 'the worker gave no whole answer'
 
 
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -5,13 +5,19 @@
 from laburnumwood.errors import WorkerCutError
 from laburnumwood.platform.names import (
     ID_HEADER,
+    LOAD_HEADER,
     NOT_RUN_HEADER,
     ORIGIN_HEADER,
     STAMP_HEADER,
     TIME_LEFT_HEADER,
     WORKER_HEADER,
 )
-from laburnumwood.routing.dialect import NOT_OWNER, REFUSED, Headers
+from laburnumwood.routing.dialect import (
+    NOT_OWNER,
+    REFUSED,
+    REJECTED,
+    Headers,
+)
 from laburnumwood.routing.run import Run
 from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.reporting import ReportingWorker
@@ -20,11 +26,22 @@
 _ID = ID_HEADER.lower()
 _STAMP = STAMP_HEADER.lower()
 _NOT_RUN = NOT_RUN_HEADER.lower()
+_LOAD = LOAD_HEADER.lower()
+_LOAD_PARTS = 3
 _SET_HERE = frozenset(
     name.lower() for name in (TIME_LEFT_HEADER, WORKER_HEADER, ORIGIN_HEADER)
 )
 
 
+def _has_room(load: str) -> bool:
+    """Tell whether a worker says that it has a free slot."""
+    parts = load.split(',')
+    if len(parts) != _LOAD_PARTS or not all(map(str.isdecimal, parts)):
+        return False
+    running, waiting, slots = map(int, parts)
+    return not waiting and running < slots
+
+
 class WorkerDialect:
     """The headers of the platform's workers."""
 
@@ -53,7 +70,7 @@
         """Return the kind of problem if a request did not run, else None."""
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             return NOT_OWNER
-        return REFUSED
+        return REJECTED if _has_room(answer.index.first(_LOAD)) else REFUSED
 
     def check(self, run: Run, answer: WorkerAnswer) -> None:
         """Raise `WorkerCutError` if an answer is not that to a request.
--- a/laburnumwood/routing/dialect.py
+++ b/laburnumwood/routing/dialect.py
@@ -11,6 +11,7 @@
 
 NOT_OWNER = 'not-owner'
 REFUSED = 'refused'
+REJECTED = 'rejected'
 
 
 class Dialect(Protocol):
--- a/laburnumwood/routing/observed.py
+++ b/laburnumwood/routing/observed.py
@@ -10,6 +10,7 @@
 _SHEDDING = frozenset((429, 503))
 _RESULT_OF = {
     'refused': Result.REFUSED,
+    'rejected': Result.REJECTED,
     'worker-cut': Result.LOST,
     'worker-unreachable': Result.LOST,
 }
--- a/laburnumwood/routing/outcome.py
+++ b/laburnumwood/routing/outcome.py
@@ -62,6 +62,11 @@
     'refused': Problem(
         HTTPStatus.SERVICE_UNAVAILABLE, 'The worker refused the request', 500
     ),
+    'rejected': Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'The worker rejected the request though it has free slots',
+        500,
+    ),
     'still-running': Problem(
         HTTPStatus.CONFLICT, 'The request still runs', 1_000
     ),
--- a/laburnumwood/routing/tries.py
+++ b/laburnumwood/routing/tries.py
@@ -17,7 +17,8 @@
 
 _MAY_PASS = frozenset(('link-lost', 'worker-cut', 'worker-unreachable'))
 _TURNED_AWAY = frozenset(('overloaded', 'worker-unreachable', 'link-lost'))
-_AT_WORKER = frozenset(('refused', 'worker-cut', 'deadline'))
+_REFUSED = frozenset(('refused', 'rejected'))
+_AT_WORKER = _REFUSED | {'worker-cut', 'deadline'}
 
 Nodes = Mapping[NodeName, NodeRecord]
 
@@ -138,6 +139,6 @@
     def _may_repeat(self, told: Failure) -> bool:
         if self._at_workers >= self._attempts:
             return False
-        if told.kind == 'refused':
+        if told.kind in _REFUSED:
             return self._has_choice and not self._may_have_run
         return told.kind in _MAY_PASS and self._work.idempotent
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -13,6 +13,18 @@
     When 20 requests of different keys come
     Then 2 run, 4 wait and 14 are shed
 
+  # Guards against losing slots to a worker that rejects at random (SHORT of
+  # inc1): its rejections say nothing of its load.
+  Scenario Outline: refusals for its load cost a worker slots, others do not
+    When the worker ends 50 requests with "<result>" over 5 s
+    And 20 requests of different keys come
+    Then <run> run, 8 wait and <shed> are shed
+
+    Examples:
+      | result   | run | shed |
+      | REFUSED  | 1   | 11   |
+      | REJECTED | 4   | 8    |
+
   Scenario: a hot key fills only its share of the queue
     When 50 requests of key "hot" come
     And a request of key "cold" comes
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -117,6 +117,17 @@
     context.bench.answer(context.bench.having(State.RUNNING)[0])
 
 
+@when('the worker ends {count:d} requests with "{result}" over {span:d} s')
+def end_many(context: Context, count: int, result: str, span: int) -> None:
+    bench = context.bench
+    for number in range(count):
+        ticket = bench.offer(f'ended-{number}')
+        bench.clock.pass_ms(span * 1_000 // count)
+        ticket.result = Result[result]
+        bench.admission.finish(ticket)
+    bench.tickets.clear()
+
+
 @when('{span:d} ms pass without an answer')
 def pass_time(context: Context, span: int) -> None:
     context.bench.clock.pass_ms(span)
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -132,6 +132,17 @@
         context.verdict = 'taken'
 
 
+@when(
+    'the platform\'s worker refuses a request with {status:d} and load "{load}"'
+)
+def refuse_with_load(context: Context, status: int, load: str) -> None:
+    index = HeaderIndex([('Not-Executed', '1'), ('Server-Load', load)])
+    answer: Any = SimpleNamespace(status=status, index=index)
+    reporting: Any = None
+    context.verdict = WorkerDialect(reporting).refusal(answer, b'')
+
+
+@then('that is read as "{what}"')
 @then('that answer is {what}')
 def check_verdict(context: Context, what: str) -> None:
     assert context.verdict == what, context.verdict
--- a/tests/features/worker_answers.feature
+++ b/tests/features/worker_answers.feature
@@ -23,6 +23,21 @@
       | 503    | Not-Executed: 1                     | taken   |
       | 503    | Attempt-Id: else, Not-Executed: 1   | refused |
 
+  Scenario Outline: a refusal with the load <load> is <kind>
+    When the platform's worker refuses a request with <status> and load "<load>"
+    Then that is read as "<kind>"
+
+    Examples:
+      | status | load    | kind      |
+      | 503    | 18,3,18 | refused   |
+      | 503    | 18,0,18 | refused   |
+      | 503    | 4,1,18  | refused   |
+      | 503    | 4,0,18  | rejected  |
+      | 429    | 4,0,18  | rejected  |
+      | 503    | 4,0     | refused   |
+      | 503    | -       | refused   |
+      | 421    | 4,0,18  | not-owner |
+
   Scenario: a connection is given back once
     Given a worker that answers every request on a connection
     When the answer to a request is given back twice and closed
