--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -300,9 +300,10 @@
         if incarnation is None:
             return
         NODE_STOPPING.report(node=incarnation.name)
+        # What the door read needs its time, however long the shards take.
+        closing = eventlet.spawn(self._turn_away, incarnation)
         incarnation.hand_over(self._patience_ms())
-        self._linger()
-        self._turn_away(incarnation)
+        closing.wait()
         self._drain(incarnation, self._patience_ms())
         self._record_end(incarnation)
         incarnation.end()
@@ -310,10 +311,11 @@
         NODE_LEFT.report(node=incarnation.name)
 
     def _turn_away(self, incarnation: Incarnation) -> None:
-        """Take nothing more of other nodes and callers.
+        """Take nothing more of callers and other nodes, after the linger.
 
-        The others may not know yet, while the store is away, that it ends.
+        These may not know yet, while the store is away, that the node ends.
         """
+        self._linger()
         incarnation.gate.close()
         if self._door is not None:
             self._door.close(self._patience_ms())
