--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -85,11 +85,13 @@
         self._handler = handler
         self._clock = clock
         self._closes_idle = closes_idle
+        self._idle_limit_ms = IDLE_MS
         self._streams: dict[int, Stream] = {}
         self._used_ms = clock.now_ms()
         self._last_number = 0
         self._last_opened = 0
         self._unheard_looks = 0
+        self._is_owed = False  # also after the stream was given up
         self._lock = Semaphore()
         self._open = True
 
@@ -124,6 +126,7 @@
         self._last_number += 1
         stream = Stream(self._last_number, self)
         self._streams[self._last_number] = stream
+        self._is_owed = True
         return stream
 
     def send(self, stream: int, message: Any) -> None:
@@ -150,6 +153,10 @@
             stream.fail(LinkLostError(f'link to {self._peer} was lost'))
         self._streams.clear()
 
+    def release(self) -> None:
+        """Let the connection end once it carries nothing."""
+        self._idle_limit_ms = 0
+
     def _end(self) -> None:
         self.close()
         # Closed before a blocked sender has left, it would never wake.
@@ -173,6 +180,7 @@
             if not received:
                 return
             self._unheard_looks = 0
+            self._is_owed = False
             self._protocol.receive_data(received)
             if self._protocol.parser_exc is not None:
                 raise ProtocolError(f'frame: {self._protocol.parser_exc}')
@@ -213,13 +221,13 @@
         is read, also after this process stood still.
         """
         now_ms = self._clock.now_ms()
-        if self._streams:
+        if self._streams or self._is_owed:
             self._used_ms = now_ms
             self._unheard_looks += 1
             self._check_silence()
             return
         self._unheard_looks = 0
-        if self._closes_idle and now_ms - self._used_ms >= IDLE_MS:
+        if self._closes_idle and now_ms - self._used_ms >= self._idle_limit_ms:
             self.close()
 
     def _check_silence(self) -> None:
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -20,6 +20,23 @@
     Then the call is answered
     And one link was made
 
+  Scenario: a call takes an answer that came before its time was over
+    Given a peer that falls silent on its first connection
+    When a call waits on the silent link for 700 ms
+    And its answer comes and the process stands still for 500 ms
+    Then the call is answered
+
+  Scenario: a silent link is lost though calls on it are short and seldom
+    Given a peer that falls silent on its first connection
+    When calls that wait for 50 ms are made 300 ms apart
+    Then one of them is answered over a second connection
+
+  Scenario: links that are released end after the calls on them
+    Given a peer that answers calls and reads no bodies
+    When its links are released under a call of 500 ms
+    Then the call is answered
+    And the link of the call is closed afterwards
+
   Scenario: a peer that refuses links is left alone for a while
     Given a peer whose address refuses connections
     When 5 calls are made one after the other
