Let near nodes of a service without keys get no more than an even share

Cause, suspected: a door takes a node of its own failure domain while half of its slots are free.

Now a door prefers near nodes only so often that, with all doors of its domain, they get an even share; the rest goes to others.

--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -35,8 +35,13 @@
         self.balancer = Balancer(
             service, own, view, self.meter, book, placement, clock
         )
+        domain = settings.failure_domain
         self.spread = Spread(
-            book, settings.failure_domain, Random(str(own)), clock
+            book,
+            domain,
+            Random(str(own)),
+            clock,
+            lambda: view.share_of(domain),
         )
         self.retries = RetryBudgets(_RETRY_SHARE, clock)
         self._exchange = LoadExchange(
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -1,5 +1,6 @@
 """What one incarnation of a node knows of the fleet."""
 
+from collections import Counter
 from collections.abc import Iterator, Set
 
 from laburnumwood.leases.seals import SealBook
@@ -17,6 +18,7 @@
         self.seals = seals
         self._live: dict[NodeName, NodeRecord] = {}
         self._live_in: dict[str, dict[NodeName, NodeRecord]] = {}
+        self._domains: Counter[str] = Counter()
         self._live_version = (-1, -1)
 
     @property
@@ -76,11 +78,19 @@
         self._refresh()
         return dict(self._live_in.get(service, {}))
 
+    def share_of(self, domain: str) -> float:
+        """Return what part of the live nodes is in a failure domain."""
+        self._refresh()
+        return self._domains[domain] / max(len(self._live), 1)
+
     def _refresh(self) -> None:
         if self._live_version == self.version:
             return
         self._live = dict(self._find_live())
         self._live_in = {}
+        self._domains = Counter(
+            record.failure_domain for record in self._live.values()
+        )
         for name, record in self._live.items():
             if not record.serves:
                 continue
--- a/laburnumwood/routing/spread.py
+++ b/laburnumwood/routing/spread.py
@@ -80,16 +80,23 @@
     Its own requests in flight come first; what nodes report of theirs counts
     less as it ages.  Nodes that failed or shed are avoided for a while.  A
     node of its own failure domain is taken while that is not busy, so that
-    few bodies cross domains.
+    few bodies cross domains, but not for more than an even share: `doors`
+    returns what part of all doors is in that domain.
     """
 
     def __init__(
-        self, loads: LoadBook, domain: str, random: Random, clock: Clock
+        self,
+        loads: LoadBook,
+        domain: str,
+        random: Random,
+        clock: Clock,
+        doors: Callable[[], float] = float,
     ) -> None:
         self._loads = loads
         self._domain = domain
         self._random = random
         self._clock = clock
+        self._doors = doors
         self._in_flight: dict[NodeName, WeakSet[SpreadExchange]] = {}
         # By node and the most urgent rank that it is avoided for.
         self._avoided_until_ms: dict[tuple[NodeName, int], int] = {}
@@ -113,15 +120,9 @@
                 nodes, key=lambda name: (avoided[name], name), default=None
             )
         loads = {name: self._load(name, nodes[name]) for name in usable}
-        near = [
-            name
-            for name in usable
-            if nodes[name].failure_domain == self._domain
-            and loads[name] < _NEAR_UNTIL
-        ]
         # Of many near nodes, too, two are drawn: doors that know the same
         # would all choose the same one.
-        drawn_from = near or usable
+        drawn_from = self._preferred(nodes, loads)
         drawn = self._random.sample(drawn_from, min(2, len(drawn_from)))
         chosen = min(drawn, key=loads.__getitem__)
         self._chosen.append(chosen)
@@ -159,6 +160,24 @@
         if not counted:
             self._in_flight.pop(target)
 
+    def _preferred(
+        self,
+        nodes: Mapping[NodeName, NodeRecord],
+        loads: Mapping[NodeName, float],
+    ) -> list[NodeName]:
+        """Return the nodes to draw from, of those whose loads are given."""
+        near = {
+            name
+            for name, record in nodes.items()
+            if record.failure_domain == self._domain
+        }
+        even = len(near) / len(nodes)
+        if self._random.random() * self._doors() > even:
+            chosen = [name for name in loads if name not in near]
+        else:
+            chosen = [name for name in near if loads.get(name, 1) < _NEAR_UNTIL]
+        return sorted(chosen) or list(loads)
+
     def _load(self, name: NodeName, record: NodeRecord) -> float:
         own = len(self._in_flight.get(name, ()))
         return max(own, self._loads.running(name)) / record.slots
--- a/tests/features/balance.feature
+++ b/tests/features/balance.feature
@@ -128,6 +128,20 @@
     When each door sends 1 request
     Then each of the nodes has between 1 and 12 of them
 
+  # Guards against near nodes that get all requests of many doors.
+  Scenario Outline: near nodes get no more than an even share of the requests
+    Given nodes "a", "b" and "c" of a service without keys
+    And <doors> of 100 doors are in the failure domain of "b"
+    When each of these doors sends 10 requests that are answered at once
+    Then "b" has between <least> and <most> in 100 of them
+
+    Examples:
+      | doors | least | most |
+      | 20    | 100   | 100  |
+      | 33    | 100   | 100  |
+      | 66    | 45    | 55   |
+      | 100   | 30    | 37   |
+
   Scenario: a node that sheds is avoided for a while
     Given nodes "a", "b" and "c" of a service without keys
     When a request to "a" is shed
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -381,6 +381,38 @@
     assert max(found) <= most, found
 
 
+@given('{doors:d} of 100 doors are in the failure domain of "{node_id}"')
+def place_doors(context: Context, doors: int, node_id: str) -> None:
+    def share() -> float:
+        return doors / 100
+
+    context.spreads = [
+        Spread(
+            context.book,
+            f'domain {node_id}',
+            Random(f'door {number}'),
+            context.clock,
+            share,
+        )
+        for number in range(doors)
+    ]
+
+
+@when('each of these doors sends {count:d} requests that are answered at once')
+def send_answered(context: Context, count: int) -> None:
+    context.chosen = Counter(
+        spread.choose(context.nodes).node_id
+        for spread in context.spreads
+        for _ in range(count)
+    )
+
+
+@then('"{node_id}" has between {least:d} and {most:d} in 100 of them')
+def check_part(context: Context, node_id: str, least: int, most: int) -> None:
+    part = context.chosen[node_id] * 100 / context.chosen.total()
+    assert least <= part <= most, context.chosen
+
+
 @given('the door is in the failure domain of "{node_id}"')
 def place_door(context: Context, node_id: str) -> None:
     domain = f'domain {node_id}'
