--- a/tests/features/balance.feature
+++ b/tests/features/balance.feature
@@ -77,6 +77,14 @@
       | 60   |
       | 75   |
 
+  # Guards against churn by noise: few slots and long work measure badly.
+  Scenario: the noise of few long requests moves next to nothing
+    Given 68 nodes with 272 shards that move as on the platform
+    And they have 7 slots, work of 300 ms and know the load of 6 others
+    And steady requests that keep 95 in 100 slots of each node busy
+    When the planners of all nodes run for 20000 ms
+    Then at most 9 shards were moved
+
   Scenario: moves for the load are bounded and never bounce
     Then no loads make a shard bounce or a node move too much
 
@@ -120,6 +128,20 @@
     When each door sends 1 request
     Then each of the nodes has between 1 and 12 of them
 
+  # Guards against near nodes that get all requests of many doors.
+  Scenario Outline: near nodes get no more than an even share of the requests
+    Given nodes "a", "b" and "c" of a service without keys
+    And <doors> of 100 doors are in the failure domain of "b"
+    When each of these doors sends 10 requests that are answered at once
+    Then "b" has between <least> and <most> in 100 of them
+
+    Examples:
+      | doors | least | most |
+      | 20    | 100   | 100  |
+      | 33    | 100   | 100  |
+      | 66    | 45    | 55   |
+      | 100   | 30    | 37   |
+
   Scenario: a node that sheds is avoided for a while
     Given nodes "a", "b" and "c" of a service without keys
     When a request to "a" is shed
