Divide a keyed service into more shards where it begins on many nodes

Cause: the adapter declared 64 shards for any service. With 66 workers each has one shard or none, so a node has nothing that it could move but all it has; load was evened by splits only, and each split or move of the one shard closes all keys of its worker until it has reported the release (1.5 s between reports there).

Ruled out: processor time (0.088 cores a node of 0.43) and memory (49 of 200 MB).

Change: `shards` is the least number, `shards_per_node` asks for more where a service begins on many nodes (rounded up to a power of two: 66 nodes, 256; up to 21 nodes, 64 as before). The number is decided once and kept in the record of each shard. Only shard 0 may be written before a record tells the number, so the store decides between nodes that count differently. The node that is first for it waits until no node has come for 1.5 s: large machines start a second earlier than small ones, claimed all shards and then moved them away. Ranges of a shard go by the number in its own record, so that a node that knows it from a notice alone grants no other keys.

dividing.feature failed before: 30 and 66 nodes got 64 shards.

--- a/laburnumwood/config/declarations.py
+++ b/laburnumwood/config/declarations.py
@@ -53,11 +53,14 @@
 
     `owner` is the capacity owner that its requests are counted for.  With a
     `stripe_width`, keys are numbers below 65,536 and each run of so many
-    neighbours belongs to one shard, else keys are hashed to shards.
+    neighbours belongs to one shard, else keys are hashed to shards.  With
+    `shards_per_node`, `shards` is the least number: the service gets more
+    where it begins on many nodes, and keeps that number.
     """
 
     key: KeySource | None = None
     shards: int = Field(default=0, ge=0, le=_MOST_SHARDS)
+    shards_per_node: int | None = Field(default=None, ge=1, le=_MOST_SHARDS)
     stripe_width: int | None = Field(default=None, ge=1, le=_MOST_SHARDS)
     owner: str | None = None
     idempotent_methods: frozenset[str] = frozenset(
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -1,6 +1,6 @@
 """What a node knows of the store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -43,6 +43,19 @@
     """Do nothing with a change."""
 
 
+def _with_planned(
+    declared: Declarations, planned: Mapping[str, int]
+) -> Declarations:
+    """Return declarations with the numbers of shards that were planned."""
+    services = {
+        name: service.model_copy(update={'shards': planned[name]})
+        if name in planned
+        else service
+        for name, service in declared.services.items()
+    }
+    return declared.model_copy(update={'services': services})
+
+
 class Directory:
     """The newest records known of nodes, shards and configuration.
 
@@ -59,7 +72,9 @@
         self._shards: dict[str, dict[int, Entry[ShardRecord]]] = {}
         self._records: dict[str, dict[int, ShardRecord]] = {}
         self._config = ConfigRecord(0)
-        self._declarations = Declarations()
+        self._declared = Declarations()
+        self._declarations = self._declared
+        self._planned: dict[str, int] = {}
         self.revision = 0
         self.changes = 0
         self.when_shard_changes: ShardListener = _ignore
@@ -72,7 +87,10 @@
 
     @property
     def declarations(self) -> Declarations:
-        """Return what the configuration in force declares."""
+        """Return what the configuration in force declares.
+
+        Services have the number of shards that they were divided into.
+        """
         return self._declarations
 
     @property
@@ -157,7 +175,8 @@
             CONFIG_REFUSED.report(generation=record.generation, reason=invalid)
             return
         self._config = record
-        self._declarations = declared
+        self._declared = declared
+        self._declarations = _with_planned(declared, self._planned)
         CONFIG_IN_FORCE.report(generation=record.generation, who=record.who)
 
     def _take_node(self, stored: StoredObject) -> None:
@@ -179,4 +198,10 @@
         record = to_record(ShardRecord, stored)
         known[shard.number] = Entry(record, stored.version)
         records[shard.number] = record
+        self._note_planned(shard.service, record.shards)
         self.when_shard_changes(shard, record)
+
+    def _note_planned(self, service: str, shards: int) -> None:
+        if shards and self._planned.get(service) != shards:
+            self._planned[service] = shards
+            self._declarations = _with_planned(self._declared, self._planned)
--- /dev/null
+++ b/laburnumwood/placement/division.py
@@ -0,0 +1,66 @@
+"""Into how many shards a service is divided, decided once by its first nodes.
+
+The number goes with the record of each shard.  Only the first shard may be
+written while no record says what it is, so that all go by the one number that
+the store took.
+"""
+
+from collections.abc import Set
+
+from laburnumwood.clock import Clock
+from laburnumwood.config.declarations import Service
+from laburnumwood.membership.view import FleetView
+from laburnumwood.placement.sharding import planned_shards
+from laburnumwood.records import NodeName
+
+FIRST = 0  # the shard whose record comes before those of all others
+_SETTLED_MS = 1_500  # without a change of nodes, before a service is divided
+
+_NOBODY: Set[NodeName] = frozenset()
+
+
+class Division:
+    """What one node knows of the division of its service."""
+
+    def __init__(self, service: str, view: FleetView, clock: Clock) -> None:
+        self._service = service
+        self._view = view
+        self._clock = clock
+        self._nodes = _NOBODY
+        self._since_ms = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the number of shards is still to be written."""
+        declared = self._declared
+        if declared is None or declared.shards_per_node is None:
+            return False
+        return FIRST not in self._view.directory.shards(self._service)
+
+    def numbers(self) -> range:
+        """Return the numbers of the shards that may be written now."""
+        if self.is_open:
+            return range(FIRST, FIRST + int(self._is_settled()))
+        return range(self._declared.shards if self._declared else 0)
+
+    def shards(self) -> int:
+        """Return the number of shards to put on record, 0 for none."""
+        declared = self._declared
+        if declared is None or declared.shards_per_node is None:
+            return 0
+        if self.is_open:
+            return planned_shards(declared, len(self._live()))
+        return declared.shards
+
+    @property
+    def _declared(self) -> Service | None:
+        return self._view.directory.declarations.services.get(self._service)
+
+    def _live(self) -> Set[NodeName]:
+        return self._view.live_in(self._service).keys()
+
+    def _is_settled(self) -> bool:
+        now_ms, nodes = self._clock.now_ms(), self._live()
+        if nodes != self._nodes:
+            self._nodes, self._since_ms = nodes, now_ms
+        return now_ms - self._since_ms >= _SETTLED_MS
--- a/laburnumwood/placement/layout.py
+++ b/laburnumwood/placement/layout.py
@@ -65,7 +65,9 @@
     if record is not None and record.keys is not None:
         found: tuple[KeyRange, ...] = (record.keys,)
     else:
-        found = stripes_of(number, service.stripe_width, service.shards)
+        planned = record.shards if record else 0
+        shards = planned or service.shards
+        found = stripes_of(number, service.stripe_width, shards)
     for gone in record.split_off if record else ():
         found = tuple(part for keys in found for part in _without(keys, gone))
     return found
--- a/laburnumwood/placement/sharding.py
+++ b/laburnumwood/placement/sharding.py
@@ -11,6 +11,18 @@
 _MOST_LAYOUTS = 4_096  # remembered lists of stripes
 
 
+def planned_shards(service: Service, nodes: int) -> int:
+    """Return how many shards a service gets that begins on so many nodes.
+
+    Where it is planned, it is a power of two, so that all shards are alike.
+    """
+    if service.shards_per_node is None:
+        return service.shards
+    wanted = max(service.shards, service.shards_per_node * nodes)
+    most = KEY_SPACE // (service.stripe_width or 1)
+    return min(1 << (wanted - 1).bit_length(), most)
+
+
 def shard_of(key: str, shards: int) -> int:
     """Return the number of the shard that a key belongs to."""
     return xxh3_64_intdigest(key.encode()) % shards
--- a/laburnumwood/placement/succession.py
+++ b/laburnumwood/placement/succession.py
@@ -1,6 +1,7 @@
 """Choice of who follows the owner of a shard, or takes one of nobody."""
 
 from collections.abc import Mapping
+from functools import lru_cache
 
 from laburnumwood.membership.choice import rendezvous
 from laburnumwood.records import (
@@ -11,6 +12,7 @@
 )
 
 SUCCESSORS = 2
+_REMEMBERED_ORDERS = 4
 
 
 def _by_distance(
@@ -66,6 +68,11 @@
     return home
 
 
+@lru_cache(_REMEMBERED_ORDERS)
+def _order_of(service: str, names: tuple[NodeName, ...]) -> list[NodeName]:
+    return rendezvous(service, names)
+
+
 def choose_heir(
     shard: ShardName,
     record: ShardRecord | None,
@@ -80,5 +87,5 @@
     if back is not None:
         return back
     # Neighbouring shards go to different nodes, and each gets as many.
-    order = rendezvous(shard.service, nodes)
+    order = _order_of(shard.service, tuple(nodes))
     return order[shard.number % len(order)]
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -10,6 +10,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Entry
 from laburnumwood.membership.view import FleetView
+from laburnumwood.placement.division import Division
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import parents, split_number
 from laburnumwood.placement.ownership import (
@@ -73,6 +74,7 @@
         self._wanting_since_ms: dict[ShardName, int] = {}
         self._wanted_before_ms: dict[ShardName, int] = {}
         self._lacking_since_ms: dict[ShardName, int] = {}
+        self._division = Division(service, view, clock)
 
     @property
     def stale(self) -> tuple[ShardName, ...]:
@@ -89,7 +91,7 @@
         """Tell whether no shard waits for a write of this node."""
         waiting = self._writes or self._stale or self._lacking_since_ms
         turns = self._wanting_since_ms or self._holdings.has_spent
-        return not waiting and not turns
+        return not waiting and not turns and not self._division.is_open
 
     @property
     def begun(self) -> dict[int, NodeName]:
@@ -269,9 +271,8 @@
         return first == self._own or not patient
 
     def _missing(self) -> Iterator[ShardName]:
-        declared = self._view.directory.declarations.services.get(self._service)
         known = self._view.directory.shards(self._service)
-        numbers = list(range(declared.shards if declared else 0))
+        numbers = list(self._division.numbers())
         numbers.extend(
             split_number(keys)
             for keys, _ in _parents(self._view, self._service)
@@ -309,7 +310,7 @@
             if split_number(keys) == shard.number:
                 # Tokens of keys rise on from those of the shard they left.
                 return ShardRecord(parent.epoch, succession, keys=keys)
-        return ShardRecord(1, succession)
+        return ShardRecord(1, succession, shards=self._division.shards())
 
     def _take_written(self, write: ShardWrite) -> None:
         target = write.record.succession[0]
--- a/laburnumwood/platform/manifest.py
+++ b/laburnumwood/platform/manifest.py
@@ -17,6 +17,7 @@
 # workers, and all stripes of a few shards still fit into an answer.
 STRIPE_WIDTH = 64
 SHARDS = 64
+SHARDS_PER_NODE = 3
 _LONGEST_BODY = 67_108_864
 
 
@@ -84,6 +85,7 @@
         declared.update(
             key={'source': 'header', 'name': KEY_HEADER},
             shards=SHARDS,
+            shards_per_node=SHARDS_PER_NODE,
             stripe_width=STRIPE_WIDTH,
         )
     return declared
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -129,6 +129,8 @@
     `handovers` are what the last owner's worker left for the next one, by
     stripe; empty if it left nothing.  `split_off` are ranges of keys that
     became shards of their own; such a shard has just the range `keys`.
+    `shards` is the number of shards that its service was divided into when
+    it got the first one, 0 where that is just as declared.
     """
 
     epoch: int
@@ -137,6 +139,7 @@
     keys: KeyRange | None = None
     split_off: tuple[KeyRange, ...] = ()
     mark: WriteMark | None = None
+    shards: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/features/dividing.feature
@@ -0,0 +1,29 @@
+Feature: Into how many shards a service is divided
+  A service with 64 shards at least, of stripes of 64 keys, and 3 for each node.
+  The nodes begin within a second and agree by the store; the number stays.
+
+  # Guards against workers that never get a key: 64 shards, 66 workers.
+  Scenario Outline: every node of a service that begins gets shards
+    Given <nodes> nodes that begin together
+    When 4 s pass
+    Then the service has <shards> shards
+    And each node owns <least> of them at least and <most> at the most
+    And each key of the service is placed in the shard that has it
+
+    Examples:
+      | nodes | shards | least | most |
+      | 7     | 64     | 9     | 10   |
+      | 30    | 128    | 4     | 5    |
+      | 66    | 256    | 3     | 4    |
+
+  Scenario: the number stays when nodes come
+    Given 7 nodes that begin together
+    When 4 s pass
+    And 33 more nodes come
+    And 4 s pass
+    Then the service has 64 shards
+
+  Scenario: nodes that know each other late go by one number
+    Given 9 nodes that begin together and hear of each other after 2500 ms
+    When 6 s pass
+    Then all records are of one division
--- /dev/null
+++ b/tests/features/steps/dividing_steps.py
@@ -0,0 +1,191 @@
+"""Steps about the division of a service into shards by its first nodes."""
+
+from collections import Counter
+from dataclasses import replace
+
+from behave import given, then, when
+from behave.runner import Context
+
+from bench.spreading import record_of
+from laburnumwood.leases.lease import Lease
+from laburnumwood.leases.seals import SealBook
+from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.view import FleetView
+from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.layout import ranges_of
+from laburnumwood.placement.shard_write import Progress
+from laburnumwood.placement.sharding import KEY_SPACE, place_key
+from laburnumwood.placement.tenure import Tenure
+from laburnumwood.records import (
+    ConfigRecord,
+    NodeName,
+    ShardName,
+    ShardRecord,
+    StoredObject,
+)
+from laburnumwood.settings import LeaseSettings
+from laburnumwood.store.objects import (
+    CONFIG,
+    node_object,
+    shard_object,
+    to_record,
+    to_value,
+)
+from tests.features.steps.fake_clock import FakeClock
+
+SERVICE = 'service'
+_TURN_MS = 200
+_DECLARED = {
+    'services': {
+        SERVICE: {
+            'key': {'source': 'header', 'name': 'Key'},
+            'shards': 64,
+            'shards_per_node': 3,
+            'stripe_width': 64,
+        }
+    }
+}
+
+
+class _HeldLease(Lease):
+    """A lease that holds from the start."""
+
+    def holds(self) -> bool:
+        """Tell that it holds."""
+        return True
+
+
+class _Beginner:
+    """A node of the service that writes the records it finds wanted."""
+
+    def __init__(self, name: NodeName, clock: FakeClock) -> None:
+        self.view = FleetView(Directory(), SealBook())
+        lease = _HeldLease(name, LeaseSettings(), clock)
+        self.tenure = Tenure(SERVICE, self.view, lease, Holdings(), clock)
+
+    def hear(self, objects: dict[str, StoredObject]) -> None:
+        """Take in what the store holds."""
+        for stored in objects.values():
+            self.view.directory.apply(stored)
+
+
+class _Fleet:
+    """Nodes that write to one store and hear of each other's writes."""
+
+    def __init__(self, deaf_ms: int) -> None:
+        self.clock = FakeClock()
+        self.objects: dict[str, StoredObject] = {}
+        self.nodes: list[_Beginner] = []
+        self._hears_from_ms = self.clock.now_ms() + deaf_ms
+        config = to_value(ConfigRecord(1, {'team': _DECLARED}))
+        self._put(CONFIG, config)
+
+    def add(self, count: int) -> None:
+        """Let nodes join."""
+        for _ in range(count):
+            place = len(self.nodes)
+            name = NodeName(f'n{place}', 1)
+            record = replace(record_of(place), service=SERVICE, witness_as=1)
+            self._put(node_object(name.node_id), to_value(record))
+            node = _Beginner(name, self.clock)
+            node.hear({CONFIG: self.objects[CONFIG]})
+            own = node_object(name.node_id)
+            node.hear({own: self.objects[own]})
+            self.nodes.append(node)
+
+    def turn(self) -> None:
+        """Let each node hear the news and write what it wants."""
+        self.clock.pass_ms(_TURN_MS)
+        if self.clock.now_ms() >= self._hears_from_ms:
+            known = dict(self.objects)
+            for node in self.nodes:
+                node.hear(known)
+        for node in self.nodes:
+            for shard in node.tenure.wanted():
+                self._write(node, shard)
+
+    def records(self) -> dict[int, ShardRecord]:
+        """Return the records of the service's shards."""
+        return {
+            ShardName.parse(name.removeprefix('shards/')).number: to_record(
+                ShardRecord, stored
+            )
+            for name, stored in self.objects.items()
+            if name.startswith('shards/')
+        }
+
+    def _write(self, node: _Beginner, shard: ShardName) -> None:
+        write = node.tenure.begin_write(shard)
+        name = shard_object(shard)
+        if name in self.objects and write.version is None:
+            node.tenure.finish(write, Progress.CONFLICT)
+            node.hear({name: self.objects[name]})
+            return
+        write.stored = self._put(name, to_value(write.record))
+        node.tenure.finish(write, Progress.WRITTEN)
+
+    def _put(self, name: str, value: dict[str, object]) -> StoredObject:
+        stored = StoredObject(name, value, len(self.objects) + 1)
+        self.objects[name] = stored
+        return stored
+
+
+@given('{count:d} nodes that begin together')
+def begin(context: Context, count: int) -> None:
+    context.fleet = _Fleet(0)
+    context.fleet.add(count)
+
+
+@given(
+    '{count:d} nodes that begin together and hear of each other after '
+    '{span_ms:d} ms'
+)
+def begin_deaf(context: Context, count: int, span_ms: int) -> None:
+    context.fleet = _Fleet(span_ms)
+    context.fleet.add(count)
+
+
+@when('{span_s:d} s pass')
+def let_pass(context: Context, span_s: int) -> None:
+    for _ in range(span_s * 1_000 // _TURN_MS):
+        context.fleet.turn()
+
+
+@when('{count:d} more nodes come')
+def add_nodes(context: Context, count: int) -> None:
+    context.fleet.add(count)
+
+
+@then('the service has {count:d} shards')
+def check_count(context: Context, count: int) -> None:
+    found = sorted(context.fleet.records())
+    assert found == list(range(count)), found
+
+
+@then('each node owns {least:d} of them at least and {most:d} at the most')
+def check_shares(context: Context, least: int, most: int) -> None:
+    records = context.fleet.records()
+    owned = Counter(record.succession[0] for record in records.values())
+    counts = [owned[node.tenure.own] for node in context.fleet.nodes]
+    assert least <= min(counts) and max(counts) <= most, counts
+
+
+@then('all records are of one division')
+def check_one(context: Context) -> None:
+    records = context.fleet.records()
+    divisions = {record.shards for record in records.values()}
+    assert len(divisions) == 1, divisions
+    assert sorted(records) == list(range(divisions.pop())), len(records)
+
+
+@then('each key of the service is placed in the shard that has it')
+def check_keys(context: Context) -> None:
+    directory = context.fleet.nodes[-1].view.directory
+    service = directory.declarations.services[SERVICE]
+    seen: dict[int, int] = {}
+    for number, record in context.fleet.records().items():
+        for keys in ranges_of(number, record, service):
+            seen.update(dict.fromkeys(range(keys.first, keys.last + 1), number))
+    assert len(seen) == KEY_SPACE, len(seen)
+    wrong = [key for key in seen if seen[key] != place_key(str(key), service)]
+    assert not wrong, wrong
