Pull from a peer only the records that one was not told of

Cause: the writer of a shard's record tells all doors at once. The revision up to which a node misses nothing does not rise by that, so its next pull brought the same record again: each went to each node twice.

Change: a pull names the versions after its revision that the asker has, a few bytes each; the peer leaves those out.

spreading.feature failed before: shards 1, 2 and 3 were sent although 2 was known.

--- a/bench/holding.py
+++ b/bench/holding.py
@@ -85,7 +85,8 @@
     started = time.perf_counter()
     is_reader(_name(0), view)
     look_ms = (time.perf_counter() - started) * 1_000
-    changes = Changes(directory.since(0), 1, whole=True, seals=())
+    objects = directory.newer(0, directory.config.generation)
+    changes = Changes(objects, 1, whole=True, seals=())
     return held_mb, filled_s, look_ms, len(encode(1, changes)) / 1e6
 
 
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -1,6 +1,6 @@
 """What a node knows of the store."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -144,16 +144,25 @@
         self.news.tell()
         return True
 
-    def since(self, revision: int) -> tuple[StoredObject, ...]:
-        """Return the objects written after a revision, oldest first."""
+    def versions_since(self, revision: int) -> tuple[int, ...]:
+        """Return the versions of objects after a revision, in order."""
         versions = self._by_version.irange(revision, inclusive=(False, True))
-        return tuple(
-            self._objects[self._by_version[version]] for version in versions
-        )
+        return tuple(versions)
+
+    def newer(
+        self, revision: int, generation: int, known: Iterable[int] = ()
+    ) -> tuple[StoredObject, ...]:
+        """Return the objects that a node with so much news misses.
 
-    def newer(self, revision: int, generation: int) -> tuple[StoredObject, ...]:
-        """Return the objects that a node with so much news misses."""
-        missing = self.since(revision)
+        They are in the order of their writes; `known` are versions that it
+        has besides.
+        """
+        has = frozenset(known)
+        missing = tuple(
+            self._objects[self._by_version[version]]
+            for version in self.versions_since(revision)
+            if version not in has
+        )
         if self._config.generation <= generation or CONFIG not in self._objects:
             return missing
         return (self._objects[CONFIG], *missing)
--- a/laburnumwood/membership/spreading.py
+++ b/laburnumwood/membership/spreading.py
@@ -73,7 +73,11 @@
 
     def _pull(self, peer: NodeName) -> None:
         directory = self._view.directory
-        request = Pull(directory.revision, directory.config.generation)
+        request = Pull(
+            directory.revision,
+            directory.config.generation,
+            directory.versions_since(directory.revision),
+        )
         try:
             changes = self._peers.call(peer, request, _CALL_TIMEOUT_MS)
         except LinkError:
@@ -94,7 +98,9 @@
         directory = self._view.directory
         stream.send(
             Changes(
-                objects=directory.newer(request.revision, request.generation),
+                objects=directory.newer(
+                    request.revision, request.generation, request.known
+                ),
                 revision=directory.revision,
                 whole=not request.revision,
                 seals=self._view.seals.seals(),
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -97,11 +97,13 @@
 class Pull:
     """Asks for all changes of the store after a revision, and all seals.
 
-    The configuration comes too if it is newer than `generation`.
+    The configuration comes too if it is newer than `generation`.  `known` are
+    versions after the revision that the asker was told of already.
     """
 
     revision: int
     generation: int
+    known: tuple[int, ...] = ()
 
 
 @message('changes')
--- /dev/null
+++ b/tests/features/steps/spreading_steps.py
@@ -0,0 +1,124 @@
+"""Steps about news that goes from node to node."""
+
+from typing import Any
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+
+from laburnumwood.leases.seals import SealBook
+from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.spreading import Spreader
+from laburnumwood.membership.view import FleetView
+from laburnumwood.protocol.messages import Changes, ShardNotice
+from laburnumwood.protocol.peers import Dispatcher
+from laburnumwood.records import (
+    NodeName,
+    ShardName,
+    ShardRecord,
+    StoredObject,
+)
+from laburnumwood.store.objects import shard_object, to_value
+
+SERVICE = 'service'
+TOLD_AS = 12  # the version of the shard that is told of
+OWNER = NodeName('owner', 1)
+PEER = NodeName('b', 1)
+
+
+class _Stream:
+    """Keeps what is sent on it."""
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+
+    def send(self, message: Any) -> None:
+        """Keep a message."""
+        self.sent.append(message)
+
+    def close(self) -> None:
+        """End nothing."""
+
+
+class _Near:
+    """A node with the other one as its only peer."""
+
+    def __init__(self) -> None:
+        self.view = FleetView(Directory(), SealBook())
+        self.dispatcher = Dispatcher()
+        self.sent: list[Any] = []
+        self.peer: _Near | None = None
+        peers: Any = self
+        self.spreader = Spreader(self.view, peers, self.dispatcher)
+
+    def call(self, _peer: NodeName, message: Any, _timeout_ms: int) -> Any:
+        """Let the peer answer a message."""
+        assert self.peer is not None
+        return self.peer.answer(message)
+
+    def answer(self, message: Any) -> Any:
+        """Return the answer to a message."""
+        link: Any = self
+        stream: Any = _Stream()
+        self.dispatcher.handle(link, stream, message)
+        self.sent.extend(stream.sent)
+        return stream.sent[-1]
+
+
+def _shard(number: int) -> ShardName:
+    return ShardName(SERVICE, number)
+
+
+def _numbers(text: str) -> list[int]:
+    return [int(each) for each in text.replace(' and ', ', ').split(', ')]
+
+
+@given('the nodes "a" and "b" that know the store up to {revision:d}')
+def make_nodes(context: Context, revision: int) -> None:
+    context.near, context.far = _Near(), _Near()
+    context.near.peer = context.far
+    for node in (context.near, context.far):
+        node.view.directory.revision = revision
+
+
+@given('"b" has read the shards {numbers}, written as {versions}')
+def let_read(context: Context, numbers: str, versions: str) -> None:
+    directory = context.far.view.directory
+    written = _numbers(versions)
+    for number, version in zip(_numbers(numbers), written, strict=True):
+        value = to_value(ShardRecord(version, (OWNER,)))
+        name = shard_object(_shard(number))
+        directory.apply(StoredObject(name, value, version))
+    directory.revision = max(written)
+
+
+@given('"a" was told of shard {number:d} by its writer')
+def tell(context: Context, number: int) -> None:
+    record = ShardRecord(TOLD_AS, (OWNER,))
+    notice = ShardNotice(str(_shard(number)), record, TOLD_AS)
+    context.near.answer(notice)
+
+
+@when('"a" hears how much "b" knows')
+def hear(context: Context) -> None:
+    context.near.spreader.compare(PEER, context.far.view.digest())
+    eventlet.sleep(0)
+
+
+@then('"b" has sent the shards {numbers}')
+def check_sent(context: Context, numbers: str) -> None:
+    assert len(context.far.sent) == 1, context.far.sent
+    changes = context.far.sent[0]
+    assert isinstance(changes, Changes), changes
+    found = [each.name for each in changes.objects]
+    wanted = [shard_object(_shard(number)) for number in _numbers(numbers)]
+    assert found == wanted, found
+
+
+@then('"a" knows the shards {numbers}, and the store up to {revision:d}')
+def check_known(context: Context, numbers: str, revision: int) -> None:
+    directory = context.near.view.directory
+    assert sorted(directory.shards(SERVICE)) == _numbers(numbers)
+    assert directory.revision == revision, directory.revision
+    newest = context.far.view.directory.shard_records(SERVICE)
+    assert directory.shard_records(SERVICE) == newest
