Move no shards for their number while the owners of some are not known

What callers saw: keys that were closed for moves seconds after the start.

Cause: after a service was divided evenly, nodes hear of the records of the others one by one. A node that knew its own four and few others took the rest of the nodes for empty and gave them shards, as urgent moves without a rest.

Change: the balancer moves nothing until it knows the records of all shards of its service.

dividing.feature failed before: a node that knew of its own 8 shards of 64 gave 7 of them away.

--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -98,10 +98,11 @@
     def moves(self, begun: Owners) -> tuple[Move, ...]:
         """Return the moves that this node should make now.
 
-        Shards whose moves have `begun` count for their next owners.
+        Shards whose moves have `begun` count for their next owners.  While
+        the owners of some are not known, nobody can tell who has few.
         """
         live = self._view.live_in(self._service)
-        if self._own not in live:
+        if self._own not in live or not self._knows_all():
             return ()
         return self._planner.plan(self._picture(live, begun))
 
@@ -127,6 +128,13 @@
         ranges = ranges_of(shard, records.get(shard), service)
         return self._split_into(shard, ranges, targets)
 
+    def _knows_all(self) -> bool:
+        """Tell whether the records of all shards of the service are known."""
+        declared = self._view.directory.declarations.services
+        service = declared.get(self._service, Service())
+        known = self._view.directory.shards(self._service)
+        return all(number in known for number in range(service.shards))
+
     def _split_into(
         self,
         shard: int,
--- a/tests/features/dividing.feature
+++ b/tests/features/dividing.feature
@@ -27,3 +27,23 @@
     Given 9 nodes that begin together and hear of each other after 2500 ms
     When 6 s pass
     Then all records are of one division
+
+  # Guards against moves at the start, of shards that were evenly divided.
+  Scenario Outline: a node moves nothing while it knows of some shards only
+    Given 8 nodes that begin together
+    When 4 s pass
+    And a node that owns 8 shards hears of <heard> of the 64
+    Then it moves <moved>
+
+    Examples:
+      | heard | moved   |
+      | 8     | nothing |
+      | 63    | nothing |
+      | 64    | nothing |
+
+  Scenario: a node that knows of all shards moves some to one that has none
+    Given 8 nodes that begin together
+    When 4 s pass
+    And 3 more nodes come
+    And a node that owns 8 shards hears of 64 of the 64
+    Then it moves some
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -11,8 +11,12 @@
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.view import FleetView
+from laburnumwood.placement.balance import Move
+from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import ranges_of
+from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.shard_write import Progress
 from laburnumwood.placement.sharding import KEY_SPACE, place_key
 from laburnumwood.placement.tenure import Tenure
@@ -23,9 +27,10 @@
     ShardRecord,
     StoredObject,
 )
-from laburnumwood.settings import LeaseSettings
+from laburnumwood.settings import LeaseSettings, PlacementSettings
 from laburnumwood.store.objects import (
     CONFIG,
+    SHARDS,
     node_object,
     shard_object,
     to_record,
@@ -107,11 +112,11 @@
     def records(self) -> dict[int, ShardRecord]:
         """Return the records of the service's shards."""
         return {
-            ShardName.parse(name.removeprefix('shards/')).number: to_record(
+            ShardName.parse(name.removeprefix(SHARDS)).number: to_record(
                 ShardRecord, stored
             )
             for name, stored in self.objects.items()
-            if name.startswith('shards/')
+            if name.startswith(SHARDS)
         }
 
     def _write(self, node: _Beginner, shard: ShardName) -> None:
@@ -189,3 +194,58 @@
     assert len(seen) == KEY_SPACE, len(seen)
     wrong = [key for key in seen if seen[key] != place_key(str(key), service)]
     assert not wrong, wrong
+
+
+def _make_balancer(node: _Beginner, clock: FakeClock) -> Balancer:
+    return Balancer(
+        SERVICE,
+        node.tenure.own,
+        node.view,
+        LoadMeter(1_000, clock),
+        LoadBook(clock),
+        PlacementSettings(),
+        clock,
+    )
+
+
+@when('a node that owns {own:d} shards hears of {heard:d} of the {count:d}')
+def hear_some(context: Context, own: int, heard: int, count: int) -> None:
+    fleet: _Fleet = context.fleet
+    name = fleet.nodes[0].tenure.own
+    records = fleet.records()
+    assert len(records) == count, len(records)
+    mine = [each for each in records if records[each].succession[0] == name]
+    assert len(mine) == own, mine
+    others = [each for each in records if each not in mine]
+    told = {
+        shard_object(ShardName(SERVICE, number))
+        for number in (mine + others)[:heard]
+    }
+    context.node = _Beginner(name, fleet.clock)
+    context.node.hear(
+        {
+            known: stored
+            for known, stored in fleet.objects.items()
+            if not known.startswith(SHARDS) or known in told
+        }
+    )
+
+
+def _moves(context: Context) -> tuple[Move, ...]:
+    """Return the moves of the node once all nodes have been there a while."""
+    clock: FakeClock = context.fleet.clock
+    balancer = _make_balancer(context.node, clock)
+    early = balancer.moves({})
+    clock.pass_ms(5_000)
+    return early + balancer.moves({})
+
+
+@then('it moves nothing')
+def check_none(context: Context) -> None:
+    moves = _moves(context)
+    assert not moves, moves
+
+
+@then('it moves some')
+def check_some(context: Context) -> None:
+    assert _moves(context)
