Look per change of a shard only at what concerns the node

What callers saw: nothing by itself.

Cause: with each change of any shard's record each node went through all shards of its service (to follow them) and all nodes of the fleet (to list the live ones). Work for a change rose with shards times nodes.

Evidence: timed in one process, 66 nodes and 256 shards, beside a load of 30 on 8 cores: following 1.1 ms, taking a record in and listing the live nodes 0.16 ms. One of 80 nodes sees tens of changes a second while hot keys come.

Change: the directory knows which shards name a node; following goes through these, what is held and what has to be read again. Live nodes are found anew only after a change of a node's record or of a seal, on which alone they depend. Seals are forgotten and followers found by the same index.

Measured in the same way: following 0.05 to 0.11 ms, a record 0.02 ms.

spreading.feature: the view looked at all nodes after records of shards came.

--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -62,7 +62,7 @@
     An object is replaced only by a newer version of itself, so that stale
     reads and messages out of order do no harm.  `revision` is the revision of
     the store up to which nothing is missing, `changes` is another number after
-    each change.
+    each change, `node_changes` after each change of a node.
     """
 
     def __init__(self) -> None:
@@ -71,12 +71,14 @@
         self._nodes: dict[str, Entry[NodeRecord]] = {}
         self._shards: dict[str, dict[int, Entry[ShardRecord]]] = {}
         self._records: dict[str, dict[int, ShardRecord]] = {}
+        self._named: dict[NodeName, set[ShardName]] = {}
         self._config = ConfigRecord(0)
         self._declared = Declarations()
         self._declarations = self._declared
         self._planned: dict[str, int] = {}
         self.revision = 0
         self.changes = 0
+        self.node_changes = 0
         self.when_shard_changes: ShardListener = _ignore
         self.news = News()
 
@@ -122,6 +124,10 @@
         """Return the records of a service's shards without their versions."""
         return self._records.get(service, {})
 
+    def shards_naming(self, name: NodeName) -> tuple[ShardName, ...]:
+        """Return the shards that a node owns or may follow in, in order."""
+        return tuple(sorted(self._named.get(name, ())))
+
     def services(self) -> tuple[str, ...]:
         """Return the services that have shards."""
         return tuple(self._shards)
@@ -190,6 +196,7 @@
 
     def _take_node(self, stored: StoredObject) -> None:
         node_id = stored.name.removeprefix(NODES)
+        self.node_changes += 1
         if stored.value is None:
             self._nodes.pop(node_id, None)
             return
@@ -202,9 +209,10 @@
         records = self._records.setdefault(shard.service, {})
         if stored.value is None:
             known.pop(shard.number, None)
-            records.pop(shard.number, None)
+            self._note_named(shard, records.pop(shard.number, None), None)
             return
         record = to_record(ShardRecord, stored)
+        self._note_named(shard, records.get(shard.number), record)
         known[shard.number] = Entry(record, stored.version)
         records[shard.number] = record
         self._note_planned(shard.service, record.shards)
@@ -214,3 +222,16 @@
         if shards and self._planned.get(service) != shards:
             self._planned[service] = shards
             self._declarations = _with_planned(self._declared, self._planned)
+
+    def _note_named(
+        self,
+        shard: ShardName,
+        before: ShardRecord | None,
+        after: ShardRecord | None,
+    ) -> None:
+        for name in before.succession if before else ():
+            self._named[name].discard(shard)
+            if not self._named[name]:
+                self._named.pop(name)
+        for name in after.succession if after else ():
+            self._named.setdefault(name, set()).add(shard)
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -201,12 +201,11 @@
 
     def _followers(self, holder: NodeName) -> set[NodeName]:
         directory = self._view.directory
-        record = directory.node(holder)
-        service = record.service if record else ''
+        entries = map(directory.shard, directory.shards_naming(holder))
         return {
             name
-            for entry in directory.shards(service).values()
-            if holder in entry.record.succession
+            for entry in entries
+            if entry is not None
             for name in entry.record.succession
         }
 
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -24,6 +24,11 @@
         """Return what is another value after each change."""
         return self.directory.changes, self.seals.changes
 
+    @property
+    def _node_version(self) -> tuple[int, int]:
+        """Return what is another value when other nodes may be live."""
+        return self.directory.node_changes, self.seals.changes
+
     def digest(self) -> Digest:
         """Return how much is known, for peers to compare."""
         return Digest(
@@ -77,7 +82,7 @@
         return dict(self._live_in.get(service, {}))
 
     def _refresh(self) -> None:
-        if self._live_version == self.version:
+        if self._live_version == self._node_version:
             return
         self._live = dict(self._find_live())
         self._live_in = {}
@@ -86,7 +91,7 @@
                 continue
             self._live_in.setdefault(record.service, {})[name] = record
         # Finding them may note ends, which changes the version itself.
-        self._live_version = self.version
+        self._live_version = self._node_version
 
     def _find_live(self) -> Iterator[tuple[NodeName, NodeRecord]]:
         for node_id, entry in self.directory.nodes.items():
@@ -126,11 +131,7 @@
         entry = self.directory.nodes.get(holder.node_id)
         if entry is None or not entry.record.has_ended(holder.incarnation):
             return False
-        return not any(
-            holder in shard.record.succession
-            for service in self.directory.services()
-            for shard in self.directory.shards(service).values()
-        )
+        return not self.directory.shards_naming(holder)
 
     def floor(self, holder: NodeName, shard: ShardName) -> int:
         """Return the least epoch that a sealed holder may have written."""
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -15,6 +15,7 @@
 from laburnumwood.placement.layout import parents, split_number
 from laburnumwood.placement.ownership import (
     Standing,
+    acting,
     rank,
     standing,
     token,
@@ -112,8 +113,12 @@
 
     def follow(self) -> None:
         """Hold and drop shards as seals and records ask for it."""
-        if self._lease.holds():
-            for shard, entry in self._shards():
+        if not self._lease.holds():
+            return
+        named = self._view.directory.shards_naming(self._own)
+        for shard in sorted({*named, *self._holdings.tokens(), *self._stale}):
+            entry = self._view.directory.shard(shard)
+            if entry is not None:
                 self._follow(shard, entry)
 
     def wanted(self) -> list[ShardName]:
@@ -124,7 +129,7 @@
         self._wanting_since_ms = {}
         known = (
             shard
-            for shard, entry in self._shards()
+            for shard, entry in self._open_shards()
             if self._is_wanted(shard, entry)
         )
         return [
@@ -208,10 +213,13 @@
         elif progress is Progress.NOT_SENT:
             self._holdings.reopen(write.shard)
 
-    def _shards(self) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
+    def _open_shards(self) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
+        """Yield the shards that this node or nobody acts for."""
         entries = self._view.directory.shards(self._service).items()
         for number, entry in sorted(entries):
-            yield ShardName(self._service, number), entry
+            actor = acting(entry.record, self._view)
+            if actor is None or actor == self._own:
+                yield ShardName(self._service, number), entry
 
     def _standing(self, shard: ShardName, record: ShardRecord) -> Standing:
         return standing(shard, record, self._own, self._view)
--- a/tests/features/spreading.feature
+++ b/tests/features/spreading.feature
@@ -17,3 +17,20 @@
     When "a" hears how much "b" knows
     Then "b" has sent the shards 1, 3 and 2
     And "a" knows the shards 1, 2 and 3, and the store up to 14
+
+  Scenario: a directory tells which shards name a node, after each change
+    Given a directory with the shards "1 a b" and "2 b c" and "3 c a"
+    Then the shards that name "b" are "1 2"
+    When the record of shard 1 names "a c"
+    And the record of shard 3 is deleted
+    Then the shards that name "b" are "2"
+    And the shards that name "a" are "1"
+    And the shards that name "c" are "1 2"
+
+  # Guards against looking at all nodes again for each change of a shard.
+  Scenario: live nodes are looked for again only when a node has changed
+    Given a view of 3 nodes that has listed those that live
+    When 5 records of shards come
+    Then its nodes were not looked at again
+    When a node has ended
+    Then it lists 2 live nodes
--- /dev/null
+++ b/tests/features/steps/directory_steps.py
@@ -0,0 +1,116 @@
+"""Steps about what a node finds in its directory."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+from behave.runner import Context
+
+from bench.spreading import record_of
+from laburnumwood.leases.seals import SealBook
+from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.view import FleetView
+from laburnumwood.records import (
+    NodeName,
+    NodeRecord,
+    ShardName,
+    ShardRecord,
+    StoredObject,
+)
+from laburnumwood.store.objects import node_object, shard_object, to_value
+
+SERVICE = 'service'
+
+
+class _CountingView(FleetView):
+    """Counts how often it looks whether a node is sealed."""
+
+    def __init__(self, directory: Directory) -> None:
+        super().__init__(directory, SealBook())
+        self.looks = 0
+
+    def is_sealed(self, name: NodeName) -> bool:
+        """Tell whether an incarnation has lapsed, and count the look."""
+        self.looks += 1
+        return super().is_sealed(name)
+
+
+def _name(node_id: str) -> NodeName:
+    return NodeName(node_id, 1)
+
+
+def _put_shard(directory: Directory, number: int, nodes: list[str]) -> None:
+    record = ShardRecord(1, tuple(map(_name, nodes)))
+    _put(directory, number, to_value(record))
+
+
+def _put(
+    directory: Directory, number: int, value: dict[str, object] | None
+) -> None:
+    version = directory.changes + 1
+    name = shard_object(ShardName(SERVICE, number))
+    directory.apply(StoredObject(name, value, version))
+
+
+def _put_node(directory: Directory, record: NodeRecord, place: int) -> None:
+    name, version = node_object(f'n{place}'), directory.changes + 1
+    directory.apply(StoredObject(name, to_value(record), version))
+
+
+@given('a directory with the shards "{first}" and "{second}" and "{third}"')
+def make_directory(
+    context: Context, first: str, second: str, third: str
+) -> None:
+    context.directory = Directory()
+    for text in (first, second, third):
+        number, *nodes = text.split()
+        _put_shard(context.directory, int(number), nodes)
+
+
+@when('the record of shard {number:d} names "{nodes}"')
+def rename(context: Context, number: int, nodes: str) -> None:
+    _put_shard(context.directory, number, nodes.split())
+
+
+@when('the record of shard {number:d} is deleted')
+def delete(context: Context, number: int) -> None:
+    _put(context.directory, number, None)
+
+
+@then('the shards that name "{node}" are "{numbers}"')
+def check_named(context: Context, node: str, numbers: str) -> None:
+    found = context.directory.shards_naming(_name(node))
+    wanted = tuple(ShardName(SERVICE, int(each)) for each in numbers.split())
+    assert found == wanted, found
+
+
+@given('a view of {count:d} nodes that has listed those that live')
+def make_view(context: Context, count: int) -> None:
+    context.view = _CountingView(Directory())
+    for place in range(count):
+        _put_node(context.view.directory, record_of(place), place)
+    assert len(tuple(context.view.live())) == count
+    context.view.looks = 0
+
+
+@when('{count:d} records of shards come')
+def put_shards(context: Context, count: int) -> None:
+    for number in range(count):
+        _put_shard(context.view.directory, number, ['n0', 'n1'])
+
+
+@then('its nodes were not looked at again')
+def check_looks(context: Context) -> None:
+    assert tuple(context.view.live())
+    assert not context.view.looks, context.view.looks
+
+
+@when('a node has ended')
+def end_node(context: Context) -> None:
+    record = replace(record_of(0), open_incarnations=())
+    _put_node(context.view.directory, record, 0)
+
+
+@then('it lists {count:d} live nodes')
+def check_live(context: Context, count: int) -> None:
+    found = tuple(context.view.live())
+    assert len(found) == count, found
