--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -1,6 +1,6 @@
 """What a node knows of the store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -43,13 +43,26 @@
     """Do nothing with a change."""
 
 
+def _with_planned(
+    declared: Declarations, planned: Mapping[str, int]
+) -> Declarations:
+    """Return declarations with the numbers of shards that were planned."""
+    services = {
+        name: service.model_copy(update={'shards': planned[name]})
+        if name in planned
+        else service
+        for name, service in declared.services.items()
+    }
+    return declared.model_copy(update={'services': services})
+
+
 class Directory:
     """The newest records known of nodes, shards and configuration.
 
     An object is replaced only by a newer version of itself, so that stale
     reads and messages out of order do no harm.  `revision` is the revision of
     the store up to which nothing is missing, `changes` is another number after
-    each change.
+    each change, `node_changes` after each change of a node.
     """
 
     def __init__(self) -> None:
@@ -58,10 +71,14 @@
         self._nodes: dict[str, Entry[NodeRecord]] = {}
         self._shards: dict[str, dict[int, Entry[ShardRecord]]] = {}
         self._records: dict[str, dict[int, ShardRecord]] = {}
+        self._named: dict[NodeName, set[ShardName]] = {}
         self._config = ConfigRecord(0)
-        self._declarations = Declarations()
+        self._declared = Declarations()
+        self._declarations = self._declared
+        self._planned: dict[str, int] = {}
         self.revision = 0
         self.changes = 0
+        self.node_changes = 0
         self.when_shard_changes: ShardListener = _ignore
         self.news = News()
 
@@ -72,7 +89,10 @@
 
     @property
     def declarations(self) -> Declarations:
-        """Return what the configuration in force declares."""
+        """Return what the configuration in force declares.
+
+        Services have the number of shards that they were divided into.
+        """
         return self._declarations
 
     @property
@@ -104,6 +124,10 @@
         """Return the records of a service's shards without their versions."""
         return self._records.get(service, {})
 
+    def shards_naming(self, name: NodeName) -> tuple[ShardName, ...]:
+        """Return the shards that a node owns or may follow in, in order."""
+        return tuple(sorted(self._named.get(name, ())))
+
     def services(self) -> tuple[str, ...]:
         """Return the services that have shards."""
         return tuple(self._shards)
@@ -126,16 +150,25 @@
         self.news.tell()
         return True
 
-    def since(self, revision: int) -> tuple[StoredObject, ...]:
-        """Return the objects written after a revision, oldest first."""
+    def versions_since(self, revision: int) -> tuple[int, ...]:
+        """Return the versions of objects after a revision, in order."""
         versions = self._by_version.irange(revision, inclusive=(False, True))
-        return tuple(
-            self._objects[self._by_version[version]] for version in versions
+        return tuple(versions)
+
+    def newer(
+        self, revision: int, generation: int, known: Iterable[int] = ()
+    ) -> tuple[StoredObject, ...]:
+        """Return the objects that a node with so much news misses.
+
+        They are in the order of their writes; `known` are versions that it
+        has besides.
+        """
+        has = frozenset(known)
+        missing = tuple(
+            self._objects[self._by_version[version]]
+            for version in self.versions_since(revision)
+            if version not in has
         )
-
-    def newer(self, revision: int, generation: int) -> tuple[StoredObject, ...]:
-        """Return the objects that a node with so much news misses."""
-        missing = self.since(revision)
         if self._config.generation <= generation or CONFIG not in self._objects:
             return missing
         return (self._objects[CONFIG], *missing)
@@ -157,11 +190,13 @@
             CONFIG_REFUSED.report(generation=record.generation, reason=invalid)
             return
         self._config = record
-        self._declarations = declared
+        self._declared = declared
+        self._declarations = _with_planned(declared, self._planned)
         CONFIG_IN_FORCE.report(generation=record.generation, who=record.who)
 
     def _take_node(self, stored: StoredObject) -> None:
         node_id = stored.name.removeprefix(NODES)
+        self.node_changes += 1
         if stored.value is None:
             self._nodes.pop(node_id, None)
             return
@@ -174,9 +209,29 @@
         records = self._records.setdefault(shard.service, {})
         if stored.value is None:
             known.pop(shard.number, None)
-            records.pop(shard.number, None)
+            self._note_named(shard, records.pop(shard.number, None), None)
             return
         record = to_record(ShardRecord, stored)
+        self._note_named(shard, records.get(shard.number), record)
         known[shard.number] = Entry(record, stored.version)
         records[shard.number] = record
+        self._note_planned(shard.service, record.shards)
         self.when_shard_changes(shard, record)
+
+    def _note_planned(self, service: str, shards: int) -> None:
+        if shards and self._planned.get(service) != shards:
+            self._planned[service] = shards
+            self._declarations = _with_planned(self._declared, self._planned)
+
+    def _note_named(
+        self,
+        shard: ShardName,
+        before: ShardRecord | None,
+        after: ShardRecord | None,
+    ) -> None:
+        for name in before.succession if before else ():
+            self._named[name].discard(shard)
+            if not self._named[name]:
+                self._named.pop(name)
+        for name in after.succession if after else ():
+            self._named.setdefault(name, set()).add(shard)
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -10,10 +10,12 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Entry
 from laburnumwood.membership.view import FleetView
+from laburnumwood.placement.division import Division
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import parents, split_number
 from laburnumwood.placement.ownership import (
     Standing,
+    acting,
     rank,
     standing,
     token,
@@ -73,6 +75,7 @@
         self._wanting_since_ms: dict[ShardName, int] = {}
         self._wanted_before_ms: dict[ShardName, int] = {}
         self._lacking_since_ms: dict[ShardName, int] = {}
+        self._division = Division(service, view, clock)
 
     @property
     def stale(self) -> tuple[ShardName, ...]:
@@ -89,7 +92,7 @@
         """Tell whether no shard waits for a write of this node."""
         waiting = self._writes or self._stale or self._lacking_since_ms
         turns = self._wanting_since_ms or self._holdings.has_spent
-        return not waiting and not turns
+        return not waiting and not turns and not self._division.is_open
 
     @property
     def begun(self) -> dict[int, NodeName]:
@@ -110,8 +113,12 @@
 
     def follow(self) -> None:
         """Hold and drop shards as seals and records ask for it."""
-        if self._lease.holds():
-            for shard, entry in self._shards():
+        if not self._lease.holds():
+            return
+        named = self._view.directory.shards_naming(self._own)
+        for shard in sorted({*named, *self._holdings.tokens(), *self._stale}):
+            entry = self._view.directory.shard(shard)
+            if entry is not None:
                 self._follow(shard, entry)
 
     def wanted(self) -> list[ShardName]:
@@ -122,7 +129,7 @@
         self._wanting_since_ms = {}
         known = (
             shard
-            for shard, entry in self._shards()
+            for shard, entry in self._open_shards()
             if self._is_wanted(shard, entry)
         )
         return [
@@ -206,10 +213,13 @@
         elif progress is Progress.NOT_SENT:
             self._holdings.reopen(write.shard)
 
-    def _shards(self) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
+    def _open_shards(self) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
+        """Yield the shards that this node or nobody acts for."""
         entries = self._view.directory.shards(self._service).items()
         for number, entry in sorted(entries):
-            yield ShardName(self._service, number), entry
+            actor = acting(entry.record, self._view)
+            if actor is None or actor == self._own:
+                yield ShardName(self._service, number), entry
 
     def _standing(self, shard: ShardName, record: ShardRecord) -> Standing:
         return standing(shard, record, self._own, self._view)
@@ -269,9 +279,8 @@
         return first == self._own or not patient
 
     def _missing(self) -> Iterator[ShardName]:
-        declared = self._view.directory.declarations.services.get(self._service)
         known = self._view.directory.shards(self._service)
-        numbers = list(range(declared.shards if declared else 0))
+        numbers = list(self._division.numbers())
         numbers.extend(
             split_number(keys)
             for keys, _ in _parents(self._view, self._service)
@@ -309,7 +318,7 @@
             if split_number(keys) == shard.number:
                 # Tokens of keys rise on from those of the shard they left.
                 return ShardRecord(parent.epoch, succession, keys=keys)
-        return ShardRecord(1, succession)
+        return ShardRecord(1, succession, shards=self._division.shards())
 
     def _take_written(self, write: ShardWrite) -> None:
         target = write.record.succession[0]
