--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -10,7 +10,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.daemon.incarnation import Incarnation
 from laburnumwood.errors import (
-    NodeStoppingError,
+    LaburnumwoodError,
     PlatformError,
     SettingsError,
 )
@@ -51,6 +51,10 @@
 _Found = TypeVar('_Found')
 
 
+class _StoppingError(LaburnumwoodError):
+    """What the store was asked for is not needed by a node that stops."""
+
+
 class Node:
     """One process beside one worker."""
 
@@ -96,7 +100,7 @@
             is_first = self._incarnation is None
             try:
                 incarnation = self._join(ended)
-            except NodeStoppingError:
+            except _StoppingError:
                 break
             NODE_JOINED.report(node=incarnation.name)
             if is_first:
@@ -252,7 +256,7 @@
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         if self._incarnation is not None:
             self._incarnation.tell_left()
-        with suppress(NodeStoppingError):
+        with suppress(_StoppingError):
             self._persist(lambda: end_earlier(self._platform, name))
 
     def _is_back(self) -> bool:
@@ -263,7 +267,7 @@
     def _persist(self, call: Callable[[], _Found]) -> _Found:
         """Make a call of the store until it is answered.
 
-        Raises `NodeStoppingError` once the node is told to stop.
+        Raises `_StoppingError` once the node is told to stop.
         """
         while True:
             try:
@@ -271,7 +275,7 @@
             except PlatformError as failure:
                 # The guarded store has told of it.
                 if self._is_stopping:
-                    raise NodeStoppingError from failure
+                    raise _StoppingError from failure
             eventlet.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
 
     def _close(self, incarnation: Incarnation) -> NodeName | None:
@@ -301,22 +305,19 @@
             return
         NODE_STOPPING.report(node=incarnation.name)
         # What the door read needs its time, however long the shards take.
-        closing = eventlet.spawn(self._turn_away, incarnation)
+        closing = eventlet.spawn(self._close_door)
         incarnation.hand_over(self._patience_ms())
         closing.wait()
+        # The others may not know yet, while the store is away, that it ends.
+        incarnation.gate.close()
         self._drain(incarnation, self._patience_ms())
         self._record_end(incarnation)
         incarnation.end()
         incarnation.close()
         NODE_LEFT.report(node=incarnation.name)
 
-    def _turn_away(self, incarnation: Incarnation) -> None:
-        """Take nothing more of callers and other nodes, after the linger.
-
-        These may not know yet, while the store is away, that the node ends.
-        """
+    def _close_door(self) -> None:
         self._linger()
-        incarnation.gate.close()
         if self._door is not None:
             self._door.close(self._patience_ms())
 
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -73,10 +73,6 @@
     """The incarnation of this node has lapsed and must not act any more."""
 
 
-class NodeStoppingError(LaburnumwoodError):
-    """What the store was asked for is not needed by a node that stops."""
-
-
 class WorkerError(LaburnumwoodError):
     """The base of what can go wrong with a call of the worker."""
 
