Do not break an answer of which the caller has every byte

Callers that had a whole answer saw their connection reset at its deadline, and the next request on it end unread; a reset may also take bytes from a caller that has not read them yet.

Cause: the door waited for the owner's End after the last byte of a body with a length, and took a deadline or a lost link in between for a cut. An answer is whole now when all bytes that its head announces have come.

Test: a link lost after the last byte; before 'reset', now 'kept'.

--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -29,6 +29,7 @@
     Serve,
     local_pair,
 )
+from laburnumwood.routing.headers import find
 from laburnumwood.routing.inquiry import Inquiry
 from laburnumwood.routing.outcome import failure
 from laburnumwood.routing.spread import AVOID_MS, Spread
@@ -41,6 +42,12 @@
 Sign = tuple[int, NodeName | None]  # version of a record, and who may act
 
 
+def _announced_length(head: Answer) -> int | None:
+    """Return the length that the head of an answer gives its body, if any."""
+    given = ''.join(find(head.headers, 'content-length'))
+    return int(given) if given.isdecimal() else None
+
+
 class Reply:
     """The head of an answer, and its body that is still to come."""
 
@@ -53,6 +60,7 @@
         self._clock = clock
         self._whole = False
         self._length = 0
+        self._announced = _announced_length(head)
         self._ahead: bytes | None = b''  # read, and not given out yet
 
     @property
@@ -84,6 +92,10 @@
         if isinstance(self.head, WholeAnswer):
             self._whole = True
             return self.head.body
+        if self._length == self._announced:
+            # The caller has every byte: nothing may break its answer any more.
+            self._whole = True
+            return None
         message = self._exchange.receive(max(0, self.left_ms))
         if isinstance(message, End) and message.length == self._length:
             self._whole = True
--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -21,3 +21,9 @@
     When a caller sends a request on a kept connection
     Then its connection is reset
     And event "answer-cut" names the request and "the link was lost"
+
+  Scenario: an answer that the caller has whole is not broken any more
+    Given a door whose link is lost after the last byte of an answer
+    When a caller sends a request on a kept connection
+    Then it is answered with status 200
+    And its connection is kept
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -61,11 +61,17 @@
 class _CutRouter:
     """Answers with a head and the first part of a body, and nothing more."""
 
+    def __init__(self, *headers: tuple[str, str]) -> None:
+        self._headers = headers
+
     def send(self, _inquiry: Inquiry, _caller: Caller) -> Reply:
         near, far = local_pair()
         clock = Clock()
         reply = Reply(
-            Answer(200, ()), near, clock.now_ms() + DEADLINE_MS, clock
+            Answer(200, self._headers),
+            near,
+            clock.now_ms() + DEADLINE_MS,
+            clock,
         )
         far.send(Chunk(b'the beginning'))
         reply.begin()
@@ -110,6 +116,12 @@
     _serve(context, Door(router, OwnFace(), lambda: DECLARED))
 
 
+@given('a door whose link is lost after the last byte of an answer')
+def serve_whole(context: Context) -> None:
+    router: Any = _CutRouter(('Content-Length', '13'))
+    _serve(context, Door(router, OwnFace(), lambda: DECLARED))
+
+
 @given('a caller whose connection is idle after an answer')
 def leave_idle(context: Context) -> None:
     context.caller.sendall(REQUEST)
@@ -178,6 +190,11 @@
     assert answered == context.application.ran, context.application.ran
 
 
+@then('its connection is kept')
+def check_kept(context: Context) -> None:
+    assert context.end == 'kept', (context.received, context.end)
+
+
 @then('its connection is reset')
 def check_reset(context: Context) -> None:
     assert context.end == 'reset', (context.received, context.end)
