--- a/tests/features/dividing.feature
+++ b/tests/features/dividing.feature
@@ -5,7 +5,7 @@
   # Guards against workers that never get a key: 64 shards, 66 workers.
   Scenario Outline: every node of a service that begins gets shards
     Given <nodes> nodes that begin together
-    When 4 s pass
+    When 4 s pass for them
     Then the service has <shards> shards
     And each node owns <least> of them at least and <most> at the most
     And each key of the service is placed in the shard that has it
@@ -18,20 +18,20 @@
 
   Scenario: the number stays when nodes come
     Given 7 nodes that begin together
-    When 4 s pass
+    When 4 s pass for them
     And 33 more nodes come
-    And 4 s pass
+    And 4 s pass for them
     Then the service has 64 shards
 
   Scenario: nodes that know each other late go by one number
     Given 9 nodes that begin together and hear of each other after 2500 ms
-    When 6 s pass
+    When 6 s pass for them
     Then all records are of one division
 
   # Guards against moves at the start, of shards that were evenly divided.
   Scenario Outline: a node moves nothing while it knows of some shards only
     Given 8 nodes that begin together
-    When 4 s pass
+    When 4 s pass for them
     And a node that owns 8 shards hears of <heard> of the 64
     Then it moves <moved>
 
@@ -43,7 +43,7 @@
 
   Scenario: a node that knows of all shards moves some to one that has none
     Given 8 nodes that begin together
-    When 4 s pass
+    When 4 s pass for them
     And 3 more nodes come
     And a node that owns 8 shards hears of 64 of the 64
     Then it moves some
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -70,11 +70,17 @@
 class _CutRouter:
     """Answers with a head and the first part of a body, and nothing more."""
 
+    def __init__(self, *headers: tuple[str, str]) -> None:
+        self._headers = headers
+
     def send(self, _inquiry: Inquiry, _caller: Caller) -> Reply:
         near, far = local_pair()
         clock = Clock()
         reply = Reply(
-            Answer(200, ()), near, clock.now_ms() + DEADLINE_MS, clock
+            Answer(200, self._headers),
+            near,
+            clock.now_ms() + DEADLINE_MS,
+            clock,
         )
         far.send(Chunk(b'the beginning'))
         reply.begin()
@@ -132,6 +138,7 @@
     _serve(context, Door(router, OwnFace(), lambda: DECLARED))
 
 
+<<<<<<< HEAD
 class _SlowLinks:
     """Links of which each is made only after the caller has gone."""
 
@@ -188,6 +195,12 @@
 def check_not_run(context: Context) -> None:
     assert isinstance(context.outcome, Failure), context.outcome
     assert not context.outcome.ran, context.outcome
+=======
+@given('a door whose link is lost after the last byte of an answer')
+def serve_whole(context: Context) -> None:
+    router: Any = _CutRouter(('Content-Length', '13'))
+    _serve(context, Door(router, OwnFace(), lambda: DECLARED))
+>>>>>>> 202fc6549cab78d66e2845241321298704d3f3af
 
 
 @given('a caller whose connection is idle after an answer')
@@ -266,6 +279,11 @@
     assert answered == context.application.ran, context.application.ran
 
 
+@then('its connection is kept')
+def check_kept(context: Context) -> None:
+    assert context.end == 'kept', (context.received, context.end)
+
+
 @then('its connection is reset')
 def check_reset(context: Context) -> None:
     assert context.end == 'reset', (context.received, context.end)
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -150,7 +150,7 @@
     context.fleet.add(count)
 
 
-@when('{span_s:d} s pass')
+@when('{span_s:d} s pass for them')
 def let_pass(context: Context, span_s: int) -> None:
     for _ in range(span_s * 1_000 // _TURN_MS):
         context.fleet.turn()
