--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -19,6 +19,7 @@
     When a request with 1000 ms left comes
     Then it was returned as "not-owner" after 100 ms
 
+  # Guards against answers lost with the process of a node that ends.
   Scenario: a request that comes after the gate was closed goes elsewhere
     Given the gate is closed for the end of its node
     When a request for no shard comes
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -7,6 +7,7 @@
     Then the other call is answered over a second connection
     And the call that waits fails with LinkLostError
 
+  # Guards against answers lost with links that had only been idle.
   Scenario: a link that carried nothing for long is kept under the next call
     Given a peer that answers calls and reads no bodies
     When a call is made after the link carried nothing for 1300 ms
@@ -14,23 +15,27 @@
     Then the call is answered
     And one link was made
 
+  # Guards against answers lost with all links after a pause of the process.
   Scenario: a link is kept when its own process stood still
     Given a peer that answers calls and reads no bodies
     When the process stands still for 1300 ms under a call
     Then the call is answered
     And one link was made
 
+  # Guards against 504 for answers that lie unread in the socket.
   Scenario: a call takes an answer that came before its time was over
     Given a peer that falls silent on its first connection
     When a call waits on the silent link for 700 ms
     And its answer comes and the process stands still for 500 ms
     Then the call is answered
 
+  # Guards against a dead link that is kept for ever.
   Scenario: a silent link is lost though calls on it are short and seldom
     Given a peer that falls silent on its first connection
     When calls that wait for 50 ms are made 300 ms apart
     Then one of them is answered over a second connection
 
+  # Guards against answers lost when a node joins anew.
   Scenario: links that are released end after the calls on them
     Given a peer that answers calls and reads no bodies
     When its links are released under a call of 500 ms
