--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -171,6 +171,13 @@
     'answer-undelivered',
     'a call of a peer ended with its link; its answer has no receiver',
 )
+LINK_LOST = _event(
+    406,
+    logbook.WARNING,
+    'link-lost',
+    'a link to a node ended under streams that it carried',
+    'check the node named and the network to it',
+)
 CONFIG_IN_FORCE = _event(
     501, logbook.INFO, 'config-in-force', 'a configuration came into force'
 )
@@ -285,6 +292,18 @@
     'caller-lost',
     'a connection of a caller ended while its request was being answered',
 )
+CALLER_GONE = _event(
+    707,
+    logbook.INFO,
+    'caller-gone',
+    'a caller left before its request was answered',
+)
+RUN_CANCELLED = _event(
+    708,
+    logbook.INFO,
+    'run-cancelled',
+    'a request was ended at the gate: nobody waits for its answer any more',
+)
 TASK_FAILED = _event(
     901,
     logbook.ERROR,
--- a/laburnumwood/metrics.py
+++ b/laburnumwood/metrics.py
@@ -101,6 +101,11 @@
     'ms',
     'time from a request to the head of its answer at this door, by service',
 )
+CALLER_GONE_WITHIN = _histogram(
+    'laburnumwood.caller.gone',
+    'ms',
+    'longest time for which a caller may have been gone when it was noticed',
+)
 BUSY_SLOTS = _up_down(
     'laburnumwood.slots.busy',
     '1',
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -13,7 +13,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkLostError, ProtocolError
-from laburnumwood.events import MESSAGE_REFUSED
+from laburnumwood.events import LINK_LOST, MESSAGE_REFUSED
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
@@ -90,6 +90,7 @@
         self._used_ms = clock.now_ms()
         self._last_number = 0
         self._last_opened = 0
+        self._heard_ms = clock.now_ms()
         self._unheard_looks = 0
         self._is_owed = False  # also after the stream was given up
         self._lock = Semaphore()
@@ -113,13 +114,15 @@
     def run(self) -> None:
         """Read until the connection ends; call it in a task of its own."""
         _WATCH.add(self)
+        reason = 'the connection ended'
         try:
-            self._read()
+            reason = self._read()
         except ProtocolError as refused:
             MESSAGE_REFUSED.report(peer=self._peer, reason=refused)
+            reason = str(refused)
         finally:
             _WATCH.remove(self)
-            self._end()
+            self._end(reason)
 
     def open_stream(self) -> Stream:
         """Return a new stream to the peer."""
@@ -142,11 +145,13 @@
         """Drop a stream that has ended."""
         self._streams.pop(stream, None)
 
-    def close(self) -> None:
+    def close(self, reason: str = 'closed by this node') -> None:
         """End the connection and every stream on it."""
         if not self._open:
             return
         self._open = False
+        if self._streams:
+            self._tell_lost(reason)
         with suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         for stream in tuple(self._streams.values()):
@@ -157,8 +162,17 @@
         """Let the connection end once it carries nothing."""
         self._idle_limit_ms = 0
 
-    def _end(self) -> None:
-        self.close()
+    def _tell_lost(self, reason: str) -> None:
+        LINK_LOST.report(
+            peer=self._peer,
+            reason=reason,
+            owed=len(self._streams),
+            unheard_ms=self._clock.now_ms() - self._heard_ms,
+            is_sending=self._lock.locked(),
+        )
+
+    def _end(self, reason: str) -> None:
+        self.close(reason)
         # Closed before a blocked sender has left, it would never wake.
         with self._lock:
             self._socket.close()
@@ -168,23 +182,26 @@
             for part in self._protocol.data_to_send():
                 self._socket.sendall(part)
         except OSError as broken:
-            eventlet.spawn_n(self.close)
+            eventlet.spawn_n(self.close, repr(broken))
             raise LinkLostError(f'link to {self._peer} broke') from broken
 
-    def _read(self) -> None:
+    def _read(self) -> str:
+        """Take in what comes; return how the connection ended."""
         while self._open:
             try:
                 received = self._socket.recv(_READ_SIZE)
-            except (OSError, EOFError):
-                return
+            except (OSError, EOFError) as broken:
+                return repr(broken)
             if not received:
-                return
+                return 'the peer closed it'
+            self._heard_ms = self._clock.now_ms()
             self._unheard_looks = 0
             self._is_owed = False
             self._protocol.receive_data(received)
             if self._protocol.parser_exc is not None:
                 raise ProtocolError(f'frame: {self._protocol.parser_exc}')
             self._take_events()
+        return 'closed by this node'
 
     def _take_events(self) -> None:
         for event in self._protocol.events_received():
@@ -232,7 +249,7 @@
 
     def _check_silence(self) -> None:
         if self._unheard_looks >= _LOST_LOOKS:
-            self.close()
+            self.close('nothing was heard on it')
         elif self._unheard_looks >= _PING_LOOKS:
             self._ping()
 
--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -7,7 +7,9 @@
 import eventlet
 from eventlet.patcher import original
 
-from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.events import CALLER_GONE
+from laburnumwood.metrics import CALLER_GONE_WITHIN
 
 GoneHandler = Callable[[], None]
 
@@ -21,9 +23,14 @@
     A caller that ends its side of the connection counts as gone.
     """
 
-    def __init__(self, sock: Any, callers: 'Callers') -> None:
+    def __init__(
+        self, sock: Any, callers: 'Callers', request_id: str, clock: Clock
+    ) -> None:
         self._socket = sock
         self._callers = callers
+        self._request_id = request_id
+        self._clock = clock
+        self._looked_ms = clock.now_ms()
         self._gone = False
         self._when_gone: GoneHandler | None = None
         self.number = int(sock.fileno())
@@ -47,12 +54,24 @@
         try:
             self._gone = not self._socket.fd.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
+            self._looked_ms = self._clock.now_ms()
             return
         except OSError:
             self._gone = True
+        if self._gone:
+            self._tell_gone()
         if self._gone and self._when_gone is not None:
             self._when_gone()
 
+    def _tell_gone(self) -> None:
+        within_ms = self._clock.now_ms() - self._looked_ms
+        CALLER_GONE_WITHIN.record(within_ms)
+        CALLER_GONE.report(
+            request=self._request_id,
+            within_ms=within_ms,
+            is_tried=self._when_gone is not None,
+        )
+
 
 class Callers:
     """Looks at the connections of all awaited callers together.
@@ -61,13 +80,14 @@
     at all of them now and then.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._awaited: dict[int, Caller] = {}
         self._is_looking = False
 
-    def await_answer(self, sock: Any) -> Caller:
+    def await_answer(self, sock: Any, request_id: str = '') -> Caller:
         """Return the caller behind a connection, looked at from now on."""
-        caller = Caller(sock, self)
+        caller = Caller(sock, self, request_id, self._clock)
         self._awaited[caller.number] = caller
         if not self._is_looking:
             self._is_looking = True
--- a/laburnumwood/routing/door.py
+++ b/laburnumwood/routing/door.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
+from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations
 from laburnumwood.errors import LinkError
 from laburnumwood.events import ANSWER_CUT
@@ -23,11 +24,13 @@
     `face` tells how callers speak, `declared` what is declared now.
     """
 
-    def __init__(self, router: Router, face: Face, declared: Declared) -> None:
+    def __init__(
+        self, router: Router, face: Face, declared: Declared, clock: Clock
+    ) -> None:
         self._router = router
         self._face = face
         self._declared = declared
-        self._callers = Callers()
+        self._callers = Callers(clock)
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -42,7 +45,7 @@
             refusal = self._face.refusal(refused.told, request_id)
             return give(refusal, start_response)
         sock = environ['eventlet.input'].get_socket()
-        caller = self._callers.await_answer(sock)
+        caller = self._callers.await_answer(sock, request_id)
         reply = self._router.send(inquiry, caller)
         if isinstance(reply, Failure):
             caller.stop()
--- a/laburnumwood/routing/measuring.py
+++ b/laburnumwood/routing/measuring.py
@@ -25,7 +25,7 @@
     def __init__(
         self, router: Router, face: Face, declared: Declared, clock: Clock
     ) -> None:
-        self._door = Door(router, face, declared)
+        self._door = Door(router, face, declared, clock)
         self._declared = declared
         self._clock = clock
         self._served: Counter[str] = Counter()
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -16,6 +16,7 @@
     WorkerTimeoutError,
     WorkerUnreachableError,
 )
+from laburnumwood.events import RUN_CANCELLED
 from laburnumwood.protocol.messages import (
     Answer,
     Chunk,
@@ -79,8 +80,8 @@
 
     def run(self, run: Run, exchange: Exchange, kept: int = 0) -> Result:
         """Run a request; keep its answer up to a number of bytes."""
-        left_ms = run.until_ms - self._clock.now_ms()
-        if left_ms <= 0:
+        started_ms = self._clock.now_ms()
+        if run.until_ms <= started_ms:
             told = failure('deadline', 'no time is left to run', ran=False)
             return _give_up(told, exchange)
         task = eventlet.getcurrent()
@@ -88,6 +89,13 @@
             exchange.when_message(partial(self._stop, run, task))
             return self._exchange(run, exchange, kept)
         except RunCancelledError as cancelled:
+            now_ms = self._clock.now_ms()
+            RUN_CANCELLED.report(
+                request=run.work.request_id,
+                service=run.work.service,
+                after_ms=now_ms - started_ms,
+                left_ms=run.until_ms - now_ms,
+            )
             return Result(told=failure('cancelled', str(cancelled), ran=True))
         finally:
             exchange.when_message(None)
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -135,7 +135,7 @@
 @given('a door whose answer ends early')
 def serve_cut(context: Context) -> None:
     router: Any = _CutRouter()
-    _serve(context, Door(router, OwnFace(), lambda: DECLARED))
+    _serve(context, Door(router, OwnFace(), lambda: DECLARED, Clock()))
 
 
 class _SlowLinks:
@@ -158,7 +158,7 @@
     left.close()
     right.setblocking(False)
     clock = Clock()
-    context.gone = Callers().await_answer(GreenSocket(right))
+    context.gone = Callers(clock).await_answer(GreenSocket(right))
     context.links = _SlowLinks(context.gone)
     view: Any = OneGate()
     links: Any = context.links
@@ -199,7 +199,7 @@
 @given('a door whose link is lost after the last byte of an answer')
 def serve_whole(context: Context) -> None:
     router: Any = _CutRouter(('Content-Length', '13'))
-    _serve(context, Door(router, OwnFace(), lambda: DECLARED))
+    _serve(context, Door(router, OwnFace(), lambda: DECLARED, Clock()))
 
 
 @given('a caller whose connection is idle after an answer')
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -188,4 +188,4 @@
     )
     listener = eventlet.listen((HOST, 0))
     print(f'listening on {HOST}:{listener.getsockname()[1]}', flush=True)
-    serve_callers(listener, Door(router, OwnFace(), lambda: DECLARED))
+    serve_callers(listener, Door(router, OwnFace(), lambda: DECLARED, clock))
