--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -87,7 +87,7 @@
     log = TestHandler()
     log.push_application()
     context.add_cleanup(log.pop_application)
-    context.callers = Callers()
+    context.callers = Callers(Clock())
     context.done = eventlet.event.Event()
 
 
@@ -162,13 +162,13 @@
 
     def __init__(self, context: Context, own: NodeName) -> None:
         served, self._sock = _connect(context)
-        self.caller = Callers().await_answer(served)
         self.has_left = False
         self.given_late: list[Work] = []
         self.far: Any = None
         self.told: Any = None
         self.view = _OpeningGate()
         clock = Clock()
+        self.caller = Callers(clock).await_answer(served)
         view: Any = self.view
         links: Any = self
         self._router = Router(
