Keep the watch of callers alive whatever it watches

Callers that left were not noticed any more, and their requests went on, once one connection that was closed already came to the watch (its descriptor is -1, which poll refuses) or the handler for one caller raised: the one task that looks at all callers had ended, and its flag still said that it ran.

The watch is a supervised task, a closed connection counts as gone at once, and a handler's failure is logged (work-failed) and stays with its caller. Tasks move to a module that all packages may use.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -9,7 +9,6 @@
 from laburnumwood.daemon.handover_news import HandoverNews
 from laburnumwood.daemon.holder import ShardHolder
 from laburnumwood.daemon.load import LoadParts
-from laburnumwood.daemon.tasks import Task, Tasks
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
@@ -44,6 +43,7 @@
 from laburnumwood.routing.suspicions import Suspicions
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
+from laburnumwood.tasks import Task, Tasks
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.grants import Grants
 from laburnumwood.upstream.load import LoadPoller
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -311,6 +311,13 @@
     'a task of the daemon failed and is started again',
     'report this with the log',
 )
+WORK_FAILED = _event(
+    903,
+    logbook.ERROR,
+    'work-failed',
+    'something that was done once failed, and is not done again',
+    'report this with the log',
+)
 ANSWER_FAILED = _event(
     902,
     logbook.ERROR,
--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -10,6 +10,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import CALLER_GONE
 from laburnumwood.metrics import CALLER_GONE_WITHIN
+from laburnumwood.tasks import attempt, start, supervise
 
 GoneHandler = Callable[[], None]
 
@@ -61,7 +62,7 @@
         if self._gone:
             self._tell_gone()
         if self._gone and self._when_gone is not None:
-            self._when_gone()
+            attempt(self._when_gone)
 
     def _tell_gone(self) -> None:
         within_ms = self._clock.now_ms() - self._looked_ms
@@ -88,10 +89,13 @@
     def await_answer(self, sock: Any, request_id: str = '') -> Caller:
         """Return the caller behind a connection, looked at from now on."""
         caller = Caller(sock, self, request_id, self._clock)
+        if caller.number < 0:
+            caller.look()  # its connection is closed already
+            return caller
         self._awaited[caller.number] = caller
         if not self._is_looking:
             self._is_looking = True
-            eventlet.spawn_n(self._look_often)
+            start(supervise, self._look_often)
         return caller
 
     def forget(self, caller: Caller) -> None:
--- /dev/null
+++ b/laburnumwood/tasks.py
@@ -0,0 +1,58 @@
+"""Tasks: green threads whose failures are logged."""
+
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+from eventlet.greenthread import GreenThread
+
+from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.events import TASK_FAILED, WORK_FAILED
+
+_RESTART_MS = 200
+
+Task = Callable[[], None]
+
+
+def _name(task: Callable[..., object]) -> object:
+    return getattr(task, '__qualname__', task)
+
+
+def attempt(act: Callable[..., object], *arguments: Any) -> None:
+    """Do something now; what fails in it is logged and goes no further."""
+    try:
+        act(*arguments)
+    except Exception as failure:
+        about = ' '.join(str(each) for each in arguments)
+        WORK_FAILED.report(task=_name(act), about=about, reason=repr(failure))
+
+
+def start(task: Callable[..., object], *arguments: Any) -> None:
+    """Start a task that ends by itself; a failure of it is logged."""
+    eventlet.spawn_n(attempt, task, *arguments)
+
+
+def supervise(task: Task) -> None:
+    """Run a task until it returns, again after each failure."""
+    while True:
+        try:
+            return task()
+        except Exception as failure:
+            TASK_FAILED.report(task=_name(task), reason=repr(failure))
+        eventlet.sleep(_RESTART_MS / MS_PER_SECOND)
+
+
+class Tasks:
+    """Tasks that run until they return, again after each failure."""
+
+    def __init__(self) -> None:
+        self._running: list[GreenThread] = []
+
+    def start(self, task: Task) -> None:
+        """Start a task."""
+        self._running.append(eventlet.spawn(supervise, task))
+
+    def kill(self) -> None:
+        """End all tasks at once."""
+        for running in self._running:
+            running.kill()
