Notice a caller's end behind bytes that it sent before

A caller that had sent its next request on the same connection, and then closed, reset or half-closed it, was never noticed: the look at the connection saw bytes. Its request was served to the end.

The poll that looks at all callers asks for the end of the other side as well (POLLRDHUP), which the system tells whatever lies unread before it.

--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -1,7 +1,7 @@
 """The callers behind requests: whether they are still there."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import eventlet
@@ -16,6 +16,20 @@
 
 _LOOK_MS = 150  # between two looks at all connections
 _select = original('select')
+# An end that is not hidden by bytes before it; nobody has to read them first.
+_ENDED = (
+    _select.POLLRDHUP | _select.POLLHUP | _select.POLLERR | _select.POLLNVAL
+)
+_WATCHED = _select.POLLIN | _select.POLLRDHUP
+
+
+def _poll(numbers: Iterable[int]) -> dict[int, int]:
+    """Return what there is to know of descriptors, without waiting."""
+    poll = _select.poll()
+    for number in numbers:
+        if number >= 0:
+            poll.register(number, _WATCHED)
+    return dict(poll.poll(0))
 
 
 class Caller:
@@ -31,7 +45,7 @@
         self._callers = callers
         self._request_id = request_id
         self._clock = clock
-        self._looked_ms = clock.now_ms()
+        self._since_ms = clock.now_ms()
         self._gone = False
         self._when_gone: GoneHandler | None = None
         self.number = int(sock.fileno())
@@ -50,22 +64,35 @@
         self._when_gone = None
         self._callers.forget(self)
 
-    def look(self) -> None:
-        """Find out why the connection can be read."""
-        try:
-            self._gone = not self._socket.fd.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            self._looked_ms = self._clock.now_ms()
-            return
-        except OSError:
-            self._gone = True
+    def look(self) -> bool:
+        """Look at the connection now; tell whether the caller has gone."""
+        if not self._gone:
+            number = self._socket.fileno()
+            events = _poll((number,)).get(number, 0)
+            self.note(_ENDED if number < 0 else events)
+        return self._gone
+
+    def note(self, events: int) -> None:
+        """Take in what the system says of the connection."""
+        self._gone = bool(events & _ENDED) or (
+            bool(events) and self._reads_end()
+        )
         if self._gone:
             self._tell_gone()
         if self._gone and self._when_gone is not None:
             attempt(self._when_gone)
 
+    def _reads_end(self) -> bool:
+        try:
+            return not self._socket.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def _tell_gone(self) -> None:
-        within_ms = self._clock.now_ms() - self._looked_ms
+        looked_ms = max(self._since_ms, self._callers.looked_ms)
+        within_ms = self._clock.now_ms() - looked_ms
         CALLER_GONE_WITHIN.record(within_ms)
         CALLER_GONE.report(
             request=self._request_id,
@@ -84,6 +111,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._awaited: dict[int, Caller] = {}
+        self.looked_ms = 0  # when all were looked at last
         self._is_looking = False
 
     def await_answer(self, sock: Any, request_id: str = '') -> Caller:
@@ -110,10 +138,8 @@
         self._is_looking = False
 
     def _look(self) -> None:
-        poll = _select.poll()
-        for number in self._awaited:
-            poll.register(number, _select.POLLIN)
-        for number, _ in poll.poll(0):
+        for number, events in _poll(self._awaited).items():
             caller = self._awaited.get(number)
             if caller is not None and not caller.is_gone:
-                caller.look()
+                caller.note(events)
+        self.looked_ms = self._clock.now_ms()
