--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -29,6 +29,19 @@
     And its answer comes and the process stands still for 500 ms
     Then the call is answered
 
+  # Guards against answers cut midway by a link that is slow to carry them.
+  Scenario: an answer that has begun is kept while its link is silent
+    Given a peer that falls silent on its first connection
+    When an answer begins on the silent link and goes on 2000 ms later
+    Then the call takes the whole answer
+
+  # Guards against half a message on a link, which spoils all that follows.
+  Scenario: a sender that is ended while it sends spoils nothing on its link
+    Given a peer that reads slowly and answers calls
+    When a sender is ended while the link takes no more
+    Then other calls are answered
+    And one link was made
+
   # Guards against a dead link that is kept for ever.
   Scenario: a silent link is lost though calls on it are short and seldom
     Given a peer that falls silent on its first connection
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from cbor2 import dumps
+from eventlet.event import Event
 from logbook import TestHandler
 from websockets.protocol import Protocol
 
@@ -33,6 +34,7 @@
 LIMIT_MS = 60_000
 LOSS_LIMIT_S = 10  # in which a dead link is given up
 CHUNK = 32_768
+STREAMS = 64  # whose bodies are more than a connection takes at once
 
 
 def _dispatcher(context: Context) -> Dispatcher:
@@ -261,6 +263,69 @@
     context.answer = context.waiting.wait()
 
 
+def _take_answer(stream: Stream) -> list[Any]:
+    return [_outcome(stream.receive, LIMIT_MS) for _ in ('head', 'end')]
+
+
+@when('an answer begins on the silent link and goes on {span:d} ms later')
+def answer_late(context: Context, span: int) -> None:
+    stream = context.peers.open_stream(PEER)
+    stream.send(Cancel())
+    taken = eventlet.spawn(_take_answer, stream)
+    eventlet.sleep(0)
+    while context.connections == 0:
+        eventlet.sleep(0)
+    protocol, sock = context.silent
+    for message in (Chunk(b'the beginning'), End(13)):
+        protocol.send_binary(encode(-1, message))
+        with suppress(OSError):
+            for part in protocol.data_to_send():
+                sock.sendall(part)
+        eventlet.sleep(span / MS_PER_SECOND)
+    context.answer = taken.wait()
+
+
+@then('the call takes the whole answer')
+def check_whole_answer(context: Context) -> None:
+    assert context.answer == [Chunk(b'the beginning'), End(13)], context.answer
+
+
+class _SlowReader:
+    """A listener whose connections are read only when it is said."""
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self._dispatcher = dispatcher
+        self.may_read = Event()
+        self.listener = eventlet.listen((HOST, 0))
+
+    def serve(self) -> None:
+        """Take connections; does not return."""
+        while True:
+            eventlet.spawn_n(self._serve_one, self.listener.accept()[0])
+
+    def _serve_one(self, sock: Any) -> None:
+        protocol, peer = welcome(sock, KEY)
+        self.may_read.wait()
+        Link(protocol, sock, peer, self._dispatcher.handle, Clock()).run()
+
+
+@given('a peer that reads slowly and answers calls')
+def start_slow_reader(context: Context) -> None:
+    context.reader = _SlowReader(_dispatcher(context))
+    address = context.reader.listener.getsockname()
+    _begin(context, (context.reader.serve,), address)
+
+
+@when('a sender is ended while the link takes no more')
+def end_sender(context: Context) -> None:
+    streams = [context.peers.open_stream(PEER) for _ in range(STREAMS)]
+    senders = [eventlet.spawn(_send_window, stream) for stream in streams]
+    eventlet.sleep(SUSPECT_MS / 2 / MS_PER_SECOND)
+    for sender in senders:
+        sender.kill()
+    context.reader.may_read.send()
+
+
 @when('another call is made once the link is suspect')
 def call_beside(context: Context) -> None:
     eventlet.sleep((SUSPECT_MS + 100) / 1_000)
