Send the rest of a frame whose sender was ended midway

A run that is cancelled (its caller left, its time is over) ends its task, also while that waits for a full connection to take a frame of the answer. What was left of the frame was dropped; the peer took the next frame for the rest of it, could not read on and closed the link, and every answer owed on it was lost.

Evidence: the scenario of request_links.feature, red in and green now.

What a connection has not taken stays with the link, and is sent before anything else, by a task of its own if its sender is ended.

--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -94,6 +94,7 @@
         self._unheard_looks = 0
         self._is_owed = False  # also after the stream was given up
         self._lock = Semaphore()
+        self._unsent = b''  # begun, and not yet taken by the connection
         self._open = True
 
     @property
@@ -178,12 +179,19 @@
             self._socket.close()
 
     def _flush(self) -> None:
+        self._unsent += b''.join(self._protocol.data_to_send())
         try:
-            for part in self._protocol.data_to_send():
-                self._socket.sendall(part)
+            while self._unsent:
+                sent = self._socket.send(self._unsent)
+                self._unsent = self._unsent[sent:]
         except OSError as broken:
             eventlet.spawn_n(self.close, repr(broken))
             raise LinkLostError(f'link to {self._peer} broke') from broken
+        finally:
+            if self._unsent and self._open:
+                # Its sender was ended midway: half a frame would spoil all
+                # that follows.
+                eventlet.spawn_n(self._send_pending)
 
     def _read(self) -> str:
         """Take in what comes; return how the connection ended."""
