Keep what a silent link may still carry

Their pings waited behind their own bytes, or were not sent while a sender held the link; the other side had had bytes 42 to 276 ms before.

Silence shows that a link is slow or dead, not which. After a second only requests fail that may be sent elsewhere and of whose answers nothing has come, and their work is cancelled. The link gets no new streams meanwhile, as before, and is closed after four seconds.

--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -22,10 +22,12 @@
 MOST_STREAMS = 2_048  # that a peer may have open on a link
 _LOOK_MS = 200  # between two looks at all links
 # Looks in a row after which a link that owes something and was not heard
-# meanwhile is pinged, gets no new streams, and is lost.
+# meanwhile is pinged, gets no new streams, lets those fail that wait for the
+# beginning of their answers, and is closed.
 _PING_LOOKS = 2
 _SUSPECT_LOOKS = 3
-_LOST_LOOKS = 5
+_GIVE_UP_LOOKS = 5
+_LOST_LOOKS = 20
 SUSPECT_MS = _SUSPECT_LOOKS * _LOOK_MS
 _READ_SIZE = 65_536
 
@@ -125,10 +127,14 @@
             _WATCH.remove(self)
             self._end(reason)
 
-    def open_stream(self) -> Stream:
-        """Return a new stream to the peer."""
+    def open_stream(self, *, is_patient: bool = False) -> Stream:
+        """Return a new stream to the peer.
+
+        One that is patient outlasts a silence: what it asks for can't be
+        asked for again elsewhere.
+        """
         self._last_number += 1
-        stream = Stream(self._last_number, self)
+        stream = Stream(self._last_number, self, is_patient=is_patient)
         self._streams[self._last_number] = stream
         self._is_owed = True
         return stream
@@ -258,9 +264,28 @@
     def _check_silence(self) -> None:
         if self._unheard_looks >= _LOST_LOOKS:
             self.close('nothing was heard on it')
-        elif self._unheard_looks >= _PING_LOOKS:
+            return
+        if self._unheard_looks == _GIVE_UP_LOOKS:
+            self._fail_unanswered()
+        if self._unheard_looks >= _PING_LOOKS:
             self._ping()
 
+    def _fail_unanswered(self) -> None:
+        """Let requests go elsewhere of whose answers nothing has come.
+
+        The link may only be slow, and what has begun may still come.
+        """
+        silent = LinkLostError(f'link to {self._peer} is silent')
+        waiting = [
+            stream
+            for number, stream in self._streams.items()
+            if number > 0 and not stream.outlasts_silence
+        ]
+        if waiting:
+            self._tell_lost('nothing was heard on it, it may come back')
+        for stream in waiting:
+            stream.fail(silent)
+
     def _ping(self) -> None:
         # A sender that is blocked holds the lock; waiting for it would keep
         # this task from closing a dead connection.
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -81,10 +81,13 @@
         self._locks: dict[NodeName, Semaphore] = {}
         self._refused_ms: dict[NodeName, int] = {}
 
-    def open_stream(self, peer: NodeName) -> Stream:
+    def open_stream(
+        self, peer: NodeName, *, is_patient: bool = False
+    ) -> Stream:
         """Return a new stream to a peer, over a new link if need be.
 
-        Raises `LinkRefusedError`.
+        One that is patient outlasts a silence of its link.  Raises
+        `LinkRefusedError`.
         """
         asked_ms = self._clock.now_ms()
         lock = self._locks.setdefault(peer, Semaphore())
@@ -98,7 +101,7 @@
             elif link.is_suspect:
                 link = self._connect_beside(link)
             self._links[peer] = link
-        return link.open_stream()
+        return link.open_stream(is_patient=is_patient)
 
     def call(self, peer: NodeName, message: Any, timeout_ms: int) -> Any:
         """Send a message and return the one reply.
--- a/laburnumwood/protocol/streams.py
+++ b/laburnumwood/protocol/streams.py
@@ -41,7 +41,9 @@
     under way that the other side has not read.
     """
 
-    def __init__(self, number: int, link: FrameSender) -> None:
+    def __init__(
+        self, number: int, link: FrameSender, *, is_patient: bool = False
+    ) -> None:
         self._number = number
         self._link = link
         self._inbox: LightQueue = LightQueue()
@@ -50,9 +52,18 @@
         self._unread = 0
         self._untold = 0  # bytes that were read, and the sender not told
         self._answered = False
+        self._outlasts_silence = is_patient
         self._failure: LinkError | None = None
         self._watcher: Watcher | None = None
 
+    @property
+    def outlasts_silence(self) -> bool:
+        """Tell whether to wait on while the link is silent.
+
+        Of an answer that has begun the rest may still come.
+        """
+        return self._outlasts_silence
+
     def send(self, message: Any) -> None:
         """Send a message; a chunk waits until the window lets it through.
 
@@ -97,7 +108,9 @@
         """Take in a message that the link received for this stream."""
         if isinstance(message, Credit):
             self._credits.put(message.size)
-        elif isinstance(message, Chunk):
+            return
+        self._outlasts_silence = True
+        if isinstance(message, Chunk):
             self._unread += len(message.content)
             if self._unread > _MOST_UNREAD:
                 raise ProtocolError('more was sent than the window allows')
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -270,7 +270,9 @@
     def _open(self, target: NodeName, work: Work, caller: Caller) -> Outgoing:
         """Send a request to a node, unless its caller has gone by then."""
         if target != self._own:
-            exchange = self._peers.open_stream(target)
+            exchange = self._peers.open_stream(
+                target, is_patient=not work.idempotent
+            )
             if caller.look():
                 exchange.close()
                 raise CallerGoneError(_GONE)
@@ -295,6 +297,8 @@
             abandon(exchange)
             return failure('deadline', str(late), ran=True)
         except LinkError as lost:
+            # A link that is only silent may still carry the work there.
+            abandon(exchange)
             return failure('link-lost', str(lost), ran=progress.may_run)
 
     def _read_head(
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -35,6 +35,12 @@
     When an answer begins on the silent link and goes on 2000 ms later
     Then the call takes the whole answer
 
+  # Guards against requests that can't be sent again being given up early.
+  Scenario: a call that can't be repeated is kept while its link is silent
+    Given a peer that falls silent on its first connection
+    When a patient call on the silent link is answered after 2000 ms
+    Then the patient call is answered
+
   # Guards against half a message on a link, which spoils all that follows.
   Scenario: a sender that is ended while it sends spoils nothing on its link
     Given a peer that reads slowly and answers calls
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -267,6 +267,26 @@
     return [_outcome(stream.receive, LIMIT_MS) for _ in ('head', 'end')]
 
 
+@when('a patient call on the silent link is answered after {span:d} ms')
+def call_patiently(context: Context, span: int) -> None:
+    stream = context.peers.open_stream(PEER, is_patient=True)
+    stream.send(Cancel())
+    context.waiting = eventlet.spawn(_outcome, stream.receive, LIMIT_MS)
+    eventlet.sleep(span / MS_PER_SECOND)
+    protocol, sock = context.silent
+    protocol.send_binary(encode(-1, Done()))
+    with suppress(OSError):
+        for part in protocol.data_to_send():
+            sock.sendall(part)
+
+
+@then('the patient call is answered')
+def check_patient(context: Context) -> None:
+    with eventlet.Timeout(LIMIT_S):
+        context.answer = context.waiting.wait()
+    check_call(context)
+
+
 @when('an answer begins on the silent link and goes on {span:d} ms later')
 def answer_late(context: Context, span: int) -> None:
     stream = context.peers.open_stream(PEER)
