--- a/tests/features/balance.feature
+++ b/tests/features/balance.feature
@@ -148,6 +148,12 @@
     Then none of 50 requests goes to "a"
     And after 2 s some of 50 requests go to "a"
 
+  # Guards against nodes that are avoided for what their callers did.
+  Scenario: a node is not avoided since a caller left
+    Given nodes "a", "b" and "c" of a service without keys
+    When the caller of a request to "a" leaves
+    Then some of 50 requests of rank 1 go to "a"
+
   Scenario Outline: a node that has no room is open to what is more urgent
     Given nodes "a", "b" and "c" of a service without keys
     When a request of rank 1 to "a" fails as "<kind>"
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Set
+from contextlib import suppress
 from json import loads
 from math import isclose
 from pathlib import Path
@@ -15,6 +16,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Weights
+from laburnumwood.errors import CallerGoneError
 from laburnumwood.placement.balance import Picture
 from laburnumwood.placement.balancer import estimated_loads
 from laburnumwood.placement.hotkeys import HotKeys
@@ -459,6 +461,16 @@
     tracked.close()
 
 
+@when('the caller of a request to "{node_id}" leaves')
+def leave_request(context: Context, node_id: str) -> None:
+    near, _ = local_pair()
+    tracked = context.spread.track(near, NodeName(node_id, 1))
+    tracked.fail(CallerGoneError('the caller has gone'))
+    with suppress(CallerGoneError):
+        tracked.receive(1_000)
+    tracked.close()
+
+
 @when('a request of rank {rank:d} to "{node_id}" fails as "{kind}"')
 def fail_request(context: Context, rank: int, node_id: str, kind: str) -> None:
     near, far = local_pair()
