Bound the bytes and the time of a worker's head, and of its refusals

Interim answers without end were read for ever in one turn of the event loop, so that a whole node stood still; trailers without end alike; the body of an answer that says that the request did not run was collected without a bound; and a head that came a byte at a time outlasted its request's time.

Evidence: worker_answers.feature, nine examples. Without the change 'interim answers' and the head that trickles end only with the test's own limit of 10 s; the status line, a header and the headers were bounded before. For the bodies the method that bounds them is new.

Interim answers, head and trailers may have 256 KB together; a refusal's body may have what goes whole between nodes; a head has the request's time.

--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -33,7 +33,6 @@
 from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.worker import Order, Worker
 
-_NO_BODY = b''
 _NOT_SENT: dict[type[WorkerError], str] = {
     WorkerBusyError: 'overloaded',
     WorkerUnreachableError: 'worker-unreachable',
@@ -202,7 +201,8 @@
         may_refuse = self._dialect.may_refuse(answer)
         if not may_refuse and (length is None or length > self._longest_whole):
             return None
-        body = _NO_BODY.join(answer.chunks())
+        # Longer ones are no refusals of a worker that keeps to its protocol.
+        body = answer.whole(max(self._longest_whole, LONGEST_INLINE))
         kind = self._dialect.refusal(answer, body) if may_refuse else None
         if kind is not None:
             detail = f'the worker refused it with status {answer.status}'
--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -24,9 +24,12 @@
 )
 
 _LONGEST_LINE = 65_536  # bytes
+# Of an answer without its body: interim answers, head and trailers together.
+_LONGEST_HEAD = 262_144  # bytes
 _STATUS_LINE = re.compile(rb'HTTP/1\.([01]) ([1-9][0-9]{2})(?: .*)?\r?\n')
 _HEADER_LINE = re.compile(rb'([^\s:\0]+):[ \t]*([^\r\n\0]*?)[ \t]*\r?\n')
 _BODYLESS = frozenset((204, 304))
+_ENDS_OF_TRAILER = frozenset((b'\r\n', b'\n', b''))
 _TIMEOUT_PARAMETER = re.compile(r'timeout\s*=\s*([0-9]+)', re.IGNORECASE)
 _IDLE_MARGIN_MS = 500  # before the worker closes an idle connection itself
 
@@ -38,6 +41,20 @@
     answer without a length is whole.
     """
 
+    def __init__(self, *args: Any, clock: Clock) -> None:
+        super().__init__(*args)
+        self._clock = clock
+        self._until_ms: int | None = None
+
+    def read_until(self, until_ms: int) -> None:
+        """Let all reads together end at a time, however often a byte comes."""
+        self._until_ms = until_ms
+
+    def read_within(self, limit_ms: int) -> None:
+        """Let each read from now on wait for so long at the most."""
+        self._until_ms = None
+        self.settimeout(limit_ms / MS_PER_SECOND)
+
     def recv_into(
         self, buffer: memoryview, nbytes: int = 0, flags: int = 0
     ) -> int:
@@ -51,6 +68,9 @@
                 return read
 
     def _await_bytes(self) -> None:
+        if self._until_ms is not None:
+            left_ms = self._until_ms - self._clock.now_ms()
+            self.settimeout(max(left_ms, 1) / MS_PER_SECOND)
         try:
             self._read_trampoline()
         except IOClosed as closed:
@@ -63,6 +83,7 @@
     def __init__(self, sock: Any, method: str) -> None:
         super().__init__(sock, method=method)
         self._has_no_body = method == 'HEAD'
+        self._head_left = _LONGEST_HEAD
         self.fields: tuple[Header, ...] = ()
         self.index = HeaderIndex(())
 
@@ -80,11 +101,19 @@
         self._frame()
 
     def _read_line(self) -> bytes:
-        line: bytes = self.fp.readline(_LONGEST_LINE + 1)
-        if len(line) > _LONGEST_LINE:
+        longest = min(_LONGEST_LINE, self._head_left)
+        line: bytes = self.fp.readline(longest + 1)
+        if len(line) > longest:
             raise LineTooLong('head')
+        self._head_left -= len(line)
         return line
 
+    def _read_and_discard_trailer(self) -> None:
+        # The library's own reads on for as long as there are trailers.
+        for line in iter(self._read_line, None):
+            if line in _ENDS_OF_TRAILER:
+                return
+
     def _read_status_line(self) -> tuple[int, int]:
         line = self._read_line()
         found = _STATUS_LINE.fullmatch(line)
@@ -120,6 +149,7 @@
     def __init__(self, *args: Any, clock: Clock, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._clock = clock
+        self.sock: Any
         self._closes_ms: int | None = None  # when the worker closes it if idle
 
     def send_request(
@@ -130,6 +160,7 @@
         Raises `OSError` or `HTTPException`.
         """
         self.sock.settimeout(timeout_ms / MS_PER_SECOND)
+        self.sock.read_until(self._clock.now_ms() + timeout_ms)
         self.sock.sendall(head + body)
         response = WorkerResponse(self.sock, method)
         response.begin()
@@ -169,6 +200,7 @@
             connected.type,
             connected.proto,
             connected.detach(),
+            clock=self._clock,
         )
         sock.settimeout(limit_s)
         return sock
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -13,6 +13,7 @@
 
 _CONNECT_TIMEOUT_S = 0.5
 _CHUNK_SIZE = 32_768  # bytes
+_NOTHING = b''
 
 
 def cut_error(failure: Exception) -> WorkerCutError:
@@ -69,6 +70,20 @@
         if self._response.length:
             raise WorkerCutError(f'{self._response.length} bytes are missing')
 
+    def whole(self, longest: int) -> bytes:
+        """Return the body, which may have so many bytes.
+
+        Raises `WorkerCutError` if it has more, ends early or falls silent.
+        """
+        parts: list[bytes] = []
+        left = longest
+        for part in self.chunks():
+            left -= len(part)
+            if left < 0:
+                raise WorkerCutError(f'the body is longer than {longest} bytes')
+            parts.append(part)
+        return _NOTHING.join(parts)
+
     def close(self) -> None:
         """End the exchange and its connection, unless that was given back."""
         if self._is_over:
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -1,5 +1,6 @@
 """Steps about the ends of answers, on one connection to a played worker."""
 
+from contextlib import suppress
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
 from types import SimpleNamespace
@@ -8,9 +9,10 @@
 import eventlet
 from behave import given, then, when
 from behave.runner import Context
+from eventlet import Timeout
 
-from laburnumwood.clock import Clock
-from laburnumwood.errors import WorkerCutError
+from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.errors import WorkerCutError, WorkerTimeoutError
 from laburnumwood.header_index import HeaderIndex
 from laburnumwood.platform.workers import WorkerDialect
 from laburnumwood.upstream.worker import Order, Worker
@@ -56,6 +58,113 @@
     assert context.outcome == what, context.outcome
 
 
+_CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+ENDLESS = {  # what comes first, and what comes again and again after it
+    'the status line': (b'HTTP/1.1 200 ', b'O' * 4_096),
+    'interim answers': (b'', b'HTTP/1.1 102 Wait\r\n\r\n' * 128),
+    'a header': (b'HTTP/1.1 200 OK\r\nX-A: ', b'a' * 4_096),
+    'the headers': (b'HTTP/1.1 200 OK\r\n', b'X-A: a\r\n' * 512),
+    'the size of a chunk': (_CHUNKED, b'0' * 4_096),
+    'the trailers': (b'%b0\r\n' % _CHUNKED, b'X-A: a\r\n' * 512),
+    'a body of no length': (HEAD, b'b' * 4_096),
+    'a chunked body': (_CHUNKED, b'1000\r\n%b\r\n' % (b'b' * 4_096)),
+}
+
+
+def _send_endless(context: Context, sock: Any, where: str) -> None:
+    first, again = ENDLESS[where]
+    with suppress(OSError):
+        sock.sendall(first)
+        while True:
+            sock.sendall(again)
+            context.sent += len(again)
+
+
+@given('a worker whose answers have no end in {where}')
+def start_endless(context: Context, where: str) -> None:
+    context.sent = 0
+
+    def send(sock: Any) -> None:
+        sock.recv(LIMIT_MS)
+        _send_endless(context, sock, where)
+
+    _start_worker(context, send)
+
+
+@given('a worker whose heads come a byte every {pause:d} ms')
+def start_trickling(context: Context, pause: int) -> None:
+    def send(sock: Any) -> None:
+        sock.sendall(b'HTTP/1.1 200 OK\r\nX-A: ')
+        with suppress(OSError):
+            while True:
+                eventlet.sleep(pause / MS_PER_SECOND)
+                sock.sendall(b'a')
+
+    _start_worker(context, send)
+
+
+def _start_worker(context: Context, send: Any) -> None:
+    listener = eventlet.listen((HOST, 0))
+    eventlet.spawn_n(lambda: send(listener.accept()[0]))
+    context.worker = Worker(
+        f'http://{HOST}:{listener.getsockname()[1]}', 1, Clock()
+    )
+
+
+def _count_turns(context: Context) -> None:
+    while True:
+        context.turns += 1
+        eventlet.sleep(0)
+
+
+@when('the answer to a request is read whole, up to {longest:d} bytes')
+def read_endless(context: Context, longest: int) -> None:
+    context.turns = 0
+    counting = eventlet.spawn(_count_turns, context)
+    context.add_cleanup(counting.kill)
+    with Timeout(LIMIT_MS / MS_PER_SECOND):
+        try:
+            answer = _ask(context)
+            context.verdict = answer.whole(longest)
+        except WorkerCutError as cut:
+            context.verdict = cut
+
+
+@then('it is cut')
+def check_cut(context: Context) -> None:
+    assert isinstance(context.verdict, WorkerCutError), context.verdict
+
+
+@then('the worker could send less than {most:d} bytes')
+def check_sent(context: Context, most: int) -> None:
+    assert context.sent < most, context.sent
+
+
+@then('other tasks went on meanwhile')
+def check_turns(context: Context) -> None:
+    assert context.turns, context.turns
+
+
+@when('the answer to a request with {span:d} ms left is awaited')
+def await_trickle(context: Context, span: int) -> None:
+    clock = Clock()
+    began_ms = clock.now_ms()
+    with Timeout(LIMIT_MS / MS_PER_SECOND):
+        try:
+            context.verdict = context.worker.run(
+                Order('GET', '/', (), b'', span)
+            )
+        except WorkerCutError as cut:
+            context.verdict = cut
+    context.taken_ms = clock.now_ms() - began_ms
+
+
+@then('it is given up as late after at most {most:d} ms')
+def check_late(context: Context, most: int) -> None:
+    assert isinstance(context.verdict, WorkerTimeoutError), context.verdict
+    assert context.taken_ms <= most, context.taken_ms
+
+
 def _answer_all(context: Context, listener: Any) -> None:
     while True:
         connection = listener.accept()[0]
--- a/tests/features/worker_answers.feature
+++ b/tests/features/worker_answers.feature
@@ -48,3 +48,28 @@
     Given a worker that answers every request on a connection
     When 5 requests are sent to it and read one after the other
     Then it was connected to once
+
+  # Guards against workers that fill the memory or the time of a node.
+  Scenario Outline: bytes without end in <where> are given up within a bound
+    Given a worker whose answers have no end in <where>
+    When the answer to a request is read whole, up to 100000 bytes
+    Then it is cut
+    And the worker could send less than 20000000 bytes
+    And other tasks went on meanwhile
+
+    Examples:
+      | where               |
+      | the status line     |
+      | interim answers     |
+      | a header            |
+      | the headers         |
+      | the size of a chunk |
+      | the trailers        |
+      | a body of no length |
+      | a chunked body      |
+
+  # Guards against heads that come a byte at a time for ever.
+  Scenario: a head that trickles is given up when the time is over
+    Given a worker whose heads come a byte every 20 ms
+    When the answer to a request with 300 ms left is awaited
+    Then it is given up as late after at most 600 ms
