Start every task in one place, where its failure is logged and met

Tasks were started in 30 places. What failed in one went to standard error as a traceback, and whoever depended on it waited: the watch of all links ended for good with one link's fault, and a caller whose request met a fault at a gate waited until its deadline.

Evidence: 'a silent link is noticed after a fault at another link' and 'a request whose task fails is answered at once' fail without the change.

The watch of links is supervised and one link's fault stays with it; a gate answers a fault with 502, as one that may have run.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -2,8 +2,6 @@
 
 from contextlib import suppress
 
-import eventlet
-
 from laburnumwood.borders import Borders
 from laburnumwood.clock import Clock
 from laburnumwood.daemon.handover_news import HandoverNews
@@ -43,7 +41,7 @@
 from laburnumwood.routing.suspicions import Suspicions
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
-from laburnumwood.tasks import Task, Tasks
+from laburnumwood.tasks import Task, Tasks, start
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.grants import Grants
 from laburnumwood.upstream.load import LoadPoller
@@ -151,7 +149,7 @@
     def retire(self) -> int:
         """Let nothing more in; return when the worker's grants run out."""
         self._keeper.close_all()
-        eventlet.spawn_n(self._announce_leaving)
+        start(self._announce_leaving)
         return self._granter.retire() if self._granter else 0
 
     def store_answers(self) -> bool:
@@ -167,7 +165,7 @@
 
         What could not be moved in time goes to the successors by the seals.
         """
-        eventlet.spawn_n(self._announce_leaving)
+        start(self._announce_leaving)
         self._keeper.hand_over_all(self.name, patience_ms)
         witnesses = set(self.lease.witnesses.members)
         self.lease.resign()
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -40,6 +40,7 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.breaker import GuardedStore
 from laburnumwood.store.writes import new_mark
+from laburnumwood.tasks import begin, start
 from laburnumwood.upstream.reporting import ReportingWorker
 
 _JOIN_RETRY_MS = 500
@@ -104,7 +105,7 @@
                 break
             NODE_JOINED.report(node=incarnation.name)
             if is_first:
-                eventlet.spawn_n(self._end_earlier, incarnation.name)
+                start(self._end_earlier, incarnation.name)
             known = self._live(incarnation)
             if self._is_stopping:
                 break
@@ -132,7 +133,7 @@
 
     def _listen(self) -> None:
         settings = self._settings
-        eventlet.spawn_n(
+        start(
             listen,
             (settings.host, settings.peer_port),
             self._security,
@@ -285,7 +286,7 @@
         """
         if not incarnation.is_busy:
             return incarnation.name
-        eventlet.spawn_n(self._close_later, incarnation)
+        start(self._close_later, incarnation)
         return None
 
     def _close_later(self, incarnation: Incarnation) -> None:
@@ -305,7 +306,7 @@
             return
         NODE_STOPPING.report(node=incarnation.name)
         # What the door read needs its time, however long the shards take.
-        closing = eventlet.spawn(self._close_door)
+        closing = begin(self._close_door)
         incarnation.hand_over(self._patience_ms())
         closing.wait()
         # The others may not know yet, while the store is away, that it ends.
--- a/laburnumwood/logs.py
+++ b/laburnumwood/logs.py
@@ -17,6 +17,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import Event
+from laburnumwood.tasks import start
 
 LINES_PER_SECOND = 50  # of one kind of event
 _BURST = 100  # lines of one kind that may come at once
@@ -60,7 +61,7 @@
         self._waiting.append(line)
         if not self._is_writing:
             self._is_writing = True
-            eventlet.spawn_after(_FLUSH_MS / MS_PER_SECOND, self._write)
+            start(self._write)
 
     def flush(self) -> None:
         """Write what waits now, as far as it is taken at once."""
@@ -69,6 +70,7 @@
             taken = self._write_some(b''.join(self._waiting))
 
     def _write(self) -> None:
+        eventlet.sleep(_FLUSH_MS / MS_PER_SECOND)
         try:
             while self._waiting:
                 if not self._write_some(b''.join(self._waiting)):
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -33,6 +33,7 @@
 from laburnumwood.records import NodeName, Seal, WitnessSet
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.interface import Store
+from laburnumwood.tasks import start
 
 _SEAL_TICK_MS = 100
 _REVIEW_MS = 500
@@ -120,7 +121,7 @@
         for name in self._lease.asked:
             if name not in self._asking:
                 self._asking.add(name)
-                eventlet.spawn_n(self._ask_often, name)
+                start(self._ask_often, name)
 
     def _ask_often(self, name: NodeName) -> None:
         try:
--- a/laburnumwood/membership/spreading.py
+++ b/laburnumwood/membership/spreading.py
@@ -2,8 +2,6 @@
 
 from typing import Any
 
-import eventlet
-
 from laburnumwood.errors import LinkError
 from laburnumwood.events import NODE_SEALED
 from laburnumwood.membership.view import FleetView
@@ -25,6 +23,7 @@
     StoredObject,
 )
 from laburnumwood.store.objects import shard_object, to_value
+from laburnumwood.tasks import start
 
 _CALL_TIMEOUT_MS = 1_000
 
@@ -52,7 +51,7 @@
         )
         if newer and peer not in self._pulling:
             self._pulling.add(peer)
-            eventlet.spawn_n(self._pull, peer)
+            start(self._pull, peer)
 
     def add_seals(self, seals: tuple[Seal, ...]) -> None:
         """Take in seals and tell of the nodes that they prove lapsed."""
@@ -63,7 +62,7 @@
     def tell(self, names: set[NodeName], message: Any) -> None:
         """Send a notice to nodes, each in a task of its own."""
         for name in names:
-            eventlet.spawn_n(self._tell_one, name, message)
+            start(self._tell_one, name, message)
 
     def _tell_one(self, name: NodeName, message: Any) -> None:
         try:
--- a/laburnumwood/placement/exchange.py
+++ b/laburnumwood/placement/exchange.py
@@ -16,6 +16,7 @@
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
+from laburnumwood.tasks import start
 
 _ROUND_MS = 1_000
 _CALL_TIMEOUT_MS = 500
@@ -69,7 +70,7 @@
         for number in count():
             eventlet.sleep(_ROUND_MS / MS_PER_SECOND)
             for name in self._drawn(number):
-                eventlet.spawn_n(self._ask, name)
+                start(self._ask, name)
 
     def _drawn(self, number: int) -> set[NodeName]:
         topic = f'load {self._own} {number // _ROUNDS_PER_DRAW}'
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -20,6 +20,7 @@
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.protocol.messages import ShardNotice
 from laburnumwood.records import NodeName, NodeRecord, ShardName
+from laburnumwood.tasks import start
 from laburnumwood.upstream.grants import Grants
 
 _STANDING_MS = 100
@@ -81,9 +82,7 @@
         for turn in count():
             eventlet.sleep(_WRITING_MS / MS_PER_SECOND)
             for stale in self._tenure.stale:
-                self._writer.pool.spawn_n(
-                    self._writer.refresh_if_possible, stale
-                )
+                self._writer.start(self._writer.refresh_if_possible, stale)
             if self._stopping:
                 continue
             version = self._tenure.version
@@ -140,7 +139,7 @@
         if target is not None:
             write = self._tenure.begin_move(shard, target)
             if write is not None:
-                eventlet.spawn_n(self._move, write)
+                start(self._move, write)
 
     def _move(self, write: ShardWrite) -> None:
         self._let_go(write.shard)
@@ -167,7 +166,7 @@
         shard = ShardName(self._service, split.shard)
         write = self._tenure.begin_split(shard, split.ranges)
         if write is not None:
-            eventlet.spawn_n(self._split, write, split)
+            start(self._split, write, split)
 
     def _split(self, write: ShardWrite, split: Split) -> None:
         # The worker lets the whole shard go, so that nothing is held of the
@@ -192,18 +191,18 @@
         )
         created = self._tenure.begin_new(name, part.target, handover)
         if created is not None:
-            self._writer.pool.spawn_n(self._carry, created)
+            self._writer.start(self._carry, created)
 
     def _write_wanted(self) -> None:
         for shard in self._tenure.wanted():
-            if self._writer.pool.free() <= 0:
+            if not self._writer.has_room:
                 return
             home = self._tenure.home(shard)
             if home is not None and self._may_go_home(home):
                 self._give_back(shard, home)
             else:
                 write = self._tenure.begin_write(shard)
-                self._writer.pool.spawn_n(self._carry, write)
+                self._writer.start(self._carry, write)
 
     def _may_go_home(self, home: NodeName) -> bool:
         is_steady = self._balancer.is_steady(home.node_id)
@@ -215,7 +214,7 @@
         if write is None:
             self._begin_move(shard, home)
         else:
-            self._writer.pool.spawn_n(self._carry, write)
+            self._writer.start(self._carry, write)
 
     def _give_all_away(self) -> None:
         # The worker is lost or leaves: others are to serve its keys.
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -1,5 +1,8 @@
 """Tasks that carry writes of shard records through, a few at a time."""
 
+from collections.abc import Callable
+from typing import Any
+
 import eventlet
 from eventlet.greenpool import GreenPool
 
@@ -11,6 +14,7 @@
 from laburnumwood.records import ShardName
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import shard_object
+from laburnumwood.tasks import attempt
 
 _CONCURRENT_WRITES = 8
 _FLOOR_POLL_MS = 10
@@ -31,9 +35,9 @@
         self._is_answered = True
 
     @property
-    def pool(self) -> GreenPool:
-        """Return the tasks that write."""
-        return self._pool
+    def has_room(self) -> bool:
+        """Tell whether one more task can start without waiting."""
+        return bool(self._pool.free() > 0)
 
     @property
     def is_answered(self) -> bool:
@@ -45,6 +49,10 @@
         """Tell whether no write waits for an answer of the store."""
         return not self._unsettled
 
+    def start(self, task: Callable[..., object], *arguments: Any) -> None:
+        """Start a task that writes; it waits while too many write."""
+        self._pool.spawn_n(attempt, task, *arguments)
+
     def carry(self, write: ShardWrite) -> Progress:
         """Step a write until its progress is final, and return that."""
         self._renewer.poke()
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -17,6 +17,7 @@
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
+from laburnumwood.tasks import attempt, start, supervise
 
 IDLE_MS = 60_000  # a link that carries nothing is closed after this
 MOST_STREAMS = 2_048  # that a peer may have open on a link
@@ -46,7 +47,7 @@
         self._links[link] = None
         if not self._is_running:
             self._is_running = True
-            eventlet.spawn_n(self._run)
+            start(supervise, self._run)
 
     def remove(self, link: 'Link') -> None:
         """Look at a link no longer."""
@@ -56,7 +57,7 @@
         while self._links:
             eventlet.sleep(_LOOK_MS / MS_PER_SECOND)
             for link in tuple(self._links):
-                link.look()
+                attempt(link.look)
         self._is_running = False
 
 
@@ -191,13 +192,13 @@
                 sent = self._socket.send(self._unsent)
                 self._unsent = self._unsent[sent:]
         except OSError as broken:
-            eventlet.spawn_n(self.close, repr(broken))
+            start(self.close, repr(broken))
             raise LinkLostError(f'link to {self._peer} broke') from broken
         finally:
             if self._unsent and self._open:
                 # Its sender was ended midway: half a frame would spoil all
                 # that follows.
-                eventlet.spawn_n(self._send_pending)
+                start(self._send_pending)
 
     def _read(self) -> str:
         """Take in what comes; return how the connection ended."""
@@ -226,7 +227,7 @@
             else:
                 # The reader never waits for a sender: two peers that wait
                 # for each other's reader would stop for good.
-                eventlet.spawn_n(self._send_pending)
+                start(self._send_pending)
 
     def _send_pending(self) -> None:
         with self._lock, suppress(LinkLostError):
@@ -243,7 +244,7 @@
                 raise ProtocolError('the peer opened too many streams')
             opened = Stream(-number, self)
             self._streams[-number] = opened
-            eventlet.spawn_n(self._handler, self, opened, message)
+            start(self._handler, self, opened, message)
 
     def look(self) -> None:
         """Ping a silent link and close a dead or idle one; call it often.
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -15,6 +15,7 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
+from laburnumwood.tasks import start
 
 _BACKLOG = 256
 _REFUSED_REST_MS = 300  # in which a peer that refused a link is not dialled
@@ -151,7 +152,7 @@
             self._clock,
             closes_idle=True,
         )
-        eventlet.spawn_n(link.run)
+        start(link.run)
         return link
 
 
@@ -181,4 +182,4 @@
     listener = eventlet.listen(address, backlog=_BACKLOG)
     while True:
         sock, _ = listener.accept()
-        eventlet.spawn_n(_serve, sock, security, handler, clock)
+        start(_serve, sock, security, handler, clock)
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -4,6 +4,7 @@
 from contextlib import AbstractContextManager, suppress
 from dataclasses import dataclass, replace
 from functools import partial
+from traceback import format_exc
 from typing import Protocol
 
 from laburnumwood.admission.control import ADMISSIONS
@@ -13,7 +14,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service
 from laburnumwood.errors import LinkError, OverloadedError
-from laburnumwood.events import REQUEST_RETURNED
+from laburnumwood.events import ANSWER_FAILED, REQUEST_RETURNED
 from laburnumwood.leases.lease import Lease
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import Records, placed_shard
@@ -142,6 +143,15 @@
                 self._serve_in_shard(exchange, work)
             except OverloadedError as shed:
                 self._return(exchange, work, overloaded(shed.retry_after_ms))
+            except LinkError:
+                raise
+            except Exception as fault:
+                ANSWER_FAILED.report(
+                    request=work.request_id,
+                    path=work.target,
+                    trace=format_exc(),
+                )
+                exchange.send(failure('fault', repr(fault), ran=True))
 
     def _return(self, exchange: Exchange, work: Work, told: Failure) -> None:
         """Send a request back that did not run, and log why."""
--- a/laburnumwood/routing/notary.py
+++ b/laburnumwood/routing/notary.py
@@ -28,6 +28,7 @@
 from laburnumwood.routing.outcome import failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.running import Result
+from laburnumwood.tasks import begin, start
 
 _CALL_TIMEOUT_MS = 500
 _SYNC_MS = 200
@@ -114,8 +115,7 @@
         others = [name for name in succession if name != self._own]
         epoch = entry.record.epoch
         calls = [
-            eventlet.spawn(self._send_whole, name, shard, epoch, True)
-            for name in others
+            begin(self._send_whole, name, shard, epoch, True) for name in others
         ]
         taken = [call.wait() for call in calls]
         return not taken or taken[0]
@@ -147,7 +147,7 @@
         entries: tuple[LedgerEntry, ...],
     ) -> bool:
         calls = [
-            eventlet.spawn(self._tell, name, shard, record.epoch, entries)
+            begin(self._tell, name, shard, record.epoch, entries)
             for name in self._successors(record)
         ]
         # Each is waited for, whatever the others said.
@@ -202,7 +202,7 @@
         known = self._view.directory.shard(shard)
         for name in self._successors(known.record) if known else ():
             notes = LedgerNotes(str(shard), 0, (entry,), False, False)
-            eventlet.spawn_n(self._send, name, notes)
+            start(self._send, name, notes)
 
     def _serve_notes(
         self, link: Link, stream: Stream, notes: LedgerNotes
--- a/laburnumwood/routing/outcome.py
+++ b/laburnumwood/routing/outcome.py
@@ -90,6 +90,7 @@
     'quarantined': Problem(
         HTTPStatus.FORBIDDEN, 'The request crashes workers', 600_000
     ),
+    'fault': Problem(HTTPStatus.BAD_GATEWAY, 'The node met a fault'),
     'cancelled': Problem(HTTPStatus.BAD_GATEWAY, 'The request was cancelled'),
 }
 
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -3,8 +3,6 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
-import eventlet
-
 from laburnumwood.admission.retries import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.errors import CallerGoneError, LinkError, LinkTimeoutError
@@ -34,6 +32,7 @@
 from laburnumwood.routing.outcome import failure
 from laburnumwood.routing.spread import AVOID_MS, Spread
 from laburnumwood.routing.tries import PATIENCE_MS, Tries
+from laburnumwood.tasks import start
 
 _CHUNK_SIZE = 32_768
 _GONE = 'the caller has gone'
@@ -124,7 +123,7 @@
 def abandon(exchange: Outgoing) -> None:
     """Tell the gate that its answer is no longer wanted, and wait no more."""
     exchange.fail(CallerGoneError(_GONE))
-    eventlet.spawn_n(_tell_cancel, exchange)
+    start(_tell_cancel, exchange)
 
 
 def _tell_cancel(exchange: Outgoing) -> None:
@@ -143,8 +142,8 @@
 
 def _send_body(exchange: Outgoing, body: bytes, progress: _Progress) -> None:
     """Send a body that did not go with the head of its request."""
-    for start in range(0, len(body), _CHUNK_SIZE):
-        exchange.send(Chunk(body[start : start + _CHUNK_SIZE]))
+    for offset in range(0, len(body), _CHUNK_SIZE):
+        exchange.send(Chunk(body[offset : offset + _CHUNK_SIZE]))
     progress.may_run = True
     if body:
         exchange.send(End(len(body)))
@@ -281,7 +280,7 @@
         if caller.look():
             raise CallerGoneError(_GONE)
         near, far = local_pair()
-        eventlet.spawn_n(self._serve, far, work)
+        start(self._serve, far, work)
         return near
 
     def _ask(
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -30,6 +30,7 @@
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.solitude import Solitude
 from laburnumwood.routing.suspicions import Suspicions
+from laburnumwood.tasks import start
 from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.worker import Order, Worker
 
@@ -220,7 +221,7 @@
         eventlet.kill(task, cancelled)
 
     def _cancel(self, run: Run) -> None:
-        eventlet.spawn_n(self._dialect.cancel, self._worker, run)
+        start(self._dialect.cancel, self._worker, run)
 
 
 def _give_up(told: Failure, exchange: Exchange) -> Result:
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -14,6 +14,7 @@
     CallerProtocol,
     reset_connection,
 )
+from laburnumwood.tasks import begin, start
 
 _MOST_CONNECTIONS = 4_096
 
@@ -47,9 +48,7 @@
 
     def __init__(self, address: Address, application: Any) -> None:
         self._listener = listen(address)
-        self._server = eventlet.spawn(
-            serve_callers, self._listener, application
-        )
+        self._server = begin(serve_callers, self._listener, application)
 
     def close(self, patience_ms: int) -> None:
         """Take no more connections, and answer what was read before.
@@ -57,7 +56,7 @@
         Waits for the answers, `patience_ms` at the most.  The library closes
         idle connections and lets the others end with their answers.
         """
-        eventlet.spawn_n(self._server.kill)
+        start(self._server.kill)
         eventlet.sleep(0)
         self._listener.close()
         limit = Timeout(patience_ms / MS_PER_SECOND, exception=False)
--- a/laburnumwood/routing/suspicions.py
+++ b/laburnumwood/routing/suspicions.py
@@ -12,6 +12,7 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.quarantine import PROVED_DEATHS, Quarantine
+from laburnumwood.tasks import begin
 
 _CALL_TIMEOUT_MS = 300
 
@@ -55,7 +56,7 @@
         self, service: str, news: Suspicion
     ) -> list[eventlet.greenthread.GreenThread]:
         others = set(self._view.live_in(service)).difference((self._own,))
-        return [eventlet.spawn(self._tell_one, name, news) for name in others]
+        return [begin(self._tell_one, name, news) for name in others]
 
     def _tell_one(self, name: NodeName, news: Suspicion) -> None:
         try:
--- a/laburnumwood/tasks.py
+++ b/laburnumwood/tasks.py
@@ -1,4 +1,7 @@
-"""Tasks: green threads whose failures are logged."""
+"""Tasks: green threads whose failures are logged.
+
+Nothing else in the package starts green threads.
+"""
 
 from collections.abc import Callable
 from typing import Any
@@ -10,6 +13,7 @@
 from laburnumwood.events import TASK_FAILED, WORK_FAILED
 
 _RESTART_MS = 200
+_LONGEST_TOLD = 80  # characters of what a failed task was for
 
 Task = Callable[[], None]
 
@@ -23,7 +27,7 @@
     try:
         act(*arguments)
     except Exception as failure:
-        about = ' '.join(str(each) for each in arguments)
+        about = [str(each)[:_LONGEST_TOLD] for each in arguments]
         WORK_FAILED.report(task=_name(act), about=about, reason=repr(failure))
 
 
@@ -32,6 +36,11 @@
     eventlet.spawn_n(attempt, task, *arguments)
 
 
+def begin(task: Callable[..., Any], *arguments: Any) -> GreenThread:
+    """Start a task for whose result, or failure, its starter waits."""
+    return eventlet.spawn(task, *arguments)
+
+
 def supervise(task: Task) -> None:
     """Run a task until it returns, again after each failure."""
     while True:
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -24,3 +24,9 @@
     Given the gate is closed for the end of its node
     When a request for no shard comes
     Then it was returned as "not-owner" at once
+
+  # Guards against callers that wait for an answer that nobody makes any more.
+  Scenario: a request whose task fails is answered at once
+    Given the gate meets a fault when it runs a request
+    When a request for no shard comes
+    Then it was answered with a fault at once, as one that may have run
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -85,6 +85,13 @@
     Then other calls are answered
     And the stream sent no more than its window and one chunk
 
+  # Guards against a watch of links that a fault at one of them ends for all.
+  Scenario: a silent link is noticed after a fault at another link
+    Given a peer that falls silent on its first connection
+    When a call waits on the silent link
+    And the look at another link fails
+    Then the call that waits fails with LinkLostError
+
   Scenario Outline: a peer that breaks the protocol loses only that link
     Given a peer that answers calls and reads no bodies
     When a link sends <what>
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -70,6 +70,14 @@
         exchange.send(WholeAnswer(200, (), b''))
 
 
+class Failing:
+    """Meets a fault with each request."""
+
+    def execute(self, _exchange: Exchange, _run: Any, _may_act: Any) -> None:
+        """Fail."""
+        raise ValueError('a fault of the gate')
+
+
 class HeldLease:
     """A lease that is held."""
 
@@ -80,6 +88,15 @@
 
 @given('a gate whose worker gets its next grants in {span:d} ms')
 def make_gate(context: Context, span: int) -> None:
+    make_gate_with(context, span, Answering())
+
+
+@given('the gate meets a fault when it runs a request')
+def make_failing_gate(context: Context) -> None:
+    make_gate_with(context, 0, Failing())
+
+
+def make_gate_with(context: Context, span: int, executor: Any) -> None:
     clock = FakeClock()
     declared = Declarations(services={'s': Service()})
     context.clock = clock
@@ -92,7 +109,7 @@
         HeldLease(),
         context.holdings,
         context.grants,
-        Answering(),
+        executor,
         lambda: declared.services,
         lambda _service: {},
         CapacityAccount(SETTINGS, lambda: declared, clock),
@@ -154,6 +171,13 @@
     assert context.took_ms == span, context.took_ms
 
 
+@then('it was answered with a fault at once, as one that may have run')
+def check_fault(context: Context) -> None:
+    assert isinstance(context.told, Failure), context.told
+    assert (context.told.kind, context.told.ran) == ('fault', True)
+    assert context.took_ms == 0, context.took_ms
+
+
 @then('its caller is told to come again after {span:d} ms')
 def check_again(context: Context, span: int) -> None:
     assert context.told.retry_after_ms == span, context.told
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -232,6 +232,18 @@
     context.waiting = eventlet.spawn(_outcome, stream.receive, LIMIT_MS)
 
 
+@when('the look at another link fails')
+def fail_look(context: Context) -> None:
+    eventlet.sleep(0)
+    protocol, sock = dial(*context.address, OWN, KEY)
+    link = Link(protocol, sock, PEER, Dispatcher().handle, Clock())
+    context.add_cleanup(link.close)
+    faulty = patch.object(link, 'look', side_effect=ValueError('a fault'))
+    faulty.start()
+    context.add_cleanup(faulty.stop)
+    eventlet.spawn_n(link.run)
+
+
 @when('calls that wait for {span:d} ms are made {pause:d} ms apart')
 def call_seldom(context: Context, span: int, pause: int) -> None:
     context.answer = None
