Go on accepting connections after one that could not be taken

A node served no caller any more after one moment without a free descriptor: the server of the library ends with any error of accept (and with a reset of the connection that it takes, quietly), and nobody starts it again. The listener for other nodes ended the same way.

Evidence: 'callers are served again after no descriptor was left' fails without the change, with OSError 24 out of the server.

--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -292,6 +292,13 @@
     'caller-lost',
     'a connection of a caller ended while its request was being answered',
 )
+NOT_ACCEPTED = _event(
+    709,
+    logbook.ERROR,
+    'not-accepted',
+    'a connection could not be taken; the listener tries again',
+    'check how many descriptors the process may have, and has',
+)
 CALLER_GONE = _event(
     707,
     logbook.INFO,
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -3,13 +3,17 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-import eventlet
 from eventlet.green import socket
 from eventlet.semaphore import Semaphore
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import LinkError, LinkRefusedError, ProtocolError
-from laburnumwood.events import ANSWER_UNDELIVERED, MESSAGE_REFUSED
+from laburnumwood.events import (
+    ANSWER_UNDELIVERED,
+    MESSAGE_REFUSED,
+    NOT_ACCEPTED,
+)
+from laburnumwood.listening import listen as listen_at
 from laburnumwood.protocol.handshake import dial, welcome
 from laburnumwood.protocol.link import Handler, Link
 from laburnumwood.protocol.security import LinkSecurity
@@ -17,7 +21,6 @@
 from laburnumwood.records import NodeName
 from laburnumwood.tasks import start
 
-_BACKLOG = 256
 _REFUSED_REST_MS = 300  # in which a peer that refused a link is not dialled
 
 Lookup = Callable[[NodeName], tuple[str, int] | None]
@@ -179,7 +182,7 @@
     clock: Clock,
 ) -> None:
     """Serve peers that connect to a host and port; does not return."""
-    listener = eventlet.listen(address, backlog=_BACKLOG)
+    listener = listen_at(address, NOT_ACCEPTED.report)
     while True:
         sock, _ = listener.accept()
         start(_serve, sock, security, handler, clock)
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -8,6 +8,7 @@
 from greenlet import GreenletExit
 
 from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.events import NOT_ACCEPTED
 from laburnumwood.listening import Address, listen
 from laburnumwood.routing.connection import (
     CLOSE,
@@ -47,7 +48,7 @@
     """An address where an application is served, until it is closed."""
 
     def __init__(self, address: Address, application: Any) -> None:
-        self._listener = listen(address)
+        self._listener = listen(address, NOT_ACCEPTED.report)
         self._server = begin(serve_callers, self._listener, application)
 
     def close(self, patience_ms: int) -> None:
--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -45,3 +45,10 @@
     When a caller sends a request on a kept connection
     Then it is answered with status 200
     And its connection is kept
+
+  # Guards against a door that one connection it can't take closes for good.
+  Scenario: callers are served again after no descriptor was left
+    Given a server of callers
+    When no descriptor is left for a while as a caller connects
+    And a caller sends a request on a kept connection
+    Then it is answered with status 200
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -1,5 +1,7 @@
 """Steps about connections of callers, served in this process."""
 
+import os
+import resource
 import socket
 import struct
 from collections.abc import Callable, Iterable
@@ -39,6 +41,7 @@
 LIMIT_S = 20
 CLOSING_MS = 2_000
 DEADLINE_MS = 5_000
+NO_DESCRIPTORS_S = 0.3
 ID = 'request-1'
 LONG = b'x' * 50_000_000  # bytes, more than a connection takes at once
 RESET_AT_CLOSE = struct.pack('ii', 1, 0)
@@ -202,6 +205,23 @@
     _serve(context, Door(router, OwnFace(), lambda: DECLARED, Clock()))
 
 
+@when('no descriptor is left for a while as a caller connects')
+def use_up_descriptors(context: Context) -> None:
+    address = context.caller.getpeername()
+    context.caller.close()
+    # Nothing accepts it before this task waits.
+    sock = socket.create_connection(address, LIMIT_S)
+    free = os.dup(sock.fileno())
+    os.close(free)
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (free, limits[1]))
+    try:
+        eventlet.sleep(NO_DESCRIPTORS_S)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+    context.caller = GreenSocket(sock)
+
+
 @given('a caller whose connection is idle after an answer')
 def leave_idle(context: Context) -> None:
     context.caller.sendall(REQUEST)
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -235,7 +235,8 @@
 @when('the look at another link fails')
 def fail_look(context: Context) -> None:
     eventlet.sleep(0)
-    protocol, sock = dial(*context.address, OWN, KEY)
+    host, port = context.address
+    protocol, sock = dial(host, port, OWN, KEY)
     link = Link(protocol, sock, PEER, Dispatcher().handle, Clock())
     context.add_cleanup(link.close)
     faulty = patch.object(link, 'look', side_effect=ValueError('a fault'))
--- a/tests/features/steps/starting_steps.py
+++ b/tests/features/steps/starting_steps.py
@@ -10,6 +10,7 @@
 
 from bench.deployment import Process, free_port, wait_for
 from laburnumwood import listening
+from laburnumwood.events import NOT_ACCEPTED
 from laburnumwood.listening import listen, open_early
 
 HOST = '127.0.0.1'
@@ -55,7 +56,9 @@
 
 @when('the node listens at them')
 def listen_late(context: Context) -> None:
-    context.listeners = [listen(each) for each in context.addresses]
+    context.listeners = [
+        listen(each, NOT_ACCEPTED.report) for each in context.addresses
+    ]
 
 
 @then('it accepts the connections that came before')
