Let a request leave the queue of a gate when its caller has gone

A request whose caller had left kept its place before the worker until its turn: it never ran, but others were sent away for it and waited behind it.

Evidence: a scenario of gate.feature fails without the change (1 still waits).

The gate hears of the end while the request waits, and gives the place up.

--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -112,7 +112,8 @@
         """Take back the slot of a ticket, or its place in the queue."""
         if ticket.state is State.WAITING:
             self._queue.remove(ticket)
-            ticket.shed(self._retry_after_ms())
+            # One whose caller has gone does not come again.
+            ticket.shed(0 if ticket.is_cancelled else self._retry_after_ms())
         elif ticket.state is State.RUNNING:
             self._learn(ticket)
             self._running.pop(ticket)
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -55,6 +55,7 @@
     started_ms: int = 0
     answered_ms: int | None = None
     retry_after_ms: int = 0
+    is_cancelled: bool = False  # nobody waits for the answer any more
     when_settled: Callable[[], None] = _ignore
 
     def start(self, now_ms: int) -> None:
--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -9,7 +9,7 @@
 from laburnumwood.admission.control import Admission
 from laburnumwood.admission.tickets import State, Ticket
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.errors import OverloadedError
+from laburnumwood.errors import OverloadedError, RunCancelledError
 
 
 class Admitter:
@@ -18,6 +18,7 @@
     def __init__(self, admission: Admission, clock: Clock) -> None:
         self._admission = admission
         self._clock = clock
+        self._queued: set[Ticket] = set()
 
     @property
     def running(self) -> int:
@@ -42,20 +43,40 @@
     def admitted(self, ticket: Ticket) -> Iterator[None]:
         """Hold a slot for the ticket while the block runs.
 
-        Raises `OverloadedError` as soon as it is clear that there is none.
+        Raises `OverloadedError` as soon as it is clear that there is none, and
+        `RunCancelledError` if the ticket was cancelled before it had one.
         """
         try:
-            self._wait(ticket)
-            if ticket.state is not State.RUNNING:
-                raise OverloadedError(ticket.retry_after_ms)
+            self._enter(ticket)
             yield
         finally:
             self._admission.finish(ticket)
 
+    def cancel(self, ticket: Ticket) -> None:
+        """Give up the place of a ticket that has no slot yet."""
+        ticket.is_cancelled = True
+        if ticket in self._queued:
+            self._admission.finish(ticket)
+
+    def _enter(self, ticket: Ticket) -> None:
+        if not ticket.is_cancelled:
+            self._wait(ticket)
+        if ticket.state is State.RUNNING:
+            return
+        if ticket.is_cancelled:
+            raise RunCancelledError('nobody waits for it')
+        raise OverloadedError(ticket.retry_after_ms)
+
     def _wait(self, ticket: Ticket) -> None:
         self._admission.offer(ticket)
-        if ticket.state is not State.WAITING:
-            return
+        if ticket.state is State.WAITING:
+            self._queued.add(ticket)
+            try:
+                self._await_settled(ticket)
+            finally:
+                self._queued.discard(ticket)
+
+    def _await_settled(self, ticket: Ticket) -> None:
         settled = Event()
         ticket.when_settled = settled.send
         left_ms = max(ticket.deadline_ms - self._clock.now_ms(), 0)
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -13,8 +13,12 @@
 from laburnumwood.admission.waiting import Admitter
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service
-from laburnumwood.errors import LinkError, OverloadedError
-from laburnumwood.events import ANSWER_FAILED, REQUEST_RETURNED
+from laburnumwood.errors import (
+    LinkError,
+    OverloadedError,
+    RunCancelledError,
+)
+from laburnumwood.events import ANSWER_FAILED, REQUEST_RETURNED, RUN_CANCELLED
 from laburnumwood.leases.lease import Lease
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import Records, placed_shard
@@ -153,6 +157,11 @@
                 )
                 exchange.send(failure('fault', repr(fault), ran=True))
 
+    def _tell_cancelled(self, work: Work) -> None:
+        RUN_CANCELLED.report(
+            request=work.request_id, service=work.service, after_ms=0
+        )
+
     def _return(self, exchange: Exchange, work: Work, told: Failure) -> None:
         """Send a request back that did not run, and log why."""
         self._tell_returned(work, told)
@@ -221,12 +230,15 @@
         line = line_of(work, service)
         ticket = Ticket(work.key, run.until_ms, useful_ms, line)
         busy = self._account.busy(work.service)
+        exchange.when_message(partial(self._admitter.cancel, ticket))
         try:
             with self._admitter.admitted(ticket), busy:
                 observed = ObservedExchange(exchange, ticket, self._clock)
                 self._serve_admitted(observed, run, may_act)
             if observed.told is not None:
                 self._tell_returned(work, observed.told)
+        except RunCancelledError:
+            self._tell_cancelled(work)
         except OverloadedError:
             # What does not fit on this worker is load all the same.
             self._meter.note(work.shard, work.key, self._admitter.slot_ms)
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -30,3 +30,10 @@
     Given the gate meets a fault when it runs a request
     When a request for no shard comes
     Then it was answered with a fault at once, as one that may have run
+
+  # Guards against places in a queue that are kept for callers that left.
+  Scenario: a request leaves the queue of a gate when its caller has gone
+    Given the gate runs as many requests as its worker takes
+    When one more request comes and its caller leaves
+    Then no request waits at the gate
+    And the request that left did not run
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -5,14 +5,17 @@
 from functools import partial
 from typing import Any
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
 
+from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Declarations, Service
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.meter import LoadMeter
-from laburnumwood.protocol.messages import Failure, WholeAnswer
+from laburnumwood.protocol.messages import Cancel, Failure, WholeAnswer
+from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import ShardName
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.gate import Gate, WorkerState
@@ -22,6 +25,9 @@
 
 SHARD = ShardName('s', 3)
 TOKEN = 8
+SLOTS = 4
+LIMIT_S = 5
+LEFT = 'left'
 SETTINGS = node_settings('a')
 
 
@@ -78,6 +84,18 @@
         raise ValueError('a fault of the gate')
 
 
+class Holding:
+    """Runs each request until the test is over."""
+
+    def __init__(self) -> None:
+        self.runs: list[str] = []
+
+    def execute(self, _exchange: Exchange, run: Any, _may_act: Any) -> None:
+        """Run one request."""
+        self.runs.append(run.work.request_id)
+        eventlet.sleep(LIMIT_S)
+
+
 class HeldLease:
     """A lease that is held."""
 
@@ -114,7 +132,7 @@
         lambda _service: {},
         CapacityAccount(SETTINGS, lambda: declared, clock),
         LoadMeter(1_500, clock),
-        WorkerState(lambda: True, lambda: 4),
+        WorkerState(lambda: True, lambda: SLOTS),
         clock,
     )
 
@@ -131,6 +149,49 @@
     context.gate.close()
 
 
+def _begin(context: Context, request_id: str) -> Stream:
+    near, far = local_pair()
+    work = replace(
+        PLAIN_WORK,
+        request_id=request_id,
+        service=SHARD.service,
+        shard=-1,
+        deadline_ms=LIMIT_S * MS_PER_SECOND,
+        idempotent=True,
+    )
+    serving = eventlet.spawn(context.gate.serve, far, work)
+    context.add_cleanup(serving.kill)
+    eventlet.sleep(0)
+    return near
+
+
+@given('the gate runs as many requests as its worker takes')
+def fill_gate(context: Context) -> None:
+    context.executor = Holding()
+    make_gate_with(context, 0, context.executor)
+    for number in range(SLOTS):
+        _begin(context, f'running-{number}')
+    assert len(context.executor.runs) == SLOTS, context.executor.runs
+
+
+@when('one more request comes and its caller leaves')
+def leave_queue(context: Context) -> None:
+    near = _begin(context, LEFT)
+    assert context.gate.waiting == 1, context.gate.waiting
+    near.send(Cancel())
+    eventlet.sleep(0)
+
+
+@then('no request waits at the gate')
+def check_none_waits(context: Context) -> None:
+    assert context.gate.waiting == 0, context.gate.waiting
+
+
+@then('the request that left did not run')
+def check_left(context: Context) -> None:
+    assert LEFT not in context.executor.runs, context.executor.runs
+
+
 @when('a request for no shard comes')
 def send_unsharded(context: Context) -> None:
     send(context, PLAIN_WORK.deadline_ms, shard=-1)
