Send nothing on a silent link that is given up

Where its peer took no new link, requests went on being sent over the silent one for three seconds more, in place of the refusal that proves that they didn't run.

--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -115,6 +115,11 @@
         """Tell whether the peer has been silent while something is owed."""
         return self._unheard_looks >= _SUSPECT_LOOKS
 
+    @property
+    def is_given_up(self) -> bool:
+        """Tell whether nothing new may be sent on the link any more."""
+        return self._unheard_looks >= _GIVE_UP_LOOKS
+
     def run(self) -> None:
         """Read until the connection ends; call it in a task of its own."""
         _WATCH.add(self)
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -135,6 +135,8 @@
         try:
             return self._connect(link.peer)
         except LinkRefusedError:
+            if link.is_given_up:
+                raise
             return link
 
     def _connect(self, peer: NodeName) -> Link:
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -41,6 +41,14 @@
     When a patient call on the silent link is answered after 2000 ms
     Then the patient call is answered
 
+  # Guards against requests sent into a link that nobody hears.
+  Scenario: a silent peer that takes no new link gets no more calls
+    Given a peer that falls silent on its first connection
+    When a call waits on the silent link
+    And the peer takes no more connections
+    And another call is made once the link is given up
+    Then the other call fails with LinkRefusedError
+
   # Guards against half a message on a link, which spoils all that follows.
   Scenario: a sender that is ended while it sends spoils nothing on its link
     Given a peer that reads slowly and answers calls
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -77,8 +77,8 @@
 def _begin(context: Context, task: Any, address: Any) -> None:
     context.connections = 0
     context.address = address
-    server = eventlet.spawn(*task)
-    context.add_cleanup(server.kill)
+    context.server = eventlet.spawn(*task)
+    context.add_cleanup(context.server.kill)
     dispatcher = Dispatcher()
     context.looked_up = 0
 
@@ -117,6 +117,7 @@
 @given('a peer that falls silent on its first connection')
 def start_silent(context: Context) -> None:
     listener = eventlet.listen((HOST, 0))
+    context.listener = listener
     task = (_serve, context, listener, _dispatcher(context))
     _begin(context, task, listener.getsockname())
 
@@ -232,6 +233,25 @@
     context.waiting = eventlet.spawn(_outcome, stream.receive, LIMIT_MS)
 
 
+@when('the peer takes no more connections')
+def refuse_connections(context: Context) -> None:
+    while context.connections == 0:
+        eventlet.sleep(0)
+    context.server.kill()
+    context.listener.close()
+
+
+@when('another call is made once the link is given up')
+def call_given_up(context: Context) -> None:
+    eventlet.sleep(2 * SUSPECT_MS / MS_PER_SECOND)
+    context.answer = _outcome(context.peers.call, PEER, Cancel(), LIMIT_MS)
+
+
+@then('the other call fails with LinkRefusedError')
+def check_refused(context: Context) -> None:
+    assert isinstance(context.answer, LinkRefusedError), context.answer
+
+
 @when('the look at another link fails')
 def fail_look(context: Context) -> None:
     eventlet.sleep(0)
