Routes' stand-ins: nodes and a caller as the router asks them now

Three examples of routes.feature met an error in the whole run on: the stand-ins of the nodes and of the caller had not the new arguments. What they check is the same.

--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -141,7 +141,7 @@
         """Return the nodes."""
         return dict(self._nodes)
 
-    def open_stream(self, target: NodeName) -> Outgoing:
+    def open_stream(self, target: NodeName, **_how: bool) -> Outgoing:
         """Return an exchange with the gate of a node."""
         near, far = local_pair()
         self.asked.append(target.node_id)
@@ -154,6 +154,10 @@
 
     is_gone = False
 
+    def look(self) -> bool:
+        """Tell that it is there."""
+        return self.is_gone
+
     def when_gone(self, act: Any) -> None:
         """Do nothing: it does not go."""
 
