Tell the witnesses of a new configuration at once

In part suspected: news goes from node to node with the renewals, every 400 ms at each of four or so nodes in a row.

Evidence: the scenario of spreading.feature fails without the change.

A node renews at once when a configuration comes into force on it.

--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -43,6 +43,10 @@
     """Do nothing with a change."""
 
 
+def _do_nothing() -> None:
+    """Do nothing with a new configuration."""
+
+
 def _with_planned(
     declared: Declarations, planned: Mapping[str, int]
 ) -> Declarations:
@@ -80,6 +84,7 @@
         self.changes = 0
         self.node_changes = 0
         self.when_shard_changes: ShardListener = _ignore
+        self.when_config_changes: Callable[[], None] = _do_nothing
         self.news = News()
 
     @property
@@ -193,6 +198,7 @@
         self._declared = declared
         self._declarations = _with_planned(declared, self._planned)
         CONFIG_IN_FORCE.report(generation=record.generation, who=record.who)
+        self.when_config_changes()
 
     def _take_node(self, stored: StoredObject) -> None:
         node_id = stored.name.removeprefix(NODES)
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -63,6 +63,8 @@
         self._clock = clock
         self._asking: set[NodeName] = set()
         self._poke = Event()
+        # What is new in it reaches the others with the next renewals.
+        view.directory.when_config_changes = self.poke
 
     def begin(self, avoided: Set[str]) -> None:
         """Choose the first witnesses and ask them; raises `PlatformError`.
--- a/tests/features/spreading.feature
+++ b/tests/features/spreading.feature
@@ -34,3 +34,10 @@
     Then its nodes were not looked at again
     When a node has ended
     Then it lists 2 live nodes
+
+  # Guards against configurations that wait for a renewal at each node.
+  Scenario: a new configuration goes to the witnesses at once
+    Given a node that renews its lease every 5000 ms
+    When a configuration comes into force on it
+    Then its witness is asked again within 500 ms
+    And once for each configuration
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -1,29 +1,37 @@
 """Steps about news that goes from node to node."""
 
+from types import SimpleNamespace
 from typing import Any
 
 import eventlet
 from behave import given, then, when
 from behave.runner import Context
+from eventlet import Timeout
 
+from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.renewal import Renewer
 from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.messages import Changes, ShardNotice
 from laburnumwood.protocol.peers import Dispatcher
 from laburnumwood.records import (
+    ConfigRecord,
+    Digest,
     NodeName,
     ShardName,
     ShardRecord,
     StoredObject,
 )
-from laburnumwood.store.objects import shard_object, to_value
+from laburnumwood.settings import LeaseSettings
+from laburnumwood.store.objects import CONFIG, shard_object, to_value
 
 SERVICE = 'service'
 TOLD_AS = 12  # the version of the shard that is told of
 OWNER = NodeName('owner', 1)
 PEER = NodeName('b', 1)
+LIMIT_S = 5
 
 
 class _Stream:
@@ -73,6 +81,71 @@
     return [int(each) for each in text.replace(' and ', ', ').split(', ')]
 
 
+class _AskedWitness:
+    """A lease with one witness, and the link to it."""
+
+    lost = frozenset[NodeName]()
+    is_over = False
+    is_changing = True  # no other witness is chosen meanwhile
+    asked = (PEER,)
+    holder = OWNER
+
+    def __init__(self) -> None:
+        self.asked_count = 0
+
+    def holds(self) -> bool:
+        """Tell that the lease is not held yet."""
+        return False
+
+    def renewal(self, _name: NodeName, _digest: Digest) -> None:
+        """Return nothing to send."""
+
+    def call(self, _peer: NodeName, _message: None, _timeout_ms: int) -> Any:
+        """Count the question."""
+        self.asked_count += 1
+
+
+@given('a node that renews its lease every {span:d} ms')
+def make_renewer(context: Context, span: int) -> None:
+    context.asked = _AskedWitness()
+    asked: Any = context.asked
+    nothing: Any = SimpleNamespace(name=OWNER)
+    context.directory = Directory()
+    renewer = Renewer(
+        asked,
+        nothing,
+        nothing,
+        asked,
+        FleetView(context.directory, SealBook()),
+        nothing,
+        LeaseSettings(renew_ms=span, grant_ms=2 * span),
+        Clock(),
+    )
+    reviewing = eventlet.spawn(renewer.run)
+    context.add_cleanup(reviewing.kill)
+    with Timeout(LIMIT_S):
+        while not context.asked.asked_count:
+            eventlet.sleep(0)
+
+
+@when('a configuration comes into force on it')
+def change_config(context: Context) -> None:
+    context.before = context.asked.asked_count
+    record = ConfigRecord(1)
+    context.directory.apply(StoredObject(CONFIG, to_value(record), 1))
+
+
+@then('its witness is asked again within {span:d} ms')
+def check_asked(context: Context, span: int) -> None:
+    eventlet.sleep(span / MS_PER_SECOND)
+    assert context.asked.asked_count > context.before
+
+
+@then('once for each configuration')
+def check_once(context: Context) -> None:
+    assert context.asked.asked_count == context.before + 1
+
+
 @given('the nodes "a" and "b" that know the store up to {revision:d}')
 def make_nodes(context: Context, revision: int) -> None:
     context.near, context.far = _Near(), _Near()
