Take a request that was cancelled on its way for what it is

A request whose caller had gone before the gate came to its queue was taken out of a queue that it had not entered; the fault of that was answered to nobody.

Evidence: a scenario of gate.feature fails without the change, with answer-failed.

--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -11,6 +11,8 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import OverloadedError, RunCancelledError
 
+_GONE = 'nobody waits for it'
+
 
 class Admitter:
     """Lets the tasks of requests wait for what an admission decides."""
@@ -46,6 +48,8 @@
         Raises `OverloadedError` as soon as it is clear that there is none, and
         `RunCancelledError` if the ticket was cancelled before it had one.
         """
+        if ticket.is_cancelled:
+            raise RunCancelledError(_GONE)
         try:
             self._enter(ticket)
             yield
@@ -59,12 +63,11 @@
             self._admission.finish(ticket)
 
     def _enter(self, ticket: Ticket) -> None:
-        if not ticket.is_cancelled:
-            self._wait(ticket)
+        self._wait(ticket)
         if ticket.state is State.RUNNING:
             return
         if ticket.is_cancelled:
-            raise RunCancelledError('nobody waits for it')
+            raise RunCancelledError(_GONE)
         raise OverloadedError(ticket.retry_after_ms)
 
     def _wait(self, ticket: Ticket) -> None:
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -37,3 +37,11 @@
     When one more request comes and its caller leaves
     Then no request waits at the gate
     And the request that left did not run
+
+  # Guards against faults at a gate for callers that left on the way.
+  Scenario: a request whose caller has gone before it comes ends without a fault
+    Given the gate runs as many requests as its worker takes
+    When a request comes after it was cancelled
+    Then no request waits at the gate
+    And the request that left did not run
+    And nothing is told but that it was cancelled
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -8,6 +8,7 @@
 import eventlet
 from behave import given, then, when
 from behave.runner import Context
+from logbook import TestHandler
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Declarations, Service
@@ -149,8 +150,10 @@
     context.gate.close()
 
 
-def _begin(context: Context, request_id: str) -> Stream:
+def _begin(context: Context, request_id: str, *first: Cancel) -> Stream:
     near, far = local_pair()
+    for message in first:
+        near.send(message)
     work = replace(
         PLAIN_WORK,
         request_id=request_id,
@@ -182,6 +185,20 @@
     eventlet.sleep(0)
 
 
+@when('a request comes after it was cancelled')
+def come_cancelled(context: Context) -> None:
+    context.log = TestHandler()
+    context.log.push_application()
+    context.add_cleanup(context.log.pop_application)
+    _begin(context, LEFT, Cancel())
+
+
+@then('nothing is told but that it was cancelled')
+def check_told(context: Context) -> None:
+    events = [record.extra['event'] for record in context.log.records]
+    assert events == ['run-cancelled'], events
+
+
 @then('no request waits at the gate')
 def check_none_waits(context: Context) -> None:
     assert context.gate.waiting == 0, context.gate.waiting
