--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -15,21 +15,13 @@
 from laburnumwood.errors import LinkLostError, ProtocolError
 from laburnumwood.events import LINK_LOST, MESSAGE_REFUSED
 from laburnumwood.protocol.codec import decode, encode
+from laburnumwood.protocol.silence import LOOK_MS, Silence
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.tasks import attempt, start, supervise
 
 IDLE_MS = 60_000  # a link that carries nothing is closed after this
 MOST_STREAMS = 2_048  # that a peer may have open on a link
-_LOOK_MS = 200  # between two looks at all links
-# Looks in a row after which a link that owes something and was not heard
-# meanwhile is pinged, gets no new streams, lets those fail that wait for the
-# beginning of their answers, and is closed.
-_PING_LOOKS = 2
-_SUSPECT_LOOKS = 3
-_GIVE_UP_LOOKS = 5
-_LOST_LOOKS = 20
-SUSPECT_MS = _SUSPECT_LOOKS * _LOOK_MS
 _READ_SIZE = 65_536
 
 Handler = Callable[['Link', Stream, Any], None]
@@ -55,7 +47,7 @@
 
     def _run(self) -> None:
         while self._links:
-            eventlet.sleep(_LOOK_MS / MS_PER_SECOND)
+            eventlet.sleep(LOOK_MS / MS_PER_SECOND)
             for link in tuple(self._links):
                 attempt(link.look)
         self._is_running = False
@@ -94,7 +86,7 @@
         self._last_number = 0
         self._last_opened = 0
         self._heard_ms = clock.now_ms()
-        self._unheard_looks = 0
+        self._silence = Silence()
         self._is_owed = False  # also after the stream was given up
         self._lock = Semaphore()
         self._unsent = b''  # begun, and not yet taken by the connection
@@ -113,12 +105,12 @@
     @property
     def is_suspect(self) -> bool:
         """Tell whether the peer has been silent while something is owed."""
-        return self._unheard_looks >= _SUSPECT_LOOKS
+        return self._silence.is_suspect
 
     @property
     def is_given_up(self) -> bool:
         """Tell whether nothing new may be sent on the link any more."""
-        return self._unheard_looks >= _GIVE_UP_LOOKS
+        return self._silence.is_given_up
 
     def run(self) -> None:
         """Read until the connection ends; call it in a task of its own."""
@@ -215,7 +207,7 @@
             if not received:
                 return 'the peer closed it'
             self._heard_ms = self._clock.now_ms()
-            self._unheard_looks = 0
+            self._silence.end()
             self._is_owed = False
             self._protocol.receive_data(received)
             if self._protocol.parser_exc is not None:
@@ -252,28 +244,24 @@
             start(self._handler, self, opened, message)
 
     def look(self) -> None:
-        """Ping a silent link and close a dead or idle one; call it often.
-
-        Looks are counted, not milliseconds: between two of them all that came
-        is read, also after this process stood still.
-        """
+        """Ping a silent link and close a dead or idle one; call it often."""
         now_ms = self._clock.now_ms()
         if self._streams or self._is_owed:
             self._used_ms = now_ms
-            self._unheard_looks += 1
+            self._silence.look()
             self._check_silence()
             return
-        self._unheard_looks = 0
+        self._silence.end()
         if self._closes_idle and now_ms - self._used_ms >= self._idle_limit_ms:
             self.close()
 
     def _check_silence(self) -> None:
-        if self._unheard_looks >= _LOST_LOOKS:
+        if self._silence.is_over:
             self.close('nothing was heard on it')
             return
-        if self._unheard_looks == _GIVE_UP_LOOKS:
+        if self._silence.begins_to_be_given_up:
             self._fail_unanswered()
-        if self._unheard_looks >= _PING_LOOKS:
+        if self._silence.wants_ping:
             self._ping()
 
     def _fail_unanswered(self) -> None:
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -18,10 +18,11 @@
 from laburnumwood.events import ANSWER_UNDELIVERED
 from laburnumwood.protocol.codec import LARGEST_FRAME, encode
 from laburnumwood.protocol.handshake import dial, welcome
-from laburnumwood.protocol.link import SUSPECT_MS, Link
+from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import Cancel, Chunk, Done, End
 from laburnumwood.protocol.peers import Dispatcher, Peers, listen
 from laburnumwood.protocol.security import LinkSecurity
+from laburnumwood.protocol.silence import SUSPECT_MS
 from laburnumwood.protocol.streams import WINDOW, Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.exchange import local_pair
