Let 32 nodes of a failure domain watch the configuration

Suspected, not shown: the store turned the two readers of its zone away, which stay readers as long as they live.

Evidence: a scenario of spreading.feature fails without the change (2 watch).

The configuration is one object that seldom changes. Watching it costs a call in 30 s and one for each change; records stay with two readers.

--- a/laburnumwood/membership/reader.py
+++ b/laburnumwood/membership/reader.py
@@ -16,14 +16,20 @@
 from laburnumwood.store.interface import Store
 
 READERS_PER_DOMAIN = 2
+# The configuration seldom changes, and has to reach nodes whose readers the
+# store turns away.
+CONFIG_READERS_PER_DOMAIN = 32
 _WATCH_MS = 10_000
+_CONFIG_WATCH_MS = 30_000
 _IDLE_MS = 500
 _RETRY_MS = 500
 _BATCH_MS = 250  # between two watches of records
 
 
-def is_reader(own: NodeName, view: FleetView) -> bool:
-    """Tell whether a node watches the store for its failure domain.
+def is_reader(
+    own: NodeName, view: FleetView, count: int = READERS_PER_DOMAIN
+) -> bool:
+    """Tell whether a node is one of those that watch for its failure domain.
 
     One that leaves hears no more news by renewals and reads for itself.
     """
@@ -35,7 +41,7 @@
     near = (
         name for name, each in live.items() if each.failure_domain == domain
     )
-    return own in rendezvous(f'reader {domain}', near)[:READERS_PER_DOMAIN]
+    return own in rendezvous(f'reader {domain}', near)[:count]
 
 
 class Reader:
@@ -64,11 +70,20 @@
     def run(self, scope: str) -> None:
         """Watch a scope while this node is a reader; does not return."""
         while True:
-            if is_reader(self._own, self._view):
+            if self._is_reader_of(scope):
                 self._watch_once(scope)
             else:
                 eventlet.sleep(_IDLE_MS / MS_PER_SECOND)
 
+    def _is_records(self, scope: str) -> bool:
+        return scope == self._platform.scopes[0]
+
+    def _is_reader_of(self, scope: str) -> bool:
+        count = CONFIG_READERS_PER_DOMAIN
+        if self._is_records(scope):
+            count = READERS_PER_DOMAIN
+        return is_reader(self._own, self._view, count)
+
     def _list(self, scope: str) -> None:
         objects, revision = self._platform.list(scope)
         self._take(scope, objects, revision)
@@ -80,7 +95,7 @@
         for stored in objects:
             directory.apply(stored)
         self._revisions[scope] = max(revision, self._revisions[scope])
-        if scope == self._platform.scopes[0]:
+        if self._is_records(scope):
             directory.revision = max(revision, directory.revision)
 
     def _watch_once(self, scope: str) -> None:
@@ -92,18 +107,19 @@
 
     def _watch(self, scope: str) -> None:
         known = self._known(scope)
+        wait_ms = _WATCH_MS if self._is_records(scope) else _CONFIG_WATCH_MS
         try:
-            changes, revision = self._platform.watch(scope, known, _WATCH_MS)
+            changes, revision = self._platform.watch(scope, known, wait_ms)
         except CompactedError:
             self._list(scope)
             return
         self._take(scope, changes, revision)
-        if changes and scope == self._platform.scopes[0]:
+        if changes and self._is_records(scope):
             # Writers tell their peers; one call can bring many changes.
             eventlet.sleep(_BATCH_MS / MS_PER_SECOND)
 
     def _known(self, scope: str) -> int:
         """Return the revision up to which a scope is known here."""
-        if scope == self._platform.scopes[0]:
+        if self._is_records(scope):
             return self._view.directory.revision
         return self._revisions[scope]
--- a/tests/features/spreading.feature
+++ b/tests/features/spreading.feature
@@ -41,3 +41,14 @@
     When a configuration comes into force on it
     Then its witness is asked again within 500 ms
     And once for each configuration
+
+  # Guards against configurations that come late since their readers are cut off.
+  Scenario Outline: <who> of a failure domain watch the <scope>
+    Given a failure domain of 40 nodes with a store of its records and its configuration
+    When each of them runs its reader of the <scope>
+    Then <count> of them watch the store
+
+    Examples:
+      | who       | scope         | count |
+      | two       | records       | 2     |
+      | many more | configuration | 32    |
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -11,6 +11,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.reader import Reader
 from laburnumwood.membership.renewal import Renewer
 from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.view import FleetView
@@ -20,12 +21,18 @@
     ConfigRecord,
     Digest,
     NodeName,
+    NodeRecord,
     ShardName,
     ShardRecord,
     StoredObject,
 )
 from laburnumwood.settings import LeaseSettings
-from laburnumwood.store.objects import CONFIG, shard_object, to_value
+from laburnumwood.store.objects import (
+    CONFIG,
+    node_object,
+    shard_object,
+    to_value,
+)
 
 SERVICE = 'service'
 TOLD_AS = 12  # the version of the shard that is told of
@@ -81,6 +88,50 @@
     return [int(each) for each in text.replace(' and ', ', ').split(', ')]
 
 
+class _WatchedStore:
+    """A store that notes who watches it."""
+
+    scopes = ('records', 'configuration')
+
+    def __init__(self) -> None:
+        self.watchers = 0
+
+    def watch(self, _scope: str, _known: int, _wait_ms: int) -> Any:
+        """Wait for changes that never come."""
+        self.watchers += 1
+        eventlet.sleep(LIMIT_S)
+
+
+@given(
+    'a failure domain of {count:d} nodes with a store of its records and its '
+    'configuration'
+)
+def make_domain(context: Context, count: int) -> None:
+    context.store = _WatchedStore()
+    context.names = [NodeName(f'n{number}', 1) for number in range(count)]
+    context.view = FleetView(Directory(), SealBook())
+    for version, name in enumerate(context.names, start=1):
+        record = NodeRecord(1, (1,), 'h', 1, 1, 1, 'd', 's', 'o', 1, 1)
+        stored = StoredObject(
+            node_object(name.node_id), to_value(record), version
+        )
+        context.view.directory.apply(stored)
+
+
+@when('each of them runs its reader of the {scope}')
+def run_readers(context: Context, scope: str) -> None:
+    for name in context.names:
+        reader = Reader(name, context.store, context.view)
+        running = eventlet.spawn(reader.run, scope)
+        context.add_cleanup(running.kill)
+    eventlet.sleep(0)
+
+
+@then('{count:d} of them watch the store')
+def check_watchers(context: Context, count: int) -> None:
+    assert context.store.watchers == count, context.store.watchers
+
+
 class _AskedWitness:
     """A lease with one witness, and the link to it."""
 
