Decide about shards without going through the whole service

Cause: every 600 ms a node estimated the load of every shard of its service, worked out how busy every node is and ordered all shards, to choose a target among the six nodes that it has heard of; every 200 ms with news it went through all records to find shards of nobody.

Change: loads only of known nodes (the mean for each other shard), usages when asked, shares once per version of the records, orders only of nodes that give; shards of nobody are looked for among those that name a lapsed node.

--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -133,6 +133,10 @@
         """Return the shards that a node owns or may follow in, in order."""
         return tuple(sorted(self._named.get(name, ())))
 
+    def named(self) -> tuple[NodeName, ...]:
+        """Return the nodes that own shards or may follow in any."""
+        return tuple(self._named)
+
     def services(self) -> tuple[str, ...]:
         """Return the services that have shards."""
         return tuple(self._shards)
--- a/laburnumwood/placement/balance.py
+++ b/laburnumwood/placement/balance.py
@@ -1,5 +1,6 @@
 """Policies that decide which shards move where."""
 
+from collections import UserDict
 from collections.abc import Callable, Mapping, Set
 from dataclasses import dataclass, field, replace
 from functools import cached_property, partial
@@ -23,6 +24,20 @@
 _SURE_ERRORS = 3  # standard errors, from which on a difference is no chance
 
 
+class _Usages(UserDict[NodeName, float]):
+    """How busy the slots of nodes are; of a large service few are asked."""
+
+    def __init__(self, picture: 'Picture') -> None:
+        super().__init__()
+        self._picture = picture
+
+    def __missing__(self, name: NodeName) -> float:
+        shards = self._picture.shares[name]
+        usage = sum(self._picture.usage(shard, name) for shard in shards)
+        self[name] = usage
+        return usage
+
+
 @dataclass(frozen=True, slots=True)
 class Move:
     """A shard's number, the owner that gives it up and the one to follow.
@@ -40,7 +55,8 @@
 class Picture:
     """What one node knows of its service when it decides about moves.
 
-    `loads` is the work of shards, in slots that it keeps busy.  `peers` are
+    `loads` is the work of shards, in slots that it keeps busy, and
+    `other_load` that of each shard that it does not name.  `peers` are
     the nodes whose load is known, None if that is all of them: work goes only
     to these.  In a large service each node knows others, so that not all
     nodes choose the same target.  `error` is the standard error of what a
@@ -52,6 +68,7 @@
     peers: Set[NodeName] | None = None
     slots: Mapping[NodeName, int] = field(default_factory=dict)
     loads: Mapping[int, float] = field(default_factory=dict)
+    other_load: float = 0
     weights: Weights = field(default_factory=Weights)
     cold_start_ms: int = 0
     settings: PlacementSettings = field(default_factory=PlacementSettings)
@@ -73,15 +90,16 @@
 
     @cached_property
     def usages(self) -> Mapping[NodeName, float]:
-        """Return how busy the slots of each node are."""
-        return {
-            name: sum(self.usage(shard, name) for shard in shards)
-            for name, shards in self.shares.items()
-        }
+        """Return how busy the slots of each node are, found when asked."""
+        return _Usages(self)
 
     def usage(self, shard: int, name: NodeName) -> float:
         """Return how much of a node's slots a shard keeps busy."""
-        return self.loads.get(shard, 0) / self.slots.get(name, 1)
+        return self.load(shard) / self.slots.get(name, 1)
+
+    def load(self, shard: int) -> float:
+        """Return the work of a shard, in slots that it keeps busy."""
+        return self.loads.get(shard, self.other_load)
 
     def gain(self, move: Move) -> float:
         """Return by how much the busier of two nodes gets less busy."""
@@ -126,13 +144,30 @@
     return len(owned[name]), name
 
 
-def _load(picture: Picture, shard: int) -> float:
-    return picture.loads.get(shard, 0)
+class _Giving:
+    """The shards of nodes while some are given away, the least busy first."""
+
+    def __init__(self, picture: Picture) -> None:
+        self.owned = {
+            name: list(shards) for name, shards in picture.shares.items()
+        }
+        self._order = partial(_coldness, picture)
+        self._ordered: set[NodeName] = set()
+
+    def give(self, source: NodeName, target: NodeName) -> int:
+        """Let a node give its least busy shard to another."""
+        shards = self.owned[source]
+        if source not in self._ordered:
+            self._ordered.add(source)
+            shards.sort(key=self._order)
+        shard = shards.pop()
+        self.owned[target].append(shard)
+        return shard
 
 
 def _coldness(picture: Picture, shard: int) -> tuple[float, int]:
     # Neighbours are often hot together: of equal ones, not all go one way.
-    return -_load(picture, shard), xxh3_64_intdigest(str(shard).encode())
+    return -picture.load(shard), xxh3_64_intdigest(str(shard).encode())
 
 
 @policy('never')
@@ -147,19 +182,15 @@
 
     A node gives the least busy of its shards first.
     """
-    owned = {
-        name: sorted(shards, key=partial(_coldness, picture))
-        for name, shards in picture.shares.items()
-    }
+    giving = _Giving(picture)
+    by_count = partial(_count_and_name, giving.owned)
     moves: list[Move] = []
-    while owned:
-        by_count = sorted(owned, key=partial(_count_and_name, owned))
-        least, most = by_count[0], by_count[-1]
-        if len(owned[most]) - len(owned[least]) <= 1:
+    while giving.owned:
+        least = min(giving.owned, key=by_count)
+        most = max(giving.owned, key=by_count)
+        if len(giving.owned[most]) - len(giving.owned[least]) <= 1:
             break
-        shard = owned[most].pop()
-        owned[least].append(shard)
-        moves.append(Move(shard, most, least))
+        moves.append(Move(giving.give(most, least), most, least))
     return tuple(moves)
 
 
@@ -177,7 +208,7 @@
     shards = picture.shares.get(picture.own, ())
     if target is None or not shards:
         return ()
-    shard = max(shards, key=lambda number: (_load(picture, number), number))
+    shard = max(shards, key=lambda number: (picture.load(number), number))
     if picture.usages[target] >= picture.usages[picture.own]:
         return ()
     return (Move(shard, picture.own, target),)
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -1,8 +1,7 @@
 """The part of a node in keeping load even among the nodes of a service."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
-from itertools import chain
 from statistics import fmean
 
 from laburnumwood.clock import Clock
@@ -47,27 +46,42 @@
     return None if here is None else _Estimate(here)
 
 
+def _reported_all(
+    name: NodeName,
+    shards: tuple[int, ...],
+    book: LoadBook,
+    measured: Mapping[int, float],
+) -> Iterator[tuple[int, _Estimate]]:
+    for shard in shards:
+        found = _reported(name, shard, book, measured)
+        if found is not None:
+            yield shard, found
+
+
+@dataclass(frozen=True, slots=True)
+class Loads:
+    """The work of the shards that something is known of, and their mean."""
+
+    known: Mapping[int, float]
+    mean: float
+
+
 def estimated_loads(
     shares: Shares, own: NodeName, measured: Mapping[int, float], book: LoadBook
-) -> dict[int, float]:
-    """Return the loads of all shards by what is measured and reported.
+) -> Loads:
+    """Return the loads of shards by what is measured and reported.
 
     A report counts less as it ages: towards the mean of the known shards.
     """
-    known: dict[int, _Estimate] = {}
+    known = {shard: _Estimate(measured.get(shard, 0)) for shard in shares[own]}
     for name, shards in shares.items():
-        for shard in shards:
-            found = _reported(name, shard, book, measured)
-            if name == own:
-                known[shard] = _Estimate(measured.get(shard, 0))
-            elif found is not None:
-                known[shard] = found
+        is_known = book.is_known(name) or not measured.keys().isdisjoint(shards)
+        if name != own and is_known:
+            known.update(_reported_all(name, shards, book, measured))
     mean = fmean(each.load for each in known.values()) if known else 0
-    unknown = _Estimate(mean)
-    return {
-        number: known.get(number, unknown).towards(mean)
-        for number in chain.from_iterable(shares.values())
-    }
+    return Loads(
+        {number: each.towards(mean) for number, each in known.items()}, mean
+    )
 
 
 class Balancer:
@@ -94,6 +108,8 @@
         self._settings = settings
         self._splitter = Splitter(clock)
         self._planner = MovePlanner(DEFAULT_POLICY, settings, clock)
+        self._known_shares: Shares = {}
+        self._shares_version: object = None
 
     def moves(self, begun: Owners) -> tuple[Move, ...]:
         """Return the moves that this node should make now.
@@ -133,7 +149,7 @@
         declared = self._view.directory.declarations.services
         service = declared.get(self._service, Service())
         known = self._view.directory.shards(self._service)
-        return all(number in known for number in range(service.shards))
+        return known.keys() >= set(range(service.shards))
 
     def _split_into(
         self,
@@ -155,14 +171,16 @@
         declared = self._view.directory.declarations
         service = declared.services.get(self._service, Service())
         shares = self._shares(live, begun)
+        loads = estimated_loads(
+            shares, self._own, self._meter.shards(), self._book
+        )
         return Picture(
             own=self._own,
             shares=shares,
             peers={name for name in shares if self._book.is_known(name)},
             slots={name: record.slots for name, record in live.items()},
-            loads=estimated_loads(
-                shares, self._own, self._meter.shards(), self._book
-            ),
+            loads=loads.known,
+            other_load=loads.mean,
             weights=declared.weights or Weights(),
             cold_start_ms=service.cold_start_ms,
             settings=self._settings,
@@ -171,6 +189,16 @@
 
     def _shares(
         self, live: Mapping[NodeName, NodeRecord], begun: Owners
+    ) -> Shares:
+        """Return the shards of each live node, found anew only on news."""
+        version = (*self._view.version, frozenset(begun.items()))
+        if version != self._shares_version:
+            self._known_shares = self._find_shares(live, begun)
+            self._shares_version = version
+        return self._known_shares
+
+    def _find_shares(
+        self, live: Mapping[NodeName, NodeRecord], begun: Owners
     ) -> Shares:
         shares: dict[NodeName, list[int]] = {name: [] for name in live}
         shards = self._view.directory.shards(self._service)
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -50,6 +50,20 @@
     return parents(view.directory.shard_records(service))
 
 
+def _perhaps_open(view: FleetView, service: str, own: NodeName) -> set[int]:
+    """Return the shards that name a node or one that has lapsed.
+
+    All others have another live owner: a large service is not gone through.
+    """
+    directory = view.directory
+    return {
+        shard.number
+        for name in (own, *filter(view.is_sealed, directory.named()))
+        for shard in directory.shards_naming(name)
+        if shard.service == service
+    }
+
+
 class Tenure:
     """Which shards one incarnation holds, and which writes they need.
 
@@ -215,8 +229,11 @@
 
     def _open_shards(self) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
         """Yield the shards that this node or nobody acts for."""
-        entries = self._view.directory.shards(self._service).items()
-        for number, entry in sorted(entries):
+        entries = self._view.directory.shards(self._service)
+        for number in sorted(
+            _perhaps_open(self._view, self._service, self._own)
+        ):
+            entry = entries[number]
             actor = acting(entry.record, self._view)
             if actor is None or actor == self._own:
                 yield ShardName(self._service, number), entry
@@ -286,8 +303,10 @@
             for keys, _ in _parents(self._view, self._service)
         )
         for number in numbers:
+            if number in known:
+                continue
             shard = ShardName(self._service, number)
-            if number not in known and self._is_my_turn(shard):
+            if self._is_my_turn(shard):
                 yield shard
 
     def _begin(self, shard: ShardName, first: NodeName) -> ShardWrite:
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -293,7 +293,8 @@
 def check_belief(context: Context, shard: int, load: int) -> None:
     shares = {NodeName('a', 1): (), NodeName('b', 1): (4, 5)}
     found = estimated_loads(shares, NodeName('a', 1), {}, context.book)
-    assert isclose(found[shard], load, abs_tol=0.01), found
+    believed = found.known.get(shard, found.mean)
+    assert isclose(believed, load, abs_tol=0.01), found
 
 
 @then('after {span:d} s the load of shard {shard:d} is believed to be {load:d}')
--- /dev/null
+++ b/tests/features/steps/large_service_steps.py
@@ -0,0 +1,179 @@
+"""Steps about decisions of one node in a service of hundreds."""
+
+from dataclasses import replace
+from itertools import count
+
+from behave import given, then, when
+from behave.runner import Context
+
+from bench.spreading import record_of
+from laburnumwood.config.declarations import Weights
+from laburnumwood.leases.lease import Lease
+from laburnumwood.leases.seals import SealBook
+from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.view import FleetView
+from laburnumwood.placement.balance import Picture, weighed
+from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.tenure import Tenure
+from laburnumwood.records import (
+    NodeName,
+    NodeRecord,
+    ShardName,
+    ShardRecord,
+    StoredObject,
+)
+from laburnumwood.settings import LeaseSettings
+from laburnumwood.store.objects import node_object, shard_object, to_value
+from tests.features.steps.fake_clock import FakeClock
+
+SERVICE = 'service'
+PER_NODE = 4
+SLOTS = 6
+BYSTANDER_MS = 3_500  # after which any node may take what nobody took
+
+
+class _CountingView(FleetView):
+    """Counts how often it was asked whether a node has lapsed."""
+
+    def __init__(self, directory: Directory) -> None:
+        super().__init__(directory, SealBook())
+        self.asked = 0
+
+    def is_sealed(self, name: NodeName) -> bool:
+        self.asked += 1
+        return super().is_sealed(name)
+
+
+class _HeldLease(Lease):
+    """A lease that always holds."""
+
+    def holds(self) -> bool:
+        return True
+
+
+def _name(number: int) -> NodeName:
+    return NodeName(f'n{number}', 1)
+
+
+class _LargeService:
+    """The records of a service, as one node knows them."""
+
+    def __init__(self, nodes: int) -> None:
+        self.names = [_name(number) for number in range(nodes)]
+        self.clock = FakeClock()
+        self.view = _CountingView(Directory())
+        self._versions = count(1)
+        for number in range(nodes):
+            self.write_node(number, record_of(number))
+        for number in range(nodes * PER_NODE):
+            self._write_shard(number)
+
+    def write_node(self, number: int, record: NodeRecord) -> None:
+        name = node_object(f'n{number}')
+        self._apply(name, to_value(replace(record, slots=SLOTS)))
+
+    def tenure(self, number: int) -> Tenure:
+        lease = _HeldLease(self.names[number], LeaseSettings(), self.clock)
+        return Tenure(SERVICE, self.view, lease, Holdings(), self.clock)
+
+    def shares(self) -> dict[NodeName, tuple[int, ...]]:
+        nodes = len(self.names)
+        return {
+            name: tuple(range(place, nodes * PER_NODE, nodes))
+            for place, name in enumerate(self.names)
+        }
+
+    def _write_shard(self, number: int) -> None:
+        nodes = len(self.names)
+        succession = tuple(_name((number + step) % nodes) for step in range(3))
+        record = ShardRecord(1, succession, shards=nodes * PER_NODE)
+        shard = ShardName(SERVICE, number)
+        self._apply(shard_object(shard), to_value(record))
+
+    def _apply(self, name: str, value: dict[str, object]) -> None:
+        stored = StoredObject(name, value, next(self._versions))
+        self.view.directory.apply(stored)
+
+
+@given('a service of {nodes:d} nodes with 4 shards each')
+def set_service(context: Context, nodes: int) -> None:
+    context.service = _LargeService(nodes)
+
+
+@given('a node that is busy and has heard of {heard:d} others')
+def set_busy(context: Context, heard: int) -> None:
+    names = context.service.names
+    shares = context.service.shares()
+    context.heard = set(names[1 : heard + 1])
+    known = {shard: 0.5 for name in context.heard for shard in shares[name]}
+    own = dict.fromkeys(shares[names[0]], 2.0)
+    context.picture = Picture(
+        own=names[0],
+        shares=shares,
+        peers=context.heard,
+        slots=dict.fromkeys(names, SLOTS),
+        loads={**known, **own},
+        other_load=1,
+        weights=Weights(),
+    )
+
+
+@when('it decides about moves')
+def decide(context: Context) -> None:
+    context.moves = weighed(context.picture)
+
+
+@then('it moved a shard to one of the {heard:d}')
+def check_moved(context: Context, heard: int) -> None:
+    targets = {move.target for move in context.moves}
+    assert targets, 'no move'
+    assert len(context.heard) == heard
+    assert targets <= context.heard, targets
+
+
+@then('it worked out how busy {most:d} nodes are at most')
+def check_usages(context: Context, most: int) -> None:
+    found = len(context.picture.usages)
+    assert found <= most, found
+
+
+@when('a node asks which shards it should write')
+def ask(context: Context) -> None:
+    tenure = context.service.tenure(0)
+    context.service.view.live_in(SERVICE)
+    context.service.view.asked = 0
+    context.wanted = tenure.wanted()
+
+
+@then('there are none')
+def check_none(context: Context) -> None:
+    assert not context.wanted, context.wanted
+
+
+@then('it asked at most {most:d} times whether a node has lapsed')
+def check_asked(context: Context, most: int) -> None:
+    asked = context.service.view.asked
+    assert asked <= most, asked
+
+
+@given('every node that the shards of the first node name has ended')
+def end_nodes(context: Context) -> None:
+    for number in range(3):
+        ended = replace(record_of(number), open_incarnations=())
+        context.service.write_node(number, ended)
+
+
+@when('another node asks which shards it should write')
+def ask_later(context: Context) -> None:
+    tenure = context.service.tenure(80)
+    tenure.wanted()
+    context.service.clock.pass_ms(BYSTANDER_MS)
+    context.wanted = tenure.wanted()
+
+
+@then('these are shards of the first node')
+def check_orphans(context: Context) -> None:
+    nodes = len(context.service.names)
+    expected = set(range(0, nodes * PER_NODE, nodes))
+    found = {shard.number for shard in context.wanted}
+    assert found == expected, found
