Take the time that a planned stop is given

Cause: the settings for the users' platform gave a planned stop 5 s wherever it runs; there the platform waits 10 s before it kills a process.

Evidence: SIGTERM 28.057, sent 30.444, runs 31.155, run cut 33.064, the connection closed 33.114.

Change: stop_grace_s names the time that the platform gives, five sixths of which are used: 5 s where it gives 6 s, as before, 8.3 s where it gives 10 s.

Failed before: features operators, 'a planned stop takes the time that it is given' (no such setting).

--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -290,7 +290,7 @@
         return None
 
     def _close_later(self, incarnation: Incarnation) -> None:
-        self._drain(incarnation, self._settings.stop_patience_ms)
+        self._drain(incarnation, self._settings.stop_limit_ms)
         if not incarnation.is_busy:
             self._record_end(incarnation)
 
@@ -326,12 +326,12 @@
         """Return how much of the time for a planned stop is left."""
         since_ms = self._stopping_since_ms or self._clock.now_ms()
         gone_ms = self._clock.now_ms() - since_ms
-        return max(0, self._settings.stop_patience_ms - gone_ms)
+        return max(0, self._settings.stop_limit_ms - gone_ms)
 
     def _linger(self) -> None:
         """Serve on while callers may not know yet that this node stops."""
         settings = self._settings
-        spent_ms = settings.stop_patience_ms - self._patience_ms()
+        spent_ms = settings.stop_limit_ms - self._patience_ms()
         left_ms = settings.stop_linger_ms - spent_ms
         eventlet.sleep(max(0, left_ms) / MS_PER_SECOND)
 
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -13,11 +13,13 @@
 )
 from pydantic_core import ErrorDetails
 
+from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import SettingsError
 from laburnumwood.listening import split_address
 
 HIGHEST_PORT = 65_535
 _ADDRESS = r'^[^:]+:\d{1,5}$'
+_USED_GRACE = 5 / 6  # of the time given to a planned stop
 SECRETS = frozenset(('shared_key', 'token'))
 
 
@@ -127,6 +129,7 @@
     reports: ReportSettings = ReportSettings()
     placement: PlacementSettings = PlacementSettings()
     stop_patience_ms: int = Field(default=60_000, ge=0, le=3_600_000)
+    stop_grace_s: float | None = Field(default=None, ge=1, le=3_600)
     stop_linger_ms: int = Field(default=0, ge=0, le=60_000)
     owner_patience_ms: int = Field(default=3_000, ge=0, le=60_000)
     admission: AdmissionSettings = AdmissionSettings()
@@ -143,6 +146,24 @@
             raise ValueError('give either "door_port" or "door_address"')
         return self
 
+    @model_validator(mode='after')
+    def _check_stop(self) -> Self:
+        given = {'stop_patience_ms', 'stop_grace_s'}
+        if given <= self.model_fields_set:
+            raise ValueError('give "stop_patience_ms" or "stop_grace_s"')
+        return self
+
+    @property
+    def stop_limit_ms(self) -> int:
+        """Return how long a planned stop may take.
+
+        Of the time after which the process would be killed a part is kept
+        for its end.
+        """
+        if self.stop_grace_s is None:
+            return self.stop_patience_ms
+        return round(self.stop_grace_s * MS_PER_SECOND * _USED_GRACE)
+
     @property
     def door(self) -> tuple[str, int]:
         """Return host and port for callers."""
--- a/tests/features/operators.feature
+++ b/tests/features/operators.feature
@@ -30,6 +30,18 @@
     Then each of them is owner of some of its shards
     And a peer with the certificate of a stranger is refused by "portal-1"
 
+  # Guards against answers cut off by a planned stop that had time left.
+  Scenario Outline: a planned stop takes the time that it is given
+    Given settings with <settings>
+    Then a planned stop may take <limit> ms
+
+    Examples:
+      | settings                    | limit |
+      | {}                          | 60000 |
+      | {"stop_patience_ms": 7000}  | 7000  |
+      | {"stop_grace_s": 6}         | 5000  |
+      | {"stop_grace_s": 10.0}      | 8333  |
+
   Scenario Outline: settings name exactly one way to secure links
     Then a daemon with <settings> ends with status 2 and "<message>"
 
@@ -39,6 +51,7 @@
       | {"tls": {"certificate": "a", "key": "b", "authority": "c"}} | give either "tls" or "shared_key" |
       | {"shared_key": null, "tls": {"certificate": "a", "key": "b", "authority": "c"}} | are not usable |
       | {"shared_key": "short"}                       | shared_key: String should have at least 16 characters; what was found is not shown |
+      | {"stop_patience_ms": 1, "stop_grace_s": 6}    | give "stop_patience_ms" or "stop_grace_s" |
       | {"slot": 3}                                   | slot: unknown field; allowed: admission, |
 
   Scenario: what capacity carried and what lay idle add up
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -172,6 +172,17 @@
     }
 
 
+@given('settings with {changes}')
+def set_settings(context: Context, changes: str) -> None:
+    given_settings = _settings(**json.loads(changes))
+    context.settings = DaemonSettings.model_validate(given_settings)
+
+
+@then('a planned stop may take {limit:d} ms')
+def check_stop_limit(context: Context, limit: int) -> None:
+    assert context.settings.stop_limit_ms == limit
+
+
 @then('a daemon with {changes} ends with status {status:d} and "{message}"')
 def check_refused_settings(
     context: Context, changes: str, status: int, message: str
