Ask the store for fresh changes on few nodes, and once to join

Cause: two readers of each failure domain got every change of the records by a call of their own, and all nodes each configuration; a node read its own record three times to join.

Change: of the readers one a domain, in three domains, watches the store itself; the others stand by with watches that may be seconds late, a tenth as dear, one a second. Eight of 32 configuration readers a domain stay fresh. A node reads its record once to join, and not at all to end earlier ones.

Failed before: features spreading, 'few of 5 failure domains want no stale'.

--- a/bench/holding.py
+++ b/bench/holding.py
@@ -13,7 +13,7 @@
 from bench.spreading import TARGET_NODES, record_of
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.reader import is_reader
+from laburnumwood.membership.reader import RECORD_READERS, reading_of
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.codec import LARGEST_FRAME, encode
 from laburnumwood.protocol.messages import Changes
@@ -83,7 +83,7 @@
     held_mb = memory_mb(Path('/proc/self')) - before_mb
     view = FleetView(directory, SealBook())
     started = time.perf_counter()
-    is_reader(_name(0), view)
+    reading_of(_name(0), view, RECORD_READERS)
     look_ms = (time.perf_counter() - started) * 1_000
     objects = directory.newer(0, directory.config.generation)
     changes = Changes(objects, 1, whole=True, seals=())
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -14,6 +14,7 @@
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.joining import (
     announce_leaving,
+    end_earlier,
     leave,
     store_answers,
 )
@@ -175,6 +176,10 @@
         """Tell the others of the service what the worker has let go."""
         self._handover_news.tell()
 
+    def end_earlier(self) -> None:
+        """Write down that all incarnations before this one have ended."""
+        end_earlier(self._known, self.name)
+
     def record_end(self) -> None:
         """Write down that this incarnation has ended."""
         leave(self._known, self.name)
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -26,7 +26,7 @@
 )
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.endings import Fate, Standstill, fate
-from laburnumwood.membership.joining import end_earlier, join
+from laburnumwood.membership.joining import join
 from laburnumwood.metrics import exposition
 from laburnumwood.operators.door import OperatorDoor
 from laburnumwood.protocol.link import Link
@@ -105,7 +105,7 @@
                 break
             NODE_JOINED.report(node=incarnation.name)
             if is_first:
-                start(self._end_earlier, incarnation.name)
+                start(self._end_earlier, incarnation)
             known = self._live(incarnation)
             if self._is_stopping:
                 break
@@ -244,7 +244,7 @@
             before.release()
         return incarnation
 
-    def _end_earlier(self, name: NodeName) -> None:
+    def _end_earlier(self, first: Incarnation) -> None:
         """Record the ends of this node's incarnations of earlier processes.
 
         Their process is over, since this one listens in its place.  What it
@@ -258,7 +258,7 @@
         if self._incarnation is not None:
             self._incarnation.tell_left()
         with suppress(_StoppingError):
-            self._persist(lambda: end_earlier(self._platform, name))
+            self._persist(first.end_earlier)
 
     def _is_back(self) -> bool:
         incarnation = self._incarnation
--- a/laburnumwood/membership/joining.py
+++ b/laburnumwood/membership/joining.py
@@ -106,20 +106,17 @@
     with the same mark, so that a write whose answer was lost counts.
     """
     mark = mark or new_mark(settings.node_id)
-    stored = platform.get(node_object(settings.node_id))
-    known = to_record(NodeRecord, stored) if stored else None
-    if known is None or known.mark != mark:
-        written = change_record(
-            platform,
-            settings.node_id,
-            lambda before: _joined(
-                settings, _without(before, ended), witness_as
-            ),
-            _first_record(settings),
-            mark,
-        )
-        known = to_record(NodeRecord, written)
-    return NodeName(settings.node_id, known.incarnation), known
+    while True:
+        stored = platform.get(node_object(settings.node_id))
+        before = to_record(NodeRecord, stored) if stored else None
+        if before is not None and before.mark == mark:
+            return NodeName(settings.node_id, before.incarnation), before
+        known = _without(before or _first_record(settings), ended)
+        joined = replace(_joined(settings, known, witness_as), mark=mark)
+        version = stored.version if stored else None
+        with suppress(PlatformConflictError):
+            _written(platform, settings.node_id, joined, version)
+            return NodeName(settings.node_id, joined.incarnation), joined
 
 
 def _without_up_to(record: NodeRecord, incarnation: int) -> NodeRecord:
--- a/laburnumwood/membership/reader.py
+++ b/laburnumwood/membership/reader.py
@@ -1,9 +1,12 @@
 """Readers: the few nodes of a failure domain that watch the store."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
 from functools import partial
 
 import eventlet
+from xxhash import xxh3_64_intdigest
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import (
@@ -15,33 +18,64 @@
 from laburnumwood.records import NodeName, StoredObject
 from laburnumwood.store.interface import Store
 
-READERS_PER_DOMAIN = 2
-# The configuration seldom changes, and has to reach nodes whose readers the
-# store turns away.
-CONFIG_READERS_PER_DOMAIN = 32
-_WATCH_MS = 10_000
-_CONFIG_WATCH_MS = 30_000
 _IDLE_MS = 500
 _RETRY_MS = 500
 _BATCH_MS = 250  # between two watches of records
+_STALE_PAUSE_MS = 1_000  # between two watches that may be stale
+
+
+class Reading(Enum):
+    """How a node learns of changes in the store."""
+
+    FRESH = 'it watches the store'
+    STALE = 'it watches what may be seconds old, in case the others are cut off'
+    TOLD = 'other nodes tell it'
 
 
-def is_reader(
-    own: NodeName, view: FleetView, count: int = READERS_PER_DOMAIN
-) -> bool:
-    """Tell whether a node is one of those that watch for its failure domain.
+@dataclass(frozen=True, slots=True)
+class Readers:
+    """How many nodes watch a scope, and for how long at a time.
+
+    Of the readers of a failure domain the first `fresh` watch the store
+    itself, in no more than `domains` domains.  The others accept changes that
+    come seconds late, which costs the store little.
+    """
+
+    per_domain: int
+    fresh: int
+    domains: int
+    wait_ms: int
+
+
+RECORD_READERS = Readers(per_domain=2, fresh=1, domains=3, wait_ms=10_000)
+# The configuration seldom changes, and has to reach nodes whose readers the
+# store turns away.
+CONFIG_READERS = Readers(per_domain=32, fresh=8, domains=32, wait_ms=30_000)
+
+
+def _domain_order(domain: str) -> int:
+    return xxh3_64_intdigest(f'reader {domain}'.encode())
+
+
+def reading_of(own: NodeName, view: FleetView, readers: Readers) -> Reading:
+    """Return how a node learns of changes, by its place among the live nodes.
 
     One that leaves hears no more news by renewals and reads for itself.
     """
     live = dict(view.live())
-    record = live.get(own)
-    if record is None:
-        return True
-    domain = record.failure_domain
+    if own not in live:
+        return Reading.FRESH
+    domain = live[own].failure_domain
     near = (
         name for name, each in live.items() if each.failure_domain == domain
     )
-    return own in rendezvous(f'reader {domain}', near)[:count]
+    place = rendezvous(f'reader {domain}', near).index(own)
+    if place >= readers.per_domain:
+        return Reading.TOLD
+    domains = {each.failure_domain for each in live.values()}
+    first = sorted(domains, key=_domain_order)[: readers.domains]
+    is_fresh = place < readers.fresh and domain in first
+    return Reading.FRESH if is_fresh else Reading.STALE
 
 
 class Reader:
@@ -70,19 +104,17 @@
     def run(self, scope: str) -> None:
         """Watch a scope while this node is a reader; does not return."""
         while True:
-            if self._is_reader_of(scope):
-                self._watch_once(scope)
-            else:
+            reading = reading_of(self._own, self._view, self._readers(scope))
+            if reading is Reading.TOLD:
                 eventlet.sleep(_IDLE_MS / MS_PER_SECOND)
+            else:
+                self._watch_once(scope, may_be_stale=reading is Reading.STALE)
 
     def _is_records(self, scope: str) -> bool:
         return scope == self._platform.scopes[0]
 
-    def _is_reader_of(self, scope: str) -> bool:
-        count = CONFIG_READERS_PER_DOMAIN
-        if self._is_records(scope):
-            count = READERS_PER_DOMAIN
-        return is_reader(self._own, self._view, count)
+    def _readers(self, scope: str) -> Readers:
+        return RECORD_READERS if self._is_records(scope) else CONFIG_READERS
 
     def _list(self, scope: str) -> None:
         objects, revision = self._platform.list(scope)
@@ -98,23 +130,26 @@
         if self._is_records(scope):
             directory.revision = max(revision, directory.revision)
 
-    def _watch_once(self, scope: str) -> None:
+    def _watch_once(self, scope: str, *, may_be_stale: bool) -> None:
         try:
-            self._watch(scope)
+            self._watch(scope, may_be_stale=may_be_stale)
         except PlatformError:
             # The guarded store has told of it.
             eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
 
-    def _watch(self, scope: str) -> None:
-        known = self._known(scope)
-        wait_ms = _WATCH_MS if self._is_records(scope) else _CONFIG_WATCH_MS
+    def _watch(self, scope: str, *, may_be_stale: bool) -> None:
+        wait_ms = self._readers(scope).wait_ms
         try:
-            changes, revision = self._platform.watch(scope, known, wait_ms)
+            changes, revision = self._platform.watch(
+                scope, self._known(scope), wait_ms, may_be_stale=may_be_stale
+            )
         except CompactedError:
             self._list(scope)
             return
         self._take(scope, changes, revision)
-        if changes and self._is_records(scope):
+        if may_be_stale:
+            eventlet.sleep(_STALE_PAUSE_MS / MS_PER_SECOND)
+        elif changes and self._is_records(scope):
             # Writers tell their peers; one call can bring many changes.
             eventlet.sleep(_BATCH_MS / MS_PER_SECOND)
 
--- a/laburnumwood/platform/store.py
+++ b/laburnumwood/platform/store.py
@@ -142,11 +142,18 @@
         return self._write('PUT', _path(name), content, name)
 
     def watch(
-        self, prefix: str, since: int, wait_ms: int
+        self,
+        prefix: str,
+        since: int,
+        wait_ms: int,
+        *,
+        may_be_stale: bool = False,
     ) -> tuple[tuple[StoredObject, ...], int]:
         """Wait for changes under a prefix after a revision."""
         kind = _kind(prefix)
         fields = {'watch': str(since)}
+        if may_be_stale:
+            fields['allow_stale'] = '1'
         answer = self._calls.watch(
             f'/objects/{kind}', wait_ms, fields, headers=_HEADERS
         )
--- a/laburnumwood/store/client.py
+++ b/laburnumwood/store/client.py
@@ -81,11 +81,17 @@
         return self._put(name, value, {'If-Match': str(version)})
 
     def watch(
-        self, prefix: str, since: int, wait_ms: int
+        self,
+        prefix: str,
+        since: int,
+        wait_ms: int,
+        *,
+        may_be_stale: bool = False,
     ) -> tuple[tuple[StoredObject, ...], int]:
         """Wait for changes under a prefix after a revision.
 
-        Returns them with the revision that they lead to.
+        Returns them with the revision that they lead to, which this store
+        never lets be stale.
 
         Raises `CompactedError` if the store no longer keeps them all.
         """
--- a/laburnumwood/store/interface.py
+++ b/laburnumwood/store/interface.py
@@ -39,11 +39,17 @@
         """
 
     def watch(
-        self, prefix: str, since: int, wait_ms: int
+        self,
+        prefix: str,
+        since: int,
+        wait_ms: int,
+        *,
+        may_be_stale: bool = False,
     ) -> tuple[tuple[StoredObject, ...], int]:
         """Wait for changes under a prefix after a revision.
 
-        Returns them with the revision that they lead to.
+        Returns them with the revision that they lead to.  What may be stale
+        comes late, which a store may make cheaper.
 
         Raises `CompactedError` if the store no longer keeps them all.
         """
--- a/laburnumwood/store/wrapped.py
+++ b/laburnumwood/store/wrapped.py
@@ -38,10 +38,23 @@
         return self._pass_on(partial(self._store.update, name, value, version))
 
     def watch(
-        self, prefix: str, since: int, wait_ms: int
+        self,
+        prefix: str,
+        since: int,
+        wait_ms: int,
+        *,
+        may_be_stale: bool = False,
     ) -> tuple[tuple[StoredObject, ...], int]:
         """Wait for changes under a prefix after a revision."""
-        return self._pass_on(partial(self._store.watch, prefix, since, wait_ms))
+        return self._pass_on(
+            partial(
+                self._store.watch,
+                prefix,
+                since,
+                wait_ms,
+                may_be_stale=may_be_stale,
+            )
+        )
 
     def _pass_on(self, call: Callable[[], _Found]) -> _Found:
         return call()
--- a/tests/features/spreading.feature
+++ b/tests/features/spreading.feature
@@ -52,3 +52,16 @@
       | who       | scope         | count |
       | two       | records       | 2     |
       | many more | configuration | 32    |
+
+  # Guards against calls of the store that grow with the fleet.
+  Scenario Outline: few of <domains> failure domains want no stale <scope>
+    Given <domains> failure domains of 39 nodes with such a store
+    When each of them runs its reader of the <scope>
+    Then <count> of them watch the store
+    And <fresh> of them want no stale changes
+
+    Examples:
+      | domains | scope         | count | fresh |
+      | 1       | records       | 2     | 1     |
+      | 5       | records       | 10    | 3     |
+      | 5       | configuration | 160   | 40    |
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -95,10 +95,14 @@
 
     def __init__(self) -> None:
         self.watchers = 0
+        self.fresh = 0
 
-    def watch(self, _scope: str, _known: int, _wait_ms: int) -> Any:
+    def watch(
+        self, _scope: str, _known: int, _wait_ms: int, *, may_be_stale: bool
+    ) -> Any:
         """Wait for changes that never come."""
         self.watchers += 1
+        self.fresh += not may_be_stale
         eventlet.sleep(LIMIT_S)
 
 
@@ -107,11 +111,18 @@
     'configuration'
 )
 def make_domain(context: Context, count: int) -> None:
+    make_domains(context, 1, count)
+
+
+@given('{domains:d} failure domains of {count:d} nodes with such a store')
+def make_domains(context: Context, domains: int, count: int) -> None:
     context.store = _WatchedStore()
-    context.names = [NodeName(f'n{number}', 1) for number in range(count)]
+    numbers = range(count * domains)
+    context.names = [NodeName(f'n{number}', 1) for number in numbers]
     context.view = FleetView(Directory(), SealBook())
     for version, name in enumerate(context.names, start=1):
-        record = NodeRecord(1, (1,), 'h', 1, 1, 1, 'd', 's', 'o', 1, 1)
+        domain = f'd{version % domains}'
+        record = NodeRecord(1, (1,), 'h', 1, 1, 1, domain, 's', 'o', 1, 1)
         stored = StoredObject(
             node_object(name.node_id), to_value(record), version
         )
@@ -132,6 +143,11 @@
     assert context.store.watchers == count, context.store.watchers
 
 
+@then('{count:d} of them want no stale changes')
+def check_fresh(context: Context, count: int) -> None:
+    assert context.store.fresh == count, context.store.fresh
+
+
 class _AskedWitness:
     """A lease with one witness, and the link to it."""
 
