Let the last owner tell doors of a large fleet who owns a shard

Change: in a fleet of more than 100 nodes only the nodes that a record names hear of it at once. A gate that is asked for a shard that it does not own sends the records that it knows (of a split: the shard's and its part's) before it returns the request, and the door asks the next owner at once.

Tests: features gate, 'a request for a shard that has moved is told who owns it'; large_service, 'a request comes to a door that has missed a move'.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -291,7 +291,7 @@
             self._grants,
             executor,
             lambda: self.view.directory.declarations.services,
-            self.view.directory.shard_records,
+            self.view.directory,
             self._account,
             self.load.meter,
             WorkerState(self._may_start, self._slots),
--- a/laburnumwood/membership/spreading.py
+++ b/laburnumwood/membership/spreading.py
@@ -3,7 +3,8 @@
 from typing import Any
 
 from laburnumwood.errors import LinkError
-from laburnumwood.events import NODE_SEALED
+from laburnumwood.events import NODE_SEALED, RECORD_REFUSED
+from laburnumwood.membership.directory import Directory, Entry
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import (
@@ -20,6 +21,7 @@
     NodeName,
     Seal,
     ShardName,
+    ShardRecord,
     StoredObject,
 )
 from laburnumwood.store.objects import shard_object, to_value
@@ -28,6 +30,22 @@
 _CALL_TIMEOUT_MS = 1_000
 
 
+def notice_of(shard: ShardName, entry: Entry[ShardRecord]) -> ShardNotice:
+    """Return what tells a node of the record of a shard."""
+    return ShardNotice(str(shard), entry.record, entry.version)
+
+
+def take_notice(directory: Directory, notice: ShardNotice) -> None:
+    """Take in the record of a shard that another node told of."""
+    try:
+        name = shard_object(ShardName.parse(notice.shard))
+    except ValueError as unnamed:
+        RECORD_REFUSED.report(object=notice.shard, reason=unnamed)
+        return
+    value = to_value(notice.record)
+    directory.apply(StoredObject(name, value, notice.version))
+
+
 class Spreader:
     """Pulls news from peers that know more, and tells peers of news."""
 
@@ -115,7 +133,5 @@
     def _serve_shard(
         self, _link: Link, stream: Stream, notice: ShardNotice
     ) -> None:
-        name = shard_object(ShardName.parse(notice.shard))
-        value = to_value(notice.record)
-        self._view.directory.apply(StoredObject(name, value, notice.version))
+        take_notice(self._view.directory, notice)
         stream.send(Done())
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -9,7 +9,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import SHARD_SPLIT
 from laburnumwood.membership.choice import rendezvous
-from laburnumwood.membership.spreading import Spreader
+from laburnumwood.membership.spreading import Spreader, notice_of
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
@@ -18,8 +18,12 @@
 from laburnumwood.placement.splitting import Part, Split
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.placement.writer import ShardWriter
-from laburnumwood.protocol.messages import ShardNotice
-from laburnumwood.records import NodeName, NodeRecord, ShardName
+from laburnumwood.records import (
+    NodeName,
+    NodeRecord,
+    ShardName,
+    ShardRecord,
+)
 from laburnumwood.tasks import start
 from laburnumwood.upstream.grants import Grants
 
@@ -27,7 +31,7 @@
 _WRITING_MS = 200
 _TURNS_PER_BALANCE = 3
 _IDLE_POLL_MS = 10
-_MOST_TOLD = 100  # nodes; in a larger fleet only those of the service
+_MOST_TOLD = 100  # nodes; in a larger fleet only those that may act
 _HAND_OVER_MS = 2_500  # for the store to take the records
 
 
@@ -241,19 +245,19 @@
 
     def _tell(self, shard: ShardName) -> None:
         entry = self._view.directory.shard(shard)
-        if entry is None:
-            return
-        notice = ShardNotice(str(shard), entry.record, entry.version)
-        self._spreader.tell(self._told(), notice)
+        if entry is not None:
+            told = self._told(entry.record)
+            self._spreader.tell(told, notice_of(shard, entry))
 
-    def _told(self) -> set[NodeName]:
+    def _told(self, record: ShardRecord) -> set[NodeName]:
         """Return who is told of a record at once; others hear of it later.
 
-        In a small fleet all doors are, so that none asks the last owner.
+        In a small fleet all doors are, so that none asks the last owner; in a
+        large one the last owner tells those that ask it.
         """
         told = {name for name, _ in self._view.live()}
         if len(told) > _MOST_TOLD:
-            told = set(self._tenure.live())
+            told = set(record.succession)
         return told.difference((self._tenure.own,))
 
     def _heir(
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -20,11 +20,13 @@
 )
 from laburnumwood.events import ANSWER_FAILED, REQUEST_RETURNED, RUN_CANCELLED
 from laburnumwood.leases.lease import Lease
+from laburnumwood.membership.directory import Entry
+from laburnumwood.membership.spreading import notice_of
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import Records, placed_shard
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
-from laburnumwood.records import ShardName
+from laburnumwood.records import ShardName, ShardRecord
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.execution import Executor, MayAct
 from laburnumwood.routing.observed import ObservedExchange
@@ -53,6 +55,16 @@
     slots: Slots
 
 
+class KnownShards(Protocol):
+    """The records of shards that this node knows."""
+
+    def shard_records(self, service: str) -> Records:
+        """Return the records of a service's shards by their numbers."""
+
+    def shard(self, shard: ShardName) -> Entry[ShardRecord] | None:
+        """Return the record of a shard with its version."""
+
+
 _GRANT_SLACK_MS = 150  # by which a grant may come later than expected
 _ANSWER_MS = 60  # kept of the time left, to say that a request did not run
 
@@ -96,7 +108,7 @@
         grants: Grants,
         executor: Executor,
         services: Services,
-        records: Callable[[str], Records],
+        shards: KnownShards,
         account: Account,
         meter: LoadMeter,
         worker: WorkerState,
@@ -108,7 +120,7 @@
         self._grants = grants
         self._worker = worker
         self._services = services
-        self._records = records
+        self._shards = shards
         self._account = account
         self._meter = meter
         self._executor = executor
@@ -199,6 +211,7 @@
         shard = ShardName(work.service, work.shard)
         stay = self._holdings.enter(shard) if self._has_key(work) else None
         if stay is None:
+            self._tell_owner(exchange, work)
             detail = f'{self._settings.node_id} does not own {shard}'
             told = failure('not-owner', detail, ran=False)
             self._return(exchange, work, told)
@@ -258,8 +271,21 @@
 
     def _has_key(self, work: Work) -> bool:
         """Tell whether a key was not split off the shard it was sent to."""
-        records = self._records(work.service)
-        return placed_shard(work.key, work.shard, records) == work.shard
+        return self._placed(work) == work.shard
+
+    def _placed(self, work: Work) -> int:
+        """Return the number of the shard that has a request's key now."""
+        records = self._shards.shard_records(work.service)
+        return placed_shard(work.key, work.shard, records)
+
+    def _tell_owner(self, exchange: Exchange, work: Work) -> None:
+        """Tell a door that has missed a move or a split who owns the key."""
+        for number in sorted({work.shard, self._placed(work)}):
+            shard = ShardName(work.service, number)
+            entry = self._shards.shard(shard)
+            is_moved = number != work.shard or not self._holdings.is_held(shard)
+            if entry is not None and is_moved:
+                exchange.send(notice_of(shard, entry))
 
     def _may_act(self, shard: ShardName, run: Run) -> bool:
         guard_ms = self._settings.lease.guard_ms
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -6,6 +6,7 @@
 from laburnumwood.admission.retries import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.errors import CallerGoneError, LinkError, LinkTimeoutError
+from laburnumwood.membership.spreading import take_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.layout import placed_shard
 from laburnumwood.placement.ownership import acting
@@ -15,6 +16,7 @@
     Chunk,
     End,
     Failure,
+    ShardNotice,
     WholeAnswer,
     Work,
 )
@@ -290,7 +292,7 @@
         try:
             _send_body(exchange, body, progress)
             left_ms = until_ms + _GRACE_MS - self._clock.now_ms()
-            head = exchange.receive(left_ms)
+            head = self._receive_head(exchange, left_ms)
             return self._read_head(head, exchange, until_ms)
         except LinkTimeoutError as late:
             abandon(exchange)
@@ -300,6 +302,14 @@
             abandon(exchange)
             return failure('link-lost', str(lost), ran=progress.may_run)
 
+    def _receive_head(self, exchange: Outgoing, left_ms: int) -> object:
+        """Return what a gate answers, after the records that it tells of."""
+        head = exchange.receive(left_ms)
+        while isinstance(head, ShardNotice):
+            take_notice(self._view.directory, head)
+            head = exchange.receive(left_ms)
+        return head
+
     def _read_head(
         self, head: object, exchange: Outgoing, until_ms: int
     ) -> Reply | Failure:
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -19,6 +19,13 @@
     When a request with 1000 ms left comes
     Then it was returned as "not-owner" after 100 ms
 
+  # Guards against doors of a large fleet that don't know of a move.
+  Scenario: a request for a shard that has moved is told who owns it
+    Given the gate knows that the shard has moved to "b#1"
+    When a request with 1000 ms left comes
+    Then it was told first that "b#1" owns the shard
+    And it was returned as "not-owner" at once
+
   # Guards against answers lost with the process of a node that ends.
   Scenario: a request that comes after the gate was closed goes elsewhere
     Given the gate is closed for the end of its node
--- a/tests/features/large_service.feature
+++ b/tests/features/large_service.feature
@@ -30,3 +30,11 @@
     And every node that the shards of the first node name has ended
     When another node asks which shards it should write
     Then these are shards of the first node
+
+  # Guards against requests that wait for news of a move in a large fleet.
+  Scenario: a request comes to a door that has missed a move
+    Given a service of 160 nodes with 4 shards each
+    And shard 7 has moved to another node, which its last owner alone knows
+    When a request for shard 7 comes to a door
+    Then the door asked the last owner, and then the next one
+    And the next owner answered it within 100 ms
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -12,14 +12,26 @@
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Declarations, Service
+from laburnumwood.membership.directory import Directory
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.meter import LoadMeter
-from laburnumwood.protocol.messages import Cancel, Failure, WholeAnswer
+from laburnumwood.protocol.messages import (
+    Cancel,
+    Failure,
+    ShardNotice,
+    WholeAnswer,
+)
 from laburnumwood.protocol.streams import Stream
-from laburnumwood.records import ShardName
+from laburnumwood.records import (
+    NodeName,
+    ShardName,
+    ShardRecord,
+    StoredObject,
+)
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.gate import Gate, WorkerState
+from laburnumwood.store.objects import shard_object, to_value
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
 from tests.ownership.world import node_settings
@@ -119,6 +131,7 @@
     clock = FakeClock()
     declared = Declarations(services={'s': Service()})
     context.clock = clock
+    context.directory = Directory()
     context.holdings = Holdings()
     context.holdings.hold(SHARD, TOKEN)
     context.grants = LateGrants(span, clock)
@@ -130,7 +143,7 @@
         context.grants,
         executor,
         lambda: declared.services,
-        lambda _service: {},
+        context.directory,
         CapacityAccount(SETTINGS, lambda: declared, clock),
         LoadMeter(1_500, clock),
         WorkerState(lambda: True, lambda: SLOTS),
@@ -145,6 +158,23 @@
     context.grants.news.events[at_ms] = close
 
 
+@given('the gate knows that the shard has moved to "{owner}"')
+def move_shard(context: Context, owner: str) -> None:
+    context.holdings.drop(SHARD)
+    record = ShardRecord(TOKEN + 1, (NodeName.parse(owner),))
+    stored = StoredObject(shard_object(SHARD), to_value(record), 7)
+    context.directory.apply(stored)
+
+
+@then('it was told first that "{owner}" owns the shard')
+def check_owner(context: Context, owner: str) -> None:
+    notice = context.told
+    assert isinstance(notice, ShardNotice), notice
+    assert notice.shard == str(SHARD), notice
+    assert notice.record.succession == (NodeName.parse(owner),), notice
+    context.told = context.near.receive(0)
+
+
 @given('the gate is closed for the end of its node')
 def close_gate(context: Context) -> None:
     context.gate.close()
@@ -228,6 +258,7 @@
     began_ms = context.clock.now_ms()
     context.gate.serve(far, work)
     context.took_ms = context.clock.now_ms() - began_ms
+    context.near = near
     context.told = near.receive(left)
 
 
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -1,12 +1,17 @@
 """Steps about decisions of one node in a service of hundreds."""
 
+from collections.abc import Callable
 from dataclasses import replace
 from itertools import count
+from random import Random
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
 
 from bench.spreading import record_of
+from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Weights
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
@@ -14,7 +19,9 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balance import Picture, weighed
 from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.loads import LoadBook
 from laburnumwood.placement.tenure import Tenure
+from laburnumwood.protocol.messages import Failure, ShardNotice, WholeAnswer
 from laburnumwood.records import (
     NodeName,
     NodeRecord,
@@ -22,9 +29,14 @@
     ShardRecord,
     StoredObject,
 )
+from laburnumwood.routing.exchange import local_pair
+from laburnumwood.routing.inquiry import Inquiry
+from laburnumwood.routing.router import Router
+from laburnumwood.routing.spread import Spread
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import node_object, shard_object, to_value
 from tests.features.steps.fake_clock import FakeClock
+from tests.features.steps.plain_work import PLAIN_WORK
 
 SERVICE = 'service'
 PER_NODE = 4
@@ -177,3 +189,83 @@
     expected = set(range(0, nodes * PER_NODE, nodes))
     found = {shard.number for shard in context.wanted}
     assert found == expected, found
+
+
+class _Gates:
+    """The gates of the last and of the next owner of a shard."""
+
+    def __init__(self, last: NodeName, notice: ShardNotice) -> None:
+        self._last = last
+        self._notice = notice
+        self.asked: list[NodeName] = []
+
+    def open_stream(self, peer: NodeName, **_how: Any) -> Any:
+        """Return a stream on which a gate has answered already."""
+        self.asked.append(peer)
+        near, far = local_pair()
+        if peer == self._last:
+            far.send(self._notice)
+            far.send(Failure('not-owner', False, 'moved'))
+        else:
+            far.send(WholeAnswer(200, (), b'whole'))
+        return near
+
+
+class _StayingCaller:
+    """A caller that waits for its answer."""
+
+    is_gone = False
+
+    def look(self) -> bool:
+        """Tell that it has not left."""
+        return False
+
+    def when_gone(self, act: Callable[[], None]) -> None:
+        """Do nothing: it does not leave."""
+
+
+@given(
+    'shard {number:d} has moved to another node, which its last owner alone '
+    'knows'
+)
+def move_unseen(context: Context, number: int) -> None:
+    service = context.service
+    shard = ShardName(SERVICE, number)
+    entry = service.view.directory.shard(shard)
+    last, context.next = entry.record.succession[0], service.names[90]
+    moved = replace(entry.record, epoch=2, succession=(context.next,))
+    notice = ShardNotice(str(shard), moved, entry.version + 10_000)
+    context.last, context.gates = last, _Gates(last, notice)
+
+
+@when('a request for shard {number:d} comes to a door')
+def ask_door(context: Context, number: int) -> None:
+    clock = Clock()
+    stand_ins: Any = (context.gates, None, _StayingCaller())
+    gates, serve, caller = stand_ins
+    router = Router(
+        context.service.names[-1],
+        context.service.view,
+        gates,
+        serve,
+        Spread(LoadBook(clock), 'd', Random(1), clock),
+        RetryBudgets(0, clock),
+        clock,
+    )
+    work = replace(
+        PLAIN_WORK, service=SERVICE, shard=number, key='7', idempotent=True
+    )
+    began_ms = clock.now_ms()
+    context.reply = router.send(Inquiry(work, b'', 3), caller)
+    context.took_ms = clock.now_ms() - began_ms
+
+
+@then('the door asked the last owner, and then the next one')
+def check_asked_owners(context: Context) -> None:
+    assert context.gates.asked == [context.last, context.next]
+
+
+@then('the next owner answered it within {limit:d} ms')
+def check_answered(context: Context, limit: int) -> None:
+    assert b''.join(context.reply.body()) == b'whole'
+    assert context.took_ms < limit, context.took_ms
