Refuse answers whose end can't be known

Cause: a Content-Length that is no number and a Transfer-Encoding other than chunked were passed over, so that the answer ended with its connection, which counts as whole. Of several lengths the first was taken.

Change: the head of such an answer is refused, and the request told as one that may have run. With both chunked and a length, the chunks count and the connection is not used again.

Failed before: 8 of the 14 examples of features worker_answers, 'three bytes after <head> are <what>'.

--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -7,7 +7,12 @@
 
 import re
 from collections.abc import Iterable
-from http.client import BadStatusLine, HTTPResponse, LineTooLong
+from http.client import (
+    BadStatusLine,
+    HTTPException,
+    HTTPResponse,
+    LineTooLong,
+)
 from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any
 
@@ -28,6 +33,7 @@
 _LONGEST_HEAD = 262_144  # bytes
 _STATUS_LINE = re.compile(rb'HTTP/1\.([01]) ([1-9][0-9]{2})(?: .*)?\r?\n')
 _HEADER_LINE = re.compile(rb'([^\s:\0]+):[ \t]*([^\r\n\0]*?)[ \t]*\r?\n')
+_LENGTH = re.compile('[0-9]{1,18}')
 _BODYLESS = frozenset((204, 304))
 _ENDS_OF_TRAILER = frozenset((b'\r\n', b'\n', b''))
 _TIMEOUT_PARAMETER = re.compile(r'timeout\s*=\s*([0-9]+)', re.IGNORECASE)
@@ -77,6 +83,10 @@
             raise ConnectionAbortedError('closed on this side') from closed
 
 
+class FramingError(HTTPException):
+    """The head of an answer does not say where the answer ends."""
+
+
 class WorkerResponse(HTTPResponse):
     """An answer; only its head is read in another way than the library's."""
 
@@ -128,19 +138,33 @@
             raise BadStatusLine(str(unreadable)) from unreadable
 
     def _frame(self) -> None:
-        coding = self.index.first('transfer-encoding').lower()
-        self.chunked = coding == 'chunked'
+        self.chunked = self._is_chunked()
         self.chunk_left = None
-        length = self.index.first('content-length')
-        self.length = None
-        if length.isdecimal() and not self.chunked:
-            self.length = int(length)
+        announced = self._announced_length()
+        self.length = None if self.chunked else announced
         if self.status in _BODYLESS or self._has_no_body:
             self.length = 0
         is_framed = self.chunked or self.length is not None
         told = self.index.tokens('connection')
         stays = self.version == 11 or 'keep-alive' in told
-        self.will_close = not (is_framed and stays) or 'close' in told
+        is_plain = not (self.chunked and announced is not None)
+        keeps = is_framed and is_plain and stays
+        self.will_close = not keeps or 'close' in told
+
+    def _is_chunked(self) -> bool:
+        codings = self.index.all('transfer-encoding')
+        if codings and [each.lower() for each in codings] != ['chunked']:
+            raise FramingError(f'transfer-encoding {codings!r}')
+        return bool(codings)
+
+    def _announced_length(self) -> int | None:
+        lengths = set(self.index.all('content-length'))
+        if not lengths:
+            return None
+        length = lengths.pop()
+        if lengths or _LENGTH.fullmatch(length) is None:
+            raise FramingError(f'content-length {length!r}')
+        return int(length)
 
 
 class WorkerConnection(HTTPConnection):
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -58,6 +58,25 @@
     assert context.outcome == what, context.outcome
 
 
+@given('a worker that answers with "{head}" and three bytes')
+def start_framing(context: Context, head: str) -> None:
+    fields = head.replace(', ', '\r\n').replace(';', ', ')
+    answer = f'HTTP/1.1 200 OK\r\n{fields}\r\n\r\nabc'.encode()
+
+    def send(sock: Any) -> None:
+        sock.recv(LIMIT_MS)
+        sock.sendall(answer)
+        sock.close()
+
+    context.sent = 0
+    _start_worker(context, send)
+
+
+@then('it is whole')
+def check_whole(context: Context) -> None:
+    assert context.verdict == b'abc', context.verdict
+
+
 _CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 ENDLESS = {  # what comes first, and what comes again and again after it
     'the status line': (b'HTTP/1.1 200 ', b'O' * 4_096),
--- a/tests/features/worker_answers.feature
+++ b/tests/features/worker_answers.feature
@@ -10,6 +10,29 @@
       | a reset         | cut   |
       | an ordinary end | whole |
 
+  # Guards against answers broken off halfway that look whole.
+  Scenario Outline: three bytes after <head> are <what>
+    Given a worker that answers with "<head>" and three bytes
+    When the answer to a request is read whole, up to 100 bytes
+    Then it is <what>
+
+    Examples:
+      | head                                            | what  |
+      | Content-Length: 3                               | whole |
+      | Content-Length: 3, Content-Length: 3            | whole |
+      | Content-Length: 5                               | cut   |
+      | Content-Length: 5, Content-Length: 3            | cut   |
+      | Content-Length: 3;3                             | cut   |
+      | Content-Length: 5;5                             | cut   |
+      | Content-Length: +5                              | cut   |
+      | Content-Length: -1                              | cut   |
+      | Content-Length: 0x3                             | cut   |
+      | Content-Length:                                 | cut   |
+      | Transfer-Encoding: chunked                      | cut   |
+      | Transfer-Encoding: gzip;chunked                 | cut   |
+      | Transfer-Encoding: gzip, Content-Length: 3      | cut   |
+      | Transfer-Encoding: chunked, Content-Length: 3   | cut   |
+
   Scenario Outline: an answer to the request "own" with <headers> is <what>
     When the platform's worker answers "own" with <status> and "<headers>"
     Then that answer is <what>
