--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -23,6 +23,7 @@
 IDLE_MS = 60_000  # a link that carries nothing is closed after this
 MOST_STREAMS = 2_048  # that a peer may have open on a link
 _READ_SIZE = 65_536
+_LOOKS_PER_IDLE_LINK = 20  # most links of a large fleet carry nothing
 
 Handler = Callable[['Link', Stream, Any], None]
 
@@ -47,11 +48,16 @@
 
     def _run(self) -> None:
         while self._links:
-            eventlet.sleep(LOOK_MS / MS_PER_SECOND)
-            for link in tuple(self._links):
-                attempt(link.look)
+            for turn in range(_LOOKS_PER_IDLE_LINK):
+                eventlet.sleep(LOOK_MS / MS_PER_SECOND)
+                self._look(of_all=turn == 0)
         self._is_running = False
 
+    def _look(self, *, of_all: bool) -> None:
+        for link in tuple(self._links):
+            if of_all or link.needs_look:
+                attempt(link.look)
+
 
 _WATCH = _LinkWatch()
 
@@ -112,6 +118,11 @@
         """Tell whether nothing new may be sent on the link any more."""
         return self._silence.is_given_up
 
+    @property
+    def needs_look(self) -> bool:
+        """Tell whether anything is to come on the link before it ends."""
+        return self._owes or not self._idle_limit_ms
+
     def run(self) -> None:
         """Read until the connection ends; call it in a task of its own."""
         _WATCH.add(self)
@@ -167,6 +178,10 @@
         """Let the connection end once it carries nothing."""
         self._idle_limit_ms = 0
 
+    @property
+    def _owes(self) -> bool:
+        return bool(self._streams) or self._is_owed
+
     def _tell_lost(self, reason: str) -> None:
         LINK_LOST.report(
             peer=self._peer,
@@ -246,7 +261,7 @@
     def look(self) -> None:
         """Ping a silent link and close a dead or idle one; call it often."""
         now_ms = self._clock.now_ms()
-        if self._streams or self._is_owed:
+        if self._owes:
             self._used_ms = now_ms
             self._silence.look()
             self._check_silence()
