Record that a node is back, and its earlier ends, with its first witnesses

What callers saw: after all nodes of the large deployment's small twin had lost power at 30.6 s, keys had no owner until 37 s and look-ups took seconds until 46.

Cause, part of it: a process that came back wrote three times that it had joined, that it serves and that its earlier incarnations had ended, each after the other. Shards whose last owner was not known to be back went elsewhere, without what their keys need, and others waited for the ends.

Change: what the worker has reported by then goes with the first set of witnesses, also the ends if the worker holds nothing and left nothing.

Failed before: features membership, 'a node that is back beside a worker that holds nothing'.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -17,6 +17,7 @@
     end_earlier,
     leave,
     store_answers,
+    unchanged,
 )
 from laburnumwood.membership.known import KnownStore
 from laburnumwood.membership.member import Member
@@ -99,7 +100,11 @@
         self._granter: Granter | None = None
         self._grants = self._make_grants(clock)
         self._serving = Serving(
-            name, self.view, self._known, self._worker_state
+            name,
+            self.view,
+            self._known,
+            self._worker_state,
+            lambda: reporting.is_clear and not reporting.left,
         )
         self._handover_news = HandoverNews(
             name,
@@ -118,7 +123,9 @@
         Nodes with the ids in `avoided` are not chosen as witnesses.
         """
         self._reader.list_all()
-        self._member.renewer.begin(avoided)
+        reports = self._borders.worker_reports
+        also = self._serving.at_start if reports else unchanged
+        self._member.renewer.begin(avoided, also)
         for watch in self._reader.tasks:
             self._sight.start(watch)
         for task in (
--- a/laburnumwood/membership/joining.py
+++ b/laburnumwood/membership/joining.py
@@ -22,6 +22,11 @@
 WitnessSets = tuple[WitnessSet, ...]
 
 
+def unchanged(record: NodeRecord) -> NodeRecord:
+    """Return a record as it is."""
+    return record
+
+
 def _first_record(settings: DaemonSettings) -> NodeRecord:
     return NodeRecord(
         incarnation=0,
@@ -119,7 +124,8 @@
             return NodeName(settings.node_id, joined.incarnation), joined
 
 
-def _without_up_to(record: NodeRecord, incarnation: int) -> NodeRecord:
+def without_up_to(record: NodeRecord, incarnation: int) -> NodeRecord:
+    """Return a record by which no incarnation up to a number goes on."""
     kept = [each for each in record.open_incarnations if each > incarnation]
     return replace(record, open_incarnations=tuple(kept))
 
@@ -181,7 +187,7 @@
     change_record(
         platform,
         name.node_id,
-        lambda before: _without_up_to(before, name.incarnation - 1),
+        lambda before: without_up_to(before, name.incarnation - 1),
         None,
     )
 
@@ -196,7 +202,7 @@
     change_record(
         platform,
         name.node_id,
-        lambda before: _without_up_to(before, name.incarnation),
+        lambda before: without_up_to(before, name.incarnation),
         None,
         new_mark(who),
     )
@@ -207,11 +213,13 @@
     platform: Store,
     name: NodeName,
     choose: Callable[[WitnessSets], WitnessSets],
+    also: Change,
 ) -> None:
     def change(before: NodeRecord) -> NodeRecord:
         if before.incarnation != name.incarnation:
             raise PlatformConflictError(str(name))
-        return replace(before, witness_sets=choose(before.witness_sets))
+        sets = choose(before.witness_sets)
+        return also(replace(before, witness_sets=sets))
 
     change_record(platform, name.node_id, change, None)
 
@@ -227,14 +235,18 @@
     def kept(sets: WitnessSets) -> WitnessSets:
         return tuple(each for each in sets if each.version >= chosen.version)
 
-    _change_sets(platform, name, kept)
+    _change_sets(platform, name, kept, unchanged)
 
 
 def record_witnesses(
-    platform: Store, name: NodeName, sets: WitnessSets
+    platform: Store,
+    name: NodeName,
+    sets: WitnessSets,
+    also: Change = unchanged,
 ) -> None:
     """Record all sets of witnesses that a lease may rest on from now on.
 
-    Raises `PlatformError`, also if a later incarnation has joined.
+    `also` changes what else is known by then, by the same write.  Raises
+    `PlatformError`, also if a later incarnation has joined.
     """
-    _change_sets(platform, name, lambda _before: sets)
+    _change_sets(platform, name, lambda _before: sets, also)
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -16,7 +16,11 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses, replace_witnesses
-from laburnumwood.membership.joining import record_witnesses
+from laburnumwood.membership.joining import (
+    Change,
+    record_witnesses,
+    unchanged,
+)
 from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.link import Link
@@ -63,18 +67,21 @@
         self._clock = clock
         self._asking: set[NodeName] = set()
         self._poke = Event()
+        self._chosen: tuple[NodeName, ...] = ()
+        self._chosen_for: object = None
         # What is new in it reaches the others with the next renewals.
         view.directory.when_config_changes = self.poke
 
-    def begin(self, avoided: Set[str]) -> None:
+    def begin(self, avoided: Set[str], also: Change = unchanged) -> None:
         """Choose the first witnesses and ask them; raises `PlatformError`.
 
         Nodes whose ids are in `avoided` are taken only if there are no others.
+        What `also` changes goes on record with them.
         """
         live = self._view.witnesses(avoided)
         members = choose_witnesses(self._lease.holder, live)
         chosen = self._lease.next_set(members)
-        record_witnesses(self._store, self._lease.holder, (chosen,))
+        record_witnesses(self._store, self._lease.holder, (chosen,), also)
         self._lease.begin(chosen)
         self._ask_all()
 
@@ -98,13 +105,23 @@
         self._ask_all()
         if self._lease.is_changing:
             return
-        live = self._view.witnesses()
+        wanted = self._wanted_witnesses()
         standing = self._lease.witnesses.members
-        good = set(standing).difference(self._lease.lost).intersection(live)
-        wanted = replace_witnesses(self._lease.holder, good, live)
         if set(wanted) != set(standing) and self._lease.holds():
             self._change(self._lease.next_set(wanted))
 
+    def _wanted_witnesses(self) -> tuple[NodeName, ...]:
+        """Return the witnesses to have, chosen anew only after news."""
+        standing, lost = self._lease.witnesses.members, self._lease.lost
+        known = (self._view.node_version, standing, lost)
+        if known != self._chosen_for:
+            live = self._view.witnesses()
+            good = set(standing).difference(lost).intersection(live)
+            self._chosen = replace_witnesses(self._lease.holder, good, live)
+            # Choosing may note ends, which is news in itself.
+            self._chosen_for = (self._view.node_version, standing, lost)
+        return self._chosen
+
     def _change(self, chosen: WitnessSet) -> None:
         lease = self._lease
         try:
--- a/laburnumwood/membership/serving.py
+++ b/laburnumwood/membership/serving.py
@@ -8,7 +8,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import PlatformError
-from laburnumwood.membership.joining import change_record
+from laburnumwood.membership.joining import change_record, without_up_to
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.store.interface import Store
@@ -20,7 +20,9 @@
 class Serving:
     """Keeps what a node's record says of its worker true.
 
-    `state` returns whether the worker takes work, and its slots.
+    `state` returns whether the worker takes work, and its slots, and
+    `is_clear` whether it has and has left nothing of earlier processes of the
+    node.
     """
 
     def __init__(
@@ -29,11 +31,13 @@
         view: FleetView,
         store: Store,
         state: Callable[[], tuple[bool, int]],
+        is_clear: Callable[[], bool],
     ) -> None:
         self._own = own
         self._view = view
         self._store = store
         self._state = state
+        self._is_clear = is_clear
 
     def run(self) -> None:
         """Compare and write again and again; does not return."""
@@ -47,15 +51,27 @@
 
     def record(self) -> None:
         """Write what is so now; raises `PlatformError`."""
-        change_record(self._store, self._own.node_id, self._changed, None)
+        change_record(self._store, self._own.node_id, self.changed, None)
 
     @property
     def is_told(self) -> bool:
         """Tell whether the record says of the worker what is so now."""
         record = self._view.directory.node(self._own)
-        return record is None or self._changed(record) == record
+        return record is None or self.changed(record) == record
 
-    def _changed(self, record: NodeRecord) -> NodeRecord:
+    def at_start(self, record: NodeRecord) -> NodeRecord:
+        """Return the record with what is known when the node has joined.
+
+        A worker that holds nothing leaves nothing to wait for before the
+        earlier incarnations have ended.
+        """
+        now = self.changed(record)
+        if not now.serves or not self._is_clear():
+            return now
+        return without_up_to(now, self._own.incarnation - 1)
+
+    def changed(self, record: NodeRecord) -> NodeRecord:
+        """Return the record with what is so of the worker now."""
         if record.incarnation != self._own.incarnation:
             return record
         serves, slots = self._state()
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -27,7 +27,7 @@
         return self.directory.changes, self.seals.changes
 
     @property
-    def _node_version(self) -> tuple[int, int]:
+    def node_version(self) -> tuple[int, int]:
         """Return what is another value when other nodes may be live."""
         return self.directory.node_changes, self.seals.changes
 
@@ -89,7 +89,7 @@
         return self._domains[domain] / max(len(self._live), 1)
 
     def _refresh(self) -> None:
-        if self._live_version == self._node_version:
+        if self._live_version == self.node_version:
             return
         self._live = dict(self._find_live())
         self._live_in = {}
@@ -101,7 +101,7 @@
                 continue
             self._live_in.setdefault(record.service, {})[name] = record
         # Finding them may note ends, which changes the version itself.
-        self._live_version = self._node_version
+        self._live_version = self.node_version
 
     def _find_live(self) -> Iterator[tuple[NodeName, NodeRecord]]:
         for node_id, entry in self.directory.nodes.items():
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -95,3 +95,16 @@
     When it records that it leaves
     Then the store was read 1 and written 2 times
     And its record says that it leaves
+
+  # Guards against shards that wait for the ends of nodes that are back.
+  Scenario Outline: a node that is back beside a worker that <worker>
+    Given a node that has joined again beside a worker that <worker>
+    When it records its first witnesses
+    Then the store was read 0 and written 1 times
+    And its record says that <serves> and that the incarnations <open> go on
+
+    Examples:
+      | worker           | serves          | open  |
+      | holds nothing    | it serves       | 2     |
+      | may hold keys    | it serves       | 1 2   |
+      | has not reported | it serves not   | 1 2   |
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -6,6 +6,7 @@
 from behave.runner import Context
 
 from laburnumwood.errors import PlatformUnreachableError
+from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.joining import (
     announce_leaving,
@@ -13,6 +14,8 @@
     record_witnesses,
 )
 from laburnumwood.membership.known import KnownStore
+from laburnumwood.membership.serving import Serving
+from laburnumwood.membership.view import FleetView
 from laburnumwood.records import NodeName, NodeRecord, StoredObject, WitnessSet
 from laburnumwood.store.objects import node_object, to_record
 from laburnumwood.store.writes import new_mark
@@ -158,3 +161,51 @@
 def check_leaving(context: Context) -> None:
     stored = context.store.get(node_object('a'))
     assert to_record(NodeRecord, stored).leaving
+
+
+REPORTED = {  # whether a worker serves, and whether it holds nothing
+    'holds nothing': (True, True),
+    'may hold keys': (True, False),
+    'has not reported': (False, False),
+}
+
+
+@given('a node that has joined again beside a worker that {how}')
+def join_again(context: Context, how: str) -> None:
+    serves, is_clear = REPORTED[how]
+    context.store = CountingStore()
+    settings = node_settings('a').model_copy(
+        update={'report_address': '127.0.0.1:1'}
+    )
+    join(context.store, settings)
+    context.name = join(context.store, settings)[0]
+    directory = Directory()
+    for stored in context.store.list()[0]:
+        directory.apply(stored)
+    context.known = KnownStore(context.store, directory)
+    context.serving = Serving(
+        context.name,
+        FleetView(directory, SealBook()),
+        context.known,
+        lambda: (serves, 6),
+        lambda: is_clear,
+    )
+    context.store.reads = 0
+    context.store.writes = 0
+
+
+@when('it records its first witnesses')
+def record_first(context: Context) -> None:
+    chosen = WitnessSet(1, (context.name,))
+    record_witnesses(
+        context.known, context.name, (chosen,), context.serving.at_start
+    )
+
+
+@then('its record says that {serves} and that the incarnations {numbers} go on')
+def check_record(context: Context, serves: str, numbers: str) -> None:
+    stored = context.store.get(node_object('a'))
+    record = to_record(NodeRecord, stored)
+    assert record.serves == (serves == 'it serves'), record
+    expected = tuple(int(each) for each in numbers.split())
+    assert record.open_incarnations == expected, record
