--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -39,6 +39,14 @@
 ShardListener = Callable[[ShardName, ShardRecord], None]
 
 
+def _shard_of(name: str) -> ShardName:
+    """Return the shard that an object is about; raises `RecordError`."""
+    try:
+        return ShardName.parse(name.removeprefix(SHARDS))
+    except ValueError as unnamed:
+        raise RecordError(f'{name}: {unnamed}') from unnamed
+
+
 def _ignore(_shard: ShardName, _record: ShardRecord) -> None:
     """Do nothing with a change."""
 
@@ -214,7 +222,7 @@
         self._nodes[node_id] = Entry(record, stored.version)
 
     def _take_shard(self, stored: StoredObject) -> None:
-        shard = ShardName.parse(stored.name.removeprefix(SHARDS))
+        shard = _shard_of(stored.name)
         known = self._shards.setdefault(shard.service, {})
         records = self._records.setdefault(shard.service, {})
         if stored.value is None:
--- a/laburnumwood/platform/manifest.py
+++ b/laburnumwood/platform/manifest.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from pydantic import BaseModel, Field
+from pydantic import BaseModel, Field, FiniteFloat
 
 from laburnumwood.platform.bodies import decode_as
 from laburnumwood.platform.names import KEY_HEADER
@@ -23,7 +23,7 @@
 
 class _Share(BaseModel):
     service: str
-    weight: float
+    weight: FiniteFloat
 
 
 class _Route(BaseModel):
@@ -31,8 +31,8 @@
     host: str
     path_prefix: str
     type: str
-    timeout_ms: float
-    objective_ms: float
+    timeout_ms: FiniteFloat
+    objective_ms: FiniteFloat
     priority: int = 0
     max_attempts: int = 1
     service: str | None = None
--- a/laburnumwood/platform/store.py
+++ b/laburnumwood/platform/store.py
@@ -157,7 +157,7 @@
         answer = self._calls.watch(
             f'/objects/{kind}', wait_ms, fields, headers=_HEADERS
         )
-        changes = _read(_Changes, _checked(answer, kind))
+        changes = read_changes(_checked(answer, kind))
         deletions = [
             StoredObject(_stored(each.object).name, None, changes.at)
             for each in changes.events
@@ -202,6 +202,12 @@
         raise PlatformUnreachableError(str(unreadable)) from unreadable
 
 
+def read_changes(body: bytes) -> _Changes:
+    """Return the answer to a watch; raises `PlatformUnreachableError`."""
+    changes: _Changes = _read(_Changes, body)
+    return changes
+
+
 def _checked(answer: BaseHTTPResponse, what: str) -> bytes:
     status = answer.status
     if status == HTTPStatus.CONFLICT:
--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -92,7 +92,8 @@
         stream, kind, *values = loads(frame)
     except (CBORError, TypeError, ValueError) as unreadable:
         raise ProtocolError(f'frame is not readable: {unreadable}') from None
-    if not isinstance(stream, int) or kind not in KINDS:
+    is_known = isinstance(kind, str) and kind in KINDS
+    if not is_known or not isinstance(stream, int):
         raise ProtocolError(f'message kind {kind!r} is not known')
     if len(values) != len(_FIELDS[kind]):
         raise ProtocolError(f'message {kind!r} has {len(values)} values')
--- a/laburnumwood/routing/connection.py
+++ b/laburnumwood/routing/connection.py
@@ -155,7 +155,7 @@
     def parse_request(self) -> bool:
         """Read the head of a request; tell whether it can be served."""
         try:
-            self._read_head()
+            self.read_head()
         except _TOO_LARGE:
             return self._refuse('headers-too-large', 'a header or all of them')
         except HeadError as unreadable:
@@ -167,6 +167,20 @@
             self.close_connection = 'keep-alive' not in asked
         return True
 
+    def read_head(self) -> None:
+        """Read line and headers of a request; raises `HeadError`."""
+        line = self.raw_requestline.decode('latin1')
+        found = _REQUEST_LINE.fullmatch(line)
+        if found is None:
+            raise HeadError(f'request line {line[:80]!r}')
+        self.requestline = line
+        self.command, self.path, self.request_version = found.groups()
+        self._fields = read_headers(self.rfile.readline, _HEADER_LINE)
+        self.headers = HeaderIndex(self._fields)
+        fault = _framing_fault(self.headers)
+        if fault:
+            raise HeadError(fault)
+
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment of a request."""
         path, _, query = self.path.partition('?')
@@ -256,19 +270,6 @@
         except (wsgi.ChunkReadError, OSError):
             self.close_connection = True
 
-    def _read_head(self) -> None:
-        line = self.raw_requestline.decode('latin1')
-        found = _REQUEST_LINE.fullmatch(line)
-        if found is None:
-            raise HeadError(f'request line {line[:80]!r}')
-        self.requestline = line
-        self.command, self.path, self.request_version = found.groups()
-        self._fields = read_headers(self.rfile.readline, _HEADER_LINE)
-        self.headers = HeaderIndex(self._fields)
-        fault = _framing_fault(self.headers)
-        if fault:
-            raise HeadError(fault)
-
     def _close_after(self) -> None:
         self.close_connection = True
 
--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -34,6 +34,7 @@
 _STATUS_LINE = re.compile(rb'HTTP/1\.([01]) ([1-9][0-9]{2})(?: .*)?\r?\n')
 _HEADER_LINE = re.compile(rb'([^\s:\0]+):[ \t]*([^\r\n\0]*?)[ \t]*\r?\n')
 _LENGTH = re.compile('[0-9]{1,18}')
+_CHUNK_LINE = re.compile(rb'([0-9a-fA-F]{1,15})[ \t]*(?:;[^\r\n]*)?\r?\n')
 _BODYLESS = frozenset((204, 304))
 _ENDS_OF_TRAILER = frozenset((b'\r\n', b'\n', b''))
 _TIMEOUT_PARAMETER = re.compile(r'timeout\s*=\s*([0-9]+)', re.IGNORECASE)
@@ -118,6 +119,13 @@
         self._head_left -= len(line)
         return line
 
+    def _read_next_chunk_size(self) -> int:
+        # The library's own takes signs, underscores and sizes of any length.
+        found = _CHUNK_LINE.fullmatch(self._read_line())
+        if found is None:
+            raise FramingError('the size of a chunk')
+        return int(found[1], base=16)
+
     def _read_and_discard_trailer(self) -> None:
         # The library's own reads on for as long as there are trailers.
         for line in iter(self._read_line, None):
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -61,7 +61,11 @@
 @given('a worker that answers with "{head}" and three bytes')
 def start_framing(context: Context, head: str) -> None:
     fields = head.replace(', ', '\r\n').replace(';', ', ')
-    answer = f'HTTP/1.1 200 OK\r\n{fields}\r\n\r\nabc'.encode()
+    answer_once(context, f'HTTP/1.1 200 OK\r\n{fields}\r\n\r\nabc'.encode())
+
+
+def answer_once(context: Context, answer: bytes) -> None:
+    """Start a worker that sends an answer to a request and closes."""
 
     def send(sock: Any) -> None:
         sock.recv(LIMIT_MS)
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Malformed input for each way into a node, made from real messages."""
--- /dev/null
+++ b/tests/fuzz/mutations.py
@@ -0,0 +1,110 @@
+"""Changes that make a real message malformed, drawn from a seeded source."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from cbor2 import dumps
+
+Mutation = Callable[[Random, bytes], bytes]
+MUTATIONS: list[Mutation] = []
+
+_DEPTH = 2_000  # of nested arrays, more than a reader should follow
+_DEEPER = 8  # of ten: go down into a value rather than replace it
+_ODD_VALUES = 6  # of ten: odd values rather than broken bytes
+_ODD: tuple[Any, ...] = (
+    None,
+    True,
+    -1,
+    0,
+    2**63,
+    2**70,
+    1e308,
+    float('inf'),
+    float('nan'),
+    '',
+    'x' * 300,
+    '\x00\ud7ff',
+    b'\xff\x00',
+    [],
+    [[]],
+    {},
+    {'': None},
+    {1: 2},
+)
+
+
+def _mutation(mutate: Mutation) -> Mutation:
+    MUTATIONS.append(mutate)
+    return mutate
+
+
+@_mutation
+def _cut(random: Random, data: bytes) -> bytes:
+    return data[: random.randrange(len(data) + 1)]
+
+
+@_mutation
+def _flip(random: Random, data: bytes) -> bytes:
+    changed = bytearray(data)
+    for _ in range(random.randrange(1, 4)):
+        changed[random.randrange(len(changed))] = random.randrange(256)
+    return bytes(changed)
+
+
+@_mutation
+def _insert(random: Random, data: bytes) -> bytes:
+    place = random.randrange(len(data) + 1)
+    return (
+        data[:place] + random.randbytes(random.randrange(1, 9)) + data[place:]
+    )
+
+
+@_mutation
+def _repeat(random: Random, data: bytes) -> bytes:
+    first = random.randrange(len(data))
+    part = data[first : first + random.randrange(1, 40)]
+    return data[:first] + part * random.randrange(2, 200) + data[first:]
+
+
+@_mutation
+def _nest(random: Random, data: bytes) -> bytes:
+    return b'\x81' * random.randrange(1, _DEPTH) + data
+
+
+def mutate(random: Random, data: bytes) -> bytes:
+    """Return a message with one or two changes of its bytes."""
+    for _ in range(random.randrange(1, 3)):
+        data = random.choice(MUTATIONS)(random, data or b'\x00')
+    return data
+
+
+def _replaced(random: Random, content: Any) -> Any:
+    """Return content with one value at any depth replaced by an odd one."""
+    if isinstance(content, dict) and content and random.randrange(10) < _DEEPER:
+        name = random.choice(list(content))
+        return {**content, name: _replaced(random, content[name])}
+    if (
+        isinstance(content, (list, tuple))
+        and content
+        and random.randrange(10) < _DEEPER
+    ):
+        place = random.randrange(len(content))
+        changed = list(content)
+        changed[place] = _replaced(random, content[place])
+        return changed
+    return random.choice(_ODD)
+
+
+def replace(random: Random, content: Any) -> Any:
+    """Return content with a few values replaced by odd ones."""
+    for _ in range(random.randrange(1, 4)):
+        content = _replaced(random, content)
+    return content
+
+
+def malformed(random: Random, content: Any) -> bytes:
+    """Return the encoding of content, odd in its values or in its bytes."""
+    if random.randrange(10) < _ODD_VALUES:
+        return dumps(replace(random, content))
+    return mutate(random, dumps(content))
