Take no answer without an id on a connection that was used before

Change: only the first answer on a connection may be without the id.

Failed before: features worker_answers, 'on a connection that is used again' (nothing told that the connection had been used; with the id alone 503, 421 and 500 without one are taken).

--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -75,13 +75,15 @@
     def check(self, run: Run, answer: WorkerAnswer) -> None:
         """Raise `WorkerCutError` if an answer is not that to a request.
 
-        A late or second answer on a connection carries another id, a success
-        has one in any case, and an encoded body is not the worker's own.
+        A late or second answer on a connection carries another id.  A success
+        has one in any case, and so has every answer on a connection that was
+        used before.  An encoded body is not the worker's own.
         """
         index = answer.index
         given = index.first(_ID)
         succeeded = HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES
-        if given != run.work.request_id and (given or succeeded):
+        needs_id = succeeded or answer.may_be_late
+        if given != run.work.request_id and (given or needs_id):
             raise WorkerCutError(f'the answer is that to {given!r}')
         if index.has('content-encoding'):
             raise WorkerCutError('the body is encoded')
--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -183,6 +183,7 @@
         self._clock = clock
         self.sock: Any
         self._closes_ms: int | None = None  # when the worker closes it if idle
+        self._sent = 0  # requests
 
     def send_request(
         self, head: bytes, body: bytes, method: str, timeout_ms: int
@@ -191,6 +192,7 @@
 
         Raises `OSError` or `HTTPException`.
         """
+        self._sent += 1
         self.sock.settimeout(timeout_ms / MS_PER_SECOND)
         self.sock.read_until(self._clock.now_ms() + timeout_ms)
         self.sock.sendall(head + body)
@@ -198,6 +200,11 @@
         response.begin()
         return response
 
+    @property
+    def is_used_again(self) -> bool:
+        """Tell whether more than one request was sent on it."""
+        return self._sent > 1
+
     def note_idle(self, answer_index: HeaderIndex) -> None:
         """Take in for how long the worker keeps the connection when idle."""
         found = _TIMEOUT_PARAMETER.search(answer_index.first('keep-alive'))
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -57,6 +57,11 @@
         """Return how much of the body is to come, if the worker said it."""
         return self._response.length
 
+    @property
+    def may_be_late(self) -> bool:
+        """Tell whether it may be a second answer to an earlier request."""
+        return self._connection.is_used_again
+
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it comes.
 
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -248,13 +248,26 @@
     assert context.connected == number, context.connected
 
 
-@when('the platform\'s worker answers "own" with {status:d} and "{headers}"')
+@given("a connection to the platform's worker that is {use}")
+def use_connection(context: Context, use: str) -> None:
+    start_answering(context)
+    answer = _ask(context)
+    if use == 'used again':
+        assert b''.join(answer.chunks()) == BODY
+        answer.release()
+        answer = _ask(context)
+    context.may_be_late = answer.may_be_late
+    answer.close()
+
+
+@when('it answers "own" with {status:d} and "{headers}"')
 def answer_own(context: Context, status: int, headers: str) -> None:
     pairs = [each.split(': ') for each in headers.split(', ')]
     index = HeaderIndex((name, text) for name, text in pairs)
     work = SimpleNamespace(request_id='own')
     run: Any = SimpleNamespace(work=work)
-    answer: Any = SimpleNamespace(status=status, index=index)
+    late = context.may_be_late
+    answer: Any = SimpleNamespace(status=status, index=index, may_be_late=late)
     reporting: Any = None
     try:
         WorkerDialect(reporting).check(run, answer)
--- a/tests/features/worker_answers.feature
+++ b/tests/features/worker_answers.feature
@@ -33,18 +33,25 @@
       | Transfer-Encoding: gzip, Content-Length: 3      | cut   |
       | Transfer-Encoding: chunked, Content-Length: 3   | cut   |
 
-  Scenario Outline: an answer to the request "own" with <headers> is <what>
-    When the platform's worker answers "own" with <status> and "<headers>"
+  # Guards against a late second copy of an answer, given to the next caller.
+  Scenario Outline: on a connection that is <use>, <status> with <headers> is <what>
+    Given a connection to the platform's worker that is <use>
+    When it answers "own" with <status> and "<headers>"
     Then that answer is <what>
 
     Examples:
-      | status | headers                             | what    |
-      | 200    | Attempt-Id: own, Response-Stamp: s  | taken   |
-      | 200    | Attempt-Id: else, Response-Stamp: s | refused |
-      | 200    | Response-Stamp: s                   | refused |
-      | 200    | Attempt-Id: own                     | refused |
-      | 503    | Not-Executed: 1                     | taken   |
-      | 503    | Attempt-Id: else, Not-Executed: 1   | refused |
+      | use        | status | headers                             | what    |
+      | new        | 200    | Attempt-Id: own, Response-Stamp: s  | taken   |
+      | new        | 200    | Attempt-Id: else, Response-Stamp: s | refused |
+      | new        | 200    | Response-Stamp: s                   | refused |
+      | new        | 200    | Attempt-Id: own                     | refused |
+      | new        | 503    | Not-Executed: 1                     | taken   |
+      | new        | 503    | Attempt-Id: else, Not-Executed: 1   | refused |
+      | used again | 200    | Attempt-Id: own, Response-Stamp: s  | taken   |
+      | used again | 503    | Attempt-Id: own, Not-Executed: 1    | taken   |
+      | used again | 503    | Not-Executed: 1                     | refused |
+      | used again | 421    | Not-Executed: 1                     | refused |
+      | used again | 500    | Response-Stamp: s                   | refused |
 
   Scenario Outline: a refusal with the load <load> is <kind>
     When the platform's worker refuses a request with <status> and load "<load>"
