--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -27,6 +27,15 @@
 # a port before the process that it is meant for listens.
 _PORTS = 18_000, 32_000
 _GIVEN: set[int] = set()
+UNHINDERED: dict[str, Any] = {
+    'only': '',
+    'cut': False,
+    'silent': False,
+    'silent_new': False,
+    'delay_ms': 0,
+    'drop': None,
+    'cut_after': None,
+}
 _OK = 200
 
 
@@ -220,6 +229,10 @@
         if answer.status != _OK:
             raise ValueError(f'{route}: {answer.data!r}')
 
+    def clear(self, route: str) -> None:
+        """Let a relay pass everything on again."""
+        self.hinder(route, **UNHINDERED)
+
     def routes(self) -> dict[str, dict[str, Any]]:
         """Return what each relay has carried."""
         return self.get(f'{self.relay_url}/routes').json()
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -17,15 +17,6 @@
 KEY_HEADER = 'Kiosk'
 _KEYS = 30
 _START_S = 90
-_CLEAR = {
-    'only': '',
-    'cut': False,
-    'silent': False,
-    'silent_new': False,
-    'delay_ms': 0,
-    'drop': None,
-    'cut_after': None,
-}
 _STORE_STATES: dict[str, dict[str, Any]] = {
     'out of service': {'outage': True},
     'back in service': {'outage': False},
@@ -137,7 +128,7 @@
         """Restart, resume and clear everything, and wait until it is even."""
         self.deployment.fault(outage=False, lose_answers=0, delay_ms=0)
         for route in self.deployment.routes():
-            self.deployment.hinder(route, **_CLEAR)
+            self.deployment.clear(route)
         for member in self.members:
             self._repair_member(member)
         self._hidden.clear()
--- a/tests/features/steps/directory_steps.py
+++ b/tests/features/steps/directory_steps.py
@@ -6,9 +6,7 @@
 from behave.runner import Context
 
 from bench.spreading import record_of
-from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.view import FleetView
 from laburnumwood.records import (
     NodeName,
     NodeRecord,
@@ -17,23 +15,11 @@
     StoredObject,
 )
 from laburnumwood.store.objects import node_object, shard_object, to_value
+from tests.features.steps.counting_view import CountingView
 
 SERVICE = 'service'
 
 
-class _CountingView(FleetView):
-    """Counts how often it looks whether a node is sealed."""
-
-    def __init__(self, directory: Directory) -> None:
-        super().__init__(directory, SealBook())
-        self.looks = 0
-
-    def is_sealed(self, name: NodeName) -> bool:
-        """Tell whether an incarnation has lapsed, and count the look."""
-        self.looks += 1
-        return super().is_sealed(name)
-
-
 def _name(node_id: str) -> NodeName:
     return NodeName(node_id, 1)
 
@@ -85,7 +71,7 @@
 
 @given('a view of {count:d} nodes that has listed those that live')
 def make_view(context: Context, count: int) -> None:
-    context.view = _CountingView(Directory())
+    context.view = CountingView(Directory())
     for place in range(count):
         _put_node(context.view.directory, record_of(place), place)
     assert len(tuple(context.view.live())) == count
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -14,9 +14,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Weights
 from laburnumwood.leases.lease import Lease
-from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balance import Picture, weighed
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.loads import LoadBook
@@ -35,6 +33,7 @@
 from laburnumwood.routing.spread import Spread
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import node_object, shard_object, to_value
+from tests.features.steps.counting_view import CountingView
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
 
@@ -44,18 +43,6 @@
 BYSTANDER_MS = 3_500  # after which any node may take what nobody took
 
 
-class _CountingView(FleetView):
-    """Counts how often it was asked whether a node has lapsed."""
-
-    def __init__(self, directory: Directory) -> None:
-        super().__init__(directory, SealBook())
-        self.asked = 0
-
-    def is_sealed(self, name: NodeName) -> bool:
-        self.asked += 1
-        return super().is_sealed(name)
-
-
 class _HeldLease(Lease):
     """A lease that always holds."""
 
@@ -73,7 +60,7 @@
     def __init__(self, nodes: int) -> None:
         self.names = [_name(number) for number in range(nodes)]
         self.clock = FakeClock()
-        self.view = _CountingView(Directory())
+        self.view = CountingView(Directory())
         self._versions = count(1)
         for number in range(nodes):
             self.write_node(number, record_of(number))
@@ -153,7 +140,7 @@
 def ask(context: Context) -> None:
     tenure = context.service.tenure(0)
     context.service.view.live_in(SERVICE)
-    context.service.view.asked = 0
+    context.service.view.looks = 0
     context.wanted = tenure.wanted()
 
 
@@ -164,7 +151,7 @@
 
 @then('it asked at most {most:d} times whether a node has lapsed')
 def check_asked(context: Context, most: int) -> None:
-    asked = context.service.view.asked
+    asked = context.service.view.looks
     assert asked <= most, asked
 
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -11,7 +11,7 @@
 
 from cbor2 import dumps
 
-from bench.deployment import HOST, Process, free_port, wait_for
+from bench.deployment import HOST, UNHINDERED, Process, free_port, wait_for
 from bench.reporting import ReportingDeployment, ReportingMember, manifest
 from standins.clock import boottime_ms
 from standins.journal.entry import JournalEntry
@@ -22,15 +22,6 @@
 STOP_S = 30
 _STARTED = b'"node-started"'
 _OK = 200
-_CLEAR: dict[str, Any] = {
-    'only': '',
-    'cut': False,
-    'silent': False,
-    'silent_new': False,
-    'delay_ms': 0,
-    'drop': None,
-    'cut_after': None,
-}
 
 
 @dataclass(slots=True)
@@ -84,7 +75,7 @@
 
     def clear(self, route: str) -> None:
         """Take all switches of a route back."""
-        self.hinder(route, **_CLEAR)
+        self.hinder(route, **UNHINDERED)
 
 
 class SoakFleet(ReportingDeployment):
