--- a/laburnumwood/membership/joining.py
+++ b/laburnumwood/membership/joining.py
@@ -68,26 +68,23 @@
     platform: Store,
     node_id: str,
     change: Change,
-    absent: NodeRecord | None,
     mark: WriteMark | None = None,
 ) -> StoredObject:
     """Change a node's record, again and again until no other write is first.
 
-    `absent` stands for the record if there is none yet.  Raises
-    `PlatformError` if the platform does not answer.
+    Raises `PlatformError` if there is none, or the platform does not answer.
     """
     mark = mark or new_mark(node_id)
     while True:
         stored = platform.get(node_object(node_id))
-        before = to_record(NodeRecord, stored) if stored else absent
-        if before is None:
+        if stored is None:
             raise PlatformConflictError(node_id)
+        before = to_record(NodeRecord, stored)
         changed = replace(change(before), mark=mark)
-        if stored and replace(changed, mark=before.mark) == before:
+        if replace(changed, mark=before.mark) == before:
             return stored
         with suppress(PlatformConflictError):
-            version = stored.version if stored else None
-            return _written(platform, node_id, changed, version)
+            return _written(platform, node_id, changed, stored.version)
 
 
 def _without(record: NodeRecord, ended: NodeName | None) -> NodeRecord:
@@ -144,7 +141,6 @@
         platform,
         name.node_id,
         lambda before: _leaving(before, name),
-        None,
     )
 
 
@@ -153,9 +149,7 @@
 
     Raises `PlatformError` if the platform does not answer.
     """
-    change_record(
-        platform, name.node_id, lambda before: _without(before, name), None
-    )
+    change_record(platform, name.node_id, lambda before: _without(before, name))
 
 
 def store_answers(platform: Store, name: NodeName) -> bool:
@@ -188,7 +182,6 @@
         platform,
         name.node_id,
         lambda before: without_up_to(before, name.incarnation - 1),
-        None,
     )
 
 
@@ -203,7 +196,6 @@
         platform,
         name.node_id,
         lambda before: without_up_to(before, name.incarnation),
-        None,
         new_mark(who),
     )
     LOSS_CONFIRMED.report(node=name, who=who)
@@ -221,7 +213,7 @@
         sets = choose(before.witness_sets)
         return also(replace(before, witness_sets=sets))
 
-    change_record(platform, name.node_id, change, None)
+    change_record(platform, name.node_id, change)
 
 
 def drop_older_sets(
--- a/laburnumwood/membership/serving.py
+++ b/laburnumwood/membership/serving.py
@@ -51,7 +51,7 @@
 
     def record(self) -> None:
         """Write what is so now; raises `PlatformError`."""
-        change_record(self._store, self._own.node_id, self.changed, None)
+        change_record(self._store, self._own.node_id, self.changed)
 
     @property
     def is_told(self) -> bool:
