Wait for a gate's answer until one moment, however many records come first

Each record that a gate tells of before its answer began the whole wait anew, so that a door could hold a request past its time. Found by reading the change; not seen.

--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -291,8 +291,7 @@
         progress = _Progress(may_run=not body)
         try:
             _send_body(exchange, body, progress)
-            left_ms = until_ms + _GRACE_MS - self._clock.now_ms()
-            head = self._receive_head(exchange, left_ms)
+            head = self._receive_head(exchange, until_ms + _GRACE_MS)
             return self._read_head(head, exchange, until_ms)
         except LinkTimeoutError as late:
             abandon(exchange)
@@ -302,13 +301,13 @@
             abandon(exchange)
             return failure('link-lost', str(lost), ran=progress.may_run)
 
-    def _receive_head(self, exchange: Outgoing, left_ms: int) -> object:
+    def _receive_head(self, exchange: Outgoing, until_ms: int) -> object:
         """Return what a gate answers, after the records that it tells of."""
-        head = exchange.receive(left_ms)
-        while isinstance(head, ShardNotice):
+        while True:
+            head = exchange.receive(until_ms - self._clock.now_ms())
+            if not isinstance(head, ShardNotice):
+                return head
             take_notice(self._view.directory, head)
-            head = exchange.receive(left_ms)
-        return head
 
     def _read_head(
         self, head: object, exchange: Outgoing, until_ms: int
