Tell the end of an incarnation only once its worker has let go

Cause: a node that finds most of its witnesses replaced joins anew while its lease is held, which was meant to shorten the gap. The same at a planned stop whose time is over: the witnesses were told to seal, and the end was recorded, whether the worker had let go or not.

Change: an incarnation may be followed when nothing of it runs and its worker holds nothing that it gave, by a report or by time. Until then its end is recorded by nobody; a worker is answered to let go what only earlier incarnations gave. What an incarnation's tasks ask of the worker after the next one has been attached changes nothing (AttachedGrants). A node with a worker that is sent its grants waits in the same way.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -44,6 +44,7 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
 from laburnumwood.tasks import Task, Tasks, start
+from laburnumwood.upstream.attached import AttachedGrants
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.grants import Grants
 from laburnumwood.upstream.load import LoadPoller
@@ -159,6 +160,11 @@
         """Return for how long the worker may hold what it was given."""
         return self._grants.held_for_ms()
 
+    @property
+    def may_be_followed(self) -> bool:
+        """Tell whether others may have its shards: nothing of it goes on."""
+        return not self.is_busy and not self.held_for_ms
+
     def retire(self) -> int:
         """Let nothing more in; return when the worker's grants run out."""
         self._keeper.close_all()
@@ -176,13 +182,16 @@
     def hand_over(self, patience_ms: int) -> None:
         """Give every shard to another node and let the witnesses seal.
 
-        What could not be moved in time goes to the successors by the seals.
+        What could not be moved in time goes to the successors by the seals;
+        while the worker may hold some of it, not before the lease runs out.
         """
         start(self._announce_leaving)
         self._keeper.hand_over_all(self.name, patience_ms)
         witnesses = set(self.lease.witnesses.members)
         self.lease.resign()
-        self._member.spreader.tell(witnesses - {self.name}, Resign(self.name))
+        if not self.held_for_ms:
+            told = witnesses - {self.name}
+            self._member.spreader.tell(told, Resign(self.name))
 
     def tell_left(self) -> None:
         """Tell the others of the service what the worker has let go."""
@@ -220,15 +229,10 @@
 
     def _make_grants(self, clock: Clock) -> Grants:
         if self._borders.worker_reports:
-            self._reporting.attach(
-                ShardHolder(
-                    self._settings.service,
-                    self.lease,
-                    self.holdings,
-                    self.view,
-                )
+            holder = ShardHolder(
+                self._settings.service, self.lease, self.holdings, self.view
             )
-            return self._reporting
+            return AttachedGrants(self._reporting, holder)
         self._granter = Granter(
             self._worker,
             self.holdings.tokens,
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -284,19 +284,21 @@
     def _close(self, incarnation: Incarnation) -> NodeName | None:
         """Return the name of an incarnation that has ended by now.
 
-        One that still has requests on the worker ends when they have.
+        One that still has requests on the worker, or whose worker may hold
+        what it gave, ends when they have; the lease may last longer.
         """
-        if not incarnation.is_busy:
+        if incarnation.may_be_followed:
             return incarnation.name
         start(self._close_later, incarnation)
         return None
 
     def _close_later(self, incarnation: Incarnation) -> None:
         self._drain(incarnation, self._settings.stop_limit_ms)
-        if not incarnation.is_busy:
-            self._record_end(incarnation)
+        self._record_end(incarnation)
 
     def _record_end(self, incarnation: Incarnation) -> None:
+        if not incarnation.may_be_followed:
+            return
         try:
             incarnation.record_end()
         except PlatformError as failure:
@@ -339,7 +341,7 @@
 
     def _drain(self, incarnation: Incarnation, patience_ms: int) -> None:
         deadline_ms = self._clock.now_ms() + patience_ms
-        while incarnation.is_busy:
+        while not incarnation.may_be_followed:
             if self._clock.now_ms() >= deadline_ms:
                 return
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
--- /dev/null
+++ b/laburnumwood/upstream/attached.py
@@ -0,0 +1,57 @@
+"""The grants of a worker that reports, as one incarnation sees them."""
+
+from laburnumwood.news import News
+from laburnumwood.records import KeyRange, ShardName
+from laburnumwood.upstream.reporting import Holder, ReportingWorker
+
+
+class AttachedGrants:
+    """What an incarnation may ask of the worker beside its node.
+
+    Tasks of an incarnation can outlast it: once another one is attached they
+    withdraw and restore nothing.
+    """
+
+    def __init__(self, worker: ReportingWorker, holder: Holder) -> None:
+        self._worker = worker
+        self._holder = holder
+        worker.attach(holder)
+
+    @property
+    def news(self) -> News:
+        """Return what tells of changes of the grants."""
+        return self._worker.news
+
+    def covers(self, shard: ShardName, token: int | None) -> bool:
+        """Tell whether the worker has a grant for a shard and a token."""
+        return self._worker.covers(shard, token)
+
+    def expected_in_ms(self) -> int:
+        """Return in what time the worker will get its next grants."""
+        return self._worker.expected_in_ms()
+
+    def withdraw(self, shard: ShardName) -> None:
+        """Let a shard go that is to get another owner."""
+        if self._worker.is_attached(self._holder):
+            self._worker.withdraw(shard)
+
+    def restore(self, shard: ShardName) -> None:
+        """Keep a shard after all that was to get another owner."""
+        if self._worker.is_attached(self._holder):
+            self._worker.restore(shard)
+
+    def is_released(self, shard: ShardName) -> bool:
+        """Tell whether the worker no longer holds a withdrawn shard."""
+        return self._worker.is_released(shard)
+
+    def held_for_ms(self) -> int:
+        """Return for how long the worker may still hold what it was given."""
+        return self._worker.held_for_ms(self._holder)
+
+    def handover_of(self, keys: KeyRange) -> str:
+        """Return what the worker left for the next owner of some keys."""
+        return self._worker.handover_of(keys)
+
+    def handovers(self, shard: ShardName) -> tuple[str, ...]:
+        """Return what the worker left for the next owner of a shard."""
+        return self._worker.handovers(shard)
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -42,6 +42,7 @@
         self._reachable = True
         self._retired = False
         self._last_until_ms = 0
+        self._held_until_ms = 0
         self.health = WorkerHealth(clock)
         self.news = News()
 
@@ -75,7 +76,7 @@
 
     def held_for_ms(self) -> int:
         """Return for how long the worker may still hold what it was given."""
-        return max(0, self._last_until_ms - self._clock.now_ms())
+        return max(0, self._held_until_ms - self._clock.now_ms())
 
     def retire(self) -> int:
         """Grant nothing more; return when the last grants run out."""
@@ -98,9 +99,12 @@
         until_ms = self._until_ms() if wanted else 0
         started_ms = self._clock.now_ms()
         self._last_until_ms = max(self._last_until_ms, until_ms)
+        self._held_until_ms = max(self._held_until_ms, until_ms)
         taken = self._worker.grant(wanted, until_ms)
         self.health.note(answered=taken, started_ms=started_ms)
         if taken:
+            # It replaces all that was granted before.
+            self._held_until_ms = until_ms
             self._granted = wanted
             self._granted_ms = self._clock.now_ms()
             self.news.tell()
--- a/laburnumwood/upstream/reporting.py
+++ b/laburnumwood/upstream/reporting.py
@@ -67,6 +67,7 @@
 class _Given:
     """What the worker was given for a shard, and until when."""
 
+    holder: Holder
     token: int
     until_ms: int
     ranges: tuple[KeyRange, ...]
@@ -103,6 +104,10 @@
         self._holder = holder
         self._withdrawn.clear()
 
+    def is_attached(self, holder: Holder) -> bool:
+        """Tell whether a holder is the one that says what is to be held."""
+        return self._holder is holder
+
     def report(self, report: WorkerReport) -> GrantReply:
         """Take in a report and return what the worker is to hold."""
         news = self.presence.note(report)
@@ -147,9 +152,13 @@
             return True
         return self._clock.now_ms() >= given.until_ms
 
-    def held_for_ms(self) -> int:
-        """Return for how long the worker may still hold what it was given."""
-        untils = (given.until_ms for given in self._given.values())
+    def held_for_ms(self, holder: Holder) -> int:
+        """Return for how long the worker may still hold what a holder gave."""
+        untils = (
+            given.until_ms
+            for given in self._given.values()
+            if given.holder is holder
+        )
         return max(0, max(untils, default=0) - self._clock.now_ms())
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
@@ -206,14 +215,14 @@
         lasts_ms = int(left_ms * (1 - self._settings.clock_drift))
         lasts_ms = min(lasts_ms, self._settings.most_grant_ms)
         if lasts_ms < _LEAST_GRANT_MS:
-            # What an earlier process of the node gave is taken away.
-            return GrantReply() if self._given else GrantReply((), _NOTHING_MS)
+            return self._keep_or_take_away(holder)
         wanted = self._wanted(holder)
         self._withdraw_others(wanted, holder)
         self._tell_given(wanted, lasts_ms)
         for shard, token in wanted.items():
             known = self._given.get(shard)
             self._given[shard] = _Given(
+                holder,
                 token,
                 now_ms + left_ms,
                 holder.stripes(shard),
@@ -224,6 +233,14 @@
         rows = tuple(self._rows(wanted, holder))
         return GrantReply(rows, lasts_ms)
 
+    def _keep_or_take_away(self, holder: Holder) -> GrantReply:
+        """Renew nothing; take away what only earlier holders gave."""
+        if any(given.holder is holder for given in self._given.values()):
+            return GrantReply()
+        for given in self._given.values():
+            given.is_withdrawn = True
+        return GrantReply((), _NOTHING_MS)
+
     def _wanted(self, holder: Holder) -> dict[ShardName, int]:
         """Return what the worker is to hold, as far as an answer has room.
 
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -35,7 +35,8 @@
       """
       <script>
       """
-    Then the whole code with workers that report passes on it
+    Then the code without "the wait for the worker" fails on it with workers that report
+    And the whole code with workers that report passes on it
 
     Examples: witnesses of a node come back anew while its lease is held
       | script |
--- /dev/null
+++ b/tests/features/steps/letting_go_steps.py
@@ -0,0 +1,148 @@
+"""Steps about the end of an incarnation whose worker holds shards."""
+
+from types import SimpleNamespace
+from typing import Any
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+
+from laburnumwood.borders import BORDERS
+from laburnumwood.daemon.incarnation import Incarnation
+from laburnumwood.daemon.node import Node
+from laburnumwood.leases.witness import Witness
+from laburnumwood.membership.joining import join
+from laburnumwood.platform.borders import register
+from laburnumwood.protocol.messages import Resign
+from laburnumwood.records import NodeName, NodeRecord, ShardName, WitnessSet
+from laburnumwood.settings import DaemonSettings, LeaseSettings
+from laburnumwood.store.objects import node_object, to_record
+from laburnumwood.store.writes import new_mark
+from laburnumwood.upstream.reports import HeldRange, WorkerReport
+from tests.features.steps.fake_clock import FakeClock
+from tests.ownership.store import FakeStore
+from tests.ownership.world import node_settings
+
+SHARD = ShardName('s', 0)
+OTHER = NodeName('b', 1)
+MARGIN_MS = 50
+SOON_S = 0.25
+
+
+def _settings(lease_ms: int) -> DaemonSettings:
+    lease = LeaseSettings(
+        grant_ms=lease_ms + MARGIN_MS, drift_margin_ms=MARGIN_MS
+    )
+    return node_settings('a').model_copy(
+        update={'borders': 'platform', 'lease': lease}
+    )
+
+
+def _join(context: Context) -> Incarnation:
+    node, clock = context.node, context.clock
+    name, _ = join(context.store, node.settings, new_mark('a'))
+    context.witness = context.witness or Witness(
+        name, node.settings.lease, clock
+    )
+    return Incarnation(
+        name,
+        node.settings,
+        BORDERS['platform'],
+        context.store,
+        node.worker,
+        context.witness,
+        clock,
+    )
+
+
+def _hold_lease(incarnation: Incarnation, clock: FakeClock) -> None:
+    lease = incarnation.lease
+    lease.begin(WitnessSet(1, (OTHER,)))
+    renewal = lease.renewal(OTHER, incarnation.view.digest())
+    lease.granted(renewal, clock.now_ms())
+
+
+def _report(context: Context, held: tuple[HeldRange, ...]) -> Any:
+    context.number += 1
+    return context.node.worker.report(
+        WorkerReport('w', 's', 1, context.number, 18, False, held)
+    )
+
+
+def _held(context: Context) -> tuple[HeldRange, ...]:
+    given_rows = context.reply.ranges or ()
+    return tuple(HeldRange(row.keys, row.token) for row in given_rows)
+
+
+@given('a node whose worker was given a shard for {span:d} ms')
+def make_node(context: Context, span: int) -> None:
+    if 'platform' not in BORDERS:
+        register()
+    context.clock, context.store = FakeClock(), FakeStore()
+    context.number, context.witness = 0, None
+    context.node = Node(_settings(span))
+    context.node._clock = context.clock
+    context.node.worker._clock = context.clock
+    context.first = _join(context)
+    holder = context.node.worker._holder
+    declared = SimpleNamespace(shards=64, stripe_width=64)
+    holder._declared = lambda: declared
+    _hold_lease(context.first, context.clock)
+    context.first.holdings.hold(SHARD, 8)
+    context.reply = _report(context, ())
+    assert len(_held(context)), context.reply
+
+
+@when('the node gives the incarnation up')
+def give_up(context: Context) -> None:
+    context.first.end()
+    assert context.node._close(context.first) is None
+
+
+@when('the worker reports to the next incarnation, which takes the shard away')
+def report_next(context: Context) -> None:
+    _join(context)
+    reply = _report(context, _held(context))
+    assert reply.ranges == (), reply
+
+
+@when('the worker reports that it holds nothing')
+def report_nothing(context: Context) -> None:
+    _report(context, ())
+
+
+@when('{span:d} ms pass without a report')
+def let_pass(context: Context, span: int) -> None:
+    context.clock.pass_ms(span)
+
+
+@when('the node stops without time to wait for its worker')
+def stop(context: Context) -> None:
+    context.told = []
+    spreader: Any = context.first._member.spreader
+    spreader.tell = lambda names, message: context.told.append(message)
+    context.first.hand_over(0)
+    context.node._record_end(context.first)
+
+
+@then('no witness was told to seal')
+def check_not_told(context: Context) -> None:
+    resigned = [each for each in context.told if isinstance(each, Resign)]
+    assert not resigned, resigned
+
+
+def _has_ended(context: Context) -> bool:
+    eventlet.sleep(SOON_S)
+    stored = context.store.get(node_object('a'))
+    record = to_record(NodeRecord, stored)
+    return record.has_ended(context.first.name.incarnation)
+
+
+@then('its end is recorded')
+def check_ended(context: Context) -> None:
+    assert _has_ended(context)
+
+
+@then('its end is not recorded')
+def check_not_ended(context: Context) -> None:
+    assert not _has_ended(context)
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -66,3 +66,10 @@
 def check_with_workers(context: Context) -> None:
     found = _run(Code(), context.script, has_workers=True)
     assert found == 'nothing', found
+
+
+@then('the code without "{safeguard}" fails on it with workers that report')
+def check_mutation_with_workers(context: Context, safeguard: str) -> None:
+    code = MUTATIONS[safeguard]
+    found = _run(code, context.script, has_workers=True)
+    assert found == 'TwoHoldersError', found
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -15,6 +15,7 @@
     ShardRecord,
     WitnessSet,
 )
+from laburnumwood.upstream.attached import AttachedGrants
 from tests.ownership.node import Code
 
 
@@ -98,6 +99,14 @@
         return ()
 
 
+class _NoWaitForWorker(AttachedGrants):
+    """Takes a worker for empty once its node gives an incarnation up."""
+
+    def held_for_ms(self) -> int:
+        """Return nothing."""
+        return 0
+
+
 MUTATIONS = {
     'ends that need nobody': Code(backless=_NoEnd),
     'nothing': Code(),
@@ -108,5 +117,6 @@
     'the joint majority': Code(lease=_NoJointMajority),
     'the care after a conflict': Code(tenure=_ReopenOnConflict),
     'the opening after a split': Code(tenure=_ClosedAfterSplit),
+    'the wait for the worker': Code(grants=_NoWaitForWorker),
     'the wait for an unsettled move': Code(tenure=_ReopenUnsettled),
 }
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -28,6 +28,7 @@
     StoredObject,
 )
 from laburnumwood.settings import LeaseSettings
+from laburnumwood.upstream.attached import AttachedGrants
 from laburnumwood.upstream.reporting import ReportingWorker
 from tests.ownership.store import FakeStore
 from tests.ownership.worker import keys_of
@@ -48,6 +49,7 @@
     witness: type[Witness] = Witness
     tenure: type[Tenure] = Tenure
     backless: type[Backless] = Backless
+    grants: type[AttachedGrants] = AttachedGrants
 
 
 def _learn_seals(seals: tuple[Seal, ...], node: 'FakeNode') -> None:
@@ -119,15 +121,21 @@
         self._started_ms = clock.now_ms()
         self._has_ended_earlier = False
         self._standstill = Standstill(clock)
-        self.worker = worker
+        self.worker: AttachedGrants | None = None
         if worker is not None:
-            worker.attach(_Holder(self.lease, self.holdings))
+            holder = _Holder(self.lease, self.holdings)
+            self.worker = code.grants(worker, holder)
 
     @property
     def silent_ids(self) -> frozenset[str]:
         """Return the ids of witnesses that do not renew the lease."""
         return frozenset(name.node_id for name in self.lease.silent)
 
+    @property
+    def may_be_followed(self) -> bool:
+        """Tell whether its worker holds nothing that it gave."""
+        return self.worker is None or not self.worker.held_for_ms()
+
     def stands_still(self) -> bool:
         """Tell whether to join anew because the witnesses are silent."""
         if not self._standstill.is_over(self.lease):
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -13,6 +13,10 @@
 _WIDTH = 10  # keys of a shard
 
 
+class TwoHoldersError(AssertionError):
+    """The workers of two VMs hold a shard at one moment."""
+
+
 def keys_of(shard: ShardName) -> KeyRange:
     """Return the keys of a shard of the world."""
     first = shard.number * _WIDTH
@@ -86,12 +90,14 @@
         """Forget what the process of a VM knew: another has begun."""
         self.reporting[vm] = ReportingWorker(SETTINGS, self._clocks[vm])
 
-    def step(self, vm: str, *, is_answered: bool) -> None:
-        """Let the worker of a VM report if it is time to."""
-        node = self.reporting[vm] if is_answered else None
-        self._workers[vm].step(node)
+    def step(self, awake: set[str]) -> None:
+        """Let workers report if it is time; only awake nodes answer."""
+        for vm, worker in self._workers.items():
+            worker.step(self.reporting[vm] if vm in awake else None)
 
-    def holders(self, shard: ShardName) -> list[str]:
-        """Return the VMs whose workers hold a shard now."""
+    def judge(self, shard: ShardName, script: list[str]) -> None:
+        """Raise `TwoHoldersError` if two workers hold a shard now."""
         found = self._workers.items()
-        return [vm for vm, worker in found if worker.holds(shard)]
+        holders = [vm for vm, worker in found if worker.holds(shard)]
+        if len(holders) > 1:
+            raise TwoHoldersError(f'{shard}: {holders} {script}')
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -1,12 +1,13 @@
 """A world of nodes, a network and a store, driven by lines of text."""
 
 from collections.abc import Callable
+from contextlib import suppress
 
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import witness_count
 from laburnumwood.membership.endings import Fate, fate
-from laburnumwood.membership.joining import confirm_lost, join
+from laburnumwood.membership.joining import confirm_lost, join, leave
 from laburnumwood.records import KeyRange, NodeName, ShardName, ShardRecord
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.objects import shard_object, to_value
@@ -27,10 +28,6 @@
     """More than one incarnation may act for a shard at one moment."""
 
 
-class TwoHoldersError(AssertionError):
-    """The workers of two VMs hold a shard at one moment."""
-
-
 class NobodyActsError(AssertionError):
     """A shard has no owner long after all faults have ended."""
 
@@ -72,6 +69,7 @@
         self._code = code
         self._time = WorldClock()
         self._nodes: dict[str, FakeNode] = {}
+        self._ending: dict[str, list[FakeNode]] = {}
         self._tokens: dict[ShardName, tuple[int, NodeName]] = {}
         self._clocks = {
             vm: DriftingClock(self._time, number * 977, _RATES[number])
@@ -123,7 +121,9 @@
         settings = node_settings(vm)
         if self._workers is not None and before is None:
             self._workers.begin_process(vm)
-        ended = before.name if before else None
+        ended = before.name if before and before.may_be_followed else None
+        if before is not None and ended is None:
+            self._ending.setdefault(vm, []).append(before)
         first = before.witness.name.incarnation if before else None
         try:
             name, _ = join(self.store, settings, new_mark(vm), ended, first)
@@ -181,11 +181,14 @@
             for vm, node in tuple(self._nodes.items()):
                 if vm not in self.network.paused:
                     self._step(vm, node)
-            self._step_workers()
+            if self._workers is not None:
+                awake = set(self._nodes) - self.network.paused
+                self._workers.step(awake)
             self.network.deliver()
             self._judge()
 
     def _step(self, vm: str, node: FakeNode) -> None:
+        self._record_ends(vm)
         known = fate(node.lease, node.view)
         if known is Fate.GOES_ON and node.stands_still():
             known = Fate.LAPSED
@@ -198,17 +201,12 @@
             node.end()
             self._start(vm, node)
 
-    def _step_workers(self) -> None:
-        if self._workers is None:
-            return
-        for vm in VMS:
-            runs = vm in self._nodes and vm not in self.network.paused
-            self._workers.step(vm, is_answered=runs)
-
-    def _judge_holders(self, shard: ShardName) -> None:
-        holders = self._workers.holders(shard) if self._workers else []
-        if len(holders) > 1:
-            raise TwoHoldersError(f'{shard}: {holders} {self.script}')
+    def _record_ends(self, vm: str) -> None:
+        for before in tuple(self._ending.get(vm, ())):
+            if before.may_be_followed:
+                with suppress(PlatformError):
+                    leave(self.store, before.name)
+                    self._ending[vm].remove(before)
 
     def _actors(self, shard: ShardName) -> dict[NodeName, int]:
         return {
@@ -219,7 +217,8 @@
 
     def _judge(self) -> None:
         for shard in SHARDS:
-            self._judge_holders(shard)
+            if self._workers is not None:
+                self._workers.judge(shard, self.script)
             actors = self._actors(shard)
             if len(actors) > 1:
                 raise TwoActorsError(f'{shard}: {actors} {self.script}')
@@ -235,6 +234,7 @@
         self._tokens[shard] = (token, name)
 
     def _crash(self, vm: str) -> None:
+        self._ending.pop(vm, None)
         self._nodes.pop(vm, None)
 
     def _restart(self, vm: str) -> None:
