Take keys for released only when no row of the worker has any of them

Cause: a withdrawn shard counted as released when no row of the worker's report began with the first key of one of its ranges. A worker that lets a range go and still works on some of its keys may report just these. And the time of a later answer that ends sooner, which may be lost, replaced that of an earlier one, so that a shard counted as released by time too soon.

Evidence: both scenarios added to reports.feature failed before.

Change: a shard is held while any row has a key of it, and until the latest time that it was given for.

--- a/laburnumwood/upstream/reporting.py
+++ b/laburnumwood/upstream/reporting.py
@@ -9,6 +9,7 @@
 worker may still hold a shard.
 """
 
+from bisect import bisect_right
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
@@ -41,6 +42,29 @@
     return ' '.join(str(each) for each in shards)
 
 
+class _HeldKeys:
+    """The keys that a worker reports to hold or to work on still."""
+
+    def __init__(self, report: WorkerReport) -> None:
+        rows = sorted(each.keys for each in report.held)
+        self._lasts = {keys.first: keys.last for keys in rows}
+        self._firsts = list(self._lasts)
+
+    def begin_any(self, ranges: tuple[KeyRange, ...]) -> bool:
+        """Tell whether a row begins where one of some ranges does."""
+        return any(keys.first in self._lasts for keys in ranges)
+
+    def meet_any(self, ranges: tuple[KeyRange, ...]) -> bool:
+        """Tell whether a row has a key of one of some ranges."""
+        return any(self._meet(keys) for keys in ranges)
+
+    def _meet(self, keys: KeyRange) -> bool:
+        place = bisect_right(self._firsts, keys.last)
+        if not place:
+            return False
+        return self._lasts[self._firsts[place - 1]] >= keys.first
+
+
 class Holder(Protocol):
     """What the present incarnation of the node lets its worker hold."""
 
@@ -74,6 +98,14 @@
     is_withdrawn: bool = False
     is_reported: bool = False
 
+    def follow(self, known: '_Given | None') -> None:
+        """Take over what still counts of what was given before."""
+        if known is None:
+            return
+        self.is_reported = known.is_reported and known.token == self.token
+        # The answer that ends sooner may be lost.
+        self.until_ms = max(self.until_ms, known.until_ms)
+
 
 class ReportingWorker:
     """What the worker beside a node is, and what it may hold.
@@ -194,15 +226,12 @@
         self._left.clear()
 
     def _note_held(self, report: WorkerReport) -> None:
-        held = {each.keys.first: each.keys.last for each in report.held}
+        held = _HeldKeys(report)
         gone: list[ShardName] = []
         for shard in tuple(self._given):
             given = self._given[shard]
-            is_held = any(
-                held.get(keys.first, -1) >= keys.first for keys in given.ranges
-            )
-            given.is_reported = is_held
-            if given.is_withdrawn and not is_held:
+            given.is_reported = held.begin_any(given.ranges)
+            if given.is_withdrawn and not held.meet_any(given.ranges):
                 self._given.pop(shard)
                 gone.append(shard)
         self._left.note(report.released)
@@ -220,16 +249,11 @@
         self._withdraw_others(wanted, holder)
         self._tell_given(wanted, lasts_ms)
         for shard, token in wanted.items():
-            known = self._given.get(shard)
-            self._given[shard] = _Given(
-                holder,
-                token,
-                now_ms + left_ms,
-                holder.stripes(shard),
-                is_reported=known is not None
-                and known.is_reported
-                and known.token == token,
+            given = _Given(
+                holder, token, now_ms + left_ms, holder.stripes(shard)
             )
+            given.follow(self._given.get(shard))
+            self._given[shard] = given
         rows = tuple(self._rows(wanted, holder))
         return GrantReply(rows, lasts_ms)
 
--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -71,6 +71,26 @@
     When 1 ms pass
     Then the shard 1 is released
 
+  # Guards against two workers that hold the same keys: rows need not begin
+  # where those begin that were given.
+  Scenario: a shard is not released while the worker works on some of its keys
+    When the worker reports
+    And the shard 1 is withdrawn
+    And the worker reports that it holds shard 1
+    And the worker reports that it works on one key of shard 1
+    Then the shard 1 is not released yet
+
+  # Guards against the same: an answer that takes time away may be lost.
+  Scenario: a shard is not released by an answer that ends sooner
+    When the worker reports
+    And the lease is cut to 1000 ms
+    And the worker reports
+    And the shard 1 is withdrawn
+    And 2999 ms pass
+    Then the shard 1 is not released yet
+    When 1 ms pass
+    Then the shard 1 is released
+
   Scenario: a worker that leaves gets new work for a short while at most
     When the worker reports that it leaves
     Then it may be sent work
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -131,6 +131,17 @@
     _report(context, held=held)
 
 
+@when('the worker reports that it works on one key of shard {number:d}')
+def report_one_key(context: Context, number: int) -> None:
+    last = stripes(number)[0].last
+    _report(context, held=(HeldRange(KeyRange(last, last), 8),))
+
+
+@when('the lease is cut to {span:d} ms')
+def cut_lease(context: Context, span: int) -> None:
+    context.lease_ms = span
+
+
 @when('the worker reports that it has released shard {number:d}')
 def report_released(context: Context, number: int) -> None:
     gone = tuple(ReleasedRange(keys, 'left') for keys in stripes(number))
