Give a shard back only once the own worker has let it go

Cause: a node follows a lost owner by a majority of seals, and its worker gets the shard. A seal that comes later may carry a higher floor (the owner was killed while it told its witnesses of a write, which is when processes that write are killed first). Then the node has to win a write, drops the shard, and writes it over to the lost owner if that is back, while its own worker holds on until its next report. Likewise a move that is abandoned since the lease is over (its record may be written) let the worker have the shard again.

Change: the write waits until the worker has let go, like that of a move; a shard of an abandoned move stays withdrawn.

--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -218,7 +218,13 @@
         if write is None:
             self._begin_move(shard, home)
         else:
-            self._writer.start(self._carry, write)
+            self._writer.start(self._return, write)
+
+    def _return(self, write: ShardWrite) -> None:
+        # Before this node had to win a write, its worker may have been given
+        # the shard.
+        self._let_go(write.shard)
+        self._carry(write)
 
     def _give_all_away(self) -> None:
         # The worker is lost or leaves: others are to serve its keys.
@@ -236,7 +242,7 @@
 
     def _finish(self, write: ShardWrite, progress: Progress) -> None:
         self._tenure.finish(write, progress)
-        if self._stopping:
+        if self._stopping or progress is Progress.ABANDONED:
             self._grants.withdraw(write.shard)
         else:
             self._grants.restore(write.shard)
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -1,17 +1,21 @@
 """Steps about a planned stop, with all that a keeper speaks with played."""
 
+from functools import partial
 from types import SimpleNamespace
 from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
 
+from laburnumwood.news import News
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
+from laburnumwood.placement.shard_write import Progress
 from laburnumwood.records import NodeName, ShardName
 from tests.features.steps.fake_clock import FakeClock
 
 OWN = NodeName('a', 1)
+HOME = NodeName('b', 2)
 SHARD = ShardName('s', 1)
 STEP_MS = 10
 
@@ -22,13 +26,21 @@
     def __init__(self, release_ms: int, clock: FakeClock) -> None:
         self._clock = clock
         self._from_ms = clock.now_ms() + release_ms
+        self.news = News()
+        self.withdrawn: set[ShardName] = set()
 
-    def withdraw(self, _shard: ShardName) -> None:
+    def withdraw(self, shard: ShardName) -> None:
         """Take in that a shard is to be let go."""
+        self.withdrawn.add(shard)
         self._clock.pass_ms(STEP_MS)
 
+    def restore(self, shard: ShardName) -> None:
+        """Take in that a shard may be held again."""
+        self.withdrawn.discard(shard)
+
     def is_released(self, _shard: ShardName) -> bool:
         """Tell whether the time has come."""
+        self._clock.pass_ms(STEP_MS)
         return self._clock.now_ms() >= self._from_ms
 
 
@@ -48,8 +60,11 @@
     worker = SlowWorker(release, clock)
     keeper: Any = Keeper
     context.clock = clock
+    context.tenure, context.writer = tenure, writer
+    context.worker, context.holdings = worker, holdings
+    balancer = SimpleNamespace(is_steady=lambda _node_id: True)
     context.keeper = keeper(
-        's', view, tenure, holdings, writer, None, None, worker, clock
+        's', view, tenure, holdings, writer, None, balancer, worker, clock
     )
 
 
@@ -64,3 +79,47 @@
 def check_waited(context: Context, span: int) -> None:
     late_ms = context.waited_ms - span
     assert 0 <= late_ms <= 2 * STEP_MS, context.waited_ms
+
+
+@given('it is to give a shard back that it must win a write for')
+def give_back(context: Context) -> None:
+    context.holdings.drop(SHARD)
+    write = SimpleNamespace(shard=SHARD)
+    context.tenure.wanted = lambda: [SHARD]
+    context.tenure.home = lambda _shard: HOME
+    context.tenure.begin_return = lambda _shard, _home: write
+    context.tenure.finish = lambda _write, _progress: None
+    context.writer.is_healthy = True
+    context.writer.has_room = True
+    context.writer.start = lambda task, *arguments: task(*arguments)
+    context.writer.carry = partial(_carry, context)
+
+
+def _carry(context: Context, _write: object) -> Progress:
+    context.written_ms = context.clock.now_ms()
+    return Progress.NOT_SENT
+
+
+@when('it writes what is wanted')
+def write_wanted(context: Context) -> None:
+    context.began_ms = context.clock.now_ms()
+    context.keeper._write_wanted()
+
+
+@then('the shard was written after {span:d} ms')
+def check_written(context: Context, span: int) -> None:
+    late_ms = context.written_ms - context.began_ms - span
+    assert 0 <= late_ms <= 3 * STEP_MS, late_ms
+
+
+@when('a write of a shard ends as "{progress}"')
+def end_write(context: Context, progress: str) -> None:
+    context.worker.withdraw(SHARD)
+    context.tenure.finish = lambda _write, _progress: None
+    write = SimpleNamespace(shard=SHARD)
+    context.keeper._finish(write, Progress[progress])
+
+
+@then('the worker may get the shard again: {again}')
+def check_again(context: Context, again: str) -> None:
+    assert (SHARD not in context.worker.withdrawn) == (again == 'yes')
