Soak: judge what the workers held at each moment

The soak judged requests: two workers that hold the same keys were found only if both ran one request of a key. Its workers write down what they are answered to hold, and the judge looks for keys that two held at one moment.

--- a/standins/reporter/reports.py
+++ b/standins/reporter/reports.py
@@ -2,6 +2,7 @@
 
 import time
 from argparse import Namespace
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -10,19 +11,35 @@
 from urllib3.exceptions import HTTPError
 
 from standins.clock import MS_PER_SECOND, monotonic_ms
-from standins.reporter.holds import Holds
+from standins.reporter.holds import Holds, Row
 
 _SOON_MS = 50
 _TIMEOUT_S = 1
 _OK = 200
 
 
+WhenHeld = Callable[[list[Row], float], None]
+
+
+def _tell_nobody(_rows: list[Row], _until_ms: float) -> None:
+    """Do nothing with what is held."""
+
+
 class Reports:
-    """Sends reports again and again, and takes the grants in the answers."""
+    """Sends reports again and again, and takes the grants in the answers.
+
+    `when_held` is told the rows held after each answer, and until when.
+    """
 
-    def __init__(self, options: Namespace, holds: Holds | None) -> None:
+    def __init__(
+        self,
+        options: Namespace,
+        holds: Holds | None,
+        when_held: WhenHeld = _tell_nobody,
+    ) -> None:
         self._options = options
         self._holds = holds
+        self._when_held = when_held
         self._born_ms = int(time.time() * MS_PER_SECOND)
         self._number = 0
         self._http = PoolManager(retries=Retry(0), timeout=_TIMEOUT_S)
@@ -60,7 +77,10 @@
         answer = self._post('Heartbeat', content)
         if self._holds is None or not answer or 'holds' not in answer:
             return False
-        return self._holds.replace(answer['holds'], sent_ms + answer['hold_ms'])
+        until_ms = sent_ms + answer['hold_ms']
+        has_released = self._holds.replace(answer['holds'], until_ms)
+        self._when_held(self._holds.rows(), until_ms)
+        return has_released
 
     def _post(self, what: str, content: Any) -> Any:
         url = f'{self._options.node_url}/Instances.{what}/{self._options.name}'
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -15,3 +15,16 @@
     Given a soak of 4 nodes whose requests may last 10 s
     When requests of 8 s run at "n2" and the node is told to stop
     Then no promise was broken
+
+  Scenario Outline: keys that two workers held at one moment are found
+    Given the worker "n1" held the keys 0 to 63 from 100 to 900 ms
+    And the worker "<other>" held the keys 40 to 99 from <since> to 1500 ms
+    And the worker "n1" was killed at <killed> ms
+    Then the judge finds <found> keys that were held twice
+
+    Examples:
+      | other | since | killed | found |
+      | n2    | 800   | 2000   | 1     |
+      | n2    | 900   | 2000   | 0     |
+      | n2    | 800   | 800    | 0     |
+      | n1    | 800   | 2000   | 0     |
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -1,7 +1,10 @@
 """Steps about the soak."""
 
+import json
 import time
 from contextlib import suppress
+from pathlib import Path
+from tempfile import TemporaryDirectory
 from threading import Thread
 from typing import Any
 
@@ -11,6 +14,7 @@
 
 from tests.soak.callers import Callers
 from tests.soak.fleet import KEYED, SoakFleet
+from tests.soak.holds import WorkerLife, two_holders
 from tests.soak.judge import Record, judge
 from tests.soak.plans import Plan
 from tests.soak.soak import Options, run
@@ -54,7 +58,11 @@
     for ending in asking:
         ending.join()
     entries = context.fleet.entries()
-    context.broken = judge(Record.of(calls, context.fleet.lives, entries))
+    context.broken = judge(
+        Record.of(
+            calls, context.fleet.lives, context.fleet.worker_lives, entries
+        )
+    )
 
 
 def _ask(fleet: Any, node: str, plan: Plan, number: int) -> None:
@@ -64,6 +72,35 @@
         fleet.ask(fleet.members[node], path, f'long-{number}', **headers)
 
 
+@given(
+    'the worker "{worker}" held the keys {first:d} to {last:d} '
+    'from {since:d} to {until:d} ms'
+)
+def write_held(
+    context: Context, worker: str, first: int, last: int, since: int, until: int
+) -> None:
+    if 'workers' not in context:
+        context.workers = []
+        folder = TemporaryDirectory()
+        context.add_cleanup(folder.cleanup)
+        context.folder = Path(folder.name)
+    log = context.folder / f'{len(context.workers)}.log'
+    line = {'held': [[first, last, 8]], 'at_ms': since, 'until_ms': until}
+    log.write_text(f'another line\n{json.dumps(line)}\n')
+    context.workers.append(WorkerLife(worker, log))
+
+
+@given('the worker "{_worker}" was killed at {at_ms:d} ms')
+def write_killed(context: Context, _worker: str, at_ms: int) -> None:
+    context.workers[0].killed_ms = at_ms
+
+
+@then('the judge finds {count:d} keys that were held twice')
+def check_held_twice(context: Context, count: int) -> None:
+    found = list(two_holders(context.workers))
+    assert len(found) == count, found
+
+
 @then('no promise was broken')
 def check_promises(context: Context) -> None:
     assert not context.broken, '\n'.join(map(str, context.broken))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -113,7 +113,7 @@
     """Kill a worker and start it again later."""
     member = scene.member()
     with scene.fleet.claim(f'worker {member.name}'):
-        member.worker.kill()
+        scene.fleet.kill_worker(member)
         yield member.name
         scene.fleet.restart_worker(member)
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -15,6 +15,7 @@
 from bench.reporting import ReportingDeployment, ReportingMember, manifest
 from standins.clock import boottime_ms
 from standins.journal.entry import JournalEntry
+from tests.soak.holds import WorkerLife
 
 KEYED, PLAIN = 'portal', 'docs'
 DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
@@ -84,6 +85,7 @@
     def __init__(self, nodes: int) -> None:
         super().__init__({KEYED: True, PLAIN: False})
         self.lives: list[Life] = []
+        self.worker_lives: list[WorkerLife] = []
         self._versions = 1
         self._worker_ports: dict[str, int] = {}
         self._claims: dict[str, Lock] = {}
@@ -151,6 +153,14 @@
         """Start a node again."""
         member.node = self.start_node(member.path)
 
+    def kill_worker(self, member: ReportingMember) -> None:
+        """End a worker at once."""
+        log = member.worker.log
+        member.worker.kill()
+        for life in self.worker_lives:
+            if life.log == log:
+                life.killed_ms = boottime_ms()
+
     def restart_worker(self, member: ReportingMember) -> None:
         """Start the worker of a member again at its old port."""
         port = self._worker_ports[member.name]
@@ -195,7 +205,7 @@
         name, service = settings['node_id'], settings['service']
         flags = ['--sharded'] if self._services[service] else []
         reports = self.relays.ports[f'{name}.reports']
-        return self._spawn(
+        process = self._spawn(
             'tests.soak.worker',
             f'--name=worker-{name}',
             f'--service={service}',
@@ -204,6 +214,8 @@
             f'--journal-url={self.journal_url}',
             *flags,
         )
+        self.worker_lives.append(WorkerLife(name, process.log))
+        return process
 
     def _settings(
         self, name: str, domain: str, service: str, worker_port: int
--- /dev/null
+++ b/tests/soak/holds.py
@@ -0,0 +1,93 @@
+"""What the workers of a soak held, by the lines that they wrote of it."""
+
+import json
+from collections import defaultdict
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from itertools import chain, combinations, pairwise
+from pathlib import Path
+from typing import Any
+
+from standins.clock import boottime_ms, monotonic_ms
+from standins.reporter.holds import Row
+
+_MARK = '{"held":'
+
+
+@dataclass(frozen=True, slots=True)
+class Keys:
+    """Neighbouring keys that a worker held as one row."""
+
+    first: int
+    last: int
+
+
+@dataclass(slots=True)
+class Span:
+    """A time in which a worker held keys, in ms of CLOCK_BOOTTIME."""
+
+    worker: str
+    since_ms: float
+    until_ms: float
+
+
+@dataclass(slots=True)
+class WorkerLife:
+    """One process of a worker; `killed_ms` is None while it runs."""
+
+    worker: str
+    log: Path
+    killed_ms: float | None = None
+
+
+Held = dict[Keys, list[Span]]
+
+
+def tell_held(rows: Sequence[Row], until_ms: float) -> None:
+    """Write down what is held from now on, until a moment (monotonic ms)."""
+    now_ms = boottime_ms()
+    until_ms += now_ms - monotonic_ms()
+    line = {'held': list(rows), 'at_ms': now_ms, 'until_ms': until_ms}
+    print(json.dumps(line), flush=True)
+
+
+def two_holders(lives: Sequence[WorkerLife]) -> Iterator[str]:
+    """Yield what two workers held at one moment."""
+    held = _held_by(lives)
+    # Two rows that share keys share the higher one of their first keys.
+    for key in sorted({keys.first for keys in held}):
+        spans = [held[keys] for keys in held if keys.first <= key <= keys.last]
+        for one, other in combinations(chain.from_iterable(spans), 2):
+            since_ms = max(one.since_ms, other.since_ms)
+            until_ms = min(one.until_ms, other.until_ms)
+            if one.worker != other.worker and since_ms < until_ms:
+                both_ms = until_ms - since_ms
+                yield f'key {key} for {both_ms:.0f} ms: {one} {other}'
+
+
+def _held_by(lives: Sequence[WorkerLife]) -> Held:
+    held: Held = defaultdict(list)
+    for life in lives:
+        last = {'held': [], 'at_ms': float('inf'), 'until_ms': float('inf')}
+        for line, following in pairwise([*_lines(life), last]):
+            end_ms = min(line['until_ms'], following['at_ms'])
+            if life.killed_ms is not None:
+                end_ms = min(end_ms, life.killed_ms)
+            for first, until_key, _ in line['held']:
+                span = Span(life.worker, line['at_ms'], end_ms)
+                _add(held[Keys(first, until_key)], span)
+    return held
+
+
+def _add(spans: list[Span], span: Span) -> None:
+    """Add a span, as part of the last one if that goes on in it."""
+    last = spans[-1] if spans else span
+    if last.worker == span.worker and last.until_ms == span.since_ms:
+        last.until_ms = span.until_ms
+    else:
+        spans.append(span)
+
+
+def _lines(life: WorkerLife) -> list[dict[str, Any]]:
+    lines = life.log.read_text().splitlines()
+    return [json.loads(line) for line in lines if line.startswith(_MARK)]
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -9,6 +9,7 @@
 from standins.worker.bodies import body_of
 from tests.soak.callers import Call, End
 from tests.soak.fleet import Life
+from tests.soak.holds import WorkerLife, two_holders
 from tests.soak.plans import Form
 
 _CROSSING_MS = 1_000  # more than a request takes to be read
@@ -24,6 +25,7 @@
 
     calls: Sequence[Call]
     lives: Sequence[Life]
+    workers: Sequence[WorkerLife]
     runs: dict[str, list[JournalEntry]] = field(default_factory=dict)
 
     @classmethod
@@ -31,13 +33,14 @@
         cls,
         calls: Sequence[Call],
         lives: Sequence[Life],
+        workers: Sequence[WorkerLife],
         entries: Sequence[JournalEntry],
     ) -> 'Record':
         """Return the record with runs grouped by request."""
         runs = defaultdict(list)
         for entry in entries:
             runs[entry.request].append(entry)
-        return cls(calls, lives, runs)
+        return cls(calls, lives, workers, runs)
 
     def has_run(self, call: Call) -> bool:
         """Tell whether a worker has run a request."""
@@ -193,6 +196,12 @@
             yield _told(call, record)
 
 
+@_rule('two workers held the same keys')
+def held_twice(record: Record) -> Iterator[str]:
+    """Yield keys that two workers held at one moment."""
+    yield from two_holders(record.workers)
+
+
 @_rule('a process did not end as it should')
 def ended(record: Record) -> Iterator[str]:
     """Yield lives that ended by themselves or with a failure."""
