End a move that did not reach the store instead of settling it

Callers: the keys of a shard whose move met a store that had just gone were not served until the store was back.

Cause: any call without an answer counted as one that may have been written. A connection that could not be made, the users' 503 ("nothing was done") and the breaker's own refusal prove the opposite, but had the same type, so the move stayed unsettled and its shard closed.

Change: these have a type of their own, a kind of the old one. A move or a split whose first try ends so was not sent, and its shard opens again. An earlier try that may still land keeps a move unsettled, and so does a lost reading back. Writes that have to be made are repeated as before.

Evidence: worlds with a store that refuses. Without the change the shard has no owner (NobodyActsError); without the memory of earlier tries two nodes act (TwoActorsError); both are rows of the feature.

--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -37,6 +37,10 @@
     """The platform gave no answer; a write may have taken effect."""
 
 
+class PlatformNotReachedError(PlatformUnreachableError):
+    """The platform was not reached or says so: this call did nothing."""
+
+
 class PlatformConflictError(PlatformError):
     """The object had another version than the write asked for."""
 
--- a/laburnumwood/placement/shard_write.py
+++ b/laburnumwood/placement/shard_write.py
@@ -6,6 +6,7 @@
 from laburnumwood.errors import (
     PlatformConflictError,
     PlatformError,
+    PlatformNotReachedError,
 )
 from laburnumwood.leases.lease import Lease
 from laburnumwood.records import ShardName, ShardRecord, StoredObject
@@ -37,6 +38,8 @@
 
     The floor is raised first, and nothing is sent before enough witnesses
     know it.  A write whose answer was lost is repeated until it is settled.
+    One that `may_be_left` is not, if its first try did not reach the store:
+    whoever waits for its outcome need not wait for the store.
     `version` is the one to replace, or None to create the record.
     """
 
@@ -52,6 +55,7 @@
         self.record = marked(record, str(lease.holder))
         self.version = version
         self.stored: StoredObject | None = None
+        self.may_be_left = False
         self._lease = lease
         self._clock = clock
         self._sent = False
@@ -66,13 +70,18 @@
         if not self._sent and not self._may_send():
             late = self._clock.now_ms() >= self._floor_deadline_ms
             return Progress.NOT_SENT if late else Progress.NEEDS_FLOOR
+        # An earlier try may still land, whatever becomes of this one.
+        is_left = self.may_be_left and not self._sent
         self._sent = True
         try:
             return self._send(platform)
         except PlatformConflictError:
             return Progress.CONFLICT
-        except PlatformError:
-            return Progress.UNSETTLED
+        except PlatformError as failure:
+            not_reached = isinstance(failure, PlatformNotReachedError)
+        return (
+            Progress.NOT_SENT if is_left and not_reached else Progress.UNSETTLED
+        )
 
     def _may_send(self) -> bool:
         if not self._lease.holds():
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -185,7 +185,9 @@
         """
         if shard in self._writes or not self._holdings.is_held(shard):
             return None
-        return self._begin(shard, target)
+        write = self._begin(shard, target)
+        write.may_be_left = True
+        return write
 
     def begin_split(
         self, shard: ShardName, ranges: tuple[KeyRange, ...]
@@ -201,6 +203,7 @@
         write = self._begin(shard, self._own)
         split_off = (*entry.record.split_off, *ranges)
         write.record = replace(write.record, split_off=split_off)
+        write.may_be_left = True
         return write
 
     def begin_new(
--- a/laburnumwood/platform/store.py
+++ b/laburnumwood/platform/store.py
@@ -15,6 +15,7 @@
     CompactedError,
     PlatformConflictError,
     PlatformError,
+    PlatformNotReachedError,
     PlatformUnreachableError,
 )
 from laburnumwood.events import RECORD_REFUSED
@@ -208,6 +209,13 @@
     return changes
 
 
+def _unanswered(status: int) -> type[PlatformUnreachableError]:
+    # The users promise that after this status nothing was done.
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        return PlatformNotReachedError
+    return PlatformUnreachableError
+
+
 def _checked(answer: BaseHTTPResponse, what: str) -> bytes:
     status = answer.status
     if status == HTTPStatus.CONFLICT:
@@ -215,7 +223,7 @@
     if status == HTTPStatus.GONE:
         raise CompactedError(what)
     if status == HTTPStatus.TOO_MANY_REQUESTS or status >= 500:
-        raise PlatformUnreachableError(f'{what}: status {status}')
+        raise _unanswered(status)(f'{what}: status {status}')
     if status not in {HTTPStatus.OK, HTTPStatus.CREATED}:
         raise PlatformError(f'{what}: status {status}')
     return answer.data
--- a/laburnumwood/store/breaker.py
+++ b/laburnumwood/store/breaker.py
@@ -4,7 +4,10 @@
 from typing import TypeVar
 
 from laburnumwood.clock import Clock
-from laburnumwood.errors import PlatformUnreachableError
+from laburnumwood.errors import (
+    PlatformNotReachedError,
+    PlatformUnreachableError,
+)
 from laburnumwood.events import STORE_REACHED, STORE_UNREACHABLE
 from laburnumwood.store.interface import Store
 from laburnumwood.store.wrapped import WrappedStore
@@ -44,7 +47,7 @@
 class GuardedStore(WrappedStore):
     """Passes calls to a store on, unless it has not answered just now.
 
-    A call that is not passed on fails like one without an answer.
+    A call that is not passed on fails like one that did not reach the store.
     """
 
     def __init__(self, store: Store, clock: Clock) -> None:
@@ -53,7 +56,7 @@
 
     def _pass_on(self, call: Callable[[], _Found]) -> _Found:
         if not self._breaker.lets_through():
-            raise PlatformUnreachableError('no answer to the last calls')
+            raise PlatformNotReachedError('no answer to the last calls')
         was_open = self._breaker.is_open
         try:
             found = call()
--- a/laburnumwood/store/calls.py
+++ b/laburnumwood/store/calls.py
@@ -3,17 +3,31 @@
 from typing import Any
 
 from urllib3 import HTTPConnectionPool, Retry, Timeout, connection_from_url
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    MaxRetryError,
+    NewConnectionError,
+)
 from urllib3.response import BaseHTTPResponse
 
 from laburnumwood.clock import MS_PER_SECOND
-from laburnumwood.errors import PlatformUnreachableError
+from laburnumwood.errors import (
+    PlatformNotReachedError,
+    PlatformUnreachableError,
+)
 from laburnumwood.metrics import STORE_CALLS
 
 _POOL_SIZE = 8
 _WATCH_GRACE_S = 2
 
 
+def _was_connected(failure: HTTPError) -> bool:
+    """Tell whether a call that failed may have left this machine."""
+    reason = failure.reason if isinstance(failure, MaxRetryError) else failure
+    return not isinstance(reason, (NewConnectionError, ConnectTimeoutError))
+
+
 class StoreCalls:
     """Calls of the store at a URL, each made once."""
 
@@ -28,13 +42,17 @@
     def call(self, method: str, path: str, **more: Any) -> BaseHTTPResponse:
         """Return the answer to a call; `more` goes to the library.
 
-        Raises `PlatformUnreachableError` if no answer came.
+        Raises `PlatformUnreachableError` if no answer came, and its kind
+        `PlatformNotReachedError` if no connection could be made.
         """
         try:
             answer = self._pool.request(method, path, **more)
         except HTTPError as failure:
             STORE_CALLS.record(1, {'method': method, 'status': 'none'})
-            raise PlatformUnreachableError(f'{method} {path}') from failure
+            what = f'{method} {path}'
+            if _was_connected(failure):
+                raise PlatformUnreachableError(what) from failure
+            raise PlatformNotReachedError(what) from failure
         STORE_CALLS.record(1, {'method': method, 'status': answer.status})
         return answer
 
--- a/laburnumwood/store/interface.py
+++ b/laburnumwood/store/interface.py
@@ -10,7 +10,8 @@
 
     One revision counts all changes; an object's version is the revision of
     its last change.  Every method raises `PlatformUnreachableError` if no
-    answer came; a write may then have taken effect all the same.
+    answer came; a write may then have taken effect all the same, unless it
+    was of the kind `PlatformNotReachedError`.
     """
 
     @property
--- a/laburnumwood/store/writes.py
+++ b/laburnumwood/store/writes.py
@@ -4,7 +4,11 @@
 from typing import TypeVar
 from uuid import uuid4
 
-from laburnumwood.errors import PlatformConflictError, PlatformUnreachableError
+from laburnumwood.errors import (
+    PlatformConflictError,
+    PlatformNotReachedError,
+    PlatformUnreachableError,
+)
 from laburnumwood.records import (
     ConfigRecord,
     NodeRecord,
@@ -42,7 +46,11 @@
     `PlatformUnreachableError` if it can't be asked.  Call it only when the
     write itself can no longer be on its way, or retry the write afterwards.
     """
-    stored = platform.get(name)
+    try:
+        stored = platform.get(name)
+    except PlatformNotReachedError as failure:
+        # It is the question that did nothing, not the write.
+        raise PlatformUnreachableError(name) from failure
     if stored is None or stored.value is None:
         raise PlatformConflictError(name)
     if stored.value.get('mark') != to_value(record)['mark']:
@@ -57,18 +65,23 @@
 
     Returns the new version.  Raises `PlatformConflictError` if another write
     came first, and `PlatformUnreachableError` if the outcome is not known:
-    then call again with the same record, until it is.
+    then call again with the same record, until it is.  Its kind
+    `PlatformNotReachedError` says that this call has written nothing.
     """
     try:
         return _put(platform, name, record, version)
     except PlatformConflictError:
         return settle(platform, name, record)
-    except PlatformUnreachableError:
-        return _put_again(platform, name, record, version)
+    except PlatformUnreachableError as failure:
+        return _put_again(platform, name, record, version, failure)
 
 
 def _put_again(
-    platform: Store, name: str, record: _Record, version: int | None
+    platform: Store,
+    name: str,
+    record: _Record,
+    version: int | None,
+    first: PlatformUnreachableError,
 ) -> int:
     # Writing again settles the first write too: both carry one mark and ask
     # for one version, so at most one of them can take effect.
@@ -76,3 +89,5 @@
         return _put(platform, name, record, version)
     except PlatformConflictError:
         return settle(platform, name, record)
+    except PlatformNotReachedError:
+        raise first from None
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -21,6 +21,8 @@
       | the floor                           | TwoActorsError | deaf c; move 1 d; tick 3; pause b; tick 36 |
       | the winning of a write              | TwoActorsError | deaf c; move 1 d; tick 3; pause b; tick 36 |
       | the wait for an unsettled move      | TwoActorsError | store late; move 1 d; tick 3; pause b; store up; land; tick 36 |
+      | the memory of earlier tries         | TwoActorsError | store late; move 1 d; tick 3; store refused; tick 2; pause b; store up; land; tick 36 |
+      | the end of a move that was not sent | NobodyActsError | store refused; move 1 d; tick 4; owned 20 |
       | the count from sending              | TwoActorsError | cut-to a all; tick 8; cut-from a all; heal-to a; tick 1; cut-to a all; tick 36 |
       | the new name of a restarted witness | TwoActorsError | deaf b; cut b all; tick 40; restart d; restart e; heal b; tick 8 |
       | the joint majority                  | TwoActorsError | witnesses b 3; cut b a; tick 40 |
--- /dev/null
+++ b/tests/features/steps/store_failure_steps.py
@@ -0,0 +1,153 @@
+"""Steps about what failed calls of a store prove."""
+
+import socket
+from contextlib import suppress
+from threading import Thread
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+
+from bench.deployment import HOST, free_port
+from laburnumwood.clock import Clock
+from laburnumwood.errors import (
+    PlatformConflictError,
+    PlatformNotReachedError,
+    PlatformUnreachableError,
+)
+from laburnumwood.leases.lease import Lease
+from laburnumwood.placement.shard_write import ShardWrite
+from laburnumwood.platform.store import ObjectStore
+from laburnumwood.protocol.messages import Renew
+from laburnumwood.records import (
+    Digest,
+    NodeName,
+    ShardName,
+    ShardRecord,
+    WitnessSet,
+)
+from laburnumwood.settings import LeaseSettings
+from laburnumwood.store.client import HttpStore
+
+_STORES: dict[str, Any] = {'platform': ObjectStore, 'own': HttpStore}
+_FAILURES = {
+    'not-reached': PlatformNotReachedError,
+    'lost': PlatformUnreachableError,
+    'conflict': PlatformConflictError,
+}
+_READ_BYTES = 65_536
+
+
+def _listen(context: Context, head: bytes) -> int:
+    """Answer every connection with some bytes; return the port."""
+    listener = socket.create_server((HOST, 0))
+    context.add_cleanup(listener.close)
+
+    def serve() -> None:
+        with suppress(OSError):
+            while True:
+                connection = listener.accept()[0]
+                connection.recv(_READ_BYTES)
+                connection.sendall(head)
+                connection.close()
+
+    Thread(target=serve, daemon=True).start()
+    return int(listener.getsockname()[1])
+
+
+@given('"{kind}" at a port where nothing listens')
+def make_absent(context: Context, kind: str) -> None:
+    context.store = _STORES[kind](f'http://{HOST}:{free_port()}')
+
+
+@given('"{kind}" at a server that answers {status:d}')
+def make_failing(context: Context, kind: str, status: int) -> None:
+    head = f'HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n'
+    port = _listen(context, head.encode())
+    context.store = _STORES[kind](f'http://{HOST}:{port}')
+
+
+@given('"{kind}" at a server that closes unanswered')
+def make_closing(context: Context, kind: str) -> None:
+    context.store = _STORES[kind](f'http://{HOST}:{_listen(context, b"")}')
+
+
+@when('an object is written to it')
+def write_object(context: Context) -> None:
+    context.failure = None
+    try:
+        context.store.update('shards/s/0', {}, 1)
+    except PlatformUnreachableError as failure:
+        context.failure = failure
+
+
+@then('the store was not reached')
+def check_absent(context: Context) -> None:
+    failure = context.failure
+    assert isinstance(failure, PlatformNotReachedError), repr(failure)
+
+
+@then('the store may have taken it')
+def check_unknown(context: Context) -> None:
+    failure = context.failure
+    assert isinstance(failure, PlatformUnreachableError), repr(failure)
+    assert not isinstance(failure, PlatformNotReachedError), repr(failure)
+
+
+@then('one more says that the store was not reached')
+def check_left_alone(context: Context) -> None:
+    context.store = context.guarded
+    context.failure = None
+    try:
+        context.guarded.get('name')
+    except PlatformUnreachableError as failure:
+        context.failure = failure
+    check_absent(context)
+
+
+class _FailingStore:
+    """A store whose calls fail in turn, as they are told."""
+
+    def __init__(self, failures: str) -> None:
+        self.calls = failures.split()
+
+    def get(self, name: str) -> Any:
+        """Fail as the next call is to."""
+        raise _FAILURES[self.calls.pop(0)](name)
+
+    def update(self, name: str, _value: Any, _version: int) -> int:
+        """Fail as the next call is to."""
+        raise _FAILURES[self.calls.pop(0)](name)
+
+
+def _held_lease(shard: ShardName, epoch: int) -> Lease:
+    """Return a lease whose one witness knows the floor of a shard."""
+    own, clock = NodeName('a', 1), Clock()
+    lease = Lease(own, LeaseSettings(), clock)
+    lease.begin(WitnessSet(1, (own,)))
+    floors = {str(shard): epoch}
+    digest = Digest(0, 0, 0)
+    request = Renew(own, own, (1,), (), 0, floors, digest)
+    lease.granted(request, clock.now_ms())
+    return lease
+
+
+@given('a {kind} to a store whose calls are "{failures}" in turn')
+def make_write(context: Context, kind: str, failures: str) -> None:
+    context.store = _FailingStore(failures)
+    shard, record = ShardName('s', 0), ShardRecord(2, (NodeName('b', 1),))
+    lease = _held_lease(shard, record.epoch)
+    context.write = ShardWrite(shard, record, 1, lease, Clock())
+    context.write.may_be_left = kind == 'move'
+
+
+@when('it is stepped {steps:d} times')
+def step_write(context: Context, steps: int) -> None:
+    for _ in range(steps):
+        context.progress = context.write.step(context.store)
+
+
+@then('it is "{progress}"')
+def check_progress(context: Context, progress: str) -> None:
+    assert context.progress.name == progress, context.progress
+    assert not context.store.calls, context.store.calls
--- a/tests/ownership/machine.py
+++ b/tests/ownership/machine.py
@@ -16,7 +16,9 @@
 _OTHER = strategies.sampled_from((*VMS, 'all'))
 _SHARD = strategies.integers(0, 1)
 _TICKS = strategies.sampled_from((1, 2, 4, 8, 16, 36))
-_STORE = strategies.sampled_from(('up', 'up', 'down', 'lose', 'late', 'late'))
+_STORE = strategies.sampled_from(
+    ('up', 'up', 'down', 'refused', 'lose', 'late', 'late')
+)
 _UNSURE = strategies.sampled_from(('lose', 'late'))
 _FAULT = strategies.sampled_from(('crash', 'pause', 'cut', 'restart'))
 _ORDER = strategies.sampled_from(
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -6,15 +6,17 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.placement.ownership import Standing
-from laburnumwood.placement.shard_write import ShardWrite
+from laburnumwood.placement.shard_write import Progress, ShardWrite
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     Digest,
+    NodeName,
     ShardName,
     ShardRecord,
     WitnessSet,
 )
+from laburnumwood.store.interface import Store
 from tests.ownership.node import Code
 
 
@@ -80,6 +82,41 @@
             self._holdings.reopen(shard)
 
 
+class _ForgottenTry(ShardWrite):
+    """Takes the last try for all of them."""
+
+    def step(self, platform: Store) -> Progress:
+        """Leave out that an earlier try may still land."""
+        self._sent = False
+        return super().step(platform)
+
+
+class _LastTryOnly(Tenure):
+    """Leaves a move once a try of it did not reach the store."""
+
+    def begin_move(
+        self, shard: ShardName, target: NodeName
+    ) -> ShardWrite | None:
+        """Return a write that knows of its last try only."""
+        write = super().begin_move(shard, target)
+        if write is not None:
+            write.__class__ = _ForgottenTry
+        return write
+
+
+class _UnsettledMoves(Tenure):
+    """Waits for the outcome of moves that did not reach the store."""
+
+    def begin_move(
+        self, shard: ShardName, target: NodeName
+    ) -> ShardWrite | None:
+        """Return a write that is repeated until it is settled."""
+        write = super().begin_move(shard, target)
+        if write is not None:
+            write.may_be_left = False
+        return write
+
+
 class _ClosedAfterSplit(Tenure):
     """Leaves a shard closed once keys of it were split off."""
 
@@ -109,4 +146,6 @@
     'the care after a conflict': Code(tenure=_ReopenOnConflict),
     'the opening after a split': Code(tenure=_ClosedAfterSplit),
     'the wait for an unsettled move': Code(tenure=_ReopenUnsettled),
+    'the memory of earlier tries': Code(tenure=_LastTryOnly),
+    'the end of a move that was not sent': Code(tenure=_UnsettledMoves),
 }
--- a/tests/ownership/store.py
+++ b/tests/ownership/store.py
@@ -6,6 +6,7 @@
 
 from laburnumwood.errors import (
     PlatformConflictError,
+    PlatformNotReachedError,
     PlatformUnreachableError,
 )
 from laburnumwood.records import StoredObject
@@ -15,9 +16,10 @@
 class FakeStore(HttpStore):
     """Objects with versions, behind the calls of the real client.
 
-    `mode` is `up`, `down` (nothing arrives), `lose` (writes take effect, no
-    answer comes), `lose-writes` (the same, but reads are answered) or `late`
-    (writes take effect when `land` is called).
+    `mode` is `up`, `down` (nothing arrives), `refused` (the same, and callers
+    know it), `lose` (writes take effect, no answer comes), `lose-writes` (the
+    same, but reads are answered) or `late` (writes take effect when `land` is
+    called).
     """
 
     def __init__(self) -> None:
@@ -30,13 +32,13 @@
     def get(self, name: str) -> StoredObject | None:
         """Return an object."""
         if self.mode not in {'up', 'lose-writes'}:
-            raise PlatformUnreachableError(name)
+            raise self._failure(name)
         return self._objects.get(name)
 
     def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
         """Return all objects."""
         if self.mode != 'up':
-            raise PlatformUnreachableError(prefix)
+            raise self._failure(prefix)
         return tuple(self._objects.values()), self.revision
 
     def create(self, name: str, value: dict[str, Any]) -> int:
@@ -66,7 +68,12 @@
             self._late.append(write)
         elif self.mode in {'lose', 'lose-writes'}:
             write()
-        raise PlatformUnreachableError(self.mode)
+        raise self._failure(self.mode)
+
+    def _failure(self, what: str) -> PlatformUnreachableError:
+        if self.mode == 'refused':
+            return PlatformNotReachedError(what)
+        return PlatformUnreachableError(what)
 
     def _write(
         self, name: str, value: dict[str, Any], version: int | None
