Keep the witnesses of a node that leaves and finds no others

Cause: a node that leaves is not among the live nodes. Where those are so few that each has itself as its one witness (one or two, or none), it chose nobody, wrote the empty set to its record and changed to it. Looking for the majority of an empty set fails, and every look at the lease does that from then on.

Change: where nobody is chosen, the witnesses that stand are kept.

Test: real renewals of a node that leaves with no or one other node; before the change both fail with the same IndexError.

--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -117,7 +117,9 @@
         if known != self._chosen_for:
             live = self._view.witnesses()
             good = set(standing).difference(lost).intersection(live)
-            self._chosen = replace_witnesses(self._lease.holder, good, live)
+            chosen = replace_witnesses(self._lease.holder, good, live)
+            # A node that leaves may find nobody, and needs its lease till then.
+            self._chosen = chosen or standing
             # Choosing may note ends, which is news in itself.
             self._chosen_for = (self._view.node_version, standing, lost)
         return self._chosen
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -96,6 +96,17 @@
     Then the store was read 1 and written 2 times
     And its record says that it leaves
 
+  # Guards against a lease of no witnesses, whose every look at it fails.
+  Scenario Outline: a node that leaves where <others> others are keeps a lease
+    Given a node that renews its lease where <others> others are
+    When it records that it leaves and reviews its witnesses
+    Then it holds its lease by itself
+
+    Examples:
+      | others |
+      | 0      |
+      | 1      |
+
   # Guards against shards that wait for the ends of nodes that are back.
   Scenario Outline: a node that is back beside a worker that <worker>
     Given a node that has joined again beside a worker that <worker>
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -1,12 +1,17 @@
 """Steps about joining, ending and losing nodes."""
 
+from types import SimpleNamespace
 from typing import Any
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
 
+from laburnumwood.clock import Clock
 from laburnumwood.errors import PlatformUnreachableError
+from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.joining import (
     announce_leaving,
@@ -14,15 +19,19 @@
     record_witnesses,
 )
 from laburnumwood.membership.known import KnownStore
+from laburnumwood.membership.renewal import Renewer
 from laburnumwood.membership.serving import Serving
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import NodeName, NodeRecord, StoredObject, WitnessSet
+from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import node_object, to_record
 from laburnumwood.store.writes import new_mark
 from tests.ownership.node import Code
 from tests.ownership.store import FakeStore
 from tests.ownership.world import SHARDS, World, node_settings
 
+REVIEWED_S = 1.2
+
 
 @given('a store that loses the answer to a write')
 def make_losing_store(context: Context) -> None:
@@ -209,3 +218,46 @@
     assert record.serves == (serves == 'it serves'), record
     expected = tuple(int(each) for each in numbers.split())
     assert record.open_incarnations == expected, record
+
+
+def _read(store: FakeStore, directory: Directory) -> None:
+    for stored in store.list()[0]:
+        directory.apply(stored)
+
+
+def _make_renewer(store: FakeStore, lease: Lease, view: FleetView) -> Renewer:
+    settings, clock = LeaseSettings(), Clock()
+    nobody: Any = SimpleNamespace(compare=lambda *_heard: None)
+    witness = Witness(lease.holder, settings, clock)
+    return Renewer(lease, witness, nobody, nobody, view, store, settings, clock)
+
+
+@given('a node that renews its lease where {count:d} others are')
+def make_renewing(context: Context, count: int) -> None:
+    context.store = FakeStore()
+    context.name = join(context.store, node_settings('a'))[0]
+    for other in 'bcd'[:count]:
+        join(context.store, node_settings(other))
+    context.view = FleetView(Directory(), SealBook())
+    _read(context.store, context.view.directory)
+    context.lease = Lease(context.name, LeaseSettings(), Clock())
+    renewer = _make_renewer(context.store, context.lease, context.view)
+    renewer.begin(frozenset())
+    _read(context.store, context.view.directory)
+    reviewing = eventlet.spawn(renewer.run)
+    context.add_cleanup(reviewing.kill)
+
+
+@when('it records that it leaves and reviews its witnesses')
+def leave_and_review(context: Context) -> None:
+    announce_leaving(context.store, context.name)
+    _read(context.store, context.view.directory)
+    eventlet.sleep(REVIEWED_S)
+
+
+@then('it holds its lease by itself')
+def check_held_alone(context: Context) -> None:
+    assert context.lease.holds()
+    members = context.lease.witnesses.members
+    assert members == (context.name,), members
+    assert not context.lease.is_changing
