Give no shard of a lost owner on before its record is written anew

Callers: keys of a worker whose node was killed and started again went to other workers and stayed there, also when the node was back within 2 s.

Cause: a node that follows a lost owner has more shards than the others. In an idle service it evened the numbers within 0.2 s, least busy shards first, and those were the ones it had just taken over. The record of a shard that is moved names the new owner first, so that nobody knew any more where it came from when the old one was back. Ruled out: a start that is too slow (it was back within 2 to 4 s), seals, and the giving back itself (all other shards came back).

Change: a shard whose record still names a lost owner first is not moved for the numbers. Moves for the load are as before.

Test: a node that follows a lost owner moves none of its shards until it has written itself into the records; before the change it moved one.

--- a/laburnumwood/placement/balance.py
+++ b/laburnumwood/placement/balance.py
@@ -60,7 +60,8 @@
     the nodes whose load is known, None if that is all of them: work goes only
     to these.  In a large service each node knows others, so that not all
     nodes choose the same target.  `error` is the standard error of what a
-    node measures, as a share of it.
+    node measures, as a share of it.  `lent` are shards whose lost owner may
+    still come back for them: its record names no other yet.
     """
 
     own: NodeName
@@ -73,6 +74,7 @@
     cold_start_ms: int = 0
     settings: PlacementSettings = field(default_factory=PlacementSettings)
     error: float = 0
+    lent: Set[int] = frozenset()
 
     @property
     def least_difference(self) -> float:
@@ -220,6 +222,8 @@
 
 
 def _is_harmless(picture: Picture, move: Move) -> bool:
+    if move.shard in picture.lent:
+        return False
     if _is_idle(picture, move):
         return True
     source, target = picture.usages[move.source], picture.usages[move.target]
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -185,8 +185,21 @@
             cold_start_ms=service.cold_start_ms,
             settings=self._settings,
             error=self._meter.error(),
+            lent=self._lent(shares),
         )
 
+    def _lent(self, shares: Shares) -> set[int]:
+        """Return which own shards have a lost owner first in their record."""
+        entries = self._view.directory.shards(self._service)
+        own = (
+            number for number in shares.get(self._own, ()) if number in entries
+        )
+        return {
+            number
+            for number in own
+            if entries[number].record.succession[0] != self._own
+        }
+
     def _shares(
         self, live: Mapping[NodeName, NodeRecord], begun: Owners
     ) -> Shares:
--- a/tests/features/dividing.feature
+++ b/tests/features/dividing.feature
@@ -41,6 +41,15 @@
       | 63    | nothing |
       | 64    | nothing |
 
+  # Guards against a node that comes back at once and finds its shards given on.
+  Scenario: a node that follows a lost owner gives none of its shards on at once
+    Given 8 nodes that begin together
+    When 4 s pass for them
+    And an owner is lost and one node follows it in 3 shards at least
+    Then it moves none of these
+    When it has written itself first into their records
+    Then it moves one of these
+
   Scenario: a node that knows of all shards moves some to one that has none
     Given 8 nodes that begin together
     When 4 s pass for them
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -23,9 +23,11 @@
 from laburnumwood.records import (
     ConfigRecord,
     NodeName,
+    Seal,
     ShardName,
     ShardRecord,
     StoredObject,
+    WitnessSet,
 )
 from laburnumwood.settings import LeaseSettings, PlacementSettings
 from laburnumwood.store.objects import (
@@ -249,3 +251,50 @@
 @then('it moves some')
 def check_some(context: Context) -> None:
     assert _moves(context)
+
+
+@when('an owner is lost and one node follows it in {least:d} shards at least')
+def lose_owner(context: Context, least: int) -> None:
+    fleet: _Fleet = context.fleet
+    pairs = Counter(
+        record.succession[:2] for record in fleet.records().values()
+    )
+    (lost, heir), _ = pairs.most_common(1)[0]
+    context.node = _Beginner(heir, fleet.clock)
+    context.node.hear(fleet.objects)
+    witness = NodeName('witness', 1)
+    sealed = (WitnessSet(1, (witness,)),)
+    assert context.node.view.add_seal(Seal(lost, witness, sealed, {}))
+    context.lent = {
+        number
+        for number, record in fleet.records().items()
+        if record.succession[:2] == (lost, heir)
+    }
+    assert len(context.lent) >= least, context.lent
+
+
+def _moved(context: Context) -> set[int]:
+    return {move.shard for move in _moves(context)}
+
+
+@then('it moves none of these')
+def check_kept(context: Context) -> None:
+    moved = _moved(context).intersection(context.lent)
+    assert not moved, moved
+
+
+@when('it has written itself first into their records')
+def write_itself(context: Context) -> None:
+    own = context.node.tenure.own
+    for number in context.lent:
+        name = shard_object(ShardName(SERVICE, number))
+        before = context.fleet.objects[name]
+        record = to_record(ShardRecord, before)
+        after = replace(record, epoch=record.epoch + 1, succession=(own,))
+        stored = StoredObject(name, to_value(after), before.version + 1_000)
+        context.node.hear({name: stored})
+
+
+@then('it moves one of these')
+def check_given(context: Context) -> None:
+    assert _moved(context).intersection(context.lent)
