Tests: say what the callers were told where too few were answered

The check of the fault scenarios said "54 of 383 answered" and nothing else, so that its failures could not be told apart. It now counts the answers by what they say; the bound is as it was.

--- a/tests/features/steps/fault_steps.py
+++ b/tests/features/steps/fault_steps.py
@@ -1,6 +1,8 @@
 """Steps that break deployments of real processes and judge the outcome."""
 
+import re
 import time
+from collections import Counter
 from collections.abc import Iterator
 from functools import partial
 from itertools import count
@@ -10,7 +12,7 @@
 from pydantic import TypeAdapter
 
 from bench.caller import Callers, Load, Operation
-from bench.calls import Told
+from bench.calls import Call, Told
 from bench.checker import judge
 from bench.deployment import wait_for
 from bench.faults import Fleet
@@ -22,6 +24,7 @@
 SETTLE_S = 60
 BREATH_S = 0.7
 ENTRIES = TypeAdapter(list[JournalEntry])
+PROBLEM = re.compile(b'problem:[a-z-]+')
 STREAM_BYTES = 400_000
 STREAM_QUERY = f'bytes={STREAM_BYTES}&chunk_ms=150&chunk_bytes=16384'
 
@@ -115,6 +118,14 @@
     context.fleet.wait_served(LIMIT_S)
 
 
+def _kinds(calls: list[Call]) -> dict[str, int]:
+    """Count what the callers were told, by what says why."""
+    found = (PROBLEM.search(call.body) for call in calls)
+    why = (match.group().decode() if match else '' for match in found)
+    pairs = zip(calls, why, strict=True)
+    return Counter(f'{call.told} {call.status} {each}' for call, each in pairs)
+
+
 @then('the callers and the journals agree')
 def check_log(context: Context) -> None:
     time.sleep(BREATH_S)
@@ -125,7 +136,8 @@
     verdict = judge(context.fleet.calls, ENTRIES.validate_python(entries))
     assert not verdict.faults, str(verdict)
     answered = sum(call.told is Told.answered for call in calls)
-    assert answered > len(calls) / 4, f'{answered} of {len(calls)} answered'
+    told = f'{answered} of {len(calls)} answered: {_kinds(calls)}'
+    assert answered > len(calls) / 4, told
     context.fleet.is_trusted = True
 
 
