Pass over new witnesses that have ended, and change witnesses at once

A new incarnation has an empty run ledger, the two successors had been restarted, and so nobody knew what had run; every payment for these shards is refused for ten minutes, and each is tried 40 times.

Cause: the node began to change its witnesses when one of them restarted, and chose one that stopped 0.1 s later. A change waits for all new witnesses, 2 s for those that are silent, and needs a majority of the old set meanwhile. The next restart came 1.8 s later and took that majority away.

Change: a new witness that the directory says has ended is not waited for, and renewals that carry a change forward are sent at once rather than within 400 ms. A majority of both sets is needed as before.

Ruled out: the stream, the stop, ports, leftovers of what ran before.

Random worlds of the ownership tests find no fault.

Test: real renewals with a clock that stands still, where one witness ends and the next never answers and then ends; before, the change never ends.

--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -28,6 +28,7 @@
         self._next: WitnessSet | None = None
         self._next_since_ms = 0
         self._superseding = False
+        self._passed_over: Set[NodeName] = frozenset()
         self._backings = Backings()
         self._floors: dict[str, int] = {}
         self._resigned = False
@@ -100,8 +101,18 @@
             raise ValueError('a change of witnesses is under way')
         self._next = chosen
         self._next_since_ms = self._clock.now_ms()
+        self._passed_over = frozenset()
         self._until_ms = None
 
+    def pass_over(self, ended: Set[NodeName]) -> bool:
+        """Wait no longer for new witnesses that have ended.
+
+        Tells whether witnesses are to give the old set up only by now.
+        """
+        self._passed_over = ended
+        self._until_ms = None
+        return self._advance()
+
     def resign(self) -> None:
         """Give the lease up for good."""
         self._resigned = True
@@ -152,8 +163,11 @@
             digest=digest,
         )
 
-    def granted(self, request: Renew, sent_ms: int) -> None:
-        """Take in a witness's grant of a renewal sent at a time."""
+    def granted(self, request: Renew, sent_ms: int) -> bool:
+        """Take in a witness's grant of a renewal sent at a time.
+
+        Tells whether witnesses are to give the old set up only by now.
+        """
         backing = self._backings.of(request.witness)
         until_ms = sent_ms + self._own_grant_ms
         for version in request.versions:
@@ -161,8 +175,8 @@
             backing.until_ms[version] = max(until_ms, earlier_ms)
         backing.floors.update(request.floors)
         backing.superseded = max(backing.superseded, request.supersede)
-        self._advance()
         self._until_ms = None
+        return self._advance()
 
     def refused(self, witness: NodeName) -> None:
         """Take in that a witness will never renew again."""
@@ -192,16 +206,20 @@
     def _own_grant_ms(self) -> int:
         return self._settings.grant_ms - self._settings.drift_margin_ms
 
-    def _advance(self) -> None:
+    def _advance(self) -> bool:
         if self._next is None:
-            return
+            return False
         granted = self._backings.granted(self._next, self._floors)
         if granted < self._next.majority:
-            return
+            return False
+        awaited = self._next.without(self._passed_over)
+        granted = self._backings.granted(awaited, self._floors)
         if self._superseding:
             self._finish_change(self._next)
-        elif granted == len(self._next.members) or self._change_is_slow():
+        elif granted == len(awaited.members) or self._change_is_slow():
             self._superseding = True
+            return True
+        return False
 
     def _change_is_slow(self) -> bool:
         waited_ms = self._clock.now_ms() - self._next_since_ms
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -86,7 +86,11 @@
         self._ask_all()
 
     def poke(self) -> None:
-        """Renew at once, so that witnesses hear of new floors."""
+        """Renew at once, so that witnesses hear what is new.
+
+        New floors are waited for, and while the set of witnesses changes, a
+        majority of both sets is needed.
+        """
         poked, self._poke = self._poke, Event()
         poked.send(None)
 
@@ -104,12 +108,18 @@
     def _review(self) -> None:
         self._ask_all()
         if self._lease.is_changing:
+            self._pass_over_ended()
             return
         wanted = self._wanted_witnesses()
         standing = self._lease.witnesses.members
         if set(wanted) != set(standing) and self._lease.holds():
             self._change(self._lease.next_set(wanted))
 
+    def _pass_over_ended(self) -> None:
+        ended = filter(self._view.is_away, self._lease.asked)
+        if self._lease.pass_over(frozenset(ended)):
+            self.poke()
+
     def _wanted_witnesses(self) -> tuple[NodeName, ...]:
         """Return the witnesses to have, chosen anew only after news."""
         standing, lost = self._lease.witnesses.members, self._lease.lost
@@ -137,6 +147,7 @@
         names = ','.join(str(name) for name in chosen.members)
         WITNESSES_CHANGED.report(node=lease.holder, witnesses=names)
         self._ask_all()
+        self.poke()
 
     def _ask_all(self) -> None:
         for name in self._lease.asked:
@@ -173,7 +184,8 @@
         except LinkError:
             return
         if isinstance(reply, Granted):
-            self._lease.granted(request, sent_ms)
+            if self._lease.granted(request, sent_ms):
+                self.poke()
             self._spreader.compare(name, reply.digest)
         elif isinstance(reply, Refused):
             self._take_refusal(name, reply)
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -4,6 +4,7 @@
 plain values: what they mean is decided in the packages that use them.
 """
 
+from collections.abc import Set
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -99,6 +100,11 @@
         """Return how many members are more than half."""
         return len(self.members) // 2 + 1
 
+    def without(self, gone: Set[NodeName]) -> 'WitnessSet':
+        """Return the same version without some of its members."""
+        left = tuple(name for name in self.members if name not in gone)
+        return WitnessSet(self.version, left)
+
 
 @dataclass(frozen=True, slots=True)
 class Seal:
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -107,6 +107,14 @@
       | 0      |
       | 1      |
 
+  # Guards against restarts in turn that overtake changes of witnesses.
+  Scenario: a change of witnesses does not wait for one that has ended
+    Given a node that renews its lease where 3 others are
+    When one of its witnesses ends and the one to follow does not answer
+    Then the change of its witnesses waits
+    When that one ends too
+    Then the change of its witnesses is complete and it holds its lease
+
   # Guards against shards that wait for the ends of nodes that are back.
   Scenario Outline: a node that is back beside a worker that <worker>
     Given a node that has joined again beside a worker that <worker>
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -1,6 +1,6 @@
 """Steps about joining, ending and losing nodes."""
 
-from types import SimpleNamespace
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -8,7 +8,7 @@
 from behave.runner import Context
 
 from laburnumwood.clock import Clock
-from laburnumwood.errors import PlatformUnreachableError
+from laburnumwood.errors import LinkRefusedError, PlatformUnreachableError
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
@@ -16,21 +16,26 @@
 from laburnumwood.membership.joining import (
     announce_leaving,
     join,
+    leave,
     record_witnesses,
 )
 from laburnumwood.membership.known import KnownStore
 from laburnumwood.membership.renewal import Renewer
 from laburnumwood.membership.serving import Serving
 from laburnumwood.membership.view import FleetView
+from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import NodeName, NodeRecord, StoredObject, WitnessSet
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import node_object, to_record
 from laburnumwood.store.writes import new_mark
+from tests.features.steps.fake_clock import FakeClock
 from tests.ownership.node import Code
 from tests.ownership.store import FakeStore
 from tests.ownership.world import SHARDS, World, node_settings
 
 REVIEWED_S = 1.2
+LIMIT_S = 20
+POLL_S = 0.02
 
 
 @given('a store that loses the answer to a write')
@@ -225,23 +230,59 @@
         directory.apply(stored)
 
 
-def _make_renewer(store: FakeStore, lease: Lease, view: FleetView) -> Renewer:
-    settings, clock = LeaseSettings(), Clock()
-    nobody: Any = SimpleNamespace(compare=lambda *_heard: None)
-    witness = Witness(lease.holder, settings, clock)
-    return Renewer(lease, witness, nobody, nobody, view, store, settings, clock)
+class _Witnesses:
+    """The links to witnesses that answer until they are told to end."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._witnesses: dict[NodeName, Witness] = {}
+
+    def add(self, name: NodeName) -> Witness:
+        """Begin to answer as a node."""
+        witness = Witness(name, LeaseSettings(), self._clock)
+        self._witnesses[name] = witness
+        return witness
+
+    def end(self, name: NodeName) -> None:
+        """Answer no longer as a node."""
+        self._witnesses.pop(name)
+
+    def call(self, name: NodeName, request: Renew, _limit_ms: int) -> object:
+        """Return the answer of a node."""
+        if name not in self._witnesses:
+            raise LinkRefusedError(str(name))
+        return self._witnesses[name].renew(request, request.digest)
+
+    def compare(self, *_heard: object) -> None:
+        """Take no news in."""
+
+
+def _join_other(context: Context, node_id: str) -> NodeName:
+    name: NodeName = join(context.store, node_settings(node_id))[0]
+    _read(context.store, context.view.directory)
+    return name
 
 
 @given('a node that renews its lease where {count:d} others are')
 def make_renewing(context: Context, count: int) -> None:
-    context.store = FakeStore()
-    context.name = join(context.store, node_settings('a'))[0]
-    for other in 'bcd'[:count]:
-        join(context.store, node_settings(other))
+    clock = FakeClock()  # it stands still, so that nothing ever takes long
+    links: Any = _Witnesses(clock)
+    context.store, context.links = FakeStore(), links
     context.view = FleetView(Directory(), SealBook())
-    _read(context.store, context.view.directory)
-    context.lease = Lease(context.name, LeaseSettings(), Clock())
-    renewer = _make_renewer(context.store, context.lease, context.view)
+    context.name = _join_other(context, 'a')
+    for other in 'bcd'[:count]:
+        links.add(_join_other(context, other))
+    context.lease = Lease(context.name, LeaseSettings(), clock)
+    renewer = Renewer(
+        context.lease,
+        links.add(context.name),
+        links,
+        links,
+        context.view,
+        context.store,
+        LeaseSettings(),
+        clock,
+    )
     renewer.begin(frozenset())
     _read(context.store, context.view.directory)
     reviewing = eventlet.spawn(renewer.run)
@@ -261,3 +302,43 @@
     members = context.lease.witnesses.members
     assert members == (context.name,), members
     assert not context.lease.is_changing
+
+
+def _end(context: Context, name: NodeName) -> None:
+    leave(context.store, name)
+    _read(context.store, context.view.directory)
+
+
+def _wait_until(check: Callable[[], bool]) -> None:
+    with eventlet.Timeout(LIMIT_S):
+        while not check():
+            eventlet.sleep(POLL_S)
+
+
+@when('one of its witnesses ends and the one to follow does not answer')
+def replace_witness(context: Context) -> None:
+    _wait_until(context.lease.holds)
+    ended = NodeName('b', 1)
+    assert ended in context.lease.witnesses.members
+    context.links.end(ended)
+    # In the same failure domain, it is the one to follow.
+    context.silent = _join_other(context, 'e')
+    _end(context, ended)
+    _wait_until(lambda: context.silent in context.lease.asked)
+
+
+@then('the change of its witnesses waits')
+def check_waiting(context: Context) -> None:
+    eventlet.sleep(REVIEWED_S)
+    assert context.lease.is_changing
+
+
+@when('that one ends too')
+def end_silent(context: Context) -> None:
+    _end(context, context.silent)
+
+
+@then('the change of its witnesses is complete and it holds its lease')
+def check_changed(context: Context) -> None:
+    _wait_until(lambda: context.silent in context.lease.witnesses.members)
+    assert context.lease.holds()
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -34,9 +34,9 @@
 class _FromReceipt(Lease):
     """Counts a grant from when it was received."""
 
-    def granted(self, request: Renew, sent_ms: int) -> None:
+    def granted(self, request: Renew, sent_ms: int) -> bool:
         """Leave the moment of sending out."""
-        super().granted(request, self._clock.now_ms())
+        return super().granted(request, self._clock.now_ms())
 
 
 class _NoJointMajority(Lease):
