Give no port to two runs of tests on one machine

Seen: "any door serves any key" failed with KeyError 'seen' in 1 of 15 plays beside other runs of tests. The worker of p5 had ended with "Address already in use"; what was asked of it was answered by another run's process. One of 60 further plays had such a worker too, unseen by its scenario.

Cause: a port was drawn at random and tried, but what it was for listens only seconds later beside load. Two runs that start a fleet of 40 ports at the same time draw one of 14,000 twice in about one of nine times.

Change: a run takes blocks of 500 ports, claimed for its life by binding the first one at another loopback address.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
-from random import randrange
+from random import shuffle
 from typing import Any
 
 from urllib3 import PoolManager, Retry
@@ -26,7 +26,9 @@
 # Below those that the system gives to outgoing connections, which could take
 # a port before the process that it is meant for listens.
 _PORTS = 18_000, 32_000
-_GIVEN: set[int] = set()
+_BLOCK = 500  # ports that one process takes at a time
+# Nothing listens here.  Who has bound the first port of a block has the block.
+_CLAIMS = '127.0.0.2'
 UNHINDERED: dict[str, Any] = {
     'only': '',
     'cut': False,
@@ -52,13 +54,54 @@
     return True
 
 
+class NoPortsError(OSError):
+    """Other test runs on this machine have all blocks of ports."""
+
+
+class _Ports:
+    """Ports that are given once, to no other process that runs tests."""
+
+    def __init__(self) -> None:
+        self._claims: list[socket.socket] = []
+        self._left: list[int] = []
+
+    def take(self) -> int:
+        """Return a port that is free now; raises `NoPortsError`."""
+        while True:
+            if not self._left:
+                self._claim()
+            port = self._left.pop()
+            if _can_bind(port):
+                return port
+
+    def _claim(self) -> None:
+        """Take a block for as long as this process lives."""
+        blocks = list(range(*_PORTS, _BLOCK))
+        shuffle(blocks)
+        for first in blocks:
+            claim = socket.socket()
+            try:
+                claim.bind((_CLAIMS, first))
+            except OSError:
+                claim.close()
+                continue
+            self._claims.append(claim)
+            self._left = list(range(first, first + _BLOCK))
+            shuffle(self._left)
+            return
+        raise NoPortsError(f'{len(blocks)} blocks are taken')
+
+
+_ports = _Ports()
+
+
 def free_port() -> int:
-    """Return a port that is free now, and that no connection is given."""
-    while True:
-        port = randrange(*_PORTS)
-        if port not in _GIVEN and _can_bind(port):
-            _GIVEN.add(port)
-            return port
+    """Return a port that is free now, and that no connection is given.
+
+    It is given once, and to this process only: what it is meant for may take
+    seconds to listen.
+    """
+    return _ports.take()
 
 
 def _holds(check: Callable[[], bool]) -> bool:
