Let a node that is alone in its service keep its shards without its worker

Cause: a worker that listened 1.5 s later than its node counted as lost, and the node gave its shards up, though nobody could take them. The next incarnation in the same process began with an empty run ledger.

Change: a node gives its shards up for a lost worker only where another node of the service is live.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -142,8 +142,14 @@
 
     @property
     def has_lost_worker(self) -> bool:
-        """Tell whether the worker no longer answers what it is sent."""
-        return self._granter is not None and self._granter.health.is_lost
+        """Tell whether others are to serve for a worker that doesn't answer.
+
+        Without others its node keeps its shards, and what it knows of them.
+        """
+        if self._granter is None or not self._granter.health.is_lost:
+            return False
+        live = self.view.live_in(self._settings.service)
+        return bool(live.keys() - {self.name})
 
     @property
     def is_told_to_serve(self) -> bool:
