Give another life of a worker no token that an earlier one had

Cause: only what the worker still held when its next life began counted as spent. A shard that it had let go for a move which was then not made came back with the token that the last life had.

Change: the highest token of each shard is kept, and spent with the life. Rows of a report may also overlap now.

Evidence: the scenario added to reports.feature failed before.

--- a/laburnumwood/upstream/reporting.py
+++ b/laburnumwood/upstream/reporting.py
@@ -5,13 +5,15 @@
 
     lasts_ms / (1 - clock_drift) <= what is left of the lease
 
-and a lease ends before any witness seals it, so no successor acts while the
-worker may still hold a shard.
+and a lease ends before any witness seals it, so no successor acts by seals
+while the worker may still hold a shard.  Ends that a node records itself wait
+for `held_for_ms`.
 """
 
 from bisect import bisect_right
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from itertools import accumulate
 from typing import Protocol
 
 from laburnumwood.clock import Clock
@@ -47,12 +49,14 @@
 
     def __init__(self, report: WorkerReport) -> None:
         rows = sorted(each.keys for each in report.held)
-        self._lasts = {keys.first: keys.last for keys in rows}
-        self._firsts = list(self._lasts)
+        self._firsts = [keys.first for keys in rows]
+        # The last key of any row that begins there or before.
+        self._lasts = list(accumulate((keys.last for keys in rows), max))
 
     def begin_any(self, ranges: tuple[KeyRange, ...]) -> bool:
         """Tell whether a row begins where one of some ranges does."""
-        return any(keys.first in self._lasts for keys in ranges)
+        firsts = set(self._firsts)
+        return any(keys.first in firsts for keys in ranges)
 
     def meet_any(self, ranges: tuple[KeyRange, ...]) -> bool:
         """Tell whether a row has a key of one of some ranges."""
@@ -60,9 +64,7 @@
 
     def _meet(self, keys: KeyRange) -> bool:
         place = bisect_right(self._firsts, keys.last)
-        if not place:
-            return False
-        return self._lasts[self._firsts[place - 1]] >= keys.first
+        return place > 0 and self._lasts[place - 1] >= keys.first
 
 
 class Holder(Protocol):
@@ -120,7 +122,8 @@
         self._holder: Holder | None = None
         self._given: dict[ShardName, _Given] = {}
         self._withdrawn: set[ShardName] = set()
-        self._spent: dict[ShardName, int] = {}
+        self._highest: dict[ShardName, int] = {}  # tokens given ever
+        self._spent: dict[ShardName, int] = {}  # of earlier lives
         self._left = Handovers()
         self._last_cut = (0, 0)
         self.presence = Presence(settings, clock)
@@ -218,9 +221,10 @@
             started_ms=report.started_ms,
             lost_grants=len(self._given),
         )
-        for shard, given in self._given.items():
-            self._spent[shard] = max(given.token, self._spent.get(shard, 0))
-            if self._holder is not None:
+        # Also of what it had let go: a move that is not made gives it back.
+        self._spent.update(self._highest)
+        if self._holder is not None:
+            for shard in self._highest:
                 self._holder.spend(shard)
         self._given.clear()
         self._left.clear()
@@ -254,6 +258,7 @@
             )
             given.follow(self._given.get(shard))
             self._given[shard] = given
+            self._highest[shard] = max(token, self._highest.get(shard, 0))
         rows = tuple(self._rows(wanted, holder))
         return GrantReply(rows, lasts_ms)
 
@@ -274,7 +279,10 @@
         room = self._settings.most_bytes
         tokens = holder.tokens()
         for shard in sorted(tokens, key=self._newness):
-            if self._is_kept_back(shard, tokens[shard]):
+            if shard in self._withdrawn:
+                continue
+            if tokens[shard] <= self._spent.get(shard, -1):
+                holder.spend(shard)
                 continue
             room -= self._size(shard, holder)
             if room < 0:
@@ -286,9 +294,6 @@
     def _newness(self, shard: ShardName) -> tuple[bool, ShardName]:
         return shard not in self._given, shard
 
-    def _is_kept_back(self, shard: ShardName, token: int) -> bool:
-        return shard in self._withdrawn or token <= self._spent.get(shard, -1)
-
     def _tell_cut(self, shard: ShardName, given: int, held: int) -> None:
         if (given, held) != self._last_cut:
             self._last_cut = given, held
--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -47,6 +47,19 @@
     And the worker reports
     Then it is to hold the shards "1 2" for 2940 ms
 
+  # Guards against a token that another life had: a move that is not made
+  # gives a shard back that the worker had let go.
+  Scenario: a new life gets only higher tokens for what the last one let go
+    When the worker reports
+    And the shard 1 is withdrawn
+    And the worker reports that it holds shard 1
+    And the worker reports that it has released shard 1
+    And another life of the worker reports
+    And the shard 1 is restored
+    And the worker reports
+    Then it is to hold the shards ""
+    And the shards "1 2" need higher tokens
+
   Scenario: keys come with what the worker of another node left for them
     When another node tells what its worker left of shard 2
     And the worker reports
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -206,6 +206,11 @@
     context.worker.withdraw(shard(number))
 
 
+@when('the shard {number:d} is restored')
+def restore(context: Context, number: int) -> None:
+    context.worker.restore(shard(number))
+
+
 @when('the node holds both under higher tokens')
 def raise_tokens(context: Context) -> None:
     for number in (1, 2):
