--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -218,9 +218,9 @@
         if write is None:
             self._begin_move(shard, home)
         else:
-            self._writer.start(self._return, write)
+            start(self._let_go_and_write, write)
 
-    def _return(self, write: ShardWrite) -> None:
+    def _let_go_and_write(self, write: ShardWrite) -> None:
         # Before this node had to win a write, its worker may have been given
         # the shard.
         self._let_go(write.shard)
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
 
@@ -18,6 +19,7 @@
 HOME = NodeName('b', 2)
 SHARD = ShardName('s', 1)
 STEP_MS = 10
+LIMIT_S = 10
 
 
 class SlowWorker:
@@ -91,7 +93,6 @@
     context.tenure.finish = lambda _write, _progress: None
     context.writer.is_healthy = True
     context.writer.has_room = True
-    context.writer.start = lambda task, *arguments: task(*arguments)
     context.writer.carry = partial(_carry, context)
 
 
@@ -104,6 +105,9 @@
 def write_wanted(context: Context) -> None:
     context.began_ms = context.clock.now_ms()
     context.keeper._write_wanted()
+    with eventlet.Timeout(LIMIT_S):
+        while 'written_ms' not in context:
+            eventlet.sleep(0)
 
 
 @then('the shard was written after {span:d} ms')
