Tell the rank of a request that was returned or failed

A gate of a service without keys serves calls that other requests wait for beside downloads. They give the rank now.

Scenario in gate.feature: 2 examples fail without the field, pass with it.

--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -185,6 +185,7 @@
             request=work.request_id,
             service=work.service,
             shard=work.shard,
+            rank=work.priority,
             kind=told.kind,
             detail=told.detail,
             running=self.running,
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -52,3 +52,14 @@
     Then no request waits at the gate
     And the request that left did not run
     And nothing is told but that it was cancelled
+
+  # Guards against logs that can't tell a call sent away from a download.
+  Scenario Outline: the line about a returned request tells its rank
+    Given the gate is closed for the end of its node
+    When a request of rank <rank> comes
+    Then the line about it tells rank <rank>
+
+    Examples:
+      | rank |
+      | 0    |
+      | 2    |
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -215,11 +215,15 @@
     eventlet.sleep(0)
 
 
-@when('a request comes after it was cancelled')
-def come_cancelled(context: Context) -> None:
+def _keep_log(context: Context) -> None:
     context.log = TestHandler()
     context.log.push_application()
     context.add_cleanup(context.log.pop_application)
+
+
+@when('a request comes after it was cancelled')
+def come_cancelled(context: Context) -> None:
+    _keep_log(context)
     _begin(context, LEFT, Cancel())
 
 
@@ -244,8 +248,29 @@
     send(context, PLAIN_WORK.deadline_ms, shard=-1)
 
 
+@when('a request of rank {rank:d} comes')
+def send_ranked(context: Context, rank: int) -> None:
+    _keep_log(context)
+    send(context, PLAIN_WORK.deadline_ms, shard=-1, rank=rank)
+
+
+@then('the line about it tells rank {rank:d}')
+def check_rank(context: Context, rank: int) -> None:
+    told = [
+        record.extra
+        for record in context.log.records
+        if record.extra['event'] == 'request-returned'
+    ]
+    assert [each['rank'] for each in told] == [rank], told
+
+
 @when('a request with {left:d} ms left comes')
-def send(context: Context, left: int, shard: int = SHARD.number) -> None:
+def send(
+    context: Context,
+    left: int,
+    shard: int = SHARD.number,
+    rank: int = PLAIN_WORK.priority,
+) -> None:
     near, far = local_pair()
     work = replace(
         PLAIN_WORK,
@@ -254,6 +279,7 @@
         key='1',
         deadline_ms=left,
         idempotent=True,
+        priority=rank,
     )
     began_ms = context.clock.now_ms()
     context.gate.serve(far, work)
