Let a full queue make room for the class that has fewest waiting for its weight

Cause: the weights of classes count among requests that wait, not for who may wait. A gate without keys gave its places to whoever came first. Downloads of the last rank start seldom beside calls of the first one, so they stay and fill the queue, and each call that comes is sent away at once: rank 0 is refused while rank 2 waits. With keys the same: of a full queue of many keys the newcomer left, whatever its weight.

Change: a full queue drops from the class that has most waiting beyond its first one, by weight, there the newest of the longest line. So a class of little weight keeps one place, and starts by its weight as before.

Tests: 6 examples of admission.feature, which fail on the code before it.

--- a/laburnumwood/admission/queue.py
+++ b/laburnumwood/admission/queue.py
@@ -4,7 +4,8 @@
 and H. Cheng, 1996).  Among the keys of a class the one with the fewest
 requests in slots is next, in turn where they are equal: deficit round robin
 would have to know the cost of a request beforehand.  A full queue drops from
-the longest line, as in P. E. McKenney, "Stochastic fairness queueing", 1990.
+the class that has most waiting for its weight, and there from the longest line,
+as in P. E. McKenney, "Stochastic fairness queueing", 1990.
 """
 
 from collections import Counter, deque
@@ -23,6 +24,20 @@
     def __len__(self) -> int:
         return sum(len(waiting) for waiting in self.keys.values())
 
+    @property
+    def excess(self) -> float:
+        """Return how many wait beyond the one that may, by weight."""
+        return (len(self) - 1) / self.weight
+
+    def newest_of_longest(self, added: Ticket) -> Ticket:
+        """Return who leaves for the ticket that was added last."""
+        # Of equal lines it is that of the ticket itself, or the last in turn.
+        longest = max(
+            reversed(self.keys.values()),
+            key=lambda line: (len(line), line[-1] is added),
+        )
+        return longest[-1]
+
     def next_key(self, running: Counter[str]) -> str:
         return min(self.keys, key=lambda key: running[key])
 
@@ -56,10 +71,11 @@
     def has_room(self, key: str) -> bool:
         """Tell whether a key fills less than its share of the queue.
 
-        The share of a key is half of it.  What has no key may fill it all.
+        The share of a key is half of it.  What has no key may fill it all, and
+        then something has to leave for it.
         """
         if not key:
-            return self._length < self._capacity()
+            return True
         own = sum(
             len(each.keys.get(key, ())) for each in self._classes.values()
         )
@@ -90,7 +106,8 @@
         self._length += 1
         if self._length <= self._capacity():
             return None
-        victim = self._newest_of_longest(ticket)
+        most = max(self._classes.values(), key=lambda each: each.excess)
+        victim = most.newest_of_longest(ticket)
         self.remove(victim)
         return victim
 
@@ -120,8 +137,3 @@
     def _lines(self) -> Iterator[deque[Ticket]]:
         for each in self._classes.values():
             yield from each.keys.values()
-
-    def _newest_of_longest(self, added: Ticket) -> Ticket:
-        own = len(self._classes[added.line.name].keys[added.key])
-        longest = max(self._lines(), key=len)
-        return added if len(longest) == own else longest[-1]
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -49,6 +49,37 @@
     Then the request of key "late" waits
     And 8 wait in all
 
+  # Guards against calls that are sent away while downloads wait (issue 30):
+  # each costs the request that made it, and the slot that this one had.
+  Scenario Outline: a full queue makes room for a class of more weight
+    When 12 requests without a key come
+    And <count> requests without a key come of "calls" of weight 16
+    Then <calls> of "calls" wait and <ordinary> ordinary ones
+    And 8 wait in all
+
+    Examples:
+      | count | calls | ordinary |
+      | 1     | 1     | 7        |
+      | 7     | 7     | 1        |
+      | 20    | 7     | 1        |
+
+  Scenario Outline: a class of little weight keeps one place in a full queue
+    When 12 requests without a key come of "calls" of weight 16
+    And <count> requests without a key come
+    Then 7 of "calls" wait and 1 ordinary ones
+
+    Examples:
+      | count |
+      | 1     |
+      | 5     |
+
+  Scenario: a full queue of many keys makes room for a class of more weight
+    When 12 requests of different keys come
+    And a request of key "new" comes of "paying" of weight 4
+    Then the request of key "new" waits
+    And the request of key "key-11" is shed
+    And 8 wait in all
+
   Scenario: what can't be answered in time is shed at once
     Given answers of 100 ms were seen
     When 8 requests of different keys come
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -111,6 +111,36 @@
     context.bench.offer(key, left)
 
 
+@when('{count:d} requests without a key come')
+def offer_without_key(context: Context, count: int) -> None:
+    offer_many(context, count, '')
+
+
+@when('{count:d} requests without a key come of "{name}" of weight {weight:d}')
+def offer_of_class(
+    context: Context, count: int, name: str, weight: int
+) -> None:
+    for _ in range(count):
+        context.bench.offer('', line=Line(name, weight))
+
+
+@when('a request of key "{key}" comes of "{name}" of weight {weight:d}')
+def offer_one_of_class(
+    context: Context, key: str, name: str, weight: int
+) -> None:
+    context.bench.offer(key, line=Line(name, weight))
+
+
+@then('{first:d} of "{name}" wait and {others:d} ordinary ones')
+def check_waiting_classes(
+    context: Context, first: int, name: str, others: int
+) -> None:
+    waiting = context.bench.having(State.WAITING)
+    found = Counter(each.line.name for each in waiting)
+    assert found[name] == first, found
+    assert found[Line().name] == others, found
+
+
 @when('the worker answers one after {span:d} ms')
 def answer_one(context: Context, span: int) -> None:
     context.bench.clock.pass_ms(span)
