Give a worker that answers again its slots back within seconds

Cause: a gate whose worker loses most answers lowers its limit to one, which is right while the worker is down. It rose by a fifth of its root for each window of eight answers, and a gate that runs one request at a time sees few answers: 7 slots of work of 70 ms were back after 4.7 s, of 300 ms after 17 s (decisions alone; 1.1 and 4.2 s with the change).

Change: after losses the limit doubles with each window in which the worker answers as fast as before, up to what it was. A refusal for its load ends that.

Tests: 2 examples of admission_limit.feature fail on the code before it; that a worker which still loses most answers gets nothing back passes before and after.

--- a/laburnumwood/admission/limit.py
+++ b/laburnumwood/admission/limit.py
@@ -22,6 +22,7 @@
 _REFUSED_FACTOR = 0.9
 _LOST_FACTOR = 0.7
 _LEAST_LOST = 4  # answers in a window
+_BACK_FACTOR = 2  # for each window in which a lost worker answers again
 _HINT_HALF_LIFE_MS = 1_000
 
 
@@ -43,6 +44,7 @@
         self._long = DecayingMean(_LONG_HALF_LIFE_MS, clock)
         self._samples: list[float] = []
         self._lost = 0  # in this window
+        self._before_lost: float = 0  # the limit before answers were lost
         self._busiest = 0
         self._window_ms = clock.now_ms()
         self._decreased_ms = clock.now_ms() - _WINDOW_MS
@@ -67,6 +69,7 @@
 
     def refused(self) -> None:
         """Lower the limit because the worker refused a request."""
+        self._before_lost = 0
         self._decrease(_REFUSED_FACTOR)
 
     def lost(self) -> None:
@@ -77,6 +80,7 @@
         """
         self._lost += 1
         if self._lost >= _LEAST_LOST and self._lost > len(self._samples):
+            self._before_lost = max(self._before_lost, self._limit)
             self._decrease(_LOST_FACTOR)
             self._begin_window()
 
@@ -97,12 +101,28 @@
         self._long.note(short)
         gradient = _TOLERANCE * self._long.mean / short
         gradient = max(_LEAST_GRADIENT, min(1, gradient))
+        if self._limit < self._before_lost and gradient == 1:
+            self._come_back()
+        else:
+            self._follow(gradient)
+        self._begin_window()
+
+    def _come_back(self) -> None:
+        """Raise the limit of a worker that lost answers and gives them again.
+
+        It was down rather than overloaded, and steps by few answers are slow.
+        """
+        whole = min(self._before_lost, self._slots())
+        self._limit = max(1, min(self._limit * _BACK_FACTOR, whole))
+        if self._limit >= whole:
+            self._before_lost = 0
+
+    def _follow(self, gradient: float) -> None:
         aimed = self._limit * gradient + sqrt(self._limit)
         # A limit that is not reached says nothing about a higher one.
         if aimed < self._limit or self._busiest * 2 >= self._limit:
             change = (aimed - self._limit) * _SMOOTHING
             self._limit = max(1, min(self._slots(), self._limit + change))
-        self._begin_window()
 
     def _begin_window(self) -> None:
         self._samples.clear()
--- a/tests/features/admission_limit.feature
+++ b/tests/features/admission_limit.feature
@@ -39,6 +39,28 @@
       | 3     | 20       |
       | 1     | below 8  |
 
+  # Guards against a worker that is back and left idle (issue 30): a gate that
+  # runs little sees few answers, and steps by them take it tens of seconds.
+  Scenario Outline: a worker that answers again gets its slots back soon
+    Given a concurrency limit for 7 slots
+    When the worker answers in <latency> ms, as many at once as it may, for 2 s
+    And 40 answers of the worker are lost one after the other
+    Then the limit is 1
+    When the worker answers in <latency> ms, as many at once as it may, for <span> s
+    Then the limit is 7
+
+    Examples:
+      | latency | span |
+      | 70      | 2    |
+      | 300     | 6    |
+
+  Scenario: a worker that answers only some again does not
+    Given a concurrency limit for 7 slots
+    When the worker answers in 70 ms, as many at once as it may, for 2 s
+    And 40 answers of the worker are lost one after the other
+    And 3 of 4 answers are lost for 2 s
+    Then the limit is below 3
+
   Scenario: a load report of zero changes nothing
     Given a concurrency limit for 20 slots
     When the worker refuses 50 requests over 3 s
--- a/tests/features/steps/admission_limit_steps.py
+++ b/tests/features/steps/admission_limit_steps.py
@@ -42,6 +42,36 @@
             context.limit.lost()
 
 
+@when(
+    'the worker answers in {latency:d} ms, as many at once as it may, '
+    'for {span:d} s'
+)
+def answer_all(context: Context, latency: int, span: int) -> None:
+    end_ms = context.clock.now_ms() + span * 1_000
+    while context.clock.now_ms() < end_ms:
+        context.clock.pass_ms(latency)
+        running = context.limit.current
+        for _ in range(running):
+            context.limit.observe(latency, running)
+
+
+@when('{count:d} answers of the worker are lost one after the other')
+def lose_all(context: Context, count: int) -> None:
+    for _ in range(count):
+        context.clock.pass_ms(ANSWER_MS * 5)
+        context.limit.lost()
+
+
+@when('{lost:d} of {every:d} answers are lost for {span:d} s')
+def lose_most(context: Context, lost: int, every: int, span: int) -> None:
+    for number in range(span * 1_000 // ANSWER_MS // 5):
+        context.clock.pass_ms(ANSWER_MS * 5)
+        if number % every < lost:
+            context.limit.lost()
+        else:
+            context.limit.observe(ANSWER_MS * 5, context.limit.current)
+
+
 @when('the worker reports {reported:d} running while this node runs {own:d}')
 def report_load(context: Context, reported: int, own: int) -> None:
     context.limit.hint(reported, own)
