Let long frames of a process leave one after the other

Cause: a gate sends every answer as soon as it has it, each on the link of its door. Downloads of 90 KB to as many doors as the worker has slots filled what the machine may send at once, and everything else of that node came after it: answers of calls, pings, leases. Doors heard nothing for over a second, gave the links up and opened others, which timed out too.

Change: frames of 16 KiB and more take turns within the process, whatever link they are for. One that has waited 500 ms goes all the same, so that a peer that takes nothing does not keep others from theirs.

--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -14,6 +14,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkLostError, ProtocolError
 from laburnumwood.events import LINK_LOST, MESSAGE_REFUSED
+from laburnumwood.protocol.bulk import BulkTurns
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.silence import LOOK_MS, Silence
 from laburnumwood.protocol.streams import Stream
@@ -60,6 +61,7 @@
 
 
 _WATCH = _LinkWatch()
+_TURNS = BulkTurns()
 
 
 class Link:
@@ -151,7 +153,7 @@
     def send(self, stream: int, message: Any) -> None:
         """Send a message of a stream."""
         frame = encode(stream, message)
-        with self._lock:
+        with _TURNS.taken(len(frame)), self._lock:
             if not self._open:
                 raise LinkLostError(f'link to {self._peer} is closed')
             self._protocol.send_binary(frame)
