Give the worker's slot back before its answer has left the machine

Cause: a request kept its slot until its answer had been sent. A download that waits for the machine's connection so counted against the worker, which had done its part: at gates whose connection is the narrower one, all slots were downloads on their way.

That their workers had free slots is inferred; the lines now tell `leaving` beside `running`.

Change: the slot is given back when the worker's whole answer is there. No more answers leave than requests run, so that a connection which is slower than the worker holds it up and requests wait or are refused as before. A planned stop waits for what leaves, and reports of load count it.

Tests: 2 scenarios of gate.feature fail without it.

--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -21,12 +21,18 @@
         self._admission = admission
         self._clock = clock
         self._queued: set[Ticket] = set()
+        self._leaving: set[Ticket] = set()
 
     @property
     def running(self) -> int:
         """Return how many requests have a slot."""
         return self._admission.running
 
+    @property
+    def leaving(self) -> int:
+        """Return how many have given their slot back and not ended yet."""
+        return len(self._leaving)
+
     @property
     def waiting(self) -> int:
         """Return how many requests wait for one."""
@@ -54,6 +60,18 @@
             self._enter(ticket)
             yield
         finally:
+            self._leaving.discard(ticket)
+            self._admission.finish(ticket)
+
+    def give_back(self, ticket: Ticket) -> None:
+        """Give the slot of a ticket back while its answer still leaves.
+
+        No more leave than run: what is slower than the worker holds it up.
+        """
+        if ticket.state is not State.RUNNING:
+            return
+        if len(self._leaving) < self._admission.running:
+            self._leaving.add(ticket)
             self._admission.finish(ticket)
 
     def cancel(self, ticket: Ticket) -> None:
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -135,8 +135,8 @@
 
     @property
     def running(self) -> int:
-        """Return how many requests are in flight to the worker."""
-        return self._admitter.running
+        """Return how many requests run, or have answers that still leave."""
+        return self._admitter.running + self._admitter.leaving
 
     @property
     def waiting(self) -> int:
@@ -188,7 +188,8 @@
             rank=work.priority,
             kind=told.kind,
             detail=told.detail,
-            running=self.running,
+            running=self._admitter.running,
+            leaving=self._admitter.leaving,
             waiting=self.waiting,
             lease_left_ms=self._lease.holds_until_ms() - now_ms,
             may_have_run=told.ran,
@@ -247,7 +248,9 @@
         exchange.when_message(partial(self._admitter.cancel, ticket))
         try:
             with self._admitter.admitted(ticket), busy:
-                observed = ObservedExchange(exchange, ticket, self._clock)
+                observed = ObservedExchange(
+                    exchange, ticket, self._clock, self._admitter.give_back
+                )
                 self._serve_admitted(observed, run, may_act)
             if observed.told is not None:
                 self._tell_returned(work, observed.told)
--- a/laburnumwood/routing/observed.py
+++ b/laburnumwood/routing/observed.py
@@ -1,10 +1,11 @@
 """What admission learns from the answers that pass the gate."""
 
+from collections.abc import Callable
 from typing import Any
 
 from laburnumwood.admission.tickets import Result, Ticket
 from laburnumwood.clock import Clock
-from laburnumwood.protocol.messages import Answer, Failure
+from laburnumwood.protocol.messages import Answer, Failure, WholeAnswer
 from laburnumwood.routing.exchange import Exchange, WrappedExchange
 
 _SHEDDING = frozenset((429, 503))
@@ -17,12 +18,20 @@
 
 
 class ObservedExchange(WrappedExchange):
-    """An exchange that notes on a ticket how its request went."""
+    """An exchange that notes on a ticket how its request went.
+
+    `when_done` is called once the worker has nothing more to do for it.
+    """
 
     def __init__(
-        self, exchange: Exchange, ticket: Ticket, clock: Clock
+        self,
+        exchange: Exchange,
+        ticket: Ticket,
+        clock: Clock,
+        when_done: Callable[[Ticket], None],
     ) -> None:
         super().__init__(exchange)
+        self._when_done = when_done
         self._ticket = ticket
         self._clock = clock
         self.told: Failure | None = None
@@ -31,6 +40,8 @@
         """Send a message; raises `LinkLostError`."""
         if isinstance(message, Answer):
             self._note(message)
+            if isinstance(message, WholeAnswer):
+                self._when_done(self._ticket)
         elif isinstance(message, Failure):
             self.told = message
             result = _RESULT_OF.get(message.kind)
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -53,6 +53,18 @@
     And the request that left did not run
     And nothing is told but that it was cancelled
 
+  # Guards against slots that are kept for downloads on their way (issue 30).
+  Scenario: an answer that is slow to leave keeps no slot of the worker
+    Given a gate whose answers leave when the test says so
+    When as many requests come as its worker takes, and one more
+    Then all of them were answered by the worker
+    And the gate counts all of them until their answers have left
+
+  Scenario: no more answers leave than requests run
+    Given a gate whose answers leave when the test says so
+    When 4 times as many requests come as its worker takes
+    Then twice as many of them were answered by the worker, or fewer
+
   # Guards against logs that can't tell a call sent away from a download.
   Scenario Outline: the line about a returned request tells its rank
     Given the gate is closed for the end of its node
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -8,6 +8,7 @@
 import eventlet
 from behave import given, then, when
 from behave.runner import Context
+from eventlet.event import Event
 from logbook import TestHandler
 
 from laburnumwood.clock import MS_PER_SECOND
@@ -117,6 +118,85 @@
         return 1 << 62
 
 
+class SlowLink:
+    """A stream on which answers leave when the test says so."""
+
+    def __init__(self) -> None:
+        self.leaves = Event()
+        self.begun: list[Any] = []
+
+    def when_message(self, _act: Callable[[], None] | None) -> None:
+        """Hear of nothing: the asking side waits."""
+
+    def send(self, message: Any) -> None:
+        """Send a message; it takes until the test says so."""
+        self.begun.append(message)
+        self.leaves.wait()
+
+
+@given('a gate whose answers leave when the test says so')
+def make_slow_gate(context: Context) -> None:
+    make_gate_with(context, 0, Answering())
+    context.slow = []
+
+
+def _send_slowly(context: Context, count: int) -> None:
+    for number in range(count):
+        far: Any = SlowLink()
+        work = replace(
+            PLAIN_WORK,
+            request_id=f'slow-{number}',
+            service=SHARD.service,
+            shard=-1,
+            key='',
+            deadline_ms=LIMIT_S * MS_PER_SECOND,
+            idempotent=True,
+        )
+        serving = eventlet.spawn(context.gate.serve, far, work)
+        context.add_cleanup(serving.kill)
+        context.slow.append(far)
+        eventlet.sleep(0)
+
+
+def _answered(context: Context) -> int:
+    return sum(
+        isinstance(message, WholeAnswer)
+        for far in context.slow
+        for message in far.begun
+    )
+
+
+@when('as many requests come as its worker takes, and one more')
+def send_one_more(context: Context) -> None:
+    _send_slowly(context, SLOTS + 1)
+
+
+@when('{times:d} times as many requests come as its worker takes')
+def send_many_slowly(context: Context, times: int) -> None:
+    _send_slowly(context, SLOTS * times)
+
+
+@then('all of them were answered by the worker')
+def check_all_answered(context: Context) -> None:
+    assert _answered(context) == len(context.slow), _answered(context)
+
+
+@then('the gate counts all of them until their answers have left')
+def check_counted(context: Context) -> None:
+    assert context.gate.running == len(context.slow), context.gate.running
+    for far in context.slow:
+        far.leaves.send()
+    eventlet.sleep(0)
+    eventlet.sleep(0)
+    assert context.gate.running == 0, context.gate.running
+
+
+@then('twice as many of them were answered by the worker, or fewer')
+def check_bounded(context: Context) -> None:
+    answered = _answered(context)
+    assert SLOTS < answered <= SLOTS * 2, answered
+
+
 @given('a gate whose worker gets its next grants in {span:d} ms')
 def make_gate(context: Context, span: int) -> None:
     make_gate_with(context, span, Answering())
