Let each gate tell what it carried and sent away, second by second

Change: event gate-load (LW710), one line a second and gate: mean of busy slots, requests let in and sent away, shards held; field rank in request-returned, request-failed and request-again. No decision reads them.

Test: gate.feature, 'a gate tells what it carried and sent away'.

--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -7,6 +7,7 @@
 from eventlet.event import Event
 
 from laburnumwood.admission.control import Admission
+from laburnumwood.admission.tally import Tally
 from laburnumwood.admission.tickets import State, Ticket
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import OverloadedError, RunCancelledError
@@ -21,6 +22,7 @@
         self._admission = admission
         self._clock = clock
         self._queued: set[Ticket] = set()
+        self.tally = Tally(clock)
 
     @property
     def running(self) -> int:
@@ -52,7 +54,8 @@
             raise RunCancelledError(_GONE)
         try:
             self._enter(ticket)
-            yield
+            with self._counted():
+                yield
         finally:
             self._admission.finish(ticket)
 
@@ -62,12 +65,21 @@
         if ticket in self._queued:
             self._admission.finish(ticket)
 
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        self.tally.let_in()
+        try:
+            yield
+        finally:
+            self.tally.done()
+
     def _enter(self, ticket: Ticket) -> None:
         self._wait(ticket)
         if ticket.state is State.RUNNING:
             return
         if ticket.is_cancelled:
             raise RunCancelledError(_GONE)
+        self.tally.shed()
         raise OverloadedError(ticket.retry_after_ms)
 
     def _wait(self, ticket: Ticket) -> None:
--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -54,6 +54,7 @@
             dispatcher,
             lambda: gate.running + gate.waiting,
             self.spread.targets,
+            gate.tell_load,
         )
 
     def run(self) -> None:
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -311,6 +311,13 @@
     'run-cancelled',
     'a request was ended at the gate: nobody waits for its answer any more',
 )
+GATE_LOAD = _event(
+    710,
+    logbook.INFO,
+    'gate-load',
+    'how many slots of the worker were busy, and how many requests were '
+    'let in and shed, in the last seconds',
+)
 TASK_FAILED = _event(
     901,
     logbook.ERROR,
--- a/laburnumwood/placement/exchange.py
+++ b/laburnumwood/placement/exchange.py
@@ -48,6 +48,7 @@
         self._meter = meter
         self._book = book
         self._running: Callable[[], int] = int
+        self._tell: Callable[[], object] = int
         self._also: Callable[[], Iterable[NodeName]] = tuple
 
     def serve(
@@ -55,13 +56,15 @@
         dispatcher: Dispatcher,
         running: Callable[[], int],
         also: Callable[[], Iterable[NodeName]],
+        tell: Callable[[], object] = int,
     ) -> None:
         """Answer peers from now on.
 
         `running` counts the requests in flight here; `also` names peers of
-        other services whose load matters.
+        other services whose load matters; `tell` is called in each round.
         """
         self._running = running
+        self._tell = tell
         self._also = also
         dispatcher.on(LoadAsk)(self._answer)
 
@@ -69,6 +72,7 @@
         """Ask peers round by round; does not return."""
         for number in count():
             eventlet.sleep(_ROUND_MS / MS_PER_SECOND)
+            self._tell()
             for name in self._drawn(number):
                 start(self._ask, name)
 
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -18,7 +18,12 @@
     OverloadedError,
     RunCancelledError,
 )
-from laburnumwood.events import ANSWER_FAILED, REQUEST_RETURNED, RUN_CANCELLED
+from laburnumwood.events import (
+    ANSWER_FAILED,
+    GATE_LOAD,
+    REQUEST_RETURNED,
+    RUN_CANCELLED,
+)
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Entry
 from laburnumwood.membership.spreading import notice_of
@@ -147,6 +152,21 @@
         """Take in how many requests the worker says it runs."""
         self._admitter.hint(reported)
 
+    def tell_load(self) -> None:
+        """Log what this gate carried and sent away since it told last."""
+        carried = self._admitter.tally.take()
+        if carried.is_nothing:
+            return
+        GATE_LOAD.report(
+            service=self._settings.service,
+            slots=self._worker.slots(),
+            busy=round(carried.busy, 2),
+            waiting=self.waiting,
+            let_in=carried.let_in,
+            shed=carried.shed,
+            shards=len(self._holdings.tokens()),
+        )
+
     def close(self) -> None:
         """Send back what comes from now on; what was let in goes on."""
         self._is_closed = True
@@ -185,6 +205,7 @@
             request=work.request_id,
             service=work.service,
             shard=work.shard,
+            rank=work.priority,
             kind=told.kind,
             detail=told.detail,
             running=self.running,
--- a/laburnumwood/routing/tries.py
+++ b/laburnumwood/routing/tries.py
@@ -92,6 +92,7 @@
             request=self._work.request_id,
             service=self._work.service,
             shard=self._work.shard,
+            rank=self._work.priority,
             target=self.target,
             kind=told.kind,
             detail=told.detail,
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -52,3 +52,11 @@
     Then no request waits at the gate
     And the request that left did not run
     And nothing is told but that it was cancelled
+
+  # Guards against requests that are sent away while nobody can tell which
+  # other gates had slots free.
+  Scenario: a gate tells what it carried and sent away
+    Given the gate runs as many requests as its worker takes
+    When 9 more requests of one key come within 500 ms
+    And the gate tells its load
+    Then it told of 4 busy slots, 4 requests let in and 5 sent away
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -290,3 +290,28 @@
 @then('its caller is told to come again after {span:d} ms')
 def check_again(context: Context, span: int) -> None:
     assert context.told.retry_after_ms == span, context.told
+
+
+@when('{count:d} more requests of one key come within {span:d} ms')
+def come_more(context: Context, count: int, span: int) -> None:
+    for number in range(count):
+        _begin(context, f'more-{number}')
+    context.clock.pass_ms(span)
+
+
+@when('the gate tells its load')
+def tell_load(context: Context) -> None:
+    context.log = TestHandler()
+    with context.log.applicationbound():
+        context.gate.tell_load()
+
+
+@then(
+    'it told of {busy:d} busy slots, {let_in:d} requests let in '
+    'and {shed:d} sent away'
+)
+def check_load(context: Context, busy: int, let_in: int, shed: int) -> None:
+    told = context.log.records[-1].extra
+    assert told['event'] == 'gate-load', told
+    found = told['busy'], told['let_in'], told['shed']
+    assert found == (busy, let_in, shed), told
