Divide a large service into narrower stripes, by what answers have room for

Cause: neighbours are hot together, and a stripe was 64 keys however many nodes there are, so that 200 hot keys belonged to 4 of 66 nodes, each with several times the work of its slots, until they were split. A split takes a report of the owner's worker and one of the next worker's (some 2.5 s with those in flight and the measure), and a hot range several splits; it may be over by then.

Change: the first record of a service says also how wide its stripes are. They are as narrow as the answers to two fifths of the workers have room for (145 ranges a node): 64 keys as before on 10 nodes, 16 on 30, 8 on 66. A record without a width, of a service that was divided before, means the declared one, and an older program refuses a record with one, so that no two nodes place a key differently.

Tests: dividing.feature, 'neighbouring keys belong to many of 30 nodes' (4 before, 8 wanted) and 'of 66 nodes' (4 before, 17 wanted) fail without the change; 'a service that was divided before keeps its stripes'.

--- a/laburnumwood/config/declarations.py
+++ b/laburnumwood/config/declarations.py
@@ -54,8 +54,9 @@
     `owner` is the capacity owner that its requests are counted for.  With a
     `stripe_width`, keys are numbers below 65,536 and each run of so many
     neighbours belongs to one shard, else keys are hashed to shards.  With
-    `shards_per_node`, `shards` is the least number: the service gets more
-    where it begins on many nodes, and keeps that number.
+    `shards_per_node`, `shards` is the least number and `stripe_width` the
+    largest: the service gets more shards and narrower stripes where it begins
+    on many nodes, and keeps them.
     """
 
     key: KeySource | None = None
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -56,13 +56,11 @@
 
 
 def _with_planned(
-    declared: Declarations, planned: Mapping[str, int]
+    declared: Declarations, planned: Mapping[str, dict[str, int]]
 ) -> Declarations:
-    """Return declarations with the numbers of shards that were planned."""
+    """Return declarations with the divisions that were planned."""
     services = {
-        name: service.model_copy(update={'shards': planned[name]})
-        if name in planned
-        else service
+        name: service.model_copy(update=planned.get(name))
         for name, service in declared.services.items()
     }
     return declared.model_copy(update={'services': services})
@@ -87,7 +85,7 @@
         self._config = ConfigRecord(0)
         self._declared = Declarations()
         self._declarations = self._declared
-        self._planned: dict[str, int] = {}
+        self._planned: dict[str, dict[str, int]] = {}
         self.revision = 0
         self.changes = 0
         self.node_changes = 0
@@ -104,7 +102,8 @@
     def declarations(self) -> Declarations:
         """Return what the configuration in force declares.
 
-        Services have the number of shards that they were divided into.
+        Services have the number of shards that they were divided into, and
+        the width of stripes that came with it.
         """
         return self._declarations
 
@@ -233,12 +232,17 @@
         self._note_named(shard, records.get(shard.number), record)
         known[shard.number] = Entry(record, stored.version)
         records[shard.number] = record
-        self._note_planned(shard.service, record.shards)
+        self._note_planned(shard.service, record)
         self.when_shard_changes(shard, record)
 
-    def _note_planned(self, service: str, shards: int) -> None:
-        if shards and self._planned.get(service) != shards:
-            self._planned[service] = shards
+    def _note_planned(self, service: str, record: ShardRecord) -> None:
+        if not record.shards:
+            return
+        planned = {'shards': record.shards}
+        if record.stripe_width:
+            planned['stripe_width'] = record.stripe_width
+        if self._planned.get(service) != planned:
+            self._planned[service] = planned
             self._declarations = _with_planned(self._declared, self._planned)
 
     def _note_named(
--- a/laburnumwood/placement/division.py
+++ b/laburnumwood/placement/division.py
@@ -1,8 +1,8 @@
 """Into how many shards a service is divided, decided once by its first nodes.
 
-The number goes with the record of each shard.  Only the first shard may be
-written while no record says what it is, so that all go by the one number that
-the store took.
+That number and the width of stripes go with the record of each shard.  Only
+the first shard may be written while no record says what they are, so that all
+go by those that the store took.
 """
 
 from collections.abc import Set
@@ -10,7 +10,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.sharding import planned_shards
+from laburnumwood.placement.sharding import planned_shards, planned_width
 from laburnumwood.records import NodeName
 
 FIRST = 0  # the shard whose record comes before those of all others
@@ -52,6 +52,15 @@
             return planned_shards(declared, len(self._live()))
         return declared.shards
 
+    def stripe_width(self) -> int:
+        """Return the width of stripes to put on record, 0 for none."""
+        declared = self._declared
+        if declared is None or declared.shards_per_node is None:
+            return 0
+        if self.is_open:
+            return planned_width(declared, len(self._live()))
+        return declared.stripe_width or 0
+
     @property
     def _declared(self) -> Service | None:
         return self._view.directory.declarations.services.get(self._service)
--- a/laburnumwood/placement/layout.py
+++ b/laburnumwood/placement/layout.py
@@ -67,7 +67,8 @@
     else:
         planned = record.shards if record else 0
         shards = planned or service.shards
-        found = stripes_of(number, service.stripe_width, shards)
+        width = record.stripe_width if record else 0
+        found = stripes_of(number, width or service.stripe_width, shards)
     for gone in record.split_off if record else ():
         found = tuple(part for keys in found for part in _without(keys, gone))
     return found
--- a/laburnumwood/placement/sharding.py
+++ b/laburnumwood/placement/sharding.py
@@ -9,6 +9,9 @@
 
 KEY_SPACE = 65_536  # keys of a service whose keys are numbers
 _MOST_LAYOUTS = 4_096  # remembered lists of stripes
+# Of the 360 that an answer to a worker has room for: two fifths of the workers
+# can still be told all that they hold.
+_STRIPES_PER_NODE = 145
 
 
 def planned_shards(service: Service, nodes: int) -> int:
@@ -23,6 +26,16 @@
     return min(1 << (wanted - 1).bit_length(), most)
 
 
+def planned_width(service: Service, nodes: int) -> int:
+    """Return how many keys a stripe gets that begins on so many nodes.
+
+    Many nodes have narrower stripes than declared, so that hot neighbours
+    belong to many of them from the start.
+    """
+    stripes = 1 << (_STRIPES_PER_NODE * nodes).bit_length() - 1
+    return min(service.stripe_width or 0, max(1, KEY_SPACE // stripes))
+
+
 def shard_of(key: str, shards: int) -> int:
     """Return the number of the shard that a key belongs to."""
     return xxh3_64_intdigest(key.encode()) % shards
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -337,7 +337,12 @@
             if split_number(keys) == shard.number:
                 # Tokens of keys rise on from those of the shard they left.
                 return ShardRecord(parent.epoch, succession, keys=keys)
-        return ShardRecord(1, succession, shards=self._division.shards())
+        return ShardRecord(
+            1,
+            succession,
+            shards=self._division.shards(),
+            stripe_width=self._division.stripe_width(),
+        )
 
     def _take_written(self, write: ShardWrite) -> None:
         target = write.record.succession[0]
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -130,7 +130,8 @@
     stripe; empty if it left nothing.  `split_off` are ranges of keys that
     became shards of their own; such a shard has just the range `keys`.
     `shards` is the number of shards that its service was divided into when
-    it got the first one, 0 where that is just as declared.
+    it got the first one, 0 where that is just as declared; so is
+    `stripe_width`, the number of neighbouring keys that stay together.
     """
 
     epoch: int
@@ -140,6 +141,7 @@
     split_off: tuple[KeyRange, ...] = ()
     mark: WriteMark | None = None
     shards: int = 0
+    stripe_width: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/features/dividing.feature
+++ b/tests/features/dividing.feature
@@ -16,6 +16,27 @@
       | 30    | 128    | 4     | 5    |
       | 66    | 256    | 3     | 4    |
 
+  # Guards against hot neighbours that a few nodes own while others idle: the
+  # busiest keys are close to one another, and a split takes seconds.
+  # A quarter of the nodes can carry what the hottest neighbours get.
+  Scenario Outline: neighbouring keys belong to many of <nodes> nodes
+    Given <nodes> nodes that begin together
+    When 4 s pass for them
+    Then any 200 neighbouring keys belong to <owners> nodes at least
+    And the answers to <few> workers have room for all keys
+
+    Examples:
+      | nodes | owners | few |
+      | 7     | 2      | 3   |
+      | 30    | 8      | 12  |
+      | 66    | 17     | 26  |
+
+  # Guards against two owners of a key while two versions of the program run.
+  Scenario: a service that was divided before keeps its stripes
+    Given 66 nodes whose service was divided into 256 shards of 64 keys a stripe
+    When 4 s pass for them
+    Then the keys 0 to 63 are of one shard and the next of another
+
   Scenario: the number stays when nodes come
     Given 7 nodes that begin together
     When 4 s pass for them
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -1,12 +1,14 @@
 """Steps about the division of a service into shards by its first nodes."""
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import replace
 
 from behave import given, then, when
 from behave.runner import Context
 
 from bench.spreading import record_of
+from laburnumwood.config.declarations import Service
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
@@ -22,12 +24,17 @@
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.records import (
     ConfigRecord,
+    KeyRange,
     NodeName,
     ShardName,
     ShardRecord,
     StoredObject,
 )
-from laburnumwood.settings import LeaseSettings, PlacementSettings
+from laburnumwood.settings import (
+    LeaseSettings,
+    PlacementSettings,
+    ReportSettings,
+)
 from laburnumwood.store.objects import (
     CONFIG,
     SHARDS,
@@ -40,6 +47,8 @@
 
 SERVICE = 'service'
 _TURN_MS = 200
+_SOME_KEYS = 7  # between the ranges that are looked at
+_RANGE_BYTES = 11  # of a range in an answer to a worker
 _DECLARED = {
     'services': {
         SERVICE: {
@@ -109,6 +118,10 @@
             for shard in node.tenure.wanted():
                 self._write(node, shard)
 
+    def bring(self, shard: ShardName, record: ShardRecord) -> None:
+        """Let the store hold a record from before."""
+        self._put(shard_object(shard), to_value(record))
+
     def records(self) -> dict[int, ShardRecord]:
         """Return the records of the service's shards."""
         return {
@@ -135,6 +148,28 @@
         return stored
 
 
+def _service(context: Context) -> Service:
+    directory = context.fleet.nodes[-1].view.directory
+    found: Service = directory.declarations.services[SERVICE]
+    return found
+
+
+def _all_keys(keys: KeyRange) -> range:
+    return range(keys.first, keys.last + 1)
+
+
+def _owners_by_key(
+    context: Context, owner_of: Callable[[int, ShardRecord], object]
+) -> list[object]:
+    service = _service(context)
+    owners: dict[int, object] = {}
+    for number, record in context.fleet.records().items():
+        for keys in ranges_of(number, record, service):
+            owner = owner_of(number, record)
+            owners.update(dict.fromkeys(_all_keys(keys), owner))
+    return [owners[key] for key in range(KEY_SPACE)]
+
+
 @given('{count:d} nodes that begin together')
 def begin(context: Context, count: int) -> None:
     context.fleet = _Fleet(0)
@@ -183,10 +218,52 @@
     assert sorted(records) == list(range(divisions.pop())), len(records)
 
 
+@given(
+    '{count:d} nodes whose service was divided into {shards:d} shards of '
+    '{width:d} keys a stripe'
+)
+def begin_divided(
+    context: Context, count: int, shards: int, width: int
+) -> None:
+    begin(context, count)
+    # The first programs that divided a service put no width on record.
+    assert _DECLARED['services'][SERVICE]['stripe_width'] == width
+    first = ShardRecord(1, (NodeName('n0', 1),), shards=shards)
+    context.fleet.bring(ShardName(SERVICE, 0), first)
+
+
+@then('the keys 0 to {last:d} are of one shard and the next of another')
+def check_stripes(context: Context, last: int) -> None:
+    shards = _owners_by_key(context, lambda number, _record: number)
+    first, other = set(shards[: last + 1]), shards[last + 1]
+    assert len(first) == 1, first
+    assert other not in first, other
+
+
+@then('any {count:d} neighbouring keys belong to {least:d} nodes at least')
+def check_owners(context: Context, count: int, least: int) -> None:
+    owners = _owners_by_key(
+        context, lambda _number, record: record.succession[0]
+    )
+    for first in range(0, KEY_SPACE - count, _SOME_KEYS):
+        found = set(owners[first : first + count])
+        assert len(found) >= least, (first, found)
+
+
+@then('the answers to {few:d} workers have room for all keys')
+def check_room(context: Context, few: int) -> None:
+    service = _service(context)
+    ranges = sum(
+        len(ranges_of(number, record, service))
+        for number, record in context.fleet.records().items()
+    )
+    room = few * ReportSettings().most_bytes
+    assert ranges * _RANGE_BYTES <= room, ranges
+
+
 @then('each key of the service is placed in the shard that has it')
 def check_keys(context: Context) -> None:
-    directory = context.fleet.nodes[-1].view.directory
-    service = directory.declarations.services[SERVICE]
+    service = _service(context)
     seen: dict[int, int] = {}
     for number, record in context.fleet.records().items():
         for keys in ranges_of(number, record, service):
