Let long answers leave a machine one after the other, with their slots free

Cause: bodies were handed to the connections at once, on as many links as there are doors. Where they are more than the line carries, whatever follows on any link waits behind all of them, the answers of calls, pings and renewals too; links are given up, requests sent again over new ones, and a gate's slots were kept until its answers had been handed over.

Change: a long part of a body goes when those before it have arrived, which the answer to a ping behind it says; what is short goes at once. The slot of a request is free once its whole answer is there. A request of a rank whose answers are long is sent away, with the time to come back, if its answer could not leave in time: it has not run then.

--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -22,6 +22,7 @@
         self._admission = admission
         self._clock = clock
         self._queued: set[Ticket] = set()
+        self._inside: set[Ticket] = set()
         self.tally = Tally(clock)
 
     @property
@@ -54,10 +55,18 @@
             raise RunCancelledError(_GONE)
         try:
             self._enter(ticket)
-            with self._counted():
-                yield
+            self.tally.let_in()
+            self._inside.add(ticket)
+            yield
         finally:
-            self._admission.finish(ticket)
+            self.release(ticket)
+
+    def release(self, ticket: Ticket) -> None:
+        """Give the slot of a ticket back before its block ends, or then."""
+        if ticket in self._inside:
+            self._inside.remove(ticket)
+            self.tally.done()
+        self._admission.finish(ticket)
 
     def cancel(self, ticket: Ticket) -> None:
         """Give up the place of a ticket that has no slot yet."""
@@ -65,14 +74,6 @@
         if ticket in self._queued:
             self._admission.finish(ticket)
 
-    @contextmanager
-    def _counted(self) -> Iterator[None]:
-        self.tally.let_in()
-        try:
-            yield
-        finally:
-            self.tally.done()
-
     def _enter(self, ticket: Ticket) -> None:
         self._wait(ticket)
         if ticket.state is State.RUNNING:
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -15,6 +15,8 @@
 from laburnumwood.errors import LinkLostError, ProtocolError
 from laburnumwood.events import LINK_LOST, MESSAGE_REFUSED
 from laburnumwood.protocol.codec import decode, encode
+from laburnumwood.protocol.messages import Chunk, WholeAnswer
+from laburnumwood.protocol.outlet import LONG, OUTLET, Passage
 from laburnumwood.protocol.silence import LOOK_MS, Silence
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
@@ -25,6 +27,8 @@
 _READ_SIZE = 65_536
 _LOOKS_PER_IDLE_LINK = 20  # most links of a large fleet carry nothing
 
+_BODIES = (WholeAnswer, Chunk)  # records and news of nodes never wait
+
 Handler = Callable[['Link', Stream, Any], None]
 
 
@@ -96,6 +100,8 @@
         self._is_owed = False  # also after the stream was given up
         self._lock = Semaphore()
         self._unsent = b''  # begun, and not yet taken by the connection
+        self._passages: dict[bytes, Passage] = {}  # by their pings
+        self._last_ping = 0
         self._open = True
 
     @property
@@ -151,15 +157,37 @@
     def send(self, stream: int, message: Any) -> None:
         """Send a message of a stream."""
         frame = encode(stream, message)
+        if len(frame) < LONG or not isinstance(message, _BODIES):
+            self._send_frame(frame)
+            return
+        passage = OUTLET.enter(len(frame))
+        self._last_ping += 1
+        ping = str(self._last_ping).encode()
+        self._passages[ping] = passage
+        try:
+            self._send_frame(frame, ping)
+        except LinkLostError:
+            self._note_arrived(ping)
+            raise
+
+    def forget(self, stream: int) -> None:
+        """Drop a stream that has ended."""
+        self._streams.pop(stream, None)
+
+    def _send_frame(self, frame: bytes, ping: bytes | None = None) -> None:
         with self._lock:
             if not self._open:
                 raise LinkLostError(f'link to {self._peer} is closed')
             self._protocol.send_binary(frame)
+            if ping is not None:
+                # Its answer says that all before it has arrived.
+                self._protocol.send_ping(ping)
             self._flush()
 
-    def forget(self, stream: int) -> None:
-        """Drop a stream that has ended."""
-        self._streams.pop(stream, None)
+    def _note_arrived(self, ping: bytes) -> None:
+        passage = self._passages.pop(ping, None)
+        if passage is not None:
+            OUTLET.arrived(passage)
 
     def close(self, reason: str = 'closed by this node') -> None:
         """End the connection and every stream on it."""
@@ -173,6 +201,8 @@
         for stream in tuple(self._streams.values()):
             stream.fail(LinkLostError(f'link to {self._peer} was lost'))
         self._streams.clear()
+        for ping in tuple(self._passages):
+            self._note_arrived(ping)
 
     def release(self) -> None:
         """Let the connection end once it carries nothing."""
@@ -237,6 +267,8 @@
             if event.opcode is Opcode.BINARY:
                 self._dispatch(*decode(bytes(event.data)))
             else:
+                if event.opcode is Opcode.PONG:
+                    self._note_arrived(bytes(event.data))
                 # The reader never waits for a sender: two peers that wait
                 # for each other's reader would stop for good.
                 start(self._send_pending)
--- /dev/null
+++ b/laburnumwood/protocol/outlet.py
@@ -0,0 +1,80 @@
+"""Turns of long messages on their way out of this machine.
+
+All links of a process share one line.  What a connection has taken can't be
+overtaken any more, and a connection takes a long message at once: an answer
+of a few bytes on another link waits until all long ones before it are out.
+So a long part of a body goes when those before it have arrived.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from laburnumwood.clock import Clock
+from laburnumwood.decay import DecayingMean
+from laburnumwood.news import News
+
+LONG = 16_384  # bytes from which on a part of a body waits for its turn
+_WINDOW = 98_304  # bytes on their way, of several messages
+_LONGEST_MS = 200  # a peer that says nothing for longer holds up nobody
+_HALF_LIFE_MS = 2_000
+
+
+@dataclass(slots=True, eq=False)
+class Passage:
+    """One long message; `sent_ms` is when it was let go."""
+
+    size: int
+    sent_ms: int = 0
+
+
+class Outlet:
+    """Who of the long messages goes, and how long others would wait."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._waiting: deque[Passage] = deque()
+        self._under_way: dict[Passage, None] = {}
+        self._pace = DecayingMean(_HALF_LIFE_MS, clock)  # ms for a byte
+        self._news = News()
+
+    @property
+    def waiting_ms(self) -> float:
+        """Return how long one more long message would wait for its turn."""
+        ahead = sum(each.size for each in self._waiting)
+        return ahead * self._pace.mean
+
+    def enter(self, size: int) -> Passage:
+        """Wait until a long message may go, and let it go."""
+        passage = Passage(size)
+        self._waiting.append(passage)
+        try:
+            while not self._may_go(passage):
+                self._news.wait(_LONGEST_MS / 2)
+        finally:
+            self._waiting.remove(passage)
+            self._news.tell()
+        passage.sent_ms = self._clock.now_ms()
+        self._under_way[passage] = None
+        return passage
+
+    def arrived(self, passage: Passage) -> None:
+        """Take in that a message has arrived, or that it will not any more."""
+        if passage not in self._under_way:
+            return
+        self._under_way.pop(passage)
+        taken_ms = self._clock.now_ms() - passage.sent_ms
+        self._pace.note(taken_ms / passage.size)
+        self._news.tell()
+
+    def _may_go(self, passage: Passage) -> bool:
+        if self._waiting[0] is not passage:
+            return False
+        now_ms = self._clock.now_ms()
+        for late in tuple(self._under_way):
+            if now_ms - late.sent_ms >= _LONGEST_MS:
+                self.arrived(late)
+        on_way = sum(each.size for each in self._under_way)
+        return not on_way or on_way + passage.size <= _WINDOW
+
+
+OUTLET = Outlet(Clock())  # of this process
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -31,10 +31,11 @@
 from laburnumwood.placement.layout import Records, placed_shard
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
+from laburnumwood.protocol.outlet import OUTLET
 from laburnumwood.records import ShardName, ShardRecord
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.execution import Executor, MayAct
-from laburnumwood.routing.observed import ObservedExchange
+from laburnumwood.routing.observed import LongAnswers, ObservedExchange
 from laburnumwood.routing.outcome import failure, overloaded
 from laburnumwood.routing.priorities import line_of, useful_until_ms
 from laburnumwood.routing.run import Run
@@ -136,6 +137,7 @@
             ),
             clock,
         )
+        self._long_answers = LongAnswers(OUTLET, clock)
         self._is_closed = False
 
     @property
@@ -259,28 +261,40 @@
     ) -> None:
         work = run.work
         service = self._services().get(work.service)
-        now_ms = self._clock.now_ms()
-        useful_ms = useful_until_ms(work, now_ms, run.until_ms)
+        line_ms = self._long_answers.wait_ms(work.priority)
+        useful_ms = useful_until_ms(work, self._clock.now_ms(), run.until_ms)
+        useful_ms -= line_ms
         line = line_of(work, service)
         ticket = Ticket(work.key, run.until_ms, useful_ms, line)
         busy = self._account.busy(work.service)
         exchange.when_message(partial(self._admitter.cancel, ticket))
         try:
             with self._admitter.admitted(ticket), busy:
-                observed = ObservedExchange(exchange, ticket, self._clock)
+                observed = ObservedExchange(
+                    exchange,
+                    ticket,
+                    self._clock,
+                    partial(self._free, ticket, work.priority),
+                )
                 self._serve_admitted(observed, run, may_act)
             if observed.told is not None:
                 self._tell_returned(work, observed.told)
         except RunCancelledError:
             self._tell_cancelled(work)
-        except OverloadedError:
+        except OverloadedError as shed:
             # What does not fit on this worker is load all the same.
             self._meter.note(work.shard, work.key, self._admitter.slot_ms)
+            shed.retry_after_ms = max(shed.retry_after_ms, line_ms)
             raise
         if ticket.result is Result.SERVED:
             busy_ms = self._clock.now_ms() - ticket.started_ms
             self._meter.note(work.shard, work.key, busy_ms)
 
+    def _free(self, ticket: Ticket, rank: int, length: int) -> None:
+        """Give the slot of a request back whose whole answer is here."""
+        self._long_answers.note(rank, length)
+        self._admitter.release(ticket)
+
     def _serve_admitted(
         self, exchange: Exchange, run: Run, may_act: MayAct
     ) -> None:
