Let as many long answers be on their way as arrive soon

Found by reading.

Change: the bytes that may be on their way grow while answers arrive within 50 ms, which is what a short one may wait, and shrink where they take 100.

Test: outlet.feature, 'as many go together as arrive soon' (35 ms: 1 of 8 gone before, 8 after; 130 ms: 1 before and after).

--- a/laburnumwood/protocol/outlet.py
+++ b/laburnumwood/protocol/outlet.py
@@ -14,7 +14,11 @@
 from laburnumwood.news import News
 
 LONG = 16_384  # bytes from which on a part of a body waits for its turn
-_WINDOW = 98_304  # bytes on their way, of several messages
+_LEAST_WINDOW = 98_304  # bytes on their way, of several messages
+_MOST_WINDOW = 4_194_304
+_SOON_MS = 50  # what arrives in this time holds up nobody
+_LATE_MS = 100
+_SHRINK = 0.7
 _LONGEST_MS = 200  # a peer that says nothing for longer holds up nobody
 _HALF_LIFE_MS = 2_000
 
@@ -34,6 +38,7 @@
         self._clock = clock
         self._waiting: deque[Passage] = deque()
         self._under_way: dict[Passage, None] = {}
+        self._window: float = _LEAST_WINDOW
         self._pace = DecayingMean(_HALF_LIFE_MS, clock)  # ms for a byte
         self._news = News()
 
@@ -64,8 +69,16 @@
         self._under_way.pop(passage)
         taken_ms = self._clock.now_ms() - passage.sent_ms
         self._pace.note(taken_ms / passage.size)
+        self._adapt(passage.size, taken_ms)
         self._news.tell()
 
+    def _adapt(self, size: int, taken_ms: int) -> None:
+        """Let as much be on its way as arrives soon: lines and ways differ."""
+        if taken_ms <= _SOON_MS:
+            self._window = min(self._window + size, _MOST_WINDOW)
+        elif taken_ms >= _LATE_MS:
+            self._window = max(self._window * _SHRINK, _LEAST_WINDOW)
+
     def _may_go(self, passage: Passage) -> bool:
         if self._waiting[0] is not passage:
             return False
@@ -74,7 +87,7 @@
             if now_ms - late.sent_ms >= _LONGEST_MS:
                 self.arrived(late)
         on_way = sum(each.size for each in self._under_way)
-        return not on_way or on_way + passage.size <= _WINDOW
+        return not on_way or on_way + passage.size <= self._window
 
 
 OUTLET = Outlet(Clock())  # of this process
--- a/tests/features/outlet.feature
+++ b/tests/features/outlet.feature
@@ -15,6 +15,18 @@
     When 3 long messages of 40000 bytes ask to go
     Then 2 of them have gone
 
+  # Guards against long ways that are used for one answer at a time.
+  Scenario Outline: as many go together as arrive soon
+    Given an outlet
+    And 20 long messages before, which arrived after <span> ms each
+    When 8 long messages of 90000 bytes ask to go
+    Then <gone> of them have gone
+
+    Examples:
+      | span | gone |
+      | 35   | 8    |
+      | 130  | 1    |
+
   Scenario: a peer that says nothing holds up the others for a while only
     Given an outlet
     When 2 long messages of 90000 bytes ask to go
--- a/tests/features/steps/outlet_steps.py
+++ b/tests/features/steps/outlet_steps.py
@@ -38,6 +38,14 @@
     context.gone = {}
 
 
+@given('{count:d} long messages before, which arrived after {span:d} ms each')
+def send_before(context: Context, count: int, span: int) -> None:
+    for _ in range(count):
+        passage = context.outlet.enter(LONG)
+        context.clock.pass_ms(span)
+        context.outlet.arrived(passage)
+
+
 def _go(context: Context, number: int, size: int) -> None:
     context.gone[number] = context.outlet.enter(size)
 
