--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -7,6 +7,7 @@
 from eventlet.event import Event
 
 from laburnumwood.admission.control import Admission
+from laburnumwood.admission.tally import Tally
 from laburnumwood.admission.tickets import State, Ticket
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import OverloadedError, RunCancelledError
@@ -22,6 +23,8 @@
         self._clock = clock
         self._queued: set[Ticket] = set()
         self._leaving: set[Ticket] = set()
+        self._inside: set[Ticket] = set()
+        self.tally = Tally(clock)
 
     @property
     def running(self) -> int:
@@ -58,21 +61,18 @@
             raise RunCancelledError(_GONE)
         try:
             self._enter(ticket)
+            self.tally.let_in()
+            self._inside.add(ticket)
             yield
         finally:
             self._leaving.discard(ticket)
-            self._admission.finish(ticket)
+            self._release(ticket)
 
     def give_back(self, ticket: Ticket) -> None:
-        """Give the slot of a ticket back while its answer still leaves.
-
-        No more leave than run: what is slower than the worker holds it up.
-        """
-        if ticket.state is not State.RUNNING:
-            return
-        if len(self._leaving) < self._admission.running:
+        """Give the slot of a ticket back while its answer still leaves."""
+        if ticket.state is State.RUNNING:
             self._leaving.add(ticket)
-            self._admission.finish(ticket)
+            self._release(ticket)
 
     def cancel(self, ticket: Ticket) -> None:
         """Give up the place of a ticket that has no slot yet."""
@@ -86,8 +86,15 @@
             return
         if ticket.is_cancelled:
             raise RunCancelledError(_GONE)
+        self.tally.shed()
         raise OverloadedError(ticket.retry_after_ms)
 
+    def _release(self, ticket: Ticket) -> None:
+        if ticket in self._inside:
+            self._inside.remove(ticket)
+            self.tally.done()
+        self._admission.finish(ticket)
+
     def _wait(self, ticket: Ticket) -> None:
         self._admission.offer(ticket)
         if ticket.state is State.WAITING:
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -18,7 +18,12 @@
     OverloadedError,
     RunCancelledError,
 )
-from laburnumwood.events import ANSWER_FAILED, REQUEST_RETURNED, RUN_CANCELLED
+from laburnumwood.events import (
+    ANSWER_FAILED,
+    GATE_LOAD,
+    REQUEST_RETURNED,
+    RUN_CANCELLED,
+)
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Entry
 from laburnumwood.membership.spreading import notice_of
@@ -26,10 +31,11 @@
 from laburnumwood.placement.layout import Records, placed_shard
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
+from laburnumwood.protocol.outlet import OUTLET
 from laburnumwood.records import ShardName, ShardRecord
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.execution import Executor, MayAct
-from laburnumwood.routing.observed import ObservedExchange
+from laburnumwood.routing.observed import LongAnswers, ObservedExchange
 from laburnumwood.routing.outcome import failure, overloaded
 from laburnumwood.routing.priorities import line_of, useful_until_ms
 from laburnumwood.routing.run import Run
@@ -131,6 +137,7 @@
             ),
             clock,
         )
+        self._long_answers = LongAnswers(OUTLET, clock)
         self._is_closed = False
 
     @property
@@ -147,6 +154,21 @@
         """Take in how many requests the worker says it runs."""
         self._admitter.hint(reported)
 
+    def tell_load(self) -> None:
+        """Log what this gate carried and sent away since it told last."""
+        carried = self._admitter.tally.take()
+        if carried.is_nothing:
+            return
+        GATE_LOAD.report(
+            service=self._settings.service,
+            slots=self._worker.slots(),
+            busy=round(carried.busy, 2),
+            waiting=self.waiting,
+            let_in=carried.let_in,
+            shed=carried.shed,
+            shards=len(self._holdings.tokens()),
+        )
+
     def close(self) -> None:
         """Send back what comes from now on; what was let in goes on."""
         self._is_closed = True
@@ -240,8 +262,9 @@
     ) -> None:
         work = run.work
         service = self._services().get(work.service)
-        now_ms = self._clock.now_ms()
-        useful_ms = useful_until_ms(work, now_ms, run.until_ms)
+        line_ms = self._long_answers.wait_ms(work.priority)
+        useful_ms = useful_until_ms(work, self._clock.now_ms(), run.until_ms)
+        useful_ms -= line_ms
         line = line_of(work, service)
         ticket = Ticket(work.key, run.until_ms, useful_ms, line)
         busy = self._account.busy(work.service)
@@ -249,21 +272,30 @@
         try:
             with self._admitter.admitted(ticket), busy:
                 observed = ObservedExchange(
-                    exchange, ticket, self._clock, self._admitter.give_back
+                    exchange,
+                    ticket,
+                    self._clock,
+                    partial(self._free, ticket, work.priority),
                 )
                 self._serve_admitted(observed, run, may_act)
             if observed.told is not None:
                 self._tell_returned(work, observed.told)
         except RunCancelledError:
             self._tell_cancelled(work)
-        except OverloadedError:
+        except OverloadedError as shed:
             # What does not fit on this worker is load all the same.
             self._meter.note(work.shard, work.key, self._admitter.slot_ms)
+            shed.retry_after_ms = max(shed.retry_after_ms, line_ms)
             raise
         if ticket.result is Result.SERVED:
             busy_ms = self._clock.now_ms() - ticket.started_ms
             self._meter.note(work.shard, work.key, busy_ms)
 
+    def _free(self, ticket: Ticket, rank: int, length: int) -> None:
+        """Give the slot of a request back whose whole answer is here."""
+        self._long_answers.note(rank, length)
+        self._admitter.give_back(ticket)
+
     def _serve_admitted(
         self, exchange: Exchange, run: Run, may_act: MayAct
     ) -> None:
