Begin no move or split while the store was silent and still is

Cause: a move let its worker release the shard before it asked whether the store answers, and gave it back when it did not, again and again.

Change: where the store did not answer when it was asked last, it is asked first.

Evidence: the scenario added to handing_over.feature failed before.

--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -145,7 +145,16 @@
             if write is not None:
                 start(self._move, write)
 
+    def _is_store_away(self, shard: ShardName) -> bool:
+        """Tell whether the store, silent when asked last, still is."""
+        if self._writer.is_answered:
+            return False
+        return not self._writer.refresh_if_possible(shard)
+
     def _move(self, write: ShardWrite) -> None:
+        if not self._stopping and self._is_store_away(write.shard):
+            self._finish(write, Progress.NOT_SENT)
+            return
         self._let_go(write.shard)
         handovers = self._grants.handovers(write.shard)
         write.record = replace(write.record, handovers=handovers)
@@ -173,6 +182,9 @@
             start(self._split, write, split)
 
     def _split(self, write: ShardWrite, split: Split) -> None:
+        if self._is_store_away(write.shard):
+            self._finish(write, Progress.NOT_SENT)
+            return
         # The worker lets the whole shard go, so that nothing is held of the
         # parts while they belong to nobody.
         self._let_go(write.shard)
--- a/tests/features/handing_over.feature
+++ b/tests/features/handing_over.feature
@@ -31,3 +31,15 @@
       | progress  | again |
       | NOT_SENT  | yes   |
       | ABANDONED | no    |
+
+  # Guards against a hot shard that is closed again and again by moves and
+  # splits that a node can't record.
+  Scenario Outline: a <change> is not begun while the store was silent and is
+    Given a node whose store does not answer and whose worker lets go after 300 ms
+    When a <change> of a shard is carried out
+    Then the worker was not asked to let it go
+
+    Examples:
+      | change |
+      | move   |
+      | split  |
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -30,10 +30,12 @@
         self._from_ms = clock.now_ms() + release_ms
         self.news = News()
         self.withdrawn: set[ShardName] = set()
+        self.asked: list[ShardName] = []
 
     def withdraw(self, shard: ShardName) -> None:
         """Take in that a shard is to be let go."""
         self.withdrawn.add(shard)
+        self.asked.append(shard)
         self._clock.pass_ms(STEP_MS)
 
     def restore(self, shard: ShardName) -> None:
@@ -127,3 +129,19 @@
 @then('the worker may get the shard again: {again}')
 def check_again(context: Context, again: str) -> None:
     assert (SHARD not in context.worker.withdrawn) == (again == 'yes')
+
+
+@when('a {change} of a shard is carried out')
+def carry_out(context: Context, change: str) -> None:
+    context.tenure.finish = lambda _write, _progress: None
+    context.writer.refresh_if_possible = lambda _shard: False
+    write = SimpleNamespace(shard=SHARD)
+    if change == 'move':
+        context.keeper._move(write)
+    else:
+        context.keeper._split(write, None)
+
+
+@then('the worker was not asked to let it go')
+def check_kept(context: Context) -> None:
+    assert not context.worker.asked
