Wait before a move that was not sent may be begun again

A store that refuses writes alone would have got two from each shard of the node each time, which were 300 ms apart while such moves were settled. That pause is back.

--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -62,6 +62,9 @@
             progress = write.step(self._platform)
         if progress is Progress.UNSETTLED:
             return self._settle(write)
+        if progress is Progress.NOT_SENT:
+            # Who begins it again at once must not press a store that refuses.
+            eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
         return progress
 
     def refresh_if_possible(self, shard: ShardName) -> bool:
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -3,6 +3,7 @@
 import socket
 from contextlib import suppress
 from threading import Thread
+from types import SimpleNamespace
 from typing import Any
 
 from behave import given, then, when
@@ -16,7 +17,9 @@
     PlatformUnreachableError,
 )
 from laburnumwood.leases.lease import Lease
-from laburnumwood.placement.shard_write import ShardWrite
+from laburnumwood.membership.directory import Directory
+from laburnumwood.placement.shard_write import Progress, ShardWrite
+from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.platform.store import ObjectStore
 from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import (
@@ -151,3 +154,24 @@
 def check_progress(context: Context, progress: str) -> None:
     assert context.progress.name == progress, context.progress
     assert not context.store.calls, context.store.calls
+
+
+@when(
+    'moves that are not sent are carried one after the other for {span_ms:d} ms'
+)
+def carry_often(context: Context, span_ms: int) -> None:
+    renewer: Any = SimpleNamespace(poke=lambda: None)
+    store: Any = _FailingStore('')
+    writer = ShardWriter(store, Directory(), renewer)
+    write: Any = SimpleNamespace(step=lambda _store: Progress.NOT_SENT)
+    context.carried = 0
+    clock = Clock()
+    until_ms = clock.now_ms() + span_ms
+    while clock.now_ms() < until_ms:
+        assert writer.carry(write) is Progress.NOT_SENT
+        context.carried += 1
+
+
+@then('{most:d} are carried at the most')
+def check_carried(context: Context, most: int) -> None:
+    assert 0 < context.carried <= most, context.carried
--- a/tests/features/store_failures.feature
+++ b/tests/features/store_failures.feature
@@ -38,6 +38,11 @@
       | lost lost conflict not-reached             | 2     | UNSETTLED |
       | conflict not-reached                       | 1     | UNSETTLED |
 
+  # Guards against a planned stop that calls a store that refuses without end.
+  Scenario: a move that is begun again and again does not press the store
+    When moves that are not sent are carried one after the other for 700 ms
+    Then 3 are carried at the most
+
   Scenario: a write that has to be made goes on
     Given a claim to a store whose calls are "not-reached not-reached" in turn
     When it is stepped 1 times
