--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -44,6 +44,7 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
 from laburnumwood.tasks import Task, Tasks, start
+from laburnumwood.upstream.attached import AttachedGrants
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.grants import Grants
 from laburnumwood.upstream.load import LoadPoller
@@ -141,8 +142,14 @@
 
     @property
     def has_lost_worker(self) -> bool:
-        """Tell whether the worker no longer answers what it is sent."""
-        return self._granter is not None and self._granter.health.is_lost
+        """Tell whether others are to serve for a worker that doesn't answer.
+
+        Without others its node keeps its shards, and what it knows of them.
+        """
+        if self._granter is None or not self._granter.health.is_lost:
+            return False
+        live = self.view.live_in(self._settings.service)
+        return bool(live.keys() - {self.name})
 
     @property
     def is_told_to_serve(self) -> bool:
@@ -154,6 +161,16 @@
         """Tell whether requests run on the worker or wait for it."""
         return bool(self.gate.running or self.gate.waiting)
 
+    @property
+    def held_for_ms(self) -> int:
+        """Return for how long the worker may hold what it was given."""
+        return self._grants.held_for_ms()
+
+    @property
+    def may_be_followed(self) -> bool:
+        """Tell whether others may have its shards: nothing of it goes on."""
+        return not self.is_busy and not self.held_for_ms
+
     def retire(self) -> int:
         """Let nothing more in; return when the worker's grants run out."""
         self._keeper.close_all()
@@ -171,13 +188,16 @@
     def hand_over(self, patience_ms: int) -> None:
         """Give every shard to another node and let the witnesses seal.
 
-        What could not be moved in time goes to the successors by the seals.
+        What could not be moved in time goes to the successors by the seals;
+        while the worker may hold some of it, not before the lease runs out.
         """
         start(self._announce_leaving)
         self._keeper.hand_over_all(self.name, patience_ms)
         witnesses = set(self.lease.witnesses.members)
         self.lease.resign()
-        self._member.spreader.tell(witnesses - {self.name}, Resign(self.name))
+        if not self.held_for_ms:
+            told = witnesses - {self.name}
+            self._member.spreader.tell(told, Resign(self.name))
 
     def tell_left(self) -> None:
         """Tell the others of the service what the worker has let go."""
@@ -215,15 +235,10 @@
 
     def _make_grants(self, clock: Clock) -> Grants:
         if self._borders.worker_reports:
-            self._reporting.attach(
-                ShardHolder(
-                    self._settings.service,
-                    self.lease,
-                    self.holdings,
-                    self.view,
-                )
+            holder = ShardHolder(
+                self._settings.service, self.lease, self.holdings, self.view
             )
-            return self._reporting
+            return AttachedGrants(self._reporting, holder)
         self._granter = Granter(
             self._worker,
             self.holdings.tokens,
--- a/laburnumwood/upstream/reporting.py
+++ b/laburnumwood/upstream/reporting.py
@@ -9,12 +9,18 @@
 worker may still hold a shard.
 """
 
+from bisect import bisect_right
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
 from laburnumwood.clock import Clock
-from laburnumwood.events import GRANTS_CUT, WORKER_STARTED
+from laburnumwood.events import (
+    GRANTS_CUT,
+    KEYS_GIVEN,
+    KEYS_RELEASED,
+    WORKER_STARTED,
+)
 from laburnumwood.news import News
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
@@ -32,6 +38,33 @@
 _RANGE_BYTES = 11  # of a range with its token and no handover, at most
 
 
+def _text_of(shards: Iterable[object]) -> str:
+    return ' '.join(str(each) for each in shards)
+
+
+class _HeldKeys:
+    """The keys that a worker reports to hold or to work on still."""
+
+    def __init__(self, report: WorkerReport) -> None:
+        rows = sorted(each.keys for each in report.held)
+        self._lasts = {keys.first: keys.last for keys in rows}
+        self._firsts = list(self._lasts)
+
+    def begin_any(self, ranges: tuple[KeyRange, ...]) -> bool:
+        """Tell whether a row begins where one of some ranges does."""
+        return any(keys.first in self._lasts for keys in ranges)
+
+    def meet_any(self, ranges: tuple[KeyRange, ...]) -> bool:
+        """Tell whether a row has a key of one of some ranges."""
+        return any(self._meet(keys) for keys in ranges)
+
+    def _meet(self, keys: KeyRange) -> bool:
+        place = bisect_right(self._firsts, keys.last)
+        if not place:
+            return False
+        return self._lasts[self._firsts[place - 1]] >= keys.first
+
+
 class Holder(Protocol):
     """What the present incarnation of the node lets its worker hold."""
 
@@ -58,12 +91,21 @@
 class _Given:
     """What the worker was given for a shard, and until when."""
 
+    holder: Holder
     token: int
     until_ms: int
     ranges: tuple[KeyRange, ...]
     is_withdrawn: bool = False
     is_reported: bool = False
 
+    def follow(self, known: '_Given | None') -> None:
+        """Take over what still counts of what was given before."""
+        if known is None:
+            return
+        self.is_reported = known.is_reported and known.token == self.token
+        # The answer that ends sooner may be lost.
+        self.until_ms = max(self.until_ms, known.until_ms)
+
 
 class ReportingWorker:
     """What the worker beside a node is, and what it may hold.
@@ -94,6 +136,10 @@
         self._holder = holder
         self._withdrawn.clear()
 
+    def is_attached(self, holder: Holder) -> bool:
+        """Tell whether a holder is the one that says what is to be held."""
+        return self._holder is holder
+
     def report(self, report: WorkerReport) -> GrantReply:
         """Take in a report and return what the worker is to hold."""
         news = self.presence.note(report)
@@ -138,6 +184,15 @@
             return True
         return self._clock.now_ms() >= given.until_ms
 
+    def held_for_ms(self, holder: Holder) -> int:
+        """Return for how long the worker may still hold what a holder gave."""
+        untils = (
+            given.until_ms
+            for given in self._given.values()
+            if given.holder is holder
+        )
+        return max(0, max(untils, default=0) - self._clock.now_ms())
+
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
         """Return what the worker left for the next owner of a shard."""
         if self._holder is None:
@@ -171,16 +226,17 @@
         self._left.clear()
 
     def _note_held(self, report: WorkerReport) -> None:
-        held = {each.keys.first: each.keys.last for each in report.held}
+        held = _HeldKeys(report)
+        gone: list[ShardName] = []
         for shard in tuple(self._given):
             given = self._given[shard]
-            is_held = any(
-                held.get(keys.first, -1) >= keys.first for keys in given.ranges
-            )
-            given.is_reported = is_held
-            if given.is_withdrawn and not is_held:
+            given.is_reported = held.begin_any(given.ranges)
+            if given.is_withdrawn and not held.meet_any(given.ranges):
                 self._given.pop(shard)
+                gone.append(shard)
         self._left.note(report.released)
+        if gone:
+            KEYS_RELEASED.report(shards=_text_of(gone))
 
     def _grant(self, holder: Holder) -> GrantReply:
         now_ms = self._clock.now_ms()
@@ -188,23 +244,27 @@
         lasts_ms = int(left_ms * (1 - self._settings.clock_drift))
         lasts_ms = min(lasts_ms, self._settings.most_grant_ms)
         if lasts_ms < _LEAST_GRANT_MS:
-            # What an earlier process of the node gave is taken away.
-            return GrantReply() if self._given else GrantReply((), _NOTHING_MS)
+            return self._keep_or_take_away(holder)
         wanted = self._wanted(holder)
         self._withdraw_others(wanted, holder)
+        self._tell_given(wanted, lasts_ms)
         for shard, token in wanted.items():
-            known = self._given.get(shard)
-            self._given[shard] = _Given(
-                token,
-                now_ms + left_ms,
-                holder.stripes(shard),
-                is_reported=known is not None
-                and known.is_reported
-                and known.token == token,
+            given = _Given(
+                holder, token, now_ms + left_ms, holder.stripes(shard)
             )
+            given.follow(self._given.get(shard))
+            self._given[shard] = given
         rows = tuple(self._rows(wanted, holder))
         return GrantReply(rows, lasts_ms)
 
+    def _keep_or_take_away(self, holder: Holder) -> GrantReply:
+        """Renew nothing; take away what only earlier holders gave."""
+        if any(given.holder is holder for given in self._given.values()):
+            return GrantReply()
+        for given in self._given.values():
+            given.is_withdrawn = True
+        return GrantReply((), _NOTHING_MS)
+
     def _wanted(self, holder: Holder) -> dict[ShardName, int]:
         """Return what the worker is to hold, as far as an answer has room.
 
@@ -234,6 +294,15 @@
             self._last_cut = given, held
             GRANTS_CUT.report(shard=shard, given=given, held=held)
 
+    def _tell_given(self, wanted: dict[ShardName, int], lasts_ms: int) -> None:
+        new = [
+            f'{shard}={token}'
+            for shard, token in wanted.items()
+            if shard not in self._given or self._given[shard].token != token
+        ]
+        if new:
+            KEYS_GIVEN.report(shards=_text_of(new), lasts_ms=lasts_ms)
+
     def _size(self, shard: ShardName, holder: Holder) -> int:
         handed = self._handed(shard, holder)
         rows = len(holder.stripes(shard)) * _RANGE_BYTES
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -17,6 +17,7 @@
     WitnessSet,
 )
 from laburnumwood.store.interface import Store
+from laburnumwood.upstream.attached import AttachedGrants
 from tests.ownership.node import Code
 
 
@@ -135,6 +136,14 @@
         return ()
 
 
+class _NoWaitForWorker(AttachedGrants):
+    """Takes a worker for empty once its node gives an incarnation up."""
+
+    def held_for_ms(self) -> int:
+        """Return nothing."""
+        return 0
+
+
 MUTATIONS = {
     'ends that need nobody': Code(backless=_NoEnd),
     'nothing': Code(),
@@ -145,6 +154,7 @@
     'the joint majority': Code(lease=_NoJointMajority),
     'the care after a conflict': Code(tenure=_ReopenOnConflict),
     'the opening after a split': Code(tenure=_ClosedAfterSplit),
+    'the wait for the worker': Code(grants=_NoWaitForWorker),
     'the wait for an unsettled move': Code(tenure=_ReopenUnsettled),
     'the memory of earlier tries': Code(tenure=_LastTryOnly),
     'the end of a move that was not sent': Code(tenure=_UnsettledMoves),
