Tests: payments after a start at which three workers listen late; known red

A node that is alone keeps its shards without its worker now. Several nodes whose workers are late still give up at the same time: each moves its shards to another that gives up too, and joins anew with an empty run ledger.

--- a/tests/features/late_worker.feature
+++ b/tests/features/late_worker.feature
@@ -13,3 +13,18 @@
       """
     When the worker of "portal-1" listens 4 s after its node has joined
     Then a payment is answered with success within 20 s
+
+  # Guards against the same where nodes give shards to each other in vain.
+  Scenario: payments are made as soon as the workers of three nodes listen
+    Given a deployment of the nodes
+      | node     | failure_domain | service       |
+      | portal-1 | caerdydd       | trader-portal |
+      | portal-2 | abertawe       | trader-portal |
+      | portal-3 | wrecsam        | trader-portal |
+    And the applied configuration
+      """
+      {"services": {"trader-portal": {
+        "key": {"source": "header", "name": "Kiosk"}, "shards": 8}}}
+      """
+    When all workers listen 4 s after their nodes have joined
+    Then 8 payments are answered with success within 20 s
--- a/tests/features/steps/resend_steps.py
+++ b/tests/features/steps/resend_steps.py
@@ -113,25 +113,49 @@
     assert b'ran-before' in context.answer.data, context.answer.data
 
 
+def _has_joined(context: Context, member: Member) -> bool:
+    return bool(context.deployment.page(member, 'status')['node'])
+
+
+def _start_late(context: Context, members: list[Member], span: int) -> None:
+    for early in members:
+        early.worker.kill()
+    for member in members:
+        joined = partial(_has_joined, context, member)
+        wait_for('the node to join', joined, LIMIT_S)
+    time.sleep(span)
+    for late in members:
+        context.deployment.restart_worker(late)
+
+
+@when('all workers listen {span:d} s after their nodes have joined')
+def start_workers_late(context: Context, span: int) -> None:
+    _start_late(context, _doors(context), span)
+
+
 @when('the worker of "{node_id}" listens {span:d} s after its node has joined')
 def start_worker_late(context: Context, node_id: str, span: int) -> None:
-    member = context.deployment.members[node_id]
-    member.worker.kill()
-    wait_for(
-        'the node to join',
-        lambda: bool(context.deployment.page(member, 'status')['node']),
-        LIMIT_S,
-    )
-    time.sleep(span)
-    context.deployment.restart_worker(member)
+    _start_late(context, [context.deployment.members[node_id]], span)
 
 
-@then('a payment is answered with success within {limit:d} s')
-def check_paid(context: Context, limit: int) -> None:
-    context.answers = {}
+def _check_paid(context: Context, number: int, limit: int) -> None:
     member = _doors(context)[0]
+    paid = partial(_is_paid, context, member, number)
     try:
-        wait_for('a payment', partial(_is_paid, context, member, 0), limit)
+        wait_for('a payment', paid, limit)
     except TimeoutError as late:
-        last = context.answers.get(0)
+        last = context.answers.get(number)
         raise AssertionError(last and last.data) from late
+
+
+@then('a payment is answered with success within {limit:d} s')
+def check_paid(context: Context, limit: int) -> None:
+    context.answers = {}
+    _check_paid(context, 0, limit)
+
+
+@then('{count:d} payments are answered with success within {limit:d} s')
+def check_all_paid(context: Context, count: int, limit: int) -> None:
+    context.answers = {}
+    for number in range(count):
+        _check_paid(context, number, limit)
