--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -154,6 +154,11 @@
         """Tell whether requests run on the worker or wait for it."""
         return bool(self.gate.running or self.gate.waiting)
 
+    @property
+    def held_for_ms(self) -> int:
+        """Return for how long the worker may hold what it was given."""
+        return self._grants.held_for_ms()
+
     def retire(self) -> int:
         """Let nothing more in; return when the worker's grants run out."""
         self._keeper.close_all()
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -113,7 +113,9 @@
             if known is Fate.REPLACED:
                 NODE_ID_TAKEN.report(node=incarnation.name)
                 return
-            REJOINING.report(node=incarnation.name)
+            REJOINING.report(
+                node=incarnation.name, held_for_ms=incarnation.held_for_ms
+            )
             ended = self._close(incarnation)
         self._leave()
 
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -141,6 +141,13 @@
     'shard-split',
     'hot keys of a shard become a shard of their own with another owner',
 )
+SHARD_DROPPED = _event(
+    305,
+    logbook.INFO,
+    'shard-dropped',
+    'this node may act for a shard no longer, without having moved it',
+    'look for node-sealed, lease-lost or rejoining before it',
+)
 RECORD_REFUSED = _event(
     401,
     logbook.ERROR,
@@ -258,6 +265,18 @@
     'handovers-told',
     'this node came back beside its worker and told others what it let go',
 )
+KEYS_GIVEN = _event(
+    617,
+    logbook.INFO,
+    'keys-given',
+    'the worker is answered to hold shards that it was not given before',
+)
+KEYS_RELEASED = _event(
+    618,
+    logbook.INFO,
+    'keys-released',
+    'the worker has reported that it holds shards no longer',
+)
 REQUEST_FAILED = _event(
     701,
     logbook.INFO,
--- a/laburnumwood/placement/holdings.py
+++ b/laburnumwood/placement/holdings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from laburnumwood.events import SHARD_DROPPED
 from laburnumwood.records import ShardName
 
 
@@ -69,6 +70,12 @@
         """Hold a shard no longer."""
         self._held.pop(shard, None)
 
+    def lose(self, shard: ShardName, why: str) -> None:
+        """Hold a shard no longer that was not moved, and tell why."""
+        if shard in self._held:
+            self.drop(shard)
+            SHARD_DROPPED.report(shard=shard, why=why)
+
     def drop_all(self) -> None:
         """Hold nothing any more."""
         self._held.clear()
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -244,13 +244,14 @@
     def _follow(self, shard: ShardName, entry: Entry[ShardRecord]) -> None:
         if entry.version > self._stale.get(shard, entry.version):
             self._stale.pop(shard)
-            self._holdings.drop(shard)
+            self._holdings.lose(shard, 'its record was overtaken')
         if shard in self._stale:
             return
-        if self._standing(shard, entry.record) is Standing.OWNER:
+        how = self._standing(shard, entry.record)
+        if how is Standing.OWNER:
             self._hold(shard, entry.record)
         elif not self._holdings.is_closed(shard):
-            self._holdings.drop(shard)
+            self._holdings.lose(shard, how.value)
 
     def _hold(self, shard: ShardName, record: ShardRecord) -> None:
         if not self._holdings.hold(shard, token(record, self._own)):
@@ -350,5 +351,7 @@
 
     def _take_conflict(self, write: ShardWrite) -> None:
         # Somebody else wrote, so what this node knows of the shard is stale.
-        self._holdings.drop(write.shard)
+        self._holdings.lose(
+            write.shard, 'another write of its record came first'
+        )
         self._stale[write.shard] = write.version or 0
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -73,6 +73,10 @@
         """Return nothing: these workers leave nothing."""
         return ()
 
+    def held_for_ms(self) -> int:
+        """Return for how long the worker may still hold what it was given."""
+        return max(0, self._last_until_ms - self._clock.now_ms())
+
     def retire(self) -> int:
         """Grant nothing more; return when the last grants run out."""
         self._retired = True
--- a/laburnumwood/upstream/grants.py
+++ b/laburnumwood/upstream/grants.py
@@ -33,3 +33,6 @@
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
         """Return what the worker left for the next owner of a shard."""
+
+    def held_for_ms(self) -> int:
+        """Return for how long the worker may still hold what it was given."""
--- a/laburnumwood/upstream/reporting.py
+++ b/laburnumwood/upstream/reporting.py
@@ -14,7 +14,12 @@
 from typing import Protocol
 
 from laburnumwood.clock import Clock
-from laburnumwood.events import GRANTS_CUT, WORKER_STARTED
+from laburnumwood.events import (
+    GRANTS_CUT,
+    KEYS_GIVEN,
+    KEYS_RELEASED,
+    WORKER_STARTED,
+)
 from laburnumwood.news import News
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
@@ -32,6 +37,10 @@
 _RANGE_BYTES = 11  # of a range with its token and no handover, at most
 
 
+def _text_of(shards: Iterable[object]) -> str:
+    return ' '.join(str(each) for each in shards)
+
+
 class Holder(Protocol):
     """What the present incarnation of the node lets its worker hold."""
 
@@ -138,6 +147,11 @@
             return True
         return self._clock.now_ms() >= given.until_ms
 
+    def held_for_ms(self) -> int:
+        """Return for how long the worker may still hold what it was given."""
+        untils = (given.until_ms for given in self._given.values())
+        return max(0, max(untils, default=0) - self._clock.now_ms())
+
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
         """Return what the worker left for the next owner of a shard."""
         if self._holder is None:
@@ -172,6 +186,7 @@
 
     def _note_held(self, report: WorkerReport) -> None:
         held = {each.keys.first: each.keys.last for each in report.held}
+        gone: list[ShardName] = []
         for shard in tuple(self._given):
             given = self._given[shard]
             is_held = any(
@@ -180,7 +195,10 @@
             given.is_reported = is_held
             if given.is_withdrawn and not is_held:
                 self._given.pop(shard)
+                gone.append(shard)
         self._left.note(report.released)
+        if gone:
+            KEYS_RELEASED.report(shards=_text_of(gone))
 
     def _grant(self, holder: Holder) -> GrantReply:
         now_ms = self._clock.now_ms()
@@ -192,6 +210,7 @@
             return GrantReply() if self._given else GrantReply((), _NOTHING_MS)
         wanted = self._wanted(holder)
         self._withdraw_others(wanted, holder)
+        self._tell_given(wanted, lasts_ms)
         for shard, token in wanted.items():
             known = self._given.get(shard)
             self._given[shard] = _Given(
@@ -234,6 +253,15 @@
             self._last_cut = given, held
             GRANTS_CUT.report(shard=shard, given=given, held=held)
 
+    def _tell_given(self, wanted: dict[ShardName, int], lasts_ms: int) -> None:
+        new = [
+            f'{shard}={token}'
+            for shard, token in wanted.items()
+            if shard not in self._given or self._given[shard].token != token
+        ]
+        if new:
+            KEYS_GIVEN.report(shards=_text_of(new), lasts_ms=lasts_ms)
+
     def _size(self, shard: ShardName, holder: Holder) -> int:
         handed = self._handed(shard, holder)
         rows = len(holder.stripes(shard)) * _RANGE_BYTES
