Soak: give each process a log of its own

Cause: the name of a log was the number of files in the folder. Two lanes that start nodes at the same moment drew one name: pid 16425 and 16426 (n3) wrote to one file, so that the line of n3's start was taken for n1's, which had been told to stop 0.2 s after its start, before it handles signals. That is allowed, and known by the missing line.

Change: numbers from a counter.

--- a/bench/reporting.py
+++ b/bench/reporting.py
@@ -3,6 +3,7 @@
 import json
 import tempfile
 from dataclasses import dataclass
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -80,6 +81,7 @@
         self._folder = tempfile.TemporaryDirectory()
         self._root = Path(self._folder.name)
         self._services = services
+        self._numbers = count()  # threads may start processes at once
         self.members: dict[str, ReportingMember] = {}
         self.http = PoolManager(maxsize=64, retries=Retry(0), timeout=15)
         port = free_port()
@@ -187,5 +189,5 @@
         }
 
     def _spawn(self, module: str, *arguments: str) -> Process:
-        log = self._root / f'{module}-{len(list(self._root.iterdir()))}.log'
+        log = self._root / f'{module}-{next(self._numbers)}.log'
         return Process(module, *arguments, log=log)
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -164,6 +164,10 @@
         """Tell that the lease is not held yet."""
         return False
 
+    def pass_over(self, _ended: object) -> bool:
+        """Tell that nothing changes by it."""
+        return False
+
     def renewal(self, _name: NodeName, _digest: Digest) -> None:
         """Return nothing to send."""
 
