Derive who has a slot from the ticket; find where rows begin once a report

A second set of tickets said what their state says. The first keys of a worker's rows were gathered again for each shard of a report. Behaviour is as it was.

--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -23,7 +23,6 @@
         self._clock = clock
         self._queued: set[Ticket] = set()
         self._leaving: set[Ticket] = set()
-        self._inside: set[Ticket] = set()
         self.tally = Tally(clock)
 
     @property
@@ -62,7 +61,6 @@
         try:
             self._enter(ticket)
             self.tally.let_in()
-            self._inside.add(ticket)
             yield
         finally:
             self._leaving.discard(ticket)
@@ -90,8 +88,7 @@
         raise OverloadedError(ticket.retry_after_ms)
 
     def _release(self, ticket: Ticket) -> None:
-        if ticket in self._inside:
-            self._inside.remove(ticket)
+        if ticket.state is State.RUNNING:
             self.tally.done()
         self._admission.finish(ticket)
 
--- a/laburnumwood/upstream/reporting.py
+++ b/laburnumwood/upstream/reporting.py
@@ -50,13 +50,13 @@
     def __init__(self, report: WorkerReport) -> None:
         rows = sorted(each.keys for each in report.held)
         self._firsts = [keys.first for keys in rows]
+        self._begun = frozenset(self._firsts)
         # The last key of any row that begins there or before.
         self._lasts = list(accumulate((keys.last for keys in rows), max))
 
     def begin_any(self, ranges: tuple[KeyRange, ...]) -> bool:
         """Tell whether a row begins where one of some ranges does."""
-        firsts = set(self._firsts)
-        return any(keys.first in firsts for keys in ranges)
+        return any(keys.first in self._begun for keys in ranges)
 
     def meet_any(self, ranges: tuple[KeyRange, ...]) -> bool:
         """Tell whether a row has a key of one of some ranges."""
