--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -1,4 +1,4 @@
-"""Admission control: who may use the worker now, who waits, who is shed."""
+"""AdmissionPolicy control: who may use the worker now, who waits, who is shed."""
 
 from collections import Counter, deque
 from collections.abc import Callable
@@ -17,7 +17,7 @@
 _LONGEST_BOOKED_MS = 1_000  # callers hardly come back after a longer time
 
 
-class Admission(Protocol):
+class AdmissionPolicy(Protocol):
     """Decides about tickets; it never waits."""
 
     @property
@@ -42,7 +42,7 @@
         """Take in how many requests the worker says it runs."""
 
 
-Maker = Callable[[AdmissionSettings, Slots, Clock], Admission]
+Maker = Callable[[AdmissionSettings, Slots, Clock], AdmissionPolicy]
 ADMISSIONS: dict[str, Maker] = {}
 
 
