--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -57,7 +57,7 @@
 
 
 @admission('adaptive')
-class AdaptiveAdmission:
+class AdaptivePolicy:
     """An adaptive limit, and before it a short queue that is fair to keys.
 
     A ticket that could not be answered before its deadline, by the times that
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -9,7 +9,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from laburnumwood.admission.control import AdaptiveAdmission
+from laburnumwood.admission.control import AdaptivePolicy
 from laburnumwood.admission.tickets import Line, Result, State, Ticket
 from laburnumwood.config.declarations import Service
 from laburnumwood.protocol.messages import Work
@@ -29,9 +29,7 @@
         self.clock = FakeClock()
         queue = AdmissionSettings(queue_per_slot=places // slots)
         self.slots = slots
-        self.admission = AdaptiveAdmission(
-            queue, lambda: self.slots, self.clock
-        )
+        self.admission = AdaptivePolicy(queue, lambda: self.slots, self.clock)
         self.tickets: list[Ticket] = []
 
     def offer(
