--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -243,7 +243,7 @@
 
 
 @admission('unlimited')
-class UnlimitedAdmission(_CountingAdmission):
+class UnlimitedPolicy(_CountingAdmission):
     """Lets everything in at once; a baseline for measurements."""
 
     def offer(self, ticket: Ticket) -> None:
