--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -252,7 +252,7 @@
 
 
 @admission('fixed-queue')
-class FixedQueueAdmission(_CountingAdmission):
+class FixedQueuePolicy(_CountingAdmission):
     """A queue of fixed length, first in, first out; a baseline."""
 
     def offer(self, ticket: Ticket) -> None:
