--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -199,7 +199,7 @@
         return min(max(after_ms, _LEAST_RETRY_MS), _MOST_RETRY_MS)
 
 
-class _CountingAdmission:
+class _CountingPolicy:
     def __init__(
         self, _settings: AdmissionSettings, slots: Slots, clock: Clock
     ) -> None:
@@ -243,7 +243,7 @@
 
 
 @admission('unlimited')
-class UnlimitedPolicy(_CountingAdmission):
+class UnlimitedPolicy(_CountingPolicy):
     """Lets everything in at once; a baseline for measurements."""
 
     def offer(self, ticket: Ticket) -> None:
@@ -252,7 +252,7 @@
 
 
 @admission('fixed-queue')
-class FixedQueuePolicy(_CountingAdmission):
+class FixedQueuePolicy(_CountingPolicy):
     """A queue of fixed length, first in, first out; a baseline."""
 
     def offer(self, ticket: Ticket) -> None:
