--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -43,14 +43,14 @@
 
 
 Maker = Callable[[AdmissionSettings, Slots, Clock], AdmissionPolicy]
-ADMISSIONS: dict[str, Maker] = {}
+ADMISSION_POLICIES: dict[str, Maker] = {}
 
 
 def admission(name: str) -> Callable[[Maker], Maker]:
     """Register a way of admission under a name."""
 
     def register(maker: Maker) -> Maker:
-        ADMISSIONS[name] = maker
+        ADMISSION_POLICIES[name] = maker
         return maker
 
     return register
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -7,7 +7,7 @@
 from traceback import format_exc
 from typing import Protocol
 
-from laburnumwood.admission.control import ADMISSIONS
+from laburnumwood.admission.control import ADMISSION_POLICIES
 from laburnumwood.admission.limit import Slots
 from laburnumwood.admission.tickets import Result, Ticket
 from laburnumwood.admission.waiting import Admitter
@@ -132,7 +132,7 @@
         self._executor = executor
         self._clock = clock
         self._admitter = Admitter(
-            ADMISSIONS[settings.admission.policy](
+            ADMISSION_POLICIES[settings.admission.policy](
                 settings.admission, worker.slots, clock
             ),
             clock,
