--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -46,7 +46,7 @@
 ADMISSION_POLICIES: dict[str, Maker] = {}
 
 
-def admission(name: str) -> Callable[[Maker], Maker]:
+def admission_policy(name: str) -> Callable[[Maker], Maker]:
     """Register a way of admission under a name."""
 
     def register(maker: Maker) -> Maker:
@@ -56,7 +56,7 @@
     return register
 
 
-@admission('adaptive')
+@admission_policy('adaptive')
 class AdaptivePolicy:
     """An adaptive limit, and before it a short queue that is fair to keys.
 
@@ -242,7 +242,7 @@
         ticket.start(self._clock.now_ms())
 
 
-@admission('unlimited')
+@admission_policy('unlimited')
 class UnlimitedPolicy(_CountingPolicy):
     """Lets everything in at once; a baseline for measurements."""
 
@@ -251,7 +251,7 @@
         self._start(ticket)
 
 
-@admission('fixed-queue')
+@admission_policy('fixed-queue')
 class FixedQueuePolicy(_CountingPolicy):
     """A queue of fixed length, first in, first out; a baseline."""
 
