--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -42,14 +42,14 @@
         """Take in how many requests the worker says it runs."""
 
 
-Maker = Callable[[AdmissionSettings, Slots, Clock], AdmissionPolicy]
-ADMISSION_POLICIES: dict[str, Maker] = {}
+PolicyFactory = Callable[[AdmissionSettings, Slots, Clock], AdmissionPolicy]
+ADMISSION_POLICIES: dict[str, PolicyFactory] = {}
 
 
-def admission_policy(name: str) -> Callable[[Maker], Maker]:
+def admission_policy(name: str) -> Callable[[PolicyFactory], PolicyFactory]:
     """Register a way of admission under a name."""
 
-    def register(maker: Maker) -> Maker:
+    def register(maker: PolicyFactory) -> PolicyFactory:
         ADMISSION_POLICIES[name] = maker
         return maker
 
