--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from laburnumwood.admission.limit import ConcurrencyLimit, Slots
+from laburnumwood.admission.limit import ConcurrencyLimit, SlotCount
 from laburnumwood.admission.queue import FairQueue
 from laburnumwood.admission.tickets import Result, State, Ticket
 from laburnumwood.clock import Clock
@@ -42,7 +42,7 @@
         """Take in how many requests the worker says it runs."""
 
 
-PolicyFactory = Callable[[AdmissionSettings, Slots, Clock], AdmissionPolicy]
+PolicyFactory = Callable[[AdmissionSettings, SlotCount, Clock], AdmissionPolicy]
 ADMISSION_POLICIES: dict[str, PolicyFactory] = {}
 
 
@@ -65,7 +65,7 @@
     """
 
     def __init__(
-        self, settings: AdmissionSettings, slots: Slots, clock: Clock
+        self, settings: AdmissionSettings, slots: SlotCount, clock: Clock
     ) -> None:
         self._clock = clock
         self._limit = ConcurrencyLimit(slots, clock)
@@ -201,7 +201,7 @@
 
 class _CountingPolicy:
     def __init__(
-        self, _settings: AdmissionSettings, slots: Slots, clock: Clock
+        self, _settings: AdmissionSettings, slots: SlotCount, clock: Clock
     ) -> None:
         self._slots = slots
         self._clock = clock
--- a/laburnumwood/admission/limit.py
+++ b/laburnumwood/admission/limit.py
@@ -26,7 +26,7 @@
 _HINT_HALF_LIFE_MS = 1_000
 
 
-Slots = Callable[[], int]  # of the worker, as it says now
+SlotCount = Callable[[], int]  # of the worker, as it says now
 
 
 class ConcurrencyLimit:
@@ -37,7 +37,7 @@
     it counts less from one half-life to the next.
     """
 
-    def __init__(self, slots: Slots, clock: Clock) -> None:
+    def __init__(self, slots: SlotCount, clock: Clock) -> None:
         self._slots = slots
         self._clock = clock
         self._limit: float = slots()
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from laburnumwood.admission.control import ADMISSION_POLICIES
-from laburnumwood.admission.limit import Slots
+from laburnumwood.admission.limit import SlotCount
 from laburnumwood.admission.tickets import Result, Ticket
 from laburnumwood.admission.waiting import Admitter
 from laburnumwood.clock import Clock
@@ -58,7 +58,7 @@
     """Whether the worker takes requests now, and how many at once."""
 
     may_start: Callable[[], bool]
-    slots: Slots
+    slots: SlotCount
 
 
 class KnownShards(Protocol):
