--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -6,7 +6,7 @@
 
 from laburnumwood.admission.limit import ConcurrencyLimit, SlotCount
 from laburnumwood.admission.queue import FairQueue
-from laburnumwood.admission.tickets import Result, State, Ticket
+from laburnumwood.admission.tickets import Result, Ticket, TicketState
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
 from laburnumwood.settings import AdmissionSettings
@@ -110,17 +110,17 @@
 
     def finish(self, ticket: Ticket) -> None:
         """Take back the slot of a ticket, or its place in the queue."""
-        if ticket.state is State.WAITING:
+        if ticket.state is TicketState.WAITING:
             self._queue.remove(ticket)
             # One whose caller has gone does not come again.
             ticket.shed(0 if ticket.is_cancelled else self._retry_after_ms())
-        elif ticket.state is State.RUNNING:
+        elif ticket.state is TicketState.RUNNING:
             self._learn(ticket)
             self._running.pop(ticket)
             self._by_key[ticket.key] -= 1
             if not self._by_key[ticket.key]:
                 self._by_key.pop(ticket.key)
-            ticket.state = State.OVER
+            ticket.state = TicketState.OVER
         self._fill()
 
     def hint(self, reported: int) -> None:
@@ -225,11 +225,11 @@
 
     def finish(self, ticket: Ticket) -> None:
         """Take back the slot of a ticket, or its place in the queue."""
-        if ticket.state is State.WAITING:
+        if ticket.state is TicketState.WAITING:
             self._queue.remove(ticket)
             ticket.shed(_LEAST_RETRY_MS)
-        elif ticket.state is State.RUNNING:
-            ticket.state = State.OVER
+        elif ticket.state is TicketState.RUNNING:
+            ticket.state = TicketState.OVER
             self._running -= 1
         if self._queue and self._running < self._slots():
             self._start(self._queue.popleft())
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -7,7 +7,7 @@
 ORDINARY = 'ordinary'
 
 
-class State(Enum):
+class TicketState(Enum):
     """How far a request has come."""
 
     WAITING = 'waits for a slot'
@@ -50,7 +50,7 @@
     deadline_ms: int
     useful_until_ms: int
     line: Line = Line()
-    state: State = State.WAITING
+    state: TicketState = TicketState.WAITING
     result: Result = Result.UNTRIED
     started_ms: int = 0
     answered_ms: int | None = None
@@ -61,7 +61,7 @@
     def start(self, now_ms: int) -> None:
         """Give the request a slot."""
         self.started_ms = now_ms
-        self.state = State.RUNNING
+        self.state = TicketState.RUNNING
         self.when_settled()
 
     def answer(self, now_ms: int) -> None:
@@ -72,5 +72,5 @@
     def shed(self, retry_after_ms: int) -> None:
         """Refuse the request; its caller may come again after a time."""
         self.retry_after_ms = retry_after_ms
-        self.state = State.SHED
+        self.state = TicketState.SHED
         self.when_settled()
--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -8,7 +8,7 @@
 
 from laburnumwood.admission.control import Admission
 from laburnumwood.admission.tally import Tally
-from laburnumwood.admission.tickets import State, Ticket
+from laburnumwood.admission.tickets import Ticket, TicketState
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import OverloadedError, RunCancelledError
 
@@ -68,7 +68,7 @@
 
     def give_back(self, ticket: Ticket) -> None:
         """Give the slot of a ticket back while its answer still leaves."""
-        if ticket.state is State.RUNNING:
+        if ticket.state is TicketState.RUNNING:
             self._leaving.add(ticket)
             self._release(ticket)
 
@@ -80,7 +80,7 @@
 
     def _enter(self, ticket: Ticket) -> None:
         self._wait(ticket)
-        if ticket.state is State.RUNNING:
+        if ticket.state is TicketState.RUNNING:
             return
         if ticket.is_cancelled:
             raise RunCancelledError(_GONE)
@@ -88,13 +88,13 @@
         raise OverloadedError(ticket.retry_after_ms)
 
     def _release(self, ticket: Ticket) -> None:
-        if ticket.state is State.RUNNING:
+        if ticket.state is TicketState.RUNNING:
             self.tally.done()
         self._admission.finish(ticket)
 
     def _wait(self, ticket: Ticket) -> None:
         self._admission.offer(ticket)
-        if ticket.state is State.WAITING:
+        if ticket.state is TicketState.WAITING:
             self._queued.add(ticket)
             try:
                 self._await_settled(ticket)
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from laburnumwood.admission.control import AdaptivePolicy
-from laburnumwood.admission.tickets import Line, Result, State, Ticket
+from laburnumwood.admission.tickets import Line, Result, Ticket, TicketState
 from laburnumwood.config.declarations import Service
 from laburnumwood.protocol.messages import Work
 from laburnumwood.routing.priorities import line_of, useful_until_ms
@@ -47,11 +47,11 @@
         ticket.answer(self.clock.now_ms())
         self.admission.finish(ticket)
 
-    def having(self, state: State) -> list[Ticket]:
+    def having(self, state: TicketState) -> list[Ticket]:
         """Return the tickets in a state."""
         return [each for each in self.tickets if each.state is state]
 
-    def count(self, state: State, key: str | None = None) -> int:
+    def count(self, state: TicketState, key: str | None = None) -> int:
         """Return how many tickets are in a state, of one key or of all."""
         return sum(key in {None, each.key} for each in self.having(state))
 
@@ -133,7 +133,7 @@
 def check_waiting_classes(
     context: Context, first: int, name: str, others: int
 ) -> None:
-    waiting = context.bench.having(State.WAITING)
+    waiting = context.bench.having(TicketState.WAITING)
     found = Counter(each.line.name for each in waiting)
     assert found[name] == first, found
     assert found[Line().name] == others, found
@@ -142,7 +142,7 @@
 @when('the worker answers one after {span:d} ms')
 def answer_one(context: Context, span: int) -> None:
     context.bench.clock.pass_ms(span)
-    context.bench.answer(context.bench.having(State.RUNNING)[0])
+    context.bench.answer(context.bench.having(TicketState.RUNNING)[0])
 
 
 @when('the worker ends {count:d} requests with "{result}" over {span:d} s')
@@ -172,13 +172,13 @@
             bench.offer('hot')
         bench.offer('cold')
         bench.clock.pass_ms(ANSWER_MS)
-        for ticket in bench.having(State.RUNNING):
+        for ticket in bench.having(TicketState.RUNNING):
             bench.answer(ticket)
 
 
 @then('at least {least:d} of 100 requests of key "cold" were served')
 def check_served(context: Context, least: int) -> None:
-    served = context.bench.count(State.OVER, 'cold')
+    served = context.bench.count(TicketState.OVER, 'cold')
     asked = sum(each.key == 'cold' for each in context.bench.tickets)
     assert served * 100 >= least * asked, (served, asked)
 
@@ -190,16 +190,16 @@
     bench = context.bench
     for _ in range(200):
         for line in (Line(name, weight), Line()):
-            lines = [each.line for each in bench.having(State.WAITING)]
+            lines = [each.line for each in bench.having(TicketState.WAITING)]
             for _ in range(lines.count(line), 4):
                 bench.offer(f'key-{len(bench.tickets)}', line=line)
         bench.clock.pass_ms(ANSWER_MS)
-        bench.answer(bench.having(State.RUNNING)[0])
+        bench.answer(bench.having(TicketState.RUNNING)[0])
 
 
 @then('of 100 that start between {least:d} and {most:d} are "{name}"')
 def check_weights(context: Context, least: int, most: int, name: str) -> None:
-    over = context.bench.having(State.OVER)
+    over = context.bench.having(TicketState.OVER)
     by_start = sorted(over, key=lambda each: each.started_ms)
     counted = Counter(each.line.name for each in by_start[50:150])
     assert least <= counted[name] <= most, counted
@@ -207,7 +207,7 @@
 
 @when('each of them ends twice')
 def end_twice(context: Context) -> None:
-    for ticket in context.bench.having(State.RUNNING):
+    for ticket in context.bench.having(TicketState.RUNNING):
         context.bench.answer(ticket)
         context.bench.admission.finish(ticket)
 
@@ -219,22 +219,22 @@
     admission = context.bench.admission
     found = (admission.running, admission.waiting)
     assert found == (running, waiting), found
-    assert context.bench.count(State.SHED) == shed
+    assert context.bench.count(TicketState.SHED) == shed
 
 
 @then('the request of key "{key}" {what}')
 def check_state(context: Context, key: str, what: str) -> None:
     states = {
-        'waits': State.WAITING,
-        'runs': State.RUNNING,
-        'is shed': State.SHED,
+        'waits': TicketState.WAITING,
+        'runs': TicketState.RUNNING,
+        'is shed': TicketState.SHED,
     }
     assert last_of(context, key).state is states[what], last_of(context, key)
 
 
 @then('{count:d} of key "{key}" wait')
 def check_waiting(context: Context, count: int, key: str) -> None:
-    assert context.bench.count(State.WAITING, key) == count
+    assert context.bench.count(TicketState.WAITING, key) == count
 
 
 @then('{count:d} wait in all')
@@ -250,13 +250,13 @@
 
 def _check_bounds(bench: Bench) -> None:
     admission = bench.admission
-    assert admission.running == bench.count(State.RUNNING)
-    assert admission.waiting == bench.count(State.WAITING)
+    assert admission.running == bench.count(TicketState.RUNNING)
+    assert admission.waiting == bench.count(TicketState.WAITING)
     assert admission.running <= 3
     assert admission.waiting <= 6
     idle = admission.running < admission.limit
     assert not (idle and admission.waiting), 'a slot stays free'
-    shed = bench.having(State.SHED)
+    shed = bench.having(TicketState.SHED)
     assert all(0 < each.retry_after_ms <= 10_000 for each in shed)
 
 
@@ -271,7 +271,7 @@
 
 
 def _end(bench: Bench, what: str, number: int) -> None:
-    state = State.WAITING if what == 'leave' else State.RUNNING
+    state = TicketState.WAITING if what == 'leave' else TicketState.RUNNING
     chosen = bench.having(state)[number : number + 1]
     for ticket in chosen:
         if what == 'answer':
