--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -120,7 +120,7 @@
             self._by_key[ticket.key] -= 1
             if not self._by_key[ticket.key]:
                 self._by_key.pop(ticket.key)
-            ticket.state = TicketState.OVER
+            ticket.state = TicketState.RELEASED
         self._fill()
 
     def hint(self, reported: int) -> None:
@@ -229,7 +229,7 @@
             self._queue.remove(ticket)
             ticket.shed(_LEAST_RETRY_MS)
         elif ticket.state is TicketState.RUNNING:
-            ticket.state = TicketState.OVER
+            ticket.state = TicketState.RELEASED
             self._running -= 1
         if self._queue and self._running < self._slots():
             self._start(self._queue.popleft())
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -13,7 +13,7 @@
     WAITING = 'waits for a slot'
     RUNNING = 'has a slot'
     SHED = 'was refused'
-    OVER = 'has given its slot back'
+    RELEASED = 'has given its slot back'
 
 
 class Result(Enum):
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -178,7 +178,7 @@
 
 @then('at least {least:d} of 100 requests of key "cold" were served')
 def check_served(context: Context, least: int) -> None:
-    served = context.bench.count(TicketState.OVER, 'cold')
+    served = context.bench.count(TicketState.RELEASED, 'cold')
     asked = sum(each.key == 'cold' for each in context.bench.tickets)
     assert served * 100 >= least * asked, (served, asked)
 
@@ -199,7 +199,7 @@
 
 @then('of 100 that start between {least:d} and {most:d} are "{name}"')
 def check_weights(context: Context, least: int, most: int, name: str) -> None:
-    over = context.bench.having(TicketState.OVER)
+    over = context.bench.having(TicketState.RELEASED)
     by_start = sorted(over, key=lambda each: each.started_ms)
     counted = Counter(each.line.name for each in by_start[50:150])
     assert least <= counted[name] <= most, counted
