--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -6,7 +6,7 @@
 
 from laburnumwood.admission.limit import ConcurrencyLimit, SlotCount
 from laburnumwood.admission.queue import FairQueue
-from laburnumwood.admission.tickets import Result, Ticket, TicketState
+from laburnumwood.admission.tickets import Ticket, TicketResult, TicketState
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
 from laburnumwood.settings import AdmissionSettings
@@ -153,9 +153,9 @@
             self._start(self._queue.pop(self._by_key))
 
     def _learn(self, ticket: Ticket) -> None:
-        if ticket.result is Result.REFUSED:
+        if ticket.result is TicketResult.REFUSED:
             self._limit.refused()
-        elif ticket.result is Result.LOST:
+        elif ticket.result is TicketResult.LOST:
             self._limit.lost()
         if ticket.answered_ms is None:
             return
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -16,7 +16,7 @@
     RELEASED = 'has given its slot back'
 
 
-class Result(Enum):
+class TicketResult(Enum):
     """What became of a request that had a slot."""
 
     UNTRIED = 'the worker was not asked'
@@ -51,7 +51,7 @@
     useful_until_ms: int
     line: Line = Line()
     state: TicketState = TicketState.WAITING
-    result: Result = Result.UNTRIED
+    result: TicketResult = TicketResult.UNTRIED
     started_ms: int = 0
     answered_ms: int | None = None
     retry_after_ms: int = 0
@@ -67,7 +67,7 @@
     def answer(self, now_ms: int) -> None:
         """Note when the worker's answer began."""
         self.answered_ms = now_ms
-        self.result = Result.SERVED
+        self.result = TicketResult.SERVED
 
     def shed(self, retry_after_ms: int) -> None:
         """Refuse the request; its caller may come again after a time."""
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -9,7 +9,7 @@
 
 from laburnumwood.admission.control import ADMISSION_POLICIES
 from laburnumwood.admission.limit import SlotCount
-from laburnumwood.admission.tickets import Result, Ticket
+from laburnumwood.admission.tickets import Ticket, TicketResult
 from laburnumwood.admission.waiting import Admitter
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service
@@ -287,7 +287,7 @@
             self._meter.note(work.shard, work.key, self._admitter.slot_ms)
             shed.retry_after_ms = max(shed.retry_after_ms, line_ms)
             raise
-        if ticket.result is Result.SERVED:
+        if ticket.result is TicketResult.SERVED:
             busy_ms = self._clock.now_ms() - ticket.started_ms
             self._meter.note(work.shard, work.key, busy_ms)
 
--- a/laburnumwood/routing/observed.py
+++ b/laburnumwood/routing/observed.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from laburnumwood.admission.tickets import Result, Ticket
+from laburnumwood.admission.tickets import Ticket, TicketResult
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
 from laburnumwood.protocol.messages import Answer, Failure, WholeAnswer
@@ -13,10 +13,10 @@
 
 _SHEDDING = frozenset((429, 503))
 _RESULT_OF = {
-    'refused': Result.REFUSED,
-    'rejected': Result.REJECTED,
-    'worker-cut': Result.LOST,
-    'worker-unreachable': Result.LOST,
+    'refused': TicketResult.REFUSED,
+    'rejected': TicketResult.REJECTED,
+    'worker-cut': TicketResult.LOST,
+    'worker-unreachable': TicketResult.LOST,
 }
 
 
@@ -78,6 +78,6 @@
 
     def _note(self, answer: Answer) -> None:
         if answer.status in _SHEDDING:
-            self._ticket.result = Result.REFUSED
+            self._ticket.result = TicketResult.REFUSED
         else:
             self._ticket.answer(self._clock.now_ms())
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -10,7 +10,12 @@
 from hypothesis import strategies as st
 
 from laburnumwood.admission.control import AdaptivePolicy
-from laburnumwood.admission.tickets import Line, Result, Ticket, TicketState
+from laburnumwood.admission.tickets import (
+    Line,
+    Ticket,
+    TicketResult,
+    TicketState,
+)
 from laburnumwood.config.declarations import Service
 from laburnumwood.protocol.messages import Work
 from laburnumwood.routing.priorities import line_of, useful_until_ms
@@ -151,7 +156,7 @@
     for number in range(count):
         ticket = bench.offer(f'ended-{number}')
         bench.clock.pass_ms(span * 1_000 // count)
-        ticket.result = Result[result]
+        ticket.result = TicketResult[result]
         bench.admission.finish(ticket)
     bench.tickets.clear()
 
@@ -277,7 +282,7 @@
         if what == 'answer':
             ticket.answer(bench.clock.now_ms())
         elif what != 'leave':
-            ticket.result = Result[what]
+            ticket.result = TicketResult[what]
         bench.admission.finish(ticket)
 
 
