--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -19,7 +19,7 @@
 class TicketResult(Enum):
     """What became of a request that had a slot."""
 
-    UNTRIED = 'the worker was not asked'
+    NOT_SENT = 'the worker was not asked'
     SERVED = 'the worker answered'
     REFUSED = 'the worker refused it for its load'
     REJECTED = 'the worker rejected it with slots free'
@@ -51,7 +51,7 @@
     useful_until_ms: int
     line: Line = Line()
     state: TicketState = TicketState.WAITING
-    result: TicketResult = TicketResult.UNTRIED
+    result: TicketResult = TicketResult.NOT_SENT
     started_ms: int = 0
     answered_ms: int | None = None
     retry_after_ms: int = 0
