--- a/laburnumwood/admission/queue.py
+++ b/laburnumwood/admission/queue.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from laburnumwood.admission.tickets import Line, Ticket
+from laburnumwood.admission.tickets import Ticket, TrafficClass
 
 
 @dataclass(slots=True)
@@ -81,7 +81,7 @@
         )
         return own < max(1, self._capacity() // 2)
 
-    def ahead_of(self, key: str, line: Line) -> int:
+    def ahead_of(self, key: str, line: TrafficClass) -> int:
         """Return how many would be served before a new ticket of a key."""
         joined = self._classes.get(line.name, _Class(line.weight))
         turns = len(joined.keys.get(key, ())) + 1
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -27,7 +27,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Line:
+class TrafficClass:
     """A declared class of traffic and its weight against the others."""
 
     name: str = ORDINARY
@@ -49,7 +49,7 @@
     key: str
     deadline_ms: int
     useful_until_ms: int
-    line: Line = Line()
+    line: TrafficClass = TrafficClass()
     state: TicketState = TicketState.WAITING
     result: TicketResult = TicketResult.NOT_SENT
     started_ms: int = 0
--- a/laburnumwood/routing/priorities.py
+++ b/laburnumwood/routing/priorities.py
@@ -2,14 +2,15 @@
 
 from collections.abc import Mapping
 
-from laburnumwood.admission.tickets import Line
+from laburnumwood.admission.tickets import TrafficClass
 from laburnumwood.config.declarations import Priority, Service
 from laburnumwood.protocol.messages import Work
 
-_ORDINARY = Line()
+_ORDINARY = TrafficClass()
 _FIRST_RANK = 0
 _RANKS = tuple(
-    Line(f'rank-{rank}', weight) for rank, weight in enumerate((16, 4, 1))
+    TrafficClass(f'rank-{rank}', weight)
+    for rank, weight in enumerate((16, 4, 1))
 )
 
 
@@ -24,7 +25,7 @@
     return found is not None and priority.text in {None, found}
 
 
-def line_of(work: Work, service: Service | None) -> Line:
+def line_of(work: Work, service: Service | None) -> TrafficClass:
     """Return the class of a request, the heaviest that it belongs to."""
     if work.priority >= 0:
         return _RANKS[min(work.priority, len(_RANKS) - 1)]
@@ -32,7 +33,7 @@
         return _ORDINARY
     headers = {name.lower(): text for name, text in work.headers}
     lines = [
-        Line(name, priority.weight)
+        TrafficClass(name, priority.weight)
         for name, priority in service.priorities.items()
         if _belongs(priority, work, headers)
     ]
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -11,10 +11,10 @@
 
 from laburnumwood.admission.control import AdaptivePolicy
 from laburnumwood.admission.tickets import (
-    Line,
     Ticket,
     TicketResult,
     TicketState,
+    TrafficClass,
 )
 from laburnumwood.config.declarations import Service
 from laburnumwood.protocol.messages import Work
@@ -38,11 +38,11 @@
         self.tickets: list[Ticket] = []
 
     def offer(
-        self, key: str, left_ms: int = LONG_MS, line: Line | None = None
+        self, key: str, left_ms: int = LONG_MS, line: TrafficClass | None = None
     ) -> Ticket:
         """Offer a new ticket of a key."""
         until_ms = self.clock.now_ms() + left_ms
-        ticket = Ticket(key, until_ms, until_ms, line or Line())
+        ticket = Ticket(key, until_ms, until_ms, line or TrafficClass())
         self.tickets.append(ticket)
         self.admission.offer(ticket)
         return ticket
@@ -124,14 +124,14 @@
     context: Context, count: int, name: str, weight: int
 ) -> None:
     for _ in range(count):
-        context.bench.offer('', line=Line(name, weight))
+        context.bench.offer('', line=TrafficClass(name, weight))
 
 
 @when('a request of key "{key}" comes of "{name}" of weight {weight:d}')
 def offer_one_of_class(
     context: Context, key: str, name: str, weight: int
 ) -> None:
-    context.bench.offer(key, line=Line(name, weight))
+    context.bench.offer(key, line=TrafficClass(name, weight))
 
 
 @then('{first:d} of "{name}" wait and {others:d} ordinary ones')
@@ -141,7 +141,7 @@
     waiting = context.bench.having(TicketState.WAITING)
     found = Counter(each.line.name for each in waiting)
     assert found[name] == first, found
-    assert found[Line().name] == others, found
+    assert found[TrafficClass().name] == others, found
 
 
 @when('the worker answers one after {span:d} ms')
@@ -194,7 +194,7 @@
 def keep_full(context: Context, name: str, weight: int) -> None:
     bench = context.bench
     for _ in range(200):
-        for line in (Line(name, weight), Line()):
+        for line in (TrafficClass(name, weight), TrafficClass()):
             lines = [each.line for each in bench.having(TicketState.WAITING)]
             for _ in range(lines.count(line), 4):
                 bench.offer(f'key-{len(bench.tickets)}', line=line)
