--- a/laburnumwood/admission/queue.py
+++ b/laburnumwood/admission/queue.py
@@ -81,27 +81,29 @@
         )
         return own < max(1, self._capacity() // 2)
 
-    def ahead_of(self, key: str, line: TrafficClass) -> int:
+    def ahead_of(self, key: str, traffic_class: TrafficClass) -> int:
         """Return how many would be served before a new ticket of a key."""
-        joined = self._classes.get(line.name, _Class(line.weight))
+        joined = self._classes.get(
+            traffic_class.name, _Class(traffic_class.weight)
+        )
         turns = len(joined.keys.get(key, ())) + 1
         same = sum(min(len(each), turns) for each in joined.keys.values())
         others = 0
         for name, other in self._classes.items():
-            if name != line.name:
-                share = (same + 1) * other.weight // line.weight
+            if name != traffic_class.name:
+                share = (same + 1) * other.weight // traffic_class.weight
                 others += min(len(other), share)
         return same + others
 
     def put(self, ticket: Ticket) -> Ticket | None:
         """Add a ticket; return the one that had to leave for it, if any."""
-        joined = self._classes.get(ticket.line.name)
+        joined = self._classes.get(ticket.traffic_class.name)
         if joined is None:
-            joined = _Class(ticket.line.weight)
-            self._classes[ticket.line.name] = joined
+            joined = _Class(ticket.traffic_class.weight)
+            self._classes[ticket.traffic_class.name] = joined
         if not joined.keys:
             joined.served = max(joined.served, self._now_served)
-        joined.weight = ticket.line.weight
+        joined.weight = ticket.traffic_class.weight
         joined.keys.setdefault(ticket.key, deque()).append(ticket)
         self._length += 1
         if self._length <= self._capacity():
@@ -122,7 +124,7 @@
 
     def remove(self, ticket: Ticket) -> None:
         """Take a waiting ticket out."""
-        self._classes[ticket.line.name].drop(ticket)
+        self._classes[ticket.traffic_class.name].drop(ticket)
         self._length -= 1
 
     def hopeless(self, latest_ms: int) -> list[Ticket]:
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -49,7 +49,7 @@
     key: str
     deadline_ms: int
     useful_until_ms: int
-    line: TrafficClass = TrafficClass()
+    traffic_class: TrafficClass = TrafficClass()
     state: TicketState = TicketState.WAITING
     result: TicketResult = TicketResult.NOT_SENT
     started_ms: int = 0
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -38,11 +38,16 @@
         self.tickets: list[Ticket] = []
 
     def offer(
-        self, key: str, left_ms: int = LONG_MS, line: TrafficClass | None = None
+        self,
+        key: str,
+        left_ms: int = LONG_MS,
+        traffic_class: TrafficClass | None = None,
     ) -> Ticket:
         """Offer a new ticket of a key."""
         until_ms = self.clock.now_ms() + left_ms
-        ticket = Ticket(key, until_ms, until_ms, line or TrafficClass())
+        ticket = Ticket(
+            key, until_ms, until_ms, traffic_class or TrafficClass()
+        )
         self.tickets.append(ticket)
         self.admission.offer(ticket)
         return ticket
@@ -124,14 +129,14 @@
     context: Context, count: int, name: str, weight: int
 ) -> None:
     for _ in range(count):
-        context.bench.offer('', line=TrafficClass(name, weight))
+        context.bench.offer('', traffic_class=TrafficClass(name, weight))
 
 
 @when('a request of key "{key}" comes of "{name}" of weight {weight:d}')
 def offer_one_of_class(
     context: Context, key: str, name: str, weight: int
 ) -> None:
-    context.bench.offer(key, line=TrafficClass(name, weight))
+    context.bench.offer(key, traffic_class=TrafficClass(name, weight))
 
 
 @then('{first:d} of "{name}" wait and {others:d} ordinary ones')
@@ -139,7 +144,7 @@
     context: Context, first: int, name: str, others: int
 ) -> None:
     waiting = context.bench.having(TicketState.WAITING)
-    found = Counter(each.line.name for each in waiting)
+    found = Counter(each.traffic_class.name for each in waiting)
     assert found[name] == first, found
     assert found[TrafficClass().name] == others, found
 
@@ -194,10 +199,14 @@
 def keep_full(context: Context, name: str, weight: int) -> None:
     bench = context.bench
     for _ in range(200):
-        for line in (TrafficClass(name, weight), TrafficClass()):
-            lines = [each.line for each in bench.having(TicketState.WAITING)]
-            for _ in range(lines.count(line), 4):
-                bench.offer(f'key-{len(bench.tickets)}', line=line)
+        for traffic_class in (TrafficClass(name, weight), TrafficClass()):
+            classes = [
+                each.traffic_class for each in bench.having(TicketState.WAITING)
+            ]
+            for _ in range(classes.count(traffic_class), 4):
+                bench.offer(
+                    f'key-{len(bench.tickets)}', traffic_class=traffic_class
+                )
         bench.clock.pass_ms(ANSWER_MS)
         bench.answer(bench.having(TicketState.RUNNING)[0])
 
@@ -206,7 +215,7 @@
 def check_weights(context: Context, least: int, most: int, name: str) -> None:
     over = context.bench.having(TicketState.RELEASED)
     by_start = sorted(over, key=lambda each: each.started_ms)
-    counted = Counter(each.line.name for each in by_start[50:150])
+    counted = Counter(each.traffic_class.name for each in by_start[50:150])
     assert least <= counted[name] <= most, counted
 
 
