--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -56,13 +56,13 @@
     answered_ms: int | None = None
     retry_after_ms: int = 0
     is_cancelled: bool = False  # nobody waits for the answer any more
-    when_settled: Callable[[], None] = _ignore
+    on_settled: Callable[[], None] = _ignore
 
     def start(self, now_ms: int) -> None:
         """Give the request a slot."""
         self.started_ms = now_ms
         self.state = TicketState.RUNNING
-        self.when_settled()
+        self.on_settled()
 
     def answer(self, now_ms: int) -> None:
         """Note when the worker's answer began."""
@@ -73,4 +73,4 @@
         """Refuse the request; its caller may come again after a time."""
         self.retry_after_ms = retry_after_ms
         self.state = TicketState.SHED
-        self.when_settled()
+        self.on_settled()
--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -103,7 +103,7 @@
 
     def _await_settled(self, ticket: Ticket) -> None:
         settled = Event()
-        ticket.when_settled = settled.send
+        ticket.on_settled = settled.send
         left_ms = max(ticket.deadline_ms - self._clock.now_ms(), 0)
         with Timeout(left_ms / MS_PER_SECOND, False):
             settled.wait()
