--- a/laburnumwood/admission/retries.py
+++ b/laburnumwood/admission/retries.py
@@ -46,7 +46,7 @@
         self._clock = clock
         self._slices: deque[_Slice] = deque()
 
-    def earn(self) -> None:
+    def record_request(self) -> None:
         """Count a request that is sent for the first time."""
         self._current().requests += 1
 
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -190,7 +190,7 @@
         """
         work = _with_short_body(inquiry)
         budget = self._budgets.of(work.service)
-        budget.earn()
+        budget.record_request()
         tries = Tries(inquiry, budget, self._clock, self._patience_ms)
         while True:
             work = self._placed(work, inquiry.work.shard)
--- a/tests/features/steps/admission_limit_steps.py
+++ b/tests/features/steps/admission_limit_steps.py
@@ -108,7 +108,7 @@
 def earn_and_spend(context: Context, count: int, span: int) -> None:
     context.retries = 0
     for _ in range(count):
-        context.budget.earn()
+        context.budget.record_request()
         context.retries += context.budget.spend()
         context.clock.pass_ms(span * 1_000 // count)
 
@@ -116,7 +116,7 @@
 @when('{count:d} requests come over {span:d} s')
 def earn(context: Context, count: int, span: int) -> None:
     for _ in range(count):
-        context.budget.earn()
+        context.budget.record_request()
         context.clock.pass_ms(span * 1_000 // count)
 
 
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -206,7 +206,7 @@
 ) -> None:
     for name, number in ((one, count), (two, other)):
         for _ in range(number):
-            context.budgets.of(name).earn()
+            context.budgets.of(name).record_request()
 
 
 @then('"{name}" may send {count:d} again and no more')
