--- a/laburnumwood/admission/retries.py
+++ b/laburnumwood/admission/retries.py
@@ -50,7 +50,7 @@
         """Count a request that is sent for the first time."""
         self._current().requests += 1
 
-    def spend(self) -> bool:
+    def try_retry(self) -> bool:
         """Count a retry and tell whether it may be made."""
         current = self._current()
         requests = sum(each.requests for each in self._slices)
--- a/laburnumwood/routing/tries.py
+++ b/laburnumwood/routing/tries.py
@@ -114,7 +114,7 @@
             return self._owner_pause_ms(self._patient_until_ms[told.kind])
         if not told.ran and self._has_choice and told.kind in _TURNED_AWAY:
             return self._elsewhere_pause_ms(told, nodes)
-        if not self._may_repeat(told) or not self._budget.spend():
+        if not self._may_repeat(told) or not self._budget.try_retry():
             return None
         return 0 if self._has_choice else _LEAST_LEFT_MS
 
--- a/tests/features/steps/admission_limit_steps.py
+++ b/tests/features/steps/admission_limit_steps.py
@@ -109,7 +109,7 @@
     context.retries = 0
     for _ in range(count):
         context.budget.record_request()
-        context.retries += context.budget.spend()
+        context.retries += context.budget.try_retry()
         context.clock.pass_ms(span * 1_000 // count)
 
 
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -211,7 +211,7 @@
 
 @then('"{name}" may send {count:d} again and no more')
 def check_budget(context: Context, name: str, count: int) -> None:
-    spent = [context.budgets.of(name).spend() for _ in range(count + 5)]
+    spent = [context.budgets.of(name).try_retry() for _ in range(count + 5)]
     assert spent.count(True) == count, spent.count(True)
 
 
