--- a/laburnumwood/admission/retries.py
+++ b/laburnumwood/admission/retries.py
@@ -25,7 +25,7 @@
         self._clock = clock
         self._budgets: dict[str, RetryBudget] = {}
 
-    def of(self, service: str) -> 'RetryBudget':
+    def for_service(self, service: str) -> 'RetryBudget':
         """Return the budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -189,7 +189,7 @@
         with the deadline, and what was given up is answered at once.
         """
         work = _with_short_body(inquiry)
-        budget = self._budgets.of(work.service)
+        budget = self._budgets.for_service(work.service)
         budget.record_request()
         tries = Tries(inquiry, budget, self._clock, self._patience_ms)
         while True:
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -96,7 +96,7 @@
     shard = 3 if divided == 'divided' else -1
     work = _work(idempotent=kind == 'idempotent', shard=shard)
     inquiry = Inquiry(work, b'', most)
-    context.tries = Tries(inquiry, budgets.of('s'), clock)
+    context.tries = Tries(inquiry, budgets.for_service('s'), clock)
 
 
 @when('its tries fail with "{failures}"')
@@ -206,12 +206,14 @@
 ) -> None:
     for name, number in ((one, count), (two, other)):
         for _ in range(number):
-            context.budgets.of(name).record_request()
+            context.budgets.for_service(name).record_request()
 
 
 @then('"{name}" may send {count:d} again and no more')
 def check_budget(context: Context, name: str, count: int) -> None:
-    spent = [context.budgets.of(name).try_retry() for _ in range(count + 5)]
+    spent = [
+        context.budgets.for_service(name).try_retry() for _ in range(count + 5)
+    ]
     assert spent.count(True) == count, spent.count(True)
 
 
