--- a/laburnumwood/admission/tally.py
+++ b/laburnumwood/admission/tally.py
@@ -6,7 +6,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Carried:
+class AdmissionSummary:
     """What a gate did in a span of time; `busy` is the mean of its slots."""
 
     busy: float
@@ -46,11 +46,13 @@
         """Count a request that was sent away."""
         self._shed += 1
 
-    def take(self) -> Carried:
+    def take(self) -> AdmissionSummary:
         """Return the sums, and begin anew."""
         self._advance()
         span_ms = max(1, self._since_ms - self._begun_ms)
-        carried = Carried(self._busy_ms / span_ms, self._let_in, self._shed)
+        carried = AdmissionSummary(
+            self._busy_ms / span_ms, self._let_in, self._shed
+        )
         self._busy_ms = 0
         self._let_in = 0
         self._shed = 0
