--- a/laburnumwood/admission/tally.py
+++ b/laburnumwood/admission/tally.py
@@ -14,7 +14,7 @@
     shed: int
 
     @property
-    def is_nothing(self) -> bool:
+    def is_empty(self) -> bool:
         """Tell whether no request came and none ran."""
         return not (self.busy or self.let_in or self.shed)
 
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -157,7 +157,7 @@
     def tell_load(self) -> None:
         """Log what this gate carried and sent away since it told last."""
         carried = self._admitter.tally.take()
-        if carried.is_nothing:
+        if carried.is_empty:
             return
         GATE_LOAD.report(
             service=self._settings.service,
