--- a/laburnumwood/admission/tally.py
+++ b/laburnumwood/admission/tally.py
@@ -19,7 +19,7 @@
         return not (self.busy or self.let_in or self.shed)
 
 
-class Tally:
+class AdmissionCounters:
     """Sums of what passed a gate since they were taken last."""
 
     def __init__(self, clock: Clock) -> None:
--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -7,7 +7,7 @@
 from eventlet.event import Event
 
 from laburnumwood.admission.control import Admission
-from laburnumwood.admission.tally import Tally
+from laburnumwood.admission.tally import AdmissionCounters
 from laburnumwood.admission.tickets import Ticket, TicketState
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import OverloadedError, RunCancelledError
@@ -23,7 +23,7 @@
         self._clock = clock
         self._queued: set[Ticket] = set()
         self._leaving: set[Ticket] = set()
-        self.tally = Tally(clock)
+        self.tally = AdmissionCounters(clock)
 
     @property
     def running(self) -> int:
