--- a/laburnumwood/admission/tally.py
+++ b/laburnumwood/admission/tally.py
@@ -46,7 +46,7 @@
         """Count a request that was sent away."""
         self._shed += 1
 
-    def take(self) -> AdmissionSummary:
+    def collect(self) -> AdmissionSummary:
         """Return the sums, and begin anew."""
         self._advance()
         span_ms = max(1, self._since_ms - self._begun_ms)
