--- a/laburnumwood/admission/tally.py
+++ b/laburnumwood/admission/tally.py
@@ -31,18 +31,18 @@
         self._begun_ms = clock.now_ms()
         self._since_ms = self._begun_ms
 
-    def let_in(self) -> None:
+    def record_admitted(self) -> None:
         """Count a request that got a slot."""
         self._advance()
         self._running += 1
         self._let_in += 1
 
-    def done(self) -> None:
+    def record_released(self) -> None:
         """Count a request that gave its slot back."""
         self._advance()
         self._running -= 1
 
-    def shed(self) -> None:
+    def record_shed(self) -> None:
         """Count a request that was sent away."""
         self._shed += 1
 
--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -60,7 +60,7 @@
             raise RunCancelledError(_GONE)
         try:
             self._enter(ticket)
-            self.tally.let_in()
+            self.tally.record_admitted()
             yield
         finally:
             self._leaving.discard(ticket)
@@ -84,12 +84,12 @@
             return
         if ticket.is_cancelled:
             raise RunCancelledError(_GONE)
-        self.tally.shed()
+        self.tally.record_shed()
         raise OverloadedError(ticket.retry_after_ms)
 
     def _release(self, ticket: Ticket) -> None:
         if ticket.state is TicketState.RUNNING:
-            self.tally.done()
+            self.tally.record_released()
         self._admission.finish(ticket)
 
     def _wait(self, ticket: Ticket) -> None:
