--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -23,7 +23,7 @@
         self._clock = clock
         self._queued: set[Ticket] = set()
         self._leaving: set[Ticket] = set()
-        self.tally = AdmissionCounters(clock)
+        self.counters = AdmissionCounters(clock)
 
     @property
     def running(self) -> int:
@@ -60,7 +60,7 @@
             raise RunCancelledError(_GONE)
         try:
             self._enter(ticket)
-            self.tally.record_admitted()
+            self.counters.record_admitted()
             yield
         finally:
             self._leaving.discard(ticket)
@@ -84,12 +84,12 @@
             return
         if ticket.is_cancelled:
             raise RunCancelledError(_GONE)
-        self.tally.record_shed()
+        self.counters.record_shed()
         raise OverloadedError(ticket.retry_after_ms)
 
     def _release(self, ticket: Ticket) -> None:
         if ticket.state is TicketState.RUNNING:
-            self.tally.record_released()
+            self.counters.record_released()
         self._admission.finish(ticket)
 
     def _wait(self, ticket: Ticket) -> None:
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -156,7 +156,7 @@
 
     def tell_load(self) -> None:
         """Log what this gate carried and sent away since it told last."""
-        carried = self._admitter.tally.collect()
+        carried = self._admitter.counters.collect()
         if carried.is_empty:
             return
         GATE_LOAD.report(
