--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -22,7 +22,7 @@
         self._admission = admission
         self._clock = clock
         self._queued: set[Ticket] = set()
-        self._leaving: set[Ticket] = set()
+        self._responding: set[Ticket] = set()
         self.counters = AdmissionCounters(clock)
 
     @property
@@ -31,9 +31,9 @@
         return self._admission.running
 
     @property
-    def leaving(self) -> int:
+    def responding(self) -> int:
         """Return how many have given their slot back and not ended yet."""
-        return len(self._leaving)
+        return len(self._responding)
 
     @property
     def waiting(self) -> int:
@@ -63,13 +63,13 @@
             self.counters.record_admitted()
             yield
         finally:
-            self._leaving.discard(ticket)
+            self._responding.discard(ticket)
             self._release(ticket)
 
     def give_back(self, ticket: Ticket) -> None:
         """Give the slot of a ticket back while its answer still leaves."""
         if ticket.state is TicketState.RUNNING:
-            self._leaving.add(ticket)
+            self._responding.add(ticket)
             self._release(ticket)
 
     def cancel(self, ticket: Ticket) -> None:
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -143,7 +143,7 @@
     @property
     def running(self) -> int:
         """Return how many requests run, or have answers that still leave."""
-        return self._admitter.running + self._admitter.leaving
+        return self._admitter.running + self._admitter.responding
 
     @property
     def waiting(self) -> int:
@@ -211,7 +211,7 @@
             kind=told.kind,
             detail=told.detail,
             running=self._admitter.running,
-            leaving=self._admitter.leaving,
+            leaving=self._admitter.responding,
             waiting=self.waiting,
             lease_left_ms=self._lease.holds_until_ms() - now_ms,
             may_have_run=told.ran,
