--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -66,7 +66,7 @@
             self._responding.discard(ticket)
             self._release(ticket)
 
-    def give_back(self, ticket: Ticket) -> None:
+    def release_slot(self, ticket: Ticket) -> None:
         """Give the slot of a ticket back while its answer still leaves."""
         if ticket.state is TicketState.RUNNING:
             self._responding.add(ticket)
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -294,7 +294,7 @@
     def _free(self, ticket: Ticket, rank: int, length: int) -> None:
         """Give the slot of a request back whose whole answer is here."""
         self._long_answers.note(rank, length)
-        self._admitter.give_back(ticket)
+        self._admitter.release_slot(ticket)
 
     def _serve_admitted(
         self, exchange: Exchange, run: Run, may_act: MayAct
