--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -50,7 +50,7 @@
         self._admission.hint(reported)
 
     @contextmanager
-    def admitted(self, ticket: Ticket) -> Iterator[None]:
+    def hold_slot(self, ticket: Ticket) -> Iterator[None]:
         """Hold a slot for the ticket while the block runs.
 
         Raises `OverloadedError` as soon as it is clear that there is none, and
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -270,7 +270,7 @@
         busy = self._account.busy(work.service)
         exchange.when_message(partial(self._admitter.cancel, ticket))
         try:
-            with self._admitter.admitted(ticket), busy:
+            with self._admitter.hold_slot(ticket), busy:
                 observed = ObservedExchange(
                     exchange,
                     ticket,
