--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -38,7 +38,7 @@
     def finish(self, ticket: Ticket) -> None:
         """Take back the slot of a ticket, or its place in the queue."""
 
-    def hint(self, reported: int) -> None:
+    def record_load_report(self, reported: int) -> None:
         """Take in how many requests the worker says it runs."""
 
 
@@ -123,9 +123,9 @@
             ticket.state = TicketState.RELEASED
         self._fill()
 
-    def hint(self, reported: int) -> None:
+    def record_load_report(self, reported: int) -> None:
         """Take in how many requests the worker says it runs."""
-        self._limit.hint(reported, max(self._peaks))
+        self._limit.record_load_report(reported, max(self._peaks))
         self._peaks = (self.running, self._peaks[0])
 
     def _may_wait(self, ticket: Ticket, left_ms: int) -> bool:
@@ -234,7 +234,7 @@
         if self._queue and self._running < self._slots():
             self._start(self._queue.popleft())
 
-    def hint(self, reported: int) -> None:
+    def record_load_report(self, reported: int) -> None:
         """Ignore what the worker says of its load."""
 
     def _start(self, ticket: Ticket) -> None:
--- a/laburnumwood/admission/limit.py
+++ b/laburnumwood/admission/limit.py
@@ -84,7 +84,7 @@
             self._decrease(_LOST_FACTOR)
             self._begin_window()
 
-    def hint(self, reported: int, own: int) -> None:
+    def record_load_report(self, reported: int, own: int) -> None:
         """Take in a load report, with the most that this node ran lately."""
         self._foreign = min(max(0, reported - own), self._slots() - 1)
         self._hinted_ms = self._clock.now_ms()
--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -45,9 +45,9 @@
         """Return for how long a request keeps a slot, by the last ones."""
         return self._admission.slot_ms
 
-    def hint(self, reported: int) -> None:
+    def record_load_report(self, reported: int) -> None:
         """Take in how many requests the worker says it runs."""
-        self._admission.hint(reported)
+        self._admission.record_load_report(reported)
 
     @contextmanager
     def hold_slot(self, ticket: Ticket) -> Iterator[None]:
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -152,7 +152,7 @@
 
     def hint(self, reported: int) -> None:
         """Take in how many requests the worker says it runs."""
-        self._admitter.hint(reported)
+        self._admitter.record_load_report(reported)
 
     def tell_load(self) -> None:
         """Log what this gate carried and sent away since it told last."""
--- a/tests/features/steps/admission_limit_steps.py
+++ b/tests/features/steps/admission_limit_steps.py
@@ -74,7 +74,7 @@
 
 @when('the worker reports {reported:d} running while this node runs {own:d}')
 def report_load(context: Context, reported: int, own: int) -> None:
-    context.limit.hint(reported, own)
+    context.limit.record_load_report(reported, own)
 
 
 @then('the limit is {limit:d}')
