--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -35,7 +35,7 @@
     def offer(self, ticket: Ticket) -> None:
         """Let a new ticket run, wait, or be shed."""
 
-    def finish(self, ticket: Ticket) -> None:
+    def release(self, ticket: Ticket) -> None:
         """Take back the slot of a ticket, or its place in the queue."""
 
     def record_load_report(self, reported: int) -> None:
@@ -108,7 +108,7 @@
         else:
             ticket.shed(self._retry_after_ms())
 
-    def finish(self, ticket: Ticket) -> None:
+    def release(self, ticket: Ticket) -> None:
         """Take back the slot of a ticket, or its place in the queue."""
         if ticket.state is TicketState.WAITING:
             self._queue.remove(ticket)
@@ -223,7 +223,7 @@
         """Return zero: nothing is measured."""
         return 0
 
-    def finish(self, ticket: Ticket) -> None:
+    def release(self, ticket: Ticket) -> None:
         """Take back the slot of a ticket, or its place in the queue."""
         if ticket.state is TicketState.WAITING:
             self._queue.remove(ticket)
--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -76,7 +76,7 @@
         """Give up the place of a ticket that has no slot yet."""
         ticket.is_cancelled = True
         if ticket in self._queued:
-            self._admission.finish(ticket)
+            self._admission.release(ticket)
 
     def _enter(self, ticket: Ticket) -> None:
         self._wait(ticket)
@@ -90,7 +90,7 @@
     def _release(self, ticket: Ticket) -> None:
         if ticket.state is TicketState.RUNNING:
             self.counters.record_released()
-        self._admission.finish(ticket)
+        self._admission.release(ticket)
 
     def _wait(self, ticket: Ticket) -> None:
         self._admission.offer(ticket)
@@ -108,4 +108,4 @@
         with Timeout(left_ms / MS_PER_SECOND, False):
             settled.wait()
             return
-        self._admission.finish(ticket)
+        self._admission.release(ticket)
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -55,7 +55,7 @@
     def answer(self, ticket: Ticket) -> None:
         """Let the worker answer a ticket now."""
         ticket.answer(self.clock.now_ms())
-        self.admission.finish(ticket)
+        self.admission.release(ticket)
 
     def having(self, state: TicketState) -> list[Ticket]:
         """Return the tickets in a state."""
@@ -162,7 +162,7 @@
         ticket = bench.offer(f'ended-{number}')
         bench.clock.pass_ms(span * 1_000 // count)
         ticket.result = TicketResult[result]
-        bench.admission.finish(ticket)
+        bench.admission.release(ticket)
     bench.tickets.clear()
 
 
@@ -223,7 +223,7 @@
 def end_twice(context: Context) -> None:
     for ticket in context.bench.having(TicketState.RUNNING):
         context.bench.answer(ticket)
-        context.bench.admission.finish(ticket)
+        context.bench.admission.release(ticket)
 
 
 @then('{running:d} run, {waiting:d} wait and {shed:d} are shed')
@@ -292,7 +292,7 @@
             ticket.answer(bench.clock.now_ms())
         elif what != 'leave':
             ticket.result = TicketResult[what]
-        bench.admission.finish(ticket)
+        bench.admission.release(ticket)
 
 
 def _apply(bench: Bench, what: str, number: int, span: int) -> None:
