--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -154,9 +154,9 @@
 
     def _learn(self, ticket: Ticket) -> None:
         if ticket.result is TicketResult.REFUSED:
-            self._limit.refused()
+            self._limit.record_refusal()
         elif ticket.result is TicketResult.LOST:
-            self._limit.lost()
+            self._limit.record_loss()
         if ticket.answered_ms is None:
             return
         latency_ms = ticket.answered_ms - ticket.started_ms
--- a/laburnumwood/admission/limit.py
+++ b/laburnumwood/admission/limit.py
@@ -67,12 +67,12 @@
         if age_ms >= _WINDOW_MS and len(self._samples) >= _WINDOW_SAMPLES:
             self._close_window()
 
-    def refused(self) -> None:
+    def record_refusal(self) -> None:
         """Lower the limit because the worker refused a request."""
         self._before_lost = 0
         self._decrease(_REFUSED_FACTOR)
 
-    def lost(self) -> None:
+    def record_loss(self) -> None:
         """Take in that the worker gave no whole answer to a request.
 
         Only where most requests end so is the worker taken to be overloaded:
--- a/tests/features/steps/admission_limit_steps.py
+++ b/tests/features/steps/admission_limit_steps.py
@@ -27,7 +27,7 @@
 @when('the worker refuses {count:d} requests over {span:d} s')
 def refuse_many(context: Context, count: int, span: int) -> None:
     for _ in range(count):
-        context.limit.refused()
+        context.limit.record_refusal()
         context.clock.pass_ms(span * 1_000 // count)
     context.before = context.limit.current
 
@@ -39,7 +39,7 @@
         if number % every:
             context.limit.observe(ANSWER_MS, context.limit.current)
         else:
-            context.limit.lost()
+            context.limit.record_loss()
 
 
 @when(
@@ -59,7 +59,7 @@
 def lose_all(context: Context, count: int) -> None:
     for _ in range(count):
         context.clock.pass_ms(ANSWER_MS * 5)
-        context.limit.lost()
+        context.limit.record_loss()
 
 
 @when('{lost:d} of {every:d} answers are lost for {span:d} s')
@@ -67,7 +67,7 @@
     for number in range(span * 1_000 // ANSWER_MS // 5):
         context.clock.pass_ms(ANSWER_MS * 5)
         if number % every < lost:
-            context.limit.lost()
+            context.limit.record_loss()
         else:
             context.limit.observe(ANSWER_MS * 5, context.limit.current)
 
