--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -146,7 +146,7 @@
 
     def _fill(self) -> None:
         latest_ms = self._clock.now_ms() + round(self._latency_ms())
-        for late in self._queue.hopeless(latest_ms):
+        for late in self._queue.with_deadline_before(latest_ms):
             self._queue.remove(late)
             late.shed(self._retry_after_ms())
         while self._queue and self.running < self.limit:
--- a/laburnumwood/admission/queue.py
+++ b/laburnumwood/admission/queue.py
@@ -127,7 +127,7 @@
         self._classes[ticket.traffic_class.name].drop(ticket)
         self._length -= 1
 
-    def hopeless(self, latest_ms: int) -> list[Ticket]:
+    def with_deadline_before(self, latest_ms: int) -> list[Ticket]:
         """Return the tickets whose deadline is before a moment."""
         return [
             ticket
