--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -129,7 +129,7 @@
         self._peaks = (self.running, self._peaks[0])
 
     def _may_wait(self, ticket: Ticket, left_ms: int) -> bool:
-        ahead = self._queue.ahead_of(ticket.key, ticket.traffic_class)
+        ahead = self._queue.count_ahead_of(ticket.key, ticket.traffic_class)
         needed_ms = self._drain_ms(ahead + 1) + self._latency_ms()
         return needed_ms < left_ms and self._queue.has_room(ticket.key)
 
--- a/laburnumwood/admission/queue.py
+++ b/laburnumwood/admission/queue.py
@@ -81,7 +81,7 @@
         )
         return own < max(1, self._capacity() // 2)
 
-    def ahead_of(self, key: str, traffic_class: TrafficClass) -> int:
+    def count_ahead_of(self, key: str, traffic_class: TrafficClass) -> int:
         """Return how many would be served before a new ticket of a key."""
         joined = self._classes.get(
             traffic_class.name, _Class(traffic_class.weight)
