--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/waiting.py
@@ -6,7 +6,7 @@
 from eventlet import Timeout
 from eventlet.event import Event
 
-from laburnumwood.admission.control import Admission
+from laburnumwood.admission.control import AdmissionPolicy
 from laburnumwood.admission.tally import AdmissionCounters
 from laburnumwood.admission.tickets import Ticket, TicketState
 from laburnumwood.clock import MS_PER_SECOND, Clock
@@ -18,7 +18,7 @@
 class Admitter:
     """Lets the tasks of requests wait for what an admission decides."""
 
-    def __init__(self, admission: Admission, clock: Clock) -> None:
+    def __init__(self, admission: AdmissionPolicy, clock: Clock) -> None:
         self._admission = admission
         self._clock = clock
         self._queued: set[Ticket] = set()
