--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
-from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.errors import CallerGoneError, LinkError, LinkTimeoutError
 from laburnumwood.membership.spreading import take_notice
--- a/laburnumwood/routing/tries.py
+++ b/laburnumwood/routing/tries.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from laburnumwood.admission.retries import RetryBudget
+from laburnumwood.admission.retry_budget import RetryBudget
 from laburnumwood.clock import Clock
 from laburnumwood.events import REQUEST_AGAIN, REQUEST_FAILED
 from laburnumwood.protocol.messages import Failure
--- a/tests/features/steps/admission_limit_steps.py
+++ b/tests/features/steps/admission_limit_steps.py
@@ -4,7 +4,7 @@
 from behave.runner import Context
 
 from laburnumwood.admission.limit import ConcurrencyLimit
-from laburnumwood.admission.retries import RetryBudget
+from laburnumwood.admission.retry_budget import RetryBudget
 from tests.features.steps.fake_clock import FakeClock
 
 ANSWER_MS = 10
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -18,7 +18,7 @@
 from logbook import TestHandler
 
 from bench.deployment import free_port
-from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations, Service
 from laburnumwood.errors import LinkLostError, LinkTimeoutError
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -10,7 +10,7 @@
 from behave.runner import Context
 
 from bench.spreading import record_of
-from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Weights
 from laburnumwood.leases.lease import Lease
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -15,7 +15,7 @@
 from eventlet.green import socket
 from logbook import TestHandler
 
-from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError, LinkTimeoutError
 from laburnumwood.placement.loads import LoadBook
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations, Route, Service
 from laburnumwood.decay import DecayingRate
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -13,7 +13,7 @@
 
 import eventlet
 
-from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import (
     Declarations,
