--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -6,7 +6,7 @@
 from laburnumwood.decay import DecayingMean
 from laburnumwood.events import WORKER_LEAVES, WORKER_SILENT
 from laburnumwood.settings import ReportSettings
-from laburnumwood.upstream.lives import LifeNews, WorkerLives
+from laburnumwood.upstream.instances import LifeNews, WorkerLives
 from laburnumwood.upstream.reports import WorkerReport
 
 _USUAL_INTERVAL_MS = 1_000  # between reports, before any were seen
--- a/laburnumwood/upstream/reporting.py
+++ b/laburnumwood/upstream/reporting.py
@@ -27,7 +27,7 @@
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.handovers import Handovers
-from laburnumwood.upstream.lives import LifeNews
+from laburnumwood.upstream.instances import LifeNews
 from laburnumwood.upstream.presence import Phase, Presence
 from laburnumwood.upstream.reports import (
     GrantedRange,
