--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -9,7 +9,7 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.client import HttpStore
 from laburnumwood.store.interface import Store
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 
 Application = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -20,7 +20,7 @@
 )
 from laburnumwood.routing.run import Run
 from laburnumwood.upstream.pool import WorkerAnswer
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.worker import Worker
 
 _ID = ID_HEADER.lower()
--- a/laburnumwood/upstream/attached.py
+++ b/laburnumwood/upstream/attached.py
@@ -2,7 +2,7 @@
 
 from laburnumwood.news import News
 from laburnumwood.records import KeyRange, ShardName
-from laburnumwood.upstream.reporting import Holder, ReportingWorker
+from laburnumwood.upstream.reporting_worker import Holder, ReportingWorker
 
 
 class AttachedGrants:
