--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -47,7 +47,7 @@
 from laburnumwood.upstream.attached_grants import AttachedGrants
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.grants import Grants
-from laburnumwood.upstream.load import LoadPoller
+from laburnumwood.upstream.load_poller import LoadPoller
 from laburnumwood.upstream.presence import Phase
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.worker import Worker
