--- a/laburnumwood/platform/__init__.py
+++ b/laburnumwood/platform/__init__.py
@@ -3,6 +3,6 @@
 `register` makes it known under the name `platform`.
 """
 
-from laburnumwood.platform.borders import register
+from laburnumwood.platform.registration import register
 
 __all__ = ('register',)
