--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -249,7 +249,7 @@
 
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
-        wait_ms = self._grants.expected_in_ms() + _GRANT_SLACK_MS
+        wait_ms = self._grants.next_grants_in_ms() + _GRANT_SLACK_MS
         if not self._may_await_grant(shard, run, wait_ms):
             detail = f'the worker has no grant for {shard}'
             told = Failure('not-owner', False, detail, wait_ms)
--- a/laburnumwood/upstream/attached_grants.py
+++ b/laburnumwood/upstream/attached_grants.py
@@ -26,9 +26,9 @@
         """Tell whether the worker has a grant for a shard and a token."""
         return self._worker.covers(shard, token)
 
-    def expected_in_ms(self) -> int:
+    def next_grants_in_ms(self) -> int:
         """Return in what time the worker will get its next grants."""
-        return self._worker.expected_in_ms()
+        return self._worker.next_grants_in_ms()
 
     def withdraw(self, shard: ShardName) -> None:
         """Let a shard go that is to get another owner."""
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -50,7 +50,7 @@
         """Tell whether the worker has a grant for a shard and a token."""
         return self._granted.get(shard) == token
 
-    def expected_in_ms(self) -> int:
+    def next_grants_in_ms(self) -> int:
         """Return in what time the worker will get its next grants."""
         age_ms = self._clock.now_ms() - self._granted_ms
         return max(_CHANGE_POLL_MS, _RENEW_MS - age_ms)
--- a/laburnumwood/upstream/grants.py
+++ b/laburnumwood/upstream/grants.py
@@ -12,7 +12,7 @@
     def covers(self, shard: ShardName, token: int | None) -> bool:
         """Tell whether the worker has a grant for a shard and a token."""
 
-    def expected_in_ms(self) -> int:
+    def next_grants_in_ms(self) -> int:
         """Return in what time the worker will get its next grants."""
 
     @property
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -164,7 +164,7 @@
             return False
         return self._clock.now_ms() < given.until_ms
 
-    def expected_in_ms(self) -> int:
+    def next_grants_in_ms(self) -> int:
         """Return in what time the worker will get its next grants."""
         return self.presence.next_report_in_ms()
 
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -77,7 +77,7 @@
         """Tell whether the time has come."""
         return self._clock.now_ms() >= self._from_ms
 
-    def expected_in_ms(self) -> int:
+    def next_grants_in_ms(self) -> int:
         """Return how much time is left."""
         return max(0, self._from_ms - self._clock.now_ms())
 
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -304,4 +304,4 @@
 
 @then('its next grants are expected in {span:d} ms')
 def check_expected(context: Context, span: int) -> None:
-    assert context.worker.expected_in_ms() == span
+    assert context.worker.next_grants_in_ms() == span
