--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -191,7 +191,7 @@
         if not self._writer.refresh_if_possible(write.shard):
             self._finish(write, Progress.NOT_SENT)
             return
-        handovers = [self._grants.handover_of(keys) for keys in split.ranges]
+        handovers = [self._grants.handover_for(keys) for keys in split.ranges]
         self._finish(write, self._writer.carry(write))
         entry = self._view.directory.shard(write.shard)
         if entry is None:
--- a/laburnumwood/upstream/attached_grants.py
+++ b/laburnumwood/upstream/attached_grants.py
@@ -48,9 +48,9 @@
         """Return for how long the worker may still hold what it was given."""
         return self._worker.held_for_ms(self._holder)
 
-    def handover_of(self, keys: KeyRange) -> str:
+    def handover_for(self, keys: KeyRange) -> str:
         """Return what the worker left for the next owner of some keys."""
-        return self._worker.handover_of(keys)
+        return self._worker.handover_for(keys)
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
         """Return what the worker left for the next owner of a shard."""
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -66,7 +66,7 @@
         """Return true: the next owner's token fences this worker off."""
         return True
 
-    def handover_of(self, keys: KeyRange) -> str:
+    def handover_for(self, keys: KeyRange) -> str:
         """Return nothing: these workers leave nothing."""
         return ''
 
--- a/laburnumwood/upstream/grants.py
+++ b/laburnumwood/upstream/grants.py
@@ -28,7 +28,7 @@
     def is_released(self, shard: ShardName) -> bool:
         """Tell whether the worker no longer holds a withdrawn shard."""
 
-    def handover_of(self, keys: KeyRange) -> str:
+    def handover_for(self, keys: KeyRange) -> str:
         """Return what the worker left for the next owner of some keys."""
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -202,7 +202,7 @@
             return ()
         return self._left.of_ranges(self._holder.stripes(shard))
 
-    def handover_of(self, keys: KeyRange) -> str:
+    def handover_for(self, keys: KeyRange) -> str:
         """Return what the worker left for the next owner of some keys."""
         return self._left.of_range(keys)
 
