--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -350,5 +350,5 @@
             left_ms = until_ms - self._clock.now_ms()
             if left_ms <= 0 or self._holdings.is_closed(shard):
                 return False
-            self._grants.news.wait(left_ms)
+            self._grants.changes.wait(left_ms)
         return True
--- a/laburnumwood/upstream/attached_grants.py
+++ b/laburnumwood/upstream/attached_grants.py
@@ -18,9 +18,9 @@
         worker.attach(holder)
 
     @property
-    def news(self) -> News:
+    def changes(self) -> News:
         """Return what tells of changes of the grants."""
-        return self._worker.news
+        return self._worker.changes
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
         """Tell whether the worker has a grant for a shard and a token."""
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -44,7 +44,7 @@
         self._last_until_ms = 0
         self._held_until_ms = 0
         self.health = WorkerHealth(clock)
-        self.news = News()
+        self.changes = News()
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
         """Tell whether the worker has a grant for a shard and a token."""
@@ -107,7 +107,7 @@
             self._held_until_ms = until_ms
             self._granted = wanted
             self._granted_ms = self._clock.now_ms()
-            self.news.tell()
+            self.changes.tell()
         elif self._reachable:
             WORKER_UNREACHABLE.report()
         self._reachable = taken
--- a/laburnumwood/upstream/grants.py
+++ b/laburnumwood/upstream/grants.py
@@ -16,7 +16,7 @@
         """Return in what time the worker will get its next grants."""
 
     @property
-    def news(self) -> News:
+    def changes(self) -> News:
         """Return what tells of changes of the grants."""
 
     def withdraw(self, shard: ShardName) -> None:
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -127,7 +127,7 @@
         self._left = Handovers()
         self._last_cut = (0, 0)
         self.presence = Presence(settings, clock)
-        self.news = News()
+        self.changes = News()
 
     @property
     def is_clear(self) -> bool:
@@ -154,7 +154,7 @@
             return GrantReply((), _NOTHING_MS)
         self._note_held(report)
         reply = self._grant(self._holder)
-        self.news.tell()
+        self.changes.tell()
         return reply
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -70,8 +70,8 @@
     def __init__(self, in_ms: int, clock: FakeClock) -> None:
         self._clock = clock
         self._from_ms = clock.now_ms() + in_ms
-        self.news = PlayedNews(clock)
-        self.news.events[self._from_ms] = _nothing
+        self.changes = PlayedNews(clock)
+        self.changes.events[self._from_ms] = _nothing
 
     def covers(self, _shard: ShardName, _token: int | None) -> bool:
         """Tell whether the time has come."""
@@ -224,7 +224,7 @@
 def close_shard(context: Context, span: int) -> None:
     at_ms = context.clock.now_ms() + span
     close = partial(context.holdings.close, SHARD)
-    context.grants.news.events[at_ms] = close
+    context.grants.changes.events[at_ms] = close
 
 
 @given('the gate knows that the shard has moved to "{owner}"')
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -28,7 +28,7 @@
     def __init__(self, release_ms: int, clock: FakeClock) -> None:
         self._clock = clock
         self._from_ms = clock.now_ms() + release_ms
-        self.news = News()
+        self.changes = News()
         self.withdrawn: set[ShardName] = set()
         self.asked: list[ShardName] = []
 
