--- a/laburnumwood/daemon/handover_news.py
+++ b/laburnumwood/daemon/handover_news.py
@@ -43,5 +43,5 @@
             self._spreader.tell(told, Left(left))
 
     def _serve(self, _link: object, stream: Stream, told: Left) -> None:
-        self._reporting.take_left(told.released)
+        self._reporting.add_remote_handovers(told.released)
         stream.send(Done())
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -211,7 +211,7 @@
         """Return what the worker let go since its life began."""
         return self._left.all()
 
-    def take_left(self, released: Iterable[ReleasedRange]) -> None:
+    def add_remote_handovers(self, released: Iterable[ReleasedRange]) -> None:
         """Take in what the worker of another node let go."""
         self._left.note_told(released)
 
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -149,8 +149,8 @@
 
 
 @when('another node tells what its worker left of shard {number:d}')
-def take_left(context: Context, number: int) -> None:
-    context.worker.take_left(
+def add_remote_handovers(context: Context, number: int) -> None:
+    context.worker.add_remote_handovers(
         ReleasedRange(keys, 'left there') for keys in stripes(number)
     )
 
