--- a/laburnumwood/daemon/handover_news.py
+++ b/laburnumwood/daemon/handover_news.py
@@ -36,7 +36,7 @@
 
     def tell(self) -> None:
         """Tell the other nodes of the service what the worker let go."""
-        left = self._reporting.left
+        left = self._reporting.released_ranges
         told = set(self._view.live_in(self._service)) - {self._own}
         if left and told:
             HANDOVERS_TOLD.report(ranges=len(left), nodes=len(told))
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -105,7 +105,7 @@
             self.view,
             self._known,
             self._worker_state,
-            lambda: reporting.is_clear and not reporting.left,
+            lambda: reporting.is_clear and not reporting.released_ranges,
         )
         self._handover_news = HandoverNews(
             name,
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -207,7 +207,7 @@
         return self._left.of_range(keys)
 
     @property
-    def left(self) -> tuple[ReleasedRange, ...]:
+    def released_ranges(self) -> tuple[ReleasedRange, ...]:
         """Return what the worker let go since its life began."""
         return self._left.all()
 
