--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -105,7 +105,9 @@
             self.view,
             self._known,
             self._worker_state,
-            lambda: reporting.is_clear and not reporting.released_ranges,
+            lambda: (
+                reporting.has_released_all and not reporting.released_ranges
+            ),
         )
         self._handover_news = HandoverNews(
             name,
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -266,7 +266,7 @@
     def _is_back(self) -> bool:
         incarnation = self._incarnation
         is_told = incarnation is None or incarnation.is_told_to_serve
-        return self.worker.is_clear and is_told
+        return self.worker.has_released_all and is_told
 
     def _persist(self, call: Callable[[], _Found]) -> _Found:
         """Make a call of the store until it is answered.
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -130,7 +130,7 @@
         self.changes = News()
 
     @property
-    def is_clear(self) -> bool:
+    def has_released_all(self) -> bool:
         """Tell whether the worker has reported that it holds nothing."""
         return self.presence.holds_nothing and not self._given
 
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -294,12 +294,12 @@
 
 @then('it is not known to hold nothing')
 def check_not_clear(context: Context) -> None:
-    assert not context.worker.is_clear
+    assert not context.worker.has_released_all
 
 
 @then('it is known to hold nothing')
 def check_clear(context: Context) -> None:
-    assert context.worker.is_clear
+    assert context.worker.has_released_all
 
 
 @then('its next grants are expected in {span:d} ms')
