--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -34,7 +34,7 @@
         self._gaps_ms = DecayingMean(_GAPS_HALF_LIFE_MS, clock)
         self._left_ms: int | None = None
         self._was_silent = False
-        self._holds_nothing = False
+        self._reports_no_keys = False
         self.slots = 0
 
     @property
@@ -54,9 +54,9 @@
         return Phase.SERVING
 
     @property
-    def holds_nothing(self) -> bool:
+    def reports_no_keys(self) -> bool:
         """Tell whether the worker's last report says that it holds nothing."""
-        return self._holds_nothing
+        return self._reports_no_keys
 
     def may_start(self) -> bool:
         """Tell whether a request may still be sent to the worker."""
@@ -75,7 +75,7 @@
             self._left_ms = None
         self._note_time(news)
         self._was_silent = False
-        self._holds_nothing = not report.held
+        self._reports_no_keys = not report.held
         self.slots = report.slots
         if report.is_leaving:
             self._begin_leaving()
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -132,7 +132,7 @@
     @property
     def has_released_all(self) -> bool:
         """Tell whether the worker has reported that it holds nothing."""
-        return self.presence.holds_nothing and not self._given
+        return self.presence.reports_no_keys and not self._given
 
     def attach(self, holder: Holder | None) -> None:
         """Let another incarnation say what the worker is to hold."""
