--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -107,7 +107,7 @@
         except BodyError as refused:
             REPORT_REFUSED.report(path=path, reason=refused)
             return _reply(start_response, HTTPStatus.BAD_REQUEST, b'')
-        reply = self._worker.report(report)
+        reply = self._worker.handle_report(report)
         return _reply(start_response, HTTPStatus.OK, write_reply(reply))
 
     def _read(self, worker_id: str, body: bytes) -> WorkerReport:
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -143,7 +143,7 @@
         """Tell whether a holder is the one that says what is to be held."""
         return self._holder is holder
 
-    def report(self, report: WorkerReport) -> GrantReply:
+    def handle_report(self, report: WorkerReport) -> GrantReply:
         """Take in a report and return what the worker is to hold."""
         news = self.presence.note(report)
         if news is LifeNews.LATE:
--- a/tests/features/steps/letting_go_steps.py
+++ b/tests/features/steps/letting_go_steps.py
@@ -66,7 +66,7 @@
 
 def _report(context: Context, held: tuple[HeldRange, ...]) -> Any:
     context.number += 1
-    return context.node.worker.report(
+    return context.node.worker.handle_report(
         WorkerReport('w', 's', 1, context.number, 18, False, held)
     )
 
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -115,7 +115,7 @@
         held=held,
         released=released,
     )
-    context.reply = context.worker.report(context.last)
+    context.reply = context.worker.handle_report(context.last)
 
 
 @when('the worker reports')
@@ -181,7 +181,7 @@
 
 @when('the last report comes once more')
 def report_again(context: Context) -> None:
-    context.reply = context.worker.report(context.last)
+    context.reply = context.worker.handle_report(context.last)
 
 
 @when('another life of the worker reports')
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -51,7 +51,7 @@
             self._take(node)
 
     def _take(self, node: ReportingWorker) -> None:
-        reply = node.report(self._report())
+        reply = node.handle_report(self._report())
         if reply.ranges is None:
             return
         before = set(self._held)
