--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -194,7 +194,7 @@
             if incarnation.has_lost_worker:
                 self._resign(incarnation)
                 return Fate.LAPSED
-            self.worker.presence.watch_silence()
+            self.worker.presence.report_silence()
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         return Fate.GOES_ON
 
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -94,7 +94,7 @@
             self._heard_ms = self._heard_ms or self._clock.now_ms()
             self._begin_leaving()
 
-    def watch_silence(self) -> None:
+    def report_silence(self) -> None:
         """Tell of a worker whose reports stay out; call it often."""
         if self.phase is Phase.SILENT and not self._was_silent:
             self._was_silent = True
