--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -98,7 +98,7 @@
         path = environ['PATH_INFO']
         body = environ['wsgi.input'].read(_LONGEST_REPORT)
         if path.startswith(_LEAVE_PATH):
-            self._worker.presence.sign_off(path.removeprefix(_LEAVE_PATH))
+            self._worker.presence.deregister(path.removeprefix(_LEAVE_PATH))
             return _reply(start_response, HTTPStatus.OK, encode({}))
         if not path.startswith(_REPORT_PATH):
             return _reply(start_response, HTTPStatus.NOT_FOUND, b'')
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -88,7 +88,7 @@
         gap_ms = round(self._gaps_ms.mean) or _USUAL_INTERVAL_MS
         return max(0, gap_ms - self._silent_ms)
 
-    def sign_off(self, worker_id: str) -> None:
+    def deregister(self, worker_id: str) -> None:
         """Take in that a worker ends, without a report before."""
         if worker_id == self.worker_id or self._heard_ms is None:
             self._heard_ms = self._heard_ms or self._clock.now_ms()
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -168,8 +168,8 @@
 
 
 @when('the worker signs off')
-def sign_off(context: Context) -> None:
-    context.worker.presence.sign_off(f'worker-{context.life}')
+def deregister(context: Context) -> None:
+    context.worker.presence.deregister(f'worker-{context.life}')
 
 
 @when('a report of an earlier life comes')
