--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -48,7 +48,7 @@
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.grants import Grants
 from laburnumwood.upstream.load_poller import LoadPoller
-from laburnumwood.upstream.presence import Phase
+from laburnumwood.upstream.presence import WorkerPhase
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.worker import Worker
 
@@ -257,7 +257,7 @@
         return (*ledger, self._serving.run)
 
     def _worker_state(self) -> tuple[bool, int]:
-        serves = self._reporting.presence.phase is Phase.SERVING
+        serves = self._reporting.presence.phase is WorkerPhase.SERVING
         return serves, self._reporting.presence.slots
 
     def _slots(self) -> int:
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -14,7 +14,7 @@
 _GAPS_HALF_LIFE_MS = 5_000
 
 
-class Phase(Enum):
+class WorkerPhase(Enum):
     """How the worker stands to its node."""
 
     UNKNOWN = 'it has not reported yet'
@@ -43,15 +43,15 @@
         return self._lives.worker_id
 
     @property
-    def phase(self) -> Phase:
+    def phase(self) -> WorkerPhase:
         """Return how the worker stands to its node now."""
         if self._heard_ms is None:
-            return Phase.UNKNOWN
+            return WorkerPhase.UNKNOWN
         if self._left_ms is not None:
-            return Phase.LEAVING
+            return WorkerPhase.LEAVING
         if self._silent_ms >= self._settings.silent_ms:
-            return Phase.SILENT
-        return Phase.SERVING
+            return WorkerPhase.SILENT
+        return WorkerPhase.SERVING
 
     @property
     def reports_no_keys(self) -> bool:
@@ -61,10 +61,10 @@
     def may_start(self) -> bool:
         """Tell whether a request may still be sent to the worker."""
         phase = self.phase
-        if phase is Phase.LEAVING and self._left_ms is not None:
+        if phase is WorkerPhase.LEAVING and self._left_ms is not None:
             ago_ms = self._clock.now_ms() - self._left_ms
             return ago_ms < self._settings.leave_ms
-        return phase is Phase.SERVING
+        return phase is WorkerPhase.SERVING
 
     def note(self, report: WorkerReport) -> LifeNews:
         """Take in a report and tell what it says of the worker's life."""
@@ -96,7 +96,7 @@
 
     def report_silence(self) -> None:
         """Tell of a worker whose reports stay out; call it often."""
-        if self.phase is Phase.SILENT and not self._was_silent:
+        if self.phase is WorkerPhase.SILENT and not self._was_silent:
             self._was_silent = True
             WORKER_SILENT.report(
                 worker=self.worker_id, silent_ms=self._silent_ms
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -28,7 +28,7 @@
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.handovers import Handovers
 from laburnumwood.upstream.instances import LifeNews
-from laburnumwood.upstream.presence import Phase, Presence
+from laburnumwood.upstream.presence import Presence, WorkerPhase
 from laburnumwood.upstream.reports import (
     GrantedRange,
     GrantReply,
@@ -173,7 +173,10 @@
         if self._holder is None:
             return
         self._withdrawn.add(shard)
-        if shard not in self._given or self.presence.phase is Phase.SILENT:
+        if (
+            shard not in self._given
+            or self.presence.phase is WorkerPhase.SILENT
+        ):
             self._holder.close(shard)
 
     def restore(self, shard: ShardName) -> None:
