--- a/laburnumwood/routing/dialect.py
+++ b/laburnumwood/routing/dialect.py
@@ -4,7 +4,7 @@
 
 from laburnumwood.routing.run import Run
 from laburnumwood.upstream.pool import WorkerAnswer
-from laburnumwood.upstream.refusals import FENCED, may_be_refusal, refusal_in
+from laburnumwood.upstream.refusals import FENCED, may_be_refusal, parse_refusal
 from laburnumwood.upstream.worker import Worker
 
 Headers = tuple[tuple[str, str], ...]
@@ -56,7 +56,7 @@
 
     def refusal(self, answer: WorkerAnswer, body: bytes) -> str | None:
         """Return the kind of problem if a request did not run, else None."""
-        reason = refusal_in(answer, body)
+        reason = parse_refusal(answer, body)
         if reason is None:
             return None
         return NOT_OWNER if reason == FENCED else REFUSED
--- a/laburnumwood/upstream/refusals.py
+++ b/laburnumwood/upstream/refusals.py
@@ -16,7 +16,7 @@
     return short and answer.status in _REFUSALS
 
 
-def refusal_in(answer: WorkerAnswer, body: bytes) -> str | None:
+def parse_refusal(answer: WorkerAnswer, body: bytes) -> str | None:
     """Return why a worker did not run a request, None if it may have."""
     try:
         content = json.loads(body)
