--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -16,7 +16,7 @@
 _NOTHING = b''
 
 
-def cut_error(failure: Exception) -> WorkerCutError:
+def to_worker_error(failure: Exception) -> WorkerCutError:
     """Return the error of an exchange that ended or stood still."""
     # Only a read that waited too long raises a timeout here.
     late = isinstance(failure, TimeoutError)
@@ -71,7 +71,7 @@
             while part := self._response.read1(_CHUNK_SIZE):
                 yield part
         except (HTTPException, OSError, ValueError) as cut:
-            raise cut_error(cut) from cut
+            raise to_worker_error(cut) from cut
         if self._response.length:
             raise WorkerCutError(f'{self._response.length} bytes are missing')
 
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -23,7 +23,7 @@
 from laburnumwood.upstream.pool import (
     ConnectionPool,
     WorkerAnswer,
-    cut_error,
+    to_worker_error,
 )
 
 _CONTROL_TIMEOUT_S = 0.5
@@ -97,7 +97,7 @@
                 head, order.body, order.method, order.timeout_ms
             )
         except (HTTPException, OSError) as failure:
-            raise cut_error(failure) from failure
+            raise to_worker_error(failure) from failure
         finally:
             if response is None:
                 connection.close()
