--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -82,7 +82,7 @@
         index = answer.index
         given = index.first(_ID)
         succeeded = HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES
-        needs_id = succeeded or answer.may_be_late
+        needs_id = succeeded or answer.may_answer_earlier_request
         if given != run.work.request_id and (given or needs_id):
             raise WorkerCutError(f'the answer is that to {given!r}')
         if index.has('content-encoding'):
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -58,7 +58,7 @@
         return self._response.length
 
     @property
-    def may_be_late(self) -> bool:
+    def may_answer_earlier_request(self) -> bool:
         """Tell whether it may be a second answer to an earlier request."""
         return self._connection.is_used_again
 
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -256,7 +256,7 @@
         assert b''.join(answer.chunks()) == BODY
         answer.release()
         answer = _ask(context)
-    context.may_be_late = answer.may_be_late
+    context.may_answer_earlier_request = answer.may_answer_earlier_request
     answer.close()
 
 
@@ -266,8 +266,10 @@
     index = HeaderIndex((name, text) for name, text in pairs)
     work = SimpleNamespace(request_id='own')
     run: Any = SimpleNamespace(work=work)
-    late = context.may_be_late
-    answer: Any = SimpleNamespace(status=status, index=index, may_be_late=late)
+    late = context.may_answer_earlier_request
+    answer: Any = SimpleNamespace(
+        status=status, index=index, may_answer_earlier_request=late
+    )
     reporting: Any = None
     try:
         WorkerDialect(reporting).check(run, answer)
