--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -203,7 +203,7 @@
         if not may_refuse and (length is None or length > self._longest_whole):
             return None
         # Longer ones are no refusals of a worker that keeps to its protocol.
-        body = answer.whole(max(self._longest_whole, LONGEST_INLINE))
+        body = answer.read_body(max(self._longest_whole, LONGEST_INLINE))
         kind = self._dialect.refusal(answer, body) if may_refuse else None
         if kind is not None:
             detail = f'the worker refused it with status {answer.status}'
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -75,7 +75,7 @@
         if self._response.length:
             raise WorkerCutError(f'{self._response.length} bytes are missing')
 
-    def whole(self, longest: int) -> bytes:
+    def read_body(self, longest: int) -> bytes:
         """Return the body, which may have so many bytes.
 
         Raises `WorkerCutError` if it has more, ends early or falls silent.
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -148,7 +148,7 @@
     with Timeout(LIMIT_MS / MS_PER_SECOND):
         try:
             answer = _ask(context)
-            context.verdict = answer.whole(longest)
+            context.verdict = answer.read_body(longest)
         except WorkerCutError as cut:
             context.verdict = cut
 
