--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -201,7 +201,7 @@
         return response
 
     @property
-    def is_used_again(self) -> bool:
+    def is_reused(self) -> bool:
         """Tell whether more than one request was sent on it."""
         return self._sent > 1
 
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -60,7 +60,7 @@
     @property
     def may_answer_earlier_request(self) -> bool:
         """Tell whether it may be a second answer to an earlier request."""
-        return self._connection.is_used_again
+        return self._connection.is_reused
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it comes.
