--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -205,7 +205,7 @@
         """Tell whether more than one request was sent on it."""
         return self._sent > 1
 
-    def note_idle(self, answer_index: HeaderIndex) -> None:
+    def record_keep_alive(self, answer_index: HeaderIndex) -> None:
         """Take in for how long the worker keeps the connection when idle."""
         found = _TIMEOUT_PARAMETER.search(answer_index.first('keep-alive'))
         if found is not None:
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -107,7 +107,7 @@
         if will_close:
             self._connection.close()
         else:
-            self._connection.note_idle(self.index)
+            self._connection.record_keep_alive(self.index)
             self._pool.give_back(self._connection)
 
 
