--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -57,7 +57,7 @@
         """Let all reads together end at a time, however often a byte comes."""
         self._until_ms = until_ms
 
-    def read_within(self, limit_ms: int) -> None:
+    def set_read_timeout(self, limit_ms: int) -> None:
         """Let each read from now on wait for so long at the most."""
         self._until_ms = None
         self.settimeout(limit_ms / MS_PER_SECOND)
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -102,7 +102,7 @@
             if response is None:
                 connection.close()
         limit_ms = min(order.timeout_ms, _LONGEST_SILENCE_MS)
-        connection.sock.read_within(limit_ms)
+        connection.sock.set_read_timeout(limit_ms)
         return WorkerAnswer(response, connection, self._requests)
 
     def cancel(self, request_id: str) -> bool:
