--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -53,7 +53,7 @@
         self._clock = clock
         self._until_ms: int | None = None
 
-    def read_until(self, until_ms: int) -> None:
+    def set_read_deadline(self, until_ms: int) -> None:
         """Let all reads together end at a time, however often a byte comes."""
         self._until_ms = until_ms
 
@@ -194,7 +194,7 @@
         """
         self._sent += 1
         self.sock.settimeout(timeout_ms / MS_PER_SECOND)
-        self.sock.read_until(self._clock.now_ms() + timeout_ms)
+        self.sock.set_read_deadline(self._clock.now_ms() + timeout_ms)
         self.sock.sendall(head + body)
         response = WorkerResponse(self.sock, method)
         response.begin()
