--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -108,7 +108,7 @@
             self._connection.close()
         else:
             self._connection.record_keep_alive(self.index)
-            self._pool.give_back(self._connection)
+            self._pool.release(self._connection)
 
 
 class ConnectionPool:
@@ -121,7 +121,7 @@
         self._clock = clock
         self._idle: deque[WorkerConnection] = deque(maxlen=most_idle)
 
-    def take(self) -> WorkerConnection:
+    def acquire(self) -> WorkerConnection:
         """Return an open connection; raises the library's errors."""
         while self._idle:
             kept = self._idle.pop()
@@ -137,7 +137,7 @@
         opened.connect()
         return opened
 
-    def give_back(self, connection: WorkerConnection) -> None:
+    def release(self, connection: WorkerConnection) -> None:
         """Keep a connection whose last answer was read whole."""
         if len(self._idle) == self._idle.maxlen:
             self._idle.popleft().close()
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -88,7 +88,7 @@
         """
         try:
             head = request_head(order.method, order.target, order.all_headers)
-            connection = self._requests.take()
+            connection = self._requests.acquire()
         except (HTTPError, OSError, ValueError) as failure:
             raise WorkerUnreachableError(repr(failure)) from failure
         response = None
