--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -88,7 +88,7 @@
     """The head of an answer does not say where the answer ends."""
 
 
-class WorkerResponse(HTTPResponse):
+class StrictResponse(HTTPResponse):
     """An answer; only its head is read in another way than the library's."""
 
     def __init__(self, sock: Any, method: str) -> None:
@@ -187,7 +187,7 @@
 
     def send_request(
         self, head: bytes, body: bytes, method: str, timeout_ms: int
-    ) -> WorkerResponse:
+    ) -> StrictResponse:
         """Send a request and return its answer when the head has come.
 
         Raises `OSError` or `HTTPException`.
@@ -196,7 +196,7 @@
         self.sock.settimeout(timeout_ms / MS_PER_SECOND)
         self.sock.set_read_deadline(self._clock.now_ms() + timeout_ms)
         self.sock.sendall(head + body)
-        response = WorkerResponse(self.sock, method)
+        response = StrictResponse(self.sock, method)
         response.begin()
         return response
 
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -9,7 +9,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.errors import WorkerCutError, WorkerTimeoutError
 from laburnumwood.header_index import Header, HeaderIndex
-from laburnumwood.upstream.connection import WorkerConnection, WorkerResponse
+from laburnumwood.upstream.connection import StrictResponse, WorkerConnection
 
 _CONNECT_TIMEOUT_S = 0.5
 _CHUNK_SIZE = 32_768  # bytes
@@ -28,7 +28,7 @@
 
     def __init__(
         self,
-        response: WorkerResponse,
+        response: StrictResponse,
         connection: WorkerConnection,
         pool: 'ConnectionPool',
     ) -> None:
--- a/tests/fuzz/doors.py
+++ b/tests/fuzz/doors.py
@@ -37,7 +37,7 @@
 from laburnumwood.routing.connection import CallerProtocol
 from laburnumwood.settings import read_settings
 from laburnumwood.store.objects import CONFIG, node_object, to_value
-from laburnumwood.upstream.connection import WorkerResponse
+from laburnumwood.upstream.connection import StrictResponse
 from tests.features.steps.plain_work import PLAIN_WORK
 from tests.fuzz.mutations import malformed, mutate, replace
 
@@ -186,7 +186,7 @@
 def _answers(random: Random) -> None:
     """Read an answer with its body."""
     sock: Any = _Read(mutate(random, _ANSWER))
-    response = WorkerResponse(sock, 'GET')
+    response = StrictResponse(sock, 'GET')
     response.begin()
     response.read()
 
