--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -32,7 +32,7 @@
 from laburnumwood.routing.suspicions import Suspicions
 from laburnumwood.tasks import start
 from laburnumwood.upstream.pool import WorkerAnswer
-from laburnumwood.upstream.worker import Order, Worker
+from laburnumwood.upstream.worker import Worker, WorkerRequest
 
 _NOT_SENT: dict[type[WorkerError], str] = {
     WorkerBusyError: 'overloaded',
@@ -150,11 +150,13 @@
             raise
         return answer
 
-    def _order(self, run: Run) -> Order:
+    def _order(self, run: Run) -> WorkerRequest:
         work = run.work
         left_ms = max(1, run.until_ms - self._clock.now_ms())
         headers = self._dialect.headers(run, left_ms)
-        return Order(work.method, work.target, headers, run.body, left_ms)
+        return WorkerRequest(
+            work.method, work.target, headers, run.body, left_ms
+        )
 
     def _take(
         self, run: Run, answer: WorkerAnswer, exchange: Exchange, kept: int
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Order:
+class WorkerRequest:
     """A request as it is sent to the worker; `timeout_ms` is what is left."""
 
     method: str
@@ -80,7 +80,7 @@
             url, maxsize=_CONTROL_CONNECTIONS, retries=Retry(0, redirect=False)
         )
 
-    def run(self, order: Order) -> WorkerAnswer:
+    def run(self, order: WorkerRequest) -> WorkerAnswer:
         """Send a request once and return the head of its answer.
 
         Raises `WorkerUnreachableError` if it is proved that nothing was
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -15,7 +15,7 @@
 from laburnumwood.errors import WorkerCutError, WorkerTimeoutError
 from laburnumwood.header_index import HeaderIndex
 from laburnumwood.platform.workers import WorkerDialect
-from laburnumwood.upstream.worker import Order, Worker
+from laburnumwood.upstream.worker import Worker, WorkerRequest
 
 HOST = '127.0.0.1'
 HALF = b'half'
@@ -37,7 +37,7 @@
     listener = eventlet.listen((HOST, 0))
     eventlet.spawn_n(_send_half, context, listener)
     worker = Worker(f'http://{HOST}:{listener.getsockname()[1]}', 1, Clock())
-    context.answer = worker.run(Order('GET', '/', (), b'', LIMIT_MS))
+    context.answer = worker.run(WorkerRequest('GET', '/', (), b'', LIMIT_MS))
 
 
 @when('the half is read and the worker ends the connection with {end}')
@@ -175,7 +175,7 @@
     with Timeout(LIMIT_MS / MS_PER_SECOND):
         try:
             context.verdict = context.worker.run(
-                Order('GET', '/', (), b'', span)
+                WorkerRequest('GET', '/', (), b'', span)
             )
         except WorkerCutError as cut:
             context.verdict = cut
@@ -213,13 +213,15 @@
 @when('{number:d} requests are sent to it and read one after the other')
 def ask_often(context: Context, number: int) -> None:
     for _ in range(number):
-        answer = context.worker.run(Order('GET', '/', (), b'', LIMIT_MS))
+        answer = context.worker.run(
+            WorkerRequest('GET', '/', (), b'', LIMIT_MS)
+        )
         assert b''.join(answer.chunks()) == BODY
         answer.release()
 
 
 def _ask(context: Context) -> Any:
-    return context.worker.run(Order('GET', '/', (), b'', LIMIT_MS))
+    return context.worker.run(WorkerRequest('GET', '/', (), b'', LIMIT_MS))
 
 
 @when('the answer to a request is given back twice and closed')
