--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -142,7 +142,7 @@
             raise
 
     def _run_checked(self, run: Run) -> WorkerAnswer:
-        answer = self._worker.run(self._order(run))
+        answer = self._worker.send(self._order(run))
         try:
             self._dialect.check(run, answer)
         except WorkerCutError:
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -80,7 +80,7 @@
             url, maxsize=_CONTROL_CONNECTIONS, retries=Retry(0, redirect=False)
         )
 
-    def run(self, order: WorkerRequest) -> WorkerAnswer:
+    def send(self, order: WorkerRequest) -> WorkerAnswer:
         """Send a request once and return the head of its answer.
 
         Raises `WorkerUnreachableError` if it is proved that nothing was
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -37,7 +37,7 @@
     listener = eventlet.listen((HOST, 0))
     eventlet.spawn_n(_send_half, context, listener)
     worker = Worker(f'http://{HOST}:{listener.getsockname()[1]}', 1, Clock())
-    context.answer = worker.run(WorkerRequest('GET', '/', (), b'', LIMIT_MS))
+    context.answer = worker.send(WorkerRequest('GET', '/', (), b'', LIMIT_MS))
 
 
 @when('the half is read and the worker ends the connection with {end}')
@@ -174,7 +174,7 @@
     began_ms = clock.now_ms()
     with Timeout(LIMIT_MS / MS_PER_SECOND):
         try:
-            context.verdict = context.worker.run(
+            context.verdict = context.worker.send(
                 WorkerRequest('GET', '/', (), b'', span)
             )
         except WorkerCutError as cut:
@@ -213,7 +213,7 @@
 @when('{number:d} requests are sent to it and read one after the other')
 def ask_often(context: Context, number: int) -> None:
     for _ in range(number):
-        answer = context.worker.run(
+        answer = context.worker.send(
             WorkerRequest('GET', '/', (), b'', LIMIT_MS)
         )
         assert b''.join(answer.chunks()) == BODY
@@ -221,7 +221,7 @@
 
 
 def _ask(context: Context) -> Any:
-    return context.worker.run(WorkerRequest('GET', '/', (), b'', LIMIT_MS))
+    return context.worker.send(WorkerRequest('GET', '/', (), b'', LIMIT_MS))
 
 
 @when('the answer to a request is given back twice and closed')
