--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -127,7 +127,7 @@
 
     def _run_on_live_worker(self, run: Run) -> WorkerAnswer:
         # What is sent to a worker that is dead already did not kill it.
-        if self._is_in_doubt and not self._worker.answers():
+        if self._is_in_doubt and not self._worker.is_responding():
             raise WorkerUnreachableError('the worker was lost')
         self._is_in_doubt = False
         try:
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -121,7 +121,7 @@
         ]
         return self._control('PUT', '/grants', until_ms=until_ms, shards=shards)
 
-    def answers(self) -> bool:
+    def is_responding(self) -> bool:
         """Ask the worker for its health; tell whether it answers at all."""
         return self._health_failure() is None
 
