--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -101,7 +101,7 @@
         self._last_until_ms = max(self._last_until_ms, until_ms)
         self._held_until_ms = max(self._held_until_ms, until_ms)
         taken = self._worker.grant(wanted, until_ms)
-        self.health.note(answered=taken, started_ms=started_ms)
+        self.health.record_call(answered=taken, started_ms=started_ms)
         if taken:
             # It replaces all that was granted before.
             self._held_until_ms = until_ms
--- a/laburnumwood/upstream/health.py
+++ b/laburnumwood/upstream/health.py
@@ -23,7 +23,7 @@
         silent_ms = self._clock.now_ms() - self._failing_since_ms
         return self._failures >= _LEAST_FAILURES and silent_ms >= _PATIENCE_MS
 
-    def note(self, *, answered: bool, started_ms: int) -> None:
+    def record_call(self, *, answered: bool, started_ms: int) -> None:
         """Take in the outcome of a call that started at a time."""
         if answered:
             self._failures = 0
--- a/tests/features/steps/worker_health_steps.py
+++ b/tests/features/steps/worker_health_steps.py
@@ -13,7 +13,7 @@
     context.health = WorkerHealth(DriftingClock(context.time, 0, 1.0))
     for row in context.table:
         context.time.now_ms = int(row['at_ms'])
-        context.health.note(
+        context.health.record_call(
             answered=row['answered'] == 'yes', started_ms=int(row['at_ms'])
         )
 
