--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -66,7 +66,7 @@
             return ago_ms < self._settings.leave_ms
         return phase is WorkerPhase.SERVING
 
-    def note(self, report: WorkerReport) -> LifeNews:
+    def record_report(self, report: WorkerReport) -> LifeNews:
         """Take in a report and tell what it says of the worker's life."""
         news = self._lives.note(report)
         if news is LifeNews.LATE:
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -145,7 +145,7 @@
 
     def handle_report(self, report: WorkerReport) -> GrantReply:
         """Take in a report and return what the worker is to hold."""
-        news = self.presence.note(report)
+        news = self.presence.record_report(report)
         if news is LifeNews.LATE:
             return GrantReply()
         if news is LifeNews.NEW:
