--- a/laburnumwood/upstream/instances.py
+++ b/laburnumwood/upstream/instances.py
@@ -13,7 +13,7 @@
     LATE = 'it was overtaken by a newer report'
 
 
-class WorkerLives:
+class WorkerInstanceTracker:
     """Tells reports of the present life from those that come late.
 
     A worker's process keeps nothing when it starts anew, even if it keeps
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -6,7 +6,7 @@
 from laburnumwood.decay import DecayingMean
 from laburnumwood.events import WORKER_LEAVES, WORKER_SILENT
 from laburnumwood.settings import ReportSettings
-from laburnumwood.upstream.instances import LifeNews, WorkerLives
+from laburnumwood.upstream.instances import LifeNews, WorkerInstanceTracker
 from laburnumwood.upstream.reports import WorkerReport
 
 _USUAL_INTERVAL_MS = 1_000  # between reports, before any were seen
@@ -29,7 +29,7 @@
     def __init__(self, settings: ReportSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self._lives = WorkerLives()
+        self._lives = WorkerInstanceTracker()
         self._heard_ms: int | None = None
         self._gaps_ms = DecayingMean(_GAPS_HALF_LIFE_MS, clock)
         self._left_ms: int | None = None
