--- a/laburnumwood/upstream/instances.py
+++ b/laburnumwood/upstream/instances.py
@@ -29,7 +29,7 @@
         """Return the id of the present life, empty before the first."""
         return self._life[1] if self._life else ''
 
-    def note(self, report: WorkerReport) -> LifeNews:
+    def record_report(self, report: WorkerReport) -> LifeNews:
         """Take in a report and tell what it says of the life."""
         life = report.started_ms, report.worker_id
         if self._life is not None and life < self._life:
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -68,7 +68,7 @@
 
     def record_report(self, report: WorkerReport) -> LifeNews:
         """Take in a report and tell what it says of the worker's life."""
-        news = self._lives.note(report)
+        news = self._lives.record_report(report)
         if news is LifeNews.LATE:
             return news
         if news is LifeNews.NEW:
