--- a/laburnumwood/upstream/instances.py
+++ b/laburnumwood/upstream/instances.py
@@ -5,7 +5,7 @@
 from laburnumwood.upstream.reports import WorkerReport
 
 
-class LifeNews(Enum):
+class ReportStatus(Enum):
     """What a report says of the worker's life."""
 
     SAME = 'the life that is known goes on'
@@ -29,16 +29,16 @@
         """Return the id of the present life, empty before the first."""
         return self._life[1] if self._life else ''
 
-    def record_report(self, report: WorkerReport) -> LifeNews:
+    def record_report(self, report: WorkerReport) -> ReportStatus:
         """Take in a report and tell what it says of the life."""
         life = report.started_ms, report.worker_id
         if self._life is not None and life < self._life:
-            return LifeNews.LATE
+            return ReportStatus.LATE
         if life != self._life:
             self._life = life
             self._number = report.number
-            return LifeNews.NEW
+            return ReportStatus.NEW
         if report.number <= self._number:
-            return LifeNews.LATE
+            return ReportStatus.LATE
         self._number = report.number
-        return LifeNews.SAME
+        return ReportStatus.SAME
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -6,7 +6,7 @@
 from laburnumwood.decay import DecayingMean
 from laburnumwood.events import WORKER_LEAVES, WORKER_SILENT
 from laburnumwood.settings import ReportSettings
-from laburnumwood.upstream.instances import LifeNews, WorkerInstanceTracker
+from laburnumwood.upstream.instances import ReportStatus, WorkerInstanceTracker
 from laburnumwood.upstream.reports import WorkerReport
 
 _USUAL_INTERVAL_MS = 1_000  # between reports, before any were seen
@@ -66,12 +66,12 @@
             return ago_ms < self._settings.leave_ms
         return phase is WorkerPhase.SERVING
 
-    def record_report(self, report: WorkerReport) -> LifeNews:
+    def record_report(self, report: WorkerReport) -> ReportStatus:
         """Take in a report and tell what it says of the worker's life."""
         news = self._lives.record_report(report)
-        if news is LifeNews.LATE:
+        if news is ReportStatus.LATE:
             return news
-        if news is LifeNews.NEW:
+        if news is ReportStatus.NEW:
             self._left_ms = None
         self._note_time(news)
         self._was_silent = False
@@ -106,11 +106,11 @@
     def _silent_ms(self) -> int:
         return self._clock.now_ms() - (self._heard_ms or 0)
 
-    def _note_time(self, news: LifeNews) -> None:
+    def _note_time(self, news: ReportStatus) -> None:
         gap_ms = self._silent_ms
         self._heard_ms = self._clock.now_ms()
         is_usual = _LEAST_INTERVAL_MS <= gap_ms < self._settings.silent_ms
-        if news is LifeNews.SAME and is_usual:
+        if news is ReportStatus.SAME and is_usual:
             self._gaps_ms.note(gap_ms)
 
     def _begin_leaving(self) -> None:
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -27,7 +27,7 @@
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.handovers import Handovers
-from laburnumwood.upstream.instances import LifeNews
+from laburnumwood.upstream.instances import ReportStatus
 from laburnumwood.upstream.presence import Presence, WorkerPhase
 from laburnumwood.upstream.reports import (
     GrantedRange,
@@ -146,9 +146,9 @@
     def handle_report(self, report: WorkerReport) -> GrantReply:
         """Take in a report and return what the worker is to hold."""
         news = self.presence.record_report(report)
-        if news is LifeNews.LATE:
+        if news is ReportStatus.LATE:
             return GrantReply()
-        if news is LifeNews.NEW:
+        if news is ReportStatus.NEW:
             self._begin_life(report)
         if self._holder is None:
             return GrantReply((), _NOTHING_MS)
