--- a/laburnumwood/upstream/instances.py
+++ b/laburnumwood/upstream/instances.py
@@ -10,7 +10,7 @@
 
     SAME = 'the life that is known goes on'
     NEW = 'another life of the worker has begun'
-    LATE = 'it was overtaken by a newer report'
+    STALE = 'it was overtaken by a newer report'
 
 
 class WorkerInstanceTracker:
@@ -33,12 +33,12 @@
         """Take in a report and tell what it says of the life."""
         life = report.started_ms, report.worker_id
         if self._life is not None and life < self._life:
-            return ReportStatus.LATE
+            return ReportStatus.STALE
         if life != self._life:
             self._life = life
             self._number = report.number
             return ReportStatus.NEW
         if report.number <= self._number:
-            return ReportStatus.LATE
+            return ReportStatus.STALE
         self._number = report.number
         return ReportStatus.SAME
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -69,7 +69,7 @@
     def record_report(self, report: WorkerReport) -> ReportStatus:
         """Take in a report and tell what it says of the worker's life."""
         news = self._lives.record_report(report)
-        if news is ReportStatus.LATE:
+        if news is ReportStatus.STALE:
             return news
         if news is ReportStatus.NEW:
             self._left_ms = None
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -146,7 +146,7 @@
     def handle_report(self, report: WorkerReport) -> GrantReply:
         """Take in a report and return what the worker is to hold."""
         news = self.presence.record_report(report)
-        if news is ReportStatus.LATE:
+        if news is ReportStatus.STALE:
             return GrantReply()
         if news is ReportStatus.NEW:
             self._begin_life(report)
