--- a/laburnumwood/upstream/instances.py
+++ b/laburnumwood/upstream/instances.py
@@ -8,8 +8,8 @@
 class ReportStatus(Enum):
     """What a report says of the worker's life."""
 
-    SAME = 'the life that is known goes on'
-    NEW = 'another life of the worker has begun'
+    SAME_INSTANCE = 'the life that is known goes on'
+    NEW_INSTANCE = 'another life of the worker has begun'
     STALE = 'it was overtaken by a newer report'
 
 
@@ -37,8 +37,8 @@
         if life != self._life:
             self._life = life
             self._number = report.number
-            return ReportStatus.NEW
+            return ReportStatus.NEW_INSTANCE
         if report.number <= self._number:
             return ReportStatus.STALE
         self._number = report.number
-        return ReportStatus.SAME
+        return ReportStatus.SAME_INSTANCE
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -71,7 +71,7 @@
         news = self._lives.record_report(report)
         if news is ReportStatus.STALE:
             return news
-        if news is ReportStatus.NEW:
+        if news is ReportStatus.NEW_INSTANCE:
             self._left_ms = None
         self._note_time(news)
         self._was_silent = False
@@ -110,7 +110,7 @@
         gap_ms = self._silent_ms
         self._heard_ms = self._clock.now_ms()
         is_usual = _LEAST_INTERVAL_MS <= gap_ms < self._settings.silent_ms
-        if news is ReportStatus.SAME and is_usual:
+        if news is ReportStatus.SAME_INSTANCE and is_usual:
             self._gaps_ms.note(gap_ms)
 
     def _begin_leaving(self) -> None:
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -148,7 +148,7 @@
         news = self.presence.record_report(report)
         if news is ReportStatus.STALE:
             return GrantReply()
-        if news is ReportStatus.NEW:
+        if news is ReportStatus.NEW_INSTANCE:
             self._begin_life(report)
         if self._holder is None:
             return GrantReply((), _NOTHING_MS)
