--- a/laburnumwood/upstream/handovers.py
+++ b/laburnumwood/upstream/handovers.py
@@ -24,13 +24,13 @@
         self._left: dict[KeyRange, str] = {}
         self._told: dict[KeyRange, str] = {}
 
-    def note(self, released: Iterable[ReleasedRange]) -> None:
+    def add_local(self, released: Iterable[ReleasedRange]) -> None:
         """Take in what the worker released."""
         for each in released:
             self._left[each.keys] = each.handover
             self._told.pop(each.keys, None)
 
-    def note_told(self, released: Iterable[ReleasedRange]) -> None:
+    def add_remote(self, released: Iterable[ReleasedRange]) -> None:
         """Take in what the worker of another node released."""
         for each in released:
             self._told[each.keys] = each.handover
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -216,7 +216,7 @@
 
     def add_remote_handovers(self, released: Iterable[ReleasedRange]) -> None:
         """Take in what the worker of another node let go."""
-        self._left.note_told(released)
+        self._left.add_remote(released)
 
     def _begin_life(self, report: WorkerReport) -> None:
         WORKER_STARTED.report(
@@ -241,7 +241,7 @@
             if given.is_withdrawn and not held.meet_any(given.ranges):
                 self._given.pop(shard)
                 gone.append(shard)
-        self._left.note(report.released)
+        self._left.add_local(report.released)
         if gone:
             KEYS_RELEASED.report(shards=_text_of(gone))
 
