--- a/laburnumwood/upstream/handovers.py
+++ b/laburnumwood/upstream/handovers.py
@@ -47,11 +47,11 @@
         """Forget the worker's: another life of it knows nothing of them."""
         self._left.clear()
 
-    def of_range(self, keys: KeyRange) -> str:
+    def for_range(self, keys: KeyRange) -> str:
         """Return what was left for some keys, or an empty text."""
         return _of_range(self._told, keys) or _of_range(self._left, keys)
 
-    def of_ranges(self, ranges: tuple[KeyRange, ...]) -> tuple[str, ...]:
+    def for_ranges(self, ranges: tuple[KeyRange, ...]) -> tuple[str, ...]:
         """Return what was left for each range, empty if it is nothing."""
-        found = tuple(self.of_range(keys) for keys in ranges)
+        found = tuple(self.for_range(keys) for keys in ranges)
         return found if any(found) else ()
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -203,11 +203,11 @@
         """Return what the worker left for the next owner of a shard."""
         if self._holder is None:
             return ()
-        return self._left.of_ranges(self._holder.stripes(shard))
+        return self._left.for_ranges(self._holder.stripes(shard))
 
     def handover_for(self, keys: KeyRange) -> str:
         """Return what the worker left for the next owner of some keys."""
-        return self._left.of_range(keys)
+        return self._left.for_range(keys)
 
     @property
     def released_ranges(self) -> tuple[ReleasedRange, ...]:
