--- a/laburnumwood/upstream/attached_grants.py
+++ b/laburnumwood/upstream/attached_grants.py
@@ -2,7 +2,7 @@
 
 from laburnumwood.news import News
 from laburnumwood.records import KeyRange, ShardName
-from laburnumwood.upstream.reporting_worker import Holder, ReportingWorker
+from laburnumwood.upstream.reporting_worker import GrantSource, ReportingWorker
 
 
 class AttachedGrants:
@@ -12,7 +12,7 @@
     withdraw and restore nothing.
     """
 
-    def __init__(self, worker: ReportingWorker, holder: Holder) -> None:
+    def __init__(self, worker: ReportingWorker, holder: GrantSource) -> None:
         self._worker = worker
         self._holder = holder
         worker.attach(holder)
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -67,7 +67,7 @@
         return place > 0 and self._lasts[place - 1] >= keys.first
 
 
-class Holder(Protocol):
+class GrantSource(Protocol):
     """What the present incarnation of the node lets its worker hold."""
 
     def tokens(self) -> dict[ShardName, int]:
@@ -93,7 +93,7 @@
 class _Given:
     """What the worker was given for a shard, and until when."""
 
-    holder: Holder
+    holder: GrantSource
     token: int
     until_ms: int
     ranges: tuple[KeyRange, ...]
@@ -119,7 +119,7 @@
     def __init__(self, settings: ReportSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self._holder: Holder | None = None
+        self._holder: GrantSource | None = None
         self._given: dict[ShardName, _Given] = {}
         self._withdrawn: set[ShardName] = set()
         self._highest: dict[ShardName, int] = {}  # tokens given ever
@@ -134,12 +134,12 @@
         """Tell whether the worker has reported that it holds nothing."""
         return self.presence.reports_no_keys and not self._given
 
-    def attach(self, holder: Holder | None) -> None:
+    def attach(self, holder: GrantSource | None) -> None:
         """Let another incarnation say what the worker is to hold."""
         self._holder = holder
         self._withdrawn.clear()
 
-    def is_attached(self, holder: Holder) -> bool:
+    def is_attached(self, holder: GrantSource) -> bool:
         """Tell whether a holder is the one that says what is to be held."""
         return self._holder is holder
 
@@ -190,7 +190,7 @@
             return True
         return self._clock.now_ms() >= given.until_ms
 
-    def held_for_ms(self, holder: Holder) -> int:
+    def held_for_ms(self, holder: GrantSource) -> int:
         """Return for how long the worker may still hold what a holder gave."""
         untils = (
             given.until_ms
@@ -245,7 +245,7 @@
         if gone:
             KEYS_RELEASED.report(shards=_text_of(gone))
 
-    def _grant(self, holder: Holder) -> GrantReply:
+    def _grant(self, holder: GrantSource) -> GrantReply:
         now_ms = self._clock.now_ms()
         left_ms = holder.until_ms() - now_ms
         lasts_ms = int(left_ms * (1 - self._settings.clock_drift))
@@ -265,7 +265,7 @@
         rows = tuple(self._rows(wanted, holder))
         return GrantReply(rows, lasts_ms)
 
-    def _keep_or_take_away(self, holder: Holder) -> GrantReply:
+    def _keep_or_take_away(self, holder: GrantSource) -> GrantReply:
         """Renew nothing; take away what only earlier holders gave."""
         if any(given.holder is holder for given in self._given.values()):
             return GrantReply()
@@ -273,7 +273,7 @@
             given.is_withdrawn = True
         return GrantReply((), _NOTHING_MS)
 
-    def _wanted(self, holder: Holder) -> dict[ShardName, int]:
+    def _wanted(self, holder: GrantSource) -> dict[ShardName, int]:
         """Return what the worker is to hold, as far as an answer has room.
 
         What it was given already comes first: it would be released else.
@@ -311,27 +311,27 @@
         if new:
             KEYS_GIVEN.report(shards=_text_of(new), lasts_ms=lasts_ms)
 
-    def _size(self, shard: ShardName, holder: Holder) -> int:
+    def _size(self, shard: ShardName, holder: GrantSource) -> int:
         handed = self._handed(shard, holder)
         rows = len(holder.stripes(shard)) * _RANGE_BYTES
         return rows + sum(len(each) for each in handed)
 
     def _withdraw_others(
-        self, wanted: dict[ShardName, int], holder: Holder
+        self, wanted: dict[ShardName, int], holder: GrantSource
     ) -> None:
         for shard, given in self._given.items():
             if shard not in wanted:
                 given.is_withdrawn = True
                 holder.close(shard)
 
-    def _handed(self, shard: ShardName, holder: Holder) -> tuple[str, ...]:
+    def _handed(self, shard: ShardName, holder: GrantSource) -> tuple[str, ...]:
         given = self._given.get(shard)
         if given is not None and given.is_reported:
             return ()
         return holder.handovers(shard) or self.handovers(shard)
 
     def _rows(
-        self, wanted: dict[ShardName, int], holder: Holder
+        self, wanted: dict[ShardName, int], holder: GrantSource
     ) -> Iterator[GrantedRange]:
         for shard, token in wanted.items():
             ranges = self._given[shard].ranges
