--- a/laburnumwood/upstream/attached_grants.py
+++ b/laburnumwood/upstream/attached_grants.py
@@ -12,10 +12,10 @@
     withdraw and restore nothing.
     """
 
-    def __init__(self, worker: ReportingWorker, holder: GrantSource) -> None:
+    def __init__(self, worker: ReportingWorker, source: GrantSource) -> None:
         self._worker = worker
-        self._holder = holder
-        worker.attach(holder)
+        self._source = holder
+        worker.attach(source)
 
     @property
     def changes(self) -> News:
@@ -32,12 +32,12 @@
 
     def withdraw(self, shard: ShardName) -> None:
         """Let a shard go that is to get another owner."""
-        if self._worker.is_attached(self._holder):
+        if self._worker.is_attached(self._source):
             self._worker.withdraw(shard)
 
     def restore(self, shard: ShardName) -> None:
         """Keep a shard after all that was to get another owner."""
-        if self._worker.is_attached(self._holder):
+        if self._worker.is_attached(self._source):
             self._worker.restore(shard)
 
     def is_released(self, shard: ShardName) -> bool:
@@ -46,7 +46,7 @@
 
     def held_for_ms(self) -> int:
         """Return for how long the worker may still hold what it was given."""
-        return self._worker.held_for_ms(self._holder)
+        return self._worker.held_for_ms(self._source)
 
     def handover_for(self, keys: KeyRange) -> str:
         """Return what the worker left for the next owner of some keys."""
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -93,7 +93,7 @@
 class _Given:
     """What the worker was given for a shard, and until when."""
 
-    holder: GrantSource
+    source: GrantSource
     token: int
     until_ms: int
     ranges: tuple[KeyRange, ...]
@@ -119,7 +119,7 @@
     def __init__(self, settings: ReportSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self._holder: GrantSource | None = None
+        self._source: GrantSource | None = None
         self._given: dict[ShardName, _Given] = {}
         self._withdrawn: set[ShardName] = set()
         self._highest: dict[ShardName, int] = {}  # tokens given ever
@@ -134,14 +134,14 @@
         """Tell whether the worker has reported that it holds nothing."""
         return self.presence.reports_no_keys and not self._given
 
-    def attach(self, holder: GrantSource | None) -> None:
+    def attach(self, source: GrantSource | None) -> None:
         """Let another incarnation say what the worker is to hold."""
-        self._holder = holder
+        self._source = holder
         self._withdrawn.clear()
 
-    def is_attached(self, holder: GrantSource) -> bool:
-        """Tell whether a holder is the one that says what is to be held."""
-        return self._holder is holder
+    def is_attached(self, source: GrantSource) -> bool:
+        """Tell whether a source is the one that says what is to be held."""
+        return self._source is holder
 
     def handle_report(self, report: WorkerReport) -> GrantReply:
         """Take in a report and return what the worker is to hold."""
@@ -150,10 +150,10 @@
             return GrantReply()
         if news is ReportStatus.NEW_INSTANCE:
             self._begin_life(report)
-        if self._holder is None:
+        if self._source is None:
             return GrantReply((), _NOTHING_MS)
         self._note_held(report)
-        reply = self._grant(self._holder)
+        reply = self._grant(self._source)
         self.changes.tell()
         return reply
 
@@ -170,14 +170,14 @@
 
     def withdraw(self, shard: ShardName) -> None:
         """Give a shard no more, from the next report on."""
-        if self._holder is None:
+        if self._source is None:
             return
         self._withdrawn.add(shard)
         if (
             shard not in self._given
             or self.presence.phase is WorkerPhase.SILENT
         ):
-            self._holder.close(shard)
+            self._source.close(shard)
 
     def restore(self, shard: ShardName) -> None:
         """Give a shard again that was withdrawn."""
@@ -190,20 +190,20 @@
             return True
         return self._clock.now_ms() >= given.until_ms
 
-    def held_for_ms(self, holder: GrantSource) -> int:
+    def held_for_ms(self, source: GrantSource) -> int:
         """Return for how long the worker may still hold what a holder gave."""
         untils = (
             given.until_ms
             for given in self._given.values()
-            if given.holder is holder
+            if given.source is holder
         )
         return max(0, max(untils, default=0) - self._clock.now_ms())
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
         """Return what the worker left for the next owner of a shard."""
-        if self._holder is None:
+        if self._source is None:
             return ()
-        return self._left.for_ranges(self._holder.stripes(shard))
+        return self._left.for_ranges(self._source.stripes(shard))
 
     def handover_for(self, keys: KeyRange) -> str:
         """Return what the worker left for the next owner of some keys."""
@@ -226,9 +226,9 @@
         )
         # Also of what it had let go: a move that is not made gives it back.
         self._spent.update(self._highest)
-        if self._holder is not None:
+        if self._source is not None:
             for shard in self._highest:
-                self._holder.spend(shard)
+                self._source.spend(shard)
         self._given.clear()
         self._left.clear()
 
@@ -245,49 +245,49 @@
         if gone:
             KEYS_RELEASED.report(shards=_text_of(gone))
 
-    def _grant(self, holder: GrantSource) -> GrantReply:
+    def _grant(self, source: GrantSource) -> GrantReply:
         now_ms = self._clock.now_ms()
-        left_ms = holder.until_ms() - now_ms
+        left_ms = source.until_ms() - now_ms
         lasts_ms = int(left_ms * (1 - self._settings.clock_drift))
         lasts_ms = min(lasts_ms, self._settings.most_grant_ms)
         if lasts_ms < _LEAST_GRANT_MS:
-            return self._keep_or_take_away(holder)
-        wanted = self._wanted(holder)
-        self._withdraw_others(wanted, holder)
+            return self._keep_or_take_away(source)
+        wanted = self._wanted(source)
+        self._withdraw_others(wanted, source)
         self._tell_given(wanted, lasts_ms)
         for shard, token in wanted.items():
             given = _Given(
-                holder, token, now_ms + left_ms, holder.stripes(shard)
+                source, token, now_ms + left_ms, source.stripes(shard)
             )
             given.follow(self._given.get(shard))
             self._given[shard] = given
             self._highest[shard] = max(token, self._highest.get(shard, 0))
-        rows = tuple(self._rows(wanted, holder))
+        rows = tuple(self._rows(wanted, source))
         return GrantReply(rows, lasts_ms)
 
-    def _keep_or_take_away(self, holder: GrantSource) -> GrantReply:
+    def _keep_or_take_away(self, source: GrantSource) -> GrantReply:
         """Renew nothing; take away what only earlier holders gave."""
-        if any(given.holder is holder for given in self._given.values()):
+        if any(given.source is holder for given in self._given.values()):
             return GrantReply()
         for given in self._given.values():
             given.is_withdrawn = True
         return GrantReply((), _NOTHING_MS)
 
-    def _wanted(self, holder: GrantSource) -> dict[ShardName, int]:
+    def _wanted(self, source: GrantSource) -> dict[ShardName, int]:
         """Return what the worker is to hold, as far as an answer has room.
 
         What it was given already comes first: it would be released else.
         """
         wanted: dict[ShardName, int] = {}
         room = self._settings.most_bytes
-        tokens = holder.tokens()
+        tokens = source.tokens()
         for shard in sorted(tokens, key=self._newness):
             if shard in self._withdrawn:
                 continue
             if tokens[shard] <= self._spent.get(shard, -1):
-                holder.spend(shard)
+                source.spend(shard)
                 continue
-            room -= self._size(shard, holder)
+            room -= self._size(shard, source)
             if room < 0:
                 self._tell_cut(shard, len(wanted), len(tokens))
                 break
@@ -311,30 +311,30 @@
         if new:
             KEYS_GIVEN.report(shards=_text_of(new), lasts_ms=lasts_ms)
 
-    def _size(self, shard: ShardName, holder: GrantSource) -> int:
-        handed = self._handed(shard, holder)
-        rows = len(holder.stripes(shard)) * _RANGE_BYTES
+    def _size(self, shard: ShardName, source: GrantSource) -> int:
+        handed = self._handed(shard, source)
+        rows = len(source.stripes(shard)) * _RANGE_BYTES
         return rows + sum(len(each) for each in handed)
 
     def _withdraw_others(
-        self, wanted: dict[ShardName, int], holder: GrantSource
+        self, wanted: dict[ShardName, int], source: GrantSource
     ) -> None:
         for shard, given in self._given.items():
             if shard not in wanted:
                 given.is_withdrawn = True
-                holder.close(shard)
+                source.close(shard)
 
-    def _handed(self, shard: ShardName, holder: GrantSource) -> tuple[str, ...]:
+    def _handed(self, shard: ShardName, source: GrantSource) -> tuple[str, ...]:
         given = self._given.get(shard)
         if given is not None and given.is_reported:
             return ()
-        return holder.handovers(shard) or self.handovers(shard)
+        return source.handovers(shard) or self.handovers(shard)
 
     def _rows(
-        self, wanted: dict[ShardName, int], holder: GrantSource
+        self, wanted: dict[ShardName, int], source: GrantSource
     ) -> Iterator[GrantedRange]:
         for shard, token in wanted.items():
             ranges = self._given[shard].ranges
-            handed = self._handed(shard, holder) or ('',) * len(ranges)
+            handed = self._handed(shard, source) or ('',) * len(ranges)
             for keys, handover in zip(ranges, handed, strict=False):
                 yield GrantedRange(keys, token, handover)
--- a/tests/features/steps/letting_go_steps.py
+++ b/tests/features/steps/letting_go_steps.py
@@ -86,7 +86,7 @@
     context.node._clock = context.clock
     context.node.worker._clock = context.clock
     context.first = _join(context)
-    holder = context.node.worker._holder
+    holder = context.node.worker._source
     holder._declared = lambda: DECLARED
     _hold_lease(context.first, context.clock)
     context.first.holdings.hold(SHARD, 8)
@@ -166,7 +166,7 @@
 @when('the next incarnation gives the worker the same shard')
 def give_next(context: Context) -> None:
     context.next = _join(context)
-    context.node.worker._holder._declared = lambda: DECLARED
+    context.node.worker._source._declared = lambda: DECLARED
     _hold_lease(context.next, context.clock)
     context.next.holdings.hold(SHARD, 16)
     _report_again(context)
