--- a/laburnumwood/daemon/holder.py
+++ b/laburnumwood/daemon/holder.py
@@ -31,7 +31,7 @@
         """Let no more requests in to a shard."""
         self._holdings.close(shard)
 
-    def spend(self, shard: ShardName) -> None:
+    def require_higher_token(self, shard: ShardName) -> None:
         """Ask for a higher token: the worker's next life needs one."""
         self._holdings.spend(shard)
 
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -79,7 +79,7 @@
     def close(self, shard: ShardName) -> None:
         """Let no more requests in to a shard."""
 
-    def spend(self, shard: ShardName) -> None:
+    def require_higher_token(self, shard: ShardName) -> None:
         """Ask for a higher token: the worker's next life needs one."""
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
@@ -228,7 +228,7 @@
         self._spent.update(self._highest)
         if self._source is not None:
             for shard in self._highest:
-                self._source.spend(shard)
+                self._source.require_higher_token(shard)
         self._given.clear()
         self._left.clear()
 
@@ -285,7 +285,7 @@
             if shard in self._withdrawn:
                 continue
             if tokens[shard] <= self._spent.get(shard, -1):
-                source.spend(shard)
+                source.require_higher_token(shard)
                 continue
             room -= self._size(shard, source)
             if room < 0:
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -50,7 +50,7 @@
         """Let no more requests in to a shard."""
         self.holdings.close(name)
 
-    def spend(self, name: ShardName) -> None:
+    def require_higher_token(self, name: ShardName) -> None:
         """Ask for a higher token."""
         self.holdings.spend(name)
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -68,7 +68,7 @@
         self.tokens = holdings.tokens
         self.until_ms = lease.holds_until_ms
         self.close = holdings.close
-        self.spend = holdings.spend
+        self.require_higher_token = holdings.spend
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard."""
