--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -57,7 +57,7 @@
         worker_id=worker_id,
         service=told.service,
         started_ms=told.born,
-        number=told.seq,
+        sequence_number=told.seq,
         slots=told.slots,
         is_leaving=told.state == 'draining',
         held=tuple(
--- a/laburnumwood/upstream/instances.py
+++ b/laburnumwood/upstream/instances.py
@@ -36,9 +36,9 @@
             return ReportStatus.STALE
         if life != self._life:
             self._life = life
-            self._number = report.number
+            self._number = report.sequence_number
             return ReportStatus.NEW_INSTANCE
-        if report.number <= self._number:
+        if report.sequence_number <= self._number:
             return ReportStatus.STALE
-        self._number = report.number
+        self._number = report.sequence_number
         return ReportStatus.SAME_INSTANCE
--- a/laburnumwood/upstream/reports.py
+++ b/laburnumwood/upstream/reports.py
@@ -25,7 +25,7 @@
     worker_id: str
     service: str
     started_ms: int
-    number: int
+    sequence_number: int
     slots: int
     is_leaving: bool
     held: tuple[HeldRange, ...] = ()
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -109,7 +109,7 @@
         worker_id=f'worker-{context.life}',
         service='keyed',
         started_ms=context.life,
-        number=context.number,
+        sequence_number=context.number,
         slots=18,
         is_leaving=leaves,
         held=held,
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -68,7 +68,7 @@
             worker_id=self._vm,
             service='s',
             started_ms=1,
-            number=self._number,
+            sequence_number=self._number,
             slots=1,
             is_leaving=False,
             held=tuple(self._held.values()),
