--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -79,7 +79,7 @@
         [each.keys.first, each.keys.last, each.token, each.handover]
         for each in reply.ranges
     ]
-    return encode({'holds': rows, 'hold_ms': reply.lasts_ms})
+    return encode({'holds': rows, 'hold_ms': reply.duration_ms})
 
 
 class ReportDesk:
--- a/laburnumwood/upstream/reports.py
+++ b/laburnumwood/upstream/reports.py
@@ -50,4 +50,4 @@
     """
 
     ranges: tuple[GrantedRange, ...] | None = None
-    lasts_ms: int = 0
+    duration_ms: int = 0
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -225,7 +225,7 @@
 @then('it is to hold the shards "{numbers}" for {span:d} ms')
 def check_grant(context: Context, numbers: str, span: int) -> None:
     _check_shards(context, numbers)
-    assert context.reply.lasts_ms == span, context.reply.lasts_ms
+    assert context.reply.duration_ms == span, context.reply.duration_ms
 
 
 @then('it is to hold the shards ""')
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -59,7 +59,7 @@
             each.keys.first: HeldRange(each.keys, each.token)
             for each in reply.ranges
         }
-        self._until_ms = self._time.now_ms + reply.lasts_ms * _SLOWEST
+        self._until_ms = self._time.now_ms + reply.duration_ms * _SLOWEST
         if before - set(self._held):
             self._due_ms = self._time.now_ms + _SOON_MS
 
