--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -71,7 +71,7 @@
     )
 
 
-def write_reply(reply: GrantReply) -> bytes:
+def encode_reply(reply: GrantReply) -> bytes:
     """Return the body that answers a report."""
     if reply.ranges is None:
         return encode({})
@@ -108,7 +108,7 @@
             REPORT_REFUSED.report(path=path, reason=refused)
             return _reply(start_response, HTTPStatus.BAD_REQUEST, b'')
         reply = self._worker.handle_report(report)
-        return _reply(start_response, HTTPStatus.OK, write_reply(reply))
+        return _reply(start_response, HTTPStatus.OK, encode_reply(reply))
 
     def _read(self, worker_id: str, body: bytes) -> WorkerReport:
         report = read_report(worker_id, body)
