--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -50,7 +50,7 @@
     )
 
 
-def read_report(worker_id: str, body: bytes) -> WorkerReport:
+def decode_report(worker_id: str, body: bytes) -> WorkerReport:
     """Return what a worker reports; raises `BodyError`."""
     told = decode_as(_Report, decode(body))
     return WorkerReport(
@@ -111,7 +111,7 @@
         return _reply(start_response, HTTPStatus.OK, encode_reply(reply))
 
     def _read(self, worker_id: str, body: bytes) -> WorkerReport:
-        report = read_report(worker_id, body)
+        report = decode_report(worker_id, body)
         if report.service != self._service:
             raise BodyError(
                 f'service: found {report.service!r}; expected {self._service!r}'
--- a/tests/fuzz/doors.py
+++ b/tests/fuzz/doors.py
@@ -24,7 +24,7 @@
 from laburnumwood.membership.spreading import take_notice
 from laburnumwood.platform.bodies import BodyError
 from laburnumwood.platform.manifest import read_manifest
-from laburnumwood.platform.reports import read_report
+from laburnumwood.platform.reports import decode_report
 from laburnumwood.platform.store import read_changes
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.messages import (
@@ -150,7 +150,7 @@
 @_door('reports of workers', BodyError)
 def _reports(random: Random) -> None:
     """Take the body of a report."""
-    read_report('w', malformed(random, _REPORT))
+    decode_report('w', malformed(random, _REPORT))
 
 
 @_door('settings', SettingsError)
