--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -8,7 +8,7 @@
 from laburnumwood.borders import Borders, Front, Listener, borders
 from laburnumwood.listening import split_address
 from laburnumwood.platform.callers import RequesterFace
-from laburnumwood.platform.reports import ReportDesk
+from laburnumwood.platform.reports import ReportEndpoint
 from laburnumwood.platform.store import ObjectStore
 from laburnumwood.platform.workers import WorkerDialect
 from laburnumwood.routing.outcome import StartResponse, status_line
@@ -34,7 +34,7 @@
 def _listeners(settings: DaemonSettings, front: Front) -> tuple[Listener, ...]:
     pages = (
         (settings.ready_address, ReadyPage(front)),
-        (settings.report_address, ReportDesk(settings, front.worker)),
+        (settings.report_address, ReportEndpoint(settings, front.worker)),
     )
     return tuple(
         Listener(split_address(address), page)
--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -82,7 +82,7 @@
     return encode({'holds': rows, 'hold_ms': reply.duration_ms})
 
 
-class ReportDesk:
+class ReportEndpoint:
     """A WSGI application that takes the reports of one worker."""
 
     def __init__(
