--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -15,7 +15,7 @@
 from laburnumwood.settings import DaemonSettings
 
 
-class ReadyPage:
+class ReadinessEndpoint:
     """A WSGI application that tells whether callers may be sent here."""
 
     def __init__(self, front: Front) -> None:
@@ -33,7 +33,7 @@
 
 def _listeners(settings: DaemonSettings, front: Front) -> tuple[Listener, ...]:
     pages = (
-        (settings.ready_address, ReadyPage(front)),
+        (settings.ready_address, ReadinessEndpoint(front)),
         (settings.report_address, ReportEndpoint(settings, front.worker)),
     )
     return tuple(
