--- a/laburnumwood/upstream/attached_grants.py
+++ b/laburnumwood/upstream/attached_grants.py
@@ -14,7 +14,7 @@
 
     def __init__(self, worker: ReportingWorker, source: GrantSource) -> None:
         self._worker = worker
-        self._source = holder
+        self._source = source
         worker.attach(source)
 
     @property
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -136,12 +136,12 @@
 
     def attach(self, source: GrantSource | None) -> None:
         """Let another incarnation say what the worker is to hold."""
-        self._source = holder
+        self._source = source
         self._withdrawn.clear()
 
     def is_attached(self, source: GrantSource) -> bool:
         """Tell whether a source is the one that says what is to be held."""
-        return self._source is holder
+        return self._source is source
 
     def handle_report(self, report: WorkerReport) -> GrantReply:
         """Take in a report and return what the worker is to hold."""
@@ -195,7 +195,7 @@
         untils = (
             given.until_ms
             for given in self._given.values()
-            if given.source is holder
+            if given.source is source
         )
         return max(0, max(untils, default=0) - self._clock.now_ms())
 
@@ -267,7 +267,7 @@
 
     def _keep_or_take_away(self, source: GrantSource) -> GrantReply:
         """Renew nothing; take away what only earlier holders gave."""
-        if any(given.source is holder for given in self._given.values()):
+        if any(given.source is source for given in self._given.values()):
             return GrantReply()
         for given in self._given.values():
             given.is_withdrawn = True
