--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from laburnumwood.routing.dialect import Dialect, OwnDialect
 from laburnumwood.routing.face import Face, OwnFace
+from laburnumwood.routing.worker_interface import Dialect, OwnDialect
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.client import HttpStore
 from laburnumwood.store.interface import Store
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -12,13 +12,13 @@
     TIME_LEFT_HEADER,
     WORKER_HEADER,
 )
-from laburnumwood.routing.dialect import (
+from laburnumwood.routing.run import Run
+from laburnumwood.routing.worker_interface import (
     NOT_OWNER,
     REFUSED,
     REJECTED,
     Headers,
 )
-from laburnumwood.routing.run import Run
 from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.reporting import ReportingWorker
 from laburnumwood.upstream.worker import Worker
--- a/laburnumwood/routing/execution.py
+++ b/laburnumwood/routing/execution.py
@@ -4,7 +4,6 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.protocol.messages import Answer, Chunk, End, Failure
-from laburnumwood.routing.dialect import Dialect
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.ledger import LONGEST_BODY
 from laburnumwood.routing.notary import Notary
@@ -12,6 +11,7 @@
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.running import Result, Runner
 from laburnumwood.routing.suspicions import Suspicions
+from laburnumwood.routing.worker_interface import Dialect
 from laburnumwood.upstream.worker import Worker
 
 MayAct = Callable[[], bool]
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -24,12 +24,12 @@
     Failure,
     WholeAnswer,
 )
-from laburnumwood.routing.dialect import Dialect
 from laburnumwood.routing.exchange import LONGEST_INLINE, Exchange
 from laburnumwood.routing.outcome import failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.solitude import Solitude
 from laburnumwood.routing.suspicions import Suspicions
+from laburnumwood.routing.worker_interface import Dialect
 from laburnumwood.tasks import start
 from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.worker import Order, Worker
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -30,7 +30,6 @@
 )
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.dialect import OwnDialect
 from laburnumwood.routing.door import Door
 from laburnumwood.routing.face import OwnFace
 from laburnumwood.routing.gate import read_body
@@ -40,6 +39,7 @@
 from laburnumwood.routing.server import serve_callers
 from laburnumwood.routing.spread import Spread
 from laburnumwood.routing.suspicions import Suspicions
+from laburnumwood.routing.worker_interface import OwnDialect
 from laburnumwood.upstream.worker import Worker
 
 HOST = '127.0.0.1'
