--- a/laburnumwood/routing/measuring.py
+++ b/laburnumwood/routing/measuring.py
@@ -9,8 +9,8 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import REQUESTS_SERVED
 from laburnumwood.metrics import LATENCY, REQUESTS
-from laburnumwood.routing.door import Declared, Door
 from laburnumwood.routing.face import Face
+from laburnumwood.routing.ingress import Declared, Door
 from laburnumwood.routing.outcome import StartResponse
 from laburnumwood.routing.reading import Environ
 from laburnumwood.routing.router import Router
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -30,9 +30,9 @@
 )
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.door import Door
 from laburnumwood.routing.face import OwnFace
 from laburnumwood.routing.gate import read_body
+from laburnumwood.routing.ingress import Door
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.running import Runner
