--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from laburnumwood.routing.face import Face, OwnFace
+from laburnumwood.routing.caller_interface import Face, OwnFace
 from laburnumwood.routing.worker_interface import Dialect, OwnDialect
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.client import HttpStore
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -34,7 +34,7 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.face import give
+from laburnumwood.routing.caller_interface import give
 from laburnumwood.routing.outcome import StartResponse, failure
 from laburnumwood.routing.server import Listening, close_after
 from laburnumwood.settings import DaemonSettings
--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -8,8 +8,8 @@
 from laburnumwood.header_index import HeaderIndex
 from laburnumwood.platform.names import ID_HEADER, TIME_LEFT_HEADER
 from laburnumwood.protocol.messages import Answer, Failure, Work
+from laburnumwood.routing.caller_interface import HeaderList, Refusal
 from laburnumwood.routing.connection import HEADERS
-from laburnumwood.routing.face import HeaderList, Refusal
 from laburnumwood.routing.headers import end_to_end, request_headers
 from laburnumwood.routing.inquiry import Inquiry
 from laburnumwood.routing.outcome import PROBLEMS, status_line
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -8,8 +8,8 @@
 from laburnumwood.events import ANSWER_CUT
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.routing.caller import Caller, Callers
+from laburnumwood.routing.caller_interface import Face, give
 from laburnumwood.routing.connection import REQUEST_ID
-from laburnumwood.routing.face import Face, give
 from laburnumwood.routing.outcome import StartResponse, status_line
 from laburnumwood.routing.reading import Environ, RequestRefusedError
 from laburnumwood.routing.router import Reply, Router
--- a/laburnumwood/routing/measuring.py
+++ b/laburnumwood/routing/measuring.py
@@ -9,7 +9,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import REQUESTS_SERVED
 from laburnumwood.metrics import LATENCY, REQUESTS
-from laburnumwood.routing.face import Face
+from laburnumwood.routing.caller_interface import Face
 from laburnumwood.routing.ingress import Declared, Door
 from laburnumwood.routing.outcome import StartResponse
 from laburnumwood.routing.reading import Environ
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -27,9 +27,9 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.caller import Caller, Callers
+from laburnumwood.routing.caller_interface import OwnFace
 from laburnumwood.routing.connection import REQUEST_ID
 from laburnumwood.routing.exchange import Exchange, local_pair
-from laburnumwood.routing.face import OwnFace
 from laburnumwood.routing.ingress import Door
 from laburnumwood.routing.inquiry import Inquiry
 from laburnumwood.routing.router import Reply, Router
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -30,7 +30,7 @@
 )
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.face import OwnFace
+from laburnumwood.routing.caller_interface import OwnFace
 from laburnumwood.routing.gate import read_body
 from laburnumwood.routing.ingress import Door
 from laburnumwood.routing.router import Router
