--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -11,7 +11,7 @@
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.records import NodeName
-from laburnumwood.routing.gate import Gate
+from laburnumwood.routing.admission_gate import Gate
 from laburnumwood.routing.spread import Spread
 from laburnumwood.settings import DaemonSettings
 
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -18,7 +18,7 @@
 from laburnumwood.placement.ownership import acting
 from laburnumwood.placement.sharding import place_key
 from laburnumwood.records import ShardRecord
-from laburnumwood.routing.gate import Gate
+from laburnumwood.routing.admission_gate import Gate
 
 Query = dict[str, str]
 Page = Callable[['OperatorApi', Query], Any]
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -30,8 +30,8 @@
 )
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName, NodeRecord
+from laburnumwood.routing.admission_gate import read_body
 from laburnumwood.routing.caller_interface import OwnFace
-from laburnumwood.routing.gate import read_body
 from laburnumwood.routing.ingress import Door
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.run import Run
