--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -5,8 +5,8 @@
 
 from laburnumwood.config.declarations import Declarations
 from laburnumwood.protocol.messages import Answer, Failure
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.headers import end_to_end
-from laburnumwood.routing.inquiry import Inquiry
 from laburnumwood.routing.outcome import (
     PROBLEMS,
     problem_body,
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -23,6 +23,7 @@
 from laburnumwood.protocol.peers import Peers
 from laburnumwood.records import NodeName, ShardName
 from laburnumwood.routing.caller import Caller
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import (
     LONGEST_INLINE,
     Outgoing,
@@ -30,7 +31,6 @@
     local_pair,
 )
 from laburnumwood.routing.headers import find
-from laburnumwood.routing.inquiry import Inquiry
 from laburnumwood.routing.outcome import failure
 from laburnumwood.routing.spread import AVOID_MS, Spread
 from laburnumwood.routing.tries import PATIENCE_MS, Tries
--- a/laburnumwood/routing/tries.py
+++ b/laburnumwood/routing/tries.py
@@ -7,7 +7,7 @@
 from laburnumwood.events import REQUEST_AGAIN, REQUEST_FAILED
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.inquiry import Inquiry
+from laburnumwood.routing.caller_request import Inquiry
 
 PATIENCE_MS = 3_000  # how long a request waits for an owner at the most
 _MOVE_PATIENCE_MS = 250  # for a live owner to hand a shard over
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -28,10 +28,10 @@
 from laburnumwood.records import NodeName
 from laburnumwood.routing.caller import Caller, Callers
 from laburnumwood.routing.caller_interface import OwnFace
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.connection import REQUEST_ID
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.ingress import Door
-from laburnumwood.routing.inquiry import Inquiry
 from laburnumwood.routing.router import Reply, Router
 from laburnumwood.routing.server import Listening
 from laburnumwood.routing.spread import Spread
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -27,8 +27,8 @@
     ShardRecord,
     StoredObject,
 )
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import local_pair
-from laburnumwood.routing.inquiry import Inquiry
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.spread import Spread
 from laburnumwood.settings import LeaseSettings
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -23,13 +23,13 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.caller import Callers
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import (
     Exchange,
     Outgoing,
     WrappedExchange,
     local_pair,
 )
-from laburnumwood.routing.inquiry import Inquiry
 from laburnumwood.routing.outcome import failure
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.spread import Spread
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -17,8 +17,8 @@
 from laburnumwood.placement.loads import LoadBook
 from laburnumwood.protocol.messages import Work
 from laburnumwood.records import NodeName, NodeRecord
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import Outgoing, local_pair
-from laburnumwood.routing.inquiry import Inquiry
 from laburnumwood.routing.outcome import failure
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
