--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -37,8 +37,8 @@
 from laburnumwood.records import NodeName
 from laburnumwood.routing.admission_gate import Gate, WorkerState
 from laburnumwood.routing.executor import Executor
+from laburnumwood.routing.ledger_replication import Notary
 from laburnumwood.routing.measured_ingress import MeasuredDoor
-from laburnumwood.routing.notary import Notary
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.suspicions import Suspicions
 from laburnumwood.settings import DaemonSettings
