--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -35,7 +35,7 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.caller_interface import give
-from laburnumwood.routing.outcome import StartResponse, failure
+from laburnumwood.routing.problems import StartResponse, failure
 from laburnumwood.routing.server import Listening, close_after
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.breaker import GuardedStore
--- a/laburnumwood/platform/borders.py
+++ b/laburnumwood/platform/borders.py
@@ -11,7 +11,7 @@
 from laburnumwood.platform.reports import ReportDesk
 from laburnumwood.platform.store import ObjectStore
 from laburnumwood.platform.workers import WorkerDialect
-from laburnumwood.routing.outcome import StartResponse, status_line
+from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
 
 
--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -12,7 +12,7 @@
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.connection import HEADERS
 from laburnumwood.routing.headers import end_to_end, request_headers
-from laburnumwood.routing.outcome import PROBLEMS, status_line
+from laburnumwood.routing.problems import PROBLEMS, status_line
 from laburnumwood.routing.reading import (
     Environ,
     RequestRefusedError,
--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -15,7 +15,7 @@
     encode,
 )
 from laburnumwood.records import KeyRange, ReleasedRange
-from laburnumwood.routing.outcome import StartResponse, status_line
+from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.reporting import ReportingWorker
 from laburnumwood.upstream.reports import (
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -36,8 +36,8 @@
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.executor import Executor, MayAct
 from laburnumwood.routing.observed_exchange import LongAnswers, ObservedExchange
-from laburnumwood.routing.outcome import failure, overloaded
 from laburnumwood.routing.priorities import line_of, useful_until_ms
+from laburnumwood.routing.problems import failure, overloaded
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.staying import StayingExchange
 from laburnumwood.settings import DaemonSettings
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -7,7 +7,7 @@
 from laburnumwood.protocol.messages import Answer, Failure
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.headers import end_to_end
-from laburnumwood.routing.outcome import (
+from laburnumwood.routing.problems import (
     PROBLEMS,
     problem_body,
     problem_headers,
--- a/laburnumwood/routing/connection.py
+++ b/laburnumwood/routing/connection.py
@@ -27,7 +27,7 @@
     TooManyHeadersError,
     read_headers,
 )
-from laburnumwood.routing.outcome import (
+from laburnumwood.routing.problems import (
     PROBLEMS,
     failure,
     problem_body,
--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -7,7 +7,7 @@
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.ledger import LONGEST_BODY
 from laburnumwood.routing.ledger_replication import Notary
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.running import Result, Runner
 from laburnumwood.routing.suspicions import Suspicions
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -10,7 +10,7 @@
 from laburnumwood.routing.caller import Caller, Callers
 from laburnumwood.routing.caller_interface import Face, give
 from laburnumwood.routing.connection import REQUEST_ID
-from laburnumwood.routing.outcome import StartResponse, status_line
+from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.routing.reading import Environ, RequestRefusedError
 from laburnumwood.routing.router import Reply, Router
 from laburnumwood.routing.server import close_after, reset
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -25,7 +25,7 @@
     RunState,
     Verdict,
 )
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.running import Result
 from laburnumwood.tasks import begin, start
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -11,7 +11,7 @@
 from laburnumwood.metrics import LATENCY, REQUESTS
 from laburnumwood.routing.caller_interface import Face
 from laburnumwood.routing.ingress import Declared, Door
-from laburnumwood.routing.outcome import StartResponse
+from laburnumwood.routing.problems import StartResponse
 from laburnumwood.routing.reading import Environ
 from laburnumwood.routing.router import Router
 
--- a/laburnumwood/routing/reading.py
+++ b/laburnumwood/routing/reading.py
@@ -14,7 +14,7 @@
 from laburnumwood.placement.sharding import place_key
 from laburnumwood.protocol.messages import Work
 from laburnumwood.routing.headers import find, request_headers
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.problems import failure
 
 Environ = dict[str, Any]
 
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -31,7 +31,7 @@
     local_pair,
 )
 from laburnumwood.routing.headers import find
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.problems import failure
 from laburnumwood.routing.spread import AVOID_MS, Spread
 from laburnumwood.routing.tries import PATIENCE_MS, Tries
 from laburnumwood.tasks import start
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -25,7 +25,7 @@
     WholeAnswer,
 )
 from laburnumwood.routing.exchange import LONGEST_INLINE, Exchange
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.solitude import Solitude
 from laburnumwood.routing.suspicions import Suspicions
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -30,7 +30,7 @@
     WrappedExchange,
     local_pair,
 )
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.problems import failure
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.spread import Spread
 from tests.features.steps.plain_work import PLAIN_WORK
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -19,7 +19,7 @@
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import Outgoing, local_pair
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.problems import failure
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
 from laburnumwood.routing.spread import Spread
