--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -13,7 +13,7 @@
 from laburnumwood.routing.connection import HEADERS
 from laburnumwood.routing.headers import end_to_end, request_headers
 from laburnumwood.routing.problems import PROBLEMS, status_line
-from laburnumwood.routing.reading import (
+from laburnumwood.routing.request_parsing import (
     Environ,
     RequestRefusedError,
     check_head,
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -13,7 +13,7 @@
     problem_headers,
     status_line,
 )
-from laburnumwood.routing.reading import (
+from laburnumwood.routing.request_parsing import (
     REQUEST_HEADER,
     Environ,
     read_request,
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -11,7 +11,7 @@
 from laburnumwood.routing.caller_interface import Face, give
 from laburnumwood.routing.connection import REQUEST_ID
 from laburnumwood.routing.problems import StartResponse, status_line
-from laburnumwood.routing.reading import Environ, RequestRefusedError
+from laburnumwood.routing.request_parsing import Environ, RequestRefusedError
 from laburnumwood.routing.router import Reply, Router
 from laburnumwood.routing.server import close_after, reset
 
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -12,7 +12,7 @@
 from laburnumwood.routing.caller_interface import Face
 from laburnumwood.routing.ingress import Declared, Door
 from laburnumwood.routing.problems import StartResponse
-from laburnumwood.routing.reading import Environ
+from laburnumwood.routing.request_parsing import Environ
 from laburnumwood.routing.router import Router
 
 _TELL_MS = 5_000
