--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -9,7 +9,7 @@
 from laburnumwood.routing.ledger_replication import Notary
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.running import Result, Runner
+from laburnumwood.routing.runner import Result, Runner
 from laburnumwood.routing.suspicions import Suspicions
 from laburnumwood.routing.worker_interface import Dialect
 from laburnumwood.upstream.worker import Worker
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -27,7 +27,7 @@
 )
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.running import Result
+from laburnumwood.routing.runner import Result
 from laburnumwood.tasks import begin, start
 
 _CALL_TIMEOUT_MS = 500
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -35,7 +35,7 @@
 from laburnumwood.routing.ingress import Door
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.running import Runner
+from laburnumwood.routing.runner import Runner
 from laburnumwood.routing.server import serve_callers
 from laburnumwood.routing.spread import Spread
 from laburnumwood.routing.suspicions import Suspicions
