--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -12,7 +12,7 @@
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.records import NodeName
 from laburnumwood.routing.admission_gate import Gate
-from laburnumwood.routing.spread import Spread
+from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.settings import DaemonSettings
 
 _RETRY_SHARE = 0.1  # of the requests
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -32,7 +32,7 @@
 )
 from laburnumwood.routing.headers import find
 from laburnumwood.routing.problems import failure
-from laburnumwood.routing.spread import AVOID_MS, Spread
+from laburnumwood.routing.request_balancer import AVOID_MS, Spread
 from laburnumwood.routing.tries import PATIENCE_MS, Tries
 from laburnumwood.tasks import start
 
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -26,7 +26,7 @@
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.exchange import local_pair
-from laburnumwood.routing.spread import Spread
+from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.settings import PlacementSettings
 from tests.features.steps.fake_clock import FakeClock
 
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -32,9 +32,9 @@
 from laburnumwood.routing.connection import REQUEST_ID
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.ingress import Door
+from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import Reply, Router
 from laburnumwood.routing.server import Listening
-from laburnumwood.routing.spread import Spread
 from tests.request_stack.stack import DOOR, OneGate
 
 HOST = '127.0.0.1'
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -29,8 +29,8 @@
 )
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import local_pair
+from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import Router
-from laburnumwood.routing.spread import Spread
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import node_object, shard_object, to_value
 from tests.features.steps.counting_view import CountingView
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -31,8 +31,8 @@
     local_pair,
 )
 from laburnumwood.routing.problems import failure
+from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import Router
-from laburnumwood.routing.spread import Spread
 from tests.features.steps.plain_work import PLAIN_WORK
 from tests.request_stack.stack import DOOR, GATE, OneGate
 
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -33,11 +33,11 @@
 from laburnumwood.routing.admission_gate import read_body
 from laburnumwood.routing.caller_interface import OwnFace
 from laburnumwood.routing.ingress import Door
+from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import Runner
 from laburnumwood.routing.server import serve_callers
-from laburnumwood.routing.spread import Spread
 from laburnumwood.routing.suspicions import Suspicions
 from laburnumwood.routing.worker_interface import OwnDialect
 from laburnumwood.upstream.worker import Worker
