--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -39,7 +39,7 @@
 from laburnumwood.routing.priorities import line_of, useful_until_ms
 from laburnumwood.routing.problems import failure, overloaded
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.staying import StayingExchange
+from laburnumwood.routing.shard_release import StayingExchange
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.grants import Grants
 
