--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -40,7 +40,7 @@
 from laburnumwood.routing.ledger_replication import Notary
 from laburnumwood.routing.measured_ingress import MeasuredDoor
 from laburnumwood.routing.router import Router
-from laburnumwood.routing.suspicions import Suspicions
+from laburnumwood.routing.shared_quarantine import Suspicions
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
 from laburnumwood.tasks import Task, Tasks, start
--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -10,7 +10,7 @@
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import Result, Runner
-from laburnumwood.routing.suspicions import Suspicions
+from laburnumwood.routing.shared_quarantine import Suspicions
 from laburnumwood.routing.worker_interface import Dialect
 from laburnumwood.upstream.worker import Worker
 
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -28,7 +28,7 @@
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.shared_lock import Solitude
-from laburnumwood.routing.suspicions import Suspicions
+from laburnumwood.routing.shared_quarantine import Suspicions
 from laburnumwood.routing.worker_interface import Dialect
 from laburnumwood.tasks import start
 from laburnumwood.upstream.pool import WorkerAnswer
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -38,7 +38,7 @@
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import Runner
 from laburnumwood.routing.server import serve_callers
-from laburnumwood.routing.suspicions import Suspicions
+from laburnumwood.routing.shared_quarantine import Suspicions
 from laburnumwood.routing.worker_interface import OwnDialect
 from laburnumwood.upstream.worker import Worker
 
