--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -33,7 +33,7 @@
 from laburnumwood.routing.headers import find
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.request_balancer import AVOID_MS, Spread
-from laburnumwood.routing.tries import PATIENCE_MS, Tries
+from laburnumwood.routing.retry_policy import PATIENCE_MS, Tries
 from laburnumwood.tasks import start
 
 _CHUNK_SIZE = 32_768
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -21,9 +21,9 @@
 from laburnumwood.routing.exchange import Outgoing, local_pair
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.retry_policy import Tries
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
-from laburnumwood.routing.tries import Tries
 from laburnumwood.store.breaker import GuardedStore
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
