--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -9,8 +9,8 @@
 from laburnumwood.platform.names import ID_HEADER, TIME_LEFT_HEADER
 from laburnumwood.protocol.messages import Answer, Failure, Work
 from laburnumwood.routing.caller_interface import HeaderList, Refusal
+from laburnumwood.routing.caller_protocol import HEADERS
 from laburnumwood.routing.caller_request import Inquiry
-from laburnumwood.routing.connection import HEADERS
 from laburnumwood.routing.headers import end_to_end, request_headers
 from laburnumwood.routing.problems import PROBLEMS, status_line
 from laburnumwood.routing.request_parsing import (
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -9,7 +9,7 @@
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.routing.caller import Caller, Callers
 from laburnumwood.routing.caller_interface import Face, give
-from laburnumwood.routing.connection import REQUEST_ID
+from laburnumwood.routing.caller_protocol import REQUEST_ID
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.routing.request_parsing import Environ, RequestRefusedError
 from laburnumwood.routing.router import Reply, Router
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -10,7 +10,7 @@
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.events import NOT_ACCEPTED
 from laburnumwood.listening import Address, listen
-from laburnumwood.routing.connection import (
+from laburnumwood.routing.caller_protocol import (
     CLOSE,
     CallerProtocol,
     reset_connection,
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -28,8 +28,8 @@
 from laburnumwood.records import NodeName
 from laburnumwood.routing.caller import Caller, Callers
 from laburnumwood.routing.caller_interface import OwnFace
+from laburnumwood.routing.caller_protocol import REQUEST_ID
 from laburnumwood.routing.caller_request import Inquiry
-from laburnumwood.routing.connection import REQUEST_ID
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.ingress import Door
 from laburnumwood.routing.request_balancer import Spread
--- a/tests/fuzz/doors.py
+++ b/tests/fuzz/doors.py
@@ -34,7 +34,7 @@
     WholeAnswer,
 )
 from laburnumwood.records import NodeName, ShardRecord, StoredObject
-from laburnumwood.routing.connection import CallerProtocol
+from laburnumwood.routing.caller_protocol import CallerProtocol
 from laburnumwood.settings import read_settings
 from laburnumwood.store.objects import CONFIG, node_object, to_value
 from laburnumwood.upstream.connection import WorkerResponse
