--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -29,7 +29,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Entry(Generic[_Record]):
+class VersionedRecord(Generic[_Record]):
     """A record and the version of the store that holds it."""
 
     record: _Record
@@ -78,8 +78,8 @@
     def __init__(self) -> None:
         self._objects: dict[str, StoredObject] = {}
         self._by_version: SortedDict[int, str] = SortedDict()
-        self._nodes: dict[str, Entry[NodeRecord]] = {}
-        self._shards: dict[str, dict[int, Entry[ShardRecord]]] = {}
+        self._nodes: dict[str, VersionedRecord[NodeRecord]] = {}
+        self._shards: dict[str, dict[int, VersionedRecord[ShardRecord]]] = {}
         self._records: dict[str, dict[int, ShardRecord]] = {}
         self._named: dict[NodeName, set[ShardName]] = {}
         self._config = ConfigRecord(0)
@@ -108,7 +108,7 @@
         return self._declarations
 
     @property
-    def nodes(self) -> dict[str, Entry[NodeRecord]]:
+    def nodes(self) -> dict[str, VersionedRecord[NodeRecord]]:
         """Return the records of nodes by their ids."""
         return self._nodes
 
@@ -124,11 +124,11 @@
             return None
         return entry.record
 
-    def shard(self, shard: ShardName) -> Entry[ShardRecord] | None:
+    def shard(self, shard: ShardName) -> VersionedRecord[ShardRecord] | None:
         """Return the record of a shard."""
         return self._shards.get(shard.service, {}).get(shard.number)
 
-    def shards(self, service: str) -> dict[int, Entry[ShardRecord]]:
+    def shards(self, service: str) -> dict[int, VersionedRecord[ShardRecord]]:
         """Return the records of a service's shards by their numbers."""
         return self._shards.get(service, {})
 
@@ -218,7 +218,7 @@
             self._nodes.pop(node_id, None)
             return
         record = to_record(NodeRecord, stored)
-        self._nodes[node_id] = Entry(record, stored.version)
+        self._nodes[node_id] = VersionedRecord(record, stored.version)
 
     def _take_shard(self, stored: StoredObject) -> None:
         shard = _shard_of(stored.name)
@@ -230,7 +230,7 @@
             return
         record = to_record(ShardRecord, stored)
         self._note_named(shard, records.get(shard.number), record)
-        known[shard.number] = Entry(record, stored.version)
+        known[shard.number] = VersionedRecord(record, stored.version)
         records[shard.number] = record
         self._note_planned(shard.service, record)
         self.when_shard_changes(shard, record)
--- a/laburnumwood/membership/spreading.py
+++ b/laburnumwood/membership/spreading.py
@@ -4,7 +4,7 @@
 
 from laburnumwood.errors import LinkError
 from laburnumwood.events import NODE_SEALED, RECORD_REFUSED
-from laburnumwood.membership.directory import Directory, Entry
+from laburnumwood.membership.directory import Directory, VersionedRecord
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import (
@@ -30,7 +30,7 @@
 _CALL_TIMEOUT_MS = 1_000
 
 
-def notice_of(shard: ShardName, entry: Entry[ShardRecord]) -> ShardNotice:
+def notice_of(shard: ShardName, entry: VersionedRecord[ShardRecord]) -> ShardNotice:
     """Return what tells a node of the record of a shard."""
     return ShardNotice(str(shard), entry.record, entry.version)
 
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -8,7 +8,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.events import SHARD_CLAIMED, SHARD_MOVED, SHARD_TAKEN_OVER
 from laburnumwood.leases.lease import Lease
-from laburnumwood.membership.directory import Entry
+from laburnumwood.membership.directory import VersionedRecord
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.division import Division
 from laburnumwood.placement.holdings import Holdings
@@ -230,7 +230,7 @@
         elif progress is Progress.NOT_SENT:
             self._holdings.reopen(write.shard)
 
-    def _open_shards(self) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
+    def _open_shards(self) -> Iterator[tuple[ShardName, VersionedRecord[ShardRecord]]]:
         """Yield the shards that this node or nobody acts for."""
         entries = self._view.directory.shards(self._service)
         for number in sorted(
@@ -244,7 +244,7 @@
     def _standing(self, shard: ShardName, record: ShardRecord) -> Standing:
         return standing(shard, record, self._own, self._view)
 
-    def _follow(self, shard: ShardName, entry: Entry[ShardRecord]) -> None:
+    def _follow(self, shard: ShardName, entry: VersionedRecord[ShardRecord]) -> None:
         if entry.version > self._stale.get(shard, entry.version):
             self._stale.pop(shard)
             self._holdings.lose(shard, 'its record was overtaken')
@@ -263,7 +263,7 @@
         event = SHARD_TAKEN_OVER if late else SHARD_CLAIMED
         event.report(shard=shard, epoch=record.epoch)
 
-    def _is_wanted(self, shard: ShardName, entry: Entry[ShardRecord]) -> bool:
+    def _is_wanted(self, shard: ShardName, entry: VersionedRecord[ShardRecord]) -> bool:
         how = self._standing(shard, entry.record)
         if how is Standing.OWNER:
             if self._holdings.is_spent(shard) or self.home(shard):
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -25,7 +25,7 @@
     RUN_CANCELLED,
 )
 from laburnumwood.leases.lease import Lease
-from laburnumwood.membership.directory import Entry
+from laburnumwood.membership.directory import VersionedRecord
 from laburnumwood.membership.spreading import notice_of
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import Records, placed_shard
@@ -67,7 +67,7 @@
     def shard_records(self, service: str) -> Records:
         """Return the records of a service's shards by their numbers."""
 
-    def shard(self, shard: ShardName) -> Entry[ShardRecord] | None:
+    def shard(self, shard: ShardName) -> VersionedRecord[ShardRecord] | None:
         """Return the record of a shard with its version."""
 
 
