--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -25,7 +25,7 @@
     STORE_UNREACHABLE,
 )
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.endings import Fate, Standstill, fate
+from laburnumwood.membership.incarnation_ends import Fate, Standstill, fate
 from laburnumwood.membership.joining import join
 from laburnumwood.metrics import exposition
 from laburnumwood.operators.door import OperatorDoor
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -6,7 +6,7 @@
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import witness_count
-from laburnumwood.membership.endings import Fate, fate
+from laburnumwood.membership.incarnation_ends import Fate, fate
 from laburnumwood.membership.joining import confirm_lost, join, leave
 from laburnumwood.records import KeyRange, NodeName, ShardName, ShardRecord
 from laburnumwood.settings import DaemonSettings
