--- a/laburnumwood/cli/losing.py
+++ b/laburnumwood/cli/losing.py
@@ -6,7 +6,7 @@
 from laburnumwood.cli.output import Output
 from laburnumwood.clock import Clock
 from laburnumwood.errors import PlatformConflictError
-from laburnumwood.membership.joining import confirm_lost
+from laburnumwood.membership.node_records import confirm_lost
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.store.client import HttpStore
 from laburnumwood.store.interface import Store
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -12,15 +12,15 @@
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.joining import (
+from laburnumwood.membership.known import KnownStore
+from laburnumwood.membership.member import Member
+from laburnumwood.membership.node_records import (
     announce_leaving,
     end_earlier,
     leave,
     store_answers,
     unchanged,
 )
-from laburnumwood.membership.known import KnownStore
-from laburnumwood.membership.member import Member
 from laburnumwood.membership.reader import Reader
 from laburnumwood.membership.serving import Serving
 from laburnumwood.membership.view import FleetView
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -26,7 +26,7 @@
 )
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.incarnation_ends import Fate, Standstill, fate
-from laburnumwood.membership.joining import join
+from laburnumwood.membership.node_records import join
 from laburnumwood.metrics import exposition
 from laburnumwood.operators.door import OperatorDoor
 from laburnumwood.protocol.link import Link
--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -13,7 +13,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import rendezvous
-from laburnumwood.membership.joining import (
+from laburnumwood.membership.node_records import (
     drop_older_sets,
     end_seen,
     leave,
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -16,7 +16,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses, replace_witnesses
-from laburnumwood.membership.joining import (
+from laburnumwood.membership.node_records import (
     Change,
     record_witnesses,
     unchanged,
--- a/laburnumwood/membership/serving.py
+++ b/laburnumwood/membership/serving.py
@@ -8,7 +8,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import PlatformError
-from laburnumwood.membership.joining import change_record, without_up_to
+from laburnumwood.membership.node_records import change_record, without_up_to
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.store.interface import Store
--- a/tests/features/steps/backless_steps.py
+++ b/tests/features/steps/backless_steps.py
@@ -7,7 +7,11 @@
 
 from laburnumwood.errors import PlatformConflictError
 from laburnumwood.leases.backless import Backless, Candidate
-from laburnumwood.membership.joining import end_seen, join, record_witnesses
+from laburnumwood.membership.node_records import (
+    end_seen,
+    join,
+    record_witnesses,
+)
 from laburnumwood.records import NodeName, NodeRecord, WitnessSet
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import node_object, to_record
--- a/tests/features/steps/letting_go_steps.py
+++ b/tests/features/steps/letting_go_steps.py
@@ -11,7 +11,7 @@
 from laburnumwood.daemon.incarnation import Incarnation
 from laburnumwood.daemon.node import Node
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.joining import join
+from laburnumwood.membership.node_records import join
 from laburnumwood.platform.borders import register
 from laburnumwood.protocol.messages import Resign
 from laburnumwood.records import NodeName, NodeRecord, ShardName, WitnessSet
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -13,13 +13,13 @@
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.joining import (
+from laburnumwood.membership.known import KnownStore
+from laburnumwood.membership.node_records import (
     announce_leaving,
     join,
     leave,
     record_witnesses,
 )
-from laburnumwood.membership.known import KnownStore
 from laburnumwood.membership.renewal import Renewer
 from laburnumwood.membership.serving import Serving
 from laburnumwood.membership.view import FleetView
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -14,7 +14,7 @@
 from laburnumwood.membership.choice import choose_witnesses
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.incarnation_ends import Recorder, Standstill
-from laburnumwood.membership.joining import end_earlier, record_witnesses
+from laburnumwood.membership.node_records import end_earlier, record_witnesses
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.shard_write import ShardWrite
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -7,7 +7,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import witness_count
 from laburnumwood.membership.incarnation_ends import Fate, fate
-from laburnumwood.membership.joining import confirm_lost, join, leave
+from laburnumwood.membership.node_records import confirm_lost, join, leave
 from laburnumwood.records import KeyRange, NodeName, ShardName, ShardRecord
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.objects import shard_object, to_value
