--- a/bench/holding.py
+++ b/bench/holding.py
@@ -13,7 +13,7 @@
 from bench.spreading import TARGET_NODES, record_of
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.reader import RECORD_READERS, reading_of
+from laburnumwood.membership.store_watcher import RECORD_READERS, reading_of
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.codec import LARGEST_FRAME, encode
 from laburnumwood.protocol.messages import Changes
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -21,8 +21,8 @@
     store_answers,
     unchanged,
 )
-from laburnumwood.membership.reader import Reader
 from laburnumwood.membership.serving import Serving
+from laburnumwood.membership.store_watcher import Reader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
