--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -21,9 +21,9 @@
     store_answers,
     unchanged,
 )
-from laburnumwood.membership.serving import Serving
 from laburnumwood.membership.store_watcher import Reader
 from laburnumwood.membership.view import FleetView
+from laburnumwood.membership.worker_announcer import Serving
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import Holdings
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -21,8 +21,8 @@
     record_witnesses,
 )
 from laburnumwood.membership.renewal import Renewer
-from laburnumwood.membership.serving import Serving
 from laburnumwood.membership.view import FleetView
+from laburnumwood.membership.worker_announcer import Serving
 from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import NodeName, NodeRecord, StoredObject, WitnessSet
 from laburnumwood.settings import LeaseSettings
