--- a/laburnumwood/daemon/handover_news.py
+++ b/laburnumwood/daemon/handover_news.py
@@ -1,7 +1,7 @@
 """What a returning node tells others of the keys that its worker let go."""
 
 from laburnumwood.events import HANDOVERS_TOLD
-from laburnumwood.membership.spreading import Spreader
+from laburnumwood.membership.gossip import Spreader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.messages import Done, Left
 from laburnumwood.protocol.peers import Dispatcher
--- a/laburnumwood/membership/member.py
+++ b/laburnumwood/membership/member.py
@@ -5,9 +5,9 @@
 from laburnumwood.clock import Clock
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
+from laburnumwood.membership.gossip import Spreader
 from laburnumwood.membership.incarnation_ends import Recorder
 from laburnumwood.membership.renewal import Renewer, WitnessDesk
-from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.settings import LeaseSettings
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -16,12 +16,12 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses, replace_witnesses
+from laburnumwood.membership.gossip import Spreader
 from laburnumwood.membership.node_records import (
     Change,
     record_witnesses,
     unchanged,
 )
-from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import Done as Carried
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -9,7 +9,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import SHARD_SPLIT
 from laburnumwood.membership.choice import rendezvous
-from laburnumwood.membership.spreading import Spreader, notice_of
+from laburnumwood.membership.gossip import Spreader, notice_of
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -26,7 +26,7 @@
 )
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import VersionedRecord
-from laburnumwood.membership.spreading import notice_of
+from laburnumwood.membership.gossip import notice_of
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import Records, placed_shard
 from laburnumwood.placement.meter import LoadMeter
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -6,7 +6,7 @@
 from laburnumwood.admission.retries import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.errors import CallerGoneError, LinkError, LinkTimeoutError
-from laburnumwood.membership.spreading import take_notice
+from laburnumwood.membership.gossip import take_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.layout import placed_shard
 from laburnumwood.placement.ownership import acting
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -11,8 +11,8 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.gossip import Spreader
 from laburnumwood.membership.renewal import Renewer
-from laburnumwood.membership.spreading import Spreader
 from laburnumwood.membership.store_watcher import Reader
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.messages import Changes, ShardNotice
--- a/tests/fuzz/doors.py
+++ b/tests/fuzz/doors.py
@@ -21,7 +21,7 @@
 )
 from laburnumwood.header_index import HeadError
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.spreading import take_notice
+from laburnumwood.membership.gossip import take_notice
 from laburnumwood.platform.bodies import BodyError
 from laburnumwood.platform.manifest import read_manifest
 from laburnumwood.platform.reports import read_report
