--- a/laburnumwood/membership/choice.py
+++ b/laburnumwood/membership/choice.py
@@ -14,7 +14,7 @@
 WITNESS_COUNTS = (5, 3, 1)
 
 
-def rendezvous(topic: str, names: Iterable[NodeName]) -> list[NodeName]:
+def rendezvous_order(topic: str, names: Iterable[NodeName]) -> list[NodeName]:
     """Return names in an order that differs from topic to topic."""
     return sorted(
         names, key=lambda name: xxh3_64_intdigest(f'{topic} {name}'.encode())
@@ -73,7 +73,7 @@
     """Return witnesses that keep as many as can be of those that stand."""
     count = witness_count(len(nodes))
     standing = set(kept)
-    order = rendezvous(f'witness {holder}', nodes)
+    order = rendezvous_order(f'witness {holder}', nodes)
     order.sort(
         key=lambda name: (
             name not in standing,
--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -12,7 +12,7 @@
 from laburnumwood.leases.backless import Backless, Candidate
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.choice import rendezvous
+from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.membership.node_records import (
     drop_older_sets,
     end_seen,
@@ -98,7 +98,7 @@
         for node_id, entry in view.directory.nodes.items()
         for name in _open_names(node_id, entry.record.open_incarnations)
         if view.seals.is_proved(name)
-        and rendezvous(f'end {name}', live)[:1] == [own]
+        and rendezvous_order(f'end {name}', live)[:1] == [own]
     )
 
 
@@ -164,7 +164,7 @@
         live = [name for name, _ in self._view.live()]
         for each in over:
             others = [name for name in live if name != each.name]
-            first = rendezvous(f'end {each.name}', others)[:1]
+            first = rendezvous_order(f'end {each.name}', others)[:1]
             if first == [self._lease.holder]:
                 self._end(each)
 
--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -13,7 +13,7 @@
     CompactedError,
     PlatformError,
 )
-from laburnumwood.membership.choice import rendezvous
+from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import NodeName, StoredObject
 from laburnumwood.store.interface import Store
@@ -69,7 +69,7 @@
     near = (
         name for name, each in live.items() if each.failure_domain == domain
     )
-    place = rendezvous(f'reader {domain}', near).index(own)
+    place = rendezvous_order(f'reader {domain}', near).index(own)
     if place >= readers.per_domain:
         return Reading.TOLD
     domains = {each.failure_domain for each in live.values()}
--- a/laburnumwood/placement/exchange.py
+++ b/laburnumwood/placement/exchange.py
@@ -7,7 +7,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import LinkError
-from laburnumwood.membership.choice import rendezvous
+from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.loads import LoadBook, LoadState
 from laburnumwood.placement.meter import LoadMeter
@@ -80,8 +80,8 @@
         topic = f'load {self._own} {number // _ROUNDS_PER_DRAW}'
         live = self._view.live_in(self._service)
         others = [name for name in live if name != self._own]
-        neighbours = rendezvous(topic, others)[:_NEIGHBOURS]
-        also = rendezvous(f'{topic} {number}', self._also())
+        neighbours = rendezvous_order(topic, others)[:_NEIGHBOURS]
+        also = rendezvous_order(f'{topic} {number}', self._also())
         turn = number * _ASKED_PER_ROUND % max(len(neighbours), 1)
         in_turn = [*neighbours[turn:], *neighbours[:turn]]
         return {*in_turn[:_ASKED_PER_ROUND], *also[:_ASKED_PER_ROUND]}
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -8,7 +8,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import SHARD_SPLIT
-from laburnumwood.membership.choice import rendezvous
+from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.membership.gossip import Spreader, notice_of
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
@@ -287,5 +287,5 @@
         for name in entry.record.succession if entry else ():
             if name in nodes:
                 return name
-        order = rendezvous(f'drain {own}', nodes)
+        order = rendezvous_order(f'drain {own}', nodes)
         return order[place % len(order)] if order else None
--- a/laburnumwood/placement/succession.py
+++ b/laburnumwood/placement/succession.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from functools import lru_cache
 
-from laburnumwood.membership.choice import rendezvous
+from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.records import (
     NodeName,
     NodeRecord,
@@ -30,7 +30,7 @@
     The first successor is in another failure domain where there is one.
     """
     others = [name for name in nodes if name != owner]
-    order = rendezvous(f'successor {shard}', others)
+    order = rendezvous_order(f'successor {shard}', others)
     return (owner, *_by_distance(owner, order, nodes)[:SUCCESSORS])
 
 
@@ -70,7 +70,7 @@
 
 @lru_cache(_REMEMBERED_ORDERS)
 def _order_of(service: str, names: tuple[NodeName, ...]) -> list[NodeName]:
-    return rendezvous(service, names)
+    return rendezvous_order(service, names)
 
 
 def choose_heir(
