--- a/laburnumwood/membership/choice.py
+++ b/laburnumwood/membership/choice.py
@@ -37,7 +37,7 @@
     return chosen
 
 
-def spread(
+def spread_over_domains(
     order: list[NodeName], nodes: Mapping[NodeName, NodeRecord], count: int
 ) -> tuple[NodeName, ...]:
     """Return the first `count` names, as evenly over domains as can be."""
@@ -83,4 +83,4 @@
     if count == 1:
         own = [name for name in nodes if name.node_id == holder.node_id]
         return tuple(own)
-    return spread(order, nodes, count)
+    return spread_over_domains(order, nodes, count)
