--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -89,7 +89,7 @@
         self.revision = 0
         self.changes = 0
         self.node_changes = 0
-        self.when_shard_changes: ShardListener = _ignore
+        self.on_shard_change: ShardListener = _ignore
         self.when_config_changes: Callable[[], None] = _do_nothing
         self.news = News()
 
@@ -233,7 +233,7 @@
         known[shard.number] = VersionedRecord(record, stored.version)
         records[shard.number] = record
         self._note_planned(shard.service, record)
-        self.when_shard_changes(shard, record)
+        self.on_shard_change(shard, record)
 
     def _note_planned(self, service: str, record: ShardRecord) -> None:
         if not record.shards:
--- a/laburnumwood/routing/notary.py
+++ b/laburnumwood/routing/notary.py
@@ -71,7 +71,7 @@
         self._peers = peers
         self._synced: dict[tuple[ShardName, NodeName], int] = {}
         dispatcher.on(LedgerNotes)(self._serve_notes)
-        view.directory.when_shard_changes = self._follow
+        view.directory.on_shard_change = self._follow
 
     def admit(self, run: Run) -> Failure | tuple[Answer, bytes] | None:
         """Note a request; return what to answer in place of running it."""
