--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -90,7 +90,7 @@
         self.changes = 0
         self.node_changes = 0
         self.on_shard_change: ShardListener = _ignore
-        self.when_config_changes: Callable[[], None] = _do_nothing
+        self.on_config_change: Callable[[], None] = _do_nothing
         self.news = News()
 
     @property
@@ -209,7 +209,7 @@
         self._declared = declared
         self._declarations = _with_planned(declared, self._planned)
         CONFIG_IN_FORCE.report(generation=record.generation, who=record.who)
-        self.when_config_changes()
+        self.on_config_change()
 
     def _take_node(self, stored: StoredObject) -> None:
         node_id = stored.name.removeprefix(NODES)
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -70,7 +70,7 @@
         self._chosen: tuple[NodeName, ...] = ()
         self._chosen_for: object = None
         # What is new in it reaches the others with the next renewals.
-        view.directory.when_config_changes = self.poke
+        view.directory.on_config_change = self.poke
 
     def begin(self, avoided: Set[str], also: Change = unchanged) -> None:
         """Choose the first witnesses and ask them; raises `PlatformError`.
