--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -87,7 +87,7 @@
         self._declarations = self._declared
         self._planned: dict[str, dict[str, int]] = {}
         self.revision = 0
-        self.changes = 0
+        self.change_count = 0
         self.node_changes = 0
         self.on_shard_change: ShardListener = _ignore
         self.on_config_change: Callable[[], None] = _do_nothing
@@ -162,7 +162,7 @@
             self._by_version.pop(known.version, None)
         self._objects[stored.name] = stored
         self._by_version[stored.version] = stored.name
-        self.changes += 1
+        self.change_count += 1
         self.news.tell()
         return True
 
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -24,7 +24,7 @@
     @property
     def version(self) -> tuple[int, int]:
         """Return what is another value after each change."""
-        return self.directory.changes, self.seals.changes
+        return self.directory.change_count, self.seals.changes
 
     @property
     def node_version(self) -> tuple[int, int]:
--- a/tests/features/steps/directory_steps.py
+++ b/tests/features/steps/directory_steps.py
@@ -32,13 +32,13 @@
 def _put(
     directory: Directory, number: int, value: dict[str, object] | None
 ) -> None:
-    version = directory.changes + 1
+    version = directory.change_count + 1
     name = shard_object(ShardName(SERVICE, number))
     directory.apply(StoredObject(name, value, version))
 
 
 def _put_node(directory: Directory, record: NodeRecord, place: int) -> None:
-    name, version = node_object(f'n{place}'), directory.changes + 1
+    name, version = node_object(f'n{place}'), directory.change_count + 1
     directory.apply(StoredObject(name, to_value(record), version))
 
 
