--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -88,7 +88,7 @@
         self._planned: dict[str, dict[str, int]] = {}
         self.revision = 0
         self.change_count = 0
-        self.node_changes = 0
+        self.node_change_count = 0
         self.on_shard_change: ShardListener = _ignore
         self.on_config_change: Callable[[], None] = _do_nothing
         self.news = News()
@@ -213,7 +213,7 @@
 
     def _take_node(self, stored: StoredObject) -> None:
         node_id = stored.name.removeprefix(NODES)
-        self.node_changes += 1
+        self.node_change_count += 1
         if stored.value is None:
             self._nodes.pop(node_id, None)
             return
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -29,7 +29,7 @@
     @property
     def node_version(self) -> tuple[int, int]:
         """Return what is another value when other nodes may be live."""
-        return self.directory.node_changes, self.seals.changes
+        return self.directory.node_change_count, self.seals.changes
 
     def digest(self) -> Digest:
         """Return how much is known, for peers to compare."""
