--- a/laburnumwood/membership/cached_store.py
+++ b/laburnumwood/membership/cached_store.py
@@ -26,7 +26,7 @@
 
     def get(self, name: str) -> StoredObject | None:
         """Return an object, or None if there is none of that name."""
-        known = self._directory.stored(name)
+        known = self._directory.stored_object(name)
         if known is not None and name not in self._outdated:
             return known
         found = super().get(name)
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -112,7 +112,7 @@
         """Return the records of nodes by their ids."""
         return self._nodes
 
-    def stored(self, name: str) -> StoredObject | None:
+    def stored_object(self, name: str) -> StoredObject | None:
         """Return the newest version known of an object, None if unknown."""
         known = self._objects.get(name)
         return known if known is not None and known.value is not None else None
