--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -136,7 +136,7 @@
         """Return the records of a service's shards without their versions."""
         return self._records.get(service, {})
 
-    def shards_naming(self, name: NodeName) -> tuple[ShardName, ...]:
+    def shards_listing(self, name: NodeName) -> tuple[ShardName, ...]:
         """Return the shards that a node owns or may follow in, in order."""
         return tuple(sorted(self._named.get(name, ())))
 
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -235,7 +235,7 @@
 
     def _followers(self, holder: NodeName) -> set[NodeName]:
         directory = self._view.directory
-        entries = map(directory.shard, directory.shards_naming(holder))
+        entries = map(directory.shard, directory.shards_listing(holder))
         return {
             name
             for entry in entries
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -141,7 +141,7 @@
         entry = self.directory.nodes.get(holder.node_id)
         if entry is None or not entry.record.has_ended(holder.incarnation):
             return False
-        return not self.directory.shards_naming(holder)
+        return not self.directory.shards_listing(holder)
 
     def floor(self, holder: NodeName, shard: ShardName) -> int:
         """Return the least epoch that a sealed holder may have written."""
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -59,7 +59,7 @@
     return {
         shard.number
         for name in (own, *filter(view.is_sealed, directory.named()))
-        for shard in directory.shards_naming(name)
+        for shard in directory.shards_listing(name)
         if shard.service == service
     }
 
@@ -129,7 +129,7 @@
         """Hold and drop shards as seals and records ask for it."""
         if not self._lease.holds():
             return
-        named = self._view.directory.shards_naming(self._own)
+        named = self._view.directory.shards_listing(self._own)
         for shard in sorted({*named, *self._holdings.tokens(), *self._stale}):
             entry = self._view.directory.shard(shard)
             if entry is not None:
@@ -230,7 +230,9 @@
         elif progress is Progress.NOT_SENT:
             self._holdings.reopen(write.shard)
 
-    def _open_shards(self) -> Iterator[tuple[ShardName, VersionedRecord[ShardRecord]]]:
+    def _open_shards(
+        self,
+    ) -> Iterator[tuple[ShardName, VersionedRecord[ShardRecord]]]:
         """Yield the shards that this node or nobody acts for."""
         entries = self._view.directory.shards(self._service)
         for number in sorted(
@@ -244,7 +246,9 @@
     def _standing(self, shard: ShardName, record: ShardRecord) -> Standing:
         return standing(shard, record, self._own, self._view)
 
-    def _follow(self, shard: ShardName, entry: VersionedRecord[ShardRecord]) -> None:
+    def _follow(
+        self, shard: ShardName, entry: VersionedRecord[ShardRecord]
+    ) -> None:
         if entry.version > self._stale.get(shard, entry.version):
             self._stale.pop(shard)
             self._holdings.lose(shard, 'its record was overtaken')
@@ -263,7 +267,9 @@
         event = SHARD_TAKEN_OVER if late else SHARD_CLAIMED
         event.report(shard=shard, epoch=record.epoch)
 
-    def _is_wanted(self, shard: ShardName, entry: VersionedRecord[ShardRecord]) -> bool:
+    def _is_wanted(
+        self, shard: ShardName, entry: VersionedRecord[ShardRecord]
+    ) -> bool:
         how = self._standing(shard, entry.record)
         if how is Standing.OWNER:
             if self._holdings.is_spent(shard) or self.home(shard):
