--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -140,7 +140,7 @@
         """Return the shards that a node owns or may follow in, in order."""
         return tuple(sorted(self._named.get(name, ())))
 
-    def named(self) -> tuple[NodeName, ...]:
+    def listed_nodes(self) -> tuple[NodeName, ...]:
         """Return the nodes that own shards or may follow in any."""
         return tuple(self._named)
 
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -58,7 +58,7 @@
     directory = view.directory
     return {
         shard.number
-        for name in (own, *filter(view.is_sealed, directory.named()))
+        for name in (own, *filter(view.is_sealed, directory.listed_nodes()))
         for shard in directory.shards_listing(name)
         if shard.service == service
     }
