--- a/bench/holding.py
+++ b/bench/holding.py
@@ -85,7 +85,7 @@
     started = time.perf_counter()
     reading_of(_name(0), view, RECORD_READERS)
     look_ms = (time.perf_counter() - started) * 1_000
-    objects = directory.newer(0, directory.config.generation)
+    objects = directory.objects_newer_than(0, directory.config.generation)
     changes = Changes(objects, 1, whole=True, seals=())
     return held_mb, filled_s, look_ms, len(encode(1, changes)) / 1e6
 
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -171,7 +171,7 @@
         versions = self._by_version.irange(revision, inclusive=(False, True))
         return tuple(versions)
 
-    def newer(
+    def objects_newer_than(
         self, revision: int, generation: int, known: Iterable[int] = ()
     ) -> tuple[StoredObject, ...]:
         """Return the objects that a node with so much news misses.
--- a/laburnumwood/membership/gossip.py
+++ b/laburnumwood/membership/gossip.py
@@ -30,7 +30,9 @@
 _CALL_TIMEOUT_MS = 1_000
 
 
-def notice_of(shard: ShardName, entry: VersionedRecord[ShardRecord]) -> ShardNotice:
+def notice_of(
+    shard: ShardName, entry: VersionedRecord[ShardRecord]
+) -> ShardNotice:
     """Return what tells a node of the record of a shard."""
     return ShardNotice(str(shard), entry.record, entry.version)
 
@@ -115,7 +117,7 @@
         directory = self._view.directory
         stream.send(
             Changes(
-                objects=directory.newer(
+                objects=directory.objects_newer_than(
                     request.revision, request.generation, request.known
                 ),
                 revision=directory.revision,
