--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -187,7 +187,7 @@
     def _live(self, incarnation: Incarnation) -> Fate:
         while not self._is_stopping:
             known = fate(incarnation.lease, incarnation.view)
-            if known is not Fate.GOES_ON:
+            if known is not Fate.ACTIVE:
                 return known
             if self._stands_still(incarnation):
                 return Fate.LAPSED
@@ -196,7 +196,7 @@
                 return Fate.LAPSED
             self.worker.presence.watch_silence()
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
-        return Fate.GOES_ON
+        return Fate.ACTIVE
 
     def _stands_still(self, incarnation: Incarnation) -> bool:
         lease = incarnation.lease
--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -32,7 +32,7 @@
 class Fate(Enum):
     """How an incarnation stands to what the fleet knows of it."""
 
-    GOES_ON = 'it goes on'
+    ACTIVE = 'it goes on'
     LAPSED = 'it has lapsed or was ended by an operator'
     REPLACED = 'another process announced itself under the same id'
 
@@ -49,7 +49,7 @@
     is_doomed = not lease.can_renew_without(gone)
     if is_doomed or lease.is_over or view.is_sealed(own):
         return Fate.LAPSED
-    return Fate.GOES_ON
+    return Fate.ACTIVE
 
 
 class Standstill:
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -190,9 +190,9 @@
     def _step(self, vm: str, node: FakeNode) -> None:
         self._record_ends(vm)
         known = fate(node.lease, node.view)
-        if known is Fate.GOES_ON and node.stands_still():
+        if known is Fate.ACTIVE and node.stands_still():
             known = Fate.LAPSED
-        if known is Fate.GOES_ON:
+        if known is Fate.ACTIVE:
             node.step()
         elif known is Fate.REPLACED:
             node.end()
