--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -25,7 +25,11 @@
     STORE_UNREACHABLE,
 )
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.incarnation_ends import Fate, Standstill, fate
+from laburnumwood.membership.incarnation_ends import (
+    IncarnationStatus,
+    Standstill,
+    fate,
+)
 from laburnumwood.membership.node_records import join
 from laburnumwood.metrics import exposition
 from laburnumwood.operators.door import OperatorDoor
@@ -111,7 +115,7 @@
             if self._is_stopping:
                 break
             incarnation.end()
-            if known is Fate.REPLACED:
+            if known is IncarnationStatus.REPLACED:
                 NODE_ID_TAKEN.report(node=incarnation.name)
                 return
             REJOINING.report(
@@ -184,19 +188,19 @@
         pages = self._incarnation.operators if self._incarnation else None
         return (pages.metrics() if pages else exposition(),)
 
-    def _live(self, incarnation: Incarnation) -> Fate:
+    def _live(self, incarnation: Incarnation) -> IncarnationStatus:
         while not self._is_stopping:
             known = fate(incarnation.lease, incarnation.view)
-            if known is not Fate.ACTIVE:
+            if known is not IncarnationStatus.ACTIVE:
                 return known
             if self._stands_still(incarnation):
-                return Fate.LAPSED
+                return IncarnationStatus.LAPSED
             if incarnation.has_lost_worker:
                 self._resign(incarnation)
-                return Fate.LAPSED
+                return IncarnationStatus.LAPSED
             self.worker.presence.watch_silence()
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
-        return Fate.ACTIVE
+        return IncarnationStatus.ACTIVE
 
     def _stands_still(self, incarnation: Incarnation) -> bool:
         lease = incarnation.lease
--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -29,7 +29,7 @@
 _CALM_MS = 30_000  # of a held lease, after which waits are short again
 
 
-class Fate(Enum):
+class IncarnationStatus(Enum):
     """How an incarnation stands to what the fleet knows of it."""
 
     ACTIVE = 'it goes on'
@@ -37,19 +37,19 @@
     REPLACED = 'another process announced itself under the same id'
 
 
-def fate(lease: Lease, view: FleetView) -> Fate:
+def fate(lease: Lease, view: FleetView) -> IncarnationStatus:
     """Return what becomes of an incarnation."""
     own = lease.holder
     entry = view.directory.nodes.get(own.node_id)
     if entry is not None and entry.record.incarnation > own.incarnation:
-        return Fate.REPLACED
+        return IncarnationStatus.REPLACED
     gone = {name for name in lease.asked if view.is_away(name)}
     # Without witnesses it can write no record: it joins anew at once, though
     # others follow only when its worker has let go.
     is_doomed = not lease.can_renew_without(gone)
     if is_doomed or lease.is_over or view.is_sealed(own):
-        return Fate.LAPSED
-    return Fate.ACTIVE
+        return IncarnationStatus.LAPSED
+    return IncarnationStatus.ACTIVE
 
 
 class Standstill:
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -6,7 +6,7 @@
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import witness_count
-from laburnumwood.membership.incarnation_ends import Fate, fate
+from laburnumwood.membership.incarnation_ends import IncarnationStatus, fate
 from laburnumwood.membership.node_records import confirm_lost, join, leave
 from laburnumwood.records import KeyRange, NodeName, ShardName, ShardRecord
 from laburnumwood.settings import DaemonSettings
@@ -190,11 +190,11 @@
     def _step(self, vm: str, node: FakeNode) -> None:
         self._record_ends(vm)
         known = fate(node.lease, node.view)
-        if known is Fate.ACTIVE and node.stands_still():
-            known = Fate.LAPSED
-        if known is Fate.ACTIVE:
+        if known is IncarnationStatus.ACTIVE and node.stands_still():
+            known = IncarnationStatus.LAPSED
+        if known is IncarnationStatus.ACTIVE:
             node.step()
-        elif known is Fate.REPLACED:
+        elif known is IncarnationStatus.REPLACED:
             node.end()
             self._nodes.pop(vm)
         elif self.store.mode == 'up':
