--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -28,7 +28,7 @@
 from laburnumwood.membership.incarnation_ends import (
     IncarnationStatus,
     Standstill,
-    fate,
+    incarnation_status,
 )
 from laburnumwood.membership.node_records import join
 from laburnumwood.metrics import exposition
@@ -190,7 +190,7 @@
 
     def _live(self, incarnation: Incarnation) -> IncarnationStatus:
         while not self._is_stopping:
-            known = fate(incarnation.lease, incarnation.view)
+            known = incarnation_status(incarnation.lease, incarnation.view)
             if known is not IncarnationStatus.ACTIVE:
                 return known
             if self._stands_still(incarnation):
--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -37,7 +37,7 @@
     REPLACED = 'another process announced itself under the same id'
 
 
-def fate(lease: Lease, view: FleetView) -> IncarnationStatus:
+def incarnation_status(lease: Lease, view: FleetView) -> IncarnationStatus:
     """Return what becomes of an incarnation."""
     own = lease.holder
     entry = view.directory.nodes.get(own.node_id)
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -6,7 +6,10 @@
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import witness_count
-from laburnumwood.membership.incarnation_ends import IncarnationStatus, fate
+from laburnumwood.membership.incarnation_ends import (
+    IncarnationStatus,
+    incarnation_status,
+)
 from laburnumwood.membership.node_records import confirm_lost, join, leave
 from laburnumwood.records import KeyRange, NodeName, ShardName, ShardRecord
 from laburnumwood.settings import DaemonSettings
@@ -189,7 +192,7 @@
 
     def _step(self, vm: str, node: FakeNode) -> None:
         self._record_ends(vm)
-        known = fate(node.lease, node.view)
+        known = incarnation_status(node.lease, node.view)
         if known is IncarnationStatus.ACTIVE and node.stands_still():
             known = IncarnationStatus.LAPSED
         if known is IncarnationStatus.ACTIVE:
