--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -204,7 +204,7 @@
 
     def _stands_still(self, incarnation: Incarnation) -> bool:
         lease = incarnation.lease
-        if not self._standstill.is_over(lease):
+        if not self._standstill.is_due(lease):
             return False
         self._standstill.note()
         if not incarnation.store_answers():
--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -67,7 +67,7 @@
         self._since_ms: int | None = None
         self._held_since_ms: int | None = None
 
-    def is_over(self, lease: Lease) -> bool:
+    def is_due(self, lease: Lease) -> bool:
         """Tell whether a lease has been lost for too long; call it often."""
         now_ms = self._clock.now_ms()
         if lease.holds():
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -138,7 +138,7 @@
 
     def stands_still(self) -> bool:
         """Tell whether to join anew because the witnesses are silent."""
-        if not self._standstill.is_over(self.lease):
+        if not self._standstill.is_due(self.lease):
             return False
         self._standstill.note()
         return self._store.mode == 'up'
