--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -206,7 +206,7 @@
         lease = incarnation.lease
         if not self._standstill.is_due(lease):
             return False
-        self._standstill.note()
+        self._standstill.record_rejoin()
         if not incarnation.store_answers():
             return False
         self._avoided = frozenset(name.node_id for name in lease.silent)
--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -81,7 +81,7 @@
         self._since_ms = self._since_ms or now_ms
         return now_ms - self._since_ms >= self._wait_ms
 
-    def note(self) -> None:
+    def record_rejoin(self) -> None:
         """Take in that the node joins anew because of it."""
         self._since_ms = None
         self._wait_ms = min(self._wait_ms * 2, _MOST_WAIT_MS)
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -140,7 +140,7 @@
         """Tell whether to join anew because the witnesses are silent."""
         if not self._standstill.is_due(self.lease):
             return False
-        self._standstill.note()
+        self._standstill.record_rejoin()
         return self._store.mode == 'up'
 
     def start(self, avoided: frozenset[str] = _NOBODY) -> None:
