--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -27,7 +27,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.incarnation_ends import (
     IncarnationStatus,
-    Standstill,
+    RejoinBackoff,
     incarnation_status,
 )
 from laburnumwood.membership.node_records import join
@@ -77,7 +77,7 @@
         self._incarnation: Incarnation | None = None
         self._witness: Witness | None = None
         self._door: Listening | None = None
-        self._standstill = Standstill(self._clock)
+        self._standstill = RejoinBackoff(self._clock)
         self._avoided: frozenset[str] = frozenset()
         self._ending: list[Incarnation] = []
         self._stopping_since_ms: int | None = None
--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -52,7 +52,7 @@
     return IncarnationStatus.ACTIVE
 
 
-class Standstill:
+class RejoinBackoff:
     """Finds leases that do not come back while their witnesses are silent.
 
     Their node then joins anew with other witnesses.  Each time it does so
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -13,7 +13,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.incarnation_ends import Recorder, Standstill
+from laburnumwood.membership.incarnation_ends import Recorder, RejoinBackoff
 from laburnumwood.membership.node_records import end_earlier, record_witnesses
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.holdings import Holdings
@@ -120,7 +120,7 @@
         self._recorded_ms = _NOTHING_READ
         self._started_ms = clock.now_ms()
         self._has_ended_earlier = False
-        self._standstill = Standstill(clock)
+        self._standstill = RejoinBackoff(clock)
         self.worker: AttachedGrants | None = None
         if worker is not None:
             holder = _Holder(self.lease, self.holdings)
