--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -87,7 +87,7 @@
         self._wait_ms = min(self._wait_ms * 2, _MOST_WAIT_MS)
 
 
-def endings(own: NodeName, view: FleetView) -> tuple[NodeName, ...]:
+def ends_to_record(own: NodeName, view: FleetView) -> tuple[NodeName, ...]:
     """Return the proved ends that a node should write to the store.
 
     Each end is written by one of the live nodes.
@@ -149,7 +149,7 @@
 
     def record(self) -> None:
         """Write proved ends and new witnesses; raises `PlatformError`."""
-        for name in endings(self._lease.holder, self._view):
+        for name in ends_to_record(self._lease.holder, self._view):
             leave(self._store, name)
         self._end_backless()
         chosen = self._lease.witnesses
