--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -137,11 +137,11 @@
         """Review the records again and again; does not return."""
         while True:
             eventlet.sleep(_REVIEW_MS / MS_PER_SECOND)
-            self.forget()
+            self.evict_ended()
             with suppress(PlatformError):  # the next review tries again
                 self.record()
 
-    def forget(self) -> None:
+    def evict_ended(self) -> None:
         """Forget what is kept of incarnations that have long ended."""
         self._view.forget_past()
         for node_id, entry in self._view.directory.nodes.items():
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -276,7 +276,7 @@
 
     def _record(self) -> None:
         self._recorded_ms = self._clock.now_ms()
-        self._recorder.forget()
+        self._recorder.evict_ended()
         with suppress(PlatformError):
             self._recorder.record()
         waited_ms = self._clock.now_ms() - self._started_ms
