--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -139,7 +139,7 @@
             eventlet.sleep(_REVIEW_MS / MS_PER_SECOND)
             self.evict_ended()
             with suppress(PlatformError):  # the next review tries again
-                self.record()
+                self.write_changes()
 
     def evict_ended(self) -> None:
         """Forget what is kept of incarnations that have long ended."""
@@ -147,7 +147,7 @@
         for node_id, entry in self._view.directory.nodes.items():
             self._witness.forget_below(node_id, entry.record.least_open)
 
-    def record(self) -> None:
+    def write_changes(self) -> None:
         """Write proved ends and new witnesses; raises `PlatformError`."""
         for name in ends_to_record(self._lease.holder, self._view):
             leave(self._store, name)
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -278,7 +278,7 @@
         self._recorded_ms = self._clock.now_ms()
         self._recorder.evict_ended()
         with suppress(PlatformError):
-            self._recorder.record()
+            self._recorder.write_changes()
         waited_ms = self._clock.now_ms() - self._started_ms
         if self._has_ended_earlier or waited_ms < self._settings.grant_ms:
             return
