--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -114,7 +114,7 @@
             yield Candidate(name, record, entry.version, is_followed)
 
 
-class Recorder:
+class NodeRecordUpdater:
     """Keeps the store's records of nodes, and what is kept of lapsed ones."""
 
     def __init__(
--- a/laburnumwood/membership/member.py
+++ b/laburnumwood/membership/member.py
@@ -6,7 +6,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.gossip import Spreader
-from laburnumwood.membership.incarnation_ends import Recorder
+from laburnumwood.membership.incarnation_ends import NodeRecordUpdater
 from laburnumwood.membership.renewal import Renewer, WitnessDesk
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.peers import Dispatcher, Peers
@@ -40,7 +40,7 @@
             clock,
         )
         self._desk = WitnessDesk(witness, self.spreader, view, dispatcher)
-        self._recorder = Recorder(
+        self._recorder = NodeRecordUpdater(
             lease, witness, view, platform, settings, clock
         )
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -13,7 +13,10 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.incarnation_ends import Recorder, RejoinBackoff
+from laburnumwood.membership.incarnation_ends import (
+    NodeRecordUpdater,
+    RejoinBackoff,
+)
 from laburnumwood.membership.node_records import end_earlier, record_witnesses
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.holdings import Holdings
@@ -105,7 +108,7 @@
             SERVICE, self.view, self.lease, self.holdings, clock
         )
         self.witness = witness or code.witness(name, settings, clock)
-        self._recorder = Recorder(
+        self._recorder = NodeRecordUpdater(
             self.lease, self.witness, self.view, store, settings, clock
         )
         self._recorder.backless = code.backless(settings, clock)
