--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -17,7 +17,7 @@
 from laburnumwood.membership.node_records import (
     announce_leaving,
     end_earlier,
-    leave,
+    record_end,
     store_answers,
     unchanged,
 )
@@ -209,7 +209,7 @@
 
     def record_end(self) -> None:
         """Write down that this incarnation has ended."""
-        leave(self._known, self.name)
+        record_end(self._known, self.name)
 
     def end(self) -> None:
         """Act for no shard any more; requests are still passed on."""
--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -16,7 +16,7 @@
 from laburnumwood.membership.node_records import (
     drop_older_sets,
     end_seen,
-    leave,
+    record_end,
 )
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import NodeName
@@ -150,7 +150,7 @@
     def write_changes(self) -> None:
         """Write proved ends and new witnesses; raises `PlatformError`."""
         for name in ends_to_record(self._lease.holder, self._view):
-            leave(self._store, name)
+            record_end(self._store, name)
         self._end_backless()
         chosen = self._lease.witnesses
         if chosen.version > self._recorded_version and self._lease.holds():
--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -144,7 +144,7 @@
     )
 
 
-def leave(platform: Store, name: NodeName) -> None:
+def record_end(platform: Store, name: NodeName) -> None:
     """Record that an incarnation has ended.
 
     Raises `PlatformError` if the platform does not answer.
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -17,7 +17,7 @@
 from laburnumwood.membership.node_records import (
     announce_leaving,
     join,
-    leave,
+    record_end,
     record_witnesses,
 )
 from laburnumwood.membership.renewal import Renewer
@@ -305,7 +305,7 @@
 
 
 def _end(context: Context, name: NodeName) -> None:
-    leave(context.store, name)
+    record_end(context.store, name)
     _read(context.store, context.view.directory)
 
 
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -10,7 +10,7 @@
     IncarnationStatus,
     incarnation_status,
 )
-from laburnumwood.membership.node_records import confirm_lost, join, leave
+from laburnumwood.membership.node_records import confirm_lost, join, record_end
 from laburnumwood.records import KeyRange, NodeName, ShardName, ShardRecord
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.objects import shard_object, to_value
@@ -208,7 +208,7 @@
         for before in tuple(self._ending.get(vm, ())):
             if before.may_be_followed:
                 with suppress(PlatformError):
-                    leave(self.store, before.name)
+                    record_end(self.store, before.name)
                     self._ending[vm].remove(before)
 
     def _actors(self, shard: ShardName) -> dict[NodeName, int]:
