--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -15,8 +15,8 @@
 from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.membership.node_records import (
     drop_older_sets,
-    end_seen,
     record_end,
+    record_end_if_unchanged,
 )
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import NodeName
@@ -169,6 +169,8 @@
                 self._end(each)
 
     def _end(self, found: Candidate) -> None:
-        stored = end_seen(self._store, found.name, found.record, found.version)
+        stored = record_end_if_unchanged(
+            self._store, found.name, found.record, found.version
+        )
         self._view.directory.apply(stored)
         END_RECORDED.report(node=found.name)
--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -161,7 +161,7 @@
     return True
 
 
-def end_seen(
+def record_end_if_unchanged(
     platform: Store, name: NodeName, seen: NodeRecord, version: int
 ) -> StoredObject:
     """Record the end of an incarnation over just the version that was seen.
--- a/tests/features/steps/backless_steps.py
+++ b/tests/features/steps/backless_steps.py
@@ -8,8 +8,8 @@
 from laburnumwood.errors import PlatformConflictError
 from laburnumwood.leases.backless import Backless, Candidate
 from laburnumwood.membership.node_records import (
-    end_seen,
     join,
+    record_end_if_unchanged,
     record_witnesses,
 )
 from laburnumwood.records import NodeName, NodeRecord, WitnessSet
@@ -86,7 +86,9 @@
     record_witnesses(context.store, found.name, sets)
     context.conflict = False
     try:
-        end_seen(context.store, found.name, found.record, found.version)
+        record_end_if_unchanged(
+            context.store, found.name, found.record, found.version
+        )
     except PlatformConflictError:
         context.conflict = True
 
