--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -16,7 +16,7 @@
 from laburnumwood.membership.member import Member
 from laburnumwood.membership.node_records import (
     announce_leaving,
-    end_earlier,
+    record_earlier_ends,
     record_end,
     store_answers,
     unchanged,
@@ -205,7 +205,7 @@
 
     def end_earlier(self) -> None:
         """Write down that all incarnations before this one have ended."""
-        end_earlier(self._known, self.name)
+        record_earlier_ends(self._known, self.name)
 
     def record_end(self) -> None:
         """Write down that this incarnation has ended."""
--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -173,7 +173,7 @@
     return _written(platform, name.node_id, record, version)
 
 
-def end_earlier(platform: Store, name: NodeName) -> None:
+def record_earlier_ends(platform: Store, name: NodeName) -> None:
     """Record that all incarnations of a node before one have ended.
 
     Raises `PlatformError` if the platform does not answer.
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -17,7 +17,10 @@
     NodeRecordUpdater,
     RejoinBackoff,
 )
-from laburnumwood.membership.node_records import end_earlier, record_witnesses
+from laburnumwood.membership.node_records import (
+    record_earlier_ends,
+    record_witnesses,
+)
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.shard_write import ShardWrite
@@ -286,7 +289,7 @@
         if self._has_ended_earlier or waited_ms < self._settings.grant_ms:
             return
         with suppress(PlatformError):
-            end_earlier(self._store, self.witness.name)
+            record_earlier_ends(self._store, self.witness.name)
             self._has_ended_earlier = True
 
     def change_witnesses(self, members: tuple[NodeName, ...]) -> None:
