--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -16,9 +16,9 @@
 from laburnumwood.membership.member import Member
 from laburnumwood.membership.node_records import (
     announce_leaving,
+    is_store_reachable,
     record_earlier_ends,
     record_end,
-    store_answers,
     unchanged,
 )
 from laburnumwood.membership.store_watcher import Reader
@@ -179,7 +179,7 @@
 
     def store_answers(self) -> bool:
         """Tell whether the platform answers now."""
-        return store_answers(self._platform, self.name)
+        return is_store_reachable(self._platform, self.name)
 
     def worker_answers(self) -> bool:
         """Ask the worker whether it answers, by granting it nothing."""
--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -152,7 +152,7 @@
     change_record(platform, name.node_id, lambda before: _without(before, name))
 
 
-def store_answers(platform: Store, name: NodeName) -> bool:
+def is_store_reachable(platform: Store, name: NodeName) -> bool:
     """Tell whether a node's record can be read now."""
     try:
         platform.get(node_object(name.node_id))
