--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -121,7 +121,9 @@
             return NodeName(settings.node_id, joined.incarnation), joined
 
 
-def without_up_to(record: NodeRecord, incarnation: int) -> NodeRecord:
+def without_incarnations_up_to(
+    record: NodeRecord, incarnation: int
+) -> NodeRecord:
     """Return a record by which no incarnation up to a number goes on."""
     kept = [each for each in record.open_incarnations if each > incarnation]
     return replace(record, open_incarnations=tuple(kept))
@@ -181,7 +183,7 @@
     change_record(
         platform,
         name.node_id,
-        lambda before: without_up_to(before, name.incarnation - 1),
+        lambda before: without_incarnations_up_to(before, name.incarnation - 1),
     )
 
 
@@ -195,7 +197,7 @@
     change_record(
         platform,
         name.node_id,
-        lambda before: without_up_to(before, name.incarnation),
+        lambda before: without_incarnations_up_to(before, name.incarnation),
         new_mark(who),
     )
     LOSS_CONFIRMED.report(node=name, who=who)
--- a/laburnumwood/membership/worker_announcer.py
+++ b/laburnumwood/membership/worker_announcer.py
@@ -8,7 +8,10 @@
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import PlatformError
-from laburnumwood.membership.node_records import change_record, without_up_to
+from laburnumwood.membership.node_records import (
+    change_record,
+    without_incarnations_up_to,
+)
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.store.interface import Store
@@ -68,7 +71,7 @@
         now = self.changed(record)
         if not now.serves or not self._is_clear():
             return now
-        return without_up_to(now, self._own.incarnation - 1)
+        return without_incarnations_up_to(now, self._own.incarnation - 1)
 
     def changed(self, record: NodeRecord) -> NodeRecord:
         """Return the record with what is so of the worker now."""
