--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -14,7 +14,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.membership.node_records import (
-    drop_older_sets,
+    drop_older_witness_sets,
     record_end,
     record_end_if_unchanged,
 )
@@ -154,7 +154,7 @@
         self._end_backless()
         chosen = self._lease.witnesses
         if chosen.version > self._recorded_version and self._lease.holds():
-            drop_older_sets(self._store, self._lease.holder, chosen)
+            drop_older_witness_sets(self._store, self._lease.holder, chosen)
             self._recorded_version = chosen.version
 
     def _end_backless(self) -> None:
--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -218,7 +218,7 @@
     change_record(platform, name.node_id, change)
 
 
-def drop_older_sets(
+def drop_older_witness_sets(
     platform: Store, name: NodeName, chosen: WitnessSet
 ) -> None:
     """Record that a lease no longer rests on sets older than a chosen one.
