--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -232,7 +232,7 @@
     _change_sets(platform, name, kept, unchanged)
 
 
-def record_witnesses(
+def record_witness_sets(
     platform: Store,
     name: NodeName,
     sets: WitnessSets,
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -19,7 +19,7 @@
 from laburnumwood.membership.gossip import Spreader
 from laburnumwood.membership.node_records import (
     Change,
-    record_witnesses,
+    record_witness_sets,
     unchanged,
 )
 from laburnumwood.membership.view import FleetView
@@ -81,7 +81,7 @@
         live = self._view.witnesses(avoided)
         members = choose_witnesses(self._lease.holder, live)
         chosen = self._lease.next_set(members)
-        record_witnesses(self._store, self._lease.holder, (chosen,), also)
+        record_witness_sets(self._store, self._lease.holder, (chosen,), also)
         self._lease.begin(chosen)
         self._ask_all()
 
@@ -137,7 +137,7 @@
     def _change(self, chosen: WitnessSet) -> None:
         lease = self._lease
         try:
-            record_witnesses(
+            record_witness_sets(
                 self._store, lease.holder, (lease.witnesses, chosen)
             )
         except PlatformError as failure:
--- a/tests/features/steps/backless_steps.py
+++ b/tests/features/steps/backless_steps.py
@@ -10,7 +10,7 @@
 from laburnumwood.membership.node_records import (
     join,
     record_end_if_unchanged,
-    record_witnesses,
+    record_witness_sets,
 )
 from laburnumwood.records import NodeName, NodeRecord, WitnessSet
 from laburnumwood.settings import LeaseSettings
@@ -38,7 +38,7 @@
     context.store = FakeStore()
     name, _ = join(context.store, node_settings('a'))
     sets = (WitnessSet(1, _names(names)),)
-    record_witnesses(context.store, name, sets)
+    record_witness_sets(context.store, name, sets)
     stored = context.store.get(node_object('a'))
     record = to_record(NodeRecord, stored)
     context.candidate = Candidate(name, record, stored.version)
@@ -83,7 +83,7 @@
 def write_end(context: Context) -> None:
     found = context.candidate
     sets = (WitnessSet(2, _names('e f g')),)
-    record_witnesses(context.store, found.name, sets)
+    record_witness_sets(context.store, found.name, sets)
     context.conflict = False
     try:
         record_end_if_unchanged(
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -18,7 +18,7 @@
     announce_leaving,
     join,
     record_end,
-    record_witnesses,
+    record_witness_sets,
 )
 from laburnumwood.membership.renewal import Renewer
 from laburnumwood.membership.view import FleetView
@@ -155,7 +155,7 @@
 @given('the record was changed since')
 def change_behind(context: Context) -> None:
     chosen = WitnessSet(1, (context.name,))
-    record_witnesses(context.store, context.name, (chosen,))
+    record_witness_sets(context.store, context.name, (chosen,))
     context.store.reads = 0
     context.store.writes = 0
 
@@ -211,7 +211,7 @@
 @when('it records its first witnesses')
 def record_first(context: Context) -> None:
     chosen = WitnessSet(1, (context.name,))
-    record_witnesses(
+    record_witness_sets(
         context.known, context.name, (chosen,), context.serving.at_start
     )
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -19,7 +19,7 @@
 )
 from laburnumwood.membership.node_records import (
     record_earlier_ends,
-    record_witnesses,
+    record_witness_sets,
 )
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.holdings import Holdings
@@ -155,7 +155,7 @@
         live = self.view.witnesses(avoided)
         members = choose_witnesses(self.name, live)[:_WITNESSES]
         chosen = self.lease.next_set(members)
-        record_witnesses(self._store, self.name, (chosen,))
+        record_witness_sets(self._store, self.name, (chosen,))
         self.lease.begin(chosen)
         self._started_ms = self._clock.now_ms()
 
@@ -297,7 +297,7 @@
         chosen = self.lease.next_set(members)
         with suppress(PlatformError):
             sets = (self.lease.witnesses, chosen)
-            record_witnesses(self._store, self.name, sets)
+            record_witness_sets(self._store, self.name, sets)
             self.lease.change(chosen)
             self.renew()
 
