--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -11,7 +11,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.cached_store import KnownStore
+from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.member import Member
 from laburnumwood.membership.node_records import (
@@ -86,7 +86,7 @@
         )
         self.load = LoadParts(settings, name, self.view, self._peers, clock)
         self._reader = Reader(name, platform, self.view)
-        self._known = KnownStore(platform, self.view.directory)
+        self._known = CachedStore(platform, self.view.directory)
         self._member = Member(
             self.lease,
             witness,
--- a/laburnumwood/membership/cached_store.py
+++ b/laburnumwood/membership/cached_store.py
@@ -11,7 +11,7 @@
 from laburnumwood.store.wrapped import WrappedStore
 
 
-class KnownStore(WrappedStore):
+class CachedStore(WrappedStore):
     """Answers reads from a directory, until a write shows that it is behind.
 
     Writes are conditional, so that one over an old version is refused; the
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -12,7 +12,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.cached_store import KnownStore
+from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.node_records import (
     announce_leaving,
@@ -148,7 +148,7 @@
     directory = Directory()
     for stored in context.store.list()[0]:
         directory.apply(stored)
-    context.known = KnownStore(context.store, directory)
+    context.known = CachedStore(context.store, directory)
     context.store.reads = 0
 
 
@@ -196,7 +196,7 @@
     directory = Directory()
     for stored in context.store.list()[0]:
         directory.apply(stored)
-    context.known = KnownStore(context.store, directory)
+    context.known = CachedStore(context.store, directory)
     context.serving = Serving(
         context.name,
         FleetView(directory, SealBook()),
