--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -27,7 +27,7 @@
 class Reading(Enum):
     """How a node learns of changes in the store."""
 
-    FRESH = 'it watches the store'
+    STORE = 'it watches the store'
     STALE = 'it watches what may be seconds old, in case the others are cut off'
     TOLD = 'other nodes tell it'
 
@@ -64,7 +64,7 @@
     """
     live = dict(view.live())
     if own not in live:
-        return Reading.FRESH
+        return Reading.STORE
     domain = live[own].failure_domain
     near = (
         name for name, each in live.items() if each.failure_domain == domain
@@ -75,7 +75,7 @@
     domains = {each.failure_domain for each in live.values()}
     first = sorted(domains, key=_domain_order)[: readers.domains]
     is_fresh = place < readers.fresh and domain in first
-    return Reading.FRESH if is_fresh else Reading.STALE
+    return Reading.STORE if is_fresh else Reading.STALE
 
 
 class Reader:
