--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -28,7 +28,9 @@
     """How a node learns of changes in the store."""
 
     STORE = 'it watches the store'
-    STALE = 'it watches what may be seconds old, in case the others are cut off'
+    STALE_STORE = (
+        'it watches what may be seconds old, in case the others are cut off'
+    )
     TOLD = 'other nodes tell it'
 
 
@@ -75,7 +77,7 @@
     domains = {each.failure_domain for each in live.values()}
     first = sorted(domains, key=_domain_order)[: readers.domains]
     is_fresh = place < readers.fresh and domain in first
-    return Reading.STORE if is_fresh else Reading.STALE
+    return Reading.STORE if is_fresh else Reading.STALE_STORE
 
 
 class Reader:
@@ -108,7 +110,9 @@
             if reading is Reading.TOLD:
                 eventlet.sleep(_IDLE_MS / MS_PER_SECOND)
             else:
-                self._watch_once(scope, may_be_stale=reading is Reading.STALE)
+                self._watch_once(
+                    scope, may_be_stale=reading is Reading.STALE_STORE
+                )
 
     def _is_records(self, scope: str) -> bool:
         return scope == self._platform.scopes[0]
