--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -31,7 +31,7 @@
     STALE_STORE = (
         'it watches what may be seconds old, in case the others are cut off'
     )
-    TOLD = 'other nodes tell it'
+    PEERS = 'other nodes tell it'
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +73,7 @@
     )
     place = rendezvous_order(f'reader {domain}', near).index(own)
     if place >= readers.per_domain:
-        return Reading.TOLD
+        return Reading.PEERS
     domains = {each.failure_domain for each in live.values()}
     first = sorted(domains, key=_domain_order)[: readers.domains]
     is_fresh = place < readers.fresh and domain in first
@@ -107,7 +107,7 @@
         """Watch a scope while this node is a reader; does not return."""
         while True:
             reading = reading_of(self._own, self._view, self._readers(scope))
-            if reading is Reading.TOLD:
+            if reading is Reading.PEERS:
                 eventlet.sleep(_IDLE_MS / MS_PER_SECOND)
             else:
                 self._watch_once(
