--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -24,7 +24,7 @@
 _STALE_PAUSE_MS = 1_000  # between two watches that may be stale
 
 
-class Reading(Enum):
+class UpdateSource(Enum):
     """How a node learns of changes in the store."""
 
     STORE = 'it watches the store'
@@ -59,25 +59,27 @@
     return xxh3_64_intdigest(f'reader {domain}'.encode())
 
 
-def reading_of(own: NodeName, view: FleetView, readers: Readers) -> Reading:
+def reading_of(
+    own: NodeName, view: FleetView, readers: Readers
+) -> UpdateSource:
     """Return how a node learns of changes, by its place among the live nodes.
 
     One that leaves hears no more news by renewals and reads for itself.
     """
     live = dict(view.live())
     if own not in live:
-        return Reading.STORE
+        return UpdateSource.STORE
     domain = live[own].failure_domain
     near = (
         name for name, each in live.items() if each.failure_domain == domain
     )
     place = rendezvous_order(f'reader {domain}', near).index(own)
     if place >= readers.per_domain:
-        return Reading.PEERS
+        return UpdateSource.PEERS
     domains = {each.failure_domain for each in live.values()}
     first = sorted(domains, key=_domain_order)[: readers.domains]
     is_fresh = place < readers.fresh and domain in first
-    return Reading.STORE if is_fresh else Reading.STALE_STORE
+    return UpdateSource.STORE if is_fresh else UpdateSource.STALE_STORE
 
 
 class Reader:
@@ -107,11 +109,11 @@
         """Watch a scope while this node is a reader; does not return."""
         while True:
             reading = reading_of(self._own, self._view, self._readers(scope))
-            if reading is Reading.PEERS:
+            if reading is UpdateSource.PEERS:
                 eventlet.sleep(_IDLE_MS / MS_PER_SECOND)
             else:
                 self._watch_once(
-                    scope, may_be_stale=reading is Reading.STALE_STORE
+                    scope, may_be_stale=reading is UpdateSource.STALE_STORE
                 )
 
     def _is_records(self, scope: str) -> bool:
