--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -59,7 +59,7 @@
     return xxh3_64_intdigest(f'reader {domain}'.encode())
 
 
-def reading_of(
+def update_source(
     own: NodeName, view: FleetView, readers: Readers
 ) -> UpdateSource:
     """Return how a node learns of changes, by its place among the live nodes.
@@ -108,7 +108,7 @@
     def run(self, scope: str) -> None:
         """Watch a scope while this node is a reader; does not return."""
         while True:
-            reading = reading_of(self._own, self._view, self._readers(scope))
+            reading = update_source(self._own, self._view, self._readers(scope))
             if reading is UpdateSource.PEERS:
                 eventlet.sleep(_IDLE_MS / MS_PER_SECOND)
             else:
