--- a/bench/holding.py
+++ b/bench/holding.py
@@ -13,7 +13,10 @@
 from bench.spreading import TARGET_NODES, record_of
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.store_watcher import RECORD_READERS, update_source
+from laburnumwood.membership.store_watcher import (
+    RECORD_WATCH_POLICY,
+    update_source,
+)
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.codec import LARGEST_FRAME, encode
 from laburnumwood.protocol.messages import Changes
@@ -83,7 +86,7 @@
     held_mb = memory_mb(Path('/proc/self')) - before_mb
     view = FleetView(directory, SealBook())
     started = time.perf_counter()
-    update_source(_name(0), view, RECORD_READERS)
+    update_source(_name(0), view, RECORD_WATCH_POLICY)
     look_ms = (time.perf_counter() - started) * 1_000
     objects = directory.objects_newer_than(0, directory.config.generation)
     changes = Changes(objects, 1, whole=True, seals=())
--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -49,7 +49,7 @@
     wait_ms: int
 
 
-RECORD_READERS = Readers(per_domain=2, fresh=1, domains=3, wait_ms=10_000)
+RECORD_WATCH_POLICY = Readers(per_domain=2, fresh=1, domains=3, wait_ms=10_000)
 # The configuration seldom changes, and has to reach nodes whose readers the
 # store turns away.
 CONFIG_READERS = Readers(per_domain=32, fresh=8, domains=32, wait_ms=30_000)
@@ -120,7 +120,9 @@
         return scope == self._platform.scopes[0]
 
     def _readers(self, scope: str) -> Readers:
-        return RECORD_READERS if self._is_records(scope) else CONFIG_READERS
+        return (
+            RECORD_WATCH_POLICY if self._is_records(scope) else CONFIG_READERS
+        )
 
     def _list(self, scope: str) -> None:
         objects, revision = self._platform.list(scope)
