--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -52,7 +52,9 @@
 RECORD_WATCH_POLICY = Readers(per_domain=2, fresh=1, domains=3, wait_ms=10_000)
 # The configuration seldom changes, and has to reach nodes whose readers the
 # store turns away.
-CONFIG_READERS = Readers(per_domain=32, fresh=8, domains=32, wait_ms=30_000)
+CONFIG_WATCH_POLICY = Readers(
+    per_domain=32, fresh=8, domains=32, wait_ms=30_000
+)
 
 
 def _domain_order(domain: str) -> int:
@@ -121,7 +123,9 @@
 
     def _readers(self, scope: str) -> Readers:
         return (
-            RECORD_WATCH_POLICY if self._is_records(scope) else CONFIG_READERS
+            RECORD_WATCH_POLICY
+            if self._is_records(scope)
+            else CONFIG_WATCH_POLICY
         )
 
     def _list(self, scope: str) -> None:
