--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -43,17 +43,19 @@
     come seconds late, which costs the store little.
     """
 
-    per_domain: int
+    watchers_per_domain: int
     fresh: int
     domains: int
     wait_ms: int
 
 
-RECORD_WATCH_POLICY = Readers(per_domain=2, fresh=1, domains=3, wait_ms=10_000)
+RECORD_WATCH_POLICY = Readers(
+    watchers_per_domain=2, fresh=1, domains=3, wait_ms=10_000
+)
 # The configuration seldom changes, and has to reach nodes whose readers the
 # store turns away.
 CONFIG_WATCH_POLICY = Readers(
-    per_domain=32, fresh=8, domains=32, wait_ms=30_000
+    watchers_per_domain=32, fresh=8, domains=32, wait_ms=30_000
 )
 
 
@@ -76,7 +78,7 @@
         name for name, each in live.items() if each.failure_domain == domain
     )
     place = rendezvous_order(f'reader {domain}', near).index(own)
-    if place >= readers.per_domain:
+    if place >= readers.watchers_per_domain:
         return UpdateSource.PEERS
     domains = {each.failure_domain for each in live.values()}
     first = sorted(domains, key=_domain_order)[: readers.domains]
