--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -44,18 +44,18 @@
     """
 
     watchers_per_domain: int
-    fresh: int
+    fresh_per_domain: int
     domains: int
     wait_ms: int
 
 
 RECORD_WATCH_POLICY = Readers(
-    watchers_per_domain=2, fresh=1, domains=3, wait_ms=10_000
+    watchers_per_domain=2, fresh_per_domain=1, domains=3, wait_ms=10_000
 )
 # The configuration seldom changes, and has to reach nodes whose readers the
 # store turns away.
 CONFIG_WATCH_POLICY = Readers(
-    watchers_per_domain=32, fresh=8, domains=32, wait_ms=30_000
+    watchers_per_domain=32, fresh_per_domain=8, domains=32, wait_ms=30_000
 )
 
 
@@ -82,7 +82,7 @@
         return UpdateSource.PEERS
     domains = {each.failure_domain for each in live.values()}
     first = sorted(domains, key=_domain_order)[: readers.domains]
-    is_fresh = place < readers.fresh and domain in first
+    is_fresh = place < readers.fresh_per_domain and domain in first
     return UpdateSource.STORE if is_fresh else UpdateSource.STALE_STORE
 
 
