--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -45,17 +45,17 @@
 
     watchers_per_domain: int
     fresh_per_domain: int
-    domains: int
+    fresh_domains: int
     wait_ms: int
 
 
 RECORD_WATCH_POLICY = Readers(
-    watchers_per_domain=2, fresh_per_domain=1, domains=3, wait_ms=10_000
+    watchers_per_domain=2, fresh_per_domain=1, fresh_domains=3, wait_ms=10_000
 )
 # The configuration seldom changes, and has to reach nodes whose readers the
 # store turns away.
 CONFIG_WATCH_POLICY = Readers(
-    watchers_per_domain=32, fresh_per_domain=8, domains=32, wait_ms=30_000
+    watchers_per_domain=32, fresh_per_domain=8, fresh_domains=32, wait_ms=30_000
 )
 
 
@@ -81,7 +81,7 @@
     if place >= readers.watchers_per_domain:
         return UpdateSource.PEERS
     domains = {each.failure_domain for each in live.values()}
-    first = sorted(domains, key=_domain_order)[: readers.domains]
+    first = sorted(domains, key=_domain_order)[: readers.fresh_domains]
     is_fresh = place < readers.fresh_per_domain and domain in first
     return UpdateSource.STORE if is_fresh else UpdateSource.STALE_STORE
 
