--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Readers:
+class WatchPolicy:
     """How many nodes watch a scope, and for how long at a time.
 
     Of the readers of a failure domain the first `fresh` watch the store
@@ -49,12 +49,12 @@
     wait_ms: int
 
 
-RECORD_WATCH_POLICY = Readers(
+RECORD_WATCH_POLICY = WatchPolicy(
     watchers_per_domain=2, fresh_per_domain=1, fresh_domains=3, wait_ms=10_000
 )
 # The configuration seldom changes, and has to reach nodes whose readers the
 # store turns away.
-CONFIG_WATCH_POLICY = Readers(
+CONFIG_WATCH_POLICY = WatchPolicy(
     watchers_per_domain=32, fresh_per_domain=8, fresh_domains=32, wait_ms=30_000
 )
 
@@ -64,7 +64,7 @@
 
 
 def update_source(
-    own: NodeName, view: FleetView, readers: Readers
+    own: NodeName, view: FleetView, readers: WatchPolicy
 ) -> UpdateSource:
     """Return how a node learns of changes, by its place among the live nodes.
 
@@ -123,7 +123,7 @@
     def _is_records(self, scope: str) -> bool:
         return scope == self._platform.scopes[0]
 
-    def _readers(self, scope: str) -> Readers:
+    def _readers(self, scope: str) -> WatchPolicy:
         return (
             RECORD_WATCH_POLICY
             if self._is_records(scope)
