--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -21,7 +21,7 @@
     record_end,
     unchanged,
 )
-from laburnumwood.membership.store_watcher import Reader
+from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
 from laburnumwood.membership.worker_announcer import Serving
 from laburnumwood.operators.api import OperatorApi
@@ -85,7 +85,7 @@
             clock,
         )
         self.load = LoadParts(settings, name, self.view, self._peers, clock)
-        self._reader = Reader(name, platform, self.view)
+        self._reader = StoreWatcher(name, platform, self.view)
         self._known = CachedStore(platform, self.view.directory)
         self._member = Member(
             self.lease,
--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -86,7 +86,7 @@
     return UpdateSource.STORE if is_fresh else UpdateSource.STALE_STORE
 
 
-class Reader:
+class StoreWatcher:
     """Keeps a node's directory up to date with the store.
 
     The first of the store's scopes holds the records of the fleet; only its
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -13,7 +13,7 @@
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.gossip import Spreader
 from laburnumwood.membership.renewal import Renewer
-from laburnumwood.membership.store_watcher import Reader
+from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.messages import Changes, ShardNotice
 from laburnumwood.protocol.peers import Dispatcher
@@ -132,7 +132,7 @@
 @when('each of them runs its reader of the {scope}')
 def run_readers(context: Context, scope: str) -> None:
     for name in context.names:
-        reader = Reader(name, context.store, context.view)
+        reader = StoreWatcher(name, context.store, context.view)
         running = eventlet.spawn(reader.run, scope)
         context.add_cleanup(running.kill)
     eventlet.sleep(0)
