--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -70,7 +70,7 @@
         self._chosen: tuple[NodeName, ...] = ()
         self._chosen_for: object = None
         # What is new in it reaches the others with the next renewals.
-        view.directory.on_config_change = self.poke
+        view.directory.on_config_change = self.renew_now
 
     def begin(self, avoided: Set[str], also: Change = unchanged) -> None:
         """Choose the first witnesses and ask them; raises `PlatformError`.
@@ -85,7 +85,7 @@
         self._lease.begin(chosen)
         self._ask_all()
 
-    def poke(self) -> None:
+    def renew_now(self) -> None:
         """Renew at once, so that witnesses hear what is new.
 
         New floors are waited for, and while the set of witnesses changes, a
@@ -118,7 +118,7 @@
     def _pass_over_ended(self) -> None:
         ended = filter(self._view.is_away, self._lease.asked)
         if self._lease.pass_over(frozenset(ended)):
-            self.poke()
+            self.renew_now()
 
     def _wanted_witnesses(self) -> tuple[NodeName, ...]:
         """Return the witnesses to have, chosen anew only after news."""
@@ -147,7 +147,7 @@
         names = ','.join(str(name) for name in chosen.members)
         WITNESSES_CHANGED.report(node=lease.holder, witnesses=names)
         self._ask_all()
-        self.poke()
+        self.renew_now()
 
     def _ask_all(self) -> None:
         for name in self._lease.asked:
@@ -185,7 +185,7 @@
             return
         if isinstance(reply, Granted):
             if self._lease.granted(request, sent_ms):
-                self.poke()
+                self.renew_now()
             self._spreader.compare(name, reply.digest)
         elif isinstance(reply, Refused):
             self._take_refusal(name, reply)
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -55,7 +55,7 @@
 
     def carry(self, write: ShardWrite) -> Progress:
         """Step a write until its progress is final, and return that."""
-        self._renewer.poke()
+        self._renewer.renew_now()
         progress = write.step(self._platform)
         while progress is Progress.NEEDS_FLOOR:
             eventlet.sleep(_FLOOR_POLL_MS / MS_PER_SECOND)
