--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -126,7 +126,7 @@
         self._reader.list_all()
         reports = self._borders.worker_reports
         also = self._serving.at_start if reports else unchanged
-        self._member.renewer.begin(avoided, also)
+        self._member.renewer.start(avoided, also)
         for watch in self._reader.tasks:
             self._sight.start(watch)
         for task in (
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -72,7 +72,7 @@
         # What is new in it reaches the others with the next renewals.
         view.directory.on_config_change = self.renew_now
 
-    def begin(self, avoided: Set[str], also: Change = unchanged) -> None:
+    def start(self, avoided: Set[str], also: Change = unchanged) -> None:
         """Choose the first witnesses and ask them; raises `PlatformError`.
 
         Nodes whose ids are in `avoided` are taken only if there are no others.
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -283,7 +283,7 @@
         LeaseSettings(),
         clock,
     )
-    renewer.begin(frozenset())
+    renewer.start(frozenset())
     _read(context.store, context.view.directory)
     reviewing = eventlet.spawn(renewer.run)
     context.add_cleanup(reviewing.kill)
