--- a/laburnumwood/membership/member.py
+++ b/laburnumwood/membership/member.py
@@ -7,7 +7,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.gossip import Spreader
 from laburnumwood.membership.incarnation_ends import NodeRecordUpdater
-from laburnumwood.membership.renewal import Renewer, WitnessDesk
+from laburnumwood.membership.renewal import LeaseRenewer, WitnessDesk
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.settings import LeaseSettings
@@ -29,7 +29,7 @@
         clock: Clock,
     ) -> None:
         self.spreader = Spreader(view, peers, dispatcher)
-        self.renewer = Renewer(
+        self.renewer = LeaseRenewer(
             lease,
             witness,
             self.spreader,
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -43,7 +43,7 @@
 _REVIEW_MS = 500
 
 
-class Renewer:
+class LeaseRenewer:
     """Keeps this node's lease renewed: a task for each witness."""
 
     def __init__(
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -9,7 +9,7 @@
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import PlatformError
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.renewal import Renewer
+from laburnumwood.membership.renewal import LeaseRenewer
 from laburnumwood.placement.shard_write import Progress, ShardWrite
 from laburnumwood.records import ShardName
 from laburnumwood.store.interface import Store
@@ -25,7 +25,7 @@
     """Carries writes of one incarnation to their ends."""
 
     def __init__(
-        self, platform: Store, directory: Directory, renewer: Renewer
+        self, platform: Store, directory: Directory, renewer: LeaseRenewer
     ) -> None:
         self._platform = platform
         self._directory = directory
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -20,7 +20,7 @@
     record_end,
     record_witness_sets,
 )
-from laburnumwood.membership.renewal import Renewer
+from laburnumwood.membership.renewal import LeaseRenewer
 from laburnumwood.membership.view import FleetView
 from laburnumwood.membership.worker_announcer import Serving
 from laburnumwood.protocol.messages import Renew
@@ -273,7 +273,7 @@
     for other in 'bcd'[:count]:
         links.add(_join_other(context, other))
     context.lease = Lease(context.name, LeaseSettings(), clock)
-    renewer = Renewer(
+    renewer = LeaseRenewer(
         context.lease,
         links.add(context.name),
         links,
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -12,7 +12,7 @@
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.gossip import Spreader
-from laburnumwood.membership.renewal import Renewer
+from laburnumwood.membership.renewal import LeaseRenewer
 from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.messages import Changes, ShardNotice
@@ -182,7 +182,7 @@
     asked: Any = context.asked
     nothing: Any = SimpleNamespace(name=OWNER)
     context.directory = Directory()
-    renewer = Renewer(
+    renewer = LeaseRenewer(
         asked,
         nothing,
         nothing,
