--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -223,9 +223,9 @@
         while True:
             eventlet.sleep(_SEAL_TICK_MS / MS_PER_SECOND)
             for seal in self._witness.seal_lapsed():
-                self.publish(seal)
+                self.publish_seal(seal)
 
-    def publish(self, seal: Seal) -> None:
+    def publish_seal(self, seal: Seal) -> None:
         """Take in a seal of this node and tell those who act on it."""
         self._spreader.add_seals((seal,))
         told = self._followers(seal.holder)
@@ -256,5 +256,5 @@
         if link.peer == request.holder:
             seal = self._witness.seal(request.holder)
             if seal is not None:
-                self.publish(seal)
+                self.publish_seal(seal)
         stream.send(Carried())
