--- a/laburnumwood/membership/member.py
+++ b/laburnumwood/membership/member.py
@@ -7,7 +7,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.gossip import Spreader
 from laburnumwood.membership.incarnation_ends import NodeRecordUpdater
-from laburnumwood.membership.renewal import LeaseRenewer, WitnessDesk
+from laburnumwood.membership.renewal import LeaseRenewer, WitnessService
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.settings import LeaseSettings
@@ -39,7 +39,7 @@
             settings,
             clock,
         )
-        self._desk = WitnessDesk(witness, self.spreader, view, dispatcher)
+        self._desk = WitnessService(witness, self.spreader, view, dispatcher)
         self._recorder = NodeRecordUpdater(
             lease, witness, view, platform, settings, clock
         )
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -202,7 +202,7 @@
             self._spreader.add_seals((refusal.seal,))
 
 
-class WitnessDesk:
+class WitnessService:
     """Serves the holders that this node is a witness of."""
 
     def __init__(
