--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -154,7 +154,7 @@
     @property
     def is_told_to_serve(self) -> bool:
         """Tell whether the store says of the worker what is so now."""
-        return self._serving.is_told
+        return self._serving.is_announced
 
     @property
     def is_busy(self) -> bool:
--- a/laburnumwood/membership/worker_announcer.py
+++ b/laburnumwood/membership/worker_announcer.py
@@ -46,7 +46,7 @@
         """Compare and write again and again; does not return."""
         while True:
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
-            if not self.is_told:
+            if not self.is_announced:
                 with suppress(PlatformError):  # tried again below
                     self.record()
                     continue
@@ -57,7 +57,7 @@
         change_record(self._store, self._own.node_id, self.changed)
 
     @property
-    def is_told(self) -> bool:
+    def is_announced(self) -> bool:
         """Tell whether the record says of the worker what is so now."""
         record = self._view.directory.node(self._own)
         return record is None or self.changed(record) == record
