--- a/laburnumwood/membership/worker_announcer.py
+++ b/laburnumwood/membership/worker_announcer.py
@@ -48,11 +48,11 @@
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
             if not self.is_announced:
                 with suppress(PlatformError):  # tried again below
-                    self.record()
+                    self.announce()
                     continue
                 eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
 
-    def record(self) -> None:
+    def announce(self) -> None:
         """Write what is so now; raises `PlatformError`."""
         change_record(self._store, self._own.node_id, self.changed)
 
