--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -125,7 +125,7 @@
         """
         self._reader.list_all()
         reports = self._borders.worker_reports
-        also = self._serving.at_start if reports else unchanged
+        also = self._serving.with_initial_worker_state if reports else unchanged
         self._member.renewer.start(avoided, also)
         for watch in self._reader.tasks:
             self._sight.start(watch)
--- a/laburnumwood/membership/worker_announcer.py
+++ b/laburnumwood/membership/worker_announcer.py
@@ -62,7 +62,7 @@
         record = self._view.directory.node(self._own)
         return record is None or self.changed(record) == record
 
-    def at_start(self, record: NodeRecord) -> NodeRecord:
+    def with_initial_worker_state(self, record: NodeRecord) -> NodeRecord:
         """Return the record with what is known when the node has joined.
 
         A worker that holds nothing leaves nothing to wait for before the
