--- a/laburnumwood/membership/worker_announcer.py
+++ b/laburnumwood/membership/worker_announcer.py
@@ -54,13 +54,13 @@
 
     def announce(self) -> None:
         """Write what is so now; raises `PlatformError`."""
-        change_record(self._store, self._own.node_id, self.changed)
+        change_record(self._store, self._own.node_id, self.with_worker_state)
 
     @property
     def is_announced(self) -> bool:
         """Tell whether the record says of the worker what is so now."""
         record = self._view.directory.node(self._own)
-        return record is None or self.changed(record) == record
+        return record is None or self.with_worker_state(record) == record
 
     def with_initial_worker_state(self, record: NodeRecord) -> NodeRecord:
         """Return the record with what is known when the node has joined.
@@ -68,12 +68,12 @@
         A worker that holds nothing leaves nothing to wait for before the
         earlier incarnations have ended.
         """
-        now = self.changed(record)
+        now = self.with_worker_state(record)
         if not now.serves or not self._is_clear():
             return now
         return without_incarnations_up_to(now, self._own.incarnation - 1)
 
-    def changed(self, record: NodeRecord) -> NodeRecord:
+    def with_worker_state(self, record: NodeRecord) -> NodeRecord:
         """Return the record with what is so of the worker now."""
         if record.incarnation != self._own.incarnation:
             return record
