--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -23,7 +23,7 @@
 )
 from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
-from laburnumwood.membership.worker_announcer import Serving
+from laburnumwood.membership.worker_announcer import WorkerAnnouncer
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import Holdings
@@ -100,7 +100,7 @@
         self._worker = Worker(settings.worker_url, settings.connections, clock)
         self._granter: Granter | None = None
         self._grants = self._make_grants(clock)
-        self._serving = Serving(
+        self._serving = WorkerAnnouncer(
             name,
             self.view,
             self._known,
--- a/laburnumwood/membership/worker_announcer.py
+++ b/laburnumwood/membership/worker_announcer.py
@@ -20,7 +20,7 @@
 _RETRY_MS = 500
 
 
-class Serving:
+class WorkerAnnouncer:
     """Keeps what a node's record says of its worker true.
 
     `state` returns whether the worker takes work, and its slots, and
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -22,7 +22,7 @@
 )
 from laburnumwood.membership.renewal import LeaseRenewer
 from laburnumwood.membership.view import FleetView
-from laburnumwood.membership.worker_announcer import Serving
+from laburnumwood.membership.worker_announcer import WorkerAnnouncer
 from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import NodeName, NodeRecord, StoredObject, WitnessSet
 from laburnumwood.settings import LeaseSettings
@@ -197,7 +197,7 @@
     for stored in context.store.list()[0]:
         directory.apply(stored)
     context.known = CachedStore(context.store, directory)
-    context.serving = Serving(
+    context.serving = WorkerAnnouncer(
         context.name,
         FleetView(directory, SealBook()),
         context.known,
