--- a/laburnumwood/membership/gossip.py
+++ b/laburnumwood/membership/gossip.py
@@ -30,7 +30,7 @@
 _CALL_TIMEOUT_MS = 1_000
 
 
-def notice_of(
+def shard_notice(
     shard: ShardName, entry: VersionedRecord[ShardRecord]
 ) -> ShardNotice:
     """Return what tells a node of the record of a shard."""
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -9,7 +9,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import SHARD_SPLIT
 from laburnumwood.membership.choice import rendezvous_order
-from laburnumwood.membership.gossip import Spreader, notice_of
+from laburnumwood.membership.gossip import Spreader, shard_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
@@ -265,7 +265,7 @@
         entry = self._view.directory.shard(shard)
         if entry is not None:
             told = self._told(entry.record)
-            self._spreader.tell(told, notice_of(shard, entry))
+            self._spreader.tell(told, shard_notice(shard, entry))
 
     def _told(self, record: ShardRecord) -> set[NodeName]:
         """Return who is told of a record at once; others hear of it later.
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -26,7 +26,7 @@
 )
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import VersionedRecord
-from laburnumwood.membership.gossip import notice_of
+from laburnumwood.membership.gossip import shard_notice
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import Records, placed_shard
 from laburnumwood.placement.meter import LoadMeter
@@ -321,7 +321,7 @@
             entry = self._shards.shard(shard)
             is_moved = number != work.shard or not self._holdings.is_held(shard)
             if entry is not None and is_moved:
-                exchange.send(notice_of(shard, entry))
+                exchange.send(shard_notice(shard, entry))
 
     def _may_act(self, shard: ShardName, run: Run) -> bool:
         guard_ms = self._settings.lease.guard_ms
