--- a/laburnumwood/membership/gossip.py
+++ b/laburnumwood/membership/gossip.py
@@ -37,7 +37,7 @@
     return ShardNotice(str(shard), entry.record, entry.version)
 
 
-def take_notice(directory: Directory, notice: ShardNotice) -> None:
+def apply_shard_notice(directory: Directory, notice: ShardNotice) -> None:
     """Take in the record of a shard that another node told of."""
     try:
         name = shard_object(ShardName.parse(notice.shard))
@@ -135,5 +135,5 @@
     def _serve_shard(
         self, _link: Link, stream: Stream, notice: ShardNotice
     ) -> None:
-        take_notice(self._view.directory, notice)
+        apply_shard_notice(self._view.directory, notice)
         stream.send(Done())
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -6,7 +6,7 @@
 from laburnumwood.admission.retries import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.errors import CallerGoneError, LinkError, LinkTimeoutError
-from laburnumwood.membership.gossip import take_notice
+from laburnumwood.membership.gossip import apply_shard_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.layout import placed_shard
 from laburnumwood.placement.ownership import acting
@@ -307,7 +307,7 @@
             head = exchange.receive(until_ms - self._clock.now_ms())
             if not isinstance(head, ShardNotice):
                 return head
-            take_notice(self._view.directory, head)
+            apply_shard_notice(self._view.directory, head)
 
     def _read_head(
         self, head: object, exchange: Outgoing, until_ms: int
--- a/tests/fuzz/doors.py
+++ b/tests/fuzz/doors.py
@@ -21,7 +21,7 @@
 )
 from laburnumwood.header_index import HeadError
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.gossip import take_notice
+from laburnumwood.membership.gossip import apply_shard_notice
 from laburnumwood.platform.bodies import BodyError
 from laburnumwood.platform.manifest import read_manifest
 from laburnumwood.platform.reports import read_report
@@ -119,7 +119,7 @@
     content = loads(encode(1, random.choice(_MESSAGES)))
     _, message = decode(malformed(random, content))
     if isinstance(message, ShardNotice):
-        take_notice(Directory(), message)
+        apply_shard_notice(Directory(), message)
 
 
 @_door('records of the store')
