--- a/laburnumwood/membership/gossip.py
+++ b/laburnumwood/membership/gossip.py
@@ -61,7 +61,7 @@
         dispatcher.on(SealNotice)(self._serve_seals)
         dispatcher.on(ShardNotice)(self._serve_shard)
 
-    def compare(self, peer: NodeName, digest: Digest) -> None:
+    def pull_if_newer(self, peer: NodeName, digest: Digest) -> None:
         """Pull from a peer if its digest shows something new."""
         own = self._view.digest()
         newer = (
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -186,7 +186,7 @@
         if isinstance(reply, Granted):
             if self._lease.granted(request, sent_ms):
                 self.renew_now()
-            self._spreader.compare(name, reply.digest)
+            self._spreader.pull_if_newer(name, reply.digest)
         elif isinstance(reply, Refused):
             self._take_refusal(name, reply)
 
@@ -248,7 +248,7 @@
             stream.send(Refused('another-peer'))
             return
         stream.send(self._witness.renew(request, self._view.digest()))
-        self._spreader.compare(request.holder, request.digest)
+        self._spreader.pull_if_newer(request.holder, request.digest)
 
     def _serve_resign(
         self, link: Link, stream: Stream, request: Resign
