--- a/laburnumwood/daemon/handover_announcer.py
+++ b/laburnumwood/daemon/handover_announcer.py
@@ -40,7 +40,7 @@
         told = set(self._view.live_in(self._service)) - {self._own}
         if left and told:
             HANDOVERS_TOLD.report(ranges=len(left), nodes=len(told))
-            self._spreader.tell(told, Left(left))
+            self._spreader.notify(told, Left(left))
 
     def _serve(self, _link: object, stream: Stream, told: Left) -> None:
         self._reporting.take_left(told.released)
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -197,7 +197,7 @@
         self.lease.resign()
         if not self.held_for_ms:
             told = witnesses - {self.name}
-            self._member.spreader.tell(told, Resign(self.name))
+            self._member.spreader.notify(told, Resign(self.name))
 
     def tell_left(self) -> None:
         """Tell the others of the service what the worker has let go."""
--- a/laburnumwood/membership/gossip.py
+++ b/laburnumwood/membership/gossip.py
@@ -79,7 +79,7 @@
             if self._view.add_seal(seal):
                 NODE_SEALED.report(node=seal.holder)
 
-    def tell(self, names: set[NodeName], message: Any) -> None:
+    def notify(self, names: set[NodeName], message: Any) -> None:
         """Send a notice to nodes, each in a task of its own."""
         for name in names:
             start(self._tell_one, name, message)
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -231,7 +231,7 @@
         told = self._followers(seal.holder)
         told.update(name for each in seal.sets for name in each.members)
         told.difference_update((self._witness.name, seal.holder))
-        self._spreader.tell(told, SealNotice((seal,)))
+        self._spreader.notify(told, SealNotice((seal,)))
 
     def _followers(self, holder: NodeName) -> set[NodeName]:
         directory = self._view.directory
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -265,7 +265,7 @@
         entry = self._view.directory.shard(shard)
         if entry is not None:
             told = self._told(entry.record)
-            self._spreader.tell(told, shard_notice(shard, entry))
+            self._spreader.notify(told, shard_notice(shard, entry))
 
     def _told(self, record: ShardRecord) -> set[NodeName]:
         """Return who is told of a record at once; others hear of it later.
