--- a/laburnumwood/daemon/handover_announcer.py
+++ b/laburnumwood/daemon/handover_announcer.py
@@ -1,7 +1,7 @@
 """What a returning node tells others of the keys that its worker let go."""
 
 from laburnumwood.events import HANDOVERS_TOLD
-from laburnumwood.membership.gossip import Spreader
+from laburnumwood.membership.gossip import Gossip
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.messages import Done, Left
 from laburnumwood.protocol.peers import Dispatcher
@@ -24,7 +24,7 @@
         service: str,
         reporting: ReportingWorker,
         view: FleetView,
-        spreader: Spreader,
+        spreader: Gossip,
         dispatcher: Dispatcher,
     ) -> None:
         self._own = own
--- a/laburnumwood/membership/gossip.py
+++ b/laburnumwood/membership/gossip.py
@@ -48,7 +48,7 @@
     directory.apply(StoredObject(name, value, notice.version))
 
 
-class Spreader:
+class Gossip:
     """Pulls news from peers that know more, and tells peers of news."""
 
     def __init__(
--- a/laburnumwood/membership/member.py
+++ b/laburnumwood/membership/member.py
@@ -5,7 +5,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.gossip import Spreader
+from laburnumwood.membership.gossip import Gossip
 from laburnumwood.membership.incarnation_ends import NodeRecordUpdater
 from laburnumwood.membership.renewal import LeaseRenewer, WitnessService
 from laburnumwood.membership.view import FleetView
@@ -28,7 +28,7 @@
         settings: LeaseSettings,
         clock: Clock,
     ) -> None:
-        self.spreader = Spreader(view, peers, dispatcher)
+        self.spreader = Gossip(view, peers, dispatcher)
         self.renewer = LeaseRenewer(
             lease,
             witness,
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -16,7 +16,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses, replace_witnesses
-from laburnumwood.membership.gossip import Spreader
+from laburnumwood.membership.gossip import Gossip
 from laburnumwood.membership.node_records import (
     Change,
     record_witness_sets,
@@ -50,7 +50,7 @@
         self,
         lease: Lease,
         witness: Witness,
-        spreader: Spreader,
+        spreader: Gossip,
         peers: Peers,
         view: FleetView,
         store: Store,
@@ -208,7 +208,7 @@
     def __init__(
         self,
         witness: Witness,
-        spreader: Spreader,
+        spreader: Gossip,
         view: FleetView,
         dispatcher: Dispatcher,
     ) -> None:
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -9,7 +9,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import SHARD_SPLIT
 from laburnumwood.membership.choice import rendezvous_order
-from laburnumwood.membership.gossip import Spreader, shard_notice
+from laburnumwood.membership.gossip import Gossip, shard_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
@@ -52,7 +52,7 @@
         tenure: Tenure,
         holdings: Holdings,
         writer: ShardWriter,
-        spreader: Spreader,
+        spreader: Gossip,
         balancer: Balancer,
         grants: Grants,
         clock: Clock,
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -11,7 +11,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.gossip import Spreader
+from laburnumwood.membership.gossip import Gossip
 from laburnumwood.membership.renewal import LeaseRenewer
 from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
@@ -64,7 +64,7 @@
         self.sent: list[Any] = []
         self.peer: _Near | None = None
         peers: Any = self
-        self.spreader = Spreader(self.view, peers, self.dispatcher)
+        self.spreader = Gossip(self.view, peers, self.dispatcher)
 
     def call(self, _peer: NodeName, message: Any, _timeout_ms: int) -> Any:
         """Let the peer answer a message."""
