--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -112,7 +112,7 @@
             settings.service,
             reporting,
             self.view,
-            self._member.spreader,
+            self._member.gossip,
             self.dispatcher,
         )
         self._make_placement(platform, clock)
@@ -197,7 +197,7 @@
         self.lease.resign()
         if not self.held_for_ms:
             told = witnesses - {self.name}
-            self._member.spreader.notify(told, Resign(self.name))
+            self._member.gossip.notify(told, Resign(self.name))
 
     def tell_left(self) -> None:
         """Tell the others of the service what the worker has let go."""
@@ -276,7 +276,7 @@
             tenure,
             self.holdings,
             writer,
-            self._member.spreader,
+            self._member.gossip,
             self.load.balancer,
             self._grants,
             clock,
--- a/laburnumwood/membership/member.py
+++ b/laburnumwood/membership/member.py
@@ -28,18 +28,18 @@
         settings: LeaseSettings,
         clock: Clock,
     ) -> None:
-        self.spreader = Gossip(view, peers, dispatcher)
+        self.gossip = Gossip(view, peers, dispatcher)
         self.renewer = LeaseRenewer(
             lease,
             witness,
-            self.spreader,
+            self.gossip,
             peers,
             view,
             platform,
             settings,
             clock,
         )
-        self._desk = WitnessService(witness, self.spreader, view, dispatcher)
+        self._desk = WitnessService(witness, self.gossip, view, dispatcher)
         self._recorder = NodeRecordUpdater(
             lease, witness, view, platform, settings, clock
         )
