--- a/laburnumwood/daemon/handover_announcer.py
+++ b/laburnumwood/daemon/handover_announcer.py
@@ -37,7 +37,7 @@
     def tell(self) -> None:
         """Tell the other nodes of the service what the worker let go."""
         left = self._reporting.left
-        told = set(self._view.live_in(self._service)) - {self._own}
+        told = set(self._view.serving_nodes(self._service)) - {self._own}
         if left and told:
             HANDOVERS_TOLD.report(ranges=len(left), nodes=len(told))
             self._spreader.notify(told, Left(left))
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -148,7 +148,7 @@
         """
         if self._granter is None or not self._granter.health.is_lost:
             return False
-        live = self.view.live_in(self._settings.service)
+        live = self.view.serving_nodes(self._settings.service)
         return bool(live.keys() - {self.name})
 
     @property
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -78,7 +78,7 @@
             return False
         return entry.record.has_ended(entry.record.incarnation)
 
-    def live_in(self, service: str) -> dict[NodeName, NodeRecord]:
+    def serving_nodes(self, service: str) -> dict[NodeName, NodeRecord]:
         """Return the live nodes of a service whose workers serve."""
         self._refresh()
         return dict(self._live_in.get(service, {}))
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -117,7 +117,7 @@
         Shards whose moves have `begun` count for their next owners.  While
         the owners of some are not known, nobody can tell who has few.
         """
-        live = self._view.live_in(self._service)
+        live = self._view.serving_nodes(self._service)
         if self._own not in live or not self._knows_all():
             return ()
         return self._planner.plan(self._picture(live, begun))
@@ -128,7 +128,7 @@
 
     def split(self, begun: Owners) -> Split | None:
         """Return the hot keys that this node should split off now, if any."""
-        live = self._view.live_in(self._service)
+        live = self._view.serving_nodes(self._service)
         declared = self._view.directory.declarations.services
         service = declared.get(self._service)
         if self._own not in live or len(live) < 2:
--- a/laburnumwood/placement/division.py
+++ b/laburnumwood/placement/division.py
@@ -66,7 +66,7 @@
         return self._view.directory.declarations.services.get(self._service)
 
     def _live(self) -> Set[NodeName]:
-        return self._view.live_in(self._service).keys()
+        return self._view.serving_nodes(self._service).keys()
 
     def _is_settled(self) -> bool:
         now_ms, nodes = self._clock.now_ms(), self._live()
--- a/laburnumwood/placement/exchange.py
+++ b/laburnumwood/placement/exchange.py
@@ -78,7 +78,7 @@
 
     def _drawn(self, number: int) -> set[NodeName]:
         topic = f'load {self._own} {number // _ROUNDS_PER_DRAW}'
-        live = self._view.live_in(self._service)
+        live = self._view.serving_nodes(self._service)
         others = [name for name in live if name != self._own]
         neighbours = rendezvous_order(topic, others)[:_NEIGHBOURS]
         also = rendezvous_order(f'{topic} {number}', self._also())
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -123,7 +123,7 @@
 
     def live(self) -> dict[NodeName, NodeRecord]:
         """Return the live nodes of the service."""
-        return self._view.live_in(self._service)
+        return self._view.serving_nodes(self._service)
 
     def follow(self) -> None:
         """Hold and drop shards as seals and records ask for it."""
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -200,7 +200,7 @@
             if not isinstance(reply, Failure):
                 return reply
             tries.note(reply)
-            nodes = self._view.live_in(work.service)
+            nodes = self._view.serving_nodes(work.service)
             pause_ms = None
             if not caller.is_gone:
                 pause_ms = tries.pause_ms(reply, nodes)
@@ -239,7 +239,7 @@
         return acting(entry.record, self._view) if entry else None
 
     def _choose(self, work: Work, tries: Tries) -> NodeName | None:
-        nodes = self._view.live_in(work.service)
+        nodes = self._view.serving_nodes(work.service)
         return self._spread.choose(
             tries.open_among(nodes) or nodes, work.priority
         )
--- a/laburnumwood/routing/suspicions.py
+++ b/laburnumwood/routing/suspicions.py
@@ -55,7 +55,7 @@
     def _tell(
         self, service: str, news: Suspicion
     ) -> list[eventlet.greenthread.GreenThread]:
-        others = set(self._view.live_in(service)).difference((self._own,))
+        others = set(self._view.serving_nodes(service)).difference((self._own,))
         return [begin(self._tell_one, name, news) for name in others]
 
     def _tell_one(self, name: NodeName, news: Suspicion) -> None:
