--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -92,7 +92,7 @@
 
     Each end is written by one of the live nodes.
     """
-    live = [name for name, _ in view.live()]
+    live = [name for name, _ in view.live_nodes()]
     return tuple(
         name
         for node_id, entry in view.directory.nodes.items()
@@ -161,7 +161,7 @@
         over = self.backless.over(
             _candidates(self._view), self._view.has_forgotten
         )
-        live = [name for name, _ in self._view.live()]
+        live = [name for name, _ in self._view.live_nodes()]
         for each in over:
             others = [name for name in live if name != each.name]
             first = rendezvous_order(f'end {each.name}', others)[:1]
--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -70,7 +70,7 @@
 
     One that leaves hears no more news by renewals and reads for itself.
     """
-    live = dict(view.live())
+    live = dict(view.live_nodes())
     if own not in live:
         return UpdateSource.STORE
     domain = live[own].failure_domain
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -39,7 +39,7 @@
             self.seals.digest(),
         )
 
-    def live(self) -> Iterator[tuple[NodeName, NodeRecord]]:
+    def live_nodes(self) -> Iterator[tuple[NodeName, NodeRecord]]:
         """Yield the nodes that are not known to have ended or to leave."""
         self._refresh()
         yield from tuple(self._live.items())
@@ -53,7 +53,7 @@
         """
         known = {
             NodeName(name.node_id, record.witness_as): record
-            for name, record in self.live()
+            for name, record in self.live_nodes()
         }
         wanted = {
             name: record
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -133,7 +133,7 @@
                 'door_port': record.door_port,
                 'operator_port': record.operator_port,
             }
-            for name, record in sorted(self._view.live())
+            for name, record in sorted(self._view.live_nodes())
         ]
 
     @_page('/idle')
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -273,7 +273,7 @@
         In a small fleet all doors are, so that none asks the last owner; in a
         large one the last owner tells those that ask it.
         """
-        told = {name for name, _ in self._view.live()}
+        told = {name for name, _ in self._view.live_nodes()}
         if len(told) > _MOST_TOLD:
             told = set(record.succession)
         return told.difference((self._tenure.own,))
