--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -159,7 +159,7 @@
 
     def _end_backless(self) -> None:
         over = self.backless.over(
-            _candidates(self._view), self._view.has_forgotten
+            _candidates(self._view), self._view.has_restarted
         )
         live = [name for name, _ in self._view.live_nodes()]
         for each in over:
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -62,7 +62,7 @@
         }
         return wanted or known
 
-    def has_forgotten(self, witness: NodeName) -> bool:
+    def has_restarted(self, witness: NodeName) -> bool:
         """Tell whether a witness's process has been followed by another."""
         entry = self.directory.nodes.get(witness.node_id)
         if entry is None:
@@ -71,7 +71,7 @@
 
     def is_away(self, witness: NodeName) -> bool:
         """Tell whether a witness's process is known to have ended."""
-        if self.has_forgotten(witness):
+        if self.has_restarted(witness):
             return True
         entry = self.directory.nodes.get(witness.node_id)
         if entry is None:
