--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -43,7 +43,7 @@
     entry = view.directory.nodes.get(own.node_id)
     if entry is not None and entry.record.incarnation > own.incarnation:
         return IncarnationStatus.REPLACED
-    gone = {name for name in lease.asked if view.is_away(name)}
+    gone = {name for name in lease.asked if view.has_process_ended(name)}
     # Without witnesses it can write no record: it joins anew at once, though
     # others follow only when its worker has let go.
     is_doomed = not lease.can_renew_without(gone)
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -116,7 +116,7 @@
             self._change(self._lease.next_set(wanted))
 
     def _pass_over_ended(self) -> None:
-        ended = filter(self._view.is_away, self._lease.asked)
+        ended = filter(self._view.has_process_ended, self._lease.asked)
         if self._lease.pass_over(frozenset(ended)):
             self.renew_now()
 
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -69,7 +69,7 @@
             return False
         return entry.record.witness_as > witness.incarnation
 
-    def is_away(self, witness: NodeName) -> bool:
+    def has_process_ended(self, witness: NodeName) -> bool:
         """Tell whether a witness's process is known to have ended."""
         if self.has_restarted(witness):
             return True
