--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -41,7 +41,7 @@
             domain,
             Random(str(own)),
             clock,
-            lambda: view.share_of(domain),
+            lambda: view.domain_share(domain),
         )
         self.retries = RetryBudgets(_RETRY_SHARE, clock)
         self._exchange = LoadExchange(
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -83,7 +83,7 @@
         self._refresh()
         return dict(self._live_in.get(service, {}))
 
-    def share_of(self, domain: str) -> float:
+    def domain_share(self, domain: str) -> float:
         """Return what part of the live nodes is in a failure domain."""
         self._refresh()
         return self._domains[domain] / max(len(self._live), 1)
