--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -143,7 +143,7 @@
 
     def evict_ended(self) -> None:
         """Forget what is kept of incarnations that have long ended."""
-        self._view.forget_past()
+        self._view.evict_obsolete_seals()
         for node_id, entry in self._view.directory.nodes.items():
             self._witness.forget_below(node_id, entry.record.least_open)
 
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -131,7 +131,7 @@
             self.directory.news.tell()
         return newly
 
-    def forget_past(self) -> None:
+    def evict_obsolete_seals(self) -> None:
         """Forget the seals that nobody needs any more."""
         for holder in self.seals.holders():
             if self._is_past(holder):
