--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -126,7 +126,7 @@
 
         One that nobody needs any more is left out.
         """
-        newly = not self._is_past(seal.holder) and self.seals.add(seal)
+        newly = not self._is_obsolete(seal.holder) and self.seals.add(seal)
         if newly:
             self.directory.news.tell()
         return newly
@@ -134,10 +134,10 @@
     def evict_obsolete_seals(self) -> None:
         """Forget the seals that nobody needs any more."""
         for holder in self.seals.holders():
-            if self._is_past(holder):
+            if self._is_obsolete(holder):
                 self.seals.forget(holder)
 
-    def _is_past(self, holder: NodeName) -> bool:
+    def _is_obsolete(self, holder: NodeName) -> bool:
         entry = self.directory.nodes.get(holder.node_id)
         if entry is None or not entry.record.has_ended(holder.incarnation):
             return False
