--- a/laburnumwood/daemon/handover_announcer.py
+++ b/laburnumwood/daemon/handover_announcer.py
@@ -34,7 +34,7 @@
         self._spreader = spreader
         dispatcher.on(Left)(self._serve)
 
-    def tell(self) -> None:
+    def announce(self) -> None:
         """Tell the other nodes of the service what the worker let go."""
         left = self._reporting.left
         told = set(self._view.serving_nodes(self._service)) - {self._own}
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -201,7 +201,7 @@
 
     def tell_left(self) -> None:
         """Tell the others of the service what the worker has let go."""
-        self._handover_news.tell()
+        self._handover_news.announce()
 
     def end_earlier(self) -> None:
         """Write down that all incarnations before this one have ended."""
