--- a/laburnumwood/daemon/handover_announcer.py
+++ b/laburnumwood/daemon/handover_announcer.py
@@ -10,7 +10,7 @@
 from laburnumwood.upstream.reporting import ReportingWorker
 
 
-class HandoverNews:
+class HandoverAnnouncer:
     """Passes what a worker left on to the next holders of its keys.
 
     After a move the record of the shard carries it; after the loss of the
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -4,7 +4,7 @@
 
 from laburnumwood.borders import Borders
 from laburnumwood.clock import Clock
-from laburnumwood.daemon.handover_announcer import HandoverNews
+from laburnumwood.daemon.handover_announcer import HandoverAnnouncer
 from laburnumwood.daemon.holder import ShardHolder
 from laburnumwood.daemon.load import LoadParts
 from laburnumwood.errors import PlatformError
@@ -107,7 +107,7 @@
             self._worker_state,
             lambda: reporting.is_clear and not reporting.left,
         )
-        self._handover_news = HandoverNews(
+        self._handover_news = HandoverAnnouncer(
             name,
             settings.service,
             reporting,
