--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -6,7 +6,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.daemon.handover_announcer import HandoverAnnouncer
 from laburnumwood.daemon.holder import ShardHolder
-from laburnumwood.daemon.load import LoadParts
+from laburnumwood.daemon.load import LoadComponents
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
@@ -84,7 +84,9 @@
             self.dispatcher,
             clock,
         )
-        self.load = LoadParts(settings, name, self.view, self._peers, clock)
+        self.load = LoadComponents(
+            settings, name, self.view, self._peers, clock
+        )
         self._reader = StoreWatcher(name, platform, self.view)
         self._known = CachedStore(platform, self.view.directory)
         self._member = Member(
--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -18,7 +18,7 @@
 _RETRY_SHARE = 0.1  # of the requests
 
 
-class LoadParts:
+class LoadComponents:
     """What an incarnation knows of load, and those that use it."""
 
     def __init__(
