--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -154,7 +154,7 @@
         return bool(live.keys() - {self.name})
 
     @property
-    def is_told_to_serve(self) -> bool:
+    def is_worker_announced(self) -> bool:
         """Tell whether the store says of the worker what is so now."""
         return self._serving.is_announced
 
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -269,7 +269,7 @@
 
     def _is_back(self) -> bool:
         incarnation = self._incarnation
-        is_told = incarnation is None or incarnation.is_told_to_serve
+        is_told = incarnation is None or incarnation.is_worker_announced
         return self.worker.is_clear and is_told
 
     def _persist(self, call: Callable[[], _Found]) -> _Found:
