--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -169,7 +169,7 @@
         return self._grants.held_for_ms()
 
     @property
-    def may_be_followed(self) -> bool:
+    def has_finished(self) -> bool:
         """Tell whether others may have its shards: nothing of it goes on."""
         return not self.is_busy and not self.held_for_ms
 
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -292,14 +292,14 @@
         One that still has requests on the worker, or whose worker may hold
         what it gave, ends when that is over.
         """
-        if incarnation.may_be_followed:
+        if incarnation.has_finished:
             return incarnation.name
         self._ending.append(incarnation)
         start(self._close_later, incarnation)
         return None
 
     def _close_later(self, incarnation: Incarnation) -> None:
-        while not incarnation.may_be_followed:
+        while not incarnation.has_finished:
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         with suppress(_StoppingError):
             self._persist(incarnation.record_end)
@@ -309,7 +309,7 @@
         """Record that incarnations of this process have ended, if so."""
         try:
             for each in (*self._ending, last):
-                if each.may_be_followed:
+                if each.has_finished:
                     each.record_end()
         except PlatformError as failure:
             STORE_UNREACHABLE.report(reason=failure)
@@ -351,7 +351,7 @@
 
     def _await_ends(self, last: Incarnation, patience_ms: int) -> None:
         deadline_ms = self._clock.now_ms() + patience_ms
-        while not all(each.may_be_followed for each in (*self._ending, last)):
+        while not all(each.has_finished for each in (*self._ending, last)):
             if self._clock.now_ms() >= deadline_ms:
                 return
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
