--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -179,7 +179,7 @@
         start(self._announce_leaving)
         return self._granter.retire() if self._granter else 0
 
-    def store_answers(self) -> bool:
+    def is_store_reachable(self) -> bool:
         """Tell whether the platform answers now."""
         return is_store_reachable(self._platform, self.name)
 
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -207,7 +207,7 @@
         if not self._standstill.is_due(lease):
             return False
         self._standstill.record_rejoin()
-        if not incarnation.store_answers():
+        if not incarnation.is_store_reachable():
             return False
         self._avoided = frozenset(name.node_id for name in lease.silent)
         return True
