--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -183,7 +183,7 @@
         """Tell whether the platform answers now."""
         return is_store_reachable(self._platform, self.name)
 
-    def worker_answers(self) -> bool:
+    def is_worker_reachable(self) -> bool:
         """Ask the worker whether it answers, by granting it nothing."""
         return self._worker.grant({}, 0)
 
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -223,7 +223,7 @@
         while self._clock.now_ms() < granted_until_ms:
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         incarnation.hand_over(_RESIGN_MS)
-        while not self._is_stopping and not incarnation.worker_answers():
+        while not self._is_stopping and not incarnation.is_worker_reachable():
             eventlet.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
 
     def _join(self, ended: NodeName | None) -> Incarnation:
