--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -201,7 +201,7 @@
             told = witnesses - {self.name}
             self._member.gossip.notify(told, Resign(self.name))
 
-    def tell_left(self) -> None:
+    def announce_handovers(self) -> None:
         """Tell the others of the service what the worker has let go."""
         self._handover_news.announce()
 
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -263,7 +263,7 @@
         while self._clock.now_ms() < until_ms and not self._is_back():
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         if self._incarnation is not None:
-            self._incarnation.tell_left()
+            self._incarnation.announce_handovers()
         with suppress(_StoppingError):
             self._persist(first.end_earlier)
 
