--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -205,7 +205,7 @@
         """Tell the others of the service what the worker has let go."""
         self._handover_news.announce()
 
-    def end_earlier(self) -> None:
+    def record_earlier_ends(self) -> None:
         """Write down that all incarnations before this one have ended."""
         record_earlier_ends(self._known, self.name)
 
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -265,7 +265,7 @@
         if self._incarnation is not None:
             self._incarnation.announce_handovers()
         with suppress(_StoppingError):
-            self._persist(first.end_earlier)
+            self._persist(first.record_earlier_ends)
 
     def _is_back(self) -> bool:
         incarnation = self._incarnation
