--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -213,7 +213,7 @@
         """Write down that this incarnation has ended."""
         record_end(self._known, self.name)
 
-    def end(self) -> None:
+    def deactivate(self) -> None:
         """Act for no shard any more; requests are still passed on."""
         self.lease.resign()
         self.holdings.drop_all()
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -114,7 +114,7 @@
             known = self._live(incarnation)
             if self._is_stopping:
                 break
-            incarnation.end()
+            incarnation.deactivate()
             if known is IncarnationStatus.REPLACED:
                 NODE_ID_TAKEN.report(node=incarnation.name)
                 return
@@ -327,7 +327,7 @@
         incarnation.gate.close()
         self._await_ends(incarnation, self._patience_ms())
         self._record_ends(incarnation)
-        incarnation.end()
+        incarnation.deactivate()
         incarnation.close()
         NODE_LEFT.report(node=incarnation.name)
 
