--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -77,7 +77,7 @@
         self._incarnation: Incarnation | None = None
         self._witness: Witness | None = None
         self._door: Listening | None = None
-        self._standstill = RejoinBackoff(self._clock)
+        self._rejoin_backoff = RejoinBackoff(self._clock)
         self._avoided: frozenset[str] = frozenset()
         self._ending: list[Incarnation] = []
         self._stopping_since_ms: int | None = None
@@ -204,9 +204,9 @@
 
     def _stands_still(self, incarnation: Incarnation) -> bool:
         lease = incarnation.lease
-        if not self._standstill.is_due(lease):
+        if not self._rejoin_backoff.is_due(lease):
             return False
-        self._standstill.record_rejoin()
+        self._rejoin_backoff.record_rejoin()
         if not incarnation.is_store_reachable():
             return False
         self._avoided = frozenset(name.node_id for name in lease.silent)
