--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -52,7 +52,7 @@
         tenure: Tenure,
         holdings: Holdings,
         writer: ShardWriter,
-        spreader: Gossip,
+        gossip: Gossip,
         balancer: Balancer,
         grants: Grants,
         clock: Clock,
@@ -62,7 +62,7 @@
         self._tenure = tenure
         self._holdings = holdings
         self._writer = writer
-        self._spreader = spreader
+        self._gossip = gossip
         self._balancer = balancer
         self._grants = grants
         self._clock = clock
@@ -265,7 +265,7 @@
         entry = self._view.directory.shard(shard)
         if entry is not None:
             told = self._told(entry.record)
-            self._spreader.notify(told, shard_notice(shard, entry))
+            self._gossip.notify(told, shard_notice(shard, entry))
 
     def _told(self, record: ShardRecord) -> set[NodeName]:
         """Return who is told of a record at once; others hear of it later.
--- a/tests/features/steps/directory_steps.py
+++ b/tests/features/steps/directory_steps.py
@@ -64,7 +64,7 @@
 
 @then('the shards that name "{node}" are "{numbers}"')
 def check_named(context: Context, node: str, numbers: str) -> None:
-    found = context.directory.shards_naming(_name(node))
+    found = context.directory.shards_listing(_name(node))
     wanted = tuple(ShardName(SERVICE, int(each)) for each in numbers.split())
     assert found == wanted, found
 
@@ -74,7 +74,7 @@
     context.view = CountingView(Directory())
     for place in range(count):
         _put_node(context.view.directory, record_of(place), place)
-    assert len(tuple(context.view.live())) == count
+    assert len(tuple(context.view.live_nodes())) == count
     context.view.looks = 0
 
 
@@ -86,7 +86,7 @@
 
 @then('its nodes were not looked at again')
 def check_looks(context: Context) -> None:
-    assert tuple(context.view.live())
+    assert tuple(context.view.live_nodes())
     assert not context.view.looks, context.view.looks
 
 
@@ -98,5 +98,5 @@
 
 @then('it lists {count:d} live nodes')
 def check_live(context: Context, count: int) -> None:
-    found = tuple(context.view.live())
+    found = tuple(context.view.live_nodes())
     assert len(found) == count, found
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -139,7 +139,7 @@
 @when('a node asks which shards it should write')
 def ask(context: Context) -> None:
     tenure = context.service.tenure(0)
-    context.service.view.live_in(SERVICE)
+    context.service.view.serving_nodes(SERVICE)
     context.service.view.looks = 0
     context.wanted = tenure.wanted()
 
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -252,9 +252,9 @@
         super().__init__()
         self.is_open = True
 
-    def live_in(self, service: str) -> dict[NodeName, NodeRecord]:
+    def serving_nodes(self, service: str) -> dict[NodeName, NodeRecord]:
         """Return the one node once it is known."""
-        return super().live_in(service) if self.is_open else {}
+        return super().serving_nodes(service) if self.is_open else {}
 
     def open(self) -> None:
         """Let the node be known."""
--- a/tests/features/steps/letting_go_steps.py
+++ b/tests/features/steps/letting_go_steps.py
@@ -87,7 +87,7 @@
     context.node.worker._clock = context.clock
     context.first = _join(context)
     holder = context.node.worker._holder
-    holder._declared = lambda: DECLARED
+    holder._declaration = lambda: DECLARED
     _hold_lease(context.first, context.clock)
     context.first.holdings.hold(SHARD, 8)
     context.reply = _report(context, ())
@@ -96,8 +96,8 @@
 
 @when('the node gives the incarnation up')
 def give_up(context: Context) -> None:
-    context.first.end()
-    assert context.node._close(context.first) is None
+    context.first.deactivate()
+    assert context.node._end_or_defer(context.first) is None
 
 
 @when('the worker reports to the next incarnation, which takes the shard away')
@@ -120,8 +120,8 @@
 @when('the node stops without time to wait for its worker')
 def stop(context: Context) -> None:
     context.told = []
-    spreader: Any = context.first._member.spreader
-    spreader.tell = lambda names, message: context.told.append(message)
+    gossip: Any = context.first._member.gossip
+    gossip.notify = lambda names, message: context.told.append(message)
     context.first.hand_over(0)
     context.node._record_ends(context.first)
 
@@ -166,7 +166,7 @@
 @when('the next incarnation gives the worker the same shard')
 def give_next(context: Context) -> None:
     context.next = _join(context)
-    context.node.worker._holder._declared = lambda: DECLARED
+    context.node.worker._holder._declaration = lambda: DECLARED
     _hold_lease(context.next, context.clock)
     context.next.holdings.hold(SHARD, 16)
     _report_again(context)
@@ -184,8 +184,8 @@
 
 @then('the first may be followed, the next one not')
 def check_followed(context: Context) -> None:
-    assert context.first.may_be_followed
-    assert not context.next.may_be_followed
+    assert context.first.has_finished
+    assert not context.next.has_finished
 
 
 @when('the next one withdraws the shard and the first one restores it')
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -197,7 +197,7 @@
     for stored in context.store.list()[0]:
         directory.apply(stored)
     context.known = CachedStore(context.store, directory)
-    context.serving = WorkerAnnouncer(
+    context.announcer = WorkerAnnouncer(
         context.name,
         FleetView(directory, SealBook()),
         context.known,
@@ -212,7 +212,10 @@
 def record_first(context: Context) -> None:
     chosen = WitnessSet(1, (context.name,))
     record_witness_sets(
-        context.known, context.name, (chosen,), context.serving.at_start
+        context.known,
+        context.name,
+        (chosen,),
+        context.announcer.with_initial_worker_state,
     )
 
 
@@ -253,7 +256,7 @@
             raise LinkRefusedError(str(name))
         return self._witnesses[name].renew(request, request.digest)
 
-    def compare(self, *_heard: object) -> None:
+    def pull_if_newer(self, *_heard: object) -> None:
         """Take no news in."""
 
 
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -137,7 +137,7 @@
             if name.node_id in names
         }
 
-    def live_in(self, _service: str) -> dict[NodeName, NodeRecord]:
+    def serving_nodes(self, _service: str) -> dict[NodeName, NodeRecord]:
         """Return the nodes."""
         return dict(self._nodes)
 
@@ -189,7 +189,7 @@
 
 @then('each gate is asked once and the request is sent away')
 def check_asked(context: Context) -> None:
-    nodes = sorted(name.node_id for name in context.fleet.live_in('s'))
+    nodes = sorted(name.node_id for name in context.fleet.serving_nodes('s'))
     assert sorted(context.fleet.asked) == nodes, context.fleet.asked
     assert context.reply.kind == 'overloaded', context.reply
     assert not context.reply.ran
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -64,7 +64,7 @@
         self.sent: list[Any] = []
         self.peer: _Near | None = None
         peers: Any = self
-        self.spreader = Gossip(self.view, peers, self.dispatcher)
+        self.gossip = Gossip(self.view, peers, self.dispatcher)
 
     def call(self, _peer: NodeName, message: Any, _timeout_ms: int) -> Any:
         """Let the peer answer a message."""
@@ -245,7 +245,7 @@
 
 @when('"a" hears how much "b" knows')
 def hear(context: Context) -> None:
-    context.near.spreader.compare(PEER, context.far.view.digest())
+    context.near.gossip.pull_if_newer(PEER, context.far.view.digest())
     eventlet.sleep(0)
 
 
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -160,7 +160,7 @@
     'moves that are not sent are carried one after the other for {span_ms:d} ms'
 )
 def carry_often(context: Context, span_ms: int) -> None:
-    renewer: Any = SimpleNamespace(poke=lambda: None)
+    renewer: Any = SimpleNamespace(renew_now=lambda: None)
     store: Any = _FailingStore('')
     writer = ShardWriter(store, Directory(), renewer)
     write: Any = SimpleNamespace(step=lambda _store: Progress.NOT_SENT)
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -143,7 +143,7 @@
     def __init__(self) -> None:
         self.directory = Directory()
 
-    def live_in(self, _service: str) -> dict[NodeName, NodeRecord]:
+    def serving_nodes(self, _service: str) -> dict[NodeName, NodeRecord]:
         """Return the one node."""
         record = NodeRecord(1, (1,), HOST, 1, 1, 1, 'x', 'x', 'x', 10, 10)
         return {GATE: record}
