--- a/laburnumwood/daemon/__init__.py
+++ b/laburnumwood/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""The daemon of the router."""
+"""The daemon of the router, laburnumwoodd."""
