--- a/laburnumwood/daemon/handover_announcer.py
+++ b/laburnumwood/daemon/handover_announcer.py
@@ -1,4 +1,4 @@
-"""What a returning node tells others of the keys that its worker let go."""
+"""Announcing the keys that a returning node's worker has released."""
 
 from laburnumwood.events import HANDOVERS_TOLD
 from laburnumwood.membership.gossip import Gossip
@@ -11,11 +11,12 @@
 
 
 class HandoverAnnouncer:
-    """Passes what a worker left on to the next holders of its keys.
+    """Sends a worker's handovers to the nodes whose workers hold its keys next.
 
-    After a move the record of the shard carries it; after the loss of the
-    node's process only the next process beside the worker hears of it, and
-    the keys that other nodes took would be slow at first.
+    After a move the record of the shard contains the handover.  After the loss
+    of the node's process only the next process beside the worker receives it;
+    without this announcement the keys that other nodes took over would be slow
+    at first.
     """
 
     def __init__(
@@ -24,24 +25,24 @@
         service: str,
         reporting: ReportingWorker,
         view: FleetView,
-        spreader: Gossip,
+        gossip: Gossip,
         dispatcher: Dispatcher,
     ) -> None:
         self._own = own
         self._service = service
         self._reporting = reporting
         self._view = view
-        self._spreader = spreader
+        self._gossip = gossip
         dispatcher.on(Left)(self._serve)
 
     def announce(self) -> None:
-        """Tell the other nodes of the service what the worker let go."""
-        left = self._reporting.left
-        told = set(self._view.serving_nodes(self._service)) - {self._own}
-        if left and told:
-            HANDOVERS_TOLD.report(ranges=len(left), nodes=len(told))
-            self._spreader.notify(told, Left(left))
+        """Send the released ranges to the other nodes of the service."""
+        released = self._reporting.left
+        receivers = set(self._view.serving_nodes(self._service)) - {self._own}
+        if released and receivers:
+            HANDOVERS_TOLD.report(ranges=len(released), nodes=len(receivers))
+            self._gossip.notify(receivers, Left(released))
 
-    def _serve(self, _link: object, stream: Stream, told: Left) -> None:
-        self._reporting.take_left(told.released)
+    def _serve(self, _link: object, stream: Stream, message: Left) -> None:
+        self._reporting.take_left(message.released)
         stream.send(Done())
