--- a/laburnumwood/daemon/holder.py
+++ b/laburnumwood/daemon/holder.py
@@ -1,4 +1,4 @@
-"""What an incarnation lets a worker hold that reports to its node."""
+"""The shards that an incarnation grants to a worker that sends reports."""
 
 from laburnumwood.config.declarations import Service
 from laburnumwood.leases.lease import Lease
@@ -9,7 +9,7 @@
 
 
 class ShardHolder:
-    """The shards of one incarnation, with their keys."""
+    """The shards that one incarnation holds, for the grants to its worker."""
 
     def __init__(
         self, service: str, lease: Lease, holdings: Holdings, view: FleetView
@@ -20,35 +20,38 @@
         self._view = view
 
     def tokens(self) -> dict[ShardName, int]:
-        """Return the shards that the node holds, with their tokens."""
+        """Return the shards that the incarnation holds, with their tokens."""
         return self._holdings.tokens()
 
     def until_ms(self) -> int:
-        """Return until when the node may act."""
+        """Return the time in ms until which the lease is held."""
         return self._lease.holds_until_ms()
 
     def close(self, shard: ShardName) -> None:
-        """Let no more requests in to a shard."""
+        """Stop admitting requests to a shard."""
         self._holdings.close(shard)
 
     def spend(self, shard: ShardName) -> None:
-        """Ask for a higher token: the worker's next life needs one."""
+        """Request a higher token, which a restarted worker needs."""
         self._holdings.spend(shard)
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
-        """Return the keys of a shard, none if its service is not known."""
-        declared = self._declared()
+        """Return the key ranges of a shard.
+
+        Returns none if the service of this node is not declared.
+        """
+        declaration = self._declaration()
         entry = self._view.directory.shard(shard)
-        if declared is None:
+        if declaration is None:
             return ()
         record = entry.record if entry else None
-        return ranges_of(shard.number, record, declared)
+        return ranges_of(shard.number, record, declaration)
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
-        """Return what the shard's last owner left for this one."""
+        """Return what the last owner's worker left for the next, by stripe."""
         entry = self._view.directory.shard(shard)
         return entry.record.handovers if entry else ()
 
-    def _declared(self) -> Service | None:
+    def _declaration(self) -> Service | None:
         services = self._view.directory.declarations.services
         return services.get(self._service)
