--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -1,4 +1,4 @@
-"""All that one incarnation of a node consists of."""
+"""One incarnation of a node, put together from its components."""
 
 from contextlib import suppress
 
@@ -54,7 +54,7 @@
 
 
 class Incarnation:
-    """One run of a node from joining to its end, with all its tasks."""
+    """One incarnation of a node from its join to its end, with its tasks."""
 
     def __init__(
         self,
@@ -72,7 +72,7 @@
         self._borders = borders
         self._reporting = reporting
         self._tasks = Tasks()
-        self._sight = Tasks()
+        self._watch_tasks = Tasks()
         self.dispatcher = Dispatcher()
         self.view = FleetView(Directory(), SealBook())
         self.lease = Lease(name, settings.lease, clock)
@@ -87,29 +87,29 @@
         self.load = LoadComponents(
             settings, name, self.view, self._peers, clock
         )
-        self._reader = StoreWatcher(name, platform, self.view)
-        self._known = CachedStore(platform, self.view.directory)
+        self._store_watcher = StoreWatcher(name, platform, self.view)
+        self._cached_store = CachedStore(platform, self.view.directory)
         self._member = Member(
             self.lease,
             witness,
             self.view,
             self._peers,
             self.dispatcher,
-            self._known,
+            self._cached_store,
             settings.lease,
             clock,
         )
         self._worker = Worker(settings.worker_url, settings.connections, clock)
         self._granter: Granter | None = None
         self._grants = self._make_grants(clock)
-        self._serving = WorkerAnnouncer(
+        self._worker_announcer = WorkerAnnouncer(
             name,
             self.view,
-            self._known,
+            self._cached_store,
             self._worker_state,
             lambda: reporting.is_clear and not reporting.left,
         )
-        self._handover_news = HandoverAnnouncer(
+        self._handover_announcer = HandoverAnnouncer(
             name,
             settings.service,
             reporting,
@@ -121,16 +121,21 @@
         self._make_routing(clock)
 
     def start(self, avoided: frozenset[str]) -> None:
-        """Read the store and start all tasks; raises `PlatformError`.
+        """Read the store, record the first witnesses and start all tasks.
 
-        Nodes with the ids in `avoided` are not chosen as witnesses.
+        Nodes whose ids are in `avoided` are chosen as witnesses only if there
+        are no others.  Raises `PlatformError` if the store does not answer.
         """
-        self._reader.list_all()
+        self._store_watcher.list_all()
         reports = self._borders.worker_reports
-        also = self._serving.with_initial_worker_state if reports else unchanged
-        self._member.renewer.start(avoided, also)
-        for watch in self._reader.tasks:
-            self._sight.start(watch)
+        other_change = (
+            self._worker_announcer.with_initial_worker_state
+            if reports
+            else unchanged
+        )
+        self._member.renewer.start(avoided, other_change)
+        for watch in self._store_watcher.tasks:
+            self._watch_tasks.start(watch)
         for task in (
             *self._member.tasks,
             *self._worker_tasks(),
@@ -144,9 +149,9 @@
 
     @property
     def has_lost_worker(self) -> bool:
-        """Tell whether others are to serve for a worker that doesn't answer.
+        """Return whether the worker is lost and other nodes can take over.
 
-        Without others its node keeps its shards, and what it knows of them.
+        Without other live nodes the node keeps its shards and their state.
         """
         if self._granter is None or not self._granter.health.is_lost:
             return False
@@ -155,85 +160,96 @@
 
     @property
     def is_worker_announced(self) -> bool:
-        """Tell whether the store says of the worker what is so now."""
-        return self._serving.is_announced
+        """Return whether the node's record has the worker's current state."""
+        return self._worker_announcer.is_announced
 
     @property
     def is_busy(self) -> bool:
-        """Tell whether requests run on the worker or wait for it."""
+        """Return whether requests run on the worker or wait for it."""
         return bool(self.gate.running or self.gate.waiting)
 
     @property
     def held_for_ms(self) -> int:
-        """Return for how long the worker may hold what it was given."""
+        """Return for how many ms the worker may still hold its grants."""
         return self._grants.held_for_ms()
 
     @property
     def has_finished(self) -> bool:
-        """Tell whether others may have its shards: nothing of it goes on."""
+        """Return whether no request runs or waits and no grant is held.
+
+        Other nodes may take over its shards then.
+        """
         return not self.is_busy and not self.held_for_ms
 
     def retire(self) -> int:
-        """Let nothing more in; return when the worker's grants run out."""
+        """Stop admitting requests, and announce that the node is leaving.
+
+        Returns the time in ms at which the worker's grants expire.
+        """
         self._keeper.close_all()
         start(self._announce_leaving)
         return self._granter.retire() if self._granter else 0
 
     def is_store_reachable(self) -> bool:
-        """Tell whether the platform answers now."""
+        """Return whether the store answers a read now."""
         return is_store_reachable(self._platform, self.name)
 
     def is_worker_reachable(self) -> bool:
-        """Ask the worker whether it answers, by granting it nothing."""
+        """Return whether the worker answers, by sending it an empty grant."""
         return self._worker.grant({}, 0)
 
     def hand_over(self, patience_ms: int) -> None:
-        """Give every shard to another node and let the witnesses seal.
+        """Move every shard to another node within `patience_ms`, and resign.
 
-        What could not be moved in time goes to the successors by the seals;
-        while the worker may hold some of it, not before the lease runs out.
+        The witnesses then seal this incarnation, and its successors take over
+        the shards that could not be moved in time.  While the worker may still
+        hold grants, the witnesses are not asked to seal before the lease
+        expires.
         """
         start(self._announce_leaving)
         self._keeper.hand_over_all(self.name, patience_ms)
         witnesses = set(self.lease.witnesses.members)
         self.lease.resign()
         if not self.held_for_ms:
-            told = witnesses - {self.name}
-            self._member.gossip.notify(told, Resign(self.name))
+            receivers = witnesses - {self.name}
+            self._member.gossip.notify(receivers, Resign(self.name))
 
     def announce_handovers(self) -> None:
-        """Tell the others of the service what the worker has let go."""
-        self._handover_news.announce()
+        """Announce what the worker has released to the service's nodes."""
+        self._handover_announcer.announce()
 
     def record_earlier_ends(self) -> None:
-        """Write down that all incarnations before this one have ended."""
-        record_earlier_ends(self._known, self.name)
+        """Record that all earlier incarnations have ended."""
+        record_earlier_ends(self._cached_store, self.name)
 
     def record_end(self) -> None:
-        """Write down that this incarnation has ended."""
-        record_end(self._known, self.name)
+        """Record that this incarnation has ended."""
+        record_end(self._cached_store, self.name)
 
     def deactivate(self) -> None:
-        """Act for no shard any more; requests are still passed on."""
+        """Give up the lease and all shards and stop the tasks.
+
+        Requests are still forwarded to other nodes.
+        """
         self.lease.resign()
         self.holdings.drop_all()
         self._tasks.kill()
 
     def release(self) -> None:
-        """Stop what is left after the end, but for requests under way."""
-        self._sight.kill()
+        """Stop what is left after `deactivate`, except requests in progress."""
+        self._watch_tasks.kill()
         self._peers.release()
 
     def close(self) -> None:
-        """Stop all that is left after the end."""
-        self._sight.kill()
+        """Stop all that is left after `deactivate`."""
+        self._watch_tasks.kill()
         self._peers.close()
 
     def _announce_leaving(self) -> None:
-        # Without it the others would go on moving shards to this node; a
-        # store that does not answer lets nobody move anything.
+        # Otherwise other nodes would go on moving shards to this one.  While
+        # the store does not answer, no node can move any, so errors are safe.
         with suppress(PlatformError):
-            announce_leaving(self._known, self.name)
+            announce_leaving(self._cached_store, self.name)
 
     def _make_grants(self, clock: Clock) -> Grants:
         if self._borders.worker_reports:
@@ -254,7 +270,7 @@
         ledger = (self._notary.run,) * self._borders.has_idempotency_keys
         if self._granter is not None:
             return (*ledger, self._granter.run, self._load_poller.run)
-        return (*ledger, self._serving.run)
+        return (*ledger, self._worker_announcer.run)
 
     def _worker_state(self) -> tuple[bool, int]:
         serves = self._reporting.presence.phase is Phase.SERVING
