--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -1,4 +1,4 @@
-"""The parts of an incarnation that measure and even out load."""
+"""The components of an incarnation that measure and balance load."""
 
 from random import Random
 
@@ -15,11 +15,11 @@
 from laburnumwood.routing.spread import Spread
 from laburnumwood.settings import DaemonSettings
 
-_RETRY_SHARE = 0.1  # of the requests
+_RETRY_FRACTION = 0.1  # of the requests
 
 
 class LoadComponents:
-    """What an incarnation knows of load, and those that use it."""
+    """The load known to an incarnation, and the components that use it."""
 
     def __init__(
         self,
@@ -29,27 +29,27 @@
         peers: Peers,
         clock: Clock,
     ) -> None:
-        book = LoadBook(clock)
+        load_book = LoadBook(clock)
         service, placement = settings.service, settings.placement
         self.meter = LoadMeter(placement.load_half_life_ms, clock)
         self.balancer = Balancer(
-            service, own, view, self.meter, book, placement, clock
+            service, own, view, self.meter, load_book, placement, clock
         )
         domain = settings.failure_domain
         self.spread = Spread(
-            book,
+            load_book,
             domain,
             Random(str(own)),
             clock,
             lambda: view.domain_share(domain),
         )
-        self.retries = RetryBudgets(_RETRY_SHARE, clock)
+        self.retries = RetryBudgets(_RETRY_FRACTION, clock)
         self._exchange = LoadExchange(
-            service, own, view, peers, self.meter, book
+            service, own, view, peers, self.meter, load_book
         )
 
     def serve(self, dispatcher: Dispatcher, gate: Gate) -> None:
-        """Tell peers from now on what passes the gate."""
+        """Start to report the load of the gate to peers."""
         self._exchange.serve(
             dispatcher,
             lambda: gate.running + gate.waiting,
@@ -58,5 +58,5 @@
         )
 
     def run(self) -> None:
-        """Ask peers for their load; does not return."""
+        """Request the load of peers periodically; does not return."""
         self._exchange.run()
