--- a/laburnumwood/daemon/main.py
+++ b/laburnumwood/daemon/main.py
@@ -1,4 +1,4 @@
-"""The program laburnumwoodd: patches the library, then starts the daemon."""
+"""The program laburnumwoodd: applies eventlet's patches, then runs a node."""
 
 import gc
 import os
@@ -8,11 +8,12 @@
 from itertools import pairwise
 from pathlib import Path
 
-# Nodes know each other by numbers; a resolver of its own takes time to load.
+# Nodes address each other by IP address, and eventlet's DNS resolver is slow to
+# import.
 os.environ.setdefault('EVENTLET_NO_GREENDNS', 'yes')
 warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
 
-# Little of what the start makes is garbage: looking for it takes long.
+# Start-up creates little garbage, and collecting it would take long.
 gc.disable()
 
 import eventlet  # noqa: E402
@@ -21,27 +22,27 @@
 from laburnumwood.listening import open_early  # noqa: E402
 
 _SETTINGS = '--settings'
-_NEW_OBJECTS = 10_000  # more than live at once for requests, per collection
+_GC_THRESHOLD = 10_000  # per collection; requests keep fewer alive
 
 
 def _settings_path(arguments: list[str]) -> Path | None:
-    """Return the path of the settings, if it is named in the usual way."""
+    """Return the path that follows `--settings`, None if there is none."""
     pairs = pairwise(arguments)
     return next((Path(path) for name, path in pairs if name == _SETTINGS), None)
 
 
 def main() -> int:
-    """Run a node until it is told to stop; return the exit status."""
+    """Run a node until it is stopped; return the exit status."""
     use_hub('laburnumwood.hub')
     path = _settings_path(sys.argv)
     if path is not None:
         open_early(path)
-    # No other threads run, and no task waits while it holds a lock.
+    # Locks need no patch: there is one thread, and no task waits holding one.
     eventlet.monkey_patch(thread=False)
-    # What it imports has to find the patched library.
+    # Its imports need the patched standard library, so it is imported here.
     program = import_module('laburnumwood.daemon.program')
     gc.freeze()
-    gc.set_threshold(_NEW_OBJECTS)
+    gc.set_threshold(_GC_THRESHOLD)
     gc.enable()
     status: int = program.main()
     return status
