--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -1,4 +1,4 @@
-"""The node: its listeners, and one incarnation after another."""
+"""The node: its listeners, and its successive incarnations."""
 
 from collections.abc import Callable, Iterable
 from contextlib import suppress
@@ -49,24 +49,24 @@
 
 _JOIN_RETRY_MS = 500
 _POLL_MS = 100
-_RESIGN_MS = 800
+_RESIGN_HANDOVER_MS = 800
 
-_TOLD = {'node_id', 'failure_domain', 'service', 'borders'}
+_LOGGED_SETTINGS = {'node_id', 'failure_domain', 'service', 'borders'}
 
-_Found = TypeVar('_Found')
+_Result = TypeVar('_Result')
 
 
 class _StoppingError(LaburnumwoodError):
-    """What the store was asked for is not needed by a node that stops."""
+    """A call of the store was abandoned because the node is stopping."""
 
 
 class Node:
-    """One process beside one worker."""
+    """The process of a node, which runs beside one worker."""
 
     def __init__(self, settings: DaemonSettings) -> None:
         if settings.borders not in BORDERS:
-            known = ', '.join(sorted(BORDERS))
-            text = f'borders: found {settings.borders!r}; allowed: {known}'
+            allowed = ', '.join(sorted(BORDERS))
+            text = f'borders: found {settings.borders!r}; allowed: {allowed}'
             raise SettingsError(text)
         self._settings = settings
         self._clock = Clock()
@@ -79,7 +79,7 @@
         self._door: Listening | None = None
         self._rejoin_backoff = RejoinBackoff(self._clock)
         self._avoided: frozenset[str] = frozenset()
-        self._ending: list[Incarnation] = []
+        self._unfinished: list[Incarnation] = []
         self._stopping_since_ms: int | None = None
         self._security = LinkSecurity(settings.shared_key, settings.tls)
         self._operators = OperatorDoor(settings, self.stop)
@@ -92,7 +92,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Tell whether callers may be sent to this node."""
+        """Return whether callers may be routed to this node."""
         if self._incarnation is None or self._is_stopping:
             return False
         return self._incarnation.view.directory.config.generation > 0
@@ -100,7 +100,9 @@
     def run(self) -> None:
         """Serve until a planned stop is complete."""
         self._listen()
-        NODE_STARTED.report(**self._settings.model_dump(include=_TOLD))
+        NODE_STARTED.report(
+            **self._settings.model_dump(include=_LOGGED_SETTINGS)
+        )
         ended: NodeName | None = None
         while not self._is_stopping:
             is_first = self._incarnation is None
@@ -110,29 +112,31 @@
                 break
             NODE_JOINED.report(node=incarnation.name)
             if is_first:
-                start(self._end_earlier, incarnation)
-            known = self._live(incarnation)
+                start(self._record_earlier_ends, incarnation)
+            status = self._await_end(incarnation)
             if self._is_stopping:
                 break
             incarnation.deactivate()
-            if known is IncarnationStatus.REPLACED:
+            if status is IncarnationStatus.REPLACED:
                 NODE_ID_TAKEN.report(node=incarnation.name)
                 return
             REJOINING.report(
                 node=incarnation.name, held_for_ms=incarnation.held_for_ms
             )
-            ended = self._close(incarnation)
-        self._leave()
+            ended = self._end_or_defer(incarnation)
+        self._stop_gracefully()
 
     def stop(self) -> None:
-        """Begin a planned stop."""
+        """Begin a planned stop; `run` returns when it is complete."""
         if self._stopping_since_ms is None:
             self._stopping_since_ms = self._clock.now_ms()
 
     def changed_settings(self, settings: DaemonSettings) -> tuple[str, ...]:
         """Return the names of settings that differ from those in use."""
-        now, new = self._settings.model_dump(), settings.model_dump()
-        return tuple(name for name in sorted(now) if now[name] != new[name])
+        current, new = self._settings.model_dump(), settings.model_dump()
+        return tuple(
+            name for name in sorted(current) if current[name] != new[name]
+        )
 
     @property
     def _is_stopping(self) -> bool:
@@ -169,9 +173,9 @@
         if self._is_stopping:
             close_after(environ)
         if self._incarnation is None:
-            told = failure('not-ready', 'this node is joining', ran=False)
+            refusal = failure('not-ready', 'this node is joining', ran=False)
             request_id = self._face.request_id(environ)
-            return give(self._face.refusal(told, request_id), start_response)
+            return give(self._face.refusal(refusal, request_id), start_response)
         return self._incarnation.door(environ, start_response)
 
     def _serve_operator(
@@ -188,12 +192,12 @@
         pages = self._incarnation.operators if self._incarnation else None
         return (pages.metrics() if pages else exposition(),)
 
-    def _live(self, incarnation: Incarnation) -> IncarnationStatus:
+    def _await_end(self, incarnation: Incarnation) -> IncarnationStatus:
         while not self._is_stopping:
-            known = incarnation_status(incarnation.lease, incarnation.view)
-            if known is not IncarnationStatus.ACTIVE:
-                return known
-            if self._stands_still(incarnation):
+            status = incarnation_status(incarnation.lease, incarnation.view)
+            if status is not IncarnationStatus.ACTIVE:
+                return status
+            if self._should_rejoin(incarnation):
                 return IncarnationStatus.LAPSED
             if incarnation.has_lost_worker:
                 self._resign(incarnation)
@@ -202,7 +206,7 @@
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         return IncarnationStatus.ACTIVE
 
-    def _stands_still(self, incarnation: Incarnation) -> bool:
+    def _should_rejoin(self, incarnation: Incarnation) -> bool:
         lease = incarnation.lease
         if not self._rejoin_backoff.is_due(lease):
             return False
@@ -213,24 +217,26 @@
         return True
 
     def _resign(self, incarnation: Incarnation) -> None:
-        """Give the shards of a lost worker up, and wait for it to return.
+        """Give up the shards of a lost worker, and wait until it answers.
 
-        A frozen worker may thaw and serve under its grants until they run
-        out; nobody may follow before.
+        A paused worker may resume and serve under its grants until they
+        expire, so no other node may take the shards over before that.
         """
         NODE_RESIGNED.report(node=incarnation.name)
         granted_until_ms = incarnation.retire()
         while self._clock.now_ms() < granted_until_ms:
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
-        incarnation.hand_over(_RESIGN_MS)
+        incarnation.hand_over(_RESIGN_HANDOVER_MS)
         while not self._is_stopping and not incarnation.is_worker_reachable():
             eventlet.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
 
     def _join(self, ended: NodeName | None) -> Incarnation:
         mark = new_mark(self._settings.node_id)
-        known = self._witness.name.incarnation if self._witness else None
-        name, _ = self._persist(
-            lambda: join(self._platform, self._settings, mark, ended, known)
+        witness_as = self._witness.name.incarnation if self._witness else None
+        name, _ = self._retry_until_answered(
+            lambda: join(
+                self._platform, self._settings, mark, ended, witness_as
+            )
         )
         self._witness = self._witness or Witness(
             name, self._settings.lease, self._clock
@@ -245,87 +251,89 @@
             self._clock,
         )
         avoided, self._avoided = self._avoided, frozenset()
-        self._persist(lambda: incarnation.start(avoided))
-        before, self._incarnation = self._incarnation, incarnation
-        if before is not None:
-            before.release()
+        self._retry_until_answered(lambda: incarnation.start(avoided))
+        previous, self._incarnation = self._incarnation, incarnation
+        if previous is not None:
+            previous.release()
         return incarnation
 
-    def _end_earlier(self, first: Incarnation) -> None:
-        """Record the ends of this node's incarnations of earlier processes.
+    def _record_earlier_ends(self, first: Incarnation) -> None:
+        """Record the ends of the incarnations of earlier processes.
 
-        Their process is over, since this one listens in its place.  What it
-        granted to the worker may still be held: until the worker says that
-        it is not, or the longest grant has run out.  The others are to know
-        by then that it serves, so that its shards come back to it.
+        Their process has ended, since this one listens on its ports.  The
+        worker may still hold grants of it until the worker reports that it
+        does not, or until the longest grant has expired.  The node's record
+        should say by then that the worker serves, so that its shards return
+        to this node.
         """
         until_ms = self._clock.now_ms() + self._settings.lease.grant_ms
-        while self._clock.now_ms() < until_ms and not self._is_back():
+        while self._clock.now_ms() < until_ms and not self._is_worker_ready():
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         if self._incarnation is not None:
             self._incarnation.announce_handovers()
         with suppress(_StoppingError):
-            self._persist(first.record_earlier_ends)
+            self._retry_until_answered(first.record_earlier_ends)
 
-    def _is_back(self) -> bool:
+    def _is_worker_ready(self) -> bool:
         incarnation = self._incarnation
-        is_told = incarnation is None or incarnation.is_worker_announced
-        return self.worker.is_clear and is_told
+        is_announced = incarnation is None or incarnation.is_worker_announced
+        return self.worker.is_clear and is_announced
 
-    def _persist(self, call: Callable[[], _Found]) -> _Found:
-        """Make a call of the store until it is answered.
+    def _retry_until_answered(self, call: Callable[[], _Result]) -> _Result:
+        """Repeat a call of the store until it is answered; return the result.
 
-        Raises `_StoppingError` once the node is told to stop.
+        Raises `_StoppingError` if a call fails while the node is stopping.
         """
         while True:
             try:
                 return call()
             except PlatformError as failure:
-                # The guarded store has told of it.
+                # The guarded store has logged it.
                 if self._is_stopping:
                     raise _StoppingError from failure
             eventlet.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
 
-    def _close(self, incarnation: Incarnation) -> NodeName | None:
-        """Return the name of an incarnation that has ended by now.
+    def _end_or_defer(self, incarnation: Incarnation) -> NodeName | None:
+        """Return the name of an incarnation if it has finished, else None.
 
-        One that still has requests on the worker, or whose worker may hold
-        what it gave, ends when that is over.
+        An incarnation with requests in progress, or whose worker may still
+        hold its grants, is recorded as ended later, when it has finished.
         """
         if incarnation.has_finished:
             return incarnation.name
-        self._ending.append(incarnation)
-        start(self._close_later, incarnation)
+        self._unfinished.append(incarnation)
+        start(self._end_when_finished, incarnation)
         return None
 
-    def _close_later(self, incarnation: Incarnation) -> None:
+    def _end_when_finished(self, incarnation: Incarnation) -> None:
         while not incarnation.has_finished:
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         with suppress(_StoppingError):
-            self._persist(incarnation.record_end)
-            self._ending.remove(incarnation)
+            self._retry_until_answered(incarnation.record_end)
+            self._unfinished.remove(incarnation)
 
     def _record_ends(self, last: Incarnation) -> None:
-        """Record that incarnations of this process have ended, if so."""
+        """Record the ends of the incarnations that have finished."""
         try:
-            for each in (*self._ending, last):
+            for each in (*self._unfinished, last):
                 if each.has_finished:
                     each.record_end()
         except PlatformError as failure:
             STORE_UNREACHABLE.report(reason=failure)
 
-    def _leave(self) -> None:
+    def _stop_gracefully(self) -> None:
         incarnation = self._incarnation
         if incarnation is None:
             return
         NODE_STOPPING.report(node=incarnation.name)
-        # What the door read needs its time, however long the shards take.
+        # The door answers the requests that it has read while shards are moved.
         closing = begin(self._close_door)
-        incarnation.hand_over(self._patience_ms())
+        incarnation.hand_over(self._remaining_stop_ms())
         closing.wait()
-        # The others may not know yet, while the store is away, that it ends.
+        # While the store is unreachable, peers may not know yet that this node
+        # leaves, and go on sending requests.
         incarnation.gate.close()
-        self._await_ends(incarnation, self._patience_ms())
+        self._await_finished(incarnation, self._remaining_stop_ms())
         self._record_ends(incarnation)
         incarnation.deactivate()
         incarnation.close()
@@ -334,24 +342,24 @@
     def _close_door(self) -> None:
         self._linger()
         if self._door is not None:
-            self._door.close(self._patience_ms())
+            self._door.close(self._remaining_stop_ms())
 
-    def _patience_ms(self) -> int:
-        """Return how much of the time for a planned stop is left."""
+    def _remaining_stop_ms(self) -> int:
+        """Return how many ms of the time for a planned stop are left."""
         since_ms = self._stopping_since_ms or self._clock.now_ms()
-        gone_ms = self._clock.now_ms() - since_ms
-        return max(0, self._settings.stop_limit_ms - gone_ms)
+        elapsed_ms = self._clock.now_ms() - since_ms
+        return max(0, self._settings.stop_limit_ms - elapsed_ms)
 
     def _linger(self) -> None:
-        """Serve on while callers may not know yet that this node stops."""
+        """Wait while callers may not know yet that this node is stopping."""
         settings = self._settings
-        spent_ms = settings.stop_limit_ms - self._patience_ms()
+        spent_ms = settings.stop_limit_ms - self._remaining_stop_ms()
         left_ms = settings.stop_linger_ms - spent_ms
         eventlet.sleep(max(0, left_ms) / MS_PER_SECOND)
 
-    def _await_ends(self, last: Incarnation, patience_ms: int) -> None:
+    def _await_finished(self, last: Incarnation, patience_ms: int) -> None:
         deadline_ms = self._clock.now_ms() + patience_ms
-        while not all(each.has_finished for each in (*self._ending, last)):
+        while not all(each.has_finished for each in (*self._unfinished, last)):
             if self._clock.now_ms() >= deadline_ms:
                 return
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
