--- a/laburnumwood/daemon/program.py
+++ b/laburnumwood/daemon/program.py
@@ -1,4 +1,4 @@
-"""What the program laburnumwoodd does once the library is patched."""
+"""Run a node of the router beside a worker."""
 
 import argparse
 import signal
@@ -23,23 +23,23 @@
     return parser.parse_args()
 
 
-class _Signals:
-    """What signals do to a node."""
+class _SignalHandlers:
+    """Handles SIGTERM and SIGINT (planned stop) and SIGHUP (read settings)."""
 
     def __init__(self, node: Node, path: Path) -> None:
         self._node = node
         self._path = path
 
-    def listen(self) -> None:
-        """Handle signals from now on."""
+    def install(self) -> None:
+        """Install the handlers."""
         signal.signal(signal.SIGTERM, self._stop)
         signal.signal(signal.SIGINT, self._stop)
-        signal.signal(signal.SIGHUP, self._read_again)
+        signal.signal(signal.SIGHUP, self._reread_settings)
 
     def _stop(self, _number: int, _frame: FrameType | None) -> None:
         self._node.stop()
 
-    def _read_again(self, _number: int, _frame: FrameType | None) -> None:
+    def _reread_settings(self, _number: int, _frame: FrameType | None) -> None:
         try:
             settings = read_settings(self._path)
         except SettingsError as refused:
@@ -50,7 +50,7 @@
 
 
 def main() -> int:
-    """Run a node until it is told to stop; return the exit status."""
+    """Run a node until it is stopped; return the exit status."""
     platform.register()
     path: Path = _arguments().settings
     try:
@@ -61,7 +61,7 @@
     handler = JsonHandler(node.settings.node_id, Clock())
     handler.push_application()
     limit_events(handler.allows)
-    _Signals(node, path).listen()
+    _SignalHandlers(node, path).install()
     node.run()
     handler.close()
     return 0
