--- a/laburnumwood/membership/__init__.py
+++ b/laburnumwood/membership/__init__.py
@@ -1,1 +1,1 @@
-"""The membership of the router."""
+"""Fleet membership: which nodes are live, and how nodes learn of it."""
