--- a/laburnumwood/membership/cached_store.py
+++ b/laburnumwood/membership/cached_store.py
@@ -1,4 +1,4 @@
-"""A store that is asked only for what is not known already."""
+"""A write-through cache in front of the store."""
 
 from collections.abc import Callable
 from functools import partial
@@ -12,46 +12,55 @@
 
 
 class CachedStore(WrappedStore):
-    """Answers reads from a directory, until a write shows that it is behind.
+    """Answers reads from a directory until a conflict shows it to be stale.
 
-    Writes are conditional, so that one over an old version is refused; the
-    object is then read from the store itself.  What was written or read goes
-    into the directory.
+    Writes are conditional, so the store refuses one over an old version; the
+    object is then read from the store itself.  Objects that were written or
+    read are applied to the directory.
     """
 
     def __init__(self, store: Store, directory: Directory) -> None:
         super().__init__(store)
         self._directory = directory
-        self._outdated: set[str] = set()
+        self._stale_names: set[str] = set()
 
     def get(self, name: str) -> StoredObject | None:
-        """Return an object, or None if there is none of that name."""
-        known = self._directory.stored_object(name)
-        if known is not None and name not in self._outdated:
-            return known
+        """Return an object, None if there is none of that name."""
+        cached = self._directory.stored_object(name)
+        if cached is not None and name not in self._stale_names:
+            return cached
         found = super().get(name)
-        self._outdated.discard(name)
+        self._stale_names.discard(name)
         if found is not None:
             self._directory.apply(found)
         return found
 
     def create(self, name: str, value: dict[str, Any]) -> int:
-        """Create an object and return its version."""
-        write = partial(super().create, name, value)
-        return self._written(name, value, write)
+        """Create an object and return its version.
+
+        Raises `PlatformConflictError` if it exists already.
+        """
+        write_to_store = partial(super().create, name, value)
+        return self._write_through(name, value, write_to_store)
 
     def update(self, name: str, value: dict[str, Any], version: int) -> int:
-        """Replace the given version of an object and return the new one."""
-        write = partial(super().update, name, value, version)
-        return self._written(name, value, write)
+        """Replace a version of an object and return the new version.
+
+        Raises `PlatformConflictError` if the object has another version.
+        """
+        write_to_store = partial(super().update, name, value, version)
+        return self._write_through(name, value, write_to_store)
 
-    def _written(
-        self, name: str, value: dict[str, Any], write: Callable[[], int]
+    def _write_through(
+        self,
+        name: str,
+        value: dict[str, Any],
+        write_to_store: Callable[[], int],
     ) -> int:
         try:
-            version = write()
+            version = write_to_store()
         except PlatformConflictError:
-            self._outdated.add(name)
+            self._stale_names.add(name)
             raise
         self._directory.apply(StoredObject(name, value, version))
         return version
