--- a/laburnumwood/membership/choice.py
+++ b/laburnumwood/membership/choice.py
@@ -14,25 +14,28 @@
 WITNESS_COUNTS = (5, 3, 1)
 
 
-def rendezvous_order(topic: str, names: Iterable[NodeName]) -> list[NodeName]:
-    """Return names in an order that differs from topic to topic."""
+def rendezvous_order(key: str, names: Iterable[NodeName]) -> list[NodeName]:
+    """Return names in the order of their rendezvous hashes for a key.
+
+    Every node computes the same order; different keys have different ones.
+    """
     return sorted(
-        names, key=lambda name: xxh3_64_intdigest(f'{topic} {name}'.encode())
+        names, key=lambda name: xxh3_64_intdigest(f'{key} {name}'.encode())
     )
 
 
-def _capped(
+def _select_up_to(
     order: Iterable[NodeName],
     nodes: Mapping[NodeName, NodeRecord],
     count: int,
-    cap: int,
+    max_per_domain: int,
 ) -> list[NodeName]:
-    used: Counter[str] = Counter()
+    domain_counts: Counter[str] = Counter()
     chosen: list[NodeName] = []
     for name in order:
         domain = nodes[name].failure_domain
-        if len(chosen) < count and used[domain] < cap:
-            used[domain] += 1
+        if len(chosen) < count and domain_counts[domain] < max_per_domain:
+            domain_counts[domain] += 1
             chosen.append(name)
     return chosen
 
@@ -40,47 +43,54 @@
 def spread_over_domains(
     order: list[NodeName], nodes: Mapping[NodeName, NodeRecord], count: int
 ) -> tuple[NodeName, ...]:
-    """Return the first `count` names, as evenly over domains as can be."""
-    for cap in range(1, count + 1):
-        chosen = _capped(order, nodes, count, cap)
+    """Return the first `count` names, spread evenly over failure domains.
+
+    A domain gets a second name only if there are too few domains, and so on.
+    Returns fewer names if `order` has fewer.
+    """
+    for max_per_domain in range(1, count + 1):
+        chosen = _select_up_to(order, nodes, count, max_per_domain)
         if len(chosen) == count:
             return tuple(chosen)
     return tuple(order[:count])
 
 
 def witness_count(nodes: int) -> int:
-    """Return how many witnesses a node has in a fleet of so many nodes."""
+    """Return the number of witnesses of a node in a fleet of `nodes` nodes."""
     return next(count for count in WITNESS_COUNTS if count <= max(nodes, 1))
 
 
 def choose_witnesses(
     holder: NodeName, nodes: Mapping[NodeName, NodeRecord]
 ) -> tuple[NodeName, ...]:
-    """Return the witnesses of a holder among live nodes.
+    """Return the witnesses for a holder's lease, chosen from live nodes.
 
-    `nodes` is by the names under which they witness.  The holder itself
-    comes last, but is the only one in a fleet too small for a majority
-    without it.
+    `nodes` maps the names under which nodes witness to their records.  The
+    holder itself is chosen last, but is the only witness in a fleet too small
+    for a majority without it.
     """
     return replace_witnesses(holder, (), nodes)
 
 
 def replace_witnesses(
     holder: NodeName,
-    kept: Iterable[NodeName],
+    current: Iterable[NodeName],
     nodes: Mapping[NodeName, NodeRecord],
 ) -> tuple[NodeName, ...]:
-    """Return witnesses that keep as many as can be of those that stand."""
+    """Return witnesses for a lease, keeping as many current ones as possible.
+
+    See `choose_witnesses` for `nodes` and for the place of the holder.
+    """
     count = witness_count(len(nodes))
-    standing = set(kept)
+    current_names = set(current)
     order = rendezvous_order(f'witness {holder}', nodes)
     order.sort(
         key=lambda name: (
-            name not in standing,
+            name not in current_names,
             name.node_id == holder.node_id,
         )
     )
     if count == 1:
-        own = [name for name in nodes if name.node_id == holder.node_id]
-        return tuple(own)
+        holder_only = [name for name in nodes if name.node_id == holder.node_id]
+        return tuple(holder_only)
     return spread_over_domains(order, nodes, count)
