--- a/laburnumwood/membership/gossip.py
+++ b/laburnumwood/membership/gossip.py
@@ -1,4 +1,4 @@
-"""Spreading of news from node to node."""
+"""Propagating changes of records and seals between nodes."""
 
 from typing import Any
 
@@ -33,12 +33,15 @@
 def shard_notice(
     shard: ShardName, entry: VersionedRecord[ShardRecord]
 ) -> ShardNotice:
-    """Return what tells a node of the record of a shard."""
+    """Return the message that notifies a node of a shard's record."""
     return ShardNotice(str(shard), entry.record, entry.version)
 
 
 def apply_shard_notice(directory: Directory, notice: ShardNotice) -> None:
-    """Take in the record of a shard that another node told of."""
+    """Apply a shard's record that another node sent to a directory.
+
+    A notice that names no shard is logged and ignored.
+    """
     try:
         name = shard_object(ShardName.parse(notice.shard))
     except ValueError as unnamed:
@@ -49,46 +52,49 @@
 
 
 class Gossip:
-    """Pulls news from peers that know more, and tells peers of news."""
+    """Pulls missing changes from peers, and notifies peers of new ones."""
 
     def __init__(
         self, view: FleetView, peers: Peers, dispatcher: Dispatcher
     ) -> None:
         self._view = view
         self._peers = peers
-        self._pulling: set[NodeName] = set()
+        self._pulling_from: set[NodeName] = set()
         dispatcher.on(Pull)(self._serve_pull)
         dispatcher.on(SealNotice)(self._serve_seals)
         dispatcher.on(ShardNotice)(self._serve_shard)
 
     def pull_if_newer(self, peer: NodeName, digest: Digest) -> None:
-        """Pull from a peer if its digest shows something new."""
+        """Pull from a peer if its digest shows changes unknown to this node."""
         own = self._view.digest()
         newer = (
             digest.revision > own.revision
             or digest.generation > own.generation
             or digest.seals != own.seals
         )
-        if newer and peer not in self._pulling:
-            self._pulling.add(peer)
+        if newer and peer not in self._pulling_from:
+            self._pulling_from.add(peer)
             start(self._pull, peer)
 
     def add_seals(self, seals: tuple[Seal, ...]) -> None:
-        """Take in seals and tell of the nodes that they prove lapsed."""
+        """Apply seals and log the nodes that they prove to have lapsed."""
         for seal in seals:
             if self._view.add_seal(seal):
                 NODE_SEALED.report(node=seal.holder)
 
     def notify(self, names: set[NodeName], message: Any) -> None:
-        """Send a notice to nodes, each in a task of its own."""
+        """Send a message to nodes, each in a task of its own.
+
+        A node that can not be reached gets the change by later digests.
+        """
         for name in names:
-            start(self._tell_one, name, message)
+            start(self._notify_one, name, message)
 
-    def _tell_one(self, name: NodeName, message: Any) -> None:
+    def _notify_one(self, name: NodeName, message: Any) -> None:
         try:
             self._peers.call(name, message, _CALL_TIMEOUT_MS)
         except LinkError:
-            return  # the digests of renewals bring it later
+            return  # the digests of later renewals make the peer pull it
 
     def _pull(self, peer: NodeName) -> None:
         directory = self._view.directory
@@ -102,11 +108,11 @@
         except LinkError:
             return
         finally:
-            self._pulling.discard(peer)
+            self._pulling_from.discard(peer)
         if isinstance(changes, Changes):
-            self._take(changes)
+            self._apply_changes(changes)
 
-    def _take(self, changes: Changes) -> None:
+    def _apply_changes(self, changes: Changes) -> None:
         directory = self._view.directory
         for stored in changes.objects:
             directory.apply(stored)
