--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -1,4 +1,4 @@
-"""Writing down which incarnations have ended."""
+"""Detecting and recording the ends of incarnations."""
 
 from collections.abc import Iterator
 from contextlib import suppress
@@ -24,13 +24,13 @@
 from laburnumwood.store.interface import Store
 
 _REVIEW_MS = 1_000
-_FIRST_WAIT_MS = 4_000
-_MOST_WAIT_MS = 60_000
-_CALM_MS = 30_000  # of a held lease, after which waits are short again
+_INITIAL_BACKOFF_MS = 4_000
+_MAX_BACKOFF_MS = 60_000
+_BACKOFF_RESET_MS = 30_000  # the lease must be held this long
 
 
 class IncarnationStatus(Enum):
-    """How an incarnation stands to what the fleet knows of it."""
+    """Whether an incarnation of this node may go on."""
 
     ACTIVE = 'it goes on'
     LAPSED = 'it has lapsed or was ended by an operator'
@@ -38,84 +38,95 @@
 
 
 def incarnation_status(lease: Lease, view: FleetView) -> IncarnationStatus:
-    """Return what becomes of an incarnation."""
+    """Return whether the incarnation that holds a lease may go on."""
     own = lease.holder
     entry = view.directory.nodes.get(own.node_id)
     if entry is not None and entry.record.incarnation > own.incarnation:
         return IncarnationStatus.REPLACED
-    gone = {name for name in lease.asked if view.has_process_ended(name)}
-    # Without witnesses it can write no record: it joins anew at once, though
-    # others follow only when its worker has let go.
-    is_doomed = not lease.can_renew_without(gone)
-    if is_doomed or lease.is_over or view.is_sealed(own):
+    ended_witnesses = {
+        name for name in lease.asked if view.has_process_ended(name)
+    }
+    # Without a majority of witnesses the lease can not be renewed and no record
+    # be written, so the node rejoins at once.  Other nodes take its shards over
+    # only after its worker has released them.
+    can_never_renew = not lease.can_renew_without(ended_witnesses)
+    if can_never_renew or lease.is_over or view.is_sealed(own):
         return IncarnationStatus.LAPSED
     return IncarnationStatus.ACTIVE
 
 
 class RejoinBackoff:
-    """Finds leases that do not come back while their witnesses are silent.
+    """Decides when a node without a lease rejoins with other witnesses.
 
-    Their node then joins anew with other witnesses.  Each time it does so
-    without having held a lease for long, it waits twice as long for the next,
-    so that one on the small side of a partition does not write again and
-    again.
+    A lease can stay lost because its witnesses do not answer.  The backoff
+    doubles with each rejoin until a lease has been held for a while, so that
+    a node on the minority side of a partition does not write to the store
+    again and again.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._wait_ms = _FIRST_WAIT_MS
-        self._since_ms: int | None = None
+        self._backoff_ms = _INITIAL_BACKOFF_MS
+        self._lost_since_ms: int | None = None
         self._held_since_ms: int | None = None
 
     def is_due(self, lease: Lease) -> bool:
-        """Tell whether a lease has been lost for too long; call it often."""
+        """Return whether a lease has been lost for longer than the backoff.
+
+        Call it at short intervals: it samples whether the lease is held.
+        """
         now_ms = self._clock.now_ms()
         if lease.holds():
-            self._since_ms = None
+            self._lost_since_ms = None
             held_since_ms = self._held_since_ms or now_ms
             self._held_since_ms = held_since_ms
-            if now_ms - held_since_ms >= _CALM_MS:
-                self._wait_ms = _FIRST_WAIT_MS
+            if now_ms - held_since_ms >= _BACKOFF_RESET_MS:
+                self._backoff_ms = _INITIAL_BACKOFF_MS
             return False
         self._held_since_ms = None
-        self._since_ms = self._since_ms or now_ms
-        return now_ms - self._since_ms >= self._wait_ms
+        self._lost_since_ms = self._lost_since_ms or now_ms
+        return now_ms - self._lost_since_ms >= self._backoff_ms
 
     def record_rejoin(self) -> None:
-        """Take in that the node joins anew because of it."""
-        self._since_ms = None
-        self._wait_ms = min(self._wait_ms * 2, _MOST_WAIT_MS)
+        """Record a rejoin: restart the wait with twice the backoff."""
+        self._lost_since_ms = None
+        self._backoff_ms = min(self._backoff_ms * 2, _MAX_BACKOFF_MS)
 
 
 def ends_to_record(own: NodeName, view: FleetView) -> tuple[NodeName, ...]:
-    """Return the proved ends that a node should write to the store.
+    """Return the proved ends of incarnations that node `own` has to record.
 
-    Each end is written by one of the live nodes.
+    Rendezvous hashing selects one of the live nodes to record each end.
     """
     live = [name for name, _ in view.live_nodes()]
     return tuple(
         name
         for node_id, entry in view.directory.nodes.items()
-        for name in _open_names(node_id, entry.record.open_incarnations)
+        for name in _incarnation_names(node_id, entry.record.open_incarnations)
         if view.seals.is_proved(name)
         and rendezvous_order(f'end {name}', live)[:1] == [own]
     )
 
 
-def _open_names(node_id: str, numbers: tuple[int, ...]) -> list[NodeName]:
+def _incarnation_names(
+    node_id: str, numbers: tuple[int, ...]
+) -> list[NodeName]:
     return [NodeName(node_id, number) for number in numbers]
 
 
 def _candidates(view: FleetView) -> Iterator[Candidate]:
     for node_id, entry in view.directory.nodes.items():
         record = entry.record
-        for name in _open_names(node_id, record.open_incarnations):
-            is_followed = name.incarnation < record.incarnation
-            yield Candidate(name, record, entry.version, is_followed)
+        for name in _incarnation_names(node_id, record.open_incarnations):
+            is_superseded = name.incarnation < record.incarnation
+            yield Candidate(name, record, entry.version, is_superseded)
 
 
 class NodeRecordUpdater:
-    """Keeps the store's records of nodes, and what is kept of lapsed ones."""
+    """Records ends of incarnations and completed changes of witness sets.
+
+    Also evicts what the view and the witness keep of ended incarnations.
+    """
 
     def __init__(
         self,
@@ -131,44 +142,47 @@
         self._view = view
         self._store = store
         self.backless = Backless(settings, clock)
-        self._recorded_version = 0
+        self._recorded_set_version = 0
 
     def run(self) -> None:
-        """Review the records again and again; does not return."""
+        """Review the records periodically; does not return."""
         while True:
             eventlet.sleep(_REVIEW_MS / MS_PER_SECOND)
             self.evict_ended()
-            with suppress(PlatformError):  # the next review tries again
+            with suppress(PlatformError):  # retried by the next review
                 self.write_changes()
 
     def evict_ended(self) -> None:
-        """Forget what is kept of incarnations that have long ended."""
+        """Evict obsolete seals, and the witness's state of ended holders."""
         self._view.evict_obsolete_seals()
         for node_id, entry in self._view.directory.nodes.items():
             self._witness.forget_below(node_id, entry.record.least_open)
 
     def write_changes(self) -> None:
-        """Write proved ends and new witnesses; raises `PlatformError`."""
+        """Record ends and the current witness set in the store.
+
+        Raises `PlatformError` if the store does not answer or refuses a write.
+        """
         for name in ends_to_record(self._lease.holder, self._view):
             record_end(self._store, name)
-        self._end_backless()
+        self._record_unrenewable()
         chosen = self._lease.witnesses
-        if chosen.version > self._recorded_version and self._lease.holds():
+        if chosen.version > self._recorded_set_version and self._lease.holds():
             drop_older_witness_sets(self._store, self._lease.holder, chosen)
-            self._recorded_version = chosen.version
+            self._recorded_set_version = chosen.version
 
-    def _end_backless(self) -> None:
-        over = self.backless.over(
+    def _record_unrenewable(self) -> None:
+        unrenewable = self.backless.over(
             _candidates(self._view), self._view.has_restarted
         )
         live = [name for name, _ in self._view.live_nodes()]
-        for each in over:
-            others = [name for name in live if name != each.name]
-            first = rendezvous_order(f'end {each.name}', others)[:1]
-            if first == [self._lease.holder]:
-                self._end(each)
+        for candidate in unrenewable:
+            others = [name for name in live if name != candidate.name]
+            recorder = rendezvous_order(f'end {candidate.name}', others)[:1]
+            if recorder == [self._lease.holder]:
+                self._record_end(candidate)
 
-    def _end(self, found: Candidate) -> None:
+    def _record_end(self, found: Candidate) -> None:
         stored = record_end_if_unchanged(
             self._store, found.name, found.record, found.version
         )
