--- a/laburnumwood/membership/member.py
+++ b/laburnumwood/membership/member.py
@@ -1,4 +1,4 @@
-"""The part of an incarnation in the fleet: its lease and its witnessing."""
+"""An incarnation as a member of the fleet: its lease and its witnessing."""
 
 from collections.abc import Callable
 
@@ -15,7 +15,7 @@
 
 
 class Member:
-    """Renews a lease, serves as a witness and records what has ended."""
+    """Renews a lease, serves as a witness and records ended incarnations."""
 
     def __init__(
         self,
@@ -39,12 +39,18 @@
             settings,
             clock,
         )
-        self._desk = WitnessService(witness, self.gossip, view, dispatcher)
-        self._recorder = NodeRecordUpdater(
+        self._witness_service = WitnessService(
+            witness, self.gossip, view, dispatcher
+        )
+        self._record_updater = NodeRecordUpdater(
             lease, witness, view, platform, settings, clock
         )
 
     @property
     def tasks(self) -> tuple[Callable[[], None], ...]:
-        """Return what has to run until the incarnation ends."""
-        return (self.renewer.run, self._desk.run, self._recorder.run)
+        """Return the tasks that have to run until the incarnation ends."""
+        return (
+            self.renewer.run,
+            self._witness_service.run,
+            self._record_updater.run,
+        )
