--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -1,4 +1,4 @@
-"""How a node announces itself and takes its leave."""
+"""Writing the records of nodes: joining, leaving, ends and witness sets."""
 
 from collections.abc import Callable
 from contextlib import suppress
@@ -18,16 +18,16 @@
 from laburnumwood.store.objects import node_object, to_record, to_value
 from laburnumwood.store.writes import new_mark, write
 
-Change = Callable[[NodeRecord], NodeRecord]
+RecordChange = Callable[[NodeRecord], NodeRecord]
 WitnessSets = tuple[WitnessSet, ...]
 
 
 def unchanged(record: NodeRecord) -> NodeRecord:
-    """Return a record as it is."""
+    """Return a record unchanged."""
     return record
 
 
-def _first_record(settings: DaemonSettings) -> NodeRecord:
+def _initial_record(settings: DaemonSettings) -> NodeRecord:
     return NodeRecord(
         incarnation=0,
         open_incarnations=(),
@@ -44,35 +44,37 @@
     )
 
 
-def _joined(
+def _record_of_next_incarnation(
     settings: DaemonSettings, before: NodeRecord, witness_as: int | None
 ) -> NodeRecord:
     incarnation = before.incarnation + 1
     return replace(
-        _first_record(settings),
+        _initial_record(settings),
         incarnation=incarnation,
         open_incarnations=(*before.open_incarnations, incarnation),
         witness_as=witness_as or incarnation,
     )
 
 
-def _written(
+def _write_record(
     platform: Store, node_id: str, record: NodeRecord, version: int | None
 ) -> StoredObject:
     name = node_object(node_id)
-    written = write(platform, name, record, version)
-    return StoredObject(name, to_value(record), written)
+    new_version = write(platform, name, record, version)
+    return StoredObject(name, to_value(record), new_version)
 
 
 def change_record(
     platform: Store,
     node_id: str,
-    change: Change,
+    change: RecordChange,
     mark: WriteMark | None = None,
 ) -> StoredObject:
-    """Change a node's record, again and again until no other write is first.
+    """Change a node's record, retrying when another write came between.
 
-    Raises `PlatformError` if there is none, or the platform does not answer.
+    Returns the stored record; nothing is written if `change` leaves it equal.
+    Raises `PlatformConflictError` if the node has no record, and
+    `PlatformError` if the platform does not answer.
     """
     mark = mark or new_mark(node_id)
     while True:
@@ -84,12 +86,14 @@
         if replace(changed, mark=before.mark) == before:
             return stored
         with suppress(PlatformConflictError):
-            return _written(platform, node_id, changed, stored.version)
+            return _write_record(platform, node_id, changed, stored.version)
 
 
-def _without(record: NodeRecord, ended: NodeName | None) -> NodeRecord:
-    gone = ended.incarnation if ended else 0
-    still_open = set(record.open_incarnations).difference((gone,))
+def _without_incarnation(
+    record: NodeRecord, ended: NodeName | None
+) -> NodeRecord:
+    ended_number = ended.incarnation if ended else 0
+    still_open = set(record.open_incarnations).difference((ended_number,))
     return replace(record, open_incarnations=tuple(sorted(still_open)))
 
 
@@ -100,12 +104,13 @@
     ended: NodeName | None = None,
     witness_as: int | None = None,
 ) -> tuple[NodeName, NodeRecord]:
-    """Announce this node under a new incarnation and return both.
+    """Record a new incarnation of this node; return its name and its record.
 
-    `ended` is the earlier one of this process, which acts no more, and
-    `witness_as` the first one of this process, None if this is it.
-    Raises `PlatformError` if the platform does not answer; then call again
-    with the same mark, so that a write whose answer was lost counts.
+    `ended` is the previous incarnation of this process if it has ended, and
+    `witness_as` the number of the first incarnation of this process, None if
+    this is the first.  Raises `PlatformError` if the platform does not answer;
+    call again with the same mark then, so that a write whose answer was lost
+    is recognised and not repeated.
     """
     mark = mark or new_mark(settings.node_id)
     while True:
@@ -113,36 +118,40 @@
         before = to_record(NodeRecord, stored) if stored else None
         if before is not None and before.mark == mark:
             return NodeName(settings.node_id, before.incarnation), before
-        known = _without(before or _first_record(settings), ended)
-        joined = replace(_joined(settings, known, witness_as), mark=mark)
+        known = _without_incarnation(before or _initial_record(settings), ended)
+        joined = replace(
+            _record_of_next_incarnation(settings, known, witness_as), mark=mark
+        )
         version = stored.version if stored else None
         with suppress(PlatformConflictError):
-            _written(platform, settings.node_id, joined, version)
+            _write_record(platform, settings.node_id, joined, version)
             return NodeName(settings.node_id, joined.incarnation), joined
 
 
 def without_incarnations_up_to(
     record: NodeRecord, incarnation: int
 ) -> NodeRecord:
-    """Return a record by which no incarnation up to a number goes on."""
-    kept = [each for each in record.open_incarnations if each > incarnation]
-    return replace(record, open_incarnations=tuple(kept))
+    """Return a record in which all incarnations up to a number have ended."""
+    still_open = [
+        number for number in record.open_incarnations if number > incarnation
+    ]
+    return replace(record, open_incarnations=tuple(still_open))
 
 
-def _leaving(record: NodeRecord, name: NodeName) -> NodeRecord:
-    same = record.incarnation == name.incarnation
-    return replace(record, leaving=record.leaving or same)
+def _with_leaving(record: NodeRecord, name: NodeName) -> NodeRecord:
+    is_current = record.incarnation == name.incarnation
+    return replace(record, leaving=record.leaving or is_current)
 
 
 def announce_leaving(platform: Store, name: NodeName) -> None:
-    """Record that nothing more is to be given to an incarnation.
+    """Record that an incarnation is leaving, so that it gets no more shards.
 
     Raises `PlatformError` if the platform does not answer.
     """
     change_record(
         platform,
         name.node_id,
-        lambda before: _leaving(before, name),
+        lambda before: _with_leaving(before, name),
     )
 
 
@@ -151,11 +160,15 @@
 
     Raises `PlatformError` if the platform does not answer.
     """
-    change_record(platform, name.node_id, lambda before: _without(before, name))
+    change_record(
+        platform,
+        name.node_id,
+        lambda before: _without_incarnation(before, name),
+    )
 
 
 def is_store_reachable(platform: Store, name: NodeName) -> bool:
-    """Tell whether a node's record can be read now."""
+    """Return whether the store answers a read of a node's record now."""
     try:
         platform.get(node_object(name.node_id))
     except PlatformError:
@@ -164,19 +177,22 @@
 
 
 def record_end_if_unchanged(
-    platform: Store, name: NodeName, seen: NodeRecord, version: int
+    platform: Store, name: NodeName, expected: NodeRecord, version: int
 ) -> StoredObject:
-    """Record the end of an incarnation over just the version that was seen.
+    """Record the end of an incarnation if its node's record is unchanged.
 
+    `expected` and `version` are the record and its version as read before.
     Raises `PlatformConflictError` if the record has changed since, and
     `PlatformUnreachableError` if the outcome is not known.
     """
-    record = replace(_without(seen, name), mark=new_mark(name.node_id))
-    return _written(platform, name.node_id, record, version)
+    record = replace(
+        _without_incarnation(expected, name), mark=new_mark(name.node_id)
+    )
+    return _write_record(platform, name.node_id, record, version)
 
 
 def record_earlier_ends(platform: Store, name: NodeName) -> None:
-    """Record that all incarnations of a node before one have ended.
+    """Record that all earlier incarnations of a node have ended.
 
     Raises `PlatformError` if the platform does not answer.
     """
@@ -188,11 +204,12 @@
 
 
 def confirm_lost(platform: Store, name: NodeName, who: str) -> None:
-    """Record that an operator asserts that an incarnation has ended.
+    """Record an operator's assertion that an incarnation has ended.
 
-    All earlier ones of that node have then ended too.  It must be certain
-    that its process acts no more: with this its shards get new owners,
-    whatever its witnesses know.  Raises `PlatformError`.
+    All earlier incarnations of the node count as ended too.  The operator
+    `who` must be certain that the process no longer runs: the shards get new
+    owners whatever the witnesses know.  Raises `PlatformError` if the platform
+    does not answer.
     """
     change_record(
         platform,
@@ -203,17 +220,17 @@
     LOSS_CONFIRMED.report(node=name, who=who)
 
 
-def _change_sets(
+def _change_witness_sets(
     platform: Store,
     name: NodeName,
     choose: Callable[[WitnessSets], WitnessSets],
-    also: Change,
+    other_change: RecordChange,
 ) -> None:
     def change(before: NodeRecord) -> NodeRecord:
         if before.incarnation != name.incarnation:
             raise PlatformConflictError(str(name))
         sets = choose(before.witness_sets)
-        return also(replace(before, witness_sets=sets))
+        return other_change(replace(before, witness_sets=sets))
 
     change_record(platform, name.node_id, change)
 
@@ -221,26 +238,31 @@
 def drop_older_witness_sets(
     platform: Store, name: NodeName, chosen: WitnessSet
 ) -> None:
-    """Record that a lease no longer rests on sets older than a chosen one.
+    """Record that a lease no longer depends on older witness sets.
 
+    Sets with a version below that of `chosen` are removed from the record.
     Raises `PlatformError`, also if a later incarnation has joined.
     """
 
-    def kept(sets: WitnessSets) -> WitnessSets:
-        return tuple(each for each in sets if each.version >= chosen.version)
+    def without_older(sets: WitnessSets) -> WitnessSets:
+        return tuple(
+            witness_set
+            for witness_set in sets
+            if witness_set.version >= chosen.version
+        )
 
-    _change_sets(platform, name, kept, unchanged)
+    _change_witness_sets(platform, name, without_older, unchanged)
 
 
 def record_witness_sets(
     platform: Store,
     name: NodeName,
     sets: WitnessSets,
-    also: Change = unchanged,
+    other_change: RecordChange = unchanged,
 ) -> None:
-    """Record all sets of witnesses that a lease may rest on from now on.
+    """Record all witness sets that a lease may depend on from now on.
 
-    `also` changes what else is known by then, by the same write.  Raises
+    `other_change` is applied to the record in the same write.  Raises
     `PlatformError`, also if a later incarnation has joined.
     """
-    _change_sets(platform, name, lambda _before: sets, also)
+    _change_witness_sets(platform, name, lambda _before: sets, other_change)
