--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -1,4 +1,4 @@
-"""Renewal of this node's lease, and service to those it witnesses for."""
+"""Renewing this node's lease, and serving as a witness of other leases."""
 
 from collections.abc import Set
 
@@ -18,13 +18,13 @@
 from laburnumwood.membership.choice import choose_witnesses, replace_witnesses
 from laburnumwood.membership.gossip import Gossip
 from laburnumwood.membership.node_records import (
-    Change,
+    RecordChange,
     record_witness_sets,
     unchanged,
 )
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.link import Link
-from laburnumwood.protocol.messages import Done as Carried
+from laburnumwood.protocol.messages import Done as Acknowledged
 from laburnumwood.protocol.messages import (
     Granted,
     Refused,
@@ -39,18 +39,18 @@
 from laburnumwood.store.interface import Store
 from laburnumwood.tasks import start
 
-_SEAL_TICK_MS = 100
+_SEAL_CHECK_MS = 100
 _REVIEW_MS = 500
 
 
 class LeaseRenewer:
-    """Keeps this node's lease renewed: a task for each witness."""
+    """Keeps this node's lease renewed, with one task for each witness."""
 
     def __init__(
         self,
         lease: Lease,
         witness: Witness,
-        spreader: Gossip,
+        gossip: Gossip,
         peers: Peers,
         view: FleetView,
         store: Store,
@@ -60,42 +60,47 @@
         self._store = store
         self._lease = lease
         self._witness = witness
-        self._spreader = spreader
+        self._gossip = gossip
         self._peers = peers
         self._view = view
         self._settings = settings
         self._clock = clock
-        self._asking: set[NodeName] = set()
-        self._poke = Event()
-        self._chosen: tuple[NodeName, ...] = ()
-        self._chosen_for: object = None
-        # What is new in it reaches the others with the next renewals.
+        self._renewing: set[NodeName] = set()
+        self._wakeup = Event()
+        self._wanted: tuple[NodeName, ...] = ()
+        self._wanted_for: object = None
+        # Renewals carry the digest that lets other nodes pull the change.
         view.directory.on_config_change = self.renew_now
 
-    def start(self, avoided: Set[str], also: Change = unchanged) -> None:
-        """Choose the first witnesses and ask them; raises `PlatformError`.
+    def start(
+        self, avoided: Set[str], other_change: RecordChange = unchanged
+    ) -> None:
+        """Choose and record the first witnesses, and start to renew.
 
-        Nodes whose ids are in `avoided` are taken only if there are no others.
-        What `also` changes goes on record with them.
+        Nodes whose ids are in `avoided` are chosen only if there are no
+        others.  `other_change` is applied to the node's record in the same
+        write.  Raises `PlatformError` if the record can not be written.
         """
         live = self._view.witnesses(avoided)
         members = choose_witnesses(self._lease.holder, live)
         chosen = self._lease.next_set(members)
-        record_witness_sets(self._store, self._lease.holder, (chosen,), also)
+        record_witness_sets(
+            self._store, self._lease.holder, (chosen,), other_change
+        )
         self._lease.begin(chosen)
-        self._ask_all()
+        self._start_renewals()
 
     def renew_now(self) -> None:
-        """Renew at once, so that witnesses hear what is new.
+        """Renew at once, so that witnesses receive new state without delay.
 
-        New floors are waited for, and while the set of witnesses changes, a
-        majority of both sets is needed.
+        Writes of records wait until the witnesses know their floors, and a
+        change of the witness set waits for a majority of both sets.
         """
-        poked, self._poke = self._poke, Event()
-        poked.send(None)
+        woken, self._wakeup = self._wakeup, Event()
+        woken.send(None)
 
     def run(self) -> None:
-        """Review the set of witnesses until the incarnation is over."""
+        """Review the witness set periodically until the lease is over."""
         held = False
         while not self._lease.is_over:
             eventlet.sleep(_REVIEW_MS / MS_PER_SECOND)
@@ -106,33 +111,34 @@
                 event.report(node=self._lease.holder)
 
     def _review(self) -> None:
-        self._ask_all()
+        self._start_renewals()
         if self._lease.is_changing:
-            self._pass_over_ended()
+            self._exclude_ended_witnesses()
             return
         wanted = self._wanted_witnesses()
-        standing = self._lease.witnesses.members
-        if set(wanted) != set(standing) and self._lease.holds():
+        current = self._lease.witnesses.members
+        if set(wanted) != set(current) and self._lease.holds():
             self._change(self._lease.next_set(wanted))
 
-    def _pass_over_ended(self) -> None:
+    def _exclude_ended_witnesses(self) -> None:
         ended = filter(self._view.has_process_ended, self._lease.asked)
         if self._lease.pass_over(frozenset(ended)):
             self.renew_now()
 
     def _wanted_witnesses(self) -> tuple[NodeName, ...]:
-        """Return the witnesses to have, chosen anew only after news."""
-        standing, lost = self._lease.witnesses.members, self._lease.lost
-        known = (self._view.node_version, standing, lost)
-        if known != self._chosen_for:
+        """Return the witnesses to have, recomputed only after a change."""
+        current, lost = self._lease.witnesses.members, self._lease.lost
+        inputs = (self._view.node_version, current, lost)
+        if inputs != self._wanted_for:
             live = self._view.witnesses()
-            good = set(standing).difference(lost).intersection(live)
-            chosen = replace_witnesses(self._lease.holder, good, live)
-            # A node that leaves may find nobody, and needs its lease till then.
-            self._chosen = chosen or standing
-            # Choosing may note ends, which is news in itself.
-            self._chosen_for = (self._view.node_version, standing, lost)
-        return self._chosen
+            usable = set(current).difference(lost).intersection(live)
+            chosen = replace_witnesses(self._lease.holder, usable, live)
+            # A node that leaves may find no live node; it keeps its witnesses,
+            # since it needs its lease until it has left.
+            self._wanted = chosen or current
+            # Choosing may detect ends, which changes the version itself.
+            self._wanted_for = (self._view.node_version, current, lost)
+        return self._wanted
 
     def _change(self, chosen: WitnessSet) -> None:
         lease = self._lease
@@ -146,26 +152,26 @@
         lease.change(chosen)
         names = ','.join(str(name) for name in chosen.members)
         WITNESSES_CHANGED.report(node=lease.holder, witnesses=names)
-        self._ask_all()
+        self._start_renewals()
         self.renew_now()
 
-    def _ask_all(self) -> None:
+    def _start_renewals(self) -> None:
         for name in self._lease.asked:
-            if name not in self._asking:
-                self._asking.add(name)
-                start(self._ask_often, name)
+            if name not in self._renewing:
+                self._renewing.add(name)
+                start(self._renew_repeatedly, name)
 
-    def _ask_often(self, name: NodeName) -> None:
+    def _renew_repeatedly(self, name: NodeName) -> None:
         try:
-            while self._wants(name):
+            while self._is_renewal_due(name):
                 started_ms = self._clock.now_ms()
-                self._ask(name)
-                took_ms = self._clock.now_ms() - started_ms
-                self._pause(self._settings.renew_ms - took_ms)
+                self._renew(name)
+                elapsed_ms = self._clock.now_ms() - started_ms
+                self._pause(self._settings.renew_ms - elapsed_ms)
         finally:
-            self._asking.discard(name)
+            self._renewing.discard(name)
 
-    def _wants(self, name: NodeName) -> bool:
+    def _is_renewal_due(self, name: NodeName) -> bool:
         wanted = name in self._lease.asked and name not in self._lease.lost
         return wanted and not self._lease.is_over
 
@@ -174,9 +180,9 @@
             eventlet.sleep(0)
             return
         with eventlet.Timeout(pause_ms / MS_PER_SECOND, exception=False):
-            self._poke.wait()
+            self._wakeup.wait()
 
-    def _ask(self, name: NodeName) -> None:
+    def _renew(self, name: NodeName) -> None:
         request = self._lease.renewal(name, self._view.digest())
         sent_ms = self._clock.now_ms()
         try:
@@ -186,54 +192,58 @@
         if isinstance(reply, Granted):
             if self._lease.granted(request, sent_ms):
                 self.renew_now()
-            self._spreader.pull_if_newer(name, reply.digest)
+            self._gossip.pull_if_newer(name, reply.digest)
         elif isinstance(reply, Refused):
-            self._take_refusal(name, reply)
+            self._handle_refusal(name, reply)
 
     def _send(self, name: NodeName, request: Renew) -> object:
         if name == self._witness.name:
             return self._witness.renew(request, request.digest)
         return self._peers.call(name, request, self._settings.renew_ms)
 
-    def _take_refusal(self, name: NodeName, refusal: Refused) -> None:
+    def _handle_refusal(self, name: NodeName, refusal: Refused) -> None:
         if refusal.reason != 'set-unknown':
             self._lease.refused(name)
         if refusal.seal is not None:
-            self._spreader.add_seals((refusal.seal,))
+            self._gossip.add_seals((refusal.seal,))
 
 
 class WitnessService:
-    """Serves the holders that this node is a witness of."""
+    """Serves the lease holders that this node is a witness of."""
 
     def __init__(
         self,
         witness: Witness,
-        spreader: Gossip,
+        gossip: Gossip,
         view: FleetView,
         dispatcher: Dispatcher,
     ) -> None:
         self._witness = witness
-        self._spreader = spreader
+        self._gossip = gossip
         self._view = view
         dispatcher.on(Renew)(self._serve_renew)
         dispatcher.on(Resign)(self._serve_resign)
 
     def run(self) -> None:
-        """Seal the holders whose grants lapse; does not return."""
+        """Seal the holders whose leases lapse; does not return."""
         while True:
-            eventlet.sleep(_SEAL_TICK_MS / MS_PER_SECOND)
+            eventlet.sleep(_SEAL_CHECK_MS / MS_PER_SECOND)
             for seal in self._witness.seal_lapsed():
                 self.publish_seal(seal)
 
     def publish_seal(self, seal: Seal) -> None:
-        """Take in a seal of this node and tell those who act on it."""
-        self._spreader.add_seals((seal,))
-        told = self._followers(seal.holder)
-        told.update(name for each in seal.sets for name in each.members)
-        told.difference_update((self._witness.name, seal.holder))
-        self._spreader.notify(told, SealNotice((seal,)))
-
-    def _followers(self, holder: NodeName) -> set[NodeName]:
+        """Apply a seal of this node and notify the nodes that need it.
+
+        These are the successors in the shards of the holder, and its other
+        witnesses.
+        """
+        self._gossip.add_seals((seal,))
+        receivers = self._shard_successors(seal.holder)
+        receivers.update(name for each in seal.sets for name in each.members)
+        receivers.difference_update((self._witness.name, seal.holder))
+        self._gossip.notify(receivers, SealNotice((seal,)))
+
+    def _shard_successors(self, holder: NodeName) -> set[NodeName]:
         directory = self._view.directory
         entries = map(directory.shard, directory.shards_listing(holder))
         return {
@@ -248,7 +258,7 @@
             stream.send(Refused('another-peer'))
             return
         stream.send(self._witness.renew(request, self._view.digest()))
-        self._spreader.pull_if_newer(request.holder, request.digest)
+        self._gossip.pull_if_newer(request.holder, request.digest)
 
     def _serve_resign(
         self, link: Link, stream: Stream, request: Resign
@@ -257,4 +267,4 @@
             seal = self._witness.seal(request.holder)
             if seal is not None:
                 self.publish_seal(seal)
-        stream.send(Carried())
+        stream.send(Acknowledged())
