--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -1,4 +1,4 @@
-"""Readers: the few nodes of a failure domain that watch the store."""
+"""Watching the store, which only a few nodes of a failure domain do."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,9 +18,9 @@
 from laburnumwood.records import NodeName, StoredObject
 from laburnumwood.store.interface import Store
 
-_IDLE_MS = 500
+_SOURCE_POLL_MS = 500
 _RETRY_MS = 500
-_BATCH_MS = 250  # between two watches of records
+_BATCH_PAUSE_MS = 250  # between two watches of the records
 _STALE_PAUSE_MS = 1_000  # between two watches that may be stale
 
 
@@ -36,11 +36,12 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchPolicy:
-    """How many nodes watch a scope, and for how long at a time.
+    """How many nodes watch a scope of the store, and for how long a call waits.
 
-    Of the readers of a failure domain the first `fresh` watch the store
-    itself, in no more than `domains` domains.  The others accept changes that
-    come seconds late, which costs the store little.
+    Of the `watchers_per_domain` nodes of a failure domain that watch, the
+    first `fresh_per_domain` want current changes, in at most `fresh_domains`
+    domains.  The others accept changes that are seconds old, which costs the
+    store little.
     """
 
     watchers_per_domain: int
@@ -52,8 +53,8 @@
 RECORD_WATCH_POLICY = WatchPolicy(
     watchers_per_domain=2, fresh_per_domain=1, fresh_domains=3, wait_ms=10_000
 )
-# The configuration seldom changes, and has to reach nodes whose readers the
-# store turns away.
+# The configuration rarely changes.  Many nodes watch it, so that it reaches a
+# domain even while the store rejects the calls of some of its watchers.
 CONFIG_WATCH_POLICY = WatchPolicy(
     watchers_per_domain=32, fresh_per_domain=8, fresh_domains=32, wait_ms=30_000
 )
@@ -64,25 +65,27 @@
 
 
 def update_source(
-    own: NodeName, view: FleetView, readers: WatchPolicy
+    own: NodeName, view: FleetView, policy: WatchPolicy
 ) -> UpdateSource:
-    """Return how a node learns of changes, by its place among the live nodes.
+    """Return how a node learns of changes of a scope.
 
-    One that leaves hears no more news by renewals and reads for itself.
+    This depends on its rank among the live nodes of its failure domain.  A
+    node that is not live, such as one that is leaving, watches the store
+    itself: renewals no longer bring it changes.
     """
     live = dict(view.live_nodes())
     if own not in live:
         return UpdateSource.STORE
     domain = live[own].failure_domain
-    near = (
-        name for name, each in live.items() if each.failure_domain == domain
+    domain_nodes = (
+        name for name, record in live.items() if record.failure_domain == domain
     )
-    place = rendezvous_order(f'reader {domain}', near).index(own)
-    if place >= readers.watchers_per_domain:
+    rank = rendezvous_order(f'reader {domain}', domain_nodes).index(own)
+    if rank >= policy.watchers_per_domain:
         return UpdateSource.PEERS
-    domains = {each.failure_domain for each in live.values()}
-    first = sorted(domains, key=_domain_order)[: readers.fresh_domains]
-    is_fresh = place < readers.fresh_per_domain and domain in first
+    domains = {record.failure_domain for record in live.values()}
+    fresh_domains = sorted(domains, key=_domain_order)[: policy.fresh_domains]
+    is_fresh = rank < policy.fresh_per_domain and domain in fresh_domains
     return UpdateSource.STORE if is_fresh else UpdateSource.STALE_STORE
 
 
@@ -90,7 +93,7 @@
     """Keeps a node's directory up to date with the store.
 
     The first of the store's scopes holds the records of the fleet; only its
-    revision counts for what nodes tell each other.
+    revision is compared between nodes.
     """
 
     def __init__(self, own: NodeName, platform: Store, view: FleetView) -> None:
@@ -101,74 +104,82 @@
 
     @property
     def tasks(self) -> tuple[Callable[[], None], ...]:
-        """Return what has to run to watch the store."""
-        return tuple(partial(self.run, each) for each in self._revisions)
+        """Return the tasks that watch the store, one for each scope."""
+        return tuple(partial(self.run, scope) for scope in self._revisions)
 
     def list_all(self) -> None:
-        """Read the whole store once; raises `PlatformError`."""
+        """Read all objects of all scopes.
+
+        Raises `PlatformError` if the store does not answer.
+        """
         for scope in self._revisions:
             self._list(scope)
 
     def run(self, scope: str) -> None:
-        """Watch a scope while this node is a reader; does not return."""
+        """Watch a scope whenever this node has to; does not return."""
         while True:
-            reading = update_source(self._own, self._view, self._readers(scope))
-            if reading is UpdateSource.PEERS:
-                eventlet.sleep(_IDLE_MS / MS_PER_SECOND)
+            source = update_source(
+                self._own, self._view, self._watch_policy(scope)
+            )
+            if source is UpdateSource.PEERS:
+                eventlet.sleep(_SOURCE_POLL_MS / MS_PER_SECOND)
             else:
-                self._watch_once(
-                    scope, may_be_stale=reading is UpdateSource.STALE_STORE
+                self._try_watch(
+                    scope, may_be_stale=source is UpdateSource.STALE_STORE
                 )
 
-    def _is_records(self, scope: str) -> bool:
+    def _is_record_scope(self, scope: str) -> bool:
         return scope == self._platform.scopes[0]
 
-    def _readers(self, scope: str) -> WatchPolicy:
+    def _watch_policy(self, scope: str) -> WatchPolicy:
         return (
             RECORD_WATCH_POLICY
-            if self._is_records(scope)
+            if self._is_record_scope(scope)
             else CONFIG_WATCH_POLICY
         )
 
     def _list(self, scope: str) -> None:
         objects, revision = self._platform.list(scope)
-        self._take(scope, objects, revision)
+        self._apply(scope, objects, revision)
 
-    def _take(
+    def _apply(
         self, scope: str, objects: tuple[StoredObject, ...], revision: int
     ) -> None:
         directory = self._view.directory
         for stored in objects:
             directory.apply(stored)
         self._revisions[scope] = max(revision, self._revisions[scope])
-        if self._is_records(scope):
+        if self._is_record_scope(scope):
             directory.revision = max(revision, directory.revision)
 
-    def _watch_once(self, scope: str, *, may_be_stale: bool) -> None:
+    def _try_watch(self, scope: str, *, may_be_stale: bool) -> None:
         try:
             self._watch(scope, may_be_stale=may_be_stale)
         except PlatformError:
-            # The guarded store has told of it.
+            # The guarded store has logged it.
             eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
 
     def _watch(self, scope: str, *, may_be_stale: bool) -> None:
-        wait_ms = self._readers(scope).wait_ms
+        wait_ms = self._watch_policy(scope).wait_ms
         try:
             changes, revision = self._platform.watch(
-                scope, self._known(scope), wait_ms, may_be_stale=may_be_stale
+                scope,
+                self._known_revision(scope),
+                wait_ms,
+                may_be_stale=may_be_stale,
             )
         except CompactedError:
             self._list(scope)
             return
-        self._take(scope, changes, revision)
+        self._apply(scope, changes, revision)
         if may_be_stale:
             eventlet.sleep(_STALE_PAUSE_MS / MS_PER_SECOND)
-        elif changes and self._is_records(scope):
-            # Writers tell their peers; one call can bring many changes.
-            eventlet.sleep(_BATCH_MS / MS_PER_SECOND)
+        elif changes and self._is_record_scope(scope):
+            # Writers notify their peers; the next call brings a whole batch.
+            eventlet.sleep(_BATCH_PAUSE_MS / MS_PER_SECOND)
 
-    def _known(self, scope: str) -> int:
-        """Return the revision up to which a scope is known here."""
-        if self._is_records(scope):
+    def _known_revision(self, scope: str) -> int:
+        """Return the revision up to which this node knows a scope."""
+        if self._is_record_scope(scope):
             return self._view.directory.revision
         return self._revisions[scope]
