--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -1,4 +1,4 @@
-"""What one incarnation of a node knows of the fleet."""
+"""The state of the fleet as known to one incarnation of a node."""
 
 from collections import Counter
 from collections.abc import Iterator, Set
@@ -7,32 +7,32 @@
 from laburnumwood.membership.directory import Directory
 from laburnumwood.records import Digest, NodeName, NodeRecord, Seal, ShardName
 
-_NOBODY: Set[str] = frozenset()
+_NO_NODE_IDS: Set[str] = frozenset()
 
 
 class FleetView:
-    """The directory together with the seals: who is there and alive."""
+    """Combines directory and seals to tell which nodes exist and are live."""
 
     def __init__(self, directory: Directory, seals: SealBook) -> None:
         self.directory = directory
         self.seals = seals
         self._live: dict[NodeName, NodeRecord] = {}
-        self._live_in: dict[str, dict[NodeName, NodeRecord]] = {}
-        self._domains: Counter[str] = Counter()
-        self._live_version = (-1, -1)
+        self._serving: dict[str, dict[NodeName, NodeRecord]] = {}
+        self._domain_counts: Counter[str] = Counter()
+        self._refreshed_at = (-1, -1)
 
     @property
     def version(self) -> tuple[int, int]:
-        """Return what is another value after each change."""
+        """Return a value that differs after each change of records or seals."""
         return self.directory.change_count, self.seals.changes
 
     @property
     def node_version(self) -> tuple[int, int]:
-        """Return what is another value when other nodes may be live."""
+        """Return a value that differs whenever other nodes may be live."""
         return self.directory.node_change_count, self.seals.changes
 
     def digest(self) -> Digest:
-        """Return how much is known, for peers to compare."""
+        """Return a summary of what this node knows, for peers to compare."""
         return Digest(
             self.directory.config.generation,
             self.directory.revision,
@@ -40,37 +40,40 @@
         )
 
     def live_nodes(self) -> Iterator[tuple[NodeName, NodeRecord]]:
-        """Yield the nodes that are not known to have ended or to leave."""
+        """Yield the nodes not known to have ended, lapsed or be leaving."""
         self._refresh()
         yield from tuple(self._live.items())
 
     def witnesses(
-        self, avoided: Set[str] = _NOBODY
+        self, avoided: Set[str] = _NO_NODE_IDS
     ) -> dict[NodeName, NodeRecord]:
         """Return the live nodes by the names under which they witness.
 
-        Nodes whose ids are in `avoided` are there only if there are no others.
+        Nodes whose ids are in `avoided` are left out if there are others.
         """
         known = {
             NodeName(name.node_id, record.witness_as): record
             for name, record in self.live_nodes()
         }
-        wanted = {
+        preferred = {
             name: record
             for name, record in known.items()
             if name.node_id not in avoided
         }
-        return wanted or known
+        return preferred or known
 
     def has_restarted(self, witness: NodeName) -> bool:
-        """Tell whether a witness's process has been followed by another."""
+        """Return whether a witness's process was followed by another.
+
+        What the witness promised is lost then.
+        """
         entry = self.directory.nodes.get(witness.node_id)
         if entry is None:
             return False
         return entry.record.witness_as > witness.incarnation
 
     def has_process_ended(self, witness: NodeName) -> bool:
-        """Tell whether a witness's process is known to have ended."""
+        """Return whether a witness's process is known to have ended."""
         if self.has_restarted(witness):
             return True
         entry = self.directory.nodes.get(witness.node_id)
@@ -79,29 +82,29 @@
         return entry.record.has_ended(entry.record.incarnation)
 
     def serving_nodes(self, service: str) -> dict[NodeName, NodeRecord]:
-        """Return the live nodes of a service whose workers serve."""
+        """Return the live nodes of a service whose workers accept work."""
         self._refresh()
-        return dict(self._live_in.get(service, {}))
+        return dict(self._serving.get(service, {}))
 
     def domain_share(self, domain: str) -> float:
-        """Return what part of the live nodes is in a failure domain."""
+        """Return the fraction of live nodes that are in a failure domain."""
         self._refresh()
-        return self._domains[domain] / max(len(self._live), 1)
+        return self._domain_counts[domain] / max(len(self._live), 1)
 
     def _refresh(self) -> None:
-        if self._live_version == self.node_version:
+        if self._refreshed_at == self.node_version:
             return
         self._live = dict(self._find_live())
-        self._live_in = {}
-        self._domains = Counter(
+        self._serving = {}
+        self._domain_counts = Counter(
             record.failure_domain for record in self._live.values()
         )
         for name, record in self._live.items():
             if not record.serves:
                 continue
-            self._live_in.setdefault(record.service, {})[name] = record
-        # Finding them may note ends, which changes the version itself.
-        self._live_version = self.node_version
+            self._serving.setdefault(record.service, {})[name] = record
+        # Finding them may detect ends, which changes the version itself.
+        self._refreshed_at = self.node_version
 
     def _find_live(self) -> Iterator[tuple[NodeName, NodeRecord]]:
         for node_id, entry in self.directory.nodes.items():
@@ -112,7 +115,10 @@
                 yield name, record
 
     def is_sealed(self, name: NodeName) -> bool:
-        """Tell whether an incarnation has lapsed for ever."""
+        """Return whether an incarnation can never hold its lease again.
+
+        A majority of its witnesses has sealed it, or its end is recorded.
+        """
         if self.seals.is_sealed(name):
             return True
         entry = self.directory.nodes.get(name.node_id)
@@ -122,17 +128,20 @@
         return False
 
     def add_seal(self, seal: Seal) -> bool:
-        """Take in a seal; tell whether its holder is sealed only by now.
+        """Add a seal; return whether its holder is sealed by this one.
 
-        One that nobody needs any more is left out.
+        An obsolete seal, of a holder whose end is recorded and which no shard
+        lists any more, is ignored.
         """
-        newly = not self._is_obsolete(seal.holder) and self.seals.add(seal)
-        if newly:
+        newly_sealed = not self._is_obsolete(seal.holder) and self.seals.add(
+            seal
+        )
+        if newly_sealed:
             self.directory.news.tell()
-        return newly
+        return newly_sealed
 
     def evict_obsolete_seals(self) -> None:
-        """Forget the seals that nobody needs any more."""
+        """Remove the seals that no shard needs any more."""
         for holder in self.seals.holders():
             if self._is_obsolete(holder):
                 self.seals.forget(holder)
@@ -148,7 +157,7 @@
         return self.seals.floor(holder, shard)
 
     def address(self, name: NodeName) -> tuple[str, int] | None:
-        """Return host and peer port of a node, if it is known."""
+        """Return host and peer port of a node, None if they are not known."""
         entry = self.directory.nodes.get(name.node_id)
         if entry is None:
             return None
