--- a/laburnumwood/membership/worker_announcer.py
+++ b/laburnumwood/membership/worker_announcer.py
@@ -1,4 +1,4 @@
-"""Telling the fleet whether the worker beside a node takes work."""
+"""Announcing to the fleet whether a node's worker accepts work."""
 
 from collections.abc import Callable
 from contextlib import suppress
@@ -21,11 +21,12 @@
 
 
 class WorkerAnnouncer:
-    """Keeps what a node's record says of its worker true.
+    """Keeps the state of the worker in its node's record up to date.
 
-    `state` returns whether the worker takes work, and its slots, and
-    `is_clear` whether it has and has left nothing of earlier processes of the
-    node.
+    `worker_state` returns whether the worker accepts work, and its number of
+    slots.  `holds_nothing` returns whether the worker neither holds shards from
+    earlier processes of the node nor has released any that the next owners
+    are to learn of.
     """
 
     def __init__(
@@ -33,49 +34,49 @@
         own: NodeName,
         view: FleetView,
         store: Store,
-        state: Callable[[], tuple[bool, int]],
-        is_clear: Callable[[], bool],
+        worker_state: Callable[[], tuple[bool, int]],
+        holds_nothing: Callable[[], bool],
     ) -> None:
         self._own = own
         self._view = view
         self._store = store
-        self._state = state
-        self._is_clear = is_clear
+        self._worker_state = worker_state
+        self._holds_nothing = holds_nothing
 
     def run(self) -> None:
-        """Compare and write again and again; does not return."""
+        """Record each change of the worker's state; does not return."""
         while True:
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
             if not self.is_announced:
-                with suppress(PlatformError):  # tried again below
+                with suppress(PlatformError):  # retried after a pause
                     self.announce()
                     continue
                 eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
 
     def announce(self) -> None:
-        """Write what is so now; raises `PlatformError`."""
+        """Record the worker's current state; raises `PlatformError`."""
         change_record(self._store, self._own.node_id, self.with_worker_state)
 
     @property
     def is_announced(self) -> bool:
-        """Tell whether the record says of the worker what is so now."""
+        """Return whether the record has the worker's current state."""
         record = self._view.directory.node(self._own)
         return record is None or self.with_worker_state(record) == record
 
     def with_initial_worker_state(self, record: NodeRecord) -> NodeRecord:
-        """Return the record with what is known when the node has joined.
+        """Return a record with the worker's state when the node has joined.
 
-        A worker that holds nothing leaves nothing to wait for before the
-        earlier incarnations have ended.
+        If the worker serves and holds nothing, nothing is left of the earlier
+        incarnations, so the returned record marks them as ended too.
         """
-        now = self.with_worker_state(record)
-        if not now.serves or not self._is_clear():
-            return now
-        return without_incarnations_up_to(now, self._own.incarnation - 1)
+        current = self.with_worker_state(record)
+        if not current.serves or not self._holds_nothing():
+            return current
+        return without_incarnations_up_to(current, self._own.incarnation - 1)
 
     def with_worker_state(self, record: NodeRecord) -> NodeRecord:
-        """Return the record with what is so of the worker now."""
+        """Return a record with the worker's current state."""
         if record.incarnation != self._own.incarnation:
             return record
-        serves, slots = self._state()
+        serves, slots = self._worker_state()
         return replace(record, serves=serves, slots=slots or record.slots)
