--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -25,7 +25,7 @@
     STORE_UNREACHABLE,
 )
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.incarnation_ends import (
+from laburnumwood.membership.endings import (
     IncarnationStatus,
     RejoinBackoff,
     incarnation_status,
