--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -4,7 +4,7 @@
 
 from laburnumwood.borders import Borders
 from laburnumwood.clock import Clock
-from laburnumwood.daemon.handover_announcer import HandoverAnnouncer
+from laburnumwood.daemon.handover_news import HandoverAnnouncer
 from laburnumwood.daemon.holder import ShardHolder
 from laburnumwood.daemon.load import LoadComponents
 from laburnumwood.errors import PlatformError
