--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -8,8 +8,8 @@
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import SHARD_SPLIT
-from laburnumwood.membership.choice import rendezvous
-from laburnumwood.membership.spreading import Spreader, notice_of
+from laburnumwood.membership.choice import rendezvous_order
+from laburnumwood.membership.gossip import Gossip, shard_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
@@ -52,7 +52,7 @@
         tenure: Tenure,
         holdings: Holdings,
         writer: ShardWriter,
-        spreader: Spreader,
+        gossip: Gossip,
         balancer: Balancer,
         grants: Grants,
         clock: Clock,
@@ -62,7 +62,7 @@
         self._tenure = tenure
         self._holdings = holdings
         self._writer = writer
-        self._spreader = spreader
+        self._gossip = gossip
         self._balancer = balancer
         self._grants = grants
         self._clock = clock
@@ -265,7 +265,7 @@
         entry = self._view.directory.shard(shard)
         if entry is not None:
             told = self._told(entry.record)
-            self._spreader.tell(told, notice_of(shard, entry))
+            self._gossip.notify(told, shard_notice(shard, entry))
 
     def _told(self, record: ShardRecord) -> set[NodeName]:
         """Return who is told of a record at once; others hear of it later.
@@ -273,7 +273,7 @@
         In a small fleet all doors are, so that none asks the last owner; in a
         large one the last owner tells those that ask it.
         """
-        told = {name for name, _ in self._view.live()}
+        told = {name for name, _ in self._view.live_nodes()}
         if len(told) > _MOST_TOLD:
             told = set(record.succession)
         return told.difference((self._tenure.own,))
@@ -287,5 +287,5 @@
         for name in entry.record.succession if entry else ():
             if name in nodes:
                 return name
-        order = rendezvous(f'drain {own}', nodes)
+        order = rendezvous_order(f'drain {own}', nodes)
         return order[place % len(order)] if order else None
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -8,7 +8,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.events import SHARD_CLAIMED, SHARD_MOVED, SHARD_TAKEN_OVER
 from laburnumwood.leases.lease import Lease
-from laburnumwood.membership.directory import Entry
+from laburnumwood.membership.directory import VersionedRecord
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.division import Division
 from laburnumwood.placement.holdings import Holdings
@@ -58,8 +58,8 @@
     directory = view.directory
     return {
         shard.number
-        for name in (own, *filter(view.is_sealed, directory.named()))
-        for shard in directory.shards_naming(name)
+        for name in (own, *filter(view.is_sealed, directory.listed_nodes()))
+        for shard in directory.shards_listing(name)
         if shard.service == service
     }
 
@@ -123,13 +123,13 @@
 
     def live(self) -> dict[NodeName, NodeRecord]:
         """Return the live nodes of the service."""
-        return self._view.live_in(self._service)
+        return self._view.serving_nodes(self._service)
 
     def follow(self) -> None:
         """Hold and drop shards as seals and records ask for it."""
         if not self._lease.holds():
             return
-        named = self._view.directory.shards_naming(self._own)
+        named = self._view.directory.shards_listing(self._own)
         for shard in sorted({*named, *self._holdings.tokens(), *self._stale}):
             entry = self._view.directory.shard(shard)
             if entry is not None:
@@ -230,7 +230,9 @@
         elif progress is Progress.NOT_SENT:
             self._holdings.reopen(write.shard)
 
-    def _open_shards(self) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
+    def _open_shards(
+        self,
+    ) -> Iterator[tuple[ShardName, VersionedRecord[ShardRecord]]]:
         """Yield the shards that this node or nobody acts for."""
         entries = self._view.directory.shards(self._service)
         for number in sorted(
@@ -244,7 +246,9 @@
     def _standing(self, shard: ShardName, record: ShardRecord) -> Standing:
         return standing(shard, record, self._own, self._view)
 
-    def _follow(self, shard: ShardName, entry: Entry[ShardRecord]) -> None:
+    def _follow(
+        self, shard: ShardName, entry: VersionedRecord[ShardRecord]
+    ) -> None:
         if entry.version > self._stale.get(shard, entry.version):
             self._stale.pop(shard)
             self._holdings.lose(shard, 'its record was overtaken')
@@ -263,7 +267,9 @@
         event = SHARD_TAKEN_OVER if late else SHARD_CLAIMED
         event.report(shard=shard, epoch=record.epoch)
 
-    def _is_wanted(self, shard: ShardName, entry: Entry[ShardRecord]) -> bool:
+    def _is_wanted(
+        self, shard: ShardName, entry: VersionedRecord[ShardRecord]
+    ) -> bool:
         how = self._standing(shard, entry.record)
         if how is Standing.OWNER:
             if self._holdings.is_spent(shard) or self.home(shard):
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -25,8 +25,8 @@
     RUN_CANCELLED,
 )
 from laburnumwood.leases.lease import Lease
-from laburnumwood.membership.directory import Entry
-from laburnumwood.membership.spreading import notice_of
+from laburnumwood.membership.directory import VersionedRecord
+from laburnumwood.membership.gossip import shard_notice
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import Records, placed_shard
 from laburnumwood.placement.meter import LoadMeter
@@ -67,7 +67,7 @@
     def shard_records(self, service: str) -> Records:
         """Return the records of a service's shards by their numbers."""
 
-    def shard(self, shard: ShardName) -> Entry[ShardRecord] | None:
+    def shard(self, shard: ShardName) -> VersionedRecord[ShardRecord] | None:
         """Return the record of a shard with its version."""
 
 
@@ -321,7 +321,7 @@
             entry = self._shards.shard(shard)
             is_moved = number != work.shard or not self._holdings.is_held(shard)
             if entry is not None and is_moved:
-                exchange.send(notice_of(shard, entry))
+                exchange.send(shard_notice(shard, entry))
 
     def _may_act(self, shard: ShardName, run: Run) -> bool:
         guard_ms = self._settings.lease.guard_ms
--- a/tests/features/steps/backless_steps.py
+++ b/tests/features/steps/backless_steps.py
@@ -7,7 +7,11 @@
 
 from laburnumwood.errors import PlatformConflictError
 from laburnumwood.leases.backless import Backless, Candidate
-from laburnumwood.membership.joining import end_seen, join, record_witnesses
+from laburnumwood.membership.node_records import (
+    join,
+    record_end_if_unchanged,
+    record_witness_sets,
+)
 from laburnumwood.records import NodeName, NodeRecord, WitnessSet
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import node_object, to_record
@@ -34,7 +38,7 @@
     context.store = FakeStore()
     name, _ = join(context.store, node_settings('a'))
     sets = (WitnessSet(1, _names(names)),)
-    record_witnesses(context.store, name, sets)
+    record_witness_sets(context.store, name, sets)
     stored = context.store.get(node_object('a'))
     record = to_record(NodeRecord, stored)
     context.candidate = Candidate(name, record, stored.version)
@@ -79,10 +83,12 @@
 def write_end(context: Context) -> None:
     found = context.candidate
     sets = (WitnessSet(2, _names('e f g')),)
-    record_witnesses(context.store, found.name, sets)
+    record_witness_sets(context.store, found.name, sets)
     context.conflict = False
     try:
-        end_seen(context.store, found.name, found.record, found.version)
+        record_end_if_unchanged(
+            context.store, found.name, found.record, found.version
+        )
     except PlatformConflictError:
         context.conflict = True
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -13,8 +13,14 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.endings import Recorder, Standstill
-from laburnumwood.membership.joining import end_earlier, record_witnesses
+from laburnumwood.membership.endings import (
+    NodeRecordUpdater,
+    RejoinBackoff,
+)
+from laburnumwood.membership.node_records import (
+    record_earlier_ends,
+    record_witness_sets,
+)
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.shard_write import ShardWrite
@@ -105,7 +111,7 @@
             SERVICE, self.view, self.lease, self.holdings, clock
         )
         self.witness = witness or code.witness(name, settings, clock)
-        self._recorder = Recorder(
+        self._recorder = NodeRecordUpdater(
             self.lease, self.witness, self.view, store, settings, clock
         )
         self._recorder.backless = code.backless(settings, clock)
@@ -120,7 +126,7 @@
         self._recorded_ms = _NOTHING_READ
         self._started_ms = clock.now_ms()
         self._has_ended_earlier = False
-        self._standstill = Standstill(clock)
+        self._standstill = RejoinBackoff(clock)
         self.worker: AttachedGrants | None = None
         if worker is not None:
             holder = _Holder(self.lease, self.holdings)
@@ -138,9 +144,9 @@
 
     def stands_still(self) -> bool:
         """Tell whether to join anew because the witnesses are silent."""
-        if not self._standstill.is_over(self.lease):
+        if not self._standstill.is_due(self.lease):
             return False
-        self._standstill.note()
+        self._standstill.record_rejoin()
         return self._store.mode == 'up'
 
     def start(self, avoided: frozenset[str] = _NOBODY) -> None:
@@ -149,7 +155,7 @@
         live = self.view.witnesses(avoided)
         members = choose_witnesses(self.name, live)[:_WITNESSES]
         chosen = self.lease.next_set(members)
-        record_witnesses(self._store, self.name, (chosen,))
+        record_witness_sets(self._store, self.name, (chosen,))
         self.lease.begin(chosen)
         self._started_ms = self._clock.now_ms()
 
@@ -276,14 +282,14 @@
 
     def _record(self) -> None:
         self._recorded_ms = self._clock.now_ms()
-        self._recorder.forget()
+        self._recorder.evict_ended()
         with suppress(PlatformError):
-            self._recorder.record()
+            self._recorder.write_changes()
         waited_ms = self._clock.now_ms() - self._started_ms
         if self._has_ended_earlier or waited_ms < self._settings.grant_ms:
             return
         with suppress(PlatformError):
-            end_earlier(self._store, self.witness.name)
+            record_earlier_ends(self._store, self.witness.name)
             self._has_ended_earlier = True
 
     def change_witnesses(self, members: tuple[NodeName, ...]) -> None:
@@ -291,7 +297,7 @@
         chosen = self.lease.next_set(members)
         with suppress(PlatformError):
             sets = (self.lease.witnesses, chosen)
-            record_witnesses(self._store, self.name, sets)
+            record_witness_sets(self._store, self.name, sets)
             self.lease.change(chosen)
             self.renew()
 
