--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -27,10 +27,10 @@
     ShardRecord,
     StoredObject,
 )
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import local_pair
-from laburnumwood.routing.inquiry import Inquiry
+from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import Router
-from laburnumwood.routing.spread import Spread
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import node_object, shard_object, to_value
 from tests.features.steps.counting_view import CountingView
@@ -139,7 +139,7 @@
 @when('a node asks which shards it should write')
 def ask(context: Context) -> None:
     tenure = context.service.tenure(0)
-    context.service.view.live_in(SERVICE)
+    context.service.view.serving_nodes(SERVICE)
     context.service.view.looks = 0
     context.wanted = tenure.wanted()
 
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -23,16 +23,16 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.caller import Callers
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import (
     Exchange,
     Outgoing,
     WrappedExchange,
     local_pair,
 )
-from laburnumwood.routing.inquiry import Inquiry
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.problems import failure
+from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import Router
-from laburnumwood.routing.spread import Spread
 from tests.features.steps.plain_work import PLAIN_WORK
 from tests.request_stack.stack import DOOR, GATE, OneGate
 
@@ -252,9 +252,9 @@
         super().__init__()
         self.is_open = True
 
-    def live_in(self, service: str) -> dict[NodeName, NodeRecord]:
+    def serving_nodes(self, service: str) -> dict[NodeName, NodeRecord]:
         """Return the one node once it is known."""
-        return super().live_in(service) if self.is_open else {}
+        return super().serving_nodes(service) if self.is_open else {}
 
     def open(self) -> None:
         """Let the node be known."""
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -13,15 +13,15 @@
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.joining import (
+from laburnumwood.membership.known import CachedStore
+from laburnumwood.membership.node_records import (
     announce_leaving,
     join,
-    leave,
-    record_witnesses,
+    record_end,
+    record_witness_sets,
 )
-from laburnumwood.membership.known import KnownStore
-from laburnumwood.membership.renewal import Renewer
-from laburnumwood.membership.serving import Serving
+from laburnumwood.membership.renewal import LeaseRenewer
+from laburnumwood.membership.serving import WorkerAnnouncer
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import NodeName, NodeRecord, StoredObject, WitnessSet
@@ -148,14 +148,14 @@
     directory = Directory()
     for stored in context.store.list()[0]:
         directory.apply(stored)
-    context.known = KnownStore(context.store, directory)
+    context.known = CachedStore(context.store, directory)
     context.store.reads = 0
 
 
 @given('the record was changed since')
 def change_behind(context: Context) -> None:
     chosen = WitnessSet(1, (context.name,))
-    record_witnesses(context.store, context.name, (chosen,))
+    record_witness_sets(context.store, context.name, (chosen,))
     context.store.reads = 0
     context.store.writes = 0
 
@@ -196,8 +196,8 @@
     directory = Directory()
     for stored in context.store.list()[0]:
         directory.apply(stored)
-    context.known = KnownStore(context.store, directory)
-    context.serving = Serving(
+    context.known = CachedStore(context.store, directory)
+    context.announcer = WorkerAnnouncer(
         context.name,
         FleetView(directory, SealBook()),
         context.known,
@@ -211,8 +211,11 @@
 @when('it records its first witnesses')
 def record_first(context: Context) -> None:
     chosen = WitnessSet(1, (context.name,))
-    record_witnesses(
-        context.known, context.name, (chosen,), context.serving.at_start
+    record_witness_sets(
+        context.known,
+        context.name,
+        (chosen,),
+        context.announcer.with_initial_worker_state,
     )
 
 
@@ -253,7 +256,7 @@
             raise LinkRefusedError(str(name))
         return self._witnesses[name].renew(request, request.digest)
 
-    def compare(self, *_heard: object) -> None:
+    def pull_if_newer(self, *_heard: object) -> None:
         """Take no news in."""
 
 
@@ -273,7 +276,7 @@
     for other in 'bcd'[:count]:
         links.add(_join_other(context, other))
     context.lease = Lease(context.name, LeaseSettings(), clock)
-    renewer = Renewer(
+    renewer = LeaseRenewer(
         context.lease,
         links.add(context.name),
         links,
@@ -283,7 +286,7 @@
         LeaseSettings(),
         clock,
     )
-    renewer.begin(frozenset())
+    renewer.start(frozenset())
     _read(context.store, context.view.directory)
     reviewing = eventlet.spawn(renewer.run)
     context.add_cleanup(reviewing.kill)
@@ -305,7 +308,7 @@
 
 
 def _end(context: Context, name: NodeName) -> None:
-    leave(context.store, name)
+    record_end(context.store, name)
     _read(context.store, context.view.directory)
 
 
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -17,13 +17,13 @@
 from laburnumwood.placement.loads import LoadBook
 from laburnumwood.protocol.messages import Work
 from laburnumwood.records import NodeName, NodeRecord
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import Outgoing, local_pair
-from laburnumwood.routing.inquiry import Inquiry
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.problems import failure
+from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.retry_policy import Tries
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
-from laburnumwood.routing.spread import Spread
-from laburnumwood.routing.tries import Tries
 from laburnumwood.store.breaker import GuardedStore
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
@@ -137,7 +137,7 @@
             if name.node_id in names
         }
 
-    def live_in(self, _service: str) -> dict[NodeName, NodeRecord]:
+    def serving_nodes(self, _service: str) -> dict[NodeName, NodeRecord]:
         """Return the nodes."""
         return dict(self._nodes)
 
@@ -189,7 +189,7 @@
 
 @then('each gate is asked once and the request is sent away')
 def check_asked(context: Context) -> None:
-    nodes = sorted(name.node_id for name in context.fleet.live_in('s'))
+    nodes = sorted(name.node_id for name in context.fleet.serving_nodes('s'))
     assert sorted(context.fleet.asked) == nodes, context.fleet.asked
     assert context.reply.kind == 'overloaded', context.reply
     assert not context.reply.ran
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -11,9 +11,9 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.reader import Reader
-from laburnumwood.membership.renewal import Renewer
-from laburnumwood.membership.spreading import Spreader
+from laburnumwood.membership.gossip import Gossip
+from laburnumwood.membership.reader import StoreWatcher
+from laburnumwood.membership.renewal import LeaseRenewer
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.messages import Changes, ShardNotice
 from laburnumwood.protocol.peers import Dispatcher
@@ -64,7 +64,7 @@
         self.sent: list[Any] = []
         self.peer: _Near | None = None
         peers: Any = self
-        self.spreader = Spreader(self.view, peers, self.dispatcher)
+        self.gossip = Gossip(self.view, peers, self.dispatcher)
 
     def call(self, _peer: NodeName, message: Any, _timeout_ms: int) -> Any:
         """Let the peer answer a message."""
@@ -132,7 +132,7 @@
 @when('each of them runs its reader of the {scope}')
 def run_readers(context: Context, scope: str) -> None:
     for name in context.names:
-        reader = Reader(name, context.store, context.view)
+        reader = StoreWatcher(name, context.store, context.view)
         running = eventlet.spawn(reader.run, scope)
         context.add_cleanup(running.kill)
     eventlet.sleep(0)
@@ -182,7 +182,7 @@
     asked: Any = context.asked
     nothing: Any = SimpleNamespace(name=OWNER)
     context.directory = Directory()
-    renewer = Renewer(
+    renewer = LeaseRenewer(
         asked,
         nothing,
         nothing,
@@ -245,7 +245,7 @@
 
 @when('"a" hears how much "b" knows')
 def hear(context: Context) -> None:
-    context.near.spreader.compare(PEER, context.far.view.digest())
+    context.near.gossip.pull_if_newer(PEER, context.far.view.digest())
     eventlet.sleep(0)
 
 
--- a/tests/fuzz/doors.py
+++ b/tests/fuzz/doors.py
@@ -21,7 +21,7 @@
 )
 from laburnumwood.header_index import HeadError
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.spreading import take_notice
+from laburnumwood.membership.gossip import apply_shard_notice
 from laburnumwood.platform.bodies import BodyError
 from laburnumwood.platform.manifest import read_manifest
 from laburnumwood.platform.reports import decode_report
@@ -34,7 +34,7 @@
     WholeAnswer,
 )
 from laburnumwood.records import NodeName, ShardRecord, StoredObject
-from laburnumwood.routing.connection import CallerProtocol
+from laburnumwood.routing.caller_protocol import CallerProtocol
 from laburnumwood.settings import read_settings
 from laburnumwood.store.objects import CONFIG, node_object, to_value
 from laburnumwood.upstream.connection import StrictResponse
@@ -119,7 +119,7 @@
     content = loads(encode(1, random.choice(_MESSAGES)))
     _, message = decode(malformed(random, content))
     if isinstance(message, ShardNotice):
-        take_notice(Directory(), message)
+        apply_shard_notice(Directory(), message)
 
 
 @_door('records of the store')
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -30,16 +30,16 @@
 )
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.dialect import OwnDialect
-from laburnumwood.routing.door import Door
-from laburnumwood.routing.face import OwnFace
-from laburnumwood.routing.gate import read_body
+from laburnumwood.routing.admission_gate import read_body
+from laburnumwood.routing.caller_interface import OwnFace
+from laburnumwood.routing.ingress import Door
+from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.running import Runner
+from laburnumwood.routing.runner import Runner
 from laburnumwood.routing.server import serve_callers
-from laburnumwood.routing.spread import Spread
-from laburnumwood.routing.suspicions import Suspicions
+from laburnumwood.routing.shared_quarantine import Suspicions
+from laburnumwood.routing.worker_interface import OwnDialect
 from laburnumwood.upstream.worker import Worker
 
 HOST = '127.0.0.1'
@@ -143,7 +143,7 @@
     def __init__(self) -> None:
         self.directory = Directory()
 
-    def live_in(self, _service: str) -> dict[NodeName, NodeRecord]:
+    def serving_nodes(self, _service: str) -> dict[NodeName, NodeRecord]:
         """Return the one node."""
         record = NodeRecord(1, (1,), HOST, 1, 1, 1, 'x', 'x', 'x', 10, 10)
         return {GATE: record}
