--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -1,4 +1,4 @@
-"""AdmissionPolicy control: who may use the worker now, who waits, who is shed."""
+"""Admission control: which requests run, wait, or are shed."""
 
 from collections import Counter, deque
 from collections.abc import Callable
