--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -33,13 +33,13 @@
 from tests.ownership.store import FakeStore
 from tests.ownership.world import SHARDS, World, node_settings
 
-REVIEWED_S = 1.2
+REVIEW_S = 1.2
 LIMIT_S = 20
 POLL_S = 0.02
 
 
-@given('a store that loses the answer to a write')
-def make_losing_store(context: Context) -> None:
+@given('a store that loses the response to a write')
+def make_response_losing_store(context: Context) -> None:
     context.store = FakeStore()
     context.store.mode = 'lose-writes'
 
@@ -74,8 +74,8 @@
     assert not context.world.is_up(vm)
 
 
-@then('the store says that "{name}" has ended, written once')
-def check_ended(context: Context, name: str) -> None:
+@then('the end of "{name}" was recorded once in the store')
+def check_end_recorded(context: Context, name: str) -> None:
     ended = NodeName.parse(name)
     path = node_object(ended.node_id)
     history = [
@@ -123,7 +123,7 @@
 
 
 class CountingStore(FakeStore):
-    """Counts the calls that reach it."""
+    """A store that counts the reads and updates that reach it."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -131,18 +131,18 @@
         self.writes = 0
 
     def get(self, name: str) -> StoredObject | None:
-        """Count and return an object."""
+        """Count the read and return an object."""
         self.reads += 1
         return super().get(name)
 
     def update(self, name: str, value: dict[str, Any], version: int) -> int:
-        """Count and replace an object of a version."""
+        """Count the write and replace a version of an object."""
         self.writes += 1
         return super().update(name, value, version)
 
 
-@given('a node whose record is known')
-def make_known(context: Context) -> None:
+@given('a node that has cached its record')
+def make_caching_node(context: Context) -> None:
     context.store = CountingStore()
     context.name = join(context.store, node_settings('a'))[0]
     directory = Directory()
@@ -152,15 +152,15 @@
     context.store.reads = 0
 
 
-@given('the record was changed since')
-def change_behind(context: Context) -> None:
+@given('another writer has changed the record since')
+def change_record_elsewhere(context: Context) -> None:
     chosen = WitnessSet(1, (context.name,))
     record_witness_sets(context.store, context.name, (chosen,))
     context.store.reads = 0
     context.store.writes = 0
 
 
-@when('it records that it leaves')
+@when('it records that it is leaving')
 def record_leaving(context: Context) -> None:
     announce_leaving(context.known, context.name)
 
@@ -171,22 +171,22 @@
     assert found == (reads, writes), found
 
 
-@then('its record says that it leaves')
+@then('its record says that it is leaving')
 def check_leaving(context: Context) -> None:
     stored = context.store.get(node_object('a'))
     assert to_record(NodeRecord, stored).leaving
 
 
-REPORTED = {  # whether a worker serves, and whether it holds nothing
+WORKER_STATES = {  # whether the worker serves, and whether it holds nothing
     'holds nothing': (True, True),
     'may hold keys': (True, False),
     'has not reported': (False, False),
 }
 
 
-@given('a node that has joined again beside a worker that {how}')
-def join_again(context: Context, how: str) -> None:
-    serves, is_clear = REPORTED[how]
+@given('a node that has rejoined beside a worker that {state}')
+def rejoin(context: Context, state: str) -> None:
+    serves, holds_nothing = WORKER_STATES[state]
     context.store = CountingStore()
     settings = node_settings('a').model_copy(
         update={'report_address': '127.0.0.1:1'}
@@ -202,14 +202,14 @@
         FleetView(directory, SealBook()),
         context.known,
         lambda: (serves, 6),
-        lambda: is_clear,
+        lambda: holds_nothing,
     )
     context.store.reads = 0
     context.store.writes = 0
 
 
 @when('it records its first witnesses')
-def record_first(context: Context) -> None:
+def record_first_witnesses(context: Context) -> None:
     chosen = WitnessSet(1, (context.name,))
     record_witness_sets(
         context.known,
@@ -219,7 +219,7 @@
     )
 
 
-@then('its record says that {serves} and that the incarnations {numbers} go on')
+@then('its record says that {serves} and lists the open incarnations {numbers}')
 def check_record(context: Context, serves: str, numbers: str) -> None:
     stored = context.store.get(node_object('a'))
     record = to_record(NodeRecord, stored)
@@ -228,48 +228,48 @@
     assert record.open_incarnations == expected, record
 
 
-def _read(store: FakeStore, directory: Directory) -> None:
+def _apply_all(store: FakeStore, directory: Directory) -> None:
     for stored in store.list()[0]:
         directory.apply(stored)
 
 
-class _Witnesses:
-    """The links to witnesses that answer until they are told to end."""
+class _WitnessLinks:
+    """In place of links: calls witnesses directly until they have ended."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._witnesses: dict[NodeName, Witness] = {}
 
     def add(self, name: NodeName) -> Witness:
-        """Begin to answer as a node."""
+        """Add a witness that answers under a name, and return it."""
         witness = Witness(name, LeaseSettings(), self._clock)
         self._witnesses[name] = witness
         return witness
 
     def end(self, name: NodeName) -> None:
-        """Answer no longer as a node."""
+        """Remove a witness; calls of it fail from now on."""
         self._witnesses.pop(name)
 
     def call(self, name: NodeName, request: Renew, _limit_ms: int) -> object:
-        """Return the answer of a node."""
+        """Return the answer of a witness to a renewal."""
         if name not in self._witnesses:
             raise LinkRefusedError(str(name))
         return self._witnesses[name].renew(request, request.digest)
 
-    def pull_if_newer(self, *_heard: object) -> None:
-        """Take no news in."""
+    def pull_if_newer(self, *_digest: object) -> None:
+        """Pull nothing: the steps apply all changes themselves."""
 
 
 def _join_other(context: Context, node_id: str) -> NodeName:
     name: NodeName = join(context.store, node_settings(node_id))[0]
-    _read(context.store, context.view.directory)
+    _apply_all(context.store, context.view.directory)
     return name
 
 
-@given('a node that renews its lease where {count:d} others are')
+@given('a node that renews its lease beside {count:d} other nodes')
 def make_renewing(context: Context, count: int) -> None:
-    clock = FakeClock()  # it stands still, so that nothing ever takes long
-    links: Any = _Witnesses(clock)
+    clock = FakeClock()  # not advanced, so no call appears to take time
+    links: Any = _WitnessLinks(clock)
     context.store, context.links = FakeStore(), links
     context.view = FleetView(Directory(), SealBook())
     context.name = _join_other(context, 'a')
@@ -287,20 +287,20 @@
         clock,
     )
     renewer.start(frozenset())
-    _read(context.store, context.view.directory)
+    _apply_all(context.store, context.view.directory)
     reviewing = eventlet.spawn(renewer.run)
     context.add_cleanup(reviewing.kill)
 
 
-@when('it records that it leaves and reviews its witnesses')
+@when('it records that it is leaving and reviews its witnesses')
 def leave_and_review(context: Context) -> None:
     announce_leaving(context.store, context.name)
-    _read(context.store, context.view.directory)
-    eventlet.sleep(REVIEWED_S)
+    _apply_all(context.store, context.view.directory)
+    eventlet.sleep(REVIEW_S)
 
 
-@then('it holds its lease by itself')
-def check_held_alone(context: Context) -> None:
+@then('it holds its lease as its only witness')
+def check_only_witness(context: Context) -> None:
     assert context.lease.holds()
     members = context.lease.witnesses.members
     assert members == (context.name,), members
@@ -309,7 +309,7 @@
 
 def _end(context: Context, name: NodeName) -> None:
     record_end(context.store, name)
-    _read(context.store, context.view.directory)
+    _apply_all(context.store, context.view.directory)
 
 
 def _wait_until(check: Callable[[], bool]) -> None:
@@ -318,26 +318,26 @@
             eventlet.sleep(POLL_S)
 
 
-@when('one of its witnesses ends and the one to follow does not answer')
+@when('one of its witnesses ends and the replacement does not answer')
 def replace_witness(context: Context) -> None:
     _wait_until(context.lease.holds)
     ended = NodeName('b', 1)
     assert ended in context.lease.witnesses.members
     context.links.end(ended)
-    # In the same failure domain, it is the one to follow.
+    # It replaces the ended witness, since it is in the same failure domain.
     context.silent = _join_other(context, 'e')
     _end(context, ended)
     _wait_until(lambda: context.silent in context.lease.asked)
 
 
-@then('the change of its witnesses waits')
-def check_waiting(context: Context) -> None:
-    eventlet.sleep(REVIEWED_S)
+@then('the change of its witnesses is pending')
+def check_pending(context: Context) -> None:
+    eventlet.sleep(REVIEW_S)
     assert context.lease.is_changing
 
 
-@when('that one ends too')
-def end_silent(context: Context) -> None:
+@when('the replacement ends too')
+def end_replacement(context: Context) -> None:
     _end(context, context.silent)
 
 
