--- a/tests/features/steps/counting_view.py
+++ b/tests/features/steps/counting_view.py
@@ -1,4 +1,4 @@
-"""A view of the fleet that counts what it is asked."""
+"""A view of the fleet that counts its checks for lapsed nodes."""
 
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.membership.directory import Directory
@@ -7,13 +7,13 @@
 
 
 class CountingView(FleetView):
-    """Counts how often it looks whether a node is sealed."""
+    """Counts the calls of `is_sealed`."""
 
     def __init__(self, directory: Directory) -> None:
         super().__init__(directory, SealBook())
-        self.looks = 0
+        self.check_count = 0
 
     def is_sealed(self, name: NodeName) -> bool:
-        """Tell whether an incarnation has lapsed, and count the look."""
-        self.looks += 1
+        """Count the check; return whether an incarnation has lapsed."""
+        self.check_count += 1
         return super().is_sealed(name)
--- a/tests/features/steps/directory_steps.py
+++ b/tests/features/steps/directory_steps.py
@@ -1,4 +1,4 @@
-"""Steps about what a node finds in its directory."""
+"""Steps about the indexes of a directory and a view of the fleet."""
 
 from dataclasses import replace
 
@@ -52,8 +52,8 @@
         _put_shard(context.directory, int(number), nodes)
 
 
-@when('the record of shard {number:d} names "{nodes}"')
-def rename(context: Context, number: int, nodes: str) -> None:
+@when('the record of shard {number:d} lists "{nodes}"')
+def change_succession(context: Context, number: int, nodes: str) -> None:
     _put_shard(context.directory, number, nodes.split())
 
 
@@ -62,32 +62,32 @@
     _put(context.directory, number, None)
 
 
-@then('the shards that name "{node}" are "{numbers}"')
-def check_named(context: Context, node: str, numbers: str) -> None:
+@then('the shards that list "{node}" are "{numbers}"')
+def check_listed(context: Context, node: str, numbers: str) -> None:
     found = context.directory.shards_listing(_name(node))
     wanted = tuple(ShardName(SERVICE, int(each)) for each in numbers.split())
     assert found == wanted, found
 
 
-@given('a view of {count:d} nodes that has listed those that live')
-def make_view(context: Context, count: int) -> None:
+@given('a view of {count:d} nodes that has computed which are live')
+def make_view_with_live_nodes(context: Context, count: int) -> None:
     context.view = CountingView(Directory())
     for place in range(count):
         _put_node(context.view.directory, record_of(place), place)
     assert len(tuple(context.view.live_nodes())) == count
-    context.view.looks = 0
+    context.view.check_count = 0
 
 
-@when('{count:d} records of shards come')
+@when('the records of {count:d} shards arrive')
 def put_shards(context: Context, count: int) -> None:
     for number in range(count):
         _put_shard(context.view.directory, number, ['n0', 'n1'])
 
 
-@then('its nodes were not looked at again')
-def check_looks(context: Context) -> None:
+@then('its nodes were not checked again')
+def check_not_checked(context: Context) -> None:
     assert tuple(context.view.live_nodes())
-    assert not context.view.looks, context.view.looks
+    assert not context.view.check_count, context.view.check_count
 
 
 @when('a node has ended')
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -140,7 +140,7 @@
 def ask(context: Context) -> None:
     tenure = context.service.tenure(0)
     context.service.view.serving_nodes(SERVICE)
-    context.service.view.looks = 0
+    context.service.view.check_count = 0
     context.wanted = tenure.wanted()
 
 
@@ -151,7 +151,7 @@
 
 @then('it asked at most {most:d} times whether a node has lapsed')
 def check_asked(context: Context, most: int) -> None:
-    asked = context.service.view.looks
+    asked = context.service.view.check_count
     assert asked <= most, asked
 
 
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -1,4 +1,4 @@
-"""Steps about news that goes from node to node."""
+"""Steps about changes that are propagated from node to node."""
 
 from types import SimpleNamespace
 from typing import Any
@@ -35,14 +35,14 @@
 )
 
 SERVICE = 'service'
-TOLD_AS = 12  # the version of the shard that is told of
+NOTIFIED_VERSION = 12  # of the shard that its writer sends
 OWNER = NodeName('owner', 1)
 PEER = NodeName('b', 1)
 LIMIT_S = 5
 
 
 class _Stream:
-    """Keeps what is sent on it."""
+    """A stream that keeps the messages that are sent on it."""
 
     def __init__(self) -> None:
         self.sent: list[Any] = []
@@ -52,22 +52,22 @@
         self.sent.append(message)
 
     def close(self) -> None:
-        """End nothing."""
+        """Do nothing."""
 
 
-class _Near:
-    """A node with the other one as its only peer."""
+class _LinkedNode:
+    """A node whose calls all go directly to one peer."""
 
     def __init__(self) -> None:
         self.view = FleetView(Directory(), SealBook())
         self.dispatcher = Dispatcher()
         self.sent: list[Any] = []
-        self.peer: _Near | None = None
+        self.peer: _LinkedNode | None = None
         peers: Any = self
         self.gossip = Gossip(self.view, peers, self.dispatcher)
 
     def call(self, _peer: NodeName, message: Any, _timeout_ms: int) -> Any:
-        """Let the peer answer a message."""
+        """Return the answer of the peer to a message."""
         assert self.peer is not None
         return self.peer.answer(message)
 
@@ -89,32 +89,32 @@
 
 
 class _WatchedStore:
-    """A store that notes who watches it."""
+    """A store that counts the calls that watch it."""
 
     scopes = ('records', 'configuration')
 
     def __init__(self) -> None:
         self.watchers = 0
-        self.fresh = 0
+        self.fresh_watchers = 0
 
     def watch(
         self, _scope: str, _known: int, _wait_ms: int, *, may_be_stale: bool
     ) -> Any:
-        """Wait for changes that never come."""
+        """Count the call, and wait for changes that never come."""
         self.watchers += 1
-        self.fresh += not may_be_stale
+        self.fresh_watchers += not may_be_stale
         eventlet.sleep(LIMIT_S)
 
 
 @given(
-    'a failure domain of {count:d} nodes with a store of its records and its '
+    'a failure domain of {count:d} nodes and a store of records and '
     'configuration'
 )
 def make_domain(context: Context, count: int) -> None:
     make_domains(context, 1, count)
 
 
-@given('{domains:d} failure domains of {count:d} nodes with such a store')
+@given('{domains:d} failure domains of {count:d} nodes and such a store')
 def make_domains(context: Context, domains: int, count: int) -> None:
     context.store = _WatchedStore()
     numbers = range(count * domains)
@@ -129,11 +129,11 @@
         context.view.directory.apply(stored)
 
 
-@when('each of them runs its reader of the {scope}')
-def run_readers(context: Context, scope: str) -> None:
+@when('each of them runs its watcher of the {scope}')
+def run_watchers(context: Context, scope: str) -> None:
     for name in context.names:
-        reader = StoreWatcher(name, context.store, context.view)
-        running = eventlet.spawn(reader.run, scope)
+        watcher = StoreWatcher(name, context.store, context.view)
+        running = eventlet.spawn(watcher.run, scope)
         context.add_cleanup(running.kill)
     eventlet.sleep(0)
 
@@ -143,13 +143,13 @@
     assert context.store.watchers == count, context.store.watchers
 
 
-@then('{count:d} of them want no stale changes')
+@then('{count:d} of them accept no stale changes')
 def check_fresh(context: Context, count: int) -> None:
-    assert context.store.fresh == count, context.store.fresh
+    assert context.store.fresh_watchers == count, context.store.fresh_watchers
 
 
-class _AskedWitness:
-    """A lease with one witness, and the link to it."""
+class _CountingLease:
+    """A lease with one witness, and the link to it, which counts calls."""
 
     lost = frozenset[NodeName]()
     is_over = False
@@ -158,75 +158,75 @@
     holder = OWNER
 
     def __init__(self) -> None:
-        self.asked_count = 0
+        self.renewal_count = 0
 
     def holds(self) -> bool:
-        """Tell that the lease is not held yet."""
+        """Return that the lease is not held yet."""
         return False
 
     def pass_over(self, _ended: object) -> bool:
-        """Tell that nothing changes by it."""
+        """Return that the witness set is unchanged."""
         return False
 
     def renewal(self, _name: NodeName, _digest: Digest) -> None:
-        """Return nothing to send."""
+        """Return an empty request."""
 
     def call(self, _peer: NodeName, _message: None, _timeout_ms: int) -> Any:
-        """Count the question."""
-        self.asked_count += 1
+        """Count the renewal."""
+        self.renewal_count += 1
 
 
-@given('a node that renews its lease every {span:d} ms')
-def make_renewer(context: Context, span: int) -> None:
-    context.asked = _AskedWitness()
-    asked: Any = context.asked
+@given('a node that renews its lease every {span_ms:d} ms')
+def make_renewing_node(context: Context, span_ms: int) -> None:
+    context.lease = _CountingLease()
+    lease: Any = context.lease
     nothing: Any = SimpleNamespace(name=OWNER)
     context.directory = Directory()
     renewer = LeaseRenewer(
-        asked,
+        lease,
         nothing,
         nothing,
-        asked,
+        lease,
         FleetView(context.directory, SealBook()),
         nothing,
-        LeaseSettings(renew_ms=span, grant_ms=2 * span),
+        LeaseSettings(renew_ms=span_ms, grant_ms=2 * span_ms),
         Clock(),
     )
     reviewing = eventlet.spawn(renewer.run)
     context.add_cleanup(reviewing.kill)
     with Timeout(LIMIT_S):
-        while not context.asked.asked_count:
+        while not context.lease.renewal_count:
             eventlet.sleep(0)
 
 
 @when('a configuration comes into force on it')
-def change_config(context: Context) -> None:
-    context.before = context.asked.asked_count
+def apply_config(context: Context) -> None:
+    context.before = context.lease.renewal_count
     record = ConfigRecord(1)
     context.directory.apply(StoredObject(CONFIG, to_value(record), 1))
 
 
-@then('its witness is asked again within {span:d} ms')
-def check_asked(context: Context, span: int) -> None:
-    eventlet.sleep(span / MS_PER_SECOND)
-    assert context.asked.asked_count > context.before
+@then('it sends its witness a renewal within {span_ms:d} ms')
+def check_renewed(context: Context, span_ms: int) -> None:
+    eventlet.sleep(span_ms / MS_PER_SECOND)
+    assert context.lease.renewal_count > context.before
 
 
-@then('once for each configuration')
+@then('only one for each configuration')
 def check_once(context: Context) -> None:
-    assert context.asked.asked_count == context.before + 1
+    assert context.lease.renewal_count == context.before + 1
 
 
-@given('the nodes "a" and "b" that know the store up to {revision:d}')
+@given('the nodes "a" and "b" that know the store up to revision {revision:d}')
 def make_nodes(context: Context, revision: int) -> None:
-    context.near, context.far = _Near(), _Near()
+    context.near, context.far = _LinkedNode(), _LinkedNode()
     context.near.peer = context.far
     for node in (context.near, context.far):
         node.view.directory.revision = revision
 
 
-@given('"b" has read the shards {numbers}, written as {versions}')
-def let_read(context: Context, numbers: str, versions: str) -> None:
+@given('"b" has read the shards {numbers} with the versions {versions}')
+def read_shards(context: Context, numbers: str, versions: str) -> None:
     directory = context.far.view.directory
     written = _numbers(versions)
     for number, version in zip(_numbers(numbers), written, strict=True):
@@ -236,15 +236,15 @@
     directory.revision = max(written)
 
 
-@given('"a" was told of shard {number:d} by its writer')
-def tell(context: Context, number: int) -> None:
-    record = ShardRecord(TOLD_AS, (OWNER,))
-    notice = ShardNotice(str(_shard(number)), record, TOLD_AS)
+@given('"a" was notified of shard {number:d} by its writer')
+def notify(context: Context, number: int) -> None:
+    record = ShardRecord(NOTIFIED_VERSION, (OWNER,))
+    notice = ShardNotice(str(_shard(number)), record, NOTIFIED_VERSION)
     context.near.answer(notice)
 
 
-@when('"a" hears how much "b" knows')
-def hear(context: Context) -> None:
+@when('"a" receives the digest of "b"')
+def receive_digest(context: Context) -> None:
     context.near.gossip.pull_if_newer(PEER, context.far.view.digest())
     eventlet.sleep(0)
 
@@ -259,7 +259,9 @@
     assert found == wanted, found
 
 
-@then('"a" knows the shards {numbers}, and the store up to {revision:d}')
+@then(
+    '"a" knows the shards {numbers}, and the store up to revision {revision:d}'
+)
 def check_known(context: Context, numbers: str, revision: int) -> None:
     directory = context.near.view.directory
     assert sorted(directory.shards(SERVICE)) == _numbers(numbers)
