--- a/tests/features/starting.feature
+++ b/tests/features/starting.feature
@@ -1,17 +1,17 @@
 Feature: A node listens before it is ready to serve
-  Callers that come while it starts wait for their answer.
+  Callers that connect during the start wait until the node serves.
 
-  Scenario: who connects early is served by the later listener
+  Scenario: the listener of a node accepts connections from before it existed
     Given a settings file with addresses for callers and reports
     When the addresses are opened early
     And a caller connects to each of them
     And the node listens at them
-    Then it accepts the connections that came before
+    Then it accepts the earlier connections
 
-  Scenario Outline: what is wrong with the settings is left to be told later
-    Given a settings file that holds <content>
+  Scenario Outline: invalid settings are left to be reported later
+    Given a settings file that contains <content>
     When the addresses are opened early
-    Then nothing was opened
+    Then no address was opened
 
     Examples:
       | content                         |
@@ -21,7 +21,7 @@
       | {"door_address": "nowhere:x"}   |
 
   # Guards against a stop that waits for a store that does not answer.
-  Scenario: a node that has not joined yet ends when it is told to
+  Scenario: a node that has not joined yet exits when it is stopped
     Given a node whose store does not answer
-    When it is told to stop while it joins
-    Then it ends with status 0 within 4 s
+    When it is stopped while it joins
+    Then it exits with status 0 within 4 s
--- a/tests/features/steps/starting_steps.py
+++ b/tests/features/steps/starting_steps.py
@@ -1,4 +1,4 @@
-"""Steps about addresses that are listened at early."""
+"""Steps about a node that listens before it is ready, and about its start."""
 
 import json
 import tempfile
@@ -39,7 +39,7 @@
     _write(context, json.dumps(dict(zip(names, texts, strict=True))))
 
 
-@given('a settings file that holds {content}')
+@given('a settings file that contains {content}')
 def write_content(context: Context, content: str) -> None:
     _write(context, content)
 
@@ -55,13 +55,13 @@
 
 
 @when('the node listens at them')
-def listen_late(context: Context) -> None:
+def open_listeners(context: Context) -> None:
     context.listeners = [
         listen(each, NOT_ACCEPTED.report) for each in context.addresses
     ]
 
 
-@then('it accepts the connections that came before')
+@then('it accepts the earlier connections')
 def check_accepted(context: Context) -> None:
     for listener, caller in zip(
         context.listeners, context.callers, strict=True
@@ -71,8 +71,8 @@
         assert accepted.getpeername() == caller.getsockname()
 
 
-@then('nothing was opened')
-def check_nothing(_context: Context) -> None:
+@then('no address was opened')
+def check_none_opened(_context: Context) -> None:
     assert not listening._opened
 
 
@@ -97,13 +97,13 @@
     context.add_cleanup(context.node.kill)
 
 
-@when('it is told to stop while it joins')
+@when('it is stopped while it joins')
 def stop_node(context: Context) -> None:
     log = context.node.log
     wait_for('start', lambda: 'store-unreach' in log.read_text(), LIMIT_S)
     context.node.terminate()
 
 
-@then('it ends with status {status:d} within {limit:d} s')
-def check_end(context: Context, status: int, limit: int) -> None:
-    assert context.node.wait(limit) == status
+@then('it exits with status {status:d} within {limit_s:d} s')
+def check_exit(context: Context, status: int, limit_s: int) -> None:
+    assert context.node.wait(limit_s) == status
