--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -1,4 +1,4 @@
-"""Steps about decisions of one node in a service of hundreds."""
+"""Steps about decisions of one node in a service of hundreds of nodes."""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -40,7 +40,7 @@
 SERVICE = 'service'
 PER_NODE = 4
 SLOTS = 6
-BYSTANDER_MS = 3_500  # after which any node may take what nobody took
+BYSTANDER_MS = 3_500  # after which any node may claim a shard without an owner
 
 
 class _HeldLease(Lease):
@@ -55,7 +55,7 @@
 
 
 class _LargeService:
-    """The records of a service, as one node knows them."""
+    """The records of a service with many nodes, as known to one node."""
 
     def __init__(self, nodes: int) -> None:
         self.names = [_name(number) for number in range(nodes)]
@@ -95,49 +95,51 @@
 
 
 @given('a service of {nodes:d} nodes with 4 shards each')
-def set_service(context: Context, nodes: int) -> None:
+def make_service(context: Context, nodes: int) -> None:
     context.service = _LargeService(nodes)
 
 
-@given('a node that is busy and has heard of {heard:d} others')
-def set_busy(context: Context, heard: int) -> None:
+@given('a busy node that knows the load of {known_count:d} others')
+def make_busy_node(context: Context, known_count: int) -> None:
     names = context.service.names
     shares = context.service.shares()
-    context.heard = set(names[1 : heard + 1])
-    known = {shard: 0.5 for name in context.heard for shard in shares[name]}
-    own = dict.fromkeys(shares[names[0]], 2.0)
+    context.known_nodes = set(names[1 : known_count + 1])
+    known_loads = {
+        shard: 0.5 for name in context.known_nodes for shard in shares[name]
+    }
+    own_loads = dict.fromkeys(shares[names[0]], 2.0)
     context.picture = Picture(
         own=names[0],
         shares=shares,
-        peers=context.heard,
+        peers=context.known_nodes,
         slots=dict.fromkeys(names, SLOTS),
-        loads={**known, **own},
+        loads={**known_loads, **own_loads},
         other_load=1,
         weights=Weights(),
     )
 
 
-@when('it decides about moves')
-def decide(context: Context) -> None:
+@when('it plans moves')
+def plan_moves(context: Context) -> None:
     context.moves = weighed(context.picture)
 
 
-@then('it moved a shard to one of the {heard:d}')
-def check_moved(context: Context, heard: int) -> None:
+@then('it moves a shard to one of the {known_count:d}')
+def check_moved(context: Context, known_count: int) -> None:
     targets = {move.target for move in context.moves}
     assert targets, 'no move'
-    assert len(context.heard) == heard
-    assert targets <= context.heard, targets
+    assert len(context.known_nodes) == known_count
+    assert targets <= context.known_nodes, targets
 
 
-@then('it worked out how busy {most:d} nodes are at most')
+@then('it computes the usage of at most {most:d} nodes')
 def check_usages(context: Context, most: int) -> None:
     found = len(context.picture.usages)
     assert found <= most, found
 
 
-@when('a node asks which shards it should write')
-def ask(context: Context) -> None:
+@when('a node computes which shards it should write')
+def compute_wanted(context: Context) -> None:
     tenure = context.service.tenure(0)
     context.service.view.serving_nodes(SERVICE)
     context.service.view.check_count = 0
@@ -149,29 +151,29 @@
     assert not context.wanted, context.wanted
 
 
-@then('it asked at most {most:d} times whether a node has lapsed')
-def check_asked(context: Context, most: int) -> None:
-    asked = context.service.view.check_count
-    assert asked <= most, asked
+@then('it checked at most {most:d} times whether a node has lapsed')
+def check_checks(context: Context, most: int) -> None:
+    checks = context.service.view.check_count
+    assert checks <= most, checks
 
 
-@given('every node that the shards of the first node name has ended')
+@given("every node in the succession of the first node's shards has ended")
 def end_nodes(context: Context) -> None:
     for number in range(3):
         ended = replace(record_of(number), open_incarnations=())
         context.service.write_node(number, ended)
 
 
-@when('another node asks which shards it should write')
-def ask_later(context: Context) -> None:
+@when('another node computes which shards it should write')
+def compute_wanted_by_other(context: Context) -> None:
     tenure = context.service.tenure(80)
     tenure.wanted()
     context.service.clock.pass_ms(BYSTANDER_MS)
     context.wanted = tenure.wanted()
 
 
-@then('these are shards of the first node')
-def check_orphans(context: Context) -> None:
+@then('these are the shards of the first node')
+def check_first_shards(context: Context) -> None:
     nodes = len(context.service.names)
     expected = set(range(0, nodes * PER_NODE, nodes))
     found = {shard.number for shard in context.wanted}
@@ -179,16 +181,16 @@
 
 
 class _Gates:
-    """The gates of the last and of the next owner of a shard."""
+    """In place of links: the gates of the last and next owner of a shard."""
 
-    def __init__(self, last: NodeName, notice: ShardNotice) -> None:
-        self._last = last
+    def __init__(self, last_owner: NodeName, notice: ShardNotice) -> None:
+        self._last = last_owner
         self._notice = notice
-        self.asked: list[NodeName] = []
+        self.targets: list[NodeName] = []
 
     def open_stream(self, peer: NodeName, **_how: Any) -> Any:
-        """Return a stream on which a gate has answered already."""
-        self.asked.append(peer)
+        """Return a stream on which the gate of a node has answered already."""
+        self.targets.append(peer)
         near, far = local_pair()
         if peer == self._last:
             far.send(self._notice)
@@ -204,7 +206,7 @@
     is_gone = False
 
     def look(self) -> bool:
-        """Tell that it has not left."""
+        """Return that it has not left."""
         return False
 
     def when_gone(self, act: Callable[[], None]) -> None:
@@ -212,21 +214,21 @@
 
 
 @given(
-    'shard {number:d} has moved to another node, which its last owner alone '
+    'shard {number:d} has moved to another node, which only its last owner '
     'knows'
 )
-def move_unseen(context: Context, number: int) -> None:
+def move_shard(context: Context, number: int) -> None:
     service = context.service
     shard = ShardName(SERVICE, number)
     entry = service.view.directory.shard(shard)
-    last, context.next = entry.record.succession[0], service.names[90]
+    last_owner, context.next = entry.record.succession[0], service.names[90]
     moved = replace(entry.record, epoch=2, succession=(context.next,))
     notice = ShardNotice(str(shard), moved, entry.version + 10_000)
-    context.last, context.gates = last, _Gates(last, notice)
+    context.last, context.gates = last_owner, _Gates(last_owner, notice)
 
 
-@when('a request for shard {number:d} comes to a door')
-def ask_door(context: Context, number: int) -> None:
+@when('a request for shard {number:d} arrives at a door')
+def send_to_door(context: Context, number: int) -> None:
     clock = Clock()
     stand_ins: Any = (context.gates, None, _StayingCaller())
     gates, serve, caller = stand_ins
@@ -242,17 +244,17 @@
     work = replace(
         PLAIN_WORK, service=SERVICE, shard=number, key='7', idempotent=True
     )
-    began_ms = clock.now_ms()
+    started_ms = clock.now_ms()
     context.reply = router.send(Inquiry(work, b'', 3), caller)
-    context.took_ms = clock.now_ms() - began_ms
+    context.took_ms = clock.now_ms() - started_ms
 
 
-@then('the door asked the last owner, and then the next one')
-def check_asked_owners(context: Context) -> None:
-    assert context.gates.asked == [context.last, context.next]
+@then('the door sent it to the last owner, and then to the next one')
+def check_targets(context: Context) -> None:
+    assert context.gates.targets == [context.last, context.next]
 
 
-@then('the next owner answered it within {limit:d} ms')
-def check_answered(context: Context, limit: int) -> None:
+@then('the next owner answered it within {limit_ms:d} ms')
+def check_answered(context: Context, limit_ms: int) -> None:
     assert b''.join(context.reply.body()) == b'whole'
-    assert context.took_ms < limit, context.took_ms
+    assert context.took_ms < limit_ms, context.took_ms
