--- a/tests/features/leaving.feature
+++ b/tests/features/leaving.feature
@@ -1,23 +1,24 @@
-Feature: No work is begun or kept up for callers that have left
+Feature: No work is started or continued for callers that have disconnected
 
-  # Guards against a watch that one bad connection or handler ends for all.
-  Scenario Outline: the leaving of a caller is noticed after another's fault
-    Given callers that are watched
+  # Guards against a fault of one connection or handler that ends the detection
+  # of disconnects for all callers.
+  Scenario Outline: a disconnect is detected after a fault of another caller
+    Given callers whose connections are watched
     When <what>
     And a caller closes its connection
-    Then its leaving is noticed within 500 ms
+    Then its disconnect is detected within 500 ms
 
     Examples:
-      | what                                                      |
-      | another caller leaves                                     |
+      | what                                                       |
+      | another caller disconnects                                 |
       | another caller's connection is closed before it is watched |
-      | what is done for another caller that left fails           |
+      | the handler for another caller's disconnect fails          |
 
-  # Guards against callers whose leaving hides behind bytes they sent before.
-  Scenario Outline: a caller that sent more before it left is noticed
-    Given callers that are watched
+  # Guards against disconnects that stay hidden behind bytes sent before them.
+  Scenario Outline: the disconnect of a caller that sent more is detected
+    Given callers whose connections are watched
     When a caller sends its next request and <leaves>
-    Then its leaving is noticed within 500 ms
+    Then its disconnect is detected within 500 ms
 
     Examples:
       | leaves                |
@@ -25,19 +26,21 @@
       | resets its connection |
       | ends its side         |
 
-  # Guards against work of which a caller's leaving is told too late or never.
-  Scenario: what is to be done when a caller leaves is done for one that has left
-    Given callers that are watched
+  # Guards against handlers that are called too late or never, so that work
+  # continues for a caller that has disconnected.
+  Scenario: a handler that is set after the disconnect is called
+    Given callers whose connections are watched
     When a caller closes its connection
-    And its leaving is noticed
-    And it is said what is to be done when it leaves
-    Then it is done
-
-  # Guards against requests that are sent on after their callers left (GONE).
-  Scenario Outline: a request whose caller leaves is not tried any more
-    Given a router on <where> whose caller leaves <when>
+    And its disconnect is detected
+    And a handler for its disconnect is set
+    Then the handler has been called
+
+  # Guards against requests that are forwarded after their callers have
+  # disconnected (GONE).
+  Scenario Outline: a request whose caller disconnects is not tried again
+    Given a router on <where> whose caller disconnects <when>
     When its request is sent
-    Then no gate was given it after its caller had left
+    Then no gate received it after its caller had disconnected
     And the request ends as not run
 
     Examples:
@@ -49,8 +52,9 @@
       | another node       | while it waits for an owner  |
       | another node       | during the first try         |
 
-  # Guards against work that goes on since its caller left while it was sent.
-  Scenario: a request whose caller leaves while it is being sent is cancelled
-    Given a router on another node whose caller leaves while it is sent
+  # Guards against work that continues because its caller disconnected while the
+  # request was being sent.
+  Scenario: a request whose caller disconnects while it is sent is cancelled
+    Given a router on another node whose caller disconnects while it is sent
     When its request is sent
-    Then the gate that was given it is told to cancel it
+    Then the gate that received it is told to cancel it
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -1,4 +1,4 @@
-"""Steps about callers that leave before they are answered."""
+"""Steps about callers that disconnect before they are answered."""
 
 import struct
 from collections.abc import Callable
@@ -40,12 +40,12 @@
 LIMIT_S = 20
 DEADLINE_MS = 2_000
 CANCEL_WITHIN_MS = 500
-LEAVES_AFTER_S = 0.1
-OWNER_AFTER_S = 0.25
+DISCONNECT_AFTER_S = 0.1
+OWNER_KNOWN_AFTER_S = 0.25
 NEXT_REQUEST = b'GET /plain/next HTTP/1.1\r\nHost: door\r\n\r\n'
 RESET_AT_CLOSE = struct.pack('ii', 1, 0)
 
-Leave = Callable[[Any], None]
+Disconnect = Callable[[Any], None]
 
 
 def _close(sock: Any) -> None:
@@ -61,7 +61,7 @@
     sock.shutdown(socket.SHUT_WR)
 
 
-LEAVES: dict[str, Leave] = {
+DISCONNECTS: dict[str, Disconnect] = {
     'closes its connection': _close,
     'resets its connection': _reset,
     'ends its side': _end_side,
@@ -80,94 +80,96 @@
 
 
 def _fail() -> None:
-    raise ValueError('a fault of what is done for a caller that left')
+    raise ValueError('a fault of the handler for a disconnect')
 
 
-@given('callers that are watched')
-def make_callers(context: Context) -> None:
+@given('callers whose connections are watched')
+def watch_callers(context: Context) -> None:
     log = TestHandler()
     log.push_application()
     context.add_cleanup(log.pop_application)
     context.callers = Callers(Clock())
-    context.done = Event()
+    context.handler_called = Event()
 
 
-@when('another caller leaves')
-def leave_first(context: Context) -> None:
+@when('another caller disconnects')
+def disconnect_other(context: Context) -> None:
     served, other = _connect(context)
     context.callers.await_answer(served)
     other.close()
-    eventlet.sleep(LEAVES_AFTER_S)
+    eventlet.sleep(DISCONNECT_AFTER_S)
 
 
 @when("another caller's connection is closed before it is watched")
-def watch_closed(context: Context) -> None:
+def watch_closed_connection(context: Context) -> None:
     served, _ = _connect(context)
     served.close()
     context.callers.await_answer(served)
 
 
-@when('what is done for another caller that left fails')
-def fail_first(context: Context) -> None:
+@when("the handler for another caller's disconnect fails")
+def fail_handler(context: Context) -> None:
     served, other = _connect(context)
     context.callers.await_answer(served).when_gone(_fail)
     other.close()
-    eventlet.sleep(LEAVES_AFTER_S)
+    eventlet.sleep(DISCONNECT_AFTER_S)
 
 
 @when('a caller closes its connection')
-def leave_watched(context: Context) -> None:
-    _watch_leaving(context, _close, b'')
+def close_watched(context: Context) -> None:
+    _watch_disconnect(context, _close, b'')
 
 
-@when('a caller sends its next request and {leaves}')
-def leave_after_more(context: Context, leaves: str) -> None:
-    _watch_leaving(context, LEAVES[leaves], NEXT_REQUEST)
+@when('a caller sends its next request and {how}')
+def disconnect_after_more(context: Context, how: str) -> None:
+    _watch_disconnect(context, DISCONNECTS[how], NEXT_REQUEST)
 
 
-def _watch_leaving(context: Context, leave: Leave, sent: bytes) -> None:
+def _watch_disconnect(
+    context: Context, disconnect: Disconnect, sent: bytes
+) -> None:
     served, sock = _connect(context)
     context.caller = context.callers.await_answer(served)
     sock.sendall(sent)
-    eventlet.sleep(LEAVES_AFTER_S)
-    leave(sock)
+    eventlet.sleep(DISCONNECT_AFTER_S)
+    disconnect(sock)
 
 
-@when('its leaving is noticed')
-def notice(context: Context) -> None:
+@when('its disconnect is detected')
+def await_detection(context: Context) -> None:
     with Timeout(LIMIT_S):
         while not context.caller.is_gone:
-            eventlet.sleep(LEAVES_AFTER_S)
+            eventlet.sleep(DISCONNECT_AFTER_S)
 
 
-@when('it is said what is to be done when it leaves')
-def set_act(context: Context) -> None:
-    context.caller.when_gone(context.done.send)
+@when('a handler for its disconnect is set')
+def set_handler(context: Context) -> None:
+    context.caller.when_gone(context.handler_called.send)
 
 
-@then('it is done')
-def check_done(context: Context) -> None:
-    assert context.done.ready()
+@then('the handler has been called')
+def check_handler_called(context: Context) -> None:
+    assert context.handler_called.ready()
 
 
-@then('its leaving is noticed within {limit:d} ms')
-def check_noticed(context: Context, limit: int) -> None:
-    context.caller.when_gone(context.done.send)
-    with Timeout(limit / MS_PER_SECOND, exception=False):
-        context.done.wait()
+@then('its disconnect is detected within {limit_ms:d} ms')
+def check_detected(context: Context, limit_ms: int) -> None:
+    context.caller.when_gone(context.handler_called.send)
+    with Timeout(limit_ms / MS_PER_SECOND, exception=False):
+        context.handler_called.wait()
     assert context.caller.is_gone
 
 
-class _Scene:
-    """A router whose caller leaves at some moment, and what its gate gets."""
+class _RoutedRequest:
+    """A request whose caller disconnects, its router and its gate."""
 
     def __init__(self, context: Context, own: NodeName) -> None:
         served, self._sock = _connect(context)
-        self.has_left = False
-        self.given_late: list[Work] = []
+        self.has_disconnected = False
+        self.late_requests: list[Work] = []
         self.far: Any = None
-        self.told: Any = Event()
-        self.view = _OpeningGate()
+        self.received: Any = Event()
+        self.view = _LateOwnerView()
         clock = Clock()
         self.caller = Callers(clock).await_answer(served)
         view: Any = self.view
@@ -181,39 +183,39 @@
             RetryBudgets(0, clock),
             clock,
         )
-        self.during_try: Callable[[], None] = _nothing
-        self.during_send: Callable[[], None] = _nothing
+        self.during_try: Callable[[], None] = _do_nothing
+        self.during_send: Callable[[], None] = _do_nothing
 
-    def leave(self) -> None:
-        """Let the caller close its connection."""
+    def disconnect(self) -> None:
+        """Close the connection of the caller."""
         self._sock.close()
-        self.has_left = True
+        self.has_disconnected = True
 
     def send(self) -> Any:
-        """Send a request of the caller."""
+        """Send the request of the caller; return the outcome."""
         work = replace(PLAIN_WORK, shard=-1, idempotent=True)
         with Timeout(LIMIT_S):
             return self._router.send(Inquiry(work, b'', 3), self.caller)
 
     def serve(self, exchange: Exchange, work: Work) -> None:
-        """Turn a request away, in the place of a gate."""
-        if self.has_left:
-            self.given_late.append(work)
+        """Refuse a request, in place of a gate."""
+        if self.has_disconnected:
+            self.late_requests.append(work)
         self.during_try()
         exchange.send(failure('worker-unreachable', 'refused', ran=False))
 
     def open_stream(self, _peer: NodeName, **_how: bool) -> Outgoing:
-        """Return a stream to the gate, in the place of links."""
+        """Return a stream to the gate, in place of links."""
         near, self.far = local_pair()
         eventlet.spawn_n(self._serve_stream, self.far)
         return _SlowStream(near, self)
 
     def await_cancel(self) -> None:
-        """Note what the gate is told within the time that the rules give."""
+        """Store the message that the gate receives in time to cancel."""
         try:
-            self.told.send(self.far.receive(CANCEL_WITHIN_MS))
+            self.received.send(self.far.receive(CANCEL_WITHIN_MS))
         except LinkTimeoutError as late:
-            self.told.send(late)
+            self.received.send(late)
 
     def _serve_stream(self, far: Stream) -> None:
         with suppress(LinkTimeoutError):
@@ -223,106 +225,106 @@
 
 
 class _SlowStream(WrappedExchange):
-    """A stream whose link takes a request only after something happened."""
+    """A stream that calls `during_send` before it sends a request."""
 
-    def __init__(self, near: Stream, scene: _Scene) -> None:
+    def __init__(self, near: Stream, routed: _RoutedRequest) -> None:
         super().__init__(near)
         self._near = near
-        self._scene = scene
+        self._routed = routed
 
     def send(self, message: Any) -> None:
         """Send a message."""
         if isinstance(message, Work):
-            self._scene.during_send()
+            self._routed.during_send()
         super().send(message)
 
     def fail(self, reason: LinkError) -> None:
-        """Let all that waits on the stream fail."""
+        """Fail the stream, and with it all tasks that wait on it."""
         self._near.fail(reason)
 
 
-def _nothing() -> None:
+def _do_nothing() -> None:
     """Do nothing."""
 
 
-class _OpeningGate(OneGate):
-    """A view in which the one node is known from some time on."""
+class _LateOwnerView(OneGate):
+    """A view in which the one node becomes known only later."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.is_open = True
+        self.is_known = True
 
     def serving_nodes(self, service: str) -> dict[NodeName, NodeRecord]:
         """Return the one node once it is known."""
-        return super().serving_nodes(service) if self.is_open else {}
+        return super().serving_nodes(service) if self.is_known else {}
 
-    def open(self) -> None:
-        """Let the node be known."""
-        self.is_open = True
+    def make_known(self) -> None:
+        """Make the node known, and wake the tasks that wait for it."""
+        self.is_known = True
         self.directory.news.tell()
 
 
-def _leave_first(scene: _Scene) -> None:
-    scene.leave()
+def _disconnect_first(routed: _RoutedRequest) -> None:
+    routed.disconnect()
 
 
-def _leave_waiting(scene: _Scene) -> None:
-    scene.view.is_open = False
-    eventlet.spawn_after(LEAVES_AFTER_S, scene.leave)
-    eventlet.spawn_after(OWNER_AFTER_S, scene.view.open)
+def _disconnect_while_waiting(routed: _RoutedRequest) -> None:
+    routed.view.is_known = False
+    eventlet.spawn_after(DISCONNECT_AFTER_S, routed.disconnect)
+    eventlet.spawn_after(OWNER_KNOWN_AFTER_S, routed.view.make_known)
 
 
-def _leave_in_try(scene: _Scene) -> None:
-    def leave_at_gate() -> None:
-        eventlet.sleep(LEAVES_AFTER_S)
-        scene.leave()
+def _disconnect_in_try(routed: _RoutedRequest) -> None:
+    def disconnect_at_gate() -> None:
+        eventlet.sleep(DISCONNECT_AFTER_S)
+        routed.disconnect()
 
-    scene.during_try = leave_at_gate
+    routed.during_try = disconnect_at_gate
 
 
-def _leave_in_send(scene: _Scene) -> None:
-    def leave_noticed() -> None:
-        scene.during_send = _nothing
-        scene.leave()
+def _disconnect_in_send(routed: _RoutedRequest) -> None:
+    def disconnect_and_await_detection() -> None:
+        routed.during_send = _do_nothing
+        routed.disconnect()
         eventlet.sleep(0)
-        while not scene.caller.is_gone:
-            eventlet.sleep(LEAVES_AFTER_S)
+        while not routed.caller.is_gone:
+            eventlet.sleep(DISCONNECT_AFTER_S)
 
-    scene.during_send = leave_noticed
-    scene.during_try = scene.await_cancel
+    routed.during_send = disconnect_and_await_detection
+    routed.during_try = routed.await_cancel
 
 
-MOMENTS: dict[str, Callable[[_Scene], None]] = {
-    'before the first try': _leave_first,
-    'while it waits for an owner': _leave_waiting,
-    'during the first try': _leave_in_try,
-    'while it is sent': _leave_in_send,
+MOMENTS: dict[str, Callable[[_RoutedRequest], None]] = {
+    'before the first try': _disconnect_first,
+    'while it waits for an owner': _disconnect_while_waiting,
+    'during the first try': _disconnect_in_try,
+    'while it is sent': _disconnect_in_send,
 }
 PLACES = {"the worker's node": GATE, 'another node': DOOR}
 
 
-@given('a router on {where} whose caller leaves {moment}')
-def make_scene(context: Context, where: str, moment: str) -> None:
+@given('a router on {where} whose caller disconnects {moment}')
+def make_routed_request(context: Context, where: str, moment: str) -> None:
     log = TestHandler()
     log.push_application()
     context.add_cleanup(log.pop_application)
-    context.scene = _Scene(context, PLACES[where])
-    MOMENTS[moment](context.scene)
+    context.routed = _RoutedRequest(context, PLACES[where])
+    MOMENTS[moment](context.routed)
 
 
 @when('its request is sent')
 def send(context: Context) -> None:
-    context.outcome = context.scene.send()
+    context.outcome = context.routed.send()
 
 
-@then('no gate was given it after its caller had left')
-def check_none_given(context: Context) -> None:
-    assert not context.scene.given_late, context.scene.given_late
+@then('no gate received it after its caller had disconnected')
+def check_no_late_request(context: Context) -> None:
+    assert not context.routed.late_requests, context.routed.late_requests
 
 
-@then('the gate that was given it is told to cancel it')
+@then('the gate that received it is told to cancel it')
 def check_cancelled(context: Context) -> None:
     with Timeout(LIMIT_S):
-        told = context.scene.told.wait()
-    assert isinstance(told, Cancel), told
+        received = context.routed.received.wait()
+    assert isinstance(received, Cancel), received
     assert isinstance(context.outcome, Failure), context.outcome
