--- a/tests/features/late_worker.feature
+++ b/tests/features/late_worker.feature
@@ -14,7 +14,7 @@
     When the worker of "portal-1" listens 4 s after its node has joined
     Then a payment is answered with success within 20 s
 
-  # Guards against the same where nodes give shards to each other in vain.
+  # Guards against the same when nodes move shards to each other in vain.
   Scenario: payments are made as soon as the workers of three nodes listen
     Given a deployment of the nodes
       | node     | failure_domain | service       |
