--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -35,12 +35,12 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.execution import Executor
-from laburnumwood.routing.gate import Gate, WorkerState
-from laburnumwood.routing.measuring import MeasuredDoor
-from laburnumwood.routing.notary import Notary
+from laburnumwood.routing.admission_gate import Gate, WorkerState
+from laburnumwood.routing.executor import Executor
+from laburnumwood.routing.ledger_replication import Notary
+from laburnumwood.routing.measured_ingress import MeasuredDoor
 from laburnumwood.routing.router import Router
-from laburnumwood.routing.suspicions import Suspicions
+from laburnumwood.routing.shared_quarantine import Suspicions
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
 from laburnumwood.tasks import Task, Tasks, start
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -17,13 +17,13 @@
 from laburnumwood.placement.loads import LoadBook
 from laburnumwood.protocol.messages import Work
 from laburnumwood.records import NodeName, NodeRecord
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import Outgoing, local_pair
-from laburnumwood.routing.inquiry import Inquiry
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.problems import failure
+from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.retry_policy import Tries
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
-from laburnumwood.routing.spread import Spread
-from laburnumwood.routing.tries import Tries
 from laburnumwood.store.breaker import GuardedStore
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
