--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -65,7 +65,7 @@
     return HTTPStatus.BAD_GATEWAY
 
 
-class RequesterFace:
+class PlatformCallerInterface:
     """The platform's requests and answers.
 
     The statuses 429 and 503 promise that a request has not run; 502 and 504
--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -7,7 +7,7 @@
 
 from laburnumwood.borders import Borders, Front, Listener, borders
 from laburnumwood.listening import split_address
-from laburnumwood.platform.callers import RequesterFace
+from laburnumwood.platform.callers import PlatformCallerInterface
 from laburnumwood.platform.reports import ReportEndpoint
 from laburnumwood.platform.store import ObjectStore
 from laburnumwood.platform.workers import WorkerDialect
@@ -51,7 +51,7 @@
 def _make() -> Borders:
     return Borders(
         make_store=lambda settings: ObjectStore(settings.platform_url),
-        make_face=lambda settings: RequesterFace(
+        make_face=lambda settings: PlatformCallerInterface(
             settings, Random(settings.node_id)
         ),
         make_dialect=WorkerDialect,
