--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -10,7 +10,7 @@
 from laburnumwood.platform.callers import PlatformCallerInterface
 from laburnumwood.platform.reports import ReportEndpoint
 from laburnumwood.platform.store import ObjectStore
-from laburnumwood.platform.workers import WorkerDialect
+from laburnumwood.platform.workers import PlatformWorkerInterface
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
 
@@ -54,7 +54,7 @@
         make_face=lambda settings: PlatformCallerInterface(
             settings, Random(settings.node_id)
         ),
-        make_dialect=WorkerDialect,
+        make_dialect=PlatformWorkerInterface,
         listeners=_listeners,
         worker_reports=True,
         has_idempotency_keys=False,
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -42,7 +42,7 @@
     return not waiting and running < slots
 
 
-class WorkerDialect:
+class PlatformWorkerInterface:
     """The headers of the platform's workers."""
 
     def __init__(self, worker: ReportingWorker) -> None:
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -14,7 +14,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import WorkerCutError, WorkerTimeoutError
 from laburnumwood.header_index import HeaderIndex
-from laburnumwood.platform.workers import WorkerDialect
+from laburnumwood.platform.workers import PlatformWorkerInterface
 from laburnumwood.upstream.worker import Worker, WorkerRequest
 
 HOST = '127.0.0.1'
@@ -274,7 +274,7 @@
     )
     reporting: Any = None
     try:
-        WorkerDialect(reporting).check(run, answer)
+        PlatformWorkerInterface(reporting).check(run, answer)
     except WorkerCutError:
         context.verdict = 'refused'
     else:
@@ -288,7 +288,7 @@
     index = HeaderIndex([('Not-Executed', '1'), ('Server-Load', load)])
     answer: Any = SimpleNamespace(status=status, index=index)
     reporting: Any = None
-    context.verdict = WorkerDialect(reporting).refusal(answer, b'')
+    context.verdict = PlatformWorkerInterface(reporting).refusal(answer, b'')
 
 
 @then('that is read as "{what}"')
