--- a/laburnumwood/admission/admitter.py
+++ b/laburnumwood/admission/admitter.py
@@ -41,9 +41,9 @@
         return self._admission.waiting
 
     @property
-    def slot_ms(self) -> float:
+    def mean_slot_ms(self) -> float:
         """Return for how long a request keeps a slot, by the last ones."""
-        return self._admission.slot_ms
+        return self._admission.mean_slot_ms
 
     def record_load_report(self, reported: int) -> None:
         """Take in how many requests the worker says it runs."""
--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -29,7 +29,7 @@
         """Return how many tickets wait."""
 
     @property
-    def slot_ms(self) -> float:
+    def mean_slot_ms(self) -> float:
         """Return for how long a ticket keeps a slot, by the last ones."""
 
     def offer(self, ticket: Ticket) -> None:
@@ -88,7 +88,7 @@
         return len(self._queue)
 
     @property
-    def slot_ms(self) -> float:
+    def mean_slot_ms(self) -> float:
         """Return for how long a ticket keeps a slot, by the last ones."""
         return self._slot_times.mean
 
@@ -219,7 +219,7 @@
         return len(self._queue)
 
     @property
-    def slot_ms(self) -> float:
+    def mean_slot_ms(self) -> float:
         """Return zero: nothing is measured."""
         return 0
 
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -284,7 +284,7 @@
             self._tell_cancelled(work)
         except OverloadedError as shed:
             # What does not fit on this worker is load all the same.
-            self._meter.note(work.shard, work.key, self._admitter.slot_ms)
+            self._meter.note(work.shard, work.key, self._admitter.mean_slot_ms)
             shed.retry_after_ms = max(shed.retry_after_ms, line_ms)
             raise
         if ticket.result is TicketResult.SERVED:
@@ -338,7 +338,7 @@
         if self._grants.covers(shard, run.token):
             return True
         left_ms = run.until_ms - self._clock.now_ms() - _ANSWER_MS
-        if wait_ms + self._admitter.slot_ms > left_ms:
+        if wait_ms + self._admitter.mean_slot_ms > left_ms:
             return False
         return self._wait_for_grant(shard, run.token, wait_ms)
 
