--- a/laburnumwood/admission/__init__.py
+++ b/laburnumwood/admission/__init__.py
@@ -1,1 +1,1 @@
-"""The admission of the router."""
+"""Admission control in front of the worker."""
--- a/laburnumwood/admission/admitter.py
+++ b/laburnumwood/admission/admitter.py
@@ -1,4 +1,4 @@
-"""Tasks that wait until they are let in."""
+"""Blocks the tasks of requests until an admission policy has decided."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -6,20 +6,20 @@
 from eventlet import Timeout
 from eventlet.event import Event
 
-from laburnumwood.admission.control import AdmissionPolicy
-from laburnumwood.admission.counters import AdmissionCounters
-from laburnumwood.admission.tickets import Ticket, TicketState
+from laburnumwood.policy.control import AdmissionPolicy
+from laburnumwood.policy.counters import AdmissionCounters
+from laburnumwood.policy.tickets import Ticket, TicketState
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import OverloadedError, RunCancelledError
 
-_GONE = 'nobody waits for it'
+_CANCELLED = 'nobody waits for it'
 
 
 class Admitter:
-    """Lets the tasks of requests wait for what an admission decides."""
+    """Blocks the task of each request until the policy admits or sheds it."""
 
-    def __init__(self, admission: AdmissionPolicy, clock: Clock) -> None:
-        self._admission = admission
+    def __init__(self, policy: AdmissionPolicy, clock: Clock) -> None:
+        self._policy = policy
         self._clock = clock
         self._queued: set[Ticket] = set()
         self._responding: set[Ticket] = set()
@@ -28,38 +28,41 @@
     @property
     def running(self) -> int:
         """Return how many requests have a slot."""
-        return self._admission.running
+        return self._policy.running
 
     @property
     def responding(self) -> int:
-        """Return how many have given their slot back and not ended yet."""
+        """Return how many requests have released their slot but not ended.
+
+        Their answers are still being sent.
+        """
         return len(self._responding)
 
     @property
     def waiting(self) -> int:
-        """Return how many requests wait for one."""
-        return self._admission.waiting
+        """Return how many requests wait for a slot."""
+        return self._policy.waiting
 
     @property
     def mean_slot_ms(self) -> float:
-        """Return for how long a request keeps a slot, by the last ones."""
-        return self._admission.mean_slot_ms
+        """Return the mean time for which recent requests kept their slots."""
+        return self._policy.mean_slot_ms
 
     def record_load_report(self, reported: int) -> None:
-        """Take in how many requests the worker says it runs."""
-        self._admission.record_load_report(reported)
+        """Record how many requests the worker reports to be running."""
+        self._policy.record_load_report(reported)
 
     @contextmanager
     def hold_slot(self, ticket: Ticket) -> Iterator[None]:
-        """Hold a slot for the ticket while the block runs.
+        """Wait for a slot and hold it while the block runs.
 
-        Raises `OverloadedError` as soon as it is clear that there is none, and
-        `RunCancelledError` if the ticket was cancelled before it had one.
+        Raises `OverloadedError` once the ticket is shed, and
+        `RunCancelledError` if it was cancelled before it was given a slot.
         """
         if ticket.is_cancelled:
-            raise RunCancelledError(_GONE)
+            raise RunCancelledError(_CANCELLED)
         try:
-            self._enter(ticket)
+            self._acquire(ticket)
             self.counters.record_admitted()
             yield
         finally:
@@ -67,45 +70,45 @@
             self._release(ticket)
 
     def release_slot(self, ticket: Ticket) -> None:
-        """Give the slot of a ticket back while its answer still leaves."""
+        """Release the slot of a ticket whose answer is still being sent."""
         if ticket.state is TicketState.RUNNING:
             self._responding.add(ticket)
             self._release(ticket)
 
     def cancel(self, ticket: Ticket) -> None:
-        """Give up the place of a ticket that has no slot yet."""
+        """Cancel a ticket; remove it from the queue if it waits there."""
         ticket.is_cancelled = True
         if ticket in self._queued:
-            self._admission.release(ticket)
+            self._policy.release(ticket)
 
-    def _enter(self, ticket: Ticket) -> None:
+    def _acquire(self, ticket: Ticket) -> None:
         self._wait(ticket)
         if ticket.state is TicketState.RUNNING:
             return
         if ticket.is_cancelled:
-            raise RunCancelledError(_GONE)
+            raise RunCancelledError(_CANCELLED)
         self.counters.record_shed()
         raise OverloadedError(ticket.retry_after_ms)
 
     def _release(self, ticket: Ticket) -> None:
         if ticket.state is TicketState.RUNNING:
             self.counters.record_released()
-        self._admission.release(ticket)
+        self._policy.release(ticket)
 
     def _wait(self, ticket: Ticket) -> None:
-        self._admission.offer(ticket)
+        self._policy.offer(ticket)
         if ticket.state is TicketState.WAITING:
             self._queued.add(ticket)
             try:
-                self._await_settled(ticket)
+                self._wait_until_settled(ticket)
             finally:
                 self._queued.discard(ticket)
 
-    def _await_settled(self, ticket: Ticket) -> None:
+    def _wait_until_settled(self, ticket: Ticket) -> None:
         settled = Event()
         ticket.on_settled = settled.send
         left_ms = max(ticket.deadline_ms - self._clock.now_ms(), 0)
         with Timeout(left_ms / MS_PER_SECOND, False):
             settled.wait()
             return
-        self._admission.release(ticket)
+        self._policy.release(ticket)
--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -11,14 +11,14 @@
 from laburnumwood.decay import DecayingMean
 from laburnumwood.settings import AdmissionSettings
 
-_TIMES_HALF_LIFE_MS = 2_000
-_LEAST_RETRY_MS = 100
-_MOST_RETRY_MS = 10_000
-_LONGEST_BOOKED_MS = 1_000  # callers hardly come back after a longer time
+_LATENCY_HALF_LIFE_MS = 2_000
+_MIN_RETRY_AFTER_MS = 100
+_MAX_RETRY_AFTER_MS = 10_000
+_RETRY_HORIZON_MS = 1_000  # callers rarely retry after a longer delay
 
 
 class AdmissionPolicy(Protocol):
-    """Decides about tickets; it never waits."""
+    """Decides whether tickets run, wait or are shed; it never blocks."""
 
     @property
     def running(self) -> int:
@@ -30,16 +30,19 @@
 
     @property
     def mean_slot_ms(self) -> float:
-        """Return for how long a ticket keeps a slot, by the last ones."""
+        """Return the mean time for which recent tickets kept their slots."""
 
     def offer(self, ticket: Ticket) -> None:
-        """Let a new ticket run, wait, or be shed."""
+        """Start, queue or shed a new ticket."""
 
     def release(self, ticket: Ticket) -> None:
-        """Take back the slot of a ticket, or its place in the queue."""
+        """Release the slot of a ticket, or remove it from the queue.
+
+        A ticket that is already released or shed is ignored.
+        """
 
     def record_load_report(self, reported: int) -> None:
-        """Take in how many requests the worker says it runs."""
+        """Record how many requests the worker reports to be running."""
 
 
 PolicyFactory = Callable[[AdmissionSettings, SlotCount, Clock], AdmissionPolicy]
@@ -47,21 +50,21 @@
 
 
 def admission_policy(name: str) -> Callable[[PolicyFactory], PolicyFactory]:
-    """Register a way of admission under a name."""
+    """Return a decorator that registers an admission policy under a name."""
 
-    def register(maker: PolicyFactory) -> PolicyFactory:
-        ADMISSION_POLICIES[name] = maker
-        return maker
+    def register(factory: PolicyFactory) -> PolicyFactory:
+        ADMISSION_POLICIES[name] = factory
+        return factory
 
     return register
 
 
 @admission_policy('adaptive')
 class AdaptivePolicy:
-    """An adaptive limit, and before it a short queue that is fair to keys.
+    """An adaptive concurrency limit with a short queue that is fair to keys.
 
-    A ticket that could not be answered before its deadline, by the times that
-    were observed, is shed at once.
+    A ticket that, by the latencies observed so far, would not be answered
+    before its deadline is shed at once.
     """
 
     def __init__(
@@ -70,12 +73,15 @@
         self._clock = clock
         self._limit = ConcurrencyLimit(slots, clock)
         self._queue = FairQueue(lambda: slots() * settings.queue_per_slot)
-        self._running: dict[Ticket, None] = {}  # in the order of their start
-        self._by_key: Counter[str] = Counter()
-        self._peaks = (0, 0)  # of running, since the last two load reports
-        self._booked_ms: float = 0  # the last place given to one sent away
-        self._latencies = DecayingMean(_TIMES_HALF_LIFE_MS, clock)
-        self._slot_times = DecayingMean(_TIMES_HALF_LIFE_MS, clock)
+        self._running: dict[Ticket, None] = {}  # in order of start
+        self._running_by_key: Counter[str] = Counter()
+        # The highest `running` since the last load report, and between that
+        # report and the one before.
+        self._peak_running = (0, 0)
+        # The time at which the ticket that was shed last should be retried.
+        self._last_retry_at_ms: float = 0
+        self._latencies = DecayingMean(_LATENCY_HALF_LIFE_MS, clock)
+        self._slot_durations = DecayingMean(_LATENCY_HALF_LIFE_MS, clock)
 
     @property
     def running(self) -> int:
@@ -89,8 +95,8 @@
 
     @property
     def mean_slot_ms(self) -> float:
-        """Return for how long a ticket keeps a slot, by the last ones."""
-        return self._slot_times.mean
+        """Return the mean time for which recent tickets kept their slots."""
+        return self._slot_durations.mean
 
     @property
     def limit(self) -> int:
@@ -98,39 +104,42 @@
         return self._limit.current
 
     def offer(self, ticket: Ticket) -> None:
-        """Let a new ticket run, wait, or be shed."""
-        self._fill()
+        """Start, queue or shed a new ticket."""
+        self._dispatch()
         left_ms = ticket.useful_until_ms - self._clock.now_ms()
         if not self._queue and self.running < self.limit and left_ms > 0:
             self._start(ticket)
-        elif self._may_wait(ticket, left_ms):
+        elif self._can_wait(ticket, left_ms):
             self._enqueue(ticket)
         else:
             ticket.shed(self._retry_after_ms())
 
     def release(self, ticket: Ticket) -> None:
-        """Take back the slot of a ticket, or its place in the queue."""
+        """Release the slot of a ticket, or remove it from the queue.
+
+        A ticket that is already released or shed is ignored.
+        """
         if ticket.state is TicketState.WAITING:
             self._queue.remove(ticket)
-            # One whose caller has gone does not come again.
+            # A caller that has disconnected does not retry.
             ticket.shed(0 if ticket.is_cancelled else self._retry_after_ms())
         elif ticket.state is TicketState.RUNNING:
-            self._learn(ticket)
+            self._record_result(ticket)
             self._running.pop(ticket)
-            self._by_key[ticket.key] -= 1
-            if not self._by_key[ticket.key]:
-                self._by_key.pop(ticket.key)
+            self._running_by_key[ticket.key] -= 1
+            if not self._running_by_key[ticket.key]:
+                self._running_by_key.pop(ticket.key)
             ticket.state = TicketState.RELEASED
-        self._fill()
+        self._dispatch()
 
     def record_load_report(self, reported: int) -> None:
-        """Take in how many requests the worker says it runs."""
-        self._limit.record_load_report(reported, max(self._peaks))
-        self._peaks = (self.running, self._peaks[0])
+        """Record how many requests the worker reports to be running."""
+        self._limit.record_load_report(reported, max(self._peak_running))
+        self._peak_running = (self.running, self._peak_running[0])
 
-    def _may_wait(self, ticket: Ticket, left_ms: int) -> bool:
+    def _can_wait(self, ticket: Ticket, left_ms: int) -> bool:
         ahead = self._queue.count_ahead_of(ticket.key, ticket.traffic_class)
-        needed_ms = self._drain_ms(ahead + 1) + self._latency_ms()
+        needed_ms = self._drain_time_ms(ahead + 1) + self._expected_latency_ms()
         return needed_ms < left_ms and self._queue.has_room(ticket.key)
 
     def _enqueue(self, ticket: Ticket) -> None:
@@ -140,19 +149,22 @@
 
     def _start(self, ticket: Ticket) -> None:
         self._running[ticket] = None
-        self._by_key[ticket.key] += 1
-        self._peaks = (max(self._peaks[0], self.running), self._peaks[1])
+        self._running_by_key[ticket.key] += 1
+        self._peak_running = (
+            max(self._peak_running[0], self.running),
+            self._peak_running[1],
+        )
         ticket.start(self._clock.now_ms())
 
-    def _fill(self) -> None:
-        latest_ms = self._clock.now_ms() + round(self._latency_ms())
-        for late in self._queue.with_deadline_before(latest_ms):
-            self._queue.remove(late)
-            late.shed(self._retry_after_ms())
+    def _dispatch(self) -> None:
+        answered_ms = self._clock.now_ms() + round(self._expected_latency_ms())
+        for expired in self._queue.with_deadline_before(answered_ms):
+            self._queue.remove(expired)
+            expired.shed(self._retry_after_ms())
         while self._queue and self.running < self.limit:
-            self._start(self._queue.pop(self._by_key))
+            self._start(self._queue.pop(self._running_by_key))
 
-    def _learn(self, ticket: Ticket) -> None:
+    def _record_result(self, ticket: Ticket) -> None:
         if ticket.result is TicketResult.REFUSED:
             self._limit.record_refusal()
         elif ticket.result is TicketResult.LOST:
@@ -161,16 +173,16 @@
             return
         latency_ms = ticket.answered_ms - ticket.started_ms
         self._latencies.note(latency_ms)
-        self._slot_times.note(self._clock.now_ms() - ticket.started_ms)
+        self._slot_durations.note(self._clock.now_ms() - ticket.started_ms)
         self._limit.observe(latency_ms, self.running)
 
-    def _latency_ms(self) -> float:
-        return max(self._latencies.mean, self._unanswered_ms())
+    def _expected_latency_ms(self) -> float:
+        return max(self._latencies.mean, self._mean_unanswered_age_ms())
 
-    def _unanswered_ms(self) -> float:
-        """Return the mean age of what the worker has not answered yet.
+    def _mean_unanswered_age_ms(self) -> float:
+        """Return the mean age of the requests that are not answered yet.
 
-        It grows while a worker is frozen and nothing can be observed.
+        It grows while a worker hangs and no latencies can be observed.
         """
         now_ms = self._clock.now_ms()
         ages = [
@@ -180,23 +192,27 @@
         ]
         return sum(ages) / len(ages) if ages else 0
 
-    def _drain_ms(self, count: int) -> float:
-        slot_ms = max(self._slot_times.mean, self._unanswered_ms())
+    def _drain_time_ms(self, count: int) -> float:
+        slot_ms = max(self._slot_durations.mean, self._mean_unanswered_age_ms())
         return count * slot_ms / self.limit
 
     def _retry_after_ms(self) -> int:
-        """Return when a request that is sent away should come again.
+        """Return the delay after which a shed request should be retried.
 
-        Each is given the next place after all that run, wait or were sent
-        away before, so that they do not come back together.
+        Each shed request is scheduled after all requests that run, wait or
+        were shed before it, so that the retries do not arrive together.
         """
         now_ms = self._clock.now_ms()
-        ahead_ms = now_ms + self._drain_ms(len(self._queue) + self.running)
-        latest_ms = max(ahead_ms, now_ms + _LONGEST_BOOKED_MS)
-        place_ms = max(ahead_ms, self._booked_ms + self._drain_ms(1))
-        self._booked_ms = min(place_ms, latest_ms)
-        after_ms = round(self._booked_ms - now_ms)
-        return min(max(after_ms, _LEAST_RETRY_MS), _MOST_RETRY_MS)
+        drained_ms = now_ms + self._drain_time_ms(
+            len(self._queue) + self.running
+        )
+        horizon_ms = max(drained_ms, now_ms + _RETRY_HORIZON_MS)
+        retry_at_ms = max(
+            drained_ms, self._last_retry_at_ms + self._drain_time_ms(1)
+        )
+        self._last_retry_at_ms = min(retry_at_ms, horizon_ms)
+        after_ms = round(self._last_retry_at_ms - now_ms)
+        return min(max(after_ms, _MIN_RETRY_AFTER_MS), _MAX_RETRY_AFTER_MS)
 
 
 class _CountingPolicy:
@@ -220,14 +236,17 @@
 
     @property
     def mean_slot_ms(self) -> float:
-        """Return zero: nothing is measured."""
+        """Return zero, because no times are measured."""
         return 0
 
     def release(self, ticket: Ticket) -> None:
-        """Take back the slot of a ticket, or its place in the queue."""
+        """Release the slot of a ticket, or remove it from the queue.
+
+        A ticket that is already released or shed is ignored.
+        """
         if ticket.state is TicketState.WAITING:
             self._queue.remove(ticket)
-            ticket.shed(_LEAST_RETRY_MS)
+            ticket.shed(_MIN_RETRY_AFTER_MS)
         elif ticket.state is TicketState.RUNNING:
             ticket.state = TicketState.RELEASED
             self._running -= 1
@@ -235,7 +254,7 @@
             self._start(self._queue.popleft())
 
     def record_load_report(self, reported: int) -> None:
-        """Ignore what the worker says of its load."""
+        """Ignore the load reports of the worker."""
 
     def _start(self, ticket: Ticket) -> None:
         self._running += 1
@@ -244,26 +263,26 @@
 
 @admission_policy('unlimited')
 class UnlimitedPolicy(_CountingPolicy):
-    """Lets everything in at once; a baseline for measurements."""
+    """Starts every ticket at once; a baseline for measurements."""
 
     def offer(self, ticket: Ticket) -> None:
-        """Let a new ticket run."""
+        """Start a new ticket."""
         self._start(ticket)
 
 
 @admission_policy('fixed-queue')
 class FixedQueuePolicy(_CountingPolicy):
-    """A queue of fixed length, first in, first out; a baseline."""
+    """A FIFO queue of fixed length; a baseline for measurements."""
 
     def offer(self, ticket: Ticket) -> None:
-        """Let a new ticket run, wait, or be shed."""
+        """Start, queue or shed a new ticket."""
         slots = self._slots()
         if self._running < slots and not self._queue:
             self._start(ticket)
         elif len(self._queue) < slots * _FIXED_QUEUE_PER_SLOT:
             self._queue.append(ticket)
         else:
-            ticket.shed(_LEAST_RETRY_MS)
+            ticket.shed(_MIN_RETRY_AFTER_MS)
 
 
 _FIXED_QUEUE_PER_SLOT = 10
--- a/laburnumwood/admission/counters.py
+++ b/laburnumwood/admission/counters.py
@@ -1,4 +1,4 @@
-"""How much a gate carried and sent away lately."""
+"""Counters of the requests that were admitted and shed."""
 
 from dataclasses import dataclass
 
@@ -7,7 +7,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionSummary:
-    """What a gate did in a span of time; `busy` is the mean of its slots."""
+    """The requests of one interval.
+
+    `busy` is the mean number of busy slots, `let_in` the number of admitted
+    and `shed` the number of shed requests.
+    """
 
     busy: float
     let_in: int
@@ -15,51 +19,51 @@
 
     @property
     def is_empty(self) -> bool:
-        """Tell whether no request came and none ran."""
+        """Return whether no request arrived or ran in the interval."""
         return not (self.busy or self.let_in or self.shed)
 
 
 class AdmissionCounters:
-    """Sums of what passed a gate since they were taken last."""
+    """Counts requests in the interval since the last `collect`."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._running = 0
         self._busy_ms = 0
-        self._let_in = 0
+        self._admitted = 0
         self._shed = 0
-        self._begun_ms = clock.now_ms()
-        self._since_ms = self._begun_ms
+        self._interval_start_ms = clock.now_ms()
+        self._updated_ms = self._interval_start_ms
 
     def record_admitted(self) -> None:
-        """Count a request that got a slot."""
+        """Count a request that was given a slot."""
         self._advance()
         self._running += 1
-        self._let_in += 1
+        self._admitted += 1
 
     def record_released(self) -> None:
-        """Count a request that gave its slot back."""
+        """Count a request that released its slot."""
         self._advance()
         self._running -= 1
 
     def record_shed(self) -> None:
-        """Count a request that was sent away."""
+        """Count a request that was shed."""
         self._shed += 1
 
     def collect(self) -> AdmissionSummary:
-        """Return the sums, and begin anew."""
+        """Return the counts of the interval and start the next one."""
         self._advance()
-        span_ms = max(1, self._since_ms - self._begun_ms)
-        carried = AdmissionSummary(
-            self._busy_ms / span_ms, self._let_in, self._shed
+        span_ms = max(1, self._updated_ms - self._interval_start_ms)
+        summary = AdmissionSummary(
+            self._busy_ms / span_ms, self._admitted, self._shed
         )
         self._busy_ms = 0
-        self._let_in = 0
+        self._admitted = 0
         self._shed = 0
-        self._begun_ms = self._since_ms
-        return carried
+        self._interval_start_ms = self._updated_ms
+        return summary
 
     def _advance(self) -> None:
         now_ms = self._clock.now_ms()
-        self._busy_ms += self._running * (now_ms - self._since_ms)
-        self._since_ms = now_ms
+        self._busy_ms += self._running * (now_ms - self._updated_ms)
+        self._updated_ms = now_ms
--- a/laburnumwood/admission/queue.py
+++ b/laburnumwood/admission/queue.py
@@ -1,11 +1,12 @@
-"""A bounded queue that is fair to keys and weighs classes of traffic.
-
-Classes share by weight as in start-time fair queueing (P. Goyal, H. M. Vin
-and H. Cheng, 1996).  Among the keys of a class the one with the fewest
-requests in slots is next, in turn where they are equal: deficit round robin
-would have to know the cost of a request beforehand.  A full queue drops from
-the class that has most waiting for its weight, and there from the longest line,
-as in P. E. McKenney, "Stochastic fairness queueing", 1990.
+"""A bounded queue that is fair to keys and weights classes of traffic.
+
+Classes share the slots by weight, as in start-time fair queueing (P. Goyal,
+H. M. Vin and H. Cheng, 1996).  Within a class the key with the fewest running
+requests is served next, and keys with equally many are served in turn; deficit
+round robin would have to know the cost of a request in advance.  A full queue
+drops from the class with the most waiting tickets relative to its weight, and
+there from the key with the most waiting tickets, as in P. E. McKenney,
+"Stochastic fairness queueing", 1990.
 """
 
 from collections import Counter, deque
@@ -16,9 +17,9 @@
 
 
 @dataclass(slots=True)
-class _Class:
+class _ClassQueue:
     weight: int
-    served: float = 0
+    start_tag: float = 0
     keys: dict[str, deque[Ticket]] = field(default_factory=dict)
 
     def __len__(self) -> int:
@@ -26,29 +27,33 @@
 
     @property
     def excess(self) -> float:
-        """Return how many wait beyond the one that may, by weight."""
+        """Return how many tickets wait beyond the first, divided by weight.
+
+        Not counting the first one leaves each class at least one place.
+        """
         return (len(self) - 1) / self.weight
 
-    def newest_of_longest(self, added: Ticket) -> Ticket:
-        """Return who leaves for the ticket that was added last."""
-        # Of equal lines it is that of the ticket itself, or the last in turn.
+    def eviction_candidate(self, added: Ticket) -> Ticket:
+        """Return the ticket to remove after `added` overfilled the queue."""
+        # Among keys with equally many tickets, the key of the added ticket is
+        # chosen, or else the one that is last in turn.
         longest = max(
             reversed(self.keys.values()),
-            key=lambda line: (len(line), line[-1] is added),
+            key=lambda tickets: (len(tickets), tickets[-1] is added),
         )
         return longest[-1]
 
     def next_key(self, running: Counter[str]) -> str:
         return min(self.keys, key=lambda key: running[key])
 
-    def take(self, key: str) -> Ticket:
+    def pop(self, key: str) -> Ticket:
         waiting = self.keys.pop(key)
         ticket = waiting.popleft()
         if waiting:
-            self.keys[key] = waiting  # last in turn now
+            self.keys[key] = waiting  # now last in turn
         return ticket
 
-    def drop(self, ticket: Ticket) -> None:
+    def remove(self, ticket: Ticket) -> None:
         waiting = self.keys[ticket.key]
         waiting.remove(ticket)
         if not waiting:
@@ -56,86 +61,98 @@
 
 
 class FairQueue:
-    """Tickets that wait, at most `capacity` of them."""
+    """Waiting tickets, at most `capacity()` of them."""
 
     def __init__(self, capacity: Callable[[], int]) -> None:
         self._capacity = capacity
-        self._classes: dict[str, _Class] = {}
+        self._classes: dict[str, _ClassQueue] = {}
         self._length = 0
-        self._now_served: float = 0
+        self._virtual_time: float = 0
 
     def __len__(self) -> int:
-        """Return how many tickets wait."""
+        """Return the number of waiting tickets."""
         return self._length
 
     def has_room(self, key: str) -> bool:
-        """Tell whether a key fills less than its share of the queue.
+        """Return whether a key occupies less than its share of the queue.
 
-        The share of a key is half of it.  What has no key may fill it all, and
-        then something has to leave for it.
+        The share of a key is half the capacity.  Tickets without a key may
+        occupy the whole queue; adding one to a full queue removes another.
         """
         if not key:
             return True
-        own = sum(
+        queued = sum(
             len(each.keys.get(key, ())) for each in self._classes.values()
         )
-        return own < max(1, self._capacity() // 2)
+        return queued < max(1, self._capacity() // 2)
 
     def count_ahead_of(self, key: str, traffic_class: TrafficClass) -> int:
-        """Return how many would be served before a new ticket of a key."""
-        joined = self._classes.get(
-            traffic_class.name, _Class(traffic_class.weight)
+        """Return how many tickets would be served before a new one of a key."""
+        class_queue = self._classes.get(
+            traffic_class.name, _ClassQueue(traffic_class.weight)
+        )
+        round_count = len(class_queue.keys.get(key, ())) + 1
+        ahead_in_class = sum(
+            min(len(each), round_count) for each in class_queue.keys.values()
         )
-        turns = len(joined.keys.get(key, ())) + 1
-        same = sum(min(len(each), turns) for each in joined.keys.values())
-        others = 0
+        ahead_in_others = 0
         for name, other in self._classes.items():
             if name != traffic_class.name:
-                share = (same + 1) * other.weight // traffic_class.weight
-                others += min(len(other), share)
-        return same + others
+                share = (
+                    (ahead_in_class + 1) * other.weight // traffic_class.weight
+                )
+                ahead_in_others += min(len(other), share)
+        return ahead_in_class + ahead_in_others
 
     def put(self, ticket: Ticket) -> Ticket | None:
-        """Add a ticket; return the one that had to leave for it, if any."""
-        joined = self._classes.get(ticket.traffic_class.name)
-        if joined is None:
-            joined = _Class(ticket.traffic_class.weight)
-            self._classes[ticket.traffic_class.name] = joined
-        if not joined.keys:
-            joined.served = max(joined.served, self._now_served)
-        joined.weight = ticket.traffic_class.weight
-        joined.keys.setdefault(ticket.key, deque()).append(ticket)
+        """Add a ticket; return the one that was removed for it, if any.
+
+        The ticket that is removed may be the added one itself.
+        """
+        class_queue = self._classes.get(ticket.traffic_class.name)
+        if class_queue is None:
+            class_queue = _ClassQueue(ticket.traffic_class.weight)
+            self._classes[ticket.traffic_class.name] = class_queue
+        if not class_queue.keys:
+            class_queue.start_tag = max(
+                class_queue.start_tag, self._virtual_time
+            )
+        class_queue.weight = ticket.traffic_class.weight
+        class_queue.keys.setdefault(ticket.key, deque()).append(ticket)
         self._length += 1
         if self._length <= self._capacity():
             return None
-        most = max(self._classes.values(), key=lambda each: each.excess)
-        victim = most.newest_of_longest(ticket)
+        largest = max(self._classes.values(), key=lambda each: each.excess)
+        victim = largest.eviction_candidate(ticket)
         self.remove(victim)
         return victim
 
     def pop(self, running: Counter[str]) -> Ticket:
-        """Return the ticket that is next, given what keys have in slots."""
+        """Remove and return the next ticket.
+
+        `running` is the number of running requests of each key.
+        """
         waiting = [each for each in self._classes.values() if each.keys]
-        first = min(waiting, key=lambda each: each.served)
-        self._now_served = first.served
-        first.served += 1 / first.weight
+        next_class = min(waiting, key=lambda each: each.start_tag)
+        self._virtual_time = next_class.start_tag
+        next_class.start_tag += 1 / next_class.weight
         self._length -= 1
-        return first.take(first.next_key(running))
+        return next_class.pop(next_class.next_key(running))
 
     def remove(self, ticket: Ticket) -> None:
-        """Take a waiting ticket out."""
-        self._classes[ticket.traffic_class.name].drop(ticket)
+        """Remove a waiting ticket."""
+        self._classes[ticket.traffic_class.name].remove(ticket)
         self._length -= 1
 
-    def with_deadline_before(self, latest_ms: int) -> list[Ticket]:
-        """Return the tickets whose deadline is before a moment."""
+    def with_deadline_before(self, time_ms: int) -> list[Ticket]:
+        """Return the tickets whose deadline is before `time_ms`."""
         return [
             ticket
-            for line in self._lines()
-            for ticket in line
-            if ticket.deadline_ms < latest_ms
+            for tickets in self._key_queues()
+            for ticket in tickets
+            if ticket.deadline_ms < time_ms
         ]
 
-    def _lines(self) -> Iterator[deque[Ticket]]:
+    def _key_queues(self) -> Iterator[deque[Ticket]]:
         for each in self._classes.values():
             yield from each.keys.values()
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -1,14 +1,14 @@
-"""What is decided about one request that asks to be let in."""
+"""Tickets: the state of single requests in admission control."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
-ORDINARY = 'ordinary'
+DEFAULT_CLASS = 'ordinary'
 
 
 class TicketState(Enum):
-    """How far a request has come."""
+    """The state of a request in admission control."""
 
     WAITING = 'waits for a slot'
     RUNNING = 'has a slot'
@@ -17,7 +17,7 @@
 
 
 class TicketResult(Enum):
-    """What became of a request that had a slot."""
+    """The outcome of a request that had a slot."""
 
     NOT_SENT = 'the worker was not asked'
     SERVED = 'the worker answered'
@@ -28,22 +28,24 @@
 
 @dataclass(frozen=True, slots=True)
 class TrafficClass:
-    """A declared class of traffic and its weight against the others."""
+    """A declared class of traffic and its weight relative to other classes."""
 
-    name: str = ORDINARY
+    name: str = DEFAULT_CLASS
     weight: int = 1
 
 
-def _ignore() -> None:
-    """Tell nobody."""
+def _do_nothing() -> None:
+    """Do nothing."""
 
 
 @dataclass(slots=True, eq=False)
 class Ticket:
-    """One request at the gate; `deadline_ms` is a moment of the clock.
+    """One request in admission control.
 
-    One that can't be answered by `useful_until_ms` is better sent away at
-    once than kept waiting.
+    Fields ending in `_ms` are times of the node's clock, except for the delay
+    `retry_after_ms`.  A request that cannot be answered by `useful_until_ms`
+    is better shed at once than kept waiting until `deadline_ms`.  `on_settled`
+    is called once the request is given a slot or is shed.
     """
 
     key: str
@@ -55,8 +57,8 @@
     started_ms: int = 0
     answered_ms: int | None = None
     retry_after_ms: int = 0
-    is_cancelled: bool = False  # nobody waits for the answer any more
-    on_settled: Callable[[], None] = _ignore
+    is_cancelled: bool = False  # no caller waits for the answer any more
+    on_settled: Callable[[], None] = _do_nothing
 
     def start(self, now_ms: int) -> None:
         """Give the request a slot."""
@@ -65,12 +67,12 @@
         self.on_settled()
 
     def answer(self, now_ms: int) -> None:
-        """Note when the worker's answer began."""
+        """Record the time at which the worker's answer started."""
         self.answered_ms = now_ms
         self.result = TicketResult.SERVED
 
     def shed(self, retry_after_ms: int) -> None:
-        """Refuse the request; its caller may come again after a time."""
+        """Refuse the request; its caller may retry after a delay."""
         self.retry_after_ms = retry_after_ms
         self.state = TicketState.SHED
         self.on_settled()
