--- a/laburnumwood/admission/admitter.py
+++ b/laburnumwood/admission/admitter.py
@@ -6,9 +6,9 @@
 from eventlet import Timeout
 from eventlet.event import Event
 
-from laburnumwood.policy.control import AdmissionPolicy
-from laburnumwood.policy.counters import AdmissionCounters
-from laburnumwood.policy.tickets import Ticket, TicketState
+from laburnumwood.admission.control import AdmissionPolicy
+from laburnumwood.admission.counters import AdmissionCounters
+from laburnumwood.admission.tickets import Ticket, TicketState
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import OverloadedError, RunCancelledError
 
