--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -34,7 +34,7 @@
 
 
 def _has_room(load: str) -> bool:
-    """Tell whether a worker says that it has a free slot."""
+    """Return whether a worker says that it has a free slot."""
     parts = load.split(',')
     if len(parts) != _LOAD_PARTS or not all(map(str.isdecimal, parts)):
         return False
@@ -62,7 +62,7 @@
         )
 
     def may_refuse(self, answer: WorkerAnswer) -> bool:
-        """Tell whether an answer may say that the request did not run."""
+        """Return whether an answer may say that the request did not run."""
         misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
         return misdirected or answer.index.has(_NOT_RUN)
 
--- a/laburnumwood/upstream/__init__.py
+++ b/laburnumwood/upstream/__init__.py
@@ -1,1 +1,1 @@
-"""The upstream of the router."""
+"""The upstream of a node: its worker."""
--- a/laburnumwood/upstream/attached_grants.py
+++ b/laburnumwood/upstream/attached_grants.py
@@ -1,4 +1,4 @@
-"""The grants of a worker that reports, as one incarnation sees them."""
+"""The grants of a reporting worker, as used by one incarnation of the node."""
 
 from laburnumwood.news import News
 from laburnumwood.records import KeyRange, ShardName
@@ -6,10 +6,10 @@
 
 
 class AttachedGrants:
-    """What an incarnation may ask of the worker beside its node.
+    """The interface of an incarnation to the worker on its VM.
 
-    Tasks of an incarnation can outlast it: once another one is attached they
-    withdraw and restore nothing.
+    Tasks of an incarnation can outlive it.  Once another incarnation is
+    attached to the worker, `withdraw` and `restore` have no effect.
     """
 
     def __init__(self, worker: ReportingWorker, source: GrantSource) -> None:
@@ -19,39 +19,42 @@
 
     @property
     def changes(self) -> News:
-        """Return what tells of changes of the grants."""
+        """Return the notifier that wakes tasks when the grants change."""
         return self._worker.changes
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
-        """Tell whether the worker has a grant for a shard and a token."""
+        """Return whether the worker has a valid grant of a shard and token."""
         return self._worker.covers(shard, token)
 
     def next_grants_in_ms(self) -> int:
-        """Return in what time the worker will get its next grants."""
+        """Return the time until the worker is expected to get new grants."""
         return self._worker.next_grants_in_ms()
 
     def withdraw(self, shard: ShardName) -> None:
-        """Let a shard go that is to get another owner."""
+        """Stop granting a shard that is to move to another owner."""
         if self._worker.is_attached(self._source):
             self._worker.withdraw(shard)
 
     def restore(self, shard: ShardName) -> None:
-        """Keep a shard after all that was to get another owner."""
+        """Grant a withdrawn shard again, because its move was abandoned."""
         if self._worker.is_attached(self._source):
             self._worker.restore(shard)
 
     def is_released(self, shard: ShardName) -> bool:
-        """Tell whether the worker no longer holds a withdrawn shard."""
+        """Return whether the worker no longer holds a withdrawn shard."""
         return self._worker.is_released(shard)
 
     def held_for_ms(self) -> int:
-        """Return for how long the worker may still hold what it was given."""
+        """Return for how long the worker may still hold any of its grants."""
         return self._worker.held_for_ms(self._source)
 
     def handover_for(self, keys: KeyRange) -> str:
-        """Return what the worker left for the next owner of some keys."""
+        """Return the worker's handover for a range of keys, or ''."""
         return self._worker.handover_for(keys)
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
-        """Return what the worker left for the next owner of a shard."""
+        """Return the worker's handover for each range of a shard.
+
+        The result is empty if the worker left no handover for the shard.
+        """
         return self._worker.handovers(shard)
--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -1,8 +1,8 @@
-"""Connections to the worker that notice how and when they end.
+"""Connections to the worker that detect truncated and misframed answers.
 
-A connection is opened by urllib3 and read by the standard library's framing
-of answers.  Heads are read here: the general parsers of both take longer than
-all else that a request costs on its way to the worker.
+Connections are opened by urllib3, and bodies are read by the standard
+library.  The heads of answers are parsed here, because the general parsers of
+both take longer than all other work of sending a request to the worker.
 """
 
 import re
@@ -28,55 +28,64 @@
     read_headers,
 )
 
-_LONGEST_LINE = 65_536  # bytes
-# Of an answer without its body: interim answers, head and trailers together.
-_LONGEST_HEAD = 262_144  # bytes
+_MAX_LINE_BYTES = 65_536
+# Interim answers, head and trailers of one answer together.
+_MAX_HEAD_BYTES = 262_144
 _STATUS_LINE = re.compile(rb'HTTP/1\.([01]) ([1-9][0-9]{2})(?: .*)?\r?\n')
 _HEADER_LINE = re.compile(rb'([^\s:\0]+):[ \t]*([^\r\n\0]*?)[ \t]*\r?\n')
-_LENGTH = re.compile('[0-9]{1,18}')
+_CONTENT_LENGTH = re.compile('[0-9]{1,18}')
 _CHUNK_LINE = re.compile(rb'([0-9a-fA-F]{1,15})[ \t]*(?:;[^\r\n]*)?\r?\n')
-_BODYLESS = frozenset((204, 304))
-_ENDS_OF_TRAILER = frozenset((b'\r\n', b'\n', b''))
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
+_ENDS_OF_TRAILERS = frozenset((b'\r\n', b'\n', b''))
 _TIMEOUT_PARAMETER = re.compile(r'timeout\s*=\s*([0-9]+)', re.IGNORECASE)
-_IDLE_MARGIN_MS = 500  # before the worker closes an idle connection itself
+# A connection is not reused in this time before the worker, by its Keep-Alive
+# timeout, closes it.
+_IDLE_MARGIN_MS = 500
 
 
 class _ResettableSocket(GreenSocket):
-    """A socket whose reads fail after a reset.
+    """A socket whose reads raise an error after a connection reset.
 
-    The library's own make a reset look like an ordinary end, with which an
-    answer without a length is whole.
+    The reads of eventlet's own class treat a reset as an ordinary end of the
+    stream, which would make a truncated answer without a length look complete.
     """
 
     def __init__(self, *args: Any, clock: Clock) -> None:
         super().__init__(*args)
         self._clock = clock
-        self._until_ms: int | None = None
+        self._deadline_ms: int | None = None
 
-    def set_read_deadline(self, until_ms: int) -> None:
-        """Let all reads together end at a time, however often a byte comes."""
-        self._until_ms = until_ms
+    def set_read_deadline(self, deadline_ms: int) -> None:
+        """Limit all further reads together by a deadline.
 
-    def set_read_timeout(self, limit_ms: int) -> None:
-        """Let each read from now on wait for so long at the most."""
-        self._until_ms = None
-        self.settimeout(limit_ms / MS_PER_SECOND)
+        Unlike a timeout, a deadline is not extended by each byte received.
+        """
+        self._deadline_ms = deadline_ms
+
+    def set_read_timeout(self, timeout_ms: int) -> None:
+        """Remove the deadline and limit each further read by a timeout."""
+        self._deadline_ms = None
+        self.settimeout(timeout_ms / MS_PER_SECOND)
 
     def recv_into(
         self, buffer: memoryview, nbytes: int = 0, flags: int = 0
     ) -> int:
-        """Read into a buffer and return how much; raises `OSError`."""
+        """Read into a buffer and return the number of bytes read.
+
+        Raises `OSError`, also after a reset; the deadline and the timeout
+        raise its subclass `TimeoutError`.
+        """
         while True:
             try:
                 read: int = self.fd.recv_into(buffer, nbytes, flags)
             except BlockingIOError:
-                self._await_bytes()
+                self._wait_until_readable()
             else:
                 return read
 
-    def _await_bytes(self) -> None:
-        if self._until_ms is not None:
-            left_ms = self._until_ms - self._clock.now_ms()
+    def _wait_until_readable(self) -> None:
+        if self._deadline_ms is not None:
+            left_ms = self._deadline_ms - self._clock.now_ms()
             self.settimeout(max(left_ms, 1) / MS_PER_SECOND)
         try:
             self._read_trampoline()
@@ -85,21 +94,28 @@
 
 
 class FramingError(HTTPException):
-    """The head of an answer does not say where the answer ends."""
+    """An answer does not say unambiguously where it ends."""
 
 
 class StrictResponse(HTTPResponse):
-    """An answer; only its head is read in another way than the library's."""
+    """An HTTP response with strict parsing of its head and framing.
+
+    Anything but the head, the chunk sizes and the trailers is read as by the
+    standard library.
+    """
 
     def __init__(self, sock: Any, method: str) -> None:
         super().__init__(sock, method=method)
         self._has_no_body = method == 'HEAD'
-        self._head_left = _LONGEST_HEAD
+        self._head_bytes_left = _MAX_HEAD_BYTES
         self.fields: tuple[Header, ...] = ()
         self.index = HeaderIndex(())
 
     def begin(self) -> None:
-        """Read the head; raises `HTTPException` or `OSError`."""
+        """Read the head, skipping interim answers.
+
+        Raises `HTTPException` or `OSError`.
+        """
         minor, status = self._read_status_line()
         self.fields = self._read_fields()
         while 100 <= status < 200:
@@ -109,35 +125,36 @@
         self.status = status
         self.code = status
         self.version = 10 + minor
-        self._frame()
+        self._set_framing()
 
     def _read_line(self) -> bytes:
-        longest = min(_LONGEST_LINE, self._head_left)
+        longest = min(_MAX_LINE_BYTES, self._head_bytes_left)
         line: bytes = self.fp.readline(longest + 1)
         if len(line) > longest:
             raise LineTooLong('head')
-        self._head_left -= len(line)
+        self._head_bytes_left -= len(line)
         return line
 
     def _read_next_chunk_size(self) -> int:
-        # The library's own takes signs, underscores and sizes of any length.
-        found = _CHUNK_LINE.fullmatch(self._read_line())
-        if found is None:
+        # The standard library accepts signs, underscores and sizes of any
+        # length.
+        match = _CHUNK_LINE.fullmatch(self._read_line())
+        if match is None:
             raise FramingError('the size of a chunk')
-        return int(found[1], base=16)
+        return int(match[1], base=16)
 
     def _read_and_discard_trailer(self) -> None:
-        # The library's own reads on for as long as there are trailers.
+        # The standard library reads trailers without any limit.
         for line in iter(self._read_line, None):
-            if line in _ENDS_OF_TRAILER:
+            if line in _ENDS_OF_TRAILERS:
                 return
 
     def _read_status_line(self) -> tuple[int, int]:
         line = self._read_line()
-        found = _STATUS_LINE.fullmatch(line)
-        if found is None:
+        match = _STATUS_LINE.fullmatch(line)
+        if match is None:
             raise BadStatusLine(repr(line))
-        return int(found[1]), int(found[2])
+        return int(match[1]), int(match[2])
 
     def _read_fields(self) -> tuple[Header, ...]:
         try:
@@ -145,54 +162,56 @@
         except HeadError as unreadable:
             raise BadStatusLine(str(unreadable)) from unreadable
 
-    def _frame(self) -> None:
-        self.chunked = self._is_chunked()
+    def _set_framing(self) -> None:
+        self.chunked = self._has_chunked_body()
         self.chunk_left = None
-        announced = self._announced_length()
-        self.length = None if self.chunked else announced
-        if self.status in _BODYLESS or self._has_no_body:
+        content_length = self._read_content_length()
+        self.length = None if self.chunked else content_length
+        if self.status in _STATUSES_WITHOUT_BODY or self._has_no_body:
             self.length = 0
         is_framed = self.chunked or self.length is not None
-        told = self.index.tokens('connection')
-        stays = self.version == 11 or 'keep-alive' in told
-        is_plain = not (self.chunked and announced is not None)
-        keeps = is_framed and is_plain and stays
-        self.will_close = not keeps or 'close' in told
-
-    def _is_chunked(self) -> bool:
-        codings = self.index.all('transfer-encoding')
-        if codings and [each.lower() for each in codings] != ['chunked']:
-            raise FramingError(f'transfer-encoding {codings!r}')
-        return bool(codings)
-
-    def _announced_length(self) -> int | None:
+        connection_options = self.index.tokens('connection')
+        is_persistent = self.version == 11 or 'keep-alive' in connection_options
+        is_unambiguous = not (self.chunked and content_length is not None)
+        is_reusable = is_framed and is_unambiguous and is_persistent
+        self.will_close = not is_reusable or 'close' in connection_options
+
+    def _has_chunked_body(self) -> bool:
+        encodings = self.index.all('transfer-encoding')
+        if encodings and [each.lower() for each in encodings] != ['chunked']:
+            raise FramingError(f'transfer-encoding {encodings!r}')
+        return bool(encodings)
+
+    def _read_content_length(self) -> int | None:
         lengths = set(self.index.all('content-length'))
         if not lengths:
             return None
         length = lengths.pop()
-        if lengths or _LENGTH.fullmatch(length) is None:
+        if lengths or _CONTENT_LENGTH.fullmatch(length) is None:
             raise FramingError(f'content-length {length!r}')
         return int(length)
 
 
 class WorkerConnection(HTTPConnection):
-    """A connection that sends a request in one piece."""
+    """A connection that sends each request with a single call."""
 
     def __init__(self, *args: Any, clock: Clock, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._clock = clock
         self.sock: Any
-        self._closes_ms: int | None = None  # when the worker closes it if idle
-        self._sent = 0  # requests
+        # Not to be reused after this time, None if the worker gave no timeout.
+        self._idle_deadline_ms: int | None = None
+        self._requests_sent = 0
 
     def send_request(
         self, head: bytes, body: bytes, method: str, timeout_ms: int
     ) -> StrictResponse:
-        """Send a request and return its answer when the head has come.
+        """Send a request and return its answer once the head has been read.
 
-        Raises `OSError` or `HTTPException`.
+        `timeout_ms` limits sending and reading the head.  Raises `OSError` or
+        `HTTPException`.
         """
-        self._sent += 1
+        self._requests_sent += 1
         self.sock.settimeout(timeout_ms / MS_PER_SECOND)
         self.sock.set_read_deadline(self._clock.now_ms() + timeout_ms)
         self.sock.sendall(head + body)
@@ -202,27 +221,30 @@
 
     @property
     def is_reused(self) -> bool:
-        """Tell whether more than one request was sent on it."""
-        return self._sent > 1
+        """Return whether more than one request was sent on the connection."""
+        return self._requests_sent > 1
 
     def record_keep_alive(self, answer_index: HeaderIndex) -> None:
-        """Take in for how long the worker keeps the connection when idle."""
-        found = _TIMEOUT_PARAMETER.search(answer_index.first('keep-alive'))
-        if found is not None:
-            limit_ms = int(found[1]) * MS_PER_SECOND - _IDLE_MARGIN_MS
-            self._closes_ms = self._clock.now_ms() + limit_ms
+        """Record the Keep-Alive timeout of an answer, if it has one."""
+        match = _TIMEOUT_PARAMETER.search(answer_index.first('keep-alive'))
+        if match is not None:
+            timeout_ms = int(match[1]) * MS_PER_SECOND - _IDLE_MARGIN_MS
+            self._idle_deadline_ms = self._clock.now_ms() + timeout_ms
 
     @property
     def is_connected(self) -> bool:
-        """Tell whether the connection can take another request."""
+        """Return whether the connection can be used for another request."""
         sock: Any = self.sock
         if sock is None:
             return False
-        closes_ms = self._closes_ms
-        if closes_ms is not None and self._clock.now_ms() >= closes_ms:
+        idle_deadline_ms = self._idle_deadline_ms
+        if (
+            idle_deadline_ms is not None
+            and self._clock.now_ms() >= idle_deadline_ms
+        ):
             return False
         try:
-            # Bytes that nobody asked for spoil a connection as an end does.
+            # Unsolicited bytes make a connection as unusable as its end.
             sock.fd.recv(1, MSG_PEEK | MSG_DONTWAIT)
         except BlockingIOError:
             return True
@@ -232,8 +254,9 @@
 
     def _new_conn(self) -> Any:
         connected: Any = super()._new_conn()
-        limit_s = connected.gettimeout()
-        # The library's socket closes what it holds when it is collected.
+        timeout_s = connected.gettimeout()
+        # The socket is detached, since urllib3's socket object closes its
+        # descriptor when it is garbage-collected.
         sock = _ResettableSocket(
             connected.family,
             connected.type,
@@ -241,16 +264,20 @@
             connected.detach(),
             clock=self._clock,
         )
-        sock.settimeout(limit_s)
+        sock.settimeout(timeout_s)
         return sock
 
 
 def request_head(method: str, target: str, headers: Iterable[Header]) -> bytes:
-    """Return the head of a request; raises `ValueError` if it can't be sent."""
+    """Return the encoded head of a request.
+
+    Raises `ValueError` if the head contains line breaks other than those that
+    end its lines, or characters that are not in Latin-1.
+    """
     lines = [f'{method} {target} HTTP/1.1']
     lines += [f'{name}: {text}' for name, text in headers]
     head = '\r\n'.join((*lines, '', ''))
-    breaks = len(lines) + 1
-    if (head.count('\r'), head.count('\n')) != (breaks, breaks):
+    line_count = len(lines) + 1
+    if (head.count('\r'), head.count('\n')) != (line_count, line_count):
         raise ValueError('a line break in the head of a request')
     return head.encode('latin1')
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -1,4 +1,4 @@
-"""Fenced grants of the worker, renewed with the lease of its node."""
+"""Grants that are sent to the worker and renewed with its node's lease."""
 
 from collections.abc import Callable
 
@@ -12,16 +12,16 @@
 from laburnumwood.upstream.worker import Worker
 
 _RENEW_MS = 400
-_CHANGE_POLL_MS = 20
+_POLL_MS = 20
 
 Tokens = Callable[[], dict[ShardName, int]]
 
 
 class Granter:
-    """Keeps the worker's grants equal to what its node holds, while it does.
+    """Keeps the worker's grants equal to the shards that its node holds.
 
-    `tokens` returns what is held, `until_ms` until when; `close` lets no more
-    requests in to a shard.
+    `tokens` returns the shards held with their tokens and `until_ms` the time
+    at which the lease ends; `close` stops admitting requests to a shard.
     """
 
     def __init__(
@@ -38,76 +38,76 @@
         self._until_ms = until_ms
         self._clock = clock
         self._granted: dict[ShardName, int] = {}
-        self._granted_ms = 0
+        self._granted_at_ms = 0
         self._reachable = True
         self._retired = False
-        self._last_until_ms = 0
-        self._held_until_ms = 0
+        self._latest_sent_until_ms = 0
+        self._latest_held_until_ms = 0
         self.health = WorkerHealth(clock)
         self.changes = News()
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
-        """Tell whether the worker has a grant for a shard and a token."""
+        """Return whether the worker has a valid grant of a shard and token."""
         return self._granted.get(shard) == token
 
     def next_grants_in_ms(self) -> int:
-        """Return in what time the worker will get its next grants."""
-        age_ms = self._clock.now_ms() - self._granted_ms
-        return max(_CHANGE_POLL_MS, _RENEW_MS - age_ms)
+        """Return the time until the worker is expected to get new grants."""
+        age_ms = self._clock.now_ms() - self._granted_at_ms
+        return max(_POLL_MS, _RENEW_MS - age_ms)
 
     def withdraw(self, shard: ShardName) -> None:
-        """Let no more requests in to a shard that gets another owner."""
+        """Stop admitting requests to a shard that is to move."""
         self._close(shard)
 
     def restore(self, shard: ShardName) -> None:
-        """Do nothing: the shard is granted for as long as it is held."""
+        """Do nothing: a shard is granted for as long as the node holds it."""
 
     def is_released(self, shard: ShardName) -> bool:
-        """Return true: the next owner's token fences this worker off."""
+        """Return True, since the next owner's token fences off this worker."""
         return True
 
     def handover_for(self, keys: KeyRange) -> str:
-        """Return nothing: these workers leave nothing."""
+        """Return '': workers that are sent their grants leave no handovers."""
         return ''
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
-        """Return nothing: these workers leave nothing."""
+        """Return (): workers that are sent their grants leave no handovers."""
         return ()
 
     def held_for_ms(self) -> int:
-        """Return for how long the worker may still hold what it was given."""
-        return max(0, self._held_until_ms - self._clock.now_ms())
+        """Return for how long the worker may still hold any of its grants."""
+        return max(0, self._latest_held_until_ms - self._clock.now_ms())
 
     def retire(self) -> int:
-        """Grant nothing more; return when the last grants run out."""
+        """Stop granting; return the time at which the last grant expires."""
         self._retired = True
-        return self._last_until_ms
+        return self._latest_sent_until_ms
 
     def run(self) -> None:
-        """Renew the grants and pass on every change; does not return."""
+        """Renew the grants and send every change; does not return."""
         while True:
-            # A silent worker may take late what is sent to it now: until it
-            # answers again it is granted nothing.
+            # A worker that does not answer may process a call much later, so
+            # it is granted nothing until it answers again.
             may_grant = self._reachable and not self._retired
             wanted = self._tokens() if may_grant else {}
-            due = self._clock.now_ms() - self._granted_ms >= _RENEW_MS
-            if due or wanted != self._granted:
+            is_due = self._clock.now_ms() - self._granted_at_ms >= _RENEW_MS
+            if is_due or wanted != self._granted:
                 self._grant(wanted)
-            eventlet.sleep(_CHANGE_POLL_MS / MS_PER_SECOND)
+            eventlet.sleep(_POLL_MS / MS_PER_SECOND)
 
     def _grant(self, wanted: dict[ShardName, int]) -> None:
         until_ms = self._until_ms() if wanted else 0
         started_ms = self._clock.now_ms()
-        self._last_until_ms = max(self._last_until_ms, until_ms)
-        self._held_until_ms = max(self._held_until_ms, until_ms)
-        taken = self._worker.grant(wanted, until_ms)
-        self.health.record_call(answered=taken, started_ms=started_ms)
-        if taken:
-            # It replaces all that was granted before.
-            self._held_until_ms = until_ms
+        self._latest_sent_until_ms = max(self._latest_sent_until_ms, until_ms)
+        self._latest_held_until_ms = max(self._latest_held_until_ms, until_ms)
+        accepted = self._worker.grant(wanted, until_ms)
+        self.health.record_call(answered=accepted, started_ms=started_ms)
+        if accepted:
+            # The call replaced all earlier grants.
+            self._latest_held_until_ms = until_ms
             self._granted = wanted
-            self._granted_ms = self._clock.now_ms()
+            self._granted_at_ms = self._clock.now_ms()
             self.changes.tell()
         elif self._reachable:
             WORKER_UNREACHABLE.report()
-        self._reachable = taken
+        self._reachable = accepted
--- a/laburnumwood/upstream/grants.py
+++ b/laburnumwood/upstream/grants.py
@@ -1,4 +1,4 @@
-"""What the product needs to know of the worker's grants."""
+"""The interface to the grants of a worker."""
 
 from typing import Protocol
 
@@ -7,32 +7,41 @@
 
 
 class Grants(Protocol):
-    """The grants of the worker, however it gets them."""
+    """The shards that the worker is allowed to hold.
+
+    A grant consists of a shard, a fencing token and the time at which it
+    expires.  It is either sent to the worker or fetched with its reports.
+    When a shard moves, the worker may leave a handover: a text that is passed
+    to the worker of the next owner.
+    """
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
-        """Tell whether the worker has a grant for a shard and a token."""
+        """Return whether the worker has a valid grant of a shard and token."""
 
     def next_grants_in_ms(self) -> int:
-        """Return in what time the worker will get its next grants."""
+        """Return the time until the worker is expected to get new grants."""
 
     @property
     def changes(self) -> News:
-        """Return what tells of changes of the grants."""
+        """Return the notifier that wakes tasks when the grants change."""
 
     def withdraw(self, shard: ShardName) -> None:
-        """Let a shard go that is to get another owner."""
+        """Stop granting a shard that is to move to another owner."""
 
     def restore(self, shard: ShardName) -> None:
-        """Keep a shard after all that was to get another owner."""
+        """Grant a withdrawn shard again, because its move was abandoned."""
 
     def is_released(self, shard: ShardName) -> bool:
-        """Tell whether the worker no longer holds a withdrawn shard."""
+        """Return whether the worker no longer holds a withdrawn shard."""
 
     def handover_for(self, keys: KeyRange) -> str:
-        """Return what the worker left for the next owner of some keys."""
+        """Return the worker's handover for a range of keys, or ''."""
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
-        """Return what the worker left for the next owner of a shard."""
+        """Return the worker's handover for each range of a shard.
+
+        The result is empty if the worker left no handover for the shard.
+        """
 
     def held_for_ms(self) -> int:
-        """Return for how long the worker may still hold what it was given."""
+        """Return for how long the worker may still hold any of its grants."""
--- a/laburnumwood/upstream/handovers.py
+++ b/laburnumwood/upstream/handovers.py
@@ -1,57 +1,61 @@
-"""What workers left for the next owners of the keys that they released."""
+"""Handovers that workers left for the next owners of released keys."""
 
 from collections.abc import Iterable
 
 from laburnumwood.records import KeyRange, ReleasedRange
 
 
-def _of_range(left: dict[KeyRange, str], keys: KeyRange) -> str:
-    exact = left.get(keys)
+def _find(handovers: dict[KeyRange, str], keys: KeyRange) -> str:
+    exact = handovers.get(keys)
     if exact is not None:
         return exact
-    around = (
+    enclosing = (
         handover
-        for released, handover in left.items()
+        for released, handover in handovers.items()
         if released.first <= keys.first and keys.last <= released.last
     )
-    return next(around, '')
+    return next(enclosing, '')
 
 
 class Handovers:
-    """What one life of the worker left, and what others told of theirs."""
+    """The handovers of the worker and those announced by other nodes.
+
+    A handover is a text that a worker leaves for a range of keys when it
+    releases them.
+    """
 
     def __init__(self) -> None:
-        self._left: dict[KeyRange, str] = {}
-        self._told: dict[KeyRange, str] = {}
+        self._local: dict[KeyRange, str] = {}
+        self._remote: dict[KeyRange, str] = {}
 
     def add_local(self, released: Iterable[ReleasedRange]) -> None:
-        """Take in what the worker released."""
+        """Add what the worker on this VM released."""
         for each in released:
-            self._left[each.keys] = each.handover
-            self._told.pop(each.keys, None)
+            self._local[each.keys] = each.handover
+            self._remote.pop(each.keys, None)
 
     def add_remote(self, released: Iterable[ReleasedRange]) -> None:
-        """Take in what the worker of another node released."""
+        """Add what the worker of another node released."""
         for each in released:
-            self._told[each.keys] = each.handover
+            self._remote[each.keys] = each.handover
 
     def all(self) -> tuple[ReleasedRange, ...]:
-        """Return what the worker released and left something for."""
+        """Return the ranges for which this VM's worker left a handover."""
         return tuple(
             ReleasedRange(keys, handover)
-            for keys, handover in self._left.items()
+            for keys, handover in self._local.items()
             if handover
         )
 
     def clear(self) -> None:
-        """Forget the worker's: another life of it knows nothing of them."""
-        self._left.clear()
+        """Drop the worker's handovers, which its new process does not know."""
+        self._local.clear()
 
     def for_range(self, keys: KeyRange) -> str:
-        """Return what was left for some keys, or an empty text."""
-        return _of_range(self._told, keys) or _of_range(self._left, keys)
+        """Return the handover for a range of keys, or an empty text."""
+        return _find(self._remote, keys) or _find(self._local, keys)
 
     def for_ranges(self, ranges: tuple[KeyRange, ...]) -> tuple[str, ...]:
-        """Return what was left for each range, empty if it is nothing."""
+        """Return the handover for each range, or () if there is none at all."""
         found = tuple(self.for_range(keys) for keys in ranges)
         return found if any(found) else ()
--- a/laburnumwood/upstream/health.py
+++ b/laburnumwood/upstream/health.py
@@ -1,15 +1,15 @@
-"""Whether the worker beside a node still answers."""
+"""Detection of a worker that no longer answers."""
 
 from laburnumwood.clock import Clock
 
-_PATIENCE_MS = 1_500
-_LEAST_FAILURES = 3
+_LOSS_TIMEOUT_MS = 1_500
+_MIN_FAILURES = 3
 
 
 class WorkerHealth:
-    """Decides from the outcomes of calls when a worker counts as lost.
+    """Decides from the outcomes of calls whether the worker is lost.
 
-    One failure never does: a worker may pause for a moment.
+    A single failure is not enough, because a worker may pause briefly.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -19,12 +19,12 @@
 
     @property
     def is_lost(self) -> bool:
-        """Tell whether the worker has been silent for too long."""
+        """Return whether calls have failed too often and for too long."""
         silent_ms = self._clock.now_ms() - self._failing_since_ms
-        return self._failures >= _LEAST_FAILURES and silent_ms >= _PATIENCE_MS
+        return self._failures >= _MIN_FAILURES and silent_ms >= _LOSS_TIMEOUT_MS
 
     def record_call(self, *, answered: bool, started_ms: int) -> None:
-        """Take in the outcome of a call that started at a time."""
+        """Record the outcome of a call that started at `started_ms`."""
         if answered:
             self._failures = 0
             return
--- a/laburnumwood/upstream/instances.py
+++ b/laburnumwood/upstream/instances.py
@@ -1,4 +1,4 @@
-"""Which life of the worker is the present one."""
+"""Tracking of the worker's process instances by its reports."""
 
 from enum import Enum
 
@@ -6,7 +6,7 @@
 
 
 class ReportStatus(Enum):
-    """What a report says of the worker's life."""
+    """How a report relates to the reports before it."""
 
     SAME_INSTANCE = 'the life that is known goes on'
     NEW_INSTANCE = 'another life of the worker has begun'
@@ -14,31 +14,32 @@
 
 
 class WorkerInstanceTracker:
-    """Tells reports of the present life from those that come late.
+    """Distinguishes new, current and stale reports of the worker.
 
-    A worker's process keeps nothing when it starts anew, even if it keeps
-    its id, so that its start time tells lives apart.
+    A restarted worker holds nothing, even if it keeps its id.  Instances are
+    therefore distinguished by their start time, and by the id if two started
+    at the same time.
     """
 
     def __init__(self) -> None:
-        self._life: tuple[int, str] | None = None
-        self._number = -1
+        self._instance: tuple[int, str] | None = None
+        self._last_sequence_number = -1
 
     @property
     def worker_id(self) -> str:
-        """Return the id of the present life, empty before the first."""
-        return self._life[1] if self._life else ''
+        """Return the id of the current instance, '' before the first report."""
+        return self._instance[1] if self._instance else ''
 
     def record_report(self, report: WorkerReport) -> ReportStatus:
-        """Take in a report and tell what it says of the life."""
-        life = report.started_ms, report.worker_id
-        if self._life is not None and life < self._life:
+        """Record a report and return how it relates to earlier ones."""
+        instance = report.started_ms, report.worker_id
+        if self._instance is not None and instance < self._instance:
             return ReportStatus.STALE
-        if life != self._life:
-            self._life = life
-            self._number = report.sequence_number
+        if instance != self._instance:
+            self._instance = instance
+            self._last_sequence_number = report.sequence_number
             return ReportStatus.NEW_INSTANCE
-        if report.sequence_number <= self._number:
+        if report.sequence_number <= self._last_sequence_number:
             return ReportStatus.STALE
-        self._number = report.sequence_number
+        self._last_sequence_number = report.sequence_number
         return ReportStatus.SAME_INSTANCE
--- a/laburnumwood/upstream/load_poller.py
+++ b/laburnumwood/upstream/load_poller.py
@@ -11,16 +11,19 @@
 
 
 class LoadPoller:
-    """Passes on what the worker reports of its load."""
+    """Polls the worker for its load.
 
-    def __init__(self, worker: Worker, note: Callable[[int], None]) -> None:
+    `on_load` is called with each number of running requests it returns.
+    """
+
+    def __init__(self, worker: Worker, on_load: Callable[[int], None]) -> None:
         self._worker = worker
-        self._note = note
+        self._on_load = on_load
 
     def run(self) -> None:
-        """Ask again and again; does not return."""
+        """Poll periodically; does not return."""
         while True:
             running = self._worker.load()
             if running is not None:
-                self._note(running)
+                self._on_load(running)
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -1,4 +1,4 @@
-"""Connections that are kept between requests, and the answers on them."""
+"""A pool of persistent connections to the worker, and answers on them."""
 
 from collections import deque
 from collections.abc import Iterator
@@ -13,18 +13,22 @@
 
 _CONNECT_TIMEOUT_S = 0.5
 _CHUNK_SIZE = 32_768  # bytes
-_NOTHING = b''
+_EMPTY = b''
 
 
 def to_worker_error(failure: Exception) -> WorkerCutError:
-    """Return the error of an exchange that ended or stood still."""
-    # Only a read that waited too long raises a timeout here.
-    late = isinstance(failure, TimeoutError)
-    return (WorkerTimeoutError if late else WorkerCutError)(repr(failure))
+    """Return the error for a request whose connection failed or stalled."""
+    # Here a `TimeoutError` is raised only by a read that waited too long.
+    is_timeout = isinstance(failure, TimeoutError)
+    return (WorkerTimeoutError if is_timeout else WorkerCutError)(repr(failure))
 
 
 class WorkerAnswer:
-    """The head of a worker's answer and its body, read once."""
+    """An answer of the worker; its body can be read once.
+
+    `close` or `release` has to be called in the end; later calls of either
+    have no effect.
+    """
 
     def __init__(
         self,
@@ -35,7 +39,7 @@
         self._response = response
         self._connection = connection
         self._pool = pool
-        self._is_over = False
+        self._is_closed = False
 
     @property
     def status(self) -> int:
@@ -49,23 +53,27 @@
 
     @property
     def index(self) -> HeaderIndex:
-        """Return the headers by their names."""
+        """Return an index of the headers by name."""
         return self._response.index
 
     @property
     def body_length(self) -> int | None:
-        """Return how much of the body is to come, if the worker said it."""
+        """Return how many bytes of the body remain, None if not announced."""
         return self._response.length
 
     @property
     def may_answer_earlier_request(self) -> bool:
-        """Tell whether it may be a second answer to an earlier request."""
+        """Return whether it may be a duplicate answer to an earlier request.
+
+        That is possible only on a connection that was used before.
+        """
         return self._connection.is_reused
 
     def chunks(self) -> Iterator[bytes]:
-        """Yield the body as it comes.
+        """Yield the parts of the body as they arrive.
 
-        Raises `WorkerCutError` if it ends early or falls silent.
+        Raises `WorkerCutError` if the body ends early, and its subclass
+        `WorkerTimeoutError` if the next part takes too long.
         """
         try:
             while part := self._response.read1(_CHUNK_SIZE):
@@ -76,9 +84,9 @@
             raise WorkerCutError(f'{self._response.length} bytes are missing')
 
     def read_body(self, longest: int) -> bytes:
-        """Return the body, which may have so many bytes.
+        """Return the whole body, of at most `longest` bytes.
 
-        Raises `WorkerCutError` if it has more, ends early or falls silent.
+        Raises `WorkerCutError` if the body is longer, ends early or stalls.
         """
         parts: list[bytes] = []
         left = longest
@@ -87,21 +95,21 @@
             if left < 0:
                 raise WorkerCutError(f'the body is longer than {longest} bytes')
             parts.append(part)
-        return _NOTHING.join(parts)
+        return _EMPTY.join(parts)
 
     def close(self) -> None:
-        """End the exchange and its connection, unless that was given back."""
-        if self._is_over:
+        """Close the connection, unless it was released to the pool."""
+        if self._is_closed:
             return
-        self._is_over = True
+        self._is_closed = True
         self._response.close()
         self._connection.close()
 
     def release(self) -> None:
-        """Give the connection back, once, after the whole body was read."""
-        if self._is_over:
+        """Return the connection to the pool after the whole body was read."""
+        if self._is_closed:
             return
-        self._is_over = True
+        self._is_closed = True
         will_close = self._response.will_close
         self._response.close()
         if will_close:
@@ -112,22 +120,28 @@
 
 
 class ConnectionPool:
-    """Connections to one address; the one used last is used first again."""
+    """Idle connections to one address; the last one used is reused first.
+
+    At most `max_idle` idle connections are kept.
+    """
 
-    def __init__(self, url: str, most_idle: int, clock: Clock) -> None:
+    def __init__(self, url: str, max_idle: int, clock: Clock) -> None:
         parsed = parse_url(url)
         self._host = parsed.host or ''
         self._port = parsed.port
         self._clock = clock
-        self._idle: deque[WorkerConnection] = deque(maxlen=most_idle)
+        self._idle: deque[WorkerConnection] = deque(maxlen=max_idle)
 
     def acquire(self) -> WorkerConnection:
-        """Return an open connection; raises the library's errors."""
+        """Return an open connection, reusing an idle one if possible.
+
+        Raises the errors of urllib3 if no connection can be made.
+        """
         while self._idle:
-            kept = self._idle.pop()
-            if kept.is_connected:
-                return kept
-            kept.close()
+            idle = self._idle.pop()
+            if idle.is_connected:
+                return idle
+            idle.close()
         opened = WorkerConnection(
             self._host,
             self._port,
@@ -138,7 +152,10 @@
         return opened
 
     def release(self, connection: WorkerConnection) -> None:
-        """Keep a connection whose last answer was read whole."""
+        """Keep a connection whose last answer was read completely.
+
+        If the pool is full, the connection that was idle longest is closed.
+        """
         if len(self._idle) == self._idle.maxlen:
             self._idle.popleft().close()
         self._idle.append(connection)
--- a/laburnumwood/upstream/refusals.py
+++ b/laburnumwood/upstream/refusals.py
@@ -1,23 +1,24 @@
-"""Answers by which a worker says that it did not run a request."""
+"""Answers that say that the worker did not run a request."""
 
 import json
 
 from laburnumwood.upstream.pool import WorkerAnswer
 
-FENCED = 'fenced'  # the worker has seen a newer token or has no grant
+# The worker has seen a newer token or has no grant.
+FENCED = 'fenced'
 _REFUSALS = {409: frozenset((FENCED,)), 503: frozenset(('busy', 'draining'))}
-_LONGEST = 1_024  # bytes of a refusal
+_MAX_REFUSAL_BYTES = 1_024  # of the body
 
 
 def may_be_refusal(answer: WorkerAnswer) -> bool:
-    """Tell whether the body of an answer has to be read to know."""
+    """Return whether an answer may be a refusal, which its body decides."""
     length = answer.body_length
-    short = length is not None and length <= _LONGEST
-    return short and answer.status in _REFUSALS
+    is_short = length is not None and length <= _MAX_REFUSAL_BYTES
+    return is_short and answer.status in _REFUSALS
 
 
 def parse_refusal(answer: WorkerAnswer, body: bytes) -> str | None:
-    """Return why a worker did not run a request, None if it may have."""
+    """Return the reason of a refusal, None if the request may have run."""
     try:
         content = json.loads(body)
     except ValueError:
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -1,13 +1,13 @@
-"""Grants of a worker that reports to its node and is answered with them.
+"""Grants of a worker that fetches them with reports to its node.
 
-A grant ends, on a clock that counts slow by `clock_drift`, before the lease
-of the node does:
+A grant expires before the lease of the node, even on a clock that is slow by
+`clock_drift`:
 
-    lasts_ms / (1 - clock_drift) <= what is left of the lease
+    duration_ms / (1 - clock_drift) <= remaining time of the lease
 
-and a lease ends before any witness seals it, so no successor acts by seals
-while the worker may still hold a shard.  Ends that a node records itself wait
-for `held_for_ms`.
+A lease expires before any witness seals it, so a successor that relies on
+seals never acts while the worker may still hold a shard.  A node that records
+the end of its own incarnation waits for `held_for_ms` first.
 """
 
 from bisect import bisect_right
@@ -35,63 +35,63 @@
     WorkerReport,
 )
 
-_NOTHING_MS = 1_000  # how long a grant of nothing lasts
-_LEAST_GRANT_MS = 50  # a shorter one would end before it is used
-_RANGE_BYTES = 11  # of a range with its token and no handover, at most
+_EMPTY_GRANT_MS = 1_000  # duration of a reply that grants nothing
+_MIN_GRANT_MS = 50  # a shorter grant would expire before it is used
+_MAX_RANGE_BYTES = 11  # maximum for a range with its token, without handover
 
 
-def _text_of(shards: Iterable[object]) -> str:
+def _join(shards: Iterable[object]) -> str:
     return ' '.join(str(each) for each in shards)
 
 
 class _HeldKeys:
-    """The keys that a worker reports to hold or to work on still."""
+    """The keys that a worker reports to hold or still to process."""
 
     def __init__(self, report: WorkerReport) -> None:
         rows = sorted(each.keys for each in report.held)
-        self._firsts = [keys.first for keys in rows]
-        self._begun = frozenset(self._firsts)
-        # The last key of any row that begins there or before.
-        self._lasts = list(accumulate((keys.last for keys in rows), max))
+        self._first_keys = [keys.first for keys in rows]
+        self._first_key_set = frozenset(self._first_keys)
+        # For each first key, the highest last key of the rows up to it.
+        self._last_keys = list(accumulate((keys.last for keys in rows), max))
 
-    def begin_any(self, ranges: tuple[KeyRange, ...]) -> bool:
-        """Tell whether a row begins where one of some ranges does."""
-        return any(keys.first in self._begun for keys in ranges)
+    def starts_any(self, ranges: tuple[KeyRange, ...]) -> bool:
+        """Return whether a row starts at the first key of one of the ranges."""
+        return any(keys.first in self._first_key_set for keys in ranges)
 
-    def meet_any(self, ranges: tuple[KeyRange, ...]) -> bool:
-        """Tell whether a row has a key of one of some ranges."""
-        return any(self._meet(keys) for keys in ranges)
+    def overlaps_any(self, ranges: tuple[KeyRange, ...]) -> bool:
+        """Return whether a row shares a key with one of the ranges."""
+        return any(self._overlaps(keys) for keys in ranges)
 
-    def _meet(self, keys: KeyRange) -> bool:
-        place = bisect_right(self._firsts, keys.last)
-        return place > 0 and self._lasts[place - 1] >= keys.first
+    def _overlaps(self, keys: KeyRange) -> bool:
+        index = bisect_right(self._first_keys, keys.last)
+        return index > 0 and self._last_keys[index - 1] >= keys.first
 
 
 class GrantSource(Protocol):
-    """What the present incarnation of the node lets its worker hold."""
+    """The shards that an incarnation of the node grants to its worker."""
 
     def tokens(self) -> dict[ShardName, int]:
         """Return the shards that the node holds, with their tokens."""
 
     def until_ms(self) -> int:
-        """Return until when the node may act."""
+        """Return the time until which the node's lease is valid."""
 
     def close(self, shard: ShardName) -> None:
-        """Let no more requests in to a shard."""
+        """Stop admitting requests to a shard."""
 
     def require_higher_token(self, shard: ShardName) -> None:
-        """Ask for a higher token: the worker's next life needs one."""
+        """Request a higher token, which a new worker instance needs."""
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
-        """Return the keys of a shard."""
+        """Return the key ranges of a shard."""
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
-        """Return what the shard's last owner left for this one."""
+        """Return the handovers that the last owner of a shard left."""
 
 
 @dataclass(slots=True)
-class _Given:
-    """What the worker was given for a shard, and until when."""
+class _Grant:
+    """The grant of a shard and the time at which it expires."""
 
     source: GrantSource
     token: int
@@ -100,241 +100,269 @@
     is_withdrawn: bool = False
     is_reported: bool = False
 
-    def follow(self, known: '_Given | None') -> None:
-        """Take over what still counts of what was given before."""
-        if known is None:
+    def inherit(self, previous: '_Grant | None') -> None:
+        """Adopt what is still valid of the previous grant of the shard."""
+        if previous is None:
             return
-        self.is_reported = known.is_reported and known.token == self.token
-        # The answer that ends sooner may be lost.
-        self.until_ms = max(self.until_ms, known.until_ms)
+        self.is_reported = previous.is_reported and previous.token == self.token
+        # A reply with an earlier expiry may have been lost.
+        self.until_ms = max(self.until_ms, previous.until_ms)
 
 
 class ReportingWorker:
-    """What the worker beside a node is, and what it may hold.
+    """The worker on a node's VM, and the shards that it may hold.
 
-    It lives as long as the node; incarnations of the node come and go as its
-    `holder`.
+    The object exists as long as the node's process.  Each incarnation of the
+    node attaches its own `GrantSource`, which replaces the one before.
     """
 
     def __init__(self, settings: ReportSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
         self._source: GrantSource | None = None
-        self._given: dict[ShardName, _Given] = {}
+        self._grants: dict[ShardName, _Grant] = {}
         self._withdrawn: set[ShardName] = set()
-        self._highest: dict[ShardName, int] = {}  # tokens given ever
-        self._spent: dict[ShardName, int] = {}  # of earlier lives
-        self._left = Handovers()
-        self._last_cut = (0, 0)
+        self._highest_tokens: dict[ShardName, int] = {}  # ever granted
+        self._used_tokens: dict[ShardName, int] = {}  # of earlier instances
+        self._handovers = Handovers()
+        self._logged_truncation = (0, 0)
         self.presence = Presence(settings, clock)
         self.changes = News()
 
     @property
     def has_released_all(self) -> bool:
-        """Tell whether the worker has reported that it holds nothing."""
-        return self.presence.reports_no_keys and not self._given
+        """Return whether the worker holds no keys and has no grants.
+
+        It holds no keys if its last report lists none.
+        """
+        return self.presence.reports_no_keys and not self._grants
 
     def attach(self, source: GrantSource | None) -> None:
-        """Let another incarnation say what the worker is to hold."""
+        """Replace the source of grants; None if there is no incarnation."""
         self._source = source
         self._withdrawn.clear()
 
     def is_attached(self, source: GrantSource) -> bool:
-        """Tell whether a source is the one that says what is to be held."""
+        """Return whether a source is the one that is attached."""
         return self._source is source
 
     def handle_report(self, report: WorkerReport) -> GrantReply:
-        """Take in a report and return what the worker is to hold."""
-        news = self.presence.record_report(report)
-        if news is ReportStatus.STALE:
+        """Process a report and return the grants to reply with.
+
+        A stale report changes nothing.
+        """
+        status = self.presence.record_report(report)
+        if status is ReportStatus.STALE:
             return GrantReply()
-        if news is ReportStatus.NEW_INSTANCE:
-            self._begin_life(report)
+        if status is ReportStatus.NEW_INSTANCE:
+            self._start_instance(report)
         if self._source is None:
-            return GrantReply((), _NOTHING_MS)
-        self._note_held(report)
-        reply = self._grant(self._source)
+            return GrantReply((), _EMPTY_GRANT_MS)
+        self._record_held(report)
+        reply = self._make_reply(self._source)
         self.changes.tell()
         return reply
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
-        """Tell whether the worker has a grant for a shard and a token."""
-        given = self._given.get(shard)
-        if given is None or given.is_withdrawn or given.token != token:
+        """Return whether the worker has a valid grant of a shard and token."""
+        grant = self._grants.get(shard)
+        if grant is None or grant.is_withdrawn or grant.token != token:
             return False
-        return self._clock.now_ms() < given.until_ms
+        return self._clock.now_ms() < grant.until_ms
 
     def next_grants_in_ms(self) -> int:
-        """Return in what time the worker will get its next grants."""
+        """Return the time until the worker is expected to get new grants."""
         return self.presence.next_report_in_ms()
 
     def withdraw(self, shard: ShardName) -> None:
-        """Give a shard no more, from the next report on."""
+        """Stop granting a shard, from the next report on."""
         if self._source is None:
             return
         self._withdrawn.add(shard)
         if (
-            shard not in self._given
+            shard not in self._grants
             or self.presence.phase is WorkerPhase.SILENT
         ):
             self._source.close(shard)
 
     def restore(self, shard: ShardName) -> None:
-        """Give a shard again that was withdrawn."""
+        """Grant a withdrawn shard again, because its move was abandoned."""
         self._withdrawn.discard(shard)
 
     def is_released(self, shard: ShardName) -> bool:
-        """Tell whether the worker can't hold a withdrawn shard any more."""
-        given = self._given.get(shard)
-        if given is None:
+        """Return whether the worker can no longer hold a withdrawn shard.
+
+        Either it has reported so, or its grant has expired.
+        """
+        grant = self._grants.get(shard)
+        if grant is None:
             return True
-        return self._clock.now_ms() >= given.until_ms
+        return self._clock.now_ms() >= grant.until_ms
 
     def held_for_ms(self, source: GrantSource) -> int:
-        """Return for how long the worker may still hold what a holder gave."""
-        untils = (
-            given.until_ms
-            for given in self._given.values()
-            if given.source is source
+        """Return for how long the worker may still hold grants of a source."""
+        expiry_times = (
+            grant.until_ms
+            for grant in self._grants.values()
+            if grant.source is source
         )
-        return max(0, max(untils, default=0) - self._clock.now_ms())
+        return max(0, max(expiry_times, default=0) - self._clock.now_ms())
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
-        """Return what the worker left for the next owner of a shard."""
+        """Return the worker's handover for each range of a shard.
+
+        The result is empty if the worker left no handover for the shard.
+        """
         if self._source is None:
             return ()
-        return self._left.for_ranges(self._source.stripes(shard))
+        return self._handovers.for_ranges(self._source.stripes(shard))
 
     def handover_for(self, keys: KeyRange) -> str:
-        """Return what the worker left for the next owner of some keys."""
-        return self._left.for_range(keys)
+        """Return the worker's handover for a range of keys, or ''."""
+        return self._handovers.for_range(keys)
 
     @property
     def released_ranges(self) -> tuple[ReleasedRange, ...]:
-        """Return what the worker let go since its life began."""
-        return self._left.all()
+        """Return the ranges for which this worker instance left a handover."""
+        return self._handovers.all()
 
     def add_remote_handovers(self, released: Iterable[ReleasedRange]) -> None:
-        """Take in what the worker of another node let go."""
-        self._left.add_remote(released)
+        """Add handovers that the worker of another node left."""
+        self._handovers.add_remote(released)
 
-    def _begin_life(self, report: WorkerReport) -> None:
+    def _start_instance(self, report: WorkerReport) -> None:
         WORKER_STARTED.report(
             worker=report.worker_id,
             started_ms=report.started_ms,
-            lost_grants=len(self._given),
+            lost_grants=len(self._grants),
         )
-        # Also of what it had let go: a move that is not made gives it back.
-        self._spent.update(self._highest)
+        # This includes shards that were released: if their move is abandoned,
+        # they are granted again.
+        self._used_tokens.update(self._highest_tokens)
         if self._source is not None:
-            for shard in self._highest:
+            for shard in self._highest_tokens:
                 self._source.require_higher_token(shard)
-        self._given.clear()
-        self._left.clear()
+        self._grants.clear()
+        self._handovers.clear()
 
-    def _note_held(self, report: WorkerReport) -> None:
+    def _record_held(self, report: WorkerReport) -> None:
         held = _HeldKeys(report)
-        gone: list[ShardName] = []
-        for shard in tuple(self._given):
-            given = self._given[shard]
-            given.is_reported = held.begin_any(given.ranges)
-            if given.is_withdrawn and not held.meet_any(given.ranges):
-                self._given.pop(shard)
-                gone.append(shard)
-        self._left.add_local(report.released)
-        if gone:
-            KEYS_RELEASED.report(shards=_text_of(gone))
-
-    def _grant(self, source: GrantSource) -> GrantReply:
+        released_shards: list[ShardName] = []
+        for shard in tuple(self._grants):
+            grant = self._grants[shard]
+            grant.is_reported = held.starts_any(grant.ranges)
+            if grant.is_withdrawn and not held.overlaps_any(grant.ranges):
+                self._grants.pop(shard)
+                released_shards.append(shard)
+        self._handovers.add_local(report.released)
+        if released_shards:
+            KEYS_RELEASED.report(shards=_join(released_shards))
+
+    def _make_reply(self, source: GrantSource) -> GrantReply:
         now_ms = self._clock.now_ms()
         left_ms = source.until_ms() - now_ms
-        lasts_ms = int(left_ms * (1 - self._settings.clock_drift))
-        lasts_ms = min(lasts_ms, self._settings.most_grant_ms)
-        if lasts_ms < _LEAST_GRANT_MS:
-            return self._keep_or_take_away(source)
-        wanted = self._wanted(source)
+        duration_ms = int(left_ms * (1 - self._settings.clock_drift))
+        duration_ms = min(duration_ms, self._settings.most_grant_ms)
+        if duration_ms < _MIN_GRANT_MS:
+            return self._reply_without_lease(source)
+        wanted = self._select_shards(source)
         self._withdraw_others(wanted, source)
-        self._tell_given(wanted, lasts_ms)
+        self._log_new_grants(wanted, duration_ms)
         for shard, token in wanted.items():
-            given = _Given(
+            grant = _Grant(
                 source, token, now_ms + left_ms, source.stripes(shard)
             )
-            given.follow(self._given.get(shard))
-            self._given[shard] = given
-            self._highest[shard] = max(token, self._highest.get(shard, 0))
-        rows = tuple(self._rows(wanted, source))
-        return GrantReply(rows, lasts_ms)
-
-    def _keep_or_take_away(self, source: GrantSource) -> GrantReply:
-        """Renew nothing; take away what only earlier holders gave."""
-        if any(given.source is source for given in self._given.values()):
+            grant.inherit(self._grants.get(shard))
+            self._grants[shard] = grant
+            self._highest_tokens[shard] = max(
+                token, self._highest_tokens.get(shard, 0)
+            )
+        rows = tuple(self._granted_ranges(wanted, source))
+        return GrantReply(rows, duration_ms)
+
+    def _reply_without_lease(self, source: GrantSource) -> GrantReply:
+        """Return the reply of a node whose lease is too short for grants.
+
+        Grants of the attached source stay valid until they expire.  If only
+        earlier sources have made grants, these are withdrawn.
+        """
+        if any(grant.source is source for grant in self._grants.values()):
             return GrantReply()
-        for given in self._given.values():
-            given.is_withdrawn = True
-        return GrantReply((), _NOTHING_MS)
+        for grant in self._grants.values():
+            grant.is_withdrawn = True
+        return GrantReply((), _EMPTY_GRANT_MS)
 
-    def _wanted(self, source: GrantSource) -> dict[ShardName, int]:
-        """Return what the worker is to hold, as far as an answer has room.
+    def _select_shards(self, source: GrantSource) -> dict[ShardName, int]:
+        """Return the shards to grant with their tokens, as far as they fit.
 
-        What it was given already comes first: it would be released else.
+        Shards that are granted already come first, because the worker would
+        otherwise release them.
         """
         wanted: dict[ShardName, int] = {}
-        room = self._settings.most_bytes
+        bytes_left = self._settings.most_bytes
         tokens = source.tokens()
-        for shard in sorted(tokens, key=self._newness):
+        for shard in sorted(tokens, key=self._grant_order):
             if shard in self._withdrawn:
                 continue
-            if tokens[shard] <= self._spent.get(shard, -1):
+            if tokens[shard] <= self._used_tokens.get(shard, -1):
                 source.require_higher_token(shard)
                 continue
-            room -= self._size(shard, source)
-            if room < 0:
-                self._tell_cut(shard, len(wanted), len(tokens))
+            bytes_left -= self._encoded_size(shard, source)
+            if bytes_left < 0:
+                self._log_truncation(shard, len(wanted), len(tokens))
                 break
             wanted[shard] = tokens[shard]
         return wanted
 
-    def _newness(self, shard: ShardName) -> tuple[bool, ShardName]:
-        return shard not in self._given, shard
+    def _grant_order(self, shard: ShardName) -> tuple[bool, ShardName]:
+        return shard not in self._grants, shard
 
-    def _tell_cut(self, shard: ShardName, given: int, held: int) -> None:
-        if (given, held) != self._last_cut:
-            self._last_cut = given, held
-            GRANTS_CUT.report(shard=shard, given=given, held=held)
+    def _log_truncation(
+        self, shard: ShardName, granted: int, held: int
+    ) -> None:
+        if (granted, held) != self._logged_truncation:
+            self._logged_truncation = granted, held
+            GRANTS_CUT.report(shard=shard, given=granted, held=held)
 
-    def _tell_given(self, wanted: dict[ShardName, int], lasts_ms: int) -> None:
-        new = [
+    def _log_new_grants(
+        self, wanted: dict[ShardName, int], duration_ms: int
+    ) -> None:
+        new_grants = [
             f'{shard}={token}'
             for shard, token in wanted.items()
-            if shard not in self._given or self._given[shard].token != token
+            if shard not in self._grants or self._grants[shard].token != token
         ]
-        if new:
-            KEYS_GIVEN.report(shards=_text_of(new), lasts_ms=lasts_ms)
+        if new_grants:
+            KEYS_GIVEN.report(shards=_join(new_grants), lasts_ms=duration_ms)
 
-    def _size(self, shard: ShardName, source: GrantSource) -> int:
-        handed = self._handed(shard, source)
-        rows = len(source.stripes(shard)) * _RANGE_BYTES
-        return rows + sum(len(each) for each in handed)
+    def _encoded_size(self, shard: ShardName, source: GrantSource) -> int:
+        handovers = self._handovers_for(shard, source)
+        rows = len(source.stripes(shard)) * _MAX_RANGE_BYTES
+        return rows + sum(len(each) for each in handovers)
 
     def _withdraw_others(
         self, wanted: dict[ShardName, int], source: GrantSource
     ) -> None:
-        for shard, given in self._given.items():
+        for shard, grant in self._grants.items():
             if shard not in wanted:
-                given.is_withdrawn = True
+                grant.is_withdrawn = True
                 source.close(shard)
 
-    def _handed(self, shard: ShardName, source: GrantSource) -> tuple[str, ...]:
-        given = self._given.get(shard)
-        if given is not None and given.is_reported:
+    def _handovers_for(
+        self, shard: ShardName, source: GrantSource
+    ) -> tuple[str, ...]:
+        grant = self._grants.get(shard)
+        if grant is not None and grant.is_reported:
             return ()
         return source.handovers(shard) or self.handovers(shard)
 
-    def _rows(
+    def _granted_ranges(
         self, wanted: dict[ShardName, int], source: GrantSource
     ) -> Iterator[GrantedRange]:
         for shard, token in wanted.items():
-            ranges = self._given[shard].ranges
-            handed = self._handed(shard, source) or ('',) * len(ranges)
-            for keys, handover in zip(ranges, handed, strict=False):
+            ranges = self._grants[shard].ranges
+            handovers = self._handovers_for(shard, source) or ('',) * len(
+                ranges
+            )
+            for keys, handover in zip(ranges, handovers, strict=False):
                 yield GrantedRange(keys, token, handover)
--- a/laburnumwood/upstream/reports.py
+++ b/laburnumwood/upstream/reports.py
@@ -1,4 +1,4 @@
-"""What a worker that reports to its node says, and what it is answered."""
+"""The reports of a worker to its node, and the replies to them."""
 
 from dataclasses import dataclass
 
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldRange:
-    """Keys that a worker holds or still works on, with their token."""
+    """Keys that a worker holds or still processes, with their token."""
 
     keys: KeyRange
     token: int
@@ -17,9 +17,9 @@
 class WorkerReport:
     """One report of a worker.
 
-    `started_ms` is when its process began, in milliseconds since the Unix
-    epoch, and tells one life of the worker from the next.  `number` rises
-    with each report of a life.
+    `started_ms` is the start time of its process in milliseconds since the
+    Unix epoch and distinguishes instances of the worker.  `sequence_number`
+    increases with each report of an instance.
     """
 
     worker_id: str
@@ -34,7 +34,10 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantedRange:
-    """Keys that a worker is to hold under a token."""
+    """Keys that a worker may hold under a token.
+
+    `handover` is the text that the worker of the last owner left for them.
+    """
 
     keys: KeyRange
     token: int
@@ -43,10 +46,11 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantReply:
-    """What a worker is answered: all that it is to hold, and for how long.
+    """The reply to a report: all keys that the worker may hold.
 
-    `lasts_ms` counts from when the worker sent its report.  With no `ranges`
-    at all (None) nothing is renewed and nothing is taken away.
+    The grants last for `duration_ms` from the time at which the worker sent
+    its report.  If `ranges` is None, earlier grants stay valid until they
+    expire and are not renewed.
     """
 
     ranges: tuple[GrantedRange, ...] | None = None
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -1,4 +1,4 @@
-"""Calls of the worker beside this node."""
+"""The client of the worker on this node's VM."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -27,16 +27,19 @@
 )
 
 _CONTROL_TIMEOUT_S = 0.5
-_LONGEST_SILENCE_MS = 10_000  # between two parts of an answer
+_MAX_SILENCE_MS = 10_000  # between two parts of an answer
 _OK = 200
-_DYING_MS = 30
+_SHUTDOWN_GRACE_MS = 30
 _CONTROL_CONNECTIONS = 2
-_USUALLY_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
+_METHODS_USUALLY_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerRequest:
-    """A request as it is sent to the worker; `timeout_ms` is what is left."""
+    """A request to the worker.
+
+    `timeout_ms` is the time left until the deadline of the request.
+    """
 
     method: str
     target: str
@@ -46,17 +49,17 @@
 
     @property
     def all_headers(self) -> tuple[Header, ...]:
-        """Return the headers with those that the connection needs."""
+        """Return the headers, with Host and Content-Length where needed."""
         added = []
         if not any(name.lower() == 'host' for name, _ in self.headers):
             added.append(('Host', 'worker'))
-        if self.body or self.method not in _USUALLY_WITHOUT_BODY:
+        if self.body or self.method not in _METHODS_USUALLY_WITHOUT_BODY:
             added.append(('Content-Length', str(len(self.body))))
         return (*self.headers, *added)
 
 
 class LoadReport(BaseModel):
-    """What a worker says of its load; more fields are ignored."""
+    """The load that a worker reports; unknown fields are ignored."""
 
     running: int = Field(ge=0)
 
@@ -65,55 +68,60 @@
     return getattr(failure, 'reason', failure)
 
 
-def _is_late(reason: object) -> bool:
-    # The library counts a refused connection among the late ones.
-    late = isinstance(reason, (ConnectTimeoutError, ReadTimeoutError))
-    return late and not isinstance(reason, NewConnectionError)
+def _is_timeout(reason: object) -> bool:
+    # urllib3 derives the error of a refused connection from that of a timeout.
+    is_timeout = isinstance(reason, (ConnectTimeoutError, ReadTimeoutError))
+    return is_timeout and not isinstance(reason, NewConnectionError)
 
 
 class Worker:
-    """The worker at a URL."""
+    """A client of the worker at a URL.
+
+    Control calls and requests use separate connections.
+    """
 
     def __init__(self, url: str, connections: int, clock: Clock) -> None:
-        self._requests = ConnectionPool(url, connections, clock)
-        self._controls = connection_from_url(
+        self._request_pool = ConnectionPool(url, connections, clock)
+        self._control_pool = connection_from_url(
             url, maxsize=_CONTROL_CONNECTIONS, retries=Retry(0, redirect=False)
         )
 
-    def send(self, order: WorkerRequest) -> WorkerAnswer:
-        """Send a request once and return the head of its answer.
+    def send(self, request: WorkerRequest) -> WorkerAnswer:
+        """Send a request once; return its answer, of which the head was read.
 
-        Raises `WorkerUnreachableError` if it is proved that nothing was
-        sent, and `WorkerCutError` if it may have run.
+        Raises `WorkerUnreachableError` if nothing was sent, and
+        `WorkerCutError` if the request may have run.
         """
         try:
-            head = request_head(order.method, order.target, order.all_headers)
-            connection = self._requests.acquire()
+            head = request_head(
+                request.method, request.target, request.all_headers
+            )
+            connection = self._request_pool.acquire()
         except (HTTPError, OSError, ValueError) as failure:
             raise WorkerUnreachableError(repr(failure)) from failure
         response = None
         try:
             response = connection.send_request(
-                head, order.body, order.method, order.timeout_ms
+                head, request.body, request.method, request.timeout_ms
             )
         except (HTTPException, OSError) as failure:
             raise to_worker_error(failure) from failure
         finally:
             if response is None:
                 connection.close()
-        limit_ms = min(order.timeout_ms, _LONGEST_SILENCE_MS)
+        limit_ms = min(request.timeout_ms, _MAX_SILENCE_MS)
         connection.sock.set_read_timeout(limit_ms)
-        return WorkerAnswer(response, connection, self._requests)
+        return WorkerAnswer(response, connection, self._request_pool)
 
     def cancel(self, request_id: str) -> bool:
-        """Stop the work of a request; tell whether the worker did."""
+        """Ask the worker to stop a request; return whether it complied."""
         return self._control('POST', '/cancel', request=request_id)
 
     def grant(self, tokens: Mapping[ShardName, int], until_ms: int) -> bool:
-        """Replace the worker's grants; tell whether it took them.
+        """Replace the worker's grants; return whether it accepted them.
 
-        `until_ms` is on the clock of the VM, which node and worker share, so
-        that a grant that the worker takes late does not last longer.
+        `until_ms` is a time of the VM's clock, which node and worker share.
+        A grant therefore expires in time even if it is received late.
         """
         shards = [
             {'service': shard.service, 'shard': shard.number, 'token': token}
@@ -122,24 +130,27 @@
         return self._control('PUT', '/grants', until_ms=until_ms, shards=shards)
 
     def is_responding(self) -> bool:
-        """Ask the worker for its health; tell whether it answers at all."""
+        """Return whether the worker answers a health check at all."""
         return self._health_failure() is None
 
     def is_dead(self) -> bool:
-        """Tell whether the worker's process answers no requests any more.
+        """Return whether a health check shows that the worker has ended.
 
-        One that has just ended is given a moment to close its listener.
+        A process that is just ending is given a moment to close its listener.
         """
-        eventlet.sleep(_DYING_MS / MS_PER_SECOND)
+        eventlet.sleep(_SHUTDOWN_GRACE_MS / MS_PER_SECOND)
         failure = self._health_failure()
-        # A worker that is late is busy or frozen: that is no death.
-        return failure is not None and not _is_late(_reason(failure))
+        # A worker that times out is busy or hangs, but has not ended.
+        return failure is not None and not _is_timeout(_reason(failure))
 
     def load(self) -> int | None:
-        """Return how many requests the worker says it runs, if it does."""
+        """Return how many requests the worker reports to be running.
+
+        The result is None if the worker gave no valid answer.
+        """
         timeout = Timeout(_CONTROL_TIMEOUT_S)
         try:
-            answer = self._controls.request('GET', '/load', timeout=timeout)
+            answer = self._control_pool.request('GET', '/load', timeout=timeout)
             report = LoadReport.model_validate_json(answer.data)
         except (HTTPError, ValidationError):
             return None
@@ -148,7 +159,7 @@
     def _health_failure(self) -> HTTPError | None:
         timeout = Timeout(_CONTROL_TIMEOUT_S)
         try:
-            self._controls.request('GET', '/health', timeout=timeout)
+            self._control_pool.request('GET', '/health', timeout=timeout)
         except HTTPError as failure:
             return failure
         return None
@@ -156,7 +167,7 @@
     def _control(self, method: str, path: str, **fields: Any) -> bool:
         timeout = Timeout(_CONTROL_TIMEOUT_S)
         try:
-            answer = self._controls.request(
+            answer = self._control_pool.request(
                 method, path, json=fields, timeout=timeout
             )
         except HTTPError:
