--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/endings.py
@@ -46,8 +46,8 @@
     ended_witnesses = {
         name for name in lease.asked if view.has_process_ended(name)
     }
-    # Without a majority of witnesses the lease can not be renewed and no record
-    # be written, so the node rejoins at once.  Other nodes take its shards over
+    # Without a majority of witnesses the node can neither renew its lease nor
+    # write a record, so it rejoins at once.  Other nodes take its shards over
     # only after its worker has released them.
     can_never_renew = not lease.can_renew_without(ended_witnesses)
     if can_never_renew or lease.is_over or view.is_sealed(own):
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -148,7 +148,7 @@
     directory = Directory()
     for stored in context.store.list()[0]:
         directory.apply(stored)
-    context.known = CachedStore(context.store, directory)
+    context.cached_store = CachedStore(context.store, directory)
     context.store.reads = 0
 
 
@@ -162,7 +162,7 @@
 
 @when('it records that it is leaving')
 def record_leaving(context: Context) -> None:
-    announce_leaving(context.known, context.name)
+    announce_leaving(context.cached_store, context.name)
 
 
 @then('the store was read {reads:d} and written {writes:d} times')
@@ -196,11 +196,11 @@
     directory = Directory()
     for stored in context.store.list()[0]:
         directory.apply(stored)
-    context.known = CachedStore(context.store, directory)
+    context.cached_store = CachedStore(context.store, directory)
     context.announcer = WorkerAnnouncer(
         context.name,
         FleetView(directory, SealBook()),
-        context.known,
+        context.cached_store,
         lambda: (serves, 6),
         lambda: holds_nothing,
     )
@@ -212,7 +212,7 @@
 def record_first_witnesses(context: Context) -> None:
     chosen = WitnessSet(1, (context.name,))
     record_witness_sets(
-        context.known,
+        context.cached_store,
         context.name,
         (chosen,),
         context.announcer.with_initial_worker_state,
@@ -325,9 +325,9 @@
     assert ended in context.lease.witnesses.members
     context.links.end(ended)
     # It replaces the ended witness, since it is in the same failure domain.
-    context.silent = _join_other(context, 'e')
+    context.replacement = _join_other(context, 'e')
     _end(context, ended)
-    _wait_until(lambda: context.silent in context.lease.asked)
+    _wait_until(lambda: context.replacement in context.lease.asked)
 
 
 @then('the change of its witnesses is pending')
@@ -338,10 +338,10 @@
 
 @when('the replacement ends too')
 def end_replacement(context: Context) -> None:
-    _end(context, context.silent)
+    _end(context, context.replacement)
 
 
 @then('the change of its witnesses is complete and it holds its lease')
 def check_changed(context: Context) -> None:
-    _wait_until(lambda: context.silent in context.lease.witnesses.members)
+    _wait_until(lambda: context.replacement in context.lease.witnesses.members)
     assert context.lease.holds()
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -180,15 +180,15 @@
 def make_renewing_node(context: Context, span_ms: int) -> None:
     context.lease = _CountingLease()
     lease: Any = context.lease
-    nothing: Any = SimpleNamespace(name=OWNER)
+    unused: Any = SimpleNamespace(name=OWNER)
     context.directory = Directory()
     renewer = LeaseRenewer(
         lease,
-        nothing,
-        nothing,
+        unused,
+        unused,
         lease,
         FleetView(context.directory, SealBook()),
-        nothing,
+        unused,
         LeaseSettings(renew_ms=span_ms, grant_ms=2 * span_ms),
         Clock(),
     )
