--- a/laburnumwood/admission/waiting.py
+++ b/laburnumwood/admission/admitter.py
@@ -6,9 +6,9 @@
 from eventlet import Timeout
 from eventlet.event import Event
 
-from laburnumwood.admission.control import Admission
-from laburnumwood.admission.tally import Tally
-from laburnumwood.admission.tickets import State, Ticket
+from laburnumwood.admission.control import AdmissionPolicy
+from laburnumwood.admission.counters import AdmissionCounters
+from laburnumwood.admission.tickets import Ticket, TicketState
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import OverloadedError, RunCancelledError
 
@@ -18,12 +18,12 @@
 class Admitter:
     """Lets the tasks of requests wait for what an admission decides."""
 
-    def __init__(self, admission: Admission, clock: Clock) -> None:
+    def __init__(self, admission: AdmissionPolicy, clock: Clock) -> None:
         self._admission = admission
         self._clock = clock
         self._queued: set[Ticket] = set()
-        self._leaving: set[Ticket] = set()
-        self.tally = Tally(clock)
+        self._responding: set[Ticket] = set()
+        self.counters = AdmissionCounters(clock)
 
     @property
     def running(self) -> int:
@@ -31,9 +31,9 @@
         return self._admission.running
 
     @property
-    def leaving(self) -> int:
+    def responding(self) -> int:
         """Return how many have given their slot back and not ended yet."""
-        return len(self._leaving)
+        return len(self._responding)
 
     @property
     def waiting(self) -> int:
@@ -45,12 +45,12 @@
         """Return for how long a request keeps a slot, by the last ones."""
         return self._admission.slot_ms
 
-    def hint(self, reported: int) -> None:
+    def record_load_report(self, reported: int) -> None:
         """Take in how many requests the worker says it runs."""
-        self._admission.hint(reported)
+        self._admission.record_load_report(reported)
 
     @contextmanager
-    def admitted(self, ticket: Ticket) -> Iterator[None]:
+    def hold_slot(self, ticket: Ticket) -> Iterator[None]:
         """Hold a slot for the ticket while the block runs.
 
         Raises `OverloadedError` as soon as it is clear that there is none, and
@@ -60,41 +60,41 @@
             raise RunCancelledError(_GONE)
         try:
             self._enter(ticket)
-            self.tally.let_in()
+            self.counters.record_admitted()
             yield
         finally:
-            self._leaving.discard(ticket)
+            self._responding.discard(ticket)
             self._release(ticket)
 
-    def give_back(self, ticket: Ticket) -> None:
+    def release_slot(self, ticket: Ticket) -> None:
         """Give the slot of a ticket back while its answer still leaves."""
-        if ticket.state is State.RUNNING:
-            self._leaving.add(ticket)
+        if ticket.state is TicketState.RUNNING:
+            self._responding.add(ticket)
             self._release(ticket)
 
     def cancel(self, ticket: Ticket) -> None:
         """Give up the place of a ticket that has no slot yet."""
         ticket.is_cancelled = True
         if ticket in self._queued:
-            self._admission.finish(ticket)
+            self._admission.release(ticket)
 
     def _enter(self, ticket: Ticket) -> None:
         self._wait(ticket)
-        if ticket.state is State.RUNNING:
+        if ticket.state is TicketState.RUNNING:
             return
         if ticket.is_cancelled:
             raise RunCancelledError(_GONE)
-        self.tally.shed()
+        self.counters.record_shed()
         raise OverloadedError(ticket.retry_after_ms)
 
     def _release(self, ticket: Ticket) -> None:
-        if ticket.state is State.RUNNING:
-            self.tally.done()
-        self._admission.finish(ticket)
+        if ticket.state is TicketState.RUNNING:
+            self.counters.record_released()
+        self._admission.release(ticket)
 
     def _wait(self, ticket: Ticket) -> None:
         self._admission.offer(ticket)
-        if ticket.state is State.WAITING:
+        if ticket.state is TicketState.WAITING:
             self._queued.add(ticket)
             try:
                 self._await_settled(ticket)
@@ -103,9 +103,9 @@
 
     def _await_settled(self, ticket: Ticket) -> None:
         settled = Event()
-        ticket.when_settled = settled.send
+        ticket.on_settled = settled.send
         left_ms = max(ticket.deadline_ms - self._clock.now_ms(), 0)
         with Timeout(left_ms / MS_PER_SECOND, False):
             settled.wait()
             return
-        self._admission.finish(ticket)
+        self._admission.release(ticket)
--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -1,12 +1,12 @@
-"""Admission control: who may use the worker now, who waits, who is shed."""
+"""Admission control: which requests run, wait, or are shed."""
 
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import Protocol
 
-from laburnumwood.admission.limit import ConcurrencyLimit, Slots
+from laburnumwood.admission.limit import ConcurrencyLimit, SlotCount
 from laburnumwood.admission.queue import FairQueue
-from laburnumwood.admission.tickets import Result, State, Ticket
+from laburnumwood.admission.tickets import Ticket, TicketResult, TicketState
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
 from laburnumwood.settings import AdmissionSettings
@@ -17,7 +17,7 @@
 _LONGEST_BOOKED_MS = 1_000  # callers hardly come back after a longer time
 
 
-class Admission(Protocol):
+class AdmissionPolicy(Protocol):
     """Decides about tickets; it never waits."""
 
     @property
@@ -35,29 +35,29 @@
     def offer(self, ticket: Ticket) -> None:
         """Let a new ticket run, wait, or be shed."""
 
-    def finish(self, ticket: Ticket) -> None:
+    def release(self, ticket: Ticket) -> None:
         """Take back the slot of a ticket, or its place in the queue."""
 
-    def hint(self, reported: int) -> None:
+    def record_load_report(self, reported: int) -> None:
         """Take in how many requests the worker says it runs."""
 
 
-Maker = Callable[[AdmissionSettings, Slots, Clock], Admission]
-ADMISSIONS: dict[str, Maker] = {}
+PolicyFactory = Callable[[AdmissionSettings, SlotCount, Clock], AdmissionPolicy]
+ADMISSION_POLICIES: dict[str, PolicyFactory] = {}
 
 
-def admission(name: str) -> Callable[[Maker], Maker]:
+def admission_policy(name: str) -> Callable[[PolicyFactory], PolicyFactory]:
     """Register a way of admission under a name."""
 
-    def register(maker: Maker) -> Maker:
-        ADMISSIONS[name] = maker
+    def register(maker: PolicyFactory) -> PolicyFactory:
+        ADMISSION_POLICIES[name] = maker
         return maker
 
     return register
 
 
-@admission('adaptive')
-class AdaptiveAdmission:
+@admission_policy('adaptive')
+class AdaptivePolicy:
     """An adaptive limit, and before it a short queue that is fair to keys.
 
     A ticket that could not be answered before its deadline, by the times that
@@ -65,7 +65,7 @@
     """
 
     def __init__(
-        self, settings: AdmissionSettings, slots: Slots, clock: Clock
+        self, settings: AdmissionSettings, slots: SlotCount, clock: Clock
     ) -> None:
         self._clock = clock
         self._limit = ConcurrencyLimit(slots, clock)
@@ -108,28 +108,28 @@
         else:
             ticket.shed(self._retry_after_ms())
 
-    def finish(self, ticket: Ticket) -> None:
+    def release(self, ticket: Ticket) -> None:
         """Take back the slot of a ticket, or its place in the queue."""
-        if ticket.state is State.WAITING:
+        if ticket.state is TicketState.WAITING:
             self._queue.remove(ticket)
             # One whose caller has gone does not come again.
             ticket.shed(0 if ticket.is_cancelled else self._retry_after_ms())
-        elif ticket.state is State.RUNNING:
+        elif ticket.state is TicketState.RUNNING:
             self._learn(ticket)
             self._running.pop(ticket)
             self._by_key[ticket.key] -= 1
             if not self._by_key[ticket.key]:
                 self._by_key.pop(ticket.key)
-            ticket.state = State.OVER
+            ticket.state = TicketState.RELEASED
         self._fill()
 
-    def hint(self, reported: int) -> None:
+    def record_load_report(self, reported: int) -> None:
         """Take in how many requests the worker says it runs."""
-        self._limit.hint(reported, max(self._peaks))
+        self._limit.record_load_report(reported, max(self._peaks))
         self._peaks = (self.running, self._peaks[0])
 
     def _may_wait(self, ticket: Ticket, left_ms: int) -> bool:
-        ahead = self._queue.ahead_of(ticket.key, ticket.line)
+        ahead = self._queue.count_ahead_of(ticket.key, ticket.traffic_class)
         needed_ms = self._drain_ms(ahead + 1) + self._latency_ms()
         return needed_ms < left_ms and self._queue.has_room(ticket.key)
 
@@ -146,17 +146,17 @@
 
     def _fill(self) -> None:
         latest_ms = self._clock.now_ms() + round(self._latency_ms())
-        for late in self._queue.hopeless(latest_ms):
+        for late in self._queue.with_deadline_before(latest_ms):
             self._queue.remove(late)
             late.shed(self._retry_after_ms())
         while self._queue and self.running < self.limit:
             self._start(self._queue.pop(self._by_key))
 
     def _learn(self, ticket: Ticket) -> None:
-        if ticket.result is Result.REFUSED:
-            self._limit.refused()
-        elif ticket.result is Result.LOST:
-            self._limit.lost()
+        if ticket.result is TicketResult.REFUSED:
+            self._limit.record_refusal()
+        elif ticket.result is TicketResult.LOST:
+            self._limit.record_loss()
         if ticket.answered_ms is None:
             return
         latency_ms = ticket.answered_ms - ticket.started_ms
@@ -199,9 +199,9 @@
         return min(max(after_ms, _LEAST_RETRY_MS), _MOST_RETRY_MS)
 
 
-class _CountingAdmission:
+class _CountingPolicy:
     def __init__(
-        self, _settings: AdmissionSettings, slots: Slots, clock: Clock
+        self, _settings: AdmissionSettings, slots: SlotCount, clock: Clock
     ) -> None:
         self._slots = slots
         self._clock = clock
@@ -223,18 +223,18 @@
         """Return zero: nothing is measured."""
         return 0
 
-    def finish(self, ticket: Ticket) -> None:
+    def release(self, ticket: Ticket) -> None:
         """Take back the slot of a ticket, or its place in the queue."""
-        if ticket.state is State.WAITING:
+        if ticket.state is TicketState.WAITING:
             self._queue.remove(ticket)
             ticket.shed(_LEAST_RETRY_MS)
-        elif ticket.state is State.RUNNING:
-            ticket.state = State.OVER
+        elif ticket.state is TicketState.RUNNING:
+            ticket.state = TicketState.RELEASED
             self._running -= 1
         if self._queue and self._running < self._slots():
             self._start(self._queue.popleft())
 
-    def hint(self, reported: int) -> None:
+    def record_load_report(self, reported: int) -> None:
         """Ignore what the worker says of its load."""
 
     def _start(self, ticket: Ticket) -> None:
@@ -242,8 +242,8 @@
         ticket.start(self._clock.now_ms())
 
 
-@admission('unlimited')
-class UnlimitedAdmission(_CountingAdmission):
+@admission_policy('unlimited')
+class UnlimitedPolicy(_CountingPolicy):
     """Lets everything in at once; a baseline for measurements."""
 
     def offer(self, ticket: Ticket) -> None:
@@ -251,8 +251,8 @@
         self._start(ticket)
 
 
-@admission('fixed-queue')
-class FixedQueueAdmission(_CountingAdmission):
+@admission_policy('fixed-queue')
+class FixedQueuePolicy(_CountingPolicy):
     """A queue of fixed length, first in, first out; a baseline."""
 
     def offer(self, ticket: Ticket) -> None:
--- a/laburnumwood/admission/tally.py
+++ b/laburnumwood/admission/counters.py
@@ -6,7 +6,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Carried:
+class AdmissionSummary:
     """What a gate did in a span of time; `busy` is the mean of its slots."""
 
     busy: float
@@ -14,12 +14,12 @@
     shed: int
 
     @property
-    def is_nothing(self) -> bool:
+    def is_empty(self) -> bool:
         """Tell whether no request came and none ran."""
         return not (self.busy or self.let_in or self.shed)
 
 
-class Tally:
+class AdmissionCounters:
     """Sums of what passed a gate since they were taken last."""
 
     def __init__(self, clock: Clock) -> None:
@@ -31,26 +31,28 @@
         self._begun_ms = clock.now_ms()
         self._since_ms = self._begun_ms
 
-    def let_in(self) -> None:
+    def record_admitted(self) -> None:
         """Count a request that got a slot."""
         self._advance()
         self._running += 1
         self._let_in += 1
 
-    def done(self) -> None:
+    def record_released(self) -> None:
         """Count a request that gave its slot back."""
         self._advance()
         self._running -= 1
 
-    def shed(self) -> None:
+    def record_shed(self) -> None:
         """Count a request that was sent away."""
         self._shed += 1
 
-    def take(self) -> Carried:
+    def collect(self) -> AdmissionSummary:
         """Return the sums, and begin anew."""
         self._advance()
         span_ms = max(1, self._since_ms - self._begun_ms)
-        carried = Carried(self._busy_ms / span_ms, self._let_in, self._shed)
+        carried = AdmissionSummary(
+            self._busy_ms / span_ms, self._let_in, self._shed
+        )
         self._busy_ms = 0
         self._let_in = 0
         self._shed = 0
--- a/laburnumwood/admission/limit.py
+++ b/laburnumwood/admission/limit.py
@@ -26,7 +26,7 @@
 _HINT_HALF_LIFE_MS = 1_000
 
 
-Slots = Callable[[], int]  # of the worker, as it says now
+SlotCount = Callable[[], int]  # of the worker, as it says now
 
 
 class ConcurrencyLimit:
@@ -37,7 +37,7 @@
     it counts less from one half-life to the next.
     """
 
-    def __init__(self, slots: Slots, clock: Clock) -> None:
+    def __init__(self, slots: SlotCount, clock: Clock) -> None:
         self._slots = slots
         self._clock = clock
         self._limit: float = slots()
@@ -67,12 +67,12 @@
         if age_ms >= _WINDOW_MS and len(self._samples) >= _WINDOW_SAMPLES:
             self._close_window()
 
-    def refused(self) -> None:
+    def record_refusal(self) -> None:
         """Lower the limit because the worker refused a request."""
         self._before_lost = 0
         self._decrease(_REFUSED_FACTOR)
 
-    def lost(self) -> None:
+    def record_loss(self) -> None:
         """Take in that the worker gave no whole answer to a request.
 
         Only where most requests end so is the worker taken to be overloaded:
@@ -84,7 +84,7 @@
             self._decrease(_LOST_FACTOR)
             self._begin_window()
 
-    def hint(self, reported: int, own: int) -> None:
+    def record_load_report(self, reported: int, own: int) -> None:
         """Take in a load report, with the most that this node ran lately."""
         self._foreign = min(max(0, reported - own), self._slots() - 1)
         self._hinted_ms = self._clock.now_ms()
--- a/laburnumwood/admission/retries.py
+++ b/laburnumwood/admission/retry_budget.py
@@ -25,7 +25,7 @@
         self._clock = clock
         self._budgets: dict[str, RetryBudget] = {}
 
-    def of(self, service: str) -> 'RetryBudget':
+    def for_service(self, service: str) -> 'RetryBudget':
         """Return the budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
@@ -46,11 +46,11 @@
         self._clock = clock
         self._slices: deque[_Slice] = deque()
 
-    def earn(self) -> None:
+    def record_request(self) -> None:
         """Count a request that is sent for the first time."""
         self._current().requests += 1
 
-    def spend(self) -> bool:
+    def try_retry(self) -> bool:
         """Count a retry and tell whether it may be made."""
         current = self._current()
         requests = sum(each.requests for each in self._slices)
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -7,19 +7,19 @@
 ORDINARY = 'ordinary'
 
 
-class State(Enum):
+class TicketState(Enum):
     """How far a request has come."""
 
     WAITING = 'waits for a slot'
     RUNNING = 'has a slot'
     SHED = 'was refused'
-    OVER = 'has given its slot back'
+    RELEASED = 'has given its slot back'
 
 
-class Result(Enum):
+class TicketResult(Enum):
     """What became of a request that had a slot."""
 
-    UNTRIED = 'the worker was not asked'
+    NOT_SENT = 'the worker was not asked'
     SERVED = 'the worker answered'
     REFUSED = 'the worker refused it for its load'
     REJECTED = 'the worker rejected it with slots free'
@@ -27,7 +27,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Line:
+class TrafficClass:
     """A declared class of traffic and its weight against the others."""
 
     name: str = ORDINARY
@@ -49,28 +49,28 @@
     key: str
     deadline_ms: int
     useful_until_ms: int
-    line: Line = Line()
-    state: State = State.WAITING
-    result: Result = Result.UNTRIED
+    traffic_class: TrafficClass = TrafficClass()
+    state: TicketState = TicketState.WAITING
+    result: TicketResult = TicketResult.NOT_SENT
     started_ms: int = 0
     answered_ms: int | None = None
     retry_after_ms: int = 0
     is_cancelled: bool = False  # nobody waits for the answer any more
-    when_settled: Callable[[], None] = _ignore
+    on_settled: Callable[[], None] = _ignore
 
     def start(self, now_ms: int) -> None:
         """Give the request a slot."""
         self.started_ms = now_ms
-        self.state = State.RUNNING
-        self.when_settled()
+        self.state = TicketState.RUNNING
+        self.on_settled()
 
     def answer(self, now_ms: int) -> None:
         """Note when the worker's answer began."""
         self.answered_ms = now_ms
-        self.result = Result.SERVED
+        self.result = TicketResult.SERVED
 
     def shed(self, retry_after_ms: int) -> None:
         """Refuse the request; its caller may come again after a time."""
         self.retry_after_ms = retry_after_ms
-        self.state = State.SHED
-        self.when_settled()
+        self.state = TicketState.SHED
+        self.on_settled()
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -45,7 +45,7 @@
 from laburnumwood.store.breaker import GuardedStore
 from laburnumwood.store.writes import new_mark
 from laburnumwood.tasks import begin, start
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 
 _JOIN_RETRY_MS = 500
 _POLL_MS = 100
@@ -202,7 +202,7 @@
             if incarnation.has_lost_worker:
                 self._resign(incarnation)
                 return IncarnationStatus.LAPSED
-            self.worker.presence.watch_silence()
+            self.worker.presence.report_silence()
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         return IncarnationStatus.ACTIVE
 
@@ -277,7 +277,7 @@
     def _is_worker_ready(self) -> bool:
         incarnation = self._incarnation
         is_announced = incarnation is None or incarnation.is_worker_announced
-        return self.worker.is_clear and is_announced
+        return self.worker.has_released_all and is_announced
 
     def _retry_until_answered(self, call: Callable[[], _Result]) -> _Result:
         """Repeat a call of the store until it is answered; return the result.
--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -17,7 +17,7 @@
 from laburnumwood.records import KeyRange, ReleasedRange
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.reports import (
     GrantReply,
     HeldRange,
@@ -50,14 +50,14 @@
     )
 
 
-def read_report(worker_id: str, body: bytes) -> WorkerReport:
+def decode_report(worker_id: str, body: bytes) -> WorkerReport:
     """Return what a worker reports; raises `BodyError`."""
     told = decode_as(_Report, decode(body))
     return WorkerReport(
         worker_id=worker_id,
         service=told.service,
         started_ms=told.born,
-        number=told.seq,
+        sequence_number=told.seq,
         slots=told.slots,
         is_leaving=told.state == 'draining',
         held=tuple(
@@ -71,7 +71,7 @@
     )
 
 
-def write_reply(reply: GrantReply) -> bytes:
+def encode_reply(reply: GrantReply) -> bytes:
     """Return the body that answers a report."""
     if reply.ranges is None:
         return encode({})
@@ -79,10 +79,10 @@
         [each.keys.first, each.keys.last, each.token, each.handover]
         for each in reply.ranges
     ]
-    return encode({'holds': rows, 'hold_ms': reply.lasts_ms})
+    return encode({'holds': rows, 'hold_ms': reply.duration_ms})
 
 
-class ReportDesk:
+class ReportEndpoint:
     """A WSGI application that takes the reports of one worker."""
 
     def __init__(
@@ -98,7 +98,7 @@
         path = environ['PATH_INFO']
         body = environ['wsgi.input'].read(_LONGEST_REPORT)
         if path.startswith(_LEAVE_PATH):
-            self._worker.presence.sign_off(path.removeprefix(_LEAVE_PATH))
+            self._worker.presence.deregister(path.removeprefix(_LEAVE_PATH))
             return _reply(start_response, HTTPStatus.OK, encode({}))
         if not path.startswith(_REPORT_PATH):
             return _reply(start_response, HTTPStatus.NOT_FOUND, b'')
@@ -107,11 +107,11 @@
         except BodyError as refused:
             REPORT_REFUSED.report(path=path, reason=refused)
             return _reply(start_response, HTTPStatus.BAD_REQUEST, b'')
-        reply = self._worker.report(report)
-        return _reply(start_response, HTTPStatus.OK, write_reply(reply))
+        reply = self._worker.handle_report(report)
+        return _reply(start_response, HTTPStatus.OK, encode_reply(reply))
 
     def _read(self, worker_id: str, body: bytes) -> WorkerReport:
-        report = read_report(worker_id, body)
+        report = decode_report(worker_id, body)
         if report.service != self._service:
             raise BodyError(
                 f'service: found {report.service!r}; expected {self._service!r}'
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -7,10 +7,10 @@
 from traceback import format_exc
 from typing import Protocol
 
-from laburnumwood.admission.control import ADMISSIONS
-from laburnumwood.admission.limit import Slots
-from laburnumwood.admission.tickets import Result, Ticket
-from laburnumwood.admission.waiting import Admitter
+from laburnumwood.admission.admitter import Admitter
+from laburnumwood.admission.control import ADMISSION_POLICIES
+from laburnumwood.admission.limit import SlotCount
+from laburnumwood.admission.tickets import Ticket, TicketResult
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service
 from laburnumwood.errors import (
@@ -58,7 +58,7 @@
     """Whether the worker takes requests now, and how many at once."""
 
     may_start: Callable[[], bool]
-    slots: Slots
+    slots: SlotCount
 
 
 class KnownShards(Protocol):
@@ -132,7 +132,7 @@
         self._executor = executor
         self._clock = clock
         self._admitter = Admitter(
-            ADMISSIONS[settings.admission.policy](
+            ADMISSION_POLICIES[settings.admission.policy](
                 settings.admission, worker.slots, clock
             ),
             clock,
@@ -143,7 +143,7 @@
     @property
     def running(self) -> int:
         """Return how many requests run, or have answers that still leave."""
-        return self._admitter.running + self._admitter.leaving
+        return self._admitter.running + self._admitter.responding
 
     @property
     def waiting(self) -> int:
@@ -152,12 +152,12 @@
 
     def hint(self, reported: int) -> None:
         """Take in how many requests the worker says it runs."""
-        self._admitter.hint(reported)
+        self._admitter.record_load_report(reported)
 
     def tell_load(self) -> None:
         """Log what this gate carried and sent away since it told last."""
-        carried = self._admitter.tally.take()
-        if carried.is_nothing:
+        carried = self._admitter.counters.collect()
+        if carried.is_empty:
             return
         GATE_LOAD.report(
             service=self._settings.service,
@@ -211,7 +211,7 @@
             kind=told.kind,
             detail=told.detail,
             running=self._admitter.running,
-            leaving=self._admitter.leaving,
+            leaving=self._admitter.responding,
             waiting=self.waiting,
             lease_left_ms=self._lease.holds_until_ms() - now_ms,
             may_have_run=told.ran,
@@ -249,7 +249,7 @@
 
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
-        wait_ms = self._grants.expected_in_ms() + _GRANT_SLACK_MS
+        wait_ms = self._grants.next_grants_in_ms() + _GRANT_SLACK_MS
         if not self._may_await_grant(shard, run, wait_ms):
             detail = f'the worker has no grant for {shard}'
             told = Failure('not-owner', False, detail, wait_ms)
@@ -270,7 +270,7 @@
         busy = self._account.busy(work.service)
         exchange.when_message(partial(self._admitter.cancel, ticket))
         try:
-            with self._admitter.admitted(ticket), busy:
+            with self._admitter.hold_slot(ticket), busy:
                 observed = ObservedExchange(
                     exchange,
                     ticket,
@@ -287,14 +287,14 @@
             self._meter.note(work.shard, work.key, self._admitter.slot_ms)
             shed.retry_after_ms = max(shed.retry_after_ms, line_ms)
             raise
-        if ticket.result is Result.SERVED:
+        if ticket.result is TicketResult.SERVED:
             busy_ms = self._clock.now_ms() - ticket.started_ms
             self._meter.note(work.shard, work.key, busy_ms)
 
     def _free(self, ticket: Ticket, rank: int, length: int) -> None:
         """Give the slot of a request back whose whole answer is here."""
         self._long_answers.note(rank, length)
-        self._admitter.give_back(ticket)
+        self._admitter.release_slot(ticket)
 
     def _serve_admitted(
         self, exchange: Exchange, run: Run, may_act: MayAct
@@ -350,5 +350,5 @@
             left_ms = until_ms - self._clock.now_ms()
             if left_ms <= 0 or self._holdings.is_closed(shard):
                 return False
-            self._grants.news.wait(left_ms)
+            self._grants.changes.wait(left_ms)
         return True
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
-from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.errors import CallerGoneError, LinkError, LinkTimeoutError
 from laburnumwood.membership.gossip import apply_shard_notice
@@ -189,8 +189,8 @@
         with the deadline, and what was given up is answered at once.
         """
         work = _with_short_body(inquiry)
-        budget = self._budgets.of(work.service)
-        budget.earn()
+        budget = self._budgets.for_service(work.service)
+        budget.record_request()
         tries = Tries(inquiry, budget, self._clock, self._patience_ms)
         while True:
             work = self._placed(work, inquiry.work.shard)
--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -53,11 +53,11 @@
         self._clock = clock
         self._until_ms: int | None = None
 
-    def read_until(self, until_ms: int) -> None:
+    def set_read_deadline(self, until_ms: int) -> None:
         """Let all reads together end at a time, however often a byte comes."""
         self._until_ms = until_ms
 
-    def read_within(self, limit_ms: int) -> None:
+    def set_read_timeout(self, limit_ms: int) -> None:
         """Let each read from now on wait for so long at the most."""
         self._until_ms = None
         self.settimeout(limit_ms / MS_PER_SECOND)
@@ -88,7 +88,7 @@
     """The head of an answer does not say where the answer ends."""
 
 
-class WorkerResponse(HTTPResponse):
+class StrictResponse(HTTPResponse):
     """An answer; only its head is read in another way than the library's."""
 
     def __init__(self, sock: Any, method: str) -> None:
@@ -187,25 +187,25 @@
 
     def send_request(
         self, head: bytes, body: bytes, method: str, timeout_ms: int
-    ) -> WorkerResponse:
+    ) -> StrictResponse:
         """Send a request and return its answer when the head has come.
 
         Raises `OSError` or `HTTPException`.
         """
         self._sent += 1
         self.sock.settimeout(timeout_ms / MS_PER_SECOND)
-        self.sock.read_until(self._clock.now_ms() + timeout_ms)
+        self.sock.set_read_deadline(self._clock.now_ms() + timeout_ms)
         self.sock.sendall(head + body)
-        response = WorkerResponse(self.sock, method)
+        response = StrictResponse(self.sock, method)
         response.begin()
         return response
 
     @property
-    def is_used_again(self) -> bool:
+    def is_reused(self) -> bool:
         """Tell whether more than one request was sent on it."""
         return self._sent > 1
 
-    def note_idle(self, answer_index: HeaderIndex) -> None:
+    def record_keep_alive(self, answer_index: HeaderIndex) -> None:
         """Take in for how long the worker keeps the connection when idle."""
         found = _TIMEOUT_PARAMETER.search(answer_index.first('keep-alive'))
         if found is not None:
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -44,13 +44,13 @@
         self._last_until_ms = 0
         self._held_until_ms = 0
         self.health = WorkerHealth(clock)
-        self.news = News()
+        self.changes = News()
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
         """Tell whether the worker has a grant for a shard and a token."""
         return self._granted.get(shard) == token
 
-    def expected_in_ms(self) -> int:
+    def next_grants_in_ms(self) -> int:
         """Return in what time the worker will get its next grants."""
         age_ms = self._clock.now_ms() - self._granted_ms
         return max(_CHANGE_POLL_MS, _RENEW_MS - age_ms)
@@ -66,7 +66,7 @@
         """Return true: the next owner's token fences this worker off."""
         return True
 
-    def handover_of(self, keys: KeyRange) -> str:
+    def handover_for(self, keys: KeyRange) -> str:
         """Return nothing: these workers leave nothing."""
         return ''
 
@@ -101,13 +101,13 @@
         self._last_until_ms = max(self._last_until_ms, until_ms)
         self._held_until_ms = max(self._held_until_ms, until_ms)
         taken = self._worker.grant(wanted, until_ms)
-        self.health.note(answered=taken, started_ms=started_ms)
+        self.health.record_call(answered=taken, started_ms=started_ms)
         if taken:
             # It replaces all that was granted before.
             self._held_until_ms = until_ms
             self._granted = wanted
             self._granted_ms = self._clock.now_ms()
-            self.news.tell()
+            self.changes.tell()
         elif self._reachable:
             WORKER_UNREACHABLE.report()
         self._reachable = taken
--- a/laburnumwood/upstream/grants.py
+++ b/laburnumwood/upstream/grants.py
@@ -12,11 +12,11 @@
     def covers(self, shard: ShardName, token: int | None) -> bool:
         """Tell whether the worker has a grant for a shard and a token."""
 
-    def expected_in_ms(self) -> int:
+    def next_grants_in_ms(self) -> int:
         """Return in what time the worker will get its next grants."""
 
     @property
-    def news(self) -> News:
+    def changes(self) -> News:
         """Return what tells of changes of the grants."""
 
     def withdraw(self, shard: ShardName) -> None:
@@ -28,7 +28,7 @@
     def is_released(self, shard: ShardName) -> bool:
         """Tell whether the worker no longer holds a withdrawn shard."""
 
-    def handover_of(self, keys: KeyRange) -> str:
+    def handover_for(self, keys: KeyRange) -> str:
         """Return what the worker left for the next owner of some keys."""
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
--- a/laburnumwood/upstream/handovers.py
+++ b/laburnumwood/upstream/handovers.py
@@ -24,13 +24,13 @@
         self._left: dict[KeyRange, str] = {}
         self._told: dict[KeyRange, str] = {}
 
-    def note(self, released: Iterable[ReleasedRange]) -> None:
+    def add_local(self, released: Iterable[ReleasedRange]) -> None:
         """Take in what the worker released."""
         for each in released:
             self._left[each.keys] = each.handover
             self._told.pop(each.keys, None)
 
-    def note_told(self, released: Iterable[ReleasedRange]) -> None:
+    def add_remote(self, released: Iterable[ReleasedRange]) -> None:
         """Take in what the worker of another node released."""
         for each in released:
             self._told[each.keys] = each.handover
@@ -47,11 +47,11 @@
         """Forget the worker's: another life of it knows nothing of them."""
         self._left.clear()
 
-    def of_range(self, keys: KeyRange) -> str:
+    def for_range(self, keys: KeyRange) -> str:
         """Return what was left for some keys, or an empty text."""
         return _of_range(self._told, keys) or _of_range(self._left, keys)
 
-    def of_ranges(self, ranges: tuple[KeyRange, ...]) -> tuple[str, ...]:
+    def for_ranges(self, ranges: tuple[KeyRange, ...]) -> tuple[str, ...]:
         """Return what was left for each range, empty if it is nothing."""
-        found = tuple(self.of_range(keys) for keys in ranges)
+        found = tuple(self.for_range(keys) for keys in ranges)
         return found if any(found) else ()
--- a/laburnumwood/upstream/lives.py
+++ b/laburnumwood/upstream/instances.py
@@ -5,15 +5,15 @@
 from laburnumwood.upstream.reports import WorkerReport
 
 
-class LifeNews(Enum):
+class ReportStatus(Enum):
     """What a report says of the worker's life."""
 
-    SAME = 'the life that is known goes on'
-    NEW = 'another life of the worker has begun'
-    LATE = 'it was overtaken by a newer report'
+    SAME_INSTANCE = 'the life that is known goes on'
+    NEW_INSTANCE = 'another life of the worker has begun'
+    STALE = 'it was overtaken by a newer report'
 
 
-class WorkerLives:
+class WorkerInstanceTracker:
     """Tells reports of the present life from those that come late.
 
     A worker's process keeps nothing when it starts anew, even if it keeps
@@ -29,16 +29,16 @@
         """Return the id of the present life, empty before the first."""
         return self._life[1] if self._life else ''
 
-    def note(self, report: WorkerReport) -> LifeNews:
+    def record_report(self, report: WorkerReport) -> ReportStatus:
         """Take in a report and tell what it says of the life."""
         life = report.started_ms, report.worker_id
         if self._life is not None and life < self._life:
-            return LifeNews.LATE
+            return ReportStatus.STALE
         if life != self._life:
             self._life = life
-            self._number = report.number
-            return LifeNews.NEW
-        if report.number <= self._number:
-            return LifeNews.LATE
-        self._number = report.number
-        return LifeNews.SAME
+            self._number = report.sequence_number
+            return ReportStatus.NEW_INSTANCE
+        if report.sequence_number <= self._number:
+            return ReportStatus.STALE
+        self._number = report.sequence_number
+        return ReportStatus.SAME_INSTANCE
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -9,14 +9,14 @@
 from laburnumwood.clock import Clock
 from laburnumwood.errors import WorkerCutError, WorkerTimeoutError
 from laburnumwood.header_index import Header, HeaderIndex
-from laburnumwood.upstream.connection import WorkerConnection, WorkerResponse
+from laburnumwood.upstream.connection import StrictResponse, WorkerConnection
 
 _CONNECT_TIMEOUT_S = 0.5
 _CHUNK_SIZE = 32_768  # bytes
 _NOTHING = b''
 
 
-def cut_error(failure: Exception) -> WorkerCutError:
+def to_worker_error(failure: Exception) -> WorkerCutError:
     """Return the error of an exchange that ended or stood still."""
     # Only a read that waited too long raises a timeout here.
     late = isinstance(failure, TimeoutError)
@@ -28,7 +28,7 @@
 
     def __init__(
         self,
-        response: WorkerResponse,
+        response: StrictResponse,
         connection: WorkerConnection,
         pool: 'ConnectionPool',
     ) -> None:
@@ -58,9 +58,9 @@
         return self._response.length
 
     @property
-    def may_be_late(self) -> bool:
+    def may_answer_earlier_request(self) -> bool:
         """Tell whether it may be a second answer to an earlier request."""
-        return self._connection.is_used_again
+        return self._connection.is_reused
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it comes.
@@ -71,11 +71,11 @@
             while part := self._response.read1(_CHUNK_SIZE):
                 yield part
         except (HTTPException, OSError, ValueError) as cut:
-            raise cut_error(cut) from cut
+            raise to_worker_error(cut) from cut
         if self._response.length:
             raise WorkerCutError(f'{self._response.length} bytes are missing')
 
-    def whole(self, longest: int) -> bytes:
+    def read_body(self, longest: int) -> bytes:
         """Return the body, which may have so many bytes.
 
         Raises `WorkerCutError` if it has more, ends early or falls silent.
@@ -107,8 +107,8 @@
         if will_close:
             self._connection.close()
         else:
-            self._connection.note_idle(self.index)
-            self._pool.give_back(self._connection)
+            self._connection.record_keep_alive(self.index)
+            self._pool.release(self._connection)
 
 
 class ConnectionPool:
@@ -121,7 +121,7 @@
         self._clock = clock
         self._idle: deque[WorkerConnection] = deque(maxlen=most_idle)
 
-    def take(self) -> WorkerConnection:
+    def acquire(self) -> WorkerConnection:
         """Return an open connection; raises the library's errors."""
         while self._idle:
             kept = self._idle.pop()
@@ -137,7 +137,7 @@
         opened.connect()
         return opened
 
-    def give_back(self, connection: WorkerConnection) -> None:
+    def release(self, connection: WorkerConnection) -> None:
         """Keep a connection whose last answer was read whole."""
         if len(self._idle) == self._idle.maxlen:
             self._idle.popleft().close()
--- a/laburnumwood/upstream/reporting.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -27,8 +27,8 @@
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.handovers import Handovers
-from laburnumwood.upstream.lives import LifeNews
-from laburnumwood.upstream.presence import Phase, Presence
+from laburnumwood.upstream.instances import ReportStatus
+from laburnumwood.upstream.presence import Presence, WorkerPhase
 from laburnumwood.upstream.reports import (
     GrantedRange,
     GrantReply,
@@ -67,7 +67,7 @@
         return place > 0 and self._lasts[place - 1] >= keys.first
 
 
-class Holder(Protocol):
+class GrantSource(Protocol):
     """What the present incarnation of the node lets its worker hold."""
 
     def tokens(self) -> dict[ShardName, int]:
@@ -79,7 +79,7 @@
     def close(self, shard: ShardName) -> None:
         """Let no more requests in to a shard."""
 
-    def spend(self, shard: ShardName) -> None:
+    def require_higher_token(self, shard: ShardName) -> None:
         """Ask for a higher token: the worker's next life needs one."""
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
@@ -93,7 +93,7 @@
 class _Given:
     """What the worker was given for a shard, and until when."""
 
-    holder: Holder
+    source: GrantSource
     token: int
     until_ms: int
     ranges: tuple[KeyRange, ...]
@@ -119,7 +119,7 @@
     def __init__(self, settings: ReportSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self._holder: Holder | None = None
+        self._source: GrantSource | None = None
         self._given: dict[ShardName, _Given] = {}
         self._withdrawn: set[ShardName] = set()
         self._highest: dict[ShardName, int] = {}  # tokens given ever
@@ -127,34 +127,34 @@
         self._left = Handovers()
         self._last_cut = (0, 0)
         self.presence = Presence(settings, clock)
-        self.news = News()
+        self.changes = News()
 
     @property
-    def is_clear(self) -> bool:
+    def has_released_all(self) -> bool:
         """Tell whether the worker has reported that it holds nothing."""
-        return self.presence.holds_nothing and not self._given
+        return self.presence.reports_no_keys and not self._given
 
-    def attach(self, holder: Holder | None) -> None:
+    def attach(self, source: GrantSource | None) -> None:
         """Let another incarnation say what the worker is to hold."""
-        self._holder = holder
+        self._source = source
         self._withdrawn.clear()
 
-    def is_attached(self, holder: Holder) -> bool:
-        """Tell whether a holder is the one that says what is to be held."""
-        return self._holder is holder
+    def is_attached(self, source: GrantSource) -> bool:
+        """Tell whether a source is the one that says what is to be held."""
+        return self._source is source
 
-    def report(self, report: WorkerReport) -> GrantReply:
+    def handle_report(self, report: WorkerReport) -> GrantReply:
         """Take in a report and return what the worker is to hold."""
-        news = self.presence.note(report)
-        if news is LifeNews.LATE:
+        news = self.presence.record_report(report)
+        if news is ReportStatus.STALE:
             return GrantReply()
-        if news is LifeNews.NEW:
+        if news is ReportStatus.NEW_INSTANCE:
             self._begin_life(report)
-        if self._holder is None:
+        if self._source is None:
             return GrantReply((), _NOTHING_MS)
         self._note_held(report)
-        reply = self._grant(self._holder)
-        self.news.tell()
+        reply = self._grant(self._source)
+        self.changes.tell()
         return reply
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
@@ -164,17 +164,20 @@
             return False
         return self._clock.now_ms() < given.until_ms
 
-    def expected_in_ms(self) -> int:
+    def next_grants_in_ms(self) -> int:
         """Return in what time the worker will get its next grants."""
         return self.presence.next_report_in_ms()
 
     def withdraw(self, shard: ShardName) -> None:
         """Give a shard no more, from the next report on."""
-        if self._holder is None:
+        if self._source is None:
             return
         self._withdrawn.add(shard)
-        if shard not in self._given or self.presence.phase is Phase.SILENT:
-            self._holder.close(shard)
+        if (
+            shard not in self._given
+            or self.presence.phase is WorkerPhase.SILENT
+        ):
+            self._source.close(shard)
 
     def restore(self, shard: ShardName) -> None:
         """Give a shard again that was withdrawn."""
@@ -187,33 +190,33 @@
             return True
         return self._clock.now_ms() >= given.until_ms
 
-    def held_for_ms(self, holder: Holder) -> int:
+    def held_for_ms(self, source: GrantSource) -> int:
         """Return for how long the worker may still hold what a holder gave."""
         untils = (
             given.until_ms
             for given in self._given.values()
-            if given.holder is holder
+            if given.source is source
         )
         return max(0, max(untils, default=0) - self._clock.now_ms())
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
         """Return what the worker left for the next owner of a shard."""
-        if self._holder is None:
+        if self._source is None:
             return ()
-        return self._left.of_ranges(self._holder.stripes(shard))
+        return self._left.for_ranges(self._source.stripes(shard))
 
-    def handover_of(self, keys: KeyRange) -> str:
+    def handover_for(self, keys: KeyRange) -> str:
         """Return what the worker left for the next owner of some keys."""
-        return self._left.of_range(keys)
+        return self._left.for_range(keys)
 
     @property
-    def left(self) -> tuple[ReleasedRange, ...]:
+    def released_ranges(self) -> tuple[ReleasedRange, ...]:
         """Return what the worker let go since its life began."""
         return self._left.all()
 
-    def take_left(self, released: Iterable[ReleasedRange]) -> None:
+    def add_remote_handovers(self, released: Iterable[ReleasedRange]) -> None:
         """Take in what the worker of another node let go."""
-        self._left.note_told(released)
+        self._left.add_remote(released)
 
     def _begin_life(self, report: WorkerReport) -> None:
         WORKER_STARTED.report(
@@ -223,9 +226,9 @@
         )
         # Also of what it had let go: a move that is not made gives it back.
         self._spent.update(self._highest)
-        if self._holder is not None:
+        if self._source is not None:
             for shard in self._highest:
-                self._holder.spend(shard)
+                self._source.require_higher_token(shard)
         self._given.clear()
         self._left.clear()
 
@@ -238,53 +241,53 @@
             if given.is_withdrawn and not held.meet_any(given.ranges):
                 self._given.pop(shard)
                 gone.append(shard)
-        self._left.note(report.released)
+        self._left.add_local(report.released)
         if gone:
             KEYS_RELEASED.report(shards=_text_of(gone))
 
-    def _grant(self, holder: Holder) -> GrantReply:
+    def _grant(self, source: GrantSource) -> GrantReply:
         now_ms = self._clock.now_ms()
-        left_ms = holder.until_ms() - now_ms
+        left_ms = source.until_ms() - now_ms
         lasts_ms = int(left_ms * (1 - self._settings.clock_drift))
         lasts_ms = min(lasts_ms, self._settings.most_grant_ms)
         if lasts_ms < _LEAST_GRANT_MS:
-            return self._keep_or_take_away(holder)
-        wanted = self._wanted(holder)
-        self._withdraw_others(wanted, holder)
+            return self._keep_or_take_away(source)
+        wanted = self._wanted(source)
+        self._withdraw_others(wanted, source)
         self._tell_given(wanted, lasts_ms)
         for shard, token in wanted.items():
             given = _Given(
-                holder, token, now_ms + left_ms, holder.stripes(shard)
+                source, token, now_ms + left_ms, source.stripes(shard)
             )
             given.follow(self._given.get(shard))
             self._given[shard] = given
             self._highest[shard] = max(token, self._highest.get(shard, 0))
-        rows = tuple(self._rows(wanted, holder))
+        rows = tuple(self._rows(wanted, source))
         return GrantReply(rows, lasts_ms)
 
-    def _keep_or_take_away(self, holder: Holder) -> GrantReply:
+    def _keep_or_take_away(self, source: GrantSource) -> GrantReply:
         """Renew nothing; take away what only earlier holders gave."""
-        if any(given.holder is holder for given in self._given.values()):
+        if any(given.source is source for given in self._given.values()):
             return GrantReply()
         for given in self._given.values():
             given.is_withdrawn = True
         return GrantReply((), _NOTHING_MS)
 
-    def _wanted(self, holder: Holder) -> dict[ShardName, int]:
+    def _wanted(self, source: GrantSource) -> dict[ShardName, int]:
         """Return what the worker is to hold, as far as an answer has room.
 
         What it was given already comes first: it would be released else.
         """
         wanted: dict[ShardName, int] = {}
         room = self._settings.most_bytes
-        tokens = holder.tokens()
+        tokens = source.tokens()
         for shard in sorted(tokens, key=self._newness):
             if shard in self._withdrawn:
                 continue
             if tokens[shard] <= self._spent.get(shard, -1):
-                holder.spend(shard)
+                source.require_higher_token(shard)
                 continue
-            room -= self._size(shard, holder)
+            room -= self._size(shard, source)
             if room < 0:
                 self._tell_cut(shard, len(wanted), len(tokens))
                 break
@@ -308,30 +311,30 @@
         if new:
             KEYS_GIVEN.report(shards=_text_of(new), lasts_ms=lasts_ms)
 
-    def _size(self, shard: ShardName, holder: Holder) -> int:
-        handed = self._handed(shard, holder)
-        rows = len(holder.stripes(shard)) * _RANGE_BYTES
+    def _size(self, shard: ShardName, source: GrantSource) -> int:
+        handed = self._handed(shard, source)
+        rows = len(source.stripes(shard)) * _RANGE_BYTES
         return rows + sum(len(each) for each in handed)
 
     def _withdraw_others(
-        self, wanted: dict[ShardName, int], holder: Holder
+        self, wanted: dict[ShardName, int], source: GrantSource
     ) -> None:
         for shard, given in self._given.items():
             if shard not in wanted:
                 given.is_withdrawn = True
-                holder.close(shard)
+                source.close(shard)
 
-    def _handed(self, shard: ShardName, holder: Holder) -> tuple[str, ...]:
+    def _handed(self, shard: ShardName, source: GrantSource) -> tuple[str, ...]:
         given = self._given.get(shard)
         if given is not None and given.is_reported:
             return ()
-        return holder.handovers(shard) or self.handovers(shard)
+        return source.handovers(shard) or self.handovers(shard)
 
     def _rows(
-        self, wanted: dict[ShardName, int], holder: Holder
+        self, wanted: dict[ShardName, int], source: GrantSource
     ) -> Iterator[GrantedRange]:
         for shard, token in wanted.items():
             ranges = self._given[shard].ranges
-            handed = self._handed(shard, holder) or ('',) * len(ranges)
+            handed = self._handed(shard, source) or ('',) * len(ranges)
             for keys, handover in zip(ranges, handed, strict=False):
                 yield GrantedRange(keys, token, handover)
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -23,7 +23,7 @@
 from laburnumwood.upstream.pool import (
     ConnectionPool,
     WorkerAnswer,
-    cut_error,
+    to_worker_error,
 )
 
 _CONTROL_TIMEOUT_S = 0.5
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Order:
+class WorkerRequest:
     """A request as it is sent to the worker; `timeout_ms` is what is left."""
 
     method: str
@@ -80,7 +80,7 @@
             url, maxsize=_CONTROL_CONNECTIONS, retries=Retry(0, redirect=False)
         )
 
-    def run(self, order: Order) -> WorkerAnswer:
+    def send(self, order: WorkerRequest) -> WorkerAnswer:
         """Send a request once and return the head of its answer.
 
         Raises `WorkerUnreachableError` if it is proved that nothing was
@@ -88,7 +88,7 @@
         """
         try:
             head = request_head(order.method, order.target, order.all_headers)
-            connection = self._requests.take()
+            connection = self._requests.acquire()
         except (HTTPError, OSError, ValueError) as failure:
             raise WorkerUnreachableError(repr(failure)) from failure
         response = None
@@ -97,12 +97,12 @@
                 head, order.body, order.method, order.timeout_ms
             )
         except (HTTPException, OSError) as failure:
-            raise cut_error(failure) from failure
+            raise to_worker_error(failure) from failure
         finally:
             if response is None:
                 connection.close()
         limit_ms = min(order.timeout_ms, _LONGEST_SILENCE_MS)
-        connection.sock.read_within(limit_ms)
+        connection.sock.set_read_timeout(limit_ms)
         return WorkerAnswer(response, connection, self._requests)
 
     def cancel(self, request_id: str) -> bool:
@@ -121,7 +121,7 @@
         ]
         return self._control('PUT', '/grants', until_ms=until_ms, shards=shards)
 
-    def answers(self) -> bool:
+    def is_responding(self) -> bool:
         """Ask the worker for its health; tell whether it answers at all."""
         return self._health_failure() is None
 
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -15,7 +15,7 @@
 from laburnumwood.errors import WorkerCutError, WorkerTimeoutError
 from laburnumwood.header_index import HeaderIndex
 from laburnumwood.platform.workers import WorkerDialect
-from laburnumwood.upstream.worker import Order, Worker
+from laburnumwood.upstream.worker import Worker, WorkerRequest
 
 HOST = '127.0.0.1'
 HALF = b'half'
@@ -37,7 +37,7 @@
     listener = eventlet.listen((HOST, 0))
     eventlet.spawn_n(_send_half, context, listener)
     worker = Worker(f'http://{HOST}:{listener.getsockname()[1]}', 1, Clock())
-    context.answer = worker.run(Order('GET', '/', (), b'', LIMIT_MS))
+    context.answer = worker.send(WorkerRequest('GET', '/', (), b'', LIMIT_MS))
 
 
 @when('the half is read and the worker ends the connection with {end}')
@@ -148,7 +148,7 @@
     with Timeout(LIMIT_MS / MS_PER_SECOND):
         try:
             answer = _ask(context)
-            context.verdict = answer.whole(longest)
+            context.verdict = answer.read_body(longest)
         except WorkerCutError as cut:
             context.verdict = cut
 
@@ -174,8 +174,8 @@
     began_ms = clock.now_ms()
     with Timeout(LIMIT_MS / MS_PER_SECOND):
         try:
-            context.verdict = context.worker.run(
-                Order('GET', '/', (), b'', span)
+            context.verdict = context.worker.send(
+                WorkerRequest('GET', '/', (), b'', span)
             )
         except WorkerCutError as cut:
             context.verdict = cut
@@ -213,13 +213,15 @@
 @when('{number:d} requests are sent to it and read one after the other')
 def ask_often(context: Context, number: int) -> None:
     for _ in range(number):
-        answer = context.worker.run(Order('GET', '/', (), b'', LIMIT_MS))
+        answer = context.worker.send(
+            WorkerRequest('GET', '/', (), b'', LIMIT_MS)
+        )
         assert b''.join(answer.chunks()) == BODY
         answer.release()
 
 
 def _ask(context: Context) -> Any:
-    return context.worker.run(Order('GET', '/', (), b'', LIMIT_MS))
+    return context.worker.send(WorkerRequest('GET', '/', (), b'', LIMIT_MS))
 
 
 @when('the answer to a request is given back twice and closed')
@@ -256,7 +258,7 @@
         assert b''.join(answer.chunks()) == BODY
         answer.release()
         answer = _ask(context)
-    context.may_be_late = answer.may_be_late
+    context.may_answer_earlier_request = answer.may_answer_earlier_request
     answer.close()
 
 
@@ -266,8 +268,10 @@
     index = HeaderIndex((name, text) for name, text in pairs)
     work = SimpleNamespace(request_id='own')
     run: Any = SimpleNamespace(work=work)
-    late = context.may_be_late
-    answer: Any = SimpleNamespace(status=status, index=index, may_be_late=late)
+    late = context.may_answer_earlier_request
+    answer: Any = SimpleNamespace(
+        status=status, index=index, may_answer_earlier_request=late
+    )
     reporting: Any = None
     try:
         WorkerDialect(reporting).check(run, answer)
--- a/tests/fuzz/doors.py
+++ b/tests/fuzz/doors.py
@@ -24,7 +24,7 @@
 from laburnumwood.membership.gossip import apply_shard_notice
 from laburnumwood.platform.bodies import BodyError
 from laburnumwood.platform.manifest import read_manifest
-from laburnumwood.platform.reports import read_report
+from laburnumwood.platform.reports import decode_report
 from laburnumwood.platform.store import read_changes
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.messages import (
@@ -37,7 +37,7 @@
 from laburnumwood.routing.caller_protocol import CallerProtocol
 from laburnumwood.settings import read_settings
 from laburnumwood.store.objects import CONFIG, node_object, to_value
-from laburnumwood.upstream.connection import WorkerResponse
+from laburnumwood.upstream.connection import StrictResponse
 from tests.features.steps.plain_work import PLAIN_WORK
 from tests.fuzz.mutations import malformed, mutate, replace
 
@@ -150,7 +150,7 @@
 @_door('reports of workers', BodyError)
 def _reports(random: Random) -> None:
     """Take the body of a report."""
-    read_report('w', malformed(random, _REPORT))
+    decode_report('w', malformed(random, _REPORT))
 
 
 @_door('settings', SettingsError)
@@ -186,7 +186,7 @@
 def _answers(random: Random) -> None:
     """Read an answer with its body."""
     sock: Any = _Read(mutate(random, _ANSWER))
-    response = WorkerResponse(sock, 'GET')
+    response = StrictResponse(sock, 'GET')
     response.begin()
     response.read()
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -34,8 +34,8 @@
     StoredObject,
 )
 from laburnumwood.settings import LeaseSettings
-from laburnumwood.upstream.attached import AttachedGrants
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.attached_grants import AttachedGrants
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from tests.ownership.store import FakeStore
 from tests.ownership.worker import keys_of
 
@@ -74,7 +74,7 @@
         self.tokens = holdings.tokens
         self.until_ms = lease.holds_until_ms
         self.close = holdings.close
-        self.spend = holdings.spend
+        self.require_higher_token = holdings.spend
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard."""
