--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -45,7 +45,7 @@
 from laburnumwood.store.breaker import GuardedStore
 from laburnumwood.store.writes import new_mark
 from laburnumwood.tasks import begin, start
-from laburnumwood.upstream.reporting_worker import ReportingWorker
+from laburnumwood.upstream.reporting import ReportingWorker
 
 _JOIN_RETRY_MS = 500
 _POLL_MS = 100
--- a/laburnumwood/upstream/attached.py
+++ b/laburnumwood/upstream/attached.py
@@ -2,7 +2,7 @@
 
 from laburnumwood.news import News
 from laburnumwood.records import KeyRange, ShardName
-from laburnumwood.upstream.reporting_worker import GrantSource, ReportingWorker
+from laburnumwood.upstream.reporting import GrantSource, ReportingWorker
 
 
 class AttachedGrants:
