--- a/laburnumwood/platform/__init__.py
+++ b/laburnumwood/platform/__init__.py
@@ -1,6 +1,7 @@
-"""The users' platform: its names, formats and calls, and nothing that decides.
+"""The adapter to the users' platform: its names, formats and calls.
 
-`register` makes it known under the name `platform`.
+It contains no decisions of the router.  `register` registers it under the name
+`platform`.
 """
 
 from laburnumwood.platform.registration import register
--- a/laburnumwood/platform/bodies.py
+++ b/laburnumwood/platform/bodies.py
@@ -1,4 +1,7 @@
-"""Bodies of calls of the platform, encoded as CBOR."""
+"""Encoding and validation of the platform's request and response bodies.
+
+Bodies are encoded as CBOR.
+"""
 
 from typing import Any, TypeVar
 
@@ -9,33 +12,33 @@
 
 CONTENT_TYPE = 'application/cbor'
 
-_Form = TypeVar('_Form', bound=BaseModel)
+_Model = TypeVar('_Model', bound=BaseModel)
 
 
 class BodyError(LaburnumwoodError):
-    """A body can't be read or does not hold what it must."""
+    """A body cannot be decoded or does not match its model."""
 
 
 def encode(content: Any) -> bytes:
-    """Return a body."""
+    """Return the encoded content."""
     return dumps(content)
 
 
 def decode(body: bytes) -> Any:
-    """Return what a body holds; raises `BodyError`."""
+    """Return the decoded content of a body; raises `BodyError`."""
     try:
         return loads(body)
     except (CBORError, ValueError, TypeError) as unreadable:
         raise BodyError(f'not readable: {unreadable}') from unreadable
 
 
-def decode_as(form: type[_Form], content: Any) -> _Form:
-    """Return decoded content in a form; raises `BodyError`."""
+def decode_as(model: type[_Model], content: Any) -> _Model:
+    """Return decoded content as an instance of a model; raises `BodyError`."""
     try:
-        return form.model_validate(content)
+        return model.model_validate(content)
     except ValidationError as invalid:
-        faults = '; '.join(
+        errors = '; '.join(
             '{}: {}'.format('.'.join(map(str, each['loc'])), each['msg'])
             for each in invalid.errors()
         )
-        raise BodyError(faults) from invalid
+        raise BodyError(errors) from invalid
--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -1,4 +1,4 @@
-"""What the platform's requesters send, and how they are answered."""
+"""Requests of the platform's callers, and the answers to them."""
 
 from http import HTTPStatus
 from random import Random
@@ -23,10 +23,11 @@
 from laburnumwood.routing.routes import RouteTable, choose_service
 from laburnumwood.settings import DaemonSettings
 
-_NO_LIMIT_MS = 3_600_000
+_DEFAULT_DEADLINE_MS = 3_600_000
 _HOST = 'Host'
-# What the requester itself got wrong; all else that did not run is a 503.
-_REQUESTERS_FAULT = frozenset(
+# Errors of the caller itself.  Any other request that did not run is answered
+# with 503.
+_CALLER_ERRORS = frozenset(
     (
         'unknown-service',
         'no-key',
@@ -38,13 +39,13 @@
 )
 
 
-def _first(environ: Environ, name: str) -> str:
+def _first_header(environ: Environ, name: str) -> str:
     index: HeaderIndex = environ[HEADERS]
     return index.first(name.lower())
 
 
 def _target(environ: Environ) -> str:
-    # The raw path keeps the requester's own percent-encoding.
+    # The raw path preserves the percent-encoding of the caller.
     query = environ.get('QUERY_STRING', '')
     path = environ['RAW_PATH_INFO']
     return f'{path}?{query}' if query else path
@@ -52,46 +53,46 @@
 
 def _headers(environ: Environ) -> tuple[tuple[str, str], ...]:
     headers = request_headers(environ['headers_raw'])
-    return ((_HOST, _first(environ, _HOST)), *headers)
+    return ((_HOST, _first_header(environ, _HOST)), *headers)
 
 
-def _status(told: Failure) -> HTTPStatus:
-    if not told.ran:
-        if told.kind in _REQUESTERS_FAULT:
-            return PROBLEMS[told.kind].status
+def _status(failure: Failure) -> HTTPStatus:
+    if not failure.ran:
+        if failure.kind in _CALLER_ERRORS:
+            return PROBLEMS[failure.kind].status
         return HTTPStatus.SERVICE_UNAVAILABLE
-    if told.kind == 'deadline':
+    if failure.kind == 'deadline':
         return HTTPStatus.GATEWAY_TIMEOUT
     return HTTPStatus.BAD_GATEWAY
 
 
 class PlatformCallerInterface:
-    """The platform's requests and answers.
+    """Reads requests of the platform's callers and builds their answers.
 
-    The statuses 429 and 503 promise that a request has not run; 502 and 504
-    promise nothing.
+    Statuses 429 and 503 guarantee that a request has not run; 502 and 504
+    guarantee nothing.
     """
 
     def __init__(self, settings: DaemonSettings, random: Random) -> None:
         self._origin = settings.service
         self._random = random
-        self._declared = Declarations()
-        self._routes = RouteTable(self._declared)
+        self._declarations = Declarations()
+        self._routes = RouteTable(self._declarations)
 
     def request_id(self, environ: Environ) -> str:
-        """Return the id of a request, empty if it has none."""
-        return _first(environ, ID_HEADER)
+        """Return the id of a request, '' if it has none."""
+        return _first_header(environ, ID_HEADER)
 
     def read(
-        self, environ: Environ, declared: Declarations, request_id: str
+        self, environ: Environ, declarations: Declarations, request_id: str
     ) -> Inquiry:
-        """Return a request; raises `RequestRefusedError`."""
-        if not declared.routes:
+        """Return the parsed request; raises `RequestRefusedError`."""
+        if not declarations.routes:
             raise RequestRefusedError('not-ready', 'no configuration is known')
-        route = self._route(environ, declared)
+        route = self._route(environ, declarations)
         check_head(environ)
         name = choose_service(route, self._random)
-        service = declared.services[name]
+        service = declarations.services[name]
         deadline_ms = min(_time_left_ms(environ), route.timeout_ms)
         body = read_body(environ, service.longest_body, deadline_ms)
         shard, key = place_request(environ, service)
@@ -113,46 +114,48 @@
         )
         return Inquiry(work, body, route.attempts)
 
-    def refusal(self, told: Failure, request_id: str) -> Refusal:
-        """Return the answer that says why a request has none."""
-        status = _status(told)
-        content = f'{told.kind}: {told.detail}\n'.encode()
+    def refusal(self, failure: Failure, request_id: str) -> Refusal:
+        """Return the answer for a request that failed."""
+        status = _status(failure)
+        content = f'{failure.kind}: {failure.detail}\n'.encode()
         headers = [
             ('Content-Type', 'text/plain'),
             ('Content-Length', str(len(content))),
             (ID_HEADER, request_id),
         ]
-        if status is HTTPStatus.SERVICE_UNAVAILABLE and told.retry_after_ms:
-            after_s = told.retry_after_ms / MS_PER_SECOND
+        if status is HTTPStatus.SERVICE_UNAVAILABLE and failure.retry_after_ms:
+            after_s = failure.retry_after_ms / MS_PER_SECOND
             headers.append(('Retry-After', f'{after_s:.3f}'))
         return Refusal(status_line(status), headers, content)
 
     def answer_headers(self, head: Answer, _request_id: str) -> HeaderList:
-        """Return the headers of a worker's answer, unchanged."""
+        """Return the end-to-end headers of a worker's answer, unchanged."""
         return list(end_to_end(head.headers))
 
-    def _route(self, environ: Environ, declared: Declarations) -> Route:
+    def _route(self, environ: Environ, declarations: Declarations) -> Route:
         path = environ['RAW_PATH_INFO']
-        host = _first(environ, _HOST)
-        route = self._table(declared).find(host, path)
+        host = _first_header(environ, _HOST)
+        route = self._route_table(declarations).find(host, path)
         if route is None:
             raise RequestRefusedError('unknown-service', f'{host}{path}')
         return route
 
-    def _table(self, declared: Declarations) -> RouteTable:
-        if declared is not self._declared:
-            self._declared = declared
-            self._routes = RouteTable(declared)
+    def _route_table(self, declarations: Declarations) -> RouteTable:
+        if declarations is not self._declarations:
+            self._declarations = declarations
+            self._routes = RouteTable(declarations)
         return self._routes
 
 
 def _time_left_ms(environ: Environ) -> int:
-    given = _first(environ, TIME_LEFT_HEADER)
+    raw_time_left = _first_header(environ, TIME_LEFT_HEADER)
     try:
-        left_ms = int(float(given)) if given else _NO_LIMIT_MS
+        left_ms = (
+            int(float(raw_time_left)) if raw_time_left else _DEFAULT_DEADLINE_MS
+        )
     except ValueError as unreadable:
         raise RequestRefusedError(
-            'bad-request', f'{TIME_LEFT_HEADER} {given!r} is no number'
+            'bad-request', f'{TIME_LEFT_HEADER} {raw_time_left!r} is no number'
         ) from unreadable
     if left_ms <= 0:
         raise RequestRefusedError('deadline', 'it had passed on arrival')
--- a/laburnumwood/platform/headers.py
+++ b/laburnumwood/platform/headers.py
@@ -1,10 +1,10 @@
-"""Headers by which the platform's requesters and workers speak."""
+"""Names of the headers that the platform's callers and workers use."""
 
-ID_HEADER = 'Attempt-Id'  # of one try of a requester
-TIME_LEFT_HEADER = 'Deadline-Ms'  # milliseconds, not a moment
+ID_HEADER = 'Attempt-Id'  # the id of one attempt of a caller
+TIME_LEFT_HEADER = 'Deadline-Ms'  # the time left in ms, not a point in time
 KEY_HEADER = 'Shard-Key'  # a number below 65,536
 WORKER_HEADER = 'Target-Instance'  # only this worker may run the request
-ORIGIN_HEADER = 'Caller-Service'  # the service beside the door
-STAMP_HEADER = 'Response-Stamp'  # shows that a worker made the answer
+ORIGIN_HEADER = 'Caller-Service'  # the service of the node that was called
+STAMP_HEADER = 'Response-Stamp'  # proves that a worker made the answer
 NOT_RUN_HEADER = 'Not-Executed'  # the worker did not run the request
-LOAD_HEADER = 'Server-Load'  # numbers of running, waiting, and of slots
+LOAD_HEADER = 'Server-Load'  # running requests, waiting requests, slots
--- a/laburnumwood/platform/manifest.py
+++ b/laburnumwood/platform/manifest.py
@@ -1,4 +1,4 @@
-"""The operator's manifest, as a configuration of the project."""
+"""Conversion of the operator's manifest to a configuration of the router."""
 
 from typing import Any
 
@@ -11,17 +11,17 @@
 
 _FILE = 'manifest'
 _OPERATOR = 'operator'
-_MAY_RUN_AGAIN = frozenset(('safe', 'download'))
+_IDEMPOTENT_TYPES = frozenset(('safe', 'download'))
 
-# Keys of neighbours are the hottest together: stripes spread them over the
-# workers, and all stripes of a few shards still fit into an answer.
+# Neighbouring keys are hot at the same time.  Stripes distribute them over the
+# workers, and all stripes of a few shards still fit into one reply to a worker.
 STRIPE_WIDTH = 64
 SHARDS = 64
 SHARDS_PER_NODE = 3
-_LONGEST_BODY = 67_108_864
+_MAX_BODY_BYTES = 67_108_864
 
 
-class _Share(BaseModel):
+class _WeightedService(BaseModel):
     service: str
     weight: FiniteFloat
 
@@ -36,7 +36,7 @@
     priority: int = 0
     max_attempts: int = 1
     service: str | None = None
-    weighted_services: list[_Share] = Field(default_factory=list)
+    weighted_services: list[_WeightedService] = Field(default_factory=list)
 
 
 class _Service(BaseModel):
@@ -46,7 +46,7 @@
 
 
 class _Limits(BaseModel):
-    max_body_bytes: int = _LONGEST_BODY
+    max_body_bytes: int = _MAX_BODY_BYTES
 
 
 class _Manifest(BaseModel):
@@ -56,7 +56,7 @@
     limits: _Limits = _Limits()
 
 
-def _services_of(route: _Route) -> dict[str, int]:
+def _service_weights(route: _Route) -> dict[str, int]:
     if route.weighted_services:
         return {
             each.service: round(each.weight) for each in route.weighted_services
@@ -64,12 +64,12 @@
     return {route.service or '': 1}
 
 
-def _route(route: _Route) -> dict[str, Any]:
+def _declare_route(route: _Route) -> dict[str, Any]:
     return {
         'host': route.host,
         'path_prefix': route.path_prefix,
-        'services': _services_of(route),
-        'idempotent': route.type in _MAY_RUN_AGAIN,
+        'services': _service_weights(route),
+        'idempotent': route.type in _IDEMPOTENT_TYPES,
         'timeout_ms': round(route.timeout_ms),
         'objective_ms': round(route.objective_ms),
         'attempts': max(1, route.max_attempts),
@@ -77,32 +77,32 @@
     }
 
 
-def _service(service: _Service, limits: _Limits) -> dict[str, Any]:
-    declared: dict[str, Any] = {
-        'longest_body': min(limits.max_body_bytes, _LONGEST_BODY)
+def _declare_service(service: _Service, limits: _Limits) -> dict[str, Any]:
+    declaration: dict[str, Any] = {
+        'longest_body': min(limits.max_body_bytes, _MAX_BODY_BYTES)
     }
     if service.sharded:
-        declared.update(
+        declaration.update(
             key={'source': 'header', 'name': KEY_HEADER},
             shards=SHARDS,
             shards_per_node=SHARDS_PER_NODE,
             stripe_width=STRIPE_WIDTH,
         )
-    return declared
+    return declaration
 
 
 def read_manifest(content: Any) -> dict[str, Any]:
-    """Return a manifest as the value of the project's configuration object.
+    """Return a manifest as the value of the router's configuration object.
 
-    Raises `BodyError` if it does not hold what it must.
+    Raises `BodyError` if the manifest is not valid.
     """
     manifest = decode_as(_Manifest, content)
-    declared = {
+    declaration = {
         'services': {
-            each.name: _service(each, manifest.limits)
+            each.name: _declare_service(each, manifest.limits)
             for each in manifest.services
         },
-        'routes': {each.name: _route(each) for each in manifest.routes},
+        'routes': {each.name: _declare_route(each) for each in manifest.routes},
     }
-    record = ConfigRecord(manifest.version, {_FILE: declared}, _OPERATOR)
+    record = ConfigRecord(manifest.version, {_FILE: declaration}, _OPERATOR)
     return to_value(record)
--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -16,7 +16,10 @@
 
 
 class ReadinessEndpoint:
-    """A WSGI application that tells whether callers may be sent here."""
+    """A WSGI application for readiness checks.
+
+    It answers 200 if callers may send requests to this node, else 503.
+    """
 
     def __init__(self, front: Front) -> None:
         self._front = front
@@ -24,7 +27,7 @@
     def __call__(
         self, _environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer one call."""
+        """Answer one request."""
         ready = self._front.is_ready
         status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         start_response(status_line(status), [('Content-Length', '0')])
@@ -32,19 +35,19 @@
 
 
 def _listeners(settings: DaemonSettings, front: Front) -> tuple[Listener, ...]:
-    pages = (
+    applications = (
         (settings.ready_address, ReadinessEndpoint(front)),
         (settings.report_address, ReportEndpoint(settings, front.worker)),
     )
     return tuple(
-        Listener(split_address(address), page)
-        for address, page in pages
+        Listener(split_address(address), application)
+        for address, application in applications
         if address is not None
     )
 
 
 def register() -> None:
-    """Make the platform's borders known."""
+    """Register the platform's borders under the name `platform`."""
     borders('platform')(_make)
 
 
--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -1,4 +1,4 @@
-"""Reports that the platform's workers send to the node beside them."""
+"""Reports that the platform's workers send to the node on their VM."""
 
 from collections.abc import Iterable
 from http import HTTPStatus
@@ -25,16 +25,16 @@
 )
 
 _REPORT_PATH = '/Instances.Heartbeat/'
-_LEAVE_PATH = '/Instances.Deregister/'
-_LONGEST_REPORT = 1_048_576  # bytes
+_DEREGISTER_PATH = '/Instances.Deregister/'
+_MAX_REPORT_BYTES = 1_048_576
 
 
 class _Report(BaseModel):
-    """A report on the wire.
+    """A report as it is sent.
 
-    `born` is when the worker's process started; `seq` counts its reports;
-    rows of `holds` are [first key, last key, token], rows of `released`
-    [first key, last key, what the next holder gets].
+    `born` is the start time of the worker's process and `seq` the number of
+    the report.  Rows of `holds` are [first key, last key, token], rows of
+    `released` [first key, last key, handover for the next owner].
     """
 
     service: StrictStr
@@ -51,28 +51,28 @@
 
 
 def decode_report(worker_id: str, body: bytes) -> WorkerReport:
-    """Return what a worker reports; raises `BodyError`."""
-    told = decode_as(_Report, decode(body))
+    """Return the report in a request body; raises `BodyError`."""
+    wire_report = decode_as(_Report, decode(body))
     return WorkerReport(
         worker_id=worker_id,
-        service=told.service,
-        started_ms=told.born,
-        sequence_number=told.seq,
-        slots=told.slots,
-        is_leaving=told.state == 'draining',
+        service=wire_report.service,
+        started_ms=wire_report.born,
+        sequence_number=wire_report.seq,
+        slots=wire_report.slots,
+        is_leaving=wire_report.state == 'draining',
         held=tuple(
             HeldRange(KeyRange(first, last), token)
-            for first, last, token in told.holds
+            for first, last, token in wire_report.holds
         ),
         released=tuple(
             ReleasedRange(KeyRange(first, last), handover)
-            for first, last, handover in told.released
+            for first, last, handover in wire_report.released
         ),
     )
 
 
 def encode_reply(reply: GrantReply) -> bytes:
-    """Return the body that answers a report."""
+    """Return the body of the reply to a report."""
     if reply.ranges is None:
         return encode({})
     rows = [
@@ -83,7 +83,7 @@
 
 
 class ReportEndpoint:
-    """A WSGI application that takes the reports of one worker."""
+    """A WSGI application that receives the reports of the worker."""
 
     def __init__(
         self, settings: DaemonSettings, worker: ReportingWorker
@@ -94,18 +94,20 @@
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer one call."""
+        """Answer one request."""
         path = environ['PATH_INFO']
-        body = environ['wsgi.input'].read(_LONGEST_REPORT)
-        if path.startswith(_LEAVE_PATH):
-            self._worker.presence.deregister(path.removeprefix(_LEAVE_PATH))
+        body = environ['wsgi.input'].read(_MAX_REPORT_BYTES)
+        if path.startswith(_DEREGISTER_PATH):
+            self._worker.presence.deregister(
+                path.removeprefix(_DEREGISTER_PATH)
+            )
             return _reply(start_response, HTTPStatus.OK, encode({}))
         if not path.startswith(_REPORT_PATH):
             return _reply(start_response, HTTPStatus.NOT_FOUND, b'')
         try:
             report = self._read(path.removeprefix(_REPORT_PATH), body)
-        except BodyError as refused:
-            REPORT_REFUSED.report(path=path, reason=refused)
+        except BodyError as invalid:
+            REPORT_REFUSED.report(path=path, reason=invalid)
             return _reply(start_response, HTTPStatus.BAD_REQUEST, b'')
         reply = self._worker.handle_report(report)
         return _reply(start_response, HTTPStatus.OK, encode_reply(reply))
--- a/laburnumwood/platform/store.py
+++ b/laburnumwood/platform/store.py
@@ -1,7 +1,8 @@
-"""The platform's store of objects, which it keeps by kind and name.
+"""A client of the platform's store, which contains objects by kind and name.
 
-All records of the project are of one kind of its own, so that one revision
-and one watch serve them.  The configuration is of the operator's kind.
+All records of the router are objects of one kind of its own, so that a single
+revision and a single watch cover them.  The configuration is an object of the
+operator's kind.
 """
 
 from http import HTTPStatus
@@ -34,22 +35,22 @@
 _OWN_KIND = 'laburnumwood'
 _MANIFEST_KIND = 'config'
 _MANIFEST_NAME = 'main'
-_RECORDS = ''  # the scope of the project's records
-_SEPARATORS = ('/', '.')  # in the project's names and in the platform's
+_RECORDS = ''  # the scope of the router's records
+_SEPARATORS = ('/', '.')  # in the names of the router and of the platform
 
 _CALL_TIMEOUT_S = 1.5
 _HEADERS = {'Content-Type': CONTENT_TYPE}
 
 
-class _Meta(BaseModel):
+class _Metadata(BaseModel):
     name: str
     revision: int
 
 
 class _Object(BaseModel):
-    """An object; `spec` is what its owner wrote."""
+    """An object; `spec` is its value."""
 
-    metadata: _Meta
+    metadata: _Metadata
     spec: Any = None
 
 
@@ -66,7 +67,7 @@
     at: int
 
 
-class _Changes(BaseModel):
+class _WatchResponse(BaseModel):
     events: list[_Event] = Field(default_factory=list)
     at: int
 
@@ -74,57 +75,63 @@
 def _path(name: str) -> str:
     if name == CONFIG:
         return f'/objects/{_MANIFEST_KIND}/{_MANIFEST_NAME}'
-    plain = name.replace(*_SEPARATORS)
-    return f'/objects/{_OWN_KIND}/{quote(plain, safe="")}'
+    platform_name = name.replace(*_SEPARATORS)
+    return f'/objects/{_OWN_KIND}/{quote(platform_name, safe="")}'
 
 
-def _stored(found: _Object) -> StoredObject:
-    name = found.metadata.name.replace(_SEPARATORS[1], _SEPARATORS[0])
-    return StoredObject(name, found.spec, found.metadata.revision)
+def _to_record(stored: _Object) -> StoredObject:
+    name = stored.metadata.name.replace(_SEPARATORS[1], _SEPARATORS[0])
+    return StoredObject(name, stored.spec, stored.metadata.revision)
 
 
-def _manifest(found: _Object) -> StoredObject | None:
-    """Return the manifest as a configuration, None for what is not usable."""
-    if found.metadata.name != _MANIFEST_NAME:
+def _to_configuration(stored: _Object) -> StoredObject | None:
+    """Return the manifest as a configuration, None if it is not usable.
+
+    An object of another name is ignored, an invalid manifest is logged.
+    """
+    if stored.metadata.name != _MANIFEST_NAME:
         return None
     try:
         return StoredObject(
-            CONFIG, read_manifest(found.spec), found.metadata.revision
+            CONFIG, read_manifest(stored.spec), stored.metadata.revision
         )
-    except BodyError as refused:
-        RECORD_REFUSED.report(object=CONFIG, reason=refused)
+    except BodyError as invalid:
+        RECORD_REFUSED.report(object=CONFIG, reason=invalid)
         return None
 
 
 class ObjectStore:
-    """The platform's store at an address, as the project's own store."""
+    """The platform's store at a URL, with the interface `Store`."""
 
     def __init__(self, url: str) -> None:
         self._calls = StoreCalls(url, _CALL_TIMEOUT_S)
 
     @property
     def scopes(self) -> tuple[str, ...]:
-        """Return what to list and watch: records, then configuration."""
+        """Return the prefixes to list and watch: records and configuration."""
         return _RECORDS, CONFIG
 
     def get(self, name: str) -> StoredObject | None:
-        """Return an object, or None if there is none of that name."""
+        """Return an object, or None if no object has that name."""
         answer = self._calls.call('GET', _path(name), headers=_HEADERS)
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
-        found = _read(_Object, _checked(answer, name))
-        return _manifest(found) if name == CONFIG else _stored(found)
+        stored = _decode(_Object, _checked_body(answer, name))
+        return (
+            _to_configuration(stored) if name == CONFIG else _to_record(stored)
+        )
 
     def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
         """Return the objects under a prefix and the store's revision."""
         kind = _kind(prefix)
         first = self._page(kind, {})
-        found, page = list(first.items), first
+        objects, page = list(first.items), first
         while page.more and page.items:
             page = self._page(kind, {'after': page.items[-1].metadata.name})
-            found.extend(page.items)
-        # Changes after the first page are left to the watch.
-        return tuple(_usable(kind, found, prefix)), first.at
+            objects.extend(page.items)
+        # The revision of the first page is returned, so that a watch from it
+        # reports all changes made while the other pages were read.
+        return tuple(_to_objects(kind, objects, prefix)), first.at
 
     def create(self, name: str, value: dict[str, Any]) -> int:
         """Create an object and return its version."""
@@ -150,7 +157,11 @@
         *,
         may_be_stale: bool = False,
     ) -> tuple[tuple[StoredObject, ...], int]:
-        """Wait for changes under a prefix after a revision."""
+        """Return the changes under a prefix after a revision.
+
+        The call waits up to `wait_ms` for the first change.  Returned are the
+        changed objects, deleted ones without a value, and the new revision.
+        """
         kind = _kind(prefix)
         fields = {'watch': str(since)}
         if may_be_stale:
@@ -158,20 +169,20 @@
         answer = self._calls.watch(
             f'/objects/{kind}', wait_ms, fields, headers=_HEADERS
         )
-        changes = read_changes(_checked(answer, kind))
+        changes = read_changes(_checked_body(answer, kind))
         deletions = [
-            StoredObject(_stored(each.object).name, None, changes.at)
+            StoredObject(_to_record(each.object).name, None, changes.at)
             for each in changes.events
             if each.deleted and kind == _OWN_KIND
         ]
         kept = [each.object for each in changes.events if not each.deleted]
-        return (*_usable(kind, kept, prefix), *deletions), changes.at
+        return (*_to_objects(kind, kept, prefix), *deletions), changes.at
 
     def _page(self, kind: str, fields: dict[str, str]) -> _Listing:
         answer = self._calls.call(
             'GET', f'/objects/{kind}', fields=fields, headers=_HEADERS
         )
-        page: _Listing = _read(_Listing, _checked(answer, kind))
+        page: _Listing = _decode(_Listing, _checked_body(answer, kind))
         return page
 
     def _write(
@@ -180,50 +191,55 @@
         answer = self._calls.call(
             method, path, body=encode(content), headers=_HEADERS
         )
-        found = _read(_Object, _checked(answer, name))
-        return found.metadata.revision
+        stored = _decode(_Object, _checked_body(answer, name))
+        return stored.metadata.revision
 
 
 def _kind(prefix: str) -> str:
     return _MANIFEST_KIND if prefix == CONFIG else _OWN_KIND
 
 
-def _usable(kind: str, found: list[_Object], prefix: str) -> list[StoredObject]:
+def _to_objects(
+    kind: str, objects: list[_Object], prefix: str
+) -> list[StoredObject]:
     if kind == _MANIFEST_KIND:
-        manifests = (_manifest(each) for each in found)
+        manifests = (_to_configuration(each) for each in objects)
         return [each for each in manifests if each is not None]
-    stored = (_stored(each) for each in found)
-    return [each for each in stored if each.name.startswith(prefix)]
+    records = (_to_record(each) for each in objects)
+    return [each for each in records if each.name.startswith(prefix)]
 
 
-def _read(form: Any, body: bytes) -> Any:
+def _decode(model: Any, body: bytes) -> Any:
     try:
-        return decode_as(form, decode(body))
+        return decode_as(model, decode(body))
     except BodyError as unreadable:
         raise PlatformUnreachableError(str(unreadable)) from unreadable
 
 
-def read_changes(body: bytes) -> _Changes:
-    """Return the answer to a watch; raises `PlatformUnreachableError`."""
-    changes: _Changes = _read(_Changes, body)
+def read_changes(body: bytes) -> _WatchResponse:
+    """Return the decoded answer to a watch.
+
+    Raises `PlatformUnreachableError` if it is not valid.
+    """
+    changes: _WatchResponse = _decode(_WatchResponse, body)
     return changes
 
 
-def _unanswered(status: int) -> type[PlatformUnreachableError]:
-    # The users promise that after this status nothing was done.
+def _unreachable_error(status: int) -> type[PlatformUnreachableError]:
+    # The platform guarantees that a call with this status had no effect.
     if status == HTTPStatus.SERVICE_UNAVAILABLE:
         return PlatformNotReachedError
     return PlatformUnreachableError
 
 
-def _checked(answer: BaseHTTPResponse, what: str) -> bytes:
+def _checked_body(answer: BaseHTTPResponse, what: str) -> bytes:
     status = answer.status
     if status == HTTPStatus.CONFLICT:
         raise PlatformConflictError(what)
     if status == HTTPStatus.GONE:
         raise CompactedError(what)
     if status == HTTPStatus.TOO_MANY_REQUESTS or status >= 500:
-        raise _unanswered(status)(f'{what}: status {status}')
+        raise _unreachable_error(status)(f'{what}: status {status}')
     if status not in {HTTPStatus.OK, HTTPStatus.CREATED}:
         raise PlatformError(f'{what}: status {status}')
     return answer.data
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -1,4 +1,4 @@
-"""How requests are sent to the platform's workers, and read back."""
+"""Request headers for the platform's workers, and checks of their answers."""
 
 from http import HTTPStatus
 
@@ -28,13 +28,13 @@
 _NOT_RUN = NOT_RUN_HEADER.lower()
 _LOAD = LOAD_HEADER.lower()
 _LOAD_PARTS = 3
-_SET_HERE = frozenset(
+_REPLACED_HEADERS = frozenset(
     name.lower() for name in (TIME_LEFT_HEADER, WORKER_HEADER, ORIGIN_HEADER)
 )
 
 
-def _has_room(load: str) -> bool:
-    """Return whether a worker says that it has a free slot."""
+def _has_free_slot(load: str) -> bool:
+    """Return whether a load header says that the worker has a free slot."""
     parts = load.split(',')
     if len(parts) != _LOAD_PARTS or not all(map(str.isdecimal, parts)):
         return False
@@ -43,16 +43,18 @@
 
 
 class PlatformWorkerInterface:
-    """The headers of the platform's workers."""
+    """The headers and answers of the platform's workers."""
 
     def __init__(self, worker: ReportingWorker) -> None:
         self._worker = worker
 
     def headers(self, run: Run, left_ms: int) -> Headers:
-        """Return the headers of a request with so much time left."""
+        """Return the headers of a request that has `left_ms` left."""
         work = run.work
         kept = [
-            each for each in work.headers if each[0].lower() not in _SET_HERE
+            each
+            for each in work.headers
+            if each[0].lower() not in _REPLACED_HEADERS
         ]
         return (
             *kept,
@@ -62,34 +64,39 @@
         )
 
     def may_refuse(self, answer: WorkerAnswer) -> bool:
-        """Return whether an answer may say that the request did not run."""
-        misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
-        return misdirected or answer.index.has(_NOT_RUN)
+        """Return whether an answer may mean that the request did not run."""
+        is_misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
+        return is_misdirected or answer.index.has(_NOT_RUN)
 
     def refusal(self, answer: WorkerAnswer, _body: bytes) -> str | None:
-        """Return the kind of problem if a request did not run, else None."""
+        """Return the kind of problem of a request that did not run."""
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             return NOT_OWNER
-        return REJECTED if _has_room(answer.index.first(_LOAD)) else REFUSED
+        return (
+            REJECTED if _has_free_slot(answer.index.first(_LOAD)) else REFUSED
+        )
 
     def check(self, run: Run, answer: WorkerAnswer) -> None:
-        """Raise `WorkerCutError` if an answer is not that to a request.
+        """Raise `WorkerCutError` if an answer is not the one to this request.
 
-        A late or second answer on a connection carries another id.  A success
-        has one in any case, and so has every answer on a connection that was
-        used before.  An encoded body is not the worker's own.
+        A late or duplicate answer on a connection has the id of another
+        request.  The id is required for successes and for every answer on a
+        reused connection.  A body with a content encoding is rejected, because
+        workers do not encode bodies.
         """
         index = answer.index
-        given = index.first(_ID)
+        answered_id = index.first(_ID)
         succeeded = HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES
-        needs_id = succeeded or answer.may_answer_earlier_request
-        if given != run.work.request_id and (given or needs_id):
-            raise WorkerCutError(f'the answer is that to {given!r}')
+        is_id_required = succeeded or answer.may_answer_earlier_request
+        if answered_id != run.work.request_id and (
+            answered_id or is_id_required
+        ):
+            raise WorkerCutError(f'the answer is that to {answered_id!r}')
         if index.has('content-encoding'):
             raise WorkerCutError('the body is encoded')
         if succeeded and not index.has(_STAMP):
             raise WorkerCutError('a success without the stamp of a worker')
 
     def cancel(self, _worker: Worker, _run: Run) -> bool:
-        """Return false: a worker drops work whose connection is closed."""
+        """Return False: a worker stops a request if its connection closes."""
         return False
