--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from laburnumwood.errors import WorkerCutError
-from laburnumwood.platform.headers import (
+from laburnumwood.platform.names import (
     ID_HEADER,
     LOAD_HEADER,
     NOT_RUN_HEADER,
