--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -7,7 +7,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.exchange import LoadExchange
-from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.records import NodeName
@@ -29,7 +29,7 @@
         peers: Peers,
         clock: Clock,
     ) -> None:
-        book = LoadBook(clock)
+        book = LoadReports(clock)
         service, placement = settings.service, settings.placement
         self.meter = LoadMeter(placement.load_half_life_ms, clock)
         self.balancer = Balancer(
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -9,7 +9,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balance import Move, Picture, Shares
 from laburnumwood.placement.layout import parents, ranges_of
-from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.ownership import acting
 from laburnumwood.placement.planner import MovePlanner
@@ -32,7 +32,7 @@
 
 
 def _reported(
-    name: NodeName, shard: int, book: LoadBook, measured: Mapping[int, float]
+    name: NodeName, shard: int, book: LoadReports, measured: Mapping[int, float]
 ) -> _Estimate | None:
     """Return what is known of the load of another node's shard.
 
@@ -49,7 +49,7 @@
 def _reported_all(
     name: NodeName,
     shards: tuple[int, ...],
-    book: LoadBook,
+    book: LoadReports,
     measured: Mapping[int, float],
 ) -> Iterator[tuple[int, _Estimate]]:
     for shard in shards:
@@ -67,7 +67,7 @@
 
 
 def estimated_loads(
-    shares: Shares, own: NodeName, measured: Mapping[int, float], book: LoadBook
+    shares: Shares, own: NodeName, measured: Mapping[int, float], book: LoadReports
 ) -> Loads:
     """Return the loads of shards by what is measured and reported.
 
@@ -96,7 +96,7 @@
         own: NodeName,
         view: FleetView,
         meter: LoadMeter,
-        book: LoadBook,
+        book: LoadReports,
         settings: PlacementSettings,
         clock: Clock,
     ) -> None:
--- a/laburnumwood/placement/loads.py
+++ b/laburnumwood/placement/loads.py
@@ -28,7 +28,7 @@
     when_ms: int
 
 
-class LoadBook:
+class LoadReports:
     """The newest load known of each node."""
 
     def __init__(self, clock: Clock) -> None:
--- a/laburnumwood/routing/spread.py
+++ b/laburnumwood/routing/spread.py
@@ -12,7 +12,7 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import CallerGoneError, LinkError
-from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.loads import LoadReports
 from laburnumwood.protocol.messages import Answer, Failure
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.exchange import Outgoing
@@ -88,7 +88,7 @@
 
     def __init__(
         self,
-        loads: LoadBook,
+        loads: LoadReports,
         domain: str,
         random: Random,
         clock: Clock,
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -20,7 +20,7 @@
 from laburnumwood.placement.balance import Picture
 from laburnumwood.placement.balancer import estimated_loads
 from laburnumwood.placement.hotkeys import HotKeys
-from laburnumwood.placement.loads import LoadBook, LoadState
+from laburnumwood.placement.loads import LoadReports, LoadState
 from laburnumwood.placement.meter import LoadMeter, relative_error
 from laburnumwood.placement.planner import MovePlanner
 from laburnumwood.protocol.messages import Failure
@@ -284,7 +284,7 @@
     context: Context, load: int, shard: int, other: int, next_shard: int
 ) -> None:
     context.clock = FakeClock()
-    context.book = LoadBook(context.clock)
+    context.book = LoadReports(context.clock)
     state = LoadState(0, {shard: load, next_shard: other})
     context.book.note(NodeName('b', 1), state)
 
@@ -344,7 +344,7 @@
 @given('nodes "a", "b" and "c" of a service without keys')
 def make_spread(context: Context) -> None:
     context.clock = FakeClock()
-    context.book = LoadBook(context.clock)
+    context.book = LoadReports(context.clock)
     context.spread = Spread(context.book, 'x', Random(1), context.clock)
     context.nodes = {
         NodeName(each, 1): NodeRecord(
@@ -359,7 +359,7 @@
 def make_doors(context: Context, doors: int, count: int) -> None:
     clock = FakeClock()
     context.spreads = [
-        Spread(LoadBook(clock), 'near', Random(f'door {number}'), clock)
+        Spread(LoadReports(clock), 'near', Random(f'door {number}'), clock)
         for number in range(doors)
     ]
     context.nodes = {
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -22,7 +22,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations, Service
 from laburnumwood.errors import LinkLostError, LinkTimeoutError
-from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.loads import LoadReports
 from laburnumwood.protocol.messages import Answer, Chunk, Failure, Work
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
@@ -170,7 +170,7 @@
         view,
         links,
         _serve_nothing,
-        Spread(LoadBook(clock), 'x', Random(1), clock),
+        Spread(LoadReports(clock), 'x', Random(1), clock),
         RetryBudgets(0, clock),
         clock,
     )
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -17,7 +17,7 @@
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import ranges_of
-from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.shard_write import Progress
 from laburnumwood.placement.sharding import KEY_SPACE, place_key
@@ -281,7 +281,7 @@
         node.tenure.own,
         node.view,
         LoadMeter(1_000, clock),
-        LoadBook(clock),
+        LoadReports(clock),
         PlacementSettings(),
         clock,
     )
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -17,7 +17,7 @@
 from laburnumwood.membership.directory import Directory
 from laburnumwood.placement.balance import Picture, weighed
 from laburnumwood.placement.holdings import Holdings
-from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.protocol.messages import Failure, ShardNotice, WholeAnswer
 from laburnumwood.records import (
@@ -235,7 +235,7 @@
         context.service.view,
         gates,
         serve,
-        Spread(LoadBook(clock), 'd', Random(1), clock),
+        Spread(LoadReports(clock), 'd', Random(1), clock),
         RetryBudgets(0, clock),
         clock,
     )
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -14,7 +14,7 @@
 from laburnumwood.decay import DecayingRate
 from laburnumwood.errors import PlatformUnreachableError
 from laburnumwood.membership.directory import Directory
-from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.loads import LoadReports
 from laburnumwood.protocol.messages import Work
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.exchange import Outgoing, local_pair
@@ -167,7 +167,7 @@
     clock = Clock()
     fleet: Any = FullNodes(names.split())
     serve: Any = None
-    spread = Spread(LoadBook(clock), 'x', Random(1), clock)
+    spread = Spread(LoadReports(clock), 'x', Random(1), clock)
     context.fleet = fleet
     context.router = Router(
         NodeName('door', 1),
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -21,7 +21,7 @@
     Service,
 )
 from laburnumwood.membership.directory import Directory
-from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.loads import LoadReports
 from laburnumwood.protocol.messages import Work
 from laburnumwood.protocol.peers import (
     Dispatcher,
@@ -176,7 +176,7 @@
 
     eventlet.spawn_n(listen, gate, security, dispatcher.handle, clock)
     budgets = RetryBudgets(0, clock)
-    spread = Spread(LoadBook(clock), 'a', Random(1), clock)
+    spread = Spread(LoadReports(clock), 'a', Random(1), clock)
     router = Router(
         DOOR,
         view,
