--- a/laburnumwood/leases/backing.py
+++ b/laburnumwood/leases/backing.py
@@ -7,7 +7,7 @@
 
 
 @dataclass(slots=True)
-class Backing:
+class WitnessState:
     """What one witness has given the holder.
 
     `until_ms` is by version of the set, `floors` by the text of a shard.
@@ -30,11 +30,11 @@
     """The backings of all witnesses, counted by set."""
 
     def __init__(self) -> None:
-        self._backings: dict[NodeName, Backing] = {}
+        self._backings: dict[NodeName, WitnessState] = {}
 
-    def of(self, witness: NodeName) -> Backing:
+    def of(self, witness: NodeName) -> WitnessState:
         """Return the backing of a witness, empty at first."""
-        return self._backings.setdefault(witness, Backing())
+        return self._backings.setdefault(witness, WitnessState())
 
     def lost(self) -> frozenset[NodeName]:
         """Return the witnesses that will never renew again."""
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -67,7 +67,10 @@
 
 
 def estimated_loads(
-    shares: Shares, own: NodeName, measured: Mapping[int, float], book: LoadReports
+    shares: Shares,
+    own: NodeName,
+    measured: Mapping[int, float],
+    book: LoadReports,
 ) -> Loads:
     """Return the loads of shards by what is measured and reported.
 
