--- a/laburnumwood/leases/backing.py
+++ b/laburnumwood/leases/backing.py
@@ -26,7 +26,7 @@
         )
 
 
-class Backings:
+class QuorumTracker:
     """The backings of all witnesses, counted by set."""
 
     def __init__(self) -> None:
--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -3,7 +3,7 @@
 from collections.abc import Set
 
 from laburnumwood.clock import Clock
-from laburnumwood.leases.backing import Backings
+from laburnumwood.leases.backing import QuorumTracker
 from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import Digest, NodeName, WitnessSet
 from laburnumwood.settings import LeaseSettings
@@ -29,7 +29,7 @@
         self._next_since_ms = 0
         self._superseding = False
         self._passed_over: Set[NodeName] = frozenset()
-        self._backings = Backings()
+        self._backings = QuorumTracker()
         self._floors: dict[str, int] = {}
         self._resigned = False
         self._until_ms: int | None = 0  # None: to be found out anew
