--- a/laburnumwood/leases/backless.py
+++ b/laburnumwood/leases/backless.py
@@ -49,7 +49,7 @@
     )
 
 
-class Backless:
+class QuorumLossDetector:
     """Finds the incarnations whose end may be recorded."""
 
     def __init__(self, settings: LeaseSettings, clock: Clock) -> None:
--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/endings.py
@@ -9,7 +9,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import PlatformError
 from laburnumwood.events import END_RECORDED
-from laburnumwood.leases.backless import Backless, Candidate
+from laburnumwood.leases.backless import Candidate, QuorumLossDetector
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import rendezvous
@@ -130,7 +130,7 @@
         self._witness = witness
         self._view = view
         self._store = store
-        self.backless = Backless(settings, clock)
+        self.backless = QuorumLossDetector(settings, clock)
         self._recorded_version = 0
 
     def run(self) -> None:
--- a/tests/features/steps/backless_steps.py
+++ b/tests/features/steps/backless_steps.py
@@ -6,7 +6,7 @@
 from behave.runner import Context
 
 from laburnumwood.errors import PlatformConflictError
-from laburnumwood.leases.backless import Backless, Candidate
+from laburnumwood.leases.backless import Candidate, QuorumLossDetector
 from laburnumwood.membership.joining import end_seen, join, record_witnesses
 from laburnumwood.records import NodeName, NodeRecord, WitnessSet
 from laburnumwood.settings import LeaseSettings
@@ -29,7 +29,7 @@
 @given('a node on record with the witnesses "{names}"')
 def make_node(context: Context, names: str) -> None:
     context.clock = FakeClock()
-    context.backless = Backless(LeaseSettings(), context.clock)
+    context.backless = QuorumLossDetector(LeaseSettings(), context.clock)
     context.gone = frozenset()
     context.store = FakeStore()
     name, _ = join(context.store, node_settings('a'))
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Iterable
 
-from laburnumwood.leases.backless import Backless, Candidate, HasForgotten
+from laburnumwood.leases.backless import (
+    Candidate,
+    HasForgotten,
+    QuorumLossDetector,
+)
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.placement.ownership import Standing
@@ -126,7 +130,7 @@
             super()._take_written(write)
 
 
-class _NoEnd(Backless):
+class _NoEnd(QuorumLossDetector):
     """Leaves lost nodes to an operator."""
 
     def over(
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -7,7 +7,7 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import PlatformError
-from laburnumwood.leases.backless import Backless
+from laburnumwood.leases.backless import QuorumLossDetector
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
@@ -48,7 +48,7 @@
     lease: type[Lease] = Lease
     witness: type[Witness] = Witness
     tenure: type[Tenure] = Tenure
-    backless: type[Backless] = Backless
+    backless: type[QuorumLossDetector] = QuorumLossDetector
     grants: type[AttachedGrants] = AttachedGrants
 
 
