--- a/laburnumwood/leases/backless.py
+++ b/laburnumwood/leases/backless.py
@@ -18,7 +18,7 @@
 from laburnumwood.records import NodeName, NodeRecord, WitnessSet
 from laburnumwood.settings import LeaseSettings
 
-HasForgotten = Callable[[NodeName], bool]
+IsWitnessReplaced = Callable[[NodeName], bool]
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,12 +37,12 @@
     at_ms: int
 
 
-def _is_backless(chosen: WitnessSet, has_forgotten: HasForgotten) -> bool:
+def _is_backless(chosen: WitnessSet, has_forgotten: IsWitnessReplaced) -> bool:
     gone = sum(has_forgotten(name) for name in chosen.members)
     return gone >= chosen.majority
 
 
-def _has_no_backing(found: Candidate, has_forgotten: HasForgotten) -> bool:
+def _has_no_backing(found: Candidate, has_forgotten: IsWitnessReplaced) -> bool:
     sets = found.record.witness_sets
     return bool(sets) and all(
         _is_backless(chosen, has_forgotten) for chosen in sets
@@ -58,7 +58,7 @@
         self._seen: dict[NodeName, _Seen] = {}
 
     def over(
-        self, candidates: Iterable[Candidate], has_forgotten: HasForgotten
+        self, candidates: Iterable[Candidate], has_forgotten: IsWitnessReplaced
     ) -> tuple[Candidate, ...]:
         """Return the candidates that have been backless for long enough."""
         now_ms = self._clock.now_ms()
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -4,7 +4,7 @@
 
 from laburnumwood.leases.backless import (
     Candidate,
-    HasForgotten,
+    IsWitnessReplaced,
     QuorumLossDetector,
 )
 from laburnumwood.leases.lease import Lease
@@ -134,7 +134,7 @@
     """Leaves lost nodes to an operator."""
 
     def over(
-        self, candidates: Iterable[Candidate], has_forgotten: HasForgotten
+        self, candidates: Iterable[Candidate], has_forgotten: IsWitnessReplaced
     ) -> tuple[Candidate, ...]:
         """Find nobody."""
         return ()
