--- a/bench/holding.py
+++ b/bench/holding.py
@@ -11,7 +11,7 @@
 from bench.bounds import Bounds, show
 from bench.slopes import memory_mb
 from bench.spreading import TARGET_NODES, record_of
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.reader import RECORD_READERS, reading_of
 from laburnumwood.membership.view import FleetView
@@ -81,7 +81,7 @@
     fill(directory, size)
     filled_s = time.perf_counter() - started
     held_mb = memory_mb(Path('/proc/self')) - before_mb
-    view = FleetView(directory, SealBook())
+    view = FleetView(directory, SealRegistry())
     started = time.perf_counter()
     reading_of(_name(0), view, RECORD_READERS)
     look_ms = (time.perf_counter() - started) * 1_000
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -9,7 +9,7 @@
 from laburnumwood.daemon.load import LoadParts
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.lease import Lease
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.joining import (
@@ -74,7 +74,7 @@
         self._tasks = Tasks()
         self._sight = Tasks()
         self.dispatcher = Dispatcher()
-        self.view = FleetView(Directory(), SealBook())
+        self.view = FleetView(Directory(), SealRegistry())
         self.lease = Lease(name, settings.lease, clock)
         self.holdings = Holdings()
         self._peers = Peers(
--- a/laburnumwood/leases/seals.py
+++ b/laburnumwood/leases/seals.py
@@ -31,7 +31,7 @@
     return xxh3_64_intdigest(f'{seal.holder} {seal.witness}'.encode())
 
 
-class SealBook:
+class SealRegistry:
     """A growing set of seals, and what they prove.
 
     An incarnation is sealed for ever once a majority of one version of its
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator, Set
 
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.records import Digest, NodeName, NodeRecord, Seal, ShardName
 
@@ -13,7 +13,7 @@
 class FleetView:
     """The directory together with the seals: who is there and alive."""
 
-    def __init__(self, directory: Directory, seals: SealBook) -> None:
+    def __init__(self, directory: Directory, seals: SealRegistry) -> None:
         self.directory = directory
         self.seals = seals
         self._live: dict[NodeName, NodeRecord] = {}
--- a/tests/features/steps/counting_view.py
+++ b/tests/features/steps/counting_view.py
@@ -1,6 +1,6 @@
 """A view of the fleet that counts what it is asked."""
 
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import NodeName
@@ -10,7 +10,7 @@
     """Counts how often it looks whether a node is sealed."""
 
     def __init__(self, directory: Directory) -> None:
-        super().__init__(directory, SealBook())
+        super().__init__(directory, SealRegistry())
         self.looks = 0
 
     def is_sealed(self, name: NodeName) -> bool:
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -10,7 +10,7 @@
 from bench.spreading import record_of
 from laburnumwood.config.declarations import Service
 from laburnumwood.leases.lease import Lease
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balance import Move
@@ -75,7 +75,7 @@
     """A node of the service that writes the records it finds wanted."""
 
     def __init__(self, name: NodeName, clock: FakeClock) -> None:
-        self.view = FleetView(Directory(), SealBook())
+        self.view = FleetView(Directory(), SealRegistry())
         lease = _HeldLease(name, LeaseSettings(), clock)
         self.tenure = Tenure(SERVICE, self.view, lease, Holdings(), clock)
 
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -10,7 +10,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.errors import LinkRefusedError, PlatformUnreachableError
 from laburnumwood.leases.lease import Lease
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.joining import (
@@ -199,7 +199,7 @@
     context.known = KnownStore(context.store, directory)
     context.serving = Serving(
         context.name,
-        FleetView(directory, SealBook()),
+        FleetView(directory, SealRegistry()),
         context.known,
         lambda: (serves, 6),
         lambda: is_clear,
@@ -268,7 +268,7 @@
     clock = FakeClock()  # it stands still, so that nothing ever takes long
     links: Any = _Witnesses(clock)
     context.store, context.links = FakeStore(), links
-    context.view = FleetView(Directory(), SealBook())
+    context.view = FleetView(Directory(), SealRegistry())
     context.name = _join_other(context, 'a')
     for other in 'bcd'[:count]:
         links.add(_join_other(context, other))
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -9,7 +9,7 @@
 from eventlet import Timeout
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.reader import Reader
 from laburnumwood.membership.renewal import Renewer
@@ -59,7 +59,7 @@
     """A node with the other one as its only peer."""
 
     def __init__(self) -> None:
-        self.view = FleetView(Directory(), SealBook())
+        self.view = FleetView(Directory(), SealRegistry())
         self.dispatcher = Dispatcher()
         self.sent: list[Any] = []
         self.peer: _Near | None = None
@@ -119,7 +119,7 @@
     context.store = _WatchedStore()
     numbers = range(count * domains)
     context.names = [NodeName(f'n{number}', 1) for number in numbers]
-    context.view = FleetView(Directory(), SealBook())
+    context.view = FleetView(Directory(), SealRegistry())
     for version, name in enumerate(context.names, start=1):
         domain = f'd{version % domains}'
         record = NodeRecord(1, (1,), 'h', 1, 1, 1, domain, 's', 'o', 1, 1)
@@ -187,7 +187,7 @@
         nothing,
         nothing,
         asked,
-        FleetView(context.directory, SealBook()),
+        FleetView(context.directory, SealRegistry()),
         nothing,
         LeaseSettings(renew_ms=span, grant_ms=2 * span),
         Clock(),
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -9,7 +9,7 @@
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.backless import QuorumLossDetector
 from laburnumwood.leases.lease import Lease
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses
 from laburnumwood.membership.directory import Directory
@@ -97,7 +97,7 @@
     ) -> None:
         settings = LeaseSettings()
         self.name = name
-        self.view = FleetView(Directory(), SealBook())
+        self.view = FleetView(Directory(), SealRegistry())
         self.lease = code.lease(name, settings, clock)
         self.holdings = Holdings()
         self.is_deaf = False
