--- a/laburnumwood/leases/seals.py
+++ b/laburnumwood/leases/seals.py
@@ -67,7 +67,7 @@
         """Return the incarnations of which a seal is known."""
         return tuple(self._seals)
 
-    def is_proved(self, holder: NodeName) -> bool:
+    def has_seal_majority(self, holder: NodeName) -> bool:
         """Tell whether the seals known prove that an incarnation lapsed."""
         return holder in self._sealed
 
--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/endings.py
@@ -97,7 +97,7 @@
         name
         for node_id, entry in view.directory.nodes.items()
         for name in _open_names(node_id, entry.record.open_incarnations)
-        if view.seals.is_proved(name)
+        if view.seals.has_seal_majority(name)
         and rendezvous(f'end {name}', live)[:1] == [own]
     )
 
