--- a/laburnumwood/leases/witness.py
+++ b/laburnumwood/leases/witness.py
@@ -76,7 +76,7 @@
             )
         return grant.seal
 
-    def forget_below(self, node_id: str, least_open: int) -> None:
+    def evict_ended(self, node_id: str, least_open: int) -> None:
         """Forget the incarnations of a node that are known to have ended.
 
         Their number alone is kept, so that none of them is renewed again.
--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/endings.py
@@ -145,7 +145,7 @@
         """Forget what is kept of incarnations that have long ended."""
         self._view.forget_past()
         for node_id, entry in self._view.directory.nodes.items():
-            self._witness.forget_below(node_id, entry.record.least_open)
+            self._witness.evict_ended(node_id, entry.record.least_open)
 
     def record(self) -> None:
         """Write proved ends and new witnesses; raises `PlatformError`."""
