--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -82,7 +82,7 @@
             self._backings.can_renew(each, gone) for each in self._active
         )
 
-    def next_set(self, members: tuple[NodeName, ...]) -> WitnessSet:
+    def propose_set(self, members: tuple[NodeName, ...]) -> WitnessSet:
         """Return the set that would replace the present one.
 
         It must be on record before it is used: others count it when they
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -80,7 +80,7 @@
         """
         live = self._view.witnesses(avoided)
         members = choose_witnesses(self._lease.holder, live)
-        chosen = self._lease.next_set(members)
+        chosen = self._lease.propose_set(members)
         record_witnesses(self._store, self._lease.holder, (chosen,), also)
         self._lease.begin(chosen)
         self._ask_all()
@@ -113,7 +113,7 @@
         wanted = self._wanted_witnesses()
         standing = self._lease.witnesses.members
         if set(wanted) != set(standing) and self._lease.holds():
-            self._change(self._lease.next_set(wanted))
+            self._change(self._lease.propose_set(wanted))
 
     def _pass_over_ended(self) -> None:
         ended = filter(self._view.is_away, self._lease.asked)
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -148,7 +148,7 @@
         self.read()
         live = self.view.witnesses(avoided)
         members = choose_witnesses(self.name, live)[:_WITNESSES]
-        chosen = self.lease.next_set(members)
+        chosen = self.lease.propose_set(members)
         record_witnesses(self._store, self.name, (chosen,))
         self.lease.begin(chosen)
         self._started_ms = self._clock.now_ms()
@@ -288,7 +288,7 @@
 
     def change_witnesses(self, members: tuple[NodeName, ...]) -> None:
         """Begin to rely on other witnesses, if the store has taken them."""
-        chosen = self.lease.next_set(members)
+        chosen = self.lease.propose_set(members)
         with suppress(PlatformError):
             sets = (self.lease.witnesses, chosen)
             record_witnesses(self._store, self.name, sets)
