--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -122,7 +122,7 @@
         """Say that a record of a shard may be written with an epoch."""
         self._floors[shard] = max(epoch, self._floors.get(shard, 0))
 
-    def knows_floor(self, shard: str, epoch: int) -> bool:
+    def is_floor_acknowledged(self, shard: str, epoch: int) -> bool:
         """Tell whether enough witnesses know a floor to write the record."""
         return all(
             self._backings.know(each, {shard: epoch}) for each in self._active
--- a/laburnumwood/placement/shard_write.py
+++ b/laburnumwood/placement/shard_write.py
@@ -86,7 +86,9 @@
     def _may_send(self) -> bool:
         if not self._lease.holds():
             return False
-        known = self._lease.knows_floor(str(self.shard), self.record.epoch)
+        known = self._lease.is_floor_acknowledged(
+            str(self.shard), self.record.epoch
+        )
         return known or self.version is None
 
     def _send(self, platform: Store) -> Progress:
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -31,7 +31,7 @@
     def raise_floor(self, shard: str, epoch: int) -> None:
         """Forget it."""
 
-    def knows_floor(self, shard: str, epoch: int) -> bool:
+    def is_floor_acknowledged(self, shard: str, epoch: int) -> bool:
         """Pretend."""
         return True
 
