--- a/laburnumwood/daemon/holder.py
+++ b/laburnumwood/daemon/holder.py
@@ -25,7 +25,7 @@
 
     def until_ms(self) -> int:
         """Return until when the node may act."""
-        return self._lease.holds_until_ms()
+        return self._lease.expires_at_ms()
 
     def close(self, shard: ShardName) -> None:
         """Let no more requests in to a shard."""
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -242,7 +242,7 @@
         self._granter = Granter(
             self._worker,
             self.holdings.tokens,
-            self.lease.holds_until_ms,
+            self.lease.expires_at_ms,
             self.holdings.close,
             clock,
         )
--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -128,7 +128,7 @@
             self._backings.know(each, {shard: epoch}) for each in self._active
         )
 
-    def holds_until_ms(self) -> int:
+    def expires_at_ms(self) -> int:
         """Return until when a majority of the witnesses backs the lease."""
         if self._until_ms is None:
             self._until_ms = self._find_until_ms()
@@ -136,7 +136,7 @@
 
     def holds(self) -> bool:
         """Tell whether the holder may act now."""
-        return self._clock.now_ms() < self.holds_until_ms()
+        return self._clock.now_ms() < self.expires_at_ms()
 
     def renewal(self, witness: NodeName, digest: Digest) -> Renew:
         """Return what to ask of a witness; note the time before sending."""
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -213,7 +213,7 @@
             running=self._admitter.running,
             leaving=self._admitter.leaving,
             waiting=self.waiting,
-            lease_left_ms=self._lease.holds_until_ms() - now_ms,
+            lease_left_ms=self._lease.expires_at_ms() - now_ms,
             may_have_run=told.ran,
             retry_after_ms=told.retry_after_ms,
         )
@@ -325,7 +325,7 @@
 
     def _may_act(self, shard: ShardName, run: Run) -> bool:
         guard_ms = self._settings.lease.guard_ms
-        left_ms = self._lease.holds_until_ms() - self._clock.now_ms()
+        left_ms = self._lease.expires_at_ms() - self._clock.now_ms()
         return left_ms > guard_ms and self._grants.covers(shard, run.token)
 
     def _may_await_grant(
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -113,7 +113,7 @@
 class HeldLease:
     """A lease that is held."""
 
-    def holds_until_ms(self) -> int:
+    def expires_at_ms(self) -> int:
         """Return a time that never comes."""
         return 1 << 62
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -66,7 +66,7 @@
     def __init__(self, lease: Lease, holdings: Holdings) -> None:
         self._holdings = holdings
         self.tokens = holdings.tokens
-        self.until_ms = lease.holds_until_ms
+        self.until_ms = lease.expires_at_ms
         self.close = holdings.close
         self.spend = holdings.spend
 
