--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -104,7 +104,7 @@
         self._passed_over = frozenset()
         self._until_ms = None
 
-    def pass_over(self, ended: Set[NodeName]) -> bool:
+    def ignore_ended(self, ended: Set[NodeName]) -> bool:
         """Wait no longer for new witnesses that have ended.
 
         Tells whether witnesses are to give the old set up only by now.
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -117,7 +117,7 @@
 
     def _pass_over_ended(self) -> None:
         ended = filter(self._view.is_away, self._lease.asked)
-        if self._lease.pass_over(frozenset(ended)):
+        if self._lease.ignore_ended(frozenset(ended)):
             self.poke()
 
     def _wanted_witnesses(self) -> tuple[NodeName, ...]:
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -164,7 +164,7 @@
         """Tell that the lease is not held yet."""
         return False
 
-    def pass_over(self, _ended: object) -> bool:
+    def ignore_ended(self, _ended: object) -> bool:
         """Tell that nothing changes by it."""
         return False
 
