--- a/bench/balance.py
+++ b/bench/balance.py
@@ -16,7 +16,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.declarations import Weights
 from laburnumwood.decay import weight_of_age
-from laburnumwood.placement.balance import Move, Picture
+from laburnumwood.placement.balance import Move, PlacementSnapshot
 from laburnumwood.placement.planner import MovePlanner
 from laburnumwood.records import NodeName
 from laburnumwood.settings import PlacementSettings
@@ -142,8 +142,8 @@
             self._measure(work)
         return self.measures
 
-    def _picture(self, own: NodeName) -> Picture:
-        return Picture(
+    def _picture(self, own: NodeName) -> PlacementSnapshot:
+        return PlacementSnapshot(
             own=own,
             shares={name: tuple(held) for name, held in self._shares.items()},
             slots=dict.fromkeys(self._shares, self._deployment.slots),
--- a/laburnumwood/placement/balance.py
+++ b/laburnumwood/placement/balance.py
@@ -52,7 +52,7 @@
 
 
 @dataclass(frozen=True)
-class Picture:
+class PlacementSnapshot:
     """What one node knows of its service when it decides about moves.
 
     `loads` is the work of shards, in slots that it keeps busy, and
@@ -126,7 +126,7 @@
         return gain > least_gain and gain_ms > cost_ms * _MARGIN
 
 
-Policy = Callable[[Picture], tuple[Move, ...]]
+Policy = Callable[[PlacementSnapshot], tuple[Move, ...]]
 POLICIES: dict[str, Policy] = {}
 
 
@@ -149,7 +149,7 @@
 class _Giving:
     """The shards of nodes while some are given away, the least busy first."""
 
-    def __init__(self, picture: Picture) -> None:
+    def __init__(self, picture: PlacementSnapshot) -> None:
         self.owned = {
             name: list(shards) for name, shards in picture.shares.items()
         }
@@ -167,19 +167,19 @@
         return shard
 
 
-def _coldness(picture: Picture, shard: int) -> tuple[float, int]:
+def _coldness(picture: PlacementSnapshot, shard: int) -> tuple[float, int]:
     # Neighbours are often hot together: of equal ones, not all go one way.
     return -picture.load(shard), xxh3_64_intdigest(str(shard).encode())
 
 
 @policy('never')
-def never(_picture: Picture) -> tuple[Move, ...]:
+def never(_picture: PlacementSnapshot) -> tuple[Move, ...]:
     """Move nothing."""
     return ()
 
 
 @policy('even-count')
-def even_count(picture: Picture) -> tuple[Move, ...]:
+def even_count(picture: PlacementSnapshot) -> tuple[Move, ...]:
     """Move as few shards as make their numbers differ by one at the most.
 
     A node gives the least busy of its shards first.
@@ -196,7 +196,7 @@
     return tuple(moves)
 
 
-def _emptiest(picture: Picture) -> NodeName | None:
+def _emptiest(picture: PlacementSnapshot) -> NodeName | None:
     usages = picture.usages
     return min(
         picture.targets, key=lambda name: (usages[name], name), default=None
@@ -204,7 +204,7 @@
 
 
 @policy('emptiest')
-def emptiest(picture: Picture) -> tuple[Move, ...]:
+def emptiest(picture: PlacementSnapshot) -> tuple[Move, ...]:
     """Move the busiest shard to the emptiest node while that is emptier."""
     target = _emptiest(picture)
     shards = picture.shares.get(picture.own, ())
@@ -216,12 +216,12 @@
     return (Move(shard, picture.own, target),)
 
 
-def _is_idle(picture: Picture, move: Move) -> bool:
+def _is_idle(picture: PlacementSnapshot, move: Move) -> bool:
     usages = picture.usages
     return max(usages[move.source], usages[move.target]) < _IDLE
 
 
-def _is_harmless(picture: Picture, move: Move) -> bool:
+def _is_harmless(picture: PlacementSnapshot, move: Move) -> bool:
     if move.shard in picture.lent:
         return False
     if _is_idle(picture, move):
@@ -231,7 +231,7 @@
     return target + _IDLE < source and after <= source
 
 
-def _is_urgent(picture: Picture, move: Move) -> bool:
+def _is_urgent(picture: PlacementSnapshot, move: Move) -> bool:
     total = sum(len(shards) for shards in picture.shares.values())
     fair = total / len(picture.shares)
     owned = len(picture.shares[move.target])
@@ -239,7 +239,7 @@
 
 
 @policy('weighed')
-def weighed(picture: Picture) -> tuple[Move, ...]:
+def weighed(picture: PlacementSnapshot) -> tuple[Move, ...]:
     """Move shards to nodes that have few, and else only what is worth it.
 
     Numbers are evened only where the load allows it, so that a move for the
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -7,7 +7,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service, Weights
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.balance import Move, Picture, Shares
+from laburnumwood.placement.balance import Move, PlacementSnapshot, Shares
 from laburnumwood.placement.layout import parents, ranges_of
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
@@ -170,14 +170,14 @@
 
     def _picture(
         self, live: Mapping[NodeName, NodeRecord], begun: Owners
-    ) -> Picture:
+    ) -> PlacementSnapshot:
         declared = self._view.directory.declarations
         service = declared.services.get(self._service, Service())
         shares = self._shares(live, begun)
         loads = estimated_loads(
             shares, self._own, self._meter.shards(), self._book
         )
-        return Picture(
+        return PlacementSnapshot(
             own=self._own,
             shares=shares,
             peers={name for name in shares if self._book.is_known(name)},
--- a/laburnumwood/placement/planner.py
+++ b/laburnumwood/placement/planner.py
@@ -4,7 +4,12 @@
 from dataclasses import replace
 
 from laburnumwood.clock import Clock
-from laburnumwood.placement.balance import POLICIES, Move, Picture, Shares
+from laburnumwood.placement.balance import (
+    POLICIES,
+    Move,
+    PlacementSnapshot,
+    Shares,
+)
 from laburnumwood.records import NodeName
 from laburnumwood.settings import PlacementSettings
 
@@ -65,7 +70,7 @@
         self._shards_ms: dict[int, int] = {}
         self._made: deque[tuple[int, bool]] = deque()
 
-    def plan(self, picture: Picture) -> tuple[Move, ...]:
+    def plan(self, picture: PlacementSnapshot) -> tuple[Move, ...]:
         """Return the moves to make now, and count them as made."""
         self._nodes.note(picture.shares)
         self._note_shards(picture.shares.get(picture.own, ()))
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -5,7 +5,7 @@
 from math import ceil
 
 from laburnumwood.clock import Clock
-from laburnumwood.placement.balance import Picture
+from laburnumwood.placement.balance import PlacementSnapshot
 from laburnumwood.records import KeyRange, NodeName
 
 _BUSY = 0.6  # of a node's slots; a node that is less busy splits nothing
@@ -87,7 +87,7 @@
         self._split_ms: int | None = None
 
     def choose(
-        self, picture: Picture, split_off: int
+        self, picture: PlacementSnapshot, split_off: int
     ) -> tuple[int, tuple[NodeName, ...]]:
         """Return the shard to split and who should get its parts.
 
@@ -116,7 +116,7 @@
         return self._clock.now_ms() - self._split_ms >= _REST_MS
 
 
-def _is_calm(picture: Picture) -> bool:
+def _is_calm(picture: PlacementSnapshot) -> bool:
     """Tell whether a node can carry its work, or nobody could better."""
     usages = picture.usages
     own_usage = usages[picture.own]
@@ -129,7 +129,7 @@
     return min(usages, key=lambda name: (usages[name], name))
 
 
-def _targets(picture: Picture, shard: int) -> tuple[NodeName, ...]:
+def _targets(picture: PlacementSnapshot, shard: int) -> tuple[NodeName, ...]:
     """Return a node for each piece but the one that stays.
 
     Each goes to the node that is the least busy with those before it.
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -17,7 +17,7 @@
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Weights
 from laburnumwood.errors import CallerGoneError
-from laburnumwood.placement.balance import Picture
+from laburnumwood.placement.balance import PlacementSnapshot
 from laburnumwood.placement.balancer import estimated_loads
 from laburnumwood.placement.hotkeys import HotKeys
 from laburnumwood.placement.loads import LoadReports, LoadState
@@ -86,7 +86,7 @@
         planner = self._planners.setdefault(
             name, MovePlanner('weighed', self.settings, self.clock)
         )
-        picture = Picture(
+        picture = PlacementSnapshot(
             own=name,
             shares={each: tuple(self.shares[each]) for each in self.shares},
             peers=self.peers.get(name),
@@ -511,7 +511,7 @@
     for number in range(1, times + 1):
         clock.pass_ms(10_000)
         shares = {own: (), NodeName('returning', number): ()}
-        context.planner.plan(Picture(own, shares))
+        context.planner.plan(PlacementSnapshot(own, shares))
 
 
 @then('it is steady')
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -15,7 +15,7 @@
 from laburnumwood.config.declarations import Weights
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Directory
-from laburnumwood.placement.balance import Picture, weighed
+from laburnumwood.placement.balance import PlacementSnapshot, weighed
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.tenure import Tenure
@@ -106,7 +106,7 @@
     context.heard = set(names[1 : heard + 1])
     known = {shard: 0.5 for name in context.heard for shard in shares[name]}
     own = dict.fromkeys(shares[names[0]], 2.0)
-    context.picture = Picture(
+    context.picture = PlacementSnapshot(
         own=names[0],
         shares=shares,
         peers=context.heard,
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from laburnumwood.placement.balance import Picture
+from laburnumwood.placement.balance import PlacementSnapshot
 from laburnumwood.placement.layout import (
     place,
     placed_shard,
@@ -130,7 +130,7 @@
 @given('a shard of "a" that takes {heaviest:g} of its slots')
 def set_heaviest(context: Context, heaviest: float) -> None:
     own, other = context.usages
-    context.picture = Picture(
+    context.picture = PlacementSnapshot(
         own=ONE,
         shares={ONE: (7, 10, 11, 12, 13), TWO: (9,)},
         slots={ONE: SLOTS, TWO: SLOTS},
@@ -154,11 +154,11 @@
 
 def _busy_picture(
     own: int, count: int, empty: int, peers: Set[NodeName] | None
-) -> Picture:
+) -> PlacementSnapshot:
     """Return what one node knows, where the last `empty` have no shards."""
     names = [NodeName(f'node-{number}', 1) for number in range(count)]
     busy = count - empty
-    return Picture(
+    return PlacementSnapshot(
         own=names[own],
         shares={
             name: (number,) if number < busy else ()
