--- a/laburnumwood/placement/balance.py
+++ b/laburnumwood/placement/balance.py
@@ -77,7 +77,7 @@
     lent: Set[int] = frozenset()
 
     @property
-    def least_difference(self) -> float:
+    def significant_difference(self) -> float:
         """Return from where on two usages differ by more than noise."""
         standard_error = self.usages[self.own] * self.error * sqrt(2)
         return _SURE_ERRORS * standard_error
@@ -122,7 +122,7 @@
         if self.usages[move.source] >= _PRESSED:
             least_gain = min(least_gain, _PRESSED_GAIN)
         # A move gains half of a difference at the most.
-        least_gain = max(least_gain, self.least_difference / 2)
+        least_gain = max(least_gain, self.significant_difference / 2)
         return gain > least_gain and gain_ms > cost_ms * _MARGIN
 
 
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -121,7 +121,7 @@
     usages = picture.usages
     own_usage = usages[picture.own]
     least = min((usages[name] for name in picture.targets), default=own_usage)
-    least_gap = max(_LEAST_GAP, picture.least_difference)
+    least_gap = max(_LEAST_GAP, picture.significant_difference)
     return own_usage < _BUSY or own_usage - least < least_gap
 
 
