--- a/laburnumwood/placement/balance.py
+++ b/laburnumwood/placement/balance.py
@@ -56,7 +56,7 @@
     """What one node knows of its service when it decides about moves.
 
     `loads` is the work of shards, in slots that it keeps busy, and
-    `other_load` that of each shard that it does not name.  `peers` are
+    `default_load` that of each shard that it does not name.  `peers` are
     the nodes whose load is known, None if that is all of them: work goes only
     to these.  In a large service each node knows others, so that not all
     nodes choose the same target.  `error` is the standard error of what a
@@ -69,7 +69,7 @@
     peers: Set[NodeName] | None = None
     slots: Mapping[NodeName, int] = field(default_factory=dict)
     loads: Mapping[int, float] = field(default_factory=dict)
-    other_load: float = 0
+    default_load: float = 0
     weights: Weights = field(default_factory=Weights)
     cold_start_ms: int = 0
     settings: PlacementSettings = field(default_factory=PlacementSettings)
@@ -101,7 +101,7 @@
 
     def load(self, shard: int) -> float:
         """Return the work of a shard, in slots that it keeps busy."""
-        return self.loads.get(shard, self.other_load)
+        return self.loads.get(shard, self.default_load)
 
     def gain(self, move: Move) -> float:
         """Return by how much the busier of two nodes gets less busy."""
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -183,7 +183,7 @@
             peers={name for name in shares if self._book.is_known(name)},
             slots={name: record.slots for name, record in live.items()},
             loads=loads.known,
-            other_load=loads.mean,
+            default_load=loads.mean,
             weights=declared.weights or Weights(),
             cold_start_ms=service.cold_start_ms,
             settings=self._settings,
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -112,7 +112,7 @@
         peers=context.heard,
         slots=dict.fromkeys(names, SLOTS),
         loads={**known, **own},
-        other_load=1,
+        default_load=1,
         weights=Weights(),
     )
 
