--- a/laburnumwood/placement/balance.py
+++ b/laburnumwood/placement/balance.py
@@ -110,7 +110,7 @@
         target_after = target + self.usage(move.shard, move.target)
         return max(source, target) - max(source_after, target_after)
 
-    def is_worth_it(self, move: Move) -> bool:
+    def is_worthwhile(self, move: Move) -> bool:
         """Tell whether the gain of a move outlives its cold start."""
         if self.usages[move.source] < self.settings.least_usage:
             return False
@@ -257,7 +257,7 @@
         Move(shard, picture.own, target)
         for shard in picture.shares.get(picture.own, ())
     ]
-    worth = [move for move in moves if picture.is_worth_it(move)]
+    worth = [move for move in moves if picture.is_worthwhile(move)]
     best = max(
         worth, key=lambda move: (picture.gain(move), -move.shard), default=None
     )
