--- a/laburnumwood/placement/balance.py
+++ b/laburnumwood/placement/balance.py
@@ -12,7 +12,7 @@
 from laburnumwood.records import NodeName
 from laburnumwood.settings import PlacementSettings
 
-Shares = Mapping[NodeName, tuple[int, ...]]
+ShardsByNode = Mapping[NodeName, tuple[int, ...]]
 
 _HORIZON_MS = 90_000  # how long a load is expected to stay as it is
 _MOVE_PAUSE_MS = 300  # how long a shard is not served while it moves
@@ -65,7 +65,7 @@
     """
 
     own: NodeName
-    shares: Shares
+    shares: ShardsByNode
     peers: Set[NodeName] | None = None
     slots: Mapping[NodeName, int] = field(default_factory=dict)
     loads: Mapping[int, float] = field(default_factory=dict)
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -7,7 +7,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service, Weights
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.balance import Move, PlacementSnapshot, Shares
+from laburnumwood.placement.balance import Move, PlacementSnapshot, ShardsByNode
 from laburnumwood.placement.layout import parents, ranges_of
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
@@ -67,7 +67,7 @@
 
 
 def estimated_loads(
-    shares: Shares,
+    shares: ShardsByNode,
     own: NodeName,
     measured: Mapping[int, float],
     book: LoadReports,
@@ -111,7 +111,7 @@
         self._settings = settings
         self._splitter = Splitter(clock)
         self._planner = MovePlanner(DEFAULT_POLICY, settings, clock)
-        self._known_shares: Shares = {}
+        self._known_shares: ShardsByNode = {}
         self._shares_version: object = None
 
     def moves(self, begun: Owners) -> tuple[Move, ...]:
@@ -191,7 +191,7 @@
             lent=self._lent(shares),
         )
 
-    def _lent(self, shares: Shares) -> set[int]:
+    def _lent(self, shares: ShardsByNode) -> set[int]:
         """Return which own shards have a lost owner first in their record."""
         entries = self._view.directory.shards(self._service)
         own = (
@@ -205,7 +205,7 @@
 
     def _shares(
         self, live: Mapping[NodeName, NodeRecord], begun: Owners
-    ) -> Shares:
+    ) -> ShardsByNode:
         """Return the shards of each live node, found anew only on news."""
         version = (*self._view.version, frozenset(begun.items()))
         if version != self._shares_version:
@@ -215,7 +215,7 @@
 
     def _find_shares(
         self, live: Mapping[NodeName, NodeRecord], begun: Owners
-    ) -> Shares:
+    ) -> ShardsByNode:
         shares: dict[NodeName, list[int]] = {name: [] for name in live}
         shards = self._view.directory.shards(self._service)
         for number, entry in sorted(shards.items()):
--- a/laburnumwood/placement/planner.py
+++ b/laburnumwood/placement/planner.py
@@ -8,7 +8,7 @@
     POLICIES,
     Move,
     PlacementSnapshot,
-    Shares,
+    ShardsByNode,
 )
 from laburnumwood.records import NodeName
 from laburnumwood.settings import PlacementSettings
@@ -29,7 +29,7 @@
         self._clock = clock
         self._seen_ms: dict[NodeName, int] = {}
 
-    def note(self, live: Shares) -> None:
+    def note(self, live: ShardsByNode) -> None:
         now_ms = self._clock.now_ms()
         kept = {
             known: seen_ms
@@ -38,7 +38,7 @@
         }
         self._seen_ms = dict.fromkeys(live, now_ms) | kept
 
-    def settled(self, live: Shares) -> set[NodeName]:
+    def settled(self, live: ShardsByNode) -> set[NodeName]:
         """Return the nodes that have been there long enough for shards.
 
         Each return of a node within the last minutes doubles the wait.
