--- a/bench/balance.py
+++ b/bench/balance.py
@@ -165,13 +165,13 @@
     def _measure(self, work: dict[int, float]) -> None:
         step_s = _STEP_MS / MS_PER_SECOND
         slots = self._deployment.slots
-        usages = [
+        utilizations = [
             sum(work[shard] for shard in held) / slots
             for held in self._shares.values()
         ]
-        mean = sum(usages) / len(usages)
-        self.measures.imbalance_s += (max(usages) - mean) * step_s
-        over = sum(max(0, usage - 1) for usage in usages)
+        mean = sum(utilizations) / len(utilizations)
+        self.measures.imbalance_s += (max(utilizations) - mean) * step_s
+        over = sum(max(0, usage - 1) for usage in utilizations)
         self.measures.unavailable_s += over * step_s
         since_ms = self._clock.now_ms() - 60_000
         self._minute = [when for when in self._minute if when > since_ms]
--- a/laburnumwood/placement/balance.py
+++ b/laburnumwood/placement/balance.py
@@ -79,7 +79,7 @@
     @property
     def significant_difference(self) -> float:
         """Return from where on two usages differ by more than noise."""
-        standard_error = self.usages[self.own] * self.error * sqrt(2)
+        standard_error = self.utilizations[self.own] * self.error * sqrt(2)
         return _SURE_ERRORS * standard_error
 
     @property
@@ -91,7 +91,7 @@
         return tuple(name for name in others if name in self.peers)
 
     @cached_property
-    def usages(self) -> Mapping[NodeName, float]:
+    def utilizations(self) -> Mapping[NodeName, float]:
         """Return how busy the slots of each node are, found when asked."""
         return _Usages(self)
 
@@ -105,21 +105,24 @@
 
     def gain(self, move: Move) -> float:
         """Return by how much the busier of two nodes gets less busy."""
-        source, target = self.usages[move.source], self.usages[move.target]
+        source, target = (
+            self.utilizations[move.source],
+            self.utilizations[move.target],
+        )
         source_after = source - self.usage(move.shard, move.source)
         target_after = target + self.usage(move.shard, move.target)
         return max(source, target) - max(source_after, target_after)
 
     def is_worthwhile(self, move: Move) -> bool:
         """Tell whether the gain of a move outlives its cold start."""
-        if self.usages[move.source] < self.settings.least_usage:
+        if self.utilizations[move.source] < self.settings.least_usage:
             return False
         gain = self.gain(move)
         gain_ms = self.weights.imbalance * gain * _HORIZON_MS
         churn_ms = self.weights.churn * (_MOVE_COST_MS + self.cold_start_ms)
         cost_ms = churn_ms + self.weights.unavailable * _MOVE_PAUSE_MS
         least_gain = self.settings.least_gain
-        if self.usages[move.source] >= _PRESSED:
+        if self.utilizations[move.source] >= _PRESSED:
             least_gain = min(least_gain, _PRESSED_GAIN)
         # A move gains half of a difference at the most.
         least_gain = max(least_gain, self.significant_difference / 2)
@@ -197,9 +200,11 @@
 
 
 def _emptiest(picture: PlacementSnapshot) -> NodeName | None:
-    usages = picture.usages
+    utilizations = picture.utilizations
     return min(
-        picture.targets, key=lambda name: (usages[name], name), default=None
+        picture.targets,
+        key=lambda name: (utilizations[name], name),
+        default=None,
     )
 
 
@@ -211,14 +216,14 @@
     if target is None or not shards:
         return ()
     shard = max(shards, key=lambda number: (picture.load(number), number))
-    if picture.usages[target] >= picture.usages[picture.own]:
+    if picture.utilizations[target] >= picture.utilizations[picture.own]:
         return ()
     return (Move(shard, picture.own, target),)
 
 
 def _is_idle(picture: PlacementSnapshot, move: Move) -> bool:
-    usages = picture.usages
-    return max(usages[move.source], usages[move.target]) < _IDLE
+    utilizations = picture.utilizations
+    return max(utilizations[move.source], utilizations[move.target]) < _IDLE
 
 
 def _is_harmless(picture: PlacementSnapshot, move: Move) -> bool:
@@ -226,7 +231,10 @@
         return False
     if _is_idle(picture, move):
         return True
-    source, target = picture.usages[move.source], picture.usages[move.target]
+    source, target = (
+        picture.utilizations[move.source],
+        picture.utilizations[move.target],
+    )
     after = target + picture.usage(move.shard, move.target)
     return target + _IDLE < source and after <= source
 
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -118,15 +118,17 @@
 
 def _is_calm(picture: PlacementSnapshot) -> bool:
     """Tell whether a node can carry its work, or nobody could better."""
-    usages = picture.usages
-    own_usage = usages[picture.own]
-    least = min((usages[name] for name in picture.targets), default=own_usage)
+    utilizations = picture.utilizations
+    own_usage = utilizations[picture.own]
+    least = min(
+        (utilizations[name] for name in picture.targets), default=own_usage
+    )
     least_gap = max(_LEAST_GAP, picture.significant_difference)
     return own_usage < _BUSY or own_usage - least < least_gap
 
 
-def _least_busy(usages: Mapping[NodeName, float]) -> NodeName:
-    return min(usages, key=lambda name: (usages[name], name))
+def _least_busy(utilizations: Mapping[NodeName, float]) -> NodeName:
+    return min(utilizations, key=lambda name: (utilizations[name], name))
 
 
 def _targets(picture: PlacementSnapshot, shard: int) -> tuple[NodeName, ...]:
@@ -135,13 +137,15 @@
     Each goes to the node that is the least busy with those before it.
     """
     chosen = (picture.own, *picture.targets)
-    usages = {name: picture.usages[name] for name in chosen}
+    utilizations = {name: picture.utilizations[name] for name in chosen}
     own_usage = picture.usage(shard, picture.own)
-    pieces = max(2, min(ceil(own_usage / _PIECE), _MOST_PIECES, len(usages)))
-    usages[picture.own] -= own_usage * (pieces - 1) / pieces
+    pieces = max(
+        2, min(ceil(own_usage / _PIECE), _MOST_PIECES, len(utilizations))
+    )
+    utilizations[picture.own] -= own_usage * (pieces - 1) / pieces
     targets: list[NodeName] = []
     for _ in range(pieces - 1):
-        target = _least_busy(usages)
-        usages[target] += picture.usage(shard, target) / pieces
+        target = _least_busy(utilizations)
+        utilizations[target] += picture.usage(shard, target) / pieces
         targets.append(target)
     return tuple(name for name in targets if name != picture.own)
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -132,7 +132,7 @@
 
 @then('it worked out how busy {most:d} nodes are at most')
 def check_usages(context: Context, most: int) -> None:
-    found = len(context.picture.usages)
+    found = len(context.picture.utilizations)
     assert found <= most, found
 
 
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -124,12 +124,12 @@
 
 @given('nodes "a" and "b" whose slots are busy by {own:g} and {other:g}')
 def set_usages(context: Context, own: float, other: float) -> None:
-    context.usages = own, other
+    context.utilizations = own, other
 
 
 @given('a shard of "a" that takes {heaviest:g} of its slots')
 def set_heaviest(context: Context, heaviest: float) -> None:
-    own, other = context.usages
+    own, other = context.utilizations
     context.picture = PlacementSnapshot(
         own=ONE,
         shares={ONE: (7, 10, 11, 12, 13), TWO: (9,)},
