--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -59,7 +59,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Loads:
+class LoadEstimates:
     """The work of the shards that something is known of, and their mean."""
 
     known: Mapping[int, float]
@@ -71,7 +71,7 @@
     own: NodeName,
     measured: Mapping[int, float],
     book: LoadReports,
-) -> Loads:
+) -> LoadEstimates:
     """Return the loads of shards by what is measured and reported.
 
     A report counts less as it ages: towards the mean of the known shards.
@@ -82,7 +82,7 @@
         if name != own and is_known:
             known.update(_reported_all(name, shards, book, measured))
     mean = fmean(each.load for each in known.values()) if known else 0
-    return Loads(
+    return LoadEstimates(
         {number: each.towards(mean) for number, each in known.items()}, mean
     )
 
