--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -125,9 +125,9 @@
             return ()
         return self._planner.plan(self._picture(live, begun))
 
-    def is_steady(self, node_id: str) -> bool:
+    def is_stable(self, node_id: str) -> bool:
         """Tell whether a node did not come again and again lately."""
-        return self._planner.is_steady(node_id)
+        return self._planner.is_stable(node_id)
 
     def split(self, begun: Owners) -> Split | None:
         """Return the hot keys that this node should split off now, if any."""
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -221,8 +221,8 @@
                 self._writer.start(self._carry, write)
 
     def _may_go_home(self, home: NodeName) -> bool:
-        is_steady = self._balancer.is_steady(home.node_id)
-        return is_steady and self._writer.is_healthy
+        is_stable = self._balancer.is_stable(home.node_id)
+        return is_stable and self._writer.is_healthy
 
     def _give_back(self, shard: ShardName, home: NodeName) -> None:
         """Let a shard go to the node that lost it: its worker has its data."""
--- a/laburnumwood/placement/planner.py
+++ b/laburnumwood/placement/planner.py
@@ -92,7 +92,7 @@
         ]
         return tuple(move for move in wanted if self._take(move))
 
-    def is_steady(self, node_id: str) -> bool:
+    def is_stable(self, node_id: str) -> bool:
         """Tell whether a node did not come again and again lately."""
         return self._nodes.came()[node_id] <= _MOST_RETURNS
 
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -516,9 +516,9 @@
 
 @then('it is steady')
 def check_steady(context: Context) -> None:
-    assert context.planner.is_steady('returning')
+    assert context.planner.is_stable('returning')
 
 
 @then('it is not steady')
 def check_not_steady(context: Context) -> None:
-    assert not context.planner.is_steady('returning')
+    assert not context.planner.is_stable('returning')
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -66,7 +66,7 @@
     context.clock = clock
     context.tenure, context.writer = tenure, writer
     context.worker, context.holdings = worker, holdings
-    balancer = SimpleNamespace(is_steady=lambda _node_id: True)
+    balancer = SimpleNamespace(is_stable=lambda _node_id: True)
     context.keeper = keeper(
         's', view, tenure, holdings, writer, None, balancer, worker, clock
     )
