--- a/laburnumwood/placement/division.py
+++ b/laburnumwood/placement/division.py
@@ -19,7 +19,7 @@
 _NOBODY: Set[NodeName] = frozenset()
 
 
-class Division:
+class Partitioning:
     """What one node knows of the division of its service."""
 
     def __init__(self, service: str, view: FleetView, clock: Clock) -> None:
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -10,7 +10,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Entry
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.division import Division
+from laburnumwood.placement.division import Partitioning
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.layout import parents, split_number
 from laburnumwood.placement.ownership import (
@@ -89,7 +89,7 @@
         self._wanting_since_ms: dict[ShardName, int] = {}
         self._wanted_before_ms: dict[ShardName, int] = {}
         self._lacking_since_ms: dict[ShardName, int] = {}
-        self._division = Division(service, view, clock)
+        self._division = Partitioning(service, view, clock)
 
     @property
     def stale(self) -> tuple[ShardName, ...]:
