--- a/laburnumwood/placement/division.py
+++ b/laburnumwood/placement/division.py
@@ -13,7 +13,7 @@
 from laburnumwood.placement.sharding import planned_shards, planned_width
 from laburnumwood.records import NodeName
 
-FIRST = 0  # the shard whose record comes before those of all others
+FIRST_SHARD = 0  # the shard whose record comes before those of all others
 _SETTLED_MS = 1_500  # without a change of nodes, before a service is divided
 
 _NOBODY: Set[NodeName] = frozenset()
@@ -35,12 +35,12 @@
         declared = self._declared
         if declared is None or declared.shards_per_node is None:
             return False
-        return FIRST not in self._view.directory.shards(self._service)
+        return FIRST_SHARD not in self._view.directory.shards(self._service)
 
     def numbers(self) -> range:
         """Return the numbers of the shards that may be written now."""
         if self.is_open:
-            return range(FIRST, FIRST + int(self._is_settled()))
+            return range(FIRST_SHARD, FIRST_SHARD + int(self._is_settled()))
         return range(self._declared.shards if self._declared else 0)
 
     def shards(self) -> int:
