--- a/laburnumwood/daemon/holder.py
+++ b/laburnumwood/daemon/holder.py
@@ -3,7 +3,7 @@
 from laburnumwood.config.declarations import Service
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.layout import ranges_of
 from laburnumwood.records import KeyRange, ShardName
 
@@ -12,7 +12,7 @@
     """The shards of one incarnation, with their keys."""
 
     def __init__(
-        self, service: str, lease: Lease, holdings: Holdings, view: FleetView
+        self, service: str, lease: Lease, holdings: HeldShards, view: FleetView
     ) -> None:
         self._service = service
         self._lease = lease
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -26,7 +26,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.keeper import Keeper
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.placement.writer import ShardWriter
@@ -76,7 +76,7 @@
         self.dispatcher = Dispatcher()
         self.view = FleetView(Directory(), SealRegistry())
         self.lease = Lease(name, settings.lease, clock)
-        self.holdings = Holdings()
+        self.holdings = HeldShards()
         self._peers = Peers(
             name,
             LinkSecurity(settings.shared_key, settings.tls),
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -14,7 +14,7 @@
     exposition,
 )
 from laburnumwood.operators.capacity import CapacityAccount
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.ownership import acting
 from laburnumwood.placement.sharding import place_key
 from laburnumwood.records import ShardRecord
@@ -41,7 +41,7 @@
         self,
         view: FleetView,
         lease: Lease,
-        holdings: Holdings,
+        holdings: HeldShards,
         gate: Gate,
         account: CapacityAccount,
     ) -> None:
--- a/laburnumwood/placement/holdings.py
+++ b/laburnumwood/placement/holdings.py
@@ -30,7 +30,7 @@
             self._holding.running -= 1
 
 
-class Holdings:
+class HeldShards:
     """Counts what runs in each shard, and closes shards that move away."""
 
     def __init__(self) -> None:
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -12,7 +12,7 @@
 from laburnumwood.membership.spreading import Spreader, notice_of
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.layout import split_number
 from laburnumwood.placement.shard_write import Progress, ShardWrite
 from laburnumwood.placement.splitting import Part, Split
@@ -50,7 +50,7 @@
         service: str,
         view: FleetView,
         tenure: Tenure,
-        holdings: Holdings,
+        holdings: HeldShards,
         writer: ShardWriter,
         spreader: Spreader,
         balancer: Balancer,
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -11,7 +11,7 @@
 from laburnumwood.membership.directory import Entry
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.division import Partitioning
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.layout import parents, split_number
 from laburnumwood.placement.ownership import (
     Standing,
@@ -75,7 +75,7 @@
         service: str,
         view: FleetView,
         lease: Lease,
-        holdings: Holdings,
+        holdings: HeldShards,
         clock: Clock,
     ) -> None:
         self._service = service
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -27,7 +27,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Entry
 from laburnumwood.membership.spreading import notice_of
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.layout import Records, placed_shard
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
@@ -110,7 +110,7 @@
         self,
         settings: DaemonSettings,
         lease: Lease,
-        holdings: Holdings,
+        holdings: HeldShards,
         grants: Grants,
         executor: Executor,
         services: Services,
--- a/laburnumwood/routing/notary.py
+++ b/laburnumwood/routing/notary.py
@@ -7,7 +7,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import (
     Answer,
@@ -59,7 +59,7 @@
         self,
         own: NodeName,
         view: FleetView,
-        holdings: Holdings,
+        holdings: HeldShards,
         peers: Peers,
         dispatcher: Dispatcher,
         clock: Clock,
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -15,7 +15,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balance import Move
 from laburnumwood.placement.balancer import Balancer
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.layout import ranges_of
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
@@ -77,7 +77,7 @@
     def __init__(self, name: NodeName, clock: FakeClock) -> None:
         self.view = FleetView(Directory(), SealRegistry())
         lease = _HeldLease(name, LeaseSettings(), clock)
-        self.tenure = Tenure(SERVICE, self.view, lease, Holdings(), clock)
+        self.tenure = Tenure(SERVICE, self.view, lease, HeldShards(), clock)
 
     def hear(self, objects: dict[str, StoredObject]) -> None:
         """Take in what the store holds."""
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -15,7 +15,7 @@
 from laburnumwood.config.declarations import Declarations, Service
 from laburnumwood.membership.directory import Directory
 from laburnumwood.operators.capacity import CapacityAccount
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import (
     Cancel,
@@ -201,7 +201,7 @@
     declared = Declarations(services={'s': Service()})
     context.clock = clock
     context.directory = Directory()
-    context.holdings = Holdings()
+    context.holdings = HeldShards()
     context.holdings.hold(SHARD, TOKEN)
     context.grants = LateGrants(span, clock)
     gate: Any = Gate
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -9,7 +9,7 @@
 from behave.runner import Context
 
 from laburnumwood.news import News
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.keeper import Keeper
 from laburnumwood.placement.shard_write import Progress
 from laburnumwood.records import NodeName, ShardName
@@ -53,7 +53,7 @@
 )
 def make_keeper(context: Context, answers: str, release: int) -> None:
     clock = FakeClock()
-    holdings = Holdings()
+    holdings = HeldShards()
     holdings.hold(SHARD, 8)
     tenure = SimpleNamespace(
         own=OWN, live=dict, begin_move=lambda _shard, _target: None
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -16,7 +16,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Directory
 from laburnumwood.placement.balance import PlacementSnapshot, weighed
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.protocol.messages import Failure, ShardNotice, WholeAnswer
@@ -73,7 +73,7 @@
 
     def tenure(self, number: int) -> Tenure:
         lease = _HeldLease(self.names[number], LeaseSettings(), self.clock)
-        return Tenure(SERVICE, self.view, lease, Holdings(), self.clock)
+        return Tenure(SERVICE, self.view, lease, HeldShards(), self.clock)
 
     def shares(self) -> dict[NodeName, tuple[int, ...]]:
         nodes = len(self.names)
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -4,7 +4,7 @@
 from behave.runner import Context
 
 from laburnumwood.config.declarations import KeySource, Service
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.layout import ranges_of
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
@@ -35,7 +35,7 @@
     """Holdings with a lease that ends at a moment."""
 
     def __init__(self) -> None:
-        self.holdings = Holdings()
+        self.holdings = HeldShards()
         self.lease_until_ms = 0
 
     def tokens(self) -> dict[ShardName, int]:
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -16,7 +16,7 @@
 from laburnumwood.membership.endings import Recorder, Standstill
 from laburnumwood.membership.joining import end_earlier, record_witnesses
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.shard_write import ShardWrite
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.protocol.messages import Granted, Refused, Renew
@@ -63,7 +63,7 @@
 class _Holder:
     """What an incarnation of the world lets its worker hold."""
 
-    def __init__(self, lease: Lease, holdings: Holdings) -> None:
+    def __init__(self, lease: Lease, holdings: HeldShards) -> None:
         self._holdings = holdings
         self.tokens = holdings.tokens
         self.until_ms = lease.expires_at_ms
@@ -99,7 +99,7 @@
         self.name = name
         self.view = FleetView(Directory(), SealRegistry())
         self.lease = code.lease(name, settings, clock)
-        self.holdings = Holdings()
+        self.holdings = HeldShards()
         self.is_deaf = False
         self.tenure = code.tenure(
             SERVICE, self.view, self.lease, self.holdings, clock
