--- a/laburnumwood/placement/holdings.py
+++ b/laburnumwood/placement/holdings.py
@@ -14,7 +14,7 @@
     spent: bool = False
 
 
-class Stay:
+class ShardUse:
     """One request's stay in a shard, counted out once."""
 
     def __init__(self, holding: _Holding) -> None:
@@ -80,12 +80,12 @@
         """Hold nothing any more."""
         self._held.clear()
 
-    def enter(self, shard: ShardName) -> Stay | None:
+    def enter(self, shard: ShardName) -> ShardUse | None:
         """Count a request in; return its stay, None if it may not run."""
         held = self._held.get(shard)
         if held is None or held.closed:
             return None
-        return Stay(held)
+        return ShardUse(held)
 
     def close(self, shard: ShardName) -> None:
         """Let no more requests in; those that run go on."""
--- a/laburnumwood/routing/staying.py
+++ b/laburnumwood/routing/staying.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from laburnumwood.placement.holdings import Stay
+from laburnumwood.placement.holdings import ShardUse
 from laburnumwood.protocol.messages import Answer, Work
 from laburnumwood.routing.exchange import Exchange, WrappedExchange
 
@@ -15,7 +15,7 @@
     request stays to its end.
     """
 
-    def __init__(self, exchange: Exchange, work: Work, stay: Stay) -> None:
+    def __init__(self, exchange: Exchange, work: Work, stay: ShardUse) -> None:
         super().__init__(exchange)
         self._leaves_early = work.idempotent
         self._stay = stay
