--- a/laburnumwood/placement/holdings.py
+++ b/laburnumwood/placement/holdings.py
@@ -93,7 +93,7 @@
         if held is not None:
             held.closed = True
 
-    def are_idle(self) -> bool:
+    def all_idle(self) -> bool:
         """Tell whether nothing runs in any shard."""
         return not any(held.running for held in self._held.values())
 
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -131,7 +131,7 @@
         held = self._holdings.tokens()
         if not held or waited_ms >= patience_ms:
             return False
-        if not self._holdings.are_idle():
+        if not self._holdings.all_idle():
             return True
         # Without the store no record is written; once the worker has let go,
         # the successors can follow the seals.
