--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -27,7 +27,7 @@
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import HeldShards
-from laburnumwood.placement.keeper import Keeper
+from laburnumwood.placement.keeper import ShardManager
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.protocol.messages import Resign, Work
@@ -270,7 +270,7 @@
             platform, self.view.directory, self._member.renewer
         )
         tenure = Tenure(service, self.view, self.lease, self.holdings, clock)
-        self._keeper = Keeper(
+        self._keeper = ShardManager(
             service,
             self.view,
             tenure,
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -42,7 +42,7 @@
     return True
 
 
-class Keeper:
+class ShardManager:
     """Keeps the shards of one incarnation of a node."""
 
     def __init__(
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -10,7 +10,7 @@
 
 from laburnumwood.news import News
 from laburnumwood.placement.holdings import HeldShards
-from laburnumwood.placement.keeper import Keeper
+from laburnumwood.placement.keeper import ShardManager
 from laburnumwood.placement.shard_write import Progress
 from laburnumwood.records import NodeName, ShardName
 from tests.features.steps.fake_clock import FakeClock
@@ -62,7 +62,7 @@
     view = SimpleNamespace(directory=directory)
     writer = SimpleNamespace(is_answered=answers == 'answers')
     worker = SlowWorker(release, clock)
-    keeper: Any = Keeper
+    keeper: Any = ShardManager
     context.clock = clock
     context.tenure, context.writer = tenure, writer
     context.worker, context.holdings = worker, holdings
