--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -135,7 +135,7 @@
             self._account.run,
             self.door.tell_served,
             self.load.run,
-            self._keeper.watch_standing,
+            self._keeper.follow_ownership,
             self._keeper.write_records,
         ):
             self._tasks.start(task)
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -69,7 +69,7 @@
         self._stopping = False
         self.before_move: BeforeMove = _move_at_once
 
-    def watch_standing(self) -> None:
+    def follow_ownership(self) -> None:
         """Take over and give up shards as seals and records ask for it."""
         followed = None
         while True:
