--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -173,7 +173,7 @@
 
     def retire(self) -> int:
         """Let nothing more in; return when the worker's grants run out."""
-        self._keeper.close_all()
+        self._keeper.withdraw_all()
         start(self._announce_leaving)
         return self._granter.retire() if self._granter else 0
 
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -105,7 +105,7 @@
             if split is not None:
                 self._begin_split(split)
 
-    def close_all(self) -> None:
+    def withdraw_all(self) -> None:
         """Let every shard go; requests that run go on."""
         self._stopping = True
         for shard in self._holdings.tokens():
@@ -119,7 +119,7 @@
         once the lease is resigned.
         """
         started_ms = self._clock.now_ms()
-        self.close_all()
+        self.withdraw_all()
         while self._is_worth_waiting(started_ms, patience_ms):
             for place, shard in enumerate(sorted(self._holdings.tokens())):
                 self._grants.withdraw(shard)
