--- a/laburnumwood/placement/layout.py
+++ b/laburnumwood/placement/layout.py
@@ -39,7 +39,7 @@
     return number
 
 
-def placed_shard(key: str, number: int, records: Records) -> int:
+def locate_text_key(key: str, number: int, records: Records) -> int:
     """Return the shard of a key as requests carry it; see `place`."""
     if number < 0 or not _split_off(records, number):
         return number
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -28,7 +28,7 @@
 from laburnumwood.membership.directory import Entry
 from laburnumwood.membership.spreading import notice_of
 from laburnumwood.placement.holdings import HeldShards
-from laburnumwood.placement.layout import Records, placed_shard
+from laburnumwood.placement.layout import Records, locate_text_key
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
 from laburnumwood.protocol.outlet import OUTLET
@@ -312,7 +312,7 @@
     def _placed(self, work: Work) -> int:
         """Return the number of the shard that has a request's key now."""
         records = self._shards.shard_records(work.service)
-        return placed_shard(work.key, work.shard, records)
+        return locate_text_key(work.key, work.shard, records)
 
     def _tell_owner(self, exchange: Exchange, work: Work) -> None:
         """Tell a door that has missed a move or a split who owns the key."""
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -8,7 +8,7 @@
 from laburnumwood.errors import CallerGoneError, LinkError, LinkTimeoutError
 from laburnumwood.membership.spreading import take_notice
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.layout import placed_shard
+from laburnumwood.placement.layout import locate_text_key
 from laburnumwood.placement.ownership import acting
 from laburnumwood.protocol.messages import (
     Answer,
@@ -214,7 +214,7 @@
     def _placed(self, work: Work, shard: int) -> Work:
         """Return a request with the shard that has its key now."""
         records = self._view.directory.shard_records(work.service)
-        found = placed_shard(work.key, shard, records)
+        found = locate_text_key(work.key, shard, records)
         return work if found == work.shard else replace(work, shard=found)
 
     def _await_other(self, sign: Sign, work: Work, limit_ms: int) -> None:
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -10,8 +10,8 @@
 
 from laburnumwood.placement.balance import PlacementSnapshot
 from laburnumwood.placement.layout import (
+    locate_text_key,
     place,
-    placed_shard,
     ranges_of,
     split_number,
 )
@@ -56,7 +56,7 @@
 
 def _place(context: Context, key: int) -> int:
     base = place_key(str(key), SERVICE)
-    return placed_shard(str(key), base, _records(context))
+    return locate_text_key(str(key), base, _records(context))
 
 
 @then('each key is in the ranges of just the shard that it is placed in')
