--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -13,7 +13,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import HeldShards
-from laburnumwood.placement.layout import split_number
+from laburnumwood.placement.layout import split_shard_number
 from laburnumwood.placement.shard_write import Progress, ShardWrite
 from laburnumwood.placement.splitting import Part, Split
 from laburnumwood.placement.tenure import Tenure
@@ -201,7 +201,7 @@
                 self._create_part(write.shard, part, handover)
 
     def _create_part(self, shard: ShardName, part: Part, handover: str) -> None:
-        name = ShardName(self._service, split_number(part.keys))
+        name = ShardName(self._service, split_shard_number(part.keys))
         SHARD_SPLIT.report(
             shard=shard, part=name, keys=part.keys, target=part.target
         )
--- a/laburnumwood/placement/layout.py
+++ b/laburnumwood/placement/layout.py
@@ -18,7 +18,7 @@
 _SPLIT_BASE = 1_000_000  # numbers of shards that were split off begin here
 
 
-def split_number(keys: KeyRange) -> int:
+def split_shard_number(keys: KeyRange) -> int:
     """Return the number of the shard that a range became when split off."""
     return _SPLIT_BASE + keys.first
 
@@ -35,7 +35,7 @@
     """
     for keys in _split_off(records, number):
         if keys.first <= key <= keys.last:
-            return place(key, split_number(keys), records)
+            return place(key, split_shard_number(keys), records)
     return number
 
 
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -12,7 +12,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.division import Partitioning
 from laburnumwood.placement.holdings import HeldShards
-from laburnumwood.placement.layout import parents, split_number
+from laburnumwood.placement.layout import parents, split_shard_number
 from laburnumwood.placement.ownership import (
     Standing,
     acting,
@@ -303,7 +303,7 @@
         known = self._view.directory.shards(self._service)
         numbers = list(self._division.numbers())
         numbers.extend(
-            split_number(keys)
+            split_shard_number(keys)
             for keys, _ in _parents(self._view, self._service)
         )
         for number in numbers:
@@ -338,7 +338,7 @@
                 handovers=(),
             )
         for keys, parent in _parents(self._view, self._service):
-            if split_number(keys) == shard.number:
+            if split_shard_number(keys) == shard.number:
                 # Tokens of keys rise on from those of the shard they left.
                 return ShardRecord(parent.epoch, succession, keys=keys)
         return ShardRecord(
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -13,7 +13,7 @@
     locate_text_key,
     place,
     ranges_of,
-    split_number,
+    split_shard_number,
 )
 from laburnumwood.placement.sharding import KEY_SPACE, place_key
 from laburnumwood.placement.splitting import Splitter, hot_parts
@@ -40,7 +40,7 @@
     records[parent] = ShardRecord(
         2, (ONE,), keys=before.keys, split_off=(*before.split_off, keys)
     )
-    records[split_number(keys)] = ShardRecord(2, (TWO,), keys=keys)
+    records[split_shard_number(keys)] = ShardRecord(2, (TWO,), keys=keys)
 
 
 @when('the keys {first:d} to {last:d} are split off shard {number:d}')
