--- a/laburnumwood/daemon/holder.py
+++ b/laburnumwood/daemon/holder.py
@@ -4,7 +4,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.holdings import HeldShards
-from laburnumwood.placement.layout import ranges_of
+from laburnumwood.placement.layout import key_ranges
 from laburnumwood.records import KeyRange, ShardName
 
 
@@ -42,7 +42,7 @@
         if declared is None:
             return ()
         record = entry.record if entry else None
-        return ranges_of(shard.number, record, declared)
+        return key_ranges(shard.number, record, declared)
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
         """Return what the shard's last owner left for this one."""
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -8,7 +8,7 @@
 from laburnumwood.config.declarations import Service, Weights
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balance import Move, PlacementSnapshot, ShardsByNode
-from laburnumwood.placement.layout import parents, ranges_of
+from laburnumwood.placement.layout import key_ranges, parents
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.ownership import acting
@@ -144,7 +144,7 @@
         )
         if not targets:
             return None
-        ranges = ranges_of(shard, records.get(shard), service)
+        ranges = key_ranges(shard, records.get(shard), service)
         return self._split_into(shard, ranges, targets)
 
     def _knows_all(self) -> bool:
--- a/laburnumwood/placement/layout.py
+++ b/laburnumwood/placement/layout.py
@@ -56,7 +56,7 @@
         yield KeyRange(gone.last + 1, keys.last)
 
 
-def ranges_of(
+def key_ranges(
     number: int, record: ShardRecord | None, service: Service
 ) -> tuple[KeyRange, ...]:
     """Return the keys of a shard."""
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -16,7 +16,7 @@
 from laburnumwood.placement.balance import Move
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import HeldShards
-from laburnumwood.placement.layout import ranges_of
+from laburnumwood.placement.layout import key_ranges
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.shard_write import Progress
@@ -166,7 +166,7 @@
     service = _service(context)
     owners: dict[int, object] = {}
     for number, record in context.fleet.records().items():
-        for keys in ranges_of(number, record, service):
+        for keys in key_ranges(number, record, service):
             owner = owner_of(number, record)
             owners.update(dict.fromkeys(_all_keys(keys), owner))
     return [owners[key] for key in range(KEY_SPACE)]
@@ -256,7 +256,7 @@
 def check_room(context: Context, few: int) -> None:
     service = _service(context)
     ranges = sum(
-        len(ranges_of(number, record, service))
+        len(key_ranges(number, record, service))
         for number, record in context.fleet.records().items()
     )
     room = few * ReportSettings().most_bytes
@@ -268,7 +268,7 @@
     service = _service(context)
     seen: dict[int, int] = {}
     for number, record in context.fleet.records().items():
-        for keys in ranges_of(number, record, service):
+        for keys in key_ranges(number, record, service):
             seen.update(dict.fromkeys(range(keys.first, keys.last + 1), number))
     assert len(seen) == KEY_SPACE, len(seen)
     wrong = [key for key in seen if seen[key] != place_key(str(key), service)]
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -10,9 +10,9 @@
 
 from laburnumwood.placement.balance import PlacementSnapshot
 from laburnumwood.placement.layout import (
+    key_ranges,
     locate_text_key,
     place,
-    ranges_of,
     split_shard_number,
 )
 from laburnumwood.placement.sharding import KEY_SPACE, place_key
@@ -63,7 +63,7 @@
 def check_partition(context: Context) -> None:
     seen: dict[int, int] = {}
     for number, record in _records(context).items():
-        for keys in ranges_of(number, record, SERVICE):
+        for keys in key_ranges(number, record, SERVICE):
             for key in range(keys.first, keys.last + 1):
                 assert key not in seen, (key, number, seen[key])
                 seen[key] = number
@@ -107,7 +107,7 @@
 
 @then('{wanted} is to be split off shard {number:d}')
 def check_half(context: Context, wanted: str, number: int) -> None:
-    found = hot_parts(ranges_of(number, None, SERVICE), context.counts, 2)
+    found = hot_parts(key_ranges(number, None, SERVICE), context.counts, 2)
     told = [f'{keys.first} to {keys.last}' for keys in found] or ['nothing']
     assert told == [wanted], told
 
@@ -116,7 +116,7 @@
 def check_parts(
     context: Context, pieces: int, wanted: str, number: int
 ) -> None:
-    ranges = ranges_of(number, None, SERVICE)
+    ranges = key_ranges(number, None, SERVICE)
     found = hot_parts(ranges, context.counts, pieces)
     told = [f'{keys.first} to {keys.last}' for keys in found]
     assert told == wanted.split(', '), told
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -5,7 +5,7 @@
 
 from laburnumwood.config.declarations import KeySource, Service
 from laburnumwood.placement.holdings import HeldShards
-from laburnumwood.placement.layout import ranges_of
+from laburnumwood.placement.layout import key_ranges
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.reporting import ReportingWorker
@@ -28,7 +28,7 @@
 
 def stripes(number: int) -> tuple[KeyRange, ...]:
     """Return the keys of a shard."""
-    return ranges_of(number, None, SERVICE)
+    return key_ranges(number, None, SERVICE)
 
 
 class FakeHolder:
