--- a/laburnumwood/placement/layout.py
+++ b/laburnumwood/placement/layout.py
@@ -13,7 +13,7 @@
 from laburnumwood.placement.sharding import stripes_of
 from laburnumwood.records import KeyRange, ShardRecord
 
-Records = Mapping[int, ShardRecord]
+RecordsByNumber = Mapping[int, ShardRecord]
 
 _SPLIT_BASE = 1_000_000  # numbers of shards that were split off begin here
 
@@ -23,12 +23,12 @@
     return _SPLIT_BASE + keys.first
 
 
-def _split_off(records: Records, number: int) -> tuple[KeyRange, ...]:
+def _split_off(records: RecordsByNumber, number: int) -> tuple[KeyRange, ...]:
     record = records.get(number)
     return record.split_off if record else ()
 
 
-def place(key: int, number: int, records: Records) -> int:
+def place(key: int, number: int, records: RecordsByNumber) -> int:
     """Return the shard of a key that belongs to a shard at first.
 
     `records` are those of its service, by number.
@@ -39,7 +39,7 @@
     return number
 
 
-def locate_text_key(key: str, number: int, records: Records) -> int:
+def locate_text_key(key: str, number: int, records: RecordsByNumber) -> int:
     """Return the shard of a key as requests carry it; see `place`."""
     if number < 0 or not _split_off(records, number):
         return number
@@ -74,7 +74,7 @@
     return found
 
 
-def parents(records: Records) -> Iterator[tuple[KeyRange, ShardRecord]]:
+def parents(records: RecordsByNumber) -> Iterator[tuple[KeyRange, ShardRecord]]:
     """Yield each range that was split off with the record that says so."""
     for record in records.values():
         for keys in record.split_off:
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -28,7 +28,7 @@
 from laburnumwood.membership.directory import Entry
 from laburnumwood.membership.spreading import notice_of
 from laburnumwood.placement.holdings import HeldShards
-from laburnumwood.placement.layout import Records, locate_text_key
+from laburnumwood.placement.layout import RecordsByNumber, locate_text_key
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
 from laburnumwood.protocol.outlet import OUTLET
@@ -64,7 +64,7 @@
 class KnownShards(Protocol):
     """The records of shards that this node knows."""
 
-    def shard_records(self, service: str) -> Records:
+    def shard_records(self, service: str) -> RecordsByNumber:
         """Return the records of a service's shards by their numbers."""
 
     def shard(self, shard: ShardName) -> Entry[ShardRecord] | None:
