--- a/laburnumwood/placement/ownership.py
+++ b/laburnumwood/placement/ownership.py
@@ -18,7 +18,7 @@
         """Return the least epoch that a sealed holder may have written."""
 
 
-class Standing(Enum):
+class OwnershipState(Enum):
     """How a node stands to a shard."""
 
     OWNER = 'owner'
@@ -55,7 +55,7 @@
 
 def standing(
     shard: ShardName, record: ShardRecord, name: NodeName, seals: Seals
-) -> Standing:
+) -> OwnershipState:
     """Return how a node stands to a shard.
 
     A successor whose record is older than a floor that the lapsed owners may
@@ -63,9 +63,9 @@
     """
     first = acting(record, seals)
     if first is None:
-        return Standing.ORPHANED
+        return OwnershipState.ORPHANED
     if first != name:
-        return Standing.OTHER
+        return OwnershipState.OTHER
     if highest_floor(shard, record, name, seals) > record.epoch:
-        return Standing.MUST_WIN
-    return Standing.OWNER
+        return OwnershipState.MUST_WIN
+    return OwnershipState.OWNER
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -14,7 +14,7 @@
 from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.layout import parents, split_shard_number
 from laburnumwood.placement.ownership import (
-    Standing,
+    OwnershipState,
     acting,
     rank,
     standing,
@@ -173,7 +173,9 @@
         if entry is None or shard in self._writes:
             return None
         how = self._standing(shard, entry.record)
-        return self._begin(shard, home) if how is Standing.MUST_WIN else None
+        return (
+            self._begin(shard, home) if how is OwnershipState.MUST_WIN else None
+        )
 
     def begin_move(
         self, shard: ShardName, target: NodeName
@@ -241,7 +243,9 @@
             if actor is None or actor == self._own:
                 yield ShardName(self._service, number), entry
 
-    def _standing(self, shard: ShardName, record: ShardRecord) -> Standing:
+    def _standing(
+        self, shard: ShardName, record: ShardRecord
+    ) -> OwnershipState:
         return standing(shard, record, self._own, self._view)
 
     def _follow(self, shard: ShardName, entry: Entry[ShardRecord]) -> None:
@@ -251,7 +255,7 @@
         if shard in self._stale:
             return
         how = self._standing(shard, entry.record)
-        if how is Standing.OWNER:
+        if how is OwnershipState.OWNER:
             self._hold(shard, entry.record)
         elif not self._holdings.is_closed(shard):
             self._holdings.lose(shard, how.value)
@@ -265,13 +269,13 @@
 
     def _is_wanted(self, shard: ShardName, entry: Entry[ShardRecord]) -> bool:
         how = self._standing(shard, entry.record)
-        if how is Standing.OWNER:
+        if how is OwnershipState.OWNER:
             if self._holdings.is_spent(shard) or self.home(shard):
                 return True
             return self._is_due(shard, entry.record)
-        if how is Standing.ORPHANED:
+        if how is OwnershipState.ORPHANED:
             return self._is_my_turn(shard)
-        return how is Standing.MUST_WIN
+        return how is OwnershipState.MUST_WIN
 
     def _is_due(self, shard: ShardName, record: ShardRecord) -> bool:
         nodes = self.live()
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -9,7 +9,7 @@
 )
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
-from laburnumwood.placement.ownership import Standing
+from laburnumwood.placement.ownership import OwnershipState
 from laburnumwood.placement.shard_write import Progress, ShardWrite
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.protocol.messages import Granted, Refused, Renew
@@ -65,9 +65,11 @@
 class _ReadForWin(Tenure):
     """Takes the newest record that can be read for the newest there is."""
 
-    def _standing(self, shard: ShardName, record: ShardRecord) -> Standing:
+    def _standing(
+        self, shard: ShardName, record: ShardRecord
+    ) -> OwnershipState:
         how = super()._standing(shard, record)
-        return Standing.OWNER if how is Standing.MUST_WIN else how
+        return OwnershipState.OWNER if how is OwnershipState.MUST_WIN else how
 
 
 class _ReopenOnConflict(Tenure):
