--- a/laburnumwood/placement/ownership.py
+++ b/laburnumwood/placement/ownership.py
@@ -22,7 +22,7 @@
     """How a node stands to a shard."""
 
     OWNER = 'owner'
-    MUST_WIN = 'must win a write first'
+    MUST_WRITE = 'must win a write first'
     ORPHANED = 'all of the succession have lapsed'
     OTHER = 'another node is owner'
 
@@ -67,5 +67,5 @@
     if first != name:
         return OwnershipState.OTHER
     if highest_floor(shard, record, name, seals) > record.epoch:
-        return OwnershipState.MUST_WIN
+        return OwnershipState.MUST_WRITE
     return OwnershipState.OWNER
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -174,7 +174,9 @@
             return None
         how = self._standing(shard, entry.record)
         return (
-            self._begin(shard, home) if how is OwnershipState.MUST_WIN else None
+            self._begin(shard, home)
+            if how is OwnershipState.MUST_WRITE
+            else None
         )
 
     def begin_move(
@@ -275,7 +277,7 @@
             return self._is_due(shard, entry.record)
         if how is OwnershipState.ORPHANED:
             return self._is_my_turn(shard)
-        return how is OwnershipState.MUST_WIN
+        return how is OwnershipState.MUST_WRITE
 
     def _is_due(self, shard: ShardName, record: ShardRecord) -> bool:
         nodes = self.live()
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -69,7 +69,7 @@
         self, shard: ShardName, record: ShardRecord
     ) -> OwnershipState:
         how = super()._standing(shard, record)
-        return OwnershipState.OWNER if how is OwnershipState.MUST_WIN else how
+        return OwnershipState.OWNER if how is OwnershipState.MUST_WRITE else how
 
 
 class _ReopenOnConflict(Tenure):
