--- a/laburnumwood/placement/shard_write.py
+++ b/laburnumwood/placement/shard_write.py
@@ -38,7 +38,7 @@
 
     The floor is raised first, and nothing is sent before enough witnesses
     know it.  A write whose answer was lost is repeated until it is settled.
-    One that `may_be_left` is not, if its first try did not reach the store:
+    One that `stop_if_unreachable` is not, if its first try did not reach the store:
     whoever waits for its outcome need not wait for the store.
     `version` is the one to replace, or None to create the record.
     """
@@ -55,7 +55,7 @@
         self.record = marked(record, str(lease.holder))
         self.version = version
         self.stored: StoredObject | None = None
-        self.may_be_left = False
+        self.stop_if_unreachable = False
         self._lease = lease
         self._clock = clock
         self._sent = False
@@ -71,7 +71,7 @@
             late = self._clock.now_ms() >= self._floor_deadline_ms
             return Progress.NOT_SENT if late else Progress.NEEDS_FLOOR
         # An earlier try may still land, whatever becomes of this one.
-        is_left = self.may_be_left and not self._sent
+        is_left = self.stop_if_unreachable and not self._sent
         self._sent = True
         try:
             return self._send(platform)
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -190,7 +190,7 @@
         if shard in self._writes or not self._holdings.is_held(shard):
             return None
         write = self._begin(shard, target)
-        write.may_be_left = True
+        write.stop_if_unreachable = True
         return write
 
     def begin_split(
@@ -207,7 +207,7 @@
         write = self._begin(shard, self._own)
         split_off = (*entry.record.split_off, *ranges)
         write.record = replace(write.record, split_off=split_off)
-        write.may_be_left = True
+        write.stop_if_unreachable = True
         return write
 
     def begin_new(
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -141,7 +141,7 @@
     shard, record = ShardName('s', 0), ShardRecord(2, (NodeName('b', 1),))
     lease = _held_lease(shard, record.epoch)
     context.write = ShardWrite(shard, record, 1, lease, Clock())
-    context.write.may_be_left = kind == 'move'
+    context.write.stop_if_unreachable = kind == 'move'
 
 
 @when('it is stepped {steps:d} times')
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -120,7 +120,7 @@
         """Return a write that is repeated until it is settled."""
         write = super().begin_move(shard, target)
         if write is not None:
-            write.may_be_left = False
+            write.stop_if_unreachable = False
         return write
 
 
