--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -16,7 +16,7 @@
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.ownership import acting
-from laburnumwood.placement.sharding import place_key
+from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.records import ShardRecord
 from laburnumwood.routing.gate import Gate
 
@@ -113,7 +113,7 @@
         if service is None or service.key is None:
             raise LookupError(f'{name!r} is no service divided by key')
         try:
-            number = place_key(key, service)
+            number = initial_shard(key, service)
         except ValueError as unplaced:
             raise LookupError(str(unplaced)) from unplaced
         entry = self._view.directory.shards(name).get(number)
--- a/laburnumwood/placement/sharding.py
+++ b/laburnumwood/placement/sharding.py
@@ -41,7 +41,7 @@
     return xxh3_64_intdigest(key.encode()) % shards
 
 
-def place_key(key: str, service: Service) -> int:
+def initial_shard(key: str, service: Service) -> int:
     """Return the shard of a key by the declaration of its service.
 
     Raises `ValueError` if the key has to be a number and is none.
--- a/laburnumwood/routing/reading.py
+++ b/laburnumwood/routing/reading.py
@@ -11,7 +11,7 @@
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import KeySource, Service
 from laburnumwood.errors import LaburnumwoodError
-from laburnumwood.placement.sharding import place_key
+from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.protocol.messages import Work
 from laburnumwood.routing.headers import find, request_headers
 from laburnumwood.routing.outcome import failure
@@ -82,7 +82,7 @@
     if not _is_name(key):
         raise RequestRefusedError('bad-request', 'the key is not usable')
     try:
-        return place_key(key, service), key
+        return initial_shard(key, service), key
     except ValueError as unplaced:
         raise RequestRefusedError('bad-request', str(unplaced)) from unplaced
 
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -20,7 +20,7 @@
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.shard_write import Progress
-from laburnumwood.placement.sharding import KEY_SPACE, place_key
+from laburnumwood.placement.sharding import KEY_SPACE, initial_shard
 from laburnumwood.placement.tenure import Tenure
 from laburnumwood.records import (
     ConfigRecord,
@@ -271,7 +271,9 @@
         for keys in key_ranges(number, record, service):
             seen.update(dict.fromkeys(range(keys.first, keys.last + 1), number))
     assert len(seen) == KEY_SPACE, len(seen)
-    wrong = [key for key in seen if seen[key] != place_key(str(key), service)]
+    wrong = [
+        key for key in seen if seen[key] != initial_shard(str(key), service)
+    ]
     assert not wrong, wrong
 
 
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -15,7 +15,7 @@
     place,
     split_shard_number,
 )
-from laburnumwood.placement.sharding import KEY_SPACE, place_key
+from laburnumwood.placement.sharding import KEY_SPACE, initial_shard
 from laburnumwood.placement.splitting import Splitter, hot_parts
 from laburnumwood.records import KeyRange, NodeName, ShardRecord
 from tests.features.steps.fake_clock import FakeClock
@@ -55,7 +55,7 @@
 
 
 def _place(context: Context, key: int) -> int:
-    base = place_key(str(key), SERVICE)
+    base = initial_shard(str(key), SERVICE)
     return locate_text_key(str(key), base, _records(context))
 
 
