--- a/laburnumwood/placement/succession.py
+++ b/laburnumwood/placement/succession.py
@@ -47,7 +47,7 @@
     return len(live) < possible
 
 
-def find_home(
+def find_first_owner(
     record: ShardRecord, nodes: Mapping[NodeName, NodeRecord]
 ) -> NodeName | None:
     """Return what the node of a shard's first owner is called now, if live."""
@@ -62,7 +62,7 @@
 
     A process that lost its lease and joined again may still be cut off.
     """
-    home = find_home(record, nodes)
+    home = find_first_owner(record, nodes)
     if home is None or nodes[home].witness_as != home.incarnation:
         return None
     return home
@@ -83,7 +83,7 @@
     The last owner's node if it is back: its worker may still have what the
     keys need.
     """
-    back = find_home(record, nodes) if record else None
+    back = find_first_owner(record, nodes) if record else None
     if back is not None:
         return back
     # Neighbouring shards go to different nodes, and each gets as many.
