--- a/laburnumwood/placement/succession.py
+++ b/laburnumwood/placement/succession.py
@@ -55,7 +55,7 @@
     return next((name for name in nodes if name.node_id == node_id), None)
 
 
-def find_returned(
+def find_restarted_owner(
     record: ShardRecord, nodes: Mapping[NodeName, NodeRecord]
 ) -> NodeName | None:
     """Return the node of a shard's first owner if its process is a new one.
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -24,7 +24,7 @@
 from laburnumwood.placement.succession import (
     choose_heir,
     choose_succession,
-    find_returned,
+    find_restarted_owner,
     needs_successors,
 )
 from laburnumwood.records import (
@@ -155,7 +155,9 @@
     def home(self, shard: ShardName) -> NodeName | None:
         """Return the node that a shard was taken over from, if it is back."""
         entry = self._view.directory.shard(shard)
-        home = find_returned(entry.record, self.live()) if entry else None
+        home = (
+            find_restarted_owner(entry.record, self.live()) if entry else None
+        )
         return None if home == self._own else home
 
     def begin_write(self, shard: ShardName) -> ShardWrite:
--- a/tests/features/steps/orphan_steps.py
+++ b/tests/features/steps/orphan_steps.py
@@ -7,7 +7,7 @@
 from behave.runner import Context
 
 from bench.spreading import record_of
-from laburnumwood.placement.succession import choose_heir, find_returned
+from laburnumwood.placement.succession import choose_heir, find_restarted_owner
 from laburnumwood.records import (
     NodeName,
     NodeRecord,
@@ -77,5 +77,5 @@
 
 @then('it goes home to "{home}"')
 def check_home(context: Context, home: str) -> None:
-    found = find_returned(context.records[0], context.nodes)
+    found = find_restarted_owner(context.records[0], context.nodes)
     assert str(found).lower() == home, found
