--- a/laburnumwood/placement/succession.py
+++ b/laburnumwood/placement/succession.py
@@ -73,7 +73,7 @@
     return rendezvous(service, names)
 
 
-def choose_heir(
+def choose_claimant(
     shard: ShardName,
     record: ShardRecord | None,
     nodes: Mapping[NodeName, NodeRecord],
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -22,7 +22,7 @@
 )
 from laburnumwood.placement.shard_write import Progress, ShardWrite
 from laburnumwood.placement.succession import (
-    choose_heir,
+    choose_claimant,
     choose_succession,
     find_restarted_owner,
     needs_successors,
@@ -304,7 +304,7 @@
         if self._own not in live:
             return False
         entry = self._view.directory.shard(shard)
-        first = choose_heir(shard, entry.record if entry else None, live)
+        first = choose_claimant(shard, entry.record if entry else None, live)
         return first == self._own or not patient
 
     def _missing(self) -> Iterator[ShardName]:
--- a/tests/features/steps/orphan_steps.py
+++ b/tests/features/steps/orphan_steps.py
@@ -7,7 +7,10 @@
 from behave.runner import Context
 
 from bench.spreading import record_of
-from laburnumwood.placement.succession import choose_heir, find_restarted_owner
+from laburnumwood.placement.succession import (
+    choose_claimant,
+    find_restarted_owner,
+)
 from laburnumwood.records import (
     NodeName,
     NodeRecord,
@@ -50,7 +53,7 @@
 
 def _heirs(context: Context) -> Counter[NodeName]:
     return Counter(
-        choose_heir(ShardName('s', number), record, context.nodes)
+        choose_claimant(ShardName('s', number), record, context.nodes)
         for number, record in context.records.items()
     )
 
