--- a/laburnumwood/placement/succession.py
+++ b/laburnumwood/placement/succession.py
@@ -34,7 +34,7 @@
     return (owner, *_by_distance(owner, order, nodes)[:SUCCESSORS])
 
 
-def needs_successors(
+def needs_new_succession(
     owner: NodeName,
     succession: tuple[NodeName, ...],
     nodes: Mapping[NodeName, NodeRecord],
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -25,7 +25,7 @@
     choose_claimant,
     choose_succession,
     find_restarted_owner,
-    needs_successors,
+    needs_new_succession,
 )
 from laburnumwood.records import (
     KeyRange,
@@ -283,7 +283,7 @@
 
     def _is_due(self, shard: ShardName, record: ShardRecord) -> bool:
         nodes = self.live()
-        if not needs_successors(self._own, record.succession, nodes):
+        if not needs_new_succession(self._own, record.succession, nodes):
             self._lacking_since_ms.pop(shard, None)
             return False
         now_ms = self._clock.now_ms()
