--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -28,7 +28,7 @@
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.keeper import ShardManager
-from laburnumwood.placement.tenure import Tenure
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.protocol.messages import Resign, Work
 from laburnumwood.protocol.peers import Dispatcher, Peers
@@ -269,7 +269,9 @@
         writer = ShardWriter(
             platform, self.view.directory, self._member.renewer
         )
-        tenure = Tenure(service, self.view, self.lease, self.holdings, clock)
+        tenure = OwnershipTracker(
+            service, self.view, self.lease, self.holdings, clock
+        )
         self._keeper = ShardManager(
             service,
             self.view,
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -16,7 +16,7 @@
 from laburnumwood.placement.layout import split_shard_number
 from laburnumwood.placement.shard_write import Progress, ShardWrite
 from laburnumwood.placement.splitting import Part, Split
-from laburnumwood.placement.tenure import Tenure
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.records import (
     NodeName,
@@ -49,7 +49,7 @@
         self,
         service: str,
         view: FleetView,
-        tenure: Tenure,
+        tenure: OwnershipTracker,
         holdings: HeldShards,
         writer: ShardWriter,
         spreader: Spreader,
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -64,7 +64,7 @@
     }
 
 
-class Tenure:
+class OwnershipTracker:
     """Which shards one incarnation holds, and which writes they need.
 
     It takes no part in waiting: its tasks call it again and again.
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -21,7 +21,7 @@
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.shard_write import Progress
 from laburnumwood.placement.sharding import KEY_SPACE, initial_shard
-from laburnumwood.placement.tenure import Tenure
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.records import (
     ConfigRecord,
     KeyRange,
@@ -77,7 +77,9 @@
     def __init__(self, name: NodeName, clock: FakeClock) -> None:
         self.view = FleetView(Directory(), SealRegistry())
         lease = _HeldLease(name, LeaseSettings(), clock)
-        self.tenure = Tenure(SERVICE, self.view, lease, HeldShards(), clock)
+        self.tenure = OwnershipTracker(
+            SERVICE, self.view, lease, HeldShards(), clock
+        )
 
     def hear(self, objects: dict[str, StoredObject]) -> None:
         """Take in what the store holds."""
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -18,7 +18,7 @@
 from laburnumwood.placement.balance import PlacementSnapshot, weighed
 from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.loads import LoadReports
-from laburnumwood.placement.tenure import Tenure
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Failure, ShardNotice, WholeAnswer
 from laburnumwood.records import (
     NodeName,
@@ -71,9 +71,11 @@
         name = node_object(f'n{number}')
         self._apply(name, to_value(replace(record, slots=SLOTS)))
 
-    def tenure(self, number: int) -> Tenure:
+    def tenure(self, number: int) -> OwnershipTracker:
         lease = _HeldLease(self.names[number], LeaseSettings(), self.clock)
-        return Tenure(SERVICE, self.view, lease, HeldShards(), self.clock)
+        return OwnershipTracker(
+            SERVICE, self.view, lease, HeldShards(), self.clock
+        )
 
     def shares(self) -> dict[NodeName, tuple[int, ...]]:
         nodes = len(self.names)
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -11,7 +11,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.placement.ownership import OwnershipState
 from laburnumwood.placement.shard_write import Progress, ShardWrite
-from laburnumwood.placement.tenure import Tenure
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     Digest,
@@ -62,7 +62,7 @@
         return Granted(digest)
 
 
-class _ReadForWin(Tenure):
+class _ReadForWin(OwnershipTracker):
     """Takes the newest record that can be read for the newest there is."""
 
     def _standing(
@@ -72,14 +72,14 @@
         return OwnershipState.OWNER if how is OwnershipState.MUST_WRITE else how
 
 
-class _ReopenOnConflict(Tenure):
+class _ReopenOnConflict(OwnershipTracker):
     """Goes on with a record that is known to be stale."""
 
     def _take_conflict(self, write: ShardWrite) -> None:
         self._holdings.reopen(write.shard)
 
 
-class _ReopenUnsettled(Tenure):
+class _ReopenUnsettled(OwnershipTracker):
     """Reopens a moving shard although the move may have been written."""
 
     def follow(self) -> None:
@@ -98,7 +98,7 @@
         return super().step(platform)
 
 
-class _LastTryOnly(Tenure):
+class _LastTryOnly(OwnershipTracker):
     """Leaves a move once a try of it did not reach the store."""
 
     def begin_move(
@@ -111,7 +111,7 @@
         return write
 
 
-class _UnsettledMoves(Tenure):
+class _UnsettledMoves(OwnershipTracker):
     """Waits for the outcome of moves that did not reach the store."""
 
     def begin_move(
@@ -124,7 +124,7 @@
         return write
 
 
-class _ClosedAfterSplit(Tenure):
+class _ClosedAfterSplit(OwnershipTracker):
     """Leaves a shard closed once keys of it were split off."""
 
     def _take_written(self, write: ShardWrite) -> None:
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -18,7 +18,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.shard_write import ShardWrite
-from laburnumwood.placement.tenure import Tenure
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     KeyRange,
@@ -47,7 +47,7 @@
 
     lease: type[Lease] = Lease
     witness: type[Witness] = Witness
-    tenure: type[Tenure] = Tenure
+    tenure: type[OwnershipTracker] = OwnershipTracker
     backless: type[QuorumLossDetector] = QuorumLossDetector
     grants: type[AttachedGrants] = AttachedGrants
 
