--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -205,7 +205,7 @@
         SHARD_SPLIT.report(
             shard=shard, part=name, keys=part.keys, target=part.target
         )
-        created = self._tenure.begin_new(name, part.target, handover)
+        created = self._tenure.begin_create(name, part.target, handover)
         if created is not None:
             self._writer.start(self._carry, created)
 
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -212,7 +212,7 @@
         write.stop_if_unreachable = True
         return write
 
-    def begin_new(
+    def begin_create(
         self, shard: ShardName, first: NodeName, handover: str
     ) -> ShardWrite | None:
         """Return the write that creates a shard that was split off."""
