--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -230,7 +230,7 @@
         self._lacking_since_ms.pop(write.shard, None)
         if progress is Progress.WRITTEN and write.stored is not None:
             self._view.directory.apply(write.stored)
-            self._take_written(write)
+            self._apply_written(write)
         elif progress is Progress.CONFLICT:
             self._take_conflict(write)
         elif progress is Progress.NOT_SENT:
@@ -356,7 +356,7 @@
             stripe_width=self._division.stripe_width(),
         )
 
-    def _take_written(self, write: ShardWrite) -> None:
+    def _apply_written(self, write: ShardWrite) -> None:
         target = write.record.succession[0]
         if target == self._own:
             self._holdings.reopen(write.shard)
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -127,9 +127,9 @@
 class _ClosedAfterSplit(OwnershipTracker):
     """Leaves a shard closed once keys of it were split off."""
 
-    def _take_written(self, write: ShardWrite) -> None:
+    def _apply_written(self, write: ShardWrite) -> None:
         if write.record.succession[0] != self._own:
-            super()._take_written(write)
+            super()._apply_written(write)
 
 
 class _NoEnd(QuorumLossDetector):
