--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -232,7 +232,7 @@
             self._view.directory.apply(write.stored)
             self._apply_written(write)
         elif progress is Progress.CONFLICT:
-            self._take_conflict(write)
+            self._apply_conflict(write)
         elif progress is Progress.NOT_SENT:
             self._holdings.reopen(write.shard)
 
@@ -365,7 +365,7 @@
         epoch = write.record.epoch
         SHARD_MOVED.report(shard=write.shard, target=target, epoch=epoch)
 
-    def _take_conflict(self, write: ShardWrite) -> None:
+    def _apply_conflict(self, write: ShardWrite) -> None:
         # Somebody else wrote, so what this node knows of the shard is stale.
         self._holdings.lose(
             write.shard, 'another write of its record came first'
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -75,7 +75,7 @@
 class _ReopenOnConflict(OwnershipTracker):
     """Goes on with a record that is known to be stale."""
 
-    def _take_conflict(self, write: ShardWrite) -> None:
+    def _apply_conflict(self, write: ShardWrite) -> None:
         self._holdings.reopen(write.shard)
 
 
