--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -86,7 +86,7 @@
         for turn in count():
             eventlet.sleep(_WRITING_MS / MS_PER_SECOND)
             for stale in self._tenure.stale:
-                self._writer.start(self._writer.refresh_if_possible, stale)
+                self._writer.start(self._writer.try_refresh, stale)
             if self._stopping:
                 continue
             version = self._tenure.version
@@ -149,7 +149,7 @@
         """Tell whether the store, silent when asked last, still is."""
         if self._writer.is_answered:
             return False
-        return not self._writer.refresh_if_possible(shard)
+        return not self._writer.try_refresh(shard)
 
     def _move(self, write: ShardWrite) -> None:
         if not self._stopping and self._is_store_away(write.shard):
@@ -159,7 +159,7 @@
         handovers = self._grants.handovers(write.shard)
         write.record = replace(write.record, handovers=handovers)
         # A move that begins in an outage would keep its shard closed in it.
-        answers = self._writer.refresh_if_possible(write.shard)
+        answers = self._writer.try_refresh(write.shard)
         if answers and self.before_move(write.shard, write.record.succession):
             self._carry(write)
         else:
@@ -188,7 +188,7 @@
         # The worker lets the whole shard go, so that nothing is held of the
         # parts while they belong to nobody.
         self._let_go(write.shard)
-        if not self._writer.refresh_if_possible(write.shard):
+        if not self._writer.try_refresh(write.shard):
             self._finish(write, Progress.NOT_SENT)
             return
         handovers = [self._grants.handover_of(keys) for keys in split.ranges]
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -67,7 +67,7 @@
             eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
         return progress
 
-    def refresh_if_possible(self, shard: ShardName) -> bool:
+    def try_refresh(self, shard: ShardName) -> bool:
         """Read a record again; tell whether the store answered."""
         try:
             stored = self._platform.get(shard_object(shard))
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -134,7 +134,7 @@
 @when('a {change} of a shard is carried out')
 def carry_out(context: Context, change: str) -> None:
     context.tenure.finish = lambda _write, _progress: None
-    context.writer.refresh_if_possible = lambda _shard: False
+    context.writer.try_refresh = lambda _shard: False
     write = SimpleNamespace(shard=SHARD)
     if change == 'move':
         context.keeper._move(write)
