--- a/tests/features/steps/backless_steps.py
+++ b/tests/features/steps/backless_steps.py
@@ -6,7 +6,7 @@
 from behave.runner import Context
 
 from laburnumwood.errors import PlatformConflictError
-from laburnumwood.leases.backless import Candidate, QuorumLossDetector
+from laburnumwood.leases.quorum_loss import Candidate, QuorumLossDetector
 from laburnumwood.membership.joining import end_seen, join, record_witnesses
 from laburnumwood.records import NodeName, NodeRecord, WitnessSet
 from laburnumwood.settings import LeaseSettings
