--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -10,7 +10,6 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Entry
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.division import Partitioning
 from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.layout import parents, split_shard_number
 from laburnumwood.placement.ownership import (
@@ -20,6 +19,7 @@
     standing,
     token,
 )
+from laburnumwood.placement.partitioning import Partitioning
 from laburnumwood.placement.shard_write import Progress, ShardWrite
 from laburnumwood.placement.succession import (
     choose_claimant,
