--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -12,7 +12,7 @@
 from laburnumwood.membership.spreading import Spreader, notice_of
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import split_shard_number
 from laburnumwood.placement.shard_write import Progress, ShardWrite
 from laburnumwood.placement.splitting import Part, Split
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -9,7 +9,7 @@
 from behave.runner import Context
 
 from laburnumwood.news import News
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.keeper import ShardManager
 from laburnumwood.placement.shard_write import Progress
 from laburnumwood.records import NodeName, ShardName
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -16,7 +16,7 @@
 from laburnumwood.membership.endings import Recorder, Standstill
 from laburnumwood.membership.joining import end_earlier, record_witnesses
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.shard_write import ShardWrite
 from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Granted, Refused, Renew
