--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -9,7 +9,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balance import Move, PlacementSnapshot, ShardsByNode
 from laburnumwood.placement.layout import key_ranges, parents
-from laburnumwood.placement.loads import LoadReports
+from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.ownership import acting
 from laburnumwood.placement.planner import MovePlanner
