--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -17,8 +17,8 @@
 from laburnumwood.membership.joining import end_earlier, record_witnesses
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.held_shards import HeldShards
+from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite
-from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     KeyRange,
