--- a/laburnumwood/daemon/holder.py
+++ b/laburnumwood/daemon/holder.py
@@ -12,11 +12,15 @@
     """The shards of one incarnation, with their keys."""
 
     def __init__(
-        self, service: str, lease: Lease, holdings: HeldShards, view: FleetView
+        self,
+        service: str,
+        lease: Lease,
+        held_shards: HeldShards,
+        view: FleetView,
     ) -> None:
         self._service = service
         self._lease = lease
-        self._holdings = holdings
+        self._holdings = held_shards
         self._view = view
 
     def tokens(self) -> dict[ShardName, int]:
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -76,7 +76,7 @@
         self.dispatcher = Dispatcher()
         self.view = FleetView(Directory(), SealRegistry())
         self.lease = Lease(name, settings.lease, clock)
-        self.holdings = HeldShards()
+        self.held_shards = HeldShards()
         self._peers = Peers(
             name,
             LinkSecurity(settings.shared_key, settings.tls),
@@ -214,7 +214,7 @@
     def end(self) -> None:
         """Act for no shard any more; requests are still passed on."""
         self.lease.resign()
-        self.holdings.drop_all()
+        self.held_shards.drop_all()
         self._tasks.kill()
 
     def release(self) -> None:
@@ -236,14 +236,14 @@
     def _make_grants(self, clock: Clock) -> Grants:
         if self._borders.worker_reports:
             holder = ShardHolder(
-                self._settings.service, self.lease, self.holdings, self.view
+                self._settings.service, self.lease, self.held_shards, self.view
             )
             return AttachedGrants(self._reporting, holder)
         self._granter = Granter(
             self._worker,
-            self.holdings.tokens,
+            self.held_shards.tokens,
             self.lease.expires_at_ms,
-            self.holdings.close,
+            self.held_shards.close,
             clock,
         )
         return self._granter
@@ -270,13 +270,13 @@
             platform, self.view.directory, self._member.renewer
         )
         tenure = OwnershipTracker(
-            service, self.view, self.lease, self.holdings, clock
+            service, self.view, self.lease, self.held_shards, clock
         )
         self._keeper = ShardManager(
             service,
             self.view,
             tenure,
-            self.holdings,
+            self.held_shards,
             writer,
             self._member.spreader,
             self.load.balancer,
@@ -291,7 +291,7 @@
         self._notary = Notary(
             self.name,
             self.view,
-            self.holdings,
+            self.held_shards,
             self._peers,
             self.dispatcher,
             clock,
@@ -311,7 +311,7 @@
         gate = Gate(
             self._settings,
             self.lease,
-            self.holdings,
+            self.held_shards,
             self._grants,
             executor,
             lambda: self.view.directory.declarations.services,
@@ -340,7 +340,7 @@
             clock,
         )
         self.operators = OperatorApi(
-            self.view, self.lease, self.holdings, gate, self._account
+            self.view, self.lease, self.held_shards, gate, self._account
         )
         self.gate = gate
 
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -41,13 +41,13 @@
         self,
         view: FleetView,
         lease: Lease,
-        holdings: HeldShards,
+        held_shards: HeldShards,
         gate: Gate,
         account: CapacityAccount,
     ) -> None:
         self._view = view
         self._lease = lease
-        self._holdings = holdings
+        self._holdings = held_shards
         self._gate = gate
         self._account = account
 
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -75,14 +75,14 @@
         service: str,
         view: FleetView,
         lease: Lease,
-        holdings: HeldShards,
+        held_shards: HeldShards,
         clock: Clock,
     ) -> None:
         self._service = service
         self._own = lease.holder
         self._view = view
         self._lease = lease
-        self._holdings = holdings
+        self._holdings = held_shards
         self._clock = clock
         self._writes: dict[ShardName, ShardWrite] = {}
         self._stale: dict[ShardName, int] = {}
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -50,7 +50,7 @@
         service: str,
         view: FleetView,
         tenure: OwnershipTracker,
-        holdings: HeldShards,
+        held_shards: HeldShards,
         writer: ShardWriter,
         spreader: Spreader,
         balancer: Balancer,
@@ -60,7 +60,7 @@
         self._service = service
         self._view = view
         self._tenure = tenure
-        self._holdings = holdings
+        self._holdings = held_shards
         self._writer = writer
         self._spreader = spreader
         self._balancer = balancer
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -110,7 +110,7 @@
         self,
         settings: DaemonSettings,
         lease: Lease,
-        holdings: HeldShards,
+        held_shards: HeldShards,
         grants: Grants,
         executor: Executor,
         services: Services,
@@ -122,7 +122,7 @@
     ) -> None:
         self._settings = settings
         self._lease = lease
-        self._holdings = holdings
+        self._holdings = held_shards
         self._grants = grants
         self._worker = worker
         self._services = services
--- a/laburnumwood/routing/notary.py
+++ b/laburnumwood/routing/notary.py
@@ -59,14 +59,14 @@
         self,
         own: NodeName,
         view: FleetView,
-        holdings: HeldShards,
+        held_shards: HeldShards,
         peers: Peers,
         dispatcher: Dispatcher,
         clock: Clock,
     ) -> None:
         self._own = own
         self._view = view
-        self._holdings = holdings
+        self._holdings = held_shards
         self._ledger = RunLedger(clock)
         self._peers = peers
         self._synced: dict[tuple[ShardName, NodeName], int] = {}
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -201,14 +201,14 @@
     declared = Declarations(services={'s': Service()})
     context.clock = clock
     context.directory = Directory()
-    context.holdings = HeldShards()
-    context.holdings.hold(SHARD, TOKEN)
+    context.held_shards = HeldShards()
+    context.held_shards.hold(SHARD, TOKEN)
     context.grants = LateGrants(span, clock)
     gate: Any = Gate
     context.gate = gate(
         SETTINGS,
         HeldLease(),
-        context.holdings,
+        context.held_shards,
         context.grants,
         executor,
         lambda: declared.services,
@@ -223,13 +223,13 @@
 @given('the shard is closed after {span:d} ms')
 def close_shard(context: Context, span: int) -> None:
     at_ms = context.clock.now_ms() + span
-    close = partial(context.holdings.close, SHARD)
+    close = partial(context.held_shards.close, SHARD)
     context.grants.news.events[at_ms] = close
 
 
 @given('the gate knows that the shard has moved to "{owner}"')
 def move_shard(context: Context, owner: str) -> None:
-    context.holdings.drop(SHARD)
+    context.held_shards.drop(SHARD)
     record = ShardRecord(TOKEN + 1, (NodeName.parse(owner),))
     stored = StoredObject(shard_object(SHARD), to_value(record), 7)
     context.directory.apply(stored)
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -53,8 +53,8 @@
 )
 def make_keeper(context: Context, answers: str, release: int) -> None:
     clock = FakeClock()
-    holdings = HeldShards()
-    holdings.hold(SHARD, 8)
+    held_shards = HeldShards()
+    held_shards.hold(SHARD, 8)
     tenure = SimpleNamespace(
         own=OWN, live=dict, begin_move=lambda _shard, _target: None
     )
@@ -65,10 +65,10 @@
     keeper: Any = ShardManager
     context.clock = clock
     context.tenure, context.writer = tenure, writer
-    context.worker, context.holdings = worker, holdings
+    context.worker, context.held_shards = worker, held_shards
     balancer = SimpleNamespace(is_stable=lambda _node_id: True)
     context.keeper = keeper(
-        's', view, tenure, holdings, writer, None, balancer, worker, clock
+        's', view, tenure, held_shards, writer, None, balancer, worker, clock
     )
 
 
@@ -87,7 +87,7 @@
 
 @given('it is to give a shard back that it must win a write for')
 def give_back(context: Context) -> None:
-    context.holdings.drop(SHARD)
+    context.held_shards.drop(SHARD)
     write = SimpleNamespace(shard=SHARD)
     context.tenure.wanted = lambda: [SHARD]
     context.tenure.home = lambda _shard: HOME
--- a/tests/features/steps/letting_go_steps.py
+++ b/tests/features/steps/letting_go_steps.py
@@ -89,7 +89,7 @@
     holder = context.node.worker._holder
     holder._declared = lambda: DECLARED
     _hold_lease(context.first, context.clock)
-    context.first.holdings.hold(SHARD, 8)
+    context.first.held_shards.hold(SHARD, 8)
     context.reply = _report(context, ())
     assert len(_held(context)), context.reply
 
@@ -168,7 +168,7 @@
     context.next = _join(context)
     context.node.worker._holder._declared = lambda: DECLARED
     _hold_lease(context.next, context.clock)
-    context.next.holdings.hold(SHARD, 16)
+    context.next.held_shards.hold(SHARD, 16)
     _report_again(context)
     assert _held(context)
 
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -35,12 +35,12 @@
     """Holdings with a lease that ends at a moment."""
 
     def __init__(self) -> None:
-        self.holdings = HeldShards()
+        self.held_shards = HeldShards()
         self.lease_until_ms = 0
 
     def tokens(self) -> dict[ShardName, int]:
         """Return the shards held, with their tokens."""
-        return self.holdings.tokens()
+        return self.held_shards.tokens()
 
     def until_ms(self) -> int:
         """Return until when the node may act."""
@@ -48,11 +48,11 @@
 
     def close(self, name: ShardName) -> None:
         """Let no more requests in to a shard."""
-        self.holdings.close(name)
+        self.held_shards.close(name)
 
     def spend(self, name: ShardName) -> None:
         """Ask for a higher token."""
-        self.holdings.spend(name)
+        self.held_shards.spend(name)
 
     def stripes(self, name: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard."""
@@ -82,7 +82,7 @@
 def make_node(context: Context, span: int) -> None:
     _make(context, ReportSettings(), span)
     for number in (1, 2):
-        context.holder.holdings.hold(shard(number), 8)
+        context.holder.held_shards.hold(shard(number), 8)
 
 
 @given('a node that holds no shard')
@@ -94,7 +94,7 @@
 def limit_answers(context: Context, size: int) -> None:
     _make(context, ReportSettings(most_bytes=size), context.lease_ms)
     for number in (1, 2):
-        context.holder.holdings.hold(shard(number), 8)
+        context.holder.held_shards.hold(shard(number), 8)
 
 
 def _report(
@@ -214,12 +214,12 @@
 @when('the node holds both under higher tokens')
 def raise_tokens(context: Context) -> None:
     for number in (1, 2):
-        context.holder.holdings.hold(shard(number), 16)
+        context.holder.held_shards.hold(shard(number), 16)
 
 
 @when('the node holds the shard {number:d} too')
 def hold_more(context: Context, number: int) -> None:
-    context.holder.holdings.hold(shard(number), 8)
+    context.holder.held_shards.hold(shard(number), 8)
 
 
 @then('it is to hold the shards "{numbers}" for {span:d} ms')
@@ -256,12 +256,12 @@
 @then('the shards "{numbers}" need higher tokens')
 def check_spent(context: Context, numbers: str) -> None:
     for number in numbers.split():
-        assert context.holder.holdings.is_spent(shard(int(number)))
+        assert context.holder.held_shards.is_spent(shard(int(number)))
 
 
 @then('the shard {number:d} lets no more requests in')
 def check_closed(context: Context, number: int) -> None:
-    assert context.holder.holdings.enter(shard(number)) is None
+    assert context.holder.held_shards.enter(shard(number)) is None
     assert not context.worker.covers(shard(number), 8)
 
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -63,12 +63,12 @@
 class _Holder:
     """What an incarnation of the world lets its worker hold."""
 
-    def __init__(self, lease: Lease, holdings: HeldShards) -> None:
-        self._holdings = holdings
-        self.tokens = holdings.tokens
+    def __init__(self, lease: Lease, held_shards: HeldShards) -> None:
+        self._holdings = held_shards
+        self.tokens = held_shards.tokens
         self.until_ms = lease.expires_at_ms
-        self.close = holdings.close
-        self.spend = holdings.spend
+        self.close = held_shards.close
+        self.spend = held_shards.spend
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard."""
@@ -99,10 +99,10 @@
         self.name = name
         self.view = FleetView(Directory(), SealRegistry())
         self.lease = code.lease(name, settings, clock)
-        self.holdings = HeldShards()
+        self.held_shards = HeldShards()
         self.is_deaf = False
         self.tenure = code.tenure(
-            SERVICE, self.view, self.lease, self.holdings, clock
+            SERVICE, self.view, self.lease, self.held_shards, clock
         )
         self.witness = witness or code.witness(name, settings, clock)
         self._recorder = Recorder(
@@ -123,7 +123,7 @@
         self._standstill = Standstill(clock)
         self.worker: AttachedGrants | None = None
         if worker is not None:
-            holder = _Holder(self.lease, self.holdings)
+            holder = _Holder(self.lease, self.held_shards)
             self.worker = code.grants(worker, holder)
 
     @property
@@ -234,12 +234,12 @@
     def end(self) -> None:
         """End all activity of this incarnation."""
         self.lease.resign()
-        self.holdings.drop_all()
+        self.held_shards.drop_all()
 
     def _let_go(self, shard: ShardName, write: ShardWrite | None) -> None:
         if write is not None:
             if self.worker is None:
-                self.holdings.close(shard)
+                self.held_shards.close(shard)
             else:
                 self.worker.withdraw(shard)
                 self._let_go_of.add(shard)
@@ -250,7 +250,7 @@
         if self.worker is None or shard not in self._let_go_of:
             return True
         if self.worker.is_released(shard):
-            self.holdings.close(shard)
+            self.held_shards.close(shard)
             self._let_go_of.discard(shard)
         return shard not in self._let_go_of
 
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -210,9 +210,9 @@
 
     def _actors(self, shard: ShardName) -> dict[NodeName, int]:
         return {
-            node.name: node.holdings.tokens()[shard]
+            node.name: node.held_shards.tokens()[shard]
             for node in self._nodes.values()
-            if node.lease.holds() and node.holdings.is_open(shard)
+            if node.lease.holds() and node.held_shards.is_open(shard)
         }
 
     def _judge(self) -> None:
