--- a/laburnumwood/daemon/holder.py
+++ b/laburnumwood/daemon/holder.py
@@ -20,12 +20,12 @@
     ) -> None:
         self._service = service
         self._lease = lease
-        self._holdings = held_shards
+        self._held_shards = held_shards
         self._view = view
 
     def tokens(self) -> dict[ShardName, int]:
         """Return the shards that the node holds, with their tokens."""
-        return self._holdings.tokens()
+        return self._held_shards.tokens()
 
     def until_ms(self) -> int:
         """Return until when the node may act."""
@@ -33,11 +33,11 @@
 
     def close(self, shard: ShardName) -> None:
         """Let no more requests in to a shard."""
-        self._holdings.close(shard)
+        self._held_shards.close(shard)
 
     def spend(self, shard: ShardName) -> None:
         """Ask for a higher token: the worker's next life needs one."""
-        self._holdings.spend(shard)
+        self._held_shards.spend(shard)
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard, none if its service is not known."""
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -47,7 +47,7 @@
     ) -> None:
         self._view = view
         self._lease = lease
-        self._holdings = held_shards
+        self._held_shards = held_shards
         self._gate = gate
         self._account = account
 
@@ -69,13 +69,13 @@
         owner = record.capacity_owner if record else ''
         IDLE_SLOTS.record(self._account.idle_slots, {'owner': owner})
         LEASE_HELD.record(int(self._lease.holds()))
-        SHARDS_OWNED.record(len(self._holdings.tokens()))
+        SHARDS_OWNED.record(len(self._held_shards.tokens()))
         GENERATION.record(self._view.directory.config.generation)
         return exposition()
 
     @_page('/status')
     def _status(self, _query: Query) -> dict[str, Any]:
-        held = sorted(self._holdings.tokens())
+        held = sorted(self._held_shards.tokens())
         witnesses = self._lease.witnesses.members
         return {
             'node': str(self._lease.holder),
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -82,7 +82,7 @@
         self._own = lease.holder
         self._view = view
         self._lease = lease
-        self._holdings = held_shards
+        self._held_shards = held_shards
         self._clock = clock
         self._writes: dict[ShardName, ShardWrite] = {}
         self._stale: dict[ShardName, int] = {}
@@ -105,7 +105,7 @@
     def is_settled(self) -> bool:
         """Tell whether no shard waits for a write of this node."""
         waiting = self._writes or self._stale or self._lacking_since_ms
-        turns = self._wanting_since_ms or self._holdings.has_spent
+        turns = self._wanting_since_ms or self._held_shards.has_spent
         return not waiting and not turns and not self._division.is_open
 
     @property
@@ -130,7 +130,9 @@
         if not self._lease.holds():
             return
         named = self._view.directory.shards_naming(self._own)
-        for shard in sorted({*named, *self._holdings.tokens(), *self._stale}):
+        for shard in sorted(
+            {*named, *self._held_shards.tokens(), *self._stale}
+        ):
             entry = self._view.directory.shard(shard)
             if entry is not None:
                 self._follow(shard, entry)
@@ -189,7 +191,7 @@
         Step it only once nothing runs in the shard any more and its worker
         has let it go.
         """
-        if shard in self._writes or not self._holdings.is_held(shard):
+        if shard in self._writes or not self._held_shards.is_held(shard):
             return None
         write = self._begin(shard, target)
         write.stop_if_unreachable = True
@@ -203,7 +205,7 @@
         Step it only as that of a move.
         """
         entry = self._view.directory.shard(shard)
-        held = self._holdings.is_held(shard)
+        held = self._held_shards.is_held(shard)
         if entry is None or not held or shard in self._writes:
             return None
         write = self._begin(shard, self._own)
@@ -234,7 +236,7 @@
         elif progress is Progress.CONFLICT:
             self._apply_conflict(write)
         elif progress is Progress.NOT_SENT:
-            self._holdings.reopen(write.shard)
+            self._held_shards.reopen(write.shard)
 
     def _open_shards(self) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
         """Yield the shards that this node or nobody acts for."""
@@ -255,17 +257,17 @@
     def _follow(self, shard: ShardName, entry: Entry[ShardRecord]) -> None:
         if entry.version > self._stale.get(shard, entry.version):
             self._stale.pop(shard)
-            self._holdings.lose(shard, 'its record was overtaken')
+            self._held_shards.lose(shard, 'its record was overtaken')
         if shard in self._stale:
             return
         how = self._standing(shard, entry.record)
         if how is OwnershipState.OWNER:
             self._hold(shard, entry.record)
-        elif not self._holdings.is_closed(shard):
-            self._holdings.lose(shard, how.value)
+        elif not self._held_shards.is_closed(shard):
+            self._held_shards.lose(shard, how.value)
 
     def _hold(self, shard: ShardName, record: ShardRecord) -> None:
-        if not self._holdings.hold(shard, token(record, self._own)):
+        if not self._held_shards.hold(shard, token(record, self._own)):
             return
         late = rank(record, self._own) > 0
         event = SHARD_TAKEN_OVER if late else SHARD_CLAIMED
@@ -274,7 +276,7 @@
     def _is_wanted(self, shard: ShardName, entry: Entry[ShardRecord]) -> bool:
         how = self._standing(shard, entry.record)
         if how is OwnershipState.OWNER:
-            if self._holdings.is_spent(shard) or self.home(shard):
+            if self._held_shards.is_spent(shard) or self.home(shard):
                 return True
             return self._is_due(shard, entry.record)
         if how is OwnershipState.ORPHANED:
@@ -359,15 +361,15 @@
     def _apply_written(self, write: ShardWrite) -> None:
         target = write.record.succession[0]
         if target == self._own:
-            self._holdings.reopen(write.shard)
+            self._held_shards.reopen(write.shard)
             return
-        self._holdings.drop(write.shard)
+        self._held_shards.drop(write.shard)
         epoch = write.record.epoch
         SHARD_MOVED.report(shard=write.shard, target=target, epoch=epoch)
 
     def _apply_conflict(self, write: ShardWrite) -> None:
         # Somebody else wrote, so what this node knows of the shard is stale.
-        self._holdings.lose(
+        self._held_shards.lose(
             write.shard, 'another write of its record came first'
         )
         self._stale[write.shard] = write.version or 0
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -60,7 +60,7 @@
         self._service = service
         self._view = view
         self._tenure = tenure
-        self._holdings = held_shards
+        self._held_shards = held_shards
         self._writer = writer
         self._spreader = spreader
         self._balancer = balancer
@@ -108,7 +108,7 @@
     def withdraw_all(self) -> None:
         """Let every shard go; requests that run go on."""
         self._stopping = True
-        for shard in self._holdings.tokens():
+        for shard in self._held_shards.tokens():
             self._grants.withdraw(shard)
 
     def hand_over_all(self, own: NodeName, patience_ms: int) -> None:
@@ -121,17 +121,17 @@
         started_ms = self._clock.now_ms()
         self.withdraw_all()
         while self._is_worth_waiting(started_ms, patience_ms):
-            for place, shard in enumerate(sorted(self._holdings.tokens())):
+            for place, shard in enumerate(sorted(self._held_shards.tokens())):
                 self._grants.withdraw(shard)
                 self._begin_move(shard, self._heir(shard, own, place))
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
 
     def _is_worth_waiting(self, started_ms: int, patience_ms: int) -> bool:
         waited_ms = self._clock.now_ms() - started_ms
-        held = self._holdings.tokens()
+        held = self._held_shards.tokens()
         if not held or waited_ms >= patience_ms:
             return False
-        if not self._holdings.all_idle():
+        if not self._held_shards.all_idle():
             return True
         # Without the store no record is written; once the worker has let go,
         # the successors can follow the seals.
@@ -169,10 +169,10 @@
         self._grants.withdraw(shard)
         while not self._grants.is_released(shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
-        self._holdings.close(shard)
+        self._held_shards.close(shard)
         # Those who wait for a grant of it look for the next owner instead.
         self._grants.news.tell()
-        while not self._holdings.is_idle(shard):
+        while not self._held_shards.is_idle(shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
 
     def _begin_split(self, split: Split) -> None:
@@ -241,7 +241,7 @@
     def _give_all_away(self) -> None:
         # The worker is lost or leaves: others are to serve its keys.
         own = self._tenure.own
-        for place, shard in enumerate(sorted(self._holdings.tokens())):
+        for place, shard in enumerate(sorted(self._held_shards.tokens())):
             self._begin_move(shard, self._heir(shard, own, place))
 
     def _balance(self) -> None:
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -122,7 +122,7 @@
     ) -> None:
         self._settings = settings
         self._lease = lease
-        self._holdings = held_shards
+        self._held_shards = held_shards
         self._grants = grants
         self._worker = worker
         self._services = services
@@ -166,7 +166,7 @@
             waiting=self.waiting,
             let_in=carried.let_in,
             shed=carried.shed,
-            shards=len(self._holdings.tokens()),
+            shards=len(self._held_shards.tokens()),
         )
 
     def close(self) -> None:
@@ -233,7 +233,7 @@
             self._serve_in_turn(exchange, run, _always)
             return
         shard = ShardName(work.service, work.shard)
-        stay = self._holdings.enter(shard) if self._has_key(work) else None
+        stay = self._held_shards.enter(shard) if self._has_key(work) else None
         if stay is None:
             self._tell_owner(exchange, work)
             detail = f'{self._settings.node_id} does not own {shard}'
@@ -319,7 +319,9 @@
         for number in sorted({work.shard, self._placed(work)}):
             shard = ShardName(work.service, number)
             entry = self._shards.shard(shard)
-            is_moved = number != work.shard or not self._holdings.is_held(shard)
+            is_moved = number != work.shard or not self._held_shards.is_held(
+                shard
+            )
             if entry is not None and is_moved:
                 exchange.send(notice_of(shard, entry))
 
@@ -348,7 +350,7 @@
         until_ms = self._clock.now_ms() + patience_ms
         while not self._grants.covers(shard, token):
             left_ms = until_ms - self._clock.now_ms()
-            if left_ms <= 0 or self._holdings.is_closed(shard):
+            if left_ms <= 0 or self._held_shards.is_closed(shard):
                 return False
             self._grants.news.wait(left_ms)
         return True
--- a/laburnumwood/routing/notary.py
+++ b/laburnumwood/routing/notary.py
@@ -66,7 +66,7 @@
     ) -> None:
         self._own = own
         self._view = view
-        self._holdings = held_shards
+        self._held_shards = held_shards
         self._ledger = RunLedger(clock)
         self._peers = peers
         self._synced: dict[tuple[ShardName, NodeName], int] = {}
@@ -123,7 +123,7 @@
     def run(self) -> None:
         """Keep the successors of all shards supplied; does not return."""
         while True:
-            for shard in self._holdings.tokens():
+            for shard in self._held_shards.tokens():
                 entry = self._view.directory.shard(shard)
                 if entry and self._ledger.knows_past(shard, entry.record):
                     self._tell_successors(shard, entry.record, ())
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -76,7 +76,7 @@
     """Goes on with a record that is known to be stale."""
 
     def _apply_conflict(self, write: ShardWrite) -> None:
-        self._holdings.reopen(write.shard)
+        self._held_shards.reopen(write.shard)
 
 
 class _ReopenUnsettled(OwnershipTracker):
@@ -86,7 +86,7 @@
         """Reopen all that moves."""
         super().follow()
         for shard in self._writes:
-            self._holdings.reopen(shard)
+            self._held_shards.reopen(shard)
 
 
 class _ForgottenTry(ShardWrite):
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -64,7 +64,7 @@
     """What an incarnation of the world lets its worker hold."""
 
     def __init__(self, lease: Lease, held_shards: HeldShards) -> None:
-        self._holdings = held_shards
+        self._held_shards = held_shards
         self.tokens = held_shards.tokens
         self.until_ms = lease.expires_at_ms
         self.close = held_shards.close
