--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -269,13 +269,13 @@
         writer = ShardWriter(
             platform, self.view.directory, self._member.renewer
         )
-        tenure = OwnershipTracker(
+        ownership = OwnershipTracker(
             service, self.view, self.lease, self.held_shards, clock
         )
         self._keeper = ShardManager(
             service,
             self.view,
-            tenure,
+            ownership,
             self.held_shards,
             writer,
             self._member.spreader,
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -49,7 +49,7 @@
         self,
         service: str,
         view: FleetView,
-        tenure: OwnershipTracker,
+        ownership: OwnershipTracker,
         held_shards: HeldShards,
         writer: ShardWriter,
         spreader: Spreader,
@@ -59,7 +59,7 @@
     ) -> None:
         self._service = service
         self._view = view
-        self._tenure = tenure
+        self._tenure = ownership
         self._held_shards = held_shards
         self._writer = writer
         self._spreader = spreader
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -77,7 +77,7 @@
     def __init__(self, name: NodeName, clock: FakeClock) -> None:
         self.view = FleetView(Directory(), SealRegistry())
         lease = _HeldLease(name, LeaseSettings(), clock)
-        self.tenure = OwnershipTracker(
+        self.ownership = OwnershipTracker(
             SERVICE, self.view, lease, HeldShards(), clock
         )
 
@@ -119,7 +119,7 @@
             for node in self.nodes:
                 node.hear(known)
         for node in self.nodes:
-            for shard in node.tenure.wanted():
+            for shard in node.ownership.wanted():
                 self._write(node, shard)
 
     def bring(self, shard: ShardName, record: ShardRecord) -> None:
@@ -137,14 +137,14 @@
         }
 
     def _write(self, node: _Beginner, shard: ShardName) -> None:
-        write = node.tenure.begin_write(shard)
+        write = node.ownership.begin_write(shard)
         name = shard_object(shard)
         if name in self.objects and write.version is None:
-            node.tenure.finish(write, Progress.CONFLICT)
+            node.ownership.finish(write, Progress.CONFLICT)
             node.hear({name: self.objects[name]})
             return
         write.stored = self._put(name, to_value(write.record))
-        node.tenure.finish(write, Progress.WRITTEN)
+        node.ownership.finish(write, Progress.WRITTEN)
 
     def _put(self, name: str, value: dict[str, object]) -> StoredObject:
         stored = StoredObject(name, value, len(self.objects) + 1)
@@ -210,7 +210,7 @@
 def check_shares(context: Context, least: int, most: int) -> None:
     records = context.fleet.records()
     owned = Counter(record.succession[0] for record in records.values())
-    counts = [owned[node.tenure.own] for node in context.fleet.nodes]
+    counts = [owned[node.ownership.own] for node in context.fleet.nodes]
     assert least <= min(counts) and max(counts) <= most, counts
 
 
@@ -282,7 +282,7 @@
 def _make_balancer(node: _Beginner, clock: FakeClock) -> Balancer:
     return Balancer(
         SERVICE,
-        node.tenure.own,
+        node.ownership.own,
         node.view,
         LoadMeter(1_000, clock),
         LoadReports(clock),
@@ -294,7 +294,7 @@
 @when('a node that owns {own:d} shards hears of {heard:d} of the {count:d}')
 def hear_some(context: Context, own: int, heard: int, count: int) -> None:
     fleet: _Fleet = context.fleet
-    name = fleet.nodes[0].tenure.own
+    name = fleet.nodes[0].ownership.own
     records = fleet.records()
     assert len(records) == count, len(records)
     mine = [each for each in records if records[each].succession[0] == name]
@@ -366,7 +366,7 @@
 
 @when('it has written itself first into their records')
 def write_itself(context: Context) -> None:
-    own = context.node.tenure.own
+    own = context.node.ownership.own
     for number in context.lent:
         name = shard_object(ShardName(SERVICE, number))
         before = context.fleet.objects[name]
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -55,7 +55,7 @@
     clock = FakeClock()
     held_shards = HeldShards()
     held_shards.hold(SHARD, 8)
-    tenure = SimpleNamespace(
+    ownership = SimpleNamespace(
         own=OWN, live=dict, begin_move=lambda _shard, _target: None
     )
     directory = SimpleNamespace(shard=lambda _shard: None)
@@ -64,11 +64,11 @@
     worker = SlowWorker(release, clock)
     keeper: Any = ShardManager
     context.clock = clock
-    context.tenure, context.writer = tenure, writer
+    context.ownership, context.writer = ownership, writer
     context.worker, context.held_shards = worker, held_shards
     balancer = SimpleNamespace(is_stable=lambda _node_id: True)
     context.keeper = keeper(
-        's', view, tenure, held_shards, writer, None, balancer, worker, clock
+        's', view, ownership, held_shards, writer, None, balancer, worker, clock
     )
 
 
@@ -89,10 +89,10 @@
 def give_back(context: Context) -> None:
     context.held_shards.drop(SHARD)
     write = SimpleNamespace(shard=SHARD)
-    context.tenure.wanted = lambda: [SHARD]
-    context.tenure.home = lambda _shard: HOME
-    context.tenure.begin_return = lambda _shard, _home: write
-    context.tenure.finish = lambda _write, _progress: None
+    context.ownership.wanted = lambda: [SHARD]
+    context.ownership.home = lambda _shard: HOME
+    context.ownership.begin_return = lambda _shard, _home: write
+    context.ownership.finish = lambda _write, _progress: None
     context.writer.is_healthy = True
     context.writer.has_room = True
     context.writer.carry = partial(_carry, context)
@@ -121,7 +121,7 @@
 @when('a write of a shard ends as "{progress}"')
 def end_write(context: Context, progress: str) -> None:
     context.worker.withdraw(SHARD)
-    context.tenure.finish = lambda _write, _progress: None
+    context.ownership.finish = lambda _write, _progress: None
     write = SimpleNamespace(shard=SHARD)
     context.keeper._finish(write, Progress[progress])
 
@@ -133,7 +133,7 @@
 
 @when('a {change} of a shard is carried out')
 def carry_out(context: Context, change: str) -> None:
-    context.tenure.finish = lambda _write, _progress: None
+    context.ownership.finish = lambda _write, _progress: None
     context.writer.try_refresh = lambda _shard: False
     write = SimpleNamespace(shard=SHARD)
     if change == 'move':
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -71,7 +71,7 @@
         name = node_object(f'n{number}')
         self._apply(name, to_value(replace(record, slots=SLOTS)))
 
-    def tenure(self, number: int) -> OwnershipTracker:
+    def ownership(self, number: int) -> OwnershipTracker:
         lease = _HeldLease(self.names[number], LeaseSettings(), self.clock)
         return OwnershipTracker(
             SERVICE, self.view, lease, HeldShards(), self.clock
@@ -140,10 +140,10 @@
 
 @when('a node asks which shards it should write')
 def ask(context: Context) -> None:
-    tenure = context.service.tenure(0)
+    ownership = context.service.ownership(0)
     context.service.view.live_in(SERVICE)
     context.service.view.looks = 0
-    context.wanted = tenure.wanted()
+    context.wanted = ownership.wanted()
 
 
 @then('there are none')
@@ -166,10 +166,10 @@
 
 @when('another node asks which shards it should write')
 def ask_later(context: Context) -> None:
-    tenure = context.service.tenure(80)
-    tenure.wanted()
+    ownership = context.service.ownership(80)
+    ownership.wanted()
     context.service.clock.pass_ms(BYSTANDER_MS)
-    context.wanted = tenure.wanted()
+    context.wanted = ownership.wanted()
 
 
 @then('these are shards of the first node')
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -47,7 +47,7 @@
 
     lease: type[Lease] = Lease
     witness: type[Witness] = Witness
-    tenure: type[OwnershipTracker] = OwnershipTracker
+    ownership: type[OwnershipTracker] = OwnershipTracker
     backless: type[QuorumLossDetector] = QuorumLossDetector
     grants: type[AttachedGrants] = AttachedGrants
 
@@ -101,7 +101,7 @@
         self.lease = code.lease(name, settings, clock)
         self.held_shards = HeldShards()
         self.is_deaf = False
-        self.tenure = code.tenure(
+        self.ownership = code.ownership(
             SERVICE, self.view, self.lease, self.held_shards, clock
         )
         self.witness = witness or code.witness(name, settings, clock)
@@ -165,7 +165,7 @@
             self.read()
         if now_ms - self._recorded_ms >= _RECORD_MS:
             self._record()
-        self.tenure.follow()
+        self.ownership.follow()
         self._write()
 
     def renew(self) -> None:
@@ -225,11 +225,11 @@
     def move(self, shard: ShardName, target: NodeName) -> None:
         """Begin to hand a shard over."""
         if self.view.directory.node(target) is not None:
-            self._let_go(shard, self.tenure.begin_move(shard, target))
+            self._let_go(shard, self.ownership.begin_move(shard, target))
 
     def split(self, shard: ShardName, keys: KeyRange) -> None:
         """Begin to split keys of a shard off."""
-        self._let_go(shard, self.tenure.begin_split(shard, (keys,)))
+        self._let_go(shard, self.ownership.begin_split(shard, (keys,)))
 
     def end(self) -> None:
         """End all activity of this incarnation."""
@@ -259,8 +259,8 @@
             self.worker.restore(shard)
 
     def _write(self) -> None:
-        for shard in self.tenure.wanted():
-            self._writes.append(self.tenure.begin_write(shard))
+        for shard in self.ownership.wanted():
+            self._writes.append(self.ownership.begin_write(shard))
             self.renew()
         for write in tuple(self._writes):
             if not self._is_let_go(write.shard):
@@ -268,10 +268,10 @@
             progress = write.step(self._store)
             if progress.is_final:
                 self._writes.remove(write)
-                self.tenure.finish(write, progress)
+                self.ownership.finish(write, progress)
                 self._restore(write.shard)
                 self._tell_written(write)
-        if self._store.mode == 'up' and self.tenure.stale:
+        if self._store.mode == 'up' and self.ownership.stale:
             self.read()
 
     def _record(self) -> None:
