--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -59,7 +59,7 @@
     ) -> None:
         self._service = service
         self._view = view
-        self._tenure = ownership
+        self._ownership = ownership
         self._held_shards = held_shards
         self._writer = writer
         self._spreader = spreader
@@ -73,9 +73,9 @@
         """Take over and give up shards as seals and records ask for it."""
         followed = None
         while True:
-            version = self._tenure.version
+            version = self._ownership.version
             if version != followed:
-                self._tenure.follow()
+                self._ownership.follow()
                 followed = version
             # The lease may come and go without any news.
             self._view.directory.news.wait(_STANDING_MS)
@@ -85,23 +85,23 @@
         seen = None
         for turn in count():
             eventlet.sleep(_WRITING_MS / MS_PER_SECOND)
-            for stale in self._tenure.stale:
+            for stale in self._ownership.stale:
                 self._writer.start(self._writer.try_refresh, stale)
             if self._stopping:
                 continue
-            version = self._tenure.version
-            if version != seen or not self._tenure.is_settled:
+            version = self._ownership.version
+            if version != seen or not self._ownership.is_settled:
                 seen = version
                 self._write_wanted()
             if turn % _TURNS_PER_BALANCE == 0:
                 self._place()
 
     def _place(self) -> None:
-        if self._tenure.own not in self._tenure.live():
+        if self._ownership.own not in self._ownership.live():
             self._give_all_away()
         elif self._writer.is_healthy:
             self._balance()
-            split = self._balancer.split(self._tenure.begun)
+            split = self._balancer.split(self._ownership.begun)
             if split is not None:
                 self._begin_split(split)
 
@@ -141,7 +141,7 @@
 
     def _begin_move(self, shard: ShardName, target: NodeName | None) -> None:
         if target is not None:
-            write = self._tenure.begin_move(shard, target)
+            write = self._ownership.begin_move(shard, target)
             if write is not None:
                 start(self._move, write)
 
@@ -177,7 +177,7 @@
 
     def _begin_split(self, split: Split) -> None:
         shard = ShardName(self._service, split.shard)
-        write = self._tenure.begin_split(shard, split.ranges)
+        write = self._ownership.begin_split(shard, split.ranges)
         if write is not None:
             start(self._split, write, split)
 
@@ -205,19 +205,19 @@
         SHARD_SPLIT.report(
             shard=shard, part=name, keys=part.keys, target=part.target
         )
-        created = self._tenure.begin_create(name, part.target, handover)
+        created = self._ownership.begin_create(name, part.target, handover)
         if created is not None:
             self._writer.start(self._carry, created)
 
     def _write_wanted(self) -> None:
-        for shard in self._tenure.wanted():
+        for shard in self._ownership.wanted():
             if not self._writer.has_room:
                 return
-            home = self._tenure.home(shard)
+            home = self._ownership.home(shard)
             if home is not None and self._may_go_home(home):
                 self._give_back(shard, home)
             else:
-                write = self._tenure.begin_write(shard)
+                write = self._ownership.begin_write(shard)
                 self._writer.start(self._carry, write)
 
     def _may_go_home(self, home: NodeName) -> bool:
@@ -226,7 +226,7 @@
 
     def _give_back(self, shard: ShardName, home: NodeName) -> None:
         """Let a shard go to the node that lost it: its worker has its data."""
-        write = self._tenure.begin_return(shard, home)
+        write = self._ownership.begin_return(shard, home)
         if write is None:
             self._begin_move(shard, home)
         else:
@@ -240,12 +240,12 @@
 
     def _give_all_away(self) -> None:
         # The worker is lost or leaves: others are to serve its keys.
-        own = self._tenure.own
+        own = self._ownership.own
         for place, shard in enumerate(sorted(self._held_shards.tokens())):
             self._begin_move(shard, self._heir(shard, own, place))
 
     def _balance(self) -> None:
-        for move in self._balancer.moves(self._tenure.begun):
+        for move in self._balancer.moves(self._ownership.begun):
             shard = ShardName(self._service, move.shard)
             self._begin_move(shard, move.target)
 
@@ -253,7 +253,7 @@
         self._finish(write, self._writer.carry(write))
 
     def _finish(self, write: ShardWrite, progress: Progress) -> None:
-        self._tenure.finish(write, progress)
+        self._ownership.finish(write, progress)
         if self._stopping or progress is Progress.ABANDONED:
             self._grants.withdraw(write.shard)
         else:
@@ -276,12 +276,12 @@
         told = {name for name, _ in self._view.live()}
         if len(told) > _MOST_TOLD:
             told = set(record.succession)
-        return told.difference((self._tenure.own,))
+        return told.difference((self._ownership.own,))
 
     def _heir(
         self, shard: ShardName, own: NodeName, place: int
     ) -> NodeName | None:
-        nodes: dict[NodeName, NodeRecord] = self._tenure.live()
+        nodes: dict[NodeName, NodeRecord] = self._ownership.live()
         nodes.pop(own, None)
         entry = self._view.directory.shard(shard)
         for name in entry.record.succession if entry else ():
