--- a/laburnumwood/placement/move_policy.py
+++ b/laburnumwood/placement/move_policy.py
@@ -27,7 +27,7 @@
 class _Usages(UserDict[NodeName, float]):
     """How busy the slots of nodes are; of a large service few are asked."""
 
-    def __init__(self, picture: 'Picture') -> None:
+    def __init__(self, picture: 'PlacementSnapshot') -> None:
         super().__init__()
         self._picture = picture
 
