--- a/laburnumwood/placement/move_policy.py
+++ b/laburnumwood/placement/move_policy.py
@@ -27,9 +27,9 @@
 class _Usages(UserDict[NodeName, float]):
     """How busy the slots of nodes are; of a large service few are asked."""
 
-    def __init__(self, picture: 'PlacementSnapshot') -> None:
+    def __init__(self, snapshot: 'PlacementSnapshot') -> None:
         super().__init__()
-        self._picture = picture
+        self._picture = snapshot
 
     def __missing__(self, name: NodeName) -> float:
         shards = self._picture.shares[name]
@@ -152,11 +152,11 @@
 class _Giving:
     """The shards of nodes while some are given away, the least busy first."""
 
-    def __init__(self, picture: PlacementSnapshot) -> None:
+    def __init__(self, snapshot: PlacementSnapshot) -> None:
         self.owned = {
-            name: list(shards) for name, shards in picture.shares.items()
+            name: list(shards) for name, shards in snapshot.shares.items()
         }
-        self._order = partial(_coldness, picture)
+        self._order = partial(_coldness, snapshot)
         self._ordered: set[NodeName] = set()
 
     def give(self, source: NodeName, target: NodeName) -> int:
@@ -170,9 +170,9 @@
         return shard
 
 
-def _coldness(picture: PlacementSnapshot, shard: int) -> tuple[float, int]:
+def _coldness(snapshot: PlacementSnapshot, shard: int) -> tuple[float, int]:
     # Neighbours are often hot together: of equal ones, not all go one way.
-    return -picture.load(shard), xxh3_64_intdigest(str(shard).encode())
+    return -snapshot.load(shard), xxh3_64_intdigest(str(shard).encode())
 
 
 @policy('never')
@@ -182,12 +182,12 @@
 
 
 @policy('even-count')
-def even_count(picture: PlacementSnapshot) -> tuple[Move, ...]:
+def even_count(snapshot: PlacementSnapshot) -> tuple[Move, ...]:
     """Move as few shards as make their numbers differ by one at the most.
 
     A node gives the least busy of its shards first.
     """
-    giving = _Giving(picture)
+    giving = _Giving(snapshot)
     by_count = partial(_count_and_name, giving.owned)
     moves: list[Move] = []
     while giving.owned:
@@ -199,74 +199,74 @@
     return tuple(moves)
 
 
-def _emptiest(picture: PlacementSnapshot) -> NodeName | None:
-    utilizations = picture.utilizations
+def _emptiest(snapshot: PlacementSnapshot) -> NodeName | None:
+    utilizations = snapshot.utilizations
     return min(
-        picture.targets,
+        snapshot.targets,
         key=lambda name: (utilizations[name], name),
         default=None,
     )
 
 
 @policy('emptiest')
-def emptiest(picture: PlacementSnapshot) -> tuple[Move, ...]:
+def emptiest(snapshot: PlacementSnapshot) -> tuple[Move, ...]:
     """Move the busiest shard to the emptiest node while that is emptier."""
-    target = _emptiest(picture)
-    shards = picture.shares.get(picture.own, ())
+    target = _emptiest(snapshot)
+    shards = snapshot.shares.get(snapshot.own, ())
     if target is None or not shards:
         return ()
-    shard = max(shards, key=lambda number: (picture.load(number), number))
-    if picture.utilizations[target] >= picture.utilizations[picture.own]:
+    shard = max(shards, key=lambda number: (snapshot.load(number), number))
+    if snapshot.utilizations[target] >= snapshot.utilizations[snapshot.own]:
         return ()
-    return (Move(shard, picture.own, target),)
+    return (Move(shard, snapshot.own, target),)
 
 
-def _is_idle(picture: PlacementSnapshot, move: Move) -> bool:
-    utilizations = picture.utilizations
+def _is_idle(snapshot: PlacementSnapshot, move: Move) -> bool:
+    utilizations = snapshot.utilizations
     return max(utilizations[move.source], utilizations[move.target]) < _IDLE
 
 
-def _is_harmless(picture: PlacementSnapshot, move: Move) -> bool:
-    if move.shard in picture.lent:
+def _is_harmless(snapshot: PlacementSnapshot, move: Move) -> bool:
+    if move.shard in snapshot.lent:
         return False
-    if _is_idle(picture, move):
+    if _is_idle(snapshot, move):
         return True
     source, target = (
-        picture.utilizations[move.source],
-        picture.utilizations[move.target],
+        snapshot.utilizations[move.source],
+        snapshot.utilizations[move.target],
     )
-    after = target + picture.usage(move.shard, move.target)
+    after = target + snapshot.usage(move.shard, move.target)
     return target + _IDLE < source and after <= source
 
 
-def _is_urgent(picture: PlacementSnapshot, move: Move) -> bool:
-    total = sum(len(shards) for shards in picture.shares.values())
-    fair = total / len(picture.shares)
-    owned = len(picture.shares[move.target])
-    return owned * 2 < fair or _is_idle(picture, move)
+def _is_urgent(snapshot: PlacementSnapshot, move: Move) -> bool:
+    total = sum(len(shards) for shards in snapshot.shares.values())
+    fair = total / len(snapshot.shares)
+    owned = len(snapshot.shares[move.target])
+    return owned * 2 < fair or _is_idle(snapshot, move)
 
 
 @policy('weighed')
-def weighed(picture: PlacementSnapshot) -> tuple[Move, ...]:
+def weighed(snapshot: PlacementSnapshot) -> tuple[Move, ...]:
     """Move shards to nodes that have few, and else only what is worth it.
 
     Numbers are evened only where the load allows it, so that a move for the
     load is not undone for the count.
     """
     for_count = tuple(
-        replace(move, urgent=_is_urgent(picture, move))
-        for move in even_count(picture)
-        if move.source == picture.own and _is_harmless(picture, move)
+        replace(move, urgent=_is_urgent(snapshot, move))
+        for move in even_count(snapshot)
+        if move.source == snapshot.own and _is_harmless(snapshot, move)
     )
-    target = _emptiest(picture)
+    target = _emptiest(snapshot)
     if for_count or target is None:
         return for_count
     moves = [
-        Move(shard, picture.own, target)
-        for shard in picture.shares.get(picture.own, ())
+        Move(shard, snapshot.own, target)
+        for shard in snapshot.shares.get(snapshot.own, ())
     ]
-    worth = [move for move in moves if picture.is_worthwhile(move)]
+    worth = [move for move in moves if snapshot.is_worthwhile(move)]
     best = max(
-        worth, key=lambda move: (picture.gain(move), -move.shard), default=None
+        worth, key=lambda move: (snapshot.gain(move), -move.shard), default=None
     )
     return () if best is None else (best,)
--- a/laburnumwood/placement/planner.py
+++ b/laburnumwood/placement/planner.py
@@ -70,25 +70,25 @@
         self._shards_ms: dict[int, int] = {}
         self._made: deque[tuple[int, bool]] = deque()
 
-    def plan(self, picture: PlacementSnapshot) -> tuple[Move, ...]:
+    def plan(self, snapshot: PlacementSnapshot) -> tuple[Move, ...]:
         """Return the moves to make now, and count them as made."""
-        self._nodes.note(picture.shares)
-        self._note_shards(picture.shares.get(picture.own, ()))
-        settled = self._nodes.settled(picture.shares) | {picture.own}
+        self._nodes.note(snapshot.shares)
+        self._note_shards(snapshot.shares.get(snapshot.own, ()))
+        settled = self._nodes.settled(snapshot.shares) | {snapshot.own}
         known = replace(
-            picture,
+            snapshot,
             shares={
                 name: shards
-                for name, shards in picture.shares.items()
+                for name, shards in snapshot.shares.items()
                 if name in settled or shards
             },
         )
         wanted = [
             move
             for move in self._policy(known)
-            if move.source == picture.own
+            if move.source == snapshot.own
             and move.target in settled
-            and self._is_rested(move, picture.cold_start_ms)
+            and self._is_rested(move, snapshot.cold_start_ms)
         ]
         return tuple(move for move in wanted if self._take(move))
 
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -87,24 +87,24 @@
         self._split_ms: int | None = None
 
     def choose(
-        self, picture: PlacementSnapshot, split_off: int
+        self, snapshot: PlacementSnapshot, split_off: int
     ) -> tuple[int, tuple[NodeName, ...]]:
         """Return the shard to split and who should get its parts.
 
         The shard is -1 if there is none; `split_off` counts the ranges that
         were split off before.
         """
-        own = picture.own
-        shards = picture.shares[own]
+        own = snapshot.own
+        shards = snapshot.shares[own]
         heaviest = max(
-            shards, key=lambda shard: picture.usage(shard, own), default=-1
+            shards, key=lambda shard: snapshot.usage(shard, own), default=-1
         )
-        most = max(_LEAST_SPLIT_OFF, _SPLIT_OFF_PER_NODE * len(picture.shares))
-        if split_off >= most or _is_calm(picture) or not self._is_rested():
+        most = max(_LEAST_SPLIT_OFF, _SPLIT_OFF_PER_NODE * len(snapshot.shares))
+        if split_off >= most or _is_calm(snapshot) or not self._is_rested():
             return -1, ()
-        if heaviest < 0 or picture.usage(heaviest, own) < _HEAVY:
+        if heaviest < 0 or snapshot.usage(heaviest, own) < _HEAVY:
             return -1, ()
-        return heaviest, _targets(picture, heaviest)
+        return heaviest, _targets(snapshot, heaviest)
 
     def note(self) -> None:
         """Take in that a split begins."""
@@ -116,14 +116,14 @@
         return self._clock.now_ms() - self._split_ms >= _REST_MS
 
 
-def _is_calm(picture: PlacementSnapshot) -> bool:
+def _is_calm(snapshot: PlacementSnapshot) -> bool:
     """Tell whether a node can carry its work, or nobody could better."""
-    utilizations = picture.utilizations
-    own_usage = utilizations[picture.own]
+    utilizations = snapshot.utilizations
+    own_usage = utilizations[snapshot.own]
     least = min(
-        (utilizations[name] for name in picture.targets), default=own_usage
+        (utilizations[name] for name in snapshot.targets), default=own_usage
     )
-    least_gap = max(_LEAST_GAP, picture.significant_difference)
+    least_gap = max(_LEAST_GAP, snapshot.significant_difference)
     return own_usage < _BUSY or own_usage - least < least_gap
 
 
@@ -131,21 +131,21 @@
     return min(utilizations, key=lambda name: (utilizations[name], name))
 
 
-def _targets(picture: PlacementSnapshot, shard: int) -> tuple[NodeName, ...]:
+def _targets(snapshot: PlacementSnapshot, shard: int) -> tuple[NodeName, ...]:
     """Return a node for each piece but the one that stays.
 
     Each goes to the node that is the least busy with those before it.
     """
-    chosen = (picture.own, *picture.targets)
-    utilizations = {name: picture.utilizations[name] for name in chosen}
-    own_usage = picture.usage(shard, picture.own)
+    chosen = (snapshot.own, *snapshot.targets)
+    utilizations = {name: snapshot.utilizations[name] for name in chosen}
+    own_usage = snapshot.usage(shard, snapshot.own)
     pieces = max(
         2, min(ceil(own_usage / _PIECE), _MOST_PIECES, len(utilizations))
     )
-    utilizations[picture.own] -= own_usage * (pieces - 1) / pieces
+    utilizations[snapshot.own] -= own_usage * (pieces - 1) / pieces
     targets: list[NodeName] = []
     for _ in range(pieces - 1):
         target = _least_busy(utilizations)
-        utilizations[target] += picture.usage(shard, target) / pieces
+        utilizations[target] += snapshot.usage(shard, target) / pieces
         targets.append(target)
-    return tuple(name for name in targets if name != picture.own)
+    return tuple(name for name in targets if name != snapshot.own)
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -86,7 +86,7 @@
         planner = self._planners.setdefault(
             name, MovePlanner('weighed', self.settings, self.clock)
         )
-        picture = PlacementSnapshot(
+        snapshot = PlacementSnapshot(
             own=name,
             shares={each: tuple(self.shares[each]) for each in self.shares},
             peers=self.peers.get(name),
@@ -97,7 +97,7 @@
             cold_start_ms=self.cold_start_ms,
             settings=self.settings,
         )
-        for move in planner.plan(picture):
+        for move in planner.plan(snapshot):
             self.shares[name].remove(move.shard)
             self.shares[move.target].append(move.shard)
             self.moved.append(move.shard)
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -108,7 +108,7 @@
     context.heard = set(names[1 : heard + 1])
     known = {shard: 0.5 for name in context.heard for shard in shares[name]}
     own = dict.fromkeys(shares[names[0]], 2.0)
-    context.picture = PlacementSnapshot(
+    context.snapshot = PlacementSnapshot(
         own=names[0],
         shares=shares,
         peers=context.heard,
@@ -121,7 +121,7 @@
 
 @when('it decides about moves')
 def decide(context: Context) -> None:
-    context.moves = weighed(context.picture)
+    context.moves = weighed(context.snapshot)
 
 
 @then('it moved a shard to one of the {heard:d}')
@@ -134,7 +134,7 @@
 
 @then('it worked out how busy {most:d} nodes are at most')
 def check_usages(context: Context, most: int) -> None:
-    found = len(context.picture.utilizations)
+    found = len(context.snapshot.utilizations)
     assert found <= most, found
 
 
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -130,7 +130,7 @@
 @given('a shard of "a" that takes {heaviest:g} of its slots')
 def set_heaviest(context: Context, heaviest: float) -> None:
     own, other = context.utilizations
-    context.picture = PlacementSnapshot(
+    context.snapshot = PlacementSnapshot(
         own=ONE,
         shares={ONE: (7, 10, 11, 12, 13), TWO: (9,)},
         slots={ONE: SLOTS, TWO: SLOTS},
@@ -145,11 +145,11 @@
 @then('the shard to split off is {number:d}')
 def check_choice(context: Context, number: int) -> None:
     splitter = Splitter(FakeClock())
-    found, targets = splitter.choose(context.picture, 0)
+    found, targets = splitter.choose(context.snapshot, 0)
     assert found == number, found
     assert targets == (TWO,) * (number >= 0), targets
     splitter.note()
-    assert splitter.choose(context.picture, 0)[0] == -1
+    assert splitter.choose(context.snapshot, 0)[0] == -1
 
 
 def _busy_picture(
@@ -196,8 +196,8 @@
 @when('all of them choose at once what to split off and to whom')
 def choose_all(context: Context) -> None:
     context.chosen = [
-        Splitter(FakeClock()).choose(picture, 0)[1]
-        for picture in context.pictures
+        Splitter(FakeClock()).choose(snapshot, 0)[1]
+        for snapshot in context.pictures
     ]
 
 
@@ -210,17 +210,17 @@
 
 @then('parts go only to nodes whose load the owner knows')
 def check_known(context: Context) -> None:
-    for picture, targets in zip(context.pictures, context.chosen, strict=True):
-        assert set(targets) <= picture.peers, targets
+    for snapshot, targets in zip(context.pictures, context.chosen, strict=True):
+        assert set(targets) <= snapshot.peers, targets
 
 
 @given('a service of {count:d} nodes of which one is far too busy')
 def set_one_busy(context: Context, count: int) -> None:
-    context.picture = _busy_picture(0, count, count - 1, None)
+    context.snapshot = _busy_picture(0, count, count - 1, None)
 
 
 @then('it splits while {most:d} ranges are split off, and with more no longer')
 def check_most(context: Context, most: int) -> None:
     splitter = Splitter(FakeClock())
-    assert splitter.choose(context.picture, most)[1]
-    assert not splitter.choose(context.picture, most + 1)[1]
+    assert splitter.choose(context.snapshot, most)[1]
+    assert not splitter.choose(context.snapshot, most + 1)[1]
