--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -181,14 +181,14 @@
 @given('each of them knows the load of {known:d} others')
 def set_known(context: Context, known: int) -> None:
     chance = Random(1)
-    context.pictures = []
+    context.snapshots = []
     for own in range(context.count - context.empty):
         others = [other for other in range(context.count) if other != own]
         peers = {
             NodeName(f'node-{other}', 1)
             for other in chance.sample(others, known)
         }
-        context.pictures.append(
+        context.snapshots.append(
             _busy_picture(own, context.count, context.empty, peers)
         )
 
@@ -197,7 +197,7 @@
 def choose_all(context: Context) -> None:
     context.chosen = [
         Splitter(FakeClock()).choose(snapshot, 0)[1]
-        for snapshot in context.pictures
+        for snapshot in context.snapshots
     ]
 
 
@@ -210,7 +210,9 @@
 
 @then('parts go only to nodes whose load the owner knows')
 def check_known(context: Context) -> None:
-    for snapshot, targets in zip(context.pictures, context.chosen, strict=True):
+    for snapshot, targets in zip(
+        context.snapshots, context.chosen, strict=True
+    ):
         assert set(targets) <= snapshot.peers, targets
 
 
