--- a/bench/balance.py
+++ b/bench/balance.py
@@ -138,11 +138,11 @@
             self._clock.time_ms = now_ms
             work = self._load.step(now_ms)
             for name, planner in self._planners.items():
-                self._carry_out(planner.plan(self._picture(name)))
+                self._carry_out(planner.plan(self._snapshot(name)))
             self._measure(work)
         return self.measures
 
-    def _picture(self, own: NodeName) -> PlacementSnapshot:
+    def _snapshot(self, own: NodeName) -> PlacementSnapshot:
         return PlacementSnapshot(
             own=own,
             shares={name: tuple(held) for name, held in self._shares.items()},
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -127,7 +127,7 @@
         live = self._view.live_in(self._service)
         if self._own not in live or not self._knows_all():
             return ()
-        return self._planner.plan(self._picture(live, begun))
+        return self._planner.plan(self._snapshot(live, begun))
 
     def is_stable(self, node_id: str) -> bool:
         """Tell whether a node did not come again and again lately."""
@@ -144,7 +144,7 @@
             return None
         records = self._view.directory.shard_records(self._service)
         shard, targets = self._splitter.choose(
-            self._picture(live, begun), sum(1 for _ in parents(records))
+            self._snapshot(live, begun), sum(1 for _ in parents(records))
         )
         if not targets:
             return None
@@ -172,7 +172,7 @@
         pairs = zip(parts, targets, strict=False)
         return Split(shard, tuple(Part(*pair) for pair in pairs))
 
-    def _picture(
+    def _snapshot(
         self, live: Mapping[NodeName, NodeRecord], begun: Owners
     ) -> PlacementSnapshot:
         declared = self._view.directory.declarations
--- a/laburnumwood/placement/move_policy.py
+++ b/laburnumwood/placement/move_policy.py
@@ -29,11 +29,11 @@
 
     def __init__(self, snapshot: 'PlacementSnapshot') -> None:
         super().__init__()
-        self._picture = snapshot
+        self._snapshot = snapshot
 
     def __missing__(self, name: NodeName) -> float:
-        shards = self._picture.shares[name]
-        usage = sum(self._picture.usage(shard, name) for shard in shards)
+        shards = self._snapshot.shares[name]
+        usage = sum(self._snapshot.usage(shard, name) for shard in shards)
         self[name] = usage
         return usage
 
@@ -176,7 +176,7 @@
 
 
 @policy('never')
-def never(_picture: PlacementSnapshot) -> tuple[Move, ...]:
+def never(_snapshot: PlacementSnapshot) -> tuple[Move, ...]:
     """Move nothing."""
     return ()
 
