--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -152,7 +152,7 @@
     assert splitter.choose(context.snapshot, 0)[0] == -1
 
 
-def _busy_picture(
+def _busy_snapshot(
     own: int, count: int, empty: int, peers: Set[NodeName] | None
 ) -> PlacementSnapshot:
     """Return what one node knows, where the last `empty` have no shards."""
@@ -189,7 +189,7 @@
             for other in chance.sample(others, known)
         }
         context.snapshots.append(
-            _busy_picture(own, context.count, context.empty, peers)
+            _busy_snapshot(own, context.count, context.empty, peers)
         )
 
 
@@ -218,7 +218,7 @@
 
 @given('a service of {count:d} nodes of which one is far too busy')
 def set_one_busy(context: Context, count: int) -> None:
-    context.snapshot = _busy_picture(0, count, count - 1, None)
+    context.snapshot = _busy_snapshot(0, count, count - 1, None)
 
 
 @then('it splits while {most:d} ranges are split off, and with more no longer')
