--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -50,7 +50,7 @@
         return self._next is not None
 
     @property
-    def asked(self) -> tuple[NodeName, ...]:
+    def renewal_targets(self) -> tuple[NodeName, ...]:
         """Return the witnesses to ask for renewals now."""
         names = {name for each in self._active for name in each.members}
         return tuple(sorted(names))
--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/endings.py
@@ -43,7 +43,7 @@
     entry = view.directory.nodes.get(own.node_id)
     if entry is not None and entry.record.incarnation > own.incarnation:
         return Fate.REPLACED
-    gone = {name for name in lease.asked if view.is_away(name)}
+    gone = {name for name in lease.renewal_targets if view.is_away(name)}
     # Without witnesses it can write no record: it joins anew at once, though
     # others follow only when its worker has let go.
     is_doomed = not lease.can_renew_without(gone)
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -116,7 +116,7 @@
             self._change(self._lease.propose_set(wanted))
 
     def _pass_over_ended(self) -> None:
-        ended = filter(self._view.is_away, self._lease.asked)
+        ended = filter(self._view.is_away, self._lease.renewal_targets)
         if self._lease.ignore_ended(frozenset(ended)):
             self.poke()
 
@@ -150,7 +150,7 @@
         self.poke()
 
     def _ask_all(self) -> None:
-        for name in self._lease.asked:
+        for name in self._lease.renewal_targets:
             if name not in self._asking:
                 self._asking.add(name)
                 start(self._ask_often, name)
@@ -166,7 +166,9 @@
             self._asking.discard(name)
 
     def _wants(self, name: NodeName) -> bool:
-        wanted = name in self._lease.asked and name not in self._lease.lost
+        wanted = (
+            name in self._lease.renewal_targets and name not in self._lease.lost
+        )
         return wanted and not self._lease.is_over
 
     def _pause(self, pause_ms: int) -> None:
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -173,7 +173,7 @@
         self._renewed_ms = self._clock.now_ms()
         if self.lease.is_over:
             return
-        for witness in self.lease.asked:
+        for witness in self.lease.renewal_targets:
             request = self.lease.renewal(witness, self.view.digest())
             what = partial(_serve, request, self._renewed_ms)
             self._send(witness.node_id, what)
