--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -56,7 +56,7 @@
         return tuple(sorted(names))
 
     @property
-    def lost(self) -> frozenset[NodeName]:
+    def lost_witnesses(self) -> frozenset[NodeName]:
         """Return the witnesses that will never renew again."""
         return self._backings.lost()
 
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -122,7 +122,10 @@
 
     def _wanted_witnesses(self) -> tuple[NodeName, ...]:
         """Return the witnesses to have, chosen anew only after news."""
-        standing, lost = self._lease.witnesses.members, self._lease.lost
+        standing, lost = (
+            self._lease.witnesses.members,
+            self._lease.lost_witnesses,
+        )
         known = (self._view.node_version, standing, lost)
         if known != self._chosen_for:
             live = self._view.witnesses()
@@ -167,7 +170,8 @@
 
     def _wants(self, name: NodeName) -> bool:
         wanted = (
-            name in self._lease.renewal_targets and name not in self._lease.lost
+            name in self._lease.renewal_targets
+            and name not in self._lease.lost_witnesses
         )
         return wanted and not self._lease.is_over
 
