--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -205,7 +205,9 @@
         self._standstill.note()
         if not incarnation.store_answers():
             return False
-        self._avoided = frozenset(name.node_id for name in lease.silent)
+        self._avoided = frozenset(
+            name.node_id for name in lease.silent_witnesses
+        )
         return True
 
     def _resign(self, incarnation: Incarnation) -> None:
--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -61,7 +61,7 @@
         return self._backings.lost()
 
     @property
-    def silent(self) -> frozenset[NodeName]:
+    def silent_witnesses(self) -> frozenset[NodeName]:
         """Return the witnesses whose last grant has run out."""
         now_ms = self._clock.now_ms()
         return frozenset(
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -129,7 +129,7 @@
     @property
     def silent_ids(self) -> frozenset[str]:
         """Return the ids of witnesses that do not renew the lease."""
-        return frozenset(name.node_id for name in self.lease.silent)
+        return frozenset(name.node_id for name in self.lease.silent_witnesses)
 
     @property
     def may_be_followed(self) -> bool:
