--- a/bench/renewal_size.py
+++ b/bench/renewal_size.py
@@ -22,7 +22,7 @@
     clock = Clock()
     settings = LeaseSettings()
     lease = Lease(_HOLDER, settings, clock)
-    lease.begin(lease.propose_set(_WITNESSES))
+    lease.set_first_witnesses(lease.propose_set(_WITNESSES))
     first = lease.renewal(_WITNESSES[0], _DIGEST)
     answer = Witness(_WITNESSES[0], settings, clock).renew(first, _DIGEST)
     lease.granted(first, clock.now_ms())
--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -90,7 +90,7 @@
         """
         return WitnessSet(self._current.version + 1, members)
 
-    def begin(self, chosen: WitnessSet) -> None:
+    def set_first_witnesses(self, chosen: WitnessSet) -> None:
         """Use the first set of witnesses."""
         self._current = chosen
         self._until_ms = None
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -82,7 +82,7 @@
         members = choose_witnesses(self._lease.holder, live)
         chosen = self._lease.propose_set(members)
         record_witnesses(self._store, self._lease.holder, (chosen,), also)
-        self._lease.begin(chosen)
+        self._lease.set_first_witnesses(chosen)
         self._ask_all()
 
     def poke(self) -> None:
--- a/tests/features/steps/letting_go_steps.py
+++ b/tests/features/steps/letting_go_steps.py
@@ -59,7 +59,7 @@
 
 def _hold_lease(incarnation: Incarnation, clock: FakeClock) -> None:
     lease = incarnation.lease
-    lease.begin(WitnessSet(1, (OTHER,)))
+    lease.set_first_witnesses(WitnessSet(1, (OTHER,)))
     renewal = lease.renewal(OTHER, incarnation.view.digest())
     lease.granted(renewal, clock.now_ms())
 
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -127,7 +127,7 @@
     """Return a lease whose one witness knows the floor of a shard."""
     own, clock = NodeName('a', 1), Clock()
     lease = Lease(own, LeaseSettings(), clock)
-    lease.begin(WitnessSet(1, (own,)))
+    lease.set_first_witnesses(WitnessSet(1, (own,)))
     floors = {str(shard): epoch}
     digest = Digest(0, 0, 0)
     request = Renew(own, own, (1,), (), 0, floors, digest)
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -150,7 +150,7 @@
         members = choose_witnesses(self.name, live)[:_WITNESSES]
         chosen = self.lease.propose_set(members)
         record_witnesses(self._store, self.name, (chosen,))
-        self.lease.begin(chosen)
+        self.lease.set_first_witnesses(chosen)
         self._started_ms = self._clock.now_ms()
 
     def step(self) -> None:
