--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -95,7 +95,7 @@
         self._current = chosen
         self._until_ms = None
 
-    def change(self, chosen: WitnessSet) -> None:
+    def begin_change(self, chosen: WitnessSet) -> None:
         """Begin to replace the witnesses; only one change at a time."""
         if self._next is not None:
             raise ValueError('a change of witnesses is under way')
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -146,7 +146,7 @@
         except PlatformError as failure:
             WITNESSES_KEPT.report(node=lease.holder, reason=failure)
             return
-        lease.change(chosen)
+        lease.begin_change(chosen)
         names = ','.join(str(name) for name in chosen.members)
         WITNESSES_CHANGED.report(node=lease.holder, witnesses=names)
         self._ask_all()
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -292,7 +292,7 @@
         with suppress(PlatformError):
             sets = (self.lease.witnesses, chosen)
             record_witnesses(self._store, self.name, sets)
-            self.lease.change(chosen)
+            self.lease.begin_change(chosen)
             self.renew()
 
     def _tell_written(self, write: ShardWrite) -> None:
