--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -134,7 +134,7 @@
             self._until_ms = self._find_until_ms()
         return self._until_ms
 
-    def holds(self) -> bool:
+    def is_held(self) -> bool:
         """Tell whether the holder may act now."""
         return self._clock.now_ms() < self.expires_at_ms()
 
--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/endings.py
@@ -70,7 +70,7 @@
     def is_over(self, lease: Lease) -> bool:
         """Tell whether a lease has been lost for too long; call it often."""
         now_ms = self._clock.now_ms()
-        if lease.holds():
+        if lease.is_held():
             self._since_ms = None
             held_since_ms = self._held_since_ms or now_ms
             self._held_since_ms = held_since_ms
@@ -153,7 +153,7 @@
             leave(self._store, name)
         self._end_backless()
         chosen = self._lease.witnesses
-        if chosen.version > self._recorded_version and self._lease.holds():
+        if chosen.version > self._recorded_version and self._lease.is_held():
             drop_older_sets(self._store, self._lease.holder, chosen)
             self._recorded_version = chosen.version
 
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -100,7 +100,7 @@
         while not self._lease.is_over:
             eventlet.sleep(_REVIEW_MS / MS_PER_SECOND)
             self._review()
-            if self._lease.holds() != held:
+            if self._lease.is_held() != held:
                 held = not held
                 event = LEASE_HELD if held else LEASE_LOST
                 event.report(node=self._lease.holder)
@@ -112,7 +112,7 @@
             return
         wanted = self._wanted_witnesses()
         standing = self._lease.witnesses.members
-        if set(wanted) != set(standing) and self._lease.holds():
+        if set(wanted) != set(standing) and self._lease.is_held():
             self._change(self._lease.propose_set(wanted))
 
     def _pass_over_ended(self) -> None:
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -68,7 +68,7 @@
         record = self._view.directory.node(self._lease.holder)
         owner = record.capacity_owner if record else ''
         IDLE_SLOTS.record(self._account.idle_slots, {'owner': owner})
-        LEASE_HELD.record(int(self._lease.holds()))
+        LEASE_HELD.record(int(self._lease.is_held()))
         SHARDS_OWNED.record(len(self._held_shards.tokens()))
         GENERATION.record(self._view.directory.config.generation)
         return exposition()
@@ -79,7 +79,7 @@
         witnesses = self._lease.witnesses.members
         return {
             'node': str(self._lease.holder),
-            'holds_lease': self._lease.holds(),
+            'holds_lease': self._lease.is_held(),
             'witnesses': [str(name) for name in witnesses],
             'generation': self._view.directory.config.generation,
             'shards': [str(shard) for shard in held],
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -99,7 +99,7 @@
     @property
     def version(self) -> tuple[int, int, bool]:
         """Return what is another value when there may be news to follow."""
-        return (*self._view.version, self._lease.holds())
+        return (*self._view.version, self._lease.is_held())
 
     @property
     def is_settled(self) -> bool:
@@ -127,7 +127,7 @@
 
     def follow(self) -> None:
         """Hold and drop shards as seals and records ask for it."""
-        if not self._lease.holds():
+        if not self._lease.is_held():
             return
         named = self._view.directory.shards_naming(self._own)
         for shard in sorted(
@@ -139,7 +139,7 @@
 
     def wanted(self) -> list[ShardName]:
         """Return the shards whose record this node should write now."""
-        if not self._lease.holds():
+        if not self._lease.is_held():
             return []
         self._wanted_before_ms = self._wanting_since_ms
         self._wanting_since_ms = {}
--- a/laburnumwood/placement/shard_write.py
+++ b/laburnumwood/placement/shard_write.py
@@ -84,7 +84,7 @@
         )
 
     def _may_send(self) -> bool:
-        if not self._lease.holds():
+        if not self._lease.is_held():
             return False
         known = self._lease.is_floor_acknowledged(
             str(self.shard), self.record.epoch
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -66,7 +66,7 @@
 class _HeldLease(Lease):
     """A lease that holds from the start."""
 
-    def holds(self) -> bool:
+    def is_held(self) -> bool:
         """Tell that it holds."""
         return True
 
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -46,7 +46,7 @@
 class _HeldLease(Lease):
     """A lease that always holds."""
 
-    def holds(self) -> bool:
+    def is_held(self) -> bool:
         return True
 
 
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -212,7 +212,7 @@
         return {
             node.name: node.held_shards.tokens()[shard]
             for node in self._nodes.values()
-            if node.lease.holds() and node.held_shards.is_open(shard)
+            if node.lease.is_held() and node.held_shards.is_open(shard)
         }
 
     def _judge(self) -> None:
@@ -278,7 +278,7 @@
 
     def _witnesses(self, vm: str, first: str) -> None:
         node = self._nodes.get(vm)
-        if node is None or node.lease.is_changing or not node.lease.holds():
+        if node is None or node.lease.is_changing or not node.lease.is_held():
             return
         witnesses = sorted(node.view.witnesses())
         live = [name for name in witnesses if name.node_id != vm]
