--- a/bench/renewal_size.py
+++ b/bench/renewal_size.py
@@ -25,7 +25,7 @@
     lease.set_first_witnesses(lease.propose_set(_WITNESSES))
     first = lease.renewal(_WITNESSES[0], _DIGEST)
     answer = Witness(_WITNESSES[0], settings, clock).renew(first, _DIGEST)
-    lease.granted(first, clock.now_ms())
+    lease.record_grant(first, clock.now_ms())
     usual = lease.renewal(_WITNESSES[0], _DIGEST)
     for number in range(_SHARDS):
         lease.raise_floor(f'trader-portal/{number}', 7)
--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -163,7 +163,7 @@
             digest=digest,
         )
 
-    def granted(self, request: Renew, sent_ms: int) -> bool:
+    def record_grant(self, request: Renew, sent_ms: int) -> bool:
         """Take in a witness's grant of a renewal sent at a time.
 
         Tells whether witnesses are to give the old set up only by now.
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -190,7 +190,7 @@
         except LinkError:
             return
         if isinstance(reply, Granted):
-            if self._lease.granted(request, sent_ms):
+            if self._lease.record_grant(request, sent_ms):
                 self.poke()
             self._spreader.compare(name, reply.digest)
         elif isinstance(reply, Refused):
--- a/tests/features/steps/letting_go_steps.py
+++ b/tests/features/steps/letting_go_steps.py
@@ -61,7 +61,7 @@
     lease = incarnation.lease
     lease.set_first_witnesses(WitnessSet(1, (OTHER,)))
     renewal = lease.renewal(OTHER, incarnation.view.digest())
-    lease.granted(renewal, clock.now_ms())
+    lease.record_grant(renewal, clock.now_ms())
 
 
 def _report(context: Context, held: tuple[HeldRange, ...]) -> Any:
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -131,7 +131,7 @@
     floors = {str(shard): epoch}
     digest = Digest(0, 0, 0)
     request = Renew(own, own, (1,), (), 0, floors, digest)
-    lease.granted(request, clock.now_ms())
+    lease.record_grant(request, clock.now_ms())
     return lease
 
 
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -39,7 +39,7 @@
 class _FromReceipt(Lease):
     """Counts a grant from when it was received."""
 
-    def granted(self, request: Renew, sent_ms: int) -> bool:
+    def record_grant(self, request: Renew, sent_ms: int) -> bool:
         """Leave the moment of sending out."""
         return super().granted(request, self._clock.now_ms())
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -200,7 +200,7 @@
             return
         self.learn_seals(seals)
         if isinstance(reply, Granted):
-            self.lease.granted(request, sent_ms)
+            self.lease.record_grant(request, sent_ms)
         elif reply.reason != 'set-unknown':
             self.lease.refused(request.witness)
             self.learn_seals((reply.seal,) if reply.seal else ())
