--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -178,7 +178,7 @@
         self._until_ms = None
         return self._advance()
 
-    def refused(self, witness: NodeName) -> None:
+    def record_refusal(self, witness: NodeName) -> None:
         """Take in that a witness will never renew again."""
         self._backings.of(witness).lost = True
         self._until_ms = None
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -203,7 +203,7 @@
 
     def _take_refusal(self, name: NodeName, refusal: Refused) -> None:
         if refusal.reason != 'set-unknown':
-            self._lease.refused(name)
+            self._lease.record_refusal(name)
         if refusal.seal is not None:
             self._spreader.add_seals((refusal.seal,))
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -202,7 +202,7 @@
         if isinstance(reply, Granted):
             self.lease.record_grant(request, sent_ms)
         elif reply.reason != 'set-unknown':
-            self.lease.refused(request.witness)
+            self.lease.record_refusal(request.witness)
             self.learn_seals((reply.seal,) if reply.seal else ())
 
     def learn_seals(self, seals: tuple[Seal, ...]) -> None:
