--- a/bench/renewal_size.py
+++ b/bench/renewal_size.py
@@ -23,13 +23,13 @@
     settings = LeaseSettings()
     lease = Lease(_HOLDER, settings, clock)
     lease.set_first_witnesses(lease.propose_set(_WITNESSES))
-    first = lease.renewal(_WITNESSES[0], _DIGEST)
+    first = lease.renewal_request(_WITNESSES[0], _DIGEST)
     answer = Witness(_WITNESSES[0], settings, clock).renew(first, _DIGEST)
     lease.record_grant(first, clock.now_ms())
-    usual = lease.renewal(_WITNESSES[0], _DIGEST)
+    usual = lease.renewal_request(_WITNESSES[0], _DIGEST)
     for number in range(_SHARDS):
         lease.raise_floor(f'trader-portal/{number}', 7)
-    floors = lease.renewal(_WITNESSES[0], _DIGEST)
+    floors = lease.renewal_request(_WITNESSES[0], _DIGEST)
     sizes = {
         'the first renewal, with the set of witnesses': first,
         'a usual renewal': usual,
--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -138,7 +138,7 @@
         """Tell whether the holder may act now."""
         return self._clock.now_ms() < self.expires_at_ms()
 
-    def renewal(self, witness: NodeName, digest: Digest) -> Renew:
+    def renewal_request(self, witness: NodeName, digest: Digest) -> Renew:
         """Return what to ask of a witness; note the time before sending."""
         backing = self._backings.of(witness)
         wanted = [each for each in self._active if witness in each.members]
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -183,7 +183,7 @@
             self._poke.wait()
 
     def _ask(self, name: NodeName) -> None:
-        request = self._lease.renewal(name, self._view.digest())
+        request = self._lease.renewal_request(name, self._view.digest())
         sent_ms = self._clock.now_ms()
         try:
             reply = self._send(name, request)
--- a/tests/features/steps/letting_go_steps.py
+++ b/tests/features/steps/letting_go_steps.py
@@ -60,7 +60,7 @@
 def _hold_lease(incarnation: Incarnation, clock: FakeClock) -> None:
     lease = incarnation.lease
     lease.set_first_witnesses(WitnessSet(1, (OTHER,)))
-    renewal = lease.renewal(OTHER, incarnation.view.digest())
+    renewal = lease.renewal_request(OTHER, incarnation.view.digest())
     lease.record_grant(renewal, clock.now_ms())
 
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -174,7 +174,7 @@
         if self.lease.is_over:
             return
         for witness in self.lease.renewal_targets:
-            request = self.lease.renewal(witness, self.view.digest())
+            request = self.lease.renewal_request(witness, self.view.digest())
             what = partial(_serve, request, self._renewed_ms)
             self._send(witness.node_id, what)
 
