--- a/laburnumwood/leases/quorum_loss.py
+++ b/laburnumwood/leases/quorum_loss.py
@@ -57,7 +57,7 @@
         self._clock = clock
         self._seen: dict[NodeName, _Seen] = {}
 
-    def over(
+    def expired(
         self, candidates: Iterable[Candidate], has_forgotten: IsWitnessReplaced
     ) -> tuple[Candidate, ...]:
         """Return the candidates that have been backless for long enough."""
--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/endings.py
@@ -158,7 +158,7 @@
             self._recorded_version = chosen.version
 
     def _end_backless(self) -> None:
-        over = self.backless.over(
+        over = self.backless.expired(
             _candidates(self._view), self._view.has_forgotten
         )
         live = [name for name, _ in self._view.live()]
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -135,7 +135,7 @@
 class _NoEnd(QuorumLossDetector):
     """Leaves lost nodes to an operator."""
 
-    def over(
+    def expired(
         self, candidates: Iterable[Candidate], has_forgotten: IsWitnessReplaced
     ) -> tuple[Candidate, ...]:
         """Find nobody."""
