--- a/laburnumwood/leases/quorum_loss.py
+++ b/laburnumwood/leases/quorum_loss.py
@@ -28,7 +28,7 @@
     name: NodeName
     record: NodeRecord
     version: int
-    is_followed: bool = False
+    is_replaced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +65,7 @@
         seen: dict[NodeName, _Seen] = {}
         over: list[Candidate] = []
         for each in candidates:
-            if not (each.is_followed or _has_no_backing(each, has_forgotten)):
+            if not (each.is_replaced or _has_no_backing(each, has_forgotten)):
                 continue
             known = self._seen.get(each.name)
             if known is None or known.version != each.version:
