--- a/laburnumwood/leases/seals.py
+++ b/laburnumwood/leases/seals.py
@@ -46,7 +46,7 @@
         self._changes = 0
 
     @property
-    def changes(self) -> int:
+    def change_count(self) -> int:
         """Return a number that is another one after each change."""
         return self._changes
 
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -24,12 +24,12 @@
     @property
     def version(self) -> tuple[int, int]:
         """Return what is another value after each change."""
-        return self.directory.changes, self.seals.changes
+        return self.directory.changes, self.seals.change_count
 
     @property
     def node_version(self) -> tuple[int, int]:
         """Return what is another value when other nodes may be live."""
-        return self.directory.node_changes, self.seals.changes
+        return self.directory.node_changes, self.seals.change_count
 
     def digest(self) -> Digest:
         """Return how much is known, for peers to compare."""
