--- a/laburnumwood/leases/seals.py
+++ b/laburnumwood/leases/seals.py
@@ -71,7 +71,7 @@
         """Tell whether the seals known prove that an incarnation lapsed."""
         return holder in self._sealed
 
-    def forget(self, holder: NodeName) -> None:
+    def discard_ended(self, holder: NodeName) -> None:
         """Forget the seals of an incarnation that the store says has ended."""
         for seal in self._seals.pop(holder, {}).values():
             self._digest ^= _digest_of(seal)
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -135,7 +135,7 @@
         """Forget the seals that nobody needs any more."""
         for holder in self.seals.holders():
             if self._is_past(holder):
-                self.seals.forget(holder)
+                self.seals.discard_ended(holder)
 
     def _is_past(self, holder: NodeName) -> bool:
         entry = self.directory.nodes.get(holder.node_id)
