--- a/laburnumwood/leases/seals.py
+++ b/laburnumwood/leases/seals.py
@@ -79,7 +79,7 @@
         self._ended.add(holder)
         self._changes += 1
 
-    def end(self, holder: NodeName) -> None:
+    def mark_ended(self, holder: NodeName) -> None:
         """Take in from the store that an incarnation has ended."""
         if holder not in self._ended:
             self._ended.add(holder)
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -117,7 +117,7 @@
             return True
         entry = self.directory.nodes.get(name.node_id)
         if entry is not None and entry.record.has_ended(name.incarnation):
-            self.seals.end(name)
+            self.seals.mark_ended(name)
             return True
         return False
 
