--- a/laburnumwood/placement/hotkeys.py
+++ b/laburnumwood/placement/hotkeys.py
@@ -46,7 +46,7 @@
         """Return how many keys are kept."""
         return len(self._counts)
 
-    def note(self, key: str) -> None:
+    def record(self, key: str) -> None:
         """Count one request of a key."""
         weight = self._weight()
         if key in self._counts:
--- a/laburnumwood/placement/meter.py
+++ b/laburnumwood/placement/meter.py
@@ -35,7 +35,7 @@
         """Count a request that kept a slot busy for some time."""
         if shard < 0:
             return
-        self.hot_keys.note(key)
+        self.hot_keys.record(key)
         self._requests.note(1)
         rate = self._rates.get(shard)
         if rate is None:
