--- a/laburnumwood/placement/load_exchange.py
+++ b/laburnumwood/placement/load_exchange.py
@@ -92,7 +92,7 @@
         except LinkError:
             return  # what is known of the peer fades
         if isinstance(report, LoadReport):
-            self._book.note(name, LoadState(report.running, report.shards))
+            self._book.record(name, LoadState(report.running, report.shards))
 
     def _answer(self, _link: Link, stream: Stream, _ask: LoadAsk) -> None:
         stream.send(LoadReport(self._running(), self._meter.shards()))
--- a/laburnumwood/placement/load_reports.py
+++ b/laburnumwood/placement/load_reports.py
@@ -35,7 +35,7 @@
         self._clock = clock
         self._noted: dict[NodeName, _Noted] = {}
 
-    def note(self, name: NodeName, state: LoadState) -> None:
+    def record(self, name: NodeName, state: LoadState) -> None:
         """Take in the report of a node."""
         now_ms = self._clock.now_ms()
         self._noted[name] = _Noted(state, now_ms)
