--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -46,7 +46,7 @@
     reported = book.shards(name).get(shard)
     here = measured.get(shard)
     if reported is not None and (here is None or here <= reported):
-        return _Estimate(reported, book.trust(name))
+        return _Estimate(reported, book.weight(name))
     return None if here is None else _Estimate(here)
 
 
--- a/laburnumwood/placement/load_reports.py
+++ b/laburnumwood/placement/load_reports.py
@@ -47,7 +47,7 @@
         for known in old:
             self._noted.pop(known)
 
-    def trust(self, name: NodeName) -> float:
+    def weight(self, name: NodeName) -> float:
         """Return how much the report of a node counts, from 1 down to 0."""
         noted = self._noted.get(name)
         if noted is None:
@@ -58,7 +58,7 @@
     def running(self, name: NodeName) -> float:
         """Return the requests in flight on a node, less as reports age."""
         noted = self._noted.get(name)
-        return noted.state.running * self.trust(name) if noted else 0
+        return noted.state.running * self.weight(name) if noted else 0
 
     def shards(self, name: NodeName) -> Mapping[int, float]:
         """Return the last known work a second of a node's shards."""
