--- a/laburnumwood/placement/meter.py
+++ b/laburnumwood/placement/meter.py
@@ -31,7 +31,7 @@
         self._requests = DecayingRate(half_life_ms, clock)
         self.hot_keys = HotKeys(clock, half_life_ms=half_life_ms * 2)
 
-    def note(self, shard: int, key: str, busy_ms: float) -> None:
+    def record(self, shard: int, key: str, busy_ms: float) -> None:
         """Count a request that kept a slot busy for some time."""
         if shard < 0:
             return
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -284,12 +284,12 @@
             self._tell_cancelled(work)
         except OverloadedError as shed:
             # What does not fit on this worker is load all the same.
-            self._meter.note(work.shard, work.key, self._admitter.slot_ms)
+            self._meter.record(work.shard, work.key, self._admitter.slot_ms)
             shed.retry_after_ms = max(shed.retry_after_ms, line_ms)
             raise
         if ticket.result is Result.SERVED:
             busy_ms = self._clock.now_ms() - ticket.started_ms
-            self._meter.note(work.shard, work.key, busy_ms)
+            self._meter.record(work.shard, work.key, busy_ms)
 
     def _free(self, ticket: Ticket, rank: int, length: int) -> None:
         """Give the slot of a request back whose whole answer is here."""
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -155,7 +155,7 @@
     def measure() -> None:
         for shard in chance.choices(numbers, k=round(per_round)):
             busy_ms = chance.expovariate(1 / fleet.service_ms)
-            meter.note(shard, str(shard), busy_ms)
+            meter.record(shard, str(shard), busy_ms)
         fleet.loads = meter.shards()
 
     fleet.measure = measure
