--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -168,7 +168,7 @@
         parts = hot_parts(ranges, counts, len(targets) + 1)
         if not parts:
             return None
-        self._splitter.note()
+        self._splitter.record_split()
         pairs = zip(parts, targets, strict=False)
         return Split(shard, tuple(Part(*pair) for pair in pairs))
 
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -106,7 +106,7 @@
             return -1, ()
         return heaviest, _targets(snapshot, heaviest)
 
-    def note(self) -> None:
+    def record_split(self) -> None:
         """Take in that a split begins."""
         self._split_ms = self._clock.now_ms()
 
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -148,7 +148,7 @@
     found, targets = splitter.choose(context.snapshot, 0)
     assert found == number, found
     assert targets == (TWO,) * (number >= 0), targets
-    splitter.note()
+    splitter.record_split()
     assert splitter.choose(context.snapshot, 0)[0] == -1
 
 
