--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -143,7 +143,7 @@
         if service is None or service.stripe_width is None:
             return None
         records = self._view.directory.shard_records(self._service)
-        shard, targets = self._splitter.choose(
+        shard, targets = self._splitter.choose_shard(
             self._snapshot(live, begun), sum(1 for _ in parents(records))
         )
         if not targets:
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -86,7 +86,7 @@
         self._clock = clock
         self._split_ms: int | None = None
 
-    def choose(
+    def choose_shard(
         self, snapshot: PlacementSnapshot, split_off: int
     ) -> tuple[int, tuple[NodeName, ...]]:
         """Return the shard to split and who should get its parts.
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -145,11 +145,11 @@
 @then('the shard to split off is {number:d}')
 def check_choice(context: Context, number: int) -> None:
     splitter = Splitter(FakeClock())
-    found, targets = splitter.choose(context.snapshot, 0)
+    found, targets = splitter.choose_shard(context.snapshot, 0)
     assert found == number, found
     assert targets == (TWO,) * (number >= 0), targets
     splitter.record_split()
-    assert splitter.choose(context.snapshot, 0)[0] == -1
+    assert splitter.choose_shard(context.snapshot, 0)[0] == -1
 
 
 def _busy_snapshot(
@@ -196,7 +196,7 @@
 @when('all of them choose at once what to split off and to whom')
 def choose_all(context: Context) -> None:
     context.chosen = [
-        Splitter(FakeClock()).choose(snapshot, 0)[1]
+        Splitter(FakeClock()).choose_shard(snapshot, 0)[1]
         for snapshot in context.snapshots
     ]
 
@@ -224,5 +224,5 @@
 @then('it splits while {most:d} ranges are split off, and with more no longer')
 def check_most(context: Context, most: int) -> None:
     splitter = Splitter(FakeClock())
-    assert splitter.choose(context.snapshot, most)[1]
-    assert not splitter.choose(context.snapshot, most + 1)[1]
+    assert splitter.choose_shard(context.snapshot, most)[1]
+    assert not splitter.choose_shard(context.snapshot, most + 1)[1]
