--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -118,7 +118,7 @@
         self._known_shares: ShardsByNode = {}
         self._shares_version: object = None
 
-    def moves(self, begun: Owners) -> tuple[Move, ...]:
+    def plan_moves(self, begun: Owners) -> tuple[Move, ...]:
         """Return the moves that this node should make now.
 
         Shards whose moves have `begun` count for their next owners.  While
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -245,7 +245,7 @@
             self._begin_move(shard, self._heir(shard, own, place))
 
     def _balance(self) -> None:
-        for move in self._balancer.moves(self._ownership.begun):
+        for move in self._balancer.plan_moves(self._ownership.begun):
             shard = ShardName(self._service, move.shard)
             self._begin_move(shard, move.target)
 
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -318,9 +318,9 @@
     """Return the moves of the node once all nodes have been there a while."""
     clock: FakeClock = context.fleet.clock
     balancer = _make_balancer(context.node, clock)
-    early = balancer.moves({})
+    early = balancer.plan_moves({})
     clock.pass_ms(5_000)
-    return early + balancer.moves({})
+    return early + balancer.plan_moves({})
 
 
 @then('it moves nothing')
