--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -133,7 +133,7 @@
         """Tell whether a node did not come again and again lately."""
         return self._planner.is_stable(node_id)
 
-    def split(self, begun: Owners) -> Split | None:
+    def plan_split(self, begun: Owners) -> Split | None:
         """Return the hot keys that this node should split off now, if any."""
         live = self._view.live_in(self._service)
         declared = self._view.directory.declarations.services
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -101,7 +101,7 @@
             self._give_all_away()
         elif self._writer.is_healthy:
             self._balance()
-            split = self._balancer.split(self._ownership.begun)
+            split = self._balancer.plan_split(self._ownership.begun)
             if split is not None:
                 self._begin_split(split)
 
