--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -109,7 +109,7 @@
         return not waiting and not turns and not self._division.is_open
 
     @property
-    def begun(self) -> dict[int, NodeName]:
+    def pending_owners(self) -> dict[int, NodeName]:
         """Return who is to be first of the shards that are being written."""
         return {
             shard.number: write.record.succession[0]
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -101,7 +101,7 @@
             self._give_all_away()
         elif self._writer.is_healthy:
             self._balance()
-            split = self._balancer.plan_split(self._ownership.begun)
+            split = self._balancer.plan_split(self._ownership.pending_owners)
             if split is not None:
                 self._begin_split(split)
 
@@ -245,7 +245,7 @@
             self._begin_move(shard, self._heir(shard, own, place))
 
     def _balance(self) -> None:
-        for move in self._balancer.plan_moves(self._ownership.begun):
+        for move in self._balancer.plan_moves(self._ownership.pending_owners):
             shard = ShardName(self._service, move.shard)
             self._begin_move(shard, move.target)
 
