--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -125,7 +125,7 @@
         """Return the live nodes of the service."""
         return self._view.live_in(self._service)
 
-    def follow(self) -> None:
+    def update_held_shards(self) -> None:
         """Hold and drop shards as seals and records ask for it."""
         if not self._lease.is_held():
             return
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -75,7 +75,7 @@
         while True:
             version = self._ownership.version
             if version != followed:
-                self._ownership.follow()
+                self._ownership.update_held_shards()
                 followed = version
             # The lease may come and go without any news.
             self._view.directory.news.wait(_STANDING_MS)
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -82,7 +82,7 @@
 class _ReopenUnsettled(OwnershipTracker):
     """Reopens a moving shard although the move may have been written."""
 
-    def follow(self) -> None:
+    def update_held_shards(self) -> None:
         """Reopen all that moves."""
         super().follow()
         for shard in self._writes:
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -165,7 +165,7 @@
             self.read()
         if now_ms - self._recorded_ms >= _RECORD_MS:
             self._record()
-        self.ownership.follow()
+        self.ownership.update_held_shards()
         self._write()
 
     def renew(self) -> None:
