--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -137,7 +137,7 @@
             if entry is not None:
                 self._follow(shard, entry)
 
-    def wanted(self) -> list[ShardName]:
+    def shards_to_write(self) -> list[ShardName]:
         """Return the shards whose record this node should write now."""
         if not self._lease.is_held():
             return []
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -210,7 +210,7 @@
             self._writer.start(self._carry, created)
 
     def _write_wanted(self) -> None:
-        for shard in self._ownership.wanted():
+        for shard in self._ownership.shards_to_write():
             if not self._writer.has_room:
                 return
             home = self._ownership.home(shard)
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -119,7 +119,7 @@
             for node in self.nodes:
                 node.hear(known)
         for node in self.nodes:
-            for shard in node.ownership.wanted():
+            for shard in node.ownership.shards_to_write():
                 self._write(node, shard)
 
     def bring(self, shard: ShardName, record: ShardRecord) -> None:
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -259,7 +259,7 @@
             self.worker.restore(shard)
 
     def _write(self) -> None:
-        for shard in self.ownership.wanted():
+        for shard in self.ownership.shards_to_write():
             self._writes.append(self.ownership.begin_write(shard))
             self.renew()
         for write in tuple(self._writes):
