--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -154,7 +154,7 @@
             if shard not in self._writes and shard not in self._stale
         ]
 
-    def home(self, shard: ShardName) -> NodeName | None:
+    def returned_owner(self, shard: ShardName) -> NodeName | None:
         """Return the node that a shard was taken over from, if it is back."""
         entry = self._view.directory.shard(shard)
         home = (
@@ -276,7 +276,7 @@
     def _is_wanted(self, shard: ShardName, entry: Entry[ShardRecord]) -> bool:
         how = self._standing(shard, entry.record)
         if how is OwnershipState.OWNER:
-            if self._held_shards.is_spent(shard) or self.home(shard):
+            if self._held_shards.is_spent(shard) or self.returned_owner(shard):
                 return True
             return self._is_due(shard, entry.record)
         if how is OwnershipState.ORPHANED:
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -213,7 +213,7 @@
         for shard in self._ownership.shards_to_write():
             if not self._writer.has_room:
                 return
-            home = self._ownership.home(shard)
+            home = self._ownership.returned_owner(shard)
             if home is not None and self._may_go_home(home):
                 self._give_back(shard, home)
             else:
