--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -92,7 +92,7 @@
         self._division = Partitioning(service, view, clock)
 
     @property
-    def stale(self) -> tuple[ShardName, ...]:
+    def stale_shards(self) -> tuple[ShardName, ...]:
         """Return the shards whose record has to be read again."""
         return tuple(self._stale)
 
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -85,7 +85,7 @@
         seen = None
         for turn in count():
             eventlet.sleep(_WRITING_MS / MS_PER_SECOND)
-            for stale in self._ownership.stale:
+            for stale in self._ownership.stale_shards:
                 self._writer.start(self._writer.try_refresh, stale)
             if self._stopping:
                 continue
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -271,7 +271,7 @@
                 self.ownership.finish(write, progress)
                 self._restore(write.shard)
                 self._tell_written(write)
-        if self._store.mode == 'up' and self.ownership.stale:
+        if self._store.mode == 'up' and self.ownership.stale_shards:
             self.read()
 
     def _record(self) -> None:
