--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -176,7 +176,7 @@
         entry = self._view.directory.shard(shard)
         if entry is None or shard in self._writes:
             return None
-        how = self._standing(shard, entry.record)
+        how = self._ownership_state(shard, entry.record)
         return (
             self._begin(shard, home)
             if how is OwnershipState.MUST_WRITE
@@ -249,7 +249,7 @@
             if actor is None or actor == self._own:
                 yield ShardName(self._service, number), entry
 
-    def _standing(
+    def _ownership_state(
         self, shard: ShardName, record: ShardRecord
     ) -> OwnershipState:
         return standing(shard, record, self._own, self._view)
@@ -260,7 +260,7 @@
             self._held_shards.lose(shard, 'its record was overtaken')
         if shard in self._stale:
             return
-        how = self._standing(shard, entry.record)
+        how = self._ownership_state(shard, entry.record)
         if how is OwnershipState.OWNER:
             self._hold(shard, entry.record)
         elif not self._held_shards.is_closed(shard):
@@ -274,7 +274,7 @@
         event.report(shard=shard, epoch=record.epoch)
 
     def _is_wanted(self, shard: ShardName, entry: Entry[ShardRecord]) -> bool:
-        how = self._standing(shard, entry.record)
+        how = self._ownership_state(shard, entry.record)
         if how is OwnershipState.OWNER:
             if self._held_shards.is_spent(shard) or self.returned_owner(shard):
                 return True
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -65,7 +65,7 @@
 class _ReadForWin(OwnershipTracker):
     """Takes the newest record that can be read for the newest there is."""
 
-    def _standing(
+    def _ownership_state(
         self, shard: ShardName, record: ShardRecord
     ) -> OwnershipState:
         how = super()._standing(shard, record)
