--- a/laburnumwood/daemon/holder.py
+++ b/laburnumwood/daemon/holder.py
@@ -37,7 +37,7 @@
 
     def spend(self, shard: ShardName) -> None:
         """Ask for a higher token: the worker's next life needs one."""
-        self._held_shards.spend(shard)
+        self._held_shards.invalidate_token(shard)
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard, none if its service is not known."""
--- a/laburnumwood/placement/held_shards.py
+++ b/laburnumwood/placement/held_shards.py
@@ -50,7 +50,7 @@
         self._held[shard] = _Holding(token)
         return True
 
-    def spend(self, shard: ShardName) -> None:
+    def invalidate_token(self, shard: ShardName) -> None:
         """Note that the token of a shard must not be given again."""
         held = self._held.get(shard)
         if held is not None:
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -52,7 +52,7 @@
 
     def spend(self, name: ShardName) -> None:
         """Ask for a higher token."""
-        self.held_shards.spend(name)
+        self.held_shards.invalidate_token(name)
 
     def stripes(self, name: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard."""
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -68,7 +68,7 @@
         self.tokens = held_shards.tokens
         self.until_ms = lease.expires_at_ms
         self.close = held_shards.close
-        self.spend = held_shards.spend
+        self.spend = held_shards.invalidate_token
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard."""
