--- a/laburnumwood/placement/held_shards.py
+++ b/laburnumwood/placement/held_shards.py
@@ -80,7 +80,7 @@
         """Hold nothing any more."""
         self._held.clear()
 
-    def enter(self, shard: ShardName) -> ShardUse | None:
+    def acquire(self, shard: ShardName) -> ShardUse | None:
         """Count a request in; return its stay, None if it may not run."""
         held = self._held.get(shard)
         if held is None or held.closed:
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -233,7 +233,7 @@
             self._serve_in_turn(exchange, run, _always)
             return
         shard = ShardName(work.service, work.shard)
-        stay = self._held_shards.enter(shard) if self._has_key(work) else None
+        stay = self._held_shards.acquire(shard) if self._has_key(work) else None
         if stay is None:
             self._tell_owner(exchange, work)
             detail = f'{self._settings.node_id} does not own {shard}'
