--- a/laburnumwood/placement/held_shards.py
+++ b/laburnumwood/placement/held_shards.py
@@ -70,7 +70,7 @@
         """Hold a shard no longer."""
         self._held.pop(shard, None)
 
-    def lose(self, shard: ShardName, why: str) -> None:
+    def drop_lost(self, shard: ShardName, why: str) -> None:
         """Hold a shard no longer that was not moved, and tell why."""
         if shard in self._held:
             self.drop(shard)
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -257,14 +257,14 @@
     def _follow(self, shard: ShardName, entry: Entry[ShardRecord]) -> None:
         if entry.version > self._stale.get(shard, entry.version):
             self._stale.pop(shard)
-            self._held_shards.lose(shard, 'its record was overtaken')
+            self._held_shards.drop_lost(shard, 'its record was overtaken')
         if shard in self._stale:
             return
         how = self._ownership_state(shard, entry.record)
         if how is OwnershipState.OWNER:
             self._hold(shard, entry.record)
         elif not self._held_shards.is_closed(shard):
-            self._held_shards.lose(shard, how.value)
+            self._held_shards.drop_lost(shard, how.value)
 
     def _hold(self, shard: ShardName, record: ShardRecord) -> None:
         if not self._held_shards.hold(shard, token(record, self._own)):
@@ -369,7 +369,7 @@
 
     def _apply_conflict(self, write: ShardWrite) -> None:
         # Somebody else wrote, so what this node knows of the shard is stale.
-        self._held_shards.lose(
+        self._held_shards.drop_lost(
             write.shard, 'another write of its record came first'
         )
         self._stale[write.shard] = write.version or 0
