--- a/laburnumwood/placement/held_shards.py
+++ b/laburnumwood/placement/held_shards.py
@@ -23,7 +23,7 @@
         self.token = holding.token
         holding.running += 1
 
-    def leave(self) -> None:
+    def release(self) -> None:
         """Count the request out; more calls change nothing."""
         if not self._over:
             self._over = True
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -245,7 +245,7 @@
             run = Run(work, body, stay.token, until_ms)
             self._serve_owned(StayingExchange(exchange, work, stay), run)
         finally:
-            stay.leave()
+            stay.release()
 
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
--- a/laburnumwood/routing/staying.py
+++ b/laburnumwood/routing/staying.py
@@ -24,4 +24,4 @@
         """Send a message; raises `LinkLostError`."""
         super().send(message)
         if self._leaves_early and isinstance(message, Answer):
-            self._stay.leave()
+            self._stay.release()
