--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -15,7 +15,7 @@
 )
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.held_shards import HeldShards
-from laburnumwood.placement.ownership import acting
+from laburnumwood.placement.ownership import acting_owner
 from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.records import ShardRecord
 from laburnumwood.routing.gate import Gate
@@ -158,5 +158,5 @@
         }
 
     def _owner(self, record: ShardRecord) -> str | None:
-        name = acting(record, self._view)
+        name = acting_owner(record, self._view)
         return None if name is None else str(name)
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -15,7 +15,7 @@
     PlacementSnapshot,
     ShardsByNode,
 )
-from laburnumwood.placement.ownership import acting
+from laburnumwood.placement.ownership import acting_owner
 from laburnumwood.placement.planner import MovePlanner
 from laburnumwood.placement.splitting import Part, Split, Splitter, hot_parts
 from laburnumwood.records import KeyRange, NodeName, NodeRecord
@@ -223,7 +223,7 @@
         shares: dict[NodeName, list[int]] = {name: [] for name in live}
         shards = self._view.directory.shards(self._service)
         for number, entry in sorted(shards.items()):
-            owner = begun.get(number) or acting(entry.record, self._view)
+            owner = begun.get(number) or acting_owner(entry.record, self._view)
             if owner in shares:
                 shares[owner].append(number)
         return {name: tuple(numbers) for name, numbers in shares.items()}
--- a/laburnumwood/placement/ownership.py
+++ b/laburnumwood/placement/ownership.py
@@ -27,7 +27,7 @@
     OTHER = 'another node is owner'
 
 
-def acting(record: ShardRecord, seals: Seals) -> NodeName | None:
+def acting_owner(record: ShardRecord, seals: Seals) -> NodeName | None:
     """Return the first of a succession that is not sealed."""
     return next(
         (name for name in record.succession if not seals.is_sealed(name)),
@@ -61,7 +61,7 @@
     A successor whose record is older than a floor that the lapsed owners may
     have written under is not owner yet: a newer record may be on its way.
     """
-    first = acting(record, seals)
+    first = acting_owner(record, seals)
     if first is None:
         return OwnershipState.ORPHANED
     if first != name:
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -14,7 +14,7 @@
 from laburnumwood.placement.layout import parents, split_shard_number
 from laburnumwood.placement.ownership import (
     OwnershipState,
-    acting,
+    acting_owner,
     rank,
     standing,
     token,
@@ -245,7 +245,7 @@
             _perhaps_open(self._view, self._service, self._own)
         ):
             entry = entries[number]
-            actor = acting(entry.record, self._view)
+            actor = acting_owner(entry.record, self._view)
             if actor is None or actor == self._own:
                 yield ShardName(self._service, number), entry
 
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -9,7 +9,7 @@
 from laburnumwood.membership.spreading import take_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.layout import locate_text_key
-from laburnumwood.placement.ownership import acting
+from laburnumwood.placement.ownership import acting_owner
 from laburnumwood.protocol.messages import (
     Answer,
     Cancel,
@@ -230,13 +230,13 @@
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         if entry is None:
             return 0, None
-        return entry.version, acting(entry.record, self._view)
+        return entry.version, acting_owner(entry.record, self._view)
 
     def _target(self, work: Work, tries: Tries) -> NodeName | None:
         if work.shard < 0:
             return self._choose(work, tries)
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
-        return acting(entry.record, self._view) if entry else None
+        return acting_owner(entry.record, self._view) if entry else None
 
     def _choose(self, work: Work, tries: Tries) -> NodeName | None:
         nodes = self._view.live_in(work.service)
