--- a/laburnumwood/placement/ownership.py
+++ b/laburnumwood/placement/ownership.py
@@ -40,7 +40,7 @@
     return record.succession.index(name)
 
 
-def token(record: ShardRecord, name: NodeName) -> int:
+def fencing_token(record: ShardRecord, name: NodeName) -> int:
     """Return the fencing token of an acting node; it rises with every owner."""
     return record.epoch * _RANKS + rank(record, name)
 
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -15,9 +15,9 @@
 from laburnumwood.placement.ownership import (
     OwnershipState,
     acting_owner,
+    fencing_token,
     rank,
     standing,
-    token,
 )
 from laburnumwood.placement.partitioning import Partitioning
 from laburnumwood.placement.shard_write import Progress, ShardWrite
@@ -267,7 +267,7 @@
             self._held_shards.drop_lost(shard, how.value)
 
     def _hold(self, shard: ShardName, record: ShardRecord) -> None:
-        if not self._held_shards.hold(shard, token(record, self._own)):
+        if not self._held_shards.hold(shard, fencing_token(record, self._own)):
             return
         late = rank(record, self._own) > 0
         event = SHARD_TAKEN_OVER if late else SHARD_CLAIMED
