--- a/laburnumwood/placement/ownership.py
+++ b/laburnumwood/placement/ownership.py
@@ -35,21 +35,21 @@
     )
 
 
-def rank(record: ShardRecord, name: NodeName) -> int:
+def succession_rank(record: ShardRecord, name: NodeName) -> int:
     """Return the place of a node in a succession, from zero."""
     return record.succession.index(name)
 
 
 def fencing_token(record: ShardRecord, name: NodeName) -> int:
     """Return the fencing token of an acting node; it rises with every owner."""
-    return record.epoch * _RANKS + rank(record, name)
+    return record.epoch * _RANKS + succession_rank(record, name)
 
 
 def highest_floor(
     shard: ShardName, record: ShardRecord, name: NodeName, seals: Seals
 ) -> int:
     """Return the highest floor among those before a node."""
-    before = record.succession[: rank(record, name)]
+    before = record.succession[: succession_rank(record, name)]
     return max((seals.floor(each, shard) for each in before), default=0)
 
 
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -16,8 +16,8 @@
     OwnershipState,
     acting_owner,
     fencing_token,
-    rank,
     standing,
+    succession_rank,
 )
 from laburnumwood.placement.partitioning import Partitioning
 from laburnumwood.placement.shard_write import Progress, ShardWrite
@@ -269,7 +269,7 @@
     def _hold(self, shard: ShardName, record: ShardRecord) -> None:
         if not self._held_shards.hold(shard, fencing_token(record, self._own)):
             return
-        late = rank(record, self._own) > 0
+        late = succession_rank(record, self._own) > 0
         event = SHARD_TAKEN_OVER if late else SHARD_CLAIMED
         event.report(shard=shard, epoch=record.epoch)
 
