--- a/laburnumwood/placement/ownership.py
+++ b/laburnumwood/placement/ownership.py
@@ -53,7 +53,7 @@
     return max((seals.floor(each, shard) for each in before), default=0)
 
 
-def standing(
+def ownership_state(
     shard: ShardName, record: ShardRecord, name: NodeName, seals: Seals
 ) -> OwnershipState:
     """Return how a node stands to a shard.
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -16,7 +16,7 @@
     OwnershipState,
     acting_owner,
     fencing_token,
-    standing,
+    ownership_state,
     succession_rank,
 )
 from laburnumwood.placement.partitioning import Partitioning
@@ -252,7 +252,7 @@
     def _ownership_state(
         self, shard: ShardName, record: ShardRecord
     ) -> OwnershipState:
-        return standing(shard, record, self._own, self._view)
+        return ownership_state(shard, record, self._own, self._view)
 
     def _follow(self, shard: ShardName, entry: Entry[ShardRecord]) -> None:
         if entry.version > self._stale.get(shard, entry.version):
