--- a/laburnumwood/placement/ownership.py
+++ b/laburnumwood/placement/ownership.py
@@ -24,7 +24,7 @@
     OWNER = 'owner'
     MUST_WRITE = 'must win a write first'
     ORPHANED = 'all of the succession have lapsed'
-    OTHER = 'another node is owner'
+    NOT_OWNER = 'another node is owner'
 
 
 def acting_owner(record: ShardRecord, seals: Seals) -> NodeName | None:
@@ -65,7 +65,7 @@
     if first is None:
         return OwnershipState.ORPHANED
     if first != name:
-        return OwnershipState.OTHER
+        return OwnershipState.NOT_OWNER
     if highest_floor(shard, record, name, seals) > record.epoch:
         return OwnershipState.MUST_WRITE
     return OwnershipState.OWNER
