--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -20,7 +20,7 @@
     succession_rank,
 )
 from laburnumwood.placement.partitioning import Partitioning
-from laburnumwood.placement.shard_write import Progress, ShardWrite
+from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
 from laburnumwood.placement.succession import (
     choose_claimant,
     choose_succession,
@@ -225,17 +225,17 @@
         write.record = replace(write.record, handovers=handovers)
         return write
 
-    def finish(self, write: ShardWrite, progress: Progress) -> None:
+    def finish(self, write: ShardWrite, progress: WriteProgress) -> None:
         """Take in the final progress of a write."""
         self._writes.pop(write.shard, None)
         self._wanting_since_ms.pop(write.shard, None)
         self._lacking_since_ms.pop(write.shard, None)
-        if progress is Progress.WRITTEN and write.stored is not None:
+        if progress is WriteProgress.WRITTEN and write.stored is not None:
             self._view.directory.apply(write.stored)
             self._apply_written(write)
-        elif progress is Progress.CONFLICT:
+        elif progress is WriteProgress.CONFLICT:
             self._apply_conflict(write)
-        elif progress is Progress.NOT_SENT:
+        elif progress is WriteProgress.NOT_SENT:
             self._held_shards.reopen(write.shard)
 
     def _open_shards(self) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -15,7 +15,7 @@
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import split_shard_number
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
-from laburnumwood.placement.shard_write import Progress, ShardWrite
+from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
 from laburnumwood.placement.splitting import Part, Split
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.records import (
@@ -153,7 +153,7 @@
 
     def _move(self, write: ShardWrite) -> None:
         if not self._stopping and self._is_store_away(write.shard):
-            self._finish(write, Progress.NOT_SENT)
+            self._finish(write, WriteProgress.NOT_SENT)
             return
         self._let_go(write.shard)
         handovers = self._grants.handovers(write.shard)
@@ -163,7 +163,7 @@
         if answers and self.before_move(write.shard, write.record.succession):
             self._carry(write)
         else:
-            self._finish(write, Progress.NOT_SENT)
+            self._finish(write, WriteProgress.NOT_SENT)
 
     def _let_go(self, shard: ShardName) -> None:
         self._grants.withdraw(shard)
@@ -183,13 +183,13 @@
 
     def _split(self, write: ShardWrite, split: Split) -> None:
         if self._is_store_away(write.shard):
-            self._finish(write, Progress.NOT_SENT)
+            self._finish(write, WriteProgress.NOT_SENT)
             return
         # The worker lets the whole shard go, so that nothing is held of the
         # parts while they belong to nobody.
         self._let_go(write.shard)
         if not self._writer.try_refresh(write.shard):
-            self._finish(write, Progress.NOT_SENT)
+            self._finish(write, WriteProgress.NOT_SENT)
             return
         handovers = [self._grants.handover_of(keys) for keys in split.ranges]
         self._finish(write, self._writer.carry(write))
@@ -252,13 +252,13 @@
     def _carry(self, write: ShardWrite) -> None:
         self._finish(write, self._writer.carry(write))
 
-    def _finish(self, write: ShardWrite, progress: Progress) -> None:
+    def _finish(self, write: ShardWrite, progress: WriteProgress) -> None:
         self._ownership.finish(write, progress)
-        if self._stopping or progress is Progress.ABANDONED:
+        if self._stopping or progress is WriteProgress.ABANDONED:
             self._grants.withdraw(write.shard)
         else:
             self._grants.restore(write.shard)
-        if progress is Progress.WRITTEN:
+        if progress is WriteProgress.WRITTEN:
             self._tell(write.shard)
 
     def _tell(self, shard: ShardName) -> None:
--- a/laburnumwood/placement/shard_write.py
+++ b/laburnumwood/placement/shard_write.py
@@ -17,7 +17,7 @@
 _FLOOR_PATIENCE_MS = 3_000
 
 
-class Progress(Enum):
+class WriteProgress(Enum):
     """How far a write has come."""
 
     NEEDS_FLOOR = 'the witnesses do not know the floor yet'
@@ -30,7 +30,7 @@
     @property
     def is_final(self) -> bool:
         """Tell whether there is nothing more to do."""
-        return self not in {Progress.NEEDS_FLOOR, Progress.UNSETTLED}
+        return self not in {WriteProgress.NEEDS_FLOOR, WriteProgress.UNSETTLED}
 
 
 class ShardWrite:
@@ -63,24 +63,30 @@
         if version is not None:
             lease.raise_floor(str(shard), record.epoch)
 
-    def step(self, platform: Store) -> Progress:
+    def step(self, platform: Store) -> WriteProgress:
         """Carry the write on by at most one exchange with the store."""
         if self._lease.is_over:
-            return Progress.ABANDONED if self._sent else Progress.NOT_SENT
+            return (
+                WriteProgress.ABANDONED
+                if self._sent
+                else WriteProgress.NOT_SENT
+            )
         if not self._sent and not self._may_send():
             late = self._clock.now_ms() >= self._floor_deadline_ms
-            return Progress.NOT_SENT if late else Progress.NEEDS_FLOOR
+            return WriteProgress.NOT_SENT if late else WriteProgress.NEEDS_FLOOR
         # An earlier try may still land, whatever becomes of this one.
         is_left = self.stop_if_unreachable and not self._sent
         self._sent = True
         try:
             return self._send(platform)
         except PlatformConflictError:
-            return Progress.CONFLICT
+            return WriteProgress.CONFLICT
         except PlatformError as failure:
             not_reached = isinstance(failure, PlatformNotReachedError)
         return (
-            Progress.NOT_SENT if is_left and not_reached else Progress.UNSETTLED
+            WriteProgress.NOT_SENT
+            if is_left and not_reached
+            else WriteProgress.UNSETTLED
         )
 
     def _may_send(self) -> bool:
@@ -91,8 +97,8 @@
         )
         return known or self.version is None
 
-    def _send(self, platform: Store) -> Progress:
+    def _send(self, platform: Store) -> WriteProgress:
         name = shard_object(self.shard)
         written = write(platform, name, self.record, self.version)
         self.stored = StoredObject(name, to_value(self.record), written)
-        return Progress.WRITTEN
+        return WriteProgress.WRITTEN
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -10,7 +10,7 @@
 from laburnumwood.errors import PlatformError
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.renewal import Renewer
-from laburnumwood.placement.shard_write import Progress, ShardWrite
+from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
 from laburnumwood.records import ShardName
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import shard_object
@@ -53,16 +53,16 @@
         """Start a task that writes; it waits while too many write."""
         self._pool.spawn_n(attempt, task, *arguments)
 
-    def carry(self, write: ShardWrite) -> Progress:
+    def carry(self, write: ShardWrite) -> WriteProgress:
         """Step a write until its progress is final, and return that."""
         self._renewer.poke()
         progress = write.step(self._platform)
-        while progress is Progress.NEEDS_FLOOR:
+        while progress is WriteProgress.NEEDS_FLOOR:
             eventlet.sleep(_FLOOR_POLL_MS / MS_PER_SECOND)
             progress = write.step(self._platform)
-        if progress is Progress.UNSETTLED:
+        if progress is WriteProgress.UNSETTLED:
             return self._settle(write)
-        if progress is Progress.NOT_SENT:
+        if progress is WriteProgress.NOT_SENT:
             # Who begins it again at once must not press a store that refuses.
             eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
         return progress
@@ -79,10 +79,10 @@
             self._directory.apply(stored)
         return True
 
-    def _settle(self, write: ShardWrite) -> Progress:
+    def _settle(self, write: ShardWrite) -> WriteProgress:
         self._unsettled += 1
         try:
-            progress = Progress.UNSETTLED
+            progress = WriteProgress.UNSETTLED
             while not progress.is_final:
                 eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
                 progress = write.step(self._platform)
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -20,7 +20,7 @@
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.move_policy import Move
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
-from laburnumwood.placement.shard_write import Progress
+from laburnumwood.placement.shard_write import WriteProgress
 from laburnumwood.placement.sharding import KEY_SPACE, initial_shard
 from laburnumwood.records import (
     ConfigRecord,
@@ -140,11 +140,11 @@
         write = node.ownership.begin_write(shard)
         name = shard_object(shard)
         if name in self.objects and write.version is None:
-            node.ownership.finish(write, Progress.CONFLICT)
+            node.ownership.finish(write, WriteProgress.CONFLICT)
             node.hear({name: self.objects[name]})
             return
         write.stored = self._put(name, to_value(write.record))
-        node.ownership.finish(write, Progress.WRITTEN)
+        node.ownership.finish(write, WriteProgress.WRITTEN)
 
     def _put(self, name: str, value: dict[str, object]) -> StoredObject:
         stored = StoredObject(name, value, len(self.objects) + 1)
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -11,7 +11,7 @@
 from laburnumwood.news import News
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.shard_manager import ShardManager
-from laburnumwood.placement.shard_write import Progress
+from laburnumwood.placement.shard_write import WriteProgress
 from laburnumwood.records import NodeName, ShardName
 from tests.features.steps.fake_clock import FakeClock
 
@@ -98,9 +98,9 @@
     context.writer.carry = partial(_carry, context)
 
 
-def _carry(context: Context, _write: object) -> Progress:
+def _carry(context: Context, _write: object) -> WriteProgress:
     context.written_ms = context.clock.now_ms()
-    return Progress.NOT_SENT
+    return WriteProgress.NOT_SENT
 
 
 @when('it writes what is wanted')
@@ -123,7 +123,7 @@
     context.worker.withdraw(SHARD)
     context.ownership.finish = lambda _write, _progress: None
     write = SimpleNamespace(shard=SHARD)
-    context.keeper._finish(write, Progress[progress])
+    context.keeper._finish(write, WriteProgress[progress])
 
 
 @then('the worker may get the shard again: {again}')
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -18,7 +18,7 @@
 )
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Directory
-from laburnumwood.placement.shard_write import Progress, ShardWrite
+from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.platform.store import ObjectStore
 from laburnumwood.protocol.messages import Renew
@@ -163,12 +163,12 @@
     renewer: Any = SimpleNamespace(poke=lambda: None)
     store: Any = _FailingStore('')
     writer = ShardWriter(store, Directory(), renewer)
-    write: Any = SimpleNamespace(step=lambda _store: Progress.NOT_SENT)
+    write: Any = SimpleNamespace(step=lambda _store: WriteProgress.NOT_SENT)
     context.carried = 0
     clock = Clock()
     until_ms = clock.now_ms() + span_ms
     while clock.now_ms() < until_ms:
-        assert writer.carry(write) is Progress.NOT_SENT
+        assert writer.carry(write) is WriteProgress.NOT_SENT
         context.carried += 1
 
 
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -11,7 +11,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.placement.ownership import OwnershipState
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
-from laburnumwood.placement.shard_write import Progress, ShardWrite
+from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     Digest,
@@ -92,7 +92,7 @@
 class _ForgottenTry(ShardWrite):
     """Takes the last try for all of them."""
 
-    def step(self, platform: Store) -> Progress:
+    def step(self, platform: Store) -> WriteProgress:
         """Leave out that an earlier try may still land."""
         self._sent = False
         return super().step(platform)
