--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -192,7 +192,7 @@
             self._finish(write, WriteProgress.NOT_SENT)
             return
         handovers = [self._grants.handover_of(keys) for keys in split.ranges]
-        self._finish(write, self._writer.carry(write))
+        self._finish(write, self._writer.execute(write))
         entry = self._view.directory.shard(write.shard)
         if entry is None:
             return
@@ -250,7 +250,7 @@
             self._begin_move(shard, move.target)
 
     def _carry(self, write: ShardWrite) -> None:
-        self._finish(write, self._writer.carry(write))
+        self._finish(write, self._writer.execute(write))
 
     def _finish(self, write: ShardWrite, progress: WriteProgress) -> None:
         self._ownership.finish(write, progress)
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -53,7 +53,7 @@
         """Start a task that writes; it waits while too many write."""
         self._pool.spawn_n(attempt, task, *arguments)
 
-    def carry(self, write: ShardWrite) -> WriteProgress:
+    def execute(self, write: ShardWrite) -> WriteProgress:
         """Step a write until its progress is final, and return that."""
         self._renewer.poke()
         progress = write.step(self._platform)
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -168,7 +168,7 @@
     clock = Clock()
     until_ms = clock.now_ms() + span_ms
     while clock.now_ms() < until_ms:
-        assert writer.carry(write) is WriteProgress.NOT_SENT
+        assert writer.execute(write) is WriteProgress.NOT_SENT
         context.carried += 1
 
 
