--- a/laburnumwood/placement/layout.py
+++ b/laburnumwood/placement/layout.py
@@ -28,14 +28,14 @@
     return record.split_off if record else ()
 
 
-def place(key: int, number: int, records: RecordsByNumber) -> int:
+def locate(key: int, number: int, records: RecordsByNumber) -> int:
     """Return the shard of a key that belongs to a shard at first.
 
     `records` are those of its service, by number.
     """
     for keys in _split_off(records, number):
         if keys.first <= key <= keys.last:
-            return place(key, split_shard_number(keys), records)
+            return locate(key, split_shard_number(keys), records)
     return number
 
 
@@ -43,7 +43,7 @@
     """Return the shard of a key as requests carry it; see `place`."""
     if number < 0 or not _split_off(records, number):
         return number
-    return place(int(key), number, records)
+    return locate(int(key), number, records)
 
 
 def _without(keys: KeyRange, gone: KeyRange) -> Iterator[KeyRange]:
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -10,8 +10,8 @@
 
 from laburnumwood.placement.layout import (
     key_ranges,
+    locate,
     locate_text_key,
-    place,
     split_shard_number,
 )
 from laburnumwood.placement.move_policy import PlacementSnapshot
@@ -96,7 +96,7 @@
     }
     assert len(own) == 1 and len(other) == 1 and own != other
     assert min(own | other) >= SERVICE.shards
-    assert place(found['first'], 1, _records(context)) in own
+    assert locate(found['first'], 1, _records(context)) in own
 
 
 @when('keys come as often as {counts}')
