--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -7,7 +7,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service, Weights
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.layout import key_ranges, parents
+from laburnumwood.placement.layout import key_ranges, split_ranges
 from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.move_policy import (
@@ -144,7 +144,7 @@
             return None
         records = self._view.directory.shard_records(self._service)
         shard, targets = self._splitter.choose_shard(
-            self._snapshot(live, begun), sum(1 for _ in parents(records))
+            self._snapshot(live, begun), sum(1 for _ in split_ranges(records))
         )
         if not targets:
             return None
--- a/laburnumwood/placement/layout.py
+++ b/laburnumwood/placement/layout.py
@@ -74,7 +74,9 @@
     return found
 
 
-def parents(records: RecordsByNumber) -> Iterator[tuple[KeyRange, ShardRecord]]:
+def split_ranges(
+    records: RecordsByNumber,
+) -> Iterator[tuple[KeyRange, ShardRecord]]:
     """Yield each range that was split off with the record that says so."""
     for record in records.values():
         for keys in record.split_off:
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -11,7 +11,7 @@
 from laburnumwood.membership.directory import Entry
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.held_shards import HeldShards
-from laburnumwood.placement.layout import parents, split_shard_number
+from laburnumwood.placement.layout import split_ranges, split_shard_number
 from laburnumwood.placement.ownership import (
     OwnershipState,
     acting_owner,
@@ -47,7 +47,7 @@
 def _parents(
     view: FleetView, service: str
 ) -> Iterator[tuple[KeyRange, ShardRecord]]:
-    return parents(view.directory.shard_records(service))
+    return split_ranges(view.directory.shard_records(service))
 
 
 def _perhaps_open(view: FleetView, service: str, own: NodeName) -> set[int]:
