--- a/laburnumwood/placement/sharding.py
+++ b/laburnumwood/placement/sharding.py
@@ -36,7 +36,7 @@
     return min(service.stripe_width or 0, max(1, KEY_SPACE // stripes))
 
 
-def shard_of(key: str, shards: int) -> int:
+def hash_shard(key: str, shards: int) -> int:
     """Return the number of the shard that a key belongs to."""
     return xxh3_64_intdigest(key.encode()) % shards
 
@@ -47,7 +47,7 @@
     Raises `ValueError` if the key has to be a number and is none.
     """
     if service.stripe_width is None:
-        return shard_of(key, service.shards)
+        return hash_shard(key, service.shards)
     if not key.isdecimal() or int(key) >= KEY_SPACE:
         raise ValueError(f'{key!r} is no number below {KEY_SPACE}')
     return int(key) // service.stripe_width % service.shards
