--- a/laburnumwood/placement/move_policy.py
+++ b/laburnumwood/placement/move_policy.py
@@ -33,7 +33,7 @@
 
     def __missing__(self, name: NodeName) -> float:
         shards = self._snapshot.shares[name]
-        usage = sum(self._snapshot.usage(shard, name) for shard in shards)
+        usage = sum(self._snapshot.utilization(shard, name) for shard in shards)
         self[name] = usage
         return usage
 
@@ -95,7 +95,7 @@
         """Return how busy the slots of each node are, found when asked."""
         return _Usages(self)
 
-    def usage(self, shard: int, name: NodeName) -> float:
+    def utilization(self, shard: int, name: NodeName) -> float:
         """Return how much of a node's slots a shard keeps busy."""
         return self.load(shard) / self.slots.get(name, 1)
 
@@ -109,8 +109,8 @@
             self.utilizations[move.source],
             self.utilizations[move.target],
         )
-        source_after = source - self.usage(move.shard, move.source)
-        target_after = target + self.usage(move.shard, move.target)
+        source_after = source - self.utilization(move.shard, move.source)
+        target_after = target + self.utilization(move.shard, move.target)
         return max(source, target) - max(source_after, target_after)
 
     def is_worthwhile(self, move: Move) -> bool:
@@ -235,7 +235,7 @@
         snapshot.utilizations[move.source],
         snapshot.utilizations[move.target],
     )
-    after = target + snapshot.usage(move.shard, move.target)
+    after = target + snapshot.utilization(move.shard, move.target)
     return target + _IDLE < source and after <= source
 
 
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -97,12 +97,14 @@
         own = snapshot.own
         shards = snapshot.shares[own]
         heaviest = max(
-            shards, key=lambda shard: snapshot.usage(shard, own), default=-1
+            shards,
+            key=lambda shard: snapshot.utilization(shard, own),
+            default=-1,
         )
         most = max(_LEAST_SPLIT_OFF, _SPLIT_OFF_PER_NODE * len(snapshot.shares))
         if split_off >= most or _is_calm(snapshot) or not self._is_rested():
             return -1, ()
-        if heaviest < 0 or snapshot.usage(heaviest, own) < _HEAVY:
+        if heaviest < 0 or snapshot.utilization(heaviest, own) < _HEAVY:
             return -1, ()
         return heaviest, _targets(snapshot, heaviest)
 
@@ -138,7 +140,7 @@
     """
     chosen = (snapshot.own, *snapshot.targets)
     utilizations = {name: snapshot.utilizations[name] for name in chosen}
-    own_usage = snapshot.usage(shard, snapshot.own)
+    own_usage = snapshot.utilization(shard, snapshot.own)
     pieces = max(
         2, min(ceil(own_usage / _PIECE), _MOST_PIECES, len(utilizations))
     )
@@ -146,6 +148,6 @@
     targets: list[NodeName] = []
     for _ in range(pieces - 1):
         target = _least_busy(utilizations)
-        utilizations[target] += snapshot.usage(shard, target) / pieces
+        utilizations[target] += snapshot.utilization(shard, target) / pieces
         targets.append(target)
     return tuple(name for name in targets if name != snapshot.own)
