--- a/bench/balance.py
+++ b/bench/balance.py
@@ -145,7 +145,9 @@
     def _snapshot(self, own: NodeName) -> PlacementSnapshot:
         return PlacementSnapshot(
             own=own,
-            shares={name: tuple(held) for name, held in self._shares.items()},
+            shards_by_node={
+                name: tuple(held) for name, held in self._shares.items()
+            },
             slots=dict.fromkeys(self._shares, self._deployment.slots),
             loads=self._load.seen,
             weights=self._deployment.weights,
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -183,7 +183,7 @@
         )
         return PlacementSnapshot(
             own=self._own,
-            shares=shares,
+            shards_by_node=shares,
             peers={name for name in shares if self._book.is_known(name)},
             slots={name: record.slots for name, record in live.items()},
             loads=loads.known,
--- a/laburnumwood/placement/move_policy.py
+++ b/laburnumwood/placement/move_policy.py
@@ -32,7 +32,7 @@
         self._snapshot = snapshot
 
     def __missing__(self, name: NodeName) -> float:
-        shards = self._snapshot.shares[name]
+        shards = self._snapshot.shards_by_node[name]
         usage = sum(self._snapshot.utilization(shard, name) for shard in shards)
         self[name] = usage
         return usage
@@ -65,7 +65,7 @@
     """
 
     own: NodeName
-    shares: ShardsByNode
+    shards_by_node: ShardsByNode
     peers: Set[NodeName] | None = None
     slots: Mapping[NodeName, int] = field(default_factory=dict)
     loads: Mapping[int, float] = field(default_factory=dict)
@@ -85,7 +85,7 @@
     @property
     def targets(self) -> tuple[NodeName, ...]:
         """Return the other nodes that work may go to for the load."""
-        others = (name for name in self.shares if name != self.own)
+        others = (name for name in self.shards_by_node if name != self.own)
         if self.peers is None:
             return tuple(others)
         return tuple(name for name in others if name in self.peers)
@@ -154,7 +154,8 @@
 
     def __init__(self, snapshot: PlacementSnapshot) -> None:
         self.owned = {
-            name: list(shards) for name, shards in snapshot.shares.items()
+            name: list(shards)
+            for name, shards in snapshot.shards_by_node.items()
         }
         self._order = partial(_coldness, snapshot)
         self._ordered: set[NodeName] = set()
@@ -212,7 +213,7 @@
 def emptiest(snapshot: PlacementSnapshot) -> tuple[Move, ...]:
     """Move the busiest shard to the emptiest node while that is emptier."""
     target = _emptiest(snapshot)
-    shards = snapshot.shares.get(snapshot.own, ())
+    shards = snapshot.shards_by_node.get(snapshot.own, ())
     if target is None or not shards:
         return ()
     shard = max(shards, key=lambda number: (snapshot.load(number), number))
@@ -240,9 +241,9 @@
 
 
 def _is_urgent(snapshot: PlacementSnapshot, move: Move) -> bool:
-    total = sum(len(shards) for shards in snapshot.shares.values())
-    fair = total / len(snapshot.shares)
-    owned = len(snapshot.shares[move.target])
+    total = sum(len(shards) for shards in snapshot.shards_by_node.values())
+    fair = total / len(snapshot.shards_by_node)
+    owned = len(snapshot.shards_by_node[move.target])
     return owned * 2 < fair or _is_idle(snapshot, move)
 
 
@@ -263,7 +264,7 @@
         return for_count
     moves = [
         Move(shard, snapshot.own, target)
-        for shard in snapshot.shares.get(snapshot.own, ())
+        for shard in snapshot.shards_by_node.get(snapshot.own, ())
     ]
     worth = [move for move in moves if snapshot.is_worthwhile(move)]
     best = max(
--- a/laburnumwood/placement/planner.py
+++ b/laburnumwood/placement/planner.py
@@ -72,14 +72,14 @@
 
     def plan(self, snapshot: PlacementSnapshot) -> tuple[Move, ...]:
         """Return the moves to make now, and count them as made."""
-        self._nodes.note(snapshot.shares)
-        self._note_shards(snapshot.shares.get(snapshot.own, ()))
-        settled = self._nodes.settled(snapshot.shares) | {snapshot.own}
+        self._nodes.note(snapshot.shards_by_node)
+        self._note_shards(snapshot.shards_by_node.get(snapshot.own, ()))
+        settled = self._nodes.settled(snapshot.shards_by_node) | {snapshot.own}
         known = replace(
             snapshot,
-            shares={
+            shards_by_node={
                 name: shards
-                for name, shards in snapshot.shares.items()
+                for name, shards in snapshot.shards_by_node.items()
                 if name in settled or shards
             },
         )
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -95,13 +95,15 @@
         were split off before.
         """
         own = snapshot.own
-        shards = snapshot.shares[own]
+        shards = snapshot.shards_by_node[own]
         heaviest = max(
             shards,
             key=lambda shard: snapshot.utilization(shard, own),
             default=-1,
         )
-        most = max(_LEAST_SPLIT_OFF, _SPLIT_OFF_PER_NODE * len(snapshot.shares))
+        most = max(
+            _LEAST_SPLIT_OFF, _SPLIT_OFF_PER_NODE * len(snapshot.shards_by_node)
+        )
         if split_off >= most or _is_calm(snapshot) or not self._is_rested():
             return -1, ()
         if heaviest < 0 or snapshot.utilization(heaviest, own) < _HEAVY:
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -88,7 +88,9 @@
         )
         snapshot = PlacementSnapshot(
             own=name,
-            shares={each: tuple(self.shares[each]) for each in self.shares},
+            shards_by_node={
+                each: tuple(self.shares[each]) for each in self.shares
+            },
             peers=self.peers.get(name),
             slots=dict.fromkeys(self.shares, self.slots),
             loads=self.loads,
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -110,7 +110,7 @@
     own = dict.fromkeys(shares[names[0]], 2.0)
     context.snapshot = PlacementSnapshot(
         own=names[0],
-        shares=shares,
+        shards_by_node=shares,
         peers=context.heard,
         slots=dict.fromkeys(names, SLOTS),
         loads={**known, **own},
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -132,7 +132,7 @@
     own, other = context.utilizations
     context.snapshot = PlacementSnapshot(
         own=ONE,
-        shares={ONE: (7, 10, 11, 12, 13), TWO: (9,)},
+        shards_by_node={ONE: (7, 10, 11, 12, 13), TWO: (9,)},
         slots={ONE: SLOTS, TWO: SLOTS},
         loads={
             7: heaviest * SLOTS,
@@ -160,7 +160,7 @@
     busy = count - empty
     return PlacementSnapshot(
         own=names[own],
-        shares={
+        shards_by_node={
             name: (number,) if number < busy else ()
             for number, name in enumerate(names)
         },
