--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -184,7 +184,9 @@
         return PlacementSnapshot(
             own=self._own,
             shards_by_node=shares,
-            peers={name for name in shares if self._book.is_known(name)},
+            reporting_peers={
+                name for name in shares if self._book.is_known(name)
+            },
             slots={name: record.slots for name, record in live.items()},
             loads=loads.known,
             default_load=loads.mean,
--- a/laburnumwood/placement/move_policy.py
+++ b/laburnumwood/placement/move_policy.py
@@ -66,7 +66,7 @@
 
     own: NodeName
     shards_by_node: ShardsByNode
-    peers: Set[NodeName] | None = None
+    reporting_peers: Set[NodeName] | None = None
     slots: Mapping[NodeName, int] = field(default_factory=dict)
     loads: Mapping[int, float] = field(default_factory=dict)
     default_load: float = 0
@@ -86,9 +86,9 @@
     def targets(self) -> tuple[NodeName, ...]:
         """Return the other nodes that work may go to for the load."""
         others = (name for name in self.shards_by_node if name != self.own)
-        if self.peers is None:
+        if self.reporting_peers is None:
             return tuple(others)
-        return tuple(name for name in others if name in self.peers)
+        return tuple(name for name in others if name in self.reporting_peers)
 
     @cached_property
     def utilizations(self) -> Mapping[NodeName, float]:
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -91,7 +91,7 @@
             shards_by_node={
                 each: tuple(self.shares[each]) for each in self.shares
             },
-            peers=self.peers.get(name),
+            reporting_peers=self.peers.get(name),
             slots=dict.fromkeys(self.shares, self.slots),
             loads=self.loads,
             error=self.error,
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -111,7 +111,7 @@
     context.snapshot = PlacementSnapshot(
         own=names[0],
         shards_by_node=shares,
-        peers=context.heard,
+        reporting_peers=context.heard,
         slots=dict.fromkeys(names, SLOTS),
         loads={**known, **own},
         default_load=1,
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -164,7 +164,7 @@
             name: (number,) if number < busy else ()
             for number, name in enumerate(names)
         },
-        peers=peers,
+        reporting_peers=peers,
         slots=dict.fromkeys(names, SLOTS),
         loads=dict.fromkeys(range(busy), 1.2 * SLOTS),
     )
