--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -194,7 +194,7 @@
             cold_start_ms=service.cold_start_ms,
             settings=self._settings,
             error=self._meter.error(),
-            lent=self._lent(shares),
+            reclaimable=self._lent(shares),
         )
 
     def _lent(self, shares: ShardsByNode) -> set[int]:
--- a/laburnumwood/placement/move_policy.py
+++ b/laburnumwood/placement/move_policy.py
@@ -74,7 +74,7 @@
     cold_start_ms: int = 0
     settings: PlacementSettings = field(default_factory=PlacementSettings)
     error: float = 0
-    lent: Set[int] = frozenset()
+    reclaimable: Set[int] = frozenset()
 
     @property
     def significant_difference(self) -> float:
@@ -228,7 +228,7 @@
 
 
 def _is_harmless(snapshot: PlacementSnapshot, move: Move) -> bool:
-    if move.shard in snapshot.lent:
+    if move.shard in snapshot.reclaimable:
         return False
     if _is_idle(snapshot, move):
         return True
