--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -193,7 +193,7 @@
             weights=declared.weights or Weights(),
             cold_start_ms=service.cold_start_ms,
             settings=self._settings,
-            error=self._meter.error(),
+            relative_error=self._meter.error(),
             reclaimable=self._lent(shares),
         )
 
--- a/laburnumwood/placement/move_policy.py
+++ b/laburnumwood/placement/move_policy.py
@@ -73,13 +73,15 @@
     weights: Weights = field(default_factory=Weights)
     cold_start_ms: int = 0
     settings: PlacementSettings = field(default_factory=PlacementSettings)
-    error: float = 0
+    relative_error: float = 0
     reclaimable: Set[int] = frozenset()
 
     @property
     def significant_difference(self) -> float:
         """Return from where on two usages differ by more than noise."""
-        standard_error = self.utilizations[self.own] * self.error * sqrt(2)
+        standard_error = (
+            self.utilizations[self.own] * self.relative_error * sqrt(2)
+        )
         return _SURE_ERRORS * standard_error
 
     @property
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -94,7 +94,7 @@
             reporting_peers=self.peers.get(name),
             slots=dict.fromkeys(self.shares, self.slots),
             loads=self.loads,
-            error=self.error,
+            relative_error=self.error,
             weights=self.weights,
             cold_start_ms=self.cold_start_ms,
             settings=self.settings,
