--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -106,7 +106,7 @@
         """Tell whether no shard waits for a write of this node."""
         waiting = self._writes or self._stale or self._lacking_since_ms
         turns = self._wanting_since_ms or self._held_shards.has_spent
-        return not waiting and not turns and not self._division.is_open
+        return not waiting and not turns and not self._division.is_undecided
 
     @property
     def pending_owners(self) -> dict[int, NodeName]:
--- a/laburnumwood/placement/partitioning.py
+++ b/laburnumwood/placement/partitioning.py
@@ -30,7 +30,7 @@
         self._since_ms = 0
 
     @property
-    def is_open(self) -> bool:
+    def is_undecided(self) -> bool:
         """Tell whether the number of shards is still to be written."""
         declared = self._declared
         if declared is None or declared.shards_per_node is None:
@@ -39,7 +39,7 @@
 
     def numbers(self) -> range:
         """Return the numbers of the shards that may be written now."""
-        if self.is_open:
+        if self.is_undecided:
             return range(FIRST_SHARD, FIRST_SHARD + int(self._is_settled()))
         return range(self._declared.shards if self._declared else 0)
 
@@ -48,7 +48,7 @@
         declared = self._declared
         if declared is None or declared.shards_per_node is None:
             return 0
-        if self.is_open:
+        if self.is_undecided:
             return planned_shards(declared, len(self._live()))
         return declared.shards
 
@@ -57,7 +57,7 @@
         declared = self._declared
         if declared is None or declared.shards_per_node is None:
             return 0
-        if self.is_open:
+        if self.is_undecided:
             return planned_width(declared, len(self._live()))
         return declared.stripe_width or 0
 
