--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -311,7 +311,7 @@
 
     def _missing(self) -> Iterator[ShardName]:
         known = self._view.directory.shards(self._service)
-        numbers = list(self._division.numbers())
+        numbers = list(self._division.creatable_shards())
         numbers.extend(
             split_shard_number(keys)
             for keys, _ in _parents(self._view, self._service)
--- a/laburnumwood/placement/partitioning.py
+++ b/laburnumwood/placement/partitioning.py
@@ -37,7 +37,7 @@
             return False
         return FIRST_SHARD not in self._view.directory.shards(self._service)
 
-    def numbers(self) -> range:
+    def creatable_shards(self) -> range:
         """Return the numbers of the shards that may be written now."""
         if self.is_undecided:
             return range(FIRST_SHARD, FIRST_SHARD + int(self._is_settled()))
