--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -354,7 +354,7 @@
         return ShardRecord(
             1,
             succession,
-            shards=self._division.shards(),
+            shards=self._division.shard_count(),
             stripe_width=self._division.stripe_width(),
         )
 
--- a/laburnumwood/placement/partitioning.py
+++ b/laburnumwood/placement/partitioning.py
@@ -43,7 +43,7 @@
             return range(FIRST_SHARD, FIRST_SHARD + int(self._is_settled()))
         return range(self._declared.shards if self._declared else 0)
 
-    def shards(self) -> int:
+    def shard_count(self) -> int:
         """Return the number of shards to put on record, 0 for none."""
         declared = self._declared
         if declared is None or declared.shards_per_node is None:
