--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -92,7 +92,7 @@
             version = self._ownership.version
             if version != seen or not self._ownership.is_settled:
                 seen = version
-                self._write_wanted()
+                self._write_records_due()
             if turn % _TURNS_PER_BALANCE == 0:
                 self._place()
 
@@ -209,7 +209,7 @@
         if created is not None:
             self._writer.start(self._carry, created)
 
-    def _write_wanted(self) -> None:
+    def _write_records_due(self) -> None:
         for shard in self._ownership.shards_to_write():
             if not self._writer.has_room:
                 return
