--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -155,7 +155,7 @@
         if not self._stopping and self._is_store_away(write.shard):
             self._finish(write, WriteProgress.NOT_SENT)
             return
-        self._let_go(write.shard)
+        self._release(write.shard)
         handovers = self._grants.handovers(write.shard)
         write.record = replace(write.record, handovers=handovers)
         # A move that begins in an outage would keep its shard closed in it.
@@ -165,7 +165,7 @@
         else:
             self._finish(write, WriteProgress.NOT_SENT)
 
-    def _let_go(self, shard: ShardName) -> None:
+    def _release(self, shard: ShardName) -> None:
         self._grants.withdraw(shard)
         while not self._grants.is_released(shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
@@ -187,7 +187,7 @@
             return
         # The worker lets the whole shard go, so that nothing is held of the
         # parts while they belong to nobody.
-        self._let_go(write.shard)
+        self._release(write.shard)
         if not self._writer.try_refresh(write.shard):
             self._finish(write, WriteProgress.NOT_SENT)
             return
@@ -235,7 +235,7 @@
     def _let_go_and_write(self, write: ShardWrite) -> None:
         # Before this node had to win a write, its worker may have been given
         # the shard.
-        self._let_go(write.shard)
+        self._release(write.shard)
         self._carry(write)
 
     def _give_all_away(self) -> None:
