--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -161,7 +161,7 @@
         # A move that begins in an outage would keep its shard closed in it.
         answers = self._writer.try_refresh(write.shard)
         if answers and self.before_move(write.shard, write.record.succession):
-            self._carry(write)
+            self._execute(write)
         else:
             self._finish(write, WriteProgress.NOT_SENT)
 
@@ -207,7 +207,7 @@
         )
         created = self._ownership.begin_create(name, part.target, handover)
         if created is not None:
-            self._writer.start(self._carry, created)
+            self._writer.start(self._execute, created)
 
     def _write_records_due(self) -> None:
         for shard in self._ownership.shards_to_write():
@@ -218,7 +218,7 @@
                 self._give_back(shard, home)
             else:
                 write = self._ownership.begin_write(shard)
-                self._writer.start(self._carry, write)
+                self._writer.start(self._execute, write)
 
     def _may_go_home(self, home: NodeName) -> bool:
         is_stable = self._balancer.is_stable(home.node_id)
@@ -236,7 +236,7 @@
         # Before this node had to win a write, its worker may have been given
         # the shard.
         self._release(write.shard)
-        self._carry(write)
+        self._execute(write)
 
     def _give_all_away(self) -> None:
         # The worker is lost or leaves: others are to serve its keys.
@@ -249,7 +249,7 @@
             shard = ShardName(self._service, move.shard)
             self._begin_move(shard, move.target)
 
-    def _carry(self, write: ShardWrite) -> None:
+    def _execute(self, write: ShardWrite) -> None:
         self._finish(write, self._writer.execute(write))
 
     def _finish(self, write: ShardWrite, progress: WriteProgress) -> None:
