--- a/laburnumwood/leases/__init__.py
+++ b/laburnumwood/leases/__init__.py
@@ -1,1 +1,1 @@
-"""The leases of the router."""
+"""Leases: holders, witnesses, quorums and seals."""
--- a/laburnumwood/leases/quorum.py
+++ b/laburnumwood/leases/quorum.py
@@ -1,4 +1,4 @@
-"""What the witnesses have given a holder."""
+"""The state of each witness as its holder knows it, and their majorities."""
 
 from collections.abc import Set
 from dataclasses import dataclass, field
@@ -8,18 +8,20 @@
 
 @dataclass(slots=True)
 class WitnessState:
-    """What one witness has given the holder.
+    """What one witness has granted to the holder and acknowledged.
 
-    `until_ms` is by version of the set, `floors` by the text of a shard.
+    `expires_at_ms` maps versions of witness sets to the time at which the
+    grant given under that version expires.  `floors` maps the text forms of
+    shards to the highest epoch that the witness has acknowledged.
     """
 
-    until_ms: dict[int, int] = field(default_factory=dict)
+    expires_at_ms: dict[int, int] = field(default_factory=dict)
     floors: dict[str, int] = field(default_factory=dict)
-    superseded: int = 0
-    lost: bool = False
+    superseded_version: int = 0
+    has_refused: bool = False
 
-    def knows(self, floors: dict[str, int]) -> bool:
-        """Tell whether the witness knows floors at least as high."""
+    def has_acknowledged(self, floors: dict[str, int]) -> bool:
+        """Return whether the witness knows floors at least as high."""
         return all(
             self.floors.get(shard, 0) >= epoch
             for shard, epoch in floors.items()
@@ -27,55 +29,66 @@
 
 
 class QuorumTracker:
-    """The backings of all witnesses, counted by set."""
+    """The states of all witnesses of a holder, evaluated by witness set."""
 
     def __init__(self) -> None:
-        self._backings: dict[NodeName, WitnessState] = {}
+        self._states: dict[NodeName, WitnessState] = {}
 
-    def of(self, witness: NodeName) -> WitnessState:
-        """Return the backing of a witness, empty at first."""
-        return self._backings.setdefault(witness, WitnessState())
+    def state_of(self, witness: NodeName) -> WitnessState:
+        """Return the state of a witness, which is created on first use."""
+        return self._states.setdefault(witness, WitnessState())
 
-    def lost(self) -> frozenset[NodeName]:
-        """Return the witnesses that will never renew again."""
-        backings = self._backings.items()
-        return frozenset(name for name, backing in backings if backing.lost)
+    def refusing_witnesses(self) -> frozenset[NodeName]:
+        """Return the witnesses that will never renew the lease again."""
+        states = self._states.items()
+        return frozenset(name for name, state in states if state.has_refused)
 
-    def can_renew(self, chosen: WitnessSet, gone: Set[NodeName]) -> bool:
-        """Tell whether a majority of a set is neither lost nor gone."""
+    def can_renew(self, witness_set: WitnessSet, gone: Set[NodeName]) -> bool:
+        """Return whether a majority of a set may still renew the lease.
+
+        Witnesses that have refused and those in `gone` do not count.
+        """
         lost = sum(
-            name in gone or self.of(name).lost for name in chosen.members
+            name in gone or self.state_of(name).has_refused
+            for name in witness_set.members
         )
-        return len(chosen.members) - lost >= chosen.majority
+        return len(witness_set.members) - lost >= witness_set.majority
 
-    def until_ms(self, chosen: WitnessSet) -> int:
-        """Return until when a majority of a set backs the holder."""
-        untils = sorted(
+    def majority_expires_at_ms(self, witness_set: WitnessSet) -> int:
+        """Return until when the grants of a majority of a set are valid."""
+        expiries_ms = sorted(
             (
-                self.of(name).until_ms.get(chosen.version, 0)
-                for name in chosen.members
+                self.state_of(name).expires_at_ms.get(witness_set.version, 0)
+                for name in witness_set.members
             ),
             reverse=True,
         )
-        return untils[chosen.majority - 1]
-
-    def know(self, chosen: WitnessSet, floors: dict[str, int]) -> bool:
-        """Tell whether a majority of a set knows floors at least as high."""
-        knowing = sum(self.of(name).knows(floors) for name in chosen.members)
-        return knowing >= chosen.majority
+        return expiries_ms[witness_set.majority - 1]
+
+    def has_majority_acknowledged(
+        self, witness_set: WitnessSet, floors: dict[str, int]
+    ) -> bool:
+        """Return whether a majority of a set knows floors at least as high."""
+        acknowledged = sum(
+            self.state_of(name).has_acknowledged(floors)
+            for name in witness_set.members
+        )
+        return acknowledged >= witness_set.majority
 
-    def granted(self, chosen: WitnessSet, floors: dict[str, int]) -> int:
-        """Count the members that granted under a set and know floors."""
+    def count_ready(
+        self, witness_set: WitnessSet, floors: dict[str, int]
+    ) -> int:
+        """Count the members that granted under a set and know the floors."""
         return sum(
-            chosen.version in self.of(name).until_ms
-            and self.of(name).knows(floors)
-            for name in chosen.members
+            witness_set.version in self.state_of(name).expires_at_ms
+            and self.state_of(name).has_acknowledged(floors)
+            for name in witness_set.members
         )
 
-    def has_superseded(self, chosen: WitnessSet) -> bool:
-        """Tell whether a majority of a set has given it up."""
+    def has_majority_superseded(self, witness_set: WitnessSet) -> bool:
+        """Return whether a majority of a set grants under newer sets only."""
         superseded = sum(
-            self.of(name).superseded >= chosen.version
-            for name in chosen.members
+            self.state_of(name).superseded_version >= witness_set.version
+            for name in witness_set.members
         )
-        return superseded >= chosen.majority
+        return superseded >= witness_set.majority
--- a/laburnumwood/leases/quorum_loss.py
+++ b/laburnumwood/leases/quorum_loss.py
@@ -1,14 +1,16 @@
-"""Incarnations that can hold no lease because their witnesses are gone.
-
-A lease rests on one of the sets of witnesses that are on record.  A witness
-whose process was followed by another renews nothing under its old name.  Once
-that is so for a majority of every set, the last renewal is at most one grant
-old: when so much time has passed since it was seen, the lease has run out.
-The end must then be written over the very version of the record that was
-seen, since the holder may have changed its witnesses in between.
-
-An incarnation that is followed by another of its node gave its lease up before
-that announced itself.  Its node records the end sooner, unless it is lost.
+"""Detection of leases that have expired because their witnesses are gone.
+
+A lease is granted by a majority of each witness set on record.  A witness
+lives as long as its process: once a new process of the same node has taken
+its place, the old witness renews nothing.  When that is so for a majority of
+every set on record, the last renewal is at most one grant old, and the lease
+has expired once that much time has passed since this was observed.  The end
+must then be written conditionally on the observed version of the record,
+since the holder may have changed its witnesses in between.
+
+An incarnation that was replaced by another of its node gave up its lease
+before the new one announced itself.  Usually its own node records the end
+sooner; this covers the case that the node is lost.
 """
 
 from collections.abc import Callable, Iterable
@@ -23,7 +25,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """An open incarnation, by its record and the version of that."""
+    """An incarnation without a recorded end, with its node's record.
+
+    `version` is the version of the record; `is_replaced` is set if the node
+    has announced a later incarnation.
+    """
 
     name: NodeName
     record: NodeRecord
@@ -32,20 +38,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Seen:
+class _Observation:
     version: int
     at_ms: int
 
 
-def _is_backless(chosen: WitnessSet, has_forgotten: IsWitnessReplaced) -> bool:
-    gone = sum(has_forgotten(name) for name in chosen.members)
-    return gone >= chosen.majority
+def _has_lost_majority(
+    witness_set: WitnessSet, is_witness_replaced: IsWitnessReplaced
+) -> bool:
+    replaced = sum(is_witness_replaced(name) for name in witness_set.members)
+    return replaced >= witness_set.majority
 
 
-def _has_no_backing(found: Candidate, has_forgotten: IsWitnessReplaced) -> bool:
-    sets = found.record.witness_sets
+def _has_lost_all_sets(
+    candidate: Candidate, is_witness_replaced: IsWitnessReplaced
+) -> bool:
+    sets = candidate.record.witness_sets
     return bool(sets) and all(
-        _is_backless(chosen, has_forgotten) for chosen in sets
+        _has_lost_majority(witness_set, is_witness_replaced)
+        for witness_set in sets
     )
 
 
@@ -55,23 +66,32 @@
     def __init__(self, settings: LeaseSettings, clock: Clock) -> None:
         self._wait_ms = settings.grant_ms + settings.drift_margin_ms
         self._clock = clock
-        self._seen: dict[NodeName, _Seen] = {}
+        self._observations: dict[NodeName, _Observation] = {}
 
     def expired(
-        self, candidates: Iterable[Candidate], has_forgotten: IsWitnessReplaced
+        self,
+        candidates: Iterable[Candidate],
+        is_witness_replaced: IsWitnessReplaced,
     ) -> tuple[Candidate, ...]:
-        """Return the candidates that have been backless for long enough."""
+        """Return the candidates whose lease has expired for certain.
+
+        Call it regularly with all candidates: the wait of a candidate that is
+        left out, or whose record has a new version, starts over.
+        """
         now_ms = self._clock.now_ms()
-        seen: dict[NodeName, _Seen] = {}
-        over: list[Candidate] = []
-        for each in candidates:
-            if not (each.is_replaced or _has_no_backing(each, has_forgotten)):
+        observations: dict[NodeName, _Observation] = {}
+        expired: list[Candidate] = []
+        for candidate in candidates:
+            if not (
+                candidate.is_replaced
+                or _has_lost_all_sets(candidate, is_witness_replaced)
+            ):
                 continue
-            known = self._seen.get(each.name)
-            if known is None or known.version != each.version:
-                known = _Seen(each.version, now_ms)
-            seen[each.name] = known
+            known = self._observations.get(candidate.name)
+            if known is None or known.version != candidate.version:
+                known = _Observation(candidate.version, now_ms)
+            observations[candidate.name] = known
             if now_ms - known.at_ms >= self._wait_ms:
-                over.append(each)
-        self._seen = seen
-        return tuple(over)
+                expired.append(candidate)
+        self._observations = observations
+        return tuple(expired)
--- a/laburnumwood/leases/seals.py
+++ b/laburnumwood/leases/seals.py
@@ -1,23 +1,24 @@
-"""What is known of lapsed leases."""
+"""Seals: proofs that leases have lapsed."""
 
 from xxhash import xxh3_64_intdigest
 
 from laburnumwood.records import NodeName, Seal, ShardName
 
-FLOOR_UNKNOWN = 2**62  # above every epoch: a write must be won
+# Above every epoch: the successor must replace the record before it acts.
+FLOOR_UNKNOWN = 2**62
 
 
-def _proves(seals: dict[NodeName, Seal]) -> bool:
-    versions = {
+def _has_majority(seals: dict[NodeName, Seal]) -> bool:
+    witness_sets = {
         each.version: each for seal in seals.values() for each in seal.sets
     }
     return any(
-        _count(seals, version) >= chosen.majority
-        for version, chosen in versions.items()
+        _count_seals(seals, version) >= witness_set.majority
+        for version, witness_set in witness_sets.items()
     )
 
 
-def _count(seals: dict[NodeName, Seal], version: int) -> int:
+def _count_seals(seals: dict[NodeName, Seal], version: int) -> int:
     return sum(
         any(
             each.version == version and seal.witness in each.members
@@ -32,10 +33,11 @@
 
 
 class SealRegistry:
-    """A growing set of seals, and what they prove.
+    """The seals that a node knows, and the lapsed leases that they prove.
 
+    A seal is a witness's promise never to renew an incarnation's lease again.
     An incarnation is sealed for ever once a majority of one version of its
-    witnesses has sealed it under that version.
+    witness set has sealed it under that version.
     """
 
     def __init__(self) -> None:
@@ -43,64 +45,69 @@
         self._sealed: set[NodeName] = set()
         self._ended: set[NodeName] = set()
         self._digest = 0
-        self._changes = 0
+        self._change_count = 0
 
     @property
     def change_count(self) -> int:
-        """Return a number that is another one after each change."""
-        return self._changes
+        """Return a number that differs after each change."""
+        return self._change_count
 
     def add(self, seal: Seal) -> bool:
-        """Take in a seal; tell whether its holder is sealed only by now."""
+        """Add a seal; return whether it completes a majority."""
         known = self._seals.setdefault(seal.holder, {})
         if seal.witness in known:
             return False  # a witness seals a holder once
         known[seal.witness] = seal
-        self._changes += 1
+        self._change_count += 1
         self._digest ^= _digest_of(seal)
-        newly = seal.holder not in self._sealed and _proves(known)
-        if newly:
+        is_newly_sealed = seal.holder not in self._sealed and _has_majority(
+            known
+        )
+        if is_newly_sealed:
             self._sealed.add(seal.holder)
-        return newly
+        return is_newly_sealed
 
     def holders(self) -> tuple[NodeName, ...]:
-        """Return the incarnations of which a seal is known."""
+        """Return the incarnations of which at least one seal is known."""
         return tuple(self._seals)
 
     def has_seal_majority(self, holder: NodeName) -> bool:
-        """Tell whether the seals known prove that an incarnation lapsed."""
+        """Return whether the known seals prove that a lease has lapsed."""
         return holder in self._sealed
 
     def discard_ended(self, holder: NodeName) -> None:
-        """Forget the seals of an incarnation that the store says has ended."""
+        """Discard the seals of an incarnation whose end is on record."""
         for seal in self._seals.pop(holder, {}).values():
             self._digest ^= _digest_of(seal)
         self._sealed.discard(holder)
         self._ended.add(holder)
-        self._changes += 1
+        self._change_count += 1
 
     def mark_ended(self, holder: NodeName) -> None:
-        """Take in from the store that an incarnation has ended."""
+        """Record that the end of an incarnation is in the store."""
         if holder not in self._ended:
             self._ended.add(holder)
-            self._changes += 1
+            self._change_count += 1
 
     def is_sealed(self, holder: NodeName) -> bool:
-        """Tell whether an incarnation has lapsed for ever."""
+        """Return whether an incarnation is sealed or recorded as ended."""
         return holder in self._sealed or holder in self._ended
 
     def floor(self, holder: NodeName, shard: ShardName) -> int:
-        """Return the least epoch that a sealed holder may have written."""
+        """Return the highest epoch that a lapsed holder may have written.
+
+        `FLOOR_UNKNOWN` if its seals are not known.
+        """
         if holder not in self._sealed:
             return FLOOR_UNKNOWN
         seals = self._seals[holder].values()
         return max(seal.floors.get(str(shard), 0) for seal in seals)
 
     def seals(self) -> tuple[Seal, ...]:
-        """Return all seals known."""
+        """Return all known seals."""
         known = self._seals.values()
         return tuple(seal for each in known for seal in each.values())
 
     def digest(self) -> int:
-        """Return a number that tells sets of seals apart."""
+        """Return a hash of the set of known seals, to compare with peers."""
         return self._digest
--- a/laburnumwood/leases/witness.py
+++ b/laburnumwood/leases/witness.py
@@ -7,16 +7,17 @@
 from laburnumwood.records import Digest, NodeName, Seal, WitnessSet
 from laburnumwood.settings import LeaseSettings
 
-_LATE_TICK_MS = 1_000
+# A longer interval between two checks means that this process was paused.
+_PAUSE_THRESHOLD_MS = 1_000
 
 
 @dataclass(slots=True)
 class _Grant:
     """What a witness has promised to one holder."""
 
-    until_ms: int = 0
+    expires_at_ms: int = 0
     sets: dict[int, WitnessSet] = field(default_factory=dict)
-    superseded: int = 0
+    superseded_version: int = 0
     floors: dict[str, int] = field(default_factory=dict)
     seal: Seal | None = None
 
@@ -24,9 +25,9 @@
 class Witness:
     """Renews the leases of other nodes and seals those that lapse.
 
-    It lives as long as its process, whichever incarnation that is in, and
-    is named by the first.  A seal is a promise never to renew that holder's
-    incarnation again.
+    A witness lives as long as its process, through all incarnations of the
+    node in that process, and bears the name of the first of these.  A seal is
+    a promise never to renew the lease of that incarnation again.
     """
 
     def __init__(
@@ -37,16 +38,16 @@
         self._clock = clock
         self._grants: dict[NodeName, _Grant] = {}
         self._least_open: dict[str, int] = {}
-        self._ticked_ms = clock.now_ms()
-        self._patient_until_ms = 0
+        self._last_check_ms = clock.now_ms()
+        self._no_seals_until_ms = 0
 
     @property
     def name(self) -> NodeName:
-        """Return the incarnation that gives the promises."""
+        """Return the incarnation in whose name promises are given."""
         return self._name
 
     def renew(self, request: Renew, digest: Digest) -> Granted | Refused:
-        """Answer a holder; `digest` tells it what this node knows."""
+        """Answer a renewal; a grant carries `digest`, what this node knows."""
         if request.witness != self._name:
             return Refused('another-incarnation')
         if self._has_ended(request.holder):
@@ -54,16 +55,21 @@
         grant = self._grants.setdefault(request.holder, _Grant())
         if grant.seal is not None:
             return Refused('sealed', grant.seal)
-        self._learn(grant, request)
-        live = [each for each in request.versions if each > grant.superseded]
+        self._record_request(grant, request)
+        live = [
+            each for each in request.versions if each > grant.superseded_version
+        ]
         if any(version not in grant.sets for version in live):
             return Refused('set-unknown')
         if live:
-            grant.until_ms = self._clock.now_ms() + self._settings.grant_ms
+            grant.expires_at_ms = self._clock.now_ms() + self._settings.grant_ms
         return Granted(digest)
 
     def seal(self, holder: NodeName) -> Seal | None:
-        """Seal a holder that has resigned; None if it is not backed here."""
+        """Seal a holder that has resigned or lapsed.
+
+        Return None if this witness is in none of its current sets.
+        """
         grant = self._grants.get(holder)
         if grant is None or not grant.sets:
             return None
@@ -77,9 +83,10 @@
         return grant.seal
 
     def evict_ended(self, node_id: str, least_open: int) -> None:
-        """Forget the incarnations of a node that are known to have ended.
+        """Evict the incarnations of a node whose end is on record.
 
-        Their number alone is kept, so that none of them is renewed again.
+        `least_open` is the lowest incarnation number that has not ended.
+        Only that number is kept, so that no lower one is renewed again.
         """
         if least_open <= self._least_open.get(node_id, 0):
             return
@@ -95,29 +102,34 @@
     def seal_lapsed(self) -> tuple[Seal, ...]:
         """Seal the holders whose grants have expired; return the new seals.
 
-        Call it often: after a pause of this process it waits a little, so
-        that holders can renew first.
+        Call it several times a second.  After a pause of this process it
+        seals nothing for two renewal intervals, so that holders whose
+        renewals were delayed by the pause can renew first.
         """
         now_ms = self._clock.now_ms()
-        if now_ms - self._ticked_ms > _LATE_TICK_MS:
-            self._patient_until_ms = now_ms + 2 * self._settings.renew_ms
-        self._ticked_ms = now_ms
-        if now_ms < self._patient_until_ms:
+        if now_ms - self._last_check_ms > _PAUSE_THRESHOLD_MS:
+            self._no_seals_until_ms = now_ms + 2 * self._settings.renew_ms
+        self._last_check_ms = now_ms
+        if now_ms < self._no_seals_until_ms:
             return ()
         lapsed = [
             holder
             for holder, grant in self._grants.items()
-            if grant.sets and grant.seal is None and grant.until_ms <= now_ms
+            if grant.sets
+            and grant.seal is None
+            and grant.expires_at_ms <= now_ms
         ]
         seals = (self.seal(holder) for holder in lapsed)
         return tuple(seal for seal in seals if seal is not None)
 
-    def _learn(self, grant: _Grant, request: Renew) -> None:
-        grant.superseded = max(grant.superseded, request.supersede)
+    def _record_request(self, grant: _Grant, request: Renew) -> None:
+        grant.superseded_version = max(
+            grant.superseded_version, request.supersede
+        )
         for each in request.sets:
             grant.sets[each.version] = each
         for version in tuple(grant.sets):
-            if version <= grant.superseded:
+            if version <= grant.superseded_version:
                 grant.sets.pop(version)
         for shard, epoch in request.floors.items():
             grant.floors[shard] = max(epoch, grant.floors.get(shard, 0))
