--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -41,7 +41,7 @@
 
     def record_grant(self, request: Renew, sent_ms: int) -> bool:
         """Leave the moment of sending out."""
-        return super().granted(request, self._clock.now_ms())
+        return super().record_grant(request, self._clock.now_ms())
 
 
 class _NoJointMajority(Lease):
@@ -68,7 +68,7 @@
     def _ownership_state(
         self, shard: ShardName, record: ShardRecord
     ) -> OwnershipState:
-        how = super()._standing(shard, record)
+        how = super()._ownership_state(shard, record)
         return OwnershipState.OWNER if how is OwnershipState.MUST_WRITE else how
 
 
@@ -84,7 +84,7 @@
 
     def update_held_shards(self) -> None:
         """Reopen all that moves."""
-        super().follow()
+        super().update_held_shards()
         for shard in self._writes:
             self._held_shards.reopen(shard)
 
