--- a/laburnumwood/placement/__init__.py
+++ b/laburnumwood/placement/__init__.py
@@ -1,1 +1,1 @@
-"""The placement of the router."""
+"""Placement: which node owns which shard, and moves of shards."""
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -1,4 +1,4 @@
-"""The part of a node in keeping load even among the nodes of a service."""
+"""A node's part in balancing load among the nodes of its service."""
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
@@ -23,78 +23,92 @@
 
 DEFAULT_POLICY = 'weighed'
 
-Owners = Mapping[int, NodeName]  # of shards, by their numbers
+Owners = Mapping[int, NodeName]  # by shard number
 
 
 @dataclass(frozen=True, slots=True)
 class _Estimate:
     load: float
-    trust: float = 1
+    weight: float = 1
 
-    def towards(self, mean: float) -> float:
-        return mean + (self.load - mean) * self.trust
+    def blended_with(self, mean: float) -> float:
+        return mean + (self.load - mean) * self.weight
 
 
-def _reported(
-    name: NodeName, shard: int, book: LoadReports, measured: Mapping[int, float]
+def _estimate_of(
+    name: NodeName,
+    shard: int,
+    reports: LoadReports,
+    measured: Mapping[int, float],
 ) -> _Estimate | None:
     """Return what is known of the load of another node's shard.
 
-    A shard that moved away lately counts with what was measured here, until
-    its new owner has measured more.
+    A shard that moved away lately counts with the load measured here until
+    its new owner reports more.
     """
-    reported = book.shards(name).get(shard)
-    here = measured.get(shard)
-    if reported is not None and (here is None or here <= reported):
-        return _Estimate(reported, book.weight(name))
-    return None if here is None else _Estimate(here)
+    reported = reports.shards(name).get(shard)
+    measured_here = measured.get(shard)
+    if reported is not None and (
+        measured_here is None or measured_here <= reported
+    ):
+        return _Estimate(reported, reports.weight(name))
+    return None if measured_here is None else _Estimate(measured_here)
 
 
-def _reported_all(
+def _estimates_of(
     name: NodeName,
     shards: tuple[int, ...],
-    book: LoadReports,
+    reports: LoadReports,
     measured: Mapping[int, float],
 ) -> Iterator[tuple[int, _Estimate]]:
     for shard in shards:
-        found = _reported(name, shard, book, measured)
-        if found is not None:
-            yield shard, found
+        estimate = _estimate_of(name, shard, reports, measured)
+        if estimate is not None:
+            yield shard, estimate
 
 
 @dataclass(frozen=True, slots=True)
 class LoadEstimates:
-    """The work of the shards that something is known of, and their mean."""
+    """The loads of the shards of which something is known, and their mean.
+
+    A load is the number of slots that a shard keeps busy.
+    """
 
     known: Mapping[int, float]
     mean: float
 
 
 def estimated_loads(
-    shares: ShardsByNode,
+    shards_by_node: ShardsByNode,
     own: NodeName,
     measured: Mapping[int, float],
-    book: LoadReports,
+    reports: LoadReports,
 ) -> LoadEstimates:
     """Return the loads of shards by what is measured and reported.
 
-    A report counts less as it ages: towards the mean of the known shards.
+    As a report ages, its loads approach the mean of the known shards.
     """
-    known = {shard: _Estimate(measured.get(shard, 0)) for shard in shares[own]}
-    for name, shards in shares.items():
-        is_known = book.is_known(name) or not measured.keys().isdisjoint(shards)
+    known = {
+        shard: _Estimate(measured.get(shard, 0))
+        for shard in shards_by_node[own]
+    }
+    for name, shards in shards_by_node.items():
+        is_known = reports.is_known(name) or not measured.keys().isdisjoint(
+            shards
+        )
         if name != own and is_known:
-            known.update(_reported_all(name, shards, book, measured))
+            known.update(_estimates_of(name, shards, reports, measured))
     mean = fmean(each.load for each in known.values()) if known else 0
     return LoadEstimates(
-        {number: each.towards(mean) for number, each in known.items()}, mean
+        {number: each.blended_with(mean) for number, each in known.items()},
+        mean,
     )
 
 
 class Balancer:
-    """Decides which shards this node should hand to which others.
+    """Decides which shards this node should move or split, and to whom.
 
-    It only decides: the keeper of the shards carries the moves out.
+    It only decides: the shard manager carries out moves and splits.
     """
 
     def __init__(
@@ -103,7 +117,7 @@
         own: NodeName,
         view: FleetView,
         meter: LoadMeter,
-        book: LoadReports,
+        reports: LoadReports,
         settings: PlacementSettings,
         clock: Clock,
     ) -> None:
@@ -111,29 +125,30 @@
         self._own = own
         self._view = view
         self._meter = meter
-        self._book = book
+        self._reports = reports
         self._settings = settings
         self._splitter = Splitter(clock)
         self._planner = MovePlanner(DEFAULT_POLICY, settings, clock)
-        self._known_shares: ShardsByNode = {}
-        self._shares_version: object = None
+        self._cached_shards: ShardsByNode = {}
+        self._cached_version: object = None
 
-    def plan_moves(self, begun: Owners) -> tuple[Move, ...]:
-        """Return the moves that this node should make now.
+    def plan_moves(self, pending_owners: Owners) -> tuple[Move, ...]:
+        """Return the moves that this node should begin now.
 
-        Shards whose moves have `begun` count for their next owners.  While
-        the owners of some are not known, nobody can tell who has few.
+        Shards of which a write is pending count for their `pending_owners`.
+        Nothing moves while the owners of some shards are unknown, since the
+        numbers of shards of the nodes can't be compared then.
         """
         live = self._view.live_in(self._service)
-        if self._own not in live or not self._knows_all():
+        if self._own not in live or not self._knows_all_shards():
             return ()
-        return self._planner.plan(self._snapshot(live, begun))
+        return self._planner.plan(self._snapshot(live, pending_owners))
 
     def is_stable(self, node_id: str) -> bool:
-        """Tell whether a node did not come again and again lately."""
+        """Return whether a node has not arrived too often lately."""
         return self._planner.is_stable(node_id)
 
-    def plan_split(self, begun: Owners) -> Split | None:
+    def plan_split(self, pending_owners: Owners) -> Split | None:
         """Return the hot keys that this node should split off now, if any."""
         live = self._view.live_in(self._service)
         declared = self._view.directory.declarations.services
@@ -144,15 +159,16 @@
             return None
         records = self._view.directory.shard_records(self._service)
         shard, targets = self._splitter.choose_shard(
-            self._snapshot(live, begun), sum(1 for _ in split_ranges(records))
+            self._snapshot(live, pending_owners),
+            sum(1 for _ in split_ranges(records)),
         )
         if not targets:
             return None
         ranges = key_ranges(shard, records.get(shard), service)
         return self._split_into(shard, ranges, targets)
 
-    def _knows_all(self) -> bool:
-        """Tell whether the records of all shards of the service are known."""
+    def _knows_all_shards(self) -> bool:
+        """Return whether the records of all declared shards are known."""
         declared = self._view.directory.declarations.services
         service = declared.get(self._service, Service())
         known = self._view.directory.shards(self._service)
@@ -173,19 +189,19 @@
         return Split(shard, tuple(Part(*pair) for pair in pairs))
 
     def _snapshot(
-        self, live: Mapping[NodeName, NodeRecord], begun: Owners
+        self, live: Mapping[NodeName, NodeRecord], pending_owners: Owners
     ) -> PlacementSnapshot:
         declared = self._view.directory.declarations
         service = declared.services.get(self._service, Service())
-        shares = self._shares(live, begun)
+        shards_by_node = self._shards_by_node(live, pending_owners)
         loads = estimated_loads(
-            shares, self._own, self._meter.shards(), self._book
+            shards_by_node, self._own, self._meter.shards(), self._reports
         )
         return PlacementSnapshot(
             own=self._own,
-            shards_by_node=shares,
+            shards_by_node=shards_by_node,
             reporting_peers={
-                name for name in shares if self._book.is_known(name)
+                name for name in shards_by_node if self._reports.is_known(name)
             },
             slots={name: record.slots for name, record in live.items()},
             loads=loads.known,
@@ -194,14 +210,16 @@
             cold_start_ms=service.cold_start_ms,
             settings=self._settings,
             relative_error=self._meter.error(),
-            reclaimable=self._lent(shares),
+            reclaimable=self._reclaimable(shards_by_node),
         )
 
-    def _lent(self, shares: ShardsByNode) -> set[int]:
-        """Return which own shards have a lost owner first in their record."""
+    def _reclaimable(self, shards_by_node: ShardsByNode) -> set[int]:
+        """Return the own shards whose record names a lost owner first."""
         entries = self._view.directory.shards(self._service)
         own = (
-            number for number in shares.get(self._own, ()) if number in entries
+            number
+            for number in shards_by_node.get(self._own, ())
+            if number in entries
         )
         return {
             number
@@ -209,23 +227,27 @@
             if entries[number].record.succession[0] != self._own
         }
 
-    def _shares(
-        self, live: Mapping[NodeName, NodeRecord], begun: Owners
+    def _shards_by_node(
+        self, live: Mapping[NodeName, NodeRecord], pending_owners: Owners
     ) -> ShardsByNode:
-        """Return the shards of each live node, found anew only on news."""
-        version = (*self._view.version, frozenset(begun.items()))
-        if version != self._shares_version:
-            self._known_shares = self._find_shares(live, begun)
-            self._shares_version = version
-        return self._known_shares
-
-    def _find_shares(
-        self, live: Mapping[NodeName, NodeRecord], begun: Owners
+        """Return the shards of each live node, cached until a change."""
+        version = (*self._view.version, frozenset(pending_owners.items()))
+        if version != self._cached_version:
+            self._cached_shards = self._find_shards_by_node(
+                live, pending_owners
+            )
+            self._cached_version = version
+        return self._cached_shards
+
+    def _find_shards_by_node(
+        self, live: Mapping[NodeName, NodeRecord], pending_owners: Owners
     ) -> ShardsByNode:
-        shares: dict[NodeName, list[int]] = {name: [] for name in live}
+        found: dict[NodeName, list[int]] = {name: [] for name in live}
         shards = self._view.directory.shards(self._service)
         for number, entry in sorted(shards.items()):
-            owner = begun.get(number) or acting_owner(entry.record, self._view)
-            if owner in shares:
-                shares[owner].append(number)
-        return {name: tuple(numbers) for name, numbers in shares.items()}
+            owner = pending_owners.get(number) or acting_owner(
+                entry.record, self._view
+            )
+            if owner in found:
+                found[owner].append(number)
+        return {name: tuple(numbers) for name, numbers in found.items()}
--- a/laburnumwood/placement/held_shards.py
+++ b/laburnumwood/placement/held_shards.py
@@ -7,117 +7,128 @@
 
 
 @dataclass(slots=True)
-class _Holding:
+class _HeldShard:
     token: int
     running: int = 0
-    closed: bool = False
-    spent: bool = False
+    is_closed: bool = False
+    needs_new_token: bool = False
 
 
 class ShardUse:
-    """One request's stay in a shard, counted out once."""
+    """The use of a held shard by one running request.
 
-    def __init__(self, holding: _Holding) -> None:
-        self._holding = holding
-        self._over = False
-        self.token = holding.token
-        holding.running += 1
+    It keeps the shard from counting as idle until it is released.
+    """
+
+    def __init__(self, held: _HeldShard) -> None:
+        self._held = held
+        self._is_released = False
+        self.token = held.token
+        held.running += 1
 
     def release(self) -> None:
-        """Count the request out; more calls change nothing."""
-        if not self._over:
-            self._over = True
-            self._holding.running -= 1
+        """End the use; further calls have no effect."""
+        if not self._is_released:
+            self._is_released = True
+            self._held.running -= 1
 
 
 class HeldShards:
-    """Counts what runs in each shard, and closes shards that move away."""
+    """Counts the requests that run in each held shard.
+
+    A shard that is to move to another owner is closed first: it admits no
+    more requests, while those that run continue.
+    """
 
     def __init__(self) -> None:
-        self._held: dict[ShardName, _Holding] = {}
+        self._held: dict[ShardName, _HeldShard] = {}
 
     def tokens(self) -> dict[ShardName, int]:
-        """Return the fencing tokens of the shards held."""
+        """Return the fencing tokens of the held shards."""
         return {shard: held.token for shard, held in self._held.items()}
 
     def hold(self, shard: ShardName, token: int) -> bool:
-        """Hold a shard under a token; tell whether it was not held before."""
+        """Hold a shard under a fencing token.
+
+        Return whether it was not held before.  The token of a held shard
+        never decreases; a higher one makes an invalidated shard usable again.
+        """
         held = self._held.get(shard)
         if held is not None:
-            held.spent = held.spent and token <= held.token
+            held.needs_new_token = held.needs_new_token and token <= held.token
             held.token = max(token, held.token)
             return False
-        self._held[shard] = _Holding(token)
+        self._held[shard] = _HeldShard(token)
         return True
 
     def invalidate_token(self, shard: ShardName) -> None:
-        """Note that the token of a shard must not be given again."""
+        """Mark the token of a held shard as not to be used again."""
         held = self._held.get(shard)
         if held is not None:
-            held.spent = True
+            held.needs_new_token = True
 
     @property
-    def has_spent(self) -> bool:
-        """Tell whether some shard needs a higher token to be served."""
-        return any(held.spent for held in self._held.values())
+    def any_needs_new_token(self) -> bool:
+        """Return whether some shard needs a higher token to be served."""
+        return any(held.needs_new_token for held in self._held.values())
 
-    def is_spent(self, shard: ShardName) -> bool:
-        """Tell whether a shard needs a higher token to be served."""
+    def needs_new_token(self, shard: ShardName) -> bool:
+        """Return whether a shard needs a higher token to be served."""
         held = self._held.get(shard)
-        return held is not None and held.spent
+        return held is not None and held.needs_new_token
 
     def drop(self, shard: ShardName) -> None:
-        """Hold a shard no longer."""
+        """Stop holding a shard."""
         self._held.pop(shard, None)
 
     def drop_lost(self, shard: ShardName, why: str) -> None:
-        """Hold a shard no longer that was not moved, and tell why."""
+        """Stop holding a shard that was not moved away, and report why."""
         if shard in self._held:
             self.drop(shard)
             SHARD_DROPPED.report(shard=shard, why=why)
 
     def drop_all(self) -> None:
-        """Hold nothing any more."""
+        """Stop holding all shards."""
         self._held.clear()
 
     def acquire(self, shard: ShardName) -> ShardUse | None:
-        """Count a request in; return its stay, None if it may not run."""
+        """Admit a request to a shard; return None if it may not run here."""
         held = self._held.get(shard)
-        if held is None or held.closed:
+        if held is None or held.is_closed:
             return None
         return ShardUse(held)
 
     def close(self, shard: ShardName) -> None:
-        """Let no more requests in; those that run go on."""
+        """Admit no more requests to a shard; those that run continue."""
         held = self._held.get(shard)
         if held is not None:
-            held.closed = True
+            held.is_closed = True
 
     def all_idle(self) -> bool:
-        """Tell whether nothing runs in any shard."""
+        """Return whether no request runs in any shard."""
         return not any(held.running for held in self._held.values())
 
     def is_held(self, shard: ShardName) -> bool:
-        """Tell whether a shard is held, closed or not."""
+        """Return whether a shard is held, open or closed."""
         return shard in self._held
 
     def is_idle(self, shard: ShardName) -> bool:
-        """Tell whether nothing runs in a shard."""
+        """Return whether no request runs in a shard."""
         held = self._held.get(shard)
         return held is None or not held.running
 
     def reopen(self, shard: ShardName) -> None:
-        """Let requests in again after a move that did not happen."""
+        """Admit requests again, after a move that was not carried out."""
         held = self._held.get(shard)
         if held is not None:
-            held.closed = False
+            held.is_closed = False
 
     def is_open(self, shard: ShardName) -> bool:
-        """Tell whether a shard is held and lets requests in."""
+        """Return whether a shard is held and admits requests."""
         held = self._held.get(shard)
-        return held is not None and not held.closed
+        return held is not None and not held.is_closed
 
     def is_closed(self, shard: ShardName) -> bool:
-        """Tell whether a shard is on its way to another owner."""
+        """Return whether a shard is held and closed."""
         held = self._held.get(shard)
-        return held is not None and held.closed
+        return held is not None and held.is_closed
--- a/laburnumwood/placement/hotkeys.py
+++ b/laburnumwood/placement/hotkeys.py
@@ -1,4 +1,4 @@
-"""A bounded sketch of the hottest keys.
+"""A bounded sketch of the most frequent keys.
 
 The Space-Saving algorithm: A. Metwally, D. Agrawal and A. El Abbadi,
 "Efficient computation of frequent and top-k elements in data streams", 2005;
@@ -13,7 +13,7 @@
 
 CAPACITY = 1_024
 HALF_LIFE_MS = 30_000
-_MOST_HALF_LIVES = 64
+_MAX_HALF_LIVES = 64  # after which all counts are rescaled
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +26,7 @@
 
 
 class HotKeys:
-    """The hottest keys lately; what is older counts less."""
+    """The most frequent keys, with counts that decay over time."""
 
     def __init__(
         self,
@@ -60,17 +60,17 @@
         heappush(self._heap, (least + weight, key))
 
     def hottest(self, count: int) -> list[HotKey]:
-        """Return the hottest keys, the hottest one first."""
+        """Return at most `count` keys, the most frequent one first."""
         weight = self._weight()
         order = nlargest(count, self._counts.items(), key=lambda item: item[1])
         return [
-            HotKey(key, weighed / weight, self._errors[key] / weight)
-            for key, weighed in order
+            HotKey(key, weighted / weight, self._errors[key] / weight)
+            for key, weighted in order
         ]
 
     def _weight(self) -> float:
         age = (self._clock.now_ms() - self._since_ms) / self._half_life_ms
-        if age > _MOST_HALF_LIVES:
+        if age > _MAX_HALF_LIVES:
             self._rescale(2.0**-age)
             return 1
         return 2.0**age
@@ -78,7 +78,7 @@
     def _rescale(self, factor: float) -> None:
         self._since_ms = self._clock.now_ms()
         self._counts = {
-            key: weighed * factor for key, weighed in self._counts.items()
+            key: weighted * factor for key, weighted in self._counts.items()
         }
         self._errors = {
             key: error * factor for key, error in self._errors.items()
@@ -87,13 +87,15 @@
         heapify(self._heap)
 
     def _evict(self) -> float:
-        # Counts only rise, so an entry of the heap may be too low; it is put
-        # back with its count of now until the least one is true.
+        """Remove the least frequent key; return its weighted count."""
+        # Counts only rise, so the count of a heap entry may be outdated.  Such
+        # an entry is pushed back with the current count, until the popped one
+        # is up to date.
         while True:
-            weighed, key = heappop(self._heap)
-            now = self._counts[key]
-            if now == weighed:
+            weighted, key = heappop(self._heap)
+            current = self._counts[key]
+            if current == weighted:
                 self._counts.pop(key)
                 self._errors.pop(key)
-                return weighed
-            heappush(self._heap, (now, key))
+                return weighted
+            heappush(self._heap, (current, key))
--- a/laburnumwood/placement/load_exchange.py
+++ b/laburnumwood/placement/load_exchange.py
@@ -1,4 +1,4 @@
-"""The task that asks a few peers for their load."""
+"""The periodic exchange of load reports with a few peers."""
 
 from collections.abc import Callable, Iterable
 from itertools import count
@@ -20,16 +20,16 @@
 
 _ROUND_MS = 1_000
 _CALL_TIMEOUT_MS = 500
-_NEIGHBOURS = 6  # peers that are asked in turn
+_NEIGHBOURS = 6  # peers of the own service that are asked in rotation
 _ASKED_PER_ROUND = 3
-_ROUNDS_PER_DRAW = 60  # then other peers become neighbours
+_ROUNDS_PER_DRAW = 60  # after which other peers become neighbours
 
 
 class LoadExchange:
-    """Answers peers that ask for this node's load, and asks some of them.
+    """Reports this node's load to peers and requests that of some of them.
 
-    However large the service is, a node asks a few neighbours, which change
-    from minute to minute.
+    However large the service is, a node asks only a few neighbours, and
+    draws others every minute.
     """
 
     def __init__(
@@ -39,60 +39,61 @@
         view: FleetView,
         peers: Peers,
         meter: LoadMeter,
-        book: LoadReports,
+        reports: LoadReports,
     ) -> None:
         self._service = service
         self._own = own
         self._view = view
         self._peers = peers
         self._meter = meter
-        self._book = book
+        self._reports = reports
         self._running: Callable[[], int] = int
-        self._tell: Callable[[], object] = int
-        self._also: Callable[[], Iterable[NodeName]] = tuple
+        self._on_round: Callable[[], object] = int
+        self._other_targets: Callable[[], Iterable[NodeName]] = tuple
 
     def serve(
         self,
         dispatcher: Dispatcher,
         running: Callable[[], int],
-        also: Callable[[], Iterable[NodeName]],
-        tell: Callable[[], object] = int,
+        other_targets: Callable[[], Iterable[NodeName]],
+        on_round: Callable[[], object] = int,
     ) -> None:
-        """Answer peers from now on.
+        """Answer load requests of peers from now on.
 
-        `running` counts the requests in flight here; `also` names peers of
-        other services whose load matters; `tell` is called in each round.
+        `running` returns the number of requests in flight here;
+        `other_targets` returns the peers of other services to ask as well;
+        `on_round` is called at the start of each round.
         """
         self._running = running
-        self._tell = tell
-        self._also = also
+        self._on_round = on_round
+        self._other_targets = other_targets
         dispatcher.on(LoadAsk)(self._answer)
 
     def run(self) -> None:
-        """Ask peers round by round; does not return."""
+        """Ask peers round after round; does not return."""
         for number in count():
             eventlet.sleep(_ROUND_MS / MS_PER_SECOND)
-            self._tell()
-            for name in self._drawn(number):
-                start(self._ask, name)
+            self._on_round()
+            for name in self._peers_of_round(number):
+                start(self._request_load, name)
 
-    def _drawn(self, number: int) -> set[NodeName]:
+    def _peers_of_round(self, number: int) -> set[NodeName]:
         topic = f'load {self._own} {number // _ROUNDS_PER_DRAW}'
         live = self._view.live_in(self._service)
         others = [name for name in live if name != self._own]
         neighbours = rendezvous(topic, others)[:_NEIGHBOURS]
-        also = rendezvous(f'{topic} {number}', self._also())
-        turn = number * _ASKED_PER_ROUND % max(len(neighbours), 1)
-        in_turn = [*neighbours[turn:], *neighbours[:turn]]
-        return {*in_turn[:_ASKED_PER_ROUND], *also[:_ASKED_PER_ROUND]}
+        other_targets = rendezvous(f'{topic} {number}', self._other_targets())
+        offset = number * _ASKED_PER_ROUND % max(len(neighbours), 1)
+        rotated = [*neighbours[offset:], *neighbours[:offset]]
+        return {*rotated[:_ASKED_PER_ROUND], *other_targets[:_ASKED_PER_ROUND]}
 
-    def _ask(self, name: NodeName) -> None:
+    def _request_load(self, name: NodeName) -> None:
         try:
             report = self._peers.call(name, LoadAsk(), _CALL_TIMEOUT_MS)
         except LinkError:
-            return  # what is known of the peer fades
+            return  # the last report of the peer decays
         if isinstance(report, LoadReport):
-            self._book.record(name, LoadState(report.running, report.shards))
+            self._reports.record(name, LoadState(report.running, report.shards))
 
-    def _answer(self, _link: Link, stream: Stream, _ask: LoadAsk) -> None:
+    def _answer(self, _link: Link, stream: Stream, _request: LoadAsk) -> None:
         stream.send(LoadReport(self._running(), self._meter.shards()))
--- a/laburnumwood/placement/load_reports.py
+++ b/laburnumwood/placement/load_reports.py
@@ -1,4 +1,4 @@
-"""What a node believes of the load of others, by reports that fade."""
+"""The load of other nodes, by reports whose weight decays with age."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -8,14 +8,14 @@
 from laburnumwood.records import NodeName
 
 REPORT_HALF_LIFE_MS = 3_000
-_FORGET_MS = 30_000
+_EVICTION_AGE_MS = 30_000
 
 
 @dataclass(frozen=True, slots=True)
 class LoadState:
-    """The load of a node: requests in flight, and work a second by shard.
+    """The load of a node: its requests in flight, and the work of its shards.
 
-    Work is counted in slots, so that a rate of 2 keeps two slots busy.
+    The work of a shard is the number of slots that it keeps busy.
     """
 
     running: int
@@ -23,48 +23,48 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Noted:
+class _ReceivedReport:
     state: LoadState
-    when_ms: int
+    received_ms: int
 
 
 class LoadReports:
-    """The newest load known of each node."""
+    """The newest load report of each node."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._noted: dict[NodeName, _Noted] = {}
+        self._received: dict[NodeName, _ReceivedReport] = {}
 
     def record(self, name: NodeName, state: LoadState) -> None:
-        """Take in the report of a node."""
+        """Record the report of a node, and evict old reports of others."""
         now_ms = self._clock.now_ms()
-        self._noted[name] = _Noted(state, now_ms)
+        self._received[name] = _ReceivedReport(state, now_ms)
         old = [
             known
-            for known, noted in self._noted.items()
-            if now_ms - noted.when_ms > _FORGET_MS
+            for known, report in self._received.items()
+            if now_ms - report.received_ms > _EVICTION_AGE_MS
         ]
         for known in old:
-            self._noted.pop(known)
+            self._received.pop(known)
 
     def weight(self, name: NodeName) -> float:
         """Return how much the report of a node counts, from 1 down to 0."""
-        noted = self._noted.get(name)
-        if noted is None:
+        report = self._received.get(name)
+        if report is None:
             return 0
-        age_ms = self._clock.now_ms() - noted.when_ms
+        age_ms = self._clock.now_ms() - report.received_ms
         return weight_of_age(age_ms, REPORT_HALF_LIFE_MS)
 
     def running(self, name: NodeName) -> float:
-        """Return the requests in flight on a node, less as reports age."""
-        noted = self._noted.get(name)
-        return noted.state.running * self.weight(name) if noted else 0
+        """Return the requests in flight on a node, scaled by the weight."""
+        report = self._received.get(name)
+        return report.state.running * self.weight(name) if report else 0
 
     def shards(self, name: NodeName) -> Mapping[int, float]:
-        """Return the last known work a second of a node's shards."""
-        noted = self._noted.get(name)
-        return noted.state.shards if noted else {}
+        """Return the slots that each shard of a node keeps busy, if known."""
+        report = self._received.get(name)
+        return report.state.shards if report else {}
 
     def is_known(self, name: NodeName) -> bool:
-        """Tell whether a node has reported lately."""
-        return name in self._noted
+        """Return whether a report of a node is kept."""
+        return name in self._received
--- a/laburnumwood/placement/move_policy.py
+++ b/laburnumwood/placement/move_policy.py
@@ -1,4 +1,4 @@
-"""Policies that decide which shards move where."""
+"""Policies that decide which shards move to which node."""
 
 from collections import UserDict
 from collections.abc import Callable, Mapping, Set
@@ -17,15 +17,20 @@
 _HORIZON_MS = 90_000  # how long a load is expected to stay as it is
 _MOVE_PAUSE_MS = 300  # how long a shard is not served while it moves
 _MOVE_COST_MS = 500  # what a move costs a service without cold starts
-_PRESSED = 1.0  # of the slots of a node; from there on smaller gains count
-_PRESSED_GAIN = 0.06  # of its slots
-_MARGIN = 1.2  # by how much the gain must exceed the cost
-_IDLE = 0.05  # of all slots of a node
-_SURE_ERRORS = 3  # standard errors, from which on a difference is no chance
+# From this utilization of a node on, smaller gains justify a move.
+_OVERLOADED = 1.0
+_OVERLOADED_LEAST_GAIN = 0.06  # in utilization
+_COST_MARGIN = 1.2  # factor by which the gain must exceed the cost
+_IDLE = 0.05  # utilization below which a node counts as idle
+# Differences of at least so many standard errors count as significant.
+_SIGNIFICANT_ERRORS = 3
 
 
-class _Usages(UserDict[NodeName, float]):
-    """How busy the slots of nodes are; of a large service few are asked."""
+class _Utilizations(UserDict[NodeName, float]):
+    """The utilization of nodes, computed on first access.
+
+    Only few nodes of a large service are ever looked up.
+    """
 
     def __init__(self, snapshot: 'PlacementSnapshot') -> None:
         super().__init__()
@@ -33,16 +38,19 @@
 
     def __missing__(self, name: NodeName) -> float:
         shards = self._snapshot.shards_by_node[name]
-        usage = sum(self._snapshot.utilization(shard, name) for shard in shards)
-        self[name] = usage
-        return usage
+        utilization = sum(
+            self._snapshot.utilization(shard, name) for shard in shards
+        )
+        self[name] = utilization
+        return utilization
 
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """A shard's number, the owner that gives it up and the one to follow.
+    """A move of a shard from its owner, `source`, to `target`.
 
-    A move is `urgent` if it gives a node that has few its part of the shards.
+    A move is `urgent` if the target has less than half of its fair number of
+    shards, or if both nodes are idle.
     """
 
     shard: int
@@ -53,15 +61,17 @@
 
 @dataclass(frozen=True)
 class PlacementSnapshot:
-    """What one node knows of its service when it decides about moves.
-
-    `loads` is the work of shards, in slots that it keeps busy, and
-    `default_load` that of each shard that it does not name.  `peers` are
-    the nodes whose load is known, None if that is all of them: work goes only
-    to these.  In a large service each node knows others, so that not all
-    nodes choose the same target.  `error` is the standard error of what a
-    node measures, as a share of it.  `lent` are shards whose lost owner may
-    still come back for them: its record names no other yet.
+    """What a node knows of its service when it decides about moves.
+
+    `own` is the deciding node.  `loads` is the work of shards, as the number
+    of slots that it keeps busy; `default_load` is that of each shard which
+    `loads` does not contain.  `reporting_peers` are the nodes whose load is
+    known, None if all are; load is moved only to these.  In a large service
+    each node knows the load of different peers, so that not all nodes choose
+    the same target.  `relative_error` is the standard error of the measured
+    load, as a fraction of it.  `reclaimable` are shards that the node took
+    over and whose record still names the lost owner first, which may come
+    back for them.
     """
 
     own: NodeName
@@ -78,15 +88,15 @@
 
     @property
     def significant_difference(self) -> float:
-        """Return from where on two usages differ by more than noise."""
+        """Return the least difference of utilizations that is not noise."""
         standard_error = (
             self.utilizations[self.own] * self.relative_error * sqrt(2)
         )
-        return _SURE_ERRORS * standard_error
+        return _SIGNIFICANT_ERRORS * standard_error
 
     @property
     def targets(self) -> tuple[NodeName, ...]:
-        """Return the other nodes that work may go to for the load."""
+        """Return the other nodes to which load may be moved."""
         others = (name for name in self.shards_by_node if name != self.own)
         if self.reporting_peers is None:
             return tuple(others)
@@ -94,19 +104,19 @@
 
     @cached_property
     def utilizations(self) -> Mapping[NodeName, float]:
-        """Return how busy the slots of each node are, found when asked."""
-        return _Usages(self)
+        """Return the busy slots of each node as a fraction of its slots."""
+        return _Utilizations(self)
 
     def utilization(self, shard: int, name: NodeName) -> float:
-        """Return how much of a node's slots a shard keeps busy."""
+        """Return the fraction of a node's slots that a shard keeps busy."""
         return self.load(shard) / self.slots.get(name, 1)
 
     def load(self, shard: int) -> float:
-        """Return the work of a shard, in slots that it keeps busy."""
+        """Return the number of slots that a shard keeps busy."""
         return self.loads.get(shard, self.default_load)
 
     def gain(self, move: Move) -> float:
-        """Return by how much the busier of two nodes gets less busy."""
+        """Return how much a move lowers the higher of both utilizations."""
         source, target = (
             self.utilizations[move.source],
             self.utilizations[move.target],
@@ -116,7 +126,10 @@
         return max(source, target) - max(source_after, target_after)
 
     def is_worthwhile(self, move: Move) -> bool:
-        """Tell whether the gain of a move outlives its cold start."""
+        """Return whether the gain of a move exceeds its cost.
+
+        The cost is that of the move itself and of the cold start after it.
+        """
         if self.utilizations[move.source] < self.settings.least_usage:
             return False
         gain = self.gain(move)
@@ -124,11 +137,11 @@
         churn_ms = self.weights.churn * (_MOVE_COST_MS + self.cold_start_ms)
         cost_ms = churn_ms + self.weights.unavailable * _MOVE_PAUSE_MS
         least_gain = self.settings.least_gain
-        if self.utilizations[move.source] >= _PRESSED:
-            least_gain = min(least_gain, _PRESSED_GAIN)
-        # A move gains half of a difference at the most.
+        if self.utilizations[move.source] >= _OVERLOADED:
+            least_gain = min(least_gain, _OVERLOADED_LEAST_GAIN)
+        # A move can gain at most half of a difference.
         least_gain = max(least_gain, self.significant_difference / 2)
-        return gain > least_gain and gain_ms > cost_ms * _MARGIN
+        return gain > least_gain and gain_ms > cost_ms * _COST_MARGIN
 
 
 Policy = Callable[[PlacementSnapshot], tuple[Move, ...]]
@@ -136,7 +149,7 @@
 
 
 def policy(name: str) -> Callable[[Policy], Policy]:
-    """Register a policy under a name."""
+    """Return a decorator that registers a policy under a name."""
 
     def register(decide: Policy) -> Policy:
         POLICIES[name] = decide
@@ -151,30 +164,36 @@
     return len(owned[name]), name
 
 
-class _Giving:
-    """The shards of nodes while some are given away, the least busy first."""
+class _Redistribution:
+    """The shards of each node while a policy reassigns some of them.
+
+    A node's least loaded shards are reassigned first.
+    """
 
     def __init__(self, snapshot: PlacementSnapshot) -> None:
         self.owned = {
             name: list(shards)
             for name, shards in snapshot.shards_by_node.items()
         }
-        self._order = partial(_coldness, snapshot)
-        self._ordered: set[NodeName] = set()
+        self._sort_key = partial(_descending_load, snapshot)
+        self._sorted_nodes: set[NodeName] = set()
 
-    def give(self, source: NodeName, target: NodeName) -> int:
-        """Let a node give its least busy shard to another."""
+    def transfer(self, source: NodeName, target: NodeName) -> int:
+        """Reassign the least loaded shard of a node; return its number."""
         shards = self.owned[source]
-        if source not in self._ordered:
-            self._ordered.add(source)
-            shards.sort(key=self._order)
+        if source not in self._sorted_nodes:
+            self._sorted_nodes.add(source)
+            shards.sort(key=self._sort_key)
         shard = shards.pop()
         self.owned[target].append(shard)
         return shard
 
 
-def _coldness(snapshot: PlacementSnapshot, shard: int) -> tuple[float, int]:
-    # Neighbours are often hot together: of equal ones, not all go one way.
+def _descending_load(
+    snapshot: PlacementSnapshot, shard: int
+) -> tuple[float, int]:
+    # Neighbouring shards are often hot together.  Ordering shards of equal
+    # load by a hash keeps neighbours from moving to the same node.
     return -snapshot.load(shard), xxh3_64_intdigest(str(shard).encode())
 
 
@@ -186,23 +205,26 @@
 
 @policy('even-count')
 def even_count(snapshot: PlacementSnapshot) -> tuple[Move, ...]:
-    """Move as few shards as make their numbers differ by one at the most.
+    """Even out the numbers of shards until they differ by at most one.
 
-    A node gives the least busy of its shards first.
+    As few shards as possible move, the least loaded of a node first.
     """
-    giving = _Giving(snapshot)
-    by_count = partial(_count_and_name, giving.owned)
+    redistribution = _Redistribution(snapshot)
+    by_count = partial(_count_and_name, redistribution.owned)
     moves: list[Move] = []
-    while giving.owned:
-        least = min(giving.owned, key=by_count)
-        most = max(giving.owned, key=by_count)
-        if len(giving.owned[most]) - len(giving.owned[least]) <= 1:
+    while redistribution.owned:
+        least = min(redistribution.owned, key=by_count)
+        most = max(redistribution.owned, key=by_count)
+        if (
+            len(redistribution.owned[most]) - len(redistribution.owned[least])
+            <= 1
+        ):
             break
-        moves.append(Move(giving.give(most, least), most, least))
+        moves.append(Move(redistribution.transfer(most, least), most, least))
     return tuple(moves)
 
 
-def _emptiest(snapshot: PlacementSnapshot) -> NodeName | None:
+def _least_utilized(snapshot: PlacementSnapshot) -> NodeName | None:
     utilizations = snapshot.utilizations
     return min(
         snapshot.targets,
@@ -213,8 +235,11 @@
 
 @policy('emptiest')
 def emptiest(snapshot: PlacementSnapshot) -> tuple[Move, ...]:
-    """Move the busiest shard to the emptiest node while that is emptier."""
-    target = _emptiest(snapshot)
+    """Move the most loaded shard to the least utilized node.
+
+    Nothing moves unless that node is less utilized than this one.
+    """
+    target = _least_utilized(snapshot)
     shards = snapshot.shards_by_node.get(snapshot.own, ())
     if target is None or not shards:
         return ()
@@ -224,52 +249,55 @@
     return (Move(shard, snapshot.own, target),)
 
 
-def _is_idle(snapshot: PlacementSnapshot, move: Move) -> bool:
+def _are_both_idle(snapshot: PlacementSnapshot, move: Move) -> bool:
     utilizations = snapshot.utilizations
     return max(utilizations[move.source], utilizations[move.target]) < _IDLE
 
 
-def _is_harmless(snapshot: PlacementSnapshot, move: Move) -> bool:
+def _is_allowed_for_count(snapshot: PlacementSnapshot, move: Move) -> bool:
     if move.shard in snapshot.reclaimable:
         return False
-    if _is_idle(snapshot, move):
+    if _are_both_idle(snapshot, move):
         return True
     source, target = (
         snapshot.utilizations[move.source],
         snapshot.utilizations[move.target],
     )
-    after = target + snapshot.utilization(move.shard, move.target)
-    return target + _IDLE < source and after <= source
+    target_after = target + snapshot.utilization(move.shard, move.target)
+    return target + _IDLE < source and target_after <= source
 
 
 def _is_urgent(snapshot: PlacementSnapshot, move: Move) -> bool:
     total = sum(len(shards) for shards in snapshot.shards_by_node.values())
-    fair = total / len(snapshot.shards_by_node)
+    fair_count = total / len(snapshot.shards_by_node)
     owned = len(snapshot.shards_by_node[move.target])
-    return owned * 2 < fair or _is_idle(snapshot, move)
+    return owned * 2 < fair_count or _are_both_idle(snapshot, move)
 
 
 @policy('weighed')
 def weighed(snapshot: PlacementSnapshot) -> tuple[Move, ...]:
-    """Move shards to nodes that have few, and else only what is worth it.
+    """Even out numbers of shards, else move one shard for the load.
 
-    Numbers are evened only where the load allows it, so that a move for the
-    load is not undone for the count.
+    Numbers are evened out only where the loads allow it, so that a move for
+    the load is not undone for the count.  A move for the load is made only if
+    its gain exceeds its cost.
     """
     for_count = tuple(
         replace(move, urgent=_is_urgent(snapshot, move))
         for move in even_count(snapshot)
-        if move.source == snapshot.own and _is_harmless(snapshot, move)
+        if move.source == snapshot.own and _is_allowed_for_count(snapshot, move)
     )
-    target = _emptiest(snapshot)
+    target = _least_utilized(snapshot)
     if for_count or target is None:
         return for_count
     moves = [
         Move(shard, snapshot.own, target)
         for shard in snapshot.shards_by_node.get(snapshot.own, ())
     ]
-    worth = [move for move in moves if snapshot.is_worthwhile(move)]
+    worthwhile = [move for move in moves if snapshot.is_worthwhile(move)]
     best = max(
-        worth, key=lambda move: (snapshot.gain(move), -move.shard), default=None
+        worthwhile,
+        key=lambda move: (snapshot.gain(move), -move.shard),
+        default=None,
     )
     return () if best is None else (best,)
--- a/laburnumwood/placement/ownership.py
+++ b/laburnumwood/placement/ownership.py
@@ -1,25 +1,26 @@
-"""Who may act for a shard, decided from its record and the seals."""
+"""Who may act for a shard, derived from its record and the seals."""
 
 from enum import Enum
 from typing import Protocol
 
 from laburnumwood.records import NodeName, ShardName, ShardRecord
 
-_RANKS = 8  # more than the places of a succession
+# Tokens per epoch; more than the members of a succession.
+_TOKENS_PER_EPOCH = 8
 
 
 class Seals(Protocol):
     """What has to be known of lapsed leases."""
 
     def is_sealed(self, holder: NodeName) -> bool:
-        """Tell whether an incarnation has lapsed for ever."""
+        """Return whether an incarnation has lapsed for ever."""
 
     def floor(self, holder: NodeName, shard: ShardName) -> int:
-        """Return the least epoch that a sealed holder may have written."""
+        """Return the highest epoch that a lapsed holder may have written."""
 
 
 class OwnershipState(Enum):
-    """How a node stands to a shard."""
+    """The relation of a node to a shard."""
 
     OWNER = 'owner'
     MUST_WRITE = 'must win a write first'
@@ -28,7 +29,7 @@
 
 
 def acting_owner(record: ShardRecord, seals: Seals) -> NodeName | None:
-    """Return the first of a succession that is not sealed."""
+    """Return the first node of a succession that is not sealed, if any."""
     return next(
         (name for name in record.succession if not seals.is_sealed(name)),
         None,
@@ -36,19 +37,25 @@
 
 
 def succession_rank(record: ShardRecord, name: NodeName) -> int:
-    """Return the place of a node in a succession, from zero."""
+    """Return the place of a node in a succession, from zero.
+
+    Raises `ValueError` if it is not in the succession.
+    """
     return record.succession.index(name)
 
 
 def fencing_token(record: ShardRecord, name: NodeName) -> int:
-    """Return the fencing token of an acting node; it rises with every owner."""
-    return record.epoch * _RANKS + succession_rank(record, name)
+    """Return the fencing token of a node that acts for a shard.
+
+    Every later owner gets a higher token.
+    """
+    return record.epoch * _TOKENS_PER_EPOCH + succession_rank(record, name)
 
 
 def highest_floor(
     shard: ShardName, record: ShardRecord, name: NodeName, seals: Seals
 ) -> int:
-    """Return the highest floor among those before a node."""
+    """Return the highest floor of the nodes before one in a succession."""
     before = record.succession[: succession_rank(record, name)]
     return max((seals.floor(each, shard) for each in before), default=0)
 
@@ -56,15 +63,16 @@
 def ownership_state(
     shard: ShardName, record: ShardRecord, name: NodeName, seals: Seals
 ) -> OwnershipState:
-    """Return how a node stands to a shard.
+    """Return the relation of a node to a shard.
 
-    A successor whose record is older than a floor that the lapsed owners may
-    have written under is not owner yet: a newer record may be on its way.
+    If lapsed owners may have written a record with a higher epoch than this
+    one, a newer record may exist that is not known here yet.  The successor
+    must then replace the record by a write that succeeds before it is owner.
     """
-    first = acting_owner(record, seals)
-    if first is None:
+    acting = acting_owner(record, seals)
+    if acting is None:
         return OwnershipState.ORPHANED
-    if first != name:
+    if acting != name:
         return OwnershipState.NOT_OWNER
     if highest_floor(shard, record, name, seals) > record.epoch:
         return OwnershipState.MUST_WRITE
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -1,4 +1,4 @@
-"""What a node decides about its shards, from records, seals and its lease."""
+"""Decisions of a node about its shards, by records, seals and its lease."""
 
 from collections.abc import Iterator
 from dataclasses import replace
@@ -35,25 +35,27 @@
     ShardRecord,
 )
 
-_BYSTANDER_PATIENCE_MS = 3_000
+# After this time any node claims a shard whose chosen claimant did not.
+_CLAIM_TIMEOUT_MS = 3_000
 # Spreads the writes after the loss of a failure domain, so that the platform
 # gets no more than a few hundred a second from a fleet of any size.
-_UNHURRIED_MS_PER_NODE = 10
-# A shard with one successor left waits, so that one write does for all the
-# nodes of a rolling restart that come and go meanwhile.
-_ONE_LEFT_MS = 4_000
+_SPREAD_MS_PER_NODE = 10
+# A shard with one successor left waits, so that a single write is enough for
+# all the nodes of a rolling restart that leave and return meanwhile.
+_ONE_SUCCESSOR_DELAY_MS = 4_000
 
 
-def _parents(
+def _split_ranges(
     view: FleetView, service: str
 ) -> Iterator[tuple[KeyRange, ShardRecord]]:
     return split_ranges(view.directory.shard_records(service))
 
 
-def _perhaps_open(view: FleetView, service: str, own: NodeName) -> set[int]:
-    """Return the shards that name a node or one that has lapsed.
+def _may_lack_owner(view: FleetView, service: str, own: NodeName) -> set[int]:
+    """Return the shards whose record names this node or a lapsed one.
 
-    All others have another live owner: a large service is not gone through.
+    All others have another live owner.  This saves going through all shards
+    of a large service.
     """
     directory = view.directory
     return {
@@ -65,9 +67,9 @@
 
 
 class OwnershipTracker:
-    """Which shards one incarnation holds, and which writes they need.
+    """Tracks which shards an incarnation owns and which records it must write.
 
-    It takes no part in waiting: its tasks call it again and again.
+    Its methods do not block: tasks call them again and again.
     """
 
     def __init__(
@@ -86,10 +88,10 @@
         self._clock = clock
         self._writes: dict[ShardName, ShardWrite] = {}
         self._stale: dict[ShardName, int] = {}
-        self._wanting_since_ms: dict[ShardName, int] = {}
-        self._wanted_before_ms: dict[ShardName, int] = {}
+        self._unowned_since_ms: dict[ShardName, int] = {}
+        self._unowned_before_ms: dict[ShardName, int] = {}
         self._lacking_since_ms: dict[ShardName, int] = {}
-        self._division = Partitioning(service, view, clock)
+        self._partitioning = Partitioning(service, view, clock)
 
     @property
     def stale_shards(self) -> tuple[ShardName, ...]:
@@ -98,19 +100,21 @@
 
     @property
     def version(self) -> tuple[int, int, bool]:
-        """Return what is another value when there may be news to follow."""
+        """Return a value that differs when held shards may need an update."""
         return (*self._view.version, self._lease.is_held())
 
     @property
     def is_settled(self) -> bool:
-        """Tell whether no shard waits for a write of this node."""
+        """Return whether no shard waits for a write of this node."""
         waiting = self._writes or self._stale or self._lacking_since_ms
-        turns = self._wanting_since_ms or self._held_shards.has_spent
-        return not waiting and not turns and not self._division.is_undecided
+        claims = self._unowned_since_ms or self._held_shards.any_needs_new_token
+        return (
+            not waiting and not claims and not self._partitioning.is_undecided
+        )
 
     @property
     def pending_owners(self) -> dict[int, NodeName]:
-        """Return who is to be first of the shards that are being written."""
+        """Return the first owners in the records that are being written."""
         return {
             shard.number: write.record.succession[0]
             for shard, write in self._writes.items()
@@ -126,7 +130,7 @@
         return self._view.live_in(self._service)
 
     def update_held_shards(self) -> None:
-        """Hold and drop shards as seals and records ask for it."""
+        """Hold or drop shards according to the known records and seals."""
         if not self._lease.is_held():
             return
         named = self._view.directory.shards_naming(self._own)
@@ -135,61 +139,69 @@
         ):
             entry = self._view.directory.shard(shard)
             if entry is not None:
-                self._follow(shard, entry)
+                self._update_held_shard(shard, entry)
 
     def shards_to_write(self) -> list[ShardName]:
-        """Return the shards whose record this node should write now."""
+        """Return the shards whose record this node should write now.
+
+        Call it regularly: it also tracks for how long shards have had no
+        owner.
+        """
         if not self._lease.is_held():
             return []
-        self._wanted_before_ms = self._wanting_since_ms
-        self._wanting_since_ms = {}
+        self._unowned_before_ms = self._unowned_since_ms
+        self._unowned_since_ms = {}
         known = (
             shard
-            for shard, entry in self._open_shards()
-            if self._is_wanted(shard, entry)
+            for shard, entry in self._shards_to_check()
+            if self._needs_write(shard, entry)
         )
         return [
             shard
-            for shard in (*known, *self._missing())
+            for shard in (*known, *self._shards_to_create())
             if shard not in self._writes and shard not in self._stale
         ]
 
     def returned_owner(self, shard: ShardName) -> NodeName | None:
-        """Return the node that a shard was taken over from, if it is back."""
+        """Return the node that lost a shard if it has returned.
+
+        None if it has not, or if it is this node.
+        """
         entry = self._view.directory.shard(shard)
-        home = (
+        owner = (
             find_restarted_owner(entry.record, self.live()) if entry else None
         )
-        return None if home == self._own else home
+        return None if owner == self._own else owner
 
     def begin_write(self, shard: ShardName) -> ShardWrite:
-        """Return the write that makes this node the first of a shard."""
+        """Return the write that makes this node the first owner of a shard."""
         return self._begin(shard, self._own)
 
     def begin_return(
-        self, shard: ShardName, home: NodeName
+        self, shard: ShardName, owner: NodeName
     ) -> ShardWrite | None:
-        """Return the write that gives a shard back without holding it first.
+        """Return the write that gives a shard back before it is held here.
 
-        None if this node need not win a write to follow the lost owner.
+        None if this node is owner already, without a write of the record, or
+        if another write of the record is pending.
         """
         entry = self._view.directory.shard(shard)
         if entry is None or shard in self._writes:
             return None
-        how = self._ownership_state(shard, entry.record)
+        state = self._ownership_state(shard, entry.record)
         return (
-            self._begin(shard, home)
-            if how is OwnershipState.MUST_WRITE
+            self._begin(shard, owner)
+            if state is OwnershipState.MUST_WRITE
             else None
         )
 
     def begin_move(
         self, shard: ShardName, target: NodeName
     ) -> ShardWrite | None:
-        """Return the write that moves a shard, None if not possible.
+        """Return the write that moves a shard, or None if it can't move now.
 
-        Step it only once nothing runs in the shard any more and its worker
-        has let it go.
+        Step it only when no request runs in the shard any more and its worker
+        has released it.
         """
         if shard in self._writes or not self._held_shards.is_held(shard):
             return None
@@ -200,9 +212,10 @@
     def begin_split(
         self, shard: ShardName, ranges: tuple[KeyRange, ...]
     ) -> ShardWrite | None:
-        """Return the write that takes ranges out of a shard, if it may be.
+        """Return the write that takes ranges out of a shard.
 
-        Step it only as that of a move.
+        None if the shard can't be split now.  The same conditions as for a
+        move hold before it is stepped.
         """
         entry = self._view.directory.shard(shard)
         held = self._held_shards.is_held(shard)
@@ -217,7 +230,10 @@
     def begin_create(
         self, shard: ShardName, first: NodeName, handover: str
     ) -> ShardWrite | None:
-        """Return the write that creates a shard that was split off."""
+        """Return the write that creates a shard which was split off.
+
+        None if its record exists or is being written.
+        """
         if shard in self._writes or self._view.directory.shard(shard):
             return None
         write = self._begin(shard, first)
@@ -226,9 +242,9 @@
         return write
 
     def finish(self, write: ShardWrite, progress: WriteProgress) -> None:
-        """Take in the final progress of a write."""
+        """Apply the final progress of a write."""
         self._writes.pop(write.shard, None)
-        self._wanting_since_ms.pop(write.shard, None)
+        self._unowned_since_ms.pop(write.shard, None)
         self._lacking_since_ms.pop(write.shard, None)
         if progress is WriteProgress.WRITTEN and write.stored is not None:
             self._view.directory.apply(write.stored)
@@ -238,15 +254,17 @@
         elif progress is WriteProgress.NOT_SENT:
             self._held_shards.reopen(write.shard)
 
-    def _open_shards(self) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
-        """Yield the shards that this node or nobody acts for."""
+    def _shards_to_check(
+        self,
+    ) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
+        """Yield the shards that this node or no node acts for."""
         entries = self._view.directory.shards(self._service)
         for number in sorted(
-            _perhaps_open(self._view, self._service, self._own)
+            _may_lack_owner(self._view, self._service, self._own)
         ):
             entry = entries[number]
-            actor = acting_owner(entry.record, self._view)
-            if actor is None or actor == self._own:
+            acting = acting_owner(entry.record, self._view)
+            if acting is None or acting == self._own:
                 yield ShardName(self._service, number), entry
 
     def _ownership_state(
@@ -254,73 +272,78 @@
     ) -> OwnershipState:
         return ownership_state(shard, record, self._own, self._view)
 
-    def _follow(self, shard: ShardName, entry: Entry[ShardRecord]) -> None:
+    def _update_held_shard(
+        self, shard: ShardName, entry: Entry[ShardRecord]
+    ) -> None:
         if entry.version > self._stale.get(shard, entry.version):
             self._stale.pop(shard)
             self._held_shards.drop_lost(shard, 'its record was overtaken')
         if shard in self._stale:
             return
-        how = self._ownership_state(shard, entry.record)
-        if how is OwnershipState.OWNER:
+        state = self._ownership_state(shard, entry.record)
+        if state is OwnershipState.OWNER:
             self._hold(shard, entry.record)
         elif not self._held_shards.is_closed(shard):
-            self._held_shards.drop_lost(shard, how.value)
+            self._held_shards.drop_lost(shard, state.value)
 
     def _hold(self, shard: ShardName, record: ShardRecord) -> None:
         if not self._held_shards.hold(shard, fencing_token(record, self._own)):
             return
-        late = succession_rank(record, self._own) > 0
-        event = SHARD_TAKEN_OVER if late else SHARD_CLAIMED
+        is_successor = succession_rank(record, self._own) > 0
+        event = SHARD_TAKEN_OVER if is_successor else SHARD_CLAIMED
         event.report(shard=shard, epoch=record.epoch)
 
-    def _is_wanted(self, shard: ShardName, entry: Entry[ShardRecord]) -> bool:
-        how = self._ownership_state(shard, entry.record)
-        if how is OwnershipState.OWNER:
-            if self._held_shards.is_spent(shard) or self.returned_owner(shard):
+    def _needs_write(self, shard: ShardName, entry: Entry[ShardRecord]) -> bool:
+        state = self._ownership_state(shard, entry.record)
+        if state is OwnershipState.OWNER:
+            if self._held_shards.needs_new_token(shard) or self.returned_owner(
+                shard
+            ):
                 return True
-            return self._is_due(shard, entry.record)
-        if how is OwnershipState.ORPHANED:
-            return self._is_my_turn(shard)
-        return how is OwnershipState.MUST_WRITE
+            return self._is_succession_due(shard, entry.record)
+        if state is OwnershipState.ORPHANED:
+            return self._may_claim(shard)
+        return state is OwnershipState.MUST_WRITE
 
-    def _is_due(self, shard: ShardName, record: ShardRecord) -> bool:
+    def _is_succession_due(self, shard: ShardName, record: ShardRecord) -> bool:
         nodes = self.live()
         if not needs_new_succession(self._own, record.succession, nodes):
             self._lacking_since_ms.pop(shard, None)
             return False
         now_ms = self._clock.now_ms()
         since_ms = self._lacking_since_ms.setdefault(shard, now_ms)
-        has_one = any(name in nodes for name in record.succession[1:])
-        wait_ms = _ONE_LEFT_MS if has_one else 0
-        window_ms = _UNHURRIED_MS_PER_NODE * len(nodes)
+        has_successor = any(name in nodes for name in record.succession[1:])
+        delay_ms = _ONE_SUCCESSOR_DELAY_MS if has_successor else 0
+        spread_ms = _SPREAD_MS_PER_NODE * len(nodes)
         topic = f'{self._own} {shard} {record.epoch}'.encode()
-        wait_ms += xxh3_64_intdigest(topic) % (window_ms + 1)
-        return now_ms - since_ms >= wait_ms
+        delay_ms += xxh3_64_intdigest(topic) % (spread_ms + 1)
+        return now_ms - since_ms >= delay_ms
 
-    def _is_my_turn(self, shard: ShardName) -> bool:
+    def _may_claim(self, shard: ShardName) -> bool:
+        """Return whether this node should claim a shard without an owner."""
         now_ms = self._clock.now_ms()
-        since_ms = self._wanted_before_ms.get(shard, now_ms)
-        self._wanting_since_ms[shard] = since_ms
-        patient = now_ms - since_ms < _BYSTANDER_PATIENCE_MS
+        since_ms = self._unowned_before_ms.get(shard, now_ms)
+        self._unowned_since_ms[shard] = since_ms
+        is_waiting = now_ms - since_ms < _CLAIM_TIMEOUT_MS
         live = self.live()
         if self._own not in live:
             return False
         entry = self._view.directory.shard(shard)
-        first = choose_claimant(shard, entry.record if entry else None, live)
-        return first == self._own or not patient
+        claimant = choose_claimant(shard, entry.record if entry else None, live)
+        return claimant == self._own or not is_waiting
 
-    def _missing(self) -> Iterator[ShardName]:
+    def _shards_to_create(self) -> Iterator[ShardName]:
         known = self._view.directory.shards(self._service)
-        numbers = list(self._division.creatable_shards())
+        numbers = list(self._partitioning.creatable_shards())
         numbers.extend(
             split_shard_number(keys)
-            for keys, _ in _parents(self._view, self._service)
+            for keys, _ in _split_ranges(self._view, self._service)
         )
         for number in numbers:
             if number in known:
                 continue
             shard = ShardName(self._service, number)
-            if self._is_my_turn(shard):
+            if self._may_claim(shard):
                 yield shard
 
     def _begin(self, shard: ShardName, first: NodeName) -> ShardWrite:
@@ -347,15 +370,17 @@
                 succession=succession,
                 handovers=(),
             )
-        for keys, parent in _parents(self._view, self._service):
+        for keys, parent in _split_ranges(self._view, self._service):
             if split_shard_number(keys) == shard.number:
-                # Tokens of keys rise on from those of the shard they left.
+                # The fencing tokens of the keys must not fall: the new shard
+                # begins with the epoch of its parent, which was raised by the
+                # split.
                 return ShardRecord(parent.epoch, succession, keys=keys)
         return ShardRecord(
             1,
             succession,
-            shards=self._division.shard_count(),
-            stripe_width=self._division.stripe_width(),
+            shards=self._partitioning.shard_count(),
+            stripe_width=self._partitioning.stripe_width(),
         )
 
     def _apply_written(self, write: ShardWrite) -> None:
@@ -368,7 +393,7 @@
         SHARD_MOVED.report(shard=write.shard, target=target, epoch=epoch)
 
     def _apply_conflict(self, write: ShardWrite) -> None:
-        # Somebody else wrote, so what this node knows of the shard is stale.
+        # Another node wrote the record, so the known one is stale.
         self._held_shards.drop_lost(
             write.shard, 'another write of its record came first'
         )
--- a/laburnumwood/placement/partitioning.py
+++ b/laburnumwood/placement/partitioning.py
@@ -1,8 +1,8 @@
-"""Into how many shards a service is divided, decided once by its first nodes.
+"""The number of shards of a service, decided once by its first nodes.
 
-That number and the width of stripes go with the record of each shard.  Only
-the first shard may be written while no record says what they are, so that all
-go by those that the store took.
+The number of shards and the width of stripes are written into the record of
+each shard.  While no record says what they are, only the first shard may be
+created, so that all nodes adopt the values that the store accepted.
 """
 
 from collections.abc import Set
@@ -13,34 +13,35 @@
 from laburnumwood.placement.sharding import planned_shards, planned_width
 from laburnumwood.records import NodeName
 
-FIRST_SHARD = 0  # the shard whose record comes before those of all others
-_SETTLED_MS = 1_500  # without a change of nodes, before a service is divided
+FIRST_SHARD = 0  # the shard whose record is created before all others
+# How long the nodes must stay the same before the number of shards is decided.
+_STABLE_MS = 1_500
 
-_NOBODY: Set[NodeName] = frozenset()
+_NO_NODES: Set[NodeName] = frozenset()
 
 
 class Partitioning:
-    """What one node knows of the division of its service."""
+    """What one node knows of the partitioning of its service."""
 
     def __init__(self, service: str, view: FleetView, clock: Clock) -> None:
         self._service = service
         self._view = view
         self._clock = clock
-        self._nodes = _NOBODY
-        self._since_ms = 0
+        self._nodes = _NO_NODES
+        self._same_since_ms = 0
 
     @property
     def is_undecided(self) -> bool:
-        """Tell whether the number of shards is still to be written."""
+        """Return whether the number of shards has yet to be recorded."""
         declared = self._declared
         if declared is None or declared.shards_per_node is None:
             return False
         return FIRST_SHARD not in self._view.directory.shards(self._service)
 
     def creatable_shards(self) -> range:
-        """Return the numbers of the shards that may be written now."""
+        """Return the numbers of the shards that may be created now."""
         if self.is_undecided:
-            return range(FIRST_SHARD, FIRST_SHARD + int(self._is_settled()))
+            return range(FIRST_SHARD, FIRST_SHARD + int(self._is_stable()))
         return range(self._declared.shards if self._declared else 0)
 
     def shard_count(self) -> int:
@@ -68,8 +69,8 @@
     def _live(self) -> Set[NodeName]:
         return self._view.live_in(self._service).keys()
 
-    def _is_settled(self) -> bool:
+    def _is_stable(self) -> bool:
         now_ms, nodes = self._clock.now_ms(), self._live()
         if nodes != self._nodes:
-            self._nodes, self._since_ms = nodes, now_ms
-        return now_ms - self._since_ms >= _SETTLED_MS
+            self._nodes, self._same_since_ms = nodes, now_ms
+        return now_ms - self._same_since_ms >= _STABLE_MS
--- a/laburnumwood/placement/planner.py
+++ b/laburnumwood/placement/planner.py
@@ -1,4 +1,4 @@
-"""When a node moves shards: settled targets, rest between moves, bounds."""
+"""Limits on the moves of a node: stable targets, rest times and rates."""
 
 from collections import Counter, deque
 from dataclasses import replace
@@ -16,49 +16,51 @@
 _MINUTE_MS = 60_000
 _URGENT_PER_MINUTE = 60
 _REST_PER_COLD_START = 10
-_SETTLED_MS = 1_000  # from the arrival of a node to its first shard
-_FLAP_MEMORY_MS = 600_000
-_MOST_FLAPS = 7
-_MOST_RETURNS = 4  # of a node, after which it is given nothing back at once
+_SETTLING_MS = 1_000  # from the arrival of a node to its first shard
+_ARRIVAL_MEMORY_MS = 600_000
+_MAX_SETTLING_DOUBLINGS = 7
+# A node that has arrived more often lately gets no shards back at once.
+_MAX_STABLE_ARRIVALS = 4
 
 
 class _Arrivals:
-    """When nodes came, and how often the same ones came lately."""
+    """When the live nodes arrived, and how often each did so lately."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._seen_ms: dict[NodeName, int] = {}
+        self._arrived_ms: dict[NodeName, int] = {}
 
-    def note(self, live: ShardsByNode) -> None:
+    def update(self, live: ShardsByNode) -> None:
         now_ms = self._clock.now_ms()
         kept = {
-            known: seen_ms
-            for known, seen_ms in self._seen_ms.items()
-            if known in live or now_ms - seen_ms <= _FLAP_MEMORY_MS
+            known: arrived_ms
+            for known, arrived_ms in self._arrived_ms.items()
+            if known in live or now_ms - arrived_ms <= _ARRIVAL_MEMORY_MS
         }
-        self._seen_ms = dict.fromkeys(live, now_ms) | kept
+        self._arrived_ms = dict.fromkeys(live, now_ms) | kept
 
     def settled(self, live: ShardsByNode) -> set[NodeName]:
-        """Return the nodes that have been there long enough for shards.
+        """Return the nodes that have been live long enough to get shards.
 
         Each return of a node within the last minutes doubles the wait.
         """
-        came = self.came()
+        counts = self.counts()
         now_ms = self._clock.now_ms()
         return {
             name
             for name in live
-            if now_ms - self._seen_ms[name]
-            >= _SETTLED_MS * 2 ** min(came[name.node_id] - 1, _MOST_FLAPS)
+            if now_ms - self._arrived_ms[name]
+            >= _SETTLING_MS
+            * 2 ** min(counts[name.node_id] - 1, _MAX_SETTLING_DOUBLINGS)
         }
 
-    def came(self) -> Counter[str]:
-        """Return how often each node came within the last minutes."""
-        return Counter(name.node_id for name in self._seen_ms)
+    def counts(self) -> Counter[str]:
+        """Return how often each node arrived within the last minutes."""
+        return Counter(name.node_id for name in self._arrived_ms)
 
 
 class MovePlanner:
-    """Decides about the moves of one node, by a policy and in time."""
+    """Decides when a node makes the moves that its policy proposes."""
 
     def __init__(
         self, policy: str, settings: PlacementSettings, clock: Clock
@@ -66,16 +68,18 @@
         self._settings = settings
         self._policy = POLICIES[policy]
         self._clock = clock
-        self._nodes = _Arrivals(clock)
-        self._shards_ms: dict[int, int] = {}
-        self._made: deque[tuple[int, bool]] = deque()
+        self._arrivals = _Arrivals(clock)
+        self._owned_since_ms: dict[int, int] = {}
+        self._recent_moves: deque[tuple[int, bool]] = deque()
 
     def plan(self, snapshot: PlacementSnapshot) -> tuple[Move, ...]:
-        """Return the moves to make now, and count them as made."""
-        self._nodes.note(snapshot.shards_by_node)
-        self._note_shards(snapshot.shards_by_node.get(snapshot.own, ()))
-        settled = self._nodes.settled(snapshot.shards_by_node) | {snapshot.own}
-        known = replace(
+        """Return the moves to make now, and count them against the limits."""
+        self._arrivals.update(snapshot.shards_by_node)
+        self._update_owned(snapshot.shards_by_node.get(snapshot.own, ()))
+        settled = self._arrivals.settled(snapshot.shards_by_node) | {
+            snapshot.own
+        }
+        considered = replace(
             snapshot,
             shards_by_node={
                 name: shards
@@ -85,39 +89,45 @@
         )
         wanted = [
             move
-            for move in self._policy(known)
+            for move in self._policy(considered)
             if move.source == snapshot.own
             and move.target in settled
             and self._is_rested(move, snapshot.cold_start_ms)
         ]
-        return tuple(move for move in wanted if self._take(move))
+        return tuple(move for move in wanted if self._try_count(move))
 
     def is_stable(self, node_id: str) -> bool:
-        """Tell whether a node did not come again and again lately."""
-        return self._nodes.came()[node_id] <= _MOST_RETURNS
+        """Return whether a node has not arrived too often lately."""
+        return self._arrivals.counts()[node_id] <= _MAX_STABLE_ARRIVALS
 
-    def _note_shards(self, own: tuple[int, ...]) -> None:
+    def _update_owned(self, own: tuple[int, ...]) -> None:
         now_ms = self._clock.now_ms()
-        self._shards_ms = {
-            shard: self._shards_ms.get(shard, now_ms) for shard in own
+        self._owned_since_ms = {
+            shard: self._owned_since_ms.get(shard, now_ms) for shard in own
         }
 
     def _is_rested(self, move: Move, cold_start_ms: int) -> bool:
         if move.urgent:
             return True
         rest_ms = self._settings.rest_ms + cold_start_ms * _REST_PER_COLD_START
-        age_ms = self._clock.now_ms() - self._shards_ms[move.shard]
+        age_ms = self._clock.now_ms() - self._owned_since_ms[move.shard]
         return age_ms >= rest_ms
 
-    def _take(self, move: Move) -> bool:
+    def _try_count(self, move: Move) -> bool:
+        """Count a move unless it would exceed the limit of its kind."""
         now_ms = self._clock.now_ms()
-        while self._made and now_ms - self._made[0][0] >= _MINUTE_MS:
-            self._made.popleft()
-        alike = sum(urgent == move.urgent for _, urgent in self._made)
-        most = self._settings.moves_per_minute
+        while (
+            self._recent_moves
+            and now_ms - self._recent_moves[0][0] >= _MINUTE_MS
+        ):
+            self._recent_moves.popleft()
+        same_kind = sum(
+            urgent == move.urgent for _, urgent in self._recent_moves
+        )
+        limit = self._settings.moves_per_minute
         if move.urgent:
-            most = _URGENT_PER_MINUTE
-        if alike >= most:
+            limit = _URGENT_PER_MINUTE
+        if same_kind >= limit:
             return False
-        self._made.append((now_ms, move.urgent))
+        self._recent_moves.append((now_ms, move.urgent))
         return True
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -1,4 +1,4 @@
-"""The tasks that keep a node's shards: claim, take over, renew and move."""
+"""The tasks of a node that claim, take over, renew and move its shards."""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -27,23 +27,28 @@
 from laburnumwood.tasks import start
 from laburnumwood.upstream.grants import Grants
 
-_STANDING_MS = 100
-_WRITING_MS = 200
-_TURNS_PER_BALANCE = 3
+_OWNERSHIP_POLL_MS = 100
+_WRITE_INTERVAL_MS = 200
+_WRITE_ROUNDS_PER_BALANCE = 3
 _IDLE_POLL_MS = 10
-_MOST_TOLD = 100  # nodes; in a larger fleet only those that may act
-_HAND_OVER_MS = 2_500  # for the store to take the records
+# In a larger fleet only the nodes of a record's succession are notified.
+_MAX_NOTIFIED_NODES = 100
+_HANDOVER_LIMIT_MS = 2_500  # for the store to accept the records
 
 
 BeforeMove = Callable[[ShardName, tuple[NodeName, ...]], bool]
 
 
-def _move_at_once(_shard: ShardName, _next: tuple[NodeName, ...]) -> bool:
+def _allow_move(_shard: ShardName, _next: tuple[NodeName, ...]) -> bool:
     return True
 
 
 class ShardManager:
-    """Keeps the shards of one incarnation of a node."""
+    """Manages the shards of one incarnation of a node.
+
+    `before_move` is called with the shard and its next succession before the
+    record of a move is written; the move is given up if it returns False.
+    """
 
     def __init__(
         self,
@@ -67,24 +72,24 @@
         self._grants = grants
         self._clock = clock
         self._stopping = False
-        self.before_move: BeforeMove = _move_at_once
+        self.before_move: BeforeMove = _allow_move
 
     def follow_ownership(self) -> None:
-        """Take over and give up shards as seals and records ask for it."""
+        """Hold and drop shards as records and seals change; never returns."""
         followed = None
         while True:
             version = self._ownership.version
             if version != followed:
                 self._ownership.update_held_shards()
                 followed = version
-            # The lease may come and go without any news.
-            self._view.directory.news.wait(_STANDING_MS)
+            # The lease may be lost or regained without any notification.
+            self._view.directory.news.wait(_OWNERSHIP_POLL_MS)
 
     def write_records(self) -> None:
-        """Start the writes that the shards need; does not return."""
+        """Start the writes that the shards need; never returns."""
         seen = None
         for turn in count():
-            eventlet.sleep(_WRITING_MS / MS_PER_SECOND)
+            eventlet.sleep(_WRITE_INTERVAL_MS / MS_PER_SECOND)
             for stale in self._ownership.stale_shards:
                 self._writer.start(self._writer.try_refresh, stale)
             if self._stopping:
@@ -93,20 +98,20 @@
             if version != seen or not self._ownership.is_settled:
                 seen = version
                 self._write_records_due()
-            if turn % _TURNS_PER_BALANCE == 0:
-                self._place()
+            if turn % _WRITE_ROUNDS_PER_BALANCE == 0:
+                self._rebalance()
 
-    def _place(self) -> None:
+    def _rebalance(self) -> None:
         if self._ownership.own not in self._ownership.live():
-            self._give_all_away()
+            self._move_all_away()
         elif self._writer.is_healthy:
-            self._balance()
+            self._begin_planned_moves()
             split = self._balancer.plan_split(self._ownership.pending_owners)
             if split is not None:
                 self._begin_split(split)
 
     def withdraw_all(self) -> None:
-        """Let every shard go; requests that run go on."""
+        """Withdraw all shards from the worker; running requests continue."""
         self._stopping = True
         for shard in self._held_shards.tokens():
             self._grants.withdraw(shard)
@@ -114,16 +119,16 @@
     def hand_over_all(self, own: NodeName, patience_ms: int) -> None:
         """Move every shard to another node, for a planned stop.
 
-        What still runs in a shard is waited for, `patience_ms` at the most.
-        Shards that could not be moved are closed; their successors take over
-        once the lease is resigned.
+        Running requests are waited for, at most `patience_ms`.  Shards that
+        could not be moved by then stay withdrawn from the worker; their
+        successors take over once the lease is resigned.
         """
         started_ms = self._clock.now_ms()
         self.withdraw_all()
         while self._is_worth_waiting(started_ms, patience_ms):
             for place, shard in enumerate(sorted(self._held_shards.tokens())):
                 self._grants.withdraw(shard)
-                self._begin_move(shard, self._heir(shard, own, place))
+                self._begin_move(shard, self._move_target(shard, own, place))
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
 
     def _is_worth_waiting(self, started_ms: int, patience_ms: int) -> bool:
@@ -133,9 +138,9 @@
             return False
         if not self._held_shards.all_idle():
             return True
-        # Without the store no record is written; once the worker has let go,
-        # the successors can follow the seals.
-        limit_ms = _HAND_OVER_MS if self._writer.is_answered else 0
+        # Without the store no record can be written.  Once the worker has
+        # released the shards, their successors can take over by the seals.
+        limit_ms = _HANDOVER_LIMIT_MS if self._writer.is_answered else 0
         released = all(self._grants.is_released(shard) for shard in held)
         return waited_ms < limit_ms or not released
 
@@ -146,7 +151,7 @@
                 start(self._move, write)
 
     def _is_store_away(self, shard: ShardName) -> bool:
-        """Tell whether the store, silent when asked last, still is."""
+        """Return whether the store, unreachable at the last read, still is."""
         if self._writer.is_answered:
             return False
         return not self._writer.try_refresh(shard)
@@ -158,7 +163,8 @@
         self._release(write.shard)
         handovers = self._grants.handovers(write.shard)
         write.record = replace(write.record, handovers=handovers)
-        # A move that begins in an outage would keep its shard closed in it.
+        # A move that begins during a store outage would keep its shard closed
+        # until the outage ends.
         answers = self._writer.try_refresh(write.shard)
         if answers and self.before_move(write.shard, write.record.succession):
             self._execute(write)
@@ -166,11 +172,15 @@
             self._finish(write, WriteProgress.NOT_SENT)
 
     def _release(self, shard: ShardName) -> None:
+        """Block until the worker has released a shard and nothing runs in it.
+
+        The shard is withdrawn first, and closed once it is released.
+        """
         self._grants.withdraw(shard)
         while not self._grants.is_released(shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
         self._held_shards.close(shard)
-        # Those who wait for a grant of it look for the next owner instead.
+        # Requests that wait for a grant of the shard go to the next owner.
         self._grants.news.tell()
         while not self._held_shards.is_idle(shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
@@ -185,8 +195,8 @@
         if self._is_store_away(write.shard):
             self._finish(write, WriteProgress.NOT_SENT)
             return
-        # The worker lets the whole shard go, so that nothing is held of the
-        # parts while they belong to nobody.
+        # The worker releases the whole shard, so that it holds nothing of the
+        # parts while they have no owner.
         self._release(write.shard)
         if not self._writer.try_refresh(write.shard):
             self._finish(write, WriteProgress.NOT_SENT)
@@ -213,38 +223,38 @@
         for shard in self._ownership.shards_to_write():
             if not self._writer.has_room:
                 return
-            home = self._ownership.returned_owner(shard)
-            if home is not None and self._may_go_home(home):
-                self._give_back(shard, home)
+            owner = self._ownership.returned_owner(shard)
+            if owner is not None and self._may_give_back(owner):
+                self._give_back(shard, owner)
             else:
                 write = self._ownership.begin_write(shard)
                 self._writer.start(self._execute, write)
 
-    def _may_go_home(self, home: NodeName) -> bool:
-        is_stable = self._balancer.is_stable(home.node_id)
+    def _may_give_back(self, owner: NodeName) -> bool:
+        is_stable = self._balancer.is_stable(owner.node_id)
         return is_stable and self._writer.is_healthy
 
-    def _give_back(self, shard: ShardName, home: NodeName) -> None:
-        """Let a shard go to the node that lost it: its worker has its data."""
-        write = self._ownership.begin_return(shard, home)
+    def _give_back(self, shard: ShardName, owner: NodeName) -> None:
+        """Return a shard to the node that lost it: its worker has its data."""
+        write = self._ownership.begin_return(shard, owner)
         if write is None:
-            self._begin_move(shard, home)
+            self._begin_move(shard, owner)
         else:
-            start(self._let_go_and_write, write)
+            start(self._release_and_write, write)
 
-    def _let_go_and_write(self, write: ShardWrite) -> None:
-        # Before this node had to win a write, its worker may have been given
-        # the shard.
+    def _release_and_write(self, write: ShardWrite) -> None:
+        # The worker may have been granted the shard before it became clear
+        # that this node has to write the record first.
         self._release(write.shard)
         self._execute(write)
 
-    def _give_all_away(self) -> None:
+    def _move_all_away(self) -> None:
         # The worker is lost or leaves: others are to serve its keys.
         own = self._ownership.own
         for place, shard in enumerate(sorted(self._held_shards.tokens())):
-            self._begin_move(shard, self._heir(shard, own, place))
+            self._begin_move(shard, self._move_target(shard, own, place))
 
-    def _balance(self) -> None:
+    def _begin_planned_moves(self) -> None:
         for move in self._balancer.plan_moves(self._ownership.pending_owners):
             shard = ShardName(self._service, move.shard)
             self._begin_move(shard, move.target)
@@ -259,28 +269,33 @@
         else:
             self._grants.restore(write.shard)
         if progress is WriteProgress.WRITTEN:
-            self._tell(write.shard)
+            self._notify(write.shard)
 
-    def _tell(self, shard: ShardName) -> None:
+    def _notify(self, shard: ShardName) -> None:
         entry = self._view.directory.shard(shard)
         if entry is not None:
-            told = self._told(entry.record)
-            self._spreader.tell(told, notice_of(shard, entry))
+            recipients = self._recipients(entry.record)
+            self._spreader.tell(recipients, notice_of(shard, entry))
 
-    def _told(self, record: ShardRecord) -> set[NodeName]:
-        """Return who is told of a record at once; others hear of it later.
+    def _recipients(self, record: ShardRecord) -> set[NodeName]:
+        """Return the nodes that are sent a record at once; others get it later.
 
-        In a small fleet all doors are, so that none asks the last owner; in a
-        large one the last owner tells those that ask it.
+        In a small fleet these are all nodes, so that no door asks the last
+        owner; in a large one the last owner redirects those that ask it.
         """
-        told = {name for name, _ in self._view.live()}
-        if len(told) > _MOST_TOLD:
-            told = set(record.succession)
-        return told.difference((self._ownership.own,))
+        recipients = {name for name, _ in self._view.live()}
+        if len(recipients) > _MAX_NOTIFIED_NODES:
+            recipients = set(record.succession)
+        return recipients.difference((self._ownership.own,))
 
-    def _heir(
+    def _move_target(
         self, shard: ShardName, own: NodeName, place: int
     ) -> NodeName | None:
+        """Return a live node to move a shard to, its successor if possible.
+
+        `place` is the position of the shard among those that are to move; it
+        spreads shards without a live successor over the nodes.
+        """
         nodes: dict[NodeName, NodeRecord] = self._ownership.live()
         nodes.pop(own, None)
         entry = self._view.directory.shard(shard)
--- a/laburnumwood/placement/shard_write.py
+++ b/laburnumwood/placement/shard_write.py
@@ -1,4 +1,4 @@
-"""One write of a shard's record, step by step."""
+"""A conditional write of a shard's record, step by step."""
 
 from enum import Enum
 
@@ -14,7 +14,7 @@
 from laburnumwood.store.objects import shard_object, to_value
 from laburnumwood.store.writes import marked, write
 
-_FLOOR_PATIENCE_MS = 3_000
+_FLOOR_TIMEOUT_MS = 3_000
 
 
 class WriteProgress(Enum):
@@ -29,7 +29,7 @@
 
     @property
     def is_final(self) -> bool:
-        """Tell whether there is nothing more to do."""
+        """Return whether the write needs no further steps."""
         return self not in {WriteProgress.NEEDS_FLOOR, WriteProgress.UNSETTLED}
 
 
@@ -37,10 +37,11 @@
     """A conditional write of a shard's record by one incarnation.
 
     The floor is raised first, and nothing is sent before enough witnesses
-    know it.  A write whose answer was lost is repeated until it is settled.
-    One that `stop_if_unreachable` is not, if its first try did not reach the store:
-    whoever waits for its outcome need not wait for the store.
-    `version` is the one to replace, or None to create the record.
+    have acknowledged it.  A write whose answer was lost is repeated until its
+    outcome is known.  If `stop_if_unreachable` is set and the first attempt
+    does not reach the store, the write is not repeated, so that nothing that
+    depends on its outcome has to wait for the store.
+    `version` is the version to replace, or None to create the record.
     """
 
     def __init__(
@@ -59,12 +60,12 @@
         self._lease = lease
         self._clock = clock
         self._sent = False
-        self._floor_deadline_ms = clock.now_ms() + _FLOOR_PATIENCE_MS
+        self._floor_deadline_ms = clock.now_ms() + _FLOOR_TIMEOUT_MS
         if version is not None:
             lease.raise_floor(str(shard), record.epoch)
 
     def step(self, platform: Store) -> WriteProgress:
-        """Carry the write on by at most one exchange with the store."""
+        """Advance the write by at most one exchange with the store."""
         if self._lease.is_over:
             return (
                 WriteProgress.ABANDONED
@@ -74,8 +75,9 @@
         if not self._sent and not self._may_send():
             late = self._clock.now_ms() >= self._floor_deadline_ms
             return WriteProgress.NOT_SENT if late else WriteProgress.NEEDS_FLOOR
-        # An earlier try may still land, whatever becomes of this one.
-        is_left = self.stop_if_unreachable and not self._sent
+        # An earlier attempt may still take effect, whatever the outcome of
+        # this one.
+        may_stop = self.stop_if_unreachable and not self._sent
         self._sent = True
         try:
             return self._send(platform)
@@ -85,17 +87,17 @@
             not_reached = isinstance(failure, PlatformNotReachedError)
         return (
             WriteProgress.NOT_SENT
-            if is_left and not_reached
+            if may_stop and not_reached
             else WriteProgress.UNSETTLED
         )
 
     def _may_send(self) -> bool:
         if not self._lease.is_held():
             return False
-        known = self._lease.is_floor_acknowledged(
+        acknowledged = self._lease.is_floor_acknowledged(
             str(self.shard), self.record.epoch
         )
-        return known or self.version is None
+        return acknowledged or self.version is None
 
     def _send(self, platform: Store) -> WriteProgress:
         name = shard_object(self.shard)
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -1,4 +1,4 @@
-"""When the owner of a shard splits hot keys off, and which."""
+"""When the owner of a shard splits hot keys off it, and which ones."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -8,19 +8,21 @@
 from laburnumwood.placement.move_policy import PlacementSnapshot
 from laburnumwood.records import KeyRange, NodeName
 
-_BUSY = 0.6  # of a node's slots; a node that is less busy splits nothing
-_LEAST_GAP = 0.25  # between its usage and that of the least busy node
-_HEAVY = 0.3  # of a node's slots; a shard that takes less is moved whole
-_PIECE = 0.2  # of a node's slots; as much as a part should take
-_MOST_PIECES = 6  # of a shard in one split, with the one that stays
-_REST_MS = 800  # between two splits of a node
-_LEAST_SPLIT_OFF = 96  # ranges that a service of any size may split off
-_SPLIT_OFF_PER_NODE = 4  # ranges that a larger one may
+# Fractions of a node's slots:
+_MIN_NODE_UTILIZATION = 0.6  # a node that is less busy splits nothing
+_MIN_DIFFERENCE = 0.25  # from the utilization of the least utilized node
+_MIN_SHARD_UTILIZATION = 0.3  # a shard that takes less is moved as a whole
+_PIECE_UTILIZATION = 0.2  # what each piece should take
+
+_MAX_PIECES = 6  # of a shard in one split, including the one that stays
+_MIN_INTERVAL_MS = 800  # between two splits of a node
+_MIN_SPLIT_RANGES = 96  # ranges that a service of any size may split off
+_SPLIT_RANGES_PER_NODE = 4  # ranges that a larger service may split off
 
 
 @dataclass(frozen=True, slots=True)
 class Part:
-    """A range of keys that should become a shard of its own elsewhere."""
+    """A range of keys that is to become a shard of its own on `target`."""
 
     keys: KeyRange
     target: NodeName
@@ -28,24 +30,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Split:
-    """The parts that should be split off a shard together."""
+    """The parts that are to be split off a shard together."""
 
     shard: int
     parts: tuple[Part, ...]
 
     @property
     def ranges(self) -> tuple[KeyRange, ...]:
-        """Return the keys of all parts."""
+        """Return the key ranges of all parts."""
         return tuple(each.keys for each in self.parts)
 
 
 def hot_parts(
     ranges: tuple[KeyRange, ...], counts: Mapping[int, float], pieces: int
 ) -> tuple[KeyRange, ...]:
-    """Return the upper parts of the hottest range, with as many requests each.
+    """Divide the hottest range into pieces; return all but the lowest.
 
-    Of `pieces` pieces the lowest is left out.  None begins where the range
-    does, so that no two shards that were split off begin with the same key.
+    `counts` are the request counts of keys.  Each of the `pieces` pieces gets
+    about as many requests, and there may be fewer pieces.  No returned piece
+    begins where the range does, so that no two shards that were split off
+    begin with the same key.
     """
     weights = {keys: _count_in(keys, counts) for keys in ranges}
     hottest = max(weights, key=lambda keys: weights[keys], default=None)
@@ -53,19 +57,19 @@
         return ()
     hot = sorted(key for key in counts if hottest.first < key <= hottest.last)
     firsts: list[int] = []
-    taken: float = 0
+    accumulated: float = 0
     for key in reversed(hot):
-        taken += counts[key]
-        if taken * pieces >= weights[hottest]:
+        accumulated += counts[key]
+        if accumulated * pieces >= weights[hottest]:
             firsts.append(key)
-            taken = 0
+            accumulated = 0
         if len(firsts) == pieces - 1:
             break
-    return _up_to(firsts or hot[:1], hottest.last)
+    return _ranges_from(firsts or hot[:1], hottest.last)
 
 
-def _up_to(firsts: list[int], last: int) -> tuple[KeyRange, ...]:
-    """Return the ranges that begin with some keys, the highest first."""
+def _ranges_from(firsts: list[int], last: int) -> tuple[KeyRange, ...]:
+    """Return adjacent ranges up to `last` by their first keys, descending."""
     found: list[KeyRange] = []
     for first in firsts:
         found.append(KeyRange(first, last))
@@ -80,19 +84,19 @@
 
 
 class Splitter:
-    """Decides for one node when to split, by how busy it is."""
+    """Decides for one node when to split, by its utilization."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._split_ms: int | None = None
+        self._last_split_ms: int | None = None
 
     def choose_shard(
         self, snapshot: PlacementSnapshot, split_off: int
     ) -> tuple[int, tuple[NodeName, ...]]:
-        """Return the shard to split and who should get its parts.
+        """Return the shard to split and the nodes that get its parts.
 
-        The shard is -1 if there is none; `split_off` counts the ranges that
-        were split off before.
+        The shard is -1 if there is none to split; `split_off` is the number
+        of ranges that the service has split off already.
         """
         own = snapshot.own
         shards = snapshot.shards_by_node[own]
@@ -102,54 +106,72 @@
             default=-1,
         )
         most = max(
-            _LEAST_SPLIT_OFF, _SPLIT_OFF_PER_NODE * len(snapshot.shards_by_node)
+            _MIN_SPLIT_RANGES,
+            _SPLIT_RANGES_PER_NODE * len(snapshot.shards_by_node),
         )
-        if split_off >= most or _is_calm(snapshot) or not self._is_rested():
+        if (
+            split_off >= most
+            or _can_carry_load(snapshot)
+            or not self._is_rested()
+        ):
             return -1, ()
-        if heaviest < 0 or snapshot.utilization(heaviest, own) < _HEAVY:
+        if (
+            heaviest < 0
+            or snapshot.utilization(heaviest, own) < _MIN_SHARD_UTILIZATION
+        ):
             return -1, ()
         return heaviest, _targets(snapshot, heaviest)
 
     def record_split(self) -> None:
-        """Take in that a split begins."""
-        self._split_ms = self._clock.now_ms()
+        """Record that a split begins now."""
+        self._last_split_ms = self._clock.now_ms()
 
     def _is_rested(self) -> bool:
-        if self._split_ms is None:
+        if self._last_split_ms is None:
             return True
-        return self._clock.now_ms() - self._split_ms >= _REST_MS
+        return self._clock.now_ms() - self._last_split_ms >= _MIN_INTERVAL_MS
 
 
-def _is_calm(snapshot: PlacementSnapshot) -> bool:
-    """Tell whether a node can carry its work, or nobody could better."""
+def _can_carry_load(snapshot: PlacementSnapshot) -> bool:
+    """Return whether a node needs no split, or no other node could help."""
     utilizations = snapshot.utilizations
-    own_usage = utilizations[snapshot.own]
+    own_utilization = utilizations[snapshot.own]
     least = min(
-        (utilizations[name] for name in snapshot.targets), default=own_usage
+        (utilizations[name] for name in snapshot.targets),
+        default=own_utilization,
+    )
+    least_difference = max(_MIN_DIFFERENCE, snapshot.significant_difference)
+    return (
+        own_utilization < _MIN_NODE_UTILIZATION
+        or own_utilization - least < least_difference
     )
-    least_gap = max(_LEAST_GAP, snapshot.significant_difference)
-    return own_usage < _BUSY or own_usage - least < least_gap
 
 
-def _least_busy(utilizations: Mapping[NodeName, float]) -> NodeName:
+def _least_utilized(utilizations: Mapping[NodeName, float]) -> NodeName:
     return min(utilizations, key=lambda name: (utilizations[name], name))
 
 
 def _targets(snapshot: PlacementSnapshot, shard: int) -> tuple[NodeName, ...]:
-    """Return a node for each piece but the one that stays.
+    """Return a node for each piece of a shard but the one that stays.
 
-    Each goes to the node that is the least busy with those before it.
+    Each piece goes to the node that is the least utilized with the pieces
+    assigned before.  Pieces that would go to the own node are left out.
     """
-    chosen = (snapshot.own, *snapshot.targets)
-    utilizations = {name: snapshot.utilizations[name] for name in chosen}
-    own_usage = snapshot.utilization(shard, snapshot.own)
+    candidates = (snapshot.own, *snapshot.targets)
+    utilizations = {name: snapshot.utilizations[name] for name in candidates}
+    own_utilization = snapshot.utilization(shard, snapshot.own)
     pieces = max(
-        2, min(ceil(own_usage / _PIECE), _MOST_PIECES, len(utilizations))
+        2,
+        min(
+            ceil(own_utilization / _PIECE_UTILIZATION),
+            _MAX_PIECES,
+            len(utilizations),
+        ),
     )
-    utilizations[snapshot.own] -= own_usage * (pieces - 1) / pieces
+    utilizations[snapshot.own] -= own_utilization * (pieces - 1) / pieces
     targets: list[NodeName] = []
     for _ in range(pieces - 1):
-        target = _least_busy(utilizations)
+        target = _least_utilized(utilizations)
         utilizations[target] += snapshot.utilization(shard, target) / pieces
         targets.append(target)
     return tuple(name for name in targets if name != snapshot.own)
--- a/laburnumwood/placement/succession.py
+++ b/laburnumwood/placement/succession.py
@@ -1,4 +1,4 @@
-"""Choice of who follows the owner of a shard, or takes one of nobody."""
+"""Choice of the successors of an owner, and of who claims orphaned shards."""
 
 from collections.abc import Mapping
 from functools import lru_cache
@@ -12,14 +12,16 @@
 )
 
 SUCCESSORS = 2
-_REMEMBERED_ORDERS = 4
+_ORDER_CACHE_SIZE = 4
 
 
-def _by_distance(
+def _other_domains_first(
     owner: NodeName, order: list[NodeName], nodes: Mapping[NodeName, NodeRecord]
 ) -> list[NodeName]:
-    home = nodes[owner].failure_domain if owner in nodes else ''
-    return sorted(order, key=lambda name: nodes[name].failure_domain == home)
+    own_domain = nodes[owner].failure_domain if owner in nodes else ''
+    return sorted(
+        order, key=lambda name: nodes[name].failure_domain == own_domain
+    )
 
 
 def choose_succession(
@@ -27,11 +29,11 @@
 ) -> tuple[NodeName, ...]:
     """Return the owner and its successors among the live nodes of a service.
 
-    The first successor is in another failure domain where there is one.
+    The first successor is in another failure domain if there is one.
     """
     others = [name for name in nodes if name != owner]
     order = rendezvous(f'successor {shard}', others)
-    return (owner, *_by_distance(owner, order, nodes)[:SUCCESSORS])
+    return (owner, *_other_domains_first(owner, order, nodes)[:SUCCESSORS])
 
 
 def needs_new_succession(
@@ -39,7 +41,7 @@
     succession: tuple[NodeName, ...],
     nodes: Mapping[NodeName, NodeRecord],
 ) -> bool:
-    """Tell whether a succession should be written anew."""
+    """Return whether the owner should write a new succession."""
     if succession[0] != owner:
         return True
     live = [name for name in succession[1:] if name in nodes]
@@ -50,7 +52,7 @@
 def find_first_owner(
     record: ShardRecord, nodes: Mapping[NodeName, NodeRecord]
 ) -> NodeName | None:
-    """Return what the node of a shard's first owner is called now, if live."""
+    """Return the live incarnation of the node that a record names first."""
     node_id = record.succession[0].node_id
     return next((name for name in nodes if name.node_id == node_id), None)
 
@@ -58,17 +60,18 @@
 def find_restarted_owner(
     record: ShardRecord, nodes: Mapping[NodeName, NodeRecord]
 ) -> NodeName | None:
-    """Return the node of a shard's first owner if its process is a new one.
+    """Return the node that a record names first if its process restarted.
 
-    A process that lost its lease and joined again may still be cut off.
+    A process that only lost its lease and joined again does not count: it may
+    still be cut off.
     """
-    home = find_first_owner(record, nodes)
-    if home is None or nodes[home].witness_as != home.incarnation:
+    owner = find_first_owner(record, nodes)
+    if owner is None or nodes[owner].witness_as != owner.incarnation:
         return None
-    return home
+    return owner
 
 
-@lru_cache(_REMEMBERED_ORDERS)
+@lru_cache(_ORDER_CACHE_SIZE)
 def _order_of(service: str, names: tuple[NodeName, ...]) -> list[NodeName]:
     return rendezvous(service, names)
 
@@ -78,14 +81,14 @@
     record: ShardRecord | None,
     nodes: Mapping[NodeName, NodeRecord],
 ) -> NodeName:
-    """Return who is first to take a shard that belongs to nobody.
+    """Return the node that should claim a shard that has no owner.
 
-    The last owner's node if it is back: its worker may still have what the
-    keys need.
+    This is the node of the last owner if it is live again: its worker may
+    still have the data of the keys.
     """
-    back = find_first_owner(record, nodes) if record else None
-    if back is not None:
-        return back
+    returned = find_first_owner(record, nodes) if record else None
+    if returned is not None:
+        return returned
     # Neighbouring shards go to different nodes, and each gets as many.
     order = _order_of(shard.service, tuple(nodes))
     return order[shard.number % len(order)]
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -1,4 +1,4 @@
-"""Tasks that carry writes of shard records through, a few at a time."""
+"""Execution of writes of shard records, a few at a time."""
 
 from collections.abc import Callable
 from typing import Any
@@ -22,7 +22,7 @@
 
 
 class ShardWriter:
-    """Carries writes of one incarnation to their ends."""
+    """Executes the record writes of one incarnation."""
 
     def __init__(
         self, platform: Store, directory: Directory, renewer: Renewer
@@ -36,25 +36,25 @@
 
     @property
     def has_room(self) -> bool:
-        """Tell whether one more task can start without waiting."""
+        """Return whether `start` would not block."""
         return bool(self._pool.free() > 0)
 
     @property
     def is_answered(self) -> bool:
-        """Tell whether the store answered when it was read last."""
+        """Return whether the store answered the last read."""
         return self._is_answered
 
     @property
     def is_healthy(self) -> bool:
-        """Tell whether no write waits for an answer of the store."""
+        """Return whether no write waits for an answer of the store."""
         return not self._unsettled
 
     def start(self, task: Callable[..., object], *arguments: Any) -> None:
-        """Start a task that writes; it waits while too many write."""
+        """Start a task that writes; block while too many are running."""
         self._pool.spawn_n(attempt, task, *arguments)
 
     def execute(self, write: ShardWrite) -> WriteProgress:
-        """Step a write until its progress is final, and return that."""
+        """Step a write until its progress is final; return that progress."""
         self._renewer.poke()
         progress = write.step(self._platform)
         while progress is WriteProgress.NEEDS_FLOOR:
@@ -63,12 +63,13 @@
         if progress is WriteProgress.UNSETTLED:
             return self._settle(write)
         if progress is WriteProgress.NOT_SENT:
-            # Who begins it again at once must not press a store that refuses.
+            # A caller may start the write again at once; the delay keeps it
+            # from overloading a store that refuses writes.
             eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
         return progress
 
     def try_refresh(self, shard: ShardName) -> bool:
-        """Read a record again; tell whether the store answered."""
+        """Read a record from the store; return whether the store answered."""
         try:
             stored = self._platform.get(shard_object(shard))
         except PlatformError:
