--- a/tests/features/steps/backless_steps.py
+++ b/tests/features/steps/backless_steps.py
@@ -6,7 +6,7 @@
 from behave.runner import Context
 
 from laburnumwood.errors import PlatformConflictError
-from laburnumwood.leases.quorum_loss import Candidate, QuorumLossDetector
+from laburnumwood.leases.backless import Candidate, QuorumLossDetector
 from laburnumwood.membership.joining import end_seen, join, record_witnesses
 from laburnumwood.records import NodeName, NodeRecord, WitnessSet
 from laburnumwood.settings import LeaseSettings
@@ -22,7 +22,7 @@
 
 def _is_due(context: Context) -> bool:
     gone = context.gone
-    over = context.backless.over((context.candidate,), gone.__contains__)
+    over = context.backless.expired((context.candidate,), gone.__contains__)
     return bool(over)
 
 
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -17,11 +17,11 @@
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Weights
 from laburnumwood.errors import CallerGoneError
+from laburnumwood.placement.balance import PlacementSnapshot
 from laburnumwood.placement.balancer import estimated_loads
 from laburnumwood.placement.hotkeys import HotKeys
-from laburnumwood.placement.load_reports import LoadReports, LoadState
+from laburnumwood.placement.loads import LoadReports, LoadState
 from laburnumwood.placement.meter import LoadMeter, relative_error
-from laburnumwood.placement.move_policy import PlacementSnapshot
 from laburnumwood.placement.planner import MovePlanner
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.records import NodeName, NodeRecord
@@ -288,7 +288,7 @@
     context.clock = FakeClock()
     context.book = LoadReports(context.clock)
     state = LoadState(0, {shard: load, next_shard: other})
-    context.book.note(NodeName('b', 1), state)
+    context.book.record(NodeName('b', 1), state)
 
 
 @then('the load of shard {shard:d} is believed to be {load:d}')
@@ -312,7 +312,7 @@
     for _ in range(count):
         hot = random.randrange(2)
         number = random.randrange(100) + first_hot
-        context.sketch.note(f'{number if hot else random.randrange(keys)}')
+        context.sketch.record(f'{number if hot else random.randrange(keys)}')
         context.clock.pass_ms(1)
     context.hot = {str(first_hot + number) for number in range(100)}
 
@@ -436,7 +436,7 @@
 
 @given('"{node_id}" reported {count:d} requests in flight')
 def report_running(context: Context, node_id: str, count: int) -> None:
-    context.book.note(NodeName(node_id, 1), LoadState(count, {}))
+    context.book.record(NodeName(node_id, 1), LoadState(count, {}))
 
 
 @when('{count:d} requests are spread and none ends')
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -9,8 +9,8 @@
 from behave.runner import Context
 
 from laburnumwood.news import News
-from laburnumwood.placement.held_shards import HeldShards
-from laburnumwood.placement.shard_manager import ShardManager
+from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.keeper import ShardManager
 from laburnumwood.placement.shard_write import WriteProgress
 from laburnumwood.records import NodeName, ShardName
 from tests.features.steps.fake_clock import FakeClock
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -15,10 +15,10 @@
 from laburnumwood.config.declarations import Weights
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Directory
-from laburnumwood.placement.held_shards import HeldShards
-from laburnumwood.placement.load_reports import LoadReports
-from laburnumwood.placement.move_policy import PlacementSnapshot, weighed
-from laburnumwood.placement.ownership_tracker import OwnershipTracker
+from laburnumwood.placement.balance import PlacementSnapshot, weighed
+from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.loads import LoadReports
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Failure, ShardNotice, WholeAnswer
 from laburnumwood.records import (
     NodeName,
@@ -143,7 +143,7 @@
     ownership = context.service.ownership(0)
     context.service.view.live_in(SERVICE)
     context.service.view.looks = 0
-    context.wanted = ownership.wanted()
+    context.wanted = ownership.shards_to_write()
 
 
 @then('there are none')
@@ -167,9 +167,9 @@
 @when('another node asks which shards it should write')
 def ask_later(context: Context) -> None:
     ownership = context.service.ownership(80)
-    ownership.wanted()
+    ownership.shards_to_write()
     context.service.clock.pass_ms(BYSTANDER_MS)
-    context.wanted = ownership.wanted()
+    context.wanted = ownership.shards_to_write()
 
 
 @then('these are shards of the first node')
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -95,12 +95,12 @@
 
 @then('the node on "{vm}" holds no lease')
 def check_no_lease(context: Context, vm: str) -> None:
-    assert not context.world.node(vm).lease.holds()
+    assert not context.world.node(vm).lease.is_held()
 
 
 @then('the node on "{vm}" holds a lease')
 def check_lease(context: Context, vm: str) -> None:
-    assert context.world.node(vm).lease.holds()
+    assert context.world.node(vm).lease.is_held()
 
 
 @then('the shard {number:d} has no owner')
@@ -298,7 +298,7 @@
 
 @then('it holds its lease by itself')
 def check_held_alone(context: Context) -> None:
-    assert context.lease.holds()
+    assert context.lease.is_held()
     members = context.lease.witnesses.members
     assert members == (context.name,), members
     assert not context.lease.is_changing
@@ -317,14 +317,14 @@
 
 @when('one of its witnesses ends and the one to follow does not answer')
 def replace_witness(context: Context) -> None:
-    _wait_until(context.lease.holds)
+    _wait_until(context.lease.is_held)
     ended = NodeName('b', 1)
     assert ended in context.lease.witnesses.members
     context.links.end(ended)
     # In the same failure domain, it is the one to follow.
     context.silent = _join_other(context, 'e')
     _end(context, ended)
-    _wait_until(lambda: context.silent in context.lease.asked)
+    _wait_until(lambda: context.silent in context.lease.renewal_targets)
 
 
 @then('the change of its witnesses waits')
@@ -341,4 +341,4 @@
 @then('the change of its witnesses is complete and it holds its lease')
 def check_changed(context: Context) -> None:
     _wait_until(lambda: context.silent in context.lease.witnesses.members)
-    assert context.lease.holds()
+    assert context.lease.is_held()
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -4,7 +4,7 @@
 from behave.runner import Context
 
 from laburnumwood.config.declarations import KeySource, Service
-from laburnumwood.placement.held_shards import HeldShards
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.layout import key_ranges
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
@@ -256,12 +256,12 @@
 @then('the shards "{numbers}" need higher tokens')
 def check_spent(context: Context, numbers: str) -> None:
     for number in numbers.split():
-        assert context.holder.held_shards.is_spent(shard(int(number)))
+        assert context.holder.held_shards.needs_new_token(shard(int(number)))
 
 
 @then('the shard {number:d} lets no more requests in')
 def check_closed(context: Context, number: int) -> None:
-    assert context.holder.held_shards.enter(shard(number)) is None
+    assert context.holder.held_shards.acquire(shard(number)) is None
     assert not context.worker.covers(shard(number), 8)
 
 
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -2,16 +2,16 @@
 
 from collections.abc import Iterable
 
-from laburnumwood.leases.lease import Lease
-from laburnumwood.leases.quorum_loss import (
+from laburnumwood.leases.backless import (
     Candidate,
     IsWitnessReplaced,
     QuorumLossDetector,
 )
+from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.placement.ownership import OwnershipState
-from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     Digest,
@@ -136,7 +136,9 @@
     """Leaves lost nodes to an operator."""
 
     def expired(
-        self, candidates: Iterable[Candidate], has_forgotten: IsWitnessReplaced
+        self,
+        candidates: Iterable[Candidate],
+        is_witness_replaced: IsWitnessReplaced,
     ) -> tuple[Candidate, ...]:
         """Find nobody."""
         return ()
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -7,8 +7,8 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import PlatformError
+from laburnumwood.leases.backless import QuorumLossDetector
 from laburnumwood.leases.lease import Lease
-from laburnumwood.leases.quorum_loss import QuorumLossDetector
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses
@@ -16,9 +16,9 @@
 from laburnumwood.membership.endings import Recorder, Standstill
 from laburnumwood.membership.joining import end_earlier, record_witnesses
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.held_shards import HeldShards
-from laburnumwood.placement.ownership_tracker import OwnershipTracker
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.shard_write import ShardWrite
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     KeyRange,
