--- a/tests/features/steps/backless_steps.py
+++ b/tests/features/steps/backless_steps.py
@@ -1,4 +1,4 @@
-"""Steps about ends of nodes whose witnesses are gone."""
+"""Steps about the end of incarnations whose witnesses are gone."""
 
 from dataclasses import replace
 
@@ -21,16 +21,18 @@
 
 
 def _is_due(context: Context) -> bool:
-    gone = context.gone
-    over = context.backless.expired((context.candidate,), gone.__contains__)
-    return bool(over)
+    replaced = context.replaced
+    expired = context.detector.expired(
+        (context.candidate,), replaced.__contains__
+    )
+    return bool(expired)
 
 
 @given('a node on record with the witnesses "{names}"')
 def make_node(context: Context, names: str) -> None:
     context.clock = FakeClock()
-    context.backless = QuorumLossDetector(LeaseSettings(), context.clock)
-    context.gone = frozenset()
+    context.detector = QuorumLossDetector(LeaseSettings(), context.clock)
+    context.replaced = frozenset()
     context.store = FakeStore()
     name, _ = join(context.store, node_settings('a'))
     sets = (WitnessSet(1, _names(names)),)
@@ -49,9 +51,9 @@
     )
 
 
-@when('the processes of "{names}" are followed by others')
-def follow(context: Context, names: str) -> None:
-    context.gone = frozenset(_names(names))
+@when('the processes of "{names}" are replaced by new ones')
+def replace_processes(context: Context, names: str) -> None:
+    context.replaced = frozenset(_names(names))
 
 
 @when('its record is written again')
@@ -70,24 +72,29 @@
 
 @then('its end is due after {span:d} ms')
 def check_due(context: Context, span: int) -> None:
-    # The steps before have let time pass since the wait began.
+    # Earlier steps have already advanced the clock since the wait began.
     context.clock.pass_ms(span - context.waited_ms)
     assert _is_due(context)
 
 
 @when('its end is written over a version that is not the newest')
 def write_end(context: Context) -> None:
-    found = context.candidate
+    candidate = context.candidate
     sets = (WitnessSet(2, _names('e f g')),)
-    record_witnesses(context.store, found.name, sets)
+    record_witnesses(context.store, candidate.name, sets)
     context.conflict = False
     try:
-        end_seen(context.store, found.name, found.record, found.version)
+        end_seen(
+            context.store,
+            candidate.name,
+            candidate.record,
+            candidate.version,
+        )
     except PlatformConflictError:
         context.conflict = True
 
 
-@then('that write meets a conflict and the node goes on')
+@then('the write fails with a conflict and the node has not ended')
 def check_conflict(context: Context) -> None:
     assert context.conflict
     stored = context.store.get(node_object('a'))
--- a/tests/features/steps/fake_clock.py
+++ b/tests/features/steps/fake_clock.py
@@ -4,15 +4,15 @@
 
 
 class FakeClock(Clock):
-    """Stands still until it is told to go on."""
+    """A clock that stands still until `pass_ms` advances it."""
 
     def __init__(self) -> None:
         self.time_ms = 1_000_000
 
     def now_ms(self) -> int:
-        """Return the time that the test has set."""
+        """Return the time that the test has set, in milliseconds."""
         return self.time_ms
 
     def pass_ms(self, span_ms: int) -> None:
-        """Let time pass."""
+        """Advance the clock."""
         self.time_ms += span_ms
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -1,4 +1,4 @@
-"""Steps about a planned stop, with all that a keeper speaks with played."""
+"""Steps about a planned stop, with fakes around the shard manager."""
 
 from functools import partial
 from types import SimpleNamespace
@@ -16,42 +16,43 @@
 from tests.features.steps.fake_clock import FakeClock
 
 OWN = NodeName('a', 1)
-HOME = NodeName('b', 2)
+RETURNED = NodeName('b', 2)
 SHARD = ShardName('s', 1)
 STEP_MS = 10
 LIMIT_S = 10
 
 
 class SlowWorker:
-    """Lets go of everything after some time; time passes as it is asked."""
+    """Releases all shards at a set time; each call advances the clock."""
 
     def __init__(self, release_ms: int, clock: FakeClock) -> None:
         self._clock = clock
-        self._from_ms = clock.now_ms() + release_ms
+        self._released_ms = clock.now_ms() + release_ms
         self.news = News()
         self.withdrawn: set[ShardName] = set()
-        self.asked: list[ShardName] = []
+        self.withdrawals: list[ShardName] = []
 
     def withdraw(self, shard: ShardName) -> None:
-        """Take in that a shard is to be let go."""
+        """Record that a shard is withdrawn."""
         self.withdrawn.add(shard)
-        self.asked.append(shard)
+        self.withdrawals.append(shard)
         self._clock.pass_ms(STEP_MS)
 
     def restore(self, shard: ShardName) -> None:
-        """Take in that a shard may be held again."""
+        """Record that a shard may be held again."""
         self.withdrawn.discard(shard)
 
     def is_released(self, _shard: ShardName) -> bool:
-        """Tell whether the time has come."""
+        """Return whether the time of the release has come."""
         self._clock.pass_ms(STEP_MS)
-        return self._clock.now_ms() >= self._from_ms
+        return self._clock.now_ms() >= self._released_ms
 
 
 @given(
-    'a node whose store {answers} and whose worker lets go after {release:d} ms'
+    'a node whose store {answers} and whose worker releases shards after '
+    '{release:d} ms'
 )
-def make_keeper(context: Context, answers: str, release: int) -> None:
+def make_manager(context: Context, answers: str, release: int) -> None:
     clock = FakeClock()
     held_shards = HeldShards()
     held_shards.hold(SHARD, 8)
@@ -62,21 +63,21 @@
     view = SimpleNamespace(directory=directory)
     writer = SimpleNamespace(is_answered=answers == 'answers')
     worker = SlowWorker(release, clock)
-    keeper: Any = ShardManager
+    manager: Any = ShardManager
     context.clock = clock
     context.ownership, context.writer = ownership, writer
     context.worker, context.held_shards = worker, held_shards
     balancer = SimpleNamespace(is_stable=lambda _node_id: True)
-    context.keeper = keeper(
+    context.manager = manager(
         's', view, ownership, held_shards, writer, None, balancer, worker, clock
     )
 
 
-@when('it hands all shards over with {patience:d} ms of patience')
+@when('it hands over all shards with a limit of {patience:d} ms')
 def hand_over(context: Context, patience: int) -> None:
-    began_ms = context.clock.now_ms()
-    context.keeper.hand_over_all(OWN, patience)
-    context.waited_ms = context.clock.now_ms() - began_ms
+    started_ms = context.clock.now_ms()
+    context.manager.hand_over_all(OWN, patience)
+    context.waited_ms = context.clock.now_ms() - started_ms
 
 
 @then('it waited for {span:d} ms')
@@ -85,28 +86,28 @@
     assert 0 <= late_ms <= 2 * STEP_MS, context.waited_ms
 
 
-@given('it is to give a shard back that it must win a write for')
+@given("it must write a shard's record and give the shard back")
 def give_back(context: Context) -> None:
     context.held_shards.drop(SHARD)
     write = SimpleNamespace(shard=SHARD)
-    context.ownership.wanted = lambda: [SHARD]
-    context.ownership.home = lambda _shard: HOME
-    context.ownership.begin_return = lambda _shard, _home: write
+    context.ownership.shards_to_write = lambda: [SHARD]
+    context.ownership.returned_owner = lambda _shard: RETURNED
+    context.ownership.begin_return = lambda _shard, _owner: write
     context.ownership.finish = lambda _write, _progress: None
     context.writer.is_healthy = True
     context.writer.has_room = True
-    context.writer.carry = partial(_carry, context)
+    context.writer.execute = partial(_execute, context)
 
 
-def _carry(context: Context, _write: object) -> WriteProgress:
+def _execute(context: Context, _write: object) -> WriteProgress:
     context.written_ms = context.clock.now_ms()
     return WriteProgress.NOT_SENT
 
 
-@when('it writes what is wanted')
-def write_wanted(context: Context) -> None:
-    context.began_ms = context.clock.now_ms()
-    context.keeper._write_wanted()
+@when('it writes the records that are due')
+def write_records_due(context: Context) -> None:
+    context.started_ms = context.clock.now_ms()
+    context.manager._write_records_due()
     with eventlet.Timeout(LIMIT_S):
         while 'written_ms' not in context:
             eventlet.sleep(0)
@@ -114,7 +115,7 @@
 
 @then('the shard was written after {span:d} ms')
 def check_written(context: Context, span: int) -> None:
-    late_ms = context.written_ms - context.began_ms - span
+    late_ms = context.written_ms - context.started_ms - span
     assert 0 <= late_ms <= 3 * STEP_MS, late_ms
 
 
@@ -123,25 +124,25 @@
     context.worker.withdraw(SHARD)
     context.ownership.finish = lambda _write, _progress: None
     write = SimpleNamespace(shard=SHARD)
-    context.keeper._finish(write, WriteProgress[progress])
+    context.manager._finish(write, WriteProgress[progress])
 
 
-@then('the worker may get the shard again: {again}')
+@then('the worker may hold the shard again: {again}')
 def check_again(context: Context, again: str) -> None:
     assert (SHARD not in context.worker.withdrawn) == (again == 'yes')
 
 
-@when('a {change} of a shard is carried out')
-def carry_out(context: Context, change: str) -> None:
+@when('a {change} of a shard is executed')
+def execute_change(context: Context, change: str) -> None:
     context.ownership.finish = lambda _write, _progress: None
     context.writer.try_refresh = lambda _shard: False
     write = SimpleNamespace(shard=SHARD)
     if change == 'move':
-        context.keeper._move(write)
+        context.manager._move(write)
     else:
-        context.keeper._split(write, None)
+        context.manager._split(write, None)
 
 
-@then('the worker was not asked to let it go')
+@then('the shard was not withdrawn from the worker')
 def check_kept(context: Context) -> None:
-    assert not context.worker.asked
+    assert not context.worker.withdrawals
--- a/tests/features/steps/orphan_steps.py
+++ b/tests/features/steps/orphan_steps.py
@@ -1,4 +1,4 @@
-"""Steps about shards that belong to nobody."""
+"""Steps about shards without an owner."""
 
 from collections import Counter
 from dataclasses import replace
@@ -51,26 +51,26 @@
     context.records = dict.fromkeys(range(count))
 
 
-def _heirs(context: Context) -> Counter[NodeName]:
+def _claimants(context: Context) -> Counter[NodeName]:
     return Counter(
         choose_claimant(ShardName('s', number), record, context.nodes)
         for number, record in context.records.items()
     )
 
 
-@then('each of them goes to "{name}" first')
+@then('each of them is to be claimed by "{name}"')
 def check_back(context: Context, name: str) -> None:
-    heirs = _heirs(context)
-    assert set(heirs) == {NodeName.parse(name)}, heirs
+    claimants = _claimants(context)
+    assert set(claimants) == {NodeName.parse(name)}, claimants
 
 
-@then('each node is first for {count:d} of them')
+@then('each node is to claim {count:d} of them')
 def check_even(context: Context, count: int) -> None:
-    heirs = _heirs(context)
-    assert heirs == dict.fromkeys(context.nodes, count), heirs
+    claimants = _claimants(context)
+    assert claimants == dict.fromkeys(context.nodes, count), claimants
 
 
-@given('the process of "{name}" is the one that "{before}" had')
+@given('"{name}" runs in the same process as "{before}" did')
 def keep_process(context: Context, name: str, before: str) -> None:
     known = NodeName.parse(name)
     first = NodeName.parse(before).incarnation
@@ -78,7 +78,7 @@
     context.nodes[known] = record
 
 
-@then('it goes home to "{home}"')
-def check_home(context: Context, home: str) -> None:
+@then('it is given back to "{owner}"')
+def check_given_back(context: Context, owner: str) -> None:
     found = find_restarted_owner(context.records[0], context.nodes)
-    assert str(found).lower() == home, found
+    assert str(found).lower() == owner, found
