--- a/laburnumwood/admission/tally.py
+++ b/laburnumwood/admission/tally.py
@@ -1,4 +1,4 @@
-"""How much a gate carried and sent away lately."""
+"""Counters of the requests that were admitted and shed."""
 
 from dataclasses import dataclass
 
@@ -6,58 +6,64 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Carried:
-    """What a gate did in a span of time; `busy` is the mean of its slots."""
+class AdmissionSummary:
+    """The requests of one interval.
+
+    `busy` is the mean number of busy slots, `let_in` the number of admitted
+    and `shed` the number of shed requests.
+    """
 
     busy: float
     let_in: int
     shed: int
 
     @property
-    def is_nothing(self) -> bool:
-        """Tell whether no request came and none ran."""
+    def is_empty(self) -> bool:
+        """Return whether no request arrived or ran in the interval."""
         return not (self.busy or self.let_in or self.shed)
 
 
-class Tally:
-    """Sums of what passed a gate since they were taken last."""
+class AdmissionCounters:
+    """Counts requests in the interval since the last `collect`."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._running = 0
         self._busy_ms = 0
-        self._let_in = 0
+        self._admitted = 0
         self._shed = 0
-        self._begun_ms = clock.now_ms()
-        self._since_ms = self._begun_ms
+        self._interval_start_ms = clock.now_ms()
+        self._updated_ms = self._interval_start_ms
 
-    def let_in(self) -> None:
-        """Count a request that got a slot."""
+    def record_admitted(self) -> None:
+        """Count a request that was given a slot."""
         self._advance()
         self._running += 1
-        self._let_in += 1
+        self._admitted += 1
 
-    def done(self) -> None:
-        """Count a request that gave its slot back."""
+    def record_released(self) -> None:
+        """Count a request that released its slot."""
         self._advance()
         self._running -= 1
 
-    def shed(self) -> None:
-        """Count a request that was sent away."""
+    def record_shed(self) -> None:
+        """Count a request that was shed."""
         self._shed += 1
 
-    def take(self) -> Carried:
-        """Return the sums, and begin anew."""
+    def collect(self) -> AdmissionSummary:
+        """Return the counts of the interval and start the next one."""
         self._advance()
-        span_ms = max(1, self._since_ms - self._begun_ms)
-        carried = Carried(self._busy_ms / span_ms, self._let_in, self._shed)
+        span_ms = max(1, self._updated_ms - self._interval_start_ms)
+        summary = AdmissionSummary(
+            self._busy_ms / span_ms, self._admitted, self._shed
+        )
         self._busy_ms = 0
-        self._let_in = 0
+        self._admitted = 0
         self._shed = 0
-        self._begun_ms = self._since_ms
-        return carried
+        self._interval_start_ms = self._updated_ms
+        return summary
 
     def _advance(self) -> None:
         now_ms = self._clock.now_ms()
-        self._busy_ms += self._running * (now_ms - self._since_ms)
-        self._since_ms = now_ms
+        self._busy_ms += self._running * (now_ms - self._updated_ms)
+        self._updated_ms = now_ms
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -18,7 +18,7 @@
 from laburnumwood.placement.ownership import acting_owner
 from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.records import ShardRecord
-from laburnumwood.routing.gate import Gate
+from laburnumwood.routing.admission_gate import Gate
 
 Query = dict[str, str]
 Page = Callable[['OperatorApi', Query], Any]
@@ -133,7 +133,7 @@
                 'door_port': record.door_port,
                 'operator_port': record.operator_port,
             }
-            for name, record in sorted(self._view.live())
+            for name, record in sorted(self._view.live_nodes())
         ]
 
     @_page('/idle')
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -139,7 +139,7 @@
         Nothing moves while the owners of some shards are unknown, since the
         numbers of shards of the nodes can't be compared then.
         """
-        live = self._view.live_in(self._service)
+        live = self._view.serving_nodes(self._service)
         if self._own not in live or not self._knows_all_shards():
             return ()
         return self._planner.plan(self._snapshot(live, pending_owners))
@@ -150,7 +150,7 @@
 
     def plan_split(self, pending_owners: Owners) -> Split | None:
         """Return the hot keys that this node should split off now, if any."""
-        live = self._view.live_in(self._service)
+        live = self._view.serving_nodes(self._service)
         declared = self._view.directory.declarations.services
         service = declared.get(self._service)
         if self._own not in live or len(live) < 2:
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -8,8 +8,8 @@
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import SHARD_SPLIT
-from laburnumwood.membership.choice import rendezvous
-from laburnumwood.membership.spreading import Spreader, notice_of
+from laburnumwood.membership.choice import rendezvous_order
+from laburnumwood.membership.gossip import Gossip, shard_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import HeldShards
@@ -57,7 +57,7 @@
         ownership: OwnershipTracker,
         held_shards: HeldShards,
         writer: ShardWriter,
-        spreader: Spreader,
+        gossip: Gossip,
         balancer: Balancer,
         grants: Grants,
         clock: Clock,
@@ -67,7 +67,7 @@
         self._ownership = ownership
         self._held_shards = held_shards
         self._writer = writer
-        self._spreader = spreader
+        self._gossip = gossip
         self._balancer = balancer
         self._grants = grants
         self._clock = clock
@@ -181,7 +181,7 @@
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
         self._held_shards.close(shard)
         # Requests that wait for a grant of the shard go to the next owner.
-        self._grants.news.tell()
+        self._grants.changes.tell()
         while not self._held_shards.is_idle(shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
 
@@ -201,7 +201,7 @@
         if not self._writer.try_refresh(write.shard):
             self._finish(write, WriteProgress.NOT_SENT)
             return
-        handovers = [self._grants.handover_of(keys) for keys in split.ranges]
+        handovers = [self._grants.handover_for(keys) for keys in split.ranges]
         self._finish(write, self._writer.execute(write))
         entry = self._view.directory.shard(write.shard)
         if entry is None:
@@ -275,7 +275,7 @@
         entry = self._view.directory.shard(shard)
         if entry is not None:
             recipients = self._recipients(entry.record)
-            self._spreader.tell(recipients, notice_of(shard, entry))
+            self._gossip.notify(recipients, shard_notice(shard, entry))
 
     def _recipients(self, record: ShardRecord) -> set[NodeName]:
         """Return the nodes that are sent a record at once; others get it later.
@@ -283,7 +283,7 @@
         In a small fleet these are all nodes, so that no door asks the last
         owner; in a large one the last owner redirects those that ask it.
         """
-        recipients = {name for name, _ in self._view.live()}
+        recipients = {name for name, _ in self._view.live_nodes()}
         if len(recipients) > _MAX_NOTIFIED_NODES:
             recipients = set(record.succession)
         return recipients.difference((self._ownership.own,))
@@ -302,5 +302,5 @@
         for name in entry.record.succession if entry else ():
             if name in nodes:
                 return name
-        order = rendezvous(f'drain {own}', nodes)
+        order = rendezvous_order(f'drain {own}', nodes)
         return order[place % len(order)] if order else None
--- a/laburnumwood/placement/load_exchange.py
+++ b/laburnumwood/placement/load_exchange.py
@@ -7,7 +7,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import LinkError
-from laburnumwood.membership.choice import rendezvous
+from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.loads import LoadReports, LoadState
 from laburnumwood.placement.meter import LoadMeter
@@ -79,10 +79,12 @@
 
     def _peers_of_round(self, number: int) -> set[NodeName]:
         topic = f'load {self._own} {number // _ROUNDS_PER_DRAW}'
-        live = self._view.live_in(self._service)
+        live = self._view.serving_nodes(self._service)
         others = [name for name in live if name != self._own]
-        neighbours = rendezvous(topic, others)[:_NEIGHBOURS]
-        other_targets = rendezvous(f'{topic} {number}', self._other_targets())
+        neighbours = rendezvous_order(topic, others)[:_NEIGHBOURS]
+        other_targets = rendezvous_order(
+            f'{topic} {number}', self._other_targets()
+        )
         offset = number * _ASKED_PER_ROUND % max(len(neighbours), 1)
         rotated = [*neighbours[offset:], *neighbours[:offset]]
         return {*rotated[:_ASKED_PER_ROUND], *other_targets[:_ASKED_PER_ROUND]}
--- a/laburnumwood/placement/succession.py
+++ b/laburnumwood/placement/succession.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from functools import lru_cache
 
-from laburnumwood.membership.choice import rendezvous
+from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.records import (
     NodeName,
     NodeRecord,
@@ -32,7 +32,7 @@
     The first successor is in another failure domain if there is one.
     """
     others = [name for name in nodes if name != owner]
-    order = rendezvous(f'successor {shard}', others)
+    order = rendezvous_order(f'successor {shard}', others)
     return (owner, *_other_domains_first(owner, order, nodes)[:SUCCESSORS])
 
 
@@ -73,7 +73,7 @@
 
 @lru_cache(_ORDER_CACHE_SIZE)
 def _order_of(service: str, names: tuple[NodeName, ...]) -> list[NodeName]:
-    return rendezvous(service, names)
+    return rendezvous_order(service, names)
 
 
 def choose_claimant(
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -8,7 +8,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.events import SHARD_CLAIMED, SHARD_MOVED, SHARD_TAKEN_OVER
 from laburnumwood.leases.lease import Lease
-from laburnumwood.membership.directory import Entry
+from laburnumwood.membership.directory import VersionedRecord
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.layout import split_ranges, split_shard_number
@@ -60,8 +60,8 @@
     directory = view.directory
     return {
         shard.number
-        for name in (own, *filter(view.is_sealed, directory.named()))
-        for shard in directory.shards_naming(name)
+        for name in (own, *filter(view.is_sealed, directory.listed_nodes()))
+        for shard in directory.shards_listing(name)
         if shard.service == service
     }
 
@@ -127,13 +127,13 @@
 
     def live(self) -> dict[NodeName, NodeRecord]:
         """Return the live nodes of the service."""
-        return self._view.live_in(self._service)
+        return self._view.serving_nodes(self._service)
 
     def update_held_shards(self) -> None:
         """Hold or drop shards according to the known records and seals."""
         if not self._lease.is_held():
             return
-        named = self._view.directory.shards_naming(self._own)
+        named = self._view.directory.shards_listing(self._own)
         for shard in sorted(
             {*named, *self._held_shards.tokens(), *self._stale}
         ):
@@ -256,7 +256,7 @@
 
     def _shards_to_check(
         self,
-    ) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
+    ) -> Iterator[tuple[ShardName, VersionedRecord[ShardRecord]]]:
         """Yield the shards that this node or no node acts for."""
         entries = self._view.directory.shards(self._service)
         for number in sorted(
@@ -273,7 +273,7 @@
         return ownership_state(shard, record, self._own, self._view)
 
     def _update_held_shard(
-        self, shard: ShardName, entry: Entry[ShardRecord]
+        self, shard: ShardName, entry: VersionedRecord[ShardRecord]
     ) -> None:
         if entry.version > self._stale.get(shard, entry.version):
             self._stale.pop(shard)
@@ -293,7 +293,9 @@
         event = SHARD_TAKEN_OVER if is_successor else SHARD_CLAIMED
         event.report(shard=shard, epoch=record.epoch)
 
-    def _needs_write(self, shard: ShardName, entry: Entry[ShardRecord]) -> bool:
+    def _needs_write(
+        self, shard: ShardName, entry: VersionedRecord[ShardRecord]
+    ) -> bool:
         state = self._ownership_state(shard, entry.record)
         if state is OwnershipState.OWNER:
             if self._held_shards.needs_new_token(shard) or self.returned_owner(
--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -6,14 +6,14 @@
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Declarations, Route
 from laburnumwood.header_index import HeaderIndex
-from laburnumwood.platform.names import ID_HEADER, TIME_LEFT_HEADER
+from laburnumwood.platform.headers import ID_HEADER, TIME_LEFT_HEADER
 from laburnumwood.protocol.messages import Answer, Failure, Work
-from laburnumwood.routing.connection import HEADERS
-from laburnumwood.routing.face import HeaderList, Refusal
+from laburnumwood.routing.caller_interface import HeaderList, Refusal
+from laburnumwood.routing.caller_protocol import HEADERS
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.headers import end_to_end, request_headers
-from laburnumwood.routing.inquiry import Inquiry
-from laburnumwood.routing.outcome import PROBLEMS, status_line
-from laburnumwood.routing.reading import (
+from laburnumwood.routing.problems import PROBLEMS, status_line
+from laburnumwood.routing.request_parsing import (
     Environ,
     RequestRefusedError,
     check_head,
@@ -65,7 +65,7 @@
     return HTTPStatus.BAD_GATEWAY
 
 
-class RequesterFace:
+class PlatformCallerInterface:
     """The platform's requests and answers.
 
     The statuses 429 and 503 promise that a request has not run; 502 and 504
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from laburnumwood.errors import WorkerCutError
-from laburnumwood.platform.names import (
+from laburnumwood.platform.headers import (
     ID_HEADER,
     LOAD_HEADER,
     NOT_RUN_HEADER,
@@ -12,13 +12,13 @@
     TIME_LEFT_HEADER,
     WORKER_HEADER,
 )
-from laburnumwood.routing.dialect import (
+from laburnumwood.routing.run import Run
+from laburnumwood.routing.worker_interface import (
     NOT_OWNER,
     REFUSED,
     REJECTED,
     Headers,
 )
-from laburnumwood.routing.run import Run
 from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.reporting import ReportingWorker
 from laburnumwood.upstream.worker import Worker
@@ -34,7 +34,7 @@
 
 
 def _has_room(load: str) -> bool:
-    """Tell whether a worker says that it has a free slot."""
+    """Return whether a worker says that it has a free slot."""
     parts = load.split(',')
     if len(parts) != _LOAD_PARTS or not all(map(str.isdecimal, parts)):
         return False
@@ -42,7 +42,7 @@
     return not waiting and running < slots
 
 
-class WorkerDialect:
+class PlatformWorkerInterface:
     """The headers of the platform's workers."""
 
     def __init__(self, worker: ReportingWorker) -> None:
@@ -62,7 +62,7 @@
         )
 
     def may_refuse(self, answer: WorkerAnswer) -> bool:
-        """Tell whether an answer may say that the request did not run."""
+        """Return whether an answer may say that the request did not run."""
         misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
         return misdirected or answer.index.has(_NOT_RUN)
 
@@ -82,7 +82,7 @@
         index = answer.index
         given = index.first(_ID)
         succeeded = HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES
-        needs_id = succeeded or answer.may_be_late
+        needs_id = succeeded or answer.may_answer_earlier_request
         if given != run.work.request_id and (given or needs_id):
             raise WorkerCutError(f'the answer is that to {given!r}')
         if index.has('content-encoding'):
--- a/laburnumwood/routing/face.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -5,15 +5,15 @@
 
 from laburnumwood.config.declarations import Declarations
 from laburnumwood.protocol.messages import Answer, Failure
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.headers import end_to_end
-from laburnumwood.routing.inquiry import Inquiry
-from laburnumwood.routing.outcome import (
+from laburnumwood.routing.problems import (
     PROBLEMS,
     problem_body,
     problem_headers,
     status_line,
 )
-from laburnumwood.routing.reading import (
+from laburnumwood.routing.request_parsing import (
     REQUEST_HEADER,
     Environ,
     read_request,
--- a/laburnumwood/routing/door.py
+++ b/laburnumwood/routing/ingress.py
@@ -8,10 +8,10 @@
 from laburnumwood.events import ANSWER_CUT
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.routing.caller import Caller, Callers
-from laburnumwood.routing.connection import REQUEST_ID
-from laburnumwood.routing.face import Face, give
-from laburnumwood.routing.outcome import StartResponse, status_line
-from laburnumwood.routing.reading import Environ, RequestRefusedError
+from laburnumwood.routing.caller_interface import Face, give
+from laburnumwood.routing.caller_protocol import REQUEST_ID
+from laburnumwood.routing.problems import StartResponse, status_line
+from laburnumwood.routing.request_parsing import Environ, RequestRefusedError
 from laburnumwood.routing.router import Reply, Router
 from laburnumwood.routing.server import close_after, reset
 
--- a/laburnumwood/routing/measuring.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -9,10 +9,10 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import REQUESTS_SERVED
 from laburnumwood.metrics import LATENCY, REQUESTS
-from laburnumwood.routing.door import Declared, Door
-from laburnumwood.routing.face import Face
-from laburnumwood.routing.outcome import StartResponse
-from laburnumwood.routing.reading import Environ
+from laburnumwood.routing.caller_interface import Face
+from laburnumwood.routing.ingress import Declared, Door
+from laburnumwood.routing.problems import StartResponse
+from laburnumwood.routing.request_parsing import Environ
 from laburnumwood.routing.router import Router
 
 _TELL_MS = 5_000
--- a/laburnumwood/routing/tries.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Mapping
 
-from laburnumwood.admission.retries import RetryBudget
+from laburnumwood.admission.retry_budget import RetryBudget
 from laburnumwood.clock import Clock
 from laburnumwood.events import REQUEST_AGAIN, REQUEST_FAILED
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.inquiry import Inquiry
+from laburnumwood.routing.caller_request import Inquiry
 
 PATIENCE_MS = 3_000  # how long a request waits for an owner at the most
 _MOVE_PATIENCE_MS = 250  # for a live owner to hand a shard over
@@ -114,7 +114,7 @@
             return self._owner_pause_ms(self._patient_until_ms[told.kind])
         if not told.ran and self._has_choice and told.kind in _TURNED_AWAY:
             return self._elsewhere_pause_ms(told, nodes)
-        if not self._may_repeat(told) or not self._budget.spend():
+        if not self._may_repeat(told) or not self._budget.try_retry():
             return None
         return 0 if self._has_choice else _LEAST_LEFT_MS
 
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
-from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.errors import CallerGoneError, LinkError, LinkTimeoutError
-from laburnumwood.membership.spreading import take_notice
+from laburnumwood.membership.gossip import apply_shard_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.layout import locate_text_key
 from laburnumwood.placement.ownership import acting_owner
@@ -23,6 +23,7 @@
 from laburnumwood.protocol.peers import Peers
 from laburnumwood.records import NodeName, ShardName
 from laburnumwood.routing.caller import Caller
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import (
     LONGEST_INLINE,
     Outgoing,
@@ -30,10 +31,9 @@
     local_pair,
 )
 from laburnumwood.routing.headers import find
-from laburnumwood.routing.inquiry import Inquiry
-from laburnumwood.routing.outcome import failure
-from laburnumwood.routing.spread import AVOID_MS, Spread
-from laburnumwood.routing.tries import PATIENCE_MS, Tries
+from laburnumwood.routing.problems import failure
+from laburnumwood.routing.request_balancer import AVOID_MS, Spread
+from laburnumwood.routing.retry_policy import PATIENCE_MS, Tries
 from laburnumwood.tasks import start
 
 _CHUNK_SIZE = 32_768
@@ -189,8 +189,8 @@
         with the deadline, and what was given up is answered at once.
         """
         work = _with_short_body(inquiry)
-        budget = self._budgets.of(work.service)
-        budget.earn()
+        budget = self._budgets.for_service(work.service)
+        budget.record_request()
         tries = Tries(inquiry, budget, self._clock, self._patience_ms)
         while True:
             work = self._placed(work, inquiry.work.shard)
@@ -200,7 +200,7 @@
             if not isinstance(reply, Failure):
                 return reply
             tries.note(reply)
-            nodes = self._view.live_in(work.service)
+            nodes = self._view.serving_nodes(work.service)
             pause_ms = None
             if not caller.is_gone:
                 pause_ms = tries.pause_ms(reply, nodes)
@@ -239,7 +239,7 @@
         return acting_owner(entry.record, self._view) if entry else None
 
     def _choose(self, work: Work, tries: Tries) -> NodeName | None:
-        nodes = self._view.live_in(work.service)
+        nodes = self._view.serving_nodes(work.service)
         return self._spread.choose(
             tries.open_among(nodes) or nodes, work.priority
         )
@@ -307,7 +307,7 @@
             head = exchange.receive(until_ms - self._clock.now_ms())
             if not isinstance(head, ShardNotice):
                 return head
-            take_notice(self._view.directory, head)
+            apply_shard_notice(self._view.directory, head)
 
     def _read_head(
         self, head: object, exchange: Outgoing, until_ms: int
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/runner.py
@@ -24,15 +24,15 @@
     Failure,
     WholeAnswer,
 )
-from laburnumwood.routing.dialect import Dialect
 from laburnumwood.routing.exchange import LONGEST_INLINE, Exchange
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.solitude import Solitude
-from laburnumwood.routing.suspicions import Suspicions
+from laburnumwood.routing.shared_lock import Solitude
+from laburnumwood.routing.shared_quarantine import Suspicions
+from laburnumwood.routing.worker_interface import Dialect
 from laburnumwood.tasks import start
 from laburnumwood.upstream.pool import WorkerAnswer
-from laburnumwood.upstream.worker import Order, Worker
+from laburnumwood.upstream.worker import Worker, WorkerRequest
 
 _NOT_SENT: dict[type[WorkerError], str] = {
     WorkerBusyError: 'overloaded',
@@ -127,7 +127,7 @@
 
     def _run_on_live_worker(self, run: Run) -> WorkerAnswer:
         # What is sent to a worker that is dead already did not kill it.
-        if self._is_in_doubt and not self._worker.answers():
+        if self._is_in_doubt and not self._worker.is_responding():
             raise WorkerUnreachableError('the worker was lost')
         self._is_in_doubt = False
         try:
@@ -142,7 +142,7 @@
             raise
 
     def _run_checked(self, run: Run) -> WorkerAnswer:
-        answer = self._worker.run(self._order(run))
+        answer = self._worker.send(self._order(run))
         try:
             self._dialect.check(run, answer)
         except WorkerCutError:
@@ -150,11 +150,13 @@
             raise
         return answer
 
-    def _order(self, run: Run) -> Order:
+    def _order(self, run: Run) -> WorkerRequest:
         work = run.work
         left_ms = max(1, run.until_ms - self._clock.now_ms())
         headers = self._dialect.headers(run, left_ms)
-        return Order(work.method, work.target, headers, run.body, left_ms)
+        return WorkerRequest(
+            work.method, work.target, headers, run.body, left_ms
+        )
 
     def _take(
         self, run: Run, answer: WorkerAnswer, exchange: Exchange, kept: int
@@ -203,7 +205,7 @@
         if not may_refuse and (length is None or length > self._longest_whole):
             return None
         # Longer ones are no refusals of a worker that keeps to its protocol.
-        body = answer.whole(max(self._longest_whole, LONGEST_INLINE))
+        body = answer.read_body(max(self._longest_whole, LONGEST_INLINE))
         kind = self._dialect.refusal(answer, body) if may_refuse else None
         if kind is not None:
             detail = f'the worker refused it with status {answer.status}'
--- a/tests/features/steps/admission_limit_steps.py
+++ b/tests/features/steps/admission_limit_steps.py
@@ -4,7 +4,7 @@
 from behave.runner import Context
 
 from laburnumwood.admission.limit import ConcurrencyLimit
-from laburnumwood.admission.retries import RetryBudget
+from laburnumwood.admission.retry_budget import RetryBudget
 from tests.features.steps.fake_clock import FakeClock
 
 ANSWER_MS = 10
@@ -27,7 +27,7 @@
 @when('the worker refuses {count:d} requests over {span:d} s')
 def refuse_many(context: Context, count: int, span: int) -> None:
     for _ in range(count):
-        context.limit.refused()
+        context.limit.record_refusal()
         context.clock.pass_ms(span * 1_000 // count)
     context.before = context.limit.current
 
@@ -39,7 +39,7 @@
         if number % every:
             context.limit.observe(ANSWER_MS, context.limit.current)
         else:
-            context.limit.lost()
+            context.limit.record_loss()
 
 
 @when(
@@ -59,7 +59,7 @@
 def lose_all(context: Context, count: int) -> None:
     for _ in range(count):
         context.clock.pass_ms(ANSWER_MS * 5)
-        context.limit.lost()
+        context.limit.record_loss()
 
 
 @when('{lost:d} of {every:d} answers are lost for {span:d} s')
@@ -67,14 +67,14 @@
     for number in range(span * 1_000 // ANSWER_MS // 5):
         context.clock.pass_ms(ANSWER_MS * 5)
         if number % every < lost:
-            context.limit.lost()
+            context.limit.record_loss()
         else:
             context.limit.observe(ANSWER_MS * 5, context.limit.current)
 
 
 @when('the worker reports {reported:d} running while this node runs {own:d}')
 def report_load(context: Context, reported: int, own: int) -> None:
-    context.limit.hint(reported, own)
+    context.limit.record_load_report(reported, own)
 
 
 @then('the limit is {limit:d}')
@@ -108,15 +108,15 @@
 def earn_and_spend(context: Context, count: int, span: int) -> None:
     context.retries = 0
     for _ in range(count):
-        context.budget.earn()
-        context.retries += context.budget.spend()
+        context.budget.record_request()
+        context.retries += context.budget.try_retry()
         context.clock.pass_ms(span * 1_000 // count)
 
 
 @when('{count:d} requests come over {span:d} s')
 def earn(context: Context, count: int, span: int) -> None:
     for _ in range(count):
-        context.budget.earn()
+        context.budget.record_request()
         context.clock.pass_ms(span * 1_000 // count)
 
 
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -9,8 +9,13 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from laburnumwood.admission.control import AdaptiveAdmission
-from laburnumwood.admission.tickets import Line, Result, State, Ticket
+from laburnumwood.admission.control import AdaptivePolicy
+from laburnumwood.admission.tickets import (
+    Ticket,
+    TicketResult,
+    TicketState,
+    TrafficClass,
+)
 from laburnumwood.config.declarations import Service
 from laburnumwood.protocol.messages import Work
 from laburnumwood.routing.priorities import line_of, useful_until_ms
@@ -29,17 +34,20 @@
         self.clock = FakeClock()
         queue = AdmissionSettings(queue_per_slot=places // slots)
         self.slots = slots
-        self.admission = AdaptiveAdmission(
-            queue, lambda: self.slots, self.clock
-        )
+        self.admission = AdaptivePolicy(queue, lambda: self.slots, self.clock)
         self.tickets: list[Ticket] = []
 
     def offer(
-        self, key: str, left_ms: int = LONG_MS, line: Line | None = None
+        self,
+        key: str,
+        left_ms: int = LONG_MS,
+        traffic_class: TrafficClass | None = None,
     ) -> Ticket:
         """Offer a new ticket of a key."""
         until_ms = self.clock.now_ms() + left_ms
-        ticket = Ticket(key, until_ms, until_ms, line or Line())
+        ticket = Ticket(
+            key, until_ms, until_ms, traffic_class or TrafficClass()
+        )
         self.tickets.append(ticket)
         self.admission.offer(ticket)
         return ticket
@@ -47,13 +55,13 @@
     def answer(self, ticket: Ticket) -> None:
         """Let the worker answer a ticket now."""
         ticket.answer(self.clock.now_ms())
-        self.admission.finish(ticket)
+        self.admission.release(ticket)
 
-    def having(self, state: State) -> list[Ticket]:
+    def having(self, state: TicketState) -> list[Ticket]:
         """Return the tickets in a state."""
         return [each for each in self.tickets if each.state is state]
 
-    def count(self, state: State, key: str | None = None) -> int:
+    def count(self, state: TicketState, key: str | None = None) -> int:
         """Return how many tickets are in a state, of one key or of all."""
         return sum(key in {None, each.key} for each in self.having(state))
 
@@ -121,30 +129,30 @@
     context: Context, count: int, name: str, weight: int
 ) -> None:
     for _ in range(count):
-        context.bench.offer('', line=Line(name, weight))
+        context.bench.offer('', traffic_class=TrafficClass(name, weight))
 
 
 @when('a request of key "{key}" comes of "{name}" of weight {weight:d}')
 def offer_one_of_class(
     context: Context, key: str, name: str, weight: int
 ) -> None:
-    context.bench.offer(key, line=Line(name, weight))
+    context.bench.offer(key, traffic_class=TrafficClass(name, weight))
 
 
 @then('{first:d} of "{name}" wait and {others:d} ordinary ones')
 def check_waiting_classes(
     context: Context, first: int, name: str, others: int
 ) -> None:
-    waiting = context.bench.having(State.WAITING)
-    found = Counter(each.line.name for each in waiting)
+    waiting = context.bench.having(TicketState.WAITING)
+    found = Counter(each.traffic_class.name for each in waiting)
     assert found[name] == first, found
-    assert found[Line().name] == others, found
+    assert found[TrafficClass().name] == others, found
 
 
 @when('the worker answers one after {span:d} ms')
 def answer_one(context: Context, span: int) -> None:
     context.bench.clock.pass_ms(span)
-    context.bench.answer(context.bench.having(State.RUNNING)[0])
+    context.bench.answer(context.bench.having(TicketState.RUNNING)[0])
 
 
 @when('the worker ends {count:d} requests with "{result}" over {span:d} s')
@@ -153,8 +161,8 @@
     for number in range(count):
         ticket = bench.offer(f'ended-{number}')
         bench.clock.pass_ms(span * 1_000 // count)
-        ticket.result = Result[result]
-        bench.admission.finish(ticket)
+        ticket.result = TicketResult[result]
+        bench.admission.release(ticket)
     bench.tickets.clear()
 
 
@@ -174,13 +182,13 @@
             bench.offer('hot')
         bench.offer('cold')
         bench.clock.pass_ms(ANSWER_MS)
-        for ticket in bench.having(State.RUNNING):
+        for ticket in bench.having(TicketState.RUNNING):
             bench.answer(ticket)
 
 
 @then('at least {least:d} of 100 requests of key "cold" were served')
 def check_served(context: Context, least: int) -> None:
-    served = context.bench.count(State.OVER, 'cold')
+    served = context.bench.count(TicketState.RELEASED, 'cold')
     asked = sum(each.key == 'cold' for each in context.bench.tickets)
     assert served * 100 >= least * asked, (served, asked)
 
@@ -191,27 +199,31 @@
 def keep_full(context: Context, name: str, weight: int) -> None:
     bench = context.bench
     for _ in range(200):
-        for line in (Line(name, weight), Line()):
-            lines = [each.line for each in bench.having(State.WAITING)]
-            for _ in range(lines.count(line), 4):
-                bench.offer(f'key-{len(bench.tickets)}', line=line)
+        for traffic_class in (TrafficClass(name, weight), TrafficClass()):
+            classes = [
+                each.traffic_class for each in bench.having(TicketState.WAITING)
+            ]
+            for _ in range(classes.count(traffic_class), 4):
+                bench.offer(
+                    f'key-{len(bench.tickets)}', traffic_class=traffic_class
+                )
         bench.clock.pass_ms(ANSWER_MS)
-        bench.answer(bench.having(State.RUNNING)[0])
+        bench.answer(bench.having(TicketState.RUNNING)[0])
 
 
 @then('of 100 that start between {least:d} and {most:d} are "{name}"')
 def check_weights(context: Context, least: int, most: int, name: str) -> None:
-    over = context.bench.having(State.OVER)
+    over = context.bench.having(TicketState.RELEASED)
     by_start = sorted(over, key=lambda each: each.started_ms)
-    counted = Counter(each.line.name for each in by_start[50:150])
+    counted = Counter(each.traffic_class.name for each in by_start[50:150])
     assert least <= counted[name] <= most, counted
 
 
 @when('each of them ends twice')
 def end_twice(context: Context) -> None:
-    for ticket in context.bench.having(State.RUNNING):
+    for ticket in context.bench.having(TicketState.RUNNING):
         context.bench.answer(ticket)
-        context.bench.admission.finish(ticket)
+        context.bench.admission.release(ticket)
 
 
 @then('{running:d} run, {waiting:d} wait and {shed:d} are shed')
@@ -221,22 +233,22 @@
     admission = context.bench.admission
     found = (admission.running, admission.waiting)
     assert found == (running, waiting), found
-    assert context.bench.count(State.SHED) == shed
+    assert context.bench.count(TicketState.SHED) == shed
 
 
 @then('the request of key "{key}" {what}')
 def check_state(context: Context, key: str, what: str) -> None:
     states = {
-        'waits': State.WAITING,
-        'runs': State.RUNNING,
-        'is shed': State.SHED,
+        'waits': TicketState.WAITING,
+        'runs': TicketState.RUNNING,
+        'is shed': TicketState.SHED,
     }
     assert last_of(context, key).state is states[what], last_of(context, key)
 
 
 @then('{count:d} of key "{key}" wait')
 def check_waiting(context: Context, count: int, key: str) -> None:
-    assert context.bench.count(State.WAITING, key) == count
+    assert context.bench.count(TicketState.WAITING, key) == count
 
 
 @then('{count:d} wait in all')
@@ -252,13 +264,13 @@
 
 def _check_bounds(bench: Bench) -> None:
     admission = bench.admission
-    assert admission.running == bench.count(State.RUNNING)
-    assert admission.waiting == bench.count(State.WAITING)
+    assert admission.running == bench.count(TicketState.RUNNING)
+    assert admission.waiting == bench.count(TicketState.WAITING)
     assert admission.running <= 3
     assert admission.waiting <= 6
     idle = admission.running < admission.limit
     assert not (idle and admission.waiting), 'a slot stays free'
-    shed = bench.having(State.SHED)
+    shed = bench.having(TicketState.SHED)
     assert all(0 < each.retry_after_ms <= 10_000 for each in shed)
 
 
@@ -273,14 +285,14 @@
 
 
 def _end(bench: Bench, what: str, number: int) -> None:
-    state = State.WAITING if what == 'leave' else State.RUNNING
+    state = TicketState.WAITING if what == 'leave' else TicketState.RUNNING
     chosen = bench.having(state)[number : number + 1]
     for ticket in chosen:
         if what == 'answer':
             ticket.answer(bench.clock.now_ms())
         elif what != 'leave':
-            ticket.result = Result[what]
-        bench.admission.finish(ticket)
+            ticket.result = TicketResult[what]
+        bench.admission.release(ticket)
 
 
 def _apply(bench: Bench, what: str, number: int, span: int) -> None:
--- a/tests/features/steps/backless_steps.py
+++ b/tests/features/steps/backless_steps.py
@@ -7,7 +7,11 @@
 
 from laburnumwood.errors import PlatformConflictError
 from laburnumwood.leases.backless import Candidate, QuorumLossDetector
-from laburnumwood.membership.joining import end_seen, join, record_witnesses
+from laburnumwood.membership.node_records import (
+    join,
+    record_end_if_unchanged,
+    record_witness_sets,
+)
 from laburnumwood.records import NodeName, NodeRecord, WitnessSet
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import node_object, to_record
@@ -36,7 +40,7 @@
     context.store = FakeStore()
     name, _ = join(context.store, node_settings('a'))
     sets = (WitnessSet(1, _names(names)),)
-    record_witnesses(context.store, name, sets)
+    record_witness_sets(context.store, name, sets)
     stored = context.store.get(node_object('a'))
     record = to_record(NodeRecord, stored)
     context.candidate = Candidate(name, record, stored.version)
@@ -81,10 +85,10 @@
 def write_end(context: Context) -> None:
     candidate = context.candidate
     sets = (WitnessSet(2, _names('e f g')),)
-    record_witnesses(context.store, candidate.name, sets)
+    record_witness_sets(context.store, candidate.name, sets)
     context.conflict = False
     try:
-        end_seen(
+        record_end_if_unchanged(
             context.store,
             candidate.name,
             candidate.record,
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -18,7 +18,7 @@
 from logbook import TestHandler
 
 from bench.deployment import free_port
-from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations, Service
 from laburnumwood.errors import LinkLostError, LinkTimeoutError
@@ -27,14 +27,14 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.caller import Caller, Callers
-from laburnumwood.routing.connection import REQUEST_ID
-from laburnumwood.routing.door import Door
+from laburnumwood.routing.caller_interface import OwnFace
+from laburnumwood.routing.caller_protocol import REQUEST_ID
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import Exchange, local_pair
-from laburnumwood.routing.face import OwnFace
-from laburnumwood.routing.inquiry import Inquiry
+from laburnumwood.routing.ingress import Door
+from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import Reply, Router
 from laburnumwood.routing.server import Listening
-from laburnumwood.routing.spread import Spread
 from tests.request_stack.stack import DOOR, OneGate
 
 HOST = '127.0.0.1'
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from laburnumwood.admission.retries import RetryBudgets
+from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations, Route, Service
 from laburnumwood.decay import DecayingRate
@@ -17,13 +17,13 @@
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.protocol.messages import Work
 from laburnumwood.records import NodeName, NodeRecord
+from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import Outgoing, local_pair
-from laburnumwood.routing.inquiry import Inquiry
-from laburnumwood.routing.outcome import failure
+from laburnumwood.routing.problems import failure
+from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.retry_policy import Tries
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
-from laburnumwood.routing.spread import Spread
-from laburnumwood.routing.tries import Tries
 from laburnumwood.store.breaker import GuardedStore
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
@@ -96,7 +96,7 @@
     shard = 3 if divided == 'divided' else -1
     work = _work(idempotent=kind == 'idempotent', shard=shard)
     inquiry = Inquiry(work, b'', most)
-    context.tries = Tries(inquiry, budgets.of('s'), clock)
+    context.tries = Tries(inquiry, budgets.for_service('s'), clock)
 
 
 @when('its tries fail with "{failures}"')
@@ -137,7 +137,7 @@
             if name.node_id in names
         }
 
-    def live_in(self, _service: str) -> dict[NodeName, NodeRecord]:
+    def serving_nodes(self, _service: str) -> dict[NodeName, NodeRecord]:
         """Return the nodes."""
         return dict(self._nodes)
 
@@ -189,7 +189,7 @@
 
 @then('each gate is asked once and the request is sent away')
 def check_asked(context: Context) -> None:
-    nodes = sorted(name.node_id for name in context.fleet.live_in('s'))
+    nodes = sorted(name.node_id for name in context.fleet.serving_nodes('s'))
     assert sorted(context.fleet.asked) == nodes, context.fleet.asked
     assert context.reply.kind == 'overloaded', context.reply
     assert not context.reply.ran
@@ -206,12 +206,14 @@
 ) -> None:
     for name, number in ((one, count), (two, other)):
         for _ in range(number):
-            context.budgets.of(name).earn()
+            context.budgets.for_service(name).record_request()
 
 
 @then('"{name}" may send {count:d} again and no more')
 def check_budget(context: Context, name: str, count: int) -> None:
-    spent = [context.budgets.of(name).spend() for _ in range(count + 5)]
+    spent = [
+        context.budgets.for_service(name).try_retry() for _ in range(count + 5)
+    ]
     assert spent.count(True) == count, spent.count(True)
 
 
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -6,8 +6,11 @@
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import witness_count
-from laburnumwood.membership.endings import Fate, fate
-from laburnumwood.membership.joining import confirm_lost, join, leave
+from laburnumwood.membership.endings import (
+    IncarnationStatus,
+    incarnation_status,
+)
+from laburnumwood.membership.node_records import confirm_lost, join, record_end
 from laburnumwood.records import KeyRange, NodeName, ShardName, ShardRecord
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.objects import shard_object, to_value
@@ -189,12 +192,12 @@
 
     def _step(self, vm: str, node: FakeNode) -> None:
         self._record_ends(vm)
-        known = fate(node.lease, node.view)
-        if known is Fate.GOES_ON and node.stands_still():
-            known = Fate.LAPSED
-        if known is Fate.GOES_ON:
+        known = incarnation_status(node.lease, node.view)
+        if known is IncarnationStatus.ACTIVE and node.stands_still():
+            known = IncarnationStatus.LAPSED
+        if known is IncarnationStatus.ACTIVE:
             node.step()
-        elif known is Fate.REPLACED:
+        elif known is IncarnationStatus.REPLACED:
             node.end()
             self._nodes.pop(vm)
         elif self.store.mode == 'up':
@@ -205,7 +208,7 @@
         for before in tuple(self._ending.get(vm, ())):
             if before.may_be_followed:
                 with suppress(PlatformError):
-                    leave(self.store, before.name)
+                    record_end(self.store, before.name)
                     self._ending[vm].remove(before)
 
     def _actors(self, shard: ShardName) -> dict[NodeName, int]:
