--- a/bench/balance.py
+++ b/bench/balance.py
@@ -16,7 +16,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.declarations import Weights
 from laburnumwood.decay import weight_of_age
-from laburnumwood.placement.balance import Move, Picture
+from laburnumwood.placement.balance import Move, PlacementSnapshot
 from laburnumwood.placement.planner import MovePlanner
 from laburnumwood.records import NodeName
 from laburnumwood.settings import PlacementSettings
@@ -138,14 +138,16 @@
             self._clock.time_ms = now_ms
             work = self._load.step(now_ms)
             for name, planner in self._planners.items():
-                self._carry_out(planner.plan(self._picture(name)))
+                self._carry_out(planner.plan(self._snapshot(name)))
             self._measure(work)
         return self.measures
 
-    def _picture(self, own: NodeName) -> Picture:
-        return Picture(
+    def _snapshot(self, own: NodeName) -> PlacementSnapshot:
+        return PlacementSnapshot(
             own=own,
-            shares={name: tuple(held) for name, held in self._shares.items()},
+            shards_by_node={
+                name: tuple(held) for name, held in self._shares.items()
+            },
             slots=dict.fromkeys(self._shares, self._deployment.slots),
             loads=self._load.seen,
             weights=self._deployment.weights,
@@ -165,13 +167,13 @@
     def _measure(self, work: dict[int, float]) -> None:
         step_s = _STEP_MS / MS_PER_SECOND
         slots = self._deployment.slots
-        usages = [
+        utilizations = [
             sum(work[shard] for shard in held) / slots
             for held in self._shares.values()
         ]
-        mean = sum(usages) / len(usages)
-        self.measures.imbalance_s += (max(usages) - mean) * step_s
-        over = sum(max(0, usage - 1) for usage in usages)
+        mean = sum(utilizations) / len(utilizations)
+        self.measures.imbalance_s += (max(utilizations) - mean) * step_s
+        over = sum(max(0, usage - 1) for usage in utilizations)
         self.measures.unavailable_s += over * step_s
         since_ms = self._clock.now_ms() - 60_000
         self._minute = [when for when in self._minute if when > since_ms]
--- a/bench/renewal_size.py
+++ b/bench/renewal_size.py
@@ -22,14 +22,14 @@
     clock = Clock()
     settings = LeaseSettings()
     lease = Lease(_HOLDER, settings, clock)
-    lease.begin(lease.next_set(_WITNESSES))
-    first = lease.renewal(_WITNESSES[0], _DIGEST)
+    lease.set_first_witnesses(lease.propose_set(_WITNESSES))
+    first = lease.renewal_request(_WITNESSES[0], _DIGEST)
     answer = Witness(_WITNESSES[0], settings, clock).renew(first, _DIGEST)
-    lease.granted(first, clock.now_ms())
-    usual = lease.renewal(_WITNESSES[0], _DIGEST)
+    lease.record_grant(first, clock.now_ms())
+    usual = lease.renewal_request(_WITNESSES[0], _DIGEST)
     for number in range(_SHARDS):
         lease.raise_floor(f'trader-portal/{number}', 7)
-    floors = lease.renewal(_WITNESSES[0], _DIGEST)
+    floors = lease.renewal_request(_WITNESSES[0], _DIGEST)
     sizes = {
         'the first renewal, with the set of witnesses': first,
         'a usual renewal': usual,
--- a/laburnumwood/membership/renewal.py
+++ b/laburnumwood/membership/renewal.py
@@ -83,11 +83,11 @@
         """
         live = self._view.witnesses(avoided)
         members = choose_witnesses(self._lease.holder, live)
-        chosen = self._lease.next_set(members)
+        chosen = self._lease.propose_set(members)
         record_witness_sets(
             self._store, self._lease.holder, (chosen,), other_change
         )
-        self._lease.begin(chosen)
+        self._lease.set_first_witnesses(chosen)
         self._start_renewals()
 
     def renew_now(self) -> None:
@@ -105,7 +105,7 @@
         while not self._lease.is_over:
             eventlet.sleep(_REVIEW_MS / MS_PER_SECOND)
             self._review()
-            if self._lease.holds() != held:
+            if self._lease.is_held() != held:
                 held = not held
                 event = LEASE_HELD if held else LEASE_LOST
                 event.report(node=self._lease.holder)
@@ -117,17 +117,22 @@
             return
         wanted = self._wanted_witnesses()
         current = self._lease.witnesses.members
-        if set(wanted) != set(current) and self._lease.holds():
-            self._change(self._lease.next_set(wanted))
+        if set(wanted) != set(current) and self._lease.is_held():
+            self._change(self._lease.propose_set(wanted))
 
     def _exclude_ended_witnesses(self) -> None:
-        ended = filter(self._view.has_process_ended, self._lease.asked)
-        if self._lease.pass_over(frozenset(ended)):
+        ended = filter(
+            self._view.has_process_ended, self._lease.renewal_targets
+        )
+        if self._lease.ignore_ended(frozenset(ended)):
             self.renew_now()
 
     def _wanted_witnesses(self) -> tuple[NodeName, ...]:
         """Return the witnesses to have, recomputed only after a change."""
-        current, lost = self._lease.witnesses.members, self._lease.lost
+        current, lost = (
+            self._lease.witnesses.members,
+            self._lease.lost_witnesses,
+        )
         inputs = (self._view.node_version, current, lost)
         if inputs != self._wanted_for:
             live = self._view.witnesses()
@@ -149,14 +154,14 @@
         except PlatformError as failure:
             WITNESSES_KEPT.report(node=lease.holder, reason=failure)
             return
-        lease.change(chosen)
+        lease.begin_change(chosen)
         names = ','.join(str(name) for name in chosen.members)
         WITNESSES_CHANGED.report(node=lease.holder, witnesses=names)
         self._start_renewals()
         self.renew_now()
 
     def _start_renewals(self) -> None:
-        for name in self._lease.asked:
+        for name in self._lease.renewal_targets:
             if name not in self._renewing:
                 self._renewing.add(name)
                 start(self._renew_repeatedly, name)
@@ -172,7 +177,10 @@
             self._renewing.discard(name)
 
     def _is_renewal_due(self, name: NodeName) -> bool:
-        wanted = name in self._lease.asked and name not in self._lease.lost
+        wanted = (
+            name in self._lease.renewal_targets
+            and name not in self._lease.lost_witnesses
+        )
         return wanted and not self._lease.is_over
 
     def _pause(self, pause_ms: int) -> None:
@@ -183,14 +191,14 @@
             self._wakeup.wait()
 
     def _renew(self, name: NodeName) -> None:
-        request = self._lease.renewal(name, self._view.digest())
+        request = self._lease.renewal_request(name, self._view.digest())
         sent_ms = self._clock.now_ms()
         try:
             reply = self._send(name, request)
         except LinkError:
             return
         if isinstance(reply, Granted):
-            if self._lease.granted(request, sent_ms):
+            if self._lease.record_grant(request, sent_ms):
                 self.renew_now()
             self._gossip.pull_if_newer(name, reply.digest)
         elif isinstance(reply, Refused):
@@ -203,7 +211,7 @@
 
     def _handle_refusal(self, name: NodeName, refusal: Refused) -> None:
         if refusal.reason != 'set-unknown':
-            self._lease.refused(name)
+            self._lease.record_refusal(name)
         if refusal.seal is not None:
             self._gossip.add_seals((refusal.seal,))
 
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -1,4 +1,4 @@
-"""Tasks that carry writes of shard records through, a few at a time."""
+"""Execution of writes of shard records, a few at a time."""
 
 from collections.abc import Callable
 from typing import Any
@@ -10,7 +10,7 @@
 from laburnumwood.errors import PlatformError
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.renewal import LeaseRenewer
-from laburnumwood.placement.shard_write import Progress, ShardWrite
+from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
 from laburnumwood.records import ShardName
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import shard_object
@@ -22,7 +22,7 @@
 
 
 class ShardWriter:
-    """Carries writes of one incarnation to their ends."""
+    """Executes the record writes of one incarnation."""
 
     def __init__(
         self, platform: Store, directory: Directory, renewer: LeaseRenewer
@@ -36,39 +36,40 @@
 
     @property
     def has_room(self) -> bool:
-        """Tell whether one more task can start without waiting."""
+        """Return whether `start` would not block."""
         return bool(self._pool.free() > 0)
 
     @property
     def is_answered(self) -> bool:
-        """Tell whether the store answered when it was read last."""
+        """Return whether the store answered the last read."""
         return self._is_answered
 
     @property
     def is_healthy(self) -> bool:
-        """Tell whether no write waits for an answer of the store."""
+        """Return whether no write waits for an answer of the store."""
         return not self._unsettled
 
     def start(self, task: Callable[..., object], *arguments: Any) -> None:
-        """Start a task that writes; it waits while too many write."""
+        """Start a task that writes; block while too many are running."""
         self._pool.spawn_n(attempt, task, *arguments)
 
-    def carry(self, write: ShardWrite) -> Progress:
-        """Step a write until its progress is final, and return that."""
+    def execute(self, write: ShardWrite) -> WriteProgress:
+        """Step a write until its progress is final; return that progress."""
         self._renewer.renew_now()
         progress = write.step(self._platform)
-        while progress is Progress.NEEDS_FLOOR:
+        while progress is WriteProgress.NEEDS_FLOOR:
             eventlet.sleep(_FLOOR_POLL_MS / MS_PER_SECOND)
             progress = write.step(self._platform)
-        if progress is Progress.UNSETTLED:
+        if progress is WriteProgress.UNSETTLED:
             return self._settle(write)
-        if progress is Progress.NOT_SENT:
-            # Who begins it again at once must not press a store that refuses.
+        if progress is WriteProgress.NOT_SENT:
+            # A caller may start the write again at once; the delay keeps it
+            # from overloading a store that refuses writes.
             eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
         return progress
 
-    def refresh_if_possible(self, shard: ShardName) -> bool:
-        """Read a record again; tell whether the store answered."""
+    def try_refresh(self, shard: ShardName) -> bool:
+        """Read a record from the store; return whether the store answered."""
         try:
             stored = self._platform.get(shard_object(shard))
         except PlatformError:
@@ -79,10 +80,10 @@
             self._directory.apply(stored)
         return True
 
-    def _settle(self, write: ShardWrite) -> Progress:
+    def _settle(self, write: ShardWrite) -> WriteProgress:
         self._unsettled += 1
         try:
-            progress = Progress.UNSETTLED
+            progress = WriteProgress.UNSETTLED
             while not progress.is_final:
                 eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
                 progress = write.step(self._platform)
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -7,7 +7,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import (
     Answer,
@@ -59,14 +59,14 @@
         self,
         own: NodeName,
         view: FleetView,
-        holdings: Holdings,
+        held_shards: HeldShards,
         peers: Peers,
         dispatcher: Dispatcher,
         clock: Clock,
     ) -> None:
         self._own = own
         self._view = view
-        self._holdings = holdings
+        self._held_shards = held_shards
         self._ledger = RunLedger(clock)
         self._peers = peers
         self._synced: dict[tuple[ShardName, NodeName], int] = {}
@@ -123,7 +123,7 @@
     def run(self) -> None:
         """Keep the successors of all shards supplied; does not return."""
         while True:
-            for shard in self._holdings.tokens():
+            for shard in self._held_shards.tokens():
                 entry = self._view.directory.shard(shard)
                 if entry and self._ledger.knows_past(shard, entry.record):
                     self._tell_successors(shard, entry.record, ())
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -17,10 +17,10 @@
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Weights
 from laburnumwood.errors import CallerGoneError
-from laburnumwood.placement.balance import Picture
+from laburnumwood.placement.balance import PlacementSnapshot
 from laburnumwood.placement.balancer import estimated_loads
 from laburnumwood.placement.hotkeys import HotKeys
-from laburnumwood.placement.loads import LoadBook, LoadState
+from laburnumwood.placement.loads import LoadReports, LoadState
 from laburnumwood.placement.meter import LoadMeter, relative_error
 from laburnumwood.placement.planner import MovePlanner
 from laburnumwood.protocol.messages import Failure
@@ -86,18 +86,20 @@
         planner = self._planners.setdefault(
             name, MovePlanner('weighed', self.settings, self.clock)
         )
-        picture = Picture(
+        snapshot = PlacementSnapshot(
             own=name,
-            shares={each: tuple(self.shares[each]) for each in self.shares},
-            peers=self.peers.get(name),
+            shards_by_node={
+                each: tuple(self.shares[each]) for each in self.shares
+            },
+            reporting_peers=self.peers.get(name),
             slots=dict.fromkeys(self.shares, self.slots),
             loads=self.loads,
-            error=self.error,
+            relative_error=self.error,
             weights=self.weights,
             cold_start_ms=self.cold_start_ms,
             settings=self.settings,
         )
-        for move in planner.plan(picture):
+        for move in planner.plan(snapshot):
             self.shares[name].remove(move.shard)
             self.shares[move.target].append(move.shard)
             self.moved.append(move.shard)
@@ -155,7 +157,7 @@
     def measure() -> None:
         for shard in chance.choices(numbers, k=round(per_round)):
             busy_ms = chance.expovariate(1 / fleet.service_ms)
-            meter.note(shard, str(shard), busy_ms)
+            meter.record(shard, str(shard), busy_ms)
         fleet.loads = meter.shards()
 
     fleet.measure = measure
@@ -284,9 +286,9 @@
     context: Context, load: int, shard: int, other: int, next_shard: int
 ) -> None:
     context.clock = FakeClock()
-    context.book = LoadBook(context.clock)
+    context.book = LoadReports(context.clock)
     state = LoadState(0, {shard: load, next_shard: other})
-    context.book.note(NodeName('b', 1), state)
+    context.book.record(NodeName('b', 1), state)
 
 
 @then('the load of shard {shard:d} is believed to be {load:d}')
@@ -310,7 +312,7 @@
     for _ in range(count):
         hot = random.randrange(2)
         number = random.randrange(100) + first_hot
-        context.sketch.note(f'{number if hot else random.randrange(keys)}')
+        context.sketch.record(f'{number if hot else random.randrange(keys)}')
         context.clock.pass_ms(1)
     context.hot = {str(first_hot + number) for number in range(100)}
 
@@ -344,7 +346,7 @@
 @given('nodes "a", "b" and "c" of a service without keys')
 def make_spread(context: Context) -> None:
     context.clock = FakeClock()
-    context.book = LoadBook(context.clock)
+    context.book = LoadReports(context.clock)
     context.spread = Spread(context.book, 'x', Random(1), context.clock)
     context.nodes = {
         NodeName(each, 1): NodeRecord(
@@ -359,7 +361,7 @@
 def make_doors(context: Context, doors: int, count: int) -> None:
     clock = FakeClock()
     context.spreads = [
-        Spread(LoadBook(clock), 'near', Random(f'door {number}'), clock)
+        Spread(LoadReports(clock), 'near', Random(f'door {number}'), clock)
         for number in range(doors)
     ]
     context.nodes = {
@@ -434,7 +436,7 @@
 
 @given('"{node_id}" reported {count:d} requests in flight')
 def report_running(context: Context, node_id: str, count: int) -> None:
-    context.book.note(NodeName(node_id, 1), LoadState(count, {}))
+    context.book.record(NodeName(node_id, 1), LoadState(count, {}))
 
 
 @when('{count:d} requests are spread and none ends')
@@ -511,14 +513,14 @@
     for number in range(1, times + 1):
         clock.pass_ms(10_000)
         shares = {own: (), NodeName('returning', number): ()}
-        context.planner.plan(Picture(own, shares))
+        context.planner.plan(PlacementSnapshot(own, shares))
 
 
 @then('it is steady')
 def check_steady(context: Context) -> None:
-    assert context.planner.is_steady('returning')
+    assert context.planner.is_stable('returning')
 
 
 @then('it is not steady')
 def check_not_steady(context: Context) -> None:
-    assert not context.planner.is_steady('returning')
+    assert not context.planner.is_stable('returning')
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -15,7 +15,7 @@
 from laburnumwood.config.declarations import Declarations, Service
 from laburnumwood.membership.directory import Directory
 from laburnumwood.operators.capacity import CapacityAccount
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import (
     Cancel,
@@ -113,7 +113,7 @@
 class HeldLease:
     """A lease that is held."""
 
-    def holds_until_ms(self) -> int:
+    def expires_at_ms(self) -> int:
         """Return a time that never comes."""
         return 1 << 62
 
@@ -201,14 +201,14 @@
     declared = Declarations(services={'s': Service()})
     context.clock = clock
     context.directory = Directory()
-    context.holdings = Holdings()
-    context.holdings.hold(SHARD, TOKEN)
+    context.held_shards = HeldShards()
+    context.held_shards.hold(SHARD, TOKEN)
     context.grants = LateGrants(span, clock)
     gate: Any = Gate
     context.gate = gate(
         SETTINGS,
         HeldLease(),
-        context.holdings,
+        context.held_shards,
         context.grants,
         executor,
         lambda: declared.services,
@@ -223,13 +223,13 @@
 @given('the shard is closed after {span:d} ms')
 def close_shard(context: Context, span: int) -> None:
     at_ms = context.clock.now_ms() + span
-    close = partial(context.holdings.close, SHARD)
+    close = partial(context.held_shards.close, SHARD)
     context.grants.changes.events[at_ms] = close
 
 
 @given('the gate knows that the shard has moved to "{owner}"')
 def move_shard(context: Context, owner: str) -> None:
-    context.holdings.drop(SHARD)
+    context.held_shards.drop(SHARD)
     record = ShardRecord(TOKEN + 1, (NodeName.parse(owner),))
     stored = StoredObject(shard_object(SHARD), to_value(record), 7)
     context.directory.apply(stored)
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -7,9 +7,9 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import PlatformError
-from laburnumwood.leases.backless import Backless
+from laburnumwood.leases.backless import QuorumLossDetector
 from laburnumwood.leases.lease import Lease
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses
 from laburnumwood.membership.directory import Directory
@@ -22,9 +22,9 @@
     record_witness_sets,
 )
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.shard_write import ShardWrite
-from laburnumwood.placement.tenure import Tenure
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     KeyRange,
@@ -53,8 +53,8 @@
 
     lease: type[Lease] = Lease
     witness: type[Witness] = Witness
-    tenure: type[Tenure] = Tenure
-    backless: type[Backless] = Backless
+    ownership: type[OwnershipTracker] = OwnershipTracker
+    backless: type[QuorumLossDetector] = QuorumLossDetector
     grants: type[AttachedGrants] = AttachedGrants
 
 
@@ -69,12 +69,12 @@
 class _Holder:
     """What an incarnation of the world lets its worker hold."""
 
-    def __init__(self, lease: Lease, holdings: Holdings) -> None:
-        self._holdings = holdings
-        self.tokens = holdings.tokens
-        self.until_ms = lease.holds_until_ms
-        self.close = holdings.close
-        self.require_higher_token = holdings.spend
+    def __init__(self, lease: Lease, held_shards: HeldShards) -> None:
+        self._held_shards = held_shards
+        self.tokens = held_shards.tokens
+        self.until_ms = lease.expires_at_ms
+        self.close = held_shards.close
+        self.require_higher_token = held_shards.invalidate_token
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard."""
@@ -103,12 +103,12 @@
     ) -> None:
         settings = LeaseSettings()
         self.name = name
-        self.view = FleetView(Directory(), SealBook())
+        self.view = FleetView(Directory(), SealRegistry())
         self.lease = code.lease(name, settings, clock)
-        self.holdings = Holdings()
+        self.held_shards = HeldShards()
         self.is_deaf = False
-        self.tenure = code.tenure(
-            SERVICE, self.view, self.lease, self.holdings, clock
+        self.ownership = code.ownership(
+            SERVICE, self.view, self.lease, self.held_shards, clock
         )
         self.witness = witness or code.witness(name, settings, clock)
         self._recorder = NodeRecordUpdater(
@@ -129,13 +129,13 @@
         self._standstill = RejoinBackoff(clock)
         self.worker: AttachedGrants | None = None
         if worker is not None:
-            holder = _Holder(self.lease, self.holdings)
+            holder = _Holder(self.lease, self.held_shards)
             self.worker = code.grants(worker, holder)
 
     @property
     def silent_ids(self) -> frozenset[str]:
         """Return the ids of witnesses that do not renew the lease."""
-        return frozenset(name.node_id for name in self.lease.silent)
+        return frozenset(name.node_id for name in self.lease.silent_witnesses)
 
     @property
     def may_be_followed(self) -> bool:
@@ -154,9 +154,9 @@
         self.read()
         live = self.view.witnesses(avoided)
         members = choose_witnesses(self.name, live)[:_WITNESSES]
-        chosen = self.lease.next_set(members)
+        chosen = self.lease.propose_set(members)
         record_witness_sets(self._store, self.name, (chosen,))
-        self.lease.begin(chosen)
+        self.lease.set_first_witnesses(chosen)
         self._started_ms = self._clock.now_ms()
 
     def step(self) -> None:
@@ -171,7 +171,7 @@
             self.read()
         if now_ms - self._recorded_ms >= _RECORD_MS:
             self._record()
-        self.tenure.follow()
+        self.ownership.update_held_shards()
         self._write()
 
     def renew(self) -> None:
@@ -179,8 +179,8 @@
         self._renewed_ms = self._clock.now_ms()
         if self.lease.is_over:
             return
-        for witness in self.lease.asked:
-            request = self.lease.renewal(witness, self.view.digest())
+        for witness in self.lease.renewal_targets:
+            request = self.lease.renewal_request(witness, self.view.digest())
             what = partial(_serve, request, self._renewed_ms)
             self._send(witness.node_id, what)
 
@@ -206,9 +206,9 @@
             return
         self.learn_seals(seals)
         if isinstance(reply, Granted):
-            self.lease.granted(request, sent_ms)
+            self.lease.record_grant(request, sent_ms)
         elif reply.reason != 'set-unknown':
-            self.lease.refused(request.witness)
+            self.lease.record_refusal(request.witness)
             self.learn_seals((reply.seal,) if reply.seal else ())
 
     def learn_seals(self, seals: tuple[Seal, ...]) -> None:
@@ -231,21 +231,21 @@
     def move(self, shard: ShardName, target: NodeName) -> None:
         """Begin to hand a shard over."""
         if self.view.directory.node(target) is not None:
-            self._let_go(shard, self.tenure.begin_move(shard, target))
+            self._let_go(shard, self.ownership.begin_move(shard, target))
 
     def split(self, shard: ShardName, keys: KeyRange) -> None:
         """Begin to split keys of a shard off."""
-        self._let_go(shard, self.tenure.begin_split(shard, (keys,)))
+        self._let_go(shard, self.ownership.begin_split(shard, (keys,)))
 
     def end(self) -> None:
         """End all activity of this incarnation."""
         self.lease.resign()
-        self.holdings.drop_all()
+        self.held_shards.drop_all()
 
     def _let_go(self, shard: ShardName, write: ShardWrite | None) -> None:
         if write is not None:
             if self.worker is None:
-                self.holdings.close(shard)
+                self.held_shards.close(shard)
             else:
                 self.worker.withdraw(shard)
                 self._let_go_of.add(shard)
@@ -256,7 +256,7 @@
         if self.worker is None or shard not in self._let_go_of:
             return True
         if self.worker.is_released(shard):
-            self.holdings.close(shard)
+            self.held_shards.close(shard)
             self._let_go_of.discard(shard)
         return shard not in self._let_go_of
 
@@ -265,8 +265,8 @@
             self.worker.restore(shard)
 
     def _write(self) -> None:
-        for shard in self.tenure.wanted():
-            self._writes.append(self.tenure.begin_write(shard))
+        for shard in self.ownership.shards_to_write():
+            self._writes.append(self.ownership.begin_write(shard))
             self.renew()
         for write in tuple(self._writes):
             if not self._is_let_go(write.shard):
@@ -274,10 +274,10 @@
             progress = write.step(self._store)
             if progress.is_final:
                 self._writes.remove(write)
-                self.tenure.finish(write, progress)
+                self.ownership.finish(write, progress)
                 self._restore(write.shard)
                 self._tell_written(write)
-        if self._store.mode == 'up' and self.tenure.stale:
+        if self._store.mode == 'up' and self.ownership.stale_shards:
             self.read()
 
     def _record(self) -> None:
@@ -294,11 +294,11 @@
 
     def change_witnesses(self, members: tuple[NodeName, ...]) -> None:
         """Begin to rely on other witnesses, if the store has taken them."""
-        chosen = self.lease.next_set(members)
+        chosen = self.lease.propose_set(members)
         with suppress(PlatformError):
             sets = (self.lease.witnesses, chosen)
             record_witness_sets(self._store, self.name, sets)
-            self.lease.change(chosen)
+            self.lease.begin_change(chosen)
             self.renew()
 
     def _tell_written(self, write: ShardWrite) -> None:
