--- a/laburnumwood/admission/tally.py
+++ b/laburnumwood/admission/tally.py
@@ -9,18 +9,18 @@
 class AdmissionSummary:
     """The requests of one interval.
 
-    `busy` is the mean number of busy slots, `let_in` the number of admitted
+    `busy` is the mean number of busy slots, `admitted` the number of admitted
     and `shed` the number of shed requests.
     """
 
     busy: float
-    let_in: int
+    admitted: int
     shed: int
 
     @property
     def is_empty(self) -> bool:
         """Return whether no request arrived or ran in the interval."""
-        return not (self.busy or self.let_in or self.shed)
+        return not (self.busy or self.admitted or self.shed)
 
 
 class AdmissionCounters:
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -164,7 +164,7 @@
             slots=self._worker.slots(),
             busy=round(carried.busy, 2),
             waiting=self.waiting,
-            let_in=carried.let_in,
+            let_in=carried.admitted,
             shed=carried.shed,
             shards=len(self._held_shards.tokens()),
         )
