--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -158,9 +158,9 @@
 
     def _dispatch(self) -> None:
         answered_ms = self._clock.now_ms() + round(self._expected_latency_ms())
-        for expired in self._queue.with_deadline_before(answered_ms):
-            self._queue.remove(expired)
-            expired.shed(self._retry_after_ms())
+        for late in self._queue.with_deadline_before(answered_ms):
+            self._queue.remove(late)
+            late.shed(self._retry_after_ms())
         while self._queue and self.running < self.limit:
             self._start(self._queue.pop(self._running_by_key))
 
--- a/laburnumwood/admission/limit.py
+++ b/laburnumwood/admission/limit.py
@@ -44,7 +44,7 @@
         self._slots = slots
         self._clock = clock
         self._limit: float = slots()
-        self._long_term = DecayingMean(_LONG_TERM_HALF_LIFE_MS, clock)
+        self._long_term_latency = DecayingMean(_LONG_TERM_HALF_LIFE_MS, clock)
         self._samples: list[float] = []
         self._losses = 0  # in the current window
         # The limit before the worker lost answers, zero if it did not.
@@ -114,9 +114,13 @@
             self._last_decrease_ms = now_ms
 
     def _close_window(self) -> None:
-        short = max(median(self._samples), 1)
-        self._long_term.note(short)
-        gradient = _LATENCY_TOLERANCE * self._long_term.mean / short
+        window_latency_ms = max(median(self._samples), 1)
+        self._long_term_latency.note(window_latency_ms)
+        gradient = (
+            _LATENCY_TOLERANCE
+            * self._long_term_latency.mean
+            / window_latency_ms
+        )
         gradient = max(_MIN_GRADIENT, min(1, gradient))
         if self._limit < self._limit_before_losses and gradient == 1:
             self._recover()
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -45,7 +45,7 @@
     Fields ending in `_ms` are times of the node's clock, except for the delay
     `retry_after_ms`.  A request that cannot be answered by `useful_until_ms`
     is better shed at once than kept waiting until `deadline_ms`.  `on_settled`
-    is called once the request is given a slot or is shed.
+    is called when the request is given a slot or is shed.
     """
 
     key: str
