--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -1,23 +1,23 @@
-Feature: Admission of requests to the worker
-  Decisions only, on a clock of the test's own.
+Feature: Admission control in front of the worker
+  Only the decisions, on a fake clock.
 
   Background:
-    Given admission for a worker with 4 slots and 8 places to wait
+    Given admission control for a worker with 4 slots and a queue of 8
 
   Scenario: slots are used first, then the queue, then requests are shed
-    When 20 requests of different keys come
+    When 20 requests with different keys arrive
     Then 4 run, 8 wait and 8 are shed
 
-  Scenario: a worker that says that it has fewer slots gets less
-    Given the worker says that it has 2 slots
-    When 20 requests of different keys come
+  Scenario: a worker that reports fewer slots gets fewer requests
+    Given the worker reports 2 slots
+    When 20 requests with different keys arrive
     Then 2 run, 4 wait and 14 are shed
 
-  # Guards against losing slots to a worker that rejects at random (SHORT of
-  # inc1): its rejections say nothing of its load.
-  Scenario Outline: refusals for its load cost a worker slots, others do not
-    When the worker ends 50 requests with "<result>" over 5 s
-    And 20 requests of different keys come
+  # Guards against a lower limit for a worker that rejects requests at random
+  # (SHORT of inc1): such rejections are not caused by its load.
+  Scenario Outline: refusals for load lower the limit of a worker, other rejections do not
+    When 50 requests end with the result "<result>" over 5 s
+    And 20 requests with different keys arrive
     Then <run> run, 8 wait and <shed> are shed
 
     Examples:
@@ -26,36 +26,36 @@
       | REJECTED | 4   | 8    |
 
   Scenario: a hot key fills only its share of the queue
-    When 50 requests of key "hot" come
-    And a request of key "cold" comes
-    Then the request of key "cold" waits
-    And 4 of key "hot" wait
-
-  Scenario: a key with fewer slots goes first
-    When 8 requests of key "hot" come
-    And a request of key "cold" comes
-    And the worker answers one after 10 ms
-    Then the request of key "cold" runs
-
-  Scenario: no key starves while a hot one keeps coming
-    Given answers of 10 ms were seen
-    When 200 rounds each bring 12 requests of key "hot" and 1 of key "cold"
-    Then at least 95 of 100 requests of key "cold" were served
-
-  Scenario: the newest of the longest line leaves for a key that is new
-    When 4 requests of key "hot" come
-    And 2 requests of each of 4 keys come
-    And a request of key "late" comes
-    Then the request of key "late" waits
-    And 8 wait in all
-
-  # Guards against calls that are sent away while downloads wait (issue 30):
-  # each costs the request that made it, and the slot that this one had.
-  Scenario Outline: a full queue makes room for a class of more weight
-    When 12 requests without a key come
-    And <count> requests without a key come of "calls" of weight 16
-    Then <calls> of "calls" wait and <ordinary> ordinary ones
-    And 8 wait in all
+    When 50 requests with key "hot" arrive
+    And a request with key "cold" arrives
+    Then the request with key "cold" waits
+    And 4 requests with key "hot" wait
+
+  Scenario: a key with fewer running requests is served first
+    When 8 requests with key "hot" arrive
+    And a request with key "cold" arrives
+    And the worker answers a request after 10 ms
+    Then the request with key "cold" runs
+
+  Scenario: no key starves under the continuous load of a hot key
+    Given an earlier answer took 10 ms
+    When in each of 200 rounds 12 requests with key "hot" and 1 with key "cold" arrive
+    Then at least 95 of 100 requests with key "cold" were served
+
+  Scenario: the newest request of the longest queue is shed for a new key
+    When 4 requests with key "hot" arrive
+    And 2 requests with each of 4 keys arrive
+    And a request with key "late" arrives
+    Then the request with key "late" waits
+    And 8 requests wait in total
+
+  # Guards against shedding calls while downloads wait (issue 30): a shed call
+  # fails the request that made it, which has used its slot in vain.
+  Scenario Outline: a full queue makes room for a class with more weight
+    When 12 requests without a key arrive
+    And <count> requests without a key of class "calls" with weight 16 arrive
+    Then <calls> requests of class "calls" and <ordinary> of the default class wait
+    And 8 requests wait in total
 
     Examples:
       | count | calls | ordinary |
@@ -63,81 +63,81 @@
       | 7     | 7     | 1        |
       | 20    | 7     | 1        |
 
-  Scenario Outline: a class of little weight keeps one place in a full queue
-    When 12 requests without a key come of "calls" of weight 16
-    And <count> requests without a key come
-    Then 7 of "calls" wait and 1 ordinary ones
+  Scenario Outline: a class with little weight keeps one place in a full queue
+    When 12 requests without a key of class "calls" with weight 16 arrive
+    And <count> requests without a key arrive
+    Then 7 requests of class "calls" and 1 of the default class wait
 
     Examples:
       | count |
       | 1     |
       | 5     |
 
-  Scenario: a full queue of many keys makes room for a class of more weight
-    When 12 requests of different keys come
-    And a request of key "new" comes of "paying" of weight 4
-    Then the request of key "new" waits
-    And the request of key "key-11" is shed
-    And 8 wait in all
-
-  Scenario: what can't be answered in time is shed at once
-    Given answers of 100 ms were seen
-    When 8 requests of different keys come
-    And a request of key "hasty" comes that has 150 ms left
-    Then the request of key "hasty" is shed
-    And it may come again after 200 ms
-
-  Scenario: what is sent away is told to come again one after the other
-    Given answers of 100 ms were seen
-    When 12 requests of different keys come
-    And 3 hasty requests come that have 150 ms left
-    Then those may come again after 300, 325 and 350 ms
-
-  Scenario: what waits is shed once the worker has slowed too far
-    Given answers of 10 ms were seen
-    When 4 requests of key "a" come
-    And a request of key "b" comes that has 500 ms left
+  Scenario: a full queue of many keys makes room for a class with more weight
+    When 12 requests with different keys arrive
+    And a request with key "new" of class "paying" with weight 4 arrives
+    Then the request with key "new" waits
+    And the request with key "key-11" is shed
+    And 8 requests wait in total
+
+  Scenario: a request that cannot be answered in time is shed at once
+    Given an earlier answer took 100 ms
+    When 8 requests with different keys arrive
+    And a request with key "hasty" and 150 ms left arrives
+    Then the request with key "hasty" is shed
+    And it is told to retry after 200 ms
+
+  Scenario: shed requests are told to retry one after the other
+    Given an earlier answer took 100 ms
+    When 12 requests with different keys arrive
+    And 3 more requests with 150 ms left arrive
+    Then they are told to retry after 300, 325 and 350 ms
+
+  Scenario: a waiting request is shed once the worker has become too slow
+    Given an earlier answer took 10 ms
+    When 4 requests with key "a" arrive
+    And a request with key "b" and 500 ms left arrives
     And 400 ms pass without an answer
-    And a request of key "c" comes
-    Then the request of key "b" is shed
+    And a request with key "c" arrives
+    Then the request with key "b" is shed
 
-  Scenario: a frozen worker gets no more than its slots
-    When 4 requests of key "a" come
+  Scenario: a hanging worker gets no more requests than it has slots
+    When 4 requests with key "a" arrive
     And 5000 ms pass without an answer
-    And a request of key "b" comes that has 1000 ms left
-    Then the request of key "b" is shed
+    And a request with key "b" and 1000 ms left arrives
+    Then the request with key "b" is shed
 
-  Scenario: a request past its deadline is never let in
-    When a request of key "old" comes that has 0 ms left
-    Then the request of key "old" is shed
+  Scenario: a request past its deadline is never admitted
+    When a request with key "old" and 0 ms left arrives
+    Then the request with key "old" is shed
 
-  Scenario: paying traffic gets its weight and the ordinary does not starve
-    When the queue always holds "paying" of weight 4 and ordinary requests
-    Then of 100 that start between 75 and 85 are "paying"
+  Scenario: a class gets its share by weight and the default class does not starve
+    When the queue always contains requests of class "paying" with weight 4 and of the default class
+    Then of 100 started requests between 75 and 85 are of class "paying"
 
-  Scenario: slots given back twice count once
-    When 4 requests of different keys come
-    And each of them ends twice
+  Scenario: a slot that is released twice counts once
+    When 4 requests with different keys arrive
+    And each running request is released twice
     Then 0 run, 0 wait and 0 are shed
 
-  Scenario: admission under any order of events
-    Then no order of events breaks the bounds of admission
+  Scenario: the limits of admission control under any order of events
+    Then no order of events violates the limits of admission control
 
-  Scenario: requests belong to the heaviest declared class that fits
-    Given a service with these classes of traffic
+  Scenario: a request belongs to the matching class with the most weight
+    Given a service with these traffic classes
       """
       {"paying": {"weight": 8, "methods": ["POST"]},
        "internal": {"weight": 4, "header": "Caller", "text": "checks"}}
       """
-    Then requests belong to these classes
+    Then requests belong to these traffic classes
       | method | Caller | class    |
       | GET    | trader | ordinary |
       | GET    | checks | internal |
       | POST   | checks | paying   |
 
-  Scenario Outline: how long a request is worth waiting for a slot
-    When a request of rank <rank> with <left> ms left has an objective of <objective> ms
-    Then it is worth waiting for <useful> ms
+  Scenario Outline: how long a request may wait for a slot
+    When a request with rank <rank> and <left> ms left has an objective of <objective> ms
+    Then it may wait for up to <useful> ms
 
     Examples:
       | rank | left | objective | useful |
