--- a/tests/features/admission_limit.feature
+++ b/tests/features/admission_limit.feature
@@ -1,34 +1,34 @@
 Feature: The concurrency limit and the retry budget
-  Decisions only, on a clock of the test's own.
+  Only the decisions, on a fake clock.
 
-  Scenario: a healthy worker keeps all its slots
+  Scenario: a healthy worker keeps the full limit
     Given a concurrency limit for 20 slots
     When the worker answers in 10 ms for 10 s
     Then the limit is 20
 
-  Scenario: refusals of the worker shrink the limit
+  Scenario: refusals of the worker lower the limit
     Given a concurrency limit for 20 slots
     When the worker refuses 50 requests over 3 s
     Then the limit is below 8
 
-  Scenario: what is refused together shrinks the limit once
+  Scenario: refusals at the same time lower the limit once
     Given a concurrency limit for 20 slots
     When the worker refuses 50 requests over 0 s
     Then the limit is 18
 
-  Scenario: latency that rises with the load shrinks the limit
+  Scenario: latency that rises with the load lowers the limit
     Given a concurrency limit for 20 slots
     When the worker answers in 10 ms for 10 s
     And the worker answers in 80 ms for 1 s
     Then the limit is below 18
 
-  Scenario: a worker that stays slow gets its slots back
+  Scenario: the limit recovers while the worker stays slow
     Given a concurrency limit for 20 slots
     When the worker answers in 10 ms for 10 s
     And the worker answers in 100 ms for 60 s
     Then the limit is 20
 
-  Scenario Outline: only a worker that loses most answers loses slots for it
+  Scenario Outline: lost answers lower the limit only if most answers are lost
     Given a concurrency limit for 20 slots
     When 1 of <every> answers of the worker is lost for 4 s
     Then the limit is <limit>
@@ -39,14 +39,14 @@
       | 3     | 20       |
       | 1     | below 8  |
 
-  # Guards against a worker that is back and left idle (issue 30): a gate that
-  # runs little sees few answers, and steps by them take it tens of seconds.
-  Scenario Outline: a worker that answers again gets its slots back soon
+  # Guards against leaving a recovered worker idle (issue 30): under a low limit
+  # few answers are observed, and raising it by them takes tens of seconds.
+  Scenario Outline: the limit recovers quickly once the worker answers again
     Given a concurrency limit for 7 slots
-    When the worker answers in <latency> ms, as many at once as it may, for 2 s
+    When the worker answers in <latency> ms at the full limit for 2 s
     And 40 answers of the worker are lost one after the other
     Then the limit is 1
-    When the worker answers in <latency> ms, as many at once as it may, for <span> s
+    When the worker answers in <latency> ms at the full limit for <span> s
     Then the limit is 7
 
     Examples:
@@ -54,33 +54,33 @@
       | 70      | 2    |
       | 300     | 6    |
 
-  Scenario: a worker that answers only some again does not
+  Scenario: the limit does not recover while most answers are still lost
     Given a concurrency limit for 7 slots
-    When the worker answers in 70 ms, as many at once as it may, for 2 s
+    When the worker answers in 70 ms at the full limit for 2 s
     And 40 answers of the worker are lost one after the other
     And 3 of 4 answers are lost for 2 s
     Then the limit is below 3
 
-  Scenario: a load report of zero changes nothing
+  Scenario: a load report of zero does not change the limit
     Given a concurrency limit for 20 slots
     When the worker refuses 50 requests over 3 s
-    And the worker reports 0 running while this node runs 7
-    Then the limit is as before
+    And the worker reports 0 running requests while this node runs 7
+    Then the limit is unchanged
 
-  Scenario: a report of foreign work lowers the limit, and fades
+  Scenario: a load report of requests of other nodes lowers the limit, and decays
     Given a concurrency limit for 20 slots
-    When the worker reports 15 running while this node runs 5
+    When the worker reports 15 running requests while this node runs 5
     Then the limit is 10
     And after 10 s the limit is 20
 
-  Scenario: retries stay a tenth of the load
-    Given a retry budget of 0.1
-    When 1000 requests come over 5 s and each wants a retry
-    Then at most 102 retries were let through
-    And at least 95 retries were let through
+  Scenario: retries stay at a tenth of the requests
+    Given a retry budget with a share of 0.1
+    When 1000 requests arrive over 5 s and each asks for a retry
+    Then at most 102 retries were allowed
+    And at least 95 retries were allowed
 
-  Scenario: load of long ago pays for no retries
-    Given a retry budget of 0.1
-    When 1000 requests come over 5 s
-    And 20 s pass and each of 50 requests wants a retry
-    Then at most 7 retries were let through
+  Scenario: requests before the window allow no retries
+    Given a retry budget with a share of 0.1
+    When 1000 requests arrive over 5 s
+    And 20 s pass and each of 50 requests asks for a retry
+    Then at most 7 retries were allowed
--- a/tests/features/steps/admission_limit_steps.py
+++ b/tests/features/steps/admission_limit_steps.py
@@ -29,11 +29,11 @@
     for _ in range(count):
         context.limit.record_refusal()
         context.clock.pass_ms(span * 1_000 // count)
-    context.before = context.limit.current
+    context.limit_before = context.limit.current
 
 
 @when('1 of {every:d} answers of the worker is lost for {span:d} s')
-def lose_some(context: Context, every: int, span: int) -> None:
+def lose_one_of(context: Context, every: int, span: int) -> None:
     for number in range(span * 1_000 // ANSWER_MS):
         context.clock.pass_ms(ANSWER_MS)
         if number % every:
@@ -42,11 +42,8 @@
             context.limit.record_loss()
 
 
-@when(
-    'the worker answers in {latency:d} ms, as many at once as it may, '
-    'for {span:d} s'
-)
-def answer_all(context: Context, latency: int, span: int) -> None:
+@when('the worker answers in {latency:d} ms at the full limit for {span:d} s')
+def answer_at_full_limit(context: Context, latency: int, span: int) -> None:
     end_ms = context.clock.now_ms() + span * 1_000
     while context.clock.now_ms() < end_ms:
         context.clock.pass_ms(latency)
@@ -56,14 +53,14 @@
 
 
 @when('{count:d} answers of the worker are lost one after the other')
-def lose_all(context: Context, count: int) -> None:
+def lose_one_by_one(context: Context, count: int) -> None:
     for _ in range(count):
         context.clock.pass_ms(ANSWER_MS * 5)
         context.limit.record_loss()
 
 
 @when('{lost:d} of {every:d} answers are lost for {span:d} s')
-def lose_most(context: Context, lost: int, every: int, span: int) -> None:
+def lose_several_of(context: Context, lost: int, every: int, span: int) -> None:
     for number in range(span * 1_000 // ANSWER_MS // 5):
         context.clock.pass_ms(ANSWER_MS * 5)
         if number % every < lost:
@@ -72,7 +69,10 @@
             context.limit.observe(ANSWER_MS * 5, context.limit.current)
 
 
-@when('the worker reports {reported:d} running while this node runs {own:d}')
+@when(
+    'the worker reports {reported:d} running requests while this node runs '
+    '{own:d}'
+)
 def report_load(context: Context, reported: int, own: int) -> None:
     context.limit.record_load_report(reported, own)
 
@@ -83,13 +83,13 @@
 
 
 @then('the limit is below {limit:d}')
-def check_lower(context: Context, limit: int) -> None:
+def check_limit_below(context: Context, limit: int) -> None:
     assert 1 <= context.limit.current < limit, context.limit.current
 
 
-@then('the limit is as before')
-def check_unchanged(context: Context) -> None:
-    assert context.limit.current == context.before
+@then('the limit is unchanged')
+def check_limit_unchanged(context: Context) -> None:
+    assert context.limit.current == context.limit_before
 
 
 @then('after {span:d} s the limit is {limit:d}')
@@ -98,14 +98,14 @@
     check_limit(context, limit)
 
 
-@given('a retry budget of {share:f}')
+@given('a retry budget with a share of {share:f}')
 def make_budget(context: Context, share: float) -> None:
     context.clock = FakeClock()
     context.budget = RetryBudget(share, context.clock)
 
 
-@when('{count:d} requests come over {span:d} s and each wants a retry')
-def earn_and_spend(context: Context, count: int, span: int) -> None:
+@when('{count:d} requests arrive over {span:d} s and each asks for a retry')
+def request_and_retry(context: Context, count: int, span: int) -> None:
     context.retries = 0
     for _ in range(count):
         context.budget.record_request()
@@ -113,24 +113,24 @@
         context.clock.pass_ms(span * 1_000 // count)
 
 
-@when('{count:d} requests come over {span:d} s')
-def earn(context: Context, count: int, span: int) -> None:
+@when('{count:d} requests arrive over {span:d} s')
+def send_requests(context: Context, count: int, span: int) -> None:
     for _ in range(count):
         context.budget.record_request()
         context.clock.pass_ms(span * 1_000 // count)
 
 
-@when('{span:d} s pass and each of {count:d} requests wants a retry')
-def wait_and_spend(context: Context, span: int, count: int) -> None:
+@when('{span:d} s pass and each of {count:d} requests asks for a retry')
+def wait_and_retry(context: Context, span: int, count: int) -> None:
     context.clock.pass_ms(span * 1_000)
-    earn_and_spend(context, count, 1)
+    request_and_retry(context, count, 1)
 
 
-@then('at most {most:d} retries were let through')
+@then('at most {most:d} retries were allowed')
 def check_most_retries(context: Context, most: int) -> None:
     assert context.retries <= most, context.retries
 
 
-@then('at least {least:d} retries were let through')
+@then('at least {least:d} retries were allowed')
 def check_least_retries(context: Context, least: int) -> None:
     assert context.retries >= least, context.retries
