--- a/tests/features/balance.feature
+++ b/tests/features/balance.feature
@@ -1,7 +1,7 @@
-Feature: Balance of shards against churn
-  Decisions only, on a clock of the test's own.
+Feature: Balancing shards without needless moves
+  Only decisions are tested, with a fake clock.
 
-  Scenario: a node that joins gets its part once it has settled
+  Scenario: a node that joins gets its share of the shards once it has settled
     Given shards 0 to 11 on "a" and 12 to 23 on "b"
     When the node "c" joins
     And the planners of all nodes run for 500 ms
@@ -9,26 +9,26 @@
     When the planners of all nodes run for 1000 ms
     Then each node has 8 shards
 
-  Scenario Outline: only a node that does not come again and again is steady
-    When a node comes <times> times within a minute
+  Scenario Outline: only a node that has not joined too often lately is stable
+    When a node joins <times> times within a minute
     Then it is <how>
 
     Examples:
       | times | how        |
-      | 1     | steady     |
-      | 4     | steady     |
-      | 5     | not steady |
+      | 1     | stable     |
+      | 4     | stable     |
+      | 5     | not stable |
 
   Scenario: a node that flaps gets its shards later each time
     Given shards 0 to 11 on "a" and 12 to 23 on "b"
-    When the node "c" joins and goes 5 times within 10 s
+    When the node "c" joins and leaves 5 times within 10 s
     And the node "c" joins
     And the planners of all nodes run for 3000 ms
     Then 0 shards were moved
     When the planners of all nodes run for 40000 ms
     Then each node has 8 shards
 
-  Scenario: a shard moves if the gain outlives its cold start
+  Scenario: a shard moves if the gain exceeds the cost of its cold start
     Given shards 0 to 3 on "a" and 4 to 7 on "b"
     And shards with these loads in slots
       | 0 | 1 |
@@ -47,7 +47,7 @@
     When the planners of all nodes run for 120000 ms
     Then 0 shards were moved
 
-  Scenario: a service that weighs churn most keeps what another moves
+  Scenario: a high weight for churn prevents a move
     Given shards 0 to 3 on "a" and 4 to 7 on "b"
     And shards with these loads in slots
       | 0 | 1 |
@@ -57,7 +57,7 @@
     When the planners of all nodes run for 120000 ms
     Then 0 shards were moved
 
-  Scenario: one shard too hot for any node is not passed around
+  Scenario: a shard that is too hot for any node stays where it is
     Given shards 0 to 3 on "a" and 4 to 7 on "b"
     And shards with these loads in slots
       | 0  |
@@ -65,8 +65,8 @@
     When the planners of all nodes run for 300000 ms
     Then 0 shards were moved
 
-  Scenario Outline: the noise of a steady load moves next to nothing
-    Given 10 nodes with 60 shards that move as on the platform
+  Scenario Outline: noise in a steady load causes hardly any moves
+    Given 10 nodes with 60 shards and the platform's placement settings
     And steady requests that keep <busy> in 100 slots of each node busy
     When the planners of all nodes run for 60000 ms
     Then at most 6 shards were moved
@@ -77,44 +77,45 @@
       | 60   |
       | 75   |
 
-  # Guards against churn by noise: few slots and long work measure badly.
-  Scenario: the noise of few long requests moves next to nothing
-    Given 68 nodes with 272 shards that move as on the platform
-    And they have 7 slots, work of 300 ms and know the load of 6 others
+  # Guards against moves caused by noise: with few slots and long requests the
+  # measured load is inaccurate.
+  Scenario: noise in a load of few long requests causes hardly any moves
+    Given 68 nodes with 272 shards and the platform's placement settings
+    And they have 7 slots, requests of 300 ms and know the load of 6 others
     And steady requests that keep 95 in 100 slots of each node busy
     When the planners of all nodes run for 20000 ms
     Then at most 9 shards were moved
 
-  Scenario: moves for the load are bounded and never bounce
-    Then no loads make a shard bounce or a node move too much
+  Scenario: moves for the load are limited and not reversed
+    Then with any loads no shard moves twice and at most 8 shards move
 
-  Scenario: a load that swings makes no shard swing with it
+  Scenario: shards do not follow a load that alternates between nodes
     Given shards 0 to 3 on "a" and 4 to 7 on "b"
-    When the load swings between "a" and "b" every 5 s for 60 s
+    When the load alternates between "a" and "b" every 5 s for 60 s
     Then no shard was moved more than 2 times
 
-  Scenario: reports fade towards the mean
+  Scenario: reported loads approach the mean as the report ages
     Given a report of load 9 for shard 4 of "b", and of 1 for shard 5
-    Then the load of shard 4 is believed to be 9
-    And after 60 s the load of shard 4 is believed to be 5
+    Then the load of shard 4 is estimated as 9
+    And after 60 s the load of shard 4 is estimated as 5
 
   Scenario: the hottest keys are found among many
     When 20000 requests of 5000 keys come, where 100 keys make up half
     Then 100 of the 100 hottest keys are found
     And no more than 1024 keys are kept
 
-  Scenario: hot keys of before are forgotten within minutes
+  Scenario: earlier hot keys are replaced within minutes
     When 20000 requests of 5000 keys come, where 100 keys make up half
     And other 100 keys make up half of 20000 requests 2 minutes later
     Then 100 of the 100 hottest keys are found
 
-  Scenario: requests go to the less busy of two nodes
+  Scenario: requests go to the less loaded of two nodes
     Given nodes "a", "b" and "c" of a service without keys
     And "c" reported 20 requests in flight
     When 30 requests are spread and none ends
     Then each of "a" and "b" has at least 14 of them
 
-  Scenario: a node of the door's failure domain is taken while it is not busy
+  Scenario: a node of the door's failure domain is chosen while it is not busy
     Given nodes "a", "b" and "c" of a service without keys
     And the door is in the failure domain of "b"
     When 10 requests are spread and none ends
@@ -122,14 +123,15 @@
     When 30 requests are spread and none ends
     Then "b" has at most 24 of them
 
-  # Guards against all doors of a domain choosing the same of its nodes.
-  Scenario: doors that know nothing of the nodes near them use all of these
+  # Guards against all doors of a failure domain choosing the same node.
+  Scenario: doors without load reports use all nodes of their failure domain
     Given 30 doors and 6 nodes without keys in one failure domain
     When each door sends 1 request
     Then each of the nodes has between 1 and 12 of them
 
-  # Guards against near nodes that get all requests of many doors.
-  Scenario Outline: near nodes get no more than an even share of the requests
+  # Guards against one node that gets all requests of the doors in its failure
+  # domain.
+  Scenario Outline: a node in the doors' failure domain is not overloaded
     Given nodes "a", "b" and "c" of a service without keys
     And <doors> of 100 doors are in the failure domain of "b"
     When each of these doors sends 10 requests that are answered at once
@@ -142,19 +144,19 @@
       | 66    | 45    | 55   |
       | 100   | 30    | 37   |
 
-  Scenario: a node that sheds is avoided for a while
+  Scenario: a node that sheds a request is avoided for a while
     Given nodes "a", "b" and "c" of a service without keys
     When a request to "a" is shed
     Then none of 50 requests goes to "a"
     And after 2 s some of 50 requests go to "a"
 
-  # Guards against nodes that are avoided for what their callers did.
-  Scenario: a node is not avoided since a caller left
+  # Guards against avoiding a node although its caller caused the failure.
+  Scenario: a node is not avoided because a caller left
     Given nodes "a", "b" and "c" of a service without keys
     When the caller of a request to "a" leaves
     Then some of 50 requests of rank 1 go to "a"
 
-  Scenario Outline: a node that has no room is open to what is more urgent
+  Scenario Outline: an overloaded node still gets requests of a higher priority
     Given nodes "a", "b" and "c" of a service without keys
     When a request of rank 1 to "a" fails as "<kind>"
     Then <how many> of 50 requests of rank <rank> go to "a"
@@ -166,7 +168,7 @@
       | overloaded | 2    | none     |
       | refused    | 0    | none     |
 
-  Scenario: a node that is not busy enough moves nothing for the load
+  Scenario: a node below the least utilization moves nothing for the load
     Given shards 0 to 3 on "a" and 4 to 7 on "b"
     And shards with these loads in slots
       | 0 | 1 | 2 | 3 |
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -38,7 +38,7 @@
 
 
 def _platform_settings() -> PlacementSettings:
-    """Return how shards follow the load where the template is used."""
+    """Return the placement settings of the settings template."""
     line = next(
         line
         for line in TEMPLATE.read_text().splitlines()
@@ -48,11 +48,11 @@
 
 
 def _measure_nothing() -> None:
-    """Leave the loads as the scenario gave them."""
+    """Keep the loads that the scenario set."""
 
 
 class Fleet:
-    """Planners of some nodes that see the same shares and loads."""
+    """Planners of some nodes that see the same shards and loads."""
 
     def __init__(self, shares: dict[NodeName, list[int]]) -> None:
         self.clock = FakeClock()
@@ -71,15 +71,15 @@
         self.run(40_000)
 
     def run(self, span_ms: int) -> None:
-        """Let all planners plan and carry their moves out for some time."""
+        """Run all planners for some time and apply their moves at once."""
         for _ in range(span_ms // ROUND_MS):
             self.clock.pass_ms(ROUND_MS)
             self.measure()
             for name in tuple(self.shares):
                 self._run_one(name)
 
-    def forget_planners(self) -> None:
-        """Begin anew with the settings of now."""
+    def reset_planners(self) -> None:
+        """Replace the planners by new ones with the current settings."""
         self._planners.clear()
 
     def _run_one(self, name: NodeName) -> None:
@@ -129,7 +129,10 @@
     context.fleet.loads = {int(shard): float(load) for shard, load in pairs}
 
 
-@given('{count:d} nodes with {shards:d} shards that move as on the platform')
+@given(
+    '{count:d} nodes with {shards:d} shards and the '
+    "platform's placement settings"
+)
 def make_platform_fleet(context: Context, count: int, shards: int) -> None:
     names = [NodeName(f'node-{place}', 1) for place in range(count)]
     fleet = Fleet(
@@ -139,7 +142,7 @@
         }
     )
     fleet.settings = _platform_settings()
-    fleet.forget_planners()
+    fleet.reset_planners()
     context.fleet = fleet
 
 
@@ -164,10 +167,10 @@
 
 
 @given(
-    'they have {slots:d} slots, work of {span:d} ms '
+    'they have {slots:d} slots, requests of {span:d} ms '
     'and know the load of {known:d} others'
 )
-def set_kind(context: Context, slots: int, span: int, known: int) -> None:
+def set_slots(context: Context, slots: int, span: int, known: int) -> None:
     fleet = context.fleet
     fleet.slots, fleet.service_ms = slots, span
     chance = Random(SEED)
@@ -200,7 +203,7 @@
     context.fleet.shares[name] = []
 
 
-@when('the node "{node_id}" joins and goes {times:d} times within {span:d} s')
+@when('the node "{node_id}" joins and leaves {times:d} times within {span:d} s')
 def flap(context: Context, node_id: str, times: int, span: int) -> None:
     for _ in range(times):
         join_node(context, node_id)
@@ -226,8 +229,8 @@
     assert all(len(each) == count for each in shares.values()), shares
 
 
-@when('the load swings between "a" and "b" every {turn:d} s for {span:d} s')
-def swing(context: Context, turn: int, span: int) -> None:
+@when('the load alternates between "a" and "b" every {turn:d} s for {span:d} s')
+def alternate(context: Context, turn: int, span: int) -> None:
     fleet = context.fleet
     for number in range(span // turn):
         name = NodeName('ab'[number % 2], 1)
@@ -237,13 +240,13 @@
 
 
 @then('no shard was moved more than {most:d} times')
-def check_bounces(context: Context, most: int) -> None:
+def check_reversals(context: Context, most: int) -> None:
     times = Counter(context.fleet.moved).values()
     assert max(times, default=0) <= most, context.fleet.moved
 
 
 @then('at most {most:d} shards were moved')
-def check_few_moved(context: Context, most: int) -> None:
+def check_moved_at_most(context: Context, most: int) -> None:
     assert len(context.fleet.moved) <= most, context.fleet.moved
 
 
@@ -259,7 +262,7 @@
     assert {0, 1} & set(found), found
 
 
-@then('no loads make a shard bounce or a node move too much')
+@then('with any loads no shard moves twice and at most 8 shards move')
 def check_any_loads(context: Context) -> None:
     loads = st.lists(st.floats(0, 8), min_size=8, max_size=8)
 
@@ -286,28 +289,30 @@
     context: Context, load: int, shard: int, other: int, next_shard: int
 ) -> None:
     context.clock = FakeClock()
-    context.book = LoadReports(context.clock)
+    context.reports = LoadReports(context.clock)
     state = LoadState(0, {shard: load, next_shard: other})
-    context.book.record(NodeName('b', 1), state)
+    context.reports.record(NodeName('b', 1), state)
 
 
-@then('the load of shard {shard:d} is believed to be {load:d}')
-def check_belief(context: Context, shard: int, load: int) -> None:
+@then('the load of shard {shard:d} is estimated as {load:d}')
+def check_estimate(context: Context, shard: int, load: int) -> None:
     shares = {NodeName('a', 1): (), NodeName('b', 1): (4, 5)}
-    found = estimated_loads(shares, NodeName('a', 1), {}, context.book)
-    believed = found.known.get(shard, found.mean)
-    assert isclose(believed, load, abs_tol=0.01), found
+    found = estimated_loads(shares, NodeName('a', 1), {}, context.reports)
+    estimated = found.known.get(shard, found.mean)
+    assert isclose(estimated, load, abs_tol=0.01), found
 
 
-@then('after {span:d} s the load of shard {shard:d} is believed to be {load:d}')
-def check_belief_later(
+@then('after {span:d} s the load of shard {shard:d} is estimated as {load:d}')
+def check_estimate_later(
     context: Context, span: int, shard: int, load: int
 ) -> None:
     context.clock.pass_ms(span * 1_000)
-    check_belief(context, shard, load)
+    check_estimate(context, shard, load)
 
 
-def _bring(context: Context, count: int, keys: int, first_hot: int) -> None:
+def _record_keys(
+    context: Context, count: int, keys: int, first_hot: int
+) -> None:
     random = Random(first_hot)
     for _ in range(count):
         hot = random.randrange(2)
@@ -318,10 +323,10 @@
 
 
 @when('{count:d} requests of {keys:d} keys come, where 100 keys make up half')
-def bring_keys(context: Context, count: int, keys: int) -> None:
+def record_keys(context: Context, count: int, keys: int) -> None:
     context.clock = FakeClock()
     context.sketch = HotKeys(context.clock)
-    _bring(context, count, keys, keys)
+    _record_keys(context, count, keys, keys)
 
 
 @when(
@@ -329,7 +334,7 @@
 )
 def change_keys(context: Context, count: int, span: int) -> None:
     context.clock.pass_ms(span * 60_000)
-    _bring(context, count, 5_000, 9_000)
+    _record_keys(context, count, 5_000, 9_000)
 
 
 @then('{count:d} of the 100 hottest keys are found')
@@ -346,8 +351,8 @@
 @given('nodes "a", "b" and "c" of a service without keys')
 def make_spread(context: Context) -> None:
     context.clock = FakeClock()
-    context.book = LoadReports(context.clock)
-    context.spread = Spread(context.book, 'x', Random(1), context.clock)
+    context.reports = LoadReports(context.clock)
+    context.spread = Spread(context.reports, 'x', Random(1), context.clock)
     context.nodes = {
         NodeName(each, 1): NodeRecord(
             1, (1,), 'h', 1, 1, 1, f'domain {each}', 's', 'o', 20, 100
@@ -393,7 +398,7 @@
 
     context.spreads = [
         Spread(
-            context.book,
+            context.reports,
             f'domain {node_id}',
             Random(f'door {number}'),
             context.clock,
@@ -421,11 +426,11 @@
 @given('the door is in the failure domain of "{node_id}"')
 def place_door(context: Context, node_id: str) -> None:
     domain = f'domain {node_id}'
-    context.spread = Spread(context.book, domain, Random(1), context.clock)
+    context.spread = Spread(context.reports, domain, Random(1), context.clock)
 
 
 @then('"{node_id}" has {count:d} of them')
-def check_near(context: Context, node_id: str, count: int) -> None:
+def check_all(context: Context, node_id: str, count: int) -> None:
     assert context.chosen[node_id] == count, context.chosen
 
 
@@ -436,7 +441,7 @@
 
 @given('"{node_id}" reported {count:d} requests in flight')
 def report_running(context: Context, node_id: str, count: int) -> None:
-    context.book.record(NodeName(node_id, 1), LoadState(count, {}))
+    context.reports.record(NodeName(node_id, 1), LoadState(count, {}))
 
 
 @when('{count:d} requests are spread and none ends')
@@ -465,7 +470,7 @@
 
 
 @when('the caller of a request to "{node_id}" leaves')
-def leave_request(context: Context, node_id: str) -> None:
+def abandon_request(context: Context, node_id: str) -> None:
     near, _ = local_pair()
     tracked = context.spread.track(near, NodeName(node_id, 1))
     tracked.fail(CallerGoneError('the caller has gone'))
@@ -505,8 +510,8 @@
     assert context.chosen[node_id], context.chosen
 
 
-@when('a node comes {times:d} times within a minute')
-def come_often(context: Context, times: int) -> None:
+@when('a node joins {times:d} times within a minute')
+def join_often(context: Context, times: int) -> None:
     clock = FakeClock()
     own = NodeName('own', 1)
     context.planner = MovePlanner('weighed', PlacementSettings(), clock)
@@ -516,11 +521,11 @@
         context.planner.plan(PlacementSnapshot(own, shares))
 
 
-@then('it is steady')
-def check_steady(context: Context) -> None:
+@then('it is stable')
+def check_stable(context: Context) -> None:
     assert context.planner.is_stable('returning')
 
 
-@then('it is not steady')
-def check_not_steady(context: Context) -> None:
+@then('it is not stable')
+def check_not_stable(context: Context) -> None:
     assert not context.planner.is_stable('returning')
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the division of a service into shards by its first nodes."""
+"""Steps about the number of shards that the first nodes decide on."""
 
 from collections import Counter
 from collections.abc import Callable
@@ -49,8 +49,8 @@
 
 SERVICE = 'service'
 _TURN_MS = 200
-_SOME_KEYS = 7  # between the ranges that are looked at
-_RANGE_BYTES = 11  # of a range in an answer to a worker
+_KEY_STEP = 7  # between the first keys of the ranges that are checked
+_RANGE_BYTES = 11  # size of a range in an answer to a worker
 _DECLARED = {
     'services': {
         SERVICE: {
@@ -64,15 +64,15 @@
 
 
 class _HeldLease(Lease):
-    """A lease that holds from the start."""
+    """A lease that is always held."""
 
     def is_held(self) -> bool:
-        """Tell that it holds."""
+        """Return True."""
         return True
 
 
-class _Beginner:
-    """A node of the service that writes the records it finds wanted."""
+class _Node:
+    """A node of the service that writes the records that are due."""
 
     def __init__(self, name: NodeName, clock: FakeClock) -> None:
         self.view = FleetView(Directory(), SealRegistry())
@@ -81,49 +81,49 @@
             SERVICE, self.view, lease, HeldShards(), clock
         )
 
-    def hear(self, objects: dict[str, StoredObject]) -> None:
-        """Take in what the store holds."""
+    def receive(self, objects: dict[str, StoredObject]) -> None:
+        """Apply stored objects to the node's directory."""
         for stored in objects.values():
             self.view.directory.apply(stored)
 
 
 class _Fleet:
-    """Nodes that write to one store and hear of each other's writes."""
+    """Nodes that write to one store and receive each other's writes."""
 
-    def __init__(self, deaf_ms: int) -> None:
+    def __init__(self, delay_ms: int) -> None:
         self.clock = FakeClock()
         self.objects: dict[str, StoredObject] = {}
-        self.nodes: list[_Beginner] = []
-        self._hears_from_ms = self.clock.now_ms() + deaf_ms
+        self.nodes: list[_Node] = []
+        self._received_from_ms = self.clock.now_ms() + delay_ms
         config = to_value(ConfigRecord(1, {'team': _DECLARED}))
         self._put(CONFIG, config)
 
     def add(self, count: int) -> None:
-        """Let nodes join."""
+        """Add nodes to the service."""
         for _ in range(count):
             place = len(self.nodes)
             name = NodeName(f'n{place}', 1)
             record = replace(record_of(place), service=SERVICE, witness_as=1)
             self._put(node_object(name.node_id), to_value(record))
-            node = _Beginner(name, self.clock)
-            node.hear({CONFIG: self.objects[CONFIG]})
+            node = _Node(name, self.clock)
+            node.receive({CONFIG: self.objects[CONFIG]})
             own = node_object(name.node_id)
-            node.hear({own: self.objects[own]})
+            node.receive({own: self.objects[own]})
             self.nodes.append(node)
 
-    def turn(self) -> None:
-        """Let each node hear the news and write what it wants."""
+    def run_turn(self) -> None:
+        """Let each node receive all objects and write the records due."""
         self.clock.pass_ms(_TURN_MS)
-        if self.clock.now_ms() >= self._hears_from_ms:
+        if self.clock.now_ms() >= self._received_from_ms:
             known = dict(self.objects)
             for node in self.nodes:
-                node.hear(known)
+                node.receive(known)
         for node in self.nodes:
             for shard in node.ownership.shards_to_write():
                 self._write(node, shard)
 
-    def bring(self, shard: ShardName, record: ShardRecord) -> None:
-        """Let the store hold a record from before."""
+    def put_record(self, shard: ShardName, record: ShardRecord) -> None:
+        """Put an earlier record into the store."""
         self._put(shard_object(shard), to_value(record))
 
     def records(self) -> dict[int, ShardRecord]:
@@ -136,12 +136,12 @@
             if name.startswith(SHARDS)
         }
 
-    def _write(self, node: _Beginner, shard: ShardName) -> None:
+    def _write(self, node: _Node, shard: ShardName) -> None:
         write = node.ownership.begin_write(shard)
         name = shard_object(shard)
         if name in self.objects and write.version is None:
             node.ownership.finish(write, WriteProgress.CONFLICT)
-            node.hear({name: self.objects[name]})
+            node.receive({name: self.objects[name]})
             return
         write.stored = self._put(name, to_value(write.record))
         node.ownership.finish(write, WriteProgress.WRITTEN)
@@ -174,28 +174,28 @@
     return [owners[key] for key in range(KEY_SPACE)]
 
 
-@given('{count:d} nodes that begin together')
-def begin(context: Context, count: int) -> None:
+@given('{count:d} nodes that start together')
+def start(context: Context, count: int) -> None:
     context.fleet = _Fleet(0)
     context.fleet.add(count)
 
 
 @given(
-    '{count:d} nodes that begin together and hear of each other after '
+    '{count:d} nodes that start together and learn of each other after '
     '{span_ms:d} ms'
 )
-def begin_deaf(context: Context, count: int, span_ms: int) -> None:
+def start_separately(context: Context, count: int, span_ms: int) -> None:
     context.fleet = _Fleet(span_ms)
     context.fleet.add(count)
 
 
-@when('{span_s:d} s pass for them')
+@when('{span_s:d} s pass for the nodes')
 def let_pass(context: Context, span_s: int) -> None:
     for _ in range(span_s * 1_000 // _TURN_MS):
-        context.fleet.turn()
+        context.fleet.run_turn()
 
 
-@when('{count:d} more nodes come')
+@when('{count:d} more nodes join')
 def add_nodes(context: Context, count: int) -> None:
     context.fleet.add(count)
 
@@ -214,29 +214,29 @@
     assert least <= min(counts) and max(counts) <= most, counts
 
 
-@then('all records are of one division')
-def check_one(context: Context) -> None:
+@then('all records have the same number of shards')
+def check_same_number(context: Context) -> None:
     records = context.fleet.records()
-    divisions = {record.shards for record in records.values()}
-    assert len(divisions) == 1, divisions
-    assert sorted(records) == list(range(divisions.pop())), len(records)
+    numbers = {record.shards for record in records.values()}
+    assert len(numbers) == 1, numbers
+    assert sorted(records) == list(range(numbers.pop())), len(records)
 
 
 @given(
-    '{count:d} nodes whose service was divided into {shards:d} shards of '
-    '{width:d} keys a stripe'
+    '{count:d} nodes whose service has {shards:d} recorded shards with '
+    'stripes of {width:d} keys'
 )
-def begin_divided(
+def start_with_records(
     context: Context, count: int, shards: int, width: int
 ) -> None:
-    begin(context, count)
-    # The first programs that divided a service put no width on record.
+    start(context, count)
+    # Early versions of the program recorded no stripe width.
     assert _DECLARED['services'][SERVICE]['stripe_width'] == width
     first = ShardRecord(1, (NodeName('n0', 1),), shards=shards)
-    context.fleet.bring(ShardName(SERVICE, 0), first)
+    context.fleet.put_record(ShardName(SERVICE, 0), first)
 
 
-@then('the keys 0 to {last:d} are of one shard and the next of another')
+@then('the keys 0 to {last:d} are in one shard and the next key in another')
 def check_stripes(context: Context, last: int) -> None:
     shards = _owners_by_key(context, lambda number, _record: number)
     first, other = set(shards[: last + 1]), shards[last + 1]
@@ -249,7 +249,7 @@
     owners = _owners_by_key(
         context, lambda _number, record: record.succession[0]
     )
-    for first in range(0, KEY_SPACE - count, _SOME_KEYS):
+    for first in range(0, KEY_SPACE - count, _KEY_STEP):
         found = set(owners[first : first + count])
         assert len(found) >= least, (first, found)
 
@@ -265,7 +265,7 @@
     assert ranges * _RANGE_BYTES <= room, ranges
 
 
-@then('each key of the service is placed in the shard that has it')
+@then('each key of the service is mapped to the shard that has it')
 def check_keys(context: Context) -> None:
     service = _service(context)
     seen: dict[int, int] = {}
@@ -279,7 +279,7 @@
     assert not wrong, wrong
 
 
-def _make_balancer(node: _Beginner, clock: FakeClock) -> Balancer:
+def _make_balancer(node: _Node, clock: FakeClock) -> Balancer:
     return Balancer(
         SERVICE,
         node.ownership.own,
@@ -291,8 +291,8 @@
     )
 
 
-@when('a node that owns {own:d} shards hears of {heard:d} of the {count:d}')
-def hear_some(context: Context, own: int, heard: int, count: int) -> None:
+@when('a node that owns {own:d} shards knows {known:d} of the {count:d}')
+def receive_some(context: Context, own: int, known: int, count: int) -> None:
     fleet: _Fleet = context.fleet
     name = fleet.nodes[0].ownership.own
     records = fleet.records()
@@ -300,22 +300,22 @@
     mine = [each for each in records if records[each].succession[0] == name]
     assert len(mine) == own, mine
     others = [each for each in records if each not in mine]
-    told = {
+    received = {
         shard_object(ShardName(SERVICE, number))
-        for number in (mine + others)[:heard]
+        for number in (mine + others)[:known]
     }
-    context.node = _Beginner(name, fleet.clock)
-    context.node.hear(
+    context.node = _Node(name, fleet.clock)
+    context.node.receive(
         {
-            known: stored
-            for known, stored in fleet.objects.items()
-            if not known.startswith(SHARDS) or known in told
+            object_name: stored
+            for object_name, stored in fleet.objects.items()
+            if not object_name.startswith(SHARDS) or object_name in received
         }
     )
 
 
 def _moves(context: Context) -> tuple[Move, ...]:
-    """Return the moves of the node once all nodes have been there a while."""
+    """Return the planned moves at once and after all nodes have settled."""
     clock: FakeClock = context.fleet.clock
     balancer = _make_balancer(context.node, clock)
     early = balancer.plan_moves({})
@@ -334,24 +334,26 @@
     assert _moves(context)
 
 
-@when('an owner is lost and one node follows it in {least:d} shards at least')
+@when(
+    'an owner is lost and one node takes over at least {least:d} of its shards'
+)
 def lose_owner(context: Context, least: int) -> None:
     fleet: _Fleet = context.fleet
     pairs = Counter(
         record.succession[:2] for record in fleet.records().values()
     )
-    (lost, heir), _ = pairs.most_common(1)[0]
-    context.node = _Beginner(heir, fleet.clock)
-    context.node.hear(fleet.objects)
+    (lost, successor), _ = pairs.most_common(1)[0]
+    context.node = _Node(successor, fleet.clock)
+    context.node.receive(fleet.objects)
     witness = NodeName('witness', 1)
     sealed = (WitnessSet(1, (witness,)),)
     assert context.node.view.add_seal(Seal(lost, witness, sealed, {}))
-    context.lent = {
+    context.reclaimable = {
         number
         for number, record in fleet.records().items()
-        if record.succession[:2] == (lost, heir)
+        if record.succession[:2] == (lost, successor)
     }
-    assert len(context.lent) >= least, context.lent
+    assert len(context.reclaimable) >= least, context.reclaimable
 
 
 def _moved(context: Context) -> set[int]:
@@ -360,22 +362,22 @@
 
 @then('it moves none of these')
 def check_kept(context: Context) -> None:
-    moved = _moved(context).intersection(context.lent)
+    moved = _moved(context).intersection(context.reclaimable)
     assert not moved, moved
 
 
-@when('it has written itself first into their records')
+@when('it has written records that name it as first owner')
 def write_itself(context: Context) -> None:
     own = context.node.ownership.own
-    for number in context.lent:
+    for number in context.reclaimable:
         name = shard_object(ShardName(SERVICE, number))
         before = context.fleet.objects[name]
         record = to_record(ShardRecord, before)
         after = replace(record, epoch=record.epoch + 1, succession=(own,))
         stored = StoredObject(name, to_value(after), before.version + 1_000)
-        context.node.hear({name: stored})
+        context.node.receive({name: stored})
 
 
 @then('it moves one of these')
-def check_given(context: Context) -> None:
-    assert _moved(context).intersection(context.lent)
+def check_moved(context: Context) -> None:
+    assert _moved(context).intersection(context.reclaimable)
