Rename private names of caller.py

_LOOK_MS to _POLL_INTERVAL_MS _ENDED to _CLOSED_EVENTS _WATCHED to _POLLED_EVENTS _when_gone to _gone_handler _since_ms to _registered_ms _reads_end to _is_at_eof _tell_gone to _report_gone _gone to _is_gone _is_looking to _is_polling _awaited to _registered _look_often to _poll_periodically _look to _poll_all _callers to _monitor

--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -14,13 +14,13 @@
 
 GoneHandler = Callable[[], None]
 
-_LOOK_MS = 150  # between two looks at all connections
+_POLL_INTERVAL_MS = 150  # between two looks at all connections
 _select = original('select')
 # An end that is not hidden by bytes before it; nobody has to read them first.
-_ENDED = (
+_CLOSED_EVENTS = (
     _select.POLLRDHUP | _select.POLLHUP | _select.POLLERR | _select.POLLNVAL
 )
-_WATCHED = _select.POLLIN | _select.POLLRDHUP
+_POLLED_EVENTS = _select.POLLIN | _select.POLLRDHUP
 
 
 def _poll(numbers: Iterable[int]) -> dict[int, int]:
@@ -28,7 +28,7 @@
     poll = _select.poll()
     for number in numbers:
         if number >= 0:
-            poll.register(number, _WATCHED)
+            poll.register(number, _POLLED_EVENTS)
     return dict(poll.poll(0))
 
 
@@ -42,52 +42,52 @@
         self, sock: Any, callers: 'Callers', request_id: str, clock: Clock
     ) -> None:
         self._socket = sock
-        self._callers = callers
+        self._monitor = callers
         self._request_id = request_id
         self._clock = clock
-        self._since_ms = clock.now_ms()
-        self._gone = False
-        self._when_gone: GoneHandler | None = None
+        self._registered_ms = clock.now_ms()
+        self._is_gone = False
+        self._gone_handler: GoneHandler | None = None
         self.number = int(sock.fileno())
 
     @property
     def is_gone(self) -> bool:
         """Tell whether the caller has gone away."""
-        return self._gone
+        return self._is_gone
 
     def when_gone(self, act: GoneHandler | None) -> None:
         """Set what is done when the caller goes, in place of the last.
 
         It is done at once if the caller has gone already.
         """
-        self._when_gone = act
-        if self._gone and act is not None:
+        self._gone_handler = act
+        if self._is_gone and act is not None:
             attempt(act)
 
     def stop(self) -> None:
         """Watch no longer."""
-        self._when_gone = None
-        self._callers.forget(self)
+        self._gone_handler = None
+        self._monitor.forget(self)
 
     def look(self) -> bool:
         """Look at the connection now; tell whether the caller has gone."""
-        if not self._gone:
+        if not self._is_gone:
             number = self._socket.fileno()
             events = _poll((number,)).get(number, 0)
-            self.note(_ENDED if number < 0 else events)
-        return self._gone
+            self.note(_CLOSED_EVENTS if number < 0 else events)
+        return self._is_gone
 
     def note(self, events: int) -> None:
         """Take in what the system says of the connection."""
-        self._gone = bool(events & _ENDED) or (
-            bool(events) and self._reads_end()
+        self._is_gone = bool(events & _CLOSED_EVENTS) or (
+            bool(events) and self._is_at_eof()
         )
-        if self._gone:
-            self._tell_gone()
-        if self._gone and self._when_gone is not None:
-            attempt(self._when_gone)
+        if self._is_gone:
+            self._report_gone()
+        if self._is_gone and self._gone_handler is not None:
+            attempt(self._gone_handler)
 
-    def _reads_end(self) -> bool:
+    def _is_at_eof(self) -> bool:
         try:
             return not self._socket.fd.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -95,14 +95,14 @@
         except OSError:
             return True
 
-    def _tell_gone(self) -> None:
-        looked_ms = max(self._since_ms, self._callers.looked_ms)
+    def _report_gone(self) -> None:
+        looked_ms = max(self._registered_ms, self._monitor.looked_ms)
         within_ms = self._clock.now_ms() - looked_ms
         CALLER_GONE_WITHIN.record(within_ms)
         CALLER_GONE.report(
             request=self._request_id,
             within_ms=within_ms,
-            is_tried=self._when_gone is not None,
+            is_tried=self._gone_handler is not None,
         )
 
 
@@ -115,9 +115,9 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._awaited: dict[int, Caller] = {}
+        self._registered: dict[int, Caller] = {}
         self.looked_ms = 0  # when all were looked at last
-        self._is_looking = False
+        self._is_polling = False
 
     def await_answer(self, sock: Any, request_id: str = '') -> Caller:
         """Return the caller behind a connection, looked at from now on."""
@@ -125,26 +125,26 @@
         if caller.number < 0:
             caller.look()  # its connection is closed already
             return caller
-        self._awaited[caller.number] = caller
-        if not self._is_looking:
-            self._is_looking = True
-            start(supervise, self._look_often)
+        self._registered[caller.number] = caller
+        if not self._is_polling:
+            self._is_polling = True
+            start(supervise, self._poll_periodically)
         return caller
 
     def forget(self, caller: Caller) -> None:
         """Look at a caller no longer."""
-        if self._awaited.get(caller.number) is caller:
-            self._awaited.pop(caller.number)
-
-    def _look_often(self) -> None:
-        while self._awaited:
-            eventlet.sleep(_LOOK_MS / MS_PER_SECOND)
-            self._look()
-        self._is_looking = False
-
-    def _look(self) -> None:
-        for number, events in _poll(self._awaited).items():
-            caller = self._awaited.get(number)
+        if self._registered.get(caller.number) is caller:
+            self._registered.pop(caller.number)
+
+    def _poll_periodically(self) -> None:
+        while self._registered:
+            eventlet.sleep(_POLL_INTERVAL_MS / MS_PER_SECOND)
+            self._poll_all()
+        self._is_polling = False
+
+    def _poll_all(self) -> None:
+        for number, events in _poll(self._registered).items():
+            caller = self._registered.get(number)
             if caller is not None and not caller.is_gone:
                 caller.note(events)
         self.looked_ms = self._clock.now_ms()
