--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -39,7 +39,7 @@
     """
 
     def __init__(
-        self, sock: Any, callers: 'Callers', request_id: str, clock: Clock
+        self, sock: Any, callers: 'CallerMonitor', request_id: str, clock: Clock
     ) -> None:
         self._socket = sock
         self._monitor = callers
@@ -106,7 +106,7 @@
         )
 
 
-class Callers:
+class CallerMonitor:
     """Looks at the connections of all awaited callers together.
 
     A task or a registration for each request would cost more than one look
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -7,7 +7,7 @@
 from laburnumwood.errors import LinkError
 from laburnumwood.events import ANSWER_CUT
 from laburnumwood.protocol.messages import Failure
-from laburnumwood.routing.caller import Caller, Callers
+from laburnumwood.routing.caller import Caller, CallerMonitor
 from laburnumwood.routing.caller_interface import Face, give
 from laburnumwood.routing.caller_protocol import REQUEST_ID
 from laburnumwood.routing.problems import StartResponse, status_line
@@ -30,7 +30,7 @@
         self._router = router
         self._face = face
         self._declared = declared
-        self._callers = Callers(clock)
+        self._callers = CallerMonitor(clock)
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -26,7 +26,7 @@
 from laburnumwood.protocol.messages import Answer, Chunk, Failure, Work
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.caller import Caller, Callers
+from laburnumwood.routing.caller import Caller, CallerMonitor
 from laburnumwood.routing.caller_interface import OwnFace
 from laburnumwood.routing.caller_protocol import REQUEST_ID
 from laburnumwood.routing.caller_request import Inquiry
@@ -161,7 +161,7 @@
     left.close()
     right.setblocking(False)
     clock = Clock()
-    context.gone = Callers(clock).await_answer(GreenSocket(right))
+    context.gone = CallerMonitor(clock).await_answer(GreenSocket(right))
     context.links = _SlowLinks(context.gone)
     view: Any = OneGate()
     links: Any = context.links
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -22,7 +22,7 @@
 from laburnumwood.protocol.messages import Cancel, Failure, Work
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.caller import Callers
+from laburnumwood.routing.caller import CallerMonitor
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import (
     Exchange,
@@ -88,7 +88,7 @@
     log = TestHandler()
     log.push_application()
     context.add_cleanup(log.pop_application)
-    context.callers = Callers(Clock())
+    context.callers = CallerMonitor(Clock())
     context.done = Event()
 
 
@@ -169,7 +169,7 @@
         self.told: Any = Event()
         self.view = _OpeningGate()
         clock = Clock()
-        self.caller = Callers(clock).await_answer(served)
+        self.caller = CallerMonitor(clock).await_answer(served)
         view: Any = self.view
         links: Any = self
         self._router = Router(
