--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -119,7 +119,7 @@
         self.looked_ms = 0  # when all were looked at last
         self._is_polling = False
 
-    def await_answer(self, sock: Any, request_id: str = '') -> Caller:
+    def register(self, sock: Any, request_id: str = '') -> Caller:
         """Return the caller behind a connection, looked at from now on."""
         caller = Caller(sock, self, request_id, self._clock)
         if caller.number < 0:
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -45,7 +45,7 @@
             refusal = self._face.refusal(refused.told, request_id)
             return give(refusal, start_response)
         sock = environ['eventlet.input'].get_socket()
-        caller = self._callers.await_answer(sock, request_id)
+        caller = self._callers.register(sock, request_id)
         reply = self._router.send(inquiry, caller)
         if isinstance(reply, Failure):
             caller.stop()
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -161,7 +161,7 @@
     left.close()
     right.setblocking(False)
     clock = Clock()
-    context.gone = CallerMonitor(clock).await_answer(GreenSocket(right))
+    context.gone = CallerMonitor(clock).register(GreenSocket(right))
     context.links = _SlowLinks(context.gone)
     view: Any = OneGate()
     links: Any = context.links
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -169,7 +169,7 @@
         self.told: Any = Event()
         self.view = _OpeningGate()
         clock = Clock()
-        self.caller = CallerMonitor(clock).await_answer(served)
+        self.caller = CallerMonitor(clock).register(served)
         view: Any = self.view
         links: Any = self
         self._router = Router(
