--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -67,7 +67,7 @@
     def stop(self) -> None:
         """Watch no longer."""
         self._gone_handler = None
-        self._monitor.forget(self)
+        self._monitor.unregister(self)
 
     def look(self) -> bool:
         """Look at the connection now; tell whether the caller has gone."""
@@ -131,7 +131,7 @@
             start(supervise, self._poll_periodically)
         return caller
 
-    def forget(self, caller: Caller) -> None:
+    def unregister(self, caller: Caller) -> None:
         """Look at a caller no longer."""
         if self._registered.get(caller.number) is caller:
             self._registered.pop(caller.number)
