--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -96,7 +96,7 @@
             return True
 
     def _report_gone(self) -> None:
-        looked_ms = max(self._registered_ms, self._monitor.looked_ms)
+        looked_ms = max(self._registered_ms, self._monitor.last_poll_ms)
         within_ms = self._clock.now_ms() - looked_ms
         CALLER_GONE_WITHIN.record(within_ms)
         CALLER_GONE.report(
@@ -116,7 +116,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._registered: dict[int, Caller] = {}
-        self.looked_ms = 0  # when all were looked at last
+        self.last_poll_ms = 0  # when all were looked at last
         self._is_polling = False
 
     def register(self, sock: Any, request_id: str = '') -> Caller:
@@ -147,4 +147,4 @@
             caller = self._registered.get(number)
             if caller is not None and not caller.is_gone:
                 caller.note(events)
-        self.looked_ms = self._clock.now_ms()
+        self.last_poll_ms = self._clock.now_ms()
