--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -55,7 +55,7 @@
         """Tell whether the caller has gone away."""
         return self._is_gone
 
-    def when_gone(self, act: GoneHandler | None) -> None:
+    def set_gone_handler(self, act: GoneHandler | None) -> None:
         """Set what is done when the caller goes, in place of the last.
 
         It is done at once if the caller has gone already.
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -262,7 +262,7 @@
             return failure('no-owner', str(refused), ran=False)
         if work.shard < 0:
             exchange = self._spread.track(exchange, target, work.priority)
-        caller.when_gone(lambda: abandon(exchange))
+        caller.set_gone_handler(lambda: abandon(exchange))
         reply = self._ask(exchange, b'' if work.is_whole else body, until_ms)
         if isinstance(reply, Failure):
             exchange.close()
