--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -74,10 +74,10 @@
         if not self._is_gone:
             number = self._socket.fileno()
             events = _poll((number,)).get(number, 0)
-            self.note(_CLOSED_EVENTS if number < 0 else events)
+            self.handle_events(_CLOSED_EVENTS if number < 0 else events)
         return self._is_gone
 
-    def note(self, events: int) -> None:
+    def handle_events(self, events: int) -> None:
         """Take in what the system says of the connection."""
         self._is_gone = bool(events & _CLOSED_EVENTS) or (
             bool(events) and self._is_at_eof()
@@ -146,5 +146,5 @@
         for number, events in _poll(self._registered).items():
             caller = self._registered.get(number)
             if caller is not None and not caller.is_gone:
-                caller.note(events)
+                caller.handle_events(events)
         self.last_poll_ms = self._clock.now_ms()
