--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -69,7 +69,7 @@
         self._gone_handler = None
         self._monitor.unregister(self)
 
-    def look(self) -> bool:
+    def poll(self) -> bool:
         """Look at the connection now; tell whether the caller has gone."""
         if not self._is_gone:
             number = self._socket.fileno()
@@ -123,7 +123,7 @@
         """Return the caller behind a connection, looked at from now on."""
         caller = Caller(sock, self, request_id, self._clock)
         if caller.number < 0:
-            caller.look()  # its connection is closed already
+            caller.poll()  # its connection is closed already
             return caller
         self._registered[caller.number] = caller
         if not self._is_polling:
