--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -64,7 +64,7 @@
         if self._is_gone and act is not None:
             attempt(act)
 
-    def stop(self) -> None:
+    def stop_monitoring(self) -> None:
         """Watch no longer."""
         self._gone_handler = None
         self._monitor.unregister(self)
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -48,7 +48,7 @@
         caller = self._callers.register(sock, request_id)
         reply = self._router.send(inquiry, caller)
         if isinstance(reply, Failure):
-            caller.stop()
+            caller.stop_monitoring()
             refusal = self._face.refusal(reply, request_id)
             return give(refusal, start_response)
         headers = self._face.answer_headers(reply.head, request_id)
@@ -69,5 +69,5 @@
         )
         reset(environ)
     finally:
-        caller.stop()
+        caller.stop_monitoring()
         reply.close()
