--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -48,7 +48,7 @@
         self._registered_ms = clock.now_ms()
         self._is_gone = False
         self._gone_handler: GoneHandler | None = None
-        self.number = int(sock.fileno())
+        self.descriptor = int(sock.fileno())
 
     @property
     def is_gone(self) -> bool:
@@ -122,10 +122,10 @@
     def register(self, sock: Any, request_id: str = '') -> Caller:
         """Return the caller behind a connection, looked at from now on."""
         caller = Caller(sock, self, request_id, self._clock)
-        if caller.number < 0:
+        if caller.descriptor < 0:
             caller.poll()  # its connection is closed already
             return caller
-        self._registered[caller.number] = caller
+        self._registered[caller.descriptor] = caller
         if not self._is_polling:
             self._is_polling = True
             start(supervise, self._poll_periodically)
@@ -133,8 +133,8 @@
 
     def unregister(self, caller: Caller) -> None:
         """Look at a caller no longer."""
-        if self._registered.get(caller.number) is caller:
-            self._registered.pop(caller.number)
+        if self._registered.get(caller.descriptor) is caller:
+            self._registered.pop(caller.descriptor)
 
     def _poll_periodically(self) -> None:
         while self._registered:
