--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -35,7 +35,7 @@
     status_line,
 )
 
-CLOSE = 'laburnumwood.close'  # in the environment: ends with this answer
+CLOSE_KEY = 'laburnumwood.close'  # in the environment: ends with this answer
 HEADERS = 'laburnumwood.headers'  # in the environment: a `HeaderIndex`
 REQUEST_ID = 'laburnumwood.request'  # in the environment, once it is known
 
@@ -210,7 +210,7 @@
             'eventlet.input': body,
             'headers_raw': self._fields,
             HEADERS: fields,
-            CLOSE: self._close_after,
+            CLOSE_KEY: self._close_after,
         }
 
     def handle_one_response(self) -> None:
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -11,7 +11,7 @@
 from laburnumwood.events import NOT_ACCEPTED
 from laburnumwood.listening import Address, listen
 from laburnumwood.routing.caller_protocol import (
-    CLOSE,
+    CLOSE_KEY,
     CallerProtocol,
     reset_connection,
 )
@@ -28,7 +28,7 @@
 
 def close_after(environ: dict[str, Any]) -> None:
     """Let the connection of a caller end after its answer."""
-    environ[CLOSE]()
+    environ[CLOSE_KEY]()
 
 
 def serve_callers(listener: Any, application: Any) -> None:
