--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -9,7 +9,7 @@
 from laburnumwood.platform.names import ID_HEADER, TIME_LEFT_HEADER
 from laburnumwood.protocol.messages import Answer, Failure, Work
 from laburnumwood.routing.caller_interface import HeaderList, Refusal
-from laburnumwood.routing.caller_protocol import HEADERS
+from laburnumwood.routing.caller_protocol import HEADERS_KEY
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.headers import end_to_end, request_headers
 from laburnumwood.routing.problems import PROBLEMS, status_line
@@ -39,7 +39,7 @@
 
 
 def _first(environ: Environ, name: str) -> str:
-    index: HeaderIndex = environ[HEADERS]
+    index: HeaderIndex = environ[HEADERS_KEY]
     return index.first(name.lower())
 
 
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -36,7 +36,7 @@
 )
 
 CLOSE_KEY = 'laburnumwood.close'  # in the environment: ends with this answer
-HEADERS = 'laburnumwood.headers'  # in the environment: a `HeaderIndex`
+HEADERS_KEY = 'laburnumwood.headers'  # in the environment: a `HeaderIndex`
 REQUEST_ID = 'laburnumwood.request'  # in the environment, once it is known
 
 _REQUEST_LINE = re.compile(r'(\S+) (\S+) (HTTP/1\.[01])\r?\n')
@@ -209,7 +209,7 @@
             'wsgi.input': body,
             'eventlet.input': body,
             'headers_raw': self._fields,
-            HEADERS: fields,
+            HEADERS_KEY: fields,
             CLOSE_KEY: self._close_after,
         }
 
