--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -37,7 +37,7 @@
 
 CLOSE_KEY = 'laburnumwood.close'  # in the environment: ends with this answer
 HEADERS_KEY = 'laburnumwood.headers'  # in the environment: a `HeaderIndex`
-REQUEST_ID = 'laburnumwood.request'  # in the environment, once it is known
+REQUEST_ID_KEY = 'laburnumwood.request'  # in the environment, once it is known
 
 _REQUEST_LINE = re.compile(r'(\S+) (\S+) (HTTP/1\.[01])\r?\n')
 _HEADER_LINE = re.compile(
@@ -239,7 +239,7 @@
     def _tell_lost(self, answer: _Answer, lost: _CallerLostError) -> None:
         self.close_connection = True
         CALLER_LOST.report(
-            request=self.environ.get(REQUEST_ID, ''),
+            request=self.environ.get(REQUEST_ID_KEY, ''),
             path=self.path,
             begun=answer.has_begun,
             reason=lost,
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -9,7 +9,7 @@
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.routing.caller import Caller, CallerMonitor
 from laburnumwood.routing.caller_interface import Face, give
-from laburnumwood.routing.caller_protocol import REQUEST_ID
+from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.routing.request_parsing import Environ, RequestRefusedError
 from laburnumwood.routing.router import Reply, Router
@@ -37,7 +37,7 @@
     ) -> Iterable[bytes]:
         """Answer one request."""
         request_id = self._face.request_id(environ)
-        environ[REQUEST_ID] = request_id
+        environ[REQUEST_ID_KEY] = request_id
         try:
             inquiry = self._face.read(environ, self._declared(), request_id)
         except RequestRefusedError as refused:
@@ -61,7 +61,7 @@
         yield from reply.body()
     except LinkError as cut:
         ANSWER_CUT.report(
-            request=environ[REQUEST_ID],
+            request=environ[REQUEST_ID_KEY],
             status=reply.head.status,
             received=reply.received,
             left_ms=reply.left_ms,
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -28,7 +28,7 @@
 from laburnumwood.records import NodeName
 from laburnumwood.routing.caller import Caller, CallerMonitor
 from laburnumwood.routing.caller_interface import OwnFace
-from laburnumwood.routing.caller_protocol import REQUEST_ID
+from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.ingress import Door
@@ -64,7 +64,7 @@
     def __call__(
         self, environ: dict[str, Any], start_response: Any
     ) -> tuple[bytes]:
-        environ[REQUEST_ID] = ID
+        environ[REQUEST_ID_KEY] = ID
         self.ran += 1
         start_response('200 OK', [('Content-Length', str(len(self._content)))])
         return (self._content,)
