Rename private names of caller_protocol.py

_framing_fault to _framing_error _TOO_LARGE to _TOO_LARGE_ERRORS _LENGTH to _LENGTH_PATTERN _DRAIN_S to _DRAIN_TIMEOUT_S _DRAIN_SIZE to _MAX_DRAIN_BYTES _LINGER_NOT to _LINGER_ZERO _BODYLESS to _BODYLESS_STATUSES _Answer to _AnswerWriter _framed to _frame _tell_lost to _report_caller_lost _tell_failed to _handle_failure _drop_rest to _discard_unread_body _close_after to _close_after_answer _fields to _header_fields

--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -43,20 +43,20 @@
 _HEADER_LINE = re.compile(
     rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n\0]*?)[ \t]*\r?\n"
 )
-_TOO_LARGE = (
+_TOO_LARGE_ERRORS = (
     wsgi.HeaderLineTooLong,
     wsgi.HeadersTooLarge,
     TooManyHeadersError,
 )
-_LENGTH = re.compile('[0-9]{1,18}')
-_DRAIN_S = 0.5
-_DRAIN_SIZE = 1_048_576  # bytes that are read and dropped at the most
+_LENGTH_PATTERN = re.compile('[0-9]{1,18}')
+_DRAIN_TIMEOUT_S = 0.5
+_MAX_DRAIN_BYTES = 1_048_576  # bytes that are read and dropped at the most
 _CONTINUE_LINE = b'HTTP/1.1 100 Continue\r\n'
-_BODYLESS = frozenset(('204', '304'))
-_LINGER_NOT = struct.pack('ii', 1, 0)
+_BODYLESS_STATUSES = frozenset(('204', '304'))
+_LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
-def _framing_fault(fields: HeaderIndex) -> str:
+def _framing_error(fields: HeaderIndex) -> str:
     """Return why the length of a body is not certain, or nothing."""
     lengths = fields.all('content-length')
     codings = fields.all('transfer-encoding')
@@ -64,7 +64,7 @@
         return 'both Content-Length and Transfer-Encoding are given'
     if len(lengths) > 1 or len(codings) > 1:
         return 'the length of the body is given twice'
-    if lengths and not _LENGTH.fullmatch(lengths[0]):
+    if lengths and not _LENGTH_PATTERN.fullmatch(lengths[0]):
         return f'Content-Length {lengths[0]!r} is no number'
     if codings and codings[0].lower() != 'chunked':
         return f'Transfer-Encoding {codings[0]!r} is not known'
@@ -74,7 +74,7 @@
 def reset_connection(sock: Any) -> None:
     """Reset a connection: a mere shutdown would end it cleanly."""
     with suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
         number = sock.detach()
         notify_close(number)
         os.close(number)
@@ -84,7 +84,7 @@
     """The connection of the caller ended under its answer."""
 
 
-class _Answer:
+class _AnswerWriter:
     """Writes one answer; its head leaves together with the first bytes."""
 
     def __init__(self, protocol: 'CallerProtocol') -> None:
@@ -100,7 +100,9 @@
         """Take in status and headers, as WSGI asks for."""
         protocol = self._protocol
         code = status[:3]
-        self._has_body = protocol.command != 'HEAD' and code not in _BODYLESS
+        self._has_body = (
+            protocol.command != 'HEAD' and code not in _BODYLESS_STATUSES
+        )
         lines = [f'HTTP/1.1 {status}']
         lines += [f'{name}: {text}' for name, text in headers]
         has_length = any(
@@ -121,7 +123,7 @@
     def write(self, content: bytes) -> None:
         """Send a part of the body."""
         if content:
-            self._send(self._framed(content))
+            self._send(self._frame(content))
 
     def finish(self) -> None:
         """Send what is left after the last part."""
@@ -130,7 +132,7 @@
         elif not self.has_begun:
             self._send(b'')
 
-    def _framed(self, content: bytes) -> bytes:
+    def _frame(self, content: bytes) -> bytes:
         if not self._has_body:
             return b''
         if self._is_chunked:
@@ -156,7 +158,7 @@
         """Read the head of a request; tell whether it can be served."""
         try:
             self.read_head()
-        except _TOO_LARGE:
+        except _TOO_LARGE_ERRORS:
             return self._refuse('headers-too-large', 'a header or all of them')
         except HeadError as unreadable:
             return self._refuse('bad-request', str(unreadable))
@@ -175,9 +177,9 @@
             raise HeadError(f'request line {line[:80]!r}')
         self.requestline = line
         self.command, self.path, self.request_version = found.groups()
-        self._fields = read_headers(self.rfile.readline, _HEADER_LINE)
-        self.headers = HeaderIndex(self._fields)
-        fault = _framing_fault(self.headers)
+        self._header_fields = read_headers(self.rfile.readline, _HEADER_LINE)
+        self.headers = HeaderIndex(self._header_fields)
+        fault = _framing_error(self.headers)
         if fault:
             raise HeadError(fault)
 
@@ -208,14 +210,14 @@
             'HTTP_AUTHORIZATION': fields.first('authorization'),
             'wsgi.input': body,
             'eventlet.input': body,
-            'headers_raw': self._fields,
+            'headers_raw': self._header_fields,
             HEADERS_KEY: fields,
-            CLOSE_KEY: self._close_after,
+            CLOSE_KEY: self._close_after_answer,
         }
 
     def handle_one_response(self) -> None:
         """Let the application answer a request."""
-        answer = _Answer(self)
+        answer = _AnswerWriter(self)
         body = self.environ['wsgi.input']
         parts: Iterable[bytes] = ()
         wsgi.WSGI_LOCAL.already_handled = False
@@ -228,15 +230,17 @@
             else:
                 answer.finish()
         except _CallerLostError as lost:
-            self._tell_lost(answer, lost)
+            self._report_caller_lost(answer, lost)
         except (Exception, Timeout):
-            self._tell_failed(answer)
+            self._handle_failure(answer)
         finally:
             if hasattr(parts, 'close'):
                 parts.close()
-            self._drop_rest(body)
+            self._discard_unread_body(body)
 
-    def _tell_lost(self, answer: _Answer, lost: _CallerLostError) -> None:
+    def _report_caller_lost(
+        self, answer: _AnswerWriter, lost: _CallerLostError
+    ) -> None:
         self.close_connection = True
         CALLER_LOST.report(
             request=self.environ.get(REQUEST_ID_KEY, ''),
@@ -245,7 +249,7 @@
             reason=lost,
         )
 
-    def _tell_failed(self, answer: _Answer) -> None:
+    def _handle_failure(self, answer: _AnswerWriter) -> None:
         self.close_connection = True
         ANSWER_FAILED.report(
             path=self.path, begun=answer.has_begun, trace=traceback.format_exc()
@@ -258,7 +262,7 @@
             with suppress(_CallerLostError):
                 answer.finish()
 
-    def _drop_rest(self, body: wsgi.Input) -> None:
+    def _discard_unread_body(self, body: wsgi.Input) -> None:
         """Read what the application left of a body, or end the connection."""
         if body.should_send_hundred_continue:
             self.close_connection = True
@@ -270,7 +274,7 @@
         except (wsgi.ChunkReadError, OSError):
             self.close_connection = True
 
-    def _close_after(self) -> None:
+    def _close_after_answer(self) -> None:
         self.close_connection = True
 
     def _read_request_line(self) -> bytes:
@@ -300,8 +304,8 @@
         # What is left unread at the close would reset the connection before
         # the caller has read its answer.
         self.request.shutdown(socket.SHUT_WR)
-        left = _DRAIN_SIZE
-        with Timeout(_DRAIN_S, exception=False):
+        left = _MAX_DRAIN_BYTES
+        with Timeout(_DRAIN_TIMEOUT_S, exception=False):
             while left > 0:
                 read = self.request.recv(left)
                 left -= len(read) or left
