--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -92,7 +92,7 @@
         self._head = b''
         self._is_chunked = False
         self._has_body = True
-        self.has_begun = False
+        self.has_started = False
 
     def start(
         self, status: str, headers: list[Header], _failed: Any = None
@@ -129,7 +129,7 @@
         """Send what is left after the last part."""
         if self._is_chunked:
             self._send(b'0\r\n\r\n')
-        elif not self.has_begun:
+        elif not self.has_started:
             self._send(b'')
 
     def _frame(self, content: bytes) -> bytes:
@@ -140,8 +140,8 @@
         return content
 
     def _send(self, content: bytes) -> None:
-        if not self.has_begun:
-            self.has_begun = True
+        if not self.has_started:
+            self.has_started = True
             content = self._head + content
         if not content:
             return
@@ -245,16 +245,18 @@
         CALLER_LOST.report(
             request=self.environ.get(REQUEST_ID_KEY, ''),
             path=self.path,
-            begun=answer.has_begun,
+            begun=answer.has_started,
             reason=lost,
         )
 
     def _handle_failure(self, answer: _AnswerWriter) -> None:
         self.close_connection = True
         ANSWER_FAILED.report(
-            path=self.path, begun=answer.has_begun, trace=traceback.format_exc()
+            path=self.path,
+            begun=answer.has_started,
+            trace=traceback.format_exc(),
         )
-        if answer.has_begun:
+        if answer.has_started:
             reset_connection(self.connection)
         else:
             status = status_line(HTTPStatus.INTERNAL_SERVER_ERROR)
