--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 
 from laburnumwood.routing.caller_interface import Face, OwnFace
-from laburnumwood.routing.worker_interface import Dialect, OwnDialect
+from laburnumwood.routing.worker_interface import OwnDialect, WorkerInterface
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.client import HttpStore
 from laburnumwood.store.interface import Store
@@ -45,7 +45,7 @@
 
     make_store: Callable[[DaemonSettings], Store]
     make_face: Callable[[DaemonSettings], Face]
-    make_dialect: Callable[[ReportingWorker], Dialect]
+    make_dialect: Callable[[ReportingWorker], WorkerInterface]
     listeners: Callable[[DaemonSettings, Front], tuple[Listener, ...]]
     worker_reports: bool
     has_idempotency_keys: bool
--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -11,7 +11,7 @@
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import Result, Runner
 from laburnumwood.routing.shared_quarantine import Suspicions
-from laburnumwood.routing.worker_interface import Dialect
+from laburnumwood.routing.worker_interface import WorkerInterface
 from laburnumwood.upstream.worker import Worker
 
 MayAct = Callable[[], bool]
@@ -26,7 +26,7 @@
     def __init__(
         self,
         worker: Worker,
-        dialect: Dialect,
+        dialect: WorkerInterface,
         notary: Notary,
         suspicions: Suspicions,
         clock: Clock,
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -29,7 +29,7 @@
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.shared_lock import Solitude
 from laburnumwood.routing.shared_quarantine import Suspicions
-from laburnumwood.routing.worker_interface import Dialect
+from laburnumwood.routing.worker_interface import WorkerInterface
 from laburnumwood.tasks import start
 from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.worker import Order, Worker
@@ -65,7 +65,7 @@
     def __init__(
         self,
         worker: Worker,
-        dialect: Dialect,
+        dialect: WorkerInterface,
         suspicions: Suspicions,
         clock: Clock,
         longest_whole: int = LONGEST_INLINE,
--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -14,7 +14,7 @@
 REJECTED = 'rejected'
 
 
-class Dialect(Protocol):
+class WorkerInterface(Protocol):
     """The headers of requests to a worker, and the reading of its answers."""
 
     def headers(self, run: Run, left_ms: int) -> Headers:
