--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -5,7 +5,10 @@
 from typing import Any, Protocol
 
 from laburnumwood.routing.caller_interface import Face, OwnFace
-from laburnumwood.routing.worker_interface import OwnDialect, WorkerInterface
+from laburnumwood.routing.worker_interface import (
+    NativeWorkerInterface,
+    WorkerInterface,
+)
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.client import HttpStore
 from laburnumwood.store.interface import Store
@@ -74,7 +77,7 @@
     return Borders(
         make_store=lambda settings: HttpStore(settings.platform_url),
         make_face=lambda _settings: OwnFace(),
-        make_dialect=lambda _worker: OwnDialect(),
+        make_dialect=lambda _worker: NativeWorkerInterface(),
         listeners=_no_listeners,
         worker_reports=False,
         has_idempotency_keys=True,
--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -33,7 +33,7 @@
         """Stop the work of a request; False if only a closed connection can."""
 
 
-class OwnDialect:
+class NativeWorkerInterface:
     """The project's own headers, refusals and cancellation."""
 
     def headers(self, run: Run, left_ms: int) -> Headers:
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -39,7 +39,7 @@
 from laburnumwood.routing.runner import Runner
 from laburnumwood.routing.server import serve_callers
 from laburnumwood.routing.shared_quarantine import Suspicions
-from laburnumwood.routing.worker_interface import OwnDialect
+from laburnumwood.routing.worker_interface import NativeWorkerInterface
 from laburnumwood.upstream.worker import Worker
 
 HOST = '127.0.0.1'
@@ -166,7 +166,9 @@
     view: Any = OneGate()
     suspicions = Suspicions(GATE, view, peers, dispatcher, clock)
     worker = Worker(f'http://{HOST}:{sys.argv[1]}', 10, clock)
-    runner = Runner(worker, OwnDialect(), suspicions, clock, longest_whole=0)
+    runner = Runner(
+        worker, NativeWorkerInterface(), suspicions, clock, longest_whole=0
+    )
 
     @dispatcher.on(Work)
     def serve(_link: Any, stream: Any, work: Work) -> None:
