--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -18,7 +18,7 @@
 Declared = Callable[[], Declarations]
 
 
-class Door:
+class Ingress:
     """A WSGI application that routes every request to its owner.
 
     `face` tells how callers speak, `declared` what is declared now.
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -10,7 +10,7 @@
 from laburnumwood.events import REQUESTS_SERVED
 from laburnumwood.metrics import LATENCY, REQUESTS
 from laburnumwood.routing.caller_interface import Face
-from laburnumwood.routing.ingress import Declared, Door
+from laburnumwood.routing.ingress import Declared, Ingress
 from laburnumwood.routing.problems import StartResponse
 from laburnumwood.routing.request_parsing import Environ
 from laburnumwood.routing.router import Router
@@ -25,7 +25,7 @@
     def __init__(
         self, router: Router, face: Face, declared: Declared, clock: Clock
     ) -> None:
-        self._door = Door(router, face, declared, clock)
+        self._door = Ingress(router, face, declared, clock)
         self._declared = declared
         self._clock = clock
         self._served: Counter[str] = Counter()
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -31,7 +31,7 @@
 from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import Exchange, local_pair
-from laburnumwood.routing.ingress import Door
+from laburnumwood.routing.ingress import Ingress
 from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import Reply, Router
 from laburnumwood.routing.server import Listening
@@ -138,7 +138,7 @@
 @given('a door whose answer ends early')
 def serve_cut(context: Context) -> None:
     router: Any = _CutRouter()
-    _serve(context, Door(router, OwnFace(), lambda: DECLARED, Clock()))
+    _serve(context, Ingress(router, OwnFace(), lambda: DECLARED, Clock()))
 
 
 class _SlowLinks:
@@ -202,7 +202,7 @@
 @given('a door whose link is lost after the last byte of an answer')
 def serve_whole(context: Context) -> None:
     router: Any = _CutRouter(('Content-Length', '13'))
-    _serve(context, Door(router, OwnFace(), lambda: DECLARED, Clock()))
+    _serve(context, Ingress(router, OwnFace(), lambda: DECLARED, Clock()))
 
 
 @when('no descriptor is left for a while as a caller connects')
