--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -15,7 +15,7 @@
 from laburnumwood.routing.router import Reply, Router
 from laburnumwood.routing.server import close_after, reset
 
-Declared = Callable[[], Declarations]
+DeclarationsProvider = Callable[[], Declarations]
 
 
 class Ingress:
@@ -25,7 +25,11 @@
     """
 
     def __init__(
-        self, router: Router, face: Face, declared: Declared, clock: Clock
+        self,
+        router: Router,
+        face: Face,
+        declared: DeclarationsProvider,
+        clock: Clock,
     ) -> None:
         self._router = router
         self._face = face
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -10,7 +10,7 @@
 from laburnumwood.events import REQUESTS_SERVED
 from laburnumwood.metrics import LATENCY, REQUESTS
 from laburnumwood.routing.caller_interface import Face
-from laburnumwood.routing.ingress import Declared, Ingress
+from laburnumwood.routing.ingress import DeclarationsProvider, Ingress
 from laburnumwood.routing.problems import StartResponse
 from laburnumwood.routing.request_parsing import Environ
 from laburnumwood.routing.router import Router
@@ -23,7 +23,11 @@
     """A door that counts its answers and how long they took."""
 
     def __init__(
-        self, router: Router, face: Face, declared: Declared, clock: Clock
+        self,
+        router: Router,
+        face: Face,
+        declared: DeclarationsProvider,
+        clock: Clock,
     ) -> None:
         self._door = Ingress(router, face, declared, clock)
         self._declared = declared
