--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -33,7 +33,7 @@
     ) -> None:
         self._router = router
         self._face = face
-        self._declared = declared
+        self._get_declarations = declared
         self._callers = CallerMonitor(clock)
 
     def __call__(
@@ -43,7 +43,9 @@
         request_id = self._face.request_id(environ)
         environ[REQUEST_ID_KEY] = request_id
         try:
-            inquiry = self._face.read(environ, self._declared(), request_id)
+            inquiry = self._face.read(
+                environ, self._get_declarations(), request_id
+            )
         except RequestRefusedError as refused:
             close_after(environ)
             refusal = self._face.refusal(refused.told, request_id)
