Rename private names of measured_ingress.py

_TELL_MS to _REPORT_INTERVAL_MS _UNDECLARED to _UNDECLARED_SERVICE _door to _ingress _declared to _get_declarations _served to _served_counts

--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -15,8 +15,8 @@
 from laburnumwood.routing.request_parsing import Environ
 from laburnumwood.routing.router import Router
 
-_TELL_MS = 5_000
-_UNDECLARED = '(undeclared)'
+_REPORT_INTERVAL_MS = 5_000
+_UNDECLARED_SERVICE = '(undeclared)'
 
 
 class MeasuredDoor:
@@ -29,16 +29,16 @@
         declared: DeclarationsProvider,
         clock: Clock,
     ) -> None:
-        self._door = Ingress(router, face, declared, clock)
-        self._declared = declared
+        self._ingress = Ingress(router, face, declared, clock)
+        self._get_declarations = declared
         self._clock = clock
-        self._served: Counter[str] = Counter()
+        self._served_counts: Counter[str] = Counter()
 
     def tell_served(self) -> None:
         """Log the sums of answers now and then; does not return."""
         while True:
-            eventlet.sleep(_TELL_MS / MS_PER_SECOND)
-            served, self._served = self._served, Counter()
+            eventlet.sleep(_REPORT_INTERVAL_MS / MS_PER_SECOND)
+            served, self._served_counts = self._served_counts, Counter()
             if served:
                 REQUESTS_SERVED.report(answers=dict(served))
 
@@ -47,16 +47,16 @@
     ) -> Iterable[bytes]:
         """Answer one request."""
         service = environ['PATH_INFO'].partition('/')[2].partition('/')[0]
-        if service not in self._declared().services:
-            service = _UNDECLARED
+        if service not in self._get_declarations().services:
+            service = _UNDECLARED_SERVICE
         began_ms = self._clock.now_ms()
 
         def start(status: str, headers: list[tuple[str, str]]) -> Any:
             labels = {'service': service, 'status': status.split(' ')[0]}
             REQUESTS.record(1, labels)
-            self._served[f'{service} {labels["status"]}'] += 1
+            self._served_counts[f'{service} {labels["status"]}'] += 1
             taken_ms = self._clock.now_ms() - began_ms
             LATENCY.record(taken_ms, {'service': service})
             return start_response(status, headers)
 
-        return self._door(environ, start)
+        return self._ingress(environ, start)
