--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -38,7 +38,7 @@
 from laburnumwood.routing.admission_gate import Gate, WorkerState
 from laburnumwood.routing.executor import Executor
 from laburnumwood.routing.ledger_replication import Notary
-from laburnumwood.routing.measured_ingress import MeasuredDoor
+from laburnumwood.routing.measured_ingress import MeasuredIngress
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.shared_quarantine import Suspicions
 from laburnumwood.settings import DaemonSettings
@@ -349,7 +349,7 @@
             clock,
             self._settings.owner_patience_ms,
         )
-        self.door = MeasuredDoor(
+        self.door = MeasuredIngress(
             router,
             self._borders.make_face(self._settings),
             lambda: self.view.directory.declarations,
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -19,7 +19,7 @@
 _UNDECLARED_SERVICE = '(undeclared)'
 
 
-class MeasuredDoor:
+class MeasuredIngress:
     """A door that counts its answers and how long they took."""
 
     def __init__(
