--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -140,7 +140,7 @@
             *self._member.tasks,
             *self._worker_tasks(),
             self._account.run,
-            self.door.tell_served,
+            self.door.report_served,
             self.load.run,
             self._keeper.watch_standing,
             self._keeper.write_records,
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -34,7 +34,7 @@
         self._clock = clock
         self._served_counts: Counter[str] = Counter()
 
-    def tell_served(self) -> None:
+    def report_served(self) -> None:
         """Log the sums of answers now and then; does not return."""
         while True:
             eventlet.sleep(_REPORT_INTERVAL_MS / MS_PER_SECOND)
