--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from laburnumwood.routing.caller_interface import Face, OwnFace
+from laburnumwood.routing.caller_interface import CallerInterface, OwnFace
 from laburnumwood.routing.worker_interface import (
     NativeWorkerInterface,
     WorkerInterface,
@@ -47,7 +47,7 @@
     """
 
     make_store: Callable[[DaemonSettings], Store]
-    make_face: Callable[[DaemonSettings], Face]
+    make_face: Callable[[DaemonSettings], CallerInterface]
     make_dialect: Callable[[ReportingWorker], WorkerInterface]
     listeners: Callable[[DaemonSettings, Front], tuple[Listener, ...]]
     worker_reports: bool
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -32,7 +32,7 @@
     content: bytes
 
 
-class Face(Protocol):
+class CallerInterface(Protocol):
     """What callers send, and what they are answered."""
 
     def request_id(self, environ: Environ) -> str:
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -8,7 +8,7 @@
 from laburnumwood.events import ANSWER_CUT
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.routing.caller import Caller, CallerMonitor
-from laburnumwood.routing.caller_interface import Face, give
+from laburnumwood.routing.caller_interface import CallerInterface, give
 from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.routing.request_parsing import Environ, RequestRefusedError
@@ -27,7 +27,7 @@
     def __init__(
         self,
         router: Router,
-        face: Face,
+        face: CallerInterface,
         declared: DeclarationsProvider,
         clock: Clock,
     ) -> None:
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -9,7 +9,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import REQUESTS_SERVED
 from laburnumwood.metrics import LATENCY, REQUESTS
-from laburnumwood.routing.caller_interface import Face
+from laburnumwood.routing.caller_interface import CallerInterface
 from laburnumwood.routing.ingress import DeclarationsProvider, Ingress
 from laburnumwood.routing.problems import StartResponse
 from laburnumwood.routing.request_parsing import Environ
@@ -25,7 +25,7 @@
     def __init__(
         self,
         router: Router,
-        face: Face,
+        face: CallerInterface,
         declared: DeclarationsProvider,
         clock: Clock,
     ) -> None:
