--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -4,7 +4,10 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from laburnumwood.routing.caller_interface import CallerInterface, OwnFace
+from laburnumwood.routing.caller_interface import (
+    CallerInterface,
+    NativeCallerInterface,
+)
 from laburnumwood.routing.worker_interface import (
     NativeWorkerInterface,
     WorkerInterface,
@@ -76,7 +79,7 @@
 def _own() -> Borders:
     return Borders(
         make_store=lambda settings: HttpStore(settings.platform_url),
-        make_face=lambda _settings: OwnFace(),
+        make_face=lambda _settings: NativeCallerInterface(),
         make_dialect=lambda _worker: NativeWorkerInterface(),
         listeners=_no_listeners,
         worker_reports=False,
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -50,7 +50,7 @@
         """Return the headers of a worker's answer as the caller gets them."""
 
 
-class OwnFace:
+class NativeCallerInterface:
     """The project's own paths, headers and problems."""
 
     def request_id(self, environ: Environ) -> str:
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -27,7 +27,7 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.caller import Caller, CallerMonitor
-from laburnumwood.routing.caller_interface import OwnFace
+from laburnumwood.routing.caller_interface import NativeCallerInterface
 from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import Exchange, local_pair
@@ -138,7 +138,10 @@
 @given('a door whose answer ends early')
 def serve_cut(context: Context) -> None:
     router: Any = _CutRouter()
-    _serve(context, Ingress(router, OwnFace(), lambda: DECLARED, Clock()))
+    _serve(
+        context,
+        Ingress(router, NativeCallerInterface(), lambda: DECLARED, Clock()),
+    )
 
 
 class _SlowLinks:
@@ -202,7 +205,10 @@
 @given('a door whose link is lost after the last byte of an answer')
 def serve_whole(context: Context) -> None:
     router: Any = _CutRouter(('Content-Length', '13'))
-    _serve(context, Ingress(router, OwnFace(), lambda: DECLARED, Clock()))
+    _serve(
+        context,
+        Ingress(router, NativeCallerInterface(), lambda: DECLARED, Clock()),
+    )
 
 
 @when('no descriptor is left for a while as a caller connects')
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -31,7 +31,7 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.admission_gate import read_body
-from laburnumwood.routing.caller_interface import OwnFace
+from laburnumwood.routing.caller_interface import NativeCallerInterface
 from laburnumwood.routing.ingress import Ingress
 from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import Router
@@ -190,4 +190,7 @@
     )
     listener = eventlet.listen((HOST, 0))
     print(f'listening on {HOST}:{listener.getsockname()[1]}', flush=True)
-    serve_callers(listener, Ingress(router, OwnFace(), lambda: DECLARED, clock))
+    serve_callers(
+        listener,
+        Ingress(router, NativeCallerInterface(), lambda: DECLARED, clock),
+    )
