--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -8,7 +8,7 @@
 from laburnumwood.header_index import HeaderIndex
 from laburnumwood.platform.names import ID_HEADER, TIME_LEFT_HEADER
 from laburnumwood.protocol.messages import Answer, Failure, Work
-from laburnumwood.routing.caller_interface import HeaderList, Refusal
+from laburnumwood.routing.caller_interface import HeaderList, ProblemAnswer
 from laburnumwood.routing.caller_protocol import HEADERS_KEY
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.headers import end_to_end, request_headers
@@ -113,7 +113,7 @@
         )
         return Inquiry(work, body, route.attempts)
 
-    def refusal(self, told: Failure, request_id: str) -> Refusal:
+    def refusal(self, told: Failure, request_id: str) -> ProblemAnswer:
         """Return the answer that says why a request has none."""
         status = _status(told)
         content = f'{told.kind}: {told.detail}\n'.encode()
@@ -125,7 +125,7 @@
         if status is HTTPStatus.SERVICE_UNAVAILABLE and told.retry_after_ms:
             after_s = told.retry_after_ms / MS_PER_SECOND
             headers.append(('Retry-After', f'{after_s:.3f}'))
-        return Refusal(status_line(status), headers, content)
+        return ProblemAnswer(status_line(status), headers, content)
 
     def answer_headers(self, head: Answer, _request_id: str) -> HeaderList:
         """Return the headers of a worker's answer, unchanged."""
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Refusal:
+class ProblemAnswer:
     """An answer of the door's own."""
 
     status: str
@@ -43,7 +43,7 @@
     ) -> Inquiry:
         """Return a request; raises `RequestRefusedError`."""
 
-    def refusal(self, told: Failure, request_id: str) -> Refusal:
+    def refusal(self, told: Failure, request_id: str) -> ProblemAnswer:
         """Return the answer that says why a request has none."""
 
     def answer_headers(self, head: Answer, request_id: str) -> HeaderList:
@@ -64,11 +64,13 @@
         work, body = read_request(environ, declared.services, request_id)
         return Inquiry(work, body)
 
-    def refusal(self, told: Failure, request_id: str) -> Refusal:
+    def refusal(self, told: Failure, request_id: str) -> ProblemAnswer:
         """Return the answer that says why a request has none."""
         content = problem_body(told, request_id)
         status = status_line(PROBLEMS[told.kind].status)
-        return Refusal(status, problem_headers(told, len(content)), content)
+        return ProblemAnswer(
+            status, problem_headers(told, len(content)), content
+        )
 
     def answer_headers(self, head: Answer, request_id: str) -> HeaderList:
         """Return the headers of a worker's answer as the caller gets them."""
@@ -80,7 +82,7 @@
         return [*kept, (REQUEST_HEADER, request_id)]
 
 
-def give(refusal: Refusal, start_response: Any) -> tuple[bytes]:
+def give(refusal: ProblemAnswer, start_response: Any) -> tuple[bytes]:
     """Answer a request with a refusal."""
     start_response(refusal.status, refusal.headers)
     return (refusal.content,)
