--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -175,7 +175,9 @@
         if self._incarnation is None:
             refusal = failure('not-ready', 'this node is joining', ran=False)
             request_id = self._face.request_id(environ)
-            return give(self._face.refusal(refusal, request_id), start_response)
+            return give(
+                self._face.problem_answer(refusal, request_id), start_response
+            )
         return self._incarnation.door(environ, start_response)
 
     def _serve_operator(
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -43,7 +43,7 @@
     ) -> Inquiry:
         """Return a request; raises `RequestRefusedError`."""
 
-    def refusal(self, told: Failure, request_id: str) -> ProblemAnswer:
+    def problem_answer(self, told: Failure, request_id: str) -> ProblemAnswer:
         """Return the answer that says why a request has none."""
 
     def answer_headers(self, head: Answer, request_id: str) -> HeaderList:
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -48,14 +48,14 @@
             )
         except RequestRefusedError as refused:
             close_after(environ)
-            refusal = self._face.refusal(refused.told, request_id)
+            refusal = self._face.problem_answer(refused.told, request_id)
             return give(refusal, start_response)
         sock = environ['eventlet.input'].get_socket()
         caller = self._callers.register(sock, request_id)
         reply = self._router.send(inquiry, caller)
         if isinstance(reply, Failure):
             caller.stop_monitoring()
-            refusal = self._face.refusal(reply, request_id)
+            refusal = self._face.problem_answer(reply, request_id)
             return give(refusal, start_response)
         headers = self._face.answer_headers(reply.head, request_id)
         start_response(status_line(reply.head.status), headers)
