--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -64,7 +64,7 @@
         work, body = read_request(environ, declared.services, request_id)
         return Inquiry(work, body)
 
-    def refusal(self, told: Failure, request_id: str) -> ProblemAnswer:
+    def problem_answer(self, told: Failure, request_id: str) -> ProblemAnswer:
         """Return the answer that says why a request has none."""
         content = problem_body(told, request_id)
         status = status_line(PROBLEMS[told.kind].status)
