--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -113,7 +113,7 @@
         )
         return Inquiry(work, body, route.attempts)
 
-    def refusal(self, told: Failure, request_id: str) -> ProblemAnswer:
+    def problem_answer(self, told: Failure, request_id: str) -> ProblemAnswer:
         """Return the answer that says why a request has none."""
         status = _status(told)
         content = f'{told.kind}: {told.detail}\n'.encode()
