--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -38,7 +38,7 @@
     def request_id(self, environ: Environ) -> str:
         """Return the id of a request, the caller's own if it gave one."""
 
-    def read(
+    def read_request(
         self, environ: Environ, declared: Declarations, request_id: str
     ) -> Inquiry:
         """Return a request; raises `RequestRefusedError`."""
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -43,7 +43,7 @@
         request_id = self._face.request_id(environ)
         environ[REQUEST_ID_KEY] = request_id
         try:
-            inquiry = self._face.read(
+            inquiry = self._face.read_request(
                 environ, self._get_declarations(), request_id
             )
         except RequestRefusedError as refused:
