--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -57,7 +57,7 @@
         """Return the id of a request, the caller's own if it gave one."""
         return read_request_id(environ)
 
-    def read(
+    def read_request(
         self, environ: Environ, declared: Declarations, request_id: str
     ) -> Inquiry:
         """Return a request; raises `RequestRefusedError`."""
