--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -82,7 +82,7 @@
         """Return the id of a request, empty if it has none."""
         return _first(environ, ID_HEADER)
 
-    def read(
+    def read_request(
         self, environ: Environ, declared: Declarations, request_id: str
     ) -> Inquiry:
         """Return a request; raises `RequestRefusedError`."""
