--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -38,7 +38,7 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.caller_interface import give
+from laburnumwood.routing.caller_interface import send_problem
 from laburnumwood.routing.problems import StartResponse, failure
 from laburnumwood.routing.server import Listening, close_after
 from laburnumwood.settings import DaemonSettings
@@ -175,7 +175,7 @@
         if self._incarnation is None:
             refusal = failure('not-ready', 'this node is joining', ran=False)
             request_id = self._face.request_id(environ)
-            return give(
+            return send_problem(
                 self._face.problem_answer(refusal, request_id), start_response
             )
         return self._incarnation.door(environ, start_response)
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -82,7 +82,7 @@
         return [*kept, (REQUEST_HEADER, request_id)]
 
 
-def give(refusal: ProblemAnswer, start_response: Any) -> tuple[bytes]:
+def send_problem(refusal: ProblemAnswer, start_response: Any) -> tuple[bytes]:
     """Answer a request with a refusal."""
     start_response(refusal.status, refusal.headers)
     return (refusal.content,)
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -8,7 +8,7 @@
 from laburnumwood.events import ANSWER_CUT
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.routing.caller import Caller, CallerMonitor
-from laburnumwood.routing.caller_interface import CallerInterface, give
+from laburnumwood.routing.caller_interface import CallerInterface, send_problem
 from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.routing.request_parsing import Environ, RequestRefusedError
@@ -49,14 +49,14 @@
         except RequestRefusedError as refused:
             close_after(environ)
             refusal = self._face.problem_answer(refused.told, request_id)
-            return give(refusal, start_response)
+            return send_problem(refusal, start_response)
         sock = environ['eventlet.input'].get_socket()
         caller = self._callers.register(sock, request_id)
         reply = self._router.send(inquiry, caller)
         if isinstance(reply, Failure):
             caller.stop_monitoring()
             refusal = self._face.problem_answer(reply, request_id)
-            return give(refusal, start_response)
+            return send_problem(refusal, start_response)
         headers = self._face.answer_headers(reply.head, request_id)
         start_response(status_line(reply.head.status), headers)
         return _stream(environ, reply, caller)
