--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -25,7 +25,7 @@
         """End the exchange on this side."""
 
 
-class Outgoing(Exchange, Protocol):
+class OutgoingExchange(Exchange, Protocol):
     """What a door needs of a stream."""
 
     def fail(self, reason: LinkError) -> None:
--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -15,7 +15,7 @@
 from laburnumwood.placement.loads import LoadBook
 from laburnumwood.protocol.messages import Answer, Failure
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.exchange import Outgoing
+from laburnumwood.routing.exchange import OutgoingExchange
 
 AVOID_MS = 1_000
 ALL_RANKS = -1  # also that of requests without a rank
@@ -29,7 +29,7 @@
 
     def __init__(
         self,
-        exchange: Outgoing,
+        exchange: OutgoingExchange,
         target: NodeName,
         rank: int,
         spread: 'Spread',
@@ -131,8 +131,11 @@
         return chosen
 
     def track(
-        self, exchange: Outgoing, target: NodeName, rank: int = ALL_RANKS
-    ) -> Outgoing:
+        self,
+        exchange: OutgoingExchange,
+        target: NodeName,
+        rank: int = ALL_RANKS,
+    ) -> OutgoingExchange:
         """Return an exchange that is counted for its target."""
         tracked = SpreadExchange(exchange, target, rank, self)
         self._in_flight.setdefault(target, WeakSet()).add(tracked)
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -26,7 +26,7 @@
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import (
     LONGEST_INLINE,
-    Outgoing,
+    OutgoingExchange,
     Serve,
     local_pair,
 )
@@ -54,7 +54,11 @@
     """The head of an answer, and its body that is still to come."""
 
     def __init__(
-        self, head: Answer, exchange: Outgoing, until_ms: int, clock: Clock
+        self,
+        head: Answer,
+        exchange: OutgoingExchange,
+        until_ms: int,
+        clock: Clock,
     ) -> None:
         self.head = head
         self._exchange = exchange
@@ -122,13 +126,13 @@
         self._exchange.close()
 
 
-def abandon(exchange: Outgoing) -> None:
+def abandon(exchange: OutgoingExchange) -> None:
     """Tell the gate that its answer is no longer wanted, and wait no more."""
     exchange.fail(CallerGoneError(_GONE))
     start(_tell_cancel, exchange)
 
 
-def _tell_cancel(exchange: Outgoing) -> None:
+def _tell_cancel(exchange: OutgoingExchange) -> None:
     try:
         exchange.send(Cancel())
     except LinkError:
@@ -142,7 +146,9 @@
     may_run: bool
 
 
-def _send_body(exchange: Outgoing, body: bytes, progress: _Progress) -> None:
+def _send_body(
+    exchange: OutgoingExchange, body: bytes, progress: _Progress
+) -> None:
     """Send a body that did not go with the head of its request."""
     for offset in range(0, len(body), _CHUNK_SIZE):
         exchange.send(Chunk(body[offset : offset + _CHUNK_SIZE]))
@@ -268,7 +274,9 @@
             exchange.close()
         return reply
 
-    def _open(self, target: NodeName, work: Work, caller: Caller) -> Outgoing:
+    def _open(
+        self, target: NodeName, work: Work, caller: Caller
+    ) -> OutgoingExchange:
         """Send a request to a node, unless its caller has gone by then."""
         if target != self._own:
             exchange = self._peers.open_stream(
@@ -286,7 +294,7 @@
         return near
 
     def _ask(
-        self, exchange: Outgoing, body: bytes, until_ms: int
+        self, exchange: OutgoingExchange, body: bytes, until_ms: int
     ) -> Reply | Failure:
         progress = _Progress(may_run=not body)
         try:
@@ -301,7 +309,9 @@
             abandon(exchange)
             return failure('link-lost', str(lost), ran=progress.may_run)
 
-    def _receive_head(self, exchange: Outgoing, until_ms: int) -> object:
+    def _receive_head(
+        self, exchange: OutgoingExchange, until_ms: int
+    ) -> object:
         """Return what a gate answers, after the records that it tells of."""
         while True:
             head = exchange.receive(until_ms - self._clock.now_ms())
@@ -310,7 +320,7 @@
             apply_shard_notice(self._view.directory, head)
 
     def _read_head(
-        self, head: object, exchange: Outgoing, until_ms: int
+        self, head: object, exchange: OutgoingExchange, until_ms: int
     ) -> Reply | Failure:
         if isinstance(head, Answer):
             reply = Reply(head, exchange, until_ms, self._clock)
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -26,7 +26,7 @@
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import (
     Exchange,
-    Outgoing,
+    OutgoingExchange,
     WrappedExchange,
     local_pair,
 )
@@ -202,7 +202,7 @@
         self.during_try()
         exchange.send(failure('worker-unreachable', 'refused', ran=False))
 
-    def open_stream(self, _peer: NodeName, **_how: bool) -> Outgoing:
+    def open_stream(self, _peer: NodeName, **_how: bool) -> OutgoingExchange:
         """Return a stream to the gate, in the place of links."""
         near, self.far = local_pair()
         eventlet.spawn_n(self._serve_stream, self.far)
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -18,7 +18,7 @@
 from laburnumwood.protocol.messages import Work
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.caller_request import Inquiry
-from laburnumwood.routing.exchange import Outgoing, local_pair
+from laburnumwood.routing.exchange import OutgoingExchange, local_pair
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.retry_policy import Tries
@@ -141,7 +141,7 @@
         """Return the nodes."""
         return dict(self._nodes)
 
-    def open_stream(self, target: NodeName, **_how: bool) -> Outgoing:
+    def open_stream(self, target: NodeName, **_how: bool) -> OutgoingExchange:
         """Return an exchange with the gate of a node."""
         near, far = local_pair()
         self.asked.append(target.node_id)
