--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -32,7 +32,7 @@
         """Let all that waits on the stream fail."""
 
 
-class WrappedExchange:
+class ExchangeWrapper:
     """Passes everything on to another exchange; subclasses look at it."""
 
     def __init__(self, exchange: Exchange) -> None:
--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -9,7 +9,7 @@
 from laburnumwood.decay import DecayingMean
 from laburnumwood.protocol.messages import Answer, Failure, WholeAnswer
 from laburnumwood.protocol.outlet import LONG, Outlet
-from laburnumwood.routing.exchange import Exchange, WrappedExchange
+from laburnumwood.routing.exchange import Exchange, ExchangeWrapper
 
 _SHEDDING = frozenset((429, 503))
 _RESULT_OF = {
@@ -43,7 +43,7 @@
         return round(self._outlet.waiting_ms)
 
 
-class ObservedExchange(WrappedExchange):
+class ObservedExchange(ExchangeWrapper):
     """An exchange that notes on a ticket how its request went.
 
     `when_whole` is called with the length of an answer once the worker has
--- a/laburnumwood/routing/shard_release.py
+++ b/laburnumwood/routing/shard_release.py
@@ -4,10 +4,10 @@
 
 from laburnumwood.placement.holdings import Stay
 from laburnumwood.protocol.messages import Answer, Work
-from laburnumwood.routing.exchange import Exchange, WrappedExchange
+from laburnumwood.routing.exchange import Exchange, ExchangeWrapper
 
 
-class StayingExchange(WrappedExchange):
+class StayingExchange(ExchangeWrapper):
     """An exchange whose request leaves its shard when that is safe.
 
     The answer to an idempotent request may outlast a move once it is on its
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -26,8 +26,8 @@
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import (
     Exchange,
+    ExchangeWrapper,
     OutgoingExchange,
-    WrappedExchange,
     local_pair,
 )
 from laburnumwood.routing.problems import failure
@@ -222,7 +222,7 @@
                 self.serve(far, work)
 
 
-class _SlowStream(WrappedExchange):
+class _SlowStream(ExchangeWrapper):
     """A stream whose link takes a request only after something happened."""
 
     def __init__(self, near: Stream, scene: _Scene) -> None:
