--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -78,4 +78,4 @@
     return near, far
 
 
-Serve = Callable[[Exchange, Any], None]
+ServeHandler = Callable[[Exchange, Any], None]
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -27,7 +27,7 @@
 from laburnumwood.routing.exchange import (
     LONGEST_INLINE,
     OutgoingExchange,
-    Serve,
+    ServeHandler,
     local_pair,
 )
 from laburnumwood.routing.headers import find
@@ -172,7 +172,7 @@
         own: NodeName,
         view: FleetView,
         peers: Peers,
-        serve: Serve,
+        serve: ServeHandler,
         spread: Spread,
         budgets: RetryBudgets,
         clock: Clock,
