--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -6,7 +6,7 @@
 from laburnumwood.errors import LinkError
 from laburnumwood.protocol.streams import Stream
 
-LONGEST_INLINE = 131_072  # bytes of a body that goes with its head
+MAX_INLINE_BODY_BYTES = 131_072  # bytes of a body that goes with its head
 
 
 class Exchange(Protocol):
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -25,7 +25,7 @@
 from laburnumwood.routing.caller import Caller
 from laburnumwood.routing.caller_request import Inquiry
 from laburnumwood.routing.exchange import (
-    LONGEST_INLINE,
+    MAX_INLINE_BODY_BYTES,
     OutgoingExchange,
     ServeHandler,
     local_pair,
@@ -159,7 +159,7 @@
 
 def _with_short_body(inquiry: Inquiry) -> Work:
     """Return a request that carries its body if that is short."""
-    if inquiry.body and len(inquiry.body) <= LONGEST_INLINE:
+    if inquiry.body and len(inquiry.body) <= MAX_INLINE_BODY_BYTES:
         return replace(inquiry.work, body=inquiry.body)
     return inquiry.work
 
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -24,7 +24,7 @@
     Failure,
     WholeAnswer,
 )
-from laburnumwood.routing.exchange import LONGEST_INLINE, Exchange
+from laburnumwood.routing.exchange import MAX_INLINE_BODY_BYTES, Exchange
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.shared_lock import Solitude
@@ -68,7 +68,7 @@
         dialect: WorkerInterface,
         suspicions: Suspicions,
         clock: Clock,
-        longest_whole: int = LONGEST_INLINE,
+        longest_whole: int = MAX_INLINE_BODY_BYTES,
     ) -> None:
         self._longest_whole = longest_whole
         self._worker = worker
@@ -203,7 +203,7 @@
         if not may_refuse and (length is None or length > self._longest_whole):
             return None
         # Longer ones are no refusals of a worker that keeps to its protocol.
-        body = answer.whole(max(self._longest_whole, LONGEST_INLINE))
+        body = answer.whole(max(self._longest_whole, MAX_INLINE_BODY_BYTES))
         kind = self._dialect.refusal(answer, body) if may_refuse else None
         if kind is not None:
             detail = f'the worker refused it with status {answer.status}'
