--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -55,7 +55,7 @@
         self._exchange.close()
 
 
-class _Loop:
+class _LocalTransport:
     """Delivers what one stream of a pair sends to the other."""
 
     def __init__(self) -> None:
@@ -72,7 +72,7 @@
 
 def local_pair() -> tuple[Stream, Stream]:
     """Return two streams joined to each other without a connection."""
-    there, back = _Loop(), _Loop()
+    there, back = _LocalTransport(), _LocalTransport()
     near, far = Stream(0, there), Stream(0, back)
     there.other, back.other = far, near
     return near, far
