--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -34,7 +34,7 @@
 from laburnumwood.protocol.outlet import OUTLET
 from laburnumwood.records import ShardName, ShardRecord
 from laburnumwood.routing.exchange import Exchange
-from laburnumwood.routing.executor import Executor, MayAct
+from laburnumwood.routing.executor import ExecutionCheck, Executor
 from laburnumwood.routing.observed_exchange import LongAnswers, ObservedExchange
 from laburnumwood.routing.priorities import line_of, useful_until_ms
 from laburnumwood.routing.problems import failure, overloaded
@@ -258,7 +258,7 @@
         self._serve_in_turn(exchange, run, partial(self._may_act, shard, run))
 
     def _serve_in_turn(
-        self, exchange: Exchange, run: Run, may_act: MayAct
+        self, exchange: Exchange, run: Run, may_act: ExecutionCheck
     ) -> None:
         work = run.work
         service = self._services().get(work.service)
@@ -297,7 +297,7 @@
         self._admitter.give_back(ticket)
 
     def _serve_admitted(
-        self, exchange: Exchange, run: Run, may_act: MayAct
+        self, exchange: Exchange, run: Run, may_act: ExecutionCheck
     ) -> None:
         if self._worker.may_start():
             self._executor.execute(exchange, run, may_act)
--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -14,7 +14,7 @@
 from laburnumwood.routing.worker_interface import WorkerInterface
 from laburnumwood.upstream.worker import Worker
 
-MayAct = Callable[[], bool]
+ExecutionCheck = Callable[[], bool]
 
 
 class Executor:
@@ -35,7 +35,9 @@
         self._notary = notary
         self._quarantine = suspicions.quarantine
 
-    def execute(self, exchange: Exchange, run: Run, may_act: MayAct) -> None:
+    def execute(
+        self, exchange: Exchange, run: Run, may_act: ExecutionCheck
+    ) -> None:
         """Answer a request on its exchange."""
         if run.work.idempotent or run.work.idempotency_key == '':
             self._run(exchange, run, may_act)
@@ -48,7 +50,9 @@
         else:
             _replay(exchange, *instead)
 
-    def _run(self, exchange: Exchange, run: Run, may_act: MayAct) -> Result:
+    def _run(
+        self, exchange: Exchange, run: Run, may_act: ExecutionCheck
+    ) -> Result:
         barred_ms = self._quarantine.barred_for_ms(run.fingerprint)
         if barred_ms:
             detail = 'workers crashed whenever they ran this request'
@@ -62,7 +66,9 @@
         exchange.send(told)
         return Result(told=told)
 
-    def _run_noted(self, exchange: Exchange, run: Run, may_act: MayAct) -> None:
+    def _run_noted(
+        self, exchange: Exchange, run: Run, may_act: ExecutionCheck
+    ) -> None:
         outcome = None
         try:
             outcome = self._run(exchange, run, may_act)
