--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -46,7 +46,7 @@
         if isinstance(instead, Failure):
             exchange.send(instead)
         elif instead is None:
-            self._run_noted(exchange, run, may_act)
+            self._run_recorded(exchange, run, may_act)
         else:
             _replay(exchange, *instead)
 
@@ -66,7 +66,7 @@
         exchange.send(told)
         return Result(told=told)
 
-    def _run_noted(
+    def _run_recorded(
         self, exchange: Exchange, run: Run, may_act: ExecutionCheck
     ) -> None:
         outcome = None
