--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -282,12 +282,12 @@
             exchange = self._peers.open_stream(
                 target, is_patient=not work.idempotent
             )
-            if caller.look():
+            if caller.poll():
                 exchange.close()
                 raise CallerGoneError(_GONE)
             exchange.send(work)
             return exchange
-        if caller.look():
+        if caller.poll():
             raise CallerGoneError(_GONE)
         near, far = local_pair()
         start(self._serve, far, work)
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -153,7 +153,7 @@
 
     def open_stream(self, _peer: NodeName, **_how: bool) -> Stream:
         """Return the stream on the new link."""
-        self._caller.look()
+        self._caller.poll()
         return self.near
 
 
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -95,7 +95,7 @@
 @when('another caller leaves')
 def leave_first(context: Context) -> None:
     served, other = _connect(context)
-    context.callers.await_answer(served)
+    context.callers.register(served)
     other.close()
     eventlet.sleep(LEAVES_AFTER_S)
 
@@ -104,13 +104,13 @@
 def watch_closed(context: Context) -> None:
     served, _ = _connect(context)
     served.close()
-    context.callers.await_answer(served)
+    context.callers.register(served)
 
 
 @when('what is done for another caller that left fails')
 def fail_first(context: Context) -> None:
     served, other = _connect(context)
-    context.callers.await_answer(served).when_gone(_fail)
+    context.callers.register(served).set_gone_handler(_fail)
     other.close()
     eventlet.sleep(LEAVES_AFTER_S)
 
@@ -127,7 +127,7 @@
 
 def _watch_leaving(context: Context, leave: Leave, sent: bytes) -> None:
     served, sock = _connect(context)
-    context.caller = context.callers.await_answer(served)
+    context.caller = context.callers.register(served)
     sock.sendall(sent)
     eventlet.sleep(LEAVES_AFTER_S)
     leave(sock)
@@ -142,7 +142,7 @@
 
 @when('it is said what is to be done when it leaves')
 def set_act(context: Context) -> None:
-    context.caller.when_gone(context.done.send)
+    context.caller.set_gone_handler(context.done.send)
 
 
 @then('it is done')
@@ -152,7 +152,7 @@
 
 @then('its leaving is noticed within {limit:d} ms')
 def check_noticed(context: Context, limit: int) -> None:
-    context.caller.when_gone(context.done.send)
+    context.caller.set_gone_handler(context.done.send)
     with Timeout(limit / MS_PER_SECOND, exception=False):
         context.done.wait()
     assert context.caller.is_gone
