Rename private names of admission_gate.py

_GRANT_SLACK_MS to _GRANT_DELAY_TOLERANCE_MS _ANSWER_MS to _REFUSAL_RESERVE_MS _whole to _checked_body _always to _always_allowed _tell_cancelled to _report_cancelled _tell_returned to _report_returned _return to _return_request _tell_owner to _send_shard_records _serve_in_turn to _serve_when_admitted _has_key to _is_key_in_shard _placed to _current_shard _may_act to _may_execute _may_await_grant to _obtain_grant _free to _release_slot _account to _capacity_account _shards to _directory _long_answers to _answer_delays

--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -71,8 +71,10 @@
         """Return the record of a shard with its version."""
 
 
-_GRANT_SLACK_MS = 150  # by which a grant may come later than expected
-_ANSWER_MS = 60  # kept of the time left, to say that a request did not run
+_GRANT_DELAY_TOLERANCE_MS = 150  # by which a grant may come later than expected
+_REFUSAL_RESERVE_MS = (
+    60  # kept of the time left, to say that a request did not run
+)
 
 
 def read_body(exchange: Exchange, work: Work) -> bytes:
@@ -88,18 +90,18 @@
         if isinstance(message, Chunk):
             parts.append(message.content)
         elif isinstance(message, End):
-            return _whole(b''.join(parts), message.length)
+            return _checked_body(b''.join(parts), message.length)
         else:
             raise LinkError('the body was given up')
 
 
-def _whole(body: bytes, length: int) -> bytes:
+def _checked_body(body: bytes, length: int) -> bytes:
     if len(body) != length:
         raise LinkError('the body is not whole')
     return body
 
 
-def _always() -> bool:
+def _always_allowed() -> bool:
     return True
 
 
@@ -126,8 +128,8 @@
         self._grants = grants
         self._worker = worker
         self._services = services
-        self._shards = shards
-        self._account = account
+        self._directory = shards
+        self._capacity_account = account
         self._meter = meter
         self._executor = executor
         self._clock = clock
@@ -137,7 +139,7 @@
             ),
             clock,
         )
-        self._long_answers = LongAnswers(OUTLET, clock)
+        self._answer_delays = LongAnswers(OUTLET, clock)
         self._is_closed = False
 
     @property
@@ -180,7 +182,9 @@
             try:
                 self._serve_in_shard(exchange, work)
             except OverloadedError as shed:
-                self._return(exchange, work, overloaded(shed.retry_after_ms))
+                self._return_request(
+                    exchange, work, overloaded(shed.retry_after_ms)
+                )
             except LinkError:
                 raise
             except Exception as fault:
@@ -191,17 +195,19 @@
                 )
                 exchange.send(failure('fault', repr(fault), ran=True))
 
-    def _tell_cancelled(self, work: Work) -> None:
+    def _report_cancelled(self, work: Work) -> None:
         RUN_CANCELLED.report(
             request=work.request_id, service=work.service, after_ms=0
         )
 
-    def _return(self, exchange: Exchange, work: Work, told: Failure) -> None:
+    def _return_request(
+        self, exchange: Exchange, work: Work, told: Failure
+    ) -> None:
         """Send a request back that did not run, and log why."""
-        self._tell_returned(work, told)
+        self._report_returned(work, told)
         exchange.send(told)
 
-    def _tell_returned(self, work: Work, told: Failure) -> None:
+    def _report_returned(self, work: Work, told: Failure) -> None:
         now_ms = self._clock.now_ms()
         REQUEST_RETURNED.report(
             request=work.request_id,
@@ -223,22 +229,24 @@
         if self._is_closed:
             detail = f'{self._settings.node_id} is about to end'
             told = failure('not-owner', detail, ran=False)
-            self._return(exchange, work, told)
+            self._return_request(exchange, work, told)
             return
         if work.shard < 0:
             body = read_body(exchange, work)
             if work.idempotency_key:
                 work = replace(work, idempotency_key='')
             run = Run(work, body, None, until_ms)
-            self._serve_in_turn(exchange, run, _always)
+            self._serve_when_admitted(exchange, run, _always_allowed)
             return
         shard = ShardName(work.service, work.shard)
-        stay = self._holdings.enter(shard) if self._has_key(work) else None
+        stay = (
+            self._holdings.enter(shard) if self._is_key_in_shard(work) else None
+        )
         if stay is None:
-            self._tell_owner(exchange, work)
+            self._send_shard_records(exchange, work)
             detail = f'{self._settings.node_id} does not own {shard}'
             told = failure('not-owner', detail, ran=False)
-            self._return(exchange, work, told)
+            self._return_request(exchange, work, told)
             return
         try:
             body = read_body(exchange, work)
@@ -249,25 +257,27 @@
 
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
-        wait_ms = self._grants.expected_in_ms() + _GRANT_SLACK_MS
-        if not self._may_await_grant(shard, run, wait_ms):
+        wait_ms = self._grants.expected_in_ms() + _GRANT_DELAY_TOLERANCE_MS
+        if not self._obtain_grant(shard, run, wait_ms):
             detail = f'the worker has no grant for {shard}'
             told = Failure('not-owner', False, detail, wait_ms)
-            self._return(exchange, run.work, told)
+            self._return_request(exchange, run.work, told)
             return
-        self._serve_in_turn(exchange, run, partial(self._may_act, shard, run))
+        self._serve_when_admitted(
+            exchange, run, partial(self._may_execute, shard, run)
+        )
 
-    def _serve_in_turn(
+    def _serve_when_admitted(
         self, exchange: Exchange, run: Run, may_act: ExecutionCheck
     ) -> None:
         work = run.work
         service = self._services().get(work.service)
-        line_ms = self._long_answers.wait_ms(work.priority)
+        line_ms = self._answer_delays.wait_ms(work.priority)
         useful_ms = useful_until_ms(work, self._clock.now_ms(), run.until_ms)
         useful_ms -= line_ms
         line = line_of(work, service)
         ticket = Ticket(work.key, run.until_ms, useful_ms, line)
-        busy = self._account.busy(work.service)
+        busy = self._capacity_account.busy(work.service)
         exchange.when_message(partial(self._admitter.cancel, ticket))
         try:
             with self._admitter.admitted(ticket), busy:
@@ -275,13 +285,13 @@
                     exchange,
                     ticket,
                     self._clock,
-                    partial(self._free, ticket, work.priority),
+                    partial(self._release_slot, ticket, work.priority),
                 )
                 self._serve_admitted(observed, run, may_act)
             if observed.told is not None:
-                self._tell_returned(work, observed.told)
+                self._report_returned(work, observed.told)
         except RunCancelledError:
-            self._tell_cancelled(work)
+            self._report_cancelled(work)
         except OverloadedError as shed:
             # What does not fit on this worker is load all the same.
             self._meter.note(work.shard, work.key, self._admitter.slot_ms)
@@ -291,9 +301,9 @@
             busy_ms = self._clock.now_ms() - ticket.started_ms
             self._meter.note(work.shard, work.key, busy_ms)
 
-    def _free(self, ticket: Ticket, rank: int, length: int) -> None:
+    def _release_slot(self, ticket: Ticket, rank: int, length: int) -> None:
         """Give the slot of a request back whose whole answer is here."""
-        self._long_answers.note(rank, length)
+        self._answer_delays.note(rank, length)
         self._admitter.give_back(ticket)
 
     def _serve_admitted(
@@ -305,39 +315,37 @@
         detail = f'the worker of {self._settings.node_id} takes no work'
         exchange.send(failure('not-owner', detail, ran=False))
 
-    def _has_key(self, work: Work) -> bool:
+    def _is_key_in_shard(self, work: Work) -> bool:
         """Tell whether a key was not split off the shard it was sent to."""
-        return self._placed(work) == work.shard
+        return self._current_shard(work) == work.shard
 
-    def _placed(self, work: Work) -> int:
+    def _current_shard(self, work: Work) -> int:
         """Return the number of the shard that has a request's key now."""
-        records = self._shards.shard_records(work.service)
+        records = self._directory.shard_records(work.service)
         return placed_shard(work.key, work.shard, records)
 
-    def _tell_owner(self, exchange: Exchange, work: Work) -> None:
+    def _send_shard_records(self, exchange: Exchange, work: Work) -> None:
         """Tell a door that has missed a move or a split who owns the key."""
-        for number in sorted({work.shard, self._placed(work)}):
+        for number in sorted({work.shard, self._current_shard(work)}):
             shard = ShardName(work.service, number)
-            entry = self._shards.shard(shard)
+            entry = self._directory.shard(shard)
             is_moved = number != work.shard or not self._holdings.is_held(shard)
             if entry is not None and is_moved:
                 exchange.send(shard_notice(shard, entry))
 
-    def _may_act(self, shard: ShardName, run: Run) -> bool:
+    def _may_execute(self, shard: ShardName, run: Run) -> bool:
         guard_ms = self._settings.lease.guard_ms
         left_ms = self._lease.holds_until_ms() - self._clock.now_ms()
         return left_ms > guard_ms and self._grants.covers(shard, run.token)
 
-    def _may_await_grant(
-        self, shard: ShardName, run: Run, wait_ms: int
-    ) -> bool:
+    def _obtain_grant(self, shard: ShardName, run: Run, wait_ms: int) -> bool:
         """Wait for a grant that comes early enough; tell whether it did.
 
         There must be time left to run the request after it.
         """
         if self._grants.covers(shard, run.token):
             return True
-        left_ms = run.until_ms - self._clock.now_ms() - _ANSWER_MS
+        left_ms = run.until_ms - self._clock.now_ms() - _REFUSAL_RESERVE_MS
         if wait_ms + self._admitter.slot_ms > left_ms:
             return False
         return self._wait_for_grant(shard, run.token, wait_ms)
