--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -77,7 +77,7 @@
 )
 
 
-def read_body(exchange: Exchange, work: Work) -> bytes:
+def receive_body(exchange: Exchange, work: Work) -> bytes:
     """Return the whole body of a request, which may follow on its exchange.
 
     Raises `LinkError` if it is cut short.
@@ -232,7 +232,7 @@
             self._return_request(exchange, work, told)
             return
         if work.shard < 0:
-            body = read_body(exchange, work)
+            body = receive_body(exchange, work)
             if work.idempotency_key:
                 work = replace(work, idempotency_key='')
             run = Run(work, body, None, until_ms)
@@ -249,7 +249,7 @@
             self._return_request(exchange, work, told)
             return
         try:
-            body = read_body(exchange, work)
+            body = receive_body(exchange, work)
             run = Run(work, body, stay.token, until_ms)
             self._serve_owned(StayingExchange(exchange, work, stay), run)
         finally:
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -30,7 +30,7 @@
 )
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.admission_gate import read_body
+from laburnumwood.routing.admission_gate import receive_body
 from laburnumwood.routing.caller_interface import NativeCallerInterface
 from laburnumwood.routing.ingress import Ingress
 from laburnumwood.routing.request_balancer import Spread
@@ -173,7 +173,7 @@
     @dispatcher.on(Work)
     def serve(_link: Any, stream: Any, work: Work) -> None:
         until_ms = clock.now_ms() + work.deadline_ms
-        body = read_body(stream, work)
+        body = receive_body(stream, work)
         runner.run(Run(work, body, None, until_ms), stream)
 
     eventlet.spawn_n(listen, gate, security, dispatcher.handle, clock)
