--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -46,7 +46,7 @@
 Services = Callable[[], Mapping[str, Service]]
 
 
-class Account(Protocol):
+class CapacityAccount(Protocol):
     """Counts what each owner's capacity carries."""
 
     def busy(self, service: str) -> AbstractContextManager[None]:
@@ -117,7 +117,7 @@
         executor: Executor,
         services: Services,
         shards: KnownShards,
-        account: Account,
+        account: CapacityAccount,
         meter: LoadMeter,
         worker: WorkerState,
         clock: Clock,
