--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -61,7 +61,7 @@
     slots: Slots
 
 
-class KnownShards(Protocol):
+class ShardDirectory(Protocol):
     """The records of shards that this node knows."""
 
     def shard_records(self, service: str) -> Records:
@@ -116,7 +116,7 @@
         grants: Grants,
         executor: Executor,
         services: Services,
-        shards: KnownShards,
+        shards: ShardDirectory,
         account: CapacityAccount,
         meter: LoadMeter,
         worker: WorkerState,
