--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -57,7 +57,7 @@
 class WorkerState:
     """Whether the worker takes requests now, and how many at once."""
 
-    may_start: Callable[[], bool]
+    accepts_requests: Callable[[], bool]
     slots: Slots
 
 
@@ -309,7 +309,7 @@
     def _serve_admitted(
         self, exchange: Exchange, run: Run, may_act: ExecutionCheck
     ) -> None:
-        if self._worker.may_start():
+        if self._worker.accepts_requests():
             self._executor.execute(exchange, run, may_act)
             return
         detail = f'the worker of {self._settings.node_id} takes no work'
