--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -337,7 +337,7 @@
             WorkerState(self._may_start, self._slots),
             clock,
         )
-        self._load_poller = LoadPoller(self._worker, gate.hint)
+        self._load_poller = LoadPoller(self._worker, gate.set_reported_running)
         self.load.serve(self.dispatcher, gate)
         router = Router(
             self.name,
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -152,7 +152,7 @@
         """Return how many requests wait to be let in."""
         return self._admitter.waiting
 
-    def hint(self, reported: int) -> None:
+    def set_reported_running(self, reported: int) -> None:
         """Take in how many requests the worker says it runs."""
         self._admitter.hint(reported)
 
