--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -54,7 +54,7 @@
             dispatcher,
             lambda: gate.running + gate.waiting,
             self.spread.targets,
-            gate.tell_load,
+            gate.report_load,
         )
 
     def run(self) -> None:
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -156,7 +156,7 @@
         """Take in how many requests the worker says it runs."""
         self._admitter.hint(reported)
 
-    def tell_load(self) -> None:
+    def report_load(self) -> None:
         """Log what this gate carried and sent away since it told last."""
         carried = self._admitter.tally.take()
         if carried.is_nothing:
