--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -35,7 +35,7 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.admission_gate import Gate, WorkerState
+from laburnumwood.routing.admission_gate import AdmissionGate, WorkerState
 from laburnumwood.routing.executor import Executor
 from laburnumwood.routing.ledger_replication import Notary
 from laburnumwood.routing.measured_ingress import MeasuredIngress
@@ -324,7 +324,7 @@
             suspicions,
             clock,
         )
-        gate = Gate(
+        gate = AdmissionGate(
             self._settings,
             self.lease,
             self.holdings,
--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -11,7 +11,7 @@
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.records import NodeName
-from laburnumwood.routing.admission_gate import Gate
+from laburnumwood.routing.admission_gate import AdmissionGate
 from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.settings import DaemonSettings
 
@@ -48,7 +48,7 @@
             service, own, view, peers, self.meter, load_book
         )
 
-    def serve(self, dispatcher: Dispatcher, gate: Gate) -> None:
+    def serve(self, dispatcher: Dispatcher, gate: AdmissionGate) -> None:
         """Start to report the load of the gate to peers."""
         self._exchange.serve(
             dispatcher,
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -18,7 +18,7 @@
 from laburnumwood.placement.ownership import acting
 from laburnumwood.placement.sharding import place_key
 from laburnumwood.records import ShardRecord
-from laburnumwood.routing.admission_gate import Gate
+from laburnumwood.routing.admission_gate import AdmissionGate
 
 Query = dict[str, str]
 Page = Callable[['OperatorApi', Query], Any]
@@ -42,7 +42,7 @@
         view: FleetView,
         lease: Lease,
         holdings: Holdings,
-        gate: Gate,
+        gate: AdmissionGate,
         account: CapacityAccount,
     ) -> None:
         self._view = view
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -105,7 +105,7 @@
     return True
 
 
-class Gate:
+class AdmissionGate:
     """Lets a request through to the worker while this node may act for it."""
 
     def __init__(
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -30,7 +30,7 @@
     ShardRecord,
     StoredObject,
 )
-from laburnumwood.routing.admission_gate import Gate, WorkerState
+from laburnumwood.routing.admission_gate import AdmissionGate, WorkerState
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.store.objects import shard_object, to_value
 from tests.features.steps.fake_clock import FakeClock
@@ -204,7 +204,7 @@
     context.holdings = Holdings()
     context.holdings.hold(SHARD, TOKEN)
     context.grants = LateGrants(span, clock)
-    gate: Any = Gate
+    gate: Any = AdmissionGate
     context.gate = gate(
         SETTINGS,
         HeldLease(),
