--- a/laburnumwood/routing/headers.py
+++ b/laburnumwood/routing/headers.py
@@ -23,7 +23,7 @@
 _DROPPED_FROM_REQUESTS = _HOP_BY_HOP | {'host', 'content-length'}
 
 
-def _kept(
+def _forwarded(
     headers: tuple[Header, ...], dropped: frozenset[str]
 ) -> list[tuple[str, Header]]:
     """Return the headers that stay, each after its name in lower case."""
@@ -36,7 +36,7 @@
 
 def end_to_end(headers: tuple[Header, ...]) -> tuple[Header, ...]:
     """Return the headers that are not meant for one connection only."""
-    return tuple(each for _, each in _kept(headers, _HOP_BY_HOP))
+    return tuple(each for _, each in _forwarded(headers, _HOP_BY_HOP))
 
 
 def request_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
@@ -46,7 +46,7 @@
     """
     return tuple(
         each
-        for lower, each in _kept(headers, _DROPPED_FROM_REQUESTS)
+        for lower, each in _forwarded(headers, _DROPPED_FROM_REQUESTS)
         if not lower.startswith(OWN_PREFIX)
     )
 
