--- a/laburnumwood/routing/headers.py
+++ b/laburnumwood/routing/headers.py
@@ -4,7 +4,7 @@
 
 from laburnumwood.header_index import Header, HeaderIndex
 
-OWN_PREFIX = 'laburnumwood-'
+RESERVED_PREFIX = 'laburnumwood-'
 _CONNECTION = 'connection'
 _HOP_BY_HOP = frozenset(
     (
@@ -47,7 +47,7 @@
     return tuple(
         each
         for lower, each in _forwarded(headers, _DROPPED_FROM_REQUESTS)
-        if not lower.startswith(OWN_PREFIX)
+        if not lower.startswith(RESERVED_PREFIX)
     )
 
 
