--- a/laburnumwood/routing/headers.py
+++ b/laburnumwood/routing/headers.py
@@ -51,7 +51,7 @@
     )
 
 
-def find(headers: Iterable[Header], wanted: str) -> list[str]:
+def header_values(headers: Iterable[Header], wanted: str) -> list[str]:
     """Return every value of a header."""
     lower = wanted.lower()
     return [text for name, text in headers if name.lower() == lower]
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -13,7 +13,7 @@
 from laburnumwood.errors import LaburnumwoodError
 from laburnumwood.placement.sharding import place_key
 from laburnumwood.protocol.messages import Work
-from laburnumwood.routing.headers import find, request_headers
+from laburnumwood.routing.headers import header_values, request_headers
 from laburnumwood.routing.problems import failure
 
 Environ = dict[str, Any]
@@ -37,7 +37,7 @@
 
 
 def _one_header(environ: Environ, name: str) -> str:
-    found = set(find(environ['headers_raw'], name))
+    found = set(header_values(environ['headers_raw'], name))
     if len(found) > 1:
         raise RequestRefusedError('bad-request', f'{name} stands twice')
     return found.pop() if found else ''
@@ -134,7 +134,7 @@
 
 def read_request_id(environ: Environ) -> str:
     """Return the id that the caller gave its request, or a new one."""
-    given = ''.join(find(environ['headers_raw'], REQUEST_HEADER)[:1])
+    given = ''.join(header_values(environ['headers_raw'], REQUEST_HEADER)[:1])
     return given if given and _is_name(given) else uuid4().hex
 
 
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -30,7 +30,7 @@
     ServeHandler,
     local_pair,
 )
-from laburnumwood.routing.headers import find
+from laburnumwood.routing.headers import header_values
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.request_balancer import AVOID_MS, Spread
 from laburnumwood.routing.retry_policy import PATIENCE_MS, Tries
@@ -46,7 +46,7 @@
 
 def _announced_length(head: Answer) -> int | None:
     """Return the length that the head of an answer gives its body, if any."""
-    given = ''.join(find(head.headers, 'content-length'))
+    given = ''.join(header_values(head.headers, 'content-length'))
     return int(given) if given.isdecimal() else None
 
 
