--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -11,7 +11,7 @@
 from laburnumwood.routing.caller_interface import HeaderList, ProblemAnswer
 from laburnumwood.routing.caller_protocol import HEADERS_KEY
 from laburnumwood.routing.caller_request import Inquiry
-from laburnumwood.routing.headers import end_to_end, request_headers
+from laburnumwood.routing.headers import end_to_end_headers, request_headers
 from laburnumwood.routing.problems import PROBLEMS, status_line
 from laburnumwood.routing.request_parsing import (
     Environ,
@@ -129,7 +129,7 @@
 
     def answer_headers(self, head: Answer, _request_id: str) -> HeaderList:
         """Return the headers of a worker's answer, unchanged."""
-        return list(end_to_end(head.headers))
+        return list(end_to_end_headers(head.headers))
 
     def _route(self, environ: Environ, declared: Declarations) -> Route:
         path = environ['RAW_PATH_INFO']
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -6,7 +6,7 @@
 from laburnumwood.config.declarations import Declarations
 from laburnumwood.protocol.messages import Answer, Failure
 from laburnumwood.routing.caller_request import Inquiry
-from laburnumwood.routing.headers import end_to_end
+from laburnumwood.routing.headers import end_to_end_headers
 from laburnumwood.routing.problems import (
     PROBLEMS,
     problem_body,
@@ -76,7 +76,7 @@
         """Return the headers of a worker's answer as the caller gets them."""
         kept = [
             (name, text)
-            for name, text in end_to_end(head.headers)
+            for name, text in end_to_end_headers(head.headers)
             if name.lower() != REQUEST_HEADER.lower()
         ]
         return [*kept, (REQUEST_HEADER, request_id)]
--- a/laburnumwood/routing/headers.py
+++ b/laburnumwood/routing/headers.py
@@ -34,7 +34,7 @@
     return [each for each in named if each[0] not in unwanted]
 
 
-def end_to_end(headers: tuple[Header, ...]) -> tuple[Header, ...]:
+def end_to_end_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
     """Return the headers that are not meant for one connection only."""
     return tuple(each for _, each in _forwarded(headers, _HOP_BY_HOP))
 
