--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -11,7 +11,7 @@
 from laburnumwood.routing.caller_interface import HeaderList, ProblemAnswer
 from laburnumwood.routing.caller_protocol import HEADERS_KEY
 from laburnumwood.routing.caller_request import Inquiry
-from laburnumwood.routing.headers import end_to_end_headers, request_headers
+from laburnumwood.routing.headers import end_to_end_headers, forwarded_headers
 from laburnumwood.routing.problems import PROBLEMS, status_line
 from laburnumwood.routing.request_parsing import (
     Environ,
@@ -51,7 +51,7 @@
 
 
 def _headers(environ: Environ) -> tuple[tuple[str, str], ...]:
-    headers = request_headers(environ['headers_raw'])
+    headers = forwarded_headers(environ['headers_raw'])
     return ((_HOST, _first(environ, _HOST)), *headers)
 
 
--- a/laburnumwood/routing/headers.py
+++ b/laburnumwood/routing/headers.py
@@ -39,7 +39,7 @@
     return tuple(each for _, each in _forwarded(headers, _HOP_BY_HOP))
 
 
-def request_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
+def forwarded_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
     """Return the headers of a caller's request that its worker gets.
 
     Names and duplicates are kept; what only the router may say is dropped.
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -13,7 +13,7 @@
 from laburnumwood.errors import LaburnumwoodError
 from laburnumwood.placement.sharding import place_key
 from laburnumwood.protocol.messages import Work
-from laburnumwood.routing.headers import header_values, request_headers
+from laburnumwood.routing.headers import forwarded_headers, header_values
 from laburnumwood.routing.problems import failure
 
 Environ = dict[str, Any]
@@ -175,7 +175,7 @@
         key=key,
         method=environ['REQUEST_METHOD'],
         target=_target(environ),
-        headers=request_headers(environ['headers_raw']),
+        headers=forwarded_headers(environ['headers_raw']),
         body_length=len(body),
         deadline_ms=deadline_ms,
         idempotent=environ['REQUEST_METHOD'] in service.idempotent_methods,
