--- a/laburnumwood/routing/caller_request.py
+++ b/laburnumwood/routing/caller_request.py
@@ -4,7 +4,9 @@
 
 from laburnumwood.protocol.messages import Work
 
-ANY_NUMBER = 1_000  # of workers: the deadline and the retry budget bound it
+UNLIMITED_ATTEMPTS = (
+    1_000  # of workers: the deadline and the retry budget bound it
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,4 +15,4 @@
 
     work: Work
     body: bytes
-    attempts: int = ANY_NUMBER
+    attempts: int = UNLIMITED_ATTEMPTS
