--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -10,7 +10,7 @@
 from laburnumwood.protocol.messages import Answer, Failure, Work
 from laburnumwood.routing.caller_interface import HeaderList, ProblemAnswer
 from laburnumwood.routing.caller_protocol import HEADERS_KEY
-from laburnumwood.routing.caller_request import Inquiry
+from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.headers import end_to_end_headers, forwarded_headers
 from laburnumwood.routing.problems import PROBLEMS, status_line
 from laburnumwood.routing.request_parsing import (
@@ -84,7 +84,7 @@
 
     def read_request(
         self, environ: Environ, declared: Declarations, request_id: str
-    ) -> Inquiry:
+    ) -> CallerRequest:
         """Return a request; raises `RequestRefusedError`."""
         if not declared.routes:
             raise RequestRefusedError('not-ready', 'no configuration is known')
@@ -111,7 +111,7 @@
             priority=route.priority,
             objective_ms=route.objective_ms,
         )
-        return Inquiry(work, body, route.attempts)
+        return CallerRequest(work, body, route.attempts)
 
     def problem_answer(self, told: Failure, request_id: str) -> ProblemAnswer:
         """Return the answer that says why a request has none."""
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -5,7 +5,7 @@
 
 from laburnumwood.config.declarations import Declarations
 from laburnumwood.protocol.messages import Answer, Failure
-from laburnumwood.routing.caller_request import Inquiry
+from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.headers import end_to_end_headers
 from laburnumwood.routing.problems import (
     PROBLEMS,
@@ -40,7 +40,7 @@
 
     def read_request(
         self, environ: Environ, declared: Declarations, request_id: str
-    ) -> Inquiry:
+    ) -> CallerRequest:
         """Return a request; raises `RequestRefusedError`."""
 
     def problem_answer(self, told: Failure, request_id: str) -> ProblemAnswer:
@@ -59,10 +59,10 @@
 
     def read_request(
         self, environ: Environ, declared: Declarations, request_id: str
-    ) -> Inquiry:
+    ) -> CallerRequest:
         """Return a request; raises `RequestRefusedError`."""
         work, body = read_request(environ, declared.services, request_id)
-        return Inquiry(work, body)
+        return CallerRequest(work, body)
 
     def problem_answer(self, told: Failure, request_id: str) -> ProblemAnswer:
         """Return the answer that says why a request has none."""
--- a/laburnumwood/routing/caller_request.py
+++ b/laburnumwood/routing/caller_request.py
@@ -10,7 +10,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Inquiry:
+class CallerRequest:
     """A request, its whole body, and to how many workers it may be sent."""
 
     work: Work
--- a/laburnumwood/routing/retry_policy.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -7,7 +7,7 @@
 from laburnumwood.events import REQUEST_AGAIN, REQUEST_FAILED
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.caller_request import Inquiry
+from laburnumwood.routing.caller_request import CallerRequest
 
 PATIENCE_MS = 3_000  # how long a request waits for an owner at the most
 _MOVE_PATIENCE_MS = 250  # for a live owner to hand a shard over
@@ -32,7 +32,7 @@
 
     def __init__(
         self,
-        inquiry: Inquiry,
+        inquiry: CallerRequest,
         budget: RetryBudget,
         clock: Clock,
         patience_ms: int = PATIENCE_MS,
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -23,7 +23,7 @@
 from laburnumwood.protocol.peers import Peers
 from laburnumwood.records import NodeName, ShardName
 from laburnumwood.routing.caller import Caller
-from laburnumwood.routing.caller_request import Inquiry
+from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.exchange import (
     MAX_INLINE_BODY_BYTES,
     OutgoingExchange,
@@ -157,7 +157,7 @@
         exchange.send(End(len(body)))
 
 
-def _with_short_body(inquiry: Inquiry) -> Work:
+def _with_short_body(inquiry: CallerRequest) -> Work:
     """Return a request that carries its body if that is short."""
     if inquiry.body and len(inquiry.body) <= MAX_INLINE_BODY_BYTES:
         return replace(inquiry.work, body=inquiry.body)
@@ -187,7 +187,7 @@
         self._budgets = budgets
         self._clock = clock
 
-    def send(self, inquiry: Inquiry, caller: Caller) -> Reply | Failure:
+    def send(self, inquiry: CallerRequest, caller: Caller) -> Reply | Failure:
         """Return the answer to a request, or why there is none.
 
         A request that proved not to have run waits a while for an owner; one
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -29,7 +29,7 @@
 from laburnumwood.routing.caller import Caller, CallerMonitor
 from laburnumwood.routing.caller_interface import NativeCallerInterface
 from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY
-from laburnumwood.routing.caller_request import Inquiry
+from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.ingress import Ingress
 from laburnumwood.routing.request_balancer import Spread
@@ -76,7 +76,7 @@
     def __init__(self, *headers: tuple[str, str]) -> None:
         self._headers = headers
 
-    def send(self, _inquiry: Inquiry, _caller: Caller) -> Reply:
+    def send(self, _inquiry: CallerRequest, _caller: Caller) -> Reply:
         near, far = local_pair()
         clock = Clock()
         reply = Reply(
@@ -186,7 +186,9 @@
 @when('a request is sent through it')
 def route_request(context: Context) -> None:
     work = Work(ID, 'plain', -1, '', 'GET', '/x', (), 0, DEADLINE_MS, True, '')
-    context.outcome = context.router.send(Inquiry(work, b''), context.gone)
+    context.outcome = context.router.send(
+        CallerRequest(work, b''), context.gone
+    )
 
 
 @then('nothing went over that link')
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -27,7 +27,7 @@
     ShardRecord,
     StoredObject,
 )
-from laburnumwood.routing.caller_request import Inquiry
+from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.exchange import local_pair
 from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import Router
@@ -243,7 +243,7 @@
         PLAIN_WORK, service=SERVICE, shard=number, key='7', idempotent=True
     )
     began_ms = clock.now_ms()
-    context.reply = router.send(Inquiry(work, b'', 3), caller)
+    context.reply = router.send(CallerRequest(work, b'', 3), caller)
     context.took_ms = clock.now_ms() - began_ms
 
 
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -23,7 +23,7 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.caller import CallerMonitor
-from laburnumwood.routing.caller_request import Inquiry
+from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.exchange import (
     Exchange,
     ExchangeWrapper,
@@ -193,7 +193,7 @@
         """Send a request of the caller."""
         work = replace(PLAIN_WORK, shard=-1, idempotent=True)
         with Timeout(LIMIT_S):
-            return self._router.send(Inquiry(work, b'', 3), self.caller)
+            return self._router.send(CallerRequest(work, b'', 3), self.caller)
 
     def serve(self, exchange: Exchange, work: Work) -> None:
         """Turn a request away, in the place of a gate."""
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -17,7 +17,7 @@
 from laburnumwood.placement.loads import LoadBook
 from laburnumwood.protocol.messages import Work
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.caller_request import Inquiry
+from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.exchange import OutgoingExchange, local_pair
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.request_balancer import Spread
@@ -95,7 +95,7 @@
     budgets = RetryBudgets(1, clock)
     shard = 3 if divided == 'divided' else -1
     work = _work(idempotent=kind == 'idempotent', shard=shard)
-    inquiry = Inquiry(work, b'', most)
+    inquiry = CallerRequest(work, b'', most)
     context.tries = Tries(inquiry, budgets.of('s'), clock)
 
 
@@ -182,7 +182,7 @@
 
 @when('a request comes that any of them may answer')
 def send_to_full(context: Context) -> None:
-    inquiry = Inquiry(_work(idempotent=True, shard=-1), b'')
+    inquiry = CallerRequest(_work(idempotent=True, shard=-1), b'')
     caller: Any = StayingCaller()
     context.reply = context.router.send(inquiry, caller)
 
