Rename private names of ledger.py

_known_epochs to _complete_epochs _unknown_since_ms to _incomplete_since_ms _has_outlived to _has_passed_retention _drop_old to _evict_expired _is_old to _is_expired _take_one to _merge_entry _told to _to_message _put to _store _last_attempt to _latest_attempt

--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -57,10 +57,10 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._shards: dict[ShardName, dict[str, _Entry]] = {}
-        self._known_epochs: dict[ShardName, int] = {}
+        self._complete_epochs: dict[ShardName, int] = {}
         self._handovers: dict[ShardName, tuple[int, str]] = {}
-        self._unknown_since_ms: dict[ShardName, int] = {}
-        self._last_attempt = 0
+        self._incomplete_since_ms: dict[ShardName, int] = {}
+        self._latest_attempt = 0
         self._count = 0
 
     def begin(
@@ -74,14 +74,14 @@
             return Verdict.PAST_UNKNOWN
         if not self._has_room():
             return Verdict.FULL
-        self._last_attempt += 1
+        self._latest_attempt += 1
         now_ms = self._clock.now_ms()
-        self._put(
+        self._store(
             shard,
             key,
             _Entry(
                 fingerprint,
-                self._last_attempt,
+                self._latest_attempt,
                 RunState.NOTED,
                 now_ms,
                 is_running=True,
@@ -110,26 +110,28 @@
 
     def entry(self, shard: ShardName, key: str) -> LedgerEntry:
         """Return the entry of a request as it is told to other nodes."""
-        return self._told(key, self._shards[shard][key])
+        return self._to_message(key, self._shards[shard][key])
 
     def entries(self, shard: ShardName) -> tuple[LedgerEntry, ...]:
         """Return all entries of a shard as they are told to other nodes."""
-        self._drop_old(shard)
+        self._evict_expired(shard)
         known = self._shards.get(shard, {})
-        return tuple(self._told(key, entry) for key, entry in known.items())
+        return tuple(
+            self._to_message(key, entry) for key, entry in known.items()
+        )
 
     def take(self, shard: ShardName, entries: Iterable[LedgerEntry]) -> bool:
         """Take in entries of another node; tell whether there was room."""
         for told in entries:
             if not self._has_room():
                 return False
-            self._take_one(shard, told)
+            self._merge_entry(shard, told)
         return True
 
     def take_whole(self, shard: ShardName, epoch: int) -> None:
         """Note that all entries of the owner under an epoch are here."""
-        known = self._known_epochs.get(shard, 0)
-        self._known_epochs[shard] = max(known, epoch)
+        known = self._complete_epochs.get(shard, 0)
+        self._complete_epochs[shard] = max(known, epoch)
 
     def take_handover(self, shard: ShardName, epoch: int, sender: str) -> None:
         """Note that an owner handed all entries over before it moves."""
@@ -144,7 +146,7 @@
         before = record.epoch - 1
         writer = record.mark.writer if record.mark else ''
         handed = self._handovers.get(shard) == (before, writer)
-        if handed or self._known_epochs.get(shard, 0) >= before:
+        if handed or self._complete_epochs.get(shard, 0) >= before:
             self.take_whole(shard, record.epoch)
             return True
         return False
@@ -153,19 +155,19 @@
         """Tell whether the owner under a record has all earlier entries."""
         if self.follow(shard, record):
             return True
-        if self._has_outlived(shard):
+        if self._has_passed_retention(shard):
             self.take_whole(shard, record.epoch)
             return True
         return False
 
-    def _has_outlived(self, shard: ShardName) -> bool:
+    def _has_passed_retention(self, shard: ShardName) -> bool:
         now_ms = self._clock.now_ms()
-        since_ms = self._unknown_since_ms.setdefault(shard, now_ms)
+        since_ms = self._incomplete_since_ms.setdefault(shard, now_ms)
         return now_ms - since_ms >= RETENTION_MS
 
     def _find(self, shard: ShardName, key: str) -> _Entry | None:
         entry = self._shards.get(shard, {}).get(key)
-        if entry is None or not self._is_old(entry):
+        if entry is None or not self._is_expired(entry):
             return entry
         self.forget(shard, key)
         return None
@@ -173,26 +175,26 @@
     def _has_room(self) -> bool:
         if self._count >= CAPACITY:
             for shard in tuple(self._shards):
-                self._drop_old(shard)
+                self._evict_expired(shard)
         return self._count < CAPACITY
 
-    def _drop_old(self, shard: ShardName) -> None:
+    def _evict_expired(self, shard: ShardName) -> None:
         known = self._shards.get(shard, {})
-        old = [key for key, entry in known.items() if self._is_old(entry)]
+        old = [key for key, entry in known.items() if self._is_expired(entry)]
         for key in old:
             self.forget(shard, key)
 
-    def _is_old(self, entry: _Entry) -> bool:
+    def _is_expired(self, entry: _Entry) -> bool:
         age_ms = self._clock.now_ms() - entry.noted_ms
         return age_ms >= RETENTION_MS and not entry.is_running
 
-    def _put(self, shard: ShardName, key: str, entry: _Entry) -> None:
+    def _store(self, shard: ShardName, key: str, entry: _Entry) -> None:
         known = self._shards.setdefault(shard, {})
         self._count += key not in known
         known[key] = entry
 
-    def _take_one(self, shard: ShardName, told: LedgerEntry) -> None:
-        self._last_attempt = max(self._last_attempt, told.attempt)
+    def _merge_entry(self, shard: ShardName, told: LedgerEntry) -> None:
+        self._latest_attempt = max(self._latest_attempt, told.attempt)
         known = self._shards.get(shard, {}).get(told.key)
         state = RunState[told.state]
         if known is not None and (known.attempt, known.state) > (
@@ -212,9 +214,9 @@
             told.head,
             told.body,
         )
-        self._put(shard, told.key, entry)
+        self._store(shard, told.key, entry)
 
-    def _told(self, key: str, entry: _Entry) -> LedgerEntry:
+    def _to_message(self, key: str, entry: _Entry) -> LedgerEntry:
         return LedgerEntry(
             key,
             entry.fingerprint,
