--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -9,7 +9,7 @@
 from laburnumwood.records import ShardName, ShardRecord
 
 RETENTION_MS = 600_000  # how long a resend is recognized
-CAPACITY = 50_000  # entries of a node
+MAX_ENTRIES = 50_000  # entries of a node
 LONGEST_BODY = 4_096  # bytes of an answer that is kept
 
 
@@ -173,10 +173,10 @@
         return None
 
     def _has_room(self) -> bool:
-        if self._count >= CAPACITY:
+        if self._count >= MAX_ENTRIES:
             for shard in tuple(self._shards):
                 self._evict_expired(shard)
-        return self._count < CAPACITY
+        return self._count < MAX_ENTRIES
 
     def _evict_expired(self, shard: ShardName) -> None:
         known = self._shards.get(shard, {})
