--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -5,7 +5,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.protocol.messages import Answer, Chunk, End, Failure
 from laburnumwood.routing.exchange import Exchange
-from laburnumwood.routing.ledger import LONGEST_BODY
+from laburnumwood.routing.ledger import MAX_KEPT_BODY_BYTES
 from laburnumwood.routing.ledger_replication import Notary
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
@@ -60,7 +60,7 @@
             exchange.send(told)
             return Result(told=told)
         if may_act():
-            return self._runner.run(run, exchange, LONGEST_BODY)
+            return self._runner.run(run, exchange, MAX_KEPT_BODY_BYTES)
         detail = f'no lease to act for {run.work.service}/{run.work.shard}'
         told = failure('not-owner', detail, ran=False)
         exchange.send(told)
--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -10,7 +10,7 @@
 
 RETENTION_MS = 600_000  # how long a resend is recognized
 MAX_ENTRIES = 50_000  # entries of a node
-LONGEST_BODY = 4_096  # bytes of an answer that is kept
+MAX_KEPT_BODY_BYTES = 4_096  # bytes of an answer that is kept
 
 
 class RunState(IntEnum):
