--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -22,7 +22,7 @@
     FORGOTTEN = 3
 
 
-class Verdict(Enum):
+class LedgerDecision(Enum):
     """What the owner does with a request that has an idempotency key."""
 
     FRESH = 'it is noted now and may run'
@@ -65,15 +65,15 @@
 
     def begin(
         self, shard: ShardName, key: str, fingerprint: str, record: ShardRecord
-    ) -> Verdict:
+    ) -> LedgerDecision:
         """Decide on a request under the record that its owner acts under."""
         entry = self._find(shard, key)
         if entry is not None:
             return _verdict(entry, fingerprint)
         if not self.knows_past(shard, record):
-            return Verdict.PAST_UNKNOWN
+            return LedgerDecision.PAST_UNKNOWN
         if not self._has_room():
-            return Verdict.FULL
+            return LedgerDecision.FULL
         self._latest_attempt += 1
         now_ms = self._clock.now_ms()
         self._store(
@@ -87,7 +87,7 @@
                 is_running=True,
             ),
         )
-        return Verdict.FRESH
+        return LedgerDecision.FRESH
 
     def finish(
         self, shard: ShardName, key: str, head: Answer | None, body: bytes
@@ -228,11 +228,11 @@
         )
 
 
-def _verdict(entry: _Entry, fingerprint: str) -> Verdict:
+def _verdict(entry: _Entry, fingerprint: str) -> LedgerDecision:
     if entry.fingerprint != fingerprint:
-        return Verdict.MISMATCH
+        return LedgerDecision.MISMATCH
     if entry.is_running:
-        return Verdict.RUNNING
+        return LedgerDecision.RUNNING
     if entry.state is RunState.ANSWERED:
-        return Verdict.ANSWERED
-    return Verdict.RAN
+        return LedgerDecision.ANSWERED
+    return LedgerDecision.RAN
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -21,9 +21,9 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName, ShardName, ShardRecord
 from laburnumwood.routing.ledger import (
+    LedgerDecision,
     RunLedger,
     RunState,
-    Verdict,
 )
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
@@ -36,11 +36,19 @@
 _STOPPED = frozenset((499, 503, 504))  # answers of work that was broken off
 
 _REFUSALS = {
-    Verdict.RUNNING: failure('still-running', 'the first try', ran=True),
-    Verdict.RAN: failure('ran-before', 'its answer is not kept', ran=True),
-    Verdict.MISMATCH: failure('key-reused', 'by another request', ran=False),
-    Verdict.FULL: failure('overloaded', 'the run ledger is full', ran=False),
-    Verdict.PAST_UNKNOWN: failure('past-unknown', 'after a loss', ran=True),
+    LedgerDecision.RUNNING: failure('still-running', 'the first try', ran=True),
+    LedgerDecision.RAN: failure(
+        'ran-before', 'its answer is not kept', ran=True
+    ),
+    LedgerDecision.MISMATCH: failure(
+        'key-reused', 'by another request', ran=False
+    ),
+    LedgerDecision.FULL: failure(
+        'overloaded', 'the run ledger is full', ran=False
+    ),
+    LedgerDecision.PAST_UNKNOWN: failure(
+        'past-unknown', 'after a loss', ran=True
+    ),
 }
 
 
@@ -80,10 +88,10 @@
         if entry is None:
             return failure('not-owner', f'{shard} is not known', ran=False)
         verdict = self._ledger.begin(shard, key, run.fingerprint, entry.record)
-        if verdict is Verdict.ANSWERED:
+        if verdict is LedgerDecision.ANSWERED:
             head, body = self._ledger.answer(shard, key)
-            return (head, body) if head else _REFUSALS[Verdict.RAN]
-        if verdict is not Verdict.FRESH:
+            return (head, body) if head else _REFUSALS[LedgerDecision.RAN]
+        if verdict is not LedgerDecision.FRESH:
             return _REFUSALS[verdict]
         noted = (self._ledger.entry(shard, key),)
         if self._tell_successors(shard, entry.record, noted):
