--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -63,7 +63,7 @@
         self._latest_attempt = 0
         self._count = 0
 
-    def begin(
+    def admit(
         self, shard: ShardName, key: str, fingerprint: str, record: ShardRecord
     ) -> LedgerDecision:
         """Decide on a request under the record that its owner acts under."""
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -87,7 +87,7 @@
         entry = self._view.directory.shard(shard)
         if entry is None:
             return failure('not-owner', f'{shard} is not known', ran=False)
-        verdict = self._ledger.begin(shard, key, run.fingerprint, entry.record)
+        verdict = self._ledger.admit(shard, key, run.fingerprint, entry.record)
         if verdict is LedgerDecision.ANSWERED:
             head, body = self._ledger.answer(shard, key)
             return (head, body) if head else _REFUSALS[LedgerDecision.RAN]
