--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -89,7 +89,7 @@
         )
         return LedgerDecision.FRESH
 
-    def finish(
+    def record_result(
         self, shard: ShardName, key: str, head: Answer | None, body: bytes
     ) -> None:
         """Note that a request ran; with its answer if that is to be kept."""
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -106,7 +106,7 @@
             self._forget(shard, key)
             return
         head, body = _kept(outcome)
-        self._ledger.finish(shard, key, head, body)
+        self._ledger.record_result(shard, key, head, body)
         self._tell_later(shard, self._ledger.entry(shard, key))
 
     def hand_over(
