--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -98,7 +98,7 @@
         entry.state = RunState.RAN if head is None else RunState.ANSWERED
         entry.head, entry.body = head, body
 
-    def forget(self, shard: ShardName, key: str) -> None:
+    def remove(self, shard: ShardName, key: str) -> None:
         """Drop a request of which it is proved that it did not run."""
         if self._shards.get(shard, {}).pop(key, None) is not None:
             self._count -= 1
@@ -169,7 +169,7 @@
         entry = self._shards.get(shard, {}).get(key)
         if entry is None or not self._is_expired(entry):
             return entry
-        self.forget(shard, key)
+        self.remove(shard, key)
         return None
 
     def _has_room(self) -> bool:
@@ -182,7 +182,7 @@
         known = self._shards.get(shard, {})
         old = [key for key, entry in known.items() if self._is_expired(entry)]
         for key in old:
-            self.forget(shard, key)
+            self.remove(shard, key)
 
     def _is_expired(self, entry: _Entry) -> bool:
         age_ms = self._clock.now_ms() - entry.noted_ms
@@ -203,7 +203,7 @@
         ):
             return
         if state is RunState.FORGOTTEN:
-            self.forget(shard, told.key)
+            self.remove(shard, told.key)
             return
         noted_ms = self._clock.now_ms() - told.age_ms
         entry = _Entry(
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -203,7 +203,7 @@
 
     def _forget(self, shard: ShardName, key: str) -> None:
         entry = self._ledger.entry(shard, key)
-        self._ledger.forget(shard, key)
+        self._ledger.remove(shard, key)
         self._tell_later(shard, replace(entry, state=RunState.FORGOTTEN.name))
 
     def _tell_later(self, shard: ShardName, entry: LedgerEntry) -> None:
