--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -128,7 +128,7 @@
             self._merge_entry(shard, told)
         return True
 
-    def take_whole(self, shard: ShardName, epoch: int) -> None:
+    def record_complete(self, shard: ShardName, epoch: int) -> None:
         """Note that all entries of the owner under an epoch are here."""
         known = self._complete_epochs.get(shard, 0)
         self._complete_epochs[shard] = max(known, epoch)
@@ -147,7 +147,7 @@
         writer = record.mark.writer if record.mark else ''
         handed = self._handovers.get(shard) == (before, writer)
         if handed or self._complete_epochs.get(shard, 0) >= before:
-            self.take_whole(shard, record.epoch)
+            self.record_complete(shard, record.epoch)
             return True
         return False
 
@@ -156,7 +156,7 @@
         if self.follow(shard, record):
             return True
         if self._has_passed_retention(shard):
-            self.take_whole(shard, record.epoch)
+            self.record_complete(shard, record.epoch)
             return True
         return False
 
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -222,7 +222,7 @@
         if notes.whole and notes.handover:
             self._ledger.take_handover(shard, notes.epoch, str(link.peer))
         elif notes.whole:
-            self._ledger.take_whole(shard, notes.epoch)
+            self._ledger.record_complete(shard, notes.epoch)
         stream.send(Done())
 
 
