--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -133,7 +133,9 @@
         known = self._complete_epochs.get(shard, 0)
         self._complete_epochs[shard] = max(known, epoch)
 
-    def take_handover(self, shard: ShardName, epoch: int, sender: str) -> None:
+    def record_handover(
+        self, shard: ShardName, epoch: int, sender: str
+    ) -> None:
         """Note that an owner handed all entries over before it moves."""
         self._handovers[shard] = (epoch, sender)
 
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -220,7 +220,7 @@
             stream.send(failure('overloaded', 'the ledger is full', ran=False))
             return
         if notes.whole and notes.handover:
-            self._ledger.take_handover(shard, notes.epoch, str(link.peer))
+            self._ledger.record_handover(shard, notes.epoch, str(link.peer))
         elif notes.whole:
             self._ledger.record_complete(shard, notes.epoch)
         stream.send(Done())
