--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -120,7 +120,7 @@
             self._to_message(key, entry) for key, entry in known.items()
         )
 
-    def take(self, shard: ShardName, entries: Iterable[LedgerEntry]) -> bool:
+    def merge(self, shard: ShardName, entries: Iterable[LedgerEntry]) -> bool:
         """Take in entries of another node; tell whether there was room."""
         for told in entries:
             if not self._has_room():
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -216,7 +216,7 @@
         self, link: Link, stream: Stream, notes: LedgerNotes
     ) -> None:
         shard = ShardName.parse(notes.shard)
-        if not self._ledger.take(shard, notes.entries):
+        if not self._ledger.merge(shard, notes.entries):
             stream.send(failure('overloaded', 'the ledger is full', ran=False))
             return
         if notes.whole and notes.handover:
