--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -139,7 +139,7 @@
         """Note that an owner handed all entries over before it moves."""
         self._handovers[shard] = (epoch, sender)
 
-    def follow(self, shard: ShardName, record: ShardRecord) -> bool:
+    def apply_record(self, shard: ShardName, record: ShardRecord) -> bool:
         """Take in a record that this node stands in.
 
         Tells whether the node has every entry, and then will have those of
@@ -155,7 +155,7 @@
 
     def knows_past(self, shard: ShardName, record: ShardRecord) -> bool:
         """Tell whether the owner under a record has all earlier entries."""
-        if self.follow(shard, record):
+        if self.apply_record(shard, record):
             return True
         if self._has_passed_retention(shard):
             self.record_complete(shard, record.epoch)
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -139,7 +139,7 @@
 
     def _follow(self, shard: ShardName, record: ShardRecord) -> None:
         if self._own in record.succession:
-            self._ledger.follow(shard, record)
+            self._ledger.apply_record(shard, record)
 
     def _successors(self, record: ShardRecord) -> list[NodeName]:
         return [
