--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -70,7 +70,7 @@
         entry = self._find(shard, key)
         if entry is not None:
             return _verdict(entry, fingerprint)
-        if not self.knows_past(shard, record):
+        if not self.has_full_history(shard, record):
             return LedgerDecision.PAST_UNKNOWN
         if not self._has_room():
             return LedgerDecision.FULL
@@ -153,7 +153,7 @@
             return True
         return False
 
-    def knows_past(self, shard: ShardName, record: ShardRecord) -> bool:
+    def has_full_history(self, shard: ShardName, record: ShardRecord) -> bool:
         """Tell whether the owner under a record has all earlier entries."""
         if self.apply_record(shard, record):
             return True
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -117,7 +117,9 @@
         Tells whether the next owner has them; the move must not go on else.
         """
         entry = self._view.directory.shard(shard)
-        if entry is None or not self._ledger.knows_past(shard, entry.record):
+        if entry is None or not self._ledger.has_full_history(
+            shard, entry.record
+        ):
             # Nobody may take what this node does not know for the whole.
             return entry is not None
         others = [name for name in succession if name != self._own]
@@ -133,7 +135,7 @@
         while True:
             for shard in self._holdings.tokens():
                 entry = self._view.directory.shard(shard)
-                if entry and self._ledger.knows_past(shard, entry.record):
+                if entry and self._ledger.has_full_history(shard, entry.record):
                     self._tell_successors(shard, entry.record, ())
             eventlet.sleep(_SYNC_MS / MS_PER_SECOND)
 
