--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -103,7 +103,9 @@
         if self._shards.get(shard, {}).pop(key, None) is not None:
             self._count -= 1
 
-    def answer(self, shard: ShardName, key: str) -> tuple[Answer | None, bytes]:
+    def kept_answer(
+        self, shard: ShardName, key: str
+    ) -> tuple[Answer | None, bytes]:
         """Return the answer that is kept for a request."""
         entry = self._shards[shard][key]
         return entry.head, entry.body
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -89,7 +89,7 @@
             return failure('not-owner', f'{shard} is not known', ran=False)
         verdict = self._ledger.admit(shard, key, run.fingerprint, entry.record)
         if verdict is LedgerDecision.ANSWERED:
-            head, body = self._ledger.answer(shard, key)
+            head, body = self._ledger.kept_answer(shard, key)
             return (head, body) if head else _REFUSALS[LedgerDecision.RAN]
         if verdict is not LedgerDecision.FRESH:
             return _REFUSALS[verdict]
