Rename private names of ledger_replication.py

_CALL_TIMEOUT_MS to _ACKNOWLEDGE_TIMEOUT_MS _SYNC_MS to _SYNC_INTERVAL_MS _BATCH to _ENTRIES_PER_MESSAGE _STOPPED to _ABORTED_STATUSES _REFUSALS to _FAILURES _shard to _shard_of _synced to _synced_epochs _follow to _apply_record _tell_successors to _replicate _tell_later to _replicate_later _tell to _replicate_to _send_whole to _send_all_entries _forget to _remove _serve_notes to _handle_entries _kept to _answer_to_keep

--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -30,12 +30,14 @@
 from laburnumwood.routing.runner import Result
 from laburnumwood.tasks import begin, start
 
-_CALL_TIMEOUT_MS = 500
-_SYNC_MS = 200
-_BATCH = 200  # entries in one message
-_STOPPED = frozenset((499, 503, 504))  # answers of work that was broken off
-
-_REFUSALS = {
+_ACKNOWLEDGE_TIMEOUT_MS = 500
+_SYNC_INTERVAL_MS = 200
+_ENTRIES_PER_MESSAGE = 200  # entries in one message
+_ABORTED_STATUSES = frozenset(
+    (499, 503, 504)
+)  # answers of work that was broken off
+
+_FAILURES = {
     LedgerDecision.RUNNING: failure('still-running', 'the first try', ran=True),
     LedgerDecision.RAN: failure(
         'ran-before', 'its answer is not kept', ran=True
@@ -52,7 +54,7 @@
 }
 
 
-def _shard(work: Work) -> ShardName:
+def _shard_of(work: Work) -> ShardName:
     return ShardName(work.service, work.shard)
 
 
@@ -77,37 +79,37 @@
         self._holdings = holdings
         self._ledger = RunLedger(clock)
         self._peers = peers
-        self._synced: dict[tuple[ShardName, NodeName], int] = {}
-        dispatcher.on(LedgerNotes)(self._serve_notes)
-        view.directory.on_shard_change = self._follow
+        self._synced_epochs: dict[tuple[ShardName, NodeName], int] = {}
+        dispatcher.on(LedgerNotes)(self._handle_entries)
+        view.directory.on_shard_change = self._apply_record
 
     def admit(self, run: Run) -> Failure | tuple[Answer, bytes] | None:
         """Note a request; return what to answer in place of running it."""
-        shard, key = _shard(run.work), run.work.idempotency_key
+        shard, key = _shard_of(run.work), run.work.idempotency_key
         entry = self._view.directory.shard(shard)
         if entry is None:
             return failure('not-owner', f'{shard} is not known', ran=False)
         verdict = self._ledger.admit(shard, key, run.fingerprint, entry.record)
         if verdict is LedgerDecision.ANSWERED:
             head, body = self._ledger.kept_answer(shard, key)
-            return (head, body) if head else _REFUSALS[LedgerDecision.RAN]
+            return (head, body) if head else _FAILURES[LedgerDecision.RAN]
         if verdict is not LedgerDecision.FRESH:
-            return _REFUSALS[verdict]
+            return _FAILURES[verdict]
         noted = (self._ledger.entry(shard, key),)
-        if self._tell_successors(shard, entry.record, noted):
+        if self._replicate(shard, entry.record, noted):
             return None
-        self._forget(shard, key)
+        self._remove(shard, key)
         return failure('no-successor', f'{shard}: not noted', ran=False)
 
     def settle(self, run: Run, outcome: Result | None) -> None:
         """Note how the run of an admitted request ended."""
-        shard, key = _shard(run.work), run.work.idempotency_key
+        shard, key = _shard_of(run.work), run.work.idempotency_key
         if outcome is not None and not outcome.ran:
-            self._forget(shard, key)
+            self._remove(shard, key)
             return
-        head, body = _kept(outcome)
+        head, body = _answer_to_keep(outcome)
         self._ledger.record_result(shard, key, head, body)
-        self._tell_later(shard, self._ledger.entry(shard, key))
+        self._replicate_later(shard, self._ledger.entry(shard, key))
 
     def hand_over(
         self, shard: ShardName, succession: tuple[NodeName, ...]
@@ -125,7 +127,8 @@
         others = [name for name in succession if name != self._own]
         epoch = entry.record.epoch
         calls = [
-            begin(self._send_whole, name, shard, epoch, True) for name in others
+            begin(self._send_all_entries, name, shard, epoch, True)
+            for name in others
         ]
         taken = [call.wait() for call in calls]
         return not taken or taken[0]
@@ -136,10 +139,10 @@
             for shard in self._holdings.tokens():
                 entry = self._view.directory.shard(shard)
                 if entry and self._ledger.has_full_history(shard, entry.record):
-                    self._tell_successors(shard, entry.record, ())
-            eventlet.sleep(_SYNC_MS / MS_PER_SECOND)
+                    self._replicate(shard, entry.record, ())
+            eventlet.sleep(_SYNC_INTERVAL_MS / MS_PER_SECOND)
 
-    def _follow(self, shard: ShardName, record: ShardRecord) -> None:
+    def _apply_record(self, shard: ShardName, record: ShardRecord) -> None:
         if self._own in record.succession:
             self._ledger.apply_record(shard, record)
 
@@ -150,31 +153,31 @@
             if name != self._own and not self._view.is_sealed(name)
         ]
 
-    def _tell_successors(
+    def _replicate(
         self,
         shard: ShardName,
         record: ShardRecord,
         entries: tuple[LedgerEntry, ...],
     ) -> bool:
         calls = [
-            begin(self._tell, name, shard, record.epoch, entries)
+            begin(self._replicate_to, name, shard, record.epoch, entries)
             for name in self._successors(record)
         ]
         # Each is waited for, whatever the others said.
         acknowledged = [call.wait() for call in calls]
         return all(acknowledged)
 
-    def _tell(
+    def _replicate_to(
         self,
         name: NodeName,
         shard: ShardName,
         epoch: int,
         entries: tuple[LedgerEntry, ...],
     ) -> bool:
-        if self._synced.get((shard, name)) != epoch:
-            if not self._send_whole(name, shard, epoch, False):
+        if self._synced_epochs.get((shard, name)) != epoch:
+            if not self._send_all_entries(name, shard, epoch, False):
                 return False
-            self._synced[(shard, name)] = epoch
+            self._synced_epochs[(shard, name)] = epoch
             return True
         if not entries:
             return True
@@ -182,13 +185,16 @@
             name, LedgerNotes(str(shard), epoch, entries, False, False)
         )
 
-    def _send_whole(
+    def _send_all_entries(
         self, name: NodeName, shard: ShardName, epoch: int, handover: bool
     ) -> bool:
         entries = self._ledger.entries(shard)
-        last = max(0, len(entries) - 1) // _BATCH
+        last = max(0, len(entries) - 1) // _ENTRIES_PER_MESSAGE
         for number in range(last + 1):
-            part = entries[number * _BATCH : (number + 1) * _BATCH]
+            part = entries[
+                number * _ENTRIES_PER_MESSAGE : (number + 1)
+                * _ENTRIES_PER_MESSAGE
+            ]
             notes = LedgerNotes(
                 str(shard), epoch, part, number == last, handover
             )
@@ -198,23 +204,25 @@
 
     def _send(self, name: NodeName, notes: LedgerNotes) -> bool:
         try:
-            reply = self._peers.call(name, notes, _CALL_TIMEOUT_MS)
+            reply = self._peers.call(name, notes, _ACKNOWLEDGE_TIMEOUT_MS)
         except LinkError:
             return False
         return isinstance(reply, Done)
 
-    def _forget(self, shard: ShardName, key: str) -> None:
+    def _remove(self, shard: ShardName, key: str) -> None:
         entry = self._ledger.entry(shard, key)
         self._ledger.remove(shard, key)
-        self._tell_later(shard, replace(entry, state=RunState.FORGOTTEN.name))
+        self._replicate_later(
+            shard, replace(entry, state=RunState.FORGOTTEN.name)
+        )
 
-    def _tell_later(self, shard: ShardName, entry: LedgerEntry) -> None:
+    def _replicate_later(self, shard: ShardName, entry: LedgerEntry) -> None:
         known = self._view.directory.shard(shard)
         for name in self._successors(known.record) if known else ():
             notes = LedgerNotes(str(shard), 0, (entry,), False, False)
             start(self._send, name, notes)
 
-    def _serve_notes(
+    def _handle_entries(
         self, link: Link, stream: Stream, notes: LedgerNotes
     ) -> None:
         shard = ShardName.parse(notes.shard)
@@ -228,10 +236,10 @@
         stream.send(Done())
 
 
-def _kept(outcome: Result | None) -> tuple[Answer | None, bytes]:
+def _answer_to_keep(outcome: Result | None) -> tuple[Answer | None, bytes]:
     whole = outcome is not None and outcome.told is None
     if not whole or outcome is None or outcome.head is None:
         return None, b''
-    if outcome.body is None or outcome.head.status in _STOPPED:
+    if outcome.body is None or outcome.head.status in _ABORTED_STATUSES:
         return None, b''
     return outcome.head, outcome.body
