--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -37,7 +37,7 @@
 from laburnumwood.records import NodeName
 from laburnumwood.routing.admission_gate import AdmissionGate, WorkerState
 from laburnumwood.routing.executor import Executor
-from laburnumwood.routing.ledger_replication import Notary
+from laburnumwood.routing.ledger_replication import LedgerReplicator
 from laburnumwood.routing.measured_ingress import MeasuredIngress
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.shared_quarantine import Suspicions
@@ -304,7 +304,7 @@
         self._account = CapacityAccount(
             self._settings, lambda: self.view.directory.declarations, clock
         )
-        self._notary = Notary(
+        self._notary = LedgerReplicator(
             self.name,
             self.view,
             self.holdings,
--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -6,7 +6,7 @@
 from laburnumwood.protocol.messages import Answer, Chunk, End, Failure
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.ledger import MAX_KEPT_BODY_BYTES
-from laburnumwood.routing.ledger_replication import Notary
+from laburnumwood.routing.ledger_replication import LedgerReplicator
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import Result, Runner
@@ -27,7 +27,7 @@
         self,
         worker: Worker,
         dialect: WorkerInterface,
-        notary: Notary,
+        notary: LedgerReplicator,
         suspicions: Suspicions,
         clock: Clock,
     ) -> None:
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -58,7 +58,7 @@
     return ShardName(work.service, work.shard)
 
 
-class Notary:
+class LedgerReplicator:
     """Lets a request with an idempotency key run once.
 
     The worker gets it only after every successor that is not sealed has
