--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -73,7 +73,7 @@
         try:
             outcome = self._run(exchange, run, may_act)
         finally:
-            self._notary.settle(run, outcome)
+            self._notary.record_outcome(run, outcome)
 
 
 def _replay(exchange: Exchange, head: Answer, body: bytes) -> None:
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -101,7 +101,7 @@
         self._remove(shard, key)
         return failure('no-successor', f'{shard}: not noted', ran=False)
 
-    def settle(self, run: Run, outcome: Result | None) -> None:
+    def record_outcome(self, run: Run, outcome: Result | None) -> None:
         """Note how the run of an admitted request ended."""
         shard, key = _shard_of(run.work), run.work.idempotency_key
         if outcome is not None and not outcome.ran:
