--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -398,7 +398,7 @@
 def tell_load(context: Context) -> None:
     context.log = TestHandler()
     with context.log.applicationbound():
-        context.gate.tell_load()
+        context.gate.report_load()
 
 
 @then(
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -203,11 +203,11 @@
 
     is_gone = False
 
-    def look(self) -> bool:
+    def poll(self) -> bool:
         """Tell that it has not left."""
         return False
 
-    def when_gone(self, act: Callable[[], None]) -> None:
+    def set_gone_handler(self, act: Callable[[], None]) -> None:
         """Do nothing: it does not leave."""
 
 
--- a/tests/features/steps/ledger_steps.py
+++ b/tests/features/steps/ledger_steps.py
@@ -29,45 +29,45 @@
 @when('"{sender}" sends all it has to "{taker}" under {epoch:d}')
 def send_all(context: Context, sender: str, taker: str, epoch: int) -> None:
     entries = context.ledgers[sender].entries(SHARD)
-    assert context.ledgers[taker].take(SHARD, entries)
-    context.ledgers[taker].take_whole(SHARD, epoch)
+    assert context.ledgers[taker].merge(SHARD, entries)
+    context.ledgers[taker].record_complete(SHARD, epoch)
 
 
 @given('"{sender}" hands all it has over to "{taker}" under {epoch:d}')
 def hand_over(context: Context, sender: str, taker: str, epoch: int) -> None:
-    context.ledgers[taker].take_handover(SHARD, epoch, sender)
+    context.ledgers[taker].record_handover(SHARD, epoch, sender)
 
 
 @given('"{name}" has noted {count:d} requests')
 def note_many(context: Context, name: str, count: int) -> None:
     ledger = context.ledgers[name]
     for number in range(count):
-        ledger.begin(SHARD, str(number), 'x', context.record)
-        ledger.finish(SHARD, str(number), None, b'')
+        ledger.admit(SHARD, str(number), 'x', context.record)
+        ledger.record_result(SHARD, str(number), None, b'')
 
 
 @when('"{name}" begins "{key}" as "{fingerprint}"')
 def begin(context: Context, name: str, key: str, fingerprint: str) -> None:
     ledger = context.ledgers[name]
-    context.verdict = ledger.begin(SHARD, key, fingerprint, context.record)
+    context.verdict = ledger.admit(SHARD, key, fingerprint, context.record)
 
 
 @when('"{name}" finishes "{key}" with status {status:d}')
 def finish(context: Context, name: str, key: str, status: int) -> None:
-    context.ledgers[name].finish(SHARD, key, Answer(status, ()), b'body')
+    context.ledgers[name].record_result(SHARD, key, Answer(status, ()), b'body')
 
 
 @when('"{name}" forgets "{key}" but the news is late')
 def forget(context: Context, name: str, key: str) -> None:
     ledger = context.ledgers[name]
     entry = ledger.entry(SHARD, key)
-    ledger.forget(SHARD, key)
+    ledger.remove(SHARD, key)
     context.late = replace(entry, state=RunState.FORGOTTEN.name)
 
 
 @when('the late news reaches "{name}"')
 def deliver_late(context: Context, name: str) -> None:
-    context.ledgers[name].take(SHARD, (context.late,))
+    context.ledgers[name].merge(SHARD, (context.late,))
 
 
 @then('the verdict is {verdict}')
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -154,11 +154,11 @@
 
     is_gone = False
 
-    def look(self) -> bool:
+    def poll(self) -> bool:
         """Tell that it is there."""
         return self.is_gone
 
-    def when_gone(self, act: Any) -> None:
+    def set_gone_handler(self, act: Any) -> None:
         """Do nothing: it does not go."""
 
 
