Rename private names of observed_exchange.py

_SHEDDING to _OVERLOAD_STATUSES _RESULT_OF to _RESULT_BY_KIND _LENGTHS_HALF_LIFE_MS to _LENGTH_HALF_LIFE_MS _lengths to _mean_lengths _note to _record_answer _when_whole to _on_whole_answer

--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -11,8 +11,8 @@
 from laburnumwood.protocol.outlet import LONG, Outlet
 from laburnumwood.routing.exchange import Exchange, ExchangeWrapper
 
-_SHEDDING = frozenset((429, 503))
-_RESULT_OF = {
+_OVERLOAD_STATUSES = frozenset((429, 503))
+_RESULT_BY_KIND = {
     'refused': Result.REFUSED,
     'rejected': Result.REJECTED,
     'worker-cut': Result.LOST,
@@ -20,7 +20,7 @@
 }
 
 
-_LENGTHS_HALF_LIFE_MS = 5_000
+_LENGTH_HALF_LIFE_MS = 5_000
 
 
 class LongAnswers:
@@ -28,17 +28,17 @@
 
     def __init__(self, outlet: Outlet, clock: Clock) -> None:
         self._outlet = outlet
-        self._lengths: dict[int, DecayingMean] = defaultdict(
-            lambda: DecayingMean(_LENGTHS_HALF_LIFE_MS, clock)
+        self._mean_lengths: dict[int, DecayingMean] = defaultdict(
+            lambda: DecayingMean(_LENGTH_HALF_LIFE_MS, clock)
         )
 
     def note(self, rank: int, length: int) -> None:
         """Take in how long an answer was."""
-        self._lengths[rank].note(length)
+        self._mean_lengths[rank].note(length)
 
     def wait_ms(self, rank: int) -> int:
         """Return how long an answer would wait, if it is a long one."""
-        if self._lengths[rank].mean < LONG:
+        if self._mean_lengths[rank].mean < LONG:
             return 0
         return round(self._outlet.waiting_ms)
 
@@ -58,7 +58,7 @@
         when_whole: Callable[[int], None],
     ) -> None:
         super().__init__(exchange)
-        self._when_whole = when_whole
+        self._on_whole_answer = when_whole
         self._ticket = ticket
         self._clock = clock
         self.told: Failure | None = None
@@ -66,18 +66,18 @@
     def send(self, message: Any) -> None:
         """Send a message; raises `LinkLostError`."""
         if isinstance(message, Answer):
-            self._note(message)
+            self._record_answer(message)
             if isinstance(message, WholeAnswer):
                 # The worker is done with it.
-                self._when_whole(len(message.body))
+                self._on_whole_answer(len(message.body))
         elif isinstance(message, Failure):
             self.told = message
-            result = _RESULT_OF.get(message.kind)
+            result = _RESULT_BY_KIND.get(message.kind)
             self._ticket.result = result or self._ticket.result
         super().send(message)
 
-    def _note(self, answer: Answer) -> None:
-        if answer.status in _SHEDDING:
+    def _record_answer(self, answer: Answer) -> None:
+        if answer.status in _OVERLOAD_STATUSES:
             self._ticket.result = Result.REFUSED
         else:
             self._ticket.answer(self._clock.now_ms())
