--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -35,7 +35,10 @@
 from laburnumwood.records import ShardName, ShardRecord
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.executor import ExecutionCheck, Executor
-from laburnumwood.routing.observed_exchange import LongAnswers, ObservedExchange
+from laburnumwood.routing.observed_exchange import (
+    LongAnswerDelays,
+    ObservedExchange,
+)
 from laburnumwood.routing.priorities import line_of, useful_until_ms
 from laburnumwood.routing.problems import failure, overloaded
 from laburnumwood.routing.run import Run
@@ -139,7 +142,7 @@
             ),
             clock,
         )
-        self._answer_delays = LongAnswers(OUTLET, clock)
+        self._answer_delays = LongAnswerDelays(OUTLET, clock)
         self._is_closed = False
 
     @property
--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -23,7 +23,7 @@
 _LENGTH_HALF_LIFE_MS = 5_000
 
 
-class LongAnswers:
+class LongAnswerDelays:
     """How long the answers to requests of a rank wait for their turn."""
 
     def __init__(self, outlet: Outlet, clock: Clock) -> None:
--- a/tests/features/steps/outlet_steps.py
+++ b/tests/features/steps/outlet_steps.py
@@ -19,7 +19,7 @@
 from laburnumwood.protocol.peers import Dispatcher
 from laburnumwood.records import NodeName
 from laburnumwood.routing.exchange import Exchange, local_pair
-from laburnumwood.routing.observed_exchange import LongAnswers
+from laburnumwood.routing.observed_exchange import LongAnswerDelays
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.gate_steps import make_gate_with
 from tests.features.steps.plain_work import PLAIN_WORK
@@ -102,7 +102,7 @@
 def note_lengths(
     context: Context, rank: int, length: int, other: int, short: int
 ) -> None:
-    context.answers = LongAnswers(context.outlet, context.clock)
+    context.answers = LongAnswerDelays(context.outlet, context.clock)
     context.answers.note(rank, length)
     context.answers.note(other, short)
 
