--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -306,7 +306,7 @@
 
     def _release_slot(self, ticket: Ticket, rank: int, length: int) -> None:
         """Give the slot of a request back whose whole answer is here."""
-        self._answer_delays.note(rank, length)
+        self._answer_delays.record(rank, length)
         self._admitter.give_back(ticket)
 
     def _serve_admitted(
--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -32,7 +32,7 @@
             lambda: DecayingMean(_LENGTH_HALF_LIFE_MS, clock)
         )
 
-    def note(self, rank: int, length: int) -> None:
+    def record(self, rank: int, length: int) -> None:
         """Take in how long an answer was."""
         self._mean_lengths[rank].note(length)
 
