--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -275,7 +275,7 @@
     ) -> None:
         work = run.work
         service = self._services().get(work.service)
-        line_ms = self._answer_delays.wait_ms(work.priority)
+        line_ms = self._answer_delays.expected_wait_ms(work.priority)
         useful_ms = useful_until_ms(work, self._clock.now_ms(), run.until_ms)
         useful_ms -= line_ms
         line = line_of(work, service)
--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -36,7 +36,7 @@
         """Take in how long an answer was."""
         self._mean_lengths[rank].note(length)
 
-    def wait_ms(self, rank: int) -> int:
+    def expected_wait_ms(self, rank: int) -> int:
         """Return how long an answer would wait, if it is a long one."""
         if self._mean_lengths[rank].mean < LONG:
             return 0
