--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -291,8 +291,8 @@
                     partial(self._release_slot, ticket, work.priority),
                 )
                 self._serve_admitted(observed, run, may_act)
-            if observed.told is not None:
-                self._report_returned(work, observed.told)
+            if observed.failure is not None:
+                self._report_returned(work, observed.failure)
         except RunCancelledError:
             self._report_cancelled(work)
         except OverloadedError as shed:
--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -61,7 +61,7 @@
         self._on_whole_answer = when_whole
         self._ticket = ticket
         self._clock = clock
-        self.told: Failure | None = None
+        self.failure: Failure | None = None
 
     def send(self, message: Any) -> None:
         """Send a message; raises `LinkLostError`."""
@@ -71,7 +71,7 @@
                 # The worker is done with it.
                 self._on_whole_answer(len(message.body))
         elif isinstance(message, Failure):
-            self.told = message
+            self.failure = message
             result = _RESULT_BY_KIND.get(message.kind)
             self._ticket.result = result or self._ticket.result
         super().send(message)
