--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -39,7 +39,7 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.caller_interface import send_problem
-from laburnumwood.routing.problems import StartResponse, failure
+from laburnumwood.routing.problems import StartResponse, make_failure
 from laburnumwood.routing.server import Listening, close_after
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.breaker import GuardedStore
@@ -173,7 +173,9 @@
         if self._is_stopping:
             close_after(environ)
         if self._incarnation is None:
-            refusal = failure('not-ready', 'this node is joining', ran=False)
+            refusal = make_failure(
+                'not-ready', 'this node is joining', ran=False
+            )
             request_id = self._face.request_id(environ)
             return send_problem(
                 self._face.problem_answer(refusal, request_id), start_response
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -40,7 +40,7 @@
     ObservedExchange,
 )
 from laburnumwood.routing.priorities import line_of, useful_until_ms
-from laburnumwood.routing.problems import failure, overloaded
+from laburnumwood.routing.problems import make_failure, overloaded
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.shard_release import StayingExchange
 from laburnumwood.settings import DaemonSettings
@@ -196,7 +196,7 @@
                     path=work.target,
                     trace=format_exc(),
                 )
-                exchange.send(failure('fault', repr(fault), ran=True))
+                exchange.send(make_failure('fault', repr(fault), ran=True))
 
     def _report_cancelled(self, work: Work) -> None:
         RUN_CANCELLED.report(
@@ -231,7 +231,7 @@
         until_ms = self._clock.now_ms() + work.deadline_ms
         if self._is_closed:
             detail = f'{self._settings.node_id} is about to end'
-            told = failure('not-owner', detail, ran=False)
+            told = make_failure('not-owner', detail, ran=False)
             self._return_request(exchange, work, told)
             return
         if work.shard < 0:
@@ -248,7 +248,7 @@
         if stay is None:
             self._send_shard_records(exchange, work)
             detail = f'{self._settings.node_id} does not own {shard}'
-            told = failure('not-owner', detail, ran=False)
+            told = make_failure('not-owner', detail, ran=False)
             self._return_request(exchange, work, told)
             return
         try:
@@ -316,7 +316,7 @@
             self._executor.execute(exchange, run, may_act)
             return
         detail = f'the worker of {self._settings.node_id} takes no work'
-        exchange.send(failure('not-owner', detail, ran=False))
+        exchange.send(make_failure('not-owner', detail, ran=False))
 
     def _is_key_in_shard(self, work: Work) -> bool:
         """Tell whether a key was not split off the shard it was sent to."""
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -29,7 +29,7 @@
 )
 from laburnumwood.routing.problems import (
     PROBLEMS,
-    failure,
+    make_failure,
     problem_body,
     problem_headers,
     status_line,
@@ -290,7 +290,7 @@
         return line
 
     def _refuse(self, kind: str, detail: str) -> bool:
-        told = failure(kind, detail, ran=False)
+        told = make_failure(kind, detail, ran=False)
         content = problem_body(told, '')
         status = status_line(PROBLEMS[kind].status)
         fields = [*problem_headers(told, len(content)), ('Connection', 'close')]
--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -7,7 +7,7 @@
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.ledger import MAX_KEPT_BODY_BYTES
 from laburnumwood.routing.ledger_replication import LedgerReplicator
-from laburnumwood.routing.problems import failure
+from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import Result, Runner
 from laburnumwood.routing.shared_quarantine import Suspicions
@@ -62,7 +62,7 @@
         if may_act():
             return self._runner.run(run, exchange, MAX_KEPT_BODY_BYTES)
         detail = f'no lease to act for {run.work.service}/{run.work.shard}'
-        told = failure('not-owner', detail, ran=False)
+        told = make_failure('not-owner', detail, ran=False)
         exchange.send(told)
         return Result(told=told)
 
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -25,7 +25,7 @@
     RunLedger,
     RunState,
 )
-from laburnumwood.routing.problems import failure
+from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import Result
 from laburnumwood.tasks import begin, start
@@ -38,17 +38,19 @@
 )  # answers of work that was broken off
 
 _FAILURES = {
-    LedgerDecision.RUNNING: failure('still-running', 'the first try', ran=True),
-    LedgerDecision.RAN: failure(
+    LedgerDecision.RUNNING: make_failure(
+        'still-running', 'the first try', ran=True
+    ),
+    LedgerDecision.RAN: make_failure(
         'ran-before', 'its answer is not kept', ran=True
     ),
-    LedgerDecision.MISMATCH: failure(
+    LedgerDecision.MISMATCH: make_failure(
         'key-reused', 'by another request', ran=False
     ),
-    LedgerDecision.FULL: failure(
+    LedgerDecision.FULL: make_failure(
         'overloaded', 'the run ledger is full', ran=False
     ),
-    LedgerDecision.PAST_UNKNOWN: failure(
+    LedgerDecision.PAST_UNKNOWN: make_failure(
         'past-unknown', 'after a loss', ran=True
     ),
 }
@@ -88,7 +90,7 @@
         shard, key = _shard_of(run.work), run.work.idempotency_key
         entry = self._view.directory.shard(shard)
         if entry is None:
-            return failure('not-owner', f'{shard} is not known', ran=False)
+            return make_failure('not-owner', f'{shard} is not known', ran=False)
         verdict = self._ledger.admit(shard, key, run.fingerprint, entry.record)
         if verdict is LedgerDecision.ANSWERED:
             head, body = self._ledger.kept_answer(shard, key)
@@ -99,7 +101,7 @@
         if self._replicate(shard, entry.record, noted):
             return None
         self._remove(shard, key)
-        return failure('no-successor', f'{shard}: not noted', ran=False)
+        return make_failure('no-successor', f'{shard}: not noted', ran=False)
 
     def record_outcome(self, run: Run, outcome: Result | None) -> None:
         """Note how the run of an admitted request ended."""
@@ -227,7 +229,9 @@
     ) -> None:
         shard = ShardName.parse(notes.shard)
         if not self._ledger.merge(shard, notes.entries):
-            stream.send(failure('overloaded', 'the ledger is full', ran=False))
+            stream.send(
+                make_failure('overloaded', 'the ledger is full', ran=False)
+            )
             return
         if notes.whole and notes.handover:
             self._ledger.record_handover(shard, notes.epoch, str(link.peer))
--- a/laburnumwood/routing/problems.py
+++ b/laburnumwood/routing/problems.py
@@ -95,7 +95,7 @@
 }
 
 
-def failure(kind: str, detail: str, *, ran: bool) -> Failure:
+def make_failure(kind: str, detail: str, *, ran: bool) -> Failure:
     """Return the message that says why a request has no answer."""
     return Failure(kind, ran, detail, PROBLEMS[kind].retry_after_ms)
 
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -14,7 +14,7 @@
 from laburnumwood.placement.sharding import place_key
 from laburnumwood.protocol.messages import Work
 from laburnumwood.routing.headers import forwarded_headers, header_values
-from laburnumwood.routing.problems import failure
+from laburnumwood.routing.problems import make_failure
 
 Environ = dict[str, Any]
 
@@ -33,7 +33,7 @@
 
     def __init__(self, kind: str, detail: str) -> None:
         super().__init__(detail)
-        self.told = failure(kind, detail, ran=False)
+        self.told = make_failure(kind, detail, ran=False)
 
 
 def _one_header(environ: Environ, name: str) -> str:
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -31,7 +31,7 @@
     local_pair,
 )
 from laburnumwood.routing.headers import header_values
-from laburnumwood.routing.problems import failure
+from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.request_balancer import AVOID_MS, Spread
 from laburnumwood.routing.retry_policy import PATIENCE_MS, Tries
 from laburnumwood.tasks import start
@@ -255,17 +255,17 @@
     ) -> Reply | Failure:
         target, until_ms = tries.target, tries.until_ms
         if target is None:
-            return failure('no-owner', f'shard {work.shard}', ran=False)
+            return make_failure('no-owner', f'shard {work.shard}', ran=False)
         left_ms = until_ms - self._clock.now_ms()
         if left_ms < work.deadline_ms:
             work = replace(work, deadline_ms=left_ms)
         try:
             exchange = self._open(target, work, caller)
         except CallerGoneError as gone:
-            return failure('cancelled', str(gone), ran=False)
+            return make_failure('cancelled', str(gone), ran=False)
         except LinkError as refused:
             self._spread.avoid(target, AVOID_MS)
-            return failure('no-owner', str(refused), ran=False)
+            return make_failure('no-owner', str(refused), ran=False)
         if work.shard < 0:
             exchange = self._spread.track(exchange, target, work.priority)
         caller.set_gone_handler(lambda: abandon(exchange))
@@ -303,11 +303,11 @@
             return self._read_head(head, exchange, until_ms)
         except LinkTimeoutError as late:
             abandon(exchange)
-            return failure('deadline', str(late), ran=True)
+            return make_failure('deadline', str(late), ran=True)
         except LinkError as lost:
             # A link that is only silent may still carry the work there.
             abandon(exchange)
-            return failure('link-lost', str(lost), ran=progress.may_run)
+            return make_failure('link-lost', str(lost), ran=progress.may_run)
 
     def _receive_head(
         self, exchange: OutgoingExchange, until_ms: int
@@ -329,4 +329,4 @@
         if isinstance(head, Failure):
             return head
         abandon(exchange)
-        return failure('link-lost', 'another message came', ran=True)
+        return make_failure('link-lost', 'another message came', ran=True)
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -25,7 +25,7 @@
     WholeAnswer,
 )
 from laburnumwood.routing.exchange import MAX_INLINE_BODY_BYTES, Exchange
-from laburnumwood.routing.problems import failure
+from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.shared_lock import Solitude
 from laburnumwood.routing.shared_quarantine import Suspicions
@@ -82,7 +82,7 @@
         """Run a request; keep its answer up to a number of bytes."""
         started_ms = self._clock.now_ms()
         if run.until_ms <= started_ms:
-            told = failure('deadline', 'no time is left to run', ran=False)
+            told = make_failure('deadline', 'no time is left to run', ran=False)
             return _give_up(told, exchange)
         task = eventlet.getcurrent()
         try:
@@ -96,7 +96,9 @@
                 after_ms=now_ms - started_ms,
                 left_ms=run.until_ms - now_ms,
             )
-            return Result(told=failure('cancelled', str(cancelled), ran=True))
+            return Result(
+                told=make_failure('cancelled', str(cancelled), ran=True)
+            )
         finally:
             exchange.when_message(None)
 
@@ -105,14 +107,14 @@
             answer = self._run_guarded(run)
         except (WorkerBusyError, WorkerUnreachableError) as not_sent:
             kind = _NOT_SENT[type(not_sent)]
-            told = failure(kind, str(not_sent), ran=False)
+            told = make_failure(kind, str(not_sent), ran=False)
             return _give_up(told, exchange)
         except WorkerTimeoutError as late:
             self._cancel(run)
-            told = failure('deadline', str(late), ran=True)
+            told = make_failure('deadline', str(late), ran=True)
             return _give_up(told, exchange)
         except WorkerCutError as cut:
-            told = failure('worker-cut', str(cut), ran=True)
+            told = make_failure('worker-cut', str(cut), ran=True)
             return _give_up(told, exchange)
         return self._take(run, answer, exchange, kept)
 
@@ -168,7 +170,9 @@
         except WorkerCutError as cut:
             answer.close()
             self._cancel(run)
-            return _give_up(failure('worker-cut', str(cut), ran=True), exchange)
+            return _give_up(
+                make_failure('worker-cut', str(cut), ran=True), exchange
+            )
         except LinkError:
             # What is kept of an answer does not depend on who hears it.
             answer.close()
@@ -207,7 +211,7 @@
         kind = self._dialect.refusal(answer, body) if may_refuse else None
         if kind is not None:
             detail = f'the worker refused it with status {answer.status}'
-            result.told = failure(kind, detail, ran=False)
+            result.told = make_failure(kind, detail, ran=False)
         return body
 
     def _stop(self, run: Run, task: greenlet) -> None:
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -30,7 +30,7 @@
     OutgoingExchange,
     local_pair,
 )
-from laburnumwood.routing.problems import failure
+from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import Router
 from tests.features.steps.plain_work import PLAIN_WORK
@@ -200,7 +200,7 @@
         if self.has_left:
             self.given_late.append(work)
         self.during_try()
-        exchange.send(failure('worker-unreachable', 'refused', ran=False))
+        exchange.send(make_failure('worker-unreachable', 'refused', ran=False))
 
     def open_stream(self, _peer: NodeName, **_how: bool) -> OutgoingExchange:
         """Return a stream to the gate, in the place of links."""
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -19,7 +19,7 @@
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.exchange import OutgoingExchange, local_pair
-from laburnumwood.routing.problems import failure
+from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.retry_policy import Tries
 from laburnumwood.routing.router import Router
@@ -103,7 +103,7 @@
 def fail_tries(context: Context, failures: str) -> None:
     for each in failures.split():
         kind, _, ran = each.partition(':')
-        told = failure(kind, 'detail', ran=ran == 'ran')
+        told = make_failure(kind, 'detail', ran=ran == 'ran')
         context.tries.note(told)
         context.pause_ms = context.tries.pause_ms(told, NODES)
 
@@ -145,7 +145,7 @@
         """Return an exchange with the gate of a node."""
         near, far = local_pair()
         self.asked.append(target.node_id)
-        far.send(failure('overloaded', 'no slot is free', ran=False))
+        far.send(make_failure('overloaded', 'no slot is free', ran=False))
         return near
 
 
