--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -40,7 +40,7 @@
     ObservedExchange,
 )
 from laburnumwood.routing.priorities import line_of, useful_until_ms
-from laburnumwood.routing.problems import make_failure, overloaded
+from laburnumwood.routing.problems import make_failure, make_overload_failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.shard_release import StayingExchange
 from laburnumwood.settings import DaemonSettings
@@ -186,7 +186,7 @@
                 self._serve_in_shard(exchange, work)
             except OverloadedError as shed:
                 self._return_request(
-                    exchange, work, overloaded(shed.retry_after_ms)
+                    exchange, work, make_overload_failure(shed.retry_after_ms)
                 )
             except LinkError:
                 raise
--- a/laburnumwood/routing/problems.py
+++ b/laburnumwood/routing/problems.py
@@ -100,7 +100,7 @@
     return Failure(kind, ran, detail, PROBLEMS[kind].retry_after_ms)
 
 
-def overloaded(retry_after_ms: int) -> Failure:
+def make_overload_failure(retry_after_ms: int) -> Failure:
     """Return the message that no slot is free before some time."""
     return Failure('overloaded', False, 'no slot is free', retry_after_ms)
 
