--- a/laburnumwood/routing/problems.py
+++ b/laburnumwood/routing/problems.py
@@ -140,7 +140,7 @@
         return f'{status} Unknown'
 
 
-def refuse(
+def answer_with_problem(
     told: Failure, request_id: str, start_response: StartResponse
 ) -> Iterable[bytes]:
     """Answer a request with a problem."""
