--- a/laburnumwood/routing/priorities.py
+++ b/laburnumwood/routing/priorities.py
@@ -6,14 +6,14 @@
 from laburnumwood.config.declarations import Priority, Service
 from laburnumwood.protocol.messages import Work
 
-_ORDINARY = Line()
-_FIRST_RANK = 0
-_RANKS = tuple(
+_DEFAULT_CLASS = Line()
+_HIGHEST_RANK = 0
+_RANK_CLASSES = tuple(
     Line(f'rank-{rank}', weight) for rank, weight in enumerate((16, 4, 1))
 )
 
 
-def _belongs(
+def _matches(
     priority: Priority, work: Work, headers: Mapping[str, str]
 ) -> bool:
     if work.method in priority.methods:
@@ -27,16 +27,16 @@
 def line_of(work: Work, service: Service | None) -> Line:
     """Return the class of a request, the heaviest that it belongs to."""
     if work.priority >= 0:
-        return _RANKS[min(work.priority, len(_RANKS) - 1)]
+        return _RANK_CLASSES[min(work.priority, len(_RANK_CLASSES) - 1)]
     if service is None or not service.priorities:
-        return _ORDINARY
+        return _DEFAULT_CLASS
     headers = {name.lower(): text for name, text in work.headers}
     lines = [
         Line(name, priority.weight)
         for name, priority in service.priorities.items()
-        if _belongs(priority, work, headers)
+        if _matches(priority, work, headers)
     ]
-    return max(lines, key=lambda line: line.weight, default=_ORDINARY)
+    return max(lines, key=lambda line: line.weight, default=_DEFAULT_CLASS)
 
 
 def useful_until_ms(work: Work, now_ms: int, until_ms: int) -> int:
@@ -44,6 +44,6 @@
 
     Other work waits for what is of the first rank: late is better than never.
     """
-    if not work.objective_ms or work.priority == _FIRST_RANK:
+    if not work.objective_ms or work.priority == _HIGHEST_RANK:
         return until_ms
     return min(until_ms, now_ms + work.objective_ms)
