--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -39,7 +39,7 @@
     LongAnswerDelays,
     ObservedExchange,
 )
-from laburnumwood.routing.priorities import line_of, useful_until_ms
+from laburnumwood.routing.priorities import classify, useful_until_ms
 from laburnumwood.routing.problems import make_failure, make_overload_failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.shard_release import StayingExchange
@@ -278,7 +278,7 @@
         line_ms = self._answer_delays.expected_wait_ms(work.priority)
         useful_ms = useful_until_ms(work, self._clock.now_ms(), run.until_ms)
         useful_ms -= line_ms
-        line = line_of(work, service)
+        line = classify(work, service)
         ticket = Ticket(work.key, run.until_ms, useful_ms, line)
         busy = self._capacity_account.busy(work.service)
         exchange.when_message(partial(self._admitter.cancel, ticket))
--- a/laburnumwood/routing/priorities.py
+++ b/laburnumwood/routing/priorities.py
@@ -24,7 +24,7 @@
     return found is not None and priority.text in {None, found}
 
 
-def line_of(work: Work, service: Service | None) -> Line:
+def classify(work: Work, service: Service | None) -> Line:
     """Return the class of a request, the heaviest that it belongs to."""
     if work.priority >= 0:
         return _RANK_CLASSES[min(work.priority, len(_RANK_CLASSES) - 1)]
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -13,7 +13,7 @@
 from laburnumwood.admission.tickets import Line, Result, State, Ticket
 from laburnumwood.config.declarations import Service
 from laburnumwood.protocol.messages import Work
-from laburnumwood.routing.priorities import line_of, useful_until_ms
+from laburnumwood.routing.priorities import classify, useful_until_ms
 from laburnumwood.settings import AdmissionSettings
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
@@ -320,7 +320,7 @@
 def check_classes(context: Context) -> None:
     for row in context.table:
         method, caller, name = row.cells
-        found = line_of(_work(method, caller), context.service)
+        found = classify(_work(method, caller), context.service)
         assert found.name == name, (method, caller, found)
 
 
