--- a/laburnumwood/routing/quarantine.py
+++ b/laburnumwood/routing/quarantine.py
@@ -6,9 +6,9 @@
 from laburnumwood.clock import Clock
 
 PROVED_DEATHS = 2
-_SUSPECTED_MS = 300_000
-_BARRED_MS = 600_000
-_MOST_SUSPECTS = 10_000
+_SUSPICION_DURATION_MS = 300_000
+_BAR_DURATION_MS = 600_000
+_MAX_SUSPECTS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,11 +63,15 @@
             self.clear(fingerprint)
             return
         deaths = max(deaths, self._deaths(fingerprint))
-        lasts_ms = _BARRED_MS if deaths >= PROVED_DEATHS else _SUSPECTED_MS
+        lasts_ms = (
+            _BAR_DURATION_MS
+            if deaths >= PROVED_DEATHS
+            else _SUSPICION_DURATION_MS
+        )
         until_ms = self._clock.now_ms() + lasts_ms
         self._suspects[fingerprint] = _Suspect(deaths, until_ms)
         self._suspects.move_to_end(fingerprint)
-        while len(self._suspects) > _MOST_SUSPECTS:
+        while len(self._suspects) > _MAX_SUSPECTS:
             self._suspects.popitem(last=False)
 
     def _deaths(self, fingerprint: str) -> int:
