--- a/laburnumwood/routing/quarantine.py
+++ b/laburnumwood/routing/quarantine.py
@@ -5,7 +5,7 @@
 
 from laburnumwood.clock import Clock
 
-PROVED_DEATHS = 2
+DEATHS_TO_BAR = 2
 _SUSPICION_DURATION_MS = 300_000
 _BAR_DURATION_MS = 600_000
 _MAX_SUSPECTS = 10_000
@@ -35,7 +35,7 @@
 
     def bars(self, fingerprint: str) -> bool:
         """Tell whether a request must not run at all."""
-        return self._deaths(fingerprint) >= PROVED_DEATHS
+        return self._deaths(fingerprint) >= DEATHS_TO_BAR
 
     def barred_for_ms(self, fingerprint: str) -> int:
         """Return for how long a request must not run."""
@@ -65,7 +65,7 @@
         deaths = max(deaths, self._deaths(fingerprint))
         lasts_ms = (
             _BAR_DURATION_MS
-            if deaths >= PROVED_DEATHS
+            if deaths >= DEATHS_TO_BAR
             else _SUSPICION_DURATION_MS
         )
         until_ms = self._clock.now_ms() + lasts_ms
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -11,7 +11,7 @@
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.quarantine import PROVED_DEATHS, Quarantine
+from laburnumwood.routing.quarantine import DEATHS_TO_BAR, Quarantine
 from laburnumwood.tasks import begin
 
 _CALL_TIMEOUT_MS = 300
@@ -41,7 +41,7 @@
         caller's next try does not run before they do.
         """
         deaths = self.quarantine.blame(fingerprint)
-        barred = deaths >= PROVED_DEATHS
+        barred = deaths >= DEATHS_TO_BAR
         event = REQUEST_BARRED if barred else REQUEST_SUSPECTED
         event.report(service=service, fingerprint=fingerprint, deaths=deaths)
         for call in self._tell(service, Suspicion(fingerprint, deaths)):
