--- a/laburnumwood/routing/quarantine.py
+++ b/laburnumwood/routing/quarantine.py
@@ -33,14 +33,14 @@
         """Tell whether a request should run alone on its worker."""
         return self._deaths(fingerprint) > 0
 
-    def bars(self, fingerprint: str) -> bool:
+    def is_barred(self, fingerprint: str) -> bool:
         """Tell whether a request must not run at all."""
         return self._deaths(fingerprint) >= DEATHS_TO_BAR
 
     def barred_for_ms(self, fingerprint: str) -> int:
         """Return for how long a request must not run."""
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or not self.bars(fingerprint):
+        if suspect is None or not self.is_barred(fingerprint):
             return 0
         return suspect.until_ms - self._clock.now_ms()
 
@@ -52,7 +52,7 @@
 
     def clear(self, fingerprint: str) -> bool:
         """Take in that a request was answered; tell if it was suspected."""
-        if not self.is_suspected(fingerprint) or self.bars(fingerprint):
+        if not self.is_suspected(fingerprint) or self.is_barred(fingerprint):
             return False
         self._suspects.pop(fingerprint)
         return True
