--- a/laburnumwood/routing/quarantine.py
+++ b/laburnumwood/routing/quarantine.py
@@ -44,7 +44,7 @@
             return 0
         return suspect.until_ms - self._clock.now_ms()
 
-    def blame(self, fingerprint: str) -> int:
+    def record_death(self, fingerprint: str) -> int:
         """Take in that a worker died under a request; return its deaths."""
         deaths = self._deaths(fingerprint) + 1
         self.learn(fingerprint, deaths)
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -40,7 +40,7 @@
         Returns once the others know it or can't be reached, so that the
         caller's next try does not run before they do.
         """
-        deaths = self.quarantine.blame(fingerprint)
+        deaths = self.quarantine.record_death(fingerprint)
         barred = deaths >= DEATHS_TO_BAR
         event = REQUEST_BARRED if barred else REQUEST_SUSPECTED
         event.report(service=service, fingerprint=fingerprint, deaths=deaths)
