--- a/laburnumwood/routing/quarantine.py
+++ b/laburnumwood/routing/quarantine.py
@@ -47,7 +47,7 @@
     def record_death(self, fingerprint: str) -> int:
         """Take in that a worker died under a request; return its deaths."""
         deaths = self._deaths(fingerprint) + 1
-        self.learn(fingerprint, deaths)
+        self.update(fingerprint, deaths)
         return deaths
 
     def clear(self, fingerprint: str) -> bool:
@@ -57,7 +57,7 @@
         self._suspects.pop(fingerprint)
         return True
 
-    def learn(self, fingerprint: str, deaths: int) -> None:
+    def update(self, fingerprint: str, deaths: int) -> None:
         """Take in what another node knows; no deaths clear a suspect."""
         if not deaths:
             self.clear(fingerprint)
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -65,5 +65,5 @@
             return  # it is told when the request crashes a worker there
 
     def _serve(self, _link: Link, stream: Stream, news: Suspicion) -> None:
-        self.quarantine.learn(news.fingerprint, news.deaths)
+        self.quarantine.update(news.fingerprint, news.deaths)
         stream.send(Done())
