--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -32,7 +32,7 @@
         self._view = view
         self._peers = peers
         self.quarantine = Quarantine(clock)
-        dispatcher.on(Suspicion)(self._serve)
+        dispatcher.on(Suspicion)(self._handle_suspicion)
 
     def blame(self, service: str, fingerprint: str) -> None:
         """Suspect a request under which the worker died.
@@ -44,26 +44,28 @@
         barred = deaths >= DEATHS_TO_BAR
         event = REQUEST_BARRED if barred else REQUEST_SUSPECTED
         event.report(service=service, fingerprint=fingerprint, deaths=deaths)
-        for call in self._tell(service, Suspicion(fingerprint, deaths)):
+        for call in self._broadcast(service, Suspicion(fingerprint, deaths)):
             call.wait()
 
     def clear(self, service: str, fingerprint: str) -> None:
         """Trust a suspected request again because it was answered."""
         if self.quarantine.clear(fingerprint):
-            self._tell(service, Suspicion(fingerprint, 0))
+            self._broadcast(service, Suspicion(fingerprint, 0))
 
-    def _tell(
+    def _broadcast(
         self, service: str, news: Suspicion
     ) -> list[eventlet.greenthread.GreenThread]:
         others = set(self._view.serving_nodes(service)).difference((self._own,))
-        return [begin(self._tell_one, name, news) for name in others]
+        return [begin(self._send, name, news) for name in others]
 
-    def _tell_one(self, name: NodeName, news: Suspicion) -> None:
+    def _send(self, name: NodeName, news: Suspicion) -> None:
         try:
             self._peers.call(name, news, _CALL_TIMEOUT_MS)
         except LinkError:
             return  # it is told when the request crashes a worker there
 
-    def _serve(self, _link: Link, stream: Stream, news: Suspicion) -> None:
+    def _handle_suspicion(
+        self, _link: Link, stream: Stream, news: Suspicion
+    ) -> None:
         self.quarantine.update(news.fingerprint, news.deaths)
         stream.send(Done())
