--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -40,7 +40,7 @@
 from laburnumwood.routing.ledger_replication import LedgerReplicator
 from laburnumwood.routing.measured_ingress import MeasuredIngress
 from laburnumwood.routing.router import Router
-from laburnumwood.routing.shared_quarantine import Suspicions
+from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
 from laburnumwood.tasks import Task, Tasks, start
@@ -314,7 +314,7 @@
         )
         if self._borders.has_idempotency_keys:
             self._keeper.before_move = self._notary.hand_over
-        suspicions = Suspicions(
+        suspicions = SharedQuarantine(
             self.name, self.view, self._peers, self.dispatcher, clock
         )
         executor = Executor(
--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -10,7 +10,7 @@
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import Result, Runner
-from laburnumwood.routing.shared_quarantine import Suspicions
+from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.routing.worker_interface import WorkerInterface
 from laburnumwood.upstream.worker import Worker
 
@@ -28,7 +28,7 @@
         worker: Worker,
         dialect: WorkerInterface,
         notary: LedgerReplicator,
-        suspicions: Suspicions,
+        suspicions: SharedQuarantine,
         clock: Clock,
     ) -> None:
         self._runner = Runner(worker, dialect, suspicions, clock)
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -28,7 +28,7 @@
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.shared_lock import Solitude
-from laburnumwood.routing.shared_quarantine import Suspicions
+from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.routing.worker_interface import WorkerInterface
 from laburnumwood.tasks import start
 from laburnumwood.upstream.pool import WorkerAnswer
@@ -66,7 +66,7 @@
         self,
         worker: Worker,
         dialect: WorkerInterface,
-        suspicions: Suspicions,
+        suspicions: SharedQuarantine,
         clock: Clock,
         longest_whole: int = MAX_INLINE_BODY_BYTES,
     ) -> None:
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -17,7 +17,7 @@
 _CALL_TIMEOUT_MS = 300
 
 
-class Suspicions:
+class SharedQuarantine:
     """The quarantine of one node, shared with the others of its service."""
 
     def __init__(
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -38,7 +38,7 @@
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import Runner
 from laburnumwood.routing.server import serve_callers
-from laburnumwood.routing.shared_quarantine import Suspicions
+from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.routing.worker_interface import NativeWorkerInterface
 from laburnumwood.upstream.worker import Worker
 
@@ -164,7 +164,7 @@
     gate = (HOST, int(sys.argv[2]))
     peers = Peers(DOOR, security, lambda _: gate, dispatcher, clock)
     view: Any = OneGate()
-    suspicions = Suspicions(GATE, view, peers, dispatcher, clock)
+    suspicions = SharedQuarantine(GATE, view, peers, dispatcher, clock)
     worker = Worker(f'http://{HOST}:{sys.argv[1]}', 10, clock)
     runner = Runner(
         worker, NativeWorkerInterface(), suspicions, clock, longest_whole=0
