--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -140,7 +140,7 @@
             # A worker that still answers did not die of it.
             if self._worker.is_dead():
                 self._is_in_doubt = True
-                self._suspicions.blame(run.work.service, run.fingerprint)
+                self._suspicions.record_death(run.work.service, run.fingerprint)
             raise
 
     def _run_checked(self, run: Run) -> WorkerAnswer:
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -34,7 +34,7 @@
         self.quarantine = Quarantine(clock)
         dispatcher.on(Suspicion)(self._handle_suspicion)
 
-    def blame(self, service: str, fingerprint: str) -> None:
+    def record_death(self, service: str, fingerprint: str) -> None:
         """Suspect a request under which the worker died.
 
         Returns once the others know it or can't be reached, so that the
