--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -17,7 +17,7 @@
     Environ,
     RequestRefusedError,
     check_head,
-    place_request,
+    find_shard_and_key,
     read_body,
 )
 from laburnumwood.routing.routes import RouteTable, choose_service
@@ -94,7 +94,7 @@
         service = declared.services[name]
         deadline_ms = min(_time_left_ms(environ), route.timeout_ms)
         body = read_body(environ, service.longest_body, deadline_ms)
-        shard, key = place_request(environ, service)
+        shard, key = find_shard_and_key(environ, service)
         work = Work(
             request_id=request_id,
             service=name,
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -70,7 +70,7 @@
     return segments[place] if place < len(segments) else ''
 
 
-def place_request(environ: Environ, service: Service) -> tuple[int, str]:
+def find_shard_and_key(environ: Environ, service: Service) -> tuple[int, str]:
     """Return the shard and the key of a request; -1 for no shard.
 
     Raises `RequestRefusedError` if the key is missing or not usable.
@@ -168,7 +168,7 @@
     if service is None:
         raise RequestRefusedError('unknown-service', f'no service {name!r}')
     check_head(environ)
-    shard, key = place_request(environ, service)
+    shard, key = find_shard_and_key(environ, service)
     deadline_ms = _deadline_ms(environ, service)
     idempotency_key = _identifier_header(environ, IDEMPOTENCY_HEADER)
     body = read_body(environ, service.longest_body, deadline_ms)
