--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -16,9 +16,9 @@
 from laburnumwood.routing.request_parsing import (
     Environ,
     RequestRefusedError,
-    check_head,
     find_shard_and_key,
     read_body,
+    validate_head,
 )
 from laburnumwood.routing.routes import RouteTable, choose_service
 from laburnumwood.settings import DaemonSettings
@@ -89,7 +89,7 @@
         if not declared.routes:
             raise RequestRefusedError('not-ready', 'no configuration is known')
         route = self._route(environ, declared)
-        check_head(environ)
+        validate_head(environ)
         name = choose_service(route, self._random)
         service = declared.services[name]
         deadline_ms = min(_time_left_ms(environ), route.timeout_ms)
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -142,7 +142,7 @@
     return given if given and _is_identifier(given) else uuid4().hex
 
 
-def check_head(environ: Environ) -> None:
+def validate_head(environ: Environ) -> None:
     """Raise `RequestRefusedError` for a method or header that is no use."""
     method = environ['REQUEST_METHOD']
     if not _METHOD.fullmatch(method) or method == 'CONNECT':
@@ -167,7 +167,7 @@
     service = services.get(name)
     if service is None:
         raise RequestRefusedError('unknown-service', f'no service {name!r}')
-    check_head(environ)
+    validate_head(environ)
     shard, key = find_shard_and_key(environ, service)
     deadline_ms = _deadline_ms(environ, service)
     idempotency_key = _identifier_header(environ, IDEMPOTENCY_HEADER)
