--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -48,7 +48,7 @@
             )
         except RequestRefusedError as refused:
             close_after(environ)
-            refusal = self._face.problem_answer(refused.told, request_id)
+            refusal = self._face.problem_answer(refused.failure, request_id)
             return send_problem(refusal, start_response)
         sock = environ['eventlet.input'].get_socket()
         caller = self._callers.register(sock, request_id)
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -33,7 +33,7 @@
 
     def __init__(self, kind: str, detail: str) -> None:
         super().__init__(detail)
-        self.told = make_failure(kind, detail, ran=False)
+        self.failure = make_failure(kind, detail, ran=False)
 
 
 def _single_header(environ: Environ, name: str) -> str:
