Rename private names of router.py

_GONE to _CALLER_GONE _GRACE_MS to _DEADLINE_GRACE_MS _tell_cancel to _send_cancel _Progress to _SendProgress _with_short_body to _with_inline_body _placed to _with_current_shard _await_other to _await_owner_change _sign to _owner_version _target to _select_target _choose to _choose_node _try to _attempt _ask to _exchange_messages _read_head to _handle_head _whole to _is_complete _ahead to _buffered _next to _next_chunk _cut to _truncation_error _spread to _balancer _patience_ms to _owner_wait_ms

--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -37,8 +37,10 @@
 from laburnumwood.tasks import start
 
 _CHUNK_SIZE = 32_768
-_GONE = 'the caller has gone'
-_GRACE_MS = 60  # lets the gate say at the deadline what became of a request
+_CALLER_GONE = 'the caller has gone'
+_DEADLINE_GRACE_MS = (
+    60  # lets the gate say at the deadline what became of a request
+)
 
 
 Sign = tuple[int, NodeName | None]  # version of a record, and who may act
@@ -64,12 +66,12 @@
         self._exchange = exchange
         self._until_ms = until_ms
         self._clock = clock
-        self._whole = False
+        self._is_complete = False
         self._length = 0
         self._announced: int | None = None
         if not isinstance(head, WholeAnswer):
             self._announced = _announced_length(head)
-        self._ahead: bytes | None = b''  # read, and not given out yet
+        self._buffered: bytes | None = b''  # read, and not given out yet
 
     @property
     def received(self) -> int:
@@ -86,34 +88,34 @@
 
         Nothing was sent to the caller by then, so that it can be told.
         """
-        self._ahead = self._next()
+        self._buffered = self._next_chunk()
 
     def body(self) -> Iterator[bytes]:
         """Yield the body; raises `LinkError` if it is cut short."""
-        while self._ahead is not None:
-            if self._ahead:
-                yield self._ahead
-            self._ahead = None if self._whole else self._next()
+        while self._buffered is not None:
+            if self._buffered:
+                yield self._buffered
+            self._buffered = None if self._is_complete else self._next_chunk()
 
-    def _next(self) -> bytes | None:
+    def _next_chunk(self) -> bytes | None:
         """Return the next part, None after the last one."""
         if isinstance(self.head, WholeAnswer):
-            self._whole = True
+            self._is_complete = True
             return self.head.body
         if self._length == self._announced:
             # The caller has every byte: nothing may break its answer any more.
-            self._whole = True
+            self._is_complete = True
             return None
         message = self._exchange.receive(max(0, self.left_ms))
         if isinstance(message, End) and message.length == self._length:
-            self._whole = True
+            self._is_complete = True
             return None
         if not isinstance(message, Chunk):
-            raise self._cut()
+            raise self._truncation_error()
         self._length += len(message.content)
         return message.content
 
-    def _cut(self) -> LinkError:
+    def _truncation_error(self) -> LinkError:
         # The gate gives up at the deadline as well, and may be heard first.
         if self.left_ms <= 0:
             return LinkTimeoutError('the time for the answer is over')
@@ -121,18 +123,18 @@
 
     def close(self) -> None:
         """End the exchange; an answer not read whole is cancelled."""
-        if not self._whole:
+        if not self._is_complete:
             abandon(self._exchange)
         self._exchange.close()
 
 
 def abandon(exchange: OutgoingExchange) -> None:
     """Tell the gate that its answer is no longer wanted, and wait no more."""
-    exchange.fail(CallerGoneError(_GONE))
-    start(_tell_cancel, exchange)
+    exchange.fail(CallerGoneError(_CALLER_GONE))
+    start(_send_cancel, exchange)
 
 
-def _tell_cancel(exchange: OutgoingExchange) -> None:
+def _send_cancel(exchange: OutgoingExchange) -> None:
     try:
         exchange.send(Cancel())
     except LinkError:
@@ -140,14 +142,14 @@
 
 
 @dataclass(slots=True)
-class _Progress:
+class _SendProgress:
     """Whether a gate may run a request by now: it needs the whole body."""
 
     may_run: bool
 
 
 def _send_body(
-    exchange: OutgoingExchange, body: bytes, progress: _Progress
+    exchange: OutgoingExchange, body: bytes, progress: _SendProgress
 ) -> None:
     """Send a body that did not go with the head of its request."""
     for offset in range(0, len(body), _CHUNK_SIZE):
@@ -157,7 +159,7 @@
         exchange.send(End(len(body)))
 
 
-def _with_short_body(inquiry: CallerRequest) -> Work:
+def _with_inline_body(inquiry: CallerRequest) -> Work:
     """Return a request that carries its body if that is short."""
     if inquiry.body and len(inquiry.body) <= MAX_INLINE_BODY_BYTES:
         return replace(inquiry.work, body=inquiry.body)
@@ -178,12 +180,12 @@
         clock: Clock,
         patience_ms: int = PATIENCE_MS,
     ) -> None:
-        self._patience_ms = patience_ms
+        self._owner_wait_ms = patience_ms
         self._own = own
         self._view = view
         self._peers = peers
         self._serve = serve
-        self._spread = spread
+        self._balancer = spread
         self._budgets = budgets
         self._clock = clock
 
@@ -194,15 +196,15 @@
         that may have run is sent again only if it is idempotent.  Both end
         with the deadline, and what was given up is answered at once.
         """
-        work = _with_short_body(inquiry)
+        work = _with_inline_body(inquiry)
         budget = self._budgets.of(work.service)
         budget.earn()
-        tries = Tries(inquiry, budget, self._clock, self._patience_ms)
+        tries = Tries(inquiry, budget, self._clock, self._owner_wait_ms)
         while True:
-            work = self._placed(work, inquiry.work.shard)
-            sign = self._sign(work)
-            tries.target = self._target(work, tries)
-            reply = self._try(work, inquiry.body, tries, caller)
+            work = self._with_current_shard(work, inquiry.work.shard)
+            sign = self._owner_version(work)
+            tries.target = self._select_target(work, tries)
+            reply = self._attempt(work, inquiry.body, tries, caller)
             if not isinstance(reply, Failure):
                 return reply
             tries.note(reply)
@@ -215,42 +217,44 @@
                 # An earlier try may have run, whatever the last one proves.
                 return replace(reply, ran=tries.may_have_run)
             if pause_ms:
-                self._await_other(sign, work, pause_ms)
+                self._await_owner_change(sign, work, pause_ms)
 
-    def _placed(self, work: Work, shard: int) -> Work:
+    def _with_current_shard(self, work: Work, shard: int) -> Work:
         """Return a request with the shard that has its key now."""
         records = self._view.directory.shard_records(work.service)
         found = placed_shard(work.key, shard, records)
         return work if found == work.shard else replace(work, shard=found)
 
-    def _await_other(self, sign: Sign, work: Work, limit_ms: int) -> None:
+    def _await_owner_change(
+        self, sign: Sign, work: Work, limit_ms: int
+    ) -> None:
         """Wait until a shard's owner is not the one that was tried."""
         until_ms = self._clock.now_ms() + limit_ms
-        while self._sign(work) == sign:
+        while self._owner_version(work) == sign:
             left_ms = until_ms - self._clock.now_ms()
             if left_ms <= 0:
                 return
             self._view.directory.news.wait(left_ms)
 
-    def _sign(self, work: Work) -> Sign:
+    def _owner_version(self, work: Work) -> Sign:
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         if entry is None:
             return 0, None
         return entry.version, acting(entry.record, self._view)
 
-    def _target(self, work: Work, tries: Tries) -> NodeName | None:
+    def _select_target(self, work: Work, tries: Tries) -> NodeName | None:
         if work.shard < 0:
-            return self._choose(work, tries)
+            return self._choose_node(work, tries)
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         return acting(entry.record, self._view) if entry else None
 
-    def _choose(self, work: Work, tries: Tries) -> NodeName | None:
+    def _choose_node(self, work: Work, tries: Tries) -> NodeName | None:
         nodes = self._view.serving_nodes(work.service)
-        return self._spread.choose(
+        return self._balancer.choose(
             tries.open_among(nodes) or nodes, work.priority
         )
 
-    def _try(
+    def _attempt(
         self, work: Work, body: bytes, tries: Tries, caller: Caller
     ) -> Reply | Failure:
         target, until_ms = tries.target, tries.until_ms
@@ -264,12 +268,14 @@
         except CallerGoneError as gone:
             return make_failure('cancelled', str(gone), ran=False)
         except LinkError as refused:
-            self._spread.avoid(target, AVOID_MS)
+            self._balancer.avoid(target, AVOID_MS)
             return make_failure('no-owner', str(refused), ran=False)
         if work.shard < 0:
-            exchange = self._spread.track(exchange, target, work.priority)
+            exchange = self._balancer.track(exchange, target, work.priority)
         caller.set_gone_handler(lambda: abandon(exchange))
-        reply = self._ask(exchange, b'' if work.is_whole else body, until_ms)
+        reply = self._exchange_messages(
+            exchange, b'' if work.is_whole else body, until_ms
+        )
         if isinstance(reply, Failure):
             exchange.close()
         return reply
@@ -284,23 +290,23 @@
             )
             if caller.poll():
                 exchange.close()
-                raise CallerGoneError(_GONE)
+                raise CallerGoneError(_CALLER_GONE)
             exchange.send(work)
             return exchange
         if caller.poll():
-            raise CallerGoneError(_GONE)
+            raise CallerGoneError(_CALLER_GONE)
         near, far = local_pair()
         start(self._serve, far, work)
         return near
 
-    def _ask(
+    def _exchange_messages(
         self, exchange: OutgoingExchange, body: bytes, until_ms: int
     ) -> Reply | Failure:
-        progress = _Progress(may_run=not body)
+        progress = _SendProgress(may_run=not body)
         try:
             _send_body(exchange, body, progress)
-            head = self._receive_head(exchange, until_ms + _GRACE_MS)
-            return self._read_head(head, exchange, until_ms)
+            head = self._receive_head(exchange, until_ms + _DEADLINE_GRACE_MS)
+            return self._handle_head(head, exchange, until_ms)
         except LinkTimeoutError as late:
             abandon(exchange)
             return make_failure('deadline', str(late), ran=True)
@@ -319,7 +325,7 @@
                 return head
             apply_shard_notice(self._view.directory, head)
 
-    def _read_head(
+    def _handle_head(
         self, head: object, exchange: OutgoingExchange, until_ms: int
     ) -> Reply | Failure:
         if isinstance(head, Answer):
