--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -43,7 +43,9 @@
 )
 
 
-Sign = tuple[int, NodeName | None]  # version of a record, and who may act
+OwnerVersion = tuple[
+    int, NodeName | None
+]  # version of a record, and who may act
 
 
 def _announced_length(head: Answer) -> int | None:
@@ -226,7 +228,7 @@
         return work if found == work.shard else replace(work, shard=found)
 
     def _await_owner_change(
-        self, sign: Sign, work: Work, limit_ms: int
+        self, sign: OwnerVersion, work: Work, limit_ms: int
     ) -> None:
         """Wait until a shard's owner is not the one that was tried."""
         until_ms = self._clock.now_ms() + limit_ms
@@ -236,7 +238,7 @@
                 return
             self._view.directory.news.wait(left_ms)
 
-    def _owner_version(self, work: Work) -> Sign:
+    def _owner_version(self, work: Work) -> OwnerVersion:
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         if entry is None:
             return 0, None
