--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -12,7 +12,7 @@
 from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.routing.request_parsing import Environ, RequestRefusedError
-from laburnumwood.routing.router import Reply, Router
+from laburnumwood.routing.router import PendingAnswer, Router
 from laburnumwood.routing.server import close_after, reset
 
 DeclarationsProvider = Callable[[], Declarations]
@@ -62,7 +62,9 @@
         return _stream(environ, reply, caller)
 
 
-def _stream(environ: Environ, reply: Reply, caller: Caller) -> Iterator[bytes]:
+def _stream(
+    environ: Environ, reply: PendingAnswer, caller: Caller
+) -> Iterator[bytes]:
     try:
         yield from reply.body()
     except LinkError as cut:
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -54,7 +54,7 @@
     return int(given) if given.isdecimal() else None
 
 
-class Reply:
+class PendingAnswer:
     """The head of an answer, and its body that is still to come."""
 
     def __init__(
@@ -191,7 +191,9 @@
         self._budgets = budgets
         self._clock = clock
 
-    def send(self, inquiry: CallerRequest, caller: Caller) -> Reply | Failure:
+    def send(
+        self, inquiry: CallerRequest, caller: Caller
+    ) -> PendingAnswer | Failure:
         """Return the answer to a request, or why there is none.
 
         A request that proved not to have run waits a while for an owner; one
@@ -258,7 +260,7 @@
 
     def _attempt(
         self, work: Work, body: bytes, tries: Tries, caller: Caller
-    ) -> Reply | Failure:
+    ) -> PendingAnswer | Failure:
         target, until_ms = tries.target, tries.until_ms
         if target is None:
             return make_failure('no-owner', f'shard {work.shard}', ran=False)
@@ -303,7 +305,7 @@
 
     def _exchange_messages(
         self, exchange: OutgoingExchange, body: bytes, until_ms: int
-    ) -> Reply | Failure:
+    ) -> PendingAnswer | Failure:
         progress = _SendProgress(may_run=not body)
         try:
             _send_body(exchange, body, progress)
@@ -329,9 +331,9 @@
 
     def _handle_head(
         self, head: object, exchange: OutgoingExchange, until_ms: int
-    ) -> Reply | Failure:
+    ) -> PendingAnswer | Failure:
         if isinstance(head, Answer):
-            reply = Reply(head, exchange, until_ms, self._clock)
+            reply = PendingAnswer(head, exchange, until_ms, self._clock)
             reply.begin()
             return reply
         if isinstance(head, Failure):
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -33,7 +33,7 @@
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.ingress import Ingress
 from laburnumwood.routing.request_balancer import Spread
-from laburnumwood.routing.router import Reply, Router
+from laburnumwood.routing.router import PendingAnswer, Router
 from laburnumwood.routing.server import Listening
 from tests.request_stack.stack import DOOR, OneGate
 
@@ -76,10 +76,10 @@
     def __init__(self, *headers: tuple[str, str]) -> None:
         self._headers = headers
 
-    def send(self, _inquiry: CallerRequest, _caller: Caller) -> Reply:
+    def send(self, _inquiry: CallerRequest, _caller: Caller) -> PendingAnswer:
         near, far = local_pair()
         clock = Clock()
-        reply = Reply(
+        reply = PendingAnswer(
             Answer(200, self._headers),
             near,
             clock.now_ms() + DEADLINE_MS,
