--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -85,7 +85,7 @@
         """Return how much of the time for the request is left."""
         return self._until_ms - self._clock.now_ms()
 
-    def begin(self) -> None:
+    def await_first_chunk(self) -> None:
         """Wait for the first part of the body; raises `LinkError`.
 
         Nothing was sent to the caller by then, so that it can be told.
@@ -334,7 +334,7 @@
     ) -> PendingAnswer | Failure:
         if isinstance(head, Answer):
             reply = PendingAnswer(head, exchange, until_ms, self._clock)
-            reply.begin()
+            reply.await_first_chunk()
             return reply
         if isinstance(head, Failure):
             return head
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -86,7 +86,7 @@
             clock,
         )
         far.send(Chunk(b'the beginning'))
-        reply.begin()
+        reply.await_first_chunk()
         near.fail(LinkLostError('the link was lost'))
         return reply
 
