--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -71,7 +71,7 @@
         ANSWER_CUT.report(
             request=environ[REQUEST_ID_KEY],
             status=reply.head.status,
-            received=reply.received,
+            received=reply.received_bytes,
             left_ms=reply.left_ms,
             reason=cut,
         )
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -76,7 +76,7 @@
         self._buffered: bytes | None = b''  # read, and not given out yet
 
     @property
-    def received(self) -> int:
+    def received_bytes(self) -> int:
         """Return how many bytes of a streamed body have come."""
         return self._length
 
