--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -126,11 +126,11 @@
     def close(self) -> None:
         """End the exchange; an answer not read whole is cancelled."""
         if not self._is_complete:
-            abandon(self._exchange)
+            cancel_exchange(self._exchange)
         self._exchange.close()
 
 
-def abandon(exchange: OutgoingExchange) -> None:
+def cancel_exchange(exchange: OutgoingExchange) -> None:
     """Tell the gate that its answer is no longer wanted, and wait no more."""
     exchange.fail(CallerGoneError(_CALLER_GONE))
     start(_send_cancel, exchange)
@@ -276,7 +276,7 @@
             return make_failure('no-owner', str(refused), ran=False)
         if work.shard < 0:
             exchange = self._balancer.track(exchange, target, work.priority)
-        caller.set_gone_handler(lambda: abandon(exchange))
+        caller.set_gone_handler(lambda: cancel_exchange(exchange))
         reply = self._exchange_messages(
             exchange, b'' if work.is_whole else body, until_ms
         )
@@ -312,11 +312,11 @@
             head = self._receive_head(exchange, until_ms + _DEADLINE_GRACE_MS)
             return self._handle_head(head, exchange, until_ms)
         except LinkTimeoutError as late:
-            abandon(exchange)
+            cancel_exchange(exchange)
             return make_failure('deadline', str(late), ran=True)
         except LinkError as lost:
             # A link that is only silent may still carry the work there.
-            abandon(exchange)
+            cancel_exchange(exchange)
             return make_failure('link-lost', str(lost), ran=progress.may_run)
 
     def _receive_head(
@@ -338,5 +338,5 @@
             return reply
         if isinstance(head, Failure):
             return head
-        abandon(exchange)
+        cancel_exchange(exchange)
         return make_failure('link-lost', 'another message came', ran=True)
