Rename private names of retry_policy.py

_MOVE_PATIENCE_MS to _HANDOVER_WAIT_MS _OWNER_WAIT_MS to _OWNER_RETRY_MS _LEAST_LEFT_MS to _MIN_REMAINING_MS _MOST_ELSEWHERE to _MAX_OTHER_NODES _MAY_PASS to _TRANSIENT_KINDS _TURNED_AWAY to _OTHER_NODE_KINDS _REFUSED to _REFUSED_KINDS _AT_WORKER to _WORKER_KINDS _patient_until_ms to _owner_wait_until_ms _count to _failure_count _full to _full_nodes _at_workers to _worker_attempts _elsewhere to _other_nodes_tried _attempts to _max_worker_attempts _has_choice to _any_node_serves _owner_pause_ms to _owner_delay_ms _elsewhere_pause_ms to _other_node_delay_ms _may_repeat to _may_resend

--- a/laburnumwood/routing/retry_policy.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -10,15 +10,15 @@
 from laburnumwood.routing.caller_request import CallerRequest
 
 PATIENCE_MS = 3_000  # how long a request waits for an owner at the most
-_MOVE_PATIENCE_MS = 250  # for a live owner to hand a shard over
-_OWNER_WAIT_MS = 300  # for news of an owner, before it is tried again
-_LEAST_LEFT_MS = 50  # before the deadline; less is not worth a try
-_MOST_ELSEWHERE = 3  # nodes that turn a request away before it gives up
+_HANDOVER_WAIT_MS = 250  # for a live owner to hand a shard over
+_OWNER_RETRY_MS = 300  # for news of an owner, before it is tried again
+_MIN_REMAINING_MS = 50  # before the deadline; less is not worth a try
+_MAX_OTHER_NODES = 3  # nodes that turn a request away before it gives up
 
-_MAY_PASS = frozenset(('link-lost', 'worker-cut', 'worker-unreachable'))
-_TURNED_AWAY = frozenset(('overloaded', 'worker-unreachable', 'link-lost'))
-_REFUSED = frozenset(('refused', 'rejected'))
-_AT_WORKER = _REFUSED | {'worker-cut', 'deadline'}
+_TRANSIENT_KINDS = frozenset(('link-lost', 'worker-cut', 'worker-unreachable'))
+_OTHER_NODE_KINDS = frozenset(('overloaded', 'worker-unreachable', 'link-lost'))
+_REFUSED_KINDS = frozenset(('refused', 'rejected'))
+_WORKER_KINDS = _REFUSED_KINDS | {'worker-cut', 'deadline'}
 
 Nodes = Mapping[NodeName, NodeRecord]
 
@@ -38,21 +38,21 @@
         patience_ms: int = PATIENCE_MS,
     ) -> None:
         self._work = inquiry.work
-        self._attempts = inquiry.attempts
+        self._max_worker_attempts = inquiry.attempts
         self._budget = budget
         self._clock = clock
         now_ms = clock.now_ms()
         self._until_ms = now_ms + inquiry.work.deadline_ms
-        move_ms = max(patience_ms, _MOVE_PATIENCE_MS)
-        self._patient_until_ms = {
+        move_ms = max(patience_ms, _HANDOVER_WAIT_MS)
+        self._owner_wait_until_ms = {
             'no-owner': min(self._until_ms, now_ms + patience_ms),
             'not-owner': min(self._until_ms, now_ms + move_ms),
         }
-        self._count = 0
+        self._failure_count = 0
         self.target: NodeName | None = None  # that the last try went to
-        self._full: set[NodeName] = set()
-        self._at_workers = 0
-        self._elsewhere = 0
+        self._full_nodes: set[NodeName] = set()
+        self._worker_attempts = 0
+        self._other_nodes_tried = 0
         self._may_have_run = False
 
     @property
@@ -68,25 +68,25 @@
     def note(self, told: Failure) -> None:
         """Take in how a try failed."""
         self._may_have_run = self._may_have_run or told.ran
-        self._at_workers += told.ran or told.kind in _AT_WORKER
+        self._worker_attempts += told.ran or told.kind in _WORKER_KINDS
         if told.kind == 'overloaded' and self.target is not None:
-            self._full.add(self.target)
+            self._full_nodes.add(self.target)
 
     def open_among(self, nodes: Nodes) -> Nodes:
         """Return the nodes that have not yet said that they have no room."""
-        if not self._full:
+        if not self._full_nodes:
             return nodes
         return {
             name: record
             for name, record in nodes.items()
-            if name not in self._full
+            if name not in self._full_nodes
         }
 
     def tell(self, told: Failure, pause_ms: int | None) -> None:
         """Log how a try failed and what follows."""
-        self._count += 1
+        self._failure_count += 1
         event = REQUEST_FAILED if pause_ms is None else REQUEST_AGAIN
-        if pause_ms is not None and self._count > 1:
+        if pause_ms is not None and self._failure_count > 1:
             return  # one line says that it waits, the last how it ended
         event.report(
             request=self._work.request_id,
@@ -97,8 +97,8 @@
             kind=told.kind,
             detail=told.detail,
             may_have_run=self._may_have_run,
-            tries=self._count,
-            at_workers=self._at_workers,
+            tries=self._failure_count,
+            at_workers=self._worker_attempts,
             left_ms=self._until_ms - self._clock.now_ms(),
             retry_after_ms=told.retry_after_ms,
         )
@@ -108,38 +108,42 @@
 
         `nodes` are those that serve requests of this kind now.
         """
-        if self._clock.now_ms() + _LEAST_LEFT_MS >= self._until_ms:
+        if self._clock.now_ms() + _MIN_REMAINING_MS >= self._until_ms:
             return None
-        if not told.ran and told.kind in self._patient_until_ms:
-            return self._owner_pause_ms(self._patient_until_ms[told.kind])
-        if not told.ran and self._has_choice and told.kind in _TURNED_AWAY:
-            return self._elsewhere_pause_ms(told, nodes)
-        if not self._may_repeat(told) or not self._budget.spend():
+        if not told.ran and told.kind in self._owner_wait_until_ms:
+            return self._owner_delay_ms(self._owner_wait_until_ms[told.kind])
+        if (
+            not told.ran
+            and self._any_node_serves
+            and told.kind in _OTHER_NODE_KINDS
+        ):
+            return self._other_node_delay_ms(told, nodes)
+        if not self._may_resend(told) or not self._budget.spend():
             return None
-        return 0 if self._has_choice else _LEAST_LEFT_MS
+        return 0 if self._any_node_serves else _MIN_REMAINING_MS
 
     @property
-    def _has_choice(self) -> bool:
+    def _any_node_serves(self) -> bool:
         return self._work.shard < 0
 
-    def _owner_pause_ms(self, patient_until_ms: int) -> int | None:
+    def _owner_delay_ms(self, patient_until_ms: int) -> int | None:
         left_ms = patient_until_ms - self._clock.now_ms()
-        if left_ms <= _LEAST_LEFT_MS:
+        if left_ms <= _MIN_REMAINING_MS:
             return None
-        if self._has_choice and self._elsewhere < _MOST_ELSEWHERE:
-            self._elsewhere += 1
+        if self._any_node_serves and self._other_nodes_tried < _MAX_OTHER_NODES:
+            self._other_nodes_tried += 1
             return 0
-        return min(_OWNER_WAIT_MS, left_ms)
+        return min(_OWNER_RETRY_MS, left_ms)
 
-    def _elsewhere_pause_ms(self, told: Failure, nodes: Nodes) -> int | None:
+    def _other_node_delay_ms(self, told: Failure, nodes: Nodes) -> int | None:
         if told.kind == 'overloaded' and not self.open_among(nodes):
             return None
-        self._elsewhere += 1
-        return 0 if self._elsewhere < _MOST_ELSEWHERE else None
+        self._other_nodes_tried += 1
+        return 0 if self._other_nodes_tried < _MAX_OTHER_NODES else None
 
-    def _may_repeat(self, told: Failure) -> bool:
-        if self._at_workers >= self._attempts:
+    def _may_resend(self, told: Failure) -> bool:
+        if self._worker_attempts >= self._max_worker_attempts:
             return False
-        if told.kind in _REFUSED:
-            return self._has_choice and not self._may_have_run
-        return told.kind in _MAY_PASS and self._work.idempotent
+        if told.kind in _REFUSED_KINDS:
+            return self._any_node_serves and not self._may_have_run
+        return told.kind in _TRANSIENT_KINDS and self._work.idempotent
