--- a/laburnumwood/routing/retry_policy.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -9,7 +9,7 @@
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.caller_request import CallerRequest
 
-PATIENCE_MS = 3_000  # how long a request waits for an owner at the most
+MAX_OWNER_WAIT_MS = 3_000  # how long a request waits for an owner at the most
 _HANDOVER_WAIT_MS = 250  # for a live owner to hand a shard over
 _OWNER_RETRY_MS = 300  # for news of an owner, before it is tried again
 _MIN_REMAINING_MS = 50  # before the deadline; less is not worth a try
@@ -35,7 +35,7 @@
         inquiry: CallerRequest,
         budget: RetryBudget,
         clock: Clock,
-        patience_ms: int = PATIENCE_MS,
+        patience_ms: int = MAX_OWNER_WAIT_MS,
     ) -> None:
         self._work = inquiry.work
         self._max_worker_attempts = inquiry.attempts
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -33,7 +33,7 @@
 from laburnumwood.routing.headers import header_values
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.request_balancer import AVOID_MS, Spread
-from laburnumwood.routing.retry_policy import PATIENCE_MS, Tries
+from laburnumwood.routing.retry_policy import MAX_OWNER_WAIT_MS, Tries
 from laburnumwood.tasks import start
 
 _CHUNK_SIZE = 32_768
@@ -180,7 +180,7 @@
         spread: Spread,
         budgets: RetryBudgets,
         clock: Clock,
-        patience_ms: int = PATIENCE_MS,
+        patience_ms: int = MAX_OWNER_WAIT_MS,
     ) -> None:
         self._owner_wait_ms = patience_ms
         self._own = own
