--- a/laburnumwood/routing/retry_policy.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -23,7 +23,7 @@
 Nodes = Mapping[NodeName, NodeRecord]
 
 
-class Tries:
+class RetryPolicy:
     """The tries of one request, and whether there is to be another.
 
     A request that reached a worker is sent again only within the retry
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -33,7 +33,7 @@
 from laburnumwood.routing.headers import header_values
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.request_balancer import AVOID_MS, Spread
-from laburnumwood.routing.retry_policy import MAX_OWNER_WAIT_MS, Tries
+from laburnumwood.routing.retry_policy import MAX_OWNER_WAIT_MS, RetryPolicy
 from laburnumwood.tasks import start
 
 _CHUNK_SIZE = 32_768
@@ -203,7 +203,7 @@
         work = _with_inline_body(inquiry)
         budget = self._budgets.of(work.service)
         budget.earn()
-        tries = Tries(inquiry, budget, self._clock, self._owner_wait_ms)
+        tries = RetryPolicy(inquiry, budget, self._clock, self._owner_wait_ms)
         while True:
             work = self._with_current_shard(work, inquiry.work.shard)
             sign = self._owner_version(work)
@@ -246,20 +246,20 @@
             return 0, None
         return entry.version, acting(entry.record, self._view)
 
-    def _select_target(self, work: Work, tries: Tries) -> NodeName | None:
+    def _select_target(self, work: Work, tries: RetryPolicy) -> NodeName | None:
         if work.shard < 0:
             return self._choose_node(work, tries)
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         return acting(entry.record, self._view) if entry else None
 
-    def _choose_node(self, work: Work, tries: Tries) -> NodeName | None:
+    def _choose_node(self, work: Work, tries: RetryPolicy) -> NodeName | None:
         nodes = self._view.serving_nodes(work.service)
         return self._balancer.choose(
             tries.open_among(nodes) or nodes, work.priority
         )
 
     def _attempt(
-        self, work: Work, body: bytes, tries: Tries, caller: Caller
+        self, work: Work, body: bytes, tries: RetryPolicy, caller: Caller
     ) -> PendingAnswer | Failure:
         target, until_ms = tries.target, tries.until_ms
         if target is None:
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -21,7 +21,7 @@
 from laburnumwood.routing.exchange import OutgoingExchange, local_pair
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.request_balancer import Spread
-from laburnumwood.routing.retry_policy import Tries
+from laburnumwood.routing.retry_policy import RetryPolicy
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
 from laburnumwood.store.breaker import GuardedStore
@@ -96,7 +96,7 @@
     shard = 3 if divided == 'divided' else -1
     work = _work(idempotent=kind == 'idempotent', shard=shard)
     inquiry = CallerRequest(work, b'', most)
-    context.tries = Tries(inquiry, budgets.of('s'), clock)
+    context.tries = RetryPolicy(inquiry, budgets.of('s'), clock)
 
 
 @when('its tries fail with "{failures}"')
