--- a/laburnumwood/routing/retry_policy.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -65,7 +65,7 @@
         """Tell whether any try may have run."""
         return self._may_have_run
 
-    def note(self, told: Failure) -> None:
+    def record_failure(self, told: Failure) -> None:
         """Take in how a try failed."""
         self._may_have_run = self._may_have_run or told.ran
         self._worker_attempts += told.ran or told.kind in _WORKER_KINDS
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -211,7 +211,7 @@
             reply = self._attempt(work, inquiry.body, tries, caller)
             if not isinstance(reply, Failure):
                 return reply
-            tries.note(reply)
+            tries.record_failure(reply)
             nodes = self._view.serving_nodes(work.service)
             pause_ms = None
             if not caller.is_gone:
