--- a/laburnumwood/routing/retry_policy.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -72,7 +72,7 @@
         if told.kind == 'overloaded' and self.target is not None:
             self._full_nodes.add(self.target)
 
-    def open_among(self, nodes: Nodes) -> Nodes:
+    def without_full(self, nodes: Nodes) -> Nodes:
         """Return the nodes that have not yet said that they have no room."""
         if not self._full_nodes:
             return nodes
@@ -136,7 +136,7 @@
         return min(_OWNER_RETRY_MS, left_ms)
 
     def _other_node_delay_ms(self, told: Failure, nodes: Nodes) -> int | None:
-        if told.kind == 'overloaded' and not self.open_among(nodes):
+        if told.kind == 'overloaded' and not self.without_full(nodes):
             return None
         self._other_nodes_tried += 1
         return 0 if self._other_nodes_tried < _MAX_OTHER_NODES else None
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -255,7 +255,7 @@
     def _choose_node(self, work: Work, tries: RetryPolicy) -> NodeName | None:
         nodes = self._view.serving_nodes(work.service)
         return self._balancer.choose(
-            tries.open_among(nodes) or nodes, work.priority
+            tries.without_full(nodes) or nodes, work.priority
         )
 
     def _attempt(
