--- a/laburnumwood/routing/retry_policy.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -82,7 +82,7 @@
             if name not in self._full_nodes
         }
 
-    def tell(self, told: Failure, pause_ms: int | None) -> None:
+    def report_failure(self, told: Failure, pause_ms: int | None) -> None:
         """Log how a try failed and what follows."""
         self._failure_count += 1
         event = REQUEST_FAILED if pause_ms is None else REQUEST_AGAIN
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -216,7 +216,7 @@
             pause_ms = None
             if not caller.is_gone:
                 pause_ms = tries.pause_ms(reply, nodes)
-            tries.tell(reply, pause_ms)
+            tries.report_failure(reply, pause_ms)
             if pause_ms is None:
                 # An earlier try may have run, whatever the last one proves.
                 return replace(reply, ran=tries.may_have_run)
