--- a/laburnumwood/routing/retry_policy.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -103,7 +103,7 @@
             retry_after_ms=told.retry_after_ms,
         )
 
-    def pause_ms(self, told: Failure, nodes: Nodes) -> int | None:
+    def retry_delay_ms(self, told: Failure, nodes: Nodes) -> int | None:
         """Return how long to wait before the next try, None to give up.
 
         `nodes` are those that serve requests of this kind now.
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -215,7 +215,7 @@
             nodes = self._view.serving_nodes(work.service)
             pause_ms = None
             if not caller.is_gone:
-                pause_ms = tries.pause_ms(reply, nodes)
+                pause_ms = tries.retry_delay_ms(reply, nodes)
             tries.report_failure(reply, pause_ms)
             if pause_ms is None:
                 # An earlier try may have run, whatever the last one proves.
