Rename private names of runner.py

_NOT_SENT to _KIND_BY_ERROR _longest_whole to _max_buffered_bytes _is_in_doubt to _may_be_dead _dialect to _worker_interface _exchange to _execute _run_guarded to _run_unless_suspected _take to _forward_answer _pass_on to _forward _whole_body to _read_short_body _stop to _stop_run _cancel to _cancel_later _give_up to _fail _solitude to _lock

--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -34,7 +34,7 @@
 from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.worker import Order, Worker
 
-_NOT_SENT: dict[type[WorkerError], str] = {
+_KIND_BY_ERROR: dict[type[WorkerError], str] = {
     WorkerBusyError: 'overloaded',
     WorkerUnreachableError: 'worker-unreachable',
 }
@@ -70,12 +70,12 @@
         clock: Clock,
         longest_whole: int = MAX_INLINE_BODY_BYTES,
     ) -> None:
-        self._longest_whole = longest_whole
+        self._max_buffered_bytes = longest_whole
         self._worker = worker
-        self._dialect = dialect
+        self._worker_interface = dialect
         self._suspicions = suspicions
-        self._solitude = Solitude(clock)
-        self._is_in_doubt = False
+        self._lock = Solitude(clock)
+        self._may_be_dead = False
         self._clock = clock
 
     def run(self, run: Run, exchange: Exchange, kept: int = 0) -> Result:
@@ -83,11 +83,11 @@
         started_ms = self._clock.now_ms()
         if run.until_ms <= started_ms:
             told = make_failure('deadline', 'no time is left to run', ran=False)
-            return _give_up(told, exchange)
+            return _fail(told, exchange)
         task = eventlet.getcurrent()
         try:
-            exchange.when_message(partial(self._stop, run, task))
-            return self._exchange(run, exchange, kept)
+            exchange.when_message(partial(self._stop_run, run, task))
+            return self._execute(run, exchange, kept)
         except RunCancelledError as cancelled:
             now_ms = self._clock.now_ms()
             RUN_CANCELLED.report(
@@ -102,26 +102,26 @@
         finally:
             exchange.when_message(None)
 
-    def _exchange(self, run: Run, exchange: Exchange, kept: int) -> Result:
+    def _execute(self, run: Run, exchange: Exchange, kept: int) -> Result:
         try:
-            answer = self._run_guarded(run)
+            answer = self._run_unless_suspected(run)
         except (WorkerBusyError, WorkerUnreachableError) as not_sent:
-            kind = _NOT_SENT[type(not_sent)]
+            kind = _KIND_BY_ERROR[type(not_sent)]
             told = make_failure(kind, str(not_sent), ran=False)
-            return _give_up(told, exchange)
+            return _fail(told, exchange)
         except WorkerTimeoutError as late:
-            self._cancel(run)
+            self._cancel_later(run)
             told = make_failure('deadline', str(late), ran=True)
-            return _give_up(told, exchange)
+            return _fail(told, exchange)
         except WorkerCutError as cut:
             told = make_failure('worker-cut', str(cut), ran=True)
-            return _give_up(told, exchange)
-        return self._take(run, answer, exchange, kept)
+            return _fail(told, exchange)
+        return self._forward_answer(run, answer, exchange, kept)
 
-    def _run_guarded(self, run: Run) -> WorkerAnswer:
+    def _run_unless_suspected(self, run: Run) -> WorkerAnswer:
         service, fingerprint = run.work.service, run.fingerprint
         alone = self._suspicions.quarantine.is_suspected(fingerprint)
-        with self._solitude.entered(alone=alone):
+        with self._lock.entered(alone=alone):
             answer = self._run_on_live_worker(run)
         if alone:
             self._suspicions.clear(service, fingerprint)
@@ -129,9 +129,9 @@
 
     def _run_on_live_worker(self, run: Run) -> WorkerAnswer:
         # What is sent to a worker that is dead already did not kill it.
-        if self._is_in_doubt and not self._worker.answers():
+        if self._may_be_dead and not self._worker.answers():
             raise WorkerUnreachableError('the worker was lost')
-        self._is_in_doubt = False
+        self._may_be_dead = False
         try:
             return self._run_checked(run)
         except WorkerTimeoutError:
@@ -139,14 +139,14 @@
         except WorkerCutError:
             # A worker that still answers did not die of it.
             if self._worker.is_dead():
-                self._is_in_doubt = True
+                self._may_be_dead = True
                 self._suspicions.record_death(run.work.service, run.fingerprint)
             raise
 
     def _run_checked(self, run: Run) -> WorkerAnswer:
         answer = self._worker.run(self._order(run))
         try:
-            self._dialect.check(run, answer)
+            self._worker_interface.check(run, answer)
         except WorkerCutError:
             answer.close()
             raise
@@ -155,22 +155,22 @@
     def _order(self, run: Run) -> Order:
         work = run.work
         left_ms = max(1, run.until_ms - self._clock.now_ms())
-        headers = self._dialect.headers(run, left_ms)
+        headers = self._worker_interface.headers(run, left_ms)
         return Order(work.method, work.target, headers, run.body, left_ms)
 
-    def _take(
+    def _forward_answer(
         self, run: Run, answer: WorkerAnswer, exchange: Exchange, kept: int
     ) -> Result:
         result = Result(Answer(answer.status, answer.headers))
         try:
-            self._pass_on(answer, result, exchange, kept)
+            self._forward(answer, result, exchange, kept)
         except RunCancelledError:
             answer.close()
             raise
         except WorkerCutError as cut:
             answer.close()
-            self._cancel(run)
-            return _give_up(
+            self._cancel_later(run)
+            return _fail(
                 make_failure('worker-cut', str(cut), ran=True), exchange
             )
         except LinkError:
@@ -181,14 +181,14 @@
             exchange.send(result.told)
         return result
 
-    def _pass_on(
+    def _forward(
         self,
         answer: WorkerAnswer,
         result: Result,
         exchange: Exchange,
         kept: int,
     ) -> None:
-        body = self._whole_body(answer, result)
+        body = self._read_short_body(answer, result)
         if body is None:
             _stream(answer, exchange)
         # Given back before the caller can send its next request.
@@ -197,26 +197,34 @@
             result.body = body if len(body) <= kept else None
             exchange.send(WholeAnswer(answer.status, answer.headers, body))
 
-    def _whole_body(self, answer: WorkerAnswer, result: Result) -> bytes | None:
+    def _read_short_body(
+        self, answer: WorkerAnswer, result: Result
+    ) -> bytes | None:
         """Return the body of a short answer, None for one that is streamed.
 
         An answer that says that the request did not run is noted as such.
         """
         length = answer.body_length
-        may_refuse = self._dialect.may_refuse(answer)
-        if not may_refuse and (length is None or length > self._longest_whole):
+        may_refuse = self._worker_interface.may_refuse(answer)
+        if not may_refuse and (
+            length is None or length > self._max_buffered_bytes
+        ):
             return None
         # Longer ones are no refusals of a worker that keeps to its protocol.
-        body = answer.whole(max(self._longest_whole, MAX_INLINE_BODY_BYTES))
-        kind = self._dialect.refusal(answer, body) if may_refuse else None
+        body = answer.whole(
+            max(self._max_buffered_bytes, MAX_INLINE_BODY_BYTES)
+        )
+        kind = (
+            self._worker_interface.refusal(answer, body) if may_refuse else None
+        )
         if kind is not None:
             detail = f'the worker refused it with status {answer.status}'
             result.told = make_failure(kind, detail, ran=False)
         return body
 
-    def _stop(self, run: Run, task: greenlet) -> None:
+    def _stop_run(self, run: Run, task: greenlet) -> None:
         """Stop the work of a request that its asking side gave up."""
-        if self._dialect.cancel(self._worker, run):
+        if self._worker_interface.cancel(self._worker, run):
             return
         # Its connection to the worker is closed on the way out.
         cancelled = RunCancelledError('nobody waits for it')
@@ -224,11 +232,11 @@
             raise cancelled
         eventlet.kill(task, cancelled)
 
-    def _cancel(self, run: Run) -> None:
-        start(self._dialect.cancel, self._worker, run)
+    def _cancel_later(self, run: Run) -> None:
+        start(self._worker_interface.cancel, self._worker, run)
 
 
-def _give_up(told: Failure, exchange: Exchange) -> Result:
+def _fail(told: Failure, exchange: Exchange) -> Result:
     exchange.send(told)
     return Result(told=told)
 
