--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -9,7 +9,7 @@
 from laburnumwood.routing.ledger_replication import LedgerReplicator
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.runner import Result, Runner
+from laburnumwood.routing.runner import Runner, RunResult
 from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.routing.worker_interface import WorkerInterface
 from laburnumwood.upstream.worker import Worker
@@ -52,19 +52,19 @@
 
     def _run(
         self, exchange: Exchange, run: Run, may_act: ExecutionCheck
-    ) -> Result:
+    ) -> RunResult:
         barred_ms = self._quarantine.barred_for_ms(run.fingerprint)
         if barred_ms:
             detail = 'workers crashed whenever they ran this request'
             told = Failure('quarantined', False, detail, barred_ms)
             exchange.send(told)
-            return Result(told=told)
+            return RunResult(told=told)
         if may_act():
             return self._runner.run(run, exchange, MAX_KEPT_BODY_BYTES)
         detail = f'no lease to act for {run.work.service}/{run.work.shard}'
         told = make_failure('not-owner', detail, ran=False)
         exchange.send(told)
-        return Result(told=told)
+        return RunResult(told=told)
 
     def _run_recorded(
         self, exchange: Exchange, run: Run, may_act: ExecutionCheck
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -27,7 +27,7 @@
 )
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.runner import Result
+from laburnumwood.routing.runner import RunResult
 from laburnumwood.tasks import begin, start
 
 _ACKNOWLEDGE_TIMEOUT_MS = 500
@@ -103,7 +103,7 @@
         self._remove(shard, key)
         return make_failure('no-successor', f'{shard}: not noted', ran=False)
 
-    def record_outcome(self, run: Run, outcome: Result | None) -> None:
+    def record_outcome(self, run: Run, outcome: RunResult | None) -> None:
         """Note how the run of an admitted request ended."""
         shard, key = _shard_of(run.work), run.work.idempotency_key
         if outcome is not None and not outcome.ran:
@@ -240,7 +240,7 @@
         stream.send(Done())
 
 
-def _answer_to_keep(outcome: Result | None) -> tuple[Answer | None, bytes]:
+def _answer_to_keep(outcome: RunResult | None) -> tuple[Answer | None, bytes]:
     whole = outcome is not None and outcome.told is None
     if not whole or outcome is None or outcome.head is None:
         return None, b''
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -41,7 +41,7 @@
 
 
 @dataclass(slots=True)
-class Result:
+class RunResult:
     """How a run ended: a failure, or the answer with its body if kept."""
 
     head: Answer | None = None
@@ -78,7 +78,7 @@
         self._may_be_dead = False
         self._clock = clock
 
-    def run(self, run: Run, exchange: Exchange, kept: int = 0) -> Result:
+    def run(self, run: Run, exchange: Exchange, kept: int = 0) -> RunResult:
         """Run a request; keep its answer up to a number of bytes."""
         started_ms = self._clock.now_ms()
         if run.until_ms <= started_ms:
@@ -96,13 +96,13 @@
                 after_ms=now_ms - started_ms,
                 left_ms=run.until_ms - now_ms,
             )
-            return Result(
+            return RunResult(
                 told=make_failure('cancelled', str(cancelled), ran=True)
             )
         finally:
             exchange.when_message(None)
 
-    def _execute(self, run: Run, exchange: Exchange, kept: int) -> Result:
+    def _execute(self, run: Run, exchange: Exchange, kept: int) -> RunResult:
         try:
             answer = self._run_unless_suspected(run)
         except (WorkerBusyError, WorkerUnreachableError) as not_sent:
@@ -160,8 +160,8 @@
 
     def _forward_answer(
         self, run: Run, answer: WorkerAnswer, exchange: Exchange, kept: int
-    ) -> Result:
-        result = Result(Answer(answer.status, answer.headers))
+    ) -> RunResult:
+        result = RunResult(Answer(answer.status, answer.headers))
         try:
             self._forward(answer, result, exchange, kept)
         except RunCancelledError:
@@ -184,7 +184,7 @@
     def _forward(
         self,
         answer: WorkerAnswer,
-        result: Result,
+        result: RunResult,
         exchange: Exchange,
         kept: int,
     ) -> None:
@@ -198,7 +198,7 @@
             exchange.send(WholeAnswer(answer.status, answer.headers, body))
 
     def _read_short_body(
-        self, answer: WorkerAnswer, result: Result
+        self, answer: WorkerAnswer, result: RunResult
     ) -> bytes | None:
         """Return the body of a short answer, None for one that is streamed.
 
@@ -236,9 +236,9 @@
         start(self._worker_interface.cancel, self._worker, run)
 
 
-def _fail(told: Failure, exchange: Exchange) -> Result:
+def _fail(told: Failure, exchange: Exchange) -> RunResult:
     exchange.send(told)
-    return Result(told=told)
+    return RunResult(told=told)
 
 
 def _stream(answer: WorkerAnswer, exchange: Exchange) -> None:
