--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -58,13 +58,13 @@
             detail = 'workers crashed whenever they ran this request'
             told = Failure('quarantined', False, detail, barred_ms)
             exchange.send(told)
-            return RunResult(told=told)
+            return RunResult(failure=told)
         if may_act():
             return self._runner.run(run, exchange, MAX_KEPT_BODY_BYTES)
         detail = f'no lease to act for {run.work.service}/{run.work.shard}'
         told = make_failure('not-owner', detail, ran=False)
         exchange.send(told)
-        return RunResult(told=told)
+        return RunResult(failure=told)
 
     def _run_recorded(
         self, exchange: Exchange, run: Run, may_act: ExecutionCheck
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -46,12 +46,12 @@
 
     head: Answer | None = None
     body: bytes | None = None
-    told: Failure | None = None
+    failure: Failure | None = None
 
     @property
     def ran(self) -> bool:
         """Tell whether the request may have run."""
-        return self.told is None or self.told.ran
+        return self.failure is None or self.failure.ran
 
 
 class Runner:
@@ -97,7 +97,7 @@
                 left_ms=run.until_ms - now_ms,
             )
             return RunResult(
-                told=make_failure('cancelled', str(cancelled), ran=True)
+                failure=make_failure('cancelled', str(cancelled), ran=True)
             )
         finally:
             exchange.when_message(None)
@@ -177,8 +177,8 @@
             # What is kept of an answer does not depend on who hears it.
             answer.close()
             return result
-        if result.told is not None:
-            exchange.send(result.told)
+        if result.failure is not None:
+            exchange.send(result.failure)
         return result
 
     def _forward(
@@ -193,7 +193,7 @@
             _stream(answer, exchange)
         # Given back before the caller can send its next request.
         answer.release()
-        if body is not None and result.told is None:
+        if body is not None and result.failure is None:
             result.body = body if len(body) <= kept else None
             exchange.send(WholeAnswer(answer.status, answer.headers, body))
 
@@ -219,7 +219,7 @@
         )
         if kind is not None:
             detail = f'the worker refused it with status {answer.status}'
-            result.told = make_failure(kind, detail, ran=False)
+            result.failure = make_failure(kind, detail, ran=False)
         return body
 
     def _stop_run(self, run: Run, task: greenlet) -> None:
@@ -238,7 +238,7 @@
 
 def _fail(told: Failure, exchange: Exchange) -> RunResult:
     exchange.send(told)
-    return RunResult(told=told)
+    return RunResult(failure=told)
 
 
 def _stream(answer: WorkerAnswer, exchange: Exchange) -> None:
