--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -17,7 +17,7 @@
 )
 from laburnumwood.tasks import begin, start
 
-_MOST_CONNECTIONS = 4_096
+_MAX_CONNECTIONS = 4_096
 
 
 def reset(environ: dict[str, Any]) -> None:
@@ -37,7 +37,7 @@
         listener,
         application,
         protocol=CallerProtocol,
-        max_size=_MOST_CONNECTIONS,
+        max_size=_MAX_CONNECTIONS,
         minimum_chunk_size=1,
         log_output=False,
         debug=False,
