--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -40,7 +40,7 @@
 from laburnumwood.records import NodeName
 from laburnumwood.routing.caller_interface import send_problem
 from laburnumwood.routing.problems import StartResponse, make_failure
-from laburnumwood.routing.server import Listening, close_after
+from laburnumwood.routing.server import HttpListener, close_after
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.breaker import GuardedStore
 from laburnumwood.store.writes import new_mark
@@ -76,7 +76,7 @@
         self._platform = GuardedStore(store, self._clock)
         self._incarnation: Incarnation | None = None
         self._witness: Witness | None = None
-        self._door: Listening | None = None
+        self._door: HttpListener | None = None
         self._rejoin_backoff = RejoinBackoff(self._clock)
         self._avoided: frozenset[str] = frozenset()
         self._unfinished: list[Incarnation] = []
@@ -151,15 +151,15 @@
             self._serve_peer,
             self._clock,
         )
-        self._door = Listening(settings.door, self._serve_caller)
+        self._door = HttpListener(settings.door, self._serve_caller)
         if settings.operator_port is not None:
             operators = (settings.host, settings.operator_port)
-            Listening(operators, self._serve_operator)
+            HttpListener(operators, self._serve_operator)
         if settings.metrics_port is not None:
             metrics = (settings.host, settings.metrics_port)
-            Listening(metrics, self._serve_metrics)
+            HttpListener(metrics, self._serve_metrics)
         for listener in self._borders.listeners(settings, self):
-            Listening(listener.address, listener.application)
+            HttpListener(listener.address, listener.application)
 
     def _serve_peer(self, link: Link, stream: Stream, message: Any) -> None:
         if self._incarnation is None:
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -44,7 +44,7 @@
     )
 
 
-class Listening:
+class HttpListener:
     """An address where an application is served, until it is closed."""
 
     def __init__(self, address: Address, application: Any) -> None:
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -34,7 +34,7 @@
 from laburnumwood.routing.ingress import Ingress
 from laburnumwood.routing.request_balancer import Spread
 from laburnumwood.routing.router import PendingAnswer, Router
-from laburnumwood.routing.server import Listening
+from laburnumwood.routing.server import HttpListener
 from tests.request_stack.stack import DOOR, OneGate
 
 HOST = '127.0.0.1'
@@ -108,7 +108,7 @@
     context.log.push_application()
     context.add_cleanup(context.log.pop_application)
     address = HOST, free_port()
-    context.server = Listening(address, application)
+    context.server = HttpListener(address, application)
     context.add_cleanup(context.server.close, CLOSING_MS)
     context.caller = green_socket.create_connection(address, LIMIT_S)
     context.add_cleanup(context.caller.close)
