--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -40,7 +40,7 @@
 from laburnumwood.records import NodeName
 from laburnumwood.routing.caller_interface import send_problem
 from laburnumwood.routing.problems import StartResponse, make_failure
-from laburnumwood.routing.server import HttpListener, close_after
+from laburnumwood.routing.server import HttpListener, close_after_answer
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.breaker import GuardedStore
 from laburnumwood.store.writes import new_mark
@@ -171,7 +171,7 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         if self._is_stopping:
-            close_after(environ)
+            close_after_answer(environ)
         if self._incarnation is None:
             refusal = make_failure(
                 'not-ready', 'this node is joining', ran=False
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -13,7 +13,7 @@
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.routing.request_parsing import Environ, RequestRefusedError
 from laburnumwood.routing.router import PendingAnswer, Router
-from laburnumwood.routing.server import close_after, reset
+from laburnumwood.routing.server import close_after_answer, reset
 
 DeclarationsProvider = Callable[[], Declarations]
 
@@ -47,7 +47,7 @@
                 environ, self._get_declarations(), request_id
             )
         except RequestRefusedError as refused:
-            close_after(environ)
+            close_after_answer(environ)
             refusal = self._face.problem_answer(refused.failure, request_id)
             return send_problem(refusal, start_response)
         sock = environ['eventlet.input'].get_socket()
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -26,7 +26,7 @@
     reset_connection(environ['eventlet.input'].get_socket())
 
 
-def close_after(environ: dict[str, Any]) -> None:
+def close_after_answer(environ: dict[str, Any]) -> None:
     """Let the connection of a caller end after its answer."""
     environ[CLOSE_KEY]()
 
