--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -13,7 +13,7 @@
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.routing.request_parsing import Environ, RequestRefusedError
 from laburnumwood.routing.router import PendingAnswer, Router
-from laburnumwood.routing.server import close_after_answer, reset
+from laburnumwood.routing.server import close_after_answer, reset_caller
 
 DeclarationsProvider = Callable[[], Declarations]
 
@@ -75,7 +75,7 @@
             left_ms=reply.left_ms,
             reason=cut,
         )
-        reset(environ)
+        reset_caller(environ)
     finally:
         caller.stop_monitoring()
         reply.close()
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -20,7 +20,7 @@
 _MAX_CONNECTIONS = 4_096
 
 
-def reset(environ: dict[str, Any]) -> None:
+def reset_caller(environ: dict[str, Any]) -> None:
     """Reset the connection of a caller, so that no answer looks whole."""
     wsgi.WSGI_LOCAL.already_handled = True
     reset_connection(environ['eventlet.input'].get_socket())
