Rename private names of shared_lock.py

_POLL_MS to _POLL_INTERVAL_MS _PATIENCE_MS to _ACQUIRE_TIMEOUT_MS _shared to _shared_count _is_taken to _is_exclusive _alone to _exclusive _wait_until_free to _await_exclusive_end

--- a/laburnumwood/routing/shared_lock.py
+++ b/laburnumwood/routing/shared_lock.py
@@ -8,8 +8,8 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import WorkerBusyError
 
-_POLL_MS = 2
-_PATIENCE_MS = 1_000
+_POLL_INTERVAL_MS = 2
+_ACQUIRE_TIMEOUT_MS = 1_000
 
 
 class Solitude:
@@ -21,41 +21,41 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._shared = 0
-        self._is_taken = False
+        self._shared_count = 0
+        self._is_exclusive = False
 
     @contextmanager
     def entered(self, *, alone: bool) -> Iterator[None]:
         """Hold a place on the worker; raises `WorkerBusyError`."""
         if alone:
-            with self._alone():
+            with self._exclusive():
                 yield
             return
-        self._wait_until_free()
-        self._shared += 1
+        self._await_exclusive_end()
+        self._shared_count += 1
         try:
             yield
         finally:
-            self._shared -= 1
+            self._shared_count -= 1
 
     @contextmanager
-    def _alone(self) -> Iterator[None]:
-        until_ms = self._wait_until_free()
-        self._is_taken = True
+    def _exclusive(self) -> Iterator[None]:
+        until_ms = self._await_exclusive_end()
+        self._is_exclusive = True
         try:
-            while self._shared:
+            while self._shared_count:
                 self._wait(until_ms)
             yield
         finally:
-            self._is_taken = False
+            self._is_exclusive = False
 
-    def _wait_until_free(self) -> int:
-        until_ms = self._clock.now_ms() + _PATIENCE_MS
-        while self._is_taken:
+    def _await_exclusive_end(self) -> int:
+        until_ms = self._clock.now_ms() + _ACQUIRE_TIMEOUT_MS
+        while self._is_exclusive:
             self._wait(until_ms)
         return until_ms
 
     def _wait(self, until_ms: int) -> None:
         if self._clock.now_ms() >= until_ms:
             raise WorkerBusyError('no time alone on the worker')
-        eventlet.sleep(_POLL_MS / MS_PER_SECOND)
+        eventlet.sleep(_POLL_INTERVAL_MS / MS_PER_SECOND)
