--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -27,7 +27,7 @@
 from laburnumwood.routing.exchange import MAX_INLINE_BODY_BYTES, Exchange
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.shared_lock import Solitude
+from laburnumwood.routing.shared_lock import SharedLock
 from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.routing.worker_interface import WorkerInterface
 from laburnumwood.tasks import start
@@ -74,7 +74,7 @@
         self._worker = worker
         self._worker_interface = dialect
         self._suspicions = suspicions
-        self._lock = Solitude(clock)
+        self._lock = SharedLock(clock)
         self._may_be_dead = False
         self._clock = clock
 
--- a/laburnumwood/routing/shared_lock.py
+++ b/laburnumwood/routing/shared_lock.py
@@ -12,7 +12,7 @@
 _ACQUIRE_TIMEOUT_MS = 1_000
 
 
-class Solitude:
+class SharedLock:
     """Lets runs onto a worker side by side, or one alone.
 
     A run that has to be alone waits a second for the others at the most, and
