--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -121,7 +121,7 @@
     def _run_unless_suspected(self, run: Run) -> WorkerAnswer:
         service, fingerprint = run.work.service, run.fingerprint
         alone = self._suspicions.quarantine.is_suspected(fingerprint)
-        with self._lock.entered(alone=alone):
+        with self._lock.acquired(alone=alone):
             answer = self._run_on_live_worker(run)
         if alone:
             self._suspicions.clear(service, fingerprint)
--- a/laburnumwood/routing/shared_lock.py
+++ b/laburnumwood/routing/shared_lock.py
@@ -25,7 +25,7 @@
         self._is_exclusive = False
 
     @contextmanager
-    def entered(self, *, alone: bool) -> Iterator[None]:
+    def acquired(self, *, alone: bool) -> Iterator[None]:
         """Hold a place on the worker; raises `WorkerBusyError`."""
         if alone:
             with self._exclusive():
