Rename private names of request_balancer.py

_REMEMBERED to _MAX_RECENT_CHOICES _NEAR_UNTIL to _MAX_LOCAL_LOAD _SHEDDING to _OVERLOAD_STATUSES _preferred to _candidates _doors to _local_ingress_share _chosen to _recent_choices _domain to _failure_domain _spread to _balancer

--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -19,9 +19,9 @@
 
 AVOID_MS = 1_000
 ALL_RANKS = -1  # also that of requests without a rank
-_REMEMBERED = 16  # choices
-_NEAR_UNTIL = 0.5  # of its slots, a node of the same domain is taken
-_SHEDDING = frozenset((429, 503))
+_MAX_RECENT_CHOICES = 16  # choices
+_MAX_LOCAL_LOAD = 0.5  # of its slots, a node of the same domain is taken
+_OVERLOAD_STATUSES = frozenset((429, 503))
 
 
 class SpreadExchange:
@@ -37,7 +37,7 @@
         self._exchange = exchange
         self._target = target
         self._rank = rank
-        self._spread = spread
+        self._balancer = spread
 
     def send(self, message: Any) -> None:
         """Send a message; raises `LinkLostError`."""
@@ -50,16 +50,18 @@
         except CallerGoneError:
             raise
         except LinkError:
-            self._spread.avoid(self._target, AVOID_MS)
+            self._balancer.avoid(self._target, AVOID_MS)
             raise
         if isinstance(message, Failure):
             span_ms = max(message.retry_after_ms, AVOID_MS)
             # There may be room for what is more urgent.
             is_full = message.kind == 'overloaded'
             rank = self._rank if is_full else ALL_RANKS
-            self._spread.avoid(self._target, span_ms, rank)
-        elif isinstance(message, Answer) and message.status in _SHEDDING:
-            self._spread.avoid(self._target, AVOID_MS)
+            self._balancer.avoid(self._target, span_ms, rank)
+        elif (
+            isinstance(message, Answer) and message.status in _OVERLOAD_STATUSES
+        ):
+            self._balancer.avoid(self._target, AVOID_MS)
         return message
 
     def when_message(self, act: Callable[[], None] | None) -> None:
@@ -72,7 +74,7 @@
 
     def close(self) -> None:
         """End the exchange on this side."""
-        self._spread.forget(self._target, self)
+        self._balancer.forget(self._target, self)
         self._exchange.close()
 
 
@@ -95,18 +97,20 @@
         doors: Callable[[], float] = float,
     ) -> None:
         self._loads = loads
-        self._domain = domain
+        self._failure_domain = domain
         self._random = random
         self._clock = clock
-        self._doors = doors
+        self._local_ingress_share = doors
         self._in_flight: dict[NodeName, WeakSet[SpreadExchange]] = {}
         # By node and the most urgent rank that it is avoided for.
         self._avoided_until_ms: dict[tuple[NodeName, int], int] = {}
-        self._chosen: deque[NodeName] = deque(maxlen=_REMEMBERED)
+        self._recent_choices: deque[NodeName] = deque(
+            maxlen=_MAX_RECENT_CHOICES
+        )
 
     def targets(self) -> tuple[NodeName, ...]:
         """Return the nodes that were chosen lately."""
-        return tuple(self._chosen)
+        return tuple(self._recent_choices)
 
     def choose(
         self, nodes: Mapping[NodeName, NodeRecord], rank: int = ALL_RANKS
@@ -124,10 +128,10 @@
         loads = {name: self._load(name, nodes[name]) for name in usable}
         # Of many near nodes, too, two are drawn: doors that know the same
         # would all choose the same one.
-        drawn_from = self._preferred(nodes, loads)
+        drawn_from = self._candidates(nodes, loads)
         drawn = self._random.sample(drawn_from, min(2, len(drawn_from)))
         chosen = min(drawn, key=loads.__getitem__)
-        self._chosen.append(chosen)
+        self._recent_choices.append(chosen)
         return chosen
 
     def track(
@@ -165,7 +169,7 @@
         if not counted:
             self._in_flight.pop(target)
 
-    def _preferred(
+    def _candidates(
         self,
         nodes: Mapping[NodeName, NodeRecord],
         loads: Mapping[NodeName, float],
@@ -174,13 +178,15 @@
         near = {
             name
             for name, record in nodes.items()
-            if record.failure_domain == self._domain
+            if record.failure_domain == self._failure_domain
         }
         even = len(near) / len(nodes)
-        if self._random.random() * self._doors() > even:
+        if self._random.random() * self._local_ingress_share() > even:
             chosen = [name for name in loads if name not in near]
         else:
-            chosen = [name for name in near if loads.get(name, 1) < _NEAR_UNTIL]
+            chosen = [
+                name for name in near if loads.get(name, 1) < _MAX_LOCAL_LOAD
+            ]
         return sorted(chosen) or list(loads)
 
     def _load(self, name: NodeName, record: NodeRecord) -> float:
