--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -24,7 +24,7 @@
 _OVERLOAD_STATUSES = frozenset((429, 503))
 
 
-class SpreadExchange:
+class TrackedExchange:
     """An exchange that counts as in flight until it is closed."""
 
     def __init__(
@@ -101,7 +101,7 @@
         self._random = random
         self._clock = clock
         self._local_ingress_share = doors
-        self._in_flight: dict[NodeName, WeakSet[SpreadExchange]] = {}
+        self._in_flight: dict[NodeName, WeakSet[TrackedExchange]] = {}
         # By node and the most urgent rank that it is avoided for.
         self._avoided_until_ms: dict[tuple[NodeName, int], int] = {}
         self._recent_choices: deque[NodeName] = deque(
@@ -141,7 +141,7 @@
         rank: int = ALL_RANKS,
     ) -> OutgoingExchange:
         """Return an exchange that is counted for its target."""
-        tracked = SpreadExchange(exchange, target, rank, self)
+        tracked = TrackedExchange(exchange, target, rank, self)
         self._in_flight.setdefault(target, WeakSet()).add(tracked)
         return tracked
 
@@ -160,7 +160,7 @@
         }
         self._avoided_until_ms[target, rank] = now_ms + span_ms
 
-    def forget(self, target: NodeName, tracked: SpreadExchange) -> None:
+    def forget(self, target: NodeName, tracked: TrackedExchange) -> None:
         """Count an exchange no longer."""
         counted = self._in_flight.get(target)
         if counted is None:
