--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -12,7 +12,7 @@
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.records import NodeName
 from laburnumwood.routing.admission_gate import AdmissionGate
-from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.settings import DaemonSettings
 
 _RETRY_FRACTION = 0.1  # of the requests
@@ -36,7 +36,7 @@
             service, own, view, self.meter, load_book, placement, clock
         )
         domain = settings.failure_domain
-        self.spread = Spread(
+        self.spread = RequestBalancer(
             load_book,
             domain,
             Random(str(own)),
--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -32,7 +32,7 @@
         exchange: OutgoingExchange,
         target: NodeName,
         rank: int,
-        spread: 'Spread',
+        spread: 'RequestBalancer',
     ) -> None:
         self._exchange = exchange
         self._target = target
@@ -78,7 +78,7 @@
         self._exchange.close()
 
 
-class Spread:
+class RequestBalancer:
     """Spreads requests by the load of nodes, as this node sees it.
 
     Its own requests in flight come first; what nodes report of theirs counts
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -32,7 +32,7 @@
 )
 from laburnumwood.routing.headers import header_values
 from laburnumwood.routing.problems import make_failure
-from laburnumwood.routing.request_balancer import AVOID_MS, Spread
+from laburnumwood.routing.request_balancer import AVOID_MS, RequestBalancer
 from laburnumwood.routing.retry_policy import MAX_OWNER_WAIT_MS, RetryPolicy
 from laburnumwood.tasks import start
 
@@ -177,7 +177,7 @@
         view: FleetView,
         peers: Peers,
         serve: ServeHandler,
-        spread: Spread,
+        spread: RequestBalancer,
         budgets: RetryBudgets,
         clock: Clock,
         patience_ms: int = MAX_OWNER_WAIT_MS,
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -26,7 +26,7 @@
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.exchange import local_pair
-from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.settings import PlacementSettings
 from tests.features.steps.fake_clock import FakeClock
 
@@ -345,7 +345,9 @@
 def make_spread(context: Context) -> None:
     context.clock = FakeClock()
     context.book = LoadBook(context.clock)
-    context.spread = Spread(context.book, 'x', Random(1), context.clock)
+    context.spread = RequestBalancer(
+        context.book, 'x', Random(1), context.clock
+    )
     context.nodes = {
         NodeName(each, 1): NodeRecord(
             1, (1,), 'h', 1, 1, 1, f'domain {each}', 's', 'o', 20, 100
@@ -359,7 +361,9 @@
 def make_doors(context: Context, doors: int, count: int) -> None:
     clock = FakeClock()
     context.spreads = [
-        Spread(LoadBook(clock), 'near', Random(f'door {number}'), clock)
+        RequestBalancer(
+            LoadBook(clock), 'near', Random(f'door {number}'), clock
+        )
         for number in range(doors)
     ]
     context.nodes = {
@@ -390,7 +394,7 @@
         return doors / 100
 
     context.spreads = [
-        Spread(
+        RequestBalancer(
             context.book,
             f'domain {node_id}',
             Random(f'door {number}'),
@@ -419,7 +423,9 @@
 @given('the door is in the failure domain of "{node_id}"')
 def place_door(context: Context, node_id: str) -> None:
     domain = f'domain {node_id}'
-    context.spread = Spread(context.book, domain, Random(1), context.clock)
+    context.spread = RequestBalancer(
+        context.book, domain, Random(1), context.clock
+    )
 
 
 @then('"{node_id}" has {count:d} of them')
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -32,7 +32,7 @@
 from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.ingress import Ingress
-from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import PendingAnswer, Router
 from laburnumwood.routing.server import HttpListener
 from tests.request_stack.stack import DOOR, OneGate
@@ -173,7 +173,7 @@
         view,
         links,
         _serve_nothing,
-        Spread(LoadBook(clock), 'x', Random(1), clock),
+        RequestBalancer(LoadBook(clock), 'x', Random(1), clock),
         RetryBudgets(0, clock),
         clock,
     )
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -29,7 +29,7 @@
 )
 from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.exchange import local_pair
-from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import node_object, shard_object, to_value
@@ -235,7 +235,7 @@
         context.service.view,
         gates,
         serve,
-        Spread(LoadBook(clock), 'd', Random(1), clock),
+        RequestBalancer(LoadBook(clock), 'd', Random(1), clock),
         RetryBudgets(0, clock),
         clock,
     )
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -31,7 +31,7 @@
     local_pair,
 )
 from laburnumwood.routing.problems import make_failure
-from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from tests.features.steps.plain_work import PLAIN_WORK
 from tests.request_stack.stack import DOOR, GATE, OneGate
@@ -177,7 +177,7 @@
             view,
             links,
             self.serve,
-            Spread(LoadBook(clock), 'x', Random(1), clock),
+            RequestBalancer(LoadBook(clock), 'x', Random(1), clock),
             RetryBudgets(0, clock),
             clock,
         )
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -20,7 +20,7 @@
 from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.exchange import OutgoingExchange, local_pair
 from laburnumwood.routing.problems import make_failure
-from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.retry_policy import RetryPolicy
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
@@ -167,7 +167,7 @@
     clock = Clock()
     fleet: Any = FullNodes(names.split())
     serve: Any = None
-    spread = Spread(LoadBook(clock), 'x', Random(1), clock)
+    spread = RequestBalancer(LoadBook(clock), 'x', Random(1), clock)
     context.fleet = fleet
     context.router = Router(
         NodeName('door', 1),
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -33,7 +33,7 @@
 from laburnumwood.routing.admission_gate import receive_body
 from laburnumwood.routing.caller_interface import NativeCallerInterface
 from laburnumwood.routing.ingress import Ingress
-from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import Runner
@@ -178,7 +178,7 @@
 
     eventlet.spawn_n(listen, gate, security, dispatcher.handle, clock)
     budgets = RetryBudgets(0, clock)
-    spread = Spread(LoadBook(clock), 'a', Random(1), clock)
+    spread = RequestBalancer(LoadBook(clock), 'a', Random(1), clock)
     router = Router(
         DOOR,
         view,
