--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -53,7 +53,7 @@
         self._exchange.serve(
             dispatcher,
             lambda: gate.running + gate.waiting,
-            self.spread.targets,
+            self.spread.recent_choices,
             gate.report_load,
         )
 
--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -108,7 +108,7 @@
             maxlen=_MAX_RECENT_CHOICES
         )
 
-    def targets(self) -> tuple[NodeName, ...]:
+    def recent_choices(self) -> tuple[NodeName, ...]:
         """Return the nodes that were chosen lately."""
         return tuple(self._recent_choices)
 
