--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -74,7 +74,7 @@
 
     def close(self) -> None:
         """End the exchange on this side."""
-        self._balancer.forget(self._target, self)
+        self._balancer.untrack(self._target, self)
         self._exchange.close()
 
 
@@ -160,7 +160,7 @@
         }
         self._avoided_until_ms[target, rank] = now_ms + span_ms
 
-    def forget(self, target: NodeName, tracked: TrackedExchange) -> None:
+    def untrack(self, target: NodeName, tracked: TrackedExchange) -> None:
         """Count an exchange no longer."""
         counted = self._in_flight.get(target)
         if counted is None:
