--- a/laburnumwood/routing/shard_release.py
+++ b/laburnumwood/routing/shard_release.py
@@ -17,11 +17,11 @@
 
     def __init__(self, exchange: Exchange, work: Work, stay: Stay) -> None:
         super().__init__(exchange)
-        self._leaves_early = work.idempotent
+        self._releases_early = work.idempotent
         self._stay = stay
 
     def send(self, message: Any) -> None:
         """Send a message; raises `LinkLostError`."""
         super().send(message)
-        if self._leaves_early and isinstance(message, Answer):
+        if self._releases_early and isinstance(message, Answer):
             self._stay.leave()
