--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -42,7 +42,7 @@
 from laburnumwood.routing.priorities import classify, useful_until_ms
 from laburnumwood.routing.problems import make_failure, make_overload_failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.shard_release import StayingExchange
+from laburnumwood.routing.shard_release import ShardReleasingExchange
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.grants import Grants
 
@@ -254,7 +254,7 @@
         try:
             body = receive_body(exchange, work)
             run = Run(work, body, stay.token, until_ms)
-            self._serve_owned(StayingExchange(exchange, work, stay), run)
+            self._serve_owned(ShardReleasingExchange(exchange, work, stay), run)
         finally:
             stay.leave()
 
--- a/laburnumwood/routing/shard_release.py
+++ b/laburnumwood/routing/shard_release.py
@@ -7,7 +7,7 @@
 from laburnumwood.routing.exchange import Exchange, ExchangeWrapper
 
 
-class StayingExchange(ExchangeWrapper):
+class ShardReleasingExchange(ExchangeWrapper):
     """An exchange whose request leaves its shard when that is safe.
 
     The answer to an idempotent request may outlast a move once it is on its
