--- a/laburnumwood/daemon/handover_news.py
+++ b/laburnumwood/daemon/handover_news.py
@@ -7,7 +7,7 @@
 from laburnumwood.protocol.peers import Dispatcher
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 
 
 class HandoverAnnouncer:
@@ -37,12 +37,12 @@
 
     def announce(self) -> None:
         """Send the released ranges to the other nodes of the service."""
-        released = self._reporting.left
+        released = self._reporting.released_ranges
         receivers = set(self._view.serving_nodes(self._service)) - {self._own}
         if released and receivers:
             HANDOVERS_TOLD.report(ranges=len(released), nodes=len(receivers))
             self._gossip.notify(receivers, Left(released))
 
     def _serve(self, _link: object, stream: Stream, message: Left) -> None:
-        self._reporting.take_left(message.released)
+        self._reporting.add_remote_handovers(message.released)
         stream.send(Done())
--- a/laburnumwood/daemon/holder.py
+++ b/laburnumwood/daemon/holder.py
@@ -31,7 +31,7 @@
         """Stop admitting requests to a shard."""
         self._holdings.close(shard)
 
-    def spend(self, shard: ShardName) -> None:
+    def require_higher_token(self, shard: ShardName) -> None:
         """Request a higher token, which a restarted worker needs."""
         self._holdings.spend(shard)
 
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -44,12 +44,12 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
 from laburnumwood.tasks import Task, Tasks, start
-from laburnumwood.upstream.attached import AttachedGrants
+from laburnumwood.upstream.attached_grants import AttachedGrants
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.grants import Grants
-from laburnumwood.upstream.load import LoadPoller
-from laburnumwood.upstream.presence import Phase
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.load_poller import LoadPoller
+from laburnumwood.upstream.presence import WorkerPhase
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.worker import Worker
 
 
@@ -107,7 +107,9 @@
             self.view,
             self._cached_store,
             self._worker_state,
-            lambda: reporting.is_clear and not reporting.left,
+            lambda: (
+                reporting.has_released_all and not reporting.released_ranges
+            ),
         )
         self._handover_announcer = HandoverAnnouncer(
             name,
@@ -273,7 +275,7 @@
         return (*ledger, self._worker_announcer.run)
 
     def _worker_state(self) -> tuple[bool, int]:
-        serves = self._reporting.presence.phase is Phase.SERVING
+        serves = self._reporting.presence.phase is WorkerPhase.SERVING
         return serves, self._reporting.presence.slots
 
     def _slots(self) -> int:
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -171,7 +171,7 @@
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
         self._holdings.close(shard)
         # Those who wait for a grant of it look for the next owner instead.
-        self._grants.news.tell()
+        self._grants.changes.tell()
         while not self._holdings.is_idle(shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
 
@@ -191,7 +191,7 @@
         if not self._writer.refresh_if_possible(write.shard):
             self._finish(write, Progress.NOT_SENT)
             return
-        handovers = [self._grants.handover_of(keys) for keys in split.ranges]
+        handovers = [self._grants.handover_for(keys) for keys in split.ranges]
         self._finish(write, self._writer.carry(write))
         entry = self._view.directory.shard(write.shard)
         if entry is None:
--- a/laburnumwood/platform/borders.py
+++ b/laburnumwood/platform/registration.py
@@ -8,14 +8,14 @@
 from laburnumwood.borders import Borders, Front, Listener, borders
 from laburnumwood.listening import split_address
 from laburnumwood.platform.callers import RequesterFace
-from laburnumwood.platform.reports import ReportDesk
+from laburnumwood.platform.reports import ReportEndpoint
 from laburnumwood.platform.store import ObjectStore
 from laburnumwood.platform.workers import WorkerDialect
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
 
 
-class ReadyPage:
+class ReadinessEndpoint:
     """A WSGI application that tells whether callers may be sent here."""
 
     def __init__(self, front: Front) -> None:
@@ -33,8 +33,8 @@
 
 def _listeners(settings: DaemonSettings, front: Front) -> tuple[Listener, ...]:
     pages = (
-        (settings.ready_address, ReadyPage(front)),
-        (settings.report_address, ReportDesk(settings, front.worker)),
+        (settings.ready_address, ReadinessEndpoint(front)),
+        (settings.report_address, ReportEndpoint(settings, front.worker)),
     )
     return tuple(
         Listener(split_address(address), page)
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from laburnumwood.errors import WorkerCutError
-from laburnumwood.platform.names import (
+from laburnumwood.platform.headers import (
     ID_HEADER,
     LOAD_HEADER,
     NOT_RUN_HEADER,
@@ -20,7 +20,7 @@
     Headers,
 )
 from laburnumwood.upstream.pool import WorkerAnswer
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.worker import Worker
 
 _ID = ID_HEADER.lower()
@@ -82,7 +82,7 @@
         index = answer.index
         given = index.first(_ID)
         succeeded = HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES
-        needs_id = succeeded or answer.may_be_late
+        needs_id = succeeded or answer.may_answer_earlier_request
         if given != run.work.request_id and (given or needs_id):
             raise WorkerCutError(f'the answer is that to {given!r}')
         if index.has('content-encoding'):
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -7,10 +7,10 @@
 from traceback import format_exc
 from typing import Protocol
 
-from laburnumwood.admission.control import ADMISSIONS
-from laburnumwood.admission.limit import Slots
-from laburnumwood.admission.tickets import Result, Ticket
-from laburnumwood.admission.waiting import Admitter
+from laburnumwood.admission.admitter import Admitter
+from laburnumwood.admission.control import ADMISSION_POLICIES
+from laburnumwood.admission.limit import SlotCount
+from laburnumwood.admission.tickets import Ticket, TicketResult
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service
 from laburnumwood.errors import (
@@ -61,7 +61,7 @@
     """Whether the worker takes requests now, and how many at once."""
 
     accepts_requests: Callable[[], bool]
-    slots: Slots
+    slots: SlotCount
 
 
 class ShardDirectory(Protocol):
@@ -137,7 +137,7 @@
         self._executor = executor
         self._clock = clock
         self._admitter = Admitter(
-            ADMISSIONS[settings.admission.policy](
+            ADMISSION_POLICIES[settings.admission.policy](
                 settings.admission, worker.slots, clock
             ),
             clock,
@@ -148,7 +148,7 @@
     @property
     def running(self) -> int:
         """Return how many requests run, or have answers that still leave."""
-        return self._admitter.running + self._admitter.leaving
+        return self._admitter.running + self._admitter.responding
 
     @property
     def waiting(self) -> int:
@@ -157,20 +157,20 @@
 
     def set_reported_running(self, reported: int) -> None:
         """Take in how many requests the worker says it runs."""
-        self._admitter.hint(reported)
+        self._admitter.record_load_report(reported)
 
     def report_load(self) -> None:
         """Log what this gate carried and sent away since it told last."""
-        tally = self._admitter.tally.take()
-        if tally.is_nothing:
+        counts = self._admitter.counters.collect()
+        if counts.is_empty:
             return
         GATE_LOAD.report(
             service=self._settings.service,
             slots=self._worker.slots(),
-            busy=round(tally.busy, 2),
+            busy=round(counts.busy, 2),
             waiting=self.waiting,
-            let_in=tally.let_in,
-            shed=tally.shed,
+            let_in=counts.let_in,
+            shed=counts.shed,
             shards=len(self._holdings.tokens()),
         )
 
@@ -222,7 +222,7 @@
             kind=failure.kind,
             detail=failure.detail,
             running=self._admitter.running,
-            leaving=self._admitter.leaving,
+            leaving=self._admitter.responding,
             waiting=self.waiting,
             lease_left_ms=self._lease.holds_until_ms() - now_ms,
             may_have_run=failure.ran,
@@ -262,7 +262,7 @@
 
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
-        wait_ms = self._grants.expected_in_ms() + _GRANT_DELAY_TOLERANCE_MS
+        wait_ms = self._grants.next_grants_in_ms() + _GRANT_DELAY_TOLERANCE_MS
         if not self._obtain_grant(shard, run, wait_ms):
             detail = f'the worker has no grant for {shard}'
             failure = Failure('not-owner', False, detail, wait_ms)
@@ -285,7 +285,7 @@
         busy = self._capacity_account.busy(work.service)
         exchange.when_message(partial(self._admitter.cancel, ticket))
         try:
-            with self._admitter.admitted(ticket), busy:
+            with self._admitter.hold_slot(ticket), busy:
                 observed = ObservedExchange(
                     exchange,
                     ticket,
@@ -304,14 +304,14 @@
                 overload.retry_after_ms, answer_wait_ms
             )
             raise
-        if ticket.result is Result.SERVED:
+        if ticket.result is TicketResult.SERVED:
             busy_ms = self._clock.now_ms() - ticket.started_ms
             self._meter.note(work.shard, work.key, busy_ms)
 
     def _release_slot(self, ticket: Ticket, rank: int, length: int) -> None:
         """Give the slot of a request back whose whole answer is here."""
         self._answer_delays.record(rank, length)
-        self._admitter.give_back(ticket)
+        self._admitter.release_slot(ticket)
 
     def _serve_admitted(
         self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
@@ -365,5 +365,5 @@
             left_ms = until_ms - self._clock.now_ms()
             if left_ms <= 0 or self._holdings.is_closed(shard):
                 return False
-            self._grants.news.wait(left_ms)
+            self._grants.changes.wait(left_ms)
         return True
--- a/laburnumwood/routing/priorities.py
+++ b/laburnumwood/routing/priorities.py
@@ -2,14 +2,15 @@
 
 from collections.abc import Mapping
 
-from laburnumwood.admission.tickets import Line
+from laburnumwood.admission.tickets import TrafficClass
 from laburnumwood.config.declarations import Priority, Service
 from laburnumwood.protocol.messages import Work
 
-_DEFAULT_CLASS = Line()
+_DEFAULT_CLASS = TrafficClass()
 _HIGHEST_RANK = 0
 _RANK_CLASSES = tuple(
-    Line(f'rank-{rank}', weight) for rank, weight in enumerate((16, 4, 1))
+    TrafficClass(f'rank-{rank}', weight)
+    for rank, weight in enumerate((16, 4, 1))
 )
 
 
@@ -24,7 +25,7 @@
     return header_value is not None and priority.text in {None, header_value}
 
 
-def classify(work: Work, service: Service | None) -> Line:
+def classify(work: Work, service: Service | None) -> TrafficClass:
     """Return the class of a request, the heaviest that it belongs to."""
     if work.priority >= 0:
         return _RANK_CLASSES[min(work.priority, len(_RANK_CLASSES) - 1)]
@@ -32,7 +33,7 @@
         return _DEFAULT_CLASS
     headers = {name.lower(): text for name, text in work.headers}
     classes = [
-        Line(name, priority.weight)
+        TrafficClass(name, priority.weight)
         for name, priority in service.priorities.items()
         if _matches(priority, work, headers)
     ]
--- a/laburnumwood/routing/retry_policy.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from laburnumwood.admission.retries import RetryBudget
+from laburnumwood.admission.retry_budget import RetryBudget
 from laburnumwood.clock import Clock
 from laburnumwood.events import REQUEST_AGAIN, REQUEST_FAILED
 from laburnumwood.protocol.messages import Failure
@@ -118,7 +118,7 @@
             and failure.kind in _OTHER_NODE_KINDS
         ):
             return self._other_node_delay_ms(failure, nodes)
-        if not self._may_resend(failure) or not self._budget.spend():
+        if not self._may_resend(failure) or not self._budget.try_retry():
             return None
         return 0 if self._any_node_serves else _MIN_REMAINING_MS
 
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -32,7 +32,7 @@
 from laburnumwood.routing.worker_interface import WorkerInterface
 from laburnumwood.tasks import start
 from laburnumwood.upstream.pool import WorkerAnswer
-from laburnumwood.upstream.worker import Order, Worker
+from laburnumwood.upstream.worker import Worker, WorkerRequest
 
 _KIND_BY_ERROR: dict[type[WorkerError], str] = {
     WorkerBusyError: 'overloaded',
@@ -137,7 +137,7 @@
 
     def _run_on_live_worker(self, run: Run) -> WorkerAnswer:
         # What is sent to a worker that is dead already did not kill it.
-        if self._may_be_dead and not self._worker.answers():
+        if self._may_be_dead and not self._worker.is_responding():
             raise WorkerUnreachableError('the worker was lost')
         self._may_be_dead = False
         try:
@@ -152,7 +152,7 @@
             raise
 
     def _run_checked(self, run: Run) -> WorkerAnswer:
-        answer = self._worker.run(self._order(run))
+        answer = self._worker.send(self._worker_request(run))
         try:
             self._worker_interface.check(run, answer)
         except WorkerCutError:
@@ -160,11 +160,13 @@
             raise
         return answer
 
-    def _order(self, run: Run) -> Order:
+    def _worker_request(self, run: Run) -> WorkerRequest:
         work = run.work
         left_ms = max(1, run.until_ms - self._clock.now_ms())
         headers = self._worker_interface.headers(run, left_ms)
-        return Order(work.method, work.target, headers, run.body, left_ms)
+        return WorkerRequest(
+            work.method, work.target, headers, run.body, left_ms
+        )
 
     def _forward_answer(
         self,
@@ -223,7 +225,7 @@
         ):
             return None
         # Longer ones are no refusals of a worker that keeps to its protocol.
-        body = answer.whole(
+        body = answer.read_body(
             max(self._max_buffered_bytes, MAX_INLINE_BODY_BYTES)
         )
         kind = (
--- a/tests/features/steps/letting_go_steps.py
+++ b/tests/features/steps/letting_go_steps.py
@@ -12,7 +12,7 @@
 from laburnumwood.daemon.node import Node
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.node_records import join
-from laburnumwood.platform.borders import register
+from laburnumwood.platform.registration import register
 from laburnumwood.protocol.messages import Resign
 from laburnumwood.records import NodeName, NodeRecord, ShardName, WitnessSet
 from laburnumwood.settings import DaemonSettings, LeaseSettings
@@ -66,7 +66,7 @@
 
 def _report(context: Context, held: tuple[HeldRange, ...]) -> Any:
     context.number += 1
-    return context.node.worker.report(
+    return context.node.worker.handle_report(
         WorkerReport('w', 's', 1, context.number, 18, False, held)
     )
 
@@ -86,7 +86,7 @@
     context.node._clock = context.clock
     context.node.worker._clock = context.clock
     context.first = _join(context)
-    holder = context.node.worker._holder
+    holder = context.node.worker._source
     holder._declaration = lambda: DECLARED
     _hold_lease(context.first, context.clock)
     context.first.holdings.hold(SHARD, 8)
@@ -166,7 +166,7 @@
 @when('the next incarnation gives the worker the same shard')
 def give_next(context: Context) -> None:
     context.next = _join(context)
-    context.node.worker._holder._declaration = lambda: DECLARED
+    context.node.worker._source._declaration = lambda: DECLARED
     _hold_lease(context.next, context.clock)
     context.next.holdings.hold(SHARD, 16)
     _report_again(context)
--- a/tests/features/steps/outlet_steps.py
+++ b/tests/features/steps/outlet_steps.py
@@ -112,8 +112,12 @@
     'and one of rank {other:d} for 0 ms'
 )
 def check_ranks(context: Context, rank: int, span: int, other: int) -> None:
-    assert context.answers.expected_wait_ms(rank) == span, context.answers.wait_ms(rank)
-    assert not context.answers.expected_wait_ms(other), context.answers.wait_ms(other)
+    assert context.answers.expected_wait_ms(rank) == span, (
+        context.answers.wait_ms(rank)
+    )
+    assert not context.answers.expected_wait_ms(other), context.answers.wait_ms(
+        other
+    )
 
 
 class _Peer:
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -8,7 +8,7 @@
 from laburnumwood.placement.layout import ranges_of
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.reports import (
     HeldRange,
     WorkerReport,
@@ -50,7 +50,7 @@
         """Let no more requests in to a shard."""
         self.holdings.close(name)
 
-    def spend(self, name: ShardName) -> None:
+    def require_higher_token(self, name: ShardName) -> None:
         """Ask for a higher token."""
         self.holdings.spend(name)
 
@@ -109,13 +109,13 @@
         worker_id=f'worker-{context.life}',
         service='keyed',
         started_ms=context.life,
-        number=context.number,
+        sequence_number=context.number,
         slots=18,
         is_leaving=leaves,
         held=held,
         released=released,
     )
-    context.reply = context.worker.report(context.last)
+    context.reply = context.worker.handle_report(context.last)
 
 
 @when('the worker reports')
@@ -149,8 +149,8 @@
 
 
 @when('another node tells what its worker left of shard {number:d}')
-def take_left(context: Context, number: int) -> None:
-    context.worker.take_left(
+def add_remote_handovers(context: Context, number: int) -> None:
+    context.worker.add_remote_handovers(
         ReleasedRange(keys, 'left there') for keys in stripes(number)
     )
 
@@ -168,8 +168,8 @@
 
 
 @when('the worker signs off')
-def sign_off(context: Context) -> None:
-    context.worker.presence.sign_off(f'worker-{context.life}')
+def deregister(context: Context) -> None:
+    context.worker.presence.deregister(f'worker-{context.life}')
 
 
 @when('a report of an earlier life comes')
@@ -181,7 +181,7 @@
 
 @when('the last report comes once more')
 def report_again(context: Context) -> None:
-    context.reply = context.worker.report(context.last)
+    context.reply = context.worker.handle_report(context.last)
 
 
 @when('another life of the worker reports')
@@ -225,7 +225,7 @@
 @then('it is to hold the shards "{numbers}" for {span:d} ms')
 def check_grant(context: Context, numbers: str, span: int) -> None:
     _check_shards(context, numbers)
-    assert context.reply.lasts_ms == span, context.reply.lasts_ms
+    assert context.reply.duration_ms == span, context.reply.duration_ms
 
 
 @then('it is to hold the shards ""')
@@ -294,14 +294,14 @@
 
 @then('it is not known to hold nothing')
 def check_not_clear(context: Context) -> None:
-    assert not context.worker.is_clear
+    assert not context.worker.has_released_all
 
 
 @then('it is known to hold nothing')
 def check_clear(context: Context) -> None:
-    assert context.worker.is_clear
+    assert context.worker.has_released_all
 
 
 @then('its next grants are expected in {span:d} ms')
 def check_expected(context: Context, span: int) -> None:
-    assert context.worker.expected_in_ms() == span
+    assert context.worker.next_grants_in_ms() == span
