--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -7,10 +7,10 @@
 
 from laburnumwood.borders import Borders, Front, Listener, borders
 from laburnumwood.listening import split_address
-from laburnumwood.platform.callers import RequesterFace
+from laburnumwood.platform.callers import PlatformCallerInterface
 from laburnumwood.platform.reports import ReportEndpoint
 from laburnumwood.platform.store import ObjectStore
-from laburnumwood.platform.workers import WorkerDialect
+from laburnumwood.platform.workers import PlatformWorkerInterface
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
 
@@ -51,10 +51,10 @@
 def _make() -> Borders:
     return Borders(
         make_store=lambda settings: ObjectStore(settings.platform_url),
-        make_face=lambda settings: RequesterFace(
+        make_face=lambda settings: PlatformCallerInterface(
             settings, Random(settings.node_id)
         ),
-        make_dialect=WorkerDialect,
+        make_dialect=PlatformWorkerInterface,
         listeners=_listeners,
         worker_reports=True,
         has_idempotency_keys=False,
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -20,7 +20,7 @@
     Headers,
 )
 from laburnumwood.upstream.pool import WorkerAnswer
-from laburnumwood.upstream.reporting_worker import ReportingWorker
+from laburnumwood.upstream.reporting import ReportingWorker
 from laburnumwood.upstream.worker import Worker
 
 _ID = ID_HEADER.lower()
@@ -34,7 +34,7 @@
 
 
 def _has_room(load: str) -> bool:
-    """Tell whether a worker says that it has a free slot."""
+    """Return whether a worker says that it has a free slot."""
     parts = load.split(',')
     if len(parts) != _LOAD_PARTS or not all(map(str.isdecimal, parts)):
         return False
@@ -42,7 +42,7 @@
     return not waiting and running < slots
 
 
-class WorkerDialect:
+class PlatformWorkerInterface:
     """The headers of the platform's workers."""
 
     def __init__(self, worker: ReportingWorker) -> None:
@@ -62,7 +62,7 @@
         )
 
     def may_refuse(self, answer: WorkerAnswer) -> bool:
-        """Tell whether an answer may say that the request did not run."""
+        """Return whether an answer may say that the request did not run."""
         misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
         return misdirected or answer.index.has(_NOT_RUN)
 
