--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -36,7 +36,7 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.admission_gate import AdmissionGate, WorkerState
-from laburnumwood.routing.executor import Executor
+from laburnumwood.routing.execution import Executor
 from laburnumwood.routing.ledger_replication import LedgerReplicator
 from laburnumwood.routing.measured_ingress import MeasuredIngress
 from laburnumwood.routing.router import Router
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -34,7 +34,7 @@
 from laburnumwood.protocol.outlet import OUTLET
 from laburnumwood.records import ShardName, ShardRecord
 from laburnumwood.routing.exchange import Exchange
-from laburnumwood.routing.executor import ExecutionCheck, Executor
+from laburnumwood.routing.execution import ExecutionCheck, Executor
 from laburnumwood.routing.observed_exchange import (
     LongAnswerDelays,
     ObservedExchange,
