--- a/laburnumwood/daemon/holder.py
+++ b/laburnumwood/daemon/holder.py
@@ -3,8 +3,8 @@
 from laburnumwood.config.declarations import Service
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import Holdings
-from laburnumwood.placement.layout import ranges_of
+from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.layout import key_ranges
 from laburnumwood.records import KeyRange, ShardName
 
 
@@ -12,28 +12,32 @@
     """The shards that one incarnation holds, for the grants to its worker."""
 
     def __init__(
-        self, service: str, lease: Lease, holdings: Holdings, view: FleetView
+        self,
+        service: str,
+        lease: Lease,
+        held_shards: HeldShards,
+        view: FleetView,
     ) -> None:
         self._service = service
         self._lease = lease
-        self._holdings = holdings
+        self._held_shards = held_shards
         self._view = view
 
     def tokens(self) -> dict[ShardName, int]:
         """Return the shards that the incarnation holds, with their tokens."""
-        return self._holdings.tokens()
+        return self._held_shards.tokens()
 
     def until_ms(self) -> int:
         """Return the time in ms until which the lease is held."""
-        return self._lease.holds_until_ms()
+        return self._lease.expires_at_ms()
 
     def close(self, shard: ShardName) -> None:
         """Stop admitting requests to a shard."""
-        self._holdings.close(shard)
+        self._held_shards.close(shard)
 
     def require_higher_token(self, shard: ShardName) -> None:
         """Request a higher token, which a restarted worker needs."""
-        self._holdings.spend(shard)
+        self._held_shards.invalidate_token(shard)
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the key ranges of a shard.
@@ -45,7 +49,7 @@
         if declaration is None:
             return ()
         record = entry.record if entry else None
-        return ranges_of(shard.number, record, declaration)
+        return key_ranges(shard.number, record, declaration)
 
     def handovers(self, shard: ShardName) -> tuple[str, ...]:
         """Return what the last owner's worker left for the next, by stripe."""
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -9,7 +9,7 @@
 from laburnumwood.daemon.load import LoadComponents
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.lease import Lease
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.known import CachedStore
@@ -26,9 +26,9 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
-from laburnumwood.placement.holdings import Holdings
-from laburnumwood.placement.keeper import Keeper
-from laburnumwood.placement.tenure import Tenure
+from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.keeper import ShardManager
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.protocol.messages import Resign, Work
 from laburnumwood.protocol.peers import Dispatcher, Peers
@@ -74,9 +74,9 @@
         self._tasks = Tasks()
         self._watch_tasks = Tasks()
         self.dispatcher = Dispatcher()
-        self.view = FleetView(Directory(), SealBook())
+        self.view = FleetView(Directory(), SealRegistry())
         self.lease = Lease(name, settings.lease, clock)
-        self.holdings = Holdings()
+        self.held_shards = HeldShards()
         self._peers = Peers(
             name,
             LinkSecurity(settings.shared_key, settings.tls),
@@ -144,7 +144,7 @@
             self._account.run,
             self.door.report_served,
             self.load.run,
-            self._keeper.watch_standing,
+            self._keeper.follow_ownership,
             self._keeper.write_records,
         ):
             self._tasks.start(task)
@@ -188,7 +188,7 @@
 
         Returns the time in ms at which the worker's grants expire.
         """
-        self._keeper.close_all()
+        self._keeper.withdraw_all()
         start(self._announce_leaving)
         return self._granter.retire() if self._granter else 0
 
@@ -234,7 +234,7 @@
         Requests are still forwarded to other nodes.
         """
         self.lease.resign()
-        self.holdings.drop_all()
+        self.held_shards.drop_all()
         self._tasks.kill()
 
     def release(self) -> None:
@@ -256,14 +256,14 @@
     def _make_grants(self, clock: Clock) -> Grants:
         if self._borders.worker_reports:
             holder = ShardHolder(
-                self._settings.service, self.lease, self.holdings, self.view
+                self._settings.service, self.lease, self.held_shards, self.view
             )
             return AttachedGrants(self._reporting, holder)
         self._granter = Granter(
             self._worker,
-            self.holdings.tokens,
-            self.lease.holds_until_ms,
-            self.holdings.close,
+            self.held_shards.tokens,
+            self.lease.expires_at_ms,
+            self.held_shards.close,
             clock,
         )
         return self._granter
@@ -289,12 +289,14 @@
         writer = ShardWriter(
             platform, self.view.directory, self._member.renewer
         )
-        tenure = Tenure(service, self.view, self.lease, self.holdings, clock)
-        self._keeper = Keeper(
+        ownership = OwnershipTracker(
+            service, self.view, self.lease, self.held_shards, clock
+        )
+        self._keeper = ShardManager(
             service,
             self.view,
-            tenure,
-            self.holdings,
+            ownership,
+            self.held_shards,
             writer,
             self._member.gossip,
             self.load.balancer,
@@ -309,7 +311,7 @@
         self._notary = LedgerReplicator(
             self.name,
             self.view,
-            self.holdings,
+            self.held_shards,
             self._peers,
             self.dispatcher,
             clock,
@@ -329,7 +331,7 @@
         gate = AdmissionGate(
             self._settings,
             self.lease,
-            self.holdings,
+            self.held_shards,
             self._grants,
             executor,
             lambda: self.view.directory.declarations.services,
@@ -358,7 +360,7 @@
             clock,
         )
         self.operators = OperatorApi(
-            self.view, self.lease, self.holdings, gate, self._account
+            self.view, self.lease, self.held_shards, gate, self._account
         )
         self.gate = gate
 
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator, Set
 
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.records import Digest, NodeName, NodeRecord, Seal, ShardName
 
@@ -13,7 +13,7 @@
 class FleetView:
     """Combines directory and seals to tell which nodes exist and are live."""
 
-    def __init__(self, directory: Directory, seals: SealBook) -> None:
+    def __init__(self, directory: Directory, seals: SealRegistry) -> None:
         self.directory = directory
         self.seals = seals
         self._live: dict[NodeName, NodeRecord] = {}
@@ -24,12 +24,12 @@
     @property
     def version(self) -> tuple[int, int]:
         """Return a value that differs after each change of records or seals."""
-        return self.directory.change_count, self.seals.changes
+        return self.directory.change_count, self.seals.change_count
 
     @property
     def node_version(self) -> tuple[int, int]:
         """Return a value that differs whenever other nodes may be live."""
-        return self.directory.node_change_count, self.seals.changes
+        return self.directory.node_change_count, self.seals.change_count
 
     def digest(self) -> Digest:
         """Return a summary of what this node knows, for peers to compare."""
@@ -123,7 +123,7 @@
             return True
         entry = self.directory.nodes.get(name.node_id)
         if entry is not None and entry.record.has_ended(name.incarnation):
-            self.seals.end(name)
+            self.seals.mark_ended(name)
             return True
         return False
 
@@ -144,7 +144,7 @@
         """Remove the seals that no shard needs any more."""
         for holder in self.seals.holders():
             if self._is_obsolete(holder):
-                self.seals.forget(holder)
+                self.seals.discard_ended(holder)
 
     def _is_obsolete(self, holder: NodeName) -> bool:
         entry = self.directory.nodes.get(holder.node_id)
--- a/laburnumwood/placement/shard_write.py
+++ b/laburnumwood/placement/shard_write.py
@@ -1,4 +1,4 @@
-"""One write of a shard's record, step by step."""
+"""A conditional write of a shard's record, step by step."""
 
 from enum import Enum
 
@@ -14,10 +14,10 @@
 from laburnumwood.store.objects import shard_object, to_value
 from laburnumwood.store.writes import marked, write
 
-_FLOOR_PATIENCE_MS = 3_000
+_FLOOR_TIMEOUT_MS = 3_000
 
 
-class Progress(Enum):
+class WriteProgress(Enum):
     """How far a write has come."""
 
     NEEDS_FLOOR = 'the witnesses do not know the floor yet'
@@ -29,18 +29,19 @@
 
     @property
     def is_final(self) -> bool:
-        """Tell whether there is nothing more to do."""
-        return self not in {Progress.NEEDS_FLOOR, Progress.UNSETTLED}
+        """Return whether the write needs no further steps."""
+        return self not in {WriteProgress.NEEDS_FLOOR, WriteProgress.UNSETTLED}
 
 
 class ShardWrite:
     """A conditional write of a shard's record by one incarnation.
 
     The floor is raised first, and nothing is sent before enough witnesses
-    know it.  A write whose answer was lost is repeated until it is settled.
-    One that `may_be_left` is not, if its first try did not reach the store:
-    whoever waits for its outcome need not wait for the store.
-    `version` is the one to replace, or None to create the record.
+    have acknowledged it.  A write whose answer was lost is repeated until its
+    outcome is known.  If `stop_if_unreachable` is set and the first attempt
+    does not reach the store, the write is not repeated, so that nothing that
+    depends on its outcome has to wait for the store.
+    `version` is the version to replace, or None to create the record.
     """
 
     def __init__(
@@ -55,42 +56,51 @@
         self.record = marked(record, str(lease.holder))
         self.version = version
         self.stored: StoredObject | None = None
-        self.may_be_left = False
+        self.stop_if_unreachable = False
         self._lease = lease
         self._clock = clock
         self._sent = False
-        self._floor_deadline_ms = clock.now_ms() + _FLOOR_PATIENCE_MS
+        self._floor_deadline_ms = clock.now_ms() + _FLOOR_TIMEOUT_MS
         if version is not None:
             lease.raise_floor(str(shard), record.epoch)
 
-    def step(self, platform: Store) -> Progress:
-        """Carry the write on by at most one exchange with the store."""
+    def step(self, platform: Store) -> WriteProgress:
+        """Advance the write by at most one exchange with the store."""
         if self._lease.is_over:
-            return Progress.ABANDONED if self._sent else Progress.NOT_SENT
+            return (
+                WriteProgress.ABANDONED
+                if self._sent
+                else WriteProgress.NOT_SENT
+            )
         if not self._sent and not self._may_send():
             late = self._clock.now_ms() >= self._floor_deadline_ms
-            return Progress.NOT_SENT if late else Progress.NEEDS_FLOOR
-        # An earlier try may still land, whatever becomes of this one.
-        is_left = self.may_be_left and not self._sent
+            return WriteProgress.NOT_SENT if late else WriteProgress.NEEDS_FLOOR
+        # An earlier attempt may still take effect, whatever the outcome of
+        # this one.
+        may_stop = self.stop_if_unreachable and not self._sent
         self._sent = True
         try:
             return self._send(platform)
         except PlatformConflictError:
-            return Progress.CONFLICT
+            return WriteProgress.CONFLICT
         except PlatformError as failure:
             not_reached = isinstance(failure, PlatformNotReachedError)
         return (
-            Progress.NOT_SENT if is_left and not_reached else Progress.UNSETTLED
+            WriteProgress.NOT_SENT
+            if may_stop and not_reached
+            else WriteProgress.UNSETTLED
         )
 
     def _may_send(self) -> bool:
-        if not self._lease.holds():
+        if not self._lease.is_held():
             return False
-        known = self._lease.knows_floor(str(self.shard), self.record.epoch)
-        return known or self.version is None
+        acknowledged = self._lease.is_floor_acknowledged(
+            str(self.shard), self.record.epoch
+        )
+        return acknowledged or self.version is None
 
-    def _send(self, platform: Store) -> Progress:
+    def _send(self, platform: Store) -> WriteProgress:
         name = shard_object(self.shard)
         written = write(platform, name, self.record, self.version)
         self.stored = StoredObject(name, to_value(self.record), written)
-        return Progress.WRITTEN
+        return WriteProgress.WRITTEN
--- a/laburnumwood/routing/notary.py
+++ b/laburnumwood/routing/notary.py
@@ -7,7 +7,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import Holdings
+from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import (
     Answer,
@@ -71,14 +71,14 @@
         self,
         own_name: NodeName,
         view: FleetView,
-        holdings: Holdings,
+        held_shards: HeldShards,
         peers: Peers,
         dispatcher: Dispatcher,
         clock: Clock,
     ) -> None:
         self._own = own_name
         self._view = view
-        self._holdings = holdings
+        self._held_shards = held_shards
         self._ledger = RunLedger(clock)
         self._peers = peers
         self._synced_epochs: dict[tuple[ShardName, NodeName], int] = {}
@@ -138,7 +138,7 @@
     def run(self) -> None:
         """Keep the successors of all shards supplied; does not return."""
         while True:
-            for shard in self._holdings.tokens():
+            for shard in self._held_shards.tokens():
                 entry = self._view.directory.shard(shard)
                 if entry and self._ledger.has_full_history(shard, entry.record):
                     self._replicate(shard, entry.record, ())
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -11,7 +11,7 @@
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import KeySource, Service
 from laburnumwood.errors import LaburnumwoodError
-from laburnumwood.placement.sharding import place_key
+from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.protocol.messages import Work
 from laburnumwood.routing.headers import forwarded_headers, header_values
 from laburnumwood.routing.problems import make_failure
@@ -84,7 +84,7 @@
     if not _is_identifier(key):
         raise RequestRefusedError('bad-request', 'the key is not usable')
     try:
-        return place_key(key, service), key
+        return initial_shard(key, service), key
     except ValueError as error:
         raise RequestRefusedError('bad-request', str(error)) from error
 
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -8,8 +8,8 @@
 from laburnumwood.errors import CallerGoneError, LinkError, LinkTimeoutError
 from laburnumwood.membership.gossip import apply_shard_notice
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.layout import placed_shard
-from laburnumwood.placement.ownership import acting
+from laburnumwood.placement.layout import locate_text_key
+from laburnumwood.placement.ownership import acting_owner
 from laburnumwood.protocol.messages import (
     Answer,
     Cancel,
@@ -226,7 +226,7 @@
     def _with_current_shard(self, work: Work, shard: int) -> Work:
         """Return a request with the shard that has its key now."""
         records = self._view.directory.shard_records(work.service)
-        current = placed_shard(work.key, shard, records)
+        current = locate_text_key(work.key, shard, records)
         return work if current == work.shard else replace(work, shard=current)
 
     def _await_owner_change(
@@ -244,7 +244,7 @@
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         if entry is None:
             return 0, None
-        return entry.version, acting(entry.record, self._view)
+        return entry.version, acting_owner(entry.record, self._view)
 
     def _select_target(
         self, work: Work, retries: RetryPolicy
@@ -252,7 +252,7 @@
         if work.shard < 0:
             return self._choose_node(work, retries)
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
-        return acting(entry.record, self._view) if entry else None
+        return acting_owner(entry.record, self._view) if entry else None
 
     def _choose_node(self, work: Work, retries: RetryPolicy) -> NodeName | None:
         nodes = self._view.serving_nodes(work.service)
--- a/tests/features/steps/letting_go_steps.py
+++ b/tests/features/steps/letting_go_steps.py
@@ -59,9 +59,9 @@
 
 def _hold_lease(incarnation: Incarnation, clock: FakeClock) -> None:
     lease = incarnation.lease
-    lease.begin(WitnessSet(1, (OTHER,)))
-    renewal = lease.renewal(OTHER, incarnation.view.digest())
-    lease.granted(renewal, clock.now_ms())
+    lease.set_first_witnesses(WitnessSet(1, (OTHER,)))
+    renewal = lease.renewal_request(OTHER, incarnation.view.digest())
+    lease.record_grant(renewal, clock.now_ms())
 
 
 def _report(context: Context, held: tuple[HeldRange, ...]) -> Any:
@@ -89,7 +89,7 @@
     holder = context.node.worker._source
     holder._declaration = lambda: DECLARED
     _hold_lease(context.first, context.clock)
-    context.first.holdings.hold(SHARD, 8)
+    context.first.held_shards.hold(SHARD, 8)
     context.reply = _report(context, ())
     assert len(_held(context)), context.reply
 
@@ -168,7 +168,7 @@
     context.next = _join(context)
     context.node.worker._source._declaration = lambda: DECLARED
     _hold_lease(context.next, context.clock)
-    context.next.holdings.hold(SHARD, 16)
+    context.next.held_shards.hold(SHARD, 16)
     _report_again(context)
     assert _held(context)
 
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -2,12 +2,16 @@
 
 from collections.abc import Iterable
 
-from laburnumwood.leases.backless import Backless, Candidate, HasForgotten
+from laburnumwood.leases.backless import (
+    Candidate,
+    IsWitnessReplaced,
+    QuorumLossDetector,
+)
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
-from laburnumwood.placement.ownership import Standing
-from laburnumwood.placement.shard_write import Progress, ShardWrite
-from laburnumwood.placement.tenure import Tenure
+from laburnumwood.placement.ownership import OwnershipState
+from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     Digest,
@@ -27,7 +31,7 @@
     def raise_floor(self, shard: str, epoch: int) -> None:
         """Forget it."""
 
-    def knows_floor(self, shard: str, epoch: int) -> bool:
+    def is_floor_acknowledged(self, shard: str, epoch: int) -> bool:
         """Pretend."""
         return True
 
@@ -35,9 +39,9 @@
 class _FromReceipt(Lease):
     """Counts a grant from when it was received."""
 
-    def granted(self, request: Renew, sent_ms: int) -> bool:
+    def record_grant(self, request: Renew, sent_ms: int) -> bool:
         """Leave the moment of sending out."""
-        return super().granted(request, self._clock.now_ms())
+        return super().record_grant(request, self._clock.now_ms())
 
 
 class _NoJointMajority(Lease):
@@ -58,41 +62,43 @@
         return Granted(digest)
 
 
-class _ReadForWin(Tenure):
+class _ReadForWin(OwnershipTracker):
     """Takes the newest record that can be read for the newest there is."""
 
-    def _standing(self, shard: ShardName, record: ShardRecord) -> Standing:
-        how = super()._standing(shard, record)
-        return Standing.OWNER if how is Standing.MUST_WIN else how
+    def _ownership_state(
+        self, shard: ShardName, record: ShardRecord
+    ) -> OwnershipState:
+        how = super()._ownership_state(shard, record)
+        return OwnershipState.OWNER if how is OwnershipState.MUST_WRITE else how
 
 
-class _ReopenOnConflict(Tenure):
+class _ReopenOnConflict(OwnershipTracker):
     """Goes on with a record that is known to be stale."""
 
-    def _take_conflict(self, write: ShardWrite) -> None:
-        self._holdings.reopen(write.shard)
+    def _apply_conflict(self, write: ShardWrite) -> None:
+        self._held_shards.reopen(write.shard)
 
 
-class _ReopenUnsettled(Tenure):
+class _ReopenUnsettled(OwnershipTracker):
     """Reopens a moving shard although the move may have been written."""
 
-    def follow(self) -> None:
+    def update_held_shards(self) -> None:
         """Reopen all that moves."""
-        super().follow()
+        super().update_held_shards()
         for shard in self._writes:
-            self._holdings.reopen(shard)
+            self._held_shards.reopen(shard)
 
 
 class _ForgottenTry(ShardWrite):
     """Takes the last try for all of them."""
 
-    def step(self, platform: Store) -> Progress:
+    def step(self, platform: Store) -> WriteProgress:
         """Leave out that an earlier try may still land."""
         self._sent = False
         return super().step(platform)
 
 
-class _LastTryOnly(Tenure):
+class _LastTryOnly(OwnershipTracker):
     """Leaves a move once a try of it did not reach the store."""
 
     def begin_move(
@@ -105,7 +111,7 @@
         return write
 
 
-class _UnsettledMoves(Tenure):
+class _UnsettledMoves(OwnershipTracker):
     """Waits for the outcome of moves that did not reach the store."""
 
     def begin_move(
@@ -114,23 +120,25 @@
         """Return a write that is repeated until it is settled."""
         write = super().begin_move(shard, target)
         if write is not None:
-            write.may_be_left = False
+            write.stop_if_unreachable = False
         return write
 
 
-class _ClosedAfterSplit(Tenure):
+class _ClosedAfterSplit(OwnershipTracker):
     """Leaves a shard closed once keys of it were split off."""
 
-    def _take_written(self, write: ShardWrite) -> None:
+    def _apply_written(self, write: ShardWrite) -> None:
         if write.record.succession[0] != self._own:
-            super()._take_written(write)
+            super()._apply_written(write)
 
 
-class _NoEnd(Backless):
+class _NoEnd(QuorumLossDetector):
     """Leaves lost nodes to an operator."""
 
-    def over(
-        self, candidates: Iterable[Candidate], has_forgotten: HasForgotten
+    def expired(
+        self,
+        candidates: Iterable[Candidate],
+        is_witness_replaced: IsWitnessReplaced,
     ) -> tuple[Candidate, ...]:
         """Find nobody."""
         return ()
@@ -148,14 +156,14 @@
     'ends that need nobody': Code(backless=_NoEnd),
     'nothing': Code(),
     'the floor': Code(lease=_NoFloor),
-    'the winning of a write': Code(tenure=_ReadForWin),
+    'the winning of a write': Code(ownership=_ReadForWin),
     'the count from sending': Code(lease=_FromReceipt),
     'the new name of a restarted witness': Code(witness=_KeptVote),
     'the joint majority': Code(lease=_NoJointMajority),
-    'the care after a conflict': Code(tenure=_ReopenOnConflict),
-    'the opening after a split': Code(tenure=_ClosedAfterSplit),
+    'the care after a conflict': Code(ownership=_ReopenOnConflict),
+    'the opening after a split': Code(ownership=_ClosedAfterSplit),
     'the wait for the worker': Code(grants=_NoWaitForWorker),
-    'the wait for an unsettled move': Code(tenure=_ReopenUnsettled),
-    'the memory of earlier tries': Code(tenure=_LastTryOnly),
-    'the end of a move that was not sent': Code(tenure=_UnsettledMoves),
+    'the wait for an unsettled move': Code(ownership=_ReopenUnsettled),
+    'the memory of earlier tries': Code(ownership=_LastTryOnly),
+    'the end of a move that was not sent': Code(ownership=_UnsettledMoves),
 }
