--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -11,8 +11,8 @@
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.records import NodeName
-from laburnumwood.routing.admission_gate import Gate
-from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.admission_gate import AdmissionGate
+from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.settings import DaemonSettings
 
 _RETRY_FRACTION = 0.1  # of the requests
@@ -36,7 +36,7 @@
             service, own, view, self.meter, load_book, placement, clock
         )
         domain = settings.failure_domain
-        self.spread = Spread(
+        self.spread = RequestBalancer(
             load_book,
             domain,
             Random(str(own)),
@@ -48,13 +48,13 @@
             service, own, view, peers, self.meter, load_book
         )
 
-    def serve(self, dispatcher: Dispatcher, gate: Gate) -> None:
+    def serve(self, dispatcher: Dispatcher, gate: AdmissionGate) -> None:
         """Start to report the load of the gate to peers."""
         self._exchange.serve(
             dispatcher,
             lambda: gate.running + gate.waiting,
-            self.spread.targets,
-            gate.tell_load,
+            self.spread.recent_choices,
+            gate.report_load,
         )
 
     def run(self) -> None:
--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -8,17 +8,17 @@
 from laburnumwood.header_index import HeaderIndex
 from laburnumwood.platform.names import ID_HEADER, TIME_LEFT_HEADER
 from laburnumwood.protocol.messages import Answer, Failure, Work
-from laburnumwood.routing.caller_interface import HeaderList, Refusal
-from laburnumwood.routing.caller_protocol import HEADERS
-from laburnumwood.routing.caller_request import Inquiry
-from laburnumwood.routing.headers import end_to_end, request_headers
+from laburnumwood.routing.caller_interface import HeaderList, ProblemAnswer
+from laburnumwood.routing.caller_protocol import HEADERS_KEY
+from laburnumwood.routing.caller_request import CallerRequest
+from laburnumwood.routing.headers import end_to_end_headers, forwarded_headers
 from laburnumwood.routing.problems import PROBLEMS, status_line
 from laburnumwood.routing.request_parsing import (
     Environ,
     RequestRefusedError,
-    check_head,
-    place_request,
+    find_shard_and_key,
     read_body,
+    validate_head,
 )
 from laburnumwood.routing.routes import RouteTable, choose_service
 from laburnumwood.settings import DaemonSettings
@@ -40,7 +40,7 @@
 
 
 def _first_header(environ: Environ, name: str) -> str:
-    index: HeaderIndex = environ[HEADERS]
+    index: HeaderIndex = environ[HEADERS_KEY]
     return index.first(name.lower())
 
 
@@ -52,7 +52,7 @@
 
 
 def _headers(environ: Environ) -> tuple[tuple[str, str], ...]:
-    headers = request_headers(environ['headers_raw'])
+    headers = forwarded_headers(environ['headers_raw'])
     return ((_HOST, _first_header(environ, _HOST)), *headers)
 
 
@@ -83,19 +83,19 @@
         """Return the id of a request, '' if it has none."""
         return _first_header(environ, ID_HEADER)
 
-    def read(
+    def read_request(
         self, environ: Environ, declarations: Declarations, request_id: str
-    ) -> Inquiry:
+    ) -> CallerRequest:
         """Return the parsed request; raises `RequestRefusedError`."""
         if not declarations.routes:
             raise RequestRefusedError('not-ready', 'no configuration is known')
         route = self._route(environ, declarations)
-        check_head(environ)
+        validate_head(environ)
         name = choose_service(route, self._random)
         service = declarations.services[name]
         deadline_ms = min(_time_left_ms(environ), route.timeout_ms)
         body = read_body(environ, service.longest_body, deadline_ms)
-        shard, key = place_request(environ, service)
+        shard, key = find_shard_and_key(environ, service)
         work = Work(
             request_id=request_id,
             service=name,
@@ -112,9 +112,11 @@
             priority=route.priority,
             objective_ms=route.objective_ms,
         )
-        return Inquiry(work, body, route.attempts)
+        return CallerRequest(work, body, route.attempts)
 
-    def refusal(self, failure: Failure, request_id: str) -> Refusal:
+    def problem_answer(
+        self, failure: Failure, request_id: str
+    ) -> ProblemAnswer:
         """Return the answer for a request that failed."""
         status = _status(failure)
         content = f'{failure.kind}: {failure.detail}\n'.encode()
@@ -126,11 +128,11 @@
         if status is HTTPStatus.SERVICE_UNAVAILABLE and failure.retry_after_ms:
             after_s = failure.retry_after_ms / MS_PER_SECOND
             headers.append(('Retry-After', f'{after_s:.3f}'))
-        return Refusal(status_line(status), headers, content)
+        return ProblemAnswer(status_line(status), headers, content)
 
     def answer_headers(self, head: Answer, _request_id: str) -> HeaderList:
         """Return the end-to-end headers of a worker's answer, unchanged."""
-        return list(end_to_end(head.headers))
+        return list(end_to_end_headers(head.headers))
 
     def _route(self, environ: Environ, declarations: Declarations) -> Route:
         path = environ['RAW_PATH_INFO']
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -34,19 +34,22 @@
 from laburnumwood.protocol.outlet import OUTLET
 from laburnumwood.records import ShardName, ShardRecord
 from laburnumwood.routing.exchange import Exchange
-from laburnumwood.routing.executor import Executor, MayAct
-from laburnumwood.routing.observed_exchange import LongAnswers, ObservedExchange
-from laburnumwood.routing.priorities import line_of, useful_until_ms
-from laburnumwood.routing.problems import failure, overloaded
+from laburnumwood.routing.execution import ExecutionCheck, Executor
+from laburnumwood.routing.observed_exchange import (
+    LongAnswerDelays,
+    ObservedExchange,
+)
+from laburnumwood.routing.priorities import classify, useful_until_ms
+from laburnumwood.routing.problems import make_failure, make_overload_failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.shard_release import StayingExchange
+from laburnumwood.routing.shard_release import ShardReleasingExchange
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.grants import Grants
 
 Services = Callable[[], Mapping[str, Service]]
 
 
-class Account(Protocol):
+class BusySlotCounter(Protocol):
     """Counts what each owner's capacity carries."""
 
     def busy(self, service: str) -> AbstractContextManager[None]:
@@ -57,11 +60,11 @@
 class WorkerState:
     """Whether the worker takes requests now, and how many at once."""
 
-    may_start: Callable[[], bool]
+    accepts_requests: Callable[[], bool]
     slots: SlotCount
 
 
-class KnownShards(Protocol):
+class ShardDirectory(Protocol):
     """The records of shards that this node knows."""
 
     def shard_records(self, service: str) -> RecordsByNumber:
@@ -71,11 +74,13 @@
         """Return the record of a shard with its version."""
 
 
-_GRANT_SLACK_MS = 150  # by which a grant may come later than expected
-_ANSWER_MS = 60  # kept of the time left, to say that a request did not run
+_GRANT_DELAY_TOLERANCE_MS = 150  # by which a grant may come later than expected
+_REFUSAL_RESERVE_MS = (
+    60  # kept of the time left, to say that a request did not run
+)
 
 
-def read_body(exchange: Exchange, work: Work) -> bytes:
+def receive_body(exchange: Exchange, work: Work) -> bytes:
     """Return the whole body of a request, which may follow on its exchange.
 
     Raises `LinkError` if it is cut short.
@@ -88,22 +93,22 @@
         if isinstance(message, Chunk):
             parts.append(message.content)
         elif isinstance(message, End):
-            return _whole(b''.join(parts), message.length)
+            return _checked_body(b''.join(parts), message.length)
         else:
             raise LinkError('the body was given up')
 
 
-def _whole(body: bytes, length: int) -> bytes:
+def _checked_body(body: bytes, length: int) -> bytes:
     if len(body) != length:
         raise LinkError('the body is not whole')
     return body
 
 
-def _always() -> bool:
+def _always_allowed() -> bool:
     return True
 
 
-class Gate:
+class AdmissionGate:
     """Lets a request through to the worker while this node may act for it."""
 
     def __init__(
@@ -114,8 +119,8 @@
         grants: Grants,
         executor: Executor,
         services: Services,
-        shards: KnownShards,
-        account: Account,
+        shards: ShardDirectory,
+        capacity_account: BusySlotCounter,
         meter: LoadMeter,
         worker: WorkerState,
         clock: Clock,
@@ -126,8 +131,8 @@
         self._grants = grants
         self._worker = worker
         self._services = services
-        self._shards = shards
-        self._account = account
+        self._directory = shards
+        self._capacity_account = capacity_account
         self._meter = meter
         self._executor = executor
         self._clock = clock
@@ -137,7 +142,7 @@
             ),
             clock,
         )
-        self._long_answers = LongAnswers(OUTLET, clock)
+        self._answer_delays = LongAnswerDelays(OUTLET, clock)
         self._is_closed = False
 
     @property
@@ -150,22 +155,22 @@
         """Return how many requests wait to be let in."""
         return self._admitter.waiting
 
-    def hint(self, reported: int) -> None:
+    def set_reported_running(self, reported: int) -> None:
         """Take in how many requests the worker says it runs."""
         self._admitter.record_load_report(reported)
 
-    def tell_load(self) -> None:
+    def report_load(self) -> None:
         """Log what this gate carried and sent away since it told last."""
-        carried = self._admitter.counters.collect()
-        if carried.is_empty:
+        counts = self._admitter.counters.collect()
+        if counts.is_empty:
             return
         GATE_LOAD.report(
             service=self._settings.service,
             slots=self._worker.slots(),
-            busy=round(carried.busy, 2),
+            busy=round(counts.busy, 2),
             waiting=self.waiting,
-            let_in=carried.admitted,
-            shed=carried.shed,
+            let_in=counts.admitted,
+            shed=counts.shed,
             shards=len(self._held_shards.tokens()),
         )
 
@@ -179,95 +184,107 @@
         with suppress(LinkError):
             try:
                 self._serve_in_shard(exchange, work)
-            except OverloadedError as shed:
-                self._return(exchange, work, overloaded(shed.retry_after_ms))
+            except OverloadedError as overload:
+                self._return_request(
+                    exchange,
+                    work,
+                    make_overload_failure(overload.retry_after_ms),
+                )
             except LinkError:
                 raise
-            except Exception as fault:
+            except Exception as error:
                 ANSWER_FAILED.report(
                     request=work.request_id,
                     path=work.target,
                     trace=format_exc(),
                 )
-                exchange.send(failure('fault', repr(fault), ran=True))
+                exchange.send(make_failure('fault', repr(error), ran=True))
 
-    def _tell_cancelled(self, work: Work) -> None:
+    def _report_cancelled(self, work: Work) -> None:
         RUN_CANCELLED.report(
             request=work.request_id, service=work.service, after_ms=0
         )
 
-    def _return(self, exchange: Exchange, work: Work, told: Failure) -> None:
+    def _return_request(
+        self, exchange: Exchange, work: Work, failure: Failure
+    ) -> None:
         """Send a request back that did not run, and log why."""
-        self._tell_returned(work, told)
-        exchange.send(told)
+        self._report_returned(work, failure)
+        exchange.send(failure)
 
-    def _tell_returned(self, work: Work, told: Failure) -> None:
+    def _report_returned(self, work: Work, failure: Failure) -> None:
         now_ms = self._clock.now_ms()
         REQUEST_RETURNED.report(
             request=work.request_id,
             service=work.service,
             shard=work.shard,
             rank=work.priority,
-            kind=told.kind,
-            detail=told.detail,
+            kind=failure.kind,
+            detail=failure.detail,
             running=self._admitter.running,
             leaving=self._admitter.responding,
             waiting=self.waiting,
             lease_left_ms=self._lease.expires_at_ms() - now_ms,
-            may_have_run=told.ran,
-            retry_after_ms=told.retry_after_ms,
+            may_have_run=failure.ran,
+            retry_after_ms=failure.retry_after_ms,
         )
 
     def _serve_in_shard(self, exchange: Exchange, work: Work) -> None:
         until_ms = self._clock.now_ms() + work.deadline_ms
         if self._is_closed:
             detail = f'{self._settings.node_id} is about to end'
-            told = failure('not-owner', detail, ran=False)
-            self._return(exchange, work, told)
+            failure = make_failure('not-owner', detail, ran=False)
+            self._return_request(exchange, work, failure)
             return
         if work.shard < 0:
-            body = read_body(exchange, work)
+            body = receive_body(exchange, work)
             if work.idempotency_key:
                 work = replace(work, idempotency_key='')
             run = Run(work, body, None, until_ms)
-            self._serve_in_turn(exchange, run, _always)
+            self._serve_when_admitted(exchange, run, _always_allowed)
             return
         shard = ShardName(work.service, work.shard)
-        stay = self._held_shards.acquire(shard) if self._has_key(work) else None
+        stay = (
+            self._held_shards.acquire(shard)
+            if self._is_key_in_shard(work)
+            else None
+        )
         if stay is None:
-            self._tell_owner(exchange, work)
+            self._send_shard_records(exchange, work)
             detail = f'{self._settings.node_id} does not own {shard}'
-            told = failure('not-owner', detail, ran=False)
-            self._return(exchange, work, told)
+            failure = make_failure('not-owner', detail, ran=False)
+            self._return_request(exchange, work, failure)
             return
         try:
-            body = read_body(exchange, work)
+            body = receive_body(exchange, work)
             run = Run(work, body, stay.token, until_ms)
-            self._serve_owned(StayingExchange(exchange, work, stay), run)
+            self._serve_owned(ShardReleasingExchange(exchange, work, stay), run)
         finally:
             stay.release()
 
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
-        wait_ms = self._grants.next_grants_in_ms() + _GRANT_SLACK_MS
-        if not self._may_await_grant(shard, run, wait_ms):
+        wait_ms = self._grants.next_grants_in_ms() + _GRANT_DELAY_TOLERANCE_MS
+        if not self._obtain_grant(shard, run, wait_ms):
             detail = f'the worker has no grant for {shard}'
-            told = Failure('not-owner', False, detail, wait_ms)
-            self._return(exchange, run.work, told)
+            failure = Failure('not-owner', False, detail, wait_ms)
+            self._return_request(exchange, run.work, failure)
             return
-        self._serve_in_turn(exchange, run, partial(self._may_act, shard, run))
+        self._serve_when_admitted(
+            exchange, run, partial(self._may_execute, shard, run)
+        )
 
-    def _serve_in_turn(
-        self, exchange: Exchange, run: Run, may_act: MayAct
+    def _serve_when_admitted(
+        self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> None:
         work = run.work
         service = self._services().get(work.service)
-        line_ms = self._long_answers.wait_ms(work.priority)
+        answer_wait_ms = self._answer_delays.expected_wait_ms(work.priority)
         useful_ms = useful_until_ms(work, self._clock.now_ms(), run.until_ms)
-        useful_ms -= line_ms
-        line = line_of(work, service)
-        ticket = Ticket(work.key, run.until_ms, useful_ms, line)
-        busy = self._account.busy(work.service)
+        useful_ms -= answer_wait_ms
+        traffic_class = classify(work, service)
+        ticket = Ticket(work.key, run.until_ms, useful_ms, traffic_class)
+        busy = self._capacity_account.busy(work.service)
         exchange.when_message(partial(self._admitter.cancel, ticket))
         try:
             with self._admitter.hold_slot(ticket), busy:
@@ -275,73 +292,73 @@
                     exchange,
                     ticket,
                     self._clock,
-                    partial(self._free, ticket, work.priority),
+                    partial(self._release_slot, ticket, work.priority),
                 )
-                self._serve_admitted(observed, run, may_act)
-            if observed.told is not None:
-                self._tell_returned(work, observed.told)
+                self._serve_admitted(observed, run, may_execute)
+            if observed.failure is not None:
+                self._report_returned(work, observed.failure)
         except RunCancelledError:
-            self._tell_cancelled(work)
-        except OverloadedError as shed:
+            self._report_cancelled(work)
+        except OverloadedError as overload:
             # What does not fit on this worker is load all the same.
             self._meter.record(
                 work.shard, work.key, self._admitter.mean_slot_ms
             )
-            shed.retry_after_ms = max(shed.retry_after_ms, line_ms)
+            overload.retry_after_ms = max(
+                overload.retry_after_ms, answer_wait_ms
+            )
             raise
         if ticket.result is TicketResult.SERVED:
             busy_ms = self._clock.now_ms() - ticket.started_ms
             self._meter.record(work.shard, work.key, busy_ms)
 
-    def _free(self, ticket: Ticket, rank: int, length: int) -> None:
+    def _release_slot(self, ticket: Ticket, rank: int, length: int) -> None:
         """Give the slot of a request back whose whole answer is here."""
-        self._long_answers.note(rank, length)
+        self._answer_delays.record(rank, length)
         self._admitter.release_slot(ticket)
 
     def _serve_admitted(
-        self, exchange: Exchange, run: Run, may_act: MayAct
+        self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> None:
-        if self._worker.may_start():
-            self._executor.execute(exchange, run, may_act)
+        if self._worker.accepts_requests():
+            self._executor.execute(exchange, run, may_execute)
             return
         detail = f'the worker of {self._settings.node_id} takes no work'
-        exchange.send(failure('not-owner', detail, ran=False))
+        exchange.send(make_failure('not-owner', detail, ran=False))
 
-    def _has_key(self, work: Work) -> bool:
+    def _is_key_in_shard(self, work: Work) -> bool:
         """Tell whether a key was not split off the shard it was sent to."""
-        return self._placed(work) == work.shard
+        return self._current_shard(work) == work.shard
 
-    def _placed(self, work: Work) -> int:
+    def _current_shard(self, work: Work) -> int:
         """Return the number of the shard that has a request's key now."""
-        records = self._shards.shard_records(work.service)
+        records = self._directory.shard_records(work.service)
         return locate_text_key(work.key, work.shard, records)
 
-    def _tell_owner(self, exchange: Exchange, work: Work) -> None:
+    def _send_shard_records(self, exchange: Exchange, work: Work) -> None:
         """Tell a door that has missed a move or a split who owns the key."""
-        for number in sorted({work.shard, self._placed(work)}):
+        for number in sorted({work.shard, self._current_shard(work)}):
             shard = ShardName(work.service, number)
-            entry = self._shards.shard(shard)
+            entry = self._directory.shard(shard)
             is_moved = number != work.shard or not self._held_shards.is_held(
                 shard
             )
             if entry is not None and is_moved:
                 exchange.send(shard_notice(shard, entry))
 
-    def _may_act(self, shard: ShardName, run: Run) -> bool:
+    def _may_execute(self, shard: ShardName, run: Run) -> bool:
         guard_ms = self._settings.lease.guard_ms
         left_ms = self._lease.expires_at_ms() - self._clock.now_ms()
         return left_ms > guard_ms and self._grants.covers(shard, run.token)
 
-    def _may_await_grant(
-        self, shard: ShardName, run: Run, wait_ms: int
-    ) -> bool:
+    def _obtain_grant(self, shard: ShardName, run: Run, wait_ms: int) -> bool:
         """Wait for a grant that comes early enough; tell whether it did.
 
         There must be time left to run the request after it.
         """
         if self._grants.covers(shard, run.token):
             return True
-        left_ms = run.until_ms - self._clock.now_ms() - _ANSWER_MS
+        left_ms = run.until_ms - self._clock.now_ms() - _REFUSAL_RESERVE_MS
         if wait_ms + self._admitter.mean_slot_ms > left_ms:
             return False
         return self._wait_for_grant(shard, run.token, wait_ms)
--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -14,21 +14,21 @@
 
 GoneHandler = Callable[[], None]
 
-_LOOK_MS = 150  # between two looks at all connections
+_POLL_INTERVAL_MS = 150  # between two looks at all connections
 _select = original('select')
 # An end that is not hidden by bytes before it; nobody has to read them first.
-_ENDED = (
+_CLOSED_EVENTS = (
     _select.POLLRDHUP | _select.POLLHUP | _select.POLLERR | _select.POLLNVAL
 )
-_WATCHED = _select.POLLIN | _select.POLLRDHUP
+_POLLED_EVENTS = _select.POLLIN | _select.POLLRDHUP
 
 
-def _poll(numbers: Iterable[int]) -> dict[int, int]:
+def _poll_descriptors(descriptors: Iterable[int]) -> dict[int, int]:
     """Return what there is to know of descriptors, without waiting."""
     poll = _select.poll()
-    for number in numbers:
-        if number >= 0:
-            poll.register(number, _WATCHED)
+    for descriptor in descriptors:
+        if descriptor >= 0:
+            poll.register(descriptor, _POLLED_EVENTS)
     return dict(poll.poll(0))
 
 
@@ -39,55 +39,57 @@
     """
 
     def __init__(
-        self, sock: Any, callers: 'Callers', request_id: str, clock: Clock
+        self, sock: Any, monitor: 'CallerMonitor', request_id: str, clock: Clock
     ) -> None:
         self._socket = sock
-        self._callers = callers
+        self._monitor = monitor
         self._request_id = request_id
         self._clock = clock
-        self._since_ms = clock.now_ms()
-        self._gone = False
-        self._when_gone: GoneHandler | None = None
-        self.number = int(sock.fileno())
+        self._registered_ms = clock.now_ms()
+        self._is_gone = False
+        self._gone_handler: GoneHandler | None = None
+        self.descriptor = int(sock.fileno())
 
     @property
     def is_gone(self) -> bool:
         """Tell whether the caller has gone away."""
-        return self._gone
+        return self._is_gone
 
-    def when_gone(self, act: GoneHandler | None) -> None:
+    def set_gone_handler(self, handler: GoneHandler | None) -> None:
         """Set what is done when the caller goes, in place of the last.
 
         It is done at once if the caller has gone already.
         """
-        self._when_gone = act
-        if self._gone and act is not None:
-            attempt(act)
+        self._gone_handler = handler
+        if self._is_gone and handler is not None:
+            attempt(handler)
 
-    def stop(self) -> None:
+    def stop_monitoring(self) -> None:
         """Watch no longer."""
-        self._when_gone = None
-        self._callers.forget(self)
+        self._gone_handler = None
+        self._monitor.unregister(self)
 
-    def look(self) -> bool:
+    def poll(self) -> bool:
         """Look at the connection now; tell whether the caller has gone."""
-        if not self._gone:
-            number = self._socket.fileno()
-            events = _poll((number,)).get(number, 0)
-            self.note(_ENDED if number < 0 else events)
-        return self._gone
-
-    def note(self, events: int) -> None:
+        if not self._is_gone:
+            descriptor = self._socket.fileno()
+            poll_events = _poll_descriptors((descriptor,)).get(descriptor, 0)
+            self.handle_events(
+                _CLOSED_EVENTS if descriptor < 0 else poll_events
+            )
+        return self._is_gone
+
+    def handle_events(self, poll_events: int) -> None:
         """Take in what the system says of the connection."""
-        self._gone = bool(events & _ENDED) or (
-            bool(events) and self._reads_end()
+        self._is_gone = bool(poll_events & _CLOSED_EVENTS) or (
+            bool(poll_events) and self._is_at_eof()
         )
-        if self._gone:
-            self._tell_gone()
-        if self._gone and self._when_gone is not None:
-            attempt(self._when_gone)
+        if self._is_gone:
+            self._report_gone()
+        if self._is_gone and self._gone_handler is not None:
+            attempt(self._gone_handler)
 
-    def _reads_end(self) -> bool:
+    def _is_at_eof(self) -> bool:
         try:
             return not self._socket.fd.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -95,18 +97,18 @@
         except OSError:
             return True
 
-    def _tell_gone(self) -> None:
-        looked_ms = max(self._since_ms, self._callers.looked_ms)
-        within_ms = self._clock.now_ms() - looked_ms
+    def _report_gone(self) -> None:
+        since_ms = max(self._registered_ms, self._monitor.last_poll_ms)
+        within_ms = self._clock.now_ms() - since_ms
         CALLER_GONE_WITHIN.record(within_ms)
         CALLER_GONE.report(
             request=self._request_id,
             within_ms=within_ms,
-            is_tried=self._when_gone is not None,
+            is_tried=self._gone_handler is not None,
         )
 
 
-class Callers:
+class CallerMonitor:
     """Looks at the connections of all awaited callers together.
 
     A task or a registration for each request would cost more than one look
@@ -115,36 +117,38 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._awaited: dict[int, Caller] = {}
-        self.looked_ms = 0  # when all were looked at last
-        self._is_looking = False
+        self._registered: dict[int, Caller] = {}
+        self.last_poll_ms = 0  # when all were looked at last
+        self._is_polling = False
 
-    def await_answer(self, sock: Any, request_id: str = '') -> Caller:
+    def register(self, sock: Any, request_id: str = '') -> Caller:
         """Return the caller behind a connection, looked at from now on."""
         caller = Caller(sock, self, request_id, self._clock)
-        if caller.number < 0:
-            caller.look()  # its connection is closed already
+        if caller.descriptor < 0:
+            caller.poll()  # its connection is closed already
             return caller
-        self._awaited[caller.number] = caller
-        if not self._is_looking:
-            self._is_looking = True
-            start(supervise, self._look_often)
+        self._registered[caller.descriptor] = caller
+        if not self._is_polling:
+            self._is_polling = True
+            start(supervise, self._poll_periodically)
         return caller
 
-    def forget(self, caller: Caller) -> None:
+    def unregister(self, caller: Caller) -> None:
         """Look at a caller no longer."""
-        if self._awaited.get(caller.number) is caller:
-            self._awaited.pop(caller.number)
-
-    def _look_often(self) -> None:
-        while self._awaited:
-            eventlet.sleep(_LOOK_MS / MS_PER_SECOND)
-            self._look()
-        self._is_looking = False
-
-    def _look(self) -> None:
-        for number, events in _poll(self._awaited).items():
-            caller = self._awaited.get(number)
+        if self._registered.get(caller.descriptor) is caller:
+            self._registered.pop(caller.descriptor)
+
+    def _poll_periodically(self) -> None:
+        while self._registered:
+            eventlet.sleep(_POLL_INTERVAL_MS / MS_PER_SECOND)
+            self._poll_all()
+        self._is_polling = False
+
+    def _poll_all(self) -> None:
+        for descriptor, poll_events in _poll_descriptors(
+            self._registered
+        ).items():
+            caller = self._registered.get(descriptor)
             if caller is not None and not caller.is_gone:
-                caller.note(events)
-        self.looked_ms = self._clock.now_ms()
+                caller.handle_events(poll_events)
+        self.last_poll_ms = self._clock.now_ms()
--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -6,7 +6,7 @@
 from laburnumwood.errors import LinkError
 from laburnumwood.protocol.streams import Stream
 
-LONGEST_INLINE = 131_072  # bytes of a body that goes with its head
+MAX_INLINE_BODY_BYTES = 131_072  # bytes of a body that goes with its head
 
 
 class Exchange(Protocol):
@@ -18,21 +18,21 @@
     def receive(self, timeout_ms: int) -> Any:
         """Return the next message; raises a `LinkError`."""
 
-    def when_message(self, act: Callable[[], None] | None) -> None:
+    def when_message(self, handler: Callable[[], None] | None) -> None:
         """Set what is done at the next message or when the link ends."""
 
     def close(self) -> None:
         """End the exchange on this side."""
 
 
-class Outgoing(Exchange, Protocol):
+class OutgoingExchange(Exchange, Protocol):
     """What a door needs of a stream."""
 
     def fail(self, reason: LinkError) -> None:
         """Let all that waits on the stream fail."""
 
 
-class WrappedExchange:
+class ExchangeWrapper:
     """Passes everything on to another exchange; subclasses look at it."""
 
     def __init__(self, exchange: Exchange) -> None:
@@ -46,16 +46,16 @@
         """Return the next message; raises a `LinkError`."""
         return self._exchange.receive(timeout_ms)
 
-    def when_message(self, act: Callable[[], None] | None) -> None:
+    def when_message(self, handler: Callable[[], None] | None) -> None:
         """Set what is done at the next message or when the link ends."""
-        self._exchange.when_message(act)
+        self._exchange.when_message(handler)
 
     def close(self) -> None:
         """End the exchange on this side."""
         self._exchange.close()
 
 
-class _Loop:
+class _LocalTransport:
     """Delivers what one stream of a pair sends to the other."""
 
     def __init__(self) -> None:
@@ -72,10 +72,10 @@
 
 def local_pair() -> tuple[Stream, Stream]:
     """Return two streams joined to each other without a connection."""
-    there, back = _Loop(), _Loop()
-    near, far = Stream(0, there), Stream(0, back)
-    there.other, back.other = far, near
-    return near, far
+    first_transport, second_transport = _LocalTransport(), _LocalTransport()
+    first, second = Stream(0, first_transport), Stream(0, second_transport)
+    first_transport.other, second_transport.other = second, first
+    return first, second
 
 
-Serve = Callable[[Exchange, Any], None]
+ServeHandler = Callable[[Exchange, Any], None]
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -26,15 +26,15 @@
 from laburnumwood.protocol.messages import Answer, Chunk, Failure, Work
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.caller import Caller, Callers
-from laburnumwood.routing.caller_interface import OwnFace
-from laburnumwood.routing.caller_protocol import REQUEST_ID
-from laburnumwood.routing.caller_request import Inquiry
+from laburnumwood.routing.caller import Caller, CallerMonitor
+from laburnumwood.routing.caller_interface import NativeCallerInterface
+from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY
+from laburnumwood.routing.caller_request import CallerRequest
+from laburnumwood.routing.door import Ingress
 from laburnumwood.routing.exchange import Exchange, local_pair
-from laburnumwood.routing.ingress import Door
-from laburnumwood.routing.request_balancer import Spread
-from laburnumwood.routing.router import Reply, Router
-from laburnumwood.routing.server import Listening
+from laburnumwood.routing.request_balancer import RequestBalancer
+from laburnumwood.routing.router import PendingAnswer, Router
+from laburnumwood.routing.server import HttpListener
 from tests.request_stack.stack import DOOR, OneGate
 
 HOST = '127.0.0.1'
@@ -64,7 +64,7 @@
     def __call__(
         self, environ: dict[str, Any], start_response: Any
     ) -> tuple[bytes]:
-        environ[REQUEST_ID] = ID
+        environ[REQUEST_ID_KEY] = ID
         self.ran += 1
         start_response('200 OK', [('Content-Length', str(len(self._content)))])
         return (self._content,)
@@ -76,17 +76,17 @@
     def __init__(self, *headers: tuple[str, str]) -> None:
         self._headers = headers
 
-    def send(self, _inquiry: Inquiry, _caller: Caller) -> Reply:
+    def send(self, _inquiry: CallerRequest, _caller: Caller) -> PendingAnswer:
         near, far = local_pair()
         clock = Clock()
-        reply = Reply(
+        reply = PendingAnswer(
             Answer(200, self._headers),
             near,
             clock.now_ms() + DEADLINE_MS,
             clock,
         )
         far.send(Chunk(b'the beginning'))
-        reply.begin()
+        reply.await_first_chunk()
         near.fail(LinkLostError('the link was lost'))
         return reply
 
@@ -108,7 +108,7 @@
     context.log.push_application()
     context.add_cleanup(context.log.pop_application)
     address = HOST, free_port()
-    context.server = Listening(address, application)
+    context.server = HttpListener(address, application)
     context.add_cleanup(context.server.close, CLOSING_MS)
     context.caller = green_socket.create_connection(address, LIMIT_S)
     context.add_cleanup(context.caller.close)
@@ -138,7 +138,10 @@
 @given('a door whose answer ends early')
 def serve_cut(context: Context) -> None:
     router: Any = _CutRouter()
-    _serve(context, Door(router, OwnFace(), lambda: DECLARED, Clock()))
+    _serve(
+        context,
+        Ingress(router, NativeCallerInterface(), lambda: DECLARED, Clock()),
+    )
 
 
 class _SlowLinks:
@@ -150,7 +153,7 @@
 
     def open_stream(self, _peer: NodeName, **_how: bool) -> Stream:
         """Return the stream on the new link."""
-        self._caller.look()
+        self._caller.poll()
         return self.near
 
 
@@ -161,7 +164,7 @@
     left.close()
     right.setblocking(False)
     clock = Clock()
-    context.gone = Callers(clock).await_answer(GreenSocket(right))
+    context.gone = CallerMonitor(clock).register(GreenSocket(right))
     context.links = _SlowLinks(context.gone)
     view: Any = OneGate()
     links: Any = context.links
@@ -170,7 +173,7 @@
         view,
         links,
         _serve_nothing,
-        Spread(LoadReports(clock), 'x', Random(1), clock),
+        RequestBalancer(LoadReports(clock), 'x', Random(1), clock),
         RetryBudgets(0, clock),
         clock,
     )
@@ -183,7 +186,9 @@
 @when('a request is sent through it')
 def route_request(context: Context) -> None:
     work = Work(ID, 'plain', -1, '', 'GET', '/x', (), 0, DEADLINE_MS, True, '')
-    context.outcome = context.router.send(Inquiry(work, b''), context.gone)
+    context.outcome = context.router.send(
+        CallerRequest(work, b''), context.gone
+    )
 
 
 @then('nothing went over that link')
@@ -202,7 +207,10 @@
 @given('a door whose link is lost after the last byte of an answer')
 def serve_whole(context: Context) -> None:
     router: Any = _CutRouter(('Content-Length', '13'))
-    _serve(context, Door(router, OwnFace(), lambda: DECLARED, Clock()))
+    _serve(
+        context,
+        Ingress(router, NativeCallerInterface(), lambda: DECLARED, Clock()),
+    )
 
 
 @when('no descriptor is left for a while as a caller connects')
