--- a/tests/features/admission_limit.feature
+++ b/tests/features/admission_limit.feature
@@ -79,7 +79,7 @@
     Then at most 102 retries were allowed
     And at least 95 retries were allowed
 
-  Scenario: requests before the window allow no retries
+  Scenario: requests before the window do not add to the budget
     Given a retry budget with a share of 0.1
     When 1000 requests arrive over 5 s
     And 20 s pass and each of 50 requests asks for a retry
