--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -14,7 +14,7 @@
     CONFIG_REFUSED,
     RECORD_REFUSED,
 )
-from laburnumwood.news import News
+from laburnumwood.notifier import News
 from laburnumwood.records import (
     ConfigRecord,
     NodeName,
--- a/laburnumwood/protocol/outlet.py
+++ b/laburnumwood/protocol/outlet.py
@@ -11,7 +11,7 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
-from laburnumwood.news import News
+from laburnumwood.notifier import News
 
 LONG = 16_384  # bytes from which on a part of a body waits for its turn
 _LEAST_WINDOW = 98_304  # bytes on their way, of several messages
--- a/laburnumwood/upstream/attached_grants.py
+++ b/laburnumwood/upstream/attached_grants.py
@@ -1,6 +1,6 @@
 """The grants of a worker that reports, as one incarnation sees them."""
 
-from laburnumwood.news import News
+from laburnumwood.notifier import News
 from laburnumwood.records import KeyRange, ShardName
 from laburnumwood.upstream.reporting_worker import GrantSource, ReportingWorker
 
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -6,7 +6,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import WORKER_UNREACHABLE
-from laburnumwood.news import News
+from laburnumwood.notifier import News
 from laburnumwood.records import KeyRange, ShardName
 from laburnumwood.upstream.health import WorkerHealth
 from laburnumwood.upstream.worker import Worker
--- a/laburnumwood/upstream/grants.py
+++ b/laburnumwood/upstream/grants.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from laburnumwood.news import News
+from laburnumwood.notifier import News
 from laburnumwood.records import KeyRange, ShardName
 
 
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -23,7 +23,7 @@
     KEYS_RELEASED,
     WORKER_STARTED,
 )
-from laburnumwood.news import News
+from laburnumwood.notifier import News
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.handovers import Handovers
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from laburnumwood.news import News
+from laburnumwood.notifier import News
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
 from laburnumwood.placement.shard_write import Progress
