--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -14,7 +14,7 @@
     CONFIG_REFUSED,
     RECORD_REFUSED,
 )
-from laburnumwood.notifier import News
+from laburnumwood.notifier import Notifier
 from laburnumwood.records import (
     ConfigRecord,
     NodeName,
@@ -100,7 +100,7 @@
         self.node_change_count = 0
         self.on_shard_change: ShardListener = _ignore_shard_change
         self.on_config_change: Callable[[], None] = _ignore_config_change
-        self.news = News()
+        self.news = Notifier()
 
     @property
     def config(self) -> ConfigRecord:
--- a/laburnumwood/notifier.py
+++ b/laburnumwood/notifier.py
@@ -6,7 +6,7 @@
 from laburnumwood.clock import MS_PER_SECOND
 
 
-class News:
+class Notifier:
     """Wakes all tasks that wait for the next change."""
 
     def __init__(self) -> None:
--- a/laburnumwood/protocol/outlet.py
+++ b/laburnumwood/protocol/outlet.py
@@ -11,7 +11,7 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
-from laburnumwood.notifier import News
+from laburnumwood.notifier import Notifier
 
 LONG = 16_384  # bytes from which on a part of a body waits for its turn
 _LEAST_WINDOW = 98_304  # bytes on their way, of several messages
@@ -40,7 +40,7 @@
         self._under_way: dict[Passage, None] = {}
         self._window: float = _LEAST_WINDOW
         self._pace = DecayingMean(_HALF_LIFE_MS, clock)  # ms for a byte
-        self._news = News()
+        self._news = Notifier()
 
     @property
     def waiting_ms(self) -> float:
--- a/laburnumwood/upstream/attached_grants.py
+++ b/laburnumwood/upstream/attached_grants.py
@@ -1,6 +1,6 @@
 """The grants of a worker that reports, as one incarnation sees them."""
 
-from laburnumwood.notifier import News
+from laburnumwood.notifier import Notifier
 from laburnumwood.records import KeyRange, ShardName
 from laburnumwood.upstream.reporting_worker import GrantSource, ReportingWorker
 
@@ -18,7 +18,7 @@
         worker.attach(source)
 
     @property
-    def changes(self) -> News:
+    def changes(self) -> Notifier:
         """Return what tells of changes of the grants."""
         return self._worker.changes
 
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -6,7 +6,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import WORKER_UNREACHABLE
-from laburnumwood.notifier import News
+from laburnumwood.notifier import Notifier
 from laburnumwood.records import KeyRange, ShardName
 from laburnumwood.upstream.health import WorkerHealth
 from laburnumwood.upstream.worker import Worker
@@ -44,7 +44,7 @@
         self._last_until_ms = 0
         self._held_until_ms = 0
         self.health = WorkerHealth(clock)
-        self.changes = News()
+        self.changes = Notifier()
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
         """Tell whether the worker has a grant for a shard and a token."""
--- a/laburnumwood/upstream/grants.py
+++ b/laburnumwood/upstream/grants.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from laburnumwood.notifier import News
+from laburnumwood.notifier import Notifier
 from laburnumwood.records import KeyRange, ShardName
 
 
@@ -16,7 +16,7 @@
         """Return in what time the worker will get its next grants."""
 
     @property
-    def changes(self) -> News:
+    def changes(self) -> Notifier:
         """Return what tells of changes of the grants."""
 
     def withdraw(self, shard: ShardName) -> None:
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -23,7 +23,7 @@
     KEYS_RELEASED,
     WORKER_STARTED,
 )
-from laburnumwood.notifier import News
+from laburnumwood.notifier import Notifier
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.handovers import Handovers
@@ -127,7 +127,7 @@
         self._left = Handovers()
         self._last_cut = (0, 0)
         self.presence = Presence(settings, clock)
-        self.changes = News()
+        self.changes = Notifier()
 
     @property
     def has_released_all(self) -> bool:
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from laburnumwood.notifier import News
+from laburnumwood.notifier import Notifier
 from laburnumwood.placement.holdings import Holdings
 from laburnumwood.placement.keeper import Keeper
 from laburnumwood.placement.shard_write import Progress
@@ -28,7 +28,7 @@
     def __init__(self, release_ms: int, clock: FakeClock) -> None:
         self._clock = clock
         self._from_ms = clock.now_ms() + release_ms
-        self.changes = News()
+        self.changes = Notifier()
         self.withdrawn: set[ShardName] = set()
         self.asked: list[ShardName] = []
 
