--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -184,7 +184,7 @@
         self._objects[stored.name] = stored
         self._names_by_version[stored.version] = stored.name
         self.change_count += 1
-        self.news.tell()
+        self.news.notify_all()
         return True
 
     def versions_since(self, revision: int) -> tuple[int, ...]:
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -137,7 +137,7 @@
             seal
         )
         if newly_sealed:
-            self.directory.news.tell()
+            self.directory.news.notify_all()
         return newly_sealed
 
     def evict_obsolete_seals(self) -> None:
--- a/laburnumwood/notifier.py
+++ b/laburnumwood/notifier.py
@@ -1,4 +1,4 @@
-"""Waiting for news: tasks that go on when something has changed."""
+"""Notification of waiting tasks that something has changed."""
 
 from eventlet import Timeout
 from eventlet.event import Event
@@ -12,14 +12,14 @@
     def __init__(self) -> None:
         self._next: Event | None = None
 
-    def tell(self) -> None:
-        """Wake those who wait now."""
-        woken, self._next = self._next, None
-        if woken is not None:
-            woken.send(None)
+    def notify_all(self) -> None:
+        """Wake the tasks that are waiting now."""
+        notified, self._next = self._next, None
+        if notified is not None:
+            notified.send(None)
 
     def wait(self, limit_ms: float) -> None:
-        """Wait for the next change, so long at the most."""
+        """Wait until the next change, but no longer than `limit_ms`."""
         if self._next is None:
             self._next = Event()
         awaited = self._next
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -171,7 +171,7 @@
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
         self._holdings.close(shard)
         # Those who wait for a grant of it look for the next owner instead.
-        self._grants.changes.tell()
+        self._grants.changes.notify_all()
         while not self._holdings.is_idle(shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
 
--- a/laburnumwood/protocol/outlet.py
+++ b/laburnumwood/protocol/outlet.py
@@ -57,7 +57,7 @@
                 self._news.wait(_LONGEST_MS / 2)
         finally:
             self._waiting.remove(passage)
-            self._news.tell()
+            self._news.notify_all()
         passage.sent_ms = self._clock.now_ms()
         self._under_way[passage] = None
         return passage
@@ -70,7 +70,7 @@
         taken_ms = self._clock.now_ms() - passage.sent_ms
         self._pace.note(taken_ms / passage.size)
         self._adapt(passage.size, taken_ms)
-        self._news.tell()
+        self._news.notify_all()
 
     def _adapt(self, size: int, taken_ms: int) -> None:
         """Let as much be on its way as arrives soon: lines and ways differ."""
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -107,7 +107,7 @@
             self._held_until_ms = until_ms
             self._granted = wanted
             self._granted_ms = self._clock.now_ms()
-            self.changes.tell()
+            self.changes.notify_all()
         elif self._reachable:
             WORKER_UNREACHABLE.report()
         self._reachable = taken
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -154,7 +154,7 @@
             return GrantReply((), _NOTHING_MS)
         self._note_held(report)
         reply = self._grant(self._source)
-        self.changes.tell()
+        self.changes.notify_all()
         return reply
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
