--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -44,7 +44,7 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.breaker import GuardedStore
 from laburnumwood.store.writes import new_mark
-from laburnumwood.tasks import begin, start
+from laburnumwood.tasks import start, start_joinable
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 
 _JOIN_RETRY_MS = 500
@@ -327,7 +327,7 @@
             return
         NODE_STOPPING.report(node=incarnation.name)
         # The door answers the requests that it has read while shards are moved.
-        closing = begin(self._close_door)
+        closing = start_joinable(self._close_door)
         incarnation.hand_over(self._remaining_stop_ms())
         closing.wait()
         # While the store is unreachable, peers may not know yet that this node
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -14,7 +14,7 @@
 from laburnumwood.records import ShardName
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import shard_object
-from laburnumwood.tasks import attempt
+from laburnumwood.tasks import run_logged
 
 _CONCURRENT_WRITES = 8
 _FLOOR_POLL_MS = 10
@@ -51,7 +51,7 @@
 
     def start(self, task: Callable[..., object], *arguments: Any) -> None:
         """Start a task that writes; it waits while too many write."""
-        self._pool.spawn_n(attempt, task, *arguments)
+        self._pool.spawn_n(run_logged, task, *arguments)
 
     def carry(self, write: ShardWrite) -> Progress:
         """Step a write until its progress is final, and return that."""
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -20,7 +20,7 @@
 from laburnumwood.protocol.silence import LOOK_MS, Silence
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.tasks import attempt, start, supervise
+from laburnumwood.tasks import run_logged, start, supervise
 
 IDLE_MS = 60_000  # a link that carries nothing is closed after this
 MOST_STREAMS = 2_048  # that a peer may have open on a link
@@ -60,7 +60,7 @@
     def _look(self, *, of_all: bool) -> None:
         for link in tuple(self._links):
             if of_all or link.needs_look:
-                attempt(link.look)
+                run_logged(link.look)
 
 
 _WATCH = _LinkWatch()
--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -10,7 +10,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import CALLER_GONE
 from laburnumwood.metrics import CALLER_GONE_WITHIN
-from laburnumwood.tasks import attempt, start, supervise
+from laburnumwood.tasks import run_logged, start, supervise
 
 GoneHandler = Callable[[], None]
 
@@ -62,7 +62,7 @@
         """
         self._when_gone = act
         if self._gone and act is not None:
-            attempt(act)
+            run_logged(act)
 
     def stop(self) -> None:
         """Watch no longer."""
@@ -85,7 +85,7 @@
         if self._gone:
             self._tell_gone()
         if self._gone and self._when_gone is not None:
-            attempt(self._when_gone)
+            run_logged(self._when_gone)
 
     def _reads_end(self) -> bool:
         try:
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -28,7 +28,7 @@
 from laburnumwood.routing.problems import failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import Result
-from laburnumwood.tasks import begin, start
+from laburnumwood.tasks import start, start_joinable
 
 _CALL_TIMEOUT_MS = 500
 _SYNC_MS = 200
@@ -115,7 +115,8 @@
         others = [name for name in succession if name != self._own]
         epoch = entry.record.epoch
         calls = [
-            begin(self._send_whole, name, shard, epoch, True) for name in others
+            start_joinable(self._send_whole, name, shard, epoch, True)
+            for name in others
         ]
         taken = [call.wait() for call in calls]
         return not taken or taken[0]
@@ -147,7 +148,7 @@
         entries: tuple[LedgerEntry, ...],
     ) -> bool:
         calls = [
-            begin(self._tell, name, shard, record.epoch, entries)
+            start_joinable(self._tell, name, shard, record.epoch, entries)
             for name in self._successors(record)
         ]
         # Each is waited for, whatever the others said.
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -15,7 +15,7 @@
     CallerProtocol,
     reset_connection,
 )
-from laburnumwood.tasks import begin, start
+from laburnumwood.tasks import start, start_joinable
 
 _MOST_CONNECTIONS = 4_096
 
@@ -49,7 +49,9 @@
 
     def __init__(self, address: Address, application: Any) -> None:
         self._listener = listen(address, NOT_ACCEPTED.report)
-        self._server = begin(serve_callers, self._listener, application)
+        self._server = start_joinable(
+            serve_callers, self._listener, application
+        )
 
     def close(self, patience_ms: int) -> None:
         """Take no more connections, and answer what was read before.
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -12,7 +12,7 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.quarantine import PROVED_DEATHS, Quarantine
-from laburnumwood.tasks import begin
+from laburnumwood.tasks import start_joinable
 
 _CALL_TIMEOUT_MS = 300
 
@@ -56,7 +56,7 @@
         self, service: str, news: Suspicion
     ) -> list[eventlet.greenthread.GreenThread]:
         others = set(self._view.serving_nodes(service)).difference((self._own,))
-        return [begin(self._tell_one, name, news) for name in others]
+        return [start_joinable(self._tell_one, name, news) for name in others]
 
     def _tell_one(self, name: NodeName, news: Suspicion) -> None:
         try:
--- a/laburnumwood/tasks.py
+++ b/laburnumwood/tasks.py
@@ -22,7 +22,7 @@
     return getattr(task, '__qualname__', task)
 
 
-def attempt(act: Callable[..., object], *arguments: Any) -> None:
+def run_logged(act: Callable[..., object], *arguments: Any) -> None:
     """Do something now; what fails in it is logged and goes no further."""
     try:
         act(*arguments)
@@ -33,10 +33,10 @@
 
 def start(task: Callable[..., object], *arguments: Any) -> None:
     """Start a task that ends by itself; a failure of it is logged."""
-    eventlet.spawn_n(attempt, task, *arguments)
+    eventlet.spawn_n(run_logged, task, *arguments)
 
 
-def begin(task: Callable[..., Any], *arguments: Any) -> GreenThread:
+def start_joinable(task: Callable[..., Any], *arguments: Any) -> GreenThread:
     """Start a task for whose result, or failure, its starter waits."""
     return eventlet.spawn(task, *arguments)
 
