--- a/laburnumwood/tasks.py
+++ b/laburnumwood/tasks.py
@@ -12,8 +12,8 @@
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.events import TASK_FAILED, WORK_FAILED
 
-_RESTART_MS = 200
-_LONGEST_TOLD = 80  # characters of what a failed task was for
+_RESTART_DELAY_MS = 200
+_MAX_ARGUMENT_LENGTH = 80  # characters of an argument in a log line
 
 Task = Callable[[], None]
 
@@ -22,37 +22,42 @@
     return getattr(task, '__qualname__', task)
 
 
-def run_logged(act: Callable[..., object], *arguments: Any) -> None:
-    """Do something now; what fails in it is logged and goes no further."""
+def run_logged(function: Callable[..., object], *arguments: Any) -> None:
+    """Call a function; log an exception that it raises and suppress it."""
     try:
-        act(*arguments)
+        function(*arguments)
     except Exception as failure:
-        about = [str(each)[:_LONGEST_TOLD] for each in arguments]
-        WORK_FAILED.report(task=_name(act), about=about, reason=repr(failure))
+        about = [str(each)[:_MAX_ARGUMENT_LENGTH] for each in arguments]
+        WORK_FAILED.report(
+            task=_name(function), about=about, reason=repr(failure)
+        )
 
 
 def start(task: Callable[..., object], *arguments: Any) -> None:
-    """Start a task that ends by itself; a failure of it is logged."""
+    """Start a task whose result is ignored; its failure is logged."""
     eventlet.spawn_n(run_logged, task, *arguments)
 
 
 def start_joinable(task: Callable[..., Any], *arguments: Any) -> GreenThread:
-    """Start a task for whose result, or failure, its starter waits."""
+    """Start a task and return its thread.
+
+    The thread's `wait` returns the result of the task or raises its failure.
+    """
     return eventlet.spawn(task, *arguments)
 
 
 def supervise(task: Task) -> None:
-    """Run a task until it returns, again after each failure."""
+    """Run a task until it returns; log each failure and run it again."""
     while True:
         try:
             return task()
         except Exception as failure:
             TASK_FAILED.report(task=_name(task), reason=repr(failure))
-        eventlet.sleep(_RESTART_MS / MS_PER_SECOND)
+        eventlet.sleep(_RESTART_DELAY_MS / MS_PER_SECOND)
 
 
 class Tasks:
-    """Tasks that run until they return, again after each failure."""
+    """Tasks that run until they return, restarted after each failure."""
 
     def __init__(self) -> None:
         self._running: list[GreenThread] = []
@@ -62,6 +67,6 @@
         self._running.append(eventlet.spawn(supervise, task))
 
     def kill(self) -> None:
-        """End all tasks at once."""
+        """Kill all tasks."""
         for running in self._running:
             running.kill()
