--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -15,7 +15,7 @@
     DeclarationError,
     PlatformConflictError,
     PlatformError,
-    PlatformUnreachableError,
+    PlatformUnavailableError,
 )
 from laburnumwood.records import ConfigRecord
 from laburnumwood.store.interface import Store
@@ -177,11 +177,11 @@
         for _ in range(_SETTLE_ATTEMPTS):
             try:
                 write(self._platform, CONFIG, record, version)
-            except PlatformUnreachableError:
+            except PlatformUnavailableError:
                 time.sleep(_SETTLE_PAUSE_MS / MS_PER_SECOND)
             else:
                 return
-        raise PlatformUnreachableError(
+        raise PlatformUnavailableError(
             f'whether generation {record.generation} was accepted is not known'
         )
 
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -33,11 +33,11 @@
     """The base of what can go wrong with a call of the platform."""
 
 
-class PlatformUnreachableError(PlatformError):
+class PlatformUnavailableError(PlatformError):
     """The platform gave no answer; a write may have taken effect."""
 
 
-class PlatformNotReachedError(PlatformUnreachableError):
+class PlatformNotReachedError(PlatformUnavailableError):
     """The platform was not reached or says so: this call did nothing."""
 
 
--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -183,7 +183,7 @@
 
     `expected` and `version` are the record and its version as read before.
     Raises `PlatformConflictError` if the record has changed since, and
-    `PlatformUnreachableError` if the outcome is not known.
+    `PlatformUnavailableError` if the outcome is not known.
     """
     record = replace(
         _without_incarnation(expected, name), mark=new_mark(name.node_id)
--- a/laburnumwood/platform/store.py
+++ b/laburnumwood/platform/store.py
@@ -16,7 +16,7 @@
     PlatformConflictError,
     PlatformError,
     PlatformNotReachedError,
-    PlatformUnreachableError,
+    PlatformUnavailableError,
 )
 from laburnumwood.events import RECORD_REFUSED
 from laburnumwood.platform.bodies import (
@@ -200,20 +200,20 @@
     try:
         return decode_as(form, decode(body))
     except BodyError as unreadable:
-        raise PlatformUnreachableError(str(unreadable)) from unreadable
+        raise PlatformUnavailableError(str(unreadable)) from unreadable
 
 
 def read_changes(body: bytes) -> _Changes:
-    """Return the answer to a watch; raises `PlatformUnreachableError`."""
+    """Return the answer to a watch; raises `PlatformUnavailableError`."""
     changes: _Changes = _read(_Changes, body)
     return changes
 
 
-def _unanswered(status: int) -> type[PlatformUnreachableError]:
+def _unanswered(status: int) -> type[PlatformUnavailableError]:
     # The users promise that after this status nothing was done.
     if status == HTTPStatus.SERVICE_UNAVAILABLE:
         return PlatformNotReachedError
-    return PlatformUnreachableError
+    return PlatformUnavailableError
 
 
 def _checked(answer: BaseHTTPResponse, what: str) -> bytes:
--- a/laburnumwood/store/breaker.py
+++ b/laburnumwood/store/breaker.py
@@ -6,7 +6,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.errors import (
     PlatformNotReachedError,
-    PlatformUnreachableError,
+    PlatformUnavailableError,
 )
 from laburnumwood.events import STORE_REACHED, STORE_UNREACHABLE
 from laburnumwood.store.interface import Store
@@ -60,7 +60,7 @@
         was_open = self._breaker.is_open
         try:
             found = call()
-        except PlatformUnreachableError as failure:
+        except PlatformUnavailableError as failure:
             self._breaker.note(answered=False)
             if self._breaker.is_open and not was_open:
                 # The cause says why no answer came, if none did.
--- a/laburnumwood/store/calls.py
+++ b/laburnumwood/store/calls.py
@@ -14,7 +14,7 @@
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import (
     PlatformNotReachedError,
-    PlatformUnreachableError,
+    PlatformUnavailableError,
 )
 from laburnumwood.metrics import STORE_CALLS
 
@@ -42,7 +42,7 @@
     def call(self, method: str, path: str, **more: Any) -> BaseHTTPResponse:
         """Return the answer to a call; `more` goes to the library.
 
-        Raises `PlatformUnreachableError` if no answer came, and its kind
+        Raises `PlatformUnavailableError` if no answer came, and its kind
         `PlatformNotReachedError` if no connection could be made.
         """
         try:
@@ -51,7 +51,7 @@
             STORE_CALLS.record(1, {'method': method, 'status': 'none'})
             what = f'{method} {path}'
             if _was_connected(failure):
-                raise PlatformUnreachableError(what) from failure
+                raise PlatformUnavailableError(what) from failure
             raise PlatformNotReachedError(what) from failure
         STORE_CALLS.record(1, {'method': method, 'status': answer.status})
         return answer
--- a/laburnumwood/store/client.py
+++ b/laburnumwood/store/client.py
@@ -10,7 +10,7 @@
     CompactedError,
     PlatformConflictError,
     PlatformError,
-    PlatformUnreachableError,
+    PlatformUnavailableError,
 )
 from laburnumwood.records import StoredObject
 from laburnumwood.store.calls import StoreCalls
@@ -30,7 +30,7 @@
         raise CompactedError(what)
     if answer.status >= _SERVER_ERROR:
         # The write may have taken effect before the platform failed.
-        raise PlatformUnreachableError(f'{what}: status {answer.status}')
+        raise PlatformUnavailableError(f'{what}: status {answer.status}')
     if answer.status != _OK:
         raise PlatformError(f'{what}: status {answer.status}')
     return answer.json()
@@ -39,7 +39,7 @@
 class HttpStore:
     """The platform's store of objects, at a URL.
 
-    Every method raises `PlatformUnreachableError` if no answer came; a write
+    Every method raises `PlatformUnavailableError` if no answer came; a write
     may then have taken effect all the same.
     """
 
--- a/laburnumwood/store/interface.py
+++ b/laburnumwood/store/interface.py
@@ -9,7 +9,7 @@
     """Named objects with versions and conditional writes.
 
     One revision counts all changes; an object's version is the revision of
-    its last change.  Every method raises `PlatformUnreachableError` if no
+    its last change.  Every method raises `PlatformUnavailableError` if no
     answer came; a write may then have taken effect all the same, unless it
     was of the kind `PlatformNotReachedError`.
     """
--- a/laburnumwood/store/writes.py
+++ b/laburnumwood/store/writes.py
@@ -7,7 +7,7 @@
 from laburnumwood.errors import (
     PlatformConflictError,
     PlatformNotReachedError,
-    PlatformUnreachableError,
+    PlatformUnavailableError,
 )
 from laburnumwood.records import (
     ConfigRecord,
@@ -43,14 +43,14 @@
     """Return the version under which a marked record was written.
 
     Raises `PlatformConflictError` if the store holds anything else, and
-    `PlatformUnreachableError` if it can't be asked.  Call it only when the
+    `PlatformUnavailableError` if it can't be asked.  Call it only when the
     write itself can no longer be on its way, or retry the write afterwards.
     """
     try:
         stored = platform.get(name)
     except PlatformNotReachedError as failure:
         # It is the question that did nothing, not the write.
-        raise PlatformUnreachableError(name) from failure
+        raise PlatformUnavailableError(name) from failure
     if stored is None or stored.value is None:
         raise PlatformConflictError(name)
     if stored.value.get('mark') != to_value(record)['mark']:
@@ -64,7 +64,7 @@
     """Write a marked record over a version (None: create it).
 
     Returns the new version.  Raises `PlatformConflictError` if another write
-    came first, and `PlatformUnreachableError` if the outcome is not known:
+    came first, and `PlatformUnavailableError` if the outcome is not known:
     then call again with the same record, until it is.  Its kind
     `PlatformNotReachedError` says that this call has written nothing.
     """
@@ -72,7 +72,7 @@
         return _put(platform, name, record, version)
     except PlatformConflictError:
         return settle(platform, name, record)
-    except PlatformUnreachableError as failure:
+    except PlatformUnavailableError as failure:
         return _put_again(platform, name, record, version, failure)
 
 
@@ -81,7 +81,7 @@
     name: str,
     record: _Record,
     version: int | None,
-    first: PlatformUnreachableError,
+    first: PlatformUnavailableError,
 ) -> int:
     # Writing again settles the first write too: both carry one mark and ask
     # for one version, so at most one of them can take effect.
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -19,7 +19,7 @@
 from laburnumwood.errors import (
     ChangedSinceError,
     DeclarationError,
-    PlatformUnreachableError,
+    PlatformUnavailableError,
 )
 from laburnumwood.membership.directory import Directory
 from laburnumwood.records import ConfigRecord, StoredObject
@@ -84,7 +84,7 @@
 
     def create(self, name: str, value: dict[str, Any]) -> int:
         if name == 'audit/2':
-            raise PlatformUnreachableError(name)
+            raise PlatformUnavailableError(name)
         return super().create(name, value)
 
 
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -8,7 +8,7 @@
 from behave.runner import Context
 
 from laburnumwood.clock import Clock
-from laburnumwood.errors import LinkRefusedError, PlatformUnreachableError
+from laburnumwood.errors import LinkRefusedError, PlatformUnavailableError
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
@@ -52,7 +52,7 @@
     mark = new_mark(vm)
     try:
         join(context.store, settings, mark)
-    except PlatformUnreachableError:
+    except PlatformUnavailableError:
         context.store.mode = 'up'
     context.joined = join(context.store, settings, mark)[0]
 
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -12,7 +12,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations, Route, Service
 from laburnumwood.decay import DecayingRate
-from laburnumwood.errors import PlatformUnreachableError
+from laburnumwood.errors import PlatformUnavailableError
 from laburnumwood.membership.directory import Directory
 from laburnumwood.placement.loads import LoadBook
 from laburnumwood.protocol.messages import Work
@@ -233,7 +233,7 @@
         """Return nothing, or do not answer."""
         self.calls += 1
         if not self.answers:
-            raise PlatformUnreachableError(name)
+            raise PlatformUnavailableError(name)
 
 
 @given('a guarded store that does not answer')
@@ -247,7 +247,7 @@
 def _call(context: Context, count: int) -> None:
     context.silent.calls = 0
     for _ in range(count):
-        with suppress(PlatformUnreachableError):
+        with suppress(PlatformUnavailableError):
             context.guarded.get('name')
 
 
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -14,7 +14,7 @@
 from laburnumwood.errors import (
     PlatformConflictError,
     PlatformNotReachedError,
-    PlatformUnreachableError,
+    PlatformUnavailableError,
 )
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Directory
@@ -35,7 +35,7 @@
 _STORES: dict[str, Any] = {'platform': ObjectStore, 'own': HttpStore}
 _FAILURES = {
     'not-reached': PlatformNotReachedError,
-    'lost': PlatformUnreachableError,
+    'lost': PlatformUnavailableError,
     'conflict': PlatformConflictError,
 }
 _READ_BYTES = 65_536
@@ -80,7 +80,7 @@
     context.failure = None
     try:
         context.store.update('shards/s/0', {}, 1)
-    except PlatformUnreachableError as failure:
+    except PlatformUnavailableError as failure:
         context.failure = failure
 
 
@@ -93,7 +93,7 @@
 @then('the store may have taken it')
 def check_unknown(context: Context) -> None:
     failure = context.failure
-    assert isinstance(failure, PlatformUnreachableError), repr(failure)
+    assert isinstance(failure, PlatformUnavailableError), repr(failure)
     assert not isinstance(failure, PlatformNotReachedError), repr(failure)
 
 
@@ -103,7 +103,7 @@
     context.failure = None
     try:
         context.guarded.get('name')
-    except PlatformUnreachableError as failure:
+    except PlatformUnavailableError as failure:
         context.failure = failure
     check_absent(context)
 
--- a/tests/ownership/store.py
+++ b/tests/ownership/store.py
@@ -7,7 +7,7 @@
 from laburnumwood.errors import (
     PlatformConflictError,
     PlatformNotReachedError,
-    PlatformUnreachableError,
+    PlatformUnavailableError,
 )
 from laburnumwood.records import StoredObject
 from laburnumwood.store.client import HttpStore
@@ -70,10 +70,10 @@
             write()
         raise self._failure(self.mode)
 
-    def _failure(self, what: str) -> PlatformUnreachableError:
+    def _failure(self, what: str) -> PlatformUnavailableError:
         if self.mode == 'refused':
             return PlatformNotReachedError(what)
-        return PlatformUnreachableError(what)
+        return PlatformUnavailableError(what)
 
     def _write(
         self, name: str, value: dict[str, Any], version: int | None
