--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -89,7 +89,7 @@
     """No connection to the worker could be made; nothing was sent."""
 
 
-class WorkerCutError(WorkerError):
+class WorkerAnswerError(WorkerError):
     """The worker's answer ended early or never came."""
 
 
@@ -105,7 +105,7 @@
         self.retry_after_ms = retry_after_ms
 
 
-class WorkerTimeoutError(WorkerCutError):
+class WorkerTimeoutError(WorkerAnswerError):
     """The worker did not answer in time."""
 
 
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -2,7 +2,7 @@
 
 from http import HTTPStatus
 
-from laburnumwood.errors import WorkerCutError
+from laburnumwood.errors import WorkerAnswerError
 from laburnumwood.platform.headers import (
     ID_HEADER,
     LOAD_HEADER,
@@ -73,7 +73,7 @@
         return REJECTED if _has_room(answer.index.first(_LOAD)) else REFUSED
 
     def check(self, run: Run, answer: WorkerAnswer) -> None:
-        """Raise `WorkerCutError` if an answer is not that to a request.
+        """Raise `WorkerAnswerError` if an answer is not that to a request.
 
         A late or second answer on a connection carries another id.  A success
         has one in any case, and so has every answer on a connection that was
@@ -84,11 +84,11 @@
         succeeded = HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES
         needs_id = succeeded or answer.may_answer_earlier_request
         if given != run.work.request_id and (given or needs_id):
-            raise WorkerCutError(f'the answer is that to {given!r}')
+            raise WorkerAnswerError(f'the answer is that to {given!r}')
         if index.has('content-encoding'):
-            raise WorkerCutError('the body is encoded')
+            raise WorkerAnswerError('the body is encoded')
         if succeeded and not index.has(_STAMP):
-            raise WorkerCutError('a success without the stamp of a worker')
+            raise WorkerAnswerError('a success without the stamp of a worker')
 
     def cancel(self, _worker: Worker, _run: Run) -> bool:
         """Return false: a worker drops work whose connection is closed."""
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -10,8 +10,8 @@
 from laburnumwood.errors import (
     LinkError,
     RunCancelledError,
+    WorkerAnswerError,
     WorkerBusyError,
-    WorkerCutError,
     WorkerError,
     WorkerTimeoutError,
     WorkerUnreachableError,
@@ -111,7 +111,7 @@
             self._cancel(run)
             told = failure('deadline', str(late), ran=True)
             return _give_up(told, exchange)
-        except WorkerCutError as cut:
+        except WorkerAnswerError as cut:
             told = failure('worker-cut', str(cut), ran=True)
             return _give_up(told, exchange)
         return self._take(run, answer, exchange, kept)
@@ -134,7 +134,7 @@
             return self._run_checked(run)
         except WorkerTimeoutError:
             raise
-        except WorkerCutError:
+        except WorkerAnswerError:
             # A worker that still answers did not die of it.
             if self._worker.is_dead():
                 self._is_in_doubt = True
@@ -145,7 +145,7 @@
         answer = self._worker.send(self._order(run))
         try:
             self._dialect.check(run, answer)
-        except WorkerCutError:
+        except WorkerAnswerError:
             answer.close()
             raise
         return answer
@@ -167,7 +167,7 @@
         except RunCancelledError:
             answer.close()
             raise
-        except WorkerCutError as cut:
+        except WorkerAnswerError as cut:
             answer.close()
             self._cancel(run)
             return _give_up(failure('worker-cut', str(cut), ran=True), exchange)
--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -27,7 +27,7 @@
         """Return the kind of problem if a request did not run, else None."""
 
     def check(self, run: Run, answer: WorkerAnswer) -> None:
-        """Raise `WorkerCutError` if an answer is not that to a request."""
+        """Raise `WorkerAnswerError` if an answer is not that to a request."""
 
     def cancel(self, worker: Worker, run: Run) -> bool:
         """Stop the work of a request; False if only a closed connection can."""
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -7,7 +7,7 @@
 from urllib3.util import parse_url
 
 from laburnumwood.clock import Clock
-from laburnumwood.errors import WorkerCutError, WorkerTimeoutError
+from laburnumwood.errors import WorkerAnswerError, WorkerTimeoutError
 from laburnumwood.header_index import Header, HeaderIndex
 from laburnumwood.upstream.connection import StrictResponse, WorkerConnection
 
@@ -16,11 +16,11 @@
 _NOTHING = b''
 
 
-def to_worker_error(failure: Exception) -> WorkerCutError:
+def to_worker_error(failure: Exception) -> WorkerAnswerError:
     """Return the error of an exchange that ended or stood still."""
     # Only a read that waited too long raises a timeout here.
     late = isinstance(failure, TimeoutError)
-    return (WorkerTimeoutError if late else WorkerCutError)(repr(failure))
+    return (WorkerTimeoutError if late else WorkerAnswerError)(repr(failure))
 
 
 class WorkerAnswer:
@@ -65,7 +65,7 @@
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it comes.
 
-        Raises `WorkerCutError` if it ends early or falls silent.
+        Raises `WorkerAnswerError` if it ends early or falls silent.
         """
         try:
             while part := self._response.read1(_CHUNK_SIZE):
@@ -73,19 +73,23 @@
         except (HTTPException, OSError, ValueError) as cut:
             raise to_worker_error(cut) from cut
         if self._response.length:
-            raise WorkerCutError(f'{self._response.length} bytes are missing')
+            raise WorkerAnswerError(
+                f'{self._response.length} bytes are missing'
+            )
 
     def read_body(self, longest: int) -> bytes:
         """Return the body, which may have so many bytes.
 
-        Raises `WorkerCutError` if it has more, ends early or falls silent.
+        Raises `WorkerAnswerError` if it has more, ends early or falls silent.
         """
         parts: list[bytes] = []
         left = longest
         for part in self.chunks():
             left -= len(part)
             if left < 0:
-                raise WorkerCutError(f'the body is longer than {longest} bytes')
+                raise WorkerAnswerError(
+                    f'the body is longer than {longest} bytes'
+                )
             parts.append(part)
         return _NOTHING.join(parts)
 
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -84,7 +84,7 @@
         """Send a request once and return the head of its answer.
 
         Raises `WorkerUnreachableError` if it is proved that nothing was
-        sent, and `WorkerCutError` if it may have run.
+        sent, and `WorkerAnswerError` if it may have run.
         """
         try:
             head = request_head(order.method, order.target, order.all_headers)
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -12,7 +12,7 @@
 from eventlet import Timeout
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.errors import WorkerCutError, WorkerTimeoutError
+from laburnumwood.errors import WorkerAnswerError, WorkerTimeoutError
 from laburnumwood.header_index import HeaderIndex
 from laburnumwood.platform.workers import WorkerDialect
 from laburnumwood.upstream.worker import Worker, WorkerRequest
@@ -49,7 +49,7 @@
     context.worker_end.close()
     try:
         context.outcome = 'cut' if list(parts) else 'whole'
-    except WorkerCutError:
+    except WorkerAnswerError:
         context.outcome = 'cut'
 
 
@@ -149,13 +149,13 @@
         try:
             answer = _ask(context)
             context.verdict = answer.read_body(longest)
-        except WorkerCutError as cut:
+        except WorkerAnswerError as cut:
             context.verdict = cut
 
 
 @then('it is cut')
 def check_cut(context: Context) -> None:
-    assert isinstance(context.verdict, WorkerCutError), context.verdict
+    assert isinstance(context.verdict, WorkerAnswerError), context.verdict
 
 
 @then('the worker could send less than {most:d} bytes')
@@ -177,7 +177,7 @@
             context.verdict = context.worker.send(
                 WorkerRequest('GET', '/', (), b'', span)
             )
-        except WorkerCutError as cut:
+        except WorkerAnswerError as cut:
             context.verdict = cut
     context.taken_ms = clock.now_ms() - began_ms
 
@@ -275,7 +275,7 @@
     reporting: Any = None
     try:
         WorkerDialect(reporting).check(run, answer)
-    except WorkerCutError:
+    except WorkerAnswerError:
         context.verdict = 'refused'
     else:
         context.verdict = 'taken'
