--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -73,7 +73,7 @@
     """No connection to a peer could be made; nothing was sent."""
 
 
-class CallerGoneError(LinkError):
+class CallerDisconnectedError(LinkError):
     """The caller left, so that an exchange for it was ended or not begun."""
 
 
--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -11,7 +11,7 @@
 from weakref import WeakSet
 
 from laburnumwood.clock import Clock
-from laburnumwood.errors import CallerGoneError, LinkError
+from laburnumwood.errors import CallerDisconnectedError, LinkError
 from laburnumwood.placement.loads import LoadBook
 from laburnumwood.protocol.messages import Answer, Failure
 from laburnumwood.records import NodeName, NodeRecord
@@ -47,7 +47,7 @@
         """Return the next message; raises a `LinkError`."""
         try:
             message = self._exchange.receive(timeout_ms)
-        except CallerGoneError:
+        except CallerDisconnectedError:
             raise
         except LinkError:
             self._spread.avoid(self._target, AVOID_MS)
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -5,7 +5,11 @@
 
 from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
-from laburnumwood.errors import CallerGoneError, LinkError, LinkTimeoutError
+from laburnumwood.errors import (
+    CallerDisconnectedError,
+    LinkError,
+    LinkTimeoutError,
+)
 from laburnumwood.membership.gossip import apply_shard_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.layout import placed_shard
@@ -124,7 +128,7 @@
 
 def abandon(exchange: Outgoing) -> None:
     """Tell the gate that its answer is no longer wanted, and wait no more."""
-    exchange.fail(CallerGoneError(_GONE))
+    exchange.fail(CallerDisconnectedError(_GONE))
     start(_tell_cancel, exchange)
 
 
@@ -255,7 +259,7 @@
             work = replace(work, deadline_ms=left_ms)
         try:
             exchange = self._open(target, work, caller)
-        except CallerGoneError as gone:
+        except CallerDisconnectedError as gone:
             return failure('cancelled', str(gone), ran=False)
         except LinkError as refused:
             self._spread.avoid(target, AVOID_MS)
@@ -276,11 +280,11 @@
             )
             if caller.look():
                 exchange.close()
-                raise CallerGoneError(_GONE)
+                raise CallerDisconnectedError(_GONE)
             exchange.send(work)
             return exchange
         if caller.look():
-            raise CallerGoneError(_GONE)
+            raise CallerDisconnectedError(_GONE)
         near, far = local_pair()
         start(self._serve, far, work)
         return near
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -16,7 +16,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Weights
-from laburnumwood.errors import CallerGoneError
+from laburnumwood.errors import CallerDisconnectedError
 from laburnumwood.placement.balance import Picture
 from laburnumwood.placement.balancer import estimated_loads
 from laburnumwood.placement.hotkeys import HotKeys
@@ -466,8 +466,8 @@
 def leave_request(context: Context, node_id: str) -> None:
     near, _ = local_pair()
     tracked = context.spread.track(near, NodeName(node_id, 1))
-    tracked.fail(CallerGoneError('the caller has gone'))
-    with suppress(CallerGoneError):
+    tracked.fail(CallerDisconnectedError('the caller has gone'))
+    with suppress(CallerDisconnectedError):
         tracked.receive(1_000)
     tracked.close()
 
