--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -17,8 +17,8 @@
     ChangedSinceError,
     DeclarationError,
     LaburnumwoodError,
-    NotInForceError,
     PlatformError,
+    RolloutIncompleteError,
 )
 
 EXIT_FAILED = 1
@@ -177,7 +177,7 @@
                 'saw it; see "laburnumwood diff" with the folder, then apply '
                 'again'
             )
-        case NotInForceError():
+        case RolloutIncompleteError():
             return EXIT_NOT_IN_FORCE, (
                 f'accepted, but not in force in time on:\n{failure}\nit comes '
                 'into force there by itself once the node is reached; see '
--- a/laburnumwood/cli/waiting.py
+++ b/laburnumwood/cli/waiting.py
@@ -7,7 +7,7 @@
 
 from laburnumwood.cli.fleet import Fleet
 from laburnumwood.cli.pages import GenerationPage
-from laburnumwood.errors import NotInForceError, OperatorCallError
+from laburnumwood.errors import OperatorCallError, RolloutIncompleteError
 
 _POLL_S = 0.2
 
@@ -29,7 +29,7 @@
 ) -> int:
     """Return the number of nodes once all have a generation in force.
 
-    Raises `NotInForceError` that names those which have not in time.
+    Raises `RolloutIncompleteError` that names those which have not in time.
     """
     deadline_s = time.monotonic() + limit_s
     with Progress(
@@ -43,5 +43,5 @@
             if not lagging:
                 return count
             if time.monotonic() >= deadline_s:
-                raise NotInForceError('\n'.join(lagging))
+                raise RolloutIncompleteError('\n'.join(lagging))
             time.sleep(_POLL_S)
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -21,7 +21,7 @@
         self.names = names
 
 
-class NotInForceError(LaburnumwoodError):
+class RolloutIncompleteError(LaburnumwoodError):
     """A configuration is accepted, but some node does not have it yet."""
 
 
