--- a/laburnumwood/cli/changes.py
+++ b/laburnumwood/cli/changes.py
@@ -16,7 +16,7 @@
 from laburnumwood.config.audit import read_newest
 from laburnumwood.config.files import digest, read_folder
 from laburnumwood.config.merge import Merged, merge_files
-from laburnumwood.errors import ChangedSinceError
+from laburnumwood.errors import ConcurrentChangeError
 from laburnumwood.records import AuditRecord, ConfigRecord
 from laburnumwood.store.client import HttpStore
 
@@ -107,8 +107,8 @@
     def _propose(self, proposal: Proposal) -> ConfigRecord:
         try:
             return self._acceptance.propose(proposal)
-        except ChangedSinceError as changed:
-            raise ChangedSinceError(self._blame(changed.names)) from changed
+        except ConcurrentChangeError as changed:
+            raise ConcurrentChangeError(self._blame(changed.names)) from changed
 
     def _blame(self, names: Collection[str]) -> tuple[str, ...]:
         """Return each name with who changed that file last."""
--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -14,7 +14,7 @@
 from laburnumwood.cli.options import UsageError, read_options
 from laburnumwood.cli.output import Output
 from laburnumwood.errors import (
-    ChangedSinceError,
+    ConcurrentChangeError,
     DeclarationError,
     LaburnumwoodError,
     PlatformError,
@@ -171,7 +171,7 @@
     match failure:
         case DeclarationError() | UsageError():
             return EXIT_REFUSED, f'refused:\n{failure}'
-        case ChangedSinceError():
+        case ConcurrentChangeError():
             return EXIT_CHANGED_SINCE, (
                 f'not applied: others changed {failure} since this folder '
                 'saw it; see "laburnumwood diff" with the folder, then apply '
--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -11,7 +11,7 @@
 from laburnumwood.config.files import Content, Files, digest
 from laburnumwood.config.merge import Merged, merge_files
 from laburnumwood.errors import (
-    ChangedSinceError,
+    ConcurrentChangeError,
     DeclarationError,
     PlatformConflictError,
     PlatformError,
@@ -103,7 +103,7 @@
 
         A change of other files by another operator in the same moment does
         no harm: both stand.  Raises `DeclarationError` if the result is not
-        valid, `ChangedSinceError` if another operator changed the same file,
+        valid, `ConcurrentChangeError` if another operator changed the same file,
         and `PlatformError` if the platform does not answer.
         """
         accepted = None
@@ -130,7 +130,7 @@
         now, version = current(self._platform)
         changed = _changed_since(proposal, now)
         if changed:
-            raise ChangedSinceError(changed)
+            raise ConcurrentChangeError(changed)
         files = _with(now.files, proposal.files)
         check_successor(files, now)
         if files == now.files:
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -13,7 +13,7 @@
     """A configuration can't be accepted; the text says where and why."""
 
 
-class ChangedSinceError(LaburnumwoodError):
+class ConcurrentChangeError(LaburnumwoodError):
     """Files were changed by others since the operator saw them."""
 
     def __init__(self, names: tuple[str, ...]) -> None:
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -17,7 +17,7 @@
 from laburnumwood.config.files import digest, parse
 from laburnumwood.config.merge import merge_files
 from laburnumwood.errors import (
-    ChangedSinceError,
+    ConcurrentChangeError,
     DeclarationError,
     PlatformUnavailableError,
 )
@@ -93,7 +93,7 @@
     context.refusal = None
     try:
         Acceptance(platform, Clock()).propose(proposal)
-    except (ChangedSinceError, DeclarationError) as refused:
+    except (ConcurrentChangeError, DeclarationError) as refused:
         context.refusal = refused
 
 
@@ -149,7 +149,7 @@
 
 @then('the proposal was refused since "{name}" has changed')
 def check_changed_since(context: Context, name: str) -> None:
-    assert isinstance(context.refusal, ChangedSinceError), context.refusal
+    assert isinstance(context.refusal, ConcurrentChangeError), context.refusal
     assert str(context.refusal) == name, context.refusal
 
 
