--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -77,7 +77,7 @@
     """The caller left, so that an exchange for it was ended or not begun."""
 
 
-class IncarnationOverError(LaburnumwoodError):
+class IncarnationExpiredError(LaburnumwoodError):
     """The incarnation of this node has lapsed and must not act any more."""
 
 
