--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -2,12 +2,12 @@
 
 from contextlib import suppress
 
-from laburnumwood.borders import Borders
 from laburnumwood.clock import Clock
 from laburnumwood.daemon.handover_news import HandoverAnnouncer
 from laburnumwood.daemon.holder import ShardHolder
 from laburnumwood.daemon.load import LoadComponents
 from laburnumwood.errors import PlatformError
+from laburnumwood.integration import Integration
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealBook
 from laburnumwood.leases.witness import Witness
@@ -60,7 +60,7 @@
         self,
         name: NodeName,
         settings: DaemonSettings,
-        borders: Borders,
+        integration: Integration,
         platform: Store,
         reporting: ReportingWorker,
         witness: Witness,
@@ -69,7 +69,7 @@
         self.name = name
         self._platform = platform
         self._settings = settings
-        self._borders = borders
+        self._integration = integration
         self._reporting = reporting
         self._tasks = Tasks()
         self._watch_tasks = Tasks()
@@ -129,7 +129,7 @@
         are no others.  Raises `PlatformError` if the store does not answer.
         """
         self._store_watcher.list_all()
-        reports = self._borders.worker_reports
+        reports = self._integration.worker_reports
         other_change = (
             self._worker_announcer.with_initial_worker_state
             if reports
@@ -254,7 +254,7 @@
             announce_leaving(self._cached_store, self.name)
 
     def _make_grants(self, clock: Clock) -> Grants:
-        if self._borders.worker_reports:
+        if self._integration.worker_reports:
             holder = ShardHolder(
                 self._settings.service, self.lease, self.holdings, self.view
             )
@@ -269,7 +269,7 @@
         return self._granter
 
     def _worker_tasks(self) -> tuple[Task, ...]:
-        ledger = (self._notary.run,) * self._borders.has_idempotency_keys
+        ledger = (self._notary.run,) * self._integration.has_idempotency_keys
         if self._granter is not None:
             return (*ledger, self._granter.run, self._load_poller.run)
         return (*ledger, self._worker_announcer.run)
@@ -314,14 +314,14 @@
             self.dispatcher,
             clock,
         )
-        if self._borders.has_idempotency_keys:
+        if self._integration.has_idempotency_keys:
             self._keeper.before_move = self._notary.hand_over
         suspicions = Suspicions(
             self.name, self.view, self._peers, self.dispatcher, clock
         )
         executor = Executor(
             self._worker,
-            self._borders.make_dialect(self._reporting),
+            self._integration.make_dialect(self._reporting),
             self._notary,
             suspicions,
             clock,
@@ -353,7 +353,7 @@
         )
         self.door = MeasuredDoor(
             router,
-            self._borders.make_face(self._settings),
+            self._integration.make_face(self._settings),
             lambda: self.view.directory.declarations,
             clock,
         )
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -6,7 +6,6 @@
 
 import eventlet
 
-from laburnumwood.borders import BORDERS
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.daemon.incarnation import Incarnation
 from laburnumwood.errors import (
@@ -24,6 +23,7 @@
     REJOINING,
     STORE_UNREACHABLE,
 )
+from laburnumwood.integration import INTEGRATIONS
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.endings import (
     IncarnationStatus,
@@ -64,15 +64,15 @@
     """The process of a node, which runs beside one worker."""
 
     def __init__(self, settings: DaemonSettings) -> None:
-        if settings.borders not in BORDERS:
-            allowed = ', '.join(sorted(BORDERS))
+        if settings.borders not in INTEGRATIONS:
+            allowed = ', '.join(sorted(INTEGRATIONS))
             text = f'borders: found {settings.borders!r}; allowed: {allowed}'
             raise SettingsError(text)
         self._settings = settings
         self._clock = Clock()
-        self._borders = BORDERS[settings.borders]
-        self._face = self._borders.make_face(settings)
-        store = self._borders.make_store(settings)
+        self._integration = INTEGRATIONS[settings.borders]
+        self._face = self._integration.make_face(settings)
+        store = self._integration.make_store(settings)
         self._platform = GuardedStore(store, self._clock)
         self._incarnation: Incarnation | None = None
         self._witness: Witness | None = None
@@ -158,7 +158,7 @@
         if settings.metrics_port is not None:
             metrics = (settings.host, settings.metrics_port)
             Listening(metrics, self._serve_metrics)
-        for listener in self._borders.listeners(settings, self):
+        for listener in self._integration.listeners(settings, self):
             Listening(listener.address, listener.application)
 
     def _serve_peer(self, link: Link, stream: Stream, message: Any) -> None:
@@ -244,7 +244,7 @@
         incarnation = Incarnation(
             name,
             self._settings,
-            self._borders,
+            self._integration,
             self._platform,
             self.worker,
             self._witness,
--- a/laburnumwood/borders.py
+++ b/laburnumwood/integration.py
@@ -14,7 +14,7 @@
 Application = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
 
-class Front(Protocol):
+class NodeStatus(Protocol):
     """What a node shows to what stands around it."""
 
     @property
@@ -27,7 +27,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Listener:
+class WsgiEndpoint:
     """An address and the WSGI application that answers there."""
 
     address: tuple[str, int]
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Borders:
+class Integration:
     """The store, callers, worker and further listeners of a node.
 
     Where requests carry idempotency keys, successors keep a run ledger.
@@ -46,32 +46,34 @@
     make_store: Callable[[DaemonSettings], Store]
     make_face: Callable[[DaemonSettings], Face]
     make_dialect: Callable[[ReportingWorker], Dialect]
-    listeners: Callable[[DaemonSettings, Front], tuple[Listener, ...]]
+    listeners: Callable[[DaemonSettings, NodeStatus], tuple[WsgiEndpoint, ...]]
     worker_reports: bool
     has_idempotency_keys: bool
 
 
-BORDERS: dict[str, Borders] = {}
+INTEGRATIONS: dict[str, Integration] = {}
 
 
-def borders(name: str) -> Callable[[Callable[[], Borders]], None]:
+def register_integration(
+    name: str,
+) -> Callable[[Callable[[], Integration]], None]:
     """Register the borders that a function returns under a name."""
 
-    def register(make: Callable[[], Borders]) -> None:
-        BORDERS[name] = make()
+    def register(make: Callable[[], Integration]) -> None:
+        INTEGRATIONS[name] = make()
 
     return register
 
 
 def _no_listeners(
-    _settings: DaemonSettings, _front: Front
-) -> tuple[Listener, ...]:
+    _settings: DaemonSettings, _node: NodeStatus
+) -> tuple[WsgiEndpoint, ...]:
     return ()
 
 
-@borders('own')
-def _own() -> Borders:
-    return Borders(
+@register_integration('own')
+def _own() -> Integration:
+    return Integration(
         make_store=lambda settings: HttpStore(settings.platform_url),
         make_face=lambda _settings: OwnFace(),
         make_dialect=lambda _worker: OwnDialect(),
--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -5,7 +5,12 @@
 from random import Random
 from typing import Any
 
-from laburnumwood.borders import Borders, Front, Listener, borders
+from laburnumwood.integration import (
+    Integration,
+    NodeStatus,
+    WsgiEndpoint,
+    register_integration,
+)
 from laburnumwood.listening import split_address
 from laburnumwood.platform.callers import RequesterFace
 from laburnumwood.platform.reports import ReportEndpoint
@@ -18,26 +23,28 @@
 class ReadinessEndpoint:
     """A WSGI application that tells whether callers may be sent here."""
 
-    def __init__(self, front: Front) -> None:
-        self._front = front
+    def __init__(self, node: NodeStatus) -> None:
+        self._node = node
 
     def __call__(
         self, _environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one call."""
-        ready = self._front.is_ready
+        ready = self._node.is_ready
         status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         start_response(status_line(status), [('Content-Length', '0')])
         return (b'',)
 
 
-def _listeners(settings: DaemonSettings, front: Front) -> tuple[Listener, ...]:
+def _listeners(
+    settings: DaemonSettings, node: NodeStatus
+) -> tuple[WsgiEndpoint, ...]:
     pages = (
-        (settings.ready_address, ReadinessEndpoint(front)),
-        (settings.report_address, ReportEndpoint(settings, front.worker)),
+        (settings.ready_address, ReadinessEndpoint(node)),
+        (settings.report_address, ReportEndpoint(settings, node.worker)),
     )
     return tuple(
-        Listener(split_address(address), page)
+        WsgiEndpoint(split_address(address), page)
         for address, page in pages
         if address is not None
     )
@@ -45,11 +52,11 @@
 
 def register() -> None:
     """Make the platform's borders known."""
-    borders('platform')(_make)
+    register_integration('platform')(_make)
 
 
-def _make() -> Borders:
-    return Borders(
+def _make() -> Integration:
+    return Integration(
         make_store=lambda settings: ObjectStore(settings.platform_url),
         make_face=lambda settings: RequesterFace(
             settings, Random(settings.node_id)
--- a/tests/features/steps/letting_go_steps.py
+++ b/tests/features/steps/letting_go_steps.py
@@ -7,9 +7,9 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from laburnumwood.borders import BORDERS
 from laburnumwood.daemon.incarnation import Incarnation
 from laburnumwood.daemon.node import Node
+from laburnumwood.integration import INTEGRATIONS
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.node_records import join
 from laburnumwood.platform.registration import register
@@ -49,7 +49,7 @@
     return Incarnation(
         name,
         node.settings,
-        BORDERS['platform'],
+        INTEGRATIONS['platform'],
         context.store,
         node.worker,
         context.witness,
@@ -78,7 +78,7 @@
 
 @given('a node whose worker was given a shard for {span:d} ms')
 def make_node(context: Context, span: int) -> None:
-    if 'platform' not in BORDERS:
+    if 'platform' not in INTEGRATIONS:
         register()
     context.clock, context.store = FakeClock(), FakeStore()
     context.number, context.witness = 0, None
