--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -353,7 +353,7 @@
         )
         self.door = MeasuredDoor(
             router,
-            self._integration.make_face(self._settings),
+            self._integration.make_caller_interface(self._settings),
             lambda: self.view.directory.declarations,
             clock,
         )
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -71,7 +71,7 @@
         self._settings = settings
         self._clock = Clock()
         self._integration = INTEGRATIONS[settings.borders]
-        self._face = self._integration.make_face(settings)
+        self._face = self._integration.make_caller_interface(settings)
         store = self._integration.make_store(settings)
         self._platform = GuardedStore(store, self._clock)
         self._incarnation: Incarnation | None = None
--- a/laburnumwood/integration.py
+++ b/laburnumwood/integration.py
@@ -44,7 +44,7 @@
     """
 
     make_store: Callable[[DaemonSettings], Store]
-    make_face: Callable[[DaemonSettings], Face]
+    make_caller_interface: Callable[[DaemonSettings], Face]
     make_dialect: Callable[[ReportingWorker], Dialect]
     listeners: Callable[[DaemonSettings, NodeStatus], tuple[WsgiEndpoint, ...]]
     worker_reports: bool
@@ -75,7 +75,7 @@
 def _own() -> Integration:
     return Integration(
         make_store=lambda settings: HttpStore(settings.platform_url),
-        make_face=lambda _settings: OwnFace(),
+        make_caller_interface=lambda _settings: OwnFace(),
         make_dialect=lambda _worker: OwnDialect(),
         listeners=_no_listeners,
         worker_reports=False,
--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -58,7 +58,7 @@
 def _make() -> Integration:
     return Integration(
         make_store=lambda settings: ObjectStore(settings.platform_url),
-        make_face=lambda settings: RequesterFace(
+        make_caller_interface=lambda settings: RequesterFace(
             settings, Random(settings.node_id)
         ),
         make_dialect=WorkerDialect,
