--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -321,7 +321,7 @@
         )
         executor = Executor(
             self._worker,
-            self._integration.make_dialect(self._reporting),
+            self._integration.make_worker_interface(self._reporting),
             self._notary,
             suspicions,
             clock,
--- a/laburnumwood/integration.py
+++ b/laburnumwood/integration.py
@@ -45,7 +45,7 @@
 
     make_store: Callable[[DaemonSettings], Store]
     make_caller_interface: Callable[[DaemonSettings], Face]
-    make_dialect: Callable[[ReportingWorker], Dialect]
+    make_worker_interface: Callable[[ReportingWorker], Dialect]
     listeners: Callable[[DaemonSettings, NodeStatus], tuple[WsgiEndpoint, ...]]
     worker_reports: bool
     has_idempotency_keys: bool
@@ -76,7 +76,7 @@
     return Integration(
         make_store=lambda settings: HttpStore(settings.platform_url),
         make_caller_interface=lambda _settings: OwnFace(),
-        make_dialect=lambda _worker: OwnDialect(),
+        make_worker_interface=lambda _worker: OwnDialect(),
         listeners=_no_listeners,
         worker_reports=False,
         has_idempotency_keys=True,
--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -61,7 +61,7 @@
         make_caller_interface=lambda settings: RequesterFace(
             settings, Random(settings.node_id)
         ),
-        make_dialect=WorkerDialect,
+        make_worker_interface=WorkerDialect,
         listeners=_listeners,
         worker_reports=True,
         has_idempotency_keys=False,
