--- a/laburnumwood/integration.py
+++ b/laburnumwood/integration.py
@@ -1,4 +1,7 @@
-"""How one kind of installation speaks with what stands around a node."""
+"""Integrations: how a node connects to its store, callers and worker.
+
+The `borders` setting selects one of the registered integrations by name.
+"""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -15,20 +18,20 @@
 
 
 class NodeStatus(Protocol):
-    """What a node shows to what stands around it."""
+    """The state of a node that the endpoints of an integration report."""
 
     @property
     def is_ready(self) -> bool:
-        """Tell whether callers may be sent to this node."""
+        """Return whether callers may be sent to this node."""
 
     @property
     def worker(self) -> ReportingWorker:
-        """Return what is known of the worker by its reports."""
+        """Return the worker as known from its reports."""
 
 
 @dataclass(frozen=True, slots=True)
 class WsgiEndpoint:
-    """An address and the WSGI application that answers there."""
+    """An address and the WSGI application that serves it."""
 
     address: tuple[str, int]
     application: Application
@@ -36,17 +39,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Integration:
-    """The store, callers, worker and further listeners of a node.
+    """Factories for the interfaces of a node to its environment.
 
-    Where requests carry idempotency keys, successors keep a run ledger.
-    A worker that reports fetches its grants with its reports; any other is
-    sent them.
+    `make_endpoints` returns the endpoints that the node serves in addition to
+    its own.  `worker_reports`: the worker sends reports and receives its
+    grants in the answers; any other worker is sent its grants.
+    `has_idempotency_keys`: requests carry idempotency keys, so owners
+    replicate a run ledger to their successors.
     """
 
     make_store: Callable[[DaemonSettings], Store]
     make_caller_interface: Callable[[DaemonSettings], Face]
     make_worker_interface: Callable[[ReportingWorker], Dialect]
-    listeners: Callable[[DaemonSettings, NodeStatus], tuple[WsgiEndpoint, ...]]
+    make_endpoints: Callable[
+        [DaemonSettings, NodeStatus], tuple[WsgiEndpoint, ...]
+    ]
     worker_reports: bool
     has_idempotency_keys: bool
 
@@ -57,7 +64,7 @@
 def register_integration(
     name: str,
 ) -> Callable[[Callable[[], Integration]], None]:
-    """Register the borders that a function returns under a name."""
+    """Register, under a name, the integration that a function returns."""
 
     def register(make: Callable[[], Integration]) -> None:
         INTEGRATIONS[name] = make()
@@ -65,7 +72,7 @@
     return register
 
 
-def _no_listeners(
+def _no_endpoints(
     _settings: DaemonSettings, _node: NodeStatus
 ) -> tuple[WsgiEndpoint, ...]:
     return ()
@@ -77,7 +84,7 @@
         make_store=lambda settings: HttpStore(settings.platform_url),
         make_caller_interface=lambda _settings: OwnFace(),
         make_worker_interface=lambda _worker: OwnDialect(),
-        listeners=_no_listeners,
+        make_endpoints=_no_endpoints,
         worker_reports=False,
         has_idempotency_keys=True,
     )
--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -1,4 +1,4 @@
-"""Registration of the platform's borders."""
+"""Registration of the platform's integration."""
 
 from collections.abc import Iterable
 from http import HTTPStatus
@@ -51,7 +51,7 @@
 
 
 def register() -> None:
-    """Make the platform's borders known."""
+    """Register the platform's integration."""
     register_integration('platform')(_make)
 
 
@@ -62,7 +62,7 @@
             settings, Random(settings.node_id)
         ),
         make_worker_interface=WorkerDialect,
-        listeners=_listeners,
+        make_endpoints=_listeners,
         worker_reports=True,
         has_idempotency_keys=False,
     )
