--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -160,8 +160,8 @@
         if ticket.answered_ms is None:
             return
         latency_ms = ticket.answered_ms - ticket.started_ms
-        self._latencies.note(latency_ms)
-        self._slot_times.note(self._clock.now_ms() - ticket.started_ms)
+        self._latencies.add(latency_ms)
+        self._slot_times.add(self._clock.now_ms() - ticket.started_ms)
         self._limit.observe(latency_ms, self.running)
 
     def _latency_ms(self) -> float:
--- a/laburnumwood/admission/limit.py
+++ b/laburnumwood/admission/limit.py
@@ -98,7 +98,7 @@
 
     def _close_window(self) -> None:
         short = max(median(self._samples), 1)
-        self._long.note(short)
+        self._long.add(short)
         gradient = _TOLERANCE * self._long.mean / short
         gradient = max(_LEAST_GRADIENT, min(1, gradient))
         if self._limit < self._before_lost and gradient == 1:
--- a/laburnumwood/decay.py
+++ b/laburnumwood/decay.py
@@ -20,18 +20,18 @@
         self._clock = clock
         self._sum: float = 0
         self._count: float = 0
-        self._noted_ms = clock.now_ms()
+        self._updated_ms = clock.now_ms()
 
     @property
     def mean(self) -> float:
         """Return the mean, zero before the first sample."""
         return self._sum / self._count if self._count else 0
 
-    def note(self, sample: float) -> None:
+    def add(self, sample: float) -> None:
         """Take in a sample."""
         now_ms = self._clock.now_ms()
-        kept = weight_of_age(now_ms - self._noted_ms, self._half_life_ms)
-        self._noted_ms = now_ms
+        kept = weight_of_age(now_ms - self._updated_ms, self._half_life_ms)
+        self._updated_ms = now_ms
         self._sum = self._sum * kept + sample
         self._count = self._count * kept + 1
 
@@ -43,7 +43,7 @@
         self._half_life_ms = half_life_ms
         self._clock = clock
         self._sum: float = 0
-        self._noted_ms = clock.now_ms()
+        self._updated_ms = clock.now_ms()
         self._since_ms = clock.now_ms()
 
     @property
@@ -58,11 +58,11 @@
         mean_age_ms = self._half_life_ms / log(2) * measured
         return self._decayed() / mean_age_ms * MS_PER_SECOND
 
-    def note(self, amount: float) -> None:
+    def add(self, amount: float) -> None:
         """Count an amount that came now."""
         self._sum = self._decayed() + amount
-        self._noted_ms = self._clock.now_ms()
+        self._updated_ms = self._clock.now_ms()
 
     def _decayed(self) -> float:
-        age_ms = self._clock.now_ms() - self._noted_ms
+        age_ms = self._clock.now_ms() - self._updated_ms
         return self._sum * weight_of_age(age_ms, self._half_life_ms)
--- a/laburnumwood/placement/meter.py
+++ b/laburnumwood/placement/meter.py
@@ -36,12 +36,12 @@
         if shard < 0:
             return
         self.hot_keys.note(key)
-        self._requests.note(1)
+        self._requests.add(1)
         rate = self._rates.get(shard)
         if rate is None:
             rate = DecayingRate(self._half_life_ms, self._clock)
             self._rates[shard] = rate
-        rate.note(busy_ms / MS_PER_SECOND)
+        rate.add(busy_ms / MS_PER_SECOND)
 
     def error(self) -> float:
         """Return the standard error of all load here, as a share of it."""
--- a/laburnumwood/protocol/outlet.py
+++ b/laburnumwood/protocol/outlet.py
@@ -68,7 +68,7 @@
             return
         self._under_way.pop(passage)
         taken_ms = self._clock.now_ms() - passage.sent_ms
-        self._pace.note(taken_ms / passage.size)
+        self._pace.add(taken_ms / passage.size)
         self._adapt(passage.size, taken_ms)
         self._news.notify_all()
 
--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -34,7 +34,7 @@
 
     def note(self, rank: int, length: int) -> None:
         """Take in how long an answer was."""
-        self._lengths[rank].note(length)
+        self._lengths[rank].add(length)
 
     def wait_ms(self, rank: int) -> int:
         """Return how long an answer would wait, if it is a long one."""
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -111,7 +111,7 @@
         self._heard_ms = self._clock.now_ms()
         is_usual = _LEAST_INTERVAL_MS <= gap_ms < self._settings.silent_ms
         if news is ReportStatus.SAME_INSTANCE and is_usual:
-            self._gaps_ms.note(gap_ms)
+            self._gaps_ms.add(gap_ms)
 
     def _begin_leaving(self) -> None:
         if self._left_ms is None:
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -294,7 +294,7 @@
 def bring_amounts(context: Context, amount: int, gap: int, span: int) -> None:
     for _ in range(span // gap):
         context.clock.pass_ms(gap)
-        context.rate.note(amount)
+        context.rate.add(amount)
 
 
 @then('the rate is between {least:d} and {most:d} a second')
