--- a/laburnumwood/decay.py
+++ b/laburnumwood/decay.py
@@ -1,19 +1,19 @@
-"""Means and rates in which what is older counts less."""
+"""Means and rates with exponential decay."""
 
 from math import log
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 
-_LEAST_AGE_MS = 500  # a rate of a shorter time says too little
+_MIN_AGE_MS = 500  # a rate over a shorter time is too noisy
 
 
 def weight_of_age(age_ms: float, half_life_ms: float) -> float:
-    """Return how much something of an age still counts, from 1 down to 0."""
+    """Return the weight of a sample of some age: 1 when new, then to 0."""
     return 0.5 ** (max(age_ms, 0) / half_life_ms)
 
 
 class DecayingMean:
-    """A mean of samples; each counts half after a half-life."""
+    """A mean of samples; a sample's weight halves every half-life."""
 
     def __init__(self, half_life_ms: int, clock: Clock) -> None:
         self._half_life_ms = half_life_ms
@@ -24,11 +24,11 @@
 
     @property
     def mean(self) -> float:
-        """Return the mean, zero before the first sample."""
+        """Return the mean; 0 before the first sample."""
         return self._sum / self._count if self._count else 0
 
     def add(self, sample: float) -> None:
-        """Take in a sample."""
+        """Add a sample."""
         now_ms = self._clock.now_ms()
         kept = weight_of_age(now_ms - self._updated_ms, self._half_life_ms)
         self._updated_ms = now_ms
@@ -37,29 +37,29 @@
 
 
 class DecayingRate:
-    """How much comes a second; what came counts half after a half-life."""
+    """A rate per second; an amount's weight halves every half-life."""
 
     def __init__(self, half_life_ms: int, clock: Clock) -> None:
         self._half_life_ms = half_life_ms
         self._clock = clock
         self._sum: float = 0
         self._updated_ms = clock.now_ms()
-        self._since_ms = clock.now_ms()
+        self._started_ms = clock.now_ms()
 
     @property
     def per_second(self) -> float:
-        """Return the rate now.
+        """Return the current rate.
 
-        What could not come yet, because it is measured for a short time
-        only, does not count as missing.
+        The sum is divided by the weight of the time measured so far, so that
+        a rate is not too low while that time is short.
         """
-        age_ms = max(self._clock.now_ms() - self._since_ms, _LEAST_AGE_MS)
+        age_ms = max(self._clock.now_ms() - self._started_ms, _MIN_AGE_MS)
         measured = 1 - weight_of_age(age_ms, self._half_life_ms)
         mean_age_ms = self._half_life_ms / log(2) * measured
         return self._decayed() / mean_age_ms * MS_PER_SECOND
 
     def add(self, amount: float) -> None:
-        """Count an amount that came now."""
+        """Add an amount that arrives now."""
         self._sum = self._decayed() + amount
         self._updated_ms = self._clock.now_ms()
 
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -1,20 +1,23 @@
-"""The types of everything that can go wrong."""
+"""The exceptions of this package."""
 
 
 class LaburnumwoodError(Exception):
-    """The base of all errors of this package."""
+    """The base of all exceptions of this package."""
 
 
 class SettingsError(LaburnumwoodError):
-    """A settings file can't be used; the text says where and why."""
+    """A settings file is invalid; the text says where and why."""
 
 
 class DeclarationError(LaburnumwoodError):
-    """A configuration can't be accepted; the text says where and why."""
+    """A configuration is invalid; the text says where and why."""
 
 
 class ConcurrentChangeError(LaburnumwoodError):
-    """Files were changed by others since the operator saw them."""
+    """Other operators changed files that this operator wants to change.
+
+    `names` are the files changed since this operator last read them.
+    """
 
     def __init__(self, names: tuple[str, ...]) -> None:
         super().__init__(', '.join(names))
@@ -22,47 +25,47 @@
 
 
 class RolloutIncompleteError(LaburnumwoodError):
-    """A configuration is accepted, but some node does not have it yet."""
+    """A configuration is accepted, but not yet in force on every node."""
 
 
 class OperatorCallError(LaburnumwoodError):
-    """A node did not do what an operator asked of it."""
+    """A call to the operator port of a node failed."""
 
 
 class PlatformError(LaburnumwoodError):
-    """The base of what can go wrong with a call of the platform."""
+    """The base of all failures of a call to the platform."""
 
 
 class PlatformUnavailableError(PlatformError):
-    """The platform gave no answer; a write may have taken effect."""
+    """The platform did not answer; a write may have taken effect."""
 
 
 class PlatformNotReachedError(PlatformUnavailableError):
-    """The platform was not reached or says so: this call did nothing."""
+    """The call had no effect: it was not sent, or the platform rejected it."""
 
 
 class PlatformConflictError(PlatformError):
-    """The object had another version than the write asked for."""
+    """The object does not have the version that the write expects."""
 
 
 class CompactedError(PlatformError):
-    """The platform no longer keeps the changes asked for."""
+    """The platform no longer keeps the requested changes."""
 
 
 class RecordError(LaburnumwoodError):
-    """An object of the store has an unknown form."""
+    """An object in the store does not match the schema of its record."""
 
 
 class ProtocolError(LaburnumwoodError):
-    """A peer broke the protocol between nodes."""
+    """A peer violated the protocol between nodes."""
 
 
 class LinkError(LaburnumwoodError):
-    """The base of what ends an exchange with a peer."""
+    """The base of all failures of an exchange with a peer."""
 
 
 class LinkLostError(LinkError):
-    """The connection to a peer ended or went silent."""
+    """The connection to a peer closed or became silent."""
 
 
 class LinkTimeoutError(LinkError):
@@ -70,35 +73,35 @@
 
 
 class LinkRefusedError(LinkError):
-    """No connection to a peer could be made; nothing was sent."""
+    """The connection to a peer could not be made; no message was sent."""
 
 
 class CallerDisconnectedError(LinkError):
-    """The caller left, so that an exchange for it was ended or not begun."""
+    """The caller disconnected: its exchange was aborted or never started."""
 
 
 class IncarnationExpiredError(LaburnumwoodError):
-    """The incarnation of this node has lapsed and must not act any more."""
+    """The incarnation of this node has expired and must not act any more."""
 
 
 class WorkerError(LaburnumwoodError):
-    """The base of what can go wrong with a call of the worker."""
+    """The base of all failures of a call to the worker."""
 
 
 class WorkerUnreachableError(WorkerError):
-    """No connection to the worker could be made; nothing was sent."""
+    """The connection to the worker could not be made; nothing was sent."""
 
 
 class WorkerAnswerError(WorkerError):
-    """The worker's answer ended early or never came."""
+    """The worker's answer is missing, incomplete or invalid."""
 
 
 class RunCancelledError(LaburnumwoodError):
-    """Nobody waits for the answer to a request any more."""
+    """A request was cancelled because nobody waits for its answer."""
 
 
 class OverloadedError(LaburnumwoodError):
-    """A request was not let in to the worker."""
+    """A request was not admitted to the worker."""
 
     def __init__(self, retry_after_ms: int) -> None:
         super().__init__(f'come again after {retry_after_ms} ms')
@@ -106,8 +109,8 @@
 
 
 class WorkerTimeoutError(WorkerAnswerError):
-    """The worker did not answer in time."""
+    """The worker did not answer before the timeout."""
 
 
 class WorkerBusyError(WorkerError):
-    """A request could not have the worker for itself; nothing was sent."""
+    """A request that must run alone found the worker busy; nothing was sent."""
--- a/laburnumwood/header_index.py
+++ b/laburnumwood/header_index.py
@@ -1,4 +1,4 @@
-"""Headers: read line by line, and asked for by their names."""
+"""Parsing of HTTP headers and an index of them by name."""
 
 from collections.abc import Callable, Iterable
 from re import Pattern
@@ -8,68 +8,69 @@
 Header = tuple[str, str]
 
 _ENDS_OF_HEAD = frozenset((b'\r\n', b'\n'))
-_MOST_HEADERS = 100
-_LONGEST_TOLD = 80  # bytes of a line that can't be read
+_MAX_HEADERS = 100
+_MAX_QUOTED_LENGTH = 80  # bytes of an invalid line in an error message
 
 
 class HeadError(LaburnumwoodError):
-    """The head of a request or of an answer can't be read."""
+    """The head of a request or of an answer is malformed."""
 
 
 class TooManyHeadersError(HeadError):
-    """A head has more headers than are taken."""
+    """A head has more headers than are allowed."""
 
 
 def read_headers(
-    read_line: Callable[[], bytes], form: Pattern[bytes]
+    read_line: Callable[[], bytes], pattern: Pattern[bytes]
 ) -> tuple[Header, ...]:
-    """Return the headers up to the empty line that ends them.
+    """Read headers up to the empty line that ends them, and return them.
 
-    `form` has a group for the name and one for the text.  Raises `HeadError`
-    for a line of another form, also where the head ends early.
+    `pattern` has one group for the name and one for the value.  Raises
+    `HeadError` for a line that does not match it, also if the head ends
+    early, and `TooManyHeadersError` for too many headers.
     """
     fields: list[Header] = []
     for line in iter(read_line, None):
         if line in _ENDS_OF_HEAD:
             break
-        found = form.fullmatch(line)
+        found = pattern.fullmatch(line)
         if found is None:
-            raise HeadError(f'header {line[:_LONGEST_TOLD]!r}')
-        if len(fields) >= _MOST_HEADERS:
-            raise TooManyHeadersError(f'more than {_MOST_HEADERS} headers')
+            raise HeadError(f'header {line[:_MAX_QUOTED_LENGTH]!r}')
+        if len(fields) >= _MAX_HEADERS:
+            raise TooManyHeadersError(f'more than {_MAX_HEADERS} headers')
         fields.append((found[1].decode('latin1'), found[2].decode('latin1')))
     return tuple(fields)
 
 
 class HeaderIndex:
-    """Headers by their names in lower case, made once for many questions."""
+    """Headers indexed by their names in lower case."""
 
     def __init__(self, headers: Iterable[Header]) -> None:
-        self._texts: dict[str, list[str]] = {}
-        for name, text in headers:
-            self._texts.setdefault(name.lower(), []).append(text)
+        self._values: dict[str, list[str]] = {}
+        for name, value in headers:
+            self._values.setdefault(name.lower(), []).append(value)
 
     def first(self, lower_name: str) -> str:
-        """Return the first value of a header, empty if there is none."""
-        found = self._texts.get(lower_name)
+        """Return the first value of a header, or '' if it is missing."""
+        found = self._values.get(lower_name)
         return found[0] if found else ''
 
     def tokens(self, lower_name: str) -> set[str]:
-        """Return the parts of a header that lists them, in lower case."""
+        """Return the elements of comma-separated values, in lower case."""
         return {
             token.strip().lower()
-            for text in self.all(lower_name)
-            for token in text.split(',')
+            for value in self.all(lower_name)
+            for token in value.split(',')
         }
 
     def all(self, lower_name: str) -> list[str]:
-        """Return every value of a header."""
-        return self._texts.get(lower_name, [])
+        """Return all values of a header."""
+        return self._values.get(lower_name, [])
 
     def get(self, lower_name: str) -> str | None:
-        """Return the first value of a header, None if there is none."""
+        """Return the first value of a header, or None if it is missing."""
         return self.first(lower_name) if self.has(lower_name) else None
 
     def has(self, lower_name: str) -> bool:
-        """Tell whether a header is there."""
-        return lower_name in self._texts
+        """Return whether a header is present."""
+        return lower_name in self._values
--- a/laburnumwood/hub.py
+++ b/laburnumwood/hub.py
@@ -1,7 +1,7 @@
-"""An event loop of eventlet that leaves descriptors registered.
+"""An eventlet hub that keeps file descriptors registered with epoll.
 
-The library's own registers a descriptor for each wait and takes it out again
-afterwards: two calls of the system for most reads of a connection.
+Eventlet's own hub registers a descriptor for each wait and unregisters it
+afterwards, which costs two system calls for most reads of a connection.
 """
 
 from typing import Any
@@ -10,23 +10,26 @@
 
 
 def is_available() -> bool:
-    """Tell the library whether the system has what this needs."""
+    """Return whether the operating system has epoll."""
     available: bool = epolls.is_available()
     return available
 
 
 class Hub(epolls.Hub):
-    """Takes a descriptor out once it is ready and nobody waits for it."""
+    """An epoll hub that unregisters descriptors lazily.
+
+    A descriptor is unregistered when it is ready while no task waits for it.
+    """
 
     def __init__(self, clock: Any = None) -> None:
         super().__init__(clock)
-        self._registered: dict[int, int] = {}  # masks by descriptor
+        self._registered: dict[int, int] = {}  # event masks by descriptor
         self._masks = {self.READ: self.READ_MASK, self.WRITE: self.WRITE_MASK}
 
     def add(
         self, evtype: str, fileno: int, cb: Any, tb: Any, mac: Any
     ) -> hub.FdListener:
-        """Wait for a descriptor to be ready, as the library asks for it."""
+        """Register a wait for a descriptor, as `BaseHub.add` does."""
         listener = hub.BaseHub.add(self, evtype, fileno, cb, tb, mac)
         known = self._registered.get(fileno, 0)
         wanted = known | self._masks[evtype]
@@ -34,49 +37,52 @@
             try:
                 self._register(fileno, wanted)
             except ValueError:
-                # The descriptor is closed: its tasks are told.
+                # The descriptor is closed: its listeners are defunct.
                 self.remove_descriptor(fileno)
                 raise
         return listener
 
     def remove(self, listener: hub.FdListener) -> None:
-        """End a wait; its descriptor stays registered."""
+        """Remove a wait; its descriptor stays registered."""
         hub.BaseHub.remove(self, listener)
 
     def remove_descriptor(self, fileno: int) -> None:
-        """Drop a descriptor and all that waits for it."""
+        """Remove a descriptor and every wait for it."""
         self._registered.pop(fileno, None)
         super().remove_descriptor(fileno)
 
     def mark_as_reopened(self, fileno: int) -> None:
-        """Forget what was known of the descriptor that had this number."""
+        """Unregister a descriptor whose number is in use again."""
         super().mark_as_reopened(fileno)
         if fileno in self._registered:
-            self._take_out(fileno)
+            self._unregister(fileno)
 
     def do_poll(self, seconds: float) -> list[tuple[int, int]]:
-        """Return which descriptors are ready, at the latest after a time."""
+        """Return the descriptors that are ready and their event masks.
+
+        Waits for no longer than `seconds`.
+        """
         ready: list[tuple[int, int]] = super().do_poll(seconds)
         for fileno, event in ready:
-            awaited = self._awaited(fileno)
+            awaited = self._awaited_mask(fileno)
             if not awaited or event & ~awaited & self._registered.get(
                 fileno, 0
             ):
-                self._narrow(fileno, awaited)
+                self._narrow_registration(fileno, awaited)
         return ready
 
-    def _awaited(self, fileno: int) -> int:
+    def _awaited_mask(self, fileno: int) -> int:
         mask = 0
         for evtype, each in self._masks.items():
             if fileno in self.listeners[evtype]:
                 mask |= each
         return mask
 
-    def _narrow(self, fileno: int, awaited: int) -> None:
+    def _narrow_registration(self, fileno: int, awaited: int) -> None:
         if awaited:
             self._register(fileno, awaited)
         else:
-            self._take_out(fileno)
+            self._unregister(fileno)
 
     def _register(self, fileno: int, mask: int) -> None:
         if fileno in self._registered:
@@ -85,9 +91,9 @@
             self.poll.register(fileno, mask)
         self._registered[fileno] = mask
 
-    def _take_out(self, fileno: int) -> None:
+    def _unregister(self, fileno: int) -> None:
         self._registered.pop(fileno, None)
         try:
             self.poll.unregister(fileno)
         except OSError:
-            return  # closed meanwhile: the system has taken it out
+            return  # closed meanwhile, which has unregistered it
--- a/laburnumwood/listening.py
+++ b/laburnumwood/listening.py
@@ -1,7 +1,7 @@
-"""Addresses that are listened at before the program is ready to serve.
+"""Listening sockets, which may be opened before the node can serve.
 
-Callers that connect while a node starts wait for their answer instead of
-being turned away by the system.
+Callers that connect while a node starts wait in the backlog instead of having
+their connections refused.
 """
 
 import json
@@ -15,42 +15,42 @@
 from laburnumwood.clock import MS_PER_SECOND
 
 Address = tuple[str, int]
-Tell = Callable[..., None]
+ReportFailure = Callable[..., None]
 
 _BACKLOG = 1_024
-_REST_MS = 50  # after a connection that could not be taken
-_EARLY = ('door_address', 'report_address')  # settings
+_RETRY_DELAY_MS = 50  # after a connection could not be accepted
+_EARLY_SETTINGS = ('door_address', 'report_address')
 _opened: dict[Address, Any] = {}
 
 
 class Listener:
-    """A listener that outlives connections that it can't take.
+    """A listening socket that stays open if a connection can't be accepted.
 
-    `tell` is called with the reason for each of them.
+    `report_failure` is called with the `reason` of each such failure.
     """
 
-    def __init__(self, sock: Any, tell: Tell) -> None:
+    def __init__(self, sock: Any, report_failure: ReportFailure) -> None:
         self._socket = sock
-        self._tell = tell
+        self._report_failure = report_failure
 
     def __getattr__(self, name: str) -> Any:
-        """Return what else a server asks of a socket."""
+        """Return any other attribute of the socket."""
         return getattr(self._socket, name)
 
     def accept(self) -> tuple[Any, Any]:
-        """Return the next connection; raises `OSError` once it is closed."""
+        """Accept a connection; raises `OSError` if the listener is closed."""
         while True:
             try:
                 return self._socket.accept()
             except OSError as failure:
                 if self._socket.fileno() < 0:
                     raise
-                self._tell(reason=repr(failure))
-            eventlet.sleep(_REST_MS / MS_PER_SECOND)
+                self._report_failure(reason=repr(failure))
+            eventlet.sleep(_RETRY_DELAY_MS / MS_PER_SECOND)
 
 
 def split_address(address: str) -> Address:
-    """Return host and port of an address of the form host:port."""
+    """Return the host and the port of an address such as `host:port`."""
     host, _, port = address.rpartition(':')
     return host, int(port)
 
@@ -61,7 +61,7 @@
     except (OSError, ValueError):
         return
     named = content if isinstance(content, dict) else {}
-    for name in _EARLY:
+    for name in _EARLY_SETTINGS:
         address = named.get(name)
         if isinstance(address, str):
             with suppress(ValueError):
@@ -69,17 +69,22 @@
 
 
 def open_early(path: Path) -> None:
-    """Listen where callers and the worker of a settings file connect.
+    """Listen at the addresses for callers and the worker in a settings file.
 
-    What is wrong with the file or an address is told later, when the settings
-    are read and checked.
+    Faults of the file and failures to listen are ignored: they are reported
+    when the settings are validated and the listener is needed.
     """
     for address in _addresses(path):
         with suppress(OSError):
             _opened[address] = eventlet.listen(address, backlog=_BACKLOG)
 
 
-def listen(address: Address, tell: Tell) -> Listener:
-    """Return a listener at an address; raises `OSError`."""
+def listen(address: Address, report_failure: ReportFailure) -> Listener:
+    """Return a listener at an address, opened early if `open_early` did so.
+
+    Raises `OSError` if the address can't be listened at.
+    """
     early = _opened.pop(address, None)
-    return Listener(early or eventlet.listen(address, backlog=_BACKLOG), tell)
+    return Listener(
+        early or eventlet.listen(address, backlog=_BACKLOG), report_failure
+    )
--- a/laburnumwoodd.py
+++ b/laburnumwoodd.py
@@ -1,7 +1,7 @@
-"""Starts the daemon from the folder of the project.
+"""Run the daemon from the folder of the project.
 
-The project is not installed on every machine that runs it; the folder of
-this file is on Python's path when it is started.
+The project is not installed on every machine that runs it: Python adds the
+folder of the script that it runs to its path.
 """
 
 import sys
