--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -103,8 +103,8 @@
 
         A change of other files by another operator in the same moment does
         no harm: both stand.  Raises `DeclarationError` if the result is not
-        valid, `ConcurrentChangeError` if another operator changed the same file,
-        and `PlatformError` if the platform does not answer.
+        valid, `ConcurrentChangeError` if another operator changed the same
+        file, and `PlatformError` if the platform does not answer.
         """
         accepted = None
         while accepted is None:
