--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from laburnumwood.integration import (
+from laburnumwood.borders import (
     Integration,
     NodeStatus,
     WsgiEndpoint,
