--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -12,10 +12,10 @@
     register_integration,
 )
 from laburnumwood.listening import split_address
-from laburnumwood.platform.callers import RequesterFace
+from laburnumwood.platform.callers import PlatformCallerInterface
 from laburnumwood.platform.reports import ReportEndpoint
 from laburnumwood.platform.store import ObjectStore
-from laburnumwood.platform.workers import WorkerDialect
+from laburnumwood.platform.workers import PlatformWorkerInterface
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
 
@@ -58,10 +58,10 @@
 def _make() -> Integration:
     return Integration(
         make_store=lambda settings: ObjectStore(settings.platform_url),
-        make_caller_interface=lambda settings: RequesterFace(
+        make_caller_interface=lambda settings: PlatformCallerInterface(
             settings, Random(settings.node_id)
         ),
-        make_worker_interface=WorkerDialect,
+        make_worker_interface=PlatformWorkerInterface,
         make_endpoints=_listeners,
         worker_reports=True,
         has_idempotency_keys=False,
--- /dev/null
+++ b/laburnumwood/upstream/reporting.py
@@ -0,0 +1,368 @@
+"""Grants of a worker that fetches them with reports to its node.
+
+A grant expires before the lease of the node, even on a clock that is slow by
+`clock_drift`:
+
+    duration_ms / (1 - clock_drift) <= remaining time of the lease
+
+A lease expires before any witness seals it, so a successor that relies on
+seals never acts while the worker may still hold a shard.  A node that records
+the end of its own incarnation waits for `held_for_ms` first.
+"""
+
+from bisect import bisect_right
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from itertools import accumulate
+from typing import Protocol
+
+from laburnumwood.clock import Clock
+from laburnumwood.events import (
+    GRANTS_CUT,
+    KEYS_GIVEN,
+    KEYS_RELEASED,
+    WORKER_STARTED,
+)
+from laburnumwood.notifier import Notifier
+from laburnumwood.records import KeyRange, ReleasedRange, ShardName
+from laburnumwood.settings import ReportSettings
+from laburnumwood.upstream.handovers import Handovers
+from laburnumwood.upstream.lives import ReportStatus
+from laburnumwood.upstream.presence import Presence, WorkerPhase
+from laburnumwood.upstream.reports import (
+    GrantedRange,
+    GrantReply,
+    WorkerReport,
+)
+
+_EMPTY_GRANT_MS = 1_000  # duration of a reply that grants nothing
+_MIN_GRANT_MS = 50  # a shorter grant would expire before it is used
+_MAX_RANGE_BYTES = 11  # maximum for a range with its token, without handover
+
+
+def _join(shards: Iterable[object]) -> str:
+    return ' '.join(str(each) for each in shards)
+
+
+class _HeldKeys:
+    """The keys that a worker reports to hold or still to process."""
+
+    def __init__(self, report: WorkerReport) -> None:
+        rows = sorted(each.keys for each in report.held)
+        self._first_keys = [keys.first for keys in rows]
+        self._first_key_set = frozenset(self._first_keys)
+        # For each first key, the highest last key of the rows up to it.
+        self._last_keys = list(accumulate((keys.last for keys in rows), max))
+
+    def starts_any(self, ranges: tuple[KeyRange, ...]) -> bool:
+        """Return whether a row starts at the first key of one of the ranges."""
+        return any(keys.first in self._first_key_set for keys in ranges)
+
+    def overlaps_any(self, ranges: tuple[KeyRange, ...]) -> bool:
+        """Return whether a row shares a key with one of the ranges."""
+        return any(self._overlaps(keys) for keys in ranges)
+
+    def _overlaps(self, keys: KeyRange) -> bool:
+        index = bisect_right(self._first_keys, keys.last)
+        return index > 0 and self._last_keys[index - 1] >= keys.first
+
+
+class GrantSource(Protocol):
+    """The shards that an incarnation of the node grants to its worker."""
+
+    def tokens(self) -> dict[ShardName, int]:
+        """Return the shards that the node holds, with their tokens."""
+
+    def until_ms(self) -> int:
+        """Return the time until which the node's lease is valid."""
+
+    def close(self, shard: ShardName) -> None:
+        """Stop admitting requests to a shard."""
+
+    def require_higher_token(self, shard: ShardName) -> None:
+        """Request a higher token, which a new worker instance needs."""
+
+    def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
+        """Return the key ranges of a shard."""
+
+    def handovers(self, shard: ShardName) -> tuple[str, ...]:
+        """Return the handovers that the last owner of a shard left."""
+
+
+@dataclass(slots=True)
+class _Grant:
+    """The grant of a shard and the time at which it expires."""
+
+    source: GrantSource
+    token: int
+    until_ms: int
+    ranges: tuple[KeyRange, ...]
+    is_withdrawn: bool = False
+    is_reported: bool = False
+
+    def inherit(self, previous: '_Grant | None') -> None:
+        """Adopt what is still valid of the previous grant of the shard."""
+        if previous is None:
+            return
+        self.is_reported = previous.is_reported and previous.token == self.token
+        # A reply with an earlier expiry may have been lost.
+        self.until_ms = max(self.until_ms, previous.until_ms)
+
+
+class ReportingWorker:
+    """The worker on a node's VM, and the shards that it may hold.
+
+    The object exists as long as the node's process.  Each incarnation of the
+    node attaches its own `GrantSource`, which replaces the one before.
+    """
+
+    def __init__(self, settings: ReportSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._source: GrantSource | None = None
+        self._grants: dict[ShardName, _Grant] = {}
+        self._withdrawn: set[ShardName] = set()
+        self._highest_tokens: dict[ShardName, int] = {}  # ever granted
+        self._used_tokens: dict[ShardName, int] = {}  # of earlier instances
+        self._handovers = Handovers()
+        self._logged_truncation = (0, 0)
+        self.presence = Presence(settings, clock)
+        self.changes = Notifier()
+
+    @property
+    def has_released_all(self) -> bool:
+        """Return whether the worker holds no keys and has no grants.
+
+        It holds no keys if its last report lists none.
+        """
+        return self.presence.reports_no_keys and not self._grants
+
+    def attach(self, source: GrantSource | None) -> None:
+        """Replace the source of grants; None if there is no incarnation."""
+        self._source = source
+        self._withdrawn.clear()
+
+    def is_attached(self, source: GrantSource) -> bool:
+        """Return whether a source is the one that is attached."""
+        return self._source is source
+
+    def handle_report(self, report: WorkerReport) -> GrantReply:
+        """Process a report and return the grants to reply with.
+
+        A stale report changes nothing.
+        """
+        status = self.presence.record_report(report)
+        if status is ReportStatus.STALE:
+            return GrantReply()
+        if status is ReportStatus.NEW_INSTANCE:
+            self._start_instance(report)
+        if self._source is None:
+            return GrantReply((), _EMPTY_GRANT_MS)
+        self._record_held(report)
+        reply = self._make_reply(self._source)
+        self.changes.notify_all()
+        return reply
+
+    def covers(self, shard: ShardName, token: int | None) -> bool:
+        """Return whether the worker has a valid grant of a shard and token."""
+        grant = self._grants.get(shard)
+        if grant is None or grant.is_withdrawn or grant.token != token:
+            return False
+        return self._clock.now_ms() < grant.until_ms
+
+    def next_grants_in_ms(self) -> int:
+        """Return the time until the worker is expected to get new grants."""
+        return self.presence.next_report_in_ms()
+
+    def withdraw(self, shard: ShardName) -> None:
+        """Stop granting a shard, from the next report on."""
+        if self._source is None:
+            return
+        self._withdrawn.add(shard)
+        if (
+            shard not in self._grants
+            or self.presence.phase is WorkerPhase.SILENT
+        ):
+            self._source.close(shard)
+
+    def restore(self, shard: ShardName) -> None:
+        """Grant a withdrawn shard again, because its move was abandoned."""
+        self._withdrawn.discard(shard)
+
+    def is_released(self, shard: ShardName) -> bool:
+        """Return whether the worker can no longer hold a withdrawn shard.
+
+        Either it has reported so, or its grant has expired.
+        """
+        grant = self._grants.get(shard)
+        if grant is None:
+            return True
+        return self._clock.now_ms() >= grant.until_ms
+
+    def held_for_ms(self, source: GrantSource) -> int:
+        """Return for how long the worker may still hold grants of a source."""
+        expiry_times = (
+            grant.until_ms
+            for grant in self._grants.values()
+            if grant.source is source
+        )
+        return max(0, max(expiry_times, default=0) - self._clock.now_ms())
+
+    def handovers(self, shard: ShardName) -> tuple[str, ...]:
+        """Return the worker's handover for each range of a shard.
+
+        The result is empty if the worker left no handover for the shard.
+        """
+        if self._source is None:
+            return ()
+        return self._handovers.for_ranges(self._source.stripes(shard))
+
+    def handover_for(self, keys: KeyRange) -> str:
+        """Return the worker's handover for a range of keys, or ''."""
+        return self._handovers.for_range(keys)
+
+    @property
+    def released_ranges(self) -> tuple[ReleasedRange, ...]:
+        """Return the ranges for which this worker instance left a handover."""
+        return self._handovers.all()
+
+    def add_remote_handovers(self, released: Iterable[ReleasedRange]) -> None:
+        """Add handovers that the worker of another node left."""
+        self._handovers.add_remote(released)
+
+    def _start_instance(self, report: WorkerReport) -> None:
+        WORKER_STARTED.report(
+            worker=report.worker_id,
+            started_ms=report.started_ms,
+            lost_grants=len(self._grants),
+        )
+        # This includes shards that were released: if their move is abandoned,
+        # they are granted again.
+        self._used_tokens.update(self._highest_tokens)
+        if self._source is not None:
+            for shard in self._highest_tokens:
+                self._source.require_higher_token(shard)
+        self._grants.clear()
+        self._handovers.clear()
+
+    def _record_held(self, report: WorkerReport) -> None:
+        held = _HeldKeys(report)
+        released_shards: list[ShardName] = []
+        for shard in tuple(self._grants):
+            grant = self._grants[shard]
+            grant.is_reported = held.starts_any(grant.ranges)
+            if grant.is_withdrawn and not held.overlaps_any(grant.ranges):
+                self._grants.pop(shard)
+                released_shards.append(shard)
+        self._handovers.add_local(report.released)
+        if released_shards:
+            KEYS_RELEASED.report(shards=_join(released_shards))
+
+    def _make_reply(self, source: GrantSource) -> GrantReply:
+        now_ms = self._clock.now_ms()
+        left_ms = source.until_ms() - now_ms
+        duration_ms = int(left_ms * (1 - self._settings.clock_drift))
+        duration_ms = min(duration_ms, self._settings.most_grant_ms)
+        if duration_ms < _MIN_GRANT_MS:
+            return self._reply_without_lease(source)
+        wanted = self._select_shards(source)
+        self._withdraw_others(wanted, source)
+        self._log_new_grants(wanted, duration_ms)
+        for shard, token in wanted.items():
+            grant = _Grant(
+                source, token, now_ms + left_ms, source.stripes(shard)
+            )
+            grant.inherit(self._grants.get(shard))
+            self._grants[shard] = grant
+            self._highest_tokens[shard] = max(
+                token, self._highest_tokens.get(shard, 0)
+            )
+        rows = tuple(self._granted_ranges(wanted, source))
+        return GrantReply(rows, duration_ms)
+
+    def _reply_without_lease(self, source: GrantSource) -> GrantReply:
+        """Return the reply of a node whose lease is too short for grants.
+
+        Grants of the attached source stay valid until they expire.  If only
+        earlier sources have made grants, these are withdrawn.
+        """
+        if any(grant.source is source for grant in self._grants.values()):
+            return GrantReply()
+        for grant in self._grants.values():
+            grant.is_withdrawn = True
+        return GrantReply((), _EMPTY_GRANT_MS)
+
+    def _select_shards(self, source: GrantSource) -> dict[ShardName, int]:
+        """Return the shards to grant with their tokens, as far as they fit.
+
+        Shards that are granted already come first, because the worker would
+        otherwise release them.
+        """
+        wanted: dict[ShardName, int] = {}
+        bytes_left = self._settings.most_bytes
+        tokens = source.tokens()
+        for shard in sorted(tokens, key=self._grant_order):
+            if shard in self._withdrawn:
+                continue
+            if tokens[shard] <= self._used_tokens.get(shard, -1):
+                source.require_higher_token(shard)
+                continue
+            bytes_left -= self._encoded_size(shard, source)
+            if bytes_left < 0:
+                self._log_truncation(shard, len(wanted), len(tokens))
+                break
+            wanted[shard] = tokens[shard]
+        return wanted
+
+    def _grant_order(self, shard: ShardName) -> tuple[bool, ShardName]:
+        return shard not in self._grants, shard
+
+    def _log_truncation(
+        self, shard: ShardName, granted: int, held: int
+    ) -> None:
+        if (granted, held) != self._logged_truncation:
+            self._logged_truncation = granted, held
+            GRANTS_CUT.report(shard=shard, given=granted, held=held)
+
+    def _log_new_grants(
+        self, wanted: dict[ShardName, int], duration_ms: int
+    ) -> None:
+        new_grants = [
+            f'{shard}={token}'
+            for shard, token in wanted.items()
+            if shard not in self._grants or self._grants[shard].token != token
+        ]
+        if new_grants:
+            KEYS_GIVEN.report(shards=_join(new_grants), lasts_ms=duration_ms)
+
+    def _encoded_size(self, shard: ShardName, source: GrantSource) -> int:
+        handovers = self._handovers_for(shard, source)
+        rows = len(source.stripes(shard)) * _MAX_RANGE_BYTES
+        return rows + sum(len(each) for each in handovers)
+
+    def _withdraw_others(
+        self, wanted: dict[ShardName, int], source: GrantSource
+    ) -> None:
+        for shard, grant in self._grants.items():
+            if shard not in wanted:
+                grant.is_withdrawn = True
+                source.close(shard)
+
+    def _handovers_for(
+        self, shard: ShardName, source: GrantSource
+    ) -> tuple[str, ...]:
+        grant = self._grants.get(shard)
+        if grant is not None and grant.is_reported:
+            return ()
+        return source.handovers(shard) or self.handovers(shard)
+
+    def _granted_ranges(
+        self, wanted: dict[ShardName, int], source: GrantSource
+    ) -> Iterator[GrantedRange]:
+        for shard, token in wanted.items():
+            ranges = self._grants[shard].ranges
+            handovers = self._handovers_for(shard, source) or ('',) * len(
+                ranges
+            )
+            for keys, handover in zip(ranges, handovers, strict=False):
+                yield GrantedRange(keys, token, handover)
