--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -6,8 +6,8 @@
 from laburnumwood.clock import Clock
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
-from laburnumwood.placement.exchange import LoadExchange
-from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.load_exchange import LoadExchange
+from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.records import NodeName
@@ -29,7 +29,7 @@
         peers: Peers,
         clock: Clock,
     ) -> None:
-        load_book = LoadBook(clock)
+        load_book = LoadReports(clock)
         service, placement = settings.service, settings.placement
         self.meter = LoadMeter(placement.load_half_life_ms, clock)
         self.balancer = Balancer(
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -213,7 +213,9 @@
         self._rejoin_backoff.record_rejoin()
         if not incarnation.is_store_reachable():
             return False
-        self._avoided = frozenset(name.node_id for name in lease.silent)
+        self._avoided = frozenset(
+            name.node_id for name in lease.silent_witnesses
+        )
         return True
 
     def _resign(self, incarnation: Incarnation) -> None:
--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/endings.py
@@ -9,7 +9,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import PlatformError
 from laburnumwood.events import END_RECORDED
-from laburnumwood.leases.backless import Backless, Candidate
+from laburnumwood.leases.backless import Candidate, QuorumLossDetector
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import rendezvous_order
@@ -44,7 +44,7 @@
     if entry is not None and entry.record.incarnation > own.incarnation:
         return IncarnationStatus.REPLACED
     ended_witnesses = {
-        name for name in lease.asked if view.has_process_ended(name)
+        name for name in lease.renewal_targets if view.has_process_ended(name)
     }
     # Without a majority of witnesses the node can neither renew its lease nor
     # write a record, so it rejoins at once.  Other nodes take its shards over
@@ -76,7 +76,7 @@
         Call it at short intervals: it samples whether the lease is held.
         """
         now_ms = self._clock.now_ms()
-        if lease.holds():
+        if lease.is_held():
             self._lost_since_ms = None
             held_since_ms = self._held_since_ms or now_ms
             self._held_since_ms = held_since_ms
@@ -103,7 +103,7 @@
         name
         for node_id, entry in view.directory.nodes.items()
         for name in _incarnation_names(node_id, entry.record.open_incarnations)
-        if view.seals.is_proved(name)
+        if view.seals.has_seal_majority(name)
         and rendezvous_order(f'end {name}', live)[:1] == [own]
     )
 
@@ -141,7 +141,7 @@
         self._witness = witness
         self._view = view
         self._store = store
-        self.backless = Backless(settings, clock)
+        self.backless = QuorumLossDetector(settings, clock)
         self._recorded_set_version = 0
 
     def run(self) -> None:
@@ -156,7 +156,7 @@
         """Evict obsolete seals, and the witness's state of ended holders."""
         self._view.evict_obsolete_seals()
         for node_id, entry in self._view.directory.nodes.items():
-            self._witness.forget_below(node_id, entry.record.least_open)
+            self._witness.evict_ended(node_id, entry.record.least_open)
 
     def write_changes(self) -> None:
         """Record ends and the current witness set in the store.
@@ -167,12 +167,15 @@
             record_end(self._store, name)
         self._record_unrenewable()
         chosen = self._lease.witnesses
-        if chosen.version > self._recorded_set_version and self._lease.holds():
+        if (
+            chosen.version > self._recorded_set_version
+            and self._lease.is_held()
+        ):
             drop_older_witness_sets(self._store, self._lease.holder, chosen)
             self._recorded_set_version = chosen.version
 
     def _record_unrenewable(self) -> None:
-        unrenewable = self.backless.over(
+        unrenewable = self.backless.expired(
             _candidates(self._view), self._view.has_restarted
         )
         live = [name for name, _ in self._view.live_nodes()]
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -27,8 +27,8 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import VersionedRecord
 from laburnumwood.membership.gossip import shard_notice
-from laburnumwood.placement.holdings import Holdings
-from laburnumwood.placement.layout import Records, placed_shard
+from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.layout import RecordsByNumber, locate_text_key
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
 from laburnumwood.protocol.outlet import OUTLET
@@ -64,7 +64,7 @@
 class KnownShards(Protocol):
     """The records of shards that this node knows."""
 
-    def shard_records(self, service: str) -> Records:
+    def shard_records(self, service: str) -> RecordsByNumber:
         """Return the records of a service's shards by their numbers."""
 
     def shard(self, shard: ShardName) -> VersionedRecord[ShardRecord] | None:
@@ -110,7 +110,7 @@
         self,
         settings: DaemonSettings,
         lease: Lease,
-        holdings: Holdings,
+        held_shards: HeldShards,
         grants: Grants,
         executor: Executor,
         services: Services,
@@ -122,7 +122,7 @@
     ) -> None:
         self._settings = settings
         self._lease = lease
-        self._holdings = holdings
+        self._held_shards = held_shards
         self._grants = grants
         self._worker = worker
         self._services = services
@@ -166,7 +166,7 @@
             waiting=self.waiting,
             let_in=carried.let_in,
             shed=carried.shed,
-            shards=len(self._holdings.tokens()),
+            shards=len(self._held_shards.tokens()),
         )
 
     def close(self) -> None:
@@ -213,7 +213,7 @@
             running=self._admitter.running,
             leaving=self._admitter.responding,
             waiting=self.waiting,
-            lease_left_ms=self._lease.holds_until_ms() - now_ms,
+            lease_left_ms=self._lease.expires_at_ms() - now_ms,
             may_have_run=told.ran,
             retry_after_ms=told.retry_after_ms,
         )
@@ -233,7 +233,7 @@
             self._serve_in_turn(exchange, run, _always)
             return
         shard = ShardName(work.service, work.shard)
-        stay = self._holdings.enter(shard) if self._has_key(work) else None
+        stay = self._held_shards.acquire(shard) if self._has_key(work) else None
         if stay is None:
             self._tell_owner(exchange, work)
             detail = f'{self._settings.node_id} does not own {shard}'
@@ -245,7 +245,7 @@
             run = Run(work, body, stay.token, until_ms)
             self._serve_owned(StayingExchange(exchange, work, stay), run)
         finally:
-            stay.leave()
+            stay.release()
 
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
@@ -284,12 +284,14 @@
             self._tell_cancelled(work)
         except OverloadedError as shed:
             # What does not fit on this worker is load all the same.
-            self._meter.note(work.shard, work.key, self._admitter.mean_slot_ms)
+            self._meter.record(
+                work.shard, work.key, self._admitter.mean_slot_ms
+            )
             shed.retry_after_ms = max(shed.retry_after_ms, line_ms)
             raise
         if ticket.result is TicketResult.SERVED:
             busy_ms = self._clock.now_ms() - ticket.started_ms
-            self._meter.note(work.shard, work.key, busy_ms)
+            self._meter.record(work.shard, work.key, busy_ms)
 
     def _free(self, ticket: Ticket, rank: int, length: int) -> None:
         """Give the slot of a request back whose whole answer is here."""
@@ -312,20 +314,22 @@
     def _placed(self, work: Work) -> int:
         """Return the number of the shard that has a request's key now."""
         records = self._shards.shard_records(work.service)
-        return placed_shard(work.key, work.shard, records)
+        return locate_text_key(work.key, work.shard, records)
 
     def _tell_owner(self, exchange: Exchange, work: Work) -> None:
         """Tell a door that has missed a move or a split who owns the key."""
         for number in sorted({work.shard, self._placed(work)}):
             shard = ShardName(work.service, number)
             entry = self._shards.shard(shard)
-            is_moved = number != work.shard or not self._holdings.is_held(shard)
+            is_moved = number != work.shard or not self._held_shards.is_held(
+                shard
+            )
             if entry is not None and is_moved:
                 exchange.send(shard_notice(shard, entry))
 
     def _may_act(self, shard: ShardName, run: Run) -> bool:
         guard_ms = self._settings.lease.guard_ms
-        left_ms = self._lease.holds_until_ms() - self._clock.now_ms()
+        left_ms = self._lease.expires_at_ms() - self._clock.now_ms()
         return left_ms > guard_ms and self._grants.covers(shard, run.token)
 
     def _may_await_grant(
@@ -348,7 +352,7 @@
         until_ms = self._clock.now_ms() + patience_ms
         while not self._grants.covers(shard, token):
             left_ms = until_ms - self._clock.now_ms()
-            if left_ms <= 0 or self._holdings.is_closed(shard):
+            if left_ms <= 0 or self._held_shards.is_closed(shard):
                 return False
             self._grants.changes.wait(left_ms)
         return True
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -12,8 +12,8 @@
 )
 from laburnumwood.membership.gossip import apply_shard_notice
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.layout import placed_shard
-from laburnumwood.placement.ownership import acting
+from laburnumwood.placement.layout import locate_text_key
+from laburnumwood.placement.ownership import acting_owner
 from laburnumwood.protocol.messages import (
     Answer,
     Cancel,
@@ -218,7 +218,7 @@
     def _placed(self, work: Work, shard: int) -> Work:
         """Return a request with the shard that has its key now."""
         records = self._view.directory.shard_records(work.service)
-        found = placed_shard(work.key, shard, records)
+        found = locate_text_key(work.key, shard, records)
         return work if found == work.shard else replace(work, shard=found)
 
     def _await_other(self, sign: Sign, work: Work, limit_ms: int) -> None:
@@ -234,13 +234,13 @@
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         if entry is None:
             return 0, None
-        return entry.version, acting(entry.record, self._view)
+        return entry.version, acting_owner(entry.record, self._view)
 
     def _target(self, work: Work, tries: Tries) -> NodeName | None:
         if work.shard < 0:
             return self._choose(work, tries)
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
-        return acting(entry.record, self._view) if entry else None
+        return acting_owner(entry.record, self._view) if entry else None
 
     def _choose(self, work: Work, tries: Tries) -> NodeName | None:
         nodes = self._view.serving_nodes(work.service)
--- a/tests/features/steps/dividing_steps.py
+++ b/tests/features/steps/dividing_steps.py
@@ -10,18 +10,18 @@
 from bench.spreading import record_of
 from laburnumwood.config.declarations import Service
 from laburnumwood.leases.lease import Lease
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balance import Move
 from laburnumwood.placement.balancer import Balancer
-from laburnumwood.placement.holdings import Holdings
-from laburnumwood.placement.layout import ranges_of
-from laburnumwood.placement.loads import LoadBook
+from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.layout import key_ranges
+from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
-from laburnumwood.placement.shard_write import Progress
-from laburnumwood.placement.sharding import KEY_SPACE, place_key
-from laburnumwood.placement.tenure import Tenure
+from laburnumwood.placement.shard_write import WriteProgress
+from laburnumwood.placement.sharding import KEY_SPACE, initial_shard
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.records import (
     ConfigRecord,
     KeyRange,
@@ -66,7 +66,7 @@
 class _HeldLease(Lease):
     """A lease that holds from the start."""
 
-    def holds(self) -> bool:
+    def is_held(self) -> bool:
         """Tell that it holds."""
         return True
 
@@ -75,9 +75,11 @@
     """A node of the service that writes the records it finds wanted."""
 
     def __init__(self, name: NodeName, clock: FakeClock) -> None:
-        self.view = FleetView(Directory(), SealBook())
+        self.view = FleetView(Directory(), SealRegistry())
         lease = _HeldLease(name, LeaseSettings(), clock)
-        self.tenure = Tenure(SERVICE, self.view, lease, Holdings(), clock)
+        self.ownership = OwnershipTracker(
+            SERVICE, self.view, lease, HeldShards(), clock
+        )
 
     def hear(self, objects: dict[str, StoredObject]) -> None:
         """Take in what the store holds."""
@@ -117,7 +119,7 @@
             for node in self.nodes:
                 node.hear(known)
         for node in self.nodes:
-            for shard in node.tenure.wanted():
+            for shard in node.ownership.shards_to_write():
                 self._write(node, shard)
 
     def bring(self, shard: ShardName, record: ShardRecord) -> None:
@@ -135,14 +137,14 @@
         }
 
     def _write(self, node: _Beginner, shard: ShardName) -> None:
-        write = node.tenure.begin_write(shard)
+        write = node.ownership.begin_write(shard)
         name = shard_object(shard)
         if name in self.objects and write.version is None:
-            node.tenure.finish(write, Progress.CONFLICT)
+            node.ownership.finish(write, WriteProgress.CONFLICT)
             node.hear({name: self.objects[name]})
             return
         write.stored = self._put(name, to_value(write.record))
-        node.tenure.finish(write, Progress.WRITTEN)
+        node.ownership.finish(write, WriteProgress.WRITTEN)
 
     def _put(self, name: str, value: dict[str, object]) -> StoredObject:
         stored = StoredObject(name, value, len(self.objects) + 1)
@@ -166,7 +168,7 @@
     service = _service(context)
     owners: dict[int, object] = {}
     for number, record in context.fleet.records().items():
-        for keys in ranges_of(number, record, service):
+        for keys in key_ranges(number, record, service):
             owner = owner_of(number, record)
             owners.update(dict.fromkeys(_all_keys(keys), owner))
     return [owners[key] for key in range(KEY_SPACE)]
@@ -208,7 +210,7 @@
 def check_shares(context: Context, least: int, most: int) -> None:
     records = context.fleet.records()
     owned = Counter(record.succession[0] for record in records.values())
-    counts = [owned[node.tenure.own] for node in context.fleet.nodes]
+    counts = [owned[node.ownership.own] for node in context.fleet.nodes]
     assert least <= min(counts) and max(counts) <= most, counts
 
 
@@ -256,7 +258,7 @@
 def check_room(context: Context, few: int) -> None:
     service = _service(context)
     ranges = sum(
-        len(ranges_of(number, record, service))
+        len(key_ranges(number, record, service))
         for number, record in context.fleet.records().items()
     )
     room = few * ReportSettings().most_bytes
@@ -268,20 +270,22 @@
     service = _service(context)
     seen: dict[int, int] = {}
     for number, record in context.fleet.records().items():
-        for keys in ranges_of(number, record, service):
+        for keys in key_ranges(number, record, service):
             seen.update(dict.fromkeys(range(keys.first, keys.last + 1), number))
     assert len(seen) == KEY_SPACE, len(seen)
-    wrong = [key for key in seen if seen[key] != place_key(str(key), service)]
+    wrong = [
+        key for key in seen if seen[key] != initial_shard(str(key), service)
+    ]
     assert not wrong, wrong
 
 
 def _make_balancer(node: _Beginner, clock: FakeClock) -> Balancer:
     return Balancer(
         SERVICE,
-        node.tenure.own,
+        node.ownership.own,
         node.view,
         LoadMeter(1_000, clock),
-        LoadBook(clock),
+        LoadReports(clock),
         PlacementSettings(),
         clock,
     )
@@ -290,7 +294,7 @@
 @when('a node that owns {own:d} shards hears of {heard:d} of the {count:d}')
 def hear_some(context: Context, own: int, heard: int, count: int) -> None:
     fleet: _Fleet = context.fleet
-    name = fleet.nodes[0].tenure.own
+    name = fleet.nodes[0].ownership.own
     records = fleet.records()
     assert len(records) == count, len(records)
     mine = [each for each in records if records[each].succession[0] == name]
@@ -314,9 +318,9 @@
     """Return the moves of the node once all nodes have been there a while."""
     clock: FakeClock = context.fleet.clock
     balancer = _make_balancer(context.node, clock)
-    early = balancer.moves({})
+    early = balancer.plan_moves({})
     clock.pass_ms(5_000)
-    return early + balancer.moves({})
+    return early + balancer.plan_moves({})
 
 
 @then('it moves nothing')
@@ -362,7 +366,7 @@
 
 @when('it has written itself first into their records')
 def write_itself(context: Context) -> None:
-    own = context.node.tenure.own
+    own = context.node.ownership.own
     for number in context.lent:
         name = shard_object(ShardName(SERVICE, number))
         before = context.fleet.objects[name]
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -15,10 +15,10 @@
 from laburnumwood.config.declarations import Weights
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Directory
-from laburnumwood.placement.balance import Picture, weighed
-from laburnumwood.placement.holdings import Holdings
-from laburnumwood.placement.loads import LoadBook
-from laburnumwood.placement.tenure import Tenure
+from laburnumwood.placement.balance import PlacementSnapshot, weighed
+from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.loads import LoadReports
+from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Failure, ShardNotice, WholeAnswer
 from laburnumwood.records import (
     NodeName,
@@ -46,7 +46,7 @@
 class _HeldLease(Lease):
     """A lease that always holds."""
 
-    def holds(self) -> bool:
+    def is_held(self) -> bool:
         return True
 
 
@@ -71,9 +71,11 @@
         name = node_object(f'n{number}')
         self._apply(name, to_value(replace(record, slots=SLOTS)))
 
-    def tenure(self, number: int) -> Tenure:
+    def ownership(self, number: int) -> OwnershipTracker:
         lease = _HeldLease(self.names[number], LeaseSettings(), self.clock)
-        return Tenure(SERVICE, self.view, lease, Holdings(), self.clock)
+        return OwnershipTracker(
+            SERVICE, self.view, lease, HeldShards(), self.clock
+        )
 
     def shares(self) -> dict[NodeName, tuple[int, ...]]:
         nodes = len(self.names)
@@ -108,20 +110,20 @@
         shard: 0.5 for name in context.known_nodes for shard in shares[name]
     }
     own_loads = dict.fromkeys(shares[names[0]], 2.0)
-    context.picture = Picture(
+    context.snapshot = PlacementSnapshot(
         own=names[0],
-        shares=shares,
-        peers=context.known_nodes,
+        shards_by_node=shares,
+        reporting_peers=context.known_nodes,
         slots=dict.fromkeys(names, SLOTS),
         loads={**known_loads, **own_loads},
-        other_load=1,
+        default_load=1,
         weights=Weights(),
     )
 
 
 @when('it plans moves')
 def plan_moves(context: Context) -> None:
-    context.moves = weighed(context.picture)
+    context.moves = weighed(context.snapshot)
 
 
 @then('it moves a shard to one of the {known_count:d}')
@@ -134,16 +136,16 @@
 
 @then('it computes the usage of at most {most:d} nodes')
 def check_usages(context: Context, most: int) -> None:
-    found = len(context.picture.usages)
+    found = len(context.snapshot.utilizations)
     assert found <= most, found
 
 
 @when('a node computes which shards it should write')
 def compute_wanted(context: Context) -> None:
-    tenure = context.service.tenure(0)
+    ownership = context.service.ownership(0)
     context.service.view.serving_nodes(SERVICE)
     context.service.view.check_count = 0
-    context.wanted = tenure.wanted()
+    context.wanted = ownership.shards_to_write()
 
 
 @then('there are none')
@@ -166,10 +168,10 @@
 
 @when('another node computes which shards it should write')
 def compute_wanted_by_other(context: Context) -> None:
-    tenure = context.service.tenure(80)
-    tenure.wanted()
+    ownership = context.service.ownership(80)
+    ownership.shards_to_write()
     context.service.clock.pass_ms(BYSTANDER_MS)
-    context.wanted = tenure.wanted()
+    context.wanted = ownership.shards_to_write()
 
 
 @then('these are the shards of the first node')
@@ -237,7 +239,7 @@
         context.service.view,
         gates,
         serve,
-        Spread(LoadBook(clock), 'd', Random(1), clock),
+        Spread(LoadReports(clock), 'd', Random(1), clock),
         RetryBudgets(0, clock),
         clock,
     )
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -8,14 +8,14 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from laburnumwood.placement.balance import Picture
+from laburnumwood.placement.balance import PlacementSnapshot
 from laburnumwood.placement.layout import (
-    place,
-    placed_shard,
-    ranges_of,
-    split_number,
+    key_ranges,
+    locate,
+    locate_text_key,
+    split_shard_number,
 )
-from laburnumwood.placement.sharding import KEY_SPACE, place_key
+from laburnumwood.placement.sharding import KEY_SPACE, initial_shard
 from laburnumwood.placement.splitting import Splitter, hot_parts
 from laburnumwood.records import KeyRange, NodeName, ShardRecord
 from tests.features.steps.fake_clock import FakeClock
@@ -40,7 +40,7 @@
     records[parent] = ShardRecord(
         2, (ONE,), keys=before.keys, split_off=(*before.split_off, keys)
     )
-    records[split_number(keys)] = ShardRecord(2, (TWO,), keys=keys)
+    records[split_shard_number(keys)] = ShardRecord(2, (TWO,), keys=keys)
 
 
 @when('the keys {first:d} to {last:d} are split off shard {number:d}')
@@ -55,15 +55,15 @@
 
 
 def _place(context: Context, key: int) -> int:
-    base = place_key(str(key), SERVICE)
-    return placed_shard(str(key), base, _records(context))
+    base = initial_shard(str(key), SERVICE)
+    return locate_text_key(str(key), base, _records(context))
 
 
 @then('each key is in the ranges of just the shard that it is placed in')
 def check_partition(context: Context) -> None:
     seen: dict[int, int] = {}
     for number, record in _records(context).items():
-        for keys in ranges_of(number, record, SERVICE):
+        for keys in key_ranges(number, record, SERVICE):
             for key in range(keys.first, keys.last + 1):
                 assert key not in seen, (key, number, seen[key])
                 seen[key] = number
@@ -96,7 +96,7 @@
     }
     assert len(own) == 1 and len(other) == 1 and own != other
     assert min(own | other) >= SERVICE.shards
-    assert place(found['first'], 1, _records(context)) in own
+    assert locate(found['first'], 1, _records(context)) in own
 
 
 @when('keys come as often as {counts}')
@@ -107,7 +107,7 @@
 
 @then('{wanted} is to be split off shard {number:d}')
 def check_half(context: Context, wanted: str, number: int) -> None:
-    found = hot_parts(ranges_of(number, None, SERVICE), context.counts, 2)
+    found = hot_parts(key_ranges(number, None, SERVICE), context.counts, 2)
     told = [f'{keys.first} to {keys.last}' for keys in found] or ['nothing']
     assert told == [wanted], told
 
@@ -116,7 +116,7 @@
 def check_parts(
     context: Context, pieces: int, wanted: str, number: int
 ) -> None:
-    ranges = ranges_of(number, None, SERVICE)
+    ranges = key_ranges(number, None, SERVICE)
     found = hot_parts(ranges, context.counts, pieces)
     told = [f'{keys.first} to {keys.last}' for keys in found]
     assert told == wanted.split(', '), told
@@ -124,15 +124,15 @@
 
 @given('nodes "a" and "b" whose slots are busy by {own:g} and {other:g}')
 def set_usages(context: Context, own: float, other: float) -> None:
-    context.usages = own, other
+    context.utilizations = own, other
 
 
 @given('a shard of "a" that takes {heaviest:g} of its slots')
 def set_heaviest(context: Context, heaviest: float) -> None:
-    own, other = context.usages
-    context.picture = Picture(
+    own, other = context.utilizations
+    context.snapshot = PlacementSnapshot(
         own=ONE,
-        shares={ONE: (7, 10, 11, 12, 13), TWO: (9,)},
+        shards_by_node={ONE: (7, 10, 11, 12, 13), TWO: (9,)},
         slots={ONE: SLOTS, TWO: SLOTS},
         loads={
             7: heaviest * SLOTS,
@@ -145,26 +145,26 @@
 @then('the shard to split off is {number:d}')
 def check_choice(context: Context, number: int) -> None:
     splitter = Splitter(FakeClock())
-    found, targets = splitter.choose(context.picture, 0)
+    found, targets = splitter.choose_shard(context.snapshot, 0)
     assert found == number, found
     assert targets == (TWO,) * (number >= 0), targets
-    splitter.note()
-    assert splitter.choose(context.picture, 0)[0] == -1
+    splitter.record_split()
+    assert splitter.choose_shard(context.snapshot, 0)[0] == -1
 
 
-def _busy_picture(
+def _busy_snapshot(
     own: int, count: int, empty: int, peers: Set[NodeName] | None
-) -> Picture:
+) -> PlacementSnapshot:
     """Return what one node knows, where the last `empty` have no shards."""
     names = [NodeName(f'node-{number}', 1) for number in range(count)]
     busy = count - empty
-    return Picture(
+    return PlacementSnapshot(
         own=names[own],
-        shares={
+        shards_by_node={
             name: (number,) if number < busy else ()
             for number, name in enumerate(names)
         },
-        peers=peers,
+        reporting_peers=peers,
         slots=dict.fromkeys(names, SLOTS),
         loads=dict.fromkeys(range(busy), 1.2 * SLOTS),
     )
@@ -181,23 +181,23 @@
 @given('each of them knows the load of {known:d} others')
 def set_known(context: Context, known: int) -> None:
     chance = Random(1)
-    context.pictures = []
+    context.snapshots = []
     for own in range(context.count - context.empty):
         others = [other for other in range(context.count) if other != own]
         peers = {
             NodeName(f'node-{other}', 1)
             for other in chance.sample(others, known)
         }
-        context.pictures.append(
-            _busy_picture(own, context.count, context.empty, peers)
+        context.snapshots.append(
+            _busy_snapshot(own, context.count, context.empty, peers)
         )
 
 
 @when('all of them choose at once what to split off and to whom')
 def choose_all(context: Context) -> None:
     context.chosen = [
-        Splitter(FakeClock()).choose(picture, 0)[1]
-        for picture in context.pictures
+        Splitter(FakeClock()).choose_shard(snapshot, 0)[1]
+        for snapshot in context.snapshots
     ]
 
 
@@ -210,17 +210,19 @@
 
 @then('parts go only to nodes whose load the owner knows')
 def check_known(context: Context) -> None:
-    for picture, targets in zip(context.pictures, context.chosen, strict=True):
-        assert set(targets) <= picture.peers, targets
+    for snapshot, targets in zip(
+        context.snapshots, context.chosen, strict=True
+    ):
+        assert set(targets) <= snapshot.peers, targets
 
 
 @given('a service of {count:d} nodes of which one is far too busy')
 def set_one_busy(context: Context, count: int) -> None:
-    context.picture = _busy_picture(0, count, count - 1, None)
+    context.snapshot = _busy_snapshot(0, count, count - 1, None)
 
 
 @then('it splits while {most:d} ranges are split off, and with more no longer')
 def check_most(context: Context, most: int) -> None:
     splitter = Splitter(FakeClock())
-    assert splitter.choose(context.picture, most)[1]
-    assert not splitter.choose(context.picture, most + 1)[1]
+    assert splitter.choose_shard(context.snapshot, most)[1]
+    assert not splitter.choose_shard(context.snapshot, most + 1)[1]
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -10,7 +10,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.errors import LinkRefusedError, PlatformUnavailableError
 from laburnumwood.leases.lease import Lease
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.known import CachedStore
@@ -95,12 +95,12 @@
 
 @then('the node on "{vm}" holds no lease')
 def check_no_lease(context: Context, vm: str) -> None:
-    assert not context.world.node(vm).lease.holds()
+    assert not context.world.node(vm).lease.is_held()
 
 
 @then('the node on "{vm}" holds a lease')
 def check_lease(context: Context, vm: str) -> None:
-    assert context.world.node(vm).lease.holds()
+    assert context.world.node(vm).lease.is_held()
 
 
 @then('the shard {number:d} has no owner')
@@ -199,7 +199,7 @@
     context.cached_store = CachedStore(context.store, directory)
     context.announcer = WorkerAnnouncer(
         context.name,
-        FleetView(directory, SealBook()),
+        FleetView(directory, SealRegistry()),
         context.cached_store,
         lambda: (serves, 6),
         lambda: holds_nothing,
@@ -271,7 +271,7 @@
     clock = FakeClock()  # not advanced, so no call appears to take time
     links: Any = _WitnessLinks(clock)
     context.store, context.links = FakeStore(), links
-    context.view = FleetView(Directory(), SealBook())
+    context.view = FleetView(Directory(), SealRegistry())
     context.name = _join_other(context, 'a')
     for other in 'bcd'[:count]:
         links.add(_join_other(context, other))
@@ -301,7 +301,7 @@
 
 @then('it holds its lease as its only witness')
 def check_only_witness(context: Context) -> None:
-    assert context.lease.holds()
+    assert context.lease.is_held()
     members = context.lease.witnesses.members
     assert members == (context.name,), members
     assert not context.lease.is_changing
@@ -320,14 +320,14 @@
 
 @when('one of its witnesses ends and the replacement does not answer')
 def replace_witness(context: Context) -> None:
-    _wait_until(context.lease.holds)
+    _wait_until(context.lease.is_held)
     ended = NodeName('b', 1)
     assert ended in context.lease.witnesses.members
     context.links.end(ended)
     # It replaces the ended witness, since it is in the same failure domain.
     context.replacement = _join_other(context, 'e')
     _end(context, ended)
-    _wait_until(lambda: context.replacement in context.lease.asked)
+    _wait_until(lambda: context.replacement in context.lease.renewal_targets)
 
 
 @then('the change of its witnesses is pending')
@@ -344,4 +344,4 @@
 @then('the change of its witnesses is complete and it holds its lease')
 def check_changed(context: Context) -> None:
     _wait_until(lambda: context.replacement in context.lease.witnesses.members)
-    assert context.lease.holds()
+    assert context.lease.is_held()
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -4,8 +4,8 @@
 from behave.runner import Context
 
 from laburnumwood.config.declarations import KeySource, Service
-from laburnumwood.placement.holdings import Holdings
-from laburnumwood.placement.layout import ranges_of
+from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.layout import key_ranges
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.reporting import ReportingWorker
@@ -28,19 +28,19 @@
 
 def stripes(number: int) -> tuple[KeyRange, ...]:
     """Return the keys of a shard."""
-    return ranges_of(number, None, SERVICE)
+    return key_ranges(number, None, SERVICE)
 
 
 class FakeHolder:
     """Holdings with a lease that ends at a moment."""
 
     def __init__(self) -> None:
-        self.holdings = Holdings()
+        self.held_shards = HeldShards()
         self.lease_until_ms = 0
 
     def tokens(self) -> dict[ShardName, int]:
         """Return the shards held, with their tokens."""
-        return self.holdings.tokens()
+        return self.held_shards.tokens()
 
     def until_ms(self) -> int:
         """Return until when the node may act."""
@@ -48,11 +48,11 @@
 
     def close(self, name: ShardName) -> None:
         """Let no more requests in to a shard."""
-        self.holdings.close(name)
+        self.held_shards.close(name)
 
     def require_higher_token(self, name: ShardName) -> None:
         """Ask for a higher token."""
-        self.holdings.spend(name)
+        self.held_shards.invalidate_token(name)
 
     def stripes(self, name: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard."""
@@ -82,7 +82,7 @@
 def make_node(context: Context, span: int) -> None:
     _make(context, ReportSettings(), span)
     for number in (1, 2):
-        context.holder.holdings.hold(shard(number), 8)
+        context.holder.held_shards.hold(shard(number), 8)
 
 
 @given('a node that holds no shard')
@@ -94,7 +94,7 @@
 def limit_answers(context: Context, size: int) -> None:
     _make(context, ReportSettings(most_bytes=size), context.lease_ms)
     for number in (1, 2):
-        context.holder.holdings.hold(shard(number), 8)
+        context.holder.held_shards.hold(shard(number), 8)
 
 
 def _report(
@@ -214,12 +214,12 @@
 @when('the node holds both under higher tokens')
 def raise_tokens(context: Context) -> None:
     for number in (1, 2):
-        context.holder.holdings.hold(shard(number), 16)
+        context.holder.held_shards.hold(shard(number), 16)
 
 
 @when('the node holds the shard {number:d} too')
 def hold_more(context: Context, number: int) -> None:
-    context.holder.holdings.hold(shard(number), 8)
+    context.holder.held_shards.hold(shard(number), 8)
 
 
 @then('it is to hold the shards "{numbers}" for {span:d} ms')
@@ -256,12 +256,12 @@
 @then('the shards "{numbers}" need higher tokens')
 def check_spent(context: Context, numbers: str) -> None:
     for number in numbers.split():
-        assert context.holder.holdings.is_spent(shard(int(number)))
+        assert context.holder.held_shards.needs_new_token(shard(int(number)))
 
 
 @then('the shard {number:d} lets no more requests in')
 def check_closed(context: Context, number: int) -> None:
-    assert context.holder.holdings.enter(shard(number)) is None
+    assert context.holder.held_shards.acquire(shard(number)) is None
     assert not context.worker.covers(shard(number), 8)
 
 
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -9,7 +9,7 @@
 from eventlet import Timeout
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.leases.seals import SealBook
+from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.gossip import Gossip
 from laburnumwood.membership.reader import StoreWatcher
@@ -59,7 +59,7 @@
     """A node whose calls all go directly to one peer."""
 
     def __init__(self) -> None:
-        self.view = FleetView(Directory(), SealBook())
+        self.view = FleetView(Directory(), SealRegistry())
         self.dispatcher = Dispatcher()
         self.sent: list[Any] = []
         self.peer: _LinkedNode | None = None
@@ -119,7 +119,7 @@
     context.store = _WatchedStore()
     numbers = range(count * domains)
     context.names = [NodeName(f'n{number}', 1) for number in numbers]
-    context.view = FleetView(Directory(), SealBook())
+    context.view = FleetView(Directory(), SealRegistry())
     for version, name in enumerate(context.names, start=1):
         domain = f'd{version % domains}'
         record = NodeRecord(1, (1,), 'h', 1, 1, 1, domain, 's', 'o', 1, 1)
@@ -164,7 +164,7 @@
         """Return that the lease is not held yet."""
         return False
 
-    def pass_over(self, _ended: object) -> bool:
+    def ignore_ended(self, _ended: object) -> bool:
         """Return that the witness set is unchanged."""
         return False
 
@@ -187,7 +187,7 @@
         unused,
         unused,
         lease,
-        FleetView(context.directory, SealBook()),
+        FleetView(context.directory, SealRegistry()),
         unused,
         LeaseSettings(renew_ms=span_ms, grant_ms=2 * span_ms),
         Clock(),
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -18,7 +18,7 @@
 )
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Directory
-from laburnumwood.placement.shard_write import Progress, ShardWrite
+from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.platform.store import ObjectStore
 from laburnumwood.protocol.messages import Renew
@@ -127,11 +127,11 @@
     """Return a lease whose one witness knows the floor of a shard."""
     own, clock = NodeName('a', 1), Clock()
     lease = Lease(own, LeaseSettings(), clock)
-    lease.begin(WitnessSet(1, (own,)))
+    lease.set_first_witnesses(WitnessSet(1, (own,)))
     floors = {str(shard): epoch}
     digest = Digest(0, 0, 0)
     request = Renew(own, own, (1,), (), 0, floors, digest)
-    lease.granted(request, clock.now_ms())
+    lease.record_grant(request, clock.now_ms())
     return lease
 
 
@@ -141,7 +141,7 @@
     shard, record = ShardName('s', 0), ShardRecord(2, (NodeName('b', 1),))
     lease = _held_lease(shard, record.epoch)
     context.write = ShardWrite(shard, record, 1, lease, Clock())
-    context.write.may_be_left = kind == 'move'
+    context.write.stop_if_unreachable = kind == 'move'
 
 
 @when('it is stepped {steps:d} times')
@@ -163,12 +163,12 @@
     renewer: Any = SimpleNamespace(renew_now=lambda: None)
     store: Any = _FailingStore('')
     writer = ShardWriter(store, Directory(), renewer)
-    write: Any = SimpleNamespace(step=lambda _store: Progress.NOT_SENT)
+    write: Any = SimpleNamespace(step=lambda _store: WriteProgress.NOT_SENT)
     context.carried = 0
     clock = Clock()
     until_ms = clock.now_ms() + span_ms
     while clock.now_ms() < until_ms:
-        assert writer.carry(write) is Progress.NOT_SENT
+        assert writer.execute(write) is WriteProgress.NOT_SENT
         context.carried += 1
 
 
