--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -7,8 +7,14 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from laburnumwood.routing.caller_interface import Face, OwnFace
-from laburnumwood.routing.worker_interface import Dialect, OwnDialect
+from laburnumwood.routing.caller_interface import (
+    CallerInterface,
+    NativeCallerInterface,
+)
+from laburnumwood.routing.worker_interface import (
+    NativeWorkerInterface,
+    WorkerInterface,
+)
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.client import HttpStore
 from laburnumwood.store.interface import Store
@@ -49,8 +55,8 @@
     """
 
     make_store: Callable[[DaemonSettings], Store]
-    make_caller_interface: Callable[[DaemonSettings], Face]
-    make_worker_interface: Callable[[ReportingWorker], Dialect]
+    make_caller_interface: Callable[[DaemonSettings], CallerInterface]
+    make_worker_interface: Callable[[ReportingWorker], WorkerInterface]
     make_endpoints: Callable[
         [DaemonSettings, NodeStatus], tuple[WsgiEndpoint, ...]
     ]
@@ -82,8 +88,8 @@
 def _own() -> Integration:
     return Integration(
         make_store=lambda settings: HttpStore(settings.platform_url),
-        make_caller_interface=lambda _settings: OwnFace(),
-        make_worker_interface=lambda _worker: OwnDialect(),
+        make_caller_interface=lambda _settings: NativeCallerInterface(),
+        make_worker_interface=lambda _worker: NativeWorkerInterface(),
         make_endpoints=_no_endpoints,
         worker_reports=False,
         has_idempotency_keys=True,
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -35,12 +35,12 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.admission_gate import Gate, WorkerState
-from laburnumwood.routing.executor import Executor
-from laburnumwood.routing.ledger_replication import Notary
-from laburnumwood.routing.measured_ingress import MeasuredDoor
+from laburnumwood.routing.admission_gate import AdmissionGate, WorkerState
+from laburnumwood.routing.execution import Executor
+from laburnumwood.routing.measuring import MeasuredIngress
+from laburnumwood.routing.notary import LedgerReplicator
 from laburnumwood.routing.router import Router
-from laburnumwood.routing.shared_quarantine import Suspicions
+from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
 from laburnumwood.tasks import Task, Tasks, start
@@ -142,7 +142,7 @@
             *self._member.tasks,
             *self._worker_tasks(),
             self._account.run,
-            self.door.tell_served,
+            self.door.report_served,
             self.load.run,
             self._keeper.follow_ownership,
             self._keeper.write_records,
@@ -308,7 +308,7 @@
         self._account = CapacityAccount(
             self._settings, lambda: self.view.directory.declarations, clock
         )
-        self._notary = Notary(
+        self._notary = LedgerReplicator(
             self.name,
             self.view,
             self.held_shards,
@@ -318,7 +318,7 @@
         )
         if self._integration.has_idempotency_keys:
             self._keeper.before_move = self._notary.hand_over
-        suspicions = Suspicions(
+        suspicions = SharedQuarantine(
             self.name, self.view, self._peers, self.dispatcher, clock
         )
         executor = Executor(
@@ -328,7 +328,7 @@
             suspicions,
             clock,
         )
-        gate = Gate(
+        gate = AdmissionGate(
             self._settings,
             self.lease,
             self.held_shards,
@@ -341,7 +341,7 @@
             WorkerState(self._may_start, self._slots),
             clock,
         )
-        self._load_poller = LoadPoller(self._worker, gate.hint)
+        self._load_poller = LoadPoller(self._worker, gate.set_reported_running)
         self.load.serve(self.dispatcher, gate)
         router = Router(
             self.name,
@@ -353,7 +353,7 @@
             clock,
             self._settings.owner_patience_ms,
         )
-        self.door = MeasuredDoor(
+        self.door = MeasuredIngress(
             router,
             self._integration.make_caller_interface(self._settings),
             lambda: self.view.directory.declarations,
--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -21,7 +21,10 @@
 
 
 class ReadinessEndpoint:
-    """A WSGI application that tells whether callers may be sent here."""
+    """A WSGI application for readiness checks.
+
+    It answers 200 if callers may send requests to this node, else 503.
+    """
 
     def __init__(self, node: NodeStatus) -> None:
         self._node = node
@@ -29,7 +32,7 @@
     def __call__(
         self, _environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer one call."""
+        """Answer one request."""
         ready = self._node.is_ready
         status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         start_response(status_line(status), [('Content-Length', '0')])
@@ -39,19 +42,19 @@
 def _listeners(
     settings: DaemonSettings, node: NodeStatus
 ) -> tuple[WsgiEndpoint, ...]:
-    pages = (
+    applications = (
         (settings.ready_address, ReadinessEndpoint(node)),
         (settings.report_address, ReportEndpoint(settings, node.worker)),
     )
     return tuple(
-        WsgiEndpoint(split_address(address), page)
-        for address, page in pages
+        WsgiEndpoint(split_address(address), application)
+        for address, application in applications
         if address is not None
     )
 
 
 def register() -> None:
-    """Register the platform's integration."""
+    """Register the platform's integration under the name `platform`."""
     register_integration('platform')(_make)
 
 
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -5,8 +5,8 @@
 
 from laburnumwood.config.declarations import Declarations
 from laburnumwood.protocol.messages import Answer, Failure
-from laburnumwood.routing.caller_request import Inquiry
-from laburnumwood.routing.headers import end_to_end
+from laburnumwood.routing.caller_request import CallerRequest
+from laburnumwood.routing.headers import end_to_end_headers
 from laburnumwood.routing.problems import (
     PROBLEMS,
     problem_body,
@@ -24,7 +24,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Refusal:
+class ProblemAnswer:
     """An answer of the door's own."""
 
     status: str
@@ -32,55 +32,61 @@
     content: bytes
 
 
-class Face(Protocol):
+class CallerInterface(Protocol):
     """What callers send, and what they are answered."""
 
     def request_id(self, environ: Environ) -> str:
         """Return the id of a request, the caller's own if it gave one."""
 
-    def read(
-        self, environ: Environ, declared: Declarations, request_id: str
-    ) -> Inquiry:
+    def read_request(
+        self, environ: Environ, declarations: Declarations, request_id: str
+    ) -> CallerRequest:
         """Return a request; raises `RequestRefusedError`."""
 
-    def refusal(self, told: Failure, request_id: str) -> Refusal:
+    def problem_answer(
+        self, failure: Failure, request_id: str
+    ) -> ProblemAnswer:
         """Return the answer that says why a request has none."""
 
     def answer_headers(self, head: Answer, request_id: str) -> HeaderList:
         """Return the headers of a worker's answer as the caller gets them."""
 
 
-class OwnFace:
+class NativeCallerInterface:
     """The project's own paths, headers and problems."""
 
     def request_id(self, environ: Environ) -> str:
         """Return the id of a request, the caller's own if it gave one."""
         return read_request_id(environ)
 
-    def read(
-        self, environ: Environ, declared: Declarations, request_id: str
-    ) -> Inquiry:
+    def read_request(
+        self, environ: Environ, declarations: Declarations, request_id: str
+    ) -> CallerRequest:
         """Return a request; raises `RequestRefusedError`."""
-        work, body = read_request(environ, declared.services, request_id)
-        return Inquiry(work, body)
+        work, body = read_request(environ, declarations.services, request_id)
+        return CallerRequest(work, body)
 
-    def refusal(self, told: Failure, request_id: str) -> Refusal:
+    def problem_answer(
+        self, failure: Failure, request_id: str
+    ) -> ProblemAnswer:
         """Return the answer that says why a request has none."""
-        content = problem_body(told, request_id)
-        status = status_line(PROBLEMS[told.kind].status)
-        return Refusal(status, problem_headers(told, len(content)), content)
+        content = problem_body(failure, request_id)
+        status = status_line(PROBLEMS[failure.kind].status)
+        return ProblemAnswer(
+            status, problem_headers(failure, len(content)), content
+        )
 
     def answer_headers(self, head: Answer, request_id: str) -> HeaderList:
         """Return the headers of a worker's answer as the caller gets them."""
-        kept = [
+        forwarded = [
             (name, text)
-            for name, text in end_to_end(head.headers)
+            for name, text in end_to_end_headers(head.headers)
             if name.lower() != REQUEST_HEADER.lower()
         ]
-        return [*kept, (REQUEST_HEADER, request_id)]
+        return [*forwarded, (REQUEST_HEADER, request_id)]
 
 
-def give(refusal: Refusal, start_response: Any) -> tuple[bytes]:
+def send_problem(problem: ProblemAnswer, start_response: Any) -> tuple[bytes]:
     """Answer a request with a refusal."""
-    start_response(refusal.status, refusal.headers)
-    return (refusal.content,)
+    start_response(problem.status, problem.headers)
+    return (problem.content,)
--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -9,8 +9,8 @@
 from laburnumwood.records import ShardName, ShardRecord
 
 RETENTION_MS = 600_000  # how long a resend is recognized
-CAPACITY = 50_000  # entries of a node
-LONGEST_BODY = 4_096  # bytes of an answer that is kept
+MAX_ENTRIES = 50_000  # entries of a node
+MAX_KEPT_BODY_BYTES = 4_096  # bytes of an answer that is kept
 
 
 class RunState(IntEnum):
@@ -22,7 +22,7 @@
     FORGOTTEN = 3
 
 
-class Verdict(Enum):
+class LedgerDecision(Enum):
     """What the owner does with a request that has an idempotency key."""
 
     FRESH = 'it is noted now and may run'
@@ -57,39 +57,39 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._shards: dict[ShardName, dict[str, _Entry]] = {}
-        self._known_epochs: dict[ShardName, int] = {}
+        self._complete_epochs: dict[ShardName, int] = {}
         self._handovers: dict[ShardName, tuple[int, str]] = {}
-        self._unknown_since_ms: dict[ShardName, int] = {}
-        self._last_attempt = 0
+        self._incomplete_since_ms: dict[ShardName, int] = {}
+        self._latest_attempt = 0
         self._count = 0
 
-    def begin(
+    def admit(
         self, shard: ShardName, key: str, fingerprint: str, record: ShardRecord
-    ) -> Verdict:
+    ) -> LedgerDecision:
         """Decide on a request under the record that its owner acts under."""
         entry = self._find(shard, key)
         if entry is not None:
             return _verdict(entry, fingerprint)
-        if not self.knows_past(shard, record):
-            return Verdict.PAST_UNKNOWN
+        if not self.has_full_history(shard, record):
+            return LedgerDecision.PAST_UNKNOWN
         if not self._has_room():
-            return Verdict.FULL
-        self._last_attempt += 1
+            return LedgerDecision.FULL
+        self._latest_attempt += 1
         now_ms = self._clock.now_ms()
-        self._put(
+        self._store(
             shard,
             key,
             _Entry(
                 fingerprint,
-                self._last_attempt,
+                self._latest_attempt,
                 RunState.NOTED,
                 now_ms,
                 is_running=True,
             ),
         )
-        return Verdict.FRESH
+        return LedgerDecision.FRESH
 
-    def finish(
+    def record_result(
         self, shard: ShardName, key: str, head: Answer | None, body: bytes
     ) -> None:
         """Note that a request ran; with its answer if that is to be kept."""
@@ -98,123 +98,132 @@
         entry.state = RunState.RAN if head is None else RunState.ANSWERED
         entry.head, entry.body = head, body
 
-    def forget(self, shard: ShardName, key: str) -> None:
+    def remove(self, shard: ShardName, key: str) -> None:
         """Drop a request of which it is proved that it did not run."""
         if self._shards.get(shard, {}).pop(key, None) is not None:
             self._count -= 1
 
-    def answer(self, shard: ShardName, key: str) -> tuple[Answer | None, bytes]:
+    def kept_answer(
+        self, shard: ShardName, key: str
+    ) -> tuple[Answer | None, bytes]:
         """Return the answer that is kept for a request."""
         entry = self._shards[shard][key]
         return entry.head, entry.body
 
     def entry(self, shard: ShardName, key: str) -> LedgerEntry:
         """Return the entry of a request as it is told to other nodes."""
-        return self._told(key, self._shards[shard][key])
+        return self._to_message(key, self._shards[shard][key])
 
     def entries(self, shard: ShardName) -> tuple[LedgerEntry, ...]:
         """Return all entries of a shard as they are told to other nodes."""
-        self._drop_old(shard)
-        known = self._shards.get(shard, {})
-        return tuple(self._told(key, entry) for key, entry in known.items())
+        self._evict_expired(shard)
+        entries = self._shards.get(shard, {})
+        return tuple(
+            self._to_message(key, entry) for key, entry in entries.items()
+        )
 
-    def take(self, shard: ShardName, entries: Iterable[LedgerEntry]) -> bool:
+    def merge(self, shard: ShardName, entries: Iterable[LedgerEntry]) -> bool:
         """Take in entries of another node; tell whether there was room."""
-        for told in entries:
+        for message in entries:
             if not self._has_room():
                 return False
-            self._take_one(shard, told)
+            self._merge_entry(shard, message)
         return True
 
-    def take_whole(self, shard: ShardName, epoch: int) -> None:
+    def record_complete(self, shard: ShardName, epoch: int) -> None:
         """Note that all entries of the owner under an epoch are here."""
-        known = self._known_epochs.get(shard, 0)
-        self._known_epochs[shard] = max(known, epoch)
+        known_epoch = self._complete_epochs.get(shard, 0)
+        self._complete_epochs[shard] = max(known_epoch, epoch)
 
-    def take_handover(self, shard: ShardName, epoch: int, sender: str) -> None:
+    def record_handover(
+        self, shard: ShardName, epoch: int, sender: str
+    ) -> None:
         """Note that an owner handed all entries over before it moves."""
         self._handovers[shard] = (epoch, sender)
 
-    def follow(self, shard: ShardName, record: ShardRecord) -> bool:
+    def apply_record(self, shard: ShardName, record: ShardRecord) -> bool:
         """Take in a record that this node stands in.
 
         Tells whether the node has every entry, and then will have those of
         this record too, since nothing runs under it that it has not noted.
         """
-        before = record.epoch - 1
+        previous_epoch = record.epoch - 1
         writer = record.mark.writer if record.mark else ''
-        handed = self._handovers.get(shard) == (before, writer)
-        if handed or self._known_epochs.get(shard, 0) >= before:
-            self.take_whole(shard, record.epoch)
+        was_handed_over = self._handovers.get(shard) == (previous_epoch, writer)
+        if (
+            was_handed_over
+            or self._complete_epochs.get(shard, 0) >= previous_epoch
+        ):
+            self.record_complete(shard, record.epoch)
             return True
         return False
 
-    def knows_past(self, shard: ShardName, record: ShardRecord) -> bool:
+    def has_full_history(self, shard: ShardName, record: ShardRecord) -> bool:
         """Tell whether the owner under a record has all earlier entries."""
-        if self.follow(shard, record):
+        if self.apply_record(shard, record):
             return True
-        if self._has_outlived(shard):
-            self.take_whole(shard, record.epoch)
+        if self._has_passed_retention(shard):
+            self.record_complete(shard, record.epoch)
             return True
         return False
 
-    def _has_outlived(self, shard: ShardName) -> bool:
+    def _has_passed_retention(self, shard: ShardName) -> bool:
         now_ms = self._clock.now_ms()
-        since_ms = self._unknown_since_ms.setdefault(shard, now_ms)
+        since_ms = self._incomplete_since_ms.setdefault(shard, now_ms)
         return now_ms - since_ms >= RETENTION_MS
 
     def _find(self, shard: ShardName, key: str) -> _Entry | None:
         entry = self._shards.get(shard, {}).get(key)
-        if entry is None or not self._is_old(entry):
+        if entry is None or not self._is_expired(entry):
             return entry
-        self.forget(shard, key)
+        self.remove(shard, key)
         return None
 
     def _has_room(self) -> bool:
-        if self._count >= CAPACITY:
+        if self._count >= MAX_ENTRIES:
             for shard in tuple(self._shards):
-                self._drop_old(shard)
-        return self._count < CAPACITY
+                self._evict_expired(shard)
+        return self._count < MAX_ENTRIES
 
-    def _drop_old(self, shard: ShardName) -> None:
-        known = self._shards.get(shard, {})
-        old = [key for key, entry in known.items() if self._is_old(entry)]
+    def _evict_expired(self, shard: ShardName) -> None:
+        entries = self._shards.get(shard, {})
+        old = [key for key, entry in entries.items() if self._is_expired(entry)]
         for key in old:
-            self.forget(shard, key)
+            self.remove(shard, key)
 
-    def _is_old(self, entry: _Entry) -> bool:
+    def _is_expired(self, entry: _Entry) -> bool:
         age_ms = self._clock.now_ms() - entry.noted_ms
         return age_ms >= RETENTION_MS and not entry.is_running
 
-    def _put(self, shard: ShardName, key: str, entry: _Entry) -> None:
-        known = self._shards.setdefault(shard, {})
-        self._count += key not in known
-        known[key] = entry
+    def _store(self, shard: ShardName, key: str, entry: _Entry) -> None:
+        entries = self._shards.setdefault(shard, {})
+        self._count += key not in entries
+        entries[key] = entry
 
-    def _take_one(self, shard: ShardName, told: LedgerEntry) -> None:
-        self._last_attempt = max(self._last_attempt, told.attempt)
-        known = self._shards.get(shard, {}).get(told.key)
-        state = RunState[told.state]
+    def _merge_entry(self, shard: ShardName, message: LedgerEntry) -> None:
+        self._latest_attempt = max(self._latest_attempt, message.attempt)
+        known = self._shards.get(shard, {}).get(message.key)
+        state = RunState[message.state]
         if known is not None and (known.attempt, known.state) > (
-            told.attempt,
+            message.attempt,
             state,
         ):
             return
         if state is RunState.FORGOTTEN:
-            self.forget(shard, told.key)
+            self.remove(shard, message.key)
             return
-        noted_ms = self._clock.now_ms() - told.age_ms
+        noted_ms = self._clock.now_ms() - message.age_ms
         entry = _Entry(
-            told.fingerprint,
-            told.attempt,
+            message.fingerprint,
+            message.attempt,
             state,
             noted_ms,
-            told.head,
-            told.body,
+            message.head,
+            message.body,
         )
-        self._put(shard, told.key, entry)
+        self._store(shard, message.key, entry)
 
-    def _told(self, key: str, entry: _Entry) -> LedgerEntry:
+    def _to_message(self, key: str, entry: _Entry) -> LedgerEntry:
         return LedgerEntry(
             key,
             entry.fingerprint,
@@ -226,11 +235,11 @@
         )
 
 
-def _verdict(entry: _Entry, fingerprint: str) -> Verdict:
+def _verdict(entry: _Entry, fingerprint: str) -> LedgerDecision:
     if entry.fingerprint != fingerprint:
-        return Verdict.MISMATCH
+        return LedgerDecision.MISMATCH
     if entry.is_running:
-        return Verdict.RUNNING
+        return LedgerDecision.RUNNING
     if entry.state is RunState.ANSWERED:
-        return Verdict.ANSWERED
-    return Verdict.RAN
+        return LedgerDecision.ANSWERED
+    return LedgerDecision.RAN
--- /dev/null
+++ b/laburnumwood/routing/notary.py
@@ -0,0 +1,251 @@
+"""Keeping of the run ledger at an owner and at its successors."""
+
+from dataclasses import replace
+
+import eventlet
+
+from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.errors import LinkError
+from laburnumwood.membership.view import FleetView
+from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.protocol.link import Link
+from laburnumwood.protocol.messages import (
+    Answer,
+    Done,
+    Failure,
+    LedgerEntry,
+    LedgerNotes,
+    Work,
+)
+from laburnumwood.protocol.peers import Dispatcher, Peers
+from laburnumwood.protocol.streams import Stream
+from laburnumwood.records import NodeName, ShardName, ShardRecord
+from laburnumwood.routing.ledger import (
+    LedgerDecision,
+    RunLedger,
+    RunState,
+)
+from laburnumwood.routing.problems import make_failure
+from laburnumwood.routing.run import Run
+from laburnumwood.routing.running import RunResult
+from laburnumwood.tasks import start, start_joinable
+
+_ACKNOWLEDGE_TIMEOUT_MS = 500
+_SYNC_INTERVAL_MS = 200
+_ENTRIES_PER_MESSAGE = 200  # entries in one message
+_ABORTED_STATUSES = frozenset(
+    (499, 503, 504)
+)  # answers of work that was broken off
+
+_FAILURES = {
+    LedgerDecision.RUNNING: make_failure(
+        'still-running', 'the first try', ran=True
+    ),
+    LedgerDecision.RAN: make_failure(
+        'ran-before', 'its answer is not kept', ran=True
+    ),
+    LedgerDecision.MISMATCH: make_failure(
+        'key-reused', 'by another request', ran=False
+    ),
+    LedgerDecision.FULL: make_failure(
+        'overloaded', 'the run ledger is full', ran=False
+    ),
+    LedgerDecision.PAST_UNKNOWN: make_failure(
+        'past-unknown', 'after a loss', ran=True
+    ),
+}
+
+
+def _shard_of(work: Work) -> ShardName:
+    return ShardName(work.service, work.shard)
+
+
+class LedgerReplicator:
+    """Lets a request with an idempotency key run once.
+
+    The worker gets it only after every successor that is not sealed has
+    acknowledged its entry.
+    """
+
+    def __init__(
+        self,
+        own_name: NodeName,
+        view: FleetView,
+        held_shards: HeldShards,
+        peers: Peers,
+        dispatcher: Dispatcher,
+        clock: Clock,
+    ) -> None:
+        self._own = own_name
+        self._view = view
+        self._held_shards = held_shards
+        self._ledger = RunLedger(clock)
+        self._peers = peers
+        self._synced_epochs: dict[tuple[ShardName, NodeName], int] = {}
+        dispatcher.on(LedgerNotes)(self._handle_entries)
+        view.directory.on_shard_change = self._apply_record
+
+    def admit(self, run: Run) -> Failure | tuple[Answer, bytes] | None:
+        """Note a request; return what to answer in place of running it."""
+        shard, key = _shard_of(run.work), run.work.idempotency_key
+        entry = self._view.directory.shard(shard)
+        if entry is None:
+            return make_failure('not-owner', f'{shard} is not known', ran=False)
+        decision = self._ledger.admit(shard, key, run.fingerprint, entry.record)
+        if decision is LedgerDecision.ANSWERED:
+            head, body = self._ledger.kept_answer(shard, key)
+            return (head, body) if head else _FAILURES[LedgerDecision.RAN]
+        if decision is not LedgerDecision.FRESH:
+            return _FAILURES[decision]
+        recorded = (self._ledger.entry(shard, key),)
+        if self._replicate(shard, entry.record, recorded):
+            return None
+        self._remove(shard, key)
+        return make_failure('no-successor', f'{shard}: not noted', ran=False)
+
+    def record_outcome(self, run: Run, outcome: RunResult | None) -> None:
+        """Note how the run of an admitted request ended."""
+        shard, key = _shard_of(run.work), run.work.idempotency_key
+        if outcome is not None and not outcome.ran:
+            self._remove(shard, key)
+            return
+        head, body = _answer_to_keep(outcome)
+        self._ledger.record_result(shard, key, head, body)
+        self._replicate_later(shard, self._ledger.entry(shard, key))
+
+    def hand_over(
+        self, shard: ShardName, succession: tuple[NodeName, ...]
+    ) -> bool:
+        """Send all entries of a closed shard to those who follow.
+
+        Tells whether the next owner has them; the move must not go on else.
+        """
+        entry = self._view.directory.shard(shard)
+        if entry is None or not self._ledger.has_full_history(
+            shard, entry.record
+        ):
+            # Nobody may take what this node does not know for the whole.
+            return entry is not None
+        successors = [name for name in succession if name != self._own]
+        epoch = entry.record.epoch
+        tasks = [
+            start_joinable(self._send_all_entries, name, shard, epoch, True)
+            for name in successors
+        ]
+        acknowledged = [task.wait() for task in tasks]
+        return not acknowledged or acknowledged[0]
+
+    def run(self) -> None:
+        """Keep the successors of all shards supplied; does not return."""
+        while True:
+            for shard in self._held_shards.tokens():
+                entry = self._view.directory.shard(shard)
+                if entry and self._ledger.has_full_history(shard, entry.record):
+                    self._replicate(shard, entry.record, ())
+            eventlet.sleep(_SYNC_INTERVAL_MS / MS_PER_SECOND)
+
+    def _apply_record(self, shard: ShardName, record: ShardRecord) -> None:
+        if self._own in record.succession:
+            self._ledger.apply_record(shard, record)
+
+    def _successors(self, record: ShardRecord) -> list[NodeName]:
+        return [
+            name
+            for name in record.succession
+            if name != self._own and not self._view.is_sealed(name)
+        ]
+
+    def _replicate(
+        self,
+        shard: ShardName,
+        record: ShardRecord,
+        entries: tuple[LedgerEntry, ...],
+    ) -> bool:
+        tasks = [
+            start_joinable(
+                self._replicate_to, name, shard, record.epoch, entries
+            )
+            for name in self._successors(record)
+        ]
+        # Each is waited for, whatever the others said.
+        acknowledged = [task.wait() for task in tasks]
+        return all(acknowledged)
+
+    def _replicate_to(
+        self,
+        name: NodeName,
+        shard: ShardName,
+        epoch: int,
+        entries: tuple[LedgerEntry, ...],
+    ) -> bool:
+        if self._synced_epochs.get((shard, name)) != epoch:
+            if not self._send_all_entries(name, shard, epoch, False):
+                return False
+            self._synced_epochs[(shard, name)] = epoch
+            return True
+        if not entries:
+            return True
+        return self._send(
+            name, LedgerNotes(str(shard), epoch, entries, False, False)
+        )
+
+    def _send_all_entries(
+        self, name: NodeName, shard: ShardName, epoch: int, handover: bool
+    ) -> bool:
+        entries = self._ledger.entries(shard)
+        last = max(0, len(entries) - 1) // _ENTRIES_PER_MESSAGE
+        for number in range(last + 1):
+            batch = entries[
+                number * _ENTRIES_PER_MESSAGE : (number + 1)
+                * _ENTRIES_PER_MESSAGE
+            ]
+            message = LedgerNotes(
+                str(shard), epoch, batch, number == last, handover
+            )
+            if not self._send(name, message):
+                return False
+        return True
+
+    def _send(self, name: NodeName, message: LedgerNotes) -> bool:
+        try:
+            reply = self._peers.call(name, message, _ACKNOWLEDGE_TIMEOUT_MS)
+        except LinkError:
+            return False
+        return isinstance(reply, Done)
+
+    def _remove(self, shard: ShardName, key: str) -> None:
+        entry = self._ledger.entry(shard, key)
+        self._ledger.remove(shard, key)
+        self._replicate_later(
+            shard, replace(entry, state=RunState.FORGOTTEN.name)
+        )
+
+    def _replicate_later(self, shard: ShardName, entry: LedgerEntry) -> None:
+        current = self._view.directory.shard(shard)
+        for name in self._successors(current.record) if current else ():
+            message = LedgerNotes(str(shard), 0, (entry,), False, False)
+            start(self._send, name, message)
+
+    def _handle_entries(
+        self, link: Link, stream: Stream, message: LedgerNotes
+    ) -> None:
+        shard = ShardName.parse(message.shard)
+        if not self._ledger.merge(shard, message.entries):
+            stream.send(
+                make_failure('overloaded', 'the ledger is full', ran=False)
+            )
+            return
+        if message.whole and message.handover:
+            self._ledger.record_handover(shard, message.epoch, str(link.peer))
+        elif message.whole:
+            self._ledger.record_complete(shard, message.epoch)
+        stream.send(Done())
+
+
+def _answer_to_keep(outcome: RunResult | None) -> tuple[Answer | None, bytes]:
+    whole = outcome is not None and outcome.failure is None
+    if not whole or outcome is None or outcome.head is None:
+        return None, b''
+    if outcome.body is None or outcome.head.status in _ABORTED_STATUSES:
+        return None, b''
+    return outcome.head, outcome.body
--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -9,10 +9,10 @@
 from laburnumwood.decay import DecayingMean
 from laburnumwood.protocol.messages import Answer, Failure, WholeAnswer
 from laburnumwood.protocol.outlet import LONG, Outlet
-from laburnumwood.routing.exchange import Exchange, WrappedExchange
+from laburnumwood.routing.exchange import Exchange, ExchangeWrapper
 
-_SHEDDING = frozenset((429, 503))
-_RESULT_OF = {
+_OVERLOAD_STATUSES = frozenset((429, 503))
+_RESULT_BY_KIND = {
     'refused': TicketResult.REFUSED,
     'rejected': TicketResult.REJECTED,
     'worker-cut': TicketResult.LOST,
@@ -20,30 +20,30 @@
 }
 
 
-_LENGTHS_HALF_LIFE_MS = 5_000
+_LENGTH_HALF_LIFE_MS = 5_000
 
 
-class LongAnswers:
+class LongAnswerDelays:
     """How long the answers to requests of a rank wait for their turn."""
 
     def __init__(self, outlet: Outlet, clock: Clock) -> None:
         self._outlet = outlet
-        self._lengths: dict[int, DecayingMean] = defaultdict(
-            lambda: DecayingMean(_LENGTHS_HALF_LIFE_MS, clock)
+        self._mean_lengths: dict[int, DecayingMean] = defaultdict(
+            lambda: DecayingMean(_LENGTH_HALF_LIFE_MS, clock)
         )
 
-    def note(self, rank: int, length: int) -> None:
+    def record(self, rank: int, length: int) -> None:
         """Take in how long an answer was."""
-        self._lengths[rank].add(length)
+        self._mean_lengths[rank].add(length)
 
-    def wait_ms(self, rank: int) -> int:
+    def expected_wait_ms(self, rank: int) -> int:
         """Return how long an answer would wait, if it is a long one."""
-        if self._lengths[rank].mean < LONG:
+        if self._mean_lengths[rank].mean < LONG:
             return 0
         return round(self._outlet.waiting_ms)
 
 
-class ObservedExchange(WrappedExchange):
+class ObservedExchange(ExchangeWrapper):
     """An exchange that notes on a ticket how its request went.
 
     `when_whole` is called with the length of an answer once the worker has
@@ -58,26 +58,26 @@
         when_whole: Callable[[int], None],
     ) -> None:
         super().__init__(exchange)
-        self._when_whole = when_whole
+        self._on_whole_answer = when_whole
         self._ticket = ticket
         self._clock = clock
-        self.told: Failure | None = None
+        self.failure: Failure | None = None
 
     def send(self, message: Any) -> None:
         """Send a message; raises `LinkLostError`."""
         if isinstance(message, Answer):
-            self._note(message)
+            self._record_answer(message)
             if isinstance(message, WholeAnswer):
                 # The worker is done with it.
-                self._when_whole(len(message.body))
+                self._on_whole_answer(len(message.body))
         elif isinstance(message, Failure):
-            self.told = message
-            result = _RESULT_OF.get(message.kind)
+            self.failure = message
+            result = _RESULT_BY_KIND.get(message.kind)
             self._ticket.result = result or self._ticket.result
         super().send(message)
 
-    def _note(self, answer: Answer) -> None:
-        if answer.status in _SHEDDING:
+    def _record_answer(self, answer: Answer) -> None:
+        if answer.status in _OVERLOAD_STATUSES:
             self._ticket.result = TicketResult.REFUSED
         else:
             self._ticket.answer(self._clock.now_ms())
--- a/laburnumwood/routing/quarantine.py
+++ b/laburnumwood/routing/quarantine.py
@@ -5,10 +5,10 @@
 
 from laburnumwood.clock import Clock
 
-PROVED_DEATHS = 2
-_SUSPECTED_MS = 300_000
-_BARRED_MS = 600_000
-_MOST_SUSPECTS = 10_000
+DEATHS_TO_BAR = 2
+_SUSPICION_DURATION_MS = 300_000
+_BAR_DURATION_MS = 600_000
+_MAX_SUSPECTS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,41 +33,45 @@
         """Tell whether a request should run alone on its worker."""
         return self._deaths(fingerprint) > 0
 
-    def bars(self, fingerprint: str) -> bool:
+    def is_barred(self, fingerprint: str) -> bool:
         """Tell whether a request must not run at all."""
-        return self._deaths(fingerprint) >= PROVED_DEATHS
+        return self._deaths(fingerprint) >= DEATHS_TO_BAR
 
     def barred_for_ms(self, fingerprint: str) -> int:
         """Return for how long a request must not run."""
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or not self.bars(fingerprint):
+        if suspect is None or not self.is_barred(fingerprint):
             return 0
         return suspect.until_ms - self._clock.now_ms()
 
-    def blame(self, fingerprint: str) -> int:
+    def record_death(self, fingerprint: str) -> int:
         """Take in that a worker died under a request; return its deaths."""
         deaths = self._deaths(fingerprint) + 1
-        self.learn(fingerprint, deaths)
+        self.update(fingerprint, deaths)
         return deaths
 
     def clear(self, fingerprint: str) -> bool:
         """Take in that a request was answered; tell if it was suspected."""
-        if not self.is_suspected(fingerprint) or self.bars(fingerprint):
+        if not self.is_suspected(fingerprint) or self.is_barred(fingerprint):
             return False
         self._suspects.pop(fingerprint)
         return True
 
-    def learn(self, fingerprint: str, deaths: int) -> None:
+    def update(self, fingerprint: str, deaths: int) -> None:
         """Take in what another node knows; no deaths clear a suspect."""
         if not deaths:
             self.clear(fingerprint)
             return
         deaths = max(deaths, self._deaths(fingerprint))
-        lasts_ms = _BARRED_MS if deaths >= PROVED_DEATHS else _SUSPECTED_MS
-        until_ms = self._clock.now_ms() + lasts_ms
+        duration_ms = (
+            _BAR_DURATION_MS
+            if deaths >= DEATHS_TO_BAR
+            else _SUSPICION_DURATION_MS
+        )
+        until_ms = self._clock.now_ms() + duration_ms
         self._suspects[fingerprint] = _Suspect(deaths, until_ms)
         self._suspects.move_to_end(fingerprint)
-        while len(self._suspects) > _MOST_SUSPECTS:
+        while len(self._suspects) > _MAX_SUSPECTS:
             self._suspects.popitem(last=False)
 
     def _deaths(self, fingerprint: str) -> int:
--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -15,29 +15,29 @@
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.protocol.messages import Answer, Failure
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.exchange import Outgoing
+from laburnumwood.routing.exchange import OutgoingExchange
 
 AVOID_MS = 1_000
 ALL_RANKS = -1  # also that of requests without a rank
-_REMEMBERED = 16  # choices
-_NEAR_UNTIL = 0.5  # of its slots, a node of the same domain is taken
-_SHEDDING = frozenset((429, 503))
+_MAX_RECENT_CHOICES = 16  # choices
+_MAX_LOCAL_LOAD = 0.5  # of its slots, a node of the same domain is taken
+_OVERLOAD_STATUSES = frozenset((429, 503))
 
 
-class SpreadExchange:
+class TrackedExchange:
     """An exchange that counts as in flight until it is closed."""
 
     def __init__(
         self,
-        exchange: Outgoing,
+        exchange: OutgoingExchange,
         target: NodeName,
         rank: int,
-        spread: 'Spread',
+        spread: 'RequestBalancer',
     ) -> None:
         self._exchange = exchange
         self._target = target
         self._rank = rank
-        self._spread = spread
+        self._balancer = spread
 
     def send(self, message: Any) -> None:
         """Send a message; raises `LinkLostError`."""
@@ -50,21 +50,23 @@
         except CallerDisconnectedError:
             raise
         except LinkError:
-            self._spread.avoid(self._target, AVOID_MS)
+            self._balancer.avoid(self._target, AVOID_MS)
             raise
         if isinstance(message, Failure):
-            span_ms = max(message.retry_after_ms, AVOID_MS)
+            duration_ms = max(message.retry_after_ms, AVOID_MS)
             # There may be room for what is more urgent.
             is_full = message.kind == 'overloaded'
             rank = self._rank if is_full else ALL_RANKS
-            self._spread.avoid(self._target, span_ms, rank)
-        elif isinstance(message, Answer) and message.status in _SHEDDING:
-            self._spread.avoid(self._target, AVOID_MS)
+            self._balancer.avoid(self._target, duration_ms, rank)
+        elif (
+            isinstance(message, Answer) and message.status in _OVERLOAD_STATUSES
+        ):
+            self._balancer.avoid(self._target, AVOID_MS)
         return message
 
-    def when_message(self, act: Callable[[], None] | None) -> None:
+    def when_message(self, handler: Callable[[], None] | None) -> None:
         """Set what is done at the next message or when the link ends."""
-        self._exchange.when_message(act)
+        self._exchange.when_message(handler)
 
     def fail(self, reason: LinkError) -> None:
         """Let all that waits on the exchange fail."""
@@ -72,11 +74,11 @@
 
     def close(self) -> None:
         """End the exchange on this side."""
-        self._spread.forget(self._target, self)
+        self._balancer.untrack(self._target, self)
         self._exchange.close()
 
 
-class Spread:
+class RequestBalancer:
     """Spreads requests by the load of nodes, as this node sees it.
 
     Its own requests in flight come first; what nodes report of theirs counts
@@ -92,21 +94,23 @@
         domain: str,
         random: Random,
         clock: Clock,
-        doors: Callable[[], float] = float,
+        local_ingress_share: Callable[[], float] = float,
     ) -> None:
         self._loads = loads
-        self._domain = domain
+        self._failure_domain = domain
         self._random = random
         self._clock = clock
-        self._doors = doors
-        self._in_flight: dict[NodeName, WeakSet[SpreadExchange]] = {}
+        self._local_ingress_share = local_ingress_share
+        self._in_flight: dict[NodeName, WeakSet[TrackedExchange]] = {}
         # By node and the most urgent rank that it is avoided for.
         self._avoided_until_ms: dict[tuple[NodeName, int], int] = {}
-        self._chosen: deque[NodeName] = deque(maxlen=_REMEMBERED)
+        self._recent_choices: deque[NodeName] = deque(
+            maxlen=_MAX_RECENT_CHOICES
+        )
 
-    def targets(self) -> tuple[NodeName, ...]:
+    def recent_choices(self) -> tuple[NodeName, ...]:
         """Return the nodes that were chosen lately."""
-        return tuple(self._chosen)
+        return tuple(self._recent_choices)
 
     def choose(
         self, nodes: Mapping[NodeName, NodeRecord], rank: int = ALL_RANKS
@@ -124,22 +128,25 @@
         loads = {name: self._load(name, nodes[name]) for name in usable}
         # Of many near nodes, too, two are drawn: doors that know the same
         # would all choose the same one.
-        drawn_from = self._preferred(nodes, loads)
-        drawn = self._random.sample(drawn_from, min(2, len(drawn_from)))
-        chosen = min(drawn, key=loads.__getitem__)
-        self._chosen.append(chosen)
+        candidates = self._candidates(nodes, loads)
+        sampled = self._random.sample(candidates, min(2, len(candidates)))
+        chosen = min(sampled, key=loads.__getitem__)
+        self._recent_choices.append(chosen)
         return chosen
 
     def track(
-        self, exchange: Outgoing, target: NodeName, rank: int = ALL_RANKS
-    ) -> Outgoing:
+        self,
+        exchange: OutgoingExchange,
+        target: NodeName,
+        rank: int = ALL_RANKS,
+    ) -> OutgoingExchange:
         """Return an exchange that is counted for its target."""
-        tracked = SpreadExchange(exchange, target, rank, self)
+        tracked = TrackedExchange(exchange, target, rank, self)
         self._in_flight.setdefault(target, WeakSet()).add(tracked)
         return tracked
 
     def avoid(
-        self, target: NodeName, span_ms: int, rank: int = ALL_RANKS
+        self, target: NodeName, duration_ms: int, rank: int = ALL_RANKS
     ) -> None:
         """Choose other nodes for some time where there are any.
 
@@ -151,44 +158,46 @@
             for avoided, until_ms in self._avoided_until_ms.items()
             if until_ms > now_ms
         }
-        self._avoided_until_ms[target, rank] = now_ms + span_ms
+        self._avoided_until_ms[target, rank] = now_ms + duration_ms
 
-    def forget(self, target: NodeName, tracked: SpreadExchange) -> None:
+    def untrack(self, target: NodeName, tracked: TrackedExchange) -> None:
         """Count an exchange no longer."""
-        counted = self._in_flight.get(target)
-        if counted is None:
+        exchanges = self._in_flight.get(target)
+        if exchanges is None:
             return
-        counted.discard(tracked)
-        if not counted:
+        exchanges.discard(tracked)
+        if not exchanges:
             self._in_flight.pop(target)
 
-    def _preferred(
+    def _candidates(
         self,
         nodes: Mapping[NodeName, NodeRecord],
         loads: Mapping[NodeName, float],
     ) -> list[NodeName]:
         """Return the nodes to draw from, of those whose loads are given."""
-        near = {
+        local = {
             name
             for name, record in nodes.items()
-            if record.failure_domain == self._domain
+            if record.failure_domain == self._failure_domain
         }
-        even = len(near) / len(nodes)
-        if self._random.random() * self._doors() > even:
-            chosen = [name for name in loads if name not in near]
+        even_share = len(local) / len(nodes)
+        if self._random.random() * self._local_ingress_share() > even_share:
+            chosen = [name for name in loads if name not in local]
         else:
-            chosen = [name for name in near if loads.get(name, 1) < _NEAR_UNTIL]
+            chosen = [
+                name for name in local if loads.get(name, 1) < _MAX_LOCAL_LOAD
+            ]
         return sorted(chosen) or list(loads)
 
     def _load(self, name: NodeName, record: NodeRecord) -> float:
-        own = len(self._in_flight.get(name, ()))
-        return max(own, self._loads.running(name)) / record.slots
+        own_in_flight = len(self._in_flight.get(name, ()))
+        return max(own_in_flight, self._loads.running(name)) / record.slots
 
     def _avoided(self, rank: int) -> dict[NodeName, int]:
         """Return the nodes to avoid for a rank, and until when."""
         now_ms = self._clock.now_ms()
-        found: dict[NodeName, int] = {}
-        for (name, least), until_ms in self._avoided_until_ms.items():
-            if until_ms > now_ms and least <= rank:
-                found[name] = max(until_ms, found.get(name, 0))
-        return found
+        until_by_node: dict[NodeName, int] = {}
+        for (name, min_rank), until_ms in self._avoided_until_ms.items():
+            if until_ms > now_ms and min_rank <= rank:
+                until_by_node[name] = max(until_ms, until_by_node.get(name, 0))
+        return until_by_node
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -11,24 +11,24 @@
 from laburnumwood.events import NOT_ACCEPTED
 from laburnumwood.listening import Address, listen
 from laburnumwood.routing.caller_protocol import (
-    CLOSE,
+    CLOSE_KEY,
     CallerProtocol,
     reset_connection,
 )
 from laburnumwood.tasks import start, start_joinable
 
-_MOST_CONNECTIONS = 4_096
+_MAX_CONNECTIONS = 4_096
 
 
-def reset(environ: dict[str, Any]) -> None:
+def reset_caller(environ: dict[str, Any]) -> None:
     """Reset the connection of a caller, so that no answer looks whole."""
     wsgi.WSGI_LOCAL.already_handled = True
     reset_connection(environ['eventlet.input'].get_socket())
 
 
-def close_after(environ: dict[str, Any]) -> None:
+def close_after_answer(environ: dict[str, Any]) -> None:
     """Let the connection of a caller end after its answer."""
-    environ[CLOSE]()
+    environ[CLOSE_KEY]()
 
 
 def serve_callers(listener: Any, application: Any) -> None:
@@ -37,14 +37,14 @@
         listener,
         application,
         protocol=CallerProtocol,
-        max_size=_MOST_CONNECTIONS,
+        max_size=_MAX_CONNECTIONS,
         minimum_chunk_size=1,
         log_output=False,
         debug=False,
     )
 
 
-class Listening:
+class HttpListener:
     """An address where an application is served, until it is closed."""
 
     def __init__(self, address: Address, application: Any) -> None:
@@ -62,6 +62,6 @@
         start(self._server.kill)
         eventlet.sleep(0)
         self._listener.close()
-        limit = Timeout(patience_ms / MS_PER_SECOND, exception=False)
-        with limit, suppress(GreenletExit):
+        timeout = Timeout(patience_ms / MS_PER_SECOND, exception=False)
+        with timeout, suppress(GreenletExit):
             self._server.wait()
--- a/laburnumwood/routing/shard_release.py
+++ b/laburnumwood/routing/shard_release.py
@@ -4,10 +4,10 @@
 
 from laburnumwood.placement.holdings import ShardUse
 from laburnumwood.protocol.messages import Answer, Work
-from laburnumwood.routing.exchange import Exchange, WrappedExchange
+from laburnumwood.routing.exchange import Exchange, ExchangeWrapper
 
 
-class StayingExchange(WrappedExchange):
+class ShardReleasingExchange(ExchangeWrapper):
     """An exchange whose request leaves its shard when that is safe.
 
     The answer to an idempotent request may outlast a move once it is on its
@@ -17,11 +17,11 @@
 
     def __init__(self, exchange: Exchange, work: Work, stay: ShardUse) -> None:
         super().__init__(exchange)
-        self._leaves_early = work.idempotent
+        self._releases_early = work.idempotent
         self._stay = stay
 
     def send(self, message: Any) -> None:
         """Send a message; raises `LinkLostError`."""
         super().send(message)
-        if self._leaves_early and isinstance(message, Answer):
+        if self._releases_early and isinstance(message, Answer):
             self._stay.release()
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -17,13 +17,13 @@
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.protocol.messages import Work
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.caller_request import Inquiry
-from laburnumwood.routing.exchange import Outgoing, local_pair
-from laburnumwood.routing.problems import failure
-from laburnumwood.routing.request_balancer import Spread
-from laburnumwood.routing.retry_policy import Tries
+from laburnumwood.routing.caller_request import CallerRequest
+from laburnumwood.routing.exchange import OutgoingExchange, local_pair
+from laburnumwood.routing.problems import make_failure
+from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
+from laburnumwood.routing.tries import RetryPolicy
 from laburnumwood.store.breaker import GuardedStore
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
@@ -95,17 +95,17 @@
     budgets = RetryBudgets(1, clock)
     shard = 3 if divided == 'divided' else -1
     work = _work(idempotent=kind == 'idempotent', shard=shard)
-    inquiry = Inquiry(work, b'', most)
-    context.tries = Tries(inquiry, budgets.for_service('s'), clock)
+    inquiry = CallerRequest(work, b'', most)
+    context.tries = RetryPolicy(inquiry, budgets.for_service('s'), clock)
 
 
 @when('its tries fail with "{failures}"')
 def fail_tries(context: Context, failures: str) -> None:
     for each in failures.split():
         kind, _, ran = each.partition(':')
-        told = failure(kind, 'detail', ran=ran == 'ran')
-        context.tries.note(told)
-        context.pause_ms = context.tries.pause_ms(told, NODES)
+        told = make_failure(kind, 'detail', ran=ran == 'ran')
+        context.tries.record_failure(told)
+        context.pause_ms = context.tries.retry_delay_ms(told, NODES)
 
 
 @then('it is sent again at once')
@@ -141,11 +141,11 @@
         """Return the nodes."""
         return dict(self._nodes)
 
-    def open_stream(self, target: NodeName, **_how: bool) -> Outgoing:
+    def open_stream(self, target: NodeName, **_how: bool) -> OutgoingExchange:
         """Return an exchange with the gate of a node."""
         near, far = local_pair()
         self.asked.append(target.node_id)
-        far.send(failure('overloaded', 'no slot is free', ran=False))
+        far.send(make_failure('overloaded', 'no slot is free', ran=False))
         return near
 
 
@@ -154,11 +154,11 @@
 
     is_gone = False
 
-    def look(self) -> bool:
+    def poll(self) -> bool:
         """Tell that it is there."""
         return self.is_gone
 
-    def when_gone(self, act: Any) -> None:
+    def set_gone_handler(self, act: Any) -> None:
         """Do nothing: it does not go."""
 
 
@@ -167,7 +167,7 @@
     clock = Clock()
     fleet: Any = FullNodes(names.split())
     serve: Any = None
-    spread = Spread(LoadReports(clock), 'x', Random(1), clock)
+    spread = RequestBalancer(LoadReports(clock), 'x', Random(1), clock)
     context.fleet = fleet
     context.router = Router(
         NodeName('door', 1),
@@ -182,7 +182,7 @@
 
 @when('a request comes that any of them may answer')
 def send_to_full(context: Context) -> None:
-    inquiry = Inquiry(_work(idempotent=True, shard=-1), b'')
+    inquiry = CallerRequest(_work(idempotent=True, shard=-1), b'')
     caller: Any = StayingCaller()
     context.reply = context.router.send(inquiry, caller)
 
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -30,16 +30,16 @@
 )
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName, NodeRecord
-from laburnumwood.routing.admission_gate import read_body
-from laburnumwood.routing.caller_interface import OwnFace
-from laburnumwood.routing.ingress import Door
-from laburnumwood.routing.request_balancer import Spread
+from laburnumwood.routing.admission_gate import receive_body
+from laburnumwood.routing.caller_interface import NativeCallerInterface
+from laburnumwood.routing.door import Ingress
+from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.runner import Runner
+from laburnumwood.routing.running import Runner
 from laburnumwood.routing.server import serve_callers
-from laburnumwood.routing.shared_quarantine import Suspicions
-from laburnumwood.routing.worker_interface import OwnDialect
+from laburnumwood.routing.shared_quarantine import SharedQuarantine
+from laburnumwood.routing.worker_interface import NativeWorkerInterface
 from laburnumwood.upstream.worker import Worker
 
 HOST = '127.0.0.1'
@@ -164,19 +164,21 @@
     gate = (HOST, int(sys.argv[2]))
     peers = Peers(DOOR, security, lambda _: gate, dispatcher, clock)
     view: Any = OneGate()
-    suspicions = Suspicions(GATE, view, peers, dispatcher, clock)
+    suspicions = SharedQuarantine(GATE, view, peers, dispatcher, clock)
     worker = Worker(f'http://{HOST}:{sys.argv[1]}', 10, clock)
-    runner = Runner(worker, OwnDialect(), suspicions, clock, longest_whole=0)
+    runner = Runner(
+        worker, NativeWorkerInterface(), suspicions, clock, max_buffered_bytes=0
+    )
 
     @dispatcher.on(Work)
     def serve(_link: Any, stream: Any, work: Work) -> None:
         until_ms = clock.now_ms() + work.deadline_ms
-        body = read_body(stream, work)
+        body = receive_body(stream, work)
         runner.run(Run(work, body, None, until_ms), stream)
 
     eventlet.spawn_n(listen, gate, security, dispatcher.handle, clock)
     budgets = RetryBudgets(0, clock)
-    spread = Spread(LoadReports(clock), 'a', Random(1), clock)
+    spread = RequestBalancer(LoadReports(clock), 'a', Random(1), clock)
     router = Router(
         DOOR,
         view,
@@ -188,4 +190,7 @@
     )
     listener = eventlet.listen((HOST, 0))
     print(f'listening on {HOST}:{listener.getsockname()[1]}', flush=True)
-    serve_callers(listener, Door(router, OwnFace(), lambda: DECLARED, clock))
+    serve_callers(
+        listener,
+        Ingress(router, NativeCallerInterface(), lambda: DECLARED, clock),
+    )
