--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -24,7 +24,7 @@
 
 
 class NodeStatus(Protocol):
-    """The state of a node that the endpoints of an integration report."""
+    """The state of a node that the listeners of an integration report."""
 
     @property
     def is_ready(self) -> bool:
@@ -36,7 +36,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WsgiEndpoint:
+class Listener:
     """An address and the WSGI application that serves it."""
 
     address: tuple[str, int]
@@ -47,7 +47,7 @@
 class Integration:
     """Factories for the interfaces of a node to its environment.
 
-    `make_endpoints` returns the endpoints that the node serves in addition to
+    `listeners` returns the listeners that the node has in addition to
     its own.  `worker_reports`: the worker sends reports and receives its
     grants in the answers; any other worker is sent its grants.
     `has_idempotency_keys`: requests carry idempotency keys, so owners
@@ -57,9 +57,7 @@
     make_store: Callable[[DaemonSettings], Store]
     make_caller_interface: Callable[[DaemonSettings], CallerInterface]
     make_worker_interface: Callable[[ReportingWorker], WorkerInterface]
-    make_endpoints: Callable[
-        [DaemonSettings, NodeStatus], tuple[WsgiEndpoint, ...]
-    ]
+    listeners: Callable[[DaemonSettings, NodeStatus], tuple[Listener, ...]]
     worker_reports: bool
     has_idempotency_keys: bool
 
@@ -78,9 +76,9 @@
     return register
 
 
-def _no_endpoints(
+def _no_listeners(
     _settings: DaemonSettings, _node: NodeStatus
-) -> tuple[WsgiEndpoint, ...]:
+) -> tuple[Listener, ...]:
     return ()
 
 
@@ -90,7 +88,7 @@
         make_store=lambda settings: HttpStore(settings.platform_url),
         make_caller_interface=lambda _settings: NativeCallerInterface(),
         make_worker_interface=lambda _worker: NativeWorkerInterface(),
-        make_endpoints=_no_endpoints,
+        listeners=_no_listeners,
         worker_reports=False,
         has_idempotency_keys=True,
     )
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -158,7 +158,7 @@
         if settings.metrics_port is not None:
             metrics = (settings.host, settings.metrics_port)
             HttpListener(metrics, self._serve_metrics)
-        for listener in self._integration.make_endpoints(settings, self):
+        for listener in self._integration.listeners(settings, self):
             HttpListener(listener.address, listener.application)
 
     def _serve_peer(self, link: Link, stream: Stream, message: Any) -> None:
--- a/laburnumwood/listening.py
+++ b/laburnumwood/listening.py
@@ -23,7 +23,7 @@
 _opened: dict[Address, Any] = {}
 
 
-class Listener:
+class ListeningSocket:
     """A listening socket that stays open if a connection can't be accepted.
 
     `report_failure` is called with the `reason` of each such failure.
@@ -79,12 +79,12 @@
             _opened[address] = eventlet.listen(address, backlog=_BACKLOG)
 
 
-def listen(address: Address, report_failure: ReportFailure) -> Listener:
+def listen(address: Address, report_failure: ReportFailure) -> ListeningSocket:
     """Return a listener at an address, opened early if `open_early` did so.
 
     Raises `OSError` if the address can't be listened at.
     """
     early = _opened.pop(address, None)
-    return Listener(
+    return ListeningSocket(
         early or eventlet.listen(address, backlog=_BACKLOG), report_failure
     )
--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -5,10 +5,10 @@
 from random import Random
 from typing import Any
 
-from laburnumwood.borders import (
+from laburnumwood.borders import (Integration, Listener, NodeStatus, register_integration)
     Integration,
     NodeStatus,
-    WsgiEndpoint,
+    Listener,
     register_integration,
 )
 from laburnumwood.listening import split_address
@@ -41,13 +41,13 @@
 
 def _listeners(
     settings: DaemonSettings, node: NodeStatus
-) -> tuple[WsgiEndpoint, ...]:
+) -> tuple[Listener, ...]:
     applications = (
         (settings.ready_address, ReadinessEndpoint(node)),
         (settings.report_address, ReportEndpoint(settings, node.worker)),
     )
     return tuple(
-        WsgiEndpoint(split_address(address), application)
+        Listener(split_address(address), application)
         for address, application in applications
         if address is not None
     )
@@ -65,7 +65,7 @@
             settings, Random(settings.node_id)
         ),
         make_worker_interface=PlatformWorkerInterface,
-        make_endpoints=_listeners,
+        listeners=_listeners,
         worker_reports=True,
         has_idempotency_keys=False,
     )
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -77,7 +77,7 @@
         )
 
     def check(self, run: Run, answer: WorkerAnswer) -> None:
-        """Raise `WorkerAnswerError` if an answer is not the one to this request.
+        """Raise `WorkerAnswerError` if an answer belongs to another request.
 
         A late or duplicate answer on a connection has the id of another
         request.  The id is required for successes and for every answer on a
