--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -65,7 +65,7 @@
 INTEGRATIONS: dict[str, Integration] = {}
 
 
-def register_integration(
+def integration(
     name: str,
 ) -> Callable[[Callable[[], Integration]], None]:
     """Register, under a name, the integration that a function returns."""
@@ -82,7 +82,7 @@
     return ()
 
 
-@register_integration('own')
+@integration('own')
 def _own() -> Integration:
     return Integration(
         make_store=lambda settings: HttpStore(settings.platform_url),
--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -5,12 +5,7 @@
 from random import Random
 from typing import Any
 
-from laburnumwood.borders import (Integration, Listener, NodeStatus, register_integration)
-    Integration,
-    NodeStatus,
-    Listener,
-    register_integration,
-)
+from laburnumwood.borders import Integration, Listener, NodeStatus, integration
 from laburnumwood.listening import split_address
 from laburnumwood.platform.callers import PlatformCallerInterface
 from laburnumwood.platform.reports import ReportEndpoint
@@ -55,7 +50,7 @@
 
 def register() -> None:
     """Register the platform's integration under the name `platform`."""
-    register_integration('platform')(_make)
+    integration('platform')(_make)
 
 
 def _make() -> Integration:
