--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -1,4 +1,4 @@
-"""Registration of the platform's integration."""
+"""Registration of the platform's borders."""
 
 from collections.abc import Iterable
 from http import HTTPStatus
