--- a/laburnumwood/admission/limit.py
+++ b/laburnumwood/admission/limit.py
@@ -115,7 +115,7 @@
 
     def _close_window(self) -> None:
         window_latency_ms = max(median(self._samples), 1)
-        self._long_term_latency.note(window_latency_ms)
+        self._long_term_latency.add(window_latency_ms)
         gradient = (
             _LATENCY_TOLERANCE
             * self._long_term_latency.mean
--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -1,4 +1,7 @@
-"""How one kind of installation speaks with what stands around a node."""
+"""Integrations: how a node connects to its store, callers and worker.
+
+The `borders` setting selects one of the registered integrations by name.
+"""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -20,67 +23,71 @@
 Application = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
 
-class Front(Protocol):
-    """What a node shows to what stands around it."""
+class NodeStatus(Protocol):
+    """The state of a node that the listeners of an integration report."""
 
     @property
     def is_ready(self) -> bool:
-        """Tell whether callers may be sent to this node."""
+        """Return whether callers may be sent to this node."""
 
     @property
     def worker(self) -> ReportingWorker:
-        """Return what is known of the worker by its reports."""
+        """Return the worker as known from its reports."""
 
 
 @dataclass(frozen=True, slots=True)
 class Listener:
-    """An address and the WSGI application that answers there."""
+    """An address and the WSGI application that serves it."""
 
     address: tuple[str, int]
     application: Application
 
 
 @dataclass(frozen=True, slots=True)
-class Borders:
-    """The store, callers, worker and further listeners of a node.
-
-    Where requests carry idempotency keys, successors keep a run ledger.
-    A worker that reports fetches its grants with its reports; any other is
-    sent them.
+class Integration:
+    """Factories for the interfaces of a node to its environment.
+
+    `listeners` returns the listeners that the node has in addition to
+    its own.  `worker_reports`: the worker sends reports and receives its
+    grants in the answers; any other worker is sent its grants.
+    `has_idempotency_keys`: requests carry idempotency keys, so owners
+    replicate a run ledger to their successors.
     """
 
     make_store: Callable[[DaemonSettings], Store]
-    make_face: Callable[[DaemonSettings], CallerInterface]
-    make_dialect: Callable[[ReportingWorker], WorkerInterface]
-    listeners: Callable[[DaemonSettings, Front], tuple[Listener, ...]]
+    make_caller_interface: Callable[[DaemonSettings], CallerInterface]
+    make_worker_interface: Callable[[ReportingWorker], WorkerInterface]
+    listeners: Callable[[DaemonSettings, NodeStatus], tuple[Listener, ...]]
     worker_reports: bool
     has_idempotency_keys: bool
 
 
-BORDERS: dict[str, Borders] = {}
+INTEGRATIONS: dict[str, Integration] = {}
 
 
-def borders(name: str) -> Callable[[Callable[[], Borders]], None]:
-    """Register the borders that a function returns under a name."""
+def integration(
+    name: str,
+) -> Callable[[Callable[[], Integration]], None]:
+    """Register, under a name, the integration that a function returns."""
 
-    def register(make: Callable[[], Borders]) -> None:
-        BORDERS[name] = make()
+    def register(make: Callable[[], Integration]) -> None:
+        INTEGRATIONS[name] = make()
 
     return register
 
 
 def _no_listeners(
-    _settings: DaemonSettings, _front: Front
+    _settings: DaemonSettings, _node: NodeStatus
 ) -> tuple[Listener, ...]:
     return ()
 
 
-@borders('own')
-def _own() -> Borders:
-    return Borders(
+@integration('own')
+def _own() -> Integration:
+    return Integration(
         make_store=lambda settings: HttpStore(settings.platform_url),
-        make_face=lambda _settings: NativeCallerInterface(),
-        make_dialect=lambda _worker: NativeWorkerInterface(),
+        make_caller_interface=lambda _settings: NativeCallerInterface(),
+        make_worker_interface=lambda _worker: NativeWorkerInterface(),
         listeners=_no_listeners,
         worker_reports=False,
         has_idempotency_keys=True,
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -14,7 +14,7 @@
 from laburnumwood.records import ShardName
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import shard_object
-from laburnumwood.tasks import attempt
+from laburnumwood.tasks import run_logged
 
 _CONCURRENT_WRITES = 8
 _FLOOR_POLL_MS = 10
@@ -51,7 +51,7 @@
 
     def start(self, task: Callable[..., object], *arguments: Any) -> None:
         """Start a task that writes; block while too many are running."""
-        self._pool.spawn_n(attempt, task, *arguments)
+        self._pool.spawn_n(run_logged, task, *arguments)
 
     def execute(self, write: ShardWrite) -> WriteProgress:
         """Step a write until its progress is final; return that progress."""
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -2,7 +2,7 @@
 
 from http import HTTPStatus
 
-from laburnumwood.errors import WorkerCutError
+from laburnumwood.errors import WorkerAnswerError
 from laburnumwood.platform.names import (
     ID_HEADER,
     LOAD_HEADER,
@@ -77,7 +77,7 @@
         )
 
     def check(self, run: Run, answer: WorkerAnswer) -> None:
-        """Raise `WorkerCutError` if an answer is not the one to this request.
+        """Raise `WorkerAnswerError` if an answer belongs to another request.
 
         A late or duplicate answer on a connection has the id of another
         request.  The id is required for successes and for every answer on a
@@ -91,11 +91,11 @@
         if answered_id != run.work.request_id and (
             answered_id or is_id_required
         ):
-            raise WorkerCutError(f'the answer is that to {answered_id!r}')
+            raise WorkerAnswerError(f'the answer is that to {answered_id!r}')
         if index.has('content-encoding'):
-            raise WorkerCutError('the body is encoded')
+            raise WorkerAnswerError('the body is encoded')
         if succeeded and not index.has(_STAMP):
-            raise WorkerCutError('a success without the stamp of a worker')
+            raise WorkerAnswerError('a success without the stamp of a worker')
 
     def cancel(self, _worker: Worker, _run: Run) -> bool:
         """Return False: a worker stops a request if its connection closes."""
--- a/laburnumwood/protocol/outlet.py
+++ b/laburnumwood/protocol/outlet.py
@@ -11,7 +11,7 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
-from laburnumwood.news import News
+from laburnumwood.notifier import Notifier
 
 LONG = 16_384  # bytes from which on a part of a body waits for its turn
 _LEAST_WINDOW = 98_304  # bytes on their way, of several messages
@@ -40,7 +40,7 @@
         self._under_way: dict[Passage, None] = {}
         self._window: float = _LEAST_WINDOW
         self._pace = DecayingMean(_HALF_LIFE_MS, clock)  # ms for a byte
-        self._news = News()
+        self._news = Notifier()
 
     @property
     def waiting_ms(self) -> float:
@@ -57,7 +57,7 @@
                 self._news.wait(_LONGEST_MS / 2)
         finally:
             self._waiting.remove(passage)
-            self._news.tell()
+            self._news.notify_all()
         passage.sent_ms = self._clock.now_ms()
         self._under_way[passage] = None
         return passage
@@ -68,9 +68,9 @@
             return
         self._under_way.pop(passage)
         taken_ms = self._clock.now_ms() - passage.sent_ms
-        self._pace.note(taken_ms / passage.size)
+        self._pace.add(taken_ms / passage.size)
         self._adapt(passage.size, taken_ms)
-        self._news.tell()
+        self._news.notify_all()
 
     def _adapt(self, size: int, taken_ms: int) -> None:
         """Let as much be on its way as arrives soon: lines and ways differ."""
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -10,8 +10,8 @@
 from laburnumwood.errors import (
     LinkError,
     RunCancelledError,
+    WorkerAnswerError,
     WorkerBusyError,
-    WorkerCutError,
     WorkerError,
     WorkerTimeoutError,
     WorkerUnreachableError,
@@ -121,7 +121,7 @@
             self._cancel_later(run)
             failure = make_failure('deadline', str(error), ran=True)
             return _fail(failure, exchange)
-        except WorkerCutError as error:
+        except WorkerAnswerError as error:
             failure = make_failure('worker-cut', str(error), ran=True)
             return _fail(failure, exchange)
         return self._forward_answer(run, answer, exchange, max_kept_bytes)
@@ -144,7 +144,7 @@
             return self._run_checked(run)
         except WorkerTimeoutError:
             raise
-        except WorkerCutError:
+        except WorkerAnswerError:
             # A worker that still answers did not die of it.
             if self._worker.is_dead():
                 self._may_be_dead = True
@@ -155,7 +155,7 @@
         answer = self._worker.send(self._worker_request(run))
         try:
             self._worker_interface.check(run, answer)
-        except WorkerCutError:
+        except WorkerAnswerError:
             answer.close()
             raise
         return answer
@@ -181,7 +181,7 @@
         except RunCancelledError:
             answer.close()
             raise
-        except WorkerCutError as error:
+        except WorkerAnswerError as error:
             answer.close()
             self._cancel_later(run)
             return _fail(
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -12,7 +12,7 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.quarantine import DEATHS_TO_BAR, Quarantine
-from laburnumwood.tasks import begin
+from laburnumwood.tasks import start_joinable
 
 _CALL_TIMEOUT_MS = 300
 
@@ -58,7 +58,10 @@
         peers_to_notify = set(self._view.serving_nodes(service)).difference(
             (self._own,)
         )
-        return [begin(self._send, name, suspicion) for name in peers_to_notify]
+        return [
+            start_joinable(self._send, name, suspicion)
+            for name in peers_to_notify
+        ]
 
     def _send(self, name: NodeName, suspicion: Suspicion) -> None:
         try:
--- a/laburnumwood/upstream/attached.py
+++ b/laburnumwood/upstream/attached.py
@@ -1,6 +1,6 @@
 """The grants of a reporting worker, as used by one incarnation of the node."""
 
-from laburnumwood.news import News
+from laburnumwood.notifier import Notifier
 from laburnumwood.records import KeyRange, ShardName
 from laburnumwood.upstream.reporting import GrantSource, ReportingWorker
 
@@ -18,7 +18,7 @@
         worker.attach(source)
 
     @property
-    def changes(self) -> News:
+    def changes(self) -> Notifier:
         """Return the notifier that wakes tasks when the grants change."""
         return self._worker.changes
 
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -6,7 +6,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import WORKER_UNREACHABLE
-from laburnumwood.news import News
+from laburnumwood.notifier import Notifier
 from laburnumwood.records import KeyRange, ShardName
 from laburnumwood.upstream.health import WorkerHealth
 from laburnumwood.upstream.worker import Worker
@@ -44,7 +44,7 @@
         self._latest_sent_until_ms = 0
         self._latest_held_until_ms = 0
         self.health = WorkerHealth(clock)
-        self.changes = News()
+        self.changes = Notifier()
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
         """Return whether the worker has a valid grant of a shard and token."""
@@ -107,7 +107,7 @@
             self._latest_held_until_ms = until_ms
             self._granted = wanted
             self._granted_at_ms = self._clock.now_ms()
-            self.changes.tell()
+            self.changes.notify_all()
         elif self._reachable:
             WORKER_UNREACHABLE.report()
         self._reachable = accepted
--- a/laburnumwood/upstream/grants.py
+++ b/laburnumwood/upstream/grants.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from laburnumwood.news import News
+from laburnumwood.notifier import Notifier
 from laburnumwood.records import KeyRange, ShardName
 
 
@@ -22,7 +22,7 @@
         """Return the time until the worker is expected to get new grants."""
 
     @property
-    def changes(self) -> News:
+    def changes(self) -> Notifier:
         """Return the notifier that wakes tasks when the grants change."""
 
     def withdraw(self, shard: ShardName) -> None:
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -7,7 +7,7 @@
 from urllib3.util import parse_url
 
 from laburnumwood.clock import Clock
-from laburnumwood.errors import WorkerCutError, WorkerTimeoutError
+from laburnumwood.errors import WorkerAnswerError, WorkerTimeoutError
 from laburnumwood.header_index import Header, HeaderIndex
 from laburnumwood.upstream.connection import StrictResponse, WorkerConnection
 
@@ -16,11 +16,13 @@
 _EMPTY = b''
 
 
-def to_worker_error(failure: Exception) -> WorkerCutError:
+def to_worker_error(failure: Exception) -> WorkerAnswerError:
     """Return the error for a request whose connection failed or stalled."""
     # Here a `TimeoutError` is raised only by a read that waited too long.
     is_timeout = isinstance(failure, TimeoutError)
-    return (WorkerTimeoutError if is_timeout else WorkerCutError)(repr(failure))
+    return (WorkerTimeoutError if is_timeout else WorkerAnswerError)(
+        repr(failure)
+    )
 
 
 class WorkerAnswer:
@@ -72,7 +74,7 @@
     def chunks(self) -> Iterator[bytes]:
         """Yield the parts of the body as they arrive.
 
-        Raises `WorkerCutError` if the body ends early, and its subclass
+        Raises `WorkerAnswerError` if the body ends early, and its subclass
         `WorkerTimeoutError` if the next part takes too long.
         """
         try:
@@ -81,19 +83,23 @@
         except (HTTPException, OSError, ValueError) as cut:
             raise to_worker_error(cut) from cut
         if self._response.length:
-            raise WorkerCutError(f'{self._response.length} bytes are missing')
+            raise WorkerAnswerError(
+                f'{self._response.length} bytes are missing'
+            )
 
     def read_body(self, longest: int) -> bytes:
         """Return the whole body, of at most `longest` bytes.
 
-        Raises `WorkerCutError` if the body is longer, ends early or stalls.
+        Raises `WorkerAnswerError` if the body is longer, ends early or stalls.
         """
         parts: list[bytes] = []
         left = longest
         for part in self.chunks():
             left -= len(part)
             if left < 0:
-                raise WorkerCutError(f'the body is longer than {longest} bytes')
+                raise WorkerAnswerError(
+                    f'the body is longer than {longest} bytes'
+                )
             parts.append(part)
         return _EMPTY.join(parts)
 
--- a/laburnumwood/upstream/reporting.py
+++ b/laburnumwood/upstream/reporting.py
@@ -23,7 +23,7 @@
     KEYS_RELEASED,
     WORKER_STARTED,
 )
-from laburnumwood.news import News
+from laburnumwood.notifier import Notifier
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.handovers import Handovers
@@ -127,7 +127,7 @@
         self._handovers = Handovers()
         self._logged_truncation = (0, 0)
         self.presence = Presence(settings, clock)
-        self.changes = News()
+        self.changes = Notifier()
 
     @property
     def has_released_all(self) -> bool:
@@ -160,7 +160,7 @@
             return GrantReply((), _EMPTY_GRANT_MS)
         self._record_held(report)
         reply = self._make_reply(self._source)
-        self.changes.tell()
+        self.changes.notify_all()
         return reply
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -90,7 +90,7 @@
         """Send a request once; return its answer, of which the head was read.
 
         Raises `WorkerUnreachableError` if nothing was sent, and
-        `WorkerCutError` if the request may have run.
+        `WorkerAnswerError` if the request may have run.
         """
         try:
             head = request_head(
