--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -1,14 +1,15 @@
 Feature: Grants of a worker that reports to its node
-  The node holds shards until its lease ends; the worker is answered what to
-  hold and for how long, on a clock that may count slow by two in a hundred.
+  The node holds shards until its lease expires.  The reply to each report says
+  which shards the worker may hold and for how long, on a clock that may be slow
+  by two per cent.
 
   Background:
-    Given a node that holds the shards 1 and 2 for 3000 ms
+    Given a node that holds shards 1 and 2 for 3000 ms
 
-  Scenario: a grant ends before the lease does, on the slowest clock
+  Scenario: a grant expires before the lease, even on the slowest clock
     When the worker reports
-    Then it is to hold the shards "1 2" for 2940 ms
-    And the shard 1 is covered
+    Then it is granted the shards "1 2" for 2940 ms
+    And shard 1 is covered by a grant
 
   Scenario: the next grants are expected with the next report
     When the worker reports
@@ -17,116 +18,117 @@
     And 300 ms pass
     Then its next grants are expected in 570 ms
 
-  Scenario: nothing is renewed without a lease, and nothing taken away
+  Scenario: without a lease grants are neither renewed nor withdrawn
     When the worker reports
-    And the lease of the node runs out
+    And the lease of the node expires
     And the worker reports
-    Then nothing is renewed
+    Then no grant is renewed
 
-  Scenario: what an earlier process of the node gave is taken away
+  Scenario: grants of an earlier process of the node are withdrawn
     Given a node that holds no shard
     When the worker reports that it holds shard 1
-    Then it is to hold the shards ""
-    And it is not known to hold nothing
+    Then it is granted the shards ""
+    And it may still hold keys
     When the worker reports
-    Then it is known to hold nothing
+    Then it has released all keys
 
-  Scenario: a report that comes late changes nothing
+  Scenario: a stale report changes nothing
     When the worker reports
-    And a report of an earlier life comes
-    Then nothing is renewed
-    When the last report comes once more
-    Then nothing is renewed
+    And a report of an earlier instance arrives
+    Then no grant is renewed
+    When the last report arrives again
+    Then no grant is renewed
 
-  Scenario: a new life of the worker gets only higher tokens
+  Scenario: a new instance of the worker gets only higher tokens
     When the worker reports
-    And another life of the worker reports
-    Then it is to hold the shards ""
+    And a new instance of the worker reports
+    Then it is granted the shards ""
     And the shards "1 2" need higher tokens
-    When the node holds both under higher tokens
+    When the node holds both shards with higher tokens
     And the worker reports
-    Then it is to hold the shards "1 2" for 2940 ms
+    Then it is granted the shards "1 2" for 2940 ms
 
-  # Guards against a token that another life had: a move that is not made
-  # gives a shard back that the worker had let go.
-  Scenario: a new life gets only higher tokens for what the last one let go
+  # Guards against granting a token that an earlier instance had: a shard that
+  # the worker has released is granted again if its move is abandoned.
+  Scenario: a new instance gets only higher tokens for released shards
     When the worker reports
-    And the shard 1 is withdrawn
+    And shard 1 is withdrawn
     And the worker reports that it holds shard 1
     And the worker reports that it has released shard 1
-    And another life of the worker reports
-    And the shard 1 is restored
+    And a new instance of the worker reports
+    And shard 1 is restored
     And the worker reports
-    Then it is to hold the shards ""
+    Then it is granted the shards ""
     And the shards "1 2" need higher tokens
 
-  Scenario: keys come with what the worker of another node left for them
-    When another node tells what its worker left of shard 2
+  Scenario: a grant contains the handovers of the worker of another node
+    When another node announces the handovers of its worker for shard 2
     And the worker reports
-    Then shard 2 is given with what was left there, shard 1 not
+    Then shard 2 is granted with these handovers and shard 1 without any
 
-  Scenario: a withdrawn shard is released once the worker says so
+  Scenario: a withdrawn shard is released once the worker reports it
     When the worker reports
-    And the shard 1 is withdrawn
-    Then the shard 1 is still covered
+    And shard 1 is withdrawn
+    Then shard 1 is still covered by a grant
     When the worker reports that it holds shard 1
-    Then it is to hold the shards "2" for 2940 ms
-    And the shard 1 lets no more requests in
-    And the shard 1 is not released yet
+    Then it is granted the shards "2" for 2940 ms
+    And shard 1 admits no more requests
+    And shard 1 is not released yet
     When the worker reports that it has released shard 1
-    Then the shard 1 is released with what it left
+    Then shard 1 is released with its handovers
 
-  Scenario: a withdrawn shard of a silent worker is released by time
+  Scenario: a withdrawn shard of a silent worker is released when its grant expires
     When the worker reports
-    And the shard 1 is withdrawn
+    And shard 1 is withdrawn
     And 2999 ms pass
-    Then the shard 1 is not released yet
+    Then shard 1 is not released yet
     When 1 ms pass
-    Then the shard 1 is released
+    Then shard 1 is released
 
-  # Guards against two workers that hold the same keys: rows need not begin
-  # where those begin that were given.
-  Scenario: a shard is not released while the worker works on some of its keys
+  # Guards against two workers holding the same keys: the rows of a report need
+  # not start at the same keys as the granted ranges.
+  Scenario: a shard is not released while the worker processes some of its keys
     When the worker reports
-    And the shard 1 is withdrawn
+    And shard 1 is withdrawn
     And the worker reports that it holds shard 1
-    And the worker reports that it works on one key of shard 1
-    Then the shard 1 is not released yet
+    And the worker reports that it still processes one key of shard 1
+    Then shard 1 is not released yet
 
-  # Guards against the same: an answer that takes time away may be lost.
-  Scenario: a shard is not released by an answer that ends sooner
+  # Guards against two workers holding the same keys: a reply that shortens a
+  # grant may be lost.
+  Scenario: a shard is not released by a reply with an earlier expiry
     When the worker reports
-    And the lease is cut to 1000 ms
+    And the lease is shortened to 1000 ms
     And the worker reports
-    And the shard 1 is withdrawn
+    And shard 1 is withdrawn
     And 2999 ms pass
-    Then the shard 1 is not released yet
+    Then shard 1 is not released yet
     When 1 ms pass
-    Then the shard 1 is released
+    Then shard 1 is released
 
-  Scenario: a worker that leaves gets new work for a short while at most
-    When the worker reports that it leaves
-    Then it may be sent work
+  Scenario: a leaving worker gets new requests only for a short time
+    When the worker reports that it is leaving
+    Then it may be sent requests
     When 1800 ms pass
-    Then it may not be sent work
+    Then it may not be sent requests
 
-  Scenario: a worker that signs off without a report leaves as well
+  Scenario: a worker that deregisters without a report is leaving as well
     When the worker reports
-    And the worker signs off
+    And the worker deregisters
     And 1800 ms pass
-    Then it may not be sent work
+    Then it may not be sent requests
 
-  Scenario: a worker whose reports stay out gets no more work
+  Scenario: a worker that has stopped reporting gets no more requests
     When the worker reports
     And 2600 ms pass
-    Then it may not be sent work
+    Then it may not be sent requests
     When the worker reports
-    Then it may be sent work
+    Then it may be sent requests
 
-  Scenario: what does not fit into an answer is left out, never what is held
-    Given answers of at most 200 bytes
+  Scenario: shards that do not fit into a reply are left out, but never held ones
+    Given replies of at most 200 bytes
     When the worker reports
-    Then it is to hold the shards "1" for 2940 ms
-    When the node holds the shard 0 too
+    Then it is granted the shards "1" for 2940 ms
+    When the node also holds shard 0
     And the worker reports
-    Then it is to hold the shards "1" for 2940 ms
+    Then it is granted the shards "1" for 2940 ms
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the grants of a worker that reports."""
+"""Steps about the grants of a reporting worker."""
 
 from behave import given, then, when
 from behave.runner import Context
@@ -18,7 +18,7 @@
 SERVICE = Service(
     key=KeySource(source='header', name='Key'), shards=64, stripe_width=64
 )
-BORN_MS = 1_000
+STARTED_MS = 1_000
 
 
 def shard(number: int) -> ShardName:
@@ -27,12 +27,12 @@
 
 
 def stripes(number: int) -> tuple[KeyRange, ...]:
-    """Return the keys of a shard."""
+    """Return the key ranges of a shard."""
     return key_ranges(number, None, SERVICE)
 
 
-class FakeHolder:
-    """Holdings with a lease that ends at a moment."""
+class FakeGrantSource:
+    """A source of grants with a lease that expires at a given time."""
 
     def __init__(self) -> None:
         self.held_shards = HeldShards()
@@ -43,58 +43,58 @@
         return self.held_shards.tokens()
 
     def until_ms(self) -> int:
-        """Return until when the node may act."""
+        """Return the time until which the node's lease is valid."""
         return self.lease_until_ms
 
     def close(self, name: ShardName) -> None:
-        """Let no more requests in to a shard."""
+        """Stop admitting requests to a shard."""
         self.held_shards.close(name)
 
     def require_higher_token(self, name: ShardName) -> None:
-        """Ask for a higher token."""
+        """Request a higher token."""
         self.held_shards.invalidate_token(name)
 
     def stripes(self, name: ShardName) -> tuple[KeyRange, ...]:
-        """Return the keys of a shard."""
+        """Return the key ranges of a shard."""
         return stripes(name.number)
 
     def handovers(self, name: ShardName) -> tuple[str, ...]:
-        """Return nothing: every shard comes cold."""
+        """Return no handovers."""
         return ()
 
 
 def _make(context: Context, settings: ReportSettings, lease_ms: int) -> None:
     context.clock = FakeClock()
-    context.holder = FakeHolder()
+    context.source = FakeGrantSource()
     context.lease_ms = lease_ms
     context.worker = ReportingWorker(settings, context.clock)
-    context.worker.attach(context.holder)
+    context.worker.attach(context.source)
     context.number = 0
-    context.life = BORN_MS
+    context.instance = STARTED_MS
     _renew(context)
 
 
 def _renew(context: Context) -> None:
-    context.holder.lease_until_ms = context.clock.now_ms() + context.lease_ms
+    context.source.lease_until_ms = context.clock.now_ms() + context.lease_ms
 
 
-@given('a node that holds the shards 1 and 2 for {span:d} ms')
+@given('a node that holds shards 1 and 2 for {span:d} ms')
 def make_node(context: Context, span: int) -> None:
     _make(context, ReportSettings(), span)
     for number in (1, 2):
-        context.holder.held_shards.hold(shard(number), 8)
+        context.source.held_shards.hold(shard(number), 8)
 
 
 @given('a node that holds no shard')
-def make_empty(context: Context) -> None:
+def make_node_without_shards(context: Context) -> None:
     _make(context, ReportSettings(), 0)
 
 
-@given('answers of at most {size:d} bytes')
-def limit_answers(context: Context, size: int) -> None:
+@given('replies of at most {size:d} bytes')
+def limit_replies(context: Context, size: int) -> None:
     _make(context, ReportSettings(most_bytes=size), context.lease_ms)
     for number in (1, 2):
-        context.holder.held_shards.hold(shard(number), 8)
+        context.source.held_shards.hold(shard(number), 8)
 
 
 def _report(
@@ -102,16 +102,16 @@
     *,
     held: tuple[HeldRange, ...] = (),
     released: tuple[ReleasedRange, ...] = (),
-    leaves: bool = False,
+    is_leaving: bool = False,
 ) -> None:
     context.number += 1
     context.last = WorkerReport(
-        worker_id=f'worker-{context.life}',
+        worker_id=f'worker-{context.instance}',
         service='keyed',
-        started_ms=context.life,
+        started_ms=context.instance,
         sequence_number=context.number,
         slots=18,
-        is_leaving=leaves,
+        is_leaving=is_leaving,
         held=held,
         released=released,
     )
@@ -120,7 +120,7 @@
 
 @when('the worker reports')
 def report(context: Context) -> None:
-    if context.holder.lease_until_ms > context.clock.now_ms():
+    if context.source.lease_until_ms > context.clock.now_ms():
         _renew(context)
     _report(context)
 
@@ -131,105 +131,112 @@
     _report(context, held=held)
 
 
-@when('the worker reports that it works on one key of shard {number:d}')
+@when('the worker reports that it still processes one key of shard {number:d}')
 def report_one_key(context: Context, number: int) -> None:
     last = stripes(number)[0].last
     _report(context, held=(HeldRange(KeyRange(last, last), 8),))
 
 
-@when('the lease is cut to {span:d} ms')
-def cut_lease(context: Context, span: int) -> None:
+@when('the lease is shortened to {span:d} ms')
+def shorten_lease(context: Context, span: int) -> None:
     context.lease_ms = span
 
 
 @when('the worker reports that it has released shard {number:d}')
 def report_released(context: Context, number: int) -> None:
-    gone = tuple(ReleasedRange(keys, 'left') for keys in stripes(number))
-    _report(context, released=gone)
+    released = tuple(ReleasedRange(keys, 'left') for keys in stripes(number))
+    _report(context, released=released)
 
 
-@when('another node tells what its worker left of shard {number:d}')
+@when('another node announces the handovers of its worker for shard {number:d}')
 def add_remote_handovers(context: Context, number: int) -> None:
     context.worker.add_remote_handovers(
         ReleasedRange(keys, 'left there') for keys in stripes(number)
     )
 
 
-@then('shard {number:d} is given with what was left there, shard {cold:d} not')
-def check_given_left(context: Context, number: int, cold: int) -> None:
-    left = {row.keys: row.handover for row in context.reply.ranges}
-    assert {left[keys] for keys in stripes(number)} == {'left there'}, left
-    assert {left[keys] for keys in stripes(cold)} == {''}, left
+@then(
+    'shard {number:d} is granted with these handovers and shard {without:d} '
+    'without any'
+)
+def check_granted_handovers(
+    context: Context, number: int, without: int
+) -> None:
+    handovers = {row.keys: row.handover for row in context.reply.ranges}
+    assert {handovers[keys] for keys in stripes(number)} == {'left there'}, (
+        handovers
+    )
+    assert {handovers[keys] for keys in stripes(without)} == {''}, handovers
 
 
-@when('the worker reports that it leaves')
+@when('the worker reports that it is leaving')
 def report_leaving(context: Context) -> None:
-    _report(context, leaves=True)
+    _report(context, is_leaving=True)
 
 
-@when('the worker signs off')
+@when('the worker deregisters')
 def deregister(context: Context) -> None:
-    context.worker.presence.deregister(f'worker-{context.life}')
+    context.worker.presence.deregister(f'worker-{context.instance}')
 
 
-@when('a report of an earlier life comes')
+@when('a report of an earlier instance arrives')
 def report_earlier(context: Context) -> None:
-    life, context.life = context.life, context.life - 1
+    instance, context.instance = context.instance, context.instance - 1
     _report(context)
-    context.life = life
+    context.instance = instance
 
 
-@when('the last report comes once more')
-def report_again(context: Context) -> None:
+@when('the last report arrives again')
+def repeat_last_report(context: Context) -> None:
     context.reply = context.worker.handle_report(context.last)
 
 
-@when('another life of the worker reports')
-def report_new_life(context: Context) -> None:
-    context.life += 1
+@when('a new instance of the worker reports')
+def report_new_instance(context: Context) -> None:
+    context.instance += 1
     context.number = 0
     _report(context)
 
 
-@when('the lease of the node runs out')
-def end_lease(context: Context) -> None:
+@when('the lease of the node expires')
+def expire_lease(context: Context) -> None:
     context.clock.pass_ms(context.lease_ms)
 
 
 @when('{span:d} ms pass')
-def let_pass(context: Context, span: int) -> None:
+def pass_time(context: Context, span: int) -> None:
     context.clock.pass_ms(span)
 
 
-@when('the shard {number:d} is withdrawn')
+@when('shard {number:d} is withdrawn')
 def withdraw(context: Context, number: int) -> None:
     context.worker.withdraw(shard(number))
 
 
-@when('the shard {number:d} is restored')
+@when('shard {number:d} is restored')
 def restore(context: Context, number: int) -> None:
     context.worker.restore(shard(number))
 
 
-@when('the node holds both under higher tokens')
+@when('the node holds both shards with higher tokens')
 def raise_tokens(context: Context) -> None:
     for number in (1, 2):
-        context.holder.held_shards.hold(shard(number), 16)
+        context.source.held_shards.hold(shard(number), 16)
 
 
-@when('the node holds the shard {number:d} too')
-def hold_more(context: Context, number: int) -> None:
-    context.holder.held_shards.hold(shard(number), 8)
+@when('the node also holds shard {number:d}')
+def hold_another(context: Context, number: int) -> None:
+    context.source.held_shards.hold(shard(number), 8)
 
 
-@then('it is to hold the shards "{numbers}" for {span:d} ms')
+@then('it is granted the shards "{numbers}" for {span:d} ms')
 def check_grant(context: Context, numbers: str, span: int) -> None:
     _check_shards(context, numbers)
     assert context.reply.duration_ms == span, context.reply.duration_ms
 
 
-@then('it is to hold the shards ""')
-def check_nothing(context: Context) -> None:
+@then('it is granted the shards ""')
+def check_nothing_granted(context: Context) -> None:
     _check_shards(context, '')
 
 
@@ -241,64 +248,64 @@
     assert found == wanted, found ^ wanted
 
 
-@then('nothing is renewed')
+@then('no grant is renewed')
 def check_not_renewed(context: Context) -> None:
     assert context.reply.ranges is None, context.reply
 
 
-@then('the shard {number:d} is covered')
-@then('the shard {number:d} is still covered')
+@then('shard {number:d} is covered by a grant')
+@then('shard {number:d} is still covered by a grant')
 def check_covered(context: Context, number: int) -> None:
     assert context.worker.covers(shard(number), 8)
     assert not context.worker.covers(shard(number), 7)
 
 
 @then('the shards "{numbers}" need higher tokens')
-def check_spent(context: Context, numbers: str) -> None:
+def check_higher_tokens_needed(context: Context, numbers: str) -> None:
     for number in numbers.split():
-        assert context.holder.held_shards.needs_new_token(shard(int(number)))
+        assert context.source.held_shards.needs_new_token(shard(int(number)))
 
 
-@then('the shard {number:d} lets no more requests in')
+@then('shard {number:d} admits no more requests')
 def check_closed(context: Context, number: int) -> None:
-    assert context.holder.held_shards.acquire(shard(number)) is None
+    assert context.source.held_shards.acquire(shard(number)) is None
     assert not context.worker.covers(shard(number), 8)
 
 
-@then('the shard {number:d} is not released yet')
+@then('shard {number:d} is not released yet')
 def check_not_released(context: Context, number: int) -> None:
     assert not context.worker.is_released(shard(number))
 
 
-@then('the shard {number:d} is released')
+@then('shard {number:d} is released')
 def check_released(context: Context, number: int) -> None:
     assert context.worker.is_released(shard(number))
 
 
-@then('the shard {number:d} is released with what it left')
-def check_left(context: Context, number: int) -> None:
+@then('shard {number:d} is released with its handovers')
+def check_released_with_handovers(context: Context, number: int) -> None:
     check_released(context, number)
-    left = context.worker.handovers(shard(number))
-    assert left == ('left',) * len(stripes(number)), left
+    handovers = context.worker.handovers(shard(number))
+    assert handovers == ('left',) * len(stripes(number)), handovers
 
 
-@then('it may be sent work')
-def check_may(context: Context) -> None:
+@then('it may be sent requests')
+def check_accepts_requests(context: Context) -> None:
     assert context.worker.presence.may_start()
 
 
-@then('it may not be sent work')
-def check_may_not(context: Context) -> None:
+@then('it may not be sent requests')
+def check_accepts_no_requests(context: Context) -> None:
     assert not context.worker.presence.may_start()
 
 
-@then('it is not known to hold nothing')
-def check_not_clear(context: Context) -> None:
+@then('it may still hold keys')
+def check_may_hold_keys(context: Context) -> None:
     assert not context.worker.has_released_all
 
 
-@then('it is known to hold nothing')
-def check_clear(context: Context) -> None:
+@then('it has released all keys')
+def check_released_all(context: Context) -> None:
     assert context.worker.has_released_all
 
 
