--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -1,4 +1,4 @@
-"""The callers behind requests: whether they are still there."""
+"""Detection of callers that disconnect before they are answered."""
 
 import socket
 from collections.abc import Callable, Iterable
@@ -14,9 +14,9 @@
 
 GoneHandler = Callable[[], None]
 
-_POLL_INTERVAL_MS = 150  # between two looks at all connections
+_POLL_INTERVAL_MS = 150  # interval between two polls of all connections
 _select = original('select')
-# An end that is not hidden by bytes before it; nobody has to read them first.
+# Events that report a closed connection even if unread bytes precede the end.
 _CLOSED_EVENTS = (
     _select.POLLRDHUP | _select.POLLHUP | _select.POLLERR | _select.POLLNVAL
 )
@@ -24,7 +24,7 @@
 
 
 def _poll_descriptors(descriptors: Iterable[int]) -> dict[int, int]:
-    """Return what there is to know of descriptors, without waiting."""
+    """Return the pending poll events by descriptor, without blocking."""
     poll = _select.poll()
     for descriptor in descriptors:
         if descriptor >= 0:
@@ -33,9 +33,9 @@
 
 
 class Caller:
-    """One caller whose answer is awaited.
+    """The connection of one caller that waits for an answer.
 
-    A caller that ends its side of the connection counts as gone.
+    A caller that closes its side of the connection counts as gone.
     """
 
     def __init__(
@@ -52,25 +52,26 @@
 
     @property
     def is_gone(self) -> bool:
-        """Tell whether the caller has gone away."""
+        """Return whether the caller has disconnected."""
         return self._is_gone
 
     def set_gone_handler(self, handler: GoneHandler | None) -> None:
-        """Set what is done when the caller goes, in place of the last.
+        """Set the function to call when the caller disconnects, or None.
 
-        It is done at once if the caller has gone already.
+        It replaces the previous one, and is called immediately if the caller
+        has already disconnected.
         """
         self._gone_handler = handler
         if self._is_gone and handler is not None:
             attempt(handler)
 
     def stop_monitoring(self) -> None:
-        """Watch no longer."""
+        """Stop monitoring the connection and remove the handler."""
         self._gone_handler = None
         self._monitor.unregister(self)
 
     def poll(self) -> bool:
-        """Look at the connection now; tell whether the caller has gone."""
+        """Poll the connection now; return whether the caller has gone."""
         if not self._is_gone:
             descriptor = self._socket.fileno()
             poll_events = _poll_descriptors((descriptor,)).get(descriptor, 0)
@@ -80,7 +81,7 @@
         return self._is_gone
 
     def handle_events(self, poll_events: int) -> None:
-        """Take in what the system says of the connection."""
+        """Process the poll events of the connection."""
         self._is_gone = bool(poll_events & _CLOSED_EVENTS) or (
             bool(poll_events) and self._is_at_eof()
         )
@@ -109,23 +110,23 @@
 
 
 class CallerMonitor:
-    """Looks at the connections of all awaited callers together.
+    """Polls the connections of all callers that wait for an answer.
 
-    A task or a registration for each request would cost more than one look
-    at all of them now and then.
+    A task or a hub listener for each request would cost more than one periodic
+    poll of all connections.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._registered: dict[int, Caller] = {}
-        self.last_poll_ms = 0  # when all were looked at last
+        self.last_poll_ms = 0  # time of the last poll of all connections
         self._is_polling = False
 
     def register(self, sock: Any, request_id: str = '') -> Caller:
-        """Return the caller behind a connection, looked at from now on."""
+        """Return the caller of a connection, monitored from now on."""
         caller = Caller(sock, self, request_id, self._clock)
         if caller.descriptor < 0:
-            caller.poll()  # its connection is closed already
+            caller.poll()  # the connection is already closed
             return caller
         self._registered[caller.descriptor] = caller
         if not self._is_polling:
@@ -134,7 +135,7 @@
         return caller
 
     def unregister(self, caller: Caller) -> None:
-        """Look at a caller no longer."""
+        """Stop polling the connection of a caller."""
         if self._registered.get(caller.descriptor) is caller:
             self._registered.pop(caller.descriptor)
 
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -1,4 +1,4 @@
-"""How callers speak with the door, and how it answers them."""
+"""HTTP conventions between callers and the ingress."""
 
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProblemAnswer:
-    """An answer of the door's own."""
+    """An answer that the ingress itself gives, without a worker."""
 
     status: str
     headers: HeaderList
@@ -33,7 +33,7 @@
 
 
 class CallerInterface(Protocol):
-    """What callers send, and what they are answered."""
+    """Parsing of callers' requests, and formatting of their answers."""
 
     def request_id(self, environ: Environ) -> str:
         """Return the id of a request, the caller's own if it gave one."""
@@ -53,7 +53,7 @@
 
 
 class NativeCallerInterface:
-    """The project's own paths, headers and problems."""
+    """The project's own paths, headers and problem+json answers."""
 
     def request_id(self, environ: Environ) -> str:
         """Return the id of a request, the caller's own if it gave one."""
@@ -78,15 +78,15 @@
 
     def answer_headers(self, head: Answer, request_id: str) -> HeaderList:
         """Return the headers of a worker's answer as the caller gets them."""
-        forwarded = [
+        kept = [
             (name, text)
             for name, text in end_to_end_headers(head.headers)
             if name.lower() != REQUEST_HEADER.lower()
         ]
-        return [*forwarded, (REQUEST_HEADER, request_id)]
+        return [*kept, (REQUEST_HEADER, request_id)]
 
 
 def send_problem(problem: ProblemAnswer, start_response: Any) -> tuple[bytes]:
-    """Answer a request with a refusal."""
+    """Send a problem answer to the caller."""
     start_response(problem.status, problem.headers)
     return (problem.content,)
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -1,8 +1,8 @@
-"""One connection of a caller: heads of requests in, answers out.
+"""HTTP/1.1 on the connection of one caller.
 
-Eventlet's server accepts connections and frames bodies.  Heads are read and
-answers are written here: the general parser of the standard library takes
-longer than all else that a request costs at the door.
+Eventlet's server accepts connections and frames request bodies.  This module
+parses request heads and writes answers: the general parser of the standard
+library takes longer than all other work that the ingress does for a request.
 """
 
 import os
@@ -35,9 +35,10 @@
     status_line,
 )
 
-CLOSE_KEY = 'laburnumwood.close'  # in the environment: ends with this answer
-HEADERS_KEY = 'laburnumwood.headers'  # in the environment: a `HeaderIndex`
-REQUEST_ID_KEY = 'laburnumwood.request'  # in the environment, once it is known
+# Keys of the WSGI environment.
+CLOSE_KEY = 'laburnumwood.close'  # function: close after this answer
+HEADERS_KEY = 'laburnumwood.headers'  # the `HeaderIndex` of the request
+REQUEST_ID_KEY = 'laburnumwood.request'  # request id, once it is known
 
 _REQUEST_LINE = re.compile(r'(\S+) (\S+) (HTTP/1\.[01])\r?\n')
 _HEADER_LINE = re.compile(
@@ -50,14 +51,14 @@
 )
 _LENGTH_PATTERN = re.compile('[0-9]{1,18}')
 _DRAIN_TIMEOUT_S = 0.5
-_MAX_DRAIN_BYTES = 1_048_576  # bytes that are read and dropped at the most
+_MAX_DRAIN_BYTES = 1_048_576  # most unread bytes to discard
 _CONTINUE_LINE = b'HTTP/1.1 100 Continue\r\n'
 _BODYLESS_STATUSES = frozenset(('204', '304'))
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
 def _framing_error(headers: HeaderIndex) -> str:
-    """Return why the length of a body is not certain, or nothing."""
+    """Return why the length of a body is ambiguous, or an empty text."""
     lengths = headers.all('content-length')
     encodings = headers.all('transfer-encoding')
     if lengths and encodings:
@@ -72,7 +73,7 @@
 
 
 def reset_connection(sock: Any) -> None:
-    """Reset a connection: a mere shutdown would end it cleanly."""
+    """Close a connection with a TCP reset instead of an orderly end."""
     with suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
         descriptor = sock.detach()
@@ -81,11 +82,11 @@
 
 
 class _CallerLostError(Exception):
-    """The connection of the caller ended under its answer."""
+    """The connection of the caller ended while its answer was sent."""
 
 
 class _AnswerWriter:
-    """Writes one answer; its head leaves together with the first bytes."""
+    """Writes one answer; its head is sent with the first part of the body."""
 
     def __init__(self, protocol: 'CallerProtocol') -> None:
         self._protocol = protocol
@@ -97,7 +98,7 @@
     def start(
         self, status: str, headers: list[Header], _failed: Any = None
     ) -> Callable[[bytes], None]:
-        """Take in status and headers, as WSGI asks for."""
+        """Set status and headers: the `start_response` of WSGI."""
         protocol = self._protocol
         code = status[:3]
         self._has_body = (
@@ -121,12 +122,12 @@
         return self.write
 
     def write(self, content: bytes) -> None:
-        """Send a part of the body."""
+        """Send a part of the body; the first call also sends the head."""
         if content:
             self._send(self._frame(content))
 
     def finish(self) -> None:
-        """Send what is left after the last part."""
+        """Send the last chunk, or the head if the body is empty."""
         if self._is_chunked:
             self._send(b'0\r\n\r\n')
         elif not self.has_started:
@@ -152,10 +153,10 @@
 
 
 class CallerProtocol(wsgi.HttpProtocol):
-    """Answers what can't be read as a request with a problem."""
+    """Answers a request that can't be parsed with a problem."""
 
     def parse_request(self) -> bool:
-        """Read the head of a request; tell whether it can be served."""
+        """Parse the head of a request; return whether it can be served."""
         try:
             self.read_head()
         except _TOO_LARGE_ERRORS:
@@ -170,7 +171,7 @@
         return True
 
     def read_head(self) -> None:
-        """Read line and headers of a request; raises `HeadError`."""
+        """Read request line and headers of a request; raises `HeadError`."""
         request_line = self.raw_requestline.decode('latin1')
         match = _REQUEST_LINE.fullmatch(request_line)
         if match is None:
@@ -216,7 +217,7 @@
         }
 
     def handle_one_response(self) -> None:
-        """Let the application answer a request."""
+        """Call the application and write its answer."""
         answer = _AnswerWriter(self)
         body = self.environ['wsgi.input']
         parts: Iterable[bytes] = ()
@@ -265,7 +266,7 @@
                 answer.finish()
 
     def _discard_unread_body(self, body: wsgi.Input) -> None:
-        """Read what the application left of a body, or end the connection."""
+        """Discard the unread rest of a body, or close the connection."""
         if body.should_send_hundred_continue:
             self.close_connection = True
         unread = body.chunked_input or body.position < body.content_length
@@ -282,7 +283,7 @@
     def _read_request_line(self) -> bytes:
         request_line: bytes = super()._read_request_line()
         if self.conn_state[2] == wsgi.STATE_CLOSE:
-            # Closed while it was idle: no answer could be sent any more.
+            # Closed while it was idle: an answer could no longer be sent.
             return b''
         if request_line and len(request_line) >= self.server.url_length_limit:
             self._refuse('target-too-long', 'the request line')
@@ -306,8 +307,8 @@
         return False
 
     def _drain(self) -> None:
-        # What is left unread at the close would reset the connection before
-        # the caller has read its answer.
+        # Closing with unread bytes would reset the connection before the caller
+        # has read its answer.
         self.request.shutdown(socket.SHUT_WR)
         remaining = _MAX_DRAIN_BYTES
         with Timeout(_DRAIN_TIMEOUT_S, exception=False):
--- a/laburnumwood/routing/caller_request.py
+++ b/laburnumwood/routing/caller_request.py
@@ -4,14 +4,12 @@
 
 from laburnumwood.protocol.messages import Work
 
-UNLIMITED_ATTEMPTS = (
-    1_000  # of workers: the deadline and the retry budget bound it
-)
+UNLIMITED_ATTEMPTS = 1_000  # in effect: deadline and retry budget end it
 
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """A request, its whole body, and to how many workers it may be sent."""
+    """A request, its whole body, and the most workers it may be sent to."""
 
     work: Work
     body: bytes
--- a/laburnumwood/routing/door.py
+++ b/laburnumwood/routing/door.py
@@ -1,4 +1,4 @@
-"""The door: where callers' HTTP requests come in."""
+"""The ingress: accepts HTTP requests of callers."""
 
 from collections.abc import Callable, Iterable, Iterator
 
@@ -21,7 +21,8 @@
 class Ingress:
     """A WSGI application that routes every request to its owner.
 
-    `face` tells how callers speak, `declared` what is declared now.
+    `caller_interface` parses requests and formats answers;
+    `get_declarations` returns the declarations in force.
     """
 
     def __init__(
@@ -32,32 +33,34 @@
         clock: Clock,
     ) -> None:
         self._router = router
-        self._face = caller_interface
+        self._caller_interface = caller_interface
         self._get_declarations = get_declarations
         self._callers = CallerMonitor(clock)
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer one request."""
-        request_id = self._face.request_id(environ)
+        """Route one request and return the parts of its answer."""
+        request_id = self._caller_interface.request_id(environ)
         environ[REQUEST_ID_KEY] = request_id
         try:
-            inquiry = self._face.read_request(
+            inquiry = self._caller_interface.read_request(
                 environ, self._get_declarations(), request_id
             )
         except RequestRefusedError as error:
             close_after_answer(environ)
-            problem = self._face.problem_answer(error.failure, request_id)
+            problem = self._caller_interface.problem_answer(
+                error.failure, request_id
+            )
             return send_problem(problem, start_response)
         sock = environ['eventlet.input'].get_socket()
         caller = self._callers.register(sock, request_id)
         answer = self._router.send(inquiry, caller)
         if isinstance(answer, Failure):
             caller.stop_monitoring()
-            problem = self._face.problem_answer(answer, request_id)
+            problem = self._caller_interface.problem_answer(answer, request_id)
             return send_problem(problem, start_response)
-        headers = self._face.answer_headers(answer.head, request_id)
+        headers = self._caller_interface.answer_headers(answer.head, request_id)
         start_response(status_line(answer.head.status), headers)
         return _stream(environ, answer, caller)
 
--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -1,4 +1,7 @@
-"""Exchanges between a door and a gate, over a link or inside one node."""
+"""Exchanges of messages between an ingress and an admission gate.
+
+They run over a link between two nodes, or inside one node.
+"""
 
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -6,11 +9,11 @@
 from laburnumwood.errors import LinkError
 from laburnumwood.protocol.streams import Stream
 
-MAX_INLINE_BODY_BYTES = 131_072  # bytes of a body that goes with its head
+MAX_INLINE_BODY_BYTES = 131_072  # a longer body follows in chunks
 
 
 class Exchange(Protocol):
-    """What door and gate need of a stream."""
+    """The operations on a stream that ingress and gate need."""
 
     def send(self, message: Any) -> None:
         """Send a message; raises `LinkLostError`."""
@@ -19,21 +22,21 @@
         """Return the next message; raises a `LinkError`."""
 
     def when_message(self, handler: Callable[[], None] | None) -> None:
-        """Set what is done at the next message or when the link ends."""
+        """Set the function to call at the next message or link end."""
 
     def close(self) -> None:
-        """End the exchange on this side."""
+        """Close this side of the exchange."""
 
 
 class OutgoingExchange(Exchange, Protocol):
-    """What a door needs of a stream."""
+    """The operations on a stream that the ingress needs."""
 
     def fail(self, reason: LinkError) -> None:
-        """Let all that waits on the stream fail."""
+        """Raise `reason` in every task that waits on the stream."""
 
 
 class ExchangeWrapper:
-    """Passes everything on to another exchange; subclasses look at it."""
+    """Forwards all calls to another exchange; base class of observers."""
 
     def __init__(self, exchange: Exchange) -> None:
         self._exchange = exchange
@@ -47,31 +50,31 @@
         return self._exchange.receive(timeout_ms)
 
     def when_message(self, handler: Callable[[], None] | None) -> None:
-        """Set what is done at the next message or when the link ends."""
+        """Set the function to call at the next message or link end."""
         self._exchange.when_message(handler)
 
     def close(self) -> None:
-        """End the exchange on this side."""
+        """Close this side of the exchange."""
         self._exchange.close()
 
 
 class _LocalTransport:
-    """Delivers what one stream of a pair sends to the other."""
+    """Delivers the messages of one stream of a pair to the other."""
 
     def __init__(self) -> None:
         self.other: Stream | None = None
 
     def send(self, _stream: int, message: Any) -> None:
-        """Deliver a message."""
+        """Deliver a message to the other stream."""
         if self.other is not None:
             self.other.deliver(message)
 
     def forget(self, _stream: int) -> None:
-        """Do nothing: the pair ends with its tasks."""
+        """Do nothing: a local stream has no registration to remove."""
 
 
 def local_pair() -> tuple[Stream, Stream]:
-    """Return two streams joined to each other without a connection."""
+    """Return two connected streams that need no network connection."""
     first_transport, second_transport = _LocalTransport(), _LocalTransport()
     first, second = Stream(0, first_transport), Stream(0, second_transport)
     first_transport.other, second_transport.other = second, first
--- a/laburnumwood/routing/headers.py
+++ b/laburnumwood/routing/headers.py
@@ -1,4 +1,4 @@
-"""Which headers pass from hop to hop."""
+"""Selection of the headers to forward."""
 
 from collections.abc import Iterable, Set
 
@@ -26,7 +26,7 @@
 def _forwarded(
     headers: tuple[Header, ...], removed_names: frozenset[str]
 ) -> list[tuple[str, Header]]:
-    """Return the headers that stay, each after its name in lower case."""
+    """Return the headers to keep, each after its name in lower case."""
     by_name = [(header[0].lower(), header) for header in headers]
     removed: Set[str] = removed_names
     if any(lower_name == _CONNECTION for lower_name, _ in by_name):
@@ -35,14 +35,15 @@
 
 
 def end_to_end_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
-    """Return the headers that are not meant for one connection only."""
+    """Return the headers without those that concern one connection only."""
     return tuple(header for _, header in _forwarded(headers, _HOP_BY_HOP))
 
 
 def forwarded_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
-    """Return the headers of a caller's request that its worker gets.
+    """Return the headers of a caller's request to forward to the worker.
 
-    Names and duplicates are kept; what only the router may say is dropped.
+    Case of names and duplicates are kept; headers with the reserved prefix,
+    which only the router may set, are removed.
     """
     return tuple(
         header
@@ -52,6 +53,6 @@
 
 
 def header_values(headers: Iterable[Header], name: str) -> list[str]:
-    """Return every value of a header."""
+    """Return all values of a header, whatever the case of its name."""
     lower_name = name.lower()
     return [text for name, text in headers if name.lower() == lower_name]
--- a/laburnumwood/routing/measuring.py
+++ b/laburnumwood/routing/measuring.py
@@ -1,4 +1,4 @@
-"""Measurements at the door."""
+"""Metrics of the ingress."""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -20,7 +20,7 @@
 
 
 class MeasuredIngress:
-    """A door that counts its answers and how long they took."""
+    """An ingress that measures the number and latency of its answers."""
 
     def __init__(
         self,
@@ -37,7 +37,7 @@
         self._served_counts: Counter[str] = Counter()
 
     def report_served(self) -> None:
-        """Log the sums of answers now and then; does not return."""
+        """Log the number of answers every five seconds; does not return."""
         while True:
             eventlet.sleep(_REPORT_INTERVAL_MS / MS_PER_SECOND)
             counts, self._served_counts = self._served_counts, Counter()
@@ -47,7 +47,7 @@
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer one request."""
+        """Answer one request and record its status and latency."""
         service = environ['PATH_INFO'].partition('/')[2].partition('/')[0]
         if service not in self._get_declarations().services:
             service = _UNDECLARED_SERVICE
--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -1,4 +1,4 @@
-"""How a worker is spoken to, and what its answers mean."""
+"""HTTP conventions between a node and its worker."""
 
 from typing import Protocol
 
@@ -15,29 +15,32 @@
 
 
 class WorkerInterface(Protocol):
-    """The headers of requests to a worker, and the reading of its answers."""
+    """Headers of requests to a worker, and interpretation of its answers."""
 
     def headers(self, run: Run, left_ms: int) -> Headers:
-        """Return the headers of a request with so much time left."""
+        """Return the headers of a request that has `left_ms` to run."""
 
     def may_refuse(self, answer: WorkerAnswer) -> bool:
-        """Tell whether an answer may say that the request did not run."""
+        """Return whether an answer may say that the request did not run."""
 
     def refusal(self, answer: WorkerAnswer, body: bytes) -> str | None:
-        """Return the kind of problem if a request did not run, else None."""
+        """Return the problem kind if the request did not run, else None."""
 
     def check(self, run: Run, answer: WorkerAnswer) -> None:
-        """Raise `WorkerCutError` if an answer is not that to a request."""
+        """Raise `WorkerCutError` if an answer belongs to another request."""
 
     def cancel(self, worker: Worker, run: Run) -> bool:
-        """Stop the work of a request; False if only a closed connection can."""
+        """Ask the worker to stop a request.
+
+        Returns False if only closing its connection stops it.
+        """
 
 
 class NativeWorkerInterface:
-    """The project's own headers, refusals and cancellation."""
+    """The `Laburnumwood-*` headers, error bodies and cancel call."""
 
     def headers(self, run: Run, left_ms: int) -> Headers:
-        """Return the headers of a request with so much time left."""
+        """Return the headers of a request that has `left_ms` to run."""
         work = run.work
         own = [
             ('Laburnumwood-Service', work.service),
@@ -51,20 +54,20 @@
         return (*work.headers, *own)
 
     def may_refuse(self, answer: WorkerAnswer) -> bool:
-        """Tell whether an answer may say that the request did not run."""
+        """Return whether an answer may say that the request did not run."""
         return may_be_refusal(answer)
 
     def refusal(self, answer: WorkerAnswer, body: bytes) -> str | None:
-        """Return the kind of problem if a request did not run, else None."""
+        """Return the problem kind if the request did not run, else None."""
         reason = parse_refusal(answer, body)
         if reason is None:
             return None
         return NOT_OWNER if reason == FENCED else REFUSED
 
     def check(self, run: Run, answer: WorkerAnswer) -> None:
-        """Accept every answer: connections are never shared by requests."""
+        """Accept every answer: a connection carries one request at a time."""
 
     def cancel(self, worker: Worker, run: Run) -> bool:
-        """Ask the worker to stop the work of a request."""
+        """Call the cancel path of the worker; always returns True."""
         worker.cancel(run.work.request_id)
         return True
