--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -1,4 +1,4 @@
-"""The gate: the only way to the worker beside a node."""
+"""The admission gate: every request to the worker of a node passes it."""
 
 from collections.abc import Callable, Mapping
 from contextlib import AbstractContextManager, suppress
@@ -50,40 +50,41 @@
 
 
 class BusySlotCounter(Protocol):
-    """Counts what each owner's capacity carries."""
+    """Counts the busy slots of each capacity owner."""
 
     def busy(self, service: str) -> AbstractContextManager[None]:
-        """Count a slot as busy for a service."""
+        """Count one slot as busy for a service while the context is open."""
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerState:
-    """Whether the worker takes requests now, and how many at once."""
+    """Whether the worker accepts requests now, and its number of slots."""
 
     accepts_requests: Callable[[], bool]
     slots: SlotCount
 
 
 class ShardDirectory(Protocol):
-    """The records of shards that this node knows."""
+    """Access to the shard records that are known to this node."""
 
     def shard_records(self, service: str) -> RecordsByNumber:
-        """Return the records of a service's shards by their numbers."""
+        """Return the shard records of a service by shard number."""
 
     def shard(self, shard: ShardName) -> VersionedRecord[ShardRecord] | None:
-        """Return the record of a shard with its version."""
+        """Return the record of a shard with its version, None if unknown."""
 
 
-_GRANT_DELAY_TOLERANCE_MS = 150  # by which a grant may come later than expected
-_REFUSAL_RESERVE_MS = (
-    60  # kept of the time left, to say that a request did not run
-)
+_GRANT_DELAY_TOLERANCE_MS = 150  # how late a grant may arrive
+# Part of the remaining time that is reserved to answer that a request did not
+# run.
+_REFUSAL_RESERVE_MS = 60
 
 
 def receive_body(exchange: Exchange, work: Work) -> bytes:
-    """Return the whole body of a request, which may follow on its exchange.
+    """Return the whole body of a request.
 
-    Raises `LinkError` if it is cut short.
+    A body that did not come with the request is received in chunks from the
+    exchange.  Raises `LinkError` if it is incomplete.
     """
     if work.is_whole:
         return work.body
@@ -95,12 +96,12 @@
         elif isinstance(message, End):
             return _checked_body(b''.join(parts), message.length)
         else:
-            raise LinkError('the body was given up')
+            raise LinkError('the sender aborted the body')
 
 
 def _checked_body(body: bytes, length: int) -> bytes:
     if len(body) != length:
-        raise LinkError('the body is not whole')
+        raise LinkError('the body length differs from the announced length')
     return body
 
 
@@ -109,7 +110,11 @@
 
 
 class AdmissionGate:
-    """Lets a request through to the worker while this node may act for it."""
+    """Admits requests to the worker while this node owns their shards.
+
+    A request waits for a slot, and for a grant of its shard if one is due
+    soon.
+    """
 
     def __init__(
         self,
@@ -147,20 +152,20 @@
 
     @property
     def running(self) -> int:
-        """Return how many requests run, or have answers that still leave."""
+        """Return the number of requests that run or are still answered."""
         return self._admitter.running + self._admitter.responding
 
     @property
     def waiting(self) -> int:
-        """Return how many requests wait to be let in."""
+        """Return the number of requests that wait for a slot."""
         return self._admitter.waiting
 
     def set_reported_running(self, reported: int) -> None:
-        """Take in how many requests the worker says it runs."""
+        """Set how many requests the worker reports to run."""
         self._admitter.record_load_report(reported)
 
     def report_load(self) -> None:
-        """Log what this gate carried and sent away since it told last."""
+        """Log the requests admitted and shed since the last report."""
         counts = self._admitter.counters.collect()
         if counts.is_empty:
             return
@@ -175,12 +180,12 @@
         )
 
     def close(self) -> None:
-        """Send back what comes from now on; what was let in goes on."""
+        """Return all further requests; those already admitted continue."""
         self._is_closed = True
 
     def serve(self, exchange: Exchange, work: Work) -> None:
         """Answer one request on its exchange."""
-        # After a link error nobody is left to be told.
+        # After a link error there is no peer left to answer.
         with suppress(LinkError):
             try:
                 self._serve_in_shard(exchange, work)
@@ -208,7 +213,7 @@
     def _return_request(
         self, exchange: Exchange, work: Work, failure: Failure
     ) -> None:
-        """Send a request back that did not run, and log why."""
+        """Answer that a request did not run, and log the reason."""
         self._report_returned(work, failure)
         exchange.send(failure)
 
@@ -300,7 +305,7 @@
         except RunCancelledError:
             self._report_cancelled(work)
         except OverloadedError as overload:
-            # What does not fit on this worker is load all the same.
+            # A shed request counts as load, too: it shows missing capacity.
             self._meter.record(
                 work.shard, work.key, self._admitter.mean_slot_ms
             )
@@ -313,7 +318,7 @@
             self._meter.record(work.shard, work.key, busy_ms)
 
     def _release_slot(self, ticket: Ticket, rank: int, length: int) -> None:
-        """Give the slot of a request back whose whole answer is here."""
+        """Release the slot of a request whose answer has been read whole."""
         self._answer_delays.record(rank, length)
         self._admitter.release_slot(ticket)
 
@@ -327,16 +332,22 @@
         exchange.send(make_failure('not-owner', detail, ran=False))
 
     def _is_key_in_shard(self, work: Work) -> bool:
-        """Tell whether a key was not split off the shard it was sent to."""
+        """Return whether the key still belongs to the requested shard.
+
+        A split may have moved it to another shard.
+        """
         return self._current_shard(work) == work.shard
 
     def _current_shard(self, work: Work) -> int:
-        """Return the number of the shard that has a request's key now."""
+        """Return the number of the shard that the key belongs to now."""
         records = self._directory.shard_records(work.service)
         return locate_text_key(work.key, work.shard, records)
 
     def _send_shard_records(self, exchange: Exchange, work: Work) -> None:
-        """Tell a door that has missed a move or a split who owns the key."""
+        """Send an ingress the shard records that it has missed.
+
+        They show a move or a split, and with it the owner of the key.
+        """
         for number in sorted({work.shard, self._current_shard(work)}):
             shard = ShardName(work.service, number)
             entry = self._directory.shard(shard)
@@ -352,9 +363,10 @@
         return left_ms > guard_ms and self._grants.covers(shard, run.token)
 
     def _obtain_grant(self, shard: ShardName, run: Run, wait_ms: int) -> bool:
-        """Wait for a grant that comes early enough; tell whether it did.
+        """Wait for a grant of the shard; return whether there is one.
 
-        There must be time left to run the request after it.
+        Returns False at once if the time left after the expected grant is too
+        short to run the request.
         """
         if self._grants.covers(shard, run.token):
             return True
--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -1,4 +1,4 @@
-"""The run ledger: which requests with an idempotency key have run."""
+"""The run ledger: records of requests that have an idempotency key."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -8,13 +8,13 @@
 from laburnumwood.protocol.messages import Answer, LedgerEntry
 from laburnumwood.records import ShardName, ShardRecord
 
-RETENTION_MS = 600_000  # how long a resend is recognized
-MAX_ENTRIES = 50_000  # entries of a node
-MAX_KEPT_BODY_BYTES = 4_096  # bytes of an answer that is kept
+RETENTION_MS = 600_000  # how long a resent request is recognized
+MAX_ENTRIES = 50_000  # of all shards of a node
+MAX_KEPT_BODY_BYTES = 4_096  # the answer is not kept if its body is longer
 
 
 class RunState(IntEnum):
-    """How far a request has come."""
+    """Progress of a request, in this order; sent to other nodes by name."""
 
     NOTED = 0
     RAN = 1
@@ -23,7 +23,7 @@
 
 
 class LedgerDecision(Enum):
-    """What the owner does with a request that has an idempotency key."""
+    """Decision of the owner about a request with an idempotency key."""
 
     FRESH = 'it is noted now and may run'
     RUNNING = 'it runs at this moment'
@@ -46,12 +46,13 @@
 
 
 class RunLedger:
-    """The ledger of one node, for shards that it owns or may come to own.
+    """The run ledger of one node, for shards that it owns or may own later.
 
-    `knows_past` tells whether it has every entry of a shard.  A node has them
-    after the owner under an epoch sent it all of them, for as long as it
-    stands in every later record: an owner runs nothing before each node of
-    its succession has acknowledged the entry.
+    `has_full_history` returns whether the ledger has every entry of a shard.
+    That is so once the owner in some epoch has sent all its entries, and for
+    as long as this node is in the succession of every later record: an owner
+    runs no request before each node of its succession has acknowledged the
+    entry.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -66,7 +67,10 @@
     def admit(
         self, shard: ShardName, key: str, fingerprint: str, record: ShardRecord
     ) -> LedgerDecision:
-        """Decide on a request under the record that its owner acts under."""
+        """Decide whether a request may run, and record it if so.
+
+        `record` is the shard record under which this node is the owner.
+        """
         entry = self._find(shard, key)
         if entry is not None:
             return _verdict(entry, fingerprint)
@@ -92,30 +96,30 @@
     def record_result(
         self, shard: ShardName, key: str, head: Answer | None, body: bytes
     ) -> None:
-        """Note that a request ran; with its answer if that is to be kept."""
+        """Record that a request ran, with its answer unless `head` is None."""
         entry = self._shards[shard][key]
         entry.is_running = False
         entry.state = RunState.RAN if head is None else RunState.ANSWERED
         entry.head, entry.body = head, body
 
     def remove(self, shard: ShardName, key: str) -> None:
-        """Drop a request of which it is proved that it did not run."""
+        """Remove the entry of a request that provably did not run."""
         if self._shards.get(shard, {}).pop(key, None) is not None:
             self._count -= 1
 
     def kept_answer(
         self, shard: ShardName, key: str
     ) -> tuple[Answer | None, bytes]:
-        """Return the answer that is kept for a request."""
+        """Return the kept answer to a request: head and body."""
         entry = self._shards[shard][key]
         return entry.head, entry.body
 
     def entry(self, shard: ShardName, key: str) -> LedgerEntry:
-        """Return the entry of a request as it is told to other nodes."""
+        """Return the entry of a request in the form sent to other nodes."""
         return self._to_message(key, self._shards[shard][key])
 
     def entries(self, shard: ShardName) -> tuple[LedgerEntry, ...]:
-        """Return all entries of a shard as they are told to other nodes."""
+        """Return all entries of a shard in the form sent to other nodes."""
         self._evict_expired(shard)
         entries = self._shards.get(shard, {})
         return tuple(
@@ -123,7 +127,7 @@
         )
 
     def merge(self, shard: ShardName, entries: Iterable[LedgerEntry]) -> bool:
-        """Take in entries of another node; tell whether there was room."""
+        """Merge entries of another node; return False if the ledger is full."""
         for message in entries:
             if not self._has_room():
                 return False
@@ -131,21 +135,25 @@
         return True
 
     def record_complete(self, shard: ShardName, epoch: int) -> None:
-        """Note that all entries of the owner under an epoch are here."""
+        """Record that the ledger has all entries of the owner in an epoch."""
         known_epoch = self._complete_epochs.get(shard, 0)
         self._complete_epochs[shard] = max(known_epoch, epoch)
 
     def record_handover(
         self, shard: ShardName, epoch: int, sender: str
     ) -> None:
-        """Note that an owner handed all entries over before it moves."""
+        """Record that `sender` handed over all entries of an epoch.
+
+        An owner does so before it moves the shard to another node.
+        """
         self._handovers[shard] = (epoch, sender)
 
     def apply_record(self, shard: ShardName, record: ShardRecord) -> bool:
-        """Take in a record that this node stands in.
+        """Apply a shard record whose succession contains this node.
 
-        Tells whether the node has every entry, and then will have those of
-        this record too, since nothing runs under it that it has not noted.
+        Returns whether the ledger has every earlier entry.  If so, it will
+        also have all entries under this record, since no request runs under
+        it before this node has acknowledged the entry.
         """
         previous_epoch = record.epoch - 1
         writer = record.mark.writer if record.mark else ''
@@ -159,7 +167,11 @@
         return False
 
     def has_full_history(self, shard: ShardName, record: ShardRecord) -> bool:
-        """Tell whether the owner under a record has all earlier entries."""
+        """Return whether the owner under a record has all earlier entries.
+
+        That is also so once the retention has passed: older entries would
+        have expired.
+        """
         if self.apply_record(shard, record):
             return True
         if self._has_passed_retention(shard):
--- a/laburnumwood/routing/notary.py
+++ b/laburnumwood/routing/notary.py
@@ -1,4 +1,4 @@
-"""Keeping of the run ledger at an owner and at its successors."""
+"""Replication of the run ledger from an owner to its successors."""
 
 from dataclasses import replace
 
@@ -32,7 +32,7 @@
 
 _ACKNOWLEDGE_TIMEOUT_MS = 500
 _SYNC_INTERVAL_MS = 200
-_ENTRIES_PER_MESSAGE = 200  # entries in one message
+_ENTRIES_PER_MESSAGE = 200
 _ABORTED_STATUSES = frozenset(
     (499, 503, 504)
 )  # answers of work that was broken off
@@ -61,10 +61,10 @@
 
 
 class LedgerReplicator:
-    """Lets a request with an idempotency key run once.
+    """Makes a request with an idempotency key run at most once.
 
-    The worker gets it only after every successor that is not sealed has
-    acknowledged its entry.
+    A request is sent to the worker only after every successor that is not
+    sealed has acknowledged its ledger entry.
     """
 
     def __init__(
@@ -86,7 +86,11 @@
         view.directory.on_shard_change = self._apply_record
 
     def admit(self, run: Run) -> Failure | tuple[Answer, bytes] | None:
-        """Note a request; return what to answer in place of running it."""
+        """Record a request on this node and on all successors.
+
+        Returns None if it may run, else the failure or the kept answer to
+        send without running it.
+        """
         shard, key = _shard_of(run.work), run.work.idempotency_key
         entry = self._view.directory.shard(shard)
         if entry is None:
@@ -104,7 +108,7 @@
         return make_failure('no-successor', f'{shard}: not noted', ran=False)
 
     def record_outcome(self, run: Run, outcome: RunResult | None) -> None:
-        """Note how the run of an admitted request ended."""
+        """Record how the run of an admitted request ended."""
         shard, key = _shard_of(run.work), run.work.idempotency_key
         if outcome is not None and not outcome.ran:
             self._remove(shard, key)
@@ -116,15 +120,16 @@
     def hand_over(
         self, shard: ShardName, succession: tuple[NodeName, ...]
     ) -> bool:
-        """Send all entries of a closed shard to those who follow.
+        """Send all entries of a closed shard to its next succession.
 
-        Tells whether the next owner has them; the move must not go on else.
+        Returns whether the next owner has them; if not, the move must not
+        continue.
         """
         entry = self._view.directory.shard(shard)
         if entry is None or not self._ledger.has_full_history(
             shard, entry.record
         ):
-            # Nobody may take what this node does not know for the whole.
+            # An incomplete history must not be handed over as a complete one.
             return entry is not None
         successors = [name for name in succession if name != self._own]
         epoch = entry.record.epoch
@@ -136,7 +141,7 @@
         return not acknowledged or acknowledged[0]
 
     def run(self) -> None:
-        """Keep the successors of all shards supplied; does not return."""
+        """Send all entries to new successors periodically; does not return."""
         while True:
             for shard in self._held_shards.tokens():
                 entry = self._view.directory.shard(shard)
@@ -165,7 +170,7 @@
             begin(self._replicate_to, name, shard, record.epoch, entries)
             for name in self._successors(record)
         ]
-        # Each is waited for, whatever the others said.
+        # Every call is awaited, whatever the others returned.
         acknowledged = [task.wait() for task in tasks]
         return all(acknowledged)
 
--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -1,4 +1,4 @@
-"""What admission learns from the answers that pass the gate."""
+"""Observation of answers at the gate, for admission control."""
 
 from collections import defaultdict
 from collections.abc import Callable
@@ -24,7 +24,7 @@
 
 
 class LongAnswerDelays:
-    """How long the answers to requests of a rank wait for their turn."""
+    """Estimate of how long answers wait for the outlet, by rank."""
 
     def __init__(self, outlet: Outlet, clock: Clock) -> None:
         self._outlet = outlet
@@ -33,21 +33,21 @@
         )
 
     def record(self, rank: int, length: int) -> None:
-        """Take in how long an answer was."""
+        """Record the length of an answer in bytes."""
         self._mean_lengths[rank].note(length)
 
     def expected_wait_ms(self, rank: int) -> int:
-        """Return how long an answer would wait, if it is a long one."""
+        """Return the expected wait of an answer in ms; 0 for short ones."""
         if self._mean_lengths[rank].mean < LONG:
             return 0
         return round(self._outlet.waiting_ms)
 
 
 class ObservedExchange(ExchangeWrapper):
-    """An exchange that notes on a ticket how its request went.
+    """An exchange that records the result of its request on the ticket.
 
-    `when_whole` is called with the length of an answer once the worker has
-    nothing more to do for it.
+    `on_whole_answer` is called with the length of an answer once the worker
+    has finished it.
     """
 
     def __init__(
@@ -55,10 +55,10 @@
         exchange: Exchange,
         ticket: Ticket,
         clock: Clock,
-        when_whole: Callable[[int], None],
+        on_whole_answer: Callable[[int], None],
     ) -> None:
         super().__init__(exchange)
-        self._on_whole_answer = when_whole
+        self._on_whole_answer = on_whole_answer
         self._ticket = ticket
         self._clock = clock
         self.failure: Failure | None = None
@@ -68,7 +68,7 @@
         if isinstance(message, Answer):
             self._record_answer(message)
             if isinstance(message, WholeAnswer):
-                # The worker is done with it.
+                # The worker has finished the request.
                 self._on_whole_answer(len(message.body))
         elif isinstance(message, Failure):
             self.failure = message
--- a/laburnumwood/routing/priorities.py
+++ b/laburnumwood/routing/priorities.py
@@ -1,4 +1,4 @@
-"""Which declared class of traffic a request belongs to."""
+"""Classification of requests into declared traffic classes."""
 
 from collections.abc import Mapping
 
@@ -26,7 +26,7 @@
 
 
 def classify(work: Work, service: Service | None) -> TrafficClass:
-    """Return the class of a request, the heaviest that it belongs to."""
+    """Return the traffic class of a request: the heaviest that matches."""
     if work.priority >= 0:
         return _RANK_CLASSES[min(work.priority, len(_RANK_CLASSES) - 1)]
     if service is None or not service.priorities:
@@ -41,9 +41,10 @@
 
 
 def useful_until_ms(work: Work, now_ms: int, until_ms: int) -> int:
-    """Return until when a request is worth waiting for a slot.
+    """Return until when it is useful that a request waits for a slot.
 
-    Other work waits for what is of the first rank: late is better than never.
+    That is the deadline for requests of the highest rank: other requests
+    depend on them, so that a late answer is better than none.
     """
     if not work.objective_ms or work.priority == _HIGHEST_RANK:
         return until_ms
--- a/laburnumwood/routing/problems.py
+++ b/laburnumwood/routing/problems.py
@@ -1,4 +1,4 @@
-"""What callers are told when there is no answer of a worker."""
+"""Problems that callers are answered with when a request failed."""
 
 import json
 from collections.abc import Callable, Iterable
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Problem:
-    """A kind of problem: its HTTP status, title, and when to come again."""
+    """A kind of problem: HTTP status, title, and delay before a retry."""
 
     status: HTTPStatus
     title: str
@@ -96,17 +96,17 @@
 
 
 def make_failure(kind: str, detail: str, *, ran: bool) -> Failure:
-    """Return the message that says why a request has no answer."""
+    """Return the failure message of a problem kind."""
     return Failure(kind, ran, detail, PROBLEMS[kind].retry_after_ms)
 
 
 def make_overload_failure(retry_after_ms: int) -> Failure:
-    """Return the message that no slot is free before some time."""
+    """Return the failure message for a request that found no free slot."""
     return Failure('overloaded', False, 'no slot is free', retry_after_ms)
 
 
 def problem_body(failure: Failure, request_id: str) -> bytes:
-    """Return a failure as the content of a problem+json answer."""
+    """Return the body of a problem+json answer (RFC 9457)."""
     problem = PROBLEMS[failure.kind]
     content = {
         'type': f'{_TYPE_BASE}{failure.kind}',
@@ -133,7 +133,7 @@
 
 
 def status_line(status: int) -> str:
-    """Return a status code with its phrase."""
+    """Return a status code with its reason phrase."""
     try:
         return f'{status} {HTTPStatus(status).phrase}'
     except ValueError:
@@ -143,7 +143,7 @@
 def answer_with_problem(
     failure: Failure, request_id: str, start_response: StartResponse
 ) -> Iterable[bytes]:
-    """Answer a request with a problem."""
+    """Answer a request with a problem+json answer."""
     content = problem_body(failure, request_id)
     status = PROBLEMS[failure.kind].status
     start_response(status_line(status), problem_headers(failure, len(content)))
--- a/laburnumwood/routing/quarantine.py
+++ b/laburnumwood/routing/quarantine.py
@@ -1,4 +1,4 @@
-"""Requests that are suspected of crashing the workers that run them."""
+"""Quarantine of requests that crash the workers that run them."""
 
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -18,11 +18,11 @@
 
 
 class Quarantine:
-    """How many workers died under which requests, by their fingerprints.
+    """Numbers of worker deaths by the fingerprint of the request that ran.
 
-    A request under which one worker died is suspected: it should run alone,
-    so that a second death proves it guilty and clears all that were in
-    flight beside it the first time.  Suspicions fade.
+    After one death, every request that was in flight is suspected.  A
+    suspected request should run alone, so that a second death identifies the
+    cause; one that is answered is cleared.  Suspicions expire.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -30,35 +30,38 @@
         self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
 
     def is_suspected(self, fingerprint: str) -> bool:
-        """Tell whether a request should run alone on its worker."""
+        """Return whether a request should run alone on its worker."""
         return self._deaths(fingerprint) > 0
 
     def is_barred(self, fingerprint: str) -> bool:
-        """Tell whether a request must not run at all."""
+        """Return whether a request must not run at all."""
         return self._deaths(fingerprint) >= DEATHS_TO_BAR
 
     def barred_for_ms(self, fingerprint: str) -> int:
-        """Return for how long a request must not run."""
+        """Return how many ms a request must not run, 0 if it may."""
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not self.is_barred(fingerprint):
             return 0
         return suspect.until_ms - self._clock.now_ms()
 
     def record_death(self, fingerprint: str) -> int:
-        """Take in that a worker died under a request; return its deaths."""
+        """Record a worker death under a request; return all its deaths."""
         deaths = self._deaths(fingerprint) + 1
         self.update(fingerprint, deaths)
         return deaths
 
     def clear(self, fingerprint: str) -> bool:
-        """Take in that a request was answered; tell if it was suspected."""
+        """Clear a suspected request that was answered.
+
+        Returns False if it was not suspected or is barred already.
+        """
         if not self.is_suspected(fingerprint) or self.is_barred(fingerprint):
             return False
         self._suspects.pop(fingerprint)
         return True
 
     def update(self, fingerprint: str, deaths: int) -> None:
-        """Take in what another node knows; no deaths clear a suspect."""
+        """Merge the number of deaths known elsewhere; 0 clears a suspect."""
         if not deaths:
             self.clear(fingerprint)
             return
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -1,4 +1,4 @@
-"""Reading of a caller's request from its WSGI environment."""
+"""Parsing of a caller's request from its WSGI environment."""
 
 import re
 from typing import Any
@@ -21,15 +21,15 @@
 REQUEST_HEADER = 'Laburnumwood-Request'
 IDEMPOTENCY_HEADER = 'Idempotency-Key'
 _DEADLINE_HEADER = 'Laburnumwood-Deadline-Ms'
-_MAX_IDENTIFIER_LENGTH = 256  # characters of an id or key
-_READ_SIZE = 65_536  # bytes read at once
+_MAX_IDENTIFIER_LENGTH = 256  # characters of a request id or key
+_READ_SIZE = 65_536  # bytes
 _INTEGER = re.compile('-?[0-9]{1,12}')
 _METHOD = re.compile('[A-Z]{1,20}')
 _PRINTABLE = re.compile(r'[^\x00-\x1f\x7f]+')
 
 
 class RequestRefusedError(LaburnumwoodError):
-    """A request that is answered without being sent on."""
+    """A request that is refused before it is sent to a node."""
 
     def __init__(self, kind: str, detail: str) -> None:
         super().__init__(detail)
@@ -71,9 +71,10 @@
 
 
 def find_shard_and_key(environ: Environ, service: Service) -> tuple[int, str]:
-    """Return the shard and the key of a request; -1 for no shard.
+    """Return the shard number and the key of a request.
 
-    Raises `RequestRefusedError` if the key is missing or not usable.
+    The number is -1 for a service that is not divided by key.  Raises
+    `RequestRefusedError` if the key is missing or invalid.
     """
     if service.key is None:
         return -1, ''
@@ -135,13 +136,13 @@
 
 
 def read_request_id(environ: Environ) -> str:
-    """Return the id that the caller gave its request, or a new one."""
+    """Return the request id given by the caller, or a new one."""
     text = ''.join(header_values(environ['headers_raw'], REQUEST_HEADER)[:1])
     return text if text and _is_identifier(text) else uuid4().hex
 
 
 def validate_head(environ: Environ) -> None:
-    """Raise `RequestRefusedError` for a method or header that is no use."""
+    """Raise `RequestRefusedError` for an invalid method or header."""
     method = environ['REQUEST_METHOD']
     if not _METHOD.fullmatch(method) or method == 'CONNECT':
         raise RequestRefusedError('bad-request', f'method {method!r}')
@@ -159,7 +160,7 @@
 ) -> tuple[Work, bytes]:
     """Return a caller's request and its whole body.
 
-    Raises `RequestRefusedError` for what can't be sent on.
+    Raises `RequestRefusedError` for a request that can't be forwarded.
     """
     name = _service_name(environ)
     service = services.get(name)
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -1,4 +1,4 @@
-"""What the nodes of a service tell each other of suspected requests."""
+"""Quarantine that the nodes of a service share."""
 
 import eventlet
 
@@ -18,27 +18,27 @@
 
 
 class SharedQuarantine:
-    """The quarantine of one node, shared with the others of its service."""
+    """The quarantine of one node, replicated to the nodes of the service."""
 
     def __init__(
         self,
-        own_name: NodeName,
+        own: NodeName,
         view: FleetView,
         peers: Peers,
         dispatcher: Dispatcher,
         clock: Clock,
     ) -> None:
-        self._own = own_name
+        self._own = own
         self._view = view
         self._peers = peers
         self.quarantine = Quarantine(clock)
         dispatcher.on(Suspicion)(self._handle_suspicion)
 
     def record_death(self, service: str, fingerprint: str) -> None:
-        """Suspect a request under which the worker died.
+        """Record a worker death under a request and notify the other nodes.
 
-        Returns once the others know it or can't be reached, so that the
-        caller's next try does not run before they do.
+        Returns once they have acknowledged or can't be reached, so that a
+        retry of the caller does not run before they know of it.
         """
         deaths = self.quarantine.record_death(fingerprint)
         is_barred = deaths >= DEATHS_TO_BAR
@@ -48,23 +48,23 @@
             call.wait()
 
     def clear(self, service: str, fingerprint: str) -> None:
-        """Trust a suspected request again because it was answered."""
+        """Clear a suspected request that was answered, also on other nodes."""
         if self.quarantine.clear(fingerprint):
             self._broadcast(service, Suspicion(fingerprint, 0))
 
     def _broadcast(
         self, service: str, suspicion: Suspicion
     ) -> list[eventlet.greenthread.GreenThread]:
-        peers_to_notify = set(self._view.serving_nodes(service)).difference(
+        others = set(self._view.serving_nodes(service)).difference(
             (self._own,)
         )
-        return [begin(self._send, name, suspicion) for name in peers_to_notify]
+        return [begin(self._send, name, suspicion) for name in others]
 
     def _send(self, name: NodeName, suspicion: Suspicion) -> None:
         try:
             self._peers.call(name, suspicion, _CALL_TIMEOUT_MS)
         except LinkError:
-            return  # it is told when the request crashes a worker there
+            return  # that node learns of it when its own worker crashes
 
     def _handle_suspicion(
         self, _link: Link, stream: Stream, suspicion: Suspicion
