--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -35,8 +35,8 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.admission_gate import AdmissionGate, WorkerState
 from laburnumwood.routing.execution import Executor
+from laburnumwood.routing.gate import AdmissionGate, WorkerState
 from laburnumwood.routing.measuring import MeasuredIngress
 from laburnumwood.routing.notary import LedgerReplicator
 from laburnumwood.routing.router import Router
--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -11,7 +11,7 @@
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.records import NodeName
-from laburnumwood.routing.admission_gate import AdmissionGate
+from laburnumwood.routing.gate import AdmissionGate
 from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.settings import DaemonSettings
 
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -18,7 +18,7 @@
 from laburnumwood.placement.ownership import acting_owner
 from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.records import ShardRecord
-from laburnumwood.routing.admission_gate import AdmissionGate
+from laburnumwood.routing.gate import AdmissionGate
 
 Query = dict[str, str]
 Page = Callable[['OperatorApi', Query], Any]
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -30,8 +30,8 @@
     ShardRecord,
     StoredObject,
 )
-from laburnumwood.routing.admission_gate import AdmissionGate, WorkerState
 from laburnumwood.routing.exchange import Exchange, local_pair
+from laburnumwood.routing.gate import AdmissionGate, WorkerState
 from laburnumwood.store.objects import shard_object, to_value
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
