--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -35,7 +35,7 @@
 from laburnumwood.records import ShardName, ShardRecord
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.execution import ExecutionCheck, Executor
-from laburnumwood.routing.observed_exchange import (
+from laburnumwood.routing.observed import (
     LongAnswerDelays,
     ObservedExchange,
 )
--- a/tests/features/steps/outlet_steps.py
+++ b/tests/features/steps/outlet_steps.py
@@ -19,7 +19,7 @@
 from laburnumwood.protocol.peers import Dispatcher
 from laburnumwood.records import NodeName
 from laburnumwood.routing.exchange import Exchange, local_pair
-from laburnumwood.routing.observed_exchange import LongAnswerDelays
+from laburnumwood.routing.observed import LongAnswerDelays
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.gate_steps import make_gate_with
 from tests.features.steps.plain_work import PLAIN_WORK
