--- a/laburnumwood/routing/__init__.py
+++ b/laburnumwood/routing/__init__.py
@@ -1,1 +1,1 @@
-"""The routing of the router."""
+"""Routing of requests from the ingress to the worker of the owner."""
--- a/laburnumwood/routing/execution.py
+++ b/laburnumwood/routing/execution.py
@@ -1,4 +1,4 @@
-"""Execution of requests that were let in, keyed ones at most once."""
+"""Execution of admitted requests, at most once per idempotency key."""
 
 from collections.abc import Callable
 
@@ -18,33 +18,38 @@
 
 
 class Executor:
-    """Runs requests; one with an idempotency key only if it is noted first.
+    """Runs admitted requests on the worker.
 
-    `may_act` tells whether this node still may act for its shards.
+    A request with an idempotency key runs only after it was recorded in the
+    run ledger.
     """
 
     def __init__(
         self,
         worker: Worker,
         worker_interface: WorkerInterface,
-        notary: LedgerReplicator,
+        ledger: LedgerReplicator,
         shared_quarantine: SharedQuarantine,
         clock: Clock,
     ) -> None:
         self._runner = Runner(
             worker, worker_interface, shared_quarantine, clock
         )
-        self._notary = notary
+        self._ledger = ledger
         self._quarantine = shared_quarantine.quarantine
 
     def execute(
         self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> None:
-        """Answer a request on its exchange."""
+        """Run a request and answer it on its exchange.
+
+        `may_execute` returns whether this node still owns the shard; it is
+        called immediately before the run.
+        """
         if run.work.idempotent or run.work.idempotency_key == '':
             self._run(exchange, run, may_execute)
             return
-        recorded = self._notary.admit(run)
+        recorded = self._ledger.admit(run)
         if isinstance(recorded, Failure):
             exchange.send(recorded)
         elif recorded is None:
@@ -75,7 +80,7 @@
         try:
             outcome = self._run(exchange, run, may_execute)
         finally:
-            self._notary.record_outcome(run, outcome)
+            self._ledger.record_outcome(run, outcome)
 
 
 def _replay(exchange: Exchange, head: Answer, body: bytes) -> None:
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -83,7 +83,7 @@
 def receive_body(exchange: Exchange, work: Work) -> bytes:
     """Return the whole body of a request.
 
-    A body that did not come with the request is received in chunks from the
+    A body that did not come with the request is received in chunks on the
     exchange.  Raises `LinkError` if it is incomplete.
     """
     if work.is_whole:
@@ -249,12 +249,12 @@
             self._serve_when_admitted(exchange, run, _always_allowed)
             return
         shard = ShardName(work.service, work.shard)
-        stay = (
+        shard_use = (
             self._held_shards.acquire(shard)
             if self._is_key_in_shard(work)
             else None
         )
-        if stay is None:
+        if shard_use is None:
             self._send_shard_records(exchange, work)
             detail = f'{self._settings.node_id} does not own {shard}'
             failure = make_failure('not-owner', detail, ran=False)
@@ -262,10 +262,12 @@
             return
         try:
             body = receive_body(exchange, work)
-            run = Run(work, body, stay.token, until_ms)
-            self._serve_owned(ShardReleasingExchange(exchange, work, stay), run)
+            run = Run(work, body, shard_use.token, until_ms)
+            self._serve_owned(
+                ShardReleasingExchange(exchange, work, shard_use), run
+            )
         finally:
-            stay.release()
+            shard_use.release()
 
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
--- a/laburnumwood/routing/notary.py
+++ b/laburnumwood/routing/notary.py
@@ -33,9 +33,7 @@
 _ACKNOWLEDGE_TIMEOUT_MS = 500
 _SYNC_INTERVAL_MS = 200
 _ENTRIES_PER_MESSAGE = 200
-_ABORTED_STATUSES = frozenset(
-    (499, 503, 504)
-)  # answers of work that was broken off
+_ABORTED_STATUSES = frozenset((499, 503, 504))  # answers of aborted requests
 
 _FAILURES = {
     LedgerDecision.RUNNING: make_failure(
--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -18,9 +18,9 @@
 from laburnumwood.routing.exchange import OutgoingExchange
 
 AVOID_MS = 1_000
-ALL_RANKS = -1  # also that of requests without a rank
-_MAX_RECENT_CHOICES = 16  # choices
-_MAX_LOCAL_LOAD = 0.5  # of its slots, a node of the same domain is taken
+ALL_RANKS = -1  # also the rank of requests without one
+_MAX_RECENT_CHOICES = 16
+_MAX_LOCAL_LOAD = 0.5  # of its slots; local nodes above it are not preferred
 _OVERLOAD_STATUSES = frozenset((429, 503))
 
 
@@ -32,12 +32,12 @@
         exchange: OutgoingExchange,
         target: NodeName,
         rank: int,
-        spread: 'RequestBalancer',
+        balancer: 'RequestBalancer',
     ) -> None:
         self._exchange = exchange
         self._target = target
         self._rank = rank
-        self._balancer = spread
+        self._balancer = balancer
 
     def send(self, message: Any) -> None:
         """Send a message; raises `LinkLostError`."""
@@ -73,19 +73,22 @@
         self._exchange.fail(reason)
 
     def close(self) -> None:
-        """End the exchange on this side."""
+        """Close this side of the exchange and stop counting it."""
         self._balancer.untrack(self._target, self)
         self._exchange.close()
 
 
 class RequestBalancer:
-    """Spreads requests by the load of nodes, as this node sees it.
+    """Distributes requests among nodes by their load, as known to this node.
 
-    Its own requests in flight come first; what nodes report of theirs counts
-    less as it ages.  Nodes that failed or shed are avoided for a while.  A
-    node of its own failure domain is taken while that is not busy, so that
-    few bodies cross domains, but not for more than an even share: `doors`
-    returns what part of all doors is in that domain.
+    The load of a node is the higher of this node's own requests in flight
+    there and the load that the node reported, which decays with its age.
+    Nodes that failed or shed requests are avoided for some time.
+
+    Nodes of the own failure domain are preferred while they are not busy, so
+    that few bodies are sent between domains, but they get no more than an even
+    share: `local_ingress_share` returns the part of all ingress nodes that is
+    in the own domain.
     """
 
     def __init__(
@@ -102,22 +105,23 @@
         self._clock = clock
         self._local_ingress_share = local_ingress_share
         self._in_flight: dict[NodeName, WeakSet[TrackedExchange]] = {}
-        # By node and the most urgent rank that it is avoided for.
+        # Keyed by node and the most urgent rank that avoids it.
         self._avoided_until_ms: dict[tuple[NodeName, int], int] = {}
         self._recent_choices: deque[NodeName] = deque(
             maxlen=_MAX_RECENT_CHOICES
         )
 
     def recent_choices(self) -> tuple[NodeName, ...]:
-        """Return the nodes that were chosen lately."""
+        """Return the nodes of the most recent choices."""
         return tuple(self._recent_choices)
 
     def choose(
         self, nodes: Mapping[NodeName, NodeRecord], rank: int = ALL_RANKS
     ) -> NodeName | None:
-        """Return the better of two nodes drawn, near ones that are not busy.
+        """Return the less loaded of two nodes drawn at random.
 
-        Of ranks, 0 is the most urgent.
+        Local nodes that are not busy are preferred.  Rank 0 is the most
+        urgent.  Returns None if there are no nodes.
         """
         avoided = self._avoided(rank)
         usable = [name for name in sorted(nodes) if name not in avoided]
@@ -126,8 +130,8 @@
                 nodes, key=lambda name: (avoided[name], name), default=None
             )
         loads = {name: self._load(name, nodes[name]) for name in usable}
-        # Of many near nodes, too, two are drawn: doors that know the same
-        # would all choose the same one.
+        # Two are also drawn from many local nodes: ingress nodes with the same
+        # load reports would otherwise all choose the same node.
         candidates = self._candidates(nodes, loads)
         sampled = self._random.sample(candidates, min(2, len(candidates)))
         chosen = min(sampled, key=loads.__getitem__)
@@ -140,7 +144,7 @@
         target: NodeName,
         rank: int = ALL_RANKS,
     ) -> OutgoingExchange:
-        """Return an exchange that is counted for its target."""
+        """Return an exchange that counts as in flight at its target."""
         tracked = TrackedExchange(exchange, target, rank, self)
         self._in_flight.setdefault(target, WeakSet()).add(tracked)
         return tracked
@@ -148,9 +152,9 @@
     def avoid(
         self, target: NodeName, duration_ms: int, rank: int = ALL_RANKS
     ) -> None:
-        """Choose other nodes for some time where there are any.
+        """Prefer other nodes for `duration_ms`, if there are any.
 
-        Requests that are more urgent than `rank` go on as before.
+        Requests that are more urgent than `rank` are not affected.
         """
         now_ms = self._clock.now_ms()
         self._avoided_until_ms = {
@@ -161,7 +165,7 @@
         self._avoided_until_ms[target, rank] = now_ms + duration_ms
 
     def untrack(self, target: NodeName, tracked: TrackedExchange) -> None:
-        """Count an exchange no longer."""
+        """Stop counting an exchange as in flight."""
         exchanges = self._in_flight.get(target)
         if exchanges is None:
             return
@@ -194,7 +198,7 @@
         return max(own_in_flight, self._loads.running(name)) / record.slots
 
     def _avoided(self, rank: int) -> dict[NodeName, int]:
-        """Return the nodes to avoid for a rank, and until when."""
+        """Return the nodes to avoid for a rank, with the end time in ms."""
         now_ms = self._clock.now_ms()
         until_by_node: dict[NodeName, int] = {}
         for (name, min_rank), until_ms in self._avoided_until_ms.items():
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -1,4 +1,4 @@
-"""From a caller's request to the node that answers it."""
+"""Routing of a caller's request to the node that answers it."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
@@ -38,24 +38,21 @@
 
 _CHUNK_SIZE = 32_768
 _CALLER_GONE = 'the caller has gone'
-_DEADLINE_GRACE_MS = (
-    60  # lets the gate say at the deadline what became of a request
-)
-
+# Extra wait in which the gate can report at the deadline how a request ended.
+_DEADLINE_GRACE_MS = 60
 
-OwnerVersion = tuple[
-    int, NodeName | None
-]  # version of a record, and who may act
+# Version of a shard record, and the node that may act as owner.
+OwnerVersion = tuple[int, NodeName | None]
 
 
 def _announced_length(head: Answer) -> int | None:
-    """Return the length that the head of an answer gives its body, if any."""
-    given = ''.join(header_values(head.headers, 'content-length'))
-    return int(given) if given.isdecimal() else None
+    """Return the Content-Length of an answer, None if it has none."""
+    length_text = ''.join(header_values(head.headers, 'content-length'))
+    return int(length_text) if length_text.isdecimal() else None
 
 
 class PendingAnswer:
-    """The head of an answer, and its body that is still to come."""
+    """An answer whose head has arrived and whose body is still received."""
 
     def __init__(
         self,
@@ -73,39 +70,40 @@
         self._announced: int | None = None
         if not isinstance(head, WholeAnswer):
             self._announced = _announced_length(head)
-        self._buffered: bytes | None = b''  # read, and not given out yet
+        self._buffered: bytes | None = b''  # received, but not yet yielded
 
     @property
     def received_bytes(self) -> int:
-        """Return how many bytes of a streamed body have come."""
+        """Return the number of bytes received of a streamed body."""
         return self._length
 
     @property
     def left_ms(self) -> int:
-        """Return how much of the time for the request is left."""
+        """Return the time left until the deadline of the request, in ms."""
         return self._until_ms - self._clock.now_ms()
 
     def await_first_chunk(self) -> None:
         """Wait for the first part of the body; raises `LinkError`.
 
-        Nothing was sent to the caller by then, so that it can be told.
+        Nothing has been sent to the caller at that point, so that a failure
+        can still be answered with a problem.
         """
         self._buffered = self._next_chunk()
 
     def body(self) -> Iterator[bytes]:
-        """Yield the body; raises `LinkError` if it is cut short."""
+        """Yield the parts of the body; raises `LinkError` if it is cut."""
         while self._buffered is not None:
             if self._buffered:
                 yield self._buffered
             self._buffered = None if self._is_complete else self._next_chunk()
 
     def _next_chunk(self) -> bytes | None:
-        """Return the next part, None after the last one."""
+        """Return the next part of the body, None after the last one."""
         if isinstance(self.head, WholeAnswer):
             self._is_complete = True
             return self.head.body
         if self._length == self._announced:
-            # The caller has every byte: nothing may break its answer any more.
+            # The caller has every byte: a later link error must not cut it.
             self._is_complete = True
             return None
         message = self._exchange.receive(max(0, self.left_ms))
@@ -118,20 +116,20 @@
         return message.content
 
     def _truncation_error(self) -> LinkError:
-        # The gate gives up at the deadline as well, and may be heard first.
+        # The gate also aborts at the deadline; its message may arrive first.
         if self.left_ms <= 0:
             return LinkTimeoutError('the time for the answer is over')
         return LinkError('the answer was cut')
 
     def close(self) -> None:
-        """End the exchange; an answer not read whole is cancelled."""
+        """Close the exchange, and cancel an answer that is incomplete."""
         if not self._is_complete:
             cancel_exchange(self._exchange)
         self._exchange.close()
 
 
 def cancel_exchange(exchange: OutgoingExchange) -> None:
-    """Tell the gate that its answer is no longer wanted, and wait no more."""
+    """Cancel the request at the gate and fail all local waits for it."""
     exchange.fail(CallerGoneError(_CALLER_GONE))
     start(_send_cancel, exchange)
 
@@ -140,12 +138,12 @@
     try:
         exchange.send(Cancel())
     except LinkError:
-        return  # the gate notices the lost link by itself
+        return  # the gate detects the lost link itself
 
 
 @dataclass(slots=True)
 class _SendProgress:
-    """Whether a gate may run a request by now: it needs the whole body."""
+    """Whether the gate may have started a request: it has the whole body."""
 
     may_run: bool
 
@@ -153,7 +151,7 @@
 def _send_body(
     exchange: OutgoingExchange, body: bytes, progress: _SendProgress
 ) -> None:
-    """Send a body that did not go with the head of its request."""
+    """Send a body that was too long to be sent with its request."""
     for offset in range(0, len(body), _CHUNK_SIZE):
         exchange.send(Chunk(body[offset : offset + _CHUNK_SIZE]))
     progress.may_run = True
@@ -162,14 +160,14 @@
 
 
 def _with_inline_body(request: CallerRequest) -> Work:
-    """Return a request that carries its body if that is short."""
+    """Return the work of a request, with the body in it if that is short."""
     if request.body and len(request.body) <= MAX_INLINE_BODY_BYTES:
         return replace(request.work, body=request.body)
     return request.work
 
 
 class Router:
-    """Sends requests to the owners of their shards."""
+    """Sends requests to the owners of their shards, with retry_policy."""
 
     def __init__(
         self,
@@ -194,37 +192,40 @@
     def send(
         self, request: CallerRequest, caller: Caller
     ) -> PendingAnswer | Failure:
-        """Return the answer to a request, or why there is none.
+        """Return the answer to a request, or the failure of the last attempt.
 
-        A request that proved not to have run waits a while for an owner; one
-        that may have run is sent again only if it is idempotent.  Both end
-        with the deadline, and what was given up is answered at once.
+        A request that provably did not run is retried for a limited time until
+        its shard has an owner.  One that may have run is sent again only if it
+        is idempotent.  Neither is retried after the deadline, and a request
+        that is not retried fails at once.
         """
         work = _with_inline_body(request)
         budget = self._budgets.for_service(work.service)
         budget.record_request()
-        retries = RetryPolicy(request, budget, self._clock, self._owner_wait_ms)
+        retry_policy = RetryPolicy(
+            request, budget, self._clock, self._owner_wait_ms
+        )
         while True:
             work = self._with_current_shard(work, request.work.shard)
             tried_owner = self._owner_version(work)
-            retries.target = self._select_target(work, retries)
-            answer = self._attempt(work, request.body, retries, caller)
+            retry_policy.target = self._select_target(work, retry_policy)
+            answer = self._attempt(work, request.body, retry_policy, caller)
             if not isinstance(answer, Failure):
                 return answer
-            retries.record_failure(answer)
+            retry_policy.record_failure(answer)
             nodes = self._view.serving_nodes(work.service)
             pause_ms = None
             if not caller.is_gone:
-                pause_ms = retries.retry_delay_ms(answer, nodes)
-            retries.report_failure(answer, pause_ms)
+                pause_ms = retry_policy.retry_delay_ms(answer, nodes)
+            retry_policy.report_failure(answer, pause_ms)
             if pause_ms is None:
-                # An earlier try may have run, whatever the last one proves.
-                return replace(answer, ran=retries.may_have_run)
+                # An earlier attempt may have run even if the last one did not.
+                return replace(answer, ran=retry_policy.may_have_run)
             if pause_ms:
                 self._await_owner_change(tried_owner, work, pause_ms)
 
     def _with_current_shard(self, work: Work, shard: int) -> Work:
-        """Return a request with the shard that has its key now."""
+        """Return a request with the shard that its key belongs to now."""
         records = self._view.directory.shard_records(work.service)
         current = locate_text_key(work.key, shard, records)
         return work if current == work.shard else replace(work, shard=current)
@@ -232,7 +233,7 @@
     def _await_owner_change(
         self, tried_owner: OwnerVersion, work: Work, limit_ms: int
     ) -> None:
-        """Wait until a shard's owner is not the one that was tried."""
+        """Wait until the owner of the shard or its record has changed."""
         until_ms = self._clock.now_ms() + limit_ms
         while self._owner_version(work) == tried_owner:
             left_ms = until_ms - self._clock.now_ms()
@@ -247,23 +248,25 @@
         return entry.version, acting_owner(entry.record, self._view)
 
     def _select_target(
-        self, work: Work, retries: RetryPolicy
+        self, work: Work, retry_policy: RetryPolicy
     ) -> NodeName | None:
         if work.shard < 0:
-            return self._choose_node(work, retries)
+            return self._choose_node(work, retry_policy)
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         return acting_owner(entry.record, self._view) if entry else None
 
-    def _choose_node(self, work: Work, retries: RetryPolicy) -> NodeName | None:
+    def _choose_node(
+        self, work: Work, retry_policy: RetryPolicy
+    ) -> NodeName | None:
         nodes = self._view.serving_nodes(work.service)
         return self._balancer.choose(
-            retries.without_full(nodes) or nodes, work.priority
+            retry_policy.without_full(nodes) or nodes, work.priority
         )
 
     def _attempt(
-        self, work: Work, body: bytes, retries: RetryPolicy, caller: Caller
+        self, work: Work, body: bytes, retry_policy: RetryPolicy, caller: Caller
     ) -> PendingAnswer | Failure:
-        target, until_ms = retries.target, retries.until_ms
+        target, until_ms = retry_policy.target, retry_policy.until_ms
         if target is None:
             return make_failure('no-owner', f'shard {work.shard}', ran=False)
         left_ms = until_ms - self._clock.now_ms()
@@ -289,7 +292,10 @@
     def _open(
         self, target: NodeName, work: Work, caller: Caller
     ) -> OutgoingExchange:
-        """Send a request to a node, unless its caller has gone by then."""
+        """Send a request to a node and return the exchange.
+
+        Raises `CallerGoneError` if the caller has disconnected before.
+        """
         if target != self._own:
             exchange = self._peers.open_stream(
                 target, is_patient=not work.idempotent
@@ -317,14 +323,14 @@
             cancel_exchange(exchange)
             return make_failure('deadline', str(error), ran=True)
         except LinkError as error:
-            # A link that is only silent may still carry the work there.
+            # A link that is only silent may still deliver the request.
             cancel_exchange(exchange)
             return make_failure('link-lost', str(error), ran=progress.may_run)
 
     def _receive_head(
         self, exchange: OutgoingExchange, until_ms: int
     ) -> object:
-        """Return what a gate answers, after the records that it tells of."""
+        """Return the answer of a gate; apply the shard records before it."""
         while True:
             head = exchange.receive(until_ms - self._clock.now_ms())
             if not isinstance(head, ShardNotice):
--- a/laburnumwood/routing/routes.py
+++ b/laburnumwood/routing/routes.py
@@ -1,4 +1,4 @@
-"""Finding the route of a request by its host and path."""
+"""Lookup of the route of a request by host and path."""
 
 from random import Random
 
@@ -10,7 +10,7 @@
 
 
 class RouteTable:
-    """The routes of one configuration, by host, longest prefix first."""
+    """The routes of one configuration, by host and path prefix."""
 
     def __init__(self, declarations: Declarations) -> None:
         self._by_host: dict[str, list[Route]] = {}
@@ -19,7 +19,7 @@
             self._by_host.setdefault(route.host.lower(), []).append(route)
 
     def find(self, host: str, path: str) -> Route | None:
-        """Return the route of a host whose prefix is the longest of a path."""
+        """Return the route of a host with the longest matching prefix."""
         routes = self._by_host.get(host.lower(), ())
         return next(
             (route for route in routes if path.startswith(route.path_prefix)),
@@ -28,7 +28,10 @@
 
 
 def choose_service(route: Route, random: Random) -> str:
-    """Return one of the services of a route, by their weights."""
+    """Return a service of a route, drawn at random by weight.
+
+    If all weights are 0, it is the first one.
+    """
     if len(route.services) == 1:
         return next(iter(route.services))
     names, weights = zip(*route.services.items(), strict=True)
--- a/laburnumwood/routing/run.py
+++ b/laburnumwood/routing/run.py
@@ -1,4 +1,4 @@
-"""A request that was let in to the worker."""
+"""A run: a request that the gate has accepted for its worker."""
 
 from dataclasses import dataclass
 from functools import cached_property
@@ -8,9 +8,13 @@
 from laburnumwood.protocol.messages import Work
 
 
-@dataclass(frozen=True)  # no slots: the fingerprint is kept once made
+@dataclass(frozen=True)  # no slots: cached_property needs a __dict__
 class Run:
-    """A request that was let in: its body, token and end in time."""
+    """A request with its body, fencing token and deadline.
+
+    `token` is None for a service that is not divided by key; `until_ms` is the
+    deadline as a time of the clock.
+    """
 
     work: Work
     body: bytes
@@ -19,7 +23,10 @@
 
     @cached_property
     def fingerprint(self) -> str:
-        """Return what two requests share only if they ask for the same."""
+        """Return a digest of method, target, key and body.
+
+        Two requests have the same fingerprint only if these are equal.
+        """
         digest = xxh3_128(self.body)
         for part in (self.work.method, self.work.target, self.work.key):
             digest.update(f'{len(part)}:{part}'.encode())
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -1,4 +1,4 @@
-"""One run of a request on the worker."""
+"""Execution of one request on the worker."""
 
 from dataclasses import dataclass
 from functools import partial
@@ -42,7 +42,7 @@
 
 @dataclass(slots=True)
 class RunResult:
-    """How a run ended: a failure, or the answer with its body if kept."""
+    """Result of a run: a failure, or an answer with its body if kept."""
 
     head: Answer | None = None
     body: bytes | None = None
@@ -50,30 +50,30 @@
 
     @property
     def ran(self) -> bool:
-        """Tell whether the request may have run."""
+        """Return whether the request may have run."""
         return self.failure is None or self.failure.ran
 
 
 class Runner:
-    """Sends requests to the worker, each once, and passes answers on.
+    """Sends each request to the worker once, and forwards its answer.
 
-    An answer of `longest_whole` bytes at the most is read whole first.
-    The work is cancelled when its asking side goes away or its deadline
-    passes.
+    An answer of at most `max_buffered_bytes` is read completely before it is
+    forwarded.  The request is cancelled at the worker when the requesting side
+    disconnects or the deadline passes.
     """
 
     def __init__(
         self,
         worker: Worker,
-        dialect: WorkerInterface,
-        suspicions: SharedQuarantine,
+        worker_interface: WorkerInterface,
+        shared_quarantine: SharedQuarantine,
         clock: Clock,
         max_buffered_bytes: int = MAX_INLINE_BODY_BYTES,
     ) -> None:
         self._max_buffered_bytes = max_buffered_bytes
         self._worker = worker
-        self._worker_interface = dialect
-        self._suspicions = suspicions
+        self._worker_interface = worker_interface
+        self._shared_quarantine = shared_quarantine
         self._lock = SharedLock(clock)
         self._may_be_dead = False
         self._clock = clock
@@ -81,7 +81,10 @@
     def run(
         self, run: Run, exchange: Exchange, max_kept_bytes: int = 0
     ) -> RunResult:
-        """Run a request; keep its answer up to a number of bytes."""
+        """Run a request and send its answer on the exchange.
+
+        The result contains the body if it has at most `max_kept_bytes`.
+        """
         started_ms = self._clock.now_ms()
         if run.until_ms <= started_ms:
             failure = make_failure(
@@ -112,13 +115,13 @@
         self, run: Run, exchange: Exchange, max_kept_bytes: int
     ) -> RunResult:
         try:
-            answer = self._run_unless_suspected(run)
+            answer = self._run_under_lock(run)
         except (WorkerBusyError, WorkerUnreachableError) as error:
             kind = _KIND_BY_ERROR[type(error)]
             failure = make_failure(kind, str(error), ran=False)
             return _fail(failure, exchange)
         except WorkerTimeoutError as error:
-            self._cancel_later(run)
+            self._start_cancel(run)
             failure = make_failure('deadline', str(error), ran=True)
             return _fail(failure, exchange)
         except WorkerCutError as error:
@@ -126,17 +129,19 @@
             return _fail(failure, exchange)
         return self._forward_answer(run, answer, exchange, max_kept_bytes)
 
-    def _run_unless_suspected(self, run: Run) -> WorkerAnswer:
+    def _run_under_lock(self, run: Run) -> WorkerAnswer:
         service, fingerprint = run.work.service, run.fingerprint
-        is_suspected = self._suspicions.quarantine.is_suspected(fingerprint)
+        is_suspected = self._shared_quarantine.quarantine.is_suspected(
+            fingerprint
+        )
         with self._lock.acquired(exclusive=is_suspected):
             answer = self._run_on_live_worker(run)
         if is_suspected:
-            self._suspicions.clear(service, fingerprint)
+            self._shared_quarantine.clear(service, fingerprint)
         return answer
 
     def _run_on_live_worker(self, run: Run) -> WorkerAnswer:
-        # What is sent to a worker that is dead already did not kill it.
+        # A request to a worker that was already dead did not kill it.
         if self._may_be_dead and not self._worker.is_responding():
             raise WorkerUnreachableError('the worker was lost')
         self._may_be_dead = False
@@ -145,10 +150,12 @@
         except WorkerTimeoutError:
             raise
         except WorkerCutError:
-            # A worker that still answers did not die of it.
+            # A worker that still answers did not die under this request.
             if self._worker.is_dead():
                 self._may_be_dead = True
-                self._suspicions.record_death(run.work.service, run.fingerprint)
+                self._shared_quarantine.record_death(
+                    run.work.service, run.fingerprint
+                )
             raise
 
     def _run_checked(self, run: Run) -> WorkerAnswer:
@@ -183,12 +190,12 @@
             raise
         except WorkerCutError as error:
             answer.close()
-            self._cancel_later(run)
+            self._start_cancel(run)
             return _fail(
                 make_failure('worker-cut', str(error), ran=True), exchange
             )
         except LinkError:
-            # What is kept of an answer does not depend on who hears it.
+            # The answer is kept even if it can no longer be delivered.
             answer.close()
             return result
         if result.failure is not None:
@@ -205,7 +212,7 @@
         body = self._read_short_body(answer, result)
         if body is None:
             _stream(answer, exchange)
-        # Given back before the caller can send its next request.
+        # The connection is free before the caller can send its next request.
         answer.release()
         if body is not None and result.failure is None:
             result.body = body if len(body) <= max_kept_bytes else None
@@ -214,9 +221,10 @@
     def _read_short_body(
         self, answer: WorkerAnswer, result: RunResult
     ) -> bytes | None:
-        """Return the body of a short answer, None for one that is streamed.
+        """Return the body of a short answer, None for one to be streamed.
 
-        An answer that says that the request did not run is noted as such.
+        If the answer says that the request did not run, the failure is set in
+        the result.
         """
         length = answer.body_length
         may_refuse = self._worker_interface.may_refuse(answer)
@@ -224,7 +232,7 @@
             length is None or length > self._max_buffered_bytes
         ):
             return None
-        # Longer ones are no refusals of a worker that keeps to its protocol.
+        # A worker that follows the protocol sends no longer refusals.
         body = answer.read_body(
             max(self._max_buffered_bytes, MAX_INLINE_BODY_BYTES)
         )
@@ -237,16 +245,16 @@
         return body
 
     def _stop_run(self, run: Run, greenlet_to_stop: greenlet) -> None:
-        """Stop the work of a request that its asking side gave up."""
+        """Stop a request that the requesting side has cancelled."""
         if self._worker_interface.cancel(self._worker, run):
             return
-        # Its connection to the worker is closed on the way out.
+        # The exception closes the connection to the worker.
         error = RunCancelledError('nobody waits for it')
         if greenlet_to_stop is eventlet.getcurrent():
             raise error
         eventlet.kill(greenlet_to_stop, error)
 
-    def _cancel_later(self, run: Run) -> None:
+    def _start_cancel(self, run: Run) -> None:
         start(self._worker_interface.cancel, self._worker, run)
 
 
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -1,4 +1,4 @@
-"""The HTTP server towards callers, on eventlet's WSGI server."""
+"""The HTTP server for callers, based on eventlet's WSGI server."""
 
 from contextlib import suppress
 from typing import Any
@@ -21,18 +21,18 @@
 
 
 def reset_caller(environ: dict[str, Any]) -> None:
-    """Reset the connection of a caller, so that no answer looks whole."""
+    """Reset a caller's connection, so that a cut answer is detectable."""
     wsgi.WSGI_LOCAL.already_handled = True
     reset_connection(environ['eventlet.input'].get_socket())
 
 
 def close_after_answer(environ: dict[str, Any]) -> None:
-    """Let the connection of a caller end after its answer."""
+    """Close the connection of a caller after the current answer."""
     environ[CLOSE_KEY]()
 
 
 def serve_callers(listener: Any, application: Any) -> None:
-    """Serve callers on a listener; does not return."""
+    """Serve callers on a listening socket; does not return."""
     wsgi.server(
         listener,
         application,
@@ -45,17 +45,17 @@
 
 
 class HttpListener:
-    """An address where an application is served, until it is closed."""
+    """An application that is served at an address until it is closed."""
 
     def __init__(self, address: Address, application: Any) -> None:
         self._listener = listen(address, NOT_ACCEPTED.report)
         self._server = begin(serve_callers, self._listener, application)
 
     def close(self, patience_ms: int) -> None:
-        """Take no more connections, and answer what was read before.
+        """Accept no more connections, and answer the requests in progress.
 
-        Waits for the answers, `patience_ms` at the most.  The library closes
-        idle connections and lets the others end with their answers.
+        Waits for these answers, for at most `patience_ms`.  The library closes
+        idle connections and ends the others after their answers.
         """
         start(self._server.kill)
         eventlet.sleep(0)
--- a/laburnumwood/routing/shard_release.py
+++ b/laburnumwood/routing/shard_release.py
@@ -1,4 +1,4 @@
-"""How long a request keeps its shard from moving."""
+"""Release of a shard by a request that no longer needs it."""
 
 from typing import Any
 
@@ -8,20 +8,22 @@
 
 
 class ShardReleasingExchange(ExchangeWrapper):
-    """An exchange whose request leaves its shard when that is safe.
+    """An exchange whose request releases its shard as soon as that is safe.
 
-    The answer to an idempotent request may outlast a move once it is on its
-    way: a long download holds up neither a move nor a planned stop.  Any other
-    request stays to its end.
+    An idempotent request releases it when its answer begins, so that a long
+    download delays neither a move nor a planned stop.  Any other request holds
+    its shard until it ends.
     """
 
-    def __init__(self, exchange: Exchange, work: Work, stay: ShardUse) -> None:
+    def __init__(
+        self, exchange: Exchange, work: Work, shard_use: ShardUse
+    ) -> None:
         super().__init__(exchange)
         self._releases_early = work.idempotent
-        self._stay = stay
+        self._shard_use = shard_use
 
     def send(self, message: Any) -> None:
         """Send a message; raises `LinkLostError`."""
         super().send(message)
         if self._releases_early and isinstance(message, Answer):
-            self._stay.release()
+            self._shard_use.release()
--- a/laburnumwood/routing/shared_lock.py
+++ b/laburnumwood/routing/shared_lock.py
@@ -1,4 +1,4 @@
-"""Runs that share a worker with others, and runs that must not."""
+"""A lock that runs hold on a worker, shared or exclusively."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -8,15 +8,15 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import WorkerBusyError
 
-_POLL_INTERVAL_MS = 2
+_POLL_MS = 2
 _ACQUIRE_TIMEOUT_MS = 1_000
 
 
 class SharedLock:
-    """Lets runs onto a worker side by side, or one alone.
+    """A lock that many runs share, or one holds exclusively.
 
-    A run that has to be alone waits a second for the others at the most, and
-    new ones wait as long for it.
+    An exclusive run waits for the others for at most a second; new runs wait
+    as long for an exclusive one.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -58,4 +58,4 @@
     def _wait(self, until_ms: int) -> None:
         if self._clock.now_ms() >= until_ms:
             raise WorkerBusyError('no time alone on the worker')
-        eventlet.sleep(_POLL_INTERVAL_MS / MS_PER_SECOND)
+        eventlet.sleep(_POLL_MS / MS_PER_SECOND)
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -55,9 +55,7 @@
     def _broadcast(
         self, service: str, suspicion: Suspicion
     ) -> list[eventlet.greenthread.GreenThread]:
-        others = set(self._view.serving_nodes(service)).difference(
-            (self._own,)
-        )
+        others = set(self._view.serving_nodes(service)).difference((self._own,))
         return [begin(self._send, name, suspicion) for name in others]
 
     def _send(self, name: NodeName, suspicion: Suspicion) -> None:
--- a/laburnumwood/routing/tries.py
+++ b/laburnumwood/routing/tries.py
@@ -1,4 +1,4 @@
-"""When a request that failed is sent once more."""
+"""Decision whether and when a failed request is sent again."""
 
 from collections.abc import Mapping
 
@@ -9,11 +9,13 @@
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.caller_request import CallerRequest
 
-MAX_OWNER_WAIT_MS = 3_000  # how long a request waits for an owner at the most
-_HANDOVER_WAIT_MS = 250  # for a live owner to hand a shard over
-_OWNER_RETRY_MS = 300  # for news of an owner, before it is tried again
-_MIN_REMAINING_MS = 50  # before the deadline; less is not worth a try
-_MAX_OTHER_NODES = 3  # nodes that turn a request away before it gives up
+MAX_OWNER_WAIT_MS = 3_000  # longest wait for a shard to get an owner
+_HANDOVER_WAIT_MS = 250  # least wait for a live owner to hand a shard over
+_OWNER_RETRY_MS = 300  # wait for a change of owner before the next attempt
+_MIN_REMAINING_MS = (
+    50  # too little time before the deadline for another attempt
+)
+_MAX_OTHER_NODES = 3  # nodes that return a request before it fails
 
 _TRANSIENT_KINDS = frozenset(('link-lost', 'worker-cut', 'worker-unreachable'))
 _OTHER_NODE_KINDS = frozenset(('overloaded', 'worker-unreachable', 'link-lost'))
@@ -24,10 +26,10 @@
 
 
 class RetryPolicy:
-    """The tries of one request, and whether there is to be another.
+    """The attempts of one request, and the decision about another.
 
-    A request that reached a worker is sent again only within the retry
-    budget and to no more workers than its route allows.
+    A request that reached a worker is sent again only within the retry budget,
+    and to no more workers than its route allows.
     """
 
     def __init__(
@@ -49,7 +51,7 @@
             'not-owner': min(self._until_ms, now_ms + max_handover_wait_ms),
         }
         self._failure_count = 0
-        self.target: NodeName | None = None  # that the last try went to
+        self.target: NodeName | None = None  # of the last attempt
         self._full_nodes: set[NodeName] = set()
         self._worker_attempts = 0
         self._other_nodes_tried = 0
@@ -57,23 +59,23 @@
 
     @property
     def until_ms(self) -> int:
-        """Return the moment at which the request has to be answered."""
+        """Return the deadline of the request, in ms of the clock."""
         return self._until_ms
 
     @property
     def may_have_run(self) -> bool:
-        """Tell whether any try may have run."""
+        """Return whether any attempt may have run."""
         return self._may_have_run
 
     def record_failure(self, failure: Failure) -> None:
-        """Take in how a try failed."""
+        """Record the failure of an attempt."""
         self._may_have_run = self._may_have_run or failure.ran
         self._worker_attempts += failure.ran or failure.kind in _WORKER_KINDS
         if failure.kind == 'overloaded' and self.target is not None:
             self._full_nodes.add(self.target)
 
     def without_full(self, nodes: Nodes) -> Nodes:
-        """Return the nodes that have not yet said that they have no room."""
+        """Return the nodes that have not reported to be overloaded."""
         if not self._full_nodes:
             return nodes
         return {
@@ -83,11 +85,11 @@
         }
 
     def report_failure(self, failure: Failure, pause_ms: int | None) -> None:
-        """Log how a try failed and what follows."""
+        """Log the failure of an attempt; `pause_ms` is None for the last."""
         self._failure_count += 1
         event = REQUEST_FAILED if pause_ms is None else REQUEST_AGAIN
         if pause_ms is not None and self._failure_count > 1:
-            return  # one line says that it waits, the last how it ended
+            return  # only the first failure and the last one are logged
         event.report(
             request=self._work.request_id,
             service=self._work.service,
@@ -104,9 +106,9 @@
         )
 
     def retry_delay_ms(self, failure: Failure, nodes: Nodes) -> int | None:
-        """Return how long to wait before the next try, None to give up.
+        """Return the delay before the next attempt, None for no more.
 
-        `nodes` are those that serve requests of this kind now.
+        `nodes` are those that currently serve the service.
         """
         if self._clock.now_ms() + _MIN_REMAINING_MS >= self._until_ms:
             return None
@@ -126,8 +128,8 @@
     def _any_node_serves(self) -> bool:
         return self._work.shard < 0
 
-    def _owner_delay_ms(self, patient_until_ms: int) -> int | None:
-        remaining_ms = patient_until_ms - self._clock.now_ms()
+    def _owner_delay_ms(self, wait_until_ms: int) -> int | None:
+        remaining_ms = wait_until_ms - self._clock.now_ms()
         if remaining_ms <= _MIN_REMAINING_MS:
             return None
         if self._any_node_serves and self._other_nodes_tried < _MAX_OTHER_NODES:
