--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -11,11 +11,11 @@
 from laburnumwood.config.files import Content, Files, digest
 from laburnumwood.config.merge import Merged, merge_files
 from laburnumwood.errors import (
-    ChangedSinceError,
+    ConcurrentChangeError,
     DeclarationError,
     PlatformConflictError,
     PlatformError,
-    PlatformUnreachableError,
+    PlatformUnavailableError,
 )
 from laburnumwood.records import ConfigRecord
 from laburnumwood.store.interface import Store
@@ -103,8 +103,8 @@
 
         A change of other files by another operator in the same moment does
         no harm: both stand.  Raises `DeclarationError` if the result is not
-        valid, `ChangedSinceError` if another operator changed the same file,
-        and `PlatformError` if the platform does not answer.
+        valid, `ConcurrentChangeError` if another operator changed the same
+        file, and `PlatformError` if the platform does not answer.
         """
         accepted = None
         while accepted is None:
@@ -130,7 +130,7 @@
         now, version = current(self._platform)
         changed = _changed_since(proposal, now)
         if changed:
-            raise ChangedSinceError(changed)
+            raise ConcurrentChangeError(changed)
         files = _with(now.files, proposal.files)
         check_successor(files, now)
         if files == now.files:
@@ -177,11 +177,11 @@
         for _ in range(_SETTLE_ATTEMPTS):
             try:
                 write(self._platform, CONFIG, record, version)
-            except PlatformUnreachableError:
+            except PlatformUnavailableError:
                 time.sleep(_SETTLE_PAUSE_MS / MS_PER_SECOND)
             else:
                 return
-        raise PlatformUnreachableError(
+        raise PlatformUnavailableError(
             f'whether generation {record.generation} was accepted is not known'
         )
 
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from laburnumwood.borders import BORDERS
+from laburnumwood.borders import INTEGRATIONS
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.daemon.incarnation import Incarnation
 from laburnumwood.errors import (
@@ -44,7 +44,7 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.breaker import GuardedStore
 from laburnumwood.store.writes import new_mark
-from laburnumwood.tasks import begin, start
+from laburnumwood.tasks import start, start_joinable
 from laburnumwood.upstream.reporting import ReportingWorker
 
 _JOIN_RETRY_MS = 500
@@ -64,15 +64,15 @@
     """The process of a node, which runs beside one worker."""
 
     def __init__(self, settings: DaemonSettings) -> None:
-        if settings.borders not in BORDERS:
-            allowed = ', '.join(sorted(BORDERS))
+        if settings.borders not in INTEGRATIONS:
+            allowed = ', '.join(sorted(INTEGRATIONS))
             text = f'borders: found {settings.borders!r}; allowed: {allowed}'
             raise SettingsError(text)
         self._settings = settings
         self._clock = Clock()
-        self._borders = BORDERS[settings.borders]
-        self._face = self._borders.make_face(settings)
-        store = self._borders.make_store(settings)
+        self._integration = INTEGRATIONS[settings.borders]
+        self._face = self._integration.make_caller_interface(settings)
+        store = self._integration.make_store(settings)
         self._platform = GuardedStore(store, self._clock)
         self._incarnation: Incarnation | None = None
         self._witness: Witness | None = None
@@ -158,7 +158,7 @@
         if settings.metrics_port is not None:
             metrics = (settings.host, settings.metrics_port)
             HttpListener(metrics, self._serve_metrics)
-        for listener in self._borders.listeners(settings, self):
+        for listener in self._integration.listeners(settings, self):
             HttpListener(listener.address, listener.application)
 
     def _serve_peer(self, link: Link, stream: Stream, message: Any) -> None:
@@ -250,7 +250,7 @@
         incarnation = Incarnation(
             name,
             self._settings,
-            self._borders,
+            self._integration,
             self._platform,
             self.worker,
             self._witness,
@@ -333,7 +333,7 @@
             return
         NODE_STOPPING.report(node=incarnation.name)
         # The door answers the requests that it has read while shards are moved.
-        closing = begin(self._close_door)
+        closing = start_joinable(self._close_door)
         incarnation.hand_over(self._remaining_stop_ms())
         closing.wait()
         # While the store is unreachable, peers may not know yet that this node
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -181,7 +181,7 @@
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
         self._held_shards.close(shard)
         # Requests that wait for a grant of the shard go to the next owner.
-        self._grants.changes.tell()
+        self._grants.changes.notify_all()
         while not self._held_shards.is_idle(shard):
             eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
 
--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from laburnumwood.borders import Borders, Front, Listener, borders
+from laburnumwood.borders import Integration, Listener, NodeStatus, integration
 from laburnumwood.listening import split_address
 from laburnumwood.platform.callers import PlatformCallerInterface
 from laburnumwood.platform.reports import ReportEndpoint
@@ -21,23 +21,25 @@
     It answers 200 if callers may send requests to this node, else 503.
     """
 
-    def __init__(self, front: Front) -> None:
-        self._front = front
+    def __init__(self, node: NodeStatus) -> None:
+        self._node = node
 
     def __call__(
         self, _environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one request."""
-        ready = self._front.is_ready
+        ready = self._node.is_ready
         status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         start_response(status_line(status), [('Content-Length', '0')])
         return (b'',)
 
 
-def _listeners(settings: DaemonSettings, front: Front) -> tuple[Listener, ...]:
+def _listeners(
+    settings: DaemonSettings, node: NodeStatus
+) -> tuple[Listener, ...]:
     applications = (
-        (settings.ready_address, ReadinessEndpoint(front)),
-        (settings.report_address, ReportEndpoint(settings, front.worker)),
+        (settings.ready_address, ReadinessEndpoint(node)),
+        (settings.report_address, ReportEndpoint(settings, node.worker)),
     )
     return tuple(
         Listener(split_address(address), application)
@@ -47,17 +49,17 @@
 
 
 def register() -> None:
-    """Register the platform's borders under the name `platform`."""
-    borders('platform')(_make)
+    """Register the platform's integration under the name `platform`."""
+    integration('platform')(_make)
 
 
-def _make() -> Borders:
-    return Borders(
+def _make() -> Integration:
+    return Integration(
         make_store=lambda settings: ObjectStore(settings.platform_url),
-        make_face=lambda settings: PlatformCallerInterface(
+        make_caller_interface=lambda settings: PlatformCallerInterface(
             settings, Random(settings.node_id)
         ),
-        make_dialect=PlatformWorkerInterface,
+        make_worker_interface=PlatformWorkerInterface,
         listeners=_listeners,
         worker_reports=True,
         has_idempotency_keys=False,
--- a/laburnumwood/platform/store.py
+++ b/laburnumwood/platform/store.py
@@ -17,7 +17,7 @@
     PlatformConflictError,
     PlatformError,
     PlatformNotReachedError,
-    PlatformUnreachableError,
+    PlatformUnavailableError,
 )
 from laburnumwood.events import RECORD_REFUSED
 from laburnumwood.platform.bodies import (
@@ -213,23 +213,23 @@
     try:
         return decode_as(model, decode(body))
     except BodyError as unreadable:
-        raise PlatformUnreachableError(str(unreadable)) from unreadable
+        raise PlatformUnavailableError(str(unreadable)) from unreadable
 
 
 def read_changes(body: bytes) -> _WatchResponse:
     """Return the decoded answer to a watch.
 
-    Raises `PlatformUnreachableError` if it is not valid.
+    Raises `PlatformUnavailableError` if it is not valid.
     """
     changes: _WatchResponse = _decode(_WatchResponse, body)
     return changes
 
 
-def _unreachable_error(status: int) -> type[PlatformUnreachableError]:
+def _unreachable_error(status: int) -> type[PlatformUnavailableError]:
     # The platform guarantees that a call with this status had no effect.
     if status == HTTPStatus.SERVICE_UNAVAILABLE:
         return PlatformNotReachedError
-    return PlatformUnreachableError
+    return PlatformUnavailableError
 
 
 def _checked_body(answer: BaseHTTPResponse, what: str) -> bytes:
--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -10,7 +10,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import CALLER_GONE
 from laburnumwood.metrics import CALLER_GONE_WITHIN
-from laburnumwood.tasks import attempt, start, supervise
+from laburnumwood.tasks import run_logged, start, supervise
 
 GoneHandler = Callable[[], None]
 
@@ -63,7 +63,7 @@
         """
         self._gone_handler = handler
         if self._is_gone and handler is not None:
-            attempt(handler)
+            run_logged(handler)
 
     def stop_monitoring(self) -> None:
         """Stop monitoring the connection and remove the handler."""
@@ -88,7 +88,7 @@
         if self._is_gone:
             self._report_gone()
         if self._is_gone and self._gone_handler is not None:
-            attempt(self._gone_handler)
+            run_logged(self._gone_handler)
 
     def _is_at_eof(self) -> bool:
         try:
--- a/laburnumwood/routing/observed.py
+++ b/laburnumwood/routing/observed.py
@@ -34,7 +34,7 @@
 
     def record(self, rank: int, length: int) -> None:
         """Record the length of an answer in bytes."""
-        self._mean_lengths[rank].note(length)
+        self._mean_lengths[rank].add(length)
 
     def expected_wait_ms(self, rank: int) -> int:
         """Return the expected wait of an answer in ms; 0 for short ones."""
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -5,7 +5,11 @@
 
 from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
-from laburnumwood.errors import CallerGoneError, LinkError, LinkTimeoutError
+from laburnumwood.errors import (
+    CallerDisconnectedError,
+    LinkError,
+    LinkTimeoutError,
+)
 from laburnumwood.membership.gossip import apply_shard_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.layout import locate_text_key
@@ -130,7 +134,7 @@
 
 def cancel_exchange(exchange: OutgoingExchange) -> None:
     """Cancel the request at the gate and fail all local waits for it."""
-    exchange.fail(CallerGoneError(_CALLER_GONE))
+    exchange.fail(CallerDisconnectedError(_CALLER_GONE))
     start(_send_cancel, exchange)
 
 
@@ -274,7 +278,7 @@
             work = replace(work, deadline_ms=left_ms)
         try:
             exchange = self._open(target, work, caller)
-        except CallerGoneError as error:
+        except CallerDisconnectedError as error:
             return make_failure('cancelled', str(error), ran=False)
         except LinkError as error:
             self._balancer.avoid(target, AVOID_MS)
@@ -302,11 +306,11 @@
             )
             if caller.poll():
                 exchange.close()
-                raise CallerGoneError(_CALLER_GONE)
+                raise CallerDisconnectedError(_CALLER_GONE)
             exchange.send(work)
             return exchange
         if caller.poll():
-            raise CallerGoneError(_CALLER_GONE)
+            raise CallerDisconnectedError(_CALLER_GONE)
         local_end, remote_end = local_pair()
         start(self._serve, remote_end, work)
         return local_end
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -10,8 +10,8 @@
 from laburnumwood.errors import (
     LinkError,
     RunCancelledError,
+    WorkerAnswerError,
     WorkerBusyError,
-    WorkerCutError,
     WorkerError,
     WorkerTimeoutError,
     WorkerUnreachableError,
@@ -124,7 +124,7 @@
             self._start_cancel(run)
             failure = make_failure('deadline', str(error), ran=True)
             return _fail(failure, exchange)
-        except WorkerCutError as error:
+        except WorkerAnswerError as error:
             failure = make_failure('worker-cut', str(error), ran=True)
             return _fail(failure, exchange)
         return self._forward_answer(run, answer, exchange, max_kept_bytes)
@@ -149,7 +149,7 @@
             return self._run_checked(run)
         except WorkerTimeoutError:
             raise
-        except WorkerCutError:
+        except WorkerAnswerError:
             # A worker that still answers did not die under this request.
             if self._worker.is_dead():
                 self._may_be_dead = True
@@ -162,7 +162,7 @@
         answer = self._worker.send(self._worker_request(run))
         try:
             self._worker_interface.check(run, answer)
-        except WorkerCutError:
+        except WorkerAnswerError:
             answer.close()
             raise
         return answer
@@ -188,7 +188,7 @@
         except RunCancelledError:
             answer.close()
             raise
-        except WorkerCutError as error:
+        except WorkerAnswerError as error:
             answer.close()
             self._start_cancel(run)
             return _fail(
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -12,7 +12,7 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.quarantine import DEATHS_TO_BAR, Quarantine
-from laburnumwood.tasks import begin
+from laburnumwood.tasks import start_joinable
 
 _CALL_TIMEOUT_MS = 300
 
@@ -56,7 +56,7 @@
         self, service: str, suspicion: Suspicion
     ) -> list[eventlet.greenthread.GreenThread]:
         others = set(self._view.serving_nodes(service)).difference((self._own,))
-        return [begin(self._send, name, suspicion) for name in others]
+        return [start_joinable(self._send, name, suspicion) for name in others]
 
     def _send(self, name: NodeName, suspicion: Suspicion) -> None:
         try:
--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -27,7 +27,7 @@
         """Return the problem kind if the request did not run, else None."""
 
     def check(self, run: Run, answer: WorkerAnswer) -> None:
-        """Raise `WorkerCutError` if an answer belongs to another request."""
+        """Raise `WorkerAnswerError` if an answer belongs to another request."""
 
     def cancel(self, worker: Worker, run: Run) -> bool:
         """Ask the worker to stop a request.
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -118,7 +118,7 @@
         self._last_report_ms = self._clock.now_ms()
         is_periodic = _MIN_INTERVAL_MS <= interval_ms < self._settings.silent_ms
         if status is ReportStatus.SAME_INSTANCE and is_periodic:
-            self._intervals_ms.note(interval_ms)
+            self._intervals_ms.add(interval_ms)
 
     def _begin_leaving(self) -> None:
         if self._leaving_since_ms is None:
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from laburnumwood.news import News
+from laburnumwood.notifier import Notifier
 from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.keeper import ShardManager
 from laburnumwood.placement.shard_write import WriteProgress
@@ -28,7 +28,7 @@
     def __init__(self, release_ms: int, clock: FakeClock) -> None:
         self._clock = clock
         self._released_ms = clock.now_ms() + release_ms
-        self.changes = News()
+        self.changes = Notifier()
         self.withdrawn: set[ShardName] = set()
         self.withdrawals: list[ShardName] = []
 
