--- a/tests/features/path.feature
+++ b/tests/features/path.feature
@@ -28,7 +28,7 @@
     And 60 keys of "trader-portal" are served at the doors of the others
 
   Scenario: a node whose worker is frozen gives its shards up and comes back
-    When the worker of the node "portal-1" is frozen
+    When the worker of node "portal-1" is paused
     Then 60 keys of "trader-portal" are served by the other workers
-    When the worker of the node "portal-1" is thawed
+    When the worker of node "portal-1" is resumed
     And the deployment of "trader-portal" is settled
--- a/tests/features/steps/worker_health_steps.py
+++ b/tests/features/steps/worker_health_steps.py
@@ -7,7 +7,7 @@
 from tests.ownership.clocks import DriftingClock, WorldClock
 
 
-@when('calls of the worker end so')
+@when('calls of the worker end as follows')
 def run_calls(context: Context) -> None:
     context.time = WorldClock()
     context.health = WorkerHealth(DriftingClock(context.time, 0, 1.0))
--- a/tests/features/worker_health.feature
+++ b/tests/features/worker_health.feature
@@ -1,6 +1,6 @@
 Feature: A worker that no longer answers
-  Scenario: one failure is not a loss
-    When calls of the worker end so
+  Scenario: a worker is not lost after single failures
+    When calls of the worker end as follows
       | at_ms | answered |
       | 0     | yes      |
       | 400   | no       |
@@ -8,8 +8,8 @@
       | 5000  | no       |
     Then at 5400 ms the worker is not lost
 
-  Scenario: silence for longer than the patience is
-    When calls of the worker end so
+  Scenario: a worker is lost after failing for longer than the timeout
+    When calls of the worker end as follows
       | at_ms | answered |
       | 0     | no       |
       | 500   | no       |
