--- a/tests/features/dividing.feature
+++ b/tests/features/dividing.feature
@@ -3,7 +3,7 @@
   Its first nodes start within a second and agree on the number by the store;
   the number does not change later.
 
-  # Guards against workers that never get a key, as with 64 shards and 66 workers.
+  # Guards against workers that never get a key: 64 shards for 66 workers.
   Scenario Outline: every node of a new service gets shards
     Given <nodes> nodes that start together
     When 4 s pass for the nodes
--- a/tests/features/layout.feature
+++ b/tests/features/layout.feature
@@ -1,18 +1,18 @@
 Feature: Keys, their shards, and hot keys that are split off
   A service has 64 shards of stripes of 64 neighbouring keys.
 
-  Scenario: every key has one shard, and neighbours stay together
-    Then each key is in the ranges of just the shard that it is placed in
+  Scenario: every key has one shard, and neighbouring keys share one
+    Then each key is only in the ranges of the shard that it is mapped to
     And the keys 0 to 63 are in shard 0, the keys 64 to 127 in shard 1
 
   Scenario: hot keys that are split off have a shard of their own
     When the keys 70 to 127 are split off shard 1
     And the keys 80 to 127 are split off the shard of 70
-    Then each key is in the ranges of just the shard that it is placed in
-    And the keys 70 to 79 have a shard of their own, and 80 to 127 another
+    Then each key is only in the ranges of the shard that it is mapped to
+    And the keys 70 to 79 have a shard of their own, and 80 to 127 another one
 
-  Scenario Outline: the upper part of the hottest range has half of the requests
-    When keys come as often as <counts>
+  Scenario Outline: the upper half of the hottest range is split off
+    When keys are requested as often as <counts>
     Then <range> is to be split off shard 1
 
     Examples:
@@ -24,8 +24,8 @@
       | 64:9                            | nothing    |
       | 0:100 70:1 4160:10 4161:10      | 4161 to 4223 |
 
-  Scenario Outline: several parts of the hottest range go at once
-    When keys come as often as <counts>
+  Scenario Outline: several parts of the hottest range are split off at once
+    When keys are requested as often as <counts>
     Then of <pieces> pieces <ranges> are to be split off shard 1
 
     Examples:
@@ -35,9 +35,9 @@
       | 70:1 71:99                           | 4      | 71 to 127                       |
       | 64:3 65:3 66:3                       | 3      | 66 to 127, 65 to 65             |
 
-  Scenario Outline: a node splits only what it can't carry
+  Scenario Outline: only a node that is too busy splits a shard
     Given nodes "a" and "b" whose slots are busy by <own> and <other>
-    And a shard of "a" that takes <heaviest> of its slots
+    And a shard of "a" that keeps <heaviest> of its slots busy
     Then the shard to split off is <shard>
 
     Examples:
@@ -48,16 +48,16 @@
       | 0.9 | 0.2   | 0.2      | -1    |
 
   # Guards against all nodes of a large service choosing the same few targets.
-  Scenario: nodes of a large service give their hot keys to different nodes
-    Given 68 nodes with a shard each that is too much for it, but 4 with none
+  Scenario: nodes of a large service split hot keys off to different nodes
+    Given 68 nodes that are overloaded by one shard each, but 4 without a shard
     And each of them knows the load of 6 others
-    When all of them choose at once what to split off and to whom
+    When all of them choose at once what to split off and the target nodes
     Then no node is chosen by more than 15 of them
     And parts go only to nodes whose load the owner knows
 
   Scenario Outline: the larger a service, the more ranges may be split off
-    Given a service of <nodes> nodes of which one is far too busy
-    Then it splits while <ranges> ranges are split off, and with more no longer
+    Given a service of <nodes> nodes of which one is overloaded
+    Then it splits while <ranges> ranges are split off, but not with more
 
     Examples:
       | nodes | ranges |
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -1,14 +1,14 @@
 Feature: One owner for each shard, whatever fails
-  The real leases, witnesses, seals, records and writes run in a small world
-  with clocks that drift, a network and a store that fail.  After every step
-  a judge that sees all nodes at one moment looks for a second actor and for
-  a fencing token that fell.
+  The real leases, witnesses, seals, records and writes run in a simulation with
+  drifting clocks and a network and a store that fail.  After every step a check
+  that sees all nodes at the same moment looks for two acting owners of a shard
+  and for a fencing token that did not rise.
 
-  Scenario: random worlds
-    When 25 random worlds of 30 lines are run
-    Then no shard ever had two actors
+  Scenario: random simulations
+    When 25 random simulations of 30 lines are run
+    Then no shard ever had two acting owners
 
-  Scenario Outline: a safeguard left out is found out, <safeguard>
+  Scenario Outline: a missing safeguard is detected, <safeguard>
     Given the script
       """
       <script>
@@ -19,20 +19,20 @@
     Examples:
       | safeguard                           | error          | script |
       | the floor                           | TwoActorsError | deaf c; move 1 d; tick 3; pause b; tick 36 |
-      | the winning of a write              | TwoActorsError | deaf c; move 1 d; tick 3; pause b; tick 36 |
+      | the write before a takeover         | TwoActorsError | deaf c; move 1 d; tick 3; pause b; tick 36 |
       | the wait for an unsettled move      | TwoActorsError | store late; move 1 d; tick 3; pause b; store up; land; tick 36 |
-      | the memory of earlier tries         | TwoActorsError | store late; move 1 d; tick 3; store refused; tick 2; pause b; store up; land; tick 36 |
+      | the memory of earlier attempts      | TwoActorsError | store late; move 1 d; tick 3; store refused; tick 2; pause b; store up; land; tick 36 |
       | the end of a move that was not sent | NobodyActsError | store refused; move 1 d; tick 4; owned 20 |
-      | the count from sending              | TwoActorsError | cut-to a all; tick 8; cut-from a all; heal-to a; tick 1; cut-to a all; tick 36 |
+      | the count of grants from sending    | TwoActorsError | cut-to a all; tick 8; cut-from a all; heal-to a; tick 1; cut-to a all; tick 36 |
       | the new name of a restarted witness | TwoActorsError | deaf b; cut b all; tick 40; restart d; restart e; heal b; tick 8 |
       | the joint majority                  | TwoActorsError | witnesses b 3; cut b a; tick 40 |
-      | the care after a conflict           | TwoActorsError | move 0 e; tick 8; store lose; move 0 b; tick 3; pause e; store up; tick 4; move 0 d; resume e; tick 8 |
-      | the opening after a split           | NobodyActsError | split 0; tick 8; owned 20 |
-      | ends that need nobody               | NobodyActsError | crash a; crash d; crash e; tick 20; restart d; restart e; owned 300 |
+      | the drop after a conflict           | TwoActorsError | move 0 e; tick 8; store lose; move 0 b; tick 3; pause e; store up; tick 4; move 0 d; resume e; tick 8 |
+      | the reopening after a split         | NobodyActsError | split 0; tick 8; owned 20 |
+      | the automatic end of lost nodes     | NobodyActsError | crash a; crash d; crash e; tick 20; restart d; restart e; owned 300 |
 
   # Guards against two workers that hold the same keys: the end of a node's
-  # incarnation was told while its worker still held what it had been given.
-  Scenario Outline: workers that report let go before others get their shards
+  # incarnation was announced while its worker still held its grants.
+  Scenario Outline: workers that report release shards before others get them
     Given the script
       """
       <script>
@@ -40,15 +40,15 @@
     Then the code without "the wait for the worker" fails on it with workers that report
     And the whole code with workers that report passes on it
 
-    Examples: witnesses of a node come back anew while its lease is held
+    Examples: witnesses of a node are restarted while its lease is held
       | script |
       | tick 48; crash d; crash e; tick 2; restart d; restart e; tick 100   |
       | tick 52; crash d; crash e; tick 20; restart d; restart e; tick 100  |
       | tick 52; crash a; crash d; tick 20; restart a; restart d; tick 100  |
 
-  # Guards against keys that nobody gets: the end of an incarnation that waited
+  # Guards against keys without an owner: the end of an incarnation that waited
   # for its worker was never recorded.
-  Scenario Outline: a shard has an owner again though the end of the last waited
+  Scenario Outline: a shard gets an owner although the last one's end was delayed
     Given the script
       """
       tick 52; crash d; crash e; tick 20; restart d; restart e; <script>
@@ -62,7 +62,7 @@
       | tick 5; crash b; owned 300 |
       | tick 9; crash b; owned 300 |
 
-  # Guards against the same in whatever order faults come.
-  Scenario: random worlds with workers that report
-    When 60 random worlds of 30 lines with workers that report are run
-    Then no shard ever had two actors
+  # Guards against both faults in any order of failures.
+  Scenario: random simulations with workers that report
+    When 60 random simulations of 30 lines with workers that report are run
+    Then no shard ever had two acting owners
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -50,16 +50,16 @@
 
 @when('the keys {first:d} to {last:d} are split off the shard of {key:d}')
 def split_again(context: Context, first: int, last: int, key: int) -> None:
-    parent = _place(context, key)
+    parent = _shard_of(context, key)
     _split(context, parent, KeyRange(first, last))
 
 
-def _place(context: Context, key: int) -> int:
+def _shard_of(context: Context, key: int) -> int:
     base = initial_shard(str(key), SERVICE)
     return locate_text_key(str(key), base, _records(context))
 
 
-@then('each key is in the ranges of just the shard that it is placed in')
+@then('each key is only in the ranges of the shard that it is mapped to')
 def check_partition(context: Context) -> None:
     seen: dict[int, int] = {}
     for number, record in _records(context).items():
@@ -69,7 +69,7 @@
                 seen[key] = number
     assert len(seen) == KEY_SPACE
     for key in range(0, KEY_SPACE, 7):
-        assert _place(context, key) == seen[key], key
+        assert _shard_of(context, key) == seen[key], key
 
 
 @then(
@@ -78,28 +78,30 @@
 )
 def check_neighbours(context: Context, **found: int) -> None:
     for key in range(found['first'], found['last'] + 1):
-        assert _place(context, key) == found['number']
+        assert _shard_of(context, key) == found['number']
     for key in range(found['second'], found['end'] + 1):
-        assert _place(context, key) == found['other']
+        assert _shard_of(context, key) == found['other']
 
 
 @then(
     'the keys {first:d} to {last:d} have a shard of their own, '
-    'and {second:d} to {end:d} another'
+    'and {second:d} to {end:d} another one'
 )
 def check_split(context: Context, **found: int) -> None:
     own = {
-        _place(context, key) for key in range(found['first'], found['last'] + 1)
+        _shard_of(context, key)
+        for key in range(found['first'], found['last'] + 1)
     }
     other = {
-        _place(context, key) for key in range(found['second'], found['end'] + 1)
+        _shard_of(context, key)
+        for key in range(found['second'], found['end'] + 1)
     }
     assert len(own) == 1 and len(other) == 1 and own != other
     assert min(own | other) >= SERVICE.shards
     assert locate(found['first'], 1, _records(context)) in own
 
 
-@when('keys come as often as {counts}')
+@when('keys are requested as often as {counts}')
 def set_counts(context: Context, counts: str) -> None:
     pairs = (each.split(':') for each in counts.split())
     context.counts = {int(key): float(count) for key, count in pairs}
@@ -108,8 +110,10 @@
 @then('{wanted} is to be split off shard {number:d}')
 def check_half(context: Context, wanted: str, number: int) -> None:
     found = hot_parts(key_ranges(number, None, SERVICE), context.counts, 2)
-    told = [f'{keys.first} to {keys.last}' for keys in found] or ['nothing']
-    assert told == [wanted], told
+    found_ranges = [f'{keys.first} to {keys.last}' for keys in found] or [
+        'nothing'
+    ]
+    assert found_ranges == [wanted], found_ranges
 
 
 @then('of {pieces:d} pieces {wanted} are to be split off shard {number:d}')
@@ -118,16 +122,16 @@
 ) -> None:
     ranges = key_ranges(number, None, SERVICE)
     found = hot_parts(ranges, context.counts, pieces)
-    told = [f'{keys.first} to {keys.last}' for keys in found]
-    assert told == wanted.split(', '), told
+    found_ranges = [f'{keys.first} to {keys.last}' for keys in found]
+    assert found_ranges == wanted.split(', '), found_ranges
 
 
 @given('nodes "a" and "b" whose slots are busy by {own:g} and {other:g}')
-def set_usages(context: Context, own: float, other: float) -> None:
+def set_utilizations(context: Context, own: float, other: float) -> None:
     context.utilizations = own, other
 
 
-@given('a shard of "a" that takes {heaviest:g} of its slots')
+@given('a shard of "a" that keeps {heaviest:g} of its slots busy')
 def set_heaviest(context: Context, heaviest: float) -> None:
     own, other = context.utilizations
     context.snapshot = PlacementSnapshot(
@@ -152,10 +156,10 @@
     assert splitter.choose_shard(context.snapshot, 0)[0] == -1
 
 
-def _busy_snapshot(
+def _overloaded_snapshot(
     own: int, count: int, empty: int, peers: Set[NodeName] | None
 ) -> PlacementSnapshot:
-    """Return what one node knows, where the last `empty` have no shards."""
+    """Return the snapshot of a node; the last `empty` have no shards."""
     names = [NodeName(f'node-{number}', 1) for number in range(count)]
     busy = count - empty
     return PlacementSnapshot(
@@ -171,8 +175,8 @@
 
 
 @given(
-    '{count:d} nodes with a shard each that is too much for it, '
-    'but {empty:d} with none'
+    '{count:d} nodes that are overloaded by one shard each, '
+    'but {empty:d} without a shard'
 )
 def set_overload(context: Context, count: int, empty: int) -> None:
     context.count, context.empty = count, empty
@@ -189,11 +193,11 @@
             for other in chance.sample(others, known)
         }
         context.snapshots.append(
-            _busy_snapshot(own, context.count, context.empty, peers)
+            _overloaded_snapshot(own, context.count, context.empty, peers)
         )
 
 
-@when('all of them choose at once what to split off and to whom')
+@when('all of them choose at once what to split off and the target nodes')
 def choose_all(context: Context) -> None:
     context.chosen = [
         Splitter(FakeClock()).choose_shard(snapshot, 0)[1]
@@ -202,7 +206,7 @@
 
 
 @then('no node is chosen by more than {most:d} of them')
-def check_no_herd(context: Context, most: int) -> None:
+def check_choosers(context: Context, most: int) -> None:
     choosers = Counter(chain.from_iterable(map(set, context.chosen)))
     assert choosers, context.chosen
     assert max(choosers.values()) <= most, choosers
@@ -216,12 +220,12 @@
         assert set(targets) <= snapshot.peers, targets
 
 
-@given('a service of {count:d} nodes of which one is far too busy')
-def set_one_busy(context: Context, count: int) -> None:
-    context.snapshot = _busy_snapshot(0, count, count - 1, None)
+@given('a service of {count:d} nodes of which one is overloaded')
+def set_one_overloaded(context: Context, count: int) -> None:
+    context.snapshot = _overloaded_snapshot(0, count, count - 1, None)
 
 
-@then('it splits while {most:d} ranges are split off, and with more no longer')
+@then('it splits while {most:d} ranges are split off, but not with more')
 def check_most(context: Context, most: int) -> None:
     splitter = Splitter(FakeClock())
     assert splitter.choose_shard(context.snapshot, most)[1]
--- a/tests/features/steps/letting_go_steps.py
+++ b/tests/features/steps/letting_go_steps.py
@@ -72,11 +72,11 @@
 
 
 def _held(context: Context) -> tuple[HeldRange, ...]:
-    given_rows = context.reply.ranges or ()
-    return tuple(HeldRange(row.keys, row.token) for row in given_rows)
+    granted_rows = context.reply.ranges or ()
+    return tuple(HeldRange(row.keys, row.token) for row in granted_rows)
 
 
-@given('a node whose worker was given a shard for {span:d} ms')
+@given('a node whose worker was granted a shard for {span:d} ms')
 def make_node(context: Context, span: int) -> None:
     if 'platform' not in BORDERS:
         register()
@@ -119,16 +119,16 @@
 
 @when('the node stops without time to wait for its worker')
 def stop(context: Context) -> None:
-    context.told = []
+    context.sent = []
     gossip: Any = context.first._member.gossip
-    gossip.notify = lambda names, message: context.told.append(message)
+    gossip.notify = lambda names, message: context.sent.append(message)
     context.first.hand_over(0)
     context.node._record_ends(context.first)
 
 
-@then('no witness was told to seal')
-def check_not_told(context: Context) -> None:
-    resigned = [each for each in context.told if isinstance(each, Resign)]
+@then('no witness was asked to seal')
+def check_not_asked(context: Context) -> None:
+    resigned = [each for each in context.sent if isinstance(each, Resign)]
     assert not resigned, resigned
 
 
@@ -163,8 +163,8 @@
     context.store.mode = 'up'
 
 
-@when('the next incarnation gives the worker the same shard')
-def give_next(context: Context) -> None:
+@when('the next incarnation grants the worker the same shard')
+def grant_next(context: Context) -> None:
     context.next = _join(context)
     context.node.worker._source._declaration = lambda: DECLARED
     _hold_lease(context.next, context.clock)
@@ -182,8 +182,8 @@
     _report_again(context)
 
 
-@then('the first may be followed, the next one not')
-def check_followed(context: Context) -> None:
+@then('the first one has finished, the next one has not')
+def check_finished(context: Context) -> None:
     assert context.first.has_finished
     assert not context.next.has_finished
 
@@ -194,6 +194,6 @@
     context.first._grants.restore(SHARD)
 
 
-@then('it is not to hold the shard')
-def check_not_held(context: Context) -> None:
+@then('it is not granted the shard')
+def check_not_granted(context: Context) -> None:
     assert not _held(context), context.reply
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the ownership of shards in a small world."""
+"""Steps about the ownership of shards in a simulation."""
 
 from behave import given, then, when
 from behave.runner import Context
@@ -19,22 +19,24 @@
     return 'nothing'
 
 
-@when('{runs:d} random worlds of {lines:d} lines are run')
-def run_random_worlds(context: Context, runs: int, lines: int) -> None:
+@when('{runs:d} random simulations of {lines:d} lines are run')
+def run_simulations(context: Context, runs: int, lines: int) -> None:
     context.counted = drive(Code(), runs, lines)
 
 
 @when(
-    '{runs:d} random worlds of {lines:d} lines with workers that report are run'
+    '{runs:d} random simulations of {lines:d} lines with workers that report '
+    'are run'
 )
-def run_worlds_with_workers(context: Context, runs: int, lines: int) -> None:
+def run_with_workers(context: Context, runs: int, lines: int) -> None:
     context.counted = drive(Code(), runs, lines, has_workers=True)
 
 
-@then('no shard ever had two actors')
-def check_random_worlds(context: Context) -> None:
-    # The worlds raise on the first fault, also where a shard has no owner
-    # long after all faults; here it must be sure that they came to that.
+@then('no shard ever had two acting owners')
+def check_simulations(context: Context) -> None:
+    # A simulation raises on the first violation, also if a shard has no owner
+    # long after all faults have ended.  This checks that some simulations got
+    # as far as that last check.
     counted = context.counted
     print(f'{counted.runs} worlds, {counted.steps} steps', end=', ')
     print(f'after all faults every shard had an owner {counted.calms} times')
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -153,17 +153,17 @@
 
 
 MUTATIONS = {
-    'ends that need nobody': Code(backless=_NoEnd),
+    'the automatic end of lost nodes': Code(backless=_NoEnd),
     'nothing': Code(),
     'the floor': Code(lease=_NoFloor),
-    'the winning of a write': Code(ownership=_ReadForWin),
-    'the count from sending': Code(lease=_FromReceipt),
+    'the write before a takeover': Code(ownership=_ReadForWin),
+    'the count of grants from sending': Code(lease=_FromReceipt),
     'the new name of a restarted witness': Code(witness=_KeptVote),
     'the joint majority': Code(lease=_NoJointMajority),
-    'the care after a conflict': Code(ownership=_ReopenOnConflict),
-    'the opening after a split': Code(ownership=_ClosedAfterSplit),
+    'the drop after a conflict': Code(ownership=_ReopenOnConflict),
+    'the reopening after a split': Code(ownership=_ClosedAfterSplit),
     'the wait for the worker': Code(grants=_NoWaitForWorker),
     'the wait for an unsettled move': Code(ownership=_ReopenUnsettled),
-    'the memory of earlier tries': Code(ownership=_LastTryOnly),
+    'the memory of earlier attempts': Code(ownership=_LastTryOnly),
     'the end of a move that was not sent': Code(ownership=_UnsettledMoves),
 }
