--- a/laburnumwood/admission/limit.py
+++ b/laburnumwood/admission/limit.py
@@ -115,7 +115,7 @@
 
     def _close_window(self) -> None:
         short = max(median(self._samples), 1)
-        self._long_term.note(short)
+        self._long_term.add(short)
         gradient = _LATENCY_TOLERANCE * self._long_term.mean / short
         gradient = max(_MIN_GRADIENT, min(1, gradient))
         if self._limit < self._limit_before_losses and gradient == 1:
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -14,7 +14,7 @@
     CONFIG_REFUSED,
     RECORD_REFUSED,
 )
-from laburnumwood.news import News
+from laburnumwood.notifier import Notifier
 from laburnumwood.records import (
     ConfigRecord,
     NodeName,
@@ -100,7 +100,7 @@
         self.node_change_count = 0
         self.on_shard_change: ShardListener = _ignore_shard_change
         self.on_config_change: Callable[[], None] = _ignore_config_change
-        self.news = News()
+        self.news = Notifier()
 
     @property
     def config(self) -> ConfigRecord:
@@ -184,7 +184,7 @@
         self._objects[stored.name] = stored
         self._names_by_version[stored.version] = stored.name
         self.change_count += 1
-        self.news.tell()
+        self.news.notify_all()
         return True
 
     def versions_since(self, revision: int) -> tuple[int, ...]:
--- a/laburnumwood/routing/notary.py
+++ b/laburnumwood/routing/notary.py
@@ -28,7 +28,7 @@
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.running import RunResult
-from laburnumwood.tasks import begin, start
+from laburnumwood.tasks import start, start_joinable
 
 _ACKNOWLEDGE_TIMEOUT_MS = 500
 _SYNC_INTERVAL_MS = 200
@@ -129,7 +129,7 @@
         successors = [name for name in succession if name != self._own]
         epoch = entry.record.epoch
         tasks = [
-            begin(self._send_all_entries, name, shard, epoch, True)
+            start_joinable(self._send_all_entries, name, shard, epoch, True)
             for name in successors
         ]
         acknowledged = [task.wait() for task in tasks]
@@ -162,7 +162,9 @@
         entries: tuple[LedgerEntry, ...],
     ) -> bool:
         tasks = [
-            begin(self._replicate_to, name, shard, record.epoch, entries)
+            start_joinable(
+                self._replicate_to, name, shard, record.epoch, entries
+            )
             for name in self._successors(record)
         ]
         # Each is waited for, whatever the others said.
--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -34,7 +34,7 @@
 
     def record(self, rank: int, length: int) -> None:
         """Take in how long an answer was."""
-        self._mean_lengths[rank].note(length)
+        self._mean_lengths[rank].add(length)
 
     def expected_wait_ms(self, rank: int) -> int:
         """Return how long an answer would wait, if it is a long one."""
