--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -236,7 +236,7 @@
 
     def _give_back(self, shard: ShardName, owner: NodeName) -> None:
         """Return a shard to the node that lost it: its worker has its data."""
-        write = self._ownership.begin_return(shard, owner)
+        write = self._ownership.begin_give_back(shard, owner)
         if write is None:
             self._begin_move(shard, owner)
         else:
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -177,7 +177,7 @@
         """Return the write that makes this node the first owner of a shard."""
         return self._begin(shard, self._own)
 
-    def begin_return(
+    def begin_give_back(
         self, shard: ShardName, owner: NodeName
     ) -> ShardWrite | None:
         """Return the write that gives a shard back before it is held here.
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -92,7 +92,7 @@
     write = SimpleNamespace(shard=SHARD)
     context.ownership.shards_to_write = lambda: [SHARD]
     context.ownership.returned_owner = lambda _shard: RETURNED
-    context.ownership.begin_return = lambda _shard, _owner: write
+    context.ownership.begin_give_back = lambda _shard, _owner: write
     context.ownership.finish = lambda _write, _progress: None
     context.writer.is_healthy = True
     context.writer.has_room = True
