--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -90,7 +90,7 @@
         self._stale: dict[ShardName, int] = {}
         self._unowned_since_ms: dict[ShardName, int] = {}
         self._unowned_before_ms: dict[ShardName, int] = {}
-        self._lacking_since_ms: dict[ShardName, int] = {}
+        self._lacking_successors_since_ms: dict[ShardName, int] = {}
         self._partitioning = Partitioning(service, view, clock)
 
     @property
@@ -106,7 +106,9 @@
     @property
     def is_settled(self) -> bool:
         """Return whether no shard waits for a write of this node."""
-        waiting = self._writes or self._stale or self._lacking_since_ms
+        waiting = (
+            self._writes or self._stale or self._lacking_successors_since_ms
+        )
         claims = self._unowned_since_ms or self._held_shards.any_needs_new_token
         return (
             not waiting and not claims and not self._partitioning.is_undecided
@@ -245,7 +247,7 @@
         """Apply the final progress of a write."""
         self._writes.pop(write.shard, None)
         self._unowned_since_ms.pop(write.shard, None)
-        self._lacking_since_ms.pop(write.shard, None)
+        self._lacking_successors_since_ms.pop(write.shard, None)
         if progress is WriteProgress.WRITTEN and write.stored is not None:
             self._view.directory.apply(write.stored)
             self._apply_written(write)
@@ -310,10 +312,10 @@
     def _is_succession_due(self, shard: ShardName, record: ShardRecord) -> bool:
         nodes = self.live()
         if not needs_new_succession(self._own, record.succession, nodes):
-            self._lacking_since_ms.pop(shard, None)
+            self._lacking_successors_since_ms.pop(shard, None)
             return False
         now_ms = self._clock.now_ms()
-        since_ms = self._lacking_since_ms.setdefault(shard, now_ms)
+        since_ms = self._lacking_successors_since_ms.setdefault(shard, now_ms)
         has_successor = any(name in nodes for name in record.succession[1:])
         delay_ms = _ONE_SUCCESSOR_DELAY_MS if has_successor else 0
         spread_ms = _SPREAD_MS_PER_NODE * len(nodes)
