--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -150,14 +150,14 @@
             if write is not None:
                 start(self._move, write)
 
-    def _is_store_away(self, shard: ShardName) -> bool:
+    def _is_store_unreachable(self, shard: ShardName) -> bool:
         """Return whether the store, unreachable at the last read, still is."""
         if self._writer.is_answered:
             return False
         return not self._writer.try_refresh(shard)
 
     def _move(self, write: ShardWrite) -> None:
-        if not self._stopping and self._is_store_away(write.shard):
+        if not self._stopping and self._is_store_unreachable(write.shard):
             self._finish(write, WriteProgress.NOT_SENT)
             return
         self._release(write.shard)
@@ -192,7 +192,7 @@
             start(self._split, write, split)
 
     def _split(self, write: ShardWrite, split: Split) -> None:
-        if self._is_store_away(write.shard):
+        if self._is_store_unreachable(write.shard):
             self._finish(write, WriteProgress.NOT_SENT)
             return
         # The worker releases the whole shard, so that it holds nothing of the
