--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -52,7 +52,7 @@
     @property
     def renewal_targets(self) -> tuple[NodeName, ...]:
         """Return the witnesses to which renewals are sent now."""
-        names = {name for each in self._active for name in each.members}
+        names = {name for each in self._active_sets for name in each.members}
         return tuple(sorted(names))
 
     @property
@@ -66,7 +66,7 @@
         now_ms = self._clock.now_ms()
         return frozenset(
             name
-            for each in self._active
+            for each in self._active_sets
             for name in each.members
             if self._quorums.state_of(name).expires_at_ms.get(each.version, 0)
             <= now_ms
@@ -82,7 +82,9 @@
 
     def can_renew_without(self, gone: Set[NodeName]) -> bool:
         """Return whether the lease can be renewed without some witnesses."""
-        return all(self._quorums.can_renew(each, gone) for each in self._active)
+        return all(
+            self._quorums.can_renew(each, gone) for each in self._active_sets
+        )
 
     def propose_set(self, members: tuple[NodeName, ...]) -> WitnessSet:
         """Return the set that would replace the current one.
@@ -132,7 +134,7 @@
         """Return whether majorities know the floor that a write needs."""
         return all(
             self._quorums.has_majority_acknowledged(each, {shard: epoch})
-            for each in self._active
+            for each in self._active_sets
         )
 
     def expires_at_ms(self) -> int:
@@ -152,7 +154,7 @@
         `record_grant`.
         """
         state = self._quorums.state_of(witness)
-        wanted = [each for each in self._active if witness in each.members]
+        wanted = [each for each in self._active_sets if witness in each.members]
         supersede = self._current.version if self._is_superseding else 0
         if supersede:
             wanted = [each for each in wanted if each.version > supersede]
@@ -198,7 +200,7 @@
         self._expires_at_ms = None
 
     @property
-    def _active(self) -> tuple[WitnessSet, ...]:
+    def _active_sets(self) -> tuple[WitnessSet, ...]:
         if self._next is None:
             return (self._current,)
         return (self._current, self._next)
@@ -206,7 +208,7 @@
     def _compute_expiry_ms(self) -> int:
         if self._has_resigned or not self._current.members:
             return 0
-        return min(self._set_expires_at_ms(each) for each in self._active)
+        return min(self._set_expires_at_ms(each) for each in self._active_sets)
 
     def _set_expires_at_ms(self, witness_set: WitnessSet) -> int:
         expires_at_ms = self._quorums.majority_expires_at_ms(witness_set)
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -48,7 +48,7 @@
     """Relies on a new set of witnesses as soon as it is chosen."""
 
     @property
-    def _active(self) -> tuple[WitnessSet, ...]:
+    def _active_sets(self) -> tuple[WitnessSet, ...]:
         return (self._next or self._current,)
 
 
