--- a/tests/features/malformed.feature
+++ b/tests/features/malformed.feature
@@ -32,16 +32,16 @@
 
   Scenario Outline: an answer in the chunks <chunks> that ends there is <what>
     Given a worker that answers in the chunks "<chunks>" and closes
-    When the answer to a request is read whole, up to 100 bytes
-    Then it is <what>
+    When the answer to a request is read completely, up to 100 bytes
+    Then the body is <what>
 
     Examples:
-      | chunks           | what  |
-      | 3;abc;0;;        | whole |
-      | 3;abc;0          | cut   |
-      | 3;abc;           | cut   |
-      | 3;abc;00000000   | cut   |
-      | 3;abc;-1;;       | cut   |
-      | +3;abc;0;;       | cut   |
-      | 0x3;abc;0;;      | cut   |
-      | 0_3;abc;0;;      | cut   |
+      | chunks           | what      |
+      | 3;abc;0;;        | complete  |
+      | 3;abc;0          | truncated |
+      | 3;abc;           | truncated |
+      | 3;abc;00000000   | truncated |
+      | 3;abc;-1;;       | truncated |
+      | +3;abc;0;;       | truncated |
+      | 0x3;abc;0;;      | truncated |
+      | 0_3;abc;0;;      | truncated |
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the ends of answers, on one connection to a played worker."""
+"""Steps about the answers of a fake worker and how they end."""
 
 from contextlib import suppress
 from socket import SO_LINGER, SOL_SOCKET
@@ -22,14 +22,14 @@
 HEAD = b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n'
 BODY = b'whole'
 WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n%b' % BODY
-LIMIT_MS = 10_000
-AT_ONCE = pack('ii', 1, 0)  # a close drops what is under way
+TIMEOUT_MS = 10_000
+RESET_ON_CLOSE = pack('ii', 1, 0)  # makes a close send a reset
 
 
 def _send_half(context: Context, listener: Any) -> None:
-    context.worker_end = listener.accept()[0]
-    context.worker_end.recv(LIMIT_MS)
-    context.worker_end.sendall(HEAD + HALF)
+    context.worker_socket = listener.accept()[0]
+    context.worker_socket.recv(TIMEOUT_MS)
+    context.worker_socket.sendall(HEAD + HALF)
 
 
 @given('a worker that sends half of an answer without a length')
@@ -37,20 +37,20 @@
     listener = eventlet.listen((HOST, 0))
     eventlet.spawn_n(_send_half, context, listener)
     worker = Worker(f'http://{HOST}:{listener.getsockname()[1]}', 1, Clock())
-    context.answer = worker.send(WorkerRequest('GET', '/', (), b'', LIMIT_MS))
+    context.answer = worker.send(WorkerRequest('GET', '/', (), b'', TIMEOUT_MS))
 
 
-@when('the half is read and the worker ends the connection with {end}')
+@when('the half is read and the worker closes the connection with {end}')
 def end_connection(context: Context, end: str) -> None:
-    parts = context.answer.chunks()
-    assert next(parts) == HALF
+    chunks = context.answer.chunks()
+    assert next(chunks) == HALF
     if end == 'a reset':
-        context.worker_end.setsockopt(SOL_SOCKET, SO_LINGER, AT_ONCE)
-    context.worker_end.close()
+        context.worker_socket.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+    context.worker_socket.close()
     try:
-        context.outcome = 'cut' if list(parts) else 'whole'
+        context.outcome = 'truncated' if list(chunks) else 'complete'
     except WorkerAnswerError:
-        context.outcome = 'cut'
+        context.outcome = 'truncated'
 
 
 @then('the answer is {what}')
@@ -59,30 +59,30 @@
 
 
 @given('a worker that answers with "{head}" and three bytes')
-def start_framing(context: Context, head: str) -> None:
+def start_framed_answer(context: Context, head: str) -> None:
     fields = head.replace(', ', '\r\n').replace(';', ', ')
     answer_once(context, f'HTTP/1.1 200 OK\r\n{fields}\r\n\r\nabc'.encode())
 
 
 def answer_once(context: Context, answer: bytes) -> None:
-    """Start a worker that sends an answer to a request and closes."""
+    """Start a worker that answers one request and closes the connection."""
 
     def send(sock: Any) -> None:
-        sock.recv(LIMIT_MS)
+        sock.recv(TIMEOUT_MS)
         sock.sendall(answer)
         sock.close()
 
-    context.sent = 0
+    context.bytes_sent = 0
     _start_worker(context, send)
 
 
-@then('it is whole')
-def check_whole(context: Context) -> None:
+@then('the body is complete')
+def check_complete(context: Context) -> None:
     assert context.verdict == b'abc', context.verdict
 
 
 _CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
-ENDLESS = {  # what comes first, and what comes again and again after it
+ENDLESS = {  # the start of an answer, and the part that is sent repeatedly
     'the status line': (b'HTTP/1.1 200 ', b'O' * 4_096),
     'interim answers': (b'', b'HTTP/1.1 102 Wait\r\n\r\n' * 128),
     'a header': (b'HTTP/1.1 200 OK\r\nX-A: ', b'a' * 4_096),
@@ -95,27 +95,27 @@
 
 
 def _send_endless(context: Context, sock: Any, where: str) -> None:
-    first, again = ENDLESS[where]
+    prefix, repeated = ENDLESS[where]
     with suppress(OSError):
-        sock.sendall(first)
+        sock.sendall(prefix)
         while True:
-            sock.sendall(again)
-            context.sent += len(again)
+            sock.sendall(repeated)
+            context.bytes_sent += len(repeated)
 
 
-@given('a worker whose answers have no end in {where}')
-def start_endless(context: Context, where: str) -> None:
-    context.sent = 0
+@given('a worker whose answers are endless in {where}')
+def start_endless_answer(context: Context, where: str) -> None:
+    context.bytes_sent = 0
 
     def send(sock: Any) -> None:
-        sock.recv(LIMIT_MS)
+        sock.recv(TIMEOUT_MS)
         _send_endless(context, sock, where)
 
     _start_worker(context, send)
 
 
-@given('a worker whose heads come a byte every {pause:d} ms')
-def start_trickling(context: Context, pause: int) -> None:
+@given('a worker that sends one byte of a head every {pause:d} ms')
+def start_slow_head(context: Context, pause: int) -> None:
     def send(sock: Any) -> None:
         sock.sendall(b'HTTP/1.1 200 OK\r\nX-A: ')
         with suppress(OSError):
@@ -134,75 +134,75 @@
     )
 
 
-def _count_turns(context: Context) -> None:
+def _count_task_switches(context: Context) -> None:
     while True:
-        context.turns += 1
+        context.task_switches += 1
         eventlet.sleep(0)
 
 
-@when('the answer to a request is read whole, up to {longest:d} bytes')
+@when('the answer to a request is read completely, up to {longest:d} bytes')
 def read_endless(context: Context, longest: int) -> None:
-    context.turns = 0
-    counting = eventlet.spawn(_count_turns, context)
+    context.task_switches = 0
+    counting = eventlet.spawn(_count_task_switches, context)
     context.add_cleanup(counting.kill)
-    with Timeout(LIMIT_MS / MS_PER_SECOND):
+    with Timeout(TIMEOUT_MS / MS_PER_SECOND):
         try:
-            answer = _ask(context)
+            answer = _send_request(context)
             context.verdict = answer.read_body(longest)
-        except WorkerAnswerError as cut:
-            context.verdict = cut
+        except WorkerAnswerError as error:
+            context.verdict = error
 
 
-@then('it is cut')
-def check_cut(context: Context) -> None:
+@then('the body is truncated')
+def check_truncated(context: Context) -> None:
     assert isinstance(context.verdict, WorkerAnswerError), context.verdict
 
 
 @then('the worker could send less than {most:d} bytes')
 def check_sent(context: Context, most: int) -> None:
-    assert context.sent < most, context.sent
+    assert context.bytes_sent < most, context.bytes_sent
 
 
-@then('other tasks went on meanwhile')
-def check_turns(context: Context) -> None:
-    assert context.turns, context.turns
+@then('other tasks ran in the meantime')
+def check_other_tasks(context: Context) -> None:
+    assert context.task_switches, context.task_switches
 
 
 @when('the answer to a request with {span:d} ms left is awaited')
-def await_trickle(context: Context, span: int) -> None:
+def await_slow_head(context: Context, span: int) -> None:
     clock = Clock()
     began_ms = clock.now_ms()
-    with Timeout(LIMIT_MS / MS_PER_SECOND):
+    with Timeout(TIMEOUT_MS / MS_PER_SECOND):
         try:
             context.verdict = context.worker.send(
                 WorkerRequest('GET', '/', (), b'', span)
             )
-        except WorkerAnswerError as cut:
-            context.verdict = cut
-    context.taken_ms = clock.now_ms() - began_ms
+        except WorkerAnswerError as error:
+            context.verdict = error
+    context.duration_ms = clock.now_ms() - began_ms
 
 
-@then('it is given up as late after at most {most:d} ms')
-def check_late(context: Context, most: int) -> None:
+@then('it times out after at most {most:d} ms')
+def check_timed_out(context: Context, most: int) -> None:
     assert isinstance(context.verdict, WorkerTimeoutError), context.verdict
-    assert context.taken_ms <= most, context.taken_ms
+    assert context.duration_ms <= most, context.duration_ms
 
 
 def _answer_all(context: Context, listener: Any) -> None:
     while True:
         connection = listener.accept()[0]
-        context.connected += 1
+        context.connections += 1
         eventlet.spawn_n(_answer_each, connection)
 
 
 def _answer_each(connection: Any) -> None:
-    while connection.recv(LIMIT_MS):
+    while connection.recv(TIMEOUT_MS):
         connection.sendall(WHOLE)
 
 
 @given('a worker that answers every request on a connection')
 def start_answering(context: Context) -> None:
-    context.connected = 0
+    context.connections = 0
     listener = eventlet.listen((HOST, 0))
     eventlet.spawn_n(_answer_all, context, listener)
     context.worker = Worker(
@@ -210,75 +210,77 @@
     )
 
 
-@when('{number:d} requests are sent to it and read one after the other')
-def ask_often(context: Context, number: int) -> None:
+@when('{number:d} requests are sent to it one after the other')
+def send_sequentially(context: Context, number: int) -> None:
     for _ in range(number):
         answer = context.worker.send(
-            WorkerRequest('GET', '/', (), b'', LIMIT_MS)
+            WorkerRequest('GET', '/', (), b'', TIMEOUT_MS)
         )
         assert b''.join(answer.chunks()) == BODY
         answer.release()
 
 
-def _ask(context: Context) -> Any:
-    return context.worker.send(WorkerRequest('GET', '/', (), b'', LIMIT_MS))
+def _send_request(context: Context) -> Any:
+    return context.worker.send(WorkerRequest('GET', '/', (), b'', TIMEOUT_MS))
 
 
-@when('the answer to a request is given back twice and closed')
-def give_back_twice(context: Context) -> None:
-    answer = _ask(context)
+@when('the answer to a request is released twice and closed')
+def release_twice(context: Context) -> None:
+    answer = _send_request(context)
     assert b''.join(answer.chunks()) == BODY
     answer.release()
     answer.release()
     answer.close()
 
 
-@when('{number:d} requests are sent to it before the first is read')
-def ask_together(context: Context, number: int) -> None:
-    answers = [_ask(context) for _ in range(number)]
+@when('{number:d} requests are sent to it before the first answer is read')
+def send_concurrently(context: Context, number: int) -> None:
+    answers = [_send_request(context) for _ in range(number)]
     bodies = [b''.join(answer.chunks()) for answer in answers]
     assert set(bodies) == {BODY}, bodies
 
 
-@then('it was connected to once')
+@then('it has accepted one connection')
 def check_connected(context: Context) -> None:
     check_connections(context, 1)
 
 
-@then('it was connected to {number:d} times')
+@then('it has accepted {number:d} connections')
 def check_connections(context: Context, number: int) -> None:
-    assert context.connected == number, context.connected
+    assert context.connections == number, context.connections
 
 
 @given("a connection to the platform's worker that is {use}")
 def use_connection(context: Context, use: str) -> None:
     start_answering(context)
-    answer = _ask(context)
-    if use == 'used again':
+    answer = _send_request(context)
+    if use == 'reused':
         assert b''.join(answer.chunks()) == BODY
         answer.release()
-        answer = _ask(context)
-    context.may_answer_earlier_request = answer.may_answer_earlier_request
+        answer = _send_request(context)
+    context.is_duplicate_possible = answer.may_answer_earlier_request
     answer.close()
 
 
 @when('it answers "own" with {status:d} and "{headers}"')
-def answer_own(context: Context, status: int, headers: str) -> None:
+def answer_with_headers(context: Context, status: int, headers: str) -> None:
     pairs = [each.split(': ') for each in headers.split(', ')]
     index = HeaderIndex((name, text) for name, text in pairs)
     work = SimpleNamespace(request_id='own')
     run: Any = SimpleNamespace(work=work)
-    late = context.may_answer_earlier_request
+    is_duplicate_possible = context.is_duplicate_possible
     answer: Any = SimpleNamespace(
-        status=status, index=index, may_answer_earlier_request=late
+        status=status,
+        index=index,
+        may_answer_earlier_request=is_duplicate_possible,
     )
     reporting: Any = None
     try:
         PlatformWorkerInterface(reporting).check(run, answer)
     except WorkerAnswerError:
-        context.verdict = 'refused'
+        context.verdict = 'discarded'
     else:
-        context.verdict = 'taken'
+        context.verdict = 'accepted'
 
 
 @when(
@@ -291,7 +293,7 @@
     context.verdict = PlatformWorkerInterface(reporting).refusal(answer, b'')
 
 
-@then('that is read as "{what}"')
+@then('that is interpreted as "{what}"')
 @then('that answer is {what}')
 def check_verdict(context: Context, what: str) -> None:
     assert context.verdict == what, context.verdict
--- a/tests/features/worker_answers.feature
+++ b/tests/features/worker_answers.feature
@@ -1,61 +1,61 @@
-Feature: How an answer of the worker ends
+Feature: Answers of the worker, complete and truncated
 
-  Scenario Outline: an answer without a length that ends with <end> is <what>
+  Scenario Outline: an answer without a length that ends with <end> is <outcome>
     Given a worker that sends half of an answer without a length
-    When the half is read and the worker ends the connection with <end>
-    Then the answer is <what>
+    When the half is read and the worker closes the connection with <end>
+    Then the answer is <outcome>
 
     Examples:
-      | end             | what  |
-      | a reset         | cut   |
-      | an ordinary end | whole |
+      | end             | outcome   |
+      | a reset         | truncated |
+      | an ordinary end | complete  |
 
-  # Guards against answers broken off halfway that look whole.
-  Scenario Outline: three bytes after <head> are <what>
+  # Guards against truncated answers that look complete.
+  Scenario Outline: a body of three bytes after <head> is <outcome>
     Given a worker that answers with "<head>" and three bytes
-    When the answer to a request is read whole, up to 100 bytes
-    Then it is <what>
+    When the answer to a request is read completely, up to 100 bytes
+    Then the body is <outcome>
 
     Examples:
-      | head                                            | what  |
-      | Content-Length: 3                               | whole |
-      | Content-Length: 3, Content-Length: 3            | whole |
-      | Content-Length: 5                               | cut   |
-      | Content-Length: 5, Content-Length: 3            | cut   |
-      | Content-Length: 3;3                             | cut   |
-      | Content-Length: 5;5                             | cut   |
-      | Content-Length: +5                              | cut   |
-      | Content-Length: -1                              | cut   |
-      | Content-Length: 0x3                             | cut   |
-      | Content-Length:                                 | cut   |
-      | Transfer-Encoding: chunked                      | cut   |
-      | Transfer-Encoding: gzip;chunked                 | cut   |
-      | Transfer-Encoding: gzip, Content-Length: 3      | cut   |
-      | Transfer-Encoding: chunked, Content-Length: 3   | cut   |
+      | head                                            | outcome   |
+      | Content-Length: 3                               | complete  |
+      | Content-Length: 3, Content-Length: 3            | complete  |
+      | Content-Length: 5                               | truncated |
+      | Content-Length: 5, Content-Length: 3            | truncated |
+      | Content-Length: 3;3                             | truncated |
+      | Content-Length: 5;5                             | truncated |
+      | Content-Length: +5                              | truncated |
+      | Content-Length: -1                              | truncated |
+      | Content-Length: 0x3                             | truncated |
+      | Content-Length:                                 | truncated |
+      | Transfer-Encoding: chunked                      | truncated |
+      | Transfer-Encoding: gzip;chunked                 | truncated |
+      | Transfer-Encoding: gzip, Content-Length: 3      | truncated |
+      | Transfer-Encoding: chunked, Content-Length: 3   | truncated |
 
-  # Guards against a late second copy of an answer, given to the next caller.
-  Scenario Outline: on a connection that is <use>, <status> with <headers> is <what>
+  # Guards against sending a late duplicate of an answer to the next caller.
+  Scenario Outline: on a <use> connection, an answer <status> with <headers> is <outcome>
     Given a connection to the platform's worker that is <use>
     When it answers "own" with <status> and "<headers>"
-    Then that answer is <what>
+    Then that answer is <outcome>
 
     Examples:
-      | use        | status | headers                             | what    |
-      | new        | 200    | Attempt-Id: own, Response-Stamp: s  | taken   |
-      | new        | 200    | Attempt-Id: else, Response-Stamp: s | refused |
-      | new        | 200    | Response-Stamp: s                   | refused |
-      | new        | 200    | Attempt-Id: own                     | refused |
-      | new        | 503    | Not-Executed: 1                     | taken   |
-      | new        | 503    | Attempt-Id: else, Not-Executed: 1   | refused |
-      | used again | 200    | Attempt-Id: own, Response-Stamp: s  | taken   |
-      | used again | 503    | Attempt-Id: own, Not-Executed: 1    | taken   |
-      | used again | 503    | Not-Executed: 1                     | refused |
-      | used again | 421    | Not-Executed: 1                     | refused |
-      | used again | 500    | Response-Stamp: s                   | refused |
+      | use    | status | headers                             | outcome   |
+      | new    | 200    | Attempt-Id: own, Response-Stamp: s  | accepted  |
+      | new    | 200    | Attempt-Id: else, Response-Stamp: s | discarded |
+      | new    | 200    | Response-Stamp: s                   | discarded |
+      | new    | 200    | Attempt-Id: own                     | discarded |
+      | new    | 503    | Not-Executed: 1                     | accepted  |
+      | new    | 503    | Attempt-Id: else, Not-Executed: 1   | discarded |
+      | reused | 200    | Attempt-Id: own, Response-Stamp: s  | accepted  |
+      | reused | 503    | Attempt-Id: own, Not-Executed: 1    | accepted  |
+      | reused | 503    | Not-Executed: 1                     | discarded |
+      | reused | 421    | Not-Executed: 1                     | discarded |
+      | reused | 500    | Response-Stamp: s                   | discarded |
 
   Scenario Outline: a refusal with the load <load> is <kind>
     When the platform's worker refuses a request with <status> and load "<load>"
-    Then that is read as "<kind>"
+    Then that is interpreted as "<kind>"
 
     Examples:
       | status | load    | kind      |
@@ -68,24 +68,24 @@
       | 503    | -       | refused   |
       | 421    | 4,0,18  | not-owner |
 
-  Scenario: a connection is given back once
+  Scenario: a connection is returned to the pool once
     Given a worker that answers every request on a connection
-    When the answer to a request is given back twice and closed
-    And 2 requests are sent to it before the first is read
-    Then it was connected to 2 times
+    When the answer to a request is released twice and closed
+    And 2 requests are sent to it before the first answer is read
+    Then it has accepted 2 connections
 
-  Scenario: requests that follow each other share one connection
+  Scenario: sequential requests share one connection
     Given a worker that answers every request on a connection
-    When 5 requests are sent to it and read one after the other
-    Then it was connected to once
+    When 5 requests are sent to it one after the other
+    Then it has accepted one connection
 
-  # Guards against workers that fill the memory or the time of a node.
-  Scenario Outline: bytes without end in <where> are given up within a bound
-    Given a worker whose answers have no end in <where>
-    When the answer to a request is read whole, up to 100000 bytes
-    Then it is cut
+  # Guards against workers that use up the memory or the CPU time of a node.
+  Scenario Outline: reading an endless answer in <where> stops at a limit
+    Given a worker whose answers are endless in <where>
+    When the answer to a request is read completely, up to 100000 bytes
+    Then the body is truncated
     And the worker could send less than 20000000 bytes
-    And other tasks went on meanwhile
+    And other tasks ran in the meantime
 
     Examples:
       | where               |
@@ -98,8 +98,8 @@
       | a body of no length |
       | a chunked body      |
 
-  # Guards against heads that come a byte at a time for ever.
-  Scenario: a head that trickles is given up when the time is over
-    Given a worker whose heads come a byte every 20 ms
+  # Guards against heads that arrive byte by byte without end.
+  Scenario: reading a slow head times out
+    Given a worker that sends one byte of a head every 20 ms
     When the answer to a request with 300 ms left is awaited
-    Then it is given up as late after at most 600 ms
+    Then it times out after at most 600 ms
