--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -140,7 +140,7 @@
             return True
         # Without the store no record can be written.  Once the worker has
         # released the shards, their successors can take over by the seals.
-        limit_ms = _HANDOVER_LIMIT_MS if self._writer.is_answered else 0
+        limit_ms = _HANDOVER_LIMIT_MS if self._writer.is_store_reachable else 0
         released = all(self._grants.is_released(shard) for shard in held)
         return waited_ms < limit_ms or not released
 
@@ -152,7 +152,7 @@
 
     def _is_store_unreachable(self, shard: ShardName) -> bool:
         """Return whether the store, unreachable at the last read, still is."""
-        if self._writer.is_answered:
+        if self._writer.is_store_reachable:
             return False
         return not self._writer.try_refresh(shard)
 
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -40,7 +40,7 @@
         return bool(self._pool.free() > 0)
 
     @property
-    def is_answered(self) -> bool:
+    def is_store_reachable(self) -> bool:
         """Return whether the store answered the last read."""
         return self._is_answered
 
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -61,7 +61,7 @@
     )
     directory = SimpleNamespace(shard=lambda _shard: None)
     view = SimpleNamespace(directory=directory)
-    writer = SimpleNamespace(is_answered=answers == 'answers')
+    writer = SimpleNamespace(is_store_reachable=answers == 'answers')
     worker = SlowWorker(release, clock)
     manager: Any = ShardManager
     context.clock = clock
