--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -32,7 +32,7 @@
         self._renewer = renewer
         self._pool = GreenPool(_CONCURRENT_WRITES)
         self._unsettled = 0
-        self._is_answered = True
+        self._is_store_reachable = True
 
     @property
     def has_room(self) -> bool:
@@ -42,7 +42,7 @@
     @property
     def is_store_reachable(self) -> bool:
         """Return whether the store answered the last read."""
-        return self._is_answered
+        return self._is_store_reachable
 
     @property
     def is_healthy(self) -> bool:
@@ -73,9 +73,9 @@
         try:
             stored = self._platform.get(shard_object(shard))
         except PlatformError:
-            self._is_answered = False
+            self._is_store_reachable = False
             return False
-        self._is_answered = True
+        self._is_store_reachable = True
         if stored is not None:
             self._directory.apply(stored)
         return True
