--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -16,7 +16,7 @@
 from laburnumwood.events import LINK_LOST, MESSAGE_REFUSED
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.messages import Chunk, WholeAnswer
-from laburnumwood.protocol.outlet import LONG, OUTLET, Passage
+from laburnumwood.protocol.send_queue import LONG, SEND_QUEUE, Transfer
 from laburnumwood.protocol.silence import LOOK_MS, Silence
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
@@ -100,7 +100,7 @@
         self._is_owed = False  # also after the stream was given up
         self._lock = Semaphore()
         self._unsent = b''  # begun, and not yet taken by the connection
-        self._passages: dict[bytes, Passage] = {}  # by their pings
+        self._transfers: dict[bytes, Transfer] = {}  # by their pings
         self._last_ping = 0
         self._open = True
 
@@ -160,10 +160,10 @@
         if len(frame) < LONG or not isinstance(message, _BODIES):
             self._send_frame(frame)
             return
-        passage = OUTLET.enter(len(frame))
+        transfer = SEND_QUEUE.acquire(len(frame))
         self._last_ping += 1
         ping = str(self._last_ping).encode()
-        self._passages[ping] = passage
+        self._transfers[ping] = transfer
         try:
             self._send_frame(frame, ping)
         except LinkLostError:
@@ -185,9 +185,9 @@
             self._flush()
 
     def _note_arrived(self, ping: bytes) -> None:
-        passage = self._passages.pop(ping, None)
-        if passage is not None:
-            OUTLET.arrived(passage)
+        transfer = self._transfers.pop(ping, None)
+        if transfer is not None:
+            SEND_QUEUE.release(transfer)
 
     def close(self, reason: str = 'closed by this node') -> None:
         """End the connection and every stream on it."""
@@ -201,7 +201,7 @@
         for stream in tuple(self._streams.values()):
             stream.fail(LinkLostError(f'link to {self._peer} was lost'))
         self._streams.clear()
-        for ping in tuple(self._passages):
+        for ping in tuple(self._transfers):
             self._note_arrived(ping)
 
     def release(self) -> None:
--- a/laburnumwood/protocol/outlet.py
+++ b/laburnumwood/protocol/send_queue.py
@@ -24,52 +24,52 @@
 
 
 @dataclass(slots=True, eq=False)
-class Passage:
+class Transfer:
     """One long message; `sent_ms` is when it was let go."""
 
     size: int
     sent_ms: int = 0
 
 
-class Outlet:
+class SendQueue:
     """Who of the long messages goes, and how long others would wait."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._waiting: deque[Passage] = deque()
-        self._under_way: dict[Passage, None] = {}
+        self._waiting: deque[Transfer] = deque()
+        self._under_way: dict[Transfer, None] = {}
         self._window: float = _LEAST_WINDOW
         self._pace = DecayingMean(_HALF_LIFE_MS, clock)  # ms for a byte
         self._news = Notifier()
 
     @property
-    def waiting_ms(self) -> float:
+    def queueing_delay_ms(self) -> float:
         """Return how long one more long message would wait for its turn."""
         ahead = sum(each.size for each in self._waiting)
         return ahead * self._pace.mean
 
-    def enter(self, size: int) -> Passage:
+    def acquire(self, size: int) -> Transfer:
         """Wait until a long message may go, and let it go."""
-        passage = Passage(size)
-        self._waiting.append(passage)
+        transfer = Transfer(size)
+        self._waiting.append(transfer)
         try:
-            while not self._may_go(passage):
+            while not self._may_go(transfer):
                 self._news.wait(_LONGEST_MS / 2)
         finally:
-            self._waiting.remove(passage)
+            self._waiting.remove(transfer)
             self._news.notify_all()
-        passage.sent_ms = self._clock.now_ms()
-        self._under_way[passage] = None
-        return passage
+        transfer.sent_ms = self._clock.now_ms()
+        self._under_way[transfer] = None
+        return transfer
 
-    def arrived(self, passage: Passage) -> None:
+    def release(self, transfer: Transfer) -> None:
         """Take in that a message has arrived, or that it will not any more."""
-        if passage not in self._under_way:
+        if transfer not in self._under_way:
             return
-        self._under_way.pop(passage)
-        taken_ms = self._clock.now_ms() - passage.sent_ms
-        self._pace.add(taken_ms / passage.size)
-        self._adapt(passage.size, taken_ms)
+        self._under_way.pop(transfer)
+        taken_ms = self._clock.now_ms() - transfer.sent_ms
+        self._pace.add(taken_ms / transfer.size)
+        self._adapt(transfer.size, taken_ms)
         self._news.notify_all()
 
     def _adapt(self, size: int, taken_ms: int) -> None:
@@ -79,15 +79,15 @@
         elif taken_ms >= _LATE_MS:
             self._window = max(self._window * _SHRINK, _LEAST_WINDOW)
 
-    def _may_go(self, passage: Passage) -> bool:
-        if self._waiting[0] is not passage:
+    def _may_go(self, transfer: Transfer) -> bool:
+        if self._waiting[0] is not transfer:
             return False
         now_ms = self._clock.now_ms()
         for late in tuple(self._under_way):
             if now_ms - late.sent_ms >= _LONGEST_MS:
-                self.arrived(late)
+                self.release(late)
         on_way = sum(each.size for each in self._under_way)
-        return not on_way or on_way + passage.size <= self._window
+        return not on_way or on_way + transfer.size <= self._window
 
 
-OUTLET = Outlet(Clock())  # of this process
+SEND_QUEUE = SendQueue(Clock())  # of this process
--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -8,7 +8,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
 from laburnumwood.protocol.messages import Answer, Failure, WholeAnswer
-from laburnumwood.protocol.outlet import LONG, Outlet
+from laburnumwood.protocol.send_queue import LONG, SendQueue
 from laburnumwood.routing.exchange import Exchange, ExchangeWrapper
 
 _OVERLOAD_STATUSES = frozenset((429, 503))
@@ -26,8 +26,8 @@
 class LongAnswerDelays:
     """How long the answers to requests of a rank wait for their turn."""
 
-    def __init__(self, outlet: Outlet, clock: Clock) -> None:
-        self._outlet = outlet
+    def __init__(self, send_queue: SendQueue, clock: Clock) -> None:
+        self._send_queue = send_queue
         self._mean_lengths: dict[int, DecayingMean] = defaultdict(
             lambda: DecayingMean(_LENGTH_HALF_LIFE_MS, clock)
         )
@@ -40,7 +40,7 @@
         """Return how long an answer would wait, if it is a long one."""
         if self._mean_lengths[rank].mean < LONG:
             return 0
-        return round(self._outlet.waiting_ms)
+        return round(self._send_queue.waiting_ms)
 
 
 class ObservedExchange(ExchangeWrapper):
--- a/tests/features/steps/outlet_steps.py
+++ b/tests/features/steps/outlet_steps.py
@@ -15,7 +15,7 @@
 from laburnumwood.protocol import link as links
 from laburnumwood.protocol.codec import decode
 from laburnumwood.protocol.messages import WholeAnswer
-from laburnumwood.protocol.outlet import Outlet, Passage
+from laburnumwood.protocol.send_queue import SendQueue, Transfer
 from laburnumwood.protocol.peers import Dispatcher
 from laburnumwood.records import NodeName
 from laburnumwood.routing.exchange import Exchange, local_pair
@@ -33,7 +33,7 @@
 @given('an outlet')
 def make_outlet(context: Context) -> None:
     context.clock = FakeClock()
-    context.outlet = Outlet(context.clock)
+    context.send_queue = SendQueue(context.clock)
     context.tasks = []
     context.gone = {}
 
@@ -41,13 +41,13 @@
 @given('{count:d} long messages before, which arrived after {span:d} ms each')
 def send_before(context: Context, count: int, span: int) -> None:
     for _ in range(count):
-        passage = context.outlet.enter(LONG)
+        transfer = context.send_queue.acquire(LONG)
         context.clock.pass_ms(span)
-        context.outlet.arrived(passage)
+        context.send_queue.release(transfer)
 
 
 def _go(context: Context, number: int, size: int) -> None:
-    context.gone[number] = context.outlet.enter(size)
+    context.gone[number] = context.send_queue.acquire(size)
 
 
 @when('{count:d} long messages of {size:d} bytes ask to go')
@@ -62,8 +62,8 @@
 @when('the first arrives after {span:d} ms')
 def arrive(context: Context, span: int) -> None:
     context.clock.pass_ms(span)
-    first: Passage = context.gone[0]
-    context.outlet.arrived(first)
+    first: Transfer = context.gone[0]
+    context.send_queue.release(first)
     eventlet.sleep(0)
     eventlet.sleep(0)
 
@@ -92,7 +92,7 @@
 
 @then('one more would wait for {span:d} ms')
 def check_wait(context: Context, span: int) -> None:
-    assert round(context.outlet.waiting_ms) == span, context.outlet.waiting_ms
+    assert round(context.send_queue.queueing_delay_ms) == span, context.send_queue.queueing_delay_ms
 
 
 @given(
@@ -102,7 +102,7 @@
 def note_lengths(
     context: Context, rank: int, length: int, other: int, short: int
 ) -> None:
-    context.answers = LongAnswerDelays(context.outlet, context.clock)
+    context.answers = LongAnswerDelays(context.send_queue, context.clock)
     context.answers.record(rank, length)
     context.answers.record(other, short)
 
@@ -152,7 +152,7 @@
 
 @given('links to {count:d} peers')
 def make_links(context: Context, count: int) -> None:
-    fresh = patch.object(links, 'OUTLET', Outlet(FakeClock()), create=True)
+    fresh = patch.object(links, 'SEND_QUEUE', SendQueue(FakeClock()), create=True)
     fresh.start()
     context.add_cleanup(fresh.stop)
     context.peers = [_Peer(context, number) for number in range(count)]
