--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -16,7 +16,7 @@
 from laburnumwood.events import LINK_LOST, MESSAGE_REFUSED
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.messages import Chunk, WholeAnswer
-from laburnumwood.protocol.send_queue import LONG, SEND_QUEUE, Transfer
+from laburnumwood.protocol.send_queue import LARGE_MESSAGE_SIZE, SEND_QUEUE, Transfer
 from laburnumwood.protocol.silence import LOOK_MS, Silence
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
@@ -157,7 +157,7 @@
     def send(self, stream: int, message: Any) -> None:
         """Send a message of a stream."""
         frame = encode(stream, message)
-        if len(frame) < LONG or not isinstance(message, _BODIES):
+        if len(frame) < LARGE_MESSAGE_SIZE or not isinstance(message, _BODIES):
             self._send_frame(frame)
             return
         transfer = SEND_QUEUE.acquire(len(frame))
--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -8,7 +8,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
 from laburnumwood.protocol.messages import Answer, Failure, WholeAnswer
-from laburnumwood.protocol.send_queue import LONG, SendQueue
+from laburnumwood.protocol.send_queue import LARGE_MESSAGE_SIZE, SendQueue
 from laburnumwood.routing.exchange import Exchange, ExchangeWrapper
 
 _OVERLOAD_STATUSES = frozenset((429, 503))
@@ -38,7 +38,7 @@
 
     def expected_wait_ms(self, rank: int) -> int:
         """Return how long an answer would wait, if it is a long one."""
-        if self._mean_lengths[rank].mean < LONG:
+        if self._mean_lengths[rank].mean < LARGE_MESSAGE_SIZE:
             return 0
         return round(self._send_queue.waiting_ms)
 
