--- a/bench/holding.py
+++ b/bench/holding.py
@@ -18,7 +18,7 @@
     update_source,
 )
 from laburnumwood.membership.view import FleetView
-from laburnumwood.protocol.codec import LARGEST_FRAME, encode
+from laburnumwood.protocol.codec import MAX_FRAME_SIZE, encode
 from laburnumwood.protocol.messages import Changes
 from laburnumwood.records import (
     NodeName,
@@ -109,7 +109,7 @@
     bounds.at_most('memory of the directory, MB', held_mb, MEMORY_BOUND)
     share = look_ms * _LOOKS_A_SECOND / 10
     bounds.at_most('who is a reader, % of a core', share, CPU_BOUND)
-    largest_mb = LARGEST_FRAME / 1e6
+    largest_mb = MAX_FRAME_SIZE / 1e6
     bounds.at_most('whole directory in one message, MB', message_mb, largest_mb)
     return bounds.status
 
--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -12,7 +12,7 @@
 from laburnumwood.metrics import MESSAGE_BYTES, MESSAGES
 from laburnumwood.protocol.messages import FREQUENT, KINDS, Headers
 
-LARGEST_FRAME = 4 * 1024 * 1024  # bytes
+MAX_FRAME_SIZE = 4 * 1024 * 1024  # bytes
 
 _KIND_OF = {form: kind for kind, form in KINDS.items()}
 _FIELDS = {
--- a/laburnumwood/protocol/handshake.py
+++ b/laburnumwood/protocol/handshake.py
@@ -9,7 +9,7 @@
 from websockets.uri import parse_uri
 
 from laburnumwood.errors import LinkRefusedError, ProtocolError
-from laburnumwood.protocol.codec import LARGEST_FRAME
+from laburnumwood.protocol.codec import MAX_FRAME_SIZE
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName
 
@@ -40,7 +40,7 @@
 def _greet(
     sock: socket.socket, own: NodeName, security: LinkSecurity
 ) -> Protocol:
-    protocol = ClientProtocol(parse_uri('ws://peer/'), max_size=LARGEST_FRAME)
+    protocol = ClientProtocol(parse_uri('ws://peer/'), max_size=MAX_FRAME_SIZE)
     request = protocol.connect()
     request.headers[_NAME_HEADER] = str(own)
     request.headers[_KEY_HEADER] = security.proof
@@ -91,7 +91,7 @@
     `OSError` if the connection ends.
     """
     sock.settimeout(_DIAL_TIMEOUT_S)
-    protocol = ServerProtocol(max_size=LARGEST_FRAME)
+    protocol = ServerProtocol(max_size=MAX_FRAME_SIZE)
     request = _receive_until_event(protocol, sock)
     if not isinstance(request, Request):
         raise ProtocolError('no handshake')
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -22,8 +22,8 @@
 from laburnumwood.records import NodeName
 from laburnumwood.tasks import run_logged, start, supervise
 
-IDLE_MS = 60_000  # a link that carries nothing is closed after this
-MOST_STREAMS = 2_048  # that a peer may have open on a link
+IDLE_TIMEOUT_MS = 60_000  # a link that carries nothing is closed after this
+MAX_STREAMS = 2_048  # that a peer may have open on a link
 _READ_SIZE = 65_536
 _LOOKS_PER_IDLE_LINK = 20  # most links of a large fleet carry nothing
 
@@ -90,7 +90,7 @@
         self._handler = handler
         self._clock = clock
         self._closes_idle = closes_idle
-        self._idle_limit_ms = IDLE_MS
+        self._idle_limit_ms = IDLE_TIMEOUT_MS
         self._streams: dict[int, Stream] = {}
         self._used_ms = clock.now_ms()
         self._last_number = 0
@@ -284,7 +284,7 @@
             stream.deliver(message)
         elif number > self._last_opened:
             self._last_opened = number
-            if len(self._streams) >= MOST_STREAMS:
+            if len(self._streams) >= MAX_STREAMS:
                 raise ProtocolError('the peer opened too many streams')
             opened = Stream(-number, self)
             self._streams[-number] = opened
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -16,7 +16,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError, LinkRefusedError
 from laburnumwood.events import ANSWER_UNDELIVERED
-from laburnumwood.protocol.codec import LARGEST_FRAME, encode
+from laburnumwood.protocol.codec import MAX_FRAME_SIZE, encode
 from laburnumwood.protocol.handshake import dial, welcome
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import Cancel, Chunk, Done, End
@@ -477,7 +477,7 @@
     if what == 'a message of unknown kind':
         return [dumps((1, 'unheard-of', 1))]
     if what == 'a frame that is too large':
-        return [bytes(LARGEST_FRAME + 1)]
+        return [bytes(MAX_FRAME_SIZE + 1)]
     flood = encode(1, Chunk(bytes(CHUNK)))
     return [flood for _ in range(4 * WINDOW // CHUNK)]
 
