--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -17,7 +17,7 @@
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.messages import Chunk, WholeAnswer
 from laburnumwood.protocol.send_queue import LARGE_MESSAGE_SIZE, SEND_QUEUE, Transfer
-from laburnumwood.protocol.silence import LOOK_MS, Silence
+from laburnumwood.protocol.silence import CHECK_INTERVAL_MS, Silence
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.tasks import run_logged, start, supervise
@@ -53,13 +53,13 @@
     def _run(self) -> None:
         while self._links:
             for turn in range(_LOOKS_PER_IDLE_LINK):
-                eventlet.sleep(LOOK_MS / MS_PER_SECOND)
+                eventlet.sleep(CHECK_INTERVAL_MS / MS_PER_SECOND)
                 self._look(of_all=turn == 0)
         self._is_running = False
 
     def _look(self, *, of_all: bool) -> None:
         for link in tuple(self._links):
-            if of_all or link.needs_look:
+            if of_all or link.needs_check:
                 run_logged(link.look)
 
 
@@ -125,7 +125,7 @@
         return self._silence.is_given_up
 
     @property
-    def needs_look(self) -> bool:
+    def needs_check(self) -> bool:
         """Tell whether anything is to come on the link before it ends."""
         return self._owes or not self._idle_limit_ms
 
--- a/laburnumwood/protocol/silence.py
+++ b/laburnumwood/protocol/silence.py
@@ -4,14 +4,14 @@
 came is read, also after this process stood still.
 """
 
-LOOK_MS = 200  # between two looks at all links
+CHECK_INTERVAL_MS = 200  # between two looks at all links
 # Looks in a row after which a silent link is pinged, gets no new streams, lets
 # those fail that wait for the beginning of their answers, and is closed.
 _PING_LOOKS = 2
 _SUSPECT_LOOKS = 3
 _GIVE_UP_LOOKS = 5
 _LOST_LOOKS = 20
-SUSPECT_MS = _SUSPECT_LOOKS * LOOK_MS
+SUSPECT_MS = _SUSPECT_LOOKS * CHECK_INTERVAL_MS
 
 
 class Silence:
