--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -142,14 +142,14 @@
             _WATCH.remove(self)
             self._end(reason)
 
-    def open_stream(self, *, is_patient: bool = False) -> Stream:
+    def open_stream(self, *, survives_silence: bool = False) -> Stream:
         """Return a new stream to the peer.
 
         One that is patient outlasts a silence: what it asks for can't be
         asked for again elsewhere.
         """
         self._last_number += 1
-        stream = Stream(self._last_number, self, is_patient=is_patient)
+        stream = Stream(self._last_number, self, survives_silence=survives_silence)
         self._streams[self._last_number] = stream
         self._is_owed = True
         return stream
@@ -320,7 +320,7 @@
         waiting = [
             stream
             for number, stream in self._streams.items()
-            if number > 0 and not stream.outlasts_silence
+            if number > 0 and not stream.survives_silence
         ]
         if waiting:
             self._tell_lost('nothing was heard on it, it may come back')
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -86,7 +86,7 @@
         self._refused_ms: dict[NodeName, int] = {}
 
     def open_stream(
-        self, peer: NodeName, *, is_patient: bool = False
+        self, peer: NodeName, *, survives_silence: bool = False
     ) -> Stream:
         """Return a new stream to a peer, over a new link if need be.
 
@@ -105,7 +105,7 @@
             elif link.is_suspect:
                 link = self._connect_beside(link)
             self._links[peer] = link
-        return link.open_stream(is_patient=is_patient)
+        return link.open_stream(survives_silence=survives_silence)
 
     def call(self, peer: NodeName, message: Any, timeout_ms: int) -> Any:
         """Send a message and return the one reply.
--- a/laburnumwood/protocol/streams.py
+++ b/laburnumwood/protocol/streams.py
@@ -42,7 +42,7 @@
     """
 
     def __init__(
-        self, number: int, link: FrameSender, *, is_patient: bool = False
+        self, number: int, link: FrameSender, *, survives_silence: bool = False
     ) -> None:
         self._number = number
         self._link = link
@@ -52,12 +52,12 @@
         self._unread = 0
         self._untold = 0  # bytes that were read, and the sender not told
         self._answered = False
-        self._outlasts_silence = is_patient
+        self._outlasts_silence = survives_silence
         self._failure: LinkError | None = None
         self._watcher: Watcher | None = None
 
     @property
-    def outlasts_silence(self) -> bool:
+    def survives_silence(self) -> bool:
         """Tell whether to wait on while the link is silent.
 
         Of an answer that has begun the rest may still come.
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -296,7 +296,7 @@
         """Send a request to a node, unless its caller has gone by then."""
         if target != self._own:
             exchange = self._peers.open_stream(
-                target, is_patient=not work.idempotent
+                target, survives_silence=not work.idempotent
             )
             if caller.poll():
                 exchange.close()
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -303,7 +303,7 @@
 
 @when('a patient call on the silent link is answered after {span:d} ms')
 def call_patiently(context: Context, span: int) -> None:
-    stream = context.peers.open_stream(PEER, is_patient=True)
+    stream = context.peers.open_stream(PEER, survives_silence=True)
     stream.send(Cancel())
     context.waiting = eventlet.spawn(_outcome, stream.receive, LIMIT_MS)
     eventlet.sleep(span / MS_PER_SECOND)
