--- a/laburnumwood/protocol/streams.py
+++ b/laburnumwood/protocol/streams.py
@@ -91,7 +91,7 @@
             self._note_read(len(message.content))
         return message
 
-    def when_message(self, act: Watcher | None) -> None:
+    def set_message_handler(self, act: Watcher | None) -> None:
         """Set what is done at the next message or at the end of the link.
 
         It is done at once if there has been one already.
--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -285,7 +285,7 @@
         traffic_class = classify(work, service)
         ticket = Ticket(work.key, run.until_ms, useful_ms, traffic_class)
         busy = self._capacity_account.busy(work.service)
-        exchange.when_message(partial(self._admitter.cancel, ticket))
+        exchange.set_message_handler(partial(self._admitter.cancel, ticket))
         try:
             with self._admitter.hold_slot(ticket), busy:
                 observed = ObservedExchange(
--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -18,7 +18,7 @@
     def receive(self, timeout_ms: int) -> Any:
         """Return the next message; raises a `LinkError`."""
 
-    def when_message(self, handler: Callable[[], None] | None) -> None:
+    def set_message_handler(self, handler: Callable[[], None] | None) -> None:
         """Set what is done at the next message or when the link ends."""
 
     def close(self) -> None:
@@ -46,9 +46,9 @@
         """Return the next message; raises a `LinkError`."""
         return self._exchange.receive(timeout_ms)
 
-    def when_message(self, handler: Callable[[], None] | None) -> None:
+    def set_message_handler(self, handler: Callable[[], None] | None) -> None:
         """Set what is done at the next message or when the link ends."""
-        self._exchange.when_message(handler)
+        self._exchange.set_message_handler(handler)
 
     def close(self) -> None:
         """End the exchange on this side."""
--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -64,9 +64,9 @@
             self._balancer.avoid(self._target, AVOID_MS)
         return message
 
-    def when_message(self, handler: Callable[[], None] | None) -> None:
+    def set_message_handler(self, handler: Callable[[], None] | None) -> None:
         """Set what is done at the next message or when the link ends."""
-        self._exchange.when_message(handler)
+        self._exchange.set_message_handler(handler)
 
     def fail(self, reason: LinkError) -> None:
         """Let all that waits on the exchange fail."""
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -90,7 +90,7 @@
             return _fail(failure, exchange)
         greenlet_to_stop = eventlet.getcurrent()
         try:
-            exchange.when_message(
+            exchange.set_message_handler(
                 partial(self._stop_run, run, greenlet_to_stop)
             )
             return self._execute(run, exchange, max_kept_bytes)
@@ -106,7 +106,7 @@
                 failure=make_failure('cancelled', str(error), ran=True)
             )
         finally:
-            exchange.when_message(None)
+            exchange.set_message_handler(None)
 
     def _execute(
         self, run: Run, exchange: Exchange, max_kept_bytes: int
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -125,7 +125,7 @@
         self.leaves = Event()
         self.begun: list[Any] = []
 
-    def when_message(self, _act: Callable[[], None] | None) -> None:
+    def set_message_handler(self, _act: Callable[[], None] | None) -> None:
         """Hear of nothing: the asking side waits."""
 
     def send(self, message: Any) -> None:
