--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -236,7 +236,7 @@
 
 @message('notes')
 @dataclass(frozen=True, slots=True)
-class LedgerNotes:
+class LedgerUpdate:
     """Entries of a shard's run ledger, as its owner under an epoch has them.
 
     `whole` closes a copy of all of them; `handover` says that the sender runs
@@ -273,7 +273,7 @@
 
 @message('load-ask')
 @dataclass(frozen=True, slots=True)
-class LoadAsk:
+class LoadRequest:
     """Asks a node how busy it is."""
 
 
--- a/laburnumwood/routing/notary.py
+++ b/laburnumwood/routing/notary.py
@@ -14,7 +14,7 @@
     Done,
     Failure,
     LedgerEntry,
-    LedgerNotes,
+    LedgerUpdate,
     Work,
 )
 from laburnumwood.protocol.peers import Dispatcher, Peers
@@ -82,7 +82,7 @@
         self._ledger = RunLedger(clock)
         self._peers = peers
         self._synced_epochs: dict[tuple[ShardName, NodeName], int] = {}
-        dispatcher.on(LedgerNotes)(self._handle_entries)
+        dispatcher.on(LedgerUpdate)(self._handle_entries)
         view.directory.on_shard_change = self._apply_record
 
     def admit(self, run: Run) -> Failure | tuple[Answer, bytes] | None:
@@ -186,7 +186,7 @@
         if not entries:
             return True
         return self._send(
-            name, LedgerNotes(str(shard), epoch, entries, False, False)
+            name, LedgerUpdate(str(shard), epoch, entries, False, False)
         )
 
     def _send_all_entries(
@@ -199,14 +199,14 @@
                 number * _ENTRIES_PER_MESSAGE : (number + 1)
                 * _ENTRIES_PER_MESSAGE
             ]
-            message = LedgerNotes(
+            message = LedgerUpdate(
                 str(shard), epoch, batch, number == last, handover
             )
             if not self._send(name, message):
                 return False
         return True
 
-    def _send(self, name: NodeName, message: LedgerNotes) -> bool:
+    def _send(self, name: NodeName, message: LedgerUpdate) -> bool:
         try:
             reply = self._peers.call(name, message, _ACKNOWLEDGE_TIMEOUT_MS)
         except LinkError:
@@ -223,11 +223,11 @@
     def _replicate_later(self, shard: ShardName, entry: LedgerEntry) -> None:
         current = self._view.directory.shard(shard)
         for name in self._successors(current.record) if current else ():
-            message = LedgerNotes(str(shard), 0, (entry,), False, False)
+            message = LedgerUpdate(str(shard), 0, (entry,), False, False)
             start(self._send, name, message)
 
     def _handle_entries(
-        self, link: Link, stream: Stream, message: LedgerNotes
+        self, link: Link, stream: Stream, message: LedgerUpdate
     ) -> None:
         shard = ShardName.parse(message.shard)
         if not self._ledger.merge(shard, message.entries):
