--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -42,7 +42,7 @@
 from laburnumwood.routing.problems import StartResponse, make_failure
 from laburnumwood.routing.server import HttpListener, close_after_answer
 from laburnumwood.settings import DaemonSettings
-from laburnumwood.store.breaker import GuardedStore
+from laburnumwood.store.breaker import CircuitBreakerStore
 from laburnumwood.store.writes import new_mark
 from laburnumwood.tasks import start, start_joinable
 from laburnumwood.upstream.reporting import ReportingWorker
@@ -73,7 +73,7 @@
         self._integration = INTEGRATIONS[settings.borders]
         self._face = self._integration.make_caller_interface(settings)
         store = self._integration.make_store(settings)
-        self._platform = GuardedStore(store, self._clock)
+        self._platform = CircuitBreakerStore(store, self._clock)
         self._incarnation: Incarnation | None = None
         self._witness: Witness | None = None
         self._door: HttpListener | None = None
--- a/laburnumwood/membership/known.py
+++ b/laburnumwood/membership/known.py
@@ -8,10 +8,10 @@
 from laburnumwood.membership.directory import Directory
 from laburnumwood.records import StoredObject
 from laburnumwood.store.interface import Store
-from laburnumwood.store.wrapped import WrappedStore
+from laburnumwood.store.wrapped import StoreWrapper
 
 
-class CachedStore(WrappedStore):
+class CachedStore(StoreWrapper):
     """Answers reads from a directory until a conflict shows it to be stale.
 
     Writes are conditional, so the store refuses one over an old version; the
--- a/laburnumwood/store/breaker.py
+++ b/laburnumwood/store/breaker.py
@@ -10,7 +10,7 @@
 )
 from laburnumwood.events import STORE_REACHED, STORE_UNREACHABLE
 from laburnumwood.store.interface import Store
-from laburnumwood.store.wrapped import WrappedStore
+from laburnumwood.store.wrapped import StoreWrapper
 
 _FAILURES = 2  # in a row, after which it is left alone
 _PAUSE_MS = 700  # between two calls that try it
@@ -18,7 +18,7 @@
 _Found = TypeVar('_Found')
 
 
-class Breaker:
+class CircuitBreaker:
     """Decides whether a call is made, by how the last ones went."""
 
     def __init__(self, clock: Clock) -> None:
@@ -31,7 +31,7 @@
         """Tell whether the last calls had no answer."""
         return self._failures >= _FAILURES
 
-    def lets_through(self) -> bool:
+    def allows_call(self) -> bool:
         """Tell whether a call may be made now."""
         now_ms = self._clock.now_ms()
         if self.is_open and now_ms - self._tried_ms < _PAUSE_MS:
@@ -44,7 +44,7 @@
         self._failures = 0 if answered else self._failures + 1
 
 
-class GuardedStore(WrappedStore):
+class CircuitBreakerStore(StoreWrapper):
     """Passes calls to a store on, unless it has not answered just now.
 
     A call that is not passed on fails like one that did not reach the store.
@@ -52,10 +52,10 @@
 
     def __init__(self, store: Store, clock: Clock) -> None:
         super().__init__(store)
-        self._breaker = Breaker(clock)
+        self._breaker = CircuitBreaker(clock)
 
-    def _pass_on(self, call: Callable[[], _Found]) -> _Found:
-        if not self._breaker.lets_through():
+    def _forward(self, call: Callable[[], _Found]) -> _Found:
+        if not self._breaker.allows_call():
             raise PlatformNotReachedError('no answer to the last calls')
         was_open = self._breaker.is_open
         try:
--- a/laburnumwood/store/wrapped.py
+++ b/laburnumwood/store/wrapped.py
@@ -10,7 +10,7 @@
 _Found = TypeVar('_Found')
 
 
-class WrappedStore:
+class StoreWrapper:
     """Passes everything on; subclasses look at the calls that they need."""
 
     def __init__(self, store: Store) -> None:
@@ -23,19 +23,19 @@
 
     def get(self, name: str) -> StoredObject | None:
         """Return an object, or None if there is none of that name."""
-        return self._pass_on(partial(self._store.get, name))
+        return self._forward(partial(self._store.get, name))
 
     def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
         """Return the objects under a prefix and the store's revision."""
-        return self._pass_on(partial(self._store.list, prefix))
+        return self._forward(partial(self._store.list, prefix))
 
     def create(self, name: str, value: dict[str, Any]) -> int:
         """Create an object and return its version."""
-        return self._pass_on(partial(self._store.create, name, value))
+        return self._forward(partial(self._store.create, name, value))
 
     def update(self, name: str, value: dict[str, Any], version: int) -> int:
         """Replace the given version of an object and return the new one."""
-        return self._pass_on(partial(self._store.update, name, value, version))
+        return self._forward(partial(self._store.update, name, value, version))
 
     def watch(
         self,
@@ -46,7 +46,7 @@
         may_be_stale: bool = False,
     ) -> tuple[tuple[StoredObject, ...], int]:
         """Wait for changes under a prefix after a revision."""
-        return self._pass_on(
+        return self._forward(
             partial(
                 self._store.watch,
                 prefix,
@@ -56,5 +56,5 @@
             )
         )
 
-    def _pass_on(self, call: Callable[[], _Found]) -> _Found:
+    def _forward(self, call: Callable[[], _Found]) -> _Found:
         return call()
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -24,7 +24,7 @@
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
 from laburnumwood.routing.tries import RetryPolicy
-from laburnumwood.store.breaker import GuardedStore
+from laburnumwood.store.breaker import CircuitBreakerStore
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
 
@@ -241,7 +241,7 @@
     context.clock = FakeClock()
     context.silent = SilentStore()
     store: Any = context.silent
-    context.guarded = GuardedStore(store, context.clock)
+    context.guarded = CircuitBreakerStore(store, context.clock)
 
 
 def _call(context: Context, count: int) -> None:
