--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -170,7 +170,7 @@
             self._note_arrived(ping)
             raise
 
-    def forget(self, stream: int) -> None:
+    def remove_stream(self, stream: int) -> None:
         """Drop a stream that has ended."""
         self._streams.pop(stream, None)
 
--- a/laburnumwood/protocol/streams.py
+++ b/laburnumwood/protocol/streams.py
@@ -30,7 +30,7 @@
     def send(self, stream: int, message: Any) -> None:
         """Send a message of a stream, or raise `LinkLostError`."""
 
-    def forget(self, stream: int) -> None:
+    def remove_stream(self, stream: int) -> None:
         """Drop a stream that has ended."""
 
 
@@ -102,7 +102,7 @@
 
     def close(self) -> None:
         """End the stream on this side."""
-        self._link.forget(self._number)
+        self._link.remove_stream(self._number)
 
     def deliver(self, message: Any) -> None:
         """Take in a message that the link received for this stream."""
--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -66,7 +66,7 @@
         if self.other is not None:
             self.other.deliver(message)
 
-    def forget(self, _stream: int) -> None:
+    def remove_stream(self, _stream: int) -> None:
         """Do nothing: the pair ends with its tasks."""
 
 
