--- a/laburnumwood/placement/load_exchange.py
+++ b/laburnumwood/placement/load_exchange.py
@@ -12,7 +12,7 @@
 from laburnumwood.placement.loads import LoadReports, LoadState
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.link import Link
-from laburnumwood.protocol.messages import LoadRequest, LoadReport
+from laburnumwood.protocol.messages import LoadReport, LoadRequest
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
@@ -97,5 +97,7 @@
         if isinstance(report, LoadReport):
             self._reports.record(name, LoadState(report.running, report.shards))
 
-    def _answer(self, _link: Link, stream: Stream, _request: LoadRequest) -> None:
+    def _answer(
+        self, _link: Link, stream: Stream, _request: LoadRequest
+    ) -> None:
         stream.send(LoadReport(self._running(), self._meter.shards()))
--- a/laburnumwood/protocol/handshake.py
+++ b/laburnumwood/protocol/handshake.py
@@ -82,7 +82,7 @@
         raise ProtocolError(str(unnamed)) from unnamed
 
 
-def welcome(
+def accept_handshake(
     sock: socket.socket, security: LinkSecurity
 ) -> tuple[Protocol, NodeName]:
     """Answer a peer that has connected, secured already; return its name.
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -16,7 +16,11 @@
 from laburnumwood.events import LINK_LOST, MESSAGE_REFUSED
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.messages import Chunk, WholeAnswer
-from laburnumwood.protocol.send_queue import LARGE_MESSAGE_SIZE, SEND_QUEUE, Transfer
+from laburnumwood.protocol.send_queue import (
+    LARGE_MESSAGE_SIZE,
+    SEND_QUEUE,
+    Transfer,
+)
 from laburnumwood.protocol.silence import CHECK_INTERVAL_MS, Silence
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
@@ -149,7 +153,9 @@
         asked for again elsewhere.
         """
         self._last_number += 1
-        stream = Stream(self._last_number, self, survives_silence=survives_silence)
+        stream = Stream(
+            self._last_number, self, survives_silence=survives_silence
+        )
         self._streams[self._last_number] = stream
         self._is_owed = True
         return stream
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -14,7 +14,7 @@
     NOT_ACCEPTED,
 )
 from laburnumwood.listening import listen as listen_at
-from laburnumwood.protocol.handshake import dial, welcome
+from laburnumwood.protocol.handshake import accept_handshake, dial
 from laburnumwood.protocol.link import Handler, Link
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
@@ -169,7 +169,7 @@
 ) -> None:
     try:
         sock = security.wrap_accepted(sock)
-        protocol, peer = welcome(sock, security)
+        protocol, peer = accept_handshake(sock, security)
     except (OSError, ProtocolError) as refused:
         MESSAGE_REFUSED.report(peer='unknown', reason=refused)
         sock.close()
--- a/laburnumwood/protocol/send_queue.py
+++ b/laburnumwood/protocol/send_queue.py
@@ -13,7 +13,9 @@
 from laburnumwood.decay import DecayingMean
 from laburnumwood.notifier import Notifier
 
-LARGE_MESSAGE_SIZE = 16_384  # bytes from which on a part of a body waits for its turn
+LARGE_MESSAGE_SIZE = (
+    16_384  # bytes from which on a part of a body waits for its turn
+)
 _LEAST_WINDOW = 98_304  # bytes on their way, of several messages
 _MOST_WINDOW = 4_194_304
 _SOON_MS = 50  # what arrives in this time holds up nobody
--- a/laburnumwood/routing/observed_exchange.py
+++ b/laburnumwood/routing/observed_exchange.py
@@ -40,7 +40,7 @@
         """Return how long an answer would wait, if it is a long one."""
         if self._mean_lengths[rank].mean < LARGE_MESSAGE_SIZE:
             return 0
-        return round(self._send_queue.waiting_ms)
+        return round(self._send_queue.queueing_delay_ms)
 
 
 class ObservedExchange(ExchangeWrapper):
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -17,7 +17,7 @@
 from laburnumwood.errors import LinkError, LinkRefusedError
 from laburnumwood.events import ANSWER_UNDELIVERED
 from laburnumwood.protocol.codec import MAX_FRAME_SIZE, encode
-from laburnumwood.protocol.handshake import dial, welcome
+from laburnumwood.protocol.handshake import accept_handshake, dial
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import Cancel, Chunk, Done, End
 from laburnumwood.protocol.peers import Dispatcher, Peers, listen
@@ -67,7 +67,7 @@
     while True:
         sock, _ = listener.accept()
         context.connections += 1
-        protocol, peer = welcome(sock, KEY)
+        protocol, peer = accept_handshake(sock, KEY)
         if context.connections > 1:
             link = Link(protocol, sock, peer, dispatcher.handle, Clock())
             eventlet.spawn_n(link.run)
@@ -358,7 +358,7 @@
             eventlet.spawn_n(self._serve_one, self.listener.accept()[0])
 
     def _serve_one(self, sock: Any) -> None:
-        protocol, peer = welcome(sock, KEY)
+        protocol, peer = accept_handshake(sock, KEY)
         self.may_read.wait()
         Link(protocol, sock, peer, self._dispatcher.handle, Clock()).run()
 
--- a/tests/features/steps/outlet_steps.py
+++ b/tests/features/steps/outlet_steps.py
@@ -15,8 +15,8 @@
 from laburnumwood.protocol import link as links
 from laburnumwood.protocol.codec import decode
 from laburnumwood.protocol.messages import WholeAnswer
-from laburnumwood.protocol.send_queue import SendQueue, Transfer
 from laburnumwood.protocol.peers import Dispatcher
+from laburnumwood.protocol.send_queue import SendQueue, Transfer
 from laburnumwood.records import NodeName
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.observed_exchange import LongAnswerDelays
@@ -92,7 +92,9 @@
 
 @then('one more would wait for {span:d} ms')
 def check_wait(context: Context, span: int) -> None:
-    assert round(context.send_queue.queueing_delay_ms) == span, context.send_queue.queueing_delay_ms
+    assert round(context.send_queue.queueing_delay_ms) == span, (
+        context.send_queue.queueing_delay_ms
+    )
 
 
 @given(
@@ -152,7 +154,9 @@
 
 @given('links to {count:d} peers')
 def make_links(context: Context, count: int) -> None:
-    fresh = patch.object(links, 'SEND_QUEUE', SendQueue(FakeClock()), create=True)
+    fresh = patch.object(
+        links, 'SEND_QUEUE', SendQueue(FakeClock()), create=True
+    )
     fresh.start()
     context.add_cleanup(fresh.stop)
     context.peers = [_Peer(context, number) for number in range(count)]
