--- a/laburnumwood/store/breaker.py
+++ b/laburnumwood/store/breaker.py
@@ -39,7 +39,7 @@
         self._tried_ms = now_ms
         return True
 
-    def note(self, *, answered: bool) -> None:
+    def record_result(self, *, answered: bool) -> None:
         """Take in how a call went."""
         self._failures = 0 if answered else self._failures + 1
 
@@ -61,16 +61,16 @@
         try:
             found = call()
         except PlatformUnavailableError as failure:
-            self._breaker.note(answered=False)
+            self._breaker.record_result(answered=False)
             if self._breaker.is_open and not was_open:
                 # The cause says why no answer came, if none did.
                 cause = type(failure.__cause__).__name__
                 STORE_UNREACHABLE.report(reason=failure, cause=cause)
             raise
         except Exception:
-            self._breaker.note(answered=True)
+            self._breaker.record_result(answered=True)
             raise
-        self._breaker.note(answered=True)
+        self._breaker.record_result(answered=True)
         if was_open:
             STORE_REACHED.report()
         return found
--- a/laburnumwood/store/writes.py
+++ b/laburnumwood/store/writes.py
@@ -39,7 +39,7 @@
     return platform.update(name, to_value(record), version)
 
 
-def settle(platform: Store, name: str, record: _Record) -> int:
+def confirm_write(platform: Store, name: str, record: _Record) -> int:
     """Return the version under which a marked record was written.
 
     Raises `PlatformConflictError` if the store holds anything else, and
@@ -71,7 +71,7 @@
     try:
         return _put(platform, name, record, version)
     except PlatformConflictError:
-        return settle(platform, name, record)
+        return confirm_write(platform, name, record)
     except PlatformUnavailableError as failure:
         return _put_again(platform, name, record, version, failure)
 
@@ -88,6 +88,6 @@
     try:
         return _put(platform, name, record, version)
     except PlatformConflictError:
-        return settle(platform, name, record)
+        return confirm_write(platform, name, record)
     except PlatformNotReachedError:
         raise first from None
