--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -273,7 +273,7 @@
 
 @message('load-ask')
 @dataclass(frozen=True, slots=True)
-class LoadRequest:
+class LoadAsk:
     """Asks a node how busy it is."""
 
 
