--- a/laburnumwood/protocol/streams.py
+++ b/laburnumwood/protocol/streams.py
@@ -30,7 +30,7 @@
     def send(self, stream: int, message: Any) -> None:
         """Send a message of a stream, or raise `LinkLostError`."""
 
-    def forget(self, stream: int) -> None:
+    def remove_stream(self, stream: int) -> None:
         """Drop a stream that has ended."""
 
 
@@ -42,7 +42,7 @@
     """
 
     def __init__(
-        self, number: int, link: FrameSender, *, is_patient: bool = False
+        self, number: int, link: FrameSender, *, survives_silence: bool = False
     ) -> None:
         self._number = number
         self._link = link
@@ -52,12 +52,12 @@
         self._unread = 0
         self._untold = 0  # bytes that were read, and the sender not told
         self._answered = False
-        self._outlasts_silence = is_patient
+        self._outlasts_silence = survives_silence
         self._failure: LinkError | None = None
         self._watcher: Watcher | None = None
 
     @property
-    def outlasts_silence(self) -> bool:
+    def survives_silence(self) -> bool:
         """Tell whether to wait on while the link is silent.
 
         Of an answer that has begun the rest may still come.
@@ -91,7 +91,7 @@
             self._note_read(len(message.content))
         return message
 
-    def when_message(self, act: Watcher | None) -> None:
+    def set_message_handler(self, act: Watcher | None) -> None:
         """Set what is done at the next message or at the end of the link.
 
         It is done at once if there has been one already.
@@ -102,7 +102,7 @@
 
     def close(self) -> None:
         """End the stream on this side."""
-        self._link.forget(self._number)
+        self._link.remove_stream(self._number)
 
     def deliver(self, message: Any) -> None:
         """Take in a message that the link received for this stream."""
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -31,7 +31,7 @@
 from laburnumwood.placement.layout import RecordsByNumber, locate_text_key
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
-from laburnumwood.protocol.outlet import OUTLET
+from laburnumwood.protocol.send_queue import SEND_QUEUE
 from laburnumwood.records import ShardName, ShardRecord
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.execution import ExecutionCheck, Executor
@@ -147,7 +147,7 @@
             ),
             clock,
         )
-        self._answer_delays = LongAnswerDelays(OUTLET, clock)
+        self._answer_delays = LongAnswerDelays(SEND_QUEUE, clock)
         self._is_closed = False
 
     @property
@@ -292,7 +292,7 @@
         traffic_class = classify(work, service)
         ticket = Ticket(work.key, run.until_ms, useful_ms, traffic_class)
         busy = self._capacity_account.busy(work.service)
-        exchange.when_message(partial(self._admitter.cancel, ticket))
+        exchange.set_message_handler(partial(self._admitter.cancel, ticket))
         try:
             with self._admitter.hold_slot(ticket), busy:
                 observed = ObservedExchange(
