--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -1,9 +1,9 @@
 Feature: The users' platform, met by the adapter
-  Real nodes stand between stand-ins of the platform's store and of workers
-  that report to the node beside them and are answered with what to hold.
+  Real nodes run between stand-ins of the platform's store and of its workers.
+  Each worker reports to the node on its VM and gets its grants in the replies.
 
   Background:
-    Given workers that report, with the keyed service "portal" and "docs"
+    Given reporting workers of the sharded service "portal" and of the service "docs"
       | node  | domain | service |
       | p1    | a      | portal  |
       | p2    | b      | portal  |
@@ -14,41 +14,41 @@
       | d2    | b      | docs    |
 
   Scenario: any door serves any key, and the worker gets what it must
-    When the keys "0 63 64 4000 65535" of "portal" are asked for at each door
-    Then every one is answered by the worker of one node
-    And each worker was told the service beside the door and the time left
-    And the requests of each worker came over one connection
+    When the keys "0 63 64 4000 65535" of "portal" are requested at each node
+    Then each key is served by the worker of one node
+    And each worker received the calling service and the time left
+    And each worker received its requests over one connection
 
-  Scenario: what no route allows is not found, and a key is needed no more than declared
-    When "/nowhere/" is asked for at "p1"
+  Scenario: a path without a route is not found, and an unsharded service needs no key
+    When "/nowhere/" is requested at "p1"
     Then that answer has status 404
-    When "/docs/safe/x" is asked for at "p1"
+    When "/docs/safe/x" is requested at "p1"
     Then that answer has status 200
 
-  Scenario: the shards of a worker that drains move warm, and it gets nothing more
-    When the worker of "p1" says that it drains
-    Then all keys of "portal" are served by others within 5 s
-    And some keys came with what the last worker left
-    And the worker of "p1" gets no request after that
+  Scenario: the shards of a draining worker move with handovers, and it gets no requests
+    When the worker of "p1" reports that it is draining
+    Then all keys of "portal" are served by other workers within 5 s
+    And some keys were granted with a handover
+    And the worker of "p1" receives no more requests
 
-  Scenario: a worker that dies and returns serves again under higher tokens
-    When the worker of "p2" is killed and started again
+  Scenario: a restarted worker serves again under higher tokens
+    When the worker of "p2" is killed and restarted
     Then every key of "portal" is served within 20 s
 
-  Scenario: a killed node is followed by others
+  Scenario: the shards of a killed node are taken over by others
     When the process of node "p3" is killed
     Then every key of "portal" is served at "p1" within 20 s
 
   Scenario: a node that is killed and started again gets its keys back
-    When the process of node "p3" is killed and started again
-    Then the keys that were served by its worker are so again within 20 s
+    When the process of node "p3" is killed and restarted
+    Then its worker serves the same keys again within 20 s
 
-  Scenario: all nodes are killed at once and started again
-    When all nodes are killed and started again
+  Scenario: all nodes are killed at once and restarted
+    When all nodes are killed and restarted
     Then every key of "portal" is served at "p1" within 20 s
 
   Scenario: a planned stop is told at once, and what is read is answered
-    When the node "p2" is told to stop while keys are asked for at it
-    Then it tells that it is not ready
-    And no request that it read was left without an answer
-    And its process ends with status 0
+    When node "p2" is stopped while keys are requested at it
+    Then it reports that it is not ready
+    And every request that it read was answered
+    And its process exits with status 0
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the platform's borders, with real processes."""
+"""Steps about the adapter to the users' platform, with real processes."""
 
 from collections import defaultdict
 from contextlib import suppress
@@ -14,28 +14,33 @@
 from bench.deployment import wait_for
 from bench.reporting import ReportingDeployment, ReportingMember
 
-LIMIT_S = 60
+TIMEOUT_S = 60
 OK = 200
-MANY = tuple(range(0, 65_536, 2_011))
-NUMBERS = count(1)
+SAMPLE_KEYS = tuple(range(0, 65_536, 2_011))
+ATTEMPT_NUMBERS = count(1)
 
 
-def _attempt() -> str:
-    return f'attempt-{next(NUMBERS)}'
+def _next_attempt_id() -> str:
+    return f'attempt-{next(ATTEMPT_NUMBERS)}'
 
 
-def _ask_key(context: Context, member: ReportingMember, key: int) -> Any:
+def _request_key(context: Context, member: ReportingMember, key: int) -> Any:
     return context.fleet.ask(
-        member, '/portal/safe/x', _attempt(), Shard_Key=str(key)
+        member, '/portal/safe/x', _next_attempt_id(), Shard_Key=str(key)
     )
 
 
-def _serves_all(context: Context, node: str, keys: tuple[int, ...]) -> bool:
+def _serves_all_keys(
+    context: Context, node: str, keys: tuple[int, ...]
+) -> bool:
     member = context.fleet.members[node]
-    return all(_ask_key(context, member, key).status == OK for key in keys)
+    return all(_request_key(context, member, key).status == OK for key in keys)
 
 
-@given('workers that report, with the keyed service "{keyed}" and "{plain}"')
+@given(
+    'reporting workers of the sharded service "{keyed}" and of the service '
+    '"{plain}"'
+)
 def start_fleet(context: Context, keyed: str, plain: str) -> None:
     context.fleet = ReportingDeployment({keyed: True, plain: False})
     context.add_cleanup(context.fleet.close)
@@ -44,62 +49,68 @@
         context.fleet.add(*row.cells)
     for member in context.fleet.members.values():
         ready = partial(context.fleet.is_ready, member)
-        wait_for(f'{member.name} to be ready', ready, LIMIT_S)
-    wait_for('all keys', partial(_serves_all, context, 'p1', MANY), LIMIT_S)
+        wait_for(f'{member.name} to be ready', ready, TIMEOUT_S)
+    wait_for(
+        'all keys to be served',
+        partial(_serves_all_keys, context, 'p1', SAMPLE_KEYS),
+        TIMEOUT_S,
+    )
 
 
-@when('the keys "{keys}" of "portal" are asked for at each door')
-def ask_keys(context: Context, keys: str) -> None:
+@when('the keys "{keys}" of "portal" are requested at each node')
+def request_keys(context: Context, keys: str) -> None:
     context.workers = defaultdict(set)
     for member in context.fleet.members.values():
         for key in keys.split():
-            answer = _ask_key(context, member, int(key))
+            answer = _request_key(context, member, int(key))
             assert answer.status == OK, (key, answer.status, answer.data)
             assert answer.headers['Response-Stamp'].endswith('.stamp')
             context.workers[key].add(answer.json()['worker'])
 
 
-@then('every one is answered by the worker of one node')
+@then('each key is served by the worker of one node')
 def check_one_owner(context: Context) -> None:
-    # The load may move a shard once between two answers.
-    assert all(len(found) <= 2 for found in context.workers.values())
+    # The balancer may move a shard once between two answers.
+    assert all(len(workers) <= 2 for workers in context.workers.values())
     assert len(context.workers) == 5, context.workers
 
 
-@then('each worker was told the service beside the door and the time left')
-def check_told(context: Context) -> None:
-    seen = [
+@then('each worker received the calling service and the time left')
+def check_headers(context: Context) -> None:
+    requests = [
         each
         for member in context.fleet.members.values()
-        for each in _seen(context, member)
+        for each in _seen_requests(context, member)
     ]
-    assert {each['origin'] for each in seen} == {'portal', 'docs'}
-    assert all(0 < int(each['time_left_ms']) <= 2_000 for each in seen)
-    assert {each['host'] for each in seen} == {'a.example'}
+    assert {each['origin'] for each in requests} == {'portal', 'docs'}
+    assert all(0 < int(each['time_left_ms']) <= 2_000 for each in requests)
+    assert {each['host'] for each in requests} == {'a.example'}
 
 
-@then('the requests of each worker came over one connection')
+@then('each worker received its requests over one connection')
 def check_connections(context: Context) -> None:
-    # They were sent one after the other.
+    # The requests were sent one after the other.
     for member in context.fleet.members.values():
-        used = {each['connection'] for each in _seen(context, member)}
+        used = {each['connection'] for each in _seen_requests(context, member)}
         assert len(used) <= 1, (member.name, used)
 
 
-def _report(context: Context, member: ReportingMember) -> dict[str, Any]:
+def _worker_report(context: Context, member: ReportingMember) -> dict[str, Any]:
     answer = context.fleet.http.request('GET', member.seen)
-    found: dict[str, Any] = answer.json()
-    return found
+    report: dict[str, Any] = answer.json()
+    return report
 
 
-def _seen(context: Context, member: ReportingMember) -> list[dict[str, Any]]:
-    return list(_report(context, member)['seen'])
+def _seen_requests(
+    context: Context, member: ReportingMember
+) -> list[dict[str, Any]]:
+    return list(_worker_report(context, member)['seen'])
 
 
-@when('"{path}" is asked for at "{node}"')
-def ask_path(context: Context, path: str, node: str) -> None:
+@when('"{path}" is requested at "{node}"')
+def request_path(context: Context, path: str, node: str) -> None:
     member = context.fleet.members[node]
-    context.answer = context.fleet.ask(member, path, _attempt())
+    context.answer = context.fleet.ask(member, path, _next_attempt_id())
 
 
 @then('that answer has status {status:d}')
@@ -107,7 +118,7 @@
     assert context.answer.status == status, context.answer.data
 
 
-@when('the worker of "{node}" says that it drains')
+@when('the worker of "{node}" reports that it is draining')
 def drain(context: Context, node: str) -> None:
     url = context.fleet.members[node].seen.replace('/seen', '/drain')
     context.fleet.http.request('POST', url)
@@ -115,38 +126,42 @@
 
 def _served_by_others(context: Context) -> bool:
     member = context.fleet.members['p3']
-    answers = [_ask_key(context, member, key) for key in MANY]
+    answers = [_request_key(context, member, key) for key in SAMPLE_KEYS]
     workers = {
         answer.json()['worker'] for answer in answers if answer.status == OK
     }
-    whole = all(answer.status == OK for answer in answers)
-    return whole and 'worker-p1' not in workers
+    are_all_served = all(answer.status == OK for answer in answers)
+    return are_all_served and 'worker-p1' not in workers
 
 
-@then('all keys of "portal" are served by others within {limit:d} s')
-def check_others(context: Context, limit: int) -> None:
-    wait_for('others', partial(_served_by_others, context), limit)
+@then('all keys of "portal" are served by other workers within {limit:d} s')
+def check_served_by_others(context: Context, limit: int) -> None:
+    wait_for(
+        'other workers to serve all keys',
+        partial(_served_by_others, context),
+        limit,
+    )
 
 
-@then('some keys came with what the last worker left')
-def check_warm(context: Context) -> None:
-    warm = sum(
-        _report(context, member)['came_warm']
+@then('some keys were granted with a handover')
+def check_handovers(context: Context) -> None:
+    with_handover = sum(
+        _worker_report(context, member)['came_warm']
         for member in context.fleet.members.values()
     )
-    assert warm, 'no key came with a handover'
+    assert with_handover, 'no key came with a handover'
 
 
-@then('the worker of "{node}" gets no request after that')
-def check_nothing_more(context: Context, node: str) -> None:
+@then('the worker of "{node}" receives no more requests')
+def check_no_more_requests(context: Context, node: str) -> None:
     member = context.fleet.members[node]
-    before = len(_seen(context, member))
+    before = len(_seen_requests(context, member))
     assert _served_by_others(context)
-    assert len(_seen(context, member)) == before
+    assert len(_seen_requests(context, member)) == before
 
 
-@when('the worker of "{node}" is killed and started again')
-def replace_worker(context: Context, node: str) -> None:
+@when('the worker of "{node}" is killed and restarted')
+def restart_worker(context: Context, node: str) -> None:
     member = context.fleet.members[node]
     member.worker.kill()
     context.fleet.restart_worker(member)
@@ -154,22 +169,26 @@
 
 @then('every key of "portal" is served within {limit:d} s')
 def check_all_keys(context: Context, limit: int) -> None:
-    check_all_at(context, 'p1', limit)
+    check_all_keys_at(context, 'p1', limit)
 
 
 @then('every key of "portal" is served at "{node}" within {limit:d} s')
-def check_all_at(context: Context, node: str, limit: int) -> None:
-    wait_for('all keys', partial(_serves_all, context, node, MANY), limit)
+def check_all_keys_at(context: Context, node: str, limit: int) -> None:
+    wait_for(
+        'all keys to be served',
+        partial(_serves_all_keys, context, node, SAMPLE_KEYS),
+        limit,
+    )
 
 
 @when('the process of node "{node}" is killed')
-def kill_one(context: Context, node: str) -> None:
+def kill_node(context: Context, node: str) -> None:
     context.fleet.members[node].node.kill()
 
 
-def _keys_of(context: Context, worker: str) -> set[int]:
+def _keys_served_by(context: Context, worker: str) -> set[int]:
     member = context.fleet.members['p1']
-    answers = {key: _ask_key(context, member, key) for key in MANY}
+    answers = {key: _request_key(context, member, key) for key in SAMPLE_KEYS}
     return {
         key
         for key, answer in answers.items()
@@ -177,27 +196,29 @@
     }
 
 
-@when('the process of node "{node}" is killed and started again')
-def restart_one(context: Context, node: str) -> None:
+@when('the process of node "{node}" is killed and restarted')
+def restart_node(context: Context, node: str) -> None:
     member = context.fleet.members[node]
     context.worker = f'worker-{node}'
-    context.keys = _keys_of(context, context.worker)
+    context.keys = _keys_served_by(context, context.worker)
     assert context.keys
     member.node.kill()
     member.node = context.fleet.start_node(member.path)
 
 
 def _has_keys_back(context: Context) -> bool:
-    return context.keys <= _keys_of(context, context.worker)
+    return context.keys <= _keys_served_by(context, context.worker)
 
 
-@then('the keys that were served by its worker are so again within {limit:d} s')
-def check_back(context: Context, limit: int) -> None:
-    wait_for('its keys', partial(_has_keys_back, context), limit)
+@then('its worker serves the same keys again within {limit:d} s')
+def check_has_keys_back(context: Context, limit: int) -> None:
+    wait_for(
+        'its worker to serve its keys', partial(_has_keys_back, context), limit
+    )
 
 
-@when('all nodes are killed and started again')
-def restart_all(context: Context) -> None:
+@when('all nodes are killed and restarted')
+def restart_all_nodes(context: Context) -> None:
     members = context.fleet.members.values()
     for member in members:
         member.node.kill()
@@ -205,13 +226,14 @@
         member.node = context.fleet.start_node(member.path)
 
 
-@when('the node "{node}" is told to stop while keys are asked for at it')
+@when('node "{node}" is stopped while keys are requested at it')
 def stop_under_load(context: Context, node: str) -> None:
     member = context.fleet.members[node]
     context.member = member
     context.unanswered = []
     callers = [
-        eventlet.spawn(_keep_asking, context, member, key) for key in MANY[:8]
+        eventlet.spawn(_keep_requesting, context, member, key)
+        for key in SAMPLE_KEYS[:8]
     ]
     eventlet.sleep(0.2)
     member.node.terminate()
@@ -226,31 +248,34 @@
     return False
 
 
-def _keep_asking(context: Context, member: ReportingMember, key: int) -> None:
+def _keep_requesting(
+    context: Context, member: ReportingMember, key: int
+) -> None:
     while member.node.is_running:
         try:
-            _ask_key(context, member, key)
-        except HTTPError as cut:
-            if 'NewConnectionError' in repr(cut):
-                return  # it takes no connections any more
-            context.unanswered.append(repr(cut))
+            _request_key(context, member, key)
+        except HTTPError as error:
+            if 'NewConnectionError' in repr(error):
+                return  # the node accepts no connections any more
+            context.unanswered.append(repr(error))
         eventlet.sleep(0)
 
 
-@then('it tells that it is not ready')
+@then('it reports that it is not ready')
 def check_not_ready(context: Context) -> None:
     assert not context.was_ready
 
 
-@then('no request that it read was left without an answer')
+@then('every request that it read was answered')
 def check_answered(context: Context) -> None:
-    # A request that crosses the end of a kept connection is not read.
-    cut = [
+    # A request that is sent while the node closes an idle connection is not
+    # read by the node.
+    unanswered = [
         each for each in context.unanswered if 'without response' not in each
     ]
-    assert not cut, cut[:5]
+    assert not unanswered, unanswered[:5]
 
 
-@then('its process ends with status {status:d}')
+@then('its process exits with status {status:d}')
 def check_exit(context: Context, status: int) -> None:
-    assert context.member.node.wait(LIMIT_S) == status
+    assert context.member.node.wait(TIMEOUT_S) == status
