--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -209,7 +209,7 @@
             weights=declared.weights or Weights(),
             cold_start_ms=service.cold_start_ms,
             settings=self._settings,
-            relative_error=self._meter.error(),
+            relative_error=self._meter.relative_error(),
             reclaimable=self._reclaimable(shards_by_node),
         )
 
--- a/laburnumwood/placement/meter.py
+++ b/laburnumwood/placement/meter.py
@@ -47,7 +47,7 @@
             self._rates[shard] = rate
         rate.add(busy_ms / MS_PER_SECOND)
 
-    def error(self) -> float:
+    def relative_error(self) -> float:
         """Return the standard error of the load here, as a fraction of it."""
         return relative_error(self._requests.per_second, self._half_life_ms)
 
