--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -54,9 +54,9 @@
 class Fleet:
     """Planners of some nodes that see the same shards and loads."""
 
-    def __init__(self, shares: dict[NodeName, list[int]]) -> None:
+    def __init__(self, shards_by_node: dict[NodeName, list[int]]) -> None:
         self.clock = FakeClock()
-        self.shares = shares
+        self.shards_by_node = shards_by_node
         self.loads: dict[int, float] = {}
         self.weights = Weights()
         self.cold_start_ms = 0
@@ -65,7 +65,7 @@
         self.slots = SLOTS
         self.service_ms = SERVICE_MS
         self.peers: dict[NodeName, Set[NodeName]] = {}
-        self.error: float = 0
+        self.relative_error: float = 0
         self.moved: list[int] = []
         self._planners: dict[NodeName, MovePlanner] = {}
         self.run(40_000)
@@ -75,7 +75,7 @@
         for _ in range(span_ms // ROUND_MS):
             self.clock.pass_ms(ROUND_MS)
             self.measure()
-            for name in tuple(self.shares):
+            for name in tuple(self.shards_by_node):
                 self._run_one(name)
 
     def reset_planners(self) -> None:
@@ -89,19 +89,20 @@
         snapshot = PlacementSnapshot(
             own=name,
             shards_by_node={
-                each: tuple(self.shares[each]) for each in self.shares
+                each: tuple(self.shards_by_node[each])
+                for each in self.shards_by_node
             },
             reporting_peers=self.peers.get(name),
-            slots=dict.fromkeys(self.shares, self.slots),
+            slots=dict.fromkeys(self.shards_by_node, self.slots),
             loads=self.loads,
-            relative_error=self.error,
+            relative_error=self.relative_error,
             weights=self.weights,
             cold_start_ms=self.cold_start_ms,
             settings=self.settings,
         )
         for move in planner.plan(snapshot):
-            self.shares[name].remove(move.shard)
-            self.shares[move.target].append(move.shard)
+            self.shards_by_node[name].remove(move.shard)
+            self.shards_by_node[move.target].append(move.shard)
             self.moved.append(move.shard)
 
 
@@ -149,13 +150,19 @@
 @given('steady requests that keep {share:d} in 100 slots of each node busy')
 def set_steady_requests(context: Context, share: int) -> None:
     fleet = context.fleet
-    numbers = [shard for owned in fleet.shares.values() for shard in owned]
+    numbers = [
+        shard for owned in fleet.shards_by_node.values() for shard in owned
+    ]
     meter = LoadMeter(fleet.settings.load_half_life_ms, fleet.clock)
     chance = Random(SEED)
-    busy_slots = share / 100 * fleet.slots * len(fleet.shares)
+    busy_slots = share / 100 * fleet.slots * len(fleet.shards_by_node)
     per_round = busy_slots * ROUND_MS / fleet.service_ms
-    per_second = per_round / len(fleet.shares) * MS_PER_SECOND / ROUND_MS
-    fleet.error = relative_error(per_second, fleet.settings.load_half_life_ms)
+    per_second = (
+        per_round / len(fleet.shards_by_node) * MS_PER_SECOND / ROUND_MS
+    )
+    fleet.relative_error = relative_error(
+        per_second, fleet.settings.load_half_life_ms
+    )
 
     def measure() -> None:
         for shard in chance.choices(numbers, k=round(per_round)):
@@ -174,7 +181,7 @@
     fleet = context.fleet
     fleet.slots, fleet.service_ms = slots, span
     chance = Random(SEED)
-    names = set(fleet.shares)
+    names = set(fleet.shards_by_node)
     fleet.peers = {
         name: set(chance.sample(sorted(names - {name}), known))
         for name in sorted(names)
@@ -200,7 +207,7 @@
 def join_node(context: Context, node_id: str) -> None:
     context.incarnation += 1
     name = NodeName(node_id, context.incarnation)
-    context.fleet.shares[name] = []
+    context.fleet.shards_by_node[name] = []
 
 
 @when('the node "{node_id}" joins and leaves {times:d} times within {span:d} s')
@@ -208,7 +215,7 @@
     for _ in range(times):
         join_node(context, node_id)
         context.fleet.run(span * 1_000 // times // 4)
-        context.fleet.shares.pop(NodeName(node_id, context.incarnation))
+        context.fleet.shards_by_node.pop(NodeName(node_id, context.incarnation))
         context.fleet.run(span * 1_000 // times // 4 * 3)
 
 
@@ -219,14 +226,16 @@
 
 @then('"{node_id}" has {count:d} shards')
 def check_count(context: Context, node_id: str, count: int) -> None:
-    found = context.fleet.shares[NodeName(node_id, 1)]
+    found = context.fleet.shards_by_node[NodeName(node_id, 1)]
     assert len(found) == count, found
 
 
 @then('each node has {count:d} shards')
 def check_each(context: Context, count: int) -> None:
-    shares = context.fleet.shares
-    assert all(len(each) == count for each in shares.values()), shares
+    shards_by_node = context.fleet.shards_by_node
+    assert all(len(each) == count for each in shards_by_node.values()), (
+        shards_by_node
+    )
 
 
 @when('the load alternates between "a" and "b" every {turn:d} s for {span:d} s')
@@ -234,7 +243,7 @@
     fleet = context.fleet
     for number in range(span // turn):
         name = NodeName('ab'[number % 2], 1)
-        busy = fleet.shares[name][:2]
+        busy = fleet.shards_by_node[name][:2]
         fleet.loads = dict.fromkeys(busy, SLOTS / 2)
         fleet.run(turn * 1_000)
 
@@ -258,7 +267,7 @@
 
 @then('the shard 0 or 1 is on "b"')
 def check_on_b(context: Context) -> None:
-    found = context.fleet.shares[NodeName('b', 1)]
+    found = context.fleet.shards_by_node[NodeName('b', 1)]
     assert {0, 1} & set(found), found
 
 
@@ -296,8 +305,10 @@
 
 @then('the load of shard {shard:d} is estimated as {load:d}')
 def check_estimate(context: Context, shard: int, load: int) -> None:
-    shares = {NodeName('a', 1): (), NodeName('b', 1): (4, 5)}
-    found = estimated_loads(shares, NodeName('a', 1), {}, context.reports)
+    shards_by_node = {NodeName('a', 1): (), NodeName('b', 1): (4, 5)}
+    found = estimated_loads(
+        shards_by_node, NodeName('a', 1), {}, context.reports
+    )
     estimated = found.known.get(shard, found.mean)
     assert isclose(estimated, load, abs_tol=0.01), found
 
@@ -523,8 +534,8 @@
     context.planner = MovePlanner('weighed', PlacementSettings(), clock)
     for number in range(1, times + 1):
         clock.pass_ms(10_000)
-        shares = {own: (), NodeName('returning', number): ()}
-        context.planner.plan(PlacementSnapshot(own, shares))
+        shards_by_node = {own: (), NodeName('returning', number): ()}
+        context.planner.plan(PlacementSnapshot(own, shards_by_node))
 
 
 @then('it is stable')
