--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -180,9 +180,9 @@
         self.command, self.path, self.request_version = match.groups()
         self._header_fields = read_headers(self.rfile.readline, _HEADER_LINE)
         self.headers = HeaderIndex(self._header_fields)
-        fault = _framing_error(self.headers)
-        if fault:
-            raise HeadError(fault)
+        framing_error = _framing_error(self.headers)
+        if framing_error:
+            raise HeadError(framing_error)
 
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment of a request."""
@@ -269,8 +269,8 @@
         """Discard the unread rest of a body, or close the connection."""
         if body.should_send_hundred_continue:
             self.close_connection = True
-        unread = body.chunked_input or body.position < body.content_length
-        if self.close_connection or not unread:
+        has_unread = body.chunked_input or body.position < body.content_length
+        if self.close_connection or not has_unread:
             return
         try:
             body.discard()
--- a/laburnumwood/routing/door.py
+++ b/laburnumwood/routing/door.py
@@ -44,7 +44,7 @@
         request_id = self._caller_interface.request_id(environ)
         environ[REQUEST_ID_KEY] = request_id
         try:
-            inquiry = self._caller_interface.read_request(
+            request = self._caller_interface.read_request(
                 environ, self._get_declarations(), request_id
             )
         except RequestRefusedError as error:
@@ -55,7 +55,7 @@
             return send_problem(problem, start_response)
         sock = environ['eventlet.input'].get_socket()
         caller = self._callers.register(sock, request_id)
-        answer = self._router.send(inquiry, caller)
+        answer = self._router.send(request, caller)
         if isinstance(answer, Failure):
             caller.stop_monitoring()
             problem = self._caller_interface.problem_answer(answer, request_id)
--- a/laburnumwood/routing/headers.py
+++ b/laburnumwood/routing/headers.py
@@ -52,7 +52,7 @@
     )
 
 
-def header_values(headers: Iterable[Header], name: str) -> list[str]:
+def header_values(headers: Iterable[Header], wanted_name: str) -> list[str]:
     """Return all values of a header, whatever the case of its name."""
-    lower_name = name.lower()
+    lower_name = wanted_name.lower()
     return [text for name, text in headers if name.lower() == lower_name]
--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -39,7 +39,7 @@
     fingerprint: str
     attempt: int
     state: RunState
-    noted_ms: int
+    recorded_ms: int
     head: Answer | None = None
     body: bytes = b''
     is_running: bool = False
@@ -73,7 +73,7 @@
         """
         entry = self._find(shard, key)
         if entry is not None:
-            return _verdict(entry, fingerprint)
+            return _decide(entry, fingerprint)
         if not self.has_full_history(shard, record):
             return LedgerDecision.PAST_UNKNOWN
         if not self._has_room():
@@ -199,12 +199,14 @@
 
     def _evict_expired(self, shard: ShardName) -> None:
         entries = self._shards.get(shard, {})
-        old = [key for key, entry in entries.items() if self._is_expired(entry)]
-        for key in old:
+        expired_keys = [
+            key for key, entry in entries.items() if self._is_expired(entry)
+        ]
+        for key in expired_keys:
             self.remove(shard, key)
 
     def _is_expired(self, entry: _Entry) -> bool:
-        age_ms = self._clock.now_ms() - entry.noted_ms
+        age_ms = self._clock.now_ms() - entry.recorded_ms
         return age_ms >= RETENTION_MS and not entry.is_running
 
     def _store(self, shard: ShardName, key: str, entry: _Entry) -> None:
@@ -224,12 +226,12 @@
         if state is RunState.FORGOTTEN:
             self.remove(shard, message.key)
             return
-        noted_ms = self._clock.now_ms() - message.age_ms
+        recorded_ms = self._clock.now_ms() - message.age_ms
         entry = _Entry(
             message.fingerprint,
             message.attempt,
             state,
-            noted_ms,
+            recorded_ms,
             message.head,
             message.body,
         )
@@ -241,13 +243,13 @@
             entry.fingerprint,
             entry.attempt,
             entry.state.name,
-            self._clock.now_ms() - entry.noted_ms,
+            self._clock.now_ms() - entry.recorded_ms,
             entry.head,
             entry.body,
         )
 
 
-def _verdict(entry: _Entry, fingerprint: str) -> LedgerDecision:
+def _decide(entry: _Entry, fingerprint: str) -> LedgerDecision:
     if entry.fingerprint != fingerprint:
         return LedgerDecision.MISMATCH
     if entry.is_running:
--- a/laburnumwood/routing/notary.py
+++ b/laburnumwood/routing/notary.py
@@ -246,8 +246,8 @@
 
 
 def _answer_to_keep(outcome: RunResult | None) -> tuple[Answer | None, bytes]:
-    whole = outcome is not None and outcome.failure is None
-    if not whole or outcome is None or outcome.head is None:
+    has_answer = outcome is not None and outcome.failure is None
+    if not has_answer or outcome is None or outcome.head is None:
         return None, b''
     if outcome.body is None or outcome.head.status in _ABORTED_STATUSES:
         return None, b''
--- a/laburnumwood/routing/priorities.py
+++ b/laburnumwood/routing/priorities.py
@@ -37,7 +37,7 @@
         for name, priority in service.priorities.items()
         if _matches(priority, work, headers)
     ]
-    return max(classes, key=lambda line: line.weight, default=_DEFAULT_CLASS)
+    return max(classes, key=lambda each: each.weight, default=_DEFAULT_CLASS)
 
 
 def useful_until_ms(work: Work, now_ms: int, until_ms: int) -> int:
