--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -49,7 +49,7 @@
     b'GET /plain/x HTTP/1.1\r\nHost: door\r\nLaburnumwood-Request: %b\r\n\r\n'
     % ID.encode()
 )
-DECLARED = Declarations(services={'plain': Service()})
+DECLARATIONS = Declarations(services={'plain': Service()})
 
 Application = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
@@ -140,7 +140,7 @@
     router: Any = _TruncatingRouter()
     _serve(
         context,
-        Ingress(router, NativeCallerInterface(), lambda: DECLARED, Clock()),
+        Ingress(router, NativeCallerInterface(), lambda: DECLARATIONS, Clock()),
     )
 
 
@@ -209,7 +209,7 @@
     router: Any = _TruncatingRouter(('Content-Length', '13'))
     _serve(
         context,
-        Ingress(router, NativeCallerInterface(), lambda: DECLARED, Clock()),
+        Ingress(router, NativeCallerInterface(), lambda: DECLARATIONS, Clock()),
     )
 
 
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -204,7 +204,7 @@
 
 def make_gate_with(context: Context, span_ms: int, executor: Any) -> None:
     clock = FakeClock()
-    declared = Declarations(services={'s': Service()})
+    declarations = Declarations(services={'s': Service()})
     context.clock = clock
     context.directory = Directory()
     context.held_shards = HeldShards()
@@ -217,9 +217,9 @@
         context.held_shards,
         context.grants,
         executor,
-        lambda: declared.services,
+        lambda: declarations.services,
         context.directory,
-        CapacityAccount(SETTINGS, lambda: declared, clock),
+        CapacityAccount(SETTINGS, lambda: declarations, clock),
         LoadMeter(1_500, clock),
         WorkerState(lambda: True, lambda: SLOTS),
         clock,
@@ -247,7 +247,7 @@
     assert isinstance(notice, ShardNotice), notice
     assert notice.shard == str(SHARD), notice
     assert notice.record.succession == (NodeName.parse(owner),), notice
-    context.answer = context.near.receive(0)
+    context.answer = context.local_end.receive(0)
 
 
 @given('the gate is closed for a planned stop of its node')
@@ -255,9 +255,11 @@
     context.gate.close()
 
 
-def _start_request(context: Context, request_id: str, *first: Cancel) -> Stream:
+def _start_request(
+    context: Context, request_id: str, *messages: Cancel
+) -> Stream:
     local_end, remote_end = local_pair()
-    for message in first:
+    for message in messages:
         local_end.send(message)
     work = replace(
         PLAIN_WORK,
@@ -331,12 +333,12 @@
 
 @then('the event about it contains rank {rank:d}')
 def check_rank(context: Context, rank: int) -> None:
-    told = [
+    fields = [
         record.extra
         for record in context.log.records
         if record.extra['event'] == 'request-returned'
     ]
-    assert [each['rank'] for each in told] == [rank], told
+    assert [each['rank'] for each in fields] == [rank], fields
 
 
 @when('a request arrives with {left_ms:d} ms to its deadline')
@@ -359,7 +361,7 @@
     started_ms = context.clock.now_ms()
     context.gate.serve(remote_end, work)
     context.took_ms = context.clock.now_ms() - started_ms
-    context.near = local_end
+    context.local_end = local_end
     context.answer = local_end.receive(left_ms)
 
 
@@ -412,7 +414,7 @@
     'and {shed:d} shed'
 )
 def check_load(context: Context, busy: int, admitted: int, shed: int) -> None:
-    told = context.log.records[-1].extra
-    assert told['event'] == 'gate-load', told
-    found = told['busy'], told['let_in'], told['shed']
-    assert found == (busy, admitted, shed), told
+    fields = context.log.records[-1].extra
+    assert fields['event'] == 'gate-load', fields
+    found = fields['busy'], fields['let_in'], fields['shed']
+    assert found == (busy, admitted, shed), fields
--- a/tests/features/steps/ledger_steps.py
+++ b/tests/features/steps/ledger_steps.py
@@ -44,7 +44,7 @@
 
 
 @given('"{name}" has recorded {count:d} requests')
-def note_many(context: Context, name: str, count: int) -> None:
+def record_many(context: Context, name: str, count: int) -> None:
     ledger = context.ledgers[name]
     for number in range(count):
         ledger.admit(SHARD, str(number), 'x', context.record)
@@ -52,18 +52,18 @@
 
 
 @when('"{name}" admits "{key}" with fingerprint "{fingerprint}"')
-def begin(context: Context, name: str, key: str, fingerprint: str) -> None:
+def admit(context: Context, name: str, key: str, fingerprint: str) -> None:
     ledger = context.ledgers[name]
     context.decision = ledger.admit(SHARD, key, fingerprint, context.record)
 
 
 @when('"{name}" finishes "{key}" with status {status:d}')
-def finish(context: Context, name: str, key: str, status: int) -> None:
+def record_result(context: Context, name: str, key: str, status: int) -> None:
     context.ledgers[name].record_result(SHARD, key, Answer(status, ()), b'body')
 
 
 @when('"{name}" removes "{key}" but the message about it is delayed')
-def forget(context: Context, name: str, key: str) -> None:
+def remove_delayed(context: Context, name: str, key: str) -> None:
     ledger = context.ledgers[name]
     entry = ledger.entry(SHARD, key)
     ledger.remove(SHARD, key)
@@ -71,10 +71,10 @@
 
 
 @when('the delayed message reaches "{name}"')
-def deliver_late(context: Context, name: str) -> None:
+def deliver_delayed(context: Context, name: str) -> None:
     context.ledgers[name].merge(SHARD, (context.delayed_entry,))
 
 
 @then('the decision is {decision}')
-def check_verdict(context: Context, decision: str) -> None:
+def check_decision(context: Context, decision: str) -> None:
     assert context.decision.name == decision, context.decision
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -123,8 +123,8 @@
 @then('it ends and {result} run')
 def check_end(context: Context, result: str) -> None:
     assert context.delay_ms is None, context.delay_ms
-    may = {'may have': True, 'has not': False}[result]
-    assert context.retry_policy.may_have_run is may
+    expected = {'may have': True, 'has not': False}[result]
+    assert context.retry_policy.may_have_run is expected
 
 
 class OverloadedNodes:
@@ -188,15 +188,15 @@
 def send_to_overloaded(context: Context) -> None:
     request = CallerRequest(_work(idempotent=True, shard=-1), b'')
     caller: Any = ConnectedCaller()
-    context.reply = context.router.send(request, caller)
+    context.answer = context.router.send(request, caller)
 
 
 @then('each gate gets the request once, and it fails as overloaded')
 def check_targets(context: Context) -> None:
     nodes = sorted(name.node_id for name in context.nodes.serving_nodes('s'))
     assert sorted(context.nodes.targets) == nodes, context.nodes.targets
-    assert context.reply.kind == 'overloaded', context.reply
-    assert not context.reply.ran
+    assert context.answer.kind == 'overloaded', context.answer
+    assert not context.answer.ran
 
 
 @given('retry budgets of a tenth of the requests')
@@ -243,13 +243,13 @@
 @given('a guarded store that does not answer')
 def make_guarded(context: Context) -> None:
     context.clock = FakeClock()
-    context.store = CountingStore()
-    store: Any = context.store
+    context.counting_store = CountingStore()
+    store: Any = context.counting_store
     context.guarded = GuardedStore(store, context.clock)
 
 
 def _call(context: Context, count: int) -> None:
-    context.store.calls = 0
+    context.counting_store.calls = 0
     for _ in range(count):
         with suppress(PlatformUnavailableError):
             context.guarded.get('name')
@@ -270,24 +270,24 @@
     'the store answers again, {span_ms:d} ms pass and {count:d} calls are made'
 )
 def make_good_calls(context: Context, span_ms: int, count: int) -> None:
-    context.store.answers = True
+    context.counting_store.answers = True
     make_later_calls(context, span_ms, count)
 
 
 @then('both reach the store')
 def check_both(context: Context) -> None:
-    assert context.store.calls == 2, context.store.calls
+    assert context.counting_store.calls == 2, context.counting_store.calls
 
 
 @then('none reaches the store')
 def check_none(context: Context) -> None:
-    assert not context.store.calls, context.store.calls
+    assert not context.counting_store.calls, context.counting_store.calls
 
 
 @then('{count:d} reaches the store')
 @then('{count:d} reach the store')
 def check_calls(context: Context, count: int) -> None:
-    assert context.store.calls == count, context.store.calls
+    assert context.counting_store.calls == count, context.counting_store.calls
 
 
 @given('a rate with a half-life of {span_ms:d} ms')
