--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -16,14 +16,18 @@
 from laburnumwood.events import LINK_LOST, MESSAGE_REFUSED
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.messages import Chunk, WholeAnswer
-from laburnumwood.protocol.outlet import LONG, OUTLET, Passage
-from laburnumwood.protocol.silence import LOOK_MS, Silence
+from laburnumwood.protocol.send_queue import (
+    LARGE_MESSAGE_SIZE,
+    SEND_QUEUE,
+    Transfer,
+)
+from laburnumwood.protocol.silence import CHECK_INTERVAL_MS, Silence
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.tasks import run_logged, start, supervise
 
-IDLE_MS = 60_000  # a link that carries nothing is closed after this
-MOST_STREAMS = 2_048  # that a peer may have open on a link
+IDLE_TIMEOUT_MS = 60_000  # a link that carries nothing is closed after this
+MAX_STREAMS = 2_048  # that a peer may have open on a link
 _READ_SIZE = 65_536
 _LOOKS_PER_IDLE_LINK = 20  # most links of a large fleet carry nothing
 
@@ -53,13 +57,13 @@
     def _run(self) -> None:
         while self._links:
             for turn in range(_LOOKS_PER_IDLE_LINK):
-                eventlet.sleep(LOOK_MS / MS_PER_SECOND)
+                eventlet.sleep(CHECK_INTERVAL_MS / MS_PER_SECOND)
                 self._look(of_all=turn == 0)
         self._is_running = False
 
     def _look(self, *, of_all: bool) -> None:
         for link in tuple(self._links):
-            if of_all or link.needs_look:
+            if of_all or link.needs_check:
                 run_logged(link.look)
 
 
@@ -90,7 +94,7 @@
         self._handler = handler
         self._clock = clock
         self._closes_idle = closes_idle
-        self._idle_limit_ms = IDLE_MS
+        self._idle_limit_ms = IDLE_TIMEOUT_MS
         self._streams: dict[int, Stream] = {}
         self._used_ms = clock.now_ms()
         self._last_number = 0
@@ -100,7 +104,7 @@
         self._is_owed = False  # also after the stream was given up
         self._lock = Semaphore()
         self._unsent = b''  # begun, and not yet taken by the connection
-        self._passages: dict[bytes, Passage] = {}  # by their pings
+        self._transfers: dict[bytes, Transfer] = {}  # by their pings
         self._last_ping = 0
         self._open = True
 
@@ -125,7 +129,7 @@
         return self._silence.is_given_up
 
     @property
-    def needs_look(self) -> bool:
+    def needs_check(self) -> bool:
         """Tell whether anything is to come on the link before it ends."""
         return self._owes or not self._idle_limit_ms
 
@@ -142,14 +146,16 @@
             _WATCH.remove(self)
             self._end(reason)
 
-    def open_stream(self, *, is_patient: bool = False) -> Stream:
+    def open_stream(self, *, survives_silence: bool = False) -> Stream:
         """Return a new stream to the peer.
 
         One that is patient outlasts a silence: what it asks for can't be
         asked for again elsewhere.
         """
         self._last_number += 1
-        stream = Stream(self._last_number, self, is_patient=is_patient)
+        stream = Stream(
+            self._last_number, self, survives_silence=survives_silence
+        )
         self._streams[self._last_number] = stream
         self._is_owed = True
         return stream
@@ -157,20 +163,20 @@
     def send(self, stream: int, message: Any) -> None:
         """Send a message of a stream."""
         frame = encode(stream, message)
-        if len(frame) < LONG or not isinstance(message, _BODIES):
+        if len(frame) < LARGE_MESSAGE_SIZE or not isinstance(message, _BODIES):
             self._send_frame(frame)
             return
-        passage = OUTLET.enter(len(frame))
+        transfer = SEND_QUEUE.acquire(len(frame))
         self._last_ping += 1
         ping = str(self._last_ping).encode()
-        self._passages[ping] = passage
+        self._transfers[ping] = transfer
         try:
             self._send_frame(frame, ping)
         except LinkLostError:
             self._note_arrived(ping)
             raise
 
-    def forget(self, stream: int) -> None:
+    def remove_stream(self, stream: int) -> None:
         """Drop a stream that has ended."""
         self._streams.pop(stream, None)
 
@@ -185,9 +191,9 @@
             self._flush()
 
     def _note_arrived(self, ping: bytes) -> None:
-        passage = self._passages.pop(ping, None)
-        if passage is not None:
-            OUTLET.arrived(passage)
+        transfer = self._transfers.pop(ping, None)
+        if transfer is not None:
+            SEND_QUEUE.release(transfer)
 
     def close(self, reason: str = 'closed by this node') -> None:
         """End the connection and every stream on it."""
@@ -201,7 +207,7 @@
         for stream in tuple(self._streams.values()):
             stream.fail(LinkLostError(f'link to {self._peer} was lost'))
         self._streams.clear()
-        for ping in tuple(self._passages):
+        for ping in tuple(self._transfers):
             self._note_arrived(ping)
 
     def release(self) -> None:
@@ -284,7 +290,7 @@
             stream.deliver(message)
         elif number > self._last_opened:
             self._last_opened = number
-            if len(self._streams) >= MOST_STREAMS:
+            if len(self._streams) >= MAX_STREAMS:
                 raise ProtocolError('the peer opened too many streams')
             opened = Stream(-number, self)
             self._streams[-number] = opened
@@ -320,7 +326,7 @@
         waiting = [
             stream
             for number, stream in self._streams.items()
-            if number > 0 and not stream.outlasts_silence
+            if number > 0 and not stream.survives_silence
         ]
         if waiting:
             self._tell_lost('nothing was heard on it, it may come back')
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -16,8 +16,8 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError, LinkRefusedError
 from laburnumwood.events import ANSWER_UNDELIVERED
-from laburnumwood.protocol.codec import LARGEST_FRAME, encode
-from laburnumwood.protocol.handshake import dial, welcome
+from laburnumwood.protocol.codec import MAX_FRAME_SIZE, encode
+from laburnumwood.protocol.handshake import accept_handshake, dial
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import Cancel, Chunk, Done, End
 from laburnumwood.protocol.peers import Dispatcher, Peers, listen
@@ -67,7 +67,7 @@
     while True:
         sock, _ = listener.accept()
         context.connections += 1
-        protocol, peer = welcome(sock, KEY)
+        protocol, peer = accept_handshake(sock, KEY)
         if context.connections > 1:
             link = Link(protocol, sock, peer, dispatcher.handle, Clock())
             eventlet.spawn_n(link.run)
@@ -303,7 +303,7 @@
 
 @when('a patient call on the silent link is answered after {span:d} ms')
 def call_patiently(context: Context, span: int) -> None:
-    stream = context.peers.open_stream(PEER, is_patient=True)
+    stream = context.peers.open_stream(PEER, survives_silence=True)
     stream.send(Cancel())
     context.waiting = eventlet.spawn(_outcome, stream.receive, LIMIT_MS)
     eventlet.sleep(span / MS_PER_SECOND)
@@ -358,7 +358,7 @@
             eventlet.spawn_n(self._serve_one, self.listener.accept()[0])
 
     def _serve_one(self, sock: Any) -> None:
-        protocol, peer = welcome(sock, KEY)
+        protocol, peer = accept_handshake(sock, KEY)
         self.may_read.wait()
         Link(protocol, sock, peer, self._dispatcher.handle, Clock()).run()
 
@@ -477,7 +477,7 @@
     if what == 'a message of unknown kind':
         return [dumps((1, 'unheard-of', 1))]
     if what == 'a frame that is too large':
-        return [bytes(LARGEST_FRAME + 1)]
+        return [bytes(MAX_FRAME_SIZE + 1)]
     flood = encode(1, Chunk(bytes(CHUNK)))
     return [flood for _ in range(4 * WINDOW // CHUNK)]
 
