--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -174,7 +174,7 @@
             slots=self._worker.slots(),
             busy=round(counts.busy, 2),
             waiting=self.waiting,
-            let_in=counts.let_in,
+            let_in=counts.admitted,
             shed=counts.shed,
             shards=len(self._held_shards.tokens()),
         )
--- a/tests/features/path.feature
+++ b/tests/features/path.feature
@@ -27,8 +27,8 @@
     Then it ended with status 0
     And 60 keys of "trader-portal" are served at the doors of the others
 
-  Scenario: a node with a frozen worker gives up its shards until it is thawed
-    When the worker of the node "portal-1" is frozen
+  Scenario: a node with a paused worker gives up its shards until it is resumed
+    When the worker of node "portal-1" is paused
     Then 60 keys of "trader-portal" are served by the other workers
-    When the worker of the node "portal-1" is thawed
+    When the worker of node "portal-1" is resumed
     And the deployment of "trader-portal" is settled
