--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -282,7 +282,10 @@
         return self._reporting.presence.slots or self._settings.slots
 
     def _may_start(self) -> bool:
-        return self._granter is not None or self._reporting.presence.may_start()
+        return (
+            self._granter is not None
+            or self._reporting.presence.accepts_requests()
+        )
 
     def _make_placement(self, platform: Store, clock: Clock) -> None:
         service = self._settings.service
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -58,7 +58,7 @@
         """Return whether the last report lists no keys as held."""
         return self._reports_no_keys
 
-    def may_start(self) -> bool:
+    def accepts_requests(self) -> bool:
         """Return whether new requests may be sent to the worker.
 
         A worker that is leaving accepts them for `leave_ms` more.
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -291,12 +291,12 @@
 
 @then('it may be sent requests')
 def check_accepts_requests(context: Context) -> None:
-    assert context.worker.presence.may_start()
+    assert context.worker.presence.accepts_requests()
 
 
 @then('it may not be sent requests')
 def check_accepts_no_requests(context: Context) -> None:
-    assert not context.worker.presence.may_start()
+    assert not context.worker.presence.accepts_requests()
 
 
 @then('it may still hold keys')
