--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -9,7 +9,7 @@
 from laburnumwood.listening import split_address
 from laburnumwood.platform.callers import PlatformCallerInterface
 from laburnumwood.platform.reports import ReportEndpoint
-from laburnumwood.platform.store import ObjectStore
+from laburnumwood.platform.store import PlatformStore
 from laburnumwood.platform.workers import PlatformWorkerInterface
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
@@ -55,7 +55,7 @@
 
 def _make() -> Integration:
     return Integration(
-        make_store=lambda settings: ObjectStore(settings.platform_url),
+        make_store=lambda settings: PlatformStore(settings.platform_url),
         make_caller_interface=lambda settings: PlatformCallerInterface(
             settings, Random(settings.node_id)
         ),
--- a/laburnumwood/platform/store.py
+++ b/laburnumwood/platform/store.py
@@ -100,7 +100,7 @@
         return None
 
 
-class ObjectStore:
+class PlatformStore:
     """The platform's store at a URL, with the interface `Store`."""
 
     def __init__(self, url: str) -> None:
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -20,7 +20,7 @@
 from laburnumwood.membership.directory import Directory
 from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
 from laburnumwood.placement.writer import ShardWriter
-from laburnumwood.platform.store import ObjectStore
+from laburnumwood.platform.store import PlatformStore
 from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import (
     Digest,
@@ -32,7 +32,7 @@
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.client import HttpStore
 
-_STORES: dict[str, Any] = {'platform': ObjectStore, 'own': HttpStore}
+_STORES: dict[str, Any] = {'platform': PlatformStore, 'own': HttpStore}
 _FAILURES = {
     'not-reached': PlatformNotReachedError,
     'lost': PlatformUnavailableError,
