--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -50,7 +50,7 @@
 from laburnumwood.upstream.load_poller import LoadPoller
 from laburnumwood.upstream.presence import WorkerPhase
 from laburnumwood.upstream.reporting import ReportingWorker
-from laburnumwood.upstream.worker import Worker
+from laburnumwood.upstream.worker import WorkerClient
 
 
 class Incarnation:
@@ -99,7 +99,9 @@
             settings.lease,
             clock,
         )
-        self._worker = Worker(settings.worker_url, settings.connections, clock)
+        self._worker = WorkerClient(
+            settings.worker_url, settings.connections, clock
+        )
         self._granter: Granter | None = None
         self._grants = self._make_grants(clock)
         self._worker_announcer = WorkerAnnouncer(
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -21,7 +21,7 @@
 )
 from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.reporting import ReportingWorker
-from laburnumwood.upstream.worker import Worker
+from laburnumwood.upstream.worker import WorkerClient
 
 _ID = ID_HEADER.lower()
 _STAMP = STAMP_HEADER.lower()
@@ -97,6 +97,6 @@
         if succeeded and not index.has(_STAMP):
             raise WorkerAnswerError('a success without the stamp of a worker')
 
-    def cancel(self, _worker: Worker, _run: Run) -> bool:
+    def cancel(self, _worker: WorkerClient, _run: Run) -> bool:
         """Return False: a worker stops a request if its connection closes."""
         return False
--- a/laburnumwood/routing/execution.py
+++ b/laburnumwood/routing/execution.py
@@ -12,7 +12,7 @@
 from laburnumwood.routing.running import Runner, RunResult
 from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.routing.worker_interface import WorkerInterface
-from laburnumwood.upstream.worker import Worker
+from laburnumwood.upstream.worker import WorkerClient
 
 ExecutionCheck = Callable[[], bool]
 
@@ -26,7 +26,7 @@
 
     def __init__(
         self,
-        worker: Worker,
+        worker: WorkerClient,
         worker_interface: WorkerInterface,
         ledger: LedgerReplicator,
         shared_quarantine: SharedQuarantine,
--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -32,7 +32,7 @@
 from laburnumwood.routing.worker_interface import WorkerInterface
 from laburnumwood.tasks import start
 from laburnumwood.upstream.pool import WorkerAnswer
-from laburnumwood.upstream.worker import Worker, WorkerRequest
+from laburnumwood.upstream.worker import WorkerClient, WorkerRequest
 
 _KIND_BY_ERROR: dict[type[WorkerError], str] = {
     WorkerBusyError: 'overloaded',
@@ -64,7 +64,7 @@
 
     def __init__(
         self,
-        worker: Worker,
+        worker: WorkerClient,
         worker_interface: WorkerInterface,
         shared_quarantine: SharedQuarantine,
         clock: Clock,
--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -5,7 +5,7 @@
 from laburnumwood.routing.run import Run
 from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.refusals import FENCED, may_be_refusal, parse_refusal
-from laburnumwood.upstream.worker import Worker
+from laburnumwood.upstream.worker import WorkerClient
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -29,7 +29,7 @@
     def check(self, run: Run, answer: WorkerAnswer) -> None:
         """Raise `WorkerAnswerError` if an answer belongs to another request."""
 
-    def cancel(self, worker: Worker, run: Run) -> bool:
+    def cancel(self, worker: WorkerClient, run: Run) -> bool:
         """Ask the worker to stop a request.
 
         Returns False if only closing its connection stops it.
@@ -67,7 +67,7 @@
     def check(self, run: Run, answer: WorkerAnswer) -> None:
         """Accept every answer: a connection carries one request at a time."""
 
-    def cancel(self, worker: Worker, run: Run) -> bool:
+    def cancel(self, worker: WorkerClient, run: Run) -> bool:
         """Call the cancel path of the worker; always returns True."""
         worker.cancel(run.work.request_id)
         return True
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -9,7 +9,7 @@
 from laburnumwood.notifier import Notifier
 from laburnumwood.records import KeyRange, ShardName
 from laburnumwood.upstream.health import WorkerHealth
-from laburnumwood.upstream.worker import Worker
+from laburnumwood.upstream.worker import WorkerClient
 
 _RENEW_MS = 400
 _POLL_MS = 20
@@ -26,7 +26,7 @@
 
     def __init__(
         self,
-        worker: Worker,
+        worker: WorkerClient,
         tokens: Tokens,
         until_ms: Callable[[], int],
         close: Callable[[ShardName], None],
--- a/laburnumwood/upstream/load_poller.py
+++ b/laburnumwood/upstream/load_poller.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from laburnumwood.clock import MS_PER_SECOND
-from laburnumwood.upstream.worker import Worker
+from laburnumwood.upstream.worker import WorkerClient
 
 _POLL_MS = 1_000
 
@@ -16,7 +16,9 @@
     `on_load` is called with each number of running requests it returns.
     """
 
-    def __init__(self, worker: Worker, on_load: Callable[[int], None]) -> None:
+    def __init__(
+        self, worker: WorkerClient, on_load: Callable[[int], None]
+    ) -> None:
         self._worker = worker
         self._on_load = on_load
 
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -74,7 +74,7 @@
     return is_timeout and not isinstance(reason, NewConnectionError)
 
 
-class Worker:
+class WorkerClient:
     """A client of the worker at a URL.
 
     Control calls and requests use separate connections.
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -15,7 +15,7 @@
 from laburnumwood.errors import WorkerAnswerError, WorkerTimeoutError
 from laburnumwood.header_index import HeaderIndex
 from laburnumwood.platform.workers import PlatformWorkerInterface
-from laburnumwood.upstream.worker import Worker, WorkerRequest
+from laburnumwood.upstream.worker import WorkerClient, WorkerRequest
 
 HOST = '127.0.0.1'
 HALF = b'half'
@@ -36,7 +36,9 @@
 def start_worker(context: Context) -> None:
     listener = eventlet.listen((HOST, 0))
     eventlet.spawn_n(_send_half, context, listener)
-    worker = Worker(f'http://{HOST}:{listener.getsockname()[1]}', 1, Clock())
+    worker = WorkerClient(
+        f'http://{HOST}:{listener.getsockname()[1]}', 1, Clock()
+    )
     context.answer = worker.send(WorkerRequest('GET', '/', (), b'', TIMEOUT_MS))
 
 
@@ -129,7 +131,7 @@
 def _start_worker(context: Context, send: Any) -> None:
     listener = eventlet.listen((HOST, 0))
     eventlet.spawn_n(lambda: send(listener.accept()[0]))
-    context.worker = Worker(
+    context.worker = WorkerClient(
         f'http://{HOST}:{listener.getsockname()[1]}', 1, Clock()
     )
 
@@ -205,7 +207,7 @@
     context.connections = 0
     listener = eventlet.listen((HOST, 0))
     eventlet.spawn_n(_answer_all, context, listener)
-    context.worker = Worker(
+    context.worker = WorkerClient(
         f'http://{HOST}:{listener.getsockname()[1]}', 4, Clock()
     )
 
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -40,7 +40,7 @@
 from laburnumwood.routing.server import serve_callers
 from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.routing.worker_interface import NativeWorkerInterface
-from laburnumwood.upstream.worker import Worker
+from laburnumwood.upstream.worker import WorkerClient
 
 HOST = '127.0.0.1'
 KEY = 'a key of the tests only'
@@ -167,7 +167,7 @@
     )
     view: Any = SingleGateView()
     quarantine = SharedQuarantine(GATE_NAME, view, peers, dispatcher, clock)
-    worker = Worker(f'http://{HOST}:{sys.argv[1]}', 10, clock)
+    worker = WorkerClient(f'http://{HOST}:{sys.argv[1]}', 10, clock)
     runner = Runner(
         worker, NativeWorkerInterface(), quarantine, clock, max_buffered_bytes=0
     )
