--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -1,4 +1,4 @@
-"""Registration of the platform's borders."""
+"""Registration of the integration with the users' platform."""
 
 from collections.abc import Iterable
 from http import HTTPStatus
@@ -50,10 +50,10 @@
 
 def register() -> None:
     """Register the platform's integration under the name `platform`."""
-    integration('platform')(_make)
+    integration('platform')(_make_integration)
 
 
-def _make() -> Integration:
+def _make_integration() -> Integration:
     return Integration(
         make_store=lambda settings: PlatformStore(settings.platform_url),
         make_caller_interface=lambda settings: PlatformCallerInterface(
--- a/laburnumwood/platform/store.py
+++ b/laburnumwood/platform/store.py
@@ -225,7 +225,7 @@
     return changes
 
 
-def _unreachable_error(status: int) -> type[PlatformUnavailableError]:
+def _unavailable_error(status: int) -> type[PlatformUnavailableError]:
     # The platform guarantees that a call with this status had no effect.
     if status == HTTPStatus.SERVICE_UNAVAILABLE:
         return PlatformNotReachedError
@@ -239,7 +239,7 @@
     if status == HTTPStatus.GONE:
         raise CompactedError(what)
     if status == HTTPStatus.TOO_MANY_REQUESTS or status >= 500:
-        raise _unreachable_error(status)(f'{what}: status {status}')
+        raise _unavailable_error(status)(f'{what}: status {status}')
     if status not in {HTTPStatus.OK, HTTPStatus.CREATED}:
         raise PlatformError(f'{what}: status {status}')
     return answer.data
--- a/laburnumwood/upstream/attached.py
+++ b/laburnumwood/upstream/attached.py
@@ -23,7 +23,7 @@
         return self._worker.changes
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
-        """Return whether the worker has a valid grant of a shard and token."""
+        """Return whether the worker has a grant of a shard under a token."""
         return self._worker.covers(shard, token)
 
     def next_grants_in_ms(self) -> int:
--- a/laburnumwood/upstream/granter.py
+++ b/laburnumwood/upstream/granter.py
@@ -47,7 +47,7 @@
         self.changes = Notifier()
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
-        """Return whether the worker has a valid grant of a shard and token."""
+        """Return whether the worker has a grant of a shard under a token."""
         return self._granted.get(shard) == token
 
     def next_grants_in_ms(self) -> int:
--- a/laburnumwood/upstream/grants.py
+++ b/laburnumwood/upstream/grants.py
@@ -16,7 +16,7 @@
     """
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
-        """Return whether the worker has a valid grant of a shard and token."""
+        """Return whether the worker has a grant of a shard under a token."""
 
     def next_grants_in_ms(self) -> int:
         """Return the time until the worker is expected to get new grants."""
--- a/laburnumwood/upstream/reporting.py
+++ b/laburnumwood/upstream/reporting.py
@@ -164,7 +164,7 @@
         return reply
 
     def covers(self, shard: ShardName, token: int | None) -> bool:
-        """Return whether the worker has a valid grant of a shard and token."""
+        """Return whether the worker has a grant of a shard under a token."""
         grant = self._grants.get(shard)
         if grant is None or grant.is_withdrawn or grant.token != token:
             return False
@@ -175,7 +175,11 @@
         return self.presence.next_report_in_ms()
 
     def withdraw(self, shard: ShardName) -> None:
-        """Stop granting a shard, from the next report on."""
+        """Stop granting a shard that is to move, from the next report on.
+
+        Admission of requests to the shard stops with that report, or right now
+        if the worker is silent or has no grant of the shard.
+        """
         if self._source is None:
             return
         self._withdrawn.add(shard)
