--- a/laburnumwood/daemon/holder.py
+++ b/laburnumwood/daemon/holder.py
@@ -8,7 +8,7 @@
 from laburnumwood.records import KeyRange, ShardName
 
 
-class ShardHolder:
+class ShardGrantSource:
     """The shards that one incarnation holds, for the grants to its worker."""
 
     def __init__(
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -5,7 +5,7 @@
 from laburnumwood.borders import Integration
 from laburnumwood.clock import Clock
 from laburnumwood.daemon.handover_news import HandoverAnnouncer
-from laburnumwood.daemon.holder import ShardHolder
+from laburnumwood.daemon.holder import ShardGrantSource
 from laburnumwood.daemon.load import LoadComponents
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.lease import Lease
@@ -255,7 +255,7 @@
 
     def _make_grants(self, clock: Clock) -> Grants:
         if self._integration.worker_reports:
-            holder = ShardHolder(
+            holder = ShardGrantSource(
                 self._settings.service, self.lease, self.held_shards, self.view
             )
             return AttachedGrants(self._reporting, holder)
