--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -100,7 +100,7 @@
         self.node_change_count = 0
         self.on_shard_change: ShardListener = _ignore_shard_change
         self.on_config_change: Callable[[], None] = _ignore_config_change
-        self.news = Notifier()
+        self.changes = Notifier()
 
     @property
     def config(self) -> ConfigRecord:
@@ -184,7 +184,7 @@
         self._objects[stored.name] = stored
         self._names_by_version[stored.version] = stored.name
         self.change_count += 1
-        self.news.notify_all()
+        self.changes.notify_all()
         return True
 
     def versions_since(self, revision: int) -> tuple[int, ...]:
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -137,7 +137,7 @@
             seal
         )
         if newly_sealed:
-            self.directory.news.notify_all()
+            self.directory.changes.notify_all()
         return newly_sealed
 
     def evict_obsolete_seals(self) -> None:
--- a/laburnumwood/placement/keeper.py
+++ b/laburnumwood/placement/keeper.py
@@ -83,7 +83,7 @@
                 self._ownership.update_held_shards()
                 followed = version
             # The lease may be lost or regained without any notification.
-            self._view.directory.news.wait(_OWNERSHIP_POLL_MS)
+            self._view.directory.changes.wait(_OWNERSHIP_POLL_MS)
 
     def write_records(self) -> None:
         """Start the writes that the shards need; never returns."""
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -243,7 +243,7 @@
             left_ms = until_ms - self._clock.now_ms()
             if left_ms <= 0:
                 return
-            self._view.directory.news.wait(left_ms)
+            self._view.directory.changes.wait(left_ms)
 
     def _owner_version(self, work: Work) -> OwnerVersion:
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -261,7 +261,7 @@
     def make_known(self) -> None:
         """Make the node known, and wake the tasks that wait for it."""
         self.is_known = True
-        self.directory.news.notify_all()
+        self.directory.changes.notify_all()
 
 
 def _disconnect_first(routed: _RoutedRequest) -> None:
