--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -142,7 +142,7 @@
             *self._member.tasks,
             *self._worker_tasks(),
             self._account.run,
-            self.door.report_served,
+            self.ingress.report_served,
             self.load.run,
             self._keeper.follow_ownership,
             self._keeper.write_records,
@@ -353,7 +353,7 @@
             clock,
             self._settings.owner_patience_ms,
         )
-        self.door = MeasuredIngress(
+        self.ingress = MeasuredIngress(
             router,
             self._integration.make_caller_interface(self._settings),
             lambda: self.view.directory.declarations,
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -180,7 +180,7 @@
             return send_problem(
                 self._face.problem_answer(refusal, request_id), start_response
             )
-        return self._incarnation.door(environ, start_response)
+        return self._incarnation.ingress(environ, start_response)
 
     def _serve_operator(
         self, environ: dict[str, Any], start_response: StartResponse
