--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -348,7 +348,7 @@
             self.view,
             self._peers,
             gate.serve,
-            self.load.spread,
+            self.load.request_balancer,
             self.load.retries,
             clock,
             self._settings.owner_patience_ms,
--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -36,7 +36,7 @@
             service, own, view, self.meter, load_book, placement, clock
         )
         domain = settings.failure_domain
-        self.spread = RequestBalancer(
+        self.request_balancer = RequestBalancer(
             load_book,
             domain,
             Random(str(own)),
@@ -53,7 +53,7 @@
         self._exchange.serve(
             dispatcher,
             lambda: gate.running + gate.waiting,
-            self.spread.recent_choices,
+            self.request_balancer.recent_choices,
             gate.report_load,
         )
 
