--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -144,8 +144,8 @@
             self._account.run,
             self.ingress.report_served,
             self.load.run,
-            self._keeper.follow_ownership,
-            self._keeper.write_records,
+            self._shard_manager.follow_ownership,
+            self._shard_manager.write_records,
         ):
             self._tasks.start(task)
 
@@ -188,7 +188,7 @@
 
         Returns the time in ms at which the worker's grants expire.
         """
-        self._keeper.withdraw_all()
+        self._shard_manager.withdraw_all()
         start(self._announce_leaving)
         return self._granter.retire() if self._granter else 0
 
@@ -209,7 +209,7 @@
         expires.
         """
         start(self._announce_leaving)
-        self._keeper.hand_over_all(self.name, patience_ms)
+        self._shard_manager.hand_over_all(self.name, patience_ms)
         witnesses = set(self.lease.witnesses.members)
         self.lease.resign()
         if not self.held_for_ms:
@@ -255,10 +255,10 @@
 
     def _make_grants(self, clock: Clock) -> Grants:
         if self._integration.worker_reports:
-            holder = ShardGrantSource(
+            grant_source = ShardGrantSource(
                 self._settings.service, self.lease, self.held_shards, self.view
             )
-            return AttachedGrants(self._reporting, holder)
+            return AttachedGrants(self._reporting, grant_source)
         self._granter = Granter(
             self._worker,
             self.held_shards.tokens,
@@ -269,7 +269,9 @@
         return self._granter
 
     def _worker_tasks(self) -> tuple[Task, ...]:
-        ledger = (self._notary.run,) * self._integration.has_idempotency_keys
+        ledger = (
+            self._ledger_replicator.run,
+        ) * self._integration.has_idempotency_keys
         if self._granter is not None:
             return (*ledger, self._granter.run, self._load_poller.run)
         return (*ledger, self._worker_announcer.run)
@@ -292,7 +294,7 @@
         ownership = OwnershipTracker(
             service, self.view, self.lease, self.held_shards, clock
         )
-        self._keeper = ShardManager(
+        self._shard_manager = ShardManager(
             service,
             self.view,
             ownership,
@@ -308,7 +310,7 @@
         self._account = CapacityAccount(
             self._settings, lambda: self.view.directory.declarations, clock
         )
-        self._notary = LedgerReplicator(
+        self._ledger_replicator = LedgerReplicator(
             self.name,
             self.view,
             self.held_shards,
@@ -317,15 +319,15 @@
             clock,
         )
         if self._integration.has_idempotency_keys:
-            self._keeper.before_move = self._notary.hand_over
-        suspicions = SharedQuarantine(
+            self._shard_manager.before_move = self._ledger_replicator.hand_over
+        shared_quarantine = SharedQuarantine(
             self.name, self.view, self._peers, self.dispatcher, clock
         )
         executor = Executor(
             self._worker,
             self._integration.make_worker_interface(self._reporting),
-            self._notary,
-            suspicions,
+            self._ledger_replicator,
+            shared_quarantine,
             clock,
         )
         gate = AdmissionGate(
--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -29,15 +29,15 @@
         peers: Peers,
         clock: Clock,
     ) -> None:
-        load_book = LoadReports(clock)
+        load_reports = LoadReports(clock)
         service, placement = settings.service, settings.placement
         self.meter = LoadMeter(placement.load_half_life_ms, clock)
         self.balancer = Balancer(
-            service, own, view, self.meter, load_book, placement, clock
+            service, own, view, self.meter, load_reports, placement, clock
         )
         domain = settings.failure_domain
         self.request_balancer = RequestBalancer(
-            load_book,
+            load_reports,
             domain,
             Random(str(own)),
             clock,
@@ -45,7 +45,7 @@
         )
         self.retries = RetryBudgets(_RETRY_FRACTION, clock)
         self._exchange = LoadExchange(
-            service, own, view, peers, self.meter, load_book
+            service, own, view, peers, self.meter, load_reports
         )
 
     def serve(self, dispatcher: Dispatcher, gate: AdmissionGate) -> None:
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -71,12 +71,14 @@
         self._settings = settings
         self._clock = Clock()
         self._integration = INTEGRATIONS[settings.borders]
-        self._face = self._integration.make_caller_interface(settings)
+        self._caller_interface = self._integration.make_caller_interface(
+            settings
+        )
         store = self._integration.make_store(settings)
         self._platform = GuardedStore(store, self._clock)
         self._incarnation: Incarnation | None = None
         self._witness: Witness | None = None
-        self._door: HttpListener | None = None
+        self._caller_listener: HttpListener | None = None
         self._rejoin_backoff = RejoinBackoff(self._clock)
         self._avoided: frozenset[str] = frozenset()
         self._unfinished: list[Incarnation] = []
@@ -151,7 +153,7 @@
             self._serve_peer,
             self._clock,
         )
-        self._door = HttpListener(settings.door, self._serve_caller)
+        self._caller_listener = HttpListener(settings.door, self._serve_caller)
         if settings.operator_port is not None:
             operators = (settings.host, settings.operator_port)
             HttpListener(operators, self._serve_operator)
@@ -176,9 +178,10 @@
             refusal = make_failure(
                 'not-ready', 'this node is joining', ran=False
             )
-            request_id = self._face.request_id(environ)
+            request_id = self._caller_interface.request_id(environ)
             return send_problem(
-                self._face.problem_answer(refusal, request_id), start_response
+                self._caller_interface.problem_answer(refusal, request_id),
+                start_response,
             )
         return self._incarnation.ingress(environ, start_response)
 
@@ -332,8 +335,8 @@
         if incarnation is None:
             return
         NODE_STOPPING.report(node=incarnation.name)
-        # The door answers the requests that it has read while shards are moved.
-        closing = start_joinable(self._close_door)
+        # Callers get the answers of requests that were read, while shards move.
+        closing = start_joinable(self._close_caller_listener)
         incarnation.hand_over(self._remaining_stop_ms())
         closing.wait()
         # While the store is unreachable, peers may not know yet that this node
@@ -345,10 +348,10 @@
         incarnation.close()
         NODE_LEFT.report(node=incarnation.name)
 
-    def _close_door(self) -> None:
+    def _close_caller_listener(self) -> None:
         self._linger()
-        if self._door is not None:
-            self._door.close(self._remaining_stop_ms())
+        if self._caller_listener is not None:
+            self._caller_listener.close(self._remaining_stop_ms())
 
     def _remaining_stop_ms(self) -> int:
         """Return how many ms of the time for a planned stop are left."""
