--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -21,7 +21,7 @@
     def receive(self, timeout_ms: int) -> Any:
         """Return the next message; raises a `LinkError`."""
 
-    def when_message(self, handler: Callable[[], None] | None) -> None:
+    def set_message_handler(self, handler: Callable[[], None] | None) -> None:
         """Set the function to call at the next message or link end."""
 
     def close(self) -> None:
@@ -49,9 +49,9 @@
         """Return the next message; raises a `LinkError`."""
         return self._exchange.receive(timeout_ms)
 
-    def when_message(self, handler: Callable[[], None] | None) -> None:
+    def set_message_handler(self, handler: Callable[[], None] | None) -> None:
         """Set the function to call at the next message or link end."""
-        self._exchange.when_message(handler)
+        self._exchange.set_message_handler(handler)
 
     def close(self) -> None:
         """Close this side of the exchange."""
@@ -69,7 +69,7 @@
         if self.other is not None:
             self.other.deliver(message)
 
-    def forget(self, _stream: int) -> None:
+    def remove_stream(self, _stream: int) -> None:
         """Do nothing: a local stream has no registration to remove."""
 
 
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -298,11 +298,11 @@
     ) -> OutgoingExchange:
         """Send a request to a node and return the exchange.
 
-        Raises `CallerGoneError` if the caller has disconnected before.
+        Raises `CallerDisconnectedError` if the caller has disconnected before.
         """
         if target != self._own:
             exchange = self._peers.open_stream(
-                target, is_patient=not work.idempotent
+                target, survives_silence=not work.idempotent
             )
             if caller.poll():
                 exchange.close()
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -127,7 +127,7 @@
         self.unblocked = Event()
         self.sending: list[Any] = []
 
-    def when_message(self, _handler: Callable[[], None] | None) -> None:
+    def set_message_handler(self, _handler: Callable[[], None] | None) -> None:
         """Do nothing: the requesting side sends no message."""
 
     def send(self, message: Any) -> None:
