--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -151,16 +151,16 @@
 class _CountingLease:
     """A lease with one witness, and the link to it, which counts calls."""
 
-    lost = frozenset[NodeName]()
+    lost_witnesses = frozenset[NodeName]()
     is_over = False
     is_changing = True  # no other witness is chosen meanwhile
-    asked = (PEER,)
+    renewal_targets = (PEER,)
     holder = OWNER
 
     def __init__(self) -> None:
         self.renewal_count = 0
 
-    def holds(self) -> bool:
+    def is_held(self) -> bool:
         """Return that the lease is not held yet."""
         return False
 
@@ -168,7 +168,7 @@
         """Return that the witness set is unchanged."""
         return False
 
-    def renewal(self, _name: NodeName, _digest: Digest) -> None:
+    def renewal_request(self, _name: NodeName, _digest: Digest) -> None:
         """Return an empty request."""
 
     def call(self, _peer: NodeName, _message: None, _timeout_ms: int) -> Any:
