--- a/laburnumwood/protocol/__init__.py
+++ b/laburnumwood/protocol/__init__.py
@@ -1,1 +1,1 @@
-"""The protocol of the router."""
+"""The protocol between nodes: messages, links and streams."""
--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -1,4 +1,8 @@
-"""Encoding of messages as CBOR arrays of stream, kind and values."""
+"""Encoding of messages as CBOR arrays.
+
+An array holds the number of the stream, the kind of the message and its
+values.
+"""
 
 from dataclasses import fields
 from functools import cache
@@ -14,69 +18,77 @@
 
 MAX_FRAME_SIZE = 4 * 1024 * 1024  # bytes
 
-_KIND_OF = {form: kind for kind, form in KINDS.items()}
+_KIND_BY_TYPE = {message_type: kind for kind, message_type in KINDS.items()}
 _FIELDS = {
-    kind: tuple(each.name for each in fields(form))
-    for kind, form in KINDS.items()
+    kind: tuple(each.name for each in fields(message_type))
+    for kind, message_type in KINDS.items()
 }
 
 
-class _Plain:
-    """How a frequent message, whose values are plain, goes into a frame.
+class _FrequentCodec:
+    """Encodes one kind of frequent message without pydantic, for speed.
 
-    Headers go as one list of names and texts in turn.
+    The values of these messages are of plain types.  Headers are encoded as
+    one list in which names and values alternate.
     """
 
     def __init__(self, kind: str) -> None:
-        form = KINDS[kind]
-        types = [each.type for each in fields(form)]
-        self._form = form
-        self._names = _FIELDS[kind]
-        self._headers_at = types.index(Headers) if Headers in types else -1
-        self._types = [list if each is Headers else each for each in types]
-
-    def values(self, message: Any) -> list[Any]:
-        """Return the values of a message as they are sent."""
-        found = [getattr(message, name) for name in self._names]
-        if self._headers_at >= 0:
-            pairs = found[self._headers_at]
-            found[self._headers_at] = list(chain.from_iterable(pairs))
-        return found
-
-    def message(self, values: list[Any]) -> Any:
-        """Return the message of some values; raises `ProtocolError`."""
-        if list(map(type, values)) != self._types:
-            raise ProtocolError(f'{self._form.__name__}: values of wrong types')
-        if self._headers_at >= 0:
-            values[self._headers_at] = _headers(values[self._headers_at])
-        return self._form(*values)
-
-
-def _headers(found: list[Any]) -> Headers:
-    """Return pairs of names and texts as they were before they were sent."""
-    if len(found) % 2 or not _TEXT.issuperset(map(type, found)):
+        message_type = KINDS[kind]
+        types = [each.type for each in fields(message_type)]
+        self._message_type = message_type
+        self._field_names = _FIELDS[kind]
+        self._headers_index = types.index(Headers) if Headers in types else -1
+        self._value_types = [
+            list if each is Headers else each for each in types
+        ]
+
+    def to_values(self, message: Any) -> list[Any]:
+        """Return the values of a message in the form in which they are sent."""
+        values = [getattr(message, name) for name in self._field_names]
+        if self._headers_index >= 0:
+            pairs = values[self._headers_index]
+            values[self._headers_index] = list(chain.from_iterable(pairs))
+        return values
+
+    def from_values(self, values: list[Any]) -> Any:
+        """Return the message with some values; raises `ProtocolError`."""
+        if list(map(type, values)) != self._value_types:
+            raise ProtocolError(
+                f'{self._message_type.__name__}: values of wrong types'
+            )
+        if self._headers_index >= 0:
+            values[self._headers_index] = _pair_headers(
+                values[self._headers_index]
+            )
+        return self._message_type(*values)
+
+
+def _pair_headers(values: list[Any]) -> Headers:
+    """Return a list of alternating names and values as pairs."""
+    if len(values) % 2 or not _STR.issuperset(map(type, values)):
         raise ProtocolError('headers are no pairs of texts')
-    return tuple(zip(found[::2], found[1::2], strict=True))
+    return tuple(zip(values[::2], values[1::2], strict=True))
 
 
-_TEXT = frozenset((str,))
-_PLAIN = {kind: _Plain(kind) for kind in FREQUENT}
+_STR = frozenset((str,))
+_FREQUENT_CODECS = {kind: _FrequentCodec(kind) for kind in FREQUENT}
 
 
 @cache
 def _adapter(kind: str) -> TypeAdapter[Any]:
-    # Made at first use: all together they would be a tenth of the start.
+    # Created at first use: creating all of them would take a tenth of the
+    # time that a node needs to start.
     return TypeAdapter(KINDS[kind])
 
 
 def encode(stream: int, message: Any) -> bytes:
-    """Return the frame of a message on a stream."""
-    kind = _KIND_OF[type(message)]
-    plain = _PLAIN.get(kind)
-    if plain is None:
+    """Return the frame that carries a message on a stream."""
+    kind = _KIND_BY_TYPE[type(message)]
+    codec = _FREQUENT_CODECS.get(kind)
+    if codec is None:
         values = _adapter(kind).dump_python(message).values()
     else:
-        values = plain.values(message)
+        values = codec.to_values(message)
     frame = dumps((stream, kind, *values))
     MESSAGES.record(1, {'kind': kind})
     MESSAGE_BYTES.record(len(frame), {'kind': kind})
@@ -84,9 +96,9 @@
 
 
 def decode(frame: bytes) -> tuple[int, Any]:
-    """Return the stream and the message of a frame.
+    """Return the number of the stream and the message in a frame.
 
-    Raises `ProtocolError` for a frame that is not of a known form.
+    Raises `ProtocolError` for a frame that is not a valid message.
     """
     try:
         stream, kind, *values = loads(frame)
@@ -97,9 +109,9 @@
         raise ProtocolError(f'message kind {kind!r} is not known')
     if len(values) != len(_FIELDS[kind]):
         raise ProtocolError(f'message {kind!r} has {len(values)} values')
-    plain = _PLAIN.get(kind)
-    if plain is not None:
-        return stream, plain.message(values)
+    codec = _FREQUENT_CODECS.get(kind)
+    if codec is not None:
+        return stream, codec.from_values(values)
     content = dict(zip(_FIELDS[kind], values, strict=True))
     try:
         return stream, _adapter(kind).validate_python(content)
--- a/laburnumwood/protocol/handshake.py
+++ b/laburnumwood/protocol/handshake.py
@@ -1,4 +1,4 @@
-"""Opening of links on both sides, with proof of who the peer is."""
+"""The handshake of a link, on both sides, with authentication."""
 
 from eventlet.green import socket
 from websockets.client import ClientProtocol
@@ -25,7 +25,7 @@
     while True:
         received = sock.recv(_READ_SIZE)
         if not received:
-            raise ConnectionResetError('handshake was cut')
+            raise ConnectionResetError('connection closed during the handshake')
         protocol.receive_data(received)
         events = protocol.events_received()
         if events:
@@ -37,13 +37,13 @@
         sock.sendall(part)
 
 
-def _greet(
+def _request_handshake(
     sock: socket.socket, own: NodeName, security: LinkSecurity
 ) -> Protocol:
     protocol = ClientProtocol(parse_uri('ws://peer/'), max_size=MAX_FRAME_SIZE)
     request = protocol.connect()
     request.headers[_NAME_HEADER] = str(own)
-    request.headers[_KEY_HEADER] = security.proof
+    request.headers[_KEY_HEADER] = security.credentials
     protocol.send_request(request)
     _send(protocol, sock)
     answer = _receive_until_event(protocol, sock)
@@ -55,15 +55,15 @@
 def dial(
     host: str, port: int, own: NodeName, security: LinkSecurity
 ) -> tuple[Protocol, socket.socket]:
-    """Connect to a peer and return the open connection.
+    """Connect to a peer, complete the handshake and return the connection.
 
-    Raises `LinkRefusedError`; nothing but the handshake was sent then.
+    Raises `LinkRefusedError`; no message was sent in this case.
     """
     sock = None
     try:
         sock = socket.create_connection((host, port), _DIAL_TIMEOUT_S)
-        sock = security.wrap_dialled(sock)
-        protocol = _greet(sock, own, security)
+        sock = security.wrap_outgoing(sock)
+        protocol = _request_handshake(sock, own, security)
     except OSError as unreachable:
         if sock is not None:
             sock.close()
@@ -73,30 +73,31 @@
     return protocol, sock
 
 
-def _name_in(headers: Headers, security: LinkSecurity) -> NodeName:
-    if not security.proves(headers.get(_KEY_HEADER, '')):
-        raise ProtocolError('the shared key does not fit')
+def _authenticate(headers: Headers, security: LinkSecurity) -> NodeName:
+    if not security.accepts(headers.get(_KEY_HEADER, '')):
+        raise ProtocolError('the shared key does not match')
     try:
         return NodeName.parse(headers.get(_NAME_HEADER, ''))
-    except ValueError as unnamed:
-        raise ProtocolError(str(unnamed)) from unnamed
+    except ValueError as invalid:
+        raise ProtocolError(str(invalid)) from invalid
 
 
 def accept_handshake(
     sock: socket.socket, security: LinkSecurity
 ) -> tuple[Protocol, NodeName]:
-    """Answer a peer that has connected, secured already; return its name.
+    """Answer the handshake of a peer and return the connection and its name.
 
-    Raises `ProtocolError` for a peer that does not know the key, and
-    `OSError` if the connection ends.
+    `sock` is already wrapped in TLS if links use it.  Raises `ProtocolError`
+    if the key or the name that the peer sends is invalid, and `OSError` if
+    the connection fails.
     """
     sock.settimeout(_DIAL_TIMEOUT_S)
     protocol = ServerProtocol(max_size=MAX_FRAME_SIZE)
     request = _receive_until_event(protocol, sock)
     if not isinstance(request, Request):
-        raise ProtocolError('no handshake')
+        raise ProtocolError('the first data was not a handshake request')
     try:
-        peer = _name_in(request.headers, security)
+        peer = _authenticate(request.headers, security)
     except ProtocolError:
         protocol.send_response(protocol.reject(_FORBIDDEN, 'key or name'))
         _send(protocol, sock)
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -1,4 +1,4 @@
-"""A link: one websocket connection that carries many streams."""
+"""A link: one WebSocket connection that carries many streams."""
 
 from collections.abc import Callable
 from contextlib import suppress
@@ -26,56 +26,58 @@
 from laburnumwood.records import NodeName
 from laburnumwood.tasks import run_logged, start, supervise
 
-IDLE_TIMEOUT_MS = 60_000  # a link that carries nothing is closed after this
-MAX_STREAMS = 2_048  # that a peer may have open on a link
+IDLE_TIMEOUT_MS = 60_000  # after which a link without streams is closed
+MAX_STREAMS = 2_048  # on a link
 _READ_SIZE = 65_536
-_LOOKS_PER_IDLE_LINK = 20  # most links of a large fleet carry nothing
+# Idle links, which are most of those in a large fleet, are checked once in so
+# many checks of the others.
+_CHECKS_PER_IDLE_CHECK = 20
 
-_BODIES = (WholeAnswer, Chunk)  # records and news of nodes never wait
+_BODY_MESSAGES = (WholeAnswer, Chunk)  # others never wait in the send queue
 
 Handler = Callable[['Link', Stream, Any], None]
 
 
-class _LinkWatch:
-    """Looks at all links of the process in turn, in one task."""
+class _LinkMonitor:
+    """Checks all links of the process periodically, in one task."""
 
     def __init__(self) -> None:
         self._links: dict[Link, None] = {}
         self._is_running = False
 
     def add(self, link: 'Link') -> None:
-        """Look at a link from now on."""
+        """Start checking a link."""
         self._links[link] = None
         if not self._is_running:
             self._is_running = True
             start(supervise, self._run)
 
     def remove(self, link: 'Link') -> None:
-        """Look at a link no longer."""
+        """Stop checking a link."""
         self._links.pop(link, None)
 
     def _run(self) -> None:
         while self._links:
-            for turn in range(_LOOKS_PER_IDLE_LINK):
+            for turn in range(_CHECKS_PER_IDLE_CHECK):
                 eventlet.sleep(CHECK_INTERVAL_MS / MS_PER_SECOND)
-                self._look(of_all=turn == 0)
+                self._check(include_idle=turn == 0)
         self._is_running = False
 
-    def _look(self, *, of_all: bool) -> None:
+    def _check(self, *, include_idle: bool) -> None:
         for link in tuple(self._links):
-            if of_all or link.needs_check:
-                run_logged(link.look)
+            if include_idle or link.needs_check:
+                run_logged(link.check)
 
 
-_WATCH = _LinkWatch()
+_MONITOR = _LinkMonitor()
 
 
 class Link:
-    """A connection to a peer after its handshake.
+    """A connection to a peer after the handshake.
 
-    `handler` is called in a task of its own for each stream that the peer
-    opens, with the first message on it.  Only the side that opens streams may
-    close an idle link, so that none is lost on its way.
+    `handler` is called in a new task for each stream that the peer opens,
+    with the first message on it.  Only the side that opens streams closes an
+    idle link, so that no new stream is lost in transit.
     """
 
     def __init__(
@@ -96,46 +98,48 @@
         self._closes_idle = closes_idle
         self._idle_limit_ms = IDLE_TIMEOUT_MS
         self._streams: dict[int, Stream] = {}
-        self._used_ms = clock.now_ms()
-        self._last_number = 0
-        self._last_opened = 0
-        self._heard_ms = clock.now_ms()
+        self._last_busy_ms = clock.now_ms()
+        self._last_own_stream = 0
+        self._last_peer_stream = 0
+        self._last_received_ms = clock.now_ms()
         self._silence = Silence()
-        self._is_owed = False  # also after the stream was given up
+        self._reply_due = False  # also after its stream was closed
         self._lock = Semaphore()
-        self._unsent = b''  # begun, and not yet taken by the connection
-        self._transfers: dict[bytes, Transfer] = {}  # by their pings
+        self._unsent = b''  # bytes that the socket has not accepted yet
+        self._transfers: dict[
+            bytes, Transfer
+        ] = {}  # by the payloads of their pings
         self._last_ping = 0
-        self._open = True
+        self._is_open = True
 
     @property
     def peer(self) -> NodeName:
-        """Return the name that the peer gave in the handshake."""
+        """Return the name that the peer sent in the handshake."""
         return self._peer
 
     @property
     def is_open(self) -> bool:
-        """Tell whether messages can still be sent."""
-        return self._open
+        """Return whether messages can still be sent."""
+        return self._is_open
 
     @property
     def is_suspect(self) -> bool:
-        """Tell whether the peer has been silent while something is owed."""
+        """Return whether the peer is silent although a reply is due."""
         return self._silence.is_suspect
 
     @property
-    def is_given_up(self) -> bool:
-        """Tell whether nothing new may be sent on the link any more."""
-        return self._silence.is_given_up
+    def is_failed(self) -> bool:
+        """Return whether the silence is too long to open any new stream."""
+        return self._silence.is_failed
 
     @property
     def needs_check(self) -> bool:
-        """Tell whether anything is to come on the link before it ends."""
-        return self._owes or not self._idle_limit_ms
+        """Return whether a reply is due or the link is being released."""
+        return self._expects_reply or not self._idle_limit_ms
 
     def run(self) -> None:
-        """Read until the connection ends; call it in a task of its own."""
-        _WATCH.add(self)
+        """Read until the connection ends; must run in a task of its own."""
+        _MONITOR.add(self)
         reason = 'the connection ended'
         try:
             reason = self._read()
@@ -143,27 +147,32 @@
             MESSAGE_REFUSED.report(peer=self._peer, reason=refused)
             reason = str(refused)
         finally:
-            _WATCH.remove(self)
+            _MONITOR.remove(self)
             self._end(reason)
 
     def open_stream(self, *, survives_silence: bool = False) -> Stream:
-        """Return a new stream to the peer.
+        """Open a stream to the peer.
 
-        One that is patient outlasts a silence: what it asks for can't be
-        asked for again elsewhere.
+        A stream that `survives_silence` does not fail while the link is
+        silent: use it for a request that can't be retried elsewhere.
         """
-        self._last_number += 1
+        self._last_own_stream += 1
         stream = Stream(
-            self._last_number, self, survives_silence=survives_silence
+            self._last_own_stream, self, survives_silence=survives_silence
         )
-        self._streams[self._last_number] = stream
-        self._is_owed = True
+        self._streams[self._last_own_stream] = stream
+        self._reply_due = True
         return stream
 
     def send(self, stream: int, message: Any) -> None:
-        """Send a message of a stream."""
+        """Send a message on a stream; raises `LinkLostError`.
+
+        A large part of a body waits for its turn in the send queue.
+        """
         frame = encode(stream, message)
-        if len(frame) < LARGE_MESSAGE_SIZE or not isinstance(message, _BODIES):
+        if len(frame) < LARGE_MESSAGE_SIZE or not isinstance(
+            message, _BODY_MESSAGES
+        ):
             self._send_frame(frame)
             return
         transfer = SEND_QUEUE.acquire(len(frame))
@@ -173,63 +182,64 @@
         try:
             self._send_frame(frame, ping)
         except LinkLostError:
-            self._note_arrived(ping)
+            self._complete_transfer(ping)
             raise
 
     def remove_stream(self, stream: int) -> None:
-        """Drop a stream that has ended."""
+        """Remove a stream that has ended."""
         self._streams.pop(stream, None)
 
     def _send_frame(self, frame: bytes, ping: bytes | None = None) -> None:
         with self._lock:
-            if not self._open:
+            if not self._is_open:
                 raise LinkLostError(f'link to {self._peer} is closed')
             self._protocol.send_binary(frame)
             if ping is not None:
-                # Its answer says that all before it has arrived.
+                # The pong shows that everything sent before has arrived.
                 self._protocol.send_ping(ping)
             self._flush()
 
-    def _note_arrived(self, ping: bytes) -> None:
+    def _complete_transfer(self, ping: bytes) -> None:
         transfer = self._transfers.pop(ping, None)
         if transfer is not None:
             SEND_QUEUE.release(transfer)
 
     def close(self, reason: str = 'closed by this node') -> None:
-        """End the connection and every stream on it."""
-        if not self._open:
+        """Close the connection and fail every stream on it."""
+        if not self._is_open:
             return
-        self._open = False
+        self._is_open = False
         if self._streams:
-            self._tell_lost(reason)
+            self._report_lost(reason)
         with suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         for stream in tuple(self._streams.values()):
             stream.fail(LinkLostError(f'link to {self._peer} was lost'))
         self._streams.clear()
         for ping in tuple(self._transfers):
-            self._note_arrived(ping)
+            self._complete_transfer(ping)
 
     def release(self) -> None:
-        """Let the connection end once it carries nothing."""
+        """Close the link as soon as it has no streams."""
         self._idle_limit_ms = 0
 
     @property
-    def _owes(self) -> bool:
-        return bool(self._streams) or self._is_owed
+    def _expects_reply(self) -> bool:
+        return bool(self._streams) or self._reply_due
 
-    def _tell_lost(self, reason: str) -> None:
+    def _report_lost(self, reason: str) -> None:
         LINK_LOST.report(
             peer=self._peer,
             reason=reason,
             owed=len(self._streams),
-            unheard_ms=self._clock.now_ms() - self._heard_ms,
+            unheard_ms=self._clock.now_ms() - self._last_received_ms,
             is_sending=self._lock.locked(),
         )
 
     def _end(self, reason: str) -> None:
         self.close(reason)
-        # Closed before a blocked sender has left, it would never wake.
+        # A blocked sender would never wake up if the socket were closed
+        # before that sender has released the lock.
         with self._lock:
             self._socket.close()
 
@@ -243,40 +253,40 @@
             start(self.close, repr(broken))
             raise LinkLostError(f'link to {self._peer} broke') from broken
         finally:
-            if self._unsent and self._open:
-                # Its sender was ended midway: half a frame would spoil all
-                # that follows.
+            if self._unsent and self._is_open:
+                # The sender was killed while it sent: the rest of its frame
+                # must follow, or the peer could not parse any later frame.
                 start(self._send_pending)
 
     def _read(self) -> str:
-        """Take in what comes; return how the connection ended."""
-        while self._open:
+        """Read and process frames; return the reason why the link ended."""
+        while self._is_open:
             try:
                 received = self._socket.recv(_READ_SIZE)
             except (OSError, EOFError) as broken:
                 return repr(broken)
             if not received:
                 return 'the peer closed it'
-            self._heard_ms = self._clock.now_ms()
-            self._silence.end()
-            self._is_owed = False
+            self._last_received_ms = self._clock.now_ms()
+            self._silence.reset()
+            self._reply_due = False
             self._protocol.receive_data(received)
             if self._protocol.parser_exc is not None:
                 raise ProtocolError(f'frame: {self._protocol.parser_exc}')
-            self._take_events()
+            self._process_events()
         return 'closed by this node'
 
-    def _take_events(self) -> None:
+    def _process_events(self) -> None:
         for event in self._protocol.events_received():
             if not isinstance(event, Frame) or event.opcode is Opcode.TEXT:
-                raise ProtocolError('an unexpected frame came')
+                raise ProtocolError('unexpected type of frame')
             if event.opcode is Opcode.BINARY:
                 self._dispatch(*decode(bytes(event.data)))
             else:
                 if event.opcode is Opcode.PONG:
-                    self._note_arrived(bytes(event.data))
-                # The reader never waits for a sender: two peers that wait
-                # for each other's reader would stop for good.
+                    self._complete_transfer(bytes(event.data))
+                # The reader never waits for a sender, because two peers that
+                # wait for each other's reader would deadlock.
                 start(self._send_pending)
 
     def _send_pending(self) -> None:
@@ -284,43 +294,49 @@
             self._flush()
 
     def _dispatch(self, number: int, message: Any) -> None:
-        # Numbers of streams that the peer opened are kept negative here.
+        # Streams that the peer opened have negated numbers on this side.
         stream = self._streams.get(-number)
         if stream is not None:
             stream.deliver(message)
-        elif number > self._last_opened:
-            self._last_opened = number
+        elif number > self._last_peer_stream:
+            self._last_peer_stream = number
             if len(self._streams) >= MAX_STREAMS:
                 raise ProtocolError('the peer opened too many streams')
             opened = Stream(-number, self)
             self._streams[-number] = opened
             start(self._handler, self, opened, message)
 
-    def look(self) -> None:
-        """Ping a silent link and close a dead or idle one; call it often."""
+    def check(self) -> None:
+        """Ping a silent link and close a dead or an idle one.
+
+        Must be called every `CHECK_INTERVAL_MS` while a reply is due.
+        """
         now_ms = self._clock.now_ms()
-        if self._owes:
-            self._used_ms = now_ms
-            self._silence.look()
+        if self._expects_reply:
+            self._last_busy_ms = now_ms
+            self._silence.count_check()
             self._check_silence()
             return
-        self._silence.end()
-        if self._closes_idle and now_ms - self._used_ms >= self._idle_limit_ms:
+        self._silence.reset()
+        if (
+            self._closes_idle
+            and now_ms - self._last_busy_ms >= self._idle_limit_ms
+        ):
             self.close()
 
     def _check_silence(self) -> None:
-        if self._silence.is_over:
-            self.close('nothing was heard on it')
+        if self._silence.is_dead:
+            self.close('no data received for too long')
             return
-        if self._silence.begins_to_be_given_up:
+        if self._silence.has_just_failed:
             self._fail_unanswered()
         if self._silence.wants_ping:
             self._ping()
 
     def _fail_unanswered(self) -> None:
-        """Let requests go elsewhere of whose answers nothing has come.
+        """Fail the streams without an answer so that they can be retried.
 
-        The link may only be slow, and what has begun may still come.
+        The link may only be slow: the rest of an answer may still arrive.
         """
         silent = LinkLostError(f'link to {self._peer} is silent')
         waiting = [
@@ -329,19 +345,21 @@
             if number > 0 and not stream.survives_silence
         ]
         if waiting:
-            self._tell_lost('nothing was heard on it, it may come back')
+            self._report_lost(
+                'no data received; the link stays open in case it recovers'
+            )
         for stream in waiting:
             stream.fail(silent)
 
     def _ping(self) -> None:
-        # A sender that is blocked holds the lock; waiting for it would keep
-        # this task from closing a dead connection.
+        # A blocked sender holds the lock: waiting for it would keep this task
+        # from closing a dead connection.
         if not self._lock.acquire(blocking=False):
             return
         try:
             self._protocol.send_ping(b'')
             self._flush()
         except (LinkLostError, InvalidState):
-            return  # the reader ends the link
+            return  # the reader closes the link
         finally:
             self._lock.release()
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -1,6 +1,6 @@
 """The messages between nodes.
 
-Each message is a plain value with a kind, under which the codec finds it.
+Each class is registered under a kind, which identifies it in a frame.
 """
 
 from collections.abc import Callable
@@ -17,26 +17,26 @@
     WitnessSet,
 )
 
-_Form = TypeVar('_Form', bound=type[Any])
+_MessageType = TypeVar('_MessageType', bound=type[Any])
 
 Headers = tuple[tuple[str, str], ...]
 
 KINDS: dict[str, type[Any]] = {}
-FREQUENT: set[str] = set()  # kinds whose values are plain, for each request
+FREQUENT: set[str] = set()  # kinds that each request sends; plain values
 
 
 def message(
     kind: str, *, is_frequent: bool = False
-) -> Callable[[_Form], _Form]:
-    """Register a class as the message of a kind."""
+) -> Callable[[_MessageType], _MessageType]:
+    """Return a decorator that registers a class as the message of a kind."""
 
-    def register(form: _Form) -> _Form:
+    def register(message_type: _MessageType) -> _MessageType:
         if kind in KINDS:
-            raise ValueError(f'message kind {kind!r} stands twice')
-        KINDS[kind] = form
+            raise ValueError(f'duplicate message kind {kind!r}')
+        KINDS[kind] = message_type
         if is_frequent:
             FREQUENT.add(kind)
-        return form
+        return message_type
 
     return register
 
@@ -44,10 +44,11 @@
 @message('renew')
 @dataclass(frozen=True, slots=True)
 class Renew:
-    """A holder asks a witness to renew its lease.
+    """Requests a witness to renew the lease of a holder.
 
-    `versions` are the witness sets to renew under; `sets` spells those out
-    that the witness may not know.  Sets up to `supersede` are given up.
+    `versions` are the versions of the witness sets to renew under; `sets`
+    holds those that the witness may not know.  Sets with versions up to
+    `supersede` are no longer used.
     """
 
     holder: NodeName
@@ -62,7 +63,7 @@
 @message('granted')
 @dataclass(frozen=True, slots=True)
 class Granted:
-    """A witness renewed a lease, counted from when it was asked."""
+    """A witness renewed a lease; it runs from the time of the request."""
 
     digest: Digest
 
@@ -70,7 +71,7 @@
 @message('refused')
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """A witness does not renew a lease; with its seal if it gave one."""
+    """A witness did not renew a lease; `seal` if it has sealed the holder."""
 
     reason: str
     seal: Seal | None = None
@@ -79,7 +80,7 @@
 @message('resign')
 @dataclass(frozen=True, slots=True)
 class Resign:
-    """A holder that has stopped for good asks a witness to seal it."""
+    """Requests a witness to seal a holder that has stopped for good."""
 
     holder: NodeName
 
@@ -87,7 +88,7 @@
 @message('seals')
 @dataclass(frozen=True, slots=True)
 class SealNotice:
-    """Seals that the receiver may not know."""
+    """Sends seals that the receiver may not know."""
 
     seals: tuple[Seal, ...]
 
@@ -95,10 +96,10 @@
 @message('pull')
 @dataclass(frozen=True, slots=True)
 class Pull:
-    """Asks for all changes of the store after a revision, and all seals.
+    """Requests all changes of the store after a revision, and all seals.
 
-    The configuration comes too if it is newer than `generation`.  `known` are
-    versions after the revision that the asker was told of already.
+    The configuration is included if it is newer than `generation`.  `known`
+    are versions after the revision that the requester has already received.
     """
 
     revision: int
@@ -109,7 +110,7 @@
 @message('changes')
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes of the store up to a revision; `whole` if it is all of it."""
+    """Changes of the store up to a revision; `whole` if it is everything."""
 
     objects: tuple[StoredObject, ...]
     revision: int
@@ -120,7 +121,7 @@
 @message('shard')
 @dataclass(frozen=True, slots=True)
 class ShardNotice:
-    """The record of a shard as its writer wrote it, with its version."""
+    """Sends the record of a shard that the sender wrote, and its version."""
 
     shard: str
     record: ShardRecord
@@ -130,7 +131,7 @@
 @message('left')
 @dataclass(frozen=True, slots=True)
 class Left:
-    """What the sender's worker let go, for those who get the keys next."""
+    """Sends the ranges that the worker released to their next owners."""
 
     released: tuple[ReleasedRange, ...]
 
@@ -138,20 +139,20 @@
 @message('done')
 @dataclass(frozen=True, slots=True)
 class Done:
-    """An order was carried out."""
+    """Confirms that a request was carried out."""
 
 
 @message('work', is_frequent=True)
 @dataclass(frozen=True, slots=True)
 class Work:
-    """A caller's request on its way to the owner of its shard.
-
-    `shard` is negative for a service that is not divided by key.
-    `deadline_ms` is what is left of the caller's patience when it is sent.
-    A short body comes with it; a longer one follows in chunks.
-    `origin` is the service beside the node that took the request in, and
-    `priority` the rank of its route, 0 the highest; negative if it has none.
-    `objective_ms` is within what time an answer is of full use; 0: any time.
+    """A caller's request, forwarded to the owner of its shard.
+
+    `shard` is negative for a service that is not sharded by key.
+    `deadline_ms` is the time until the caller's deadline when it is sent.
+    A short body is included; a longer one follows in chunks.
+    `origin` is the service of the node that accepted the request, and
+    `priority` the rank of its route: 0 is the highest, negative means none.
+    `objective_ms` is the time within which an answer is useful; 0: any time.
     """
 
     request_id: str
@@ -172,7 +173,7 @@
 
     @property
     def is_whole(self) -> bool:
-        """Tell whether the whole body came with the request."""
+        """Return whether the request includes the whole body."""
         return self.body_length == len(self.body)
 
 
@@ -188,7 +189,7 @@
 @message('whole-answer', is_frequent=True)
 @dataclass(frozen=True, slots=True)
 class WholeAnswer(Answer):
-    """The head of the worker's answer together with its whole body."""
+    """The head of the worker's answer and its whole body."""
 
     body: bytes
 
@@ -196,7 +197,7 @@
 @message('chunk', is_frequent=True)
 @dataclass(frozen=True, slots=True)
 class Chunk:
-    """A part of a body, of a request or of an answer."""
+    """A part of the body of a request or an answer."""
 
     content: bytes
 
@@ -204,7 +205,7 @@
 @message('end', is_frequent=True)
 @dataclass(frozen=True, slots=True)
 class End:
-    """The end of a body, with the length of all its chunks."""
+    """The end of a body, with the total length of its chunks."""
 
     length: int
 
@@ -212,17 +213,17 @@
 @message('credit', is_frequent=True)
 @dataclass(frozen=True, slots=True)
 class Credit:
-    """Lets the other side send more bytes of a body."""
+    """Allows the peer to send more bytes of a body."""
 
     size: int
 
 
 @dataclass(frozen=True, slots=True)
 class LedgerEntry:
-    """What is known of a request with an idempotency key.
+    """The state of a request with an idempotency key.
 
-    Of two entries of a key the one with the higher attempt is newer, and
-    within an attempt the states follow each other as in `RunState`.
+    Of two entries with one key, that with the higher attempt is newer; within
+    an attempt, the states follow each other in the order of `RunState`.
     """
 
     key: str
@@ -237,10 +238,11 @@
 @message('notes')
 @dataclass(frozen=True, slots=True)
 class LedgerUpdate:
-    """Entries of a shard's run ledger, as its owner under an epoch has them.
+    """Replicates entries of a shard's run ledger as its owner has them.
 
-    `whole` closes a copy of all of them; `handover` says that the sender runs
-    nothing more for the shard under that epoch.
+    The owner owns the shard under `epoch`.  `whole` marks the last message of
+    a full copy; `handover` means that the sender runs no more requests for
+    the shard under that epoch.
     """
 
     shard: str
@@ -255,8 +257,8 @@
 class Failure:
     """Why a request has no answer, and whether it ran.
 
-    `kind` names the type of problem, `ran` is false only where it is proved
-    that nothing of the request left for a worker.
+    `kind` is the type of problem.  `ran` is false only if it is certain that
+    no part of the request was sent to a worker.
     """
 
     kind: str
@@ -268,19 +270,19 @@
 @message('cancel')
 @dataclass(frozen=True, slots=True)
 class Cancel:
-    """The asking side no longer wants the answer."""
+    """Cancels a request: nobody waits for its answer any more."""
 
 
 @message('load-ask')
 @dataclass(frozen=True, slots=True)
 class LoadAsk:
-    """Asks a node how busy it is."""
+    """Requests the load of a node."""
 
 
 @message('load')
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """The requests in flight on a node, and the slots each shard keeps busy."""
+    """The requests in flight on a node, and the busy slots of each shard."""
 
     running: int
     shards: dict[int, float]
@@ -289,7 +291,7 @@
 @message('suspicion')
 @dataclass(frozen=True, slots=True)
 class Suspicion:
-    """How many workers died under a request; none if it is cleared."""
+    """How many workers died while they ran a request; 0 clears it."""
 
     fingerprint: str
     deaths: int
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -1,4 +1,4 @@
-"""Links to peers, made on demand, and the place where peers connect."""
+"""Links to peers, opened on demand, and the server that peers connect to."""
 
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -21,32 +21,32 @@
 from laburnumwood.records import NodeName
 from laburnumwood.tasks import start
 
-_REFUSED_REST_MS = 300  # in which a peer that refused a link is not dialled
+_REDIAL_DELAY_MS = 300  # after a peer refused a link
 
-Lookup = Callable[[NodeName], tuple[str, int] | None]
+AddressLookup = Callable[[NodeName], tuple[str, int] | None]
 _Handler = TypeVar('_Handler', bound=Callable[..., None])
 
 
 class Dispatcher:
-    """Finds the handler of a stream by the type of its first message."""
+    """Calls the handler registered for the type of a first message."""
 
     def __init__(self) -> None:
         self._handlers: dict[type[Any], Callable[..., None]] = {}
 
-    def on(self, form: type[Any]) -> Callable[[_Handler], _Handler]:
-        """Register the handler of a type of message."""
+    def on(self, message_type: type[Any]) -> Callable[[_Handler], _Handler]:
+        """Return a decorator that registers the handler of a message type."""
 
         def register(handler: _Handler) -> _Handler:
-            self._handlers[form] = handler
+            self._handlers[message_type] = handler
             return handler
 
         return register
 
     def handle(self, link: Link, stream: Stream, message: Any) -> None:
-        """Run the handler of a message and end the stream after it.
+        """Run the handler of a message and close the stream afterwards.
 
-        A link that is lost under the handler is logged: nobody is left to
-        be answered.
+        The loss of the link while the handler runs is only logged, because
+        the answer can't be delivered.
         """
         handler = self._handlers.get(type(message))
         kind = type(message).__name__
@@ -63,16 +63,17 @@
 
 
 class Peers:
-    """The links of this node to others, one for each peer.
+    """The links that this node opened, one for each peer.
 
-    `lookup` returns host and port of a peer, or None if it is not known.
+    `lookup` returns the host and the port of a peer, or None if they are not
+    known.
     """
 
     def __init__(
         self,
         own: NodeName,
         security: LinkSecurity,
-        lookup: Lookup,
+        lookup: AddressLookup,
         dispatcher: Dispatcher,
         clock: Clock,
     ) -> None:
@@ -83,34 +84,35 @@
         self._clock = clock
         self._links: dict[NodeName, Link] = {}
         self._locks: dict[NodeName, Semaphore] = {}
-        self._refused_ms: dict[NodeName, int] = {}
+        self._last_refused_ms: dict[NodeName, int] = {}
 
     def open_stream(
         self, peer: NodeName, *, survives_silence: bool = False
     ) -> Stream:
-        """Return a new stream to a peer, over a new link if need be.
+        """Open a stream to a peer, on a new link if necessary.
 
-        One that is patient outlasts a silence of its link.  Raises
-        `LinkRefusedError`.
+        A stream that `survives_silence` does not fail while its link is
+        silent.  Raises `LinkRefusedError`.
         """
-        asked_ms = self._clock.now_ms()
+        requested_ms = self._clock.now_ms()
         lock = self._locks.setdefault(peer, Semaphore())
         with lock:
-            refused_ms = self._refused_ms.get(peer, -_REFUSED_REST_MS)
-            if refused_ms + _REFUSED_REST_MS > asked_ms:
-                raise LinkRefusedError(f'{peer} has just refused a link')
+            refused_ms = self._last_refused_ms.get(peer, -_REDIAL_DELAY_MS)
+            if refused_ms + _REDIAL_DELAY_MS > requested_ms:
+                raise LinkRefusedError(f'{peer} refused a link moments ago')
             link = self._links.get(peer)
             if link is None or not link.is_open:
                 link = self._connect(peer)
             elif link.is_suspect:
-                link = self._connect_beside(link)
+                link = self._replace_silent(link)
             self._links[peer] = link
         return link.open_stream(survives_silence=survives_silence)
 
     def call(self, peer: NodeName, message: Any, timeout_ms: int) -> Any:
-        """Send a message and return the one reply.
+        """Send a message on a new stream and return the reply.
 
-        Raises the subclasses of `LinkError`.
+        Raises `LinkRefusedError` if no link can be opened, `LinkTimeoutError`
+        if no reply arrives in `timeout_ms`, and `LinkLostError`.
         """
         stream = self.open_stream(peer)
         try:
@@ -120,22 +122,22 @@
             stream.close()
 
     def close(self) -> None:
-        """Close all links that this node made."""
+        """Close all links that this node opened."""
         for link in self._links.values():
             link.close()
         self._links.clear()
 
     def release(self) -> None:
-        """Close all links that this node made, each when it is idle."""
+        """Close each link that this node opened as soon as it is idle."""
         for link in self._links.values():
             link.release()
 
-    def _connect_beside(self, link: Link) -> Link:
-        # What the silent link owes may still come: it closes by itself.
+    def _replace_silent(self, link: Link) -> Link:
+        # Replies may still arrive on the silent link, which closes by itself.
         try:
             return self._connect(link.peer)
         except LinkRefusedError:
-            if link.is_given_up:
+            if link.is_failed:
                 raise
             return link
 
@@ -146,8 +148,8 @@
         try:
             protocol, sock = dial(*address, self._own, self._security)
         except LinkRefusedError:
-            # Those who waited for this attempt need not make their own.
-            self._refused_ms[peer] = self._clock.now_ms()
+            # Tasks that waited for this attempt do not retry at once.
+            self._last_refused_ms[peer] = self._clock.now_ms()
             raise
         link = Link(
             protocol,
@@ -168,7 +170,7 @@
     clock: Clock,
 ) -> None:
     try:
-        sock = security.wrap_accepted(sock)
+        sock = security.wrap_incoming(sock)
         protocol, peer = accept_handshake(sock, security)
     except (OSError, ProtocolError) as refused:
         MESSAGE_REFUSED.report(peer='unknown', reason=refused)
@@ -183,7 +185,7 @@
     handler: Handler,
     clock: Clock,
 ) -> None:
-    """Serve peers that connect to a host and port; does not return."""
+    """Accept links of peers at a host and port; does not return."""
     listener = listen_at(address, NOT_ACCEPTED.report)
     while True:
         sock, _ = listener.accept()
--- a/laburnumwood/protocol/security.py
+++ b/laburnumwood/protocol/security.py
@@ -1,4 +1,4 @@
-"""How links between nodes are secured: mutual TLS, or a shared key."""
+"""Security of the links between nodes: mutual TLS or a shared key."""
 
 import hmac
 import ssl
@@ -17,7 +17,7 @@
     context = green_ssl.SSLContext(side)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     if not server:
-        # Peers are named by IP numbers; the authority is the system's own.
+        # Peers are addressed by IP, and the system has a CA of its own.
         context.check_hostname = False
     context.verify_mode = ssl.CERT_REQUIRED
     context.load_cert_chain(tls.certificate, tls.key)
@@ -25,19 +25,19 @@
     return context
 
 
-def _usable(tls: TlsSettings, *, server: bool) -> ssl.SSLContext:
+def _checked_context(tls: TlsSettings, *, server: bool) -> ssl.SSLContext:
     try:
         return _context(tls, server=server)
-    except OSError as unusable:
+    except OSError as failure:
         files = f'{tls.certificate}, {tls.key}, {tls.authority}'
-        text = f'tls: the files {files} are not usable: {unusable}'
-        raise SettingsError(text) from unusable
+        text = f'tls: the files {files} are not usable: {failure}'
+        raise SettingsError(text) from failure
 
 
 class LinkSecurity:
-    """Secures connections as the settings say.
+    """Secures connections with a shared key or, if `tls` is given, with TLS.
 
-    Raises `SettingsError` if a file of the certificates can't be used.
+    Raises `SettingsError` if a certificate file can't be used.
     """
 
     def __init__(
@@ -47,26 +47,28 @@
         self._client: ssl.SSLContext | None = None
         self._server: ssl.SSLContext | None = None
         if tls is not None:
-            self._client = _usable(tls, server=False)
-            self._server = _usable(tls, server=True)
+            self._client = _checked_context(tls, server=False)
+            self._server = _checked_context(tls, server=True)
 
     @property
-    def proof(self) -> str:
-        """Return what a peer sends to prove that it knows the key."""
+    def credentials(self) -> str:
+        """Return the credentials that a node sends in the handshake."""
         return 'certificate' if self._key is None else f'Bearer {self._key}'
 
-    def proves(self, given: str) -> bool:
-        """Tell whether a peer's proof fits, in constant time."""
-        return hmac.compare_digest(given.encode(), self.proof.encode())
+    def accepts(self, credentials: str) -> bool:
+        """Return whether credentials are valid; takes constant time."""
+        return hmac.compare_digest(
+            credentials.encode(), self.credentials.encode()
+        )
 
-    def wrap_dialled(self, sock: socket.socket) -> socket.socket:
-        """Secure a connection that this node made; raises `OSError`."""
+    def wrap_outgoing(self, sock: socket.socket) -> socket.socket:
+        """Wrap a connection that this node opened; raises `OSError`."""
         if self._client is None:
             return sock
         return self._client.wrap_socket(sock)
 
-    def wrap_accepted(self, sock: socket.socket) -> socket.socket:
-        """Secure a connection that a peer made; raises `OSError`."""
+    def wrap_incoming(self, sock: socket.socket) -> socket.socket:
+        """Wrap a connection that a peer opened; raises `OSError`."""
         if self._server is None:
             return sock
         sock.settimeout(_HANDSHAKE_TIMEOUT_S)
--- a/laburnumwood/protocol/send_queue.py
+++ b/laburnumwood/protocol/send_queue.py
@@ -1,9 +1,9 @@
-"""Turns of long messages on their way out of this machine.
+"""A queue for the large messages that this process sends.
 
-All links of a process share one line.  What a connection has taken can't be
-overtaken any more, and a connection takes a long message at once: an answer
-of a few bytes on another link waits until all long ones before it are out.
-So a long part of a body goes when those before it have arrived.
+All links of a process share the machine's network connection.  A socket
+buffers a large message at once, and buffered data can't be overtaken: a short
+answer on another link would wait until all large messages before it are sent.
+So a large part of a body is sent when those before it have arrived.
 """
 
 from collections import deque
@@ -13,83 +13,86 @@
 from laburnumwood.decay import DecayingMean
 from laburnumwood.notifier import Notifier
 
-LARGE_MESSAGE_SIZE = (
+LARGE_MESSAGE_SIZE = 16_384  # bytes; smaller messages are not queued
     16_384  # bytes from which on a part of a body waits for its turn
 )
-_LEAST_WINDOW = 98_304  # bytes on their way, of several messages
-_MOST_WINDOW = 4_194_304
-_SOON_MS = 50  # what arrives in this time holds up nobody
-_LATE_MS = 100
-_SHRINK = 0.7
-_LONGEST_MS = 200  # a peer that says nothing for longer holds up nobody
+_MIN_WINDOW = 98_304  # bytes in transit, of several messages
+_MAX_WINDOW = 4_194_304
+_FAST_MS = 50  # a transfer this short does not delay others
+_SLOW_MS = 100
+_SHRINK_FACTOR = 0.7
+_ACK_TIMEOUT_MS = 200  # after which a transfer no longer delays others
 _HALF_LIFE_MS = 2_000
 
 
 @dataclass(slots=True, eq=False)
 class Transfer:
-    """One long message; `sent_ms` is when it was let go."""
+    """One large message; `sent_ms` is when it could be sent."""
 
     size: int
     sent_ms: int = 0
 
 
 class SendQueue:
-    """Who of the long messages goes, and how long others would wait."""
+    """Sends large messages in order, with a limit on the bytes in transit."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._waiting: deque[Transfer] = deque()
-        self._under_way: dict[Transfer, None] = {}
-        self._window: float = _LEAST_WINDOW
-        self._pace = DecayingMean(_HALF_LIFE_MS, clock)  # ms for a byte
-        self._news = Notifier()
+        self._in_transit: dict[Transfer, None] = {}
+        self._window: float = _MIN_WINDOW
+        self._ms_per_byte = DecayingMean(_HALF_LIFE_MS, clock)
+        self._changed = Notifier()
 
     @property
     def queueing_delay_ms(self) -> float:
-        """Return how long one more long message would wait for its turn."""
-        ahead = sum(each.size for each in self._waiting)
-        return ahead * self._pace.mean
+        """Return how long another large message would wait for its turn."""
+        queued_size = sum(each.size for each in self._waiting)
+        return queued_size * self._ms_per_byte.mean
 
     def acquire(self, size: int) -> Transfer:
-        """Wait until a long message may go, and let it go."""
+        """Wait until a large message of some size may be sent."""
         transfer = Transfer(size)
         self._waiting.append(transfer)
         try:
-            while not self._may_go(transfer):
-                self._news.wait(_LONGEST_MS / 2)
+            while not self._may_send(transfer):
+                self._changed.wait(_ACK_TIMEOUT_MS / 2)
         finally:
             self._waiting.remove(transfer)
-            self._news.notify_all()
+            self._changed.notify_all()
         transfer.sent_ms = self._clock.now_ms()
-        self._under_way[transfer] = None
+        self._in_transit[transfer] = None
         return transfer
 
     def release(self, transfer: Transfer) -> None:
-        """Take in that a message has arrived, or that it will not any more."""
-        if transfer not in self._under_way:
+        """End a transfer: the message has arrived or never will."""
+        if transfer not in self._in_transit:
             return
-        self._under_way.pop(transfer)
-        taken_ms = self._clock.now_ms() - transfer.sent_ms
-        self._pace.add(taken_ms / transfer.size)
-        self._adapt(transfer.size, taken_ms)
-        self._news.notify_all()
-
-    def _adapt(self, size: int, taken_ms: int) -> None:
-        """Let as much be on its way as arrives soon: lines and ways differ."""
-        if taken_ms <= _SOON_MS:
-            self._window = min(self._window + size, _MOST_WINDOW)
-        elif taken_ms >= _LATE_MS:
-            self._window = max(self._window * _SHRINK, _LEAST_WINDOW)
-
-    def _may_go(self, transfer: Transfer) -> bool:
+        self._in_transit.pop(transfer)
+        duration_ms = self._clock.now_ms() - transfer.sent_ms
+        self._ms_per_byte.add(duration_ms / transfer.size)
+        self._adapt(transfer.size, duration_ms)
+        self._changed.notify_all()
+
+    def _adapt(self, size: int, duration_ms: int) -> None:
+        """Adapt the window to the speed of the network."""
+        if duration_ms <= _FAST_MS:
+            self._window = min(self._window + size, _MAX_WINDOW)
+        elif duration_ms >= _SLOW_MS:
+            self._window = max(self._window * _SHRINK_FACTOR, _MIN_WINDOW)
+
+    def _may_send(self, transfer: Transfer) -> bool:
         if self._waiting[0] is not transfer:
             return False
         now_ms = self._clock.now_ms()
-        for late in tuple(self._under_way):
-            if now_ms - late.sent_ms >= _LONGEST_MS:
-                self.release(late)
-        on_way = sum(each.size for each in self._under_way)
-        return not on_way or on_way + transfer.size <= self._window
+        for pending in tuple(self._in_transit):
+            if now_ms - pending.sent_ms >= _ACK_TIMEOUT_MS:
+                self.release(pending)
+        in_transit_size = sum(each.size for each in self._in_transit)
+        return (
+            not in_transit_size
+            or in_transit_size + transfer.size <= self._window
+        )
 
 
 SEND_QUEUE = SendQueue(Clock())  # of this process
--- a/laburnumwood/protocol/silence.py
+++ b/laburnumwood/protocol/silence.py
@@ -1,54 +1,54 @@
-"""How long nothing has been heard on a link that owes something.
+"""Detection of links that are silent although a reply is due.
 
-Silence is counted in looks, not in milliseconds: between two of them all that
-came is read, also after this process stood still.
+Silence is measured in periodic checks instead of milliseconds: all data that
+has arrived is read between two checks, also after this process was paused.
 """
 
-CHECK_INTERVAL_MS = 200  # between two looks at all links
-# Looks in a row after which a silent link is pinged, gets no new streams, lets
-# those fail that wait for the beginning of their answers, and is closed.
-_PING_LOOKS = 2
-_SUSPECT_LOOKS = 3
-_GIVE_UP_LOOKS = 5
-_LOST_LOOKS = 20
-SUSPECT_MS = _SUSPECT_LOOKS * CHECK_INTERVAL_MS
+CHECK_INTERVAL_MS = 200  # between two checks of all links
+# Numbers of consecutive checks after which a silent link is pinged, gets no
+# new streams, fails the streams whose answers have not begun, and is closed.
+_PING_CHECKS = 2
+_SUSPECT_CHECKS = 3
+_FAIL_CHECKS = 5
+_CLOSE_CHECKS = 20
+SUSPECT_MS = _SUSPECT_CHECKS * CHECK_INTERVAL_MS
 
 
 class Silence:
-    """Counts the looks at a link since it was heard last."""
+    """Counts the checks of a link since data last arrived on it."""
 
     def __init__(self) -> None:
-        self._looks = 0
+        self._checks = 0
 
     @property
     def wants_ping(self) -> bool:
-        """Tell whether the peer is to be asked for a sign of life."""
-        return self._looks >= _PING_LOOKS
+        """Return whether to ping the peer."""
+        return self._checks >= _PING_CHECKS
 
     @property
     def is_suspect(self) -> bool:
-        """Tell whether new streams should go over another link."""
-        return self._looks >= _SUSPECT_LOOKS
+        """Return whether new streams should use another link."""
+        return self._checks >= _SUSPECT_CHECKS
 
     @property
-    def is_given_up(self) -> bool:
-        """Tell whether nothing new may be sent on the link any more."""
-        return self._looks >= _GIVE_UP_LOOKS
+    def is_failed(self) -> bool:
+        """Return whether streams without an answer fail and none is opened."""
+        return self._checks >= _FAIL_CHECKS
 
     @property
-    def begins_to_be_given_up(self) -> bool:
-        """Tell whether the last look was the one that gave the link up."""
-        return self._looks == _GIVE_UP_LOOKS
+    def has_just_failed(self) -> bool:
+        """Return whether the link began to fail at the last check."""
+        return self._checks == _FAIL_CHECKS
 
     @property
-    def is_over(self) -> bool:
-        """Tell whether the link is to be closed."""
-        return self._looks >= _LOST_LOOKS
+    def is_dead(self) -> bool:
+        """Return whether to close the link."""
+        return self._checks >= _CLOSE_CHECKS
 
-    def look(self) -> None:
-        """Count a look before which nothing was heard."""
-        self._looks += 1
+    def count_check(self) -> None:
+        """Count a check before which no data arrived."""
+        self._checks += 1
 
-    def end(self) -> None:
-        """Begin anew: something was heard, or nothing is owed."""
-        self._looks = 0
+    def reset(self) -> None:
+        """Reset the count: data arrived, or no reply is due."""
+        self._checks = 0
--- a/laburnumwood/protocol/streams.py
+++ b/laburnumwood/protocol/streams.py
@@ -1,4 +1,4 @@
-"""Streams: exchanges of messages that share one link."""
+"""Streams: independent exchanges of messages on one link."""
 
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -16,29 +16,29 @@
 )
 from laburnumwood.protocol.messages import Chunk, Credit, Failure
 
-WINDOW = 256 * 1024  # bytes that may be sent ahead of the reader
-_CREDIT_SIZE = WINDOW // 2  # bytes read before the sender is told of them
-_MOST_UNREAD = 2 * WINDOW  # the last chunk of a window may exceed it
+WINDOW_SIZE = 256 * 1024  # bytes that may be sent ahead of the reader
+_CREDIT_SIZE = WINDOW_SIZE // 2  # bytes read before a credit is sent
+_MAX_UNREAD = 2 * WINDOW_SIZE  # the last chunk of a window may exceed it
 
 
-Watcher = Callable[[], None]
+MessageHandler = Callable[[], None]
 
 
 class FrameSender(Protocol):
-    """What a stream needs of its link."""
+    """The part of a link that a stream uses."""
 
     def send(self, stream: int, message: Any) -> None:
-        """Send a message of a stream, or raise `LinkLostError`."""
+        """Send a message on a stream; raises `LinkLostError`."""
 
     def remove_stream(self, stream: int) -> None:
-        """Drop a stream that has ended."""
+        """Remove a stream that has ended."""
 
 
 class Stream:
     """One exchange with a peer: messages in both directions, in order.
 
-    Chunks of bodies are subject to flow control: at most `WINDOW` bytes are
-    under way that the other side has not read.
+    Chunks of bodies are subject to flow control: about `WINDOW_SIZE` bytes at
+    most are sent before the other side has read them.
     """
 
     def __init__(
@@ -48,39 +48,39 @@
         self._link = link
         self._inbox: LightQueue = LightQueue()
         self._credits: LightQueue = LightQueue()
-        self._window = WINDOW
+        self._window = WINDOW_SIZE
         self._unread = 0
-        self._untold = 0  # bytes that were read, and the sender not told
+        self._uncredited = 0  # bytes read since the last credit was sent
         self._answered = False
         self._outlasts_silence = survives_silence
         self._failure: LinkError | None = None
-        self._watcher: Watcher | None = None
+        self._message_handler: MessageHandler | None = None
 
     @property
     def survives_silence(self) -> bool:
-        """Tell whether to wait on while the link is silent.
+        """Return whether the stream stays open while the link is silent.
 
-        Of an answer that has begun the rest may still come.
+        It also does so once an answer has begun: the rest may still arrive.
         """
         return self._outlasts_silence
 
     def send(self, message: Any) -> None:
-        """Send a message; a chunk waits until the window lets it through.
+        """Send a message; a chunk waits until the window has room.
 
         Raises `LinkLostError`.
         """
         if isinstance(message, Chunk):
             self._wait_for_window()
             if self._answered:
-                return  # whoever has answered reads no more of a body
+                return  # a peer that has answered no longer reads the body
             self._window -= len(message.content)
         self._link.send(self._number, message)
 
     def receive(self, timeout_ms: int) -> Any:
         """Return the next message.
 
-        Raises `LinkTimeoutError` if none comes in time, `LinkLostError` if
-        none can come any more.
+        Raises `LinkTimeoutError` if none arrives within `timeout_ms`, and
+        `LinkLostError` if the link is lost.
         """
         if self._failure and self._inbox.empty():
             raise self._failure
@@ -88,72 +88,75 @@
         if isinstance(message, LinkError):
             raise message
         if isinstance(message, Chunk):
-            self._note_read(len(message.content))
+            self._credit_read(len(message.content))
         return message
 
-    def set_message_handler(self, act: Watcher | None) -> None:
-        """Set what is done at the next message or at the end of the link.
+    def set_message_handler(self, handler: MessageHandler | None) -> None:
+        """Set a function to call for each message but chunks, and on failure.
 
-        It is done at once if there has been one already.
+        It is called at once if a message is unread or the link is lost.
         """
-        self._watcher = act
-        if act is not None and (self._failure or not self._inbox.empty()):
-            act()
+        self._message_handler = handler
+        if handler is not None and (self._failure or not self._inbox.empty()):
+            handler()
 
     def close(self) -> None:
-        """End the stream on this side."""
+        """Close the stream on this side."""
         self._link.remove_stream(self._number)
 
     def deliver(self, message: Any) -> None:
-        """Take in a message that the link received for this stream."""
+        """Process a message that the link received for this stream.
+
+        Raises `ProtocolError` if the peer ignores the window.
+        """
         if isinstance(message, Credit):
             self._credits.put(message.size)
             return
         self._outlasts_silence = True
         if isinstance(message, Chunk):
             self._unread += len(message.content)
-            if self._unread > _MOST_UNREAD:
-                raise ProtocolError('more was sent than the window allows')
+            if self._unread > _MAX_UNREAD:
+                raise ProtocolError('the peer sent more than the window allows')
             self._inbox.put(message)
         else:
-            self._take(message)
+            self._enqueue(message)
 
     def fail(self, reason: LinkError) -> None:
-        """Let all that waits on this stream fail."""
+        """Fail every task that waits on this stream."""
         self._failure = reason
         self._inbox.put(reason)
         self._credits.put(0)
-        self._tell_watcher()
+        self._call_handler()
 
     def _await_message(self, timeout_ms: int) -> Any:
-        late = LinkTimeoutError('no reply')
+        timed_out = LinkTimeoutError('no reply')
         try:
-            with Timeout(timeout_ms / MS_PER_SECOND, late):
+            with Timeout(timeout_ms / MS_PER_SECOND, timed_out):
                 return self._inbox.get()
         except LinkTimeoutError:
-            # What came while this process was busy is read first.
+            # Messages that arrived while this process was busy are read first.
             eventlet.sleep(0)
             if self._inbox.empty():
                 raise
             return self._inbox.get()
 
-    def _note_read(self, size: int) -> None:
+    def _credit_read(self, size: int) -> None:
         self._unread -= size
-        self._untold += size
-        if self._untold >= _CREDIT_SIZE:
-            told, self._untold = self._untold, 0
-            self._link.send(self._number, Credit(told))
+        self._uncredited += size
+        if self._uncredited >= _CREDIT_SIZE:
+            credit, self._uncredited = self._uncredited, 0
+            self._link.send(self._number, Credit(credit))
 
-    def _take(self, message: Any) -> None:
+    def _enqueue(self, message: Any) -> None:
         self._inbox.put(message)
         if isinstance(message, Failure):
             self._answered = True
             self._credits.put(0)
-        self._tell_watcher()
+        self._call_handler()
 
-    def _tell_watcher(self) -> None:
-        if self._watcher is not None:
-            self._watcher()
+    def _call_handler(self) -> None:
+        if self._message_handler is not None:
+            self._message_handler()
 
     def _wait_for_window(self) -> None:
         while self._window <= 0 or not self._credits.empty():
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -23,7 +23,7 @@
 from laburnumwood.protocol.peers import Dispatcher, Peers, listen
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.silence import SUSPECT_MS
-from laburnumwood.protocol.streams import WINDOW, Stream
+from laburnumwood.protocol.streams import WINDOW_SIZE, Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.exchange import local_pair
 from tests.features.steps.fake_clock import FakeClock
@@ -260,7 +260,7 @@
     protocol, sock = dial(host, port, OWN, KEY)
     link = Link(protocol, sock, PEER, Dispatcher().handle, Clock())
     context.add_cleanup(link.close)
-    faulty = patch.object(link, 'look', side_effect=ValueError('a fault'))
+    faulty = patch.object(link, 'check', side_effect=ValueError('a fault'))
     faulty.start()
     context.add_cleanup(faulty.stop)
     eventlet.spawn_n(link.run)
@@ -401,7 +401,7 @@
 
 
 def _send_window(stream: Stream) -> None:
-    for _ in range(WINDOW // CHUNK):
+    for _ in range(WINDOW_SIZE // CHUNK):
         stream.send(Chunk(bytes(CHUNK)))
     stream.receive(LIMIT_MS)
 
@@ -466,9 +466,9 @@
 @then('the stream sent no more than its window and one chunk')
 def check_window(context: Context) -> None:
     with eventlet.Timeout(LIMIT_S):
-        while context.sent < WINDOW:
+        while context.sent < WINDOW_SIZE:
             eventlet.sleep(0)
-    assert WINDOW <= context.sent <= WINDOW + CHUNK, context.sent
+    assert WINDOW_SIZE <= context.sent <= WINDOW_SIZE + CHUNK, context.sent
 
 
 def _frames(what: str) -> list[bytes]:
@@ -479,7 +479,7 @@
     if what == 'a frame that is too large':
         return [bytes(MAX_FRAME_SIZE + 1)]
     flood = encode(1, Chunk(bytes(CHUNK)))
-    return [flood for _ in range(4 * WINDOW // CHUNK)]
+    return [flood for _ in range(4 * WINDOW_SIZE // CHUNK)]
 
 
 @when('a link sends {what}')
