--- a/laburnumwood/protocol/send_queue.py
+++ b/laburnumwood/protocol/send_queue.py
@@ -14,8 +14,6 @@
 from laburnumwood.notifier import Notifier
 
 LARGE_MESSAGE_SIZE = 16_384  # bytes; smaller messages are not queued
-    16_384  # bytes from which on a part of a body waits for its turn
-)
 _MIN_WINDOW = 98_304  # bytes in transit, of several messages
 _MAX_WINDOW = 4_194_304
 _FAST_MS = 50  # a transfer this short does not delay others
