--- /dev/null
+++ b/laburnumwood/protocol/outlet.py
@@ -0,0 +1,96 @@
+"""A queue for the large messages that this process sends.
+
+All links of a process share the machine's network connection.  A socket
+buffers a large message at once, and buffered data can't be overtaken: a short
+answer on another link would wait until all large messages before it are sent.
+So a large part of a body is sent when those before it have arrived.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from laburnumwood.clock import Clock
+from laburnumwood.decay import DecayingMean
+from laburnumwood.notifier import Notifier
+
+LARGE_MESSAGE_SIZE = 16_384  # bytes; smaller messages are not queued
+_MIN_WINDOW = 98_304  # bytes in transit, of several messages
+_MAX_WINDOW = 4_194_304
+_FAST_MS = 50  # a transfer this short does not delay others
+_SLOW_MS = 100
+_SHRINK_FACTOR = 0.7
+_ACK_TIMEOUT_MS = 200  # after which a transfer no longer delays others
+_HALF_LIFE_MS = 2_000
+
+
+@dataclass(slots=True, eq=False)
+class Transfer:
+    """One large message; `sent_ms` is when it could be sent."""
+
+    size: int
+    sent_ms: int = 0
+
+
+class SendQueue:
+    """Sends large messages in order, with a limit on the bytes in transit."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._waiting: deque[Transfer] = deque()
+        self._in_transit: dict[Transfer, None] = {}
+        self._window: float = _MIN_WINDOW
+        self._ms_per_byte = DecayingMean(_HALF_LIFE_MS, clock)
+        self._changed = Notifier()
+
+    @property
+    def queueing_delay_ms(self) -> float:
+        """Return how long another large message would wait for its turn."""
+        queued_size = sum(each.size for each in self._waiting)
+        return queued_size * self._ms_per_byte.mean
+
+    def acquire(self, size: int) -> Transfer:
+        """Wait until a large message of some size may be sent."""
+        transfer = Transfer(size)
+        self._waiting.append(transfer)
+        try:
+            while not self._may_send(transfer):
+                self._changed.wait(_ACK_TIMEOUT_MS / 2)
+        finally:
+            self._waiting.remove(transfer)
+            self._changed.notify_all()
+        transfer.sent_ms = self._clock.now_ms()
+        self._in_transit[transfer] = None
+        return transfer
+
+    def release(self, transfer: Transfer) -> None:
+        """End a transfer: the message has arrived or never will."""
+        if transfer not in self._in_transit:
+            return
+        self._in_transit.pop(transfer)
+        duration_ms = self._clock.now_ms() - transfer.sent_ms
+        self._ms_per_byte.add(duration_ms / transfer.size)
+        self._adapt(transfer.size, duration_ms)
+        self._changed.notify_all()
+
+    def _adapt(self, size: int, duration_ms: int) -> None:
+        """Adapt the window to the speed of the network."""
+        if duration_ms <= _FAST_MS:
+            self._window = min(self._window + size, _MAX_WINDOW)
+        elif duration_ms >= _SLOW_MS:
+            self._window = max(self._window * _SHRINK_FACTOR, _MIN_WINDOW)
+
+    def _may_send(self, transfer: Transfer) -> bool:
+        if self._waiting[0] is not transfer:
+            return False
+        now_ms = self._clock.now_ms()
+        for pending in tuple(self._in_transit):
+            if now_ms - pending.sent_ms >= _ACK_TIMEOUT_MS:
+                self.release(pending)
+        in_transit_size = sum(each.size for each in self._in_transit)
+        return (
+            not in_transit_size
+            or in_transit_size + transfer.size <= self._window
+        )
+
+
+SEND_QUEUE = SendQueue(Clock())  # of this process
