--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -237,7 +237,9 @@
             max(self._max_buffered_bytes, MAX_INLINE_BODY_BYTES)
         )
         kind = (
-            self._worker_interface.refusal(answer, body) if may_refuse else None
+            self._worker_interface.refusal_kind(answer, body)
+            if may_refuse
+            else None
         )
         if kind is not None:
             detail = f'the worker refused it with status {answer.status}'
--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -23,7 +23,7 @@
     def may_refuse(self, answer: WorkerAnswer) -> bool:
         """Return whether an answer may say that the request did not run."""
 
-    def refusal(self, answer: WorkerAnswer, body: bytes) -> str | None:
+    def refusal_kind(self, answer: WorkerAnswer, body: bytes) -> str | None:
         """Return the problem kind if the request did not run, else None."""
 
     def check(self, run: Run, answer: WorkerAnswer) -> None:
