--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -57,7 +57,7 @@
         """Return whether an answer may say that the request did not run."""
         return may_be_refusal(answer)
 
-    def refusal(self, answer: WorkerAnswer, body: bytes) -> str | None:
+    def refusal_kind(self, answer: WorkerAnswer, body: bytes) -> str | None:
         """Return the problem kind if the request did not run, else None."""
         reason = parse_refusal(answer, body)
         if reason is None:
