--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -68,7 +68,7 @@
         is_misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
         return is_misdirected or answer.index.has(_NOT_RUN)
 
-    def refusal(self, answer: WorkerAnswer, _body: bytes) -> str | None:
+    def refusal_kind(self, answer: WorkerAnswer, _body: bytes) -> str | None:
         """Return the kind of problem of a request that did not run."""
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             return NOT_OWNER
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -290,7 +290,9 @@
     index = HeaderIndex([('Not-Executed', '1'), ('Server-Load', load)])
     answer: Any = SimpleNamespace(status=status, index=index)
     reporting: Any = None
-    context.verdict = PlatformWorkerInterface(reporting).refusal(answer, b'')
+    context.verdict = PlatformWorkerInterface(reporting).refusal_kind(
+        answer, b''
+    )
 
 
 @then('that is interpreted as "{what}"')
