--- a/laburnumwood/routing/running.py
+++ b/laburnumwood/routing/running.py
@@ -161,7 +161,7 @@
     def _run_checked(self, run: Run) -> WorkerAnswer:
         answer = self._worker.send(self._worker_request(run))
         try:
-            self._worker_interface.check(run, answer)
+            self._worker_interface.check_answer(run, answer)
         except WorkerAnswerError:
             answer.close()
             raise
--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -26,7 +26,7 @@
     def refusal_kind(self, answer: WorkerAnswer, body: bytes) -> str | None:
         """Return the problem kind if the request did not run, else None."""
 
-    def check(self, run: Run, answer: WorkerAnswer) -> None:
+    def check_answer(self, run: Run, answer: WorkerAnswer) -> None:
         """Raise `WorkerAnswerError` if an answer belongs to another request."""
 
     def cancel(self, worker: Worker, run: Run) -> bool:
