--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -64,7 +64,7 @@
             return None
         return NOT_OWNER if reason == FENCED else REFUSED
 
-    def check(self, run: Run, answer: WorkerAnswer) -> None:
+    def check_answer(self, run: Run, answer: WorkerAnswer) -> None:
         """Accept every answer: a connection carries one request at a time."""
 
     def cancel(self, worker: Worker, run: Run) -> bool:
