--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -76,7 +76,7 @@
             REJECTED if _has_free_slot(answer.index.first(_LOAD)) else REFUSED
         )
 
-    def check(self, run: Run, answer: WorkerAnswer) -> None:
+    def check_answer(self, run: Run, answer: WorkerAnswer) -> None:
         """Raise `WorkerAnswerError` if an answer belongs to another request.
 
         A late or duplicate answer on a connection has the id of another
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -276,7 +276,7 @@
     )
     reporting: Any = None
     try:
-        PlatformWorkerInterface(reporting).check(run, answer)
+        PlatformWorkerInterface(reporting).check_answer(run, answer)
     except WorkerAnswerError:
         context.verdict = 'discarded'
     else:
