--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -68,7 +68,7 @@
         is_misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
         return is_misdirected or answer.index.has(_NOT_RUN)
 
-    def refusal(self, answer: WorkerAnswer, _body: bytes) -> str | None:
+    def refusal_kind(self, answer: WorkerAnswer, _body: bytes) -> str | None:
         """Return the kind of problem of a request that did not run."""
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             return NOT_OWNER
@@ -76,7 +76,7 @@
             REJECTED if _has_free_slot(answer.index.first(_LOAD)) else REFUSED
         )
 
-    def check(self, run: Run, answer: WorkerAnswer) -> None:
+    def check_answer(self, run: Run, answer: WorkerAnswer) -> None:
         """Raise `WorkerAnswerError` if an answer belongs to another request.
 
         A late or duplicate answer on a connection has the id of another
