--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/endings.py
@@ -141,7 +141,7 @@
         self._witness = witness
         self._view = view
         self._store = store
-        self.backless = QuorumLossDetector(settings, clock)
+        self.quorum_loss_detector = QuorumLossDetector(settings, clock)
         self._recorded_set_version = 0
 
     def run(self) -> None:
@@ -175,7 +175,7 @@
             self._recorded_set_version = chosen.version
 
     def _record_unrenewable(self) -> None:
-        unrenewable = self.backless.expired(
+        unrenewable = self.quorum_loss_detector.expired(
             _candidates(self._view), self._view.has_restarted
         )
         live = [name for name, _ in self._view.live_nodes()]
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -114,7 +114,7 @@
         self._recorder = NodeRecordUpdater(
             self.lease, self.witness, self.view, store, settings, clock
         )
-        self._recorder.backless = code.backless(settings, clock)
+        self._recorder.quorum_loss_detector = code.backless(settings, clock)
         self._settings = settings
         self._clock = clock
         self._store = store
