--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -335,7 +335,8 @@
         if incarnation is None:
             return
         NODE_STOPPING.report(node=incarnation.name)
-        # Callers get the answers of requests that were read, while shards move.
+        # Requests that were read are answered meanwhile: a long move of shards
+        # takes none of their time.
         closing = start_joinable(self._close_caller_listener)
         incarnation.hand_over(self._remaining_stop_ms())
         closing.wait()
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -103,7 +103,7 @@
             if not record.serves:
                 continue
             self._serving.setdefault(record.service, {})[name] = record
-        # Finding them may detect ends, which changes the version itself.
+        # Finding live nodes may detect ends, which changes the version itself.
         self._refreshed_at = self.node_version
 
     def _find_live(self) -> Iterator[tuple[NodeName, NodeRecord]]:
