--- a/laburnumwood/daemon/program.py
+++ b/laburnumwood/daemon/program.py
@@ -10,7 +10,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.daemon.node import Node
 from laburnumwood.errors import SettingsError
-from laburnumwood.events import SETTINGS_READ, limit_events
+from laburnumwood.events import SETTINGS_READ, add_filter
 from laburnumwood.logs import JsonHandler
 from laburnumwood.settings import read_settings
 
@@ -60,7 +60,7 @@
         return EXIT_USAGE
     handler = JsonHandler(node.settings.node_id, Clock())
     handler.push_application()
-    limit_events(handler.allows)
+    add_filter(handler.allows)
     _SignalHandlers(node, path).install()
     node.run()
     handler.close()
--- a/laburnumwood/metrics.py
+++ b/laburnumwood/metrics.py
@@ -1,6 +1,6 @@
-"""The metrics of a node, by OpenTelemetry.
+"""The metrics of a node, recorded with OpenTelemetry.
 
-Every instrument is declared in this catalogue; docs/METRICS.md explains it.
+Every metric is declared in this catalogue; docs/METRICS.md documents them.
 """
 
 from collections.abc import Callable, Iterator
@@ -25,11 +25,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Metric:
-    """A metric: its name, unit and meaning, and how to record it."""
+    """A metric: its name, unit and description, and how to record it."""
 
     name: str
     unit: str
-    meaning: str
+    description: str
     record: Callable[..., None]
 
 
@@ -37,41 +37,43 @@
 
 
 def _declare(
-    make: Callable[..., Any], how: str, name: str, *texts: str
+    make: Callable[..., Any], method: str, name: str, *texts: str
 ) -> Metric:
-    unit, meaning = texts
-    instrument = make(name, unit=unit, description=meaning)
-    CATALOGUE[name] = Metric(name, unit, meaning, getattr(instrument, how))
+    unit, description = texts
+    instrument = make(name, unit=unit, description=description)
+    CATALOGUE[name] = Metric(
+        name, unit, description, getattr(instrument, method)
+    )
     return CATALOGUE[name]
 
 
 class _Sums:
-    """Sums by labels, which the library reads when it is asked for them.
+    """Sums by labels, which OpenTelemetry reads through a callback.
 
-    Adding to an instrument of the library takes longer than encoding a
-    message.
+    Adding to a synchronous instrument of OpenTelemetry takes longer than
+    encoding a message.
     """
 
     def __init__(self) -> None:
         self._sums: dict[tuple[tuple[str, Any], ...], float] = {}
 
     def record(self, amount: float, labels: dict[str, Any]) -> None:
-        """Add an amount under some labels."""
+        """Add an amount to the sum for some labels."""
         key = tuple(labels.items())
         self._sums[key] = self._sums.get(key, 0) + amount
 
     def observe(self, _options: CallbackOptions) -> Iterator[Observation]:
-        """Yield the sums for the library."""
+        """Yield the sums; OpenTelemetry calls this to collect them."""
         for key, total in tuple(self._sums.items()):
             yield Observation(total, dict(key))
 
 
 def _declare_sums(
-    make: Callable[..., Any], name: str, unit: str, meaning: str
+    make: Callable[..., Any], name: str, unit: str, description: str
 ) -> Metric:
     sums = _Sums()
-    make(name, callbacks=(sums.observe,), unit=unit, description=meaning)
-    CATALOGUE[name] = Metric(name, unit, meaning, sums.record)
+    make(name, callbacks=(sums.observe,), unit=unit, description=description)
+    CATALOGUE[name] = Metric(name, unit, description, sums.record)
     return CATALOGUE[name]
 
 
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -1,7 +1,7 @@
 """The records that nodes share.
 
-They are kept in the platform's store or told from node to node, and they are
-plain values: what they mean is decided in the packages that use them.
+They are kept in the platform's store or sent between nodes.  They are plain
+values without behaviour, which is implemented by the packages that use them.
 """
 
 from collections.abc import Set
@@ -16,9 +16,9 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class NodeName:
-    """One run of a node: its id and the number of its incarnation.
+    """An incarnation of a node: the id of the node and a number.
 
-    Text form: `id#number`.  Incarnation numbers of an id only rise.
+    Text form: `id#number`.  The incarnation numbers of an id only increase.
     """
 
     node_id: str
@@ -30,9 +30,9 @@
 
     @classmethod
     def parse(cls, text: object) -> 'NodeName':
-        """Return the name that a text form stands for.
+        """Return the name with a text form.
 
-        Raises `ValueError` for anything else than the text form.
+        Raises `ValueError` for any other text.
         """
         if isinstance(text, NodeName):
             return text
@@ -47,7 +47,7 @@
         source: Any,
         handler: GetCoreSchemaHandler,
     ) -> CoreSchema:
-        """Validate from, and serialize to, the text form."""
+        """Return a schema that uses the text form."""
         return core_schema.no_info_plain_validator_function(
             cls.parse,
             serialization=core_schema.to_string_ser_schema(when_used='always'),
@@ -67,14 +67,14 @@
 
     @classmethod
     def parse(cls, text: str) -> 'ShardName':
-        """Return the name that a text form stands for, or `ValueError`."""
+        """Return the name with a text form; raises `ValueError`."""
         service, _, number = text.rpartition('/')
         return cls(service, int(number))
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class KeyRange:
-    """Neighbouring keys that are numbers, from the first to the last."""
+    """A range of numeric keys, from the first to the last inclusive."""
 
     first: int
     last: int
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleasedRange:
-    """Keys that a worker let go, and what the next holder gets for them."""
+    """Keys that a worker released, and its handover for the next holder."""
 
     keys: KeyRange
     handover: str
@@ -90,27 +90,27 @@
 
 @dataclass(frozen=True, slots=True)
 class WitnessSet:
-    """The witnesses of a node; versions of a node's sets only rise."""
+    """The witnesses of a node; versions of a node's sets only increase."""
 
     version: int
     members: tuple[NodeName, ...]
 
     @property
     def majority(self) -> int:
-        """Return how many members are more than half."""
+        """Return the least number of members that is a majority."""
         return len(self.members) // 2 + 1
 
-    def without(self, gone: Set[NodeName]) -> 'WitnessSet':
-        """Return the same version without some of its members."""
-        left = tuple(name for name in self.members if name not in gone)
-        return WitnessSet(self.version, left)
+    def without(self, removed: Set[NodeName]) -> 'WitnessSet':
+        """Return a copy with the same version without some members."""
+        remaining = tuple(name for name in self.members if name not in removed)
+        return WitnessSet(self.version, remaining)
 
 
 @dataclass(frozen=True, slots=True)
 class Seal:
     """A witness's promise never to renew a holder's lease again.
 
-    It counts under each of `sets`; `floors` maps the text form of a shard to
+    It is valid for each of `sets`.  `floors` maps the text form of a shard to
     the least epoch that may have been written for it.
     """
 
@@ -122,7 +122,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WriteMark:
-    """Who made a write and which one, so that a lost answer can be settled."""
+    """Identifies a write, to recognize it if its answer is lost."""
 
     writer: str
     write_id: str
@@ -130,14 +130,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardRecord:
-    """Who owns a shard and who follows when the owner's lease has lapsed.
-
-    `handovers` are what the last owner's worker left for the next one, by
-    stripe; empty if it left nothing.  `split_off` are ranges of keys that
-    became shards of their own; such a shard has just the range `keys`.
-    `shards` is the number of shards that its service was divided into when
-    it got the first one, 0 where that is just as declared; so is
-    `stripe_width`, the number of neighbouring keys that stay together.
+    """The owner of a shard and its successors if the owner's lease expires.
+
+    `succession` lists the owner first.  `handovers` are the handovers of the
+    last owner's worker for the next one, by stripe; empty if there are none.
+    `split_off` are ranges of keys that became shards of their own; such a
+    shard consists of the range `keys`.  `shards` is the number of shards of
+    the service when its first shard was claimed, 0 if it is as declared.
+    `stripe_width`, the number of consecutive keys that stay in one shard, is
+    recorded in the same way.
     """
 
     epoch: int
@@ -152,15 +153,15 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeRecord:
-    """What a node announces of itself.
-
-    `open_incarnations` are those not known to have ended; every other number
-    up to `incarnation` has.  `witness_sets` holds, for the incarnation that
-    the record is of, every set that its lease may rest on: a set is written
-    here before it is used.  `witness_as` is the first incarnation of the
-    node's process: what it promised as a witness under that name it keeps
-    for as long as the process runs.  A node that does not serve has no worker
-    to give shards or requests to, but takes part in all else.
+    """What a node announces about itself.
+
+    `open_incarnations` are those not known to have ended; all others up to
+    `incarnation` have ended.  `witness_sets` holds every set that the lease
+    of `incarnation` may depend on: a set is written here before it is used.
+    `witness_as` is the first incarnation of the node's process: its promises
+    as a witness are made under this name and kept while the process runs.
+    A node with `serves` false has no worker and gets no shards or requests,
+    but does everything else.
     """
 
     incarnation: int
@@ -182,11 +183,11 @@
 
     @property
     def least_open(self) -> int:
-        """Return the number below which every incarnation has ended."""
+        """Return a number below which every incarnation has ended."""
         return min(self.open_incarnations, default=self.incarnation + 1)
 
     def has_ended(self, incarnation: int) -> bool:
-        """Tell whether an incarnation is known to have ended."""
+        """Return whether an incarnation is known to have ended."""
         known = incarnation <= self.incarnation
         return known and incarnation not in self.open_incarnations
 
@@ -202,7 +203,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Digest:
-    """How much a node knows, for others to compare with what they know."""
+    """Summarizes what a node knows, for comparison with other nodes."""
 
     generation: int = 0
     revision: int = 0
@@ -211,11 +212,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigRecord:
-    """An accepted configuration: the team files by their names.
+    """An accepted configuration: the team files by name.
 
-    `replaced` holds the files that this change replaced as they were before
-    (None: there was none), and `from_version` the version of the object that
-    it replaced, so that anyone can complete the audit trail.
+    `replaced` holds the former content of the files that this change replaced
+    (None: a file did not exist), and `from_version` the version of the object
+    that it replaced, so that any node can complete the audit trail.
     """
 
     generation: int
@@ -230,7 +231,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FileChange:
-    """A file before and after a change (None: there was or is none)."""
+    """A file before and after a change (None: it does not exist)."""
 
     before: dict[str, Any] | None
     after: dict[str, Any] | None
@@ -238,7 +239,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AuditRecord:
-    """What one accepted change did; written once and never again."""
+    """An accepted change of the configuration; never modified."""
 
     generation: int
     who: str
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -19,7 +19,7 @@
 
 HIGHEST_PORT = 65_535
 _ADDRESS = r'^[^:]+:\d{1,5}$'
-_USED_GRACE = 5 / 6  # of the time given to a planned stop
+_USABLE_GRACE = 5 / 6  # of the time until the process would be killed
 SECRETS = frozenset(('shared_key', 'token'))
 
 
@@ -35,10 +35,10 @@
 
 
 class ReportSettings(BaseModel):
-    """How to take reports of a worker and how to answer them.
+    """How to process and answer the reports of a worker.
 
-    `clock_drift` is the share by which the worker's clock may count slow,
-    `most_bytes` what an answer may have.
+    `clock_drift` is the fraction by which the worker's clock may run slow,
+    `most_bytes` the maximum size of an answer.
     """
 
     model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
@@ -51,14 +51,15 @@
 
 
 class PlacementSettings(BaseModel):
-    """How quickly shards follow the load.
-
-    A node whose slots are less busy than `least_usage` moves nothing for the
-    load.  A move has to gain more of its slots than `least_gain`, which should
-    exceed the noise of the measured loads.  `load_half_life_ms` is after what
-    time a measured load counts half, `rest_ms` how long a shard stays with an
-    owner at least, and `moves_per_minute` how often a node may give a shard
-    away for the load.
+    """How shards are rebalanced by load.
+
+    A node whose fraction of busy slots is below `least_usage` moves no shards
+    because of load.  A move has to gain a larger fraction of its slots than
+    `least_gain`, which should exceed the noise of the measured loads.
+    `load_half_life_ms` is the time after which the weight of a measured load
+    halves, `rest_ms` the minimum time for which a shard stays with an owner,
+    and `moves_per_minute` the maximum rate at which a node moves shards away
+    because of load.
     """
 
     model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
@@ -71,7 +72,7 @@
 
 
 class AdmissionSettings(BaseModel):
-    """How requests are let in to the worker."""
+    """How requests are admitted to the worker."""
 
     model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
 
@@ -80,7 +81,7 @@
 
 
 class OperatorSettings(BaseModel):
-    """An operator's token and what may be done with it."""
+    """The token and the permissions of an operator."""
 
     model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
 
@@ -89,7 +90,7 @@
 
 
 class TlsSettings(BaseModel):
-    """Files of certificates, in PEM form, for links between nodes."""
+    """Paths of the PEM files for TLS on the links between nodes."""
 
     model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
 
@@ -99,7 +100,7 @@
 
 
 class DaemonSettings(BaseModel):
-    """All that one daemon has to be told."""
+    """The settings of a daemon."""
 
     model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
 
@@ -157,30 +158,30 @@
     def stop_limit_ms(self) -> int:
         """Return how long a planned stop may take.
 
-        Of the time after which the process would be killed a part is kept
-        for its end.
+        A part of the time until the process would be killed is reserved for
+        the end of the process.
         """
         if self.stop_grace_s is None:
             return self.stop_patience_ms
-        return round(self.stop_grace_s * MS_PER_SECOND * _USED_GRACE)
+        return round(self.stop_grace_s * MS_PER_SECOND * _USABLE_GRACE)
 
     @property
     def door(self) -> tuple[str, int]:
-        """Return host and port for callers."""
+        """Return the host and the port for callers."""
         if self.door_address is not None:
             return split_address(self.door_address)
         return self.host, self.door_port or 0
 
 
 def _model_in(annotation: Any) -> type[BaseModel] | None:
-    """Return the model that an annotation names, at any depth."""
+    """Return the first model in an annotation, at any depth."""
     if isinstance(annotation, type) and issubclass(annotation, BaseModel):
         return annotation
     inner = (_model_in(each) for each in get_args(annotation))
     return next((model for model in inner if model is not None), None)
 
 
-def _fields_at(model: type[BaseModel], path: tuple[int | str, ...]) -> str:
+def _field_names_at(model: type[BaseModel], path: tuple[int | str, ...]) -> str:
     for step in path[:-1]:
         field = model.model_fields.get(str(step))
         inner = _model_in(field.annotation) if field else None
@@ -188,32 +189,32 @@
     return ', '.join(sorted(model.model_fields))
 
 
-def _line(fault: ErrorDetails, model: type[BaseModel]) -> str:
-    path = fault['loc']
+def _describe_error(error: ErrorDetails, model: type[BaseModel]) -> str:
+    path = error['loc']
     named = '.'.join(str(step) for step in path) or '(whole file)'
     if not path or SECRETS.intersection(path):
-        return f'{named}: {fault["msg"]}; what was found is not shown'
-    if fault['type'] == 'extra_forbidden':
-        allowed = _fields_at(model, path)
+        return f'{named}: {error["msg"]}; what was found is not shown'
+    if error['type'] == 'extra_forbidden':
+        allowed = _field_names_at(model, path)
         return f'{named}: unknown field; allowed: {allowed}'
-    return f'{named}: {fault["msg"]}; found {fault["input"]!r}'
+    return f'{named}: {error["msg"]}; found {error["input"]!r}'
 
 
 def describe(error: ValidationError, file: str, model: type[BaseModel]) -> str:
-    """Return one line for each fault that a model found in a file.
+    """Return one line for each validation error in a file.
 
-    A line names the file, the path in it, what was found and what is
-    allowed, but for secrets, of which it tells nothing.
+    A line contains the file, the path in it, the value and what is allowed.
+    Values of secrets are omitted.
     """
     return '\n'.join(
-        f'{file}: {_line(fault, model)}' for fault in error.errors()
+        f'{file}: {_describe_error(each, model)}' for each in error.errors()
     )
 
 
 def read_settings(path: Path) -> DaemonSettings:
-    """Read the settings file at `path`.
+    """Read and validate the settings file at `path`.
 
-    Raises `SettingsError` if it can't be read or does not hold what it must.
+    Raises `SettingsError` if the file can't be read or is invalid.
     """
     try:
         content = json.loads(path.read_text())
--- a/laburnumwood/store/__init__.py
+++ b/laburnumwood/store/__init__.py
@@ -1,1 +1,1 @@
-"""The store of the router."""
+"""Access to the platform's store of objects."""
--- a/laburnumwood/store/breaker.py
+++ b/laburnumwood/store/breaker.py
@@ -1,4 +1,4 @@
-"""A store that is left alone for a while when it does not answer."""
+"""A circuit breaker for calls to a store."""
 
 from collections.abc import Callable
 from typing import TypeVar
@@ -12,58 +12,61 @@
 from laburnumwood.store.interface import Store
 from laburnumwood.store.wrapped import StoreWrapper
 
-_FAILURES = 2  # in a row, after which it is left alone
-_PAUSE_MS = 700  # between two calls that try it
+_MAX_FAILURES = 2  # in a row, after which the breaker opens
+_PROBE_INTERVAL_MS = 700  # between two calls while the breaker is open
 
-_Found = TypeVar('_Found')
+_Result = TypeVar('_Result')
 
 
 class CircuitBreaker:
-    """Decides whether a call is made, by how the last ones went."""
+    """Decides whether to make a call, from the results of the last calls."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._failures = 0
-        self._tried_ms = 0
+        self._last_call_ms = 0
 
     @property
     def is_open(self) -> bool:
-        """Tell whether the last calls had no answer."""
-        return self._failures >= _FAILURES
+        """Return whether the last calls got no answer."""
+        return self._failures >= _MAX_FAILURES
 
     def allows_call(self) -> bool:
-        """Tell whether a call may be made now."""
+        """Return whether a call may be made now, and record it if so."""
         now_ms = self._clock.now_ms()
-        if self.is_open and now_ms - self._tried_ms < _PAUSE_MS:
+        if self.is_open and now_ms - self._last_call_ms < _PROBE_INTERVAL_MS:
             return False
-        self._tried_ms = now_ms
+        self._last_call_ms = now_ms
         return True
 
     def record_result(self, *, answered: bool) -> None:
-        """Take in how a call went."""
+        """Record whether a call was answered."""
         self._failures = 0 if answered else self._failures + 1
 
 
 class CircuitBreakerStore(StoreWrapper):
-    """Passes calls to a store on, unless it has not answered just now.
+    """Forwards calls to a store unless its last calls got no answer.
 
-    A call that is not passed on fails like one that did not reach the store.
+    A call that is not forwarded raises `PlatformNotReachedError`, like one
+    that did not reach the store.
     """
 
     def __init__(self, store: Store, clock: Clock) -> None:
         super().__init__(store)
         self._breaker = CircuitBreaker(clock)
 
-    def _forward(self, call: Callable[[], _Found]) -> _Found:
+    def _forward(self, call: Callable[[], _Result]) -> _Result:
         if not self._breaker.allows_call():
-            raise PlatformNotReachedError('no answer to the last calls')
+            raise PlatformNotReachedError(
+                'circuit breaker open: no answer to the last calls'
+            )
         was_open = self._breaker.is_open
         try:
-            found = call()
+            result = call()
         except PlatformUnavailableError as failure:
             self._breaker.record_result(answered=False)
             if self._breaker.is_open and not was_open:
-                # The cause says why no answer came, if none did.
+                # The cause is the exception of the HTTP client, if any.
                 cause = type(failure.__cause__).__name__
                 STORE_UNREACHABLE.report(reason=failure, cause=cause)
             raise
@@ -73,4 +76,4 @@
         self._breaker.record_result(answered=True)
         if was_open:
             STORE_REACHED.report()
-        return found
+        return result
--- a/laburnumwood/store/calls.py
+++ b/laburnumwood/store/calls.py
@@ -1,4 +1,4 @@
-"""Calls of a store over HTTP, counted, with one kind of failure."""
+"""HTTP calls to a store, with metrics and uniform exceptions."""
 
 from typing import Any
 
@@ -22,14 +22,14 @@
 _WATCH_GRACE_S = 2
 
 
-def _was_connected(failure: HTTPError) -> bool:
-    """Tell whether a call that failed may have left this machine."""
+def _may_have_been_sent(failure: HTTPError) -> bool:
+    """Return whether a failed call may have been sent."""
     reason = failure.reason if isinstance(failure, MaxRetryError) else failure
     return not isinstance(reason, (NewConnectionError, ConnectTimeoutError))
 
 
 class StoreCalls:
-    """Calls of the store at a URL, each made once."""
+    """Makes calls to the store at a URL, without retries."""
 
     def __init__(self, url: str, timeout_s: float) -> None:
         self._pool: HTTPConnectionPool = connection_from_url(
@@ -39,31 +39,32 @@
             timeout=Timeout(timeout_s),
         )
 
-    def call(self, method: str, path: str, **more: Any) -> BaseHTTPResponse:
-        """Return the answer to a call; `more` goes to the library.
+    def call(self, method: str, path: str, **options: Any) -> BaseHTTPResponse:
+        """Make a call and return the answer.
 
-        Raises `PlatformUnavailableError` if no answer came, and its kind
-        `PlatformNotReachedError` if no connection could be made.
+        `options` are passed to `urllib3`.  Raises `PlatformUnavailableError`
+        if there is no answer; its subclass `PlatformNotReachedError` means
+        that no connection could be made.
         """
         try:
-            answer = self._pool.request(method, path, **more)
+            answer = self._pool.request(method, path, **options)
         except HTTPError as failure:
             STORE_CALLS.record(1, {'method': method, 'status': 'none'})
-            what = f'{method} {path}'
-            if _was_connected(failure):
-                raise PlatformUnavailableError(what) from failure
-            raise PlatformNotReachedError(what) from failure
+            description = f'{method} {path}'
+            if _may_have_been_sent(failure):
+                raise PlatformUnavailableError(description) from failure
+            raise PlatformNotReachedError(description) from failure
         STORE_CALLS.record(1, {'method': method, 'status': answer.status})
         return answer
 
     def watch(
-        self, path: str, wait_ms: int, fields: dict[str, str], **more: Any
+        self, path: str, wait_ms: int, fields: dict[str, str], **options: Any
     ) -> BaseHTTPResponse:
-        """Return the answer to a call that waits so long for changes."""
+        """Make a call that waits for changes up to `wait_ms`."""
         return self.call(
             'GET',
             path,
             fields={**fields, 'wait_ms': str(wait_ms)},
             timeout=Timeout(wait_ms / MS_PER_SECOND + _WATCH_GRACE_S),
-            **more,
+            **options,
         )
--- a/laburnumwood/store/client.py
+++ b/laburnumwood/store/client.py
@@ -1,4 +1,4 @@
-"""Calls of the platform's object API."""
+"""A client of the platform's object API."""
 
 import json
 from typing import Any
@@ -23,24 +23,24 @@
 _SERVER_ERROR = 500
 
 
-def _check(answer: BaseHTTPResponse, what: str) -> Any:
+def _json(answer: BaseHTTPResponse, description: str) -> Any:
     if answer.status == _CONFLICT:
-        raise PlatformConflictError(what)
+        raise PlatformConflictError(description)
     if answer.status == _GONE:
-        raise CompactedError(what)
+        raise CompactedError(description)
     if answer.status >= _SERVER_ERROR:
         # The write may have taken effect before the platform failed.
-        raise PlatformUnavailableError(f'{what}: status {answer.status}')
+        raise PlatformUnavailableError(f'{description}: status {answer.status}')
     if answer.status != _OK:
-        raise PlatformError(f'{what}: status {answer.status}')
+        raise PlatformError(f'{description}: status {answer.status}')
     return answer.json()
 
 
 class HttpStore:
-    """The platform's store of objects, at a URL.
+    """The platform's store of objects at a URL.
 
-    Every method raises `PlatformUnavailableError` if no answer came; a write
-    may then have taken effect all the same.
+    Every method raises `PlatformUnavailableError` if there is no answer; a
+    write may have taken effect in that case.
     """
 
     def __init__(self, url: str) -> None:
@@ -48,33 +48,33 @@
 
     @property
     def scopes(self) -> tuple[str, ...]:
-        """Return the one prefix that everything is under."""
+        """Return the empty prefix, which covers all objects."""
         return ('',)
 
     def get(self, name: str) -> StoredObject | None:
-        """Return an object, or None if there is none of that name."""
+        """Return the object with a name, or None if it does not exist."""
         answer = self._calls.call('GET', f'/objects/{quote(name)}')
         if answer.status == _NOT_FOUND:
             return None
-        return StoredObject(**_check(answer, name))
+        return StoredObject(**_json(answer, name))
 
     def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
-        """Return the objects under a prefix and the store's revision."""
+        """Return the objects with a prefix, and the revision of the store."""
         fields = {'prefix': prefix}
         answer = self._calls.call('GET', '/objects', fields=fields)
-        listing = _check(answer, prefix)
+        listing = _json(answer, prefix)
         found = tuple(StoredObject(**each) for each in listing['objects'])
         return found, listing['revision']
 
     def create(self, name: str, value: dict[str, Any]) -> int:
         """Create an object and return its version.
 
-        Raises `PlatformConflictError` if there is one already.
+        Raises `PlatformConflictError` if it exists.
         """
         return self._put(name, value, {'If-None-Match': '*'})
 
     def update(self, name: str, value: dict[str, Any], version: int) -> int:
-        """Replace the given version of an object and return the new one.
+        """Replace a version of an object and return the new version.
 
         Raises `PlatformConflictError` if the object has another version.
         """
@@ -88,16 +88,16 @@
         *,
         may_be_stale: bool = False,
     ) -> tuple[tuple[StoredObject, ...], int]:
-        """Wait for changes under a prefix after a revision.
+        """Wait for changes of objects with a prefix after a revision.
 
-        Returns them with the revision that they lead to, which this store
-        never lets be stale.
+        Returns the changes and the revision after them.  This store ignores
+        `may_be_stale`: its answers are always current.
 
-        Raises `CompactedError` if the store no longer keeps them all.
+        Raises `CompactedError` if the store no longer keeps all of them.
         """
         fields = {'prefix': prefix, 'since': str(since)}
         answer = self._calls.watch('/watch', wait_ms, fields)
-        changes = _check(answer, 'watch')
+        changes = _json(answer, 'watch')
         found = tuple(StoredObject(**each) for each in changes['events'])
         return found, changes['revision']
 
@@ -110,4 +110,4 @@
             body=json.dumps(value).encode(),
             headers=headers,
         )
-        return _check(answer, name)['version']
+        return _json(answer, name)['version']
--- a/laburnumwood/store/interface.py
+++ b/laburnumwood/store/interface.py
@@ -1,4 +1,4 @@
-"""What the product needs of a store of objects."""
+"""The interface of a store of objects."""
 
 from typing import Any, Protocol
 
@@ -8,33 +8,34 @@
 class Store(Protocol):
     """Named objects with versions and conditional writes.
 
-    One revision counts all changes; an object's version is the revision of
-    its last change.  Every method raises `PlatformUnavailableError` if no
-    answer came; a write may then have taken effect all the same, unless it
-    was of the kind `PlatformNotReachedError`.
+    The revision of the store counts all changes; an object's version is the
+    revision of its last change.  Every method raises
+    `PlatformUnavailableError` if there is no answer.  A write may have taken
+    effect in that case, unless the exception is its subclass
+    `PlatformNotReachedError`.
     """
 
     @property
     def scopes(self) -> tuple[str, ...]:
-        """Return the prefixes to list and watch that make up the whole.
+        """Return the prefixes to list and watch to cover all objects.
 
-        The first holds the records of nodes and shards.
+        The first one covers the records of nodes and shards.
         """
 
     def get(self, name: str) -> StoredObject | None:
-        """Return an object, or None if there is none of that name."""
+        """Return the object with a name, or None if it does not exist."""
 
     def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
-        """Return the objects under a prefix and the store's revision."""
+        """Return the objects with a prefix, and the revision of the store."""
 
     def create(self, name: str, value: dict[str, Any]) -> int:
         """Create an object and return its version.
 
-        Raises `PlatformConflictError` if there is one already.
+        Raises `PlatformConflictError` if it exists.
         """
 
     def update(self, name: str, value: dict[str, Any], version: int) -> int:
-        """Replace the given version of an object and return the new one.
+        """Replace a version of an object and return the new version.
 
         Raises `PlatformConflictError` if the object has another version.
         """
@@ -47,10 +48,10 @@
         *,
         may_be_stale: bool = False,
     ) -> tuple[tuple[StoredObject, ...], int]:
-        """Wait for changes under a prefix after a revision.
+        """Wait for changes of objects with a prefix after a revision.
 
-        Returns them with the revision that they lead to.  What may be stale
-        comes late, which a store may make cheaper.
+        Returns the changes and the revision after them.  With `may_be_stale`
+        a store may use a cheaper read whose changes arrive later.
 
-        Raises `CompactedError` if the store no longer keeps them all.
+        Raises `CompactedError` if the store no longer keeps all of them.
         """
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -1,4 +1,4 @@
-"""Names and forms of the objects that the system keeps in the store."""
+"""Names of the objects in the store, and their conversion to records."""
 
 from typing import Any, TypeVar
 
@@ -20,44 +20,44 @@
 AUDIT = 'audit/'
 
 _Record = TypeVar('_Record', AuditRecord, ConfigRecord, NodeRecord, ShardRecord)
-_ADAPTERS: dict[type[Any], TypeAdapter[Any]] = {}  # made at first use
+_ADAPTERS: dict[type[Any], TypeAdapter[Any]] = {}  # created at first use
 
 
-def _adapter(form: type[Any]) -> TypeAdapter[Any]:
-    if form not in _ADAPTERS:
-        _ADAPTERS[form] = TypeAdapter(form)
-    return _ADAPTERS[form]
+def _adapter(record_type: type[Any]) -> TypeAdapter[Any]:
+    if record_type not in _ADAPTERS:
+        _ADAPTERS[record_type] = TypeAdapter(record_type)
+    return _ADAPTERS[record_type]
 
 
 def node_object(node_id: str) -> str:
-    """Return the name of a node's object."""
+    """Return the name of the object of a node."""
     return f'{NODES}{node_id}'
 
 
 def shard_object(shard: ShardName) -> str:
-    """Return the name of a shard's object."""
+    """Return the name of the object of a shard."""
     return f'{SHARDS}{shard}'
 
 
 def audit_object(generation: int) -> str:
-    """Return the name of the audit trail's object for a generation."""
+    """Return the name of the audit object of a generation."""
     return f'{AUDIT}{generation}'
 
 
 def to_value(
     record: AuditRecord | ConfigRecord | NodeRecord | ShardRecord,
 ) -> dict[str, Any]:
-    """Return what the store keeps for a record."""
+    """Return the value that the store keeps for a record."""
     return _adapter(type(record)).dump_python(record, mode='json')
 
 
-def to_record(form: type[_Record], stored: StoredObject) -> _Record:
-    """Return the record that an object holds.
+def to_record(record_type: type[_Record], stored: StoredObject) -> _Record:
+    """Return the record in an object.
 
-    Raises `RecordError` if the object has an unknown form.
+    Raises `RecordError` if the value does not match the schema of the record.
     """
     try:
-        found: _Record = _adapter(form).validate_python(stored.value)
+        record: _Record = _adapter(record_type).validate_python(stored.value)
     except ValidationError as invalid:
         raise RecordError(f'{stored.name}: {invalid}') from invalid
-    return found
+    return record
--- a/laburnumwood/store/wrapped.py
+++ b/laburnumwood/store/wrapped.py
@@ -1,4 +1,4 @@
-"""A store that passes its calls on to another one."""
+"""A base class for stores that forward calls to another store."""
 
 from collections.abc import Callable
 from functools import partial
@@ -7,26 +7,26 @@
 from laburnumwood.records import StoredObject
 from laburnumwood.store.interface import Store
 
-_Found = TypeVar('_Found')
+_Result = TypeVar('_Result')
 
 
 class StoreWrapper:
-    """Passes everything on; subclasses look at the calls that they need."""
+    """Forwards all calls; subclasses override the calls that they change."""
 
     def __init__(self, store: Store) -> None:
         self._store = store
 
     @property
     def scopes(self) -> tuple[str, ...]:
-        """Return the prefixes to list and watch that make up the whole."""
+        """Return the prefixes to list and watch to cover all objects."""
         return self._store.scopes
 
     def get(self, name: str) -> StoredObject | None:
-        """Return an object, or None if there is none of that name."""
+        """Return the object with a name, or None if it does not exist."""
         return self._forward(partial(self._store.get, name))
 
     def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
-        """Return the objects under a prefix and the store's revision."""
+        """Return the objects with a prefix, and the revision of the store."""
         return self._forward(partial(self._store.list, prefix))
 
     def create(self, name: str, value: dict[str, Any]) -> int:
@@ -34,7 +34,7 @@
         return self._forward(partial(self._store.create, name, value))
 
     def update(self, name: str, value: dict[str, Any], version: int) -> int:
-        """Replace the given version of an object and return the new one."""
+        """Replace a version of an object and return the new version."""
         return self._forward(partial(self._store.update, name, value, version))
 
     def watch(
@@ -45,7 +45,7 @@
         *,
         may_be_stale: bool = False,
     ) -> tuple[tuple[StoredObject, ...], int]:
-        """Wait for changes under a prefix after a revision."""
+        """Wait for changes of objects with a prefix after a revision."""
         return self._forward(
             partial(
                 self._store.watch,
@@ -56,5 +56,5 @@
             )
         )
 
-    def _forward(self, call: Callable[[], _Found]) -> _Found:
+    def _forward(self, call: Callable[[], _Result]) -> _Result:
         return call()
--- a/laburnumwood/store/writes.py
+++ b/laburnumwood/store/writes.py
@@ -1,4 +1,4 @@
-"""Conditional writes whose lost answers are settled by reading back."""
+"""Conditional writes that read back to recover from a lost answer."""
 
 from dataclasses import replace
 from typing import TypeVar
@@ -22,34 +22,32 @@
 
 
 def new_mark(writer: str) -> WriteMark:
-    """Return a mark that no other write carries."""
+    """Return a unique mark for a write."""
     return WriteMark(writer, uuid4().hex)
 
 
 def marked(record: _Record, writer: str) -> _Record:
-    """Return the record with a mark that no other write carries."""
+    """Return a copy of a record with a unique mark."""
     return replace(record, mark=new_mark(writer))
 
 
-def _put(
-    platform: Store, name: str, record: _Record, version: int | None
-) -> int:
+def _put(store: Store, name: str, record: _Record, version: int | None) -> int:
     if version is None:
-        return platform.create(name, to_value(record))
-    return platform.update(name, to_value(record), version)
+        return store.create(name, to_value(record))
+    return store.update(name, to_value(record), version)
 
 
-def confirm_write(platform: Store, name: str, record: _Record) -> int:
-    """Return the version under which a marked record was written.
+def confirm_write(store: Store, name: str, record: _Record) -> int:
+    """Read a marked record back and return the version that was written.
 
-    Raises `PlatformConflictError` if the store holds anything else, and
-    `PlatformUnavailableError` if it can't be asked.  Call it only when the
-    write itself can no longer be on its way, or retry the write afterwards.
+    Raises `PlatformConflictError` if the store holds another value, and
+    `PlatformUnavailableError` if it does not answer.  Call it only when the
+    write itself can no longer be in transit, or retry the write afterwards.
     """
     try:
-        stored = platform.get(name)
+        stored = store.get(name)
     except PlatformNotReachedError as failure:
-        # It is the question that did nothing, not the write.
+        # The read had no effect; the write may have had one.
         raise PlatformUnavailableError(name) from failure
     if stored is None or stored.value is None:
         raise PlatformConflictError(name)
@@ -58,36 +56,34 @@
     return stored.version
 
 
-def write(
-    platform: Store, name: str, record: _Record, version: int | None
-) -> int:
-    """Write a marked record over a version (None: create it).
+def write(store: Store, name: str, record: _Record, version: int | None) -> int:
+    """Replace a version of an object by a marked record (None: create it).
 
     Returns the new version.  Raises `PlatformConflictError` if another write
-    came first, and `PlatformUnavailableError` if the outcome is not known:
-    then call again with the same record, until it is.  Its kind
-    `PlatformNotReachedError` says that this call has written nothing.
+    came first, and `PlatformUnavailableError` if the outcome is unknown: call
+    again with the same record until it is known.  The subclass
+    `PlatformNotReachedError` means that this call has written nothing.
     """
     try:
-        return _put(platform, name, record, version)
+        return _put(store, name, record, version)
     except PlatformConflictError:
-        return confirm_write(platform, name, record)
+        return confirm_write(store, name, record)
     except PlatformUnavailableError as failure:
-        return _put_again(platform, name, record, version, failure)
+        return _put_again(store, name, record, version, failure)
 
 
 def _put_again(
-    platform: Store,
+    store: Store,
     name: str,
     record: _Record,
     version: int | None,
     first: PlatformUnavailableError,
 ) -> int:
-    # Writing again settles the first write too: both carry one mark and ask
-    # for one version, so at most one of them can take effect.
+    # Writing again also decides the first write: both have the same mark and
+    # expect the same version, so at most one of them can take effect.
     try:
-        return _put(platform, name, record, version)
+        return _put(store, name, record, version)
     except PlatformConflictError:
-        return confirm_write(platform, name, record)
+        return confirm_write(store, name, record)
     except PlatformNotReachedError:
         raise first from None
--- a/tests/features/steps/log_steps.py
+++ b/tests/features/steps/log_steps.py
@@ -12,7 +12,7 @@
 from laburnumwood.cli.explaining import explain
 from laburnumwood.cli.options import UsageError
 from laburnumwood.cli.output import Output
-from laburnumwood.logs import Allowance, LineWriter
+from laburnumwood.logs import RateLimiter, LineWriter
 from tests.features.steps.fake_clock import FakeClock
 
 LINE = bytes(99)
@@ -33,13 +33,13 @@
 @given('an allowance of the log')
 def make_allowance(context: Context) -> None:
     context.clock = FakeClock()
-    context.allowance = Allowance(context.clock)
+    context.limiter = RateLimiter(context.clock)
 
 
 @when('{many:d} events of one kind and {few:d} of another come at once')
 def bring_events(context: Context, many: int, few: int) -> None:
-    context.many = sum(context.allowance.spend('one') for _ in range(many))
-    context.few = sum(context.allowance.spend('other') for _ in range(few))
+    context.many = sum(context.limiter.try_acquire('one') for _ in range(many))
+    context.few = sum(context.limiter.try_acquire('other') for _ in range(few))
 
 
 @then('{many:d} of the first kind and {few:d} of the other are written')
@@ -54,7 +54,7 @@
 
 @then('{count:d} more of the first kind may be written')
 def check_more(context: Context, count: int) -> None:
-    allowed = sum(context.allowance.spend('one') for _ in range(count * 2))
+    allowed = sum(context.limiter.try_acquire('one') for _ in range(count * 2))
     assert allowed == count, allowed
 
 
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -45,7 +45,7 @@
 @then('docs/METRICS.md has a row for each metric and no other')
 def check_metrics(context: Context) -> None:
     wanted = [
-        (metric.name, metric.unit, metric.meaning)
+        (metric.name, metric.unit, metric.description)
         for _, metric in sorted(METRICS.items())
     ]
     _compare('METRICS.md', wanted)
