--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -23,10 +23,10 @@
     def may_refuse(self, answer: WorkerAnswer) -> bool:
         """Return whether an answer may say that the request did not run."""
 
-    def refusal(self, answer: WorkerAnswer, body: bytes) -> str | None:
+    def refusal_kind(self, answer: WorkerAnswer, body: bytes) -> str | None:
         """Return the problem kind if the request did not run, else None."""
 
-    def check(self, run: Run, answer: WorkerAnswer) -> None:
+    def check_answer(self, run: Run, answer: WorkerAnswer) -> None:
         """Raise `WorkerAnswerError` if an answer belongs to another request."""
 
     def cancel(self, worker: Worker, run: Run) -> bool:
@@ -57,14 +57,14 @@
         """Return whether an answer may say that the request did not run."""
         return may_be_refusal(answer)
 
-    def refusal(self, answer: WorkerAnswer, body: bytes) -> str | None:
+    def refusal_kind(self, answer: WorkerAnswer, body: bytes) -> str | None:
         """Return the problem kind if the request did not run, else None."""
         reason = parse_refusal(answer, body)
         if reason is None:
             return None
         return NOT_OWNER if reason == FENCED else REFUSED
 
-    def check(self, run: Run, answer: WorkerAnswer) -> None:
+    def check_answer(self, run: Run, answer: WorkerAnswer) -> None:
         """Accept every answer: a connection carries one request at a time."""
 
     def cancel(self, worker: Worker, run: Run) -> bool:
