--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -275,7 +275,7 @@
     617,
     logbook.INFO,
     'keys-given',
-    'the worker was granted shards that it did not hold before',
+    'the worker was granted shards that it had no grant for before',
 )
 KEYS_RELEASED = _event(
     618,
@@ -315,7 +315,7 @@
     706,
     logbook.INFO,
     'caller-lost',
-    'a connection of a caller was lost while its answer was being sent',
+    'a connection of a caller was lost while its request was processed',
 )
 NOT_ACCEPTED = _event(
     709,
--- a/tests/features/steps/log_steps.py
+++ b/tests/features/steps/log_steps.py
@@ -12,7 +12,7 @@
 from laburnumwood.cli.explaining import explain
 from laburnumwood.cli.options import UsageError
 from laburnumwood.cli.output import Output
-from laburnumwood.logs import RateLimiter, LineWriter
+from laburnumwood.logs import LineWriter, RateLimiter
 from tests.features.steps.fake_clock import FakeClock
 
 LINE = bytes(99)
