--- a/laburnumwood/routing/measuring.py
+++ b/laburnumwood/routing/measuring.py
@@ -10,7 +10,7 @@
 from laburnumwood.events import REQUESTS_SERVED
 from laburnumwood.metrics import LATENCY, REQUESTS
 from laburnumwood.routing.caller_interface import CallerInterface
-from laburnumwood.routing.door import DeclarationsProvider, Ingress
+from laburnumwood.routing.ingress import DeclarationsProvider, Ingress
 from laburnumwood.routing.problems import StartResponse
 from laburnumwood.routing.request_parsing import Environ
 from laburnumwood.routing.router import Router
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -30,8 +30,8 @@
 from laburnumwood.routing.caller_interface import NativeCallerInterface
 from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY
 from laburnumwood.routing.caller_request import CallerRequest
-from laburnumwood.routing.door import Ingress
 from laburnumwood.routing.exchange import Exchange, local_pair
+from laburnumwood.routing.ingress import Ingress
 from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import PendingAnswer, Router
 from laburnumwood.routing.server import HttpListener
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -31,8 +31,8 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.caller_interface import NativeCallerInterface
-from laburnumwood.routing.door import Ingress
 from laburnumwood.routing.gate import receive_body
+from laburnumwood.routing.ingress import Ingress
 from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.run import Run
