--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -37,7 +37,7 @@
 from laburnumwood.routing.headers import header_values
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.request_balancer import AVOID_MS, RequestBalancer
-from laburnumwood.routing.tries import MAX_OWNER_WAIT_MS, RetryPolicy
+from laburnumwood.routing.retry_policy import MAX_OWNER_WAIT_MS, RetryPolicy
 from laburnumwood.tasks import start
 
 _CHUNK_SIZE = 32_768
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -21,9 +21,9 @@
 from laburnumwood.routing.exchange import OutgoingExchange, local_pair
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.request_balancer import RequestBalancer
+from laburnumwood.routing.retry_policy import RetryPolicy
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
-from laburnumwood.routing.tries import RetryPolicy
 from laburnumwood.store.breaker import CircuitBreakerStore
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
