--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -37,8 +37,8 @@
 from laburnumwood.records import NodeName
 from laburnumwood.routing.execution import Executor
 from laburnumwood.routing.gate import AdmissionGate, WorkerState
+from laburnumwood.routing.ledger_replication import LedgerReplicator
 from laburnumwood.routing.measuring import MeasuredIngress
-from laburnumwood.routing.notary import LedgerReplicator
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.settings import DaemonSettings
--- a/laburnumwood/routing/execution.py
+++ b/laburnumwood/routing/execution.py
@@ -6,7 +6,7 @@
 from laburnumwood.protocol.messages import Answer, Chunk, End, Failure
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.ledger import MAX_KEPT_BODY_BYTES
-from laburnumwood.routing.notary import LedgerReplicator
+from laburnumwood.routing.ledger_replication import LedgerReplicator
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.running import Runner, RunResult
