--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -42,7 +42,7 @@
 from laburnumwood.routing.priorities import classify, useful_until_ms
 from laburnumwood.routing.problems import make_failure, make_overload_failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.staying import ShardReleasingExchange
+from laburnumwood.routing.shard_release import ShardReleasingExchange
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.grants import Grants
 
