--- a/tests/features/malformed.feature
+++ b/tests/features/malformed.feature
@@ -1,11 +1,11 @@
-Feature: What is malformed ends nothing
-  Each way into a node takes real messages with odd values and broken bytes,
-  and refuses what it can't read by an error of its own.
+Feature: Malformed input does not stop a node
+  Each input of a node gets valid messages with unusual values and corrupted
+  bytes.  It rejects invalid messages with its own type of error.
 
-  # Guards against one message that ends a process or a task for good.
-  Scenario Outline: malformed <what> are refused
-    When 300 malformed <what> come, seeded
-    Then none met an error that is not expected
+  # Guards against a message that ends a process or a task permanently.
+  Scenario Outline: malformed <what> are rejected
+    When 300 malformed <what> arrive
+    Then no unexpected error is raised
 
     Examples:
       | what                 |
@@ -18,17 +18,17 @@
       | answers of workers   |
       | heads of callers     |
 
-  # Each seed once ended a task or the start of a node.
+  # Each of these seeds once ended a task or the start of a node.
   Scenario Outline: malformed <what> that failed before: <why>
-    When the malformed input <seed> of the <what> comes
-    Then none met an error that is not expected
+    When the malformed input <seed> of the <what> arrives
+    Then no unexpected error is raised
 
     Examples:
       | what                 | seed | why                                      |
-      | frames of peers      | 28   | a kind of message that is no text        |
+      | frames of peers      | 28   | a kind of message that is not a string   |
       | records of the store | 1    | a shard without a number                 |
-      | manifests            | 157  | a time that is no number                 |
-      | answers of workers   | 9412 | a chunk larger than any memory           |
+      | manifests            | 157  | a time that is not a number              |
+      | answers of workers   | 9412 | a chunk larger than the memory           |
 
   Scenario Outline: an answer in the chunks <chunks> that ends there is <what>
     Given a worker that answers in the chunks "<chunks>" and closes
--- a/tests/features/messages.feature
+++ b/tests/features/messages.feature
@@ -1,12 +1,12 @@
 Feature: Messages between nodes
-  Each message arrives as it was sent, and none of a wrong form is taken.
+  Messages are decoded as they were encoded, and invalid ones are rejected.
 
-  Scenario: every kind of message is the same after its way
-    Then each kind of message is read back as it was written
+  Scenario: encoding and decoding preserve every kind of message
+    Then each kind of message is decoded as it was encoded
 
-  Scenario Outline: a frequent message with a wrong value is refused
-    When a frame says that "<kind>" has the values <values>
-    Then that frame is refused
+  Scenario Outline: a frequent message with an invalid value is rejected
+    When a frame of kind "<kind>" has the values <values>
+    Then the frame is rejected
 
     Examples:
       | kind    | values                    |
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -1,124 +1,124 @@
-Feature: Links between nodes that go silent, are slow or break the protocol
+Feature: Links between nodes that are silent, slow or break the protocol
 
-  Scenario: a silent link fails what it owes, and a new one serves meanwhile
-    Given a peer that falls silent on its first connection
-    When a call waits on the silent link
+  Scenario: calls on a silent link fail, while a new link serves other calls
+    Given a peer whose first connection becomes silent
+    When a call waits for a reply on the silent link
     And another call is made once the link is suspect
     Then the other call is answered over a second connection
-    And the call that waits fails with LinkLostError
+    And the waiting call fails with LinkLostError
 
-  # Guards against answers lost with links that had only been idle.
-  Scenario: a link that carried nothing for long is kept under the next call
-    Given a peer that answers calls and reads no bodies
-    When a call is made after the link carried nothing for 1300 ms
+  # Guards against lost answers because an idle link is taken for a silent one.
+  Scenario: a link that was idle for long stays open during the next call
+    Given a peer that answers calls but does not read bodies
+    When a call is made after the link was idle for 1300 ms
     And it is answered 500 ms later
     Then the call is answered
-    And one link was made
+    And one link was opened
 
-  # Guards against answers lost with all links after a pause of the process.
-  Scenario: a link is kept when its own process stood still
-    Given a peer that answers calls and reads no bodies
-    When the process stands still for 1300 ms under a call
+  # Guards against closing all links after a pause of the process.
+  Scenario: a link stays open when the process was paused
+    Given a peer that answers calls but does not read bodies
+    When the process is paused for 1300 ms during a call
     Then the call is answered
-    And one link was made
+    And one link was opened
 
-  # Guards against 504 for answers that lie unread in the socket.
-  Scenario: a call takes an answer that came before its time was over
-    Given a peer that falls silent on its first connection
-    When a call waits on the silent link for 700 ms
-    And its answer comes and the process stands still for 500 ms
+  # Guards against status 504 although the answer is in the socket buffer.
+  Scenario: a call receives an answer that arrived before its timeout
+    Given a peer whose first connection becomes silent
+    When a call waits 700 ms for a reply on the silent link
+    And the reply arrives and the process is paused for 500 ms
     Then the call is answered
 
-  # Guards against answers cut midway by a link that is slow to carry them.
-  Scenario: an answer that has begun is kept while its link is silent
-    Given a peer that falls silent on its first connection
-    When an answer begins on the silent link and goes on 2000 ms later
-    Then the call takes the whole answer
-
-  # Guards against requests that can't be sent again being given up early.
-  Scenario: a call that can't be repeated is kept while its link is silent
-    Given a peer that falls silent on its first connection
-    When a patient call on the silent link is answered after 2000 ms
-    Then the patient call is answered
-
-  # Guards against requests sent into a link that nobody hears.
-  Scenario: a silent peer that takes no new link gets no more calls
-    Given a peer that falls silent on its first connection
-    When a call waits on the silent link
-    And the peer takes no more connections
-    And another call is made once the link is given up
+  # Guards against answers that are truncated because the link is slow.
+  Scenario: an answer that has started does not fail while its link is silent
+    Given a peer whose first connection becomes silent
+    When an answer starts on the silent link and continues 2000 ms later
+    Then the call receives the whole answer
+
+  # Guards against early failure of requests that can't be retried.
+  Scenario: a call that can't be retried does not fail while its link is silent
+    Given a peer whose first connection becomes silent
+    When a non-retryable call on the silent link is answered after 2000 ms
+    Then the non-retryable call is answered
+
+  # Guards against requests that are sent on a failed link.
+  Scenario: a silent peer that refuses new links gets no more calls
+    Given a peer whose first connection becomes silent
+    When a call waits for a reply on the silent link
+    And the peer refuses further connections
+    And another call is made once the link is considered failed
     Then the other call fails with LinkRefusedError
 
-  # Guards against half a message on a link, which spoils all that follows.
-  Scenario: a sender that is ended while it sends spoils nothing on its link
+  # Guards against a partial frame, after which no frame can be parsed.
+  Scenario: a sender that is killed while it sends does not corrupt its link
     Given a peer that reads slowly and answers calls
-    When a sender is ended while the link takes no more
+    When senders are killed while the link is blocked
     Then other calls are answered
-    And one link was made
+    And one link was opened
 
-  # Guards against a dead link that is kept for ever.
-  Scenario: a silent link is lost though calls on it are short and seldom
-    Given a peer that falls silent on its first connection
-    When calls that wait for 50 ms are made 300 ms apart
+  # Guards against a dead link that is never closed.
+  Scenario: a silent link is closed although calls on it are short and rare
+    Given a peer whose first connection becomes silent
+    When calls with a timeout of 50 ms are made 300 ms apart
     Then one of them is answered over a second connection
 
-  # Guards against answers lost when a node joins anew.
-  Scenario: links that are released end after the calls on them
-    Given a peer that answers calls and reads no bodies
-    When its links are released under a call of 500 ms
+  # Guards against answers that are lost when a node rejoins.
+  Scenario: released links are closed after the calls on them
+    Given a peer that answers calls but does not read bodies
+    When its links are released during a call of 500 ms
     Then the call is answered
     And the link of the call is closed afterwards
 
-  Scenario: a peer that refuses links is left alone for a while
+  Scenario: a peer that refuses links is not dialled again at once
     Given a peer whose address refuses connections
     When 5 calls are made one after the other
-    Then it was dialled once
+    Then one connection was attempted
     When 300 ms have passed and 2 calls are made
-    Then it was dialled 2 times in all
+    Then 2 connections were attempted in total
 
   Scenario: senders blocked on a dead connection fail
-    Given a peer that falls silent on its first connection
-    When 64 streams send more than the connection takes
+    Given a peer whose first connection becomes silent
+    When 64 streams send more than the connection can buffer
     Then all of them fail with LinkLostError
 
-  Scenario: a call whose caller has gone ends in a log line
-    Given a peer that answers calls and reads no bodies
-    When a caller leaves before its call is answered
-    Then the peer logs that the answer has no receiver
+  Scenario: the reply to a caller that has disconnected is logged
+    Given a peer that answers calls but does not read bodies
+    When a caller disconnects before its call is answered
+    Then the peer logs that the answer could not be delivered
     And other calls are answered
 
-  Scenario: a stream that nobody reads stalls no other
-    Given a peer that answers calls and reads no bodies
-    When a stream sends bodies until its window is closed
+  Scenario: a stream that is not read does not block others
+    Given a peer that answers calls but does not read bodies
+    When a stream sends bodies until its window is exhausted
     Then other calls are answered
     And the stream sent no more than its window and one chunk
 
-  # Guards against a watch of links that a fault at one of them ends for all.
-  Scenario: a silent link is noticed after a fault at another link
-    Given a peer that falls silent on its first connection
-    When a call waits on the silent link
-    And the look at another link fails
-    Then the call that waits fails with LinkLostError
+  # Guards against an exception in one check that ends the checks of all links.
+  Scenario: a silent link is detected after a fault at another link
+    Given a peer whose first connection becomes silent
+    When a call waits for a reply on the silent link
+    And the check of another link fails
+    Then the waiting call fails with LinkLostError
 
-  Scenario Outline: a peer that breaks the protocol loses only that link
-    Given a peer that answers calls and reads no bodies
+  Scenario Outline: a protocol violation closes only the link it occurs on
+    Given a peer that answers calls but does not read bodies
     When a link sends <what>
     Then that link is closed
     And other calls are answered
 
     Examples:
       | what                        |
-      | bytes that are no CBOR      |
+      | bytes that are not CBOR     |
       | a message of unknown kind   |
       | a frame that is too large   |
       | more than the window allows |
 
-  Scenario Outline: the sender of a body hears seldom how much was read
+  Scenario Outline: the receiver of a body sends few credits
     When a body of <parts> parts of <size> bytes is sent while it is read
-    Then the sender was told of what was read <told> times at the most
+    Then the sender received at most <credits> credits
 
     Examples:
-      | parts | size    | told |
-      | 3     | 32768   | 0    |
-      | 64    | 32768   | 16   |
-      | 9     | 300000  | 9    |
+      | parts | size    | credits |
+      | 3     | 32768   | 0       |
+      | 64    | 32768   | 16      |
+      | 9     | 300000  | 9       |
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -33,9 +33,9 @@
 OWN, PEER = NodeName('own', 1), NodeName('peer', 1)
 LIMIT_S = 60
 LIMIT_MS = 60_000
-LOSS_LIMIT_S = 10  # in which a dead link is given up
+LOSS_LIMIT_S = 10  # within which a dead link is closed
 CHUNK = 32_768
-STREAMS = 64  # whose bodies are more than a connection takes at once
+STREAMS = 64  # whose bodies exceed the buffers of a connection
 
 
 def _dispatcher(context: Context) -> Dispatcher:
@@ -75,16 +75,16 @@
             context.silent = protocol, sock
 
 
-def _begin(context: Context, task: Any, address: Any) -> None:
+def _start(context: Context, task: Any, address: Any) -> None:
     context.connections = 0
     context.address = address
     context.server = eventlet.spawn(*task)
     context.add_cleanup(context.server.kill)
     dispatcher = Dispatcher()
-    context.looked_up = 0
+    context.lookups = 0
 
     def look_up(_peer: NodeName) -> Any:
-        context.looked_up += 1
+        context.lookups += 1
         return address
 
     context.peers = Peers(OWN, KEY, look_up, dispatcher, Clock())
@@ -101,41 +101,41 @@
     near, far = local_pair()
     sender = eventlet.spawn(_send_chunks, near, count, size)
     deliver = patch.object(near, 'deliver', wraps=near.deliver)
-    with eventlet.Timeout(LIMIT_S), deliver as told:
+    with eventlet.Timeout(LIMIT_S), deliver as delivered:
         parts = [far.receive(LIMIT_MS) for _ in range(count)]
         sender.wait()
-        context.told = told.mock_calls
+        context.credits = delivered.mock_calls
     assert {len(part.content) for part in parts} == {size}
 
 
-@then('the sender was told of what was read {count:d} times at the most')
-def check_told_seldom(context: Context, count: int) -> None:
-    told = [type(call.args[0]).__name__ for call in context.told]
-    assert set(told) <= {'Credit'}, told
-    assert len(told) <= count, len(told)
+@then('the sender received at most {count:d} credits')
+def check_credits(context: Context, count: int) -> None:
+    kinds = [type(call.args[0]).__name__ for call in context.credits]
+    assert set(kinds) <= {'Credit'}, kinds
+    assert len(kinds) <= count, len(kinds)
 
 
-@given('a peer that falls silent on its first connection')
+@given('a peer whose first connection becomes silent')
 def start_silent(context: Context) -> None:
     listener = eventlet.listen((HOST, 0))
     context.listener = listener
     task = (_serve, context, listener, _dispatcher(context))
-    _begin(context, task, listener.getsockname())
+    _start(context, task, listener.getsockname())
 
 
-@when('a call is made after the link carried nothing for {idle:d} ms')
-def rest(context: Context, idle: int) -> None:
+@when('a call is made after the link was idle for {idle:d} ms')
+def call_after_idle(context: Context, idle: int) -> None:
     check_others(context)
     eventlet.sleep(idle / 1_000)
 
 
 @when('it is answered {span:d} ms later')
-def call_slow(context: Context, span: int) -> None:
+def call_slowly(context: Context, span: int) -> None:
     context.answer = _outcome(context.peers.call, PEER, End(span), LIMIT_MS)
 
 
-@when('the process stands still for {span:d} ms under a call')
-def stand_still(context: Context, span: int) -> None:
+@when('the process is paused for {span:d} ms during a call')
+def pause_process(context: Context, span: int) -> None:
     check_others(context)
     call = eventlet.spawn(_outcome, context.peers.call, PEER, End(1), LIMIT_MS)
     eventlet.sleep(0)
@@ -143,7 +143,7 @@
     context.answer = call.wait()
 
 
-@when('its links are released under a call of {span:d} ms')
+@when('its links are released during a call of {span:d} ms')
 def release_links(context: Context, span: int) -> None:
     call = eventlet.spawn(
         _outcome, context.peers.call, PEER, End(span), LIMIT_MS
@@ -155,11 +155,11 @@
 
 @then('the link of the call is closed afterwards')
 def check_closed_after(context: Context) -> None:
-    assert context.looked_up == 1, context.looked_up
+    assert context.lookups == 1, context.lookups
     eventlet.sleep(2 * SUSPECT_MS / MS_PER_SECOND)
-    # A call that follows needs another link.
+    # The next call needs another link.
     check_others(context)
-    assert context.looked_up == 2, context.looked_up
+    assert context.lookups == 2, context.lookups
 
 
 @then('the call is answered')
@@ -167,9 +167,9 @@
     assert isinstance(context.answer, Done), context.answer
 
 
-@then('one link was made')
+@then('one link was opened')
 def check_one_link(context: Context) -> None:
-    assert context.looked_up == 1, context.looked_up
+    assert context.lookups == 1, context.lookups
 
 
 @given('a peer whose address refuses connections')
@@ -188,7 +188,7 @@
 
 
 @when('{count:d} calls are made one after the other')
-def call_often(context: Context, count: int) -> None:
+def call_repeatedly(context: Context, count: int) -> None:
     for _ in range(count):
         found = _outcome(context.peers.call, PEER, Cancel(), LIMIT_MS)
         assert isinstance(found, LinkRefusedError), found
@@ -197,26 +197,26 @@
 @when('{span:d} ms have passed and {count:d} calls are made')
 def call_later(context: Context, span: int, count: int) -> None:
     context.clock.pass_ms(span)
-    call_often(context, count)
+    call_repeatedly(context, count)
 
 
-@then('it was dialled once')
-def check_once(context: Context) -> None:
+@then('one connection was attempted')
+def check_one_dialled(context: Context) -> None:
     check_dialled(context, 1)
 
 
-@then('it was dialled {count:d} times in all')
+@then('{count:d} connections were attempted in total')
 def check_dialled(context: Context, count: int) -> None:
     assert context.dialled == count, context.dialled
 
 
-@given('a peer that answers calls and reads no bodies')
+@given('a peer that answers calls but does not read bodies')
 def start_peer(context: Context) -> None:
     probe = eventlet.listen((HOST, 0))
     address = probe.getsockname()
     probe.close()
     task = (listen, address, KEY, _dispatcher(context).handle, Clock())
-    _begin(context, task, address)
+    _start(context, task, address)
     eventlet.sleep(0)
 
 
@@ -227,14 +227,14 @@
         return failure
 
 
-@when('a call waits on the silent link')
+@when('a call waits for a reply on the silent link')
 def call_silent(context: Context) -> None:
     stream = context.peers.open_stream(PEER)
     stream.send(Cancel())
     context.waiting = eventlet.spawn(_outcome, stream.receive, LIMIT_MS)
 
 
-@when('the peer takes no more connections')
+@when('the peer refuses further connections')
 def refuse_connections(context: Context) -> None:
     while context.connections == 0:
         eventlet.sleep(0)
@@ -242,8 +242,8 @@
     context.listener.close()
 
 
-@when('another call is made once the link is given up')
-def call_given_up(context: Context) -> None:
+@when('another call is made once the link is considered failed')
+def call_on_failed(context: Context) -> None:
     eventlet.sleep(2 * SUSPECT_MS / MS_PER_SECOND)
     context.answer = _outcome(context.peers.call, PEER, Cancel(), LIMIT_MS)
 
@@ -253,8 +253,8 @@
     assert isinstance(context.answer, LinkRefusedError), context.answer
 
 
-@when('the look at another link fails')
-def fail_look(context: Context) -> None:
+@when('the check of another link fails')
+def fail_check(context: Context) -> None:
     eventlet.sleep(0)
     host, port = context.address
     protocol, sock = dial(host, port, OWN, KEY)
@@ -266,8 +266,8 @@
     eventlet.spawn_n(link.run)
 
 
-@when('calls that wait for {span:d} ms are made {pause:d} ms apart')
-def call_seldom(context: Context, span: int, pause: int) -> None:
+@when('calls with a timeout of {span:d} ms are made {pause:d} ms apart')
+def call_rarely(context: Context, span: int, pause: int) -> None:
     context.answer = None
     with eventlet.Timeout(LOSS_LIMIT_S, exception=False):
         while not isinstance(context.answer, Done):
@@ -275,19 +275,19 @@
             eventlet.sleep(pause / MS_PER_SECOND)
 
 
-@when('a call waits on the silent link for {span:d} ms')
+@when('a call waits {span:d} ms for a reply on the silent link')
 def call_silent_for(context: Context, span: int) -> None:
     stream = context.peers.open_stream(PEER)
     stream.send(Cancel())
     context.waiting = eventlet.spawn(_outcome, stream.receive, span)
 
 
-@when('its answer comes and the process stands still for {span:d} ms')
-def answer_and_stand_still(context: Context, span: int) -> None:
+@when('the reply arrives and the process is paused for {span:d} ms')
+def answer_and_pause(context: Context, span: int) -> None:
     while context.connections == 0:
         eventlet.sleep(0)
     protocol, sock = context.silent
-    # After a read that waits, the event loop takes up timers before sockets.
+    # After a read that blocks, the event loop runs timers before sockets.
     for _ in ('the call', 'a ping'):
         sock.recv(CHUNK)
     protocol.send_binary(encode(-1, Done()))
@@ -297,12 +297,12 @@
     context.answer = context.waiting.wait()
 
 
-def _take_answer(stream: Stream) -> list[Any]:
+def _receive_answer(stream: Stream) -> list[Any]:
     return [_outcome(stream.receive, LIMIT_MS) for _ in ('head', 'end')]
 
 
-@when('a patient call on the silent link is answered after {span:d} ms')
-def call_patiently(context: Context, span: int) -> None:
+@when('a non-retryable call on the silent link is answered after {span:d} ms')
+def call_unretryable(context: Context, span: int) -> None:
     stream = context.peers.open_stream(PEER, survives_silence=True)
     stream.send(Cancel())
     context.waiting = eventlet.spawn(_outcome, stream.receive, LIMIT_MS)
@@ -314,18 +314,18 @@
             sock.sendall(part)
 
 
-@then('the patient call is answered')
-def check_patient(context: Context) -> None:
+@then('the non-retryable call is answered')
+def check_unretryable(context: Context) -> None:
     with eventlet.Timeout(LIMIT_S):
         context.answer = context.waiting.wait()
     check_call(context)
 
 
-@when('an answer begins on the silent link and goes on {span:d} ms later')
+@when('an answer starts on the silent link and continues {span:d} ms later')
 def answer_late(context: Context, span: int) -> None:
     stream = context.peers.open_stream(PEER)
     stream.send(Cancel())
-    taken = eventlet.spawn(_take_answer, stream)
+    received = eventlet.spawn(_receive_answer, stream)
     eventlet.sleep(0)
     while context.connections == 0:
         eventlet.sleep(0)
@@ -336,16 +336,16 @@
             for part in protocol.data_to_send():
                 sock.sendall(part)
         eventlet.sleep(span / MS_PER_SECOND)
-    context.answer = taken.wait()
+    context.answer = received.wait()
 
 
-@then('the call takes the whole answer')
+@then('the call receives the whole answer')
 def check_whole_answer(context: Context) -> None:
     assert context.answer == [Chunk(b'the beginning'), End(13)], context.answer
 
 
 class _SlowReader:
-    """A listener whose connections are read only when it is said."""
+    """A listener whose connections are not read until `may_read` is sent."""
 
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
@@ -353,7 +353,7 @@
         self.listener = eventlet.listen((HOST, 0))
 
     def serve(self) -> None:
-        """Take connections; does not return."""
+        """Accept connections; does not return."""
         while True:
             eventlet.spawn_n(self._serve_one, self.listener.accept()[0])
 
@@ -367,11 +367,11 @@
 def start_slow_reader(context: Context) -> None:
     context.reader = _SlowReader(_dispatcher(context))
     address = context.reader.listener.getsockname()
-    _begin(context, (context.reader.serve,), address)
+    _start(context, (context.reader.serve,), address)
 
 
-@when('a sender is ended while the link takes no more')
-def end_sender(context: Context) -> None:
+@when('senders are killed while the link is blocked')
+def kill_senders(context: Context) -> None:
     streams = [context.peers.open_stream(PEER) for _ in range(STREAMS)]
     senders = [eventlet.spawn(_send_window, stream) for stream in streams]
     eventlet.sleep(SUSPECT_MS / 2 / MS_PER_SECOND)
@@ -381,19 +381,19 @@
 
 
 @when('another call is made once the link is suspect')
-def call_beside(context: Context) -> None:
+def call_on_suspect(context: Context) -> None:
     eventlet.sleep((SUSPECT_MS + 100) / 1_000)
     context.answer = _outcome(context.peers.call, PEER, Cancel(), LIMIT_MS)
 
 
 @then('one of them is answered over a second connection')
 @then('the other call is answered over a second connection')
-def check_beside(context: Context) -> None:
+def check_second_connection(context: Context) -> None:
     assert isinstance(context.answer, Done), context.answer
     assert context.connections == 2, context.connections
 
 
-@then('the call that waits fails with LinkLostError')
+@then('the waiting call fails with LinkLostError')
 def check_silent(context: Context) -> None:
     with eventlet.Timeout(LIMIT_S):
         failure = context.waiting.wait()
@@ -406,7 +406,7 @@
     stream.receive(LIMIT_MS)
 
 
-@when('{count:d} streams send more than the connection takes')
+@when('{count:d} streams send more than the connection can buffer')
 def send_much(context: Context, count: int) -> None:
     streams = [context.peers.open_stream(PEER) for _ in range(count)]
     context.senders = [
@@ -422,8 +422,8 @@
     assert kinds == {'LinkLostError'}, kinds
 
 
-@when('a caller leaves before its call is answered')
-def leave_early(context: Context) -> None:
+@when('a caller disconnects before its call is answered')
+def disconnect_early(context: Context) -> None:
     context.log = TestHandler()
     context.log.push_application()
     context.add_cleanup(context.log.pop_application)
@@ -435,14 +435,14 @@
     sock.close()
 
 
-@then('the peer logs that the answer has no receiver')
-def check_no_receiver(context: Context) -> None:
+@then('the peer logs that the answer could not be delivered')
+def check_undelivered(context: Context) -> None:
     with eventlet.Timeout(LIMIT_S):
         while not context.log.has_info(ANSWER_UNDELIVERED.text):
             eventlet.sleep(0)
 
 
-@when('a stream sends bodies until its window is closed')
+@when('a stream sends bodies until its window is exhausted')
 def fill_window(context: Context) -> None:
     context.stream = context.peers.open_stream(PEER)
     context.sent = 0
@@ -472,7 +472,7 @@
 
 
 def _frames(what: str) -> list[bytes]:
-    if what == 'bytes that are no CBOR':
+    if what == 'bytes that are not CBOR':
         return [b'\xff\xff']
     if what == 'a message of unknown kind':
         return [dumps((1, 'unheard-of', 1))]
--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -11,12 +11,12 @@
 CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
-@when('{count:d} malformed {what} come, seeded')
+@when('{count:d} malformed {what} arrive')
 def send_many(context: Context, count: int, what: str) -> None:
     _send(context, what, range(count))
 
 
-@when('the malformed input {seed:d} of the {what} comes')
+@when('the malformed input {seed:d} of the {what} arrives')
 def send_one(context: Context, seed: int, what: str) -> None:
     _send(context, what, range(seed, seed + 1))
 
@@ -30,7 +30,7 @@
             context.unexpected.append((seed, traceback.format_exc()))
 
 
-@then('none met an error that is not expected')
+@then('no unexpected error is raised')
 def check_none_failed(context: Context) -> None:
     assert not context.unexpected, context.failed[0]
 
