--- a/tests/features/clock.feature
+++ b/tests/features/clock.feature
@@ -1,4 +1,4 @@
-Feature: Time
-  Scenario: the clock does not go back
+Feature: The clock
+  Scenario: the clock is monotonic
     When the clock is read 1000 times
-    Then no reading is smaller than the one before
+    Then no reading is less than the previous one
--- a/tests/features/hub.feature
+++ b/tests/features/hub.feature
@@ -1,47 +1,47 @@
 Feature: Waiting for connections
-  A descriptor stays registered from one wait to the next, and no wait is lost.
+  A descriptor stays registered between waits, and no wait is lost.
 
-  Scenario: several waits for one descriptor register it once
+  Scenario: several waits for a descriptor register it once
     Given a connection and an event loop
     When it is waited for 5 times
-    Then the system was asked 1 time to watch a descriptor
+    Then epoll was called 1 time
 
-  Scenario: bytes that nobody waits for are told once
+  Scenario: data that no task waits for is reported once
     Given a connection and an event loop
     When it is waited for 1 time
-    And bytes come that nobody waits for
-    Then the loop is woken 1 time
-    When a wait for it begins
+    And data arrives that no task waits for
+    Then epoll reports it 1 time
+    When a read wait for it starts
     Then that wait ends
 
-  Scenario: a wait to write that is over does not wake the loop
+  Scenario: a write wait that has ended does not wake the event loop
     Given a connection and an event loop
-    When a wait to write to it begins and ends
-    Then the loop is woken 1 time
+    When a write wait for it starts and ends
+    Then epoll reports it 1 time
 
-  Scenario: a wait to read stays while a wait to write is over
+  Scenario: a read wait outlasts a write wait
     Given a connection and an event loop
-    When a wait for it begins
-    And a wait to write to it begins and ends
-    Then the loop is woken 1 time
-    When bytes come
+    When a read wait for it starts
+    And a write wait for it starts and ends
+    Then epoll reports it 1 time
+    When data arrives
     Then that wait ends
 
-  Scenario: the number of a closed connection goes to another one
+  Scenario: the descriptor number of a closed connection is reused
     Given a connection and an event loop
     When it is waited for 1 time
-    And it is closed and another one gets its number
-    And a wait for it begins
-    And bytes come
+    And it is closed and its descriptor number is reused
+    And a read wait for it starts
+    And data arrives
     Then that wait ends
 
-  Scenario: an end that nobody waits for is told once
+  Scenario: a closed connection that no task waits for is reported once
     Given a connection and an event loop
     When it is waited for 1 time
-    And the other side closes it
-    Then the loop is woken 1 time
+    And the peer closes it
+    Then epoll reports it 1 time
 
   Scenario: a closed connection can't be waited for
     Given a connection and an event loop
     When it is closed
-    Then a wait for it fails with ValueError
+    Then a read wait for it fails with ValueError
--- a/tests/features/metrics.feature
+++ b/tests/features/metrics.feature
@@ -1,13 +1,13 @@
-Feature: What operators look up
-  The catalogues of the code and the pages say the same.
+Feature: Reference pages for operators
+  The pages match the catalogues of events and metrics in the code.
 
-  Scenario: the page of events lists every event as the code has it
-    Then docs/EVENTS.md has a row for each event and no other
+  Scenario: the page of events matches the catalogue
+    Then docs/EVENTS.md has exactly one row for each event
 
-  Scenario: the page of metrics lists every metric as the code has it
-    Then docs/METRICS.md has a row for each metric and no other
+  Scenario: the page of metrics matches the catalogue
+    Then docs/METRICS.md has exactly one row for each metric
 
-  Scenario: a node tells its metrics
+  Scenario: a node exports its metrics
     Given a deployment of the nodes
       | node     | failure_domain | service |
       | portal-1 | caerdydd       | portal  |
@@ -18,7 +18,7 @@
       """
     And the deployment of "portal" is settled
     When 3 keys are asked for at each door of "portal"
-    Then the metrics of "portal-1" hold
+    Then the metrics of "portal-1" contain
       | line                                                                              |
       | laburnumwood_requests_total{service="portal",status="200"} 3.0                    |
       | laburnumwood_latency_milliseconds_count{service="portal"} 3.0                     |
--- a/tests/features/ports.feature
+++ b/tests/features/ports.feature
@@ -1,7 +1,7 @@
 Feature: Ports for the processes of tests
-  Several runs of tests may share a machine.
+  Several test runs may share a machine.
 
-  # Guards against stand-ins that do not listen, or answer another run's calls.
-  Scenario: two runs that begin together get different ports
-    When two runs are given 600 ports each
-    Then all these ports differ
+  # Guards against stand-ins that can't listen, or answer calls of another run.
+  Scenario: two test runs that start together get different ports
+    When two test runs allocate 600 ports each
+    Then all ports are different
--- a/tests/features/steps/clock_steps.py
+++ b/tests/features/steps/clock_steps.py
@@ -14,7 +14,7 @@
     context.readings = [clock.now_ms() for _ in range(count)]
 
 
-@then('no reading is smaller than the one before')
+@then('no reading is less than the previous one')
 def check_readings(context: Context) -> None:
     pairs = pairwise(context.readings)
     assert all(earlier <= later for earlier, later in pairs)
--- a/tests/features/steps/hub_steps.py
+++ b/tests/features/steps/hub_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the event loop, called without running it."""
+"""Steps about the hub, whose event loop does not run."""
 
 import socket
 from typing import Any
@@ -8,26 +8,26 @@
 
 from laburnumwood.hub import Hub
 
-LOOKS = 5
+POLLS = 5
 
 
 class _CountingPoll:
-    """Counts what is asked of the system's own object."""
+    """Counts the calls that change the registrations of an epoll object."""
 
     def __init__(self, poll: Any) -> None:
         self._poll = poll
-        self.asked = 0
+        self.calls = 0
 
     def register(self, fileno: int, mask: int) -> None:
-        self.asked += 1
+        self.calls += 1
         self._poll.register(fileno, mask)
 
     def modify(self, fileno: int, mask: int) -> None:
-        self.asked += 1
+        self.calls += 1
         self._poll.modify(fileno, mask)
 
     def unregister(self, fileno: int) -> None:
-        self.asked += 1
+        self.calls += 1
         self._poll.unregister(fileno)
 
     def poll(self, seconds: float) -> Any:
@@ -41,11 +41,11 @@
 
 
 def _add(context: Context, evtype: str) -> Any:
-    def end(_fileno: int) -> None:
+    def end_wait(_fileno: int) -> None:
         context.ended = True
 
     number = context.near.fileno()
-    return context.hub.add(evtype, number, end, None, None)
+    return context.hub.add(evtype, number, end_wait, None, None)
 
 
 @given('a connection and an event loop')
@@ -64,33 +64,33 @@
         context.hub.remove(_add(context, context.hub.READ))
 
 
-@when('a wait for it begins')
-def begin_wait(context: Context) -> None:
+@when('a read wait for it starts')
+def start_wait(context: Context) -> None:
     _add(context, context.hub.READ)
 
 
-@when('a wait to write to it begins and ends')
+@when('a write wait for it starts and ends')
 def wait_to_write(context: Context) -> None:
     context.hub.remove(_add(context, context.hub.WRITE))
 
 
-@when('bytes come')
-@when('bytes come that nobody waits for')
+@when('data arrives')
+@when('data arrives that no task waits for')
 def send_bytes(context: Context) -> None:
     context.far.sendall(b'some')
 
 
-@when('the other side closes it')
-def close_far(context: Context) -> None:
+@when('the peer closes it')
+def close_peer_end(context: Context) -> None:
     context.far.close()
 
 
 @when('it is closed')
-def close_near(context: Context) -> None:
+def close_own_end(context: Context) -> None:
     context.near.close()
 
 
-@when('it is closed and another one gets its number')
+@when('it is closed and its descriptor number is reused')
 def reuse_number(context: Context) -> None:
     number = context.near.fileno()
     context.near.close()
@@ -100,15 +100,15 @@
     context.hub.mark_as_reopened(number)
 
 
-@then('the system was asked {count:d} time to watch a descriptor')
-def check_asked(context: Context, count: int) -> None:
-    assert context.hub.poll.asked == count, context.hub.poll.asked
+@then('epoll was called {count:d} time')
+def check_calls(context: Context, count: int) -> None:
+    assert context.hub.poll.calls == count, context.hub.poll.calls
 
 
-@then('the loop is woken {count:d} time')
-def check_woken(context: Context, count: int) -> None:
-    woken = sum(bool(context.hub.do_poll(0)) for _ in range(LOOKS))
-    assert woken == count, woken
+@then('epoll reports it {count:d} time')
+def check_reports(context: Context, count: int) -> None:
+    reports = sum(bool(context.hub.do_poll(0)) for _ in range(POLLS))
+    assert reports == count, reports
 
 
 @then('that wait ends')
@@ -117,11 +117,11 @@
     assert context.ended
 
 
-@then('a wait for it fails with ValueError')
+@then('a read wait for it fails with ValueError')
 def check_refused(context: Context) -> None:
     try:
-        begin_wait(context)
+        start_wait(context)
     except ValueError:
         assert not context.hub.listeners[context.hub.READ]
     else:
-        raise AssertionError('it was waited for')
+        raise AssertionError('the wait did not fail')
--- a/tests/features/steps/log_steps.py
+++ b/tests/features/steps/log_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the log and what explains a request."""
+"""Steps about the log and the explanation of requests."""
 
 import json
 import os
@@ -18,26 +18,26 @@
 LINE = bytes(99)
 
 
-class KeptOutput(Output):
-    """Keeps what a command found."""
+class CapturedOutput(Output):
+    """Captures the data that a command prints."""
 
     def __init__(self) -> None:
         super().__init__(as_json=True)
-        self.found: list[dict[str, Any]] = []
+        self.captured: list[dict[str, Any]] = []
 
     def data(self, content: Any) -> None:
-        """Keep something for programs."""
-        self.found = content
+        """Capture data for programs."""
+        self.captured = content
 
 
-@given('an allowance of the log')
-def make_allowance(context: Context) -> None:
+@given('a rate limiter of the log')
+def make_limiter(context: Context) -> None:
     context.clock = FakeClock()
     context.limiter = RateLimiter(context.clock)
 
 
-@when('{many:d} events of one kind and {few:d} of another come at once')
-def bring_events(context: Context, many: int, few: int) -> None:
+@when('{many:d} events of one kind and {few:d} of another occur at once')
+def acquire_events(context: Context, many: int, few: int) -> None:
     context.many = sum(context.limiter.try_acquire('one') for _ in range(many))
     context.few = sum(context.limiter.try_acquire('other') for _ in range(few))
 
@@ -74,9 +74,9 @@
         context.writer.flush()
 
 
-@then('the writer never waited, and most lines were counted as dropped')
+@then('the writer did not block, and most lines were counted as dropped')
 def check_dropped(context: Context) -> None:
-    # A writer that waits for the reader would never come here.
+    # A writer that waits for the reader would never get here.
     assert context.writer.dropped > 50_000, context.writer.dropped
 
 
@@ -112,33 +112,33 @@
 
 @when('the request "{request}" is explained')
 def explain_request(context: Context, request: str) -> None:
-    output = KeptOutput()
-    context.refused = ''
+    output = CapturedOutput()
+    context.error = ''
     try:
         explain(request, context.files, output)
-    except UsageError as refused:
-        context.refused = str(refused)
-    context.story = output.found
+    except UsageError as error:
+        context.error = str(error)
+    context.events = output.captured
 
 
-@then('the story is "{events}"')
-def check_story(context: Context, events: str) -> None:
-    told = [each['event'] for each in context.story if 'request' in each]
-    assert told == events.split(), context.story
+@then('the events of the request are "{events}"')
+def check_request_events(context: Context, events: str) -> None:
+    kinds = [each['event'] for each in context.events if 'request' in each]
+    assert kinds == events.split(), context.events
 
 
-@then('it holds what its shard went through, "{events}"')
-def check_around(context: Context, events: str) -> None:
-    around = [each['event'] for each in context.story if 'request' not in each]
-    assert around == events.split(), context.story
+@then('the events of its shard are "{events}"')
+def check_shard_events(context: Context, events: str) -> None:
+    kinds = [each['event'] for each in context.events if 'request' not in each]
+    assert kinds == events.split(), context.events
 
 
-@then('it holds nothing about the request "{request}"')
+@then('there is no event about the request "{request}"')
 def check_others(context: Context, request: str) -> None:
-    found = [each.get('request') for each in context.story]
+    found = [each.get('request') for each in context.events]
     assert request not in found
 
 
-@then('the tool says that no line is about it')
+@then('the tool reports that no line is about it')
 def check_unknown(context: Context) -> None:
-    assert 'no line is about' in context.refused
+    assert 'no line is about' in context.error
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the pages that operators look things up in."""
+"""Steps about the reference pages for operators."""
 
 from collections.abc import Sequence
 
@@ -24,10 +24,10 @@
 def _compare(page: str, wanted: Sequence[tuple[str, ...]]) -> None:
     found = _rows(page)
     expected = '\n'.join('| {} |'.format(' | '.join(row)) for row in wanted)
-    assert found == list(wanted), f'docs/{page} should hold\n{expected}'
+    assert found == list(wanted), f'docs/{page} should contain\n{expected}'
 
 
-@then('docs/EVENTS.md has a row for each event and no other')
+@then('docs/EVENTS.md has exactly one row for each event')
 def check_events(context: Context) -> None:
     wanted = [
         (
@@ -42,7 +42,7 @@
     _compare('EVENTS.md', wanted)
 
 
-@then('docs/METRICS.md has a row for each metric and no other')
+@then('docs/METRICS.md has exactly one row for each metric')
 def check_metrics(context: Context) -> None:
     wanted = [
         (metric.name, metric.unit, metric.description)
@@ -51,7 +51,7 @@
     _compare('METRICS.md', wanted)
 
 
-@then('the metrics of "{node_id}" hold')
+@then('the metrics of "{node_id}" contain')
 def check_exposition(context: Context, node_id: str) -> None:
     member = context.deployment.members[node_id]
     headers = {'Authorization': f'Bearer {OPERATOR_TOKEN}'}
--- a/tests/features/steps/outlet_steps.py
+++ b/tests/features/steps/outlet_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the turns of long messages on their way out."""
+"""Steps about the queue for large messages to other nodes."""
 
 from dataclasses import replace
 from typing import Any
@@ -24,73 +24,73 @@
 from tests.features.steps.gate_steps import make_gate_with
 from tests.features.steps.plain_work import PLAIN_WORK
 
-SHORT, LONG = 100, 90_000
+SHORT, LARGE = 100, 90_000
 READ_SIZE = 65_536
-LONGEST_S = 5
-SOON_S = 0.3  # twice as long as an outlet waits for news
+LIMIT_S = 5
+SOON_S = 0.3  # twice as long as a send queue waits for news
 
 
-@given('an outlet')
-def make_outlet(context: Context) -> None:
+@given('a send queue')
+def make_send_queue(context: Context) -> None:
     context.clock = FakeClock()
     context.send_queue = SendQueue(context.clock)
     context.tasks = []
-    context.gone = {}
+    context.sent = {}
 
 
-@given('{count:d} long messages before, which arrived after {span:d} ms each')
+@given('{count:d} earlier messages that took {span:d} ms each')
 def send_before(context: Context, count: int, span: int) -> None:
     for _ in range(count):
-        transfer = context.send_queue.acquire(LONG)
+        transfer = context.send_queue.acquire(LARGE)
         context.clock.pass_ms(span)
         context.send_queue.release(transfer)
 
 
-def _go(context: Context, number: int, size: int) -> None:
-    context.gone[number] = context.send_queue.acquire(size)
+def _acquire(context: Context, number: int, size: int) -> None:
+    context.sent[number] = context.send_queue.acquire(size)
 
 
-@when('{count:d} long messages of {size:d} bytes ask to go')
-def ask(context: Context, count: int, size: int) -> None:
+@when('{count:d} messages of {size:d} bytes are queued')
+def queue_messages(context: Context, count: int, size: int) -> None:
     for number in range(count):
-        task = eventlet.spawn(_go, context, number, size)
+        task = eventlet.spawn(_acquire, context, number, size)
         context.add_cleanup(task.kill)
         context.tasks.append(task)
         eventlet.sleep(0)
 
 
-@when('the first arrives after {span:d} ms')
+@when('the first message arrives after {span:d} ms')
 def arrive(context: Context, span: int) -> None:
     context.clock.pass_ms(span)
-    first: Transfer = context.gone[0]
+    first: Transfer = context.sent[0]
     context.send_queue.release(first)
     eventlet.sleep(0)
     eventlet.sleep(0)
 
 
-@when('{span:d} ms pass for the outlet')
+@when('{span:d} ms pass for the send queue')
 def let_pass(context: Context, span: int) -> None:
     context.clock.pass_ms(span)
     eventlet.sleep(SOON_S)
 
 
-@when('the second is given up')
-def give_up(context: Context) -> None:
+@when('the second message is cancelled')
+def cancel(context: Context) -> None:
     context.tasks[1].kill()
 
 
-@then('{count:d} of them has gone')
-@then('{count:d} of them have gone')
-def check_gone(context: Context, count: int) -> None:
-    assert sorted(context.gone) == list(range(count)), context.gone
+@then('{count:d} of them is sent')
+@then('{count:d} of them are sent')
+def check_sent(context: Context, count: int) -> None:
+    assert sorted(context.sent) == list(range(count)), context.sent
 
 
-@then('the last of them has gone')
+@then('the last of them is sent')
 def check_last(context: Context) -> None:
-    assert max(context.gone) == len(context.tasks) - 1, context.gone
+    assert max(context.sent) == len(context.tasks) - 1, context.sent
 
 
-@then('one more would wait for {span:d} ms')
+@then('another message would wait for {span:d} ms')
 def check_wait(context: Context, span: int) -> None:
     assert round(context.send_queue.queueing_delay_ms) == span, (
         context.send_queue.queueing_delay_ms
@@ -101,7 +101,7 @@
     'answers of rank {rank:d} have {length:d} bytes, '
     'and those of rank {other:d} have {short:d}'
 )
-def note_lengths(
+def record_lengths(
     context: Context, rank: int, length: int, other: int, short: int
 ) -> None:
     context.answers = LongAnswerDelays(context.send_queue, context.clock)
@@ -115,15 +115,15 @@
 )
 def check_ranks(context: Context, rank: int, span: int, other: int) -> None:
     assert context.answers.expected_wait_ms(rank) == span, (
-        context.answers.wait_ms(rank)
+        context.answers.expected_wait_ms(rank)
     )
-    assert not context.answers.expected_wait_ms(other), context.answers.wait_ms(
-        other
+    assert not context.answers.expected_wait_ms(other), (
+        context.answers.expected_wait_ms(other)
     )
 
 
 class _Peer:
-    """The other end of a link, which reads when it is told to."""
+    """The peer of a link, which reads only in `receive`."""
 
     def __init__(self, context: Context, number: int) -> None:
         near, self.sock = socket.socketpair()
@@ -139,8 +139,8 @@
         eventlet.spawn_n(self.link.run)
         context.add_cleanup(self.link.close)
 
-    def take(self, *, answers: bool) -> None:
-        """Read what has come, and perhaps answer the pings in it."""
+    def receive(self, *, answers_pings: bool) -> None:
+        """Read all data and, if `answers_pings`, answer the pings in it."""
         with eventlet.Timeout(SOON_S, exception=False):
             while True:
                 self._protocol.receive_data(self.sock.recv(READ_SIZE))
@@ -148,7 +148,7 @@
             if event.opcode is Opcode.BINARY:
                 _, message = decode(bytes(event.data))
                 self.lengths.append(len(message.body))
-        if answers:
+        if answers_pings:
             self.sock.sendall(b''.join(self._protocol.data_to_send()))
 
 
@@ -169,8 +169,8 @@
     eventlet.sleep(0)
 
 
-@when('an answer of {length:d} bytes is sent on each')
-def send_long(context: Context, length: int) -> None:
+@when('an answer of {length:d} bytes is sent on each link')
+def send_large(context: Context, length: int) -> None:
     for peer in context.peers:
         _send(context, peer, length)
 
@@ -180,61 +180,61 @@
     _send(context, context.peers[number], SHORT)
 
 
-@then('the peer {number:d} has it and the peer {other:d} has not')
-def check_one(context: Context, number: int, other: int) -> None:
-    context.peers[other].take(answers=False)
+@then('peer {number:d} has received it and peer {other:d} has not')
+def check_first_only(context: Context, number: int, other: int) -> None:
+    context.peers[other].receive(answers_pings=False)
     assert not context.peers[other].lengths, context.peers[other].lengths
 
 
-@when('the peer {number:d} has read what it has')
+@when('peer {number:d} reads all data')
 def read_all(context: Context, number: int) -> None:
-    context.peers[number].take(answers=True)
-    assert context.peers[number].lengths == [LONG]
+    context.peers[number].receive(answers_pings=True)
+    assert context.peers[number].lengths == [LARGE]
 
 
-@then('the peer {number:d} has the short one')
+@then('peer {number:d} has received the short answer')
 def check_short(context: Context, number: int) -> None:
-    context.peers[number].take(answers=True)
+    context.peers[number].receive(answers_pings=True)
     assert context.peers[number].lengths == [SHORT]
 
 
-@then('the peer {number:d} has the long one')
-def check_long(context: Context, number: int) -> None:
-    context.peers[number].take(answers=True)
-    assert context.peers[number].lengths == [SHORT, LONG]
+@then('peer {number:d} has received the long answer')
+def check_large(context: Context, number: int) -> None:
+    context.peers[number].receive(answers_pings=True)
+    assert context.peers[number].lengths == [SHORT, LARGE]
 
 
-class _Waiting:
-    """Answers each request with an answer that can't leave yet."""
+class _LargeAnswers:
+    """Answers each request with a large answer."""
 
     def __init__(self) -> None:
         self.count = 0
 
     def execute(self, exchange: Exchange, _run: Any, _may_act: Any) -> None:
-        """Run one request."""
+        """Answer one request."""
         self.count += 1
-        exchange.send(WholeAnswer(200, (), bytes(LONG)))
+        exchange.send(WholeAnswer(200, (), bytes(LARGE)))
 
 
-@given('a gate whose answers wait for the line')
+@given('a gate whose answers wait to be sent')
 def make_waiting_gate(context: Context) -> None:
-    context.executor = _Waiting()
+    context.executor = _LargeAnswers()
     make_gate_with(context, 0, context.executor)
 
 
 def _hold(exchange: Any) -> Any:
-    """Let what is sent on an exchange wait; return how to end that."""
+    """Block `send` of an exchange; return a function that ends it."""
 
     def wait(_message: Any) -> None:
-        eventlet.sleep(LONGEST_S)
+        eventlet.sleep(LIMIT_S)
 
     hold = patch.object(exchange, 'send', wait)
     hold.start()
     return hold.stop
 
 
-@when('{count:d} requests come one after the other')
-def come(context: Context, count: int) -> None:
+@when('{count:d} requests arrive one after the other')
+def send_requests(context: Context, count: int) -> None:
     context.count = count
     for number in range(count):
         _, far = local_pair()
@@ -251,11 +251,11 @@
         request_id=f'request-{number}',
         service='s',
         shard=-1,
-        deadline_ms=LONGEST_S * MS_PER_SECOND,
+        deadline_ms=LIMIT_S * MS_PER_SECOND,
         idempotent=True,
     )
 
 
-@then('all of them ran')
+@then('all requests ran')
 def check_ran(context: Context) -> None:
     assert context.executor.count == context.count, context.executor.count
--- a/tests/features/steps/port_steps.py
+++ b/tests/features/steps/port_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the ports that runs of tests are given."""
+"""Steps about the allocation of ports to test runs."""
 
 import subprocess
 import sys
@@ -16,8 +16,8 @@
 """
 
 
-@when('two runs are given {count:d} ports each')
-def take_ports(context: Context, count: int) -> None:
+@when('two test runs allocate {count:d} ports each')
+def allocate_ports(context: Context, count: int) -> None:
     other = subprocess.Popen(
         (sys.executable, '-c', OTHER_RUN.format(count=count)),
         stdin=subprocess.PIPE,
@@ -33,7 +33,7 @@
     context.ports = own + others
 
 
-@then('all these ports differ')
+@then('all ports are different')
 def check_ports(context: Context) -> None:
-    same = len(context.ports) - len(set(context.ports))
-    assert not same, f'{same} ports were given twice'
+    duplicates = len(context.ports) - len(set(context.ports))
+    assert not duplicates, f'{duplicates} ports were allocated twice'
--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -1,4 +1,4 @@
-"""Processes that scenarios start and end."""
+"""Processes that scenarios start and stop."""
 
 import signal
 import subprocess
@@ -8,14 +8,14 @@
 
 ROOT = Path(__file__).resolve().parents[3]
 READY = 'listening on '
-STOP_SECONDS = 30
+STOP_TIMEOUT_S = 30
 
 
 class Process:
-    """A Python module that runs as a server of its own.
+    """A Python module that runs as a server in a separate process.
 
-    The constructor returns once the server listens.  Every signal goes to
-    this one process.
+    The constructor returns when the server is listening.  Signals are sent to
+    this process only.
     """
 
     def __init__(self, args: Sequence[str]) -> None:
@@ -35,28 +35,28 @@
         return self._child.pid
 
     def wait(self) -> int:
-        """Wait for the end; return the exit status."""
+        """Wait for the process to exit; return its exit status."""
         return self._child.wait()
 
     def kill(self) -> None:
-        """End it at once, as a crash would."""
+        """Kill the process, which simulates a crash."""
         self._child.kill()
         self._child.wait()
 
     def pause(self) -> None:
-        """Stop it from running until it is resumed."""
+        """Suspend the process until `resume` is called."""
         self._child.send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Let it run on."""
+        """Resume the process after `pause`."""
         self._child.send_signal(signal.SIGCONT)
 
     def stop(self) -> None:
-        """End it, also while it is paused or after its end."""
+        """Stop the process, even if it is paused or has exited already."""
         self._child.terminate()
         self.resume()
         try:
-            self._child.wait(timeout=STOP_SECONDS)
+            self._child.wait(timeout=STOP_TIMEOUT_S)
         except subprocess.TimeoutExpired:
             self.kill()
         if self._child.stdout is not None:
@@ -68,4 +68,6 @@
                 address = line.removeprefix(READY).strip()
                 return f'http://{address}'
         status = self.wait()
-        raise RuntimeError(f'ended with status {status} before it listened')
+        raise RuntimeError(
+            f'exited with status {status} before it was listening'
+        )
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -1,4 +1,4 @@
-"""Steps about what failed calls of a store prove."""
+"""Steps about what is known after failed calls to a store."""
 
 import socket
 from contextlib import suppress
@@ -42,7 +42,7 @@
 
 
 def _listen(context: Context, head: bytes) -> int:
-    """Answer every connection with some bytes; return the port."""
+    """Answer every connection with `head`; return the port."""
     listener = socket.create_server((HOST, 0))
     context.add_cleanup(listener.close)
 
@@ -59,7 +59,7 @@
 
 
 @given('"{kind}" at a port where nothing listens')
-def make_absent(context: Context, kind: str) -> None:
+def make_unreachable(context: Context, kind: str) -> None:
     context.store = _STORES[kind](f'http://{HOST}:{free_port()}')
 
 
@@ -70,7 +70,7 @@
     context.store = _STORES[kind](f'http://{HOST}:{port}')
 
 
-@given('"{kind}" at a server that closes unanswered')
+@given('"{kind}" at a server that closes without an answer')
 def make_closing(context: Context, kind: str) -> None:
     context.store = _STORES[kind](f'http://{HOST}:{_listen(context, b"")}')
 
@@ -85,41 +85,41 @@
 
 
 @then('the store was not reached')
-def check_absent(context: Context) -> None:
+def check_not_reached(context: Context) -> None:
     failure = context.failure
     assert isinstance(failure, PlatformNotReachedError), repr(failure)
 
 
-@then('the store may have taken it')
+@then('the store may have executed it')
 def check_unknown(context: Context) -> None:
     failure = context.failure
     assert isinstance(failure, PlatformUnavailableError), repr(failure)
     assert not isinstance(failure, PlatformNotReachedError), repr(failure)
 
 
-@then('one more says that the store was not reached')
-def check_left_alone(context: Context) -> None:
+@then('one more fails because the store was not reached')
+def check_breaker_open(context: Context) -> None:
     context.store = context.guarded
     context.failure = None
     try:
         context.guarded.get('name')
     except PlatformUnavailableError as failure:
         context.failure = failure
-    check_absent(context)
+    check_not_reached(context)
 
 
 class _FailingStore:
-    """A store whose calls fail in turn, as they are told."""
+    """A store whose calls fail with the given failures in turn."""
 
     def __init__(self, failures: str) -> None:
         self.calls = failures.split()
 
     def get(self, name: str) -> Any:
-        """Fail as the next call is to."""
+        """Raise the next failure."""
         raise _FAILURES[self.calls.pop(0)](name)
 
     def update(self, name: str, _value: Any, _version: int) -> int:
-        """Fail as the next call is to."""
+        """Raise the next failure."""
         raise _FAILURES[self.calls.pop(0)](name)
 
 
@@ -157,21 +157,22 @@
 
 
 @when(
-    'moves that are not sent are carried one after the other for {span_ms:d} ms'
+    'moves that are not sent are executed one after the other '
+    'for {span_ms:d} ms'
 )
-def carry_often(context: Context, span_ms: int) -> None:
+def execute_repeatedly(context: Context, span_ms: int) -> None:
     renewer: Any = SimpleNamespace(renew_now=lambda: None)
     store: Any = _FailingStore('')
     writer = ShardWriter(store, Directory(), renewer)
     write: Any = SimpleNamespace(step=lambda _store: WriteProgress.NOT_SENT)
-    context.carried = 0
+    context.executed = 0
     clock = Clock()
     until_ms = clock.now_ms() + span_ms
     while clock.now_ms() < until_ms:
         assert writer.execute(write) is WriteProgress.NOT_SENT
-        context.carried += 1
+        context.executed += 1
 
 
-@then('{most:d} are carried at the most')
-def check_carried(context: Context, most: int) -> None:
-    assert 0 < context.carried <= most, context.carried
+@then('at most {most:d} are executed')
+def check_executed(context: Context, most: int) -> None:
+    assert 0 < context.executed <= most, context.executed
