--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/borders.py
@@ -1,4 +1,4 @@
-"""Registration of the platform's borders."""
+"""Registration of the integration with the users' platform."""
 
 from collections.abc import Iterable
 from http import HTTPStatus
@@ -9,7 +9,7 @@
 from laburnumwood.listening import split_address
 from laburnumwood.platform.callers import PlatformCallerInterface
 from laburnumwood.platform.reports import ReportEndpoint
-from laburnumwood.platform.store import ObjectStore
+from laburnumwood.platform.store import PlatformStore
 from laburnumwood.platform.workers import PlatformWorkerInterface
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
@@ -50,12 +50,12 @@
 
 def register() -> None:
     """Register the platform's integration under the name `platform`."""
-    integration('platform')(_make)
+    integration('platform')(_make_integration)
 
 
-def _make() -> Integration:
+def _make_integration() -> Integration:
     return Integration(
-        make_store=lambda settings: ObjectStore(settings.platform_url),
+        make_store=lambda settings: PlatformStore(settings.platform_url),
         make_caller_interface=lambda settings: PlatformCallerInterface(
             settings, Random(settings.node_id)
         ),
