--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -38,7 +38,7 @@
 from laburnumwood.routing.execution import Executor
 from laburnumwood.routing.gate import AdmissionGate, WorkerState
 from laburnumwood.routing.ledger_replication import LedgerReplicator
-from laburnumwood.routing.measuring import MeasuredIngress
+from laburnumwood.routing.measured_ingress import MeasuredIngress
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.settings import DaemonSettings
