--- a/laburnumwood/routing/execution.py
+++ b/laburnumwood/routing/execution.py
@@ -9,7 +9,7 @@
 from laburnumwood.routing.ledger_replication import LedgerReplicator
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.running import Runner, RunResult
+from laburnumwood.routing.runner import Runner, RunResult
 from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.routing.worker_interface import WorkerInterface
 from laburnumwood.upstream.worker import WorkerClient
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -27,7 +27,7 @@
 )
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.running import RunResult
+from laburnumwood.routing.runner import RunResult
 from laburnumwood.tasks import start, start_joinable
 
 _ACKNOWLEDGE_TIMEOUT_MS = 500
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -36,7 +36,7 @@
 from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.running import Runner
+from laburnumwood.routing.runner import Runner
 from laburnumwood.routing.server import serve_callers
 from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.routing.worker_interface import NativeWorkerInterface
