--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -7,10 +7,10 @@
 from traceback import format_exc
 from typing import Protocol
 
+from laburnumwood.admission.admitter import Admitter
 from laburnumwood.admission.control import ADMISSION_POLICIES
 from laburnumwood.admission.limit import SlotCount
 from laburnumwood.admission.tickets import Ticket, TicketResult
-from laburnumwood.admission.waiting import Admitter
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service
 from laburnumwood.errors import (
