--- a/laburnumwood/admission/admitter.py
+++ b/laburnumwood/admission/admitter.py
@@ -7,7 +7,7 @@
 from eventlet.event import Event
 
 from laburnumwood.admission.control import AdmissionPolicy
-from laburnumwood.admission.tally import AdmissionCounters
+from laburnumwood.admission.counters import AdmissionCounters
 from laburnumwood.admission.tickets import Ticket, TicketState
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import OverloadedError, RunCancelledError
