--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -44,7 +44,7 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
 from laburnumwood.tasks import Task, Tasks, start
-from laburnumwood.upstream.attached import AttachedGrants
+from laburnumwood.upstream.attached_grants import AttachedGrants
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.grants import Grants
 from laburnumwood.upstream.load_poller import LoadPoller
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -21,7 +21,7 @@
     WitnessSet,
 )
 from laburnumwood.store.interface import Store
-from laburnumwood.upstream.attached import AttachedGrants
+from laburnumwood.upstream.attached_grants import AttachedGrants
 from tests.ownership.node import Code
 
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -34,7 +34,7 @@
     StoredObject,
 )
 from laburnumwood.settings import LeaseSettings
-from laburnumwood.upstream.attached import AttachedGrants
+from laburnumwood.upstream.attached_grants import AttachedGrants
 from laburnumwood.upstream.reporting import ReportingWorker
 from tests.ownership.store import FakeStore
 from tests.ownership.worker import keys_of
