--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -18,7 +18,7 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.client import HttpStore
 from laburnumwood.store.interface import Store
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 
 Application = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
--- a/laburnumwood/daemon/handover_news.py
+++ b/laburnumwood/daemon/handover_news.py
@@ -7,7 +7,7 @@
 from laburnumwood.protocol.peers import Dispatcher
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 
 
 class HandoverAnnouncer:
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -49,7 +49,7 @@
 from laburnumwood.upstream.grants import Grants
 from laburnumwood.upstream.load_poller import LoadPoller
 from laburnumwood.upstream.presence import WorkerPhase
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.worker import WorkerClient
 
 
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -45,7 +45,7 @@
 from laburnumwood.store.breaker import CircuitBreakerStore
 from laburnumwood.store.writes import new_mark
 from laburnumwood.tasks import start, start_joinable
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 
 _JOIN_RETRY_MS = 500
 _POLL_MS = 100
--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -17,7 +17,7 @@
 from laburnumwood.records import KeyRange, ReleasedRange
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.reports import (
     GrantReply,
     HeldRange,
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -20,7 +20,7 @@
     Headers,
 )
 from laburnumwood.upstream.pool import WorkerAnswer
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.worker import WorkerClient
 
 _ID = ID_HEADER.lower()
--- a/laburnumwood/upstream/attached_grants.py
+++ b/laburnumwood/upstream/attached_grants.py
@@ -2,7 +2,7 @@
 
 from laburnumwood.notifier import Notifier
 from laburnumwood.records import KeyRange, ShardName
-from laburnumwood.upstream.reporting import GrantSource, ReportingWorker
+from laburnumwood.upstream.reporting_worker import GrantSource, ReportingWorker
 
 
 class AttachedGrants:
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -8,7 +8,7 @@
 from laburnumwood.placement.layout import key_ranges
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.reports import (
     HeldRange,
     WorkerReport,
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -35,7 +35,7 @@
 )
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.upstream.attached_grants import AttachedGrants
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from tests.ownership.store import FakeStore
 from tests.ownership.worker import keys_of
 
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -2,7 +2,7 @@
 
 from laburnumwood.records import KeyRange, ShardName
 from laburnumwood.settings import ReportSettings
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.reports import HeldRange, WorkerReport
 from tests.ownership.clocks import DriftingClock, WorldClock
 
