--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -6,7 +6,7 @@
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Declarations, Route
 from laburnumwood.header_index import HeaderIndex
-from laburnumwood.platform.names import ID_HEADER, TIME_LEFT_HEADER
+from laburnumwood.platform.headers import ID_HEADER, TIME_LEFT_HEADER
 from laburnumwood.protocol.messages import Answer, Failure, Work
 from laburnumwood.routing.caller_interface import HeaderList, ProblemAnswer
 from laburnumwood.routing.caller_protocol import HEADERS_KEY
--- a/laburnumwood/platform/manifest.py
+++ b/laburnumwood/platform/manifest.py
@@ -5,7 +5,7 @@
 from pydantic import BaseModel, Field, FiniteFloat
 
 from laburnumwood.platform.bodies import decode_as
-from laburnumwood.platform.names import KEY_HEADER
+from laburnumwood.platform.headers import KEY_HEADER
 from laburnumwood.records import ConfigRecord
 from laburnumwood.store.objects import to_value
 
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from laburnumwood.errors import WorkerAnswerError
-from laburnumwood.platform.names import (
+from laburnumwood.platform.headers import (
     ID_HEADER,
     LOAD_HEADER,
     NOT_RUN_HEADER,
