--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -50,8 +50,8 @@
     `listeners` returns the listeners that the node has in addition to
     its own.  `worker_reports`: the worker sends reports and receives its
     grants in the answers; any other worker is sent its grants.
-    `has_idempotency_keys`: requests carry idempotency keys, so owners
-    replicate a run ledger to their successors.
+    `has_idempotency_keys`: requests carry idempotency keys, so an owner
+    replicates its run ledger to its successors.
     """
 
     make_store: Callable[[DaemonSettings], Store]
--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -66,7 +66,7 @@
 def _pair_headers(values: list[Any]) -> Headers:
     """Return a list of alternating names and values as pairs."""
     if len(values) % 2 or not _STR.issuperset(map(type, values)):
-        raise ProtocolError('headers are no pairs of texts')
+        raise ProtocolError('headers are not pairs of strings')
     return tuple(zip(values[::2], values[1::2], strict=True))
 
 
@@ -102,8 +102,8 @@
     """
     try:
         stream, kind, *values = loads(frame)
-    except (CBORError, TypeError, ValueError) as unreadable:
-        raise ProtocolError(f'frame is not readable: {unreadable}') from None
+    except (CBORError, TypeError, ValueError) as error:
+        raise ProtocolError(f'frame is not readable: {error}') from None
     is_known = isinstance(kind, str) and kind in KINDS
     if not is_known or not isinstance(stream, int):
         raise ProtocolError(f'message kind {kind!r} is not known')
@@ -115,5 +115,5 @@
     content = dict(zip(_FIELDS[kind], values, strict=True))
     try:
         return stream, _adapter(kind).validate_python(content)
-    except ValidationError as invalid:
-        raise ProtocolError(f'message {kind!r}: {invalid}') from None
+    except ValidationError as error:
+        raise ProtocolError(f'message {kind!r}: {error}') from None
--- a/laburnumwood/protocol/handshake.py
+++ b/laburnumwood/protocol/handshake.py
@@ -25,7 +25,7 @@
     while True:
         received = sock.recv(_READ_SIZE)
         if not received:
-            raise ConnectionResetError('connection closed during the handshake')
+            raise ConnectionResetError('handshake was cut')
         protocol.receive_data(received)
         events = protocol.events_received()
         if events:
@@ -64,10 +64,10 @@
         sock = socket.create_connection((host, port), _DIAL_TIMEOUT_S)
         sock = security.wrap_outgoing(sock)
         protocol = _request_handshake(sock, own, security)
-    except OSError as unreachable:
+    except OSError as error:
         if sock is not None:
             sock.close()
-        raise LinkRefusedError(f'{host}:{port}: {unreachable}') from unreachable
+        raise LinkRefusedError(f'{host}:{port}: {error}') from error
     sock.settimeout(None)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return protocol, sock
@@ -78,8 +78,8 @@
         raise ProtocolError('the shared key does not match')
     try:
         return NodeName.parse(headers.get(_NAME_HEADER, ''))
-    except ValueError as invalid:
-        raise ProtocolError(str(invalid)) from invalid
+    except ValueError as error:
+        raise ProtocolError(str(error)) from error
 
 
 def accept_handshake(
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -21,7 +21,7 @@
     SEND_QUEUE,
     Transfer,
 )
-from laburnumwood.protocol.silence import CHECK_INTERVAL_MS, Silence
+from laburnumwood.protocol.silence import CHECK_INTERVAL_MS, SilenceCounter
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
 from laburnumwood.tasks import run_logged, start, supervise
@@ -102,13 +102,11 @@
         self._last_own_stream = 0
         self._last_peer_stream = 0
         self._last_received_ms = clock.now_ms()
-        self._silence = Silence()
+        self._silence = SilenceCounter()
         self._reply_due = False  # also after its stream was closed
         self._lock = Semaphore()
         self._unsent = b''  # bytes that the socket has not accepted yet
-        self._transfers: dict[
-            bytes, Transfer
-        ] = {}  # by the payloads of their pings
+        self._transfers: dict[bytes, Transfer] = {}  # by payloads of pings
         self._last_ping = 0
         self._is_open = True
 
@@ -143,9 +141,9 @@
         reason = 'the connection ended'
         try:
             reason = self._read()
-        except ProtocolError as refused:
-            MESSAGE_REFUSED.report(peer=self._peer, reason=refused)
-            reason = str(refused)
+        except ProtocolError as error:
+            MESSAGE_REFUSED.report(peer=self._peer, reason=error)
+            reason = str(error)
         finally:
             _MONITOR.remove(self)
             self._end(reason)
@@ -249,9 +247,9 @@
             while self._unsent:
                 sent = self._socket.send(self._unsent)
                 self._unsent = self._unsent[sent:]
-        except OSError as broken:
-            start(self.close, repr(broken))
-            raise LinkLostError(f'link to {self._peer} broke') from broken
+        except OSError as error:
+            start(self.close, repr(error))
+            raise LinkLostError(f'link to {self._peer} broke') from error
         finally:
             if self._unsent and self._is_open:
                 # The sender was killed while it sent: the rest of its frame
@@ -263,8 +261,8 @@
         while self._is_open:
             try:
                 received = self._socket.recv(_READ_SIZE)
-            except (OSError, EOFError) as broken:
-                return repr(broken)
+            except (OSError, EOFError) as error:
+                return repr(error)
             if not received:
                 return 'the peer closed it'
             self._last_received_ms = self._clock.now_ms()
@@ -326,7 +324,7 @@
 
     def _check_silence(self) -> None:
         if self._silence.is_dead:
-            self.close('no data received for too long')
+            self.close('nothing was heard on it')
             return
         if self._silence.has_just_failed:
             self._fail_unanswered()
@@ -345,9 +343,7 @@
             if number > 0 and not stream.survives_silence
         ]
         if waiting:
-            self._report_lost(
-                'no data received; the link stays open in case it recovers'
-            )
+            self._report_lost('nothing was heard on it, it may come back')
         for stream in waiting:
             stream.fail(silent)
 
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -56,8 +56,10 @@
             return
         try:
             handler(link, stream, message)
-        except LinkError as lost:
-            ANSWER_UNDELIVERED.report(peer=link.peer, message=kind, reason=lost)
+        except LinkError as error:
+            ANSWER_UNDELIVERED.report(
+                peer=link.peer, message=kind, reason=error
+            )
         finally:
             stream.close()
 
@@ -99,7 +101,7 @@
         with lock:
             refused_ms = self._last_refused_ms.get(peer, -_REDIAL_DELAY_MS)
             if refused_ms + _REDIAL_DELAY_MS > requested_ms:
-                raise LinkRefusedError(f'{peer} refused a link moments ago')
+                raise LinkRefusedError(f'{peer} has just refused a link')
             link = self._links.get(peer)
             if link is None or not link.is_open:
                 link = self._connect(peer)
@@ -172,8 +174,8 @@
     try:
         sock = security.wrap_incoming(sock)
         protocol, peer = accept_handshake(sock, security)
-    except (OSError, ProtocolError) as refused:
-        MESSAGE_REFUSED.report(peer='unknown', reason=refused)
+    except (OSError, ProtocolError) as error:
+        MESSAGE_REFUSED.report(peer='unknown', reason=error)
         sock.close()
         return
     Link(protocol, sock, peer, handler, clock).run()
--- a/laburnumwood/protocol/security.py
+++ b/laburnumwood/protocol/security.py
@@ -28,10 +28,10 @@
 def _checked_context(tls: TlsSettings, *, server: bool) -> ssl.SSLContext:
     try:
         return _context(tls, server=server)
-    except OSError as failure:
+    except OSError as error:
         files = f'{tls.certificate}, {tls.key}, {tls.authority}'
-        text = f'tls: the files {files} are not usable: {failure}'
-        raise SettingsError(text) from failure
+        text = f'tls: the files {files} are not usable: {error}'
+        raise SettingsError(text) from error
 
 
 class LinkSecurity:
--- a/laburnumwood/protocol/silence.py
+++ b/laburnumwood/protocol/silence.py
@@ -14,7 +14,7 @@
 SUSPECT_MS = _SUSPECT_CHECKS * CHECK_INTERVAL_MS
 
 
-class Silence:
+class SilenceCounter:
     """Counts the checks of a link since data last arrived on it."""
 
     def __init__(self) -> None:
--- a/laburnumwood/protocol/streams.py
+++ b/laburnumwood/protocol/streams.py
@@ -52,7 +52,7 @@
         self._unread = 0
         self._uncredited = 0  # bytes read since the last credit was sent
         self._answered = False
-        self._outlasts_silence = survives_silence
+        self._survives_silence = survives_silence
         self._failure: LinkError | None = None
         self._message_handler: MessageHandler | None = None
 
@@ -62,7 +62,7 @@
 
         It also does so once an answer has begun: the rest may still arrive.
         """
-        return self._outlasts_silence
+        return self._survives_silence
 
     def send(self, message: Any) -> None:
         """Send a message; a chunk waits until the window has room.
@@ -112,7 +112,7 @@
         if isinstance(message, Credit):
             self._credits.put(message.size)
             return
-        self._outlasts_silence = True
+        self._survives_silence = True
         if isinstance(message, Chunk):
             self._unread += len(message.content)
             if self._unread > _MAX_UNREAD:
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -218,11 +218,11 @@
     """
     try:
         content = json.loads(path.read_text())
-    except (OSError, ValueError) as unreadable:
-        raise SettingsError(f'{path}: {unreadable}') from unreadable
+    except (OSError, ValueError) as error:
+        raise SettingsError(f'{path}: {error}') from error
     try:
         return DaemonSettings.model_validate(content)
-    except ValidationError as invalid:
+    except ValidationError as error:
         raise SettingsError(
-            describe(invalid, str(path), DaemonSettings)
-        ) from invalid
+            describe(error, str(path), DaemonSettings)
+        ) from error
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -58,6 +58,6 @@
     """
     try:
         record: _Record = _adapter(record_type).validate_python(stored.value)
-    except ValidationError as invalid:
-        raise RecordError(f'{stored.name}: {invalid}') from invalid
+    except ValidationError as error:
+        raise RecordError(f'{stored.name}: {error}') from error
     return record
