--- a/laburnumwood/platform/__init__.py
+++ b/laburnumwood/platform/__init__.py
@@ -4,6 +4,6 @@
 `platform`.
 """
 
-from laburnumwood.platform.borders import register
+from laburnumwood.platform.registration import register
 
 __all__ = ('register',)
--- a/tests/features/steps/worker_release_steps.py
+++ b/tests/features/steps/worker_release_steps.py
@@ -12,7 +12,7 @@
 from laburnumwood.daemon.node import Node
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.node_records import join
-from laburnumwood.platform.borders import register
+from laburnumwood.platform.registration import register
 from laburnumwood.protocol.messages import Resign
 from laburnumwood.records import NodeName, NodeRecord, ShardName, WitnessSet
 from laburnumwood.settings import DaemonSettings, LeaseSettings
