--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -6,7 +6,7 @@
 from tests.ownership.machine import drive
 from tests.ownership.mutations import MUTATIONS
 from tests.ownership.node import Code
-from tests.ownership.world import World
+from tests.ownership.simulation import World
 
 
 def _run(code: Code, script: list[str], *, has_workers: bool = False) -> str:
--- a/tests/ownership/machine.py
+++ b/tests/ownership/machine.py
@@ -10,7 +10,7 @@
 
 from tests.ownership.network import VMS
 from tests.ownership.node import Code
-from tests.ownership.world import STEP_MS, World
+from tests.ownership.simulation import STEP_MS, World
 
 _VM = strategies.sampled_from(VMS)
 _OTHER = strategies.sampled_from((*VMS, 'all'))
