--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -3,10 +3,10 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from tests.ownership.machine import drive
 from tests.ownership.mutations import MUTATIONS
 from tests.ownership.node import Code
 from tests.ownership.simulation import World
+from tests.ownership.state_machine import drive
 
 
 def _run(code: Code, script: list[str], *, has_workers: bool = False) -> str:
