--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -30,7 +30,7 @@
 from laburnumwood.store.writes import new_mark
 from tests.features.steps.fake_clock import FakeClock
 from tests.ownership.node import Code
-from tests.ownership.simulation import SHARDS, World, node_settings
+from tests.ownership.simulation import SHARDS, Simulation, node_settings
 from tests.ownership.store import FakeStore
 
 REVIEW_S = 1.2
@@ -64,14 +64,14 @@
 
 @when('the script is run')
 def run_script(context: Context) -> None:
-    context.world = World(Code())
+    context.simulation = Simulation(Code())
     for line in context.script:
-        context.world.run(line)
+        context.simulation.run(line)
 
 
 @then('no process runs on "{vm}"')
 def check_process(context: Context, vm: str) -> None:
-    assert not context.world.is_up(vm)
+    assert not context.simulation.is_up(vm)
 
 
 @then('the end of "{name}" was recorded once in the store')
@@ -80,7 +80,7 @@
     path = node_object(ended.node_id)
     history = [
         to_record(NodeRecord, stored).has_ended(ended.incarnation)
-        for stored in context.world.store.history
+        for stored in context.simulation.store.history
         if stored.name == path
     ]
     assert history.count(True) == 1, history
@@ -89,23 +89,23 @@
 @then('no node keeps a seal of "{name}"')
 def check_no_seal(context: Context, name: str) -> None:
     holder = NodeName.parse(name)
-    for node in context.world.nodes:
+    for node in context.simulation.nodes:
         assert holder not in node.view.seals.holders(), node.name
 
 
 @then('the node on "{vm}" holds no lease')
 def check_no_lease(context: Context, vm: str) -> None:
-    assert not context.world.node(vm).lease.is_held()
+    assert not context.simulation.node(vm).lease.is_held()
 
 
 @then('the node on "{vm}" holds a lease')
 def check_lease(context: Context, vm: str) -> None:
-    assert context.world.node(vm).lease.is_held()
+    assert context.simulation.node(vm).lease.is_held()
 
 
 @then('the shard {number:d} has no owner')
 def check_no_owner(context: Context, number: int) -> None:
-    assert context.world.owner(SHARDS[number]) is None
+    assert context.simulation.owner(SHARDS[number]) is None
 
 
 @when('the loss of "{first}", "{second}" and "{third}" is confirmed')
@@ -113,13 +113,13 @@
     context: Context, first: str, second: str, third: str
 ) -> None:
     for vm in (first, second, third):
-        context.world.run(f'confirm {vm}')
-    context.world.run('tick 100')
+        context.simulation.run(f'confirm {vm}')
+    context.simulation.run('tick 100')
 
 
 @then('the shard {number:d} has an owner')
 def check_owner(context: Context, number: int) -> None:
-    assert context.world.owner(SHARDS[number]) is not None
+    assert context.simulation.owner(SHARDS[number]) is not None
 
 
 class CountingStore(FakeStore):
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -5,15 +5,15 @@
 
 from tests.ownership.mutations import MUTATIONS
 from tests.ownership.node import Code
-from tests.ownership.simulation import World
+from tests.ownership.simulation import Simulation
 from tests.ownership.state_machine import drive
 
 
 def _run(code: Code, script: list[str], *, has_workers: bool = False) -> str:
     try:
-        world = World(code, has_workers=has_workers)
+        simulation = Simulation(code, has_workers=has_workers)
         for line in script:
-            world.run(line)
+            simulation.run(line)
     except AssertionError as broken:
         return type(broken).__name__
     return 'nothing'
--- a/tests/ownership/clocks.py
+++ b/tests/ownership/clocks.py
@@ -13,11 +13,13 @@
 class DriftingClock(Clock):
     """The clock of one VM: off by some time and a little too fast or slow."""
 
-    def __init__(self, world: WorldClock, offset_ms: int, rate: float) -> None:
-        self._world = world
+    def __init__(
+        self, simulation: WorldClock, offset_ms: int, rate: float
+    ) -> None:
+        self._simulation = world
         self._offset_ms = offset_ms
         self._rate = rate
 
     def now_ms(self) -> int:
         """Return the time of this VM."""
-        return int(self._world.now_ms * self._rate) + self._offset_ms
+        return int(self._simulation.now_ms * self._rate) + self._offset_ms
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -40,7 +40,7 @@
 
 
 def node_settings(node_id: str) -> DaemonSettings:
-    """Return the settings of a VM of the world."""
+    """Return the settings of a VM of the simulation."""
     number = VMS.index(node_id)
     return DaemonSettings(
         node_id=node_id,
@@ -56,7 +56,7 @@
     )
 
 
-class World:
+class Simulation:
     """Runs the lines of a script and judges after every step.
 
     It knows all nodes at one moment, which no node does.  With workers, each
@@ -291,53 +291,53 @@
             node.change_witnesses(chosen)
 
 
-def _pause(world: World, vm: str) -> None:
-    world.network.paused.add(vm)
+def _pause(simulation: Simulation, vm: str) -> None:
+    simulation.network.paused.add(vm)
 
 
-def _resume(world: World, vm: str) -> None:
-    world.network.paused.discard(vm)
+def _resume(simulation: Simulation, vm: str) -> None:
+    simulation.network.paused.discard(vm)
 
 
-def _set_store(world: World, mode: str) -> None:
-    world.store.mode = mode
+def _set_store(simulation: Simulation, mode: str) -> None:
+    simulation.store.mode = mode
 
 
-def _land(world: World) -> None:
-    world.store.land()
+def _land(simulation: Simulation) -> None:
+    simulation.store.land()
 
 
-def _twin(world: World, vm: str) -> None:
-    join(world.store, node_settings(vm))
+def _twin(simulation: Simulation, vm: str) -> None:
+    join(simulation.store, node_settings(vm))
 
 
-def _spoil(world: World, number: str) -> None:
-    world.store.spoil(shard_object(SHARDS[int(number)]))
+def _spoil(simulation: Simulation, number: str) -> None:
+    simulation.store.spoil(shard_object(SHARDS[int(number)]))
 
 
 _COMMANDS: dict[str, Callable[..., None]] = {
-    'tick': World._tick,
-    'owned': World._await_owners,
-    'crash': World._crash,
-    'restart': World._restart,
-    'confirm': World._confirm,
+    'tick': Simulation._tick,
+    'owned': Simulation._await_owners,
+    'crash': Simulation._crash,
+    'restart': Simulation._restart,
+    'confirm': Simulation._confirm,
     'twin': _twin,
     'spoil': _spoil,
     'pause': _pause,
     'resume': _resume,
-    'cut': lambda world, *vms: world.network.cut(*vms),
-    'cut-from': lambda world, *vms: world.network.cut_from(*vms),
-    'cut-to': lambda world, *vms: world.network.cut_to(*vms),
-    'heal': lambda world, *vms: world.network.heal(*vms),
-    'heal-to': lambda world, *vms: world.network.heal_to(*vms),
-    'lose': lambda world, *vms: world.network.lose(*vms),
-    'network': lambda world, *how: world.network.disturb(*how),
+    'cut': lambda simulation, *vms: simulation.network.cut(*vms),
+    'cut-from': lambda simulation, *vms: simulation.network.cut_from(*vms),
+    'cut-to': lambda simulation, *vms: simulation.network.cut_to(*vms),
+    'heal': lambda simulation, *vms: simulation.network.heal(*vms),
+    'heal-to': lambda simulation, *vms: simulation.network.heal_to(*vms),
+    'lose': lambda simulation, *vms: simulation.network.lose(*vms),
+    'network': lambda simulation, *how: simulation.network.disturb(*how),
     'store': _set_store,
     'land': _land,
-    'deaf': World._deaf,
-    'hear': World._hear,
-    'stale': World._stale,
-    'move': World._move,
-    'split': World._split,
-    'witnesses': World._witnesses,
+    'deaf': Simulation._deaf,
+    'hear': Simulation._hear,
+    'stale': Simulation._stale,
+    'move': Simulation._move,
+    'split': Simulation._split,
+    'witnesses': Simulation._witnesses,
 }
--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -10,7 +10,7 @@
 
 from tests.ownership.network import VMS
 from tests.ownership.node import Code
-from tests.ownership.simulation import STEP_MS, World
+from tests.ownership.simulation import STEP_MS, Simulation
 
 _VM = strategies.sampled_from(VMS)
 _OTHER = strategies.sampled_from((*VMS, 'all'))
@@ -39,7 +39,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._world = World(self.code, has_workers=self.has_workers)
+        self._simulation = Simulation(self.code, has_workers=self.has_workers)
 
     @rule(count=_TICKS)
     def tick(self, count: int) -> None:
@@ -80,7 +80,7 @@
         self._run('network once in-order')
         for vm in VMS:
             self._come_back(vm)
-            if not self._world.is_up(vm):
+            if not self._simulation.is_up(vm):
                 self._run(f'restart {vm}')
         self._run(f'owned {_RECOVERY_STEPS}')
 
@@ -150,7 +150,7 @@
         landing: bool,
     ) -> None:
         """Lose an owner while the outcome of its write is not known."""
-        owner, heir = self._world.first_two(shard)
+        owner, heir = self._simulation.first_two(shard)
         others = [vm for vm in VMS if vm not in {owner, heir}]
         self._run(f'store {store}')
         if deaf:
@@ -166,7 +166,7 @@
     @rule(shard=_SHARD, count=strategies.integers(8, 30))
     def delay_replies(self, shard: int, count: int) -> None:
         """Let an owner's grants reach it late, and nothing after them."""
-        owner, _ = self._world.first_two(shard)
+        owner, _ = self._simulation.first_two(shard)
         self._run(f'cut-to {owner} all')
         self._run('tick 8')
         self._run(f'cut-from {owner} all')
@@ -179,7 +179,7 @@
     @rule(shard=_SHARD)
     def restart_sealers(self, shard: int) -> None:
         """Restart witnesses that sealed an owner, before it knows."""
-        owner, heir = self._world.first_two(shard)
+        owner, heir = self._simulation.first_two(shard)
         self._run(f'deaf {owner}')
         self._run(f'cut {owner} all')
         self._run('tick 40')
@@ -195,7 +195,7 @@
         self, shard: int, side: int, count: int, first: str, second: str
     ) -> None:
         """Change an owner's witnesses and cut it from some of the old."""
-        owner, _ = self._world.first_two(shard)
+        owner, _ = self._simulation.first_two(shard)
         self._run(f'witnesses {owner} {side}')
         self._run(f'tick {count}')
         self._run(f'cut {owner} {first}')
@@ -205,7 +205,7 @@
     @rule(shard=_SHARD, place=strategies.integers(0, 1))
     def overtake_move(self, shard: int, place: int) -> None:
         """Let others write over a move before its writer hears of it."""
-        owner, _ = self._world.first_two(shard)
+        owner, _ = self._simulation.first_two(shard)
         others = [vm for vm in VMS if vm != owner]
         for line in (
             f'deaf {owner}',
@@ -227,11 +227,11 @@
         """Count the run."""
         kind = type(self)
         kind.runs += 1
-        kind.steps += self._world.steps
-        kind.calms += self._world.calms
+        kind.steps += self._simulation.steps
+        kind.calms += self._simulation.calms
 
     def _run(self, line: str) -> None:
-        self._world.run(line)
+        self._simulation.run(line)
 
 
 def drive(
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -18,7 +18,7 @@
 
 
 def keys_of(shard: ShardName) -> KeyRange:
-    """Return the keys of a shard of the world."""
+    """Return the keys of a shard of the simulation."""
     first = shard.number * _WIDTH
     return KeyRange(first, first + _WIDTH - 1)
 
