--- a/tests/features/steps/worker_health_steps.py
+++ b/tests/features/steps/worker_health_steps.py
@@ -4,12 +4,12 @@
 from behave.runner import Context
 
 from laburnumwood.upstream.health import WorkerHealth
-from tests.ownership.clocks import DriftingClock, WorldClock
+from tests.ownership.clocks import DriftingClock, SimulatedTime
 
 
 @when('calls of the worker end as follows')
 def run_calls(context: Context) -> None:
-    context.time = WorldClock()
+    context.time = SimulatedTime()
     context.health = WorkerHealth(DriftingClock(context.time, 0, 1.0))
     for row in context.table:
         context.time.now_ms = int(row['at_ms'])
--- a/tests/ownership/clocks.py
+++ b/tests/ownership/clocks.py
@@ -3,7 +3,7 @@
 from laburnumwood.clock import Clock
 
 
-class WorldClock:
+class SimulatedTime:
     """The true time of a world, in milliseconds."""
 
     def __init__(self) -> None:
@@ -14,7 +14,7 @@
     """The clock of one VM: off by some time and a little too fast or slow."""
 
     def __init__(
-        self, simulation: WorldClock, offset_ms: int, rate: float
+        self, simulation: SimulatedTime, offset_ms: int, rate: float
     ) -> None:
         self._simulation = world
         self._offset_ms = offset_ms
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -15,7 +15,7 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.objects import shard_object, to_value
 from laburnumwood.store.writes import new_mark
-from tests.ownership.clocks import DriftingClock, WorldClock
+from tests.ownership.clocks import DriftingClock, SimulatedTime
 from tests.ownership.network import VMS, Network, Parcel
 from tests.ownership.node import SERVICE, Code, FakeNode
 from tests.ownership.store import FakeStore
@@ -70,7 +70,7 @@
         self.store = FakeStore()
         self.network = Network()
         self._code = code
-        self._time = WorldClock()
+        self._time = SimulatedTime()
         self._nodes: dict[str, FakeNode] = {}
         self._ending: dict[str, list[FakeNode]] = {}
         self._tokens: dict[ShardName, tuple[int, NodeName]] = {}
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -4,7 +4,7 @@
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.reports import HeldRange, WorkerReport
-from tests.ownership.clocks import DriftingClock, WorldClock
+from tests.ownership.clocks import DriftingClock, SimulatedTime
 
 SETTINGS = ReportSettings()
 _REPORT_MS = 1_000
@@ -26,7 +26,7 @@
 class FakeWorker:
     """Holds what it is answered, for as long as its slow clock says."""
 
-    def __init__(self, vm: str, time: WorldClock, phase_ms: int) -> None:
+    def __init__(self, vm: str, time: SimulatedTime, phase_ms: int) -> None:
         self._vm = vm
         self._time = time
         self._number = 0
@@ -78,7 +78,7 @@
 class WorkerSide:
     """The workers of a world, and what the process beside each knows of its."""
 
-    def __init__(self, time: WorldClock, clocks: dict[str, DriftingClock]):
+    def __init__(self, time: SimulatedTime, clocks: dict[str, DriftingClock]):
         self._clocks = clocks
         self.reporting: dict[str, ReportingWorker] = {}
         self._workers = {
