--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -29,7 +29,7 @@
 from laburnumwood.store.objects import node_object, to_record
 from laburnumwood.store.writes import new_mark
 from tests.features.steps.fake_clock import FakeClock
-from tests.ownership.node import Code
+from tests.ownership.node import Components
 from tests.ownership.simulation import SHARDS, Simulation, node_settings
 from tests.ownership.store import FakeStore
 
@@ -64,7 +64,7 @@
 
 @when('the script is run')
 def run_script(context: Context) -> None:
-    context.simulation = Simulation(Code())
+    context.simulation = Simulation(Components())
     for line in context.script:
         context.simulation.run(line)
 
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -4,14 +4,16 @@
 from behave.runner import Context
 
 from tests.ownership.mutations import MUTATIONS
-from tests.ownership.node import Code
+from tests.ownership.node import Components
 from tests.ownership.simulation import Simulation
 from tests.ownership.state_machine import drive
 
 
-def _run(code: Code, script: list[str], *, has_workers: bool = False) -> str:
+def _run(
+    components: Components, script: list[str], *, has_workers: bool = False
+) -> str:
     try:
-        simulation = Simulation(code, has_workers=has_workers)
+        simulation = Simulation(components, has_workers=has_workers)
         for line in script:
             simulation.run(line)
     except AssertionError as broken:
@@ -21,7 +23,7 @@
 
 @when('{runs:d} random simulations of {lines:d} lines are run')
 def run_simulations(context: Context, runs: int, lines: int) -> None:
-    context.counted = drive(Code(), runs, lines)
+    context.counted = drive(Components(), runs, lines)
 
 
 @when(
@@ -29,7 +31,7 @@
     'are run'
 )
 def run_with_workers(context: Context, runs: int, lines: int) -> None:
-    context.counted = drive(Code(), runs, lines, has_workers=True)
+    context.counted = drive(Components(), runs, lines, has_workers=True)
 
 
 @then('no shard ever had two acting owners')
@@ -60,18 +62,18 @@
 
 @then('the whole code passes on it')
 def check_whole_code(context: Context) -> None:
-    found = _run(Code(), context.script)
+    found = _run(Components(), context.script)
     assert found == 'nothing', found
 
 
 @then('the whole code with workers that report passes on it')
 def check_with_workers(context: Context) -> None:
-    found = _run(Code(), context.script, has_workers=True)
+    found = _run(Components(), context.script, has_workers=True)
     assert found == 'nothing', found
 
 
 @then('the code without "{safeguard}" fails on it with workers that report')
 def check_mutation_with_workers(context: Context, safeguard: str) -> None:
-    code = MUTATIONS[safeguard]
-    found = _run(code, context.script, has_workers=True)
+    components = MUTATIONS[safeguard]
+    found = _run(components, context.script, has_workers=True)
     assert found == 'TwoHoldersError', found
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -22,7 +22,7 @@
 )
 from laburnumwood.store.interface import Store
 from laburnumwood.upstream.attached_grants import AttachedGrants
-from tests.ownership.node import Code
+from tests.ownership.node import Components
 
 
 class _NoFloor(Lease):
@@ -153,17 +153,27 @@
 
 
 MUTATIONS = {
-    'the automatic end of lost nodes': Code(backless=_NoEnd),
-    'nothing': Code(),
-    'the floor': Code(lease=_NoFloor),
-    'the write before a takeover': Code(ownership=_ReadForWin),
-    'the count of grants from sending': Code(lease=_FromReceipt),
-    'the new name of a restarted witness': Code(witness=_KeptVote),
-    'the joint majority': Code(lease=_NoJointMajority),
-    'the drop after a conflict': Code(ownership=_ReopenOnConflict),
-    'the reopening after a split': Code(ownership=_ClosedAfterSplit),
-    'the wait for the worker': Code(grants=_NoWaitForWorker),
-    'the wait for an unsettled move': Code(ownership=_ReopenUnsettled),
-    'the memory of earlier attempts': Code(ownership=_LastTryOnly),
-    'the end of a move that was not sent': Code(ownership=_UnsettledMoves),
+    'the automatic end of lost nodes': Components(quorum_loss_detector=_NoEnd),
+    'nothing': Components(),
+    'the floor': Components(lease=_NoFloor),
+    'the write before a takeover': Components(ownership_tracker=_ReadForWin),
+    'the count of grants from sending': Components(lease=_FromReceipt),
+    'the new name of a restarted witness': Components(witness=_KeptVote),
+    'the joint majority': Components(lease=_NoJointMajority),
+    'the drop after a conflict': Components(
+        ownership_tracker=_ReopenOnConflict
+    ),
+    'the reopening after a split': Components(
+        ownership_tracker=_ClosedAfterSplit
+    ),
+    'the wait for the worker': Components(attached_grants=_NoWaitForWorker),
+    'the wait for an unsettled move': Components(
+        ownership_tracker=_ReopenUnsettled
+    ),
+    'the memory of earlier attempts': Components(
+        ownership_tracker=_LastTryOnly
+    ),
+    'the end of a move that was not sent': Components(
+        ownership_tracker=_UnsettledMoves
+    ),
 }
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -48,14 +48,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Code:
+class Components:
     """The classes to run; a mutation puts another in place of one."""
 
     lease: type[Lease] = Lease
     witness: type[Witness] = Witness
-    ownership: type[OwnershipTracker] = OwnershipTracker
-    backless: type[QuorumLossDetector] = QuorumLossDetector
-    grants: type[AttachedGrants] = AttachedGrants
+    ownership_tracker: type[OwnershipTracker] = OwnershipTracker
+    quorum_loss_detector: type[QuorumLossDetector] = QuorumLossDetector
+    attached_grants: type[AttachedGrants] = AttachedGrants
 
 
 def _learn_seals(seals: tuple[Seal, ...], node: 'FakeNode') -> None:
@@ -94,7 +94,7 @@
     def __init__(
         self,
         name: NodeName,
-        code: Code,
+        components: Components,
         clock: Clock,
         store: FakeStore,
         send: Send,
@@ -104,17 +104,19 @@
         settings = LeaseSettings()
         self.name = name
         self.view = FleetView(Directory(), SealRegistry())
-        self.lease = code.lease(name, settings, clock)
+        self.lease = components.lease(name, settings, clock)
         self.held_shards = HeldShards()
         self.is_deaf = False
-        self.ownership = code.ownership(
+        self.ownership = components.ownership_tracker(
             SERVICE, self.view, self.lease, self.held_shards, clock
         )
-        self.witness = witness or code.witness(name, settings, clock)
+        self.witness = witness or components.witness(name, settings, clock)
         self._recorder = NodeRecordUpdater(
             self.lease, self.witness, self.view, store, settings, clock
         )
-        self._recorder.quorum_loss_detector = code.backless(settings, clock)
+        self._recorder.quorum_loss_detector = components.quorum_loss_detector(
+            settings, clock
+        )
         self._settings = settings
         self._clock = clock
         self._store = store
@@ -130,7 +132,7 @@
         self.worker: AttachedGrants | None = None
         if worker is not None:
             holder = _Holder(self.lease, self.held_shards)
-            self.worker = code.grants(worker, holder)
+            self.worker = components.attached_grants(worker, holder)
 
     @property
     def silent_ids(self) -> frozenset[str]:
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -17,7 +17,7 @@
 from laburnumwood.store.writes import new_mark
 from tests.ownership.clocks import DriftingClock, SimulatedTime
 from tests.ownership.network import VMS, Network, Parcel
-from tests.ownership.node import SERVICE, Code, FakeNode
+from tests.ownership.node import SERVICE, Components, FakeNode
 from tests.ownership.store import FakeStore
 from tests.ownership.worker import WorkerSide
 
@@ -63,13 +63,15 @@
     VM has one that reports to its node and holds what it is answered.
     """
 
-    def __init__(self, code: Code, *, has_workers: bool = False) -> None:
+    def __init__(
+        self, components: Components, *, has_workers: bool = False
+    ) -> None:
         self.steps = 0
         self.calms = 0
         self.script: list[str] = []
         self.store = FakeStore()
         self.network = Network()
-        self._code = code
+        self._components = code
         self._time = SimulatedTime()
         self._nodes: dict[str, FakeNode] = {}
         self._ending: dict[str, list[FakeNode]] = {}
@@ -141,7 +143,7 @@
     ) -> FakeNode:
         return FakeNode(
             name,
-            self._code,
+            self._components,
             self._clocks[vm],
             self.store,
             lambda target, what: self._send(vm, target, what),
--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -9,7 +9,7 @@
 )
 
 from tests.ownership.network import VMS
-from tests.ownership.node import Code
+from tests.ownership.node import Components
 from tests.ownership.simulation import STEP_MS, Simulation
 
 _VM = strategies.sampled_from(VMS)
@@ -31,7 +31,7 @@
 class Driver(RuleBasedStateMachine):
     """Runs random lines; losses in the middle of a move come often."""
 
-    code = Code()
+    components = Components()
     has_workers = False
     runs = 0
     steps = 0
@@ -39,7 +39,9 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._simulation = Simulation(self.code, has_workers=self.has_workers)
+        self._simulation = Simulation(
+            self.components, has_workers=self.has_workers
+        )
 
     @rule(count=_TICKS)
     def tick(self, count: int) -> None:
@@ -235,13 +237,13 @@
 
 
 def drive(
-    code: Code, runs: int, lines: int, *, has_workers: bool = False
+    components: Components, runs: int, lines: int, *, has_workers: bool = False
 ) -> type[Driver]:
     """Run random worlds, the same each time; return what counted them.
 
     Raises what the world raises.
     """
-    given = {'code': code, 'has_workers': has_workers}
+    given = {'code': components, 'has_workers': has_workers}
     kind: type[Driver] = type('CodeDriver', (Driver,), given)
     how = hypothesis_settings(
         max_examples=runs,
