--- a/tests/ownership/clocks.py
+++ b/tests/ownership/clocks.py
@@ -14,12 +14,12 @@
     """The clock of one VM: off by some time and a little too fast or slow."""
 
     def __init__(
-        self, simulation: SimulatedTime, offset_ms: int, rate: float
+        self, simulated_time: SimulatedTime, offset_ms: int, rate: float
     ) -> None:
-        self._simulation = world
+        self._simulated_time = simulated_time
         self._offset_ms = offset_ms
         self._rate = rate
 
     def now_ms(self) -> int:
         """Return the time of this VM."""
-        return int(self._simulation.now_ms * self._rate) + self._offset_ms
+        return int(self._simulated_time.now_ms * self._rate) + self._offset_ms
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -71,7 +71,7 @@
         self.script: list[str] = []
         self.store = FakeStore()
         self.network = Network()
-        self._components = code
+        self._components = components
         self._time = SimulatedTime()
         self._nodes: dict[str, FakeNode] = {}
         self._ending: dict[str, list[FakeNode]] = {}
--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -243,7 +243,7 @@
 
     Raises what the world raises.
     """
-    given = {'code': components, 'has_workers': has_workers}
+    given = {'components': components, 'has_workers': has_workers}
     kind: type[Driver] = type('CodeDriver', (Driver,), given)
     how = hypothesis_settings(
         max_examples=runs,
