--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -27,15 +27,15 @@
 _SETTLING_STEPS = 30
 
 
-class TwoActorsError(AssertionError):
+class TwoActingOwnersError(AssertionError):
     """More than one incarnation may act for a shard at one moment."""
 
 
-class NobodyActsError(AssertionError):
+class NoActingOwnerError(AssertionError):
     """A shard has no owner long after all faults have ended."""
 
 
-class TokenFellError(AssertionError):
+class TokenNotIncreasedError(AssertionError):
     """An actor has a fencing token that is not above an earlier one's."""
 
 
@@ -166,7 +166,7 @@
                 self.calms += 1
                 return
             self._tick(1)
-        raise NobodyActsError(f'{self.script}')
+        raise NoActingOwnerError(f'{self.script}')
 
     def _send(
         self, source: str, target: str, what: Callable[[FakeNode], None]
@@ -226,7 +226,7 @@
                 self._workers.judge(shard, self.script)
             actors = self._actors(shard)
             if len(actors) > 1:
-                raise TwoActorsError(f'{shard}: {actors} {self.script}')
+                raise TwoActingOwnersError(f'{shard}: {actors} {self.script}')
             for name, token in actors.items():
                 self._judge_token(shard, token, name)
 
@@ -235,7 +235,9 @@
     ) -> None:
         highest, holder = self._tokens.get(shard, (0, name))
         if token < highest or (token == highest and name != holder):
-            raise TokenFellError(f'{shard}: {name} {token} {self.script}')
+            raise TokenNotIncreasedError(
+                f'{shard}: {name} {token} {self.script}'
+            )
         self._tokens[shard] = (token, name)
 
     def _crash(self, vm: str) -> None:
