--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -17,7 +17,7 @@
 _SHARD = strategies.integers(0, 1)
 _TICKS = strategies.sampled_from((1, 2, 4, 8, 16, 36))
 _STORE = strategies.sampled_from(
-    ('up', 'up', 'down', 'refused', 'drop-held', 'late', 'late')
+    ('up', 'up', 'down', 'refused', 'lose', 'late', 'late')
 )
 _UNSURE = strategies.sampled_from(('lose', 'late'))
 _FAULT = strategies.sampled_from(('crash', 'pause', 'cut', 'restart'))
