--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -26,7 +26,7 @@
       | the count of grants from sending    | TwoActingOwnersError | cut-to a all; tick 8; cut-from a all; heal-to a; tick 1; cut-to a all; tick 36 |
       | the new name of a restarted witness | TwoActingOwnersError | stop-updates b; cut b all; tick 40; restart d; restart e; heal b; tick 8 |
       | the joint majority                  | TwoActingOwnersError | witnesses b 3; cut b a; tick 40 |
-      | the drop after a conflict           | TwoActingOwnersError | move 0 e; tick 8; store lose; move 0 b; tick 3; pause e; store up; tick 4; move 0 d; resume e; tick 8 |
+      | the drop after a conflict           | TwoActingOwnersError | move 0 e; tick 8; store lose-answers; move 0 b; tick 3; pause e; store up; tick 4; move 0 d; resume e; tick 8 |
       | the reopening after a split         | NoActingOwnerError | split 0; tick 8; await-owners 20 |
       | the automatic end of lost nodes     | NoActingOwnerError | crash a; crash d; crash e; tick 20; restart d; restart e; await-owners 300 |
 
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -41,7 +41,7 @@
 @given('a store that loses the response to a write')
 def make_response_losing_store(context: Context) -> None:
     context.store = FakeStore()
-    context.store.mode = 'lose-writes'
+    context.store.mode = 'lose-write-answers'
 
 
 @when(
--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -17,9 +17,9 @@
 _SHARD = strategies.integers(0, 1)
 _TICKS = strategies.sampled_from((1, 2, 4, 8, 16, 36))
 _STORE = strategies.sampled_from(
-    ('up', 'up', 'down', 'refused', 'lose', 'late', 'late')
+    ('up', 'up', 'down', 'refused', 'lose-answers', 'late', 'late')
 )
-_UNSURE = strategies.sampled_from(('lose', 'late'))
+_UNSURE = strategies.sampled_from(('lose-answers', 'late'))
 _FAULT = strategies.sampled_from(('crash', 'pause', 'cut', 'restart'))
 _ORDER = strategies.sampled_from(
     ('once in-order', 'doubled in-order', 'once reversed', 'doubled reversed')
@@ -220,7 +220,7 @@
         others = [vm for vm in VMS if vm != owner]
         for line in (
             f'stop-updates {owner}',
-            'store lose',
+            'store lose-answers',
             f'move {shard} {others[place]}',
             'tick 3',
             f'pause {owner}',
--- a/tests/ownership/store.py
+++ b/tests/ownership/store.py
@@ -17,7 +17,7 @@
     """Objects with versions, behind the calls of the real client.
 
     `mode` is `up`, `down` (nothing arrives), `refused` (the same, and callers
-    know it), `lose` (writes take effect, no answer comes), `lose-writes` (the
+    know it), `lose-answers` (writes take effect, no answer comes), `lose-write-answers` (the
     same, but reads are answered) or `late` (writes take effect when `land` is
     called).
     """
@@ -31,7 +31,7 @@
 
     def get(self, name: str) -> StoredObject | None:
         """Return an object."""
-        if self.mode not in {'up', 'lose-writes'}:
+        if self.mode not in {'up', 'lose-write-answers'}:
             raise self._failure(name)
         return self._objects.get(name)
 
@@ -66,7 +66,7 @@
             return write()
         if self.mode == 'late':
             self._late.append(write)
-        elif self.mode in {'lose', 'lose-writes'}:
+        elif self.mode in {'lose-answers', 'lose-write-answers'}:
             write()
         raise self._failure(self.mode)
 
