--- a/tests/ownership/network.py
+++ b/tests/ownership/network.py
@@ -7,12 +7,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Parcel:
+class Message:
     """A message under way between two VMs; `arrive` hands it over."""
 
     source: str
     target: str
-    arrive: Callable[[], None]
+    deliver: Callable[[], None]
 
 
 class Network:
@@ -26,23 +26,23 @@
         self.paused: set[str] = set()
         self._copies = 1
         self.reversed = False
-        self._parcels: list[Parcel] = []
+        self._messages: list[Message] = []
 
-    def send(self, parcel: Parcel) -> None:
+    def send(self, message: Message) -> None:
         """Put a message under way."""
-        self._parcels.append(parcel)
+        self._messages.append(message)
 
     def deliver(self) -> None:
         """Hand over what can arrive now, and what that gives rise to."""
         for _ in range(2):
-            ready = [each for each in self._parcels if self._can_arrive(each)]
+            ready = [each for each in self._messages if self._can_arrive(each)]
             if self.reversed:
                 ready.reverse()
-            self._parcels = [
-                each for each in self._parcels if not self._can_arrive(each)
+            self._messages = [
+                each for each in self._messages if not self._can_arrive(each)
             ]
-            for parcel in ready * self._copies:
-                parcel.arrive()
+            for message in ready * self._copies:
+                message.deliver()
 
     def cut(self, one: str, other: str) -> None:
         """Hold what a VM sends to another (or to all), and the answers."""
@@ -69,15 +69,17 @@
 
     def lose(self) -> None:
         """Lose all messages of held pairs."""
-        self._parcels = [each for each in self._parcels if not self._cut(each)]
+        self._messages = [
+            each for each in self._messages if not self._cut(each)
+        ]
 
     def disturb(self, copies: str, order: str) -> None:
         """Say how often and in which order messages arrive from now on."""
         self._copies = 2 if copies == 'doubled' else 1
         self.reversed = order == 'reversed'
 
-    def _cut(self, parcel: Parcel) -> bool:
-        return (parcel.source, parcel.target) in self.held
+    def _cut(self, message: Message) -> bool:
+        return (message.source, message.target) in self.held
 
-    def _can_arrive(self, parcel: Parcel) -> bool:
-        return parcel.target not in self.paused and not self._cut(parcel)
+    def _can_arrive(self, message: Message) -> bool:
+        return message.target not in self.paused and not self._cut(message)
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -16,7 +16,7 @@
 from laburnumwood.store.objects import shard_object, to_value
 from laburnumwood.store.writes import new_mark
 from tests.ownership.clocks import DriftingClock, SimulatedTime
-from tests.ownership.network import VMS, Network, Parcel
+from tests.ownership.network import VMS, Message, Network
 from tests.ownership.node import SERVICE, Components, FakeNode
 from tests.ownership.store import FakeStore
 from tests.ownership.worker import WorkerSide
@@ -171,11 +171,11 @@
     def _send(
         self, source: str, target: str, what: Callable[[FakeNode], None]
     ) -> None:
-        def arrive() -> None:
+        def deliver() -> None:
             if target in self._nodes:
                 what(self._nodes[target])
 
-        self.network.send(Parcel(source, target, arrive))
+        self.network.send(Message(source, target, deliver))
 
     def _tick(self, count: str | int) -> None:
         for _ in range(int(count)):
