--- a/tests/ownership/network.py
+++ b/tests/ownership/network.py
@@ -22,10 +22,10 @@
     """
 
     def __init__(self) -> None:
-        self.held: set[tuple[str, str]] = set()
+        self._held_links: set[tuple[str, str]] = set()
         self.paused: set[str] = set()
         self._copies = 1
-        self.reversed = False
+        self._is_reversed = False
         self._messages: list[Message] = []
 
     def send(self, message: Message) -> None:
@@ -35,51 +35,55 @@
     def deliver(self) -> None:
         """Hand over what can arrive now, and what that gives rise to."""
         for _ in range(2):
-            ready = [each for each in self._messages if self._can_arrive(each)]
-            if self.reversed:
+            ready = [
+                each for each in self._messages if self._can_be_delivered(each)
+            ]
+            if self._is_reversed:
                 ready.reverse()
             self._messages = [
-                each for each in self._messages if not self._can_arrive(each)
+                each
+                for each in self._messages
+                if not self._can_be_delivered(each)
             ]
             for message in ready * self._copies:
                 message.deliver()
 
-    def cut(self, one: str, other: str) -> None:
+    def cut(self, vm: str, other: str) -> None:
         """Hold what a VM sends to another (or to all), and the answers."""
-        self.cut_from(one, other)
-        self.cut_to(one, other)
+        self.cut_from(vm, other)
+        self.cut_to(vm, other)
 
-    def cut_from(self, one: str, other: str) -> None:
+    def cut_from(self, vm: str, other: str) -> None:
         """Hold what a VM sends."""
         others = VMS if other == 'all' else (other,)
-        self.held.update((one, each) for each in others if each != one)
+        self._held_links.update((vm, each) for each in others if each != vm)
 
-    def cut_to(self, one: str, other: str) -> None:
+    def cut_to(self, vm: str, other: str) -> None:
         """Hold what is sent to a VM."""
         others = VMS if other == 'all' else (other,)
-        self.held.update((each, one) for each in others if each != one)
+        self._held_links.update((each, vm) for each in others if each != vm)
 
-    def heal(self, one: str) -> None:
+    def heal(self, vm: str) -> None:
         """Release all that a VM sends and is sent."""
-        self.held = {pair for pair in self.held if one not in pair}
+        self._held_links = {pair for pair in self._held_links if vm not in pair}
 
-    def heal_to(self, one: str) -> None:
+    def heal_to(self, vm: str) -> None:
         """Release what is sent to a VM."""
-        self.held = {pair for pair in self.held if pair[1] != one}
+        self._held_links = {pair for pair in self._held_links if pair[1] != vm}
 
-    def lose(self) -> None:
+    def drop_held(self) -> None:
         """Lose all messages of held pairs."""
         self._messages = [
-            each for each in self._messages if not self._cut(each)
+            each for each in self._messages if not self._is_held(each)
         ]
 
-    def disturb(self, copies: str, order: str) -> None:
+    def set_delivery(self, copies: str, order: str) -> None:
         """Say how often and in which order messages arrive from now on."""
         self._copies = 2 if copies == 'doubled' else 1
-        self.reversed = order == 'reversed'
+        self._is_reversed = order == 'reversed'
 
-    def _cut(self, message: Message) -> bool:
-        return (message.source, message.target) in self.held
+    def _is_held(self, message: Message) -> bool:
+        return (message.source, message.target) in self._held_links
 
-    def _can_arrive(self, message: Message) -> bool:
-        return message.target not in self.paused and not self._cut(message)
+    def _can_be_delivered(self, message: Message) -> bool:
+        return message.target not in self.paused and not self._is_held(message)
