--- a/tests/ownership/network.py
+++ b/tests/ownership/network.py
@@ -32,7 +32,7 @@
         """Put a message under way."""
         self._messages.append(message)
 
-    def deliver(self) -> None:
+    def deliver_ready(self) -> None:
         """Hand over what can arrive now, and what that gives rise to."""
         for _ in range(2):
             ready = [
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -181,7 +181,7 @@
         for _ in range(int(count)):
             self.steps += 1
             self._time.now_ms += STEP_MS
-            self.network.deliver()
+            self.network.deliver_ready()
             self._judge()
             for vm, node in tuple(self._nodes.items()):
                 if vm not in self.network.paused:
@@ -189,7 +189,7 @@
             if self._workers is not None:
                 awake = set(self._nodes) - self.network.paused
                 self._workers.step(awake)
-            self.network.deliver()
+            self.network.deliver_ready()
             self._judge()
 
     def _step(self, vm: str, node: FakeNode) -> None:
