--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -106,7 +106,7 @@
         self.view = FleetView(Directory(), SealRegistry())
         self.lease = components.lease(name, settings, clock)
         self.held_shards = HeldShards()
-        self.is_deaf = False
+        self.misses_updates = False
         self.ownership = components.ownership_tracker(
             SERVICE, self.view, self.lease, self.held_shards, clock
         )
@@ -169,7 +169,7 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._renewed_ms >= self._settings.renew_ms:
             self.renew()
-        if now_ms - self._read_ms >= _READ_MS and not self.is_deaf:
+        if now_ms - self._read_ms >= _READ_MS and not self.misses_updates:
             self.read()
         if now_ms - self._recorded_ms >= _RECORD_MS:
             self._record()
@@ -220,7 +220,7 @@
 
     def learn(self, stored: StoredObject) -> None:
         """Take in an object of the store, unless this node hears nothing."""
-        if not self.is_deaf:
+        if not self.misses_updates:
             self.view.directory.apply(stored)
 
     def read(self) -> None:
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -252,15 +252,15 @@
     def _confirm(self, vm: str) -> None:
         confirm_lost(self.store, NodeName(vm, 1), 'operator')
 
-    def _deaf(self, vm: str) -> None:
+    def _stop_updates(self, vm: str) -> None:
         if vm in self._nodes:
-            self._nodes[vm].is_deaf = True
+            self._nodes[vm].misses_updates = True
 
-    def _hear(self, vm: str) -> None:
+    def _resume_updates(self, vm: str) -> None:
         if vm in self._nodes:
-            self._nodes[vm].is_deaf = False
+            self._nodes[vm].misses_updates = False
 
-    def _stale(self, vm: str) -> None:
+    def _replay_updates(self, vm: str) -> None:
         if vm in self._nodes:
             for stored in self.store.history:
                 self._nodes[vm].view.directory.apply(stored)
@@ -338,9 +338,9 @@
     'network': lambda simulation, *how: simulation.network.set_delivery(*how),
     'store': _set_store,
     'apply-late': _land,
-    'stop-updates': Simulation._deaf,
-    'resume-updates': Simulation._hear,
-    'replay-updates': Simulation._stale,
+    'stop-updates': Simulation._stop_updates,
+    'resume-updates': Simulation._resume_updates,
+    'replay-updates': Simulation._replay_updates,
     'move': Simulation._move,
     'split': Simulation._split,
     'witnesses': Simulation._witnesses,
