--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -58,12 +58,12 @@
     attached_grants: type[AttachedGrants] = AttachedGrants
 
 
-def _learn_seals(seals: tuple[Seal, ...], node: 'FakeNode') -> None:
-    node.learn_seals(seals)
+def _apply_seals(seals: tuple[Seal, ...], node: 'FakeNode') -> None:
+    node.apply_seals(seals)
 
 
-def _serve(request: Renew, sent_ms: int, node: 'FakeNode') -> None:
-    node.serve(request, sent_ms)
+def _handle_renewal(request: Renew, sent_ms: int, node: 'FakeNode') -> None:
+    node.handle_renewal(request, sent_ms)
 
 
 class _Holder:
@@ -164,8 +164,8 @@
     def step(self) -> None:
         """Do all that the tasks of a node would do now."""
         for seal in self.witness.seal_lapsed():
-            self.learn_seals((seal,))
-            self._tell(partial(_learn_seals, (seal,)))
+            self.apply_seals((seal,))
+            self._broadcast(partial(_apply_seals, (seal,)))
         now_ms = self._clock.now_ms()
         if now_ms - self._renewed_ms >= self._settings.renew_ms:
             self.renew()
@@ -183,20 +183,20 @@
             return
         for witness in self.lease.renewal_targets:
             request = self.lease.renewal_request(witness, self.view.digest())
-            what = partial(_serve, request, self._renewed_ms)
+            what = partial(_handle_renewal, request, self._renewed_ms)
             self._send(witness.node_id, what)
 
-    def serve(self, request: Renew, sent_ms: int) -> None:
+    def handle_renewal(self, request: Renew, sent_ms: int) -> None:
         """Answer a renewal as the VM that it was sent to."""
         reply = self.witness.renew(request, self.view.digest())
         differs = self.view.seals.digest() != request.digest.seals
         seals = self.view.seals.seals() if differs else ()
         self._send(
             request.holder.node_id,
-            lambda node: node.take_reply(request, sent_ms, reply, seals),
+            lambda node: node.handle_reply(request, sent_ms, reply, seals),
         )
 
-    def take_reply(
+    def handle_reply(
         self,
         request: Renew,
         sent_ms: int,
@@ -206,19 +206,19 @@
         """Take in a witness's answer."""
         if request.holder != self.name:
             return
-        self.learn_seals(seals)
+        self.apply_seals(seals)
         if isinstance(reply, Granted):
             self.lease.record_grant(request, sent_ms)
         elif reply.reason != 'set-unknown':
             self.lease.record_refusal(request.witness)
-            self.learn_seals((reply.seal,) if reply.seal else ())
+            self.apply_seals((reply.seal,) if reply.seal else ())
 
-    def learn_seals(self, seals: tuple[Seal, ...]) -> None:
+    def apply_seals(self, seals: tuple[Seal, ...]) -> None:
         """Take in seals."""
         for seal in seals:
             self.view.add_seal(seal)
 
-    def learn(self, stored: StoredObject) -> None:
+    def apply_update(self, stored: StoredObject) -> None:
         """Take in an object of the store, unless this node hears nothing."""
         if not self.misses_updates:
             self.view.directory.apply(stored)
@@ -278,7 +278,7 @@
                 self._writes.remove(write)
                 self.ownership.finish(write, progress)
                 self._restore(write.shard)
-                self._tell_written(write)
+                self._broadcast_written(write)
         if self._store.mode == 'up' and self.ownership.stale_shards:
             self.read()
 
@@ -303,12 +303,12 @@
             self.lease.begin_change(chosen)
             self.renew()
 
-    def _tell_written(self, write: ShardWrite) -> None:
+    def _broadcast_written(self, write: ShardWrite) -> None:
         stored = write.stored
         if stored is not None:
-            self._tell(lambda node: node.learn(stored))
+            self._broadcast(lambda node: node.apply_update(stored))
 
-    def _tell(self, what: Callable[['FakeNode'], None]) -> None:
+    def _broadcast(self, what: Callable[['FakeNode'], None]) -> None:
         for node_id in self.view.directory.nodes:
             if node_id != self.name.node_id:
                 self._send(node_id, what)
