--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -140,7 +140,7 @@
         return frozenset(name.node_id for name in self.lease.silent_witnesses)
 
     @property
-    def may_be_followed(self) -> bool:
+    def has_no_grants(self) -> bool:
         """Tell whether its worker holds nothing that it gave."""
         return self.worker is None or not self.worker.held_for_ms()
 
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -126,7 +126,7 @@
         settings = node_settings(vm)
         if self._workers is not None and before is None:
             self._workers.begin_process(vm)
-        ended = before.name if before and before.may_be_followed else None
+        ended = before.name if before and before.has_no_grants else None
         if before is not None and ended is None:
             self._ending.setdefault(vm, []).append(before)
         first = before.witness.name.incarnation if before else None
@@ -208,7 +208,7 @@
 
     def _record_ends(self, vm: str) -> None:
         for before in tuple(self._ending.get(vm, ())):
-            if before.may_be_followed:
+            if before.has_no_grants:
                 with suppress(PlatformError):
                     record_end(self.store, before.name)
                     self._ending[vm].remove(before)
