--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -128,7 +128,7 @@
         self._recorded_ms = _NOTHING_READ
         self._started_ms = clock.now_ms()
         self._has_ended_earlier = False
-        self._standstill = RejoinBackoff(clock)
+        self._rejoin_backoff = RejoinBackoff(clock)
         self.worker: AttachedGrants | None = None
         if worker is not None:
             holder = _Holder(self.lease, self.held_shards)
@@ -144,11 +144,11 @@
         """Tell whether its worker holds nothing that it gave."""
         return self.worker is None or not self.worker.held_for_ms()
 
-    def stands_still(self) -> bool:
+    def must_rejoin(self) -> bool:
         """Tell whether to join anew because the witnesses are silent."""
-        if not self._standstill.is_due(self.lease):
+        if not self._rejoin_backoff.is_due(self.lease):
             return False
-        self._standstill.record_rejoin()
+        self._rejoin_backoff.record_rejoin()
         return self._store.mode == 'up'
 
     def start(self, avoided: frozenset[str] = _NOBODY) -> None:
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -195,7 +195,7 @@
     def _step(self, vm: str, node: FakeNode) -> None:
         self._record_ends(vm)
         known = incarnation_status(node.lease, node.view)
-        if known is IncarnationStatus.ACTIVE and node.stands_still():
+        if known is IncarnationStatus.ACTIVE and node.must_rejoin():
             known = IncarnationStatus.LAPSED
         if known is IncarnationStatus.ACTIVE:
             node.step()
