--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -135,7 +135,7 @@
             self.worker = components.attached_grants(worker, holder)
 
     @property
-    def silent_ids(self) -> frozenset[str]:
+    def silent_witness_ids(self) -> frozenset[str]:
         """Return the ids of witnesses that do not renew the lease."""
         return frozenset(name.node_id for name in self.lease.silent_witnesses)
 
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -133,7 +133,7 @@
         try:
             name, _ = join(self.store, settings, new_mark(vm), ended, first)
             node = self._make(name, vm, before.witness if before else None)
-            node.start(before.silent_ids if before else frozenset())
+            node.start(before.silent_witness_ids if before else frozenset())
         except PlatformError:
             return
         self._nodes[vm] = node
