--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -153,7 +153,7 @@
 
     def start(self, avoided: frozenset[str] = _NOBODY) -> None:
         """Read the store and choose the first witnesses."""
-        self.read()
+        self.read_store()
         live = self.view.witnesses(avoided)
         members = choose_witnesses(self.name, live)[:_WITNESSES]
         chosen = self.lease.propose_set(members)
@@ -170,7 +170,7 @@
         if now_ms - self._renewed_ms >= self._settings.renew_ms:
             self.renew()
         if now_ms - self._read_ms >= _READ_MS and not self.misses_updates:
-            self.read()
+            self.read_store()
         if now_ms - self._recorded_ms >= _RECORD_MS:
             self._record()
         self.ownership.update_held_shards()
@@ -223,7 +223,7 @@
         if not self.misses_updates:
             self.view.directory.apply(stored)
 
-    def read(self) -> None:
+    def read_store(self) -> None:
         """Take in all the store holds, if it answers."""
         self._read_ms = self._clock.now_ms()
         if self._store.mode == 'up':
@@ -280,7 +280,7 @@
                 self._restore(write.shard)
                 self._broadcast_written(write)
         if self._store.mode == 'up' and self.ownership.stale_shards:
-            self.read()
+            self.read_store()
 
     def _record(self) -> None:
         self._recorded_ms = self._clock.now_ms()
