--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -40,11 +40,11 @@
 from tests.ownership.worker import keys_of
 
 SERVICE = 's'
-_READ_MS = 100
-_RECORD_MS = 1_000
-_WITNESSES = 3
-_NOBODY: frozenset[str] = frozenset()
-_NOTHING_READ = -1_000_000
+_READ_INTERVAL_MS = 100
+_UPDATE_INTERVAL_MS = 1_000
+_WITNESS_COUNT = 3
+_NO_NODE_IDS: frozenset[str] = frozenset()
+_NEVER_MS = -1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +66,7 @@
     node.handle_renewal(request, sent_ms)
 
 
-class _Holder:
+class _GrantSource:
     """What an incarnation of the world lets its worker hold."""
 
     def __init__(self, lease: Lease, held_shards: HeldShards) -> None:
@@ -85,7 +85,7 @@
         return ()
 
 
-Send = Callable[[str, Callable[['FakeNode'], None]], None]
+SendToNode = Callable[[str, Callable[['FakeNode'], None]], None]
 
 
 class FakeNode:
@@ -97,7 +97,7 @@
         components: Components,
         clock: Clock,
         store: FakeStore,
-        send: Send,
+        send: SendToNode,
         witness: Witness | None = None,
         worker: ReportingWorker | None = None,
     ) -> None:
@@ -111,28 +111,28 @@
             SERVICE, self.view, self.lease, self.held_shards, clock
         )
         self.witness = witness or components.witness(name, settings, clock)
-        self._recorder = NodeRecordUpdater(
+        self._record_updater = NodeRecordUpdater(
             self.lease, self.witness, self.view, store, settings, clock
         )
-        self._recorder.quorum_loss_detector = components.quorum_loss_detector(
-            settings, clock
+        self._record_updater.quorum_loss_detector = (
+            components.quorum_loss_detector(settings, clock)
         )
         self._settings = settings
         self._clock = clock
         self._store = store
         self._send = send
         self._writes: list[ShardWrite] = []
-        self._let_go_of: set[ShardName] = set()
-        self._renewed_ms = _NOTHING_READ
-        self._read_ms = _NOTHING_READ
-        self._recorded_ms = _NOTHING_READ
+        self._awaiting_release: set[ShardName] = set()
+        self._renewed_ms = _NEVER_MS
+        self._read_ms = _NEVER_MS
+        self._record_updated_ms = _NEVER_MS
         self._started_ms = clock.now_ms()
-        self._has_ended_earlier = False
+        self._has_recorded_earlier_ends = False
         self._rejoin_backoff = RejoinBackoff(clock)
         self.worker: AttachedGrants | None = None
         if worker is not None:
-            holder = _Holder(self.lease, self.held_shards)
-            self.worker = components.attached_grants(worker, holder)
+            source = _GrantSource(self.lease, self.held_shards)
+            self.worker = components.attached_grants(worker, source)
 
     @property
     def silent_witness_ids(self) -> frozenset[str]:
@@ -151,11 +151,11 @@
         self._rejoin_backoff.record_rejoin()
         return self._store.mode == 'up'
 
-    def start(self, avoided: frozenset[str] = _NOBODY) -> None:
+    def start(self, avoided: frozenset[str] = _NO_NODE_IDS) -> None:
         """Read the store and choose the first witnesses."""
         self.read_store()
         live = self.view.witnesses(avoided)
-        members = choose_witnesses(self.name, live)[:_WITNESSES]
+        members = choose_witnesses(self.name, live)[:_WITNESS_COUNT]
         chosen = self.lease.propose_set(members)
         record_witness_sets(self._store, self.name, (chosen,))
         self.lease.set_first_witnesses(chosen)
@@ -169,12 +169,15 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._renewed_ms >= self._settings.renew_ms:
             self.renew()
-        if now_ms - self._read_ms >= _READ_MS and not self.misses_updates:
+        if (
+            now_ms - self._read_ms >= _READ_INTERVAL_MS
+            and not self.misses_updates
+        ):
             self.read_store()
-        if now_ms - self._recorded_ms >= _RECORD_MS:
-            self._record()
+        if now_ms - self._record_updated_ms >= _UPDATE_INTERVAL_MS:
+            self._update_record()
         self.ownership.update_held_shards()
-        self._write()
+        self._step_writes()
 
     def renew(self) -> None:
         """Ask all witnesses to renew the lease."""
@@ -183,8 +186,8 @@
             return
         for witness in self.lease.renewal_targets:
             request = self.lease.renewal_request(witness, self.view.digest())
-            what = partial(_handle_renewal, request, self._renewed_ms)
-            self._send(witness.node_id, what)
+            action = partial(_handle_renewal, request, self._renewed_ms)
+            self._send(witness.node_id, action)
 
     def handle_renewal(self, request: Renew, sent_ms: int) -> None:
         """Answer a renewal as the VM that it was sent to."""
@@ -233,45 +236,51 @@
     def move(self, shard: ShardName, target: NodeName) -> None:
         """Begin to hand a shard over."""
         if self.view.directory.node(target) is not None:
-            self._let_go(shard, self.ownership.begin_move(shard, target))
+            self._release_and_write(
+                shard, self.ownership.begin_move(shard, target)
+            )
 
     def split(self, shard: ShardName, keys: KeyRange) -> None:
         """Begin to split keys of a shard off."""
-        self._let_go(shard, self.ownership.begin_split(shard, (keys,)))
+        self._release_and_write(
+            shard, self.ownership.begin_split(shard, (keys,))
+        )
 
     def end(self) -> None:
         """End all activity of this incarnation."""
         self.lease.resign()
         self.held_shards.drop_all()
 
-    def _let_go(self, shard: ShardName, write: ShardWrite | None) -> None:
+    def _release_and_write(
+        self, shard: ShardName, write: ShardWrite | None
+    ) -> None:
         if write is not None:
             if self.worker is None:
                 self.held_shards.close(shard)
             else:
                 self.worker.withdraw(shard)
-                self._let_go_of.add(shard)
+                self._awaiting_release.add(shard)
             self._writes.append(write)
             self.renew()
 
-    def _is_let_go(self, shard: ShardName) -> bool:
-        if self.worker is None or shard not in self._let_go_of:
+    def _is_released(self, shard: ShardName) -> bool:
+        if self.worker is None or shard not in self._awaiting_release:
             return True
         if self.worker.is_released(shard):
             self.held_shards.close(shard)
-            self._let_go_of.discard(shard)
-        return shard not in self._let_go_of
+            self._awaiting_release.discard(shard)
+        return shard not in self._awaiting_release
 
     def _restore(self, shard: ShardName) -> None:
         if self.worker is not None:
             self.worker.restore(shard)
 
-    def _write(self) -> None:
+    def _step_writes(self) -> None:
         for shard in self.ownership.shards_to_write():
             self._writes.append(self.ownership.begin_write(shard))
             self.renew()
         for write in tuple(self._writes):
-            if not self._is_let_go(write.shard):
+            if not self._is_released(write.shard):
                 continue
             progress = write.step(self._store)
             if progress.is_final:
@@ -282,17 +291,20 @@
         if self._store.mode == 'up' and self.ownership.stale_shards:
             self.read_store()
 
-    def _record(self) -> None:
-        self._recorded_ms = self._clock.now_ms()
-        self._recorder.evict_ended()
+    def _update_record(self) -> None:
+        self._record_updated_ms = self._clock.now_ms()
+        self._record_updater.evict_ended()
         with suppress(PlatformError):
-            self._recorder.write_changes()
-        waited_ms = self._clock.now_ms() - self._started_ms
-        if self._has_ended_earlier or waited_ms < self._settings.grant_ms:
+            self._record_updater.write_changes()
+        elapsed_ms = self._clock.now_ms() - self._started_ms
+        if (
+            self._has_recorded_earlier_ends
+            or elapsed_ms < self._settings.grant_ms
+        ):
             return
         with suppress(PlatformError):
             record_earlier_ends(self._store, self.witness.name)
-            self._has_ended_earlier = True
+            self._has_recorded_earlier_ends = True
 
     def change_witnesses(self, members: tuple[NodeName, ...]) -> None:
         """Begin to rely on other witnesses, if the store has taken them."""
@@ -308,7 +320,7 @@
         if stored is not None:
             self._broadcast(lambda node: node.apply_update(stored))
 
-    def _broadcast(self, what: Callable[['FakeNode'], None]) -> None:
+    def _broadcast(self, action: Callable[['FakeNode'], None]) -> None:
         for node_id in self.view.directory.nodes:
             if node_id != self.name.node_id:
-                self._send(node_id, what)
+                self._send(node_id, action)
