--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -37,7 +37,7 @@
 from laburnumwood.upstream.attached_grants import AttachedGrants
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 from tests.ownership.store import FakeStore
-from tests.ownership.worker import keys_of
+from tests.ownership.worker import shard_keys
 
 SERVICE = 's'
 _READ_INTERVAL_MS = 100
@@ -78,7 +78,7 @@
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard."""
-        return (keys_of(shard),)
+        return (shard_keys(shard),)
 
     def handovers(self, _shard: ShardName) -> tuple[str, ...]:
         """Return nothing: every shard comes cold."""
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -17,7 +17,7 @@
     """The workers of two VMs hold a shard at one moment."""
 
 
-def keys_of(shard: ShardName) -> KeyRange:
+def shard_keys(shard: ShardName) -> KeyRange:
     """Return the keys of a shard of the simulation."""
     first = shard.number * _WIDTH
     return KeyRange(first, first + _WIDTH - 1)
@@ -37,7 +37,7 @@
     def holds(self, shard: ShardName) -> bool:
         """Tell whether it holds a shard now."""
         is_granted = self._time.now_ms < self._until_ms
-        return is_granted and keys_of(shard).first in self._held
+        return is_granted and shard_keys(shard).first in self._held
 
     def step(self, node: ReportingWorker | None) -> None:
         """Report if it is time to; None if nobody answers."""
