--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -307,8 +307,8 @@
     simulation.store.mode = mode
 
 
-def _land(simulation: Simulation) -> None:
-    simulation.store.land()
+def _apply_late_writes(simulation: Simulation) -> None:
+    simulation.store.apply_late_writes()
 
 
 def _start_duplicate(simulation: Simulation, vm: str) -> None:
@@ -337,7 +337,7 @@
     'drop-held': lambda simulation, *vms: simulation.network.drop_held(*vms),
     'network': lambda simulation, *how: simulation.network.set_delivery(*how),
     'store': _set_store,
-    'apply-late': _land,
+    'apply-late': _apply_late_writes,
     'stop-updates': Simulation._stop_updates,
     'resume-updates': Simulation._resume_updates,
     'replay-updates': Simulation._replay_updates,
--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -108,7 +108,7 @@
         self._run(f'store {mode}')
 
     @rule()
-    def land(self) -> None:
+    def apply_late_writes(self) -> None:
         """Let late writes take effect."""
         self._run('apply-late')
 
--- a/tests/ownership/store.py
+++ b/tests/ownership/store.py
@@ -27,7 +27,7 @@
         self.revision = 0
         self.history: list[StoredObject] = []
         self._objects: dict[str, StoredObject] = {}
-        self._late: list[Callable[[], int]] = []
+        self._late_writes: list[Callable[[], int]] = []
 
     def get(self, name: str) -> StoredObject | None:
         """Return an object."""
@@ -49,10 +49,10 @@
         """Replace an object of a version."""
         return self._request(lambda: self._write(name, value, version))
 
-    def land(self) -> None:
+    def apply_late_writes(self) -> None:
         """Let the late writes take effect, oldest first."""
-        late, self._late = self._late, []
-        for write in late:
+        late_writes, self._late_writes = self._late_writes, []
+        for write in late_writes:
             with suppress(PlatformConflictError):
                 write()
 
@@ -65,7 +65,7 @@
         if self.mode == 'up':
             return write()
         if self.mode == 'late':
-            self._late.append(write)
+            self._late_writes.append(write)
         elif self.mode in {'lose-answers', 'lose-write-answers'}:
             write()
         raise self._failure(self.mode)
