--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -316,7 +316,7 @@
 
 
 def _corrupt(simulation: Simulation, number: str) -> None:
-    simulation.store.spoil(shard_object(SHARDS[int(number)]))
+    simulation.store.corrupt(shard_object(SHARDS[int(number)]))
 
 
 _COMMANDS: dict[str, Callable[..., None]] = {
--- a/tests/ownership/store.py
+++ b/tests/ownership/store.py
@@ -56,7 +56,7 @@
             with suppress(PlatformConflictError):
                 write()
 
-    def spoil(self, name: str) -> None:
+    def corrupt(self, name: str) -> None:
         """Put a value of unknown form in place of an object's."""
         found = self._objects[name].version
         self._write(name, {'unknown': 'form'}, found)
