--- a/tests/ownership/store.py
+++ b/tests/ownership/store.py
@@ -32,22 +32,22 @@
     def get(self, name: str) -> StoredObject | None:
         """Return an object."""
         if self.mode not in {'up', 'lose-write-answers'}:
-            raise self._failure(name)
+            raise self._unavailable_error(name)
         return self._objects.get(name)
 
     def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
         """Return all objects."""
         if self.mode != 'up':
-            raise self._failure(prefix)
+            raise self._unavailable_error(prefix)
         return tuple(self._objects.values()), self.revision
 
     def create(self, name: str, value: dict[str, Any]) -> int:
         """Create an object."""
-        return self._request(lambda: self._write(name, value, None))
+        return self._send_write(lambda: self._write(name, value, None))
 
     def update(self, name: str, value: dict[str, Any], version: int) -> int:
         """Replace an object of a version."""
-        return self._request(lambda: self._write(name, value, version))
+        return self._send_write(lambda: self._write(name, value, version))
 
     def apply_late_writes(self) -> None:
         """Let the late writes take effect, oldest first."""
@@ -58,29 +58,29 @@
 
     def corrupt(self, name: str) -> None:
         """Put a value of unknown form in place of an object's."""
-        found = self._objects[name].version
-        self._write(name, {'unknown': 'form'}, found)
+        current_version = self._objects[name].version
+        self._write(name, {'unknown': 'form'}, current_version)
 
-    def _request(self, write: Callable[[], int]) -> int:
+    def _send_write(self, write: Callable[[], int]) -> int:
         if self.mode == 'up':
             return write()
         if self.mode == 'late':
             self._late_writes.append(write)
         elif self.mode in {'lose-answers', 'lose-write-answers'}:
             write()
-        raise self._failure(self.mode)
+        raise self._unavailable_error(self.mode)
 
-    def _failure(self, what: str) -> PlatformUnavailableError:
+    def _unavailable_error(self, detail: str) -> PlatformUnavailableError:
         if self.mode == 'refused':
-            return PlatformNotReachedError(what)
-        return PlatformUnavailableError(what)
+            return PlatformNotReachedError(detail)
+        return PlatformUnavailableError(detail)
 
     def _write(
         self, name: str, value: dict[str, Any], version: int | None
     ) -> int:
-        known = self._objects.get(name)
-        found = known.version if known else None
-        if found != version:
+        current = self._objects.get(name)
+        current_version = current.version if current else None
+        if current_version != version:
             raise PlatformConflictError(name)
         self.revision += 1
         stored = StoredObject(name, value, self.revision)
