--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -19,7 +19,7 @@
 from tests.ownership.network import VMS, Message, Network
 from tests.ownership.node import SERVICE, Components, FakeNode
 from tests.ownership.store import FakeStore
-from tests.ownership.worker import WorkerSide
+from tests.ownership.worker import SimulatedWorkers
 
 SHARDS = (ShardName(SERVICE, 0), ShardName(SERVICE, 1))
 STEP_MS = 50
@@ -81,7 +81,7 @@
             for number, vm in enumerate(VMS)
         }
         self._workers = (
-            WorkerSide(self._time, self._clocks) if has_workers else None
+            SimulatedWorkers(self._time, self._clocks) if has_workers else None
         )
         for vm in VMS:
             self._start(vm)
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -75,7 +75,7 @@
         )
 
 
-class WorkerSide:
+class SimulatedWorkers:
     """The workers of a world, and what the process beside each knows of its."""
 
     def __init__(self, time: SimulatedTime, clocks: dict[str, DriftingClock]):
