--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -125,7 +125,7 @@
         """Start a process, or the next incarnation of one that runs."""
         settings = node_settings(vm)
         if self._workers is not None and before is None:
-            self._workers.begin_process(vm)
+            self._workers.start_process(vm)
         ended = before.name if before and before.has_no_grants else None
         if before is not None and ended is None:
             self._ending.setdefault(vm, []).append(before)
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -86,7 +86,7 @@
             for number, vm in enumerate(clocks)
         }
 
-    def begin_process(self, vm: str) -> None:
+    def start_process(self, vm: str) -> None:
         """Forget what the process of a VM knew: another has begun."""
         self.reporting[vm] = ReportingWorker(SETTINGS, self._clocks[vm])
 
