--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -148,7 +148,7 @@
             self.store,
             lambda target, what: self._send(vm, target, what),
             witness,
-            self._workers.reporting[vm] if self._workers else None,
+            self._workers.reporting_workers[vm] if self._workers else None,
         )
 
     def _create_shards(self) -> None:
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -80,7 +80,7 @@
 
     def __init__(self, time: SimulatedTime, clocks: dict[str, DriftingClock]):
         self._clocks = clocks
-        self.reporting: dict[str, ReportingWorker] = {}
+        self.reporting_workers: dict[str, ReportingWorker] = {}
         self._workers = {
             vm: FakeWorker(vm, time, number * _REPORT_MS // len(clocks))
             for number, vm in enumerate(clocks)
@@ -88,12 +88,12 @@
 
     def start_process(self, vm: str) -> None:
         """Forget what the process of a VM knew: another has begun."""
-        self.reporting[vm] = ReportingWorker(SETTINGS, self._clocks[vm])
+        self.reporting_workers[vm] = ReportingWorker(SETTINGS, self._clocks[vm])
 
     def step(self, awake: set[str]) -> None:
         """Let workers report if it is time; only awake nodes answer."""
         for vm, worker in self._workers.items():
-            worker.step(self.reporting[vm] if vm in awake else None)
+            worker.step(self.reporting_workers[vm] if vm in awake else None)
 
     def judge(self, shard: ShardName, script: list[str]) -> None:
         """Raise `TwoHoldersError` if two workers hold a shard now."""
