--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -95,7 +95,7 @@
         for vm, worker in self._workers.items():
             worker.step(self.reporting_workers[vm] if vm in awake else None)
 
-    def judge(self, shard: ShardName, script: list[str]) -> None:
+    def check_shard(self, shard: ShardName, script: list[str]) -> None:
         """Raise `TwoHoldersError` if two workers hold a shard now."""
         found = self._workers.items()
         holders = [vm for vm, worker in found if worker.holds(shard)]
