--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -6,11 +6,11 @@
 from laburnumwood.upstream.reports import HeldRange, WorkerReport
 from tests.ownership.clocks import DriftingClock, SimulatedTime
 
-SETTINGS = ReportSettings()
-_REPORT_MS = 1_000
-_SOON_MS = 100  # after something was released
-_SLOWEST = 1 / (1 - SETTINGS.clock_drift)  # of the worker's clock
-_WIDTH = 10  # keys of a shard
+_SETTINGS = ReportSettings()
+_REPORT_INTERVAL_MS = 1_000
+_DELAY_AFTER_RELEASE_MS = 100  # after something was released
+_SLOWEST_CLOCK_FACTOR = 1 / (1 - _SETTINGS.clock_drift)  # of the worker's clock
+_KEYS_PER_SHARD = 10  # keys of a shard
 
 
 class TwoHoldersError(AssertionError):
@@ -19,8 +19,8 @@
 
 def shard_keys(shard: ShardName) -> KeyRange:
     """Return the keys of a shard of the simulation."""
-    first = shard.number * _WIDTH
-    return KeyRange(first, first + _WIDTH - 1)
+    first = shard.number * _KEYS_PER_SHARD
+    return KeyRange(first, first + _KEYS_PER_SHARD - 1)
 
 
 class FakeWorker:
@@ -29,46 +29,48 @@
     def __init__(self, vm: str, time: SimulatedTime, phase_ms: int) -> None:
         self._vm = vm
         self._time = time
-        self._number = 0
-        self._due_ms = time.now_ms + phase_ms
+        self._sequence_number = 0
+        self._next_report_ms = time.now_ms + phase_ms
         self._held: dict[int, HeldRange] = {}
-        self._until_ms: float = 0
+        self._granted_until_ms: float = 0
 
     def holds(self, shard: ShardName) -> bool:
         """Tell whether it holds a shard now."""
-        is_granted = self._time.now_ms < self._until_ms
+        is_granted = self._time.now_ms < self._granted_until_ms
         return is_granted and shard_keys(shard).first in self._held
 
     def step(self, node: ReportingWorker | None) -> None:
         """Report if it is time to; None if nobody answers."""
-        if self._time.now_ms < self._due_ms:
+        if self._time.now_ms < self._next_report_ms:
             return
-        self._due_ms = self._time.now_ms + _REPORT_MS
-        self._number += 1
-        if self._time.now_ms >= self._until_ms:
+        self._next_report_ms = self._time.now_ms + _REPORT_INTERVAL_MS
+        self._sequence_number += 1
+        if self._time.now_ms >= self._granted_until_ms:
             self._held.clear()
         if node is not None:
-            self._take(node)
+            self._send_report(node)
 
-    def _take(self, node: ReportingWorker) -> None:
-        reply = node.handle_report(self._report())
+    def _send_report(self, node: ReportingWorker) -> None:
+        reply = node.handle_report(self._make_report())
         if reply.ranges is None:
             return
-        before = set(self._held)
+        previous = set(self._held)
         self._held = {
             each.keys.first: HeldRange(each.keys, each.token)
             for each in reply.ranges
         }
-        self._until_ms = self._time.now_ms + reply.duration_ms * _SLOWEST
-        if before - set(self._held):
-            self._due_ms = self._time.now_ms + _SOON_MS
+        self._granted_until_ms = (
+            self._time.now_ms + reply.duration_ms * _SLOWEST_CLOCK_FACTOR
+        )
+        if previous - set(self._held):
+            self._next_report_ms = self._time.now_ms + _DELAY_AFTER_RELEASE_MS
 
-    def _report(self) -> WorkerReport:
+    def _make_report(self) -> WorkerReport:
         return WorkerReport(
             worker_id=self._vm,
             service='s',
             started_ms=1,
-            sequence_number=self._number,
+            sequence_number=self._sequence_number,
             slots=1,
             is_leaving=False,
             held=tuple(self._held.values()),
@@ -82,13 +84,17 @@
         self._clocks = clocks
         self.reporting_workers: dict[str, ReportingWorker] = {}
         self._workers = {
-            vm: FakeWorker(vm, time, number * _REPORT_MS // len(clocks))
+            vm: FakeWorker(
+                vm, time, number * _REPORT_INTERVAL_MS // len(clocks)
+            )
             for number, vm in enumerate(clocks)
         }
 
     def start_process(self, vm: str) -> None:
         """Forget what the process of a VM knew: another has begun."""
-        self.reporting_workers[vm] = ReportingWorker(SETTINGS, self._clocks[vm])
+        self.reporting_workers[vm] = ReportingWorker(
+            _SETTINGS, self._clocks[vm]
+        )
 
     def step(self, awake: set[str]) -> None:
         """Let workers report if it is time; only awake nodes answer."""
@@ -97,7 +103,7 @@
 
     def check_shard(self, shard: ShardName, script: list[str]) -> None:
         """Raise `TwoHoldersError` if two workers hold a shard now."""
-        found = self._workers.items()
-        holders = [vm for vm, worker in found if worker.holds(shard)]
+        workers = self._workers.items()
+        holders = [vm for vm, worker in workers if worker.holds(shard)]
         if len(holders) > 1:
             raise TwoHoldersError(f'{shard}: {holders} {script}')
