--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -71,7 +71,7 @@
 
 @then('no process runs on "{vm}"')
 def check_process(context: Context, vm: str) -> None:
-    assert not context.simulation.is_up(vm)
+    assert not context.simulation.is_running(vm)
 
 
 @then('the end of "{name}" was recorded once in the store')
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -108,7 +108,7 @@
         """Return the node on a VM."""
         return self._nodes[vm]
 
-    def is_up(self, vm: str) -> bool:
+    def is_running(self, vm: str) -> bool:
         """Tell whether a process runs on a VM."""
         return vm in self._nodes
 
--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -82,7 +82,7 @@
         self._run('network once in-order')
         for vm in VMS:
             self._come_back(vm)
-            if not self._simulation.is_up(vm):
+            if not self._simulation.is_running(vm):
                 self._run(f'restart {vm}')
         self._run(f'await-owners {_RECOVERY_STEPS}')
 
