--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -112,7 +112,7 @@
         """Tell whether a process runs on a VM."""
         return vm in self._nodes
 
-    def first_two(self, number: int) -> tuple[str, str]:
+    def owner_and_successor(self, number: int) -> tuple[str, str]:
         """Return the VMs of a shard's owner and first successor."""
         name = shard_object(SHARDS[number])
         newest = [each for each in self.store.history if each.name == name][-1]
--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -155,11 +155,11 @@
         landing: bool,
     ) -> None:
         """Lose an owner while the outcome of its write is not known."""
-        owner, heir = self._simulation.first_two(shard)
-        others = [vm for vm in VMS if vm not in {owner, heir}]
+        owner, successor = self._simulation.owner_and_successor(shard)
+        others = [vm for vm in VMS if vm not in {owner, successor}]
         self._run(f'store {store}')
         if deaf:
-            self._run(f'stop-updates {heir}')
+            self._run(f'stop-updates {successor}')
         self._run(f'move {shard} {others[place]}')
         self._run(f'tick {count}')
         self._run(f'{fault} {owner}{" all" if fault == "cut" else ""}')
@@ -169,7 +169,7 @@
             'tick 36',
             'apply-late',
             'tick 4',
-            f'resume-updates {heir}',
+            f'resume-updates {successor}',
         ):
             if landing or line != 'apply-late':
                 self._run(line)
@@ -177,7 +177,7 @@
     @rule(shard=_SHARD, count=strategies.integers(8, 30))
     def delay_replies(self, shard: int, count: int) -> None:
         """Let an owner's grants reach it late, and nothing after them."""
-        owner, _ = self._simulation.first_two(shard)
+        owner, _ = self._simulation.owner_and_successor(shard)
         self._run(f'cut-to {owner} all')
         self._run('tick 8')
         self._run(f'cut-from {owner} all')
@@ -190,13 +190,13 @@
     @rule(shard=_SHARD)
     def restart_sealers(self, shard: int) -> None:
         """Restart witnesses that sealed an owner, before it knows."""
-        owner, heir = self._simulation.first_two(shard)
+        owner, successor = self._simulation.owner_and_successor(shard)
         self._run(f'stop-updates {owner}')
         self._run(f'cut {owner} all')
         self._run('tick 40')
         self._run('drop-held')
         for vm in VMS:
-            if vm not in {owner, heir}:
+            if vm not in {owner, successor}:
                 self._run(f'restart {vm}')
         self._run(f'heal {owner}')
         self._run('tick 8')
@@ -206,7 +206,7 @@
         self, shard: int, side: int, count: int, first: str, second: str
     ) -> None:
         """Change an owner's witnesses and cut it from some of the old."""
-        owner, _ = self._simulation.first_two(shard)
+        owner, _ = self._simulation.owner_and_successor(shard)
         self._run(f'witnesses {owner} {side}')
         self._run(f'tick {count}')
         self._run(f'cut {owner} {first}')
@@ -216,7 +216,7 @@
     @rule(shard=_SHARD, place=strategies.integers(0, 1))
     def overtake_move(self, shard: int, place: int) -> None:
         """Let others write over a move before its writer hears of it."""
-        owner, _ = self._simulation.first_two(shard)
+        owner, _ = self._simulation.owner_and_successor(shard)
         others = [vm for vm in VMS if vm != owner]
         for line in (
             f'stop-updates {owner}',
