--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -41,8 +41,10 @@
     # as far as that last check.
     counted = context.counted
     print(f'{counted.runs} worlds, {counted.steps} steps', end=', ')
-    print(f'after all faults every shard had an owner {counted.calms} times')
-    assert counted.calms > 0
+    print(
+        f'after all faults every shard had an owner {counted.recoveries} times'
+    )
+    assert counted.recoveries > 0
 
 
 @given('the script')
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -67,7 +67,7 @@
         self, components: Components, *, has_workers: bool = False
     ) -> None:
         self.steps = 0
-        self.calms = 0
+        self.recoveries = 0
         self.script: list[str] = []
         self.store = FakeStore()
         self.network = Network()
@@ -163,7 +163,7 @@
         """Let time pass until every shard has an owner."""
         for _ in range(int(most)):
             if all(self.owner(shard) for shard in SHARDS):
-                self.calms += 1
+                self.recoveries += 1
                 return
             self._tick(1)
         raise NoActingOwnerError(f'{self.script}')
--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -35,7 +35,7 @@
     has_workers = False
     runs = 0
     steps = 0
-    calms = 0
+    recoveries = 0
 
     def __init__(self) -> None:
         super().__init__()
@@ -239,7 +239,7 @@
         kind = type(self)
         kind.runs += 1
         kind.steps += self._simulation.steps
-        kind.calms += self._simulation.calms
+        kind.recoveries += self._simulation.recoveries
 
     def _run(self, line: str) -> None:
         self._simulation.run(line)
