--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -23,8 +23,8 @@
 
 SHARDS = (ShardName(SERVICE, 0), ShardName(SERVICE, 1))
 STEP_MS = 50
-_RATES = (1.0, 1.012, 0.99, 1.005, 0.993)
-_SETTLING_STEPS = 30
+_CLOCK_RATES = (1.0, 1.012, 0.99, 1.005, 0.993)
+_STARTUP_STEPS = 30
 
 
 class TwoActingOwnersError(AssertionError):
@@ -74,10 +74,10 @@
         self._components = components
         self._time = SimulatedTime()
         self._nodes: dict[str, FakeNode] = {}
-        self._ending: dict[str, list[FakeNode]] = {}
-        self._tokens: dict[ShardName, tuple[int, NodeName]] = {}
+        self._unrecorded_ends: dict[str, list[FakeNode]] = {}
+        self._highest_tokens: dict[ShardName, tuple[int, NodeName]] = {}
         self._clocks = {
-            vm: DriftingClock(self._time, number * 977, _RATES[number])
+            vm: DriftingClock(self._time, number * 977, _CLOCK_RATES[number])
             for number, vm in enumerate(VMS)
         }
         self._workers = (
@@ -86,18 +86,18 @@
         for vm in VMS:
             self._start(vm)
         self._create_shards()
-        self._tick(_SETTLING_STEPS)
+        self._tick(_STARTUP_STEPS)
 
     def run(self, line: str) -> None:
         """Carry out one line: a command and its arguments."""
         self.script.append(line)
         command, *arguments = line.split()
         _COMMANDS[command](self, *arguments)
-        self._judge()
+        self._check()
 
     def owner(self, shard: ShardName) -> NodeName | None:
         """Return who may act for a shard."""
-        return next(iter(self._actors(shard)), None)
+        return next(iter(self._acting_owners(shard)), None)
 
     @property
     def nodes(self) -> tuple[FakeNode, ...]:
@@ -121,24 +121,30 @@
         ids.extend(vm for vm in VMS if vm not in ids)
         return ids[0], ids[1]
 
-    def _start(self, vm: str, before: FakeNode | None = None) -> None:
+    def _start(self, vm: str, previous: FakeNode | None = None) -> None:
         """Start a process, or the next incarnation of one that runs."""
         settings = node_settings(vm)
-        if self._workers is not None and before is None:
+        if self._workers is not None and previous is None:
             self._workers.start_process(vm)
-        ended = before.name if before and before.has_no_grants else None
-        if before is not None and ended is None:
-            self._ending.setdefault(vm, []).append(before)
-        first = before.witness.name.incarnation if before else None
+        ended = previous.name if previous and previous.has_no_grants else None
+        if previous is not None and ended is None:
+            self._unrecorded_ends.setdefault(vm, []).append(previous)
+        first_incarnation = (
+            previous.witness.name.incarnation if previous else None
+        )
         try:
-            name, _ = join(self.store, settings, new_mark(vm), ended, first)
-            node = self._make(name, vm, before.witness if before else None)
-            node.start(before.silent_witness_ids if before else frozenset())
+            name, _ = join(
+                self.store, settings, new_mark(vm), ended, first_incarnation
+            )
+            node = self._make_node(
+                name, vm, previous.witness if previous else None
+            )
+            node.start(previous.silent_witness_ids if previous else frozenset())
         except PlatformError:
             return
         self._nodes[vm] = node
 
-    def _make(
+    def _make_node(
         self, name: NodeName, vm: str, witness: Witness | None
     ) -> FakeNode:
         return FakeNode(
@@ -146,22 +152,22 @@
             self._components,
             self._clocks[vm],
             self.store,
-            lambda target, what: self._send(vm, target, what),
+            lambda target, action: self._send(vm, target, action),
             witness,
             self._workers.reporting_workers[vm] if self._workers else None,
         )
 
     def _create_shards(self) -> None:
         for shard, order in zip(SHARDS, ('abc', 'bcd'), strict=True):
-            names = tuple(NodeName(vm, 1) for vm in order)
+            names = tuple(NodeName(vm, 1) for vm in ordered)
             record = ShardRecord(1, names)
             self.store.create(shard_object(shard), to_value(record))
         for node in self._nodes.values():
             node.start()
 
-    def _await_owners(self, most: str) -> None:
+    def _await_owners(self, max_steps: str) -> None:
         """Let time pass until every shard has an owner."""
-        for _ in range(int(most)):
+        for _ in range(int(max_steps)):
             if all(self.owner(shard) for shard in SHARDS):
                 self.recoveries += 1
                 return
@@ -169,11 +175,11 @@
         raise NoActingOwnerError(f'{self.script}')
 
     def _send(
-        self, source: str, target: str, what: Callable[[FakeNode], None]
+        self, source: str, target: str, action: Callable[[FakeNode], None]
     ) -> None:
         def deliver() -> None:
             if target in self._nodes:
-                what(self._nodes[target])
+                action(self._nodes[target])
 
         self.network.send(Message(source, target, deliver))
 
@@ -182,24 +188,24 @@
             self.steps += 1
             self._time.now_ms += STEP_MS
             self.network.deliver_ready()
-            self._judge()
+            self._check()
             for vm, node in tuple(self._nodes.items()):
                 if vm not in self.network.paused:
                     self._step(vm, node)
             if self._workers is not None:
-                awake = set(self._nodes) - self.network.paused
-                self._workers.step(awake)
+                running = set(self._nodes) - self.network.paused
+                self._workers.step(running)
             self.network.deliver_ready()
-            self._judge()
+            self._check()
 
     def _step(self, vm: str, node: FakeNode) -> None:
         self._record_ends(vm)
-        known = incarnation_status(node.lease, node.view)
-        if known is IncarnationStatus.ACTIVE and node.must_rejoin():
-            known = IncarnationStatus.LAPSED
-        if known is IncarnationStatus.ACTIVE:
+        status = incarnation_status(node.lease, node.view)
+        if status is IncarnationStatus.ACTIVE and node.must_rejoin():
+            status = IncarnationStatus.LAPSED
+        if status is IncarnationStatus.ACTIVE:
             node.step()
-        elif known is IncarnationStatus.REPLACED:
+        elif status is IncarnationStatus.REPLACED:
             node.end()
             self._nodes.pop(vm)
         elif self.store.mode == 'up':
@@ -207,41 +213,41 @@
             self._start(vm, node)
 
     def _record_ends(self, vm: str) -> None:
-        for before in tuple(self._ending.get(vm, ())):
-            if before.has_no_grants:
+        for previous in tuple(self._unrecorded_ends.get(vm, ())):
+            if previous.has_no_grants:
                 with suppress(PlatformError):
-                    record_end(self.store, before.name)
-                    self._ending[vm].remove(before)
+                    record_end(self.store, previous.name)
+                    self._unrecorded_ends[vm].remove(previous)
 
-    def _actors(self, shard: ShardName) -> dict[NodeName, int]:
+    def _acting_owners(self, shard: ShardName) -> dict[NodeName, int]:
         return {
             node.name: node.held_shards.tokens()[shard]
             for node in self._nodes.values()
             if node.lease.is_held() and node.held_shards.is_open(shard)
         }
 
-    def _judge(self) -> None:
+    def _check(self) -> None:
         for shard in SHARDS:
             if self._workers is not None:
                 self._workers.judge(shard, self.script)
-            actors = self._actors(shard)
-            if len(actors) > 1:
-                raise TwoActingOwnersError(f'{shard}: {actors} {self.script}')
-            for name, token in actors.items():
-                self._judge_token(shard, token, name)
+            owners = self._acting_owners(shard)
+            if len(owners) > 1:
+                raise TwoActingOwnersError(f'{shard}: {owners} {self.script}')
+            for name, token in owners.items():
+                self._check_token(shard, token, name)
 
-    def _judge_token(
+    def _check_token(
         self, shard: ShardName, token: int, name: NodeName
     ) -> None:
-        highest, holder = self._tokens.get(shard, (0, name))
+        highest, holder = self._highest_tokens.get(shard, (0, name))
         if token < highest or (token == highest and name != holder):
             raise TokenNotIncreasedError(
                 f'{shard}: {name} {token} {self.script}'
             )
-        self._tokens[shard] = (token, name)
+        self._highest_tokens[shard] = (token, name)
 
     def _crash(self, vm: str) -> None:
-        self._ending.pop(vm, None)
+        self._unrecorded_ends.pop(vm, None)
         self._nodes.pop(vm, None)
 
     def _restart(self, vm: str) -> None:
@@ -249,7 +255,7 @@
         self.network.paused.discard(vm)
         self._start(vm)
 
-    def _confirm(self, vm: str) -> None:
+    def _confirm_lost(self, vm: str) -> None:
         confirm_lost(self.store, NodeName(vm, 1), 'operator')
 
     def _stop_updates(self, vm: str) -> None:
@@ -280,17 +286,17 @@
         node = self._nodes.get(owner.node_id) if owner else None
         record = node and node.view.directory.shard(shard)
         if node is not None and record:
-            place = len(record.record.split_off) * len(SHARDS) + int(number)
-            node.split(shard, KeyRange(place, place))
+            key = len(record.record.split_off) * len(SHARDS) + int(number)
+            node.split(shard, KeyRange(key, key))
 
     def _witnesses(self, vm: str, first: str) -> None:
         node = self._nodes.get(vm)
         if node is None or node.lease.is_changing or not node.lease.is_held():
             return
         witnesses = sorted(node.view.witnesses())
-        live = [name for name in witnesses if name.node_id != vm]
-        order = live[int(first) :] + live[: int(first)]
-        chosen = tuple(order[: witness_count(len(live))])
+        others = [name for name in witnesses if name.node_id != vm]
+        ordered = others[int(first) :] + others[: int(first)]
+        chosen = tuple(ordered[: witness_count(len(others))])
         if chosen:
             node.change_witnesses(chosen)
 
@@ -324,7 +330,7 @@
     'await-owners': Simulation._await_owners,
     'crash': Simulation._crash,
     'restart': Simulation._restart,
-    'confirm-lost': Simulation._confirm,
+    'confirm-lost': Simulation._confirm_lost,
     'duplicate': _start_duplicate,
     'corrupt': _corrupt,
     'pause': _pause,
@@ -335,7 +341,9 @@
     'heal': lambda simulation, *vms: simulation.network.heal(*vms),
     'heal-to': lambda simulation, *vms: simulation.network.heal_to(*vms),
     'drop-held': lambda simulation, *vms: simulation.network.drop_held(*vms),
-    'network': lambda simulation, *how: simulation.network.set_delivery(*how),
+    'network': lambda simulation, *modes: simulation.network.set_delivery(
+        *modes
+    ),
     'store': _set_store,
     'apply-late': _apply_late_writes,
     'stop-updates': Simulation._stop_updates,
