--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -158,8 +158,8 @@
         )
 
     def _create_shards(self) -> None:
-        for shard, order in zip(SHARDS, ('abc', 'bcd'), strict=True):
-            names = tuple(NodeName(vm, 1) for vm in ordered)
+        for shard, vms in zip(SHARDS, ('abc', 'bcd'), strict=True):
+            names = tuple(NodeName(vm, 1) for vm in vms)
             record = ShardRecord(1, names)
             self.store.create(shard_object(shard), to_value(record))
         for node in self._nodes.values():
