--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -28,7 +28,7 @@
 _SIDE = strategies.integers(0, 3)
 
 
-class Driver(RuleBasedStateMachine):
+class SimulationStateMachine(RuleBasedStateMachine):
     """Runs random lines; losses in the middle of a move come often."""
 
     components = Components()
@@ -247,13 +247,15 @@
 
 def drive(
     components: Components, runs: int, lines: int, *, has_workers: bool = False
-) -> type[Driver]:
+) -> type[SimulationStateMachine]:
     """Run random worlds, the same each time; return what counted them.
 
     Raises what the world raises.
     """
     given = {'components': components, 'has_workers': has_workers}
-    kind: type[Driver] = type('CodeDriver', (Driver,), given)
+    kind: type[SimulationStateMachine] = type(
+        'CodeDriver', (SimulationStateMachine,), given
+    )
     how = hypothesis_settings(
         max_examples=runs,
         stateful_step_count=lines,
