--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -6,7 +6,7 @@
 from tests.ownership.mutations import MUTATIONS
 from tests.ownership.node import Components
 from tests.ownership.simulation import Simulation
-from tests.ownership.state_machine import drive
+from tests.ownership.state_machine import run_random_simulations
 
 
 def _run(
@@ -23,7 +23,7 @@
 
 @when('{runs:d} random simulations of {lines:d} lines are run')
 def run_simulations(context: Context, runs: int, lines: int) -> None:
-    context.counted = drive(Components(), runs, lines)
+    context.counted = run_random_simulations(Components(), runs, lines)
 
 
 @when(
@@ -31,7 +31,9 @@
     'are run'
 )
 def run_with_workers(context: Context, runs: int, lines: int) -> None:
-    context.counted = drive(Components(), runs, lines, has_workers=True)
+    context.counted = run_random_simulations(
+        Components(), runs, lines, has_workers=True
+    )
 
 
 @then('no shard ever had two acting owners')
--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -245,7 +245,7 @@
         self._simulation.run(line)
 
 
-def drive(
+def run_random_simulations(
     components: Components, runs: int, lines: int, *, has_workers: bool = False
 ) -> type[SimulationStateMachine]:
     """Run random worlds, the same each time; return what counted them.
