--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -49,17 +49,17 @@
         self._run(f'tick {count}')
 
     @rule(command=strategies.sampled_from(('crash', 'pause')), vm=_VM)
-    def fail(self, command: str, vm: str) -> None:
+    def fail_vm(self, command: str, vm: str) -> None:
         """Lose or pause a VM."""
         self._run(f'{command} {vm}')
 
     @rule(vm=_VM)
-    def restart(self, vm: str) -> None:
+    def restart_vm(self, vm: str) -> None:
         """Replace the process of a VM."""
         self._run(f'restart {vm}')
 
     @rule(one=_VM, other=_VM, count=_TICKS)
-    def restart_two(self, one: str, other: str, count: int) -> None:
+    def restart_two_vms(self, one: str, other: str, count: int) -> None:
         """Lose two VMs at the same moment, and start them soon after."""
         for line in (f'crash {one}', f'crash {other}', f'tick {count}'):
             self._run(line)
@@ -67,43 +67,43 @@
         self._run(f'restart {other}')
 
     @rule(vm=_VM)
-    def come_back(self, vm: str) -> None:
+    def clear_faults_of_vm(self, vm: str) -> None:
         """End all that is wrong with a VM but its crash."""
-        self._come_back(vm)
+        self._clear_faults_of_vm(vm)
 
-    def _come_back(self, vm: str) -> None:
+    def _clear_faults_of_vm(self, vm: str) -> None:
         for command in ('resume', 'heal', 'resume-updates'):
             self._run(f'{command} {vm}')
 
     @rule()
-    def calm_down(self) -> None:
+    def clear_all_faults(self) -> None:
         """End all faults, so that the next ones meet a working fleet."""
         self._run('store up')
         self._run('network once in-order')
         for vm in VMS:
-            self._come_back(vm)
+            self._clear_faults_of_vm(vm)
             if not self._simulation.is_running(vm):
                 self._run(f'restart {vm}')
         self._run(f'await-owners {_RECOVERY_STEPS}')
 
     @rule(one=_VM, other=_OTHER)
-    def cut(self, one: str, other: str) -> None:
+    def cut_links(self, one: str, other: str) -> None:
         """Hold the messages between VMs."""
         self._run(f'cut {one} {other}')
 
     @rule(order=_ORDER)
-    def disturb(self, order: str) -> None:
+    def disturb_network(self, order: str) -> None:
         """Double or reorder messages, or end that."""
         self._run(f'network {order}')
 
     @rule(vm=_VM)
-    def lose(self, vm: str) -> None:
+    def lose_messages(self, vm: str) -> None:
         """Lose what is under way on held links, and heal those of a VM."""
         self._run('drop-held')
         self._run(f'heal {vm}')
 
     @rule(mode=_STORE)
-    def change_store(self, mode: str) -> None:
+    def change_store_mode(self, mode: str) -> None:
         """Let the store fail in some way, or work again."""
         self._run(f'store {mode}')
 
@@ -116,17 +116,17 @@
         vm=_VM,
         command=strategies.sampled_from(('stop-updates', 'replay-updates')),
     )
-    def mislead(self, vm: str, command: str) -> None:
+    def impair_updates(self, vm: str, command: str) -> None:
         """Keep news of records from a node, or tell it old ones."""
         self._run(f'{command} {vm}')
 
     @rule(shard=_SHARD, to=_VM)
-    def move(self, shard: int, to: str) -> None:
+    def move_shard(self, shard: int, to: str) -> None:
         """Move a shard."""
         self._run(f'move {shard} {to}')
 
     @rule(shard=_SHARD)
-    def split(self, shard: int) -> None:
+    def split_shard(self, shard: int) -> None:
         """Split keys of a shard off."""
         self._run(f'split {shard}')
 
@@ -175,7 +175,7 @@
                 self._run(line)
 
     @rule(shard=_SHARD, count=strategies.integers(8, 30))
-    def delay_replies(self, shard: int, count: int) -> None:
+    def delay_grants(self, shard: int, count: int) -> None:
         """Let an owner's grants reach it late, and nothing after them."""
         owner, _ = self._simulation.owner_and_successor(shard)
         self._run(f'cut-to {owner} all')
@@ -188,7 +188,7 @@
         self._run('tick 36')
 
     @rule(shard=_SHARD)
-    def restart_sealers(self, shard: int) -> None:
+    def restart_sealing_witnesses(self, shard: int) -> None:
         """Restart witnesses that sealed an owner, before it knows."""
         owner, successor = self._simulation.owner_and_successor(shard)
         self._run(f'stop-updates {owner}')
