--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -12,20 +12,20 @@
 from tests.ownership.node import Components
 from tests.ownership.simulation import STEP_MS, Simulation
 
-_VM = strategies.sampled_from(VMS)
-_OTHER = strategies.sampled_from((*VMS, 'all'))
-_SHARD = strategies.integers(0, 1)
-_TICKS = strategies.sampled_from((1, 2, 4, 8, 16, 36))
-_STORE = strategies.sampled_from(
+_VMS = strategies.sampled_from(VMS)
+_VM_OR_ALL = strategies.sampled_from((*VMS, 'all'))
+_SHARDS = strategies.integers(0, 1)
+_STEP_COUNTS = strategies.sampled_from((1, 2, 4, 8, 16, 36))
+_STORE_MODES = strategies.sampled_from(
     ('up', 'up', 'down', 'refused', 'lose-answers', 'late', 'late')
 )
-_UNSURE = strategies.sampled_from(('lose-answers', 'late'))
-_FAULT = strategies.sampled_from(('crash', 'pause', 'cut', 'restart'))
-_ORDER = strategies.sampled_from(
+_UNCERTAIN_STORE_MODES = strategies.sampled_from(('lose-answers', 'late'))
+_FAULTS = strategies.sampled_from(('crash', 'pause', 'cut', 'restart'))
+_DELIVERY_MODES = strategies.sampled_from(
     ('once in-order', 'doubled in-order', 'once reversed', 'doubled reversed')
 )
 _RECOVERY_STEPS = 15_000 // STEP_MS  # what the users allow
-_SIDE = strategies.integers(0, 3)
+_FIRST_WITNESS = strategies.integers(0, 3)
 
 
 class SimulationStateMachine(RuleBasedStateMachine):
@@ -43,22 +43,22 @@
             self.components, has_workers=self.has_workers
         )
 
-    @rule(count=_TICKS)
+    @rule(count=_STEP_COUNTS)
     def tick(self, count: int) -> None:
         """Let time pass."""
         self._run(f'tick {count}')
 
-    @rule(command=strategies.sampled_from(('crash', 'pause')), vm=_VM)
+    @rule(command=strategies.sampled_from(('crash', 'pause')), vm=_VMS)
     def fail_vm(self, command: str, vm: str) -> None:
         """Lose or pause a VM."""
         self._run(f'{command} {vm}')
 
-    @rule(vm=_VM)
+    @rule(vm=_VMS)
     def restart_vm(self, vm: str) -> None:
         """Replace the process of a VM."""
         self._run(f'restart {vm}')
 
-    @rule(one=_VM, other=_VM, count=_TICKS)
+    @rule(one=_VMS, other=_VMS, count=_STEP_COUNTS)
     def restart_two_vms(self, one: str, other: str, count: int) -> None:
         """Lose two VMs at the same moment, and start them soon after."""
         for line in (f'crash {one}', f'crash {other}', f'tick {count}'):
@@ -66,7 +66,7 @@
         self._run(f'restart {one}')
         self._run(f'restart {other}')
 
-    @rule(vm=_VM)
+    @rule(vm=_VMS)
     def clear_faults_of_vm(self, vm: str) -> None:
         """End all that is wrong with a VM but its crash."""
         self._clear_faults_of_vm(vm)
@@ -86,23 +86,23 @@
                 self._run(f'restart {vm}')
         self._run(f'await-owners {_RECOVERY_STEPS}')
 
-    @rule(one=_VM, other=_OTHER)
+    @rule(one=_VMS, other=_VM_OR_ALL)
     def cut_links(self, one: str, other: str) -> None:
         """Hold the messages between VMs."""
         self._run(f'cut {one} {other}')
 
-    @rule(order=_ORDER)
-    def disturb_network(self, order: str) -> None:
+    @rule(delivery=_DELIVERY_MODES)
+    def disturb_network(self, delivery: str) -> None:
         """Double or reorder messages, or end that."""
-        self._run(f'network {order}')
+        self._run(f'network {delivery}')
 
-    @rule(vm=_VM)
+    @rule(vm=_VMS)
     def lose_messages(self, vm: str) -> None:
         """Lose what is under way on held links, and heal those of a VM."""
         self._run('drop-held')
         self._run(f'heal {vm}')
 
-    @rule(mode=_STORE)
+    @rule(mode=_STORE_MODES)
     def change_store_mode(self, mode: str) -> None:
         """Let the store fail in some way, or work again."""
         self._run(f'store {mode}')
@@ -113,54 +113,54 @@
         self._run('apply-late')
 
     @rule(
-        vm=_VM,
+        vm=_VMS,
         command=strategies.sampled_from(('stop-updates', 'replay-updates')),
     )
     def impair_updates(self, vm: str, command: str) -> None:
         """Keep news of records from a node, or tell it old ones."""
         self._run(f'{command} {vm}')
 
-    @rule(shard=_SHARD, to=_VM)
-    def move_shard(self, shard: int, to: str) -> None:
+    @rule(shard=_SHARDS, target=_VMS)
+    def move_shard(self, shard: int, target: str) -> None:
         """Move a shard."""
-        self._run(f'move {shard} {to}')
+        self._run(f'move {shard} {target}')
 
-    @rule(shard=_SHARD)
+    @rule(shard=_SHARDS)
     def split_shard(self, shard: int) -> None:
         """Split keys of a shard off."""
         self._run(f'split {shard}')
 
-    @rule(vm=_VM, side=_SIDE)
-    def change_witnesses(self, vm: str, side: int) -> None:
+    @rule(vm=_VMS, first_witness=_FIRST_WITNESS)
+    def change_witnesses(self, vm: str, first_witness: int) -> None:
         """Change the witnesses of a node."""
-        self._run(f'witnesses {vm} {side}')
+        self._run(f'witnesses {vm} {first_witness}')
 
     @rule(
-        shard=_SHARD,
-        place=strategies.integers(0, 2),
-        store=_UNSURE,
+        shard=_SHARDS,
+        target_index=strategies.integers(0, 2),
+        store_mode=_UNCERTAIN_STORE_MODES,
         count=strategies.integers(1, 12),
-        fault=_FAULT,
-        deaf=strategies.booleans(),
-        landing=strategies.booleans(),
+        fault=_FAULTS,
+        misses_updates=strategies.booleans(),
+        late_writes_apply=strategies.booleans(),
     )
     def lose_owner_in_move(
         self,
         shard: int,
-        place: int,
-        store: str,
+        target_index: int,
+        store_mode: str,
         count: int,
         fault: str,
-        deaf: bool,
-        landing: bool,
+        misses_updates: bool,
+        late_writes_apply: bool,
     ) -> None:
         """Lose an owner while the outcome of its write is not known."""
         owner, successor = self._simulation.owner_and_successor(shard)
         others = [vm for vm in VMS if vm not in {owner, successor}]
-        self._run(f'store {store}')
-        if deaf:
+        self._run(f'store {store_mode}')
+        if misses_updates:
             self._run(f'stop-updates {successor}')
-        self._run(f'move {shard} {others[place]}')
+        self._run(f'move {shard} {others[target_index]}')
         self._run(f'tick {count}')
         self._run(f'{fault} {owner}{" all" if fault == "cut" else ""}')
         self._run('store up')
@@ -171,10 +171,10 @@
             'tick 4',
             f'resume-updates {successor}',
         ):
-            if landing or line != 'apply-late':
+            if late_writes_apply or line != 'apply-late':
                 self._run(line)
 
-    @rule(shard=_SHARD, count=strategies.integers(8, 30))
+    @rule(shard=_SHARDS, count=strategies.integers(8, 30))
     def delay_grants(self, shard: int, count: int) -> None:
         """Let an owner's grants reach it late, and nothing after them."""
         owner, _ = self._simulation.owner_and_successor(shard)
@@ -187,7 +187,7 @@
         self._run(f'cut-to {owner} all')
         self._run('tick 36')
 
-    @rule(shard=_SHARD)
+    @rule(shard=_SHARDS)
     def restart_sealing_witnesses(self, shard: int) -> None:
         """Restart witnesses that sealed an owner, before it knows."""
         owner, successor = self._simulation.owner_and_successor(shard)
@@ -201,32 +201,43 @@
         self._run(f'heal {owner}')
         self._run('tick 8')
 
-    @rule(shard=_SHARD, side=_SIDE, count=_TICKS, first=_VM, second=_VM)
+    @rule(
+        shard=_SHARDS,
+        first_witness=_FIRST_WITNESS,
+        count=_STEP_COUNTS,
+        first=_VMS,
+        second=_VMS,
+    )
     def change_while_cut(
-        self, shard: int, side: int, count: int, first: str, second: str
+        self,
+        shard: int,
+        first_witness: int,
+        count: int,
+        first: str,
+        second: str,
     ) -> None:
         """Change an owner's witnesses and cut it from some of the old."""
         owner, _ = self._simulation.owner_and_successor(shard)
-        self._run(f'witnesses {owner} {side}')
+        self._run(f'witnesses {owner} {first_witness}')
         self._run(f'tick {count}')
         self._run(f'cut {owner} {first}')
         self._run(f'cut {owner} {second}')
         self._run('tick 40')
 
-    @rule(shard=_SHARD, place=strategies.integers(0, 1))
-    def overtake_move(self, shard: int, place: int) -> None:
+    @rule(shard=_SHARDS, target_index=strategies.integers(0, 1))
+    def overtake_move(self, shard: int, target_index: int) -> None:
         """Let others write over a move before its writer hears of it."""
         owner, _ = self._simulation.owner_and_successor(shard)
         others = [vm for vm in VMS if vm != owner]
         for line in (
             f'stop-updates {owner}',
             'store lose-answers',
-            f'move {shard} {others[place]}',
+            f'move {shard} {others[target_index]}',
             'tick 3',
             f'pause {owner}',
             'store up',
             'tick 4',
-            f'move {shard} {others[place + 2]}',
+            f'move {shard} {others[target_index + 2]}',
             'tick 6',
             f'resume {owner}',
             'tick 8',
@@ -236,10 +247,10 @@
 
     def teardown(self) -> None:
         """Count the run."""
-        kind = type(self)
-        kind.runs += 1
-        kind.steps += self._simulation.steps
-        kind.recoveries += self._simulation.recoveries
+        machine_class = type(self)
+        machine_class.runs += 1
+        machine_class.steps += self._simulation.steps
+        machine_class.recoveries += self._simulation.recoveries
 
     def _run(self, line: str) -> None:
         self._simulation.run(line)
@@ -252,11 +263,11 @@
 
     Raises what the world raises.
     """
-    given = {'components': components, 'has_workers': has_workers}
-    kind: type[SimulationStateMachine] = type(
-        'CodeDriver', (SimulationStateMachine,), given
+    attributes = {'components': components, 'has_workers': has_workers}
+    machine_class: type[SimulationStateMachine] = type(
+        'CodeDriver', (SimulationStateMachine,), attributes
     )
-    how = hypothesis_settings(
+    settings = hypothesis_settings(
         max_examples=runs,
         stateful_step_count=lines,
         derandomize=True,
@@ -266,5 +277,5 @@
         phases=[Phase.generate],
         suppress_health_check=list(HealthCheck),
     )
-    run_state_machine_as_test(kind, settings=how)
-    return kind
+    run_state_machine_as_test(machine_class, settings=settings)
+    return machine_class
