--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -205,23 +205,23 @@
         shard=_SHARDS,
         first_witness=_FIRST_WITNESS,
         count=_STEP_COUNTS,
-        first=_VMS,
-        second=_VMS,
+        cut_vm=_VMS,
+        other_cut_vm=_VMS,
     )
     def change_while_cut(
         self,
         shard: int,
         first_witness: int,
         count: int,
-        first: str,
-        second: str,
+        cut_vm: str,
+        other_cut_vm: str,
     ) -> None:
         """Change an owner's witnesses and cut it from some of the old."""
         owner, _ = self._simulation.owner_and_successor(shard)
         self._run(f'witnesses {owner} {first_witness}')
         self._run(f'tick {count}')
-        self._run(f'cut {owner} {first}')
-        self._run(f'cut {owner} {second}')
+        self._run(f'cut {owner} {cut_vm}')
+        self._run(f'cut {owner} {other_cut_vm}')
         self._run('tick 40')
 
     @rule(shard=_SHARDS, target_index=strategies.integers(0, 1))
