--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -25,7 +25,7 @@
 from tests.ownership.node import Components
 
 
-class _NoFloor(Lease):
+class _LeaseWithoutFloors(Lease):
     """Writes without telling the witnesses of it."""
 
     def raise_floor(self, shard: str, epoch: int) -> None:
@@ -36,7 +36,7 @@
         return True
 
 
-class _FromReceipt(Lease):
+class _LeaseCountedFromReceipt(Lease):
     """Counts a grant from when it was received."""
 
     def record_grant(self, request: Renew, sent_ms: int) -> bool:
@@ -44,7 +44,7 @@
         return super().record_grant(request, self._clock.now_ms())
 
 
-class _NoJointMajority(Lease):
+class _LeaseWithoutJointMajority(Lease):
     """Relies on a new set of witnesses as soon as it is chosen."""
 
     @property
@@ -52,7 +52,7 @@
         return (self._next or self._current,)
 
 
-class _KeptVote(Witness):
+class _WitnessIgnoringRestart(Witness):
     """Answers for its earlier incarnations, of which it knows nothing."""
 
     def renew(self, request: Renew, digest: Digest) -> Granted | Refused:
@@ -62,24 +62,28 @@
         return Granted(digest)
 
 
-class _ReadForWin(OwnershipTracker):
+class _TakeoverWithoutWrite(OwnershipTracker):
     """Takes the newest record that can be read for the newest there is."""
 
     def _ownership_state(
         self, shard: ShardName, record: ShardRecord
     ) -> OwnershipState:
-        how = super()._ownership_state(shard, record)
-        return OwnershipState.OWNER if how is OwnershipState.MUST_WRITE else how
+        state = super()._ownership_state(shard, record)
+        return (
+            OwnershipState.OWNER
+            if state is OwnershipState.MUST_WRITE
+            else state
+        )
 
 
-class _ReopenOnConflict(OwnershipTracker):
+class _ReopenAfterConflict(OwnershipTracker):
     """Goes on with a record that is known to be stale."""
 
     def _apply_conflict(self, write: ShardWrite) -> None:
         self._held_shards.reopen(write.shard)
 
 
-class _ReopenUnsettled(OwnershipTracker):
+class _ReopenBeforeOutcome(OwnershipTracker):
     """Reopens a moving shard although the move may have been written."""
 
     def update_held_shards(self) -> None:
@@ -89,7 +93,7 @@
             self._held_shards.reopen(shard)
 
 
-class _ForgottenTry(ShardWrite):
+class _WriteWithoutAttemptHistory(ShardWrite):
     """Takes the last try for all of them."""
 
     def step(self, platform: Store) -> WriteProgress:
@@ -98,7 +102,7 @@
         return super().step(platform)
 
 
-class _LastTryOnly(OwnershipTracker):
+class _MovesWithoutAttemptHistory(OwnershipTracker):
     """Leaves a move once a try of it did not reach the store."""
 
     def begin_move(
@@ -107,11 +111,11 @@
         """Return a write that knows of its last try only."""
         write = super().begin_move(shard, target)
         if write is not None:
-            write.__class__ = _ForgottenTry
+            write.__class__ = _WriteWithoutAttemptHistory
         return write
 
 
-class _UnsettledMoves(OwnershipTracker):
+class _MovesNeverAbandoned(OwnershipTracker):
     """Waits for the outcome of moves that did not reach the store."""
 
     def begin_move(
@@ -124,7 +128,7 @@
         return write
 
 
-class _ClosedAfterSplit(OwnershipTracker):
+class _NoReopeningAfterSplit(OwnershipTracker):
     """Leaves a shard closed once keys of it were split off."""
 
     def _apply_written(self, write: ShardWrite) -> None:
@@ -132,7 +136,7 @@
             super()._apply_written(write)
 
 
-class _NoEnd(QuorumLossDetector):
+class _NoExpiredLeases(QuorumLossDetector):
     """Leaves lost nodes to an operator."""
 
     def expired(
@@ -153,27 +157,35 @@
 
 
 MUTATIONS = {
-    'the automatic end of lost nodes': Components(quorum_loss_detector=_NoEnd),
+    'the automatic end of lost nodes': Components(
+        quorum_loss_detector=_NoExpiredLeases
+    ),
     'nothing': Components(),
-    'the floor': Components(lease=_NoFloor),
-    'the write before a takeover': Components(ownership_tracker=_ReadForWin),
-    'the count of grants from sending': Components(lease=_FromReceipt),
-    'the new name of a restarted witness': Components(witness=_KeptVote),
-    'the joint majority': Components(lease=_NoJointMajority),
+    'the floor': Components(lease=_LeaseWithoutFloors),
+    'the write before a takeover': Components(
+        ownership_tracker=_TakeoverWithoutWrite
+    ),
+    'the count of grants from sending': Components(
+        lease=_LeaseCountedFromReceipt
+    ),
+    'the new name of a restarted witness': Components(
+        witness=_WitnessIgnoringRestart
+    ),
+    'the joint majority': Components(lease=_LeaseWithoutJointMajority),
     'the drop after a conflict': Components(
-        ownership_tracker=_ReopenOnConflict
+        ownership_tracker=_ReopenAfterConflict
     ),
     'the reopening after a split': Components(
-        ownership_tracker=_ClosedAfterSplit
+        ownership_tracker=_NoReopeningAfterSplit
     ),
     'the wait for the worker': Components(attached_grants=_NoWaitForWorker),
     'the wait for an unsettled move': Components(
-        ownership_tracker=_ReopenUnsettled
+        ownership_tracker=_ReopenBeforeOutcome
     ),
     'the memory of earlier attempts': Components(
-        ownership_tracker=_LastTryOnly
+        ownership_tracker=_MovesWithoutAttemptHistory
     ),
     'the end of a move that was not sent': Components(
-        ownership_tracker=_UnsettledMoves
+        ownership_tracker=_MovesNeverAbandoned
     ),
 }
