--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -229,7 +229,7 @@
     def _check(self) -> None:
         for shard in SHARDS:
             if self._workers is not None:
-                self._workers.judge(shard, self.script)
+                self._workers.check_shard(shard, self.script)
             owners = self._acting_owners(shard)
             if len(owners) > 1:
                 raise TwoActingOwnersError(f'{shard}: {owners} {self.script}')
--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -120,10 +120,10 @@
         """Keep news of records from a node, or tell it old ones."""
         self._run(f'{command} {vm}')
 
-    @rule(shard=_SHARDS, target=_VMS)
-    def move_shard(self, shard: int, target: str) -> None:
+    @rule(shard=_SHARDS, new_owner=_VMS)
+    def move_shard(self, shard: int, new_owner: str) -> None:
         """Move a shard."""
-        self._run(f'move {shard} {target}')
+        self._run(f'move {shard} {new_owner}')
 
     @rule(shard=_SHARDS)
     def split_shard(self, shard: int) -> None:
