--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -42,7 +42,7 @@
     # long after all faults have ended.  This checks that some simulations got
     # as far as that last check.
     counted = context.counted
-    print(f'{counted.runs} worlds, {counted.steps} steps', end=', ')
+    print(f'{counted.runs} simulations, {counted.steps} steps', end=', ')
     print(
         f'after all faults every shard had an owner {counted.recoveries} times'
     )
--- a/tests/ownership/__init__.py
+++ b/tests/ownership/__init__.py
@@ -1,1 +1,1 @@
-"""A small world in which the code that owns shards is stepped."""
+"""A simulation of the nodes that own shards, in one process."""
--- a/tests/ownership/clocks.py
+++ b/tests/ownership/clocks.py
@@ -1,17 +1,17 @@
-"""Clocks that the tests move."""
+"""Clocks whose time is set by the tests."""
 
 from laburnumwood.clock import Clock
 
 
 class SimulatedTime:
-    """The true time of a world, in milliseconds."""
+    """The true time of a simulation, in milliseconds."""
 
     def __init__(self) -> None:
         self.now_ms = 10_000
 
 
 class DriftingClock(Clock):
-    """The clock of one VM: off by some time and a little too fast or slow."""
+    """The clock of one VM, with a fixed offset and a constant rate error."""
 
     def __init__(
         self, simulated_time: SimulatedTime, offset_ms: int, rate: float
@@ -21,5 +21,5 @@
         self._rate = rate
 
     def now_ms(self) -> int:
-        """Return the time of this VM."""
+        """Return the time on this VM in milliseconds."""
         return int(self._simulated_time.now_ms * self._rate) + self._offset_ms
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -1,4 +1,4 @@
-"""The code with one of its safeguards left out, for proofs of the tests."""
+"""Variants of the code without one safeguard, to show that tests detect it."""
 
 from collections.abc import Iterable
 
@@ -26,26 +26,26 @@
 
 
 class _LeaseWithoutFloors(Lease):
-    """Writes without telling the witnesses of it."""
+    """Lets records be written without floors at the witnesses."""
 
     def raise_floor(self, shard: str, epoch: int) -> None:
-        """Forget it."""
+        """Send no floor to the witnesses."""
 
     def is_floor_acknowledged(self, shard: str, epoch: int) -> bool:
-        """Pretend."""
+        """Return that majorities know the floor, which none does."""
         return True
 
 
 class _LeaseCountedFromReceipt(Lease):
-    """Counts a grant from when it was received."""
+    """Counts the duration of a grant from its receipt."""
 
     def record_grant(self, request: Renew, sent_ms: int) -> bool:
-        """Leave the moment of sending out."""
+        """Record a grant as if its request had been sent now."""
         return super().record_grant(request, self._clock.now_ms())
 
 
 class _LeaseWithoutJointMajority(Lease):
-    """Relies on a new set of witnesses as soon as it is chosen."""
+    """Relies on a new witness set as soon as it is proposed."""
 
     @property
     def _active_sets(self) -> tuple[WitnessSet, ...]:
@@ -53,17 +53,17 @@
 
 
 class _WitnessIgnoringRestart(Witness):
-    """Answers for its earlier incarnations, of which it knows nothing."""
+    """Answers for earlier incarnations, whose state it does not have."""
 
     def renew(self, request: Renew, digest: Digest) -> Granted | Refused:
-        """Grant what an earlier incarnation may have refused."""
+        """Grant renewals that an earlier incarnation may have refused."""
         if request.witness == self.name:
             return super().renew(request, digest)
         return Granted(digest)
 
 
 class _TakeoverWithoutWrite(OwnershipTracker):
-    """Takes the newest record that can be read for the newest there is."""
+    """Treats the newest record that it has read as the current one."""
 
     def _ownership_state(
         self, shard: ShardName, record: ShardRecord
@@ -77,38 +77,38 @@
 
 
 class _ReopenAfterConflict(OwnershipTracker):
-    """Goes on with a record that is known to be stale."""
+    """Keeps serving a shard although its record is known to be stale."""
 
     def _apply_conflict(self, write: ShardWrite) -> None:
         self._held_shards.reopen(write.shard)
 
 
 class _ReopenBeforeOutcome(OwnershipTracker):
-    """Reopens a moving shard although the move may have been written."""
+    """Reopens a moving shard whose move may have been written."""
 
     def update_held_shards(self) -> None:
-        """Reopen all that moves."""
+        """Reopen all shards that move."""
         super().update_held_shards()
         for shard in self._writes:
             self._held_shards.reopen(shard)
 
 
 class _WriteWithoutAttemptHistory(ShardWrite):
-    """Takes the last try for all of them."""
+    """Ignores earlier attempts of the same write."""
 
     def step(self, platform: Store) -> WriteProgress:
-        """Leave out that an earlier try may still land."""
+        """Attempt the write as if no earlier attempt could take effect."""
         self._sent = False
         return super().step(platform)
 
 
 class _MovesWithoutAttemptHistory(OwnershipTracker):
-    """Leaves a move once a try of it did not reach the store."""
+    """Abandons a move as soon as one attempt does not reach the store."""
 
     def begin_move(
         self, shard: ShardName, target: NodeName
     ) -> ShardWrite | None:
-        """Return a write that knows of its last try only."""
+        """Return a write that ignores its earlier attempts."""
         write = super().begin_move(shard, target)
         if write is not None:
             write.__class__ = _WriteWithoutAttemptHistory
@@ -116,12 +116,12 @@
 
 
 class _MovesNeverAbandoned(OwnershipTracker):
-    """Waits for the outcome of moves that did not reach the store."""
+    """Repeats moves whose first attempt did not reach the store."""
 
     def begin_move(
         self, shard: ShardName, target: NodeName
     ) -> ShardWrite | None:
-        """Return a write that is repeated until it is settled."""
+        """Return a write that is repeated until its outcome is known."""
         write = super().begin_move(shard, target)
         if write is not None:
             write.stop_if_unreachable = False
@@ -129,7 +129,7 @@
 
 
 class _NoReopeningAfterSplit(OwnershipTracker):
-    """Leaves a shard closed once keys of it were split off."""
+    """Leaves a shard closed after keys were split off from it."""
 
     def _apply_written(self, write: ShardWrite) -> None:
         if write.record.succession[0] != self._own:
@@ -137,22 +137,22 @@
 
 
 class _NoExpiredLeases(QuorumLossDetector):
-    """Leaves lost nodes to an operator."""
+    """Records no end of lost nodes, which is left to an operator."""
 
     def expired(
         self,
         candidates: Iterable[Candidate],
         is_witness_replaced: IsWitnessReplaced,
     ) -> tuple[Candidate, ...]:
-        """Find nobody."""
+        """Return no candidate."""
         return ()
 
 
 class _NoWaitForWorker(AttachedGrants):
-    """Takes a worker for empty once its node gives an incarnation up."""
+    """Assumes that the worker of an ended incarnation holds nothing."""
 
     def held_for_ms(self) -> int:
-        """Return nothing."""
+        """Return that no grant is held."""
         return 0
 
 
--- a/tests/ownership/network.py
+++ b/tests/ownership/network.py
@@ -1,4 +1,4 @@
-"""A network that delays, loses, doubles and reorders messages."""
+"""A network that delays, drops, duplicates and reorders messages."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -8,7 +8,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Message:
-    """A message under way between two VMs; `arrive` hands it over."""
+    """A message in transit from one VM to another.
+
+    `deliver` runs what the target does on receipt.
+    """
 
     source: str
     target: str
@@ -16,9 +19,11 @@
 
 
 class Network:
-    """Messages under way.
+    """Holds the messages in transit between the VMs.
 
-    Those from and to a held pair of VMs wait until it is released.
+    A link is a pair of a sending and a receiving VM.  Messages on a held link
+    wait until the link is healed, and messages to a VM in `paused` wait until
+    it is resumed.
     """
 
     def __init__(self) -> None:
@@ -29,11 +34,11 @@
         self._messages: list[Message] = []
 
     def send(self, message: Message) -> None:
-        """Put a message under way."""
+        """Add a message to those in transit."""
         self._messages.append(message)
 
     def deliver_ready(self) -> None:
-        """Hand over what can arrive now, and what that gives rise to."""
+        """Deliver the messages that can be delivered, then their answers."""
         for _ in range(2):
             ready = [
                 each for each in self._messages if self._can_be_delivered(each)
@@ -49,36 +54,39 @@
                 message.deliver()
 
     def cut(self, vm: str, other: str) -> None:
-        """Hold what a VM sends to another (or to all), and the answers."""
+        """Hold both links between a VM and another VM, or 'all'."""
         self.cut_from(vm, other)
         self.cut_to(vm, other)
 
     def cut_from(self, vm: str, other: str) -> None:
-        """Hold what a VM sends."""
+        """Hold the links from a VM to another VM, or 'all'."""
         others = VMS if other == 'all' else (other,)
         self._held_links.update((vm, each) for each in others if each != vm)
 
     def cut_to(self, vm: str, other: str) -> None:
-        """Hold what is sent to a VM."""
+        """Hold the links to a VM from another VM, or 'all'."""
         others = VMS if other == 'all' else (other,)
         self._held_links.update((each, vm) for each in others if each != vm)
 
     def heal(self, vm: str) -> None:
-        """Release all that a VM sends and is sent."""
+        """Release all links from and to a VM."""
         self._held_links = {pair for pair in self._held_links if vm not in pair}
 
     def heal_to(self, vm: str) -> None:
-        """Release what is sent to a VM."""
+        """Release all links to a VM."""
         self._held_links = {pair for pair in self._held_links if pair[1] != vm}
 
     def drop_held(self) -> None:
-        """Lose all messages of held pairs."""
+        """Drop all messages on held links."""
         self._messages = [
             each for each in self._messages if not self._is_held(each)
         ]
 
     def set_delivery(self, copies: str, order: str) -> None:
-        """Say how often and in which order messages arrive from now on."""
+        """Set how messages are delivered from now on.
+
+        `copies` is 'once' or 'doubled', `order` 'in-order' or 'reversed'.
+        """
         self._copies = 2 if copies == 'doubled' else 1
         self._is_reversed = order == 'reversed'
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -1,4 +1,4 @@
-"""One incarnation of a node, made of the real classes, stepped by hand."""
+"""One incarnation of a node, made of the real classes and run in steps."""
 
 from collections.abc import Callable
 from contextlib import suppress
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Components:
-    """The classes to run; a mutation puts another in place of one."""
+    """The classes that nodes are made of; a mutation replaces one of them."""
 
     lease: type[Lease] = Lease
     witness: type[Witness] = Witness
@@ -67,7 +67,7 @@
 
 
 class _GrantSource:
-    """What an incarnation of the world lets its worker hold."""
+    """The shards that an incarnation grants its worker."""
 
     def __init__(self, lease: Lease, held_shards: HeldShards) -> None:
         self._held_shards = held_shards
@@ -81,7 +81,7 @@
         return (shard_keys(shard),)
 
     def handovers(self, _shard: ShardName) -> tuple[str, ...]:
-        """Return nothing: every shard comes cold."""
+        """Return no handovers."""
         return ()
 
 
@@ -89,7 +89,10 @@
 
 
 class FakeNode:
-    """An incarnation; `send` runs a function at the VM of another."""
+    """An incarnation of a node that does its work in `step`.
+
+    `send` sends a function to a VM, which calls it with the node there.
+    """
 
     def __init__(
         self,
@@ -136,23 +139,26 @@
 
     @property
     def silent_witness_ids(self) -> frozenset[str]:
-        """Return the ids of witnesses that do not renew the lease."""
+        """The node ids of the witnesses that do not renew the lease."""
         return frozenset(name.node_id for name in self.lease.silent_witnesses)
 
     @property
     def has_no_grants(self) -> bool:
-        """Tell whether its worker holds nothing that it gave."""
+        """Whether the worker holds no grant of this incarnation."""
         return self.worker is None or not self.worker.held_for_ms()
 
     def must_rejoin(self) -> bool:
-        """Tell whether to join anew because the witnesses are silent."""
+        """Return whether to rejoin now because the lease stays lost."""
         if not self._rejoin_backoff.is_due(self.lease):
             return False
         self._rejoin_backoff.record_rejoin()
         return self._store.mode == 'up'
 
     def start(self, avoided: frozenset[str] = _NO_NODE_IDS) -> None:
-        """Read the store and choose the first witnesses."""
+        """Read the store and choose the first witnesses.
+
+        Nodes with an id in `avoided` are chosen last.
+        """
         self.read_store()
         live = self.view.witnesses(avoided)
         members = choose_witnesses(self.name, live)[:_WITNESS_COUNT]
@@ -162,7 +168,7 @@
         self._started_ms = self._clock.now_ms()
 
     def step(self) -> None:
-        """Do all that the tasks of a node would do now."""
+        """Do once what the tasks of a node do when it is due."""
         for seal in self.witness.seal_lapsed():
             self.apply_seals((seal,))
             self._broadcast(partial(_apply_seals, (seal,)))
@@ -180,7 +186,7 @@
         self._step_writes()
 
     def renew(self) -> None:
-        """Ask all witnesses to renew the lease."""
+        """Send all witnesses a request to renew the lease."""
         self._renewed_ms = self._clock.now_ms()
         if self.lease.is_over:
             return
@@ -190,7 +196,7 @@
             self._send(witness.node_id, action)
 
     def handle_renewal(self, request: Renew, sent_ms: int) -> None:
-        """Answer a renewal as the VM that it was sent to."""
+        """Answer a request to renew the lease of another node."""
         reply = self.witness.renew(request, self.view.digest())
         differs = self.view.seals.digest() != request.digest.seals
         seals = self.view.seals.seals() if differs else ()
@@ -206,7 +212,7 @@
         reply: Granted | Refused,
         seals: tuple[Seal, ...],
     ) -> None:
-        """Take in a witness's answer."""
+        """Apply a witness's answer, unless it is for another incarnation."""
         if request.holder != self.name:
             return
         self.apply_seals(seals)
@@ -217,37 +223,37 @@
             self.apply_seals((reply.seal,) if reply.seal else ())
 
     def apply_seals(self, seals: tuple[Seal, ...]) -> None:
-        """Take in seals."""
+        """Add seals to the view."""
         for seal in seals:
             self.view.add_seal(seal)
 
     def apply_update(self, stored: StoredObject) -> None:
-        """Take in an object of the store, unless this node hears nothing."""
+        """Apply an update of an object, unless this node misses updates."""
         if not self.misses_updates:
             self.view.directory.apply(stored)
 
     def read_store(self) -> None:
-        """Take in all the store holds, if it answers."""
+        """Apply all objects of the store, if it answers."""
         self._read_ms = self._clock.now_ms()
         if self._store.mode == 'up':
             for stored in self._store.list()[0]:
                 self.view.directory.apply(stored)
 
     def move(self, shard: ShardName, target: NodeName) -> None:
-        """Begin to hand a shard over."""
+        """Begin to move a shard to another node."""
         if self.view.directory.node(target) is not None:
             self._release_and_write(
                 shard, self.ownership.begin_move(shard, target)
             )
 
     def split(self, shard: ShardName, keys: KeyRange) -> None:
-        """Begin to split keys of a shard off."""
+        """Begin to split a range of keys off from a shard."""
         self._release_and_write(
             shard, self.ownership.begin_split(shard, (keys,))
         )
 
     def end(self) -> None:
-        """End all activity of this incarnation."""
+        """Give up the lease and all shards."""
         self.lease.resign()
         self.held_shards.drop_all()
 
@@ -307,7 +313,7 @@
             self._has_recorded_earlier_ends = True
 
     def change_witnesses(self, members: tuple[NodeName, ...]) -> None:
-        """Begin to rely on other witnesses, if the store has taken them."""
+        """Begin to change the witnesses once the store has recorded them."""
         chosen = self.lease.propose_set(members)
         with suppress(PlatformError):
             sets = (self.lease.witnesses, chosen)
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -1,4 +1,4 @@
-"""A world of nodes, a network and a store, driven by lines of text."""
+"""A simulation of nodes, a network and a store, run by a script."""
 
 from collections.abc import Callable
 from contextlib import suppress
@@ -28,7 +28,7 @@
 
 
 class TwoActingOwnersError(AssertionError):
-    """More than one incarnation may act for a shard at one moment."""
+    """More than one incarnation may act for a shard at the same time."""
 
 
 class NoActingOwnerError(AssertionError):
@@ -36,7 +36,7 @@
 
 
 class TokenNotIncreasedError(AssertionError):
-    """An actor has a fencing token that is not above an earlier one's."""
+    """A new owner has no higher fencing token than an earlier one."""
 
 
 def node_settings(node_id: str) -> DaemonSettings:
@@ -57,10 +57,11 @@
 
 
 class Simulation:
-    """Runs the lines of a script and judges after every step.
+    """Runs the lines of a script and checks ownership after every step.
 
-    It knows all nodes at one moment, which no node does.  With workers, each
-    VM has one that reports to its node and holds what it is answered.
+    The checks see all nodes at the same moment, as no node can.  With
+    `has_workers`, each VM has a worker that reports to its node and holds the
+    keys it is granted.  All checks raise a subclass of `AssertionError`.
     """
 
     def __init__(
@@ -89,31 +90,31 @@
         self._tick(_STARTUP_STEPS)
 
     def run(self, line: str) -> None:
-        """Carry out one line: a command and its arguments."""
+        """Run one line, a command and its arguments, and check ownership."""
         self.script.append(line)
         command, *arguments = line.split()
         _COMMANDS[command](self, *arguments)
         self._check()
 
     def owner(self, shard: ShardName) -> NodeName | None:
-        """Return who may act for a shard."""
+        """Return the incarnation that may act for a shard, or None."""
         return next(iter(self._acting_owners(shard)), None)
 
     @property
     def nodes(self) -> tuple[FakeNode, ...]:
-        """Return the nodes that run."""
+        """The nodes whose processes run."""
         return tuple(self._nodes.values())
 
     def node(self, vm: str) -> FakeNode:
-        """Return the node on a VM."""
+        """Return the node whose process runs on a VM."""
         return self._nodes[vm]
 
     def is_running(self, vm: str) -> bool:
-        """Tell whether a process runs on a VM."""
+        """Return whether a process runs on a VM."""
         return vm in self._nodes
 
     def owner_and_successor(self, number: int) -> tuple[str, str]:
-        """Return the VMs of a shard's owner and first successor."""
+        """Return the VMs of the first two nodes in a shard's succession."""
         name = shard_object(SHARDS[number])
         newest = [each for each in self.store.history if each.name == name][-1]
         names = (newest.value or {})['succession']
@@ -122,7 +123,7 @@
         return ids[0], ids[1]
 
     def _start(self, vm: str, previous: FakeNode | None = None) -> None:
-        """Start a process, or the next incarnation of one that runs."""
+        """Start a process, or the next incarnation of a running one."""
         settings = node_settings(vm)
         if self._workers is not None and previous is None:
             self._workers.start_process(vm)
@@ -166,7 +167,7 @@
             node.start()
 
     def _await_owners(self, max_steps: str) -> None:
-        """Let time pass until every shard has an owner."""
+        """Run steps until every shard has an owner."""
         for _ in range(int(max_steps)):
             if all(self.owner(shard) for shard in SHARDS):
                 self.recoveries += 1
--- a/tests/ownership/state_machine.py
+++ b/tests/ownership/state_machine.py
@@ -1,4 +1,4 @@
-"""A random driver of worlds."""
+"""Random simulations, drawn by a state machine of hypothesis."""
 
 from hypothesis import HealthCheck, Phase, strategies
 from hypothesis import settings as hypothesis_settings
@@ -24,12 +24,19 @@
 _DELIVERY_MODES = strategies.sampled_from(
     ('once in-order', 'doubled in-order', 'once reversed', 'doubled reversed')
 )
-_RECOVERY_STEPS = 15_000 // STEP_MS  # what the users allow
+_RECOVERY_STEPS = 15_000 // STEP_MS  # users accept 15 s without an owner
 _FIRST_WITNESS = strategies.integers(0, 3)
 
 
 class SimulationStateMachine(RuleBasedStateMachine):
-    """Runs random lines; losses in the middle of a move come often."""
+    """Runs random lines in a simulation.
+
+    Losses in the middle of a move come often.  The class attributes count the
+    simulations, their steps and the successful checks by `clear_all_faults`.
+
+    Hypothesis sorts the rules by the number of their arguments, then by name,
+    so a new name that changes this order also changes the simulations.
+    """
 
     components = Components()
     has_workers = False
@@ -45,22 +52,22 @@
 
     @rule(count=_STEP_COUNTS)
     def tick(self, count: int) -> None:
-        """Let time pass."""
+        """Run a number of steps."""
         self._run(f'tick {count}')
 
     @rule(command=strategies.sampled_from(('crash', 'pause')), vm=_VMS)
     def fail_vm(self, command: str, vm: str) -> None:
-        """Lose or pause a VM."""
+        """Crash or pause a VM."""
         self._run(f'{command} {vm}')
 
     @rule(vm=_VMS)
-    def restart_vm(self, vm: str) -> None:
-        """Replace the process of a VM."""
+    def replace_process(self, vm: str) -> None:
+        """Replace the process on a VM by a new one."""
         self._run(f'restart {vm}')
 
     @rule(one=_VMS, other=_VMS, count=_STEP_COUNTS)
     def restart_two_vms(self, one: str, other: str, count: int) -> None:
-        """Lose two VMs at the same moment, and start them soon after."""
+        """Crash two VMs at the same moment and restart them soon after."""
         for line in (f'crash {one}', f'crash {other}', f'tick {count}'):
             self._run(line)
         self._run(f'restart {one}')
@@ -68,7 +75,7 @@
 
     @rule(vm=_VMS)
     def clear_faults_of_vm(self, vm: str) -> None:
-        """End all that is wrong with a VM but its crash."""
+        """End all faults of a VM except a crash."""
         self._clear_faults_of_vm(vm)
 
     def _clear_faults_of_vm(self, vm: str) -> None:
@@ -77,7 +84,7 @@
 
     @rule()
     def clear_all_faults(self) -> None:
-        """End all faults, so that the next ones meet a working fleet."""
+        """End all faults, so that the next ones hit a working fleet."""
         self._run('store up')
         self._run('network once in-order')
         for vm in VMS:
@@ -88,28 +95,28 @@
 
     @rule(one=_VMS, other=_VM_OR_ALL)
     def cut_links(self, one: str, other: str) -> None:
-        """Hold the messages between VMs."""
+        """Hold the messages between a VM and one or all others."""
         self._run(f'cut {one} {other}')
 
     @rule(delivery=_DELIVERY_MODES)
     def disturb_network(self, delivery: str) -> None:
-        """Double or reorder messages, or end that."""
+        """Duplicate or reorder messages, or stop doing so."""
         self._run(f'network {delivery}')
 
     @rule(vm=_VMS)
     def lose_messages(self, vm: str) -> None:
-        """Lose what is under way on held links, and heal those of a VM."""
+        """Drop the messages on held links and heal the links of a VM."""
         self._run('drop-held')
         self._run(f'heal {vm}')
 
     @rule(mode=_STORE_MODES)
     def change_store_mode(self, mode: str) -> None:
-        """Let the store fail in some way, or work again."""
+        """Make the store fail in some way, or work again."""
         self._run(f'store {mode}')
 
     @rule()
-    def apply_late_writes(self) -> None:
-        """Let late writes take effect."""
+    def perform_late_writes(self) -> None:
+        """Apply late writes."""
         self._run('apply-late')
 
     @rule(
@@ -117,7 +124,7 @@
         command=strategies.sampled_from(('stop-updates', 'replay-updates')),
     )
     def impair_updates(self, vm: str, command: str) -> None:
-        """Keep news of records from a node, or tell it old ones."""
+        """Keep updates of records from a node, or send it old ones again."""
         self._run(f'{command} {vm}')
 
     @rule(shard=_SHARDS, new_owner=_VMS)
@@ -127,7 +134,7 @@
 
     @rule(shard=_SHARDS)
     def split_shard(self, shard: int) -> None:
-        """Split keys of a shard off."""
+        """Split keys off from a shard."""
         self._run(f'split {shard}')
 
     @rule(vm=_VMS, first_witness=_FIRST_WITNESS)
@@ -154,7 +161,7 @@
         misses_updates: bool,
         late_writes_apply: bool,
     ) -> None:
-        """Lose an owner while the outcome of its write is not known."""
+        """Lose an owner while the outcome of its write is unknown."""
         owner, successor = self._simulation.owner_and_successor(shard)
         others = [vm for vm in VMS if vm not in {owner, successor}]
         self._run(f'store {store_mode}')
@@ -176,7 +183,7 @@
 
     @rule(shard=_SHARDS, count=strategies.integers(8, 30))
     def delay_grants(self, shard: int, count: int) -> None:
-        """Let an owner's grants reach it late, and nothing after them."""
+        """Deliver an owner's grants late, and no messages after them."""
         owner, _ = self._simulation.owner_and_successor(shard)
         self._run(f'cut-to {owner} all')
         self._run('tick 8')
@@ -189,7 +196,7 @@
 
     @rule(shard=_SHARDS)
     def restart_sealing_witnesses(self, shard: int) -> None:
-        """Restart witnesses that sealed an owner, before it knows."""
+        """Restart witnesses that sealed an owner before it learns so."""
         owner, successor = self._simulation.owner_and_successor(shard)
         self._run(f'stop-updates {owner}')
         self._run(f'cut {owner} all')
@@ -216,7 +223,7 @@
         cut_vm: str,
         other_cut_vm: str,
     ) -> None:
-        """Change an owner's witnesses and cut it from some of the old."""
+        """Change an owner's witnesses and cut it off from old ones."""
         owner, _ = self._simulation.owner_and_successor(shard)
         self._run(f'witnesses {owner} {first_witness}')
         self._run(f'tick {count}')
@@ -226,7 +233,7 @@
 
     @rule(shard=_SHARDS, target_index=strategies.integers(0, 1))
     def overtake_move(self, shard: int, target_index: int) -> None:
-        """Let others write over a move before its writer hears of it."""
+        """Let others overwrite a move before its writer learns its outcome."""
         owner, _ = self._simulation.owner_and_successor(shard)
         others = [vm for vm in VMS if vm != owner]
         for line in (
@@ -246,7 +253,7 @@
             self._run(line)
 
     def teardown(self) -> None:
-        """Count the run."""
+        """Add this simulation to the counts."""
         machine_class = type(self)
         machine_class.runs += 1
         machine_class.steps += self._simulation.steps
@@ -259,9 +266,10 @@
 def run_random_simulations(
     components: Components, runs: int, lines: int, *, has_workers: bool = False
 ) -> type[SimulationStateMachine]:
-    """Run random worlds, the same each time; return what counted them.
+    """Run random simulations, the same ones each time.
 
-    Raises what the world raises.
+    Returns the class that counted them; raises the first failed check.  The
+    draws are seeded by the name of this class, which must not change.
     """
     attributes = {'components': components, 'has_workers': has_workers}
     machine_class: type[SimulationStateMachine] = type(
--- a/tests/ownership/store.py
+++ b/tests/ownership/store.py
@@ -1,4 +1,4 @@
-"""A store that is late, loses answers or is away, as it is told."""
+"""A store in memory that can be slow, lose answers or be unreachable."""
 
 from collections.abc import Callable
 from contextlib import suppress
@@ -14,12 +14,19 @@
 
 
 class FakeStore(HttpStore):
-    """Objects with versions, behind the calls of the real client.
+    """Versioned objects with the interface of the real client.
 
-    `mode` is `up`, `down` (nothing arrives), `refused` (the same, and callers
-    know it), `lose-answers` (writes take effect, no answer comes), `lose-write-answers` (the
-    same, but reads are answered) or `late` (writes take effect when `land` is
-    called).
+    `mode` is one of:
+
+    - `up`: all requests are answered
+    - `down`: no request arrives, and callers can't tell whether it did
+    - `refused`: no request arrives, and callers know it
+    - `lose-answers`: writes take effect, but no request is answered
+    - `lose-write-answers`: the same, but `get` is answered
+    - `late`: no request is answered, and writes take effect when
+      `apply_late_writes` is called
+
+    `history` has each version of all objects, oldest first.
     """
 
     def __init__(self) -> None:
@@ -30,34 +37,34 @@
         self._late_writes: list[Callable[[], int]] = []
 
     def get(self, name: str) -> StoredObject | None:
-        """Return an object."""
+        """Return an object, or None if it does not exist."""
         if self.mode not in {'up', 'lose-write-answers'}:
             raise self._unavailable_error(name)
         return self._objects.get(name)
 
     def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
-        """Return all objects."""
+        """Return all objects, whatever the prefix, and the revision."""
         if self.mode != 'up':
             raise self._unavailable_error(prefix)
         return tuple(self._objects.values()), self.revision
 
     def create(self, name: str, value: dict[str, Any]) -> int:
-        """Create an object."""
+        """Create an object and return its version."""
         return self._send_write(lambda: self._write(name, value, None))
 
     def update(self, name: str, value: dict[str, Any], version: int) -> int:
-        """Replace an object of a version."""
+        """Replace a version of an object and return its new version."""
         return self._send_write(lambda: self._write(name, value, version))
 
     def apply_late_writes(self) -> None:
-        """Let the late writes take effect, oldest first."""
+        """Apply the writes sent in mode `late`, oldest first."""
         late_writes, self._late_writes = self._late_writes, []
         for write in late_writes:
             with suppress(PlatformConflictError):
                 write()
 
     def corrupt(self, name: str) -> None:
-        """Put a value of unknown form in place of an object's."""
+        """Replace the value of an object by one that no record type has."""
         current_version = self._objects[name].version
         self._write(name, {'unknown': 'form'}, current_version)
 
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -1,4 +1,4 @@
-"""A worker beside a VM that reports to the node there, in the true time."""
+"""Simulated workers that report to the nodes on their VMs."""
 
 from laburnumwood.records import KeyRange, ShardName
 from laburnumwood.settings import ReportSettings
@@ -8,13 +8,15 @@
 
 _SETTINGS = ReportSettings()
 _REPORT_INTERVAL_MS = 1_000
-_DELAY_AFTER_RELEASE_MS = 100  # after something was released
-_SLOWEST_CLOCK_FACTOR = 1 / (1 - _SETTINGS.clock_drift)  # of the worker's clock
-_KEYS_PER_SHARD = 10  # keys of a shard
+_DELAY_AFTER_RELEASE_MS = 100  # from a release of keys to its report
+_SLOWEST_CLOCK_FACTOR = 1 / (
+    1 - _SETTINGS.clock_drift
+)  # the worker's clock may be this slow
+_KEYS_PER_SHARD = 10
 
 
 class TwoHoldersError(AssertionError):
-    """The workers of two VMs hold a shard at one moment."""
+    """The workers of two VMs hold the same shard at the same time."""
 
 
 def shard_keys(shard: ShardName) -> KeyRange:
@@ -24,7 +26,7 @@
 
 
 class FakeWorker:
-    """Holds what it is answered, for as long as its slow clock says."""
+    """Holds the ranges it was granted until they expire by its slow clock."""
 
     def __init__(self, vm: str, time: SimulatedTime, phase_ms: int) -> None:
         self._vm = vm
@@ -35,12 +37,12 @@
         self._granted_until_ms: float = 0
 
     def holds(self, shard: ShardName) -> bool:
-        """Tell whether it holds a shard now."""
+        """Return whether the worker holds a shard now."""
         is_granted = self._time.now_ms < self._granted_until_ms
         return is_granted and shard_keys(shard).first in self._held
 
     def step(self, node: ReportingWorker | None) -> None:
-        """Report if it is time to; None if nobody answers."""
+        """Send a report to a node if one is due; None does not answer."""
         if self._time.now_ms < self._next_report_ms:
             return
         self._next_report_ms = self._time.now_ms + _REPORT_INTERVAL_MS
@@ -78,7 +80,7 @@
 
 
 class SimulatedWorkers:
-    """The workers of a world, and what the process beside each knows of its."""
+    """The workers of all VMs, with each node process's state of its worker."""
 
     def __init__(self, time: SimulatedTime, clocks: dict[str, DriftingClock]):
         self._clocks = clocks
@@ -91,18 +93,18 @@
         }
 
     def start_process(self, vm: str) -> None:
-        """Forget what the process of a VM knew: another has begun."""
+        """Start a process on a VM, which has no state of the worker yet."""
         self.reporting_workers[vm] = ReportingWorker(
             _SETTINGS, self._clocks[vm]
         )
 
-    def step(self, awake: set[str]) -> None:
-        """Let workers report if it is time; only awake nodes answer."""
+    def step(self, running: set[str]) -> None:
+        """Let workers send the reports that are due to the running nodes."""
         for vm, worker in self._workers.items():
-            worker.step(self.reporting_workers[vm] if vm in awake else None)
+            worker.step(self.reporting_workers[vm] if vm in running else None)
 
     def check_shard(self, shard: ShardName, script: list[str]) -> None:
-        """Raise `TwoHoldersError` if two workers hold a shard now."""
+        """Raise `TwoHoldersError` if several workers hold a shard now."""
         workers = self._workers.items()
         holders = [vm for vm, worker in workers if worker.holds(shard)]
         if len(holders) > 1:
