--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -3,10 +3,10 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from tests.ownership.machine import run_random_simulations
 from tests.ownership.mutations import MUTATIONS
 from tests.ownership.node import Components
 from tests.ownership.simulation import Simulation
-from tests.ownership.state_machine import run_random_simulations
 
 
 def _run(
