--- a/tests/ownership/machine.py
+++ b/tests/ownership/machine.py
@@ -25,7 +25,7 @@
     ('once in-order', 'doubled in-order', 'once reversed', 'doubled reversed')
 )
 _RECOVERY_STEPS = 15_000 // STEP_MS  # users accept 15 s without an owner
-_FIRST_WITNESS = strategies.integers(0, 3)
+_START_INDICES = strategies.integers(0, 3)
 
 
 class SimulationStateMachine(RuleBasedStateMachine):
@@ -35,7 +35,8 @@
     simulations, their steps and the successful checks by `clear_all_faults`.
 
     Hypothesis sorts the rules by the number of their arguments, then by name,
-    so a new name that changes this order also changes the simulations.
+    and draws the arguments of a rule in the order of their names, so a new
+    name that changes such an order also changes the simulations.
     """
 
     components = Components()
@@ -127,47 +128,47 @@
         """Keep updates of records from a node, or send it old ones again."""
         self._run(f'{command} {vm}')
 
-    @rule(shard=_SHARDS, new_owner=_VMS)
-    def move_shard(self, shard: int, new_owner: str) -> None:
+    @rule(shard=_SHARDS, to_vm=_VMS)
+    def move_shard(self, shard: int, to_vm: str) -> None:
         """Move a shard."""
-        self._run(f'move {shard} {new_owner}')
+        self._run(f'move {shard} {to_vm}')
 
     @rule(shard=_SHARDS)
     def split_shard(self, shard: int) -> None:
         """Split keys off from a shard."""
         self._run(f'split {shard}')
 
-    @rule(vm=_VMS, first_witness=_FIRST_WITNESS)
-    def change_witnesses(self, vm: str, first_witness: int) -> None:
+    @rule(vm=_VMS, start_index=_START_INDICES)
+    def change_witnesses(self, vm: str, start_index: int) -> None:
         """Change the witnesses of a node."""
-        self._run(f'witnesses {vm} {first_witness}')
+        self._run(f'witnesses {vm} {start_index}')
 
     @rule(
         shard=_SHARDS,
-        target_index=strategies.integers(0, 2),
+        new_owner_index=strategies.integers(0, 2),
         store_mode=_UNCERTAIN_STORE_MODES,
         count=strategies.integers(1, 12),
         fault=_FAULTS,
-        misses_updates=strategies.booleans(),
+        cut_updates=strategies.booleans(),
         late_writes_apply=strategies.booleans(),
     )
     def lose_owner_in_move(
         self,
         shard: int,
-        target_index: int,
+        new_owner_index: int,
         store_mode: str,
         count: int,
         fault: str,
-        misses_updates: bool,
+        cut_updates: bool,
         late_writes_apply: bool,
     ) -> None:
         """Lose an owner while the outcome of its write is unknown."""
         owner, successor = self._simulation.owner_and_successor(shard)
         others = [vm for vm in VMS if vm not in {owner, successor}]
         self._run(f'store {store_mode}')
-        if misses_updates:
+        if cut_updates:
             self._run(f'stop-updates {successor}')
-        self._run(f'move {shard} {others[target_index]}')
+        self._run(f'move {shard} {others[new_owner_index]}')
         self._run(f'tick {count}')
         self._run(f'{fault} {owner}{" all" if fault == "cut" else ""}')
         self._run('store up')
@@ -210,7 +211,7 @@
 
     @rule(
         shard=_SHARDS,
-        first_witness=_FIRST_WITNESS,
+        start_index=_START_INDICES,
         count=_STEP_COUNTS,
         cut_vm=_VMS,
         other_cut_vm=_VMS,
@@ -218,33 +219,33 @@
     def change_while_cut(
         self,
         shard: int,
-        first_witness: int,
+        start_index: int,
         count: int,
         cut_vm: str,
         other_cut_vm: str,
     ) -> None:
         """Change an owner's witnesses and cut it off from old ones."""
         owner, _ = self._simulation.owner_and_successor(shard)
-        self._run(f'witnesses {owner} {first_witness}')
+        self._run(f'witnesses {owner} {start_index}')
         self._run(f'tick {count}')
         self._run(f'cut {owner} {cut_vm}')
         self._run(f'cut {owner} {other_cut_vm}')
         self._run('tick 40')
 
-    @rule(shard=_SHARDS, target_index=strategies.integers(0, 1))
-    def overtake_move(self, shard: int, target_index: int) -> None:
+    @rule(shard=_SHARDS, new_owner_index=strategies.integers(0, 1))
+    def overtake_move(self, shard: int, new_owner_index: int) -> None:
         """Let others overwrite a move before its writer learns its outcome."""
         owner, _ = self._simulation.owner_and_successor(shard)
         others = [vm for vm in VMS if vm != owner]
         for line in (
             f'stop-updates {owner}',
             'store lose-answers',
-            f'move {shard} {others[target_index]}',
+            f'move {shard} {others[new_owner_index]}',
             'tick 3',
             f'pause {owner}',
             'store up',
             'tick 4',
-            f'move {shard} {others[target_index + 2]}',
+            f'move {shard} {others[new_owner_index + 2]}',
             'tick 6',
             f'resume {owner}',
             'tick 8',
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -76,7 +76,7 @@
         self._time = SimulatedTime()
         self._nodes: dict[str, FakeNode] = {}
         self._unrecorded_ends: dict[str, list[FakeNode]] = {}
-        self._highest_tokens: dict[ShardName, tuple[int, NodeName]] = {}
+        self._tokens: dict[ShardName, tuple[int, NodeName]] = {}
         self._clocks = {
             vm: DriftingClock(self._time, number * 977, _CLOCK_RATES[number])
             for number, vm in enumerate(VMS)
@@ -102,7 +102,7 @@
 
     @property
     def nodes(self) -> tuple[FakeNode, ...]:
-        """The nodes whose processes run."""
+        """Return the nodes that run."""
         return tuple(self._nodes.values())
 
     def node(self, vm: str) -> FakeNode:
@@ -130,12 +130,10 @@
         ended = previous.name if previous and previous.has_no_grants else None
         if previous is not None and ended is None:
             self._unrecorded_ends.setdefault(vm, []).append(previous)
-        first_incarnation = (
-            previous.witness.name.incarnation if previous else None
-        )
+        witness_as = previous.witness.name.incarnation if previous else None
         try:
             name, _ = join(
-                self.store, settings, new_mark(vm), ended, first_incarnation
+                self.store, settings, new_mark(vm), ended, witness_as
             )
             node = self._make_node(
                 name, vm, previous.witness if previous else None
@@ -159,8 +157,8 @@
         )
 
     def _create_shards(self) -> None:
-        for shard, vms in zip(SHARDS, ('abc', 'bcd'), strict=True):
-            names = tuple(NodeName(vm, 1) for vm in vms)
+        for shard, order in zip(SHARDS, ('abc', 'bcd'), strict=True):
+            names = tuple(NodeName(vm, 1) for vm in order)
             record = ShardRecord(1, names)
             self.store.create(shard_object(shard), to_value(record))
         for node in self._nodes.values():
@@ -240,12 +238,12 @@
     def _check_token(
         self, shard: ShardName, token: int, name: NodeName
     ) -> None:
-        highest, holder = self._highest_tokens.get(shard, (0, name))
+        highest, holder = self._tokens.get(shard, (0, name))
         if token < highest or (token == highest and name != holder):
             raise TokenNotIncreasedError(
                 f'{shard}: {name} {token} {self.script}'
             )
-        self._highest_tokens[shard] = (token, name)
+        self._tokens[shard] = (token, name)
 
     def _crash(self, vm: str) -> None:
         self._unrecorded_ends.pop(vm, None)
@@ -295,9 +293,9 @@
         if node is None or node.lease.is_changing or not node.lease.is_held():
             return
         witnesses = sorted(node.view.witnesses())
-        others = [name for name in witnesses if name.node_id != vm]
-        ordered = others[int(first) :] + others[: int(first)]
-        chosen = tuple(ordered[: witness_count(len(others))])
+        live = [name for name in witnesses if name.node_id != vm]
+        order = live[int(first) :] + live[: int(first)]
+        chosen = tuple(order[: witness_count(len(live))])
         if chosen:
             node.change_witnesses(chosen)
 
