--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -6,7 +6,7 @@
 from behave.runner import Context
 
 from tests.features.steps.worker_answer_steps import answer_once
-from tests.fuzz.doors import enter
+from tests.fuzz.inputs import enter
 
 CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -9,7 +9,7 @@
 import traceback
 from itertools import count
 
-from tests.fuzz.doors import DOORS, enter
+from tests.fuzz.inputs import DOORS, enter
 
 
 def _play(name: str, first: int, until: float) -> tuple[int, int]:
