--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -9,7 +9,7 @@
 import traceback
 from itertools import count
 
-from tests.fuzz.inputs import DOORS, enter
+from tests.fuzz.inputs import INPUTS, enter
 
 
 def _play(name: str, first: int, until: float) -> tuple[int, int]:
@@ -32,8 +32,8 @@
     parser.add_argument('--seed', type=int, default=1)
     given = parser.parse_args()
     failed = 0
-    for name in DOORS:
-        until = time.monotonic() + given.seconds / len(DOORS)
+    for name in INPUTS:
+        until = time.monotonic() + given.seconds / len(INPUTS)
         sent, seed = _play(name, given.seed, until)
         failed += seed >= 0
         told = f'failed with seed {seed}' if seed >= 0 else 'none failed'
--- a/tests/fuzz/inputs.py
+++ b/tests/fuzz/inputs.py
@@ -47,19 +47,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Door:
+class Input:
     """A way in, and the errors by which it may refuse what comes."""
 
     enter: Enter
     refuses: tuple[type[Exception], ...]
 
 
-DOORS: dict[str, Door] = {}
+INPUTS: dict[str, Input] = {}
 
 
-def _door(name: str, *refuses: type[Exception]) -> Callable[[Enter], Enter]:
+def _input(name: str, *refuses: type[Exception]) -> Callable[[Enter], Enter]:
     def register(enter: Enter) -> Enter:
-        DOORS[name] = Door(enter, refuses)
+        INPUTS[name] = Input(enter, refuses)
         return enter
 
     return register
@@ -113,7 +113,7 @@
 }
 
 
-@_door('frames of peers', ProtocolError)
+@_input('frames of peers', ProtocolError)
 def _frames(random: Random) -> None:
     """Take a frame as it comes on a link."""
     content = loads(encode(1, random.choice(_MESSAGES)))
@@ -122,7 +122,7 @@
         apply_shard_notice(Directory(), message)
 
 
-@_door('records of the store')
+@_input('records of the store')
 def _records(random: Random) -> None:
     """Take in an object of any name and content, which must not fail."""
     names = ('shards/s/1', 'shards/s', 'shards/', 'nodes/a', 'nodes/', CONFIG)
@@ -132,7 +132,7 @@
     Directory().apply(stored)
 
 
-@_door('answers of the store', PlatformError)
+@_input('answers of the store', PlatformError)
 def _store(random: Random) -> None:
     """Take an answer to a watch of records."""
     metadata = {'name': 'shards.s.1', 'revision': 4}
@@ -140,20 +140,20 @@
     read_changes(malformed(random, {'events': [event], 'at': 4}))
 
 
-@_door('manifests', BodyError)
+@_input('manifests', BodyError)
 def _manifests(random: Random) -> None:
     """Take a manifest; what is left of it is a configuration."""
     value = read_manifest(replace(random, _MANIFEST))
     Directory().apply(StoredObject(CONFIG, value, 1))
 
 
-@_door('reports of workers', BodyError)
+@_input('reports of workers', BodyError)
 def _reports(random: Random) -> None:
     """Take the body of a report."""
     decode_report('w', malformed(random, _REPORT))
 
 
-@_door('settings', SettingsError)
+@_input('settings', SettingsError)
 def _settings(random: Random) -> None:
     """Read a file of settings."""
     text = json.dumps(replace(random, _SETTINGS), default=str).encode()
@@ -182,7 +182,7 @@
 )
 
 
-@_door('answers of workers', HTTPException, OSError)
+@_input('answers of workers', HTTPException, OSError)
 def _answers(random: Random) -> None:
     """Read an answer with its body."""
     sock: Any = _Read(mutate(random, _ANSWER))
@@ -197,7 +197,7 @@
 )
 
 
-@_door('heads of callers', HeadError)
+@_input('heads of callers', HeadError)
 def _heads(random: Random) -> None:
     """Read the head of a request."""
     data = BytesIO(mutate(random, _REQUEST))
@@ -209,10 +209,10 @@
 
 def enter(name: str, seed: int) -> None:
     """Send one malformed input in; raise what the door may not raise."""
-    door = DOORS[name]
+    target = INPUTS[name]
     try:
-        door.enter(Random(f'{name} {seed}'))
-    except door.refuses as refused:
+        target.enter(Random(f'{name} {seed}'))
+    except target.refuses as refused:
         _check_typed(refused)
 
 
