--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -6,7 +6,7 @@
 from behave.runner import Context
 
 from tests.features.steps.worker_answer_steps import answer_once
-from tests.fuzz.inputs import enter
+from tests.fuzz.inputs import send_malformed
 
 CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
@@ -25,7 +25,7 @@
     context.unexpected = []
     for seed in seeds:
         try:
-            enter(what, seed)
+            send_malformed(what, seed)
         except Exception:
             context.unexpected.append((seed, traceback.format_exc()))
 
--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -9,7 +9,7 @@
 import traceback
 from itertools import count
 
-from tests.fuzz.inputs import INPUTS, enter
+from tests.fuzz.inputs import INPUTS, send_malformed
 
 
 def _play(name: str, first: int, until: float) -> tuple[int, int]:
@@ -18,7 +18,7 @@
         if time.monotonic() >= until:
             return seed - first, -1
         try:
-            enter(name, seed)
+            send_malformed(name, seed)
         except Exception:
             traceback.print_exc()
             return seed - first + 1, seed
--- a/tests/fuzz/inputs.py
+++ b/tests/fuzz/inputs.py
@@ -207,7 +207,7 @@
     protocol.read_head()
 
 
-def enter(name: str, seed: int) -> None:
+def send_malformed(name: str, seed: int) -> None:
     """Send one malformed input in; raise what the door may not raise."""
     target = INPUTS[name]
     try:
