--- a/tests/fuzz/inputs.py
+++ b/tests/fuzz/inputs.py
@@ -41,7 +41,7 @@
 from tests.features.steps.plain_work import PLAIN_WORK
 from tests.fuzz.mutations import malformed, mutate, replace
 
-Enter = Callable[[Random], None]
+Send = Callable[[Random], None]
 
 _BROKEN_FILES = 3  # of ten settings files: with broken bytes besides
 
@@ -50,17 +50,19 @@
 class Input:
     """A way in, and the errors by which it may refuse what comes."""
 
-    enter: Enter
-    refuses: tuple[type[Exception], ...]
+    send: Send
+    expected_errors: tuple[type[Exception], ...]
 
 
 INPUTS: dict[str, Input] = {}
 
 
-def _input(name: str, *refuses: type[Exception]) -> Callable[[Enter], Enter]:
-    def register(enter: Enter) -> Enter:
-        INPUTS[name] = Input(enter, refuses)
-        return enter
+def _input(
+    name: str, *expected_errors: type[Exception]
+) -> Callable[[Send], Send]:
+    def register(send: Send) -> Send:
+        INPUTS[name] = Input(send, expected_errors)
+        return send
 
     return register
 
@@ -211,8 +213,8 @@
     """Send one malformed input in; raise what the door may not raise."""
     target = INPUTS[name]
     try:
-        target.enter(Random(f'{name} {seed}'))
-    except target.refuses as refused:
+        target.send(Random(f'{name} {seed}'))
+    except target.expected_errors as refused:
         _check_typed(refused)
 
 
