--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -12,10 +12,10 @@
 from tests.fuzz.inputs import INPUTS, send_malformed
 
 
-def _play(name: str, first: int, until: float) -> tuple[int, int]:
+def _run(name: str, first: int, deadline: float) -> tuple[int, int]:
     """Return how many inputs were sent and the first seed that failed."""
     for seed in count(first):
-        if time.monotonic() >= until:
+        if time.monotonic() >= deadline:
             return seed - first, -1
         try:
             send_malformed(name, seed)
@@ -30,14 +30,18 @@
     parser = argparse.ArgumentParser(prog='tests.fuzz')
     parser.add_argument('--seconds', type=float, default=60)
     parser.add_argument('--seed', type=int, default=1)
-    given = parser.parse_args()
+    arguments = parser.parse_args()
     failed = 0
     for name in INPUTS:
-        until = time.monotonic() + given.seconds / len(INPUTS)
-        sent, seed = _play(name, given.seed, until)
-        failed += seed >= 0
-        told = f'failed with seed {seed}' if seed >= 0 else 'none failed'
-        sys.stdout.write(f'{name}: {sent} inputs, {told}\n')
+        deadline = time.monotonic() + arguments.seconds / len(INPUTS)
+        sent, failed_seed = _run(name, arguments.seed, deadline)
+        failed += failed_seed >= 0
+        result = (
+            f'failed with seed {failed_seed}'
+            if failed_seed >= 0
+            else 'none failed'
+        )
+        sys.stdout.write(f'{name}: {sent} inputs, {result}\n')
     return int(failed > 0)
 
 
--- a/tests/fuzz/inputs.py
+++ b/tests/fuzz/inputs.py
@@ -43,7 +43,7 @@
 
 Send = Callable[[Random], None]
 
-_BROKEN_FILES = 3  # of ten settings files: with broken bytes besides
+_CORRUPTED_TENTHS = 3  # of ten settings files: with broken bytes besides
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,7 +159,7 @@
 def _settings(random: Random) -> None:
     """Read a file of settings."""
     text = json.dumps(replace(random, _SETTINGS), default=str).encode()
-    if random.randrange(10) < _BROKEN_FILES:
+    if random.randrange(10) < _CORRUPTED_TENTHS:
         text = mutate(random, text)
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'settings.json'
@@ -167,7 +167,7 @@
         read_settings(path)
 
 
-class _Read:
+class _ReceivedSocket:
     """A socket of which only what came can be read."""
 
     def __init__(self, data: bytes) -> None:
@@ -178,7 +178,7 @@
         return BytesIO(self._data)
 
 
-_ANSWER = (
+_WORKER_ANSWER = (
     b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: a\r\n'
     b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: y\r\n\r\n'
 )
@@ -187,13 +187,13 @@
 @_input('answers of workers', HTTPException, OSError)
 def _answers(random: Random) -> None:
     """Read an answer with its body."""
-    sock: Any = _Read(mutate(random, _ANSWER))
+    sock: Any = _ReceivedSocket(mutate(random, _WORKER_ANSWER))
     response = StrictResponse(sock, 'GET')
     response.begin()
     response.read()
 
 
-_REQUEST = (
+_CALLER_REQUEST = (
     b'POST /s/x?a=b HTTP/1.1\r\nHost: h\r\nShard-Key: 7\r\n'
     b'Content-Length: 3\r\n\r\nabc'
 )
@@ -202,7 +202,7 @@
 @_input('heads of callers', HeadError)
 def _heads(random: Random) -> None:
     """Read the head of a request."""
-    data = BytesIO(mutate(random, _REQUEST))
+    data = BytesIO(mutate(random, _CALLER_REQUEST))
     protocol: Any = CallerProtocol.__new__(CallerProtocol)
     protocol.raw_requestline = data.readline(65_536)
     protocol.rfile = data
@@ -214,10 +214,10 @@
     target = INPUTS[name]
     try:
         target.send(Random(f'{name} {seed}'))
-    except target.expected_errors as refused:
-        _check_typed(refused)
+    except target.expected_errors as error:
+        _check_error_type(error)
 
 
-def _check_typed(refused: Exception) -> None:
-    typed = (LaburnumwoodError, HTTPException, OSError)
-    assert isinstance(refused, typed), refused
+def _check_error_type(error: Exception) -> None:
+    known_types = (LaburnumwoodError, HTTPException, OSError)
+    assert isinstance(error, known_types), error
--- a/tests/fuzz/mutations.py
+++ b/tests/fuzz/mutations.py
@@ -10,9 +10,9 @@
 MUTATIONS: list[Mutation] = []
 
 _DEPTH = 2_000  # of nested arrays, more than a reader should follow
-_DEEPER = 8  # of ten: go down into a value rather than replace it
-_ODD_VALUES = 6  # of ten: odd values rather than broken bytes
-_ODD: tuple[Any, ...] = (
+_DESCEND_TENTHS = 8  # of ten: go down into a value rather than replace it
+_VALUES_TENTHS = 6  # of ten: odd values rather than broken bytes
+_UNUSUAL_VALUES: tuple[Any, ...] = (
     None,
     True,
     -1,
@@ -40,12 +40,12 @@
 
 
 @_mutation
-def _cut(random: Random, data: bytes) -> bytes:
+def _truncate(random: Random, data: bytes) -> bytes:
     return data[: random.randrange(len(data) + 1)]
 
 
 @_mutation
-def _flip(random: Random, data: bytes) -> bytes:
+def _overwrite(random: Random, data: bytes) -> bytes:
     changed = bytearray(data)
     for _ in range(random.randrange(1, 4)):
         changed[random.randrange(len(changed))] = random.randrange(256)
@@ -54,9 +54,11 @@
 
 @_mutation
 def _insert(random: Random, data: bytes) -> bytes:
-    place = random.randrange(len(data) + 1)
+    position = random.randrange(len(data) + 1)
     return (
-        data[:place] + random.randbytes(random.randrange(1, 9)) + data[place:]
+        data[:position]
+        + random.randbytes(random.randrange(1, 9))
+        + data[position:]
     )
 
 
@@ -79,32 +81,36 @@
     return data
 
 
-def _replaced(random: Random, content: Any) -> Any:
+def _with_replacement(random: Random, content: Any) -> Any:
     """Return content with one value at any depth replaced by an odd one."""
-    if isinstance(content, dict) and content and random.randrange(10) < _DEEPER:
+    if (
+        isinstance(content, dict)
+        and content
+        and random.randrange(10) < _DESCEND_TENTHS
+    ):
         name = random.choice(list(content))
-        return {**content, name: _replaced(random, content[name])}
+        return {**content, name: _with_replacement(random, content[name])}
     if (
         isinstance(content, (list, tuple))
         and content
-        and random.randrange(10) < _DEEPER
+        and random.randrange(10) < _DESCEND_TENTHS
     ):
-        place = random.randrange(len(content))
+        position = random.randrange(len(content))
         changed = list(content)
-        changed[place] = _replaced(random, content[place])
+        changed[position] = _with_replacement(random, content[position])
         return changed
-    return random.choice(_ODD)
+    return random.choice(_UNUSUAL_VALUES)
 
 
 def replace(random: Random, content: Any) -> Any:
     """Return content with a few values replaced by odd ones."""
     for _ in range(random.randrange(1, 4)):
-        content = _replaced(random, content)
+        content = _with_replacement(random, content)
     return content
 
 
 def malformed(random: Random, content: Any) -> bytes:
     """Return the encoding of content, odd in its values or in its bytes."""
-    if random.randrange(10) < _ODD_VALUES:
+    if random.randrange(10) < _VALUES_TENTHS:
         return dumps(replace(random, content))
     return mutate(random, dumps(content))
