--- a/tests/fuzz/inputs.py
+++ b/tests/fuzz/inputs.py
@@ -39,7 +39,7 @@
 from laburnumwood.store.objects import CONFIG, node_object, to_value
 from laburnumwood.upstream.connection import StrictResponse
 from tests.features.steps.plain_work import PLAIN_WORK
-from tests.fuzz.mutations import malformed, mutate, replace
+from tests.fuzz.mutations import corrupt_bytes, encode_malformed, replace_values
 
 Send = Callable[[Random], None]
 
@@ -119,7 +119,7 @@
 def _frames(random: Random) -> None:
     """Take a frame as it comes on a link."""
     content = loads(encode(1, random.choice(_MESSAGES)))
-    _, message = decode(malformed(random, content))
+    _, message = decode(encode_malformed(random, content))
     if isinstance(message, ShardNotice):
         apply_shard_notice(Directory(), message)
 
@@ -130,7 +130,7 @@
     names = ('shards/s/1', 'shards/s', 'shards/', 'nodes/a', 'nodes/', CONFIG)
     content = random.choice((to_value(_SHARD), to_value(record_of(1))))
     name = random.choice((*names, node_object('b')))
-    stored = StoredObject(name, replace(random, content), 7)
+    stored = StoredObject(name, replace_values(random, content), 7)
     Directory().apply(stored)
 
 
@@ -139,28 +139,28 @@
     """Take an answer to a watch of records."""
     metadata = {'name': 'shards.s.1', 'revision': 4}
     event = {'object': {'metadata': metadata, 'spec': to_value(_SHARD)}}
-    read_changes(malformed(random, {'events': [event], 'at': 4}))
+    read_changes(encode_malformed(random, {'events': [event], 'at': 4}))
 
 
 @_input('manifests', BodyError)
 def _manifests(random: Random) -> None:
     """Take a manifest; what is left of it is a configuration."""
-    value = read_manifest(replace(random, _MANIFEST))
+    value = read_manifest(replace_values(random, _MANIFEST))
     Directory().apply(StoredObject(CONFIG, value, 1))
 
 
 @_input('reports of workers', BodyError)
 def _reports(random: Random) -> None:
     """Take the body of a report."""
-    decode_report('w', malformed(random, _REPORT))
+    decode_report('w', encode_malformed(random, _REPORT))
 
 
 @_input('settings', SettingsError)
 def _settings(random: Random) -> None:
     """Read a file of settings."""
-    text = json.dumps(replace(random, _SETTINGS), default=str).encode()
+    text = json.dumps(replace_values(random, _SETTINGS), default=str).encode()
     if random.randrange(10) < _CORRUPTED_TENTHS:
-        text = mutate(random, text)
+        text = corrupt_bytes(random, text)
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'settings.json'
         path.write_bytes(text)
@@ -187,7 +187,7 @@
 @_input('answers of workers', HTTPException, OSError)
 def _answers(random: Random) -> None:
     """Read an answer with its body."""
-    sock: Any = _ReceivedSocket(mutate(random, _WORKER_ANSWER))
+    sock: Any = _ReceivedSocket(corrupt_bytes(random, _WORKER_ANSWER))
     response = StrictResponse(sock, 'GET')
     response.begin()
     response.read()
@@ -202,7 +202,7 @@
 @_input('heads of callers', HeadError)
 def _heads(random: Random) -> None:
     """Read the head of a request."""
-    data = BytesIO(mutate(random, _CALLER_REQUEST))
+    data = BytesIO(corrupt_bytes(random, _CALLER_REQUEST))
     protocol: Any = CallerProtocol.__new__(CallerProtocol)
     protocol.raw_requestline = data.readline(65_536)
     protocol.rfile = data
--- a/tests/fuzz/mutations.py
+++ b/tests/fuzz/mutations.py
@@ -1,4 +1,4 @@
-"""Changes that make a real message malformed, drawn from a seeded source."""
+"""Changes that make a real message encode_malformed, drawn from a seeded source."""
 
 from collections.abc import Callable
 from random import Random
@@ -74,7 +74,7 @@
     return b'\x81' * random.randrange(1, _DEPTH) + data
 
 
-def mutate(random: Random, data: bytes) -> bytes:
+def corrupt_bytes(random: Random, data: bytes) -> bytes:
     """Return a message with one or two changes of its bytes."""
     for _ in range(random.randrange(1, 3)):
         data = random.choice(MUTATIONS)(random, data or b'\x00')
@@ -102,15 +102,15 @@
     return random.choice(_UNUSUAL_VALUES)
 
 
-def replace(random: Random, content: Any) -> Any:
+def replace_values(random: Random, content: Any) -> Any:
     """Return content with a few values replaced by odd ones."""
     for _ in range(random.randrange(1, 4)):
         content = _with_replacement(random, content)
     return content
 
 
-def malformed(random: Random, content: Any) -> bytes:
+def encode_malformed(random: Random, content: Any) -> bytes:
     """Return the encoding of content, odd in its values or in its bytes."""
     if random.randrange(10) < _VALUES_TENTHS:
-        return dumps(replace(random, content))
-    return mutate(random, dumps(content))
+        return dumps(replace_values(random, content))
+    return corrupt_bytes(random, dumps(content))
