--- a/tests/fuzz/__init__.py
+++ b/tests/fuzz/__init__.py
@@ -1,1 +1,1 @@
-"""Malformed input for each way into a node, made from real messages."""
+"""Malformed data for each input of a node, made from valid messages."""
--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -1,4 +1,4 @@
-"""Sends malformed input into each way in for a while, and tells what failed.
+"""Sends malformed data to each input for some time and reports failures.
 
 python -m tests.fuzz --seconds 600 --seed 1
 """
@@ -13,7 +13,10 @@
 
 
 def _run(name: str, first: int, deadline: float) -> tuple[int, int]:
-    """Return how many inputs were sent and the first seed that failed."""
+    """Return the number of seeds that were sent and the one that failed.
+
+    The seed is -1 if none failed before the deadline.
+    """
     for seed in count(first):
         if time.monotonic() >= deadline:
             return seed - first, -1
@@ -26,7 +29,7 @@
 
 
 def main() -> int:
-    """Play each door for its share of the time; return the exit status."""
+    """Test each input for an equal part of the time; return the exit status."""
     parser = argparse.ArgumentParser(prog='tests.fuzz')
     parser.add_argument('--seconds', type=float, default=60)
     parser.add_argument('--seed', type=int, default=1)
--- a/tests/fuzz/inputs.py
+++ b/tests/fuzz/inputs.py
@@ -1,4 +1,4 @@
-"""The ways into a node, each with what it may raise for malformed input."""
+"""The inputs of a node, each with the errors expected for malformed data."""
 
 import json
 import tempfile
@@ -43,12 +43,15 @@
 
 Send = Callable[[Random], None]
 
-_CORRUPTED_TENTHS = 3  # of ten settings files: with broken bytes besides
+_CORRUPTED_TENTHS = 3  # of the settings files; their bytes are corrupted too
 
 
 @dataclass(frozen=True, slots=True)
 class Input:
-    """A way in, and the errors by which it may refuse what comes."""
+    """An input of a node, and the errors by which it may reject data.
+
+    `send` draws malformed data from a source and passes it to the input.
+    """
 
     send: Send
     expected_errors: tuple[type[Exception], ...]
@@ -117,7 +120,7 @@
 
 @_input('frames of peers', ProtocolError)
 def _frames(random: Random) -> None:
-    """Take a frame as it comes on a link."""
+    """Decode a frame from a peer and apply it if it is a shard notice."""
     content = loads(encode(1, random.choice(_MESSAGES)))
     _, message = decode(encode_malformed(random, content))
     if isinstance(message, ShardNotice):
@@ -126,7 +129,7 @@
 
 @_input('records of the store')
 def _records(random: Random) -> None:
-    """Take in an object of any name and content, which must not fail."""
+    """Apply an object of any name and content, which must not raise."""
     names = ('shards/s/1', 'shards/s', 'shards/', 'nodes/a', 'nodes/', CONFIG)
     content = random.choice((to_value(_SHARD), to_value(record_of(1))))
     name = random.choice((*names, node_object('b')))
@@ -136,7 +139,7 @@
 
 @_input('answers of the store', PlatformError)
 def _store(random: Random) -> None:
-    """Take an answer to a watch of records."""
+    """Read an answer to a watch of records."""
     metadata = {'name': 'shards.s.1', 'revision': 4}
     event = {'object': {'metadata': metadata, 'spec': to_value(_SHARD)}}
     read_changes(encode_malformed(random, {'events': [event], 'at': 4}))
@@ -144,20 +147,20 @@
 
 @_input('manifests', BodyError)
 def _manifests(random: Random) -> None:
-    """Take a manifest; what is left of it is a configuration."""
+    """Read a manifest and apply it as a configuration if it is accepted."""
     value = read_manifest(replace_values(random, _MANIFEST))
     Directory().apply(StoredObject(CONFIG, value, 1))
 
 
 @_input('reports of workers', BodyError)
 def _reports(random: Random) -> None:
-    """Take the body of a report."""
+    """Decode the body of a report."""
     decode_report('w', encode_malformed(random, _REPORT))
 
 
 @_input('settings', SettingsError)
 def _settings(random: Random) -> None:
-    """Read a file of settings."""
+    """Read a settings file."""
     text = json.dumps(replace_values(random, _SETTINGS), default=str).encode()
     if random.randrange(10) < _CORRUPTED_TENTHS:
         text = corrupt_bytes(random, text)
@@ -168,13 +171,13 @@
 
 
 class _ReceivedSocket:
-    """A socket of which only what came can be read."""
+    """A socket from which only the given data can be read."""
 
     def __init__(self, data: bytes) -> None:
         self._data = data
 
     def makefile(self, _mode: str) -> BytesIO:
-        """Return what came as a file."""
+        """Return the data as a file."""
         return BytesIO(self._data)
 
 
@@ -186,7 +189,7 @@
 
 @_input('answers of workers', HTTPException, OSError)
 def _answers(random: Random) -> None:
-    """Read an answer with its body."""
+    """Read an answer and its body."""
     sock: Any = _ReceivedSocket(corrupt_bytes(random, _WORKER_ANSWER))
     response = StrictResponse(sock, 'GET')
     response.begin()
@@ -210,7 +213,10 @@
 
 
 def send_malformed(name: str, seed: int) -> None:
-    """Send one malformed input in; raise what the door may not raise."""
+    """Send malformed data to an input; raise any error it may not raise.
+
+    The name of the input and the seed determine the data.
+    """
     target = INPUTS[name]
     try:
         target.send(Random(f'{name} {seed}'))
--- a/tests/fuzz/mutations.py
+++ b/tests/fuzz/mutations.py
@@ -9,9 +9,9 @@
 Mutation = Callable[[Random, bytes], bytes]
 MUTATIONS: list[Mutation] = []
 
-_DEPTH = 2_000  # of nested arrays, more than a reader should follow
-_DESCEND_TENTHS = 8  # of ten: go down into a value rather than replace it
-_VALUES_TENTHS = 6  # of ten: odd values rather than broken bytes
+_DEPTH = 2_000  # of nested arrays at most, more than a decoder should follow
+_DESCEND_TENTHS = 8  # of the draws descend into a value, others replace it
+_VALUES_TENTHS = 6  # of the messages get unusual values, others corrupted bytes
 _UNUSUAL_VALUES: tuple[Any, ...] = (
     None,
     True,
@@ -75,14 +75,14 @@
 
 
 def corrupt_bytes(random: Random, data: bytes) -> bytes:
-    """Return a message with one or two changes of its bytes."""
+    """Return a message with one or two mutations of its bytes."""
     for _ in range(random.randrange(1, 3)):
         data = random.choice(MUTATIONS)(random, data or b'\x00')
     return data
 
 
 def _with_replacement(random: Random, content: Any) -> Any:
-    """Return content with one value at any depth replaced by an odd one."""
+    """Return content with one value at any depth replaced."""
     if (
         isinstance(content, dict)
         and content
@@ -103,14 +103,14 @@
 
 
 def replace_values(random: Random, content: Any) -> Any:
-    """Return content with a few values replaced by odd ones."""
+    """Return content with one to three values replaced by unusual ones."""
     for _ in range(random.randrange(1, 4)):
         content = _with_replacement(random, content)
     return content
 
 
 def encode_malformed(random: Random, content: Any) -> bytes:
-    """Return the encoding of content, odd in its values or in its bytes."""
+    """Return an encoding of content with unusual values or corrupted bytes."""
     if random.randrange(10) < _VALUES_TENTHS:
         return dumps(replace_values(random, content))
     return corrupt_bytes(random, dumps(content))
