--- a/tests/fuzz/inputs.py
+++ b/tests/fuzz/inputs.py
@@ -213,7 +213,7 @@
 
 
 def send_malformed(name: str, seed: int) -> None:
-    """Send malformed data to an input; raise any error it may not raise.
+    """Send malformed data to an input; raise any unexpected error.
 
     The name of the input and the seed determine the data.
     """
--- a/tests/fuzz/mutations.py
+++ b/tests/fuzz/mutations.py
@@ -1,4 +1,4 @@
-"""Changes that make a real message encode_malformed, drawn from a seeded source."""
+"""Mutations that make a valid message malformed, drawn from a seeded source."""
 
 from collections.abc import Callable
 from random import Random
@@ -9,7 +9,7 @@
 Mutation = Callable[[Random, bytes], bytes]
 MUTATIONS: list[Mutation] = []
 
-_DEPTH = 2_000  # of nested arrays at most, more than a decoder should follow
+_MAX_DEPTH = 2_000  # of nested arrays; more than a decoder should follow
 _DESCEND_TENTHS = 8  # of the draws descend into a value, others replace it
 _VALUES_TENTHS = 6  # of the messages get unusual values, others corrupted bytes
 _UNUSUAL_VALUES: tuple[Any, ...] = (
@@ -71,7 +71,7 @@
 
 @_mutation
 def _nest(random: Random, data: bytes) -> bytes:
-    return b'\x81' * random.randrange(1, _DEPTH) + data
+    return b'\x81' * random.randrange(1, _MAX_DEPTH) + data
 
 
 def corrupt_bytes(random: Random, data: bytes) -> bytes:
