--- a/tests/run.py
+++ b/tests/run.py
@@ -36,7 +36,7 @@
     passed: bool
 
 
-def _known_red() -> set[str]:
+def _read_known_red() -> set[str]:
     lines = KNOWN_RED.read_text().splitlines()
     entries = [line for line in lines if line and not line.startswith('#')]
     return {entry.split('|')[0].strip() for entry in entries}
@@ -44,11 +44,11 @@
 
 def _run_tool(name: str, command: tuple[str, ...]) -> Outcome:
     executable = str(BIN / command[0])
-    finished = subprocess.run([executable, *command[1:]], cwd=ROOT, check=False)
-    return Outcome(name, finished.returncode == 0)
+    completed = subprocess.run([executable, *command[1:]], cwd=ROOT, check=False)
+    return Outcome(name, completed.returncode == 0)
 
 
-def _scenarios(report: list[dict[str, Any]]) -> Iterator[Outcome]:
+def _scenario_outcomes(report: list[dict[str, Any]]) -> Iterator[Outcome]:
     for feature in report:
         elements = feature.get('elements', ())
         for element in elements:
@@ -60,11 +60,11 @@
 def _run_features() -> list[Outcome]:
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
-        formats = ('-f', 'json', '-o', str(report), '-f', 'progress3')
-        command = [sys.executable, '-m', 'behave', '--no-capture', *formats]
-        finished = subprocess.run(command, cwd=ROOT, check=False)
-        outcomes = list(_scenarios(json.loads(report.read_text())))
-    if finished.returncode and all(outcome.passed for outcome in outcomes):
+        format_options = ('-f', 'json', '-o', str(report), '-f', 'progress3')
+        command = [sys.executable, '-m', 'behave', '--no-capture', *format_options]
+        completed = subprocess.run(command, cwd=ROOT, check=False)
+        outcomes = list(_scenario_outcomes(json.loads(report.read_text())))
+    if completed.returncode and all(outcome.passed for outcome in outcomes):
         outcomes.append(Outcome('features as a whole', passed=False))
     return outcomes
 
@@ -74,16 +74,16 @@
         print(f'{label}: {name}')
 
 
-def _verdict(outcomes: list[Outcome]) -> int:
-    known = _known_red()
+def _print_summary(outcomes: list[Outcome]) -> int:
+    known = _read_known_red()
     ran = {outcome.name for outcome in outcomes}
-    red = {outcome.name for outcome in outcomes if not outcome.passed}
-    unexpected = red.difference(known)
-    _print_names('known red', red.intersection(known))
+    failed = {outcome.name for outcome in outcomes if not outcome.passed}
+    unexpected = failed.difference(known)
+    _print_names('known red', failed.intersection(known))
     _print_names('FAILED', unexpected)
-    _print_names('listed as known red but passed', known & ran - red)
+    _print_names('listed as known red but passed', known & ran - failed)
     _print_names('listed as known red, not run here', known - ran)
-    passed = len(outcomes) - len(red)
+    passed = len(outcomes) - len(failed)
     print(f'{passed} passed, {len(unexpected)} failed')
     return 1 if unexpected or not passed else 0
 
@@ -92,7 +92,7 @@
     """Run all checks; return 0 only if none failed unexpectedly."""
     outcomes = [_run_tool(name, command) for name, command in TOOLS.items()]
     outcomes.extend(_run_features())
-    return _verdict(outcomes)
+    return _print_summary(outcomes)
 
 
 if __name__ == '__main__':
