--- a/tests/run.py
+++ b/tests/run.py
@@ -37,6 +37,7 @@
 
 
 def _read_known_red() -> set[str]:
+    """Return the names of the checks listed in KNOWN-RED.txt."""
     lines = KNOWN_RED.read_text().splitlines()
     entries = [line for line in lines if line and not line.startswith('#')]
     return {entry.split('|')[0].strip() for entry in entries}
@@ -44,7 +45,9 @@
 
 def _run_tool(name: str, command: tuple[str, ...]) -> Outcome:
     executable = str(BIN / command[0])
-    completed = subprocess.run([executable, *command[1:]], cwd=ROOT, check=False)
+    completed = subprocess.run(
+        [executable, *command[1:]], cwd=ROOT, check=False
+    )
     return Outcome(name, completed.returncode == 0)
 
 
@@ -61,7 +64,13 @@
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
         format_options = ('-f', 'json', '-o', str(report), '-f', 'progress3')
-        command = [sys.executable, '-m', 'behave', '--no-capture', *format_options]
+        command = [
+            sys.executable,
+            '-m',
+            'behave',
+            '--no-capture',
+            *format_options,
+        ]
         completed = subprocess.run(command, cwd=ROOT, check=False)
         outcomes = list(_scenario_outcomes(json.loads(report.read_text())))
     if completed.returncode and all(outcome.passed for outcome in outcomes):
@@ -75,6 +84,7 @@
 
 
 def _print_summary(outcomes: list[Outcome]) -> int:
+    """Print the totals and exceptions; return the exit status."""
     known = _read_known_red()
     ran = {outcome.name for outcome in outcomes}
     failed = {outcome.name for outcome in outcomes if not outcome.passed}
