--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -17,18 +17,18 @@
     And the whole code passes on it
 
     Examples:
-      | safeguard                           | error          | script |
+      | safeguard                           | error                | script |
       | the floor                           | TwoActingOwnersError | stop-updates c; move 1 d; tick 3; pause b; tick 36 |
       | the write before a takeover         | TwoActingOwnersError | stop-updates c; move 1 d; tick 3; pause b; tick 36 |
       | the wait for an unsettled move      | TwoActingOwnersError | store late; move 1 d; tick 3; pause b; store up; apply-late; tick 36 |
       | the memory of earlier attempts      | TwoActingOwnersError | store late; move 1 d; tick 3; store refused; tick 2; pause b; store up; apply-late; tick 36 |
-      | the end of a move that was not sent | NoActingOwnerError | store refused; move 1 d; tick 4; await-owners 20 |
+      | the end of a move that was not sent | NoActingOwnerError   | store refused; move 1 d; tick 4; await-owners 20 |
       | the count of grants from sending    | TwoActingOwnersError | cut-to a all; tick 8; cut-from a all; heal-to a; tick 1; cut-to a all; tick 36 |
       | the new name of a restarted witness | TwoActingOwnersError | stop-updates b; cut b all; tick 40; restart d; restart e; heal b; tick 8 |
       | the joint majority                  | TwoActingOwnersError | witnesses b 3; cut b a; tick 40 |
       | the drop after a conflict           | TwoActingOwnersError | move 0 e; tick 8; store lose-answers; move 0 b; tick 3; pause e; store up; tick 4; move 0 d; resume e; tick 8 |
-      | the reopening after a split         | NoActingOwnerError | split 0; tick 8; await-owners 20 |
-      | the automatic end of lost nodes     | NoActingOwnerError | crash a; crash d; crash e; tick 20; restart d; restart e; await-owners 300 |
+      | the reopening after a split         | NoActingOwnerError   | split 0; tick 8; await-owners 20 |
+      | the automatic end of lost nodes     | NoActingOwnerError   | crash a; crash d; crash e; tick 20; restart d; restart e; await-owners 300 |
 
   # Guards against two workers that hold the same keys: the end of a node's
   # incarnation was announced while its worker still held its grants.
--- a/tests/ownership/machine.py
+++ b/tests/ownership/machine.py
@@ -24,7 +24,7 @@
 _DELIVERY_MODES = strategies.sampled_from(
     ('once in-order', 'doubled in-order', 'once reversed', 'doubled reversed')
 )
-_RECOVERY_STEPS = 15_000 // STEP_MS  # users accept 15 s without an owner
+_RECOVERY_STEPS = 15_000 // STEP_MS  # users allow 15 s to recover
 _START_INDICES = strategies.integers(0, 3)
 
 
@@ -66,13 +66,19 @@
         """Replace the process on a VM by a new one."""
         self._run(f'restart {vm}')
 
-    @rule(one=_VMS, other=_VMS, count=_STEP_COUNTS)
-    def restart_two_vms(self, one: str, other: str, count: int) -> None:
+    @rule(first_vm=_VMS, second_vm=_VMS, count=_STEP_COUNTS)
+    def restart_two_vms(
+        self, first_vm: str, second_vm: str, count: int
+    ) -> None:
         """Crash two VMs at the same moment and restart them soon after."""
-        for line in (f'crash {one}', f'crash {other}', f'tick {count}'):
+        for line in (
+            f'crash {first_vm}',
+            f'crash {second_vm}',
+            f'tick {count}',
+        ):
             self._run(line)
-        self._run(f'restart {one}')
-        self._run(f'restart {other}')
+        self._run(f'restart {first_vm}')
+        self._run(f'restart {second_vm}')
 
     @rule(vm=_VMS)
     def clear_faults_of_vm(self, vm: str) -> None:
@@ -94,10 +100,10 @@
                 self._run(f'restart {vm}')
         self._run(f'await-owners {_RECOVERY_STEPS}')
 
-    @rule(one=_VMS, other=_VM_OR_ALL)
-    def cut_links(self, one: str, other: str) -> None:
+    @rule(cut_vm=_VMS, other=_VM_OR_ALL)
+    def cut_links(self, cut_vm: str, other: str) -> None:
         """Hold the messages between a VM and one or all others."""
-        self._run(f'cut {one} {other}')
+        self._run(f'cut {cut_vm} {other}')
 
     @rule(delivery=_DELIVERY_MODES)
     def disturb_network(self, delivery: str) -> None:
@@ -130,7 +136,7 @@
 
     @rule(shard=_SHARDS, to_vm=_VMS)
     def move_shard(self, shard: int, to_vm: str) -> None:
-        """Move a shard."""
+        """Move a shard to the node on another VM."""
         self._run(f'move {shard} {to_vm}')
 
     @rule(shard=_SHARDS)
@@ -140,7 +146,10 @@
 
     @rule(vm=_VMS, start_index=_START_INDICES)
     def change_witnesses(self, vm: str, start_index: int) -> None:
-        """Change the witnesses of a node."""
+        """Change the witnesses of a node.
+
+        The new ones are taken from the sorted names, from an index on.
+        """
         self._run(f'witnesses {vm} {start_index}')
 
     @rule(
@@ -224,7 +233,7 @@
         cut_vm: str,
         other_cut_vm: str,
     ) -> None:
-        """Change an owner's witnesses and cut it off from old ones."""
+        """Change an owner's witnesses and cut it off from some old ones."""
         owner, _ = self._simulation.owner_and_successor(shard)
         self._run(f'witnesses {owner} {start_index}')
         self._run(f'tick {count}')
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -324,6 +324,7 @@
     simulation.store.corrupt(shard_object(SHARDS[int(number)]))
 
 
+# The commands of scripts.  VMs are named `a` to `e`, shards 0 and 1.
 _COMMANDS: dict[str, Callable[..., None]] = {
     'tick': Simulation._tick,
     'await-owners': Simulation._await_owners,
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -9,9 +9,7 @@
 _SETTINGS = ReportSettings()
 _REPORT_INTERVAL_MS = 1_000
 _DELAY_AFTER_RELEASE_MS = 100  # from a release of keys to its report
-_SLOWEST_CLOCK_FACTOR = 1 / (
-    1 - _SETTINGS.clock_drift
-)  # the worker's clock may be this slow
+_MAX_SLOWDOWN = 1 / (1 - _SETTINGS.clock_drift)  # of the worker's clock
 _KEYS_PER_SHARD = 10
 
 
@@ -42,7 +40,7 @@
         return is_granted and shard_keys(shard).first in self._held
 
     def step(self, node: ReportingWorker | None) -> None:
-        """Send a report to a node if one is due; None does not answer."""
+        """Send a report if one is due; `node` is None if it does not answer."""
         if self._time.now_ms < self._next_report_ms:
             return
         self._next_report_ms = self._time.now_ms + _REPORT_INTERVAL_MS
@@ -62,7 +60,7 @@
             for each in reply.ranges
         }
         self._granted_until_ms = (
-            self._time.now_ms + reply.duration_ms * _SLOWEST_CLOCK_FACTOR
+            self._time.now_ms + reply.duration_ms * _MAX_SLOWDOWN
         )
         if previous - set(self._held):
             self._next_report_ms = self._time.now_ms + _DELAY_AFTER_RELEASE_MS
@@ -80,7 +78,7 @@
 
 
 class SimulatedWorkers:
-    """The workers of all VMs, with each node process's state of its worker."""
+    """The workers of all VMs, and what the node beside each knows of it."""
 
     def __init__(self, time: SimulatedTime, clocks: dict[str, DriftingClock]):
         self._clocks = clocks
@@ -93,13 +91,13 @@
         }
 
     def start_process(self, vm: str) -> None:
-        """Start a process on a VM, which has no state of the worker yet."""
+        """Replace a VM's process by one that knows nothing of the worker."""
         self.reporting_workers[vm] = ReportingWorker(
             _SETTINGS, self._clocks[vm]
         )
 
     def step(self, running: set[str]) -> None:
-        """Let workers send the reports that are due to the running nodes."""
+        """Send the reports that are due; only running nodes answer."""
         for vm, worker in self._workers.items():
             worker.step(self.reporting_workers[vm] if vm in running else None)
 
