--- a/laburnumwood/cli/fleet.py
+++ b/laburnumwood/cli/fleet.py
@@ -15,7 +15,7 @@
 from laburnumwood.errors import OperatorCallError, PlatformError
 from laburnumwood.records import NodeRecord
 from laburnumwood.store.client import HttpStore
-from laburnumwood.store.objects import NODES, to_record
+from laburnumwood.store.objects import NODE_PREFIX, to_record
 
 _TIMEOUT_S = 2
 _PARALLEL = 32
@@ -99,7 +99,7 @@
             yield _url(self._options.node)
             return
         try:
-            stored, _ = HttpStore(self._options.platform_url).list(NODES)
+            stored, _ = HttpStore(self._options.platform_url).list(NODE_PREFIX)
         except PlatformError as away:
             raise OperatorCallError(
                 f'the platform does not answer ({away}); name a node by '
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -23,7 +23,7 @@
     ShardRecord,
     StoredObject,
 )
-from laburnumwood.store.objects import CONFIG, NODES, SHARDS, to_record
+from laburnumwood.store.objects import CONFIG, NODE_PREFIX, SHARDS, to_record
 
 _Record = TypeVar('_Record')
 
@@ -215,7 +215,7 @@
     def _apply_object(self, stored: StoredObject) -> None:
         if stored.name == CONFIG:
             self._apply_config(to_record(ConfigRecord, stored))
-        elif stored.name.startswith(NODES):
+        elif stored.name.startswith(NODE_PREFIX):
             self._apply_node(stored)
         elif stored.name.startswith(SHARDS):
             self._apply_shard(stored)
@@ -237,7 +237,7 @@
         self.on_config_change()
 
     def _apply_node(self, stored: StoredObject) -> None:
-        node_id = stored.name.removeprefix(NODES)
+        node_id = stored.name.removeprefix(NODE_PREFIX)
         self.node_change_count += 1
         if stored.value is None:
             self._nodes.pop(node_id, None)
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -15,7 +15,7 @@
 )
 
 CONFIG = 'config'
-NODES = 'nodes/'
+NODE_PREFIX = 'nodes/'
 SHARDS = 'shards/'
 AUDIT = 'audit/'
 
@@ -31,7 +31,7 @@
 
 def node_object(node_id: str) -> str:
     """Return the name of the object of a node."""
-    return f'{NODES}{node_id}'
+    return f'{NODE_PREFIX}{node_id}'
 
 
 def shard_object(shard: ShardName) -> str:
