--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -23,7 +23,12 @@
     ShardRecord,
     StoredObject,
 )
-from laburnumwood.store.objects import CONFIG, NODE_PREFIX, SHARDS, to_record
+from laburnumwood.store.objects import (
+    CONFIG,
+    NODE_PREFIX,
+    SHARD_PREFIX,
+    to_record,
+)
 
 _Record = TypeVar('_Record')
 
@@ -45,7 +50,7 @@
     Raises `RecordError` if the name is not of the form `shards/service/n`.
     """
     try:
-        return ShardName.parse(name.removeprefix(SHARDS))
+        return ShardName.parse(name.removeprefix(SHARD_PREFIX))
     except ValueError as unnamed:
         raise RecordError(f'{name}: {unnamed}') from unnamed
 
@@ -217,7 +222,7 @@
             self._apply_config(to_record(ConfigRecord, stored))
         elif stored.name.startswith(NODE_PREFIX):
             self._apply_node(stored)
-        elif stored.name.startswith(SHARDS):
+        elif stored.name.startswith(SHARD_PREFIX):
             self._apply_shard(stored)
 
     def _apply_config(self, record: ConfigRecord) -> None:
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -16,7 +16,7 @@
 
 CONFIG = 'config'
 NODE_PREFIX = 'nodes/'
-SHARDS = 'shards/'
+SHARD_PREFIX = 'shards/'
 AUDIT = 'audit/'
 
 _Record = TypeVar('_Record', AuditRecord, ConfigRecord, NodeRecord, ShardRecord)
@@ -36,7 +36,7 @@
 
 def shard_object(shard: ShardName) -> str:
     """Return the name of the object of a shard."""
-    return f'{SHARDS}{shard}'
+    return f'{SHARD_PREFIX}{shard}'
 
 
 def audit_object(generation: int) -> str:
--- a/tests/features/steps/shard_count_steps.py
+++ b/tests/features/steps/shard_count_steps.py
@@ -39,7 +39,7 @@
 )
 from laburnumwood.store.objects import (
     CONFIG,
-    SHARDS,
+    SHARD_PREFIX,
     node_object,
     shard_object,
     to_record,
@@ -129,11 +129,11 @@
     def records(self) -> dict[int, ShardRecord]:
         """Return the records of the service's shards."""
         return {
-            ShardName.parse(name.removeprefix(SHARDS)).number: to_record(
+            ShardName.parse(name.removeprefix(SHARD_PREFIX)).number: to_record(
                 ShardRecord, stored
             )
             for name, stored in self.objects.items()
-            if name.startswith(SHARDS)
+            if name.startswith(SHARD_PREFIX)
         }
 
     def _write(self, node: _Node, shard: ShardName) -> None:
@@ -309,7 +309,8 @@
         {
             object_name: stored
             for object_name, stored in fleet.objects.items()
-            if not object_name.startswith(SHARDS) or object_name in received
+            if not object_name.startswith(SHARD_PREFIX)
+            or object_name in received
         }
     )
 
