--- a/laburnumwood/cli/losing.py
+++ b/laburnumwood/cli/losing.py
@@ -10,7 +10,7 @@
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.store.client import HttpStore
 from laburnumwood.store.interface import Store
-from laburnumwood.store.objects import AUDIT, node_object, to_record
+from laburnumwood.store.objects import AUDIT_PREFIX, node_object, to_record
 
 _ASSERTION = """\
 By confirming that {name} is lost you assert:
@@ -39,7 +39,7 @@
         'when_ms': Clock().wall_ms(),
     }
     with suppress(PlatformConflictError):
-        platform.create(f'{AUDIT}lost/{name}', content)
+        platform.create(f'{AUDIT_PREFIX}lost/{name}', content)
 
 
 def confirm_loss(
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -17,7 +17,7 @@
 CONFIG = 'config'
 NODE_PREFIX = 'nodes/'
 SHARD_PREFIX = 'shards/'
-AUDIT = 'audit/'
+AUDIT_PREFIX = 'audit/'
 
 _Record = TypeVar('_Record', AuditRecord, ConfigRecord, NodeRecord, ShardRecord)
 _ADAPTERS: dict[type[Any], TypeAdapter[Any]] = {}  # created at first use
@@ -41,7 +41,7 @@
 
 def audit_object(generation: int) -> str:
     """Return the name of the audit object of a generation."""
-    return f'{AUDIT}{generation}'
+    return f'{AUDIT_PREFIX}{generation}'
 
 
 def to_value(
