--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -19,7 +19,7 @@
 )
 from laburnumwood.records import ConfigRecord
 from laburnumwood.store.interface import Store
-from laburnumwood.store.objects import CONFIG, to_record
+from laburnumwood.store.objects import CONFIG_NAME, to_record
 from laburnumwood.store.writes import marked, write
 
 _SETTLE_ATTEMPTS = 5
@@ -42,7 +42,7 @@
 
 def current(platform: Store) -> tuple[ConfigRecord, int | None]:
     """Return the accepted configuration and its version (None: none yet)."""
-    stored = platform.get(CONFIG)
+    stored = platform.get(CONFIG_NAME)
     if stored is None:
         return ConfigRecord(0), None
     return to_record(ConfigRecord, stored), stored.version
@@ -176,7 +176,7 @@
     def _write(self, record: ConfigRecord, version: int | None) -> None:
         for _ in range(_SETTLE_ATTEMPTS):
             try:
-                write(self._platform, CONFIG, record, version)
+                write(self._platform, CONFIG_NAME, record, version)
             except PlatformUnavailableError:
                 time.sleep(_SETTLE_PAUSE_MS / MS_PER_SECOND)
             else:
--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -7,7 +7,7 @@
 from laburnumwood.records import AuditRecord, ConfigRecord, FileChange
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import (
-    CONFIG,
+    CONFIG_NAME,
     audit_object,
     to_record,
     to_value,
@@ -47,7 +47,7 @@
 
     An entry that its writer left out is completed.  Raises `PlatformError`.
     """
-    stored = platform.get(CONFIG)
+    stored = platform.get(CONFIG_NAME)
     if stored is None:
         return
     record = to_record(ConfigRecord, stored)
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -24,7 +24,7 @@
     StoredObject,
 )
 from laburnumwood.store.objects import (
-    CONFIG,
+    CONFIG_NAME,
     NODE_PREFIX,
     SHARD_PREFIX,
     to_record,
@@ -213,12 +213,15 @@
             for version in self.versions_since(revision)
             if version not in has
         )
-        if self._config.generation <= generation or CONFIG not in self._objects:
+        if (
+            self._config.generation <= generation
+            or CONFIG_NAME not in self._objects
+        ):
             return missing
-        return (self._objects[CONFIG], *missing)
+        return (self._objects[CONFIG_NAME], *missing)
 
     def _apply_object(self, stored: StoredObject) -> None:
-        if stored.name == CONFIG:
+        if stored.name == CONFIG_NAME:
             self._apply_config(to_record(ConfigRecord, stored))
         elif stored.name.startswith(NODE_PREFIX):
             self._apply_node(stored)
--- a/laburnumwood/platform/store.py
+++ b/laburnumwood/platform/store.py
@@ -30,7 +30,7 @@
 from laburnumwood.platform.manifest import read_manifest
 from laburnumwood.records import StoredObject
 from laburnumwood.store.calls import StoreCalls
-from laburnumwood.store.objects import CONFIG
+from laburnumwood.store.objects import CONFIG_NAME
 
 _OWN_KIND = 'laburnumwood'
 _MANIFEST_KIND = 'config'
@@ -73,7 +73,7 @@
 
 
 def _path(name: str) -> str:
-    if name == CONFIG:
+    if name == CONFIG_NAME:
         return f'/objects/{_MANIFEST_KIND}/{_MANIFEST_NAME}'
     platform_name = name.replace(*_SEPARATORS)
     return f'/objects/{_OWN_KIND}/{quote(platform_name, safe="")}'
@@ -93,10 +93,10 @@
         return None
     try:
         return StoredObject(
-            CONFIG, read_manifest(stored.spec), stored.metadata.revision
+            CONFIG_NAME, read_manifest(stored.spec), stored.metadata.revision
         )
     except BodyError as invalid:
-        RECORD_REFUSED.report(object=CONFIG, reason=invalid)
+        RECORD_REFUSED.report(object=CONFIG_NAME, reason=invalid)
         return None
 
 
@@ -109,7 +109,7 @@
     @property
     def scopes(self) -> tuple[str, ...]:
         """Return the prefixes to list and watch: records and configuration."""
-        return _RECORDS, CONFIG
+        return _RECORDS, CONFIG_NAME
 
     def get(self, name: str) -> StoredObject | None:
         """Return an object, or None if no object has that name."""
@@ -118,7 +118,9 @@
             return None
         stored = _decode(_Object, _checked_body(answer, name))
         return (
-            _to_configuration(stored) if name == CONFIG else _to_record(stored)
+            _to_configuration(stored)
+            if name == CONFIG_NAME
+            else _to_record(stored)
         )
 
     def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
@@ -196,7 +198,7 @@
 
 
 def _kind(prefix: str) -> str:
-    return _MANIFEST_KIND if prefix == CONFIG else _OWN_KIND
+    return _MANIFEST_KIND if prefix == CONFIG_NAME else _OWN_KIND
 
 
 def _to_objects(
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -14,7 +14,7 @@
     StoredObject,
 )
 
-CONFIG = 'config'
+CONFIG_NAME = 'config'
 NODE_PREFIX = 'nodes/'
 SHARD_PREFIX = 'shards/'
 AUDIT_PREFIX = 'audit/'
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -25,7 +25,7 @@
 from laburnumwood.records import ConfigRecord, StoredObject
 from laburnumwood.store.client import HttpStore
 from laburnumwood.store.interface import Store
-from laburnumwood.store.objects import CONFIG, to_value
+from laburnumwood.store.objects import CONFIG_NAME, to_value
 
 GENERATIONS = 6
 
@@ -184,7 +184,7 @@
         highest = 0
         for version, number in enumerate(numbers, 1):
             value = to_value(ConfigRecord(number))
-            directory.apply(StoredObject(CONFIG, value, version))
+            directory.apply(StoredObject(CONFIG_NAME, value, version))
             highest = max(highest, number)
             assert directory.config.generation == highest
 
--- a/tests/features/steps/shard_count_steps.py
+++ b/tests/features/steps/shard_count_steps.py
@@ -38,7 +38,7 @@
     ReportSettings,
 )
 from laburnumwood.store.objects import (
-    CONFIG,
+    CONFIG_NAME,
     SHARD_PREFIX,
     node_object,
     shard_object,
@@ -96,7 +96,7 @@
         self.nodes: list[_Node] = []
         self._received_from_ms = self.clock.now_ms() + delay_ms
         config = to_value(ConfigRecord(1, {'team': _DECLARED}))
-        self._put(CONFIG, config)
+        self._put(CONFIG_NAME, config)
 
     def add(self, count: int) -> None:
         """Add nodes to the service."""
@@ -106,7 +106,7 @@
             record = replace(record_of(place), service=SERVICE, witness_as=1)
             self._put(node_object(name.node_id), to_value(record))
             node = _Node(name, self.clock)
-            node.receive({CONFIG: self.objects[CONFIG]})
+            node.receive({CONFIG_NAME: self.objects[CONFIG_NAME]})
             own = node_object(name.node_id)
             node.receive({own: self.objects[own]})
             self.nodes.append(node)
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -28,7 +28,7 @@
 )
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import (
-    CONFIG,
+    CONFIG_NAME,
     node_object,
     shard_object,
     to_value,
@@ -203,7 +203,7 @@
 def apply_config(context: Context) -> None:
     context.before = context.lease.renewal_count
     record = ConfigRecord(1)
-    context.directory.apply(StoredObject(CONFIG, to_value(record), 1))
+    context.directory.apply(StoredObject(CONFIG_NAME, to_value(record), 1))
 
 
 @then('it sends its witness a renewal within {span_ms:d} ms')
--- a/tests/fuzz/doors.py
+++ b/tests/fuzz/doors.py
@@ -36,7 +36,7 @@
 from laburnumwood.records import NodeName, ShardRecord, StoredObject
 from laburnumwood.routing.caller_protocol import CallerProtocol
 from laburnumwood.settings import read_settings
-from laburnumwood.store.objects import CONFIG, node_object, to_value
+from laburnumwood.store.objects import CONFIG_NAME, node_object, to_value
 from laburnumwood.upstream.connection import StrictResponse
 from tests.features.steps.plain_work import PLAIN_WORK
 from tests.fuzz.mutations import malformed, mutate, replace
@@ -125,7 +125,14 @@
 @_door('records of the store')
 def _records(random: Random) -> None:
     """Take in an object of any name and content, which must not fail."""
-    names = ('shards/s/1', 'shards/s', 'shards/', 'nodes/a', 'nodes/', CONFIG)
+    names = (
+        'shards/s/1',
+        'shards/s',
+        'shards/',
+        'nodes/a',
+        'nodes/',
+        CONFIG_NAME,
+    )
     content = random.choice((to_value(_SHARD), to_value(record_of(1))))
     name = random.choice((*names, node_object('b')))
     stored = StoredObject(name, replace(random, content), 7)
@@ -144,7 +151,7 @@
 def _manifests(random: Random) -> None:
     """Take a manifest; what is left of it is a configuration."""
     value = read_manifest(replace(random, _MANIFEST))
-    Directory().apply(StoredObject(CONFIG, value, 1))
+    Directory().apply(StoredObject(CONFIG_NAME, value, 1))
 
 
 @_door('reports of workers', BodyError)
