--- a/laburnumwood/cli/losing.py
+++ b/laburnumwood/cli/losing.py
@@ -10,7 +10,7 @@
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.store.client import HttpStore
 from laburnumwood.store.interface import Store
-from laburnumwood.store.objects import AUDIT_PREFIX, node_object, to_record
+from laburnumwood.store.objects import AUDIT_PREFIX, node_object_name, to_record
 
 _ASSERTION = """\
 By confirming that {name} is lost you assert:
@@ -21,7 +21,7 @@
 
 
 def _read(platform: Store, node_id: str) -> NodeRecord:
-    stored = platform.get(node_object(node_id))
+    stored = platform.get(node_object_name(node_id))
     if stored is None:
         raise UsageError(
             f'no node {node_id!r} has announced itself; give its id without '
--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -15,7 +15,7 @@
 )
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
-from laburnumwood.store.objects import node_object, to_record, to_value
+from laburnumwood.store.objects import node_object_name, to_record, to_value
 from laburnumwood.store.writes import new_mark, write
 
 RecordChange = Callable[[NodeRecord], NodeRecord]
@@ -59,7 +59,7 @@
 def _write_record(
     platform: Store, node_id: str, record: NodeRecord, version: int | None
 ) -> StoredObject:
-    name = node_object(node_id)
+    name = node_object_name(node_id)
     new_version = write(platform, name, record, version)
     return StoredObject(name, to_value(record), new_version)
 
@@ -78,7 +78,7 @@
     """
     mark = mark or new_mark(node_id)
     while True:
-        stored = platform.get(node_object(node_id))
+        stored = platform.get(node_object_name(node_id))
         if stored is None:
             raise PlatformConflictError(node_id)
         before = to_record(NodeRecord, stored)
@@ -114,7 +114,7 @@
     """
     mark = mark or new_mark(settings.node_id)
     while True:
-        stored = platform.get(node_object(settings.node_id))
+        stored = platform.get(node_object_name(settings.node_id))
         before = to_record(NodeRecord, stored) if stored else None
         if before is not None and before.mark == mark:
             return NodeName(settings.node_id, before.incarnation), before
@@ -170,7 +170,7 @@
 def is_store_reachable(platform: Store, name: NodeName) -> bool:
     """Return whether the store answers a read of a node's record now."""
     try:
-        platform.get(node_object(name.node_id))
+        platform.get(node_object_name(name.node_id))
     except PlatformError:
         return False
     return True
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -29,7 +29,7 @@
     return _ADAPTERS[record_type]
 
 
-def node_object(node_id: str) -> str:
+def node_object_name(node_id: str) -> str:
     """Return the name of the object of a node."""
     return f'{NODE_PREFIX}{node_id}'
 
--- a/tests/features/steps/directory_steps.py
+++ b/tests/features/steps/directory_steps.py
@@ -14,7 +14,7 @@
     ShardRecord,
     StoredObject,
 )
-from laburnumwood.store.objects import node_object, shard_object, to_value
+from laburnumwood.store.objects import node_object_name, shard_object, to_value
 from tests.features.steps.counting_view import CountingView
 
 SERVICE = 'service'
@@ -38,7 +38,7 @@
 
 
 def _put_node(directory: Directory, record: NodeRecord, place: int) -> None:
-    name, version = node_object(f'n{place}'), directory.change_count + 1
+    name, version = node_object_name(f'n{place}'), directory.change_count + 1
     directory.apply(StoredObject(name, to_value(record), version))
 
 
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -32,7 +32,7 @@
 from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import LeaseSettings
-from laburnumwood.store.objects import node_object, shard_object, to_value
+from laburnumwood.store.objects import node_object_name, shard_object, to_value
 from tests.features.steps.counting_view import CountingView
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
@@ -68,7 +68,7 @@
             self._write_shard(number)
 
     def write_node(self, number: int, record: NodeRecord) -> None:
-        name = node_object(f'n{number}')
+        name = node_object_name(f'n{number}')
         self._apply(name, to_value(replace(record, slots=SLOTS)))
 
     def ownership(self, number: int) -> OwnershipTracker:
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -26,7 +26,7 @@
 from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import NodeName, NodeRecord, StoredObject, WitnessSet
 from laburnumwood.settings import LeaseSettings
-from laburnumwood.store.objects import node_object, to_record
+from laburnumwood.store.objects import node_object_name, to_record
 from laburnumwood.store.writes import new_mark
 from tests.features.steps.fake_clock import FakeClock
 from tests.ownership.node import Code
@@ -77,7 +77,7 @@
 @then('the end of "{name}" was recorded once in the store')
 def check_end_recorded(context: Context, name: str) -> None:
     ended = NodeName.parse(name)
-    path = node_object(ended.node_id)
+    path = node_object_name(ended.node_id)
     history = [
         to_record(NodeRecord, stored).has_ended(ended.incarnation)
         for stored in context.world.store.history
@@ -173,7 +173,7 @@
 
 @then('its record says that it is leaving')
 def check_leaving(context: Context) -> None:
-    stored = context.store.get(node_object('a'))
+    stored = context.store.get(node_object_name('a'))
     assert to_record(NodeRecord, stored).leaving
 
 
@@ -221,7 +221,7 @@
 
 @then('its record says that {serves} and lists the open incarnations {numbers}')
 def check_record(context: Context, serves: str, numbers: str) -> None:
-    stored = context.store.get(node_object('a'))
+    stored = context.store.get(node_object_name('a'))
     record = to_record(NodeRecord, stored)
     assert record.serves == (serves == 'it serves'), record
     expected = tuple(int(each) for each in numbers.split())
--- a/tests/features/steps/quorum_loss_steps.py
+++ b/tests/features/steps/quorum_loss_steps.py
@@ -14,7 +14,7 @@
 )
 from laburnumwood.records import NodeName, NodeRecord, WitnessSet
 from laburnumwood.settings import LeaseSettings
-from laburnumwood.store.objects import node_object, to_record
+from laburnumwood.store.objects import node_object_name, to_record
 from tests.features.steps.fake_clock import FakeClock
 from tests.ownership.store import FakeStore
 from tests.ownership.world import node_settings
@@ -41,7 +41,7 @@
     name, _ = join(context.store, node_settings('a'))
     sets = (WitnessSet(1, _names(names)),)
     record_witness_sets(context.store, name, sets)
-    stored = context.store.get(node_object('a'))
+    stored = context.store.get(node_object_name('a'))
     record = to_record(NodeRecord, stored)
     context.candidate = Candidate(name, record, stored.version)
 
@@ -101,5 +101,5 @@
 @then('the write fails with a conflict and the node has not ended')
 def check_conflict(context: Context) -> None:
     assert context.conflict
-    stored = context.store.get(node_object('a'))
+    stored = context.store.get(node_object_name('a'))
     assert not to_record(NodeRecord, stored).has_ended(1)
--- a/tests/features/steps/shard_count_steps.py
+++ b/tests/features/steps/shard_count_steps.py
@@ -40,7 +40,7 @@
 from laburnumwood.store.objects import (
     CONFIG_NAME,
     SHARD_PREFIX,
-    node_object,
+    node_object_name,
     shard_object,
     to_record,
     to_value,
@@ -104,10 +104,10 @@
             place = len(self.nodes)
             name = NodeName(f'n{place}', 1)
             record = replace(record_of(place), service=SERVICE, witness_as=1)
-            self._put(node_object(name.node_id), to_value(record))
+            self._put(node_object_name(name.node_id), to_value(record))
             node = _Node(name, self.clock)
             node.receive({CONFIG_NAME: self.objects[CONFIG_NAME]})
-            own = node_object(name.node_id)
+            own = node_object_name(name.node_id)
             node.receive({own: self.objects[own]})
             self.nodes.append(node)
 
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -29,7 +29,7 @@
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import (
     CONFIG_NAME,
-    node_object,
+    node_object_name,
     shard_object,
     to_value,
 )
@@ -124,7 +124,7 @@
         domain = f'd{version % domains}'
         record = NodeRecord(1, (1,), 'h', 1, 1, 1, domain, 's', 'o', 1, 1)
         stored = StoredObject(
-            node_object(name.node_id), to_value(record), version
+            node_object_name(name.node_id), to_value(record), version
         )
         context.view.directory.apply(stored)
 
--- a/tests/features/steps/worker_release_steps.py
+++ b/tests/features/steps/worker_release_steps.py
@@ -16,7 +16,7 @@
 from laburnumwood.protocol.messages import Resign
 from laburnumwood.records import NodeName, NodeRecord, ShardName, WitnessSet
 from laburnumwood.settings import DaemonSettings, LeaseSettings
-from laburnumwood.store.objects import node_object, to_record
+from laburnumwood.store.objects import node_object_name, to_record
 from laburnumwood.store.writes import new_mark
 from laburnumwood.upstream.reports import HeldRange, WorkerReport
 from tests.features.steps.fake_clock import FakeClock
@@ -134,7 +134,7 @@
 
 def _has_ended(context: Context) -> bool:
     mode, context.store.mode = context.store.mode, 'up'
-    stored = context.store.get(node_object('a'))
+    stored = context.store.get(node_object_name('a'))
     context.store.mode = mode
     record = to_record(NodeRecord, stored)
     return record.has_ended(context.first.name.incarnation)
--- a/tests/fuzz/doors.py
+++ b/tests/fuzz/doors.py
@@ -36,7 +36,7 @@
 from laburnumwood.records import NodeName, ShardRecord, StoredObject
 from laburnumwood.routing.caller_protocol import CallerProtocol
 from laburnumwood.settings import read_settings
-from laburnumwood.store.objects import CONFIG_NAME, node_object, to_value
+from laburnumwood.store.objects import CONFIG_NAME, node_object_name, to_value
 from laburnumwood.upstream.connection import StrictResponse
 from tests.features.steps.plain_work import PLAIN_WORK
 from tests.fuzz.mutations import malformed, mutate, replace
@@ -134,7 +134,7 @@
         CONFIG_NAME,
     )
     content = random.choice((to_value(_SHARD), to_value(record_of(1))))
-    name = random.choice((*names, node_object('b')))
+    name = random.choice((*names, node_object_name('b')))
     stored = StoredObject(name, replace(random, content), 7)
     Directory().apply(stored)
 
