--- a/laburnumwood/membership/gossip.py
+++ b/laburnumwood/membership/gossip.py
@@ -24,7 +24,7 @@
     ShardRecord,
     StoredObject,
 )
-from laburnumwood.store.objects import shard_object, to_value
+from laburnumwood.store.objects import shard_object_name, to_value
 from laburnumwood.tasks import start
 
 _CALL_TIMEOUT_MS = 1_000
@@ -43,7 +43,7 @@
     A notice that names no shard is logged and ignored.
     """
     try:
-        name = shard_object(ShardName.parse(notice.shard))
+        name = shard_object_name(ShardName.parse(notice.shard))
     except ValueError as unnamed:
         RECORD_REFUSED.report(object=notice.shard, reason=unnamed)
         return
--- a/laburnumwood/placement/shard_write.py
+++ b/laburnumwood/placement/shard_write.py
@@ -11,7 +11,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.records import ShardName, ShardRecord, StoredObject
 from laburnumwood.store.interface import Store
-from laburnumwood.store.objects import shard_object, to_value
+from laburnumwood.store.objects import shard_object_name, to_value
 from laburnumwood.store.writes import marked, write
 
 _FLOOR_TIMEOUT_MS = 3_000
@@ -100,7 +100,7 @@
         return acknowledged or self.version is None
 
     def _send(self, platform: Store) -> WriteProgress:
-        name = shard_object(self.shard)
+        name = shard_object_name(self.shard)
         written = write(platform, name, self.record, self.version)
         self.stored = StoredObject(name, to_value(self.record), written)
         return WriteProgress.WRITTEN
--- a/laburnumwood/placement/writer.py
+++ b/laburnumwood/placement/writer.py
@@ -13,7 +13,7 @@
 from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
 from laburnumwood.records import ShardName
 from laburnumwood.store.interface import Store
-from laburnumwood.store.objects import shard_object
+from laburnumwood.store.objects import shard_object_name
 from laburnumwood.tasks import run_logged
 
 _CONCURRENT_WRITES = 8
@@ -71,7 +71,7 @@
     def try_refresh(self, shard: ShardName) -> bool:
         """Read a record from the store; return whether the store answered."""
         try:
-            stored = self._platform.get(shard_object(shard))
+            stored = self._platform.get(shard_object_name(shard))
         except PlatformError:
             self._is_store_reachable = False
             return False
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -34,7 +34,7 @@
     return f'{NODE_PREFIX}{node_id}'
 
 
-def shard_object(shard: ShardName) -> str:
+def shard_object_name(shard: ShardName) -> str:
     """Return the name of the object of a shard."""
     return f'{SHARD_PREFIX}{shard}'
 
--- a/tests/features/steps/directory_steps.py
+++ b/tests/features/steps/directory_steps.py
@@ -14,7 +14,11 @@
     ShardRecord,
     StoredObject,
 )
-from laburnumwood.store.objects import node_object_name, shard_object, to_value
+from laburnumwood.store.objects import (
+    node_object_name,
+    shard_object_name,
+    to_value,
+)
 from tests.features.steps.counting_view import CountingView
 
 SERVICE = 'service'
@@ -33,7 +37,7 @@
     directory: Directory, number: int, value: dict[str, object] | None
 ) -> None:
     version = directory.change_count + 1
-    name = shard_object(ShardName(SERVICE, number))
+    name = shard_object_name(ShardName(SERVICE, number))
     directory.apply(StoredObject(name, value, version))
 
 
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -32,7 +32,7 @@
 )
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.gate import AdmissionGate, WorkerState
-from laburnumwood.store.objects import shard_object, to_value
+from laburnumwood.store.objects import shard_object_name, to_value
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
 from tests.ownership.world import node_settings
@@ -237,7 +237,7 @@
 def move_shard(context: Context, owner: str) -> None:
     context.held_shards.drop(SHARD)
     record = ShardRecord(TOKEN + 1, (NodeName.parse(owner),))
-    stored = StoredObject(shard_object(SHARD), to_value(record), 7)
+    stored = StoredObject(shard_object_name(SHARD), to_value(record), 7)
     context.directory.apply(stored)
 
 
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -32,7 +32,11 @@
 from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import LeaseSettings
-from laburnumwood.store.objects import node_object_name, shard_object, to_value
+from laburnumwood.store.objects import (
+    node_object_name,
+    shard_object_name,
+    to_value,
+)
 from tests.features.steps.counting_view import CountingView
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
@@ -89,7 +93,7 @@
         succession = tuple(_name((number + step) % nodes) for step in range(3))
         record = ShardRecord(1, succession, shards=nodes * PER_NODE)
         shard = ShardName(SERVICE, number)
-        self._apply(shard_object(shard), to_value(record))
+        self._apply(shard_object_name(shard), to_value(record))
 
     def _apply(self, name: str, value: dict[str, object]) -> None:
         stored = StoredObject(name, value, next(self._versions))
--- a/tests/features/steps/shard_count_steps.py
+++ b/tests/features/steps/shard_count_steps.py
@@ -41,7 +41,7 @@
     CONFIG_NAME,
     SHARD_PREFIX,
     node_object_name,
-    shard_object,
+    shard_object_name,
     to_record,
     to_value,
 )
@@ -124,7 +124,7 @@
 
     def put_record(self, shard: ShardName, record: ShardRecord) -> None:
         """Put an earlier record into the store."""
-        self._put(shard_object(shard), to_value(record))
+        self._put(shard_object_name(shard), to_value(record))
 
     def records(self) -> dict[int, ShardRecord]:
         """Return the records of the service's shards."""
@@ -138,7 +138,7 @@
 
     def _write(self, node: _Node, shard: ShardName) -> None:
         write = node.ownership.begin_write(shard)
-        name = shard_object(shard)
+        name = shard_object_name(shard)
         if name in self.objects and write.version is None:
             node.ownership.finish(write, WriteProgress.CONFLICT)
             node.receive({name: self.objects[name]})
@@ -301,7 +301,7 @@
     assert len(mine) == own, mine
     others = [each for each in records if each not in mine]
     received = {
-        shard_object(ShardName(SERVICE, number))
+        shard_object_name(ShardName(SERVICE, number))
         for number in (mine + others)[:known]
     }
     context.node = _Node(name, fleet.clock)
@@ -371,7 +371,7 @@
 def write_itself(context: Context) -> None:
     own = context.node.ownership.own
     for number in context.reclaimable:
-        name = shard_object(ShardName(SERVICE, number))
+        name = shard_object_name(ShardName(SERVICE, number))
         before = context.fleet.objects[name]
         record = to_record(ShardRecord, before)
         after = replace(record, epoch=record.epoch + 1, succession=(own,))
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -30,7 +30,7 @@
 from laburnumwood.store.objects import (
     CONFIG_NAME,
     node_object_name,
-    shard_object,
+    shard_object_name,
     to_value,
 )
 
@@ -231,7 +231,7 @@
     written = _numbers(versions)
     for number, version in zip(_numbers(numbers), written, strict=True):
         value = to_value(ShardRecord(version, (OWNER,)))
-        name = shard_object(_shard(number))
+        name = shard_object_name(_shard(number))
         directory.apply(StoredObject(name, value, version))
     directory.revision = max(written)
 
@@ -255,7 +255,7 @@
     changes = context.far.sent[0]
     assert isinstance(changes, Changes), changes
     found = [each.name for each in changes.objects]
-    wanted = [shard_object(_shard(number)) for number in _numbers(numbers)]
+    wanted = [shard_object_name(_shard(number)) for number in _numbers(numbers)]
     assert found == wanted, found
 
 
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -13,7 +13,7 @@
 from laburnumwood.membership.node_records import confirm_lost, join, record_end
 from laburnumwood.records import KeyRange, NodeName, ShardName, ShardRecord
 from laburnumwood.settings import DaemonSettings
-from laburnumwood.store.objects import shard_object, to_value
+from laburnumwood.store.objects import shard_object_name, to_value
 from laburnumwood.store.writes import new_mark
 from tests.ownership.clocks import DriftingClock, WorldClock
 from tests.ownership.network import VMS, Network, Parcel
@@ -112,7 +112,7 @@
 
     def first_two(self, number: int) -> tuple[str, str]:
         """Return the VMs of a shard's owner and first successor."""
-        name = shard_object(SHARDS[number])
+        name = shard_object_name(SHARDS[number])
         newest = [each for each in self.store.history if each.name == name][-1]
         names = (newest.value or {})['succession']
         ids = [NodeName.parse(each).node_id for each in names]
@@ -153,7 +153,7 @@
         for shard, order in zip(SHARDS, ('abc', 'bcd'), strict=True):
             names = tuple(NodeName(vm, 1) for vm in order)
             record = ShardRecord(1, names)
-            self.store.create(shard_object(shard), to_value(record))
+            self.store.create(shard_object_name(shard), to_value(record))
         for node in self._nodes.values():
             node.start()
 
@@ -312,7 +312,7 @@
 
 
 def _spoil(world: World, number: str) -> None:
-    world.store.spoil(shard_object(SHARDS[int(number)]))
+    world.store.spoil(shard_object_name(SHARDS[int(number)]))
 
 
 _COMMANDS: dict[str, Callable[..., None]] = {
