--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -8,7 +8,7 @@
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import (
     CONFIG_NAME,
-    audit_object,
+    audit_object_name,
     to_record,
     to_value,
 )
@@ -35,7 +35,7 @@
 
     Raises `PlatformError` if the platform does not answer.
     """
-    name = audit_object(record.generation)
+    name = audit_object_name(record.generation)
     try:
         platform.create(name, to_value(entry_of(record)))
     except PlatformConflictError:
@@ -52,7 +52,7 @@
         return
     record = to_record(ConfigRecord, stored)
     for generation in range(record.generation, 0, -1):
-        found = platform.get(audit_object(generation))
+        found = platform.get(audit_object_name(generation))
         if found is not None:
             yield to_record(AuditRecord, found)
         elif generation == record.generation:
@@ -81,7 +81,7 @@
         )
     files = dict(now.files)
     for number in range(now.generation, generation, -1):
-        stored = platform.get(audit_object(number))
+        stored = platform.get(audit_object_name(number))
         if stored is None and number != now.generation:
             raise DeclarationError(f'generation {number}: no audit entry')
         entry = to_record(AuditRecord, stored) if stored else entry_of(now)
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -39,7 +39,7 @@
     return f'{SHARD_PREFIX}{shard}'
 
 
-def audit_object(generation: int) -> str:
+def audit_object_name(generation: int) -> str:
     """Return the name of the audit object of a generation."""
     return f'{AUDIT_PREFIX}{generation}'
 
