--- a/laburnumwood/daemon/handover_news.py
+++ b/laburnumwood/daemon/handover_news.py
@@ -3,7 +3,7 @@
 from laburnumwood.events import HANDOVERS_TOLD
 from laburnumwood.membership.gossip import Gossip
 from laburnumwood.membership.view import FleetView
-from laburnumwood.protocol.messages import Done, Left
+from laburnumwood.protocol.messages import Done, HandoverNotice
 from laburnumwood.protocol.peers import Dispatcher
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
@@ -33,7 +33,7 @@
         self._reporting = reporting
         self._view = view
         self._gossip = gossip
-        dispatcher.on(Left)(self._serve)
+        dispatcher.on(HandoverNotice)(self._serve)
 
     def announce(self) -> None:
         """Send the released ranges to the other nodes of the service."""
@@ -41,8 +41,10 @@
         receivers = set(self._view.serving_nodes(self._service)) - {self._own}
         if released and receivers:
             HANDOVERS_TOLD.report(ranges=len(released), nodes=len(receivers))
-            self._gossip.notify(receivers, Left(released))
+            self._gossip.notify(receivers, HandoverNotice(released))
 
-    def _serve(self, _link: object, stream: Stream, message: Left) -> None:
+    def _serve(
+        self, _link: object, stream: Stream, message: HandoverNotice
+    ) -> None:
         self._reporting.add_remote_handovers(message.released)
         stream.send(Done())
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -130,7 +130,7 @@
 
 @message('left')
 @dataclass(frozen=True, slots=True)
-class Left:
+class HandoverNotice:
     """Sends the ranges that the worker released to their next owners."""
 
     released: tuple[ReleasedRange, ...]
