--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -153,7 +153,9 @@
             self._serve_peer,
             self._clock,
         )
-        self._caller_listener = HttpListener(settings.door, self._serve_caller)
+        self._caller_listener = HttpListener(
+            settings.caller_address, self._serve_caller
+        )
         if settings.operator_port is not None:
             operators = (settings.host, settings.operator_port)
             HttpListener(operators, self._serve_operator)
--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -33,7 +33,7 @@
         open_incarnations=(),
         host=settings.host,
         peer_port=settings.advertised_peer_port or settings.peer_port,
-        door_port=settings.door[1],
+        door_port=settings.caller_address[1],
         operator_port=settings.operator_port or 0,
         failure_domain=settings.failure_domain,
         service=settings.service,
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -17,10 +17,10 @@
 from laburnumwood.errors import SettingsError
 from laburnumwood.listening import split_address
 
-HIGHEST_PORT = 65_535
+MAX_PORT = 65_535
 _ADDRESS = r'^[^:]+:\d{1,5}$'
 _USABLE_GRACE = 5 / 6  # of the time until the process would be killed
-SECRETS = frozenset(('shared_key', 'token'))
+SECRET_FIELDS = frozenset(('shared_key', 'token'))
 
 
 class LeaseSettings(BaseModel):
@@ -109,14 +109,14 @@
     region: str = 'default'
     borders: str = 'own'
     host: str = '127.0.0.1'
-    peer_port: int = Field(ge=1, le=HIGHEST_PORT)
+    peer_port: int = Field(ge=1, le=MAX_PORT)
     advertised_peer_port: int | None = Field(default=None, ge=1)
-    door_port: int | None = Field(default=None, ge=1, le=HIGHEST_PORT)
+    door_port: int | None = Field(default=None, ge=1, le=MAX_PORT)
     door_address: str | None = Field(default=None, pattern=_ADDRESS)
     ready_address: str | None = Field(default=None, pattern=_ADDRESS)
     report_address: str | None = Field(default=None, pattern=_ADDRESS)
-    operator_port: int | None = Field(default=None, ge=1, le=HIGHEST_PORT)
-    metrics_port: int | None = Field(default=None, ge=1, le=HIGHEST_PORT)
+    operator_port: int | None = Field(default=None, ge=1, le=MAX_PORT)
+    metrics_port: int | None = Field(default=None, ge=1, le=MAX_PORT)
     platform_url: str = Field(pattern='^https?://')
     worker_url: str = Field(pattern='^https?://')
     service: str = Field(min_length=1)
@@ -166,8 +166,8 @@
         return round(self.stop_grace_s * MS_PER_SECOND * _USABLE_GRACE)
 
     @property
-    def door(self) -> tuple[str, int]:
-        """Return the host and the port for callers."""
+    def caller_address(self) -> tuple[str, int]:
+        """Return the host and the port at which callers connect."""
         if self.door_address is not None:
             return split_address(self.door_address)
         return self.host, self.door_port or 0
@@ -192,7 +192,7 @@
 def _describe_error(error: ErrorDetails, model: type[BaseModel]) -> str:
     path = error['loc']
     named = '.'.join(str(step) for step in path) or '(whole file)'
-    if not path or SECRETS.intersection(path):
+    if not path or SECRET_FIELDS.intersection(path):
         return f'{named}: {error["msg"]}; what was found is not shown'
     if error['type'] == 'extra_forbidden':
         allowed = _field_names_at(model, path)
