--- a/laburnumwood/leases/witness.py
+++ b/laburnumwood/leases/witness.py
@@ -82,22 +82,22 @@
             )
         return grant.seal
 
-    def evict_ended(self, node_id: str, least_open: int) -> None:
+    def evict_ended(self, node_id: str, first_open_incarnation: int) -> None:
         """Evict the incarnations of a node whose end is on record.
 
-        `least_open` is the lowest incarnation number that has not ended.
+        `first_open_incarnation` is the lowest incarnation number that has not ended.
         Only that number is kept, so that no lower one is renewed again.
         """
-        if least_open <= self._least_open.get(node_id, 0):
+        if first_open_incarnation <= self._least_open.get(node_id, 0):
             return
-        self._least_open[node_id] = least_open
+        self._least_open[node_id] = first_open_incarnation
         ended = [name for name in self._grants if self._has_ended(name)]
         for name in ended:
             self._grants.pop(name)
 
     def _has_ended(self, holder: NodeName) -> bool:
-        least_open = self._least_open.get(holder.node_id, 0)
-        return holder.incarnation < least_open
+        first_open_incarnation = self._least_open.get(holder.node_id, 0)
+        return holder.incarnation < first_open_incarnation
 
     def seal_lapsed(self) -> tuple[Seal, ...]:
         """Seal the holders whose grants have expired; return the new seals.
--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/endings.py
@@ -156,7 +156,9 @@
         """Evict obsolete seals, and the witness's state of ended holders."""
         self._view.evict_obsolete_seals()
         for node_id, entry in self._view.directory.nodes.items():
-            self._witness.evict_ended(node_id, entry.record.least_open)
+            self._witness.evict_ended(
+                node_id, entry.record.first_open_incarnation
+            )
 
     def write_changes(self) -> None:
         """Record ends and the current witness set in the store.
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -182,7 +182,7 @@
     serves: bool = True
 
     @property
-    def least_open(self) -> int:
+    def first_open_incarnation(self) -> int:
         """Return a number below which every incarnation has ended."""
         return min(self.open_incarnations, default=self.incarnation + 1)
 
