--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -20,7 +20,7 @@
 from laburnumwood.records import ConfigRecord
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import CONFIG_NAME, to_record
-from laburnumwood.store.writes import marked, write
+from laburnumwood.store.writes import with_new_mark, write
 
 _SETTLE_ATTEMPTS = 5
 _SETTLE_PAUSE_MS = 300
@@ -158,7 +158,7 @@
             from_version=version,
             reason=proposal.reason,
         )
-        return marked(record, proposal.who)
+        return with_new_mark(record, proposal.who)
 
     def _accept(
         self, record: ConfigRecord, now: ConfigRecord, version: int | None
--- a/laburnumwood/placement/shard_write.py
+++ b/laburnumwood/placement/shard_write.py
@@ -12,7 +12,7 @@
 from laburnumwood.records import ShardName, ShardRecord, StoredObject
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import shard_object_name, to_value
-from laburnumwood.store.writes import marked, write
+from laburnumwood.store.writes import with_new_mark, write
 
 _FLOOR_TIMEOUT_MS = 3_000
 
@@ -53,7 +53,7 @@
         clock: Clock,
     ) -> None:
         self.shard = shard
-        self.record = marked(record, str(lease.holder))
+        self.record = with_new_mark(record, str(lease.holder))
         self.version = version
         self.stored: StoredObject | None = None
         self.stop_if_unreachable = False
--- a/laburnumwood/store/writes.py
+++ b/laburnumwood/store/writes.py
@@ -26,7 +26,7 @@
     return WriteMark(writer, uuid4().hex)
 
 
-def marked(record: _Record, writer: str) -> _Record:
+def with_new_mark(record: _Record, writer: str) -> _Record:
     """Return a copy of a record with a unique mark."""
     return replace(record, mark=new_mark(writer))
 
