--- a/laburnumwood/leases/witness.py
+++ b/laburnumwood/leases/witness.py
@@ -85,7 +85,7 @@
     def evict_ended(self, node_id: str, first_open_incarnation: int) -> None:
         """Evict the incarnations of a node whose end is on record.
 
-        `first_open_incarnation` is the lowest incarnation number that has not ended.
+        `first_open_incarnation` is the lowest incarnation that has not ended.
         Only that number is kept, so that no lower one is renewed again.
         """
         if first_open_incarnation <= self._least_open.get(node_id, 0):
