--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -2,12 +2,12 @@
 
 from contextlib import suppress
 
-from laburnumwood.borders import Integration
 from laburnumwood.clock import Clock
 from laburnumwood.daemon.handover_news import HandoverAnnouncer
 from laburnumwood.daemon.holder import ShardGrantSource
 from laburnumwood.daemon.load import LoadComponents
 from laburnumwood.errors import PlatformError
+from laburnumwood.integrations import Integration
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -6,7 +6,6 @@
 
 import eventlet
 
-from laburnumwood.borders import INTEGRATIONS
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.daemon.incarnation import Incarnation
 from laburnumwood.errors import (
@@ -24,6 +23,7 @@
     REJOINING,
     STORE_UNREACHABLE,
 )
+from laburnumwood.integrations import INTEGRATIONS
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.endings import (
     IncarnationStatus,
--- a/laburnumwood/platform/borders.py
+++ b/laburnumwood/platform/borders.py
@@ -5,7 +5,12 @@
 from random import Random
 from typing import Any
 
-from laburnumwood.borders import Integration, Listener, NodeStatus, integration
+from laburnumwood.integrations import (
+    Integration,
+    Listener,
+    NodeStatus,
+    integration,
+)
 from laburnumwood.listening import split_address
 from laburnumwood.platform.callers import PlatformCallerInterface
 from laburnumwood.platform.reports import ReportEndpoint
--- a/tests/features/steps/worker_release_steps.py
+++ b/tests/features/steps/worker_release_steps.py
@@ -7,9 +7,9 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from laburnumwood.borders import INTEGRATIONS
 from laburnumwood.daemon.incarnation import Incarnation
 from laburnumwood.daemon.node import Node
+from laburnumwood.integrations import INTEGRATIONS
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.node_records import join
 from laburnumwood.platform.borders import register
