--- a/laburnumwood/placement/exchange.py
+++ b/laburnumwood/placement/exchange.py
@@ -12,7 +12,7 @@
 from laburnumwood.placement.loads import LoadReports, LoadState
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.link import Link
-from laburnumwood.protocol.messages import LoadAsk, LoadReport
+from laburnumwood.protocol.messages import LoadReport, LoadRequest
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
@@ -67,7 +67,7 @@
         self._running = running
         self._on_round = on_round
         self._other_targets = other_targets
-        dispatcher.on(LoadAsk)(self._answer)
+        dispatcher.on(LoadRequest)(self._answer)
 
     def run(self) -> None:
         """Ask peers round after round; does not return."""
@@ -91,11 +91,11 @@
 
     def _request_load(self, name: NodeName) -> None:
         try:
-            report = self._peers.call(name, LoadAsk(), _CALL_TIMEOUT_MS)
+            report = self._peers.call(name, LoadRequest(), _CALL_TIMEOUT_MS)
         except LinkError:
             return  # the last report of the peer decays
         if isinstance(report, LoadReport):
             self._reports.record(name, LoadState(report.running, report.shards))
 
-    def _answer(self, _link: Link, stream: Stream, _request: LoadAsk) -> None:
+    def _answer(self, _link: Link, stream: Stream, _request: LoadRequest) -> None:
         stream.send(LoadReport(self._running(), self._meter.shards()))
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -275,7 +275,7 @@
 
 @message('load-ask')
 @dataclass(frozen=True, slots=True)
-class LoadAsk:
+class LoadRequest:
     """Requests the load of a node."""
 
 
