--- a/laburnumwood/placement/exchange.py
+++ b/laburnumwood/placement/exchange.py
@@ -97,5 +97,7 @@
         if isinstance(report, LoadReport):
             self._reports.record(name, LoadState(report.running, report.shards))
 
-    def _answer(self, _link: Link, stream: Stream, _request: LoadRequest) -> None:
+    def _answer(
+        self, _link: Link, stream: Stream, _request: LoadRequest
+    ) -> None:
         stream.send(LoadReport(self._running(), self._meter.shards()))
