--- a/laburnumwood/platform/borders.py
+++ b/laburnumwood/platform/registration.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from laburnumwood.integrations import (
+from laburnumwood.integration import (
     Integration,
     Listener,
     NodeStatus,
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from laburnumwood.errors import WorkerAnswerError
-from laburnumwood.platform.names import (
+from laburnumwood.platform.headers import (
     ID_HEADER,
     LOAD_HEADER,
     NOT_RUN_HEADER,
@@ -20,7 +20,7 @@
     Headers,
 )
 from laburnumwood.upstream.pool import WorkerAnswer
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.worker import WorkerClient
 
 _ID = ID_HEADER.lower()
