--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -217,7 +217,7 @@
     for snapshot, targets in zip(
         context.snapshots, context.chosen, strict=True
     ):
-        assert set(targets) <= snapshot.peers, targets
+        assert set(targets) <= snapshot.reporting_peers, targets
 
 
 @given('a service of {count:d} nodes of which one is overloaded')
