--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -6,7 +6,7 @@
 from laburnumwood.decay import DecayingMean
 from laburnumwood.events import WORKER_LEAVES, WORKER_SILENT
 from laburnumwood.settings import ReportSettings
-from laburnumwood.upstream.lives import ReportStatus, WorkerInstanceTracker
+from laburnumwood.upstream.instances import ReportStatus, WorkerInstanceTracker
 from laburnumwood.upstream.reports import WorkerReport
 
 _DEFAULT_INTERVAL_MS = 1_000  # assumed before any interval was measured
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -27,7 +27,7 @@
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.handovers import Handovers
-from laburnumwood.upstream.lives import ReportStatus
+from laburnumwood.upstream.instances import ReportStatus
 from laburnumwood.upstream.presence import Presence, WorkerPhase
 from laburnumwood.upstream.reports import (
     GrantedRange,
