--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -27,7 +27,7 @@
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import HeldShards
-from laburnumwood.placement.keeper import ShardManager
+from laburnumwood.placement.shard_manager import ShardManager
 from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.protocol.messages import Resign, Work
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -10,7 +10,7 @@
 
 from laburnumwood.notifier import Notifier
 from laburnumwood.placement.holdings import HeldShards
-from laburnumwood.placement.keeper import ShardManager
+from laburnumwood.placement.shard_manager import ShardManager
 from laburnumwood.placement.shard_write import WriteProgress
 from laburnumwood.records import NodeName, ShardName
 from tests.features.steps.fake_clock import FakeClock
