--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -27,8 +27,8 @@
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_manager import ShardManager
-from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.protocol.messages import Resign, Work
 from laburnumwood.protocol.peers import Dispatcher, Peers
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -14,9 +14,9 @@
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.layout import split_shard_number
+from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
 from laburnumwood.placement.splitting import Part, Split
-from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.records import (
     NodeName,
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -18,7 +18,7 @@
 from laburnumwood.placement.balance import PlacementSnapshot, weighed
 from laburnumwood.placement.holdings import HeldShards
 from laburnumwood.placement.loads import LoadReports
-from laburnumwood.placement.tenure import OwnershipTracker
+from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.protocol.messages import Failure, ShardNotice, WholeAnswer
 from laburnumwood.records import (
     NodeName,
--- a/tests/features/steps/shard_count_steps.py
+++ b/tests/features/steps/shard_count_steps.py
@@ -19,9 +19,9 @@
 from laburnumwood.placement.layout import key_ranges
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
+from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import WriteProgress
 from laburnumwood.placement.sharding import KEY_SPACE, initial_shard
-from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.records import (
     ConfigRecord,
     KeyRange,
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -10,8 +10,8 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.placement.ownership import OwnershipState
+from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
-from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     Digest,
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -23,8 +23,8 @@
 )
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite
-from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     KeyRange,
