--- a/laburnumwood/daemon/holder.py
+++ b/laburnumwood/daemon/holder.py
@@ -3,7 +3,7 @@
 from laburnumwood.config.declarations import Service
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import key_ranges
 from laburnumwood.records import KeyRange, ShardName
 
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -26,7 +26,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_manager import ShardManager
 from laburnumwood.placement.writer import ShardWriter
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -14,7 +14,7 @@
     exposition,
 )
 from laburnumwood.operators.capacity import CapacityAccount
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.ownership import acting_owner
 from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.records import ShardRecord
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -10,7 +10,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import VersionedRecord
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import split_ranges, split_shard_number
 from laburnumwood.placement.ownership import (
     OwnershipState,
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -12,7 +12,7 @@
 from laburnumwood.membership.gossip import Gossip, shard_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import split_shard_number
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -27,7 +27,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import VersionedRecord
 from laburnumwood.membership.gossip import shard_notice
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import RecordsByNumber, locate_text_key
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -7,7 +7,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import (
     Answer,
--- a/laburnumwood/routing/shard_release.py
+++ b/laburnumwood/routing/shard_release.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from laburnumwood.placement.holdings import ShardUse
+from laburnumwood.placement.held_shards import ShardUse
 from laburnumwood.protocol.messages import Answer, Work
 from laburnumwood.routing.exchange import Exchange, ExchangeWrapper
 
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -15,7 +15,7 @@
 from laburnumwood.config.declarations import Declarations, Service
 from laburnumwood.membership.directory import Directory
 from laburnumwood.operators.capacity import CapacityAccount
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import (
     Cancel,
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -9,7 +9,7 @@
 from behave.runner import Context
 
 from laburnumwood.notifier import Notifier
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.shard_manager import ShardManager
 from laburnumwood.placement.shard_write import WriteProgress
 from laburnumwood.records import NodeName, ShardName
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -16,7 +16,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Directory
 from laburnumwood.placement.balance import PlacementSnapshot, weighed
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.protocol.messages import Failure, ShardNotice, WholeAnswer
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -4,7 +4,7 @@
 from behave.runner import Context
 
 from laburnumwood.config.declarations import KeySource, Service
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import key_ranges
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
--- a/tests/features/steps/shard_count_steps.py
+++ b/tests/features/steps/shard_count_steps.py
@@ -15,7 +15,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balance import Move
 from laburnumwood.placement.balancer import Balancer
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import key_ranges
 from laburnumwood.placement.loads import LoadReports
 from laburnumwood.placement.meter import LoadMeter
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -22,7 +22,7 @@
     record_witness_sets,
 )
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite
 from laburnumwood.protocol.messages import Granted, Refused, Renew
