--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -13,7 +13,7 @@
     ShardsByNode,
 )
 from laburnumwood.placement.layout import key_ranges, split_ranges
-from laburnumwood.placement.loads import LoadReports
+from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.ownership import acting_owner
 from laburnumwood.placement.planner import MovePlanner
--- a/laburnumwood/placement/exchange.py
+++ b/laburnumwood/placement/exchange.py
@@ -9,7 +9,7 @@
 from laburnumwood.errors import LinkError
 from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.loads import LoadReports, LoadState
+from laburnumwood.placement.load_reports import LoadReports, LoadState
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import LoadReport, LoadRequest
--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -12,7 +12,7 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import CallerDisconnectedError, LinkError
-from laburnumwood.placement.loads import LoadReports
+from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.protocol.messages import Answer, Failure
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.exchange import OutgoingExchange
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -20,7 +20,7 @@
 from laburnumwood.placement.balance import PlacementSnapshot
 from laburnumwood.placement.balancer import estimated_loads
 from laburnumwood.placement.hotkeys import HotKeys
-from laburnumwood.placement.loads import LoadReports, LoadState
+from laburnumwood.placement.load_reports import LoadReports, LoadState
 from laburnumwood.placement.meter import LoadMeter, relative_error
 from laburnumwood.placement.planner import MovePlanner
 from laburnumwood.protocol.messages import Failure
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -22,7 +22,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations, Service
 from laburnumwood.errors import LinkLostError, LinkTimeoutError
-from laburnumwood.placement.loads import LoadReports
+from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.protocol.messages import Answer, Chunk, Failure, Work
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -17,7 +17,7 @@
 from laburnumwood.membership.directory import Directory
 from laburnumwood.placement.balance import PlacementSnapshot, weighed
 from laburnumwood.placement.held_shards import HeldShards
-from laburnumwood.placement.loads import LoadReports
+from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.protocol.messages import Failure, ShardNotice, WholeAnswer
 from laburnumwood.records import (
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -18,7 +18,7 @@
 from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError, LinkTimeoutError
-from laburnumwood.placement.loads import LoadReports
+from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.protocol.messages import Cancel, Failure, Work
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName, NodeRecord
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -14,7 +14,7 @@
 from laburnumwood.decay import DecayingRate
 from laburnumwood.errors import PlatformUnavailableError
 from laburnumwood.membership.directory import Directory
-from laburnumwood.placement.loads import LoadReports
+from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.protocol.messages import Work
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.caller_request import CallerRequest
--- a/tests/features/steps/shard_count_steps.py
+++ b/tests/features/steps/shard_count_steps.py
@@ -17,7 +17,7 @@
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import key_ranges
-from laburnumwood.placement.loads import LoadReports
+from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import WriteProgress
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -21,7 +21,7 @@
     Service,
 )
 from laburnumwood.membership.directory import Directory
-from laburnumwood.placement.loads import LoadReports
+from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.protocol.messages import Work
 from laburnumwood.protocol.peers import (
     Dispatcher,
