--- a/bench/balance.py
+++ b/bench/balance.py
@@ -16,7 +16,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.declarations import Weights
 from laburnumwood.decay import weight_of_age
-from laburnumwood.placement.balance import Move, PlacementSnapshot
+from laburnumwood.placement.move_policy import Move, PlacementSnapshot
 from laburnumwood.placement.planner import MovePlanner
 from laburnumwood.records import NodeName
 from laburnumwood.settings import PlacementSettings
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -7,14 +7,14 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service, Weights
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.balance import (
+from laburnumwood.placement.layout import key_ranges, split_ranges
+from laburnumwood.placement.load_reports import LoadReports
+from laburnumwood.placement.meter import LoadMeter
+from laburnumwood.placement.move_policy import (
     Move,
     PlacementSnapshot,
     ShardsByNode,
 )
-from laburnumwood.placement.layout import key_ranges, split_ranges
-from laburnumwood.placement.load_reports import LoadReports
-from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.placement.ownership import acting_owner
 from laburnumwood.placement.planner import MovePlanner
 from laburnumwood.placement.splitting import Part, Split, Splitter, hot_parts
--- a/laburnumwood/placement/planner.py
+++ b/laburnumwood/placement/planner.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from laburnumwood.clock import Clock
-from laburnumwood.placement.balance import (
+from laburnumwood.placement.move_policy import (
     POLICIES,
     Move,
     PlacementSnapshot,
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -5,7 +5,7 @@
 from math import ceil
 
 from laburnumwood.clock import Clock
-from laburnumwood.placement.balance import PlacementSnapshot
+from laburnumwood.placement.move_policy import PlacementSnapshot
 from laburnumwood.records import KeyRange, NodeName
 
 # Fractions of a node's slots:
--- a/tests/features/steps/balance_steps.py
+++ b/tests/features/steps/balance_steps.py
@@ -17,11 +17,11 @@
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Weights
 from laburnumwood.errors import CallerDisconnectedError
-from laburnumwood.placement.balance import PlacementSnapshot
 from laburnumwood.placement.balancer import estimated_loads
 from laburnumwood.placement.hotkeys import HotKeys
 from laburnumwood.placement.load_reports import LoadReports, LoadState
 from laburnumwood.placement.meter import LoadMeter, relative_error
+from laburnumwood.placement.move_policy import PlacementSnapshot
 from laburnumwood.placement.planner import MovePlanner
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.records import NodeName, NodeRecord
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -15,9 +15,9 @@
 from laburnumwood.config.declarations import Weights
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Directory
-from laburnumwood.placement.balance import PlacementSnapshot, weighed
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.load_reports import LoadReports
+from laburnumwood.placement.move_policy import PlacementSnapshot, weighed
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.protocol.messages import Failure, ShardNotice, WholeAnswer
 from laburnumwood.records import (
--- a/tests/features/steps/layout_steps.py
+++ b/tests/features/steps/layout_steps.py
@@ -8,13 +8,13 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from laburnumwood.placement.balance import PlacementSnapshot
 from laburnumwood.placement.layout import (
     key_ranges,
     locate,
     locate_text_key,
     split_shard_number,
 )
+from laburnumwood.placement.move_policy import PlacementSnapshot
 from laburnumwood.placement.sharding import KEY_SPACE, initial_shard
 from laburnumwood.placement.splitting import Splitter, hot_parts
 from laburnumwood.records import KeyRange, NodeName, ShardRecord
--- a/tests/features/steps/shard_count_steps.py
+++ b/tests/features/steps/shard_count_steps.py
@@ -13,12 +13,12 @@
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.balance import Move
 from laburnumwood.placement.balancer import Balancer
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import key_ranges
 from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.placement.meter import LoadMeter
+from laburnumwood.placement.move_policy import Move
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import WriteProgress
 from laburnumwood.placement.sharding import KEY_SPACE, initial_shard
