--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -104,7 +104,7 @@
     """A request was not admitted to the worker."""
 
     def __init__(self, retry_after_ms: int) -> None:
-        super().__init__(f'come again after {retry_after_ms} ms')
+        super().__init__(f'overloaded; retry after {retry_after_ms} ms')
         self.retry_after_ms = retry_after_ms
 
 
--- a/tests/features/steps/send_queue_steps.py
+++ b/tests/features/steps/send_queue_steps.py
@@ -27,7 +27,7 @@
 SHORT, LARGE = 100, 90_000
 READ_SIZE = 65_536
 LIMIT_S = 5
-SOON_S = 0.3  # twice as long as a send queue waits for news
+SETTLE_S = 0.3  # longer than the send queue waits between two checks
 
 
 @given('a send queue')
@@ -71,7 +71,7 @@
 @when('{span:d} ms pass for the send queue')
 def let_pass(context: Context, span: int) -> None:
     context.clock.pass_ms(span)
-    eventlet.sleep(SOON_S)
+    eventlet.sleep(SETTLE_S)
 
 
 @when('the second message is cancelled')
@@ -141,7 +141,7 @@
 
     def receive(self, *, answers_pings: bool) -> None:
         """Read all data and, if `answers_pings`, answer the pings in it."""
-        with eventlet.Timeout(SOON_S, exception=False):
+        with eventlet.Timeout(SETTLE_S, exception=False):
             while True:
                 self._protocol.receive_data(self.sock.recv(READ_SIZE))
         for event in self._protocol.events_received():
