--- a/laburnumwood/cli/configuring.py
+++ b/laburnumwood/cli/configuring.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 from pathlib import Path
 
-from laburnumwood.cli.changes import Changes, validate
+from laburnumwood.cli.config_client import Changes, validate
 from laburnumwood.cli.comparison import FileState, State
 from laburnumwood.cli.fleet import Fleet
 from laburnumwood.cli.options import Options, UsageError
