--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -7,7 +7,7 @@
 from fire.decorators import SetParseFns
 from logbook import NullHandler
 
-from laburnumwood.cli import configuring, looking
+from laburnumwood.cli import config_commands, looking
 from laburnumwood.cli.explaining import explain
 from laburnumwood.cli.fleet import Fleet
 from laburnumwood.cli.losing import confirm_loss
@@ -52,12 +52,12 @@
 
     def validate(self, folder: str) -> None:
         """Check the files of a folder; show which file sets each value."""
-        configuring.show_validity(Path(folder), self._output)
+        config_commands.show_validity(Path(folder), self._output)
 
     @SetParseFns(folder=str, only=str)
     def diff(self, folder: str, *, only: str = '') -> None:
         """Show how a folder differs from the accepted configuration."""
-        configuring.show_difference(
+        config_commands.show_difference(
             self._options, Path(folder), _names(only), self._output
         )
 
@@ -71,7 +71,7 @@
         limit_s: float = _IN_FORCE_S,
     ) -> None:
         """Make a folder's changes the configuration; --wait until in force."""
-        configuring.apply_folder(
+        config_commands.apply_folder(
             self._options,
             Path(folder),
             _names(only),
@@ -82,15 +82,15 @@
     @SetParseFns(file=str)
     def show(self, file: str = '') -> None:
         """Show what is accepted, or one accepted file as JSON."""
-        configuring.show_accepted(self._options, file, self._output)
+        config_commands.show_accepted(self._options, file, self._output)
 
     def history(self, *, most: int = _HISTORY) -> None:
         """Show the newest accepted changes: when, by whom, which files."""
-        configuring.show_history(self._options, most, self._output)
+        config_commands.show_history(self._options, most, self._output)
 
     def audit(self, generation: int) -> None:
         """Show what one accepted change did."""
-        configuring.show_change(self._options, generation, self._output)
+        config_commands.show_change(self._options, generation, self._output)
 
     def rollback(
         self,
@@ -100,7 +100,7 @@
         limit_s: float = _IN_FORCE_S,
     ) -> None:
         """Apply the files of an older generation as a new one."""
-        configuring.roll_back(
+        config_commands.roll_back(
             self._options, generation, limit_s if wait else 0, self._output
         )
 
