--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -7,7 +7,7 @@
 from fire.decorators import SetParseFns
 from logbook import NullHandler
 
-from laburnumwood.cli import config_commands, looking
+from laburnumwood.cli import config_commands, fleet_commands
 from laburnumwood.cli.explaining import explain
 from laburnumwood.cli.fleet import Fleet
 from laburnumwood.cli.losing import confirm_loss
@@ -106,23 +106,23 @@
 
     def status(self) -> None:
         """Show how each live node is."""
-        looking.show_status(self._fleet(), self._output)
+        fleet_commands.show_status(self._fleet(), self._output)
 
     def nodes(self) -> None:
         """Show the live nodes and where they are."""
-        looking.show_nodes(self._fleet(), self._output)
+        fleet_commands.show_nodes(self._fleet(), self._output)
 
     @SetParseFns(service=str, key=str)
     def owners(self, service: str, key: str = '') -> None:
         """Show who owns the shards of a service, or one key of it."""
         if key:
-            looking.show_owner(self._fleet(), service, key, self._output)
+            fleet_commands.show_owner(self._fleet(), service, key, self._output)
         else:
-            looking.show_owners(self._fleet(), service, self._output)
+            fleet_commands.show_owners(self._fleet(), service, self._output)
 
     def idle(self, *, window_s: float = _WINDOW_S) -> None:
         """Show what capacity carried and what lay idle, by who pays."""
-        looking.show_idle(self._fleet(), window_s, self._output)
+        fleet_commands.show_idle(self._fleet(), window_s, self._output)
 
     @SetParseFns(request=str)
     def explain(self, request: str, *files: str) -> None:
