--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -8,7 +8,7 @@
 from logbook import NullHandler
 
 from laburnumwood.cli import config_commands, fleet_commands
-from laburnumwood.cli.explaining import explain
+from laburnumwood.cli.explain_command import explain
 from laburnumwood.cli.fleet import Fleet
 from laburnumwood.cli.losing import confirm_loss
 from laburnumwood.cli.options import UsageError, read_options
