--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -10,7 +10,7 @@
 from laburnumwood.cli import config_commands, fleet_commands
 from laburnumwood.cli.explain_command import explain
 from laburnumwood.cli.fleet import Fleet
-from laburnumwood.cli.losing import confirm_loss
+from laburnumwood.cli.loss_command import confirm_loss
 from laburnumwood.cli.options import UsageError, read_options
 from laburnumwood.cli.output import Output
 from laburnumwood.errors import (
