--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -8,7 +8,7 @@
 from laburnumwood.cli.fleet import Fleet
 from laburnumwood.cli.options import Options, UsageError
 from laburnumwood.cli.output import Output, moment
-from laburnumwood.cli.waiting import wait_until_in_force
+from laburnumwood.cli.rollout import wait_until_in_force
 from laburnumwood.records import AuditRecord, ConfigRecord
 
 _TRAIL_COLUMNS = ('generation', 'when', 'who', 'files', 'reason')
