--- a/laburnumwood/cli/fleet_commands.py
+++ b/laburnumwood/cli/fleet_commands.py
@@ -5,7 +5,7 @@
 from urllib.parse import urlencode
 
 from laburnumwood.cli.fleet import Fleet
-from laburnumwood.cli.idle import add_up
+from laburnumwood.cli.idle_capacity import add_up
 from laburnumwood.cli.output import Output
 from laburnumwood.cli.pages import IdlePage, KeyOwner, StatusPage
 from laburnumwood.clock import MS_PER_SECOND
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -27,7 +27,7 @@
     wait_for,
 )
 from laburnumwood.cli.fleet import Fleet
-from laburnumwood.cli.idle import add_up
+from laburnumwood.cli.idle_capacity import add_up
 from laburnumwood.cli.options import read_options
 from laburnumwood.cli.pages import IdlePage
 from laburnumwood.clock import Clock
