--- a/bench/demo.py
+++ b/bench/demo.py
@@ -11,7 +11,7 @@
 
 from bench.deployment import Deployment, Member, Place, wait_for
 from laburnumwood.clock import Clock
-from laburnumwood.config.acceptance import accept
+from laburnumwood.config.acceptance import replace_configuration
 from laburnumwood.store.client import HttpStore
 
 PORTAL = 'trader-portal'
@@ -96,7 +96,7 @@
     for place in PLACES:
         deployment.add(place)
     platform = HttpStore(deployment.platform_url)
-    record = accept(platform, FILES, getpass.getuser(), Clock())
+    record = replace_configuration(platform, FILES, getpass.getuser(), Clock())
     console.print(f'accepted as generation {record.generation}')
     taken = wait_for('shards', lambda: _is_complete(deployment, 3), _LIMIT_S)
     console.print(f'every shard has an owner after {taken:.1f} s')
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -9,7 +9,7 @@
 from bench.calls import Call
 from bench.deployment import Deployment, Member, Place, wait_for
 from laburnumwood.clock import Clock
-from laburnumwood.config.acceptance import accept
+from laburnumwood.config.acceptance import replace_configuration
 from laburnumwood.store.client import HttpStore
 
 DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
@@ -56,7 +56,7 @@
         key = {'source': 'header', 'name': KEY_HEADER}
         declared = {'services': {service: {'key': key, 'shards': shards}}}
         platform = HttpStore(self.deployment.platform_url)
-        accept(platform, {'10-all.json': declared}, 'bench', Clock())
+        replace_configuration(platform, {'10-all.json': declared}, 'bench', Clock())
 
     @property
     def members(self) -> list[Member]:
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -17,7 +17,7 @@
 from bench.deployment import Deployment, Place, wait_for
 from bench.plans import WARM_UP_S, Plan, Tally
 from laburnumwood.clock import Clock
-from laburnumwood.config.acceptance import accept
+from laburnumwood.config.acceptance import replace_configuration
 from laburnumwood.store.client import HttpStore
 
 _SERVICE = 'trader-portal'
@@ -97,7 +97,7 @@
         }
         files = {'10-all.json': {'services': {_SERVICE: service}}}
         platform = HttpStore(self._deployment.platform_url)
-        accept(platform, files, 'bench', Clock())
+        replace_configuration(platform, files, 'bench', Clock())
         wait_for('even shares', self._is_settled, _LIMIT_S)
 
     def _is_settled(self) -> bool:
--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -186,7 +186,7 @@
         )
 
 
-def accept(
+def replace_configuration(
     platform: Store, files: dict[str, dict[str, Any]], who: str, clock: Clock
 ) -> ConfigRecord:
     """Make files the whole configuration, whatever was accepted before.
--- a/tests/features/steps/deployment_steps.py
+++ b/tests/features/steps/deployment_steps.py
@@ -9,7 +9,7 @@
 
 from bench.deployment import Deployment, Member, Place, wait_for
 from laburnumwood.clock import Clock
-from laburnumwood.config.acceptance import accept
+from laburnumwood.config.acceptance import replace_configuration
 from laburnumwood.membership.choice import witness_count
 from laburnumwood.store.client import HttpStore
 
@@ -45,7 +45,7 @@
 def apply_configuration(context: Context) -> None:
     platform = HttpStore(context.deployment.platform_url)
     files = {'10-all.json': json.loads(context.text)}
-    accept(platform, files, 'scenario', Clock())
+    replace_configuration(platform, files, 'scenario', Clock())
     context.files = files
 
 
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -31,7 +31,7 @@
 from laburnumwood.cli.options import read_options
 from laburnumwood.cli.pages import IdlePage
 from laburnumwood.clock import Clock
-from laburnumwood.config.acceptance import accept
+from laburnumwood.config.acceptance import replace_configuration
 from laburnumwood.config.declarations import Declarations
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.settings import DaemonSettings
@@ -122,7 +122,7 @@
     key = {'source': 'header', 'name': 'Kiosk'}
     declared = {'services': {service: {'key': key, 'shards': SHARDS}}}
     platform = HttpStore(context.deployment.platform_url)
-    accept(platform, {'a.json': declared}, 'scenario', Clock())
+    replace_configuration(platform, {'a.json': declared}, 'scenario', Clock())
 
 
 @then('each of them is owner of some of its shards')
