--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -11,7 +11,7 @@
 from laburnumwood.config.acceptance import (
     Acceptance,
     Proposal,
-    current,
+    read_accepted,
 )
 from laburnumwood.config.audit import read_newest
 from laburnumwood.config.files import digest, read_folder
@@ -56,7 +56,7 @@
 
     def current(self) -> ConfigRecord:
         """Return the accepted configuration."""
-        return current(self._platform)[0]
+        return read_accepted(self._platform)[0]
 
     def diff(
         self, folder: Path, only: Collection[str]
--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -40,7 +40,7 @@
     reason: str = ''
 
 
-def current(platform: Store) -> tuple[ConfigRecord, int | None]:
+def read_accepted(platform: Store) -> tuple[ConfigRecord, int | None]:
     """Return the accepted configuration and its version (None: none yet)."""
     stored = platform.get(CONFIG)
     if stored is None:
@@ -114,7 +114,7 @@
 
     def roll_back(self, generation: int, who: str) -> ConfigRecord:
         """Make the files of an older generation the next one."""
-        now, _ = current(self._platform)
+        now, _ = read_accepted(self._platform)
         older = files_at(self._platform, now, generation)
         removed: dict[str, Content | None] = dict.fromkeys(now.files)
         return self.propose(
@@ -127,7 +127,7 @@
         )
 
     def _try(self, proposal: Proposal) -> ConfigRecord:
-        now, version = current(self._platform)
+        now, version = read_accepted(self._platform)
         changed = _changed_since(proposal, now)
         if changed:
             raise ConcurrentChangeError(changed)
@@ -193,7 +193,7 @@
 
     Raises what `Acceptance.propose` does.
     """
-    now, _ = current(platform)
+    now, _ = read_accepted(platform)
     seen = {name: digest(each) for name, each in now.files.items()}
     removed: dict[str, Content | None] = dict.fromkeys(now.files)
     proposal = Proposal({**removed, **files}, who, seen)
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from laburnumwood.clock import Clock
-from laburnumwood.config.acceptance import Acceptance, Proposal, current
+from laburnumwood.config.acceptance import Acceptance, Proposal, read_accepted
 from laburnumwood.config.audit import read_newest
 from laburnumwood.config.files import digest, parse
 from laburnumwood.config.merge import merge_files
@@ -98,7 +98,7 @@
 
 
 def _look(context: Context) -> None:
-    files = current(HttpStore(context.standins['platform'].url))[0].files
+    files = read_accepted(HttpStore(context.standins['platform'].url))[0].files
     context.seen = {name: digest(content) for name, content in files.items()}
 
 
@@ -142,7 +142,7 @@
 
 @then('the accepted files of generation {generation:d} are')
 def check_accepted(context: Context, generation: int) -> None:
-    record, _ = current(HttpStore(context.standins['platform'].url))
+    record, _ = read_accepted(HttpStore(context.standins['platform'].url))
     assert record.generation == generation, record
     assert record.files == json.loads(context.text), record.files
 
