--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -48,7 +48,7 @@
     return to_record(ConfigRecord, stored), stored.version
 
 
-def _changed_since(proposal: Proposal, now: ConfigRecord) -> tuple[str, ...]:
+def _changed_by_others(proposal: Proposal, now: ConfigRecord) -> tuple[str, ...]:
     """Return the files that someone else changed since they were seen."""
     changed = []
     for name, wanted in sorted(proposal.files.items()):
@@ -128,7 +128,7 @@
 
     def _try(self, proposal: Proposal) -> ConfigRecord:
         now, version = read_accepted(self._platform)
-        changed = _changed_since(proposal, now)
+        changed = _changed_by_others(proposal, now)
         if changed:
             raise ConcurrentChangeError(changed)
         files = _with(now.files, proposal.files)
