--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -59,7 +59,7 @@
     return tuple(changed)
 
 
-def _with(files: Files, wanted: Mapping[str, Content | None]) -> Files:
+def _apply_proposal(files: Files, wanted: Mapping[str, Content | None]) -> Files:
     merged: dict[str, Content | None] = {**files, **wanted}
     return {
         name: content for name, content in merged.items() if content is not None
@@ -131,7 +131,7 @@
         changed = _changed_by_others(proposal, now)
         if changed:
             raise ConcurrentChangeError(changed)
-        files = _with(now.files, proposal.files)
+        files = _apply_proposal(now.files, proposal.files)
         check_successor(files, now)
         if files == now.files:
             return now
