--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -66,7 +66,7 @@
     }
 
 
-def check_successor(files: Files, now: ConfigRecord) -> Merged:
+def validate_successor(files: Files, now: ConfigRecord) -> Merged:
     """Return the merged files; raises `DeclarationError` for every fault.
 
     The number of shards of a service never changes while it has any.
@@ -132,7 +132,7 @@
         if changed:
             raise ConcurrentChangeError(changed)
         files = _apply_proposal(now.files, proposal.files)
-        check_successor(files, now)
+        validate_successor(files, now)
         if files == now.files:
             return now
         record = self._next(proposal, files, now, version)
