--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -22,8 +22,8 @@
 from laburnumwood.store.objects import CONFIG, to_record
 from laburnumwood.store.writes import marked, write
 
-_SETTLE_ATTEMPTS = 5
-_SETTLE_PAUSE_MS = 300
+_MAX_WRITE_ATTEMPTS = 5
+_WRITE_RETRY_DELAY_MS = 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,11 +174,11 @@
         return record
 
     def _write(self, record: ConfigRecord, version: int | None) -> None:
-        for _ in range(_SETTLE_ATTEMPTS):
+        for _ in range(_MAX_WRITE_ATTEMPTS):
             try:
                 write(self._platform, CONFIG, record, version)
             except PlatformUnavailableError:
-                time.sleep(_SETTLE_PAUSE_MS / MS_PER_SECOND)
+                time.sleep(_WRITE_RETRY_DELAY_MS / MS_PER_SECOND)
             else:
                 return
         raise PlatformUnavailableError(
