--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -109,7 +109,7 @@
         accepted = None
         while accepted is None:
             with suppress(PlatformConflictError):
-                accepted = self._try(proposal)
+                accepted = self._propose_once(proposal)
         return accepted
 
     def roll_back(self, generation: int, who: str) -> ConfigRecord:
@@ -126,7 +126,7 @@
             )
         )
 
-    def _try(self, proposal: Proposal) -> ConfigRecord:
+    def _propose_once(self, proposal: Proposal) -> ConfigRecord:
         now, version = read_accepted(self._platform)
         changed = _changed_by_others(proposal, now)
         if changed:
