--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -135,10 +135,10 @@
         validate_successor(files, now)
         if files == now.files:
             return now
-        record = self._next(proposal, files, now, version)
+        record = self._next_record(proposal, files, now, version)
         return self._accept(record, now, version)
 
-    def _next(
+    def _next_record(
         self,
         proposal: Proposal,
         files: Files,
