--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -166,14 +166,14 @@
         if now.generation:
             # Its entry can be written only while it is the newest.
             complete(self._platform, now)
-        self._write(record, version)
+        self._write_until_known(record, version)
         try:
             complete(self._platform, record)
         except PlatformError:
             return record  # it is accepted: the next reader completes it
         return record
 
-    def _write(self, record: ConfigRecord, version: int | None) -> None:
+    def _write_until_known(self, record: ConfigRecord, version: int | None) -> None:
         for _ in range(_MAX_WRITE_ATTEMPTS):
             try:
                 write(self._platform, CONFIG, record, version)
