--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -9,7 +9,7 @@
 from laburnumwood.cli.seen_files import Seen, read_seen, write_seen
 from laburnumwood.clock import Clock
 from laburnumwood.config.acceptance import (
-    Acceptance,
+    ConfigAcceptance,
     Proposal,
     read_accepted,
 )
@@ -51,7 +51,7 @@
 
     def __init__(self, options: Options) -> None:
         self._platform = HttpStore(options.platform_url)
-        self._acceptance = Acceptance(self._platform, Clock())
+        self._acceptance = ConfigAcceptance(self._platform, Clock())
         self._who = options.who
 
     def current(self) -> ConfigRecord:
@@ -78,7 +78,7 @@
     def apply(self, folder: Path, only: Collection[str]) -> Applied:
         """Make the changes of a folder the next generation.
 
-        Raises what `Acceptance.propose` does.
+        Raises what `ConfigAcceptance.propose` does.
         """
         now = self.current()
         seen = read_seen(folder)
--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -91,7 +91,7 @@
     return merged
 
 
-class Acceptance:
+class ConfigAcceptance:
     """Accepts changes of the configuration, each by one conditional write."""
 
     def __init__(self, platform: Store, clock: Clock) -> None:
@@ -191,10 +191,10 @@
 ) -> ConfigRecord:
     """Make files the whole configuration, whatever was accepted before.
 
-    Raises what `Acceptance.propose` does.
+    Raises what `ConfigAcceptance.propose` does.
     """
     now, _ = read_accepted(platform)
     seen = {name: digest(each) for name, each in now.files.items()}
     removed: dict[str, Content | None] = dict.fromkeys(now.files)
     proposal = Proposal({**removed, **files}, who, seen)
-    return Acceptance(platform, clock).propose(proposal)
+    return ConfigAcceptance(platform, clock).propose(proposal)
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from laburnumwood.clock import Clock
-from laburnumwood.config.acceptance import Acceptance, Proposal, read_accepted
+from laburnumwood.config.acceptance import ConfigAcceptance, Proposal, read_accepted
 from laburnumwood.config.audit import read_newest
 from laburnumwood.config.files import digest, parse
 from laburnumwood.config.merge import merge_files
@@ -92,7 +92,7 @@
     proposal = Proposal(json.loads(text), who, context.seen)
     context.refusal = None
     try:
-        Acceptance(platform, Clock()).propose(proposal)
+        ConfigAcceptance(platform, Clock()).propose(proposal)
     except (ConcurrentChangeError, DeclarationError) as refused:
         context.refusal = refused
 
@@ -137,7 +137,7 @@
 @when('"{who}" rolls back to generation {generation:d}')
 def roll_back(context: Context, who: str, generation: int) -> None:
     platform = HttpStore(context.standins['platform'].url)
-    Acceptance(platform, Clock()).roll_back(generation, who)
+    ConfigAcceptance(platform, Clock()).roll_back(generation, who)
 
 
 @then('the accepted files of generation {generation:d} are')
