--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -48,13 +48,13 @@
     return to_record(ConfigRecord, stored), stored.version
 
 
-def _changed_by_others(proposal: Proposal, now: ConfigRecord) -> tuple[str, ...]:
+def _changed_by_others(proposal: Proposal, accepted: ConfigRecord) -> tuple[str, ...]:
     """Return the files that someone else changed since they were seen."""
     changed = []
     for name, wanted in sorted(proposal.files.items()):
-        accepted = now.files.get(name)
-        known = None if accepted is None else digest(accepted)
-        if wanted != accepted and proposal.seen.get(name) != known:
+        accepted_content = accepted.files.get(name)
+        known = None if accepted_content is None else digest(accepted_content)
+        if wanted != accepted_content and proposal.seen.get(name) != known:
             changed.append(name)
     return tuple(changed)
 
@@ -66,16 +66,16 @@
     }
 
 
-def validate_successor(files: Files, now: ConfigRecord) -> Merged:
+def validate_successor(files: Files, accepted: ConfigRecord) -> Merged:
     """Return the merged files; raises `DeclarationError` for every fault.
 
     The number of shards of a service never changes while it has any.
     """
     merged = merge_files(files)
-    if not now.files:
+    if not accepted.files:
         return merged
     lines = []
-    before = merge_files(now.files).declarations.services
+    before = merge_files(accepted.files).declarations.services
     for name, service in merged.declarations.services.items():
         known = before.get(name)
         if known and known.shards and known.shards != service.shards:
@@ -106,66 +106,66 @@
         valid, `ConcurrentChangeError` if another operator changed the same
         file, and `PlatformError` if the platform does not answer.
         """
-        accepted = None
-        while accepted is None:
+        record = None
+        while record is None:
             with suppress(PlatformConflictError):
-                accepted = self._propose_once(proposal)
+                record = self._propose_once(proposal)
         return accepted
 
     def roll_back(self, generation: int, who: str) -> ConfigRecord:
         """Make the files of an older generation the next one."""
-        now, _ = read_accepted(self._platform)
-        older = files_at(self._platform, now, generation)
-        removed: dict[str, Content | None] = dict.fromkeys(now.files)
+        accepted, _ = read_accepted(self._platform)
+        older = files_at(self._platform, accepted, generation)
+        removed: dict[str, Content | None] = dict.fromkeys(accepted.files)
         return self.propose(
             Proposal(
                 files={**removed, **older},
                 who=who,
-                seen={name: digest(each) for name, each in now.files.items()},
+                seen={name: digest(each) for name, each in accepted.files.items()},
                 reason=f'rollback to generation {generation}',
             )
         )
 
     def _propose_once(self, proposal: Proposal) -> ConfigRecord:
-        now, version = read_accepted(self._platform)
-        changed = _changed_by_others(proposal, now)
+        accepted, version = read_accepted(self._platform)
+        changed = _changed_by_others(proposal, accepted)
         if changed:
             raise ConcurrentChangeError(changed)
-        files = _apply_proposal(now.files, proposal.files)
-        validate_successor(files, now)
-        if files == now.files:
-            return now
-        record = self._next_record(proposal, files, now, version)
-        return self._accept(record, now, version)
+        files = _apply_proposal(accepted.files, proposal.files)
+        validate_successor(files, accepted)
+        if files == accepted.files:
+            return accepted
+        record = self._next_record(proposal, files, accepted, version)
+        return self._accept(record, accepted, version)
 
     def _next_record(
         self,
         proposal: Proposal,
         files: Files,
-        now: ConfigRecord,
+        accepted: ConfigRecord,
         version: int | None,
     ) -> ConfigRecord:
-        names = {*files, *now.files}
+        names = {*files, *accepted.files}
         touched = [
-            name for name in names if files.get(name) != now.files.get(name)
+            name for name in names if files.get(name) != accepted.files.get(name)
         ]
         record = ConfigRecord(
-            generation=now.generation + 1,
+            generation=accepted.generation + 1,
             files=files,
             who=proposal.who,
             when_ms=self._clock.wall_ms(),
-            replaced={name: now.files.get(name) for name in touched},
+            replaced={name: accepted.files.get(name) for name in touched},
             from_version=version,
             reason=proposal.reason,
         )
         return marked(record, proposal.who)
 
     def _accept(
-        self, record: ConfigRecord, now: ConfigRecord, version: int | None
+        self, record: ConfigRecord, accepted: ConfigRecord, version: int | None
     ) -> ConfigRecord:
-        if now.generation:
+        if accepted.generation:
             # Its entry can be written only while it is the newest.
-            complete(self._platform, now)
+            complete(self._platform, accepted)
         self._write_until_known(record, version)
         try:
             complete(self._platform, record)
@@ -193,8 +193,8 @@
 
     Raises what `ConfigAcceptance.propose` does.
     """
-    now, _ = read_accepted(platform)
-    seen = {name: digest(each) for name, each in now.files.items()}
-    removed: dict[str, Content | None] = dict.fromkeys(now.files)
+    accepted, _ = read_accepted(platform)
+    seen = {name: digest(each) for name, each in accepted.files.items()}
+    removed: dict[str, Content | None] = dict.fromkeys(accepted.files)
     proposal = Proposal({**removed, **files}, who, seen)
     return ConfigAcceptance(platform, clock).propose(proposal)
--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -69,21 +69,21 @@
     }
 
 
-def files_at(platform: Store, now: ConfigRecord, generation: int) -> Files:
+def files_at(platform: Store, accepted: ConfigRecord, generation: int) -> Files:
     """Return the files of an accepted generation.
 
     Raises `DeclarationError` if there is none such, and `PlatformError`.
     """
-    if not 0 < generation <= now.generation:
+    if not 0 < generation <= accepted.generation:
         raise DeclarationError(
             f'generation {generation} is not known; the newest is '
-            f'{now.generation}, see "laburnumwood history"'
+            f'{accepted.generation}, see "laburnumwood history"'
         )
-    files = dict(now.files)
-    for number in range(now.generation, generation, -1):
+    files = dict(accepted.files)
+    for number in range(accepted.generation, generation, -1):
         stored = platform.get(audit_object(number))
-        if stored is None and number != now.generation:
+        if stored is None and number != accepted.generation:
             raise DeclarationError(f'generation {number}: no audit entry')
-        entry = to_record(AuditRecord, stored) if stored else entry_of(now)
+        entry = to_record(AuditRecord, stored) if stored else entry_of(accepted)
         files = undo(files, entry.changes)
     return files
