--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -40,9 +40,9 @@
     reason: str = ''
 
 
-def read_accepted(platform: Store) -> tuple[ConfigRecord, int | None]:
+def read_accepted(store: Store) -> tuple[ConfigRecord, int | None]:
     """Return the accepted configuration and its version (None: none yet)."""
-    stored = platform.get(CONFIG)
+    stored = store.get(CONFIG)
     if stored is None:
         return ConfigRecord(0), None
     return to_record(ConfigRecord, stored), stored.version
@@ -94,8 +94,8 @@
 class ConfigAcceptance:
     """Accepts changes of the configuration, each by one conditional write."""
 
-    def __init__(self, platform: Store, clock: Clock) -> None:
-        self._platform = platform
+    def __init__(self, store: Store, clock: Clock) -> None:
+        self._store = platform
         self._clock = clock
 
     def propose(self, proposal: Proposal) -> ConfigRecord:
@@ -114,8 +114,8 @@
 
     def roll_back(self, generation: int, who: str) -> ConfigRecord:
         """Make the files of an older generation the next one."""
-        accepted, _ = read_accepted(self._platform)
-        older = files_at(self._platform, accepted, generation)
+        accepted, _ = read_accepted(self._store)
+        older = files_at(self._store, accepted, generation)
         removed: dict[str, Content | None] = dict.fromkeys(accepted.files)
         return self.propose(
             Proposal(
@@ -127,7 +127,7 @@
         )
 
     def _propose_once(self, proposal: Proposal) -> ConfigRecord:
-        accepted, version = read_accepted(self._platform)
+        accepted, version = read_accepted(self._store)
         changed = _changed_by_others(proposal, accepted)
         if changed:
             raise ConcurrentChangeError(changed)
@@ -165,10 +165,10 @@
     ) -> ConfigRecord:
         if accepted.generation:
             # Its entry can be written only while it is the newest.
-            complete(self._platform, accepted)
+            complete(self._store, accepted)
         self._write_until_known(record, version)
         try:
-            complete(self._platform, record)
+            complete(self._store, record)
         except PlatformError:
             return record  # it is accepted: the next reader completes it
         return record
@@ -176,7 +176,7 @@
     def _write_until_known(self, record: ConfigRecord, version: int | None) -> None:
         for _ in range(_MAX_WRITE_ATTEMPTS):
             try:
-                write(self._platform, CONFIG, record, version)
+                write(self._store, CONFIG, record, version)
             except PlatformUnavailableError:
                 time.sleep(_WRITE_RETRY_DELAY_MS / MS_PER_SECOND)
             else:
@@ -187,14 +187,14 @@
 
 
 def replace_configuration(
-    platform: Store, files: dict[str, dict[str, Any]], who: str, clock: Clock
+    store: Store, files: dict[str, dict[str, Any]], who: str, clock: Clock
 ) -> ConfigRecord:
     """Make files the whole configuration, whatever was accepted before.
 
     Raises what `ConfigAcceptance.propose` does.
     """
-    accepted, _ = read_accepted(platform)
+    accepted, _ = read_accepted(store)
     seen = {name: digest(each) for name, each in accepted.files.items()}
     removed: dict[str, Content | None] = dict.fromkeys(accepted.files)
     proposal = Proposal({**removed, **files}, who, seen)
-    return ConfigAcceptance(platform, clock).propose(proposal)
+    return ConfigAcceptance(store, clock).propose(proposal)
--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -30,33 +30,33 @@
     )
 
 
-def complete(platform: Store, record: ConfigRecord) -> None:
+def complete(store: Store, record: ConfigRecord) -> None:
     """Write the entry of the newest configuration if it is not there yet.
 
     Raises `PlatformError` if the platform does not answer.
     """
     name = audit_object(record.generation)
     try:
-        platform.create(name, to_value(entry_of(record)))
+        store.create(name, to_value(entry_of(record)))
     except PlatformConflictError:
         return  # it is there, and an entry is never written again
 
 
-def read_newest(platform: Store) -> Iterator[AuditRecord]:
+def read_newest(store: Store) -> Iterator[AuditRecord]:
     """Yield the entries of the audit trail, the newest first.
 
     An entry that its writer left out is completed.  Raises `PlatformError`.
     """
-    stored = platform.get(CONFIG)
+    stored = store.get(CONFIG)
     if stored is None:
         return
     record = to_record(ConfigRecord, stored)
     for generation in range(record.generation, 0, -1):
-        found = platform.get(audit_object(generation))
+        found = store.get(audit_object(generation))
         if found is not None:
             yield to_record(AuditRecord, found)
         elif generation == record.generation:
-            complete(platform, record)
+            complete(store, record)
             yield entry_of(record)
 
 
@@ -69,7 +69,7 @@
     }
 
 
-def files_at(platform: Store, accepted: ConfigRecord, generation: int) -> Files:
+def files_at(store: Store, accepted: ConfigRecord, generation: int) -> Files:
     """Return the files of an accepted generation.
 
     Raises `DeclarationError` if there is none such, and `PlatformError`.
@@ -81,7 +81,7 @@
         )
     files = dict(accepted.files)
     for number in range(accepted.generation, generation, -1):
-        stored = platform.get(audit_object(number))
+        stored = store.get(audit_object(number))
         if stored is None and number != accepted.generation:
             raise DeclarationError(f'generation {number}: no audit entry')
         entry = to_record(AuditRecord, stored) if stored else entry_of(accepted)
