--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -14,7 +14,7 @@
 )
 
 
-def entry_of(record: ConfigRecord) -> AuditRecord:
+def audit_entry(record: ConfigRecord) -> AuditRecord:
     """Return the entry of the audit trail for an accepted configuration."""
     changes = {
         name: FileChange(before, record.files.get(name))
@@ -37,7 +37,7 @@
     """
     name = audit_object(record.generation)
     try:
-        store.create(name, to_value(entry_of(record)))
+        store.create(name, to_value(audit_entry(record)))
     except PlatformConflictError:
         return  # it is there, and an entry is never written again
 
@@ -57,7 +57,7 @@
             yield to_record(AuditRecord, found)
         elif generation == record.generation:
             complete(store, record)
-            yield entry_of(record)
+            yield audit_entry(record)
 
 
 def undo(files: Files, changes: Mapping[str, FileChange]) -> Files:
@@ -84,6 +84,6 @@
         stored = store.get(audit_object(number))
         if stored is None and number != accepted.generation:
             raise DeclarationError(f'generation {number}: no audit entry')
-        entry = to_record(AuditRecord, stored) if stored else entry_of(accepted)
+        entry = to_record(AuditRecord, stored) if stored else audit_entry(accepted)
         files = undo(files, entry.changes)
     return files
