--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.config.audit import complete, files_at
+from laburnumwood.config.audit import write_missing_entry, files_at
 from laburnumwood.config.files import Content, Files, digest
 from laburnumwood.config.merge import Merged, merge_files
 from laburnumwood.errors import (
@@ -165,10 +165,10 @@
     ) -> ConfigRecord:
         if accepted.generation:
             # Its entry can be written only while it is the newest.
-            complete(self._store, accepted)
+            write_missing_entry(self._store, accepted)
         self._write_until_known(record, version)
         try:
-            complete(self._store, record)
+            write_missing_entry(self._store, record)
         except PlatformError:
             return record  # it is accepted: the next reader completes it
         return record
--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -30,7 +30,7 @@
     )
 
 
-def complete(store: Store, record: ConfigRecord) -> None:
+def write_missing_entry(store: Store, record: ConfigRecord) -> None:
     """Write the entry of the newest configuration if it is not there yet.
 
     Raises `PlatformError` if the platform does not answer.
@@ -56,7 +56,7 @@
         if found is not None:
             yield to_record(AuditRecord, found)
         elif generation == record.generation:
-            complete(store, record)
+            write_missing_entry(store, record)
             yield audit_entry(record)
 
 
