--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -13,7 +13,7 @@
     Proposal,
     read_accepted,
 )
-from laburnumwood.config.audit import read_newest
+from laburnumwood.config.audit import read_audit_trail
 from laburnumwood.config.files import digest, read_folder
 from laburnumwood.config.merge import Merged, merge_files
 from laburnumwood.errors import ConcurrentChangeError
@@ -101,7 +101,7 @@
 
     def history(self, most: int) -> list[AuditRecord]:
         """Return the newest entries of the audit trail."""
-        entries = read_newest(self._platform)
+        entries = read_audit_trail(self._platform)
         return [entry for _, entry in zip(range(most), entries, strict=False)]
 
     def _propose(self, proposal: Proposal) -> ConfigRecord:
@@ -114,7 +114,7 @@
         """Return each name with who changed that file last."""
         wanted = set(names)
         told = []
-        for entry in read_newest(self._platform):
+        for entry in read_audit_trail(self._platform):
             for name in sorted(wanted.intersection(entry.changes)):
                 told.append(
                     f'{name} (generation {entry.generation} by {entry.who})'
--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -42,7 +42,7 @@
         return  # it is there, and an entry is never written again
 
 
-def read_newest(store: Store) -> Iterator[AuditRecord]:
+def read_audit_trail(store: Store) -> Iterator[AuditRecord]:
     """Yield the entries of the audit trail, the newest first.
 
     An entry that its writer left out is completed.  Raises `PlatformError`.
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -13,7 +13,7 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.config.acceptance import ConfigAcceptance, Proposal, read_accepted
-from laburnumwood.config.audit import read_newest
+from laburnumwood.config.audit import read_audit_trail
 from laburnumwood.config.files import digest, parse
 from laburnumwood.config.merge import merge_files
 from laburnumwood.errors import (
@@ -160,7 +160,7 @@
 
 @then('the audit trail names {names}')
 def check_trail(context: Context, names: str) -> None:
-    entries = list(read_newest(HttpStore(context.standins['platform'].url)))
+    entries = list(read_audit_trail(HttpStore(context.standins['platform'].url)))
     entries.reverse()
     assert [entry.who for entry in entries] == names.split(', '), entries
     numbers = [entry.generation for entry in entries]
