--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -60,7 +60,7 @@
             yield audit_entry(record)
 
 
-def undo(files: Files, changes: Mapping[str, FileChange]) -> Files:
+def revert_changes(files: Files, changes: Mapping[str, FileChange]) -> Files:
     """Return files as they were before some changes."""
     undone = {name: change.before for name, change in changes.items()}
     before: dict[str, Content | None] = {**files, **undone}
@@ -85,5 +85,5 @@
         if stored is None and number != accepted.generation:
             raise DeclarationError(f'generation {number}: no audit entry')
         entry = to_record(AuditRecord, stored) if stored else audit_entry(accepted)
-        files = undo(files, entry.changes)
+        files = revert_changes(files, entry.changes)
     return files
