--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.config.audit import write_missing_entry, files_at
+from laburnumwood.config.audit import write_missing_entry, files_of_generation
 from laburnumwood.config.files import Content, Files, digest
 from laburnumwood.config.merge import Merged, merge_files
 from laburnumwood.errors import (
@@ -115,7 +115,7 @@
     def roll_back(self, generation: int, who: str) -> ConfigRecord:
         """Make the files of an older generation the next one."""
         accepted, _ = read_accepted(self._store)
-        older = files_at(self._store, accepted, generation)
+        older = files_of_generation(self._store, accepted, generation)
         removed: dict[str, Content | None] = dict.fromkeys(accepted.files)
         return self.propose(
             Proposal(
--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -69,7 +69,7 @@
     }
 
 
-def files_at(store: Store, accepted: ConfigRecord, generation: int) -> Files:
+def files_of_generation(store: Store, accepted: ConfigRecord, generation: int) -> Files:
     """Return the files of an accepted generation.
 
     Raises `DeclarationError` if there is none such, and `PlatformError`.
