--- a/laburnumwood/config/declarations.py
+++ b/laburnumwood/config/declarations.py
@@ -4,7 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-_MOST_SHARDS = 65_536
+_MAX_SHARDS = 65_536
 
 Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 
@@ -60,9 +60,9 @@
     """
 
     key: KeySource | None = None
-    shards: int = Field(default=0, ge=0, le=_MOST_SHARDS)
-    shards_per_node: int | None = Field(default=None, ge=1, le=_MOST_SHARDS)
-    stripe_width: int | None = Field(default=None, ge=1, le=_MOST_SHARDS)
+    shards: int = Field(default=0, ge=0, le=_MAX_SHARDS)
+    shards_per_node: int | None = Field(default=None, ge=1, le=_MAX_SHARDS)
+    stripe_width: int | None = Field(default=None, ge=1, le=_MAX_SHARDS)
     owner: str | None = None
     idempotent_methods: frozenset[str] = frozenset(
         ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'),
