--- a/laburnumwood/config/declarations.py
+++ b/laburnumwood/config/declarations.py
@@ -26,12 +26,12 @@
     name: str = Field(min_length=1)
 
     @model_validator(mode='after')
-    def _check_segment(self) -> Self:
-        if self.source == 'path' and not self._is_segment():
+    def _check_path_segment(self) -> Self:
+        if self.source == 'path' and not self._names_segment():
             raise ValueError('for "path", name is a number from "1" up')
         return self
 
-    def _is_segment(self) -> bool:
+    def _names_segment(self) -> bool:
         return self.name.isdecimal() and int(self.name) > 0
 
 
@@ -110,7 +110,7 @@
     node: str | None = None
 
     @model_validator(mode='after')
-    def _check_choices(self) -> Self:
+    def _check_exclusive_fields(self) -> Self:
         if (self.key is None) == (self.shard is None):
             raise ValueError('give either "key" or "shard"')
         if (self.failure_domain is None) == (self.node is None):
