--- a/laburnumwood/config/declarations.py
+++ b/laburnumwood/config/declarations.py
@@ -118,7 +118,7 @@
         return self
 
 
-class Rule(Declaration):
+class OverrideRule(Declaration):
     """Lets files set values that an earlier file has set already.
 
     A path is that of a value, or ends in `.*` for all below it.
@@ -143,6 +143,6 @@
     failure_domains: tuple[Name, ...] = Field(default=(), strict=False)
     capacity_owners: dict[Name, CapacityOwner] = Field(default_factory=dict)
     pins: dict[Name, Pin] = Field(default_factory=dict)
-    rules: tuple[Rule, ...] = ()
+    rules: tuple[OverrideRule, ...] = ()
     weights: Weights | None = None
     routes: dict[str, Route] = Field(default_factory=dict)
--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -7,7 +7,7 @@
 
 from pydantic import BaseModel, ValidationError
 
-from laburnumwood.config.declarations import Declarations, Rule
+from laburnumwood.config.declarations import Declarations, OverrideRule
 from laburnumwood.config.references import faults
 from laburnumwood.errors import DeclarationError
 from laburnumwood.settings import describe
@@ -78,7 +78,7 @@
         self.faults: list[str] = []
         self._set_by: dict[str, str] = {}
         self._tops: dict[str, str] = {}
-        self._rules: tuple[Rule, ...] = ()
+        self._rules: tuple[OverrideRule, ...] = ()
         self._merged: dict[str, Any] = {}
 
     def add(
