--- a/laburnumwood/cli/comparison.py
+++ b/laburnumwood/cli/comparison.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from laburnumwood.config.files import Content, Files, digest
+from laburnumwood.config.files import FileContent, Files, digest
 
 
 class State(Enum):
@@ -31,8 +31,8 @@
 
     name: str
     state: State
-    local: Content | None
-    accepted: Content | None
+    local: FileContent | None
+    accepted: FileContent | None
 
     def lines(
         self, before: str = 'accepted', after: str = 'folder'
@@ -47,13 +47,13 @@
         )
 
 
-def _text(content: Content | None) -> list[str]:
+def _text(content: FileContent | None) -> list[str]:
     if content is None:
         return []
     return json.dumps(content, indent=2, sort_keys=True).splitlines()
 
 
-def _mark(content: Content | None) -> str | None:
+def _mark(content: FileContent | None) -> str | None:
     return None if content is None else digest(content)
 
 
--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -8,7 +8,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.audit import write_missing_entry, files_of_generation
-from laburnumwood.config.files import Content, Files, digest
+from laburnumwood.config.files import FileContent, Files, digest
 from laburnumwood.config.merge import Merged, merge_files
 from laburnumwood.errors import (
     ConcurrentChangeError,
@@ -34,7 +34,7 @@
     it; a file that is not in it was not there.
     """
 
-    files: Mapping[str, Content | None]
+    files: Mapping[str, FileContent | None]
     who: str
     seen: Mapping[str, str] = field(default_factory=dict)
     reason: str = ''
@@ -59,8 +59,8 @@
     return tuple(changed)
 
 
-def _apply_proposal(files: Files, wanted: Mapping[str, Content | None]) -> Files:
-    merged: dict[str, Content | None] = {**files, **wanted}
+def _apply_proposal(files: Files, wanted: Mapping[str, FileContent | None]) -> Files:
+    merged: dict[str, FileContent | None] = {**files, **wanted}
     return {
         name: content for name, content in merged.items() if content is not None
     }
@@ -116,7 +116,7 @@
         """Make the files of an older generation the next one."""
         accepted, _ = read_accepted(self._store)
         older = files_of_generation(self._store, accepted, generation)
-        removed: dict[str, Content | None] = dict.fromkeys(accepted.files)
+        removed: dict[str, FileContent | None] = dict.fromkeys(accepted.files)
         return self.propose(
             Proposal(
                 files={**removed, **older},
@@ -195,6 +195,6 @@
     """
     accepted, _ = read_accepted(store)
     seen = {name: digest(each) for name, each in accepted.files.items()}
-    removed: dict[str, Content | None] = dict.fromkeys(accepted.files)
+    removed: dict[str, FileContent | None] = dict.fromkeys(accepted.files)
     proposal = Proposal({**removed, **files}, who, seen)
     return ConfigAcceptance(store, clock).propose(proposal)
--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator, Mapping
 
-from laburnumwood.config.files import Content, Files
+from laburnumwood.config.files import FileContent, Files
 from laburnumwood.errors import DeclarationError, PlatformConflictError
 from laburnumwood.records import AuditRecord, ConfigRecord, FileChange
 from laburnumwood.store.interface import Store
@@ -63,7 +63,7 @@
 def revert_changes(files: Files, changes: Mapping[str, FileChange]) -> Files:
     """Return files as they were before some changes."""
     undone = {name: change.before for name, change in changes.items()}
-    before: dict[str, Content | None] = {**files, **undone}
+    before: dict[str, FileContent | None] = {**files, **undone}
     return {
         name: content for name, content in before.items() if content is not None
     }
--- a/laburnumwood/config/files.py
+++ b/laburnumwood/config/files.py
@@ -8,8 +8,8 @@
 
 from laburnumwood.errors import DeclarationError
 
-Content = dict[str, Any]
-Files = dict[str, Content]
+FileContent = dict[str, Any]
+Files = dict[str, FileContent]
 
 _TWICE = object()
 
@@ -41,7 +41,7 @@
             yield from _duplicates(what, f'{path}{name}.')
 
 
-def parse(name: str, text: str) -> Content:
+def parse(name: str, text: str) -> FileContent:
     """Return what the text of a file holds.
 
     Raises `DeclarationError` if it is no JSON object, or if a name stands
