--- a/laburnumwood/config/files.py
+++ b/laburnumwood/config/files.py
@@ -41,7 +41,7 @@
             yield from _duplicates(what, f'{path}{name}.')
 
 
-def parse(name: str, text: str) -> FileContent:
+def parse_file(name: str, text: str) -> FileContent:
     """Return what the text of a file holds.
 
     Raises `DeclarationError` if it is no JSON object, or if a name stands
@@ -74,7 +74,7 @@
     lines: list[str] = []
     for path in sorted(folder.glob('[!.]*.json')):
         try:
-            files[path.name] = parse(path.name, path.read_text())
+            files[path.name] = parse_file(path.name, path.read_text())
         except (OSError, UnicodeError) as unreadable:
             lines.append(f'{path.name}: {unreadable}')
         except DeclarationError as faulty:
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -14,7 +14,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.acceptance import ConfigAcceptance, Proposal, read_accepted
 from laburnumwood.config.audit import read_audit_trail
-from laburnumwood.config.files import digest, parse
+from laburnumwood.config.files import digest, parse_file
 from laburnumwood.config.merge import merge_files
 from laburnumwood.errors import (
     ConcurrentChangeError,
@@ -33,7 +33,7 @@
 @given('the file "{name}"')
 def keep_file(context: Context, name: str) -> None:
     context.files = getattr(context, 'files', {})
-    context.files[name] = parse(name, context.text)
+    context.files[name] = parse_file(name, context.text)
 
 
 @then('"{path}" is {value} by "{file}"')
@@ -58,7 +58,7 @@
 @then('the text is refused with "{message}"')
 def check_text_refusal(context: Context, message: str) -> None:
     try:
-        parse('a.json', context.text)
+        parse_file('a.json', context.text)
     except DeclarationError as refused:
         assert str(refused) == message, refused
     else:
