--- a/laburnumwood/config/files.py
+++ b/laburnumwood/config/files.py
@@ -11,18 +11,18 @@
 FileContent = dict[str, Any]
 Files = dict[str, FileContent]
 
-_TWICE = object()
+_DUPLICATE_NAMES = object()
 
 
 def _pairs(pairs: list[tuple[str, Any]]) -> dict[Any, Any]:
     found: dict[Any, Any] = {}
-    twice: list[str] = []
+    duplicates: list[str] = []
     for name, what in pairs:
         if name in found:
-            twice.append(name)
+            duplicates.append(name)
         found[name] = what
-    if twice:
-        found[_TWICE] = twice
+    if duplicates:
+        found[_DUPLICATE_NAMES] = duplicates
     return found
 
 
@@ -35,7 +35,7 @@
 
 def _duplicates(node: Any, path: str) -> Iterator[str]:
     for name, what in _children(node):
-        if name is _TWICE:
+        if name is _DUPLICATE_NAMES:
             yield from (f'{path}{each}' for each in what)
         else:
             yield from _duplicates(what, f'{path}{name}.')
