--- a/laburnumwood/config/files.py
+++ b/laburnumwood/config/files.py
@@ -14,7 +14,7 @@
 _DUPLICATE_NAMES = object()
 
 
-def _pairs(pairs: list[tuple[str, Any]]) -> dict[Any, Any]:
+def _build_object(pairs: list[tuple[str, Any]]) -> dict[Any, Any]:
     found: dict[Any, Any] = {}
     duplicates: list[str] = []
     for name, what in pairs:
@@ -48,7 +48,7 @@
     twice in one object of it.
     """
     try:
-        content = json.loads(text, object_pairs_hook=_pairs)
+        content = json.loads(text, object_pairs_hook=_build_object)
     except ValueError as unreadable:
         raise DeclarationError(f'{name}: {unreadable}') from unreadable
     lines = [
