--- a/laburnumwood/config/files.py
+++ b/laburnumwood/config/files.py
@@ -33,12 +33,12 @@
         yield from node.items()
 
 
-def _duplicates(node: Any, path: str) -> Iterator[str]:
+def _duplicate_paths(node: Any, path: str) -> Iterator[str]:
     for name, what in _children(node):
         if name is _DUPLICATE_NAMES:
             yield from (f'{path}{each}' for each in what)
         else:
-            yield from _duplicates(what, f'{path}{name}.')
+            yield from _duplicate_paths(what, f'{path}{name}.')
 
 
 def parse_file(name: str, text: str) -> FileContent:
@@ -53,7 +53,7 @@
         raise DeclarationError(f'{name}: {unreadable}') from unreadable
     lines = [
         f'{name}: {path}: stands twice; a name may stand once'
-        for path in _duplicates(content, '')
+        for path in _duplicate_paths(content, '')
     ]
     if not isinstance(content, dict):
         lines.append(f'{name}: (whole file): expected an object {{...}}')
