--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -15,13 +15,13 @@
 )
 from laburnumwood.config.audit import read_audit_trail
 from laburnumwood.config.files import digest, read_folder
-from laburnumwood.config.merge import Merged, merge_files
+from laburnumwood.config.merge import MergedConfig, merge_files
 from laburnumwood.errors import ConcurrentChangeError
 from laburnumwood.records import AuditRecord, ConfigRecord
 from laburnumwood.store.client import HttpStore
 
 
-def validate(folder: Path) -> Merged:
+def validate(folder: Path) -> MergedConfig:
     """Return the merged files of a folder; raises `DeclarationError`."""
     return merge_files(read_folder(folder))
 
--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -9,7 +9,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.audit import write_missing_entry, files_of_generation
 from laburnumwood.config.files import FileContent, Files, digest
-from laburnumwood.config.merge import Merged, merge_files
+from laburnumwood.config.merge import MergedConfig, merge_files
 from laburnumwood.errors import (
     ConcurrentChangeError,
     DeclarationError,
@@ -66,7 +66,7 @@
     }
 
 
-def validate_successor(files: Files, accepted: ConfigRecord) -> Merged:
+def validate_successor(files: Files, accepted: ConfigRecord) -> MergedConfig:
     """Return the merged files; raises `DeclarationError` for every fault.
 
     The number of shards of a service never changes while it has any.
--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Merged:
+class MergedConfig:
     """A merged configuration, and which file set the value at each path."""
 
     declarations: Declarations
@@ -99,7 +99,7 @@
         for path, what in _settings_of(part, ''):
             self._set(name, path, what)
 
-    def result(self) -> Merged:
+    def result(self) -> MergedConfig:
         """Return the merged configuration; raises `DeclarationError`."""
         self._raise_faults()
         text = json.dumps(self._merged, default=_plain)
@@ -108,7 +108,7 @@
         except ValidationError as invalid:
             lines = describe(invalid, 'merged files', Declarations)
             raise DeclarationError(lines) from invalid
-        merged = Merged(declarations, self._set_by)
+        merged = MergedConfig(declarations, self._set_by)
         for fault in faults(declarations):
             file = merged.origin(fault.path)
             self.faults.append(f'{file}: {fault.path}: {fault.text}')
@@ -153,7 +153,7 @@
     return sorted(what)
 
 
-def merge_files(files: Mapping[str, Mapping[str, Any]]) -> Merged:
+def merge_files(files: Mapping[str, Mapping[str, Any]]) -> MergedConfig:
     """Merge files in the order of their names.
 
     Raises `DeclarationError` with a line for every fault of every file.
