--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -27,10 +27,10 @@
         """Return the file that set a value or the nearest one above it."""
         while path not in self.set_by and '.' in path:
             path = path.rpartition('.')[0]
-        return self.set_by.get(path, _nearest(path, self.set_by))
+        return self.set_by.get(path, _first_file_below(path, self.set_by))
 
 
-def _nearest(path: str, set_by: Mapping[str, str]) -> str:
+def _first_file_below(path: str, set_by: Mapping[str, str]) -> str:
     below = (name for each, name in set_by.items() if each.startswith(path))
     return next(below, 'merged files')
 
