--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -35,7 +35,7 @@
     return next(below, 'merged files')
 
 
-def read_file(name: str, content: Mapping[str, Any]) -> Declarations:
+def parse_declarations(name: str, content: Mapping[str, Any]) -> Declarations:
     """Return what one file declares.
 
     Raises `DeclarationError` with a line for each fault.
@@ -86,7 +86,7 @@
     ) -> None:
         """Merge one more file."""
         try:
-            part = read_file(name, content)
+            part = parse_declarations(name, content)
         except DeclarationError as faulty:
             self.faults.append(str(faulty))
             return
