--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -47,20 +47,20 @@
         raise DeclarationError(text) from invalid
 
 
-def _settings_of(declared: BaseModel, prefix: str) -> Iterator[tuple[str, Any]]:
+def _explicit_values(declared: BaseModel, prefix: str) -> Iterator[tuple[str, Any]]:
     """Yield what a part sets, with the path of each value."""
     for name in sorted(declared.model_fields_set):
-        yield from _values(getattr(declared, name), f'{prefix}{name}')
+        yield from _leaf_values(getattr(declared, name), f'{prefix}{name}')
 
 
-def _values(what: Any, path: str) -> Iterator[tuple[str, Any]]:
+def _leaf_values(what: Any, path: str) -> Iterator[tuple[str, Any]]:
     if isinstance(what, dict):
         for name, entry in what.items():
-            yield from _values(entry, f'{path}.{name}')
+            yield from _leaf_values(entry, f'{path}.{name}')
     elif isinstance(what, BaseModel):
         if not what.model_fields_set:
             yield path, {}
-        yield from _settings_of(what, f'{path}.')
+        yield from _explicit_values(what, f'{path}.')
     else:
         yield path, what
 
@@ -96,7 +96,7 @@
             )
         if first:
             self._rules = part.rules
-        for path, what in _settings_of(part, ''):
+        for path, what in _explicit_values(part, ''):
             self._set(name, path, what)
 
     def result(self) -> MergedConfig:
