--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -65,7 +65,7 @@
         yield path, what
 
 
-def _covers(pattern: str, path: str) -> bool:
+def _matches(pattern: str, path: str) -> bool:
     if pattern.endswith(_ANYTHING_BELOW):
         return path.startswith(pattern.removesuffix('*'))
     return path == pattern
@@ -141,7 +141,7 @@
 
     def _may_override(self, name: str, path: str) -> bool:
         return any(
-            name in rule.files and _covers(pattern, path)
+            name in rule.files and _matches(pattern, path)
             for rule in self._rules
             for pattern in rule.may_override
         )
