--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -12,7 +12,7 @@
 from laburnumwood.errors import DeclarationError
 from laburnumwood.settings import describe
 
-_ANYTHING_BELOW = '.*'
+_WILDCARD_SUFFIX = '.*'
 _RULES = 'rules'
 
 
@@ -66,7 +66,7 @@
 
 
 def _matches(pattern: str, path: str) -> bool:
-    if pattern.endswith(_ANYTHING_BELOW):
+    if pattern.endswith(_WILDCARD_SUFFIX):
         return path.startswith(pattern.removesuffix('*'))
     return path == pattern
 
