--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -102,7 +102,7 @@
     def result(self) -> MergedConfig:
         """Return the merged configuration; raises `DeclarationError`."""
         self._raise_faults()
-        text = json.dumps(self._merged, default=_plain)
+        text = json.dumps(self._merged, default=_to_json)
         try:
             declarations = Declarations.model_validate_json(text)
         except ValidationError as invalid:
@@ -147,7 +147,7 @@
         )
 
 
-def _plain(what: Any) -> Any:
+def _to_json(what: Any) -> Any:
     if isinstance(what, BaseModel):
         return what.model_dump(mode='json', exclude_unset=True)
     return sorted(what)
