--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -8,7 +8,7 @@
 from pydantic import BaseModel, ValidationError
 
 from laburnumwood.config.declarations import Declarations, OverrideRule
-from laburnumwood.config.references import faults
+from laburnumwood.config.references import find_violations
 from laburnumwood.errors import DeclarationError
 from laburnumwood.settings import describe
 
@@ -38,7 +38,7 @@
 def parse_declarations(name: str, content: Mapping[str, Any]) -> Declarations:
     """Return what one file declares.
 
-    Raises `DeclarationError` with a line for each fault.
+    Raises `DeclarationError` with a line for each violation.
     """
     try:
         return Declarations.model_validate_json(json.dumps(content))
@@ -72,7 +72,7 @@
 
 
 class _Merger:
-    """Merges files one after another and collects every fault."""
+    """Merges files one after another and collects every violation."""
 
     def __init__(self) -> None:
         self.faults: list[str] = []
@@ -109,9 +109,9 @@
             lines = describe(invalid, 'merged files', Declarations)
             raise DeclarationError(lines) from invalid
         merged = MergedConfig(declarations, self._set_by)
-        for fault in faults(declarations):
-            file = merged.origin(fault.path)
-            self.faults.append(f'{file}: {fault.path}: {fault.text}')
+        for violation in find_violations(declarations):
+            file = merged.origin(violation.path)
+            self.faults.append(f'{file}: {violation.path}: {violation.text}')
         self._raise_faults()
         return merged
 
--- a/laburnumwood/config/references.py
+++ b/laburnumwood/config/references.py
@@ -6,12 +6,12 @@
 
 from laburnumwood.config.declarations import Declarations, Pin
 
-Check = Callable[[Declarations], Iterator['Fault']]
+Check = Callable[[Declarations], Iterator['Violation']]
 _CHECKS: list[Check] = []
 
 
 @dataclass(frozen=True, slots=True)
-class Fault:
+class Violation:
     """What is wrong with the value at a path."""
 
     path: str
@@ -23,20 +23,20 @@
     return found
 
 
-def faults(merged: Declarations) -> Iterator[Fault]:
+def find_violations(merged: Declarations) -> Iterator[Violation]:
     """Yield every fault of a merged configuration."""
     for check in _CHECKS:
         yield from check(merged)
 
 
-def _unknown(path: str, found: str, kind: str, known: Iterable[str]) -> Fault:
+def _unknown(path: str, found: str, kind: str, known: Iterable[str]) -> Violation:
     names = ', '.join(sorted(known))
     allowed = names or f'none, for no {kind} is declared'
-    return Fault(path, f'no {kind} {found!r} is declared; allowed: {allowed}')
+    return Violation(path, f'no {kind} {found!r} is declared; allowed: {allowed}')
 
 
 @_check
-def _check_owners(merged: Declarations) -> Iterator[Fault]:
+def _check_owners(merged: Declarations) -> Iterator[Violation]:
     known = merged.capacity_owners
     for name, service in merged.services.items():
         if service.owner is not None and service.owner not in known:
@@ -45,18 +45,18 @@
 
 
 @_check
-def _check_shards(merged: Declarations) -> Iterator[Fault]:
+def _check_shards(merged: Declarations) -> Iterator[Violation]:
     for name, service in merged.services.items():
         path = f'services.{name}.shards'
         if service.key is not None and not service.shards:
-            yield Fault(path, 'found 0; a service with a key needs 1 or more')
+            yield Violation(path, 'found 0; a service with a key needs 1 or more')
         elif service.key is None and service.shards:
             text = f'found {service.shards}; a service without a key needs 0'
-            yield Fault(path, text)
+            yield Violation(path, text)
 
 
 @_check
-def _check_routes(merged: Declarations) -> Iterator[Fault]:
+def _check_routes(merged: Declarations) -> Iterator[Violation]:
     for name, route in merged.routes.items():
         for service in route.services:
             if service not in merged.services:
@@ -65,40 +65,40 @@
 
 
 @_check
-def _check_domains(merged: Declarations) -> Iterator[Fault]:
+def _check_domains(merged: Declarations) -> Iterator[Violation]:
     for name, count in Counter(merged.failure_domains).items():
         if count > 1:
-            yield Fault('failure_domains', f'{name!r} stands {count} times')
+            yield Violation('failure_domains', f'{name!r} stands {count} times')
 
 
 @_check
-def _check_pins(merged: Declarations) -> Iterator[Fault]:
+def _check_pins(merged: Declarations) -> Iterator[Violation]:
     for name, pin in merged.pins.items():
-        yield from _pin_faults(merged, f'pins.{name}', pin)
+        yield from _pin_violations(merged, f'pins.{name}', pin)
 
 
 @_check
-def _check_same_target(merged: Declarations) -> Iterator[Fault]:
+def _check_same_target(merged: Declarations) -> Iterator[Violation]:
     first: dict[tuple[object, ...], str] = {}
     for name, pin in merged.pins.items():
         bound = (pin.service, pin.key, pin.shard)
         if bound in first:
             text = f'binds what pins.{first[bound]} binds; keep one of them'
-            yield Fault(f'pins.{name}', text)
+            yield Violation(f'pins.{name}', text)
         first.setdefault(bound, name)
 
 
-def _pin_faults(merged: Declarations, path: str, pin: Pin) -> Iterator[Fault]:
+def _pin_violations(merged: Declarations, path: str, pin: Pin) -> Iterator[Violation]:
     service = merged.services.get(pin.service)
     if service is None:
         keyed = [name for name, each in merged.services.items() if each.key]
         yield _unknown(f'{path}.service', pin.service, 'service', keyed)
     elif service.key is None:
         text = f'{pin.service!r} is not divided by key; pins need that'
-        yield Fault(f'{path}.service', text)
+        yield Violation(f'{path}.service', text)
     elif pin.shard is not None and pin.shard >= service.shards:
         text = f'found {pin.shard}; allowed: 0 to {service.shards - 1}'
-        yield Fault(f'{path}.shard', text)
+        yield Violation(f'{path}.shard', text)
     known = merged.failure_domains
     if pin.failure_domain is not None and pin.failure_domain not in known:
         place = f'{path}.failure_domain'
