--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -75,7 +75,7 @@
     """Merges files one after another and collects every violation."""
 
     def __init__(self) -> None:
-        self.faults: list[str] = []
+        self.errors: list[str] = []
         self._set_by: dict[str, str] = {}
         self._tops: dict[str, str] = {}
         self._rules: tuple[OverrideRule, ...] = ()
@@ -88,10 +88,10 @@
         try:
             part = parse_declarations(name, content)
         except DeclarationError as faulty:
-            self.faults.append(str(faulty))
+            self.errors.append(str(faulty))
             return
         if part.rules and not first:
-            self.faults.append(
+            self.errors.append(
                 f'{name}: {_RULES}: only the first file may hold rules'
             )
         if first:
@@ -101,7 +101,7 @@
 
     def result(self) -> MergedConfig:
         """Return the merged configuration; raises `DeclarationError`."""
-        self._raise_faults()
+        self._raise_errors()
         text = json.dumps(self._merged, default=_to_json)
         try:
             declarations = Declarations.model_validate_json(text)
@@ -111,19 +111,19 @@
         merged = MergedConfig(declarations, self._set_by)
         for violation in find_violations(declarations):
             file = merged.origin(violation.path)
-            self.faults.append(f'{file}: {violation.path}: {violation.text}')
-        self._raise_faults()
+            self.errors.append(f'{file}: {violation.path}: {violation.text}')
+        self._raise_errors()
         return merged
 
-    def _raise_faults(self) -> None:
-        if self.faults:
-            raise DeclarationError('\n'.join(self.faults))
+    def _raise_errors(self) -> None:
+        if self.errors:
+            raise DeclarationError('\n'.join(self.errors))
 
     def _set(self, name: str, path: str, what: Any) -> None:
         entry = '.'.join(path.split('.')[:2])
         before = self._tops.setdefault(entry, name)
         if before != name and not self._may_override(name, path):
-            self.faults.append(
+            self.errors.append(
                 f'{name}: {path}: {entry} is set by {before} already; one '
                 f'file sets a thing, unless a rule of the first file lets '
                 f'{name} override {path}',
