--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -77,7 +77,7 @@
     def __init__(self) -> None:
         self.errors: list[str] = []
         self._set_by: dict[str, str] = {}
-        self._tops: dict[str, str] = {}
+        self._entry_files: dict[str, str] = {}
         self._rules: tuple[OverrideRule, ...] = ()
         self._merged: dict[str, Any] = {}
 
@@ -121,7 +121,7 @@
 
     def _set(self, name: str, path: str, what: Any) -> None:
         entry = '.'.join(path.split('.')[:2])
-        before = self._tops.setdefault(entry, name)
+        before = self._entry_files.setdefault(entry, name)
         if before != name and not self._may_override(name, path):
             self.errors.append(
                 f'{name}: {path}: {entry} is set by {before} already; one '
