--- a/laburnumwood/config/references.py
+++ b/laburnumwood/config/references.py
@@ -18,7 +18,7 @@
     text: str
 
 
-def _check(found: Check) -> Check:
+def _register_check(found: Check) -> Check:
     _CHECKS.append(found)
     return found
 
@@ -35,7 +35,7 @@
     return Violation(path, f'no {kind} {found!r} is declared; allowed: {allowed}')
 
 
-@_check
+@_register_check
 def _check_owners(merged: Declarations) -> Iterator[Violation]:
     known = merged.capacity_owners
     for name, service in merged.services.items():
@@ -44,7 +44,7 @@
             yield _unknown(path, service.owner, 'capacity owner', known)
 
 
-@_check
+@_register_check
 def _check_shards(merged: Declarations) -> Iterator[Violation]:
     for name, service in merged.services.items():
         path = f'services.{name}.shards'
@@ -55,7 +55,7 @@
             yield Violation(path, text)
 
 
-@_check
+@_register_check
 def _check_routes(merged: Declarations) -> Iterator[Violation]:
     for name, route in merged.routes.items():
         for service in route.services:
@@ -64,20 +64,20 @@
                 yield _unknown(path, service, 'service', merged.services)
 
 
-@_check
+@_register_check
 def _check_domains(merged: Declarations) -> Iterator[Violation]:
     for name, count in Counter(merged.failure_domains).items():
         if count > 1:
             yield Violation('failure_domains', f'{name!r} stands {count} times')
 
 
-@_check
+@_register_check
 def _check_pins(merged: Declarations) -> Iterator[Violation]:
     for name, pin in merged.pins.items():
         yield from _pin_violations(merged, f'pins.{name}', pin)
 
 
-@_check
+@_register_check
 def _check_same_target(merged: Declarations) -> Iterator[Violation]:
     first: dict[tuple[object, ...], str] = {}
     for name, pin in merged.pins.items():
