--- a/laburnumwood/config/references.py
+++ b/laburnumwood/config/references.py
@@ -29,7 +29,7 @@
         yield from check(merged)
 
 
-def _unknown(path: str, found: str, kind: str, known: Iterable[str]) -> Violation:
+def _undeclared(path: str, found: str, kind: str, known: Iterable[str]) -> Violation:
     names = ', '.join(sorted(known))
     allowed = names or f'none, for no {kind} is declared'
     return Violation(path, f'no {kind} {found!r} is declared; allowed: {allowed}')
@@ -41,7 +41,7 @@
     for name, service in merged.services.items():
         if service.owner is not None and service.owner not in known:
             path = f'services.{name}.owner'
-            yield _unknown(path, service.owner, 'capacity owner', known)
+            yield _undeclared(path, service.owner, 'capacity owner', known)
 
 
 @_register_check
@@ -61,7 +61,7 @@
         for service in route.services:
             if service not in merged.services:
                 path = f'routes.{name}.services'
-                yield _unknown(path, service, 'service', merged.services)
+                yield _undeclared(path, service, 'service', merged.services)
 
 
 @_register_check
@@ -92,7 +92,7 @@
     service = merged.services.get(pin.service)
     if service is None:
         keyed = [name for name, each in merged.services.items() if each.key]
-        yield _unknown(f'{path}.service', pin.service, 'service', keyed)
+        yield _undeclared(f'{path}.service', pin.service, 'service', keyed)
     elif service.key is None:
         text = f'{pin.service!r} is not divided by key; pins need that'
         yield Violation(f'{path}.service', text)
@@ -102,4 +102,4 @@
     known = merged.failure_domains
     if pin.failure_domain is not None and pin.failure_domain not in known:
         place = f'{path}.failure_domain'
-        yield _unknown(place, pin.failure_domain, 'failure domain', known)
+        yield _undeclared(place, pin.failure_domain, 'failure domain', known)
