--- a/laburnumwood/config/references.py
+++ b/laburnumwood/config/references.py
@@ -78,7 +78,7 @@
 
 
 @_register_check
-def _check_same_target(merged: Declarations) -> Iterator[Violation]:
+def _check_duplicate_pins(merged: Declarations) -> Iterator[Violation]:
     first: dict[tuple[object, ...], str] = {}
     for name, pin in merged.pins.items():
         bound = (pin.service, pin.key, pin.shard)
