--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -164,6 +164,6 @@
     return merger.result()
 
 
-def merge(files: Mapping[str, Mapping[str, Any]]) -> Declarations:
+def merge_declarations(files: Mapping[str, Mapping[str, Any]]) -> Declarations:
     """Return what `merge_files` declares."""
     return merge_files(files).declarations
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -7,7 +7,7 @@
 from sortedcontainers import SortedDict
 
 from laburnumwood.config.declarations import Declarations
-from laburnumwood.config.merge import merge
+from laburnumwood.config.merge import merge_declarations
 from laburnumwood.errors import DeclarationError, RecordError
 from laburnumwood.events import (
     CONFIG_IN_FORCE,
@@ -224,7 +224,7 @@
         if record.generation <= self._config.generation:
             return
         try:
-            declared = merge(record.files)
+            declared = merge_declarations(record.files)
         except DeclarationError as invalid:
             CONFIG_REFUSED.report(generation=record.generation, reason=invalid)
             return
