--- a/bench/faults.py
+++ b/bench/faults.py
@@ -56,7 +56,9 @@
         key = {'source': 'header', 'name': KEY_HEADER}
         declared = {'services': {service: {'key': key, 'shards': shards}}}
         platform = HttpStore(self.deployment.platform_url)
-        replace_configuration(platform, {'10-all.json': declared}, 'bench', Clock())
+        replace_configuration(
+            platform, {'10-all.json': declared}, 'bench', Clock()
+        )
 
     @property
     def members(self) -> list[Member]:
--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -3,8 +3,8 @@
 from collections.abc import Collection
 from pathlib import Path
 
-from laburnumwood.cli.config_client import Changes, validate
 from laburnumwood.cli.comparison import FileState, State
+from laburnumwood.cli.config_client import Changes, validate
 from laburnumwood.cli.fleet import Fleet
 from laburnumwood.cli.options import Options, UsageError
 from laburnumwood.cli.output import Output, moment
--- a/laburnumwood/config/__init__.py
+++ b/laburnumwood/config/__init__.py
@@ -1,1 +1,1 @@
-"""The config of the router."""
+"""Configuration of the router: declarations, merging and acceptance."""
--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -1,4 +1,4 @@
-"""Acceptance of configurations into the store."""
+"""Writes of accepted configurations to the store."""
 
 import time
 from collections.abc import Mapping
@@ -7,7 +7,7 @@
 from typing import Any
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.config.audit import write_missing_entry, files_of_generation
+from laburnumwood.config.audit import files_of_generation, write_missing_entry
 from laburnumwood.config.files import FileContent, Files, digest
 from laburnumwood.config.merge import MergedConfig, merge_files
 from laburnumwood.errors import (
@@ -28,10 +28,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Proposal:
-    """Files to be set, or removed (None), by an operator.
+    """A change of the configuration that an operator proposes.
 
-    `seen` holds the digest of each accepted file as the operator last saw
-    it; a file that is not in it was not there.
+    `files` maps names to the new contents of files, or to None for files to
+    be removed; other files stay as they are.  `who` is the operator.  `seen`
+    maps names to the digests of the accepted files on which the proposal is
+    based; a file that is not in it did not exist then.
     """
 
     files: Mapping[str, FileContent | None]
@@ -41,25 +43,37 @@
 
 
 def read_accepted(store: Store) -> tuple[ConfigRecord, int | None]:
-    """Return the accepted configuration and its version (None: none yet)."""
+    """Return the accepted configuration and the version of its object.
+
+    If there is none yet, the generation is 0 and the version None.
+    """
     stored = store.get(CONFIG)
     if stored is None:
         return ConfigRecord(0), None
     return to_record(ConfigRecord, stored), stored.version
 
 
-def _changed_by_others(proposal: Proposal, accepted: ConfigRecord) -> tuple[str, ...]:
-    """Return the files that someone else changed since they were seen."""
+def _changed_by_others(
+    proposal: Proposal, accepted: ConfigRecord
+) -> tuple[str, ...]:
+    """Return the proposed files that others changed since they were seen."""
     changed = []
     for name, wanted in sorted(proposal.files.items()):
         accepted_content = accepted.files.get(name)
-        known = None if accepted_content is None else digest(accepted_content)
-        if wanted != accepted_content and proposal.seen.get(name) != known:
+        accepted_digest = (
+            None if accepted_content is None else digest(accepted_content)
+        )
+        if (
+            wanted != accepted_content
+            and proposal.seen.get(name) != accepted_digest
+        ):
             changed.append(name)
     return tuple(changed)
 
 
-def _apply_proposal(files: Files, wanted: Mapping[str, FileContent | None]) -> Files:
+def _apply_proposal(
+    files: Files, wanted: Mapping[str, FileContent | None]
+) -> Files:
     merged: dict[str, FileContent | None] = {**files, **wanted}
     return {
         name: content for name, content in merged.items() if content is not None
@@ -67,53 +81,64 @@
 
 
 def validate_successor(files: Files, accepted: ConfigRecord) -> MergedConfig:
-    """Return the merged files; raises `DeclarationError` for every fault.
+    """Check the files of the next generation and return them merged.
 
-    The number of shards of a service never changes while it has any.
+    The number of shards of a service must not change: it would give most
+    keys another owner at once.  Raises `DeclarationError` with a line for
+    each error.
     """
     merged = merge_files(files)
     if not accepted.files:
         return merged
-    lines = []
-    before = merge_files(accepted.files).declarations.services
+    errors = []
+    services_before = merge_files(accepted.files).declarations.services
     for name, service in merged.declarations.services.items():
-        known = before.get(name)
-        if known and known.shards and known.shards != service.shards:
+        before = services_before.get(name)
+        if before and before.shards and before.shards != service.shards:
             path = f'services.{name}.shards'
-            lines.append(
+            errors.append(
                 f'{merged.origin(path)}: {path}: found {service.shards}; '
-                f'allowed: {known.shards}, for another number would give '
+                f'allowed: {before.shards}, for another number would give '
                 'most keys another owner at once; declare a new service and '
                 'move its callers over'
             )
-    if lines:
-        raise DeclarationError('\n'.join(lines))
+    if errors:
+        raise DeclarationError('\n'.join(errors))
     return merged
 
 
 class ConfigAcceptance:
-    """Accepts changes of the configuration, each by one conditional write."""
+    """Accepts changes of the configuration by conditional writes.
+
+    Each change writes the whole configuration as one object, expecting the
+    version that was read.  An entry of the audit trail follows it.
+    """
 
     def __init__(self, store: Store, clock: Clock) -> None:
-        self._store = platform
+        self._store = store
         self._clock = clock
 
     def propose(self, proposal: Proposal) -> ConfigRecord:
-        """Make a proposal the next generation and return what is accepted.
+        """Accept a proposal as the next generation and return its record.
 
-        A change of other files by another operator in the same moment does
-        no harm: both stand.  Raises `DeclarationError` if the result is not
-        valid, `ConcurrentChangeError` if another operator changed the same
-        file, and `PlatformError` if the platform does not answer.
+        Returns the accepted record if the proposal changes nothing.  When
+        operators change different files at the same time, both changes are
+        accepted.  Raises `DeclarationError` if the result is not valid,
+        `ConcurrentChangeError` if another operator has changed a file of the
+        proposal, and `PlatformError` if the platform does not answer.
         """
         record = None
         while record is None:
             with suppress(PlatformConflictError):
                 record = self._propose_once(proposal)
-        return accepted
+        return record
 
     def roll_back(self, generation: int, who: str) -> ConfigRecord:
-        """Make the files of an older generation the next one."""
+        """Accept the files of an older generation as the next one.
+
+        Raises `DeclarationError` if that generation does not exist, and what
+        `propose` raises.
+        """
         accepted, _ = read_accepted(self._store)
         older = files_of_generation(self._store, accepted, generation)
         removed: dict[str, FileContent | None] = dict.fromkeys(accepted.files)
@@ -121,7 +146,10 @@
             Proposal(
                 files={**removed, **older},
                 who=who,
-                seen={name: digest(each) for name, each in accepted.files.items()},
+                seen={
+                    name: digest(content)
+                    for name, content in accepted.files.items()
+                },
                 reason=f'rollback to generation {generation}',
             )
         )
@@ -146,15 +174,17 @@
         version: int | None,
     ) -> ConfigRecord:
         names = {*files, *accepted.files}
-        touched = [
-            name for name in names if files.get(name) != accepted.files.get(name)
+        changed_names = [
+            name
+            for name in names
+            if files.get(name) != accepted.files.get(name)
         ]
         record = ConfigRecord(
             generation=accepted.generation + 1,
             files=files,
             who=proposal.who,
             when_ms=self._clock.wall_ms(),
-            replaced={name: accepted.files.get(name) for name in touched},
+            replaced={name: accepted.files.get(name) for name in changed_names},
             from_version=version,
             reason=proposal.reason,
         )
@@ -164,16 +194,21 @@
         self, record: ConfigRecord, accepted: ConfigRecord, version: int | None
     ) -> ConfigRecord:
         if accepted.generation:
-            # Its entry can be written only while it is the newest.
+            # Once the record is replaced, a missing audit entry of it can no
+            # longer be written.
             write_missing_entry(self._store, accepted)
         self._write_until_known(record, version)
         try:
             write_missing_entry(self._store, record)
         except PlatformError:
-            return record  # it is accepted: the next reader completes it
+            # The configuration is accepted; the next reader of the audit
+            # trail or the next change writes the entry.
+            return record
         return record
 
-    def _write_until_known(self, record: ConfigRecord, version: int | None) -> None:
+    def _write_until_known(
+        self, record: ConfigRecord, version: int | None
+    ) -> None:
         for _ in range(_MAX_WRITE_ATTEMPTS):
             try:
                 write(self._store, CONFIG, record, version)
@@ -189,12 +224,12 @@
 def replace_configuration(
     store: Store, files: dict[str, dict[str, Any]], who: str, clock: Clock
 ) -> ConfigRecord:
-    """Make files the whole configuration, whatever was accepted before.
+    """Accept files as the whole configuration; all others are removed.
 
-    Raises what `ConfigAcceptance.propose` does.
+    Raises what `ConfigAcceptance.propose` raises.
     """
     accepted, _ = read_accepted(store)
-    seen = {name: digest(each) for name, each in accepted.files.items()}
+    seen = {name: digest(content) for name, content in accepted.files.items()}
     removed: dict[str, FileContent | None] = dict.fromkeys(accepted.files)
     proposal = Proposal({**removed, **files}, who, seen)
     return ConfigAcceptance(store, clock).propose(proposal)
--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -15,7 +15,7 @@
 
 
 def audit_entry(record: ConfigRecord) -> AuditRecord:
-    """Return the entry of the audit trail for an accepted configuration."""
+    """Return the audit entry of an accepted configuration."""
     changes = {
         name: FileChange(before, record.files.get(name))
         for name, before in sorted(record.replaced.items())
@@ -31,7 +31,7 @@
 
 
 def write_missing_entry(store: Store, record: ConfigRecord) -> None:
-    """Write the entry of the newest configuration if it is not there yet.
+    """Write the audit entry of a configuration unless it exists.
 
     Raises `PlatformError` if the platform does not answer.
     """
@@ -39,40 +39,46 @@
     try:
         store.create(name, to_value(audit_entry(record)))
     except PlatformConflictError:
-        return  # it is there, and an entry is never written again
+        return  # The entry exists; audit entries never change.
 
 
 def read_audit_trail(store: Store) -> Iterator[AuditRecord]:
-    """Yield the entries of the audit trail, the newest first.
+    """Yield the entries of the audit trail, newest first.
 
-    An entry that its writer left out is completed.  Raises `PlatformError`.
+    Writes the newest entry if it is missing because its writer failed
+    between accepting the configuration and writing the entry.  Raises
+    `PlatformError` if the platform does not answer.
     """
     stored = store.get(CONFIG)
     if stored is None:
         return
     record = to_record(ConfigRecord, stored)
     for generation in range(record.generation, 0, -1):
-        found = store.get(audit_object(generation))
-        if found is not None:
-            yield to_record(AuditRecord, found)
+        stored_entry = store.get(audit_object(generation))
+        if stored_entry is not None:
+            yield to_record(AuditRecord, stored_entry)
         elif generation == record.generation:
             write_missing_entry(store, record)
             yield audit_entry(record)
 
 
 def revert_changes(files: Files, changes: Mapping[str, FileChange]) -> Files:
-    """Return files as they were before some changes."""
-    undone = {name: change.before for name, change in changes.items()}
-    before: dict[str, FileContent | None] = {**files, **undone}
+    """Return the files as they were before the changes."""
+    reverted = {name: change.before for name, change in changes.items()}
+    before: dict[str, FileContent | None] = {**files, **reverted}
     return {
         name: content for name, content in before.items() if content is not None
     }
 
 
-def files_of_generation(store: Store, accepted: ConfigRecord, generation: int) -> Files:
-    """Return the files of an accepted generation.
+def files_of_generation(
+    store: Store, accepted: ConfigRecord, generation: int
+) -> Files:
+    """Return the files of a generation up to the accepted one.
 
-    Raises `DeclarationError` if there is none such, and `PlatformError`.
+    They are computed by reverting the changes of all later audit entries.
+    Raises `DeclarationError` if the generation or a needed entry does not
+    exist, and `PlatformError` if the platform does not answer.
     """
     if not 0 < generation <= accepted.generation:
         raise DeclarationError(
@@ -84,6 +90,8 @@
         stored = store.get(audit_object(number))
         if stored is None and number != accepted.generation:
             raise DeclarationError(f'generation {number}: no audit entry')
-        entry = to_record(AuditRecord, stored) if stored else audit_entry(accepted)
+        entry = (
+            to_record(AuditRecord, stored) if stored else audit_entry(accepted)
+        )
         files = revert_changes(files, entry.changes)
     return files
--- a/laburnumwood/config/declarations.py
+++ b/laburnumwood/config/declarations.py
@@ -1,4 +1,4 @@
-"""The models of what operators declare."""
+"""Models of the configuration that operators declare in files."""
 
 from typing import Annotated, Literal, Self
 
@@ -10,16 +10,20 @@
 
 
 class Declaration(BaseModel):
-    """The base of all declarations: unknown fields and types are refused."""
+    """The base of all declarations.
+
+    Unknown fields and values of other types are errors.
+    """
 
     model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
 
 
 class KeySource(Declaration):
-    """Where the key of a request stands.
+    """The part of a request that holds its key.
 
-    `name` is that of the header or query field; for `path` it is the number
-    of the segment after the service's name, counted from 1.
+    `name` is the name of the header or query parameter.  For the source
+    `path` it is the number of the path segment, counted from 1 after the
+    name of the service.
     """
 
     source: Literal['header', 'query', 'path']
@@ -36,10 +40,11 @@
 
 
 class Priority(Declaration):
-    """A class of traffic that is weighed against the ordinary, of weight 1.
+    """A class of requests with a scheduling weight.
 
-    A request belongs to it by its method, or if its header field has the
-    text; without a text, any text will do.
+    Ordinary requests have the weight 1.  A request belongs to the class if
+    its method is one of `methods`, or if its header `header` has the value
+    `text`, or any value if `text` is None.
     """
 
     weight: int = Field(default=4, ge=1, le=100)
@@ -49,14 +54,15 @@
 
 
 class Service(Declaration):
-    """A service; it is divided by key if `key` is given.
-
-    `owner` is the capacity owner that its requests are counted for.  With a
-    `stripe_width`, keys are numbers below 65,536 and each run of so many
-    neighbours belongs to one shard, else keys are hashed to shards.  With
-    `shards_per_node`, `shards` is the least number and `stripe_width` the
-    largest: the service gets more shards and narrower stripes where it begins
-    on many nodes, and keeps them.
+    """A service, which is sharded by key if `key` is given.
+
+    `owner` is the capacity owner to which its requests are charged.
+
+    With a `stripe_width`, keys are numbers below 65,536, and each stripe of
+    that many consecutive keys belongs to one shard; without it, keys are
+    hashed to shards.  With `shards_per_node`, `shards` is the minimum number
+    of shards and `stripe_width` the maximum width: a service that starts on
+    many nodes gets more shards and narrower stripes, and keeps them.
     """
 
     key: KeySource | None = None
@@ -77,11 +83,11 @@
 
 
 class Route(Declaration):
-    """Requests of a host under a prefix of the path, and who serves them.
+    """The services that handle the requests of a host under a path prefix.
 
-    `services` maps names to weights.  A request is sent to `attempts` workers
-    at the most and answered after `timeout_ms` at the latest.  The `priority`
-    0 is the highest.
+    `services` maps the names of services to weights.  A request is sent to
+    at most `attempts` workers and answered within `timeout_ms`.  The
+    `priority` 0 is the highest.
     """
 
     host: str = Field(min_length=1)
@@ -101,7 +107,7 @@
 
 
 class Pin(Declaration):
-    """Binds a key or a shard of a service to a failure domain or a node."""
+    """Pins a key or a shard of a service to a failure domain or a node."""
 
     service: str
     key: str | None = Field(default=None, min_length=1)
@@ -119,9 +125,10 @@
 
 
 class OverrideRule(Declaration):
-    """Lets files set values that an earlier file has set already.
+    """Allows files to override values that an earlier file sets.
 
-    A path is that of a value, or ends in `.*` for all below it.
+    `files` are the names of the files that may do so.  Each path of
+    `may_override` is that of a value, or ends in `.*` for all values below.
     """
 
     files: tuple[str, ...] = Field(min_length=1)
@@ -129,7 +136,7 @@
 
 
 class Weights(Declaration):
-    """How much each measure counts when shards are placed."""
+    """The weights of the terms of the cost function that places shards."""
 
     imbalance: float = Field(default=1, ge=0)
     churn: float = Field(default=1, ge=0)
@@ -137,7 +144,7 @@
 
 
 class Declarations(Declaration):
-    """A whole configuration, or the part of it that one file sets."""
+    """A whole configuration, or the part of it that one file declares."""
 
     services: dict[Name, Service] = Field(default_factory=dict)
     failure_domains: tuple[Name, ...] = Field(default=(), strict=False)
--- a/laburnumwood/config/files.py
+++ b/laburnumwood/config/files.py
@@ -1,4 +1,4 @@
-"""The files of a configuration as operators keep them: JSON in a folder."""
+"""Configuration files: JSON objects in a folder."""
 
 import hashlib
 import json
@@ -11,22 +11,24 @@
 FileContent = dict[str, Any]
 Files = dict[str, FileContent]
 
-_DUPLICATE_NAMES = object()
+_DUPLICATE_NAMES = object()  # the key under which an object lists them
 
 
 def _build_object(pairs: list[tuple[str, Any]]) -> dict[Any, Any]:
-    found: dict[Any, Any] = {}
+    """Return a decoded JSON object that also lists its duplicate names."""
+    decoded: dict[Any, Any] = {}
     duplicates: list[str] = []
-    for name, what in pairs:
-        if name in found:
+    for name, child in pairs:
+        if name in decoded:
             duplicates.append(name)
-        found[name] = what
+        decoded[name] = child
     if duplicates:
-        found[_DUPLICATE_NAMES] = duplicates
-    return found
+        decoded[_DUPLICATE_NAMES] = duplicates
+    return decoded
 
 
 def _children(node: Any) -> Iterator[tuple[Any, Any]]:
+    """Yield the keys or indices of a container and their values."""
     if isinstance(node, list):
         yield from enumerate(node)
     elif isinstance(node, dict):
@@ -34,57 +36,61 @@
 
 
 def _duplicate_paths(node: Any, path: str) -> Iterator[str]:
-    for name, what in _children(node):
+    for name, child in _children(node):
         if name is _DUPLICATE_NAMES:
-            yield from (f'{path}{each}' for each in what)
+            yield from (f'{path}{duplicate}' for duplicate in child)
         else:
-            yield from _duplicate_paths(what, f'{path}{name}.')
+            yield from _duplicate_paths(child, f'{path}{name}.')
 
 
 def parse_file(name: str, text: str) -> FileContent:
-    """Return what the text of a file holds.
+    """Return the content of a file from its text; `name` is for messages.
 
-    Raises `DeclarationError` if it is no JSON object, or if a name stands
-    twice in one object of it.
+    Raises `DeclarationError` if the text is not a JSON object, or if an
+    object in it has a duplicate name.
     """
     try:
         content = json.loads(text, object_pairs_hook=_build_object)
     except ValueError as unreadable:
         raise DeclarationError(f'{name}: {unreadable}') from unreadable
-    lines = [
+    errors = [
         f'{name}: {path}: stands twice; a name may stand once'
         for path in _duplicate_paths(content, '')
     ]
     if not isinstance(content, dict):
-        lines.append(f'{name}: (whole file): expected an object {{...}}')
-    if lines:
-        raise DeclarationError('\n'.join(lines))
+        errors.append(f'{name}: (whole file): expected an object {{...}}')
+    if errors:
+        raise DeclarationError('\n'.join(errors))
     return content
 
 
 def read_folder(folder: Path) -> Files:
-    """Return the JSON files of a folder by their names.
+    """Return the contents of the JSON files of a folder by file name.
 
-    Raises `DeclarationError` with a line for each fault.  Files whose names
-    begin with a dot are left out.
+    Files whose names begin with a dot are ignored.  Raises
+    `DeclarationError` with a line for each file that is not readable and
+    each error in a file.
     """
     if not folder.is_dir():
         raise DeclarationError(f'{folder}: is not a folder; name one')
     files: Files = {}
-    lines: list[str] = []
+    errors: list[str] = []
     for path in sorted(folder.glob('[!.]*.json')):
         try:
             files[path.name] = parse_file(path.name, path.read_text())
         except (OSError, UnicodeError) as unreadable:
-            lines.append(f'{path.name}: {unreadable}')
-        except DeclarationError as faulty:
-            lines.append(str(faulty))
-    if lines:
-        raise DeclarationError('\n'.join(lines))
+            errors.append(f'{path.name}: {unreadable}')
+        except DeclarationError as invalid:
+            errors.append(str(invalid))
+    if errors:
+        raise DeclarationError('\n'.join(errors))
     return files
 
 
 def digest(content: Mapping[str, Any]) -> str:
-    """Return a digest of a file's content, whatever its layout."""
+    """Return the SHA-256 digest of a file's content.
+
+    It does not depend on the white space and the order of names in the file.
+    """
     text = json.dumps(content, sort_keys=True, separators=(',', ':'))
     return hashlib.sha256(text.encode()).hexdigest()
--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -1,4 +1,4 @@
-"""Merging of team files into one configuration."""
+"""Merging of the files of several teams into one configuration."""
 
 import json
 from collections.abc import Iterator, Mapping
@@ -18,13 +18,20 @@
 
 @dataclass(frozen=True, slots=True)
 class MergedConfig:
-    """A merged configuration, and which file set the value at each path."""
+    """A merged configuration.
+
+    `set_by` maps the path of each value to the file that sets it.
+    """
 
     declarations: Declarations
     set_by: dict[str, str]
 
     def origin(self, path: str) -> str:
-        """Return the file that set a value or the nearest one above it."""
+        """Return the file that sets the value at a path.
+
+        If no file sets it, this is the file that sets the nearest value above
+        it, or else a value below it.
+        """
         while path not in self.set_by and '.' in path:
             path = path.rpartition('.')[0]
         return self.set_by.get(path, _first_file_below(path, self.set_by))
@@ -36,9 +43,9 @@
 
 
 def parse_declarations(name: str, content: Mapping[str, Any]) -> Declarations:
-    """Return what one file declares.
+    """Validate the content of one file and return its declarations.
 
-    Raises `DeclarationError` with a line for each violation.
+    Raises `DeclarationError` with a line for each error.
     """
     try:
         return Declarations.model_validate_json(json.dumps(content))
@@ -47,22 +54,27 @@
         raise DeclarationError(text) from invalid
 
 
-def _explicit_values(declared: BaseModel, prefix: str) -> Iterator[tuple[str, Any]]:
-    """Yield what a part sets, with the path of each value."""
-    for name in sorted(declared.model_fields_set):
-        yield from _leaf_values(getattr(declared, name), f'{prefix}{name}')
+def _explicit_values(
+    declaration: BaseModel, prefix: str
+) -> Iterator[tuple[str, Any]]:
+    """Yield the path and value of each field that a file sets explicitly.
+
+    Fields that the file does not set are left out.
+    """
+    for name in sorted(declaration.model_fields_set):
+        yield from _leaf_values(getattr(declaration, name), f'{prefix}{name}')
 
 
-def _leaf_values(what: Any, path: str) -> Iterator[tuple[str, Any]]:
-    if isinstance(what, dict):
-        for name, entry in what.items():
-            yield from _leaf_values(entry, f'{path}.{name}')
-    elif isinstance(what, BaseModel):
-        if not what.model_fields_set:
+def _leaf_values(value: Any, path: str) -> Iterator[tuple[str, Any]]:
+    if isinstance(value, dict):
+        for name, child in value.items():
+            yield from _leaf_values(child, f'{path}.{name}')
+    elif isinstance(value, BaseModel):
+        if not value.model_fields_set:
             yield path, {}
-        yield from _explicit_values(what, f'{path}.')
+        yield from _explicit_values(value, f'{path}.')
     else:
-        yield path, what
+        yield path, value
 
 
 def _matches(pattern: str, path: str) -> bool:
@@ -72,7 +84,7 @@
 
 
 class _Merger:
-    """Merges files one after another and collects every violation."""
+    """Merges files one after another and collects all errors."""
 
     def __init__(self) -> None:
         self.errors: list[str] = []
@@ -84,20 +96,20 @@
     def add(
         self, name: str, content: Mapping[str, Any], *, first: bool
     ) -> None:
-        """Merge one more file."""
+        """Merge one more file; only the first one may contain rules."""
         try:
-            part = parse_declarations(name, content)
-        except DeclarationError as faulty:
-            self.errors.append(str(faulty))
+            declarations = parse_declarations(name, content)
+        except DeclarationError as invalid:
+            self.errors.append(str(invalid))
             return
-        if part.rules and not first:
+        if declarations.rules and not first:
             self.errors.append(
                 f'{name}: {_RULES}: only the first file may hold rules'
             )
         if first:
-            self._rules = part.rules
-        for path, what in _explicit_values(part, ''):
-            self._set(name, path, what)
+            self._rules = declarations.rules
+        for path, value in _explicit_values(declarations, ''):
+            self._set(name, path, value)
 
     def result(self) -> MergedConfig:
         """Return the merged configuration; raises `DeclarationError`."""
@@ -119,25 +131,25 @@
         if self.errors:
             raise DeclarationError('\n'.join(self.errors))
 
-    def _set(self, name: str, path: str, what: Any) -> None:
+    def _set(self, name: str, path: str, value: Any) -> None:
         entry = '.'.join(path.split('.')[:2])
-        before = self._entry_files.setdefault(entry, name)
-        if before != name and not self._may_override(name, path):
+        other_file = self._entry_files.setdefault(entry, name)
+        if other_file != name and not self._may_override(name, path):
             self.errors.append(
-                f'{name}: {path}: {entry} is set by {before} already; one '
+                f'{name}: {path}: {entry} is set by {other_file} already; one '
                 f'file sets a thing, unless a rule of the first file lets '
                 f'{name} override {path}',
             )
             return
         self._set_by[path] = name
-        *above, last = path.split('.')
+        *parents, last = path.split('.')
         node = self._merged
-        for step in above:
-            node = node.setdefault(step, {})
-        if isinstance(what, dict):
+        for parent in parents:
+            node = node.setdefault(parent, {})
+        if isinstance(value, dict):
             node.setdefault(last, {})
         else:
-            node[last] = what
+            node[last] = value
 
     def _may_override(self, name: str, path: str) -> bool:
         return any(
@@ -147,16 +159,16 @@
         )
 
 
-def _to_json(what: Any) -> Any:
-    if isinstance(what, BaseModel):
-        return what.model_dump(mode='json', exclude_unset=True)
-    return sorted(what)
+def _to_json(value: Any) -> Any:
+    if isinstance(value, BaseModel):
+        return value.model_dump(mode='json', exclude_unset=True)
+    return sorted(value)
 
 
 def merge_files(files: Mapping[str, Mapping[str, Any]]) -> MergedConfig:
     """Merge files in the order of their names.
 
-    Raises `DeclarationError` with a line for every fault of every file.
+    Raises `DeclarationError` with a line for each error in any file.
     """
     merger = _Merger()
     for number, name in enumerate(sorted(files)):
@@ -165,5 +177,5 @@
 
 
 def merge_declarations(files: Mapping[str, Mapping[str, Any]]) -> Declarations:
-    """Return what `merge_files` declares."""
+    """Merge files like `merge_files` and return only the declarations."""
     return merge_files(files).declarations
--- a/laburnumwood/config/references.py
+++ b/laburnumwood/config/references.py
@@ -1,4 +1,4 @@
-"""Checks of a merged configuration: what one value says of another."""
+"""Checks of a merged configuration: references and consistency."""
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
@@ -12,36 +12,40 @@
 
 @dataclass(frozen=True, slots=True)
 class Violation:
-    """What is wrong with the value at a path."""
+    """An invalid value of a configuration: its path and what is wrong."""
 
     path: str
     text: str
 
 
-def _register_check(found: Check) -> Check:
-    _CHECKS.append(found)
-    return found
+def _register_check(check: Check) -> Check:
+    _CHECKS.append(check)
+    return check
 
 
 def find_violations(merged: Declarations) -> Iterator[Violation]:
-    """Yield every fault of a merged configuration."""
+    """Yield all violations of a merged configuration."""
     for check in _CHECKS:
         yield from check(merged)
 
 
-def _undeclared(path: str, found: str, kind: str, known: Iterable[str]) -> Violation:
-    names = ', '.join(sorted(known))
+def _undeclared(
+    path: str, name: str, kind: str, declared: Iterable[str]
+) -> Violation:
+    names = ', '.join(sorted(declared))
     allowed = names or f'none, for no {kind} is declared'
-    return Violation(path, f'no {kind} {found!r} is declared; allowed: {allowed}')
+    return Violation(
+        path, f'no {kind} {name!r} is declared; allowed: {allowed}'
+    )
 
 
 @_register_check
 def _check_owners(merged: Declarations) -> Iterator[Violation]:
-    known = merged.capacity_owners
+    declared = merged.capacity_owners
     for name, service in merged.services.items():
-        if service.owner is not None and service.owner not in known:
+        if service.owner is not None and service.owner not in declared:
             path = f'services.{name}.owner'
-            yield _undeclared(path, service.owner, 'capacity owner', known)
+            yield _undeclared(path, service.owner, 'capacity owner', declared)
 
 
 @_register_check
@@ -49,7 +53,9 @@
     for name, service in merged.services.items():
         path = f'services.{name}.shards'
         if service.key is not None and not service.shards:
-            yield Violation(path, 'found 0; a service with a key needs 1 or more')
+            yield Violation(
+                path, 'found 0; a service with a key needs 1 or more'
+            )
         elif service.key is None and service.shards:
             text = f'found {service.shards}; a service without a key needs 0'
             yield Violation(path, text)
@@ -79,16 +85,18 @@
 
 @_register_check
 def _check_duplicate_pins(merged: Declarations) -> Iterator[Violation]:
-    first: dict[tuple[object, ...], str] = {}
+    pins: dict[tuple[object, ...], str] = {}
     for name, pin in merged.pins.items():
-        bound = (pin.service, pin.key, pin.shard)
-        if bound in first:
-            text = f'binds what pins.{first[bound]} binds; keep one of them'
+        target = (pin.service, pin.key, pin.shard)
+        if target in pins:
+            text = f'binds what pins.{pins[target]} binds; keep one of them'
             yield Violation(f'pins.{name}', text)
-        first.setdefault(bound, name)
+        pins.setdefault(target, name)
 
 
-def _pin_violations(merged: Declarations, path: str, pin: Pin) -> Iterator[Violation]:
+def _pin_violations(
+    merged: Declarations, path: str, pin: Pin
+) -> Iterator[Violation]:
     service = merged.services.get(pin.service)
     if service is None:
         keyed = [name for name, each in merged.services.items() if each.key]
@@ -99,7 +107,9 @@
     elif pin.shard is not None and pin.shard >= service.shards:
         text = f'found {pin.shard}; allowed: 0 to {service.shards - 1}'
         yield Violation(f'{path}.shard', text)
-    known = merged.failure_domains
-    if pin.failure_domain is not None and pin.failure_domain not in known:
-        place = f'{path}.failure_domain'
-        yield _undeclared(place, pin.failure_domain, 'failure domain', known)
+    declared = merged.failure_domains
+    if pin.failure_domain is not None and pin.failure_domain not in declared:
+        domain_path = f'{path}.failure_domain'
+        yield _undeclared(
+            domain_path, pin.failure_domain, 'failure domain', declared
+        )
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -12,7 +12,11 @@
 from hypothesis import strategies as st
 
 from laburnumwood.clock import Clock
-from laburnumwood.config.acceptance import ConfigAcceptance, Proposal, read_accepted
+from laburnumwood.config.acceptance import (
+    ConfigAcceptance,
+    Proposal,
+    read_accepted,
+)
 from laburnumwood.config.audit import read_audit_trail
 from laburnumwood.config.files import digest, parse_file
 from laburnumwood.config.merge import merge_files
@@ -160,7 +164,9 @@
 
 @then('the audit trail names {names}')
 def check_trail(context: Context, names: str) -> None:
-    entries = list(read_audit_trail(HttpStore(context.standins['platform'].url)))
+    entries = list(
+        read_audit_trail(HttpStore(context.standins['platform'].url))
+    )
     entries.reverse()
     assert [entry.who for entry in entries] == names.split(', '), entries
     numbers = [entry.generation for entry in entries]
