--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -32,7 +32,7 @@
 )
 from laburnumwood.membership.node_records import join
 from laburnumwood.metrics import exposition
-from laburnumwood.operators.door import OperatorDoor
+from laburnumwood.operators.endpoint import OperatorEndpoint
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.peers import listen
 from laburnumwood.protocol.security import LinkSecurity
@@ -84,7 +84,7 @@
         self._unfinished: list[Incarnation] = []
         self._stopping_since_ms: int | None = None
         self._security = LinkSecurity(settings.shared_key, settings.tls)
-        self._operators = OperatorDoor(settings, self.stop)
+        self._operators = OperatorEndpoint(settings, self.stop)
         self.worker = ReportingWorker(settings.reports, self._clock)
 
     @property
--- a/laburnumwood/operators/door.py
+++ b/laburnumwood/operators/endpoint.py
@@ -36,7 +36,7 @@
     return (content,)
 
 
-class OperatorDoor:
+class OperatorEndpoint:
     """Lets operators in who have the right, and answers them.
 
     `stop` begins a planned stop of the node.
