--- a/laburnumwood/operators/access.py
+++ b/laburnumwood/operators/access.py
@@ -26,13 +26,13 @@
     may_change: bool
 
 
-class Access:
+class AccessControl:
     """Finds the operator to whom a token belongs."""
 
     def __init__(self, settings: DaemonSettings) -> None:
         self._operators = settings.operators
 
-    def check(self, environ: dict[str, Any], *, changes: bool) -> Operator:
+    def authorize(self, environ: dict[str, Any], *, changes: bool) -> Operator:
         """Return who calls; raises `AccessError` without the right."""
         operator = self._find(environ.get('HTTP_AUTHORIZATION', ''))
         if operator is None:
--- a/laburnumwood/operators/endpoint.py
+++ b/laburnumwood/operators/endpoint.py
@@ -7,7 +7,7 @@
 
 from laburnumwood.errors import LaburnumwoodError
 from laburnumwood.events import OPERATOR_CHANGE, OPERATOR_REFUSED
-from laburnumwood.operators.access import Access, AccessError
+from laburnumwood.operators.access import AccessControl, AccessError
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.settings import DaemonSettings
 
@@ -46,7 +46,7 @@
         self, settings: DaemonSettings, stop: Callable[[], None]
     ) -> None:
         self._node_id = settings.node_id
-        self._access = Access(settings)
+        self._access_control = AccessControl(settings)
         self._stop = stop
 
     def answer(
@@ -83,7 +83,7 @@
 
     def _admit(self, environ: Environ, *, changes: bool) -> str:
         try:
-            return self._access.check(environ, changes=changes).name
+            return self._access_control.authorize(environ, changes=changes).name
         except AccessError as refused:
             OPERATOR_REFUSED.report(
                 address=environ.get('REMOTE_ADDR'),
