--- a/laburnumwood/operators/access.py
+++ b/laburnumwood/operators/access.py
@@ -34,7 +34,7 @@
 
     def authorize(self, environ: dict[str, Any], *, changes: bool) -> Operator:
         """Return who calls; raises `AccessError` without the right."""
-        operator = self._find(environ.get('HTTP_AUTHORIZATION', ''))
+        operator = self._authenticate(environ.get('HTTP_AUTHORIZATION', ''))
         if operator is None:
             raise AccessError(
                 401,
@@ -49,7 +49,7 @@
             )
         return operator
 
-    def _find(self, header: str) -> Operator | None:
+    def _authenticate(self, header: str) -> Operator | None:
         given = header.removeprefix(_SCHEME).encode()
         found = None
         for name, each in self._operators.items():
