--- a/laburnumwood/operators/access.py
+++ b/laburnumwood/operators/access.py
@@ -10,7 +10,7 @@
 _SCHEME = 'Bearer '
 
 
-class AccessError(LaburnumwoodError):
+class AccessDeniedError(LaburnumwoodError):
     """A call of the operator port has no right to what it asks for."""
 
     def __init__(self, status: int, detail: str) -> None:
@@ -33,16 +33,16 @@
         self._operators = settings.operators
 
     def authorize(self, environ: dict[str, Any], *, changes: bool) -> Operator:
-        """Return who calls; raises `AccessError` without the right."""
+        """Return who calls; raises `AccessDeniedError` without the right."""
         operator = self._authenticate(environ.get('HTTP_AUTHORIZATION', ''))
         if operator is None:
-            raise AccessError(
+            raise AccessDeniedError(
                 401,
                 'the token is missing or unknown; set LABURNUMWOOD_TOKEN to '
                 "one of the operators' tokens in the settings of the node",
             )
         if changes and not operator.may_change:
-            raise AccessError(
+            raise AccessDeniedError(
                 403,
                 f'the token of {operator.name} may only read; use one that '
                 'may change',
--- a/laburnumwood/operators/endpoint.py
+++ b/laburnumwood/operators/endpoint.py
@@ -7,7 +7,7 @@
 
 from laburnumwood.errors import LaburnumwoodError
 from laburnumwood.events import OPERATOR_CHANGE, OPERATOR_REFUSED
-from laburnumwood.operators.access import AccessControl, AccessError
+from laburnumwood.operators.access import AccessControl, AccessDeniedError
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.settings import DaemonSettings
 
@@ -58,7 +58,7 @@
         """Answer one request; `pages` is None until the node has joined."""
         try:
             kind, content = self._content(environ, pages)
-        except (AccessError, _PageError) as refused:
+        except (AccessDeniedError, _PageError) as refused:
             problem = {'status': refused.status, 'detail': str(refused)}
             text = json.dumps(problem).encode()
             return _reply(start_response, refused.status, _PROBLEM, text)
@@ -84,7 +84,7 @@
     def _admit(self, environ: Environ, *, changes: bool) -> str:
         try:
             return self._access_control.authorize(environ, changes=changes).name
-        except AccessError as refused:
+        except AccessDeniedError as refused:
             OPERATOR_REFUSED.report(
                 address=environ.get('REMOTE_ADDR'),
                 path=environ['PATH_INFO'],
