--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -23,7 +23,7 @@
 Query = dict[str, str]
 Page = Callable[['OperatorApi', Query], Any]
 _PAGES: dict[str, Page] = {}
-_WINDOW_MS = 60_000
+_DEFAULT_WINDOW_MS = 60_000
 
 
 def _page(path: str) -> Callable[[Page], Page]:
@@ -138,7 +138,7 @@
 
     @_page('/idle')
     def _idle(self, query: Query) -> dict[str, Any]:
-        asked = query.get('window_ms', str(_WINDOW_MS))
+        asked = query.get('window_ms', str(_DEFAULT_WINDOW_MS))
         if not asked.isdecimal():
             raise LookupError(f'window_ms {asked!r} is no number')
         usage = self._account.usage(int(asked))
