--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -26,10 +26,10 @@
 _DEFAULT_WINDOW_MS = 60_000
 
 
-def _page(path: str) -> Callable[[Page], Page]:
-    def register(show: Page) -> Page:
-        _PAGES[path] = show
-        return show
+def _register_page(path: str) -> Callable[[Page], Page]:
+    def register(render: Page) -> Page:
+        _PAGES[path] = render
+        return render
 
     return register
 
@@ -73,7 +73,7 @@
         GENERATION.record(self._view.directory.config.generation)
         return exposition()
 
-    @_page('/status')
+    @_register_page('/status')
     def _status(self, _query: Query) -> dict[str, Any]:
         held = sorted(self._held_shards.tokens())
         witnesses = self._lease.witnesses.members
@@ -87,14 +87,14 @@
             'waiting': self._gate.waiting,
         }
 
-    @_page('/generation')
+    @_register_page('/generation')
     def _generation(self, _query: Query) -> dict[str, Any]:
         return {
             'node': str(self._lease.holder),
             'generation': self._view.directory.config.generation,
         }
 
-    @_page('/owners')
+    @_register_page('/owners')
     def _owners(self, _query: Query) -> dict[str, dict[str, str | None]]:
         directory = self._view.directory
         return {
@@ -105,7 +105,7 @@
             for service in directory.services()
         }
 
-    @_page('/owner')
+    @_register_page('/owner')
     def _owner_of_key(self, query: Query) -> dict[str, Any]:
         """Show who owns a key; `service` and `key` are in the query."""
         name, key = query.get('service', ''), query.get('key', '')
@@ -120,7 +120,7 @@
         owner = self._owner(entry.record) if entry else None
         return {'service': name, 'key': key, 'shard': number, 'owner': owner}
 
-    @_page('/nodes')
+    @_register_page('/nodes')
     def _nodes(self, _query: Query) -> list[dict[str, Any]]:
         return [
             {
@@ -136,7 +136,7 @@
             for name, record in sorted(self._view.live_nodes())
         ]
 
-    @_page('/idle')
+    @_register_page('/idle')
     def _idle(self, query: Query) -> dict[str, Any]:
         asked = query.get('window_ms', str(_DEFAULT_WINDOW_MS))
         if not asked.isdecimal():
