--- a/laburnumwood/operators/capacity.py
+++ b/laburnumwood/operators/capacity.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Beneficiary:
+class CapacityConsumer:
     """The service that was served, and the capacity owner it counts for."""
 
     service: str
@@ -27,7 +27,7 @@
 @dataclass(frozen=True, slots=True)
 class _Sample:
     at_ms: int
-    used: dict[Beneficiary, int]
+    used: dict[CapacityConsumer, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +39,7 @@
 
     window_ms: int
     slots: int
-    used: dict[Beneficiary, int]
+    used: dict[CapacityConsumer, int]
 
     @property
     def idle(self) -> int:
@@ -61,8 +61,8 @@
         self._owner = settings.capacity_owner
         self._declared = declared
         self._clock = clock
-        self._running: Counter[Beneficiary] = Counter()
-        self._used: Counter[Beneficiary] = Counter()
+        self._running: Counter[CapacityConsumer] = Counter()
+        self._used: Counter[CapacityConsumer] = Counter()
         self._since_ms = clock.now_ms()
         self._samples = deque((_Sample(self._since_ms, {}),), _SAMPLES)
 
@@ -71,7 +71,7 @@
         """Count a slot as busy for a service while the context lasts."""
         declared = self._declared().services.get(service)
         owner = declared.owner if declared else None
-        served = Beneficiary(service, owner or self._owner)
+        served = CapacityConsumer(service, owner or self._owner)
         self._count(served, 1)
         try:
             yield
@@ -110,7 +110,7 @@
                 return sample
         return self._samples[0]
 
-    def _count(self, served: Beneficiary, change: int) -> None:
+    def _count(self, served: CapacityConsumer, change: int) -> None:
         self._advance()
         self._running[served] += change
         labels = {'service': served.service, 'owner': served.owner}
