--- a/laburnumwood/operators/capacity.py
+++ b/laburnumwood/operators/capacity.py
@@ -12,8 +12,8 @@
 from laburnumwood.metrics import BUSY_SLOTS
 from laburnumwood.settings import DaemonSettings
 
-_SAMPLE_MS = 1_000
-_SAMPLES = 3_600
+_SAMPLE_INTERVAL_MS = 1_000
+_MAX_SAMPLES = 3_600
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +64,7 @@
         self._running: Counter[CapacityConsumer] = Counter()
         self._used: Counter[CapacityConsumer] = Counter()
         self._since_ms = clock.now_ms()
-        self._samples = deque((_Sample(self._since_ms, {}),), _SAMPLES)
+        self._samples = deque((_Sample(self._since_ms, {}),), _MAX_SAMPLES)
 
     @contextmanager
     def busy(self, service: str) -> Iterator[None]:
@@ -102,7 +102,7 @@
         """Keep samples for later windows; does not return."""
         while True:
             self._advance()
-            eventlet.sleep(_SAMPLE_MS / MS_PER_SECOND)
+            eventlet.sleep(_SAMPLE_INTERVAL_MS / MS_PER_SECOND)
 
     def _sample_at(self, at_ms: int) -> _Sample:
         for sample in reversed(self._samples):
@@ -122,5 +122,5 @@
         for served, count in self._running.items():
             self._used[served] += count * passed_ms
         self._since_ms = now_ms
-        if now_ms - self._samples[-1].at_ms >= _SAMPLE_MS:
+        if now_ms - self._samples[-1].at_ms >= _SAMPLE_INTERVAL_MS:
             self._samples.append(_Sample(now_ms, dict(self._used)))
