--- a/laburnumwood/operators/capacity.py
+++ b/laburnumwood/operators/capacity.py
@@ -72,11 +72,11 @@
         declared = self._declared().services.get(service)
         owner = declared.owner if declared else None
         served = CapacityConsumer(service, owner or self._owner)
-        self._count(served, 1)
+        self._change_running(served, 1)
         try:
             yield
         finally:
-            self._count(served, -1)
+            self._change_running(served, -1)
 
     @property
     def idle_slots(self) -> int:
@@ -88,7 +88,7 @@
 
         It is as long as asked for, to a second, or as long as is known.
         """
-        self._advance()
+        self._add_elapsed_time()
         start = self._sample_at(self._since_ms - window_ms)
         used = Counter(self._used)
         used.subtract(start.used)
@@ -101,7 +101,7 @@
     def run(self) -> None:
         """Keep samples for later windows; does not return."""
         while True:
-            self._advance()
+            self._add_elapsed_time()
             eventlet.sleep(_SAMPLE_INTERVAL_MS / MS_PER_SECOND)
 
     def _sample_at(self, at_ms: int) -> _Sample:
@@ -110,13 +110,13 @@
                 return sample
         return self._samples[0]
 
-    def _count(self, served: CapacityConsumer, change: int) -> None:
-        self._advance()
+    def _change_running(self, served: CapacityConsumer, change: int) -> None:
+        self._add_elapsed_time()
         self._running[served] += change
         labels = {'service': served.service, 'owner': served.owner}
         BUSY_SLOTS.record(change, labels)
 
-    def _advance(self) -> None:
+    def _add_elapsed_time(self) -> None:
         now_ms = self._clock.now_ms()
         passed_ms = now_ms - self._since_ms
         for served, count in self._running.items():
