--- a/laburnumwood/operators/capacity.py
+++ b/laburnumwood/operators/capacity.py
@@ -63,8 +63,8 @@
         self._clock = clock
         self._running: Counter[CapacityConsumer] = Counter()
         self._used: Counter[CapacityConsumer] = Counter()
-        self._since_ms = clock.now_ms()
-        self._samples = deque((_Sample(self._since_ms, {}),), _MAX_SAMPLES)
+        self._updated_ms = clock.now_ms()
+        self._samples = deque((_Sample(self._updated_ms, {}),), _MAX_SAMPLES)
 
     @contextmanager
     def busy(self, service: str) -> Iterator[None]:
@@ -89,11 +89,11 @@
         It is as long as asked for, to a second, or as long as is known.
         """
         self._add_elapsed_time()
-        start = self._sample_at(self._since_ms - window_ms)
+        start = self._sample_at(self._updated_ms - window_ms)
         used = Counter(self._used)
         used.subtract(start.used)
         return Usage(
-            window_ms=self._since_ms - start.at_ms,
+            window_ms=self._updated_ms - start.at_ms,
             slots=self._slots,
             used={served: spent for served, spent in used.items() if spent},
         )
@@ -118,9 +118,9 @@
 
     def _add_elapsed_time(self) -> None:
         now_ms = self._clock.now_ms()
-        passed_ms = now_ms - self._since_ms
+        passed_ms = now_ms - self._updated_ms
         for served, count in self._running.items():
             self._used[served] += count * passed_ms
-        self._since_ms = now_ms
+        self._updated_ms = now_ms
         if now_ms - self._samples[-1].at_ms >= _SAMPLE_INTERVAL_MS:
             self._samples.append(_Sample(now_ms, dict(self._used)))
