--- a/laburnumwood/operators/capacity.py
+++ b/laburnumwood/operators/capacity.py
@@ -54,12 +54,12 @@
     def __init__(
         self,
         settings: DaemonSettings,
-        declared: Callable[[], Declarations],
+        declarations: Callable[[], Declarations],
         clock: Clock,
     ) -> None:
         self._slots = settings.slots
         self._owner = settings.capacity_owner
-        self._declared = declared
+        self._declarations = declarations
         self._clock = clock
         self._running: Counter[CapacityConsumer] = Counter()
         self._used: Counter[CapacityConsumer] = Counter()
@@ -69,7 +69,7 @@
     @contextmanager
     def busy(self, service: str) -> Iterator[None]:
         """Count a slot as busy for a service while the context lasts."""
-        declared = self._declared().services.get(service)
+        declared = self._declarations().services.get(service)
         owner = declared.owner if declared else None
         served = CapacityConsumer(service, owner or self._owner)
         self._change_running(served, 1)
