--- a/laburnumwood/operators/__init__.py
+++ b/laburnumwood/operators/__init__.py
@@ -1,1 +1,1 @@
-"""The operators of the router."""
+"""The operator port of a node: its pages and who may read them."""
--- a/laburnumwood/operators/access.py
+++ b/laburnumwood/operators/access.py
@@ -1,4 +1,4 @@
-"""Who may do what at the operator port."""
+"""Authentication and authorization of calls to the operator port."""
 
 import hmac
 from dataclasses import dataclass
@@ -11,7 +11,10 @@
 
 
 class AccessDeniedError(LaburnumwoodError):
-    """A call of the operator port has no right to what it asks for."""
+    """A call to the operator port is not authenticated or not authorized.
+
+    `status` is the HTTP status of the answer.
+    """
 
     def __init__(self, status: int, detail: str) -> None:
         super().__init__(detail)
@@ -20,20 +23,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Operator:
-    """An operator who gave a known token."""
+    """An operator who has authenticated with a token."""
 
     name: str
     may_change: bool
 
 
 class AccessControl:
-    """Finds the operator to whom a token belongs."""
+    """Authenticates operators by bearer tokens and checks their rights."""
 
     def __init__(self, settings: DaemonSettings) -> None:
         self._operators = settings.operators
 
     def authorize(self, environ: dict[str, Any], *, changes: bool) -> Operator:
-        """Return who calls; raises `AccessDeniedError` without the right."""
+        """Return the operator who makes a call, from its WSGI environment.
+
+        `changes` is whether the call changes something.  Raises
+        `AccessDeniedError` if the token is unknown or does not allow the
+        call.
+        """
         operator = self._authenticate(environ.get('HTTP_AUTHORIZATION', ''))
         if operator is None:
             raise AccessDeniedError(
@@ -50,10 +58,11 @@
         return operator
 
     def _authenticate(self, header: str) -> Operator | None:
-        given = header.removeprefix(_SCHEME).encode()
-        found = None
-        for name, each in self._operators.items():
-            # All are compared, so that the time tells nothing.
-            if hmac.compare_digest(given, each.token.encode()):
-                found = Operator(name, each.may == 'change')
-        return found if header.startswith(_SCHEME) else None
+        token = header.removeprefix(_SCHEME).encode()
+        operator = None
+        for name, settings in self._operators.items():
+            # All tokens are compared, in constant time each, so that the
+            # duration reveals nothing about them.
+            if hmac.compare_digest(token, settings.token.encode()):
+                operator = Operator(name, settings.may == 'change')
+        return operator if header.startswith(_SCHEME) else None
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -1,4 +1,4 @@
-"""The pages that a node shows to operators."""
+"""The pages of a node for operators."""
 
 from collections.abc import Callable
 from typing import Any
@@ -35,7 +35,7 @@
 
 
 class OperatorApi:
-    """What one incarnation of a node knows and does."""
+    """The pages and metrics of one incarnation of a node."""
 
     def __init__(
         self,
@@ -53,18 +53,24 @@
 
     @property
     def paths(self) -> tuple[str, ...]:
-        """Return the paths of all pages."""
+        """Return the paths of all pages, sorted."""
         return tuple(sorted(_PAGES))
 
     def page(self, path: str, query: str) -> Any:
-        """Return the content of a page; raises `LookupError`."""
+        """Return the content of a page, which can be encoded as JSON.
+
+        Raises `LookupError` if the page does not exist or its query is not
+        valid.
+        """
         if path not in _PAGES:
             raise LookupError('no such page')
-        fields = {name: texts[0] for name, texts in parse_qs(query).items()}
-        return _PAGES[path](self, fields)
+        first_values = {
+            name: values[0] for name, values in parse_qs(query).items()
+        }
+        return _PAGES[path](self, first_values)
 
     def metrics(self) -> bytes:
-        """Return all metrics, with the gauges as they stand now."""
+        """Update the gauges and return all metrics in the text format."""
         record = self._view.directory.node(self._lease.holder)
         owner = record.capacity_owner if record else ''
         IDLE_SLOTS.record(self._account.idle_slots, {'owner': owner})
@@ -107,15 +113,15 @@
 
     @_register_page('/owner')
     def _owner_of_key(self, query: Query) -> dict[str, Any]:
-        """Show who owns a key; `service` and `key` are in the query."""
+        """Return the owner of the key `key` of `service` in the query."""
         name, key = query.get('service', ''), query.get('key', '')
         service = self._view.directory.declarations.services.get(name)
         if service is None or service.key is None:
             raise LookupError(f'{name!r} is no service divided by key')
         try:
             number = initial_shard(key, service)
-        except ValueError as unplaced:
-            raise LookupError(str(unplaced)) from unplaced
+        except ValueError as invalid:
+            raise LookupError(str(invalid)) from invalid
         entry = self._view.directory.shards(name).get(number)
         owner = self._owner(entry.record) if entry else None
         return {'service': name, 'key': key, 'shard': number, 'owner': owner}
@@ -138,10 +144,10 @@
 
     @_register_page('/idle')
     def _idle(self, query: Query) -> dict[str, Any]:
-        asked = query.get('window_ms', str(_DEFAULT_WINDOW_MS))
-        if not asked.isdecimal():
-            raise LookupError(f'window_ms {asked!r} is no number')
-        usage = self._account.usage(int(asked))
+        window = query.get('window_ms', str(_DEFAULT_WINDOW_MS))
+        if not window.isdecimal():
+            raise LookupError(f'window_ms {window!r} is no number')
+        usage = self._account.usage(int(window))
         record = self._view.directory.node(self._lease.holder)
         return {
             'node': str(self._lease.holder),
@@ -152,8 +158,12 @@
             'slots': usage.slots,
             'idle': usage.idle,
             'used': [
-                {'service': to.service, 'owner': to.owner, 'slot_ms': spent}
-                for to, spent in usage.used.items()
+                {
+                    'service': consumer.service,
+                    'owner': consumer.owner,
+                    'slot_ms': slot_ms,
+                }
+                for consumer, slot_ms in usage.used.items()
             ],
         }
 
--- a/laburnumwood/operators/capacity.py
+++ b/laburnumwood/operators/capacity.py
@@ -1,4 +1,4 @@
-"""What each owner's capacity carried, and what lay idle."""
+"""Accounting of busy and idle slots by service and capacity owner."""
 
 from collections import Counter, deque
 from collections.abc import Callable, Iterator
@@ -13,12 +13,12 @@
 from laburnumwood.settings import DaemonSettings
 
 _SAMPLE_INTERVAL_MS = 1_000
-_MAX_SAMPLES = 3_600
+_MAX_SAMPLES = 3_600  # at least one hour
 
 
 @dataclass(frozen=True, slots=True)
 class CapacityConsumer:
-    """The service that was served, and the capacity owner it counts for."""
+    """A service that uses slots, and the capacity owner that is charged."""
 
     service: str
     owner: str
@@ -26,15 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class _Sample:
+    """The slot-milliseconds used until a time of the node's clock."""
+
     at_ms: int
     used: dict[CapacityConsumer, int]
 
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """Slot-milliseconds of one node over a window.
+    """The slot-milliseconds of one node in a window of time.
 
-    `used` and `idle` add up to the slots times the window.
+    The sum of `used` and `idle` is the number of slots times the window.
     """
 
     window_ms: int
@@ -43,13 +45,17 @@
 
     @property
     def idle(self) -> int:
-        """Return the slot-milliseconds that carried nothing."""
-        carried = sum(self.used.values())
-        return self.slots * self.window_ms - carried
+        """Return the slot-milliseconds that were not used."""
+        total_used = sum(self.used.values())
+        return self.slots * self.window_ms - total_used
 
 
 class CapacityAccount:
-    """Counts the time that the slots of this node are busy, and for whom."""
+    """Measures how long the slots of this node are busy for each consumer.
+
+    Past windows are computed from samples of the totals, which are kept for
+    at least an hour.
+    """
 
     def __init__(
         self,
@@ -68,25 +74,31 @@
 
     @contextmanager
     def busy(self, service: str) -> Iterator[None]:
-        """Count a slot as busy for a service while the context lasts."""
-        declared = self._declarations().services.get(service)
-        owner = declared.owner if declared else None
-        served = CapacityConsumer(service, owner or self._owner)
-        self._change_running(served, 1)
+        """Count one slot as busy for a service while the context is open.
+
+        The time is charged to the capacity owner of the service, or to that
+        of this node if none is declared.
+        """
+        declaration = self._declarations().services.get(service)
+        owner = declaration.owner if declaration else None
+        consumer = CapacityConsumer(service, owner or self._owner)
+        self._change_running(consumer, 1)
         try:
             yield
         finally:
-            self._change_running(served, -1)
+            self._change_running(consumer, -1)
 
     @property
     def idle_slots(self) -> int:
-        """Return how many slots carry nothing now."""
+        """Return the number of slots that are idle now."""
         return max(0, self._slots - self._running.total())
 
     def usage(self, window_ms: int) -> Usage:
-        """Return the usage over a window that ends now.
+        """Return the usage in a window that ends now.
 
-        It is as long as asked for, to a second, or as long as is known.
+        Its length is `window_ms`, rounded up to the next sample: samples are
+        at least a second apart.  It is shorter if the samples do not reach
+        back that far.
         """
         self._add_elapsed_time()
         start = self._sample_at(self._updated_ms - window_ms)
@@ -95,32 +107,37 @@
         return Usage(
             window_ms=self._updated_ms - start.at_ms,
             slots=self._slots,
-            used={served: spent for served, spent in used.items() if spent},
+            used={
+                consumer: slot_ms
+                for consumer, slot_ms in used.items()
+                if slot_ms
+            },
         )
 
     def run(self) -> None:
-        """Keep samples for later windows; does not return."""
+        """Record samples for later windows; does not return."""
         while True:
             self._add_elapsed_time()
             eventlet.sleep(_SAMPLE_INTERVAL_MS / MS_PER_SECOND)
 
     def _sample_at(self, at_ms: int) -> _Sample:
+        """Return the last sample up to a time, or else the oldest one."""
         for sample in reversed(self._samples):
             if sample.at_ms <= at_ms:
                 return sample
         return self._samples[0]
 
-    def _change_running(self, served: CapacityConsumer, change: int) -> None:
+    def _change_running(self, consumer: CapacityConsumer, change: int) -> None:
         self._add_elapsed_time()
-        self._running[served] += change
-        labels = {'service': served.service, 'owner': served.owner}
+        self._running[consumer] += change
+        labels = {'service': consumer.service, 'owner': consumer.owner}
         BUSY_SLOTS.record(change, labels)
 
     def _add_elapsed_time(self) -> None:
         now_ms = self._clock.now_ms()
-        passed_ms = now_ms - self._updated_ms
-        for served, count in self._running.items():
-            self._used[served] += count * passed_ms
+        elapsed_ms = now_ms - self._updated_ms
+        for consumer, count in self._running.items():
+            self._used[consumer] += count * elapsed_ms
         self._updated_ms = now_ms
         if now_ms - self._samples[-1].at_ms >= _SAMPLE_INTERVAL_MS:
             self._samples.append(_Sample(now_ms, dict(self._used)))
--- a/laburnumwood/operators/endpoint.py
+++ b/laburnumwood/operators/endpoint.py
@@ -20,26 +20,32 @@
 _DRAIN = '/drain'
 
 
-class _PageError(LaburnumwoodError):
-    """A call of the operator port can't be answered."""
+class _CallError(LaburnumwoodError):
+    """A call to the operator port can't be served.
+
+    `status` is the HTTP status of the answer.
+    """
 
     def __init__(self, status: int, detail: str) -> None:
         super().__init__(detail)
         self.status = status
 
 
-def _reply(
-    start_response: StartResponse, status: int, kind: str, content: bytes
+def _respond(
+    start_response: StartResponse,
+    status: int,
+    content_type: str,
+    content: bytes,
 ) -> Iterable[bytes]:
     phrase = HTTPStatus(status).phrase
-    start_response(f'{status} {phrase}', [('Content-Type', kind)])
+    start_response(f'{status} {phrase}', [('Content-Type', content_type)])
     return (content,)
 
 
 class OperatorEndpoint:
-    """Lets operators in who have the right, and answers them.
+    """Authorizes and answers the calls of operators.
 
-    `stop` begins a planned stop of the node.
+    `stop` is called to begin a planned stop of the node.
     """
 
     def __init__(
@@ -53,52 +59,55 @@
         self,
         environ: Environ,
         start_response: StartResponse,
-        pages: OperatorApi | None,
+        api: OperatorApi | None,
     ) -> Iterable[bytes]:
-        """Answer one request; `pages` is None until the node has joined."""
+        """Answer one call as a WSGI application.
+
+        `api` is None until the node has joined.
+        """
         try:
-            kind, content = self._content(environ, pages)
-        except (AccessDeniedError, _PageError) as refused:
-            problem = {'status': refused.status, 'detail': str(refused)}
+            content_type, content = self._content(environ, api)
+        except (AccessDeniedError, _CallError) as error:
+            problem = {'status': error.status, 'detail': str(error)}
             text = json.dumps(problem).encode()
-            return _reply(start_response, refused.status, _PROBLEM, text)
-        return _reply(start_response, HTTPStatus.OK, kind, content)
+            return _respond(start_response, error.status, _PROBLEM, text)
+        return _respond(start_response, HTTPStatus.OK, content_type, content)
 
     def _content(
-        self, environ: Environ, pages: OperatorApi | None
+        self, environ: Environ, api: OperatorApi | None
     ) -> tuple[str, bytes]:
         path, method = environ['PATH_INFO'], environ['REQUEST_METHOD']
-        who = self._admit(environ, changes=method != 'GET')
+        who = self._authorize(environ, changes=method != 'GET')
         if path == _DRAIN and method == 'POST':
             OPERATOR_CHANGE.report(node=self._node_id, who=who, what='drain')
             self._stop()
             return _JSON, json.dumps({'draining': self._node_id}).encode()
         if method != 'GET':
-            raise _PageError(405, f'{path} takes GET; {_DRAIN} takes POST')
-        if pages is None:
-            raise _PageError(503, 'the node has not joined yet; come again')
+            raise _CallError(405, f'{path} takes GET; {_DRAIN} takes POST')
+        if api is None:
+            raise _CallError(503, 'the node has not joined yet; come again')
         if path == '/metrics':
-            return _METRICS, pages.metrics()
-        return _JSON, _page(pages, environ)
+            return _METRICS, api.metrics()
+        return _JSON, _render_page(api, environ)
 
-    def _admit(self, environ: Environ, *, changes: bool) -> str:
+    def _authorize(self, environ: Environ, *, changes: bool) -> str:
         try:
             return self._access_control.authorize(environ, changes=changes).name
-        except AccessDeniedError as refused:
+        except AccessDeniedError as error:
             OPERATOR_REFUSED.report(
                 address=environ.get('REMOTE_ADDR'),
                 path=environ['PATH_INFO'],
-                status=refused.status,
+                status=error.status,
             )
             raise
 
 
-def _page(pages: OperatorApi, environ: Environ) -> bytes:
+def _render_page(api: OperatorApi, environ: Environ) -> bytes:
     path = environ['PATH_INFO']
     try:
-        content = pages.page(path, environ.get('QUERY_STRING', ''))
+        content = api.page(path, environ.get('QUERY_STRING', ''))
     except LookupError as unknown:
-        known = ', '.join(pages.paths)
+        known = ', '.join(api.paths)
         text = f'{path}: {unknown}; pages: {known}'
-        raise _PageError(404, text) from unknown
+        raise _CallError(404, text) from unknown
     return json.dumps(content).encode()
