--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -46,7 +46,7 @@
     newer: tuple[str, ...] = ()
 
 
-class Changes:
+class ConfigClient:
     """Compares folders with the accepted configuration and applies them."""
 
     def __init__(self, options: Options) -> None:
--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from laburnumwood.cli.comparison import FileState, State
-from laburnumwood.cli.config_client import Changes, validate
+from laburnumwood.cli.config_client import ConfigClient, validate
 from laburnumwood.cli.fleet import Fleet
 from laburnumwood.cli.options import Options, UsageError
 from laburnumwood.cli.output import Output, moment
@@ -41,7 +41,7 @@
     options: Options, folder: Path, only: Collection[str], output: Output
 ) -> None:
     """Print how a folder differs from what is accepted."""
-    now, states = Changes(options).diff(folder, only)
+    now, states = ConfigClient(options).diff(folder, only)
     output.say(f'accepted: generation {now.generation}')
     rows = [(each.name, each.state.value, _advice(each)) for each in states]
     output.table(('file', 'state', 'next'), rows)
@@ -58,7 +58,7 @@
 
 def show_accepted(options: Options, file: str, output: Output) -> None:
     """Print the accepted configuration, or one file of it."""
-    record = Changes(options).current()
+    record = ConfigClient(options).current()
     if file:
         if file not in record.files:
             known = ', '.join(sorted(record.files)) or 'none yet'
@@ -91,7 +91,7 @@
 
 def show_history(options: Options, most: int, output: Output) -> None:
     """Print the newest accepted changes."""
-    entries = Changes(options).history(most)
+    entries = ConfigClient(options).history(most)
     if not entries:
         output.say('nothing was accepted yet; run "laburnumwood apply"')
     output.table(_TRAIL_COLUMNS, [_trail_row(entry) for entry in entries])
@@ -100,9 +100,9 @@
 
 def show_change(options: Options, generation: int, output: Output) -> None:
     """Print one entry of the audit trail with the files it changed."""
-    changes = Changes(options)
-    newest = changes.current().generation
-    entries = changes.history(max(1, newest - generation + 1))
+    client = ConfigClient(options)
+    newest = client.current().generation
+    entries = client.history(max(1, newest - generation + 1))
     entry = next(
         (each for each in entries if each.generation == generation), None
     )
@@ -140,7 +140,7 @@
     output: Output,
 ) -> None:
     """Apply a folder; wait up to a limit until it is in force (0: don't)."""
-    applied = Changes(options).apply(folder, only)
+    applied = ConfigClient(options).apply(folder, only)
     for name in applied.newer:
         output.say(
             f'{name}: others have accepted a newer one, which stays; get it '
@@ -155,5 +155,5 @@
     options: Options, generation: int, limit_s: float, output: Output
 ) -> None:
     """Apply the files of an older generation as a new one."""
-    record = Changes(options).roll_back(generation)
+    record = ConfigClient(options).roll_back(generation)
     _finish(record, options, limit_s, output)
