--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -54,7 +54,7 @@
         self._acceptance = ConfigAcceptance(self._platform, Clock())
         self._who = options.who
 
-    def current(self) -> ConfigRecord:
+    def read_accepted(self) -> ConfigRecord:
         """Return the accepted configuration."""
         return read_accepted(self._platform)[0]
 
@@ -66,7 +66,7 @@
         What others have changed in the meantime counts as seen only where
         the folder holds a change of its own: that is what applying replaces.
         """
-        now = self.current()
+        now = self.read_accepted()
         seen = read_seen(folder)
         states = _among(self._compare(folder, now, seen), only, folder)
         shown = (State.SAME, State.CONFLICT)
@@ -80,7 +80,7 @@
 
         Raises what `ConfigAcceptance.propose` does.
         """
-        now = self.current()
+        now = self.read_accepted()
         seen = read_seen(folder)
         states = _among(self._compare(folder, now, seen), only, folder)
         proposed = [each for each in states if each.state.is_proposed]
--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -58,7 +58,7 @@
 
 def show_accepted(options: Options, file: str, output: Output) -> None:
     """Print the accepted configuration, or one file of it."""
-    record = ConfigClient(options).current()
+    record = ConfigClient(options).read_accepted()
     if file:
         if file not in record.files:
             known = ', '.join(sorted(record.files)) or 'none yet'
@@ -101,7 +101,7 @@
 def show_change(options: Options, generation: int, output: Output) -> None:
     """Print one entry of the audit trail with the files it changed."""
     client = ConfigClient(options)
-    newest = client.current().generation
+    newest = client.read_accepted().generation
     entries = client.history(max(1, newest - generation + 1))
     entry = next(
         (each for each in entries if each.generation == generation), None
