--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -21,7 +21,7 @@
 from laburnumwood.store.client import HttpStore
 
 
-def validate(folder: Path) -> MergedConfig:
+def merge_folder(folder: Path) -> MergedConfig:
     """Return the merged files of a folder; raises `DeclarationError`."""
     return merge_files(read_folder(folder))
 
--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from laburnumwood.cli.comparison import FileState, State
-from laburnumwood.cli.config_client import ConfigClient, validate
+from laburnumwood.cli.config_client import ConfigClient, merge_folder
 from laburnumwood.cli.fleet import Fleet
 from laburnumwood.cli.options import Options, UsageError
 from laburnumwood.cli.output import Output, moment
@@ -16,7 +16,7 @@
 
 def show_validity(folder: Path, output: Output) -> None:
     """Print which file sets each value of a valid folder."""
-    merged = validate(folder)
+    merged = merge_folder(folder)
     output.say(f'{folder}: valid')
     output.table(('value', 'set by'), sorted(merged.set_by.items()))
     output.data(merged.set_by)
