--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -26,7 +26,7 @@
     return merge_files(read_folder(folder))
 
 
-def _among(
+def _select_files(
     states: list[FileState], only: Collection[str], folder: Path
 ) -> list[FileState]:
     known = {each.name for each in states if each.state != State.ELSEWHERE}
@@ -68,7 +68,7 @@
         """
         now = self.read_accepted()
         seen = read_seen(folder)
-        states = _among(self._compare(folder, now, seen), only, folder)
+        states = _select_files(self._compare(folder, now, seen), only, folder)
         shown = (State.SAME, State.CONFLICT)
         self._note(
             folder, now, seen, [each for each in states if each.state in shown]
@@ -82,7 +82,7 @@
         """
         now = self.read_accepted()
         seen = read_seen(folder)
-        states = _among(self._compare(folder, now, seen), only, folder)
+        states = _select_files(self._compare(folder, now, seen), only, folder)
         proposed = [each for each in states if each.state.is_proposed]
         wanted = {each.name: each.local for each in proposed}
         record = self._propose(Proposal(wanted, self._who, seen.files))
