--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Applied:
+class ApplyResult:
     """What is accepted now, which files changed and which are newer there."""
 
     record: ConfigRecord
@@ -75,7 +75,7 @@
         )
         return now, states
 
-    def apply(self, folder: Path, only: Collection[str]) -> Applied:
+    def apply(self, folder: Path, only: Collection[str]) -> ApplyResult:
         """Make the changes of a folder the next generation.
 
         Raises what `ConfigAcceptance.propose` does.
@@ -89,7 +89,7 @@
         same = [each for each in states if each.state is State.SAME]
         self._note(folder, record, seen, [*proposed, *same])
         newer = [each for each in states if each.state is State.NEWER]
-        return Applied(
+        return ApplyResult(
             record,
             changed=tuple(sorted(wanted)),
             newer=tuple(each.name for each in newer),
