--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -108,21 +108,21 @@
         try:
             return self._acceptance.propose(proposal)
         except ConcurrentChangeError as changed:
-            raise ConcurrentChangeError(self._blame(changed.names)) from changed
+            raise ConcurrentChangeError(self._with_authors(changed.names)) from changed
 
-    def _blame(self, names: Collection[str]) -> tuple[str, ...]:
+    def _with_authors(self, names: Collection[str]) -> tuple[str, ...]:
         """Return each name with who changed that file last."""
-        wanted = set(names)
-        told = []
+        remaining = set(names)
+        names_with_authors = []
         for entry in read_audit_trail(self._platform):
-            for name in sorted(wanted.intersection(entry.changes)):
-                told.append(
+            for name in sorted(remaining.intersection(entry.changes)):
+                names_with_authors.append(
                     f'{name} (generation {entry.generation} by {entry.who})'
                 )
-            wanted.difference_update(entry.changes)
-            if not wanted:
+            remaining.difference_update(entry.changes)
+            if not remaining:
                 break
-        return tuple(told)
+        return tuple(names_with_authors)
 
     def _compare(
         self, folder: Path, now: ConfigRecord, seen: Seen
