--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -70,7 +70,7 @@
         seen = read_seen(folder)
         states = _select_files(self._compare(folder, now, seen), only, folder)
         shown = (State.SAME, State.CONFLICT)
-        self._note(
+        self._record_seen(
             folder, now, seen, [each for each in states if each.state in shown]
         )
         return now, states
@@ -87,7 +87,7 @@
         wanted = {each.name: each.local for each in proposed}
         record = self._propose(Proposal(wanted, self._who, seen.files))
         same = [each for each in states if each.state is State.SAME]
-        self._note(folder, record, seen, [*proposed, *same])
+        self._record_seen(folder, record, seen, [*proposed, *same])
         newer = [each for each in states if each.state is State.NEWER]
         return ApplyResult(
             record,
@@ -129,7 +129,7 @@
     ) -> list[FileState]:
         return compare(read_folder(folder), now.files, seen.files)
 
-    def _note(
+    def _record_seen(
         self,
         folder: Path,
         now: ConfigRecord,
