--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -50,13 +50,13 @@
     """Compares folders with the accepted configuration and applies them."""
 
     def __init__(self, options: Options) -> None:
-        self._platform = HttpStore(options.platform_url)
-        self._acceptance = ConfigAcceptance(self._platform, Clock())
+        self._store = HttpStore(options.platform_url)
+        self._acceptance = ConfigAcceptance(self._store, Clock())
         self._who = options.who
 
     def read_accepted(self) -> ConfigRecord:
         """Return the accepted configuration."""
-        return read_accepted(self._platform)[0]
+        return read_accepted(self._store)[0]
 
     def diff(
         self, folder: Path, only: Collection[str]
@@ -101,7 +101,7 @@
 
     def history(self, most: int) -> list[AuditRecord]:
         """Return the newest entries of the audit trail."""
-        entries = read_audit_trail(self._platform)
+        entries = read_audit_trail(self._store)
         return [entry for _, entry in zip(range(most), entries, strict=False)]
 
     def _propose(self, proposal: Proposal) -> ConfigRecord:
@@ -114,7 +114,7 @@
         """Return each name with who changed that file last."""
         remaining = set(names)
         names_with_authors = []
-        for entry in read_audit_trail(self._platform):
+        for entry in read_audit_trail(self._store):
             for name in sorted(remaining.intersection(entry.changes)):
                 names_with_authors.append(
                     f'{name} (generation {entry.generation} by {entry.who})'
