--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -66,23 +66,23 @@
         What others have changed in the meantime counts as seen only where
         the folder holds a change of its own: that is what applying replaces.
         """
-        now = self.read_accepted()
+        accepted = self.read_accepted()
         seen = read_seen(folder)
-        states = _select_files(self._compare(folder, now, seen), only, folder)
+        states = _select_files(self._compare(folder, accepted, seen), only, folder)
         shown = (State.SAME, State.CONFLICT)
         self._record_seen(
-            folder, now, seen, [each for each in states if each.state in shown]
+            folder, accepted, seen, [each for each in states if each.state in shown]
         )
-        return now, states
+        return accepted, states
 
     def apply(self, folder: Path, only: Collection[str]) -> ApplyResult:
         """Make the changes of a folder the next generation.
 
         Raises what `ConfigAcceptance.propose` does.
         """
-        now = self.read_accepted()
+        accepted = self.read_accepted()
         seen = read_seen(folder)
-        states = _select_files(self._compare(folder, now, seen), only, folder)
+        states = _select_files(self._compare(folder, accepted, seen), only, folder)
         proposed = [each for each in states if each.state.is_proposed]
         wanted = {each.name: each.local for each in proposed}
         record = self._propose(Proposal(wanted, self._who, seen.files))
@@ -125,20 +125,20 @@
         return tuple(names_with_authors)
 
     def _compare(
-        self, folder: Path, now: ConfigRecord, seen: Seen
+        self, folder: Path, accepted: ConfigRecord, seen: Seen
     ) -> list[FileState]:
-        return compare(read_folder(folder), now.files, seen.files)
+        return compare(read_folder(folder), accepted.files, seen.files)
 
     def _record_seen(
         self,
         folder: Path,
-        now: ConfigRecord,
+        accepted: ConfigRecord,
         seen: Seen,
         states: list[FileState],
     ) -> None:
         files = dict(seen.files)
         for each in states:
             files.pop(each.name, None)
-            if each.name in now.files:
-                files[each.name] = digest(now.files[each.name])
-        write_seen(folder, Seen(generation=now.generation, files=files))
+            if each.name in accepted.files:
+                files[each.name] = digest(accepted.files[each.name])
+        write_seen(folder, Seen(generation=accepted.generation, files=files))
--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -41,8 +41,8 @@
     options: Options, folder: Path, only: Collection[str], output: Output
 ) -> None:
     """Print how a folder differs from what is accepted."""
-    now, states = ConfigClient(options).diff(folder, only)
-    output.say(f'accepted: generation {now.generation}')
+    accepted, states = ConfigClient(options).diff(folder, only)
+    output.say(f'accepted: generation {accepted.generation}')
     rows = [(each.name, each.state.value, _advice(each)) for each in states]
     output.table(('file', 'state', 'next'), rows)
     for changed in states:
@@ -50,7 +50,7 @@
             _show_lines(changed, output)
     output.data(
         {
-            'generation': now.generation,
+            'generation': accepted.generation,
             'files': {each.name: each.state.value for each in states},
         }
     )
