--- a/laburnumwood/cli/comparison.py
+++ b/laburnumwood/cli/comparison.py
@@ -9,7 +9,7 @@
 from laburnumwood.config.files import FileContent, Files, digest
 
 
-class State(Enum):
+class Difference(Enum):
     """How a file of the folder stands to the accepted one."""
 
     SAME = 'same'
@@ -22,7 +22,7 @@
     @property
     def is_proposed(self) -> bool:
         """Tell whether applying the folder proposes this file."""
-        return self in {State.CHANGED, State.REMOVED, State.CONFLICT}
+        return self in {Difference.CHANGED, Difference.REMOVED, Difference.CONFLICT}
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +30,7 @@
     """A file as it is in the folder and as it is accepted."""
 
     name: str
-    state: State
+    state: Difference
     local: FileContent | None
     accepted: FileContent | None
 
@@ -57,16 +57,16 @@
     return None if content is None else digest(content)
 
 
-def _state(local: str | None, accepted: str | None, seen: str | None) -> State:
+def _state(local: str | None, accepted: str | None, seen: str | None) -> Difference:
     if local == accepted:
-        return State.SAME
+        return Difference.SAME
     if local is None and seen is None:
-        return State.ELSEWHERE
+        return Difference.ELSEWHERE
     if local == seen:
-        return State.NEWER
+        return Difference.NEWER
     if accepted != seen:
-        return State.CONFLICT
-    return State.REMOVED if local is None else State.CHANGED
+        return Difference.CONFLICT
+    return Difference.REMOVED if local is None else Difference.CHANGED
 
 
 def compare(
--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from laburnumwood.cli.comparison import FileState, State, compare
+from laburnumwood.cli.comparison import FileState, Difference, compare
 from laburnumwood.cli.options import Options, UsageError
 from laburnumwood.cli.seen_files import Seen, read_seen, write_seen
 from laburnumwood.clock import Clock
@@ -29,7 +29,7 @@
 def _select_files(
     states: list[FileState], only: Collection[str], folder: Path
 ) -> list[FileState]:
-    known = {each.name for each in states if each.state != State.ELSEWHERE}
+    known = {each.name for each in states if each.state != Difference.ELSEWHERE}
     missing = sorted(set(only) - known)
     if missing:
         names = ', '.join(missing)
@@ -69,7 +69,7 @@
         accepted = self.read_accepted()
         seen = read_seen(folder)
         states = _select_files(self._compare(folder, accepted, seen), only, folder)
-        shown = (State.SAME, State.CONFLICT)
+        shown = (Difference.SAME, Difference.CONFLICT)
         self._record_seen(
             folder, accepted, seen, [each for each in states if each.state in shown]
         )
@@ -86,9 +86,9 @@
         proposed = [each for each in states if each.state.is_proposed]
         wanted = {each.name: each.local for each in proposed}
         record = self._propose(Proposal(wanted, self._who, seen.files))
-        same = [each for each in states if each.state is State.SAME]
+        same = [each for each in states if each.state is Difference.SAME]
         self._record_seen(folder, record, seen, [*proposed, *same])
-        newer = [each for each in states if each.state is State.NEWER]
+        newer = [each for each in states if each.state is Difference.NEWER]
         return ApplyResult(
             record,
             changed=tuple(sorted(wanted)),
--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 from pathlib import Path
 
-from laburnumwood.cli.comparison import FileState, State
+from laburnumwood.cli.comparison import FileState, Difference
 from laburnumwood.cli.config_client import ConfigClient, merge_folder
 from laburnumwood.cli.fleet import Fleet
 from laburnumwood.cli.options import Options, UsageError
@@ -23,11 +23,11 @@
 
 
 def _advice(each: FileState) -> str:
-    if each.state is State.CONFLICT:
+    if each.state is Difference.CONFLICT:
         return 'apply replaces the accepted file shown here'
-    if each.state is State.NEWER:
+    if each.state is Difference.NEWER:
         return f'yours is older and stays unused; get it by: show {each.name}'
-    if each.state is State.ELSEWHERE:
+    if each.state is Difference.ELSEWHERE:
         return 'stays as it is'
     return 'apply changes it' if each.state.is_proposed else ''
 
@@ -113,7 +113,7 @@
         )
     output.table(_TRAIL_COLUMNS, [_trail_row(entry)])
     for name, change in entry.changes.items():
-        changed = FileState(name, State.CHANGED, change.after, change.before)
+        changed = FileState(name, Difference.CHANGED, change.after, change.before)
         _show_lines(changed, output, 'before', 'after')
     output.data(entry)
 
