--- a/laburnumwood/cli/comparison.py
+++ b/laburnumwood/cli/comparison.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FileState:
+class FileComparison:
     """A file as it is in the folder and as it is accepted."""
 
     name: str
@@ -71,14 +71,14 @@
 
 def compare(
     local: Files, accepted: Files, seen: Mapping[str, str]
-) -> list[FileState]:
+) -> list[FileComparison]:
     """Return how each file of the folder or of the configuration stands.
 
     `seen` holds the digests of the accepted files that the folder is based
     on.
     """
     return [
-        FileState(
+        FileComparison(
             name,
             _state(
                 _mark(local.get(name)),
--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from laburnumwood.cli.comparison import FileState, Difference, compare
+from laburnumwood.cli.comparison import FileComparison, Difference, compare
 from laburnumwood.cli.options import Options, UsageError
 from laburnumwood.cli.seen_files import Seen, read_seen, write_seen
 from laburnumwood.clock import Clock
@@ -27,8 +27,8 @@
 
 
 def _select_files(
-    states: list[FileState], only: Collection[str], folder: Path
-) -> list[FileState]:
+    states: list[FileComparison], only: Collection[str], folder: Path
+) -> list[FileComparison]:
     known = {each.name for each in states if each.state != Difference.ELSEWHERE}
     missing = sorted(set(only) - known)
     if missing:
@@ -60,7 +60,7 @@
 
     def diff(
         self, folder: Path, only: Collection[str]
-    ) -> tuple[ConfigRecord, list[FileState]]:
+    ) -> tuple[ConfigRecord, list[FileComparison]]:
         """Return how the files stand, and note that they were seen.
 
         What others have changed in the meantime counts as seen only where
@@ -126,7 +126,7 @@
 
     def _compare(
         self, folder: Path, accepted: ConfigRecord, seen: Seen
-    ) -> list[FileState]:
+    ) -> list[FileComparison]:
         return compare(read_folder(folder), accepted.files, seen.files)
 
     def _record_seen(
@@ -134,7 +134,7 @@
         folder: Path,
         accepted: ConfigRecord,
         seen: Seen,
-        states: list[FileState],
+        states: list[FileComparison],
     ) -> None:
         files = dict(seen.files)
         for each in states:
--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 from pathlib import Path
 
-from laburnumwood.cli.comparison import FileState, Difference
+from laburnumwood.cli.comparison import FileComparison, Difference
 from laburnumwood.cli.config_client import ConfigClient, merge_folder
 from laburnumwood.cli.fleet import Fleet
 from laburnumwood.cli.options import Options, UsageError
@@ -22,7 +22,7 @@
     output.data(merged.set_by)
 
 
-def _advice(each: FileState) -> str:
+def _advice(each: FileComparison) -> str:
     if each.state is Difference.CONFLICT:
         return 'apply replaces the accepted file shown here'
     if each.state is Difference.NEWER:
@@ -32,7 +32,7 @@
     return 'apply changes it' if each.state.is_proposed else ''
 
 
-def _show_lines(changed: FileState, output: Output, *names: str) -> None:
+def _show_lines(changed: FileComparison, output: Output, *names: str) -> None:
     for line in changed.lines(*names):
         output.say(line)
 
@@ -113,7 +113,7 @@
         )
     output.table(_TRAIL_COLUMNS, [_trail_row(entry)])
     for name, change in entry.changes.items():
-        changed = FileState(name, Difference.CHANGED, change.after, change.before)
+        changed = FileComparison(name, Difference.CHANGED, change.after, change.before)
         _show_lines(changed, output, 'before', 'after')
     output.data(entry)
 
