--- a/laburnumwood/cli/comparison.py
+++ b/laburnumwood/cli/comparison.py
@@ -34,7 +34,7 @@
     local: FileContent | None
     accepted: FileContent | None
 
-    def lines(
+    def diff_lines(
         self, before: str = 'accepted', after: str = 'folder'
     ) -> Iterator[str]:
         """Yield the difference from the accepted file, line by line."""
--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -33,7 +33,7 @@
 
 
 def _show_lines(changed: FileComparison, output: Output, *names: str) -> None:
-    for line in changed.lines(*names):
+    for line in changed.diff_lines(*names):
         output.say(line)
 
 
