--- a/laburnumwood/cli/comparison.py
+++ b/laburnumwood/cli/comparison.py
@@ -53,11 +53,11 @@
     return json.dumps(content, indent=2, sort_keys=True).splitlines()
 
 
-def _mark(content: FileContent | None) -> str | None:
+def _digest(content: FileContent | None) -> str | None:
     return None if content is None else digest(content)
 
 
-def _state(local: str | None, accepted: str | None, seen: str | None) -> Difference:
+def _classify(local: str | None, accepted: str | None, seen: str | None) -> Difference:
     if local == accepted:
         return Difference.SAME
     if local is None and seen is None:
@@ -80,9 +80,9 @@
     return [
         FileComparison(
             name,
-            _state(
-                _mark(local.get(name)),
-                _mark(accepted.get(name)),
+            _classify(
+                _digest(local.get(name)),
+                _digest(accepted.get(name)),
                 seen.get(name),
             ),
             local.get(name),
