--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -14,7 +14,7 @@
 _TRAIL_COLUMNS = ('generation', 'when', 'who', 'files', 'reason')
 
 
-def show_validity(folder: Path, output: Output) -> None:
+def show_merged_folder(folder: Path, output: Output) -> None:
     """Print which file sets each value of a valid folder."""
     merged = merge_folder(folder)
     output.say(f'{folder}: valid')
--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -52,7 +52,7 @@
 
     def validate(self, folder: str) -> None:
         """Check the files of a folder; show which file sets each value."""
-        config_commands.show_validity(Path(folder), self._output)
+        config_commands.show_merged_folder(Path(folder), self._output)
 
     @SetParseFns(folder=str, only=str)
     def diff(self, folder: str, *, only: str = '') -> None:
