--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -22,7 +22,7 @@
     output.data(merged.set_by)
 
 
-def _advice(each: FileComparison) -> str:
+def _next_step(each: FileComparison) -> str:
     if each.state is Difference.CONFLICT:
         return 'apply replaces the accepted file shown here'
     if each.state is Difference.NEWER:
@@ -43,7 +43,7 @@
     """Print how a folder differs from what is accepted."""
     accepted, states = ConfigClient(options).diff(folder, only)
     output.say(f'accepted: generation {accepted.generation}')
-    rows = [(each.name, each.state.value, _advice(each)) for each in states]
+    rows = [(each.name, each.state.value, _next_step(each)) for each in states]
     output.table(('file', 'state', 'next'), rows)
     for changed in states:
         if changed.state.is_proposed:
