--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -32,7 +32,7 @@
     return 'apply changes it' if each.state.is_proposed else ''
 
 
-def _show_lines(changed: FileComparison, output: Output, *names: str) -> None:
+def _print_diff(changed: FileComparison, output: Output, *names: str) -> None:
     for line in changed.diff_lines(*names):
         output.say(line)
 
@@ -47,7 +47,7 @@
     output.table(('file', 'state', 'next'), rows)
     for changed in states:
         if changed.state.is_proposed:
-            _show_lines(changed, output)
+            _print_diff(changed, output)
     output.data(
         {
             'generation': accepted.generation,
@@ -114,7 +114,7 @@
     output.table(_TRAIL_COLUMNS, [_trail_row(entry)])
     for name, change in entry.changes.items():
         changed = FileComparison(name, Difference.CHANGED, change.after, change.before)
-        _show_lines(changed, output, 'before', 'after')
+        _print_diff(changed, output, 'before', 'after')
     output.data(entry)
 
 
