--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -37,7 +37,7 @@
         output.say(line)
 
 
-def show_difference(
+def show_diff(
     options: Options, folder: Path, only: Collection[str], output: Output
 ) -> None:
     """Print how a folder differs from what is accepted."""
--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -57,7 +57,7 @@
     @SetParseFns(folder=str, only=str)
     def diff(self, folder: str, *, only: str = '') -> None:
         """Show how a folder differs from the accepted configuration."""
-        config_commands.show_difference(
+        config_commands.show_diff(
             self._options, Path(folder), _names(only), self._output
         )
 
