--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -98,7 +98,7 @@
     output.data(entries)
 
 
-def show_change(options: Options, generation: int, output: Output) -> None:
+def show_audit_entry(options: Options, generation: int, output: Output) -> None:
     """Print one entry of the audit trail with the files it changed."""
     client = ConfigClient(options)
     newest = client.read_accepted().generation
--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -90,7 +90,7 @@
 
     def audit(self, generation: int) -> None:
         """Show what one accepted change did."""
-        config_commands.show_change(self._options, generation, self._output)
+        config_commands.show_audit_entry(self._options, generation, self._output)
 
     def rollback(
         self,
