--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -11,7 +11,7 @@
 from laburnumwood.cli.rollout import wait_until_in_force
 from laburnumwood.records import AuditRecord, ConfigRecord
 
-_TRAIL_COLUMNS = ('generation', 'when', 'who', 'files', 'reason')
+_AUDIT_COLUMNS = ('generation', 'when', 'who', 'files', 'reason')
 
 
 def show_merged_folder(folder: Path, output: Output) -> None:
@@ -79,7 +79,7 @@
     output.data(record)
 
 
-def _trail_row(entry: AuditRecord) -> tuple[object, ...]:
+def _audit_row(entry: AuditRecord) -> tuple[object, ...]:
     return (
         entry.generation,
         moment(entry.when_ms),
@@ -94,7 +94,7 @@
     entries = ConfigClient(options).history(most)
     if not entries:
         output.say('nothing was accepted yet; run "laburnumwood apply"')
-    output.table(_TRAIL_COLUMNS, [_trail_row(entry) for entry in entries])
+    output.table(_AUDIT_COLUMNS, [_audit_row(entry) for entry in entries])
     output.data(entries)
 
 
@@ -111,7 +111,7 @@
             f'no audit entry of generation {generation}; there are 1 to '
             f'{newest}, see "laburnumwood history"'
         )
-    output.table(_TRAIL_COLUMNS, [_trail_row(entry)])
+    output.table(_AUDIT_COLUMNS, [_audit_row(entry)])
     for name, change in entry.changes.items():
         changed = FileComparison(name, Difference.CHANGED, change.after, change.before)
         _print_diff(changed, output, 'before', 'after')
