--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -118,7 +118,7 @@
     output.data(entry)
 
 
-def _finish(
+def _print_accepted(
     record: ConfigRecord, options: Options, limit_s: float, output: Output
 ) -> None:
     output.say(f'accepted: generation {record.generation}')
@@ -148,7 +148,7 @@
         )
     if not applied.changed:
         output.say('the folder changes nothing')
-    _finish(applied.record, options, limit_s, output)
+    _print_accepted(applied.record, options, limit_s, output)
 
 
 def roll_back(
@@ -156,4 +156,4 @@
 ) -> None:
     """Apply the files of an older generation as a new one."""
     record = ConfigClient(options).roll_back(generation)
-    _finish(record, options, limit_s, output)
+    _print_accepted(record, options, limit_s, output)
