--- a/laburnumwood/cli/explain_command.py
+++ b/laburnumwood/cli/explain_command.py
@@ -12,10 +12,10 @@
 _AROUND_MS = 5_000  # how far events of the nodes involved may lie apart
 _REQUEST = 'request'
 
-Line = dict[str, Any]
+LogLine = dict[str, Any]
 
 
-def _lines(file: Path) -> Iterator[Line]:
+def _read_lines(file: Path) -> Iterator[LogLine]:
     try:
         text = file.read_text(errors='replace')
     except OSError as unreadable:
@@ -30,11 +30,11 @@
             yield found
 
 
-def _is_about(line: Line, request: str) -> bool:
+def _is_about(line: LogLine, request: str) -> bool:
     return str(line.get(_REQUEST, '')) == request
 
 
-def _may_decide(line: Line, shards: set[str]) -> bool:
+def _may_decide(line: LogLine, shards: set[str]) -> bool:
     """Tell whether a node's event may have decided about a request."""
     if _REQUEST in line or line['event'] == 'requests-served':
         return False
@@ -42,7 +42,7 @@
     return shard in shards or (shard is None and line['level'] != 'info')
 
 
-def _happened_beside(known: list[Line], story: list[Line]) -> list[Line]:
+def _happened_beside(known: list[LogLine], story: list[LogLine]) -> list[LogLine]:
     """Return the events of nodes that may have decided about the request."""
     shards = {f'{told["service"]}/{told["shard"]}' for told in story}
     first_ms = story[0]['at_ms'] - _AROUND_MS
@@ -54,7 +54,7 @@
     ]
 
 
-def _row(line: Line) -> list[Any]:
+def _row(line: LogLine) -> list[Any]:
     told = ' '.join(
         f'{name}={what}' for name, what in line.items() if name not in _HIDDEN
     )
@@ -66,7 +66,7 @@
 
     Raises `UsageError` if no file says anything of it.
     """
-    known = [line for file in files for line in _lines(Path(file))]
+    known = [line for file in files for line in _read_lines(Path(file))]
     known.sort(key=lambda line: line['at_ms'])
     story = [line for line in known if _is_about(line, request)]
     if not story:
