--- a/laburnumwood/cli/explain_command.py
+++ b/laburnumwood/cli/explain_command.py
@@ -8,8 +8,8 @@
 from laburnumwood.cli.options import UsageError
 from laburnumwood.cli.output import Output
 
-_HIDDEN = frozenset(('at_ms', 'node', 'event', 'number', 'level', 'text'))
-_AROUND_MS = 5_000  # how far events of the nodes involved may lie apart
+_COMMON_FIELDS = frozenset(('at_ms', 'node', 'event', 'number', 'level', 'text'))
+_CONTEXT_MS = 5_000  # how far events of the nodes involved may lie apart
 _REQUEST = 'request'
 
 LogLine = dict[str, Any]
@@ -45,8 +45,8 @@
 def _happened_beside(known: list[LogLine], story: list[LogLine]) -> list[LogLine]:
     """Return the events of nodes that may have decided about the request."""
     shards = {f'{told["service"]}/{told["shard"]}' for told in story}
-    first_ms = story[0]['at_ms'] - _AROUND_MS
-    last_ms = story[-1]['at_ms'] + _AROUND_MS
+    first_ms = story[0]['at_ms'] - _CONTEXT_MS
+    last_ms = story[-1]['at_ms'] + _CONTEXT_MS
     return [
         line
         for line in known
@@ -56,7 +56,7 @@
 
 def _row(line: LogLine) -> list[Any]:
     told = ' '.join(
-        f'{name}={what}' for name, what in line.items() if name not in _HIDDEN
+        f'{name}={what}' for name, what in line.items() if name not in _COMMON_FIELDS
     )
     return [line['at_ms'], line['node'], line['number'], line['event'], told]
 
