--- a/laburnumwood/cli/explain_command.py
+++ b/laburnumwood/cli/explain_command.py
@@ -34,7 +34,7 @@
     return str(line.get(_REQUEST, '')) == request
 
 
-def _may_decide(line: LogLine, shards: set[str]) -> bool:
+def _is_context(line: LogLine, shards: set[str]) -> bool:
     """Tell whether a node's event may have decided about a request."""
     if _REQUEST in line or line['event'] == 'requests-served':
         return False
@@ -50,7 +50,7 @@
     return [
         line
         for line in known
-        if first_ms <= line['at_ms'] <= last_ms and _may_decide(line, shards)
+        if first_ms <= line['at_ms'] <= last_ms and _is_context(line, shards)
     ]
 
 
