--- a/laburnumwood/cli/explain_command.py
+++ b/laburnumwood/cli/explain_command.py
@@ -42,7 +42,7 @@
     return shard in shards or (shard is None and line['level'] != 'info')
 
 
-def _happened_beside(known: list[LogLine], story: list[LogLine]) -> list[LogLine]:
+def _context_lines(known: list[LogLine], story: list[LogLine]) -> list[LogLine]:
     """Return the events of nodes that may have decided about the request."""
     shards = {f'{told["service"]}/{told["shard"]}' for told in story}
     first_ms = story[0]['at_ms'] - _CONTEXT_MS
@@ -74,8 +74,8 @@
             f'no line is about request {request!r}; give the logs of all '
             'nodes, and mind lines with left_out: not every line is written'
         )
-    around = _happened_beside(known, story)
-    shown = sorted((*story, *around), key=lambda line: line['at_ms'])
+    context = _context_lines(known, story)
+    shown = sorted((*story, *context), key=lambda line: line['at_ms'])
     columns = ('at ms', 'node', 'number', 'event', 'what it knew')
     output.table(columns, [_row(line) for line in shown])
     output.data(shown)
