--- a/laburnumwood/cli/explain_command.py
+++ b/laburnumwood/cli/explain_command.py
@@ -42,11 +42,11 @@
     return shard in shards or (shard is None and line['level'] != 'info')
 
 
-def _context_lines(known: list[LogLine], story: list[LogLine]) -> list[LogLine]:
+def _context_lines(known: list[LogLine], request_lines: list[LogLine]) -> list[LogLine]:
     """Return the events of nodes that may have decided about the request."""
-    shards = {f'{told["service"]}/{told["shard"]}' for told in story}
-    first_ms = story[0]['at_ms'] - _CONTEXT_MS
-    last_ms = story[-1]['at_ms'] + _CONTEXT_MS
+    shards = {f'{line["service"]}/{line["shard"]}' for line in request_lines}
+    first_ms = request_lines[0]['at_ms'] - _CONTEXT_MS
+    last_ms = request_lines[-1]['at_ms'] + _CONTEXT_MS
     return [
         line
         for line in known
@@ -68,14 +68,14 @@
     """
     known = [line for file in files for line in _read_lines(Path(file))]
     known.sort(key=lambda line: line['at_ms'])
-    story = [line for line in known if _is_about(line, request)]
-    if not story:
+    request_lines = [line for line in known if _is_about(line, request)]
+    if not request_lines:
         raise UsageError(
             f'no line is about request {request!r}; give the logs of all '
             'nodes, and mind lines with left_out: not every line is written'
         )
-    context = _context_lines(known, story)
-    shown = sorted((*story, *context), key=lambda line: line['at_ms'])
+    context = _context_lines(known, request_lines)
+    shown = sorted((*request_lines, *context), key=lambda line: line['at_ms'])
     columns = ('at ms', 'node', 'number', 'event', 'what it knew')
     output.table(columns, [_row(line) for line in shown])
     output.data(shown)
