--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -5,7 +5,7 @@
 
 from laburnumwood.cli.comparison import FileComparison, Difference
 from laburnumwood.cli.config_client import ConfigClient, merge_folder
-from laburnumwood.cli.fleet import Fleet
+from laburnumwood.cli.fleet import FleetClient
 from laburnumwood.cli.options import Options, UsageError
 from laburnumwood.cli.output import Output, moment
 from laburnumwood.cli.rollout import wait_until_in_force
@@ -125,7 +125,7 @@
     content: dict[str, int] = {'generation': record.generation}
     if limit_s:
         count = wait_until_in_force(
-            Fleet(options), record.generation, limit_s, output.console
+            FleetClient(options), record.generation, limit_s, output.console
         )
         output.say(f'in force on all {count} live nodes')
         content['nodes'] = count
--- a/laburnumwood/cli/fleet.py
+++ b/laburnumwood/cli/fleet.py
@@ -31,7 +31,7 @@
         return f'status {answer.status}'
 
 
-class Fleet:
+class FleetClient:
     """The live nodes, reached through the one named or any that answers."""
 
     def __init__(self, options: Options) -> None:
--- a/laburnumwood/cli/fleet_commands.py
+++ b/laburnumwood/cli/fleet_commands.py
@@ -4,7 +4,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from laburnumwood.cli.fleet import Fleet
+from laburnumwood.cli.fleet import FleetClient
 from laburnumwood.cli.idle_capacity import add_up
 from laburnumwood.cli.output import Output
 from laburnumwood.cli.pages import IdlePage, KeyOwner, StatusPage
@@ -47,7 +47,7 @@
     ]
 
 
-def show_status(fleet: Fleet, output: Output) -> None:
+def show_status(fleet: FleetClient, output: Output) -> None:
     """Print how each live node is."""
     pages = fleet.ask_all('/status', StatusPage)
     rows = [_status_row(row.node, page) for row, page in pages]
@@ -55,7 +55,7 @@
     output.data({row.node: page for row, page in pages})
 
 
-def show_nodes(fleet: Fleet, output: Output) -> None:
+def show_nodes(fleet: FleetClient, output: Output) -> None:
     """Print the live nodes and where they are."""
     rows = fleet.nodes()
     output.table(
@@ -74,7 +74,7 @@
     output.data(rows)
 
 
-def show_owners(fleet: Fleet, service: str, output: Output) -> None:
+def show_owners(fleet: FleetClient, service: str, output: Output) -> None:
     """Print how many shards of a service each node owns."""
     owners = fleet.ask_any('/owners').get(service)
     if owners is None:
@@ -87,7 +87,7 @@
     output.data(owners)
 
 
-def show_owner(fleet: Fleet, service: str, key: str, output: Output) -> None:
+def show_owner(fleet: FleetClient, service: str, key: str, output: Output) -> None:
     """Print who owns a key."""
     query = urlencode({'service': service, 'key': key})
     found = KeyOwner.model_validate(fleet.ask_any(f'/owner?{query}'))
@@ -98,7 +98,7 @@
     output.data(found)
 
 
-def show_idle(fleet: Fleet, window_s: float, output: Output) -> None:
+def show_idle(fleet: FleetClient, window_s: float, output: Output) -> None:
     """Print what capacity carried and what lay idle, by who pays."""
     window_ms = int(window_s * MS_PER_SECOND)
     answers = fleet.ask_all(f'/idle?window_ms={window_ms}', IdlePage)
--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -9,7 +9,7 @@
 
 from laburnumwood.cli import config_commands, fleet_commands
 from laburnumwood.cli.explain_command import explain
-from laburnumwood.cli.fleet import Fleet
+from laburnumwood.cli.fleet import FleetClient
 from laburnumwood.cli.loss_command import confirm_loss
 from laburnumwood.cli.options import UsageError, read_options
 from laburnumwood.cli.output import Output
@@ -144,8 +144,8 @@
         """Assert that a node is lost for good, so that others may follow."""
         confirm_loss(self._options, node_id, self._output, sure=yes)
 
-    def _fleet(self) -> Fleet:
-        return Fleet(self._options)
+    def _fleet(self) -> FleetClient:
+        return FleetClient(self._options)
 
 
 def _names(only: str) -> tuple[str, ...]:
--- a/laburnumwood/cli/rollout.py
+++ b/laburnumwood/cli/rollout.py
@@ -5,14 +5,14 @@
 from rich.console import Console
 from rich.progress import Progress
 
-from laburnumwood.cli.fleet import Fleet
+from laburnumwood.cli.fleet import FleetClient
 from laburnumwood.cli.pages import GenerationPage
 from laburnumwood.errors import OperatorCallError, RolloutIncompleteError
 
 _POLL_S = 0.2
 
 
-def _lagging(fleet: Fleet, generation: int) -> tuple[list[str], int]:
+def _lagging(fleet: FleetClient, generation: int) -> tuple[list[str], int]:
     """Return what each node without a generation says, and all nodes."""
     pages = fleet.ask_all('/generation', GenerationPage)
     lines = []
@@ -25,7 +25,7 @@
 
 
 def wait_until_in_force(
-    fleet: Fleet, generation: int, limit_s: float, console: Console
+    fleet: FleetClient, generation: int, limit_s: float, console: Console
 ) -> int:
     """Return the number of nodes once all have a generation in force.
 
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -26,7 +26,7 @@
     Place,
     wait_for,
 )
-from laburnumwood.cli.fleet import Fleet
+from laburnumwood.cli.fleet import FleetClient
 from laburnumwood.cli.idle_capacity import add_up
 from laburnumwood.cli.options import read_options
 from laburnumwood.cli.pages import IdlePage
@@ -243,7 +243,7 @@
         headers = {'Kiosk': f'kiosk-{number}'}
         answer = context.deployment.get(url, headers=headers)
         assert answer.status == 200, answer.data
-    fleet = Fleet(
+    fleet = FleetClient(
         read_options(
             context.deployment.platform_url, '', OPERATOR_TOKEN, as_json=True
         )
