--- a/laburnumwood/cli/fleet.py
+++ b/laburnumwood/cli/fleet.py
@@ -52,13 +52,13 @@
                 failure = failed
         raise failure or OperatorCallError('no node has announced itself yet')
 
-    def ask_any(self, path: str) -> Any:
+    def fetch_from_any(self, path: str) -> Any:
         """Return a page of the node named, or of any live one."""
         if self._options.node:
             return self._call('GET', _url(self._options.node), path)
         return self._call('GET', self.nodes()[0].url, path)
 
-    def ask(self, row: NodeRow, path: str, form: type[_Page]) -> _Page:
+    def fetch(self, row: NodeRow, path: str, form: type[_Page]) -> _Page:
         """Return a page of one node; raises `OperatorCallError`."""
         content = self._call('GET', row.url, path)
         try:
@@ -67,20 +67,20 @@
             text = f'{row.node}: its version does not fit: {unknown}'
             raise OperatorCallError(text) from unknown
 
-    def ask_all(
+    def fetch_from_all(
         self, path: str, form: type[_Page]
     ) -> list[tuple[NodeRow, _Page | OperatorCallError]]:
         """Return a page of each live node, or why there is none."""
 
-        def ask(row: NodeRow) -> _Page | OperatorCallError:
+        def fetch(row: NodeRow) -> _Page | OperatorCallError:
             try:
-                return self.ask(row, path, form)
+                return self.fetch(row, path, form)
             except OperatorCallError as failed:
                 return failed
 
         rows = self.nodes()
         with ThreadPoolExecutor(_PARALLEL) as pool:
-            return list(zip(rows, pool.map(ask, rows), strict=True))
+            return list(zip(rows, pool.map(fetch, rows), strict=True))
 
     def drain(self, node_id: str) -> None:
         """Begin the planned stop of a node; raises `OperatorCallError`."""
--- a/laburnumwood/cli/fleet_commands.py
+++ b/laburnumwood/cli/fleet_commands.py
@@ -49,7 +49,7 @@
 
 def show_status(fleet: FleetClient, output: Output) -> None:
     """Print how each live node is."""
-    pages = fleet.ask_all('/status', StatusPage)
+    pages = fleet.fetch_from_all('/status', StatusPage)
     rows = [_status_row(row.node, page) for row, page in pages]
     output.table(_STATUS_COLUMNS, rows)
     output.data({row.node: page for row, page in pages})
@@ -76,7 +76,7 @@
 
 def show_owners(fleet: FleetClient, service: str, output: Output) -> None:
     """Print how many shards of a service each node owns."""
-    owners = fleet.ask_any('/owners').get(service)
+    owners = fleet.fetch_from_any('/owners').get(service)
     if owners is None:
         raise OperatorCallError(
             f'no shards of {service!r} are known; check the name by '
@@ -90,7 +90,7 @@
 def show_owner(fleet: FleetClient, service: str, key: str, output: Output) -> None:
     """Print who owns a key."""
     query = urlencode({'service': service, 'key': key})
-    found = KeyOwner.model_validate(fleet.ask_any(f'/owner?{query}'))
+    found = KeyOwner.model_validate(fleet.fetch_from_any(f'/owner?{query}'))
     output.table(
         ('service', 'key', 'shard', 'owner'),
         [(found.service, found.key, found.shard, found.owner or 'nobody')],
@@ -101,7 +101,7 @@
 def show_idle(fleet: FleetClient, window_s: float, output: Output) -> None:
     """Print what capacity carried and what lay idle, by who pays."""
     window_ms = int(window_s * MS_PER_SECOND)
-    answers = fleet.ask_all(f'/idle?window_ms={window_ms}', IdlePage)
+    answers = fleet.fetch_from_all(f'/idle?window_ms={window_ms}', IdlePage)
     pages = [page for _, page in answers if isinstance(page, IdlePage)]
     silent = [
         row.node for row, page in answers if not isinstance(page, IdlePage)
--- a/laburnumwood/cli/rollout.py
+++ b/laburnumwood/cli/rollout.py
@@ -14,7 +14,7 @@
 
 def _lagging(fleet: FleetClient, generation: int) -> tuple[list[str], int]:
     """Return what each node without a generation says, and all nodes."""
-    pages = fleet.ask_all('/generation', GenerationPage)
+    pages = fleet.fetch_from_all('/generation', GenerationPage)
     lines = []
     for row, page in pages:
         if isinstance(page, OperatorCallError):
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -248,7 +248,7 @@
             context.deployment.platform_url, '', OPERATOR_TOKEN, as_json=True
         )
     )
-    rows = [fleet.ask(row, WHOLE_LIFE, IdlePage) for row in fleet.nodes()]
+    rows = [fleet.fetch(row, WHOLE_LIFE, IdlePage) for row in fleet.nodes()]
     context.elapsed_ms = (time.monotonic() - began) * 1_000
     context.idle = add_up(rows)
 
