--- a/laburnumwood/cli/fleet.py
+++ b/laburnumwood/cli/fleet.py
@@ -45,7 +45,7 @@
     def nodes(self) -> list[NodeRow]:
         """Return the live nodes; raises `OperatorCallError`."""
         failure: OperatorCallError | None = None
-        for url in self._entries():
+        for url in self._entry_urls():
             try:
                 return _ROWS.validate_python(self._call('GET', url, '/nodes'))
             except OperatorCallError as failed:
@@ -94,7 +94,7 @@
             raise UsageError(f'no live node {node_id!r}; live are: {known}')
         return rows[node_id]
 
-    def _entries(self) -> Iterator[str]:
+    def _entry_urls(self) -> Iterator[str]:
         if self._options.node:
             yield _url(self._options.node)
             return
