--- a/laburnumwood/cli/fleet.py
+++ b/laburnumwood/cli/fleet.py
@@ -18,13 +18,13 @@
 from laburnumwood.store.objects import NODES, to_record
 
 _TIMEOUT_S = 2
-_PARALLEL = 32
+_MAX_CONCURRENT_CALLS = 32
 
 _Page = TypeVar('_Page', bound=Page)
-_ROWS: TypeAdapter[list[NodeRow]] = TypeAdapter(list[NodeRow])
+_NODE_ROWS: TypeAdapter[list[NodeRow]] = TypeAdapter(list[NodeRow])
 
 
-def _detail(answer: BaseHTTPResponse) -> str:
+def _error_detail(answer: BaseHTTPResponse) -> str:
     try:
         return str(answer.json()['detail'])
     except (ValueError, LookupError, TypeError):
@@ -37,7 +37,7 @@
     def __init__(self, options: Options) -> None:
         self._options = options
         self._http = PoolManager(
-            maxsize=_PARALLEL,
+            maxsize=_MAX_CONCURRENT_CALLS,
             retries=Retry(0, redirect=False),
             timeout=Timeout(_TIMEOUT_S),
         )
@@ -47,7 +47,7 @@
         failure: OperatorCallError | None = None
         for url in self._entry_urls():
             try:
-                return _ROWS.validate_python(self._call('GET', url, '/nodes'))
+                return _NODE_ROWS.validate_python(self._call('GET', url, '/nodes'))
             except OperatorCallError as failed:
                 failure = failed
         raise failure or OperatorCallError('no node has announced itself yet')
@@ -79,7 +79,7 @@
                 return failed
 
         rows = self.nodes()
-        with ThreadPoolExecutor(_PARALLEL) as pool:
+        with ThreadPoolExecutor(_MAX_CONCURRENT_CALLS) as pool:
             return list(zip(rows, pool.map(fetch, rows), strict=True))
 
     def drain(self, node_id: str) -> None:
@@ -118,7 +118,7 @@
             text = f'{url} does not answer; check the node or name another one'
             raise OperatorCallError(text) from away
         if answer.status != HTTPStatus.OK:
-            raise OperatorCallError(f'{url}{path}: {_detail(answer)}')
+            raise OperatorCallError(f'{url}{path}: {_error_detail(answer)}')
         return answer.json()
 
 
