--- a/laburnumwood/cli/fleet.py
+++ b/laburnumwood/cli/fleet.py
@@ -84,9 +84,9 @@
 
     def drain(self, node_id: str) -> None:
         """Begin the planned stop of a node; raises `OperatorCallError`."""
-        self._call('POST', self.find(node_id).url, '/drain')
+        self._call('POST', self.node(node_id).url, '/drain')
 
-    def find(self, node_id: str) -> NodeRow:
+    def node(self, node_id: str) -> NodeRow:
         """Return a live node by its id; raises `UsageError`."""
         rows = {row.node.partition('#')[0]: row for row in self.nodes()}
         if node_id not in rows:
