--- a/laburnumwood/cli/fleet_commands.py
+++ b/laburnumwood/cli/fleet_commands.py
@@ -5,7 +5,7 @@
 from urllib.parse import urlencode
 
 from laburnumwood.cli.fleet import FleetClient
-from laburnumwood.cli.idle_capacity import add_up
+from laburnumwood.cli.idle_capacity import sum_by_group
 from laburnumwood.cli.output import Output
 from laburnumwood.cli.pages import IdlePage, KeyOwner, StatusPage
 from laburnumwood.clock import MS_PER_SECOND
@@ -106,7 +106,7 @@
     silent = [
         row.node for row, page in answers if not isinstance(page, IdlePage)
     ]
-    rows = add_up(pages)
+    rows = sum_by_group(pages)
     output.table(
         _IDLE_COLUMNS,
         [
--- a/laburnumwood/cli/idle_capacity.py
+++ b/laburnumwood/cli/idle_capacity.py
@@ -5,7 +5,7 @@
 
 from laburnumwood.cli.pages import IdlePage
 
-Group = tuple[str, str, str]
+GroupKey = tuple[str, str, str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,8 +28,8 @@
         """Return the part of the capacity that lay idle."""
         return self.idle / self.capacity if self.capacity else 0
 
-    def plus(self, other: 'IdleRow') -> 'IdleRow':
-        """Return the sum of two rows of one group."""
+    def add(self, other: 'IdleRow') -> 'IdleRow':
+        """Return the sum of two rows of one key."""
         return IdleRow(
             self.capacity_owner,
             self.service,
@@ -57,11 +57,11 @@
     )
 
 
-def add_up(pages: Iterable[IdlePage]) -> list[IdleRow]:
+def sum_by_group(pages: Iterable[IdlePage]) -> list[IdleRow]:
     """Return a row for each capacity owner, service and failure domain."""
-    rows: dict[Group, IdleRow] = {}
+    rows: dict[GroupKey, IdleRow] = {}
     for page in pages:
         row = _row(page)
-        group = (row.capacity_owner, row.service, row.failure_domain)
-        rows[group] = rows[group].plus(row) if group in rows else row
-    return [rows[group] for group in sorted(rows)]
+        key = (row.capacity_owner, row.service, row.failure_domain)
+        rows[key] = rows[key].add(row) if key in rows else row
+    return [rows[key] for key in sorted(rows)]
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -27,7 +27,7 @@
     wait_for,
 )
 from laburnumwood.cli.fleet import FleetClient
-from laburnumwood.cli.idle_capacity import add_up
+from laburnumwood.cli.idle_capacity import sum_by_group
 from laburnumwood.cli.options import read_options
 from laburnumwood.cli.pages import IdlePage
 from laburnumwood.clock import Clock
@@ -231,7 +231,7 @@
         assert owners.get('s0', 'traders') == 'traders'
         assert owners.get('s1', 'o') == 'o'
 
-    add_up()
+    sum_by_group()
 
 
 @when('{count:d} requests of {work_ms:d} ms of work are made one after another')
@@ -250,7 +250,7 @@
     )
     rows = [fleet.fetch(row, WHOLE_LIFE, IdlePage) for row in fleet.nodes()]
     context.elapsed_ms = (time.monotonic() - began) * 1_000
-    context.idle = add_up(rows)
+    context.idle = sum_by_group(rows)
 
 
 @then('capacity of "{lender}" carried others\' work and "{user}" its own')
