--- a/laburnumwood/cli/loss_command.py
+++ b/laburnumwood/cli/loss_command.py
@@ -20,7 +20,7 @@
 Stop the VM first, then repeat the command with --yes."""
 
 
-def _read(platform: Store, node_id: str) -> NodeRecord:
+def _read_node_record(platform: Store, node_id: str) -> NodeRecord:
     stored = platform.get(node_object(node_id))
     if stored is None:
         raise UsageError(
@@ -30,7 +30,7 @@
     return to_record(NodeRecord, stored)
 
 
-def _note(platform: Store, name: NodeName, who: str) -> None:
+def _write_audit_entry(platform: Store, name: NodeName, who: str) -> None:
     """Write the assertion into the audit trail, once."""
     content = {
         'what': 'confirm-lost',
@@ -43,18 +43,18 @@
 
 
 def confirm_loss(
-    options: Options, node_id: str, output: Output, *, sure: bool
+    options: Options, node_id: str, output: Output, *, confirmed: bool
 ) -> None:
     """Say what the loss of a node asserts, and record it if told to.
 
     An incarnation that joins later is not touched.
     """
-    if not sure:
+    if not confirmed:
         raise UsageError(_ASSERTION.format(name=node_id))
     platform = HttpStore(options.platform_url)
-    record = _read(platform, node_id)
+    record = _read_node_record(platform, node_id)
     name = NodeName(node_id, record.incarnation)
-    _note(platform, name, options.who)
+    _write_audit_entry(platform, name, options.who)
     confirm_lost(platform, name, options.who)
     output.say(f'{name} is recorded as lost; its shards get new owners')
     output.data({'lost': str(name)})
--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -142,7 +142,7 @@
     @SetParseFns(node_id=str)
     def confirm_lost(self, node_id: str, *, yes: bool = False) -> None:
         """Assert that a node is lost for good, so that others may follow."""
-        confirm_loss(self._options, node_id, self._output, sure=yes)
+        confirm_loss(self._options, node_id, self._output, confirmed=yes)
 
     def _fleet(self) -> FleetClient:
         return FleetClient(self._options)
