--- a/laburnumwood/cli/loss_command.py
+++ b/laburnumwood/cli/loss_command.py
@@ -20,8 +20,8 @@
 Stop the VM first, then repeat the command with --yes."""
 
 
-def _read_node_record(platform: Store, node_id: str) -> NodeRecord:
-    stored = platform.get(node_object(node_id))
+def _read_node_record(store: Store, node_id: str) -> NodeRecord:
+    stored = store.get(node_object(node_id))
     if stored is None:
         raise UsageError(
             f'no node {node_id!r} has announced itself; give its id without '
@@ -30,7 +30,7 @@
     return to_record(NodeRecord, stored)
 
 
-def _write_audit_entry(platform: Store, name: NodeName, who: str) -> None:
+def _write_audit_entry(store: Store, name: NodeName, who: str) -> None:
     """Write the assertion into the audit trail, once."""
     content = {
         'what': 'confirm-lost',
@@ -39,7 +39,7 @@
         'when_ms': Clock().wall_ms(),
     }
     with suppress(PlatformConflictError):
-        platform.create(f'{AUDIT}lost/{name}', content)
+        store.create(f'{AUDIT}lost/{name}', content)
 
 
 def confirm_loss(
@@ -51,10 +51,10 @@
     """
     if not confirmed:
         raise UsageError(_ASSERTION.format(name=node_id))
-    platform = HttpStore(options.platform_url)
-    record = _read_node_record(platform, node_id)
+    store = HttpStore(options.platform_url)
+    record = _read_node_record(store, node_id)
     name = NodeName(node_id, record.incarnation)
-    _write_audit_entry(platform, name, options.who)
-    confirm_lost(platform, name, options.who)
+    _write_audit_entry(store, name, options.who)
+    confirm_lost(store, name, options.who)
     output.say(f'{name} is recorded as lost; its shards get new owners')
     output.data({'lost': str(name)})
