--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -26,10 +26,10 @@
 EXIT_NOT_IN_FORCE = 3
 EXIT_CHANGED_SINCE = 4
 
-_IN_FORCE_S = 10
-_WINDOW_S = 60
-_HISTORY = 20
-_ONLY = '--only'
+_DEFAULT_LIMIT_S = 10
+_DEFAULT_WINDOW_S = 60
+_DEFAULT_HISTORY = 20
+_ONLY_FLAG = '--only'
 
 
 class Tool:
@@ -68,7 +68,7 @@
         *,
         only: str = '',
         wait: bool = False,
-        limit_s: float = _IN_FORCE_S,
+        limit_s: float = _DEFAULT_LIMIT_S,
     ) -> None:
         """Make a folder's changes the configuration; --wait until in force."""
         config_commands.apply_folder(
@@ -84,7 +84,7 @@
         """Show what is accepted, or one accepted file as JSON."""
         config_commands.show_accepted(self._options, file, self._output)
 
-    def history(self, *, most: int = _HISTORY) -> None:
+    def history(self, *, most: int = _DEFAULT_HISTORY) -> None:
         """Show the newest accepted changes: when, by whom, which files."""
         config_commands.show_history(self._options, most, self._output)
 
@@ -97,7 +97,7 @@
         generation: int,
         *,
         wait: bool = False,
-        limit_s: float = _IN_FORCE_S,
+        limit_s: float = _DEFAULT_LIMIT_S,
     ) -> None:
         """Apply the files of an older generation as a new one."""
         config_commands.roll_back(
@@ -120,7 +120,7 @@
         else:
             fleet_commands.show_owners(self._fleet(), service, self._output)
 
-    def idle(self, *, window_s: float = _WINDOW_S) -> None:
+    def idle(self, *, window_s: float = _DEFAULT_WINDOW_S) -> None:
         """Show what capacity carried and what lay idle, by who pays."""
         fleet_commands.show_idle(self._fleet(), window_s, self._output)
 
@@ -159,11 +159,11 @@
     rest = iter(arguments)
     for argument in rest:
         flag, equals, name = argument.partition('=')
-        if flag == _ONLY:
+        if flag == _ONLY_FLAG:
             names.append(name if equals else next(rest, ''))
         else:
             joined.append(argument)
-    return [*joined, f'{_ONLY}={",".join(names)}'] if names else joined
+    return [*joined, f'{_ONLY_FLAG}={",".join(names)}'] if names else joined
 
 
 def _explain(failure: LaburnumwoodError) -> tuple[int, str]:
