--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -58,7 +58,7 @@
     def diff(self, folder: str, *, only: str = '') -> None:
         """Show how a folder differs from the accepted configuration."""
         config_commands.show_diff(
-            self._options, Path(folder), _names(only), self._output
+            self._options, Path(folder), _split_names(only), self._output
         )
 
     @SetParseFns(folder=str, only=str)
@@ -74,7 +74,7 @@
         config_commands.apply_folder(
             self._options,
             Path(folder),
-            _names(only),
+            _split_names(only),
             limit_s if wait else 0,
             self._output,
         )
@@ -148,11 +148,11 @@
         return FleetClient(self._options)
 
 
-def _names(only: str) -> tuple[str, ...]:
+def _split_names(only: str) -> tuple[str, ...]:
     return tuple(name for name in only.split(',') if name)
 
 
-def _join_only(arguments: list[str]) -> list[str]:
+def _merge_only_flags(arguments: list[str]) -> list[str]:
     """Return arguments with every --only FILE joined into one flag."""
     joined: list[str] = []
     names: list[str] = []
@@ -166,7 +166,7 @@
     return [*joined, f'{_ONLY_FLAG}={",".join(names)}'] if names else joined
 
 
-def _explain(failure: LaburnumwoodError) -> tuple[int, str]:
+def _describe_failure(failure: LaburnumwoodError) -> tuple[int, str]:
     """Return the exit status and what a person has to know."""
     match failure:
         case DeclarationError() | UsageError():
@@ -193,12 +193,12 @@
 
 def main() -> int:
     """Run one command and return its exit status."""
-    arguments = _join_only(sys.argv[1:])
+    arguments = _merge_only_flags(sys.argv[1:])
     NullHandler().push_application()  # the tool tells people itself
     try:
         fire.Fire(Tool, command=arguments, name='laburnumwood')
     except LaburnumwoodError as failure:
-        status, text = _explain(failure)
+        status, text = _describe_failure(failure)
         sys.stderr.write(f'{text}\n')
         return status
     return 0
