--- a/laburnumwood/cli/options.py
+++ b/laburnumwood/cli/options.py
@@ -6,10 +6,10 @@
 
 from laburnumwood.errors import LaburnumwoodError
 
-_PLATFORM = 'LABURNUMWOOD_PLATFORM'
-_NODE = 'LABURNUMWOOD_NODE'
-_TOKEN = 'LABURNUMWOOD_TOKEN'
-_OPERATOR = 'LABURNUMWOOD_OPERATOR'
+_PLATFORM_VARIABLE = 'LABURNUMWOOD_PLATFORM'
+_NODE_VARIABLE = 'LABURNUMWOOD_NODE'
+_TOKEN_VARIABLE = 'LABURNUMWOOD_TOKEN'
+_OPERATOR_VARIABLE = 'LABURNUMWOOD_OPERATOR'
 
 
 class UsageError(LaburnumwoodError):
@@ -28,7 +28,7 @@
     @property
     def who(self) -> str:
         """Return the name for the audit trail."""
-        return os.environ.get(_OPERATOR) or getpass.getuser()
+        return os.environ.get(_OPERATOR_VARIABLE) or getpass.getuser()
 
     @property
     def platform_url(self) -> str:
@@ -36,7 +36,7 @@
         if not self.platform.startswith(('http://', 'https://')):
             raise UsageError(
                 f'the URL of the platform is {self.platform!r}; give it by '
-                f'--platform=http://host:port or {_PLATFORM}'
+                f'--platform=http://host:port or {_PLATFORM_VARIABLE}'
             )
         return self.platform
 
@@ -46,8 +46,8 @@
 ) -> Options:
     """Return the options given by flags, or else by the environment."""
     return Options(
-        platform=platform or os.environ.get(_PLATFORM, ''),
-        node=node or os.environ.get(_NODE, ''),
-        token=token or os.environ.get(_TOKEN, ''),
+        platform=platform or os.environ.get(_PLATFORM_VARIABLE, ''),
+        node=node or os.environ.get(_NODE_VARIABLE, ''),
+        token=token or os.environ.get(_TOKEN_VARIABLE, ''),
         as_json=as_json,
     )
