--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -7,7 +7,7 @@
 from laburnumwood.cli.config_client import ConfigClient, merge_folder
 from laburnumwood.cli.fleet import FleetClient
 from laburnumwood.cli.options import Options, UsageError
-from laburnumwood.cli.output import Output, moment
+from laburnumwood.cli.output import Output, format_time
 from laburnumwood.cli.rollout import wait_until_in_force
 from laburnumwood.records import AuditRecord, ConfigRecord
 
@@ -73,7 +73,7 @@
         return
     output.say(
         f'generation {record.generation} by {record.who}, '
-        f'{moment(record.when_ms)}'
+        f'{format_time(record.when_ms)}'
     )
     output.table(('file',), [(name,) for name in sorted(record.files)])
     output.data(record)
@@ -82,7 +82,7 @@
 def _audit_row(entry: AuditRecord) -> tuple[object, ...]:
     return (
         entry.generation,
-        moment(entry.when_ms),
+        format_time(entry.when_ms),
         entry.who,
         ', '.join(entry.changes),
         entry.reason,
--- a/laburnumwood/cli/output.py
+++ b/laburnumwood/cli/output.py
@@ -25,7 +25,7 @@
     return Console(width=width, highlight=False, soft_wrap=False)
 
 
-def moment(when_ms: int) -> str:
+def format_time(when_ms: int) -> str:
     """Return a time of the wall clock as people read it."""
     when = datetime.fromtimestamp(when_ms / MS_PER_SECOND, UTC)
     return when.strftime('%Y-%m-%dT%H:%M:%SZ')
