--- a/laburnumwood/cli/output.py
+++ b/laburnumwood/cli/output.py
@@ -15,13 +15,13 @@
 from laburnumwood.records import AuditRecord, ConfigRecord
 from laburnumwood.store.objects import to_value
 
-_NEVER_WRAPPED = frozenset(('when', 'node', 'owner'))
-_WIDTH = 100  # columns where the output is no terminal
+_UNWRAPPED_COLUMNS = frozenset(('when', 'node', 'owner'))
+_DEFAULT_WIDTH = 100  # columns where the output is no terminal
 
 
 def make_console() -> Console:
     """Return where people read."""
-    width = None if sys.stdout.isatty() else _WIDTH
+    width = None if sys.stdout.isatty() else _DEFAULT_WIDTH
     return Console(width=width, highlight=False, soft_wrap=False)
 
 
@@ -31,7 +31,7 @@
     return when.strftime('%Y-%m-%dT%H:%M:%SZ')
 
 
-def _plain(content: Any) -> Any:
+def _to_json(content: Any) -> Any:
     if isinstance(content, (AuditRecord, ConfigRecord)):
         return to_value(content)
     if isinstance(content, BaseModel):
@@ -56,7 +56,7 @@
     def data(self, content: Any) -> None:
         """Print something for programs; people don't see it."""
         if self._as_json:
-            sys.stdout.write(json.dumps(content, indent=2, default=_plain))
+            sys.stdout.write(json.dumps(content, indent=2, default=_to_json))
             sys.stdout.write('\n')
 
     def table(
@@ -67,7 +67,7 @@
             return
         table = Table()
         for name in columns:
-            table.add_column(name, no_wrap=name in _NEVER_WRAPPED)
+            table.add_column(name, no_wrap=name in _UNWRAPPED_COLUMNS)
         if not rows:
             return
         for row in rows:
