--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -17,9 +17,9 @@
 def show_merged_folder(folder: Path, output: Output) -> None:
     """Print which file sets each value of a valid folder."""
     merged = merge_folder(folder)
-    output.say(f'{folder}: valid')
-    output.table(('value', 'set by'), sorted(merged.set_by.items()))
-    output.data(merged.set_by)
+    output.print_text(f'{folder}: valid')
+    output.print_table(('value', 'set by'), sorted(merged.set_by.items()))
+    output.print_json(merged.set_by)
 
 
 def _next_step(each: FileComparison) -> str:
@@ -34,7 +34,7 @@
 
 def _print_diff(changed: FileComparison, output: Output, *names: str) -> None:
     for line in changed.diff_lines(*names):
-        output.say(line)
+        output.print_text(line)
 
 
 def show_diff(
@@ -42,13 +42,13 @@
 ) -> None:
     """Print how a folder differs from what is accepted."""
     accepted, states = ConfigClient(options).diff(folder, only)
-    output.say(f'accepted: generation {accepted.generation}')
+    output.print_text(f'accepted: generation {accepted.generation}')
     rows = [(each.name, each.state.value, _next_step(each)) for each in states]
-    output.table(('file', 'state', 'next'), rows)
+    output.print_table(('file', 'state', 'next'), rows)
     for changed in states:
         if changed.state.is_proposed:
             _print_diff(changed, output)
-    output.data(
+    output.print_json(
         {
             'generation': accepted.generation,
             'files': {each.name: each.state.value for each in states},
@@ -65,18 +65,18 @@
             raise UsageError(
                 f'no file {file!r} is accepted; there are: {known}'
             )
-        Output(as_json=True).data(record.files[file])
+        Output(as_json=True).print_json(record.files[file])
         return
     if not record.generation:
-        output.say('nothing is accepted yet; run "laburnumwood apply"')
-        output.data(record)
+        output.print_text('nothing is accepted yet; run "laburnumwood apply"')
+        output.print_json(record)
         return
-    output.say(
+    output.print_text(
         f'generation {record.generation} by {record.who}, '
         f'{format_time(record.when_ms)}'
     )
-    output.table(('file',), [(name,) for name in sorted(record.files)])
-    output.data(record)
+    output.print_table(('file',), [(name,) for name in sorted(record.files)])
+    output.print_json(record)
 
 
 def _audit_row(entry: AuditRecord) -> tuple[object, ...]:
@@ -93,9 +93,9 @@
     """Print the newest accepted changes."""
     entries = ConfigClient(options).history(most)
     if not entries:
-        output.say('nothing was accepted yet; run "laburnumwood apply"')
-    output.table(_AUDIT_COLUMNS, [_audit_row(entry) for entry in entries])
-    output.data(entries)
+        output.print_text('nothing was accepted yet; run "laburnumwood apply"')
+    output.print_table(_AUDIT_COLUMNS, [_audit_row(entry) for entry in entries])
+    output.print_json(entries)
 
 
 def show_audit_entry(options: Options, generation: int, output: Output) -> None:
@@ -111,25 +111,25 @@
             f'no audit entry of generation {generation}; there are 1 to '
             f'{newest}, see "laburnumwood history"'
         )
-    output.table(_AUDIT_COLUMNS, [_audit_row(entry)])
+    output.print_table(_AUDIT_COLUMNS, [_audit_row(entry)])
     for name, change in entry.changes.items():
         changed = FileComparison(name, Difference.CHANGED, change.after, change.before)
         _print_diff(changed, output, 'before', 'after')
-    output.data(entry)
+    output.print_json(entry)
 
 
 def _print_accepted(
     record: ConfigRecord, options: Options, limit_s: float, output: Output
 ) -> None:
-    output.say(f'accepted: generation {record.generation}')
+    output.print_text(f'accepted: generation {record.generation}')
     content: dict[str, int] = {'generation': record.generation}
     if limit_s:
         count = wait_until_in_force(
             FleetClient(options), record.generation, limit_s, output.console
         )
-        output.say(f'in force on all {count} live nodes')
+        output.print_text(f'in force on all {count} live nodes')
         content['nodes'] = count
-    output.data(content)
+    output.print_json(content)
 
 
 def apply_folder(
@@ -142,12 +142,12 @@
     """Apply a folder; wait up to a limit until it is in force (0: don't)."""
     applied = ConfigClient(options).apply(folder, only)
     for name in applied.newer:
-        output.say(
+        output.print_text(
             f'{name}: others have accepted a newer one, which stays; get it '
             f'by "laburnumwood show {name}"'
         )
     if not applied.changed:
-        output.say('the folder changes nothing')
+        output.print_text('the folder changes nothing')
     _print_accepted(applied.record, options, limit_s, output)
 
 
--- a/laburnumwood/cli/explain_command.py
+++ b/laburnumwood/cli/explain_command.py
@@ -77,5 +77,5 @@
     context = _context_lines(known, request_lines)
     shown = sorted((*request_lines, *context), key=lambda line: line['at_ms'])
     columns = ('at ms', 'node', 'number', 'event', 'what it knew')
-    output.table(columns, [_row(line) for line in shown])
-    output.data(shown)
+    output.print_table(columns, [_row(line) for line in shown])
+    output.print_json(shown)
--- a/laburnumwood/cli/fleet_commands.py
+++ b/laburnumwood/cli/fleet_commands.py
@@ -51,14 +51,14 @@
     """Print how each live node is."""
     pages = fleet.fetch_from_all('/status', StatusPage)
     rows = [_status_row(row.node, page) for row, page in pages]
-    output.table(_STATUS_COLUMNS, rows)
-    output.data({row.node: page for row, page in pages})
+    output.print_table(_STATUS_COLUMNS, rows)
+    output.print_json({row.node: page for row, page in pages})
 
 
 def show_nodes(fleet: FleetClient, output: Output) -> None:
     """Print the live nodes and where they are."""
     rows = fleet.nodes()
-    output.table(
+    output.print_table(
         ('node', 'failure domain', 'service', 'capacity owner', 'slots'),
         [
             (
@@ -71,7 +71,7 @@
             for row in rows
         ],
     )
-    output.data(rows)
+    output.print_json(rows)
 
 
 def show_owners(fleet: FleetClient, service: str, output: Output) -> None:
@@ -83,19 +83,19 @@
             '"laburnumwood show"'
         )
     counts = Counter(owner or 'nobody' for owner in owners.values())
-    output.table(('owner', 'shards'), sorted(counts.items()))
-    output.data(owners)
+    output.print_table(('owner', 'shards'), sorted(counts.items()))
+    output.print_json(owners)
 
 
 def show_owner(fleet: FleetClient, service: str, key: str, output: Output) -> None:
     """Print who owns a key."""
     query = urlencode({'service': service, 'key': key})
     found = KeyOwner.model_validate(fleet.fetch_from_any(f'/owner?{query}'))
-    output.table(
+    output.print_table(
         ('service', 'key', 'shard', 'owner'),
         [(found.service, found.key, found.shard, found.owner or 'nobody')],
     )
-    output.data(found)
+    output.print_json(found)
 
 
 def show_idle(fleet: FleetClient, window_s: float, output: Output) -> None:
@@ -107,7 +107,7 @@
         row.node for row, page in answers if not isinstance(page, IdlePage)
     ]
     rows = sum_by_group(pages)
-    output.table(
+    output.print_table(
         _IDLE_COLUMNS,
         [
             (
@@ -124,8 +124,8 @@
         ],
     )
     if silent:
-        output.say('without: {}'.format(', '.join(silent)))
-    output.data({'rows': rows, 'without': silent})
+        output.print_text('without: {}'.format(', '.join(silent)))
+    output.print_json({'rows': rows, 'without': silent})
 
 
 def _seconds(slot_ms: int) -> str:
--- a/laburnumwood/cli/loss_command.py
+++ b/laburnumwood/cli/loss_command.py
@@ -56,5 +56,5 @@
     name = NodeName(node_id, record.incarnation)
     _write_audit_entry(store, name, options.who)
     confirm_lost(store, name, options.who)
-    output.say(f'{name} is recorded as lost; its shards get new owners')
-    output.data({'lost': str(name)})
+    output.print_text(f'{name} is recorded as lost; its shards get new owners')
+    output.print_json({'lost': str(name)})
--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -133,11 +133,11 @@
     def drain(self, node_id: str) -> None:
         """Begin the planned stop of a node; it finishes what runs."""
         self._fleet().drain(node_id)
-        self._output.say(
+        self._output.print_text(
             f'{node_id} is draining; it is gone from "laburnumwood nodes" '
             'when its shards have new owners'
         )
-        self._output.data({'draining': node_id})
+        self._output.print_json({'draining': node_id})
 
     @SetParseFns(node_id=str)
     def confirm_lost(self, node_id: str, *, yes: bool = False) -> None:
--- a/laburnumwood/cli/output.py
+++ b/laburnumwood/cli/output.py
@@ -48,18 +48,18 @@
         self._as_json = as_json
         self.console = make_console()
 
-    def say(self, text: str) -> None:
+    def print_text(self, text: str) -> None:
         """Tell people something; programs don't see it."""
         if not self._as_json:
             self.console.print(text, markup=False)
 
-    def data(self, content: Any) -> None:
+    def print_json(self, content: Any) -> None:
         """Print something for programs; people don't see it."""
         if self._as_json:
             sys.stdout.write(json.dumps(content, indent=2, default=_to_json))
             sys.stdout.write('\n')
 
-    def table(
+    def print_table(
         self, columns: Sequence[str], rows: Sequence[Sequence[object]]
     ) -> None:
         """Print a table for people."""
--- a/tests/features/steps/log_steps.py
+++ b/tests/features/steps/log_steps.py
@@ -25,7 +25,7 @@
         super().__init__(as_json=True)
         self.found: list[dict[str, Any]] = []
 
-    def data(self, content: Any) -> None:
+    def print_json(self, content: Any) -> None:
         """Keep something for programs."""
         self.found = content
 
