--- a/laburnumwood/cli/fleet_commands.py
+++ b/laburnumwood/cli/fleet_commands.py
@@ -7,7 +7,7 @@
 from laburnumwood.cli.fleet import FleetClient
 from laburnumwood.cli.idle_capacity import sum_by_group
 from laburnumwood.cli.output import Output
-from laburnumwood.cli.pages import IdlePage, KeyOwner, StatusPage
+from laburnumwood.cli.pages import IdlePage, KeyOwnerPage, StatusPage
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import OperatorCallError
 
@@ -90,7 +90,7 @@
 def show_owner(fleet: FleetClient, service: str, key: str, output: Output) -> None:
     """Print who owns a key."""
     query = urlencode({'service': service, 'key': key})
-    found = KeyOwner.model_validate(fleet.fetch_from_any(f'/owner?{query}'))
+    found = KeyOwnerPage.model_validate(fleet.fetch_from_any(f'/owner?{query}'))
     output.print_table(
         ('service', 'key', 'shard', 'owner'),
         [(found.service, found.key, found.shard, found.owner or 'nobody')],
--- a/laburnumwood/cli/pages.py
+++ b/laburnumwood/cli/pages.py
@@ -45,7 +45,7 @@
     generation: int
 
 
-class KeyOwner(Page):
+class KeyOwnerPage(Page):
     """Who owns a key."""
 
     service: str
@@ -54,7 +54,7 @@
     owner: str | None
 
 
-class Carried(Page):
+class ConsumerUsage(Page):
     """What a node's capacity carried for a service and its owner."""
 
     service: str
@@ -72,4 +72,4 @@
     window_ms: int
     slots: int
     idle: int
-    used: tuple[Carried, ...]
+    used: tuple[ConsumerUsage, ...]
