--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -6,7 +6,7 @@
 
 from laburnumwood.cli.comparison import FileComparison, Difference, compare
 from laburnumwood.cli.options import Options, UsageError
-from laburnumwood.cli.seen_files import Seen, read_seen, write_seen
+from laburnumwood.cli.seen_files import SeenFiles, read_seen, write_seen
 from laburnumwood.clock import Clock
 from laburnumwood.config.acceptance import (
     ConfigAcceptance,
@@ -125,7 +125,7 @@
         return tuple(names_with_authors)
 
     def _compare(
-        self, folder: Path, accepted: ConfigRecord, seen: Seen
+        self, folder: Path, accepted: ConfigRecord, seen: SeenFiles
     ) -> list[FileComparison]:
         return compare(read_folder(folder), accepted.files, seen.files)
 
@@ -133,7 +133,7 @@
         self,
         folder: Path,
         accepted: ConfigRecord,
-        seen: Seen,
+        seen: SeenFiles,
         states: list[FileComparison],
     ) -> None:
         files = dict(seen.files)
@@ -141,4 +141,4 @@
             files.pop(each.name, None)
             if each.name in accepted.files:
                 files[each.name] = digest(accepted.files[each.name])
-        write_seen(folder, Seen(generation=accepted.generation, files=files))
+        write_seen(folder, SeenFiles(generation=accepted.generation, files=files))
--- a/laburnumwood/cli/seen_files.py
+++ b/laburnumwood/cli/seen_files.py
@@ -10,7 +10,7 @@
 _NAME = '.laburnumwood-seen'
 
 
-class Seen(BaseModel):
+class SeenFiles(BaseModel):
     """Digests of the accepted files that the operator has seen."""
 
     model_config = ConfigDict(extra='forbid')
@@ -19,19 +19,19 @@
     files: dict[str, str] = Field(default_factory=dict)
 
 
-def read_seen(folder: Path) -> Seen:
+def read_seen(folder: Path) -> SeenFiles:
     """Return what a folder is based on; nothing if it is new."""
     path = folder / _NAME
     if not path.exists():
-        return Seen()
+        return SeenFiles()
     try:
-        return Seen.model_validate_json(path.read_text())
+        return SeenFiles.model_validate_json(path.read_text())
     except ValidationError as invalid:
         text = f'{path} is not readable; remove it and run "laburnumwood diff"'
         raise UsageError(text) from invalid
 
 
-def write_seen(folder: Path, seen: Seen) -> None:
+def write_seen(folder: Path, seen: SeenFiles) -> None:
     """Note what a folder is based on now."""
     text = json.dumps(seen.model_dump(), indent=2)
     (folder / _NAME).write_text(f'{text}\n')
