--- a/laburnumwood/cli/seen_files.py
+++ b/laburnumwood/cli/seen_files.py
@@ -7,7 +7,7 @@
 
 from laburnumwood.cli.options import UsageError
 
-_NAME = '.laburnumwood-seen'
+_FILE_NAME = '.laburnumwood-seen'
 
 
 class SeenFiles(BaseModel):
@@ -21,7 +21,7 @@
 
 def read_seen(folder: Path) -> SeenFiles:
     """Return what a folder is based on; nothing if it is new."""
-    path = folder / _NAME
+    path = folder / _FILE_NAME
     if not path.exists():
         return SeenFiles()
     try:
@@ -34,4 +34,4 @@
 def write_seen(folder: Path, seen: SeenFiles) -> None:
     """Note what a folder is based on now."""
     text = json.dumps(seen.model_dump(), indent=2)
-    (folder / _NAME).write_text(f'{text}\n')
+    (folder / _FILE_NAME).write_text(f'{text}\n')
