--- a/laburnumwood/cli/rollout.py
+++ b/laburnumwood/cli/rollout.py
@@ -9,10 +9,10 @@
 from laburnumwood.cli.pages import GenerationPage
 from laburnumwood.errors import OperatorCallError, RolloutIncompleteError
 
-_POLL_S = 0.2
+_POLL_INTERVAL_S = 0.2
 
 
-def _lagging(fleet: FleetClient, generation: int) -> tuple[list[str], int]:
+def _nodes_not_in_force(fleet: FleetClient, generation: int) -> tuple[list[str], int]:
     """Return what each node without a generation says, and all nodes."""
     pages = fleet.fetch_from_all('/generation', GenerationPage)
     lines = []
@@ -37,11 +37,11 @@
     ) as progress:
         task = progress.add_task('in force on the live nodes')
         while True:
-            lagging, count = _lagging(fleet, generation)
+            lagging, count = _nodes_not_in_force(fleet, generation)
             done = count - len(lagging)
             progress.update(task, total=count, completed=done)
             if not lagging:
                 return count
             if time.monotonic() >= deadline_s:
                 raise RolloutIncompleteError('\n'.join(lagging))
-            time.sleep(_POLL_S)
+            time.sleep(_POLL_INTERVAL_S)
