--- a/laburnumwood/cli/__init__.py
+++ b/laburnumwood/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The cli of the router."""
+"""The command-line tool for operators of the router."""
--- a/laburnumwood/cli/comparison.py
+++ b/laburnumwood/cli/comparison.py
@@ -1,4 +1,4 @@
-"""Comparison of a folder with what is accepted and what was seen of it."""
+"""Comparison of a folder with the accepted configuration."""
 
 import difflib
 import json
@@ -10,7 +10,11 @@
 
 
 class Difference(Enum):
-    """How a file of the folder stands to the accepted one."""
+    """How a file of a folder differs from the accepted one.
+
+    This also depends on the accepted file that the folder is based on, see
+    `SeenFiles`.
+    """
 
     SAME = 'same'
     CHANGED = 'changed'
@@ -21,13 +25,20 @@
 
     @property
     def is_proposed(self) -> bool:
-        """Tell whether applying the folder proposes this file."""
-        return self in {Difference.CHANGED, Difference.REMOVED, Difference.CONFLICT}
+        """Return whether applying the folder changes the accepted file."""
+        return self in {
+            Difference.CHANGED,
+            Difference.REMOVED,
+            Difference.CONFLICT,
+        }
 
 
 @dataclass(frozen=True, slots=True)
 class FileComparison:
-    """A file as it is in the folder and as it is accepted."""
+    """A file in the folder and the accepted file of the same name.
+
+    `local` and `accepted` are their contents, None if there is no file.
+    """
 
     name: str
     state: Difference
@@ -37,17 +48,20 @@
     def diff_lines(
         self, before: str = 'accepted', after: str = 'folder'
     ) -> Iterator[str]:
-        """Yield the difference from the accepted file, line by line."""
+        """Yield the lines of a unified diff from the accepted file.
+
+        `before` and `after` label the accepted and the local file.
+        """
         yield from difflib.unified_diff(
-            _text(self.accepted),
-            _text(self.local),
+            _text_lines(self.accepted),
+            _text_lines(self.local),
             f'{self.name} ({before})',
             f'{self.name} ({after})',
             lineterm='',
         )
 
 
-def _text(content: FileContent | None) -> list[str]:
+def _text_lines(content: FileContent | None) -> list[str]:
     if content is None:
         return []
     return json.dumps(content, indent=2, sort_keys=True).splitlines()
@@ -57,7 +71,9 @@
     return None if content is None else digest(content)
 
 
-def _classify(local: str | None, accepted: str | None, seen: str | None) -> Difference:
+def _classify(
+    local: str | None, accepted: str | None, seen: str | None
+) -> Difference:
     if local == accepted:
         return Difference.SAME
     if local is None and seen is None:
@@ -72,10 +88,10 @@
 def compare(
     local: Files, accepted: Files, seen: Mapping[str, str]
 ) -> list[FileComparison]:
-    """Return how each file of the folder or of the configuration stands.
+    """Compare the files of a folder with the accepted ones, sorted by name.
 
-    `seen` holds the digests of the accepted files that the folder is based
-    on.
+    `seen` maps names to the digests of the accepted files on which the
+    folder is based.
     """
     return [
         FileComparison(
--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/config_client.py
@@ -1,10 +1,10 @@
-"""Changes of the configuration by operators."""
+"""Access to the accepted configuration and changes of it by operators."""
 
 from collections.abc import Collection
 from dataclasses import dataclass
 from pathlib import Path
 
-from laburnumwood.cli.comparison import FileComparison, Difference, compare
+from laburnumwood.cli.comparison import Difference, FileComparison, compare
 from laburnumwood.cli.options import Options, UsageError
 from laburnumwood.cli.seen_files import SeenFiles, read_seen, write_seen
 from laburnumwood.clock import Clock
@@ -22,24 +22,34 @@
 
 
 def merge_folder(folder: Path) -> MergedConfig:
-    """Return the merged files of a folder; raises `DeclarationError`."""
+    """Merge the files of a folder.
+
+    Raises `DeclarationError` with a line for each error.
+    """
     return merge_files(read_folder(folder))
 
 
 def _select_files(
-    states: list[FileComparison], only: Collection[str], folder: Path
+    comparisons: list[FileComparison], only: Collection[str], folder: Path
 ) -> list[FileComparison]:
-    known = {each.name for each in states if each.state != Difference.ELSEWHERE}
-    missing = sorted(set(only) - known)
+    names = {
+        file.name for file in comparisons if file.state != Difference.ELSEWHERE
+    }
+    missing = sorted(set(only) - names)
     if missing:
-        names = ', '.join(missing)
-        raise UsageError(f'{folder} has no file {names}; check --only')
-    return [each for each in states if not only or each.name in only]
+        missing_names = ', '.join(missing)
+        raise UsageError(f'{folder} has no file {missing_names}; check --only')
+    return [file for file in comparisons if not only or file.name in only]
 
 
 @dataclass(frozen=True, slots=True)
 class ApplyResult:
-    """What is accepted now, which files changed and which are newer there."""
+    """The result of applying a folder.
+
+    `record` is the accepted configuration, `changed` the names of the files
+    that were changed, and `newer` the names of the files that the folder has
+    not changed but others have.
+    """
 
     record: ConfigRecord
     changed: tuple[str, ...]
@@ -47,7 +57,10 @@
 
 
 class ConfigClient:
-    """Compares folders with the accepted configuration and applies them."""
+    """Reads the accepted configuration, compares and applies folders.
+
+    All methods raise `PlatformError` if the platform does not answer.
+    """
 
     def __init__(self, options: Options) -> None:
         self._store = HttpStore(options.platform_url)
@@ -61,46 +74,61 @@
     def diff(
         self, folder: Path, only: Collection[str]
     ) -> tuple[ConfigRecord, list[FileComparison]]:
-        """Return how the files stand, and note that they were seen.
+        """Compare a folder with the accepted configuration.
 
-        What others have changed in the meantime counts as seen only where
-        the folder holds a change of its own: that is what applying replaces.
+        Returns the accepted configuration and the comparison of each file,
+        or of those named by `only`.  Records the digests of the accepted
+        files as seen: those of files that are the same, and those of files
+        that both the folder and others have changed, which the next `apply`
+        replaces.  Raises `UsageError` if the folder has no file of `only`.
         """
         accepted = self.read_accepted()
         seen = read_seen(folder)
-        states = _select_files(self._compare(folder, accepted, seen), only, folder)
-        shown = (Difference.SAME, Difference.CONFLICT)
+        comparisons = _select_files(
+            self._compare(folder, accepted, seen), only, folder
+        )
+        seen_differences = (Difference.SAME, Difference.CONFLICT)
         self._record_seen(
-            folder, accepted, seen, [each for each in states if each.state in shown]
+            folder,
+            accepted,
+            seen,
+            [file for file in comparisons if file.state in seen_differences],
         )
-        return accepted, states
+        return accepted, comparisons
 
     def apply(self, folder: Path, only: Collection[str]) -> ApplyResult:
-        """Make the changes of a folder the next generation.
+        """Accept the changes of a folder as the next generation.
 
-        Raises what `ConfigAcceptance.propose` does.
+        With `only`, the changes of other files are left out.  Raises
+        `UsageError` if the folder has no file of `only`, and what
+        `ConfigAcceptance.propose` raises.
         """
         accepted = self.read_accepted()
         seen = read_seen(folder)
-        states = _select_files(self._compare(folder, accepted, seen), only, folder)
-        proposed = [each for each in states if each.state.is_proposed]
-        wanted = {each.name: each.local for each in proposed}
-        record = self._propose(Proposal(wanted, self._who, seen.files))
-        same = [each for each in states if each.state is Difference.SAME]
+        comparisons = _select_files(
+            self._compare(folder, accepted, seen), only, folder
+        )
+        proposed = [file for file in comparisons if file.state.is_proposed]
+        proposed_files = {file.name: file.local for file in proposed}
+        record = self._propose(Proposal(proposed_files, self._who, seen.files))
+        same = [file for file in comparisons if file.state is Difference.SAME]
         self._record_seen(folder, record, seen, [*proposed, *same])
-        newer = [each for each in states if each.state is Difference.NEWER]
+        newer = [file for file in comparisons if file.state is Difference.NEWER]
         return ApplyResult(
             record,
-            changed=tuple(sorted(wanted)),
-            newer=tuple(each.name for each in newer),
+            changed=tuple(sorted(proposed_files)),
+            newer=tuple(file.name for file in newer),
         )
 
     def roll_back(self, generation: int) -> ConfigRecord:
-        """Make the files of an older generation the next one."""
+        """Accept the files of an older generation as the next one.
+
+        Raises what `ConfigAcceptance.roll_back` raises.
+        """
         return self._acceptance.roll_back(generation, self._who)
 
     def history(self, most: int) -> list[AuditRecord]:
-        """Return the newest entries of the audit trail."""
+        """Return up to `most` entries of the audit trail, newest first."""
         entries = read_audit_trail(self._store)
         return [entry for _, entry in zip(range(most), entries, strict=False)]
 
@@ -108,10 +136,12 @@
         try:
             return self._acceptance.propose(proposal)
         except ConcurrentChangeError as changed:
-            raise ConcurrentChangeError(self._with_authors(changed.names)) from changed
+            raise ConcurrentChangeError(
+                self._with_authors(changed.names)
+            ) from changed
 
     def _with_authors(self, names: Collection[str]) -> tuple[str, ...]:
-        """Return each name with who changed that file last."""
+        """Return each name with the operator who changed the file last."""
         remaining = set(names)
         names_with_authors = []
         for entry in read_audit_trail(self._store):
@@ -134,11 +164,14 @@
         folder: Path,
         accepted: ConfigRecord,
         seen: SeenFiles,
-        states: list[FileComparison],
+        comparisons: list[FileComparison],
     ) -> None:
+        """Record the digests of the accepted files that were compared."""
         files = dict(seen.files)
-        for each in states:
-            files.pop(each.name, None)
-            if each.name in accepted.files:
-                files[each.name] = digest(accepted.files[each.name])
-        write_seen(folder, SeenFiles(generation=accepted.generation, files=files))
+        for file in comparisons:
+            files.pop(file.name, None)
+            if file.name in accepted.files:
+                files[file.name] = digest(accepted.files[file.name])
+        write_seen(
+            folder, SeenFiles(generation=accepted.generation, files=files)
+        )
--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/config_commands.py
@@ -1,9 +1,9 @@
-"""Commands about the configuration."""
+"""Commands that show and change the configuration."""
 
 from collections.abc import Collection
 from pathlib import Path
 
-from laburnumwood.cli.comparison import FileComparison, Difference
+from laburnumwood.cli.comparison import Difference, FileComparison
 from laburnumwood.cli.config_client import ConfigClient, merge_folder
 from laburnumwood.cli.fleet import FleetClient
 from laburnumwood.cli.options import Options, UsageError
@@ -15,49 +15,54 @@
 
 
 def show_merged_folder(folder: Path, output: Output) -> None:
-    """Print which file sets each value of a valid folder."""
+    """Check a folder and print which file sets each value.
+
+    Raises `DeclarationError` if the folder is not valid.
+    """
     merged = merge_folder(folder)
     output.print_text(f'{folder}: valid')
     output.print_table(('value', 'set by'), sorted(merged.set_by.items()))
     output.print_json(merged.set_by)
 
 
-def _next_step(each: FileComparison) -> str:
-    if each.state is Difference.CONFLICT:
+def _next_step(file: FileComparison) -> str:
+    if file.state is Difference.CONFLICT:
         return 'apply replaces the accepted file shown here'
-    if each.state is Difference.NEWER:
-        return f'yours is older and stays unused; get it by: show {each.name}'
-    if each.state is Difference.ELSEWHERE:
+    if file.state is Difference.NEWER:
+        return f'yours is older and stays unused; get it by: show {file.name}'
+    if file.state is Difference.ELSEWHERE:
         return 'stays as it is'
-    return 'apply changes it' if each.state.is_proposed else ''
+    return 'apply changes it' if file.state.is_proposed else ''
 
 
-def _print_diff(changed: FileComparison, output: Output, *names: str) -> None:
-    for line in changed.diff_lines(*names):
+def _print_diff(file: FileComparison, output: Output, *names: str) -> None:
+    for line in file.diff_lines(*names):
         output.print_text(line)
 
 
 def show_diff(
     options: Options, folder: Path, only: Collection[str], output: Output
 ) -> None:
-    """Print how a folder differs from what is accepted."""
-    accepted, states = ConfigClient(options).diff(folder, only)
+    """Print how a folder differs from the accepted configuration."""
+    accepted, comparisons = ConfigClient(options).diff(folder, only)
     output.print_text(f'accepted: generation {accepted.generation}')
-    rows = [(each.name, each.state.value, _next_step(each)) for each in states]
+    rows = [
+        (file.name, file.state.value, _next_step(file)) for file in comparisons
+    ]
     output.print_table(('file', 'state', 'next'), rows)
-    for changed in states:
-        if changed.state.is_proposed:
-            _print_diff(changed, output)
+    for comparison in comparisons:
+        if comparison.state.is_proposed:
+            _print_diff(comparison, output)
     output.print_json(
         {
             'generation': accepted.generation,
-            'files': {each.name: each.state.value for each in states},
+            'files': {file.name: file.state.value for file in comparisons},
         }
     )
 
 
 def show_accepted(options: Options, file: str, output: Output) -> None:
-    """Print the accepted configuration, or one file of it."""
+    """Print the accepted configuration, or one file of it as JSON."""
     record = ConfigClient(options).read_accepted()
     if file:
         if file not in record.files:
@@ -90,7 +95,7 @@
 
 
 def show_history(options: Options, most: int, output: Output) -> None:
-    """Print the newest accepted changes."""
+    """Print the newest entries of the audit trail, up to `most`."""
     entries = ConfigClient(options).history(most)
     if not entries:
         output.print_text('nothing was accepted yet; run "laburnumwood apply"')
@@ -99,12 +104,12 @@
 
 
 def show_audit_entry(options: Options, generation: int, output: Output) -> None:
-    """Print one entry of the audit trail with the files it changed."""
+    """Print one entry of the audit trail and the diffs of its files."""
     client = ConfigClient(options)
     newest = client.read_accepted().generation
     entries = client.history(max(1, newest - generation + 1))
     entry = next(
-        (each for each in entries if each.generation == generation), None
+        (entry for entry in entries if entry.generation == generation), None
     )
     if entry is None:
         raise UsageError(
@@ -113,7 +118,9 @@
         )
     output.print_table(_AUDIT_COLUMNS, [_audit_row(entry)])
     for name, change in entry.changes.items():
-        changed = FileComparison(name, Difference.CHANGED, change.after, change.before)
+        changed = FileComparison(
+            name, Difference.CHANGED, change.after, change.before
+        )
         _print_diff(changed, output, 'before', 'after')
     output.print_json(entry)
 
@@ -121,6 +128,7 @@
 def _print_accepted(
     record: ConfigRecord, options: Options, limit_s: float, output: Output
 ) -> None:
+    """Print a generation and wait until it is in force if there is a limit."""
     output.print_text(f'accepted: generation {record.generation}')
     content: dict[str, int] = {'generation': record.generation}
     if limit_s:
@@ -139,7 +147,12 @@
     limit_s: float,
     output: Output,
 ) -> None:
-    """Apply a folder; wait up to a limit until it is in force (0: don't)."""
+    """Apply a folder and print the accepted generation.
+
+    If `limit_s` is not 0, wait up to that many seconds until the generation
+    is in force on all live nodes.  Raises `RolloutIncompleteError` if it is
+    not in force by then.
+    """
     applied = ConfigClient(options).apply(folder, only)
     for name in applied.newer:
         output.print_text(
@@ -154,6 +167,9 @@
 def roll_back(
     options: Options, generation: int, limit_s: float, output: Output
 ) -> None:
-    """Apply the files of an older generation as a new one."""
+    """Apply the files of an older generation as the next one.
+
+    `limit_s` is as in `apply_folder`.
+    """
     record = ConfigClient(options).roll_back(generation)
     _print_accepted(record, options, limit_s, output)
--- a/laburnumwood/cli/explain_command.py
+++ b/laburnumwood/cli/explain_command.py
@@ -1,4 +1,4 @@
-"""The command that tells a request's story from log files."""
+"""The command that finds the events of a request in log files."""
 
 import json
 from collections.abc import Iterable, Iterator
@@ -8,14 +8,17 @@
 from laburnumwood.cli.options import UsageError
 from laburnumwood.cli.output import Output
 
-_COMMON_FIELDS = frozenset(('at_ms', 'node', 'event', 'number', 'level', 'text'))
-_CONTEXT_MS = 5_000  # how far events of the nodes involved may lie apart
+_COMMON_FIELDS = frozenset(
+    ('at_ms', 'node', 'event', 'number', 'level', 'text')
+)
+_CONTEXT_MS = 5_000  # before and after the lines of the request
 _REQUEST = 'request'
 
 LogLine = dict[str, Any]
 
 
 def _read_lines(file: Path) -> Iterator[LogLine]:
+    """Yield the events in a log file, ignoring any text before the JSON."""
     try:
         text = file.read_text(errors='replace')
     except OSError as unreadable:
@@ -23,11 +26,11 @@
     for line in text.splitlines():
         _, brace, rest = line.partition('{')
         try:
-            found = json.loads(brace + rest)
+            event = json.loads(brace + rest)
         except ValueError:
-            continue  # other output of the process
-        if isinstance(found, dict) and 'event' in found:
-            yield found
+            continue  # The line is other output of the process.
+        if isinstance(event, dict) and 'event' in event:
+            yield event
 
 
 def _is_about(line: LogLine, request: str) -> bool:
@@ -35,46 +38,57 @@
 
 
 def _is_context(line: LogLine, shards: set[str]) -> bool:
-    """Tell whether a node's event may have decided about a request."""
+    """Return whether an event of a node may have affected the request.
+
+    Such an event names no request and concerns one of the request's shards,
+    or no shard if its level is above info.
+    """
     if _REQUEST in line or line['event'] == 'requests-served':
         return False
     shard = line.get('shard')
     return shard in shards or (shard is None and line['level'] != 'info')
 
 
-def _context_lines(known: list[LogLine], request_lines: list[LogLine]) -> list[LogLine]:
-    """Return the events of nodes that may have decided about the request."""
+def _context_lines(
+    lines: list[LogLine], request_lines: list[LogLine]
+) -> list[LogLine]:
+    """Return the events of nodes that may have affected the request."""
     shards = {f'{line["service"]}/{line["shard"]}' for line in request_lines}
     first_ms = request_lines[0]['at_ms'] - _CONTEXT_MS
     last_ms = request_lines[-1]['at_ms'] + _CONTEXT_MS
     return [
         line
-        for line in known
+        for line in lines
         if first_ms <= line['at_ms'] <= last_ms and _is_context(line, shards)
     ]
 
 
 def _row(line: LogLine) -> list[Any]:
-    told = ' '.join(
-        f'{name}={what}' for name, what in line.items() if name not in _COMMON_FIELDS
+    fields = ' '.join(
+        f'{name}={value}'
+        for name, value in line.items()
+        if name not in _COMMON_FIELDS
     )
-    return [line['at_ms'], line['node'], line['number'], line['event'], told]
+    return [line['at_ms'], line['node'], line['number'], line['event'], fields]
 
 
 def explain(request: str, files: Iterable[str], output: Output) -> None:
-    """Show every line about a request, and what its nodes believed then.
+    """Print all log lines about a request and the related events of nodes.
 
-    Raises `UsageError` if no file says anything of it.
+    Related are the events about its shards and the warnings and errors of
+    nodes, from five seconds before its first line to five after its last.
+    Raises `UsageError` if a file is not readable or no line is about the
+    request.
     """
-    known = [line for file in files for line in _read_lines(Path(file))]
-    known.sort(key=lambda line: line['at_ms'])
-    request_lines = [line for line in known if _is_about(line, request)]
+    lines = [line for file in files for line in _read_lines(Path(file))]
+    lines.sort(key=lambda line: line['at_ms'])
+    request_lines = [line for line in lines if _is_about(line, request)]
     if not request_lines:
         raise UsageError(
             f'no line is about request {request!r}; give the logs of all '
             'nodes, and mind lines with left_out: not every line is written'
         )
-    context = _context_lines(known, request_lines)
+    context = _context_lines(lines, request_lines)
     shown = sorted((*request_lines, *context), key=lambda line: line['at_ms'])
     columns = ('at ms', 'node', 'number', 'event', 'what it knew')
     output.print_table(columns, [_row(line) for line in shown])
--- a/laburnumwood/cli/fleet.py
+++ b/laburnumwood/cli/fleet.py
@@ -1,4 +1,4 @@
-"""Calls of the operator ports of nodes."""
+"""Calls to the operator ports of nodes."""
 
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -32,7 +32,11 @@
 
 
 class FleetClient:
-    """The live nodes, reached through the one named or any that answers."""
+    """Calls the live nodes at their operator ports.
+
+    The live nodes are listed by the node that the options name, or else by
+    any node in the store that answers.
+    """
 
     def __init__(self, options: Options) -> None:
         self._options = options
@@ -43,51 +47,73 @@
         )
 
     def nodes(self) -> list[NodeRow]:
-        """Return the live nodes; raises `OperatorCallError`."""
+        """Return the live nodes.
+
+        Raises `OperatorCallError` if no node answers.
+        """
         failure: OperatorCallError | None = None
         for url in self._entry_urls():
             try:
-                return _NODE_ROWS.validate_python(self._call('GET', url, '/nodes'))
-            except OperatorCallError as failed:
-                failure = failed
+                return _NODE_ROWS.validate_python(
+                    self._call('GET', url, '/nodes')
+                )
+            except OperatorCallError as error:
+                failure = error
         raise failure or OperatorCallError('no node has announced itself yet')
 
     def fetch_from_any(self, path: str) -> Any:
-        """Return a page of the node named, or of any live one."""
+        """Return a page of the node that the options name, or of a live one.
+
+        Raises `OperatorCallError` if it does not answer.
+        """
         if self._options.node:
             return self._call('GET', _url(self._options.node), path)
         return self._call('GET', self.nodes()[0].url, path)
 
-    def fetch(self, row: NodeRow, path: str, form: type[_Page]) -> _Page:
-        """Return a page of one node; raises `OperatorCallError`."""
+    def fetch(self, row: NodeRow, path: str, model: type[_Page]) -> _Page:
+        """Return a page of one node, validated by a model.
+
+        Raises `OperatorCallError` if the node does not answer or its answer
+        does not match the model.
+        """
         content = self._call('GET', row.url, path)
         try:
-            return form.model_validate(content)
-        except ValidationError as unknown:
-            text = f'{row.node}: its version does not fit: {unknown}'
-            raise OperatorCallError(text) from unknown
+            return model.model_validate(content)
+        except ValidationError as invalid:
+            text = f'{row.node}: its version does not fit: {invalid}'
+            raise OperatorCallError(text) from invalid
 
     def fetch_from_all(
-        self, path: str, form: type[_Page]
+        self, path: str, model: type[_Page]
     ) -> list[tuple[NodeRow, _Page | OperatorCallError]]:
-        """Return a page of each live node, or why there is none."""
+        """Return each live node with its page, or with the error of its call.
+
+        The nodes are called concurrently.
+        """
 
         def fetch(row: NodeRow) -> _Page | OperatorCallError:
             try:
-                return self.fetch(row, path, form)
-            except OperatorCallError as failed:
-                return failed
+                return self.fetch(row, path, model)
+            except OperatorCallError as error:
+                return error
 
         rows = self.nodes()
         with ThreadPoolExecutor(_MAX_CONCURRENT_CALLS) as pool:
             return list(zip(rows, pool.map(fetch, rows), strict=True))
 
     def drain(self, node_id: str) -> None:
-        """Begin the planned stop of a node; raises `OperatorCallError`."""
+        """Begin the planned stop of a node.
+
+        Raises `UsageError` if there is no live node with this id, and
+        `OperatorCallError` if the call fails.
+        """
         self._call('POST', self.node(node_id).url, '/drain')
 
     def node(self, node_id: str) -> NodeRow:
-        """Return a live node by its id; raises `UsageError`."""
+        """Return a live node by its id.
+
+        Raises `UsageError` if there is none.
+        """
         rows = {row.node.partition('#')[0]: row for row in self.nodes()}
         if node_id not in rows:
             known = ', '.join(rows)
@@ -95,18 +121,19 @@
         return rows[node_id]
 
     def _entry_urls(self) -> Iterator[str]:
+        """Yield the URLs of nodes that may list the live nodes."""
         if self._options.node:
             yield _url(self._options.node)
             return
         try:
-            stored, _ = HttpStore(self._options.platform_url).list(NODES)
-        except PlatformError as away:
+            stored_nodes, _ = HttpStore(self._options.platform_url).list(NODES)
+        except PlatformError as error:
             raise OperatorCallError(
-                f'the platform does not answer ({away}); name a node by '
+                f'the platform does not answer ({error}); name a node by '
                 '--node=host:port or LABURNUMWOOD_NODE'
-            ) from away
-        for each in stored:
-            record = to_record(NodeRecord, each)
+            ) from error
+        for stored in stored_nodes:
+            record = to_record(NodeRecord, stored)
             if record.open_incarnations:
                 yield _url(f'{record.host}:{record.operator_port}')
 
@@ -114,9 +141,9 @@
         headers = {'Authorization': f'Bearer {self._options.token}'}
         try:
             answer = self._http.request(method, url + path, headers=headers)
-        except HTTPError as away:
+        except HTTPError as error:
             text = f'{url} does not answer; check the node or name another one'
-            raise OperatorCallError(text) from away
+            raise OperatorCallError(text) from error
         if answer.status != HTTPStatus.OK:
             raise OperatorCallError(f'{url}{path}: {_error_detail(answer)}')
         return answer.json()
--- a/laburnumwood/cli/fleet_commands.py
+++ b/laburnumwood/cli/fleet_commands.py
@@ -1,4 +1,4 @@
-"""Commands that show the fleet."""
+"""Commands that show the live nodes, owners of shards and idle capacity."""
 
 from collections import Counter
 from typing import Any
@@ -48,7 +48,7 @@
 
 
 def show_status(fleet: FleetClient, output: Output) -> None:
-    """Print how each live node is."""
+    """Print the status of each live node."""
     pages = fleet.fetch_from_all('/status', StatusPage)
     rows = [_status_row(row.node, page) for row, page in pages]
     output.print_table(_STATUS_COLUMNS, rows)
@@ -56,7 +56,7 @@
 
 
 def show_nodes(fleet: FleetClient, output: Output) -> None:
-    """Print the live nodes and where they are."""
+    """Print the live nodes with their failure domains and services."""
     rows = fleet.nodes()
     output.print_table(
         ('node', 'failure domain', 'service', 'capacity owner', 'slots'),
@@ -87,23 +87,37 @@
     output.print_json(owners)
 
 
-def show_owner(fleet: FleetClient, service: str, key: str, output: Output) -> None:
-    """Print who owns a key."""
+def show_owner(
+    fleet: FleetClient, service: str, key: str, output: Output
+) -> None:
+    """Print the owner of a key and the key's shard."""
     query = urlencode({'service': service, 'key': key})
-    found = KeyOwnerPage.model_validate(fleet.fetch_from_any(f'/owner?{query}'))
+    key_owner = KeyOwnerPage.model_validate(
+        fleet.fetch_from_any(f'/owner?{query}')
+    )
     output.print_table(
         ('service', 'key', 'shard', 'owner'),
-        [(found.service, found.key, found.shard, found.owner or 'nobody')],
+        [
+            (
+                key_owner.service,
+                key_owner.key,
+                key_owner.shard,
+                key_owner.owner or 'nobody',
+            )
+        ],
     )
-    output.print_json(found)
+    output.print_json(key_owner)
 
 
 def show_idle(fleet: FleetClient, window_s: float, output: Output) -> None:
-    """Print what capacity carried and what lay idle, by who pays."""
+    """Print used and idle capacity by capacity owner, for the last seconds.
+
+    Nodes that do not answer are named.
+    """
     window_ms = int(window_s * MS_PER_SECOND)
     answers = fleet.fetch_from_all(f'/idle?window_ms={window_ms}', IdlePage)
     pages = [page for _, page in answers if isinstance(page, IdlePage)]
-    silent = [
+    unreachable = [
         row.node for row, page in answers if not isinstance(page, IdlePage)
     ]
     rows = sum_by_group(pages)
@@ -114,19 +128,19 @@
                 row.capacity_owner,
                 row.service,
                 row.failure_domain,
-                _seconds(row.capacity),
-                _seconds(row.own),
-                _seconds(row.others),
-                _seconds(row.idle),
+                _format_seconds(row.capacity),
+                _format_seconds(row.own),
+                _format_seconds(row.others),
+                _format_seconds(row.idle),
                 f'{row.idle_share * _PERCENT:.0f}',
             )
             for row in rows
         ],
     )
-    if silent:
-        output.print_text('without: {}'.format(', '.join(silent)))
-    output.print_json({'rows': rows, 'without': silent})
+    if unreachable:
+        output.print_text('without: {}'.format(', '.join(unreachable)))
+    output.print_json({'rows': rows, 'without': unreachable})
 
 
-def _seconds(slot_ms: int) -> str:
+def _format_seconds(slot_ms: int) -> str:
     return f'{slot_ms / MS_PER_SECOND:.1f}'
--- a/laburnumwood/cli/idle_capacity.py
+++ b/laburnumwood/cli/idle_capacity.py
@@ -1,4 +1,4 @@
-"""What each owner's capacity carried, added up over the live nodes."""
+"""Sums of used and idle capacity over the live nodes."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -10,9 +10,12 @@
 
 @dataclass(frozen=True, slots=True)
 class IdleRow:
-    """Slot-milliseconds of an owner's capacity in one place.
+    """Slot-milliseconds of the nodes of one group.
 
-    `own`, `others` and `idle` add up to `capacity`.
+    A group is the nodes of a capacity owner that have the same service and
+    failure domain.  `own` is what the capacity owner's services used,
+    `others` what services of other owners used.  The sum of `own`, `others`
+    and `idle` is `capacity`.
     """
 
     capacity_owner: str
@@ -25,11 +28,11 @@
 
     @property
     def idle_share(self) -> float:
-        """Return the part of the capacity that lay idle."""
+        """Return the fraction of the capacity that was idle."""
         return self.idle / self.capacity if self.capacity else 0
 
     def add(self, other: 'IdleRow') -> 'IdleRow':
-        """Return the sum of two rows of one key."""
+        """Return the sum of two rows of the same group."""
         return IdleRow(
             self.capacity_owner,
             self.service,
@@ -43,22 +46,24 @@
 
 def _row(page: IdlePage) -> IdleRow:
     own = sum(
-        each.slot_ms for each in page.used if each.owner == page.capacity_owner
+        usage.slot_ms
+        for usage in page.used
+        if usage.owner == page.capacity_owner
     )
-    carried = sum(each.slot_ms for each in page.used)
+    used = sum(usage.slot_ms for usage in page.used)
     return IdleRow(
         capacity_owner=page.capacity_owner,
         service=page.service,
         failure_domain=page.failure_domain,
         capacity=page.slots * page.window_ms,
         own=own,
-        others=carried - own,
+        others=used - own,
         idle=page.idle,
     )
 
 
 def sum_by_group(pages: Iterable[IdlePage]) -> list[IdleRow]:
-    """Return a row for each capacity owner, service and failure domain."""
+    """Return a row for each group of nodes, sorted by group."""
     rows: dict[GroupKey, IdleRow] = {}
     for page in pages:
         row = _row(page)
--- a/laburnumwood/cli/loss_command.py
+++ b/laburnumwood/cli/loss_command.py
@@ -1,4 +1,4 @@
-"""The command that asserts the loss of a node."""
+"""The command by which an operator confirms that a node is lost."""
 
 from contextlib import suppress
 
@@ -31,7 +31,7 @@
 
 
 def _write_audit_entry(store: Store, name: NodeName, who: str) -> None:
-    """Write the assertion into the audit trail, once."""
+    """Record the confirmation in the audit trail unless it is there."""
     content = {
         'what': 'confirm-lost',
         'node': str(name),
@@ -45,9 +45,11 @@
 def confirm_loss(
     options: Options, node_id: str, output: Output, *, confirmed: bool
 ) -> None:
-    """Say what the loss of a node asserts, and record it if told to.
+    """Record that the latest incarnation of a node is lost.
 
-    An incarnation that joins later is not touched.
+    Later incarnations are not affected.  Raises `UsageError` with what the
+    operator asserts unless `confirmed`, or if the node is not known, and
+    `PlatformError` if the platform does not answer.
     """
     if not confirmed:
         raise UsageError(_ASSERTION.format(name=node_id))
--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -1,4 +1,4 @@
-"""The program laburnumwood, for operators."""
+"""The program laburnumwood, a command-line tool for operators."""
 
 import sys
 from pathlib import Path
@@ -81,7 +81,7 @@
 
     @SetParseFns(file=str)
     def show(self, file: str = '') -> None:
-        """Show what is accepted, or one accepted file as JSON."""
+        """Show the accepted configuration, or one file of it as JSON."""
         config_commands.show_accepted(self._options, file, self._output)
 
     def history(self, *, most: int = _DEFAULT_HISTORY) -> None:
@@ -89,8 +89,10 @@
         config_commands.show_history(self._options, most, self._output)
 
     def audit(self, generation: int) -> None:
-        """Show what one accepted change did."""
-        config_commands.show_audit_entry(self._options, generation, self._output)
+        """Show one accepted change with the diffs of its files."""
+        config_commands.show_audit_entry(
+            self._options, generation, self._output
+        )
 
     def rollback(
         self,
@@ -105,33 +107,33 @@
         )
 
     def status(self) -> None:
-        """Show how each live node is."""
+        """Show the status of each live node."""
         fleet_commands.show_status(self._fleet(), self._output)
 
     def nodes(self) -> None:
-        """Show the live nodes and where they are."""
+        """Show the live nodes with their failure domains and services."""
         fleet_commands.show_nodes(self._fleet(), self._output)
 
     @SetParseFns(service=str, key=str)
     def owners(self, service: str, key: str = '') -> None:
-        """Show who owns the shards of a service, or one key of it."""
+        """Show the owners of the shards of a service, or of one key."""
         if key:
             fleet_commands.show_owner(self._fleet(), service, key, self._output)
         else:
             fleet_commands.show_owners(self._fleet(), service, self._output)
 
     def idle(self, *, window_s: float = _DEFAULT_WINDOW_S) -> None:
-        """Show what capacity carried and what lay idle, by who pays."""
+        """Show used and idle capacity by capacity owner."""
         fleet_commands.show_idle(self._fleet(), window_s, self._output)
 
     @SetParseFns(request=str)
     def explain(self, request: str, *files: str) -> None:
-        """Tell a request's story from the log files of the nodes."""
+        """Show the events of a request from the log files of the nodes."""
         explain(request, files, self._output)
 
     @SetParseFns(node_id=str)
     def drain(self, node_id: str) -> None:
-        """Begin the planned stop of a node; it finishes what runs."""
+        """Begin the planned stop of a node; running requests finish."""
         self._fleet().drain(node_id)
         self._output.print_text(
             f'{node_id} is draining; it is gone from "laburnumwood nodes" '
@@ -141,7 +143,7 @@
 
     @SetParseFns(node_id=str)
     def confirm_lost(self, node_id: str, *, yes: bool = False) -> None:
-        """Assert that a node is lost for good, so that others may follow."""
+        """Confirm that a node is lost, so that its shards get new owners."""
         confirm_loss(self._options, node_id, self._output, confirmed=yes)
 
     def _fleet(self) -> FleetClient:
@@ -153,7 +155,7 @@
 
 
 def _merge_only_flags(arguments: list[str]) -> list[str]:
-    """Return arguments with every --only FILE joined into one flag."""
+    """Return the arguments with all --only flags merged into one."""
     joined: list[str] = []
     names: list[str] = []
     rest = iter(arguments)
@@ -167,7 +169,7 @@
 
 
 def _describe_failure(failure: LaburnumwoodError) -> tuple[int, str]:
-    """Return the exit status and what a person has to know."""
+    """Return the exit status and the error message for a failure."""
     match failure:
         case DeclarationError() | UsageError():
             return EXIT_REFUSED, f'refused:\n{failure}'
@@ -192,9 +194,9 @@
 
 
 def main() -> int:
-    """Run one command and return its exit status."""
+    """Run the command of the program's arguments; return its exit status."""
     arguments = _merge_only_flags(sys.argv[1:])
-    NullHandler().push_application()  # the tool tells people itself
+    NullHandler().push_application()  # The tool prints its own messages.
     try:
         fire.Fire(Tool, command=arguments, name='laburnumwood')
     except LaburnumwoodError as failure:
--- a/laburnumwood/cli/options.py
+++ b/laburnumwood/cli/options.py
@@ -1,4 +1,4 @@
-"""Where the tool finds the platform and the nodes, and as whom it calls."""
+"""Options of all commands: addresses, token and name of the operator."""
 
 import getpass
 import os
@@ -13,12 +13,12 @@
 
 
 class UsageError(LaburnumwoodError):
-    """A command lacks something or was given what it can't use."""
+    """A command lacks an argument or was given an invalid one."""
 
 
 @dataclass(frozen=True, slots=True)
 class Options:
-    """Options that all commands share."""
+    """Options of all commands; texts that were not given are empty."""
 
     platform: str
     node: str
@@ -27,7 +27,7 @@
 
     @property
     def who(self) -> str:
-        """Return the name for the audit trail."""
+        """Return the name of the operator for the audit trail."""
         return os.environ.get(_OPERATOR_VARIABLE) or getpass.getuser()
 
     @property
@@ -44,7 +44,7 @@
 def read_options(
     platform: str, node: str, token: str, *, as_json: bool
 ) -> Options:
-    """Return the options given by flags, or else by the environment."""
+    """Return the options; empty ones are read from the environment."""
     return Options(
         platform=platform or os.environ.get(_PLATFORM_VARIABLE, ''),
         node=node or os.environ.get(_NODE_VARIABLE, ''),
--- a/laburnumwood/cli/output.py
+++ b/laburnumwood/cli/output.py
@@ -1,4 +1,4 @@
-"""What the tool prints: tables for people, JSON for programs."""
+"""The output of the tool: text and tables for people, or JSON."""
 
 import json
 import sys
@@ -16,17 +16,17 @@
 from laburnumwood.store.objects import to_value
 
 _UNWRAPPED_COLUMNS = frozenset(('when', 'node', 'owner'))
-_DEFAULT_WIDTH = 100  # columns where the output is no terminal
+_DEFAULT_WIDTH = 100  # columns, if the output is not a terminal
 
 
 def make_console() -> Console:
-    """Return where people read."""
+    """Return the console for text and tables on the standard output."""
     width = None if sys.stdout.isatty() else _DEFAULT_WIDTH
     return Console(width=width, highlight=False, soft_wrap=False)
 
 
 def format_time(when_ms: int) -> str:
-    """Return a time of the wall clock as people read it."""
+    """Format a time in milliseconds since the epoch as UTC in ISO 8601."""
     when = datetime.fromtimestamp(when_ms / MS_PER_SECOND, UTC)
     return when.strftime('%Y-%m-%dT%H:%M:%SZ')
 
@@ -42,19 +42,19 @@
 
 
 class Output:
-    """Prints what a command found."""
+    """Prints the result of a command, as JSON or for people."""
 
     def __init__(self, *, as_json: bool) -> None:
         self._as_json = as_json
         self.console = make_console()
 
     def print_text(self, text: str) -> None:
-        """Tell people something; programs don't see it."""
+        """Print text, unless the output is JSON."""
         if not self._as_json:
             self.console.print(text, markup=False)
 
     def print_json(self, content: Any) -> None:
-        """Print something for programs; people don't see it."""
+        """Print content as JSON, if the output is JSON."""
         if self._as_json:
             sys.stdout.write(json.dumps(content, indent=2, default=_to_json))
             sys.stdout.write('\n')
@@ -62,7 +62,7 @@
     def print_table(
         self, columns: Sequence[str], rows: Sequence[Sequence[object]]
     ) -> None:
-        """Print a table for people."""
+        """Print a table unless it is empty or the output is JSON."""
         if self._as_json:
             return
         table = Table()
--- a/laburnumwood/cli/pages.py
+++ b/laburnumwood/cli/pages.py
@@ -1,16 +1,16 @@
-"""The models of the pages that nodes show to the tool."""
+"""Models of the pages that the tool reads from nodes."""
 
 from pydantic import BaseModel, ConfigDict
 
 
 class Page(BaseModel):
-    """The base of all pages; a newer node may tell more."""
+    """The base of all pages; ignores fields that newer nodes may add."""
 
     model_config = ConfigDict(extra='ignore', frozen=True)
 
 
 class NodeRow(Page):
-    """A live node, as another one knows it."""
+    """A live node as another node has it in its list of nodes."""
 
     node: str
     failure_domain: str
@@ -27,7 +27,7 @@
 
 
 class StatusPage(Page):
-    """How a node is."""
+    """The status of a node: its lease, shards and requests."""
 
     node: str
     holds_lease: bool
@@ -46,7 +46,7 @@
 
 
 class KeyOwnerPage(Page):
-    """Who owns a key."""
+    """The shard and the owner of a key; None if nobody owns it."""
 
     service: str
     key: str
@@ -55,7 +55,7 @@
 
 
 class ConsumerUsage(Page):
-    """What a node's capacity carried for a service and its owner."""
+    """The slot-milliseconds of a node that a service of an owner used."""
 
     service: str
     owner: str
@@ -63,7 +63,7 @@
 
 
 class IdlePage(Page):
-    """What a node's capacity carried and what lay idle."""
+    """Used and idle slot-milliseconds of a node in a window of time."""
 
     node: str
     capacity_owner: str
--- a/laburnumwood/cli/rollout.py
+++ b/laburnumwood/cli/rollout.py
@@ -12,8 +12,13 @@
 _POLL_INTERVAL_S = 0.2
 
 
-def _nodes_not_in_force(fleet: FleetClient, generation: int) -> tuple[list[str], int]:
-    """Return what each node without a generation says, and all nodes."""
+def _nodes_not_in_force(
+    fleet: FleetClient, generation: int
+) -> tuple[list[str], int]:
+    """Return a line for each node without a generation and the node count.
+
+    The line of a node names its generation or the error of its call.
+    """
     pages = fleet.fetch_from_all('/generation', GenerationPage)
     lines = []
     for row, page in pages:
@@ -27,9 +32,10 @@
 def wait_until_in_force(
     fleet: FleetClient, generation: int, limit_s: float, console: Console
 ) -> int:
-    """Return the number of nodes once all have a generation in force.
+    """Wait until a generation is in force; return the number of live nodes.
 
-    Raises `RolloutIncompleteError` that names those which have not in time.
+    Raises `RolloutIncompleteError`, which names the other nodes, if that
+    takes longer than `limit_s` seconds.
     """
     deadline_s = time.monotonic() + limit_s
     with Progress(
@@ -38,8 +44,8 @@
         task = progress.add_task('in force on the live nodes')
         while True:
             lagging, count = _nodes_not_in_force(fleet, generation)
-            done = count - len(lagging)
-            progress.update(task, total=count, completed=done)
+            in_force = count - len(lagging)
+            progress.update(task, total=count, completed=in_force)
             if not lagging:
                 return count
             if time.monotonic() >= deadline_s:
--- a/laburnumwood/cli/seen_files.py
+++ b/laburnumwood/cli/seen_files.py
@@ -1,4 +1,4 @@
-"""What the folder of an operator is based on."""
+"""The record of the accepted files on which a folder is based."""
 
 import json
 from pathlib import Path
@@ -11,7 +11,11 @@
 
 
 class SeenFiles(BaseModel):
-    """Digests of the accepted files that the operator has seen."""
+    """The digests of the accepted files that the operator has seen.
+
+    They show whether the operator or others changed a file since then.
+    `generation` is the accepted one when the record was written.
+    """
 
     model_config = ConfigDict(extra='forbid')
 
@@ -20,7 +24,11 @@
 
 
 def read_seen(folder: Path) -> SeenFiles:
-    """Return what a folder is based on; nothing if it is new."""
+    """Return the accepted files on which a folder is based.
+
+    There are none if the folder has no record.  Raises `UsageError` if the
+    record is not valid.
+    """
     path = folder / _FILE_NAME
     if not path.exists():
         return SeenFiles()
@@ -32,6 +40,6 @@
 
 
 def write_seen(folder: Path, seen: SeenFiles) -> None:
-    """Note what a folder is based on now."""
+    """Write the accepted files on which a folder is based to its record."""
     text = json.dumps(seen.model_dump(), indent=2)
     (folder / _FILE_NAME).write_text(f'{text}\n')
--- a/tests/features/steps/log_steps.py
+++ b/tests/features/steps/log_steps.py
@@ -26,7 +26,7 @@
         self.found: list[dict[str, Any]] = []
 
     def print_json(self, content: Any) -> None:
-        """Keep something for programs."""
+        """Keep the content."""
         self.found = content
 
 
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -231,7 +231,7 @@
         assert owners.get('s0', 'traders') == 'traders'
         assert owners.get('s1', 'o') == 'o'
 
-    sum_by_group()
+    add_up()
 
 
 @when('{count:d} requests of {work_ms:d} ms of work are made one after another')
