--- a/laburnumwood/cli/fleet.py
+++ b/laburnumwood/cli/fleet.py
@@ -15,7 +15,7 @@
 from laburnumwood.errors import OperatorCallError, PlatformError
 from laburnumwood.records import NodeRecord
 from laburnumwood.store.client import HttpStore
-from laburnumwood.store.objects import NODES, to_record
+from laburnumwood.store.objects import NODE_PREFIX, to_record
 
 _TIMEOUT_S = 2
 _MAX_CONCURRENT_CALLS = 32
@@ -126,7 +126,9 @@
             yield _url(self._options.node)
             return
         try:
-            stored_nodes, _ = HttpStore(self._options.platform_url).list(NODES)
+            stored_nodes, _ = HttpStore(self._options.platform_url).list(
+                NODE_PREFIX
+            )
         except PlatformError as error:
             raise OperatorCallError(
                 f'the platform does not answer ({error}); name a node by '
--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -19,8 +19,8 @@
 )
 from laburnumwood.records import ConfigRecord
 from laburnumwood.store.interface import Store
-from laburnumwood.store.objects import CONFIG, to_record
-from laburnumwood.store.writes import marked, write
+from laburnumwood.store.objects import CONFIG_NAME, to_record
+from laburnumwood.store.writes import with_new_mark, write
 
 _MAX_WRITE_ATTEMPTS = 5
 _WRITE_RETRY_DELAY_MS = 300
@@ -47,7 +47,7 @@
 
     If there is none yet, the generation is 0 and the version None.
     """
-    stored = store.get(CONFIG)
+    stored = store.get(CONFIG_NAME)
     if stored is None:
         return ConfigRecord(0), None
     return to_record(ConfigRecord, stored), stored.version
@@ -188,7 +188,7 @@
             from_version=version,
             reason=proposal.reason,
         )
-        return marked(record, proposal.who)
+        return with_new_mark(record, proposal.who)
 
     def _accept(
         self, record: ConfigRecord, accepted: ConfigRecord, version: int | None
@@ -211,7 +211,7 @@
     ) -> None:
         for _ in range(_MAX_WRITE_ATTEMPTS):
             try:
-                write(self._store, CONFIG, record, version)
+                write(self._store, CONFIG_NAME, record, version)
             except PlatformUnavailableError:
                 time.sleep(_WRITE_RETRY_DELAY_MS / MS_PER_SECOND)
             else:
--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -7,8 +7,8 @@
 from laburnumwood.records import AuditRecord, ConfigRecord, FileChange
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import (
-    CONFIG,
-    audit_object,
+    CONFIG_NAME,
+    audit_object_name,
     to_record,
     to_value,
 )
@@ -35,7 +35,7 @@
 
     Raises `PlatformError` if the platform does not answer.
     """
-    name = audit_object(record.generation)
+    name = audit_object_name(record.generation)
     try:
         store.create(name, to_value(audit_entry(record)))
     except PlatformConflictError:
@@ -49,12 +49,12 @@
     between accepting the configuration and writing the entry.  Raises
     `PlatformError` if the platform does not answer.
     """
-    stored = store.get(CONFIG)
+    stored = store.get(CONFIG_NAME)
     if stored is None:
         return
     record = to_record(ConfigRecord, stored)
     for generation in range(record.generation, 0, -1):
-        stored_entry = store.get(audit_object(generation))
+        stored_entry = store.get(audit_object_name(generation))
         if stored_entry is not None:
             yield to_record(AuditRecord, stored_entry)
         elif generation == record.generation:
@@ -87,7 +87,7 @@
         )
     files = dict(accepted.files)
     for number in range(accepted.generation, generation, -1):
-        stored = store.get(audit_object(number))
+        stored = store.get(audit_object_name(number))
         if stored is None and number != accepted.generation:
             raise DeclarationError(f'generation {number}: no audit entry')
         entry = (
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -2,12 +2,12 @@
 
 from contextlib import suppress
 
-from laburnumwood.borders import Integration
 from laburnumwood.clock import Clock
 from laburnumwood.daemon.handover_news import HandoverAnnouncer
 from laburnumwood.daemon.holder import ShardGrantSource
 from laburnumwood.daemon.load import LoadComponents
 from laburnumwood.errors import PlatformError
+from laburnumwood.integration import Integration
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
@@ -37,19 +37,19 @@
 from laburnumwood.records import NodeName
 from laburnumwood.routing.execution import Executor
 from laburnumwood.routing.gate import AdmissionGate, WorkerState
-from laburnumwood.routing.measuring import MeasuredIngress
-from laburnumwood.routing.notary import LedgerReplicator
+from laburnumwood.routing.ledger_replication import LedgerReplicator
+from laburnumwood.routing.measured_ingress import MeasuredIngress
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
 from laburnumwood.tasks import Task, Tasks, start
-from laburnumwood.upstream.attached import AttachedGrants
+from laburnumwood.upstream.attached_grants import AttachedGrants
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.grants import Grants
 from laburnumwood.upstream.load_poller import LoadPoller
 from laburnumwood.upstream.presence import WorkerPhase
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.worker import WorkerClient
 
 
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -6,7 +6,6 @@
 
 import eventlet
 
-from laburnumwood.borders import INTEGRATIONS
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.daemon.incarnation import Incarnation
 from laburnumwood.errors import (
@@ -24,6 +23,7 @@
     REJOINING,
     STORE_UNREACHABLE,
 )
+from laburnumwood.integration import INTEGRATIONS
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.endings import (
     IncarnationStatus,
@@ -45,7 +45,7 @@
 from laburnumwood.store.breaker import CircuitBreakerStore
 from laburnumwood.store.writes import new_mark
 from laburnumwood.tasks import start, start_joinable
-from laburnumwood.upstream.reporting import ReportingWorker
+from laburnumwood.upstream.reporting_worker import ReportingWorker
 
 _JOIN_RETRY_MS = 500
 _POLL_MS = 100
@@ -153,7 +153,9 @@
             self._serve_peer,
             self._clock,
         )
-        self._caller_listener = HttpListener(settings.door, self._serve_caller)
+        self._caller_listener = HttpListener(
+            settings.caller_address, self._serve_caller
+        )
         if settings.operator_port is not None:
             operators = (settings.host, settings.operator_port)
             HttpListener(operators, self._serve_operator)
--- a/laburnumwood/placement/shard_write.py
+++ b/laburnumwood/placement/shard_write.py
@@ -11,8 +11,8 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.records import ShardName, ShardRecord, StoredObject
 from laburnumwood.store.interface import Store
-from laburnumwood.store.objects import shard_object, to_value
-from laburnumwood.store.writes import marked, write
+from laburnumwood.store.objects import shard_object_name, to_value
+from laburnumwood.store.writes import with_new_mark, write
 
 _FLOOR_TIMEOUT_MS = 3_000
 
@@ -53,7 +53,7 @@
         clock: Clock,
     ) -> None:
         self.shard = shard
-        self.record = marked(record, str(lease.holder))
+        self.record = with_new_mark(record, str(lease.holder))
         self.version = version
         self.stored: StoredObject | None = None
         self.stop_if_unreachable = False
@@ -100,7 +100,7 @@
         return acknowledged or self.version is None
 
     def _send(self, platform: Store) -> WriteProgress:
-        name = shard_object(self.shard)
+        name = shard_object_name(self.shard)
         written = write(platform, name, self.record, self.version)
         self.stored = StoredObject(name, to_value(self.record), written)
         return WriteProgress.WRITTEN
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -7,10 +7,10 @@
 from traceback import format_exc
 from typing import Protocol
 
+from laburnumwood.admission.admitter import Admitter
 from laburnumwood.admission.control import ADMISSION_POLICIES
 from laburnumwood.admission.limit import SlotCount
 from laburnumwood.admission.tickets import Ticket, TicketResult
-from laburnumwood.admission.waiting import Admitter
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service
 from laburnumwood.errors import (
@@ -42,7 +42,7 @@
 from laburnumwood.routing.priorities import classify, useful_until_ms
 from laburnumwood.routing.problems import make_failure, make_overload_failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.staying import ShardReleasingExchange
+from laburnumwood.routing.shard_release import ShardReleasingExchange
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.grants import Grants
 
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -14,10 +14,10 @@
     StoredObject,
 )
 
-CONFIG = 'config'
-NODES = 'nodes/'
-SHARDS = 'shards/'
-AUDIT = 'audit/'
+CONFIG_NAME = 'config'
+NODE_PREFIX = 'nodes/'
+SHARD_PREFIX = 'shards/'
+AUDIT_PREFIX = 'audit/'
 
 _Record = TypeVar('_Record', AuditRecord, ConfigRecord, NodeRecord, ShardRecord)
 _ADAPTERS: dict[type[Any], TypeAdapter[Any]] = {}  # created at first use
@@ -29,19 +29,19 @@
     return _ADAPTERS[record_type]
 
 
-def node_object(node_id: str) -> str:
+def node_object_name(node_id: str) -> str:
     """Return the name of the object of a node."""
-    return f'{NODES}{node_id}'
+    return f'{NODE_PREFIX}{node_id}'
 
 
-def shard_object(shard: ShardName) -> str:
+def shard_object_name(shard: ShardName) -> str:
     """Return the name of the object of a shard."""
-    return f'{SHARDS}{shard}'
+    return f'{SHARD_PREFIX}{shard}'
 
 
-def audit_object(generation: int) -> str:
+def audit_object_name(generation: int) -> str:
     """Return the name of the audit object of a generation."""
-    return f'{AUDIT}{generation}'
+    return f'{AUDIT_PREFIX}{generation}'
 
 
 def to_value(
@@ -58,6 +58,6 @@
     """
     try:
         record: _Record = _adapter(record_type).validate_python(stored.value)
-    except ValidationError as invalid:
-        raise RecordError(f'{stored.name}: {invalid}') from invalid
+    except ValidationError as error:
+        raise RecordError(f'{stored.name}: {error}') from error
     return record
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -28,9 +28,9 @@
 )
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import (
-    CONFIG,
-    node_object,
-    shard_object,
+    CONFIG_NAME,
+    node_object_name,
+    shard_object_name,
     to_value,
 )
 
@@ -124,7 +124,7 @@
         domain = f'd{version % domains}'
         record = NodeRecord(1, (1,), 'h', 1, 1, 1, domain, 's', 'o', 1, 1)
         stored = StoredObject(
-            node_object(name.node_id), to_value(record), version
+            node_object_name(name.node_id), to_value(record), version
         )
         context.view.directory.apply(stored)
 
@@ -203,7 +203,7 @@
 def apply_config(context: Context) -> None:
     context.before = context.lease.renewal_count
     record = ConfigRecord(1)
-    context.directory.apply(StoredObject(CONFIG, to_value(record), 1))
+    context.directory.apply(StoredObject(CONFIG_NAME, to_value(record), 1))
 
 
 @then('it sends its witness a renewal within {span_ms:d} ms')
@@ -231,7 +231,7 @@
     written = _numbers(versions)
     for number, version in zip(_numbers(numbers), written, strict=True):
         value = to_value(ShardRecord(version, (OWNER,)))
-        name = shard_object(_shard(number))
+        name = shard_object_name(_shard(number))
         directory.apply(StoredObject(name, value, version))
     directory.revision = max(written)
 
@@ -255,7 +255,7 @@
     changes = context.far.sent[0]
     assert isinstance(changes, Changes), changes
     found = [each.name for each in changes.objects]
-    wanted = [shard_object(_shard(number)) for number in _numbers(numbers)]
+    wanted = [shard_object_name(_shard(number)) for number in _numbers(numbers)]
     assert found == wanted, found
 
 
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -31,12 +31,12 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.caller_interface import NativeCallerInterface
-from laburnumwood.routing.door import Ingress
 from laburnumwood.routing.gate import receive_body
+from laburnumwood.routing.ingress import Ingress
 from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.running import Runner
+from laburnumwood.routing.runner import Runner
 from laburnumwood.routing.server import serve_callers
 from laburnumwood.routing.shared_quarantine import SharedQuarantine
 from laburnumwood.routing.worker_interface import NativeWorkerInterface
