--- a/laburnumwood/cli/options.py
+++ b/laburnumwood/cli/options.py
@@ -1,4 +1,4 @@
-"""Where the tool finds the platform and the nodes, and as whom it calls."""
+"""Options of all commands: addresses, token and name of the operator."""
 
 import getpass
 import os
@@ -6,19 +6,19 @@
 
 from laburnumwood.errors import LaburnumwoodError
 
-_PLATFORM = 'LABURNUMWOOD_PLATFORM'
-_NODE = 'LABURNUMWOOD_NODE'
-_TOKEN = 'LABURNUMWOOD_TOKEN'
-_OPERATOR = 'LABURNUMWOOD_OPERATOR'
+_PLATFORM_VARIABLE = 'LABURNUMWOOD_PLATFORM'
+_NODE_VARIABLE = 'LABURNUMWOOD_NODE'
+_TOKEN_VARIABLE = 'LABURNUMWOOD_TOKEN'
+_OPERATOR_VARIABLE = 'LABURNUMWOOD_OPERATOR'
 
 
 class UsageError(LaburnumwoodError):
-    """A command lacks something or was given what it can't use."""
+    """A command lacks an argument or was given an invalid one."""
 
 
 @dataclass(frozen=True, slots=True)
 class Options:
-    """Options that all commands share."""
+    """Options of all commands; texts that were not given are empty."""
 
     platform: str
     node: str
@@ -27,8 +27,8 @@
 
     @property
     def who(self) -> str:
-        """Return the name for the audit trail."""
-        return os.environ.get(_OPERATOR) or getpass.getuser()
+        """Return the name of the operator for the audit trail."""
+        return os.environ.get(_OPERATOR_VARIABLE) or getpass.getuser()
 
     @property
     def platform_url(self) -> str:
@@ -36,7 +36,7 @@
         if not self.platform.startswith(('http://', 'https://')):
             raise UsageError(
                 f'the URL of the platform is {self.platform!r}; give it by '
-                f'--platform=http://host:port or {_PLATFORM}'
+                f'--platform=http://host:port or {_PLATFORM_VARIABLE}'
             )
         return self.platform
 
@@ -44,10 +44,10 @@
 def read_options(
     platform: str, node: str, token: str, *, as_json: bool
 ) -> Options:
-    """Return the options given by flags, or else by the environment."""
+    """Return the options; empty ones are read from the environment."""
     return Options(
-        platform=platform or os.environ.get(_PLATFORM, ''),
-        node=node or os.environ.get(_NODE, ''),
-        token=token or os.environ.get(_TOKEN, ''),
+        platform=platform or os.environ.get(_PLATFORM_VARIABLE, ''),
+        node=node or os.environ.get(_NODE_VARIABLE, ''),
+        token=token or os.environ.get(_TOKEN_VARIABLE, ''),
         as_json=as_json,
     )
--- a/laburnumwood/config/references.py
+++ b/laburnumwood/config/references.py
@@ -1,4 +1,4 @@
-"""Checks of a merged configuration: what one value says of another."""
+"""Checks of a merged configuration: references and consistency."""
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
@@ -6,100 +6,110 @@
 
 from laburnumwood.config.declarations import Declarations, Pin
 
-Check = Callable[[Declarations], Iterator['Fault']]
+Check = Callable[[Declarations], Iterator['Violation']]
 _CHECKS: list[Check] = []
 
 
 @dataclass(frozen=True, slots=True)
-class Fault:
-    """What is wrong with the value at a path."""
+class Violation:
+    """An invalid value of a configuration: its path and what is wrong."""
 
     path: str
     text: str
 
 
-def _check(found: Check) -> Check:
-    _CHECKS.append(found)
-    return found
+def _register_check(check: Check) -> Check:
+    _CHECKS.append(check)
+    return check
 
 
-def faults(merged: Declarations) -> Iterator[Fault]:
-    """Yield every fault of a merged configuration."""
+def find_violations(merged: Declarations) -> Iterator[Violation]:
+    """Yield all violations of a merged configuration."""
     for check in _CHECKS:
         yield from check(merged)
 
 
-def _unknown(path: str, found: str, kind: str, known: Iterable[str]) -> Fault:
-    names = ', '.join(sorted(known))
+def _undeclared(
+    path: str, name: str, kind: str, declared: Iterable[str]
+) -> Violation:
+    names = ', '.join(sorted(declared))
     allowed = names or f'none, for no {kind} is declared'
-    return Fault(path, f'no {kind} {found!r} is declared; allowed: {allowed}')
+    return Violation(
+        path, f'no {kind} {name!r} is declared; allowed: {allowed}'
+    )
 
 
-@_check
-def _check_owners(merged: Declarations) -> Iterator[Fault]:
-    known = merged.capacity_owners
+@_register_check
+def _check_owners(merged: Declarations) -> Iterator[Violation]:
+    declared = merged.capacity_owners
     for name, service in merged.services.items():
-        if service.owner is not None and service.owner not in known:
+        if service.owner is not None and service.owner not in declared:
             path = f'services.{name}.owner'
-            yield _unknown(path, service.owner, 'capacity owner', known)
+            yield _undeclared(path, service.owner, 'capacity owner', declared)
 
 
-@_check
-def _check_shards(merged: Declarations) -> Iterator[Fault]:
+@_register_check
+def _check_shards(merged: Declarations) -> Iterator[Violation]:
     for name, service in merged.services.items():
         path = f'services.{name}.shards'
         if service.key is not None and not service.shards:
-            yield Fault(path, 'found 0; a service with a key needs 1 or more')
+            yield Violation(
+                path, 'found 0; a service with a key needs 1 or more'
+            )
         elif service.key is None and service.shards:
             text = f'found {service.shards}; a service without a key needs 0'
-            yield Fault(path, text)
+            yield Violation(path, text)
 
 
-@_check
-def _check_routes(merged: Declarations) -> Iterator[Fault]:
+@_register_check
+def _check_routes(merged: Declarations) -> Iterator[Violation]:
     for name, route in merged.routes.items():
         for service in route.services:
             if service not in merged.services:
                 path = f'routes.{name}.services'
-                yield _unknown(path, service, 'service', merged.services)
+                yield _undeclared(path, service, 'service', merged.services)
 
 
-@_check
-def _check_domains(merged: Declarations) -> Iterator[Fault]:
+@_register_check
+def _check_domains(merged: Declarations) -> Iterator[Violation]:
     for name, count in Counter(merged.failure_domains).items():
         if count > 1:
-            yield Fault('failure_domains', f'{name!r} stands {count} times')
+            yield Violation('failure_domains', f'{name!r} stands {count} times')
 
 
-@_check
-def _check_pins(merged: Declarations) -> Iterator[Fault]:
+@_register_check
+def _check_pins(merged: Declarations) -> Iterator[Violation]:
     for name, pin in merged.pins.items():
-        yield from _pin_faults(merged, f'pins.{name}', pin)
+        yield from _pin_violations(merged, f'pins.{name}', pin)
 
 
-@_check
-def _check_same_target(merged: Declarations) -> Iterator[Fault]:
-    first: dict[tuple[object, ...], str] = {}
+@_register_check
+def _check_duplicate_pins(merged: Declarations) -> Iterator[Violation]:
+    pins: dict[tuple[object, ...], str] = {}
     for name, pin in merged.pins.items():
-        bound = (pin.service, pin.key, pin.shard)
-        if bound in first:
-            text = f'binds what pins.{first[bound]} binds; keep one of them'
-            yield Fault(f'pins.{name}', text)
-        first.setdefault(bound, name)
+        target = (pin.service, pin.key, pin.shard)
+        if target in pins:
+            text = f'binds what pins.{pins[target]} binds; keep one of them'
+            yield Violation(f'pins.{name}', text)
+        pins.setdefault(target, name)
 
 
-def _pin_faults(merged: Declarations, path: str, pin: Pin) -> Iterator[Fault]:
+def _pin_violations(
+    merged: Declarations, path: str, pin: Pin
+) -> Iterator[Violation]:
     service = merged.services.get(pin.service)
     if service is None:
         keyed = [name for name, each in merged.services.items() if each.key]
-        yield _unknown(f'{path}.service', pin.service, 'service', keyed)
+        yield _undeclared(f'{path}.service', pin.service, 'service', keyed)
     elif service.key is None:
         text = f'{pin.service!r} is not divided by key; pins need that'
-        yield Fault(f'{path}.service', text)
+        yield Violation(f'{path}.service', text)
     elif pin.shard is not None and pin.shard >= service.shards:
         text = f'found {pin.shard}; allowed: 0 to {service.shards - 1}'
-        yield Fault(f'{path}.shard', text)
-    known = merged.failure_domains
-    if pin.failure_domain is not None and pin.failure_domain not in known:
-        place = f'{path}.failure_domain'
-        yield _unknown(place, pin.failure_domain, 'failure domain', known)
+        yield Violation(f'{path}.shard', text)
+    declared = merged.failure_domains
+    if pin.failure_domain is not None and pin.failure_domain not in declared:
+        domain_path = f'{path}.failure_domain'
+        yield _undeclared(
+            domain_path, pin.failure_domain, 'failure domain', declared
+        )
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -12,9 +12,13 @@
 from hypothesis import strategies as st
 
 from laburnumwood.clock import Clock
-from laburnumwood.config.acceptance import Acceptance, Proposal, current
-from laburnumwood.config.audit import read_newest
-from laburnumwood.config.files import digest, parse
+from laburnumwood.config.acceptance import (
+    ConfigAcceptance,
+    Proposal,
+    read_accepted,
+)
+from laburnumwood.config.audit import read_audit_trail
+from laburnumwood.config.files import digest, parse_file
 from laburnumwood.config.merge import merge_files
 from laburnumwood.errors import (
     ConcurrentChangeError,
@@ -33,7 +37,7 @@
 @given('the file "{name}"')
 def keep_file(context: Context, name: str) -> None:
     context.files = getattr(context, 'files', {})
-    context.files[name] = parse(name, context.text)
+    context.files[name] = parse_file(name, context.text)
 
 
 @then('"{path}" is {value} by "{file}"')
@@ -58,7 +62,7 @@
 @then('the text is refused with "{message}"')
 def check_text_refusal(context: Context, message: str) -> None:
     try:
-        parse('a.json', context.text)
+        parse_file('a.json', context.text)
     except DeclarationError as refused:
         assert str(refused) == message, refused
     else:
@@ -92,13 +96,13 @@
     proposal = Proposal(json.loads(text), who, context.seen)
     context.refusal = None
     try:
-        Acceptance(platform, Clock()).propose(proposal)
+        ConfigAcceptance(platform, Clock()).propose(proposal)
     except (ConcurrentChangeError, DeclarationError) as refused:
         context.refusal = refused
 
 
 def _look(context: Context) -> None:
-    files = current(HttpStore(context.standins['platform'].url))[0].files
+    files = read_accepted(HttpStore(context.standins['platform'].url))[0].files
     context.seen = {name: digest(content) for name, content in files.items()}
 
 
@@ -137,12 +141,12 @@
 @when('"{who}" rolls back to generation {generation:d}')
 def roll_back(context: Context, who: str, generation: int) -> None:
     platform = HttpStore(context.standins['platform'].url)
-    Acceptance(platform, Clock()).roll_back(generation, who)
+    ConfigAcceptance(platform, Clock()).roll_back(generation, who)
 
 
 @then('the accepted files of generation {generation:d} are')
 def check_accepted(context: Context, generation: int) -> None:
-    record, _ = current(HttpStore(context.standins['platform'].url))
+    record, _ = read_accepted(HttpStore(context.standins['platform'].url))
     assert record.generation == generation, record
     assert record.files == json.loads(context.text), record.files
 
@@ -160,7 +164,9 @@
 
 @then('the audit trail names {names}')
 def check_trail(context: Context, names: str) -> None:
-    entries = list(read_newest(HttpStore(context.standins['platform'].url)))
+    entries = list(
+        read_audit_trail(HttpStore(context.standins['platform'].url))
+    )
     entries.reverse()
     assert [entry.who for entry in entries] == names.split(', '), entries
     numbers = [entry.generation for entry in entries]
--- a/tests/features/steps/log_steps.py
+++ b/tests/features/steps/log_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from laburnumwood.cli.explaining import explain
+from laburnumwood.cli.explain_command import explain
 from laburnumwood.cli.options import UsageError
 from laburnumwood.cli.output import Output
 from laburnumwood.logs import LineWriter, RateLimiter
@@ -25,8 +25,8 @@
         super().__init__(as_json=True)
         self.captured: list[dict[str, Any]] = []
 
-    def data(self, content: Any) -> None:
-        """Capture data for programs."""
+    def print_json(self, content: Any) -> None:
+        """Capture the content."""
         self.captured = content
 
 
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -26,12 +26,12 @@
     Place,
     wait_for,
 )
-from laburnumwood.cli.fleet import Fleet
-from laburnumwood.cli.idle import add_up
+from laburnumwood.cli.fleet import FleetClient
+from laburnumwood.cli.idle_capacity import sum_by_group
 from laburnumwood.cli.options import read_options
 from laburnumwood.cli.pages import IdlePage
 from laburnumwood.clock import Clock
-from laburnumwood.config.acceptance import accept
+from laburnumwood.config.acceptance import replace_configuration
 from laburnumwood.config.declarations import Declarations
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.settings import DaemonSettings
@@ -122,7 +122,7 @@
     key = {'source': 'header', 'name': 'Kiosk'}
     declared = {'services': {service: {'key': key, 'shards': SHARDS}}}
     platform = HttpStore(context.deployment.platform_url)
-    accept(platform, {'a.json': declared}, 'scenario', Clock())
+    replace_configuration(platform, {'a.json': declared}, 'scenario', Clock())
 
 
 @then('each of them is owner of some of its shards')
@@ -243,14 +243,14 @@
         headers = {'Kiosk': f'kiosk-{number}'}
         answer = context.deployment.get(url, headers=headers)
         assert answer.status == 200, answer.data
-    fleet = Fleet(
+    fleet = FleetClient(
         read_options(
             context.deployment.platform_url, '', OPERATOR_TOKEN, as_json=True
         )
     )
-    rows = [fleet.ask(row, WHOLE_LIFE, IdlePage) for row in fleet.nodes()]
+    rows = [fleet.fetch(row, WHOLE_LIFE, IdlePage) for row in fleet.nodes()]
     context.elapsed_ms = (time.monotonic() - began) * 1_000
-    context.idle = add_up(rows)
+    context.idle = sum_by_group(rows)
 
 
 @then('capacity of "{lender}" carried others\' work and "{user}" its own')
