--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -167,10 +167,10 @@
 class Caller:
     """One caller: a request at a time, over one kept connection a door."""
 
-    def __init__(self, fleet: SoakFleet, number: int, chance: Random) -> None:
+    def __init__(self, fleet: SoakFleet, number: int, rng: Random) -> None:
         self.calls: list[Call] = []
         self._fleet = fleet
-        self._chance = chance
+        self._chance = rng
         self._is_relayed = number % 4 == 0
         self._names = (f'c{number}-{each}' for each in count())
         self._connections: dict[str, _Connection] = {}
@@ -211,47 +211,47 @@
             self._connections[node] = connection
 
     def _draw(self) -> Ask:
-        chance = self._chance
-        deadline_ms = chance.choice((chance.randint(100, 400), 1_000, 3_000))
-        plan = _draw_plan(chance)
-        if chance.random() < _CLOSE_SHARE:
-            plan = _timed(plan, deadline_ms, chance)
-        leaves = chance.random() < _LEAVING_SHARE
+        rng = self._chance
+        deadline_ms = rng.choice((rng.randint(100, 400), 1_000, 3_000))
+        plan = _draw_plan(rng)
+        if rng.random() < _CLOSE_SHARE:
+            plan = _timed(plan, deadline_ms, rng)
+        leaves = rng.random() < _LEAVING_SHARE
         return Ask(
             attempt=next(self._names),
-            node=chance.choice(list(self._fleet.members)),
+            node=rng.choice(list(self._fleet.members)),
             is_relayed=self._is_relayed,
-            is_idempotent=chance.choice((False, True)),
-            service=chance.choice((KEYED, PLAIN)),
+            is_idempotent=rng.choice((False, True)),
+            service=rng.choice((KEYED, PLAIN)),
             plan=plan,
             deadline_ms=deadline_ms,
-            key=chance.randrange(_KEYS),
-            body=b'b' * chance.choice(_BODY_SIZES),
-            leaves_ms=chance.randint(1, 300) if leaves else None,
+            key=rng.randrange(_KEYS),
+            body=b'b' * rng.choice(_BODY_SIZES),
+            leaves_ms=rng.randint(1, 300) if leaves else None,
         )
 
 
-def _draw_plan(chance: Random) -> Plan:
-    form = chance.choice(list(Form))
-    if chance.random() < _BROKEN_SHARE:
+def _draw_plan(rng: Random) -> Plan:
+    form = rng.choice(list(Form))
+    if rng.random() < _BROKEN_SHARE:
         # Without a length, an ordinary end would make half a body look whole.
         ends = [Break.before, Break.reset]
         if form is not Form.unframed:
             ends.append(Break.in_body)
-        return Plan(size=_BROKEN_SIZE, form=form, breaks=chance.choice(ends))
+        return Plan(size=_BROKEN_SIZE, form=form, breaks=rng.choice(ends))
     return Plan(
-        work_ms=chance.choice((0, 0, 5, 5, chance.randint(20, 300))),
-        body_ms=chance.choice((0, 0, 0, chance.randint(5, 300))),
-        size=chance.choice(_SIZES),
-        status=chance.choice((200,) * 9 + (500,)),
+        work_ms=rng.choice((0, 0, 5, 5, rng.randint(20, 300))),
+        body_ms=rng.choice((0, 0, 0, rng.randint(5, 300))),
+        size=rng.choice(_SIZES),
+        status=rng.choice((200,) * 9 + (500,)),
         form=form,
     )
 
 
-def _timed(plan: Plan, deadline_ms: int, chance: Random) -> Plan:
+def _timed(plan: Plan, deadline_ms: int, rng: Random) -> Plan:
     """Let the work of a plan end about the deadline."""
-    whole_ms = max(0, deadline_ms + chance.randint(-60, 60))
-    work_ms = chance.choice((0, whole_ms, whole_ms // 2))
+    whole_ms = max(0, deadline_ms + rng.randint(-60, 60))
+    work_ms = rng.choice((0, whole_ms, whole_ms // 2))
     return replace(plan, work_ms=work_ms, body_ms=whole_ms - work_ms)
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,15 +29,15 @@
     """What a fault strikes, and the random choices of its lane."""
 
     fleet: SoakFleet
-    chance: Random
+    rng: Random
 
     def member(self) -> ReportingMember:
         """Choose a node with its worker."""
-        return self.chance.choice(list(self.fleet.members.values()))
+        return self.rng.choice(list(self.fleet.members.values()))
 
     def some_s(self, longest_ms: int) -> float:
         """Return a random time in seconds."""
-        return self.chance.randint(0, longest_ms) / MS_PER_SECOND
+        return self.rng.randint(0, longest_ms) / MS_PER_SECOND
 
 
 Fault = Callable[[Scene], AbstractContextManager[str]]
@@ -141,9 +141,9 @@
 def break_link(scene: Scene) -> Iterator[str]:
     """Reset a connection in the middle of a message, a few times."""
     route, _ = _draw_hindrance(scene)
-    way = scene.chance.choice(_WAYS)
-    for _ in range(scene.chance.randint(1, 8)):
-        size = scene.chance.choice((10, 300, 3_000, 30_000, 100_000))
+    way = scene.rng.choice(_WAYS)
+    for _ in range(scene.rng.randint(1, 8)):
+        size = scene.rng.choice((10, 300, 3_000, 30_000, 100_000))
         scene.fleet.relays.hinder(route, cut_after=size, cut_direction=way)
         time.sleep(scene.some_s(_BETWEEN_BREAKS_MS))
     yield f'{route} {way}'
@@ -151,14 +151,14 @@
 
 
 def _draw_hindrance(scene: Scene) -> tuple[str, dict[str, Any]]:
-    chance = scene.chance
-    switches: dict[str, Any] = chance.choice(
+    rng = scene.rng
+    switches: dict[str, Any] = rng.choice(
         (
             {'cut': True},
-            {'delay_ms': chance.choice((20, 80, 300))},
+            {'delay_ms': rng.choice((20, 80, 300))},
             {'silent': True},
             {'silent': True, 'silent_new': True},
-            {'drop': chance.choice(_WAYS)},
+            {'drop': rng.choice(_WAYS)},
         )
     )
     return f'{scene.member().name}.{chance.choice(_LINKS)}', switches
@@ -167,7 +167,7 @@
 @_fault('the store is away')
 def fault_store(scene: Scene) -> Iterator[str]:
     """Let the store be out of service, slow, or lose answers."""
-    switches = scene.chance.choice(
+    switches = scene.rng.choice(
         ({'outage': True}, {'delay_ms': 400}, {'lose_answers': 5})
     )
     scene.fleet.fault_store(**switches)
@@ -178,7 +178,7 @@
 @_fault('the manifest changes')
 def change_manifest(scene: Scene) -> Iterator[str]:
     """Write a manifest with other timeouts."""
-    timeout_ms = scene.chance.choice((1_500, 2_000, 2_500))
+    timeout_ms = scene.rng.choice((1_500, 2_000, 2_500))
     with suppress(HTTPError):  # another lane may have taken the store away
         scene.fleet.declare_again(timeout_ms)
     yield f'timeout {timeout_ms} ms'
@@ -188,17 +188,17 @@
     """Faults one after the other, beside those of other lanes."""
 
     def __init__(
-        self, fleet: SoakFleet, faults: Sequence[str], chance: Random
+        self, fleet: SoakFleet, faults: Sequence[str], rng: Random
     ) -> None:
         self._faults = faults
         self.log: list[str] = []
         self.failed: list[str] = []
-        self._scene = Scene(fleet, chance)
+        self._scene = Scene(fleet, rng)
 
     def run_until(self, halt: Event) -> None:
         """Strike and mend until told to stop; ends with all mended."""
         while not halt.is_set():
-            name = self._scene.chance.choice(self._faults)
+            name = self._scene.rng.choice(self._faults)
             try:
                 self._strike(name, halt)
             except Exception as failure:
@@ -213,4 +213,4 @@
         self.log.append(f'{boottime_ms():.0f} mended: {name}')
 
     def _wait(self, halt: Event, longest_ms: int) -> None:
-        halt.wait(self._scene.chance.randint(0, longest_ms) / MS_PER_SECOND)
+        halt.wait(self._scene.rng.randint(0, longest_ms) / MS_PER_SECOND)
