--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -175,14 +175,14 @@
         self._names = (f'c{number}-{each}' for each in count())
         self._connections: dict[str, _Connection] = {}
 
-    def call_until(self, halt: Event) -> None:
+    def call_until(self, stop_event: Event) -> None:
         """Send requests until told to stop."""
-        while not halt.is_set():
+        while not stop_event.is_set():
             ask = self._draw()
             with suppress(OSError):
                 self._call(ask)
             pause_s = self._chance.choice((0, 0.01, _PAUSE_S))
-            halt.wait(self._chance.random() * pause_s * 2)
+            stop_event.wait(self._chance.random() * pause_s * 2)
         for connection in self._connections.values():
             connection.close()
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -195,22 +195,22 @@
         self.failed: list[str] = []
         self._scene = Scene(fleet, rng)
 
-    def run_until(self, halt: Event) -> None:
+    def run_until(self, stop_event: Event) -> None:
         """Strike and mend until told to stop; ends with all mended."""
-        while not halt.is_set():
+        while not stop_event.is_set():
             name = self._scene.rng.choice(self._faults)
             try:
-                self._strike(name, halt)
+                self._strike(name, stop_event)
             except Exception as failure:
                 self.failed.append(f'{name}: {failure!r}')
-            self._wait(halt, _LONGEST_REST_MS)
+            self._wait(stop_event, _LONGEST_REST_MS)
 
-    def _strike(self, name: str, halt: Event) -> None:
+    def _strike(self, name: str, stop_event: Event) -> None:
         begun_ms = boottime_ms()
         with FAULTS[name](self._scene) as detail:
             self.log.append(f'{begun_ms:.0f} {name}: {detail}')
-            self._wait(halt, _LONGEST_HOLD_MS)
+            self._wait(stop_event, _LONGEST_HOLD_MS)
         self.log.append(f'{boottime_ms():.0f} mended: {name}')
 
-    def _wait(self, halt: Event, longest_ms: int) -> None:
-        halt.wait(self._scene.rng.randint(0, longest_ms) / MS_PER_SECOND)
+    def _wait(self, stop_event: Event, longest_ms: int) -> None:
+        stop_event.wait(self._scene.rng.randint(0, longest_ms) / MS_PER_SECOND)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -76,19 +76,19 @@
 
 def _inject(fleet: SoakFleet, options: Options) -> list[Lane]:
     """Strike for the time of the soak; return the lanes, all mended."""
-    halt = Event()
+    stop_event = Event()
     lanes = [
         Lane(fleet, options.faults, Random(f'{options.seed} lane {number}'))
         for number in range(options.lanes)
     ]
     threads = [
-        Thread(target=lane.run_until, args=(halt,), daemon=True)
+        Thread(target=lane.run_until, args=(stop_event,), daemon=True)
         for lane in lanes
     ]
     for thread in threads:
         thread.start()
     time.sleep(options.seconds)
-    halt.set()
+    stop_event.set()
     for ending in threads:
         ending.join()
     return lanes
