--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,7 +13,7 @@
 from bench.reporting import HOST_NAME
 from standins.clock import MS_PER_SECOND, boottime_ms
 from tests.soak.fleet import KEYED, PLAIN, SoakFleet
-from tests.soak.plans import Break, Form, Plan
+from tests.soak.plans import Break, Framing, Plan
 
 PATIENCE_MS = 15_000  # how long a caller waits beyond its deadline
 _CONNECT_S = 1
@@ -232,11 +232,11 @@
 
 
 def _draw_plan(rng: Random) -> Plan:
-    form = rng.choice(list(Form))
+    form = rng.choice(list(Framing))
     if rng.random() < _BROKEN_SHARE:
         # Without a length, an ordinary end would make half a body look whole.
         ends = [Break.before, Break.reset]
-        if form is not Form.unframed:
+        if form is not Framing.unframed:
             ends.append(Break.in_body)
         return Plan(size=_BROKEN_SIZE, form=form, breaks=rng.choice(ends))
     return Plan(
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -10,7 +10,7 @@
 from tests.soak.callers import Call, End
 from tests.soak.fleet import Life
 from tests.soak.holds import WorkerLife, two_holders
-from tests.soak.plans import Form
+from tests.soak.plans import Framing
 
 _CROSSING_MS = 1_000  # more than a request takes to be read
 _SHOWN = 60  # bytes of a body in what shows a broken promise
@@ -181,7 +181,7 @@
     if call.stamp != f'{ask.attempt}.{call.status}':
         return False
     body = body_of(ask.attempt, ask.plan.size)
-    if ask.plan.form == Form.unframed and not record.ran_whole(call):
+    if ask.plan.form == Framing.unframed and not record.ran_whole(call):
         # Without a length, the end of a killed worker looks like any other.
         return body.startswith(call.body)
     return call.body == body
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -7,7 +7,7 @@
 from pydantic import TypeAdapter
 
 
-class Form(StrEnum):
+class Framing(StrEnum):
     """How the length of an answer is told."""
 
     length = 'length'
@@ -35,7 +35,7 @@
     body_ms: int = 0
     size: int = 0
     status: int = 200
-    form: Form = Form.length
+    form: Framing = Framing.length
     breaks: Break = Break.nowhere
 
     @classmethod
--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -18,7 +18,7 @@
 from standins.worker.journal import Journal
 from standins.worker.orders import Order
 from tests.soak.holds import tell_held
-from tests.soak.plans import Break, Form, Plan
+from tests.soak.plans import Break, Framing, Plan
 
 _PIECE = 4_096  # bytes of a chunk
 _MISDIRECTED = 421
@@ -56,13 +56,13 @@
     return '\r\n'.join((*lines, '', '')).encode()
 
 
-def _pieces(body: bytes, form: Form) -> Iterator[bytes]:
+def _pieces(body: bytes, form: Framing) -> Iterator[bytes]:
     for start in range(0, len(body), _PIECE):
         piece = body[start : start + _PIECE]
-        if form == Form.chunked:
+        if form == Framing.chunked:
             piece = b'%x\r\n%b\r\n' % (len(piece), piece)
         yield piece
-    if form == Form.chunked:
+    if form == Framing.chunked:
         yield b'0\r\n\r\n'
 
 
@@ -130,7 +130,7 @@
         if plan.breaks == Break.reset:
             linger = socket.SOL_SOCKET, socket.SO_LINGER
             sock.setsockopt(*linger, RESET_ON_CLOSE)
-        if plan.breaks != Break.nowhere or plan.form == Form.unframed:
+        if plan.breaks != Break.nowhere or plan.form == Framing.unframed:
             raise _BrokenOffError
 
 
@@ -139,9 +139,9 @@
         'Attempt_Id': attempt,
         'Response_Stamp': f'{attempt}.{plan.status}',
     }
-    if plan.form == Form.length:
+    if plan.form == Framing.length:
         headers['Content_Length'] = plan.size
-    elif plan.form == Form.chunked:
+    elif plan.form == Framing.chunked:
         headers['Transfer_Encoding'] = 'chunked'
     else:
         headers['Connection'] = 'close'
