--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -20,7 +20,7 @@
 from tests.soak.holds import tell_held
 from tests.soak.plans import Break, Framing, Plan
 
-_PIECE = 4_096  # bytes of a chunk
+_CHUNK_BYTES = 4_096  # bytes of a chunk
 _MISDIRECTED = 421
 _BUSY = 503
 
@@ -57,8 +57,8 @@
 
 
 def _pieces(body: bytes, form: Framing) -> Iterator[bytes]:
-    for start in range(0, len(body), _PIECE):
-        piece = body[start : start + _PIECE]
+    for start in range(0, len(body), _CHUNK_BYTES):
+        piece = body[start : start + _CHUNK_BYTES]
         if form == Framing.chunked:
             piece = b'%x\r\n%b\r\n' % (len(piece), piece)
         yield piece
@@ -161,7 +161,7 @@
         crash=False,
         download_bytes=None,
         chunk_ms=0,
-        chunk_bytes=_PIECE,
+        chunk_bytes=_CHUNK_BYTES,
     )
 
 
