--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -56,7 +56,7 @@
     return '\r\n'.join((*lines, '', '')).encode()
 
 
-def _pieces(body: bytes, form: Framing) -> Iterator[bytes]:
+def _body_chunks(body: bytes, form: Framing) -> Iterator[bytes]:
     for start in range(0, len(body), _CHUNK_BYTES):
         piece = body[start : start + _CHUNK_BYTES]
         if form == Framing.chunked:
@@ -122,7 +122,7 @@
         sock.sendall(_answer_head(plan, attempt))
         eventlet.sleep(plan.body_ms / MS_PER_SECOND)
         body = body_of(attempt, plan.size)
-        pieces = list(_pieces(body, plan.form))
+        pieces = list(_body_chunks(body, plan.form))
         if plan.breaks != Break.nowhere:
             pieces = pieces[: len(pieces) // 2]
         for piece in pieces:
