--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -122,10 +122,10 @@
         sock.sendall(_answer_head(plan, attempt))
         eventlet.sleep(plan.body_ms / MS_PER_SECOND)
         body = body_of(attempt, plan.size)
-        pieces = list(_body_chunks(body, plan.form))
+        chunks = list(_body_chunks(body, plan.form))
         if plan.breaks != Break.nowhere:
-            pieces = pieces[: len(pieces) // 2]
-        for piece in pieces:
+            chunks = chunks[: len(chunks) // 2]
+        for piece in chunks:
             sock.sendall(piece)
         if plan.breaks == Break.reset:
             linger = socket.SOL_SOCKET, socket.SO_LINGER
