--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -58,10 +58,10 @@
 
 def _body_chunks(body: bytes, form: Framing) -> Iterator[bytes]:
     for start in range(0, len(body), _CHUNK_BYTES):
-        piece = body[start : start + _CHUNK_BYTES]
+        chunk = body[start : start + _CHUNK_BYTES]
         if form == Framing.chunked:
-            piece = b'%x\r\n%b\r\n' % (len(piece), piece)
-        yield piece
+            chunk = b'%x\r\n%b\r\n' % (len(chunk), chunk)
+        yield chunk
     if form == Framing.chunked:
         yield b'0\r\n\r\n'
 
@@ -125,8 +125,8 @@
         chunks = list(_body_chunks(body, plan.form))
         if plan.breaks != Break.nowhere:
             chunks = chunks[: len(chunks) // 2]
-        for piece in chunks:
-            sock.sendall(piece)
+        for chunk in chunks:
+            sock.sendall(chunk)
         if plan.breaks == Break.reset:
             linger = socket.SOL_SOCKET, socket.SO_LINGER
             sock.setsockopt(*linger, RESET_ON_CLOSE)
