--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -25,7 +25,7 @@
 _BUSY = 503
 
 
-class _BrokenOffError(Exception):
+class _CloseConnectionError(Exception):
     """The answer ends here, and its connection with it."""
 
 
@@ -75,7 +75,7 @@
 
     def serve(self, sock: socket.socket) -> None:
         """Serve one connection until either side ends it."""
-        ended = OSError, ValueError, _BrokenOffError
+        ended = OSError, ValueError, _CloseConnectionError
         with closing(sock), suppress(*ended), sock.makefile('rb') as stream:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while True:
@@ -85,7 +85,7 @@
         method, target, headers = _read_head(stream)
         size = int(headers.get('content-length', '0'))
         if len(stream.read(size)) < size:
-            raise _BrokenOffError
+            raise _CloseConnectionError
         query = target.partition('?')[2]
         attempt = headers.get('attempt-id', '')
         refused = self._refusal(headers)
@@ -118,7 +118,7 @@
     def _answer(self, sock: socket.socket, plan: Plan, attempt: str) -> None:
         eventlet.sleep(plan.work_ms / MS_PER_SECOND)
         if plan.breaks == Break.before:
-            raise _BrokenOffError
+            raise _CloseConnectionError
         sock.sendall(_answer_head(plan, attempt))
         eventlet.sleep(plan.body_ms / MS_PER_SECOND)
         body = body_of(attempt, plan.size)
@@ -131,7 +131,7 @@
             linger = socket.SOL_SOCKET, socket.SO_LINGER
             sock.setsockopt(*linger, RESET_ON_CLOSE)
         if plan.breaks != Break.nowhere or plan.form == Framing.unframed:
-            raise _BrokenOffError
+            raise _CloseConnectionError
 
 
 def _answer_head(plan: Plan, attempt: str) -> bytes:
