--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -48,7 +48,7 @@
     return method, target, headers
 
 
-def _head(status: int, **headers: object) -> bytes:
+def _format_head(status: int, **headers: object) -> bytes:
     lines = [f'HTTP/1.1 {status} Told']
     lines += [
         f'{name.replace("_", "-")}: {text}' for name, text in headers.items()
@@ -91,7 +91,7 @@
         refused = self._refusal(headers)
         if refused:
             facts = {'Attempt_Id': attempt, 'Not_Executed': 1}
-            sock.sendall(_head(refused, Content_Length=0, **facts))
+            sock.sendall(_format_head(refused, Content_Length=0, **facts))
             return
         order = _order(attempt, self._options.service, method)
         self._run(sock, Plan.parse(query), order)
@@ -145,7 +145,7 @@
         headers['Transfer_Encoding'] = 'chunked'
     else:
         headers['Connection'] = 'close'
-    return _head(plan.status, **headers)
+    return _format_head(plan.status, **headers)
 
 
 def _order(attempt: str, service: str, method: str) -> Order:
