--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -119,7 +119,7 @@
         eventlet.sleep(plan.work_ms / MS_PER_SECOND)
         if plan.breaks == Break.before:
             raise _CloseConnectionError
-        sock.sendall(_answer_head(plan, attempt))
+        sock.sendall(_response_head(plan, attempt))
         eventlet.sleep(plan.body_ms / MS_PER_SECOND)
         body = body_of(attempt, plan.size)
         chunks = list(_body_chunks(body, plan.form))
@@ -134,7 +134,7 @@
             raise _CloseConnectionError
 
 
-def _answer_head(plan: Plan, attempt: str) -> bytes:
+def _response_head(plan: Plan, attempt: str) -> bytes:
     headers: dict[str, object] = {
         'Attempt_Id': attempt,
         'Response_Stamp': f'{attempt}.{plan.status}',
