--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -109,13 +109,15 @@
         entry = self._journal.start(order)
         outcome = Outcome.cut
         try:
-            self._answer(sock, plan, order.request)
+            self._send_response(sock, plan, order.request)
             outcome = Outcome.ran
         finally:
             self._running -= 1
             self._journal.finish(entry, outcome)
 
-    def _answer(self, sock: socket.socket, plan: Plan, attempt: str) -> None:
+    def _send_response(
+        self, sock: socket.socket, plan: Plan, attempt: str
+    ) -> None:
         eventlet.sleep(plan.work_ms / MS_PER_SECOND)
         if plan.breaks == Break.before:
             raise _CloseConnectionError
