--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -88,7 +88,7 @@
             raise _CloseConnectionError
         query = target.partition('?')[2]
         attempt = headers.get('attempt-id', '')
-        refused = self._refusal(headers)
+        refused = self._refusal_status(headers)
         if refused:
             facts = {'Attempt_Id': attempt, 'Not_Executed': 1}
             sock.sendall(_format_head(refused, Content_Length=0, **facts))
@@ -96,7 +96,7 @@
         order = _order(attempt, self._options.service, method)
         self._run(sock, Plan.parse(query), order)
 
-    def _refusal(self, headers: dict[str, str]) -> int:
+    def _refusal_status(self, headers: dict[str, str]) -> int:
         key = int(headers.get('shard-key', '-1'))
         if headers.get('target-instance') != self._options.name:
             return _MISDIRECTED
