--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -88,10 +88,12 @@
             raise _CloseConnectionError
         query = target.partition('?')[2]
         attempt = headers.get('attempt-id', '')
-        refused = self._refusal_status(headers)
-        if refused:
+        refusal_status = self._refusal_status(headers)
+        if refusal_status:
             facts = {'Attempt_Id': attempt, 'Not_Executed': 1}
-            sock.sendall(_format_head(refused, Content_Length=0, **facts))
+            sock.sendall(
+                _format_head(refusal_status, Content_Length=0, **facts)
+            )
             return
         order = _order(attempt, self._options.service, method)
         self._run(sock, Plan.parse(query), order)
