--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -96,7 +96,7 @@
             )
             return
         order = _order(attempt, self._options.service, method)
-        self._run(sock, Plan.parse(query), order)
+        self._execute(sock, Plan.parse(query), order)
 
     def _refusal_status(self, headers: dict[str, str]) -> int:
         key = int(headers.get('shard-key', '-1'))
@@ -106,7 +106,7 @@
             return _MISDIRECTED
         return _BUSY if self._running >= self._options.slots else 0
 
-    def _run(self, sock: socket.socket, plan: Plan, order: Order) -> None:
+    def _execute(self, sock: socket.socket, plan: Plan, order: Order) -> None:
         self._running += 1
         entry = self._journal.start(order)
         outcome = Outcome.cut
