--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -90,9 +90,9 @@
         attempt = headers.get('attempt-id', '')
         refusal_status = self._refusal_status(headers)
         if refusal_status:
-            facts = {'Attempt_Id': attempt, 'Not_Executed': 1}
+            headers_sent = {'Attempt_Id': attempt, 'Not_Executed': 1}
             sock.sendall(
-                _format_head(refusal_status, Content_Length=0, **facts)
+                _format_head(refusal_status, Content_Length=0, **headers_sent)
             )
             return
         order = _order(attempt, self._options.service, method)
