--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -43,7 +43,7 @@
 Held = dict[Keys, list[Span]]
 
 
-def tell_held(rows: Sequence[Row], until_ms: float) -> None:
+def log_held(rows: Sequence[Row], until_ms: float) -> None:
     """Write down what is held from now on, until a moment (monotonic ms)."""
     now_ms = boottime_ms()
     until_ms += now_ms - monotonic_ms()
--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -17,7 +17,7 @@
 from standins.worker.bodies import body_of
 from standins.worker.journal import Journal
 from standins.worker.orders import Order
-from tests.soak.holds import tell_held
+from tests.soak.holds import log_held
 from tests.soak.plans import Break, Framing, Plan
 
 _CHUNK_BYTES = 4_096  # bytes of a chunk
@@ -173,7 +173,7 @@
     """Run the worker until the process ends."""
     options = _parse_options()
     holds = Holds() if options.sharded else None
-    eventlet.spawn_n(Reports(options, holds, tell_held).run)
+    eventlet.spawn_n(Reports(options, holds, log_held).run)
     worker = _Worker(options, holds)
     listener: Any = socket.create_server((HOST, options.port), backlog=BACKLOG)
     while True:
