--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Scene:
+class FaultContext:
     """What a fault strikes, and the random choices of its lane."""
 
     fleet: SoakFleet
@@ -40,12 +40,14 @@
         return self.rng.randint(0, longest_ms) / MS_PER_SECOND
 
 
-Fault = Callable[[Scene], AbstractContextManager[str]]
+Fault = Callable[[FaultContext], AbstractContextManager[str]]
 FAULTS: dict[str, Fault] = {}
 
 
-def _fault(name: str) -> Callable[[Callable[[Scene], Iterator[str]]], Fault]:
-    def register(strike: Callable[[Scene], Iterator[str]]) -> Fault:
+def _fault(
+    name: str,
+) -> Callable[[Callable[[FaultContext], Iterator[str]]], Fault]:
+    def register(strike: Callable[[FaultContext], Iterator[str]]) -> Fault:
         FAULTS[name] = contextmanager(strike)
         return FAULTS[name]
 
@@ -53,7 +55,7 @@
 
 
 @_fault('a node is killed')
-def kill_node(scene: Scene) -> Iterator[str]:
+def kill_node(scene: FaultContext) -> Iterator[str]:
     """Kill a node and start it again later."""
     member = scene.member()
     with scene.fleet.claim(f'node {member.name}'):
@@ -63,7 +65,7 @@
 
 
 @_fault('a node is told to stop')
-def stop_node(scene: Scene) -> Iterator[str]:
+def stop_node(scene: FaultContext) -> Iterator[str]:
     """Stop a node and start it again once it has ended."""
     member = scene.member()
     with scene.fleet.claim(f'node {member.name}'):
@@ -73,7 +75,7 @@
 
 
 @_fault('a node is paused while it stops')
-def pause_stopping(scene: Scene) -> Iterator[str]:
+def pause_stopping(scene: FaultContext) -> Iterator[str]:
     """Stop a node, and pause it about when it closes its door."""
     member = scene.member()
     with scene.fleet.claim(f'node {member.name}'):
@@ -85,13 +87,13 @@
         scene.fleet.restart_node(member)
 
 
-def _pause_soon(scene: Scene, member: ReportingMember) -> None:
+def _pause_soon(scene: FaultContext, member: ReportingMember) -> None:
     time.sleep(scene.some_s(_LINGER_MS))
     scene.fleet.pause_node(member, scene.some_s(_LONGEST_PAUSE_MS))
 
 
 @_fault('a node is paused')
-def pause_node(scene: Scene) -> Iterator[str]:
+def pause_node(scene: FaultContext) -> Iterator[str]:
     """Pause a node."""
     member = scene.member()
     scene.fleet.pause_node(member, scene.some_s(_LONGEST_PAUSE_MS))
@@ -99,7 +101,7 @@
 
 
 @_fault('a node reads its settings again')
-def reload_node(scene: Scene) -> Iterator[str]:
+def reload_node(scene: FaultContext) -> Iterator[str]:
     """Send SIGHUP."""
     member = scene.member()
     with scene.fleet.claim(f'node {member.name}'), suppress(HTTPError):
@@ -109,7 +111,7 @@
 
 
 @_fault('a worker is killed')
-def kill_worker(scene: Scene) -> Iterator[str]:
+def kill_worker(scene: FaultContext) -> Iterator[str]:
     """Kill a worker and start it again later."""
     member = scene.member()
     with scene.fleet.claim(f'worker {member.name}'):
@@ -119,7 +121,7 @@
 
 
 @_fault('a worker is paused')
-def pause_worker(scene: Scene) -> Iterator[str]:
+def pause_worker(scene: FaultContext) -> Iterator[str]:
     """Pause a worker."""
     member = scene.member()
     worker = member.worker
@@ -129,7 +131,7 @@
 
 
 @_fault('links are hindered')
-def hinder_links(scene: Scene) -> Iterator[str]:
+def hinder_links(scene: FaultContext) -> Iterator[str]:
     """Delay, reset, silence or deafen what leads to a node, or from it."""
     route, switches = _draw_hindrance(scene)
     scene.fleet.relays.hinder(route, **switches)
@@ -138,7 +140,7 @@
 
 
 @_fault('a link breaks after some bytes')
-def break_link(scene: Scene) -> Iterator[str]:
+def break_link(scene: FaultContext) -> Iterator[str]:
     """Reset a connection in the middle of a message, a few times."""
     route, _ = _draw_hindrance(scene)
     way = scene.rng.choice(_WAYS)
@@ -150,7 +152,7 @@
     scene.fleet.relays.clear(route)
 
 
-def _draw_hindrance(scene: Scene) -> tuple[str, dict[str, Any]]:
+def _draw_hindrance(scene: FaultContext) -> tuple[str, dict[str, Any]]:
     rng = scene.rng
     switches: dict[str, Any] = rng.choice(
         (
@@ -165,7 +167,7 @@
 
 
 @_fault('the store is away')
-def fault_store(scene: Scene) -> Iterator[str]:
+def fault_store(scene: FaultContext) -> Iterator[str]:
     """Let the store be out of service, slow, or lose answers."""
     switches = scene.rng.choice(
         ({'outage': True}, {'delay_ms': 400}, {'lose_answers': 5})
@@ -176,7 +178,7 @@
 
 
 @_fault('the manifest changes')
-def change_manifest(scene: Scene) -> Iterator[str]:
+def change_manifest(scene: FaultContext) -> Iterator[str]:
     """Write a manifest with other timeouts."""
     timeout_ms = scene.rng.choice((1_500, 2_000, 2_500))
     with suppress(HTTPError):  # another lane may have taken the store away
@@ -193,7 +195,7 @@
         self._faults = faults
         self.log: list[str] = []
         self.failed: list[str] = []
-        self._scene = Scene(fleet, rng)
+        self._scene = FaultContext(fleet, rng)
 
     def run_until(self, stop_event: Event) -> None:
         """Strike and mend until told to stop; ends with all mended."""
