--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -55,75 +55,75 @@
 
 
 @_fault('a node is killed')
-def kill_node(scene: FaultContext) -> Iterator[str]:
+def kill_node(context: FaultContext) -> Iterator[str]:
     """Kill a node and start it again later."""
-    member = scene.member()
-    with scene.fleet.claim(f'node {member.name}'):
-        scene.fleet.kill_node(member)
+    member = context.member()
+    with context.fleet.claim(f'node {member.name}'):
+        context.fleet.kill_node(member)
         yield member.name
-        scene.fleet.restart_node(member)
+        context.fleet.restart_node(member)
 
 
 @_fault('a node is told to stop')
-def stop_node(scene: FaultContext) -> Iterator[str]:
+def stop_node(context: FaultContext) -> Iterator[str]:
     """Stop a node and start it again once it has ended."""
-    member = scene.member()
-    with scene.fleet.claim(f'node {member.name}'):
-        scene.fleet.stop_node(member)
+    member = context.member()
+    with context.fleet.claim(f'node {member.name}'):
+        context.fleet.stop_node(member)
         yield member.name
-        scene.fleet.restart_node(member)
+        context.fleet.restart_node(member)
 
 
 @_fault('a node is paused while it stops')
-def pause_stopping(scene: FaultContext) -> Iterator[str]:
+def pause_stopping(context: FaultContext) -> Iterator[str]:
     """Stop a node, and pause it about when it closes its door."""
-    member = scene.member()
-    with scene.fleet.claim(f'node {member.name}'):
-        pausing = Thread(target=_pause_soon, args=(scene, member))
+    member = context.member()
+    with context.fleet.claim(f'node {member.name}'):
+        pausing = Thread(target=_pause_soon, args=(context, member))
         pausing.start()
-        scene.fleet.stop_node(member)
+        context.fleet.stop_node(member)
         pausing.join()
         yield member.name
-        scene.fleet.restart_node(member)
+        context.fleet.restart_node(member)
 
 
-def _pause_soon(scene: FaultContext, member: ReportingMember) -> None:
-    time.sleep(scene.some_s(_LINGER_MS))
-    scene.fleet.pause_node(member, scene.some_s(_LONGEST_PAUSE_MS))
+def _pause_soon(context: FaultContext, member: ReportingMember) -> None:
+    time.sleep(context.some_s(_LINGER_MS))
+    context.fleet.pause_node(member, context.some_s(_LONGEST_PAUSE_MS))
 
 
 @_fault('a node is paused')
-def pause_node(scene: FaultContext) -> Iterator[str]:
+def pause_node(context: FaultContext) -> Iterator[str]:
     """Pause a node."""
-    member = scene.member()
-    scene.fleet.pause_node(member, scene.some_s(_LONGEST_PAUSE_MS))
+    member = context.member()
+    context.fleet.pause_node(member, context.some_s(_LONGEST_PAUSE_MS))
     yield member.name
 
 
 @_fault('a node reads its settings again')
-def reload_node(scene: FaultContext) -> Iterator[str]:
+def reload_node(context: FaultContext) -> Iterator[str]:
     """Send SIGHUP."""
-    member = scene.member()
-    with scene.fleet.claim(f'node {member.name}'), suppress(HTTPError):
-        if scene.fleet.is_ready(member):
+    member = context.member()
+    with context.fleet.claim(f'node {member.name}'), suppress(HTTPError):
+        if context.fleet.is_ready(member):
             member.node.signal(signal.SIGHUP)
     yield member.name
 
 
 @_fault('a worker is killed')
-def kill_worker(scene: FaultContext) -> Iterator[str]:
+def kill_worker(context: FaultContext) -> Iterator[str]:
     """Kill a worker and start it again later."""
-    member = scene.member()
-    with scene.fleet.claim(f'worker {member.name}'):
-        scene.fleet.kill_worker(member)
+    member = context.member()
+    with context.fleet.claim(f'worker {member.name}'):
+        context.fleet.kill_worker(member)
         yield member.name
-        scene.fleet.restart_worker(member)
+        context.fleet.restart_worker(member)
 
 
 @_fault('a worker is paused')
-def pause_worker(scene: FaultContext) -> Iterator[str]:
+def pause_worker(context: FaultContext) -> Iterator[str]:
     """Pause a worker."""
-    member = scene.member()
+    member = context.member()
     worker = member.worker
     worker.pause()
     yield member.name
@@ -131,29 +131,29 @@
 
 
 @_fault('links are hindered')
-def hinder_links(scene: FaultContext) -> Iterator[str]:
+def hinder_links(context: FaultContext) -> Iterator[str]:
     """Delay, reset, silence or deafen what leads to a node, or from it."""
-    route, switches = _draw_hindrance(scene)
-    scene.fleet.relays.hinder(route, **switches)
+    route, switches = _draw_hindrance(context)
+    context.fleet.relays.hinder(route, **switches)
     yield f'{route} {switches}'
-    scene.fleet.relays.clear(route)
+    context.fleet.relays.clear(route)
 
 
 @_fault('a link breaks after some bytes')
-def break_link(scene: FaultContext) -> Iterator[str]:
+def break_link(context: FaultContext) -> Iterator[str]:
     """Reset a connection in the middle of a message, a few times."""
-    route, _ = _draw_hindrance(scene)
-    way = scene.rng.choice(_WAYS)
-    for _ in range(scene.rng.randint(1, 8)):
-        size = scene.rng.choice((10, 300, 3_000, 30_000, 100_000))
-        scene.fleet.relays.hinder(route, cut_after=size, cut_direction=way)
-        time.sleep(scene.some_s(_BETWEEN_BREAKS_MS))
+    route, _ = _draw_hindrance(context)
+    way = context.rng.choice(_WAYS)
+    for _ in range(context.rng.randint(1, 8)):
+        size = context.rng.choice((10, 300, 3_000, 30_000, 100_000))
+        context.fleet.relays.hinder(route, cut_after=size, cut_direction=way)
+        time.sleep(context.some_s(_BETWEEN_BREAKS_MS))
     yield f'{route} {way}'
-    scene.fleet.relays.clear(route)
+    context.fleet.relays.clear(route)
 
 
-def _draw_hindrance(scene: FaultContext) -> tuple[str, dict[str, Any]]:
-    rng = scene.rng
+def _draw_hindrance(context: FaultContext) -> tuple[str, dict[str, Any]]:
+    rng = context.rng
     switches: dict[str, Any] = rng.choice(
         (
             {'cut': True},
@@ -167,22 +167,22 @@
 
 
 @_fault('the store is away')
-def fault_store(scene: FaultContext) -> Iterator[str]:
+def fault_store(context: FaultContext) -> Iterator[str]:
     """Let the store be out of service, slow, or lose answers."""
-    switches = scene.rng.choice(
+    switches = context.rng.choice(
         ({'outage': True}, {'delay_ms': 400}, {'lose_answers': 5})
     )
-    scene.fleet.fault_store(**switches)
+    context.fleet.fault_store(**switches)
     yield str(switches)
-    scene.fleet.fault_store(outage=False, delay_ms=0, lose_answers=0)
+    context.fleet.fault_store(outage=False, delay_ms=0, lose_answers=0)
 
 
 @_fault('the manifest changes')
-def change_manifest(scene: FaultContext) -> Iterator[str]:
+def change_manifest(context: FaultContext) -> Iterator[str]:
     """Write a manifest with other timeouts."""
-    timeout_ms = scene.rng.choice((1_500, 2_000, 2_500))
+    timeout_ms = context.rng.choice((1_500, 2_000, 2_500))
     with suppress(HTTPError):  # another lane may have taken the store away
-        scene.fleet.declare_again(timeout_ms)
+        context.fleet.declare_again(timeout_ms)
     yield f'timeout {timeout_ms} ms'
 
 
