--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -195,12 +195,12 @@
         self._faults = faults
         self.log: list[str] = []
         self.failed: list[str] = []
-        self._scene = FaultContext(fleet, rng)
+        self._context = FaultContext(fleet, rng)
 
     def run_until(self, stop_event: Event) -> None:
         """Strike and mend until told to stop; ends with all mended."""
         while not stop_event.is_set():
-            name = self._scene.rng.choice(self._faults)
+            name = self._context.rng.choice(self._faults)
             try:
                 self._strike(name, stop_event)
             except Exception as failure:
@@ -209,10 +209,12 @@
 
     def _strike(self, name: str, stop_event: Event) -> None:
         begun_ms = boottime_ms()
-        with FAULTS[name](self._scene) as detail:
+        with FAULTS[name](self._context) as detail:
             self.log.append(f'{begun_ms:.0f} {name}: {detail}')
             self._wait(stop_event, _LONGEST_HOLD_MS)
         self.log.append(f'{boottime_ms():.0f} mended: {name}')
 
     def _wait(self, stop_event: Event, longest_ms: int) -> None:
-        stop_event.wait(self._scene.rng.randint(0, longest_ms) / MS_PER_SECOND)
+        stop_event.wait(
+            self._context.rng.randint(0, longest_ms) / MS_PER_SECOND
+        )
