--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -35,7 +35,7 @@
         """Choose a node with its worker."""
         return self.rng.choice(list(self.fleet.members.values()))
 
-    def some_s(self, longest_ms: int) -> float:
+    def random_s(self, longest_ms: int) -> float:
         """Return a random time in seconds."""
         return self.rng.randint(0, longest_ms) / MS_PER_SECOND
 
@@ -88,15 +88,15 @@
 
 
 def _pause_soon(context: FaultContext, member: ReportingMember) -> None:
-    time.sleep(context.some_s(_LINGER_MS))
-    context.fleet.pause_node(member, context.some_s(_LONGEST_PAUSE_MS))
+    time.sleep(context.random_s(_LINGER_MS))
+    context.fleet.pause_node(member, context.random_s(_LONGEST_PAUSE_MS))
 
 
 @_fault('a node is paused')
 def pause_node(context: FaultContext) -> Iterator[str]:
     """Pause a node."""
     member = context.member()
-    context.fleet.pause_node(member, context.some_s(_LONGEST_PAUSE_MS))
+    context.fleet.pause_node(member, context.random_s(_LONGEST_PAUSE_MS))
     yield member.name
 
 
@@ -147,7 +147,7 @@
     for _ in range(context.rng.randint(1, 8)):
         size = context.rng.choice((10, 300, 3_000, 30_000, 100_000))
         context.fleet.relays.hinder(route, cut_after=size, cut_direction=way)
-        time.sleep(context.some_s(_BETWEEN_BREAKS_MS))
+        time.sleep(context.random_s(_BETWEEN_BREAKS_MS))
     yield f'{route} {way}'
     context.fleet.relays.clear(route)
 
