--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -47,8 +47,8 @@
 def _fault(
     name: str,
 ) -> Callable[[Callable[[FaultContext], Iterator[str]]], Fault]:
-    def register(strike: Callable[[FaultContext], Iterator[str]]) -> Fault:
-        FAULTS[name] = contextmanager(strike)
+    def register(inject: Callable[[FaultContext], Iterator[str]]) -> Fault:
+        FAULTS[name] = contextmanager(inject)
         return FAULTS[name]
 
     return register
