--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -202,12 +202,12 @@
         while not stop_event.is_set():
             name = self._context.rng.choice(self._faults)
             try:
-                self._strike(name, stop_event)
+                self._inject(name, stop_event)
             except Exception as failure:
                 self.failed.append(f'{name}: {failure!r}')
             self._wait(stop_event, _LONGEST_REST_MS)
 
-    def _strike(self, name: str, stop_event: Event) -> None:
+    def _inject(self, name: str, stop_event: Event) -> None:
         begun_ms = boottime_ms()
         with FAULTS[name](self._context) as detail:
             self.log.append(f'{begun_ms:.0f} {name}: {detail}')
