--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,7 +15,7 @@
 from standins.clock import MS_PER_SECOND, boottime_ms
 from tests.soak.fleet import SoakFleet
 
-_LONGEST_PAUSE_MS = 2_500
+_MAX_PAUSE_MS = 2_500
 _LONGEST_HOLD_MS = 3_000
 _LONGEST_REST_MS = 1_500
 _BETWEEN_BREAKS_MS = 300
@@ -89,14 +89,14 @@
 
 def _pause_soon(context: FaultContext, member: ReportingMember) -> None:
     time.sleep(context.random_s(_LINGER_MS))
-    context.fleet.pause_node(member, context.random_s(_LONGEST_PAUSE_MS))
+    context.fleet.pause_node(member, context.random_s(_MAX_PAUSE_MS))
 
 
 @_fault('a node is paused')
 def pause_node(context: FaultContext) -> Iterator[str]:
     """Pause a node."""
     member = context.member()
-    context.fleet.pause_node(member, context.random_s(_LONGEST_PAUSE_MS))
+    context.fleet.pause_node(member, context.random_s(_MAX_PAUSE_MS))
     yield member.name
 
 
