--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,7 +16,7 @@
 from tests.soak.fleet import SoakFleet
 
 _MAX_PAUSE_MS = 2_500
-_LONGEST_HOLD_MS = 3_000
+_MAX_FAULT_MS = 3_000
 _LONGEST_REST_MS = 1_500
 _BETWEEN_BREAKS_MS = 300
 _LINGER_MS = 300  # of nodes that stop, in their settings
@@ -211,7 +211,7 @@
         begun_ms = boottime_ms()
         with FAULTS[name](self._context) as detail:
             self.log.append(f'{begun_ms:.0f} {name}: {detail}')
-            self._wait(stop_event, _LONGEST_HOLD_MS)
+            self._wait(stop_event, _MAX_FAULT_MS)
         self.log.append(f'{boottime_ms():.0f} mended: {name}')
 
     def _wait(self, stop_event: Event, longest_ms: int) -> None:
