--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,7 +17,7 @@
 
 _MAX_PAUSE_MS = 2_500
 _MAX_FAULT_MS = 3_000
-_LONGEST_REST_MS = 1_500
+_MAX_INTERVAL_MS = 1_500
 _BETWEEN_BREAKS_MS = 300
 _LINGER_MS = 300  # of nodes that stop, in their settings
 _WAYS = ('to_target', 'to_client')
@@ -205,7 +205,7 @@
                 self._inject(name, stop_event)
             except Exception as failure:
                 self.failed.append(f'{name}: {failure!r}')
-            self._wait(stop_event, _LONGEST_REST_MS)
+            self._wait(stop_event, _MAX_INTERVAL_MS)
 
     def _inject(self, name: str, stop_event: Event) -> None:
         begun_ms = boottime_ms()
