--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,7 +18,7 @@
 _MAX_PAUSE_MS = 2_500
 _MAX_FAULT_MS = 3_000
 _MAX_INTERVAL_MS = 1_500
-_BETWEEN_BREAKS_MS = 300
+_MAX_BREAK_INTERVAL_MS = 300
 _LINGER_MS = 300  # of nodes that stop, in their settings
 _WAYS = ('to_target', 'to_client')
 _LINKS = ('peer', 'peer', 'worker', 'store', 'reports', 'door')
@@ -147,7 +147,7 @@
     for _ in range(context.rng.randint(1, 8)):
         size = context.rng.choice((10, 300, 3_000, 30_000, 100_000))
         context.fleet.relays.hinder(route, cut_after=size, cut_direction=way)
-        time.sleep(context.random_s(_BETWEEN_BREAKS_MS))
+        time.sleep(context.random_s(_MAX_BREAK_INTERVAL_MS))
     yield f'{route} {way}'
     context.fleet.relays.clear(route)
 
