--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -35,9 +35,9 @@
         """Choose a node with its worker."""
         return self.rng.choice(list(self.fleet.members.values()))
 
-    def random_s(self, longest_ms: int) -> float:
+    def random_s(self, max_ms: int) -> float:
         """Return a random time in seconds."""
-        return self.rng.randint(0, longest_ms) / MS_PER_SECOND
+        return self.rng.randint(0, max_ms) / MS_PER_SECOND
 
 
 Fault = Callable[[FaultContext], AbstractContextManager[str]]
@@ -214,7 +214,5 @@
             self._wait(stop_event, _MAX_FAULT_MS)
         self.log.append(f'{boottime_ms():.0f} mended: {name}')
 
-    def _wait(self, stop_event: Event, longest_ms: int) -> None:
-        stop_event.wait(
-            self._context.rng.randint(0, longest_ms) / MS_PER_SECOND
-        )
+    def _wait(self, stop_event: Event, max_ms: int) -> None:
+        stop_event.wait(self._context.rng.randint(0, max_ms) / MS_PER_SECOND)
