--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,7 +20,7 @@
 _MAX_INTERVAL_MS = 1_500
 _MAX_BREAK_INTERVAL_MS = 300
 _LINGER_MS = 300  # of nodes that stop, in their settings
-_WAYS = ('to_target', 'to_client')
+_DIRECTIONS = ('to_target', 'to_client')
 _LINKS = ('peer', 'peer', 'worker', 'store', 'reports', 'door')
 
 
@@ -143,7 +143,7 @@
 def break_link(context: FaultContext) -> Iterator[str]:
     """Reset a connection in the middle of a message, a few times."""
     route, _ = _draw_hindrance(context)
-    way = context.rng.choice(_WAYS)
+    way = context.rng.choice(_DIRECTIONS)
     for _ in range(context.rng.randint(1, 8)):
         size = context.rng.choice((10, 300, 3_000, 30_000, 100_000))
         context.fleet.relays.hinder(route, cut_after=size, cut_direction=way)
@@ -160,7 +160,7 @@
             {'delay_ms': rng.choice((20, 80, 300))},
             {'silent': True},
             {'silent': True, 'silent_new': True},
-            {'drop': rng.choice(_WAYS)},
+            {'drop': rng.choice(_DIRECTIONS)},
         )
     )
     return f'{scene.member().name}.{chance.choice(_LINKS)}', switches
