--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -143,10 +143,12 @@
 def break_link(context: FaultContext) -> Iterator[str]:
     """Reset a connection in the middle of a message, a few times."""
     route, _ = _draw_hindrance(context)
-    way = context.rng.choice(_DIRECTIONS)
+    direction = context.rng.choice(_DIRECTIONS)
     for _ in range(context.rng.randint(1, 8)):
         size = context.rng.choice((10, 300, 3_000, 30_000, 100_000))
-        context.fleet.relays.hinder(route, cut_after=size, cut_direction=way)
+        context.fleet.relays.hinder(
+            route, cut_after=size, cut_direction=direction
+        )
         time.sleep(context.random_s(_MAX_BREAK_INTERVAL_MS))
     yield f'{route} {way}'
     context.fleet.relays.clear(route)
