--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -79,7 +79,7 @@
     """Stop a node, and pause it about when it closes its door."""
     member = context.member()
     with context.fleet.claim(f'node {member.name}'):
-        pausing = Thread(target=_pause_soon, args=(context, member))
+        pausing = Thread(target=_pause_after_delay, args=(context, member))
         pausing.start()
         context.fleet.stop_node(member)
         pausing.join()
@@ -87,7 +87,7 @@
         context.fleet.restart_node(member)
 
 
-def _pause_soon(context: FaultContext, member: ReportingMember) -> None:
+def _pause_after_delay(context: FaultContext, member: ReportingMember) -> None:
     time.sleep(context.random_s(_LINGER_MS))
     context.fleet.pause_node(member, context.random_s(_MAX_PAUSE_MS))
 
