--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -131,7 +131,7 @@
 
 
 @_fault('links are hindered')
-def hinder_links(context: FaultContext) -> Iterator[str]:
+def impair_links(context: FaultContext) -> Iterator[str]:
     """Delay, reset, silence or deafen what leads to a node, or from it."""
     route, switches = _draw_hindrance(context)
     context.fleet.relays.hinder(route, **switches)
