--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -133,7 +133,7 @@
 @_fault('links are hindered')
 def impair_links(context: FaultContext) -> Iterator[str]:
     """Delay, reset, silence or deafen what leads to a node, or from it."""
-    route, switches = _draw_hindrance(context)
+    route, switches = _draw_impairment(context)
     context.fleet.relays.hinder(route, **switches)
     yield f'{route} {switches}'
     context.fleet.relays.clear(route)
@@ -142,7 +142,7 @@
 @_fault('a link breaks after some bytes')
 def break_link(context: FaultContext) -> Iterator[str]:
     """Reset a connection in the middle of a message, a few times."""
-    route, _ = _draw_hindrance(context)
+    route, _ = _draw_impairment(context)
     direction = context.rng.choice(_DIRECTIONS)
     for _ in range(context.rng.randint(1, 8)):
         size = context.rng.choice((10, 300, 3_000, 30_000, 100_000))
@@ -154,7 +154,7 @@
     context.fleet.relays.clear(route)
 
 
-def _draw_hindrance(context: FaultContext) -> tuple[str, dict[str, Any]]:
+def _draw_impairment(context: FaultContext) -> tuple[str, dict[str, Any]]:
     rng = context.rng
     switches: dict[str, Any] = rng.choice(
         (
