--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -134,7 +134,7 @@
 def impair_links(context: FaultContext) -> Iterator[str]:
     """Delay, reset, silence or deafen what leads to a node, or from it."""
     route, switches = _draw_impairment(context)
-    context.fleet.relays.hinder(route, **switches)
+    context.fleet.relays.set_switches(route, **switches)
     yield f'{route} {switches}'
     context.fleet.relays.clear(route)
 
@@ -146,7 +146,7 @@
     direction = context.rng.choice(_DIRECTIONS)
     for _ in range(context.rng.randint(1, 8)):
         size = context.rng.choice((10, 300, 3_000, 30_000, 100_000))
-        context.fleet.relays.hinder(
+        context.fleet.relays.set_switches(
             route, cut_after=size, cut_direction=direction
         )
         time.sleep(context.random_s(_MAX_BREAK_INTERVAL_MS))
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -67,7 +67,7 @@
         self.ports[route] = int(answer.json()['port'])
         return self.ports[route]
 
-    def hinder(self, route: str, **switches: Any) -> None:
+    def set_switches(self, route: str, **switches: Any) -> None:
         """Set switches of a route."""
         url = f'{self.url}/routes/{route}'
         answer = self.http.request('POST', url, json=switches)
@@ -76,7 +76,7 @@
 
     def clear(self, route: str) -> None:
         """Take all switches of a route back."""
-        self.hinder(route, **UNHINDERED)
+        self.set_switches(route, **UNHINDERED)
 
 
 class SoakFleet(ReportingDeployment):
