--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -169,14 +169,14 @@
 
 
 @_fault('the store is away')
-def fault_store(context: FaultContext) -> Iterator[str]:
+def disrupt_store(context: FaultContext) -> Iterator[str]:
     """Let the store be out of service, slow, or lose answers."""
     switches = context.rng.choice(
         ({'outage': True}, {'delay_ms': 400}, {'lose_answers': 5})
     )
-    context.fleet.fault_store(**switches)
+    context.fleet.disrupt_store(**switches)
     yield str(switches)
-    context.fleet.fault_store(outage=False, delay_ms=0, lose_answers=0)
+    context.fleet.disrupt_store(outage=False, delay_ms=0, lose_answers=0)
 
 
 @_fault('the manifest changes')
