--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -176,7 +176,7 @@
         url = f'{self.store_url}/objects/config/main'
         self.http.request('PUT', url, body=body)
 
-    def fault_store(self, **switches: Any) -> None:
+    def set_store_faults(self, **switches: Any) -> None:
         """Set fault switches of the store."""
         self.http.request('POST', f'{self.store_url}/faults', json=switches)
 
