--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -210,7 +210,7 @@
             self._wait(stop_event, _MAX_INTERVAL_MS)
 
     def _inject(self, name: str, stop_event: Event) -> None:
-        begun_ms = boottime_ms()
+        started_ms = boottime_ms()
         with FAULTS[name](self._context) as detail:
             self.log.append(f'{begun_ms:.0f} {name}: {detail}')
             self._wait(stop_event, _MAX_FAULT_MS)
