--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -180,7 +180,7 @@
 
 
 @_fault('the manifest changes')
-def change_manifest(context: FaultContext) -> Iterator[str]:
+def rewrite_manifest(context: FaultContext) -> Iterator[str]:
     """Write a manifest with other timeouts."""
     timeout_ms = context.rng.choice((1_500, 2_000, 2_500))
     with suppress(HTTPError):  # another lane may have taken the store away
