--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -36,7 +36,7 @@
     fleet = SoakFleet(nodes)
     context.add_cleanup(fleet.close)
     fleet.wait_ready()
-    fleet.declare_again(seconds * 1_000)
+    fleet.replace_manifest(seconds * 1_000)
     context.fleet = fleet
     context.callers = Callers(fleet, CALLERS, seed=1)
     context.callers.start()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -184,7 +184,7 @@
     """Write a manifest with other timeouts."""
     timeout_ms = context.rng.choice((1_500, 2_000, 2_500))
     with suppress(HTTPError):  # another lane may have taken the store away
-        context.fleet.declare_again(timeout_ms)
+        context.fleet.replace_manifest(timeout_ms)
     yield f'timeout {timeout_ms} ms'
 
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -166,7 +166,7 @@
         port = self._worker_ports[member.name]
         member.worker = self._start_worker(member.settings, port)
 
-    def declare_again(self, timeout_ms: int) -> None:
+    def replace_manifest(self, timeout_ms: int) -> None:
         """Write another version of the manifest."""
         self._versions += 1
         content = manifest(self._versions, self._services)
