--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -58,7 +58,7 @@
 def kill_node(context: FaultContext) -> Iterator[str]:
     """Kill a node and start it again later."""
     member = context.member()
-    with context.fleet.claim(f'node {member.name}'):
+    with context.fleet.process_lock(f'node {member.name}'):
         context.fleet.kill_node(member)
         yield member.name
         context.fleet.restart_node(member)
@@ -68,7 +68,7 @@
 def stop_node(context: FaultContext) -> Iterator[str]:
     """Stop a node and start it again once it has ended."""
     member = context.member()
-    with context.fleet.claim(f'node {member.name}'):
+    with context.fleet.process_lock(f'node {member.name}'):
         context.fleet.stop_node(member)
         yield member.name
         context.fleet.restart_node(member)
@@ -78,7 +78,7 @@
 def pause_stopping(context: FaultContext) -> Iterator[str]:
     """Stop a node, and pause it about when it closes its door."""
     member = context.member()
-    with context.fleet.claim(f'node {member.name}'):
+    with context.fleet.process_lock(f'node {member.name}'):
         pausing = Thread(target=_pause_after_delay, args=(context, member))
         pausing.start()
         context.fleet.stop_node(member)
@@ -104,7 +104,7 @@
 def reload_node(context: FaultContext) -> Iterator[str]:
     """Send SIGHUP."""
     member = context.member()
-    with context.fleet.claim(f'node {member.name}'), suppress(HTTPError):
+    with context.fleet.process_lock(f'node {member.name}'), suppress(HTTPError):
         if context.fleet.is_ready(member):
             member.node.signal(signal.SIGHUP)
     yield member.name
@@ -114,7 +114,7 @@
 def kill_worker(context: FaultContext) -> Iterator[str]:
     """Kill a worker and start it again later."""
     member = context.member()
-    with context.fleet.claim(f'worker {member.name}'):
+    with context.fleet.process_lock(f'worker {member.name}'):
         context.fleet.kill_worker(member)
         yield member.name
         context.fleet.restart_worker(member)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -121,7 +121,7 @@
         address = self.members[name].settings['door_address']
         return int(address.rpartition(':')[2])
 
-    def claim(self, what: str) -> Lock:
+    def process_lock(self, what: str) -> Lock:
         """Return the lock of who ends and starts a process."""
         return self._claims.setdefault(what, Lock())
 
