--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -88,7 +88,7 @@
         self.worker_lives: list[WorkerLife] = []
         self._versions = 1
         self._worker_ports: dict[str, int] = {}
-        self._claims: dict[str, Lock] = {}
+        self._process_locks: dict[str, Lock] = {}
         journal_port, relay_port = free_port(), free_port()
         self.journal_url = f'http://{HOST}:{journal_port}/journal'
         self.journal = self._spawn(
@@ -123,7 +123,7 @@
 
     def process_lock(self, what: str) -> Lock:
         """Return the lock of who ends and starts a process."""
-        return self._claims.setdefault(what, Lock())
+        return self._process_locks.setdefault(what, Lock())
 
     def kill_node(self, member: ReportingMember) -> None:
         """End a node at once."""
