--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -196,7 +196,7 @@
     ) -> None:
         self._faults = faults
         self.log: list[str] = []
-        self.failed: list[str] = []
+        self.injection_errors: list[str] = []
         self._context = FaultContext(fleet, rng)
 
     def run_until(self, stop_event: Event) -> None:
@@ -206,7 +206,7 @@
             try:
                 self._inject(name, stop_event)
             except Exception as failure:
-                self.failed.append(f'{name}: {failure!r}')
+                self.injection_errors.append(f'{name}: {failure!r}')
             self._wait(stop_event, _MAX_INTERVAL_MS)
 
     def _inject(self, name: str, stop_event: Event) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -136,7 +136,7 @@
         broken += [
             Broken('an injection failed', failure)
             for lane in lanes
-            for failure in lane.failed
+            for failure in lane.injection_errors
         ]
         faults = sorted(line for lane in lanes for line in lane.log)
         report = Report(options, calls, len(entries), faults, broken)
