--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -74,7 +74,7 @@
         return '\n'.join((*lines, f'{len(self.broken)} broken'))
 
 
-def _inject(fleet: SoakFleet, options: Options) -> list[Lane]:
+def _inject_faults(fleet: SoakFleet, options: Options) -> list[Lane]:
     """Strike for the time of the soak; return the lanes, all mended."""
     stop_event = Event()
     lanes = [
@@ -126,7 +126,7 @@
         fleet.wait_ready()
         callers = Callers(fleet, options.callers, options.seed)
         callers.start()
-        lanes = _inject(fleet, options)
+        lanes = _inject_faults(fleet, options)
         broken = _await_served(fleet)
         calls = callers.finish()
         time.sleep(_LATE_S)
