--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(slots=True)
-class Life:
+class NodeIncarnation:
     """One process of a node; times in ms of CLOCK_BOOTTIME."""
 
     node: str
@@ -84,7 +84,7 @@
 
     def __init__(self, nodes: int) -> None:
         super().__init__({KEYED: True, PLAIN: False})
-        self.lives: list[Life] = []
+        self.lives: list[NodeIncarnation] = []
         self.worker_lives: list[WorkerLife] = []
         self._versions = 1
         self._worker_ports: dict[str, int] = {}
@@ -107,10 +107,10 @@
     def start_node(self, path: Path) -> Process:
         """Start a node and note its life."""
         process = super().start_node(path)
-        self.lives.append(Life(path.stem, process, process.pid))
+        self.lives.append(NodeIncarnation(path.stem, process, process.pid))
         return process
 
-    def life(self, member: ReportingMember) -> Life:
+    def life(self, member: ReportingMember) -> NodeIncarnation:
         """Return the life of the process that a node has now."""
         return next(life for life in self.lives if life.process is member.node)
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -8,7 +8,7 @@
 from standins.journal.entry import JournalEntry, Outcome
 from standins.worker.bodies import body_of
 from tests.soak.callers import Call, End
-from tests.soak.fleet import Life
+from tests.soak.fleet import NodeIncarnation
 from tests.soak.holds import WorkerLife, two_holders
 from tests.soak.plans import Framing
 
@@ -24,7 +24,7 @@
     """All that is known of a soak when it is over."""
 
     calls: Sequence[Call]
-    lives: Sequence[Life]
+    lives: Sequence[NodeIncarnation]
     workers: Sequence[WorkerLife]
     runs: dict[str, list[JournalEntry]] = field(default_factory=dict)
 
@@ -32,7 +32,7 @@
     def of(
         cls,
         calls: Sequence[Call],
-        lives: Sequence[Life],
+        lives: Sequence[NodeIncarnation],
         workers: Sequence[WorkerLife],
         entries: Sequence[JournalEntry],
     ) -> 'Record':
@@ -77,7 +77,7 @@
             for pause in life.pauses
         )
 
-    def _lives_at(self, call: Call) -> Iterator[Life]:
+    def _lives_at(self, call: Call) -> Iterator[NodeIncarnation]:
         return (life for life in self.lives if life.node == call.ask.node)
 
 
