--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -14,7 +14,7 @@
 
 from tests.soak.callers import Callers
 from tests.soak.fleet import KEYED, SoakFleet
-from tests.soak.holds import WorkerLife, two_holders
+from tests.soak.holds import WorkerIncarnation, two_holders
 from tests.soak.judge import Record, judge
 from tests.soak.plans import Plan
 from tests.soak.soak import Options, run
@@ -87,7 +87,7 @@
     log = context.folder / f'{len(context.workers)}.log'
     line = {'held': [[first, last, 8]], 'at_ms': since, 'until_ms': until}
     log.write_text(f'another line\n{json.dumps(line)}\n')
-    context.workers.append(WorkerLife(worker, log))
+    context.workers.append(WorkerIncarnation(worker, log))
 
 
 @given('the worker "{_worker}" was killed at {at_ms:d} ms')
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -15,7 +15,7 @@
 from bench.reporting import ReportingDeployment, ReportingMember, manifest
 from standins.clock import boottime_ms
 from standins.journal.entry import JournalEntry
-from tests.soak.holds import WorkerLife
+from tests.soak.holds import WorkerIncarnation
 
 KEYED, PLAIN = 'portal', 'docs'
 DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
@@ -85,7 +85,7 @@
     def __init__(self, nodes: int) -> None:
         super().__init__({KEYED: True, PLAIN: False})
         self.lives: list[NodeIncarnation] = []
-        self.worker_lives: list[WorkerLife] = []
+        self.worker_lives: list[WorkerIncarnation] = []
         self._versions = 1
         self._worker_ports: dict[str, int] = {}
         self._process_locks: dict[str, Lock] = {}
@@ -214,7 +214,7 @@
             f'--journal-url={self.journal_url}',
             *flags,
         )
-        self.worker_lives.append(WorkerLife(name, process.log))
+        self.worker_lives.append(WorkerIncarnation(name, process.log))
         return process
 
     def _settings(
--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -32,7 +32,7 @@
 
 
 @dataclass(slots=True)
-class WorkerLife:
+class WorkerIncarnation:
     """One process of a worker; `killed_ms` is None while it runs."""
 
     worker: str
@@ -51,7 +51,7 @@
     print(json.dumps(line), flush=True)
 
 
-def two_holders(lives: Sequence[WorkerLife]) -> Iterator[str]:
+def two_holders(lives: Sequence[WorkerIncarnation]) -> Iterator[str]:
     """Yield what two workers held at one moment."""
     held = _held_by(lives)
     # Two rows that share keys share the higher one of their first keys.
@@ -65,7 +65,7 @@
                 yield f'key {key} for {both_ms:.0f} ms: {one} {other}'
 
 
-def _held_by(lives: Sequence[WorkerLife]) -> Held:
+def _held_by(lives: Sequence[WorkerIncarnation]) -> Held:
     held: Held = defaultdict(list)
     for life in lives:
         last = {'held': [], 'at_ms': float('inf'), 'until_ms': float('inf')}
@@ -88,6 +88,6 @@
         spans.append(span)
 
 
-def _lines(life: WorkerLife) -> list[dict[str, Any]]:
+def _lines(life: WorkerIncarnation) -> list[dict[str, Any]]:
     lines = life.log.read_text().splitlines()
     return [json.loads(line) for line in lines if line.startswith(_MARK)]
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -9,7 +9,7 @@
 from standins.worker.bodies import body_of
 from tests.soak.callers import Call, End
 from tests.soak.fleet import NodeIncarnation
-from tests.soak.holds import WorkerLife, two_holders
+from tests.soak.holds import WorkerIncarnation, two_holders
 from tests.soak.plans import Framing
 
 _CROSSING_MS = 1_000  # more than a request takes to be read
@@ -25,7 +25,7 @@
 
     calls: Sequence[Call]
     lives: Sequence[NodeIncarnation]
-    workers: Sequence[WorkerLife]
+    workers: Sequence[WorkerIncarnation]
     runs: dict[str, list[JournalEntry]] = field(default_factory=dict)
 
     @classmethod
@@ -33,7 +33,7 @@
         cls,
         calls: Sequence[Call],
         lives: Sequence[NodeIncarnation],
-        workers: Sequence[WorkerLife],
+        workers: Sequence[WorkerIncarnation],
         entries: Sequence[JournalEntry],
     ) -> 'Record':
         """Return the record with runs grouped by request."""
