--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -60,7 +60,10 @@
     entries = context.fleet.entries()
     context.broken = judge(
         Record.of(
-            calls, context.fleet.lives, context.fleet.worker_lives, entries
+            calls,
+            context.fleet.lives,
+            context.fleet.worker_incarnations,
+            entries,
         )
     )
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -85,7 +85,7 @@
     def __init__(self, nodes: int) -> None:
         super().__init__({KEYED: True, PLAIN: False})
         self.lives: list[NodeIncarnation] = []
-        self.worker_lives: list[WorkerIncarnation] = []
+        self.worker_incarnations: list[WorkerIncarnation] = []
         self._versions = 1
         self._worker_ports: dict[str, int] = {}
         self._process_locks: dict[str, Lock] = {}
@@ -157,7 +157,7 @@
         """End a worker at once."""
         log = member.worker.log
         member.worker.kill()
-        for life in self.worker_lives:
+        for life in self.worker_incarnations:
             if life.log == log:
                 life.killed_ms = boottime_ms()
 
@@ -214,7 +214,7 @@
             f'--journal-url={self.journal_url}',
             *flags,
         )
-        self.worker_lives.append(WorkerIncarnation(name, process.log))
+        self.worker_incarnations.append(WorkerIncarnation(name, process.log))
         return process
 
     def _settings(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -131,7 +131,9 @@
         calls = callers.finish()
         time.sleep(_LATE_S)
         entries = fleet.entries()
-        record = Record.of(calls, fleet.lives, fleet.worker_lives, entries)
+        record = Record.of(
+            calls, fleet.lives, fleet.worker_incarnations, entries
+        )
         broken += judge(record)
         broken += [
             Broken('an injection failed', failure)
