--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -61,7 +61,7 @@
     context.broken = judge(
         Record.of(
             calls,
-            context.fleet.lives,
+            context.fleet.node_incarnations,
             context.fleet.worker_incarnations,
             entries,
         )
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -84,7 +84,7 @@
 
     def __init__(self, nodes: int) -> None:
         super().__init__({KEYED: True, PLAIN: False})
-        self.lives: list[NodeIncarnation] = []
+        self.node_incarnations: list[NodeIncarnation] = []
         self.worker_incarnations: list[WorkerIncarnation] = []
         self._versions = 1
         self._worker_ports: dict[str, int] = {}
@@ -107,12 +107,18 @@
     def start_node(self, path: Path) -> Process:
         """Start a node and note its life."""
         process = super().start_node(path)
-        self.lives.append(NodeIncarnation(path.stem, process, process.pid))
+        self.node_incarnations.append(
+            NodeIncarnation(path.stem, process, process.pid)
+        )
         return process
 
     def life(self, member: ReportingMember) -> NodeIncarnation:
         """Return the life of the process that a node has now."""
-        return next(life for life in self.lives if life.process is member.node)
+        return next(
+            life
+            for life in self.node_incarnations
+            if life.process is member.node
+        )
 
     def door_port(self, name: str, *, relayed: bool) -> int:
         """Return where callers reach a node, at its relay or itself."""
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -24,7 +24,7 @@
     """All that is known of a soak when it is over."""
 
     calls: Sequence[Call]
-    lives: Sequence[NodeIncarnation]
+    node_incarnations: Sequence[NodeIncarnation]
     workers: Sequence[WorkerIncarnation]
     runs: dict[str, list[JournalEntry]] = field(default_factory=dict)
 
@@ -32,7 +32,7 @@
     def of(
         cls,
         calls: Sequence[Call],
-        lives: Sequence[NodeIncarnation],
+        node_incarnations: Sequence[NodeIncarnation],
         workers: Sequence[WorkerIncarnation],
         entries: Sequence[JournalEntry],
     ) -> 'Record':
@@ -40,7 +40,7 @@
         runs = defaultdict(list)
         for entry in entries:
             runs[entry.request].append(entry)
-        return cls(calls, lives, workers, runs)
+        return cls(calls, node_incarnations, workers, runs)
 
     def has_run(self, call: Call) -> bool:
         """Tell whether a worker has run a request."""
@@ -78,7 +78,11 @@
         )
 
     def _lives_at(self, call: Call) -> Iterator[NodeIncarnation]:
-        return (life for life in self.lives if life.node == call.ask.node)
+        return (
+            life
+            for life in self.node_incarnations
+            if life.node == call.ask.node
+        )
 
 
 def _overlap(
@@ -205,7 +209,7 @@
 @_rule('a process did not end as it should')
 def ended(record: Record) -> Iterator[str]:
     """Yield lives that ended by themselves or with a failure."""
-    for life in record.lives:
+    for life in record.node_incarnations:
         is_over = not life.process.is_running
         by_itself = life.stopped_ms is None and life.killed_ms is None
         failed = life.status not in {None, 0} and not life.died_starting
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -132,7 +132,7 @@
         time.sleep(_LATE_S)
         entries = fleet.entries()
         record = Record.of(
-            calls, fleet.lives, fleet.worker_incarnations, entries
+            calls, fleet.node_incarnations, fleet.worker_incarnations, entries
         )
         broken += judge(record)
         broken += [
@@ -151,6 +151,8 @@
     folder = FOLDER / f'seed-{report.options.seed}'
     fleet.keep_logs(folder)
     lines = [f'{each.rule}: {each.evidence}' for each in report.broken]
-    lives = [str(life) for life in fleet.lives]
-    content = '\n'.join((str(report), *lines, *lives, *report.faults))
+    node_incarnations = [str(life) for life in fleet.node_incarnations]
+    content = '\n'.join(
+        (str(report), *lines, *node_incarnations, *report.faults)
+    )
     (folder / 'report.txt').write_text(content)
