--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -51,9 +51,9 @@
     print(json.dumps(line), flush=True)
 
 
-def two_holders(lives: Sequence[WorkerIncarnation]) -> Iterator[str]:
+def two_holders(incarnations: Sequence[WorkerIncarnation]) -> Iterator[str]:
     """Yield what two workers held at one moment."""
-    held = _held_by(lives)
+    held = _held_by(incarnations)
     # Two rows that share keys share the higher one of their first keys.
     for key in sorted({keys.first for keys in held}):
         spans = [held[keys] for keys in held if keys.first <= key <= keys.last]
@@ -65,9 +65,9 @@
                 yield f'key {key} for {both_ms:.0f} ms: {one} {other}'
 
 
-def _held_by(lives: Sequence[WorkerIncarnation]) -> Held:
+def _held_by(incarnations: Sequence[WorkerIncarnation]) -> Held:
     held: Held = defaultdict(list)
-    for life in lives:
+    for life in incarnations:
         last = {'held': [], 'at_ms': float('inf'), 'until_ms': float('inf')}
         for line, following in pairwise([*_lines(life), last]):
             end_ms = min(line['until_ms'], following['at_ms'])
