--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -112,12 +112,12 @@
         )
         return process
 
-    def life(self, member: ReportingMember) -> NodeIncarnation:
+    def incarnation(self, member: ReportingMember) -> NodeIncarnation:
         """Return the life of the process that a node has now."""
         return next(
-            life
-            for life in self.node_incarnations
-            if life.process is member.node
+            incarnation
+            for incarnation in self.node_incarnations
+            if incarnation.process is member.node
         )
 
     def door_port(self, name: str, *, relayed: bool) -> int:
@@ -133,27 +133,27 @@
 
     def kill_node(self, member: ReportingMember) -> None:
         """End a node at once."""
-        life = self.life(member)
-        life.killed_ms = boottime_ms()
+        incarnation = self.incarnation(member)
+        incarnation.killed_ms = boottime_ms()
         member.node.kill()
-        life.ended_ms = boottime_ms()
+        incarnation.ended_ms = boottime_ms()
 
     def stop_node(self, member: ReportingMember) -> None:
         """Tell a node to stop and wait for its end."""
-        life = self.life(member)
-        life.stopped_ms = boottime_ms()
+        incarnation = self.incarnation(member)
+        incarnation.stopped_ms = boottime_ms()
         member.node.terminate()
-        life.status = member.node.wait(STOP_S)
-        life.ended_ms = boottime_ms()
+        incarnation.status = member.node.wait(STOP_S)
+        incarnation.ended_ms = boottime_ms()
 
     def pause_node(self, member: ReportingMember, pause_s: float) -> None:
         """Pause the process of a node for a while."""
-        life = self.life(member)
+        incarnation = self.incarnation(member)
         paused_ms = boottime_ms()
-        life.process.pause()
+        incarnation.process.pause()
         time.sleep(pause_s)
-        life.process.resume()
-        life.pauses.append((paused_ms, boottime_ms()))
+        incarnation.process.resume()
+        incarnation.pauses.append((paused_ms, boottime_ms()))
 
     def restart_node(self, member: ReportingMember) -> None:
         """Start a node again."""
@@ -163,9 +163,9 @@
         """End a worker at once."""
         log = member.worker.log
         member.worker.kill()
-        for life in self.worker_incarnations:
-            if life.log == log:
-                life.killed_ms = boottime_ms()
+        for incarnation in self.worker_incarnations:
+            if incarnation.log == log:
+                incarnation.killed_ms = boottime_ms()
 
     def restart_worker(self, member: ReportingMember) -> None:
         """Start the worker of a member again at its old port."""
--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -67,14 +67,14 @@
 
 def _held_by(incarnations: Sequence[WorkerIncarnation]) -> Held:
     held: Held = defaultdict(list)
-    for life in incarnations:
+    for incarnation in incarnations:
         last = {'held': [], 'at_ms': float('inf'), 'until_ms': float('inf')}
-        for line, following in pairwise([*_lines(life), last]):
+        for line, following in pairwise([*_lines(incarnation), last]):
             end_ms = min(line['until_ms'], following['at_ms'])
-            if life.killed_ms is not None:
-                end_ms = min(end_ms, life.killed_ms)
+            if incarnation.killed_ms is not None:
+                end_ms = min(end_ms, incarnation.killed_ms)
             for first, until_key, _ in line['held']:
-                span = Span(life.worker, line['at_ms'], end_ms)
+                span = Span(incarnation.worker, line['at_ms'], end_ms)
                 _add(held[Keys(first, until_key)], span)
     return held
 
@@ -88,6 +88,6 @@
         spans.append(span)
 
 
-def _lines(life: WorkerIncarnation) -> list[dict[str, Any]]:
-    lines = life.log.read_text().splitlines()
+def _lines(incarnation: WorkerIncarnation) -> list[dict[str, Any]]:
+    lines = incarnation.log.read_text().splitlines()
     return [json.loads(line) for line in lines if line.startswith(_MARK)]
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -58,30 +58,40 @@
         and has read nothing by then.
         """
         return any(
-            _overlap(call.opened_ms, call, life.struck_ms, life.ended_ms)
-            for life in self._lives_at(call)
+            _overlap(
+                call.opened_ms,
+                call,
+                incarnation.struck_ms,
+                incarnation.ended_ms,
+            )
+            for incarnation in self._lives_at(call)
         )
 
     def was_stopping(self, call: Call) -> bool:
         """Tell whether the node stopped while a connection was open."""
         return any(
-            _overlap(call.opened_ms, call, life.stopped_ms, life.ended_ms)
-            for life in self._lives_at(call)
+            _overlap(
+                call.opened_ms,
+                call,
+                incarnation.stopped_ms,
+                incarnation.ended_ms,
+            )
+            for incarnation in self._lives_at(call)
         )
 
     def was_paused(self, call: Call) -> bool:
         """Tell whether the node was paused while a call was under way."""
         return any(
             _overlap(call.sent_ms, call, *pause)
-            for life in self._lives_at(call)
-            for pause in life.pauses
+            for incarnation in self._lives_at(call)
+            for pause in incarnation.pauses
         )
 
     def _lives_at(self, call: Call) -> Iterator[NodeIncarnation]:
         return (
-            life
-            for life in self.node_incarnations
-            if life.node == call.ask.node
+            incarnation
+            for incarnation in self.node_incarnations
+            if incarnation.node == call.ask.node
         )
 
 
@@ -209,10 +219,15 @@
 @_rule('a process did not end as it should')
 def ended(record: Record) -> Iterator[str]:
     """Yield lives that ended by themselves or with a failure."""
-    for life in record.node_incarnations:
-        is_over = not life.process.is_running
-        by_itself = life.stopped_ms is None and life.killed_ms is None
-        failed = life.status not in {None, 0} and not life.died_starting
+    for incarnation in record.node_incarnations:
+        is_over = not incarnation.process.is_running
+        by_itself = (
+            incarnation.stopped_ms is None and incarnation.killed_ms is None
+        )
+        failed = (
+            incarnation.status not in {None, 0}
+            and not incarnation.died_starting
+        )
         if (is_over and by_itself) or failed:
             yield f'{life.node} pid {life.process.pid} status {life.status}'
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -151,7 +151,9 @@
     folder = FOLDER / f'seed-{report.options.seed}'
     fleet.keep_logs(folder)
     lines = [f'{each.rule}: {each.evidence}' for each in report.broken]
-    node_incarnations = [str(life) for life in fleet.node_incarnations]
+    node_incarnations = [
+        str(incarnation) for incarnation in fleet.node_incarnations
+    ]
     content = '\n'.join(
         (str(report), *lines, *node_incarnations, *report.faults)
     )
