--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -64,7 +64,7 @@
                 incarnation.struck_ms,
                 incarnation.ended_ms,
             )
-            for incarnation in self._lives_at(call)
+            for incarnation in self._incarnations_at(call)
         )
 
     def was_stopping(self, call: Call) -> bool:
@@ -76,18 +76,18 @@
                 incarnation.stopped_ms,
                 incarnation.ended_ms,
             )
-            for incarnation in self._lives_at(call)
+            for incarnation in self._incarnations_at(call)
         )
 
     def was_paused(self, call: Call) -> bool:
         """Tell whether the node was paused while a call was under way."""
         return any(
             _overlap(call.sent_ms, call, *pause)
-            for incarnation in self._lives_at(call)
+            for incarnation in self._incarnations_at(call)
             for pause in incarnation.pauses
         )
 
-    def _lives_at(self, call: Call) -> Iterator[NodeIncarnation]:
+    def _incarnations_at(self, call: Call) -> Iterator[NodeIncarnation]:
         return (
             incarnation
             for incarnation in self.node_incarnations
