--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -25,7 +25,7 @@
 
     calls: Sequence[Call]
     node_incarnations: Sequence[NodeIncarnation]
-    workers: Sequence[WorkerIncarnation]
+    worker_incarnations: Sequence[WorkerIncarnation]
     runs: dict[str, list[JournalEntry]] = field(default_factory=dict)
 
     @classmethod
@@ -33,14 +33,14 @@
         cls,
         calls: Sequence[Call],
         node_incarnations: Sequence[NodeIncarnation],
-        workers: Sequence[WorkerIncarnation],
+        worker_incarnations: Sequence[WorkerIncarnation],
         entries: Sequence[JournalEntry],
     ) -> 'Record':
         """Return the record with runs grouped by request."""
         runs = defaultdict(list)
         for entry in entries:
             runs[entry.request].append(entry)
-        return cls(calls, node_incarnations, workers, runs)
+        return cls(calls, node_incarnations, worker_incarnations, runs)
 
     def has_run(self, call: Call) -> bool:
         """Tell whether a worker has run a request."""
@@ -213,7 +213,7 @@
 @_rule('two workers held the same keys')
 def held_twice(record: Record) -> Iterator[str]:
     """Yield keys that two workers held at one moment."""
-    yield from two_holders(record.workers)
+    yield from two_holders(record.worker_incarnations)
 
 
 @_rule('a process did not end as it should')
