--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -39,7 +39,7 @@
     pauses: list[tuple[float, float]] = field(default_factory=list)
 
     @property
-    def struck_ms(self) -> float | None:
+    def unhandled_end_ms(self) -> float | None:
         """Return when the process was ended without having a say."""
         return self.stopped_ms if self.died_starting else self.killed_ms
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -61,7 +61,7 @@
             _overlap(
                 call.opened_ms,
                 call,
-                incarnation.struck_ms,
+                incarnation.unhandled_end_ms,
                 incarnation.ended_ms,
             )
             for incarnation in self._incarnations_at(call)
