--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -41,10 +41,10 @@
     @property
     def unhandled_end_ms(self) -> float | None:
         """Return when the process was ended without having a say."""
-        return self.stopped_ms if self.died_starting else self.killed_ms
+        return self.stopped_ms if self.died_during_start else self.killed_ms
 
     @property
-    def died_starting(self) -> bool:
+    def died_during_start(self) -> bool:
         """Tell whether it was told to stop before it handles signals."""
         if self.status != -SIGTERM:
             return False
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -226,7 +226,7 @@
         )
         failed = (
             incarnation.status not in {None, 0}
-            and not incarnation.died_starting
+            and not incarnation.died_during_start
         )
         if (is_over and by_itself) or failed:
             yield f'{life.node} pid {life.process.pid} status {life.status}'
