--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -13,7 +13,7 @@
 from urllib3.exceptions import HTTPError
 
 from tests.soak.callers import Callers
-from tests.soak.fleet import KEYED, SoakFleet
+from tests.soak.fleet import SHARDED_SERVICE, SoakFleet
 from tests.soak.holds import WorkerIncarnation, two_holders
 from tests.soak.judge import Record, judge
 from tests.soak.plans import Plan
