--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,7 +12,7 @@
 from bench.deployment import HOST
 from bench.reporting import HOST_NAME
 from standins.clock import MS_PER_SECOND, boottime_ms
-from tests.soak.fleet import PLAIN, SHARDED_SERVICE, SoakFleet
+from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
 from tests.soak.plans import Break, Framing, Plan
 
 PATIENCE_MS = 15_000  # how long a caller waits beyond its deadline
@@ -222,7 +222,7 @@
             node=rng.choice(list(self._fleet.members)),
             is_relayed=self._is_relayed,
             is_idempotent=rng.choice((False, True)),
-            service=rng.choice((SHARDED_SERVICE, PLAIN)),
+            service=rng.choice((SHARDED_SERVICE, UNSHARDED_SERVICE)),
             plan=plan,
             deadline_ms=deadline_ms,
             key=rng.randrange(_KEYS),
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -17,7 +17,7 @@
 from standins.journal.entry import JournalEntry
 from tests.soak.holds import WorkerIncarnation
 
-SHARDED_SERVICE, PLAIN = 'portal', 'docs'
+SHARDED_SERVICE, UNSHARDED_SERVICE = 'portal', 'docs'
 DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
 START_S = 90
 STOP_S = 30
@@ -83,7 +83,7 @@
     """Nodes `n1`, `n2` ... in three failure domains, one in three `docs`."""
 
     def __init__(self, nodes: int) -> None:
-        super().__init__({SHARDED_SERVICE: True, PLAIN: False})
+        super().__init__({SHARDED_SERVICE: True, UNSHARDED_SERVICE: False})
         self.node_incarnations: list[NodeIncarnation] = []
         self.worker_incarnations: list[WorkerIncarnation] = []
         self._versions = 1
@@ -100,7 +100,7 @@
             wait_for(url, partial(self._is_ok, url), START_S)
         self.declare()
         for number in range(nodes):
-            service = SHARDED_SERVICE if number % 3 else PLAIN
+            service = SHARDED_SERVICE if number % 3 else UNSHARDED_SERVICE
             domain = DOMAINS[number // 2 % len(DOMAINS)]
             self.add(f'n{number + 1}', domain, service)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,7 @@
 from bench.deployment import wait_for
 from tests.soak.callers import Call, Callers
 from tests.soak.faults import FAULTS, Lane
-from tests.soak.fleet import PLAIN, SHARDED_SERVICE, SoakFleet
+from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
 from tests.soak.judge import Broken, Record, judge
 
 FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
@@ -111,7 +111,7 @@
     """Wait until each service is served at each door."""
     numbers = count()
     for name in fleet.members:
-        for service in (SHARDED_SERVICE, PLAIN):
+        for service in (SHARDED_SERVICE, UNSHARDED_SERVICE):
             served = partial(_is_served, fleet, name, service, numbers)
             try:
                 wait_for(f'{service} at {name}', served, _SERVED_S)
