--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -18,7 +18,7 @@
 from tests.soak.holds import WorkerIncarnation
 
 SHARDED_SERVICE, UNSHARDED_SERVICE = 'portal', 'docs'
-DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
+FAILURE_DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
 START_S = 90
 STOP_S = 30
 _STARTED = b'"node-started"'
@@ -101,7 +101,7 @@
         self.declare()
         for number in range(nodes):
             service = SHARDED_SERVICE if number % 3 else UNSHARDED_SERVICE
-            domain = DOMAINS[number // 2 % len(DOMAINS)]
+            domain = FAILURE_DOMAINS[number // 2 % len(FAILURE_DOMAINS)]
             self.add(f'n{number + 1}', domain, service)
 
     def start_node(self, path: Path) -> Process:
