--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -19,7 +19,7 @@
 
 SHARDED_SERVICE, UNSHARDED_SERVICE = 'portal', 'docs'
 FAILURE_DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
-START_S = 90
+START_TIMEOUT_S = 90
 STOP_S = 30
 _STARTED = b'"node-started"'
 _OK = 200
@@ -97,7 +97,7 @@
         relay = self._spawn('standins.relay', '--control-port', str(relay_port))
         self.relays = Relays(relay, f'http://{HOST}:{relay_port}', self.http)
         for url in (self.journal_url, f'{self.relays.url}/routes'):
-            wait_for(url, partial(self._is_ok, url), START_S)
+            wait_for(url, partial(self._is_ok, url), START_TIMEOUT_S)
         self.declare()
         for number in range(nodes):
             service = SHARDED_SERVICE if number % 3 else UNSHARDED_SERVICE
@@ -195,7 +195,7 @@
         """Wait until all nodes say that they are ready."""
         for member in self.members.values():
             ready = partial(self.is_ready, member)
-            wait_for(f'{member.name} to be ready', ready, START_S)
+            wait_for(f'{member.name} to be ready', ready, START_TIMEOUT_S)
 
     def keep_logs(self, folder: Path) -> None:
         """Copy what the processes wrote."""
