--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -20,7 +20,7 @@
 SHARDED_SERVICE, UNSHARDED_SERVICE = 'portal', 'docs'
 FAILURE_DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
 START_TIMEOUT_S = 90
-STOP_S = 30
+STOP_TIMEOUT_S = 30
 _STARTED = b'"node-started"'
 _OK = 200
 
@@ -143,7 +143,7 @@
         incarnation = self.incarnation(member)
         incarnation.stopped_ms = boottime_ms()
         member.node.terminate()
-        incarnation.status = member.node.wait(STOP_S)
+        incarnation.status = member.node.wait(STOP_TIMEOUT_S)
         incarnation.ended_ms = boottime_ms()
 
     def pause_node(self, member: ReportingMember, pause_s: float) -> None:
