--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -197,7 +197,7 @@
             ready = partial(self.is_ready, member)
             wait_for(f'{member.name} to be ready', ready, START_TIMEOUT_S)
 
-    def keep_logs(self, folder: Path) -> None:
+    def copy_logs(self, folder: Path) -> None:
         """Copy what the processes wrote."""
         copytree(self._root, folder, dirs_exist_ok=True)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -149,7 +149,7 @@
 
 def _keep_logs(fleet: SoakFleet, report: Report) -> None:
     folder = FOLDER / f'seed-{report.options.seed}'
-    fleet.keep_logs(folder)
+    fleet.copy_logs(folder)
     lines = [f'{each.rule}: {each.evidence}' for each in report.broken]
     node_incarnations = [
         str(incarnation) for incarnation in fleet.node_incarnations
