--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -226,23 +226,23 @@
     def _settings(
         self, name: str, domain: str, service: str, worker_port: int
     ) -> dict[str, Any]:
-        written = super()._settings(name, domain, service, worker_port)
+        settings = super()._settings(name, domain, service, worker_port)
         self._worker_ports[name] = worker_port
         targets = {
-            'peer': written['peer_port'],
+            'peer': settings['peer_port'],
             'worker': worker_port,
             'store': _port(self.store_url),
-            'door': _port(written['door_address']),
-            'reports': _port(written['report_address']),
+            'door': _port(settings['door_address']),
+            'reports': _port(settings['report_address']),
         }
         for what, port in targets.items():
             self.relays.open_route(f'{name}.{what}', port)
         ports = self.relays.ports
-        written['reports'] = {'silent_ms': 800, 'most_bytes': 20_000}
-        written['advertised_peer_port'] = ports[f'{name}.peer']
-        written['worker_url'] = f'http://{HOST}:{ports[f"{name}.worker"]}'
-        written['platform_url'] = f'http://{HOST}:{ports[f"{name}.store"]}'
-        return written
+        settings['reports'] = {'silent_ms': 800, 'most_bytes': 20_000}
+        settings['advertised_peer_port'] = ports[f'{name}.peer']
+        settings['worker_url'] = f'http://{HOST}:{ports[f"{name}.worker"]}'
+        settings['platform_url'] = f'http://{HOST}:{ports[f"{name}.store"]}'
+        return settings
 
     def _is_ok(self, url: str) -> bool:
         return bool(self.http.request('GET', url).status == _OK)
