--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -57,13 +57,13 @@
     calls = context.callers.finish()
     for ending in asking:
         ending.join()
-    entries = context.fleet.entries()
+    journal_entries = context.fleet.journal_entries()
     context.broken = judge(
         Record.of(
             calls,
             context.fleet.node_incarnations,
             context.fleet.worker_incarnations,
-            entries,
+            journal_entries,
         )
     )
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -186,7 +186,7 @@
         """Set fault switches of the store."""
         self.http.request('POST', f'{self.store_url}/faults', json=switches)
 
-    def entries(self) -> list[JournalEntry]:
+    def journal_entries(self) -> list[JournalEntry]:
         """Return what the workers wrote into their journals."""
         found = self.http.request('GET', self.journal_url).json()
         return [JournalEntry(**each) for each in found]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -130,9 +130,12 @@
         broken = _await_served(fleet)
         calls = callers.finish()
         time.sleep(_LATE_S)
-        entries = fleet.entries()
+        journal_entries = fleet.journal_entries()
         record = Record.of(
-            calls, fleet.node_incarnations, fleet.worker_incarnations, entries
+            calls,
+            fleet.node_incarnations,
+            fleet.worker_incarnations,
+            journal_entries,
         )
         broken += judge(record)
         broken += [
@@ -141,7 +144,7 @@
             for failure in lane.injection_errors
         ]
         faults = sorted(line for lane in lanes for line in lane.log)
-        report = Report(options, calls, len(entries), faults, broken)
+        report = Report(options, calls, len(journal_entries), faults, broken)
         if broken:
             _keep_logs(fleet, report)
     return report
