--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Keys:
+class HeldRange:
     """Neighbouring keys that a worker held as one row."""
 
     first: int
@@ -40,7 +40,7 @@
     killed_ms: float | None = None
 
 
-Held = dict[Keys, list[Span]]
+Held = dict[HeldRange, list[Span]]
 
 
 def log_held(rows: Sequence[Row], until_ms: float) -> None:
@@ -75,7 +75,7 @@
                 end_ms = min(end_ms, incarnation.killed_ms)
             for first, until_key, _ in line['held']:
                 span = Span(incarnation.worker, line['at_ms'], end_ms)
-                _add(held[Keys(first, until_key)], span)
+                _add(held[HeldRange(first, until_key)], span)
     return held
 
 
