--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -23,7 +23,7 @@
 
 
 @dataclass(slots=True)
-class Span:
+class HoldSpan:
     """A time in which a worker held keys, in ms of CLOCK_BOOTTIME."""
 
     worker: str
@@ -40,7 +40,7 @@
     killed_ms: float | None = None
 
 
-Held = dict[HeldRange, list[Span]]
+Held = dict[HeldRange, list[HoldSpan]]
 
 
 def log_held(rows: Sequence[Row], until_ms: float) -> None:
@@ -74,12 +74,12 @@
             if incarnation.killed_ms is not None:
                 end_ms = min(end_ms, incarnation.killed_ms)
             for first, until_key, _ in line['held']:
-                span = Span(incarnation.worker, line['at_ms'], end_ms)
+                span = HoldSpan(incarnation.worker, line['at_ms'], end_ms)
                 _add(held[HeldRange(first, until_key)], span)
     return held
 
 
-def _add(spans: list[Span], span: Span) -> None:
+def _add(spans: list[HoldSpan], span: HoldSpan) -> None:
     """Add a span, as part of the last one if that goes on in it."""
     last = spans[-1] if spans else span
     if last.worker == span.worker and last.until_ms == span.since_ms:
