--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -40,7 +40,7 @@
     killed_ms: float | None = None
 
 
-Held = dict[HeldRange, list[HoldSpan]]
+SpansByRange = dict[HeldRange, list[HoldSpan]]
 
 
 def log_held(rows: Sequence[Row], until_ms: float) -> None:
@@ -65,8 +65,8 @@
                 yield f'key {key} for {both_ms:.0f} ms: {one} {other}'
 
 
-def _held_by(incarnations: Sequence[WorkerIncarnation]) -> Held:
-    held: Held = defaultdict(list)
+def _held_by(incarnations: Sequence[WorkerIncarnation]) -> SpansByRange:
+    held: SpansByRange = defaultdict(list)
     for incarnation in incarnations:
         last = {'held': [], 'at_ms': float('inf'), 'until_ms': float('inf')}
         for line, following in pairwise([*_lines(incarnation), last]):
