--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -53,7 +53,7 @@
 
 def two_holders(incarnations: Sequence[WorkerIncarnation]) -> Iterator[str]:
     """Yield what two workers held at one moment."""
-    held = _held_by(incarnations)
+    held = _spans_by_range(incarnations)
     # Two rows that share keys share the higher one of their first keys.
     for key in sorted({keys.first for keys in held}):
         spans = [held[keys] for keys in held if keys.first <= key <= keys.last]
@@ -65,7 +65,7 @@
                 yield f'key {key} for {both_ms:.0f} ms: {one} {other}'
 
 
-def _held_by(incarnations: Sequence[WorkerIncarnation]) -> SpansByRange:
+def _spans_by_range(incarnations: Sequence[WorkerIncarnation]) -> SpansByRange:
     held: SpansByRange = defaultdict(list)
     for incarnation in incarnations:
         last = {'held': [], 'at_ms': float('inf'), 'until_ms': float('inf')}
