--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -75,11 +75,11 @@
                 end_ms = min(end_ms, incarnation.killed_ms)
             for first, until_key, _ in line['held']:
                 span = HoldSpan(incarnation.worker, line['at_ms'], end_ms)
-                _add(held[HeldRange(first, until_key)], span)
+                _append_span(held[HeldRange(first, until_key)], span)
     return held
 
 
-def _add(spans: list[HoldSpan], span: HoldSpan) -> None:
+def _append_span(spans: list[HoldSpan], span: HoldSpan) -> None:
     """Add a span, as part of the last one if that goes on in it."""
     last = spans[-1] if spans else span
     if last.worker == span.worker and last.until_ms == span.since_ms:
