--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -11,7 +11,7 @@
 from standins.clock import boottime_ms, monotonic_ms
 from standins.reporter.holds import Row
 
-_MARK = '{"held":'
+_HELD_PREFIX = '{"held":'
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,4 +90,4 @@
 
 def _lines(incarnation: WorkerIncarnation) -> list[dict[str, Any]]:
     lines = incarnation.log.read_text().splitlines()
-    return [json.loads(line) for line in lines if line.startswith(_MARK)]
+    return [json.loads(line) for line in lines if line.startswith(_HELD_PREFIX)]
