--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -69,7 +69,7 @@
     held: SpansByRange = defaultdict(list)
     for incarnation in incarnations:
         last = {'held': [], 'at_ms': float('inf'), 'until_ms': float('inf')}
-        for line, following in pairwise([*_lines(incarnation), last]):
+        for line, following in pairwise([*_held_lines(incarnation), last]):
             end_ms = min(line['until_ms'], following['at_ms'])
             if incarnation.killed_ms is not None:
                 end_ms = min(end_ms, incarnation.killed_ms)
@@ -88,6 +88,6 @@
         spans.append(span)
 
 
-def _lines(incarnation: WorkerIncarnation) -> list[dict[str, Any]]:
+def _held_lines(incarnation: WorkerIncarnation) -> list[dict[str, Any]]:
     lines = incarnation.log.read_text().splitlines()
     return [json.loads(line) for line in lines if line.startswith(_HELD_PREFIX)]
