--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -14,7 +14,7 @@
 
 from tests.soak.callers import Callers
 from tests.soak.fleet import SHARDED_SERVICE, SoakFleet
-from tests.soak.holds import WorkerIncarnation, two_holders
+from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
 from tests.soak.judge import Record, judge
 from tests.soak.plans import Plan
 from tests.soak.soak import Options, run
@@ -100,7 +100,7 @@
 
 @then('the judge finds {count:d} keys that were held twice')
 def check_held_twice(context: Context, count: int) -> None:
-    found = list(two_holders(context.workers))
+    found = list(find_concurrent_holders(context.workers))
     assert len(found) == count, found
 
 
--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -51,7 +51,9 @@
     print(json.dumps(line), flush=True)
 
 
-def two_holders(incarnations: Sequence[WorkerIncarnation]) -> Iterator[str]:
+def find_concurrent_holders(
+    incarnations: Sequence[WorkerIncarnation],
+) -> Iterator[str]:
     """Yield what two workers held at one moment."""
     held = _spans_by_range(incarnations)
     # Two rows that share keys share the higher one of their first keys.
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -9,7 +9,7 @@
 from standins.worker.bodies import body_of
 from tests.soak.callers import Call, End
 from tests.soak.fleet import NodeIncarnation
-from tests.soak.holds import WorkerIncarnation, two_holders
+from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
 from tests.soak.plans import Framing
 
 _CROSSING_MS = 1_000  # more than a request takes to be read
@@ -213,7 +213,7 @@
 @_rule('two workers held the same keys')
 def held_twice(record: Record) -> Iterator[str]:
     """Yield keys that two workers held at one moment."""
-    yield from two_holders(record.worker_incarnations)
+    yield from find_concurrent_holders(record.worker_incarnations)
 
 
 @_rule('a process did not end as it should')
