--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -63,7 +63,7 @@
             since_ms = max(one.since_ms, other.since_ms)
             until_ms = min(one.until_ms, other.until_ms)
             if one.worker != other.worker and since_ms < until_ms:
-                both_ms = until_ms - since_ms
+                overlap_ms = until_ms - since_ms
                 yield f'key {key} for {both_ms:.0f} ms: {one} {other}'
 
 
