--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -211,7 +211,7 @@
 
 
 @_rule('two workers held the same keys')
-def held_twice(record: Record) -> Iterator[str]:
+def concurrent_holders(record: Record) -> Iterator[str]:
     """Yield keys that two workers held at one moment."""
     yield from find_concurrent_holders(record.worker_incarnations)
 
