--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -132,7 +132,7 @@
 
 
 @_rule('ran, and its connection closed without an answer')
-def lost(record: Record) -> Iterator[str]:
+def unanswered_executions(record: Record) -> Iterator[str]:
     """Yield requests that were passed on and got no answer."""
     for call in _own(record, End.closed):
         if record.has_run(call) and not record.was_killed(call):
