--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -134,18 +134,18 @@
 @_rule('ran, and its connection closed without an answer')
 def unanswered_executions(record: Record) -> Iterator[str]:
     """Yield requests that were passed on and got no answer."""
-    for call in _own(record, End.closed):
+    for call in _own(record, End.unanswered_requests):
         if record.has_run(call) and not record.was_killed(call):
             yield _told(call, record)
 
 
 @_rule('a connection closed without an answer while its node lived')
-def closed(record: Record) -> Iterator[str]:
+def unanswered_requests(record: Record) -> Iterator[str]:
     """Yield requests that were not passed on, and not answered either.
 
     One that crosses the end of an idle connection is not read.
     """
-    for call in _own(record, End.closed):
+    for call in _own(record, End.unanswered_requests):
         crosses = call.done_ms - call.sent_ms < _CROSSING_MS
         crosses = crosses or record.was_paused(call)
         ends = record.was_stopping(call) and crosses
