--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -154,9 +154,9 @@
 
 
 @_rule('no answer came at all')
-def silent(record: Record) -> Iterator[str]:
+def timed_out_requests(record: Record) -> Iterator[str]:
     """Yield requests whose callers waited in vain."""
-    for call in _own(record, End.silent):
+    for call in _own(record, End.timed_out_requests):
         yield _told(call, record)
 
 
