--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -161,7 +161,7 @@
 
 
 @_rule('answered as not run, and ran')
-def refused(record: Record) -> Iterator[str]:
+def executed_refusals(record: Record) -> Iterator[str]:
     """Yield refusals that were not true, or are not any more."""
     for call in record.calls:
         is_refusal = call.status in _OWN_REFUSALS and not call.stamp
