--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -170,7 +170,7 @@
 
 
 @_rule('ran twice')
-def repeated(record: Record) -> Iterator[str]:
+def repeated_executions(record: Record) -> Iterator[str]:
     """Yield requests that may run once and ran more often."""
     for call in record.calls:
         runs = record.runs.get(call.ask.attempt, [])
