--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -179,7 +179,7 @@
 
 
 @_rule('not the answer to its request')
-def mixed(record: Record) -> Iterator[str]:
+def mismatched_responses(record: Record) -> Iterator[str]:
     """Yield answers of other requests, and bodies that are not whole."""
     for call in record.calls:
         if call.end is End.answered and not _fits(call, record):
