--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -202,7 +202,7 @@
 
 
 @_rule('a proper request was denied or failed inside')
-def denied(record: Record) -> Iterator[str]:
+def unexplained_errors(record: Record) -> Iterator[str]:
     """Yield answers of a node's own that no fault explains."""
     for call in record.calls:
         own = call.end is End.answered and not call.stamp
