--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -217,7 +217,7 @@
 
 
 @_rule('a process did not end as it should')
-def ended(record: Record) -> Iterator[str]:
+def unexpected_exits(record: Record) -> Iterator[str]:
     """Yield lives that ended by themselves or with a failure."""
     for incarnation in record.node_incarnations:
         is_over = not incarnation.process.is_running
