--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -136,7 +136,7 @@
     """Yield requests that were passed on and got no answer."""
     for call in _own(record, End.unanswered_requests):
         if record.has_run(call) and not record.was_killed(call):
-            yield _told(call, record)
+            yield _describe(call, record)
 
 
 @_rule('a connection closed without an answer while its node lived')
@@ -150,14 +150,14 @@
         crosses = crosses or record.was_paused(call)
         ends = record.was_stopping(call) and crosses
         if not (ends or record.was_killed(call) or record.has_run(call)):
-            yield _told(call, record)
+            yield _describe(call, record)
 
 
 @_rule('no answer came at all')
 def timed_out_requests(record: Record) -> Iterator[str]:
     """Yield requests whose callers waited in vain."""
     for call in _own(record, End.timed_out_requests):
-        yield _told(call, record)
+        yield _describe(call, record)
 
 
 @_rule('answered as not run, and ran')
@@ -166,7 +166,7 @@
     for call in record.calls:
         is_refusal = call.status in _OWN_REFUSALS and not call.stamp
         if is_refusal and record.has_run(call):
-            yield _told(call, record)
+            yield _describe(call, record)
 
 
 @_rule('ran twice')
@@ -175,7 +175,7 @@
     for call in record.calls:
         runs = record.runs.get(call.ask.attempt, [])
         if len(runs) > 1 and not call.ask.is_idempotent:
-            yield _told(call, record)
+            yield _describe(call, record)
 
 
 @_rule('not the answer to its request')
@@ -183,7 +183,7 @@
     """Yield answers of other requests, and bodies that are not whole."""
     for call in record.calls:
         if call.end is End.answered and not _fits(call, record):
-            yield _told(call, record)
+            yield _describe(call, record)
 
 
 def _fits(call: Call, record: Record) -> bool:
@@ -207,7 +207,7 @@
     for call in record.calls:
         own = call.end is End.answered and not call.stamp
         if own and call.status not in _MAY_BE_OWN:
-            yield _told(call, record)
+            yield _describe(call, record)
 
 
 @_rule('two workers held the same keys')
@@ -232,7 +232,7 @@
             yield f'{life.node} pid {life.process.pid} status {life.status}'
 
 
-def _told(call: Call, record: Record) -> str:
+def _describe(call: Call, record: Record) -> str:
     runs = [
         (run.worker, run.started_ms, run.finished_ms, run.outcome)
         for run in record.runs.get(call.ask.attempt, ())
