--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -124,7 +124,7 @@
     return register
 
 
-def _own(record: Record, end: End) -> Iterator[Call]:
+def _direct_calls(record: Record, end: End) -> Iterator[Call]:
     """Yield the calls with an end that no relay can have caused."""
     for call in record.calls:
         if call.end is end and not call.ask.is_relayed:
@@ -134,7 +134,7 @@
 @_rule('ran, and its connection closed without an answer')
 def unanswered_executions(record: Record) -> Iterator[str]:
     """Yield requests that were passed on and got no answer."""
-    for call in _own(record, End.unanswered_requests):
+    for call in _direct_calls(record, End.unanswered_requests):
         if record.has_run(call) and not record.was_killed(call):
             yield _describe(call, record)
 
@@ -145,7 +145,7 @@
 
     One that crosses the end of an idle connection is not read.
     """
-    for call in _own(record, End.unanswered_requests):
+    for call in _direct_calls(record, End.unanswered_requests):
         crosses = call.done_ms - call.sent_ms < _CROSSING_MS
         crosses = crosses or record.was_paused(call)
         ends = record.was_stopping(call) and crosses
@@ -156,7 +156,7 @@
 @_rule('no answer came at all')
 def timed_out_requests(record: Record) -> Iterator[str]:
     """Yield requests whose callers waited in vain."""
-    for call in _own(record, End.timed_out_requests):
+    for call in _direct_calls(record, End.timed_out_requests):
         yield _describe(call, record)
 
 
