--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -182,11 +182,11 @@
 def mismatched_responses(record: Record) -> Iterator[str]:
     """Yield answers of other requests, and bodies that are not whole."""
     for call in record.calls:
-        if call.end is End.answered and not _fits(call, record):
+        if call.end is End.answered and not _matches_request(call, record):
             yield _describe(call, record)
 
 
-def _fits(call: Call, record: Record) -> bool:
+def _matches_request(call: Call, record: Record) -> bool:
     ask = call.ask
     if call.answer_id and call.answer_id != ask.attempt:
         return False
