--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -46,7 +46,7 @@
         """Tell whether a worker has run a request."""
         return call.ask.attempt in self.runs
 
-    def ran_whole(self, call: Call) -> bool:
+    def ran_to_completion(self, call: Call) -> bool:
         """Tell whether every worker came to the end of its answer."""
         runs = self.runs.get(call.ask.attempt, ())
         return all(run.outcome == Outcome.ran for run in runs)
@@ -195,7 +195,7 @@
     if call.stamp != f'{ask.attempt}.{call.status}':
         return False
     body = body_of(ask.attempt, ask.plan.size)
-    if ask.plan.form == Framing.unframed and not record.ran_whole(call):
+    if ask.plan.form == Framing.unframed and not record.ran_to_completion(call):
         # Without a length, the end of a killed worker looks like any other.
         return body.startswith(call.body)
     return call.body == body
