--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -58,7 +58,7 @@
         and has read nothing by then.
         """
         return any(
-            _overlap(
+            _overlaps(
                 call.opened_ms,
                 call,
                 incarnation.unhandled_end_ms,
@@ -70,7 +70,7 @@
     def was_stopping(self, call: Call) -> bool:
         """Tell whether the node stopped while a connection was open."""
         return any(
-            _overlap(
+            _overlaps(
                 call.opened_ms,
                 call,
                 incarnation.stopped_ms,
@@ -82,7 +82,7 @@
     def was_paused(self, call: Call) -> bool:
         """Tell whether the node was paused while a call was under way."""
         return any(
-            _overlap(call.sent_ms, call, *pause)
+            _overlaps(call.sent_ms, call, *pause)
             for incarnation in self._incarnations_at(call)
             for pause in incarnation.pauses
         )
@@ -95,7 +95,7 @@
         )
 
 
-def _overlap(
+def _overlaps(
     since_ms: float, call: Call, begun_ms: float | None, ended_ms: float | None
 ) -> bool:
     """Tell whether a span touches a call, counted from some moment of it."""
