--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -12,7 +12,7 @@
 from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
 from tests.soak.plans import Framing
 
-_CROSSING_MS = 1_000  # more than a request takes to be read
+_READ_TIME_MS = 1_000  # more than a request takes to be read
 _SHOWN = 60  # bytes of a body in what shows a broken promise
 _SUCCESS = range(200, 300)
 _OWN_REFUSALS = frozenset((408, 421, 429, 503))  # each says: it has not run
@@ -146,7 +146,7 @@
     One that crosses the end of an idle connection is not read.
     """
     for call in _direct_calls(record, End.unanswered_requests):
-        crosses = call.done_ms - call.sent_ms < _CROSSING_MS
+        crosses = call.done_ms - call.sent_ms < _READ_TIME_MS
         crosses = crosses or record.was_paused(call)
         ends = record.was_stopping(call) and crosses
         if not (ends or record.was_killed(call) or record.has_run(call)):
