--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -15,8 +15,8 @@
 _READ_TIME_MS = 1_000  # more than a request takes to be read
 _SHOWN = 60  # bytes of a body in what shows a broken promise
 _SUCCESS = range(200, 300)
-_OWN_REFUSALS = frozenset((408, 421, 429, 503))  # each says: it has not run
-_MAY_BE_OWN = frozenset((502, 504)) | _OWN_REFUSALS
+_NODE_REFUSALS = frozenset((408, 421, 429, 503))  # each says: it has not run
+_MAY_BE_OWN = frozenset((502, 504)) | _NODE_REFUSALS
 
 
 @dataclass(slots=True)
@@ -164,7 +164,7 @@
 def executed_refusals(record: Record) -> Iterator[str]:
     """Yield refusals that were not true, or are not any more."""
     for call in record.calls:
-        is_refusal = call.status in _OWN_REFUSALS and not call.stamp
+        is_refusal = call.status in _NODE_REFUSALS and not call.stamp
         if is_refusal and record.has_run(call):
             yield _describe(call, record)
 
