--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -16,7 +16,7 @@
 _SHOWN = 60  # bytes of a body in what shows a broken promise
 _SUCCESS = range(200, 300)
 _NODE_REFUSALS = frozenset((408, 421, 429, 503))  # each says: it has not run
-_MAY_BE_OWN = frozenset((502, 504)) | _NODE_REFUSALS
+_NODE_STATUSES = frozenset((502, 504)) | _NODE_REFUSALS
 
 
 @dataclass(slots=True)
@@ -206,7 +206,7 @@
     """Yield answers of a node's own that no fault explains."""
     for call in record.calls:
         own = call.end is End.answered and not call.stamp
-        if own and call.status not in _MAY_BE_OWN:
+        if own and call.status not in _NODE_STATUSES:
             yield _describe(call, record)
 
 
