--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -205,8 +205,8 @@
 def unexplained_errors(record: Record) -> Iterator[str]:
     """Yield answers of a node's own that no fault explains."""
     for call in record.calls:
-        own = call.end is End.answered and not call.stamp
-        if own and call.status not in _NODE_STATUSES:
+        from_node = call.end is End.answered and not call.stamp
+        if from_node and call.status not in _NODE_STATUSES:
             yield _describe(call, record)
 
 
