--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -10,12 +10,12 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from tests.soak.find_violations import Record, find_violations
 from urllib3.exceptions import HTTPError
 
 from tests.soak.callers import Callers
 from tests.soak.fleet import SHARDED_SERVICE, SoakFleet
 from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
-from tests.soak.judge import Record, judge
 from tests.soak.plans import Plan
 from tests.soak.soak import Options, run
 
@@ -58,7 +58,7 @@
     for ending in asking:
         ending.join()
     journal_entries = context.fleet.journal_entries()
-    context.broken = judge(
+    context.broken = find_violations(
         Record.of(
             calls,
             context.fleet.node_incarnations,
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -241,7 +241,7 @@
     return f'{replace(call, ask=ask, body=call.body[:_SHOWN])} runs {runs}'
 
 
-def judge(record: Record) -> list[Broken]:
+def find_violations(record: Record) -> list[Broken]:
     """Return each broken promise."""
     return list(
         chain.from_iterable(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,8 +15,8 @@
 from bench.deployment import wait_for
 from tests.soak.callers import Call, Callers
 from tests.soak.faults import FAULTS, Lane
+from tests.soak.find_violations import Broken, Record, find_violations
 from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
-from tests.soak.judge import Broken, Record, judge
 
 FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
 _SERVED_S = 60  # after everything is mended
@@ -137,7 +137,7 @@
             fleet.worker_incarnations,
             journal_entries,
         )
-        broken += judge(record)
+        broken += find_violations(record)
         broken += [
             Broken('an injection failed', failure)
             for lane in lanes
