--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -105,7 +105,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Broken:
+class Violation:
     """A broken promise, and what shows it."""
 
     rule: str
@@ -241,11 +241,11 @@
     return f'{replace(call, ask=ask, body=call.body[:_SHOWN])} runs {runs}'
 
 
-def find_violations(record: Record) -> list[Broken]:
+def find_violations(record: Record) -> list[Violation]:
     """Return each broken promise."""
     return list(
         chain.from_iterable(
-            (Broken(name, evidence) for evidence in rule(record))
+            (Violation(name, evidence) for evidence in rule(record))
             for name, rule in RULES.items()
         )
     )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,7 @@
 from bench.deployment import wait_for
 from tests.soak.callers import Call, Callers
 from tests.soak.faults import FAULTS, Lane
-from tests.soak.find_violations import Broken, Record, find_violations
+from tests.soak.find_violations import Record, Violation, find_violations
 from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
 
 FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
@@ -44,7 +44,7 @@
     calls: list[Call]
     runs: int
     faults: list[str]
-    broken: list[Broken]
+    broken: list[Violation]
 
     def __str__(self) -> str:
         """Return the report as lines."""
@@ -107,7 +107,7 @@
     return answer.status == 200
 
 
-def _await_served(fleet: SoakFleet) -> list[Broken]:
+def _await_served(fleet: SoakFleet) -> list[Violation]:
     """Wait until each service is served at each door."""
     numbers = count()
     for name in fleet.members:
@@ -116,7 +116,7 @@
             try:
                 wait_for(f'{service} at {name}', served, _SERVED_S)
             except (TimeoutError, HTTPError) as late:
-                return [Broken('not served again', repr(late))]
+                return [Violation('not served again', repr(late))]
     return []
 
 
@@ -139,7 +139,7 @@
         )
         broken += find_violations(record)
         broken += [
-            Broken('an injection failed', failure)
+            Violation('an injection failed', failure)
             for lane in lanes
             for failure in lane.injection_errors
         ]
