--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -28,7 +28,7 @@
 def soak(context: Context, nodes: int, seconds: int, seed: int) -> None:
     report = run(Options(seed=seed, seconds=seconds, nodes=nodes))
     print(report)
-    context.broken = report.broken
+    context.violations = report.violations
 
 
 @given('a soak of {nodes:d} nodes whose requests may last {seconds:d} s')
@@ -58,7 +58,7 @@
     for ending in asking:
         ending.join()
     journal_entries = context.fleet.journal_entries()
-    context.broken = find_violations(
+    context.violations = find_violations(
         Record.of(
             calls,
             context.fleet.node_incarnations,
@@ -106,4 +106,4 @@
 
 @then('no promise was broken')
 def check_promises(context: Context) -> None:
-    assert not context.broken, '\n'.join(map(str, context.broken))
+    assert not context.violations, '\n'.join(map(str, context.violations))
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,7 +20,7 @@
     given.faults = tuple(given.faults)
     report = run(Options(**vars(given)))
     print(report)
-    return 1 if report.broken else 0
+    return 1 if report.violations else 0
 
 
 if __name__ == '__main__':
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -44,7 +44,7 @@
     calls: list[Call]
     runs: int
     faults: list[str]
-    broken: list[Violation]
+    violations: list[Violation]
 
     def __str__(self) -> str:
         """Return the report as lines."""
@@ -67,10 +67,10 @@
         lines += [
             f'BROKEN {rule}: {times}'
             for rule, times in Counter(
-                each.rule for each in self.broken
+                each.rule for each in self.violations
             ).items()
         ]
-        lines += [f'  {each}' for each in self.broken[:_SHOWN]]
+        lines += [f'  {each}' for each in self.violations[:_SHOWN]]
         return '\n'.join((*lines, f'{len(self.broken)} broken'))
 
 
@@ -127,7 +127,7 @@
         callers = Callers(fleet, options.callers, options.seed)
         callers.start()
         lanes = _inject_faults(fleet, options)
-        broken = _await_served(fleet)
+        violations = _await_served(fleet)
         calls = callers.finish()
         time.sleep(_LATE_S)
         journal_entries = fleet.journal_entries()
@@ -137,15 +137,17 @@
             fleet.worker_incarnations,
             journal_entries,
         )
-        broken += find_violations(record)
-        broken += [
+        violations += find_violations(record)
+        violations += [
             Violation('an injection failed', failure)
             for lane in lanes
             for failure in lane.injection_errors
         ]
         faults = sorted(line for lane in lanes for line in lane.log)
-        report = Report(options, calls, len(journal_entries), faults, broken)
-        if broken:
+        report = Report(
+            options, calls, len(journal_entries), faults, violations
+        )
+        if violations:
             _keep_logs(fleet, report)
     return report
 
@@ -153,7 +155,7 @@
 def _keep_logs(fleet: SoakFleet, report: Report) -> None:
     folder = FOLDER / f'seed-{report.options.seed}'
     fleet.copy_logs(folder)
-    lines = [f'{each.rule}: {each.evidence}' for each in report.broken]
+    lines = [f'{each.rule}: {each.evidence}' for each in report.violations]
     node_incarnations = [
         str(incarnation) for incarnation in fleet.node_incarnations
     ]
