--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -27,7 +27,7 @@
 _LEAVING_SHARE = 0.04  # requests that their caller gives up early
 
 
-class End(StrEnum):
+class CallEnd(StrEnum):
     """How a request ended for its caller."""
 
     answered = 'answered'
@@ -76,7 +76,7 @@
     opened_ms: float  # when its connection was opened
     sent_ms: float
     done_ms: float
-    end: End
+    end: CallEnd
     status: int = 0
     answer_id: str = ''
     stamp: str = ''
@@ -257,15 +257,15 @@
 
 def _outcome(
     connection: _Connection, ask: Ask, limit_ms: float
-) -> tuple[End, _Answer | None]:
+) -> tuple[CallEnd, _Answer | None]:
     try:
-        return End.answered, connection.ask(ask.content, limit_ms)
+        return CallEnd.answered, connection.ask(ask.content, limit_ms)
     except TimeoutError:
-        return (End.left if ask.leaves_ms else End.silent), None
+        return (CallEnd.left if ask.leaves_ms else CallEnd.silent), None
     except _ClosedError:
-        return End.closed, None
+        return CallEnd.closed, None
     except _CutError:
-        return End.cut, None
+        return CallEnd.cut, None
 
 
 def _answered(call: Call, answer: _Answer) -> Call:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -7,7 +7,7 @@
 
 from standins.journal.entry import JournalEntry, Outcome
 from standins.worker.bodies import body_of
-from tests.soak.callers import Call, End
+from tests.soak.callers import Call, CallEnd
 from tests.soak.fleet import NodeIncarnation
 from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
 from tests.soak.plans import Framing
@@ -124,7 +124,7 @@
     return register
 
 
-def _direct_calls(record: Record, end: End) -> Iterator[Call]:
+def _direct_calls(record: Record, end: CallEnd) -> Iterator[Call]:
     """Yield the calls with an end that no relay can have caused."""
     for call in record.calls:
         if call.end is end and not call.ask.is_relayed:
@@ -134,7 +134,7 @@
 @_rule('ran, and its connection closed without an answer')
 def unanswered_executions(record: Record) -> Iterator[str]:
     """Yield requests that were passed on and got no answer."""
-    for call in _direct_calls(record, End.unanswered_requests):
+    for call in _direct_calls(record, CallEnd.unanswered_requests):
         if record.has_run(call) and not record.was_killed(call):
             yield _describe(call, record)
 
@@ -145,7 +145,7 @@
 
     One that crosses the end of an idle connection is not read.
     """
-    for call in _direct_calls(record, End.unanswered_requests):
+    for call in _direct_calls(record, CallEnd.unanswered_requests):
         crosses = call.done_ms - call.sent_ms < _READ_TIME_MS
         crosses = crosses or record.was_paused(call)
         ends = record.was_stopping(call) and crosses
@@ -156,7 +156,7 @@
 @_rule('no answer came at all')
 def timed_out_requests(record: Record) -> Iterator[str]:
     """Yield requests whose callers waited in vain."""
-    for call in _direct_calls(record, End.timed_out_requests):
+    for call in _direct_calls(record, CallEnd.timed_out_requests):
         yield _describe(call, record)
 
 
@@ -182,7 +182,7 @@
 def mismatched_responses(record: Record) -> Iterator[str]:
     """Yield answers of other requests, and bodies that are not whole."""
     for call in record.calls:
-        if call.end is End.answered and not _matches_request(call, record):
+        if call.end is CallEnd.answered and not _matches_request(call, record):
             yield _describe(call, record)
 
 
@@ -205,7 +205,7 @@
 def unexplained_errors(record: Record) -> Iterator[str]:
     """Yield answers of a node's own that no fault explains."""
     for call in record.calls:
-        from_node = call.end is End.answered and not call.stamp
+        from_node = call.end is CallEnd.answered and not call.stamp
         if from_node and call.status not in _NODE_STATUSES:
             yield _describe(call, record)
 
