--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -84,7 +84,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Answer:
+class _Response:
     status: int
     headers: dict[str, str]
     body: bytes
@@ -107,7 +107,7 @@
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._stream: BinaryIO = self._sock.makefile('rb')
 
-    def ask(self, content: bytes, limit_ms: float) -> _Answer:
+    def ask(self, content: bytes, limit_ms: float) -> _Response:
         """Send a request and read its answer."""
         self._sock.settimeout(limit_ms / MS_PER_SECOND)
         with suppress(ConnectionError):
@@ -134,7 +134,7 @@
             raise _ClosedError
         return line
 
-    def _read(self, line: bytes) -> _Answer:
+    def _read(self, line: bytes) -> _Response:
         headers = {}
         while field := self._line().strip():
             name, _, text = field.decode().partition(':')
@@ -144,7 +144,7 @@
             body = b''.join(iter(self._chunk, b''))
         else:
             body = self._exactly(int(headers['content-length']))
-        return _Answer(status, headers, body)
+        return _Response(status, headers, body)
 
     def _chunk(self) -> bytes:
         chunk = self._exactly(int(self._line(), 16))
@@ -203,7 +203,7 @@
         self.calls.append(call)
 
     def _keep(
-        self, node: str, connection: _Connection, answer: _Answer
+        self, node: str, connection: _Connection, answer: _Response
     ) -> None:
         if answer.headers.get('connection', '').lower() == 'close':
             connection.close()
@@ -257,7 +257,7 @@
 
 def _outcome(
     connection: _Connection, ask: Ask, limit_ms: float
-) -> tuple[CallEnd, _Answer | None]:
+) -> tuple[CallEnd, _Response | None]:
     try:
         return CallEnd.answered, connection.ask(ask.content, limit_ms)
     except TimeoutError:
@@ -268,7 +268,7 @@
         return CallEnd.cut, None
 
 
-def _answered(call: Call, answer: _Answer) -> Call:
+def _answered(call: Call, answer: _Response) -> Call:
     return replace(
         call,
         status=answer.status,
