--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -193,19 +193,19 @@
             connection = _Connection(port)
         sent_ms = boottime_ms()
         limit_ms = ask.leaves_ms or ask.deadline_ms + PATIENCE_MS
-        end, answer = _outcome(connection, ask, limit_ms)
+        end, response = _outcome(connection, ask, limit_ms)
         call = Call(ask, connection.opened_ms, sent_ms, boottime_ms(), end)
-        if answer is None:
+        if response is None:
             connection.close()
         else:
-            call = _answered(call, answer)
-            self._keep(ask.node, connection, answer)
+            call = _answered(call, response)
+            self._keep(ask.node, connection, response)
         self.calls.append(call)
 
     def _keep(
-        self, node: str, connection: _Connection, answer: _Response
+        self, node: str, connection: _Connection, response: _Response
     ) -> None:
-        if answer.headers.get('connection', '').lower() == 'close':
+        if response.headers.get('connection', '').lower() == 'close':
             connection.close()
         else:
             self._connections[node] = connection
@@ -268,13 +268,13 @@
         return CallEnd.cut, None
 
 
-def _answered(call: Call, answer: _Response) -> Call:
+def _answered(call: Call, response: _Response) -> Call:
     return replace(
         call,
-        status=answer.status,
-        answer_id=answer.headers.get('attempt-id', ''),
-        stamp=answer.headers.get('response-stamp', ''),
-        body=answer.body,
+        status=response.status,
+        answer_id=response.headers.get('attempt-id', ''),
+        stamp=response.headers.get('response-stamp', ''),
+        body=response.body,
     )
 
 
