--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -198,7 +198,7 @@
         if response is None:
             connection.close()
         else:
-            call = _answered(call, response)
+            call = _with_response(call, response)
             self._keep(ask.node, connection, response)
         self.calls.append(call)
 
@@ -268,7 +268,7 @@
         return CallEnd.cut, None
 
 
-def _answered(call: Call, response: _Response) -> Call:
+def _with_response(call: Call, response: _Response) -> Call:
     return replace(
         call,
         status=response.status,
