--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -78,7 +78,7 @@
     done_ms: float
     end: CallEnd
     status: int = 0
-    answer_id: str = ''
+    response_id: str = ''
     stamp: str = ''
     body: bytes = b''
 
@@ -272,7 +272,7 @@
     return replace(
         call,
         status=response.status,
-        answer_id=response.headers.get('attempt-id', ''),
+        response_id=response.headers.get('attempt-id', ''),
         stamp=response.headers.get('response-stamp', ''),
         body=response.body,
     )
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -188,7 +188,7 @@
 
 def _matches_request(call: Call, record: Record) -> bool:
     ask = call.ask
-    if call.answer_id and call.answer_id != ask.attempt:
+    if call.response_id and call.response_id != ask.attempt:
         return False
     if not call.stamp:
         return call.status not in _SUCCESS
