--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class CallerRequest:
     """One request."""
 
     attempt: str
@@ -72,7 +72,7 @@
 class Call:
     """A request and its end; times in ms of CLOCK_BOOTTIME."""
 
-    ask: Ask
+    ask: CallerRequest
     opened_ms: float  # when its connection was opened
     sent_ms: float
     done_ms: float
@@ -186,7 +186,7 @@
         for connection in self._connections.values():
             connection.close()
 
-    def _call(self, ask: Ask) -> None:
+    def _call(self, ask: CallerRequest) -> None:
         connection = self._connections.pop(ask.node, None)
         if connection is None:
             port = self._fleet.door_port(ask.node, relayed=ask.is_relayed)
@@ -210,14 +210,14 @@
         else:
             self._connections[node] = connection
 
-    def _draw(self) -> Ask:
+    def _draw(self) -> CallerRequest:
         rng = self._chance
         deadline_ms = rng.choice((rng.randint(100, 400), 1_000, 3_000))
         plan = _draw_plan(rng)
         if rng.random() < _CLOSE_SHARE:
             plan = _timed(plan, deadline_ms, rng)
         leaves = rng.random() < _LEAVING_SHARE
-        return Ask(
+        return CallerRequest(
             attempt=next(self._names),
             node=rng.choice(list(self._fleet.members)),
             is_relayed=self._is_relayed,
@@ -256,7 +256,7 @@
 
 
 def _outcome(
-    connection: _Connection, ask: Ask, limit_ms: float
+    connection: _Connection, ask: CallerRequest, limit_ms: float
 ) -> tuple[CallEnd, _Response | None]:
     try:
         return CallEnd.answered, connection.ask(ask.content, limit_ms)
