--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -72,7 +72,7 @@
 class Call:
     """A request and its end; times in ms of CLOCK_BOOTTIME."""
 
-    ask: CallerRequest
+    request: CallerRequest
     opened_ms: float  # when its connection was opened
     sent_ms: float
     done_ms: float
@@ -107,7 +107,7 @@
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._stream: BinaryIO = self._sock.makefile('rb')
 
-    def ask(self, content: bytes, limit_ms: float) -> _Response:
+    def request(self, content: bytes, limit_ms: float) -> _Response:
         """Send a request and read its answer."""
         self._sock.settimeout(limit_ms / MS_PER_SECOND)
         with suppress(ConnectionError):
@@ -178,28 +178,30 @@
     def call_until(self, stop_event: Event) -> None:
         """Send requests until told to stop."""
         while not stop_event.is_set():
-            ask = self._draw()
+            request = self._draw()
             with suppress(OSError):
-                self._call(ask)
+                self._call(request)
             pause_s = self._chance.choice((0, 0.01, _PAUSE_S))
             stop_event.wait(self._chance.random() * pause_s * 2)
         for connection in self._connections.values():
             connection.close()
 
-    def _call(self, ask: CallerRequest) -> None:
-        connection = self._connections.pop(ask.node, None)
+    def _call(self, request: CallerRequest) -> None:
+        connection = self._connections.pop(request.node, None)
         if connection is None:
-            port = self._fleet.door_port(ask.node, relayed=ask.is_relayed)
+            port = self._fleet.door_port(
+                request.node, relayed=request.is_relayed
+            )
             connection = _Connection(port)
         sent_ms = boottime_ms()
-        limit_ms = ask.leaves_ms or ask.deadline_ms + PATIENCE_MS
-        end, response = _outcome(connection, ask, limit_ms)
-        call = Call(ask, connection.opened_ms, sent_ms, boottime_ms(), end)
+        limit_ms = request.leaves_ms or request.deadline_ms + PATIENCE_MS
+        end, response = _outcome(connection, request, limit_ms)
+        call = Call(request, connection.opened_ms, sent_ms, boottime_ms(), end)
         if response is None:
             connection.close()
         else:
             call = _with_response(call, response)
-            self._keep(ask.node, connection, response)
+            self._keep(request.node, connection, response)
         self.calls.append(call)
 
     def _keep(
@@ -256,12 +258,12 @@
 
 
 def _outcome(
-    connection: _Connection, ask: CallerRequest, limit_ms: float
+    connection: _Connection, request: CallerRequest, limit_ms: float
 ) -> tuple[CallEnd, _Response | None]:
     try:
-        return CallEnd.answered, connection.ask(ask.content, limit_ms)
+        return CallEnd.answered, connection.request(request.content, limit_ms)
     except TimeoutError:
-        return (CallEnd.left if ask.leaves_ms else CallEnd.silent), None
+        return (CallEnd.left if request.leaves_ms else CallEnd.silent), None
     except _ClosedError:
         return CallEnd.closed, None
     except _CutError:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -44,11 +44,11 @@
 
     def has_run(self, call: Call) -> bool:
         """Tell whether a worker has run a request."""
-        return call.ask.attempt in self.runs
+        return call.request.attempt in self.runs
 
     def ran_to_completion(self, call: Call) -> bool:
         """Tell whether every worker came to the end of its answer."""
-        runs = self.runs.get(call.ask.attempt, ())
+        runs = self.runs.get(call.request.attempt, ())
         return all(run.outcome == Outcome.ran for run in runs)
 
     def was_killed(self, call: Call) -> bool:
@@ -91,7 +91,7 @@
         return (
             incarnation
             for incarnation in self.node_incarnations
-            if incarnation.node == call.ask.node
+            if incarnation.node == call.request.node
         )
 
 
@@ -127,7 +127,7 @@
 def _direct_calls(record: Record, end: CallEnd) -> Iterator[Call]:
     """Yield the calls with an end that no relay can have caused."""
     for call in record.calls:
-        if call.end is end and not call.ask.is_relayed:
+        if call.end is end and not call.request.is_relayed:
             yield call
 
 
@@ -173,8 +173,8 @@
 def repeated_executions(record: Record) -> Iterator[str]:
     """Yield requests that may run once and ran more often."""
     for call in record.calls:
-        runs = record.runs.get(call.ask.attempt, [])
-        if len(runs) > 1 and not call.ask.is_idempotent:
+        runs = record.runs.get(call.request.attempt, [])
+        if len(runs) > 1 and not call.request.is_idempotent:
             yield _describe(call, record)
 
 
@@ -187,15 +187,17 @@
 
 
 def _matches_request(call: Call, record: Record) -> bool:
-    ask = call.ask
-    if call.response_id and call.response_id != ask.attempt:
+    request = call.request
+    if call.response_id and call.response_id != request.attempt:
         return False
     if not call.stamp:
         return call.status not in _SUCCESS
     if call.stamp != f'{ask.attempt}.{call.status}':
         return False
-    body = body_of(ask.attempt, ask.plan.size)
-    if ask.plan.form == Framing.unframed and not record.ran_to_completion(call):
+    body = body_of(request.attempt, request.plan.size)
+    if request.plan.form == Framing.unframed and not record.ran_to_completion(
+        call
+    ):
         # Without a length, the end of a killed worker looks like any other.
         return body.startswith(call.body)
     return call.body == body
@@ -235,9 +237,9 @@
 def _describe(call: Call, record: Record) -> str:
     runs = [
         (run.worker, run.started_ms, run.finished_ms, run.outcome)
-        for run in record.runs.get(call.ask.attempt, ())
+        for run in record.runs.get(call.request.attempt, ())
     ]
-    ask = replace(call.ask, body=call.ask.body[:_SHOWN])
+    request = replace(call.request, body=call.request.body[:_SHOWN])
     return f'{replace(call, ask=ask, body=call.body[:_SHOWN])} runs {runs}'
 
 
