--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -41,7 +41,7 @@
 class CallerRequest:
     """One request."""
 
-    attempt: str
+    attempt_id: str
     node: str
     is_relayed: bool  # by a relay that may break the caller's connection
     is_idempotent: bool
@@ -220,7 +220,7 @@
             plan = _timed(plan, deadline_ms, rng)
         leaves = rng.random() < _LEAVING_SHARE
         return CallerRequest(
-            attempt=next(self._names),
+            attempt_id=next(self._names),
             node=rng.choice(list(self._fleet.members)),
             is_relayed=self._is_relayed,
             is_idempotent=rng.choice((False, True)),
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -44,11 +44,11 @@
 
     def has_run(self, call: Call) -> bool:
         """Tell whether a worker has run a request."""
-        return call.request.attempt in self.runs
+        return call.request.attempt_id in self.runs
 
     def ran_to_completion(self, call: Call) -> bool:
         """Tell whether every worker came to the end of its answer."""
-        runs = self.runs.get(call.request.attempt, ())
+        runs = self.runs.get(call.request.attempt_id, ())
         return all(run.outcome == Outcome.ran for run in runs)
 
     def was_killed(self, call: Call) -> bool:
@@ -173,7 +173,7 @@
 def repeated_executions(record: Record) -> Iterator[str]:
     """Yield requests that may run once and ran more often."""
     for call in record.calls:
-        runs = record.runs.get(call.request.attempt, [])
+        runs = record.runs.get(call.request.attempt_id, [])
         if len(runs) > 1 and not call.request.is_idempotent:
             yield _describe(call, record)
 
@@ -188,13 +188,13 @@
 
 def _matches_request(call: Call, record: Record) -> bool:
     request = call.request
-    if call.response_id and call.response_id != request.attempt:
+    if call.response_id and call.response_id != request.attempt_id:
         return False
     if not call.stamp:
         return call.status not in _SUCCESS
     if call.stamp != f'{ask.attempt}.{call.status}':
         return False
-    body = body_of(request.attempt, request.plan.size)
+    body = body_of(request.attempt_id, request.plan.size)
     if request.plan.form == Framing.unframed and not record.ran_to_completion(
         call
     ):
@@ -237,7 +237,7 @@
 def _describe(call: Call, record: Record) -> str:
     runs = [
         (run.worker, run.started_ms, run.finished_ms, run.outcome)
-        for run in record.runs.get(call.request.attempt, ())
+        for run in record.runs.get(call.request.attempt_id, ())
     ]
     request = replace(call.request, body=call.request.body[:_SHOWN])
     return f'{replace(call, ask=ask, body=call.body[:_SHOWN])} runs {runs}'
