--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -50,7 +50,7 @@
     deadline_ms: int
     key: int
     body: bytes
-    leaves_ms: int | None  # when the caller gives up early
+    abandon_after_ms: int | None  # when the caller gives up early
 
     @property
     def content(self) -> bytes:
@@ -194,7 +194,7 @@
             )
             connection = _Connection(port)
         sent_ms = boottime_ms()
-        limit_ms = request.leaves_ms or request.deadline_ms + PATIENCE_MS
+        limit_ms = request.abandon_after_ms or request.deadline_ms + PATIENCE_MS
         end, response = _outcome(connection, request, limit_ms)
         call = Call(request, connection.opened_ms, sent_ms, boottime_ms(), end)
         if response is None:
@@ -229,7 +229,7 @@
             deadline_ms=deadline_ms,
             key=rng.randrange(_KEYS),
             body=b'b' * rng.choice(_BODY_SIZES),
-            leaves_ms=rng.randint(1, 300) if leaves else None,
+            abandon_after_ms=rng.randint(1, 300) if leaves else None,
         )
 
 
@@ -263,7 +263,9 @@
     try:
         return CallEnd.answered, connection.request(request.content, limit_ms)
     except TimeoutError:
-        return (CallEnd.left if request.leaves_ms else CallEnd.silent), None
+        return (
+            CallEnd.left if request.abandon_after_ms else CallEnd.silent
+        ), None
     except _ClosedError:
         return CallEnd.closed, None
     except _CutError:
