--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -218,7 +218,7 @@
         plan = _draw_plan(rng)
         if rng.random() < _CLOSE_SHARE:
             plan = _timed(plan, deadline_ms, rng)
-        leaves = rng.random() < _LEAVING_SHARE
+        is_abandoned = rng.random() < _LEAVING_SHARE
         return CallerRequest(
             attempt_id=next(self._names),
             node=rng.choice(list(self._fleet.members)),
@@ -229,7 +229,7 @@
             deadline_ms=deadline_ms,
             key=rng.randrange(_KEYS),
             body=b'b' * rng.choice(_BODY_SIZES),
-            abandon_after_ms=rng.randint(1, 300) if leaves else None,
+            abandon_after_ms=rng.randint(1, 300) if is_abandoned else None,
         )
 
 
