--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,7 +15,7 @@
 from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
 from tests.soak.plans import Break, Framing, Plan
 
-PATIENCE_MS = 15_000  # how long a caller waits beyond its deadline
+RESPONSE_GRACE_MS = 15_000  # how long a caller waits beyond its deadline
 _CONNECT_S = 1
 _PAUSE_S = 0.05
 _KEYS = 65_536
@@ -194,7 +194,9 @@
             )
             connection = _Connection(port)
         sent_ms = boottime_ms()
-        limit_ms = request.abandon_after_ms or request.deadline_ms + PATIENCE_MS
+        limit_ms = (
+            request.abandon_after_ms or request.deadline_ms + RESPONSE_GRACE_MS
+        )
         end, response = _outcome(connection, request, limit_ms)
         call = Call(request, connection.opened_ms, sent_ms, boottime_ms(), end)
         if response is None:
