--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,7 +17,7 @@
 
 RESPONSE_GRACE_MS = 15_000  # how long a caller waits beyond its deadline
 _CONNECT_S = 1
-_PAUSE_S = 0.05
+_MEAN_PAUSE_S = 0.05
 _KEYS = 65_536
 _BODY_SIZES = (0, 0, 0, 300, 200_000)
 _SIZES = (0, 40, 5_000, 150_000)  # of answers
@@ -181,7 +181,7 @@
             request = self._draw()
             with suppress(OSError):
                 self._call(request)
-            pause_s = self._chance.choice((0, 0.01, _PAUSE_S))
+            pause_s = self._chance.choice((0, 0.01, _MEAN_PAUSE_S))
             stop_event.wait(self._chance.random() * pause_s * 2)
         for connection in self._connections.values():
             connection.close()
