--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -20,7 +20,7 @@
 _MEAN_PAUSE_S = 0.05
 _KEYS = 65_536
 _BODY_SIZES = (0, 0, 0, 300, 200_000)
-_SIZES = (0, 40, 5_000, 150_000)  # of answers
+_RESPONSE_SIZES = (0, 40, 5_000, 150_000)  # of answers
 _BROKEN_SIZE = 20_000  # more than one piece of a worker
 _BROKEN_SHARE = 0.08  # answers that their worker breaks off
 _CLOSE_SHARE = 0.15  # answers that come about the deadline
@@ -246,7 +246,7 @@
     return Plan(
         work_ms=rng.choice((0, 0, 5, 5, rng.randint(20, 300))),
         body_ms=rng.choice((0, 0, 0, rng.randint(5, 300))),
-        size=rng.choice(_SIZES),
+        size=rng.choice(_RESPONSE_SIZES),
         status=rng.choice((200,) * 9 + (500,)),
         form=form,
     )
