--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -19,7 +19,7 @@
 _CONNECT_S = 1
 _MEAN_PAUSE_S = 0.05
 _KEYS = 65_536
-_BODY_SIZES = (0, 0, 0, 300, 200_000)
+_REQUEST_SIZES = (0, 0, 0, 300, 200_000)
 _RESPONSE_SIZES = (0, 40, 5_000, 150_000)  # of answers
 _BROKEN_SIZE = 20_000  # more than one piece of a worker
 _BROKEN_SHARE = 0.08  # answers that their worker breaks off
@@ -230,7 +230,7 @@
             plan=plan,
             deadline_ms=deadline_ms,
             key=rng.randrange(_KEYS),
-            body=b'b' * rng.choice(_BODY_SIZES),
+            body=b'b' * rng.choice(_REQUEST_SIZES),
             abandon_after_ms=rng.randint(1, 300) if is_abandoned else None,
         )
 
