--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -21,7 +21,7 @@
 _KEYS = 65_536
 _REQUEST_SIZES = (0, 0, 0, 300, 200_000)
 _RESPONSE_SIZES = (0, 40, 5_000, 150_000)  # of answers
-_BROKEN_SIZE = 20_000  # more than one piece of a worker
+_BROKEN_RESPONSE_SIZE = 20_000  # more than one piece of a worker
 _BROKEN_SHARE = 0.08  # answers that their worker breaks off
 _CLOSE_SHARE = 0.15  # answers that come about the deadline
 _LEAVING_SHARE = 0.04  # requests that their caller gives up early
@@ -242,7 +242,9 @@
         ends = [Break.before, Break.reset]
         if form is not Framing.unframed:
             ends.append(Break.in_body)
-        return Plan(size=_BROKEN_SIZE, form=form, breaks=rng.choice(ends))
+        return Plan(
+            size=_BROKEN_RESPONSE_SIZE, form=form, breaks=rng.choice(ends)
+        )
     return Plan(
         work_ms=rng.choice((0, 0, 5, 5, rng.randint(20, 300))),
         body_ms=rng.choice((0, 0, 0, rng.randint(5, 300))),
