--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -22,7 +22,7 @@
 _REQUEST_SIZES = (0, 0, 0, 300, 200_000)
 _RESPONSE_SIZES = (0, 40, 5_000, 150_000)  # of answers
 _BROKEN_RESPONSE_SIZE = 20_000  # more than one piece of a worker
-_BROKEN_SHARE = 0.08  # answers that their worker breaks off
+_BROKEN_RESPONSE_SHARE = 0.08  # answers that their worker breaks off
 _CLOSE_SHARE = 0.15  # answers that come about the deadline
 _LEAVING_SHARE = 0.04  # requests that their caller gives up early
 
@@ -237,7 +237,7 @@
 
 def _draw_plan(rng: Random) -> Plan:
     form = rng.choice(list(Framing))
-    if rng.random() < _BROKEN_SHARE:
+    if rng.random() < _BROKEN_RESPONSE_SHARE:
         # Without a length, an ordinary end would make half a body look whole.
         ends = [Break.before, Break.reset]
         if form is not Framing.unframed:
