--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -23,7 +23,7 @@
 _RESPONSE_SIZES = (0, 40, 5_000, 150_000)  # of answers
 _BROKEN_RESPONSE_SIZE = 20_000  # more than one piece of a worker
 _BROKEN_RESPONSE_SHARE = 0.08  # answers that their worker breaks off
-_CLOSE_SHARE = 0.15  # answers that come about the deadline
+_NEAR_DEADLINE_SHARE = 0.15  # answers that come about the deadline
 _LEAVING_SHARE = 0.04  # requests that their caller gives up early
 
 
@@ -218,7 +218,7 @@
         rng = self._chance
         deadline_ms = rng.choice((rng.randint(100, 400), 1_000, 3_000))
         plan = _draw_plan(rng)
-        if rng.random() < _CLOSE_SHARE:
+        if rng.random() < _NEAR_DEADLINE_SHARE:
             plan = _timed(plan, deadline_ms, rng)
         is_abandoned = rng.random() < _LEAVING_SHARE
         return CallerRequest(
