--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -24,7 +24,7 @@
 _BROKEN_RESPONSE_SIZE = 20_000  # more than one piece of a worker
 _BROKEN_RESPONSE_SHARE = 0.08  # answers that their worker breaks off
 _NEAR_DEADLINE_SHARE = 0.15  # answers that come about the deadline
-_LEAVING_SHARE = 0.04  # requests that their caller gives up early
+_ABANDONED_SHARE = 0.04  # requests that their caller gives up early
 
 
 class CallEnd(StrEnum):
@@ -220,7 +220,7 @@
         plan = _draw_plan(rng)
         if rng.random() < _NEAR_DEADLINE_SHARE:
             plan = _timed(plan, deadline_ms, rng)
-        is_abandoned = rng.random() < _LEAVING_SHARE
+        is_abandoned = rng.random() < _ABANDONED_SHARE
         return CallerRequest(
             attempt_id=next(self._names),
             node=rng.choice(list(self._fleet.members)),
