--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -219,7 +219,7 @@
         deadline_ms = rng.choice((rng.randint(100, 400), 1_000, 3_000))
         plan = _draw_plan(rng)
         if rng.random() < _NEAR_DEADLINE_SHARE:
-            plan = _timed(plan, deadline_ms, rng)
+            plan = _end_near_deadline(plan, deadline_ms, rng)
         is_abandoned = rng.random() < _ABANDONED_SHARE
         return CallerRequest(
             attempt_id=next(self._names),
@@ -254,7 +254,7 @@
     )
 
 
-def _timed(plan: Plan, deadline_ms: int, rng: Random) -> Plan:
+def _end_near_deadline(plan: Plan, deadline_ms: int, rng: Random) -> Plan:
     """Let the work of a plan end about the deadline."""
     whole_ms = max(0, deadline_ms + rng.randint(-60, 60))
     work_ms = rng.choice((0, whole_ms, whole_ms // 2))
