--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -178,7 +178,7 @@
     def call_until(self, stop_event: Event) -> None:
         """Send requests until told to stop."""
         while not stop_event.is_set():
-            request = self._draw()
+            request = self._draw_request()
             with suppress(OSError):
                 self._call(request)
             pause_s = self._chance.choice((0, 0.01, _MEAN_PAUSE_S))
@@ -214,7 +214,7 @@
         else:
             self._connections[node] = connection
 
-    def _draw(self) -> CallerRequest:
+    def _draw_request(self) -> CallerRequest:
         rng = self._chance
         deadline_ms = rng.choice((rng.randint(100, 400), 1_000, 3_000))
         plan = _draw_plan(rng)
