--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -203,10 +203,10 @@
             connection.close()
         else:
             call = _with_response(call, response)
-            self._keep(request.node, connection, response)
+            self._keep_open(request.node, connection, response)
         self.calls.append(call)
 
-    def _keep(
+    def _keep_open(
         self, node: str, connection: _Connection, response: _Response
     ) -> None:
         if response.headers.get('connection', '').lower() == 'close':
