--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -172,7 +172,7 @@
         self._fleet = fleet
         self._chance = rng
         self._is_relayed = number % 4 == 0
-        self._names = (f'c{number}-{each}' for each in count())
+        self._attempt_ids = (f'c{number}-{each}' for each in count())
         self._connections: dict[str, _Connection] = {}
 
     def call_until(self, stop_event: Event) -> None:
@@ -222,7 +222,7 @@
             plan = _end_near_deadline(plan, deadline_ms, rng)
         is_abandoned = rng.random() < _ABANDONED_SHARE
         return CallerRequest(
-            attempt_id=next(self._names),
+            attempt_id=next(self._attempt_ids),
             node=rng.choice(list(self._fleet.members)),
             is_relayed=self._is_relayed,
             is_idempotent=rng.choice((False, True)),
