--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -197,7 +197,7 @@
         limit_ms = (
             request.abandon_after_ms or request.deadline_ms + RESPONSE_GRACE_MS
         )
-        end, response = _outcome(connection, request, limit_ms)
+        end, response = _perform(connection, request, limit_ms)
         call = Call(request, connection.opened_ms, sent_ms, boottime_ms(), end)
         if response is None:
             connection.close()
@@ -261,7 +261,7 @@
     return replace(plan, work_ms=work_ms, body_ms=whole_ms - work_ms)
 
 
-def _outcome(
+def _perform(
     connection: _Connection, request: CallerRequest, limit_ms: float
 ) -> tuple[CallEnd, _Response | None]:
     try:
