--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -143,11 +143,11 @@
         if headers.get('transfer-encoding') == 'chunked':
             body = b''.join(iter(self._chunk, b''))
         else:
-            body = self._exactly(int(headers['content-length']))
+            body = self._read_exactly(int(headers['content-length']))
         return _Response(status, headers, body)
 
     def _chunk(self) -> bytes:
-        chunk = self._exactly(int(self._line(), 16))
+        chunk = self._read_exactly(int(self._line(), 16))
         self._line()
         return chunk
 
@@ -157,7 +157,7 @@
             raise _CutError('in a line')
         return line
 
-    def _exactly(self, size: int) -> bytes:
+    def _read_exactly(self, size: int) -> bytes:
         found = self._stream.read(size)
         if len(found) < size:
             raise _CutError('in the body')
