--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -136,7 +136,7 @@
 
     def _read(self, line: bytes) -> _Response:
         headers = {}
-        while field := self._line().strip():
+        while field := self._read_line().strip():
             name, _, text = field.decode().partition(':')
             headers[name.lower()] = text.strip()
         status = int(line.split()[1])
@@ -147,11 +147,11 @@
         return _Response(status, headers, body)
 
     def _chunk(self) -> bytes:
-        chunk = self._read_exactly(int(self._line(), 16))
-        self._line()
+        chunk = self._read_exactly(int(self._read_line(), 16))
+        self._read_line()
         return chunk
 
-    def _line(self) -> bytes:
+    def _read_line(self) -> bytes:
         line = self._stream.readline()
         if not line.endswith(b'\n'):
             raise _CutError('in a line')
