--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -141,12 +141,12 @@
             headers[name.lower()] = text.strip()
         status = int(line.split()[1])
         if headers.get('transfer-encoding') == 'chunked':
-            body = b''.join(iter(self._chunk, b''))
+            body = b''.join(iter(self._read_chunk, b''))
         else:
             body = self._read_exactly(int(headers['content-length']))
         return _Response(status, headers, body)
 
-    def _chunk(self) -> bytes:
+    def _read_chunk(self) -> bytes:
         chunk = self._read_exactly(int(self._read_line(), 16))
         self._read_line()
         return chunk
