--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -113,7 +113,7 @@
         with suppress(ConnectionError):
             # An answer may have come before the connection ended.
             self._sock.sendall(content)
-        line = self._first_line()
+        line = self._read_status_line()
         try:
             return self._read(line)
         except ConnectionError as reset:
@@ -125,7 +125,7 @@
             self._stream.close()
         self._sock.close()
 
-    def _first_line(self) -> bytes:
+    def _read_status_line(self) -> bytes:
         try:
             line = self._stream.readline()
         except ConnectionError as reset:
