--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -115,7 +115,7 @@
             self._sock.sendall(content)
         line = self._read_status_line()
         try:
-            return self._read(line)
+            return self._read_response(line)
         except ConnectionError as reset:
             raise _CutError(str(reset)) from reset
 
@@ -134,7 +134,7 @@
             raise _ClosedError
         return line
 
-    def _read(self, line: bytes) -> _Response:
+    def _read_response(self, line: bytes) -> _Response:
         headers = {}
         while field := self._read_line().strip():
             name, _, text = field.decode().partition(':')
