--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -175,7 +175,7 @@
         self._attempt_ids = (f'c{number}-{each}' for each in count())
         self._connections: dict[str, _Connection] = {}
 
-    def call_until(self, stop_event: Event) -> None:
+    def send_until(self, stop_event: Event) -> None:
         """Send requests until told to stop."""
         while not stop_event.is_set():
             request = self._draw_request()
@@ -296,7 +296,7 @@
             for each in range(number)
         ]
         self._threads = [
-            Thread(target=caller.call_until, args=(self._halt,), daemon=True)
+            Thread(target=caller.send_until, args=(self._halt,), daemon=True)
             for caller in self._callers
         ]
 
