--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,7 +18,7 @@
 from tests.soak.find_violations import Record, Violation, find_violations
 from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
 
-FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
+LOGS_FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
 _SERVED_S = 60  # after everything is mended
 _LATE_S = 4  # for what runs late
 _SHOWN = 12  # of what is broken
@@ -153,7 +153,7 @@
 
 
 def _keep_logs(fleet: SoakFleet, report: Report) -> None:
-    folder = FOLDER / f'seed-{report.options.seed}'
+    folder = LOGS_FOLDER / f'seed-{report.options.seed}'
     fleet.copy_logs(folder)
     lines = [f'{each.rule}: {each.evidence}' for each in report.violations]
     node_incarnations = [
