--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,7 +19,7 @@
 from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
 
 LOGS_FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
-_SERVED_S = 60  # after everything is mended
+_RECOVERY_TIMEOUT_S = 60  # after everything is mended
 _LATE_S = 4  # for what runs late
 _SHOWN = 12  # of what is broken
 
@@ -114,7 +114,7 @@
         for service in (SHARDED_SERVICE, UNSHARDED_SERVICE):
             served = partial(_is_served, fleet, name, service, numbers)
             try:
-                wait_for(f'{service} at {name}', served, _SERVED_S)
+                wait_for(f'{service} at {name}', served, _RECOVERY_TIMEOUT_S)
             except (TimeoutError, HTTPError) as late:
                 return [Violation('not served again', repr(late))]
     return []
