--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,7 +20,7 @@
 
 LOGS_FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
 _RECOVERY_TIMEOUT_S = 60  # after everything is mended
-_LATE_S = 4  # for what runs late
+_LATE_EXECUTION_S = 4  # for what runs late
 _SHOWN = 12  # of what is broken
 
 
@@ -129,7 +129,7 @@
         lanes = _inject_faults(fleet, options)
         violations = _await_served(fleet)
         calls = callers.finish()
-        time.sleep(_LATE_S)
+        time.sleep(_LATE_EXECUTION_S)
         journal_entries = fleet.journal_entries()
         record = Record.of(
             calls,
