--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,7 +21,7 @@
 LOGS_FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
 _RECOVERY_TIMEOUT_S = 60  # after everything is mended
 _LATE_EXECUTION_S = 4  # for what runs late
-_SHOWN = 12  # of what is broken
+_SHOWN_VIOLATIONS = 12  # of what is broken
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +70,7 @@
                 each.rule for each in self.violations
             ).items()
         ]
-        lines += [f'  {each}' for each in self.violations[:_SHOWN]]
+        lines += [f'  {each}' for each in self.violations[:_SHOWN_VIOLATIONS]]
         return '\n'.join((*lines, f'{len(self.broken)} broken'))
 
 
