--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -13,7 +13,7 @@
 from tests.soak.plans import Framing
 
 _READ_TIME_MS = 1_000  # more than a request takes to be read
-_SHOWN = 60  # bytes of a body in what shows a broken promise
+_SHOWN_BYTES = 60  # bytes of a body in what shows a broken promise
 _SUCCESS = range(200, 300)
 _NODE_REFUSALS = frozenset((408, 421, 429, 503))  # each says: it has not run
 _NODE_STATUSES = frozenset((502, 504)) | _NODE_REFUSALS
@@ -239,7 +239,7 @@
         (run.worker, run.started_ms, run.finished_ms, run.outcome)
         for run in record.runs.get(call.request.attempt_id, ())
     ]
-    request = replace(call.request, body=call.request.body[:_SHOWN])
+    request = replace(call.request, body=call.request.body[:_SHOWN_BYTES])
     return f'{replace(call, ask=ask, body=call.body[:_SHOWN])} runs {runs}'
 
 
