--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -107,7 +107,7 @@
     return answer.status == 200
 
 
-def _await_served(fleet: SoakFleet) -> list[Violation]:
+def _check_recovery(fleet: SoakFleet) -> list[Violation]:
     """Wait until each service is served at each door."""
     numbers = count()
     for name in fleet.members:
@@ -127,7 +127,7 @@
         callers = Callers(fleet, options.callers, options.seed)
         callers.start()
         lanes = _inject_faults(fleet, options)
-        violations = _await_served(fleet)
+        violations = _check_recovery(fleet)
         calls = callers.finish()
         time.sleep(_LATE_EXECUTION_S)
         journal_entries = fleet.journal_entries()
