--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -148,11 +148,11 @@
             options, calls, len(journal_entries), faults, violations
         )
         if violations:
-            _keep_logs(fleet, report)
+            _save_logs(fleet, report)
     return report
 
 
-def _keep_logs(fleet: SoakFleet, report: Report) -> None:
+def _save_logs(fleet: SoakFleet, report: Report) -> None:
     folder = LOGS_FOLDER / f'seed-{report.options.seed}'
     fleet.copy_logs(folder)
     lines = [f'{each.rule}: {each.evidence}' for each in report.violations]
