--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -50,10 +50,10 @@
         """Return the report as lines."""
         ends = Counter(str(call.end) for call in self.calls)
         statuses = Counter(call.status for call in self.calls if call.status)
-        told = [line.partition(' ')[2] for line in self.faults]
+        fault_lines = [line.partition(' ')[2] for line in self.faults]
         kinds = Counter(
             line.partition(':')[0]
-            for line in told
+            for line in fault_lines
             if not line.startswith('mended')
         )
         asked = self.options
