--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -21,7 +21,7 @@
 
 CALLERS = 16
 LONG_REQUESTS = 12  # some of them at the worker of the node itself
-BREATH_S = 1
+RAMP_UP_S = 1
 
 
 @when('a soak of {nodes:d} nodes runs for {seconds:d} s with seed {seed:d}')
@@ -40,7 +40,7 @@
     context.fleet = fleet
     context.callers = Callers(fleet, CALLERS, seed=1)
     context.callers.start()
-    time.sleep(BREATH_S)
+    time.sleep(RAMP_UP_S)
 
 
 @when('requests of {seconds:d} s run at "{node}" and the node is told to stop')
@@ -52,7 +52,7 @@
     ]
     for thread in asking:
         thread.start()
-    time.sleep(BREATH_S)
+    time.sleep(RAMP_UP_S)
     context.fleet.stop_node(context.fleet.members[node])
     calls = context.callers.finish()
     for ending in asking:
