--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -44,7 +44,9 @@
 
 
 @when('requests of {seconds:d} s run at "{node}" and the node is told to stop')
-def stop_under_long(context: Context, seconds: int, node: str) -> None:
+def stop_during_long_requests(
+    context: Context, seconds: int, node: str
+) -> None:
     plan = Plan(work_ms=seconds * 1_000)
     asking = [
         Thread(target=_ask, args=(context.fleet, node, plan, number))
