--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -48,16 +48,16 @@
     context: Context, seconds: int, node: str
 ) -> None:
     plan = Plan(work_ms=seconds * 1_000)
-    asking = [
+    threads = [
         Thread(target=_ask, args=(context.fleet, node, plan, number))
         for number in range(LONG_REQUESTS)
     ]
-    for thread in asking:
+    for thread in threads:
         thread.start()
     time.sleep(RAMP_UP_S)
     context.fleet.stop_node(context.fleet.members[node])
     calls = context.callers.finish()
-    for ending in asking:
+    for ending in threads:
         ending.join()
     journal_entries = context.fleet.journal_entries()
     context.violations = find_violations(
