--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -49,7 +49,7 @@
 ) -> None:
     plan = Plan(work_ms=seconds * 1_000)
     threads = [
-        Thread(target=_ask, args=(context.fleet, node, plan, number))
+        Thread(target=_send_request, args=(context.fleet, node, plan, number))
         for number in range(LONG_REQUESTS)
     ]
     for thread in threads:
@@ -70,7 +70,7 @@
     )
 
 
-def _ask(fleet: Any, node: str, plan: Plan, number: int) -> None:
+def _send_request(fleet: Any, node: str, plan: Plan, number: int) -> None:
     path = f'/{KEYED}/safe/x?{plan.query}'
     headers = {'Shard_Key': str(number * 5_003), 'Deadline_Ms': '10000'}
     with suppress(HTTPError):
