--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -81,7 +81,7 @@
     'the worker "{worker}" held the keys {first:d} to {last:d} '
     'from {since:d} to {until:d} ms'
 )
-def write_held(
+def write_held_keys(
     context: Context, worker: str, first: int, last: int, since: int, until: int
 ) -> None:
     if 'workers' not in context:
