--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -96,7 +96,7 @@
 
 
 @given('the worker "{_worker}" was killed at {at_ms:d} ms')
-def write_killed(context: Context, _worker: str, at_ms: int) -> None:
+def set_killed(context: Context, _worker: str, at_ms: int) -> None:
     context.workers[0].killed_ms = at_ms
 
 
