--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -101,7 +101,7 @@
 
 
 @then('the judge finds {count:d} keys that were held twice')
-def check_held_twice(context: Context, count: int) -> None:
+def check_concurrent_holders(context: Context, count: int) -> None:
     found = list(find_concurrent_holders(context.workers))
     assert len(found) == count, found
 
