--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -107,5 +107,5 @@
 
 
 @then('no promise was broken')
-def check_promises(context: Context) -> None:
+def check_guarantees(context: Context) -> None:
     assert not context.violations, '\n'.join(map(str, context.violations))
