--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -10,12 +10,12 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from tests.soak.find_violations import Record, find_violations
 from urllib3.exceptions import HTTPError
 
 from tests.soak.callers import Callers
 from tests.soak.fleet import SHARDED_SERVICE, SoakFleet
 from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
+from tests.soak.judge import Record, find_violations
 from tests.soak.plans import Plan
 from tests.soak.soak import Options, run
 
@@ -71,7 +71,7 @@
 
 
 def _send_request(fleet: Any, node: str, plan: Plan, number: int) -> None:
-    path = f'/{KEYED}/safe/x?{plan.query}'
+    path = f'/{SHARDED_SERVICE}/safe/x?{plan.query}'
     headers = {'Shard_Key': str(number * 5_003), 'Deadline_Ms': '10000'}
     with suppress(HTTPError):
         fleet.ask(fleet.members[node], path, f'long-{number}', **headers)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -33,8 +33,8 @@
     answered = 'answered'
     cut = 'cut'  # in the head or body of its answer
     closed = 'closed'  # before any byte of an answer
-    silent = 'silent'  # the caller waited in vain
-    left = 'left'  # the caller gave up early
+    timed_out = 'silent'  # no response came within the caller's limit
+    abandoned = 'left'  # the caller gave up before the deadline
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +60,7 @@
         lines = (
             f'{method} /{self.service}/{kind}/x?{self.plan.query} HTTP/1.1',
             f'Host: {HOST_NAME}',
-            f'Attempt-Id: {self.attempt}',
+            f'Attempt-Id: {self.attempt_id}',
             f'Deadline-Ms: {self.deadline_ms}',
             f'Shard-Key: {self.key}',
             f'Content-Length: {len(self.body)}',
@@ -268,7 +268,7 @@
         return CallEnd.answered, connection.request(request.content, limit_ms)
     except TimeoutError:
         return (
-            CallEnd.left if request.abandon_after_ms else CallEnd.silent
+            CallEnd.abandoned if request.abandon_after_ms else CallEnd.timed_out
         ), None
     except _ClosedError:
         return CallEnd.closed, None
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -150,7 +150,7 @@
             route, cut_after=size, cut_direction=direction
         )
         time.sleep(context.random_s(_MAX_BREAK_INTERVAL_MS))
-    yield f'{route} {way}'
+    yield f'{route} {direction}'
     context.fleet.relays.clear(route)
 
 
@@ -165,7 +165,7 @@
             {'drop': rng.choice(_DIRECTIONS)},
         )
     )
-    return f'{scene.member().name}.{chance.choice(_LINKS)}', switches
+    return f'{context.member().name}.{rng.choice(_LINKS)}', switches
 
 
 @_fault('the store is away')
@@ -174,9 +174,9 @@
     switches = context.rng.choice(
         ({'outage': True}, {'delay_ms': 400}, {'lose_answers': 5})
     )
-    context.fleet.disrupt_store(**switches)
+    context.fleet.set_store_faults(**switches)
     yield str(switches)
-    context.fleet.disrupt_store(outage=False, delay_ms=0, lose_answers=0)
+    context.fleet.set_store_faults(outage=False, delay_ms=0, lose_answers=0)
 
 
 @_fault('the manifest changes')
@@ -212,7 +212,7 @@
     def _inject(self, name: str, stop_event: Event) -> None:
         started_ms = boottime_ms()
         with FAULTS[name](self._context) as detail:
-            self.log.append(f'{begun_ms:.0f} {name}: {detail}')
+            self.log.append(f'{started_ms:.0f} {name}: {detail}')
             self._wait(stop_event, _MAX_FAULT_MS)
         self.log.append(f'{boottime_ms():.0f} mended: {name}')
 
--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -64,7 +64,7 @@
             until_ms = min(one.until_ms, other.until_ms)
             if one.worker != other.worker and since_ms < until_ms:
                 overlap_ms = until_ms - since_ms
-                yield f'key {key} for {both_ms:.0f} ms: {one} {other}'
+                yield f'key {key} for {overlap_ms:.0f} ms: {one} {other}'
 
 
 def _spans_by_range(incarnations: Sequence[WorkerIncarnation]) -> SpansByRange:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -134,7 +134,7 @@
 @_rule('ran, and its connection closed without an answer')
 def unanswered_executions(record: Record) -> Iterator[str]:
     """Yield requests that were passed on and got no answer."""
-    for call in _direct_calls(record, CallEnd.unanswered_requests):
+    for call in _direct_calls(record, CallEnd.closed):
         if record.has_run(call) and not record.was_killed(call):
             yield _describe(call, record)
 
@@ -145,7 +145,7 @@
 
     One that crosses the end of an idle connection is not read.
     """
-    for call in _direct_calls(record, CallEnd.unanswered_requests):
+    for call in _direct_calls(record, CallEnd.closed):
         crosses = call.done_ms - call.sent_ms < _READ_TIME_MS
         crosses = crosses or record.was_paused(call)
         ends = record.was_stopping(call) and crosses
@@ -156,7 +156,7 @@
 @_rule('no answer came at all')
 def timed_out_requests(record: Record) -> Iterator[str]:
     """Yield requests whose callers waited in vain."""
-    for call in _direct_calls(record, CallEnd.timed_out_requests):
+    for call in _direct_calls(record, CallEnd.timed_out):
         yield _describe(call, record)
 
 
@@ -192,7 +192,7 @@
         return False
     if not call.stamp:
         return call.status not in _SUCCESS
-    if call.stamp != f'{ask.attempt}.{call.status}':
+    if call.stamp != f'{request.attempt_id}.{call.status}':
         return False
     body = body_of(request.attempt_id, request.plan.size)
     if request.plan.form == Framing.unframed and not record.ran_to_completion(
@@ -231,7 +231,10 @@
             and not incarnation.died_during_start
         )
         if (is_over and by_itself) or failed:
-            yield f'{life.node} pid {life.process.pid} status {life.status}'
+            yield (
+                f'{incarnation.node} pid {incarnation.process.pid} '
+                f'status {incarnation.status}'
+            )
 
 
 def _describe(call: Call, record: Record) -> str:
@@ -240,7 +243,10 @@
         for run in record.runs.get(call.request.attempt_id, ())
     ]
     request = replace(call.request, body=call.request.body[:_SHOWN_BYTES])
-    return f'{replace(call, ask=ask, body=call.body[:_SHOWN])} runs {runs}'
+    return (
+        f'{replace(call, request=request, body=call.body[:_SHOWN_BYTES])} '
+        f'runs {runs}'
+    )
 
 
 def find_violations(record: Record) -> list[Violation]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,8 +15,8 @@
 from bench.deployment import wait_for
 from tests.soak.callers import Call, Callers
 from tests.soak.faults import FAULTS, Lane
-from tests.soak.find_violations import Record, Violation, find_violations
 from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
+from tests.soak.judge import Record, Violation, find_violations
 
 LOGS_FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
 _RECOVERY_TIMEOUT_S = 60  # after everything is mended
@@ -56,10 +56,10 @@
             for line in fault_lines
             if not line.startswith('mended')
         )
-        asked = self.options
+        options = self.options
         lines = [
-            f'seed {asked.seed}: {asked.nodes} nodes, {asked.callers} callers, '
-            f'{asked.lanes} lanes, {asked.seconds:g} s',
+            f'seed {options.seed}: {options.nodes} nodes, '
+            f'{options.callers} callers, {options.lanes} lanes, {options.seconds:g} s',
             f'{len(self.calls)} requests, {self.runs} runs',
             f'ends: {dict(ends)}; statuses: {dict(sorted(statuses.items()))}',
             f'injected: {dict(sorted(kinds.items()))}',
@@ -71,7 +71,7 @@
             ).items()
         ]
         lines += [f'  {each}' for each in self.violations[:_SHOWN_VIOLATIONS]]
-        return '\n'.join((*lines, f'{len(self.broken)} broken'))
+        return '\n'.join((*lines, f'{len(self.violations)} broken'))
 
 
 def _inject_faults(fleet: SoakFleet, options: Options) -> list[Lane]:
