--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -170,7 +170,7 @@
     def __init__(self, fleet: SoakFleet, number: int, rng: Random) -> None:
         self.calls: list[Call] = []
         self._fleet = fleet
-        self._chance = rng
+        self._rng = rng
         self._is_relayed = number % 4 == 0
         self._attempt_ids = (f'c{number}-{each}' for each in count())
         self._connections: dict[str, _Connection] = {}
@@ -181,8 +181,8 @@
             request = self._draw_request()
             with suppress(OSError):
                 self._call(request)
-            pause_s = self._chance.choice((0, 0.01, _MEAN_PAUSE_S))
-            stop_event.wait(self._chance.random() * pause_s * 2)
+            pause_s = self._rng.choice((0, 0.01, _MEAN_PAUSE_S))
+            stop_event.wait(self._rng.random() * pause_s * 2)
         for connection in self._connections.values():
             connection.close()
 
@@ -215,7 +215,7 @@
             self._connections[node] = connection
 
     def _draw_request(self) -> CallerRequest:
-        rng = self._chance
+        rng = self._rng
         deadline_ms = rng.choice((rng.randint(100, 400), 1_000, 3_000))
         plan = _draw_plan(rng)
         if rng.random() < _NEAR_DEADLINE_SHARE:
