--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -290,13 +290,15 @@
     """Some callers, each in a thread of its own."""
 
     def __init__(self, fleet: SoakFleet, number: int, seed: int) -> None:
-        self._halt = Event()
+        self._stop_event = Event()
         self._callers = [
             Caller(fleet, each, Random(f'{seed} caller {each}'))
             for each in range(number)
         ]
         self._threads = [
-            Thread(target=caller.send_until, args=(self._halt,), daemon=True)
+            Thread(
+                target=caller.send_until, args=(self._stop_event,), daemon=True
+            )
             for caller in self._callers
         ]
 
@@ -307,7 +309,7 @@
 
     def finish(self) -> list[Call]:
         """Stop all, wait for what is under way and return the log."""
-        self._halt.set()
+        self._stop_event.set()
         for thread in self._threads:
             thread.join()
         return [call for caller in self._callers for call in caller.calls]
