--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -34,11 +34,11 @@
         calls: Sequence[Call],
         node_incarnations: Sequence[NodeIncarnation],
         worker_incarnations: Sequence[WorkerIncarnation],
-        entries: Sequence[JournalEntry],
+        journal_entries: Sequence[JournalEntry],
     ) -> 'Record':
         """Return the record with runs grouped by request."""
         runs = defaultdict(list)
-        for entry in entries:
+        for entry in journal_entries:
             runs[entry.request].append(entry)
         return cls(calls, node_incarnations, worker_incarnations, runs)
 
