--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -96,10 +96,13 @@
 
 
 def _overlaps(
-    since_ms: float, call: Call, begun_ms: float | None, ended_ms: float | None
+    since_ms: float,
+    call: Call,
+    started_ms: float | None,
+    ended_ms: float | None,
 ) -> bool:
     """Tell whether a span touches a call, counted from some moment of it."""
-    if begun_ms is None or begun_ms > call.done_ms:
+    if started_ms is None or started_ms > call.done_ms:
         return False
     return ended_ms is None or ended_ms >= since_ms
 
