--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -95,7 +95,7 @@
                 _format_head(refusal_status, Content_Length=0, **headers_sent)
             )
             return
-        order = _order(attempt, self._options.service, method)
+        order = _build_order(attempt, self._options.service, method)
         self._execute(sock, Plan.parse(query), order)
 
     def _refusal_status(self, headers: dict[str, str]) -> int:
@@ -152,7 +152,7 @@
     return _format_head(plan.status, **headers)
 
 
-def _order(attempt: str, service: str, method: str) -> Order:
+def _build_order(attempt: str, service: str, method: str) -> Order:
     return Order(
         request=attempt,
         key='',
