--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -63,15 +63,15 @@
     def open_route(self, route: str, port: int) -> int:
         """Open a route to a port and return where it listens."""
         url = f'{self.url}/routes/{route}'
-        answer = self.http.request('PUT', url, json={'target_port': port})
-        self.ports[route] = int(answer.json()['port'])
+        response = self.http.request('PUT', url, json={'target_port': port})
+        self.ports[route] = int(response.json()['port'])
         return self.ports[route]
 
     def set_switches(self, route: str, **switches: Any) -> None:
         """Set switches of a route."""
         url = f'{self.url}/routes/{route}'
-        answer = self.http.request('POST', url, json=switches)
-        if answer.status != _OK:
+        response = self.http.request('POST', url, json=switches)
+        if response.status != _OK:
             raise ValueError(f'{route}: {answer.data!r}')
 
     def clear(self, route: str) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -98,13 +98,13 @@
     fleet: SoakFleet, name: str, service: str, numbers: 'count[int]'
 ) -> bool:
     number = next(numbers)
-    answer = fleet.ask(
+    response = fleet.ask(
         fleet.members[name],
         f'/{service}/safe/x',
         f'after-{number}',
         Shard_Key=str(number * 997 % 65_536),
     )
-    return answer.status == 200
+    return response.status == 200
 
 
 def _check_recovery(fleet: SoakFleet) -> list[Violation]:
