--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -188,8 +188,8 @@
 
     def journal_entries(self) -> list[JournalEntry]:
         """Return what the workers wrote into their journals."""
-        found = self.http.request('GET', self.journal_url).json()
-        return [JournalEntry(**each) for each in found]
+        rows = self.http.request('GET', self.journal_url).json()
+        return [JournalEntry(**each) for each in rows]
 
     def wait_ready(self) -> None:
         """Wait until all nodes say that they are ready."""
