--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -60,7 +60,7 @@
     http: Any
     ports: dict[str, int] = field(default_factory=dict)
 
-    def open_route(self, route: str, port: int) -> int:
+    def add_route(self, route: str, port: int) -> int:
         """Open a route to a port and return where it listens."""
         url = f'{self.url}/routes/{route}'
         response = self.http.request('PUT', url, json={'target_port': port})
@@ -236,7 +236,7 @@
             'reports': _port(settings['report_address']),
         }
         for what, port in targets.items():
-            self.relays.open_route(f'{name}.{what}', port)
+            self.relays.add_route(f'{name}.{what}', port)
         ports = self.relays.ports
         settings['reports'] = {'silent_ms': 800, 'most_bytes': 20_000}
         settings['advertised_peer_port'] = ports[f'{name}.peer']
