--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -256,9 +256,9 @@
 
 def _end_near_deadline(plan: Plan, deadline_ms: int, rng: Random) -> Plan:
     """Let the work of a plan end about the deadline."""
-    whole_ms = max(0, deadline_ms + rng.randint(-60, 60))
-    work_ms = rng.choice((0, whole_ms, whole_ms // 2))
-    return replace(plan, work_ms=work_ms, body_ms=whole_ms - work_ms)
+    total_ms = max(0, deadline_ms + rng.randint(-60, 60))
+    work_ms = rng.choice((0, total_ms, total_ms // 2))
+    return replace(plan, work_ms=work_ms, body_ms=total_ms - work_ms)
 
 
 def _perform(
