--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -207,14 +207,14 @@
                 self._inject(name, stop_event)
             except Exception as failure:
                 self.injection_errors.append(f'{name}: {failure!r}')
-            self._wait(stop_event, _MAX_INTERVAL_MS)
+            self._wait_random_time(stop_event, _MAX_INTERVAL_MS)
 
     def _inject(self, name: str, stop_event: Event) -> None:
         started_ms = boottime_ms()
         with FAULTS[name](self._context) as detail:
             self.log.append(f'{started_ms:.0f} {name}: {detail}')
-            self._wait(stop_event, _MAX_FAULT_MS)
+            self._wait_random_time(stop_event, _MAX_FAULT_MS)
         self.log.append(f'{boottime_ms():.0f} mended: {name}')
 
-    def _wait(self, stop_event: Event, max_ms: int) -> None:
+    def _wait_random_time(self, stop_event: Event, max_ms: int) -> None:
         stop_event.wait(self._context.rng.randint(0, max_ms) / MS_PER_SECOND)
