--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -57,8 +57,8 @@
     time.sleep(RAMP_UP_S)
     context.fleet.stop_node(context.fleet.members[node])
     calls = context.callers.finish()
-    for ending in threads:
-        ending.join()
+    for thread in threads:
+        thread.join()
     journal_entries = context.fleet.journal_entries()
     context.violations = find_violations(
         Record.of(
