--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -89,8 +89,8 @@
         thread.start()
     time.sleep(options.seconds)
     stop_event.set()
-    for ending in threads:
-        ending.join()
+    for thread in threads:
+        thread.join()
     return lanes
 
 
