--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -1,26 +1,26 @@
 Feature: A short soak of real processes under faults
-  Each seed draws other requests and faults. A seed that ever failed stays in
-  the list, with its cause. `python -m tests.soak` runs more and longer ones.
+  Each seed gives other random requests and faults. A seed that has ever failed
+  stays in the list, with the cause. `python -m tests.soak` runs longer soaks.
 
   Scenario Outline: <nodes> nodes for <seconds> s with seed <seed>, <why>
     When a soak of <nodes> nodes runs for <seconds> s with seed <seed>
-    Then no promise was broken
+    Then the soak found no violations
 
     Examples:
       | seed | nodes | seconds | why                                       |
-      | 1    | 4     | 20      | a first guard                             |
+      | 1    | 4     | 20      | the first seed                            |
       | 3    | 4     | 20      | a reset after the last byte of an answer  |
 
-  Scenario: a long request does not keep the door of a stopping node open
+  Scenario: a long request does not keep a stopping node from closing its door
     Given a soak of 4 nodes whose requests may last 10 s
-    When requests of 8 s run at "n2" and the node is told to stop
-    Then no promise was broken
+    When requests of 8 s run at "n2" and the node is stopped
+    Then the soak found no violations
 
-  Scenario Outline: keys that two workers held at one moment are found
+  Scenario Outline: keys that two workers held at one time are found
     Given the worker "n1" held the keys 0 to 63 from 100 to 900 ms
     And the worker "<other>" held the keys 40 to 99 from <since> to 1500 ms
     And the worker "n1" was killed at <killed> ms
-    Then the judge finds <found> keys that were held twice
+    Then <found> keys are found that two workers held at one time
 
     Examples:
       | other | since | killed | found |
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the soak."""
+"""Steps for the soak."""
 
 import json
 import time
@@ -20,7 +20,7 @@
 from tests.soak.soak import Options, run
 
 CALLERS = 16
-LONG_REQUESTS = 12  # some of them at the worker of the node itself
+LONG_REQUESTS = 12  # some are executed by the worker beside the node
 RAMP_UP_S = 1
 
 
@@ -43,7 +43,7 @@
     time.sleep(RAMP_UP_S)
 
 
-@when('requests of {seconds:d} s run at "{node}" and the node is told to stop')
+@when('requests of {seconds:d} s run at "{node}" and the node is stopped')
 def stop_during_long_requests(
     context: Context, seconds: int, node: str
 ) -> None:
@@ -100,12 +100,12 @@
     context.workers[0].killed_ms = at_ms
 
 
-@then('the judge finds {count:d} keys that were held twice')
+@then('{count:d} keys are found that two workers held at one time')
 def check_concurrent_holders(context: Context, count: int) -> None:
     found = list(find_concurrent_holders(context.workers))
     assert len(found) == count, found
 
 
-@then('no promise was broken')
+@then('the soak found no violations')
 def check_guarantees(context: Context) -> None:
     assert not context.violations, '\n'.join(map(str, context.violations))
--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -1,1 +1,1 @@
-"""A randomized soak: real processes, faults from outside, strict callers."""
+"""A randomized soak test of real processes under injected faults."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,7 @@
 
 
 def main() -> int:
-    """Run one soak; return 0 only if no promise was broken."""
+    """Run one soak; return 0 if it found no violations, otherwise 1."""
     parser = ArgumentParser(prog='tests.soak')
     parser.add_argument('--seed', type=int, required=True)
     parser.add_argument('--seconds', type=float, required=True)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers that keep connections open and note how each request ended."""
+"""Callers that keep connections open and record how each request ended."""
 
 import socket
 from contextlib import suppress
@@ -15,46 +15,48 @@
 from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
 from tests.soak.plans import Break, Framing, Plan
 
-RESPONSE_GRACE_MS = 15_000  # how long a caller waits beyond its deadline
+RESPONSE_GRACE_MS = 15_000  # how long a caller waits after its deadline
 _CONNECT_S = 1
 _MEAN_PAUSE_S = 0.05
 _KEYS = 65_536
 _REQUEST_SIZES = (0, 0, 0, 300, 200_000)
-_RESPONSE_SIZES = (0, 40, 5_000, 150_000)  # of answers
-_BROKEN_RESPONSE_SIZE = 20_000  # more than one piece of a worker
-_BROKEN_RESPONSE_SHARE = 0.08  # answers that their worker breaks off
-_NEAR_DEADLINE_SHARE = 0.15  # answers that come about the deadline
-_ABANDONED_SHARE = 0.04  # requests that their caller gives up early
+_RESPONSE_SIZES = (0, 40, 5_000, 150_000)
+_BROKEN_RESPONSE_SIZE = 20_000  # more than one chunk of the worker
+_BROKEN_RESPONSE_SHARE = 0.08  # responses that the worker breaks off
+_NEAR_DEADLINE_SHARE = 0.15  # responses that end near the deadline
+_ABANDONED_SHARE = 0.04  # requests whose caller stops waiting early
 
 
 class CallEnd(StrEnum):
     """How a request ended for its caller."""
 
     answered = 'answered'
-    cut = 'cut'  # in the head or body of its answer
-    closed = 'closed'  # before any byte of an answer
-    timed_out = 'silent'  # no response came within the caller's limit
-    abandoned = 'left'  # the caller gave up before the deadline
+    cut = 'cut'  # within the head or body of the response
+    closed = 'closed'  # before the first byte of a response
+    timed_out = (
+        'silent'  # no response until RESPONSE_GRACE_MS after the deadline
+    )
+    abandoned = 'left'  # the caller stopped waiting early
 
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """One request."""
+    """A request that a caller sends."""
 
     attempt_id: str
     node: str
-    is_relayed: bool  # by a relay that may break the caller's connection
+    is_relayed: bool  # through a relay, whose faults may break the connection
     is_idempotent: bool
     service: str
     plan: Plan
     deadline_ms: int
     key: int
     body: bytes
-    abandon_after_ms: int | None  # when the caller gives up early
+    abandon_after_ms: int | None  # for a caller that stops waiting early
 
     @property
     def content(self) -> bytes:
-        """Return the request as it is sent."""
+        """Return the bytes of the request."""
         kind = 'safe' if self.is_idempotent else 'unsafe'
         method = 'POST' if self.body else 'GET'
         lines = (
@@ -70,7 +72,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A request and its end; times in ms of CLOCK_BOOTTIME."""
+    """A request and how it ended; times in ms of CLOCK_BOOTTIME."""
 
     request: CallerRequest
     opened_ms: float  # when its connection was opened
@@ -91,15 +93,15 @@
 
 
 class _ClosedError(OSError):
-    """The connection ended before any byte of an answer."""
+    """The connection ended before the first byte of a response."""
 
 
 class _CutError(OSError):
-    """The connection ended within an answer."""
+    """The connection ended within a response."""
 
 
 class _Connection:
-    """A kept connection of one caller to one door."""
+    """A persistent connection of one caller to one node."""
 
     def __init__(self, port: int) -> None:
         self.opened_ms = boottime_ms()
@@ -108,10 +110,13 @@
         self._stream: BinaryIO = self._sock.makefile('rb')
 
     def request(self, content: bytes, limit_ms: float) -> _Response:
-        """Send a request and read its answer."""
+        """Send a request and read its response.
+
+        Raises TimeoutError if a read takes longer than `limit_ms`.
+        """
         self._sock.settimeout(limit_ms / MS_PER_SECOND)
         with suppress(ConnectionError):
-            # An answer may have come before the connection ended.
+            # The node may have responded before the connection ended.
             self._sock.sendall(content)
         line = self._read_status_line()
         try:
@@ -120,7 +125,7 @@
             raise _CutError(str(reset)) from reset
 
     def close(self) -> None:
-        """End the connection."""
+        """Close the connection."""
         with suppress(OSError):
             self._stream.close()
         self._sock.close()
@@ -165,7 +170,10 @@
 
 
 class Caller:
-    """One caller: a request at a time, over one kept connection a door."""
+    """A caller with one persistent connection to each node.
+
+    It sends one request at a time.
+    """
 
     def __init__(self, fleet: SoakFleet, number: int, rng: Random) -> None:
         self.calls: list[Call] = []
@@ -176,7 +184,7 @@
         self._connections: dict[str, _Connection] = {}
 
     def send_until(self, stop_event: Event) -> None:
-        """Send requests until told to stop."""
+        """Send requests until `stop_event` is set."""
         while not stop_event.is_set():
             request = self._draw_request()
             with suppress(OSError):
@@ -238,7 +246,8 @@
 def _draw_plan(rng: Random) -> Plan:
     form = rng.choice(list(Framing))
     if rng.random() < _BROKEN_RESPONSE_SHARE:
-        # Without a length, an ordinary end would make half a body look whole.
+        # An unframed body ends with the connection: if the worker closed it
+        # normally after half of the body, the response would look complete.
         ends = [Break.before, Break.reset]
         if form is not Framing.unframed:
             ends.append(Break.in_body)
@@ -255,7 +264,7 @@
 
 
 def _end_near_deadline(plan: Plan, deadline_ms: int, rng: Random) -> Plan:
-    """Let the work of a plan end about the deadline."""
+    """Return a plan whose response ends within 60 ms of the deadline."""
     total_ms = max(0, deadline_ms + rng.randint(-60, 60))
     work_ms = rng.choice((0, total_ms, total_ms // 2))
     return replace(plan, work_ms=work_ms, body_ms=total_ms - work_ms)
@@ -287,7 +296,7 @@
 
 
 class Callers:
-    """Some callers, each in a thread of its own."""
+    """A number of callers, each in its own thread."""
 
     def __init__(self, fleet: SoakFleet, number: int, seed: int) -> None:
         self._stop_event = Event()
@@ -303,12 +312,12 @@
         ]
 
     def start(self) -> None:
-        """Let all begin."""
+        """Start all callers."""
         for thread in self._threads:
             thread.start()
 
     def finish(self) -> list[Call]:
-        """Stop all, wait for what is under way and return the log."""
+        """Stop all callers after their current request; return all calls."""
         self._stop_event.set()
         for thread in self._threads:
             thread.join()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,4 +1,4 @@
-"""Faults from outside, each begun, held for a while and mended."""
+"""Faults that are injected from outside, kept up for a time and undone."""
 
 import signal
 import time
@@ -19,24 +19,24 @@
 _MAX_FAULT_MS = 3_000
 _MAX_INTERVAL_MS = 1_500
 _MAX_BREAK_INTERVAL_MS = 300
-_LINGER_MS = 300  # of nodes that stop, in their settings
+_LINGER_MS = 300  # `stop_linger_ms` in the settings of the nodes
 _DIRECTIONS = ('to_target', 'to_client')
 _LINKS = ('peer', 'peer', 'worker', 'store', 'reports', 'door')
 
 
 @dataclass(frozen=True, slots=True)
 class FaultContext:
-    """What a fault strikes, and the random choices of its lane."""
+    """The processes that a fault affects and the random source of its lane."""
 
     fleet: SoakFleet
     rng: Random
 
     def member(self) -> ReportingMember:
-        """Choose a node with its worker."""
+        """Return a random node with its worker."""
         return self.rng.choice(list(self.fleet.members.values()))
 
     def random_s(self, max_ms: int) -> float:
-        """Return a random time in seconds."""
+        """Return a random time of up to `max_ms`, in seconds."""
         return self.rng.randint(0, max_ms) / MS_PER_SECOND
 
 
@@ -66,7 +66,7 @@
 
 @_fault('a node is told to stop')
 def stop_node(context: FaultContext) -> Iterator[str]:
-    """Stop a node and start it again once it has ended."""
+    """Stop a node with SIGTERM and start it again after it has exited."""
     member = context.member()
     with context.fleet.process_lock(f'node {member.name}'):
         context.fleet.stop_node(member)
@@ -76,7 +76,7 @@
 
 @_fault('a node is paused while it stops')
 def pause_stopping(context: FaultContext) -> Iterator[str]:
-    """Stop a node, and pause it about when it closes its door."""
+    """Stop a node, and pause it at about the time it closes its door."""
     member = context.member()
     with context.fleet.process_lock(f'node {member.name}'):
         pausing = Thread(target=_pause_after_delay, args=(context, member))
@@ -94,7 +94,7 @@
 
 @_fault('a node is paused')
 def pause_node(context: FaultContext) -> Iterator[str]:
-    """Pause a node."""
+    """Suspend the process of a node for a random time."""
     member = context.member()
     context.fleet.pause_node(member, context.random_s(_MAX_PAUSE_MS))
     yield member.name
@@ -102,7 +102,7 @@
 
 @_fault('a node reads its settings again')
 def reload_node(context: FaultContext) -> Iterator[str]:
-    """Send SIGHUP."""
+    """Send SIGHUP to a node, if it is ready."""
     member = context.member()
     with context.fleet.process_lock(f'node {member.name}'), suppress(HTTPError):
         if context.fleet.is_ready(member):
@@ -122,7 +122,7 @@
 
 @_fault('a worker is paused')
 def pause_worker(context: FaultContext) -> Iterator[str]:
-    """Pause a worker."""
+    """Suspend the process of a worker while the fault lasts."""
     member = context.member()
     worker = member.worker
     worker.pause()
@@ -132,7 +132,7 @@
 
 @_fault('links are hindered')
 def impair_links(context: FaultContext) -> Iterator[str]:
-    """Delay, reset, silence or deafen what leads to a node, or from it."""
+    """Delay, reset, silence or drop traffic on a link of a node."""
     route, switches = _draw_impairment(context)
     context.fleet.relays.set_switches(route, **switches)
     yield f'{route} {switches}'
@@ -141,7 +141,7 @@
 
 @_fault('a link breaks after some bytes')
 def break_link(context: FaultContext) -> Iterator[str]:
-    """Reset a connection in the middle of a message, a few times."""
+    """Reset connections after a number of bytes, one to eight times."""
     route, _ = _draw_impairment(context)
     direction = context.rng.choice(_DIRECTIONS)
     for _ in range(context.rng.randint(1, 8)):
@@ -170,7 +170,7 @@
 
 @_fault('the store is away')
 def disrupt_store(context: FaultContext) -> Iterator[str]:
-    """Let the store be out of service, slow, or lose answers."""
+    """Make the store unavailable or slow, or let it lose responses."""
     switches = context.rng.choice(
         ({'outage': True}, {'delay_ms': 400}, {'lose_answers': 5})
     )
@@ -181,15 +181,19 @@
 
 @_fault('the manifest changes')
 def rewrite_manifest(context: FaultContext) -> Iterator[str]:
-    """Write a manifest with other timeouts."""
+    """Replace the manifest by one with other timeouts."""
     timeout_ms = context.rng.choice((1_500, 2_000, 2_500))
-    with suppress(HTTPError):  # another lane may have taken the store away
+    with suppress(HTTPError):  # another lane may have disrupted the store
         context.fleet.replace_manifest(timeout_ms)
     yield f'timeout {timeout_ms} ms'
 
 
 class Lane:
-    """Faults one after the other, beside those of other lanes."""
+    """A sequence of faults that runs concurrently with other lanes.
+
+    `log` holds a line for each fault, `injection_errors` one for each fault
+    that raised an exception.
+    """
 
     def __init__(
         self, fleet: SoakFleet, faults: Sequence[str], rng: Random
@@ -200,7 +204,10 @@
         self._context = FaultContext(fleet, rng)
 
     def run_until(self, stop_event: Event) -> None:
-        """Strike and mend until told to stop; ends with all mended."""
+        """Inject and undo faults until `stop_event` is set.
+
+        No fault is in force when it returns, unless undoing it failed.
+        """
         while not stop_event.is_set():
             name = self._context.rng.choice(self._faults)
             try:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,4 +1,4 @@
-"""The processes of a soak, each reached through relays, and their lives."""
+"""The processes of a soak, connected through relays."""
 
 import time
 from dataclasses import dataclass, field
@@ -32,7 +32,7 @@
     node: str
     process: Process = field(repr=False)
     pid: int
-    stopped_ms: float | None = None  # when it was told to stop
+    stopped_ms: float | None = None  # when SIGTERM was sent
     killed_ms: float | None = None
     ended_ms: float | None = None
     status: int | None = None
@@ -40,12 +40,12 @@
 
     @property
     def unhandled_end_ms(self) -> float | None:
-        """Return when the process was ended without having a say."""
+        """Return when the process was ended by a signal it did not handle."""
         return self.stopped_ms if self.died_during_start else self.killed_ms
 
     @property
     def died_during_start(self) -> bool:
-        """Tell whether it was told to stop before it handles signals."""
+        """Return whether SIGTERM ended it before it handled signals."""
         if self.status != -SIGTERM:
             return False
         return _STARTED not in self.process.log.read_bytes()
@@ -53,7 +53,7 @@
 
 @dataclass(slots=True)
 class Relays:
-    """Routes of one relay process, named by node and what they lead to."""
+    """The routes of one relay process, named `<node>.<target>`."""
 
     process: Process
     url: str
@@ -61,26 +61,33 @@
     ports: dict[str, int] = field(default_factory=dict)
 
     def add_route(self, route: str, port: int) -> int:
-        """Open a route to a port and return where it listens."""
+        """Add a route to a port and return the port that it listens on."""
         url = f'{self.url}/routes/{route}'
         response = self.http.request('PUT', url, json={'target_port': port})
         self.ports[route] = int(response.json()['port'])
         return self.ports[route]
 
     def set_switches(self, route: str, **switches: Any) -> None:
-        """Set switches of a route."""
+        """Set the fault switches of a route.
+
+        Raises ValueError if the relay refuses them.
+        """
         url = f'{self.url}/routes/{route}'
         response = self.http.request('POST', url, json=switches)
         if response.status != _OK:
-            raise ValueError(f'{route}: {answer.data!r}')
+            raise ValueError(f'{route}: {response.data!r}')
 
     def clear(self, route: str) -> None:
-        """Take all switches of a route back."""
+        """Reset all fault switches of a route."""
         self.set_switches(route, **UNHINDERED)
 
 
 class SoakFleet(ReportingDeployment):
-    """Nodes `n1`, `n2` ... in three failure domains, one in three `docs`."""
+    """Nodes `n1`, `n2` ... in three failure domains, with their workers.
+
+    Every third node, from `n1`, has a worker of the service `docs`, the
+    others one of `portal`.
+    """
 
     def __init__(self, nodes: int) -> None:
         super().__init__({SHARDED_SERVICE: True, UNSHARDED_SERVICE: False})
@@ -105,7 +112,7 @@
             self.add(f'n{number + 1}', domain, service)
 
     def start_node(self, path: Path) -> Process:
-        """Start a node and note its life."""
+        """Start a node and record its process."""
         process = super().start_node(path)
         self.node_incarnations.append(
             NodeIncarnation(path.stem, process, process.pid)
@@ -113,7 +120,7 @@
         return process
 
     def incarnation(self, member: ReportingMember) -> NodeIncarnation:
-        """Return the life of the process that a node has now."""
+        """Return the current incarnation of a node."""
         return next(
             incarnation
             for incarnation in self.node_incarnations
@@ -121,25 +128,25 @@
         )
 
     def door_port(self, name: str, *, relayed: bool) -> int:
-        """Return where callers reach a node, at its relay or itself."""
+        """Return the port of a node for callers, of its relay or its own."""
         if relayed:
             return self.relays.ports[f'{name}.door']
         address = self.members[name].settings['door_address']
         return int(address.rpartition(':')[2])
 
     def process_lock(self, what: str) -> Lock:
-        """Return the lock of who ends and starts a process."""
+        """Return the lock to hold while a process is ended and restarted."""
         return self._process_locks.setdefault(what, Lock())
 
     def kill_node(self, member: ReportingMember) -> None:
-        """End a node at once."""
+        """Kill a node with SIGKILL."""
         incarnation = self.incarnation(member)
         incarnation.killed_ms = boottime_ms()
         member.node.kill()
         incarnation.ended_ms = boottime_ms()
 
     def stop_node(self, member: ReportingMember) -> None:
-        """Tell a node to stop and wait for its end."""
+        """Send SIGTERM to a node and wait until it has exited."""
         incarnation = self.incarnation(member)
         incarnation.stopped_ms = boottime_ms()
         member.node.terminate()
@@ -147,7 +154,7 @@
         incarnation.ended_ms = boottime_ms()
 
     def pause_node(self, member: ReportingMember, pause_s: float) -> None:
-        """Pause the process of a node for a while."""
+        """Suspend the process of a node for `pause_s` seconds."""
         incarnation = self.incarnation(member)
         paused_ms = boottime_ms()
         incarnation.process.pause()
@@ -160,7 +167,7 @@
         member.node = self.start_node(member.path)
 
     def kill_worker(self, member: ReportingMember) -> None:
-        """End a worker at once."""
+        """Kill a worker with SIGKILL."""
         log = member.worker.log
         member.worker.kill()
         for incarnation in self.worker_incarnations:
@@ -168,12 +175,12 @@
                 incarnation.killed_ms = boottime_ms()
 
     def restart_worker(self, member: ReportingMember) -> None:
-        """Start the worker of a member again at its old port."""
+        """Start the worker of a member again on its previous port."""
         port = self._worker_ports[member.name]
         member.worker = self._start_worker(member.settings, port)
 
     def replace_manifest(self, timeout_ms: int) -> None:
-        """Write another version of the manifest."""
+        """Replace the manifest by a new version with other timeouts."""
         self._versions += 1
         content = manifest(self._versions, self._services)
         for route in content['routes']:
@@ -183,26 +190,26 @@
         self.http.request('PUT', url, body=body)
 
     def set_store_faults(self, **switches: Any) -> None:
-        """Set fault switches of the store."""
+        """Set the fault switches of the store."""
         self.http.request('POST', f'{self.store_url}/faults', json=switches)
 
     def journal_entries(self) -> list[JournalEntry]:
-        """Return what the workers wrote into their journals."""
+        """Return the entries that the workers wrote into the journal."""
         rows = self.http.request('GET', self.journal_url).json()
         return [JournalEntry(**each) for each in rows]
 
     def wait_ready(self) -> None:
-        """Wait until all nodes say that they are ready."""
+        """Wait until all nodes report that they are ready."""
         for member in self.members.values():
             ready = partial(self.is_ready, member)
             wait_for(f'{member.name} to be ready', ready, START_TIMEOUT_S)
 
     def copy_logs(self, folder: Path) -> None:
-        """Copy what the processes wrote."""
+        """Copy the logs and settings of the processes into a folder."""
         copytree(self._root, folder, dirs_exist_ok=True)
 
     def close(self) -> None:
-        """End all processes by their ids."""
+        """End all processes."""
         self.journal.kill()
         self.relays.process.kill()
         super().close()
--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -1,4 +1,4 @@
-"""What the workers of a soak held, by the lines that they wrote of it."""
+"""Which keys the workers of a soak held, as logged by the workers."""
 
 import json
 from collections import defaultdict
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldRange:
-    """Neighbouring keys that a worker held as one row."""
+    """A range of keys that a worker held, both ends included."""
 
     first: int
     last: int
@@ -24,7 +24,7 @@
 
 @dataclass(slots=True)
 class HoldSpan:
-    """A time in which a worker held keys, in ms of CLOCK_BOOTTIME."""
+    """A period in which a worker held keys, in ms of CLOCK_BOOTTIME."""
 
     worker: str
     since_ms: float
@@ -33,7 +33,7 @@
 
 @dataclass(slots=True)
 class WorkerIncarnation:
-    """One process of a worker; `killed_ms` is None while it runs."""
+    """One process of a worker; `killed_ms` is None if it was not killed."""
 
     worker: str
     log: Path
@@ -44,7 +44,7 @@
 
 
 def log_held(rows: Sequence[Row], until_ms: float) -> None:
-    """Write down what is held from now on, until a moment (monotonic ms)."""
+    """Log the rows that are held from now until `until_ms` (monotonic ms)."""
     now_ms = boottime_ms()
     until_ms += now_ms - monotonic_ms()
     line = {'held': list(rows), 'at_ms': now_ms, 'until_ms': until_ms}
@@ -54,9 +54,9 @@
 def find_concurrent_holders(
     incarnations: Sequence[WorkerIncarnation],
 ) -> Iterator[str]:
-    """Yield what two workers held at one moment."""
+    """Yield a description of each key that two workers held at one time."""
     held = _spans_by_range(incarnations)
-    # Two rows that share keys share the higher one of their first keys.
+    # Ranges that overlap have the higher of their first keys in common.
     for key in sorted({keys.first for keys in held}):
         spans = [held[keys] for keys in held if keys.first <= key <= keys.last]
         for one, other in combinations(chain.from_iterable(spans), 2):
@@ -82,7 +82,7 @@
 
 
 def _append_span(spans: list[HoldSpan], span: HoldSpan) -> None:
-    """Add a span, as part of the last one if that goes on in it."""
+    """Append a span, or extend the last one if the new one continues it."""
     last = spans[-1] if spans else span
     if last.worker == span.worker and last.until_ms == span.since_ms:
         last.until_ms = span.until_ms
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -1,4 +1,4 @@
-"""Judges the log of the callers against the journals of the workers."""
+"""Checks the calls of the callers against the journal of the workers."""
 
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Sequence
@@ -12,16 +12,18 @@
 from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
 from tests.soak.plans import Framing
 
-_READ_TIME_MS = 1_000  # more than a request takes to be read
-_SHOWN_BYTES = 60  # bytes of a body in what shows a broken promise
+_READ_TIME_MS = 1_000  # more than a node takes to read a request
+_SHOWN_BYTES = 60  # of each body, in the evidence of a violation
 _SUCCESS = range(200, 300)
-_NODE_REFUSALS = frozenset((408, 421, 429, 503))  # each says: it has not run
+_NODE_REFUSALS = frozenset(
+    (408, 421, 429, 503)
+)  # each states that the request was not executed
 _NODE_STATUSES = frozenset((502, 504)) | _NODE_REFUSALS
 
 
 @dataclass(slots=True)
 class Record:
-    """All that is known of a soak when it is over."""
+    """The data of a finished soak; `runs` are grouped by attempt id."""
 
     calls: Sequence[Call]
     node_incarnations: Sequence[NodeIncarnation]
@@ -36,26 +38,26 @@
         worker_incarnations: Sequence[WorkerIncarnation],
         journal_entries: Sequence[JournalEntry],
     ) -> 'Record':
-        """Return the record with runs grouped by request."""
+        """Return the record with the journal entries grouped by attempt id."""
         runs = defaultdict(list)
         for entry in journal_entries:
             runs[entry.request].append(entry)
         return cls(calls, node_incarnations, worker_incarnations, runs)
 
     def has_run(self, call: Call) -> bool:
-        """Tell whether a worker has run a request."""
+        """Return whether a worker has executed a request."""
         return call.request.attempt_id in self.runs
 
     def ran_to_completion(self, call: Call) -> bool:
-        """Tell whether every worker came to the end of its answer."""
+        """Return whether each execution sent its whole response."""
         runs = self.runs.get(call.request.attempt_id, ())
         return all(run.outcome == Outcome.ran for run in runs)
 
     def was_killed(self, call: Call) -> bool:
-        """Tell whether the node was killed while a connection was open.
+        """Return whether the node was killed while the connection was open.
 
-        A process that is told to stop before it handles signals is killed,
-        and has read nothing by then.
+        SIGTERM counts as well if the process did not handle signals yet: it
+        has read no request by then.
         """
         return any(
             _overlaps(
@@ -68,7 +70,7 @@
         )
 
     def was_stopping(self, call: Call) -> bool:
-        """Tell whether the node stopped while a connection was open."""
+        """Return whether the node stopped while the connection was open."""
         return any(
             _overlaps(
                 call.opened_ms,
@@ -80,7 +82,7 @@
         )
 
     def was_paused(self, call: Call) -> bool:
-        """Tell whether the node was paused while a call was under way."""
+        """Return whether the node was suspended during a call."""
         return any(
             _overlaps(call.sent_ms, call, *pause)
             for incarnation in self._incarnations_at(call)
@@ -101,7 +103,7 @@
     started_ms: float | None,
     ended_ms: float | None,
 ) -> bool:
-    """Tell whether a span touches a call, counted from some moment of it."""
+    """Return whether a period overlaps `since_ms` to the end of a call."""
     if started_ms is None or started_ms > call.done_ms:
         return False
     return ended_ms is None or ended_ms >= since_ms
@@ -109,7 +111,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Violation:
-    """A broken promise, and what shows it."""
+    """A rule that was violated, with the evidence."""
 
     rule: str
     evidence: str
@@ -128,7 +130,10 @@
 
 
 def _direct_calls(record: Record, end: CallEnd) -> Iterator[Call]:
-    """Yield the calls with an end that no relay can have caused."""
+    """Yield the calls that ended so and did not go through a relay.
+
+    A relay may have caused the end of the others.
+    """
     for call in record.calls:
         if call.end is end and not call.request.is_relayed:
             yield call
@@ -136,7 +141,7 @@
 
 @_rule('ran, and its connection closed without an answer')
 def unanswered_executions(record: Record) -> Iterator[str]:
-    """Yield requests that were passed on and got no answer."""
+    """Yield requests that a worker executed and that got no response."""
     for call in _direct_calls(record, CallEnd.closed):
         if record.has_run(call) and not record.was_killed(call):
             yield _describe(call, record)
@@ -144,9 +149,10 @@
 
 @_rule('a connection closed without an answer while its node lived')
 def unanswered_requests(record: Record) -> Iterator[str]:
-    """Yield requests that were not passed on, and not answered either.
+    """Yield requests that were neither executed nor answered.
 
-    One that crosses the end of an idle connection is not read.
+    A request that is sent while a stopping node closes the idle connection is
+    never read and does not count.
     """
     for call in _direct_calls(record, CallEnd.closed):
         crosses = call.done_ms - call.sent_ms < _READ_TIME_MS
@@ -158,14 +164,14 @@
 
 @_rule('no answer came at all')
 def timed_out_requests(record: Record) -> Iterator[str]:
-    """Yield requests whose callers waited in vain."""
+    """Yield requests that got no response in time."""
     for call in _direct_calls(record, CallEnd.timed_out):
         yield _describe(call, record)
 
 
 @_rule('answered as not run, and ran')
 def executed_refusals(record: Record) -> Iterator[str]:
-    """Yield refusals that were not true, or are not any more."""
+    """Yield requests that were refused as not executed, but were executed."""
     for call in record.calls:
         is_refusal = call.status in _NODE_REFUSALS and not call.stamp
         if is_refusal and record.has_run(call):
@@ -174,7 +180,7 @@
 
 @_rule('ran twice')
 def repeated_executions(record: Record) -> Iterator[str]:
-    """Yield requests that may run once and ran more often."""
+    """Yield non-idempotent requests that were executed more than once."""
     for call in record.calls:
         runs = record.runs.get(call.request.attempt_id, [])
         if len(runs) > 1 and not call.request.is_idempotent:
@@ -183,7 +189,7 @@
 
 @_rule('not the answer to its request')
 def mismatched_responses(record: Record) -> Iterator[str]:
-    """Yield answers of other requests, and bodies that are not whole."""
+    """Yield responses of other requests, and incomplete or wrong bodies."""
     for call in record.calls:
         if call.end is CallEnd.answered and not _matches_request(call, record):
             yield _describe(call, record)
@@ -201,14 +207,15 @@
     if request.plan.form == Framing.unframed and not record.ran_to_completion(
         call
     ):
-        # Without a length, the end of a killed worker looks like any other.
+        # An unframed body ends with the connection, so that the end of a killed
+        # worker looks like that of a complete body.
         return body.startswith(call.body)
     return call.body == body
 
 
 @_rule('a proper request was denied or failed inside')
 def unexplained_errors(record: Record) -> Iterator[str]:
-    """Yield answers of a node's own that no fault explains."""
+    """Yield error responses of the node itself that no fault explains."""
     for call in record.calls:
         from_node = call.end is CallEnd.answered and not call.stamp
         if from_node and call.status not in _NODE_STATUSES:
@@ -217,13 +224,13 @@
 
 @_rule('two workers held the same keys')
 def concurrent_holders(record: Record) -> Iterator[str]:
-    """Yield keys that two workers held at one moment."""
+    """Yield keys that two workers held at the same time."""
     yield from find_concurrent_holders(record.worker_incarnations)
 
 
 @_rule('a process did not end as it should')
 def unexpected_exits(record: Record) -> Iterator[str]:
-    """Yield lives that ended by themselves or with a failure."""
+    """Yield node processes that exited unasked or with an error status."""
     for incarnation in record.node_incarnations:
         is_over = not incarnation.process.is_running
         by_itself = (
@@ -253,7 +260,7 @@
 
 
 def find_violations(record: Record) -> list[Violation]:
-    """Return each broken promise."""
+    """Apply all rules to the record of a soak."""
     return list(
         chain.from_iterable(
             (Violation(name, evidence) for evidence in rule(record))
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -1,4 +1,4 @@
-"""What a request of the soak asks of its worker, as a query."""
+"""The response that a request wants from the worker, sent as a query."""
 
 from dataclasses import asdict, dataclass
 from enum import StrEnum
@@ -8,7 +8,7 @@
 
 
 class Framing(StrEnum):
-    """How the length of an answer is told."""
+    """How the end of a response body is marked."""
 
     length = 'length'
     chunked = 'chunked'
@@ -16,7 +16,7 @@
 
 
 class Break(StrEnum):
-    """Where a worker breaks its answer off, and how."""
+    """Where and how a worker breaks off its response."""
 
     nowhere = 'nowhere'
     before = 'before'
@@ -26,9 +26,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """How a worker runs one request and answers it.
+    """How a worker executes one request and responds to it.
 
-    The head leaves after `work_ms`, the body `body_ms` later.
+    The head is sent after `work_ms`, the body `body_ms` after the head.
     """
 
     work_ms: int = 0
@@ -40,7 +40,10 @@
 
     @classmethod
     def parse(cls, query: str) -> 'Plan':
-        """Read a plan from the query of a request."""
+        """Parse the query of a request.
+
+        Raises pydantic.ValidationError if it is not a valid plan.
+        """
         return _PLANS.validate_python(dict(parse_qsl(query)))
 
     @property
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,4 +1,4 @@
-"""One soak: a fleet, callers, faults, and the verdict."""
+"""Runs one soak: starts the processes, injects faults, checks the results."""
 
 import time
 from collections import Counter
@@ -19,14 +19,16 @@
 from tests.soak.judge import Record, Violation, find_violations
 
 LOGS_FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
-_RECOVERY_TIMEOUT_S = 60  # after everything is mended
-_LATE_EXECUTION_S = 4  # for what runs late
-_SHOWN_VIOLATIONS = 12  # of what is broken
+_RECOVERY_TIMEOUT_S = 60  # after all faults are undone
+_LATE_EXECUTION_S = (
+    4  # for requests that still run after their callers have ended
+)
+_SHOWN_VIOLATIONS = 12  # violations in the printed report
 
 
 @dataclass(frozen=True, slots=True)
 class Options:
-    """What a soak is to be."""
+    """The parameters of a soak."""
 
     seed: int
     seconds: float
@@ -38,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """What a soak did and found."""
+    """What a soak did and which violations it found."""
 
     options: Options
     calls: list[Call]
@@ -47,7 +49,7 @@
     violations: list[Violation]
 
     def __str__(self) -> str:
-        """Return the report as lines."""
+        """Return the report as lines of text."""
         ends = Counter(str(call.end) for call in self.calls)
         statuses = Counter(call.status for call in self.calls if call.status)
         fault_lines = [line.partition(' ')[2] for line in self.faults]
@@ -59,7 +61,8 @@
         options = self.options
         lines = [
             f'seed {options.seed}: {options.nodes} nodes, '
-            f'{options.callers} callers, {options.lanes} lanes, {options.seconds:g} s',
+            f'{options.callers} callers, {options.lanes} lanes, '
+            f'{options.seconds:g} s',
             f'{len(self.calls)} requests, {self.runs} runs',
             f'ends: {dict(ends)}; statuses: {dict(sorted(statuses.items()))}',
             f'injected: {dict(sorted(kinds.items()))}',
@@ -75,7 +78,7 @@
 
 
 def _inject_faults(fleet: SoakFleet, options: Options) -> list[Lane]:
-    """Strike for the time of the soak; return the lanes, all mended."""
+    """Inject faults for the time of the soak; return the ended lanes."""
     stop_event = Event()
     lanes = [
         Lane(fleet, options.faults, Random(f'{options.seed} lane {number}'))
@@ -108,7 +111,10 @@
 
 
 def _check_recovery(fleet: SoakFleet) -> list[Violation]:
-    """Wait until each service is served at each door."""
+    """Wait until every node serves each service.
+
+    Returns a violation if that takes longer than `_RECOVERY_TIMEOUT_S`.
+    """
     numbers = count()
     for name in fleet.members:
         for service in (SHARDED_SERVICE, UNSHARDED_SERVICE):
@@ -121,7 +127,7 @@
 
 
 def run(options: Options) -> Report:
-    """Run a soak; the logs of one that fails stay under `build/`."""
+    """Run a soak; if it finds violations, keep its logs under `build/`."""
     with closing(SoakFleet(options.nodes)) as fleet:
         fleet.wait_ready()
         callers = Callers(fleet, options.callers, options.seed)
--- a/tests/soak/worker/__init__.py
+++ b/tests/soak/worker/__init__.py
@@ -1,1 +1,1 @@
-"""A worker that answers as each request asks, sound or broken."""
+"""A worker whose responses, whole or broken, are set by each request."""
--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -1,4 +1,4 @@
-"""The command line of the worker, and its connections."""
+"""The command line of the worker, and how it serves its connections."""
 
 import socket
 from argparse import ArgumentParser, Namespace
@@ -20,13 +20,13 @@
 from tests.soak.holds import log_held
 from tests.soak.plans import Break, Framing, Plan
 
-_CHUNK_BYTES = 4_096  # bytes of a chunk
+_CHUNK_BYTES = 4_096
 _MISDIRECTED = 421
 _BUSY = 503
 
 
 class _CloseConnectionError(Exception):
-    """The answer ends here, and its connection with it."""
+    """The worker stops sending and closes the connection."""
 
 
 def _parse_options() -> Namespace:
