--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -21,8 +21,8 @@
     record_end,
     unchanged,
 )
-from laburnumwood.membership.reader import StoreWatcher
 from laburnumwood.membership.serving import WorkerAnnouncer
+from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
