--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -21,9 +21,9 @@
     record_end,
     unchanged,
 )
-from laburnumwood.membership.serving import WorkerAnnouncer
 from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
+from laburnumwood.membership.worker_announcer import WorkerAnnouncer
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.held_shards import HeldShards
