--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -3,8 +3,8 @@
 from contextlib import suppress
 
 from laburnumwood.clock import Clock
+from laburnumwood.daemon.grant_source import ShardGrantSource
 from laburnumwood.daemon.handover_announcer import HandoverAnnouncer
-from laburnumwood.daemon.holder import ShardGrantSource
 from laburnumwood.daemon.load import LoadComponents
 from laburnumwood.errors import PlatformError
 from laburnumwood.integration import Integration
