--- a/laburnumwood/cli/config_client.py
+++ b/laburnumwood/cli/changes.py
@@ -6,7 +6,7 @@
 
 from laburnumwood.cli.comparison import Difference, FileComparison, compare
 from laburnumwood.cli.options import Options, UsageError
-from laburnumwood.cli.seen_files import SeenFiles, read_seen, write_seen
+from laburnumwood.cli.seen import SeenFiles, read_seen, write_seen
 from laburnumwood.clock import Clock
 from laburnumwood.config.acceptance import (
     ConfigAcceptance,
--- a/laburnumwood/cli/config_commands.py
+++ b/laburnumwood/cli/configuring.py
@@ -3,8 +3,8 @@
 from collections.abc import Collection
 from pathlib import Path
 
+from laburnumwood.cli.changes import ConfigClient, merge_folder
 from laburnumwood.cli.comparison import Difference, FileComparison
-from laburnumwood.cli.config_client import ConfigClient, merge_folder
 from laburnumwood.cli.fleet import FleetClient
 from laburnumwood.cli.options import Options, UsageError
 from laburnumwood.cli.output import Output, format_time
--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -7,8 +7,8 @@
 from fire.decorators import SetParseFns
 from logbook import NullHandler
 
-from laburnumwood.cli import config_commands, fleet_commands
-from laburnumwood.cli.explain_command import explain
+from laburnumwood.cli import configuring, fleet_commands
+from laburnumwood.cli.explaining import explain
 from laburnumwood.cli.fleet import FleetClient
 from laburnumwood.cli.loss_command import confirm_loss
 from laburnumwood.cli.options import UsageError, read_options
@@ -52,12 +52,12 @@
 
     def validate(self, folder: str) -> None:
         """Check the files of a folder; show which file sets each value."""
-        config_commands.show_merged_folder(Path(folder), self._output)
+        configuring.show_merged_folder(Path(folder), self._output)
 
     @SetParseFns(folder=str, only=str)
     def diff(self, folder: str, *, only: str = '') -> None:
         """Show how a folder differs from the accepted configuration."""
-        config_commands.show_diff(
+        configuring.show_diff(
             self._options, Path(folder), _split_names(only), self._output
         )
 
@@ -71,7 +71,7 @@
         limit_s: float = _DEFAULT_LIMIT_S,
     ) -> None:
         """Make a folder's changes the configuration; --wait until in force."""
-        config_commands.apply_folder(
+        configuring.apply_folder(
             self._options,
             Path(folder),
             _split_names(only),
@@ -82,17 +82,15 @@
     @SetParseFns(file=str)
     def show(self, file: str = '') -> None:
         """Show the accepted configuration, or one file of it as JSON."""
-        config_commands.show_accepted(self._options, file, self._output)
+        configuring.show_accepted(self._options, file, self._output)
 
     def history(self, *, most: int = _DEFAULT_HISTORY) -> None:
         """Show the newest accepted changes: when, by whom, which files."""
-        config_commands.show_history(self._options, most, self._output)
+        configuring.show_history(self._options, most, self._output)
 
     def audit(self, generation: int) -> None:
         """Show one accepted change with the diffs of its files."""
-        config_commands.show_audit_entry(
-            self._options, generation, self._output
-        )
+        configuring.show_audit_entry(self._options, generation, self._output)
 
     def rollback(
         self,
@@ -102,7 +100,7 @@
         limit_s: float = _DEFAULT_LIMIT_S,
     ) -> None:
         """Apply the files of an older generation as a new one."""
-        config_commands.roll_back(
+        configuring.roll_back(
             self._options, generation, limit_s if wait else 0, self._output
         )
 
--- a/tests/features/steps/log_steps.py
+++ b/tests/features/steps/log_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from laburnumwood.cli.explain_command import explain
+from laburnumwood.cli.explaining import explain
 from laburnumwood.cli.options import UsageError
 from laburnumwood.cli.output import Output
 from laburnumwood.logs import LineWriter, RateLimiter
