--- a/tests/features/config.feature
+++ b/tests/features/config.feature
@@ -1,4 +1,4 @@
-Feature: Team files become one configuration
+Feature: Files of several teams are merged into one configuration
 
   Background:
     Given the file "10-places.json"
@@ -15,16 +15,16 @@
          "key": {"source": "header", "name": "Kiosk"}}}}
       """
 
-  Scenario: each value is traced to the file that set it
+  Scenario: the origin of each value is the file that sets it
     Given the file "30-night.json"
       """
       {"services": {"portal": {"deadline_ms": 500}}, "weights": {"churn": 9}}
       """
-    Then "services.portal.deadline_ms" is 500 by "30-night.json"
-    And "services.portal.shards" is 8 by "20-portal.json"
-    And "weights.churn" is 9.0 by "30-night.json"
+    Then the value "services.portal.deadline_ms" is 500, set by "30-night.json"
+    And the value "services.portal.shards" is 8, set by "20-portal.json"
+    And the value "weights.churn" is 9.0, set by "30-night.json"
 
-  Scenario: a team does not set what another has set
+  Scenario: a file must not set a value of an entry that another file sets
     Given the file "25-other.json"
       """
       {"services": {"portal": {"deadline_ms": 500}}}
@@ -34,7 +34,7 @@
       25-other.json: services.portal.deadline_ms: services.portal is set by 20-portal.json already; one file sets a thing, unless a rule of the first file lets 25-other.json override services.portal.deadline_ms
       """
 
-  Scenario: all faults are told, each with what is allowed
+  Scenario: all errors are reported, each with the allowed values
     Given the file "40-bad.json"
       """
       {"service": {}, "services": {"docs": {"key": {"from": 5}, "deadline_ms": "10s"}}}
@@ -53,7 +53,7 @@
       50-more.json: weights.churn: Input should be greater than or equal to 0; found -1
       """
 
-  Scenario: only the first file holds rules
+  Scenario: only the first file may contain rules
     Given the file "50-more.json"
       """
       {"rules": [{"files": ["x"], "may_override": ["y"]}]}
@@ -64,7 +64,7 @@
       50-more.json: rules: rules is set by 10-places.json already; one file sets a thing, unless a rule of the first file lets 50-more.json override rules
       """
 
-  Scenario: what is referred to must be declared
+  Scenario: references must name declared objects
     Given the file "40-pins.json"
       """
       {"services": {"docs": {"owner": "nobody"}, "maps": {"shards": 3}},
@@ -85,8 +85,8 @@
       40-pins.json: pins.e: binds what pins.d binds; keep one of them
       """
 
-  Scenario: a name stands once in a file
-    Then the text is refused with "a.json: services.x: stands twice; a name may stand once"
+  Scenario: duplicate names in a JSON object are refused
+    Then the file content is refused with "a.json: services.x: stands twice; a name may stand once"
       """
       {"services": {"x": {}, "y": {}, "x": {"shards": 1}}}
       """
--- a/tests/features/operators.feature
+++ b/tests/features/operators.feature
@@ -1,8 +1,8 @@
-Feature: Who may do what
-  Operator calls are authenticated, links between nodes are secured, and
-  neither keys nor tokens get into logs.
+Feature: Authentication of operators and nodes, and accounting of capacity
+  Calls of operators are authenticated, links between nodes are secured, and
+  logs contain neither keys nor tokens.
 
-  Scenario: tokens decide what an operator may do
+  Scenario: the token of an operator determines the permitted calls
     Given a deployment of the nodes
       | node     | failure_domain | service |
       | portal-1 | caerdydd       | portal  |
@@ -22,16 +22,16 @@
       | GET /metrics | token of anna, who reads   | 200    |
       | POST /drain | token of bench, who changes | 200    |
     And the node "portal-1" ends with status 0
-    And its log names "LW511 operator-change" and "who=bench"
-    And its log holds no token and no key
+    And its log has the event "LW511 operator-change" with "who=bench"
+    And its log contains no token and no shared key
 
   Scenario: links are secured by certificates
     Given three nodes of "portal" whose links are secured by certificates
-    Then each of them is owner of some of its shards
-    And a peer with the certificate of a stranger is refused by "portal-1"
+    Then each of them owns some of its shards
+    And a peer with a certificate of another authority is refused by "portal-1"
 
-  # Guards against answers cut off by a planned stop that had time left.
-  Scenario Outline: a planned stop takes the time that it is given
+  # Guards against a planned stop that aborts answers before its time is over.
+  Scenario Outline: the settings determine how long a planned stop may take
     Given settings with <settings>
     Then a planned stop may take <limit> ms
 
@@ -42,7 +42,7 @@
       | {"stop_grace_s": 6}         | 5000  |
       | {"stop_grace_s": 10.0}      | 8333  |
 
-  Scenario Outline: settings name exactly one way to secure links
+  Scenario Outline: a daemon refuses invalid settings
     Then a daemon with <settings> ends with status 2 and "<message>"
 
     Examples:
@@ -54,10 +54,10 @@
       | {"stop_patience_ms": 1, "stop_grace_s": 6}    | give "stop_patience_ms" or "stop_grace_s" |
       | {"slot": 3}                                   | slot: unknown field; allowed: admission, |
 
-  Scenario: what capacity carried and what lay idle add up
-    Then used and idle slot-milliseconds are the capacity of any window
+  Scenario: used and idle capacity add up to the whole capacity
+    Then in any window, used and idle slot-milliseconds add up to the capacity
 
-  Scenario: idle capacity agrees with what workers did
+  Scenario: the used capacity agrees with the work of the workers
     Given a deployment of the nodes
       | node     | failure_domain | service | capacity_owner |
       | portal-1 | caerdydd       | portal  | traders        |
@@ -71,5 +71,5 @@
       """
     And the deployment of "portal" is settled
     When 20 requests of 20 ms of work are made one after another
-    Then capacity of "traders" carried others' work and "inspections" its own
-    And both carried as much as the workers' journals say
+    Then others used the capacity of "traders", and "inspections" its own
+    And the used capacity agrees with the journals of the workers
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -40,7 +40,7 @@
     context.files[name] = parse_file(name, context.text)
 
 
-@then('"{path}" is {value} by "{file}"')
+@then('the value "{path}" is {value}, set by "{file}"')
 def check_origin(context: Context, path: str, value: str, file: str) -> None:
     merged = merge_files(context.files)
     plain = merged.declarations.model_dump(mode='json')
@@ -59,7 +59,7 @@
         raise AssertionError('the files were taken')
 
 
-@then('the text is refused with "{message}"')
+@then('the file content is refused with "{message}"')
 def check_text_refusal(context: Context, message: str) -> None:
     try:
         parse_file('a.json', context.text)
@@ -115,7 +115,7 @@
     _look(context)
 
 
-@when('"{who}" proposes files just before the write of "{other}"')
+@when('"{who}" proposes files between the read and the write of "{other}"')
 def race(context: Context, who: str, other: str) -> None:
     url = context.standins['platform'].url
     row = context.table[0]
@@ -125,7 +125,7 @@
     _propose(context, platform, other, row[other])
 
 
-@when('"{who}" proposes {text} and dies before the audit entry')
+@when('"{who}" proposes {text} and fails before writing the audit entry')
 def propose_and_die(context: Context, who: str, text: str) -> None:
     _propose(
         context, _DyingPlatform(context.standins['platform'].url), who, text
@@ -151,7 +151,7 @@
     assert record.files == json.loads(context.text), record.files
 
 
-@then('the proposal was refused since "{name}" has changed')
+@then('the proposal was refused because others changed "{name}"')
 def check_changed_since(context: Context, name: str) -> None:
     assert isinstance(context.refusal, ConcurrentChangeError), context.refusal
     assert str(context.refusal) == name, context.refusal
@@ -173,13 +173,16 @@
     assert numbers == list(range(1, len(entries) + 1)), numbers
 
 
-@then('the entry of generation {generation:d} is in the store')
+@then('the audit entry of generation {generation:d} is in the store')
 def check_entry(context: Context, generation: int) -> None:
     platform = HttpStore(context.standins['platform'].url)
     assert platform.get(f'audit/{generation}') is not None
 
 
-@then("no order of stale news makes a node's generation fall")
+@then(
+    'no order of configuration records makes the generation of a directory '
+    'decrease'
+)
 def check_monotone(context: Context) -> None:
     news = st.lists(st.integers(1, GENERATIONS), min_size=1)
 
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -87,7 +87,7 @@
     assert context.node.stop() == status
 
 
-@then('its log names "{event}" and "{field}"')
+@then('its log has the event "{event}" with "{field}"')
 def check_log(context: Context, event: str, field: str) -> None:
     number, name = event.split()
     key, _, told = field.partition('=')
@@ -100,7 +100,7 @@
     ), lines
 
 
-@then('its log holds no token and no key')
+@then('its log contains no token and no shared key')
 def check_secrets(context: Context) -> None:
     text = context.node.log.read_text()
     tokens = [each['token'] for each in context.operators.values()]
@@ -125,7 +125,7 @@
     replace_configuration(platform, {'a.json': declared}, 'scenario', Clock())
 
 
-@then('each of them is owner of some of its shards')
+@then('each of them owns some of its shards')
 def check_owners(context: Context) -> None:
     def is_shared_out() -> bool:
         pages = [
@@ -138,7 +138,7 @@
     wait_for('owners', is_shared_out, LIMIT_S)
 
 
-@then('a peer with the certificate of a stranger is refused by "{node_id}"')
+@then('a peer with a certificate of another authority is refused by "{node_id}"')
 def check_stranger(context: Context, node_id: str) -> None:
     port = context.deployment.members[node_id].settings['peer_port']
     files = write_certificates(context.folder, 'stranger')
@@ -201,7 +201,7 @@
     assert message in ended.stderr, ended.stderr
 
 
-@then('used and idle slot-milliseconds are the capacity of any window')
+@then('in any window, used and idle slot-milliseconds add up to the capacity')
 def check_sums(context: Context) -> None:
     steps = st.tuples(st.integers(0, 3), st.integers(0, 5_000))
 
@@ -253,7 +253,7 @@
     context.idle = sum_by_group(rows)
 
 
-@then('capacity of "{lender}" carried others\' work and "{user}" its own')
+@then('others used the capacity of "{lender}", and "{user}" its own')
 def check_carried(context: Context, lender: str, user: str) -> None:
     for row in context.idle:
         if row.capacity_owner == lender:
@@ -263,7 +263,7 @@
             assert row.capacity_owner == user, row
 
 
-@then("both carried as much as the workers' journals say")
+@then('the used capacity agrees with the journals of the workers')
 def check_journals(context: Context) -> None:
     rows = context.idle
     carried = sum(row.own + row.others for row in rows)
--- a/tests/features/steps/tool_steps.py
+++ b/tests/features/steps/tool_steps.py
@@ -65,7 +65,7 @@
     (path / name).write_text(context.text)
 
 
-@when('the folder "{folder}" gets the file "{name}"')
+@when('the folder "{folder}" now has the file "{name}"')
 def change_file(context: Context, folder: str, name: str) -> None:
     write_file(context, folder, name)
     context.session.append(f'# {folder}/{name} is changed\n')
@@ -117,7 +117,7 @@
     wait_for('other owners', is_followed, LIMIT_S)
 
 
-@given('a node "{node_id}" of other operators has joined "{other}"')
+@given('a node "{node_id}" with other operator tokens has joined "{other}"')
 def add_foreign(context: Context, node_id: str, other: str) -> None:
     deployment = context.deployment
     theirs = {'theirs': {'token': 'a token of other operators'}}
@@ -142,7 +142,7 @@
     wait_for('the generation', is_in_force, LIMIT_S)
 
 
-@then('the session is the golden "{name}"')
+@then('the session matches the golden file "{name}"')
 def check_session(context: Context, name: str) -> None:
     verify(
         '\n'.join(context.session),
--- a/tests/features/tool.feature
+++ b/tests/features/tool.feature
@@ -1,7 +1,8 @@
 Feature: Sessions of operators at the command line
-  Each session is compared as a whole with a file in golden/.
+  The commands of a session and their whole output are compared with a
+  file in golden/.
 
-  Scenario: a good day
+  Scenario: a configuration is applied, changed and rolled back
     Given a stand-in platform
     And the folder "licences" with the file "10-places.json"
       """
@@ -18,7 +19,7 @@
     And "anna" runs "diff licences"
     And "anna" runs "apply licences"
     And "anna" runs "apply licences"
-    And the folder "licences" gets the file "20-portal.json"
+    And the folder "licences" now has the file "20-portal.json"
       """
       {"services": {"trader-portal": {"owner": "traders", "shards": 8,
          "deadline_ms": 2000, "key": {"source": "header", "name": "Kiosk"}}}}
@@ -30,9 +31,9 @@
     And "bleddyn" runs "history"
     And "bleddyn" runs "show 20-portal.json"
     And "bleddyn" runs "history --most=1 --json"
-    Then the session is the golden "a_good_day"
+    Then the session matches the golden file "a_good_day"
 
-  Scenario: a race
+  Scenario: two operators change the same file concurrently
     Given a stand-in platform
     And the folder "anna" with the file "30-docs.json"
       """
@@ -54,9 +55,9 @@
     And "anna" runs "diff anna"
     And "anna" runs "apply anna"
     And "anna" runs "show --json"
-    Then the session is the golden "a_race"
+    Then the session matches the golden file "a_race"
 
-  Scenario: a refused merge
+  Scenario: invalid configurations and arguments are refused
     Given a stand-in platform
     And the folder "bad" with the file "10-a.json"
       """
@@ -67,16 +68,16 @@
       {"weights": {"churn": "high"}}
       """
     When "anna" runs "apply bad"
-    And the folder "bad" gets the file "10-a.json"
+    And the folder "bad" now has the file "10-a.json"
       """
       {"services": {"docs": {"deadline": 5, "owner": "x"}}}
       """
     And "anna" runs "validate bad"
-    And the folder "bad" gets the file "20-b.json"
+    And the folder "bad" now has the file "20-b.json"
       """
       {"services": {"docs": {"owner": "x"}}}
       """
-    And the folder "bad" gets the file "10-a.json"
+    And the folder "bad" now has the file "10-a.json"
       """
       {"services": {"docs": {}}}
       """
@@ -84,7 +85,7 @@
     And "anna" runs "apply bad --only 30-c.json"
     And "anna" runs "rollback 7"
     And "anna" runs "history"
-    Then the session is the golden "a_refused_merge"
+    Then the session matches the golden file "a_refused_merge"
 
   Scenario: an outage of the platform
     Given a stand-in platform
@@ -99,7 +100,7 @@
     When "anna" runs "history"
     And "anna" runs "apply licences"
     And "anna" runs "nodes"
-    Then the session is the golden "an_outage"
+    Then the session matches the golden file "an_outage"
 
   Scenario: a takeover seen by an operator
     Given a deployment of the nodes
@@ -135,13 +136,13 @@
     Then the node "portal-2" ends with status 0
     When "anna" runs "owners trader-portal"
     And "a stranger" runs "status"
-    Then the session is the golden "a_takeover"
+    Then the session matches the golden file "a_takeover"
 
   Scenario: a configuration that does not come into force everywhere in time
     Given a deployment of the nodes
       | node     | failure_domain | service |
       | portal-1 | caerdydd       | portal  |
-    And a node "portal-2" of other operators has joined "portal-1"
+    And a node "portal-2" with other operator tokens has joined "portal-1"
     And the folder "weights" with the file "20-weights.json"
       """
       {"weights": {"unavailable": 3}}
@@ -149,4 +150,4 @@
     When "anna" runs "apply weights"
     And generation 1 is in force on "portal-1"
     And "anna" runs "apply weights --wait --limit-s=0.1"
-    Then the session is the golden "not_in_force"
+    Then the session matches the golden file "not_in_force"
