--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -31,11 +31,11 @@
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import CONFIG_NAME, to_value
 
-GENERATIONS = 6
+MAX_GENERATION = 6
 
 
 @given('the file "{name}"')
-def keep_file(context: Context, name: str) -> None:
+def add_file(context: Context, name: str) -> None:
     context.files = getattr(context, 'files', {})
     context.files[name] = parse_file(name, context.text)
 
@@ -56,34 +56,34 @@
     except DeclarationError as refused:
         assert str(refused) == context.text, f'\n{refused}'
     else:
-        raise AssertionError('the files were taken')
+        raise AssertionError('the files were accepted')
 
 
 @then('the file content is refused with "{message}"')
-def check_text_refusal(context: Context, message: str) -> None:
+def check_content_refusal(context: Context, message: str) -> None:
     try:
         parse_file('a.json', context.text)
     except DeclarationError as refused:
         assert str(refused) == message, refused
     else:
-        raise AssertionError('the text was taken')
+        raise AssertionError('the content was accepted')
 
 
-class _MeddledPlatform(HttpStore):
-    """Calls `meddle` once, just before the next write of `config`."""
+class _InterleavedStore(HttpStore):
+    """Calls `concurrent_write` once, just before the next write of `config`."""
 
-    def __init__(self, url: str, meddle: Callable[[], None]) -> None:
+    def __init__(self, url: str, concurrent_write: Callable[[], None]) -> None:
         super().__init__(url)
-        self._meddle: Callable[[], None] | None = meddle
+        self._concurrent_write: Callable[[], None] | None = concurrent_write
 
     def update(self, name: str, value: dict[str, Any], version: int) -> int:
-        meddle, self._meddle = self._meddle, None
-        if meddle is not None:
-            meddle()
+        concurrent_write, self._concurrent_write = self._concurrent_write, None
+        if concurrent_write is not None:
+            concurrent_write()
         return super().update(name, value, version)
 
 
-class _DyingPlatform(HttpStore):
+class _FailingAuditStore(HttpStore):
     """Fails all writes of the audit trail but the first."""
 
     def create(self, name: str, value: dict[str, Any]) -> int:
@@ -101,40 +101,40 @@
         context.refusal = refused
 
 
-def _look(context: Context) -> None:
+def _update_seen(context: Context) -> None:
     files = read_accepted(HttpStore(context.standins['platform'].url))[0].files
     context.seen = {name: digest(content) for name, content in files.items()}
 
 
 @given('"{who}" has accepted the files')
-def accept_first(context: Context, who: str) -> None:
+def accept_files(context: Context, who: str) -> None:
     context.seen = {}
     _propose(
         context, HttpStore(context.standins['platform'].url), who, context.text
     )
-    _look(context)
+    _update_seen(context)
 
 
 @when('"{who}" proposes files between the read and the write of "{other}"')
-def race(context: Context, who: str, other: str) -> None:
+def propose_concurrently(context: Context, who: str, other: str) -> None:
     url = context.standins['platform'].url
     row = context.table[0]
-    platform = _MeddledPlatform(
+    platform = _InterleavedStore(
         url, lambda: _propose(context, HttpStore(url), who, row[who])
     )
     _propose(context, platform, other, row[other])
 
 
 @when('"{who}" proposes {text} and fails before writing the audit entry')
-def propose_and_die(context: Context, who: str, text: str) -> None:
+def propose_and_fail(context: Context, who: str, text: str) -> None:
     _propose(
-        context, _DyingPlatform(context.standins['platform'].url), who, text
+        context, _FailingAuditStore(context.standins['platform'].url), who, text
     )
 
 
 @when('"{who}" proposes {text}')
 def propose(context: Context, who: str, text: str) -> None:
-    _look(context)
+    _update_seen(context)
     _propose(context, HttpStore(context.standins['platform'].url), who, text)
 
 
@@ -158,12 +158,12 @@
 
 
 @then('the proposal was refused with "{text}"')
-def check_refused(context: Context, text: str) -> None:
+def check_refused_proposal(context: Context, text: str) -> None:
     assert str(context.refusal).startswith(text), context.refusal
 
 
 @then('the audit trail names {names}')
-def check_trail(context: Context, names: str) -> None:
+def check_audit_trail(context: Context, names: str) -> None:
     entries = list(
         read_audit_trail(HttpStore(context.standins['platform'].url))
     )
@@ -174,7 +174,7 @@
 
 
 @then('the audit entry of generation {generation:d} is in the store')
-def check_entry(context: Context, generation: int) -> None:
+def check_audit_entry(context: Context, generation: int) -> None:
     platform = HttpStore(context.standins['platform'].url)
     assert platform.get(f'audit/{generation}') is not None
 
@@ -183,18 +183,18 @@
     'no order of configuration records makes the generation of a directory '
     'decrease'
 )
-def check_monotone(context: Context) -> None:
-    news = st.lists(st.integers(1, GENERATIONS), min_size=1)
+def check_monotonic_generation(context: Context) -> None:
+    generations = st.lists(st.integers(1, MAX_GENERATION), min_size=1)
 
     @settings(derandomize=True, database=None)
-    @for_all(news)
-    def never_falls(numbers: list[int]) -> None:
+    @for_all(generations)
+    def never_decreases(numbers: list[int]) -> None:
         directory = Directory()
-        highest = 0
+        newest = 0
         for version, number in enumerate(numbers, 1):
             value = to_value(ConfigRecord(number))
             directory.apply(StoredObject(CONFIG_NAME, value, version))
-            highest = max(highest, number)
-            assert directory.config.generation == highest
+            newest = max(newest, number)
+            assert directory.config.generation == newest
 
-    never_falls()
+    never_decreases()
