--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -42,7 +42,7 @@
 LIMIT_S = 120
 SHARDS = 6
 ROUNDING_MS = 20  # a millisecond for each request
-WHOLE_LIFE = '/idle?window_ms=3600000'
+IDLE_PAGE_SINCE_START = '/idle?window_ms=3600000'
 HANDSHAKE = (
     b'GET / HTTP/1.1\r\nHost: peer\r\nUpgrade: websocket\r\n'
     b'Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n'
@@ -81,7 +81,7 @@
 
 
 @then('the node "{node_id}" ends with status {status:d}')
-def check_end(context: Context, node_id: str, status: int) -> None:
+def check_exit_status(context: Context, node_id: str, status: int) -> None:
     context.node = context.deployment.members[node_id].node
     wait_for('end', lambda: not context.node.is_running, LIMIT_S)
     assert context.node.stop() == status
@@ -90,18 +90,18 @@
 @then('its log has the event "{event}" with "{field}"')
 def check_log(context: Context, event: str, field: str) -> None:
     number, name = event.split()
-    key, _, told = field.partition('=')
+    key, _, value = field.partition('=')
     text = context.node.log.read_text()
     lines = [json.loads(line) for line in text.splitlines()]
     assert any(
         (line['number'], line['event'], str(line.get(key)))
-        == (number, name, told)
+        == (number, name, value)
         for line in lines
     ), lines
 
 
 @then('its log contains no token and no shared key')
-def check_secrets(context: Context) -> None:
+def check_log_secrets(context: Context) -> None:
     text = context.node.log.read_text()
     tokens = [each['token'] for each in context.operators.values()]
     for secret in (SHARED_KEY, 'not a token of anyone', *tokens):
@@ -127,7 +127,7 @@
 
 @then('each of them owns some of its shards')
 def check_owners(context: Context) -> None:
-    def is_shared_out() -> bool:
+    def do_all_own_shards() -> bool:
         pages = [
             context.deployment.page(member, 'owners')
             for member in context.deployment.members.values()
@@ -135,11 +135,11 @@
         owners = [set(page.get('portal', {}).values()) for page in pages]
         return all(len(each - {None}) == len(DOMAINS) for each in owners)
 
-    wait_for('owners', is_shared_out, LIMIT_S)
+    wait_for('owners', do_all_own_shards, LIMIT_S)
 
 
 @then('a peer with a certificate of another authority is refused by "{node_id}"')
-def check_stranger(context: Context, node_id: str) -> None:
+def check_foreign_certificate(context: Context, node_id: str) -> None:
     port = context.deployment.members[node_id].settings['peer_port']
     files = write_certificates(context.folder, 'stranger')
     client = ssl.create_default_context()
@@ -153,7 +153,7 @@
                 answer = sock.recv(1)
         except (ssl.SSLError, ConnectionError):
             return
-    assert not answer, 'the stranger got an answer'
+    assert not answer, 'the foreign peer got an answer'
 
 
 def _settings(**more: Any) -> dict[str, Any]:
@@ -202,42 +202,42 @@
 
 
 @then('in any window, used and idle slot-milliseconds add up to the capacity')
-def check_sums(context: Context) -> None:
+def check_capacity_sums(context: Context) -> None:
     steps = st.tuples(st.integers(0, 3), st.integers(0, 5_000))
 
     @settings(derandomize=True, database=None)
     @for_all(st.lists(steps, min_size=1), st.integers(0, 20_000))
-    def add_up(story: list[tuple[int, int]], window_ms: int) -> None:
+    def check_sum(phases: list[tuple[int, int]], window_ms: int) -> None:
         clock = FakeClock()
         declared = Declarations.model_validate(
             {'services': {'s0': {'owner': 'traders'}}}
         )
         own = DaemonSettings.model_validate(_settings(slots=3))
         account = CapacityAccount(own, lambda: declared, clock)
-        ran_ms = 0
-        for running, span_ms in story:
+        busy_ms = 0
+        for running, span_ms in phases:
             with ExitStack() as busy:
                 for number in range(running):
                     busy.enter_context(account.busy(f's{number}'))
                 clock.pass_ms(span_ms)
-                ran_ms += running * span_ms
+                busy_ms += running * span_ms
         usage = account.usage(window_ms)
-        carried = sum(usage.used.values())
-        assert carried + usage.idle == usage.slots * usage.window_ms
-        assert 0 <= carried <= usage.slots * usage.window_ms
+        used_ms = sum(usage.used.values())
+        assert used_ms + usage.idle == usage.slots * usage.window_ms
+        assert 0 <= used_ms <= usage.slots * usage.window_ms
         whole = account.usage(10**9)
-        assert sum(whole.used.values()) == ran_ms
+        assert sum(whole.used.values()) == busy_ms
         owners = {served.service: served.owner for served in whole.used}
         assert owners.get('s0', 'traders') == 'traders'
         assert owners.get('s1', 'o') == 'o'
 
-    add_up()
+    check_sum()
 
 
 @when('{count:d} requests of {work_ms:d} ms of work are made one after another')
 def make_requests(context: Context, count: int, work_ms: int) -> None:
     member = context.deployment.members['portal-1']
-    began = time.monotonic()
+    started = time.monotonic()
     for number in range(count):
         url = f'{member.door}/portal/x?work_ms={work_ms}'
         headers = {'Kiosk': f'kiosk-{number}'}
@@ -248,15 +248,15 @@
             context.deployment.platform_url, '', OPERATOR_TOKEN, as_json=True
         )
     )
-    rows = [fleet.fetch(row, WHOLE_LIFE, IdlePage) for row in fleet.nodes()]
-    context.elapsed_ms = (time.monotonic() - began) * 1_000
+    rows = [fleet.fetch(row, IDLE_PAGE_SINCE_START, IdlePage) for row in fleet.nodes()]
+    context.elapsed_ms = (time.monotonic() - started) * 1_000
     context.idle = sum_by_group(rows)
 
 
-@then('others used the capacity of "{lender}", and "{user}" its own')
-def check_carried(context: Context, lender: str, user: str) -> None:
+@then('others used the capacity of "{owner}", and "{user}" its own')
+def check_users(context: Context, owner: str, user: str) -> None:
     for row in context.idle:
-        if row.capacity_owner == lender:
+        if row.capacity_owner == owner:
             assert row.others and not row.own, row
         else:
             assert row.own and not row.others, row
@@ -264,14 +264,14 @@
 
 
 @then('the used capacity agrees with the journals of the workers')
-def check_journals(context: Context) -> None:
+def check_worker_journals(context: Context) -> None:
     rows = context.idle
-    carried = sum(row.own + row.others for row in rows)
-    worked = sum(
+    used_ms = sum(row.own + row.others for row in rows)
+    worked_ms = sum(
         entry['finished_ms'] - entry['started_ms']
         for entry in context.deployment.entries()
     )
-    assert worked <= carried + ROUNDING_MS, (worked, carried)
-    assert carried <= context.elapsed_ms + ROUNDING_MS, context.elapsed_ms
+    assert worked_ms <= used_ms + ROUNDING_MS, (worked_ms, used_ms)
+    assert used_ms <= context.elapsed_ms + ROUNDING_MS, context.elapsed_ms
     for row in rows:
         assert row.own + row.others + row.idle == row.capacity, row
