--- a/tests/features/steps/tool_steps.py
+++ b/tests/features/steps/tool_steps.py
@@ -19,7 +19,7 @@
 
 LIMIT_S = 120
 GOLDEN = ROOT / 'tests' / 'features' / 'golden'
-PATTERNS = (
+REPLACEMENTS = (
     (re.compile(r'\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ'), '<------ time ------>'),
     (re.compile(r'"when_ms": \d+'), '"when_ms": "<time>"'),
     (re.compile(r'"write_id": "\w+"'), '"write_id": "<id>"'),
@@ -28,7 +28,7 @@
 )
 
 
-class _Golden(NamerBase):
+class _GoldenFileNamer(NamerBase):
     """Names the file of a session."""
 
     def __init__(self, name: str) -> None:
@@ -48,19 +48,19 @@
         return {}
 
 
-def _folder(context: Context) -> Path:
-    if not hasattr(context, 'desk'):
-        desk = tempfile.TemporaryDirectory()
-        context.add_cleanup(desk.cleanup)
-        context.desk = Path(desk.name)
+def _working_folder(context: Context) -> Path:
+    if not hasattr(context, 'working_folder'):
+        working_folder = tempfile.TemporaryDirectory()
+        context.add_cleanup(working_folder.cleanup)
+        context.working_folder = Path(working_folder.name)
         context.session = []
-    path: Path = context.desk
+    path: Path = context.working_folder
     return path
 
 
 @given('the folder "{folder}" with the file "{name}"')
 def write_file(context: Context, folder: str, name: str) -> None:
-    path = _folder(context) / folder
+    path = _working_folder(context) / folder
     path.mkdir(exist_ok=True)
     (path / name).write_text(context.text)
 
@@ -87,26 +87,26 @@
 
 
 @when('"{who}" runs "{command}"')
-def run(context: Context, who: str, command: str) -> None:
-    desk = _folder(context)
+def run_command(context: Context, who: str, command: str) -> None:
+    working_folder = _working_folder(context)
     ended = subprocess.run(
         (sys.executable, '-m', 'laburnumwood.cli.main', *command.split(' ')),
-        cwd=desk,
+        cwd=working_folder,
         env=_environment(context, who),
         capture_output=True,
         text=True,
         check=False,
     )
     text = f'{ended.stdout}{ended.stderr}'
-    for pattern, name in PATTERNS:
-        text = pattern.sub(name, text)
+    for pattern, placeholder in REPLACEMENTS:
+        text = pattern.sub(placeholder, text)
     prompt = f'{who}$ laburnumwood {command}'
     context.session.append(f'{prompt}\n{text}exit {ended.returncode}\n')
 
 
 @when('the shards of "{node_id}" have other owners')
 def wait_for_owners(context: Context, node_id: str) -> None:
-    def is_followed() -> bool:
+    def have_other_owners() -> bool:
         owners: set[str] = set()
         for member in context.deployment.members.values():
             if member.node.is_running:
@@ -114,21 +114,21 @@
                 owners.update(map(str, page['trader-portal'].values()))
         return not any(owner.startswith(node_id) for owner in owners)
 
-    wait_for('other owners', is_followed, LIMIT_S)
+    wait_for('other owners', have_other_owners, LIMIT_S)
 
 
 @given('a node "{node_id}" with other operator tokens has joined "{other}"')
-def add_foreign(context: Context, node_id: str, other: str) -> None:
+def add_node_with_other_tokens(context: Context, node_id: str, other: str) -> None:
     deployment = context.deployment
-    theirs = {'theirs': {'token': 'a token of other operators'}}
+    operators ={'theirs': {'token': 'a token of other operators'}}
     place = Place(node_id, 'abertawe', 'portal')
-    deployment.add(place, operators=theirs)
+    deployment.add(place, operators=operators)
 
-    def is_known() -> bool:
+    def is_listed() -> bool:
         rows = deployment.page(deployment.members[other], 'nodes')
         return any(row['node'] == f'{node_id}#1' for row in rows)
 
-    wait_for(node_id, is_known, LIMIT_S)
+    wait_for(node_id, is_listed, LIMIT_S)
 
 
 @when('generation {number:d} is in force on "{node_id}"')
@@ -147,6 +147,6 @@
     verify(
         '\n'.join(context.session),
         options=Options()
-        .with_namer(_Golden(name))
+        .with_namer(_GoldenFileNamer(name))
         .with_reporter(PythonNativeReporter()),
     )
