--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -1,4 +1,4 @@
-"""Steps about configurations: merging and acceptance."""
+"""Steps that merge and accept configurations."""
 
 import json
 from collections.abc import Callable
@@ -70,7 +70,7 @@
 
 
 class _InterleavedStore(HttpStore):
-    """Calls `concurrent_write` once, just before the next write of `config`."""
+    """Calls `concurrent_write` once, before the next update of an object."""
 
     def __init__(self, url: str, concurrent_write: Callable[[], None]) -> None:
         super().__init__(url)
@@ -84,7 +84,7 @@
 
 
 class _FailingAuditStore(HttpStore):
-    """Fails all writes of the audit trail but the first."""
+    """Fails the write of the audit entry of generation 2."""
 
     def create(self, name: str, value: dict[str, Any]) -> int:
         if name == 'audit/2':
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -1,4 +1,4 @@
-"""Steps about rights, secured links and the account of capacity."""
+"""Steps about the rights of operators, secured links and capacity."""
 
 import json
 import socket
@@ -41,7 +41,7 @@
 
 LIMIT_S = 120
 SHARDS = 6
-ROUNDING_MS = 20  # a millisecond for each request
+ROUNDING_MS = 20  # one millisecond for each of the 20 requests
 IDLE_PAGE_SINCE_START = '/idle?window_ms=3600000'
 HANDSHAKE = (
     b'GET / HTTP/1.1\r\nHost: peer\r\nUpgrade: websocket\r\n'
@@ -138,7 +138,9 @@
     wait_for('owners', do_all_own_shards, LIMIT_S)
 
 
-@then('a peer with a certificate of another authority is refused by "{node_id}"')
+@then(
+    'a peer with a certificate of another authority is refused by "{node_id}"'
+)
 def check_foreign_certificate(context: Context, node_id: str) -> None:
     port = context.deployment.members[node_id].settings['peer_port']
     files = write_certificates(context.folder, 'stranger')
@@ -248,7 +250,10 @@
             context.deployment.platform_url, '', OPERATOR_TOKEN, as_json=True
         )
     )
-    rows = [fleet.fetch(row, IDLE_PAGE_SINCE_START, IdlePage) for row in fleet.nodes()]
+    rows = [
+        fleet.fetch(row, IDLE_PAGE_SINCE_START, IdlePage)
+        for row in fleet.nodes()
+    ]
     context.elapsed_ms = (time.monotonic() - started) * 1_000
     context.idle = sum_by_group(rows)
 
--- a/tests/features/steps/tool_steps.py
+++ b/tests/features/steps/tool_steps.py
@@ -1,4 +1,4 @@
-"""Steps that run the command-line tool and compare whole sessions."""
+"""Steps that run the command-line tool and compare its output."""
 
 import os
 import re
@@ -29,22 +29,22 @@
 
 
 class _GoldenFileNamer(NamerBase):
-    """Names the file of a session."""
+    """Locates the golden file of a session."""
 
     def __init__(self, name: str) -> None:
         super().__init__()
         self._name = name
 
     def get_file_name(self) -> str:
-        """Return the name without its ending."""
+        """Return the name of the file without its suffix."""
         return self._name
 
     def get_directory(self) -> str:
-        """Return the folder of the sessions."""
+        """Return the folder of the golden files."""
         return str(GOLDEN)
 
     def get_config(self) -> dict[str, str]:
-        """Return no settings."""
+        """Return an empty configuration."""
         return {}
 
 
@@ -118,9 +118,11 @@
 
 
 @given('a node "{node_id}" with other operator tokens has joined "{other}"')
-def add_node_with_other_tokens(context: Context, node_id: str, other: str) -> None:
+def add_node_with_other_tokens(
+    context: Context, node_id: str, other: str
+) -> None:
     deployment = context.deployment
-    operators ={'theirs': {'token': 'a token of other operators'}}
+    operators = {'theirs': {'token': 'a token of other operators'}}
     place = Place(node_id, 'abertawe', 'portal')
     deployment.add(place, operators=operators)
 
