--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -6,7 +6,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
-from laburnumwood.placement.exchange import LoadExchange
+from laburnumwood.placement.load_exchange import LoadExchange
 from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.peers import Dispatcher, Peers
