--- a/laburnumwood/leases/lease.py
+++ b/laburnumwood/leases/lease.py
@@ -3,7 +3,7 @@
 from collections.abc import Set
 
 from laburnumwood.clock import Clock
-from laburnumwood.leases.backing import QuorumTracker
+from laburnumwood.leases.quorum import QuorumTracker
 from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import Digest, NodeName, WitnessSet
 from laburnumwood.settings import LeaseSettings
