--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/endings.py
@@ -9,8 +9,8 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import PlatformError
 from laburnumwood.events import END_RECORDED
-from laburnumwood.leases.backless import Candidate, QuorumLossDetector
 from laburnumwood.leases.lease import Lease
+from laburnumwood.leases.quorum_loss import Candidate, QuorumLossDetector
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.membership.node_records import (
--- a/tests/features/steps/quorum_loss_steps.py
+++ b/tests/features/steps/quorum_loss_steps.py
@@ -6,7 +6,7 @@
 from behave.runner import Context
 
 from laburnumwood.errors import PlatformConflictError
-from laburnumwood.leases.backless import Candidate, QuorumLossDetector
+from laburnumwood.leases.quorum_loss import Candidate, QuorumLossDetector
 from laburnumwood.membership.node_records import (
     join,
     record_end_if_unchanged,
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Iterable
 
-from laburnumwood.leases.backless import (
+from laburnumwood.leases.lease import Lease
+from laburnumwood.leases.quorum_loss import (
     Candidate,
     IsWitnessReplaced,
     QuorumLossDetector,
 )
-from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.placement.ownership import OwnershipState
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -7,8 +7,8 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import PlatformError
-from laburnumwood.leases.backless import QuorumLossDetector
 from laburnumwood.leases.lease import Lease
+from laburnumwood.leases.quorum_loss import QuorumLossDetector
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses
