--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -22,8 +22,8 @@
     unchanged,
 )
 from laburnumwood.membership.reader import StoreWatcher
-from laburnumwood.membership.serving import WorkerAnnouncer
 from laburnumwood.membership.view import FleetView
+from laburnumwood.membership.worker_announcer import WorkerAnnouncer
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.held_shards import HeldShards
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -21,8 +21,8 @@
     record_witness_sets,
 )
 from laburnumwood.membership.renewal import LeaseRenewer
-from laburnumwood.membership.serving import WorkerAnnouncer
 from laburnumwood.membership.view import FleetView
+from laburnumwood.membership.worker_announcer import WorkerAnnouncer
 from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import NodeName, NodeRecord, StoredObject, WitnessSet
 from laburnumwood.settings import LeaseSettings
