--- a/bench/holding.py
+++ b/bench/holding.py
@@ -13,7 +13,7 @@
 from bench.spreading import TARGET_NODES, record_of
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.reader import (
+from laburnumwood.membership.store_watcher import (
     RECORD_WATCH_POLICY,
     update_source,
 )
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -21,7 +21,7 @@
     record_end,
     unchanged,
 )
-from laburnumwood.membership.reader import StoreWatcher
+from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
 from laburnumwood.membership.worker_announcer import WorkerAnnouncer
 from laburnumwood.operators.api import OperatorApi
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -12,8 +12,8 @@
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.gossip import Gossip
-from laburnumwood.membership.reader import StoreWatcher
 from laburnumwood.membership.renewal import LeaseRenewer
+from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.messages import Changes, ShardNotice
 from laburnumwood.protocol.peers import Dispatcher
