--- a/laburnumwood/cli/explaining.py
+++ b/laburnumwood/cli/explaining.py
@@ -41,7 +41,8 @@
     """Return whether an event of a node may have affected the request.
 
     Such an event names no request and concerns one of the request's shards,
-    or no shard if its level is above info.
+    or no shard if its level is above info.  The periodic counts of served
+    requests are left out.
     """
     if _REQUEST in line or line['event'] == 'requests-served':
         return False
--- a/laburnumwood/config/acceptance.py
+++ b/laburnumwood/config/acceptance.py
@@ -58,13 +58,13 @@
 ) -> tuple[str, ...]:
     """Return the proposed files that others changed since they were seen."""
     changed = []
-    for name, wanted in sorted(proposal.files.items()):
+    for name, proposed in sorted(proposal.files.items()):
         accepted_content = accepted.files.get(name)
         accepted_digest = (
             None if accepted_content is None else digest(accepted_content)
         )
         if (
-            wanted != accepted_content
+            proposed != accepted_content
             and proposal.seen.get(name) != accepted_digest
         ):
             changed.append(name)
@@ -72,9 +72,9 @@
 
 
 def _apply_proposal(
-    files: Files, wanted: Mapping[str, FileContent | None]
+    files: Files, proposed: Mapping[str, FileContent | None]
 ) -> Files:
-    merged: dict[str, FileContent | None] = {**files, **wanted}
+    merged: dict[str, FileContent | None] = {**files, **proposed}
     return {
         name: content for name, content in merged.items() if content is not None
     }
--- a/laburnumwood/operators/endpoint.py
+++ b/laburnumwood/operators/endpoint.py
@@ -66,14 +66,14 @@
         `api` is None until the node has joined.
         """
         try:
-            content_type, content = self._content(environ, api)
+            content_type, content = self._handle(environ, api)
         except (AccessDeniedError, _CallError) as error:
             problem = {'status': error.status, 'detail': str(error)}
             text = json.dumps(problem).encode()
             return _respond(start_response, error.status, _PROBLEM, text)
         return _respond(start_response, HTTPStatus.OK, content_type, content)
 
-    def _content(
+    def _handle(
         self, environ: Environ, api: OperatorApi | None
     ) -> tuple[str, bytes]:
         path, method = environ['PATH_INFO'], environ['REQUEST_METHOD']
@@ -106,8 +106,8 @@
     path = environ['PATH_INFO']
     try:
         content = api.page(path, environ.get('QUERY_STRING', ''))
-    except LookupError as unknown:
-        known = ', '.join(api.paths)
-        text = f'{path}: {unknown}; pages: {known}'
-        raise _CallError(404, text) from unknown
+    except LookupError as error:
+        paths = ', '.join(api.paths)
+        text = f'{path}: {error}; pages: {paths}'
+        raise _CallError(404, text) from error
     return json.dumps(content).encode()
