--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -3,16 +3,16 @@
 from contextlib import suppress
 
 from laburnumwood.clock import Clock
-from laburnumwood.daemon.handover_news import HandoverAnnouncer
-from laburnumwood.daemon.holder import ShardGrantSource
+from laburnumwood.daemon.grant_source import ShardGrantSource
+from laburnumwood.daemon.handover_announcer import HandoverAnnouncer
 from laburnumwood.daemon.load import LoadComponents
 from laburnumwood.errors import PlatformError
 from laburnumwood.integration import Integration
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
+from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.known import CachedStore
 from laburnumwood.membership.member import Member
 from laburnumwood.membership.node_records import (
     announce_leaving,
@@ -21,9 +21,9 @@
     record_end,
     unchanged,
 )
-from laburnumwood.membership.reader import StoreWatcher
-from laburnumwood.membership.serving import WorkerAnnouncer
+from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
+from laburnumwood.membership.worker_announcer import WorkerAnnouncer
 from laburnumwood.operators.api import OperatorApi
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.held_shards import HeldShards
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -12,8 +12,8 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
+from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.known import CachedStore
 from laburnumwood.membership.node_records import (
     announce_leaving,
     join,
@@ -21,8 +21,8 @@
     record_witness_sets,
 )
 from laburnumwood.membership.renewal import LeaseRenewer
-from laburnumwood.membership.serving import WorkerAnnouncer
 from laburnumwood.membership.view import FleetView
+from laburnumwood.membership.worker_announcer import WorkerAnnouncer
 from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import NodeName, NodeRecord, StoredObject, WitnessSet
 from laburnumwood.settings import LeaseSettings
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -7,13 +7,13 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import PlatformError
-from laburnumwood.leases.backless import QuorumLossDetector
 from laburnumwood.leases.lease import Lease
+from laburnumwood.leases.quorum_loss import QuorumLossDetector
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.endings import (
+from laburnumwood.membership.incarnation_ends import (
     NodeRecordUpdater,
     RejoinBackoff,
 )
