--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -79,10 +79,10 @@
     """Stop a node, and pause it at about the time it closes its door."""
     member = context.member()
     with context.fleet.process_lock(f'node {member.name}'):
-        pausing = Thread(target=_pause_after_delay, args=(context, member))
-        pausing.start()
+        pause_thread = Thread(target=_pause_after_delay, args=(context, member))
+        pause_thread.start()
         context.fleet.stop_node(member)
-        pausing.join()
+        pause_thread.join()
         yield member.name
         context.fleet.restart_node(member)
 
