--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -155,9 +155,9 @@
     never read and does not count.
     """
     for call in _direct_calls(record, CallEnd.closed):
-        crosses = call.done_ms - call.sent_ms < _READ_TIME_MS
-        crosses = crosses or record.was_paused(call)
-        ends = record.was_stopping(call) and crosses
+        may_be_unread = call.done_ms - call.sent_ms < _READ_TIME_MS
+        may_be_unread = may_be_unread or record.was_paused(call)
+        ends = record.was_stopping(call) and may_be_unread
         if not (ends or record.was_killed(call) or record.has_run(call)):
             yield _describe(call, record)
 
