--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -157,8 +157,8 @@
     for call in _direct_calls(record, CallEnd.closed):
         may_be_unread = call.done_ms - call.sent_ms < _READ_TIME_MS
         may_be_unread = may_be_unread or record.was_paused(call)
-        ends = record.was_stopping(call) and may_be_unread
-        if not (ends or record.was_killed(call) or record.has_run(call)):
+        is_expected = record.was_stopping(call) and may_be_unread
+        if not (is_expected or record.was_killed(call) or record.has_run(call)):
             yield _describe(call, record)
 
 
