--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -232,7 +232,7 @@
 def unexpected_exits(record: Record) -> Iterator[str]:
     """Yield node processes that exited unasked or with an error status."""
     for incarnation in record.node_incarnations:
-        is_over = not incarnation.process.is_running
+        has_exited = not incarnation.process.is_running
         by_itself = (
             incarnation.stopped_ms is None and incarnation.killed_ms is None
         )
@@ -240,7 +240,7 @@
             incarnation.status not in {None, 0}
             and not incarnation.died_during_start
         )
-        if (is_over and by_itself) or failed:
+        if (has_exited and by_itself) or failed:
             yield (
                 f'{incarnation.node} pid {incarnation.process.pid} '
                 f'status {incarnation.status}'
