--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -233,14 +233,14 @@
     """Yield node processes that exited unasked or with an error status."""
     for incarnation in record.node_incarnations:
         has_exited = not incarnation.process.is_running
-        by_itself = (
+        unasked = (
             incarnation.stopped_ms is None and incarnation.killed_ms is None
         )
         failed = (
             incarnation.status not in {None, 0}
             and not incarnation.died_during_start
         )
-        if (has_exited and by_itself) or failed:
+        if (has_exited and unasked) or failed:
             yield (
                 f'{incarnation.node} pid {incarnation.process.pid} '
                 f'status {incarnation.status}'
