--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -75,9 +75,9 @@
             end_ms = min(line['until_ms'], following['at_ms'])
             if incarnation.killed_ms is not None:
                 end_ms = min(end_ms, incarnation.killed_ms)
-            for first, until_key, _ in line['held']:
+            for first, last_key, _ in line['held']:
                 span = HoldSpan(incarnation.worker, line['at_ms'], end_ms)
-                _append_span(held[HeldRange(first, until_key)], span)
+                _append_span(held[HeldRange(first, last_key)], span)
     return held
 
 
