--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -59,10 +59,10 @@
     # Ranges that overlap have the higher of their first keys in common.
     for key in sorted({keys.first for keys in held}):
         spans = [held[keys] for keys in held if keys.first <= key <= keys.last]
-        for one, other in combinations(chain.from_iterable(spans), 2):
-            since_ms = max(one.since_ms, other.since_ms)
-            until_ms = min(one.until_ms, other.until_ms)
-            if one.worker != other.worker and since_ms < until_ms:
+        for span, other in combinations(chain.from_iterable(spans), 2):
+            since_ms = max(span.since_ms, other.since_ms)
+            until_ms = min(span.until_ms, other.until_ms)
+            if span.worker != other.worker and since_ms < until_ms:
                 overlap_ms = until_ms - since_ms
                 yield f'key {key} for {overlap_ms:.0f} ms: {one} {other}'
 
