--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -121,8 +121,8 @@
             served = partial(_is_served, fleet, name, service, numbers)
             try:
                 wait_for(f'{service} at {name}', served, _RECOVERY_TIMEOUT_S)
-            except (TimeoutError, HTTPError) as late:
-                return [Violation('not served again', repr(late))]
+            except (TimeoutError, HTTPError) as error:
+                return [Violation('not served again', repr(error))]
     return []
 
 
