--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -93,7 +93,7 @@
         super().__init__({SHARDED_SERVICE: True, UNSHARDED_SERVICE: False})
         self.node_incarnations: list[NodeIncarnation] = []
         self.worker_incarnations: list[WorkerIncarnation] = []
-        self._versions = 1
+        self._manifest_version = 1
         self._worker_ports: dict[str, int] = {}
         self._process_locks: dict[str, Lock] = {}
         journal_port, relay_port = free_port(), free_port()
@@ -181,8 +181,8 @@
 
     def replace_manifest(self, timeout_ms: int) -> None:
         """Replace the manifest by a new version with other timeouts."""
-        self._versions += 1
-        content = manifest(self._versions, self._services)
+        self._manifest_version += 1
+        content = manifest(self._manifest_version, self._services)
         for route in content['routes']:
             route['timeout_ms'] = timeout_ms
         body = dumps({'metadata': {'name': 'main'}, 'spec': content})
