--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,7 +23,7 @@
 _LATE_EXECUTION_S = (
     4  # for requests that still run after their callers have ended
 )
-_SHOWN_VIOLATIONS = 12  # violations in the printed report
+_MAX_SHOWN_VIOLATIONS = 12  # violations in the printed report
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +73,9 @@
                 each.rule for each in self.violations
             ).items()
         ]
-        lines += [f'  {each}' for each in self.violations[:_SHOWN_VIOLATIONS]]
+        lines += [
+            f'  {each}' for each in self.violations[:_MAX_SHOWN_VIOLATIONS]
+        ]
         return '\n'.join((*lines, f'{len(self.violations)} broken'))
 
 
