--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -13,7 +13,7 @@
 from tests.soak.plans import Framing
 
 _READ_TIME_MS = 1_000  # more than a node takes to read a request
-_SHOWN_BYTES = 60  # of each body, in the evidence of a violation
+_MAX_SHOWN_BYTES = 60  # of each body, in the evidence of a violation
 _SUCCESS = range(200, 300)
 _NODE_REFUSALS = frozenset(
     (408, 421, 429, 503)
@@ -252,7 +252,7 @@
         (run.worker, run.started_ms, run.finished_ms, run.outcome)
         for run in record.runs.get(call.request.attempt_id, ())
     ]
-    request = replace(call.request, body=call.request.body[:_SHOWN_BYTES])
+    request = replace(call.request, body=call.request.body[:_MAX_SHOWN_BYTES])
     return (
         f'{replace(call, request=request, body=call.body[:_SHOWN_BYTES])} '
         f'runs {runs}'
