--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -64,7 +64,7 @@
             until_ms = min(span.until_ms, other.until_ms)
             if span.worker != other.worker and since_ms < until_ms:
                 overlap_ms = until_ms - since_ms
-                yield f'key {key} for {overlap_ms:.0f} ms: {one} {other}'
+                yield f'key {key} for {overlap_ms:.0f} ms: {span} {other}'
 
 
 def _spans_by_range(incarnations: Sequence[WorkerIncarnation]) -> SpansByRange:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -15,9 +15,8 @@
 _READ_TIME_MS = 1_000  # more than a node takes to read a request
 _MAX_SHOWN_BYTES = 60  # of each body, in the evidence of a violation
 _SUCCESS = range(200, 300)
-_NODE_REFUSALS = frozenset(
-    (408, 421, 429, 503)
-)  # each states that the request was not executed
+# Each of these states that the request was not executed.
+_NODE_REFUSALS = frozenset((408, 421, 429, 503))
 _NODE_STATUSES = frozenset((502, 504)) | _NODE_REFUSALS
 
 
@@ -254,7 +253,7 @@
     ]
     request = replace(call.request, body=call.request.body[:_MAX_SHOWN_BYTES])
     return (
-        f'{replace(call, request=request, body=call.body[:_SHOWN_BYTES])} '
+        f'{replace(call, request=request, body=call.body[:_MAX_SHOWN_BYTES])} '
         f'runs {runs}'
     )
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,9 +20,7 @@
 
 LOGS_FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
 _RECOVERY_TIMEOUT_S = 60  # after all faults are undone
-_LATE_EXECUTION_S = (
-    4  # for requests that still run after their callers have ended
-)
+_LATE_EXECUTION_S = 4  # for requests that outlast their callers
 _MAX_SHOWN_VIOLATIONS = 12  # violations in the printed report
 
 
