--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -16,7 +16,7 @@
 from tests.soak.fleet import SHARDED_SERVICE, SoakFleet
 from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
 from tests.soak.judge import Record, find_violations
-from tests.soak.plans import Plan
+from tests.soak.plans import ResponsePlan
 from tests.soak.soak import Options, run
 
 CALLERS = 16
@@ -47,7 +47,7 @@
 def stop_during_long_requests(
     context: Context, seconds: int, node: str
 ) -> None:
-    plan = Plan(work_ms=seconds * 1_000)
+    plan = ResponsePlan(work_ms=seconds * 1_000)
     threads = [
         Thread(target=_send_request, args=(context.fleet, node, plan, number))
         for number in range(LONG_REQUESTS)
@@ -70,7 +70,9 @@
     )
 
 
-def _send_request(fleet: Any, node: str, plan: Plan, number: int) -> None:
+def _send_request(
+    fleet: Any, node: str, plan: ResponsePlan, number: int
+) -> None:
     path = f'/{SHARDED_SERVICE}/safe/x?{plan.query}'
     headers = {'Shard_Key': str(number * 5_003), 'Deadline_Ms': '10000'}
     with suppress(HTTPError):
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,7 +13,7 @@
 from bench.reporting import HOST_NAME
 from standins.clock import MS_PER_SECOND, boottime_ms
 from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
-from tests.soak.plans import Break, Framing, Plan
+from tests.soak.plans import Break, Framing, ResponsePlan
 
 RESPONSE_GRACE_MS = 15_000  # how long a caller waits after its deadline
 _CONNECT_S = 1
@@ -48,7 +48,7 @@
     is_relayed: bool  # through a relay, whose faults may break the connection
     is_idempotent: bool
     service: str
-    plan: Plan
+    plan: ResponsePlan
     deadline_ms: int
     key: int
     body: bytes
@@ -243,7 +243,7 @@
         )
 
 
-def _draw_plan(rng: Random) -> Plan:
+def _draw_plan(rng: Random) -> ResponsePlan:
     form = rng.choice(list(Framing))
     if rng.random() < _BROKEN_RESPONSE_SHARE:
         # An unframed body ends with the connection: if the worker closed it
@@ -251,10 +251,10 @@
         ends = [Break.before, Break.reset]
         if form is not Framing.unframed:
             ends.append(Break.in_body)
-        return Plan(
+        return ResponsePlan(
             size=_BROKEN_RESPONSE_SIZE, form=form, breaks=rng.choice(ends)
         )
-    return Plan(
+    return ResponsePlan(
         work_ms=rng.choice((0, 0, 5, 5, rng.randint(20, 300))),
         body_ms=rng.choice((0, 0, 0, rng.randint(5, 300))),
         size=rng.choice(_RESPONSE_SIZES),
@@ -263,7 +263,9 @@
     )
 
 
-def _end_near_deadline(plan: Plan, deadline_ms: int, rng: Random) -> Plan:
+def _end_near_deadline(
+    plan: ResponsePlan, deadline_ms: int, rng: Random
+) -> ResponsePlan:
     """Return a plan whose response ends within 60 ms of the deadline."""
     total_ms = max(0, deadline_ms + rng.randint(-60, 60))
     work_ms = rng.choice((0, total_ms, total_ms // 2))
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Plan:
+class ResponsePlan:
     """How a worker executes one request and responds to it.
 
     The head is sent after `work_ms`, the body `body_ms` after the head.
@@ -52,4 +52,4 @@
         return urlencode(asdict(self))
 
 
-_PLANS = TypeAdapter(Plan)
+_PLANS = TypeAdapter(ResponsePlan)
--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -18,7 +18,7 @@
 from standins.worker.journal import Journal
 from standins.worker.orders import Order
 from tests.soak.holds import log_held
-from tests.soak.plans import Break, Framing, Plan
+from tests.soak.plans import Break, Framing, ResponsePlan
 
 _CHUNK_BYTES = 4_096
 _MISDIRECTED = 421
@@ -96,7 +96,7 @@
             )
             return
         order = _build_order(attempt, self._options.service, method)
-        self._execute(sock, Plan.parse(query), order)
+        self._execute(sock, ResponsePlan.parse(query), order)
 
     def _refusal_status(self, headers: dict[str, str]) -> int:
         key = int(headers.get('shard-key', '-1'))
@@ -106,7 +106,9 @@
             return _MISDIRECTED
         return _BUSY if self._running >= self._options.slots else 0
 
-    def _execute(self, sock: socket.socket, plan: Plan, order: Order) -> None:
+    def _execute(
+        self, sock: socket.socket, plan: ResponsePlan, order: Order
+    ) -> None:
         self._running += 1
         entry = self._journal.start(order)
         outcome = Outcome.cut
@@ -118,7 +120,7 @@
             self._journal.finish(entry, outcome)
 
     def _send_response(
-        self, sock: socket.socket, plan: Plan, attempt: str
+        self, sock: socket.socket, plan: ResponsePlan, attempt: str
     ) -> None:
         eventlet.sleep(plan.work_ms / MS_PER_SECOND)
         if plan.breaks == Break.before:
@@ -138,7 +140,7 @@
             raise _CloseConnectionError
 
 
-def _response_head(plan: Plan, attempt: str) -> bytes:
+def _response_head(plan: ResponsePlan, attempt: str) -> bytes:
     headers: dict[str, object] = {
         'Attempt_Id': attempt,
         'Response_Stamp': f'{attempt}.{plan.status}',
