--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -44,7 +44,7 @@
 
         Raises pydantic.ValidationError if it is not a valid plan.
         """
-        return _PLANS.validate_python(dict(parse_qsl(query)))
+        return _PLAN_ADAPTER.validate_python(dict(parse_qsl(query)))
 
     @property
     def query(self) -> str:
@@ -52,4 +52,4 @@
         return urlencode(asdict(self))
 
 
-_PLANS = TypeAdapter(ResponsePlan)
+_PLAN_ADAPTER = TypeAdapter(ResponsePlan)
