--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -87,15 +87,15 @@
         if len(stream.read(size)) < size:
             raise _CloseConnectionError
         query = target.partition('?')[2]
-        attempt = headers.get('attempt-id', '')
+        attempt_id = headers.get('attempt-id', '')
         refusal_status = self._refusal_status(headers)
         if refusal_status:
-            headers_sent = {'Attempt_Id': attempt, 'Not_Executed': 1}
+            headers_sent = {'Attempt_Id': attempt_id, 'Not_Executed': 1}
             sock.sendall(
                 _format_head(refusal_status, Content_Length=0, **headers_sent)
             )
             return
-        order = _build_order(attempt, self._options.service, method)
+        order = _build_order(attempt_id, self._options.service, method)
         self._execute(sock, ResponsePlan.parse(query), order)
 
     def _refusal_status(self, headers: dict[str, str]) -> int:
@@ -120,14 +120,14 @@
             self._journal.finish(entry, outcome)
 
     def _send_response(
-        self, sock: socket.socket, plan: ResponsePlan, attempt: str
+        self, sock: socket.socket, plan: ResponsePlan, attempt_id: str
     ) -> None:
         eventlet.sleep(plan.work_ms / MS_PER_SECOND)
         if plan.breaks == Break.before:
             raise _CloseConnectionError
-        sock.sendall(_response_head(plan, attempt))
+        sock.sendall(_response_head(plan, attempt_id))
         eventlet.sleep(plan.body_ms / MS_PER_SECOND)
-        body = body_of(attempt, plan.size)
+        body = body_of(attempt_id, plan.size)
         chunks = list(_body_chunks(body, plan.form))
         if plan.breaks != Break.nowhere:
             chunks = chunks[: len(chunks) // 2]
@@ -140,9 +140,9 @@
             raise _CloseConnectionError
 
 
-def _response_head(plan: ResponsePlan, attempt: str) -> bytes:
+def _response_head(plan: ResponsePlan, attempt_id: str) -> bytes:
     headers: dict[str, object] = {
-        'Attempt_Id': attempt,
+        'Attempt_Id': attempt_id,
         'Response_Stamp': f'{attempt}.{plan.status}',
     }
     if plan.form == Framing.length:
@@ -154,9 +154,9 @@
     return _format_head(plan.status, **headers)
 
 
-def _build_order(attempt: str, service: str, method: str) -> Order:
+def _build_order(attempt_id: str, service: str, method: str) -> Order:
     return Order(
-        request=attempt,
+        request=attempt_id,
         key='',
         service=service,
         shard=None,
