--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -75,8 +75,12 @@
 
     def serve(self, sock: socket.socket) -> None:
         """Serve one connection until either side ends it."""
-        ended = OSError, ValueError, _CloseConnectionError
-        with closing(sock), suppress(*ended), sock.makefile('rb') as stream:
+        connection_ends = OSError, ValueError, _CloseConnectionError
+        with (
+            closing(sock),
+            suppress(*connection_ends),
+            sock.makefile('rb') as stream,
+        ):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while True:
                 self._serve_one(sock, stream)
