--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -34,7 +34,7 @@
     for option in ('--name', '--service', '--node-url', '--journal-url'):
         parser.add_argument(option, required=True)
     parser.add_argument('--sharded', action='store_true')
-    for number, default in (('port', 0), ('slots', 30), ('report-ms', 200)):
+    for option, default in (('port', 0), ('slots', 30), ('report-ms', 200)):
         parser.add_argument(f'--{number}', type=int, default=default)
     return parser.parse_args()
 
