--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,7 +18,7 @@
 RESPONSE_GRACE_MS = 15_000  # how long a caller waits after its deadline
 _CONNECT_S = 1
 _MEAN_PAUSE_S = 0.05
-_KEYS = 65_536
+_KEY_COUNT = 65_536
 _REQUEST_SIZES = (0, 0, 0, 300, 200_000)
 _RESPONSE_SIZES = (0, 40, 5_000, 150_000)
 _BROKEN_RESPONSE_SIZE = 20_000  # more than one chunk of the worker
@@ -237,7 +237,7 @@
             service=rng.choice((SHARDED_SERVICE, UNSHARDED_SERVICE)),
             plan=plan,
             deadline_ms=deadline_ms,
-            key=rng.randrange(_KEYS),
+            key=rng.randrange(_KEY_COUNT),
             body=b'b' * rng.choice(_REQUEST_SIZES),
             abandon_after_ms=rng.randint(1, 300) if is_abandoned else None,
         )
