--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,7 +16,7 @@
 from tests.soak.plans import Break, Framing, ResponsePlan
 
 RESPONSE_GRACE_MS = 15_000  # how long a caller waits after its deadline
-_CONNECT_S = 1
+_CONNECT_TIMEOUT_S = 1
 _MEAN_PAUSE_S = 0.05
 _KEY_COUNT = 65_536
 _REQUEST_SIZES = (0, 0, 0, 300, 200_000)
@@ -105,7 +105,7 @@
 
     def __init__(self, port: int) -> None:
         self.opened_ms = boottime_ms()
-        self._sock = socket.create_connection((HOST, port), _CONNECT_S)
+        self._sock = socket.create_connection((HOST, port), _CONNECT_TIMEOUT_S)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._stream: BinaryIO = self._sock.makefile('rb')
 
