--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -163,10 +163,10 @@
         return line
 
     def _read_exactly(self, size: int) -> bytes:
-        found = self._stream.read(size)
-        if len(found) < size:
+        content = self._stream.read(size)
+        if len(content) < size:
             raise _CutError('in the body')
-        return found
+        return content
 
 
 class Caller:
