--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -121,8 +121,8 @@
         line = self._read_status_line()
         try:
             return self._read_response(line)
-        except ConnectionError as reset:
-            raise _CutError(str(reset)) from reset
+        except ConnectionError as error:
+            raise _CutError(str(error)) from error
 
     def close(self) -> None:
         """Close the connection."""
@@ -133,8 +133,8 @@
     def _read_status_line(self) -> bytes:
         try:
             line = self._stream.readline()
-        except ConnectionError as reset:
-            raise _ClosedError(str(reset)) from reset
+        except ConnectionError as error:
+            raise _ClosedError(str(error)) from error
         if not line:
             raise _ClosedError
         return line
@@ -248,7 +248,7 @@
     if rng.random() < _BROKEN_RESPONSE_SHARE:
         # An unframed body ends with the connection: if the worker closed it
         # normally after half of the body, the response would look complete.
-        ends = [Break.before, Break.reset]
+        ends = [Break.before, Break.error]
         if form is not Framing.unframed:
             ends.append(Break.in_body)
         return ResponsePlan(
