--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -248,11 +248,11 @@
     if rng.random() < _BROKEN_RESPONSE_SHARE:
         # An unframed body ends with the connection: if the worker closed it
         # normally after half of the body, the response would look complete.
-        ends = [Break.before, Break.error]
+        breaks = [Break.before, Break.error]
         if form is not Framing.unframed:
-            ends.append(Break.in_body)
+            breaks.append(Break.in_body)
         return ResponsePlan(
-            size=_BROKEN_RESPONSE_SIZE, form=form, breaks=rng.choice(ends)
+            size=_BROKEN_RESPONSE_SIZE, form=form, breaks=rng.choice(breaks)
         )
     return ResponsePlan(
         work_ms=rng.choice((0, 0, 5, 5, rng.randint(20, 300))),
