--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -21,7 +21,7 @@
 FAILURE_DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
 START_TIMEOUT_S = 90
 STOP_TIMEOUT_S = 30
-_STARTED = b'"node-started"'
+_STARTED_EVENT = b'"node-started"'
 _OK = 200
 
 
@@ -48,7 +48,7 @@
         """Return whether SIGTERM ended it before it handled signals."""
         if self.status != -SIGTERM:
             return False
-        return _STARTED not in self.process.log.read_bytes()
+        return _STARTED_EVENT not in self.process.log.read_bytes()
 
 
 @dataclass(slots=True)
