--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -134,9 +134,9 @@
         address = self.members[name].settings['door_address']
         return int(address.rpartition(':')[2])
 
-    def process_lock(self, what: str) -> Lock:
+    def process_lock(self, process_name: str) -> Lock:
         """Return the lock to hold while a process is ended and restarted."""
-        return self._process_locks.setdefault(what, Lock())
+        return self._process_locks.setdefault(process_name, Lock())
 
     def kill_node(self, member: ReportingMember) -> None:
         """Kill a node with SIGKILL."""
@@ -242,7 +242,7 @@
             'door': _port(settings['door_address']),
             'reports': _port(settings['report_address']),
         }
-        for what, port in targets.items():
+        for process_name, port in targets.items():
             self.relays.add_route(f'{name}.{what}', port)
         ports = self.relays.ports
         settings['reports'] = {'silent_ms': 800, 'most_bytes': 20_000}
