--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -109,5 +109,5 @@
 
 
 @then('the soak found no violations')
-def check_guarantees(context: Context) -> None:
+def check_violations(context: Context) -> None:
     assert not context.violations, '\n'.join(map(str, context.violations))
