--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -136,7 +136,7 @@
     route, switches = _draw_impairment(context)
     context.fleet.relays.set_switches(route, **switches)
     yield f'{route} {switches}'
-    context.fleet.relays.clear(route)
+    context.fleet.relays.reset_switches(route)
 
 
 @_fault('a link breaks after some bytes')
@@ -151,7 +151,7 @@
         )
         time.sleep(context.random_s(_MAX_BREAK_INTERVAL_MS))
     yield f'{route} {direction}'
-    context.fleet.relays.clear(route)
+    context.fleet.relays.reset_switches(route)
 
 
 def _draw_impairment(context: FaultContext) -> tuple[str, dict[str, Any]]:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -77,7 +77,7 @@
         if response.status != _OK:
             raise ValueError(f'{route}: {response.data!r}')
 
-    def clear(self, route: str) -> None:
+    def reset_switches(self, route: str) -> None:
         """Reset all fault switches of a route."""
         self.set_switches(route, **UNHINDERED)
 
