--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -57,8 +57,12 @@
     """Yield a description of each key that two workers held at one time."""
     held = _spans_by_range(incarnations)
     # Ranges that overlap have the higher of their first keys in common.
-    for key in sorted({keys.first for keys in held}):
-        spans = [held[keys] for keys in held if keys.first <= key <= keys.last]
+    for key in sorted({key_range.first for key_range in held}):
+        spans = [
+            held[key_range]
+            for key_range in held
+            if key_range.first <= key <= key_range.last
+        ]
         for span, other in combinations(chain.from_iterable(spans), 2):
             since_ms = max(span.since_ms, other.since_ms)
             until_ms = min(span.until_ms, other.until_ms)
