--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -33,9 +33,7 @@
     answered = 'answered'
     cut = 'cut'  # within the head or body of the response
     closed = 'closed'  # before the first byte of a response
-    timed_out = (
-        'silent'  # no response until RESPONSE_GRACE_MS after the deadline
-    )
+    timed_out = 'silent'  # no response by the deadline plus the grace time
     abandoned = 'left'  # the caller stopped waiting early
 
 
@@ -248,7 +246,7 @@
     if rng.random() < _BROKEN_RESPONSE_SHARE:
         # An unframed body ends with the connection: if the worker closed it
         # normally after half of the body, the response would look complete.
-        breaks = [Break.before, Break.error]
+        breaks = [Break.before, Break.reset]
         if form is not Framing.unframed:
             breaks.append(Break.in_body)
         return ResponsePlan(
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -242,8 +242,8 @@
             'door': _port(settings['door_address']),
             'reports': _port(settings['report_address']),
         }
-        for process_name, port in targets.items():
-            self.relays.add_route(f'{name}.{what}', port)
+        for link, port in targets.items():
+            self.relays.add_route(f'{name}.{link}', port)
         ports = self.relays.ports
         settings['reports'] = {'silent_ms': 800, 'most_bytes': 20_000}
         settings['advertised_peer_port'] = ports[f'{name}.peer']
--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -35,7 +35,7 @@
         parser.add_argument(option, required=True)
     parser.add_argument('--sharded', action='store_true')
     for option, default in (('port', 0), ('slots', 30), ('report-ms', 200)):
-        parser.add_argument(f'--{number}', type=int, default=default)
+        parser.add_argument(f'--{option}', type=int, default=default)
     return parser.parse_args()
 
 
@@ -147,7 +147,7 @@
 def _response_head(plan: ResponsePlan, attempt_id: str) -> bytes:
     headers: dict[str, object] = {
         'Attempt_Id': attempt_id,
-        'Response_Stamp': f'{attempt}.{plan.status}',
+        'Response_Stamp': f'{attempt_id}.{plan.status}',
     }
     if plan.form == Framing.length:
         headers['Content_Length'] = plan.size
