--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -11,8 +11,8 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
+from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.known import CachedStore
 from laburnumwood.membership.member import Member
 from laburnumwood.membership.node_records import (
     announce_leaving,
