--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -25,7 +25,7 @@
 )
 from laburnumwood.integration import INTEGRATIONS
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.endings import (
+from laburnumwood.membership.incarnation_ends import (
     IncarnationStatus,
     RejoinBackoff,
     incarnation_status,
--- a/laburnumwood/membership/member.py
+++ b/laburnumwood/membership/member.py
@@ -5,8 +5,8 @@
 from laburnumwood.clock import Clock
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.endings import NodeRecordUpdater
 from laburnumwood.membership.gossip import Gossip
+from laburnumwood.membership.incarnation_ends import NodeRecordUpdater
 from laburnumwood.membership.renewal import LeaseRenewer, WitnessService
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.peers import Dispatcher, Peers
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -13,7 +13,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.endings import (
+from laburnumwood.membership.incarnation_ends import (
     NodeRecordUpdater,
     RejoinBackoff,
 )
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -6,7 +6,7 @@
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import witness_count
-from laburnumwood.membership.endings import (
+from laburnumwood.membership.incarnation_ends import (
     IncarnationStatus,
     incarnation_status,
 )
