--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -3,7 +3,7 @@
 from contextlib import suppress
 
 from laburnumwood.clock import Clock
-from laburnumwood.daemon.handover_news import HandoverAnnouncer
+from laburnumwood.daemon.handover_announcer import HandoverAnnouncer
 from laburnumwood.daemon.holder import ShardGrantSource
 from laburnumwood.daemon.load import LoadComponents
 from laburnumwood.errors import PlatformError
