--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -16,7 +16,7 @@
 from laburnumwood.events import LINK_LOST, MESSAGE_REFUSED
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.messages import Chunk, WholeAnswer
-from laburnumwood.protocol.outlet import (
+from laburnumwood.protocol.send_queue import (
     LARGE_MESSAGE_SIZE,
     SEND_QUEUE,
     Transfer,
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -31,7 +31,7 @@
 from laburnumwood.placement.layout import RecordsByNumber, locate_text_key
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
-from laburnumwood.protocol.outlet import SEND_QUEUE
+from laburnumwood.protocol.send_queue import SEND_QUEUE
 from laburnumwood.records import ShardName, ShardRecord
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.execution import ExecutionCheck, Executor
--- a/laburnumwood/routing/observed.py
+++ b/laburnumwood/routing/observed.py
@@ -8,7 +8,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
 from laburnumwood.protocol.messages import Answer, Failure, WholeAnswer
-from laburnumwood.protocol.outlet import LARGE_MESSAGE_SIZE, SendQueue
+from laburnumwood.protocol.send_queue import LARGE_MESSAGE_SIZE, SendQueue
 from laburnumwood.routing.exchange import Exchange, ExchangeWrapper
 
 _OVERLOAD_STATUSES = frozenset((429, 503))
--- a/tests/features/steps/send_queue_steps.py
+++ b/tests/features/steps/send_queue_steps.py
@@ -15,8 +15,8 @@
 from laburnumwood.protocol import link as links
 from laburnumwood.protocol.codec import decode
 from laburnumwood.protocol.messages import WholeAnswer
-from laburnumwood.protocol.outlet import SendQueue, Transfer
 from laburnumwood.protocol.peers import Dispatcher
+from laburnumwood.protocol.send_queue import SendQueue, Transfer
 from laburnumwood.records import NodeName
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.observed import LongAnswerDelays
