--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the soak."""
+"""Steps for the soak."""
 
 import json
 import time
@@ -13,22 +13,22 @@
 from urllib3.exceptions import HTTPError
 
 from tests.soak.callers import Callers
-from tests.soak.fleet import KEYED, SoakFleet
-from tests.soak.holds import WorkerLife, two_holders
-from tests.soak.judge import Record, judge
+from tests.soak.fleet import SHARDED_SERVICE, SoakFleet
+from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
+from tests.soak.judge import Record, find_violations
 from tests.soak.plans import Plan
 from tests.soak.soak import Options, run
 
 CALLERS = 16
-LONG_REQUESTS = 12  # some of them at the worker of the node itself
-BREATH_S = 1
+LONG_REQUESTS = 12  # some are executed by the worker beside the node
+RAMP_UP_S = 1
 
 
 @when('a soak of {nodes:d} nodes runs for {seconds:d} s with seed {seed:d}')
 def soak(context: Context, nodes: int, seconds: int, seed: int) -> None:
     report = run(Options(seed=seed, seconds=seconds, nodes=nodes))
     print(report)
-    context.broken = report.broken
+    context.violations = report.violations
 
 
 @given('a soak of {nodes:d} nodes whose requests may last {seconds:d} s')
@@ -36,37 +36,42 @@
     fleet = SoakFleet(nodes)
     context.add_cleanup(fleet.close)
     fleet.wait_ready()
-    fleet.declare_again(seconds * 1_000)
+    fleet.replace_manifest(seconds * 1_000)
     context.fleet = fleet
     context.callers = Callers(fleet, CALLERS, seed=1)
     context.callers.start()
-    time.sleep(BREATH_S)
+    time.sleep(RAMP_UP_S)
 
 
-@when('requests of {seconds:d} s run at "{node}" and the node is told to stop')
-def stop_under_long(context: Context, seconds: int, node: str) -> None:
+@when('requests of {seconds:d} s run at "{node}" and the node is stopped')
+def stop_during_long_requests(
+    context: Context, seconds: int, node: str
+) -> None:
     plan = Plan(work_ms=seconds * 1_000)
-    asking = [
-        Thread(target=_ask, args=(context.fleet, node, plan, number))
+    threads = [
+        Thread(target=_send_request, args=(context.fleet, node, plan, number))
         for number in range(LONG_REQUESTS)
     ]
-    for thread in asking:
+    for thread in threads:
         thread.start()
-    time.sleep(BREATH_S)
+    time.sleep(RAMP_UP_S)
     context.fleet.stop_node(context.fleet.members[node])
     calls = context.callers.finish()
-    for ending in asking:
-        ending.join()
-    entries = context.fleet.entries()
-    context.broken = judge(
+    for thread in threads:
+        thread.join()
+    journal_entries = context.fleet.journal_entries()
+    context.violations = find_violations(
         Record.of(
-            calls, context.fleet.lives, context.fleet.worker_lives, entries
+            calls,
+            context.fleet.node_incarnations,
+            context.fleet.worker_incarnations,
+            journal_entries,
         )
     )
 
 
-def _ask(fleet: Any, node: str, plan: Plan, number: int) -> None:
-    path = f'/{KEYED}/safe/x?{plan.query}'
+def _send_request(fleet: Any, node: str, plan: Plan, number: int) -> None:
+    path = f'/{SHARDED_SERVICE}/safe/x?{plan.query}'
     headers = {'Shard_Key': str(number * 5_003), 'Deadline_Ms': '10000'}
     with suppress(HTTPError):
         fleet.ask(fleet.members[node], path, f'long-{number}', **headers)
@@ -76,7 +81,7 @@
     'the worker "{worker}" held the keys {first:d} to {last:d} '
     'from {since:d} to {until:d} ms'
 )
-def write_held(
+def write_held_keys(
     context: Context, worker: str, first: int, last: int, since: int, until: int
 ) -> None:
     if 'workers' not in context:
@@ -87,20 +92,20 @@
     log = context.folder / f'{len(context.workers)}.log'
     line = {'held': [[first, last, 8]], 'at_ms': since, 'until_ms': until}
     log.write_text(f'another line\n{json.dumps(line)}\n')
-    context.workers.append(WorkerLife(worker, log))
+    context.workers.append(WorkerIncarnation(worker, log))
 
 
 @given('the worker "{_worker}" was killed at {at_ms:d} ms')
-def write_killed(context: Context, _worker: str, at_ms: int) -> None:
+def set_killed(context: Context, _worker: str, at_ms: int) -> None:
     context.workers[0].killed_ms = at_ms
 
 
-@then('the judge finds {count:d} keys that were held twice')
-def check_held_twice(context: Context, count: int) -> None:
-    found = list(two_holders(context.workers))
+@then('{count:d} keys are found that two workers held at one time')
+def check_concurrent_holders(context: Context, count: int) -> None:
+    found = list(find_concurrent_holders(context.workers))
     assert len(found) == count, found
 
 
-@then('no promise was broken')
-def check_promises(context: Context) -> None:
-    assert not context.broken, '\n'.join(map(str, context.broken))
+@then('the soak found no violations')
+def check_guarantees(context: Context) -> None:
+    assert not context.violations, '\n'.join(map(str, context.violations))
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,7 @@
 
 
 def main() -> int:
-    """Run one soak; return 0 only if no promise was broken."""
+    """Run one soak; return 0 if it found no violations, otherwise 1."""
     parser = ArgumentParser(prog='tests.soak')
     parser.add_argument('--seed', type=int, required=True)
     parser.add_argument('--seconds', type=float, required=True)
@@ -20,7 +20,7 @@
     given.faults = tuple(given.faults)
     report = run(Options(**vars(given)))
     print(report)
-    return 1 if report.broken else 0
+    return 1 if report.violations else 0
 
 
 if __name__ == '__main__':
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,4 +1,4 @@
-"""One soak: a fleet, callers, faults, and the verdict."""
+"""Runs one soak: starts the processes, injects faults, checks the results."""
 
 import time
 from collections import Counter
@@ -15,18 +15,20 @@
 from bench.deployment import wait_for
 from tests.soak.callers import Call, Callers
 from tests.soak.faults import FAULTS, Lane
-from tests.soak.fleet import KEYED, PLAIN, SoakFleet
-from tests.soak.judge import Broken, Record, judge
+from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
+from tests.soak.judge import Record, Violation, find_violations
 
-FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
-_SERVED_S = 60  # after everything is mended
-_LATE_S = 4  # for what runs late
-_SHOWN = 12  # of what is broken
+LOGS_FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
+_RECOVERY_TIMEOUT_S = 60  # after all faults are undone
+_LATE_EXECUTION_S = (
+    4  # for requests that still run after their callers have ended
+)
+_SHOWN_VIOLATIONS = 12  # violations in the printed report
 
 
 @dataclass(frozen=True, slots=True)
 class Options:
-    """What a soak is to be."""
+    """The parameters of a soak."""
 
     seed: int
     seconds: float
@@ -38,28 +40,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """What a soak did and found."""
+    """What a soak did and which violations it found."""
 
     options: Options
     calls: list[Call]
     runs: int
     faults: list[str]
-    broken: list[Broken]
+    violations: list[Violation]
 
     def __str__(self) -> str:
-        """Return the report as lines."""
+        """Return the report as lines of text."""
         ends = Counter(str(call.end) for call in self.calls)
         statuses = Counter(call.status for call in self.calls if call.status)
-        told = [line.partition(' ')[2] for line in self.faults]
+        fault_lines = [line.partition(' ')[2] for line in self.faults]
         kinds = Counter(
             line.partition(':')[0]
-            for line in told
+            for line in fault_lines
             if not line.startswith('mended')
         )
-        asked = self.options
+        options = self.options
         lines = [
-            f'seed {asked.seed}: {asked.nodes} nodes, {asked.callers} callers, '
-            f'{asked.lanes} lanes, {asked.seconds:g} s',
+            f'seed {options.seed}: {options.nodes} nodes, '
+            f'{options.callers} callers, {options.lanes} lanes, '
+            f'{options.seconds:g} s',
             f'{len(self.calls)} requests, {self.runs} runs',
             f'ends: {dict(ends)}; statuses: {dict(sorted(statuses.items()))}',
             f'injected: {dict(sorted(kinds.items()))}',
@@ -67,30 +70,30 @@
         lines += [
             f'BROKEN {rule}: {times}'
             for rule, times in Counter(
-                each.rule for each in self.broken
+                each.rule for each in self.violations
             ).items()
         ]
-        lines += [f'  {each}' for each in self.broken[:_SHOWN]]
-        return '\n'.join((*lines, f'{len(self.broken)} broken'))
+        lines += [f'  {each}' for each in self.violations[:_SHOWN_VIOLATIONS]]
+        return '\n'.join((*lines, f'{len(self.violations)} broken'))
 
 
-def _inject(fleet: SoakFleet, options: Options) -> list[Lane]:
-    """Strike for the time of the soak; return the lanes, all mended."""
-    halt = Event()
+def _inject_faults(fleet: SoakFleet, options: Options) -> list[Lane]:
+    """Inject faults for the time of the soak; return the ended lanes."""
+    stop_event = Event()
     lanes = [
         Lane(fleet, options.faults, Random(f'{options.seed} lane {number}'))
         for number in range(options.lanes)
     ]
     threads = [
-        Thread(target=lane.run_until, args=(halt,), daemon=True)
+        Thread(target=lane.run_until, args=(stop_event,), daemon=True)
         for lane in lanes
     ]
     for thread in threads:
         thread.start()
     time.sleep(options.seconds)
-    halt.set()
-    for ending in threads:
-        ending.join()
+    stop_event.set()
+    for thread in threads:
+        thread.join()
     return lanes
 
 
@@ -98,57 +101,71 @@
     fleet: SoakFleet, name: str, service: str, numbers: 'count[int]'
 ) -> bool:
     number = next(numbers)
-    answer = fleet.ask(
+    response = fleet.ask(
         fleet.members[name],
         f'/{service}/safe/x',
         f'after-{number}',
         Shard_Key=str(number * 997 % 65_536),
     )
-    return answer.status == 200
+    return response.status == 200
+
 
+def _check_recovery(fleet: SoakFleet) -> list[Violation]:
+    """Wait until every node serves each service.
 
-def _await_served(fleet: SoakFleet) -> list[Broken]:
-    """Wait until each service is served at each door."""
+    Returns a violation if that takes longer than `_RECOVERY_TIMEOUT_S`.
+    """
     numbers = count()
     for name in fleet.members:
-        for service in (KEYED, PLAIN):
+        for service in (SHARDED_SERVICE, UNSHARDED_SERVICE):
             served = partial(_is_served, fleet, name, service, numbers)
             try:
-                wait_for(f'{service} at {name}', served, _SERVED_S)
+                wait_for(f'{service} at {name}', served, _RECOVERY_TIMEOUT_S)
             except (TimeoutError, HTTPError) as late:
-                return [Broken('not served again', repr(late))]
+                return [Violation('not served again', repr(late))]
     return []
 
 
 def run(options: Options) -> Report:
-    """Run a soak; the logs of one that fails stay under `build/`."""
+    """Run a soak; if it finds violations, keep its logs under `build/`."""
     with closing(SoakFleet(options.nodes)) as fleet:
         fleet.wait_ready()
         callers = Callers(fleet, options.callers, options.seed)
         callers.start()
-        lanes = _inject(fleet, options)
-        broken = _await_served(fleet)
+        lanes = _inject_faults(fleet, options)
+        violations = _check_recovery(fleet)
         calls = callers.finish()
-        time.sleep(_LATE_S)
-        entries = fleet.entries()
-        record = Record.of(calls, fleet.lives, fleet.worker_lives, entries)
-        broken += judge(record)
-        broken += [
-            Broken('an injection failed', failure)
+        time.sleep(_LATE_EXECUTION_S)
+        journal_entries = fleet.journal_entries()
+        record = Record.of(
+            calls,
+            fleet.node_incarnations,
+            fleet.worker_incarnations,
+            journal_entries,
+        )
+        violations += find_violations(record)
+        violations += [
+            Violation('an injection failed', failure)
             for lane in lanes
-            for failure in lane.failed
+            for failure in lane.injection_errors
         ]
         faults = sorted(line for lane in lanes for line in lane.log)
-        report = Report(options, calls, len(entries), faults, broken)
-        if broken:
-            _keep_logs(fleet, report)
+        report = Report(
+            options, calls, len(journal_entries), faults, violations
+        )
+        if violations:
+            _save_logs(fleet, report)
     return report
 
 
-def _keep_logs(fleet: SoakFleet, report: Report) -> None:
-    folder = FOLDER / f'seed-{report.options.seed}'
-    fleet.keep_logs(folder)
-    lines = [f'{each.rule}: {each.evidence}' for each in report.broken]
-    lives = [str(life) for life in fleet.lives]
-    content = '\n'.join((str(report), *lines, *lives, *report.faults))
+def _save_logs(fleet: SoakFleet, report: Report) -> None:
+    folder = LOGS_FOLDER / f'seed-{report.options.seed}'
+    fleet.copy_logs(folder)
+    lines = [f'{each.rule}: {each.evidence}' for each in report.violations]
+    node_incarnations = [
+        str(incarnation) for incarnation in fleet.node_incarnations
+    ]
+    content = '\n'.join(
+        (str(report), *lines, *node_incarnations, *report.faults)
+    )
     (folder / 'report.txt').write_text(content)
--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -1,4 +1,4 @@
-"""The command line of the worker, and its connections."""
+"""The command line of the worker, and how it serves its connections."""
 
 import socket
 from argparse import ArgumentParser, Namespace
@@ -17,16 +17,16 @@
 from standins.worker.bodies import body_of
 from standins.worker.journal import Journal
 from standins.worker.orders import Order
-from tests.soak.holds import tell_held
-from tests.soak.plans import Break, Form, Plan
+from tests.soak.holds import log_held
+from tests.soak.plans import Break, Framing, Plan
 
-_PIECE = 4_096  # bytes of a chunk
+_CHUNK_BYTES = 4_096
 _MISDIRECTED = 421
 _BUSY = 503
 
 
-class _BrokenOffError(Exception):
-    """The answer ends here, and its connection with it."""
+class _CloseConnectionError(Exception):
+    """The worker stops sending and closes the connection."""
 
 
 def _parse_options() -> Namespace:
@@ -48,7 +48,7 @@
     return method, target, headers
 
 
-def _head(status: int, **headers: object) -> bytes:
+def _format_head(status: int, **headers: object) -> bytes:
     lines = [f'HTTP/1.1 {status} Told']
     lines += [
         f'{name.replace("_", "-")}: {text}' for name, text in headers.items()
@@ -56,13 +56,13 @@
     return '\r\n'.join((*lines, '', '')).encode()
 
 
-def _pieces(body: bytes, form: Form) -> Iterator[bytes]:
-    for start in range(0, len(body), _PIECE):
-        piece = body[start : start + _PIECE]
-        if form == Form.chunked:
-            piece = b'%x\r\n%b\r\n' % (len(piece), piece)
-        yield piece
-    if form == Form.chunked:
+def _body_chunks(body: bytes, form: Framing) -> Iterator[bytes]:
+    for start in range(0, len(body), _CHUNK_BYTES):
+        chunk = body[start : start + _CHUNK_BYTES]
+        if form == Framing.chunked:
+            chunk = b'%x\r\n%b\r\n' % (len(chunk), chunk)
+        yield chunk
+    if form == Framing.chunked:
         yield b'0\r\n\r\n'
 
 
@@ -75,7 +75,7 @@
 
     def serve(self, sock: socket.socket) -> None:
         """Serve one connection until either side ends it."""
-        ended = OSError, ValueError, _BrokenOffError
+        ended = OSError, ValueError, _CloseConnectionError
         with closing(sock), suppress(*ended), sock.makefile('rb') as stream:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while True:
@@ -85,18 +85,20 @@
         method, target, headers = _read_head(stream)
         size = int(headers.get('content-length', '0'))
         if len(stream.read(size)) < size:
-            raise _BrokenOffError
+            raise _CloseConnectionError
         query = target.partition('?')[2]
         attempt = headers.get('attempt-id', '')
-        refused = self._refusal(headers)
-        if refused:
-            facts = {'Attempt_Id': attempt, 'Not_Executed': 1}
-            sock.sendall(_head(refused, Content_Length=0, **facts))
+        refusal_status = self._refusal_status(headers)
+        if refusal_status:
+            headers_sent = {'Attempt_Id': attempt, 'Not_Executed': 1}
+            sock.sendall(
+                _format_head(refusal_status, Content_Length=0, **headers_sent)
+            )
             return
-        order = _order(attempt, self._options.service, method)
-        self._run(sock, Plan.parse(query), order)
+        order = _build_order(attempt, self._options.service, method)
+        self._execute(sock, Plan.parse(query), order)
 
-    def _refusal(self, headers: dict[str, str]) -> int:
+    def _refusal_status(self, headers: dict[str, str]) -> int:
         key = int(headers.get('shard-key', '-1'))
         if headers.get('target-instance') != self._options.name:
             return _MISDIRECTED
@@ -104,51 +106,53 @@
             return _MISDIRECTED
         return _BUSY if self._running >= self._options.slots else 0
 
-    def _run(self, sock: socket.socket, plan: Plan, order: Order) -> None:
+    def _execute(self, sock: socket.socket, plan: Plan, order: Order) -> None:
         self._running += 1
         entry = self._journal.start(order)
         outcome = Outcome.cut
         try:
-            self._answer(sock, plan, order.request)
+            self._send_response(sock, plan, order.request)
             outcome = Outcome.ran
         finally:
             self._running -= 1
             self._journal.finish(entry, outcome)
 
-    def _answer(self, sock: socket.socket, plan: Plan, attempt: str) -> None:
+    def _send_response(
+        self, sock: socket.socket, plan: Plan, attempt: str
+    ) -> None:
         eventlet.sleep(plan.work_ms / MS_PER_SECOND)
         if plan.breaks == Break.before:
-            raise _BrokenOffError
-        sock.sendall(_answer_head(plan, attempt))
+            raise _CloseConnectionError
+        sock.sendall(_response_head(plan, attempt))
         eventlet.sleep(plan.body_ms / MS_PER_SECOND)
         body = body_of(attempt, plan.size)
-        pieces = list(_pieces(body, plan.form))
+        chunks = list(_body_chunks(body, plan.form))
         if plan.breaks != Break.nowhere:
-            pieces = pieces[: len(pieces) // 2]
-        for piece in pieces:
-            sock.sendall(piece)
+            chunks = chunks[: len(chunks) // 2]
+        for chunk in chunks:
+            sock.sendall(chunk)
         if plan.breaks == Break.reset:
             linger = socket.SOL_SOCKET, socket.SO_LINGER
             sock.setsockopt(*linger, RESET_ON_CLOSE)
-        if plan.breaks != Break.nowhere or plan.form == Form.unframed:
-            raise _BrokenOffError
+        if plan.breaks != Break.nowhere or plan.form == Framing.unframed:
+            raise _CloseConnectionError
 
 
-def _answer_head(plan: Plan, attempt: str) -> bytes:
+def _response_head(plan: Plan, attempt: str) -> bytes:
     headers: dict[str, object] = {
         'Attempt_Id': attempt,
         'Response_Stamp': f'{attempt}.{plan.status}',
     }
-    if plan.form == Form.length:
+    if plan.form == Framing.length:
         headers['Content_Length'] = plan.size
-    elif plan.form == Form.chunked:
+    elif plan.form == Framing.chunked:
         headers['Transfer_Encoding'] = 'chunked'
     else:
         headers['Connection'] = 'close'
-    return _head(plan.status, **headers)
+    return _format_head(plan.status, **headers)
 
 
-def _order(attempt: str, service: str, method: str) -> Order:
+def _build_order(attempt: str, service: str, method: str) -> Order:
     return Order(
         request=attempt,
         key='',
@@ -161,7 +165,7 @@
         crash=False,
         download_bytes=None,
         chunk_ms=0,
-        chunk_bytes=_PIECE,
+        chunk_bytes=_CHUNK_BYTES,
     )
 
 
@@ -169,7 +173,7 @@
     """Run the worker until the process ends."""
     options = _parse_options()
     holds = Holds() if options.sharded else None
-    eventlet.spawn_n(Reports(options, holds, tell_held).run)
+    eventlet.spawn_n(Reports(options, holds, log_held).run)
     worker = _Worker(options, holds)
     listener: Any = socket.create_server((HOST, options.port), backlog=BACKLOG)
     while True:
