--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -39,7 +39,7 @@
     breaks: Break = Break.nowhere
 
     @classmethod
-    def parse(cls, query: str) -> 'Plan':
+    def parse(cls, query: str) -> 'ResponsePlan':
         """Parse the query of a request.
 
         Raises pydantic.ValidationError if it is not a valid plan.
