--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -75,7 +75,7 @@
 
 
 @_fault('a node is paused while it stops')
-def pause_stopping(context: FaultContext) -> Iterator[str]:
+def pause_stopping_node(context: FaultContext) -> Iterator[str]:
     """Stop a node, and pause it at about the time it closes its door."""
     member = context.member()
     with context.fleet.process_lock(f'node {member.name}'):
