--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -55,12 +55,12 @@
     incarnations: Sequence[WorkerIncarnation],
 ) -> Iterator[str]:
     """Yield a description of each key that two workers held at one time."""
-    held = _spans_by_range(incarnations)
+    spans_by_range = _spans_by_range(incarnations)
     # Ranges that overlap have the higher of their first keys in common.
-    for key in sorted({key_range.first for key_range in held}):
+    for key in sorted({key_range.first for key_range in spans_by_range}):
         spans = [
-            held[key_range]
-            for key_range in held
+            spans_by_range[key_range]
+            for key_range in spans_by_range
             if key_range.first <= key <= key_range.last
         ]
         for span, other in combinations(chain.from_iterable(spans), 2):
@@ -72,7 +72,7 @@
 
 
 def _spans_by_range(incarnations: Sequence[WorkerIncarnation]) -> SpansByRange:
-    held: SpansByRange = defaultdict(list)
+    spans_by_range: SpansByRange = defaultdict(list)
     for incarnation in incarnations:
         last = {'held': [], 'at_ms': float('inf'), 'until_ms': float('inf')}
         for line, following in pairwise([*_held_lines(incarnation), last]):
@@ -81,8 +81,8 @@
                 end_ms = min(end_ms, incarnation.killed_ms)
             for first, last_key, _ in line['held']:
                 span = HoldSpan(incarnation.worker, line['at_ms'], end_ms)
-                _append_span(held[HeldRange(first, last_key)], span)
-    return held
+                _append_span(spans_by_range[HeldRange(first, last_key)], span)
+    return spans_by_range
 
 
 def _append_span(spans: list[HoldSpan], span: HoldSpan) -> None:
