--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -104,7 +104,7 @@
         relay = self._spawn('standins.relay', '--control-port', str(relay_port))
         self.relays = Relays(relay, f'http://{HOST}:{relay_port}', self.http)
         for url in (self.journal_url, f'{self.relays.url}/routes'):
-            wait_for(url, partial(self._is_ok, url), START_TIMEOUT_S)
+            wait_for(url, partial(self._responds, url), START_TIMEOUT_S)
         self.declare()
         for number in range(nodes):
             service = SHARDED_SERVICE if number % 3 else UNSHARDED_SERVICE
@@ -251,7 +251,7 @@
         settings['platform_url'] = f'http://{HOST}:{ports[f"{name}.store"]}'
         return settings
 
-    def _is_ok(self, url: str) -> bool:
+    def _responds(self, url: str) -> bool:
         return bool(self.http.request('GET', url).status == _OK)
 
 
