--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -138,8 +138,8 @@
         for chunk in chunks:
             sock.sendall(chunk)
         if plan.breaks == Break.reset:
-            linger = socket.SOL_SOCKET, socket.SO_LINGER
-            sock.setsockopt(*linger, RESET_ON_CLOSE)
+            linger_option = socket.SOL_SOCKET, socket.SO_LINGER
+            sock.setsockopt(*linger_option, RESET_ON_CLOSE)
         if plan.breaks != Break.nowhere or plan.form == Framing.unframed:
             raise _CloseConnectionError
 
