--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -25,7 +25,7 @@
 
 
 @when('a soak of {nodes:d} nodes runs for {seconds:d} s with seed {seed:d}')
-def soak(context: Context, nodes: int, seconds: int, seed: int) -> None:
+def run_soak(context: Context, nodes: int, seconds: int, seed: int) -> None:
     report = run(Options(seed=seed, seconds=seconds, nodes=nodes))
     print(report)
     context.violations = report.violations
