--- a/laburnumwood/cli/changes.py
+++ b/laburnumwood/cli/changes.py
@@ -1,144 +1,177 @@
-"""Changes of the configuration by operators."""
+"""Access to the accepted configuration and changes of it by operators."""
 
 from collections.abc import Collection
 from dataclasses import dataclass
 from pathlib import Path
 
-from laburnumwood.cli.comparison import FileState, State, compare
+from laburnumwood.cli.comparison import Difference, FileComparison, compare
 from laburnumwood.cli.options import Options, UsageError
-from laburnumwood.cli.seen import Seen, read_seen, write_seen
+from laburnumwood.cli.seen import SeenFiles, read_seen, write_seen
 from laburnumwood.clock import Clock
 from laburnumwood.config.acceptance import (
-    Acceptance,
+    ConfigAcceptance,
     Proposal,
-    current,
+    read_accepted,
 )
-from laburnumwood.config.audit import read_newest
+from laburnumwood.config.audit import read_audit_trail
 from laburnumwood.config.files import digest, read_folder
-from laburnumwood.config.merge import Merged, merge_files
+from laburnumwood.config.merge import MergedConfig, merge_files
 from laburnumwood.errors import ConcurrentChangeError
 from laburnumwood.records import AuditRecord, ConfigRecord
 from laburnumwood.store.client import HttpStore
 
 
-def validate(folder: Path) -> Merged:
-    """Return the merged files of a folder; raises `DeclarationError`."""
+def merge_folder(folder: Path) -> MergedConfig:
+    """Merge the files of a folder.
+
+    Raises `DeclarationError` with a line for each error.
+    """
     return merge_files(read_folder(folder))
 
 
-def _among(
-    states: list[FileState], only: Collection[str], folder: Path
-) -> list[FileState]:
-    known = {each.name for each in states if each.state != State.ELSEWHERE}
-    missing = sorted(set(only) - known)
+def _select_files(
+    comparisons: list[FileComparison], only: Collection[str], folder: Path
+) -> list[FileComparison]:
+    names = {
+        file.name for file in comparisons if file.state != Difference.ELSEWHERE
+    }
+    missing = sorted(set(only) - names)
     if missing:
-        names = ', '.join(missing)
-        raise UsageError(f'{folder} has no file {names}; check --only')
-    return [each for each in states if not only or each.name in only]
+        missing_names = ', '.join(missing)
+        raise UsageError(f'{folder} has no file {missing_names}; check --only')
+    return [file for file in comparisons if not only or file.name in only]
 
 
 @dataclass(frozen=True, slots=True)
-class Applied:
-    """What is accepted now, which files changed and which are newer there."""
+class ApplyResult:
+    """The result of applying a folder.
+
+    `record` is the accepted configuration, `changed` the names of the files
+    that were changed, and `newer` the names of the files that the folder has
+    not changed but others have.
+    """
 
     record: ConfigRecord
     changed: tuple[str, ...]
     newer: tuple[str, ...] = ()
 
 
-class Changes:
-    """Compares folders with the accepted configuration and applies them."""
+class ConfigClient:
+    """Reads the accepted configuration, compares and applies folders.
+
+    All methods raise `PlatformError` if the platform does not answer.
+    """
 
     def __init__(self, options: Options) -> None:
-        self._platform = HttpStore(options.platform_url)
-        self._acceptance = Acceptance(self._platform, Clock())
+        self._store = HttpStore(options.platform_url)
+        self._acceptance = ConfigAcceptance(self._store, Clock())
         self._who = options.who
 
-    def current(self) -> ConfigRecord:
+    def read_accepted(self) -> ConfigRecord:
         """Return the accepted configuration."""
-        return current(self._platform)[0]
+        return read_accepted(self._store)[0]
 
     def diff(
         self, folder: Path, only: Collection[str]
-    ) -> tuple[ConfigRecord, list[FileState]]:
-        """Return how the files stand, and note that they were seen.
-
-        What others have changed in the meantime counts as seen only where
-        the folder holds a change of its own: that is what applying replaces.
+    ) -> tuple[ConfigRecord, list[FileComparison]]:
+        """Compare a folder with the accepted configuration.
+
+        Returns the accepted configuration and the comparison of each file,
+        or of those named by `only`.  Records the digests of the accepted
+        files as seen: those of files that are the same, and those of files
+        that both the folder and others have changed, which the next `apply`
+        replaces.  Raises `UsageError` if the folder has no file of `only`.
         """
-        now = self.current()
+        accepted = self.read_accepted()
         seen = read_seen(folder)
-        states = _among(self._compare(folder, now, seen), only, folder)
-        shown = (State.SAME, State.CONFLICT)
-        self._note(
-            folder, now, seen, [each for each in states if each.state in shown]
+        comparisons = _select_files(
+            self._compare(folder, accepted, seen), only, folder
+        )
+        seen_differences = (Difference.SAME, Difference.CONFLICT)
+        self._record_seen(
+            folder,
+            accepted,
+            seen,
+            [file for file in comparisons if file.state in seen_differences],
         )
-        return now, states
+        return accepted, comparisons
 
-    def apply(self, folder: Path, only: Collection[str]) -> Applied:
-        """Make the changes of a folder the next generation.
+    def apply(self, folder: Path, only: Collection[str]) -> ApplyResult:
+        """Accept the changes of a folder as the next generation.
 
-        Raises what `Acceptance.propose` does.
+        With `only`, the changes of other files are left out.  Raises
+        `UsageError` if the folder has no file of `only`, and what
+        `ConfigAcceptance.propose` raises.
         """
-        now = self.current()
+        accepted = self.read_accepted()
         seen = read_seen(folder)
-        states = _among(self._compare(folder, now, seen), only, folder)
-        proposed = [each for each in states if each.state.is_proposed]
-        wanted = {each.name: each.local for each in proposed}
-        record = self._propose(Proposal(wanted, self._who, seen.files))
-        same = [each for each in states if each.state is State.SAME]
-        self._note(folder, record, seen, [*proposed, *same])
-        newer = [each for each in states if each.state is State.NEWER]
-        return Applied(
+        comparisons = _select_files(
+            self._compare(folder, accepted, seen), only, folder
+        )
+        proposed = [file for file in comparisons if file.state.is_proposed]
+        proposed_files = {file.name: file.local for file in proposed}
+        record = self._propose(Proposal(proposed_files, self._who, seen.files))
+        same = [file for file in comparisons if file.state is Difference.SAME]
+        self._record_seen(folder, record, seen, [*proposed, *same])
+        newer = [file for file in comparisons if file.state is Difference.NEWER]
+        return ApplyResult(
             record,
-            changed=tuple(sorted(wanted)),
-            newer=tuple(each.name for each in newer),
+            changed=tuple(sorted(proposed_files)),
+            newer=tuple(file.name for file in newer),
         )
 
     def roll_back(self, generation: int) -> ConfigRecord:
-        """Make the files of an older generation the next one."""
+        """Accept the files of an older generation as the next one.
+
+        Raises what `ConfigAcceptance.roll_back` raises.
+        """
         return self._acceptance.roll_back(generation, self._who)
 
     def history(self, most: int) -> list[AuditRecord]:
-        """Return the newest entries of the audit trail."""
-        entries = read_newest(self._platform)
+        """Return up to `most` entries of the audit trail, newest first."""
+        entries = read_audit_trail(self._store)
         return [entry for _, entry in zip(range(most), entries, strict=False)]
 
     def _propose(self, proposal: Proposal) -> ConfigRecord:
         try:
             return self._acceptance.propose(proposal)
         except ConcurrentChangeError as changed:
-            raise ConcurrentChangeError(self._blame(changed.names)) from changed
-
-    def _blame(self, names: Collection[str]) -> tuple[str, ...]:
-        """Return each name with who changed that file last."""
-        wanted = set(names)
-        told = []
-        for entry in read_newest(self._platform):
-            for name in sorted(wanted.intersection(entry.changes)):
-                told.append(
+            raise ConcurrentChangeError(
+                self._with_authors(changed.names)
+            ) from changed
+
+    def _with_authors(self, names: Collection[str]) -> tuple[str, ...]:
+        """Return each name with the operator who changed the file last."""
+        remaining = set(names)
+        names_with_authors = []
+        for entry in read_audit_trail(self._store):
+            for name in sorted(remaining.intersection(entry.changes)):
+                names_with_authors.append(
                     f'{name} (generation {entry.generation} by {entry.who})'
                 )
-            wanted.difference_update(entry.changes)
-            if not wanted:
+            remaining.difference_update(entry.changes)
+            if not remaining:
                 break
-        return tuple(told)
+        return tuple(names_with_authors)
 
     def _compare(
-        self, folder: Path, now: ConfigRecord, seen: Seen
-    ) -> list[FileState]:
-        return compare(read_folder(folder), now.files, seen.files)
+        self, folder: Path, accepted: ConfigRecord, seen: SeenFiles
+    ) -> list[FileComparison]:
+        return compare(read_folder(folder), accepted.files, seen.files)
 
-    def _note(
+    def _record_seen(
         self,
         folder: Path,
-        now: ConfigRecord,
-        seen: Seen,
-        states: list[FileState],
+        accepted: ConfigRecord,
+        seen: SeenFiles,
+        comparisons: list[FileComparison],
     ) -> None:
+        """Record the digests of the accepted files that were compared."""
         files = dict(seen.files)
-        for each in states:
-            files.pop(each.name, None)
-            if each.name in now.files:
-                files[each.name] = digest(now.files[each.name])
-        write_seen(folder, Seen(generation=now.generation, files=files))
+        for file in comparisons:
+            files.pop(file.name, None)
+            if file.name in accepted.files:
+                files[file.name] = digest(accepted.files[file.name])
+        write_seen(
+            folder, SeenFiles(generation=accepted.generation, files=files)
+        )
--- a/laburnumwood/cli/configuring.py
+++ b/laburnumwood/cli/configuring.py
@@ -1,88 +1,93 @@
-"""Commands about the configuration."""
+"""Commands that show and change the configuration."""
 
 from collections.abc import Collection
 from pathlib import Path
 
-from laburnumwood.cli.changes import Changes, validate
-from laburnumwood.cli.comparison import FileState, State
-from laburnumwood.cli.fleet import Fleet
+from laburnumwood.cli.changes import ConfigClient, merge_folder
+from laburnumwood.cli.comparison import Difference, FileComparison
+from laburnumwood.cli.fleet import FleetClient
 from laburnumwood.cli.options import Options, UsageError
-from laburnumwood.cli.output import Output, moment
-from laburnumwood.cli.waiting import wait_until_in_force
+from laburnumwood.cli.output import Output, format_time
+from laburnumwood.cli.rollout import wait_until_in_force
 from laburnumwood.records import AuditRecord, ConfigRecord
 
-_TRAIL_COLUMNS = ('generation', 'when', 'who', 'files', 'reason')
+_AUDIT_COLUMNS = ('generation', 'when', 'who', 'files', 'reason')
 
 
-def show_validity(folder: Path, output: Output) -> None:
-    """Print which file sets each value of a valid folder."""
-    merged = validate(folder)
-    output.say(f'{folder}: valid')
-    output.table(('value', 'set by'), sorted(merged.set_by.items()))
-    output.data(merged.set_by)
+def show_merged_folder(folder: Path, output: Output) -> None:
+    """Check a folder and print which file sets each value.
 
+    Raises `DeclarationError` if the folder is not valid.
+    """
+    merged = merge_folder(folder)
+    output.print_text(f'{folder}: valid')
+    output.print_table(('value', 'set by'), sorted(merged.set_by.items()))
+    output.print_json(merged.set_by)
 
-def _advice(each: FileState) -> str:
-    if each.state is State.CONFLICT:
+
+def _next_step(file: FileComparison) -> str:
+    if file.state is Difference.CONFLICT:
         return 'apply replaces the accepted file shown here'
-    if each.state is State.NEWER:
-        return f'yours is older and stays unused; get it by: show {each.name}'
-    if each.state is State.ELSEWHERE:
+    if file.state is Difference.NEWER:
+        return f'yours is older and stays unused; get it by: show {file.name}'
+    if file.state is Difference.ELSEWHERE:
         return 'stays as it is'
-    return 'apply changes it' if each.state.is_proposed else ''
+    return 'apply changes it' if file.state.is_proposed else ''
 
 
-def _show_lines(changed: FileState, output: Output, *names: str) -> None:
-    for line in changed.lines(*names):
-        output.say(line)
+def _print_diff(file: FileComparison, output: Output, *names: str) -> None:
+    for line in file.diff_lines(*names):
+        output.print_text(line)
 
 
-def show_difference(
+def show_diff(
     options: Options, folder: Path, only: Collection[str], output: Output
 ) -> None:
-    """Print how a folder differs from what is accepted."""
-    now, states = Changes(options).diff(folder, only)
-    output.say(f'accepted: generation {now.generation}')
-    rows = [(each.name, each.state.value, _advice(each)) for each in states]
-    output.table(('file', 'state', 'next'), rows)
-    for changed in states:
-        if changed.state.is_proposed:
-            _show_lines(changed, output)
-    output.data(
+    """Print how a folder differs from the accepted configuration."""
+    accepted, comparisons = ConfigClient(options).diff(folder, only)
+    output.print_text(f'accepted: generation {accepted.generation}')
+    rows = [
+        (file.name, file.state.value, _next_step(file)) for file in comparisons
+    ]
+    output.print_table(('file', 'state', 'next'), rows)
+    for comparison in comparisons:
+        if comparison.state.is_proposed:
+            _print_diff(comparison, output)
+    output.print_json(
         {
-            'generation': now.generation,
-            'files': {each.name: each.state.value for each in states},
+            'generation': accepted.generation,
+            'files': {file.name: file.state.value for file in comparisons},
         }
     )
 
 
 def show_accepted(options: Options, file: str, output: Output) -> None:
-    """Print the accepted configuration, or one file of it."""
-    record = Changes(options).current()
+    """Print the accepted configuration, or one file of it as JSON."""
+    record = ConfigClient(options).read_accepted()
     if file:
         if file not in record.files:
             known = ', '.join(sorted(record.files)) or 'none yet'
             raise UsageError(
                 f'no file {file!r} is accepted; there are: {known}'
             )
-        Output(as_json=True).data(record.files[file])
+        Output(as_json=True).print_json(record.files[file])
         return
     if not record.generation:
-        output.say('nothing is accepted yet; run "laburnumwood apply"')
-        output.data(record)
+        output.print_text('nothing is accepted yet; run "laburnumwood apply"')
+        output.print_json(record)
         return
-    output.say(
+    output.print_text(
         f'generation {record.generation} by {record.who}, '
-        f'{moment(record.when_ms)}'
+        f'{format_time(record.when_ms)}'
     )
-    output.table(('file',), [(name,) for name in sorted(record.files)])
-    output.data(record)
+    output.print_table(('file',), [(name,) for name in sorted(record.files)])
+    output.print_json(record)
 
 
-def _trail_row(entry: AuditRecord) -> tuple[object, ...]:
+def _audit_row(entry: AuditRecord) -> tuple[object, ...]:
     return (
         entry.generation,
-        moment(entry.when_ms),
+        format_time(entry.when_ms),
         entry.who,
         ', '.join(entry.changes),
         entry.reason,
@@ -90,46 +95,49 @@
 
 
 def show_history(options: Options, most: int, output: Output) -> None:
-    """Print the newest accepted changes."""
-    entries = Changes(options).history(most)
+    """Print the newest entries of the audit trail, up to `most`."""
+    entries = ConfigClient(options).history(most)
     if not entries:
-        output.say('nothing was accepted yet; run "laburnumwood apply"')
-    output.table(_TRAIL_COLUMNS, [_trail_row(entry) for entry in entries])
-    output.data(entries)
+        output.print_text('nothing was accepted yet; run "laburnumwood apply"')
+    output.print_table(_AUDIT_COLUMNS, [_audit_row(entry) for entry in entries])
+    output.print_json(entries)
 
 
-def show_change(options: Options, generation: int, output: Output) -> None:
-    """Print one entry of the audit trail with the files it changed."""
-    changes = Changes(options)
-    newest = changes.current().generation
-    entries = changes.history(max(1, newest - generation + 1))
+def show_audit_entry(options: Options, generation: int, output: Output) -> None:
+    """Print one entry of the audit trail and the diffs of its files."""
+    client = ConfigClient(options)
+    newest = client.read_accepted().generation
+    entries = client.history(max(1, newest - generation + 1))
     entry = next(
-        (each for each in entries if each.generation == generation), None
+        (entry for entry in entries if entry.generation == generation), None
     )
     if entry is None:
         raise UsageError(
             f'no audit entry of generation {generation}; there are 1 to '
             f'{newest}, see "laburnumwood history"'
         )
-    output.table(_TRAIL_COLUMNS, [_trail_row(entry)])
+    output.print_table(_AUDIT_COLUMNS, [_audit_row(entry)])
     for name, change in entry.changes.items():
-        changed = FileState(name, State.CHANGED, change.after, change.before)
-        _show_lines(changed, output, 'before', 'after')
-    output.data(entry)
+        changed = FileComparison(
+            name, Difference.CHANGED, change.after, change.before
+        )
+        _print_diff(changed, output, 'before', 'after')
+    output.print_json(entry)
 
 
-def _finish(
+def _print_accepted(
     record: ConfigRecord, options: Options, limit_s: float, output: Output
 ) -> None:
-    output.say(f'accepted: generation {record.generation}')
+    """Print a generation and wait until it is in force if there is a limit."""
+    output.print_text(f'accepted: generation {record.generation}')
     content: dict[str, int] = {'generation': record.generation}
     if limit_s:
         count = wait_until_in_force(
-            Fleet(options), record.generation, limit_s, output.console
+            FleetClient(options), record.generation, limit_s, output.console
         )
-        output.say(f'in force on all {count} live nodes')
+        output.print_text(f'in force on all {count} live nodes')
         content['nodes'] = count
-    output.data(content)
+    output.print_json(content)
 
 
 def apply_folder(
@@ -139,21 +147,29 @@
     limit_s: float,
     output: Output,
 ) -> None:
-    """Apply a folder; wait up to a limit until it is in force (0: don't)."""
-    applied = Changes(options).apply(folder, only)
+    """Apply a folder and print the accepted generation.
+
+    If `limit_s` is not 0, wait up to that many seconds until the generation
+    is in force on all live nodes.  Raises `RolloutIncompleteError` if it is
+    not in force by then.
+    """
+    applied = ConfigClient(options).apply(folder, only)
     for name in applied.newer:
-        output.say(
+        output.print_text(
             f'{name}: others have accepted a newer one, which stays; get it '
             f'by "laburnumwood show {name}"'
         )
     if not applied.changed:
-        output.say('the folder changes nothing')
-    _finish(applied.record, options, limit_s, output)
+        output.print_text('the folder changes nothing')
+    _print_accepted(applied.record, options, limit_s, output)
 
 
 def roll_back(
     options: Options, generation: int, limit_s: float, output: Output
 ) -> None:
-    """Apply the files of an older generation as a new one."""
-    record = Changes(options).roll_back(generation)
-    _finish(record, options, limit_s, output)
+    """Apply the files of an older generation as the next one.
+
+    `limit_s` is as in `apply_folder`.
+    """
+    record = ConfigClient(options).roll_back(generation)
+    _print_accepted(record, options, limit_s, output)
--- a/laburnumwood/cli/looking.py
+++ b/laburnumwood/cli/fleet_commands.py
@@ -1,13 +1,13 @@
-"""Commands that show the fleet."""
+"""Commands that show the live nodes, owners of shards and idle capacity."""
 
 from collections import Counter
 from typing import Any
 from urllib.parse import urlencode
 
-from laburnumwood.cli.fleet import Fleet
-from laburnumwood.cli.idle import add_up
+from laburnumwood.cli.fleet import FleetClient
+from laburnumwood.cli.idle_capacity import sum_by_group
 from laburnumwood.cli.output import Output
-from laburnumwood.cli.pages import IdlePage, KeyOwner, StatusPage
+from laburnumwood.cli.pages import IdlePage, KeyOwnerPage, StatusPage
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import OperatorCallError
 
@@ -47,18 +47,18 @@
     ]
 
 
-def show_status(fleet: Fleet, output: Output) -> None:
-    """Print how each live node is."""
-    pages = fleet.ask_all('/status', StatusPage)
+def show_status(fleet: FleetClient, output: Output) -> None:
+    """Print the status of each live node."""
+    pages = fleet.fetch_from_all('/status', StatusPage)
     rows = [_status_row(row.node, page) for row, page in pages]
-    output.table(_STATUS_COLUMNS, rows)
-    output.data({row.node: page for row, page in pages})
+    output.print_table(_STATUS_COLUMNS, rows)
+    output.print_json({row.node: page for row, page in pages})
 
 
-def show_nodes(fleet: Fleet, output: Output) -> None:
-    """Print the live nodes and where they are."""
+def show_nodes(fleet: FleetClient, output: Output) -> None:
+    """Print the live nodes with their failure domains and services."""
     rows = fleet.nodes()
-    output.table(
+    output.print_table(
         ('node', 'failure domain', 'service', 'capacity owner', 'slots'),
         [
             (
@@ -71,62 +71,76 @@
             for row in rows
         ],
     )
-    output.data(rows)
+    output.print_json(rows)
 
 
-def show_owners(fleet: Fleet, service: str, output: Output) -> None:
+def show_owners(fleet: FleetClient, service: str, output: Output) -> None:
     """Print how many shards of a service each node owns."""
-    owners = fleet.ask_any('/owners').get(service)
+    owners = fleet.fetch_from_any('/owners').get(service)
     if owners is None:
         raise OperatorCallError(
             f'no shards of {service!r} are known; check the name by '
             '"laburnumwood show"'
         )
     counts = Counter(owner or 'nobody' for owner in owners.values())
-    output.table(('owner', 'shards'), sorted(counts.items()))
-    output.data(owners)
+    output.print_table(('owner', 'shards'), sorted(counts.items()))
+    output.print_json(owners)
 
 
-def show_owner(fleet: Fleet, service: str, key: str, output: Output) -> None:
-    """Print who owns a key."""
+def show_owner(
+    fleet: FleetClient, service: str, key: str, output: Output
+) -> None:
+    """Print the owner of a key and the key's shard."""
     query = urlencode({'service': service, 'key': key})
-    found = KeyOwner.model_validate(fleet.ask_any(f'/owner?{query}'))
-    output.table(
+    key_owner = KeyOwnerPage.model_validate(
+        fleet.fetch_from_any(f'/owner?{query}')
+    )
+    output.print_table(
         ('service', 'key', 'shard', 'owner'),
-        [(found.service, found.key, found.shard, found.owner or 'nobody')],
+        [
+            (
+                key_owner.service,
+                key_owner.key,
+                key_owner.shard,
+                key_owner.owner or 'nobody',
+            )
+        ],
     )
-    output.data(found)
+    output.print_json(key_owner)
+
 
+def show_idle(fleet: FleetClient, window_s: float, output: Output) -> None:
+    """Print used and idle capacity by capacity owner, for the last seconds.
 
-def show_idle(fleet: Fleet, window_s: float, output: Output) -> None:
-    """Print what capacity carried and what lay idle, by who pays."""
+    Nodes that do not answer are named.
+    """
     window_ms = int(window_s * MS_PER_SECOND)
-    answers = fleet.ask_all(f'/idle?window_ms={window_ms}', IdlePage)
+    answers = fleet.fetch_from_all(f'/idle?window_ms={window_ms}', IdlePage)
     pages = [page for _, page in answers if isinstance(page, IdlePage)]
-    silent = [
+    unreachable = [
         row.node for row, page in answers if not isinstance(page, IdlePage)
     ]
-    rows = add_up(pages)
-    output.table(
+    rows = sum_by_group(pages)
+    output.print_table(
         _IDLE_COLUMNS,
         [
             (
                 row.capacity_owner,
                 row.service,
                 row.failure_domain,
-                _seconds(row.capacity),
-                _seconds(row.own),
-                _seconds(row.others),
-                _seconds(row.idle),
+                _format_seconds(row.capacity),
+                _format_seconds(row.own),
+                _format_seconds(row.others),
+                _format_seconds(row.idle),
                 f'{row.idle_share * _PERCENT:.0f}',
             )
             for row in rows
         ],
     )
-    if silent:
-        output.say('without: {}'.format(', '.join(silent)))
-    output.data({'rows': rows, 'without': silent})
+    if unreachable:
+        output.print_text('without: {}'.format(', '.join(unreachable)))
+    output.print_json({'rows': rows, 'without': unreachable})
 
 
-def _seconds(slot_ms: int) -> str:
+def _format_seconds(slot_ms: int) -> str:
     return f'{slot_ms / MS_PER_SECOND:.1f}'
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -25,14 +25,14 @@
 )
 from laburnumwood.integration import INTEGRATIONS
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.endings import (
+from laburnumwood.membership.incarnation_ends import (
     IncarnationStatus,
     RejoinBackoff,
     incarnation_status,
 )
 from laburnumwood.membership.node_records import join
 from laburnumwood.metrics import exposition
-from laburnumwood.operators.door import OperatorDoor
+from laburnumwood.operators.endpoint import OperatorEndpoint
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.peers import listen
 from laburnumwood.protocol.security import LinkSecurity
@@ -84,7 +84,7 @@
         self._unfinished: list[Incarnation] = []
         self._stopping_since_ms: int | None = None
         self._security = LinkSecurity(settings.shared_key, settings.tls)
-        self._operators = OperatorDoor(settings, self.stop)
+        self._operators = OperatorEndpoint(settings, self.stop)
         self.worker = ReportingWorker(settings.reports, self._clock)
 
     @property
@@ -153,7 +153,9 @@
             self._serve_peer,
             self._clock,
         )
-        self._caller_listener = HttpListener(settings.door, self._serve_caller)
+        self._caller_listener = HttpListener(
+            settings.caller_address, self._serve_caller
+        )
         if settings.operator_port is not None:
             operators = (settings.host, settings.operator_port)
             HttpListener(operators, self._serve_operator)
--- a/laburnumwood/membership/endings.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -9,8 +9,8 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import PlatformError
 from laburnumwood.events import END_RECORDED
-from laburnumwood.leases.backless import Candidate, QuorumLossDetector
 from laburnumwood.leases.lease import Lease
+from laburnumwood.leases.quorum_loss import Candidate, QuorumLossDetector
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.membership.node_records import (
@@ -156,7 +156,9 @@
         """Evict obsolete seals, and the witness's state of ended holders."""
         self._view.evict_obsolete_seals()
         for node_id, entry in self._view.directory.nodes.items():
-            self._witness.evict_ended(node_id, entry.record.least_open)
+            self._witness.evict_ended(
+                node_id, entry.record.first_open_incarnation
+            )
 
     def write_changes(self) -> None:
         """Record ends and the current witness set in the store.
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -15,10 +15,10 @@
 from laburnumwood.config.declarations import Weights
 from laburnumwood.leases.lease import Lease
 from laburnumwood.membership.directory import Directory
-from laburnumwood.placement.balance import PlacementSnapshot, weighed
-from laburnumwood.placement.holdings import HeldShards
-from laburnumwood.placement.loads import LoadReports
-from laburnumwood.placement.tenure import OwnershipTracker
+from laburnumwood.placement.held_shards import HeldShards
+from laburnumwood.placement.load_reports import LoadReports
+from laburnumwood.placement.move_policy import PlacementSnapshot, weighed
+from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.protocol.messages import Failure, ShardNotice, WholeAnswer
 from laburnumwood.records import (
     NodeName,
@@ -32,7 +32,11 @@
 from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import LeaseSettings
-from laburnumwood.store.objects import node_object, shard_object, to_value
+from laburnumwood.store.objects import (
+    node_object_name,
+    shard_object_name,
+    to_value,
+)
 from tests.features.steps.counting_view import CountingView
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
@@ -68,7 +72,7 @@
             self._write_shard(number)
 
     def write_node(self, number: int, record: NodeRecord) -> None:
-        name = node_object(f'n{number}')
+        name = node_object_name(f'n{number}')
         self._apply(name, to_value(replace(record, slots=SLOTS)))
 
     def ownership(self, number: int) -> OwnershipTracker:
@@ -89,7 +93,7 @@
         succession = tuple(_name((number + step) % nodes) for step in range(3))
         record = ShardRecord(1, succession, shards=nodes * PER_NODE)
         shard = ShardName(SERVICE, number)
-        self._apply(shard_object(shard), to_value(record))
+        self._apply(shard_object_name(shard), to_value(record))
 
     def _apply(self, name: str, value: dict[str, object]) -> None:
         stored = StoredObject(name, value, next(self._versions))
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -12,8 +12,8 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
+from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.known import CachedStore
 from laburnumwood.membership.node_records import (
     announce_leaving,
     join,
@@ -21,12 +21,12 @@
     record_witness_sets,
 )
 from laburnumwood.membership.renewal import LeaseRenewer
-from laburnumwood.membership.serving import WorkerAnnouncer
 from laburnumwood.membership.view import FleetView
+from laburnumwood.membership.worker_announcer import WorkerAnnouncer
 from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import NodeName, NodeRecord, StoredObject, WitnessSet
 from laburnumwood.settings import LeaseSettings
-from laburnumwood.store.objects import node_object, to_record
+from laburnumwood.store.objects import node_object_name, to_record
 from laburnumwood.store.writes import new_mark
 from tests.features.steps.fake_clock import FakeClock
 from tests.ownership.node import Components
@@ -77,7 +77,7 @@
 @then('the end of "{name}" was recorded once in the store')
 def check_end_recorded(context: Context, name: str) -> None:
     ended = NodeName.parse(name)
-    path = node_object(ended.node_id)
+    path = node_object_name(ended.node_id)
     history = [
         to_record(NodeRecord, stored).has_ended(ended.incarnation)
         for stored in context.simulation.store.history
@@ -173,7 +173,7 @@
 
 @then('its record says that it is leaving')
 def check_leaving(context: Context) -> None:
-    stored = context.store.get(node_object('a'))
+    stored = context.store.get(node_object_name('a'))
     assert to_record(NodeRecord, stored).leaving
 
 
@@ -221,7 +221,7 @@
 
 @then('its record says that {serves} and lists the open incarnations {numbers}')
 def check_record(context: Context, serves: str, numbers: str) -> None:
-    stored = context.store.get(node_object('a'))
+    stored = context.store.get(node_object_name('a'))
     record = to_record(NodeRecord, stored)
     assert record.serves == (serves == 'it serves'), record
     expected = tuple(int(each) for each in numbers.split())
--- a/tests/fuzz/inputs.py
+++ b/tests/fuzz/inputs.py
@@ -36,7 +36,7 @@
 from laburnumwood.records import NodeName, ShardRecord, StoredObject
 from laburnumwood.routing.caller_protocol import CallerProtocol
 from laburnumwood.settings import read_settings
-from laburnumwood.store.objects import CONFIG, node_object, to_value
+from laburnumwood.store.objects import CONFIG_NAME, node_object_name, to_value
 from laburnumwood.upstream.connection import StrictResponse
 from tests.features.steps.plain_work import PLAIN_WORK
 from tests.fuzz.mutations import corrupt_bytes, encode_malformed, replace_values
@@ -130,9 +130,16 @@
 @_input('records of the store')
 def _records(random: Random) -> None:
     """Apply an object of any name and content, which must not raise."""
-    names = ('shards/s/1', 'shards/s', 'shards/', 'nodes/a', 'nodes/', CONFIG)
+    names = (
+        'shards/s/1',
+        'shards/s',
+        'shards/',
+        'nodes/a',
+        'nodes/',
+        CONFIG_NAME,
+    )
     content = random.choice((to_value(_SHARD), to_value(record_of(1))))
-    name = random.choice((*names, node_object('b')))
+    name = random.choice((*names, node_object_name('b')))
     stored = StoredObject(name, replace_values(random, content), 7)
     Directory().apply(stored)
 
@@ -149,7 +156,7 @@
 def _manifests(random: Random) -> None:
     """Read a manifest and apply it as a configuration if it is accepted."""
     value = read_manifest(replace_values(random, _MANIFEST))
-    Directory().apply(StoredObject(CONFIG, value, 1))
+    Directory().apply(StoredObject(CONFIG_NAME, value, 1))
 
 
 @_input('reports of workers', BodyError)
--- a/tests/ownership/simulation.py
+++ b/tests/ownership/simulation.py
@@ -6,14 +6,14 @@
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import witness_count
-from laburnumwood.membership.endings import (
+from laburnumwood.membership.incarnation_ends import (
     IncarnationStatus,
     incarnation_status,
 )
 from laburnumwood.membership.node_records import confirm_lost, join, record_end
 from laburnumwood.records import KeyRange, NodeName, ShardName, ShardRecord
 from laburnumwood.settings import DaemonSettings
-from laburnumwood.store.objects import shard_object, to_value
+from laburnumwood.store.objects import shard_object_name, to_value
 from laburnumwood.store.writes import new_mark
 from tests.ownership.clocks import DriftingClock, SimulatedTime
 from tests.ownership.network import VMS, Message, Network
@@ -115,7 +115,7 @@
 
     def owner_and_successor(self, number: int) -> tuple[str, str]:
         """Return the VMs of the first two nodes in a shard's succession."""
-        name = shard_object(SHARDS[number])
+        name = shard_object_name(SHARDS[number])
         newest = [each for each in self.store.history if each.name == name][-1]
         names = (newest.value or {})['succession']
         ids = [NodeName.parse(each).node_id for each in names]
@@ -160,7 +160,7 @@
         for shard, order in zip(SHARDS, ('abc', 'bcd'), strict=True):
             names = tuple(NodeName(vm, 1) for vm in order)
             record = ShardRecord(1, names)
-            self.store.create(shard_object(shard), to_value(record))
+            self.store.create(shard_object_name(shard), to_value(record))
         for node in self._nodes.values():
             node.start()
 
@@ -321,7 +321,7 @@
 
 
 def _corrupt(simulation: Simulation, number: str) -> None:
-    simulation.store.corrupt(shard_object(SHARDS[int(number)]))
+    simulation.store.corrupt(shard_object_name(SHARDS[int(number)]))
 
 
 # The commands of scripts.  VMs are named `a` to `e`, shards 0 and 1.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,4 +1,4 @@
-"""Faults from outside, each begun, held for a while and mended."""
+"""Faults that are injected from outside, kept up for a time and undone."""
 
 import signal
 import time
@@ -15,113 +15,115 @@
 from standins.clock import MS_PER_SECOND, boottime_ms
 from tests.soak.fleet import SoakFleet
 
-_LONGEST_PAUSE_MS = 2_500
-_LONGEST_HOLD_MS = 3_000
-_LONGEST_REST_MS = 1_500
-_BETWEEN_BREAKS_MS = 300
-_LINGER_MS = 300  # of nodes that stop, in their settings
-_WAYS = ('to_target', 'to_client')
+_MAX_PAUSE_MS = 2_500
+_MAX_FAULT_MS = 3_000
+_MAX_INTERVAL_MS = 1_500
+_MAX_BREAK_INTERVAL_MS = 300
+_LINGER_MS = 300  # `stop_linger_ms` in the settings of the nodes
+_DIRECTIONS = ('to_target', 'to_client')
 _LINKS = ('peer', 'peer', 'worker', 'store', 'reports', 'door')
 
 
 @dataclass(frozen=True, slots=True)
-class Scene:
-    """What a fault strikes, and the random choices of its lane."""
+class FaultContext:
+    """The processes that a fault affects and the random source of its lane."""
 
     fleet: SoakFleet
-    chance: Random
+    rng: Random
 
     def member(self) -> ReportingMember:
-        """Choose a node with its worker."""
-        return self.chance.choice(list(self.fleet.members.values()))
+        """Return a random node with its worker."""
+        return self.rng.choice(list(self.fleet.members.values()))
 
-    def some_s(self, longest_ms: int) -> float:
-        """Return a random time in seconds."""
-        return self.chance.randint(0, longest_ms) / MS_PER_SECOND
+    def random_s(self, max_ms: int) -> float:
+        """Return a random time of up to `max_ms`, in seconds."""
+        return self.rng.randint(0, max_ms) / MS_PER_SECOND
 
 
-Fault = Callable[[Scene], AbstractContextManager[str]]
+Fault = Callable[[FaultContext], AbstractContextManager[str]]
 FAULTS: dict[str, Fault] = {}
 
 
-def _fault(name: str) -> Callable[[Callable[[Scene], Iterator[str]]], Fault]:
-    def register(strike: Callable[[Scene], Iterator[str]]) -> Fault:
-        FAULTS[name] = contextmanager(strike)
+def _fault(
+    name: str,
+) -> Callable[[Callable[[FaultContext], Iterator[str]]], Fault]:
+    def register(inject: Callable[[FaultContext], Iterator[str]]) -> Fault:
+        FAULTS[name] = contextmanager(inject)
         return FAULTS[name]
 
     return register
 
 
 @_fault('a node is killed')
-def kill_node(scene: Scene) -> Iterator[str]:
+def kill_node(context: FaultContext) -> Iterator[str]:
     """Kill a node and start it again later."""
-    member = scene.member()
-    with scene.fleet.claim(f'node {member.name}'):
-        scene.fleet.kill_node(member)
+    member = context.member()
+    with context.fleet.process_lock(f'node {member.name}'):
+        context.fleet.kill_node(member)
         yield member.name
-        scene.fleet.restart_node(member)
+        context.fleet.restart_node(member)
 
 
 @_fault('a node is told to stop')
-def stop_node(scene: Scene) -> Iterator[str]:
-    """Stop a node and start it again once it has ended."""
-    member = scene.member()
-    with scene.fleet.claim(f'node {member.name}'):
-        scene.fleet.stop_node(member)
+def stop_node(context: FaultContext) -> Iterator[str]:
+    """Stop a node with SIGTERM and start it again after it has exited."""
+    member = context.member()
+    with context.fleet.process_lock(f'node {member.name}'):
+        context.fleet.stop_node(member)
         yield member.name
-        scene.fleet.restart_node(member)
+        context.fleet.restart_node(member)
 
 
 @_fault('a node is paused while it stops')
-def pause_stopping(scene: Scene) -> Iterator[str]:
-    """Stop a node, and pause it about when it closes its door."""
-    member = scene.member()
-    with scene.fleet.claim(f'node {member.name}'):
-        pausing = Thread(target=_pause_soon, args=(scene, member))
-        pausing.start()
-        scene.fleet.stop_node(member)
-        pausing.join()
+def pause_stopping_node(context: FaultContext) -> Iterator[str]:
+    """Stop a node, and pause it at about the time it closes its door."""
+    member = context.member()
+    with context.fleet.process_lock(f'node {member.name}'):
+        pause_thread = Thread(target=_pause_after_delay, args=(context, member))
+        pause_thread.start()
+        context.fleet.stop_node(member)
+        pause_thread.join()
         yield member.name
-        scene.fleet.restart_node(member)
+        context.fleet.restart_node(member)
 
 
-def _pause_soon(scene: Scene, member: ReportingMember) -> None:
-    time.sleep(scene.some_s(_LINGER_MS))
-    scene.fleet.pause_node(member, scene.some_s(_LONGEST_PAUSE_MS))
+def _pause_after_delay(context: FaultContext, member: ReportingMember) -> None:
+    time.sleep(context.random_s(_LINGER_MS))
+    context.fleet.pause_node(member, context.random_s(_MAX_PAUSE_MS))
 
 
 @_fault('a node is paused')
-def pause_node(scene: Scene) -> Iterator[str]:
-    """Pause a node."""
-    member = scene.member()
-    scene.fleet.pause_node(member, scene.some_s(_LONGEST_PAUSE_MS))
+def pause_node(context: FaultContext) -> Iterator[str]:
+    """Suspend the process of a node for a random time."""
+    member = context.member()
+    context.fleet.pause_node(member, context.random_s(_MAX_PAUSE_MS))
     yield member.name
 
 
 @_fault('a node reads its settings again')
-def reload_node(scene: Scene) -> Iterator[str]:
-    """Send SIGHUP."""
-    member = scene.member()
-    with scene.fleet.claim(f'node {member.name}'), suppress(HTTPError):
-        if scene.fleet.is_ready(member):
+def reload_node(context: FaultContext) -> Iterator[str]:
+    """Send SIGHUP to a node, if it is ready."""
+    member = context.member()
+    with context.fleet.process_lock(f'node {member.name}'), suppress(HTTPError):
+        if context.fleet.is_ready(member):
             member.node.signal(signal.SIGHUP)
     yield member.name
 
 
 @_fault('a worker is killed')
-def kill_worker(scene: Scene) -> Iterator[str]:
+def kill_worker(context: FaultContext) -> Iterator[str]:
     """Kill a worker and start it again later."""
-    member = scene.member()
-    with scene.fleet.claim(f'worker {member.name}'):
-        scene.fleet.kill_worker(member)
+    member = context.member()
+    with context.fleet.process_lock(f'worker {member.name}'):
+        context.fleet.kill_worker(member)
         yield member.name
-        scene.fleet.restart_worker(member)
+        context.fleet.restart_worker(member)
 
 
 @_fault('a worker is paused')
-def pause_worker(scene: Scene) -> Iterator[str]:
-    """Pause a worker."""
-    member = scene.member()
+def pause_worker(context: FaultContext) -> Iterator[str]:
+    """Suspend the process of a worker while the fault lasts."""
+    member = context.member()
     worker = member.worker
     worker.pause()
     yield member.name
@@ -129,88 +131,97 @@
 
 
 @_fault('links are hindered')
-def hinder_links(scene: Scene) -> Iterator[str]:
-    """Delay, reset, silence or deafen what leads to a node, or from it."""
-    route, switches = _draw_hindrance(scene)
-    scene.fleet.relays.hinder(route, **switches)
+def impair_links(context: FaultContext) -> Iterator[str]:
+    """Delay, reset, silence or drop traffic on a link of a node."""
+    route, switches = _draw_impairment(context)
+    context.fleet.relays.set_switches(route, **switches)
     yield f'{route} {switches}'
-    scene.fleet.relays.clear(route)
+    context.fleet.relays.reset_switches(route)
 
 
 @_fault('a link breaks after some bytes')
-def break_link(scene: Scene) -> Iterator[str]:
-    """Reset a connection in the middle of a message, a few times."""
-    route, _ = _draw_hindrance(scene)
-    way = scene.chance.choice(_WAYS)
-    for _ in range(scene.chance.randint(1, 8)):
-        size = scene.chance.choice((10, 300, 3_000, 30_000, 100_000))
-        scene.fleet.relays.hinder(route, cut_after=size, cut_direction=way)
-        time.sleep(scene.some_s(_BETWEEN_BREAKS_MS))
-    yield f'{route} {way}'
-    scene.fleet.relays.clear(route)
-
-
-def _draw_hindrance(scene: Scene) -> tuple[str, dict[str, Any]]:
-    chance = scene.chance
-    switches: dict[str, Any] = chance.choice(
+def break_link(context: FaultContext) -> Iterator[str]:
+    """Reset connections after a number of bytes, one to eight times."""
+    route, _ = _draw_impairment(context)
+    direction = context.rng.choice(_DIRECTIONS)
+    for _ in range(context.rng.randint(1, 8)):
+        size = context.rng.choice((10, 300, 3_000, 30_000, 100_000))
+        context.fleet.relays.set_switches(
+            route, cut_after=size, cut_direction=direction
+        )
+        time.sleep(context.random_s(_MAX_BREAK_INTERVAL_MS))
+    yield f'{route} {direction}'
+    context.fleet.relays.reset_switches(route)
+
+
+def _draw_impairment(context: FaultContext) -> tuple[str, dict[str, Any]]:
+    rng = context.rng
+    switches: dict[str, Any] = rng.choice(
         (
             {'cut': True},
-            {'delay_ms': chance.choice((20, 80, 300))},
+            {'delay_ms': rng.choice((20, 80, 300))},
             {'silent': True},
             {'silent': True, 'silent_new': True},
-            {'drop': chance.choice(_WAYS)},
+            {'drop': rng.choice(_DIRECTIONS)},
         )
     )
-    return f'{scene.member().name}.{chance.choice(_LINKS)}', switches
+    return f'{context.member().name}.{rng.choice(_LINKS)}', switches
 
 
 @_fault('the store is away')
-def fault_store(scene: Scene) -> Iterator[str]:
-    """Let the store be out of service, slow, or lose answers."""
-    switches = scene.chance.choice(
+def disrupt_store(context: FaultContext) -> Iterator[str]:
+    """Make the store unavailable or slow, or let it lose responses."""
+    switches = context.rng.choice(
         ({'outage': True}, {'delay_ms': 400}, {'lose_answers': 5})
     )
-    scene.fleet.fault_store(**switches)
+    context.fleet.set_store_faults(**switches)
     yield str(switches)
-    scene.fleet.fault_store(outage=False, delay_ms=0, lose_answers=0)
+    context.fleet.set_store_faults(outage=False, delay_ms=0, lose_answers=0)
 
 
 @_fault('the manifest changes')
-def change_manifest(scene: Scene) -> Iterator[str]:
-    """Write a manifest with other timeouts."""
-    timeout_ms = scene.chance.choice((1_500, 2_000, 2_500))
-    with suppress(HTTPError):  # another lane may have taken the store away
-        scene.fleet.declare_again(timeout_ms)
+def rewrite_manifest(context: FaultContext) -> Iterator[str]:
+    """Replace the manifest by one with other timeouts."""
+    timeout_ms = context.rng.choice((1_500, 2_000, 2_500))
+    with suppress(HTTPError):  # another lane may have disrupted the store
+        context.fleet.replace_manifest(timeout_ms)
     yield f'timeout {timeout_ms} ms'
 
 
 class Lane:
-    """Faults one after the other, beside those of other lanes."""
+    """A sequence of faults that runs concurrently with other lanes.
+
+    `log` holds a line for each fault, `injection_errors` one for each fault
+    that raised an exception.
+    """
 
     def __init__(
-        self, fleet: SoakFleet, faults: Sequence[str], chance: Random
+        self, fleet: SoakFleet, faults: Sequence[str], rng: Random
     ) -> None:
         self._faults = faults
         self.log: list[str] = []
-        self.failed: list[str] = []
-        self._scene = Scene(fleet, chance)
+        self.injection_errors: list[str] = []
+        self._context = FaultContext(fleet, rng)
+
+    def run_until(self, stop_event: Event) -> None:
+        """Inject and undo faults until `stop_event` is set.
 
-    def run_until(self, halt: Event) -> None:
-        """Strike and mend until told to stop; ends with all mended."""
-        while not halt.is_set():
-            name = self._scene.chance.choice(self._faults)
+        No fault is in force when it returns, unless undoing it failed.
+        """
+        while not stop_event.is_set():
+            name = self._context.rng.choice(self._faults)
             try:
-                self._strike(name, halt)
+                self._inject(name, stop_event)
             except Exception as failure:
-                self.failed.append(f'{name}: {failure!r}')
-            self._wait(halt, _LONGEST_REST_MS)
-
-    def _strike(self, name: str, halt: Event) -> None:
-        begun_ms = boottime_ms()
-        with FAULTS[name](self._scene) as detail:
-            self.log.append(f'{begun_ms:.0f} {name}: {detail}')
-            self._wait(halt, _LONGEST_HOLD_MS)
+                self.injection_errors.append(f'{name}: {failure!r}')
+            self._wait_random_time(stop_event, _MAX_INTERVAL_MS)
+
+    def _inject(self, name: str, stop_event: Event) -> None:
+        started_ms = boottime_ms()
+        with FAULTS[name](self._context) as detail:
+            self.log.append(f'{started_ms:.0f} {name}: {detail}')
+            self._wait_random_time(stop_event, _MAX_FAULT_MS)
         self.log.append(f'{boottime_ms():.0f} mended: {name}')
 
-    def _wait(self, halt: Event, longest_ms: int) -> None:
-        halt.wait(self._scene.chance.randint(0, longest_ms) / MS_PER_SECOND)
+    def _wait_random_time(self, stop_event: Event, max_ms: int) -> None:
+        stop_event.wait(self._context.rng.randint(0, max_ms) / MS_PER_SECOND)
--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -1,4 +1,4 @@
-"""What the workers of a soak held, by the lines that they wrote of it."""
+"""Which keys the workers of a soak held, as logged by the workers."""
 
 import json
 from collections import defaultdict
@@ -11,20 +11,20 @@
 from standins.clock import boottime_ms, monotonic_ms
 from standins.reporter.holds import Row
 
-_MARK = '{"held":'
+_HELD_PREFIX = '{"held":'
 
 
 @dataclass(frozen=True, slots=True)
-class Keys:
-    """Neighbouring keys that a worker held as one row."""
+class HeldRange:
+    """A range of keys that a worker held, both ends included."""
 
     first: int
     last: int
 
 
 @dataclass(slots=True)
-class Span:
-    """A time in which a worker held keys, in ms of CLOCK_BOOTTIME."""
+class HoldSpan:
+    """A period in which a worker held keys, in ms of CLOCK_BOOTTIME."""
 
     worker: str
     since_ms: float
@@ -32,55 +32,61 @@
 
 
 @dataclass(slots=True)
-class WorkerLife:
-    """One process of a worker; `killed_ms` is None while it runs."""
+class WorkerIncarnation:
+    """One process of a worker; `killed_ms` is None if it was not killed."""
 
     worker: str
     log: Path
     killed_ms: float | None = None
 
 
-Held = dict[Keys, list[Span]]
+SpansByRange = dict[HeldRange, list[HoldSpan]]
 
 
-def tell_held(rows: Sequence[Row], until_ms: float) -> None:
-    """Write down what is held from now on, until a moment (monotonic ms)."""
+def log_held(rows: Sequence[Row], until_ms: float) -> None:
+    """Log the rows that are held from now until `until_ms` (monotonic ms)."""
     now_ms = boottime_ms()
     until_ms += now_ms - monotonic_ms()
     line = {'held': list(rows), 'at_ms': now_ms, 'until_ms': until_ms}
     print(json.dumps(line), flush=True)
 
 
-def two_holders(lives: Sequence[WorkerLife]) -> Iterator[str]:
-    """Yield what two workers held at one moment."""
-    held = _held_by(lives)
-    # Two rows that share keys share the higher one of their first keys.
-    for key in sorted({keys.first for keys in held}):
-        spans = [held[keys] for keys in held if keys.first <= key <= keys.last]
-        for one, other in combinations(chain.from_iterable(spans), 2):
-            since_ms = max(one.since_ms, other.since_ms)
-            until_ms = min(one.until_ms, other.until_ms)
-            if one.worker != other.worker and since_ms < until_ms:
-                both_ms = until_ms - since_ms
-                yield f'key {key} for {both_ms:.0f} ms: {one} {other}'
-
-
-def _held_by(lives: Sequence[WorkerLife]) -> Held:
-    held: Held = defaultdict(list)
-    for life in lives:
+def find_concurrent_holders(
+    incarnations: Sequence[WorkerIncarnation],
+) -> Iterator[str]:
+    """Yield a description of each key that two workers held at one time."""
+    spans_by_range = _spans_by_range(incarnations)
+    # Ranges that overlap have the higher of their first keys in common.
+    for key in sorted({key_range.first for key_range in spans_by_range}):
+        spans = [
+            spans_by_range[key_range]
+            for key_range in spans_by_range
+            if key_range.first <= key <= key_range.last
+        ]
+        for span, other in combinations(chain.from_iterable(spans), 2):
+            since_ms = max(span.since_ms, other.since_ms)
+            until_ms = min(span.until_ms, other.until_ms)
+            if span.worker != other.worker and since_ms < until_ms:
+                overlap_ms = until_ms - since_ms
+                yield f'key {key} for {overlap_ms:.0f} ms: {span} {other}'
+
+
+def _spans_by_range(incarnations: Sequence[WorkerIncarnation]) -> SpansByRange:
+    spans_by_range: SpansByRange = defaultdict(list)
+    for incarnation in incarnations:
         last = {'held': [], 'at_ms': float('inf'), 'until_ms': float('inf')}
-        for line, following in pairwise([*_lines(life), last]):
+        for line, following in pairwise([*_held_lines(incarnation), last]):
             end_ms = min(line['until_ms'], following['at_ms'])
-            if life.killed_ms is not None:
-                end_ms = min(end_ms, life.killed_ms)
-            for first, until_key, _ in line['held']:
-                span = Span(life.worker, line['at_ms'], end_ms)
-                _add(held[Keys(first, until_key)], span)
-    return held
+            if incarnation.killed_ms is not None:
+                end_ms = min(end_ms, incarnation.killed_ms)
+            for first, last_key, _ in line['held']:
+                span = HoldSpan(incarnation.worker, line['at_ms'], end_ms)
+                _append_span(spans_by_range[HeldRange(first, last_key)], span)
+    return spans_by_range
 
 
-def _add(spans: list[Span], span: Span) -> None:
-    """Add a span, as part of the last one if that goes on in it."""
+def _append_span(spans: list[HoldSpan], span: HoldSpan) -> None:
+    """Append a span, or extend the last one if the new one continues it."""
     last = spans[-1] if spans else span
     if last.worker == span.worker and last.until_ms == span.since_ms:
         last.until_ms = span.until_ms
@@ -88,6 +94,6 @@
         spans.append(span)
 
 
-def _lines(life: WorkerLife) -> list[dict[str, Any]]:
-    lines = life.log.read_text().splitlines()
-    return [json.loads(line) for line in lines if line.startswith(_MARK)]
+def _held_lines(incarnation: WorkerIncarnation) -> list[dict[str, Any]]:
+    lines = incarnation.log.read_text().splitlines()
+    return [json.loads(line) for line in lines if line.startswith(_HELD_PREFIX)]
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -1,4 +1,4 @@
-"""Judges the log of the callers against the journals of the workers."""
+"""Checks the calls of the callers against the journal of the workers."""
 
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Sequence
@@ -7,92 +7,110 @@
 
 from standins.journal.entry import JournalEntry, Outcome
 from standins.worker.bodies import body_of
-from tests.soak.callers import Call, End
-from tests.soak.fleet import Life
-from tests.soak.holds import WorkerLife, two_holders
-from tests.soak.plans import Form
+from tests.soak.callers import Call, CallEnd
+from tests.soak.fleet import NodeIncarnation
+from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
+from tests.soak.plans import Framing
 
-_CROSSING_MS = 1_000  # more than a request takes to be read
-_SHOWN = 60  # bytes of a body in what shows a broken promise
+_READ_TIME_MS = 1_000  # more than a node takes to read a request
+_MAX_SHOWN_BYTES = 60  # of each body, in the evidence of a violation
 _SUCCESS = range(200, 300)
-_OWN_REFUSALS = frozenset((408, 421, 429, 503))  # each says: it has not run
-_MAY_BE_OWN = frozenset((502, 504)) | _OWN_REFUSALS
+# Each of these states that the request was not executed.
+_NODE_REFUSALS = frozenset((408, 421, 429, 503))
+_NODE_STATUSES = frozenset((502, 504)) | _NODE_REFUSALS
 
 
 @dataclass(slots=True)
 class Record:
-    """All that is known of a soak when it is over."""
+    """The data of a finished soak; `runs` are grouped by attempt id."""
 
     calls: Sequence[Call]
-    lives: Sequence[Life]
-    workers: Sequence[WorkerLife]
+    node_incarnations: Sequence[NodeIncarnation]
+    worker_incarnations: Sequence[WorkerIncarnation]
     runs: dict[str, list[JournalEntry]] = field(default_factory=dict)
 
     @classmethod
     def of(
         cls,
         calls: Sequence[Call],
-        lives: Sequence[Life],
-        workers: Sequence[WorkerLife],
-        entries: Sequence[JournalEntry],
+        node_incarnations: Sequence[NodeIncarnation],
+        worker_incarnations: Sequence[WorkerIncarnation],
+        journal_entries: Sequence[JournalEntry],
     ) -> 'Record':
-        """Return the record with runs grouped by request."""
+        """Return the record with the journal entries grouped by attempt id."""
         runs = defaultdict(list)
-        for entry in entries:
+        for entry in journal_entries:
             runs[entry.request].append(entry)
-        return cls(calls, lives, workers, runs)
+        return cls(calls, node_incarnations, worker_incarnations, runs)
 
     def has_run(self, call: Call) -> bool:
-        """Tell whether a worker has run a request."""
-        return call.ask.attempt in self.runs
+        """Return whether a worker has executed a request."""
+        return call.request.attempt_id in self.runs
 
-    def ran_whole(self, call: Call) -> bool:
-        """Tell whether every worker came to the end of its answer."""
-        runs = self.runs.get(call.ask.attempt, ())
+    def ran_to_completion(self, call: Call) -> bool:
+        """Return whether each execution sent its whole response."""
+        runs = self.runs.get(call.request.attempt_id, ())
         return all(run.outcome == Outcome.ran for run in runs)
 
     def was_killed(self, call: Call) -> bool:
-        """Tell whether the node was killed while a connection was open.
+        """Return whether the node was killed while the connection was open.
 
-        A process that is told to stop before it handles signals is killed,
-        and has read nothing by then.
+        SIGTERM counts as well if the process did not handle signals yet: it
+        has read no request by then.
         """
         return any(
-            _overlap(call.opened_ms, call, life.struck_ms, life.ended_ms)
-            for life in self._lives_at(call)
+            _overlaps(
+                call.opened_ms,
+                call,
+                incarnation.unhandled_end_ms,
+                incarnation.ended_ms,
+            )
+            for incarnation in self._incarnations_at(call)
         )
 
     def was_stopping(self, call: Call) -> bool:
-        """Tell whether the node stopped while a connection was open."""
+        """Return whether the node stopped while the connection was open."""
         return any(
-            _overlap(call.opened_ms, call, life.stopped_ms, life.ended_ms)
-            for life in self._lives_at(call)
+            _overlaps(
+                call.opened_ms,
+                call,
+                incarnation.stopped_ms,
+                incarnation.ended_ms,
+            )
+            for incarnation in self._incarnations_at(call)
         )
 
     def was_paused(self, call: Call) -> bool:
-        """Tell whether the node was paused while a call was under way."""
+        """Return whether the node was suspended during a call."""
         return any(
-            _overlap(call.sent_ms, call, *pause)
-            for life in self._lives_at(call)
-            for pause in life.pauses
+            _overlaps(call.sent_ms, call, *pause)
+            for incarnation in self._incarnations_at(call)
+            for pause in incarnation.pauses
         )
 
-    def _lives_at(self, call: Call) -> Iterator[Life]:
-        return (life for life in self.lives if life.node == call.ask.node)
+    def _incarnations_at(self, call: Call) -> Iterator[NodeIncarnation]:
+        return (
+            incarnation
+            for incarnation in self.node_incarnations
+            if incarnation.node == call.request.node
+        )
 
 
-def _overlap(
-    since_ms: float, call: Call, begun_ms: float | None, ended_ms: float | None
+def _overlaps(
+    since_ms: float,
+    call: Call,
+    started_ms: float | None,
+    ended_ms: float | None,
 ) -> bool:
-    """Tell whether a span touches a call, counted from some moment of it."""
-    if begun_ms is None or begun_ms > call.done_ms:
+    """Return whether a period overlaps `since_ms` to the end of a call."""
+    if started_ms is None or started_ms > call.done_ms:
         return False
     return ended_ms is None or ended_ms >= since_ms
 
 
 @dataclass(frozen=True, slots=True)
-class Broken:
-    """A broken promise, and what shows it."""
+class Violation:
+    """A rule that was violated, with the evidence."""
 
     rule: str
     evidence: str
@@ -110,123 +128,141 @@
     return register
 
 
-def _own(record: Record, end: End) -> Iterator[Call]:
-    """Yield the calls with an end that no relay can have caused."""
+def _direct_calls(record: Record, end: CallEnd) -> Iterator[Call]:
+    """Yield the calls that ended so and did not go through a relay.
+
+    A relay may have caused the end of the others.
+    """
     for call in record.calls:
-        if call.end is end and not call.ask.is_relayed:
+        if call.end is end and not call.request.is_relayed:
             yield call
 
 
 @_rule('ran, and its connection closed without an answer')
-def lost(record: Record) -> Iterator[str]:
-    """Yield requests that were passed on and got no answer."""
-    for call in _own(record, End.closed):
+def unanswered_executions(record: Record) -> Iterator[str]:
+    """Yield requests that a worker executed and that got no response."""
+    for call in _direct_calls(record, CallEnd.closed):
         if record.has_run(call) and not record.was_killed(call):
-            yield _told(call, record)
+            yield _describe(call, record)
 
 
 @_rule('a connection closed without an answer while its node lived')
-def closed(record: Record) -> Iterator[str]:
-    """Yield requests that were not passed on, and not answered either.
+def unanswered_requests(record: Record) -> Iterator[str]:
+    """Yield requests that were neither executed nor answered.
 
-    One that crosses the end of an idle connection is not read.
+    A request that is sent while a stopping node closes the idle connection is
+    never read and does not count.
     """
-    for call in _own(record, End.closed):
-        crosses = call.done_ms - call.sent_ms < _CROSSING_MS
-        crosses = crosses or record.was_paused(call)
-        ends = record.was_stopping(call) and crosses
-        if not (ends or record.was_killed(call) or record.has_run(call)):
-            yield _told(call, record)
+    for call in _direct_calls(record, CallEnd.closed):
+        may_be_unread = call.done_ms - call.sent_ms < _READ_TIME_MS
+        may_be_unread = may_be_unread or record.was_paused(call)
+        is_expected = record.was_stopping(call) and may_be_unread
+        if not (is_expected or record.was_killed(call) or record.has_run(call)):
+            yield _describe(call, record)
 
 
 @_rule('no answer came at all')
-def silent(record: Record) -> Iterator[str]:
-    """Yield requests whose callers waited in vain."""
-    for call in _own(record, End.silent):
-        yield _told(call, record)
+def timed_out_requests(record: Record) -> Iterator[str]:
+    """Yield requests that got no response in time."""
+    for call in _direct_calls(record, CallEnd.timed_out):
+        yield _describe(call, record)
 
 
 @_rule('answered as not run, and ran')
-def refused(record: Record) -> Iterator[str]:
-    """Yield refusals that were not true, or are not any more."""
+def executed_refusals(record: Record) -> Iterator[str]:
+    """Yield requests that were refused as not executed, but were executed."""
     for call in record.calls:
-        is_refusal = call.status in _OWN_REFUSALS and not call.stamp
+        is_refusal = call.status in _NODE_REFUSALS and not call.stamp
         if is_refusal and record.has_run(call):
-            yield _told(call, record)
+            yield _describe(call, record)
 
 
 @_rule('ran twice')
-def repeated(record: Record) -> Iterator[str]:
-    """Yield requests that may run once and ran more often."""
+def repeated_executions(record: Record) -> Iterator[str]:
+    """Yield non-idempotent requests that were executed more than once."""
     for call in record.calls:
-        runs = record.runs.get(call.ask.attempt, [])
-        if len(runs) > 1 and not call.ask.is_idempotent:
-            yield _told(call, record)
+        runs = record.runs.get(call.request.attempt_id, [])
+        if len(runs) > 1 and not call.request.is_idempotent:
+            yield _describe(call, record)
 
 
 @_rule('not the answer to its request')
-def mixed(record: Record) -> Iterator[str]:
-    """Yield answers of other requests, and bodies that are not whole."""
+def mismatched_responses(record: Record) -> Iterator[str]:
+    """Yield responses of other requests, and incomplete or wrong bodies."""
     for call in record.calls:
-        if call.end is End.answered and not _fits(call, record):
-            yield _told(call, record)
+        if call.end is CallEnd.answered and not _matches_request(call, record):
+            yield _describe(call, record)
 
 
-def _fits(call: Call, record: Record) -> bool:
-    ask = call.ask
-    if call.answer_id and call.answer_id != ask.attempt:
+def _matches_request(call: Call, record: Record) -> bool:
+    request = call.request
+    if call.response_id and call.response_id != request.attempt_id:
         return False
     if not call.stamp:
         return call.status not in _SUCCESS
-    if call.stamp != f'{ask.attempt}.{call.status}':
+    if call.stamp != f'{request.attempt_id}.{call.status}':
         return False
-    body = body_of(ask.attempt, ask.plan.size)
-    if ask.plan.form == Form.unframed and not record.ran_whole(call):
-        # Without a length, the end of a killed worker looks like any other.
+    body = body_of(request.attempt_id, request.plan.size)
+    if request.plan.form == Framing.unframed and not record.ran_to_completion(
+        call
+    ):
+        # An unframed body ends with the connection, so that the end of a killed
+        # worker looks like that of a complete body.
         return body.startswith(call.body)
     return call.body == body
 
 
 @_rule('a proper request was denied or failed inside')
-def denied(record: Record) -> Iterator[str]:
-    """Yield answers of a node's own that no fault explains."""
+def unexplained_errors(record: Record) -> Iterator[str]:
+    """Yield error responses of the node itself that no fault explains."""
     for call in record.calls:
-        own = call.end is End.answered and not call.stamp
-        if own and call.status not in _MAY_BE_OWN:
-            yield _told(call, record)
+        from_node = call.end is CallEnd.answered and not call.stamp
+        if from_node and call.status not in _NODE_STATUSES:
+            yield _describe(call, record)
 
 
 @_rule('two workers held the same keys')
-def held_twice(record: Record) -> Iterator[str]:
-    """Yield keys that two workers held at one moment."""
-    yield from two_holders(record.workers)
+def concurrent_holders(record: Record) -> Iterator[str]:
+    """Yield keys that two workers held at the same time."""
+    yield from find_concurrent_holders(record.worker_incarnations)
 
 
 @_rule('a process did not end as it should')
-def ended(record: Record) -> Iterator[str]:
-    """Yield lives that ended by themselves or with a failure."""
-    for life in record.lives:
-        is_over = not life.process.is_running
-        by_itself = life.stopped_ms is None and life.killed_ms is None
-        failed = life.status not in {None, 0} and not life.died_starting
-        if (is_over and by_itself) or failed:
-            yield f'{life.node} pid {life.process.pid} status {life.status}'
+def unexpected_exits(record: Record) -> Iterator[str]:
+    """Yield node processes that exited unasked or with an error status."""
+    for incarnation in record.node_incarnations:
+        has_exited = not incarnation.process.is_running
+        unasked = (
+            incarnation.stopped_ms is None and incarnation.killed_ms is None
+        )
+        failed = (
+            incarnation.status not in {None, 0}
+            and not incarnation.died_during_start
+        )
+        if (has_exited and unasked) or failed:
+            yield (
+                f'{incarnation.node} pid {incarnation.process.pid} '
+                f'status {incarnation.status}'
+            )
 
 
-def _told(call: Call, record: Record) -> str:
+def _describe(call: Call, record: Record) -> str:
     runs = [
         (run.worker, run.started_ms, run.finished_ms, run.outcome)
-        for run in record.runs.get(call.ask.attempt, ())
+        for run in record.runs.get(call.request.attempt_id, ())
     ]
-    ask = replace(call.ask, body=call.ask.body[:_SHOWN])
-    return f'{replace(call, ask=ask, body=call.body[:_SHOWN])} runs {runs}'
+    request = replace(call.request, body=call.request.body[:_MAX_SHOWN_BYTES])
+    return (
+        f'{replace(call, request=request, body=call.body[:_MAX_SHOWN_BYTES])} '
+        f'runs {runs}'
+    )
 
 
-def judge(record: Record) -> list[Broken]:
-    """Return each broken promise."""
+def find_violations(record: Record) -> list[Violation]:
+    """Apply all rules to the record of a soak."""
     return list(
         chain.from_iterable(
-            (Broken(name, evidence) for evidence in rule(record))
+            (Violation(name, evidence) for evidence in rule(record))
             for name, rule in RULES.items()
         )
     )
