--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -35,7 +35,7 @@
 from laburnumwood.store.objects import shard_object_name, to_value
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
-from tests.ownership.simulation import node_settings
+from tests.ownership.world import node_settings
 
 SHARD = ShardName('s', 3)
 TOKEN = 8
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -6,7 +6,7 @@
 from tests.ownership.machine import run_random_simulations
 from tests.ownership.mutations import MUTATIONS
 from tests.ownership.node import Components
-from tests.ownership.simulation import Simulation
+from tests.ownership.world import Simulation
 
 
 def _run(
--- a/tests/features/steps/quorum_loss_steps.py
+++ b/tests/features/steps/quorum_loss_steps.py
@@ -16,8 +16,8 @@
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import node_object_name, to_record
 from tests.features.steps.fake_clock import FakeClock
-from tests.ownership.simulation import node_settings
 from tests.ownership.store import FakeStore
+from tests.ownership.world import node_settings
 
 
 def _names(text: str) -> tuple[NodeName, ...]:
--- a/tests/features/steps/worker_release_steps.py
+++ b/tests/features/steps/worker_release_steps.py
@@ -20,8 +20,8 @@
 from laburnumwood.store.writes import new_mark
 from laburnumwood.upstream.reports import HeldRange, WorkerReport
 from tests.features.steps.fake_clock import FakeClock
-from tests.ownership.simulation import node_settings
 from tests.ownership.store import FakeStore
+from tests.ownership.world import node_settings
 
 SHARD = ShardName('s', 0)
 DECLARED = SimpleNamespace(shards=64, stripe_width=64)
--- a/tests/ownership/machine.py
+++ b/tests/ownership/machine.py
@@ -10,7 +10,7 @@
 
 from tests.ownership.network import VMS
 from tests.ownership.node import Components
-from tests.ownership.simulation import STEP_MS, Simulation
+from tests.ownership.world import STEP_MS, Simulation
 
 _VMS = strategies.sampled_from(VMS)
 _VM_OR_ALL = strategies.sampled_from((*VMS, 'all'))
