--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -157,7 +157,7 @@
     def start(self, avoided: frozenset[str] = _NO_NODE_IDS) -> None:
         """Read the store and choose the first witnesses.
 
-        Nodes with an id in `avoided` are chosen last.
+        Nodes with an id in `avoided` are left out if there are others.
         """
         self.read_store()
         live = self.view.witnesses(avoided)
