--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -148,7 +148,7 @@
         return self.worker is None or not self.worker.held_for_ms()
 
     def must_rejoin(self) -> bool:
-        """Return whether to rejoin now because the lease stays lost."""
+        """Return whether to rejoin now, and record it if the rejoin is due."""
         if not self._rejoin_backoff.is_due(self.lease):
             return False
         self._rejoin_backoff.record_rejoin()
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -78,7 +78,7 @@
 
 
 class SimulatedWorkers:
-    """The workers of all VMs, and what the node beside each knows of it."""
+    """The workers of all VMs, and the state of each in its node process."""
 
     def __init__(self, time: SimulatedTime, clocks: dict[str, DriftingClock]):
         self._clocks = clocks
@@ -91,7 +91,7 @@
         }
 
     def start_process(self, vm: str) -> None:
-        """Replace a VM's process by one that knows nothing of the worker."""
+        """Replace a VM's process by one without any state of the worker."""
         self.reporting_workers[vm] = ReportingWorker(
             _SETTINGS, self._clocks[vm]
         )
