--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the systems that laburnumwood works with."""
+"""Test servers that stand in for the systems that laburnumwood depends on."""
--- a/standins/answers.py
+++ b/standins/answers.py
@@ -1,4 +1,4 @@
-"""What a stand-in answers."""
+"""HTTP responses and errors of the stand-in servers."""
 
 import json
 from collections.abc import Iterable
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """One HTTP response; the content may be a stream of pieces."""
+    """One HTTP response; the content may be a stream of chunks."""
 
     status: int
     content: Iterable[bytes] = ()
@@ -16,7 +16,7 @@
 
 
 class RefusedError(Exception):
-    """An answer that says why a request was not carried out."""
+    """Raised to answer a request with an error status and a JSON document."""
 
     def __init__(self, status: int, error: str, **details: Any) -> None:
         super().__init__(error)
@@ -25,13 +25,18 @@
 
 
 class DroppedError(Exception):
-    """Ends the connection without an answer."""
+    """Raised to close the connection without sending an answer."""
 
 
 def json_answer(payload: Any, status: int = 200, **headers: str) -> Answer:
-    """Return a JSON document as a complete answer."""
+    """Return an answer whose body is the payload in JSON.
+
+    An underscore in the name of a header stands for a hyphen.
+    """
     content = json.dumps(payload).encode()
-    named = {name.replace('_', '-'): text for name, text in headers.items()}
-    named['Content-Type'] = 'application/json'
-    named['Content-Length'] = str(len(content))
-    return Answer(status, (content,), named)
+    all_headers = {
+        name.replace('_', '-'): text for name, text in headers.items()
+    }
+    all_headers['Content-Type'] = 'application/json'
+    all_headers['Content-Length'] = str(len(content))
+    return Answer(status, (content,), all_headers)
--- a/standins/application.py
+++ b/standins/application.py
@@ -1,4 +1,4 @@
-"""The WSGI side of a stand-in."""
+"""The WSGI application of a stand-in server."""
 
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -19,7 +19,7 @@
 
 
 class Application:
-    """Turns a function from request to answer into a WSGI application."""
+    """Adapts a function from request to answer to the WSGI interface."""
 
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
@@ -29,7 +29,7 @@
         environ: dict[str, Any],
         start_response: Callable[[str, Headers], Any],
     ) -> Iterable[bytes]:
-        """Answer one request."""
+        """Handle one WSGI request and return the chunks of its body."""
         try:
             answer = self._answer(environ)
         except DroppedError:
--- a/standins/green.py
+++ b/standins/green.py
@@ -1,4 +1,4 @@
-"""The start of every stand-in: make blocking calls cooperative, then run."""
+"""Starts a stand-in server on eventlet green threads."""
 
 import importlib
 
@@ -6,6 +6,10 @@
 
 
 def run(module: str) -> None:
-    """Patch the standard library, then call `main` of the module."""
+    """Import a module and call its `main` function.
+
+    The standard library is patched first, so that blocking calls yield to
+    other green threads.
+    """
     eventlet.monkey_patch()
     importlib.import_module(module).main()
--- a/standins/reporter/__init__.py
+++ b/standins/reporter/__init__.py
@@ -1,1 +1,1 @@
-"""A worker that reports to the node beside it and fetches its grants."""
+"""A stand-in worker that reports to its local node to receive grants."""
--- a/standins/reporter/api.py
+++ b/standins/reporter/api.py
@@ -17,7 +17,7 @@
 
 
 class ReporterApi:
-    """Runs requests whose keys are held, and notes what it was sent."""
+    """Runs requests whose keys are held, and records what it received."""
 
     def __init__(
         self, options: Namespace, holds: Holds | None, reports: Reports
@@ -27,18 +27,20 @@
         self._reports = reports
         self._running = 0
         self._runs: Counter[str] = Counter()
-        self._seen: list[dict[str, Any]] = []
+        self._received: list[dict[str, Any]] = []
 
     def answer(self, request: Request) -> Answer:
         """Answer one request."""
         if request.path == '/seen':
-            warm = self._holds.came_warm if self._holds else 0
-            return json_answer({'seen': self._seen, 'came_warm': warm})
+            handover_count = self._holds.handover_count if self._holds else 0
+            return json_answer(
+                {'seen': self._received, 'came_warm': handover_count}
+            )
         if request.path == '/drain':
             self._reports.state = 'draining'
             return json_answer({})
         if request.path == '/deregister':
-            self._reports.leave()
+            self._reports.deregister()
             return json_answer({})
         return self._run(request)
 
@@ -60,7 +62,7 @@
 
     def _work(self, request: Request, attempt: str, body: bytes) -> Answer:
         self._runs[attempt] += 1
-        self._seen.append(
+        self._received.append(
             {
                 'attempt': attempt,
                 'method': request.method,
@@ -73,11 +75,13 @@
             }
         )
         eventlet.sleep(self._options.work_ms / MS_PER_SECOND)
-        told = {'worker': self._options.name, 'run': self._runs[attempt]}
+        payload = {'worker': self._options.name, 'run': self._runs[attempt]}
         return json_answer(
-            told, Attempt_Id=attempt, Response_Stamp=f'{attempt}.stamp'
+            payload, Attempt_Id=attempt, Response_Stamp=f'{attempt}.stamp'
         )
 
     def _refuse(self, status: int, attempt: str) -> Answer:
-        told = {'worker': self._options.name}
-        return json_answer(told, status, Attempt_Id=attempt, Not_Executed='1')
+        payload = {'worker': self._options.name}
+        return json_answer(
+            payload, status, Attempt_Id=attempt, Not_Executed='1'
+        )
--- a/standins/reporter/reports.py
+++ b/standins/reporter/reports.py
@@ -1,4 +1,4 @@
-"""The reports of a worker to the node beside it."""
+"""The periodic reports of a worker to its local node."""
 
 import time
 from argparse import Namespace
@@ -13,52 +13,53 @@
 from standins.clock import MS_PER_SECOND, monotonic_ms
 from standins.reporter.holds import Holds, Row
 
-_SOON_MS = 50
+_PAUSE_AFTER_RELEASE_MS = 50
 _TIMEOUT_S = 1
 _OK = 200
 
 
-WhenHeld = Callable[[list[Row], float], None]
+HeldCallback = Callable[[list[Row], float], None]
 
 
-def _tell_nobody(_rows: list[Row], _until_ms: float) -> None:
-    """Do nothing with what is held."""
+def _ignore_held(_rows: list[Row], _until_ms: float) -> None:
+    """Ignore the rows held."""
 
 
 class Reports:
-    """Sends reports again and again, and takes the grants in the answers.
+    """Sends reports periodically and applies the grants in the answers.
 
-    `when_held` is told the rows held after each answer, and until when.
+    After each answer `on_held` is called with the rows held and the
+    monotonic time in milliseconds at which they expire.
     """
 
     def __init__(
         self,
         options: Namespace,
         holds: Holds | None,
-        when_held: WhenHeld = _tell_nobody,
+        on_held: HeldCallback = _ignore_held,
     ) -> None:
         self._options = options
         self._holds = holds
-        self._when_held = when_held
+        self._on_held = on_held
         self._born_ms = int(time.time() * MS_PER_SECOND)
-        self._number = 0
+        self._sequence_number = 0
         self._http = PoolManager(retries=Retry(0), timeout=_TIMEOUT_S)
         self.state = 'ready'
 
     def run(self) -> None:
-        """Report until the process ends."""
+        """Send reports until the process ends."""
         while True:
             pause_ms = self._options.report_ms
             if self._report():
-                pause_ms = _SOON_MS
+                pause_ms = _PAUSE_AFTER_RELEASE_MS
             eventlet.sleep(pause_ms / MS_PER_SECOND)
 
-    def leave(self) -> None:
-        """Tell the node that this worker ends."""
+    def deregister(self) -> None:
+        """Deregister this worker from the node."""
         self._post('Deregister', {})
 
     def _report(self) -> bool:
-        self._number += 1
+        self._sequence_number += 1
         content: dict[str, Any] = {
             'service': self._options.service,
             'address': f'127.0.0.1:{self._options.port}',
@@ -67,25 +68,25 @@
             'slots': self._options.slots,
             'state': self.state,
             'warmup_left_ms': 0,
-            'seq': self._number,
+            'seq': self._sequence_number,
             'born': self._born_ms,
         }
         if self._holds is not None:
             content['holds'] = self._holds.rows()
-            content['released'] = self._holds.take_released()
+            content['released'] = self._holds.pop_released()
         sent_ms = monotonic_ms()
         answer = self._post('Heartbeat', content)
         if self._holds is None or not answer or 'holds' not in answer:
             return False
         until_ms = sent_ms + answer['hold_ms']
         has_released = self._holds.replace(answer['holds'], until_ms)
-        self._when_held(self._holds.rows(), until_ms)
+        self._on_held(self._holds.rows(), until_ms)
         return has_released
 
-    def _post(self, what: str, content: Any) -> Any:
-        url = f'{self._options.node_url}/Instances.{what}/{self._options.name}'
+    def _post(self, rpc: str, content: Any) -> Any:
+        url = f'{self._options.node_url}/Instances.{rpc}/{self._options.name}'
         try:
             answer = self._http.request('POST', url, body=dumps(content))
         except HTTPError:
-            return None  # the node is away: the next report tries again
+            return None  # the node is unreachable: the next report retries
         return loads(answer.data) if answer.status == _OK else None
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -1,4 +1,4 @@
-"""The HTTP server that all stand-ins share."""
+"""The HTTP server used by all stand-in servers."""
 
 import socket
 
@@ -12,7 +12,10 @@
 
 
 def serve(application: Application, port: int) -> None:
-    """Serve until the process ends; port 0 takes any free port."""
+    """Serve on the loopback address until the process ends.
+
+    Port 0 selects a free port; the port in use is printed.
+    """
     listener = socket.create_server((HOST, port), backlog=BACKLOG)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     bound_port = listener.getsockname()[1]
--- a/standins/worker/__init__.py
+++ b/standins/worker/__init__.py
@@ -1,1 +1,1 @@
-"""A stand-in for a worker of an upstream."""
+"""A test server that stands in for a worker of an upstream."""
--- a/standins/worker/api.py
+++ b/standins/worker/api.py
@@ -1,4 +1,4 @@
-"""The HTTP interface of a worker."""
+"""The HTTP interface of the stand-in worker."""
 
 from contextlib import ExitStack
 
@@ -10,7 +10,7 @@
 from standins.worker.grants import GrantSet, GrantTable
 from standins.worker.journal import Journal
 from standins.worker.options import WorkerOptions
-from standins.worker.orders import read_order
+from standins.worker.orders import parse_order
 from standins.worker.pool import RunPool
 from standins.worker.service import WorkService
 from standins.worker.switches import Switches
@@ -21,13 +21,13 @@
 
 
 class CancelOrder(BaseModel):
-    """Names the request whose work is to stop."""
+    """The body of a cancel request: the id of the request to cancel."""
 
     request: str
 
 
 class WorkerApi:
-    """Routes requests to the work and to the controls of a worker."""
+    """Routes HTTP requests to the work service and the control endpoints."""
 
     def __init__(self, options: WorkerOptions) -> None:
         self._options = options
@@ -54,12 +54,16 @@
         }
 
     def answer(self, request: Request) -> Answer:
-        """Answer one request; a frozen worker only takes switches."""
+        """Answer one request.
+
+        While the worker is frozen, only requests for switches are answered;
+        all others block until it is unfrozen.
+        """
         if request.path == SWITCHES_PATH:
             return self._route(request)
-        self._switches.wait_thawed()
+        self._switches.wait_while_frozen()
         with ExitStack() as stack:
-            stack.callback(self._switches.wait_thawed)
+            stack.callback(self._switches.wait_while_frozen)
             return self._route(request)
 
     def _route(self, request: Request) -> Answer:
@@ -71,10 +75,10 @@
         return route(request)
 
     def _work(self, request: Request) -> Answer:
-        order = read_order(request)
+        order = parse_order(request)
         checksum = xxhash.xxh64()
-        for piece in request.pieces():
-            checksum.update(piece)
+        for chunk in request.body_chunks():
+            checksum.update(chunk)
         return self._service.serve(order, request, checksum.hexdigest())
 
     def _put_grants(self, request: Request) -> Answer:
@@ -87,13 +91,13 @@
         )
 
     def _get_journal(self, request: Request) -> Answer:
-        return json_answer(self._journal.report())
+        return json_answer(self._journal.entries_as_json())
 
     def _get_load(self, request: Request) -> Answer:
         settings = self._switches.settings
         running = settings.load_fixed
         if running is None:
-            running = self._pool.running.before(settings.load_lag_ms)
+            running = self._pool.running.delayed_by(settings.load_lag_ms)
         return json_answer(
             {
                 'slots': self._pool.slots,
@@ -104,7 +108,7 @@
 
     def _get_health(self, request: Request) -> Answer:
         lag_ms = self._switches.settings.health_lag_ms
-        return json_answer({'status': self._pool.status.before(lag_ms)})
+        return json_answer({'status': self._pool.status.delayed_by(lag_ms)})
 
     def _post_cancel(self, request: Request) -> Answer:
         document = request.body(MAX_CONTROL_BYTES)
--- a/standins/worker/bodies.py
+++ b/standins/worker/bodies.py
@@ -1,4 +1,4 @@
-"""The content of downloads, which a test can compute for itself."""
+"""The content of downloads, which tests can compute independently."""
 
 import hashlib
 
@@ -6,7 +6,10 @@
 
 
 def body_of(request_id: str, size: int) -> bytes:
-    """Return the body of this size that belongs to a request."""
+    """Return the body of a download, of `size` bytes.
+
+    It depends only on the id of the request and the size.
+    """
     return hashlib.shake_256(request_id.encode()).digest(size)
 
 
--- a/standins/worker/downloads.py
+++ b/standins/worker/downloads.py
@@ -1,4 +1,4 @@
-"""Downloads that are sent in chunks."""
+"""Downloads whose bodies are sent in chunks."""
 
 import socket
 from contextlib import suppress
@@ -14,7 +14,7 @@
 
 
 class Download:
-    """Yields a body in chunks until the caller has gone or work stops."""
+    """Yields a body in chunks until the caller disconnects or the run stops."""
 
     def __init__(
         self,
@@ -28,23 +28,26 @@
         self._connection = connection
         self._switches = switches
         self._sent = 0
-        self._whole = False
-        self._watcher = eventlet.spawn(self._watch_caller)
-        run.when_stopped = self._break_off
+        self._complete = False
+        self._disconnect_watcher = eventlet.spawn(self._watch_for_disconnect)
+        run.on_stopped = self._shut_down_connection
 
     def __iter__(self) -> 'Download':
-        """Return itself."""
+        """Return the download itself."""
         return self
 
     def __next__(self) -> bytes:
-        """Return the next chunk."""
+        """Return the next chunk of the body.
+
+        Raises DroppedError if the run has been stopped.
+        """
         if self._sent >= len(self._body):
-            self._whole = True
+            self._complete = True
             raise StopIteration
         order = self._run.order
         if self._sent:
             self._run.work(order.chunk_ms)
-        self._switches.wait_thawed()
+        self._switches.wait_while_frozen()
         if self._run.stop_error:
             raise DroppedError
         begin = self._sent
@@ -52,21 +55,21 @@
         return self._body[begin : self._sent]
 
     def close(self) -> None:
-        """End the work; a body not sent whole was cut."""
-        self._watcher.kill()
-        if not self._whole:
+        """Finish the run; its outcome is `cut` if the body is incomplete."""
+        self._disconnect_watcher.kill()
+        if not self._complete:
             self._run.stop('cut', Outcome.cut)
         self._run.finish()
 
-    def _watch_caller(self) -> None:
+    def _watch_for_disconnect(self) -> None:
         trampoline(self._connection, read=True)
         try:
-            gone = not self._connection.fd.recv(1, socket.MSG_PEEK)
+            disconnected = not self._connection.fd.recv(1, socket.MSG_PEEK)
         except OSError:
-            gone = True
-        if gone:
+            disconnected = True
+        if disconnected:
             self._run.stop('cut', Outcome.cut)
 
-    def _break_off(self) -> None:
+    def _shut_down_connection(self) -> None:
         with suppress(OSError):
             self._connection.shutdown(socket.SHUT_RDWR)
--- a/standins/worker/journal.py
+++ b/standins/worker/journal.py
@@ -1,4 +1,4 @@
-"""The journal of a worker, also sent to the collector."""
+"""The journal of a worker, whose entries are also sent to a collector."""
 
 import uuid
 from dataclasses import asdict
@@ -15,7 +15,7 @@
 
 
 class Journal:
-    """Every request to run work, in the order in which they came."""
+    """Records every request to run work, in the order of arrival."""
 
     def __init__(self, worker: str, collector_url: str | None) -> None:
         self._worker = worker
@@ -28,27 +28,30 @@
             retries=False,
         )
 
-    def start(self, order: Order) -> JournalEntry:
-        """Note a start; it has reached the collector on return."""
-        entry = self._add(order)
-        self._send(entry)
+    def record_start(self, order: Order) -> JournalEntry:
+        """Record the start of a run.
+
+        When this returns, the collector has received the entry.
+        """
+        entry = self._append_entry(order)
+        self._send_entry(entry)
         return entry
 
-    def refuse(self, order: Order) -> None:
-        """Note that a request was refused and nothing was run."""
-        self.finish(self._add(order), Outcome.refused)
+    def record_refusal(self, order: Order) -> None:
+        """Record that a request was refused and not run."""
+        self.record_end(self._append_entry(order), Outcome.refused)
 
-    def finish(self, entry: JournalEntry, outcome: Outcome) -> None:
-        """Note how a request ended."""
+    def record_end(self, entry: JournalEntry, outcome: Outcome) -> None:
+        """Record the end of a request and its outcome."""
         entry.finished_ms = boottime_ms()
         entry.outcome = outcome
-        self._send(entry)
+        self._send_entry(entry)
 
-    def report(self) -> list[dict[str, Any]]:
-        """Return all entries."""
+    def entries_as_json(self) -> list[dict[str, Any]]:
+        """Return all entries as JSON objects."""
         return [asdict(entry) for entry in self._entries]
 
-    def _add(self, order: Order) -> JournalEntry:
+    def _append_entry(self, order: Order) -> JournalEntry:
         entry = JournalEntry(
             boot=self._boot,
             index=len(self._entries),
@@ -64,7 +67,7 @@
         self._entries.append(entry)
         return entry
 
-    def _send(self, entry: JournalEntry) -> None:
+    def _send_entry(self, entry: JournalEntry) -> None:
         if self._collector_url is None:
             return
         answer = self._pool.request(
--- a/standins/worker/main.py
+++ b/standins/worker/main.py
@@ -1,4 +1,4 @@
-"""The command line of a worker."""
+"""The command line of the stand-in worker."""
 
 from standins.application import Application
 from standins.serving import serve
--- a/standins/worker/options.py
+++ b/standins/worker/options.py
@@ -1,4 +1,4 @@
-"""The options that a worker starts with."""
+"""The command-line options of the stand-in worker."""
 
 from argparse import ArgumentParser, BooleanOptionalAction
 from dataclasses import dataclass
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerOptions:
-    """What does not change while the worker runs."""
+    """The options, which are fixed while the worker runs."""
 
     name: str
     port: int
@@ -22,7 +22,7 @@
 
 
 def parse_options() -> WorkerOptions:
-    """Read the options from the command line."""
+    """Parse the options from the command line."""
     parser = ArgumentParser(prog='standins.worker')
     parser.add_argument('--name', default='worker')
     parser.add_argument('--slots', type=int, default=DEFAULT_SLOTS)
--- a/standins/worker/orders.py
+++ b/standins/worker/orders.py
@@ -1,4 +1,4 @@
-"""What a request to run work asks for."""
+"""Parsing of requests to run work."""
 
 from dataclasses import dataclass
 
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Order:
-    """The headers and the query of a request to run work."""
+    """The headers and query parameters of a request to run work."""
 
     request: str
     key: str
@@ -28,15 +28,18 @@
 
     @property
     def shard_id(self) -> ShardId | None:
-        """Return the shard, if the service is divided by key."""
+        """Return the id of the shard, or None if the service is not sharded."""
         if not self.service or self.shard is None:
             return None
         return self.service, self.shard
 
 
-def read_order(request: Request) -> Order:
-    """Read an order; a deadline counts from now."""
-    left_ms = request.numeric_header('Laburnumwood-Deadline-Ms')
+def parse_order(request: Request) -> Order:
+    """Parse an order.
+
+    The header has the time left; `deadline_ms` is the monotonic time.
+    """
+    remaining_ms = request.numeric_header('Laburnumwood-Deadline-Ms')
     return Order(
         request=request.header('Laburnumwood-Request') or '',
         key=request.header('Laburnumwood-Key') or '',
@@ -44,7 +47,9 @@
         shard=request.numeric_header('Laburnumwood-Shard'),
         token=request.numeric_header('Laburnumwood-Token'),
         method=request.method,
-        deadline_ms=None if left_ms is None else monotonic_ms() + left_ms,
+        deadline_ms=None
+        if remaining_ms is None
+        else monotonic_ms() + remaining_ms,
         work_ms=request.optional_number('work_ms'),
         crash=request.query('crash') == '1',
         download_bytes=request.optional_number('bytes'),
--- a/standins/worker/pool.py
+++ b/standins/worker/pool.py
@@ -20,34 +20,41 @@
 
     @property
     def full(self) -> bool:
-        """Tell whether every slot is taken."""
+        """Return whether every slot is occupied."""
         return len(self._runs) >= self.slots
 
     @property
     def draining(self) -> bool:
-        """Tell whether new work is refused."""
+        """Return whether new work is refused."""
         return self.status.latest != 'ok'
 
     def open_run(self, order: Order, journal: Journal) -> Run:
-        """Take a slot for an order."""
-        run = Run(order, journal, self._close_run)
+        """Create a run for an order; it occupies a slot until it finishes."""
+        run = Run(order, journal, self._release_slot)
         self._runs.add(run)
-        self.running.note(len(self._runs))
+        self.running.record(len(self._runs))
         return run
 
     def cancel(self, request: str) -> bool:
-        """Stop the runs of a request; return whether there were any."""
-        found = [run for run in self._runs if run.order.request == request]
-        for run in found:
+        """Cancel the runs of a request and wait until they finish.
+
+        Returns whether any run ended because of the cancellation.
+        """
+        matching = [run for run in self._runs if run.order.request == request]
+        for run in matching:
             run.stop('cancelled')
-        for stopped in found:
-            stopped.wait_over()
-        errors = {over.stop_error for over in found}
+        for cancelled in matching:
+            cancelled.wait_finished()
+        errors = {finished.stop_error for finished in matching}
         return 'cancelled' in errors
 
     def drain(self, limit_ms: int) -> None:
-        """Refuse new work; stop what still runs after a limit above 0."""
-        self.status.note('draining')
+        """Refuse new work.
+
+        If the limit is above 0, the runs still in progress after that many
+        milliseconds are stopped.
+        """
+        self.status.record('draining')
         if limit_ms:
             eventlet.spawn_after(limit_ms / MS_PER_SECOND, self._stop_all)
 
@@ -55,6 +62,6 @@
         for run in tuple(self._runs):
             run.stop('stopped')
 
-    def _close_run(self, run: Run) -> None:
+    def _release_slot(self, run: Run) -> None:
         self._runs.discard(run)
-        self.running.note(len(self._runs))
+        self.running.record(len(self._runs))
--- a/standins/worker/runs.py
+++ b/standins/worker/runs.py
@@ -1,4 +1,4 @@
-"""The work in progress of a worker."""
+"""Runs: the units of work that a worker executes."""
 
 from collections.abc import Callable
 from contextlib import ExitStack
@@ -14,66 +14,66 @@
 
 
 class Run:
-    """One piece of work, which may be stopped before its end."""
+    """One execution of an order, which may be stopped early."""
 
     def __init__(
         self,
         order: Order,
         journal: Journal,
-        when_over: Callable[['Run'], None],
+        on_finished: Callable[['Run'], None],
     ) -> None:
         self.order = order
         self.stop_error: str | None = None
-        self.when_stopped: Callable[[], None] | None = None
+        self.on_stopped: Callable[[], None] | None = None
         self.entry: JournalEntry | None = None
         self._journal = journal
-        self._when_over = when_over
+        self._on_finished = on_finished
         self._stopped = Event()
-        self._over = Event()
+        self._finished = Event()
         self._outcome = Outcome.ran
-        self._ending = False
-        self._alarm: Any = None
+        self._finishing = False
+        self._deadline_timer: Any = None
 
     def start(self) -> JournalEntry:
-        """Note the start in the journal and set the deadline."""
-        self.entry = self._journal.start(self.order)
+        """Record the start in the journal and start the deadline timer."""
+        self.entry = self._journal.record_start(self.order)
         if self.order.deadline_ms is not None:
-            left_ms = max(0, self.order.deadline_ms - monotonic_ms())
-            self._alarm = eventlet.spawn_after(
-                left_ms / MS_PER_SECOND,
+            remaining_ms = max(0, self.order.deadline_ms - monotonic_ms())
+            self._deadline_timer = eventlet.spawn_after(
+                remaining_ms / MS_PER_SECOND,
                 self.stop,
                 'deadline',
             )
         return self.entry
 
     def stop(self, error: str, outcome: Outcome = Outcome.cancelled) -> None:
-        """End the work before its time, unless it is over."""
-        if self._stopped.ready() or self._ending:
+        """Stop the run early, unless it is already stopping or finished."""
+        if self._stopped.ready() or self._finishing:
             return
         self.stop_error = error
         self._outcome = outcome
         self._stopped.send()
-        if self.when_stopped:
-            self.when_stopped()
+        if self.on_stopped:
+            self.on_stopped()
 
     def work(self, duration_ms: float) -> bool:
-        """Work for some time; return whether it came to its end."""
+        """Simulate work for a time; return whether it was not stopped."""
         self._stopped.wait(timeout=duration_ms / MS_PER_SECOND)
         return not self._stopped.ready()
 
     def finish(self) -> None:
-        """Note the end in the journal; later calls do nothing."""
-        if self._ending:
+        """Record the end in the journal; later calls have no effect."""
+        if self._finishing:
             return
-        self._ending = True
-        if self._alarm is not None:
-            self._alarm.cancel()
+        self._finishing = True
+        if self._deadline_timer is not None:
+            self._deadline_timer.cancel()
         with ExitStack() as stack:
-            stack.callback(self._over.send)
-            self._when_over(self)
+            stack.callback(self._finished.send)
+            self._on_finished(self)
             if self.entry is not None:
-                self._journal.finish(self.entry, self._outcome)
+                self._journal.record_end(self.entry, self._outcome)
 
-    def wait_over(self) -> None:
-        """Wait until the journal has the end."""
-        self._over.wait()
+    def wait_finished(self) -> None:
+        """Wait until the end is recorded in the journal."""
+        self._finished.wait()
--- a/standins/worker/service.py
+++ b/standins/worker/service.py
@@ -1,4 +1,4 @@
-"""The work of a worker: who may run, and what running means."""
+"""Admission and execution of work."""
 
 import os
 from contextlib import ExitStack
@@ -20,7 +20,7 @@
 
 
 class WorkService:
-    """Admits orders, runs them and keeps the journal."""
+    """Admits orders, runs them and records them in the journal."""
 
     def __init__(
         self,
@@ -37,7 +37,10 @@
         self._switches = switches
 
     def serve(self, order: Order, request: Request, checksum: str) -> Answer:
-        """Run one order and return its answer."""
+        """Run one order and return its answer.
+
+        Raises RefusedError if it is not admitted or stopped early.
+        """
         run = self._admit(order)
         with ExitStack() as stack:
             stack.callback(run.finish)
@@ -45,17 +48,17 @@
             if order.crash:
                 os._exit(CRASH_STATUS)
             if not run.work(self._duration_ms(order)):
-                raise _stopped(run)
+                raise _stop_refusal(run)
             if order.download_bytes is None or order.method == 'HEAD':
                 return self._receipt(order, checksum, entry.index)
             stack.pop_all()
             return self._download(run, order.download_bytes, request)
-        raise _stopped(run)
+        raise _stop_refusal(run)
 
     def _admit(self, order: Order) -> Run:
         refusal = self._refusal(order)
         if refusal is not None:
-            self._journal.refuse(order)
+            self._journal.record_refusal(order)
             raise refusal
         return self._pool.open_run(order, self._journal)
 
@@ -75,7 +78,7 @@
         work_ms = next(choice for choice in choices if choice is not None)
         duration_ms = work_ms * settings.slow_factor
         shard_id = order.shard_id
-        if shard_id and self._grants.warm(shard_id, order.key):
+        if shard_id and self._grants.mark_warm(shard_id, order.key):
             duration_ms += self._options.cold_start_ms
         return duration_ms
 
@@ -103,6 +106,6 @@
         return Answer(200, download, headers)
 
 
-def _stopped(run: Run) -> RefusedError:
+def _stop_refusal(run: Run) -> RefusedError:
     error = run.stop_error or 'cancelled'
     return RefusedError(STOP_STATUSES[error], error)
--- a/standins/worker/switches.py
+++ b/standins/worker/switches.py
@@ -1,4 +1,4 @@
-"""What a test can switch on a running worker."""
+"""Settings that a test can change on a running worker."""
 
 from eventlet.event import Event
 from pydantic import BaseModel, ConfigDict, Field
@@ -7,7 +7,7 @@
 
 
 class SwitchSettings(BaseModel):
-    """All switches; those that a request leaves out stay as they are."""
+    """All switches; those missing from a request remain unchanged."""
 
     model_config = ConfigDict(extra='forbid')
 
@@ -20,23 +20,23 @@
 
 
 class Switches:
-    """The switches as they stand, and the gate of a frozen worker."""
+    """The current switches; blocks requests while the worker is frozen."""
 
     def __init__(self) -> None:
         self.settings = SwitchSettings()
-        self._thawed = Event()
+        self._unfrozen = Event()
 
     def change(self, document: bytes) -> None:
-        """Set the switches that a JSON document names."""
+        """Set the switches that are present in a JSON document."""
         changes = SwitchSettings.model_validate_json(document)
-        named = changes.model_dump(exclude_unset=True)
-        self.settings = self.settings.model_copy(update=named)
+        specified = changes.model_dump(exclude_unset=True)
+        self.settings = self.settings.model_copy(update=specified)
         if not self.settings.frozen:
-            thawed = self._thawed
-            self._thawed = Event()
-            thawed.send()
+            unfrozen = self._unfrozen
+            self._unfrozen = Event()
+            unfrozen.send()
 
-    def wait_thawed(self) -> None:
-        """Wait as long as the worker is frozen."""
+    def wait_while_frozen(self) -> None:
+        """Block while the worker is frozen."""
         while self.settings.frozen:
-            self._thawed.wait()
+            self._unfrozen.wait()
--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -114,14 +114,14 @@
         self, sock: socket.socket, plan: ResponsePlan, order: Order
     ) -> None:
         self._running += 1
-        entry = self._journal.start(order)
+        entry = self._journal.record_start(order)
         outcome = Outcome.cut
         try:
             self._send_response(sock, plan, order.request)
             outcome = Outcome.ran
         finally:
             self._running -= 1
-            self._journal.finish(entry, outcome)
+            self._journal.record_end(entry, outcome)
 
     def _send_response(
         self, sock: socket.socket, plan: ResponsePlan, attempt_id: str
