--- a/laburnumwood/routing/observed.py
+++ b/laburnumwood/routing/observed.py
@@ -24,7 +24,7 @@
 
 
 class LongAnswerDelays:
-    """Estimate of how long answers wait for the outlet, by rank."""
+    """Estimate of how long answers wait in the send queue, by rank."""
 
     def __init__(self, send_queue: SendQueue, clock: Clock) -> None:
         self._send_queue = send_queue
