--- a/laburnumwood/leases/witness.py
+++ b/laburnumwood/leases/witness.py
@@ -37,7 +37,7 @@
         self._settings = settings
         self._clock = clock
         self._grants: dict[NodeName, _Grant] = {}
-        self._least_open: dict[str, int] = {}
+        self._first_open_incarnations: dict[str, int] = {}
         self._last_check_ms = clock.now_ms()
         self._no_seals_until_ms = 0
 
@@ -88,15 +88,19 @@
         `first_open_incarnation` is the lowest incarnation that has not ended.
         Only that number is kept, so that no lower one is renewed again.
         """
-        if first_open_incarnation <= self._least_open.get(node_id, 0):
+        if first_open_incarnation <= self._first_open_incarnations.get(
+            node_id, 0
+        ):
             return
-        self._least_open[node_id] = first_open_incarnation
+        self._first_open_incarnations[node_id] = first_open_incarnation
         ended = [name for name in self._grants if self._has_ended(name)]
         for name in ended:
             self._grants.pop(name)
 
     def _has_ended(self, holder: NodeName) -> bool:
-        first_open_incarnation = self._least_open.get(holder.node_id, 0)
+        first_open_incarnation = self._first_open_incarnations.get(
+            holder.node_id, 0
+        )
         return holder.incarnation < first_open_incarnation
 
     def seal_lapsed(self) -> tuple[Seal, ...]:
