--- a/laburnumwood/operators/capacity.py
+++ b/laburnumwood/operators/capacity.py
@@ -73,7 +73,7 @@
         self._samples = deque((_Sample(self._updated_ms, {}),), _MAX_SAMPLES)
 
     @contextmanager
-    def busy(self, service: str) -> Iterator[None]:
+    def occupy_slot(self, service: str) -> Iterator[None]:
         """Count one slot as busy for a service while the context is open.
 
         The time is charged to the capacity owner of the service, or to that
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -52,7 +52,7 @@
 class BusySlotCounter(Protocol):
     """Counts the busy slots of each capacity owner."""
 
-    def busy(self, service: str) -> AbstractContextManager[None]:
+    def occupy_slot(self, service: str) -> AbstractContextManager[None]:
         """Count one slot as busy for a service while the context is open."""
 
 
@@ -291,7 +291,7 @@
         useful_ms -= answer_wait_ms
         traffic_class = classify(work, service)
         ticket = Ticket(work.key, run.until_ms, useful_ms, traffic_class)
-        busy = self._capacity_account.busy(work.service)
+        busy = self._capacity_account.occupy_slot(work.service)
         exchange.set_message_handler(partial(self._admitter.cancel, ticket))
         try:
             with self._admitter.hold_slot(ticket), busy:
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -220,7 +220,7 @@
         for running, span_ms in phases:
             with ExitStack() as busy:
                 for number in range(running):
-                    busy.enter_context(account.busy(f's{number}'))
+                    busy.enter_context(account.occupy_slot(f's{number}'))
                 clock.pass_ms(span_ms)
                 busy_ms += running * span_ms
         usage = account.usage(window_ms)
