--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -10,7 +10,7 @@
 from laburnumwood.config.declarations import Declarations, OverrideRule
 from laburnumwood.config.references import find_violations
 from laburnumwood.errors import DeclarationError
-from laburnumwood.settings import describe
+from laburnumwood.settings import describe_validation_error
 
 _WILDCARD_SUFFIX = '.*'
 _RULES = 'rules'
@@ -50,7 +50,7 @@
     try:
         return Declarations.model_validate_json(json.dumps(content))
     except ValidationError as invalid:
-        text = describe(invalid, name, Declarations)
+        text = describe_validation_error(invalid, name, Declarations)
         raise DeclarationError(text) from invalid
 
 
@@ -118,7 +118,9 @@
         try:
             declarations = Declarations.model_validate_json(text)
         except ValidationError as invalid:
-            lines = describe(invalid, 'merged files', Declarations)
+            lines = describe_validation_error(
+                invalid, 'merged files', Declarations
+            )
             raise DeclarationError(lines) from invalid
         merged = MergedConfig(declarations, self._set_by)
         for violation in find_violations(declarations):
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -200,7 +200,9 @@
     return f'{named}: {error["msg"]}; found {error["input"]!r}'
 
 
-def describe(error: ValidationError, file: str, model: type[BaseModel]) -> str:
+def describe_validation_error(
+    error: ValidationError, file: str, model: type[BaseModel]
+) -> str:
     """Return one line for each validation error in a file.
 
     A line contains the file, the path in it, the value and what is allowed.
@@ -224,5 +226,5 @@
         return DaemonSettings.model_validate(content)
     except ValidationError as error:
         raise SettingsError(
-            describe(error, str(path), DaemonSettings)
+            describe_validation_error(error, str(path), DaemonSettings)
         ) from error
