--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -15,7 +15,7 @@
 from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.settings import DaemonSettings
 
-_RETRY_FRACTION = 0.1  # of the requests
+_RETRY_FRACTION = 0.1  # highest ratio of retries to requests
 
 
 class LoadComponents:
--- a/laburnumwood/daemon/main.py
+++ b/laburnumwood/daemon/main.py
@@ -22,7 +22,7 @@
 from laburnumwood.listening import open_early  # noqa: E402
 
 _SETTINGS = '--settings'
-_GC_THRESHOLD = 10_000  # per collection; requests keep fewer alive
+_GC_THRESHOLD = 10_000  # objects per collection; requests keep fewer alive
 
 
 def _settings_path(arguments: list[str]) -> Path | None:
--- a/laburnumwood/listening.py
+++ b/laburnumwood/listening.py
@@ -18,7 +18,7 @@
 ReportFailure = Callable[..., None]
 
 _BACKLOG = 1_024
-_RETRY_DELAY_MS = 50  # after a connection could not be accepted
+_RETRY_DELAY_MS = 50  # wait after a connection could not be accepted
 _EARLY_SETTINGS = ('door_address', 'report_address')
 _opened: dict[Address, Any] = {}
 
--- a/laburnumwood/logs.py
+++ b/laburnumwood/logs.py
@@ -23,7 +23,7 @@
 _BURST = 100  # lines of one kind that may be written at once
 _MAX_BUFFERED = 2_000  # lines that standard output has not accepted
 _FLUSH_MS = 50
-_UNLIMITED_LEVEL = logbook.ERROR  # from which on the rate is not limited
+_UNLIMITED_LEVEL = logbook.ERROR  # lowest level without a rate limit
 
 
 class RateLimiter:
--- a/laburnumwood/placement/hotkeys.py
+++ b/laburnumwood/placement/hotkeys.py
@@ -13,7 +13,7 @@
 
 CAPACITY = 1_024
 HALF_LIFE_MS = 30_000
-_MAX_HALF_LIVES = 64  # after which all counts are rescaled
+_MAX_HALF_LIVES = 64  # age after which all counts are rescaled
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumwood/placement/meter.py
+++ b/laburnumwood/placement/meter.py
@@ -7,7 +7,7 @@
 from laburnumwood.placement.hotkeys import HotKeys
 
 _HOTTEST = 400  # keys that are considered for a split
-_MIN_LOAD = 0.0001  # of a slot; the rate of a shard with less is discarded
+_MIN_LOAD = 0.0001  # busy slots; the rate of a shard with less is discarded
 # Mean square of the work of a request, divided by the square of its mean.
 _WORK_VARIATION = 1.3
 
--- a/laburnumwood/placement/move_policy.py
+++ b/laburnumwood/placement/move_policy.py
@@ -19,7 +19,7 @@
 _MOVE_COST_MS = 500  # what a move costs a service without cold starts
 # From this utilization of a node on, smaller gains justify a move.
 _OVERLOADED = 1.0
-_OVERLOADED_LEAST_GAIN = 0.06  # in utilization
+_OVERLOADED_LEAST_GAIN = 0.06  # decrease of the higher utilization
 _COST_MARGIN = 1.2  # factor by which the gain must exceed the cost
 _IDLE = 0.05  # utilization below which a node counts as idle
 # Differences of at least so many standard errors count as significant.
--- a/laburnumwood/placement/planner.py
+++ b/laburnumwood/placement/planner.py
@@ -16,7 +16,7 @@
 _MINUTE_MS = 60_000
 _URGENT_PER_MINUTE = 60
 _REST_PER_COLD_START = 10
-_SETTLING_MS = 1_000  # from the arrival of a node to its first shard
+_SETTLING_MS = 1_000  # wait from the arrival of a node to its first shard
 _ARRIVAL_MEMORY_MS = 600_000
 _MAX_SETTLING_DOUBLINGS = 7
 # A node that has arrived more often lately gets no shards back at once.
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -33,7 +33,7 @@
 _IDLE_POLL_MS = 10
 # In a larger fleet only the nodes of a record's succession are notified.
 _MAX_NOTIFIED_NODES = 100
-_HANDOVER_LIMIT_MS = 2_500  # for the store to accept the records
+_HANDOVER_LIMIT_MS = 2_500  # time for the store to accept the records
 
 
 BeforeMove = Callable[[ShardName, tuple[NodeName, ...]], bool]
--- a/laburnumwood/placement/splitting.py
+++ b/laburnumwood/placement/splitting.py
@@ -10,7 +10,7 @@
 
 # Fractions of a node's slots:
 _MIN_NODE_UTILIZATION = 0.6  # a node that is less busy splits nothing
-_MIN_DIFFERENCE = 0.25  # from the utilization of the least utilized node
+_MIN_DIFFERENCE = 0.25  # above the utilization of the least utilized node
 _MIN_SHARD_UTILIZATION = 0.3  # a shard that takes less is moved as a whole
 _PIECE_UTILIZATION = 0.2  # what each piece should take
 
--- a/laburnumwood/platform/store.py
+++ b/laburnumwood/platform/store.py
@@ -36,7 +36,7 @@
 _MANIFEST_KIND = 'config'
 _MANIFEST_NAME = 'main'
 _RECORDS = ''  # the scope of the router's records
-_SEPARATORS = ('/', '.')  # in the names of the router and of the platform
+_SEPARATORS = ('/', '.')  # in the names of the router, of the platform
 
 _CALL_TIMEOUT_S = 1.5
 _HEADERS = {'Content-Type': CONTENT_TYPE}
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -21,7 +21,7 @@
 from laburnumwood.records import NodeName
 from laburnumwood.tasks import start
 
-_REDIAL_DELAY_MS = 300  # after a peer refused a link
+_REDIAL_DELAY_MS = 300  # wait after a peer refused a link
 
 AddressLookup = Callable[[NodeName], tuple[str, int] | None]
 _Handler = TypeVar('_Handler', bound=Callable[..., None])
--- a/laburnumwood/protocol/send_queue.py
+++ b/laburnumwood/protocol/send_queue.py
@@ -93,4 +93,4 @@
         )
 
 
-SEND_QUEUE = SendQueue(Clock())  # of this process
+SEND_QUEUE = SendQueue(Clock())  # shared by all links of this process
--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -9,7 +9,7 @@
 from laburnumwood.records import ShardName, ShardRecord
 
 RETENTION_MS = 600_000  # how long a resent request is recognized
-MAX_ENTRIES = 50_000  # of all shards of a node
+MAX_ENTRIES = 50_000  # entries for all shards of a node
 MAX_KEPT_BODY_BYTES = 4_096  # the answer is not kept if its body is longer
 
 
--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -20,7 +20,7 @@
 AVOID_MS = 1_000
 ALL_RANKS = -1  # also the rank of requests without one
 _MAX_RECENT_CHOICES = 16
-_MAX_LOCAL_LOAD = 0.5  # of its slots; local nodes above it are not preferred
+_MAX_LOCAL_LOAD = 0.5  # load per slot; local nodes above it are not preferred
 _OVERLOAD_STATUSES = frozenset((429, 503))
 
 
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -19,7 +19,7 @@
 
 MAX_PORT = 65_535
 _ADDRESS = r'^[^:]+:\d{1,5}$'
-_USABLE_GRACE = 5 / 6  # of the time until the process would be killed
+_USABLE_GRACE = 5 / 6  # share of the time until the process would be killed
 SECRET_FIELDS = frozenset(('shared_key', 'token'))
 
 
--- a/laburnumwood/upstream/refusals.py
+++ b/laburnumwood/upstream/refusals.py
@@ -7,7 +7,7 @@
 # The worker has seen a newer token or has no grant.
 FENCED = 'fenced'
 _REFUSALS = {409: frozenset((FENCED,)), 503: frozenset(('busy', 'draining'))}
-_MAX_REFUSAL_BYTES = 1_024  # of the body
+_MAX_REFUSAL_BYTES = 1_024  # length of the body
 
 
 def may_be_refusal(answer: WorkerAnswer) -> bool:
