--- a/standins/journal/__init__.py
+++ b/standins/journal/__init__.py
@@ -1,1 +1,1 @@
-"""A collector of the journals of workers, which outlives them."""
+"""A collector of worker journals, which keeps them after workers end."""
--- a/standins/journal/api.py
+++ b/standins/journal/api.py
@@ -1,4 +1,4 @@
-"""The HTTP interface of the collector."""
+"""The HTTP interface of the journal collector."""
 
 from dataclasses import asdict
 
@@ -15,27 +15,30 @@
 
 
 class JournalApi:
-    """Keeps entries in the order in which they first arrived.
+    """Collects journal entries in the order of their first arrival.
 
-    The entry posted at the finish of work replaces that of its start.
+    The entry posted when a request finishes replaces the one from its start.
     """
 
     def __init__(self) -> None:
         self._entries: dict[tuple[str, int], JournalEntry] = {}
 
     def answer(self, request: Request) -> Answer:
-        """Answer one request."""
+        """Return the answer to a request.
+
+        Raises RefusedError, which carries the status of an error answer.
+        """
         if request.path != '/journal':
             raise RefusedError(404, 'no-such-path')
         if request.method == 'POST':
-            self._keep(request.body(MAX_POST_BYTES))
+            self._store_entries(request.body(MAX_POST_BYTES))
         elif request.method == 'DELETE':
             self._entries.clear()
         elif request.method != 'GET':
             raise RefusedError(405, 'no-such-method')
         return json_answer(self._report(request.method))
 
-    def _keep(self, document: bytes) -> None:
+    def _store_entries(self, document: bytes) -> None:
         posted = _ENTRIES.validate_json(document)
         entries = posted if isinstance(posted, list) else [posted]
         for entry in entries:
--- a/standins/journal/entry.py
+++ b/standins/journal/entry.py
@@ -1,4 +1,4 @@
-"""One entry of the journal of a worker."""
+"""An entry in the journal of a worker."""
 
 from enum import StrEnum
 
@@ -6,7 +6,7 @@
 
 
 class Outcome(StrEnum):
-    """How a request to run work ended."""
+    """The outcome of a request to run work."""
 
     ran = 'ran'
     refused = 'refused'
@@ -16,10 +16,10 @@
 
 @dataclass(slots=True)
 class JournalEntry:
-    """One request to run work; it has no outcome while it runs.
+    """A request to run work; its outcome is None while it runs.
 
-    Times are milliseconds of CLOCK_BOOTTIME.  `boot` is the random id of
-    the process, so (`boot`, `index`) names an entry everywhere.
+    Times are in milliseconds of CLOCK_BOOTTIME.  `boot` is a random id of
+    the worker process, so (`boot`, `index`) is globally unique.
     """
 
     boot: str
--- a/standins/journal/main.py
+++ b/standins/journal/main.py
@@ -1,4 +1,4 @@
-"""The command line of the collector."""
+"""The command line of the journal collector."""
 
 from argparse import ArgumentParser
 
@@ -8,7 +8,7 @@
 
 
 def main() -> None:
-    """Run the collector until the process ends."""
+    """Serve the journal collector until the process ends."""
     parser = ArgumentParser(prog='standins.journal')
     parser.add_argument('--port', type=int, default=0)
     serve(Application(JournalApi().answer), parser.parse_args().port)
--- a/standins/objects/__init__.py
+++ b/standins/objects/__init__.py
@@ -1,1 +1,4 @@
-"""A store of objects by kind and name, as the users' platform has it."""
+"""A stand-in for the object store of the users' platform, for tests.
+
+Objects are identified by kind and name.
+"""
--- a/standins/objects/api.py
+++ b/standins/objects/api.py
@@ -1,4 +1,4 @@
-"""The HTTP interface of the store: the other face of `standins.platform`."""
+"""The CBOR interface over HTTP of the object store of `standins.platform`."""
 
 from typing import Any
 
@@ -12,17 +12,17 @@
 from standins.platform.watches import Watches
 from standins.requests import Request
 
-_ROOT = '/objects/'
-_FAULTS = '/faults'
+_OBJECTS_PATH_PREFIX = '/objects/'
+_FAULTS_PATH = '/faults'
 _MAX_VALUE_BYTES = 1_048_576
-_PAGE = 500
+_PAGE_SIZE = 500
 _NOT_FOUND = 404
 _PRECONDITION_FAILED = 412
 _CONFLICT = 409
 
 
 class ObjectsApi:
-    """Objects of kinds; an object `name` of a `kind` is kept as kind/name."""
+    """Serves objects by kind and name, stored under `kind/name`."""
 
     def __init__(self) -> None:
         history = History()
@@ -32,93 +32,104 @@
         self._watches = Watches(history, self._faults, self._counts)
 
     def answer(self, request: Request) -> Answer:
-        """Answer one request."""
-        if request.path == _FAULTS:
-            self._faults.change(request.body(_MAX_VALUE_BYTES))
-            self._watches.wake()
-            return _reply({})
-        if not request.path.startswith(_ROOT):
+        """Return the answer to a request.
+
+        Raises RefusedError, which carries the status of an error answer, and
+        DroppedError where a fault drops the call.
+        """
+        if request.path == _FAULTS_PATH:
+            self._faults.update_settings(request.body(_MAX_VALUE_BYTES))
+            self._watches.notify()
+            return _cbor_answer({})
+        if not request.path.startswith(_OBJECTS_PATH_PREFIX):
             raise RefusedError(_NOT_FOUND, 'no-such-path')
-        path = request.path.removeprefix(_ROOT)
+        path = request.path.removeprefix(_OBJECTS_PATH_PREFIX)
         if '/' in path:
-            return self._one(request, path)
+            return self._read_or_update(request, path)
         if request.method == 'POST':
             return self._create(request, path)
         if request.query('watch'):
             return self._watch(request, path)
         return self._list(request, path)
 
-    def _enter(self, kind: str, name: str) -> None:
-        self._counts.note_call(kind, name)
-        self._faults.strike_call()
+    def _begin_call(self, operation: str, name: str) -> None:
+        self._counts.record_call(operation, name)
+        self._faults.apply_to_call()
 
-    def _one(self, request: Request, path: str) -> Answer:
+    def _read_or_update(self, request: Request, path: str) -> Answer:
         if request.method == 'GET':
-            self._enter(READS, path)
-            return _reply(_object(self._store.read(path)))
-        self._enter(WRITES, path)
+            self._begin_call(READS, path)
+            return _cbor_answer(_object_content(self._store.read(path)))
+        self._begin_call(WRITES, path)
         content = loads(request.body(_MAX_VALUE_BYTES))
         expected = content['metadata'].get('revision')
-        known = self._store.read(path)
+        current = self._store.read(path)
         if expected is None:
-            expected = known.version
-        return self._written(
+            expected = current.version
+        return self._answer_write(
             path, lambda: self._store.update(path, content['spec'], expected)
         )
 
     def _create(self, request: Request, kind: str) -> Answer:
         content = loads(request.body(_MAX_VALUE_BYTES))
         path = '{}/{}'.format(kind, content['metadata']['name'])
-        self._enter(WRITES, path)
-        return self._written(
+        self._begin_call(WRITES, path)
+        return self._answer_write(
             path, lambda: self._store.create(path, content['spec'])
         )
 
-    def _written(self, path: str, write: Any) -> Answer:
+    def _answer_write(self, path: str, write: Any) -> Answer:
         try:
             written = write()
-        except RefusedError as refused:
-            if refused.status != _PRECONDITION_FAILED:
+        except RefusedError as error:
+            if error.status != _PRECONDITION_FAILED:
                 raise
-            return _reply(_object(self._store.read(path)), _CONFLICT)
-        self._watches.wake()
-        self._faults.strike_written(path)
-        return _reply(_object(written))
+            return _cbor_answer(
+                _object_content(self._store.read(path)), _CONFLICT
+            )
+        self._watches.notify()
+        self._faults.apply_to_written(path)
+        return _cbor_answer(_object_content(written))
 
     def _list(self, request: Request, kind: str) -> Answer:
-        self._enter(READS, kind)
+        self._begin_call(READS, kind)
         after = f'{kind}/{request.query("after")}'
         found = [
-            each
-            for each in self._store.listing(f'{kind}/')
-            if each.name > after
+            stored
+            for stored in self._store.list_objects(f'{kind}/')
+            if stored.name > after
         ]
-        return _reply(
+        return _cbor_answer(
             {
-                'items': [_object(each) for each in found[:_PAGE]],
-                'more': len(found) > _PAGE,
+                'items': [
+                    _object_content(stored) for stored in found[:_PAGE_SIZE]
+                ],
+                'more': len(found) > _PAGE_SIZE,
                 'at': self._store.revision,
             }
         )
 
     def _watch(self, request: Request, kind: str) -> Answer:
-        self._counts.note_watch()
-        self._faults.strike_call()
-        events, revision = self._watches.wait(
+        self._counts.record_watch()
+        self._faults.apply_to_call()
+        events, revision = self._watches.wait_for_events(
             f'{kind}/', request.number('watch'), request.number('wait_ms')
         )
-        return _reply(
+        return _cbor_answer(
             {
                 'events': [
-                    {'deleted': each.value is None, 'object': _object(each)}
-                    for each in events
+                    {
+                        'deleted': event.value is None,
+                        'object': _object_content(event),
+                    }
+                    for event in events
                 ],
                 'at': revision,
             }
         )
 
 
-def _object(stored: StoredObject) -> dict[str, Any]:
+def _object_content(stored: StoredObject) -> dict[str, Any]:
     name = stored.name.partition('/')[2]
     return {
         'metadata': {
@@ -133,7 +144,7 @@
     }
 
 
-def _reply(content: Any, status: int = 200) -> Answer:
+def _cbor_answer(content: Any, status: int = 200) -> Answer:
     body = dumps(content)
     headers = {
         'Content-Type': 'application/cbor',
--- a/standins/objects/main.py
+++ b/standins/objects/main.py
@@ -8,7 +8,7 @@
 
 
 def main() -> None:
-    """Run the store until the process ends."""
+    """Serve the store until the process ends."""
     parser = ArgumentParser(prog='standins.objects')
     parser.add_argument('--port', type=int, default=0)
     serve(Application(ObjectsApi().answer), parser.parse_args().port)
--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -1,1 +1,1 @@
-"""A stand-in for the object API of a platform."""
+"""A stand-in for the object store API of a platform, for tests."""
--- a/standins/platform/api.py
+++ b/standins/platform/api.py
@@ -1,4 +1,4 @@
-"""The HTTP interface of the platform."""
+"""The HTTP interface of the stand-in for the platform."""
 
 from dataclasses import asdict
 from typing import Any
@@ -14,12 +14,12 @@
 from standins.requests import Request
 
 MAX_VALUE_BYTES = 1_048_576
-OBJECT_PATH = '/objects/'
+OBJECT_PATH_PREFIX = '/objects/'
 _JSON: TypeAdapter[JsonValue] = TypeAdapter(JsonValue)
 
 
 class PlatformApi:
-    """Routes requests to the store, the watches, counts and faults."""
+    """Dispatches requests to the store, watches, counts and faults."""
 
     def __init__(self) -> None:
         history = History()
@@ -41,25 +41,29 @@
         }
 
     def answer(self, request: Request) -> Answer:
-        """Answer one request."""
-        if request.path.startswith(OBJECT_PATH):
+        """Return the answer to a request.
+
+        Raises RefusedError, which carries the status of an error answer, and
+        DroppedError where a fault drops the call.
+        """
+        if request.path.startswith(OBJECT_PATH_PREFIX):
             object_route = self._object_routes.get(request.method)
             if object_route is None:
                 raise RefusedError(405, 'no-such-method')
-            return object_route(request, _name(request))
+            return object_route(request, _object_name(request))
         route = self._routes.get((request.method, request.path))
         if route is None:
             raise RefusedError(404, 'no-such-path')
         return route(request)
 
     def _get(self, request: Request, name: str) -> Answer:
-        self._enter(READS, name)
+        self._begin_call(READS, name)
         return json_answer(asdict(self._store.read(name)))
 
     def _list(self, request: Request) -> Answer:
         prefix = request.query('prefix')
-        self._enter(READS, prefix)
-        found = [asdict(stored) for stored in self._store.listing(prefix)]
+        self._begin_call(READS, prefix)
+        found = [asdict(stored) for stored in self._store.list_objects(prefix)]
         return json_answer(
             {
                 'objects': found,
@@ -68,26 +72,26 @@
         )
 
     def _put(self, request: Request, name: str) -> Answer:
-        self._enter(WRITES, name)
+        self._begin_call(WRITES, name)
         value = _JSON.validate_json(request.body(MAX_VALUE_BYTES))
         expected = request.numeric_header('If-Match')
         if expected is not None:
-            return self._written(self._store.update(name, value, expected))
+            return self._answer_write(self._store.update(name, value, expected))
         if request.header('If-None-Match') == '*':
-            return self._written(self._store.create(name, value))
+            return self._answer_write(self._store.create(name, value))
         raise RefusedError(428, 'condition-required')
 
     def _delete(self, request: Request, name: str) -> Answer:
-        self._enter(WRITES, name)
+        self._begin_call(WRITES, name)
         expected = request.numeric_header('If-Match')
         if expected is None:
             raise RefusedError(428, 'condition-required')
-        return self._written(self._store.delete(name, expected))
+        return self._answer_write(self._store.delete(name, expected))
 
     def _watch(self, request: Request) -> Answer:
-        self._counts.note_watch()
-        self._faults.strike_call()
-        events, revision = self._watches.wait(
+        self._counts.record_watch()
+        self._faults.apply_to_call()
+        events, revision = self._watches.wait_for_events(
             request.query('prefix'),
             request.number('since'),
             request.number('wait_ms'),
@@ -106,22 +110,22 @@
         return json_answer(self._faults.settings.model_dump())
 
     def _post_faults(self, request: Request) -> Answer:
-        self._faults.change(request.body(MAX_VALUE_BYTES))
-        self._watches.wake()
+        self._faults.update_settings(request.body(MAX_VALUE_BYTES))
+        self._watches.notify()
         return self._get_faults(request)
 
-    def _enter(self, kind: str, name: str) -> None:
-        self._counts.note_call(kind, name)
-        self._faults.strike_call()
+    def _begin_call(self, operation: str, name: str) -> None:
+        self._counts.record_call(operation, name)
+        self._faults.apply_to_call()
 
-    def _written(self, written: Any) -> Answer:
-        self._watches.wake()
-        self._faults.strike_written(written.name)
+    def _answer_write(self, written: Any) -> Answer:
+        self._watches.notify()
+        self._faults.apply_to_written(written.name)
         return json_answer({'version': written.version})
 
 
-def _name(request: Request) -> str:
-    name = request.path.removeprefix(OBJECT_PATH)
+def _object_name(request: Request) -> str:
+    name = request.path.removeprefix(OBJECT_PATH_PREFIX)
     if not name:
         raise RefusedError(404, 'not-found')
     return name
--- a/standins/platform/faults.py
+++ b/standins/platform/faults.py
@@ -1,4 +1,4 @@
-"""The faults that a test can switch on."""
+"""The faults that a test can inject into the stand-in for the platform."""
 
 import eventlet
 from pydantic import BaseModel, ConfigDict, Field
@@ -8,7 +8,12 @@
 
 
 class FaultSettings(BaseModel):
-    """All switches; those that a request leaves out stay as they are."""
+    """All fault switches; those omitted from a request keep their values.
+
+    `lose_answers` is the number of writes, of names under `lose_prefix`,
+    that take effect but whose answers are dropped.  `watch_stall` hides
+    all events from watches.
+    """
 
     model_config = ConfigDict(extra='forbid')
 
@@ -20,31 +25,31 @@
 
 
 class Faults:
-    """Applies the switches to calls."""
+    """Applies the fault switches to calls."""
 
     def __init__(self) -> None:
         self.settings = FaultSettings()
 
-    def change(self, document: bytes) -> None:
-        """Set the switches that a JSON document names."""
+    def update_settings(self, document: bytes) -> None:
+        """Set the switches that are present in a JSON document."""
         changes = FaultSettings.model_validate_json(document)
-        named = changes.model_dump(exclude_unset=True)
-        self.settings = self.settings.model_copy(update=named)
+        updates = changes.model_dump(exclude_unset=True)
+        self.settings = self.settings.model_copy(update=updates)
 
-    def strike_call(self) -> None:
-        """Delay a call, or drop it during an outage."""
-        self.strike_outage()
+    def apply_to_call(self) -> None:
+        """Delay a call; raise DroppedError during an outage."""
+        self.apply_outage()
         if self.settings.delay_ms:
             eventlet.sleep(self.settings.delay_ms / MS_PER_SECOND)
-            self.strike_outage()
+            self.apply_outage()
 
-    def strike_outage(self) -> None:
-        """Drop a call during an outage."""
+    def apply_outage(self) -> None:
+        """Raise DroppedError during an outage."""
         if self.settings.outage:
             raise DroppedError
 
-    def strike_written(self, name: str) -> None:
-        """Drop the answer of a write that took effect, if it is to be lost."""
+    def apply_to_written(self, name: str) -> None:
+        """Raise DroppedError if a completed write must lose its answer."""
         settings = self.settings
         if settings.lose_answers and name.startswith(
             settings.lose_prefix or '',
--- a/standins/platform/history.py
+++ b/standins/platform/history.py
@@ -1,4 +1,4 @@
-"""The bounded history of writes that watches read."""
+"""The bounded history of writes, from which watches read events."""
 
 from collections import deque
 from dataclasses import dataclass
@@ -7,12 +7,15 @@
 
 from standins.answers import RefusedError
 
-HISTORY_EVENTS = 20_000
+MAX_HISTORY_EVENTS = 20_000
 
 
 @dataclass(frozen=True, slots=True)
 class StoredObject:
-    """An object as of one write; the value of a deletion is None."""
+    """The state of an object after a write; a deletion has the value None.
+
+    `version` is the revision of the store that the write produced.
+    """
 
     name: str
     value: Any
@@ -20,21 +23,25 @@
 
 
 class History:
-    """The latest writes in order; every write has its own revision."""
+    """The most recent writes in order; every write has its own revision."""
 
-    def __init__(self, limit: int = HISTORY_EVENTS) -> None:
+    def __init__(self, limit: int = MAX_HISTORY_EVENTS) -> None:
         self._events: deque[StoredObject] = deque(maxlen=limit)
         self.revision = 0
 
     def append(self, event: StoredObject) -> None:
-        """Add the event of the next revision."""
+        """Append the event of the next revision."""
         self._events.append(event)
         self.revision = event.version
 
     def since(self, revision: int, prefix: str) -> list[StoredObject]:
-        """Return the events after a revision under a prefix."""
-        compacted = self.revision - len(self._events)
-        if not compacted <= revision <= self.revision:
+        """Return the events after a revision for names with a prefix.
+
+        Raises RefusedError (410) where the history no longer holds them all,
+        or where the revision is later than the last write.
+        """
+        compacted_count = self.revision - len(self._events)
+        if not compacted_count <= revision <= self.revision:
             raise RefusedError(410, 'compacted')
-        later = islice(self._events, revision - compacted, None)
+        later = islice(self._events, revision - compacted_count, None)
         return [event for event in later if event.name.startswith(prefix)]
--- a/standins/platform/main.py
+++ b/standins/platform/main.py
@@ -1,4 +1,4 @@
-"""The command line of the platform."""
+"""The command line of the stand-in for the platform."""
 
 from argparse import ArgumentParser
 
@@ -8,7 +8,7 @@
 
 
 def main() -> None:
-    """Run the platform until the process ends."""
+    """Serve the stand-in for the platform until the process ends."""
     parser = ArgumentParser(prog='standins.platform')
     parser.add_argument('--port', type=int, default=0)
     serve(Application(PlatformApi().answer), parser.parse_args().port)
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -1,4 +1,4 @@
-"""The objects of the platform and their conditional writes."""
+"""The objects of the platform, with conditional writes."""
 
 from typing import Any
 
@@ -9,7 +9,7 @@
 
 
 class ObjectStore:
-    """Named values; every write raises the one global revision."""
+    """Values by name; every write increments one global revision."""
 
     def __init__(self, history: History) -> None:
         self._by_name: SortedDict[str, StoredObject] = SortedDict()
@@ -21,13 +21,13 @@
         return self._history.revision
 
     def read(self, name: str) -> StoredObject:
-        """Return one object."""
+        """Return an object; raise RefusedError (404) if it does not exist."""
         if name not in self._by_name:
             raise RefusedError(404, 'not-found')
         return self._by_name[name]
 
-    def listing(self, prefix: str) -> list[StoredObject]:
-        """Return all objects whose names begin with the prefix, sorted."""
+    def list_objects(self, prefix: str) -> list[StoredObject]:
+        """Return all objects with a name prefix, sorted by name."""
         found = []
         for name in self._by_name.irange(prefix):
             if not name.startswith(prefix):
@@ -36,25 +36,28 @@
         return found
 
     def create(self, name: str, value: Any) -> StoredObject:
-        """Write an object that must not exist yet."""
-        self._expect(name, None)
+        """Create an object; raise RefusedError (412) if it exists."""
+        self._check_version(name, None)
         return self._write(name, value)
 
     def update(self, name: str, value: Any, version: int) -> StoredObject:
-        """Replace an object that must have this version."""
-        self._expect(name, version)
+        """Replace an object; raise RefusedError (412) on another version."""
+        self._check_version(name, version)
         return self._write(name, value)
 
     def delete(self, name: str, version: int) -> StoredObject:
-        """Delete an object that must have this version."""
+        """Delete an object; raise RefusedError (412) on another version.
+
+        Raises RefusedError (404) if the object does not exist.
+        """
         self.read(name)
-        self._expect(name, version)
+        self._check_version(name, version)
         deletion = StoredObject(name, None, self.revision + 1)
         self._by_name.pop(name)
         self._history.append(deletion)
         return deletion
 
-    def _expect(self, name: str, version: int | None) -> None:
+    def _check_version(self, name: str, version: int | None) -> None:
         stored = self._by_name.get(name)
         current = stored.version if stored else None
         if current != version:
--- a/standins/platform/watches.py
+++ b/standins/platform/watches.py
@@ -1,4 +1,4 @@
-"""Watches: calls that wait for the next event."""
+"""Watches: long-polling calls that wait for the next event."""
 
 from eventlet.event import Event
 
@@ -9,7 +9,7 @@
 
 
 class Watches:
-    """Holds watches until an event, an outage or the end of their wait."""
+    """Blocks watch calls until an event, an outage or their timeout."""
 
     def __init__(
         self,
@@ -20,30 +20,33 @@
         self._history = history
         self._faults = faults
         self._counts = counts
-        self._changed = Event()
+        self._change_event = Event()
 
-    def wake(self) -> None:
-        """Let every waiting watch look again."""
-        changed = self._changed
-        self._changed = Event()
-        changed.send()
+    def notify(self) -> None:
+        """Make every blocked watch check for events and outages again."""
+        change_event = self._change_event
+        self._change_event = Event()
+        change_event.send()
 
-    def wait(
+    def wait_for_events(
         self,
         prefix: str,
         since: int,
         wait_ms: int,
     ) -> tuple[list[StoredObject], int]:
-        """Return the events after a revision, and the revision reached.
+        """Return the events after revision `since` and the revision reached.
 
-        While watches stall, no event is seen and the revision stays at
-        `since`, so that nothing is lost once the stall is over.
+        Blocks until there is an event or `wait_ms` have passed; raises
+        DroppedError during an outage.
+
+        While watches are stalled, no events are returned and the revision
+        stays at `since`, so no event is lost once the stall is over.
         """
         deadline_ms = monotonic_ms() + wait_ms
-        with self._counts.waiting:
-            return self._look(prefix, since, deadline_ms)
+        with self._counts.waiting_watches:
+            return self._wait_until(prefix, since, deadline_ms)
 
-    def _look(
+    def _wait_until(
         self,
         prefix: str,
         since: int,
@@ -51,12 +54,12 @@
     ) -> tuple[list[StoredObject], int]:
         reached = since
         while True:
-            self._faults.strike_outage()
+            self._faults.apply_outage()
             events: list[StoredObject] = []
             if not self._faults.settings.watch_stall:
                 events = self._history.since(reached, prefix)
                 reached = self._history.revision
-            left_ms = deadline_ms - monotonic_ms()
-            if events or left_ms <= 0:
+            remaining_ms = deadline_ms - monotonic_ms()
+            if events or remaining_ms <= 0:
                 return events, reached
-            self._changed.wait(timeout=left_ms / MS_PER_SECOND)
+            self._change_event.wait(timeout=remaining_ms / MS_PER_SECOND)
--- a/standins/relay/__init__.py
+++ b/standins/relay/__init__.py
@@ -1,1 +1,1 @@
-"""A TCP relay that cuts, silences and delays what passes through it."""
+"""A TCP relay that injects resets, drops and delays into connections."""
--- a/standins/relay/api.py
+++ b/standins/relay/api.py
@@ -1,4 +1,4 @@
-"""The HTTP interface of the relay: routes and their switches."""
+"""The HTTP interface of the relay, which controls routes and switches."""
 
 from typing import Any
 
@@ -9,11 +9,11 @@
 from standins.requests import Request
 
 MAX_CONTROL_BYTES = 65_536
-ROUTE_PATH = '/routes/'
+ROUTE_PATH_PREFIX = '/routes/'
 
 
-class Target(BaseModel):
-    """Where a new route leads; listen port 0 takes any free port."""
+class RouteTarget(BaseModel):
+    """The ports of a new route; listen port 0 selects any free port."""
 
     model_config = ConfigDict(extra='forbid')
 
@@ -22,30 +22,33 @@
 
 
 class RelayApi:
-    """Opens routes, sets their switches and tells what passed them."""
+    """Opens routes, sets their switches and reports their traffic."""
 
     def __init__(self) -> None:
         self._routes: dict[str, Route] = {}
 
     def answer(self, request: Request) -> Answer:
-        """Answer one request."""
+        """Return the answer to a request.
+
+        Raises RefusedError, which carries the status of an error answer.
+        """
         if request.path == '/routes' and request.method == 'GET':
             return json_answer(self._report())
-        if not request.path.startswith(ROUTE_PATH):
+        if not request.path.startswith(ROUTE_PATH_PREFIX):
             raise RefusedError(404, 'no-such-path')
-        name = request.path.removeprefix(ROUTE_PATH)
+        name = request.path.removeprefix(ROUTE_PATH_PREFIX)
         if request.method == 'PUT':
-            self._open(name, request.body(MAX_CONTROL_BYTES))
+            self._open_route(name, request.body(MAX_CONTROL_BYTES))
         elif name not in self._routes:
             raise RefusedError(404, 'no-such-route')
         elif request.method == 'POST':
-            self._routes[name].change(request.body(MAX_CONTROL_BYTES))
+            self._routes[name].update_switches(request.body(MAX_CONTROL_BYTES))
         return json_answer(self._routes[name].report())
 
-    def _open(self, name: str, document: bytes) -> None:
+    def _open_route(self, name: str, document: bytes) -> None:
         if name in self._routes:
             raise RefusedError(409, 'route-exists')
-        target = Target.model_validate_json(document)
+        target = RouteTarget.model_validate_json(document)
         self._routes[name] = Route(target.listen_port, target.target_port)
 
     def _report(self) -> dict[str, Any]:
--- a/standins/relay/main.py
+++ b/standins/relay/main.py
@@ -8,7 +8,7 @@
 
 
 def main() -> None:
-    """Run the relay until the process ends."""
+    """Serve the relay until the process ends."""
     parser = ArgumentParser(prog='standins.relay')
     parser.add_argument('--control-port', type=int, default=0)
     serve(Application(RelayApi().answer), parser.parse_args().control_port)
--- a/standins/relay/route.py
+++ b/standins/relay/route.py
@@ -1,4 +1,4 @@
-"""One route: a port whose connections are passed on to another port."""
+"""A route: a listening port that is relayed to a target port."""
 
 import socket
 from collections import Counter
@@ -8,7 +8,7 @@
 import eventlet
 
 from standins.clock import MS_PER_SECOND
-from standins.relay.pair import Pair
+from standins.relay.pair import ConnectionPair
 from standins.relay.switches import Direction, RouteSwitches
 from standins.serving import BACKLOG, HOST
 
@@ -16,91 +16,100 @@
 
 
 class Route:
-    """Listens, passes connections on, and obeys its switches."""
+    """Relays connections to a target port and injects link faults."""
 
     def __init__(self, listen_port: int, target_port: int) -> None:
         self.switches = RouteSwitches()
         self._target_port = target_port
-        self._pairs: set[Pair] = set()
+        self._pairs: set[ConnectionPair] = set()
         self._bytes: Counter[Direction] = Counter()
-        self._pieces: Counter[Direction] = Counter()
-        self._opened = 0
+        self._chunks: Counter[Direction] = Counter()
+        self._opened_count = 0
         self._listener = socket.create_server(
             (HOST, listen_port), backlog=BACKLOG
         )
         eventlet.spawn_n(self._accept)
 
-    def change(self, document: bytes) -> None:
-        """Set the switches that a JSON document names."""
+    def update_switches(self, document: bytes) -> None:
+        """Set the switches that are present in a JSON document.
+
+        `silent` and `cut` also apply to the connections that are open.
+        """
         changes = RouteSwitches.model_validate_json(document)
-        named = changes.model_dump(exclude_unset=True)
-        self.switches = self.switches.model_copy(update=named)
+        updates = changes.model_dump(exclude_unset=True)
+        self.switches = self.switches.model_copy(update=updates)
         for pair in tuple(self._pairs):
-            if changes.silent and self._concerns(pair):
-                pair.silence()
-            if changes.cut and self._concerns(pair):
+            if changes.silent and self._matches(pair):
+                pair.drop_all()
+            if changes.cut and self._matches(pair):
                 pair.reset()
 
     def report(self) -> dict[str, Any]:
-        """Return the port, the switches and what has passed."""
+        """Return the port, the switches and counts of the forwarded traffic."""
         return {
             'port': self._listener.getsockname()[1],
-            'opened': self._opened,
+            'opened': self._opened_count,
             'open': len(self._pairs),
             'bytes': dict(self._bytes),
-            'pieces': dict(self._pieces),
+            'pieces': dict(self._chunks),
             'switches': self.switches.model_dump(),
         }
 
-    def greeted(self, pair: Pair) -> None:
-        """Apply what concerns new connections, once the first bytes came."""
-        if self.switches.cut and self._concerns(pair):
+    def apply_to_new(self, pair: ConnectionPair) -> None:
+        """Apply the switches for new connections, on the first bytes."""
+        if self.switches.cut and self._matches(pair):
             pair.reset()
-        if self.switches.silent_new and self._concerns(pair):
-            pair.silence()
-
-    def passes(self, pair: Pair, direction: Direction, size: int) -> bool:
-        """Tell whether a piece goes on; wait for its delay."""
-        if self._concerns(pair):
-            self._hinder(pair, direction)
-        if pair.is_deaf(direction):
+        if self.switches.silent_new and self._matches(pair):
+            pair.drop_all()
+
+    def should_forward(
+        self, pair: ConnectionPair, direction: Direction, size: int
+    ) -> bool:
+        """Return whether to forward a chunk, after the delay of the link."""
+        if self._matches(pair):
+            self._apply_link_faults(pair, direction)
+        if pair.is_dropped(direction):
             return False
         self._bytes[direction] += size
-        self._pieces[direction] += 1
-        if self._is_cut_now(direction, size):
+        self._chunks[direction] += 1
+        if self._reaches_cut(direction, size):
             pair.reset()
             return False
         return True
 
-    def forget(self, pair: Pair) -> None:
-        """Drop a pair that has ended."""
+    def remove(self, pair: ConnectionPair) -> None:
+        """Remove a closed pair."""
         self._pairs.discard(pair)
 
-    def _concerns(self, pair: Pair) -> bool:
-        return pair.greeting.find(self.switches.only.encode()) >= 0
+    def _matches(self, pair: ConnectionPair) -> bool:
+        return pair.first_chunk.find(self.switches.only.encode()) >= 0
 
-    def _hinder(self, pair: Pair, direction: Direction) -> None:
+    def _apply_link_faults(
+        self, pair: ConnectionPair, direction: Direction
+    ) -> None:
         if self.switches.delay_ms:
             eventlet.sleep(self.switches.delay_ms / MS_PER_SECOND)
         if self.switches.drop == direction:
-            pair.deafen(direction)
+            pair.drop_direction(direction)
 
-    def _is_cut_now(self, direction: Direction, size: int) -> bool:
-        left = self.switches.cut_after
-        if left is None or self.switches.cut_direction != direction:
+    def _reaches_cut(self, direction: Direction, size: int) -> bool:
+        remaining = self.switches.cut_after
+        if remaining is None or self.switches.cut_direction != direction:
             return False
-        left = None if size >= left else left - size
-        self.switches = self.switches.model_copy(update={'cut_after': left})
-        return left is None
+        remaining = None if size >= remaining else remaining - size
+        self.switches = self.switches.model_copy(
+            update={'cut_after': remaining}
+        )
+        return remaining is None
 
     def _accept(self) -> None:
         while True:
             client, _ = self._listener.accept()
-            self._opened += 1
+            self._opened_count += 1
             eventlet.spawn_n(self._serve, client)
 
     def _serve(self, client: socket.socket) -> None:
-        pair = Pair(client, self)
+        pair = ConnectionPair(client, self)
         if self.switches.cut and not self.switches.only:
             pair.reset()
             return
--- a/standins/relay/switches.py
+++ b/standins/relay/switches.py
@@ -1,4 +1,4 @@
-"""What a test can switch on a route of the relay."""
+"""The switches of a route, with which a test injects link faults."""
 
 from enum import StrEnum
 
@@ -6,21 +6,24 @@
 
 
 class Direction(StrEnum):
-    """The way that bytes take through a route."""
+    """The direction of bytes through a route."""
 
     to_target = 'to_target'
     to_client = 'to_client'
 
 
 class RouteSwitches(BaseModel):
-    """All switches; those that a request leaves out stay as they are.
-
-    `silent` drops all bytes of the connections that are open when it is set,
-    for good; `silent_new` does so to those that come while it is set.
-    `cut_after` resets the connection that carries the last of so many bytes
-    of `cut_direction`, once, counted from when it is set.  Where `only` is
-    set, the switches but `cut_after` concern those connections alone whose
-    first bytes contain this text.
+    """All switches; those omitted from a request keep their values.
+
+    `cut` resets open and new connections.  `silent` permanently drops all
+    bytes of the connections that are open when it is set; `silent_new`
+    does so for connections that are opened while it is set.  `delay_ms`
+    delays each chunk.  `drop` permanently drops the bytes of a direction on
+    connections that carry data while it is set.  `cut_after` is a number of
+    bytes in `cut_direction`, counted from when it is set: the connection
+    that carries the last of them is reset, once.  If `only` is set, all
+    switches except `cut_after` apply only to connections whose first bytes
+    contain this text.
     """
 
     model_config = ConfigDict(extra='forbid')
