--- a/standins/platform/counts.py
+++ b/standins/platform/counts.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from typing import Any
 
-REPORTED_PREFIXES = ('nodes', 'shards', 'config', 'audit')
+KNOWN_PREFIXES = ('nodes', 'shards', 'config', 'audit')
 READS = 'reads'
 WRITES = 'writes'
 
@@ -29,7 +29,7 @@
     def __init__(self) -> None:
         self._totals: Counter[str] = Counter()
         self._by_prefix: dict[str, Counter[str]] = {
-            prefix: Counter() for prefix in REPORTED_PREFIXES
+            prefix: Counter() for prefix in KNOWN_PREFIXES
         }
         self._watch_count = 0
         self.waiting_watches = InProgressGauge()
