--- a/laburnumwood/cli/losing.py
+++ b/laburnumwood/cli/loss_command.py
@@ -1,4 +1,4 @@
-"""The command that asserts the loss of a node."""
+"""The command by which an operator confirms that a node is lost."""
 
 from contextlib import suppress
 
@@ -10,7 +10,7 @@
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.store.client import HttpStore
 from laburnumwood.store.interface import Store
-from laburnumwood.store.objects import AUDIT, node_object, to_record
+from laburnumwood.store.objects import AUDIT_PREFIX, node_object_name, to_record
 
 _ASSERTION = """\
 By confirming that {name} is lost you assert:
@@ -20,8 +20,8 @@
 Stop the VM first, then repeat the command with --yes."""
 
 
-def _read(platform: Store, node_id: str) -> NodeRecord:
-    stored = platform.get(node_object(node_id))
+def _read_node_record(store: Store, node_id: str) -> NodeRecord:
+    stored = store.get(node_object_name(node_id))
     if stored is None:
         raise UsageError(
             f'no node {node_id!r} has announced itself; give its id without '
@@ -30,8 +30,8 @@
     return to_record(NodeRecord, stored)
 
 
-def _note(platform: Store, name: NodeName, who: str) -> None:
-    """Write the assertion into the audit trail, once."""
+def _write_audit_entry(store: Store, name: NodeName, who: str) -> None:
+    """Record the confirmation in the audit trail unless it is there."""
     content = {
         'what': 'confirm-lost',
         'node': str(name),
@@ -39,22 +39,24 @@
         'when_ms': Clock().wall_ms(),
     }
     with suppress(PlatformConflictError):
-        platform.create(f'{AUDIT}lost/{name}', content)
+        store.create(f'{AUDIT_PREFIX}lost/{name}', content)
 
 
 def confirm_loss(
-    options: Options, node_id: str, output: Output, *, sure: bool
+    options: Options, node_id: str, output: Output, *, confirmed: bool
 ) -> None:
-    """Say what the loss of a node asserts, and record it if told to.
+    """Record that the latest incarnation of a node is lost.
 
-    An incarnation that joins later is not touched.
+    Later incarnations are not affected.  Raises `UsageError` with what the
+    operator asserts unless `confirmed`, or if the node is not known, and
+    `PlatformError` if the platform does not answer.
     """
-    if not sure:
+    if not confirmed:
         raise UsageError(_ASSERTION.format(name=node_id))
-    platform = HttpStore(options.platform_url)
-    record = _read(platform, node_id)
+    store = HttpStore(options.platform_url)
+    record = _read_node_record(store, node_id)
     name = NodeName(node_id, record.incarnation)
-    _note(platform, name, options.who)
-    confirm_lost(platform, name, options.who)
-    output.say(f'{name} is recorded as lost; its shards get new owners')
-    output.data({'lost': str(name)})
+    _write_audit_entry(store, name, options.who)
+    confirm_lost(store, name, options.who)
+    output.print_text(f'{name} is recorded as lost; its shards get new owners')
+    output.print_json({'lost': str(name)})
--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -1,4 +1,4 @@
-"""The program laburnumwood, for operators."""
+"""The program laburnumwood, a command-line tool for operators."""
 
 import sys
 from pathlib import Path
@@ -7,10 +7,10 @@
 from fire.decorators import SetParseFns
 from logbook import NullHandler
 
-from laburnumwood.cli import configuring, looking
+from laburnumwood.cli import configuring, fleet_commands
 from laburnumwood.cli.explaining import explain
-from laburnumwood.cli.fleet import Fleet
-from laburnumwood.cli.losing import confirm_loss
+from laburnumwood.cli.fleet import FleetClient
+from laburnumwood.cli.loss_command import confirm_loss
 from laburnumwood.cli.options import UsageError, read_options
 from laburnumwood.cli.output import Output
 from laburnumwood.errors import (
@@ -26,10 +26,10 @@
 EXIT_NOT_IN_FORCE = 3
 EXIT_CHANGED_SINCE = 4
 
-_IN_FORCE_S = 10
-_WINDOW_S = 60
-_HISTORY = 20
-_ONLY = '--only'
+_DEFAULT_LIMIT_S = 10
+_DEFAULT_WINDOW_S = 60
+_DEFAULT_HISTORY = 20
+_ONLY_FLAG = '--only'
 
 
 class Tool:
@@ -52,13 +52,13 @@
 
     def validate(self, folder: str) -> None:
         """Check the files of a folder; show which file sets each value."""
-        configuring.show_validity(Path(folder), self._output)
+        configuring.show_merged_folder(Path(folder), self._output)
 
     @SetParseFns(folder=str, only=str)
     def diff(self, folder: str, *, only: str = '') -> None:
         """Show how a folder differs from the accepted configuration."""
-        configuring.show_difference(
-            self._options, Path(folder), _names(only), self._output
+        configuring.show_diff(
+            self._options, Path(folder), _split_names(only), self._output
         )
 
     @SetParseFns(folder=str, only=str)
@@ -68,36 +68,36 @@
         *,
         only: str = '',
         wait: bool = False,
-        limit_s: float = _IN_FORCE_S,
+        limit_s: float = _DEFAULT_LIMIT_S,
     ) -> None:
         """Make a folder's changes the configuration; --wait until in force."""
         configuring.apply_folder(
             self._options,
             Path(folder),
-            _names(only),
+            _split_names(only),
             limit_s if wait else 0,
             self._output,
         )
 
     @SetParseFns(file=str)
     def show(self, file: str = '') -> None:
-        """Show what is accepted, or one accepted file as JSON."""
+        """Show the accepted configuration, or one file of it as JSON."""
         configuring.show_accepted(self._options, file, self._output)
 
-    def history(self, *, most: int = _HISTORY) -> None:
+    def history(self, *, most: int = _DEFAULT_HISTORY) -> None:
         """Show the newest accepted changes: when, by whom, which files."""
         configuring.show_history(self._options, most, self._output)
 
     def audit(self, generation: int) -> None:
-        """Show what one accepted change did."""
-        configuring.show_change(self._options, generation, self._output)
+        """Show one accepted change with the diffs of its files."""
+        configuring.show_audit_entry(self._options, generation, self._output)
 
     def rollback(
         self,
         generation: int,
         *,
         wait: bool = False,
-        limit_s: float = _IN_FORCE_S,
+        limit_s: float = _DEFAULT_LIMIT_S,
     ) -> None:
         """Apply the files of an older generation as a new one."""
         configuring.roll_back(
@@ -105,69 +105,69 @@
         )
 
     def status(self) -> None:
-        """Show how each live node is."""
-        looking.show_status(self._fleet(), self._output)
+        """Show the status of each live node."""
+        fleet_commands.show_status(self._fleet(), self._output)
 
     def nodes(self) -> None:
-        """Show the live nodes and where they are."""
-        looking.show_nodes(self._fleet(), self._output)
+        """Show the live nodes with their failure domains and services."""
+        fleet_commands.show_nodes(self._fleet(), self._output)
 
     @SetParseFns(service=str, key=str)
     def owners(self, service: str, key: str = '') -> None:
-        """Show who owns the shards of a service, or one key of it."""
+        """Show the owners of the shards of a service, or of one key."""
         if key:
-            looking.show_owner(self._fleet(), service, key, self._output)
+            fleet_commands.show_owner(self._fleet(), service, key, self._output)
         else:
-            looking.show_owners(self._fleet(), service, self._output)
+            fleet_commands.show_owners(self._fleet(), service, self._output)
 
-    def idle(self, *, window_s: float = _WINDOW_S) -> None:
-        """Show what capacity carried and what lay idle, by who pays."""
-        looking.show_idle(self._fleet(), window_s, self._output)
+    def idle(self, *, window_s: float = _DEFAULT_WINDOW_S) -> None:
+        """Show used and idle capacity by capacity owner."""
+        fleet_commands.show_idle(self._fleet(), window_s, self._output)
 
     @SetParseFns(request=str)
     def explain(self, request: str, *files: str) -> None:
-        """Tell a request's story from the log files of the nodes."""
+        """Show the events of a request from the log files of the nodes."""
         explain(request, files, self._output)
 
     @SetParseFns(node_id=str)
     def drain(self, node_id: str) -> None:
-        """Begin the planned stop of a node; it finishes what runs."""
+        """Begin the planned stop of a node; running requests finish."""
         self._fleet().drain(node_id)
-        self._output.say(
+        self._output.print_text(
             f'{node_id} is draining; it is gone from "laburnumwood nodes" '
             'when its shards have new owners'
         )
-        self._output.data({'draining': node_id})
+        self._output.print_json({'draining': node_id})
 
     @SetParseFns(node_id=str)
     def confirm_lost(self, node_id: str, *, yes: bool = False) -> None:
-        """Assert that a node is lost for good, so that others may follow."""
-        confirm_loss(self._options, node_id, self._output, sure=yes)
+        """Confirm that a node is lost, so that its shards get new owners."""
+        confirm_loss(self._options, node_id, self._output, confirmed=yes)
 
-    def _fleet(self) -> Fleet:
-        return Fleet(self._options)
+    def _fleet(self) -> FleetClient:
+        return FleetClient(self._options)
 
 
-def _names(only: str) -> tuple[str, ...]:
+def _split_names(only: str) -> tuple[str, ...]:
     return tuple(name for name in only.split(',') if name)
 
 
-def _join_only(arguments: list[str]) -> list[str]:
-    """Return arguments with every --only FILE joined into one flag."""
+def _merge_only_flags(arguments: list[str]) -> list[str]:
+    """Return the arguments with all --only flags merged into one."""
     joined: list[str] = []
     names: list[str] = []
     rest = iter(arguments)
     for argument in rest:
         flag, equals, name = argument.partition('=')
-        if flag == _ONLY:
+        if flag == _ONLY_FLAG:
             names.append(name if equals else next(rest, ''))
         else:
             joined.append(argument)
-    return [*joined, f'{_ONLY}={",".join(names)}'] if names else joined
+    return [*joined, f'{_ONLY_FLAG}={",".join(names)}'] if names else joined
 
 
-def _explain(failure: LaburnumwoodError) -> tuple[int, str]:
-    """Return the exit status and what a person has to know."""
+def _describe_failure(failure: LaburnumwoodError) -> tuple[int, str]:
+    """Return the exit status and the error message for a failure."""
     match failure:
         case DeclarationError() | UsageError():
             return EXIT_REFUSED, f'refused:\n{failure}'
@@ -192,13 +192,13 @@
 
 
 def main() -> int:
-    """Run one command and return its exit status."""
-    arguments = _join_only(sys.argv[1:])
-    NullHandler().push_application()  # the tool tells people itself
+    """Run the command of the program's arguments; return its exit status."""
+    arguments = _merge_only_flags(sys.argv[1:])
+    NullHandler().push_application()  # The tool prints its own messages.
     try:
         fire.Fire(Tool, command=arguments, name='laburnumwood')
     except LaburnumwoodError as failure:
-        status, text = _explain(failure)
+        status, text = _describe_failure(failure)
         sys.stderr.write(f'{text}\n')
         return status
     return 0
--- a/laburnumwood/cli/seen.py
+++ b/laburnumwood/cli/seen.py
@@ -1,4 +1,4 @@
-"""What the folder of an operator is based on."""
+"""The record of the accepted files on which a folder is based."""
 
 import json
 from pathlib import Path
@@ -7,11 +7,15 @@
 
 from laburnumwood.cli.options import UsageError
 
-_NAME = '.laburnumwood-seen'
+_FILE_NAME = '.laburnumwood-seen'
 
 
-class Seen(BaseModel):
-    """Digests of the accepted files that the operator has seen."""
+class SeenFiles(BaseModel):
+    """The digests of the accepted files that the operator has seen.
+
+    They show whether the operator or others changed a file since then.
+    `generation` is the accepted one when the record was written.
+    """
 
     model_config = ConfigDict(extra='forbid')
 
@@ -19,19 +23,23 @@
     files: dict[str, str] = Field(default_factory=dict)
 
 
-def read_seen(folder: Path) -> Seen:
-    """Return what a folder is based on; nothing if it is new."""
-    path = folder / _NAME
+def read_seen(folder: Path) -> SeenFiles:
+    """Return the accepted files on which a folder is based.
+
+    There are none if the folder has no record.  Raises `UsageError` if the
+    record is not valid.
+    """
+    path = folder / _FILE_NAME
     if not path.exists():
-        return Seen()
+        return SeenFiles()
     try:
-        return Seen.model_validate_json(path.read_text())
+        return SeenFiles.model_validate_json(path.read_text())
     except ValidationError as invalid:
         text = f'{path} is not readable; remove it and run "laburnumwood diff"'
         raise UsageError(text) from invalid
 
 
-def write_seen(folder: Path, seen: Seen) -> None:
-    """Note what a folder is based on now."""
+def write_seen(folder: Path, seen: SeenFiles) -> None:
+    """Write the accepted files on which a folder is based to its record."""
     text = json.dumps(seen.model_dump(), indent=2)
-    (folder / _NAME).write_text(f'{text}\n')
+    (folder / _FILE_NAME).write_text(f'{text}\n')
--- a/laburnumwood/config/audit.py
+++ b/laburnumwood/config/audit.py
@@ -2,20 +2,20 @@
 
 from collections.abc import Iterator, Mapping
 
-from laburnumwood.config.files import Content, Files
+from laburnumwood.config.files import FileContent, Files
 from laburnumwood.errors import DeclarationError, PlatformConflictError
 from laburnumwood.records import AuditRecord, ConfigRecord, FileChange
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import (
-    CONFIG,
-    audit_object,
+    CONFIG_NAME,
+    audit_object_name,
     to_record,
     to_value,
 )
 
 
-def entry_of(record: ConfigRecord) -> AuditRecord:
-    """Return the entry of the audit trail for an accepted configuration."""
+def audit_entry(record: ConfigRecord) -> AuditRecord:
+    """Return the audit entry of an accepted configuration."""
     changes = {
         name: FileChange(before, record.files.get(name))
         for name, before in sorted(record.replaced.items())
@@ -30,60 +30,68 @@
     )
 
 
-def complete(platform: Store, record: ConfigRecord) -> None:
-    """Write the entry of the newest configuration if it is not there yet.
+def write_missing_entry(store: Store, record: ConfigRecord) -> None:
+    """Write the audit entry of a configuration unless it exists.
 
     Raises `PlatformError` if the platform does not answer.
     """
-    name = audit_object(record.generation)
+    name = audit_object_name(record.generation)
     try:
-        platform.create(name, to_value(entry_of(record)))
+        store.create(name, to_value(audit_entry(record)))
     except PlatformConflictError:
-        return  # it is there, and an entry is never written again
+        return  # The entry exists; audit entries never change.
 
 
-def read_newest(platform: Store) -> Iterator[AuditRecord]:
-    """Yield the entries of the audit trail, the newest first.
+def read_audit_trail(store: Store) -> Iterator[AuditRecord]:
+    """Yield the entries of the audit trail, newest first.
 
-    An entry that its writer left out is completed.  Raises `PlatformError`.
+    Writes the newest entry if it is missing because its writer failed
+    between accepting the configuration and writing the entry.  Raises
+    `PlatformError` if the platform does not answer.
     """
-    stored = platform.get(CONFIG)
+    stored = store.get(CONFIG_NAME)
     if stored is None:
         return
     record = to_record(ConfigRecord, stored)
     for generation in range(record.generation, 0, -1):
-        found = platform.get(audit_object(generation))
-        if found is not None:
-            yield to_record(AuditRecord, found)
+        stored_entry = store.get(audit_object_name(generation))
+        if stored_entry is not None:
+            yield to_record(AuditRecord, stored_entry)
         elif generation == record.generation:
-            complete(platform, record)
-            yield entry_of(record)
+            write_missing_entry(store, record)
+            yield audit_entry(record)
 
 
-def undo(files: Files, changes: Mapping[str, FileChange]) -> Files:
-    """Return files as they were before some changes."""
-    undone = {name: change.before for name, change in changes.items()}
-    before: dict[str, Content | None] = {**files, **undone}
+def revert_changes(files: Files, changes: Mapping[str, FileChange]) -> Files:
+    """Return the files as they were before the changes."""
+    reverted = {name: change.before for name, change in changes.items()}
+    before: dict[str, FileContent | None] = {**files, **reverted}
     return {
         name: content for name, content in before.items() if content is not None
     }
 
 
-def files_at(platform: Store, now: ConfigRecord, generation: int) -> Files:
-    """Return the files of an accepted generation.
+def files_of_generation(
+    store: Store, accepted: ConfigRecord, generation: int
+) -> Files:
+    """Return the files of a generation up to the accepted one.
 
-    Raises `DeclarationError` if there is none such, and `PlatformError`.
+    They are computed by reverting the changes of all later audit entries.
+    Raises `DeclarationError` if the generation or a needed entry does not
+    exist, and `PlatformError` if the platform does not answer.
     """
-    if not 0 < generation <= now.generation:
+    if not 0 < generation <= accepted.generation:
         raise DeclarationError(
             f'generation {generation} is not known; the newest is '
-            f'{now.generation}, see "laburnumwood history"'
+            f'{accepted.generation}, see "laburnumwood history"'
         )
-    files = dict(now.files)
-    for number in range(now.generation, generation, -1):
-        stored = platform.get(audit_object(number))
-        if stored is None and number != now.generation:
+    files = dict(accepted.files)
+    for number in range(accepted.generation, generation, -1):
+        stored = store.get(audit_object_name(number))
+        if stored is None and number != accepted.generation:
             raise DeclarationError(f'generation {number}: no audit entry')
-        entry = to_record(AuditRecord, stored) if stored else entry_of(now)
-        files = undo(files, entry.changes)
+        entry = (
+            to_record(AuditRecord, stored) if stored else audit_entry(accepted)
+        )
+        files = revert_changes(files, entry.changes)
     return files
--- a/laburnumwood/config/declarations.py
+++ b/laburnumwood/config/declarations.py
@@ -1,45 +1,50 @@
-"""The models of what operators declare."""
+"""Models of the configuration that operators declare in files."""
 
 from typing import Annotated, Literal, Self
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-_MOST_SHARDS = 65_536
+_MAX_SHARDS = 65_536
 
 Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 
 
 class Declaration(BaseModel):
-    """The base of all declarations: unknown fields and types are refused."""
+    """The base of all declarations.
+
+    Unknown fields and values of other types are errors.
+    """
 
     model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
 
 
 class KeySource(Declaration):
-    """Where the key of a request stands.
+    """The part of a request that holds its key.
 
-    `name` is that of the header or query field; for `path` it is the number
-    of the segment after the service's name, counted from 1.
+    `name` is the name of the header or query parameter.  For the source
+    `path` it is the number of the path segment, counted from 1 after the
+    name of the service.
     """
 
     source: Literal['header', 'query', 'path']
     name: str = Field(min_length=1)
 
     @model_validator(mode='after')
-    def _check_segment(self) -> Self:
-        if self.source == 'path' and not self._is_segment():
+    def _check_path_segment(self) -> Self:
+        if self.source == 'path' and not self._names_segment():
             raise ValueError('for "path", name is a number from "1" up')
         return self
 
-    def _is_segment(self) -> bool:
+    def _names_segment(self) -> bool:
         return self.name.isdecimal() and int(self.name) > 0
 
 
 class Priority(Declaration):
-    """A class of traffic that is weighed against the ordinary, of weight 1.
+    """A class of requests with a scheduling weight.
 
-    A request belongs to it by its method, or if its header field has the
-    text; without a text, any text will do.
+    Ordinary requests have the weight 1.  A request belongs to the class if
+    its method is one of `methods`, or if its header `header` has the value
+    `text`, or any value if `text` is None.
     """
 
     weight: int = Field(default=4, ge=1, le=100)
@@ -49,20 +54,21 @@
 
 
 class Service(Declaration):
-    """A service; it is divided by key if `key` is given.
-
-    `owner` is the capacity owner that its requests are counted for.  With a
-    `stripe_width`, keys are numbers below 65,536 and each run of so many
-    neighbours belongs to one shard, else keys are hashed to shards.  With
-    `shards_per_node`, `shards` is the least number and `stripe_width` the
-    largest: the service gets more shards and narrower stripes where it begins
-    on many nodes, and keeps them.
+    """A service, which is sharded by key if `key` is given.
+
+    `owner` is the capacity owner to which its requests are charged.
+
+    With a `stripe_width`, keys are numbers below 65,536, and each stripe of
+    that many consecutive keys belongs to one shard; without it, keys are
+    hashed to shards.  With `shards_per_node`, `shards` is the minimum number
+    of shards and `stripe_width` the maximum width: a service that starts on
+    many nodes gets more shards and narrower stripes, and keeps them.
     """
 
     key: KeySource | None = None
-    shards: int = Field(default=0, ge=0, le=_MOST_SHARDS)
-    shards_per_node: int | None = Field(default=None, ge=1, le=_MOST_SHARDS)
-    stripe_width: int | None = Field(default=None, ge=1, le=_MOST_SHARDS)
+    shards: int = Field(default=0, ge=0, le=_MAX_SHARDS)
+    shards_per_node: int | None = Field(default=None, ge=1, le=_MAX_SHARDS)
+    stripe_width: int | None = Field(default=None, ge=1, le=_MAX_SHARDS)
     owner: str | None = None
     idempotent_methods: frozenset[str] = frozenset(
         ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'),
@@ -77,11 +83,11 @@
 
 
 class Route(Declaration):
-    """Requests of a host under a prefix of the path, and who serves them.
+    """The services that handle the requests of a host under a path prefix.
 
-    `services` maps names to weights.  A request is sent to `attempts` workers
-    at the most and answered after `timeout_ms` at the latest.  The `priority`
-    0 is the highest.
+    `services` maps the names of services to weights.  A request is sent to
+    at most `attempts` workers and answered within `timeout_ms`.  The
+    `priority` 0 is the highest.
     """
 
     host: str = Field(min_length=1)
@@ -101,7 +107,7 @@
 
 
 class Pin(Declaration):
-    """Binds a key or a shard of a service to a failure domain or a node."""
+    """Pins a key or a shard of a service to a failure domain or a node."""
 
     service: str
     key: str | None = Field(default=None, min_length=1)
@@ -110,7 +116,7 @@
     node: str | None = None
 
     @model_validator(mode='after')
-    def _check_choices(self) -> Self:
+    def _check_exclusive_fields(self) -> Self:
         if (self.key is None) == (self.shard is None):
             raise ValueError('give either "key" or "shard"')
         if (self.failure_domain is None) == (self.node is None):
@@ -118,10 +124,11 @@
         return self
 
 
-class Rule(Declaration):
-    """Lets files set values that an earlier file has set already.
+class OverrideRule(Declaration):
+    """Allows files to override values that an earlier file sets.
 
-    A path is that of a value, or ends in `.*` for all below it.
+    `files` are the names of the files that may do so.  Each path of
+    `may_override` is that of a value, or ends in `.*` for all values below.
     """
 
     files: tuple[str, ...] = Field(min_length=1)
@@ -129,7 +136,7 @@
 
 
 class Weights(Declaration):
-    """How much each measure counts when shards are placed."""
+    """The weights of the terms of the cost function that places shards."""
 
     imbalance: float = Field(default=1, ge=0)
     churn: float = Field(default=1, ge=0)
@@ -137,12 +144,12 @@
 
 
 class Declarations(Declaration):
-    """A whole configuration, or the part of it that one file sets."""
+    """A whole configuration, or the part of it that one file declares."""
 
     services: dict[Name, Service] = Field(default_factory=dict)
     failure_domains: tuple[Name, ...] = Field(default=(), strict=False)
     capacity_owners: dict[Name, CapacityOwner] = Field(default_factory=dict)
     pins: dict[Name, Pin] = Field(default_factory=dict)
-    rules: tuple[Rule, ...] = ()
+    rules: tuple[OverrideRule, ...] = ()
     weights: Weights | None = None
     routes: dict[str, Route] = Field(default_factory=dict)
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -7,7 +7,7 @@
 from sortedcontainers import SortedDict
 
 from laburnumwood.config.declarations import Declarations
-from laburnumwood.config.merge import merge
+from laburnumwood.config.merge import merge_declarations
 from laburnumwood.errors import DeclarationError, RecordError
 from laburnumwood.events import (
     CONFIG_IN_FORCE,
@@ -23,7 +23,12 @@
     ShardRecord,
     StoredObject,
 )
-from laburnumwood.store.objects import CONFIG, NODES, SHARDS, to_record
+from laburnumwood.store.objects import (
+    CONFIG_NAME,
+    NODE_PREFIX,
+    SHARD_PREFIX,
+    to_record,
+)
 
 _Record = TypeVar('_Record')
 
@@ -45,7 +50,7 @@
     Raises `RecordError` if the name is not of the form `shards/service/n`.
     """
     try:
-        return ShardName.parse(name.removeprefix(SHARDS))
+        return ShardName.parse(name.removeprefix(SHARD_PREFIX))
     except ValueError as unnamed:
         raise RecordError(f'{name}: {unnamed}') from unnamed
 
@@ -208,23 +213,26 @@
             for version in self.versions_since(revision)
             if version not in has
         )
-        if self._config.generation <= generation or CONFIG not in self._objects:
+        if (
+            self._config.generation <= generation
+            or CONFIG_NAME not in self._objects
+        ):
             return missing
-        return (self._objects[CONFIG], *missing)
+        return (self._objects[CONFIG_NAME], *missing)
 
     def _apply_object(self, stored: StoredObject) -> None:
-        if stored.name == CONFIG:
+        if stored.name == CONFIG_NAME:
             self._apply_config(to_record(ConfigRecord, stored))
-        elif stored.name.startswith(NODES):
+        elif stored.name.startswith(NODE_PREFIX):
             self._apply_node(stored)
-        elif stored.name.startswith(SHARDS):
+        elif stored.name.startswith(SHARD_PREFIX):
             self._apply_shard(stored)
 
     def _apply_config(self, record: ConfigRecord) -> None:
         if record.generation <= self._config.generation:
             return
         try:
-            declared = merge(record.files)
+            declared = merge_declarations(record.files)
         except DeclarationError as invalid:
             CONFIG_REFUSED.report(generation=record.generation, reason=invalid)
             return
@@ -237,7 +245,7 @@
         self.on_config_change()
 
     def _apply_node(self, stored: StoredObject) -> None:
-        node_id = stored.name.removeprefix(NODES)
+        node_id = stored.name.removeprefix(NODE_PREFIX)
         self.node_change_count += 1
         if stored.value is None:
             self._nodes.pop(node_id, None)
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -130,7 +130,7 @@
 
 @message('left')
 @dataclass(frozen=True, slots=True)
-class Left:
+class HandoverNotice:
     """Sends the ranges that the worker released to their next owners."""
 
     released: tuple[ReleasedRange, ...]
@@ -275,7 +275,7 @@
 
 @message('load-ask')
 @dataclass(frozen=True, slots=True)
-class LoadAsk:
+class LoadRequest:
     """Requests the load of a node."""
 
 
--- a/tests/features/steps/log_steps.py
+++ b/tests/features/steps/log_steps.py
@@ -25,8 +25,8 @@
         super().__init__(as_json=True)
         self.captured: list[dict[str, Any]] = []
 
-    def data(self, content: Any) -> None:
-        """Capture data for programs."""
+    def print_json(self, content: Any) -> None:
+        """Capture the content."""
         self.captured = content
 
 
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -12,8 +12,8 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
+from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.known import CachedStore
 from laburnumwood.membership.node_records import (
     announce_leaving,
     join,
@@ -21,17 +21,17 @@
     record_witness_sets,
 )
 from laburnumwood.membership.renewal import LeaseRenewer
-from laburnumwood.membership.serving import WorkerAnnouncer
 from laburnumwood.membership.view import FleetView
+from laburnumwood.membership.worker_announcer import WorkerAnnouncer
 from laburnumwood.protocol.messages import Renew
 from laburnumwood.records import NodeName, NodeRecord, StoredObject, WitnessSet
 from laburnumwood.settings import LeaseSettings
-from laburnumwood.store.objects import node_object, to_record
+from laburnumwood.store.objects import node_object_name, to_record
 from laburnumwood.store.writes import new_mark
 from tests.features.steps.fake_clock import FakeClock
-from tests.ownership.node import Code
+from tests.ownership.node import Components
 from tests.ownership.store import FakeStore
-from tests.ownership.world import SHARDS, World, node_settings
+from tests.ownership.world import SHARDS, Simulation, node_settings
 
 REVIEW_S = 1.2
 LIMIT_S = 20
@@ -41,7 +41,7 @@
 @given('a store that loses the response to a write')
 def make_response_losing_store(context: Context) -> None:
     context.store = FakeStore()
-    context.store.mode = 'lose-writes'
+    context.store.mode = 'lose-write-answers'
 
 
 @when(
@@ -64,23 +64,23 @@
 
 @when('the script is run')
 def run_script(context: Context) -> None:
-    context.world = World(Code())
+    context.simulation = Simulation(Components())
     for line in context.script:
-        context.world.run(line)
+        context.simulation.run(line)
 
 
 @then('no process runs on "{vm}"')
 def check_process(context: Context, vm: str) -> None:
-    assert not context.world.is_up(vm)
+    assert not context.simulation.is_running(vm)
 
 
 @then('the end of "{name}" was recorded once in the store')
 def check_end_recorded(context: Context, name: str) -> None:
     ended = NodeName.parse(name)
-    path = node_object(ended.node_id)
+    path = node_object_name(ended.node_id)
     history = [
         to_record(NodeRecord, stored).has_ended(ended.incarnation)
-        for stored in context.world.store.history
+        for stored in context.simulation.store.history
         if stored.name == path
     ]
     assert history.count(True) == 1, history
@@ -89,23 +89,23 @@
 @then('no node keeps a seal of "{name}"')
 def check_no_seal(context: Context, name: str) -> None:
     holder = NodeName.parse(name)
-    for node in context.world.nodes:
+    for node in context.simulation.nodes:
         assert holder not in node.view.seals.holders(), node.name
 
 
 @then('the node on "{vm}" holds no lease')
 def check_no_lease(context: Context, vm: str) -> None:
-    assert not context.world.node(vm).lease.is_held()
+    assert not context.simulation.node(vm).lease.is_held()
 
 
 @then('the node on "{vm}" holds a lease')
 def check_lease(context: Context, vm: str) -> None:
-    assert context.world.node(vm).lease.is_held()
+    assert context.simulation.node(vm).lease.is_held()
 
 
 @then('the shard {number:d} has no owner')
 def check_no_owner(context: Context, number: int) -> None:
-    assert context.world.owner(SHARDS[number]) is None
+    assert context.simulation.owner(SHARDS[number]) is None
 
 
 @when('the loss of "{first}", "{second}" and "{third}" is confirmed')
@@ -113,13 +113,13 @@
     context: Context, first: str, second: str, third: str
 ) -> None:
     for vm in (first, second, third):
-        context.world.run(f'confirm {vm}')
-    context.world.run('tick 100')
+        context.simulation.run(f'confirm-lost {vm}')
+    context.simulation.run('tick 100')
 
 
 @then('the shard {number:d} has an owner')
 def check_owner(context: Context, number: int) -> None:
-    assert context.world.owner(SHARDS[number]) is not None
+    assert context.simulation.owner(SHARDS[number]) is not None
 
 
 class CountingStore(FakeStore):
@@ -173,7 +173,7 @@
 
 @then('its record says that it is leaving')
 def check_leaving(context: Context) -> None:
-    stored = context.store.get(node_object('a'))
+    stored = context.store.get(node_object_name('a'))
     assert to_record(NodeRecord, stored).leaving
 
 
@@ -221,7 +221,7 @@
 
 @then('its record says that {serves} and lists the open incarnations {numbers}')
 def check_record(context: Context, serves: str, numbers: str) -> None:
-    stored = context.store.get(node_object('a'))
+    stored = context.store.get(node_object_name('a'))
     record = to_record(NodeRecord, stored)
     assert record.serves == (serves == 'it serves'), record
     expected = tuple(int(each) for each in numbers.split())
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -3,17 +3,19 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from tests.ownership.machine import drive
+from tests.ownership.machine import run_random_simulations
 from tests.ownership.mutations import MUTATIONS
-from tests.ownership.node import Code
-from tests.ownership.world import World
+from tests.ownership.node import Components
+from tests.ownership.world import Simulation
 
 
-def _run(code: Code, script: list[str], *, has_workers: bool = False) -> str:
+def _run(
+    components: Components, script: list[str], *, has_workers: bool = False
+) -> str:
     try:
-        world = World(code, has_workers=has_workers)
+        simulation = Simulation(components, has_workers=has_workers)
         for line in script:
-            world.run(line)
+            simulation.run(line)
     except AssertionError as broken:
         return type(broken).__name__
     return 'nothing'
@@ -21,7 +23,7 @@
 
 @when('{runs:d} random simulations of {lines:d} lines are run')
 def run_simulations(context: Context, runs: int, lines: int) -> None:
-    context.counted = drive(Code(), runs, lines)
+    context.counted = run_random_simulations(Components(), runs, lines)
 
 
 @when(
@@ -29,7 +31,9 @@
     'are run'
 )
 def run_with_workers(context: Context, runs: int, lines: int) -> None:
-    context.counted = drive(Code(), runs, lines, has_workers=True)
+    context.counted = run_random_simulations(
+        Components(), runs, lines, has_workers=True
+    )
 
 
 @then('no shard ever had two acting owners')
@@ -38,9 +42,11 @@
     # long after all faults have ended.  This checks that some simulations got
     # as far as that last check.
     counted = context.counted
-    print(f'{counted.runs} worlds, {counted.steps} steps', end=', ')
-    print(f'after all faults every shard had an owner {counted.calms} times')
-    assert counted.calms > 0
+    print(f'{counted.runs} simulations, {counted.steps} steps', end=', ')
+    print(
+        f'after all faults every shard had an owner {counted.recoveries} times'
+    )
+    assert counted.recoveries > 0
 
 
 @given('the script')
@@ -60,18 +66,18 @@
 
 @then('the whole code passes on it')
 def check_whole_code(context: Context) -> None:
-    found = _run(Code(), context.script)
+    found = _run(Components(), context.script)
     assert found == 'nothing', found
 
 
 @then('the whole code with workers that report passes on it')
 def check_with_workers(context: Context) -> None:
-    found = _run(Code(), context.script, has_workers=True)
+    found = _run(Components(), context.script, has_workers=True)
     assert found == 'nothing', found
 
 
 @then('the code without "{safeguard}" fails on it with workers that report')
 def check_mutation_with_workers(context: Context, safeguard: str) -> None:
-    code = MUTATIONS[safeguard]
-    found = _run(code, context.script, has_workers=True)
+    components = MUTATIONS[safeguard]
+    found = _run(components, context.script, has_workers=True)
     assert found == 'TwoHoldersError', found
--- a/tests/features/steps/shard_count_steps.py
+++ b/tests/features/steps/shard_count_steps.py
@@ -13,15 +13,15 @@
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.balance import Move
 from laburnumwood.placement.balancer import Balancer
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import key_ranges
-from laburnumwood.placement.loads import LoadReports
+from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.placement.meter import LoadMeter
+from laburnumwood.placement.move_policy import Move
+from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import WriteProgress
 from laburnumwood.placement.sharding import KEY_SPACE, initial_shard
-from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.records import (
     ConfigRecord,
     KeyRange,
@@ -38,10 +38,10 @@
     ReportSettings,
 )
 from laburnumwood.store.objects import (
-    CONFIG,
-    SHARDS,
-    node_object,
-    shard_object,
+    CONFIG_NAME,
+    SHARD_PREFIX,
+    node_object_name,
+    shard_object_name,
     to_record,
     to_value,
 )
@@ -96,7 +96,7 @@
         self.nodes: list[_Node] = []
         self._received_from_ms = self.clock.now_ms() + delay_ms
         config = to_value(ConfigRecord(1, {'team': _DECLARED}))
-        self._put(CONFIG, config)
+        self._put(CONFIG_NAME, config)
 
     def add(self, count: int) -> None:
         """Add nodes to the service."""
@@ -104,10 +104,10 @@
             place = len(self.nodes)
             name = NodeName(f'n{place}', 1)
             record = replace(record_of(place), service=SERVICE, witness_as=1)
-            self._put(node_object(name.node_id), to_value(record))
+            self._put(node_object_name(name.node_id), to_value(record))
             node = _Node(name, self.clock)
-            node.receive({CONFIG: self.objects[CONFIG]})
-            own = node_object(name.node_id)
+            node.receive({CONFIG_NAME: self.objects[CONFIG_NAME]})
+            own = node_object_name(name.node_id)
             node.receive({own: self.objects[own]})
             self.nodes.append(node)
 
@@ -124,21 +124,21 @@
 
     def put_record(self, shard: ShardName, record: ShardRecord) -> None:
         """Put an earlier record into the store."""
-        self._put(shard_object(shard), to_value(record))
+        self._put(shard_object_name(shard), to_value(record))
 
     def records(self) -> dict[int, ShardRecord]:
         """Return the records of the service's shards."""
         return {
-            ShardName.parse(name.removeprefix(SHARDS)).number: to_record(
+            ShardName.parse(name.removeprefix(SHARD_PREFIX)).number: to_record(
                 ShardRecord, stored
             )
             for name, stored in self.objects.items()
-            if name.startswith(SHARDS)
+            if name.startswith(SHARD_PREFIX)
         }
 
     def _write(self, node: _Node, shard: ShardName) -> None:
         write = node.ownership.begin_write(shard)
-        name = shard_object(shard)
+        name = shard_object_name(shard)
         if name in self.objects and write.version is None:
             node.ownership.finish(write, WriteProgress.CONFLICT)
             node.receive({name: self.objects[name]})
@@ -301,7 +301,7 @@
     assert len(mine) == own, mine
     others = [each for each in records if each not in mine]
     received = {
-        shard_object(ShardName(SERVICE, number))
+        shard_object_name(ShardName(SERVICE, number))
         for number in (mine + others)[:known]
     }
     context.node = _Node(name, fleet.clock)
@@ -309,7 +309,8 @@
         {
             object_name: stored
             for object_name, stored in fleet.objects.items()
-            if not object_name.startswith(SHARDS) or object_name in received
+            if not object_name.startswith(SHARD_PREFIX)
+            or object_name in received
         }
     )
 
@@ -370,7 +371,7 @@
 def write_itself(context: Context) -> None:
     own = context.node.ownership.own
     for number in context.reclaimable:
-        name = shard_object(ShardName(SERVICE, number))
+        name = shard_object_name(ShardName(SERVICE, number))
         before = context.fleet.objects[name]
         record = to_record(ShardRecord, before)
         after = replace(record, epoch=record.epoch + 1, succession=(own,))
--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -1,4 +1,4 @@
-"""Sends malformed input into each way in for a while, and tells what failed.
+"""Sends malformed data to each input for some time and reports failures.
 
 python -m tests.fuzz --seconds 600 --seed 1
 """
@@ -9,16 +9,19 @@
 import traceback
 from itertools import count
 
-from tests.fuzz.doors import DOORS, enter
+from tests.fuzz.inputs import INPUTS, send_malformed
 
 
-def _play(name: str, first: int, until: float) -> tuple[int, int]:
-    """Return how many inputs were sent and the first seed that failed."""
+def _run(name: str, first: int, deadline: float) -> tuple[int, int]:
+    """Return the number of seeds that were sent and the one that failed.
+
+    The seed is -1 if none failed before the deadline.
+    """
     for seed in count(first):
-        if time.monotonic() >= until:
+        if time.monotonic() >= deadline:
             return seed - first, -1
         try:
-            enter(name, seed)
+            send_malformed(name, seed)
         except Exception:
             traceback.print_exc()
             return seed - first + 1, seed
@@ -26,18 +29,22 @@
 
 
 def main() -> int:
-    """Play each door for its share of the time; return the exit status."""
+    """Test each input for an equal part of the time; return the exit status."""
     parser = argparse.ArgumentParser(prog='tests.fuzz')
     parser.add_argument('--seconds', type=float, default=60)
     parser.add_argument('--seed', type=int, default=1)
-    given = parser.parse_args()
+    arguments = parser.parse_args()
     failed = 0
-    for name in DOORS:
-        until = time.monotonic() + given.seconds / len(DOORS)
-        sent, seed = _play(name, given.seed, until)
-        failed += seed >= 0
-        told = f'failed with seed {seed}' if seed >= 0 else 'none failed'
-        sys.stdout.write(f'{name}: {sent} inputs, {told}\n')
+    for name in INPUTS:
+        deadline = time.monotonic() + arguments.seconds / len(INPUTS)
+        sent, failed_seed = _run(name, arguments.seed, deadline)
+        failed += failed_seed >= 0
+        result = (
+            f'failed with seed {failed_seed}'
+            if failed_seed >= 0
+            else 'none failed'
+        )
+        sys.stdout.write(f'{name}: {sent} inputs, {result}\n')
     return int(failed > 0)
 
 
--- a/tests/fuzz/doors.py
+++ b/tests/fuzz/inputs.py
@@ -1,4 +1,4 @@
-"""The ways into a node, each with what it may raise for malformed input."""
+"""The inputs of a node, each with the errors expected for malformed data."""
 
 import json
 import tempfile
@@ -36,31 +36,36 @@
 from laburnumwood.records import NodeName, ShardRecord, StoredObject
 from laburnumwood.routing.caller_protocol import CallerProtocol
 from laburnumwood.settings import read_settings
-from laburnumwood.store.objects import CONFIG, node_object, to_value
+from laburnumwood.store.objects import CONFIG_NAME, node_object_name, to_value
 from laburnumwood.upstream.connection import StrictResponse
 from tests.features.steps.plain_work import PLAIN_WORK
-from tests.fuzz.mutations import malformed, mutate, replace
+from tests.fuzz.mutations import corrupt_bytes, encode_malformed, replace_values
 
-Enter = Callable[[Random], None]
+Send = Callable[[Random], None]
 
-_BROKEN_FILES = 3  # of ten settings files: with broken bytes besides
+_CORRUPTED_TENTHS = 3  # of the settings files; their bytes are corrupted too
 
 
 @dataclass(frozen=True, slots=True)
-class Door:
-    """A way in, and the errors by which it may refuse what comes."""
+class Input:
+    """An input of a node, and the errors by which it may reject data.
 
-    enter: Enter
-    refuses: tuple[type[Exception], ...]
+    `send` draws malformed data from a source and passes it to the input.
+    """
 
+    send: Send
+    expected_errors: tuple[type[Exception], ...]
 
-DOORS: dict[str, Door] = {}
 
+INPUTS: dict[str, Input] = {}
 
-def _door(name: str, *refuses: type[Exception]) -> Callable[[Enter], Enter]:
-    def register(enter: Enter) -> Enter:
-        DOORS[name] = Door(enter, refuses)
-        return enter
+
+def _input(
+    name: str, *expected_errors: type[Exception]
+) -> Callable[[Send], Send]:
+    def register(send: Send) -> Send:
+        INPUTS[name] = Input(send, expected_errors)
+        return send
 
     return register
 
@@ -113,109 +118,119 @@
 }
 
 
-@_door('frames of peers', ProtocolError)
+@_input('frames of peers', ProtocolError)
 def _frames(random: Random) -> None:
-    """Take a frame as it comes on a link."""
+    """Decode a frame from a peer and apply it if it is a shard notice."""
     content = loads(encode(1, random.choice(_MESSAGES)))
-    _, message = decode(malformed(random, content))
+    _, message = decode(encode_malformed(random, content))
     if isinstance(message, ShardNotice):
         apply_shard_notice(Directory(), message)
 
 
-@_door('records of the store')
+@_input('records of the store')
 def _records(random: Random) -> None:
-    """Take in an object of any name and content, which must not fail."""
-    names = ('shards/s/1', 'shards/s', 'shards/', 'nodes/a', 'nodes/', CONFIG)
+    """Apply an object of any name and content, which must not raise."""
+    names = (
+        'shards/s/1',
+        'shards/s',
+        'shards/',
+        'nodes/a',
+        'nodes/',
+        CONFIG_NAME,
+    )
     content = random.choice((to_value(_SHARD), to_value(record_of(1))))
-    name = random.choice((*names, node_object('b')))
-    stored = StoredObject(name, replace(random, content), 7)
+    name = random.choice((*names, node_object_name('b')))
+    stored = StoredObject(name, replace_values(random, content), 7)
     Directory().apply(stored)
 
 
-@_door('answers of the store', PlatformError)
+@_input('answers of the store', PlatformError)
 def _store(random: Random) -> None:
-    """Take an answer to a watch of records."""
+    """Read an answer to a watch of records."""
     metadata = {'name': 'shards.s.1', 'revision': 4}
     event = {'object': {'metadata': metadata, 'spec': to_value(_SHARD)}}
-    read_changes(malformed(random, {'events': [event], 'at': 4}))
+    read_changes(encode_malformed(random, {'events': [event], 'at': 4}))
 
 
-@_door('manifests', BodyError)
+@_input('manifests', BodyError)
 def _manifests(random: Random) -> None:
-    """Take a manifest; what is left of it is a configuration."""
-    value = read_manifest(replace(random, _MANIFEST))
-    Directory().apply(StoredObject(CONFIG, value, 1))
+    """Read a manifest and apply it as a configuration if it is accepted."""
+    value = read_manifest(replace_values(random, _MANIFEST))
+    Directory().apply(StoredObject(CONFIG_NAME, value, 1))
 
 
-@_door('reports of workers', BodyError)
+@_input('reports of workers', BodyError)
 def _reports(random: Random) -> None:
-    """Take the body of a report."""
-    decode_report('w', malformed(random, _REPORT))
+    """Decode the body of a report."""
+    decode_report('w', encode_malformed(random, _REPORT))
 
 
-@_door('settings', SettingsError)
+@_input('settings', SettingsError)
 def _settings(random: Random) -> None:
-    """Read a file of settings."""
-    text = json.dumps(replace(random, _SETTINGS), default=str).encode()
-    if random.randrange(10) < _BROKEN_FILES:
-        text = mutate(random, text)
+    """Read a settings file."""
+    text = json.dumps(replace_values(random, _SETTINGS), default=str).encode()
+    if random.randrange(10) < _CORRUPTED_TENTHS:
+        text = corrupt_bytes(random, text)
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'settings.json'
         path.write_bytes(text)
         read_settings(path)
 
 
-class _Read:
-    """A socket of which only what came can be read."""
+class _ReceivedSocket:
+    """A socket from which only the given data can be read."""
 
     def __init__(self, data: bytes) -> None:
         self._data = data
 
     def makefile(self, _mode: str) -> BytesIO:
-        """Return what came as a file."""
+        """Return the data as a file."""
         return BytesIO(self._data)
 
 
-_ANSWER = (
+_WORKER_ANSWER = (
     b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: a\r\n'
     b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: y\r\n\r\n'
 )
 
 
-@_door('answers of workers', HTTPException, OSError)
+@_input('answers of workers', HTTPException, OSError)
 def _answers(random: Random) -> None:
-    """Read an answer with its body."""
-    sock: Any = _Read(mutate(random, _ANSWER))
+    """Read an answer and its body."""
+    sock: Any = _ReceivedSocket(corrupt_bytes(random, _WORKER_ANSWER))
     response = StrictResponse(sock, 'GET')
     response.begin()
     response.read()
 
 
-_REQUEST = (
+_CALLER_REQUEST = (
     b'POST /s/x?a=b HTTP/1.1\r\nHost: h\r\nShard-Key: 7\r\n'
     b'Content-Length: 3\r\n\r\nabc'
 )
 
 
-@_door('heads of callers', HeadError)
+@_input('heads of callers', HeadError)
 def _heads(random: Random) -> None:
     """Read the head of a request."""
-    data = BytesIO(mutate(random, _REQUEST))
+    data = BytesIO(corrupt_bytes(random, _CALLER_REQUEST))
     protocol: Any = CallerProtocol.__new__(CallerProtocol)
     protocol.raw_requestline = data.readline(65_536)
     protocol.rfile = data
     protocol.read_head()
 
 
-def enter(name: str, seed: int) -> None:
-    """Send one malformed input in; raise what the door may not raise."""
-    door = DOORS[name]
+def send_malformed(name: str, seed: int) -> None:
+    """Send malformed data to an input; raise any unexpected error.
+
+    The name of the input and the seed determine the data.
+    """
+    target = INPUTS[name]
     try:
-        door.enter(Random(f'{name} {seed}'))
-    except door.refuses as refused:
-        _check_typed(refused)
+        target.send(Random(f'{name} {seed}'))
+    except target.expected_errors as error:
+        _check_error_type(error)
 
 
-def _check_typed(refused: Exception) -> None:
-    typed = (LaburnumwoodError, HTTPException, OSError)
-    assert isinstance(refused, typed), refused
+def _check_error_type(error: Exception) -> None:
+    known_types = (LaburnumwoodError, HTTPException, OSError)
+    assert isinstance(error, known_types), error
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -1,17 +1,17 @@
-"""The code with one of its safeguards left out, for proofs of the tests."""
+"""Variants of the code without one safeguard, to show that tests detect it."""
 
 from collections.abc import Iterable
 
-from laburnumwood.leases.backless import (
+from laburnumwood.leases.lease import Lease
+from laburnumwood.leases.quorum_loss import (
     Candidate,
     IsWitnessReplaced,
     QuorumLossDetector,
 )
-from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.placement.ownership import OwnershipState
+from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
-from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     Digest,
@@ -22,148 +22,170 @@
 )
 from laburnumwood.store.interface import Store
 from laburnumwood.upstream.attached_grants import AttachedGrants
-from tests.ownership.node import Code
+from tests.ownership.node import Components
 
 
-class _NoFloor(Lease):
-    """Writes without telling the witnesses of it."""
+class _LeaseWithoutFloors(Lease):
+    """Lets records be written without floors at the witnesses."""
 
     def raise_floor(self, shard: str, epoch: int) -> None:
-        """Forget it."""
+        """Send no floor to the witnesses."""
 
     def is_floor_acknowledged(self, shard: str, epoch: int) -> bool:
-        """Pretend."""
+        """Return that majorities know the floor, which none does."""
         return True
 
 
-class _FromReceipt(Lease):
-    """Counts a grant from when it was received."""
+class _LeaseCountedFromReceipt(Lease):
+    """Counts the duration of a grant from its receipt."""
 
     def record_grant(self, request: Renew, sent_ms: int) -> bool:
-        """Leave the moment of sending out."""
+        """Record a grant as if its request had been sent now."""
         return super().record_grant(request, self._clock.now_ms())
 
 
-class _NoJointMajority(Lease):
-    """Relies on a new set of witnesses as soon as it is chosen."""
+class _LeaseWithoutJointMajority(Lease):
+    """Relies on a new witness set as soon as it is proposed."""
 
     @property
     def _active_sets(self) -> tuple[WitnessSet, ...]:
         return (self._next or self._current,)
 
 
-class _KeptVote(Witness):
-    """Answers for its earlier incarnations, of which it knows nothing."""
+class _WitnessIgnoringRestart(Witness):
+    """Answers for earlier incarnations, whose state it does not have."""
 
     def renew(self, request: Renew, digest: Digest) -> Granted | Refused:
-        """Grant what an earlier incarnation may have refused."""
+        """Grant renewals that an earlier incarnation may have refused."""
         if request.witness == self.name:
             return super().renew(request, digest)
         return Granted(digest)
 
 
-class _ReadForWin(OwnershipTracker):
-    """Takes the newest record that can be read for the newest there is."""
+class _TakeoverWithoutWrite(OwnershipTracker):
+    """Treats the newest record that it has read as the current one."""
 
     def _ownership_state(
         self, shard: ShardName, record: ShardRecord
     ) -> OwnershipState:
-        how = super()._ownership_state(shard, record)
-        return OwnershipState.OWNER if how is OwnershipState.MUST_WRITE else how
+        state = super()._ownership_state(shard, record)
+        return (
+            OwnershipState.OWNER
+            if state is OwnershipState.MUST_WRITE
+            else state
+        )
 
 
-class _ReopenOnConflict(OwnershipTracker):
-    """Goes on with a record that is known to be stale."""
+class _ReopenAfterConflict(OwnershipTracker):
+    """Keeps serving a shard although its record is known to be stale."""
 
     def _apply_conflict(self, write: ShardWrite) -> None:
         self._held_shards.reopen(write.shard)
 
 
-class _ReopenUnsettled(OwnershipTracker):
-    """Reopens a moving shard although the move may have been written."""
+class _ReopenBeforeOutcome(OwnershipTracker):
+    """Reopens a moving shard whose move may have been written."""
 
     def update_held_shards(self) -> None:
-        """Reopen all that moves."""
+        """Reopen all shards that move."""
         super().update_held_shards()
         for shard in self._writes:
             self._held_shards.reopen(shard)
 
 
-class _ForgottenTry(ShardWrite):
-    """Takes the last try for all of them."""
+class _WriteWithoutAttemptHistory(ShardWrite):
+    """Ignores earlier attempts of the same write."""
 
     def step(self, platform: Store) -> WriteProgress:
-        """Leave out that an earlier try may still land."""
+        """Attempt the write as if no earlier attempt could take effect."""
         self._sent = False
         return super().step(platform)
 
 
-class _LastTryOnly(OwnershipTracker):
-    """Leaves a move once a try of it did not reach the store."""
+class _MovesWithoutAttemptHistory(OwnershipTracker):
+    """Abandons a move as soon as one attempt does not reach the store."""
 
     def begin_move(
         self, shard: ShardName, target: NodeName
     ) -> ShardWrite | None:
-        """Return a write that knows of its last try only."""
+        """Return a write that ignores its earlier attempts."""
         write = super().begin_move(shard, target)
         if write is not None:
-            write.__class__ = _ForgottenTry
+            write.__class__ = _WriteWithoutAttemptHistory
         return write
 
 
-class _UnsettledMoves(OwnershipTracker):
-    """Waits for the outcome of moves that did not reach the store."""
+class _MovesNeverAbandoned(OwnershipTracker):
+    """Repeats moves whose first attempt did not reach the store."""
 
     def begin_move(
         self, shard: ShardName, target: NodeName
     ) -> ShardWrite | None:
-        """Return a write that is repeated until it is settled."""
+        """Return a write that is repeated until its outcome is known."""
         write = super().begin_move(shard, target)
         if write is not None:
             write.stop_if_unreachable = False
         return write
 
 
-class _ClosedAfterSplit(OwnershipTracker):
-    """Leaves a shard closed once keys of it were split off."""
+class _NoReopeningAfterSplit(OwnershipTracker):
+    """Leaves a shard closed after keys were split off from it."""
 
     def _apply_written(self, write: ShardWrite) -> None:
         if write.record.succession[0] != self._own:
             super()._apply_written(write)
 
 
-class _NoEnd(QuorumLossDetector):
-    """Leaves lost nodes to an operator."""
+class _NoExpiredLeases(QuorumLossDetector):
+    """Records no end of lost nodes, which is left to an operator."""
 
     def expired(
         self,
         candidates: Iterable[Candidate],
         is_witness_replaced: IsWitnessReplaced,
     ) -> tuple[Candidate, ...]:
-        """Find nobody."""
+        """Return no candidate."""
         return ()
 
 
 class _NoWaitForWorker(AttachedGrants):
-    """Takes a worker for empty once its node gives an incarnation up."""
+    """Assumes that the worker of an ended incarnation holds nothing."""
 
     def held_for_ms(self) -> int:
-        """Return nothing."""
+        """Return that no grant is held."""
         return 0
 
 
 MUTATIONS = {
-    'the automatic end of lost nodes': Code(backless=_NoEnd),
-    'nothing': Code(),
-    'the floor': Code(lease=_NoFloor),
-    'the write before a takeover': Code(ownership=_ReadForWin),
-    'the count of grants from sending': Code(lease=_FromReceipt),
-    'the new name of a restarted witness': Code(witness=_KeptVote),
-    'the joint majority': Code(lease=_NoJointMajority),
-    'the drop after a conflict': Code(ownership=_ReopenOnConflict),
-    'the reopening after a split': Code(ownership=_ClosedAfterSplit),
-    'the wait for the worker': Code(grants=_NoWaitForWorker),
-    'the wait for an unsettled move': Code(ownership=_ReopenUnsettled),
-    'the memory of earlier attempts': Code(ownership=_LastTryOnly),
-    'the end of a move that was not sent': Code(ownership=_UnsettledMoves),
+    'the automatic end of lost nodes': Components(
+        quorum_loss_detector=_NoExpiredLeases
+    ),
+    'nothing': Components(),
+    'the floor': Components(lease=_LeaseWithoutFloors),
+    'the write before a takeover': Components(
+        ownership_tracker=_TakeoverWithoutWrite
+    ),
+    'the count of grants from sending': Components(
+        lease=_LeaseCountedFromReceipt
+    ),
+    'the new name of a restarted witness': Components(
+        witness=_WitnessIgnoringRestart
+    ),
+    'the joint majority': Components(lease=_LeaseWithoutJointMajority),
+    'the drop after a conflict': Components(
+        ownership_tracker=_ReopenAfterConflict
+    ),
+    'the reopening after a split': Components(
+        ownership_tracker=_NoReopeningAfterSplit
+    ),
+    'the wait for the worker': Components(attached_grants=_NoWaitForWorker),
+    'the wait for an unsettled move': Components(
+        ownership_tracker=_ReopenBeforeOutcome
+    ),
+    'the memory of earlier attempts': Components(
+        ownership_tracker=_MovesWithoutAttemptHistory
+    ),
+    'the end of a move that was not sent': Components(
+        ownership_tracker=_MovesNeverAbandoned
+    ),
 }
--- a/tests/ownership/network.py
+++ b/tests/ownership/network.py
@@ -1,4 +1,4 @@
-"""A network that delays, loses, doubles and reorders messages."""
+"""A network that delays, drops, duplicates and reorders messages."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -7,77 +7,91 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Parcel:
-    """A message under way between two VMs; `arrive` hands it over."""
+class Message:
+    """A message in transit from one VM to another.
+
+    `deliver` runs what the target does on receipt.
+    """
 
     source: str
     target: str
-    arrive: Callable[[], None]
+    deliver: Callable[[], None]
 
 
 class Network:
-    """Messages under way.
+    """Holds the messages in transit between the VMs.
 
-    Those from and to a held pair of VMs wait until it is released.
+    A link is a pair of a sending and a receiving VM.  Messages on a held link
+    wait until the link is healed, and messages to a VM in `paused` wait until
+    it is resumed.
     """
 
     def __init__(self) -> None:
-        self.held: set[tuple[str, str]] = set()
+        self._held_links: set[tuple[str, str]] = set()
         self.paused: set[str] = set()
         self._copies = 1
-        self.reversed = False
-        self._parcels: list[Parcel] = []
+        self._is_reversed = False
+        self._messages: list[Message] = []
 
-    def send(self, parcel: Parcel) -> None:
-        """Put a message under way."""
-        self._parcels.append(parcel)
+    def send(self, message: Message) -> None:
+        """Add a message to those in transit."""
+        self._messages.append(message)
 
-    def deliver(self) -> None:
-        """Hand over what can arrive now, and what that gives rise to."""
+    def deliver_ready(self) -> None:
+        """Deliver the messages that can be delivered, then their answers."""
         for _ in range(2):
-            ready = [each for each in self._parcels if self._can_arrive(each)]
-            if self.reversed:
+            ready = [
+                each for each in self._messages if self._can_be_delivered(each)
+            ]
+            if self._is_reversed:
                 ready.reverse()
-            self._parcels = [
-                each for each in self._parcels if not self._can_arrive(each)
+            self._messages = [
+                each
+                for each in self._messages
+                if not self._can_be_delivered(each)
             ]
-            for parcel in ready * self._copies:
-                parcel.arrive()
+            for message in ready * self._copies:
+                message.deliver()
 
-    def cut(self, one: str, other: str) -> None:
-        """Hold what a VM sends to another (or to all), and the answers."""
-        self.cut_from(one, other)
-        self.cut_to(one, other)
+    def cut(self, vm: str, other: str) -> None:
+        """Hold both links between a VM and another VM, or 'all'."""
+        self.cut_from(vm, other)
+        self.cut_to(vm, other)
 
-    def cut_from(self, one: str, other: str) -> None:
-        """Hold what a VM sends."""
+    def cut_from(self, vm: str, other: str) -> None:
+        """Hold the links from a VM to another VM, or 'all'."""
         others = VMS if other == 'all' else (other,)
-        self.held.update((one, each) for each in others if each != one)
+        self._held_links.update((vm, each) for each in others if each != vm)
 
-    def cut_to(self, one: str, other: str) -> None:
-        """Hold what is sent to a VM."""
+    def cut_to(self, vm: str, other: str) -> None:
+        """Hold the links to a VM from another VM, or 'all'."""
         others = VMS if other == 'all' else (other,)
-        self.held.update((each, one) for each in others if each != one)
+        self._held_links.update((each, vm) for each in others if each != vm)
+
+    def heal(self, vm: str) -> None:
+        """Release all links from and to a VM."""
+        self._held_links = {pair for pair in self._held_links if vm not in pair}
 
-    def heal(self, one: str) -> None:
-        """Release all that a VM sends and is sent."""
-        self.held = {pair for pair in self.held if one not in pair}
+    def heal_to(self, vm: str) -> None:
+        """Release all links to a VM."""
+        self._held_links = {pair for pair in self._held_links if pair[1] != vm}
 
-    def heal_to(self, one: str) -> None:
-        """Release what is sent to a VM."""
-        self.held = {pair for pair in self.held if pair[1] != one}
+    def drop_held(self) -> None:
+        """Drop all messages on held links."""
+        self._messages = [
+            each for each in self._messages if not self._is_held(each)
+        ]
 
-    def lose(self) -> None:
-        """Lose all messages of held pairs."""
-        self._parcels = [each for each in self._parcels if not self._cut(each)]
+    def set_delivery(self, copies: str, order: str) -> None:
+        """Set how messages are delivered from now on.
 
-    def disturb(self, copies: str, order: str) -> None:
-        """Say how often and in which order messages arrive from now on."""
+        `copies` is 'once' or 'doubled', `order` 'in-order' or 'reversed'.
+        """
         self._copies = 2 if copies == 'doubled' else 1
-        self.reversed = order == 'reversed'
+        self._is_reversed = order == 'reversed'
 
-    def _cut(self, parcel: Parcel) -> bool:
-        return (parcel.source, parcel.target) in self.held
+    def _is_held(self, message: Message) -> bool:
+        return (message.source, message.target) in self._held_links
 
-    def _can_arrive(self, parcel: Parcel) -> bool:
-        return parcel.target not in self.paused and not self._cut(parcel)
+    def _can_be_delivered(self, message: Message) -> bool:
+        return message.target not in self.paused and not self._is_held(message)
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -1,4 +1,4 @@
-"""One incarnation of a node, made of the real classes, stepped by hand."""
+"""One incarnation of a node, made of the real classes and run in steps."""
 
 from collections.abc import Callable
 from contextlib import suppress
@@ -7,13 +7,13 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import PlatformError
-from laburnumwood.leases.backless import QuorumLossDetector
 from laburnumwood.leases.lease import Lease
+from laburnumwood.leases.quorum_loss import QuorumLossDetector
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import choose_witnesses
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.endings import (
+from laburnumwood.membership.incarnation_ends import (
     NodeRecordUpdater,
     RejoinBackoff,
 )
@@ -22,9 +22,9 @@
     record_witness_sets,
 )
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.held_shards import HeldShards
+from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite
-from laburnumwood.placement.tenure import OwnershipTracker
 from laburnumwood.protocol.messages import Granted, Refused, Renew
 from laburnumwood.records import (
     KeyRange,
@@ -37,37 +37,37 @@
 from laburnumwood.upstream.attached_grants import AttachedGrants
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 from tests.ownership.store import FakeStore
-from tests.ownership.worker import keys_of
+from tests.ownership.worker import shard_keys
 
 SERVICE = 's'
-_READ_MS = 100
-_RECORD_MS = 1_000
-_WITNESSES = 3
-_NOBODY: frozenset[str] = frozenset()
-_NOTHING_READ = -1_000_000
+_READ_INTERVAL_MS = 100
+_UPDATE_INTERVAL_MS = 1_000
+_WITNESS_COUNT = 3
+_NO_NODE_IDS: frozenset[str] = frozenset()
+_NEVER_MS = -1_000_000
 
 
 @dataclass(frozen=True, slots=True)
-class Code:
-    """The classes to run; a mutation puts another in place of one."""
+class Components:
+    """The classes that nodes are made of; a mutation replaces one of them."""
 
     lease: type[Lease] = Lease
     witness: type[Witness] = Witness
-    ownership: type[OwnershipTracker] = OwnershipTracker
-    backless: type[QuorumLossDetector] = QuorumLossDetector
-    grants: type[AttachedGrants] = AttachedGrants
+    ownership_tracker: type[OwnershipTracker] = OwnershipTracker
+    quorum_loss_detector: type[QuorumLossDetector] = QuorumLossDetector
+    attached_grants: type[AttachedGrants] = AttachedGrants
 
 
-def _learn_seals(seals: tuple[Seal, ...], node: 'FakeNode') -> None:
-    node.learn_seals(seals)
+def _apply_seals(seals: tuple[Seal, ...], node: 'FakeNode') -> None:
+    node.apply_seals(seals)
 
 
-def _serve(request: Renew, sent_ms: int, node: 'FakeNode') -> None:
-    node.serve(request, sent_ms)
+def _handle_renewal(request: Renew, sent_ms: int, node: 'FakeNode') -> None:
+    node.handle_renewal(request, sent_ms)
 
 
-class _Holder:
-    """What an incarnation of the world lets its worker hold."""
+class _GrantSource:
+    """The shards that an incarnation grants its worker."""
 
     def __init__(self, lease: Lease, held_shards: HeldShards) -> None:
         self._held_shards = held_shards
@@ -78,222 +78,242 @@
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard."""
-        return (keys_of(shard),)
+        return (shard_keys(shard),)
 
     def handovers(self, _shard: ShardName) -> tuple[str, ...]:
-        """Return nothing: every shard comes cold."""
+        """Return no handovers."""
         return ()
 
 
-Send = Callable[[str, Callable[['FakeNode'], None]], None]
+SendToNode = Callable[[str, Callable[['FakeNode'], None]], None]
 
 
 class FakeNode:
-    """An incarnation; `send` runs a function at the VM of another."""
+    """An incarnation of a node that does its work in `step`.
+
+    `send` sends a function to a VM, which calls it with the node there.
+    """
 
     def __init__(
         self,
         name: NodeName,
-        code: Code,
+        components: Components,
         clock: Clock,
         store: FakeStore,
-        send: Send,
+        send: SendToNode,
         witness: Witness | None = None,
         worker: ReportingWorker | None = None,
     ) -> None:
         settings = LeaseSettings()
         self.name = name
         self.view = FleetView(Directory(), SealRegistry())
-        self.lease = code.lease(name, settings, clock)
+        self.lease = components.lease(name, settings, clock)
         self.held_shards = HeldShards()
-        self.is_deaf = False
-        self.ownership = code.ownership(
+        self.misses_updates = False
+        self.ownership = components.ownership_tracker(
             SERVICE, self.view, self.lease, self.held_shards, clock
         )
-        self.witness = witness or code.witness(name, settings, clock)
-        self._recorder = NodeRecordUpdater(
+        self.witness = witness or components.witness(name, settings, clock)
+        self._record_updater = NodeRecordUpdater(
             self.lease, self.witness, self.view, store, settings, clock
         )
-        self._recorder.quorum_loss_detector = code.backless(settings, clock)
+        self._record_updater.quorum_loss_detector = (
+            components.quorum_loss_detector(settings, clock)
+        )
         self._settings = settings
         self._clock = clock
         self._store = store
         self._send = send
         self._writes: list[ShardWrite] = []
-        self._let_go_of: set[ShardName] = set()
-        self._renewed_ms = _NOTHING_READ
-        self._read_ms = _NOTHING_READ
-        self._recorded_ms = _NOTHING_READ
+        self._awaiting_release: set[ShardName] = set()
+        self._renewed_ms = _NEVER_MS
+        self._read_ms = _NEVER_MS
+        self._record_updated_ms = _NEVER_MS
         self._started_ms = clock.now_ms()
-        self._has_ended_earlier = False
-        self._standstill = RejoinBackoff(clock)
+        self._has_recorded_earlier_ends = False
+        self._rejoin_backoff = RejoinBackoff(clock)
         self.worker: AttachedGrants | None = None
         if worker is not None:
-            holder = _Holder(self.lease, self.held_shards)
-            self.worker = code.grants(worker, holder)
+            source = _GrantSource(self.lease, self.held_shards)
+            self.worker = components.attached_grants(worker, source)
 
     @property
-    def silent_ids(self) -> frozenset[str]:
-        """Return the ids of witnesses that do not renew the lease."""
+    def silent_witness_ids(self) -> frozenset[str]:
+        """The node ids of the witnesses that do not renew the lease."""
         return frozenset(name.node_id for name in self.lease.silent_witnesses)
 
     @property
-    def may_be_followed(self) -> bool:
-        """Tell whether its worker holds nothing that it gave."""
+    def has_no_grants(self) -> bool:
+        """Whether the worker holds no grant of this incarnation."""
         return self.worker is None or not self.worker.held_for_ms()
 
-    def stands_still(self) -> bool:
-        """Tell whether to join anew because the witnesses are silent."""
-        if not self._standstill.is_due(self.lease):
+    def must_rejoin(self) -> bool:
+        """Return whether to rejoin now, and record it if the rejoin is due."""
+        if not self._rejoin_backoff.is_due(self.lease):
             return False
-        self._standstill.record_rejoin()
+        self._rejoin_backoff.record_rejoin()
         return self._store.mode == 'up'
 
-    def start(self, avoided: frozenset[str] = _NOBODY) -> None:
-        """Read the store and choose the first witnesses."""
-        self.read()
+    def start(self, avoided: frozenset[str] = _NO_NODE_IDS) -> None:
+        """Read the store and choose the first witnesses.
+
+        Nodes with an id in `avoided` are left out if there are others.
+        """
+        self.read_store()
         live = self.view.witnesses(avoided)
-        members = choose_witnesses(self.name, live)[:_WITNESSES]
+        members = choose_witnesses(self.name, live)[:_WITNESS_COUNT]
         chosen = self.lease.propose_set(members)
         record_witness_sets(self._store, self.name, (chosen,))
         self.lease.set_first_witnesses(chosen)
         self._started_ms = self._clock.now_ms()
 
     def step(self) -> None:
-        """Do all that the tasks of a node would do now."""
+        """Do once what the tasks of a node do when it is due."""
         for seal in self.witness.seal_lapsed():
-            self.learn_seals((seal,))
-            self._tell(partial(_learn_seals, (seal,)))
+            self.apply_seals((seal,))
+            self._broadcast(partial(_apply_seals, (seal,)))
         now_ms = self._clock.now_ms()
         if now_ms - self._renewed_ms >= self._settings.renew_ms:
             self.renew()
-        if now_ms - self._read_ms >= _READ_MS and not self.is_deaf:
-            self.read()
-        if now_ms - self._recorded_ms >= _RECORD_MS:
-            self._record()
+        if (
+            now_ms - self._read_ms >= _READ_INTERVAL_MS
+            and not self.misses_updates
+        ):
+            self.read_store()
+        if now_ms - self._record_updated_ms >= _UPDATE_INTERVAL_MS:
+            self._update_record()
         self.ownership.update_held_shards()
-        self._write()
+        self._step_writes()
 
     def renew(self) -> None:
-        """Ask all witnesses to renew the lease."""
+        """Send all witnesses a request to renew the lease."""
         self._renewed_ms = self._clock.now_ms()
         if self.lease.is_over:
             return
         for witness in self.lease.renewal_targets:
             request = self.lease.renewal_request(witness, self.view.digest())
-            what = partial(_serve, request, self._renewed_ms)
-            self._send(witness.node_id, what)
+            action = partial(_handle_renewal, request, self._renewed_ms)
+            self._send(witness.node_id, action)
 
-    def serve(self, request: Renew, sent_ms: int) -> None:
-        """Answer a renewal as the VM that it was sent to."""
+    def handle_renewal(self, request: Renew, sent_ms: int) -> None:
+        """Answer a request to renew the lease of another node."""
         reply = self.witness.renew(request, self.view.digest())
         differs = self.view.seals.digest() != request.digest.seals
         seals = self.view.seals.seals() if differs else ()
         self._send(
             request.holder.node_id,
-            lambda node: node.take_reply(request, sent_ms, reply, seals),
+            lambda node: node.handle_reply(request, sent_ms, reply, seals),
         )
 
-    def take_reply(
+    def handle_reply(
         self,
         request: Renew,
         sent_ms: int,
         reply: Granted | Refused,
         seals: tuple[Seal, ...],
     ) -> None:
-        """Take in a witness's answer."""
+        """Apply a witness's answer, unless it is for another incarnation."""
         if request.holder != self.name:
             return
-        self.learn_seals(seals)
+        self.apply_seals(seals)
         if isinstance(reply, Granted):
             self.lease.record_grant(request, sent_ms)
         elif reply.reason != 'set-unknown':
             self.lease.record_refusal(request.witness)
-            self.learn_seals((reply.seal,) if reply.seal else ())
+            self.apply_seals((reply.seal,) if reply.seal else ())
 
-    def learn_seals(self, seals: tuple[Seal, ...]) -> None:
-        """Take in seals."""
+    def apply_seals(self, seals: tuple[Seal, ...]) -> None:
+        """Add seals to the view."""
         for seal in seals:
             self.view.add_seal(seal)
 
-    def learn(self, stored: StoredObject) -> None:
-        """Take in an object of the store, unless this node hears nothing."""
-        if not self.is_deaf:
+    def apply_update(self, stored: StoredObject) -> None:
+        """Apply an update of an object, unless this node misses updates."""
+        if not self.misses_updates:
             self.view.directory.apply(stored)
 
-    def read(self) -> None:
-        """Take in all the store holds, if it answers."""
+    def read_store(self) -> None:
+        """Apply all objects of the store, if it answers."""
         self._read_ms = self._clock.now_ms()
         if self._store.mode == 'up':
             for stored in self._store.list()[0]:
                 self.view.directory.apply(stored)
 
     def move(self, shard: ShardName, target: NodeName) -> None:
-        """Begin to hand a shard over."""
+        """Begin to move a shard to another node."""
         if self.view.directory.node(target) is not None:
-            self._let_go(shard, self.ownership.begin_move(shard, target))
+            self._release_and_write(
+                shard, self.ownership.begin_move(shard, target)
+            )
 
     def split(self, shard: ShardName, keys: KeyRange) -> None:
-        """Begin to split keys of a shard off."""
-        self._let_go(shard, self.ownership.begin_split(shard, (keys,)))
+        """Begin to split a range of keys off from a shard."""
+        self._release_and_write(
+            shard, self.ownership.begin_split(shard, (keys,))
+        )
 
     def end(self) -> None:
-        """End all activity of this incarnation."""
+        """Give up the lease and all shards."""
         self.lease.resign()
         self.held_shards.drop_all()
 
-    def _let_go(self, shard: ShardName, write: ShardWrite | None) -> None:
+    def _release_and_write(
+        self, shard: ShardName, write: ShardWrite | None
+    ) -> None:
         if write is not None:
             if self.worker is None:
                 self.held_shards.close(shard)
             else:
                 self.worker.withdraw(shard)
-                self._let_go_of.add(shard)
+                self._awaiting_release.add(shard)
             self._writes.append(write)
             self.renew()
 
-    def _is_let_go(self, shard: ShardName) -> bool:
-        if self.worker is None or shard not in self._let_go_of:
+    def _is_released(self, shard: ShardName) -> bool:
+        if self.worker is None or shard not in self._awaiting_release:
             return True
         if self.worker.is_released(shard):
             self.held_shards.close(shard)
-            self._let_go_of.discard(shard)
-        return shard not in self._let_go_of
+            self._awaiting_release.discard(shard)
+        return shard not in self._awaiting_release
 
     def _restore(self, shard: ShardName) -> None:
         if self.worker is not None:
             self.worker.restore(shard)
 
-    def _write(self) -> None:
+    def _step_writes(self) -> None:
         for shard in self.ownership.shards_to_write():
             self._writes.append(self.ownership.begin_write(shard))
             self.renew()
         for write in tuple(self._writes):
-            if not self._is_let_go(write.shard):
+            if not self._is_released(write.shard):
                 continue
             progress = write.step(self._store)
             if progress.is_final:
                 self._writes.remove(write)
                 self.ownership.finish(write, progress)
                 self._restore(write.shard)
-                self._tell_written(write)
+                self._broadcast_written(write)
         if self._store.mode == 'up' and self.ownership.stale_shards:
-            self.read()
+            self.read_store()
 
-    def _record(self) -> None:
-        self._recorded_ms = self._clock.now_ms()
-        self._recorder.evict_ended()
+    def _update_record(self) -> None:
+        self._record_updated_ms = self._clock.now_ms()
+        self._record_updater.evict_ended()
         with suppress(PlatformError):
-            self._recorder.write_changes()
-        waited_ms = self._clock.now_ms() - self._started_ms
-        if self._has_ended_earlier or waited_ms < self._settings.grant_ms:
+            self._record_updater.write_changes()
+        elapsed_ms = self._clock.now_ms() - self._started_ms
+        if (
+            self._has_recorded_earlier_ends
+            or elapsed_ms < self._settings.grant_ms
+        ):
             return
         with suppress(PlatformError):
             record_earlier_ends(self._store, self.witness.name)
-            self._has_ended_earlier = True
+            self._has_recorded_earlier_ends = True
 
     def change_witnesses(self, members: tuple[NodeName, ...]) -> None:
-        """Begin to rely on other witnesses, if the store has taken them."""
+        """Begin to change the witnesses once the store has recorded them."""
         chosen = self.lease.propose_set(members)
         with suppress(PlatformError):
             sets = (self.lease.witnesses, chosen)
@@ -301,12 +321,12 @@
             self.lease.begin_change(chosen)
             self.renew()
 
-    def _tell_written(self, write: ShardWrite) -> None:
+    def _broadcast_written(self, write: ShardWrite) -> None:
         stored = write.stored
         if stored is not None:
-            self._tell(lambda node: node.learn(stored))
+            self._broadcast(lambda node: node.apply_update(stored))
 
-    def _tell(self, what: Callable[['FakeNode'], None]) -> None:
+    def _broadcast(self, action: Callable[['FakeNode'], None]) -> None:
         for node_id in self.view.directory.nodes:
             if node_id != self.name.node_id:
-                self._send(node_id, what)
+                self._send(node_id, action)
--- a/tests/ownership/store.py
+++ b/tests/ownership/store.py
@@ -1,4 +1,4 @@
-"""A store that is late, loses answers or is away, as it is told."""
+"""A store in memory that can be slow, lose answers or be unreachable."""
 
 from collections.abc import Callable
 from contextlib import suppress
@@ -14,12 +14,19 @@
 
 
 class FakeStore(HttpStore):
-    """Objects with versions, behind the calls of the real client.
+    """Versioned objects with the interface of the real client.
 
-    `mode` is `up`, `down` (nothing arrives), `refused` (the same, and callers
-    know it), `lose` (writes take effect, no answer comes), `lose-writes` (the
-    same, but reads are answered) or `late` (writes take effect when `land` is
-    called).
+    `mode` is one of:
+
+    - `up`: all requests are answered
+    - `down`: no request arrives, and callers can't tell whether it did
+    - `refused`: no request arrives, and callers know it
+    - `lose-answers`: writes take effect, but no request is answered
+    - `lose-write-answers`: the same, but `get` is answered
+    - `late`: no request is answered, and writes take effect when
+      `apply_late_writes` is called
+
+    `history` has each version of all objects, oldest first.
     """
 
     def __init__(self) -> None:
@@ -27,60 +34,60 @@
         self.revision = 0
         self.history: list[StoredObject] = []
         self._objects: dict[str, StoredObject] = {}
-        self._late: list[Callable[[], int]] = []
+        self._late_writes: list[Callable[[], int]] = []
 
     def get(self, name: str) -> StoredObject | None:
-        """Return an object."""
-        if self.mode not in {'up', 'lose-writes'}:
-            raise self._failure(name)
+        """Return an object, or None if it does not exist."""
+        if self.mode not in {'up', 'lose-write-answers'}:
+            raise self._unavailable_error(name)
         return self._objects.get(name)
 
     def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
-        """Return all objects."""
+        """Return all objects, whatever the prefix, and the revision."""
         if self.mode != 'up':
-            raise self._failure(prefix)
+            raise self._unavailable_error(prefix)
         return tuple(self._objects.values()), self.revision
 
     def create(self, name: str, value: dict[str, Any]) -> int:
-        """Create an object."""
-        return self._request(lambda: self._write(name, value, None))
+        """Create an object and return its version."""
+        return self._send_write(lambda: self._write(name, value, None))
 
     def update(self, name: str, value: dict[str, Any], version: int) -> int:
-        """Replace an object of a version."""
-        return self._request(lambda: self._write(name, value, version))
+        """Replace a version of an object and return its new version."""
+        return self._send_write(lambda: self._write(name, value, version))
 
-    def land(self) -> None:
-        """Let the late writes take effect, oldest first."""
-        late, self._late = self._late, []
-        for write in late:
+    def apply_late_writes(self) -> None:
+        """Apply the writes sent in mode `late`, oldest first."""
+        late_writes, self._late_writes = self._late_writes, []
+        for write in late_writes:
             with suppress(PlatformConflictError):
                 write()
 
-    def spoil(self, name: str) -> None:
-        """Put a value of unknown form in place of an object's."""
-        found = self._objects[name].version
-        self._write(name, {'unknown': 'form'}, found)
+    def corrupt(self, name: str) -> None:
+        """Replace the value of an object by one that no record type has."""
+        current_version = self._objects[name].version
+        self._write(name, {'unknown': 'form'}, current_version)
 
-    def _request(self, write: Callable[[], int]) -> int:
+    def _send_write(self, write: Callable[[], int]) -> int:
         if self.mode == 'up':
             return write()
         if self.mode == 'late':
-            self._late.append(write)
-        elif self.mode in {'lose', 'lose-writes'}:
+            self._late_writes.append(write)
+        elif self.mode in {'lose-answers', 'lose-write-answers'}:
             write()
-        raise self._failure(self.mode)
+        raise self._unavailable_error(self.mode)
 
-    def _failure(self, what: str) -> PlatformUnavailableError:
+    def _unavailable_error(self, detail: str) -> PlatformUnavailableError:
         if self.mode == 'refused':
-            return PlatformNotReachedError(what)
-        return PlatformUnavailableError(what)
+            return PlatformNotReachedError(detail)
+        return PlatformUnavailableError(detail)
 
     def _write(
         self, name: str, value: dict[str, Any], version: int | None
     ) -> int:
-        known = self._objects.get(name)
-        found = known.version if known else None
-        if found != version:
+        current = self._objects.get(name)
+        current_version = current.version if current else None
+        if current_version != version:
             raise PlatformConflictError(name)
         self.revision += 1
         stored = StoredObject(name, value, self.revision)
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -1,4 +1,4 @@
-"""A world of nodes, a network and a store, driven by lines of text."""
+"""A simulation of nodes, a network and a store, run by a script."""
 
 from collections.abc import Callable
 from contextlib import suppress
@@ -6,41 +6,41 @@
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import witness_count
-from laburnumwood.membership.endings import (
+from laburnumwood.membership.incarnation_ends import (
     IncarnationStatus,
     incarnation_status,
 )
 from laburnumwood.membership.node_records import confirm_lost, join, record_end
 from laburnumwood.records import KeyRange, NodeName, ShardName, ShardRecord
 from laburnumwood.settings import DaemonSettings
-from laburnumwood.store.objects import shard_object, to_value
+from laburnumwood.store.objects import shard_object_name, to_value
 from laburnumwood.store.writes import new_mark
-from tests.ownership.clocks import DriftingClock, WorldClock
-from tests.ownership.network import VMS, Network, Parcel
-from tests.ownership.node import SERVICE, Code, FakeNode
+from tests.ownership.clocks import DriftingClock, SimulatedTime
+from tests.ownership.network import VMS, Message, Network
+from tests.ownership.node import SERVICE, Components, FakeNode
 from tests.ownership.store import FakeStore
-from tests.ownership.worker import WorkerSide
+from tests.ownership.worker import SimulatedWorkers
 
 SHARDS = (ShardName(SERVICE, 0), ShardName(SERVICE, 1))
 STEP_MS = 50
-_RATES = (1.0, 1.012, 0.99, 1.005, 0.993)
-_SETTLING_STEPS = 30
+_CLOCK_RATES = (1.0, 1.012, 0.99, 1.005, 0.993)
+_STARTUP_STEPS = 30
 
 
-class TwoActorsError(AssertionError):
-    """More than one incarnation may act for a shard at one moment."""
+class TwoActingOwnersError(AssertionError):
+    """More than one incarnation may act for a shard at the same time."""
 
 
-class NobodyActsError(AssertionError):
+class NoActingOwnerError(AssertionError):
     """A shard has no owner long after all faults have ended."""
 
 
-class TokenFellError(AssertionError):
-    """An actor has a fencing token that is not above an earlier one's."""
+class TokenNotIncreasedError(AssertionError):
+    """A new owner has no higher fencing token than an earlier one."""
 
 
 def node_settings(node_id: str) -> DaemonSettings:
-    """Return the settings of a VM of the world."""
+    """Return the settings of a VM of the simulation."""
     number = VMS.index(node_id)
     return DaemonSettings(
         node_id=node_id,
@@ -56,46 +56,49 @@
     )
 
 
-class World:
-    """Runs the lines of a script and judges after every step.
+class Simulation:
+    """Runs the lines of a script and checks ownership after every step.
 
-    It knows all nodes at one moment, which no node does.  With workers, each
-    VM has one that reports to its node and holds what it is answered.
+    The checks see all nodes at the same moment, as no node can.  With
+    `has_workers`, each VM has a worker that reports to its node and holds the
+    keys it is granted.  All checks raise a subclass of `AssertionError`.
     """
 
-    def __init__(self, code: Code, *, has_workers: bool = False) -> None:
+    def __init__(
+        self, components: Components, *, has_workers: bool = False
+    ) -> None:
         self.steps = 0
-        self.calms = 0
+        self.recoveries = 0
         self.script: list[str] = []
         self.store = FakeStore()
         self.network = Network()
-        self._code = code
-        self._time = WorldClock()
+        self._components = components
+        self._time = SimulatedTime()
         self._nodes: dict[str, FakeNode] = {}
-        self._ending: dict[str, list[FakeNode]] = {}
+        self._unrecorded_ends: dict[str, list[FakeNode]] = {}
         self._tokens: dict[ShardName, tuple[int, NodeName]] = {}
         self._clocks = {
-            vm: DriftingClock(self._time, number * 977, _RATES[number])
+            vm: DriftingClock(self._time, number * 977, _CLOCK_RATES[number])
             for number, vm in enumerate(VMS)
         }
         self._workers = (
-            WorkerSide(self._time, self._clocks) if has_workers else None
+            SimulatedWorkers(self._time, self._clocks) if has_workers else None
         )
         for vm in VMS:
             self._start(vm)
         self._create_shards()
-        self._tick(_SETTLING_STEPS)
+        self._tick(_STARTUP_STEPS)
 
     def run(self, line: str) -> None:
-        """Carry out one line: a command and its arguments."""
+        """Run one line, a command and its arguments, and check ownership."""
         self.script.append(line)
         command, *arguments = line.split()
         _COMMANDS[command](self, *arguments)
-        self._judge()
+        self._check()
 
     def owner(self, shard: ShardName) -> NodeName | None:
-        """Return who may act for a shard."""
-        return next(iter(self._actors(shard)), None)
+        """Return the incarnation that may act for a shard, or None."""
+        return next(iter(self._acting_owners(shard)), None)
 
     @property
     def nodes(self) -> tuple[FakeNode, ...]:
@@ -103,101 +106,105 @@
         return tuple(self._nodes.values())
 
     def node(self, vm: str) -> FakeNode:
-        """Return the node on a VM."""
+        """Return the node whose process runs on a VM."""
         return self._nodes[vm]
 
-    def is_up(self, vm: str) -> bool:
-        """Tell whether a process runs on a VM."""
+    def is_running(self, vm: str) -> bool:
+        """Return whether a process runs on a VM."""
         return vm in self._nodes
 
-    def first_two(self, number: int) -> tuple[str, str]:
-        """Return the VMs of a shard's owner and first successor."""
-        name = shard_object(SHARDS[number])
+    def owner_and_successor(self, number: int) -> tuple[str, str]:
+        """Return the VMs of the first two nodes in a shard's succession."""
+        name = shard_object_name(SHARDS[number])
         newest = [each for each in self.store.history if each.name == name][-1]
         names = (newest.value or {})['succession']
         ids = [NodeName.parse(each).node_id for each in names]
         ids.extend(vm for vm in VMS if vm not in ids)
         return ids[0], ids[1]
 
-    def _start(self, vm: str, before: FakeNode | None = None) -> None:
-        """Start a process, or the next incarnation of one that runs."""
+    def _start(self, vm: str, previous: FakeNode | None = None) -> None:
+        """Start a process, or the next incarnation of a running one."""
         settings = node_settings(vm)
-        if self._workers is not None and before is None:
-            self._workers.begin_process(vm)
-        ended = before.name if before and before.may_be_followed else None
-        if before is not None and ended is None:
-            self._ending.setdefault(vm, []).append(before)
-        first = before.witness.name.incarnation if before else None
+        if self._workers is not None and previous is None:
+            self._workers.start_process(vm)
+        ended = previous.name if previous and previous.has_no_grants else None
+        if previous is not None and ended is None:
+            self._unrecorded_ends.setdefault(vm, []).append(previous)
+        witness_as = previous.witness.name.incarnation if previous else None
         try:
-            name, _ = join(self.store, settings, new_mark(vm), ended, first)
-            node = self._make(name, vm, before.witness if before else None)
-            node.start(before.silent_ids if before else frozenset())
+            name, _ = join(
+                self.store, settings, new_mark(vm), ended, witness_as
+            )
+            node = self._make_node(
+                name, vm, previous.witness if previous else None
+            )
+            node.start(previous.silent_witness_ids if previous else frozenset())
         except PlatformError:
             return
         self._nodes[vm] = node
 
-    def _make(
+    def _make_node(
         self, name: NodeName, vm: str, witness: Witness | None
     ) -> FakeNode:
         return FakeNode(
             name,
-            self._code,
+            self._components,
             self._clocks[vm],
             self.store,
-            lambda target, what: self._send(vm, target, what),
+            lambda target, action: self._send(vm, target, action),
             witness,
-            self._workers.reporting[vm] if self._workers else None,
+            self._workers.reporting_workers[vm] if self._workers else None,
         )
 
     def _create_shards(self) -> None:
         for shard, order in zip(SHARDS, ('abc', 'bcd'), strict=True):
             names = tuple(NodeName(vm, 1) for vm in order)
             record = ShardRecord(1, names)
-            self.store.create(shard_object(shard), to_value(record))
+            self.store.create(shard_object_name(shard), to_value(record))
         for node in self._nodes.values():
             node.start()
 
-    def _await_owners(self, most: str) -> None:
-        """Let time pass until every shard has an owner."""
-        for _ in range(int(most)):
+    def _await_owners(self, max_steps: str) -> None:
+        """Run steps until every shard has an owner."""
+        for _ in range(int(max_steps)):
             if all(self.owner(shard) for shard in SHARDS):
-                self.calms += 1
+                self.recoveries += 1
                 return
             self._tick(1)
-        raise NobodyActsError(f'{self.script}')
+        raise NoActingOwnerError(f'{self.script}')
 
     def _send(
-        self, source: str, target: str, what: Callable[[FakeNode], None]
+        self, source: str, target: str, action: Callable[[FakeNode], None]
     ) -> None:
-        def arrive() -> None:
+        def deliver() -> None:
             if target in self._nodes:
-                what(self._nodes[target])
+                action(self._nodes[target])
 
-        self.network.send(Parcel(source, target, arrive))
+        self.network.send(Message(source, target, deliver))
 
     def _tick(self, count: str | int) -> None:
         for _ in range(int(count)):
             self.steps += 1
             self._time.now_ms += STEP_MS
-            self.network.deliver()
-            self._judge()
+            self.network.deliver_ready()
+            self._check()
             for vm, node in tuple(self._nodes.items()):
                 if vm not in self.network.paused:
                     self._step(vm, node)
             if self._workers is not None:
-                awake = set(self._nodes) - self.network.paused
-                self._workers.step(awake)
-            self.network.deliver()
-            self._judge()
+                running = set(self._nodes) - self.network.paused
+                self._workers.step(running)
+            self.network.deliver_ready()
+            self._check()
 
     def _step(self, vm: str, node: FakeNode) -> None:
         self._record_ends(vm)
-        known = incarnation_status(node.lease, node.view)
-        if known is IncarnationStatus.ACTIVE and node.stands_still():
-            known = IncarnationStatus.LAPSED
-        if known is IncarnationStatus.ACTIVE:
+        status = incarnation_status(node.lease, node.view)
+        if status is IncarnationStatus.ACTIVE and node.must_rejoin():
+            status = IncarnationStatus.LAPSED
+        if status is IncarnationStatus.ACTIVE:
             node.step()
-        elif known is IncarnationStatus.REPLACED:
+        elif status is IncarnationStatus.REPLACED:
             node.end()
             self._nodes.pop(vm)
         elif self.store.mode == 'up':
@@ -205,39 +212,41 @@
             self._start(vm, node)
 
     def _record_ends(self, vm: str) -> None:
-        for before in tuple(self._ending.get(vm, ())):
-            if before.may_be_followed:
+        for previous in tuple(self._unrecorded_ends.get(vm, ())):
+            if previous.has_no_grants:
                 with suppress(PlatformError):
-                    record_end(self.store, before.name)
-                    self._ending[vm].remove(before)
+                    record_end(self.store, previous.name)
+                    self._unrecorded_ends[vm].remove(previous)
 
-    def _actors(self, shard: ShardName) -> dict[NodeName, int]:
+    def _acting_owners(self, shard: ShardName) -> dict[NodeName, int]:
         return {
             node.name: node.held_shards.tokens()[shard]
             for node in self._nodes.values()
             if node.lease.is_held() and node.held_shards.is_open(shard)
         }
 
-    def _judge(self) -> None:
+    def _check(self) -> None:
         for shard in SHARDS:
             if self._workers is not None:
-                self._workers.judge(shard, self.script)
-            actors = self._actors(shard)
-            if len(actors) > 1:
-                raise TwoActorsError(f'{shard}: {actors} {self.script}')
-            for name, token in actors.items():
-                self._judge_token(shard, token, name)
-
-    def _judge_token(
+                self._workers.check_shard(shard, self.script)
+            owners = self._acting_owners(shard)
+            if len(owners) > 1:
+                raise TwoActingOwnersError(f'{shard}: {owners} {self.script}')
+            for name, token in owners.items():
+                self._check_token(shard, token, name)
+
+    def _check_token(
         self, shard: ShardName, token: int, name: NodeName
     ) -> None:
         highest, holder = self._tokens.get(shard, (0, name))
         if token < highest or (token == highest and name != holder):
-            raise TokenFellError(f'{shard}: {name} {token} {self.script}')
+            raise TokenNotIncreasedError(
+                f'{shard}: {name} {token} {self.script}'
+            )
         self._tokens[shard] = (token, name)
 
     def _crash(self, vm: str) -> None:
-        self._ending.pop(vm, None)
+        self._unrecorded_ends.pop(vm, None)
         self._nodes.pop(vm, None)
 
     def _restart(self, vm: str) -> None:
@@ -245,18 +254,18 @@
         self.network.paused.discard(vm)
         self._start(vm)
 
-    def _confirm(self, vm: str) -> None:
+    def _confirm_lost(self, vm: str) -> None:
         confirm_lost(self.store, NodeName(vm, 1), 'operator')
 
-    def _deaf(self, vm: str) -> None:
+    def _stop_updates(self, vm: str) -> None:
         if vm in self._nodes:
-            self._nodes[vm].is_deaf = True
+            self._nodes[vm].misses_updates = True
 
-    def _hear(self, vm: str) -> None:
+    def _resume_updates(self, vm: str) -> None:
         if vm in self._nodes:
-            self._nodes[vm].is_deaf = False
+            self._nodes[vm].misses_updates = False
 
-    def _stale(self, vm: str) -> None:
+    def _replay_updates(self, vm: str) -> None:
         if vm in self._nodes:
             for stored in self.store.history:
                 self._nodes[vm].view.directory.apply(stored)
@@ -276,8 +285,8 @@
         node = self._nodes.get(owner.node_id) if owner else None
         record = node and node.view.directory.shard(shard)
         if node is not None and record:
-            place = len(record.record.split_off) * len(SHARDS) + int(number)
-            node.split(shard, KeyRange(place, place))
+            key = len(record.record.split_off) * len(SHARDS) + int(number)
+            node.split(shard, KeyRange(key, key))
 
     def _witnesses(self, vm: str, first: str) -> None:
         node = self._nodes.get(vm)
@@ -291,53 +300,56 @@
             node.change_witnesses(chosen)
 
 
-def _pause(world: World, vm: str) -> None:
-    world.network.paused.add(vm)
+def _pause(simulation: Simulation, vm: str) -> None:
+    simulation.network.paused.add(vm)
 
 
-def _resume(world: World, vm: str) -> None:
-    world.network.paused.discard(vm)
+def _resume(simulation: Simulation, vm: str) -> None:
+    simulation.network.paused.discard(vm)
 
 
-def _set_store(world: World, mode: str) -> None:
-    world.store.mode = mode
+def _set_store(simulation: Simulation, mode: str) -> None:
+    simulation.store.mode = mode
 
 
-def _land(world: World) -> None:
-    world.store.land()
+def _apply_late_writes(simulation: Simulation) -> None:
+    simulation.store.apply_late_writes()
 
 
-def _twin(world: World, vm: str) -> None:
-    join(world.store, node_settings(vm))
+def _start_duplicate(simulation: Simulation, vm: str) -> None:
+    join(simulation.store, node_settings(vm))
 
 
-def _spoil(world: World, number: str) -> None:
-    world.store.spoil(shard_object(SHARDS[int(number)]))
+def _corrupt(simulation: Simulation, number: str) -> None:
+    simulation.store.corrupt(shard_object_name(SHARDS[int(number)]))
 
 
+# The commands of scripts.  VMs are named `a` to `e`, shards 0 and 1.
 _COMMANDS: dict[str, Callable[..., None]] = {
-    'tick': World._tick,
-    'owned': World._await_owners,
-    'crash': World._crash,
-    'restart': World._restart,
-    'confirm': World._confirm,
-    'twin': _twin,
-    'spoil': _spoil,
+    'tick': Simulation._tick,
+    'await-owners': Simulation._await_owners,
+    'crash': Simulation._crash,
+    'restart': Simulation._restart,
+    'confirm-lost': Simulation._confirm_lost,
+    'duplicate': _start_duplicate,
+    'corrupt': _corrupt,
     'pause': _pause,
     'resume': _resume,
-    'cut': lambda world, *vms: world.network.cut(*vms),
-    'cut-from': lambda world, *vms: world.network.cut_from(*vms),
-    'cut-to': lambda world, *vms: world.network.cut_to(*vms),
-    'heal': lambda world, *vms: world.network.heal(*vms),
-    'heal-to': lambda world, *vms: world.network.heal_to(*vms),
-    'lose': lambda world, *vms: world.network.lose(*vms),
-    'network': lambda world, *how: world.network.disturb(*how),
+    'cut': lambda simulation, *vms: simulation.network.cut(*vms),
+    'cut-from': lambda simulation, *vms: simulation.network.cut_from(*vms),
+    'cut-to': lambda simulation, *vms: simulation.network.cut_to(*vms),
+    'heal': lambda simulation, *vms: simulation.network.heal(*vms),
+    'heal-to': lambda simulation, *vms: simulation.network.heal_to(*vms),
+    'drop-held': lambda simulation, *vms: simulation.network.drop_held(*vms),
+    'network': lambda simulation, *modes: simulation.network.set_delivery(
+        *modes
+    ),
     'store': _set_store,
-    'land': _land,
-    'deaf': World._deaf,
-    'hear': World._hear,
-    'stale': World._stale,
-    'move': World._move,
-    'split': World._split,
-    'witnesses': World._witnesses,
+    'apply-late': _apply_late_writes,
+    'stop-updates': Simulation._stop_updates,
+    'resume-updates': Simulation._resume_updates,
+    'replay-updates': Simulation._replay_updates,
+    'move': Simulation._move,
+    'split': Simulation._split,
+    'witnesses': Simulation._witnesses,
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,4 +1,4 @@
-"""The processes of a soak, each reached through relays, and their lives."""
+"""The processes of a soak, connected through relays."""
 
 import time
 from dataclasses import dataclass, field
@@ -15,80 +15,87 @@
 from bench.reporting import ReportingDeployment, ReportingMember, manifest
 from standins.clock import boottime_ms
 from standins.journal.entry import JournalEntry
-from tests.soak.holds import WorkerLife
+from tests.soak.holds import WorkerIncarnation
 
-KEYED, PLAIN = 'portal', 'docs'
-DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
-START_S = 90
-STOP_S = 30
-_STARTED = b'"node-started"'
+SHARDED_SERVICE, UNSHARDED_SERVICE = 'portal', 'docs'
+FAILURE_DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
+START_TIMEOUT_S = 90
+STOP_TIMEOUT_S = 30
+_STARTED_EVENT = b'"node-started"'
 _OK = 200
 
 
 @dataclass(slots=True)
-class Life:
+class NodeIncarnation:
     """One process of a node; times in ms of CLOCK_BOOTTIME."""
 
     node: str
     process: Process = field(repr=False)
     pid: int
-    stopped_ms: float | None = None  # when it was told to stop
+    stopped_ms: float | None = None  # when SIGTERM was sent
     killed_ms: float | None = None
     ended_ms: float | None = None
     status: int | None = None
     pauses: list[tuple[float, float]] = field(default_factory=list)
 
     @property
-    def struck_ms(self) -> float | None:
-        """Return when the process was ended without having a say."""
-        return self.stopped_ms if self.died_starting else self.killed_ms
+    def unhandled_end_ms(self) -> float | None:
+        """Return when the process was ended by a signal it did not handle."""
+        return self.stopped_ms if self.died_during_start else self.killed_ms
 
     @property
-    def died_starting(self) -> bool:
-        """Tell whether it was told to stop before it handles signals."""
+    def died_during_start(self) -> bool:
+        """Return whether SIGTERM ended it before it handled signals."""
         if self.status != -SIGTERM:
             return False
-        return _STARTED not in self.process.log.read_bytes()
+        return _STARTED_EVENT not in self.process.log.read_bytes()
 
 
 @dataclass(slots=True)
 class Relays:
-    """Routes of one relay process, named by node and what they lead to."""
+    """The routes of one relay process, named `<node>.<target>`."""
 
     process: Process
     url: str
     http: Any
     ports: dict[str, int] = field(default_factory=dict)
 
-    def open(self, route: str, port: int) -> int:
-        """Open a route to a port and return where it listens."""
+    def add_route(self, route: str, port: int) -> int:
+        """Add a route to a port and return the port that it listens on."""
         url = f'{self.url}/routes/{route}'
-        answer = self.http.request('PUT', url, json={'target_port': port})
-        self.ports[route] = int(answer.json()['port'])
+        response = self.http.request('PUT', url, json={'target_port': port})
+        self.ports[route] = int(response.json()['port'])
         return self.ports[route]
 
-    def hinder(self, route: str, **switches: Any) -> None:
-        """Set switches of a route."""
+    def set_switches(self, route: str, **switches: Any) -> None:
+        """Set the fault switches of a route.
+
+        Raises ValueError if the relay refuses them.
+        """
         url = f'{self.url}/routes/{route}'
-        answer = self.http.request('POST', url, json=switches)
-        if answer.status != _OK:
-            raise ValueError(f'{route}: {answer.data!r}')
+        response = self.http.request('POST', url, json=switches)
+        if response.status != _OK:
+            raise ValueError(f'{route}: {response.data!r}')
 
-    def clear(self, route: str) -> None:
-        """Take all switches of a route back."""
-        self.hinder(route, **UNHINDERED)
+    def reset_switches(self, route: str) -> None:
+        """Reset all fault switches of a route."""
+        self.set_switches(route, **UNHINDERED)
 
 
 class SoakFleet(ReportingDeployment):
-    """Nodes `n1`, `n2` ... in three failure domains, one in three `docs`."""
+    """Nodes `n1`, `n2` ... in three failure domains, with their workers.
+
+    Every third node, from `n1`, has a worker of the service `docs`, the
+    others one of `portal`.
+    """
 
     def __init__(self, nodes: int) -> None:
-        super().__init__({KEYED: True, PLAIN: False})
-        self.lives: list[Life] = []
-        self.worker_lives: list[WorkerLife] = []
-        self._versions = 1
+        super().__init__({SHARDED_SERVICE: True, UNSHARDED_SERVICE: False})
+        self.node_incarnations: list[NodeIncarnation] = []
+        self.worker_incarnations: list[WorkerIncarnation] = []
+        self._manifest_version = 1
         self._worker_ports: dict[str, int] = {}
-        self._claims: dict[str, Lock] = {}
+        self._process_locks: dict[str, Lock] = {}
         journal_port, relay_port = free_port(), free_port()
         self.journal_url = f'http://{HOST}:{journal_port}/journal'
         self.journal = self._spawn(
@@ -97,106 +104,112 @@
         relay = self._spawn('standins.relay', '--control-port', str(relay_port))
         self.relays = Relays(relay, f'http://{HOST}:{relay_port}', self.http)
         for url in (self.journal_url, f'{self.relays.url}/routes'):
-            wait_for(url, partial(self._is_ok, url), START_S)
+            wait_for(url, partial(self._responds, url), START_TIMEOUT_S)
         self.declare()
         for number in range(nodes):
-            service = KEYED if number % 3 else PLAIN
-            domain = DOMAINS[number // 2 % len(DOMAINS)]
+            service = SHARDED_SERVICE if number % 3 else UNSHARDED_SERVICE
+            domain = FAILURE_DOMAINS[number // 2 % len(FAILURE_DOMAINS)]
             self.add(f'n{number + 1}', domain, service)
 
     def start_node(self, path: Path) -> Process:
-        """Start a node and note its life."""
+        """Start a node and record its process."""
         process = super().start_node(path)
-        self.lives.append(Life(path.stem, process, process.pid))
+        self.node_incarnations.append(
+            NodeIncarnation(path.stem, process, process.pid)
+        )
         return process
 
-    def life(self, member: ReportingMember) -> Life:
-        """Return the life of the process that a node has now."""
-        return next(life for life in self.lives if life.process is member.node)
+    def incarnation(self, member: ReportingMember) -> NodeIncarnation:
+        """Return the current incarnation of a node."""
+        return next(
+            incarnation
+            for incarnation in self.node_incarnations
+            if incarnation.process is member.node
+        )
 
     def door_port(self, name: str, *, relayed: bool) -> int:
-        """Return where callers reach a node, at its relay or itself."""
+        """Return the port of a node for callers, of its relay or its own."""
         if relayed:
             return self.relays.ports[f'{name}.door']
         address = self.members[name].settings['door_address']
         return int(address.rpartition(':')[2])
 
-    def claim(self, what: str) -> Lock:
-        """Return the lock of who ends and starts a process."""
-        return self._claims.setdefault(what, Lock())
+    def process_lock(self, process_name: str) -> Lock:
+        """Return the lock to hold while a process is ended and restarted."""
+        return self._process_locks.setdefault(process_name, Lock())
 
     def kill_node(self, member: ReportingMember) -> None:
-        """End a node at once."""
-        life = self.life(member)
-        life.killed_ms = boottime_ms()
+        """Kill a node with SIGKILL."""
+        incarnation = self.incarnation(member)
+        incarnation.killed_ms = boottime_ms()
         member.node.kill()
-        life.ended_ms = boottime_ms()
+        incarnation.ended_ms = boottime_ms()
 
     def stop_node(self, member: ReportingMember) -> None:
-        """Tell a node to stop and wait for its end."""
-        life = self.life(member)
-        life.stopped_ms = boottime_ms()
+        """Send SIGTERM to a node and wait until it has exited."""
+        incarnation = self.incarnation(member)
+        incarnation.stopped_ms = boottime_ms()
         member.node.terminate()
-        life.status = member.node.wait(STOP_S)
-        life.ended_ms = boottime_ms()
+        incarnation.status = member.node.wait(STOP_TIMEOUT_S)
+        incarnation.ended_ms = boottime_ms()
 
     def pause_node(self, member: ReportingMember, pause_s: float) -> None:
-        """Pause the process of a node for a while."""
-        life = self.life(member)
+        """Suspend the process of a node for `pause_s` seconds."""
+        incarnation = self.incarnation(member)
         paused_ms = boottime_ms()
-        life.process.pause()
+        incarnation.process.pause()
         time.sleep(pause_s)
-        life.process.resume()
-        life.pauses.append((paused_ms, boottime_ms()))
+        incarnation.process.resume()
+        incarnation.pauses.append((paused_ms, boottime_ms()))
 
     def restart_node(self, member: ReportingMember) -> None:
         """Start a node again."""
         member.node = self.start_node(member.path)
 
     def kill_worker(self, member: ReportingMember) -> None:
-        """End a worker at once."""
+        """Kill a worker with SIGKILL."""
         log = member.worker.log
         member.worker.kill()
-        for life in self.worker_lives:
-            if life.log == log:
-                life.killed_ms = boottime_ms()
+        for incarnation in self.worker_incarnations:
+            if incarnation.log == log:
+                incarnation.killed_ms = boottime_ms()
 
     def restart_worker(self, member: ReportingMember) -> None:
-        """Start the worker of a member again at its old port."""
+        """Start the worker of a member again on its previous port."""
         port = self._worker_ports[member.name]
         member.worker = self._start_worker(member.settings, port)
 
-    def declare_again(self, timeout_ms: int) -> None:
-        """Write another version of the manifest."""
-        self._versions += 1
-        content = manifest(self._versions, self._services)
+    def replace_manifest(self, timeout_ms: int) -> None:
+        """Replace the manifest by a new version with other timeouts."""
+        self._manifest_version += 1
+        content = manifest(self._manifest_version, self._services)
         for route in content['routes']:
             route['timeout_ms'] = timeout_ms
         body = dumps({'metadata': {'name': 'main'}, 'spec': content})
         url = f'{self.store_url}/objects/config/main'
         self.http.request('PUT', url, body=body)
 
-    def fault_store(self, **switches: Any) -> None:
-        """Set fault switches of the store."""
+    def set_store_faults(self, **switches: Any) -> None:
+        """Set the fault switches of the store."""
         self.http.request('POST', f'{self.store_url}/faults', json=switches)
 
-    def entries(self) -> list[JournalEntry]:
-        """Return what the workers wrote into their journals."""
-        found = self.http.request('GET', self.journal_url).json()
-        return [JournalEntry(**each) for each in found]
+    def journal_entries(self) -> list[JournalEntry]:
+        """Return the entries that the workers wrote into the journal."""
+        rows = self.http.request('GET', self.journal_url).json()
+        return [JournalEntry(**each) for each in rows]
 
     def wait_ready(self) -> None:
-        """Wait until all nodes say that they are ready."""
+        """Wait until all nodes report that they are ready."""
         for member in self.members.values():
             ready = partial(self.is_ready, member)
-            wait_for(f'{member.name} to be ready', ready, START_S)
+            wait_for(f'{member.name} to be ready', ready, START_TIMEOUT_S)
 
-    def keep_logs(self, folder: Path) -> None:
-        """Copy what the processes wrote."""
+    def copy_logs(self, folder: Path) -> None:
+        """Copy the logs and settings of the processes into a folder."""
         copytree(self._root, folder, dirs_exist_ok=True)
 
     def close(self) -> None:
-        """End all processes by their ids."""
+        """End all processes."""
         self.journal.kill()
         self.relays.process.kill()
         super().close()
@@ -214,31 +227,31 @@
             f'--journal-url={self.journal_url}',
             *flags,
         )
-        self.worker_lives.append(WorkerLife(name, process.log))
+        self.worker_incarnations.append(WorkerIncarnation(name, process.log))
         return process
 
     def _settings(
         self, name: str, domain: str, service: str, worker_port: int
     ) -> dict[str, Any]:
-        written = super()._settings(name, domain, service, worker_port)
+        settings = super()._settings(name, domain, service, worker_port)
         self._worker_ports[name] = worker_port
         targets = {
-            'peer': written['peer_port'],
+            'peer': settings['peer_port'],
             'worker': worker_port,
             'store': _port(self.store_url),
-            'door': _port(written['door_address']),
-            'reports': _port(written['report_address']),
+            'door': _port(settings['door_address']),
+            'reports': _port(settings['report_address']),
         }
-        for what, port in targets.items():
-            self.relays.open(f'{name}.{what}', port)
+        for link, port in targets.items():
+            self.relays.add_route(f'{name}.{link}', port)
         ports = self.relays.ports
-        written['reports'] = {'silent_ms': 800, 'most_bytes': 20_000}
-        written['advertised_peer_port'] = ports[f'{name}.peer']
-        written['worker_url'] = f'http://{HOST}:{ports[f"{name}.worker"]}'
-        written['platform_url'] = f'http://{HOST}:{ports[f"{name}.store"]}'
-        return written
+        settings['reports'] = {'silent_ms': 800, 'most_bytes': 20_000}
+        settings['advertised_peer_port'] = ports[f'{name}.peer']
+        settings['worker_url'] = f'http://{HOST}:{ports[f"{name}.worker"]}'
+        settings['platform_url'] = f'http://{HOST}:{ports[f"{name}.store"]}'
+        return settings
 
-    def _is_ok(self, url: str) -> bool:
+    def _responds(self, url: str) -> bool:
         return bool(self.http.request('GET', url).status == _OK)
 
 
