--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -19,7 +19,7 @@
 
 MAX_PORT = 65_535
 _ADDRESS = r'^[^:]+:\d{1,5}$'
-_USABLE_GRACE = 5 / 6  # of the time until the process would be killed
+_USABLE_GRACE = 5 / 6  # share of the time until the process would be killed
 SECRET_FIELDS = frozenset(('shared_key', 'token'))
 
 
@@ -200,7 +200,9 @@
     return f'{named}: {error["msg"]}; found {error["input"]!r}'
 
 
-def describe(error: ValidationError, file: str, model: type[BaseModel]) -> str:
+def describe_validation_error(
+    error: ValidationError, file: str, model: type[BaseModel]
+) -> str:
     """Return one line for each validation error in a file.
 
     A line contains the file, the path in it, the value and what is allowed.
@@ -224,5 +226,5 @@
         return DaemonSettings.model_validate(content)
     except ValidationError as error:
         raise SettingsError(
-            describe(error, str(path), DaemonSettings)
+            describe_validation_error(error, str(path), DaemonSettings)
         ) from error
