--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -21,9 +21,9 @@
 REQUEST_HEADER = 'Laburnumwood-Request'
 IDEMPOTENCY_HEADER = 'Idempotency-Key'
 _DEADLINE_HEADER = 'Laburnumwood-Deadline-Ms'
-_LONGEST_NAME = 256  # characters of an id or key
-_PIECE = 65_536  # bytes read at once
-_NUMBER = re.compile('-?[0-9]{1,12}')
+_MAX_IDENTIFIER_LENGTH = 256  # characters of an id or key
+_READ_SIZE = 65_536  # bytes read at once
+_INTEGER = re.compile('-?[0-9]{1,12}')
 _METHOD = re.compile('[A-Z]{1,20}')
 _PRINTABLE = re.compile(r'[^\x00-\x1f\x7f]+')
 
@@ -36,27 +36,29 @@
         self.told = make_failure(kind, detail, ran=False)
 
 
-def _one_header(environ: Environ, name: str) -> str:
+def _single_header(environ: Environ, name: str) -> str:
     found = set(header_values(environ['headers_raw'], name))
     if len(found) > 1:
         raise RequestRefusedError('bad-request', f'{name} stands twice')
     return found.pop() if found else ''
 
 
-def _name(environ: Environ, name: str) -> str:
-    text = _one_header(environ, name)
-    if text and not _is_name(text):
+def _identifier_header(environ: Environ, name: str) -> str:
+    text = _single_header(environ, name)
+    if text and not _is_identifier(text):
         raise RequestRefusedError('bad-request', f'{name} is not usable')
     return text
 
 
-def _is_name(text: str) -> bool:
-    return len(text) <= _LONGEST_NAME and bool(_PRINTABLE.fullmatch(text))
+def _is_identifier(text: str) -> bool:
+    return len(text) <= _MAX_IDENTIFIER_LENGTH and bool(
+        _PRINTABLE.fullmatch(text)
+    )
 
 
-def _key_of(environ: Environ, source: KeySource) -> str:
+def _extract_key(environ: Environ, source: KeySource) -> str:
     if source.source == 'header':
-        return _one_header(environ, source.name)
+        return _single_header(environ, source.name)
     if source.source == 'query':
         fields = parse_qs(environ.get('QUERY_STRING', ''))
         found = set(fields.get(source.name, ()))
@@ -75,11 +77,11 @@
     """
     if service.key is None:
         return -1, ''
-    key = _key_of(environ, service.key)
+    key = _extract_key(environ, service.key)
     if not key:
         where = f'{service.key.source} {service.key.name}'
         raise RequestRefusedError('no-key', f'the key is expected in {where}')
-    if not _is_name(key):
+    if not _is_identifier(key):
         raise RequestRefusedError('bad-request', 'the key is not usable')
     try:
         return place_key(key, service), key
@@ -95,10 +97,10 @@
     return f'/work/{path}?{query}' if query else f'/work/{path}'
 
 
-def _read_pieces(environ: Environ, longest: int) -> bytes:
+def _read_stream(environ: Environ, longest: int) -> bytes:
     stream = environ['wsgi.input']
     body = bytearray()
-    while piece := stream.read(_PIECE):
+    while piece := stream.read(_READ_SIZE):
         body.extend(piece)
         if len(body) > longest:
             raise RequestRefusedError('too-large', f'over {longest} bytes')
@@ -115,7 +117,7 @@
     late = RequestRefusedError('deadline', 'the body did not come in time')
     try:
         with Timeout(deadline_ms / MS_PER_SECOND, late):
-            body = _read_pieces(environ, longest)
+            body = _read_stream(environ, longest)
     except (ChunkReadError, OSError) as cut:
         raise RequestRefusedError('bad-request', f'body: {cut}') from cut
     if declared and len(body) != int(declared):
@@ -124,8 +126,10 @@
 
 
 def _deadline_ms(environ: Environ, service: Service) -> int:
-    given = _one_header(environ, _DEADLINE_HEADER) or str(service.deadline_ms)
-    if not _NUMBER.fullmatch(given):
+    given = _single_header(environ, _DEADLINE_HEADER) or str(
+        service.deadline_ms
+    )
+    if not _INTEGER.fullmatch(given):
         raise RequestRefusedError('bad-request', f'deadline of {given!r} ms')
     if int(given) <= 0:
         raise RequestRefusedError('deadline', 'it had passed on arrival')
@@ -135,7 +139,7 @@
 def read_request_id(environ: Environ) -> str:
     """Return the id that the caller gave its request, or a new one."""
     given = ''.join(header_values(environ['headers_raw'], REQUEST_HEADER)[:1])
-    return given if given and _is_name(given) else uuid4().hex
+    return given if given and _is_identifier(given) else uuid4().hex
 
 
 def check_head(environ: Environ) -> None:
@@ -166,7 +170,7 @@
     check_head(environ)
     shard, key = place_request(environ, service)
     deadline_ms = _deadline_ms(environ, service)
-    idempotency_key = _name(environ, IDEMPOTENCY_HEADER)
+    idempotency_key = _identifier_header(environ, IDEMPOTENCY_HEADER)
     body = read_body(environ, service.longest_body, deadline_ms)
     return Work(
         request_id=request_id,
