--- a/laburnumwood/routing/admission_gate.py
+++ b/laburnumwood/routing/admission_gate.py
@@ -49,7 +49,7 @@
 Services = Callable[[], Mapping[str, Service]]
 
 
-class CapacityAccount(Protocol):
+class BusySlotCounter(Protocol):
     """Counts what each owner's capacity carries."""
 
     def busy(self, service: str) -> AbstractContextManager[None]:
@@ -120,7 +120,7 @@
         executor: Executor,
         services: Services,
         shards: ShardDirectory,
-        account: CapacityAccount,
+        capacity_account: BusySlotCounter,
         meter: LoadMeter,
         worker: WorkerState,
         clock: Clock,
@@ -132,7 +132,7 @@
         self._worker = worker
         self._services = services
         self._directory = shards
-        self._capacity_account = account
+        self._capacity_account = capacity_account
         self._meter = meter
         self._executor = executor
         self._clock = clock
@@ -161,16 +161,16 @@
 
     def report_load(self) -> None:
         """Log what this gate carried and sent away since it told last."""
-        carried = self._admitter.tally.take()
-        if carried.is_nothing:
+        tally = self._admitter.tally.take()
+        if tally.is_nothing:
             return
         GATE_LOAD.report(
             service=self._settings.service,
             slots=self._worker.slots(),
-            busy=round(carried.busy, 2),
+            busy=round(tally.busy, 2),
             waiting=self.waiting,
-            let_in=carried.let_in,
-            shed=carried.shed,
+            let_in=tally.let_in,
+            shed=tally.shed,
             shards=len(self._holdings.tokens()),
         )
 
@@ -184,19 +184,21 @@
         with suppress(LinkError):
             try:
                 self._serve_in_shard(exchange, work)
-            except OverloadedError as shed:
+            except OverloadedError as overload:
                 self._return_request(
-                    exchange, work, make_overload_failure(shed.retry_after_ms)
+                    exchange,
+                    work,
+                    make_overload_failure(overload.retry_after_ms),
                 )
             except LinkError:
                 raise
-            except Exception as fault:
+            except Exception as error:
                 ANSWER_FAILED.report(
                     request=work.request_id,
                     path=work.target,
                     trace=format_exc(),
                 )
-                exchange.send(make_failure('fault', repr(fault), ran=True))
+                exchange.send(make_failure('fault', repr(error), ran=True))
 
     def _report_cancelled(self, work: Work) -> None:
         RUN_CANCELLED.report(
@@ -204,35 +206,35 @@
         )
 
     def _return_request(
-        self, exchange: Exchange, work: Work, told: Failure
+        self, exchange: Exchange, work: Work, failure: Failure
     ) -> None:
         """Send a request back that did not run, and log why."""
-        self._report_returned(work, told)
-        exchange.send(told)
+        self._report_returned(work, failure)
+        exchange.send(failure)
 
-    def _report_returned(self, work: Work, told: Failure) -> None:
+    def _report_returned(self, work: Work, failure: Failure) -> None:
         now_ms = self._clock.now_ms()
         REQUEST_RETURNED.report(
             request=work.request_id,
             service=work.service,
             shard=work.shard,
             rank=work.priority,
-            kind=told.kind,
-            detail=told.detail,
+            kind=failure.kind,
+            detail=failure.detail,
             running=self._admitter.running,
             leaving=self._admitter.leaving,
             waiting=self.waiting,
             lease_left_ms=self._lease.holds_until_ms() - now_ms,
-            may_have_run=told.ran,
-            retry_after_ms=told.retry_after_ms,
+            may_have_run=failure.ran,
+            retry_after_ms=failure.retry_after_ms,
         )
 
     def _serve_in_shard(self, exchange: Exchange, work: Work) -> None:
         until_ms = self._clock.now_ms() + work.deadline_ms
         if self._is_closed:
             detail = f'{self._settings.node_id} is about to end'
-            told = make_failure('not-owner', detail, ran=False)
-            self._return_request(exchange, work, told)
+            failure = make_failure('not-owner', detail, ran=False)
+            self._return_request(exchange, work, failure)
             return
         if work.shard < 0:
             body = receive_body(exchange, work)
@@ -248,8 +250,8 @@
         if stay is None:
             self._send_shard_records(exchange, work)
             detail = f'{self._settings.node_id} does not own {shard}'
-            told = make_failure('not-owner', detail, ran=False)
-            self._return_request(exchange, work, told)
+            failure = make_failure('not-owner', detail, ran=False)
+            self._return_request(exchange, work, failure)
             return
         try:
             body = receive_body(exchange, work)
@@ -263,23 +265,23 @@
         wait_ms = self._grants.expected_in_ms() + _GRANT_DELAY_TOLERANCE_MS
         if not self._obtain_grant(shard, run, wait_ms):
             detail = f'the worker has no grant for {shard}'
-            told = Failure('not-owner', False, detail, wait_ms)
-            self._return_request(exchange, run.work, told)
+            failure = Failure('not-owner', False, detail, wait_ms)
+            self._return_request(exchange, run.work, failure)
             return
         self._serve_when_admitted(
             exchange, run, partial(self._may_execute, shard, run)
         )
 
     def _serve_when_admitted(
-        self, exchange: Exchange, run: Run, may_act: ExecutionCheck
+        self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> None:
         work = run.work
         service = self._services().get(work.service)
-        line_ms = self._answer_delays.expected_wait_ms(work.priority)
+        answer_wait_ms = self._answer_delays.expected_wait_ms(work.priority)
         useful_ms = useful_until_ms(work, self._clock.now_ms(), run.until_ms)
-        useful_ms -= line_ms
-        line = classify(work, service)
-        ticket = Ticket(work.key, run.until_ms, useful_ms, line)
+        useful_ms -= answer_wait_ms
+        traffic_class = classify(work, service)
+        ticket = Ticket(work.key, run.until_ms, useful_ms, traffic_class)
         busy = self._capacity_account.busy(work.service)
         exchange.when_message(partial(self._admitter.cancel, ticket))
         try:
@@ -290,15 +292,17 @@
                     self._clock,
                     partial(self._release_slot, ticket, work.priority),
                 )
-                self._serve_admitted(observed, run, may_act)
+                self._serve_admitted(observed, run, may_execute)
             if observed.failure is not None:
                 self._report_returned(work, observed.failure)
         except RunCancelledError:
             self._report_cancelled(work)
-        except OverloadedError as shed:
+        except OverloadedError as overload:
             # What does not fit on this worker is load all the same.
             self._meter.note(work.shard, work.key, self._admitter.slot_ms)
-            shed.retry_after_ms = max(shed.retry_after_ms, line_ms)
+            overload.retry_after_ms = max(
+                overload.retry_after_ms, answer_wait_ms
+            )
             raise
         if ticket.result is Result.SERVED:
             busy_ms = self._clock.now_ms() - ticket.started_ms
@@ -310,10 +314,10 @@
         self._admitter.give_back(ticket)
 
     def _serve_admitted(
-        self, exchange: Exchange, run: Run, may_act: ExecutionCheck
+        self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> None:
         if self._worker.accepts_requests():
-            self._executor.execute(exchange, run, may_act)
+            self._executor.execute(exchange, run, may_execute)
             return
         detail = f'the worker of {self._settings.node_id} takes no work'
         exchange.send(make_failure('not-owner', detail, ran=False))
--- a/laburnumwood/routing/caller.py
+++ b/laburnumwood/routing/caller.py
@@ -23,12 +23,12 @@
 _POLLED_EVENTS = _select.POLLIN | _select.POLLRDHUP
 
 
-def _poll(numbers: Iterable[int]) -> dict[int, int]:
+def _poll_descriptors(descriptors: Iterable[int]) -> dict[int, int]:
     """Return what there is to know of descriptors, without waiting."""
     poll = _select.poll()
-    for number in numbers:
-        if number >= 0:
-            poll.register(number, _POLLED_EVENTS)
+    for descriptor in descriptors:
+        if descriptor >= 0:
+            poll.register(descriptor, _POLLED_EVENTS)
     return dict(poll.poll(0))
 
 
@@ -39,10 +39,10 @@
     """
 
     def __init__(
-        self, sock: Any, callers: 'CallerMonitor', request_id: str, clock: Clock
+        self, sock: Any, monitor: 'CallerMonitor', request_id: str, clock: Clock
     ) -> None:
         self._socket = sock
-        self._monitor = callers
+        self._monitor = monitor
         self._request_id = request_id
         self._clock = clock
         self._registered_ms = clock.now_ms()
@@ -55,14 +55,14 @@
         """Tell whether the caller has gone away."""
         return self._is_gone
 
-    def set_gone_handler(self, act: GoneHandler | None) -> None:
+    def set_gone_handler(self, handler: GoneHandler | None) -> None:
         """Set what is done when the caller goes, in place of the last.
 
         It is done at once if the caller has gone already.
         """
-        self._gone_handler = act
-        if self._is_gone and act is not None:
-            attempt(act)
+        self._gone_handler = handler
+        if self._is_gone and handler is not None:
+            attempt(handler)
 
     def stop_monitoring(self) -> None:
         """Watch no longer."""
@@ -72,15 +72,17 @@
     def poll(self) -> bool:
         """Look at the connection now; tell whether the caller has gone."""
         if not self._is_gone:
-            number = self._socket.fileno()
-            events = _poll((number,)).get(number, 0)
-            self.handle_events(_CLOSED_EVENTS if number < 0 else events)
+            descriptor = self._socket.fileno()
+            poll_events = _poll_descriptors((descriptor,)).get(descriptor, 0)
+            self.handle_events(
+                _CLOSED_EVENTS if descriptor < 0 else poll_events
+            )
         return self._is_gone
 
-    def handle_events(self, events: int) -> None:
+    def handle_events(self, poll_events: int) -> None:
         """Take in what the system says of the connection."""
-        self._is_gone = bool(events & _CLOSED_EVENTS) or (
-            bool(events) and self._is_at_eof()
+        self._is_gone = bool(poll_events & _CLOSED_EVENTS) or (
+            bool(poll_events) and self._is_at_eof()
         )
         if self._is_gone:
             self._report_gone()
@@ -96,8 +98,8 @@
             return True
 
     def _report_gone(self) -> None:
-        looked_ms = max(self._registered_ms, self._monitor.last_poll_ms)
-        within_ms = self._clock.now_ms() - looked_ms
+        since_ms = max(self._registered_ms, self._monitor.last_poll_ms)
+        within_ms = self._clock.now_ms() - since_ms
         CALLER_GONE_WITHIN.record(within_ms)
         CALLER_GONE.report(
             request=self._request_id,
@@ -143,8 +145,10 @@
         self._is_polling = False
 
     def _poll_all(self) -> None:
-        for number, events in _poll(self._registered).items():
-            caller = self._registered.get(number)
+        for descriptor, poll_events in _poll_descriptors(
+            self._registered
+        ).items():
+            caller = self._registered.get(descriptor)
             if caller is not None and not caller.is_gone:
-                caller.handle_events(events)
+                caller.handle_events(poll_events)
         self.last_poll_ms = self._clock.now_ms()
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -39,11 +39,13 @@
         """Return the id of a request, the caller's own if it gave one."""
 
     def read_request(
-        self, environ: Environ, declared: Declarations, request_id: str
+        self, environ: Environ, declarations: Declarations, request_id: str
     ) -> CallerRequest:
         """Return a request; raises `RequestRefusedError`."""
 
-    def problem_answer(self, told: Failure, request_id: str) -> ProblemAnswer:
+    def problem_answer(
+        self, failure: Failure, request_id: str
+    ) -> ProblemAnswer:
         """Return the answer that says why a request has none."""
 
     def answer_headers(self, head: Answer, request_id: str) -> HeaderList:
@@ -58,31 +60,33 @@
         return read_request_id(environ)
 
     def read_request(
-        self, environ: Environ, declared: Declarations, request_id: str
+        self, environ: Environ, declarations: Declarations, request_id: str
     ) -> CallerRequest:
         """Return a request; raises `RequestRefusedError`."""
-        work, body = read_request(environ, declared.services, request_id)
+        work, body = read_request(environ, declarations.services, request_id)
         return CallerRequest(work, body)
 
-    def problem_answer(self, told: Failure, request_id: str) -> ProblemAnswer:
+    def problem_answer(
+        self, failure: Failure, request_id: str
+    ) -> ProblemAnswer:
         """Return the answer that says why a request has none."""
-        content = problem_body(told, request_id)
-        status = status_line(PROBLEMS[told.kind].status)
+        content = problem_body(failure, request_id)
+        status = status_line(PROBLEMS[failure.kind].status)
         return ProblemAnswer(
-            status, problem_headers(told, len(content)), content
+            status, problem_headers(failure, len(content)), content
         )
 
     def answer_headers(self, head: Answer, request_id: str) -> HeaderList:
         """Return the headers of a worker's answer as the caller gets them."""
-        kept = [
+        forwarded = [
             (name, text)
             for name, text in end_to_end_headers(head.headers)
             if name.lower() != REQUEST_HEADER.lower()
         ]
-        return [*kept, (REQUEST_HEADER, request_id)]
+        return [*forwarded, (REQUEST_HEADER, request_id)]
 
 
-def send_problem(refusal: ProblemAnswer, start_response: Any) -> tuple[bytes]:
+def send_problem(problem: ProblemAnswer, start_response: Any) -> tuple[bytes]:
     """Answer a request with a refusal."""
-    start_response(refusal.status, refusal.headers)
-    return (refusal.content,)
+    start_response(problem.status, problem.headers)
+    return (problem.content,)
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -56,18 +56,18 @@
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
-def _framing_error(fields: HeaderIndex) -> str:
+def _framing_error(headers: HeaderIndex) -> str:
     """Return why the length of a body is not certain, or nothing."""
-    lengths = fields.all('content-length')
-    codings = fields.all('transfer-encoding')
-    if lengths and codings:
+    lengths = headers.all('content-length')
+    encodings = headers.all('transfer-encoding')
+    if lengths and encodings:
         return 'both Content-Length and Transfer-Encoding are given'
-    if len(lengths) > 1 or len(codings) > 1:
+    if len(lengths) > 1 or len(encodings) > 1:
         return 'the length of the body is given twice'
     if lengths and not _LENGTH_PATTERN.fullmatch(lengths[0]):
         return f'Content-Length {lengths[0]!r} is no number'
-    if codings and codings[0].lower() != 'chunked':
-        return f'Transfer-Encoding {codings[0]!r} is not known'
+    if encodings and encodings[0].lower() != 'chunked':
+        return f'Transfer-Encoding {encodings[0]!r} is not known'
     return ''
 
 
@@ -75,9 +75,9 @@
     """Reset a connection: a mere shutdown would end it cleanly."""
     with suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
-        number = sock.detach()
-        notify_close(number)
-        os.close(number)
+        descriptor = sock.detach()
+        notify_close(descriptor)
+        os.close(descriptor)
 
 
 class _CallerLostError(Exception):
@@ -147,8 +147,8 @@
             return
         try:
             self._protocol.connection.sendall(content)
-        except OSError as ended:
-            raise _CallerLostError(repr(ended)) from ended
+        except OSError as error:
+            raise _CallerLostError(repr(error)) from error
 
 
 class CallerProtocol(wsgi.HttpProtocol):
@@ -160,23 +160,23 @@
             self.read_head()
         except _TOO_LARGE_ERRORS:
             return self._refuse('headers-too-large', 'a header or all of them')
-        except HeadError as unreadable:
-            return self._refuse('bad-request', str(unreadable))
-        asked = self.headers.tokens('connection')
+        except HeadError as error:
+            return self._refuse('bad-request', str(error))
+        options = self.headers.tokens('connection')
         if self.request_version == 'HTTP/1.1':
-            self.close_connection = 'close' in asked
+            self.close_connection = 'close' in options
         else:
-            self.close_connection = 'keep-alive' not in asked
+            self.close_connection = 'keep-alive' not in options
         return True
 
     def read_head(self) -> None:
         """Read line and headers of a request; raises `HeadError`."""
-        line = self.raw_requestline.decode('latin1')
-        found = _REQUEST_LINE.fullmatch(line)
-        if found is None:
-            raise HeadError(f'request line {line[:80]!r}')
-        self.requestline = line
-        self.command, self.path, self.request_version = found.groups()
+        request_line = self.raw_requestline.decode('latin1')
+        match = _REQUEST_LINE.fullmatch(request_line)
+        if match is None:
+            raise HeadError(f'request line {request_line[:80]!r}')
+        self.requestline = request_line
+        self.command, self.path, self.request_version = match.groups()
         self._header_fields = read_headers(self.rfile.readline, _HEADER_LINE)
         self.headers = HeaderIndex(self._header_fields)
         fault = _framing_error(self.headers)
@@ -186,15 +186,15 @@
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment of a request."""
         path, _, query = self.path.partition('?')
-        fields = self.headers
-        length = fields.first('content-length')
-        is_chunked = fields.has('transfer-encoding')
-        waits = fields.first('expect').lower() == '100-continue'
+        headers = self.headers
+        content_length = headers.first('content-length')
+        is_chunked = headers.has('transfer-encoding')
+        expects_continue = headers.first('expect').lower() == '100-continue'
         body = wsgi.Input(
             self.rfile,
-            None if is_chunked else length or '0',
+            None if is_chunked else content_length or '0',
             self.connection,
-            wfile=self.wfile if waits else None,
+            wfile=self.wfile if expects_continue else None,
             wfile_line=_CONTINUE_LINE,
             chunked_input=is_chunked,
         )
@@ -204,14 +204,14 @@
             'RAW_PATH_INFO': path,
             'PATH_INFO': unquote(path, 'latin1') if '%' in path else path,
             'QUERY_STRING': query,
-            'CONTENT_LENGTH': length,
+            'CONTENT_LENGTH': content_length,
             'SERVER_PROTOCOL': self.request_version,
             'REMOTE_ADDR': self.client_address[0],
-            'HTTP_AUTHORIZATION': fields.first('authorization'),
+            'HTTP_AUTHORIZATION': headers.first('authorization'),
             'wsgi.input': body,
             'eventlet.input': body,
             'headers_raw': self._header_fields,
-            HEADERS_KEY: fields,
+            HEADERS_KEY: headers,
             CLOSE_KEY: self._close_after_answer,
         }
 
@@ -229,8 +229,8 @@
                 self.close_connection = True
             else:
                 answer.finish()
-        except _CallerLostError as lost:
-            self._report_caller_lost(answer, lost)
+        except _CallerLostError as error:
+            self._report_caller_lost(answer, error)
         except (Exception, Timeout):
             self._handle_failure(answer)
         finally:
@@ -239,14 +239,14 @@
             self._discard_unread_body(body)
 
     def _report_caller_lost(
-        self, answer: _AnswerWriter, lost: _CallerLostError
+        self, answer: _AnswerWriter, error: _CallerLostError
     ) -> None:
         self.close_connection = True
         CALLER_LOST.report(
             request=self.environ.get(REQUEST_ID_KEY, ''),
             path=self.path,
             begun=answer.has_started,
-            reason=lost,
+            reason=error,
         )
 
     def _handle_failure(self, answer: _AnswerWriter) -> None:
@@ -280,21 +280,24 @@
         self.close_connection = True
 
     def _read_request_line(self) -> bytes:
-        line: bytes = super()._read_request_line()
+        request_line: bytes = super()._read_request_line()
         if self.conn_state[2] == wsgi.STATE_CLOSE:
             # Closed while it was idle: no answer could be sent any more.
             return b''
-        if line and len(line) >= self.server.url_length_limit:
+        if request_line and len(request_line) >= self.server.url_length_limit:
             self._refuse('target-too-long', 'the request line')
             return b''
-        return line
+        return request_line
 
     def _refuse(self, kind: str, detail: str) -> bool:
-        told = make_failure(kind, detail, ran=False)
-        content = problem_body(told, '')
+        failure = make_failure(kind, detail, ran=False)
+        content = problem_body(failure, '')
         status = status_line(PROBLEMS[kind].status)
-        fields = [*problem_headers(told, len(content)), ('Connection', 'close')]
-        lines = ''.join(f'{name}: {text}\r\n' for name, text in fields)
+        headers = [
+            *problem_headers(failure, len(content)),
+            ('Connection', 'close'),
+        ]
+        lines = ''.join(f'{name}: {text}\r\n' for name, text in headers)
         head = f'HTTP/1.1 {status}\r\n{lines}\r\n'.encode()
         self.close_connection = True
         with suppress(OSError):
@@ -306,8 +309,8 @@
         # What is left unread at the close would reset the connection before
         # the caller has read its answer.
         self.request.shutdown(socket.SHUT_WR)
-        left = _MAX_DRAIN_BYTES
+        remaining = _MAX_DRAIN_BYTES
         with Timeout(_DRAIN_TIMEOUT_S, exception=False):
-            while left > 0:
-                read = self.request.recv(left)
-                left -= len(read) or left
+            while remaining > 0:
+                received = self.request.recv(remaining)
+                remaining -= len(received) or remaining
--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -18,7 +18,7 @@
     def receive(self, timeout_ms: int) -> Any:
         """Return the next message; raises a `LinkError`."""
 
-    def when_message(self, act: Callable[[], None] | None) -> None:
+    def when_message(self, handler: Callable[[], None] | None) -> None:
         """Set what is done at the next message or when the link ends."""
 
     def close(self) -> None:
@@ -46,9 +46,9 @@
         """Return the next message; raises a `LinkError`."""
         return self._exchange.receive(timeout_ms)
 
-    def when_message(self, act: Callable[[], None] | None) -> None:
+    def when_message(self, handler: Callable[[], None] | None) -> None:
         """Set what is done at the next message or when the link ends."""
-        self._exchange.when_message(act)
+        self._exchange.when_message(handler)
 
     def close(self) -> None:
         """End the exchange on this side."""
@@ -72,10 +72,10 @@
 
 def local_pair() -> tuple[Stream, Stream]:
     """Return two streams joined to each other without a connection."""
-    there, back = _LocalTransport(), _LocalTransport()
-    near, far = Stream(0, there), Stream(0, back)
-    there.other, back.other = far, near
-    return near, far
+    first_transport, second_transport = _LocalTransport(), _LocalTransport()
+    first, second = Stream(0, first_transport), Stream(0, second_transport)
+    first_transport.other, second_transport.other = second, first
+    return first, second
 
 
 ServeHandler = Callable[[Exchange, Any], None]
--- a/laburnumwood/routing/executor.py
+++ b/laburnumwood/routing/executor.py
@@ -26,52 +26,54 @@
     def __init__(
         self,
         worker: Worker,
-        dialect: WorkerInterface,
+        worker_interface: WorkerInterface,
         notary: LedgerReplicator,
-        suspicions: SharedQuarantine,
+        shared_quarantine: SharedQuarantine,
         clock: Clock,
     ) -> None:
-        self._runner = Runner(worker, dialect, suspicions, clock)
+        self._runner = Runner(
+            worker, worker_interface, shared_quarantine, clock
+        )
         self._notary = notary
-        self._quarantine = suspicions.quarantine
+        self._quarantine = shared_quarantine.quarantine
 
     def execute(
-        self, exchange: Exchange, run: Run, may_act: ExecutionCheck
+        self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> None:
         """Answer a request on its exchange."""
         if run.work.idempotent or run.work.idempotency_key == '':
-            self._run(exchange, run, may_act)
+            self._run(exchange, run, may_execute)
             return
-        instead = self._notary.admit(run)
-        if isinstance(instead, Failure):
-            exchange.send(instead)
-        elif instead is None:
-            self._run_recorded(exchange, run, may_act)
+        recorded = self._notary.admit(run)
+        if isinstance(recorded, Failure):
+            exchange.send(recorded)
+        elif recorded is None:
+            self._run_recorded(exchange, run, may_execute)
         else:
-            _replay(exchange, *instead)
+            _replay(exchange, *recorded)
 
     def _run(
-        self, exchange: Exchange, run: Run, may_act: ExecutionCheck
+        self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> RunResult:
-        barred_ms = self._quarantine.barred_for_ms(run.fingerprint)
-        if barred_ms:
+        barred_for_ms = self._quarantine.barred_for_ms(run.fingerprint)
+        if barred_for_ms:
             detail = 'workers crashed whenever they ran this request'
-            told = Failure('quarantined', False, detail, barred_ms)
-            exchange.send(told)
-            return RunResult(failure=told)
-        if may_act():
+            failure = Failure('quarantined', False, detail, barred_for_ms)
+            exchange.send(failure)
+            return RunResult(failure=failure)
+        if may_execute():
             return self._runner.run(run, exchange, MAX_KEPT_BODY_BYTES)
         detail = f'no lease to act for {run.work.service}/{run.work.shard}'
-        told = make_failure('not-owner', detail, ran=False)
-        exchange.send(told)
-        return RunResult(failure=told)
+        failure = make_failure('not-owner', detail, ran=False)
+        exchange.send(failure)
+        return RunResult(failure=failure)
 
     def _run_recorded(
-        self, exchange: Exchange, run: Run, may_act: ExecutionCheck
+        self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> None:
         outcome = None
         try:
-            outcome = self._run(exchange, run, may_act)
+            outcome = self._run(exchange, run, may_execute)
         finally:
             self._notary.record_outcome(run, outcome)
 
--- a/laburnumwood/routing/headers.py
+++ b/laburnumwood/routing/headers.py
@@ -24,19 +24,19 @@
 
 
 def _forwarded(
-    headers: tuple[Header, ...], dropped: frozenset[str]
+    headers: tuple[Header, ...], removed_names: frozenset[str]
 ) -> list[tuple[str, Header]]:
     """Return the headers that stay, each after its name in lower case."""
-    named = [(each[0].lower(), each) for each in headers]
-    unwanted: Set[str] = dropped
-    if any(lower == _CONNECTION for lower, _ in named):
-        unwanted = dropped | HeaderIndex(headers).tokens(_CONNECTION)
-    return [each for each in named if each[0] not in unwanted]
+    by_name = [(header[0].lower(), header) for header in headers]
+    removed: Set[str] = removed_names
+    if any(lower_name == _CONNECTION for lower_name, _ in by_name):
+        removed = removed_names | HeaderIndex(headers).tokens(_CONNECTION)
+    return [header for header in by_name if header[0] not in removed]
 
 
 def end_to_end_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
     """Return the headers that are not meant for one connection only."""
-    return tuple(each for _, each in _forwarded(headers, _HOP_BY_HOP))
+    return tuple(header for _, header in _forwarded(headers, _HOP_BY_HOP))
 
 
 def forwarded_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
@@ -45,13 +45,13 @@
     Names and duplicates are kept; what only the router may say is dropped.
     """
     return tuple(
-        each
-        for lower, each in _forwarded(headers, _DROPPED_FROM_REQUESTS)
-        if not lower.startswith(RESERVED_PREFIX)
+        header
+        for lower_name, header in _forwarded(headers, _DROPPED_FROM_REQUESTS)
+        if not lower_name.startswith(RESERVED_PREFIX)
     )
 
 
-def header_values(headers: Iterable[Header], wanted: str) -> list[str]:
+def header_values(headers: Iterable[Header], name: str) -> list[str]:
     """Return every value of a header."""
-    lower = wanted.lower()
-    return [text for name, text in headers if name.lower() == lower]
+    lower_name = name.lower()
+    return [text for name, text in headers if name.lower() == lower_name]
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -27,13 +27,13 @@
     def __init__(
         self,
         router: Router,
-        face: CallerInterface,
-        declared: DeclarationsProvider,
+        caller_interface: CallerInterface,
+        get_declarations: DeclarationsProvider,
         clock: Clock,
     ) -> None:
         self._router = router
-        self._face = face
-        self._get_declarations = declared
+        self._face = caller_interface
+        self._get_declarations = get_declarations
         self._callers = CallerMonitor(clock)
 
     def __call__(
@@ -46,36 +46,36 @@
             inquiry = self._face.read_request(
                 environ, self._get_declarations(), request_id
             )
-        except RequestRefusedError as refused:
+        except RequestRefusedError as error:
             close_after_answer(environ)
-            refusal = self._face.problem_answer(refused.failure, request_id)
-            return send_problem(refusal, start_response)
+            problem = self._face.problem_answer(error.failure, request_id)
+            return send_problem(problem, start_response)
         sock = environ['eventlet.input'].get_socket()
         caller = self._callers.register(sock, request_id)
-        reply = self._router.send(inquiry, caller)
-        if isinstance(reply, Failure):
+        answer = self._router.send(inquiry, caller)
+        if isinstance(answer, Failure):
             caller.stop_monitoring()
-            refusal = self._face.problem_answer(reply, request_id)
-            return send_problem(refusal, start_response)
-        headers = self._face.answer_headers(reply.head, request_id)
-        start_response(status_line(reply.head.status), headers)
-        return _stream(environ, reply, caller)
+            problem = self._face.problem_answer(answer, request_id)
+            return send_problem(problem, start_response)
+        headers = self._face.answer_headers(answer.head, request_id)
+        start_response(status_line(answer.head.status), headers)
+        return _stream(environ, answer, caller)
 
 
 def _stream(
-    environ: Environ, reply: PendingAnswer, caller: Caller
+    environ: Environ, answer: PendingAnswer, caller: Caller
 ) -> Iterator[bytes]:
     try:
-        yield from reply.body()
-    except LinkError as cut:
+        yield from answer.body()
+    except LinkError as error:
         ANSWER_CUT.report(
             request=environ[REQUEST_ID_KEY],
-            status=reply.head.status,
-            received=reply.received_bytes,
-            left_ms=reply.left_ms,
-            reason=cut,
+            status=answer.head.status,
+            received=answer.received_bytes,
+            left_ms=answer.left_ms,
+            reason=error,
         )
         reset_caller(environ)
     finally:
         caller.stop_monitoring()
-        reply.close()
+        answer.close()
--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -117,23 +117,23 @@
     def entries(self, shard: ShardName) -> tuple[LedgerEntry, ...]:
         """Return all entries of a shard as they are told to other nodes."""
         self._evict_expired(shard)
-        known = self._shards.get(shard, {})
+        entries = self._shards.get(shard, {})
         return tuple(
-            self._to_message(key, entry) for key, entry in known.items()
+            self._to_message(key, entry) for key, entry in entries.items()
         )
 
     def merge(self, shard: ShardName, entries: Iterable[LedgerEntry]) -> bool:
         """Take in entries of another node; tell whether there was room."""
-        for told in entries:
+        for message in entries:
             if not self._has_room():
                 return False
-            self._merge_entry(shard, told)
+            self._merge_entry(shard, message)
         return True
 
     def record_complete(self, shard: ShardName, epoch: int) -> None:
         """Note that all entries of the owner under an epoch are here."""
-        known = self._complete_epochs.get(shard, 0)
-        self._complete_epochs[shard] = max(known, epoch)
+        known_epoch = self._complete_epochs.get(shard, 0)
+        self._complete_epochs[shard] = max(known_epoch, epoch)
 
     def record_handover(
         self, shard: ShardName, epoch: int, sender: str
@@ -147,10 +147,13 @@
         Tells whether the node has every entry, and then will have those of
         this record too, since nothing runs under it that it has not noted.
         """
-        before = record.epoch - 1
+        previous_epoch = record.epoch - 1
         writer = record.mark.writer if record.mark else ''
-        handed = self._handovers.get(shard) == (before, writer)
-        if handed or self._complete_epochs.get(shard, 0) >= before:
+        was_handed_over = self._handovers.get(shard) == (previous_epoch, writer)
+        if (
+            was_handed_over
+            or self._complete_epochs.get(shard, 0) >= previous_epoch
+        ):
             self.record_complete(shard, record.epoch)
             return True
         return False
@@ -183,8 +186,8 @@
         return self._count < MAX_ENTRIES
 
     def _evict_expired(self, shard: ShardName) -> None:
-        known = self._shards.get(shard, {})
-        old = [key for key, entry in known.items() if self._is_expired(entry)]
+        entries = self._shards.get(shard, {})
+        old = [key for key, entry in entries.items() if self._is_expired(entry)]
         for key in old:
             self.remove(shard, key)
 
@@ -193,32 +196,32 @@
         return age_ms >= RETENTION_MS and not entry.is_running
 
     def _store(self, shard: ShardName, key: str, entry: _Entry) -> None:
-        known = self._shards.setdefault(shard, {})
-        self._count += key not in known
-        known[key] = entry
-
-    def _merge_entry(self, shard: ShardName, told: LedgerEntry) -> None:
-        self._latest_attempt = max(self._latest_attempt, told.attempt)
-        known = self._shards.get(shard, {}).get(told.key)
-        state = RunState[told.state]
+        entries = self._shards.setdefault(shard, {})
+        self._count += key not in entries
+        entries[key] = entry
+
+    def _merge_entry(self, shard: ShardName, message: LedgerEntry) -> None:
+        self._latest_attempt = max(self._latest_attempt, message.attempt)
+        known = self._shards.get(shard, {}).get(message.key)
+        state = RunState[message.state]
         if known is not None and (known.attempt, known.state) > (
-            told.attempt,
+            message.attempt,
             state,
         ):
             return
         if state is RunState.FORGOTTEN:
-            self.remove(shard, told.key)
+            self.remove(shard, message.key)
             return
-        noted_ms = self._clock.now_ms() - told.age_ms
+        noted_ms = self._clock.now_ms() - message.age_ms
         entry = _Entry(
-            told.fingerprint,
-            told.attempt,
+            message.fingerprint,
+            message.attempt,
             state,
             noted_ms,
-            told.head,
-            told.body,
+            message.head,
+            message.body,
         )
-        self._store(shard, told.key, entry)
+        self._store(shard, message.key, entry)
 
     def _to_message(self, key: str, entry: _Entry) -> LedgerEntry:
         return LedgerEntry(
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -69,14 +69,14 @@
 
     def __init__(
         self,
-        own: NodeName,
+        own_name: NodeName,
         view: FleetView,
         holdings: Holdings,
         peers: Peers,
         dispatcher: Dispatcher,
         clock: Clock,
     ) -> None:
-        self._own = own
+        self._own = own_name
         self._view = view
         self._holdings = holdings
         self._ledger = RunLedger(clock)
@@ -91,14 +91,14 @@
         entry = self._view.directory.shard(shard)
         if entry is None:
             return make_failure('not-owner', f'{shard} is not known', ran=False)
-        verdict = self._ledger.admit(shard, key, run.fingerprint, entry.record)
-        if verdict is LedgerDecision.ANSWERED:
+        decision = self._ledger.admit(shard, key, run.fingerprint, entry.record)
+        if decision is LedgerDecision.ANSWERED:
             head, body = self._ledger.kept_answer(shard, key)
             return (head, body) if head else _FAILURES[LedgerDecision.RAN]
-        if verdict is not LedgerDecision.FRESH:
-            return _FAILURES[verdict]
-        noted = (self._ledger.entry(shard, key),)
-        if self._replicate(shard, entry.record, noted):
+        if decision is not LedgerDecision.FRESH:
+            return _FAILURES[decision]
+        recorded = (self._ledger.entry(shard, key),)
+        if self._replicate(shard, entry.record, recorded):
             return None
         self._remove(shard, key)
         return make_failure('no-successor', f'{shard}: not noted', ran=False)
@@ -126,14 +126,14 @@
         ):
             # Nobody may take what this node does not know for the whole.
             return entry is not None
-        others = [name for name in succession if name != self._own]
+        successors = [name for name in succession if name != self._own]
         epoch = entry.record.epoch
-        calls = [
+        tasks = [
             begin(self._send_all_entries, name, shard, epoch, True)
-            for name in others
+            for name in successors
         ]
-        taken = [call.wait() for call in calls]
-        return not taken or taken[0]
+        acknowledged = [task.wait() for task in tasks]
+        return not acknowledged or acknowledged[0]
 
     def run(self) -> None:
         """Keep the successors of all shards supplied; does not return."""
@@ -161,12 +161,12 @@
         record: ShardRecord,
         entries: tuple[LedgerEntry, ...],
     ) -> bool:
-        calls = [
+        tasks = [
             begin(self._replicate_to, name, shard, record.epoch, entries)
             for name in self._successors(record)
         ]
         # Each is waited for, whatever the others said.
-        acknowledged = [call.wait() for call in calls]
+        acknowledged = [task.wait() for task in tasks]
         return all(acknowledged)
 
     def _replicate_to(
@@ -193,20 +193,20 @@
         entries = self._ledger.entries(shard)
         last = max(0, len(entries) - 1) // _ENTRIES_PER_MESSAGE
         for number in range(last + 1):
-            part = entries[
+            batch = entries[
                 number * _ENTRIES_PER_MESSAGE : (number + 1)
                 * _ENTRIES_PER_MESSAGE
             ]
-            notes = LedgerNotes(
-                str(shard), epoch, part, number == last, handover
+            message = LedgerNotes(
+                str(shard), epoch, batch, number == last, handover
             )
-            if not self._send(name, notes):
+            if not self._send(name, message):
                 return False
         return True
 
-    def _send(self, name: NodeName, notes: LedgerNotes) -> bool:
+    def _send(self, name: NodeName, message: LedgerNotes) -> bool:
         try:
-            reply = self._peers.call(name, notes, _ACKNOWLEDGE_TIMEOUT_MS)
+            reply = self._peers.call(name, message, _ACKNOWLEDGE_TIMEOUT_MS)
         except LinkError:
             return False
         return isinstance(reply, Done)
@@ -219,24 +219,24 @@
         )
 
     def _replicate_later(self, shard: ShardName, entry: LedgerEntry) -> None:
-        known = self._view.directory.shard(shard)
-        for name in self._successors(known.record) if known else ():
-            notes = LedgerNotes(str(shard), 0, (entry,), False, False)
-            start(self._send, name, notes)
+        current = self._view.directory.shard(shard)
+        for name in self._successors(current.record) if current else ():
+            message = LedgerNotes(str(shard), 0, (entry,), False, False)
+            start(self._send, name, message)
 
     def _handle_entries(
-        self, link: Link, stream: Stream, notes: LedgerNotes
+        self, link: Link, stream: Stream, message: LedgerNotes
     ) -> None:
-        shard = ShardName.parse(notes.shard)
-        if not self._ledger.merge(shard, notes.entries):
+        shard = ShardName.parse(message.shard)
+        if not self._ledger.merge(shard, message.entries):
             stream.send(
                 make_failure('overloaded', 'the ledger is full', ran=False)
             )
             return
-        if notes.whole and notes.handover:
-            self._ledger.record_handover(shard, notes.epoch, str(link.peer))
-        elif notes.whole:
-            self._ledger.record_complete(shard, notes.epoch)
+        if message.whole and message.handover:
+            self._ledger.record_handover(shard, message.epoch, str(link.peer))
+        elif message.whole:
+            self._ledger.record_complete(shard, message.epoch)
         stream.send(Done())
 
 
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -25,12 +25,14 @@
     def __init__(
         self,
         router: Router,
-        face: CallerInterface,
-        declared: DeclarationsProvider,
+        caller_interface: CallerInterface,
+        get_declarations: DeclarationsProvider,
         clock: Clock,
     ) -> None:
-        self._ingress = Ingress(router, face, declared, clock)
-        self._get_declarations = declared
+        self._ingress = Ingress(
+            router, caller_interface, get_declarations, clock
+        )
+        self._get_declarations = get_declarations
         self._clock = clock
         self._served_counts: Counter[str] = Counter()
 
@@ -38,9 +40,9 @@
         """Log the sums of answers now and then; does not return."""
         while True:
             eventlet.sleep(_REPORT_INTERVAL_MS / MS_PER_SECOND)
-            served, self._served_counts = self._served_counts, Counter()
-            if served:
-                REQUESTS_SERVED.report(answers=dict(served))
+            counts, self._served_counts = self._served_counts, Counter()
+            if counts:
+                REQUESTS_SERVED.report(answers=dict(counts))
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -49,14 +51,14 @@
         service = environ['PATH_INFO'].partition('/')[2].partition('/')[0]
         if service not in self._get_declarations().services:
             service = _UNDECLARED_SERVICE
-        began_ms = self._clock.now_ms()
+        started_ms = self._clock.now_ms()
 
         def start(status: str, headers: list[tuple[str, str]]) -> Any:
             labels = {'service': service, 'status': status.split(' ')[0]}
             REQUESTS.record(1, labels)
             self._served_counts[f'{service} {labels["status"]}'] += 1
-            taken_ms = self._clock.now_ms() - began_ms
-            LATENCY.record(taken_ms, {'service': service})
+            elapsed_ms = self._clock.now_ms() - started_ms
+            LATENCY.record(elapsed_ms, {'service': service})
             return start_response(status, headers)
 
         return self._ingress(environ, start)
--- a/laburnumwood/routing/priorities.py
+++ b/laburnumwood/routing/priorities.py
@@ -20,8 +20,8 @@
         return True
     if priority.header is None:
         return False
-    found = headers.get(priority.header.lower())
-    return found is not None and priority.text in {None, found}
+    header_value = headers.get(priority.header.lower())
+    return header_value is not None and priority.text in {None, header_value}
 
 
 def classify(work: Work, service: Service | None) -> Line:
@@ -31,12 +31,12 @@
     if service is None or not service.priorities:
         return _DEFAULT_CLASS
     headers = {name.lower(): text for name, text in work.headers}
-    lines = [
+    classes = [
         Line(name, priority.weight)
         for name, priority in service.priorities.items()
         if _matches(priority, work, headers)
     ]
-    return max(lines, key=lambda line: line.weight, default=_DEFAULT_CLASS)
+    return max(classes, key=lambda line: line.weight, default=_DEFAULT_CLASS)
 
 
 def useful_until_ms(work: Work, now_ms: int, until_ms: int) -> int:
--- a/laburnumwood/routing/problems.py
+++ b/laburnumwood/routing/problems.py
@@ -105,29 +105,29 @@
     return Failure('overloaded', False, 'no slot is free', retry_after_ms)
 
 
-def problem_body(told: Failure, request_id: str) -> bytes:
+def problem_body(failure: Failure, request_id: str) -> bytes:
     """Return a failure as the content of a problem+json answer."""
-    problem = PROBLEMS[told.kind]
+    problem = PROBLEMS[failure.kind]
     content = {
-        'type': f'{_TYPE_BASE}{told.kind}',
+        'type': f'{_TYPE_BASE}{failure.kind}',
         'title': problem.title,
         'status': problem.status.value,
-        'detail': told.detail,
-        'outcome': UNKNOWN if told.ran else NOT_RUN,
+        'detail': failure.detail,
+        'outcome': UNKNOWN if failure.ran else NOT_RUN,
         'request': request_id,
     }
     return json.dumps(content).encode()
 
 
-def problem_headers(told: Failure, length: int) -> list[tuple[str, str]]:
+def problem_headers(failure: Failure, length: int) -> list[tuple[str, str]]:
     """Return the headers of a problem+json answer."""
     headers = [
         ('Content-Type', 'application/problem+json'),
         ('Content-Length', str(length)),
-        (OUTCOME_HEADER, UNKNOWN if told.ran else NOT_RUN),
+        (OUTCOME_HEADER, UNKNOWN if failure.ran else NOT_RUN),
     ]
-    if told.retry_after_ms:
-        seconds = -(-told.retry_after_ms // MS_PER_SECOND)
+    if failure.retry_after_ms:
+        seconds = -(-failure.retry_after_ms // MS_PER_SECOND)
         headers.append(('Retry-After', str(seconds)))
     return headers
 
@@ -141,10 +141,10 @@
 
 
 def answer_with_problem(
-    told: Failure, request_id: str, start_response: StartResponse
+    failure: Failure, request_id: str, start_response: StartResponse
 ) -> Iterable[bytes]:
     """Answer a request with a problem."""
-    content = problem_body(told, request_id)
-    status = PROBLEMS[told.kind].status
-    start_response(status_line(status), problem_headers(told, len(content)))
+    content = problem_body(failure, request_id)
+    status = PROBLEMS[failure.kind].status
+    start_response(status_line(status), problem_headers(failure, len(content)))
     return (content,)
--- a/laburnumwood/routing/quarantine.py
+++ b/laburnumwood/routing/quarantine.py
@@ -63,12 +63,12 @@
             self.clear(fingerprint)
             return
         deaths = max(deaths, self._deaths(fingerprint))
-        lasts_ms = (
+        duration_ms = (
             _BAR_DURATION_MS
             if deaths >= DEATHS_TO_BAR
             else _SUSPICION_DURATION_MS
         )
-        until_ms = self._clock.now_ms() + lasts_ms
+        until_ms = self._clock.now_ms() + duration_ms
         self._suspects[fingerprint] = _Suspect(deaths, until_ms)
         self._suspects.move_to_end(fingerprint)
         while len(self._suspects) > _MAX_SUSPECTS:
--- a/laburnumwood/routing/request_balancer.py
+++ b/laburnumwood/routing/request_balancer.py
@@ -53,20 +53,20 @@
             self._balancer.avoid(self._target, AVOID_MS)
             raise
         if isinstance(message, Failure):
-            span_ms = max(message.retry_after_ms, AVOID_MS)
+            duration_ms = max(message.retry_after_ms, AVOID_MS)
             # There may be room for what is more urgent.
             is_full = message.kind == 'overloaded'
             rank = self._rank if is_full else ALL_RANKS
-            self._balancer.avoid(self._target, span_ms, rank)
+            self._balancer.avoid(self._target, duration_ms, rank)
         elif (
             isinstance(message, Answer) and message.status in _OVERLOAD_STATUSES
         ):
             self._balancer.avoid(self._target, AVOID_MS)
         return message
 
-    def when_message(self, act: Callable[[], None] | None) -> None:
+    def when_message(self, handler: Callable[[], None] | None) -> None:
         """Set what is done at the next message or when the link ends."""
-        self._exchange.when_message(act)
+        self._exchange.when_message(handler)
 
     def fail(self, reason: LinkError) -> None:
         """Let all that waits on the exchange fail."""
@@ -94,13 +94,13 @@
         domain: str,
         random: Random,
         clock: Clock,
-        doors: Callable[[], float] = float,
+        local_ingress_share: Callable[[], float] = float,
     ) -> None:
         self._loads = loads
         self._failure_domain = domain
         self._random = random
         self._clock = clock
-        self._local_ingress_share = doors
+        self._local_ingress_share = local_ingress_share
         self._in_flight: dict[NodeName, WeakSet[TrackedExchange]] = {}
         # By node and the most urgent rank that it is avoided for.
         self._avoided_until_ms: dict[tuple[NodeName, int], int] = {}
@@ -128,9 +128,9 @@
         loads = {name: self._load(name, nodes[name]) for name in usable}
         # Of many near nodes, too, two are drawn: doors that know the same
         # would all choose the same one.
-        drawn_from = self._candidates(nodes, loads)
-        drawn = self._random.sample(drawn_from, min(2, len(drawn_from)))
-        chosen = min(drawn, key=loads.__getitem__)
+        candidates = self._candidates(nodes, loads)
+        sampled = self._random.sample(candidates, min(2, len(candidates)))
+        chosen = min(sampled, key=loads.__getitem__)
         self._recent_choices.append(chosen)
         return chosen
 
@@ -146,7 +146,7 @@
         return tracked
 
     def avoid(
-        self, target: NodeName, span_ms: int, rank: int = ALL_RANKS
+        self, target: NodeName, duration_ms: int, rank: int = ALL_RANKS
     ) -> None:
         """Choose other nodes for some time where there are any.
 
@@ -158,15 +158,15 @@
             for avoided, until_ms in self._avoided_until_ms.items()
             if until_ms > now_ms
         }
-        self._avoided_until_ms[target, rank] = now_ms + span_ms
+        self._avoided_until_ms[target, rank] = now_ms + duration_ms
 
     def untrack(self, target: NodeName, tracked: TrackedExchange) -> None:
         """Count an exchange no longer."""
-        counted = self._in_flight.get(target)
-        if counted is None:
+        exchanges = self._in_flight.get(target)
+        if exchanges is None:
             return
-        counted.discard(tracked)
-        if not counted:
+        exchanges.discard(tracked)
+        if not exchanges:
             self._in_flight.pop(target)
 
     def _candidates(
@@ -175,29 +175,29 @@
         loads: Mapping[NodeName, float],
     ) -> list[NodeName]:
         """Return the nodes to draw from, of those whose loads are given."""
-        near = {
+        local = {
             name
             for name, record in nodes.items()
             if record.failure_domain == self._failure_domain
         }
-        even = len(near) / len(nodes)
-        if self._random.random() * self._local_ingress_share() > even:
-            chosen = [name for name in loads if name not in near]
+        even_share = len(local) / len(nodes)
+        if self._random.random() * self._local_ingress_share() > even_share:
+            chosen = [name for name in loads if name not in local]
         else:
             chosen = [
-                name for name in near if loads.get(name, 1) < _MAX_LOCAL_LOAD
+                name for name in local if loads.get(name, 1) < _MAX_LOCAL_LOAD
             ]
         return sorted(chosen) or list(loads)
 
     def _load(self, name: NodeName, record: NodeRecord) -> float:
-        own = len(self._in_flight.get(name, ()))
-        return max(own, self._loads.running(name)) / record.slots
+        own_in_flight = len(self._in_flight.get(name, ()))
+        return max(own_in_flight, self._loads.running(name)) / record.slots
 
     def _avoided(self, rank: int) -> dict[NodeName, int]:
         """Return the nodes to avoid for a rank, and until when."""
         now_ms = self._clock.now_ms()
-        found: dict[NodeName, int] = {}
-        for (name, least), until_ms in self._avoided_until_ms.items():
-            if until_ms > now_ms and least <= rank:
-                found[name] = max(until_ms, found.get(name, 0))
-        return found
+        until_by_node: dict[NodeName, int] = {}
+        for (name, min_rank), until_ms in self._avoided_until_ms.items():
+            if until_ms > now_ms and min_rank <= rank:
+                until_by_node[name] = max(until_ms, until_by_node.get(name, 0))
+        return until_by_node
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -37,10 +37,10 @@
 
 
 def _single_header(environ: Environ, name: str) -> str:
-    found = set(header_values(environ['headers_raw'], name))
-    if len(found) > 1:
+    values = set(header_values(environ['headers_raw'], name))
+    if len(values) > 1:
         raise RequestRefusedError('bad-request', f'{name} stands twice')
-    return found.pop() if found else ''
+    return values.pop() if values else ''
 
 
 def _identifier_header(environ: Environ, name: str) -> str:
@@ -61,13 +61,13 @@
         return _single_header(environ, source.name)
     if source.source == 'query':
         fields = parse_qs(environ.get('QUERY_STRING', ''))
-        found = set(fields.get(source.name, ()))
-        if len(found) > 1:
+        values = set(fields.get(source.name, ()))
+        if len(values) > 1:
             raise RequestRefusedError('bad-request', 'the key stands twice')
-        return found.pop() if found else ''
+        return values.pop() if values else ''
     segments = environ['PATH_INFO'].split('/')[2:]
-    place = int(source.name) - 1
-    return segments[place] if place < len(segments) else ''
+    position = int(source.name) - 1
+    return segments[position] if position < len(segments) else ''
 
 
 def find_shard_and_key(environ: Environ, service: Service) -> tuple[int, str]:
@@ -85,8 +85,8 @@
         raise RequestRefusedError('bad-request', 'the key is not usable')
     try:
         return place_key(key, service), key
-    except ValueError as unplaced:
-        raise RequestRefusedError('bad-request', str(unplaced)) from unplaced
+    except ValueError as error:
+        raise RequestRefusedError('bad-request', str(error)) from error
 
 
 def _target(environ: Environ) -> str:
@@ -97,49 +97,47 @@
     return f'/work/{path}?{query}' if query else f'/work/{path}'
 
 
-def _read_stream(environ: Environ, longest: int) -> bytes:
+def _read_stream(environ: Environ, max_bytes: int) -> bytes:
     stream = environ['wsgi.input']
     body = bytearray()
-    while piece := stream.read(_READ_SIZE):
-        body.extend(piece)
-        if len(body) > longest:
-            raise RequestRefusedError('too-large', f'over {longest} bytes')
+    while chunk := stream.read(_READ_SIZE):
+        body.extend(chunk)
+        if len(body) > max_bytes:
+            raise RequestRefusedError('too-large', f'over {max_bytes} bytes')
     return bytes(body)
 
 
-def read_body(environ: Environ, longest: int, deadline_ms: int) -> bytes:
+def read_body(environ: Environ, max_bytes: int, deadline_ms: int) -> bytes:
     """Return the whole body of a request; raises `RequestRefusedError`."""
-    declared = environ.get('CONTENT_LENGTH')
-    if not declared and not environ['wsgi.input'].chunked_input:
+    content_length = environ.get('CONTENT_LENGTH')
+    if not content_length and not environ['wsgi.input'].chunked_input:
         return b''
-    if declared and int(declared) > longest:
-        raise RequestRefusedError('too-large', f'over {longest} bytes')
-    late = RequestRefusedError('deadline', 'the body did not come in time')
+    if content_length and int(content_length) > max_bytes:
+        raise RequestRefusedError('too-large', f'over {max_bytes} bytes')
+    too_late = RequestRefusedError('deadline', 'the body did not come in time')
     try:
-        with Timeout(deadline_ms / MS_PER_SECOND, late):
-            body = _read_stream(environ, longest)
-    except (ChunkReadError, OSError) as cut:
-        raise RequestRefusedError('bad-request', f'body: {cut}') from cut
-    if declared and len(body) != int(declared):
+        with Timeout(deadline_ms / MS_PER_SECOND, too_late):
+            body = _read_stream(environ, max_bytes)
+    except (ChunkReadError, OSError) as error:
+        raise RequestRefusedError('bad-request', f'body: {error}') from error
+    if content_length and len(body) != int(content_length):
         raise RequestRefusedError('bad-request', 'the body is too short')
     return body
 
 
 def _deadline_ms(environ: Environ, service: Service) -> int:
-    given = _single_header(environ, _DEADLINE_HEADER) or str(
-        service.deadline_ms
-    )
-    if not _INTEGER.fullmatch(given):
-        raise RequestRefusedError('bad-request', f'deadline of {given!r} ms')
-    if int(given) <= 0:
+    text = _single_header(environ, _DEADLINE_HEADER) or str(service.deadline_ms)
+    if not _INTEGER.fullmatch(text):
+        raise RequestRefusedError('bad-request', f'deadline of {text!r} ms')
+    if int(text) <= 0:
         raise RequestRefusedError('deadline', 'it had passed on arrival')
-    return min(int(given), service.deadline_ms)
+    return min(int(text), service.deadline_ms)
 
 
 def read_request_id(environ: Environ) -> str:
     """Return the id that the caller gave its request, or a new one."""
-    given = ''.join(header_values(environ['headers_raw'], REQUEST_HEADER)[:1])
-    return given if given and _is_identifier(given) else uuid4().hex
+    text = ''.join(header_values(environ['headers_raw'], REQUEST_HEADER)[:1])
+    return text if text and _is_identifier(text) else uuid4().hex
 
 
 def validate_head(environ: Environ) -> None:
--- a/laburnumwood/routing/retry_policy.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -32,21 +32,21 @@
 
     def __init__(
         self,
-        inquiry: CallerRequest,
+        request: CallerRequest,
         budget: RetryBudget,
         clock: Clock,
-        patience_ms: int = MAX_OWNER_WAIT_MS,
+        max_owner_wait_ms: int = MAX_OWNER_WAIT_MS,
     ) -> None:
-        self._work = inquiry.work
-        self._max_worker_attempts = inquiry.attempts
+        self._work = request.work
+        self._max_worker_attempts = request.attempts
         self._budget = budget
         self._clock = clock
         now_ms = clock.now_ms()
-        self._until_ms = now_ms + inquiry.work.deadline_ms
-        move_ms = max(patience_ms, _HANDOVER_WAIT_MS)
+        self._until_ms = now_ms + request.work.deadline_ms
+        max_handover_wait_ms = max(max_owner_wait_ms, _HANDOVER_WAIT_MS)
         self._owner_wait_until_ms = {
-            'no-owner': min(self._until_ms, now_ms + patience_ms),
-            'not-owner': min(self._until_ms, now_ms + move_ms),
+            'no-owner': min(self._until_ms, now_ms + max_owner_wait_ms),
+            'not-owner': min(self._until_ms, now_ms + max_handover_wait_ms),
         }
         self._failure_count = 0
         self.target: NodeName | None = None  # that the last try went to
@@ -65,11 +65,11 @@
         """Tell whether any try may have run."""
         return self._may_have_run
 
-    def record_failure(self, told: Failure) -> None:
+    def record_failure(self, failure: Failure) -> None:
         """Take in how a try failed."""
-        self._may_have_run = self._may_have_run or told.ran
-        self._worker_attempts += told.ran or told.kind in _WORKER_KINDS
-        if told.kind == 'overloaded' and self.target is not None:
+        self._may_have_run = self._may_have_run or failure.ran
+        self._worker_attempts += failure.ran or failure.kind in _WORKER_KINDS
+        if failure.kind == 'overloaded' and self.target is not None:
             self._full_nodes.add(self.target)
 
     def without_full(self, nodes: Nodes) -> Nodes:
@@ -82,7 +82,7 @@
             if name not in self._full_nodes
         }
 
-    def report_failure(self, told: Failure, pause_ms: int | None) -> None:
+    def report_failure(self, failure: Failure, pause_ms: int | None) -> None:
         """Log how a try failed and what follows."""
         self._failure_count += 1
         event = REQUEST_FAILED if pause_ms is None else REQUEST_AGAIN
@@ -94,31 +94,31 @@
             shard=self._work.shard,
             rank=self._work.priority,
             target=self.target,
-            kind=told.kind,
-            detail=told.detail,
+            kind=failure.kind,
+            detail=failure.detail,
             may_have_run=self._may_have_run,
             tries=self._failure_count,
             at_workers=self._worker_attempts,
             left_ms=self._until_ms - self._clock.now_ms(),
-            retry_after_ms=told.retry_after_ms,
+            retry_after_ms=failure.retry_after_ms,
         )
 
-    def retry_delay_ms(self, told: Failure, nodes: Nodes) -> int | None:
+    def retry_delay_ms(self, failure: Failure, nodes: Nodes) -> int | None:
         """Return how long to wait before the next try, None to give up.
 
         `nodes` are those that serve requests of this kind now.
         """
         if self._clock.now_ms() + _MIN_REMAINING_MS >= self._until_ms:
             return None
-        if not told.ran and told.kind in self._owner_wait_until_ms:
-            return self._owner_delay_ms(self._owner_wait_until_ms[told.kind])
+        if not failure.ran and failure.kind in self._owner_wait_until_ms:
+            return self._owner_delay_ms(self._owner_wait_until_ms[failure.kind])
         if (
-            not told.ran
+            not failure.ran
             and self._any_node_serves
-            and told.kind in _OTHER_NODE_KINDS
+            and failure.kind in _OTHER_NODE_KINDS
         ):
-            return self._other_node_delay_ms(told, nodes)
-        if not self._may_resend(told) or not self._budget.spend():
+            return self._other_node_delay_ms(failure, nodes)
+        if not self._may_resend(failure) or not self._budget.spend():
             return None
         return 0 if self._any_node_serves else _MIN_REMAINING_MS
 
@@ -127,23 +127,25 @@
         return self._work.shard < 0
 
     def _owner_delay_ms(self, patient_until_ms: int) -> int | None:
-        left_ms = patient_until_ms - self._clock.now_ms()
-        if left_ms <= _MIN_REMAINING_MS:
+        remaining_ms = patient_until_ms - self._clock.now_ms()
+        if remaining_ms <= _MIN_REMAINING_MS:
             return None
         if self._any_node_serves and self._other_nodes_tried < _MAX_OTHER_NODES:
             self._other_nodes_tried += 1
             return 0
-        return min(_OWNER_RETRY_MS, left_ms)
+        return min(_OWNER_RETRY_MS, remaining_ms)
 
-    def _other_node_delay_ms(self, told: Failure, nodes: Nodes) -> int | None:
-        if told.kind == 'overloaded' and not self.without_full(nodes):
+    def _other_node_delay_ms(
+        self, failure: Failure, nodes: Nodes
+    ) -> int | None:
+        if failure.kind == 'overloaded' and not self.without_full(nodes):
             return None
         self._other_nodes_tried += 1
         return 0 if self._other_nodes_tried < _MAX_OTHER_NODES else None
 
-    def _may_resend(self, told: Failure) -> bool:
+    def _may_resend(self, failure: Failure) -> bool:
         if self._worker_attempts >= self._max_worker_attempts:
             return False
-        if told.kind in _REFUSED_KINDS:
+        if failure.kind in _REFUSED_KINDS:
             return self._any_node_serves and not self._may_have_run
-        return told.kind in _TRANSIENT_KINDS and self._work.idempotent
+        return failure.kind in _TRANSIENT_KINDS and self._work.idempotent
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -161,11 +161,11 @@
         exchange.send(End(len(body)))
 
 
-def _with_inline_body(inquiry: CallerRequest) -> Work:
+def _with_inline_body(request: CallerRequest) -> Work:
     """Return a request that carries its body if that is short."""
-    if inquiry.body and len(inquiry.body) <= MAX_INLINE_BODY_BYTES:
-        return replace(inquiry.work, body=inquiry.body)
-    return inquiry.work
+    if request.body and len(request.body) <= MAX_INLINE_BODY_BYTES:
+        return replace(request.work, body=request.body)
+    return request.work
 
 
 class Router:
@@ -173,26 +173,26 @@
 
     def __init__(
         self,
-        own: NodeName,
+        own_name: NodeName,
         view: FleetView,
         peers: Peers,
         serve: ServeHandler,
-        spread: RequestBalancer,
+        balancer: RequestBalancer,
         budgets: RetryBudgets,
         clock: Clock,
-        patience_ms: int = MAX_OWNER_WAIT_MS,
+        max_owner_wait_ms: int = MAX_OWNER_WAIT_MS,
     ) -> None:
-        self._owner_wait_ms = patience_ms
-        self._own = own
+        self._owner_wait_ms = max_owner_wait_ms
+        self._own = own_name
         self._view = view
         self._peers = peers
         self._serve = serve
-        self._balancer = spread
+        self._balancer = balancer
         self._budgets = budgets
         self._clock = clock
 
     def send(
-        self, inquiry: CallerRequest, caller: Caller
+        self, request: CallerRequest, caller: Caller
     ) -> PendingAnswer | Failure:
         """Return the answer to a request, or why there is none.
 
@@ -200,41 +200,41 @@
         that may have run is sent again only if it is idempotent.  Both end
         with the deadline, and what was given up is answered at once.
         """
-        work = _with_inline_body(inquiry)
+        work = _with_inline_body(request)
         budget = self._budgets.of(work.service)
         budget.earn()
-        tries = RetryPolicy(inquiry, budget, self._clock, self._owner_wait_ms)
+        retries = RetryPolicy(request, budget, self._clock, self._owner_wait_ms)
         while True:
-            work = self._with_current_shard(work, inquiry.work.shard)
-            sign = self._owner_version(work)
-            tries.target = self._select_target(work, tries)
-            reply = self._attempt(work, inquiry.body, tries, caller)
-            if not isinstance(reply, Failure):
-                return reply
-            tries.record_failure(reply)
+            work = self._with_current_shard(work, request.work.shard)
+            tried_owner = self._owner_version(work)
+            retries.target = self._select_target(work, retries)
+            answer = self._attempt(work, request.body, retries, caller)
+            if not isinstance(answer, Failure):
+                return answer
+            retries.record_failure(answer)
             nodes = self._view.serving_nodes(work.service)
             pause_ms = None
             if not caller.is_gone:
-                pause_ms = tries.retry_delay_ms(reply, nodes)
-            tries.report_failure(reply, pause_ms)
+                pause_ms = retries.retry_delay_ms(answer, nodes)
+            retries.report_failure(answer, pause_ms)
             if pause_ms is None:
                 # An earlier try may have run, whatever the last one proves.
-                return replace(reply, ran=tries.may_have_run)
+                return replace(answer, ran=retries.may_have_run)
             if pause_ms:
-                self._await_owner_change(sign, work, pause_ms)
+                self._await_owner_change(tried_owner, work, pause_ms)
 
     def _with_current_shard(self, work: Work, shard: int) -> Work:
         """Return a request with the shard that has its key now."""
         records = self._view.directory.shard_records(work.service)
-        found = placed_shard(work.key, shard, records)
-        return work if found == work.shard else replace(work, shard=found)
+        current = placed_shard(work.key, shard, records)
+        return work if current == work.shard else replace(work, shard=current)
 
     def _await_owner_change(
-        self, sign: OwnerVersion, work: Work, limit_ms: int
+        self, tried_owner: OwnerVersion, work: Work, limit_ms: int
     ) -> None:
         """Wait until a shard's owner is not the one that was tried."""
         until_ms = self._clock.now_ms() + limit_ms
-        while self._owner_version(work) == sign:
+        while self._owner_version(work) == tried_owner:
             left_ms = until_ms - self._clock.now_ms()
             if left_ms <= 0:
                 return
@@ -246,22 +246,24 @@
             return 0, None
         return entry.version, acting(entry.record, self._view)
 
-    def _select_target(self, work: Work, tries: RetryPolicy) -> NodeName | None:
+    def _select_target(
+        self, work: Work, retries: RetryPolicy
+    ) -> NodeName | None:
         if work.shard < 0:
-            return self._choose_node(work, tries)
+            return self._choose_node(work, retries)
         entry = self._view.directory.shard(ShardName(work.service, work.shard))
         return acting(entry.record, self._view) if entry else None
 
-    def _choose_node(self, work: Work, tries: RetryPolicy) -> NodeName | None:
+    def _choose_node(self, work: Work, retries: RetryPolicy) -> NodeName | None:
         nodes = self._view.serving_nodes(work.service)
         return self._balancer.choose(
-            tries.without_full(nodes) or nodes, work.priority
+            retries.without_full(nodes) or nodes, work.priority
         )
 
     def _attempt(
-        self, work: Work, body: bytes, tries: RetryPolicy, caller: Caller
+        self, work: Work, body: bytes, retries: RetryPolicy, caller: Caller
     ) -> PendingAnswer | Failure:
-        target, until_ms = tries.target, tries.until_ms
+        target, until_ms = retries.target, retries.until_ms
         if target is None:
             return make_failure('no-owner', f'shard {work.shard}', ran=False)
         left_ms = until_ms - self._clock.now_ms()
@@ -269,20 +271,20 @@
             work = replace(work, deadline_ms=left_ms)
         try:
             exchange = self._open(target, work, caller)
-        except CallerGoneError as gone:
-            return make_failure('cancelled', str(gone), ran=False)
-        except LinkError as refused:
+        except CallerGoneError as error:
+            return make_failure('cancelled', str(error), ran=False)
+        except LinkError as error:
             self._balancer.avoid(target, AVOID_MS)
-            return make_failure('no-owner', str(refused), ran=False)
+            return make_failure('no-owner', str(error), ran=False)
         if work.shard < 0:
             exchange = self._balancer.track(exchange, target, work.priority)
         caller.set_gone_handler(lambda: cancel_exchange(exchange))
-        reply = self._exchange_messages(
+        answer = self._exchange_messages(
             exchange, b'' if work.is_whole else body, until_ms
         )
-        if isinstance(reply, Failure):
+        if isinstance(answer, Failure):
             exchange.close()
-        return reply
+        return answer
 
     def _open(
         self, target: NodeName, work: Work, caller: Caller
@@ -299,9 +301,9 @@
             return exchange
         if caller.poll():
             raise CallerGoneError(_CALLER_GONE)
-        near, far = local_pair()
-        start(self._serve, far, work)
-        return near
+        local_end, remote_end = local_pair()
+        start(self._serve, remote_end, work)
+        return local_end
 
     def _exchange_messages(
         self, exchange: OutgoingExchange, body: bytes, until_ms: int
@@ -311,13 +313,13 @@
             _send_body(exchange, body, progress)
             head = self._receive_head(exchange, until_ms + _DEADLINE_GRACE_MS)
             return self._handle_head(head, exchange, until_ms)
-        except LinkTimeoutError as late:
+        except LinkTimeoutError as error:
             cancel_exchange(exchange)
-            return make_failure('deadline', str(late), ran=True)
-        except LinkError as lost:
+            return make_failure('deadline', str(error), ran=True)
+        except LinkError as error:
             # A link that is only silent may still carry the work there.
             cancel_exchange(exchange)
-            return make_failure('link-lost', str(lost), ran=progress.may_run)
+            return make_failure('link-lost', str(error), ran=progress.may_run)
 
     def _receive_head(
         self, exchange: OutgoingExchange, until_ms: int
@@ -333,9 +335,9 @@
         self, head: object, exchange: OutgoingExchange, until_ms: int
     ) -> PendingAnswer | Failure:
         if isinstance(head, Answer):
-            reply = PendingAnswer(head, exchange, until_ms, self._clock)
-            reply.await_first_chunk()
-            return reply
+            answer = PendingAnswer(head, exchange, until_ms, self._clock)
+            answer.await_first_chunk()
+            return answer
         if isinstance(head, Failure):
             return head
         cancel_exchange(exchange)
--- a/laburnumwood/routing/routes.py
+++ b/laburnumwood/routing/routes.py
@@ -12,17 +12,17 @@
 class RouteTable:
     """The routes of one configuration, by host, longest prefix first."""
 
-    def __init__(self, declared: Declarations) -> None:
+    def __init__(self, declarations: Declarations) -> None:
         self._by_host: dict[str, list[Route]] = {}
-        routes = declared.routes.values()
-        for each in sorted(routes, key=_prefix_length, reverse=True):
-            self._by_host.setdefault(each.host.lower(), []).append(each)
+        routes = declarations.routes.values()
+        for route in sorted(routes, key=_prefix_length, reverse=True):
+            self._by_host.setdefault(route.host.lower(), []).append(route)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a host whose prefix is the longest of a path."""
         routes = self._by_host.get(host.lower(), ())
         return next(
-            (each for each in routes if path.startswith(each.path_prefix)),
+            (route for route in routes if path.startswith(route.path_prefix)),
             None,
         )
 
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -60,6 +60,6 @@
         start(self._server.kill)
         eventlet.sleep(0)
         self._listener.close()
-        limit = Timeout(patience_ms / MS_PER_SECOND, exception=False)
-        with limit, suppress(GreenletExit):
+        timeout = Timeout(patience_ms / MS_PER_SECOND, exception=False)
+        with timeout, suppress(GreenletExit):
             self._server.wait()
--- a/laburnumwood/routing/shared_lock.py
+++ b/laburnumwood/routing/shared_lock.py
@@ -25,9 +25,9 @@
         self._is_exclusive = False
 
     @contextmanager
-    def acquired(self, *, alone: bool) -> Iterator[None]:
+    def acquired(self, *, exclusive: bool) -> Iterator[None]:
         """Hold a place on the worker; raises `WorkerBusyError`."""
-        if alone:
+        if exclusive:
             with self._exclusive():
                 yield
             return
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -22,13 +22,13 @@
 
     def __init__(
         self,
-        own: NodeName,
+        own_name: NodeName,
         view: FleetView,
         peers: Peers,
         dispatcher: Dispatcher,
         clock: Clock,
     ) -> None:
-        self._own = own
+        self._own = own_name
         self._view = view
         self._peers = peers
         self.quarantine = Quarantine(clock)
@@ -41,8 +41,8 @@
         caller's next try does not run before they do.
         """
         deaths = self.quarantine.record_death(fingerprint)
-        barred = deaths >= DEATHS_TO_BAR
-        event = REQUEST_BARRED if barred else REQUEST_SUSPECTED
+        is_barred = deaths >= DEATHS_TO_BAR
+        event = REQUEST_BARRED if is_barred else REQUEST_SUSPECTED
         event.report(service=service, fingerprint=fingerprint, deaths=deaths)
         for call in self._broadcast(service, Suspicion(fingerprint, deaths)):
             call.wait()
@@ -53,19 +53,21 @@
             self._broadcast(service, Suspicion(fingerprint, 0))
 
     def _broadcast(
-        self, service: str, news: Suspicion
+        self, service: str, suspicion: Suspicion
     ) -> list[eventlet.greenthread.GreenThread]:
-        others = set(self._view.serving_nodes(service)).difference((self._own,))
-        return [begin(self._send, name, news) for name in others]
+        peers_to_notify = set(self._view.serving_nodes(service)).difference(
+            (self._own,)
+        )
+        return [begin(self._send, name, suspicion) for name in peers_to_notify]
 
-    def _send(self, name: NodeName, news: Suspicion) -> None:
+    def _send(self, name: NodeName, suspicion: Suspicion) -> None:
         try:
-            self._peers.call(name, news, _CALL_TIMEOUT_MS)
+            self._peers.call(name, suspicion, _CALL_TIMEOUT_MS)
         except LinkError:
             return  # it is told when the request crashes a worker there
 
     def _handle_suspicion(
-        self, _link: Link, stream: Stream, news: Suspicion
+        self, _link: Link, stream: Stream, suspicion: Suspicion
     ) -> None:
-        self.quarantine.update(news.fingerprint, news.deaths)
+        self.quarantine.update(suspicion.fingerprint, suspicion.deaths)
         stream.send(Done())
