--- a/laburnumwood/borders.py
+++ b/laburnumwood/borders.py
@@ -4,8 +4,14 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from laburnumwood.routing.caller_interface import Face, OwnFace
-from laburnumwood.routing.worker_interface import Dialect, OwnDialect
+from laburnumwood.routing.caller_interface import (
+    CallerInterface,
+    NativeCallerInterface,
+)
+from laburnumwood.routing.worker_interface import (
+    NativeWorkerInterface,
+    WorkerInterface,
+)
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.client import HttpStore
 from laburnumwood.store.interface import Store
@@ -44,8 +50,8 @@
     """
 
     make_store: Callable[[DaemonSettings], Store]
-    make_face: Callable[[DaemonSettings], Face]
-    make_dialect: Callable[[ReportingWorker], Dialect]
+    make_face: Callable[[DaemonSettings], CallerInterface]
+    make_dialect: Callable[[ReportingWorker], WorkerInterface]
     listeners: Callable[[DaemonSettings, Front], tuple[Listener, ...]]
     worker_reports: bool
     has_idempotency_keys: bool
@@ -73,8 +79,8 @@
 def _own() -> Borders:
     return Borders(
         make_store=lambda settings: HttpStore(settings.platform_url),
-        make_face=lambda _settings: OwnFace(),
-        make_dialect=lambda _worker: OwnDialect(),
+        make_face=lambda _settings: NativeCallerInterface(),
+        make_dialect=lambda _worker: NativeWorkerInterface(),
         listeners=_no_listeners,
         worker_reports=False,
         has_idempotency_keys=True,
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -38,9 +38,9 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.caller_interface import give
-from laburnumwood.routing.problems import StartResponse, failure
-from laburnumwood.routing.server import Listening, close_after
+from laburnumwood.routing.caller_interface import send_problem
+from laburnumwood.routing.problems import StartResponse, make_failure
+from laburnumwood.routing.server import HttpListener, close_after_answer
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.breaker import GuardedStore
 from laburnumwood.store.writes import new_mark
@@ -76,7 +76,7 @@
         self._platform = GuardedStore(store, self._clock)
         self._incarnation: Incarnation | None = None
         self._witness: Witness | None = None
-        self._door: Listening | None = None
+        self._door: HttpListener | None = None
         self._rejoin_backoff = RejoinBackoff(self._clock)
         self._avoided: frozenset[str] = frozenset()
         self._unfinished: list[Incarnation] = []
@@ -151,15 +151,15 @@
             self._serve_peer,
             self._clock,
         )
-        self._door = Listening(settings.door, self._serve_caller)
+        self._door = HttpListener(settings.door, self._serve_caller)
         if settings.operator_port is not None:
             operators = (settings.host, settings.operator_port)
-            Listening(operators, self._serve_operator)
+            HttpListener(operators, self._serve_operator)
         if settings.metrics_port is not None:
             metrics = (settings.host, settings.metrics_port)
-            Listening(metrics, self._serve_metrics)
+            HttpListener(metrics, self._serve_metrics)
         for listener in self._borders.listeners(settings, self):
-            Listening(listener.address, listener.application)
+            HttpListener(listener.address, listener.application)
 
     def _serve_peer(self, link: Link, stream: Stream, message: Any) -> None:
         if self._incarnation is None:
@@ -171,11 +171,15 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         if self._is_stopping:
-            close_after(environ)
+            close_after_answer(environ)
         if self._incarnation is None:
-            refusal = failure('not-ready', 'this node is joining', ran=False)
+            refusal = make_failure(
+                'not-ready', 'this node is joining', ran=False
+            )
             request_id = self._face.request_id(environ)
-            return give(self._face.refusal(refusal, request_id), start_response)
+            return send_problem(
+                self._face.problem_answer(refusal, request_id), start_response
+            )
         return self._incarnation.door(environ, start_response)
 
     def _serve_operator(
--- /dev/null
+++ b/laburnumwood/routing/door.py
@@ -0,0 +1,81 @@
+"""The door: where callers' HTTP requests come in."""
+
+from collections.abc import Callable, Iterable, Iterator
+
+from laburnumwood.clock import Clock
+from laburnumwood.config.declarations import Declarations
+from laburnumwood.errors import LinkError
+from laburnumwood.events import ANSWER_CUT
+from laburnumwood.protocol.messages import Failure
+from laburnumwood.routing.caller import Caller, CallerMonitor
+from laburnumwood.routing.caller_interface import CallerInterface, send_problem
+from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY
+from laburnumwood.routing.problems import StartResponse, status_line
+from laburnumwood.routing.request_parsing import Environ, RequestRefusedError
+from laburnumwood.routing.router import PendingAnswer, Router
+from laburnumwood.routing.server import close_after_answer, reset_caller
+
+DeclarationsProvider = Callable[[], Declarations]
+
+
+class Ingress:
+    """A WSGI application that routes every request to its owner.
+
+    `face` tells how callers speak, `declared` what is declared now.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        caller_interface: CallerInterface,
+        get_declarations: DeclarationsProvider,
+        clock: Clock,
+    ) -> None:
+        self._router = router
+        self._face = caller_interface
+        self._get_declarations = get_declarations
+        self._callers = CallerMonitor(clock)
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        request_id = self._face.request_id(environ)
+        environ[REQUEST_ID_KEY] = request_id
+        try:
+            inquiry = self._face.read_request(
+                environ, self._get_declarations(), request_id
+            )
+        except RequestRefusedError as error:
+            close_after_answer(environ)
+            problem = self._face.problem_answer(error.failure, request_id)
+            return send_problem(problem, start_response)
+        sock = environ['eventlet.input'].get_socket()
+        caller = self._callers.register(sock, request_id)
+        answer = self._router.send(inquiry, caller)
+        if isinstance(answer, Failure):
+            caller.stop_monitoring()
+            problem = self._face.problem_answer(answer, request_id)
+            return send_problem(problem, start_response)
+        headers = self._face.answer_headers(answer.head, request_id)
+        start_response(status_line(answer.head.status), headers)
+        return _stream(environ, answer, caller)
+
+
+def _stream(
+    environ: Environ, answer: PendingAnswer, caller: Caller
+) -> Iterator[bytes]:
+    try:
+        yield from answer.body()
+    except LinkError as error:
+        ANSWER_CUT.report(
+            request=environ[REQUEST_ID_KEY],
+            status=answer.head.status,
+            received=answer.received_bytes,
+            left_ms=answer.left_ms,
+            reason=error,
+        )
+        reset_caller(environ)
+    finally:
+        caller.stop_monitoring()
+        answer.close()
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -13,17 +13,17 @@
 from laburnumwood.errors import LaburnumwoodError
 from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.protocol.messages import Work
-from laburnumwood.routing.headers import find, request_headers
-from laburnumwood.routing.problems import failure
+from laburnumwood.routing.headers import forwarded_headers, header_values
+from laburnumwood.routing.problems import make_failure
 
 Environ = dict[str, Any]
 
 REQUEST_HEADER = 'Laburnumwood-Request'
 IDEMPOTENCY_HEADER = 'Idempotency-Key'
 _DEADLINE_HEADER = 'Laburnumwood-Deadline-Ms'
-_LONGEST_NAME = 256  # characters of an id or key
-_PIECE = 65_536  # bytes read at once
-_NUMBER = re.compile('-?[0-9]{1,12}')
+_MAX_IDENTIFIER_LENGTH = 256  # characters of an id or key
+_READ_SIZE = 65_536  # bytes read at once
+_INTEGER = re.compile('-?[0-9]{1,12}')
 _METHOD = re.compile('[A-Z]{1,20}')
 _PRINTABLE = re.compile(r'[^\x00-\x1f\x7f]+')
 
@@ -33,58 +33,60 @@
 
     def __init__(self, kind: str, detail: str) -> None:
         super().__init__(detail)
-        self.told = failure(kind, detail, ran=False)
+        self.failure = make_failure(kind, detail, ran=False)
 
 
-def _one_header(environ: Environ, name: str) -> str:
-    found = set(find(environ['headers_raw'], name))
-    if len(found) > 1:
+def _single_header(environ: Environ, name: str) -> str:
+    values = set(header_values(environ['headers_raw'], name))
+    if len(values) > 1:
         raise RequestRefusedError('bad-request', f'{name} stands twice')
-    return found.pop() if found else ''
+    return values.pop() if values else ''
 
 
-def _name(environ: Environ, name: str) -> str:
-    text = _one_header(environ, name)
-    if text and not _is_name(text):
+def _identifier_header(environ: Environ, name: str) -> str:
+    text = _single_header(environ, name)
+    if text and not _is_identifier(text):
         raise RequestRefusedError('bad-request', f'{name} is not usable')
     return text
 
 
-def _is_name(text: str) -> bool:
-    return len(text) <= _LONGEST_NAME and bool(_PRINTABLE.fullmatch(text))
+def _is_identifier(text: str) -> bool:
+    return len(text) <= _MAX_IDENTIFIER_LENGTH and bool(
+        _PRINTABLE.fullmatch(text)
+    )
 
 
-def _key_of(environ: Environ, source: KeySource) -> str:
+def _extract_key(environ: Environ, source: KeySource) -> str:
     if source.source == 'header':
-        return _one_header(environ, source.name)
+        return _single_header(environ, source.name)
     if source.source == 'query':
         fields = parse_qs(environ.get('QUERY_STRING', ''))
-        found = set(fields.get(source.name, ()))
-        if len(found) > 1:
+        values = set(fields.get(source.name, ()))
+        if len(values) > 1:
             raise RequestRefusedError('bad-request', 'the key stands twice')
-        return found.pop() if found else ''
+        return values.pop() if values else ''
     segments = environ['PATH_INFO'].split('/')[2:]
-    place = int(source.name) - 1
-    return segments[place] if place < len(segments) else ''
+    position = int(source.name) - 1
+    return segments[position] if position < len(segments) else ''
 
 
-def place_request(environ: Environ, service: Service) -> tuple[int, str]:
+def find_shard_and_key(environ: Environ, service: Service) -> tuple[int, str]:
     """Return the shard and the key of a request; -1 for no shard.
 
     Raises `RequestRefusedError` if the key is missing or not usable.
     """
     if service.key is None:
         return -1, ''
-    key = _key_of(environ, service.key)
+    key = _extract_key(environ, service.key)
     if not key:
         where = f'{service.key.source} {service.key.name}'
         raise RequestRefusedError('no-key', f'the key is expected in {where}')
-    if not _is_name(key):
+    if not _is_identifier(key):
         raise RequestRefusedError('bad-request', 'the key is not usable')
     try:
         return initial_shard(key, service), key
-    except ValueError as unplaced:
-        raise RequestRefusedError('bad-request', str(unplaced)) from unplaced
+    except ValueError as error:
+        raise RequestRefusedError('bad-request', str(error)) from error
 
 
 def _target(environ: Environ) -> str:
@@ -95,50 +97,50 @@
     return f'/work/{path}?{query}' if query else f'/work/{path}'
 
 
-def _read_pieces(environ: Environ, longest: int) -> bytes:
+def _read_stream(environ: Environ, max_bytes: int) -> bytes:
     stream = environ['wsgi.input']
     body = bytearray()
-    while piece := stream.read(_PIECE):
-        body.extend(piece)
-        if len(body) > longest:
-            raise RequestRefusedError('too-large', f'over {longest} bytes')
+    while chunk := stream.read(_READ_SIZE):
+        body.extend(chunk)
+        if len(body) > max_bytes:
+            raise RequestRefusedError('too-large', f'over {max_bytes} bytes')
     return bytes(body)
 
 
-def read_body(environ: Environ, longest: int, deadline_ms: int) -> bytes:
+def read_body(environ: Environ, max_bytes: int, deadline_ms: int) -> bytes:
     """Return the whole body of a request; raises `RequestRefusedError`."""
-    declared = environ.get('CONTENT_LENGTH')
-    if not declared and not environ['wsgi.input'].chunked_input:
+    content_length = environ.get('CONTENT_LENGTH')
+    if not content_length and not environ['wsgi.input'].chunked_input:
         return b''
-    if declared and int(declared) > longest:
-        raise RequestRefusedError('too-large', f'over {longest} bytes')
-    late = RequestRefusedError('deadline', 'the body did not come in time')
+    if content_length and int(content_length) > max_bytes:
+        raise RequestRefusedError('too-large', f'over {max_bytes} bytes')
+    too_late = RequestRefusedError('deadline', 'the body did not come in time')
     try:
-        with Timeout(deadline_ms / MS_PER_SECOND, late):
-            body = _read_pieces(environ, longest)
-    except (ChunkReadError, OSError) as cut:
-        raise RequestRefusedError('bad-request', f'body: {cut}') from cut
-    if declared and len(body) != int(declared):
+        with Timeout(deadline_ms / MS_PER_SECOND, too_late):
+            body = _read_stream(environ, max_bytes)
+    except (ChunkReadError, OSError) as error:
+        raise RequestRefusedError('bad-request', f'body: {error}') from error
+    if content_length and len(body) != int(content_length):
         raise RequestRefusedError('bad-request', 'the body is too short')
     return body
 
 
 def _deadline_ms(environ: Environ, service: Service) -> int:
-    given = _one_header(environ, _DEADLINE_HEADER) or str(service.deadline_ms)
-    if not _NUMBER.fullmatch(given):
-        raise RequestRefusedError('bad-request', f'deadline of {given!r} ms')
-    if int(given) <= 0:
+    text = _single_header(environ, _DEADLINE_HEADER) or str(service.deadline_ms)
+    if not _INTEGER.fullmatch(text):
+        raise RequestRefusedError('bad-request', f'deadline of {text!r} ms')
+    if int(text) <= 0:
         raise RequestRefusedError('deadline', 'it had passed on arrival')
-    return min(int(given), service.deadline_ms)
+    return min(int(text), service.deadline_ms)
 
 
 def read_request_id(environ: Environ) -> str:
     """Return the id that the caller gave its request, or a new one."""
-    given = ''.join(find(environ['headers_raw'], REQUEST_HEADER)[:1])
-    return given if given and _is_name(given) else uuid4().hex
+    text = ''.join(header_values(environ['headers_raw'], REQUEST_HEADER)[:1])
+    return text if text and _is_identifier(text) else uuid4().hex
 
 
-def check_head(environ: Environ) -> None:
+def validate_head(environ: Environ) -> None:
     """Raise `RequestRefusedError` for a method or header that is no use."""
     method = environ['REQUEST_METHOD']
     if not _METHOD.fullmatch(method) or method == 'CONNECT':
@@ -163,10 +165,10 @@
     service = services.get(name)
     if service is None:
         raise RequestRefusedError('unknown-service', f'no service {name!r}')
-    check_head(environ)
-    shard, key = place_request(environ, service)
+    validate_head(environ)
+    shard, key = find_shard_and_key(environ, service)
     deadline_ms = _deadline_ms(environ, service)
-    idempotency_key = _name(environ, IDEMPOTENCY_HEADER)
+    idempotency_key = _identifier_header(environ, IDEMPOTENCY_HEADER)
     body = read_body(environ, service.longest_body, deadline_ms)
     return Work(
         request_id=request_id,
@@ -175,7 +177,7 @@
         key=key,
         method=environ['REQUEST_METHOD'],
         target=_target(environ),
-        headers=request_headers(environ['headers_raw']),
+        headers=forwarded_headers(environ['headers_raw']),
         body_length=len(body),
         deadline_ms=deadline_ms,
         idempotent=environ['REQUEST_METHOD'] in service.idempotent_methods,
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -11,59 +11,63 @@
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.quarantine import PROVED_DEATHS, Quarantine
+from laburnumwood.routing.quarantine import DEATHS_TO_BAR, Quarantine
 from laburnumwood.tasks import begin
 
 _CALL_TIMEOUT_MS = 300
 
 
-class Suspicions:
+class SharedQuarantine:
     """The quarantine of one node, shared with the others of its service."""
 
     def __init__(
         self,
-        own: NodeName,
+        own_name: NodeName,
         view: FleetView,
         peers: Peers,
         dispatcher: Dispatcher,
         clock: Clock,
     ) -> None:
-        self._own = own
+        self._own = own_name
         self._view = view
         self._peers = peers
         self.quarantine = Quarantine(clock)
-        dispatcher.on(Suspicion)(self._serve)
+        dispatcher.on(Suspicion)(self._handle_suspicion)
 
-    def blame(self, service: str, fingerprint: str) -> None:
+    def record_death(self, service: str, fingerprint: str) -> None:
         """Suspect a request under which the worker died.
 
         Returns once the others know it or can't be reached, so that the
         caller's next try does not run before they do.
         """
-        deaths = self.quarantine.blame(fingerprint)
-        barred = deaths >= PROVED_DEATHS
-        event = REQUEST_BARRED if barred else REQUEST_SUSPECTED
+        deaths = self.quarantine.record_death(fingerprint)
+        is_barred = deaths >= DEATHS_TO_BAR
+        event = REQUEST_BARRED if is_barred else REQUEST_SUSPECTED
         event.report(service=service, fingerprint=fingerprint, deaths=deaths)
-        for call in self._tell(service, Suspicion(fingerprint, deaths)):
+        for call in self._broadcast(service, Suspicion(fingerprint, deaths)):
             call.wait()
 
     def clear(self, service: str, fingerprint: str) -> None:
         """Trust a suspected request again because it was answered."""
         if self.quarantine.clear(fingerprint):
-            self._tell(service, Suspicion(fingerprint, 0))
+            self._broadcast(service, Suspicion(fingerprint, 0))
 
-    def _tell(
-        self, service: str, news: Suspicion
+    def _broadcast(
+        self, service: str, suspicion: Suspicion
     ) -> list[eventlet.greenthread.GreenThread]:
-        others = set(self._view.serving_nodes(service)).difference((self._own,))
-        return [begin(self._tell_one, name, news) for name in others]
+        peers_to_notify = set(self._view.serving_nodes(service)).difference(
+            (self._own,)
+        )
+        return [begin(self._send, name, suspicion) for name in peers_to_notify]
 
-    def _tell_one(self, name: NodeName, news: Suspicion) -> None:
+    def _send(self, name: NodeName, suspicion: Suspicion) -> None:
         try:
-            self._peers.call(name, news, _CALL_TIMEOUT_MS)
+            self._peers.call(name, suspicion, _CALL_TIMEOUT_MS)
         except LinkError:
             return  # it is told when the request crashes a worker there
 
-    def _serve(self, _link: Link, stream: Stream, news: Suspicion) -> None:
-        self.quarantine.learn(news.fingerprint, news.deaths)
+    def _handle_suspicion(
+        self, _link: Link, stream: Stream, suspicion: Suspicion
+    ) -> None:
+        self.quarantine.update(suspicion.fingerprint, suspicion.deaths)
         stream.send(Done())
--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -14,7 +14,7 @@
 REJECTED = 'rejected'
 
 
-class Dialect(Protocol):
+class WorkerInterface(Protocol):
     """The headers of requests to a worker, and the reading of its answers."""
 
     def headers(self, run: Run, left_ms: int) -> Headers:
@@ -33,7 +33,7 @@
         """Stop the work of a request; False if only a closed connection can."""
 
 
-class OwnDialect:
+class NativeWorkerInterface:
     """The project's own headers, refusals and cancellation."""
 
     def headers(self, run: Run, left_ms: int) -> Headers:
