--- a/laburnumwood/cli/main.py
+++ b/laburnumwood/cli/main.py
@@ -14,11 +14,11 @@
 from laburnumwood.cli.options import UsageError, read_options
 from laburnumwood.cli.output import Output
 from laburnumwood.errors import (
-    ChangedSinceError,
+    ConcurrentChangeError,
     DeclarationError,
     LaburnumwoodError,
-    NotInForceError,
     PlatformError,
+    RolloutIncompleteError,
 )
 
 EXIT_FAILED = 1
@@ -171,13 +171,13 @@
     match failure:
         case DeclarationError() | UsageError():
             return EXIT_REFUSED, f'refused:\n{failure}'
-        case ChangedSinceError():
+        case ConcurrentChangeError():
             return EXIT_CHANGED_SINCE, (
                 f'not applied: others changed {failure} since this folder '
                 'saw it; see "laburnumwood diff" with the folder, then apply '
                 'again'
             )
-        case NotInForceError():
+        case RolloutIncompleteError():
             return EXIT_NOT_IN_FORCE, (
                 f'accepted, but not in force in time on:\n{failure}\nit comes '
                 'into force there by itself once the node is reached; see '
--- a/laburnumwood/daemon/program.py
+++ b/laburnumwood/daemon/program.py
@@ -1,4 +1,4 @@
-"""What the program laburnumwoodd does once the library is patched."""
+"""Run a node of the router beside a worker."""
 
 import argparse
 import signal
@@ -10,7 +10,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.daemon.node import Node
 from laburnumwood.errors import SettingsError
-from laburnumwood.events import SETTINGS_READ, limit_events
+from laburnumwood.events import SETTINGS_READ, add_filter
 from laburnumwood.logs import JsonHandler
 from laburnumwood.settings import read_settings
 
@@ -23,23 +23,23 @@
     return parser.parse_args()
 
 
-class _Signals:
-    """What signals do to a node."""
+class _SignalHandlers:
+    """Handles SIGTERM and SIGINT (planned stop) and SIGHUP (read settings)."""
 
     def __init__(self, node: Node, path: Path) -> None:
         self._node = node
         self._path = path
 
-    def listen(self) -> None:
-        """Handle signals from now on."""
+    def install(self) -> None:
+        """Install the handlers."""
         signal.signal(signal.SIGTERM, self._stop)
         signal.signal(signal.SIGINT, self._stop)
-        signal.signal(signal.SIGHUP, self._read_again)
+        signal.signal(signal.SIGHUP, self._reread_settings)
 
     def _stop(self, _number: int, _frame: FrameType | None) -> None:
         self._node.stop()
 
-    def _read_again(self, _number: int, _frame: FrameType | None) -> None:
+    def _reread_settings(self, _number: int, _frame: FrameType | None) -> None:
         try:
             settings = read_settings(self._path)
         except SettingsError as refused:
@@ -50,7 +50,7 @@
 
 
 def main() -> int:
-    """Run a node until it is told to stop; return the exit status."""
+    """Run a node until it is stopped; return the exit status."""
     platform.register()
     path: Path = _arguments().settings
     try:
@@ -60,8 +60,8 @@
         return EXIT_USAGE
     handler = JsonHandler(node.settings.node_id, Clock())
     handler.push_application()
-    limit_events(handler.allows)
-    _Signals(node, path).listen()
+    add_filter(handler.allows)
+    _SignalHandlers(node, path).install()
     node.run()
     handler.close()
     return 0
--- a/laburnumwood/membership/member.py
+++ b/laburnumwood/membership/member.py
@@ -1,13 +1,13 @@
-"""The part of an incarnation in the fleet: its lease and its witnessing."""
+"""An incarnation as a member of the fleet: its lease and its witnessing."""
 
 from collections.abc import Callable
 
 from laburnumwood.clock import Clock
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.endings import Recorder
-from laburnumwood.membership.renewal import Renewer, WitnessDesk
-from laburnumwood.membership.spreading import Spreader
+from laburnumwood.membership.endings import NodeRecordUpdater
+from laburnumwood.membership.gossip import Gossip
+from laburnumwood.membership.renewal import LeaseRenewer, WitnessService
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.settings import LeaseSettings
@@ -15,7 +15,7 @@
 
 
 class Member:
-    """Renews a lease, serves as a witness and records what has ended."""
+    """Renews a lease, serves as a witness and records ended incarnations."""
 
     def __init__(
         self,
@@ -28,23 +28,29 @@
         settings: LeaseSettings,
         clock: Clock,
     ) -> None:
-        self.spreader = Spreader(view, peers, dispatcher)
-        self.renewer = Renewer(
+        self.gossip = Gossip(view, peers, dispatcher)
+        self.renewer = LeaseRenewer(
             lease,
             witness,
-            self.spreader,
+            self.gossip,
             peers,
             view,
             platform,
             settings,
             clock,
         )
-        self._desk = WitnessDesk(witness, self.spreader, view, dispatcher)
-        self._recorder = Recorder(
+        self._witness_service = WitnessService(
+            witness, self.gossip, view, dispatcher
+        )
+        self._record_updater = NodeRecordUpdater(
             lease, witness, view, platform, settings, clock
         )
 
     @property
     def tasks(self) -> tuple[Callable[[], None], ...]:
-        """Return what has to run until the incarnation ends."""
-        return (self.renewer.run, self._desk.run, self._recorder.run)
+        """Return the tasks that have to run until the incarnation ends."""
+        return (
+            self.renewer.run,
+            self._witness_service.run,
+            self._record_updater.run,
+        )
--- /dev/null
+++ b/laburnumwood/membership/node_records.py
@@ -0,0 +1,268 @@
+"""Writing the records of nodes: joining, leaving, ends and witness sets."""
+
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
+
+from laburnumwood.errors import PlatformConflictError, PlatformError
+from laburnumwood.events import LOSS_CONFIRMED
+from laburnumwood.records import (
+    NodeName,
+    NodeRecord,
+    StoredObject,
+    WitnessSet,
+    WriteMark,
+)
+from laburnumwood.settings import DaemonSettings
+from laburnumwood.store.interface import Store
+from laburnumwood.store.objects import node_object, to_record, to_value
+from laburnumwood.store.writes import new_mark, write
+
+RecordChange = Callable[[NodeRecord], NodeRecord]
+WitnessSets = tuple[WitnessSet, ...]
+
+
+def unchanged(record: NodeRecord) -> NodeRecord:
+    """Return a record unchanged."""
+    return record
+
+
+def _initial_record(settings: DaemonSettings) -> NodeRecord:
+    return NodeRecord(
+        incarnation=0,
+        open_incarnations=(),
+        host=settings.host,
+        peer_port=settings.advertised_peer_port or settings.peer_port,
+        door_port=settings.door[1],
+        operator_port=settings.operator_port or 0,
+        failure_domain=settings.failure_domain,
+        service=settings.service,
+        capacity_owner=settings.capacity_owner,
+        slots=settings.slots,
+        connections=settings.connections,
+        serves=settings.report_address is None,
+    )
+
+
+def _record_of_next_incarnation(
+    settings: DaemonSettings, before: NodeRecord, witness_as: int | None
+) -> NodeRecord:
+    incarnation = before.incarnation + 1
+    return replace(
+        _initial_record(settings),
+        incarnation=incarnation,
+        open_incarnations=(*before.open_incarnations, incarnation),
+        witness_as=witness_as or incarnation,
+    )
+
+
+def _write_record(
+    platform: Store, node_id: str, record: NodeRecord, version: int | None
+) -> StoredObject:
+    name = node_object(node_id)
+    new_version = write(platform, name, record, version)
+    return StoredObject(name, to_value(record), new_version)
+
+
+def change_record(
+    platform: Store,
+    node_id: str,
+    change: RecordChange,
+    mark: WriteMark | None = None,
+) -> StoredObject:
+    """Change a node's record, retrying when another write came between.
+
+    Returns the stored record; nothing is written if `change` leaves it equal.
+    Raises `PlatformConflictError` if the node has no record, and
+    `PlatformError` if the platform does not answer.
+    """
+    mark = mark or new_mark(node_id)
+    while True:
+        stored = platform.get(node_object(node_id))
+        if stored is None:
+            raise PlatformConflictError(node_id)
+        before = to_record(NodeRecord, stored)
+        changed = replace(change(before), mark=mark)
+        if replace(changed, mark=before.mark) == before:
+            return stored
+        with suppress(PlatformConflictError):
+            return _write_record(platform, node_id, changed, stored.version)
+
+
+def _without_incarnation(
+    record: NodeRecord, ended: NodeName | None
+) -> NodeRecord:
+    ended_number = ended.incarnation if ended else 0
+    still_open = set(record.open_incarnations).difference((ended_number,))
+    return replace(record, open_incarnations=tuple(sorted(still_open)))
+
+
+def join(
+    platform: Store,
+    settings: DaemonSettings,
+    mark: WriteMark | None = None,
+    ended: NodeName | None = None,
+    witness_as: int | None = None,
+) -> tuple[NodeName, NodeRecord]:
+    """Record a new incarnation of this node; return its name and its record.
+
+    `ended` is the previous incarnation of this process if it has ended, and
+    `witness_as` the number of the first incarnation of this process, None if
+    this is the first.  Raises `PlatformError` if the platform does not answer;
+    call again with the same mark then, so that a write whose answer was lost
+    is recognised and not repeated.
+    """
+    mark = mark or new_mark(settings.node_id)
+    while True:
+        stored = platform.get(node_object(settings.node_id))
+        before = to_record(NodeRecord, stored) if stored else None
+        if before is not None and before.mark == mark:
+            return NodeName(settings.node_id, before.incarnation), before
+        known = _without_incarnation(before or _initial_record(settings), ended)
+        joined = replace(
+            _record_of_next_incarnation(settings, known, witness_as), mark=mark
+        )
+        version = stored.version if stored else None
+        with suppress(PlatformConflictError):
+            _write_record(platform, settings.node_id, joined, version)
+            return NodeName(settings.node_id, joined.incarnation), joined
+
+
+def without_incarnations_up_to(
+    record: NodeRecord, incarnation: int
+) -> NodeRecord:
+    """Return a record in which all incarnations up to a number have ended."""
+    still_open = [
+        number for number in record.open_incarnations if number > incarnation
+    ]
+    return replace(record, open_incarnations=tuple(still_open))
+
+
+def _with_leaving(record: NodeRecord, name: NodeName) -> NodeRecord:
+    is_current = record.incarnation == name.incarnation
+    return replace(record, leaving=record.leaving or is_current)
+
+
+def announce_leaving(platform: Store, name: NodeName) -> None:
+    """Record that an incarnation is leaving, so that it gets no more shards.
+
+    Raises `PlatformError` if the platform does not answer.
+    """
+    change_record(
+        platform,
+        name.node_id,
+        lambda before: _with_leaving(before, name),
+    )
+
+
+def record_end(platform: Store, name: NodeName) -> None:
+    """Record that an incarnation has ended.
+
+    Raises `PlatformError` if the platform does not answer.
+    """
+    change_record(
+        platform,
+        name.node_id,
+        lambda before: _without_incarnation(before, name),
+    )
+
+
+def is_store_reachable(platform: Store, name: NodeName) -> bool:
+    """Return whether the store answers a read of a node's record now."""
+    try:
+        platform.get(node_object(name.node_id))
+    except PlatformError:
+        return False
+    return True
+
+
+def record_end_if_unchanged(
+    platform: Store, name: NodeName, expected: NodeRecord, version: int
+) -> StoredObject:
+    """Record the end of an incarnation if its node's record is unchanged.
+
+    `expected` and `version` are the record and its version as read before.
+    Raises `PlatformConflictError` if the record has changed since, and
+    `PlatformUnavailableError` if the outcome is not known.
+    """
+    record = replace(
+        _without_incarnation(expected, name), mark=new_mark(name.node_id)
+    )
+    return _write_record(platform, name.node_id, record, version)
+
+
+def record_earlier_ends(platform: Store, name: NodeName) -> None:
+    """Record that all earlier incarnations of a node have ended.
+
+    Raises `PlatformError` if the platform does not answer.
+    """
+    change_record(
+        platform,
+        name.node_id,
+        lambda before: without_incarnations_up_to(before, name.incarnation - 1),
+    )
+
+
+def confirm_lost(platform: Store, name: NodeName, who: str) -> None:
+    """Record an operator's assertion that an incarnation has ended.
+
+    All earlier incarnations of the node count as ended too.  The operator
+    `who` must be certain that the process no longer runs: the shards get new
+    owners whatever the witnesses know.  Raises `PlatformError` if the platform
+    does not answer.
+    """
+    change_record(
+        platform,
+        name.node_id,
+        lambda before: without_incarnations_up_to(before, name.incarnation),
+        new_mark(who),
+    )
+    LOSS_CONFIRMED.report(node=name, who=who)
+
+
+def _change_witness_sets(
+    platform: Store,
+    name: NodeName,
+    choose: Callable[[WitnessSets], WitnessSets],
+    other_change: RecordChange,
+) -> None:
+    def change(before: NodeRecord) -> NodeRecord:
+        if before.incarnation != name.incarnation:
+            raise PlatformConflictError(str(name))
+        sets = choose(before.witness_sets)
+        return other_change(replace(before, witness_sets=sets))
+
+    change_record(platform, name.node_id, change)
+
+
+def drop_older_witness_sets(
+    platform: Store, name: NodeName, chosen: WitnessSet
+) -> None:
+    """Record that a lease no longer depends on older witness sets.
+
+    Sets with a version below that of `chosen` are removed from the record.
+    Raises `PlatformError`, also if a later incarnation has joined.
+    """
+
+    def without_older(sets: WitnessSets) -> WitnessSets:
+        return tuple(
+            witness_set
+            for witness_set in sets
+            if witness_set.version >= chosen.version
+        )
+
+    _change_witness_sets(platform, name, without_older, unchanged)
+
+
+def record_witness_sets(
+    platform: Store,
+    name: NodeName,
+    sets: WitnessSets,
+    other_change: RecordChange = unchanged,
+) -> None:
+    """Record all witness sets that a lease may depend on from now on.
+
+    `other_change` is applied to the record in the same write.  Raises
+    `PlatformError`, also if a later incarnation has joined.
+    """
+    _change_witness_sets(platform, name, lambda _before: sets, other_change)
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -14,11 +14,11 @@
     exposition,
 )
 from laburnumwood.operators.capacity import CapacityAccount
-from laburnumwood.placement.holdings import Holdings
-from laburnumwood.placement.ownership import acting
-from laburnumwood.placement.sharding import place_key
+from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.ownership import acting_owner
+from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.records import ShardRecord
-from laburnumwood.routing.gate import Gate
+from laburnumwood.routing.gate import AdmissionGate
 
 Query = dict[str, str]
 Page = Callable[['OperatorApi', Query], Any]
@@ -41,13 +41,13 @@
         self,
         view: FleetView,
         lease: Lease,
-        holdings: Holdings,
-        gate: Gate,
+        held_shards: HeldShards,
+        gate: AdmissionGate,
         account: CapacityAccount,
     ) -> None:
         self._view = view
         self._lease = lease
-        self._holdings = holdings
+        self._held_shards = held_shards
         self._gate = gate
         self._account = account
 
@@ -68,18 +68,18 @@
         record = self._view.directory.node(self._lease.holder)
         owner = record.capacity_owner if record else ''
         IDLE_SLOTS.record(self._account.idle_slots, {'owner': owner})
-        LEASE_HELD.record(int(self._lease.holds()))
-        SHARDS_OWNED.record(len(self._holdings.tokens()))
+        LEASE_HELD.record(int(self._lease.is_held()))
+        SHARDS_OWNED.record(len(self._held_shards.tokens()))
         GENERATION.record(self._view.directory.config.generation)
         return exposition()
 
     @_page('/status')
     def _status(self, _query: Query) -> dict[str, Any]:
-        held = sorted(self._holdings.tokens())
+        held = sorted(self._held_shards.tokens())
         witnesses = self._lease.witnesses.members
         return {
             'node': str(self._lease.holder),
-            'holds_lease': self._lease.holds(),
+            'holds_lease': self._lease.is_held(),
             'witnesses': [str(name) for name in witnesses],
             'generation': self._view.directory.config.generation,
             'shards': [str(shard) for shard in held],
@@ -113,7 +113,7 @@
         if service is None or service.key is None:
             raise LookupError(f'{name!r} is no service divided by key')
         try:
-            number = place_key(key, service)
+            number = initial_shard(key, service)
         except ValueError as unplaced:
             raise LookupError(str(unplaced)) from unplaced
         entry = self._view.directory.shards(name).get(number)
@@ -133,7 +133,7 @@
                 'door_port': record.door_port,
                 'operator_port': record.operator_port,
             }
-            for name, record in sorted(self._view.live())
+            for name, record in sorted(self._view.live_nodes())
         ]
 
     @_page('/idle')
@@ -158,5 +158,5 @@
         }
 
     def _owner(self, record: ShardRecord) -> str | None:
-        name = acting(record, self._view)
+        name = acting_owner(record, self._view)
         return None if name is None else str(name)
--- a/laburnumwood/placement/tenure.py
+++ b/laburnumwood/placement/tenure.py
@@ -1,4 +1,4 @@
-"""What a node decides about its shards, from records, seals and its lease."""
+"""Decisions of a node about its shards, by records, seals and its lease."""
 
 from collections.abc import Iterator
 from dataclasses import replace
@@ -8,24 +8,24 @@
 from laburnumwood.clock import Clock
 from laburnumwood.events import SHARD_CLAIMED, SHARD_MOVED, SHARD_TAKEN_OVER
 from laburnumwood.leases.lease import Lease
-from laburnumwood.membership.directory import Entry
+from laburnumwood.membership.directory import VersionedRecord
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.division import Division
-from laburnumwood.placement.holdings import Holdings
-from laburnumwood.placement.layout import parents, split_number
+from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.layout import split_ranges, split_shard_number
 from laburnumwood.placement.ownership import (
-    Standing,
-    acting,
-    rank,
-    standing,
-    token,
+    OwnershipState,
+    acting_owner,
+    fencing_token,
+    ownership_state,
+    succession_rank,
 )
-from laburnumwood.placement.shard_write import Progress, ShardWrite
+from laburnumwood.placement.partitioning import Partitioning
+from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
 from laburnumwood.placement.succession import (
-    choose_heir,
+    choose_claimant,
     choose_succession,
-    find_returned,
-    needs_successors,
+    find_restarted_owner,
+    needs_new_succession,
 )
 from laburnumwood.records import (
     KeyRange,
@@ -35,39 +35,41 @@
     ShardRecord,
 )
 
-_BYSTANDER_PATIENCE_MS = 3_000
+# After this time any node claims a shard whose chosen claimant did not.
+_CLAIM_TIMEOUT_MS = 3_000
 # Spreads the writes after the loss of a failure domain, so that the platform
 # gets no more than a few hundred a second from a fleet of any size.
-_UNHURRIED_MS_PER_NODE = 10
-# A shard with one successor left waits, so that one write does for all the
-# nodes of a rolling restart that come and go meanwhile.
-_ONE_LEFT_MS = 4_000
+_SPREAD_MS_PER_NODE = 10
+# A shard with one successor left waits, so that a single write is enough for
+# all the nodes of a rolling restart that leave and return meanwhile.
+_ONE_SUCCESSOR_DELAY_MS = 4_000
 
 
-def _parents(
+def _split_ranges(
     view: FleetView, service: str
 ) -> Iterator[tuple[KeyRange, ShardRecord]]:
-    return parents(view.directory.shard_records(service))
+    return split_ranges(view.directory.shard_records(service))
 
 
-def _perhaps_open(view: FleetView, service: str, own: NodeName) -> set[int]:
-    """Return the shards that name a node or one that has lapsed.
+def _may_lack_owner(view: FleetView, service: str, own: NodeName) -> set[int]:
+    """Return the shards whose record names this node or a lapsed one.
 
-    All others have another live owner: a large service is not gone through.
+    All others have another live owner.  This saves going through all shards
+    of a large service.
     """
     directory = view.directory
     return {
         shard.number
-        for name in (own, *filter(view.is_sealed, directory.named()))
-        for shard in directory.shards_naming(name)
+        for name in (own, *filter(view.is_sealed, directory.listed_nodes()))
+        for shard in directory.shards_listing(name)
         if shard.service == service
     }
 
 
-class Tenure:
-    """Which shards one incarnation holds, and which writes they need.
+class OwnershipTracker:
+    """Tracks which shards an incarnation owns and which records it must write.
 
-    It takes no part in waiting: its tasks call it again and again.
+    Its methods do not block: tasks call them again and again.
     """
 
     def __init__(
@@ -75,42 +77,46 @@
         service: str,
         view: FleetView,
         lease: Lease,
-        holdings: Holdings,
+        held_shards: HeldShards,
         clock: Clock,
     ) -> None:
         self._service = service
         self._own = lease.holder
         self._view = view
         self._lease = lease
-        self._holdings = holdings
+        self._held_shards = held_shards
         self._clock = clock
         self._writes: dict[ShardName, ShardWrite] = {}
         self._stale: dict[ShardName, int] = {}
-        self._wanting_since_ms: dict[ShardName, int] = {}
-        self._wanted_before_ms: dict[ShardName, int] = {}
-        self._lacking_since_ms: dict[ShardName, int] = {}
-        self._division = Division(service, view, clock)
+        self._unowned_since_ms: dict[ShardName, int] = {}
+        self._unowned_before_ms: dict[ShardName, int] = {}
+        self._lacking_successors_since_ms: dict[ShardName, int] = {}
+        self._partitioning = Partitioning(service, view, clock)
 
     @property
-    def stale(self) -> tuple[ShardName, ...]:
+    def stale_shards(self) -> tuple[ShardName, ...]:
         """Return the shards whose record has to be read again."""
         return tuple(self._stale)
 
     @property
     def version(self) -> tuple[int, int, bool]:
-        """Return what is another value when there may be news to follow."""
-        return (*self._view.version, self._lease.holds())
+        """Return a value that differs when held shards may need an update."""
+        return (*self._view.version, self._lease.is_held())
 
     @property
     def is_settled(self) -> bool:
-        """Tell whether no shard waits for a write of this node."""
-        waiting = self._writes or self._stale or self._lacking_since_ms
-        turns = self._wanting_since_ms or self._holdings.has_spent
-        return not waiting and not turns and not self._division.is_open
+        """Return whether no shard waits for a write of this node."""
+        waiting = (
+            self._writes or self._stale or self._lacking_successors_since_ms
+        )
+        claims = self._unowned_since_ms or self._held_shards.any_needs_new_token
+        return (
+            not waiting and not claims and not self._partitioning.is_undecided
+        )
 
     @property
-    def begun(self) -> dict[int, NodeName]:
-        """Return who is to be first of the shards that are being written."""
+    def pending_owners(self) -> dict[int, NodeName]:
+        """Return the first owners in the records that are being written."""
         return {
             shard.number: write.record.succession[0]
             for shard, write in self._writes.items()
@@ -123,93 +129,113 @@
 
     def live(self) -> dict[NodeName, NodeRecord]:
         """Return the live nodes of the service."""
-        return self._view.live_in(self._service)
+        return self._view.serving_nodes(self._service)
 
-    def follow(self) -> None:
-        """Hold and drop shards as seals and records ask for it."""
-        if not self._lease.holds():
+    def update_held_shards(self) -> None:
+        """Hold or drop shards according to the known records and seals."""
+        if not self._lease.is_held():
             return
-        named = self._view.directory.shards_naming(self._own)
-        for shard in sorted({*named, *self._holdings.tokens(), *self._stale}):
+        named = self._view.directory.shards_listing(self._own)
+        for shard in sorted(
+            {*named, *self._held_shards.tokens(), *self._stale}
+        ):
             entry = self._view.directory.shard(shard)
             if entry is not None:
-                self._follow(shard, entry)
+                self._update_held_shard(shard, entry)
+
+    def shards_to_write(self) -> list[ShardName]:
+        """Return the shards whose record this node should write now.
 
-    def wanted(self) -> list[ShardName]:
-        """Return the shards whose record this node should write now."""
-        if not self._lease.holds():
+        Call it regularly: it also tracks for how long shards have had no
+        owner.
+        """
+        if not self._lease.is_held():
             return []
-        self._wanted_before_ms = self._wanting_since_ms
-        self._wanting_since_ms = {}
+        self._unowned_before_ms = self._unowned_since_ms
+        self._unowned_since_ms = {}
         known = (
             shard
-            for shard, entry in self._open_shards()
-            if self._is_wanted(shard, entry)
+            for shard, entry in self._shards_to_check()
+            if self._needs_write(shard, entry)
         )
         return [
             shard
-            for shard in (*known, *self._missing())
+            for shard in (*known, *self._shards_to_create())
             if shard not in self._writes and shard not in self._stale
         ]
 
-    def home(self, shard: ShardName) -> NodeName | None:
-        """Return the node that a shard was taken over from, if it is back."""
+    def returned_owner(self, shard: ShardName) -> NodeName | None:
+        """Return the node that lost a shard if it has returned.
+
+        None if it has not, or if it is this node.
+        """
         entry = self._view.directory.shard(shard)
-        home = find_returned(entry.record, self.live()) if entry else None
-        return None if home == self._own else home
+        owner = (
+            find_restarted_owner(entry.record, self.live()) if entry else None
+        )
+        return None if owner == self._own else owner
 
     def begin_write(self, shard: ShardName) -> ShardWrite:
-        """Return the write that makes this node the first of a shard."""
+        """Return the write that makes this node the first owner of a shard."""
         return self._begin(shard, self._own)
 
-    def begin_return(
-        self, shard: ShardName, home: NodeName
+    def begin_give_back(
+        self, shard: ShardName, owner: NodeName
     ) -> ShardWrite | None:
-        """Return the write that gives a shard back without holding it first.
+        """Return the write that gives a shard back before it is held here.
 
-        None if this node need not win a write to follow the lost owner.
+        None if this node is owner already, without a write of the record, or
+        if another write of the record is pending.
         """
         entry = self._view.directory.shard(shard)
         if entry is None or shard in self._writes:
             return None
-        how = self._standing(shard, entry.record)
-        return self._begin(shard, home) if how is Standing.MUST_WIN else None
+        state = self._ownership_state(shard, entry.record)
+        return (
+            self._begin(shard, owner)
+            if state is OwnershipState.MUST_WRITE
+            else None
+        )
 
     def begin_move(
         self, shard: ShardName, target: NodeName
     ) -> ShardWrite | None:
-        """Return the write that moves a shard, None if not possible.
+        """Return the write that moves a shard, or None if it can't move now.
 
-        Step it only once nothing runs in the shard any more and its worker
-        has let it go.
+        Step it only when no request runs in the shard any more and its worker
+        has released it.
         """
-        if shard in self._writes or not self._holdings.is_held(shard):
+        if shard in self._writes or not self._held_shards.is_held(shard):
             return None
         write = self._begin(shard, target)
-        write.may_be_left = True
+        write.stop_if_unreachable = True
         return write
 
     def begin_split(
         self, shard: ShardName, ranges: tuple[KeyRange, ...]
     ) -> ShardWrite | None:
-        """Return the write that takes ranges out of a shard, if it may be.
+        """Return the write that takes ranges out of a shard.
 
-        Step it only as that of a move.
+        None if the shard can't be split now.  The same conditions as for a
+        move hold before it is stepped.
         """
         entry = self._view.directory.shard(shard)
-        held = self._holdings.is_held(shard)
+        held = self._held_shards.is_held(shard)
         if entry is None or not held or shard in self._writes:
             return None
         write = self._begin(shard, self._own)
         split_off = (*entry.record.split_off, *ranges)
         write.record = replace(write.record, split_off=split_off)
-        write.may_be_left = True
+        write.stop_if_unreachable = True
         return write
 
-    def begin_new(
+    def begin_create(
         self, shard: ShardName, first: NodeName, handover: str
     ) -> ShardWrite | None:
-        """Return the write that creates a shard that was split off."""
+        """Return the write that creates a shard which was split off.
+
+        None if its record exists or is being written.
+        """
         if shard in self._writes or self._view.directory.shard(shard):
             return None
         write = self._begin(shard, first)
@@ -217,100 +243,111 @@
         write.record = replace(write.record, handovers=handovers)
         return write
 
-    def finish(self, write: ShardWrite, progress: Progress) -> None:
-        """Take in the final progress of a write."""
+    def finish(self, write: ShardWrite, progress: WriteProgress) -> None:
+        """Apply the final progress of a write."""
         self._writes.pop(write.shard, None)
-        self._wanting_since_ms.pop(write.shard, None)
-        self._lacking_since_ms.pop(write.shard, None)
-        if progress is Progress.WRITTEN and write.stored is not None:
+        self._unowned_since_ms.pop(write.shard, None)
+        self._lacking_successors_since_ms.pop(write.shard, None)
+        if progress is WriteProgress.WRITTEN and write.stored is not None:
             self._view.directory.apply(write.stored)
-            self._take_written(write)
-        elif progress is Progress.CONFLICT:
-            self._take_conflict(write)
-        elif progress is Progress.NOT_SENT:
-            self._holdings.reopen(write.shard)
-
-    def _open_shards(self) -> Iterator[tuple[ShardName, Entry[ShardRecord]]]:
-        """Yield the shards that this node or nobody acts for."""
+            self._apply_written(write)
+        elif progress is WriteProgress.CONFLICT:
+            self._apply_conflict(write)
+        elif progress is WriteProgress.NOT_SENT:
+            self._held_shards.reopen(write.shard)
+
+    def _shards_to_check(
+        self,
+    ) -> Iterator[tuple[ShardName, VersionedRecord[ShardRecord]]]:
+        """Yield the shards that this node or no node acts for."""
         entries = self._view.directory.shards(self._service)
         for number in sorted(
-            _perhaps_open(self._view, self._service, self._own)
+            _may_lack_owner(self._view, self._service, self._own)
         ):
             entry = entries[number]
-            actor = acting(entry.record, self._view)
-            if actor is None or actor == self._own:
+            acting = acting_owner(entry.record, self._view)
+            if acting is None or acting == self._own:
                 yield ShardName(self._service, number), entry
 
-    def _standing(self, shard: ShardName, record: ShardRecord) -> Standing:
-        return standing(shard, record, self._own, self._view)
+    def _ownership_state(
+        self, shard: ShardName, record: ShardRecord
+    ) -> OwnershipState:
+        return ownership_state(shard, record, self._own, self._view)
 
-    def _follow(self, shard: ShardName, entry: Entry[ShardRecord]) -> None:
+    def _update_held_shard(
+        self, shard: ShardName, entry: VersionedRecord[ShardRecord]
+    ) -> None:
         if entry.version > self._stale.get(shard, entry.version):
             self._stale.pop(shard)
-            self._holdings.lose(shard, 'its record was overtaken')
+            self._held_shards.drop_lost(shard, 'its record was overtaken')
         if shard in self._stale:
             return
-        how = self._standing(shard, entry.record)
-        if how is Standing.OWNER:
+        state = self._ownership_state(shard, entry.record)
+        if state is OwnershipState.OWNER:
             self._hold(shard, entry.record)
-        elif not self._holdings.is_closed(shard):
-            self._holdings.lose(shard, how.value)
+        elif not self._held_shards.is_closed(shard):
+            self._held_shards.drop_lost(shard, state.value)
 
     def _hold(self, shard: ShardName, record: ShardRecord) -> None:
-        if not self._holdings.hold(shard, token(record, self._own)):
+        if not self._held_shards.hold(shard, fencing_token(record, self._own)):
             return
-        late = rank(record, self._own) > 0
-        event = SHARD_TAKEN_OVER if late else SHARD_CLAIMED
+        is_successor = succession_rank(record, self._own) > 0
+        event = SHARD_TAKEN_OVER if is_successor else SHARD_CLAIMED
         event.report(shard=shard, epoch=record.epoch)
 
-    def _is_wanted(self, shard: ShardName, entry: Entry[ShardRecord]) -> bool:
-        how = self._standing(shard, entry.record)
-        if how is Standing.OWNER:
-            if self._holdings.is_spent(shard) or self.home(shard):
+    def _needs_write(
+        self, shard: ShardName, entry: VersionedRecord[ShardRecord]
+    ) -> bool:
+        state = self._ownership_state(shard, entry.record)
+        if state is OwnershipState.OWNER:
+            if self._held_shards.needs_new_token(shard) or self.returned_owner(
+                shard
+            ):
                 return True
-            return self._is_due(shard, entry.record)
-        if how is Standing.ORPHANED:
-            return self._is_my_turn(shard)
-        return how is Standing.MUST_WIN
+            return self._is_succession_due(shard, entry.record)
+        if state is OwnershipState.ORPHANED:
+            return self._may_claim(shard)
+        return state is OwnershipState.MUST_WRITE
 
-    def _is_due(self, shard: ShardName, record: ShardRecord) -> bool:
+    def _is_succession_due(self, shard: ShardName, record: ShardRecord) -> bool:
         nodes = self.live()
-        if not needs_successors(self._own, record.succession, nodes):
-            self._lacking_since_ms.pop(shard, None)
+        if not needs_new_succession(self._own, record.succession, nodes):
+            self._lacking_successors_since_ms.pop(shard, None)
             return False
         now_ms = self._clock.now_ms()
-        since_ms = self._lacking_since_ms.setdefault(shard, now_ms)
-        has_one = any(name in nodes for name in record.succession[1:])
-        wait_ms = _ONE_LEFT_MS if has_one else 0
-        window_ms = _UNHURRIED_MS_PER_NODE * len(nodes)
+        since_ms = self._lacking_successors_since_ms.setdefault(shard, now_ms)
+        has_successor = any(name in nodes for name in record.succession[1:])
+        delay_ms = _ONE_SUCCESSOR_DELAY_MS if has_successor else 0
+        spread_ms = _SPREAD_MS_PER_NODE * len(nodes)
         topic = f'{self._own} {shard} {record.epoch}'.encode()
-        wait_ms += xxh3_64_intdigest(topic) % (window_ms + 1)
-        return now_ms - since_ms >= wait_ms
+        delay_ms += xxh3_64_intdigest(topic) % (spread_ms + 1)
+        return now_ms - since_ms >= delay_ms
 
-    def _is_my_turn(self, shard: ShardName) -> bool:
+    def _may_claim(self, shard: ShardName) -> bool:
+        """Return whether this node should claim a shard without an owner."""
         now_ms = self._clock.now_ms()
-        since_ms = self._wanted_before_ms.get(shard, now_ms)
-        self._wanting_since_ms[shard] = since_ms
-        patient = now_ms - since_ms < _BYSTANDER_PATIENCE_MS
+        since_ms = self._unowned_before_ms.get(shard, now_ms)
+        self._unowned_since_ms[shard] = since_ms
+        is_waiting = now_ms - since_ms < _CLAIM_TIMEOUT_MS
         live = self.live()
         if self._own not in live:
             return False
         entry = self._view.directory.shard(shard)
-        first = choose_heir(shard, entry.record if entry else None, live)
-        return first == self._own or not patient
+        claimant = choose_claimant(shard, entry.record if entry else None, live)
+        return claimant == self._own or not is_waiting
 
-    def _missing(self) -> Iterator[ShardName]:
+    def _shards_to_create(self) -> Iterator[ShardName]:
         known = self._view.directory.shards(self._service)
-        numbers = list(self._division.numbers())
+        numbers = list(self._partitioning.creatable_shards())
         numbers.extend(
-            split_number(keys)
-            for keys, _ in _parents(self._view, self._service)
+            split_shard_number(keys)
+            for keys, _ in _split_ranges(self._view, self._service)
         )
         for number in numbers:
             if number in known:
                 continue
             shard = ShardName(self._service, number)
-            if self._is_my_turn(shard):
+            if self._may_claim(shard):
                 yield shard
 
     def _begin(self, shard: ShardName, first: NodeName) -> ShardWrite:
@@ -337,29 +374,31 @@
                 succession=succession,
                 handovers=(),
             )
-        for keys, parent in _parents(self._view, self._service):
-            if split_number(keys) == shard.number:
-                # Tokens of keys rise on from those of the shard they left.
+        for keys, parent in _split_ranges(self._view, self._service):
+            if split_shard_number(keys) == shard.number:
+                # The fencing tokens of the keys must not fall: the new shard
+                # begins with the epoch of its parent, which was raised by the
+                # split.
                 return ShardRecord(parent.epoch, succession, keys=keys)
         return ShardRecord(
             1,
             succession,
-            shards=self._division.shards(),
-            stripe_width=self._division.stripe_width(),
+            shards=self._partitioning.shard_count(),
+            stripe_width=self._partitioning.stripe_width(),
         )
 
-    def _take_written(self, write: ShardWrite) -> None:
+    def _apply_written(self, write: ShardWrite) -> None:
         target = write.record.succession[0]
         if target == self._own:
-            self._holdings.reopen(write.shard)
+            self._held_shards.reopen(write.shard)
             return
-        self._holdings.drop(write.shard)
+        self._held_shards.drop(write.shard)
         epoch = write.record.epoch
         SHARD_MOVED.report(shard=write.shard, target=target, epoch=epoch)
 
-    def _take_conflict(self, write: ShardWrite) -> None:
-        # Somebody else wrote, so what this node knows of the shard is stale.
-        self._holdings.lose(
+    def _apply_conflict(self, write: ShardWrite) -> None:
+        # Another node wrote the record, so the known one is stale.
+        self._held_shards.drop_lost(
             write.shard, 'another write of its record came first'
         )
         self._stale[write.shard] = write.version or 0
--- a/laburnumwood/platform/borders.py
+++ b/laburnumwood/platform/borders.py
@@ -1,60 +1,65 @@
-"""Registration of the platform's borders."""
+"""Registration of the integration with the users' platform."""
 
 from collections.abc import Iterable
 from http import HTTPStatus
 from random import Random
 from typing import Any
 
-from laburnumwood.borders import Borders, Front, Listener, borders
+from laburnumwood.borders import Integration, Listener, NodeStatus, integration
 from laburnumwood.listening import split_address
-from laburnumwood.platform.callers import RequesterFace
-from laburnumwood.platform.reports import ReportDesk
-from laburnumwood.platform.store import ObjectStore
-from laburnumwood.platform.workers import WorkerDialect
-from laburnumwood.routing.outcome import StartResponse, status_line
+from laburnumwood.platform.callers import PlatformCallerInterface
+from laburnumwood.platform.reports import ReportEndpoint
+from laburnumwood.platform.store import PlatformStore
+from laburnumwood.platform.workers import PlatformWorkerInterface
+from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
 
 
-class ReadyPage:
-    """A WSGI application that tells whether callers may be sent here."""
+class ReadinessEndpoint:
+    """A WSGI application for readiness checks.
 
-    def __init__(self, front: Front) -> None:
-        self._front = front
+    It answers 200 if callers may send requests to this node, else 503.
+    """
+
+    def __init__(self, node: NodeStatus) -> None:
+        self._node = node
 
     def __call__(
         self, _environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer one call."""
-        ready = self._front.is_ready
+        """Answer one request."""
+        ready = self._node.is_ready
         status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         start_response(status_line(status), [('Content-Length', '0')])
         return (b'',)
 
 
-def _listeners(settings: DaemonSettings, front: Front) -> tuple[Listener, ...]:
-    pages = (
-        (settings.ready_address, ReadyPage(front)),
-        (settings.report_address, ReportDesk(settings, front.worker)),
+def _listeners(
+    settings: DaemonSettings, node: NodeStatus
+) -> tuple[Listener, ...]:
+    applications = (
+        (settings.ready_address, ReadinessEndpoint(node)),
+        (settings.report_address, ReportEndpoint(settings, node.worker)),
     )
     return tuple(
-        Listener(split_address(address), page)
-        for address, page in pages
+        Listener(split_address(address), application)
+        for address, application in applications
         if address is not None
     )
 
 
 def register() -> None:
-    """Make the platform's borders known."""
-    borders('platform')(_make)
+    """Register the platform's integration under the name `platform`."""
+    integration('platform')(_make_integration)
 
 
-def _make() -> Borders:
-    return Borders(
-        make_store=lambda settings: ObjectStore(settings.platform_url),
-        make_face=lambda settings: RequesterFace(
+def _make_integration() -> Integration:
+    return Integration(
+        make_store=lambda settings: PlatformStore(settings.platform_url),
+        make_caller_interface=lambda settings: PlatformCallerInterface(
             settings, Random(settings.node_id)
         ),
-        make_dialect=WorkerDialect,
+        make_worker_interface=PlatformWorkerInterface,
         listeners=_listeners,
         worker_reports=True,
         has_idempotency_keys=False,
--- a/laburnumwood/routing/connection.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -1,8 +1,8 @@
-"""One connection of a caller: heads of requests in, answers out.
+"""HTTP/1.1 on the connection of one caller.
 
-Eventlet's server accepts connections and frames bodies.  Heads are read and
-answers are written here: the general parser of the standard library takes
-longer than all else that a request costs at the door.
+Eventlet's server accepts connections and frames request bodies.  This module
+parses request heads and writes answers: the general parser of the standard
+library takes longer than all other work that the ingress does for a request.
 """
 
 import os
@@ -27,80 +27,83 @@
     TooManyHeadersError,
     read_headers,
 )
-from laburnumwood.routing.outcome import (
+from laburnumwood.routing.problems import (
     PROBLEMS,
-    failure,
+    make_failure,
     problem_body,
     problem_headers,
     status_line,
 )
 
-CLOSE = 'laburnumwood.close'  # in the environment: ends with this answer
-HEADERS = 'laburnumwood.headers'  # in the environment: a `HeaderIndex`
-REQUEST_ID = 'laburnumwood.request'  # in the environment, once it is known
+# Keys of the WSGI environment.
+CLOSE_KEY = 'laburnumwood.close'  # function: close after this answer
+HEADERS_KEY = 'laburnumwood.headers'  # the `HeaderIndex` of the request
+REQUEST_ID_KEY = 'laburnumwood.request'  # request id, once it is known
 
 _REQUEST_LINE = re.compile(r'(\S+) (\S+) (HTTP/1\.[01])\r?\n')
 _HEADER_LINE = re.compile(
     rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n\0]*?)[ \t]*\r?\n"
 )
-_TOO_LARGE = (
+_TOO_LARGE_ERRORS = (
     wsgi.HeaderLineTooLong,
     wsgi.HeadersTooLarge,
     TooManyHeadersError,
 )
-_LENGTH = re.compile('[0-9]{1,18}')
-_DRAIN_S = 0.5
-_DRAIN_SIZE = 1_048_576  # bytes that are read and dropped at the most
+_LENGTH_PATTERN = re.compile('[0-9]{1,18}')
+_DRAIN_TIMEOUT_S = 0.5
+_MAX_DRAIN_BYTES = 1_048_576  # most unread bytes to discard
 _CONTINUE_LINE = b'HTTP/1.1 100 Continue\r\n'
-_BODYLESS = frozenset(('204', '304'))
-_LINGER_NOT = struct.pack('ii', 1, 0)
+_BODYLESS_STATUSES = frozenset(('204', '304'))
+_LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
-def _framing_fault(fields: HeaderIndex) -> str:
-    """Return why the length of a body is not certain, or nothing."""
-    lengths = fields.all('content-length')
-    codings = fields.all('transfer-encoding')
-    if lengths and codings:
+def _framing_error(headers: HeaderIndex) -> str:
+    """Return why the length of a body is ambiguous, or an empty text."""
+    lengths = headers.all('content-length')
+    encodings = headers.all('transfer-encoding')
+    if lengths and encodings:
         return 'both Content-Length and Transfer-Encoding are given'
-    if len(lengths) > 1 or len(codings) > 1:
+    if len(lengths) > 1 or len(encodings) > 1:
         return 'the length of the body is given twice'
-    if lengths and not _LENGTH.fullmatch(lengths[0]):
+    if lengths and not _LENGTH_PATTERN.fullmatch(lengths[0]):
         return f'Content-Length {lengths[0]!r} is no number'
-    if codings and codings[0].lower() != 'chunked':
-        return f'Transfer-Encoding {codings[0]!r} is not known'
+    if encodings and encodings[0].lower() != 'chunked':
+        return f'Transfer-Encoding {encodings[0]!r} is not known'
     return ''
 
 
 def reset_connection(sock: Any) -> None:
-    """Reset a connection: a mere shutdown would end it cleanly."""
+    """Close a connection with a TCP reset instead of an orderly end."""
     with suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
-        number = sock.detach()
-        notify_close(number)
-        os.close(number)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+        descriptor = sock.detach()
+        notify_close(descriptor)
+        os.close(descriptor)
 
 
 class _CallerLostError(Exception):
-    """The connection of the caller ended under its answer."""
+    """The connection of the caller ended while its answer was sent."""
 
 
-class _Answer:
-    """Writes one answer; its head leaves together with the first bytes."""
+class _AnswerWriter:
+    """Writes one answer; its head is sent with the first part of the body."""
 
     def __init__(self, protocol: 'CallerProtocol') -> None:
         self._protocol = protocol
         self._head = b''
         self._is_chunked = False
         self._has_body = True
-        self.has_begun = False
+        self.has_started = False
 
     def start(
         self, status: str, headers: list[Header], _failed: Any = None
     ) -> Callable[[bytes], None]:
-        """Take in status and headers, as WSGI asks for."""
+        """Set status and headers: the `start_response` of WSGI."""
         protocol = self._protocol
         code = status[:3]
-        self._has_body = protocol.command != 'HEAD' and code not in _BODYLESS
+        self._has_body = (
+            protocol.command != 'HEAD' and code not in _BODYLESS_STATUSES
+        )
         lines = [f'HTTP/1.1 {status}']
         lines += [f'{name}: {text}' for name, text in headers]
         has_length = any(
@@ -119,18 +122,18 @@
         return self.write
 
     def write(self, content: bytes) -> None:
-        """Send a part of the body."""
+        """Send a part of the body; the first call also sends the head."""
         if content:
-            self._send(self._framed(content))
+            self._send(self._frame(content))
 
     def finish(self) -> None:
-        """Send what is left after the last part."""
+        """Send the last chunk, or the head if the body is empty."""
         if self._is_chunked:
             self._send(b'0\r\n\r\n')
-        elif not self.has_begun:
+        elif not self.has_started:
             self._send(b'')
 
-    def _framed(self, content: bytes) -> bytes:
+    def _frame(self, content: bytes) -> bytes:
         if not self._has_body:
             return b''
         if self._is_chunked:
@@ -138,61 +141,61 @@
         return content
 
     def _send(self, content: bytes) -> None:
-        if not self.has_begun:
-            self.has_begun = True
+        if not self.has_started:
+            self.has_started = True
             content = self._head + content
         if not content:
             return
         try:
             self._protocol.connection.sendall(content)
-        except OSError as ended:
-            raise _CallerLostError(repr(ended)) from ended
+        except OSError as error:
+            raise _CallerLostError(repr(error)) from error
 
 
 class CallerProtocol(wsgi.HttpProtocol):
-    """Answers what can't be read as a request with a problem."""
+    """Answers a request that can't be parsed with a problem."""
 
     def parse_request(self) -> bool:
-        """Read the head of a request; tell whether it can be served."""
+        """Parse the head of a request; return whether it can be served."""
         try:
             self.read_head()
-        except _TOO_LARGE:
+        except _TOO_LARGE_ERRORS:
             return self._refuse('headers-too-large', 'a header or all of them')
-        except HeadError as unreadable:
-            return self._refuse('bad-request', str(unreadable))
-        asked = self.headers.tokens('connection')
+        except HeadError as error:
+            return self._refuse('bad-request', str(error))
+        options = self.headers.tokens('connection')
         if self.request_version == 'HTTP/1.1':
-            self.close_connection = 'close' in asked
+            self.close_connection = 'close' in options
         else:
-            self.close_connection = 'keep-alive' not in asked
+            self.close_connection = 'keep-alive' not in options
         return True
 
     def read_head(self) -> None:
-        """Read line and headers of a request; raises `HeadError`."""
-        line = self.raw_requestline.decode('latin1')
-        found = _REQUEST_LINE.fullmatch(line)
-        if found is None:
-            raise HeadError(f'request line {line[:80]!r}')
-        self.requestline = line
-        self.command, self.path, self.request_version = found.groups()
-        self._fields = read_headers(self.rfile.readline, _HEADER_LINE)
-        self.headers = HeaderIndex(self._fields)
-        fault = _framing_fault(self.headers)
-        if fault:
-            raise HeadError(fault)
+        """Read request line and headers of a request; raises `HeadError`."""
+        request_line = self.raw_requestline.decode('latin1')
+        match = _REQUEST_LINE.fullmatch(request_line)
+        if match is None:
+            raise HeadError(f'request line {request_line[:80]!r}')
+        self.requestline = request_line
+        self.command, self.path, self.request_version = match.groups()
+        self._header_fields = read_headers(self.rfile.readline, _HEADER_LINE)
+        self.headers = HeaderIndex(self._header_fields)
+        framing_error = _framing_error(self.headers)
+        if framing_error:
+            raise HeadError(framing_error)
 
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment of a request."""
         path, _, query = self.path.partition('?')
-        fields = self.headers
-        length = fields.first('content-length')
-        is_chunked = fields.has('transfer-encoding')
-        waits = fields.first('expect').lower() == '100-continue'
+        headers = self.headers
+        content_length = headers.first('content-length')
+        is_chunked = headers.has('transfer-encoding')
+        expects_continue = headers.first('expect').lower() == '100-continue'
         body = wsgi.Input(
             self.rfile,
-            None if is_chunked else length or '0',
+            None if is_chunked else content_length or '0',
             self.connection,
-            wfile=self.wfile if waits else None,
+            wfile=self.wfile if expects_continue else None,
             wfile_line=_CONTINUE_LINE,
             chunked_input=is_chunked,
         )
@@ -202,20 +205,20 @@
             'RAW_PATH_INFO': path,
             'PATH_INFO': unquote(path, 'latin1') if '%' in path else path,
             'QUERY_STRING': query,
-            'CONTENT_LENGTH': length,
+            'CONTENT_LENGTH': content_length,
             'SERVER_PROTOCOL': self.request_version,
             'REMOTE_ADDR': self.client_address[0],
-            'HTTP_AUTHORIZATION': fields.first('authorization'),
+            'HTTP_AUTHORIZATION': headers.first('authorization'),
             'wsgi.input': body,
             'eventlet.input': body,
-            'headers_raw': self._fields,
-            HEADERS: fields,
-            CLOSE: self._close_after,
+            'headers_raw': self._header_fields,
+            HEADERS_KEY: headers,
+            CLOSE_KEY: self._close_after_answer,
         }
 
     def handle_one_response(self) -> None:
-        """Let the application answer a request."""
-        answer = _Answer(self)
+        """Call the application and write its answer."""
+        answer = _AnswerWriter(self)
         body = self.environ['wsgi.input']
         parts: Iterable[bytes] = ()
         wsgi.WSGI_LOCAL.already_handled = False
@@ -227,30 +230,34 @@
                 self.close_connection = True
             else:
                 answer.finish()
-        except _CallerLostError as lost:
-            self._tell_lost(answer, lost)
+        except _CallerLostError as error:
+            self._report_caller_lost(answer, error)
         except (Exception, Timeout):
-            self._tell_failed(answer)
+            self._handle_failure(answer)
         finally:
             if hasattr(parts, 'close'):
                 parts.close()
-            self._drop_rest(body)
+            self._discard_unread_body(body)
 
-    def _tell_lost(self, answer: _Answer, lost: _CallerLostError) -> None:
+    def _report_caller_lost(
+        self, answer: _AnswerWriter, error: _CallerLostError
+    ) -> None:
         self.close_connection = True
         CALLER_LOST.report(
-            request=self.environ.get(REQUEST_ID, ''),
+            request=self.environ.get(REQUEST_ID_KEY, ''),
             path=self.path,
-            begun=answer.has_begun,
-            reason=lost,
+            begun=answer.has_started,
+            reason=error,
         )
 
-    def _tell_failed(self, answer: _Answer) -> None:
+    def _handle_failure(self, answer: _AnswerWriter) -> None:
         self.close_connection = True
         ANSWER_FAILED.report(
-            path=self.path, begun=answer.has_begun, trace=traceback.format_exc()
+            path=self.path,
+            begun=answer.has_started,
+            trace=traceback.format_exc(),
         )
-        if answer.has_begun:
+        if answer.has_started:
             reset_connection(self.connection)
         else:
             status = status_line(HTTPStatus.INTERNAL_SERVER_ERROR)
@@ -258,37 +265,40 @@
             with suppress(_CallerLostError):
                 answer.finish()
 
-    def _drop_rest(self, body: wsgi.Input) -> None:
-        """Read what the application left of a body, or end the connection."""
+    def _discard_unread_body(self, body: wsgi.Input) -> None:
+        """Discard the unread rest of a body, or close the connection."""
         if body.should_send_hundred_continue:
             self.close_connection = True
-        unread = body.chunked_input or body.position < body.content_length
-        if self.close_connection or not unread:
+        has_unread = body.chunked_input or body.position < body.content_length
+        if self.close_connection or not has_unread:
             return
         try:
             body.discard()
         except (wsgi.ChunkReadError, OSError):
             self.close_connection = True
 
-    def _close_after(self) -> None:
+    def _close_after_answer(self) -> None:
         self.close_connection = True
 
     def _read_request_line(self) -> bytes:
-        line: bytes = super()._read_request_line()
+        request_line: bytes = super()._read_request_line()
         if self.conn_state[2] == wsgi.STATE_CLOSE:
-            # Closed while it was idle: no answer could be sent any more.
+            # Closed while it was idle: an answer could no longer be sent.
             return b''
-        if line and len(line) >= self.server.url_length_limit:
+        if request_line and len(request_line) >= self.server.url_length_limit:
             self._refuse('target-too-long', 'the request line')
             return b''
-        return line
+        return request_line
 
     def _refuse(self, kind: str, detail: str) -> bool:
-        told = failure(kind, detail, ran=False)
-        content = problem_body(told, '')
+        failure = make_failure(kind, detail, ran=False)
+        content = problem_body(failure, '')
         status = status_line(PROBLEMS[kind].status)
-        fields = [*problem_headers(told, len(content)), ('Connection', 'close')]
-        lines = ''.join(f'{name}: {text}\r\n' for name, text in fields)
+        headers = [
+            *problem_headers(failure, len(content)),
+            ('Connection', 'close'),
+        ]
+        lines = ''.join(f'{name}: {text}\r\n' for name, text in headers)
         head = f'HTTP/1.1 {status}\r\n{lines}\r\n'.encode()
         self.close_connection = True
         with suppress(OSError):
@@ -297,11 +307,11 @@
         return False
 
     def _drain(self) -> None:
-        # What is left unread at the close would reset the connection before
-        # the caller has read its answer.
+        # Closing with unread bytes would reset the connection before the caller
+        # has read its answer.
         self.request.shutdown(socket.SHUT_WR)
-        left = _DRAIN_SIZE
-        with Timeout(_DRAIN_S, exception=False):
-            while left > 0:
-                read = self.request.recv(left)
-                left -= len(read) or left
+        remaining = _MAX_DRAIN_BYTES
+        with Timeout(_DRAIN_TIMEOUT_S, exception=False):
+            while remaining > 0:
+                received = self.request.recv(remaining)
+                remaining -= len(received) or remaining
--- /dev/null
+++ b/laburnumwood/routing/caller_request.py
@@ -0,0 +1,16 @@
+"""A caller's request and what its route allows."""
+
+from dataclasses import dataclass
+
+from laburnumwood.protocol.messages import Work
+
+UNLIMITED_ATTEMPTS = 1_000  # in effect: deadline and retry budget end it
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request, its whole body, and the most workers it may be sent to."""
+
+    work: Work
+    body: bytes
+    attempts: int = UNLIMITED_ATTEMPTS
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -1,4 +1,4 @@
-"""The gate: the only way to the worker beside a node."""
+"""The admission gate: every request to the worker of a node passes it."""
 
 from collections.abc import Callable, Mapping
 from contextlib import AbstractContextManager, suppress
@@ -7,10 +7,10 @@
 from traceback import format_exc
 from typing import Protocol
 
-from laburnumwood.admission.control import ADMISSIONS
-from laburnumwood.admission.limit import Slots
-from laburnumwood.admission.tickets import Result, Ticket
-from laburnumwood.admission.waiting import Admitter
+from laburnumwood.admission.admitter import Admitter
+from laburnumwood.admission.control import ADMISSION_POLICIES
+from laburnumwood.admission.limit import SlotCount
+from laburnumwood.admission.tickets import Ticket, TicketResult
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service
 from laburnumwood.errors import (
@@ -25,60 +25,66 @@
     RUN_CANCELLED,
 )
 from laburnumwood.leases.lease import Lease
-from laburnumwood.membership.directory import Entry
-from laburnumwood.membership.spreading import notice_of
-from laburnumwood.placement.holdings import Holdings
-from laburnumwood.placement.layout import Records, placed_shard
+from laburnumwood.membership.directory import VersionedRecord
+from laburnumwood.membership.gossip import shard_notice
+from laburnumwood.placement.holdings import HeldShards
+from laburnumwood.placement.layout import RecordsByNumber, locate_text_key
 from laburnumwood.placement.meter import LoadMeter
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
-from laburnumwood.protocol.outlet import OUTLET
+from laburnumwood.protocol.outlet import SEND_QUEUE
 from laburnumwood.records import ShardName, ShardRecord
 from laburnumwood.routing.exchange import Exchange
-from laburnumwood.routing.execution import Executor, MayAct
-from laburnumwood.routing.observed import LongAnswers, ObservedExchange
-from laburnumwood.routing.outcome import failure, overloaded
-from laburnumwood.routing.priorities import line_of, useful_until_ms
+from laburnumwood.routing.execution import ExecutionCheck, Executor
+from laburnumwood.routing.observed import (
+    LongAnswerDelays,
+    ObservedExchange,
+)
+from laburnumwood.routing.priorities import classify, useful_until_ms
+from laburnumwood.routing.problems import make_failure, make_overload_failure
 from laburnumwood.routing.run import Run
-from laburnumwood.routing.staying import StayingExchange
+from laburnumwood.routing.shard_release import ShardReleasingExchange
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.grants import Grants
 
 Services = Callable[[], Mapping[str, Service]]
 
 
-class Account(Protocol):
-    """Counts what each owner's capacity carries."""
+class BusySlotCounter(Protocol):
+    """Counts the busy slots of each capacity owner."""
 
     def busy(self, service: str) -> AbstractContextManager[None]:
-        """Count a slot as busy for a service."""
+        """Count one slot as busy for a service while the context is open."""
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerState:
-    """Whether the worker takes requests now, and how many at once."""
+    """Whether the worker accepts requests now, and its number of slots."""
 
-    may_start: Callable[[], bool]
-    slots: Slots
+    accepts_requests: Callable[[], bool]
+    slots: SlotCount
 
 
-class KnownShards(Protocol):
-    """The records of shards that this node knows."""
+class ShardDirectory(Protocol):
+    """Access to the shard records that are known to this node."""
 
-    def shard_records(self, service: str) -> Records:
-        """Return the records of a service's shards by their numbers."""
+    def shard_records(self, service: str) -> RecordsByNumber:
+        """Return the shard records of a service by shard number."""
 
-    def shard(self, shard: ShardName) -> Entry[ShardRecord] | None:
-        """Return the record of a shard with its version."""
+    def shard(self, shard: ShardName) -> VersionedRecord[ShardRecord] | None:
+        """Return the record of a shard with its version, None if unknown."""
 
 
-_GRANT_SLACK_MS = 150  # by which a grant may come later than expected
-_ANSWER_MS = 60  # kept of the time left, to say that a request did not run
+_GRANT_DELAY_TOLERANCE_MS = 150  # how late a grant may arrive
+# Part of the remaining time that is reserved to answer that a request did not
+# run.
+_REFUSAL_RESERVE_MS = 60
 
 
-def read_body(exchange: Exchange, work: Work) -> bytes:
-    """Return the whole body of a request, which may follow on its exchange.
+def receive_body(exchange: Exchange, work: Work) -> bytes:
+    """Return the whole body of a request.
 
-    Raises `LinkError` if it is cut short.
+    A body that did not come with the request is received in chunks on the
+    exchange.  Raises `LinkError` if it is incomplete.
     """
     if work.is_whole:
         return work.body
@@ -88,257 +94,286 @@
         if isinstance(message, Chunk):
             parts.append(message.content)
         elif isinstance(message, End):
-            return _whole(b''.join(parts), message.length)
+            return _checked_body(b''.join(parts), message.length)
         else:
-            raise LinkError('the body was given up')
+            raise LinkError('the sender aborted the body')
 
 
-def _whole(body: bytes, length: int) -> bytes:
+def _checked_body(body: bytes, length: int) -> bytes:
     if len(body) != length:
-        raise LinkError('the body is not whole')
+        raise LinkError('the body length differs from the announced length')
     return body
 
 
-def _always() -> bool:
+def _always_allowed() -> bool:
     return True
 
 
-class Gate:
-    """Lets a request through to the worker while this node may act for it."""
+class AdmissionGate:
+    """Admits requests to the worker while this node owns their shards.
+
+    A request waits for a slot, and for a grant of its shard if one is due
+    soon.
+    """
 
     def __init__(
         self,
         settings: DaemonSettings,
         lease: Lease,
-        holdings: Holdings,
+        held_shards: HeldShards,
         grants: Grants,
         executor: Executor,
         services: Services,
-        shards: KnownShards,
-        account: Account,
+        shards: ShardDirectory,
+        capacity_account: BusySlotCounter,
         meter: LoadMeter,
         worker: WorkerState,
         clock: Clock,
     ) -> None:
         self._settings = settings
         self._lease = lease
-        self._holdings = holdings
+        self._held_shards = held_shards
         self._grants = grants
         self._worker = worker
         self._services = services
-        self._shards = shards
-        self._account = account
+        self._directory = shards
+        self._capacity_account = capacity_account
         self._meter = meter
         self._executor = executor
         self._clock = clock
         self._admitter = Admitter(
-            ADMISSIONS[settings.admission.policy](
+            ADMISSION_POLICIES[settings.admission.policy](
                 settings.admission, worker.slots, clock
             ),
             clock,
         )
-        self._long_answers = LongAnswers(OUTLET, clock)
+        self._answer_delays = LongAnswerDelays(SEND_QUEUE, clock)
         self._is_closed = False
 
     @property
     def running(self) -> int:
-        """Return how many requests run, or have answers that still leave."""
-        return self._admitter.running + self._admitter.leaving
+        """Return the number of requests that run or are still answered."""
+        return self._admitter.running + self._admitter.responding
 
     @property
     def waiting(self) -> int:
-        """Return how many requests wait to be let in."""
+        """Return the number of requests that wait for a slot."""
         return self._admitter.waiting
 
-    def hint(self, reported: int) -> None:
-        """Take in how many requests the worker says it runs."""
-        self._admitter.hint(reported)
+    def set_reported_running(self, reported: int) -> None:
+        """Set how many requests the worker reports to run."""
+        self._admitter.record_load_report(reported)
 
-    def tell_load(self) -> None:
-        """Log what this gate carried and sent away since it told last."""
-        carried = self._admitter.tally.take()
-        if carried.is_nothing:
+    def report_load(self) -> None:
+        """Log the requests admitted and shed since the last report."""
+        counts = self._admitter.counters.collect()
+        if counts.is_empty:
             return
         GATE_LOAD.report(
             service=self._settings.service,
             slots=self._worker.slots(),
-            busy=round(carried.busy, 2),
+            busy=round(counts.busy, 2),
             waiting=self.waiting,
-            let_in=carried.let_in,
-            shed=carried.shed,
-            shards=len(self._holdings.tokens()),
+            let_in=counts.admitted,
+            shed=counts.shed,
+            shards=len(self._held_shards.tokens()),
         )
 
     def close(self) -> None:
-        """Send back what comes from now on; what was let in goes on."""
+        """Return all further requests; those already admitted continue."""
         self._is_closed = True
 
     def serve(self, exchange: Exchange, work: Work) -> None:
         """Answer one request on its exchange."""
-        # After a link error nobody is left to be told.
+        # After a link error there is no peer left to answer.
         with suppress(LinkError):
             try:
                 self._serve_in_shard(exchange, work)
-            except OverloadedError as shed:
-                self._return(exchange, work, overloaded(shed.retry_after_ms))
+            except OverloadedError as overload:
+                self._return_request(
+                    exchange,
+                    work,
+                    make_overload_failure(overload.retry_after_ms),
+                )
             except LinkError:
                 raise
-            except Exception as fault:
+            except Exception as error:
                 ANSWER_FAILED.report(
                     request=work.request_id,
                     path=work.target,
                     trace=format_exc(),
                 )
-                exchange.send(failure('fault', repr(fault), ran=True))
+                exchange.send(make_failure('fault', repr(error), ran=True))
 
-    def _tell_cancelled(self, work: Work) -> None:
+    def _report_cancelled(self, work: Work) -> None:
         RUN_CANCELLED.report(
             request=work.request_id, service=work.service, after_ms=0
         )
 
-    def _return(self, exchange: Exchange, work: Work, told: Failure) -> None:
-        """Send a request back that did not run, and log why."""
-        self._tell_returned(work, told)
-        exchange.send(told)
+    def _return_request(
+        self, exchange: Exchange, work: Work, failure: Failure
+    ) -> None:
+        """Answer that a request did not run, and log the reason."""
+        self._report_returned(work, failure)
+        exchange.send(failure)
 
-    def _tell_returned(self, work: Work, told: Failure) -> None:
+    def _report_returned(self, work: Work, failure: Failure) -> None:
         now_ms = self._clock.now_ms()
         REQUEST_RETURNED.report(
             request=work.request_id,
             service=work.service,
             shard=work.shard,
             rank=work.priority,
-            kind=told.kind,
-            detail=told.detail,
+            kind=failure.kind,
+            detail=failure.detail,
             running=self._admitter.running,
-            leaving=self._admitter.leaving,
+            leaving=self._admitter.responding,
             waiting=self.waiting,
-            lease_left_ms=self._lease.holds_until_ms() - now_ms,
-            may_have_run=told.ran,
-            retry_after_ms=told.retry_after_ms,
+            lease_left_ms=self._lease.expires_at_ms() - now_ms,
+            may_have_run=failure.ran,
+            retry_after_ms=failure.retry_after_ms,
         )
 
     def _serve_in_shard(self, exchange: Exchange, work: Work) -> None:
         until_ms = self._clock.now_ms() + work.deadline_ms
         if self._is_closed:
             detail = f'{self._settings.node_id} is about to end'
-            told = failure('not-owner', detail, ran=False)
-            self._return(exchange, work, told)
+            failure = make_failure('not-owner', detail, ran=False)
+            self._return_request(exchange, work, failure)
             return
         if work.shard < 0:
-            body = read_body(exchange, work)
+            body = receive_body(exchange, work)
             if work.idempotency_key:
                 work = replace(work, idempotency_key='')
             run = Run(work, body, None, until_ms)
-            self._serve_in_turn(exchange, run, _always)
+            self._serve_when_admitted(exchange, run, _always_allowed)
             return
         shard = ShardName(work.service, work.shard)
-        stay = self._holdings.enter(shard) if self._has_key(work) else None
-        if stay is None:
-            self._tell_owner(exchange, work)
+        shard_use = (
+            self._held_shards.acquire(shard)
+            if self._is_key_in_shard(work)
+            else None
+        )
+        if shard_use is None:
+            self._send_shard_records(exchange, work)
             detail = f'{self._settings.node_id} does not own {shard}'
-            told = failure('not-owner', detail, ran=False)
-            self._return(exchange, work, told)
+            failure = make_failure('not-owner', detail, ran=False)
+            self._return_request(exchange, work, failure)
             return
         try:
-            body = read_body(exchange, work)
-            run = Run(work, body, stay.token, until_ms)
-            self._serve_owned(StayingExchange(exchange, work, stay), run)
+            body = receive_body(exchange, work)
+            run = Run(work, body, shard_use.token, until_ms)
+            self._serve_owned(
+                ShardReleasingExchange(exchange, work, shard_use), run
+            )
         finally:
-            stay.leave()
+            shard_use.release()
 
     def _serve_owned(self, exchange: Exchange, run: Run) -> None:
         shard = ShardName(run.work.service, run.work.shard)
-        wait_ms = self._grants.expected_in_ms() + _GRANT_SLACK_MS
-        if not self._may_await_grant(shard, run, wait_ms):
+        wait_ms = self._grants.next_grants_in_ms() + _GRANT_DELAY_TOLERANCE_MS
+        if not self._obtain_grant(shard, run, wait_ms):
             detail = f'the worker has no grant for {shard}'
-            told = Failure('not-owner', False, detail, wait_ms)
-            self._return(exchange, run.work, told)
+            failure = Failure('not-owner', False, detail, wait_ms)
+            self._return_request(exchange, run.work, failure)
             return
-        self._serve_in_turn(exchange, run, partial(self._may_act, shard, run))
+        self._serve_when_admitted(
+            exchange, run, partial(self._may_execute, shard, run)
+        )
 
-    def _serve_in_turn(
-        self, exchange: Exchange, run: Run, may_act: MayAct
+    def _serve_when_admitted(
+        self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> None:
         work = run.work
         service = self._services().get(work.service)
-        line_ms = self._long_answers.wait_ms(work.priority)
+        answer_wait_ms = self._answer_delays.expected_wait_ms(work.priority)
         useful_ms = useful_until_ms(work, self._clock.now_ms(), run.until_ms)
-        useful_ms -= line_ms
-        line = line_of(work, service)
-        ticket = Ticket(work.key, run.until_ms, useful_ms, line)
-        busy = self._account.busy(work.service)
-        exchange.when_message(partial(self._admitter.cancel, ticket))
+        useful_ms -= answer_wait_ms
+        traffic_class = classify(work, service)
+        ticket = Ticket(work.key, run.until_ms, useful_ms, traffic_class)
+        busy = self._capacity_account.busy(work.service)
+        exchange.set_message_handler(partial(self._admitter.cancel, ticket))
         try:
-            with self._admitter.admitted(ticket), busy:
+            with self._admitter.hold_slot(ticket), busy:
                 observed = ObservedExchange(
                     exchange,
                     ticket,
                     self._clock,
-                    partial(self._free, ticket, work.priority),
+                    partial(self._release_slot, ticket, work.priority),
                 )
-                self._serve_admitted(observed, run, may_act)
-            if observed.told is not None:
-                self._tell_returned(work, observed.told)
+                self._serve_admitted(observed, run, may_execute)
+            if observed.failure is not None:
+                self._report_returned(work, observed.failure)
         except RunCancelledError:
-            self._tell_cancelled(work)
-        except OverloadedError as shed:
-            # What does not fit on this worker is load all the same.
-            self._meter.note(work.shard, work.key, self._admitter.slot_ms)
-            shed.retry_after_ms = max(shed.retry_after_ms, line_ms)
+            self._report_cancelled(work)
+        except OverloadedError as overload:
+            # A shed request counts as load, too: it shows missing capacity.
+            self._meter.record(
+                work.shard, work.key, self._admitter.mean_slot_ms
+            )
+            overload.retry_after_ms = max(
+                overload.retry_after_ms, answer_wait_ms
+            )
             raise
-        if ticket.result is Result.SERVED:
+        if ticket.result is TicketResult.SERVED:
             busy_ms = self._clock.now_ms() - ticket.started_ms
-            self._meter.note(work.shard, work.key, busy_ms)
+            self._meter.record(work.shard, work.key, busy_ms)
 
-    def _free(self, ticket: Ticket, rank: int, length: int) -> None:
-        """Give the slot of a request back whose whole answer is here."""
-        self._long_answers.note(rank, length)
-        self._admitter.give_back(ticket)
+    def _release_slot(self, ticket: Ticket, rank: int, length: int) -> None:
+        """Release the slot of a request whose answer has been read whole."""
+        self._answer_delays.record(rank, length)
+        self._admitter.release_slot(ticket)
 
     def _serve_admitted(
-        self, exchange: Exchange, run: Run, may_act: MayAct
+        self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> None:
-        if self._worker.may_start():
-            self._executor.execute(exchange, run, may_act)
+        if self._worker.accepts_requests():
+            self._executor.execute(exchange, run, may_execute)
             return
         detail = f'the worker of {self._settings.node_id} takes no work'
-        exchange.send(failure('not-owner', detail, ran=False))
+        exchange.send(make_failure('not-owner', detail, ran=False))
+
+    def _is_key_in_shard(self, work: Work) -> bool:
+        """Return whether the key still belongs to the requested shard.
+
+        A split may have moved it to another shard.
+        """
+        return self._current_shard(work) == work.shard
 
-    def _has_key(self, work: Work) -> bool:
-        """Tell whether a key was not split off the shard it was sent to."""
-        return self._placed(work) == work.shard
+    def _current_shard(self, work: Work) -> int:
+        """Return the number of the shard that the key belongs to now."""
+        records = self._directory.shard_records(work.service)
+        return locate_text_key(work.key, work.shard, records)
 
-    def _placed(self, work: Work) -> int:
-        """Return the number of the shard that has a request's key now."""
-        records = self._shards.shard_records(work.service)
-        return placed_shard(work.key, work.shard, records)
+    def _send_shard_records(self, exchange: Exchange, work: Work) -> None:
+        """Send an ingress the shard records that it has missed.
 
-    def _tell_owner(self, exchange: Exchange, work: Work) -> None:
-        """Tell a door that has missed a move or a split who owns the key."""
-        for number in sorted({work.shard, self._placed(work)}):
+        They show a move or a split, and with it the owner of the key.
+        """
+        for number in sorted({work.shard, self._current_shard(work)}):
             shard = ShardName(work.service, number)
-            entry = self._shards.shard(shard)
-            is_moved = number != work.shard or not self._holdings.is_held(shard)
+            entry = self._directory.shard(shard)
+            is_moved = number != work.shard or not self._held_shards.is_held(
+                shard
+            )
             if entry is not None and is_moved:
-                exchange.send(notice_of(shard, entry))
+                exchange.send(shard_notice(shard, entry))
 
-    def _may_act(self, shard: ShardName, run: Run) -> bool:
+    def _may_execute(self, shard: ShardName, run: Run) -> bool:
         guard_ms = self._settings.lease.guard_ms
-        left_ms = self._lease.holds_until_ms() - self._clock.now_ms()
+        left_ms = self._lease.expires_at_ms() - self._clock.now_ms()
         return left_ms > guard_ms and self._grants.covers(shard, run.token)
 
-    def _may_await_grant(
-        self, shard: ShardName, run: Run, wait_ms: int
-    ) -> bool:
-        """Wait for a grant that comes early enough; tell whether it did.
+    def _obtain_grant(self, shard: ShardName, run: Run, wait_ms: int) -> bool:
+        """Wait for a grant of the shard; return whether there is one.
 
-        There must be time left to run the request after it.
+        Returns False at once if the time left after the expected grant is too
+        short to run the request.
         """
         if self._grants.covers(shard, run.token):
             return True
-        left_ms = run.until_ms - self._clock.now_ms() - _ANSWER_MS
-        if wait_ms + self._admitter.slot_ms > left_ms:
+        left_ms = run.until_ms - self._clock.now_ms() - _REFUSAL_RESERVE_MS
+        if wait_ms + self._admitter.mean_slot_ms > left_ms:
             return False
         return self._wait_for_grant(shard, run.token, wait_ms)
 
@@ -348,7 +383,7 @@
         until_ms = self._clock.now_ms() + patience_ms
         while not self._grants.covers(shard, token):
             left_ms = until_ms - self._clock.now_ms()
-            if left_ms <= 0 or self._holdings.is_closed(shard):
+            if left_ms <= 0 or self._held_shards.is_closed(shard):
                 return False
-            self._grants.news.wait(left_ms)
+            self._grants.changes.wait(left_ms)
         return True
--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -1,4 +1,4 @@
-"""The run ledger: which requests with an idempotency key have run."""
+"""The run ledger: records of requests that have an idempotency key."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -8,13 +8,13 @@
 from laburnumwood.protocol.messages import Answer, LedgerEntry
 from laburnumwood.records import ShardName, ShardRecord
 
-RETENTION_MS = 600_000  # how long a resend is recognized
-CAPACITY = 50_000  # entries of a node
-LONGEST_BODY = 4_096  # bytes of an answer that is kept
+RETENTION_MS = 600_000  # how long a resent request is recognized
+MAX_ENTRIES = 50_000  # of all shards of a node
+MAX_KEPT_BODY_BYTES = 4_096  # the answer is not kept if its body is longer
 
 
 class RunState(IntEnum):
-    """How far a request has come."""
+    """Progress of a request, in this order; sent to other nodes by name."""
 
     NOTED = 0
     RAN = 1
@@ -22,8 +22,8 @@
     FORGOTTEN = 3
 
 
-class Verdict(Enum):
-    """What the owner does with a request that has an idempotency key."""
+class LedgerDecision(Enum):
+    """Decision of the owner about a request with an idempotency key."""
 
     FRESH = 'it is noted now and may run'
     RUNNING = 'it runs at this moment'
@@ -39,198 +39,221 @@
     fingerprint: str
     attempt: int
     state: RunState
-    noted_ms: int
+    recorded_ms: int
     head: Answer | None = None
     body: bytes = b''
     is_running: bool = False
 
 
 class RunLedger:
-    """The ledger of one node, for shards that it owns or may come to own.
+    """The run ledger of one node, for shards that it owns or may own later.
 
-    `knows_past` tells whether it has every entry of a shard.  A node has them
-    after the owner under an epoch sent it all of them, for as long as it
-    stands in every later record: an owner runs nothing before each node of
-    its succession has acknowledged the entry.
+    `has_full_history` returns whether the ledger has every entry of a shard.
+    That is so once the owner in some epoch has sent all its entries, and for
+    as long as this node is in the succession of every later record: an owner
+    runs no request before each node of its succession has acknowledged the
+    entry.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._shards: dict[ShardName, dict[str, _Entry]] = {}
-        self._known_epochs: dict[ShardName, int] = {}
+        self._complete_epochs: dict[ShardName, int] = {}
         self._handovers: dict[ShardName, tuple[int, str]] = {}
-        self._unknown_since_ms: dict[ShardName, int] = {}
-        self._last_attempt = 0
+        self._incomplete_since_ms: dict[ShardName, int] = {}
+        self._latest_attempt = 0
         self._count = 0
 
-    def begin(
+    def admit(
         self, shard: ShardName, key: str, fingerprint: str, record: ShardRecord
-    ) -> Verdict:
-        """Decide on a request under the record that its owner acts under."""
+    ) -> LedgerDecision:
+        """Decide whether a request may run, and record it if so.
+
+        `record` is the shard record under which this node is the owner.
+        """
         entry = self._find(shard, key)
         if entry is not None:
-            return _verdict(entry, fingerprint)
-        if not self.knows_past(shard, record):
-            return Verdict.PAST_UNKNOWN
+            return _decide(entry, fingerprint)
+        if not self.has_full_history(shard, record):
+            return LedgerDecision.PAST_UNKNOWN
         if not self._has_room():
-            return Verdict.FULL
-        self._last_attempt += 1
+            return LedgerDecision.FULL
+        self._latest_attempt += 1
         now_ms = self._clock.now_ms()
-        self._put(
+        self._store(
             shard,
             key,
             _Entry(
                 fingerprint,
-                self._last_attempt,
+                self._latest_attempt,
                 RunState.NOTED,
                 now_ms,
                 is_running=True,
             ),
         )
-        return Verdict.FRESH
+        return LedgerDecision.FRESH
 
-    def finish(
+    def record_result(
         self, shard: ShardName, key: str, head: Answer | None, body: bytes
     ) -> None:
-        """Note that a request ran; with its answer if that is to be kept."""
+        """Record that a request ran, with its answer unless `head` is None."""
         entry = self._shards[shard][key]
         entry.is_running = False
         entry.state = RunState.RAN if head is None else RunState.ANSWERED
         entry.head, entry.body = head, body
 
-    def forget(self, shard: ShardName, key: str) -> None:
-        """Drop a request of which it is proved that it did not run."""
+    def remove(self, shard: ShardName, key: str) -> None:
+        """Remove the entry of a request that provably did not run."""
         if self._shards.get(shard, {}).pop(key, None) is not None:
             self._count -= 1
 
-    def answer(self, shard: ShardName, key: str) -> tuple[Answer | None, bytes]:
-        """Return the answer that is kept for a request."""
+    def kept_answer(
+        self, shard: ShardName, key: str
+    ) -> tuple[Answer | None, bytes]:
+        """Return the kept answer to a request: head and body."""
         entry = self._shards[shard][key]
         return entry.head, entry.body
 
     def entry(self, shard: ShardName, key: str) -> LedgerEntry:
-        """Return the entry of a request as it is told to other nodes."""
-        return self._told(key, self._shards[shard][key])
+        """Return the entry of a request in the form sent to other nodes."""
+        return self._to_message(key, self._shards[shard][key])
 
     def entries(self, shard: ShardName) -> tuple[LedgerEntry, ...]:
-        """Return all entries of a shard as they are told to other nodes."""
-        self._drop_old(shard)
-        known = self._shards.get(shard, {})
-        return tuple(self._told(key, entry) for key, entry in known.items())
-
-    def take(self, shard: ShardName, entries: Iterable[LedgerEntry]) -> bool:
-        """Take in entries of another node; tell whether there was room."""
-        for told in entries:
+        """Return all entries of a shard in the form sent to other nodes."""
+        self._evict_expired(shard)
+        entries = self._shards.get(shard, {})
+        return tuple(
+            self._to_message(key, entry) for key, entry in entries.items()
+        )
+
+    def merge(self, shard: ShardName, entries: Iterable[LedgerEntry]) -> bool:
+        """Merge entries of another node; return False if the ledger is full."""
+        for message in entries:
             if not self._has_room():
                 return False
-            self._take_one(shard, told)
+            self._merge_entry(shard, message)
         return True
 
-    def take_whole(self, shard: ShardName, epoch: int) -> None:
-        """Note that all entries of the owner under an epoch are here."""
-        known = self._known_epochs.get(shard, 0)
-        self._known_epochs[shard] = max(known, epoch)
+    def record_complete(self, shard: ShardName, epoch: int) -> None:
+        """Record that the ledger has all entries of the owner in an epoch."""
+        known_epoch = self._complete_epochs.get(shard, 0)
+        self._complete_epochs[shard] = max(known_epoch, epoch)
+
+    def record_handover(
+        self, shard: ShardName, epoch: int, sender: str
+    ) -> None:
+        """Record that `sender` handed over all entries of an epoch.
 
-    def take_handover(self, shard: ShardName, epoch: int, sender: str) -> None:
-        """Note that an owner handed all entries over before it moves."""
+        An owner does so before it moves the shard to another node.
+        """
         self._handovers[shard] = (epoch, sender)
 
-    def follow(self, shard: ShardName, record: ShardRecord) -> bool:
-        """Take in a record that this node stands in.
+    def apply_record(self, shard: ShardName, record: ShardRecord) -> bool:
+        """Apply a shard record whose succession contains this node.
 
-        Tells whether the node has every entry, and then will have those of
-        this record too, since nothing runs under it that it has not noted.
+        Returns whether the ledger has every earlier entry.  If so, it will
+        also have all entries under this record, since no request runs under
+        it before this node has acknowledged the entry.
         """
-        before = record.epoch - 1
+        previous_epoch = record.epoch - 1
         writer = record.mark.writer if record.mark else ''
-        handed = self._handovers.get(shard) == (before, writer)
-        if handed or self._known_epochs.get(shard, 0) >= before:
-            self.take_whole(shard, record.epoch)
+        was_handed_over = self._handovers.get(shard) == (previous_epoch, writer)
+        if (
+            was_handed_over
+            or self._complete_epochs.get(shard, 0) >= previous_epoch
+        ):
+            self.record_complete(shard, record.epoch)
             return True
         return False
 
-    def knows_past(self, shard: ShardName, record: ShardRecord) -> bool:
-        """Tell whether the owner under a record has all earlier entries."""
-        if self.follow(shard, record):
+    def has_full_history(self, shard: ShardName, record: ShardRecord) -> bool:
+        """Return whether the owner under a record has all earlier entries.
+
+        That is also so once the retention has passed: older entries would
+        have expired.
+        """
+        if self.apply_record(shard, record):
             return True
-        if self._has_outlived(shard):
-            self.take_whole(shard, record.epoch)
+        if self._has_passed_retention(shard):
+            self.record_complete(shard, record.epoch)
             return True
         return False
 
-    def _has_outlived(self, shard: ShardName) -> bool:
+    def _has_passed_retention(self, shard: ShardName) -> bool:
         now_ms = self._clock.now_ms()
-        since_ms = self._unknown_since_ms.setdefault(shard, now_ms)
+        since_ms = self._incomplete_since_ms.setdefault(shard, now_ms)
         return now_ms - since_ms >= RETENTION_MS
 
     def _find(self, shard: ShardName, key: str) -> _Entry | None:
         entry = self._shards.get(shard, {}).get(key)
-        if entry is None or not self._is_old(entry):
+        if entry is None or not self._is_expired(entry):
             return entry
-        self.forget(shard, key)
+        self.remove(shard, key)
         return None
 
     def _has_room(self) -> bool:
-        if self._count >= CAPACITY:
+        if self._count >= MAX_ENTRIES:
             for shard in tuple(self._shards):
-                self._drop_old(shard)
-        return self._count < CAPACITY
-
-    def _drop_old(self, shard: ShardName) -> None:
-        known = self._shards.get(shard, {})
-        old = [key for key, entry in known.items() if self._is_old(entry)]
-        for key in old:
-            self.forget(shard, key)
-
-    def _is_old(self, entry: _Entry) -> bool:
-        age_ms = self._clock.now_ms() - entry.noted_ms
+                self._evict_expired(shard)
+        return self._count < MAX_ENTRIES
+
+    def _evict_expired(self, shard: ShardName) -> None:
+        entries = self._shards.get(shard, {})
+        expired_keys = [
+            key for key, entry in entries.items() if self._is_expired(entry)
+        ]
+        for key in expired_keys:
+            self.remove(shard, key)
+
+    def _is_expired(self, entry: _Entry) -> bool:
+        age_ms = self._clock.now_ms() - entry.recorded_ms
         return age_ms >= RETENTION_MS and not entry.is_running
 
-    def _put(self, shard: ShardName, key: str, entry: _Entry) -> None:
-        known = self._shards.setdefault(shard, {})
-        self._count += key not in known
-        known[key] = entry
+    def _store(self, shard: ShardName, key: str, entry: _Entry) -> None:
+        entries = self._shards.setdefault(shard, {})
+        self._count += key not in entries
+        entries[key] = entry
 
-    def _take_one(self, shard: ShardName, told: LedgerEntry) -> None:
-        self._last_attempt = max(self._last_attempt, told.attempt)
-        known = self._shards.get(shard, {}).get(told.key)
-        state = RunState[told.state]
+    def _merge_entry(self, shard: ShardName, message: LedgerEntry) -> None:
+        self._latest_attempt = max(self._latest_attempt, message.attempt)
+        known = self._shards.get(shard, {}).get(message.key)
+        state = RunState[message.state]
         if known is not None and (known.attempt, known.state) > (
-            told.attempt,
+            message.attempt,
             state,
         ):
             return
         if state is RunState.FORGOTTEN:
-            self.forget(shard, told.key)
+            self.remove(shard, message.key)
             return
-        noted_ms = self._clock.now_ms() - told.age_ms
+        recorded_ms = self._clock.now_ms() - message.age_ms
         entry = _Entry(
-            told.fingerprint,
-            told.attempt,
+            message.fingerprint,
+            message.attempt,
             state,
-            noted_ms,
-            told.head,
-            told.body,
+            recorded_ms,
+            message.head,
+            message.body,
         )
-        self._put(shard, told.key, entry)
+        self._store(shard, message.key, entry)
 
-    def _told(self, key: str, entry: _Entry) -> LedgerEntry:
+    def _to_message(self, key: str, entry: _Entry) -> LedgerEntry:
         return LedgerEntry(
             key,
             entry.fingerprint,
             entry.attempt,
             entry.state.name,
-            self._clock.now_ms() - entry.noted_ms,
+            self._clock.now_ms() - entry.recorded_ms,
             entry.head,
             entry.body,
         )
 
 
-def _verdict(entry: _Entry, fingerprint: str) -> Verdict:
+def _decide(entry: _Entry, fingerprint: str) -> LedgerDecision:
     if entry.fingerprint != fingerprint:
-        return Verdict.MISMATCH
+        return LedgerDecision.MISMATCH
     if entry.is_running:
-        return Verdict.RUNNING
+        return LedgerDecision.RUNNING
     if entry.state is RunState.ANSWERED:
-        return Verdict.ANSWERED
-    return Verdict.RAN
+        return LedgerDecision.ANSWERED
+    return LedgerDecision.RAN
--- a/laburnumwood/routing/observed.py
+++ b/laburnumwood/routing/observed.py
@@ -1,53 +1,53 @@
-"""What admission learns from the answers that pass the gate."""
+"""Observation of answers at the gate, for admission control."""
 
 from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
 
-from laburnumwood.admission.tickets import Result, Ticket
+from laburnumwood.admission.tickets import Ticket, TicketResult
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
 from laburnumwood.protocol.messages import Answer, Failure, WholeAnswer
-from laburnumwood.protocol.outlet import LONG, Outlet
-from laburnumwood.routing.exchange import Exchange, WrappedExchange
-
-_SHEDDING = frozenset((429, 503))
-_RESULT_OF = {
-    'refused': Result.REFUSED,
-    'rejected': Result.REJECTED,
-    'worker-cut': Result.LOST,
-    'worker-unreachable': Result.LOST,
+from laburnumwood.protocol.outlet import LARGE_MESSAGE_SIZE, SendQueue
+from laburnumwood.routing.exchange import Exchange, ExchangeWrapper
+
+_OVERLOAD_STATUSES = frozenset((429, 503))
+_RESULT_BY_KIND = {
+    'refused': TicketResult.REFUSED,
+    'rejected': TicketResult.REJECTED,
+    'worker-cut': TicketResult.LOST,
+    'worker-unreachable': TicketResult.LOST,
 }
 
 
-_LENGTHS_HALF_LIFE_MS = 5_000
+_LENGTH_HALF_LIFE_MS = 5_000
 
 
-class LongAnswers:
-    """How long the answers to requests of a rank wait for their turn."""
+class LongAnswerDelays:
+    """Estimate of how long answers wait for the outlet, by rank."""
 
-    def __init__(self, outlet: Outlet, clock: Clock) -> None:
-        self._outlet = outlet
-        self._lengths: dict[int, DecayingMean] = defaultdict(
-            lambda: DecayingMean(_LENGTHS_HALF_LIFE_MS, clock)
+    def __init__(self, send_queue: SendQueue, clock: Clock) -> None:
+        self._send_queue = send_queue
+        self._mean_lengths: dict[int, DecayingMean] = defaultdict(
+            lambda: DecayingMean(_LENGTH_HALF_LIFE_MS, clock)
         )
 
-    def note(self, rank: int, length: int) -> None:
-        """Take in how long an answer was."""
-        self._lengths[rank].note(length)
+    def record(self, rank: int, length: int) -> None:
+        """Record the length of an answer in bytes."""
+        self._mean_lengths[rank].add(length)
 
-    def wait_ms(self, rank: int) -> int:
-        """Return how long an answer would wait, if it is a long one."""
-        if self._lengths[rank].mean < LONG:
+    def expected_wait_ms(self, rank: int) -> int:
+        """Return the expected wait of an answer in ms; 0 for short ones."""
+        if self._mean_lengths[rank].mean < LARGE_MESSAGE_SIZE:
             return 0
-        return round(self._outlet.waiting_ms)
+        return round(self._send_queue.queueing_delay_ms)
 
 
-class ObservedExchange(WrappedExchange):
-    """An exchange that notes on a ticket how its request went.
+class ObservedExchange(ExchangeWrapper):
+    """An exchange that records the result of its request on the ticket.
 
-    `when_whole` is called with the length of an answer once the worker has
-    nothing more to do for it.
+    `on_whole_answer` is called with the length of an answer once the worker
+    has finished it.
     """
 
     def __init__(
@@ -55,29 +55,29 @@
         exchange: Exchange,
         ticket: Ticket,
         clock: Clock,
-        when_whole: Callable[[int], None],
+        on_whole_answer: Callable[[int], None],
     ) -> None:
         super().__init__(exchange)
-        self._when_whole = when_whole
+        self._on_whole_answer = on_whole_answer
         self._ticket = ticket
         self._clock = clock
-        self.told: Failure | None = None
+        self.failure: Failure | None = None
 
     def send(self, message: Any) -> None:
         """Send a message; raises `LinkLostError`."""
         if isinstance(message, Answer):
-            self._note(message)
+            self._record_answer(message)
             if isinstance(message, WholeAnswer):
-                # The worker is done with it.
-                self._when_whole(len(message.body))
+                # The worker has finished the request.
+                self._on_whole_answer(len(message.body))
         elif isinstance(message, Failure):
-            self.told = message
-            result = _RESULT_OF.get(message.kind)
+            self.failure = message
+            result = _RESULT_BY_KIND.get(message.kind)
             self._ticket.result = result or self._ticket.result
         super().send(message)
 
-    def _note(self, answer: Answer) -> None:
-        if answer.status in _SHEDDING:
-            self._ticket.result = Result.REFUSED
+    def _record_answer(self, answer: Answer) -> None:
+        if answer.status in _OVERLOAD_STATUSES:
+            self._ticket.result = TicketResult.REFUSED
         else:
             self._ticket.answer(self._clock.now_ms())
--- /dev/null
+++ b/laburnumwood/routing/request_parsing.py
@@ -0,0 +1,186 @@
+"""Parsing of a caller's request from its WSGI environment."""
+
+import re
+from typing import Any
+from urllib.parse import parse_qs
+from uuid import uuid4
+
+from eventlet import Timeout
+from eventlet.wsgi import ChunkReadError
+
+from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.config.declarations import KeySource, Service
+from laburnumwood.errors import LaburnumwoodError
+from laburnumwood.placement.sharding import initial_shard
+from laburnumwood.protocol.messages import Work
+from laburnumwood.routing.headers import forwarded_headers, header_values
+from laburnumwood.routing.problems import make_failure
+
+Environ = dict[str, Any]
+
+REQUEST_HEADER = 'Laburnumwood-Request'
+IDEMPOTENCY_HEADER = 'Idempotency-Key'
+_DEADLINE_HEADER = 'Laburnumwood-Deadline-Ms'
+_MAX_IDENTIFIER_LENGTH = 256  # characters of a request id or key
+_READ_SIZE = 65_536  # bytes
+_INTEGER = re.compile('-?[0-9]{1,12}')
+_METHOD = re.compile('[A-Z]{1,20}')
+_PRINTABLE = re.compile(r'[^\x00-\x1f\x7f]+')
+
+
+class RequestRefusedError(LaburnumwoodError):
+    """A request that is refused before it is sent to a node."""
+
+    def __init__(self, kind: str, detail: str) -> None:
+        super().__init__(detail)
+        self.failure = make_failure(kind, detail, ran=False)
+
+
+def _single_header(environ: Environ, name: str) -> str:
+    values = set(header_values(environ['headers_raw'], name))
+    if len(values) > 1:
+        raise RequestRefusedError('bad-request', f'{name} stands twice')
+    return values.pop() if values else ''
+
+
+def _identifier_header(environ: Environ, name: str) -> str:
+    text = _single_header(environ, name)
+    if text and not _is_identifier(text):
+        raise RequestRefusedError('bad-request', f'{name} is not usable')
+    return text
+
+
+def _is_identifier(text: str) -> bool:
+    return len(text) <= _MAX_IDENTIFIER_LENGTH and bool(
+        _PRINTABLE.fullmatch(text)
+    )
+
+
+def _extract_key(environ: Environ, source: KeySource) -> str:
+    if source.source == 'header':
+        return _single_header(environ, source.name)
+    if source.source == 'query':
+        fields = parse_qs(environ.get('QUERY_STRING', ''))
+        values = set(fields.get(source.name, ()))
+        if len(values) > 1:
+            raise RequestRefusedError('bad-request', 'the key stands twice')
+        return values.pop() if values else ''
+    segments = environ['PATH_INFO'].split('/')[2:]
+    position = int(source.name) - 1
+    return segments[position] if position < len(segments) else ''
+
+
+def find_shard_and_key(environ: Environ, service: Service) -> tuple[int, str]:
+    """Return the shard number and the key of a request.
+
+    The number is -1 for a service that is not divided by key.  Raises
+    `RequestRefusedError` if the key is missing or invalid.
+    """
+    if service.key is None:
+        return -1, ''
+    key = _extract_key(environ, service.key)
+    if not key:
+        where = f'{service.key.source} {service.key.name}'
+        raise RequestRefusedError('no-key', f'the key is expected in {where}')
+    if not _is_identifier(key):
+        raise RequestRefusedError('bad-request', 'the key is not usable')
+    try:
+        return initial_shard(key, service), key
+    except ValueError as error:
+        raise RequestRefusedError('bad-request', str(error)) from error
+
+
+def _target(environ: Environ) -> str:
+    # The raw path keeps the caller's own percent-encoding.
+    segments = environ['RAW_PATH_INFO'].split('/')[2:]
+    path = '/'.join(segments)
+    query = environ.get('QUERY_STRING', '')
+    return f'/work/{path}?{query}' if query else f'/work/{path}'
+
+
+def _read_stream(environ: Environ, max_bytes: int) -> bytes:
+    stream = environ['wsgi.input']
+    body = bytearray()
+    while chunk := stream.read(_READ_SIZE):
+        body.extend(chunk)
+        if len(body) > max_bytes:
+            raise RequestRefusedError('too-large', f'over {max_bytes} bytes')
+    return bytes(body)
+
+
+def read_body(environ: Environ, max_bytes: int, deadline_ms: int) -> bytes:
+    """Return the whole body of a request; raises `RequestRefusedError`."""
+    content_length = environ.get('CONTENT_LENGTH')
+    if not content_length and not environ['wsgi.input'].chunked_input:
+        return b''
+    if content_length and int(content_length) > max_bytes:
+        raise RequestRefusedError('too-large', f'over {max_bytes} bytes')
+    too_late = RequestRefusedError('deadline', 'the body did not come in time')
+    try:
+        with Timeout(deadline_ms / MS_PER_SECOND, too_late):
+            body = _read_stream(environ, max_bytes)
+    except (ChunkReadError, OSError) as error:
+        raise RequestRefusedError('bad-request', f'body: {error}') from error
+    if content_length and len(body) != int(content_length):
+        raise RequestRefusedError('bad-request', 'the body is too short')
+    return body
+
+
+def _deadline_ms(environ: Environ, service: Service) -> int:
+    text = _single_header(environ, _DEADLINE_HEADER) or str(service.deadline_ms)
+    if not _INTEGER.fullmatch(text):
+        raise RequestRefusedError('bad-request', f'deadline of {text!r} ms')
+    if int(text) <= 0:
+        raise RequestRefusedError('deadline', 'it had passed on arrival')
+    return min(int(text), service.deadline_ms)
+
+
+def read_request_id(environ: Environ) -> str:
+    """Return the request id given by the caller, or a new one."""
+    text = ''.join(header_values(environ['headers_raw'], REQUEST_HEADER)[:1])
+    return text if text and _is_identifier(text) else uuid4().hex
+
+
+def validate_head(environ: Environ) -> None:
+    """Raise `RequestRefusedError` for an invalid method or header."""
+    method = environ['REQUEST_METHOD']
+    if not _METHOD.fullmatch(method) or method == 'CONNECT':
+        raise RequestRefusedError('bad-request', f'method {method!r}')
+    for name, text in environ['headers_raw']:
+        if '\n' in text or '\r' in text:
+            raise RequestRefusedError('bad-request', f'{name} spans lines')
+
+
+def _service_name(environ: Environ) -> str:
+    return ''.join(environ['RAW_PATH_INFO'].split('/', 2)[1:2])
+
+
+def read_request(
+    environ: Environ, services: dict[str, Service], request_id: str
+) -> tuple[Work, bytes]:
+    """Return a caller's request and its whole body.
+
+    Raises `RequestRefusedError` for a request that can't be forwarded.
+    """
+    name = _service_name(environ)
+    service = services.get(name)
+    if service is None:
+        raise RequestRefusedError('unknown-service', f'no service {name!r}')
+    validate_head(environ)
+    shard, key = find_shard_and_key(environ, service)
+    deadline_ms = _deadline_ms(environ, service)
+    idempotency_key = _identifier_header(environ, IDEMPOTENCY_HEADER)
+    body = read_body(environ, service.longest_body, deadline_ms)
+    return Work(
+        request_id=request_id,
+        service=name,
+        shard=shard,
+        key=key,
+        method=environ['REQUEST_METHOD'],
+        target=_target(environ),
+        headers=forwarded_headers(environ['headers_raw']),
+        body_length=len(body),
+        deadline_ms=deadline_ms,
+        idempotent=environ['REQUEST_METHOD'] in service.idempotent_methods,
+        idempotency_key=idempotency_key,
+    ), body
--- a/laburnumwood/routing/routes.py
+++ b/laburnumwood/routing/routes.py
@@ -1,4 +1,4 @@
-"""Finding the route of a request by its host and path."""
+"""Lookup of the route of a request by host and path."""
 
 from random import Random
 
@@ -10,25 +10,28 @@
 
 
 class RouteTable:
-    """The routes of one configuration, by host, longest prefix first."""
+    """The routes of one configuration, by host and path prefix."""
 
-    def __init__(self, declared: Declarations) -> None:
+    def __init__(self, declarations: Declarations) -> None:
         self._by_host: dict[str, list[Route]] = {}
-        routes = declared.routes.values()
-        for each in sorted(routes, key=_prefix_length, reverse=True):
-            self._by_host.setdefault(each.host.lower(), []).append(each)
+        routes = declarations.routes.values()
+        for route in sorted(routes, key=_prefix_length, reverse=True):
+            self._by_host.setdefault(route.host.lower(), []).append(route)
 
     def find(self, host: str, path: str) -> Route | None:
-        """Return the route of a host whose prefix is the longest of a path."""
+        """Return the route of a host with the longest matching prefix."""
         routes = self._by_host.get(host.lower(), ())
         return next(
-            (each for each in routes if path.startswith(each.path_prefix)),
+            (route for route in routes if path.startswith(route.path_prefix)),
             None,
         )
 
 
 def choose_service(route: Route, random: Random) -> str:
-    """Return one of the services of a route, by their weights."""
+    """Return a service of a route, drawn at random by weight.
+
+    If all weights are 0, it is the first one.
+    """
     if len(route.services) == 1:
         return next(iter(route.services))
     names, weights = zip(*route.services.items(), strict=True)
--- a/laburnumwood/store/wrapped.py
+++ b/laburnumwood/store/wrapped.py
@@ -1,4 +1,4 @@
-"""A store that passes its calls on to another one."""
+"""A base class for stores that forward calls to another store."""
 
 from collections.abc import Callable
 from functools import partial
@@ -7,35 +7,35 @@
 from laburnumwood.records import StoredObject
 from laburnumwood.store.interface import Store
 
-_Found = TypeVar('_Found')
+_Result = TypeVar('_Result')
 
 
-class WrappedStore:
-    """Passes everything on; subclasses look at the calls that they need."""
+class StoreWrapper:
+    """Forwards all calls; subclasses override the calls that they change."""
 
     def __init__(self, store: Store) -> None:
         self._store = store
 
     @property
     def scopes(self) -> tuple[str, ...]:
-        """Return the prefixes to list and watch that make up the whole."""
+        """Return the prefixes to list and watch to cover all objects."""
         return self._store.scopes
 
     def get(self, name: str) -> StoredObject | None:
-        """Return an object, or None if there is none of that name."""
-        return self._pass_on(partial(self._store.get, name))
+        """Return the object with a name, or None if it does not exist."""
+        return self._forward(partial(self._store.get, name))
 
     def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
-        """Return the objects under a prefix and the store's revision."""
-        return self._pass_on(partial(self._store.list, prefix))
+        """Return the objects with a prefix, and the revision of the store."""
+        return self._forward(partial(self._store.list, prefix))
 
     def create(self, name: str, value: dict[str, Any]) -> int:
         """Create an object and return its version."""
-        return self._pass_on(partial(self._store.create, name, value))
+        return self._forward(partial(self._store.create, name, value))
 
     def update(self, name: str, value: dict[str, Any], version: int) -> int:
-        """Replace the given version of an object and return the new one."""
-        return self._pass_on(partial(self._store.update, name, value, version))
+        """Replace a version of an object and return the new version."""
+        return self._forward(partial(self._store.update, name, value, version))
 
     def watch(
         self,
@@ -45,8 +45,8 @@
         *,
         may_be_stale: bool = False,
     ) -> tuple[tuple[StoredObject, ...], int]:
-        """Wait for changes under a prefix after a revision."""
-        return self._pass_on(
+        """Wait for changes of objects with a prefix after a revision."""
+        return self._forward(
             partial(
                 self._store.watch,
                 prefix,
@@ -56,5 +56,5 @@
             )
         )
 
-    def _pass_on(self, call: Callable[[], _Found]) -> _Found:
+    def _forward(self, call: Callable[[], _Result]) -> _Result:
         return call()
--- a/laburnumwood/upstream/lives.py
+++ b/laburnumwood/upstream/lives.py
@@ -1,44 +1,45 @@
-"""Which life of the worker is the present one."""
+"""Tracking of the worker's process instances by its reports."""
 
 from enum import Enum
 
 from laburnumwood.upstream.reports import WorkerReport
 
 
-class LifeNews(Enum):
-    """What a report says of the worker's life."""
+class ReportStatus(Enum):
+    """How a report relates to the reports before it."""
 
-    SAME = 'the life that is known goes on'
-    NEW = 'another life of the worker has begun'
-    LATE = 'it was overtaken by a newer report'
+    SAME_INSTANCE = 'the life that is known goes on'
+    NEW_INSTANCE = 'another life of the worker has begun'
+    STALE = 'it was overtaken by a newer report'
 
 
-class WorkerLives:
-    """Tells reports of the present life from those that come late.
+class WorkerInstanceTracker:
+    """Distinguishes new, current and stale reports of the worker.
 
-    A worker's process keeps nothing when it starts anew, even if it keeps
-    its id, so that its start time tells lives apart.
+    A restarted worker holds nothing, even if it keeps its id.  Instances are
+    therefore distinguished by their start time, and by the id if two started
+    at the same time.
     """
 
     def __init__(self) -> None:
-        self._life: tuple[int, str] | None = None
-        self._number = -1
+        self._instance: tuple[int, str] | None = None
+        self._last_sequence_number = -1
 
     @property
     def worker_id(self) -> str:
-        """Return the id of the present life, empty before the first."""
-        return self._life[1] if self._life else ''
-
-    def note(self, report: WorkerReport) -> LifeNews:
-        """Take in a report and tell what it says of the life."""
-        life = report.started_ms, report.worker_id
-        if self._life is not None and life < self._life:
-            return LifeNews.LATE
-        if life != self._life:
-            self._life = life
-            self._number = report.number
-            return LifeNews.NEW
-        if report.number <= self._number:
-            return LifeNews.LATE
-        self._number = report.number
-        return LifeNews.SAME
+        """Return the id of the current instance, '' before the first report."""
+        return self._instance[1] if self._instance else ''
+
+    def record_report(self, report: WorkerReport) -> ReportStatus:
+        """Record a report and return how it relates to earlier ones."""
+        instance = report.started_ms, report.worker_id
+        if self._instance is not None and instance < self._instance:
+            return ReportStatus.STALE
+        if instance != self._instance:
+            self._instance = instance
+            self._last_sequence_number = report.sequence_number
+            return ReportStatus.NEW_INSTANCE
+        if report.sequence_number <= self._last_sequence_number:
+            return ReportStatus.STALE
+        self._last_sequence_number = report.sequence_number
+        return ReportStatus.SAME_INSTANCE
