Tell in logs which life of a worker has which tokens

What the logs did not say: under which incarnation and token a node owns a shard, to which instance of the worker keys were given, that a report was ignored as stale, and that a worker has tokens which this process has not granted (TokenHistory, so far for the log only). No decision changes.

--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -330,6 +330,20 @@
     'a header in which the worker describes itself is invalid and is ignored',
     'check the worker on this VM',
 )
+REPORT_STALE = _event(
+    621,
+    logbook.WARNING,
+    'report-stale',
+    'a report was overtaken by a newer one, or is of an earlier instance',
+    'if this goes on, compare the clocks that its instances started by',
+)
+TOKENS_REPORTED = _event(
+    622,
+    logbook.WARNING,
+    'tokens-reported',
+    'the worker reports tokens that this process has not granted it',
+    'no action required if this node was restarted beside its worker',
+)
 REQUEST_FAILED = _event(
     701,
     logbook.INFO,
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -312,11 +312,14 @@
             self._held_shards.drop_lost(shard, state.value)
 
     def _hold(self, shard: ShardName, record: ShardRecord) -> None:
-        if not self._held_shards.hold(shard, fencing_token(record, self._own)):
+        token = fencing_token(record, self._own)
+        if not self._held_shards.hold(shard, token):
             return
         is_successor = succession_rank(record, self._own) > 0
         event = SHARD_TAKEN_OVER if is_successor else SHARD_CLAIMED
-        event.report(shard=shard, epoch=record.epoch)
+        event.report(
+            shard=shard, epoch=record.epoch, token=token, node=self._own
+        )
 
     def _needs_write(
         self, shard: ShardName, entry: VersionedRecord[ShardRecord]
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -4,7 +4,7 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
-from laburnumwood.events import WORKER_LEAVES, WORKER_SILENT
+from laburnumwood.events import REPORT_STALE, WORKER_LEAVES, WORKER_SILENT
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.instances import ReportStatus, WorkerInstanceTracker
 from laburnumwood.upstream.reports import WorkerReport
@@ -85,6 +85,7 @@
         is_first = self._last_report_ms is None
         status = self._instances.record_report(report)
         if status is ReportStatus.STALE:
+            self._log_stale(report)
             return status
         if status is ReportStatus.NEW_INSTANCE:
             self._leaving_since_ms = None
@@ -140,6 +141,15 @@
     def _silent_ms(self) -> int:
         return self._clock.now_ms() - (self._last_report_ms or 0)
 
+    def _log_stale(self, report: WorkerReport) -> None:
+        REPORT_STALE.report(
+            worker=report.worker_id,
+            started_ms=report.started_ms,
+            sequence_number=report.sequence_number,
+            current=self.worker_id,
+            current_started_ms=self.started_ms,
+        )
+
     def _record_interval(self, status: ReportStatus) -> None:
         interval_ms = self._silent_ms
         self._last_report_ms = self._clock.now_ms()
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -34,6 +34,7 @@
     GrantReply,
     WorkerReport,
 )
+from laburnumwood.upstream.token_history import TokenHistory
 from laburnumwood.upstream.worker_signals import WorkerSignals
 
 _EMPTY_GRANT_MS = 1_000  # duration of a reply that grants nothing
@@ -101,6 +102,10 @@
     is_withdrawn: bool = False
     is_reported: bool = False
 
+    def has_keys_of(self, other: '_Grant') -> bool:
+        """Return whether another grant is for the same keys and token."""
+        return self.token == other.token and self.ranges == other.ranges
+
     def inherit(self, previous: '_Grant | None') -> None:
         """Adopt what is still valid of the previous grant of the shard."""
         if previous is None:
@@ -125,6 +130,7 @@
         self._withdrawn: set[ShardName] = set()
         self._highest_tokens: dict[ShardName, int] = {}  # ever granted
         self._used_tokens: dict[ShardName, int] = {}  # of earlier instances
+        self._tokens = TokenHistory()
         self._handovers = Handovers()
         self._logged_truncation = (0, 0)
         self.presence = Presence(settings, clock)
@@ -248,11 +254,13 @@
         if self._source is not None:
             for shard in self._highest_tokens:
                 self._source.require_higher_token(shard)
+        self._tokens.begin_instance()
         self._grants.clear()
         self._handovers.clear()
         self.signals.begin_instance()
 
     def _record_held(self, report: WorkerReport) -> None:
+        self._tokens.record_report(report)
         held = _HeldKeys(report)
         released_shards: list[ShardName] = []
         for shard in tuple(self._grants):
@@ -279,6 +287,7 @@
             grant = _Grant(
                 source, token, now_ms + left_ms, source.stripes(shard)
             )
+            self._record_granted(shard, grant)
             grant.inherit(self._grants.get(shard))
             self._grants[shard] = grant
             self._highest_tokens[shard] = max(
@@ -287,6 +296,11 @@
         rows = tuple(self._granted_ranges(wanted, source))
         return GrantReply(rows, duration_ms)
 
+    def _record_granted(self, shard: ShardName, grant: _Grant) -> None:
+        previous = self._grants.get(shard)
+        if previous is None or not previous.has_keys_of(grant):
+            self._tokens.record(grant.ranges, grant.token)
+
     def _reply_without_lease(self, source: GrantSource) -> GrantReply:
         """Return the reply of a node whose lease is too short for grants.
 
@@ -340,7 +354,12 @@
             if shard not in self._grants or self._grants[shard].token != token
         ]
         if new_grants:
-            KEYS_GIVEN.report(shards=_join(new_grants), lasts_ms=duration_ms)
+            KEYS_GIVEN.report(
+                shards=_join(new_grants),
+                lasts_ms=duration_ms,
+                worker=self.presence.worker_id,
+                started_ms=self.presence.started_ms,
+            )
 
     def _encoded_size(self, shard: ShardName, source: GrantSource) -> int:
         handovers = self._handovers_for(shard, source)
