--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -139,3 +139,64 @@
     When the node also holds shard 0
     And the worker reports
     Then it is granted the shards "1" for 2940 ms
+
+  # Guards against keys without service: a life of the worker that began by a
+  # clock that was behind counted as ended, for as long as it lived.
+  Scenario: an instance with an earlier start replaces one that is silent
+    When the worker reports
+    And the worker starts again by a clock that is 2000 ms behind
+    And the worker reports for 2500 ms
+    Then no grant is renewed
+    When the worker reports for 3000 ms
+    Then it is granted the shards ""
+    And the shards "1 2" need higher tokens
+    When the node holds both shards with higher tokens
+    And the worker reports
+    Then it is granted the shards "1 2" for 2940 ms
+
+  # Guards against an ended instance in place of a new one: its reports were
+  # held up, and arrive all at once while the new one is silent.
+  Scenario: reports that were held up do not replace a silent instance
+    When the worker reports
+    And 10000 ms pass
+    And 5 reports of an earlier instance arrive
+    Then no grant is renewed
+    When the worker reports
+    And 2000 ms pass
+    And 5 reports of an earlier instance arrive
+    Then no grant is renewed
+
+  # Guards against a key that goes to a later instance under the token of an
+  # earlier one: the key belongs to a shard of another name by then.
+  Scenario: a new instance gets only higher tokens for keys that changed shards
+    When the worker reports
+    And a new instance of the worker reports
+    And the node holds another shard with the first key of shard 1 under token 8
+    And the worker reports
+    Then it is granted the shards ""
+    And the other shard needs a higher token
+    When the node holds the other shard under token 9
+    And the worker reports
+    Then it is granted the first key of shard 1 under token 9
+
+  # Guards against a key that goes to a later instance under the token of an
+  # earlier one: an earlier process of the node had granted it.
+  Scenario: a new instance gets only higher tokens than an earlier one reported
+    Given a node that holds shard 1 under token 8
+    When the worker reports that it holds shard 2
+    And a new instance of the worker reports
+    And the node holds shard 2 under token 8
+    And the worker reports
+    Then it is granted the shards ""
+    And the shards "1 2" need higher tokens
+
+  # Guards against keys that are granted in vain: a worker accepts no token below
+  # one that it has seen.
+  Scenario: a shard is not granted under a lower token than the worker reports
+    Given a node that holds shard 1 under token 7
+    When the worker reports that it holds shard 1
+    Then it is granted the shards ""
+    And the shards "1" need higher tokens
+    When the node holds shard 1 under token 8
+    And the worker reports
+    Then it is granted the shards "1" for 2940 ms
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -18,7 +18,9 @@
 SERVICE = Service(
     key=KeySource(source='header', name='Key'), shards=64, stripe_width=64
 )
-STARTED_MS = 1_000
+STARTED_MS = 10_000
+REPORT_INTERVAL_MS = 500
+SPLIT_SHARD = ShardName('keyed', 1_000_000)
 
 
 def shard(number: int) -> ShardName:
@@ -37,6 +39,7 @@
     def __init__(self) -> None:
         self.held_shards = HeldShards()
         self.lease_until_ms = 0
+        self.split_keys = KeyRange(0, 0)
 
     def tokens(self) -> dict[ShardName, int]:
         """Return the shards held, with their tokens."""
@@ -56,6 +59,8 @@
 
     def stripes(self, name: ShardName) -> tuple[KeyRange, ...]:
         """Return the key ranges of a shard."""
+        if name == SPLIT_SHARD:
+            return (self.split_keys,)
         return stripes(name.number)
 
     def handovers(self, name: ShardName) -> tuple[str, ...]:
@@ -90,6 +95,12 @@
     _make(context, ReportSettings(), 0)
 
 
+@given('a node that holds shard {number:d} under token {token:d}')
+def make_node_with_token(context: Context, number: int, token: int) -> None:
+    _make(context, ReportSettings(), context.lease_ms)
+    hold_under_token(context, number, token)
+
+
 @given('replies of at most {size:d} bytes')
 def limit_replies(context: Context, size: int) -> None:
     _make(context, ReportSettings(most_bytes=size), context.lease_ms)
@@ -191,6 +202,26 @@
     context.reply = context.worker.handle_report(context.last)
 
 
+@when('{count:d} reports of an earlier instance arrive')
+def report_earlier_often(context: Context, count: int) -> None:
+    for _ in range(count):
+        report_earlier(context)
+
+
+@when('the worker starts again by a clock that is {behind:d} ms behind')
+def start_by_late_clock(context: Context, behind: int) -> None:
+    context.instance -= behind
+    context.number = 0
+
+
+@when('the worker reports for {span:d} ms')
+def report_for(context: Context, span: int) -> None:
+    for _ in range(span // REPORT_INTERVAL_MS):
+        context.clock.pass_ms(REPORT_INTERVAL_MS)
+        _renew(context)
+        _report(context)
+
+
 @when('a new instance of the worker reports')
 def report_new_instance(context: Context) -> None:
     context.instance += 1
@@ -224,6 +255,38 @@
         context.source.held_shards.hold(shard(number), 16)
 
 
+@when('the node holds shard {number:d} under token {token:d}')
+def hold_under_token(context: Context, number: int, token: int) -> None:
+    context.source.held_shards.hold(shard(number), token)
+
+
+@when(
+    'the node holds another shard with the first key of shard {number:d} '
+    'under token {token:d}'
+)
+def hold_split_shard(context: Context, number: int, token: int) -> None:
+    key = stripes(number)[0].first
+    context.source.split_keys = KeyRange(key, key)
+    hold_split_shard_higher(context, token)
+
+
+@when('the node holds the other shard under token {token:d}')
+def hold_split_shard_higher(context: Context, token: int) -> None:
+    context.source.held_shards.hold(SPLIT_SHARD, token)
+
+
+@then('the other shard needs a higher token')
+def check_split_shard_needs_token(context: Context) -> None:
+    assert context.source.held_shards.needs_new_token(SPLIT_SHARD)
+
+
+@then('it is granted the first key of shard {number:d} under token {token:d}')
+def check_key_granted(context: Context, number: int, token: int) -> None:
+    key = stripes(number)[0].first
+    rows = [(row.keys, row.token) for row in context.reply.ranges]
+    assert rows == [(KeyRange(key, key), token)], rows
+
+
 @when('the node also holds shard {number:d}')
 def hold_another(context: Context, number: int) -> None:
     context.source.held_shards.hold(shard(number), 8)
