Remember by keys which tokens earlier instances of a worker had

The memory of used tokens was kept by the name of a shard, and only of what this process had granted: a key that had come into a shard of another name, and a token that an earlier process of the node had granted, were not covered; a token below the one that a worker has was granted in vain, since it refuses it.

Now TokenHistory keeps it by ranges of keys and takes what workers report as used, and a node that needs a higher token writes its record with an epoch that reaches it, in one write.

--- a/laburnumwood/daemon/grant_source.py
+++ b/laburnumwood/daemon/grant_source.py
@@ -41,9 +41,9 @@
         """Stop admitting requests to a shard."""
         self._held_shards.close(shard)
 
-    def require_higher_token(self, shard: ShardName) -> None:
-        """Request a higher token, which a restarted worker needs."""
-        self._held_shards.invalidate_token(shard)
+    def require_token(self, shard: ShardName, least: int) -> None:
+        """Request a token that is at least as high as a given one."""
+        self._held_shards.require_token(shard, least)
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the key ranges of a shard.
--- a/laburnumwood/placement/held_shards.py
+++ b/laburnumwood/placement/held_shards.py
@@ -11,7 +11,12 @@
     token: int
     running: int = 0
     is_closed: bool = False
-    needs_new_token: bool = False
+    least_token: int = 0  # a lower one can't be used
+
+    @property
+    def needs_new_token(self) -> bool:
+        """Return whether the shard can't be served under its token."""
+        return self.token < self.least_token
 
 
 class ShardUse:
@@ -51,21 +56,25 @@
         """Hold a shard under a fencing token.
 
         Return whether it was not held before.  The token of a held shard
-        never decreases; a higher one makes an invalidated shard usable again.
+        never decreases.
         """
         held = self._held.get(shard)
         if held is not None:
-            held.needs_new_token = held.needs_new_token and token <= held.token
             held.token = max(token, held.token)
             return False
         self._held[shard] = _HeldShard(token)
         return True
 
-    def invalidate_token(self, shard: ShardName) -> None:
-        """Mark the token of a held shard as not to be used again."""
+    def require_token(self, shard: ShardName, least: int) -> None:
+        """Note that a held shard can't be served under a lower token."""
         held = self._held.get(shard)
         if held is not None:
-            held.needs_new_token = True
+            held.least_token = max(least, held.least_token)
+
+    def least_token(self, shard: ShardName) -> int:
+        """Return the least token that a held shard needs, 0 for any."""
+        held = self._held.get(shard)
+        return 0 if held is None else held.least_token
 
     @property
     def any_needs_new_token(self) -> bool:
--- a/laburnumwood/placement/ownership.py
+++ b/laburnumwood/placement/ownership.py
@@ -53,6 +53,11 @@
     return record.epoch * _TOKENS_PER_EPOCH + succession_rank(record, name)
 
 
+def first_epoch(least_token: int) -> int:
+    """Return the first epoch in which all fencing tokens reach a given one."""
+    return -(-least_token // _TOKENS_PER_EPOCH)
+
+
 def highest_floor(
     shard: ShardName, record: ShardRecord, name: NodeName, seals: Seals
 ) -> int:
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -16,6 +16,7 @@
     OwnershipState,
     acting_owner,
     fencing_token,
+    first_epoch,
     ownership_state,
     succession_rank,
 )
@@ -398,11 +399,11 @@
         entry = self._view.directory.shard(shard)
         era = self._view.directory.era
         if entry is not None:
+            epoch = next_number(entry.record.epoch, entry.record.epoch_era, era)
+            least_token = self._held_shards.least_token(shard)
             return replace(
                 entry.record,
-                epoch=next_number(
-                    entry.record.epoch, entry.record.epoch_era, era
-                ),
+                epoch=max(epoch, first_epoch(least_token)),
                 epoch_era=era,
                 succession=succession,
                 handovers=(),
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -81,8 +81,8 @@
     def close(self, shard: ShardName) -> None:
         """Stop admitting requests to a shard."""
 
-    def require_higher_token(self, shard: ShardName) -> None:
-        """Request a higher token, which a new worker instance needs."""
+    def require_token(self, shard: ShardName, least: int) -> None:
+        """Request a token that is at least as high as a given one."""
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the key ranges of a shard."""
@@ -102,9 +102,9 @@
     is_withdrawn: bool = False
     is_reported: bool = False
 
-    def has_keys_of(self, other: '_Grant') -> bool:
-        """Return whether another grant is for the same keys and token."""
-        return self.token == other.token and self.ranges == other.ranges
+    def is_for(self, token: int, ranges: tuple[KeyRange, ...]) -> bool:
+        """Return whether the grant is for these keys under this token."""
+        return self.token == token and self.ranges == ranges
 
     def inherit(self, previous: '_Grant | None') -> None:
         """Adopt what is still valid of the previous grant of the shard."""
@@ -128,8 +128,6 @@
         self._source: GrantSource | None = None
         self._grants: dict[ShardName, _Grant] = {}
         self._withdrawn: set[ShardName] = set()
-        self._highest_tokens: dict[ShardName, int] = {}  # ever granted
-        self._used_tokens: dict[ShardName, int] = {}  # of earlier instances
         self._tokens = TokenHistory()
         self._handovers = Handovers()
         self._logged_truncation = (0, 0)
@@ -248,12 +246,6 @@
             started_ms=report.started_ms,
             lost_grants=len(self._grants),
         )
-        # This includes shards that were released: if their move is abandoned,
-        # they are granted again.
-        self._used_tokens.update(self._highest_tokens)
-        if self._source is not None:
-            for shard in self._highest_tokens:
-                self._source.require_higher_token(shard)
         self._tokens.begin_instance()
         self._grants.clear()
         self._handovers.clear()
@@ -287,20 +279,12 @@
             grant = _Grant(
                 source, token, now_ms + left_ms, source.stripes(shard)
             )
-            self._record_granted(shard, grant)
+            self._tokens.record(grant.ranges, token)
             grant.inherit(self._grants.get(shard))
             self._grants[shard] = grant
-            self._highest_tokens[shard] = max(
-                token, self._highest_tokens.get(shard, 0)
-            )
         rows = tuple(self._granted_ranges(wanted, source))
         return GrantReply(rows, duration_ms)
 
-    def _record_granted(self, shard: ShardName, grant: _Grant) -> None:
-        previous = self._grants.get(shard)
-        if previous is None or not previous.has_keys_of(grant):
-            self._tokens.record(grant.ranges, grant.token)
-
     def _reply_without_lease(self, source: GrantSource) -> GrantReply:
         """Return the reply of a node whose lease is too short for grants.
 
@@ -323,10 +307,7 @@
         bytes_left = self._settings.most_bytes
         tokens = source.tokens()
         for shard in sorted(tokens, key=self._grant_order):
-            if shard in self._withdrawn:
-                continue
-            if tokens[shard] <= self._used_tokens.get(shard, -1):
-                source.require_higher_token(shard)
+            if not self._may_grant(shard, tokens[shard], source):
                 continue
             bytes_left -= self._encoded_size(shard, source)
             if bytes_left < 0:
@@ -335,6 +316,21 @@
             wanted[shard] = tokens[shard]
         return wanted
 
+    def _may_grant(
+        self, shard: ShardName, token: int, source: GrantSource
+    ) -> bool:
+        """Return whether a shard may be granted; request a token if not."""
+        if shard in self._withdrawn:
+            return False
+        ranges = source.stripes(shard)
+        grant = self._grants.get(shard)
+        if grant is not None and grant.is_for(token, ranges):
+            return True
+        least = self._tokens.least_token(ranges)
+        if token < least:
+            source.require_token(shard, least)
+        return token >= least
+
     def _grant_order(self, shard: ShardName) -> tuple[bool, ShardName]:
         return shard not in self._grants, shard
 
--- a/laburnumwood/upstream/token_history.py
+++ b/laburnumwood/upstream/token_history.py
@@ -9,10 +9,24 @@
 _NO_TOKEN = -1  # lower than any token
 
 
+def _overlap(keys: KeyRange, other: KeyRange) -> bool:
+    return keys.first <= other.last and other.first <= keys.last
+
+
 def _contains(keys: KeyRange, other: KeyRange) -> bool:
     return keys.first <= other.first and other.last <= keys.last
 
 
+def _highest(tokens: dict[KeyRange, int], wanted: tuple[KeyRange, ...]) -> int:
+    """Return the highest token of keys in the wanted ranges."""
+    found = (
+        token
+        for recorded, token in tokens.items()
+        if any(_overlap(recorded, keys) for keys in wanted)
+    )
+    return max(found, default=_NO_TOKEN)
+
+
 class TokenHistory:
     """Remembers by keys which tokens the worker has had, and in which instance.
 
@@ -21,6 +35,7 @@
 
     def __init__(self) -> None:
         self._current: dict[KeyRange, int] = {}
+        self._earlier: dict[KeyRange, int] = {}
 
     def record(self, ranges: Iterable[KeyRange], token: int) -> None:
         """Record that the current instance has had keys under a token."""
@@ -49,8 +64,20 @@
 
     def begin_instance(self) -> None:
         """Record that another instance of the worker has begun."""
+        for keys, token in self._current.items():
+            self._earlier[keys] = max(token, self._earlier.get(keys, _NO_TOKEN))
         self._current.clear()
 
+    def least_token(self, ranges: Iterable[KeyRange]) -> int:
+        """Return the least token under which keys may be granted now.
+
+        It is above all tokens with which earlier instances have had one of
+        them, and not below those of the current one, which accepts no lower.
+        """
+        wanted = tuple(ranges)
+        earlier = _highest(self._earlier, wanted)
+        return max(earlier + 1, _highest(self._current, wanted))
+
     def _is_recorded(self, keys: KeyRange, token: int) -> bool:
         """Return whether the instance has had keys under a token or above."""
         if self._current.get(keys, _NO_TOKEN) >= token:
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -53,9 +53,9 @@
         """Stop admitting requests to a shard."""
         self.held_shards.close(name)
 
-    def require_higher_token(self, name: ShardName) -> None:
-        """Request a higher token."""
-        self.held_shards.invalidate_token(name)
+    def require_token(self, name: ShardName, least: int) -> None:
+        """Request a token that is at least as high as a given one."""
+        self.held_shards.require_token(name, least)
 
     def stripes(self, name: ShardName) -> tuple[KeyRange, ...]:
         """Return the key ranges of a shard."""
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -77,7 +77,7 @@
         self.tokens = held_shards.tokens
         self.until_ms = lease.expires_at_ms
         self.close = held_shards.close
-        self.require_higher_token = held_shards.invalidate_token
+        self.require_token = held_shards.require_token
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard."""
