Let a life of a worker win that goes on reporting

An instance that goes on reporting for silent_ms while the current one is silent now replaces it; what it replaces has to do the same to come back. Reports that were held up arrive together and replace nothing. Tokens are safe either way: an instance that replaces another gets higher ones.

--- a/laburnumwood/upstream/instances.py
+++ b/laburnumwood/upstream/instances.py
@@ -1,7 +1,9 @@
 """Tracking of the worker's process instances by its reports."""
 
+from dataclasses import dataclass
 from enum import Enum
 
+from laburnumwood.clock import Clock
 from laburnumwood.upstream.reports import WorkerReport
 
 
@@ -13,17 +15,36 @@
     STALE = 'it was overtaken by a newer report'
 
 
+_Instance = tuple[int, str]  # when it started, and its id
+
+
+@dataclass(slots=True)
+class _Challenger:
+    """An instance that reports although it counts as an earlier one."""
+
+    instance: _Instance
+    since_ms: int
+    last_report_ms: int
+    sequence_number: int
+
+
 class WorkerInstanceTracker:
     """Distinguishes new, current and stale reports of the worker.
 
     A restarted worker holds nothing, even if it keeps its id.  Instances are
     therefore distinguished by their start time, and by the id if two started
-    at the same time.
+    at the same time.  Clocks may be set back, so that a later instance has an
+    earlier start time: one that goes on reporting for `silent_ms`, in which
+    the current one is silent, replaces it.
     """
 
-    def __init__(self) -> None:
-        self._instance: tuple[int, str] | None = None
+    def __init__(self, silent_ms: int, clock: Clock) -> None:
+        self._silent_ms = silent_ms
+        self._clock = clock
+        self._instance: _Instance | None = None
+        self._replaced: _Instance | None = None
         self._last_sequence_number = -1
+        self._challenger: _Challenger | None = None
 
     @property
     def worker_id(self) -> str:
@@ -38,13 +59,48 @@
     def record_report(self, report: WorkerReport) -> ReportStatus:
         """Record a report and return how it relates to earlier ones."""
         instance = report.started_ms, report.worker_id
-        if self._instance is not None and instance < self._instance:
-            return ReportStatus.STALE
+        if self._counts_as_earlier(instance):
+            if not self._is_challenge_won(instance, report.sequence_number):
+                return ReportStatus.STALE
+            self._replaced = self._instance
         if instance != self._instance:
-            self._instance = instance
-            self._last_sequence_number = report.sequence_number
+            self._begin(instance, report.sequence_number)
             return ReportStatus.NEW_INSTANCE
         if report.sequence_number <= self._last_sequence_number:
             return ReportStatus.STALE
-        self._last_sequence_number = report.sequence_number
+        self._begin(instance, report.sequence_number)
         return ReportStatus.SAME_INSTANCE
+
+    def _begin(self, instance: _Instance, sequence_number: int) -> None:
+        self._instance = instance
+        self._last_sequence_number = sequence_number
+        self._challenger = None
+
+    def _counts_as_earlier(self, instance: _Instance) -> bool:
+        if self._instance is None or instance == self._instance:
+            return False
+        return instance < self._instance or instance == self._replaced
+
+    def _is_challenge_won(
+        self, instance: _Instance, sequence_number: int
+    ) -> bool:
+        """Return whether an instance has shown that it is the one that runs.
+
+        Reports that were held up arrive within a short time of each other.
+        """
+        now_ms = self._clock.now_ms()
+        challenger = self._challenger
+        if challenger is None or not self._goes_on(challenger, instance):
+            self._challenger = _Challenger(
+                instance, now_ms, now_ms, sequence_number
+            )
+            return False
+        if sequence_number > challenger.sequence_number:
+            challenger.last_report_ms = now_ms
+            challenger.sequence_number = sequence_number
+        elapsed_ms = challenger.last_report_ms - challenger.since_ms
+        return elapsed_ms >= self._silent_ms
+
+    def _goes_on(self, challenger: _Challenger, instance: _Instance) -> bool:
+        silent_ms = self._clock.now_ms() - challenger.last_report_ms
+        return instance == challenger.instance and silent_ms < self._silent_ms
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -30,7 +30,7 @@
     def __init__(self, settings: ReportSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self._instances = WorkerInstanceTracker()
+        self._instances = WorkerInstanceTracker(settings.silent_ms, clock)
         self._last_report_ms: int | None = None
         self._intervals_ms = DecayingMean(_INTERVAL_HALF_LIFE_MS, clock)
         self._leaving_since_ms: int | None = None
--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -153,6 +153,10 @@
     When the node holds both shards with higher tokens
     And the worker reports
     Then it is granted the shards "1 2" for 2940 ms
+    When a report of the instance before arrives
+    Then no grant is renewed
+    When the worker reports
+    Then it is granted the shards "1 2" for 2940 ms
 
   # Guards against an ended instance in place of a new one: its reports were
   # held up, and arrive all at once while the new one is silent.
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -210,10 +210,19 @@
 
 @when('the worker starts again by a clock that is {behind:d} ms behind')
 def start_by_late_clock(context: Context, behind: int) -> None:
+    context.instance_before = context.instance, context.number
     context.instance -= behind
     context.number = 0
 
 
+@when('a report of the instance before arrives')
+def report_instance_before(context: Context) -> None:
+    current = context.instance, context.number
+    context.instance, context.number = context.instance_before
+    _report(context)
+    context.instance, context.number = current
+
+
 @when('the worker reports for {span:d} ms')
 def report_for(context: Context, span: int) -> None:
     for _ in range(span // REPORT_INTERVAL_MS):
