Count what a peer remembers as forgotten by the store

A record that a peer tells after the list of a new era was read kept the condition of the older one, but was not counted as forgotten: nobody wrote it back, and the era was confirmed without it. Fails before, passes now: the scenario of store_put_back.feature about a record that a peer remembers.

--- a/laburnumwood/membership/object_cache.py
+++ b/laburnumwood/membership/object_cache.py
@@ -72,8 +72,10 @@
         if known is not None:
             self._names_by_version.pop(known.version, None)
         if known is not None and known.write_condition > stored.write_condition:
-            # The store came back from a copy without either version.
+            # The store came back from a copy without this version; a peer
+            # has told it.
             stored = replace(stored, condition=known.write_condition)
+            self._mark_forgotten(stored.name, str(known.write_condition))
         else:
             self._forgotten.discard(stored.name)
         self._objects[stored.name] = stored
--- a/tests/features/steps/directory_steps.py
+++ b/tests/features/steps/directory_steps.py
@@ -19,6 +19,7 @@
     shard_object_name,
     to_value,
 )
+from laburnumwood.store.versions import make_version
 from tests.features.steps.counting_view import CountingView
 
 SERVICE = 'service'
@@ -104,3 +105,36 @@
 def check_live(context: Context, count: int) -> None:
     found = tuple(context.view.live_nodes())
     assert len(found) == count, found
+
+
+def _shard_of_era(epoch: int, era: int) -> dict[str, object]:
+    return to_value(ShardRecord(epoch, (_name('n1'),), era=era))
+
+
+@given(
+    'a directory that has listed shard {number:d} with epoch {epoch:d} in era 2'
+)
+def list_in_new_era(context: Context, number: int, epoch: int) -> None:
+    context.directory = Directory()
+    name = shard_object_name(ShardName(SERVICE, number))
+    written, condition = make_version(1, 5), make_version(2, 5)
+    stored = StoredObject(name, _shard_of_era(epoch, 1), written, condition)
+    context.directory.apply_listing([stored], make_version(2, 9), '')
+    assert not context.directory.forgotten
+
+
+@when('a peer tells shard {number:d} with epoch {epoch:d} of era 1')
+def tell_shard(context: Context, number: int, epoch: int) -> None:
+    name = shard_object_name(ShardName(SERVICE, number))
+    value = _shard_of_era(epoch, 1)
+    assert context.directory.apply(
+        StoredObject(name, value, make_version(1, 7))
+    )
+
+
+@then('shard {number:d} is one that the store has forgotten')
+def check_forgotten(context: Context, number: int) -> None:
+    name = shard_object_name(ShardName(SERVICE, number))
+    assert context.directory.forgotten == {name}
+    stored = context.directory.stored_object(name)
+    assert stored.write_condition == make_version(2, 5), stored
--- a/tests/features/store_put_back.feature
+++ b/tests/features/store_put_back.feature
@@ -152,3 +152,10 @@
       | 12   | 30        |
       | 80   | 200       |
       | 195  | 500       |
+
+  # Guards against a takeover that is lost for good: a peer that remembers it
+  # tells it after the list of the store was read.
+  Scenario: a record that a peer remembers is one that the store has forgotten
+    Given a directory that has listed shard 1 with epoch 1 in era 2
+    When a peer tells shard 1 with epoch 2 of era 1
+    Then shard 1 is one that the store has forgotten
