Confirm an era of the store for nodes that it turns away

Others now ask such a node over a link what it remembers and whose leases it renews, write that back and confirm the era for it (EraProxy, MemoryExchange). What finds and writes back forgotten records is one class for both (ForgottenRecords). Messages about the store have a module of their own. The mutation that ignores what the node remembers is caught by a script with two owners.

--- a/bench/holding.py
+++ b/bench/holding.py
@@ -19,7 +19,7 @@
 )
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.codec import MAX_FRAME_SIZE, encode
-from laburnumwood.protocol.messages import Changes
+from laburnumwood.protocol.store_messages import Changes
 from laburnumwood.records import (
     NodeName,
     NodeRecord,
--- a/laburnumwood/leases/witness.py
+++ b/laburnumwood/leases/witness.py
@@ -4,6 +4,7 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.protocol.messages import Granted, Refused, Renew
+from laburnumwood.protocol.store_messages import RenewedHolder
 from laburnumwood.records import Digest, NodeName, Seal, WitnessSet
 from laburnumwood.settings import LeaseSettings
 
@@ -65,17 +66,14 @@
             grant.expires_at_ms = self._clock.now_ms() + self._settings.grant_ms
         return Granted(digest)
 
-    def renewed_holders(self) -> dict[NodeName, int]:
-        """Return the holders that count on this witness now.
-
-        Each maps to the version of its last witness set that is known here.
-        """
+    def renewed_holders(self) -> tuple[RenewedHolder, ...]:
+        """Return the holders that count on this witness now."""
         now_ms = self._clock.now_ms()
-        return {
-            holder: max(grant.sets, default=0)
+        return tuple(
+            RenewedHolder(holder, max(grant.sets, default=0))
             for holder, grant in self._grants.items()
             if grant.seal is None and grant.expires_at_ms > now_ms
-        }
+        )
 
     def seal(self, holder: NodeName) -> Seal | None:
         """Seal a holder that has resigned or lapsed.
--- a/laburnumwood/membership/era_recovery.py
+++ b/laburnumwood/membership/era_recovery.py
@@ -1,34 +1,26 @@
 """Writing back what the store has forgotten when it began a new era."""
 
-from collections.abc import Iterator
 from contextlib import suppress
 
 import eventlet
 from xxhash import xxh3_64_intdigest
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.errors import PlatformConflictError, PlatformError
-from laburnumwood.events import RECORD_WRITTEN_BACK, STORE_ERA_CONFIRMED
+from laburnumwood.errors import PlatformError
+from laburnumwood.events import STORE_ERA_CONFIRMED
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.choice import rendezvous_order
+from laburnumwood.membership.forgotten_records import ForgottenRecords
 from laburnumwood.membership.node_records import confirm_era
 from laburnumwood.membership.view import FleetView
-from laburnumwood.records import (
-    NodeName,
-    NodeRecord,
-    ShardRecord,
-    StoredObject,
-)
+from laburnumwood.records import ShardRecord, StoredObject
 from laburnumwood.store.objects import (
-    NODE_PREFIX,
     SHARD_PREFIX,
     node_object_name,
     to_record,
 )
-from laburnumwood.store.versions import era_of
-from laburnumwood.store.writes import write
 
 _REVIEW_MS = 200
 _SPREAD_MS = 300  # over which the nodes of a fleet spread their first calls
@@ -37,7 +29,6 @@
 # that its own node has not written back.
 _CHOSEN_DELAY_MS = 600
 _ANY_DELAY_MS = 1_200
-_PREFIXES = (NODE_PREFIX, SHARD_PREFIX)
 
 
 class EraRecovery:
@@ -50,6 +41,8 @@
     for the nodes on record to do so.
     """
 
+    records_class = ForgottenRecords
+
     def __init__(
         self,
         lease: Lease,
@@ -64,6 +57,7 @@
         self._view = view
         self._store = store
         self._clock = clock
+        self._records = self.records_class(view, store)
         self._confirmed_era: int | None = None
         self._era = 0
         self._era_since_ms = 0
@@ -107,48 +101,13 @@
         return True
 
     def _restore(self, era: int) -> None:
-        directory = self._view.directory
-        scope = self._store.scopes[0]
-        objects, version = self._store.list(scope)
-        if era_of(version) != era:
-            return  # a later era has begun
-        directory.apply_listing(objects, version, scope)
-        for forgotten in tuple(self._forgotten()):
-            if self._is_responsible(forgotten):
-                self._write_back(forgotten)
-        if not any(self._forgotten()) and self._knows_all_holders():
-            sets = self._lease.active_sets
-            confirm_era(self._store, self._own, era, sets)
+        is_whole = self._records.write_back(era, self._is_responsible)
+        renewed = self._witness.renewed_holders()
+        if is_whole and self._records.are_recorded(renewed):
+            confirm_era(self._store, self._own, era, self._lease.active_sets)
             self._confirmed_era = era
             STORE_ERA_CONFIRMED.report(node=self._own, era=era)
 
-    def _knows_all_holders(self) -> bool:
-        """Return whether the holders that this witness renews are on record.
-
-        One that is not may hold its lease although no record tells of it.
-        """
-        return all(
-            self._is_recorded(holder, last_version)
-            for holder, last_version in self._witness.renewed_holders().items()
-        )
-
-    def _is_recorded(self, holder: NodeName, last_version: int) -> bool:
-        entry = self._view.directory.nodes.get(holder.node_id)
-        if entry is None or entry.record.incarnation < holder.incarnation:
-            return False
-        if entry.record.incarnation > holder.incarnation:
-            return True
-        # A witness may still know sets that are no longer in use.
-        recorded = (each.version for each in entry.record.witness_sets)
-        return last_version <= max(recorded, default=0)
-
-    def _forgotten(self) -> Iterator[StoredObject]:
-        directory = self._view.directory
-        for name in sorted(directory.forgotten):
-            stored = directory.stored_object(name)
-            if stored is not None and name.startswith(_PREFIXES):
-                yield stored
-
     def _is_responsible(self, forgotten: StoredObject) -> bool:
         """Return whether to write back a record now."""
         if self._is_own(forgotten):
@@ -173,20 +132,3 @@
         live = [name for name, _ in self._view.live_nodes()]
         order = rendezvous_order(f'forgotten {forgotten.name}', live)
         return order[:1] == [self._own]
-
-    def _write_back(self, forgotten: StoredObject) -> None:
-        condition = forgotten.write_condition
-        try:
-            self._write(forgotten, condition)
-        except PlatformConflictError:
-            return  # the next list shows what another node has written
-        RECORD_WRITTEN_BACK.report(object=forgotten.name, over=condition)
-
-    def _write(self, forgotten: StoredObject, condition: int) -> None:
-        name = forgotten.name
-        if name.startswith(SHARD_PREFIX):
-            shard_record = to_record(ShardRecord, forgotten)
-            write(self._store, name, shard_record, condition)
-        else:
-            node_record = to_record(NodeRecord, forgotten)
-            write(self._store, name, node_record, condition)
--- a/laburnumwood/membership/gossip.py
+++ b/laburnumwood/membership/gossip.py
@@ -6,22 +6,17 @@
 from laburnumwood.errors import LinkError
 from laburnumwood.events import NODE_SEALED, RECORD_REFUSED
 from laburnumwood.membership.directory import Directory, VersionedRecord
+from laburnumwood.membership.sent_objects import to_sent
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.link import Link
-from laburnumwood.protocol.messages import (
-    Changes,
-    Done,
-    Pull,
-    SealNotice,
-    ShardNotice,
-)
+from laburnumwood.protocol.messages import Done, SealNotice
 from laburnumwood.protocol.peers import Dispatcher, Peers
+from laburnumwood.protocol.store_messages import Changes, Pull, ShardNotice
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import (
     Digest,
     NodeName,
     Seal,
-    SentObject,
     ShardName,
     ShardRecord,
     StoredObject,
@@ -69,13 +64,6 @@
     return make_version(era or directory.first_era, revision)
 
 
-def _to_sent(stored: StoredObject) -> SentObject:
-    version = stored.version
-    return SentObject(
-        stored.name, stored.value, revision_of(version), era_of(version)
-    )
-
-
 class Gossip:
     """Pulls missing changes from peers, and notifies peers of new ones."""
 
@@ -174,7 +162,7 @@
         newer = directory.objects_newer_than(since, request.generation, known)
         stream.send(
             Changes(
-                objects=tuple(map(_to_sent, newer)),
+                objects=tuple(map(to_sent, newer)),
                 revision=revision_of(directory.revision),
                 whole=not request.revision,
                 seals=self._view.seals.seals(),
--- a/laburnumwood/membership/member.py
+++ b/laburnumwood/membership/member.py
@@ -7,9 +7,11 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.config_news import ConfigNews
+from laburnumwood.membership.era_proxy import EraProxy
 from laburnumwood.membership.era_recovery import EraRecovery
 from laburnumwood.membership.gossip import Gossip
 from laburnumwood.membership.incarnation_ends import NodeRecordUpdater
+from laburnumwood.membership.memory_exchange import MemoryExchange
 from laburnumwood.membership.renewal import LeaseRenewer, WitnessService
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.peers import Dispatcher, Peers
@@ -50,6 +52,12 @@
             lease, witness, view, store, settings, clock
         )
         self._era_recovery = EraRecovery(lease, witness, view, store, clock)
+        self._memory_exchange = MemoryExchange(
+            EraProxy(lease, witness, view, store, clock),
+            lambda: view.directory.era,
+            peers,
+            dispatcher,
+        )
 
     @property
     def tasks(self) -> tuple[Callable[[], None], ...]:
@@ -59,6 +67,7 @@
             self._witness_service.run,
             self._record_updater.run,
             self._era_recovery.run,
+            self._memory_exchange.run,
         )
 
     def _announce_config(self) -> None:
--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -42,6 +42,7 @@
         capacity_owner=settings.capacity_owner,
         slots=settings.slots,
         connections=settings.connections,
+        shares_memory=True,
     )
 
 
--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -14,10 +14,13 @@
 
 from laburnumwood.errors import ProtocolError
 from laburnumwood.metrics import MESSAGE_BYTES, MESSAGES
-from laburnumwood.protocol.messages import ADDED, FREQUENT, KINDS, Headers
+from laburnumwood.protocol import messages, store_messages
+from laburnumwood.protocol.message_kinds import ADDED, FREQUENT, KINDS
 
 MAX_FRAME_SIZE = 4 * 1024 * 1024  # bytes
 
+Headers = messages.Headers
+MESSAGE_MODULES = (messages, store_messages)  # which register their kinds
 _KIND_BY_TYPE = {message_type: kind for kind, message_type in KINDS.items()}
 # The fields of the first version of the protocol.
 _FIELDS = {
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -1,54 +1,19 @@
-"""The messages between nodes.
+"""The messages between nodes, but for those about the store."""
 
-Each class is registered under a kind, which identifies it in a frame.
-"""
-
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, TypeVar
 
+from laburnumwood.protocol.message_kinds import message
 from laburnumwood.records import (
     Digest,
     NodeName,
     ReleasedRange,
     Seal,
-    SentObject,
-    ShardRecord,
     WitnessSet,
     WorkerNotice,
 )
 
-_MessageType = TypeVar('_MessageType', bound=type[Any])
-
 Headers = tuple[tuple[str, str], ...]
 
-KINDS: dict[str, type[Any]] = {}
-FREQUENT: set[str] = set()  # kinds that each request sends; plain values
-# By kind, the fields that nodes of the first version of the protocol do not
-# know.  They are sent last, and only if they are not None.
-ADDED: dict[str, tuple[str, ...]] = {}
-
-
-def message(
-    kind: str, *, is_frequent: bool = False, added: tuple[str, ...] = ()
-) -> Callable[[_MessageType], _MessageType]:
-    """Return a decorator that registers a class as the message of a kind.
-
-    `added` names the fields that were added to the first version of the
-    protocol, all of them optional.
-    """
-
-    def register(message_type: _MessageType) -> _MessageType:
-        if kind in KINDS:
-            raise ValueError(f'duplicate message kind {kind!r}')
-        KINDS[kind] = message_type
-        ADDED[kind] = added
-        if is_frequent:
-            FREQUENT.add(kind)
-        return message_type
-
-    return register
-
 
 @message('renew')
 @dataclass(frozen=True, slots=True)
@@ -102,52 +67,6 @@
     seals: tuple[Seal, ...]
 
 
-@message('pull', added=('era',))
-@dataclass(frozen=True, slots=True)
-class Pull:
-    """Requests all changes of the store after a revision, and all seals.
-
-    The configuration is included if it is newer than `generation`.  `known`
-    are later revisions whose changes the requester has already received.
-    `era` is the store's era of all these revisions, None if it names none.
-    """
-
-    revision: int
-    generation: int
-    known: tuple[int, ...] = ()
-    era: int | None = None
-
-
-@message('changes', added=('era',))
-@dataclass(frozen=True, slots=True)
-class Changes:
-    """Changes of the store up to a revision; `whole` if it is everything.
-
-    `era` is the era of the revision, None if the store names none.
-    """
-
-    objects: tuple[SentObject, ...]
-    revision: int
-    whole: bool
-    seals: tuple[Seal, ...]
-    era: int | None = None
-
-
-@message('shard', added=('era',))
-@dataclass(frozen=True, slots=True)
-class ShardNotice:
-    """Sends the record of a shard that the sender wrote.
-
-    `version` is the revision of the store that wrote it, in `era`; None: the
-    store names no era.
-    """
-
-    shard: str
-    record: ShardRecord
-    version: int
-    era: int | None = None
-
-
 @message('left')
 @dataclass(frozen=True, slots=True)
 class HandoverNotice:
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -182,7 +182,8 @@
     joined; 0: the store names none.  `confirmed_era` is the last era in
     which the node itself has written back what the store had forgotten.
     Incarnations in `forgotten` may have been recorded and forgotten by the
-    store, so that they are not known to have ended.
+    store, so that they are not known to have ended.  A node with
+    `shares_memory` tells other nodes what it remembers of the store.
     """
 
     incarnation: int
@@ -205,6 +206,7 @@
     confirmed_era: int = 0
     incarnation_era: int = 0
     forgotten: NumberRange | None = None
+    shares_memory: bool = False
 
     @property
     def first_open_incarnation(self) -> int:
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -20,11 +20,11 @@
     Chunk,
     End,
     Failure,
-    ShardNotice,
     WholeAnswer,
     Work,
 )
 from laburnumwood.protocol.peers import Peers
+from laburnumwood.protocol.store_messages import ShardNotice
 from laburnumwood.records import NodeName, ShardName
 from laburnumwood.routing.caller import Caller
 from laburnumwood.routing.caller_request import CallerRequest
--- a/tests/features/steps/era_recovery_steps.py
+++ b/tests/features/steps/era_recovery_steps.py
@@ -1,17 +1,24 @@
 """Steps about fleets that write back what a store has forgotten."""
 
+from contextlib import suppress
 from typing import Any
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
 
+from laburnumwood.errors import PlatformError
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.era_proxy import EraProxy
 from laburnumwood.membership.era_recovery import EraRecovery
+from laburnumwood.membership.memory_exchange import MemoryExchange
 from laburnumwood.membership.node_records import join, record_witness_sets
 from laburnumwood.membership.view import FleetView
+from laburnumwood.protocol.codec import decode, encode
+from laburnumwood.protocol.peers import Dispatcher
 from laburnumwood.records import (
     NodeName,
     ShardName,
@@ -75,6 +82,7 @@
     """What a node keeps of the store, and its recovery."""
 
     def __init__(self, store: FakeStore, settings: DaemonSettings) -> None:
+        self.store = store
         self.name = join(store, settings)[0]
         self.directory = Directory()
         self.cached_store = CachedStore(store, self.directory)
@@ -88,12 +96,65 @@
         self.directory.apply_listing(objects, version, '')
         self.directory.revision = version
 
-    def make_recovery(self, clock: FakeClock) -> EraRecovery:
-        """Return the recovery of the node."""
+    def start_recovery(self, clock: FakeClock, peers: '_DirectPeers') -> None:
+        """Begin to review eras, alone and with other nodes."""
         lease: Any = _HeldLease(self.name)
-        view = FleetView(self.directory, SealRegistry())
-        witness = Witness(self.name, LeaseSettings(), clock)
-        return EraRecovery(lease, witness, view, self.cached_store, clock)
+        parts = (
+            lease,
+            Witness(self.name, LeaseSettings(), clock),
+            FleetView(self.directory, SealRegistry()),
+            self.cached_store,
+            clock,
+        )
+        self._recovery = EraRecovery(*parts)
+        untyped_peers: Any = peers
+        self._exchange = MemoryExchange(
+            EraProxy(*parts),
+            lambda: self.directory.era,
+            untyped_peers,
+            peers.dispatchers.setdefault(self.name, Dispatcher()),
+        )
+
+    def hear(self, backing: StoreContents) -> None:
+        """Apply what the watch of the store, or another node, has told."""
+        if self.directory.era == backing.era:
+            for stored in backing.all_objects():
+                self.directory.apply(stored)
+
+    def review(self) -> None:
+        """Do what is due, as the tasks of the node would."""
+        with suppress(PlatformError):
+            self._recovery.review()
+        self._exchange.review()
+
+
+class _RecordedAnswer:
+    """A stream on which an answer was sent."""
+
+    def __init__(self) -> None:
+        self.message: Any = None
+
+    def send(self, message: Any) -> None:
+        """Record the answer."""
+        self.message = message
+
+    def close(self) -> None:
+        """Do nothing: there is no connection."""
+
+
+class _DirectPeers:
+    """Calls the handlers of other nodes without links."""
+
+    def __init__(self) -> None:
+        self.dispatchers: dict[NodeName, Dispatcher] = {}
+
+    def call(self, name: NodeName, message: Any, _timeout_ms: int) -> Any:
+        """Return the answer of a node to a message, as it is sent."""
+        stream: Any = _RecordedAnswer()
+        link: Any = None
+        request = decode(encode(1, message))[1]
+        self.dispatchers[name].handle(link, stream, request)
+        return decode(encode(1, stream.message))[1]
 
 
 def _settings(place: int) -> DaemonSettings:
@@ -124,11 +185,15 @@
         _create_shards(node, place)
     context.start_calls = len(context.calls)
     _read_all(context.nodes)  # as their watches would have told them
-    context.recoveries = [
-        each.make_recovery(context.clock) for each in context.nodes
-    ]
-    for recovery in context.recoveries:
-        recovery.review()
+    peers = _DirectPeers()
+    for node in context.nodes:
+        node.start_recovery(context.clock, peers)
+        node.review()
+
+
+@given('the store turns node {place:d} away')
+def turn_away(context: Context, place: int) -> None:
+    context.nodes[place].store.is_refused = True
 
 
 @when('the store comes back without the last {count:d} writes')
@@ -146,8 +211,17 @@
 def review(context: Context, span_ms: int) -> None:
     for _ in range(span_ms // REVIEW_MS):
         context.clock.pass_ms(REVIEW_MS)
-        for recovery in context.recoveries:
-            recovery.review()
+        for node in context.nodes:
+            node.review()
+        eventlet.sleep(0)  # runs the tasks that ask other nodes
+
+
+@when('the nodes watch the store and review the new era for {span_ms:d} ms')
+def watch_and_review(context: Context, span_ms: int) -> None:
+    for _ in range(span_ms // REVIEW_MS):
+        for node in context.nodes:
+            node.hear(context.backing)
+        review(context, REVIEW_MS)
 
 
 @then('all of them have confirmed the era, and the store has all records again')
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -18,12 +18,8 @@
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.meter import LoadMeter
-from laburnumwood.protocol.messages import (
-    Cancel,
-    Failure,
-    ShardNotice,
-    WholeAnswer,
-)
+from laburnumwood.protocol.messages import Cancel, Failure, WholeAnswer
+from laburnumwood.protocol.store_messages import ShardNotice
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import (
     NodeName,
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -19,7 +19,8 @@
 from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.placement.move_policy import PlacementSnapshot, weighed
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
-from laburnumwood.protocol.messages import Failure, ShardNotice, WholeAnswer
+from laburnumwood.protocol.messages import Failure, WholeAnswer
+from laburnumwood.protocol.store_messages import ShardNotice
 from laburnumwood.records import (
     NodeName,
     NodeRecord,
--- a/tests/features/steps/message_steps.py
+++ b/tests/features/steps/message_steps.py
@@ -23,14 +23,10 @@
     accepts_added_fields,
     dial,
 )
-from laburnumwood.protocol.messages import (
-    KINDS,
-    Answer,
-    Changes,
-    LoadReport,
-    WholeAnswer,
-)
+from laburnumwood.protocol.message_kinds import KINDS
+from laburnumwood.protocol.messages import Answer, LoadReport, WholeAnswer
 from laburnumwood.protocol.security import LinkSecurity
+from laburnumwood.protocol.store_messages import Changes
 from laburnumwood.records import NodeName, SentObject, WorkerNotice
 from tests.features.steps.plain_work import PLAIN_WORK
 
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -15,8 +15,8 @@
 from laburnumwood.membership.renewal import LeaseRenewer
 from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
-from laburnumwood.protocol.messages import Changes, ShardNotice
 from laburnumwood.protocol.peers import Dispatcher
+from laburnumwood.protocol.store_messages import Changes, ShardNotice
 from laburnumwood.records import (
     ConfigRecord,
     Digest,
--- a/tests/features/store_put_back.feature
+++ b/tests/features/store_put_back.feature
@@ -136,6 +136,7 @@
       | safeguard                                | error                  | script |
       | the wait for all nodes to confirm an era | TwoActingOwnersError   | crash a; put-back 11; cut b all; tick 36; restart a; heal b; await-owners 300; put-back 10; stop-updates b; tick 1; restart a; restart c; tick 60 |
       | the writing back of forgotten records    | TwoActingOwnersError   | crash a; put-back 11; cut b all; tick 36; restart a; heal b; await-owners 300; put-back 10; stop-updates b; restart a; tick 100 |
+      | the memory of nodes that are turned away | TwoActingOwnersError   | stop-updates b; stop-updates c; witnesses d 1; tick 40; move 0 d; tick 40; stop-updates d; refuse d; put-back 6; restart a; restart e; resume-updates b; resume-updates c; tick 130 |
       | the memory of undecided writes           | TwoActingOwnersError   | store late; move 1 d; tick 3; store up; put-back 1; tick 60; stop-updates b; apply-late; tick 10 |
       | the epochs of its own in each era        | TokenNotIncreasedError | stop-updates b; move 0 d; tick 9; put-back 1; tick 2; crash a; crash b; crash c; crash d; crash e; tick 2; restart a; restart b; restart c; restart d; restart e; await-owners 300 |
 
@@ -153,6 +154,21 @@
       | 80   | 200       |
       | 195  | 500       |
 
+  # Guards against takeovers that wait for a living node which the store turns
+  # away: others ask it over links, and confirm the era for it.
+  Scenario Outline: <size> nodes confirm an era for one that the store turns away
+    Given <size> simulated nodes that have joined and own 3 shards each
+    And the store turns node 4 away
+    When the store comes back without the last <forgotten> writes
+    And the nodes watch the store and review the new era for 6000 ms
+    Then all of them have confirmed the era, and the store has all records again
+    And that took at most 3 times the calls of their start
+
+    Examples:
+      | size | forgotten |
+      | 12   | 40        |
+      | 80   | 200       |
+
   # Guards against a takeover that is lost for good: a peer that remembers it
   # tells it after the list of the store was read.
   Scenario: a record that a peer remembers is one that the store has forgotten
--- a/tests/fuzz/inputs.py
+++ b/tests/fuzz/inputs.py
@@ -28,12 +28,8 @@
 from laburnumwood.platform.reports import decode_report
 from laburnumwood.platform.store import read_changes
 from laburnumwood.protocol.codec import decode, encode
-from laburnumwood.protocol.messages import (
-    Failure,
-    LoadReport,
-    ShardNotice,
-    WholeAnswer,
-)
+from laburnumwood.protocol.messages import Failure, LoadReport, WholeAnswer
+from laburnumwood.protocol.store_messages import ShardNotice
 from laburnumwood.records import NodeName, ShardRecord, StoredObject
 from laburnumwood.routing.request_head import HeadReader, read_request_head
 from laburnumwood.settings import read_settings
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -10,11 +10,14 @@
     QuorumLossDetector,
 )
 from laburnumwood.leases.witness import Witness
+from laburnumwood.membership.era_proxy import EraProxy
 from laburnumwood.membership.era_recovery import EraRecovery
+from laburnumwood.membership.forgotten_records import ForgottenRecords
 from laburnumwood.placement.ownership import OwnershipState, ownership_state
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
 from laburnumwood.protocol.messages import Granted, Refused, Renew
+from laburnumwood.protocol.store_messages import Memory
 from laburnumwood.records import (
     Digest,
     NodeName,
@@ -168,11 +171,33 @@
         return ownership_state(shard, record, self._own, self._view)
 
 
+class _NothingForgotten(ForgottenRecords):
+    """Finds no record that the store has forgotten."""
+
+    def find(self) -> Iterator[StoredObject]:
+        """Yield nothing."""
+        return iter(())
+
+
 class _ConfirmationWithoutWriting(EraRecovery):
     """Confirms an era without writing back what the store has forgotten."""
 
-    def _forgotten(self) -> Iterator[StoredObject]:
-        return iter(())
+    records_class = _NothingForgotten
+
+
+class _ProxyWithoutWriting(EraProxy):
+    """Confirms an era for others without writing back what they remember."""
+
+    records_class = _NothingForgotten
+
+
+class _ProxyWithoutMemory(EraProxy):
+    """Confirms an era for others without regard to what they remember."""
+
+    def confirm(self, name: NodeName, era: int, memory: Memory) -> bool:
+        """Confirm an era for a node as if it remembered nothing."""
+        nothing = replace(memory, objects=(), renewed=())
+        return super().confirm(name, era, nothing)
 
 
 class _EpochsOfTheCopy(OwnershipTracker):
@@ -231,7 +256,11 @@
         ownership_tracker=_TrustInCopies
     ),
     'the writing back of forgotten records': Components(
-        era_recovery=_ConfirmationWithoutWriting
+        era_recovery=_ConfirmationWithoutWriting,
+        era_proxy=_ProxyWithoutWriting,
+    ),
+    'the memory of nodes that are turned away': Components(
+        era_proxy=_ProxyWithoutMemory
     ),
     'the epochs of its own in each era': Components(
         ownership_tracker=_EpochsOfTheCopy
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -14,6 +14,7 @@
 from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.choice import choose_witnesses
 from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.era_proxy import EraProxy
 from laburnumwood.membership.era_recovery import EraRecovery
 from laburnumwood.membership.incarnation_ends import (
     NodeRecordUpdater,
@@ -28,6 +29,7 @@
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite
 from laburnumwood.protocol.messages import Granted, Refused, Renew
+from laburnumwood.protocol.store_messages import Memory
 from laburnumwood.records import (
     KeyRange,
     NodeName,
@@ -59,6 +61,7 @@
     quorum_loss_detector: type[QuorumLossDetector] = QuorumLossDetector
     attached_grants: type[AttachedGrants] = AttachedGrants
     era_recovery: type[EraRecovery] = EraRecovery
+    era_proxy: type[EraProxy] = EraProxy
 
 
 def _apply_seals(seals: tuple[Seal, ...], node: 'FakeNode') -> None:
@@ -69,6 +72,10 @@
     node.handle_renewal(request, sent_ms)
 
 
+def _handle_memory_request(era: int, asker: NodeName, node: 'FakeNode') -> None:
+    node.handle_memory_request(era, asker)
+
+
 class _GrantSource:
     """The shards that an incarnation grants its worker."""
 
@@ -129,6 +136,9 @@
         self._era_recovery = components.era_recovery(
             self.lease, self.witness, self.view, self._cached_store, clock
         )
+        self._era_proxy = components.era_proxy(
+            self.lease, self.witness, self.view, self._cached_store, clock
+        )
         self._record_updater.quorum_loss_detector = (
             components.quorum_loss_detector(settings, clock)
         )
@@ -194,8 +204,7 @@
             self.read_store()
         if now_ms - self._record_updated_ms >= _UPDATE_INTERVAL_MS:
             self._update_record()
-        with suppress(PlatformError):
-            self._era_recovery.review()
+        self._review_era()
         self.ownership.update_held_shards()
         self._step_writes()
 
@@ -241,6 +250,27 @@
         for seal in seals:
             self.view.add_seal(seal)
 
+    def handle_memory_request(self, era: int, asker: NodeName) -> None:
+        """Tell another node what this one remembers of the store."""
+        memory, name = self._era_proxy.memory(era), self.name
+        self._send(
+            asker.node_id, lambda node: node.confirm_for(name, era, memory)
+        )
+
+    def confirm_for(self, name: NodeName, era: int, memory: Memory) -> None:
+        """Confirm an era for a node that has told what it remembers."""
+        with suppress(PlatformError):
+            self._era_proxy.confirm(name, era, memory)
+
+    def _review_era(self) -> None:
+        with suppress(PlatformError):
+            self._era_recovery.review()
+        action = partial(
+            _handle_memory_request, self.view.directory.era, self.name
+        )
+        for name in self._era_proxy.nodes_to_ask():
+            self._send(name.node_id, action)
+
     def apply_update(self, stored: StoredObject) -> None:
         """Apply an update of an object, unless this node misses updates."""
         if not self.misses_updates:
