--- a/tests/features/steps/message_steps.py
+++ b/tests/features/steps/message_steps.py
@@ -26,7 +26,7 @@
 from laburnumwood.protocol.message_kinds import KINDS
 from laburnumwood.protocol.messages import Answer, LoadReport, WholeAnswer
 from laburnumwood.protocol.security import LinkSecurity
-from laburnumwood.protocol.store_messages import Changes
+from laburnumwood.protocol.store_messages import Changes, Memory
 from laburnumwood.records import NodeName, SentObject, WorkerNotice
 from tests.features.steps.plain_work import PLAIN_WORK
 
@@ -58,9 +58,9 @@
         st.integers(0, 9),
         st.integers(0, 3),
     )
-    if message_type is Changes:
+    if message_type in {Changes, Memory}:
         return st.builds(
-            Changes, objects=st.lists(objects, max_size=2).map(tuple)
+            message_type, objects=st.lists(objects, max_size=2).map(tuple)
         )
     return st.from_type(message_type)
 
