Begin with all slots when another instance of the worker starts

What was observed of one instance says nothing of the next, so a gate that sees another instance starts anew. Fails before, passes now: scenarios of admission_limit.feature and gate.feature.

--- a/laburnumwood/admission/admitter.py
+++ b/laburnumwood/admission/admitter.py
@@ -54,6 +54,10 @@
         """Record how many requests the worker reports to be running."""
         self._policy.record_load_report(reported)
 
+    def begin_instance(self) -> None:
+        """Forget what was observed of an earlier instance of the worker."""
+        self._policy.begin_instance()
+
     @contextmanager
     def hold_slot(self, ticket: Ticket) -> Iterator[None]:
         """Wait for a slot and hold it while the block runs.
--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -45,6 +45,9 @@
     def record_load_report(self, reported: int) -> None:
         """Record how many requests the worker reports to be running."""
 
+    def begin_instance(self) -> None:
+        """Forget what was observed: another instance of the worker started."""
+
     @property
     def next_start_in_ms(self) -> int | None:
         """Return when `dispatch` should be called, None if not at all.
@@ -157,6 +160,11 @@
         self._limit.record_load_report(reported, max(self._peak_running))
         self._peak_running = (self.running, self._peak_running[0])
 
+    def begin_instance(self) -> None:
+        """Forget what was observed: another instance of the worker started."""
+        self._limit.begin_instance()
+        self.dispatch()
+
     @property
     def next_start_in_ms(self) -> int | None:
         """Return when `dispatch` should be called, None if not at all."""
@@ -305,6 +313,9 @@
     def record_load_report(self, reported: int) -> None:
         """Ignore the load reports of the worker."""
 
+    def begin_instance(self) -> None:
+        """Do nothing: nothing is observed."""
+
     @property
     def next_start_in_ms(self) -> int | None:
         """Return nothing: tickets wait for a free slot only."""
--- a/laburnumwood/admission/limit.py
+++ b/laburnumwood/admission/limit.py
@@ -65,6 +65,16 @@
         usable = min(self._limit, self._slots() - foreign_running)
         return max(1, round(usable))
 
+    def begin_instance(self) -> None:
+        """Forget what was observed: another instance of the worker started."""
+        self._limit = self._slots()
+        self._long_term_latency = DecayingMean(
+            _LONG_TERM_HALF_LIFE_MS, self._clock
+        )
+        self._limit_before_losses = 0
+        self._foreign_running = 0
+        self._begin_window()
+
     def observe(self, latency_ms: float, running: int) -> None:
         """Record the latency of an answer and how many requests were running.
 
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -364,6 +364,7 @@
                 self._reporting.signals.notice,
                 self._reporting.signals.known_notice,
                 self._reporting.signals.record_notice,
+                lambda: self._reporting.presence.instance,
             ),
             clock,
         )
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -67,6 +67,8 @@
     in ms, `notice` returns what the worker says about itself, None if nothing
     special, and `known_notice` the same, None if it was not heard yet.
     `record_notice` is called with what other nodes have heard of it.
+    `instance` returns the id and the start time of the current instance of the
+    worker.
     """
 
     accepts_requests: Callable[[], bool]
@@ -75,6 +77,7 @@
     notice: Callable[[float], WorkerNotice | None]
     known_notice: Callable[[float], WorkerNotice | None]
     record_notice: Callable[[WorkerNotice], None]
+    instance: Callable[[], tuple[str, int]]
 
 
 class ShardDirectory(Protocol):
@@ -162,6 +165,7 @@
         )
         self._answer_delays = LongAnswerDelays(SEND_QUEUE, clock)
         self._is_closed = False
+        self._instance = worker.instance()
 
     @property
     def running(self) -> int:
@@ -182,6 +186,12 @@
         """Set how many requests the worker reports to run."""
         self._admitter.record_load_report(reported)
 
+    def _note_instance(self) -> None:
+        instance = self._worker.instance()
+        if instance != self._instance:
+            self._instance = instance
+            self._admitter.begin_instance()
+
     def report_load(self) -> None:
         """Log the requests admitted and shed since the last report."""
         counts = self._admitter.counters.collect()
@@ -311,6 +321,7 @@
         useful_ms -= answer_wait_ms
         traffic_class = classify(work, service)
         ticket = Ticket(work.key, run.until_ms, useful_ms, traffic_class)
+        self._note_instance()
         busy = self._capacity_account.occupy_slot(work.service)
         exchange.set_message_handler(partial(self._admitter.cancel, ticket))
         try:
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -48,6 +48,11 @@
         """Return the start time of the current instance, 0 if not known."""
         return self._instances.started_ms
 
+    @property
+    def instance(self) -> tuple[str, int]:
+        """Return the id and the start time of the current instance."""
+        return self.worker_id, self.started_ms
+
     @property
     def phase(self) -> WorkerPhase:
         """Return the present phase of the worker."""
--- a/tests/features/admission_limit.feature
+++ b/tests/features/admission_limit.feature
@@ -61,6 +61,18 @@
     And 3 of 4 answers are lost for 2 s
     Then the limit is below 3
 
+  # Guards against leaving a restarted worker idle: it is slow at first, so that
+  # a limit that fell with the losses of the instance before stays low.
+  Scenario: another instance of the worker begins with all slots
+    Given a concurrency limit for 9 slots
+    When the worker answers in 70 ms at the full limit for 2 s
+    And 40 answers of the worker are lost one after the other
+    Then the limit is below 3
+    When another instance of the worker begins
+    Then the limit is 9
+    When the worker answers in 300 ms at the full limit for 3 s
+    Then the limit is 9
+
   Scenario: a load report of zero does not change the limit
     Given a concurrency limit for 20 slots
     When the worker refuses 50 requests over 3 s
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -77,3 +77,11 @@
     When 9 more requests of one key arrive within 500 ms
     And the gate reports its load
     Then it reported 4 busy slots, 4 requests admitted and 5 shed
+
+  # Guards against leaving a restarted worker idle: its gate went on with the
+  # limit to which the losses of the instance before had lowered it.
+  Scenario: a gate gives another instance of the worker all its slots
+    Given a gate that has lost 40 answers of its worker
+    Then of 3 requests the gate runs 1 at once
+    When another instance of the worker has begun
+    Then of 3 requests the gate runs 3 at once
--- a/tests/features/steps/admission_limit_steps.py
+++ b/tests/features/steps/admission_limit_steps.py
@@ -59,6 +59,11 @@
         context.limit.record_loss()
 
 
+@when('another instance of the worker begins')
+def begin_instance(context: Context) -> None:
+    context.limit.begin_instance()
+
+
 @when('{lost:d} of {every:d} answers are lost for {span:d} s')
 def lose_several_of(context: Context, lost: int, every: int, span: int) -> None:
     for number in range(span * 1_000 // ANSWER_MS // 5):
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -38,6 +38,7 @@
 TOKEN = 8
 SLOTS = 4
 LIMIT_S = 5
+LOSS_INTERVAL_MS = 50
 CANCELLED_ID = 'left'
 SETTINGS = node_settings('a')
 
@@ -208,6 +209,7 @@
     context.held_shards.hold(SHARD, TOKEN)
     context.grants = DelayedGrants(span_ms, clock)
     gate: Any = AdmissionGate
+    context.worker_instance = ('worker', 1)
     context.gate = gate(
         SETTINGS,
         UnlimitedLease(),
@@ -225,6 +227,7 @@
             lambda _mean_slot_ms: None,
             lambda _mean_slot_ms: None,
             lambda _notice: None,
+            lambda: context.worker_instance,
         ),
         clock,
     )
@@ -288,6 +291,43 @@
     assert len(context.executor.runs) == SLOTS, context.executor.runs
 
 
+class _LosingExecutor(BlockingExecutor):
+    """Finds the worker lost until requests are to block."""
+
+    is_losing = True
+
+    def execute(self, exchange: Exchange, run: Any, may_execute: Any) -> None:
+        """Fail one request, or run it until the test ends."""
+        if not self.is_losing:
+            super().execute(exchange, run, may_execute)
+            return
+        exchange.send(Failure('worker-unreachable', False, 'it was lost'))
+
+
+@given('a gate that has lost {count:d} answers of its worker')
+def lose_answers(context: Context, count: int) -> None:
+    context.executor = _LosingExecutor()
+    make_gate_with(context, 0, context.executor)
+    for number in range(count):
+        context.clock.pass_ms(LOSS_INTERVAL_MS)
+        _start_request(context, f'lost-{number}')
+    context.executor.is_losing = False
+
+
+@when('another instance of the worker has begun')
+def begin_instance(context: Context) -> None:
+    context.worker_instance = ('worker', 2)
+
+
+@then('of {count:d} requests the gate runs {running:d} at once')
+def check_runs(context: Context, count: int, running: int) -> None:
+    before = len(context.executor.runs)
+    for number in range(count):
+        _start_request(context, f'new-{number}')
+    found = len(context.executor.runs) - before
+    assert found == running, found
+
+
 @when('one more request arrives and its caller disconnects')
 def disconnect_waiting(context: Context) -> None:
     local_end = _start_request(context, CANCELLED_ID)
