Answer the first report of a restarted worker with its keys

The instance needs higher tokens than the one before; its first report was answered with nothing while they were being written, and the next came an interval later.

Fails before, passes now: report_answers.feature.

--- a/laburnumwood/platform/registration.py
+++ b/laburnumwood/platform/registration.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Any
 
+from laburnumwood.clock import Clock
 from laburnumwood.integration import (
     Integration,
     Listener,
@@ -44,7 +45,10 @@
 ) -> tuple[Listener, ...]:
     applications = (
         (settings.ready_address, ReadinessEndpoint(node)),
-        (settings.report_address, ReportEndpoint(settings, node.worker)),
+        (
+            settings.report_address,
+            ReportEndpoint(settings, node.worker, Clock()),
+        ),
     )
     return tuple(
         Listener(split_address(address), application)
--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -6,6 +6,7 @@
 
 from pydantic import BaseModel, Field, StrictInt, StrictStr
 
+from laburnumwood.clock import Clock
 from laburnumwood.events import REPORT_REFUSED
 from laburnumwood.platform.bodies import (
     CONTENT_TYPE,
@@ -17,6 +18,7 @@
 from laburnumwood.records import KeyRange, ReleasedRange
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
+from laburnumwood.upstream.report_answers import ReportAnswers
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.reports import (
     GrantReply,
@@ -86,10 +88,11 @@
     """A WSGI application that receives the reports of the worker."""
 
     def __init__(
-        self, settings: DaemonSettings, worker: ReportingWorker
+        self, settings: DaemonSettings, worker: ReportingWorker, clock: Clock
     ) -> None:
         self._service = settings.service
         self._worker = worker
+        self._answers = ReportAnswers(worker, clock)
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -109,7 +112,7 @@
         except BodyError as invalid:
             REPORT_REFUSED.report(path=path, reason=invalid)
             return _reply(start_response, HTTPStatus.BAD_REQUEST, b'')
-        reply = self._worker.handle_report(report)
+        reply = self._answers.answer(report)
         return _reply(start_response, HTTPStatus.OK, encode_reply(reply))
 
     def _read(self, worker_id: str, body: bytes) -> WorkerReport:
--- a/laburnumwood/upstream/instances.py
+++ b/laburnumwood/upstream/instances.py
@@ -71,6 +71,14 @@
         self._begin(instance, report.sequence_number)
         return ReportStatus.SAME_INSTANCE
 
+    def is_last(self, report: WorkerReport) -> bool:
+        """Return whether a report is the last one that was not stale."""
+        instance = report.started_ms, report.worker_id
+        is_current = instance == self._instance
+        return is_current and (
+            report.sequence_number == self._last_sequence_number
+        )
+
     def _begin(self, instance: _Instance, sequence_number: int) -> None:
         self._instance = instance
         self._last_sequence_number = sequence_number
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -103,6 +103,10 @@
             self.begin_leaving(_REPORT, was_known=is_first)
         return status
 
+    def is_last(self, report: WorkerReport) -> bool:
+        """Return whether a report is the last one of the current instance."""
+        return self._instances.is_last(report)
+
     def next_report_in_ms(self) -> int:
         """Return the time until the next report is expected."""
         if self._last_report_ms is None:
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -134,6 +134,7 @@
         self.presence = Presence(settings, clock)
         self.signals = WorkerSignals(self.presence, clock)
         self.changes = Notifier()
+        self.lacks_tokens = False  # of shards that the last reply left out
 
     @property
     def has_released_all(self) -> bool:
@@ -162,9 +163,19 @@
             return GrantReply()
         if status is ReportStatus.NEW_INSTANCE:
             self._start_instance(report)
+        if self._source is not None:
+            self._record_held(report)
+        return self.renew_reply(report)
+
+    def renew_reply(self, report: WorkerReport) -> GrantReply:
+        """Return the grants to reply with to the last report now.
+
+        Nothing is granted in reply to a report that another one has followed.
+        """
+        if not self.presence.is_last(report):
+            return GrantReply()
         if self._source is None:
             return GrantReply((), _EMPTY_GRANT_MS)
-        self._record_held(report)
         reply = self._make_reply(self._source)
         self.changes.notify_all()
         return reply
@@ -304,9 +315,11 @@
         otherwise release them.
         """
         wanted: dict[ShardName, int] = {}
+        self.lacks_tokens = False
         bytes_left = self._settings.most_bytes
         tokens = source.tokens()
-        for shard in sorted(tokens, key=self._grant_order):
+        ungranted = tokens.keys() - self._grants.keys()
+        for shard in (*sorted(tokens.keys() - ungranted), *sorted(ungranted)):
             if not self._may_grant(shard, tokens[shard], source):
                 continue
             bytes_left -= self._encoded_size(shard, source)
@@ -329,11 +342,9 @@
         least = self._tokens.least_token(ranges)
         if token < least:
             source.require_token(shard, least)
+            self.lacks_tokens = True
         return token >= least
 
-    def _grant_order(self, shard: ShardName) -> tuple[bool, ShardName]:
-        return shard not in self._grants, shard
-
     def _log_truncation(
         self, shard: ShardName, granted: int, held: int
     ) -> None:
