Check by keys which fencing tokens lives of workers take them under

The rule that a later life of a worker, or another worker, needs a token above all under which others had a key had no oracle: the random worlds count by shards and let the same node keep a token, the soak looks at holds of one time only. tests/fences.py records (life, keys, token) in the order of time and names what has not risen; without network or clocks, for worlds and soak.

--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -20,6 +20,7 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.objects import shard_object_name, to_value
 from laburnumwood.store.writes import new_mark
+from tests.fences import TokenNotIncreasedError
 from tests.ownership.clocks import DriftingClock, SimulatedTime
 from tests.ownership.network import VMS, Message, Network
 from tests.ownership.node import SERVICE, Components, FakeNode
@@ -40,10 +41,6 @@
     """A shard has no owner long after all faults have ended."""
 
 
-class TokenNotIncreasedError(AssertionError):
-    """A new owner has no higher fencing token than an earlier one."""
-
-
 def node_settings(node_id: str) -> DaemonSettings:
     """Return the settings of a VM of the simulation."""
     number = VMS.index(node_id)
