Let workers of the random worlds die and start again, and check fences by keys

Now a worker has lives (kill-worker, start-worker, restart-worker, replace-worker under another id, step-clock between them, crash-vm and start-vm with the node, all of them for a loss of power), its reports can be late, lost or unanswered, links and the connection to the store can go silent for good, and the store can forget all but the configuration. Each life's takings go through tests/fences.py, holders and acting owners are compared by keys, and splits take real keys with them. Workers refuse a token below one that they have seen. Old scripts run with the same commands and stricter checks; 'split' now takes the upper half of a shard.

Mutations for each safeguard of fences: the memory of earlier instances, the higher token of a new one, the write for it, the write of a new incarnation, epochs of an era, of split-off shards, and the floor. Each is caught by a script in fences.feature on which the whole code passes.

--- a/tests/features/fences.feature
+++ b/tests/features/fences.feature
@@ -19,3 +19,24 @@
       | the highest of others, not last  | a#1 0-9 8; b#1 0-9 9          | b#1 5-5 9 | nothing                                                      |
       | the highest of several others   | a#1 0-9 8; b#1 0-9 9; c#1 0-9 10 | c#1 0-9 10 | nothing |
       | one of several others            | a#1 0-9 8; b#1 0-9 9; c#1 0-9 10 | b#1 0-9 9 | key 0 went to b#1 with fence 9; c#1 had it with fence 10 |
+
+  Scenario Outline: a missing safeguard is detected, <safeguard>
+    Given the script
+      """
+      await-holders 100; <script>
+      """
+    Then the code without "<safeguard>" fails with "<error>" on lives of workers
+    And the whole code passes on it with lives of workers
+
+    Examples:
+      | safeguard                          | error                  | script |
+      | the memory of earlier instances    | TokenNotIncreasedError | restart-worker a; tick 30 |
+      | the memory of earlier instances    | TokenNotIncreasedError | step-clock a -3000; restart-worker a; tick 200 |
+      | the memory of earlier instances    | TokenNotIncreasedError | reports a late; tick 60; replace-worker a; reports a up; tick 2; deliver-reports a reversed; tick 40 |
+      | the higher token of a new instance | TokenNotIncreasedError | restart-worker a; tick 30 |
+      | the write for a required token     | NoHolderError          | restart-worker a; await-holders 200 |
+      | the write of a new incarnation     | TokenNotIncreasedError | crash-vm a; tick 20; start-vm a; await-holders 400 |
+      | the epochs of its own in each era  | TokenNotIncreasedError | crash-vm all; put-back 500; tick 20; start-vm all; await-holders 400 |
+      | the epochs of its own in each era  | TokenNotIncreasedError | stop-updates b; move 0 d; tick 60; put-back 1; tick 2; crash-vm all; tick 2; start-vm all; await-holders 400 |
+      | the epochs of split-off shards     | TokenNotIncreasedError | move 0 d; tick 60; split 0 e; tick 80; await-holders 200 |
+      | the floor                          | TwoActingOwnersError   | stop-updates c; move 1 d; tick 40; crash-vm b; tick 100 |
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -29,9 +29,10 @@
 from laburnumwood.store.objects import node_object_name, to_record
 from laburnumwood.store.writes import new_mark
 from tests.features.steps.fake_clock import FakeClock
+from tests.ownership.keys import SHARDS
 from tests.ownership.node import Components
 from tests.ownership.store import FakeStore
-from tests.ownership.world import SHARDS, Simulation, node_settings
+from tests.ownership.world import Simulation, node_settings
 
 REVIEW_S = 1.2
 LIMIT_S = 20
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -1,8 +1,12 @@
 """Steps about the ownership of shards in a simulation."""
 
+from collections.abc import Callable
+
 from behave import given, then, when
 from behave.runner import Context
 
+from tests.ownership.lives import LivesSimulation
+from tests.ownership.lives_machine import LivesStateMachine
 from tests.ownership.machine import run_random_simulations
 from tests.ownership.mutations import MUTATIONS
 from tests.ownership.node import Components
@@ -13,8 +17,18 @@
 def _run(
     components: Components, script: list[str], *, has_workers: bool = False
 ) -> str:
+    return _play(
+        lambda: Simulation(components, has_workers=has_workers), script
+    )
+
+
+def _run_lives(components: Components, script: list[str]) -> str:
+    return _play(lambda: LivesSimulation(components), script)
+
+
+def _play(start: Callable[[], Simulation], script: list[str]) -> str:
     try:
-        simulation = Simulation(components, has_workers=has_workers)
+        simulation = start()
         for line in script:
             simulation.run(line)
     except AssertionError as broken:
@@ -59,6 +73,16 @@
     )
 
 
+@when(
+    '{runs:d} random simulations of {lines:d} lines with workers that die and '
+    'start again are run'
+)
+def run_with_lives(context: Context, runs: int, lines: int) -> None:
+    context.counted = run_random_simulations(
+        Components(), runs, lines, has_workers=True, base=LivesStateMachine
+    )
+
+
 @then('no shard ever had two acting owners')
 def check_simulations(context: Context) -> None:
     # A simulation raises on the first violation, also if a shard has no owner
@@ -104,3 +128,17 @@
     components = MUTATIONS[safeguard]
     found = _run(components, context.script, has_workers=True)
     assert found == 'TwoHoldersError', found
+
+
+@then('the code without "{safeguard}" fails with "{error}" on lives of workers')
+def check_mutation_with_lives(
+    context: Context, safeguard: str, error: str
+) -> None:
+    found = _run_lives(MUTATIONS[safeguard], context.script)
+    assert found == error, found
+
+
+@then('the whole code passes on it with lives of workers')
+def check_with_lives(context: Context) -> None:
+    found = _run_lives(Components(), context.script)
+    assert found == 'nothing', found
--- a/tests/ownership/machine.py
+++ b/tests/ownership/machine.py
@@ -47,9 +47,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._simulation = Simulation(
-            self.components, has_workers=self.has_workers
-        )
+        self._simulation = self._make_simulation()
 
     @rule(count=_STEP_COUNTS)
     def tick(self, count: int) -> None:
@@ -98,7 +96,7 @@
             self._clear_faults_of_vm(vm)
             if not self._simulation.is_running(vm):
                 self._run(f'restart {vm}')
-        self._run(f'await-owners {_RECOVERY_STEPS}')
+        self._recover()
 
     @rule(cut_vm=_VMS, other=_VM_OR_ALL)
     def cut_links(self, cut_vm: str, other: str) -> None:
@@ -262,6 +260,12 @@
         ):
             self._run(line)
 
+    def _recover(self) -> None:
+        self._run(f'await-owners {_RECOVERY_STEPS}')
+
+    def _make_simulation(self) -> Simulation:
+        return Simulation(self.components, has_workers=self.has_workers)
+
     def teardown(self) -> None:
         """Add this simulation to the counts."""
         machine_class = type(self)
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -25,6 +25,7 @@
 )
 from laburnumwood.store.interface import Store
 from laburnumwood.upstream.attached_grants import AttachedGrants
+from tests.ownership.fence_mutations import FENCE_MUTATIONS
 from tests.ownership.node import Components
 
 
@@ -196,6 +197,7 @@
 
 
 MUTATIONS = {
+    **FENCE_MUTATIONS,
     'the automatic end of lost nodes': Components(
         quorum_loss_detector=_NoExpiredLeases
     ),
--- a/tests/ownership/network.py
+++ b/tests/ownership/network.py
@@ -23,19 +23,21 @@
 
     A link is a pair of a sending and a receiving VM.  Messages on a held link
     wait until the link is healed, and messages to a VM in `paused` wait until
-    it is resumed.
+    it is resumed.  Those on a silent link are lost for good.
     """
 
     def __init__(self) -> None:
         self._held_links: set[tuple[str, str]] = set()
+        self._silent_links: set[tuple[str, str]] = set()
         self.paused: set[str] = set()
         self._copies = 1
         self._is_reversed = False
         self._messages: list[Message] = []
 
     def send(self, message: Message) -> None:
-        """Add a message to those in transit."""
-        self._messages.append(message)
+        """Add a message to those in transit, or lose it."""
+        if not self._is_silent(message):
+            self._messages.append(message)
 
     def deliver_ready(self) -> None:
         """Deliver the messages that can be delivered, then their answers."""
@@ -82,6 +84,17 @@
             each for each in self._messages if not self._is_held(each)
         ]
 
+    def silence(self, source: str, target: str) -> None:
+        """Lose all messages from one VM to another, also those in transit."""
+        self._silent_links.add((source, target))
+        self._messages = [
+            each for each in self._messages if not self._is_silent(each)
+        ]
+
+    def end_silence(self) -> None:
+        """Let all links carry messages again."""
+        self._silent_links.clear()
+
     def set_delivery(self, copies: str, order: str) -> None:
         """Set how messages are delivered from now on.
 
@@ -90,6 +103,9 @@
         self._copies = 2 if copies == 'doubled' else 1
         self._is_reversed = order == 'reversed'
 
+    def _is_silent(self, message: Message) -> bool:
+        return (message.source, message.target) in self._silent_links
+
     def _is_held(self, message: Message) -> bool:
         return (message.source, message.target) in self._held_links
 
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -1,6 +1,6 @@
 """One incarnation of a node, made of the real classes and run in steps."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
@@ -25,6 +25,7 @@
 )
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.held_shards import HeldShards
+from laburnumwood.placement.layout import split_shard_number
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite
 from laburnumwood.protocol.messages import Granted, Refused, Renew
@@ -38,10 +39,9 @@
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.upstream.attached_grants import AttachedGrants
 from laburnumwood.upstream.reporting_worker import ReportingWorker
+from tests.ownership.keys import SERVICE, shard_keys
 from tests.ownership.store import FakeStore
-from tests.ownership.worker import shard_keys
 
-SERVICE = 's'
 _READ_INTERVAL_MS = 100
 _UPDATE_INTERVAL_MS = 1_000
 _WITNESS_COUNT = 3
@@ -59,6 +59,8 @@
     quorum_loss_detector: type[QuorumLossDetector] = QuorumLossDetector
     attached_grants: type[AttachedGrants] = AttachedGrants
     era_recovery: type[EraRecovery] = EraRecovery
+    reporting_worker: type[ReportingWorker] = ReportingWorker
+    held_shards: type[HeldShards] = HeldShards
 
 
 def _apply_seals(seals: tuple[Seal, ...], node: 'FakeNode') -> None:
@@ -72,8 +74,10 @@
 class _GrantSource:
     """The shards that an incarnation grants its worker."""
 
-    def __init__(self, lease: Lease, held_shards: HeldShards) -> None:
-        self._held_shards = held_shards
+    def __init__(
+        self, lease: Lease, held_shards: HeldShards, view: FleetView
+    ) -> None:
+        self._view = view
         self.tokens = held_shards.tokens
         self.until_ms = lease.expires_at_ms
         self.close = held_shards.close
@@ -81,7 +85,8 @@
 
     def stripes(self, shard: ShardName) -> tuple[KeyRange, ...]:
         """Return the keys of a shard."""
-        return (shard_keys(shard),)
+        entry = self._view.directory.shard(shard)
+        return shard_keys(shard, entry.record if entry else None)
 
     def handovers(self, _shard: ShardName) -> tuple[str, ...]:
         """Return no handovers."""
@@ -111,7 +116,7 @@
         self.name = name
         self.view = FleetView(Directory(), SealRegistry())
         self.lease = components.lease(name, settings, clock)
-        self.held_shards = HeldShards()
+        self.held_shards = components.held_shards()
         self.misses_updates = False
         self.ownership = components.ownership_tracker(
             SERVICE, self.view, self.lease, self.held_shards, clock
@@ -138,6 +143,7 @@
         self._send = send
         self._writes: list[ShardWrite] = []
         self._awaiting_release: set[ShardName] = set()
+        self._parts: dict[ShardName, tuple[KeyRange, NodeName]] = {}
         self._renewed_ms = _NEVER_MS
         self._read_ms = _NEVER_MS
         self._record_updated_ms = _NEVER_MS
@@ -146,7 +152,7 @@
         self._rejoin_backoff = RejoinBackoff(clock)
         self.worker: AttachedGrants | None = None
         if worker is not None:
-            source = _GrantSource(self.lease, self.held_shards)
+            source = _GrantSource(self.lease, self.held_shards, self.view)
             self.worker = components.attached_grants(worker, source)
 
     @property
@@ -246,6 +252,15 @@
         if not self.misses_updates:
             self.view.directory.apply(stored)
 
+    def acting_rows(self) -> Iterator[tuple[KeyRange, int]]:
+        """Yield the keys that this node may act for, with their tokens."""
+        tokens = self.held_shards.tokens() if self.lease.is_held() else {}
+        for shard, token in tokens.items():
+            if self.held_shards.is_open(shard):
+                entry = self.view.directory.shard(shard)
+                for keys in shard_keys(shard, entry.record if entry else None):
+                    yield keys, token
+
     def read_store(self) -> None:
         """Apply all objects of the store, if it answers."""
         self._read_ms = self._clock.now_ms()
@@ -263,11 +278,17 @@
                 shard, self.ownership.begin_move(shard, target)
             )
 
-    def split(self, shard: ShardName, keys: KeyRange) -> None:
-        """Begin to split a range of keys off from a shard."""
-        self._release_and_write(
-            shard, self.ownership.begin_split(shard, (keys,))
-        )
+    def split(
+        self, shard: ShardName, keys: KeyRange, target: NodeName | None = None
+    ) -> None:
+        """Begin to split a range of keys off from a shard.
+
+        It becomes a shard of `target`, None: of the node that claims it.
+        """
+        write = self.ownership.begin_split(shard, (keys,))
+        if write is not None and target is not None:
+            self._parts[shard] = (keys, target)
+        self._release_and_write(shard, write)
 
     def end(self) -> None:
         """Give up the lease and all shards."""
@@ -311,9 +332,21 @@
                 self.ownership.finish(write, progress)
                 self._restore(write.shard)
                 self._broadcast_written(write)
+                self._create_part(write.shard)
         if self._store.mode == 'up' and self.ownership.stale_shards:
             self.read_store()
 
+    def _create_part(self, shard: ShardName) -> None:
+        entry = self.view.directory.shard(shard)
+        if entry is None or shard not in self._parts:
+            return
+        keys, target = self._parts.pop(shard)
+        if keys in entry.record.split_off:
+            part = ShardName(SERVICE, split_shard_number(keys))
+            write = self.ownership.begin_create(part, target, '')
+            if write is not None:
+                self._writes.append(write)
+
     def _update_record(self) -> None:
         self._record_updated_ms = self._clock.now_ms()
         self._record_updater.evict_ended()
--- a/tests/ownership/store.py
+++ b/tests/ownership/store.py
@@ -133,16 +133,23 @@
 
 
 class FakeStore(HttpStore):
-    """A client of a store in memory with the interface of the real one."""
+    """A client of a store in memory with the interface of the real one.
+
+    `silence` is 'requests' if none of them arrives any more, and 'answers' if
+    none of those do, as on a connection that has gone silent.
+    """
 
     def __init__(self, backing: StoreContents | None = None) -> None:
         self.backing = backing or StoreContents()
         self.is_refused = False
+        self.silence = ''
         self._era = 0
 
     @property
     def mode(self) -> str:
         """Return the mode of the store for this client."""
+        if self.silence:
+            return 'down' if self.silence == 'requests' else 'lose-answers'
         return 'refused' if self.is_refused else self.backing.mode
 
     @mode.setter
@@ -162,14 +169,14 @@
     def get(self, name: str) -> StoredObject | None:
         """Return an object, or None if it does not exist."""
         if self.mode not in {'up', 'lose-write-answers'}:
-            raise self.backing.unavailable_error(name)
+            raise self._unavailable_error(name)
         self.learn_era(self.backing.era)
         return self.backing.found(name)
 
     def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
         """Return all objects, whatever the prefix, and the version."""
         if self.mode != 'up':
-            raise self.backing.unavailable_error(prefix)
+            raise self._unavailable_error(prefix)
         backing = self.backing
         self.learn_era(backing.era)
         version = make_version(backing.era, backing.revision)
@@ -177,21 +184,26 @@
 
     def create(self, name: str, value: dict[str, Any]) -> int:
         """Create an object and return its version."""
-        self._check_refused(name)
-        written = self.backing.send_write(name, value, 0)
-        self.learn_era(self.backing.era)
-        return written
+        return self._write(name, value, 0)
 
     def update(self, name: str, value: dict[str, Any], version: int) -> int:
         """Replace a version of an object and return its new version."""
         if era_of(version) != self._era:
             raise PlatformConflictError(name)
-        self._check_refused(name)
-        expected = revision_of(version)
+        return self._write(name, value, revision_of(version))
+
+    def _write(self, name: str, value: dict[str, Any], expected: int) -> int:
+        if self.is_refused:
+            raise PlatformNotReachedError(name)
+        if self.silence == 'requests':
+            raise PlatformUnavailableError(name)
         written = self.backing.send_write(name, value, expected)
+        if self.silence:
+            raise PlatformUnavailableError(name)
         self.learn_era(self.backing.era)
         return written
 
-    def _check_refused(self, name: str) -> None:
-        if self.is_refused:
-            raise PlatformNotReachedError(name)
+    def _unavailable_error(self, detail: str) -> PlatformUnavailableError:
+        if self.silence:
+            return PlatformUnavailableError(detail)
+        return self.backing.unavailable_error(detail)
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -16,27 +16,27 @@
     join,
     record_end,
 )
-from laburnumwood.records import KeyRange, NodeName, ShardName, ShardRecord
+from laburnumwood.records import NodeName, ShardName, ShardRecord
 from laburnumwood.settings import DaemonSettings
-from laburnumwood.store.objects import shard_object_name, to_value
+from laburnumwood.store.objects import (
+    SHARD_PREFIX,
+    shard_object_name,
+    to_value,
+)
 from laburnumwood.store.writes import new_mark
-from tests.fences import TokenNotIncreasedError
+from tests.ownership.checks import KeyChecks
 from tests.ownership.clocks import DriftingClock, SimulatedTime
+from tests.ownership.keys import SERVICE, SHARDS, upper_half
 from tests.ownership.network import VMS, Message, Network
-from tests.ownership.node import SERVICE, Components, FakeNode
+from tests.ownership.node import Components, FakeNode
 from tests.ownership.store import FakeStore, StoreContents
 from tests.ownership.worker import SimulatedWorkers
 
-SHARDS = (ShardName(SERVICE, 0), ShardName(SERVICE, 1))
 STEP_MS = 50
 _CLOCK_RATES = (1.0, 1.012, 0.99, 1.005, 0.993)
 _STARTUP_STEPS = 30
 
 
-class TwoActingOwnersError(AssertionError):
-    """More than one incarnation may act for a shard at the same time."""
-
-
 class NoActingOwnerError(AssertionError):
     """A shard has no owner long after all faults have ended."""
 
@@ -98,14 +98,22 @@
         self._time = SimulatedTime()
         self._nodes: dict[str, FakeNode] = {}
         self._unrecorded_ends: dict[str, list[FakeNode]] = {}
-        self._tokens: dict[ShardName, tuple[int, NodeName]] = {}
+        self._checks = KeyChecks(self.script)
         self._clocks = {
             vm: DriftingClock(self._time, number * 977, _CLOCK_RATES[number])
             for number, vm in enumerate(VMS)
         }
         self._workers = (
-            SimulatedWorkers(self._time, self._clocks) if has_workers else None
+            SimulatedWorkers(
+                self._time,
+                self._clocks,
+                self.script,
+                components.reporting_worker,
+            )
+            if has_workers
+            else None
         )
+        self._prepare_store()
         for vm in VMS:
             self._start(vm)
         self._create_shards()
@@ -116,7 +124,7 @@
         """Run one line, a command and its arguments, and check ownership."""
         self.script.append(line)
         command, *arguments = line.split()
-        _COMMANDS[command](self, *arguments)
+        self._find_command(command)(self, *arguments)
         self._check()
 
     def owner(self, shard: ShardName) -> NodeName | None:
@@ -136,6 +144,16 @@
         """Return whether a process runs on a VM."""
         return vm in self._nodes
 
+    def shards(self) -> tuple[ShardName, ...]:
+        """Return all shards, those that were split off last."""
+        names = {each.name: None for each in self.store.history}
+        found = (
+            ShardName.parse(name.removeprefix(SHARD_PREFIX))
+            for name in names
+            if name.startswith(SHARD_PREFIX)
+        )
+        return tuple(dict.fromkeys((*SHARDS, *found)))
+
     def owner_and_successor(self, number: int) -> tuple[str, str]:
         """Return the VMs of the first two nodes in a shard's succession."""
         name = shard_object_name(SHARDS[number])
@@ -145,6 +163,12 @@
         ids.extend(vm for vm in VMS if vm not in ids)
         return ids[0], ids[1]
 
+    def _find_command(self, command: str) -> Callable[..., None]:
+        return _COMMANDS[command]
+
+    def _prepare_store(self) -> None:
+        """Write what the store has before the first process starts."""
+
     def _start(self, vm: str, previous: FakeNode | None = None) -> None:
         """Start a process, or the next incarnation of a running one."""
         settings = node_settings(vm)
@@ -252,24 +276,11 @@
         }
 
     def _check(self) -> None:
+        if self._workers is not None:
+            self._workers.check_holders()
+        self._checks.check_keys(self._nodes.values())
         for shard in SHARDS:
-            if self._workers is not None:
-                self._workers.check_shard(shard, self.script)
-            owners = self._acting_owners(shard)
-            if len(owners) > 1:
-                raise TwoActingOwnersError(f'{shard}: {owners} {self.script}')
-            for name, token in owners.items():
-                self._check_token(shard, token, name)
-
-    def _check_token(
-        self, shard: ShardName, token: int, name: NodeName
-    ) -> None:
-        highest, holder = self._tokens.get(shard, (0, name))
-        if token < highest or (token == highest and name != holder):
-            raise TokenNotIncreasedError(
-                f'{shard}: {name} {token} {self.script}'
-            )
-        self._tokens[shard] = (token, name)
+            self._checks.check_shard(shard, self._acting_owners(shard))
 
     def _crash(self, vm: str) -> None:
         self._unrecorded_ends.pop(vm, None)
@@ -280,39 +291,29 @@
         self.network.paused.discard(vm)
         self._start(vm)
 
-    def _confirm_lost(self, vm: str) -> None:
-        confirm_lost(FakeStore(self.store), NodeName(vm, 1), 'operator')
-
-    def _stop_updates(self, vm: str) -> None:
-        if vm in self._nodes:
-            self._nodes[vm].misses_updates = True
-
-    def _resume_updates(self, vm: str) -> None:
-        if vm in self._nodes:
-            self._nodes[vm].misses_updates = False
-
-    def _replay_updates(self, vm: str) -> None:
-        if vm in self._nodes:
-            for stored in self.store.history:
-                self._nodes[vm].view.directory.apply(stored)
+    def _owned_shard(self, number: str) -> tuple[ShardName, FakeNode | None]:
+        """Return a shard and the node that may act for it, if any."""
+        shards = self.shards()
+        shard = shards[int(number) % len(shards)]
+        owner = self.owner(shard)
+        return shard, self._nodes.get(owner.node_id) if owner else None
 
     def _move(self, number: str, target: str) -> None:
-        shard = SHARDS[int(number)]
-        owner = self.owner(shard)
-        node = self._nodes.get(owner.node_id) if owner else None
+        shard, node = self._owned_shard(number)
         record = node and node.view.directory.nodes.get(target)
         if node is None or not record or target == node.name.node_id:
             return
         node.move(shard, NodeName(target, record.record.incarnation))
 
-    def _split(self, number: str) -> None:
-        shard = SHARDS[int(number)]
-        owner = self.owner(shard)
-        node = self._nodes.get(owner.node_id) if owner else None
-        record = node and node.view.directory.shard(shard)
-        if node is not None and record:
-            key = len(record.record.split_off) * len(SHARDS) + int(number)
-            node.split(shard, KeyRange(key, key))
+    def _split(self, number: str, vm: str = '') -> None:
+        shard, node = self._owned_shard(number)
+        entry = node and node.view.directory.shard(shard)
+        if node is None or not entry:
+            return
+        target = node.view.directory.nodes.get(vm)
+        name = NodeName(vm, target.record.incarnation) if target else None
+        for keys in upper_half(shard, entry.record):
+            node.split(shard, keys, name)
 
     def _witnesses(self, vm: str, first: str) -> None:
         node = self._nodes.get(vm)
@@ -326,6 +327,26 @@
             node.change_witnesses(chosen)
 
 
+def _confirm_lost(simulation: Simulation, vm: str) -> None:
+    confirm_lost(FakeStore(simulation.store), NodeName(vm, 1), 'operator')
+
+
+def _stop_updates(simulation: Simulation, vm: str) -> None:
+    if simulation.is_running(vm):
+        simulation.node(vm).misses_updates = True
+
+
+def _resume_updates(simulation: Simulation, vm: str) -> None:
+    if simulation.is_running(vm):
+        simulation.node(vm).misses_updates = False
+
+
+def _replay_updates(simulation: Simulation, vm: str) -> None:
+    if simulation.is_running(vm):
+        for stored in simulation.store.history:
+            simulation.node(vm).view.directory.apply(stored)
+
+
 def _pause(simulation: Simulation, vm: str) -> None:
     simulation.network.paused.add(vm)
 
@@ -362,13 +383,14 @@
     simulation.store.corrupt(shard_object_name(SHARDS[int(number)]))
 
 
-# The commands of scripts.  VMs are named `a` to `e`, shards 0 and 1.
+# The commands of scripts.  VMs are named `a` to `e`, shards 0 and 1;
+# 2 and above are those that were split off.
 _COMMANDS: dict[str, Callable[..., None]] = {
     'tick': Simulation._tick,
     'await-owners': Simulation._await_owners,
     'crash': Simulation._crash,
     'restart': Simulation._restart,
-    'confirm-lost': Simulation._confirm_lost,
+    'confirm-lost': _confirm_lost,
     'duplicate': _start_duplicate,
     'corrupt': _corrupt,
     'pause': _pause,
@@ -387,9 +409,9 @@
     'put-back': _put_back,
     'refuse': _refuse,
     'admit': _admit,
-    'stop-updates': Simulation._stop_updates,
-    'resume-updates': Simulation._resume_updates,
-    'replay-updates': Simulation._replay_updates,
+    'stop-updates': _stop_updates,
+    'resume-updates': _resume_updates,
+    'replay-updates': _replay_updates,
     'move': Simulation._move,
     'split': Simulation._split,
     'witnesses': Simulation._witnesses,
