Begin to act for a split-off shard only once its parent's record lists it

Two nodes acted for the same keys when the creation of a split-off shard arrived late, after the store had forgotten the split and the former owner of the shard had taken all of its keys again: a create has no version that a new era could refuse, and the owner may learn of the record last. 42 of 63 scripts that vary the moment and who misses updates failed with TwoActingOwnersError, 0 of 63 now.

In a later era a shard that was split off, and is not listed so by its parent, is not taken by anybody who doesn't hold it; the parent's owner has its worker release the keys first, like for a move, then writes the record that lists it.

--- a/laburnumwood/placement/lost_splits.py
+++ b/laburnumwood/placement/lost_splits.py
@@ -2,15 +2,16 @@
 
 A store that comes back from an older copy may have the record of a shard as
 it was before a range was split off, beside the record of the new shard, which
-another node wrote back.  The record of the new shard counts: its owner goes on
-serving the range.
+another node wrote back, or whose creation arrived late.  The record of the new
+shard counts: who holds it goes on serving the range.  Nobody else begins to,
+until the owner of the other shard has listed the split in its record.
 """
 
 from collections.abc import Mapping
 
 from laburnumwood.config.declarations import Service
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.layout import locate
+from laburnumwood.placement.layout import locate, split_shard_number
 from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.records import KeyRange, ShardName, ShardRecord
 
@@ -50,16 +51,30 @@
         self._view = view
         self._seen_changes = -1
         self._lost: dict[int, _Ranges] = {}
+        self._unlisted: frozenset[int] = frozenset()
+
+    def is_unlisted(self, shard: ShardName) -> bool:
+        """Return whether a shard was split off from one that doesn't say so."""
+        self._update()
+        return shard.number in self._unlisted
 
     def of_shard(self, shard: ShardName) -> _Ranges:
         """Return the ranges that the record of a shard should list."""
+        self._update()
+        return self._lost.get(shard.number, ())
+
+    def _update(self) -> None:
         directory = self._view.directory
         if directory.era <= _FIRST_ERA:
-            return ()
+            return
         if directory.change_count != self._seen_changes:
             self._seen_changes = directory.change_count
             self._lost = self._find()
-        return self._lost.get(shard.number, ())
+            self._unlisted = frozenset(
+                split_shard_number(keys)
+                for ranges in self._lost.values()
+                for keys in ranges
+            )
 
     def _find(self) -> dict[int, _Ranges]:
         directory = self._view.directory
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -196,8 +196,14 @@
         return None if owner == self._own else owner
 
     def begin_write(self, shard: ShardName) -> ShardWrite:
-        """Return the write that makes this node the first owner of a shard."""
-        return self._begin(shard, self._own)
+        """Return the write that makes this node the first owner of a shard.
+
+        If it takes keys out of the shard, the same conditions as for a move
+        hold before it is stepped.
+        """
+        write = self._begin(shard, self._own)
+        write.takes_keys_out = bool(self._lost_splits.of_shard(shard))
+        return write
 
     def begin_give_back(
         self, shard: ShardName, owner: NodeName
@@ -283,7 +289,9 @@
         state = ownership_state(shard, record, self._own, self._view)
         if state is OwnershipState.NOT_OWNER:
             return state
-        if not self._trust.may_act(shard, record):
+        is_held = self._held_shards.is_held(shard)
+        is_unlisted = not is_held and self._lost_splits.is_unlisted(shard)
+        if is_unlisted or not self._trust.may_act(shard, record):
             return OwnershipState.UNCONFIRMED
         must_write = self._trust.is_undecided(
             shard, record
@@ -402,6 +410,7 @@
     ) -> ShardRecord:
         entry = self._view.directory.shard(shard)
         era = self._view.directory.era
+        lost_splits = self._lost_splits.of_shard(shard)
         if entry is not None:
             epoch = next_number(entry.record.epoch, entry.record.epoch_era, era)
             least_token = self._held_shards.least_token(shard)
@@ -411,10 +420,7 @@
                 epoch_era=era,
                 succession=succession,
                 handovers=(),
-                split_off=(
-                    *entry.record.split_off,
-                    *self._lost_splits.of_shard(shard),
-                ),
+                split_off=(*entry.record.split_off, *lost_splits),
             )
         for keys, parent in _split_ranges(self._view, self._service):
             if split_shard_number(keys) == shard.number:
@@ -422,10 +428,17 @@
                 # begins with the epoch of its parent, which was raised by the
                 # split.
                 epoch = next_number(parent.epoch - 1, parent.epoch_era, era)
-                return ShardRecord(epoch, succession, keys=keys, epoch_era=era)
+                return ShardRecord(
+                    epoch,
+                    succession,
+                    keys=keys,
+                    split_off=lost_splits,
+                    epoch_era=era,
+                )
         return ShardRecord(
             first_number(era),
             succession,
+            split_off=lost_splits,
             epoch_era=era,
             shards=self._partitioning.shard_count(),
             stripe_width=self._partitioning.stripe_width(),
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -230,8 +230,18 @@
                 self._give_back(shard, owner)
             else:
                 self._kept.discard(shard)
-                write = self._ownership.begin_write(shard)
-                self._writer.start(self._execute, write)
+                self._begin_write(shard)
+
+    def _begin_write(self, shard: ShardName) -> None:
+        write = self._ownership.begin_write(shard)
+        if write.takes_keys_out:
+            start(self._release_and_execute, write)
+        else:
+            self._writer.start(self._execute, write)
+
+    def _release_and_execute(self, write: ShardWrite) -> None:
+        self._release(write.shard)
+        self._execute(write)
 
     def _may_give_back(self, owner: NodeName) -> bool:
         is_stable = self._balancer.is_stable(owner.node_id)
--- a/laburnumwood/placement/shard_write.py
+++ b/laburnumwood/placement/shard_write.py
@@ -41,7 +41,8 @@
     have acknowledged it.  A write whose answer was lost is repeated until its
     outcome is known.  If `stop_if_unreachable` is set and the first attempt
     does not reach the store, the write is not repeated, so that nothing that
-    depends on its outcome has to wait for the store.
+    depends on its outcome has to wait for the store.  `takes_keys_out` is set
+    if the worker may have keys of the shard that are not in it afterwards.
     `version` is the version to replace, or None to create the record, as the
     store has it in `era`.  Once another era has begun nothing is sent any
     more.  A write that was sent before is undecided then, whether it is found
@@ -63,6 +64,7 @@
         self.version = version
         self.stored: StoredObject | None = None
         self.stop_if_unreachable = False
+        self.takes_keys_out = False
         self.is_undecided = False
         self._era = era
         self._lease = lease
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -351,7 +351,11 @@
 
     def _step_writes(self) -> None:
         for shard in self.ownership.shards_to_write():
-            self._writes.append(self.ownership.begin_write(shard))
+            write = self.ownership.begin_write(shard)
+            if write.takes_keys_out:
+                self._release_and_write(shard, write)
+                continue
+            self._writes.append(write)
             self.renew()
         for write in tuple(self._writes):
             if not self._is_released(write.shard):
