--- a/tests/features/handing_over.feature
+++ b/tests/features/handing_over.feature
@@ -20,6 +20,14 @@
     When it writes the records that are due
     Then the shard was written after 300 ms
 
+  # Guards against two workers that hold the same keys: a split that the store
+  # had forgotten was listed again while the worker still held the range.
+  Scenario: keys are taken out of a shard once the worker has released it
+    Given a node whose store answers and whose worker releases shards after 300 ms
+    And it must write a shard's record that takes keys out of it
+    When it writes the records that are due
+    Then the shard was written after 300 ms
+
   # Guards against payments that are refused for ten minutes: a node that was
   # restarted got a shard back without the notes of earlier payments.
   Scenario: a shard is given back together with its notes
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -102,9 +102,18 @@
     context.writer.start = eventlet.spawn_n
 
 
+@given("it must write a shard's record that takes keys out of it")
+def take_keys_out(context: Context) -> None:
+    give_back(context)
+    write = _write_for(OWN, RETURNED)
+    write.takes_keys_out = True
+    context.ownership.returned_owner = lambda _shard: None
+    context.ownership.begin_write = lambda _shard: write
+
+
 def _write_for(*succession: NodeName) -> Any:
     record = SimpleNamespace(succession=succession)
-    return SimpleNamespace(shard=SHARD, record=record)
+    return SimpleNamespace(shard=SHARD, record=record, takes_keys_out=False)
 
 
 def _execute(context: Context, write: Any) -> WriteProgress:
