--- a/tests/ownership/clocks.py
+++ b/tests/ownership/clocks.py
@@ -2,6 +2,8 @@
 
 from laburnumwood.clock import Clock
 
+STEP_MS = 50  # of a simulation
+
 
 class SimulatedTime:
     """The true time of a simulation, in milliseconds."""
--- a/tests/ownership/machine.py
+++ b/tests/ownership/machine.py
@@ -8,9 +8,10 @@
     run_state_machine_as_test,
 )
 
+from tests.ownership.clocks import STEP_MS
 from tests.ownership.network import VMS
 from tests.ownership.node import Components
-from tests.ownership.world import STEP_MS, Simulation
+from tests.ownership.world import Simulation
 
 _VMS = strategies.sampled_from(VMS)
 _VM_OR_ALL = strategies.sampled_from((*VMS, 'all'))
