--- a/tests/features/fences.feature
+++ b/tests/features/fences.feature
@@ -48,12 +48,13 @@
       """
       <script>
       """
-    Then the whole code passes on it with lives of workers
+    Then the code without "<safeguard>" fails with "TwoActingOwnersError" on lives of workers
+    And the whole code passes on it with lives of workers
 
     Examples:
-      | script |
-      | restart c; restart e; tick 8; stop-updates a; cut a all; tick 40; restart e; put-back 2; tick 7; restart b; restart c; heal e; await-holders 400; split 0; tick 20; crash e; put-back 10; tick 4; restart a; restart c; tick 16; put-back 11; heal a; await-owners 300; await-holders 400 |
-      | await-holders 100; split 0 e; tick 14; store late; tick 3; crash-vm all; store up; put-back 1; start-vm all; await-holders 400; tick 1; stop-updates a; apply-late; tick 60; resume-updates a; await-owners 300; await-holders 400 |
+      | safeguard                         | script |
+      | the listing of lost splits        | restart c; restart e; tick 8; stop-updates a; cut a all; tick 40; restart e; put-back 2; tick 7; restart b; restart c; heal e; await-holders 400; split 0; tick 20; crash e; put-back 10; tick 4; restart a; restart c; tick 16; put-back 11; heal a; await-owners 300; await-holders 400 |
+      | the wait for a split to be listed | await-holders 100; split 0 e; tick 14; store late; tick 3; crash-vm all; store up; put-back 1; start-vm all; await-holders 400; tick 1; stop-updates a; apply-late; tick 60; resume-updates a; await-owners 300; await-holders 400 |
 
   # Guards against a key that two lives of workers, or two workers, have under one
   # fencing token, in any order of failures.
--- a/tests/ownership/fence_mutations.py
+++ b/tests/ownership/fence_mutations.py
@@ -4,7 +4,10 @@
 from dataclasses import replace
 
 from laburnumwood.clock import Clock
+from laburnumwood.leases.lease import Lease
+from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.held_shards import HeldShards
+from laburnumwood.placement.lost_splits import LostSplits
 from laburnumwood.placement.ownership import OwnershipState
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.records import KeyRange, NodeName, ShardName, ShardRecord
@@ -95,7 +98,54 @@
         return replace(record, epoch=first_number(self._view.directory.era))
 
 
+class _AllSplitsListed(LostSplits):
+    """Relies on the records of shards to list what was split off."""
+
+    def _find(self) -> dict[int, tuple[KeyRange, ...]]:
+        return {}
+
+
+class _WithoutLostSplits(OwnershipTracker):
+    def __init__(
+        self,
+        service: str,
+        view: FleetView,
+        lease: Lease,
+        held_shards: HeldShards,
+        clock: Clock,
+    ) -> None:
+        super().__init__(service, view, lease, held_shards, clock)
+        self._lost_splits = _AllSplitsListed(service, view)
+
+
+class _UnlistedPartsTaken(LostSplits):
+    """Lets nodes act for shards that their parents don't list."""
+
+    def is_unlisted(self, shard: ShardName) -> bool:
+        """Return that each shard is listed."""
+        return False
+
+
+class _WithUnlistedParts(OwnershipTracker):
+    def __init__(
+        self,
+        service: str,
+        view: FleetView,
+        lease: Lease,
+        held_shards: HeldShards,
+        clock: Clock,
+    ) -> None:
+        super().__init__(service, view, lease, held_shards, clock)
+        self._lost_splits = _UnlistedPartsTaken(service, view)
+
+
 FENCE_MUTATIONS = {
+    'the listing of lost splits': Components(
+        ownership_tracker=_WithoutLostSplits
+    ),
+    'the wait for a split to be listed': Components(
+        ownership_tracker=_WithUnlistedParts
+    ),
     'the memory of earlier instances': Components(
         reporting_worker=_WithoutMemory
     ),
