--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -12,6 +12,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import split_ranges, split_shard_number
+from laburnumwood.placement.lost_splits import LostSplits
 from laburnumwood.placement.ownership import (
     OwnershipState,
     acting_owner,
@@ -107,6 +108,7 @@
         self._unowned_before_ms: dict[ShardName, int] = {}
         self._lacking_successors_since_ms: dict[ShardName, int] = {}
         self._partitioning = Partitioning(service, view, clock)
+        self._lost_splits = LostSplits(service, view)
         self._trust = RecordTrust(self._own, view, held_shards, clock)
 
     @property
@@ -194,8 +196,14 @@
         return None if owner == self._own else owner
 
     def begin_write(self, shard: ShardName) -> ShardWrite:
-        """Return the write that makes this node the first owner of a shard."""
-        return self._begin(shard, self._own)
+        """Return the write that makes this node the first owner of a shard.
+
+        If it takes keys out of the shard, the same conditions as for a move
+        hold before it is stepped.
+        """
+        write = self._begin(shard, self._own)
+        write.takes_keys_out = bool(self._lost_splits.of_shard(shard))
+        return write
 
     def begin_give_back(
         self, shard: ShardName, owner: NodeName
@@ -242,7 +250,7 @@
         if entry is None or not held or not self._may_begin(shard):
             return None
         write = self._begin(shard, self._own)
-        split_off = (*entry.record.split_off, *ranges)
+        split_off = (*write.record.split_off, *ranges)
         write.record = replace(write.record, split_off=split_off)
         write.stop_if_unreachable = True
         return write
@@ -281,10 +289,14 @@
         state = ownership_state(shard, record, self._own, self._view)
         if state is OwnershipState.NOT_OWNER:
             return state
-        if not self._trust.may_act(shard, record):
+        is_held = self._held_shards.is_held(shard)
+        is_unlisted = not is_held and self._lost_splits.is_unlisted(shard)
+        if is_unlisted or not self._trust.may_act(shard, record):
             return OwnershipState.UNCONFIRMED
-        is_undecided = self._trust.is_undecided(shard, record)
-        if state is OwnershipState.OWNER and is_undecided:
+        must_write = self._trust.is_undecided(
+            shard, record
+        ) or self._lost_splits.of_shard(shard)
+        if state is OwnershipState.OWNER and must_write:
             return OwnershipState.MUST_WRITE
         return state
 
@@ -398,6 +410,7 @@
     ) -> ShardRecord:
         entry = self._view.directory.shard(shard)
         era = self._view.directory.era
+        lost_splits = self._lost_splits.of_shard(shard)
         if entry is not None:
             epoch = next_number(entry.record.epoch, entry.record.epoch_era, era)
             least_token = self._held_shards.least_token(shard)
@@ -407,6 +420,7 @@
                 epoch_era=era,
                 succession=succession,
                 handovers=(),
+                split_off=(*entry.record.split_off, *lost_splits),
             )
         for keys, parent in _split_ranges(self._view, self._service):
             if split_shard_number(keys) == shard.number:
@@ -414,10 +428,17 @@
                 # begins with the epoch of its parent, which was raised by the
                 # split.
                 epoch = next_number(parent.epoch - 1, parent.epoch_era, era)
-                return ShardRecord(epoch, succession, keys=keys, epoch_era=era)
+                return ShardRecord(
+                    epoch,
+                    succession,
+                    keys=keys,
+                    split_off=lost_splits,
+                    epoch_era=era,
+                )
         return ShardRecord(
             first_number(era),
             succession,
+            split_off=lost_splits,
             epoch_era=era,
             shards=self._partitioning.shard_count(),
             stripe_width=self._partitioning.stripe_width(),
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -28,6 +28,7 @@
 )
 from laburnumwood.store.interface import Store
 from laburnumwood.upstream.attached_grants import AttachedGrants
+from tests.ownership.fence_mutations import FENCE_MUTATIONS
 from tests.ownership.node import Components
 
 
@@ -221,6 +222,7 @@
 
 
 MUTATIONS = {
+    **FENCE_MUTATIONS,
     'the automatic end of lost nodes': Components(
         quorum_loss_detector=_NoExpiredLeases
     ),
