Wait anew for the retention after each loss of run-ledger entries

What callers would see: a payment that is resent may run a second time.

Cause: an owner that may miss entries refuses what it does not find until the retention of 10 minutes has passed since it first missed some. That time was kept per shard for the life of the process and never cleared: not when a full copy arrived, and not when records were missed again. So a second loss, 10 minutes after any earlier one, was taken for waited out at once.

Change: the ledger keeps a gap: entries before a time may be missing, none after it up to an epoch. A full copy ends the gap, a missed record begins a new one.

Evidence: both rows of the new scenario of request_ledger.feature failed before the change (ASSERT FAILED: LedgerDecision.FRESH), the whole feature passes after it: 11 scenarios.

--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -45,6 +45,14 @@
     is_running: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Gap:
+    """Entries before `since_ms` may be missing, none after it up to `epoch`."""
+
+    epoch: int
+    since_ms: int
+
+
 class RunLedger:
     """The run ledger of one node, for shards that it owns or may own later.
 
@@ -60,7 +68,7 @@
         self._shards: dict[ShardName, dict[str, _Entry]] = {}
         self._complete_epochs: dict[ShardName, int] = {}
         self._handovers: dict[ShardName, tuple[int, str]] = {}
-        self._incomplete_since_ms: dict[ShardName, int] = {}
+        self._gaps: dict[ShardName, _Gap] = {}
         self._latest_attempt = 0
         self._count = 0
 
@@ -138,6 +146,8 @@
         """Record that the ledger has all entries of the owner in an epoch."""
         known_epoch = self._complete_epochs.get(shard, 0)
         self._complete_epochs[shard] = max(known_epoch, epoch)
+        if epoch >= known_epoch:
+            self._gaps.pop(shard, None)
 
     def record_handover(
         self, shard: ShardName, epoch: int, sender: str
@@ -174,15 +184,21 @@
         """
         if self.apply_record(shard, record):
             return True
-        if self._has_passed_retention(shard):
+        gap = self._follow_gap(shard, record.epoch)
+        if self._clock.now_ms() - gap.since_ms >= RETENTION_MS:
             self.record_complete(shard, record.epoch)
             return True
         return False
 
-    def _has_passed_retention(self, shard: ShardName) -> bool:
-        now_ms = self._clock.now_ms()
-        since_ms = self._incomplete_since_ms.setdefault(shard, now_ms)
-        return now_ms - since_ms >= RETENTION_MS
+    def _follow_gap(self, shard: ShardName, epoch: int) -> _Gap:
+        """Return the gap of a shard; it is new if a record was missed."""
+        known = self._gaps.get(shard)
+        is_followed = known is not None and known.epoch >= epoch - 1
+        since_ms = (
+            known.since_ms if known and is_followed else self._clock.now_ms()
+        )
+        gap = self._gaps[shard] = _Gap(epoch, since_ms)
+        return gap
 
     def _find(self, shard: ShardName, key: str) -> _Entry | None:
         entry = self._shards.get(shard, {}).get(key)
--- a/tests/features/request_ledger.feature
+++ b/tests/features/request_ledger.feature
@@ -36,6 +36,28 @@
     And "c" admits "pay" with fingerprint "fee-1"
     Then the decision is FRESH
 
+  # Guards against payments that run twice after a second loss of an owner.
+  Scenario Outline: each loss of entries is waited for
+    Given a record of epoch 3 with succession "c a" written by "c"
+    When "c" admits "pay" with fingerprint "fee-1"
+    Then the decision is PAST_UNKNOWN
+    Given <meanwhile>
+    When 599999 ms pass
+    Given a record of epoch 6 with succession "c a" written by "c"
+    When "c" admits "pay" with fingerprint "fee-1"
+    Then the decision is PAST_UNKNOWN
+    When 599999 ms pass
+    And "c" admits "pay" with fingerprint "fee-1"
+    Then the decision is PAST_UNKNOWN
+    When 1 ms pass
+    And "c" admits "pay" with fingerprint "fee-1"
+    Then the decision is FRESH
+
+    Examples:
+      | meanwhile                                          |
+      | "a" sends all its entries to "c" in epoch 4        |
+      | a record of epoch 5 with succession "a b" written by "a" |
+
   Scenario Outline: entries handed over are valid only for the intended move
     Given "a" hands all its entries over to "c" in epoch 3
     And a record of epoch <epoch> with succession "c a" written by "<writer>"
