--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -1,6 +1,8 @@
 """A small deployment of real processes on loopback."""
 
 import json
+import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -39,6 +41,8 @@
     'cut_after': None,
 }
 _OK = 200
+# Names a folder in which the logs of each deployment stay, for tests that fail.
+_KEEP_LOGS_IN = 'LABURNUMWOOD_KEEP_LOGS_IN'
 
 
 class NotReadyError(HTTPError):
@@ -317,6 +321,9 @@
         for process in self._processes():
             if process.is_running:
                 process.kill()
+        kept_in = os.environ.get(_KEEP_LOGS_IN)
+        if kept_in:
+            shutil.copytree(self._root, Path(kept_in) / self._root.name)
         self._folder.cleanup()
 
     def _processes(self) -> Iterable[Process]:
