Ask those who know before payments are refused for ten minutes

What callers saw: after all nodes of a succession had lapsed at once, payments were answered 503 `past-unknown` for 10 minutes on every shard, though each process still had its notes; every move began the 10 minutes anew, since the next owner knew nothing of how long the last had waited.

Cause: the run ledger was made anew with each incarnation, an owner that may miss entries asked nobody, and an incomplete ledger handed nothing over.

Change: entries belong to the process, the proof of completeness to an incarnation. An owner that may miss entries asks the processes of the last two successions and of the record's writer at once and each second, until one that is in the last succession and holds its lease, or all that may have acted, have told; how long it has waited is told as well. A node that joined anew does not take its own old ledger for complete: others may have acted while it was out. The question is an update of the ledger without entries, which older nodes confirm and which tells them nothing; the new answer goes only to nodes that ask. New events LW713 and LW714.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -246,6 +246,11 @@
             _hinder_pair(fleet, member, other, cut=True)
 
 
+@_strike('out of reach of all others')
+def _cut_peers(fleet: Fleet, member: Member) -> None:
+    fleet.deployment.hinder(f'{member.place.node_id}.peer', cut=True)
+
+
 @_strike('silently cut from its witnesses')
 def _silence_witnesses(fleet: Fleet, member: Member) -> None:
     for other in fleet.members:
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -64,6 +64,7 @@
         reporting: ReportingWorker,
         witness: Witness,
         clock: Clock,
+        earlier: 'Incarnation | None' = None,
     ) -> None:
         self.name = name
         self._platform = platform
@@ -122,7 +123,7 @@
             self.dispatcher,
         )
         self._make_placement(platform, clock)
-        self._make_routing(platform, clock)
+        self._make_routing(platform, clock, earlier)
 
     def start(self, avoided: frozenset[str]) -> None:
         """Read the store, record the first witnesses and start all tasks.
@@ -323,17 +324,21 @@
             clock,
         )
 
-    def _make_routing(self, platform: Store, clock: Clock) -> None:
+    def _make_routing(
+        self, platform: Store, clock: Clock, earlier: 'Incarnation | None'
+    ) -> None:
         self._account = CapacityAccount(
             self._settings, lambda: self.view.directory.declarations, clock
         )
-        self._ledger_replicator = LedgerReplicator(
+        self._ledger_replicator: LedgerReplicator = LedgerReplicator(
             self.name,
             self.view,
             self.held_shards,
             self._peers,
             self.dispatcher,
+            self.lease.is_held,
             clock,
+            earlier._ledger_replicator if earlier else None,
         )
         if self._integration.has_idempotency_keys:
             self._shard_manager.before_move = self._ledger_replicator.hand_over
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -272,6 +272,7 @@
             self.worker,
             self._witness,
             self._clock,
+            self._incarnation,
         )
         avoided, self._avoided = self._avoided, frozenset()
         self._retry_until_answered(lambda: incarnation.start(avoided))
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -418,6 +418,20 @@
     'a request was rejected because its head is malformed or too large',
     'check the caller, and the limits of the configuration',
 )
+LEDGER_INCOMPLETE = _event(
+    713,
+    logbook.WARNING,
+    'ledger-incomplete',
+    'this node may miss entries of the run ledger of a shard that it owns',
+    'requests with idempotency keys that it does not find are refused until '
+    'another node tells it, or for ten minutes',
+)
+LEDGER_RECOVERED = _event(
+    714,
+    logbook.INFO,
+    'ledger-recovered',
+    'other nodes told this one which entries of the run ledger there are',
+)
 TASK_FAILED = _event(
     901,
     logbook.ERROR,
--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -14,7 +14,8 @@
 
 from laburnumwood.errors import ProtocolError
 from laburnumwood.metrics import MESSAGE_BYTES, MESSAGES
-from laburnumwood.protocol.messages import ADDED, FREQUENT, KINDS, Headers
+from laburnumwood.protocol.kinds import ADDED, FREQUENT, KINDS
+from laburnumwood.protocol.messages import Headers
 
 MAX_FRAME_SIZE = 4 * 1024 * 1024  # bytes
 
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -3,52 +3,23 @@
 Each class is registered under a kind, which identifies it in a frame.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, TypeVar
 
+from laburnumwood.protocol.kinds import message
 from laburnumwood.records import (
     Digest,
     NodeName,
     ReleasedRange,
     Seal,
     SentObject,
+    ShardHistory,
     ShardRecord,
     WitnessSet,
     WorkerNotice,
 )
 
-_MessageType = TypeVar('_MessageType', bound=type[Any])
-
 Headers = tuple[tuple[str, str], ...]
 
-KINDS: dict[str, type[Any]] = {}
-FREQUENT: set[str] = set()  # kinds that each request sends; plain values
-# By kind, the fields that nodes of the first version of the protocol do not
-# know.  They are sent last, and only if they are not None.
-ADDED: dict[str, tuple[str, ...]] = {}
-
-
-def message(
-    kind: str, *, is_frequent: bool = False, added: tuple[str, ...] = ()
-) -> Callable[[_MessageType], _MessageType]:
-    """Return a decorator that registers a class as the message of a kind.
-
-    `added` names the fields that were added to the first version of the
-    protocol, all of them optional.
-    """
-
-    def register(message_type: _MessageType) -> _MessageType:
-        if kind in KINDS:
-            raise ValueError(f'duplicate message kind {kind!r}')
-        KINDS[kind] = message_type
-        ADDED[kind] = added
-        if is_frequent:
-            FREQUENT.add(kind)
-        return message_type
-
-    return register
-
 
 @message('renew')
 @dataclass(frozen=True, slots=True)
@@ -268,7 +239,9 @@
 
     The owner owns the shard under `epoch`.  `whole` marks the last message of
     a full copy; `handover` means that the sender runs no more requests for
-    the shard under that epoch.
+    the shard under that epoch.  Without entries, a `handover` that is not
+    `whole` asks for a `LedgerHistory` up to that epoch: nodes that do not know
+    it merge nothing and confirm.
     """
 
     shard: str
@@ -278,6 +251,19 @@
     handover: bool
 
 
+@message('history')
+@dataclass(frozen=True, slots=True)
+class LedgerHistory:
+    """The entries of a shard that a node has, sent only to nodes that ask.
+
+    `whole` marks the last message, the only one with `histories`.
+    """
+
+    entries: tuple[LedgerEntry, ...]
+    whole: bool
+    histories: tuple[ShardHistory, ...]
+
+
 @message('failure', is_frequent=True)
 @dataclass(frozen=True, slots=True)
 class Failure:
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -167,6 +167,21 @@
     epoch_era: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ShardHistory:
+    """What a process can tell about the entries of a shard up to an epoch.
+
+    It has every entry that the incarnations in `names` have admitted, which
+    admit no more.  It has all entries of the last `known_ms`; below 0: any may
+    be missing.  `is_current`: it will be told of each entry until a newer
+    record is written.
+    """
+
+    names: tuple[NodeName, ...]
+    known_ms: int
+    is_current: bool
+
+
 @dataclass(frozen=True, slots=True)
 class NodeRecord:
     """What a node announces about itself.
--- a/laburnumwood/routing/ledger.py
+++ b/laburnumwood/routing/ledger.py
@@ -1,16 +1,17 @@
 """The run ledger: records of requests that have an idempotency key."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
 from laburnumwood.clock import Clock
 from laburnumwood.protocol.messages import Answer, LedgerEntry
-from laburnumwood.records import ShardName, ShardRecord
+from laburnumwood.records import NodeName, ShardHistory, ShardName, ShardRecord
 
 RETENTION_MS = 600_000  # how long a resent request is recognized
 MAX_ENTRIES = 50_000  # entries for all shards of a node
 MAX_KEPT_BODY_BYTES = 4_096  # the answer is not kept if its body is longer
+_MAX_EARLIER = 8  # incarnations of a process whose knowledge is kept
 
 
 class RunState(IntEnum):
@@ -53,8 +54,56 @@
     since_ms: int
 
 
+def known_for_ms(
+    record: ShardRecord,
+    before: ShardRecord | None,
+    histories: Iterable[ShardHistory],
+) -> int:
+    """Return for how long the owner under a record has every entry; -1: never.
+
+    `before` is the record before it, None if it is not known.  The owner has
+    merged the entries of all `histories`, which are up to the epoch of
+    `before`.  All members of its succession together have what was admitted
+    under it.
+    """
+    known = list(histories)
+    spans = [each.known_ms for each in known if each.is_current]
+    if before is not None and before.epoch == record.epoch - 1:
+        acted = set(before.succession)
+        if acted.issubset(name for each in known for name in each.names):
+            spans.extend(
+                each.known_ms
+                for each in known
+                if acted.intersection(each.names)
+            )
+    return max(spans, default=-1)
+
+
+@dataclass(slots=True)
+class _EntryTable:
+    """The entries of a process, for all its incarnations."""
+
+    shards: dict[ShardName, dict[str, _Entry]] = field(default_factory=dict)
+    latest_attempt: int = 0
+    count: int = 0
+
+    def put(self, shard: ShardName, key: str, entry: _Entry) -> None:
+        """Add or replace an entry."""
+        entries = self.shards.setdefault(shard, {})
+        self.count += key not in entries
+        entries[key] = entry
+
+    def remove(self, shard: ShardName, key: str) -> None:
+        """Remove an entry, if there is one."""
+        if self.shards.get(shard, {}).pop(key, None) is not None:
+            self.count -= 1
+
+
 class RunLedger:
-    """The run ledger of one node, for shards that it owns or may own later.
+    """The run ledger of one incarnation, for shards it owns or may own later.
+
+    The entries are those of its process: it has them from the ledger of the
+    incarnation before, `earlier`, but not the proof that none is missing.
 
     `has_full_history` returns whether the ledger has every entry of a shard.
     That is so once the owner in some epoch has sent all its entries, and for
@@ -63,14 +112,23 @@
     entry.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        name: NodeName | None = None,
+        earlier: 'RunLedger | None' = None,
+    ) -> None:
         self._clock = clock
-        self._shards: dict[ShardName, dict[str, _Entry]] = {}
+        self._name = name
+        self._table: _EntryTable = earlier._table if earlier else _EntryTable()
+        self._earlier: tuple[RunLedger, ...] = ()
+        if earlier is not None:
+            self._earlier = (*earlier._earlier, earlier)[-_MAX_EARLIER:]
+            earlier._earlier = ()
+        self._acting: dict[ShardName, tuple[int, tuple[NodeName, ...]]] = {}
         self._complete_epochs: dict[ShardName, int] = {}
         self._handovers: dict[ShardName, tuple[int, str]] = {}
         self._gaps: dict[ShardName, _Gap] = {}
-        self._latest_attempt = 0
-        self._count = 0
 
     def admit(
         self, shard: ShardName, key: str, fingerprint: str, record: ShardRecord
@@ -86,14 +144,14 @@
             return LedgerDecision.PAST_UNKNOWN
         if not self._has_room():
             return LedgerDecision.FULL
-        self._latest_attempt += 1
+        self._table.latest_attempt += 1
         now_ms = self._clock.now_ms()
-        self._store(
+        self._table.put(
             shard,
             key,
             _Entry(
                 fingerprint,
-                self._latest_attempt,
+                self._table.latest_attempt,
                 RunState.NOTED,
                 now_ms,
                 is_running=True,
@@ -105,31 +163,30 @@
         self, shard: ShardName, key: str, head: Answer | None, body: bytes
     ) -> None:
         """Record that a request ran, with its answer unless `head` is None."""
-        entry = self._shards[shard][key]
+        entry = self._table.shards[shard][key]
         entry.is_running = False
         entry.state = RunState.RAN if head is None else RunState.ANSWERED
         entry.head, entry.body = head, body
 
     def remove(self, shard: ShardName, key: str) -> None:
         """Remove the entry of a request that provably did not run."""
-        if self._shards.get(shard, {}).pop(key, None) is not None:
-            self._count -= 1
+        self._table.remove(shard, key)
 
     def kept_answer(
         self, shard: ShardName, key: str
     ) -> tuple[Answer | None, bytes]:
         """Return the kept answer to a request: head and body."""
-        entry = self._shards[shard][key]
+        entry = self._table.shards[shard][key]
         return entry.head, entry.body
 
     def entry(self, shard: ShardName, key: str) -> LedgerEntry:
         """Return the entry of a request in the form sent to other nodes."""
-        return self._to_message(key, self._shards[shard][key])
+        return self._to_message(key, self._table.shards[shard][key])
 
     def entries(self, shard: ShardName) -> tuple[LedgerEntry, ...]:
         """Return all entries of a shard in the form sent to other nodes."""
         self._evict_expired(shard)
-        entries = self._shards.get(shard, {})
+        entries = self._table.shards.get(shard, {})
         return tuple(
             self._to_message(key, entry) for key, entry in entries.items()
         )
@@ -190,6 +247,50 @@
             return True
         return False
 
+    def record_acting(
+        self, shard: ShardName, record: ShardRecord, own: NodeName
+    ) -> None:
+        """Record that this node acts as the owner and has all entries."""
+        rank = record.succession.index(own)
+        self._acting[shard] = (record.epoch, record.succession[:rank])
+
+    def record_known(self, shard: ShardName, epoch: int, known_ms: int) -> None:
+        """Record that the owner in an epoch has all entries of a time."""
+        if known_ms >= RETENTION_MS:
+            self.record_complete(shard, epoch)
+        elif known_ms >= 0:
+            since_ms = self._clock.now_ms() - known_ms
+            known = self._follow_gap(shard, epoch)
+            self._gaps[shard] = _Gap(epoch, min(known.since_ms, since_ms))
+
+    def histories(
+        self, shard: ShardName, epoch: int, *, is_held: bool
+    ) -> tuple[ShardHistory, ...]:
+        """Return what each incarnation of this process can tell of a shard.
+
+        `is_held`: this incarnation holds its lease, so that it was told of
+        each entry.
+        """
+        current = ShardHistory((), self._known_ms(shard, epoch), is_held)
+        return (
+            *(each._ended_history(shard, epoch) for each in self._earlier),
+            *((current,) * is_held),
+        )
+
+    def _ended_history(self, shard: ShardName, epoch: int) -> ShardHistory:
+        acting_epoch, lapsed_before = self._acting.get(shard, (0, ()))
+        names = lapsed_before if acting_epoch == epoch else ()
+        own = (self._name,) if self._name else ()
+        return ShardHistory((*own, *names), self._known_ms(shard, epoch), False)
+
+    def _known_ms(self, shard: ShardName, epoch: int) -> int:
+        if self._complete_epochs.get(shard, 0) >= epoch:
+            return RETENTION_MS
+        gap = self._gaps.get(shard)
+        if gap is None or gap.epoch < epoch:
+            return -1
+        return min(self._clock.now_ms() - gap.since_ms, RETENTION_MS)
+
     def _follow_gap(self, shard: ShardName, epoch: int) -> _Gap:
         """Return the gap of a shard; it is new if a record was missed."""
         known = self._gaps.get(shard)
@@ -197,24 +298,24 @@
         since_ms = (
             known.since_ms if known and is_followed else self._clock.now_ms()
         )
-        gap = self._gaps[shard] = _Gap(epoch, since_ms)
-        return gap
+        self._gaps[shard] = _Gap(epoch, since_ms)
+        return self._gaps[shard]
 
     def _find(self, shard: ShardName, key: str) -> _Entry | None:
-        entry = self._shards.get(shard, {}).get(key)
+        entry = self._table.shards.get(shard, {}).get(key)
         if entry is None or not self._is_expired(entry):
             return entry
         self.remove(shard, key)
         return None
 
     def _has_room(self) -> bool:
-        if self._count >= MAX_ENTRIES:
-            for shard in tuple(self._shards):
+        if self._table.count >= MAX_ENTRIES:
+            for shard in tuple(self._table.shards):
                 self._evict_expired(shard)
-        return self._count < MAX_ENTRIES
+        return self._table.count < MAX_ENTRIES
 
     def _evict_expired(self, shard: ShardName) -> None:
-        entries = self._shards.get(shard, {})
+        entries = self._table.shards.get(shard, {})
         expired_keys = [
             key for key, entry in entries.items() if self._is_expired(entry)
         ]
@@ -225,14 +326,11 @@
         age_ms = self._clock.now_ms() - entry.recorded_ms
         return age_ms >= RETENTION_MS and not entry.is_running
 
-    def _store(self, shard: ShardName, key: str, entry: _Entry) -> None:
-        entries = self._shards.setdefault(shard, {})
-        self._count += key not in entries
-        entries[key] = entry
-
     def _merge_entry(self, shard: ShardName, message: LedgerEntry) -> None:
-        self._latest_attempt = max(self._latest_attempt, message.attempt)
-        known = self._shards.get(shard, {}).get(message.key)
+        self._table.latest_attempt = max(
+            self._table.latest_attempt, message.attempt
+        )
+        known = self._table.shards.get(shard, {}).get(message.key)
         state = RunState[message.state]
         if known is not None and (known.attempt, known.state) > (
             message.attempt,
@@ -251,7 +349,7 @@
             message.head,
             message.body,
         )
-        self._store(shard, message.key, entry)
+        self._table.put(shard, message.key, entry)
 
     def _to_message(self, key: str, entry: _Entry) -> LedgerEntry:
         return LedgerEntry(
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -1,11 +1,13 @@
 """Replication of the run ledger from an owner to its successors."""
 
+from collections.abc import Callable
 from dataclasses import replace
 
 import eventlet
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError
+from laburnumwood.events import LEDGER_INCOMPLETE
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.protocol.link import Link
@@ -25,6 +27,7 @@
     RunLedger,
     RunState,
 )
+from laburnumwood.routing.ledger_recovery import LedgerRecovery, in_batches
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import RunResult
@@ -32,7 +35,7 @@
 
 _ACKNOWLEDGE_TIMEOUT_MS = 500
 _SYNC_INTERVAL_MS = 200
-_ENTRIES_PER_MESSAGE = 200
+_RECOVERY_INTERVAL_MS = 1_000
 _ABORTED_STATUSES = frozenset((499, 503, 504))  # answers of aborted requests
 
 _FAILURES = {
@@ -62,7 +65,9 @@
     """Makes a request with an idempotency key run at most once.
 
     A request is sent to the worker only after every successor that is not
-    sealed has acknowledged its ledger entry.
+    sealed has acknowledged its ledger entry.  `is_lease_held` returns whether
+    this incarnation holds its lease.  `earlier` is of the incarnation before in
+    the same process, whose entries this one has.
     """
 
     def __init__(
@@ -72,14 +77,23 @@
         held_shards: HeldShards,
         peers: Peers,
         dispatcher: Dispatcher,
+        is_lease_held: Callable[[], bool],
         clock: Clock,
+        earlier: 'LedgerReplicator | None' = None,
     ) -> None:
         self._own = own_name
+        self._clock = clock
         self._view = view
         self._held_shards = held_shards
-        self._ledger = RunLedger(clock)
+        self._ledger: RunLedger = RunLedger(
+            clock, own_name, earlier._ledger if earlier else None
+        )
         self._peers = peers
         self._synced_epochs: dict[tuple[ShardName, NodeName], int] = {}
+        self._recovery = LedgerRecovery(
+            own_name, view, peers, self._ledger, is_lease_held
+        )
+        self._recovered_ms: dict[ShardName, int] = {}
         dispatcher.on(LedgerUpdate)(self._handle_entries)
         view.directory.on_shard_change = self._apply_record
 
@@ -124,9 +138,7 @@
         continue.
         """
         entry = self._view.directory.shard(shard)
-        if entry is None or not self._ledger.has_full_history(
-            shard, entry.record
-        ):
+        if entry is None or not self._is_complete(shard, entry.record):
             # An incomplete history must not be handed over as a complete one.
             return entry is not None
         successors = [name for name in succession if name != self._own]
@@ -143,11 +155,31 @@
         while True:
             for shard in self._held_shards.tokens():
                 entry = self._view.directory.shard(shard)
-                if entry and self._ledger.has_full_history(shard, entry.record):
-                    self._replicate(shard, entry.record, ())
+                if entry and self._own in entry.record.succession:
+                    self._maintain(shard, entry.record)
             eventlet.sleep(_SYNC_INTERVAL_MS / MS_PER_SECOND)
 
+    def _maintain(self, shard: ShardName, record: ShardRecord) -> None:
+        if self._ledger.has_full_history(shard, record):
+            self._recovered_ms.pop(shard, None)
+            self._ledger.record_acting(shard, record, self._own)
+            self._replicate(shard, record, ())
+            return
+        now_ms = self._clock.now_ms()
+        asked_ms = self._recovered_ms.get(shard)
+        if asked_ms is None:
+            LEDGER_INCOMPLETE.report(shard=shard, epoch=record.epoch)
+        if asked_ms is None or now_ms - asked_ms >= _RECOVERY_INTERVAL_MS:
+            self._recovered_ms[shard] = now_ms
+            start(self._recovery.recover, shard, record)
+
+    def _is_complete(self, shard: ShardName, record: ShardRecord) -> bool:
+        return self._ledger.has_full_history(
+            shard, record
+        ) or self._recovery.recover(shard, record)
+
     def _apply_record(self, shard: ShardName, record: ShardRecord) -> None:
+        self._recovery.record_change(shard, record)
         if self._own in record.succession:
             self._ledger.apply_record(shard, record)
 
@@ -195,16 +227,8 @@
     def _send_all_entries(
         self, name: NodeName, shard: ShardName, epoch: int, handover: bool
     ) -> bool:
-        entries = self._ledger.entries(shard)
-        last = max(0, len(entries) - 1) // _ENTRIES_PER_MESSAGE
-        for number in range(last + 1):
-            batch = entries[
-                number * _ENTRIES_PER_MESSAGE : (number + 1)
-                * _ENTRIES_PER_MESSAGE
-            ]
-            message = LedgerUpdate(
-                str(shard), epoch, batch, number == last, handover
-            )
+        for batch, is_last in in_batches(self._ledger.entries(shard)):
+            message = LedgerUpdate(str(shard), epoch, batch, is_last, handover)
             if not self._send(name, message):
                 return False
         return True
@@ -233,6 +257,9 @@
         self, link: Link, stream: Stream, message: LedgerUpdate
     ) -> None:
         shard = ShardName.parse(message.shard)
+        if message.handover and not message.whole and not message.entries:
+            self._recovery.answer(stream, shard, message.epoch)
+            return
         if not self._ledger.merge(shard, message.entries):
             stream.send(
                 make_failure('overloaded', 'the ledger is full', ran=False)
--- a/tests/features/faults_together.feature
+++ b/tests/features/faults_together.feature
@@ -36,3 +36,12 @@
     And all faults are repaired
     Then every key is served
     And the callers and the journals agree
+
+  # Guards against payments that are refused for ten minutes after a lapse.
+  Scenario: all nodes are cut from each other until they have joined anew
+    When all nodes are cut from each other
+    Then every node joined again under a new incarnation
+    When all faults are repaired
+    Then every key is served
+    And a payment for every key is answered
+    And the callers and the journals agree
--- a/tests/features/steps/fault_steps.py
+++ b/tests/features/steps/fault_steps.py
@@ -14,13 +14,14 @@
 from bench.caller import Callers, Load, Operation
 from bench.calls import Call, Told
 from bench.checker import judge
-from bench.deployment import wait_for
+from bench.deployment import Member, wait_for
 from bench.faults import Fleet
 from standins.journal.entry import JournalEntry
 from standins.worker.bodies import body_of
 
 SERVICE = 'trader-portal'
 LIMIT_S = 40
+KEYS = 30
 REPAIR_LIMIT_S = 60
 PAUSE_S = 0.7
 ENTRIES = TypeAdapter(list[JournalEntry])
@@ -87,6 +88,33 @@
             fleet.strike('killed', member)
 
 
+@when('all nodes are cut from each other')
+def cut_all(context: Context) -> None:
+    fleet = context.fleet
+    context.incarnations = {
+        member.place.node_id: fleet.incarnation(member)
+        for member in fleet.members
+    }
+    for member in fleet.members:
+        fleet.strike('out of reach of all others', member)
+
+
+@then('every node joined again under a new incarnation')
+def check_all_rejoined(context: Context) -> None:
+    fleet = context.fleet
+    for member in fleet.members:
+        before = context.incarnations[member.place.node_id]
+        wait_for(
+            f'a new incarnation of {member.place.node_id}',
+            partial(_has_rejoined, fleet, member, before),
+            LIMIT_S,
+        )
+
+
+def _has_rejoined(fleet: Fleet, member: Member, before: int) -> bool:
+    return fleet.incarnation(member) > before
+
+
 @when('the store is {state}')
 def set_store(context: Context, state: str) -> None:
     context.fleet.set_store(state)
@@ -120,6 +148,21 @@
     context.fleet.wait_served(LIMIT_S)
 
 
+@then('a payment for every key is answered')
+def check_payments(context: Context) -> None:
+    door = context.fleet.doors()[0]
+    for number in range(KEYS):
+        pay = partial(_pay, context, f'kiosk-{number}', door)
+        wait_for(f'a payment for kiosk-{number}', pay, LIMIT_S)
+
+
+def _pay(context: Context, key: str, door: str) -> bool:
+    operation = Operation(
+        f'payment-{next(_labels)}', key, 'POST', f'/{SERVICE}/x'
+    )
+    return context.callers.attempt(operation, 0, door).told is Told.answered
+
+
 def _count_outcomes(calls: list[Call]) -> dict[str, int]:
     """Count the calls by outcome, status and kind of problem."""
     found = (PROBLEM.search(call.body) for call in calls)
--- a/tests/features/steps/message_steps.py
+++ b/tests/features/steps/message_steps.py
@@ -23,8 +23,8 @@
     accepts_added_fields,
     dial,
 )
+from laburnumwood.protocol.kinds import KINDS
 from laburnumwood.protocol.messages import (
-    KINDS,
     Answer,
     Changes,
     LoadReport,
