--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -14,6 +14,18 @@
     When its next request arrives while the server is closed
     Then every request that ran was answered
 
+  # Guards against resets of callers that connect while a node stops.
+  Scenario Outline: a caller that connects while the server is closed is answered
+    Given an HTTP server
+    When another caller <does> as the server is closed
+    Then it is answered with status 200
+    And the server accepts no more connections
+
+    Examples:
+      | does                                       |
+      | connects and sends a request               |
+      | that has connected sends its first request |
+
   # Guards against connections that are lost during a request without an event.
   Scenario: a caller that disconnects is logged
     Given an HTTP server with a long answer
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -106,10 +106,10 @@
     context.log = TestHandler()
     context.log.push_application()
     context.add_cleanup(context.log.pop_application)
-    address = HOST, free_port()
-    context.server = HttpListener(address, application)
+    context.address = HOST, free_port()
+    context.server = HttpListener(context.address, application)
     context.add_cleanup(context.server.close, CLOSING_MS)
-    context.caller = green_socket.create_connection(address, LIMIT_S)
+    context.caller = green_socket.create_connection(context.address, LIMIT_S)
     context.add_cleanup(context.caller.close)
 
 
@@ -281,6 +281,49 @@
         _receive(context)
 
 
+@when('another caller connects and sends a request as the server is closed')
+def connect_during_close(context: Context) -> None:
+    # Without a switch to the server, so that the connection is not accepted.
+    with socket.create_connection(context.address, LIMIT_S) as caller:
+        caller.sendall(REQUEST)
+        context.server.close(CLOSING_MS)
+        _receive_last(context, caller)
+
+
+@when(
+    'another caller that has connected sends its first request as the server '
+    'is closed'
+)
+def send_first_during_close(context: Context) -> None:
+    with socket.create_connection(context.address, LIMIT_S) as caller:
+        eventlet.sleep(0.05)
+        eventlet.spawn_after(0.02, caller.sendall, REQUEST)
+        context.server.close(CLOSING_MS)
+        _receive_last(context, caller)
+
+
+def _receive_last(context: Context, caller: socket.socket) -> None:
+    caller.setblocking(False)
+    context.received = b''
+    try:
+        with Timeout(LIMIT_S):
+            while chunk := _receive_chunk(caller):
+                context.received += chunk
+    except ConnectionResetError:
+        context.end = 'reset'
+    else:
+        context.end = 'closed'
+
+
+@then('the server accepts no more connections')
+def check_closed(context: Context) -> None:
+    try:
+        socket.create_connection(context.address, LIMIT_S).close()
+    except ConnectionRefusedError:
+        return
+    raise AssertionError('a connection was accepted')
+
+
 @when('a caller sends a request and resets its connection')
 def send_and_reset(context: Context) -> None:
     context.caller.sendall(REQUEST)
