Hand the run ledger of a split shard over to its parts

What callers would see: payments for hot keys that were split off a shard are answered 503 `past-unknown` for 10 minutes.

Cause: a part begins with the epoch of its parent, above 1, so its owner takes itself to have missed records; nothing was handed over before it was created, and nobody that it asks has entries under the name of the part. Only services with idempotency keys and a stripe_width split so.

Change: before the record of a part is written, all entries of the split shard are handed over for the part to its succession, as for a move. A parent that may miss entries hands nothing over.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -341,7 +341,9 @@
             earlier._ledger_replicator if earlier else None,
         )
         if self._integration.has_idempotency_keys:
-            self._shard_manager.before_move = self._ledger_replicator.hand_over
+            ledger = self._ledger_replicator
+            self._shard_manager.before_move = ledger.hand_over
+            self._shard_manager.before_create = ledger.hand_over_part
         shared_quarantine = SharedQuarantine(
             self.name, self.view, self._peers, self.dispatcher, clock
         )
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -37,17 +37,26 @@
 
 
 BeforeMove = Callable[[ShardName, tuple[NodeName, ...]], bool]
+BeforeCreate = Callable[[ShardName, ShardName, ShardRecord], None]
 
 
 def _allow_move(_shard: ShardName, _next: tuple[NodeName, ...]) -> bool:
     return True
 
 
+def _allow_create(
+    _parent: ShardName, _part: ShardName, _record: ShardRecord
+) -> None:
+    """Do nothing before a part is created."""
+
+
 class ShardManager:
     """Manages the shards of one incarnation of a node.
 
     `before_move` is called with the shard and its next succession before the
     record of a move is written; the move is given up if it returns False.
+    `before_create` is called with a split shard, a part of it and the record of
+    the part before that is written.
     """
 
     def __init__(
@@ -74,6 +83,7 @@
         self._stopping = False
         self._kept: set[ShardName] = set()  # could not be given back unheld
         self.before_move: BeforeMove = _allow_move
+        self.before_create: BeforeCreate = _allow_create
 
     def follow_ownership(self) -> None:
         """Hold and drop shards as records and seals change; never returns."""
@@ -209,16 +219,20 @@
             return
         for part, handover in zip(split.parts, handovers, strict=True):
             if part.keys in entry.record.split_off:
-                self._create_part(write.shard, part, handover)
+                self._begin_part(write.shard, part, handover)
 
-    def _create_part(self, shard: ShardName, part: Part, handover: str) -> None:
+    def _begin_part(self, shard: ShardName, part: Part, handover: str) -> None:
         name = ShardName(self._service, split_shard_number(part.keys))
         SHARD_SPLIT.report(
             shard=shard, part=name, keys=part.keys, target=part.target
         )
         created = self._ownership.begin_create(name, part.target, handover)
         if created is not None:
-            self._writer.start(self._execute, created)
+            self._writer.start(self._create_part, shard, created)
+
+    def _create_part(self, parent: ShardName, write: ShardWrite) -> None:
+        self.before_create(parent, write.shard, write.record)
+        self._execute(write)
 
     def _write_records_due(self) -> None:
         for shard in self._ownership.shards_to_write():
--- a/laburnumwood/routing/ledger_replication.py
+++ b/laburnumwood/routing/ledger_replication.py
@@ -150,6 +150,28 @@
         acknowledged = [task.wait() for task in tasks]
         return not acknowledged or acknowledged[0]
 
+    def hand_over_part(
+        self, parent: ShardName, part: ShardName, record: ShardRecord
+    ) -> None:
+        """Send all entries of a split shard to the succession of a part.
+
+        `record` is the record of the part, which this node will write next.
+        """
+        entry = self._view.directory.shard(parent)
+        if entry is None or not self._is_complete(parent, entry.record):
+            return
+        epoch = record.epoch - 1
+        if not self._ledger.merge(part, self._ledger.entries(parent)):
+            return
+        self._ledger.record_handover(part, epoch, str(self._own))
+        tasks = [
+            start_joinable(self._send_all_entries, name, part, epoch, True)
+            for name in record.succession
+            if name != self._own
+        ]
+        for task in tasks:
+            task.wait()
+
     def run(self) -> None:
         """Send all entries to new successors periodically; does not return."""
         while True:
--- a/tests/features/handing_over.feature
+++ b/tests/features/handing_over.feature
@@ -64,3 +64,9 @@
       | change |
       | move   |
       | split  |
+
+  # Guards against payments for split-off keys that are refused for ten minutes.
+  Scenario: a part of a split shard is created after its notes were sent
+    Given a node whose store answers and whose worker releases shards after 0 ms
+    When it creates a part of a shard for another node
+    Then the notes of the shard were sent for the part before it was written
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -13,12 +13,14 @@
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.shard_manager import ShardManager
 from laburnumwood.placement.shard_write import WriteProgress
-from laburnumwood.records import NodeName, ShardName
+from laburnumwood.placement.splitting import Part
+from laburnumwood.records import KeyRange, NodeName, ShardName
 from tests.features.steps.fake_clock import FakeClock
 
 OWN = NodeName('a', 1)
 RETURNED = NodeName('b', 2)
 SHARD = ShardName('s', 1)
+PART = ShardName('s', 2)
 STEP_MS = 10
 LIMIT_S = 10
 
@@ -189,3 +191,28 @@
 @then('the shard was not withdrawn from the worker')
 def check_kept(context: Context) -> None:
     assert not context.worker.withdrawals
+
+
+@when('it creates a part of a shard for another node')
+def create_part(context: Context) -> None:
+    context.sent = []
+
+    def send(parent: ShardName, part: ShardName, record: Any) -> None:
+        assert 'written_ms' not in context, 'the record was written before'
+        context.sent.append((parent, part, record.succession))
+
+    write = _write_for(RETURNED, OWN)
+    write.shard = PART
+    context.ownership.begin_create = lambda _shard, _first, _handover: write
+    context.ownership.finish = lambda _write, _progress: None
+    context.writer.execute = partial(_execute, context)
+    context.writer.start = lambda task, *arguments: task(*arguments)
+    context.manager.before_create = send
+    part = Part(KeyRange(8, 8), RETURNED)
+    context.manager._begin_part(SHARD, part, '')
+
+
+@then('the notes of the shard were sent for the part before it was written')
+def check_sent(context: Context) -> None:
+    assert context.sent == [(SHARD, PART, (RETURNED, OWN))], context.sent
+    assert context.written_owner == RETURNED
