--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -15,7 +15,7 @@
 from laburnumwood.errors import ProtocolError
 from laburnumwood.metrics import MESSAGE_BYTES, MESSAGES
 from laburnumwood.protocol import messages, store_messages
-from laburnumwood.protocol.message_kinds import ADDED, FREQUENT, KINDS
+from laburnumwood.protocol.kinds import ADDED, FREQUENT, KINDS
 
 MAX_FRAME_SIZE = 4 * 1024 * 1024  # bytes
 
--- a/laburnumwood/protocol/message_kinds.py
+++ b/laburnumwood/protocol/kinds.py
@@ -1,7 +1,4 @@
-"""The kinds of the messages between nodes.
-
-The kind of a message identifies its class in a frame.
-"""
+"""The registry of the kinds of messages between nodes."""
 
 from collections.abc import Callable
 from typing import Any, TypeVar
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -2,12 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from laburnumwood.protocol.message_kinds import message
+from laburnumwood.protocol.kinds import message
 from laburnumwood.records import (
     Digest,
     NodeName,
     ReleasedRange,
     Seal,
+    ShardHistory,
     WitnessSet,
     WorkerNotice,
 )
@@ -187,7 +188,9 @@
 
     The owner owns the shard under `epoch`.  `whole` marks the last message of
     a full copy; `handover` means that the sender runs no more requests for
-    the shard under that epoch.
+    the shard under that epoch.  Without entries, a `handover` that is not
+    `whole` asks for a `LedgerHistory` up to that epoch: nodes that do not know
+    it merge nothing and confirm.
     """
 
     shard: str
@@ -197,6 +200,19 @@
     handover: bool
 
 
+@message('history')
+@dataclass(frozen=True, slots=True)
+class LedgerHistory:
+    """The entries of a shard that a node has, sent only to nodes that ask.
+
+    `whole` marks the last message, the only one with `histories`.
+    """
+
+    entries: tuple[LedgerEntry, ...]
+    whole: bool
+    histories: tuple[ShardHistory, ...]
+
+
 @message('failure', is_frequent=True)
 @dataclass(frozen=True, slots=True)
 class Failure:
--- a/laburnumwood/protocol/store_messages.py
+++ b/laburnumwood/protocol/store_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from laburnumwood.protocol.message_kinds import message
+from laburnumwood.protocol.kinds import message
 from laburnumwood.records import (
     NodeName,
     Seal,
--- a/tests/features/steps/message_steps.py
+++ b/tests/features/steps/message_steps.py
@@ -23,7 +23,7 @@
     accepts_added_fields,
     dial,
 )
-from laburnumwood.protocol.message_kinds import KINDS
+from laburnumwood.protocol.kinds import KINDS
 from laburnumwood.protocol.messages import Answer, LoadReport, WholeAnswer
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.store_messages import Changes, Memory
