Show on real processes that a put-back store gives no fence out again

The reporter stand-in logs each row that it takes with its life; the store stand-in comes back from a copy of before its first record of a kind, and may leave its era out of answers.

--- a/bench/reporting.py
+++ b/bench/reporting.py
@@ -17,6 +17,8 @@
 _OK = 200
 _START_S = 60
 _REPORT_MS = 200
+_WORKER = 'standins.reporter'
+_OWN_KIND = 'laburnumwood'  # of the router's records in the store
 
 
 def _route(name: str, kind: str) -> dict[str, Any]:
@@ -130,6 +132,23 @@
         """Let the store come back from a copy that is `span_ms` old."""
         self.http.request('POST', f'{self.store_url}/put-back?ms={span_ms}')
 
+    def put_store_back_before(self, prefix: str) -> None:
+        """Let the store come back from a copy of before its own records.
+
+        The copy has none whose name begins with `prefix`, and nothing later.
+        """
+        before = f'{_OWN_KIND}/{prefix}'
+        self.http.request('POST', f'{self.store_url}/put-back?before={before}')
+
+    def leave_out_eras(self, every: int) -> None:
+        """Let each nth answer of the store name no era; 0: all name it."""
+        url = f'{self.store_url}/unnamed-eras?every={every}'
+        self.http.request('POST', url)
+
+    def worker_logs(self) -> list[Path]:
+        """Return the logs of all workers, one for each life."""
+        return sorted(self._root.glob(f'{_WORKER}-*.log'))
+
     def store_calls(self) -> int:
         """Return how many calls reached the store."""
         counts = self.http.request('GET', f'{self.store_url}/counts').json()
@@ -188,7 +207,7 @@
         service = settings['service']
         flags = ['--sharded'] if self._services[service] else []
         return self._spawn(
-            'standins.reporter',
+            _WORKER,
             f'--name=worker-{settings["node_id"]}',
             f'--service={service}',
             f'--node-url=http://{settings["report_address"]}',
--- a/standins/objects/api.py
+++ b/standins/objects/api.py
@@ -17,6 +17,7 @@
 _FAULTS_PATH = '/faults'
 _COUNTS_PATH = '/counts'
 _PUT_BACK_PATH = '/put-back'
+_UNNAMED_ERAS_PATH = '/unnamed-eras'
 _MAX_VALUE_BYTES = 1_048_576
 _PAGE_SIZE = 500
 _NOT_FOUND = 404
@@ -28,12 +29,14 @@
     """Serves objects by kind and name, stored under `kind/name`.
 
     Each answer names the era of the store, which begins anew when the store
-    comes back from an older copy.
+    comes back from an older copy.  A test may have some answers name none.
     """
 
     def __init__(self) -> None:
         history = History()
         self._era = 1
+        self._unnamed_every = 0  # n: each nth answer names no era, 0: all do
+        self._answer_count = 0
         self._counts = CallCounts()
         self._faults = Faults()
         self._store = ObjectStore(history)
@@ -42,6 +45,7 @@
             _FAULTS_PATH: self._set_faults,
             _COUNTS_PATH: self._get_counts,
             _PUT_BACK_PATH: self._put_back,
+            _UNNAMED_ERAS_PATH: self._set_unnamed_eras,
         }
 
     def answer(self, request: Request) -> Answer:
@@ -53,6 +57,10 @@
             answer = self._answer(request)
         except RefusedError as refusal:
             answer = json_answer(refusal.payload, refusal.status)
+        self._answer_count += 1
+        unnamed_every = self._unnamed_every
+        if unnamed_every and not self._answer_count % unnamed_every:
+            return answer
         headers = {**answer.headers, 'Store-Era': str(self._era)}
         return replace(answer, headers=headers)
 
@@ -80,12 +88,23 @@
         return json_answer(self._counts.report())
 
     def _put_back(self, request: Request) -> Answer:
-        """Come back from a copy that is `ms` old, as the query says."""
-        self._store.put_back(request.number('ms'))
+        """Come back from an older copy.
+
+        The query tells its age in `ms`, or the beginning of names `before`
+        which it was made.
+        """
+        if request.query('before'):
+            self._store.put_back_before(request.query('before'))
+        else:
+            self._store.put_back(request.number('ms'))
         self._era += 1
         self._watches.notify()
         return _cbor_answer({'at': self._store.revision})
 
+    def _set_unnamed_eras(self, request: Request) -> Answer:
+        self._unnamed_every = request.number('every')
+        return _cbor_answer({})
+
     def _begin_call(self, operation: str, name: str) -> None:
         self._counts.record_call(operation, name)
         self._faults.apply_to_call()
--- a/standins/platform/history.py
+++ b/standins/platform/history.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass
-from itertools import islice
+from itertools import islice, takewhile
 from typing import Any
 
 from standins.answers import RefusedError
@@ -48,6 +48,22 @@
             self.revision = self._events.pop().version - 1
         return list(self._events)
 
+    def forget_from(self, prefix: str) -> list[StoredObject]:
+        """Forget the first event for a name with a prefix and all after it.
+
+        Return the others.  The revisions of the forgotten events are given
+        out again.
+        """
+        events = list(self._events)
+        kept = list(
+            takewhile(lambda event: not event.name.startswith(prefix), events)
+        )
+        for forgotten in reversed(events[len(kept) :]):
+            self._events.pop()
+            self._times_ms.pop()
+            self.revision = forgotten.version - 1
+        return kept
+
     def since(self, revision: int, prefix: str) -> list[StoredObject]:
         """Return the events after a revision for names with a prefix.
 
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -59,8 +59,16 @@
 
     def put_back(self, span_ms: int) -> None:
         """Come back from a copy that is `span_ms` old."""
+        self._replace(self._history.forget_last(span_ms))
+
+    def put_back_before(self, prefix: str) -> None:
+        """Come back from a copy of before any name with a prefix existed."""
+        self._replace(self._history.forget_from(prefix))
+
+    def _replace(self, events: list[StoredObject]) -> None:
+        """Replace all objects by the outcome of events."""
         self._by_name.clear()
-        for event in self._history.forget_last(span_ms):
+        for event in events:
             if event.value is None:
                 self._by_name.pop(event.name)
             else:
--- a/standins/reporter/main.py
+++ b/standins/reporter/main.py
@@ -8,6 +8,7 @@
 from standins.reporter.api import ReporterApi
 from standins.reporter.holds import Holds
 from standins.reporter.reports import Reports
+from standins.reporter.takings import TakingLog
 from standins.serving import serve
 
 
@@ -28,6 +29,7 @@
     options = _parser().parse_args()
     holds = Holds() if options.sharded else None
     reports = Reports(options, holds)
+    reports.on_held = TakingLog(reports.life).record
     eventlet.spawn_n(reports.run)
     api = ReporterApi(options, holds, reports)
     serve(Application(api.answer), options.port)
--- a/standins/reporter/reports.py
+++ b/standins/reporter/reports.py
@@ -40,12 +40,17 @@
     ) -> None:
         self._options = options
         self._holds = holds
-        self._on_held = on_held
+        self.on_held = on_held
         self._born_ms = int(time.time() * MS_PER_SECOND)
         self._sequence_number = 0
         self._http = PoolManager(retries=Retry(0), timeout=_TIMEOUT_S)
         self.state = 'ready'
 
+    @property
+    def life(self) -> str:
+        """Return the name of this life of the worker, which no other has."""
+        return f'{self._options.name} born {self._born_ms}'
+
     def run(self) -> None:
         """Send reports until the process ends."""
         while True:
@@ -80,7 +85,7 @@
             return False
         until_ms = sent_ms + answer['hold_ms']
         has_released = self._holds.replace(answer['holds'], until_ms)
-        self._on_held(self._holds.rows(), until_ms)
+        self.on_held(self._holds.rows(), until_ms)
         return has_released
 
     def _post(self, rpc: str, content: Any) -> Any:
