Open new connections to the store after a call had no answer

Callers saw nothing; a node lost one call after the other, 1.5 s each (2 s on our own store), when its connections to the store had gone silent for good: each of its idle ones was still tried by the first call that took it, and two such losses open the circuit breaker. Cause: only the connection of the call that had no answer was given up. Now the pool is replaced; calls in progress keep their connections. Failed before: store_failures, after one call had found the silence 5 of 6 reads at the same time had no answer; now all 6 are answered.

--- a/laburnumwood/store/calls.py
+++ b/laburnumwood/store/calls.py
@@ -33,13 +33,9 @@
     """Makes calls to the store at a URL, without retries."""
 
     def __init__(self, url: str, timeout_s: float) -> None:
-        self._pool: HTTPConnectionPool = connection_from_url(
-            url,
-            maxsize=_POOL_SIZE,
-            retries=Retry(0, redirect=False),
-            timeout=Timeout(timeout_s),
-            socket_options=socket_options(),
-        )
+        self._url = url
+        self._timeout_s = timeout_s
+        self._pool = self._new_pool()
 
     def call(self, method: str, path: str, **options: Any) -> BaseHTTPResponse:
         """Make a call and return the answer.
@@ -48,12 +44,14 @@
         if there is no answer; its subclass `PlatformNotReachedError` means
         that no connection could be made.
         """
+        pool = self._pool
         try:
-            answer = self._pool.request(method, path, **options)
+            answer = pool.request(method, path, **options)
         except HTTPError as failure:
             STORE_CALLS.record(1, {'method': method, 'status': 'none'})
             description = f'{method} {path}'
             if _may_have_been_sent(failure):
+                self._replace(pool)
                 raise PlatformUnavailableError(description) from failure
             raise PlatformNotReachedError(description) from failure
         STORE_CALLS.record(1, {'method': method, 'status': answer.status})
@@ -70,3 +68,21 @@
             timeout=Timeout(wait_ms / MS_PER_SECOND + _WATCH_GRACE_S),
             **options,
         )
+
+    def _new_pool(self) -> HTTPConnectionPool:
+        return connection_from_url(
+            self._url,
+            maxsize=_POOL_SIZE,
+            retries=Retry(0, redirect=False),
+            timeout=Timeout(self._timeout_s),
+            socket_options=socket_options(),
+        )
+
+    def _replace(self, pool: HTTPConnectionPool) -> None:
+        """Use new connections after a call on a pool had no answer.
+
+        What silenced one connection may have silenced all idle ones.  Calls in
+        progress keep theirs.
+        """
+        if pool is self._pool:
+            self._pool = self._new_pool()
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -1,11 +1,15 @@
 """Steps about what is known after failed calls to a store."""
 
 import socket
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
+from itertools import repeat
 from threading import Thread
+from time import sleep
 from types import SimpleNamespace
 from typing import Any
 
+import urllib3
 from behave import given, then, when
 from behave.runner import Context
 
@@ -31,6 +35,7 @@
 )
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.client import HttpStore
+from tests.features.steps.processes import Process
 
 _STORES: dict[str, Any] = {'platform': PlatformStore, 'own': HttpStore}
 _FAILURES = {
@@ -39,6 +44,8 @@
     'conflict': PlatformConflictError,
 }
 _READ_BYTES = 65_536
+_READ_S = 0.2
+_LIMIT_MS = 60_000
 _NOT_FOUND = b'HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -92,6 +99,74 @@
     context.store = _STORES[kind](f'http://{HOST}:{port}')
 
 
+def _keep_answering(connection: socket.socket) -> None:
+    with suppress(OSError):
+        while connection.recv(_READ_BYTES):
+            sleep(_READ_S)  # so that the reads overlap
+            connection.sendall(_NOT_FOUND)
+
+
+def _keep_serving(listener: socket.socket) -> None:
+    with suppress(OSError):
+        while True:
+            connection = listener.accept()[0]
+            Thread(
+                target=_keep_answering, args=(connection,), daemon=True
+            ).start()
+
+
+def _is_read(context: Context) -> bool:
+    try:
+        return context.store.get('nodes/a') is None
+    except PlatformUnavailableError:
+        return False
+
+
+@then('{count:d} reads at the same time are answered')
+def check_reads(context: Context, count: int) -> None:
+    with ThreadPoolExecutor(count) as pool:
+        answered = tuple(pool.map(_is_read, repeat(context, count)))
+    assert all(answered), answered
+
+
+@given('"{kind}" behind a relay, with {count:d} connections open')
+def open_connections(context: Context, kind: str, count: int) -> None:
+    listener = socket.create_server((HOST, 0))
+    context.add_cleanup(listener.close)
+    Thread(target=_keep_serving, args=(listener,), daemon=True).start()
+    relay = Process(('standins.relay',))
+    context.add_cleanup(relay.stop)
+    context.route = f'{relay.url}/routes/store'
+    target = {'target_port': listener.getsockname()[1]}
+    opened = urllib3.request('PUT', context.route, json=target).json()
+    context.store = _STORES[kind](f'http://{HOST}:{opened["port"]}')
+    check_reads(context, count)
+    report = urllib3.request('GET', context.route).json()
+    assert report['open'] == count, report
+
+
+@when('its open connections go silent for good')
+def silence_open(context: Context) -> None:
+    for silent in (True, False):
+        switches = {'silent': silent}
+        answer = urllib3.request('POST', context.route, json=switches)
+        assert answer.status == 200, answer.data
+
+
+@when('an object is read until the store answers')
+def read_until_answered(context: Context) -> None:
+    clock = Clock()
+    started_ms = clock.now_ms()
+    while not _is_read(context):
+        assert clock.now_ms() - started_ms < _LIMIT_MS
+    context.elapsed_ms = clock.now_ms() - started_ms
+
+
+@then('it was answered within {limit_ms:d} ms')
+def check_answered_in_time(context: Context, limit_ms: int) -> None:
+    assert context.elapsed_ms <= limit_ms, context.elapsed_ms
+
+
 @when('an object is read from it')
 def read_object(context: Context) -> None:
     assert context.store.get('nodes/a') is None
--- a/tests/features/store_failures.feature
+++ b/tests/features/store_failures.feature
@@ -59,3 +59,16 @@
       | store    |
       | platform |
       | own      |
+
+  # Guards against calls that lose one silent connection after the other.
+  Scenario Outline: calls to <store> go through after one found silence
+    Given "<store>" behind a relay, with 6 connections open
+    When its open connections go silent for good
+    And an object is read until the store answers
+    Then it was answered within 3000 ms
+    And 6 reads at the same time are answered
+
+    Examples:
+      | store    |
+      | platform |
+      | own      |
