Let two nodes watch the store by short calls, so that silence is noticed

Callers were served by an old configuration, and nodes that joined got nothing, when every watch of the store had gone silent for good at once: a watch waited 12 s (records) or 32 s (configuration) for an answer that TCP didn't miss. Cause: the time that a watch waits is the bound of its silence. Now the first node of each of two failure domains makes calls of 1,500 ms; with the 1,500 ms in which an answer may be late, silence is a loss after 3 s, the time after which the platform counts a machine as in touch again. Two nodes pay for it, 0.7 calls a second each and for each scope, whatever the fleet's size; all others wait as long as before and are told by them.

--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -47,12 +47,17 @@
     first `fresh_per_domain` want current changes, in at most `fresh_domains`
     domains.  The others accept changes that are seconds old, which costs the
     store little.
+
+    The first node in each of `prompt_domains` domains makes short calls, so
+    that a connection that went silent is soon noticed.
     """
 
     watchers_per_domain: int
     fresh_per_domain: int
     fresh_domains: int
     wait_ms: int
+    prompt_domains: int = 2
+    prompt_wait_ms: int = 1_500
 
 
 RECORD_WATCH_POLICY = WatchPolicy(
@@ -69,6 +74,30 @@
     return xxh3_64_intdigest(f'reader {domain}'.encode())
 
 
+@dataclass(frozen=True, slots=True)
+class _Rank:
+    """The rank of a node in its failure domain, and of the domain."""
+
+    of_node: int
+    of_domain: int
+
+
+def _rank(own: NodeName, view: FleetView) -> _Rank | None:
+    """Return the rank of a live node, None for any other."""
+    live = dict(view.live_nodes())
+    if own not in live:
+        return None
+    domain = live[own].failure_domain
+    domain_nodes = (
+        name for name, record in live.items() if record.failure_domain == domain
+    )
+    domains = {record.failure_domain for record in live.values()}
+    return _Rank(
+        rendezvous_order(f'reader {domain}', domain_nodes).index(own),
+        sorted(domains, key=_domain_order).index(domain),
+    )
+
+
 def update_source(
     own: NodeName, view: FleetView, policy: WatchPolicy
 ) -> UpdateSource:
@@ -78,22 +107,27 @@
     node that is not live, such as one that is leaving, watches the store
     itself: renewals no longer bring it changes.
     """
-    live = dict(view.live_nodes())
-    if own not in live:
+    rank = _rank(own, view)
+    if rank is None:
         return UpdateSource.STORE
-    domain = live[own].failure_domain
-    domain_nodes = (
-        name for name, record in live.items() if record.failure_domain == domain
-    )
-    rank = rendezvous_order(f'reader {domain}', domain_nodes).index(own)
-    if rank >= policy.watchers_per_domain:
+    if rank.of_node >= policy.watchers_per_domain:
         return UpdateSource.PEERS
-    domains = {record.failure_domain for record in live.values()}
-    fresh_domains = sorted(domains, key=_domain_order)[: policy.fresh_domains]
-    is_fresh = rank < policy.fresh_per_domain and domain in fresh_domains
+    is_fresh = (
+        rank.of_node < policy.fresh_per_domain
+        and rank.of_domain < policy.fresh_domains
+    )
     return UpdateSource.STORE if is_fresh else UpdateSource.STALE_STORE
 
 
+def watch_wait_ms(own: NodeName, view: FleetView, policy: WatchPolicy) -> int:
+    """Return for how long a call of a node waits for changes of a scope."""
+    rank = _rank(own, view)
+    if rank is None:
+        return policy.prompt_wait_ms
+    is_prompt = rank.of_node == 0 and rank.of_domain < policy.prompt_domains
+    return policy.prompt_wait_ms if is_prompt else policy.wait_ms
+
+
 class StoreWatcher:
     """Keeps a node's directory up to date with the store.
 
@@ -185,7 +219,9 @@
             eventlet.sleep(_RETRY_MS / MS_PER_SECOND)
 
     def _watch(self, scope: str, *, may_be_stale: bool) -> None:
-        wait_ms = self._watch_policy(scope).wait_ms
+        wait_ms = watch_wait_ms(
+            self._own, self._view, self._watch_policy(scope)
+        )
         try:
             changes, version = self._platform.watch(
                 scope,
--- a/laburnumwood/store/calls.py
+++ b/laburnumwood/store/calls.py
@@ -20,7 +20,7 @@
 from laburnumwood.store.probing import socket_options
 
 _POOL_SIZE = 8
-_WATCH_GRACE_S = 2
+_WATCH_GRACE_S = 1.5
 
 
 def _may_have_been_sent(failure: HTTPError) -> bool:
--- a/tests/features/spreading.feature
+++ b/tests/features/spreading.feature
@@ -78,12 +78,13 @@
     When each of them runs its watcher of the <scope>
     Then <count> of them watch the store
     And <fresh> of them accept no stale changes
+    And <prompt> of them make calls of 1500 ms
 
     Examples:
-      | domains | scope         | count | fresh |
-      | 1       | records       | 2     | 1     |
-      | 5       | records       | 10    | 3     |
-      | 5       | configuration | 160   | 40    |
+      | domains | scope         | count | fresh | prompt |
+      | 1       | records       | 2     | 1     | 1      |
+      | 5       | records       | 10    | 3     | 2      |
+      | 5       | configuration | 160   | 40    | 2      |
 
   # Guards against configurations that reach a node only by renewals, which a
   # loaded node sends and answers late.
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -97,12 +97,14 @@
     def __init__(self) -> None:
         self.watchers = 0
         self.fresh_watchers = 0
+        self.waits_ms: list[int] = []
 
     def watch(
-        self, _scope: str, _known: int, _wait_ms: int, *, may_be_stale: bool
+        self, _scope: str, _known: int, wait_ms: int, *, may_be_stale: bool
     ) -> Any:
         """Count the call, and wait for changes that never come."""
         self.watchers += 1
+        self.waits_ms.append(wait_ms)
         self.fresh_watchers += not may_be_stale
         eventlet.sleep(LIMIT_S)
 
@@ -149,6 +151,13 @@
     assert context.store.fresh_watchers == count, context.store.fresh_watchers
 
 
+@then('{count:d} of them make calls of {wait_ms:d} ms')
+def check_prompt(context: Context, count: int, wait_ms: int) -> None:
+    waits_ms = context.store.waits_ms
+    assert waits_ms.count(wait_ms) == count, waits_ms
+    assert min(waits_ms) == wait_ms, waits_ms
+
+
 class _CountingLease:
     """A lease with one witness, and the link to it, which counts calls."""
 
