Send again at once what a peer has not received on a silent link

Callers got 502: in silence.feature 45 of 60 payments after 4 s and 35 of 60 reads after 1.1 s (beyond the retry budget), sent while the links between four nodes had gone silent for good. Cause: nobody knew whether a request on a silent link had arrived, so that each counted as one that may have run. Now a suspect link is replaced at once, also if no request comes, and in the handshake (headers, which earlier versions ignore) the peer names the last stream that it has received on the old one, from which it accepts no new ones any more. Later streams have provably not run: requests are sent again at once, calls between nodes once, lease renewals among them. Answers to what was received may still come on the old link, so that a slow link loses nothing. If the handshake is not answered the peer may have retired the old link all the same; it gets nothing more. A request that was not received goes to its owner at once: link-lost with not-run was no case for keyed services before (routes, new row). With streams accepted after the replacement request_links shows the second run; without the mark of a half replaced link the call is lost.

--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -68,6 +68,10 @@
     """The connection to a peer closed or became silent."""
 
 
+class StreamNotReceivedError(LinkLostError):
+    """The peer has not received the stream and never will."""
+
+
 class LinkTimeoutError(LinkError):
     """A peer did not answer in time."""
 
--- a/laburnumwood/protocol/handshake.py
+++ b/laburnumwood/protocol/handshake.py
@@ -1,6 +1,8 @@
 """The handshake of a link, on both sides, with authentication."""
 
-from collections.abc import Sequence
+import re
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from eventlet.green import socket
 from websockets.client import ClientProtocol
@@ -18,15 +20,38 @@
 
 _NAME_HEADER = 'Laburnumwood-Node'
 _KEY_HEADER = 'Authorization'
+_LINK_HEADER = 'Laburnumwood-Link'
+_REPLACES_HEADER = 'Laburnumwood-Replaces'
+_RECEIVED_HEADER = 'Laburnumwood-Received'
 # Offered by nodes that accept messages with added fields.
 ADDED_FIELDS = Subprotocol('laburnumwood.added-fields')
 OFFERED = [ADDED_FIELDS]
 _READ_SIZE = 4_096
+_NUMBER = re.compile('[0-9]{1,18}')
 _DIAL_TIMEOUT_S = 0.5
 _FORBIDDEN = 403
 _SWITCHING = 101
 
 
+@dataclass(slots=True)
+class LinkIdentity:
+    """The id of a link, and the silent link of the same peers it replaces.
+
+    `received` is the last stream of the replaced link that the accepting side
+    has received: it accepts no later ones.  It is None if that link is not
+    known there, or if there is none.  Once the identity `is_sent`, the other
+    side may have retired the replaced link, whatever happens then.
+    """
+
+    link_id: str = ''
+    replaced_id: str = ''
+    received: int | None = None
+    is_sent: bool = False
+
+
+RetireLink = Callable[[NodeName, LinkIdentity], None]
+
+
 def _receive_until_event(protocol: Protocol, sock: socket.socket) -> object:
     while True:
         received = sock.recv(_READ_SIZE)
@@ -44,7 +69,10 @@
 
 
 def _request_handshake(
-    sock: socket.socket, own: NodeName, security: LinkSecurity
+    sock: socket.socket,
+    own: NodeName,
+    security: LinkSecurity,
+    identity: LinkIdentity,
 ) -> Protocol:
     protocol = ClientProtocol(
         parse_uri('ws://peer/'),
@@ -54,11 +82,17 @@
     request = protocol.connect()
     request.headers[_NAME_HEADER] = str(own)
     request.headers[_KEY_HEADER] = security.credentials
+    request.headers[_LINK_HEADER] = identity.link_id
+    request.headers[_REPLACES_HEADER] = identity.replaced_id
     protocol.send_request(request)
+    identity.is_sent = True
     _send(protocol, sock)
     answer = _receive_until_event(protocol, sock)
     if not isinstance(answer, Response) or answer.status_code != _SWITCHING:
         raise LinkRefusedError('the peer refused the handshake')
+    received = answer.headers.get(_RECEIVED_HEADER, '')
+    if _NUMBER.fullmatch(received):
+        identity.received = int(received)
     return protocol
 
 
@@ -68,17 +102,25 @@
 
 
 def dial(
-    host: str, port: int, own: NodeName, security: LinkSecurity
+    host: str,
+    port: int,
+    own: NodeName,
+    security: LinkSecurity,
+    identity: LinkIdentity | None = None,
 ) -> tuple[Protocol, socket.socket]:
     """Connect to a peer, complete the handshake and return the connection.
 
+    `identity` is sent if it is given, and the peer's answer completes it.
+
     Raises `LinkRefusedError`; no message was sent in this case.
     """
     sock = None
     try:
         sock = socket.create_connection((host, port), _DIAL_TIMEOUT_S)
         sock = security.wrap_outgoing(sock)
-        protocol = _request_handshake(sock, own, security)
+        protocol = _request_handshake(
+            sock, own, security, identity or LinkIdentity()
+        )
     except OSError as error:
         if sock is not None:
             sock.close()
@@ -103,14 +145,34 @@
     return ADDED_FIELDS if ADDED_FIELDS in offered else None
 
 
-def accept_handshake(
-    sock: socket.socket, security: LinkSecurity
-) -> tuple[Protocol, NodeName]:
-    """Answer the handshake of a peer and return the connection and its name.
+def _read_identity(headers: Headers) -> LinkIdentity:
+    return LinkIdentity(
+        headers.get(_LINK_HEADER, ''), headers.get(_REPLACES_HEADER, '')
+    )
+
+
+def _accept(
+    protocol: ServerProtocol, request: Request, identity: LinkIdentity
+) -> Response:
+    response = protocol.accept(request)
+    if identity.received is not None:
+        response.headers[_RECEIVED_HEADER] = str(identity.received)
+    return response
 
-    `sock` is already wrapped in TLS if links use it.  Raises `ProtocolError`
-    if the key or the name that the peer sends is invalid, and `OSError` if
-    the connection fails.
+
+def _ignore(_peer: NodeName, _identity: LinkIdentity) -> None:
+    """Leave the replaced link as it is."""
+
+
+def accept_handshake(
+    sock: socket.socket, security: LinkSecurity, retire: RetireLink = _ignore
+) -> tuple[Protocol, NodeName, LinkIdentity]:
+    """Answer the handshake of a peer; return connection, name and identity.
+
+    `sock` is already wrapped in TLS if links use it.  `retire` is called to
+    retire the link that the new one replaces.  Raises `ProtocolError` if the
+    key or the name that the peer sends is invalid, and `OSError` if the
+    connection fails.
     """
     sock.settimeout(_DIAL_TIMEOUT_S)
     protocol = ServerProtocol(
@@ -125,8 +187,10 @@
         protocol.send_response(protocol.reject(_FORBIDDEN, 'key or name'))
         _send(protocol, sock)
         raise
-    protocol.send_response(protocol.accept(request))
+    identity = _read_identity(request.headers)
+    retire(peer, identity)
+    protocol.send_response(_accept(protocol, request, identity))
     _send(protocol, sock)
     sock.settimeout(None)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return protocol, peer
+    return protocol, peer, identity
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -12,7 +12,11 @@
 from websockets.protocol import Protocol
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.errors import LinkLostError, ProtocolError
+from laburnumwood.errors import (
+    LinkLostError,
+    ProtocolError,
+    StreamNotReceivedError,
+)
 from laburnumwood.events import LINK_LOST, MESSAGE_REFUSED
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.handshake import accepts_added_fields
@@ -37,6 +41,7 @@
 _BODY_MESSAGES = (WholeAnswer, Chunk)  # others never wait in the send queue
 
 Handler = Callable[['Link', Stream, Any], None]
+SuspectHandler = Callable[['Link'], None]
 
 
 class _LinkMonitor:
@@ -79,6 +84,8 @@
     `handler` is called in a new task for each stream that the peer opens,
     with the first message on it.  Only the side that opens streams closes an
     idle link, so that no new stream is lost in transit.
+
+    `on_suspect` is called in a new task when the link becomes suspect.
     """
 
     def __init__(
@@ -90,7 +97,9 @@
         clock: Clock,
         *,
         closes_idle: bool = False,
+        on_suspect: SuspectHandler | None = None,
     ) -> None:
+        self._on_suspect = on_suspect
         self._protocol = protocol
         self._socket = sock
         self._peer = peer
@@ -102,6 +111,7 @@
         self._last_busy_ms = clock.now_ms()
         self._last_own_stream = 0
         self._last_peer_stream = 0
+        self._is_retired = False  # no new streams of the peer are accepted
         self._last_received_ms = clock.now_ms()
         self._silence = SilenceCounter()
         self._reply_due = False  # also after its stream was closed
@@ -226,6 +236,31 @@
         """Close the link as soon as it has no streams."""
         self._idle_limit_ms = 0
 
+    def retire(self) -> int:
+        """Accept no more streams; return the number of the last one received.
+
+        Answers on the streams that were received are still sent.
+        """
+        self._is_retired = True
+        return self._last_peer_stream
+
+    def fail_unreceived(self, received: int) -> None:
+        """Fail the streams that the peer has not received and never will.
+
+        `received` is what `retire` returned there.
+        """
+        unreceived = [
+            stream
+            for number, stream in self._streams.items()
+            if number > received
+        ]
+        if unreceived:
+            self._report_lost('the peer has not received all streams on it')
+        error = StreamNotReceivedError(f'{self._peer} has not received it')
+        for stream in unreceived:
+            stream.close()
+            stream.fail(error)
+
     @property
     def _expects_reply(self) -> bool:
         return bool(self._streams) or self._reply_due
@@ -301,7 +336,7 @@
         stream = self._streams.get(-number)
         if stream is not None:
             stream.deliver(message)
-        elif number > self._last_peer_stream:
+        elif number > self._last_peer_stream and not self._is_retired:
             self._last_peer_stream = number
             if len(self._streams) >= MAX_STREAMS:
                 raise ProtocolError('the peer opened too many streams')
@@ -331,6 +366,8 @@
         if self._silence.is_dead:
             self.close('nothing was heard on it')
             return
+        if self._silence.has_just_become_suspect and self._on_suspect:
+            start(self._on_suspect, self)
         if self._silence.has_just_failed:
             self._fail_unanswered()
         if self._silence.wants_ping:
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -1,20 +1,31 @@
 """Links to peers, opened on demand, and the server that peers connect to."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, TypeVar
+from uuid import uuid4
 
 from eventlet.green import socket
 from eventlet.semaphore import Semaphore
 
 from laburnumwood.clock import Clock
-from laburnumwood.errors import LinkError, LinkRefusedError, ProtocolError
+from laburnumwood.errors import (
+    LinkError,
+    LinkRefusedError,
+    ProtocolError,
+    StreamNotReceivedError,
+)
 from laburnumwood.events import (
     ANSWER_UNDELIVERED,
     MESSAGE_REFUSED,
     NOT_ACCEPTED,
 )
 from laburnumwood.listening import listen as listen_at
-from laburnumwood.protocol.handshake import accept_handshake, dial
+from laburnumwood.protocol.handshake import (
+    LinkIdentity,
+    accept_handshake,
+    dial,
+)
 from laburnumwood.protocol.link import Handler, Link
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
@@ -85,6 +96,9 @@
         self._handler: Handler = dispatcher.handle
         self._clock = clock
         self._links: dict[NodeName, Link] = {}
+        # Peers that may have retired their link without its replacement.
+        self._half_replaced: set[NodeName] = set()
+        self._link_ids: dict[NodeName, str] = {}  # of the links above
         self._locks: dict[NodeName, Semaphore] = {}
         self._last_refused_ms: dict[NodeName, int] = {}
 
@@ -97,31 +111,25 @@
         silent.  Raises `LinkRefusedError`.
         """
         requested_ms = self._clock.now_ms()
-        lock = self._locks.setdefault(peer, Semaphore())
-        with lock:
-            refused_ms = self._last_refused_ms.get(peer, -_REDIAL_DELAY_MS)
-            if refused_ms + _REDIAL_DELAY_MS > requested_ms:
-                raise LinkRefusedError(f'{peer} has just refused a link')
-            link = self._links.get(peer)
-            if link is None or not link.is_open:
-                link = self._connect(peer)
-            elif link.is_suspect:
-                link = self._replace_silent(link)
+        with self._lock(peer):
+            link = self._find_link(peer, requested_ms)
             self._links[peer] = link
         return link.open_stream(survives_silence=survives_silence)
 
     def call(self, peer: NodeName, message: Any, timeout_ms: int) -> Any:
         """Send a message on a new stream and return the reply.
 
+        A message that the peer has provably not received is sent once more.
+
         Raises `LinkRefusedError` if no link can be opened, `LinkTimeoutError`
         if no reply arrives in `timeout_ms`, and `LinkLostError`.
         """
-        stream = self.open_stream(peer)
+        until_ms = self._clock.now_ms() + timeout_ms
         try:
-            stream.send(message)
-            return stream.receive(timeout_ms)
-        finally:
-            stream.close()
+            return self._call_once(peer, message, timeout_ms)
+        except StreamNotReceivedError:
+            left_ms = until_ms - self._clock.now_ms()
+            return self._call_once(peer, message, max(0, left_ms))
 
     def close(self) -> None:
         """Close all links that this node opened."""
@@ -134,21 +142,68 @@
         for link in self._links.values():
             link.release()
 
-    def _replace_silent(self, link: Link) -> Link:
-        # Replies may still arrive on the silent link, which closes by itself.
+    def _call_once(self, peer: NodeName, message: Any, timeout_ms: int) -> Any:
+        stream = self.open_stream(peer)
         try:
-            return self._connect(link.peer)
+            stream.send(message)
+            return stream.receive(timeout_ms)
+        finally:
+            stream.close()
+
+    def _lock(self, peer: NodeName) -> Semaphore:
+        return self._locks.setdefault(peer, Semaphore())
+
+    def _find_link(self, peer: NodeName, requested_ms: int) -> Link:
+        """Return the link to a peer, a new one if necessary."""
+        link = self._links.get(peer)
+        if link is not None and not link.is_open:
+            link = None
+        may_be_retired = peer in self._half_replaced
+        if link and not link.is_suspect and not may_be_retired:
+            return link
+        refused_ms = self._last_refused_ms.get(peer, -_REDIAL_DELAY_MS)
+        if refused_ms + _REDIAL_DELAY_MS <= requested_ms:
+            return self._replace(link) if link else self._connect(peer)
+        if link is None or link.is_failed or may_be_retired:
+            raise LinkRefusedError(f'{peer} has just refused a link')
+        return link
+
+    def _replace_suspect(self, link: Link) -> None:
+        """Replace a link that became suspect, unless a request did so."""
+        with self._lock(link.peer):
+            is_current = self._links.get(link.peer) is link
+            if is_current and link.is_open and link.is_suspect:
+                with suppress(LinkRefusedError):
+                    self._links[link.peer] = self._replace(link)
+
+    def _replace(self, link: Link) -> Link:
+        """Return a new link in place of a silent one, which closes by itself.
+
+        Streams that the peer has received stay on the silent link, where their
+        replies may still arrive; the others fail.
+        """
+        identity = LinkIdentity(uuid4().hex, self._link_ids[link.peer])
+        try:
+            replacement = self._connect(link.peer, identity)
         except LinkRefusedError:
-            if link.is_failed:
+            if identity.is_sent:
+                self._half_replaced.add(link.peer)
+            if link.is_failed or identity.is_sent:
                 raise
             return link
+        if identity.received is not None:
+            link.fail_unreceived(identity.received)
+        return replacement
 
-    def _connect(self, peer: NodeName) -> Link:
+    def _connect(
+        self, peer: NodeName, identity: LinkIdentity | None = None
+    ) -> Link:
+        identity = identity or LinkIdentity(uuid4().hex)
         address = self._lookup(peer)
         if address is None:
             raise LinkRefusedError(f'no address of {peer} is known')
         try:
-            protocol, sock = dial(*address, self._own, self._security)
+            protocol, sock = dial(*address, self._own, self._security, identity)
         except LinkRefusedError:
             # Tasks that waited for this attempt do not retry at once.
             self._last_refused_ms[peer] = self._clock.now_ms()
@@ -160,25 +215,54 @@
             self._handler,
             self._clock,
             closes_idle=True,
+            on_suspect=self._replace_suspect,
         )
+        self._link_ids[peer] = identity.link_id
+        self._half_replaced.discard(peer)
         start(link.run)
         return link
 
 
+class _AcceptedLinks:
+    """The open links that peers opened, by the names that they gave them."""
+
+    def __init__(self) -> None:
+        self._links: dict[tuple[NodeName, str], Link] = {}
+
+    def run(self, link: Link, link_id: str) -> None:
+        """Run a link until it ends."""
+        name = link.peer, link_id
+        self._links[name] = link
+        try:
+            link.run()
+        finally:
+            self._links.pop(name, None)
+
+    def retire(self, peer: NodeName, identity: LinkIdentity) -> None:
+        """Retire the link that a new one of the same peer replaces."""
+        replaced = self._links.get((peer, identity.replaced_id))
+        if replaced is not None and identity.replaced_id:
+            identity.received = replaced.retire()
+
+
 def _serve(
     sock: socket.socket,
     security: LinkSecurity,
     handler: Handler,
     clock: Clock,
+    accepted: _AcceptedLinks,
 ) -> None:
     try:
         sock = security.wrap_incoming(sock)
-        protocol, peer = accept_handshake(sock, security)
+        protocol, peer, identity = accept_handshake(
+            sock, security, accepted.retire
+        )
     except (OSError, ProtocolError) as error:
         MESSAGE_REFUSED.report(peer='unknown', reason=error)
         sock.close()
         return
-    Link(protocol, sock, peer, handler, clock).run()
+    link = Link(protocol, sock, peer, handler, clock)
+    accepted.run(link, identity.link_id)
 
 
 def listen(
@@ -189,6 +273,7 @@
 ) -> None:
     """Accept links of peers at a host and port; does not return."""
     listener = listen_at(address, NOT_ACCEPTED.report)
+    accepted = _AcceptedLinks()
     while True:
         sock, _ = listener.accept()
-        start(_serve, sock, security, handler, clock)
+        start(_serve, sock, security, handler, clock, accepted)
--- a/laburnumwood/protocol/silence.py
+++ b/laburnumwood/protocol/silence.py
@@ -30,6 +30,11 @@
         """Return whether new streams should use another link."""
         return self._checks >= _SUSPECT_CHECKS
 
+    @property
+    def has_just_become_suspect(self) -> bool:
+        """Return whether the link became suspect at the last check."""
+        return self._checks == _SUSPECT_CHECKS
+
     @property
     def is_failed(self) -> bool:
         """Return whether streams without an answer fail and none is opened."""
--- a/laburnumwood/routing/retry_policy.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -114,11 +114,7 @@
             return None
         if not failure.ran and failure.kind in self._owner_wait_until_ms:
             return self._owner_delay_ms(self._owner_wait_until_ms[failure.kind])
-        if (
-            not failure.ran
-            and self._any_node_serves
-            and failure.kind in _OTHER_NODE_KINDS
-        ):
+        if not failure.ran and self._may_try_at_once(failure):
             return self._other_node_delay_ms(failure, nodes)
         if not self._may_resend(failure) or not self._budget.try_retry():
             return None
@@ -128,6 +124,12 @@
     def _any_node_serves(self) -> bool:
         return self._work.shard < 0
 
+    def _may_try_at_once(self, failure: Failure) -> bool:
+        # A link is replaced as soon as it is lost, also that to an owner.
+        if failure.kind == 'link-lost':
+            return True
+        return self._any_node_serves and failure.kind in _OTHER_NODE_KINDS
+
     def _owner_delay_ms(self, wait_until_ms: int) -> int | None:
         remaining_ms = wait_until_ms - self._clock.now_ms()
         if remaining_ms <= _MIN_REMAINING_MS:
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -9,6 +9,7 @@
     CallerDisconnectedError,
     LinkError,
     LinkTimeoutError,
+    StreamNotReceivedError,
 )
 from laburnumwood.membership.gossip import apply_shard_notice
 from laburnumwood.membership.view import FleetView
@@ -331,6 +332,8 @@
         except LinkTimeoutError as error:
             cancel_exchange(exchange)
             return make_failure('deadline', str(error), ran=True)
+        except StreamNotReceivedError as error:
+            return make_failure('link-lost', str(error), ran=False)
         except LinkError as error:
             # A link that is only silent may still deliver the request.
             cancel_exchange(exchange)
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -100,6 +100,30 @@
     And the check of another link fails
     Then the waiting call fails with LinkLostError
 
+  # Guards against a request that is sent again and arrives late as well.
+  Scenario: what arrives on a link after it was replaced is not run
+    Given a peer that answers calls but does not read bodies
+    When a call of 300 ms is sent on a link
+    And another link replaces it
+    And one more call is sent on the replaced link
+    Then only the first call was received and is answered on the replaced link
+
+  # Guards against calls on a link that the peer no longer accepts them on.
+  Scenario: a link whose replacement was not answered gets no more calls
+    Given a peer whose first connection becomes silent
+    And whose second connection is not answered
+    When a call waits for a reply on the silent link
+    And the silent link carries data again after its replacement has failed
+    And another call is made
+    Then it is answered over a third connection
+
+  # Guards against a request that fails although its peer is of an earlier version.
+  Scenario: a silent link is replaced at a peer that knows no replacement
+    Given a peer whose first connection becomes silent
+    When a non-retryable call on the silent link is answered after 2000 ms
+    And another call is made once the link is suspect
+    Then the non-retryable call is answered
+
   Scenario Outline: a protocol violation closes only the link it occurs on
     Given a peer that answers calls but does not read bodies
     When a link sends <what>
--- a/tests/features/routes.feature
+++ b/tests/features/routes.feature
@@ -33,6 +33,7 @@
       | unsafe     | divided     | refused:not                         | ends and has not run   |
       | unsafe     | divided     | not-owner:not                       | waits for an owner     |
       | unsafe     | divided     | link-lost:ran                       | ends and may have run  |
+      | unsafe     | divided     | link-lost:not                       | is sent again at once  |
       | idempotent | divided     | link-lost:ran not-owner:not         | waits for an owner     |
       | unsafe     | not divided | overloaded:not                      | is sent again at once  |
       | unsafe     | not divided | overloaded:not overloaded:not overloaded:not | ends and has not run |
--- a/tests/features/silence.feature
+++ b/tests/features/silence.feature
@@ -13,3 +13,22 @@
       | scope         |
       | records       |
       | configuration |
+
+  # Guards against requests that wait for a link that went silent until their
+  # time or the budget of retries is over.
+  Scenario Outline: <method> requests on links that went silent are served
+    Given a shared deployment of 4 nodes
+    When the open links between all nodes go silent for good
+    And 60 <method> requests for different keys are sent to one node
+    Then each of them is served within 3000 ms, and ran once
+
+    Examples:
+      | method |
+      | POST   |
+      | GET    |
+
+  # Guards against a lease that lapses because its witnesses' links are silent.
+  Scenario: a lease is renewed in time over links that went silent
+    Given a link to a witness behind a relay
+    When its open connections go silent for good
+    Then a renewal that is sent every 400 ms is answered within 1450 ms
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -11,13 +11,18 @@
 from cbor2 import dumps
 from eventlet.event import Event
 from logbook import TestHandler
+from websockets.frames import Opcode
 from websockets.protocol import Protocol
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError, LinkRefusedError
 from laburnumwood.events import ANSWER_UNDELIVERED
-from laburnumwood.protocol.codec import MAX_FRAME_SIZE, encode
-from laburnumwood.protocol.handshake import accept_handshake, dial
+from laburnumwood.protocol.codec import MAX_FRAME_SIZE, decode, encode
+from laburnumwood.protocol.handshake import (
+    LinkIdentity,
+    accept_handshake,
+    dial,
+)
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import Cancel, Chunk, Done, End
 from laburnumwood.protocol.peers import Dispatcher, Peers, listen
@@ -67,7 +72,10 @@
     while True:
         sock, _ = listener.accept()
         context.connections += 1
-        protocol, peer = accept_handshake(sock, KEY)
+        if context.connections == context.unanswered:
+            context.kept_open = sock
+            continue
+        protocol, peer, _ = accept_handshake(sock, KEY)
         if context.connections > 1:
             link = Link(protocol, sock, peer, dispatcher.handle, Clock())
             eventlet.spawn_n(link.run)
@@ -77,6 +85,7 @@
 
 def _start(context: Context, task: Any, address: Any) -> None:
     context.connections = 0
+    context.unanswered = 0
     context.address = address
     context.server = eventlet.spawn(*task)
     context.add_cleanup(context.server.kill)
@@ -123,6 +132,40 @@
     _start(context, task, listener.getsockname())
 
 
+@given('whose second connection is not answered')
+def leave_unanswered(context: Context) -> None:
+    context.unanswered = 2
+
+
+@when('the silent link carries data again after its replacement has failed')
+def resume_silent(context: Context) -> None:
+    eventlet.sleep(SUSPECT_MS / MS_PER_SECOND)
+    protocol, sock = context.silent
+    while context.lookups < 2:
+        _send_ping(protocol, sock)
+        eventlet.sleep(2 * SUSPECT_MS / MS_PER_SECOND)
+    eventlet.sleep(2 * SUSPECT_MS / MS_PER_SECOND)
+    _send_ping(protocol, sock)
+    eventlet.sleep(0)
+
+
+def _send_ping(protocol: Protocol, sock: Any) -> None:
+    protocol.send_ping(b'')
+    for part in protocol.data_to_send():
+        sock.sendall(part)
+
+
+@when('another call is made')
+def call_again(context: Context) -> None:
+    context.answer = _outcome(context.peers.call, PEER, Cancel(), LIMIT_MS)
+
+
+@then('it is answered over a third connection')
+def check_third_connection(context: Context) -> None:
+    assert isinstance(context.answer, Done), context.answer
+    assert context.connections == 3, context.connections
+
+
 @when('a call is made after the link was idle for {idle:d} ms')
 def call_after_idle(context: Context, idle: int) -> None:
     check_others(context)
@@ -358,7 +401,7 @@
             eventlet.spawn_n(self._serve_one, self.listener.accept()[0])
 
     def _serve_one(self, sock: Any) -> None:
-        protocol, peer = accept_handshake(sock, KEY)
+        protocol, peer, _ = accept_handshake(sock, KEY)
         self.may_read.wait()
         Link(protocol, sock, peer, self._dispatcher.handle, Clock()).run()
 
@@ -496,6 +539,53 @@
         return  # the other side has closed it already
 
 
+def _send_call(context: Context, stream: int, message: Any) -> None:
+    protocol, sock = context.replaced
+    protocol.send_binary(encode(stream, message))
+    for part in protocol.data_to_send():
+        sock.sendall(part)
+
+
+@when('a call of {span:d} ms is sent on a link')
+def call_on_link(context: Context, span: int) -> None:
+    host, port = context.address
+    context.replaced = dial(host, port, OWN, KEY, LinkIdentity('first'))
+    context.add_cleanup(context.replaced[1].close)
+    _send_call(context, 1, End(span))
+    eventlet.sleep(span / 2 / MS_PER_SECOND)
+
+
+@when('another link replaces it')
+def replace_link(context: Context) -> None:
+    context.identity = LinkIdentity('second', 'first')
+    host, port = context.address
+    _, sock = dial(host, port, OWN, KEY, context.identity)
+    context.add_cleanup(sock.close)
+
+
+@when('one more call is sent on the replaced link')
+def call_on_replaced(context: Context) -> None:
+    _send_call(context, 2, Cancel())
+
+
+@then('only the first call was received and is answered on the replaced link')
+def check_replaced(context: Context) -> None:
+    assert context.identity.received == 1, context.identity
+    protocol, sock = context.replaced
+    answered = []
+    sock.settimeout(SUSPECT_MS / MS_PER_SECOND)
+    with suppress(TimeoutError):
+        while received := sock.recv(CHUNK):
+            protocol.receive_data(received)
+            frames = protocol.events_received()
+            answered += [
+                decode(bytes(frame.data))
+                for frame in frames
+                if frame.opcode is Opcode.BINARY
+            ]
+    assert answered == [(-1, Done())], answered
+
+
 def _answer_pings(protocol: Protocol, sock: Any) -> bool:
     received = sock.recv(CHUNK)
     protocol.receive_data(received)
--- a/tests/features/steps/silence_steps.py
+++ b/tests/features/steps/silence_steps.py
@@ -1,26 +1,39 @@
 """Steps about open connections that go silent for good."""
 
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from threading import Thread
 from time import sleep
 from urllib.parse import urlsplit
 
+import eventlet
 import urllib3
 from behave import given, then, when
 from behave.runner import Context
 
+from bench.deployment import free_port
 from bench.reporting import manifest
-from laburnumwood.clock import Clock
+from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.errors import LinkError
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
 from laburnumwood.platform.bodies import encode
 from laburnumwood.platform.store import PlatformStore
-from laburnumwood.records import NodeName, NodeRecord
+from laburnumwood.protocol.link import Link
+from laburnumwood.protocol.messages import Granted, Renew
+from laburnumwood.protocol.peers import Dispatcher, Peers, listen
+from laburnumwood.protocol.security import LinkSecurity
+from laburnumwood.protocol.streams import Stream
+from laburnumwood.records import Digest, NodeName, NodeRecord
 from laburnumwood.store.objects import node_object_name, to_value
 from tests.features.steps.processes import Process
 
 _HOST = '127.0.0.1'
+_KEY = LinkSecurity('a key of the tests only')
+_LIMIT_MS = 60_000
 _OWN, _OTHER = NodeName('a', 1), NodeName('b', 1)
 _POLL_S = 0.05
 _SETTLE_S = 0.5  # so that the watch waits
@@ -84,3 +97,99 @@
     while not context.has_change():
         assert clock.now_ms() < until_ms, 'the change has not arrived'
         sleep(_POLL_S)
+
+
+@when('the open links between all nodes go silent for good')
+def silence_links(context: Context) -> None:
+    deployment = context.fleet.deployment
+    for silent in (True, False):
+        for route in deployment.routes():
+            if route.endswith('.peer'):
+                deployment.hinder(route, silent=silent)
+
+
+def _request(context: Context, method: str, key: str) -> tuple[int, int]:
+    """Return the status of an answer, and the time that it took."""
+    clock = Clock()
+    started_ms = clock.now_ms()
+    answer = context.fleet.deployment.http.request(
+        method,
+        f'{context.fleet.doors()[0]}/{context.fleet.service}/x',
+        headers={'Kiosk': key},
+    )
+    return answer.status, clock.now_ms() - started_ms
+
+
+@when('{count:d} {method} requests for different keys are sent to one node')
+def send_requests(context: Context, count: int, method: str) -> None:
+    context.keys = [f'{method}-{number}' for number in range(count)]
+    with ThreadPoolExecutor(count) as pool:
+        request = partial(_request, context, method)
+        context.answers = tuple(pool.map(request, context.keys))
+
+
+@then('each of them is served within {limit_ms:d} ms, and ran once')
+def check_served(context: Context, limit_ms: int) -> None:
+    statuses = Counter(status for status, _ in context.answers)
+    slowest_ms = max(elapsed_ms for _, elapsed_ms in context.answers)
+    assert set(statuses) == {200}, (statuses, slowest_ms)
+    assert slowest_ms <= limit_ms, slowest_ms
+    ran = Counter(
+        entry['key']
+        for entry in context.fleet.deployment.entries()
+        if entry['key'] in context.keys
+    )
+    assert ran == Counter(context.keys), ran
+
+
+@given('a link to a witness behind a relay')
+def open_link(context: Context) -> None:
+    dispatcher = Dispatcher()
+
+    @dispatcher.on(Renew)
+    def grant(_link: Link, stream: Stream, _renewal: Renew) -> None:
+        stream.send(Granted(Digest(0, 0, 0)))
+
+    port = free_port()
+    listener = (_HOST, port), _KEY, dispatcher.handle, Clock()
+    server = eventlet.spawn(listen, *listener)
+    context.add_cleanup(server.kill)
+    relay = Process(('standins.relay',))
+    context.add_cleanup(relay.stop)
+    context.route = f'{relay.url}/routes/witness'
+    opened = urllib3.request('PUT', context.route, json={'target_port': port})
+    address = _HOST, opened.json()['port']
+    context.peers = Peers(
+        _OWN, _KEY, lambda _peer: address, Dispatcher(), Clock()
+    )
+    context.add_cleanup(context.peers.close)
+    eventlet.sleep(0)
+    assert _is_renewed(context, _LIMIT_MS)
+
+
+def _is_renewed(context: Context, timeout_ms: int) -> bool:
+    renewal = Renew(_OWN, _OTHER, (1,), (), 0, {}, Digest(0, 0, 0))
+    try:
+        return isinstance(
+            context.peers.call(_OTHER, renewal, timeout_ms), Granted
+        )
+    except LinkError:
+        return False
+
+
+@then(
+    'a renewal that is sent every {interval_ms:d} ms is answered within '
+    '{limit_ms:d} ms'
+)
+def check_renewed(context: Context, interval_ms: int, limit_ms: int) -> None:
+    clock = Clock()
+    started_ms = clock.now_ms()
+    is_renewed = False
+    next_ms = started_ms
+    while not is_renewed:
+        next_ms += interval_ms  # the last one was granted just before
+        eventlet.sleep(max(0, next_ms - clock.now_ms()) / MS_PER_SECOND)
+        assert clock.now_ms() - started_ms <= limit_ms, 'not renewed'
+        is_renewed = _is_renewed(context, interval_ms)
+    elapsed_ms = clock.now_ms() - started_ms
+    assert elapsed_ms <= limit_ms, elapsed_ms
