Close accepted links that have been idle for twice as long as their openers allow

Operators saw links that nobody used stay open for ever: the side that opened a link closes it after 60 s without streams, and when that end is lost on a connection that went silent, nothing told the other side. Cause: only the opener had a bound. The accepting side has 120 s now, counted from the last bytes, since streams may come and go between two checks. Failed before: request_links, the accepted row; without the time of the last bytes the scenario of a link that is used between its checks fails.

--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -32,6 +32,8 @@
 from laburnumwood.tasks import run_logged, start, supervise
 
 IDLE_TIMEOUT_MS = 60_000  # after which a link without streams is closed
+# The same on the side that accepted the link, in case the end was lost.
+ACCEPTED_IDLE_TIMEOUT_MS = 2 * IDLE_TIMEOUT_MS
 MAX_STREAMS = 2_048  # on a link
 _READ_SIZE = 65_536
 # Idle links, which are most of those in a large fleet, are checked once in so
@@ -82,8 +84,9 @@
     """A connection to a peer after the handshake.
 
     `handler` is called in a new task for each stream that the peer opens,
-    with the first message on it.  Only the side that opens streams closes an
-    idle link, so that no new stream is lost in transit.
+    with the first message on it.  The side that opens streams closes an idle
+    link, so that no new stream is lost in transit; the other side does so only
+    when it has heard of neither streams nor that end for long.
 
     `on_suspect` is called in a new task when the link becomes suspect.
     """
@@ -105,8 +108,9 @@
         self._peer = peer
         self._handler = handler
         self._clock = clock
-        self._closes_idle = closes_idle
-        self._idle_limit_ms = IDLE_TIMEOUT_MS
+        self._idle_limit_ms = (
+            IDLE_TIMEOUT_MS if closes_idle else ACCEPTED_IDLE_TIMEOUT_MS
+        )
         self._streams: dict[int, Stream] = {}
         self._last_busy_ms = clock.now_ms()
         self._last_own_stream = 0
@@ -356,10 +360,9 @@
             self._check_silence()
             return
         self._silence.reset()
-        if (
-            self._closes_idle
-            and now_ms - self._last_busy_ms >= self._idle_limit_ms
-        ):
+        # A stream may have come and gone between two checks.
+        last_used_ms = max(self._last_busy_ms, self._last_received_ms)
+        if now_ms - last_used_ms >= self._idle_limit_ms:
             self.close()
 
     def _check_silence(self) -> None:
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -108,6 +108,26 @@
     And one more call is sent on the replaced link
     Then only the first call was received and is answered on the replaced link
 
+  # Guards against links that stay open for ever because their end was lost.
+  Scenario Outline: a link that was <side> is closed once idle for long
+    Given a peer that answers calls but does not read bodies
+    When a link that was <side> has been idle for <open> ms
+    Then that link is still open
+    When it has been idle for 1000 ms more
+    Then that link is not open any more
+
+    Examples:
+      | side     | open   |
+      | opened   | 59500  |
+      | accepted | 119500 |
+
+  # Guards against the end of a link whose streams all end between two checks.
+  Scenario: an accepted link that is used between its checks stays open
+    Given a peer that answers calls but does not read bodies
+    When a link that was accepted has been idle for 119500 ms
+    And it is used, and has been idle for 1000 ms more
+    Then that link is still open
+
   # Guards against calls on a link that the peer no longer accepts them on.
   Scenario: a link whose replacement was not answered gets no more calls
     Given a peer whose first connection becomes silent
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -186,6 +186,46 @@
     context.answer = call.wait()
 
 
+@when('a link that was {side} has been idle for {span:d} ms')
+def idle_link(context: Context, side: str, span: int) -> None:
+    host, port = context.address
+    context.clock = FakeClock()
+    context.link = Link(
+        *dial(host, port, OWN, KEY),
+        PEER,
+        Dispatcher().handle,
+        context.clock,
+        closes_idle=side == 'opened',
+    )
+    eventlet.spawn_n(context.link.run)
+    idle_longer(context, span)
+
+
+@when('it has been idle for {span:d} ms more')
+def idle_longer(context: Context, span: int) -> None:
+    context.clock.pass_ms(span)
+    context.link.check()
+
+
+@when('it is used, and has been idle for {span:d} ms more')
+def use_link(context: Context, span: int) -> None:
+    stream = context.link.open_stream()
+    stream.send(Cancel())
+    assert isinstance(stream.receive(LIMIT_MS), Done)
+    stream.close()
+    idle_longer(context, span)
+
+
+@then('that link is still open')
+def check_open(context: Context) -> None:
+    assert context.link.is_open
+
+
+@then('that link is not open any more')
+def check_not_open(context: Context) -> None:
+    assert not context.link.is_open
+
+
 @when('its links are released during a call of {span:d} ms')
 def release_links(context: Context, span: int) -> None:
     call = eventlet.spawn(
