Give up idle connections to the worker once one of them was silent

Callers waited their whole time, request after request, when the pooled connections to a worker had gone silent for good: each idle one was still tried by the first request that took it. Cause: only the connection of the request that timed out was closed. Now those go too that were idle all the while, if the request waited for 500 ms or more on a connection that had worked before. The stand-in server of the store's scenario moved to a module of its own.

--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -203,6 +203,7 @@
         # Not to be reused after this time, None if the worker gave no timeout.
         self._idle_deadline_ms: int | None = None
         self._requests_sent = 0
+        self.last_used_ms = 0  # when a request was sent, or the answer read
 
     def send_request(
         self, head: bytes, body: bytes, method: str, timeout_ms: int
@@ -213,8 +214,9 @@
         `HTTPException`.
         """
         self._requests_sent += 1
+        self.last_used_ms = self._clock.now_ms()
         self.sock.settimeout(timeout_ms / MS_PER_SECOND)
-        self.sock.set_read_deadline(self._clock.now_ms() + timeout_ms)
+        self.sock.set_read_deadline(self.last_used_ms + timeout_ms)
         self.sock.sendall(head + body)
         response = StrictResponse(self.sock, method)
         response.begin()
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -12,6 +12,7 @@
 from laburnumwood.upstream.connection import StrictResponse, WorkerConnection
 
 _CONNECT_TIMEOUT_S = 0.5
+_SILENCE_MS = 500  # a shorter wait for an answer tells nothing of a connection
 _CHUNK_SIZE = 32_768  # bytes
 _EMPTY = b''
 
@@ -157,11 +158,27 @@
         opened.connect()
         return opened
 
+    def record_timeout(self, connection: WorkerConnection) -> None:
+        """Close what was idle while a request on a connection had no answer.
+
+        What silenced a connection that had worked before may have silenced
+        all that were open then.
+        """
+        sent_ms = connection.last_used_ms
+        if (
+            not connection.is_reused
+            or self._clock.now_ms() - sent_ms < _SILENCE_MS
+        ):
+            return
+        while self._idle and self._idle[0].last_used_ms <= sent_ms:
+            self._idle.popleft().close()
+
     def release(self, connection: WorkerConnection) -> None:
         """Keep a connection whose last answer was read completely.
 
         If the pool is full, the connection that was idle longest is closed.
         """
+        connection.last_used_ms = self._clock.now_ms()
         if len(self._idle) == self._idle.maxlen:
             self._idle.popleft().close()
         self._idle.append(connection)
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -104,6 +104,9 @@
             response = connection.send_request(
                 head, request.body, request.method, request.timeout_ms
             )
+        except TimeoutError as failure:
+            self._request_pool.record_timeout(connection)
+            raise to_worker_error(failure) from failure
         except (HTTPException, OSError) as failure:
             raise to_worker_error(failure) from failure
         finally:
--- a/tests/features/silence.feature
+++ b/tests/features/silence.feature
@@ -27,6 +27,13 @@
       | POST   |
       | GET    |
 
+  # Guards against requests that lose one silent connection after the other.
+  Scenario: requests reach the worker after one found that its pool is silent
+    Given a worker behind a relay, with 6 connections in the pool
+    When its open connections go silent for good
+    And a request of 700 ms to the worker gets no answer
+    Then 6 requests of 700 ms to the worker at the same time are answered
+
   # Guards against a lease that lapses because its witnesses' links are silent.
   Scenario: a lease is renewed in time over links that went silent
     Given a link to a witness behind a relay
--- a/tests/features/steps/silence_steps.py
+++ b/tests/features/steps/silence_steps.py
@@ -15,7 +15,7 @@
 from bench.deployment import free_port
 from bench.reporting import manifest
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.errors import LinkError
+from laburnumwood.errors import LinkError, WorkerAnswerError
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.store_watcher import StoreWatcher
@@ -29,7 +29,9 @@
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import Digest, NodeName, NodeRecord
 from laburnumwood.store.objects import node_object_name, to_value
+from laburnumwood.upstream.worker import WorkerClient, WorkerRequest
 from tests.features.steps.processes import Process
+from tests.features.steps.relayed_server import open_count, start_relayed_server
 
 _HOST = '127.0.0.1'
 _KEY = LinkSecurity('a key of the tests only')
@@ -193,3 +195,38 @@
         is_renewed = _is_renewed(context, interval_ms)
     elapsed_ms = clock.now_ms() - started_ms
     assert elapsed_ms <= limit_ms, elapsed_ms
+
+
+def _is_answered(context: Context, timeout_ms: int) -> bool:
+    request = WorkerRequest('GET', '/x', (), b'', timeout_ms)
+    try:
+        answer = context.worker.send(request)
+    except WorkerAnswerError:
+        return False
+    answer.read_body(1)
+    answer.release()
+    return True
+
+
+@given('a worker behind a relay, with {count:d} connections in the pool')
+def fill_pool(context: Context, count: int) -> None:
+    context.worker = WorkerClient(start_relayed_server(context), count, Clock())
+    check_answered(context, count, _LIMIT_MS)
+    assert open_count(context) == count
+
+
+@when('a request of {timeout_ms:d} ms to the worker gets no answer')
+def find_silence(context: Context, timeout_ms: int) -> None:
+    assert not _is_answered(context, timeout_ms)
+
+
+@then(
+    '{count:d} requests of {timeout_ms:d} ms to the worker at the same time '
+    'are answered'
+)
+def check_answered(context: Context, count: int, timeout_ms: int) -> None:
+    requests = [
+        eventlet.spawn(_is_answered, context, timeout_ms) for _ in range(count)
+    ]
+    answered = [request.wait() for request in requests]
+    assert all(answered), answered
--- a/tests/features/steps/store_failure_steps.py
+++ b/tests/features/steps/store_failure_steps.py
@@ -5,7 +5,6 @@
 from contextlib import suppress
 from itertools import repeat
 from threading import Thread
-from time import sleep
 from types import SimpleNamespace
 from typing import Any
 
@@ -35,7 +34,10 @@
 )
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.client import HttpStore
-from tests.features.steps.processes import Process
+from tests.features.steps.relayed_server import (
+    open_count,
+    start_relayed_server,
+)
 
 _STORES: dict[str, Any] = {'platform': PlatformStore, 'own': HttpStore}
 _FAILURES = {
@@ -44,7 +46,6 @@
     'conflict': PlatformConflictError,
 }
 _READ_BYTES = 65_536
-_READ_S = 0.2
 _LIMIT_MS = 60_000
 _NOT_FOUND = b'HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n'
 
@@ -99,22 +100,6 @@
     context.store = _STORES[kind](f'http://{HOST}:{port}')
 
 
-def _keep_answering(connection: socket.socket) -> None:
-    with suppress(OSError):
-        while connection.recv(_READ_BYTES):
-            sleep(_READ_S)  # so that the reads overlap
-            connection.sendall(_NOT_FOUND)
-
-
-def _keep_serving(listener: socket.socket) -> None:
-    with suppress(OSError):
-        while True:
-            connection = listener.accept()[0]
-            Thread(
-                target=_keep_answering, args=(connection,), daemon=True
-            ).start()
-
-
 def _is_read(context: Context) -> bool:
     try:
         return context.store.get('nodes/a') is None
@@ -131,18 +116,9 @@
 
 @given('"{kind}" behind a relay, with {count:d} connections open')
 def open_connections(context: Context, kind: str, count: int) -> None:
-    listener = socket.create_server((HOST, 0))
-    context.add_cleanup(listener.close)
-    Thread(target=_keep_serving, args=(listener,), daemon=True).start()
-    relay = Process(('standins.relay',))
-    context.add_cleanup(relay.stop)
-    context.route = f'{relay.url}/routes/store'
-    target = {'target_port': listener.getsockname()[1]}
-    opened = urllib3.request('PUT', context.route, json=target).json()
-    context.store = _STORES[kind](f'http://{HOST}:{opened["port"]}')
+    context.store = _STORES[kind](start_relayed_server(context))
     check_reads(context, count)
-    report = urllib3.request('GET', context.route).json()
-    assert report['open'] == count, report
+    assert open_count(context) == count
 
 
 @when('its open connections go silent for good')
