--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -12,7 +12,11 @@
 from websockets.protocol import Protocol
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.errors import LinkLostError, ProtocolError
+from laburnumwood.errors import (
+    LinkLostError,
+    ProtocolError,
+    StreamNotReceivedError,
+)
 from laburnumwood.events import LINK_LOST, MESSAGE_REFUSED
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.handshake import accepts_added_fields
@@ -28,6 +32,8 @@
 from laburnumwood.tasks import run_logged, start, supervise
 
 IDLE_TIMEOUT_MS = 60_000  # after which a link without streams is closed
+# The same on the side that accepted the link, in case the end was lost.
+ACCEPTED_IDLE_TIMEOUT_MS = 2 * IDLE_TIMEOUT_MS
 MAX_STREAMS = 2_048  # on a link
 _READ_SIZE = 65_536
 # Idle links, which are most of those in a large fleet, are checked once in so
@@ -37,6 +43,7 @@
 _BODY_MESSAGES = (WholeAnswer, Chunk)  # others never wait in the send queue
 
 Handler = Callable[['Link', Stream, Any], None]
+SuspectHandler = Callable[['Link'], None]
 
 
 class _LinkMonitor:
@@ -77,8 +84,11 @@
     """A connection to a peer after the handshake.
 
     `handler` is called in a new task for each stream that the peer opens,
-    with the first message on it.  Only the side that opens streams closes an
-    idle link, so that no new stream is lost in transit.
+    with the first message on it.  The side that opens streams closes an idle
+    link, so that no new stream is lost in transit; the other side does so only
+    when it has heard of neither streams nor that end for long.
+
+    `on_suspect` is called in a new task when the link becomes suspect.
     """
 
     def __init__(
@@ -90,18 +100,22 @@
         clock: Clock,
         *,
         closes_idle: bool = False,
+        on_suspect: SuspectHandler | None = None,
     ) -> None:
+        self._on_suspect = on_suspect
         self._protocol = protocol
         self._socket = sock
         self._peer = peer
         self._handler = handler
         self._clock = clock
-        self._closes_idle = closes_idle
-        self._idle_limit_ms = IDLE_TIMEOUT_MS
+        self._idle_limit_ms = (
+            IDLE_TIMEOUT_MS if closes_idle else ACCEPTED_IDLE_TIMEOUT_MS
+        )
         self._streams: dict[int, Stream] = {}
         self._last_busy_ms = clock.now_ms()
         self._last_own_stream = 0
         self._last_peer_stream = 0
+        self._is_retired = False  # no new streams of the peer are accepted
         self._last_received_ms = clock.now_ms()
         self._silence = SilenceCounter()
         self._reply_due = False  # also after its stream was closed
@@ -226,6 +240,31 @@
         """Close the link as soon as it has no streams."""
         self._idle_limit_ms = 0
 
+    def retire(self) -> int:
+        """Accept no more streams; return the number of the last one received.
+
+        Answers on the streams that were received are still sent.
+        """
+        self._is_retired = True
+        return self._last_peer_stream
+
+    def fail_unreceived(self, received: int) -> None:
+        """Fail the streams that the peer has not received and never will.
+
+        `received` is what `retire` returned there.
+        """
+        unreceived = [
+            stream
+            for number, stream in self._streams.items()
+            if number > received
+        ]
+        if unreceived:
+            self._report_lost('the peer has not received all streams on it')
+        error = StreamNotReceivedError(f'{self._peer} has not received it')
+        for stream in unreceived:
+            stream.close()
+            stream.fail(error)
+
     @property
     def _expects_reply(self) -> bool:
         return bool(self._streams) or self._reply_due
@@ -301,7 +340,7 @@
         stream = self._streams.get(-number)
         if stream is not None:
             stream.deliver(message)
-        elif number > self._last_peer_stream:
+        elif number > self._last_peer_stream and not self._is_retired:
             self._last_peer_stream = number
             if len(self._streams) >= MAX_STREAMS:
                 raise ProtocolError('the peer opened too many streams')
@@ -321,16 +360,17 @@
             self._check_silence()
             return
         self._silence.reset()
-        if (
-            self._closes_idle
-            and now_ms - self._last_busy_ms >= self._idle_limit_ms
-        ):
+        # A stream may have come and gone between two checks.
+        last_used_ms = max(self._last_busy_ms, self._last_received_ms)
+        if now_ms - last_used_ms >= self._idle_limit_ms:
             self.close()
 
     def _check_silence(self) -> None:
         if self._silence.is_dead:
             self.close('nothing was heard on it')
             return
+        if self._silence.has_just_become_suspect and self._on_suspect:
+            start(self._on_suspect, self)
         if self._silence.has_just_failed:
             self._fail_unanswered()
         if self._silence.wants_ping:
