Soak: check by keys that each life of a worker takes only higher tokens

A new rule applies the oracle of tests/fences.py to the logs of all lives, in the order of time. Six doctored logs in soak.feature show what it finds: four violations and two that are allowed.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -36,3 +36,18 @@
       | n2    | 900   | 2000   | 0     |
       | n2    | 800   | 800    | 0     |
       | n1    | 800   | 2000   | 0     |
+
+  # Guards against a rule that misses a key which two lives had under one token.
+  Scenario Outline: keys that a life of a worker took under an old token are found, <what>
+    Given the worker "n1" held the keys 0 to 63 under token 8 from 100 to 900 ms
+    And the worker "<worker>" held the keys 40 to 99 under token <token> from <since> to <until> ms
+    Then <found> keys are found whose token had not risen for a new life
+
+    Examples:
+      | what                             | worker | token | since | until | found |
+      | the next life, the same token    | n1     | 8     | 1000  | 1500  | 1     |
+      | the next life, a higher token    | n1     | 9     | 1000  | 1500  | 0     |
+      | another worker, the same token   | n2     | 8     | 1000  | 1500  | 1     |
+      | another worker, a lower token    | n2     | 7     | 1000  | 1500  | 1     |
+      | another worker, a higher token   | n2     | 9     | 1000  | 1500  | 0     |
+      | an earlier life, a higher token  | n2     | 9     | 10    | 50    | 1     |
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -23,6 +23,9 @@
 CALLERS = 16
 LONG_REQUESTS = 12  # some are executed by the worker beside the node
 RAMP_UP_S = 1
+REPEATED_FENCES = (
+    'a life of a worker took keys under a token that had not risen'
+)
 FAULTS_BESIDE_SIGNALS = (
     *SIGNAL_FAULTS,
     'a node is killed',
@@ -108,8 +111,18 @@
     'the worker "{worker}" held the keys {first:d} to {last:d} '
     'from {since:d} to {until:d} ms'
 )
+@given(
+    'the worker "{worker}" held the keys {first:d} to {last:d} '
+    'under token {token:d} from {since:d} to {until:d} ms'
+)
 def write_held_keys(
-    context: Context, worker: str, first: int, last: int, since: int, until: int
+    context: Context,
+    worker: str,
+    first: int,
+    last: int,
+    since: int,
+    until: int,
+    token: int = 8,
 ) -> None:
     if 'workers' not in context:
         context.workers = []
@@ -117,7 +130,7 @@
         context.add_cleanup(folder.cleanup)
         context.folder = Path(folder.name)
     log = context.folder / f'{len(context.workers)}.log'
-    line = {'held': [[first, last, 8]], 'at_ms': since, 'until_ms': until}
+    line = {'held': [[first, last, token]], 'at_ms': since, 'until_ms': until}
     log.write_text(f'another line\n{json.dumps(line)}\n')
     context.workers.append(WorkerIncarnation(worker, log))
 
@@ -133,6 +146,19 @@
     assert len(found) == count, found
 
 
+@then('{count:d} keys are found whose token had not risen for a new life')
+def check_repeated_fences(context: Context, count: int) -> None:
+    record = Record(
+        calls=(), node_incarnations=(), worker_incarnations=context.workers
+    )
+    found = [
+        violation
+        for violation in find_violations(record)
+        if violation.rule == REPEATED_FENCES
+    ]
+    assert len(found) == count, found
+
+
 @then('the soak found no violations')
 def check_violations(context: Context) -> None:
     assert not context.violations, '\n'.join(map(str, context.violations))
--- a/tests/soak/holds.py
+++ b/tests/soak/holds.py
@@ -5,11 +5,13 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from itertools import chain, combinations, pairwise
+from operator import itemgetter
 from pathlib import Path
 from typing import Any
 
 from standins.clock import boottime_ms, monotonic_ms
 from standins.reporter.holds import Row
+from tests.fences import FenceHistory, Taking
 
 _HELD_PREFIX = '{"held":'
 
@@ -71,6 +73,32 @@
                 yield f'key {key} for {overlap_ms:.0f} ms: {span} {other}'
 
 
+def _life(incarnation: WorkerIncarnation) -> str:
+    return f'{incarnation.worker} ({incarnation.log.name})'
+
+
+def find_repeated_fences(
+    incarnations: Sequence[WorkerIncarnation],
+) -> Iterator[str]:
+    """Yield a description of each key that a life took under an old token.
+
+    Each process of a worker is a life of its own, with its own log.
+    """
+    lines = [
+        (line['at_ms'], _life(incarnation), line['held'])
+        for incarnation in incarnations
+        for line in _held_lines(incarnation)
+    ]
+    history = FenceHistory()
+    found: dict[str, float] = {}  # by description, when it was first so
+    for at_ms, life, rows in sorted(lines, key=itemgetter(0)):
+        for row in rows:
+            for violation in history.take(Taking(life, *row)):
+                found.setdefault(violation, at_ms)
+    for description, since_ms in found.items():
+        yield f'{description}, at {since_ms:.0f} ms'
+
+
 def _spans_by_range(incarnations: Sequence[WorkerIncarnation]) -> SpansByRange:
     spans_by_range: SpansByRange = defaultdict(list)
     for incarnation in incarnations:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -9,7 +9,11 @@
 from standins.worker.bodies import body_of
 from tests.soak.callers import Call, CallEnd
 from tests.soak.fleet import NodeIncarnation
-from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
+from tests.soak.holds import (
+    WorkerIncarnation,
+    find_concurrent_holders,
+    find_repeated_fences,
+)
 from tests.soak.plans import Framing
 from tests.soak.signals import SignalSpan, find_excess, find_late_requests
 
@@ -232,6 +236,12 @@
     yield from find_concurrent_holders(record.worker_incarnations)
 
 
+@_rule('a life of a worker took keys under a token that had not risen')
+def repeated_fences(record: Record) -> Iterator[str]:
+    """Yield keys taken under a token not above those of all other lives."""
+    yield from find_repeated_fences(record.worker_incarnations)
+
+
 @_rule('a worker got more than the limit that it named')
 def exceeded_limits(record: Record) -> Iterator[str]:
     """Yield the limits of workers that were exceeded."""
