--- a/tests/features/relay.feature
+++ b/tests/features/relay.feature
@@ -35,3 +35,11 @@
     Then the open connection gets no answer
     When a caller asks through the relay
     Then the caller got an answer
+
+  # Guards against a silent connection that still tells one side of the other's
+  # end.
+  Scenario: the end of a silent connection is not passed on
+    Given an open connection through the relay
+    When the relay is set to '{"silent": true}'
+    And the caller resets its connection
+    Then the relay keeps its connection to the target open
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -1,12 +1,14 @@
 """Steps about the relay, which has a journal as its target."""
 
 import socket
+import time
 from urllib.parse import urlsplit
 
 import urllib3
 from behave import given, then, when
 from behave.runner import Context
 
+from standins.relay.pair import RESET_ON_CLOSE
 from tests.features.steps.processes import Process
 
 SILENCE_S = 0.5
@@ -94,3 +96,17 @@
     counted = urllib3.request('GET', context.route).json()['bytes']
     assert counted['to_target'] == len(REQUEST), counted
     assert counted['to_client'] > 0, counted
+
+
+@when('the caller resets its connection')
+def reset_connection(context: Context) -> None:
+    linger_option = socket.SOL_SOCKET, socket.SO_LINGER
+    context.connection.setsockopt(*linger_option, RESET_ON_CLOSE)
+    context.connection.close()
+
+
+@then('the relay keeps its connection to the target open')
+def check_open(context: Context) -> None:
+    time.sleep(SILENCE_S)
+    report = urllib3.request('GET', context.route).json()
+    assert report['open'] == 1, report
