--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -19,6 +19,14 @@
       | seed | seconds | why                                              |
       | 11   | 30      | a worker that came back under the id of a leaver |
 
+  Scenario Outline: all faults, seed <seed>, <why>
+    When a soak of 4 nodes runs for <seconds> s with seed <seed> and all faults
+    Then the soak found no violations
+
+    Examples:
+      | seed | seconds | why                                                |
+      | 2001 | 20      | an old copy, silence for good and a loss of power  |
+
   Scenario: a long request does not keep a stopping node from closing its door
     Given a soak of 4 nodes whose requests may last 10 s
     When requests of 8 s run at "n2" and the node is stopped
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -13,7 +13,7 @@
 from urllib3.exceptions import HTTPError
 
 from tests.soak.callers import Callers
-from tests.soak.faults import FAULTS, SIGNAL_FAULTS
+from tests.soak.faults import FAULTS, LOSS_FAULTS, SIGNAL_FAULTS
 from tests.soak.fleet import SHARDED_SERVICE, SoakFleet
 from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
 from tests.soak.judge import Record, find_violations
@@ -39,7 +39,8 @@
 @when('a soak of {nodes:d} nodes runs for {seconds:d} s with seed {seed:d}')
 def run_soak(context: Context, nodes: int, seconds: int, seed: int) -> None:
     # With other faults the seeds in the list would draw other scripts.
-    faults = tuple(name for name in FAULTS if name not in SIGNAL_FAULTS)
+    later = SIGNAL_FAULTS + LOSS_FAULTS
+    faults = tuple(name for name in FAULTS if name not in later)
     _run(context, Options(seed, seconds, nodes, faults=faults))
 
 
@@ -53,6 +54,16 @@
     _run(context, Options(seed, seconds, nodes, faults=FAULTS_BESIDE_SIGNALS))
 
 
+@when(
+    'a soak of {nodes:d} nodes runs for {seconds:d} s with seed {seed:d} and '
+    'all faults'
+)
+def run_soak_of_all_faults(
+    context: Context, nodes: int, seconds: int, seed: int
+) -> None:
+    _run(context, Options(seed, seconds, nodes))
+
+
 def _run(context: Context, options: Options) -> None:
     report = run(options)
     print(report)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,7 +3,12 @@
 import signal
 import time
 from collections.abc import Callable, Iterator, Sequence
-from contextlib import AbstractContextManager, contextmanager, suppress
+from contextlib import (
+    AbstractContextManager,
+    ExitStack,
+    contextmanager,
+    suppress,
+)
 from dataclasses import dataclass
 from random import Random
 from threading import Event, Thread
@@ -24,6 +29,8 @@
 _LEAVING_S = 4
 _LINGER_MS = 300  # `stop_linger_ms` in the settings of the nodes
 _DIRECTIONS = ('to_target', 'to_client')
+_MIN_COPY_AGE_MS, _MAX_COPY_AGE_MS = 1_000, 4_000
+_WAYS = ('peer', 'worker', 'store', 'reports', 'door')
 _LINKS = ('peer', 'peer', 'worker', 'store', 'reports', 'door')
 
 
@@ -38,6 +45,12 @@
         """Return a random node with its worker."""
         return self.rng.choice(list(self.fleet.members.values()))
 
+    def some_members(self) -> list[ReportingMember]:
+        """Return one node, or half of them, or all, with their workers."""
+        members = list(self.fleet.members.values())
+        size = self.rng.choice((1, len(members) // 2 or 1, len(members)))
+        return self.rng.sample(members, size)
+
     def random_s(self, max_ms: int) -> float:
         """Return a random time of up to `max_ms`, in seconds."""
         return self.rng.randint(0, max_ms) / MS_PER_SECOND
@@ -218,6 +231,54 @@
     context.fleet.set_store_faults(outage=False, delay_ms=0, lose_answers=0)
 
 
+@_fault('the store comes back from an older copy')
+def put_store_back(context: FaultContext) -> Iterator[str]:
+    """Take the store away; let it come back without its last writes.
+
+    The operator writes the manifest again, as it was.
+    """
+    copy_age_ms = context.rng.randint(_MIN_COPY_AGE_MS, _MAX_COPY_AGE_MS)
+    left_ms = boottime_ms()
+    context.fleet.set_store_faults(outage=True)
+    yield f'of {copy_age_ms} ms before it went away'
+    away_ms = boottime_ms() - left_ms
+    context.fleet.put_store_back(round(copy_age_ms + away_ms))
+    context.fleet.set_store_faults(outage=False)
+    context.fleet.restore_manifest()
+
+
+@_fault('open connections go silent for good')
+def silence_open_connections(context: FaultContext) -> Iterator[str]:
+    """Silence what is open on one way to some nodes; new connections work.
+
+    They stay open and are never mended.
+    """
+    way = context.rng.choice(_WAYS)
+    routes = [f'{member.name}.{way}' for member in context.some_members()]
+    for route in routes:
+        context.fleet.relays.set_switches(route, silent=True)
+    yield ' '.join(routes)
+
+
+@_fault('VMs lose power')
+def cut_power(context: FaultContext) -> Iterator[str]:
+    """Kill nodes together with their workers, and start both again later."""
+    members = context.some_members()
+    names = [
+        f'{kind} {member.name}'
+        for kind in ('node', 'worker')
+        for member in members
+    ]
+    with ExitStack() as locks:
+        for name in sorted(names):  # in one order, against deadlocks
+            locks.enter_context(context.fleet.process_lock(name))
+        context.fleet.cut_power(members)
+        yield ' '.join(member.name for member in members)
+        for member in members:
+            context.fleet.restart_worker(member)
+            context.fleet.restart_node(member)
+
+
 @_fault('the manifest changes')
 def rewrite_manifest(context: FaultContext) -> Iterator[str]:
     """Replace the manifest by one with other timeouts."""
@@ -227,6 +288,11 @@
     yield f'timeout {timeout_ms} ms'
 
 
+LOSS_FAULTS = (
+    'the store comes back from an older copy',
+    'open connections go silent for good',
+    'VMs lose power',
+)
 SIGNAL_FAULTS = ('a worker names a limit', 'a worker leaves by its answers')
 
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,6 +1,8 @@
 """The processes of a soak, connected through relays."""
 
 import time
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -95,7 +97,7 @@
         self.node_incarnations: list[NodeIncarnation] = []
         self.worker_incarnations: list[WorkerIncarnation] = []
         self.signal_spans: list[SignalSpan] = []
-        self._manifest_version = 1
+        self._manifest = manifest(1, self._services)
         self._worker_ports: dict[str, int] = {}
         self._process_locks: dict[str, Lock] = {}
         journal_port, relay_port = free_port(), free_port()
@@ -181,19 +183,34 @@
         port = self._worker_ports[member.name]
         member.worker = self._start_worker(member.settings, port)
 
+    def cut_power(self, members: Iterable[ReportingMember]) -> None:
+        """Kill the nodes and workers of some VMs, all at one time."""
+        kills = [
+            partial(kill, member)
+            for member in members
+            for kill in (self.kill_node, self.kill_worker)
+        ]
+        with ThreadPoolExecutor(len(kills)) as pool:
+            kill_futures = [pool.submit(kill) for kill in kills]
+            for kill_future in kill_futures:
+                kill_future.result()
+
     def replace_manifest(self, timeout_ms: int) -> None:
         """Replace the manifest by a new version with other timeouts."""
-        self._manifest_version += 1
-        content = manifest(self._manifest_version, self._services)
-        for route in content['routes']:
-            route['timeout_ms'] = timeout_ms
-        body = dumps({'metadata': {'name': 'main'}, 'spec': content})
-        url = f'{self.store_url}/objects/config/main'
-        self.http.request('PUT', url, body=body)
-
-    def set_store_faults(self, **switches: Any) -> None:
-        """Set the fault switches of the store."""
-        self.http.request('POST', f'{self.store_url}/faults', json=switches)
+        with self.process_lock('operator'):
+            version = self._manifest['version'] + 1
+            self._manifest = manifest(version, self._services)
+            for route in self._manifest['routes']:
+                route['timeout_ms'] = timeout_ms
+            self._write_manifest()
+
+    def restore_manifest(self) -> None:
+        """Write the manifest again until the store has it.
+
+        Raises TimeoutError if that takes too long.
+        """
+        with self.process_lock('operator'):
+            wait_for('the manifest', self._write_manifest, START_TIMEOUT_S)
 
     def journal_entries(self) -> list[JournalEntry]:
         """Return the entries that the workers wrote into the journal."""
@@ -216,6 +233,17 @@
         self.relays.process.kill()
         super().close()
 
+    def _write_manifest(self) -> bool:
+        """Write the manifest, anew if there is none; return if it worked."""
+        body = dumps({'metadata': {'name': 'main'}, 'spec': self._manifest})
+        return any(
+            self.http.request(
+                method, f'{self.store_url}/objects/{path}', body=body
+            ).status
+            == _OK
+            for method, path in (('PUT', 'config/main'), ('POST', 'config'))
+        )
+
     def _start_worker(self, settings: dict[str, Any], port: int) -> Process:
         name, service = settings['node_id'], settings['service']
         flags = ['--sharded'] if self._services[service] else []
