Soak: end the workers before their logs are compared

Traced: the logs were read one after the other while the workers lived. That of n2 was read before it logged at 1973554 ms that it had released them, that of n3 after it had got them at 1973943 ms; the kept logs, read whole, have no such keys. Now the workers are killed first, and what they held ends there. The rule is as it was.

--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -18,7 +18,7 @@
 from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
 from tests.soak.judge import Record, find_violations
 from tests.soak.plans import ResponsePlan
-from tests.soak.soak import Options, run
+from tests.soak.soak import Options, end_and_record, run
 
 CALLERS = 16
 LONG_REQUESTS = 12  # some are executed by the worker beside the node
@@ -98,15 +98,7 @@
     calls = context.callers.finish()
     for thread in threads:
         thread.join()
-    journal_entries = context.fleet.journal_entries()
-    context.violations = find_violations(
-        Record.of(
-            calls,
-            context.fleet.node_incarnations,
-            context.fleet.worker_incarnations,
-            journal_entries,
-        )
-    )
+    context.violations = find_violations(end_and_record(context.fleet, calls))
 
 
 def _send_request(
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -178,6 +178,11 @@
             if incarnation.log == log:
                 incarnation.killed_ms = boottime_ms()
 
+    def end_workers(self) -> None:
+        """Kill all workers, so that their logs stay as they are."""
+        for member in self.members.values():
+            self.kill_worker(member)
+
     def restart_worker(self, member: ReportingMember) -> None:
         """Start the worker of a member again on its previous port."""
         port = self._worker_ports[member.name]
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -52,6 +52,11 @@
             calls, node_incarnations, worker_incarnations, signal_spans, runs
         )
 
+    @property
+    def run_count(self) -> int:
+        """Return how often workers executed a request."""
+        return sum(len(entries) for entries in self.runs.values())
+
     def has_run(self, call: Call) -> bool:
         """Return whether a worker has executed a request."""
         return call.request.attempt_id in self.runs
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import Counter
+from collections.abc import Sequence
 from contextlib import closing
 from dataclasses import dataclass
 from functools import partial
@@ -126,6 +127,22 @@
     return []
 
 
+def end_and_record(fleet: SoakFleet, calls: Sequence[Call]) -> Record:
+    """End the workers and return the record of a soak.
+
+    A worker that lives on would change its log while the others' are read.
+    """
+    journal_entries = fleet.journal_entries()
+    fleet.end_workers()
+    return Record.of(
+        calls,
+        fleet.node_incarnations,
+        fleet.worker_incarnations,
+        journal_entries,
+        fleet.signal_spans,
+    )
+
+
 def run(options: Options) -> Report:
     """Run a soak; if it finds violations, keep its logs under `build/`."""
     with closing(SoakFleet(options.nodes)) as fleet:
@@ -136,14 +153,7 @@
         violations = _check_recovery(fleet)
         calls = callers.finish()
         time.sleep(_LATE_EXECUTION_S)
-        journal_entries = fleet.journal_entries()
-        record = Record.of(
-            calls,
-            fleet.node_incarnations,
-            fleet.worker_incarnations,
-            journal_entries,
-            fleet.signal_spans,
-        )
+        record = end_and_record(fleet, calls)
         violations += find_violations(record)
         violations += [
             Violation('an injection failed', failure)
@@ -151,9 +161,7 @@
             for failure in lane.injection_errors
         ]
         faults = sorted(line for lane in lanes for line in lane.log)
-        report = Report(
-            options, calls, len(journal_entries), faults, violations
-        )
+        report = Report(options, calls, record.run_count, faults, violations)
         if violations:
             _save_logs(fleet, report)
     return report
