Soak: count what a leaving worker said for each process of its node

Traced: n1's node was killed 24 ms after the worker had begun to say so; its next process started at 1735037 ms (boot time), heard of it for the first time in an answer at 1735233 ms (worker-leaves, source an answer) and sent it nothing that came later than 2 s after. The rule counted from what the killed process was told. Now each process of a node has the same 2 s from the first answer that it got itself; four doctored rows show what is found, one of them of a new process.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -59,3 +59,17 @@
       | another worker, a lower token    | n2     | 7     | 1000  | 1500  | 1     |
       | another worker, a higher token   | n2     | 9     | 1000  | 1500  | 0     |
       | an earlier life, a higher token  | n2     | 9     | 10    | 50    | 1     |
+
+  # Guards against a rule that counts what was told to a process that is gone.
+  Scenario Outline: requests that a leaving worker got too late are found, <what>
+    Given a worker that says from 100 to 9000 ms that it leaves
+    And its node was started at <starts> ms
+    And it ran requests that were sent at <sent> ms
+    Then <found> requests are found that it got too late
+
+    Examples:
+      | what                        | starts | sent           | found |
+      | soon after it was told      | 0      | 200 1500       | 0     |
+      | long after it was told      | 0      | 200 3000       | 1     |
+      | the first of a new process  | 0 1000 | 200 3000       | 0     |
+      | a later one of that process | 0 1000 | 200 3000 6000  | 1     |
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -12,17 +12,21 @@
 from behave.runner import Context
 from urllib3.exceptions import HTTPError
 
+from standins.journal.entry import JournalEntry, Outcome
 from tests.soak.callers import Callers
 from tests.soak.faults import FAULTS, LOSS_FAULTS, SIGNAL_FAULTS
 from tests.soak.fleet import SHARDED_SERVICE, SoakFleet
 from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
 from tests.soak.judge import Record, find_violations
 from tests.soak.plans import ResponsePlan
+from tests.soak.signals import SignalKind, SignalSpan, find_late_requests
 from tests.soak.soak import Options, end_and_record, run
 
 CALLERS = 16
 LONG_REQUESTS = 12  # some are executed by the worker beside the node
 RAMP_UP_S = 1
+LEAVER = 'worker-n1'
+RUN_MS = 5
 REPEATED_FENCES = (
     'a life of a worker took keys under a token that had not risen'
 )
@@ -162,6 +166,50 @@
     assert len(found) == count, found
 
 
+@given('a worker that says from {since:d} to {until:d} ms that it leaves')
+def set_leaving(context: Context, since: int, until: int) -> None:
+    span = SignalSpan(LEAVER, SignalKind.leaving, since, until)
+    context.signal_spans = [span]
+
+
+@given('its node was started at {starts} ms')
+def set_node_starts(context: Context, starts: str) -> None:
+    context.node_starts = {LEAVER: [int(at) for at in starts.split()]}
+
+
+@given('it ran requests that were sent at {sent} ms')
+def set_sent(context: Context, sent: str) -> None:
+    context.sent_ms = {f'at-{at}': int(at) for at in sent.split()}
+
+
+def _entry(request: str, started_ms: int) -> JournalEntry:
+    return JournalEntry(
+        boot='',
+        index=0,
+        worker=LEAVER,
+        request=request,
+        key='',
+        service=SHARDED_SERVICE,
+        shard=None,
+        token=None,
+        method='GET',
+        started_ms=started_ms,
+        finished_ms=started_ms + RUN_MS,
+        outcome=Outcome.ran,
+    )
+
+
+@then('{count:d} requests are found that it got too late')
+def check_late(context: Context, count: int) -> None:
+    entries = [_entry(*each) for each in context.sent_ms.items()]
+    found = list(
+        find_late_requests(
+            context.signal_spans, entries, context.sent_ms, context.node_starts
+        )
+    )
+    assert len(found) == count, found
+
+
 @then('the soak found no violations')
 def check_violations(context: Context) -> None:
     assert not context.violations, '\n'.join(map(str, context.violations))
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -35,6 +35,7 @@
     node: str
     process: Process = field(repr=False)
     pid: int
+    started_ms: float = field(default_factory=boottime_ms)
     stopped_ms: float | None = None  # when SIGTERM was sent
     killed_ms: float | None = None
     ended_ms: float | None = None
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -259,7 +259,10 @@
     """Yield requests that were sent to a leaving worker too late."""
     entries = list(chain.from_iterable(record.runs.values()))
     sent_ms = {call.request.attempt_id: call.sent_ms for call in record.calls}
-    yield from find_late_requests(record.signal_spans, entries, sent_ms)
+    starts = defaultdict(list)
+    for incarnation in record.node_incarnations:
+        starts[f'worker-{incarnation.node}'].append(incarnation.started_ms)
+    yield from find_late_requests(record.signal_spans, entries, sent_ms, starts)
 
 
 @_rule('a process did not end as it should')
--- a/tests/soak/signals.py
+++ b/tests/soak/signals.py
@@ -3,8 +3,9 @@
 from bisect import bisect_left, bisect_right
 from collections import defaultdict
 from collections.abc import Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
+from itertools import pairwise
 
 from standins.clock import MS_PER_SECOND
 from standins.journal.entry import JournalEntry
@@ -71,21 +72,41 @@
     spans: Iterable[SignalSpan],
     entries: Sequence[JournalEntry],
     sent_ms: Mapping[str, float],
+    node_starts: Mapping[str, Sequence[float]],
 ) -> Iterator[str]:
     """Yield requests that a leaving worker got too late.
 
-    `sent_ms` is when the caller sent each request.
+    `sent_ms` is when the caller sent each request, `node_starts` when the
+    processes of a worker's node were started: each is told for itself.
     """
     for span in spans:
         if span.kind is SignalKind.leaving:
-            runs = [
-                entry
-                for entry in entries
-                if entry.worker == span.worker
-                and span.since_ms <= entry.started_ms <= span.until_ms
-            ]
-            ends = [run.finished_ms for run in runs if run.finished_ms]
-            told_ms = min(ends, default=span.until_ms) + _LEAVING_MS
-            for run in runs:
-                if sent_ms.get(run.request, 0) > told_ms:
-                    yield f'{run.request} at {run.started_ms}: {span}'
+            for part in _split(span, node_starts[span.worker]):
+                yield from _find_late(part, entries, sent_ms)
+
+
+def _split(span: SignalSpan, starts: Sequence[float]) -> Iterator[SignalSpan]:
+    """Yield the parts of a span between starts of the worker's node."""
+    inner = [at for at in starts if span.since_ms < at < span.until_ms]
+    for since_ms, until_ms in pairwise(
+        (span.since_ms, *sorted(inner), span.until_ms)
+    ):
+        yield replace(span, since_ms=since_ms, until_ms=until_ms)
+
+
+def _find_late(
+    span: SignalSpan,
+    entries: Sequence[JournalEntry],
+    sent_ms: Mapping[str, float],
+) -> Iterator[str]:
+    runs = [
+        entry
+        for entry in entries
+        if entry.worker == span.worker
+        and span.since_ms <= entry.started_ms <= span.until_ms
+    ]
+    ends = [run.finished_ms for run in runs if run.finished_ms]
+    told_ms = min(ends, default=span.until_ms) + _LEAVING_MS
+    for run in runs:
+        if sent_ms.get(run.request, 0) > told_ms:
+            yield f'{run.request} at {run.started_ms}: {span}'
