--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -11,7 +11,7 @@
 from threading import Lock
 from typing import Any
 
-from cbor2 import dumps
+from cbor2 import dumps, loads
 
 from bench.deployment import HOST, UNHINDERED, Process, free_port, wait_for
 from bench.reporting import ReportingDeployment, ReportingMember, manifest
@@ -230,8 +230,12 @@
             wait_for(f'{member.name} to be ready', ready, START_TIMEOUT_S)
 
     def copy_logs(self, folder: Path) -> None:
-        """Copy the logs and settings of the processes into a folder."""
+        """Copy logs, settings and what the store has into a folder."""
         copytree(self._root, folder, dirs_exist_ok=True)
+        url = f'{self.store_url}/objects/laburnumwood'
+        records = loads(self.http.request('GET', url).data)['items']
+        lines = [f'{each["metadata"]} {each["spec"]}' for each in records]
+        (folder / 'store.txt').write_text('\n'.join(lines))
 
     def close(self) -> None:
         """End all processes."""
