--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -12,10 +12,12 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import split_ranges, split_shard_number
+from laburnumwood.placement.lost_splits import LostSplits
 from laburnumwood.placement.ownership import (
     OwnershipState,
     acting_owner,
     fencing_token,
+    first_epoch,
     ownership_state,
     succession_rank,
 )
@@ -106,6 +108,7 @@
         self._unowned_before_ms: dict[ShardName, int] = {}
         self._lacking_successors_since_ms: dict[ShardName, int] = {}
         self._partitioning = Partitioning(service, view, clock)
+        self._lost_splits = LostSplits(service, view)
         self._trust = RecordTrust(self._own, view, held_shards, clock)
 
     @property
@@ -241,7 +244,7 @@
         if entry is None or not held or not self._may_begin(shard):
             return None
         write = self._begin(shard, self._own)
-        split_off = (*entry.record.split_off, *ranges)
+        split_off = (*write.record.split_off, *ranges)
         write.record = replace(write.record, split_off=split_off)
         write.stop_if_unreachable = True
         return write
@@ -282,8 +285,10 @@
             return state
         if not self._trust.may_act(shard, record):
             return OwnershipState.UNCONFIRMED
-        is_undecided = self._trust.is_undecided(shard, record)
-        if state is OwnershipState.OWNER and is_undecided:
+        must_write = self._trust.is_undecided(
+            shard, record
+        ) or self._lost_splits.of_shard(shard)
+        if state is OwnershipState.OWNER and must_write:
             return OwnershipState.MUST_WRITE
         return state
 
@@ -398,14 +403,18 @@
         entry = self._view.directory.shard(shard)
         era = self._view.directory.era
         if entry is not None:
+            epoch = next_number(entry.record.epoch, entry.record.epoch_era, era)
+            least_token = self._held_shards.least_token(shard)
             return replace(
                 entry.record,
-                epoch=next_number(
-                    entry.record.epoch, entry.record.epoch_era, era
-                ),
+                epoch=max(epoch, first_epoch(least_token)),
                 epoch_era=era,
                 succession=succession,
                 handovers=(),
+                split_off=(
+                    *entry.record.split_off,
+                    *self._lost_splits.of_shard(shard),
+                ),
             )
         for keys, parent in _split_ranges(self._view, self._service):
             if split_shard_number(keys) == shard.number:
