Look at shards again once the records of a new era are reliable

Cause: a node acts on records of an earlier era 1.5 s after it knows the era and once all nodes have confirmed it, but it looks at its shards only when records, seals or its lease have changed, or while it knows of something to write. Now the version that the loops compare tells whether the records are reliable.

The new scenario fails before (the version stays the same, the node counts as settled) and passes now.

--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -117,9 +117,11 @@
         return tuple(self._stale)
 
     @property
-    def version(self) -> tuple[int, int, bool]:
+    def version(self) -> tuple[int, int, bool, bool]:
         """Return a value that differs when held shards may need an update."""
-        return (*self._view.version, self._lease.is_held())
+        # Time alone makes the records of a store that came back reliable.
+        is_reliable = self._trust.may_create()
+        return (*self._view.version, self._lease.is_held(), is_reliable)
 
     @property
     def is_settled(self) -> bool:
--- a/tests/features/steps/era_recovery_steps.py
+++ b/tests/features/steps/era_recovery_steps.py
@@ -1,12 +1,14 @@
 """Steps about fleets that write back what a store has forgotten."""
 
 from contextlib import suppress
+from dataclasses import replace
 from typing import Any
 
 import eventlet
 from behave import given, then, when
 from behave.runner import Context
 
+from bench.spreading import record_of
 from laburnumwood.errors import PlatformError
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
@@ -17,6 +19,8 @@
 from laburnumwood.membership.memory_exchange import MemoryExchange
 from laburnumwood.membership.node_records import join, record_witness_sets
 from laburnumwood.membership.view import FleetView
+from laburnumwood.placement.held_shards import HeldShards
+from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.peers import Dispatcher
 from laburnumwood.records import (
@@ -27,12 +31,18 @@
     WitnessSet,
 )
 from laburnumwood.settings import DaemonSettings, LeaseSettings
-from laburnumwood.store.objects import shard_object_name
+from laburnumwood.store.objects import (
+    node_object_name,
+    shard_object_name,
+    to_value,
+)
+from laburnumwood.store.versions import make_version
 from laburnumwood.store.writes import write
 from tests.features.steps.fake_clock import FakeClock
 from tests.ownership.store import FakeStore, StoreContents
 from tests.ownership.world import node_settings
 
+SERVICE = 'service'
 SHARDS_PER_NODE = 3
 REVIEW_MS = 200
 
@@ -241,3 +251,48 @@
 def check_calls(context: Context, ratio: int) -> None:
     print(f'{len(context.calls)} calls, {context.start_calls} at the start')
     assert len(context.calls) <= ratio * context.start_calls
+
+
+@given('a node of era {era:d} of the store, and a shard whose owner has ended')
+def make_heir(context: Context, era: int) -> None:
+    directory, context.clock = Directory(), FakeClock()
+    own = NodeName('n0', 2)
+    record = replace(
+        record_of(0),
+        service=SERVICE,
+        incarnation=own.incarnation,
+        open_incarnations=(own.incarnation,),
+        witness_as=own.incarnation,
+        era=era,
+        confirmed_era=era,
+    )
+    ended = NodeName(own.node_id, own.incarnation - 1)
+    shard = ShardRecord(1, (ended,), shards=1, epoch_era=era - 1)
+    values = {
+        node_object_name(own.node_id): to_value(record),
+        shard_object_name(ShardName(SERVICE, 0)): to_value(shard),
+    }
+    for revision, (name, value) in enumerate(values.items(), start=1):
+        version = make_version(era, revision)
+        directory.apply(StoredObject(name, value, version))
+    directory.learn_era(era)
+    lease: Any = _HeldLease(own)
+    view = FleetView(directory, SealRegistry())
+    context.ownership = OwnershipTracker(
+        SERVICE, view, lease, HeldShards(), context.clock
+    )
+    assert not context.ownership.shards_to_write()
+    assert context.ownership.is_settled
+    context.version = context.ownership.version
+
+
+@when('{passed_ms:d} ms pass in which nothing is told')
+def pass_in_silence(context: Context, passed_ms: int) -> None:
+    context.clock.pass_ms(passed_ms)
+
+
+@then('the node is told to look at its shards again, and writes that shard')
+def check_looks_again(context: Context) -> None:
+    ownership = context.ownership
+    assert ownership.version != context.version
+    assert ownership.shards_to_write() == [ShardName(SERVICE, 0)]
--- a/tests/features/store_put_back.feature
+++ b/tests/features/store_put_back.feature
@@ -175,3 +175,10 @@
     Given a directory that has listed shard 1 with epoch 1 in era 2
     When a peer tells shard 1 with epoch 2 of era 1
     Then shard 1 is one that the store has forgotten
+
+  # Guards against keys without an owner for good: the owners had ended, and a
+  # fleet in which nothing changes did not see that the time of an era was over.
+  Scenario: a calm node looks at its shards again once an era is settled
+    Given a node of era 3 of the store, and a shard whose owner has ended
+    When 1500 ms pass in which nothing is told
+    Then the node is told to look at its shards again, and writes that shard
