--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -19,6 +19,14 @@
       | seed | seconds | why                                              |
       | 11   | 30      | a worker that came back under the id of a leaver |
 
+  Scenario Outline: all faults, seed <seed>, <why>
+    When a soak of 4 nodes runs for <seconds> s with seed <seed> and all faults
+    Then the soak found no violations
+
+    Examples:
+      | seed | seconds | why                                                |
+      | 2001 | 20      | an old copy, silence for good and a loss of power  |
+
   Scenario: a long request does not keep a stopping node from closing its door
     Given a soak of 4 nodes whose requests may last 10 s
     When requests of 8 s run at "n2" and the node is stopped
@@ -36,3 +44,32 @@
       | n2    | 900   | 2000   | 0     |
       | n2    | 800   | 800    | 0     |
       | n1    | 800   | 2000   | 0     |
+
+  # Guards against a rule that misses a key which two lives had under one token.
+  Scenario Outline: keys that a life of a worker took under an old token are found, <what>
+    Given the worker "n1" held the keys 0 to 63 under token 8 from 100 to 900 ms
+    And the worker "<worker>" held the keys 40 to 99 under token <token> from <since> to <until> ms
+    Then <found> keys are found whose token had not risen for a new life
+
+    Examples:
+      | what                             | worker | token | since | until | found |
+      | the next life, the same token    | n1     | 8     | 1000  | 1500  | 1     |
+      | the next life, a higher token    | n1     | 9     | 1000  | 1500  | 0     |
+      | another worker, the same token   | n2     | 8     | 1000  | 1500  | 1     |
+      | another worker, a lower token    | n2     | 7     | 1000  | 1500  | 1     |
+      | another worker, a higher token   | n2     | 9     | 1000  | 1500  | 0     |
+      | an earlier life, a higher token  | n2     | 9     | 10    | 50    | 1     |
+
+  # Guards against a rule that counts what was told to a process that is gone.
+  Scenario Outline: requests that a leaving worker got too late are found, <what>
+    Given a worker that says from 100 to 9000 ms that it leaves
+    And its node was started at <starts> ms
+    And it ran requests that were sent at <sent> ms
+    Then <found> requests are found that it got too late
+
+    Examples:
+      | what                        | starts | sent           | found |
+      | soon after it was told      | 0      | 200 1500       | 0     |
+      | long after it was told      | 0      | 200 3000       | 1     |
+      | the first of a new process  | 0 1000 | 200 3000       | 0     |
+      | a later one of that process | 0 1000 | 200 3000 6000  | 1     |
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -12,17 +12,24 @@
 from behave.runner import Context
 from urllib3.exceptions import HTTPError
 
+from standins.journal.entry import JournalEntry, Outcome
 from tests.soak.callers import Callers
-from tests.soak.faults import FAULTS, SIGNAL_FAULTS
+from tests.soak.faults import FAULTS, LOSS_FAULTS, SIGNAL_FAULTS
 from tests.soak.fleet import SHARDED_SERVICE, SoakFleet
 from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
 from tests.soak.judge import Record, find_violations
 from tests.soak.plans import ResponsePlan
-from tests.soak.soak import Options, run
+from tests.soak.signals import SignalKind, SignalSpan, find_late_requests
+from tests.soak.soak import Options, end_and_record, run
 
 CALLERS = 16
 LONG_REQUESTS = 12  # some are executed by the worker beside the node
 RAMP_UP_S = 1
+LEAVER = 'worker-n1'
+RUN_MS = 5
+REPEATED_FENCES = (
+    'a life of a worker took keys under a token that had not risen'
+)
 FAULTS_BESIDE_SIGNALS = (
     *SIGNAL_FAULTS,
     'a node is killed',
@@ -36,7 +43,8 @@
 @when('a soak of {nodes:d} nodes runs for {seconds:d} s with seed {seed:d}')
 def run_soak(context: Context, nodes: int, seconds: int, seed: int) -> None:
     # With other faults the seeds in the list would draw other scripts.
-    faults = tuple(name for name in FAULTS if name not in SIGNAL_FAULTS)
+    later = SIGNAL_FAULTS + LOSS_FAULTS
+    faults = tuple(name for name in FAULTS if name not in later)
     _run(context, Options(seed, seconds, nodes, faults=faults))
 
 
@@ -50,6 +58,16 @@
     _run(context, Options(seed, seconds, nodes, faults=FAULTS_BESIDE_SIGNALS))
 
 
+@when(
+    'a soak of {nodes:d} nodes runs for {seconds:d} s with seed {seed:d} and '
+    'all faults'
+)
+def run_soak_of_all_faults(
+    context: Context, nodes: int, seconds: int, seed: int
+) -> None:
+    _run(context, Options(seed, seconds, nodes))
+
+
 def _run(context: Context, options: Options) -> None:
     report = run(options)
     print(report)
@@ -84,15 +102,7 @@
     calls = context.callers.finish()
     for thread in threads:
         thread.join()
-    journal_entries = context.fleet.journal_entries()
-    context.violations = find_violations(
-        Record.of(
-            calls,
-            context.fleet.node_incarnations,
-            context.fleet.worker_incarnations,
-            journal_entries,
-        )
-    )
+    context.violations = find_violations(end_and_record(context.fleet, calls))
 
 
 def _send_request(
@@ -108,8 +118,18 @@
     'the worker "{worker}" held the keys {first:d} to {last:d} '
     'from {since:d} to {until:d} ms'
 )
+@given(
+    'the worker "{worker}" held the keys {first:d} to {last:d} '
+    'under token {token:d} from {since:d} to {until:d} ms'
+)
 def write_held_keys(
-    context: Context, worker: str, first: int, last: int, since: int, until: int
+    context: Context,
+    worker: str,
+    first: int,
+    last: int,
+    since: int,
+    until: int,
+    token: int = 8,
 ) -> None:
     if 'workers' not in context:
         context.workers = []
@@ -117,7 +137,7 @@
         context.add_cleanup(folder.cleanup)
         context.folder = Path(folder.name)
     log = context.folder / f'{len(context.workers)}.log'
-    line = {'held': [[first, last, 8]], 'at_ms': since, 'until_ms': until}
+    line = {'held': [[first, last, token]], 'at_ms': since, 'until_ms': until}
     log.write_text(f'another line\n{json.dumps(line)}\n')
     context.workers.append(WorkerIncarnation(worker, log))
 
@@ -133,6 +153,63 @@
     assert len(found) == count, found
 
 
+@then('{count:d} keys are found whose token had not risen for a new life')
+def check_repeated_fences(context: Context, count: int) -> None:
+    record = Record(
+        calls=(), node_incarnations=(), worker_incarnations=context.workers
+    )
+    found = [
+        violation
+        for violation in find_violations(record)
+        if violation.rule == REPEATED_FENCES
+    ]
+    assert len(found) == count, found
+
+
+@given('a worker that says from {since:d} to {until:d} ms that it leaves')
+def set_leaving(context: Context, since: int, until: int) -> None:
+    span = SignalSpan(LEAVER, SignalKind.leaving, since, until)
+    context.signal_spans = [span]
+
+
+@given('its node was started at {starts} ms')
+def set_node_starts(context: Context, starts: str) -> None:
+    context.node_starts = {LEAVER: [int(at) for at in starts.split()]}
+
+
+@given('it ran requests that were sent at {sent} ms')
+def set_sent(context: Context, sent: str) -> None:
+    context.sent_ms = {f'at-{at}': int(at) for at in sent.split()}
+
+
+def _entry(request: str, started_ms: int) -> JournalEntry:
+    return JournalEntry(
+        boot='',
+        index=0,
+        worker=LEAVER,
+        request=request,
+        key='',
+        service=SHARDED_SERVICE,
+        shard=None,
+        token=None,
+        method='GET',
+        started_ms=started_ms,
+        finished_ms=started_ms + RUN_MS,
+        outcome=Outcome.ran,
+    )
+
+
+@then('{count:d} requests are found that it got too late')
+def check_late(context: Context, count: int) -> None:
+    entries = [_entry(*each) for each in context.sent_ms.items()]
+    found = list(
+        find_late_requests(
+            context.signal_spans, entries, context.sent_ms, context.node_starts
+        )
+    )
+    assert len(found) == count, found
+
+
 @then('the soak found no violations')
 def check_violations(context: Context) -> None:
     assert not context.violations, '\n'.join(map(str, context.violations))
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -9,7 +9,11 @@
 from standins.worker.bodies import body_of
 from tests.soak.callers import Call, CallEnd
 from tests.soak.fleet import NodeIncarnation
-from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
+from tests.soak.holds import (
+    WorkerIncarnation,
+    find_concurrent_holders,
+    find_repeated_fences,
+)
 from tests.soak.plans import Framing
 from tests.soak.signals import SignalSpan, find_excess, find_late_requests
 
@@ -48,6 +52,11 @@
             calls, node_incarnations, worker_incarnations, signal_spans, runs
         )
 
+    @property
+    def run_count(self) -> int:
+        """Return how often workers executed a request."""
+        return sum(len(entries) for entries in self.runs.values())
+
     def has_run(self, call: Call) -> bool:
         """Return whether a worker has executed a request."""
         return call.request.attempt_id in self.runs
@@ -232,6 +241,12 @@
     yield from find_concurrent_holders(record.worker_incarnations)
 
 
+@_rule('a life of a worker took keys under a token that had not risen')
+def repeated_fences(record: Record) -> Iterator[str]:
+    """Yield keys taken under a token not above those of all other lives."""
+    yield from find_repeated_fences(record.worker_incarnations)
+
+
 @_rule('a worker got more than the limit that it named')
 def exceeded_limits(record: Record) -> Iterator[str]:
     """Yield the limits of workers that were exceeded."""
@@ -244,7 +259,10 @@
     """Yield requests that were sent to a leaving worker too late."""
     entries = list(chain.from_iterable(record.runs.values()))
     sent_ms = {call.request.attempt_id: call.sent_ms for call in record.calls}
-    yield from find_late_requests(record.signal_spans, entries, sent_ms)
+    starts = defaultdict(list)
+    for incarnation in record.node_incarnations:
+        starts[f'worker-{incarnation.node}'].append(incarnation.started_ms)
+    yield from find_late_requests(record.signal_spans, entries, sent_ms, starts)
 
 
 @_rule('a process did not end as it should')
