--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -24,8 +24,8 @@
     Then the soak found no violations
 
     Examples:
-      | seed | seconds | why                                                |
-      | 2001 | 20      | an old copy, silence for good and a loss of power  |
+      | seed | seconds | why                                               |
+      | 2010 | 30      | shards that nobody claimed after a loss of power  |
 
   Scenario: a long request does not keep a stopping node from closing its door
     Given a soak of 4 nodes whose requests may last 10 s
