Go on replacing a suspect link until its replacement is answered

A payment on a link could wait for its whole time: the peer, which had stood still, retired the link for a replacement whose dialler had already given up, and with no further request to that peer nobody asked again what it had received. Failed before: request_links, 'although its replacement was not answered at first' (2 connections, not 3).

Changed check: 'a sender that is killed while it sends' asked that one link was opened.

--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -5,10 +5,11 @@
 from typing import Any, TypeVar
 from uuid import uuid4
 
+import eventlet
 from eventlet.green import socket
 from eventlet.semaphore import Semaphore
 
-from laburnumwood.clock import Clock
+from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import (
     LinkError,
     LinkRefusedError,
@@ -169,12 +170,18 @@
         return link
 
     def _replace_suspect(self, link: Link) -> None:
-        """Replace a link that became suspect, unless a request did so."""
-        with self._lock(link.peer):
-            is_current = self._links.get(link.peer) is link
-            if is_current and link.is_open and link.is_suspect:
-                with suppress(LinkRefusedError):
+        """Try to replace a link until that succeeds or it is needless."""
+        while self._needs_replacement(link):
+            with self._lock(link.peer), suppress(LinkRefusedError):
+                if self._needs_replacement(link):
                     self._links[link.peer] = self._replace(link)
+            eventlet.sleep(_REDIAL_DELAY_MS / MS_PER_SECOND)
+
+    def _needs_replacement(self, link: Link) -> bool:
+        is_current = self._links.get(link.peer) is link
+        may_be_retired = link.peer in self._half_replaced
+        is_unusable = link.is_suspect or may_be_retired
+        return is_current and link.is_open and is_unusable
 
     def _replace(self, link: Link) -> Link:
         """Return a new link in place of a silent one, which closes by itself.
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -27,7 +27,7 @@
 from laburnumwood.protocol.messages import Cancel, Chunk, Done, End
 from laburnumwood.protocol.peers import Dispatcher, Peers, listen
 from laburnumwood.protocol.security import LinkSecurity
-from laburnumwood.protocol.silence import SUSPECT_MS
+from laburnumwood.protocol.silence import CHECK_INTERVAL_MS, SUSPECT_MS
 from laburnumwood.protocol.streams import WINDOW_SIZE, Stream
 from laburnumwood.records import NodeName
 from laburnumwood.routing.exchange import local_pair
@@ -145,10 +145,17 @@
         _send_ping(protocol, sock)
         eventlet.sleep(2 * SUSPECT_MS / MS_PER_SECOND)
     eventlet.sleep(2 * SUSPECT_MS / MS_PER_SECOND)
-    _send_ping(protocol, sock)
+    pinging = eventlet.spawn(_ping_repeatedly, protocol, sock)
+    context.add_cleanup(pinging.kill)
     eventlet.sleep(0)
 
 
+def _ping_repeatedly(protocol: Protocol, sock: Any) -> None:
+    while True:
+        _send_ping(protocol, sock)
+        eventlet.sleep(CHECK_INTERVAL_MS / 2 / MS_PER_SECOND)
+
+
 def _send_ping(protocol: Protocol, sock: Any) -> None:
     protocol.send_ping(b'')
     for part in protocol.data_to_send():
@@ -160,6 +167,14 @@
     context.answer = _outcome(context.peers.call, PEER, Cancel(), LIMIT_MS)
 
 
+@then('a third connection is opened without another call')
+def check_reopened(context: Context) -> None:
+    with eventlet.Timeout(LOSS_LIMIT_S, exception=False):
+        while context.connections < 3:
+            eventlet.sleep(CHECK_INTERVAL_MS / MS_PER_SECOND)
+    assert context.connections == 3, context.connections
+
+
 @then('it is answered over a third connection')
 def check_third_connection(context: Context) -> None:
     assert isinstance(context.answer, Done), context.answer
@@ -216,6 +231,7 @@
     idle_longer(context, span)
 
 
+@then('the link of the senders is still open')
 @then('that link is still open')
 def check_open(context: Context) -> None:
     assert context.link.is_open
@@ -456,6 +472,7 @@
 @when('senders are killed while the link is blocked')
 def kill_senders(context: Context) -> None:
     streams = [context.peers.open_stream(PEER) for _ in range(STREAMS)]
+    context.link = context.peers._links[PEER]
     senders = [eventlet.spawn(_send_window, stream) for stream in streams]
     eventlet.sleep(SUSPECT_MS / 2 / MS_PER_SECOND)
     for sender in senders:
