--- a/laburnumwood/membership/era_proxy.py
+++ b/laburnumwood/membership/era_proxy.py
@@ -13,7 +13,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.choice import rendezvous_order
-from laburnumwood.membership.forgotten_records import ForgottenRecords
+from laburnumwood.membership.era_work import EraWork
 from laburnumwood.membership.node_records import confirm_era
 from laburnumwood.membership.sent_objects import to_sent
 from laburnumwood.membership.view import FleetView
@@ -34,14 +34,12 @@
     return stored.name.startswith(_PREFIXES) and stored.value is not None
 
 
-class EraProxy:
+class EraProxy(EraWork):
     """Decides for which nodes to confirm an era, and does so.
 
     It also tells what this node remembers.
     """
 
-    records_class = ForgottenRecords
-
     def __init__(
         self,
         lease: Lease,
@@ -50,15 +48,7 @@
         store: CachedStore,
         clock: Clock,
     ) -> None:
-        self._own = lease.holder
-        self._lease = lease
-        self._witness = witness
-        self._view = view
-        self._store = store
-        self._clock = clock
-        self._records = self.records_class(view, store)
-        self._era = 0
-        self._era_since_ms = 0
+        super().__init__(lease, witness, view, store, clock)
         self._asked_at_ms: dict[NodeName, int] = {}
 
     def memory(self, era: int) -> Memory:
@@ -79,12 +69,11 @@
 
         Call it regularly.
         """
-        era, now_ms = self._view.directory.era, self._clock.now_ms()
-        if era != self._era:
-            self._era, self._era_since_ms = era, now_ms
+        if self._note_era():
             self._asked_at_ms.clear()
-        if now_ms - self._era_since_ms < _CHOSEN_DELAY_MS:
+        if self._elapsed_ms < _CHOSEN_DELAY_MS:
             return ()
+        now_ms = self._clock.now_ms()
         due = tuple(name for name in self._unconfirmed() if self._is_due(name))
         self._asked_at_ms.update(dict.fromkeys(due, now_ms))
         return due
@@ -123,8 +112,7 @@
         asked_at_ms = self._asked_at_ms.get(name)
         if asked_at_ms is not None and now_ms - asked_at_ms < _INTERVAL_MS:
             return False
-        elapsed_ms = now_ms - self._era_since_ms
-        return elapsed_ms >= _ANY_DELAY_MS or self._is_chosen_for(name)
+        return self._elapsed_ms >= _ANY_DELAY_MS or self._is_chosen_for(name)
 
     def _is_chosen_for(self, name: NodeName) -> bool:
         live = [each for each, _ in self._view.live_nodes() if each != name]
--- a/laburnumwood/membership/era_recovery.py
+++ b/laburnumwood/membership/era_recovery.py
@@ -12,7 +12,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.choice import rendezvous_order
-from laburnumwood.membership.forgotten_records import ForgottenRecords
+from laburnumwood.membership.era_work import EraWork
 from laburnumwood.membership.node_records import confirm_era
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import ShardRecord, StoredObject
@@ -31,7 +31,7 @@
 _ANY_DELAY_MS = 1_200
 
 
-class EraRecovery:
+class EraRecovery(EraWork):
     """Restores, in a new era, what the store has forgotten.
 
     A node writes back its own record and those of the shards that it owns at
@@ -41,8 +41,6 @@
     for the nodes on record to do so.
     """
 
-    records_class = ForgottenRecords
-
     def __init__(
         self,
         lease: Lease,
@@ -51,16 +49,8 @@
         store: CachedStore,
         clock: Clock,
     ) -> None:
-        self._own = lease.holder
-        self._lease = lease
-        self._witness = witness
-        self._view = view
-        self._store = store
-        self._clock = clock
-        self._records = self.records_class(view, store)
+        super().__init__(lease, witness, view, store, clock)
         self._confirmed_era: int | None = None
-        self._era = 0
-        self._era_since_ms = 0
         self._due_ms = 0
 
     def run(self) -> None:
@@ -90,10 +80,9 @@
 
     def _is_due(self) -> bool:
         """Return whether to make the calls of an era now."""
-        era, now_ms = self._view.directory.era, self._clock.now_ms()
-        if self._era != era:
-            topic = f'{self._own} {era}'.encode()
-            self._era, self._era_since_ms = era, now_ms
+        now_ms = self._clock.now_ms()
+        if self._note_era():
+            topic = f'{self._own} {self._era}'.encode()
             self._due_ms = now_ms + xxh3_64_intdigest(topic) % _SPREAD_MS
         if now_ms < self._due_ms:
             return False
@@ -112,10 +101,9 @@
         """Return whether to write back a record now."""
         if self._is_own(forgotten):
             return True
-        elapsed_ms = self._clock.now_ms() - self._era_since_ms
-        if elapsed_ms < _CHOSEN_DELAY_MS:
+        if self._elapsed_ms < _CHOSEN_DELAY_MS:
             return False
-        return elapsed_ms >= _ANY_DELAY_MS or self._is_chosen(forgotten)
+        return self._elapsed_ms >= _ANY_DELAY_MS or self._is_chosen(forgotten)
 
     def _is_own(self, forgotten: StoredObject) -> bool:
         if forgotten.name.startswith(SHARD_PREFIX):
