--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -20,6 +20,8 @@
 from laburnumwood.store.versions import first_number, next_number
 from laburnumwood.store.writes import new_mark, write
 
+_MAX_ATTEMPTS = 5  # at a change of a record
+
 RecordChange = Callable[[NodeRecord], NodeRecord]
 WitnessSets = tuple[WitnessSet, ...]
 
@@ -118,11 +120,12 @@
     """Change a node's record, retrying when another write came between.
 
     Returns the stored record; nothing is written if `change` leaves it equal.
-    Raises `PlatformConflictError` if the node has no record, and
-    `PlatformError` if the platform does not answer.
+    Raises `PlatformConflictError` if the node has no record or other writes
+    come between again and again, as when the store has a record of a form that
+    is not known here, and `PlatformError` if the platform does not answer.
     """
     mark = mark or new_mark(node_id)
-    while True:
+    for _ in range(_MAX_ATTEMPTS):
         stored = platform.get(node_object_name(node_id))
         if stored is None:
             raise PlatformConflictError(node_id)
@@ -134,6 +137,7 @@
             return _write_record(
                 platform, node_id, changed, stored.write_condition
             )
+    raise PlatformConflictError(node_id)
 
 
 def _without_incarnation(
--- a/tests/features/steps/era_recovery_steps.py
+++ b/tests/features/steps/era_recovery_steps.py
@@ -9,7 +9,7 @@
 from behave.runner import Context
 
 from bench.spreading import record_of
-from laburnumwood.errors import PlatformError
+from laburnumwood.errors import PlatformConflictError, PlatformError
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.cached_store import CachedStore
@@ -296,3 +296,25 @@
     ownership = context.ownership
     assert ownership.version != context.version
     assert ownership.shards_to_write() == [ShardName(SERVICE, 0)]
+
+
+@when('the record of node {place:d} is replaced by one of unknown form')
+def corrupt_record(context: Context, place: int) -> None:
+    node_id = context.nodes[place].name.node_id
+    context.backing.corrupt(node_object_name(node_id))
+    context.calls.clear()
+
+
+@then(
+    'a change of its record by node {place:d} is refused after at most '
+    '{count:d} calls'
+)
+def check_refused(context: Context, place: int, count: int) -> None:
+    node = context.nodes[place]
+    chosen = WitnessSet(2, (node.name,))
+    try:
+        record_witness_sets(node.cached_store, node.name, (chosen,))
+    except PlatformConflictError:
+        assert len(context.calls) <= count, len(context.calls)
+        return
+    raise AssertionError('the record was written')
--- a/tests/features/store_put_back.feature
+++ b/tests/features/store_put_back.feature
@@ -182,3 +182,10 @@
     Given a node of era 3 of the store, and a shard whose owner has ended
     When 1500 ms pass in which nothing is told
     Then the node is told to look at its shards again, and writes that shard
+
+  # Guards against a node that floods the store: its record is of a form that it
+  # does not know, so that each of its writes meets a conflict.
+  Scenario: a node whose record is of unknown form makes few calls
+    Given 12 simulated nodes that have joined and own 3 shards each
+    When the record of node 4 is replaced by one of unknown form
+    Then a change of its record by node 4 is refused after at most 20 calls
