Begin a range that was split off again above what its keys had

A split-off shard whose epoch is of an earlier era than the record that lists it is written before a node begins to act for it, and no new epoch of such a shard is below that of the listing record. The three scripts fail without, each safeguard by itself is caught by one.

--- a/laburnumwood/placement/lost_splits.py
+++ b/laburnumwood/placement/lost_splits.py
@@ -11,7 +11,11 @@
 
 from laburnumwood.config.declarations import Service
 from laburnumwood.membership.view import FleetView
-from laburnumwood.placement.layout import locate, split_shard_number
+from laburnumwood.placement.layout import (
+    locate,
+    split_ranges,
+    split_shard_number,
+)
 from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.records import KeyRange, ShardName, ShardRecord
 
@@ -58,11 +62,44 @@
         self._update()
         return shard.number in self._unlisted
 
+    def least_epoch(self, shard: ShardName) -> int:
+        """Return the least epoch in which a shard may be owned anew.
+
+        The tokens of its keys were lower while they belonged to the shard
+        that it was split off from, again or for the first time.
+        """
+        parent = self._parent(shard)
+        return parent.epoch if parent else 0
+
+    def is_overtaken(self, shard: ShardName) -> bool:
+        """Return whether a shard was split off again since it got its epoch.
+
+        Its keys may have had higher tokens in between.
+        """
+        directory = self._view.directory
+        entry, parent = directory.shard(shard), self._parent(shard)
+        if entry is None or parent is None:
+            return False
+        return entry.record.epoch_era < parent.epoch_era
+
     def of_shard(self, shard: ShardName) -> _Ranges:
         """Return the ranges that the record of a shard should list."""
         self._update()
         return self._lost.get(shard.number, ())
 
+    def _parent(self, shard: ShardName) -> ShardRecord | None:
+        """Return the record that lists a shard as split off, if any."""
+        directory = self._view.directory
+        if directory.era <= _FIRST_ERA:
+            return None
+        records = directory.shard_records(self._service)
+        parents = (
+            parent
+            for keys, parent in split_ranges(records)
+            if split_shard_number(keys) == shard.number
+        )
+        return next(parents, None)
+
     def _update(self) -> None:
         directory = self._view.directory
         if directory.era <= _FIRST_ERA:
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -88,6 +88,8 @@
     Its methods do not block: tasks call them again and again.
     """
 
+    lost_splits_class = LostSplits
+
     def __init__(
         self,
         service: str,
@@ -108,7 +110,7 @@
         self._unowned_before_ms: dict[ShardName, int] = {}
         self._lacking_successors_since_ms: dict[ShardName, int] = {}
         self._partitioning = Partitioning(service, view, clock)
-        self._lost_splits = LostSplits(service, view)
+        self._lost_splits = self.lost_splits_class(service, view)
         self._trust = RecordTrust(self._own, view, held_shards, clock)
 
     @property
@@ -295,9 +297,11 @@
         is_unlisted = not is_held and self._lost_splits.is_unlisted(shard)
         if is_unlisted or not self._trust.may_act(shard, record):
             return OwnershipState.UNCONFIRMED
-        must_write = self._trust.is_undecided(
-            shard, record
-        ) or self._lost_splits.of_shard(shard)
+        must_write = (
+            self._trust.is_undecided(shard, record)
+            or self._lost_splits.of_shard(shard)
+            or (not is_held and self._lost_splits.is_overtaken(shard))
+        )
         if state is OwnershipState.OWNER and must_write:
             return OwnershipState.MUST_WRITE
         return state
@@ -416,6 +420,7 @@
         if entry is not None:
             epoch = next_number(entry.record.epoch, entry.record.epoch_era, era)
             least_token = self._held_shards.least_token(shard)
+            epoch = max(epoch, self._lost_splits.least_epoch(shard))
             return replace(
                 entry.record,
                 epoch=max(epoch, first_epoch(least_token)),
--- a/tests/features/fences.feature
+++ b/tests/features/fences.feature
@@ -56,6 +56,22 @@
       | the listing of lost splits        | restart c; restart e; tick 8; stop-updates a; cut a all; tick 40; restart e; put-back 2; tick 7; restart b; restart c; heal e; await-holders 400; split 0; tick 20; crash e; put-back 10; tick 4; restart a; restart c; tick 16; put-back 11; heal a; await-owners 300; await-holders 400 |
       | the wait for a split to be listed | await-holders 100; split 0 e; tick 14; store late; tick 3; crash-vm all; store up; put-back 1; start-vm all; await-holders 400; tick 1; stop-updates a; apply-late; tick 60; resume-updates a; await-owners 300; await-holders 400 |
 
+  # Guards against an old token for keys of a split-off shard: the store had
+  # forgotten the split, and the shard that had the keys again got higher ones.
+  Scenario Outline: a range that is split off again begins above what its keys had, <how>
+    Given the script
+      """
+      <script>
+      """
+    Then the code without "<safeguard>" fails with "TokenNotIncreasedError" on lives of workers
+    And the whole code passes on it with lives of workers
+
+    Examples:
+      | how                     | safeguard                         | script |
+      | its creation came late  | the write after a second split    | await-holders 100; stop-updates b; stop-updates c; stop-updates d; stop-updates e; split 0 e; tick 14; store late; tick 3; crash-vm a; store up; put-back 1; tick 1; resume-updates b; resume-updates c; resume-updates d; resume-updates e; await-holders 800; tick 40; apply-late; tick 100; await-owners 300; await-holders 600 |
+      | its owner was cut off   | the epoch of the listing record   | await-holders 100; split 0 e; tick 40; cut e all; refuse e; crash-vm a; crash-vm b; crash-vm c; crash-vm d; put-back 2; start-vm a; start-vm b; start-vm c; start-vm d; await-holders 800; move 0 a; tick 60; move 0 b; tick 60; heal e; admit e; tick 60; await-owners 300; await-holders 600 |
+      | everything was lost     | the epoch of the listing record   | await-holders 100; split 0 e; tick 14; store late; tick 3; crash-vm all; store up; put-back 1; start-vm all; await-holders 400; tick 1; move 0 a; tick 60; move 0 b; tick 60; apply-late; tick 60; await-owners 300; await-holders 400 |
+
   # Guards against a key that two lives of workers, or two workers, have under one
   # fencing token, in any order of failures.
   Scenario: random simulations with workers that die and start again
--- a/tests/ownership/fence_mutations.py
+++ b/tests/ownership/fence_mutations.py
@@ -4,8 +4,6 @@
 from dataclasses import replace
 
 from laburnumwood.clock import Clock
-from laburnumwood.leases.lease import Lease
-from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.lost_splits import LostSplits
 from laburnumwood.placement.ownership import OwnershipState
@@ -106,16 +104,7 @@
 
 
 class _WithoutLostSplits(OwnershipTracker):
-    def __init__(
-        self,
-        service: str,
-        view: FleetView,
-        lease: Lease,
-        held_shards: HeldShards,
-        clock: Clock,
-    ) -> None:
-        super().__init__(service, view, lease, held_shards, clock)
-        self._lost_splits = _AllSplitsListed(service, view)
+    lost_splits_class = _AllSplitsListed
 
 
 class _UnlistedPartsTaken(LostSplits):
@@ -127,19 +116,40 @@
 
 
 class _WithUnlistedParts(OwnershipTracker):
-    def __init__(
-        self,
-        service: str,
-        view: FleetView,
-        lease: Lease,
-        held_shards: HeldShards,
-        clock: Clock,
-    ) -> None:
-        super().__init__(service, view, lease, held_shards, clock)
-        self._lost_splits = _UnlistedPartsTaken(service, view)
+    lost_splits_class = _UnlistedPartsTaken
+
+
+class _SecondSplitsIgnored(LostSplits):
+    """Takes no split for a second one."""
+
+    def is_overtaken(self, shard: ShardName) -> bool:
+        """Return that no shard was split off again."""
+        return False
+
+
+class _WithoutSecondSplits(OwnershipTracker):
+    lost_splits_class = _SecondSplitsIgnored
+
+
+class _AnyEpochOfParts(LostSplits):
+    """Lets split-off shards go on from their own epochs alone."""
+
+    def least_epoch(self, shard: ShardName) -> int:
+        """Return no least epoch."""
+        return 0
+
+
+class _WithAnyEpochOfParts(OwnershipTracker):
+    lost_splits_class = _AnyEpochOfParts
 
 
 FENCE_MUTATIONS = {
+    'the write after a second split': Components(
+        ownership_tracker=_WithoutSecondSplits
+    ),
+    'the epoch of the listing record': Components(
+        ownership_tracker=_WithAnyEpochOfParts
+    ),
     'the listing of lost splits': Components(
         ownership_tracker=_WithoutLostSplits
     ),
