Take a worker that holds keys in its first report for no new instance

A new instance holds nothing. One that reports keys while the current one goes on reporting has to outlast it first. Three scripts fail without.

--- a/laburnumwood/upstream/instances.py
+++ b/laburnumwood/upstream/instances.py
@@ -35,7 +35,9 @@
     therefore distinguished by their start time, and by the id if two started
     at the same time.  Clocks may be set back, so that a later instance has an
     earlier start time: one that goes on reporting for `silent_ms`, in which
-    the current one is silent, replaces it.
+    the current one is silent, replaces it.  One that holds keys in its first
+    report is no new instance either, and may have ended before the current one
+    began: it has to do the same, once the current one has gone on reporting.
     """
 
     def __init__(self, silent_ms: int, clock: Clock) -> None:
@@ -44,6 +46,7 @@
         self._instance: _Instance | None = None
         self._replaced: _Instance | None = None
         self._last_sequence_number = -1
+        self._has_gone_on = False  # after its first report
         self._challenger: _Challenger | None = None
 
     @property
@@ -59,7 +62,7 @@
     def record_report(self, report: WorkerReport) -> ReportStatus:
         """Record a report and return how it relates to earlier ones."""
         instance = report.started_ms, report.worker_id
-        if self._counts_as_earlier(instance):
+        if self._may_have_ended(instance, report):
             if not self._is_challenge_won(instance, report.sequence_number):
                 return ReportStatus.STALE
             self._replaced = self._instance
@@ -69,6 +72,7 @@
         if report.sequence_number <= self._last_sequence_number:
             return ReportStatus.STALE
         self._begin(instance, report.sequence_number)
+        self._has_gone_on = True
         return ReportStatus.SAME_INSTANCE
 
     def is_last(self, report: WorkerReport) -> bool:
@@ -82,12 +86,17 @@
     def _begin(self, instance: _Instance, sequence_number: int) -> None:
         self._instance = instance
         self._last_sequence_number = sequence_number
+        self._has_gone_on = False
         self._challenger = None
 
-    def _counts_as_earlier(self, instance: _Instance) -> bool:
+    def _may_have_ended(
+        self, instance: _Instance, report: WorkerReport
+    ) -> bool:
         if self._instance is None or instance == self._instance:
             return False
-        return instance < self._instance or instance == self._replaced
+        if instance < self._instance or instance == self._replaced:
+            return True
+        return self._has_gone_on and bool(report.held)
 
     def _is_challenge_won(
         self, instance: _Instance, sequence_number: int
--- a/tests/features/fences.feature
+++ b/tests/features/fences.feature
@@ -72,6 +72,21 @@
       | its owner was cut off   | the epoch of the listing record   | await-holders 100; split 0 e; tick 40; cut e all; refuse e; crash-vm a; crash-vm b; crash-vm c; crash-vm d; put-back 2; start-vm a; start-vm b; start-vm c; start-vm d; await-holders 800; move 0 a; tick 60; move 0 b; tick 60; heal e; admit e; tick 60; await-owners 300; await-holders 600 |
       | everything was lost     | the epoch of the listing record   | await-holders 100; split 0 e; tick 14; store late; tick 3; crash-vm all; store up; put-back 1; start-vm all; await-holders 400; tick 1; move 0 a; tick 60; move 0 b; tick 60; apply-late; tick 60; await-owners 300; await-holders 400 |
 
+  # Guards against two workers that hold a key: the worker's clock was set back,
+  # and a report of the ended life, held up, took its grants away from the next.
+  Scenario Outline: a report of an ended life with a later start changes nothing
+    Given the script
+      """
+      await-holders 100; reports a late; tick 30; step-clock a -20000; restart-worker a; reports a up; restart a; await-holders 600; tick <ticks>; move 0 a; tick 100; await-holders 300; deliver-reports a in-order; move 0 d; tick 100; await-owners 300; await-holders 600
+      """
+    Then the whole code passes on it with lives of workers
+
+    Examples:
+      | ticks |
+      | 300   |
+      | 305   |
+      | 320   |
+
   # Guards against a key that two lives of workers, or two workers, have under one
   # fencing token, in any order of failures.
   Scenario: random simulations with workers that die and start again
