Join anew when the answer to the join names another era

A node could get the number of an incarnation that was given out and forgotten, if the first answers that its process got named no era (found by the review): the number was chosen for no era, and kept although the answer to the write named one. Fails before, passes now: store_put_back.feature.

--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -148,6 +148,14 @@
     return replace(record, open_incarnations=tuple(sorted(still_open)))
 
 
+def _is_joined(record: NodeRecord, mark: WriteMark, era: int) -> bool:
+    """Return whether a record is that of a join, with a number of an era.
+
+    The era may become known only by the answer to the write.
+    """
+    return record.mark == mark and record.incarnation_era >= era
+
+
 def join(
     platform: Store,
     settings: DaemonSettings,
@@ -168,7 +176,7 @@
     while True:
         stored = platform.get(node_object_name(settings.node_id))
         before = to_record(NodeRecord, stored) if stored else None
-        if before is not None and before.mark == mark:
+        if before is not None and _is_joined(before, mark, platform.era):
             return NodeName(settings.node_id, before.incarnation), before
         next_record = _record_of_next_incarnation(
             settings,
@@ -180,7 +188,8 @@
         condition = stored.write_condition if stored else None
         with suppress(PlatformConflictError):
             _write_record(platform, settings.node_id, joined, condition)
-            return NodeName(settings.node_id, joined.incarnation), joined
+            if _is_joined(joined, mark, platform.era):
+                return NodeName(settings.node_id, joined.incarnation), joined
 
 
 def without_incarnations_up_to(
--- a/tests/features/steps/era_recovery_steps.py
+++ b/tests/features/steps/era_recovery_steps.py
@@ -36,7 +36,7 @@
     shard_object_name,
     to_value,
 )
-from laburnumwood.store.versions import make_version
+from laburnumwood.store.versions import first_number, make_version
 from laburnumwood.store.writes import write
 from tests.features.steps.fake_clock import FakeClock
 from tests.ownership.store import FakeStore, StoreContents
@@ -318,3 +318,28 @@
         assert len(context.calls) <= count, len(context.calls)
         return
     raise AssertionError('the record was written')
+
+
+class _LateEraStore(FakeStore):
+    """A client that learns the era from the answers to its writes only."""
+
+    def get(self, name: str) -> StoredObject | None:
+        """Return an object, and learn no era."""
+        return self.backing.found(name)
+
+
+@given('a store in era {era:d} that names its era only in answers to writes')
+def make_late_era_store(context: Context, era: int) -> None:
+    backing = StoreContents()
+    backing.era = era
+    context.store = _LateEraStore(backing)
+
+
+@when('a node joins')
+def join_node(context: Context) -> None:
+    context.joined = join(context.store, node_settings('a'))[0]
+
+
+@then('its incarnation is one of era {era:d}')
+def check_incarnation(context: Context, era: int) -> None:
+    assert context.joined.incarnation >= first_number(era), context.joined
--- a/tests/features/store_put_back.feature
+++ b/tests/features/store_put_back.feature
@@ -189,3 +189,10 @@
     Given 12 simulated nodes that have joined and own 3 shards each
     When the record of node 4 is replaced by one of unknown form
     Then a change of its record by node 4 is refused after at most 20 calls
+
+  # Guards against an incarnation that is given out again: the first answers that
+  # a new process gets don't name the era.
+  Scenario: a node that learns the era by its own write joins with a number of it
+    Given a store in era 2 that names its era only in answers to writes
+    When a node joins
+    Then its incarnation is one of era 2
