Count all tokens that a worker's reports name, within bounds

Tokens in reports that came before the node had joined, and in late reports of another instance, were dropped, so that a later instance could get them again (found by the review). They count now. A token that no JSON integer holds is refused with its report: it would have raised the epoch above the value that stands for an unknown floor. Fails before, passes now: two rows of reports.feature.

--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 from http import HTTPStatus
-from typing import Any, Literal
+from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, Field, StrictInt, StrictStr
 
@@ -29,6 +29,9 @@
 _REPORT_PATH = '/Instances.Heartbeat/'
 _DEREGISTER_PATH = '/Instances.Deregister/'
 _MAX_REPORT_BYTES = 1_048_576
+_MAX_TOKEN = (1 << 53) - 1  # larger ones are no integers in JSON everywhere
+
+_Token = Annotated[StrictInt, Field(ge=0, le=_MAX_TOKEN)]
 
 
 class _Report(BaseModel):
@@ -44,7 +47,7 @@
     state: Literal['ready', 'draining']
     seq: StrictInt
     born: StrictInt
-    holds: list[tuple[StrictInt, StrictInt, StrictInt]] = Field(
+    holds: list[tuple[StrictInt, StrictInt, _Token]] = Field(
         default_factory=list
     )
     released: list[tuple[StrictInt, StrictInt, StrictStr]] = Field(
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -103,6 +103,10 @@
             self.begin_leaving(_REPORT, was_known=is_first)
         return status
 
+    def is_current(self, report: WorkerReport) -> bool:
+        """Return whether a report is one of the current instance."""
+        return self.instance == (report.worker_id, report.started_ms)
+
     def is_last(self, report: WorkerReport) -> bool:
         """Return whether a report is the last one of the current instance."""
         return self._instances.is_last(report)
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -160,9 +160,12 @@
         """
         status = self.presence.record_report(report)
         if status is ReportStatus.STALE:
+            if not self.presence.is_current(report):
+                self._tokens.record_earlier(report)
             return GrantReply()
         if status is ReportStatus.NEW_INSTANCE:
             self._start_instance(report)
+        self._tokens.record_report(report)
         if self._source is not None:
             self._record_held(report)
         return self.renew_reply(report)
@@ -263,7 +266,6 @@
         self.signals.begin_instance()
 
     def _record_held(self, report: WorkerReport) -> None:
-        self._tokens.record_report(report)
         held = _HeldKeys(report)
         released_shards: list[ShardName] = []
         for shard in tuple(self._grants):
--- a/laburnumwood/upstream/token_history.py
+++ b/laburnumwood/upstream/token_history.py
@@ -62,6 +62,12 @@
                 highest=max(each.token for each in unknown),
             )
 
+    def record_earlier(self, report: WorkerReport) -> None:
+        """Record the tokens that another instance reports to have."""
+        for held in report.held:
+            known = self._earlier.get(held.keys, _NO_TOKEN)
+            self._earlier[held.keys] = max(held.token, known)
+
     def begin_instance(self) -> None:
         """Record that another instance of the worker has begun."""
         for keys, token in self._current.items():
--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -204,3 +204,18 @@
     When the node holds shard 1 under token 8
     And the worker reports
     Then it is granted the shards "1" for 2940 ms
+
+  # Guards against a key that goes to a later instance under the token of an
+  # earlier one: it was reported while the node had not joined, or too late.
+  Scenario Outline: a new instance gets only higher tokens than were reported, <when>
+    Given a node that holds shard 1 under token 8
+    When <report>
+    And a new instance of the worker reports
+    And the node holds shard 2 under token 8
+    And the worker reports
+    Then the shards "2" need higher tokens
+
+    Examples:
+      | when           | report                                                     |
+      | before joining | the worker reports that it holds shard 2 before the node has joined |
+      | too late       | an earlier instance reports late that it holds shard 2     |
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -142,6 +142,24 @@
     _report(context, held=held)
 
 
+@when(
+    'the worker reports that it holds shard {number:d} before the node has '
+    'joined'
+)
+def report_held_unattached(context: Context, number: int) -> None:
+    context.worker.attach(None)
+    report_held(context, number)
+    context.worker.attach(context.source)
+
+
+@when('an earlier instance reports late that it holds shard {number:d}')
+def report_held_late(context: Context, number: int) -> None:
+    _report(context)
+    instance, context.instance = context.instance, context.instance - 1
+    report_held(context, number)
+    context.instance = instance
+
+
 @when('the worker reports that it still processes one key of shard {number:d}')
 def report_one_key(context: Context, number: int) -> None:
     last = stripes(number)[0].last
