Ask leaving nodes as well what they remember of a new era

The wait for an era counts each node that may hold a lease, also one that leaves; only live nodes were asked. Found by the review, by reading.

--- a/laburnumwood/membership/era_proxy.py
+++ b/laburnumwood/membership/era_proxy.py
@@ -96,15 +96,20 @@
         return True
 
     def _unconfirmed(self) -> Iterator[NodeName]:
-        """Yield the live nodes that have not confirmed the newest era.
+        """Yield the nodes that may act and have not confirmed the newest era.
 
         Yields none while this node has not, as it may not reach the store.
         """
         own_record = self._view.directory.node(self._own)
         if own_record is None or own_record.confirmed_era < self._era:
             return
-        for name, record in self._view.live_nodes():
-            if record.shares_memory and record.confirmed_era < self._era:
+        for node_id, entry in self._view.directory.nodes.items():
+            name = NodeName(node_id, entry.record.incarnation)
+            is_unconfirmed = entry.record.confirmed_era < self._era
+            can_tell = entry.record.shares_memory and not (
+                self._view.is_sealed(name)
+            )
+            if is_unconfirmed and can_tell:
                 yield name
 
     def _is_due(self, name: NodeName) -> bool:
