--- a/tests/features/steps/config_confirmation_steps.py
+++ b/tests/features/steps/config_confirmation_steps.py
@@ -154,9 +154,13 @@
 
 @when('callers request "{path}" {count:d} times in {span_s:d} s')
 def request_often(context: Context, path: str, count: int, span_s: int) -> None:
-    for _ in range(count):
+    clock = Clock()
+    started_ms = clock.now_ms()
+    for number in range(count):
+        due_ms = started_ms + span_s * MS_PER_SECOND * number / count
+        left_ms = max(0, due_ms - clock.now_ms())
+        eventlet.sleep(left_ms / MS_PER_SECOND)
         eventlet.spawn_n(_request_quietly, context, path)
-        eventlet.sleep(span_s / count)
 
 
 def _request_quietly(context: Context, path: str) -> None:
