--- a/tests/features/store_put_back.feature
+++ b/tests/features/store_put_back.feature
@@ -196,3 +196,12 @@
     Given a store in era 2 that names its era only in answers to writes
     When a node joins
     Then its incarnation is one of era 2
+
+  # Guards against keys with two owners: late news of a split reach one node after
+  # the store has forgotten it, and all who knew it have joined anew.
+  Scenario: late news of a forgotten split give nobody its keys
+    Given the script
+      """
+      split 1; tick 18; put-back 11; restart b; restart d; restart e; replay-updates d; await-owners 300
+      """
+    Then the whole code with workers that report passes on it
