Tell which answers came after their deadline, and where the time went

Requests were held past their route's timeout and no line or metric of ours said so: left_ms counts from where a node begins to count.

A request now knows when its first byte arrived, also if that waited in a backlog or for a busy process (TCP_INFO), and its deadline. The event answer-late and the histogram answer.overrun tell what came later than that, with what the request waited unread and what its body took.

Logs of deployments with reporting workers can be kept now as well.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -129,6 +129,13 @@
     return time.monotonic() - started
 
 
+def keep_logs(folder: Path) -> None:
+    """Copy the logs of a deployment to where the environment says, if set."""
+    kept_in = os.environ.get(_KEEP_LOGS_IN)
+    if kept_in:
+        shutil.copytree(folder, Path(kept_in) / folder.name)
+
+
 class Process:
     """A process of the deployment, ended by its id."""
 
@@ -321,9 +328,7 @@
         for process in self._processes():
             if process.is_running:
                 process.kill()
-        kept_in = os.environ.get(_KEEP_LOGS_IN)
-        if kept_in:
-            shutil.copytree(self._root, Path(kept_in) / self._root.name)
+        keep_logs(self._root)
         self._folder.cleanup()
 
     def _processes(self) -> Iterable[Process]:
--- a/bench/reporting.py
+++ b/bench/reporting.py
@@ -11,7 +11,14 @@
 from urllib3 import PoolManager, Retry
 from urllib3.response import BaseHTTPResponse
 
-from bench.deployment import HOST, SHARED_KEY, Process, free_port, wait_for
+from bench.deployment import (
+    HOST,
+    SHARED_KEY,
+    Process,
+    free_port,
+    keep_logs,
+    wait_for,
+)
 
 HOST_NAME = 'a.example'
 _OK = 200
@@ -197,6 +204,7 @@
             member.node.kill()
             member.worker.kill()
         self.store.kill()
+        keep_logs(self._root)
         self._folder.cleanup()
 
     def _store_answers(self) -> bool:
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -154,16 +154,19 @@
             self._clock,
         )
         self._caller_listener = HttpListener(
-            settings.caller_address, self._serve_caller, self._caller_limits
+            settings.caller_address,
+            self._serve_caller,
+            self._clock,
+            self._caller_limits,
         )
         if settings.operator_port is not None:
             operators = (settings.host, settings.operator_port)
-            HttpListener(operators, self._serve_operator)
+            HttpListener(operators, self._serve_operator, self._clock)
         if settings.metrics_port is not None:
             metrics = (settings.host, settings.metrics_port)
-            HttpListener(metrics, self._serve_metrics)
+            HttpListener(metrics, self._serve_metrics, self._clock)
         for listener in self._integration.listeners(settings, self):
-            HttpListener(listener.address, listener.application)
+            HttpListener(listener.address, listener.application, self._clock)
 
     def _serve_peer(self, link: Link, stream: Stream, message: Any) -> None:
         if self._incarnation is None:
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -432,6 +432,13 @@
     'ledger-recovered',
     'other nodes told this one which entries of the run ledger there are',
 )
+ANSWER_LATE = _event(
+    715,
+    logbook.INFO,
+    'answer-late',
+    'a request was answered after its deadline',
+    'compare what was waited unread, what the body took and what followed',
+)
 TASK_FAILED = _event(
     901,
     logbook.ERROR,
--- a/laburnumwood/metrics.py
+++ b/laburnumwood/metrics.py
@@ -108,6 +108,12 @@
     'ms',
     'time from a request to the head of its answer at this door, by service',
 )
+ANSWER_OVERRUN = _histogram(
+    'laburnumwood.answer.overrun',
+    'ms',
+    'time from the deadline of a request to the end of its answer at this '
+    'door, of answers that came after it',
+)
 CALLER_GONE_WITHIN = _histogram(
     'laburnumwood.caller.gone',
     'ms',
--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -10,7 +10,11 @@
 from laburnumwood.platform.headers import ID_HEADER, TIME_LEFT_HEADER
 from laburnumwood.protocol.messages import Answer, Failure, Work
 from laburnumwood.routing.caller_interface import HeaderList, ProblemAnswer
-from laburnumwood.routing.caller_protocol import HEADERS_KEY, TARGET_KEY
+from laburnumwood.routing.caller_protocol import (
+    HEADERS_KEY,
+    TARGET_KEY,
+    TIME_KEY,
+)
 from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.destination import choose_destination
 from laburnumwood.routing.headers import end_to_end_headers, forwarded_headers
@@ -94,6 +98,7 @@
         )
         service = declarations.services[destination.service]
         deadline_ms = min(_time_left_ms(environ), route.timeout_ms)
+        environ[TIME_KEY].limit(deadline_ms)
         body = read_body(environ, service.longest_body, deadline_ms)
         work = Work(
             request_id=request_id,
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -18,12 +18,17 @@
 from eventlet.green import socket
 from eventlet.hubs import notify_close
 
-from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.declarations import CallerLimits
 from laburnumwood.errors import LaburnumwoodError
-from laburnumwood.events import ANSWER_FAILED, CALLER_LOST, HEAD_REJECTED
+from laburnumwood.events import (
+    ANSWER_FAILED,
+    ANSWER_LATE,
+    CALLER_LOST,
+    HEAD_REJECTED,
+)
 from laburnumwood.header_index import Header, HeadError
-from laburnumwood.metrics import PROBLEM_ANSWERS
+from laburnumwood.metrics import ANSWER_OVERRUN, PROBLEM_ANSWERS
 from laburnumwood.routing.problems import (
     PROBLEMS,
     make_failure,
@@ -40,6 +45,7 @@
     TargetTooLongError,
     read_request_head,
 )
+from laburnumwood.routing.request_time import RequestTime, unread_for_ms
 
 LimitsProvider = Callable[[], CallerLimits]
 
@@ -48,6 +54,7 @@
 HEADERS_KEY = 'laburnumwood.headers'  # the `HeaderIndex` of the request
 REQUEST_ID_KEY = 'laburnumwood.request'  # request id, once it is known
 TARGET_KEY = 'laburnumwood.target'  # path and query as the caller sent them
+TIME_KEY = 'laburnumwood.time'  # the `RequestTime` of the request
 
 _DRAIN_TIMEOUT_S = 0.5
 _MAX_DRAIN_BYTES = 1_048_576  # most unread bytes to discard
@@ -62,6 +69,7 @@
     TargetTooLongError: 'target-too-long',
     HeadTimeoutError: 'head-timeout',
 }
+_MIN_LATE_MS = 100  # an answer that says at its deadline that it has passed
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
@@ -87,6 +95,7 @@
         self._is_chunked = False
         self._has_body = True
         self.has_started = False
+        self.status = ''
 
     def start(
         self, status: str, headers: list[Header], _failed: Any = None
@@ -94,6 +103,7 @@
         """Set status and headers: the `start_response` of WSGI."""
         protocol = self._protocol
         code = status[:3]
+        self.status = code
         self._has_body = (
             protocol.command != 'HEAD' and code not in _BODYLESS_STATUSES
         )
@@ -152,9 +162,14 @@
     """
 
     def __init__(
-        self, get_limits: LimitsProvider, conn_state: list[Any], server: Any
+        self,
+        get_limits: LimitsProvider,
+        clock: Clock,
+        conn_state: list[Any],
+        server: Any,
     ) -> None:
         self._get_limits = get_limits
+        self._clock = clock
         super().__init__(conn_state, server)
 
     def parse_request(self) -> bool:
@@ -206,6 +221,7 @@
             'headers_raw': self._head.fields,
             HEADERS_KEY: headers,
             TARGET_KEY: self.path,
+            TIME_KEY: RequestTime(self._clock, self._arrived_ms),
             CLOSE_KEY: self._close_after_answer,
         }
 
@@ -230,7 +246,26 @@
         finally:
             if hasattr(parts, 'close'):
                 parts.close()
-            self._discard_unread_body(body)
+            self._end_response(answer, body)
+
+    def _end_response(self, answer: _AnswerWriter, body: wsgi.Input) -> None:
+        self._record_overrun(answer)
+        self._discard_unread_body(body)
+
+    def _record_overrun(self, answer: _AnswerWriter) -> None:
+        times: RequestTime = self.environ[TIME_KEY]
+        late_ms = times.overrun_ms
+        if late_ms < _MIN_LATE_MS:
+            return
+        ANSWER_OVERRUN.record(late_ms)
+        ANSWER_LATE.report(
+            request=self.environ.get(REQUEST_ID_KEY, ''),
+            status=answer.status,
+            late_ms=late_ms,
+            elapsed_ms=times.elapsed_ms,
+            unread_ms=self._unread_ms,
+            reading_ms=times.reading_ms,
+        )
 
     def _report_caller_lost(
         self, answer: _AnswerWriter, error: _CallerLostError
@@ -305,9 +340,16 @@
         """Wait for bytes; return whether any came before limit and end."""
         idle_s = self._get_limits().idle_timeout_ms / MS_PER_SECOND
         with Timeout(idle_s, exception=False):
-            return bool(self.rfile.peek(1))
+            has_bytes = bool(self.rfile.peek(1))
+            self._record_arrival()
+            return has_bytes
+        self._record_arrival()
         return self._has_unread_bytes()
 
+    def _record_arrival(self) -> None:
+        self._unread_ms = unread_for_ms(self.connection)
+        self._arrived_ms = self._clock.now_ms() - self._unread_ms
+
     def _has_unread_bytes(self) -> bool:
         """Return whether bytes wait in the socket.
 
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -13,6 +13,7 @@
 from laburnumwood.errors import LaburnumwoodError
 from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.protocol.messages import Work
+from laburnumwood.routing.caller_protocol import TIME_KEY
 from laburnumwood.routing.headers import forwarded_headers, header_values
 from laburnumwood.routing.problems import make_failure
 
@@ -124,6 +125,7 @@
         raise RequestRefusedError('bad-request', f'body: {error}') from error
     if content_length and len(body) != int(content_length):
         raise RequestRefusedError('bad-request', 'the body is too short')
+    environ[TIME_KEY].mark_read()
     return body
 
 
@@ -179,6 +181,7 @@
         read_time_left_ms(environ, service.deadline_ms), service.deadline_ms
     )
     idempotency_key = _identifier_header(environ, IDEMPOTENCY_HEADER)
+    environ[TIME_KEY].limit(deadline_ms)
     body = read_body(environ, service.longest_body, deadline_ms)
     return Work(
         request_id=request_id,
--- /dev/null
+++ b/laburnumwood/routing/request_time.py
@@ -0,0 +1,70 @@
+"""The time of one request: when it arrived, and its deadline."""
+
+import struct
+from socket import IPPROTO_TCP
+from typing import Any
+
+from laburnumwood.clock import Clock
+
+# The Linux socket option TCP_INFO: see tcp(7) and linux/tcp.h.
+_TCP_INFO = 11
+_LAST_DATA_RECEIVED = struct.Struct('=I')
+_LAST_DATA_RECEIVED_OFFSET = 52  # bytes; the time since then, in ms
+_TCP_INFO_SIZE = 56  # bytes
+_MAX_WAIT_MS = 60_000  # more than any request is worth waiting for
+
+
+def unread_for_ms(sock: Any) -> int:
+    """Return for how long the last bytes received on a connection have waited.
+
+    They may have waited in the backlog of a listener or while this process was
+    busy.  The result is 0 where the system does not tell.
+    """
+    try:
+        info = sock.getsockopt(IPPROTO_TCP, _TCP_INFO, _TCP_INFO_SIZE)
+        waited_ms: int = _LAST_DATA_RECEIVED.unpack_from(
+            info, _LAST_DATA_RECEIVED_OFFSET
+        )[0]
+    except (OSError, struct.error):
+        return 0
+    return waited_ms if waited_ms <= _MAX_WAIT_MS else 0
+
+
+class RequestTime:
+    """The arrival of a request's first byte, and its deadline once known.
+
+    The deadline counts from the arrival.  It is set once, and all that is done
+    for the request ends by it.
+    """
+
+    def __init__(self, clock: Clock, arrived_ms: int) -> None:
+        self._clock = clock
+        self._arrived_ms = arrived_ms
+        self._until_ms: int | None = None
+        self.read_ms: int | None = None  # when the whole request was read
+
+    @property
+    def elapsed_ms(self) -> int:
+        """Return the time since the request arrived, in ms."""
+        return self._clock.now_ms() - self._arrived_ms
+
+    @property
+    def reading_ms(self) -> int | None:
+        """Return the time until the whole request was read, in ms."""
+        return None if self.read_ms is None else self.read_ms - self._arrived_ms
+
+    @property
+    def overrun_ms(self) -> int:
+        """Return the time since the deadline in ms, 0 if it has not passed."""
+        if self._until_ms is None:
+            return 0
+        return max(0, self._clock.now_ms() - self._until_ms)
+
+    def limit(self, timeout_ms: int) -> int:
+        """Set the deadline to some ms after the arrival, and return it."""
+        self._until_ms = self._arrived_ms + timeout_ms
+        return self._until_ms
+
+    def mark_read(self) -> None:
+        """Record that the whole request was read."""
+        self.read_ms = self._clock.now_ms()
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -9,7 +9,7 @@
 from eventlet import Timeout, wsgi
 from greenlet import GreenletExit
 
-from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.declarations import CallerLimits
 from laburnumwood.events import NOT_ACCEPTED
 from laburnumwood.listening import Address, listen
@@ -36,7 +36,10 @@
 
 
 def serve_callers(
-    listener: Any, application: Any, get_limits: LimitsProvider = CallerLimits
+    listener: Any,
+    application: Any,
+    clock: Clock,
+    get_limits: LimitsProvider = CallerLimits,
 ) -> None:
     """Serve callers on a listening socket; does not return.
 
@@ -45,7 +48,7 @@
     wsgi.server(
         listener,
         application,
-        protocol=partial(CallerProtocol, get_limits),
+        protocol=partial(CallerProtocol, get_limits, clock),
         max_size=_MAX_CONNECTIONS,
         url_length_limit=sys.maxsize,  # the protocol limits whole heads
         minimum_chunk_size=1,
@@ -61,11 +64,12 @@
         self,
         address: Address,
         application: Any,
+        clock: Clock,
         get_limits: LimitsProvider = CallerLimits,
     ) -> None:
         self._listener = listen(address, NOT_ACCEPTED.report)
         self._server = start_joinable(
-            serve_callers, self._listener, application, get_limits
+            serve_callers, self._listener, application, clock, get_limits
         )
 
     def close(self, patience_ms: int) -> None:
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -107,7 +107,7 @@
     context.log.push_application()
     context.add_cleanup(context.log.pop_application)
     context.address = HOST, free_port()
-    context.server = HttpListener(context.address, application)
+    context.server = HttpListener(context.address, application, Clock())
     context.add_cleanup(context.server.close, CLOSING_MS)
     context.caller = green_socket.create_connection(context.address, LIMIT_S)
     context.add_cleanup(context.caller.close)
--- a/tests/features/steps/config_confirmation_steps.py
+++ b/tests/features/steps/config_confirmation_steps.py
@@ -90,7 +90,7 @@
         confirmation.confirm,
     )
     context.address = HOST, free_port()
-    server = HttpListener(context.address, ingress)
+    server = HttpListener(context.address, ingress, clock)
     context.add_cleanup(server.close, 0)
 
 
--- a/tests/request_stack/door.py
+++ b/tests/request_stack/door.py
@@ -68,5 +68,8 @@
         Clock(),
     )
     return HttpListener(
-        address, ingress, lambda: directory.declarations.caller_limits
+        address,
+        ingress,
+        Clock(),
+        lambda: directory.declarations.caller_limits,
     )
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -194,4 +194,5 @@
     serve_callers(
         listener,
         make_ingress(router, lambda: DECLARATIONS),
+        clock,
     )
