End the waits at a worker by the deadline of the request as well

The wait for a run that must be alone (1 s) and for a connection to the worker (0.5 s) took times of their own, so that a request could reach its worker after its deadline; the gate's answer that it had not run came too late to be heard.

Found by looking for every wait of the request path that takes a duration. The scenario fails before the change: the lock knew no deadline.

--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -134,7 +134,7 @@
         is_suspected = self._shared_quarantine.quarantine.is_suspected(
             fingerprint
         )
-        with self._lock.acquired(exclusive=is_suspected):
+        with self._lock.acquired(run.until_ms, exclusive=is_suspected):
             answer = self._run_on_live_worker(run)
         if is_suspected:
             self._shared_quarantine.clear(service, fingerprint)
--- a/laburnumwood/routing/shared_lock.py
+++ b/laburnumwood/routing/shared_lock.py
@@ -16,7 +16,7 @@
     """A lock that many runs share, or one holds exclusively.
 
     An exclusive run waits for the others for at most a second; new runs wait
-    as long for an exclusive one.
+    as long for an exclusive one.  Neither waits beyond its deadline.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -25,13 +25,13 @@
         self._is_exclusive = False
 
     @contextmanager
-    def acquired(self, *, exclusive: bool) -> Iterator[None]:
+    def acquired(self, deadline_ms: int, *, exclusive: bool) -> Iterator[None]:
         """Hold a place on the worker; raises `WorkerBusyError`."""
         if exclusive:
-            with self._exclusive():
+            with self._exclusive(deadline_ms):
                 yield
             return
-        self._await_exclusive_end()
+        self._await_exclusive_end(deadline_ms)
         self._shared_count += 1
         try:
             yield
@@ -39,8 +39,8 @@
             self._shared_count -= 1
 
     @contextmanager
-    def _exclusive(self) -> Iterator[None]:
-        until_ms = self._await_exclusive_end()
+    def _exclusive(self, deadline_ms: int) -> Iterator[None]:
+        until_ms = self._await_exclusive_end(deadline_ms)
         self._is_exclusive = True
         try:
             while self._shared_count:
@@ -49,8 +49,8 @@
         finally:
             self._is_exclusive = False
 
-    def _await_exclusive_end(self) -> int:
-        until_ms = self._clock.now_ms() + _ACQUIRE_TIMEOUT_MS
+    def _await_exclusive_end(self, deadline_ms: int) -> int:
+        until_ms = min(self._clock.now_ms() + _ACQUIRE_TIMEOUT_MS, deadline_ms)
         while self._is_exclusive:
             self._wait(until_ms)
         return until_ms
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -6,12 +6,12 @@
 
 from urllib3.util import parse_url
 
-from laburnumwood.clock import Clock
+from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import WorkerAnswerError, WorkerTimeoutError
 from laburnumwood.header_index import Header, HeaderIndex
 from laburnumwood.upstream.connection import StrictResponse, WorkerConnection
 
-_CONNECT_TIMEOUT_S = 0.5
+_CONNECT_TIMEOUT_MS = 500
 _SILENCE_MS = 500  # a shorter wait for an answer tells nothing of a connection
 _CHUNK_SIZE = 32_768  # bytes
 _EMPTY = b''
@@ -139,10 +139,11 @@
         self._clock = clock
         self._idle: deque[WorkerConnection] = deque(maxlen=max_idle)
 
-    def acquire(self) -> WorkerConnection:
+    def acquire(self, limit_ms: int) -> WorkerConnection:
         """Return an open connection, reusing an idle one if possible.
 
-        Raises the errors of urllib3 if no connection can be made.
+        A new one is waited for no longer than `limit_ms`.  Raises the errors of
+        urllib3 if no connection can be made.
         """
         while self._idle:
             idle = self._idle.pop()
@@ -152,7 +153,7 @@
         opened = WorkerConnection(
             self._host,
             self._port,
-            timeout=_CONNECT_TIMEOUT_S,
+            timeout=min(limit_ms, _CONNECT_TIMEOUT_MS) / MS_PER_SECOND,
             clock=self._clock,
         )
         opened.connect()
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -81,6 +81,7 @@
     """
 
     def __init__(self, url: str, connections: int, clock: Clock) -> None:
+        self._clock = clock
         self._request_pool = ConnectionPool(url, connections, clock)
         self._control_pool = connection_from_url(
             url, maxsize=_CONTROL_CONNECTIONS, retries=Retry(0, redirect=False)
@@ -92,17 +93,20 @@
         Raises `WorkerUnreachableError` if nothing was sent, and
         `WorkerAnswerError` if the request may have run.
         """
+        until_ms = self._clock.now_ms() + request.timeout_ms
         try:
             head = request_head(
                 request.method, request.target, request.all_headers
             )
-            connection = self._request_pool.acquire()
+            connection = self._request_pool.acquire(request.timeout_ms)
         except (HTTPError, OSError, ValueError) as failure:
             raise WorkerUnreachableError(repr(failure)) from failure
         response = None
         try:
+            # Connecting may have taken a part of the time.
+            left_ms = max(1, until_ms - self._clock.now_ms())
             response = connection.send_request(
-                head, request.body, request.method, request.timeout_ms
+                head, request.body, request.method, left_ms
             )
         except TimeoutError as failure:
             self._request_pool.record_timeout(connection)
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -42,3 +42,8 @@
   Scenario: the number of suspects is bounded
     When workers die while they run 10001 different requests
     Then the first of them is not suspected but the last is
+
+  # Guards against a run that waits for its turn beyond its deadline.
+  Scenario: a run that has to be alone gives up at its deadline
+    When a run that has to be alone waits for another one with 100 ms left
+    Then it has given up after 100 to 400 ms
