--- a/tests/features/metrics.feature
+++ b/tests/features/metrics.feature
@@ -7,6 +7,11 @@
   Scenario: the page of metrics matches the catalogue
     Then docs/METRICS.md has exactly one row for each metric
 
+  # Guards against a page that names checks which are gone, or lacks one.
+  Scenario: the page of rules matches the checks
+    Then docs/RULES-COVERAGE.md names features that exist, and each rule of the soak
+    And it counts its rows as they are
+
   Scenario: a node exports its metrics
     Given a deployment of the nodes
       | node     | failure_domain | service |
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -12,7 +12,8 @@
 from tests.features.steps.processes import ROOT
 
 
-def _rows(page: str) -> list[tuple[str, ...]]:
+def page_rows(page: str) -> list[tuple[str, ...]]:
+    """Return the cells of each row of the tables of a page in docs/."""
     lines = (ROOT / 'docs' / page).read_text().splitlines()
     table = [line for line in lines if line.startswith('| ')][1:]
     return [
@@ -22,7 +23,7 @@
 
 
 def _compare(page: str, wanted: Sequence[tuple[str, ...]]) -> None:
-    found = _rows(page)
+    found = page_rows(page)
     expected = '\n'.join('| {} |'.format(' | '.join(row)) for row in wanted)
     assert found == list(wanted), f'docs/{page} should contain\n{expected}'
 
