--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -80,6 +80,10 @@
     """The time was over before anything of a message was sent."""
 
 
+class BodyTimeoutError(LinkTimeoutError):
+    """The body of a request was incomplete at its deadline."""
+
+
 class LinkRefusedError(LinkError):
     """The connection to a peer could not be made; no message was sent."""
 
@@ -100,6 +104,10 @@
     """The connection to the worker could not be made; nothing was sent."""
 
 
+class WorkerDeadlineError(WorkerError):
+    """The deadline of a request passed before anything of it was sent."""
+
+
 class WorkerAnswerError(WorkerError):
     """The worker's answer is missing, incomplete or invalid."""
 
--- a/laburnumwood/routing/attempt.py
+++ b/laburnumwood/routing/attempt.py
@@ -33,15 +33,11 @@
 
         The exchange is closed then if the time was over.
         """
-        self.may_run = work.is_whole
         try:
-            exchange.send(work)
-        except MessageNotSentError:
-            self.may_run = False
-            exchange.close()
-            raise
-        except LinkTimeoutError:
-            cancel_exchange(exchange)
+            self._send_part(exchange, work, is_last=work.is_whole)
+        except LinkTimeoutError as error:
+            if not isinstance(error, MessageNotSentError):
+                cancel_exchange(exchange)
             exchange.close()
             raise
 
@@ -50,5 +46,14 @@
         size = len(self.body)
         for offset in range(0, size, _CHUNK_SIZE):
             exchange.send(Chunk(self.body[offset : offset + _CHUNK_SIZE]))
-        self.may_run = True
-        exchange.send(End(size))
+        self._send_part(exchange, End(size), is_last=True)
+
+    def _send_part(
+        self, exchange: OutgoingExchange, part: Work | End, *, is_last: bool
+    ) -> None:
+        self.may_run = is_last
+        try:
+            exchange.send(part)
+        except MessageNotSentError:
+            self.may_run = False
+            raise
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -15,6 +15,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service
 from laburnumwood.errors import (
+    BodyTimeoutError,
     LinkError,
     LinkTimeoutError,
     OverloadedError,
@@ -104,13 +105,16 @@
 
     A body that did not come with the request is received in chunks on the
     exchange.  Raises `LinkError` if it is incomplete, and its subclass
-    `LinkTimeoutError` if it is so at the deadline.
+    `BodyTimeoutError` if it is so at the deadline.
     """
     if work.is_whole:
         return work.body
     parts: list[bytes] = []
     while True:
-        message = exchange.receive(max(0, until_ms - clock.now_ms()))
+        try:
+            message = exchange.receive(max(0, until_ms - clock.now_ms()))
+        except LinkTimeoutError as error:
+            raise BodyTimeoutError('the body did not come in time') from error
         if isinstance(message, Chunk):
             parts.append(message.content)
         elif isinstance(message, End):
@@ -125,10 +129,10 @@
     return body
 
 
-def _not_run_failure(reason: OverloadedError | LinkTimeoutError) -> Failure:
+def _not_run_failure(reason: OverloadedError | BodyTimeoutError) -> Failure:
     if isinstance(reason, OverloadedError):
         return make_overload_failure(reason)
-    return make_failure('deadline', 'the body did not come in time', ran=False)
+    return make_failure('deadline', str(reason), ran=False)
 
 
 def _always_allowed() -> bool:
@@ -227,7 +231,7 @@
         with suppress(LinkError):
             try:
                 self._serve_in_shard(exchange, work)
-            except (OverloadedError, LinkTimeoutError) as reason:
+            except (OverloadedError, BodyTimeoutError) as reason:
                 self._return_request(exchange, work, _not_run_failure(reason))
             except LinkError:
                 raise
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -12,6 +12,7 @@
     RunCancelledError,
     WorkerAnswerError,
     WorkerBusyError,
+    WorkerDeadlineError,
     WorkerError,
     WorkerTimeoutError,
     WorkerUnreachableError,
@@ -36,9 +37,12 @@
 
 _KIND_BY_ERROR: dict[type[WorkerError], str] = {
     WorkerBusyError: 'overloaded',
+    WorkerDeadlineError: 'deadline',
     WorkerUnreachableError: 'worker-unreachable',
 }
 
+_NOT_SENT_ERRORS = tuple(_KIND_BY_ERROR)
+
 
 @dataclass(slots=True)
 class RunResult:
@@ -116,7 +120,7 @@
     ) -> RunResult:
         try:
             answer = self._run_under_lock(run)
-        except (WorkerBusyError, WorkerUnreachableError) as error:
+        except _NOT_SENT_ERRORS as error:
             kind = _KIND_BY_ERROR[type(error)]
             failure = make_failure(kind, str(error), ran=False)
             return _fail(failure, exchange)
@@ -171,7 +175,9 @@
 
     def _worker_request(self, run: Run) -> WorkerRequest:
         work = run.work
-        left_ms = max(1, run.until_ms - self._clock.now_ms())
+        left_ms = run.until_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            raise WorkerDeadlineError('no time is left to run')
         headers = self._worker_interface.headers(run, left_ms)
         return WorkerRequest(
             work.method, work.target, headers, run.body, left_ms
