Don't let the reader of a body wait for a blocked link

Reading a part of an answer sends a credit now and then, and that waited for the link without any limit: a read of 200 ms ended after 3.8 s, with the link.

--- a/laburnumwood/protocol/streams.py
+++ b/laburnumwood/protocol/streams.py
@@ -1,6 +1,7 @@
 """Streams: independent exchanges of messages on one link."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, Protocol
 
 import eventlet
@@ -15,6 +16,7 @@
     ProtocolError,
 )
 from laburnumwood.protocol.messages import Chunk, Credit, Failure
+from laburnumwood.tasks import start
 
 WINDOW_SIZE = 256 * 1024  # bytes that may be sent ahead of the reader
 _CREDIT_SIZE = WINDOW_SIZE // 2  # bytes read before a credit is sent
@@ -145,6 +147,11 @@
         self._uncredited += size
         if self._uncredited >= _CREDIT_SIZE:
             credit, self._uncredited = self._uncredited, 0
+            # The reader does not wait for a link that is blocked.
+            start(self._send_credit, credit)
+
+    def _send_credit(self, credit: int) -> None:
+        with suppress(LinkError):
             self._link.send(self._number, Credit(credit))
 
     def _enqueue(self, message: Any) -> None:
