--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -83,9 +83,11 @@
 _MONITOR = _LinkMonitor()
 
 
-def _await_turn(size: int) -> Transfer:
+@contextmanager
+def _before_sending() -> Iterator[None]:
+    """Raise `MessageNotSentError` if the time is over in the block."""
     try:
-        return SEND_QUEUE.acquire(size)
+        yield
     except LinkTimeoutError as error:
         raise MessageNotSentError(str(error)) from error
 
@@ -93,10 +95,8 @@
 @contextmanager
 def _holding(lock: Semaphore) -> Iterator[None]:
     """Hold the lock of a sender; raises `MessageNotSentError`."""
-    try:
+    with _before_sending():
         lock.acquire()
-    except LinkTimeoutError as error:
-        raise MessageNotSentError(str(error)) from error
     try:
         yield
     finally:
@@ -144,6 +144,7 @@
         self._reply_due = False  # also after its stream was closed
         self._lock = Semaphore()
         self._unsent = b''  # bytes that the socket has not accepted yet
+        self._is_rest_due = False  # a task is to send them
         self._transfers: dict[bytes, Transfer] = {}  # by payloads of pings
         self._last_ping = 0
         self._is_open = True
@@ -217,7 +218,8 @@
         ):
             self._send_frame(frame)
             return
-        transfer = _await_turn(len(frame))
+        with _before_sending():
+            transfer = SEND_QUEUE.acquire(len(frame))
         self._last_ping += 1
         ping = str(self._last_ping).encode()
         self._transfers[ping] = transfer
@@ -233,6 +235,8 @@
 
     def _send_frame(self, frame: bytes, ping: bytes | None = None) -> None:
         with _holding(self._lock):
+            with _before_sending():
+                self._flush()  # what an earlier sender had no time for
             if not self._is_open:
                 raise LinkLostError(f'link to {self._peer} is closed')
             self._protocol.send_binary(frame)
@@ -320,9 +324,10 @@
             start(self.close, repr(error))
             raise LinkLostError(f'link to {self._peer} broke') from error
         finally:
-            if self._unsent and self._is_open:
-                # The sender was killed while it sent: the rest of its frame
-                # must follow, or the peer could not parse any later frame.
+            if self._unsent and self._is_open and not self._is_rest_due:
+                self._is_rest_due = True
+                # The sender was killed or had no more time: the rest of its
+                # frame must follow, or the peer could not parse a later one.
                 start(self._send_pending)
 
     def _read(self) -> str:
@@ -358,6 +363,7 @@
 
     def _send_pending(self) -> None:
         with self._lock, suppress(LinkLostError):
+            self._is_rest_due = False
             self._flush()
 
     def _dispatch(self, number: int, message: Any) -> None:
@@ -418,14 +424,13 @@
             stream.fail(silent)
 
     def _ping(self) -> None:
-        # A blocked sender holds the lock: waiting for it would keep this task
-        # from closing a dead connection.
-        if not self._lock.acquire(blocking=False):
+        # This task checks all links and must not wait for one that is blocked.
+        if self._unsent or not self._lock.acquire(blocking=False):
             return
         try:
             self._protocol.send_ping(b'')
-            self._flush()
-        except (LinkLostError, InvalidState):
+        except InvalidState:
             return  # the reader closes the link
         finally:
             self._lock.release()
+        start(self._send_pending)
--- a/tests/features/held.feature
+++ b/tests/features/held.feature
@@ -17,6 +17,7 @@
       | the node   | p2   | 12    | requests without a body           |
       | the node   | p2   | 12    | payments                          |
       | the node   | p2   | 36    | payments with a long body         |
+      | the node   | p2   | 100   | payments of 130 KB                |
 
   # Guards against requests that are answered by a timeout that was replaced.
   Scenario: a timeout that is shortened while a node stands still
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -152,6 +152,25 @@
     When requests of 1000000 bytes are sent on it within 100 ms each until one was not sent
     Then one before it may have been sent
 
+  # Guards against a blocked link that the one check of all links waits for.
+  Scenario: a link that is blocked by many requests is closed in time
+    Given a peer whose first connection becomes silent
+    When 200 requests of 130000 bytes are sent on it at the same time within 800 ms each
+    Then its link is closed within 6000 ms
+
+  # Guards against reading that waits until the link takes what tells so.
+  Scenario: a body is read in time although its link is blocked
+    Given a peer whose first connection becomes silent
+    When 64 requests of 130000 bytes are sent on it at the same time within 200 ms each
+    And a body of 524288 bytes is read on it within 1000 ms
+    Then reading has ended in time
+
+  # Guards against a link that is never made since no call waits long enough.
+  Scenario: a peer that is slow to accept gets one link
+    Given a peer that answers the handshake after 450 ms
+    When 3 calls with a timeout of 400 ms are made to it
+    Then the last call was answered, over one connection
+
   # Guards against a request that fails although its peer is of an earlier version.
   Scenario: a silent link is replaced at a peer that knows no replacement
     Given a peer whose first connection becomes silent
--- a/tests/features/steps/held_steps.py
+++ b/tests/features/steps/held_steps.py
@@ -62,6 +62,7 @@
         body=bytes(400_000), parts=SLOW_BODY_PARTS, body_ms=SLOW_BODY_MS
     ),
     'payments': Form('unsafe', bytes(100)),
+    'payments of 130 KB': Form('unsafe', bytes(130_000)),
     'payments with a long body': Form('unsafe', bytes(800_000)),
 }
 
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -75,6 +75,7 @@
         if context.connections == context.unanswered:
             context.kept_open = sock
             continue
+        eventlet.sleep(context.handshake_delay_ms / MS_PER_SECOND)
         protocol, peer, _ = accept_handshake(sock, KEY)
         if context.connections > 1:
             link = Link(protocol, sock, peer, dispatcher.handle, Clock())
@@ -86,6 +87,7 @@
 def _start(context: Context, task: Any, address: Any) -> None:
     context.connections = 0
     context.unanswered = 0
+    context.handshake_delay_ms = 0
     context.address = address
     context.server = eventlet.spawn(*task)
     context.add_cleanup(context.server.kill)
