Judge in the soak what is held past the timeout of its route

Twelve more callers wait for 12 s, send bodies in parts over up to 3 s and ask for work and answers that last up to 4 s each. They draw from generators of their own: what a seed draws for the other callers and for the faults stays. The fleet records which timeouts were written, and when the store had them.

Two rules: of the requests that outlast their timeout eight or more, and over a quarter, end later than 500 ms after it, among all, those sent slowly or the others; a single one ends later than 2 s after it. The only excuse is a start, signal or pause of the door itself in the 3 s before; faults of links, store, workers and other nodes are none, as the promise says.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,6 +14,7 @@
     parser.add_argument('--seconds', type=float, required=True)
     parser.add_argument('--nodes', type=int, default=4)
     parser.add_argument('--callers', type=int, default=16)
+    parser.add_argument('--patient', type=int, default=12)
     parser.add_argument('--lanes', type=int, default=3)
     parser.add_argument('--faults', nargs='+', default=list(FAULTS))
     given = parser.parse_args()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,27 +4,26 @@
 from contextlib import suppress
 from dataclasses import dataclass, replace
 from enum import StrEnum
+from functools import partial
 from itertools import count
 from random import Random
+from select import select
 from threading import Event, Thread
 from typing import BinaryIO
 
 from bench.deployment import HOST
-from bench.reporting import HOST_NAME
 from standins.clock import MS_PER_SECOND, boottime_ms
-from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
-from tests.soak.plans import Break, Framing, ResponsePlan
+from tests.soak.caller_requests import (
+    CallerRequest,
+    Draw,
+    draw_patient_request,
+    draw_request,
+)
+from tests.soak.fleet import SoakFleet
 
 RESPONSE_GRACE_MS = 15_000  # how long a caller waits after its deadline
 _CONNECT_TIMEOUT_S = 1
 _MEAN_PAUSE_S = 0.05
-_KEY_COUNT = 65_536
-_REQUEST_SIZES = (0, 0, 0, 300, 200_000)
-_RESPONSE_SIZES = (0, 40, 5_000, 150_000)
-_BROKEN_RESPONSE_SIZE = 20_000  # more than one chunk of the worker
-_BROKEN_RESPONSE_SHARE = 0.08  # responses that the worker breaks off
-_NEAR_DEADLINE_SHARE = 0.15  # responses that end near the deadline
-_ABANDONED_SHARE = 0.04  # requests whose caller stops waiting early
 
 
 class CallEnd(StrEnum):
@@ -37,37 +36,6 @@
     abandoned = 'left'  # the caller stopped waiting early
 
 
-@dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """A request that a caller sends."""
-
-    attempt_id: str
-    node: str
-    is_relayed: bool  # through a relay, whose faults may break the connection
-    is_idempotent: bool
-    service: str
-    plan: ResponsePlan
-    deadline_ms: int
-    key: int
-    body: bytes
-    abandon_after_ms: int | None  # for a caller that stops waiting early
-
-    @property
-    def content(self) -> bytes:
-        """Return the bytes of the request."""
-        kind = 'safe' if self.is_idempotent else 'unsafe'
-        method = 'POST' if self.body else 'GET'
-        lines = (
-            f'{method} /{self.service}/{kind}/x?{self.plan.query} HTTP/1.1',
-            f'Host: {HOST_NAME}',
-            f'Attempt-Id: {self.attempt_id}',
-            f'Deadline-Ms: {self.deadline_ms}',
-            f'Shard-Key: {self.key}',
-            f'Content-Length: {len(self.body)}',
-        )
-        return '\r\n'.join((*lines, '', '')).encode() + self.body
-
-
 @dataclass(frozen=True, slots=True)
 class Call:
     """A request and how it ended; times in ms of CLOCK_BOOTTIME."""
@@ -103,11 +71,12 @@
 
     def __init__(self, port: int) -> None:
         self.opened_ms = boottime_ms()
+        self.is_reusable = True  # whether the last request was sent whole
         self._sock = socket.create_connection((HOST, port), _CONNECT_TIMEOUT_S)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._stream: BinaryIO = self._sock.makefile('rb')
 
-    def request(self, content: bytes, limit_ms: float) -> _Response:
+    def request(self, request: CallerRequest, limit_ms: float) -> _Response:
         """Send a request and read its response.
 
         Raises TimeoutError if a read takes longer than `limit_ms`.
@@ -115,7 +84,10 @@
         self._sock.settimeout(limit_ms / MS_PER_SECOND)
         with suppress(ConnectionError):
             # The node may have responded before the connection ended.
-            self._sock.sendall(content)
+            if request.part_count > 1:
+                self._send_in_parts(request)
+            else:
+                self._sock.sendall(request.content)
         line = self._read_status_line()
         try:
             return self._read_response(line)
@@ -128,6 +100,28 @@
             self._stream.close()
         self._sock.close()
 
+    def _send_in_parts(self, request: CallerRequest) -> None:
+        """Send a request in its time, or until its response comes."""
+        for content in request.parts:
+            if not self._send_part(content) or self._has_input(request.part_ms):
+                self.is_reusable = False
+                return
+
+    def _send_part(self, content: bytes) -> bool:
+        """Send a part of a request; return False if a response came before."""
+        while content:
+            readable, writable, _ = select(
+                (self._sock,), (self._sock,), (), self._sock.gettimeout()
+            )
+            if readable or not writable:
+                return False
+            content = content[self._sock.send(content) :]
+        return True
+
+    def _has_input(self, limit_ms: float) -> bool:
+        limit_s = limit_ms / MS_PER_SECOND
+        return bool(select((self._sock,), (), (), limit_s)[0])
+
     def _read_status_line(self) -> bytes:
         try:
             line = self._stream.readline()
@@ -173,18 +167,24 @@
     It sends one request at a time.
     """
 
-    def __init__(self, fleet: SoakFleet, number: int, rng: Random) -> None:
+    def __init__(
+        self, fleet: SoakFleet, name: str, draw: Draw, rng: Random
+    ) -> None:
         self.calls: list[Call] = []
         self._fleet = fleet
+        self._name = name
+        self._draw = draw
         self._rng = rng
-        self._is_relayed = number % 4 == 0
-        self._attempt_ids = (f'c{number}-{each}' for each in count())
         self._connections: dict[str, _Connection] = {}
 
     def send_until(self, stop_event: Event) -> None:
         """Send requests until `stop_event` is set."""
-        while not stop_event.is_set():
-            request = self._draw_request()
+        for number in count():
+            if stop_event.is_set():
+                break
+            request = self._draw(
+                self._rng, f'{self._name}-{number}', list(self._fleet.members)
+            )
             with suppress(OSError):
                 self._call(request)
             pause_s = self._rng.choice((0, 0.01, _MEAN_PAUSE_S))
@@ -215,66 +215,18 @@
     def _keep_open(
         self, node: str, connection: _Connection, response: _Response
     ) -> None:
-        if response.headers.get('connection', '').lower() == 'close':
-            connection.close()
-        else:
+        closes = response.headers.get('connection', '').lower() == 'close'
+        if connection.is_reusable and not closes:
             self._connections[node] = connection
-
-    def _draw_request(self) -> CallerRequest:
-        rng = self._rng
-        deadline_ms = rng.choice((rng.randint(100, 400), 1_000, 3_000))
-        plan = _draw_plan(rng)
-        if rng.random() < _NEAR_DEADLINE_SHARE:
-            plan = _end_near_deadline(plan, deadline_ms, rng)
-        is_abandoned = rng.random() < _ABANDONED_SHARE
-        return CallerRequest(
-            attempt_id=next(self._attempt_ids),
-            node=rng.choice(list(self._fleet.members)),
-            is_relayed=self._is_relayed,
-            is_idempotent=rng.choice((False, True)),
-            service=rng.choice((SHARDED_SERVICE, UNSHARDED_SERVICE)),
-            plan=plan,
-            deadline_ms=deadline_ms,
-            key=rng.randrange(_KEY_COUNT),
-            body=b'b' * rng.choice(_REQUEST_SIZES),
-            abandon_after_ms=rng.randint(1, 300) if is_abandoned else None,
-        )
-
-
-def _draw_plan(rng: Random) -> ResponsePlan:
-    form = rng.choice(list(Framing))
-    if rng.random() < _BROKEN_RESPONSE_SHARE:
-        # An unframed body ends with the connection: if the worker closed it
-        # normally after half of the body, the response would look complete.
-        breaks = [Break.before, Break.reset]
-        if form is not Framing.unframed:
-            breaks.append(Break.in_body)
-        return ResponsePlan(
-            size=_BROKEN_RESPONSE_SIZE, form=form, breaks=rng.choice(breaks)
-        )
-    return ResponsePlan(
-        work_ms=rng.choice((0, 0, 5, 5, rng.randint(20, 300))),
-        body_ms=rng.choice((0, 0, 0, rng.randint(5, 300))),
-        size=rng.choice(_RESPONSE_SIZES),
-        status=rng.choice((200,) * 9 + (500,)),
-        form=form,
-    )
-
-
-def _end_near_deadline(
-    plan: ResponsePlan, deadline_ms: int, rng: Random
-) -> ResponsePlan:
-    """Return a plan whose response ends within 60 ms of the deadline."""
-    total_ms = max(0, deadline_ms + rng.randint(-60, 60))
-    work_ms = rng.choice((0, total_ms, total_ms // 2))
-    return replace(plan, work_ms=work_ms, body_ms=total_ms - work_ms)
+        else:
+            connection.close()
 
 
 def _perform(
     connection: _Connection, request: CallerRequest, limit_ms: float
 ) -> tuple[CallEnd, _Response | None]:
     try:
-        return CallEnd.answered, connection.request(request.content, limit_ms)
+        return CallEnd.answered, connection.request(request, limit_ms)
     except TimeoutError:
         return (
             CallEnd.abandoned if request.abandon_after_ms else CallEnd.timed_out
@@ -296,14 +248,33 @@
 
 
 class Callers:
-    """A number of callers, each in its own thread."""
+    """A number of callers, each in its own thread.
+
+    `patient` more of them wait for longer than any timeout of a route.
+    """
 
-    def __init__(self, fleet: SoakFleet, number: int, seed: int) -> None:
+    def __init__(
+        self, fleet: SoakFleet, number: int, seed: int, patient: int = 0
+    ) -> None:
         self._stop_event = Event()
         self._callers = [
-            Caller(fleet, each, Random(f'{seed} caller {each}'))
+            Caller(
+                fleet,
+                f'c{each}',
+                partial(draw_request, is_relayed=each % 4 == 0),
+                Random(f'{seed} caller {each}'),
+            )
             for each in range(number)
         ]
+        self._callers += [
+            Caller(
+                fleet,
+                f'p{each}',
+                draw_patient_request,
+                Random(f'{seed} patient caller {each}'),
+            )
+            for each in range(patient)
+        ]
         self._threads = [
             Thread(
                 target=caller.send_until, args=(self._stop_event,), daemon=True
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -19,6 +19,7 @@
 from standins.journal.entry import JournalEntry
 from tests.soak.holds import WorkerIncarnation
 from tests.soak.signals import SignalSpan
+from tests.soak.timeouts import TimeoutChange
 
 SHARDED_SERVICE, UNSHARDED_SERVICE = 'portal', 'docs'
 FAILURE_DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
@@ -47,6 +48,13 @@
         """Return when the process was ended by a signal it did not handle."""
         return self.stopped_ms if self.died_during_start else self.killed_ms
 
+    @property
+    def disturbances(self) -> list[tuple[float, float]]:
+        """Return when it was started, paused and ended by a signal."""
+        at_ms = (self.started_ms, self.stopped_ms, self.killed_ms)
+        moments = [(each, each) for each in at_ms if each is not None]
+        return [*moments, *self.pauses]
+
     @property
     def died_during_start(self) -> bool:
         """Return whether SIGTERM ended it before it handled signals."""
@@ -99,6 +107,7 @@
         self.worker_incarnations: list[WorkerIncarnation] = []
         self.signal_spans: list[SignalSpan] = []
         self._manifest = manifest(1, self._services)
+        self.timeout_changes: list[TimeoutChange] = []
         self._worker_ports: dict[str, int] = {}
         self._process_locks: dict[str, Lock] = {}
         journal_port, relay_port = free_port(), free_port()
@@ -111,6 +120,7 @@
         for url in (self.journal_url, f'{self.relays.url}/routes'):
             wait_for(url, partial(self._responds, url), START_TIMEOUT_S)
         self.declare()
+        self._record_timeout(boottime_ms(), is_settled=True)
         for number in range(nodes):
             service = SHARDED_SERVICE if number % 3 else UNSHARDED_SERVICE
             domain = FAILURE_DOMAINS[number // 2 % len(FAILURE_DOMAINS)]
@@ -208,7 +218,7 @@
             self._manifest = manifest(version, self._services)
             for route in self._manifest['routes']:
                 route['timeout_ms'] = timeout_ms
-            self._write_manifest()
+            self._write_timeout()
 
     def restore_manifest(self) -> None:
         """Write the manifest again until the store has it.
@@ -216,7 +226,19 @@
         Raises TimeoutError if that takes too long.
         """
         with self.process_lock('operator'):
-            wait_for('the manifest', self._write_manifest, START_TIMEOUT_S)
+            wait_for('the manifest', self._write_timeout, START_TIMEOUT_S)
+
+    def put_store_back(self, span_ms: int) -> None:
+        """Let the store come back from a copy that is `span_ms` old.
+
+        Each timeout that was ever written may be in force again.
+        """
+        with self.process_lock('operator'):
+            super().put_store_back(span_ms)
+            timeout_ms = max(each.timeout_ms for each in self.timeout_changes)
+            self.timeout_changes.append(
+                TimeoutChange(timeout_ms, boottime_ms(), None)
+            )
 
     def journal_entries(self) -> list[JournalEntry]:
         """Return the entries that the workers wrote into the journal."""
@@ -243,6 +265,23 @@
         self.relays.process.kill()
         super().close()
 
+    def _write_timeout(self) -> bool:
+        """Write the manifest; record its timeout and whether it worked."""
+        since_ms = boottime_ms()
+        is_settled = False
+        try:
+            is_settled = self._write_manifest()
+        finally:
+            self._record_timeout(since_ms, is_settled=is_settled)
+        return is_settled
+
+    def _record_timeout(self, since_ms: float, *, is_settled: bool) -> None:
+        timeout_ms = self._manifest['routes'][0]['timeout_ms']
+        settled_ms = boottime_ms() if is_settled else None
+        self.timeout_changes.append(
+            TimeoutChange(timeout_ms, since_ms, settled_ms)
+        )
+
     def _write_manifest(self) -> bool:
         """Write the manifest, anew if there is none; return if it worked."""
         body = dumps({'metadata': {'name': 'main'}, 'spec': self._manifest})
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -14,8 +14,10 @@
     find_concurrent_holders,
     find_repeated_fences,
 )
+from tests.soak.overdue import OverdueCall, find_held, find_overdue
 from tests.soak.plans import Framing
 from tests.soak.signals import SignalSpan, find_excess, find_late_requests
+from tests.soak.timeouts import TimeoutChange
 
 _READ_TIME_MS = 1_000  # more than a node takes to read a request
 _MAX_SHOWN_BYTES = 60  # of each body, in the evidence of a violation
@@ -33,6 +35,7 @@
     node_incarnations: Sequence[NodeIncarnation]
     worker_incarnations: Sequence[WorkerIncarnation]
     signal_spans: Sequence[SignalSpan] = ()
+    timeout_changes: Sequence[TimeoutChange] = ()
     runs: dict[str, list[JournalEntry]] = field(default_factory=dict)
 
     @classmethod
@@ -43,13 +46,19 @@
         worker_incarnations: Sequence[WorkerIncarnation],
         journal_entries: Sequence[JournalEntry],
         signal_spans: Sequence[SignalSpan] = (),
+        timeout_changes: Sequence[TimeoutChange] = (),
     ) -> 'Record':
         """Return the record with the journal entries grouped by attempt id."""
         runs = defaultdict(list)
         for entry in journal_entries:
             runs[entry.request].append(entry)
         return cls(
-            calls, node_incarnations, worker_incarnations, signal_spans, runs
+            calls,
+            node_incarnations,
+            worker_incarnations,
+            signal_spans,
+            timeout_changes,
+            runs,
         )
 
     @property
@@ -57,6 +66,15 @@
         """Return how often workers executed a request."""
         return sum(len(entries) for entries in self.runs.values())
 
+    @property
+    def overdue_calls(self) -> list[OverdueCall]:
+        """Return the calls that outlasted the timeout at nodes in touch."""
+        if not self.timeout_changes:
+            return []
+        return find_overdue(
+            self.calls, self.timeout_changes, self.node_incarnations
+        )
+
     def has_run(self, call: Call) -> bool:
         """Return whether a worker has executed a request."""
         return call.request.attempt_id in self.runs
@@ -182,6 +200,24 @@
         yield _describe(call, record)
 
 
+@_rule('requests were held past the timeout of their route')
+def held_requests(record: Record) -> Iterator[str]:
+    """Yield the held requests if they are more than the promise allows."""
+    for held, size in find_held(record.overdue_calls):
+        yield (
+            f'{len(held)} of {size}, the first '
+            f'{_describe_overdue(held[0], record)}'
+        )
+
+
+@_rule('a request was held long past the timeout of its route')
+def long_held_requests(record: Record) -> Iterator[str]:
+    """Yield requests that were held longer than any single one may be."""
+    for overdue in record.overdue_calls:
+        if overdue.is_long_held:
+            yield _describe_overdue(overdue, record)
+
+
 @_rule('answered as not run, and ran')
 def executed_refusals(record: Record) -> Iterator[str]:
     """Yield requests that were refused as not executed, but were executed."""
@@ -284,6 +320,13 @@
             )
 
 
+def _describe_overdue(overdue: OverdueCall, record: Record) -> str:
+    return (
+        f'{overdue.late_ms:.0f} ms after the timeout of {overdue.timeout_ms}: '
+        f'{_describe(overdue.call, record)}'
+    )
+
+
 def _describe(call: Call, record: Record) -> str:
     runs = [
         (run.worker, run.started_ms, run.finished_ms, run.outcome)
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -28,7 +28,8 @@
 class ResponsePlan:
     """How a worker executes one request and responds to it.
 
-    The head is sent after `work_ms`, the body `body_ms` after the head.
+    The head is sent after `work_ms`, the body `body_ms` after the head, in
+    parts over `sending_ms`.
     """
 
     work_ms: int = 0
@@ -37,6 +38,7 @@
     status: int = 200
     form: Framing = Framing.length
     breaks: Break = Break.nowhere
+    sending_ms: int = 0
 
     @classmethod
     def parse(cls, query: str) -> 'ResponsePlan':
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,7 @@
 from tests.soak.faults import FAULTS, Lane
 from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
 from tests.soak.judge import Record, Violation, find_violations
+from tests.soak.overdue import OverdueCall
 
 LOGS_FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
 _RECOVERY_TIMEOUT_S = 60  # after all faults are undone
@@ -33,6 +34,7 @@
     seconds: float
     nodes: int = 4
     callers: int = 16
+    patient: int = 12  # callers that wait for longer than any timeout
     lanes: int = 3
     faults: tuple[str, ...] = tuple(FAULTS)
 
@@ -44,6 +46,7 @@
     options: Options
     calls: list[Call]
     runs: int
+    overdue: list[OverdueCall]
     faults: list[str]
     violations: list[Violation]
 
@@ -60,10 +63,13 @@
         options = self.options
         lines = [
             f'seed {options.seed}: {options.nodes} nodes, '
-            f'{options.callers} callers, {options.lanes} lanes, '
+            f'{options.callers} and {options.patient} patient callers, '
+            f'{options.lanes} lanes, '
             f'{options.seconds:g} s',
             f'{len(self.calls)} requests, {self.runs} runs',
             f'ends: {dict(ends)}; statuses: {dict(sorted(statuses.items()))}',
+            f'{len(self.overdue)} requests outlasted their timeout, '
+            f'{sum(each.is_held for each in self.overdue)} were held',
             f'injected: {dict(sorted(kinds.items()))}',
         ]
         lines += [
@@ -140,6 +146,7 @@
         fleet.worker_incarnations,
         journal_entries,
         fleet.signal_spans,
+        fleet.timeout_changes,
     )
 
 
@@ -147,7 +154,7 @@
     """Run a soak; if it finds violations, keep its logs under `build/`."""
     with closing(SoakFleet(options.nodes)) as fleet:
         fleet.wait_ready()
-        callers = Callers(fleet, options.callers, options.seed)
+        callers = Callers(fleet, options.callers, options.seed, options.patient)
         callers.start()
         lanes = _inject_faults(fleet, options)
         violations = _check_recovery(fleet)
@@ -161,7 +168,14 @@
             for failure in lane.injection_errors
         ]
         faults = sorted(line for lane in lanes for line in lane.log)
-        report = Report(options, calls, record.run_count, faults, violations)
+        report = Report(
+            options,
+            calls,
+            record.run_count,
+            record.overdue_calls,
+            faults,
+            violations,
+        )
         if violations:
             _save_logs(fleet, report)
     return report
--- a/tests/soak/worker/main.py
+++ b/tests/soak/worker/main.py
@@ -154,8 +154,11 @@
         chunks = list(_body_chunks(body, plan.form))
         if plan.breaks != Break.nowhere:
             chunks = chunks[: len(chunks) // 2]
+        pause_s = plan.sending_ms / max(1, len(chunks)) / MS_PER_SECOND
         for chunk in chunks:
             sock.sendall(chunk)
+            if pause_s:
+                eventlet.sleep(pause_s)
         if plan.breaks == Break.reset:
             linger_option = socket.SOL_SOCKET, socket.SO_LINGER
             sock.setsockopt(*linger_option, RESET_ON_CLOSE)
