End an answer at its deadline although its parts keep coming

Callers that read a long answer were held past the timeout of its route for as long as parts came: the wait for the next part ends at the deadline, but a part that is there already was taken, whatever the time. The sender is given room for more with each part that is read, so there always is one where a node streams from its own worker.

What had come in time is still passed on by a process that was busy, for 100 ms from when it sees that the deadline has passed. Telling the sender that there is room takes the link, and now has the same limit.

--- a/laburnumwood/routing/pending_answer.py
+++ b/laburnumwood/routing/pending_answer.py
@@ -15,11 +15,15 @@
     End,
     WholeAnswer,
 )
+from laburnumwood.protocol.time_limit import time_limit
 from laburnumwood.routing.exchange import OutgoingExchange
 from laburnumwood.routing.headers import header_values
 from laburnumwood.tasks import start
 
 CALLER_GONE = 'the caller has gone'
+_TIME_OVER = 'the time for the answer is over'
+# For parts that had arrived before the deadline, in a process that was busy.
+_LATE_PARTS_MS = 100
 
 
 def _announced_length(head: Answer) -> int | None:
@@ -48,6 +52,7 @@
         if not isinstance(head, WholeAnswer):
             self._announced = _announced_length(head)
         self._buffered: bytes | None = b''  # received, but not yet yielded
+        self._ends_ms: int | None = None  # set at the first late part
 
     @property
     def received_bytes(self) -> int:
@@ -83,7 +88,7 @@
             # The caller has every byte: a later link error must not cut it.
             self._is_complete = True
             return None
-        message = self._exchange.receive(max(0, self.left_ms))
+        message = self._receive()
         if isinstance(message, End) and message.length == self._length:
             self._is_complete = True
             return None
@@ -92,10 +97,32 @@
         self._length += len(message.content)
         return message.content
 
+    def _receive(self) -> object:
+        """Return the next message; raises `LinkTimeoutError` in time.
+
+        Reading makes room for more at the sender, which is told on the link:
+        that may take time as well.
+        """
+        left_ms = max(0, self.left_ms)
+        limit_ms = left_ms + _LATE_PARTS_MS
+        if not left_ms:
+            limit_ms = self._late_parts_left_ms()
+        with time_limit(limit_ms, _TIME_OVER):
+            return self._exchange.receive(left_ms)
+
+    def _late_parts_left_ms(self) -> int:
+        """Return for how long parts are still read after the deadline."""
+        now_ms = self._clock.now_ms()
+        if self._ends_ms is None:
+            self._ends_ms = now_ms + _LATE_PARTS_MS
+        if now_ms >= self._ends_ms:
+            raise LinkTimeoutError(_TIME_OVER)
+        return self._ends_ms - now_ms
+
     def _truncation_error(self) -> LinkError:
         # The gate also aborts at the deadline; its message may arrive first.
         if self.left_ms <= 0:
-            return LinkTimeoutError('the time for the answer is over')
+            return LinkTimeoutError(_TIME_OVER)
         return LinkError('the answer was cut')
 
     def close(self) -> None:
--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -65,3 +65,13 @@
     When a caller connects while no file descriptor is available
     And a caller sends a request on a persistent connection
     Then it is answered with status 200
+
+  # Guards against an answer that goes on after its deadline while parts come.
+  Scenario: an answer whose parts keep coming is cut at its deadline
+    When an answer with 200 ms left is read, and its parts come for 2000 ms
+    Then it is cut within 500 ms
+
+  # Guards against an answer that is cut although its parts had come in time.
+  Scenario: an answer that came in time is read whole by a process that was busy
+    When an answer with 50 ms left has come whole, and is read after 300 ms
+    Then it is whole
