Serve a shard again that one reply to the worker left out

What callers saw: `not-owner` from the acting owner of a shard whose worker had its grant back, for as long as nothing moved the shard.

Cause: a reply without a shard closed the shard, also when it was only left out for lack of room or for a token that was too low. The end of a write opens a closed shard, and there was no write.

Change: a reply closes only shards that are withdrawn, that is, those with a write under way. What is only left out isn't granted and so isn't run: the gate asks for a grant that covers the shard, before it admits and before it sends.

Evidence: the new scenario of reports.feature failed before the change ("shard 2 admits requests") and passes since; held, ownership and fences pass.

--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -381,6 +381,9 @@
         for shard, grant in self._grants.items():
             if shard not in wanted:
                 grant.is_withdrawn = True
+            # What was only left out of this reply is not moved, and no end
+            # of a move would open it again.
+            if shard in self._withdrawn:
                 source.close(shard)
 
     def _handovers_for(
--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -219,3 +219,17 @@
       | when           | report                                                     |
       | before joining | the worker reports that it holds shard 2 before the node has joined |
       | too late       | an earlier instance reports late that it holds shard 2     |
+
+  # Guards against keys that their owner holds and never serves again: a shard
+  # that was left out of one reply stayed closed after it was granted again.
+  Scenario: a shard left out of a reply is served once it is granted again
+    Given replies of at most 400 bytes
+    When the worker reports
+    Then it is granted the shards "1 2" for 2940 ms
+    When another node announces the handovers of its worker for shard 2
+    And the worker reports
+    Then it is granted the shards "1" for 2940 ms
+    When the worker reports that it holds shard 2
+    Then it is granted the shards "1 2" for 2940 ms
+    And shard 2 is covered by a grant
+    And shard 2 admits requests
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -362,6 +362,11 @@
     assert not context.worker.covers(shard(number), 8)
 
 
+@then('shard {number:d} admits requests')
+def check_open(context: Context, number: int) -> None:
+    assert context.source.held_shards.is_open(shard(number))
+
+
 @then('shard {number:d} is not released yet')
 def check_not_released(context: Context, number: int) -> None:
     assert not context.worker.is_released(shard(number))
