Don't take a standstill of the node for the silence of its worker

What callers saw: `not-owner` for keys of a node that had stood still for 0.9 s, while its worker and the store were well.

Cause: the node measured the time since the worker's last report by its clock. When it went on, that was more than `silent_ms`, while the reports waited unread in its sockets; it called the worker silent and began to move all shards away.

Change: the silence is measured in the time for which this process runs, which is checked each 100 ms; what exceeds 300 ms between two checks doesn't count. Grants still end with the lease, by the clock, whatever the presence says (the scenario asserts it). The event `stood-still` tells such a pause. The check is a task of the process now, so that it goes on while the node joins again.

--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -46,7 +46,7 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.breaker import CircuitBreakerStore
 from laburnumwood.store.writes import new_mark
-from laburnumwood.tasks import start, start_joinable
+from laburnumwood.tasks import start, start_joinable, supervise
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 
 _JOIN_RETRY_MS = 500
@@ -167,6 +167,7 @@
             HttpListener(metrics, self._serve_metrics, self._clock)
         for listener in self._integration.listeners(settings, self):
             HttpListener(listener.address, listener.application, self._clock)
+        start(supervise, self.worker.presence.watch)
 
     def _serve_peer(self, link: Link, stream: Stream, message: Any) -> None:
         if self._incarnation is None:
@@ -221,7 +222,6 @@
             if incarnation.has_lost_worker:
                 self._resign(incarnation)
                 return IncarnationStatus.LAPSED
-            self.worker.presence.report_silence()
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         return IncarnationStatus.ACTIVE
 
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -98,6 +98,13 @@
     'settings-read',
     'the settings were reread; changes take effect at the next start',
 )
+STOOD_STILL = _event(
+    110,
+    logbook.WARNING,
+    'stood-still',
+    'this process did not run for some time',
+    'check the load and the pauses of this VM',
+)
 LEASE_HELD = _event(201, logbook.INFO, 'lease-held', 'the lease is held')
 LEASE_LOST = _event(
     202,
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -2,12 +2,20 @@
 
 from enum import Enum
 
-from laburnumwood.clock import Clock
+import eventlet
+
+from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.decay import DecayingMean
-from laburnumwood.events import REPORT_STALE, WORKER_LEAVES, WORKER_SILENT
+from laburnumwood.events import (
+    REPORT_STALE,
+    STOOD_STILL,
+    WORKER_LEAVES,
+    WORKER_SILENT,
+)
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.instances import ReportStatus, WorkerInstanceTracker
 from laburnumwood.upstream.reports import WorkerReport
+from laburnumwood.upstream.running_time import CHECK_INTERVAL_MS, RunningTime
 
 _DEFAULT_INTERVAL_MS = 1_000  # assumed before any interval was measured
 _MIN_INTERVAL_MS = 250  # shorter intervals precede reports of a release
@@ -25,13 +33,19 @@
 
 
 class Presence:
-    """The current instance of the worker and whether it accepts requests."""
+    """The current instance of the worker and whether it accepts requests.
+
+    A standstill of this process is not the worker's silence: its reports wait
+    to be read then.
+    """
 
     def __init__(self, settings: ReportSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
         self._instances = WorkerInstanceTracker(settings.silent_ms, clock)
         self._last_report_ms: int | None = None
+        self._running_time = RunningTime(clock)
+        self._last_heard_ms = 0  # in the running time
         self._intervals_ms = DecayingMean(_INTERVAL_HALF_LIFE_MS, clock)
         self._leaving_since_ms: int | None = None
         self._is_silence_reported = False
@@ -64,6 +78,11 @@
             return WorkerPhase.SILENT
         return WorkerPhase.SERVING
 
+    @property
+    def is_serving(self) -> bool:
+        """Return whether the worker takes work and is to get more."""
+        return self.phase is WorkerPhase.SERVING
+
     @property
     def is_leaving(self) -> bool:
         """Return whether the worker has said that it is about to end."""
@@ -116,7 +135,8 @@
         if self._last_report_ms is None:
             return _DEFAULT_INTERVAL_MS
         interval_ms = round(self._intervals_ms.mean) or _DEFAULT_INTERVAL_MS
-        return max(0, interval_ms - self._silent_ms)
+        elapsed_ms = self._clock.now_ms() - self._last_report_ms
+        return max(0, interval_ms - elapsed_ms)
 
     def deregister(self, worker_id: str) -> None:
         """Record that a worker has deregistered because it is ending.
@@ -125,7 +145,8 @@
         the first report.
         """
         if worker_id == self.worker_id or self._last_report_ms is None:
-            self._last_report_ms = self._last_report_ms or self._clock.now_ms()
+            if self._last_report_ms is None:
+                self._record_heard()
             self.begin_leaving(_REPORT)
 
     def begin_leaving(self, source: str, *, was_known: bool = False) -> None:
@@ -142,8 +163,20 @@
         known_for_ms = self._settings.leave_ms if was_known else 0
         self._leaving_since_ms = self._clock.now_ms() - known_for_ms
 
-    def report_silence(self) -> None:
-        """Log once if the worker has stopped reporting; call it often."""
+    def watch(self) -> None:
+        """Check for silence of the worker periodically; does not return."""
+        while True:
+            self.check_silence()
+            eventlet.sleep(CHECK_INTERVAL_MS / MS_PER_SECOND)
+
+    def check_silence(self) -> None:
+        """Log once if the worker has stopped reporting.
+
+        Call it every `CHECK_INTERVAL_MS`.
+        """
+        paused_ms = self._running_time.check()
+        if paused_ms:
+            STOOD_STILL.report(paused_ms=paused_ms)
         if self.phase is WorkerPhase.SILENT and not self._is_silence_reported:
             self._is_silence_reported = True
             WORKER_SILENT.report(
@@ -152,7 +185,11 @@
 
     @property
     def _silent_ms(self) -> int:
-        return self._clock.now_ms() - (self._last_report_ms or 0)
+        return self._running_time.now_ms() - self._last_heard_ms
+
+    def _record_heard(self) -> None:
+        self._last_report_ms = self._clock.now_ms()
+        self._last_heard_ms = self._running_time.now_ms()
 
     def _log_stale(self, report: WorkerReport) -> None:
         REPORT_STALE.report(
@@ -164,8 +201,8 @@
         )
 
     def _record_interval(self, status: ReportStatus) -> None:
-        interval_ms = self._silent_ms
-        self._last_report_ms = self._clock.now_ms()
+        interval_ms = self._clock.now_ms() - (self._last_report_ms or 0)
+        self._record_heard()
         is_periodic = _MIN_INTERVAL_MS <= interval_ms < self._settings.silent_ms
         if status is ReportStatus.SAME_INSTANCE and is_periodic:
             self._intervals_ms.add(interval_ms)
--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -233,3 +233,17 @@
     Then it is granted the shards "1 2" for 2940 ms
     And shard 2 is covered by a grant
     And shard 2 admits requests
+
+  # Guards against a node that moves all shards away, and keeps them closed
+  # meanwhile, because it stood still itself while its worker reported.
+  Scenario: a standstill of the node is no silence of its worker
+    When the worker reports
+    And shard 1 is withdrawn
+    And the node checks its worker for 500 ms
+    And 3000 ms pass
+    Then it may be sent requests
+    And shard 1 is released
+    When the node checks its worker for 1700 ms
+    Then it may be sent requests
+    When the node checks its worker for 200 ms
+    Then it may not be sent requests
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -13,6 +13,7 @@
     HeldRange,
     WorkerReport,
 )
+from laburnumwood.upstream.running_time import CHECK_INTERVAL_MS
 from tests.features.steps.fake_clock import FakeClock
 
 SERVICE = Service(
@@ -266,6 +267,13 @@
     context.clock.pass_ms(span)
 
 
+@when('the node checks its worker for {span:d} ms')
+def check_worker(context: Context, span: int) -> None:
+    for _ in range(span // CHECK_INTERVAL_MS):
+        context.worker.presence.check_silence()
+        context.clock.pass_ms(CHECK_INTERVAL_MS)
+
+
 @when('shard {number:d} is withdrawn')
 def withdraw(context: Context, number: int) -> None:
     context.worker.withdraw(shard(number))
