Tell which shards a node holds and does not serve, and why

What operators saw: nothing, while a node answered `not-owner` for shards that it held, for a minute.

Change: a shard that is closed, or that the worker has no grant for, while the lease is held, is reported by `shards-unserved` after 0.7 to 0.9 s, with the cause (which write waits for what, or that the worker has no grant) and for how long, and `shards-served-again` tells the end; both name all shards of one cause at once. The gauge `laburnumwood.shards.unserved` counts them, /status has them as `unserved` (last, so that older tools ignore it and newer ones read older nodes), and the tool's status prints them. What closes a shard stands in a class of its own (`ShardCloser`), which notes what each write waits for.

--- a/laburnumwood/cli/fleet_commands.py
+++ b/laburnumwood/cli/fleet_commands.py
@@ -7,7 +7,12 @@
 from laburnumwood.cli.fleet import FleetClient
 from laburnumwood.cli.idle_capacity import sum_by_group
 from laburnumwood.cli.output import Output
-from laburnumwood.cli.pages import IdlePage, KeyOwnerPage, StatusPage
+from laburnumwood.cli.pages import (
+    IdlePage,
+    KeyOwnerPage,
+    NodeRow,
+    StatusPage,
+)
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import OperatorCallError
 
@@ -19,7 +24,9 @@
     'shards',
     'running',
     'waiting',
+    'unserved',
 )
+_UNSERVED_COLUMNS = ('node', 'unserved shard', 'for ms', 'cause')
 _IDLE_COLUMNS = (
     'capacity owner',
     'service',
@@ -44,6 +51,18 @@
         len(page.shards),
         page.running,
         page.waiting,
+        len(page.unserved),
+    ]
+
+
+def _unserved_rows(
+    pages: list[tuple[NodeRow, StatusPage | OperatorCallError]],
+) -> list[tuple[str, str, int, str]]:
+    return [
+        (page.node, each.shard, each.for_ms, each.cause)
+        for _, page in pages
+        if isinstance(page, StatusPage)
+        for each in page.unserved
     ]
 
 
@@ -52,6 +71,9 @@
     pages = fleet.fetch_from_all('/status', StatusPage)
     rows = [_status_row(row.node, page) for row, page in pages]
     output.print_table(_STATUS_COLUMNS, rows)
+    unserved = _unserved_rows(pages)
+    if unserved:
+        output.print_table(_UNSERVED_COLUMNS, unserved)
     output.print_json({row.node: page for row, page in pages})
 
 
--- a/laburnumwood/cli/pages.py
+++ b/laburnumwood/cli/pages.py
@@ -26,6 +26,14 @@
         return f'http://{self.host}:{self.operator_port}'
 
 
+class UnservedRow(Page):
+    """A shard that its node holds and does not serve."""
+
+    shard: str
+    cause: str
+    for_ms: int
+
+
 class StatusPage(Page):
     """The status of a node: its lease, shards and requests."""
 
@@ -36,6 +44,7 @@
     shards: tuple[str, ...]
     running: int
     waiting: int
+    unserved: tuple[UnservedRow, ...] = ()
 
 
 class GenerationPage(Page):
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -29,6 +29,7 @@
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_manager import ShardManager
+from laburnumwood.placement.unserved_shards import UnservedShards
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.protocol.messages import Resign, Work
 from laburnumwood.protocol.peers import Dispatcher, Peers
@@ -47,7 +48,6 @@
 from laburnumwood.upstream.granter import Granter
 from laburnumwood.upstream.grants import Grants
 from laburnumwood.upstream.load_poller import LoadPoller
-from laburnumwood.upstream.presence import WorkerPhase
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.worker import WorkerClient
 
@@ -105,6 +105,9 @@
         )
         self._granter: Granter | None = None
         self._grants = self._make_grants(clock)
+        self._unserved = UnservedShards(
+            self.held_shards, self._grants, self.lease, clock
+        )
         self._worker_announcer = WorkerAnnouncer(
             name,
             self.view,
@@ -148,6 +151,7 @@
             self.load.run,
             self._shard_manager.follow_ownership,
             self._shard_manager.write_records,
+            self._unserved.watch,
         ):
             self._tasks.start(task)
 
@@ -292,8 +296,8 @@
     def _worker_state(self) -> tuple[bool, int]:
         if self._granter is not None:
             return self._granter.has_answered, self._settings.slots
-        serves = self._reporting.presence.phase is WorkerPhase.SERVING
-        return serves, self._reporting.presence.slots
+        presence = self._reporting.presence
+        return presence.is_serving, presence.slots
 
     def _slots(self) -> int:
         return self._reporting.presence.slots or self._settings.slots
@@ -396,7 +400,12 @@
             clock,
         )
         self.operators = OperatorApi(
-            self.view, self.lease, self.held_shards, gate, self._account
+            self.view,
+            self.lease,
+            self.held_shards,
+            self._unserved,
+            gate,
+            self._account,
         )
         self.gate = gate
 
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -158,6 +158,19 @@
     'this node lost a shard without having moved it',
     'look for an earlier node-sealed, lease-lost or rejoining event',
 )
+SHARDS_UNSERVED = _event(
+    306,
+    logbook.WARNING,
+    'shards-unserved',
+    'this node holds shards and has not served them for about a second',
+    'the cause says what is waited for; shards-served-again tells the end',
+)
+SHARDS_SERVED_AGAIN = _event(
+    307,
+    logbook.INFO,
+    'shards-served-again',
+    'shards of an earlier shards-unserved are served or no longer held',
+)
 RECORD_REFUSED = _event(
     401,
     logbook.ERROR,
--- a/laburnumwood/metrics.py
+++ b/laburnumwood/metrics.py
@@ -145,6 +145,11 @@
 SHARDS_OWNED = _gauge(
     'laburnumwood.shards.owned', '1', 'shards that this node may serve now'
 )
+SHARDS_UNSERVED = _gauge(
+    'laburnumwood.shards.unserved',
+    '1',
+    'shards that this node holds and has not served for about a second',
+)
 GENERATION = _gauge(
     'laburnumwood.config.generation',
     '1',
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -12,12 +12,14 @@
     IDLE_SLOTS,
     LEASE_HELD,
     SHARDS_OWNED,
+    SHARDS_UNSERVED,
     exposition,
 )
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.ownership import acting_owner
 from laburnumwood.placement.sharding import initial_shard
+from laburnumwood.placement.unserved_shards import UnservedShards
 from laburnumwood.records import ShardRecord
 from laburnumwood.routing.gate import AdmissionGate
 
@@ -43,12 +45,14 @@
         view: FleetView,
         lease: Lease,
         held_shards: HeldShards,
+        unserved: UnservedShards,
         gate: AdmissionGate,
         account: CapacityAccount,
     ) -> None:
         self._view = view
         self._lease = lease
         self._held_shards = held_shards
+        self._unserved = unserved
         self._gate = gate
         self._account = account
 
@@ -77,6 +81,7 @@
         IDLE_SLOTS.record(self._account.idle_slots, {'owner': owner})
         LEASE_HELD.record(int(self._lease.is_held()))
         SHARDS_OWNED.record(len(self._held_shards.tokens()))
+        SHARDS_UNSERVED.record(len(self._unserved.overdue()))
         directory = self._view.directory
         GENERATION.record(directory.config.generation)
         CONFIG_AGE.record(directory.config_monitor.status().current_age_ms)
@@ -94,6 +99,14 @@
             'shards': [str(shard) for shard in held],
             'running': self._gate.running,
             'waiting': self._gate.waiting,
+            'unserved': [
+                {
+                    'shard': str(each.shard),
+                    'cause': each.cause,
+                    'for_ms': each.for_ms,
+                }
+                for each in self._unserved.overdue()
+            ],
         }
 
     @_register_page('/generation')
--- a/laburnumwood/placement/held_shards.py
+++ b/laburnumwood/placement/held_shards.py
@@ -12,6 +12,7 @@
     running: int = 0
     is_closed: bool = False
     least_token: int = 0  # a lower one can't be used
+    wait: str = ''  # what its write waits for
 
     @property
     def needs_new_token(self) -> bool:
@@ -113,6 +114,17 @@
         if held is not None:
             held.is_closed = True
 
+    def note_wait(self, shard: ShardName, wait: str) -> None:
+        """Note what the write of a held shard's record waits for."""
+        held = self._held.get(shard)
+        if held is not None:
+            held.wait = wait
+
+    def wait_of(self, shard: ShardName) -> str:
+        """Return what the write of a shard's record waits for, '' if none."""
+        held = self._held.get(shard)
+        return '' if held is None else held.wait
+
     def all_idle(self) -> bool:
         """Return whether no request runs in any shard."""
         return not any(held.running for held in self._held.values())
@@ -131,6 +143,7 @@
         held = self._held.get(shard)
         if held is not None:
             held.is_closed = False
+            held.wait = ''
 
     def is_open(self, shard: ShardName) -> bool:
         """Return whether a shard is held and admits requests."""
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -15,7 +15,12 @@
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import split_shard_number
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
-from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
+from laburnumwood.placement.shard_closing import ShardCloser
+from laburnumwood.placement.shard_write import (
+    ShardWrite,
+    WriteProgress,
+    WriteWait,
+)
 from laburnumwood.placement.splitting import Part, Split
 from laburnumwood.placement.writer import ShardWriter
 from laburnumwood.records import (
@@ -80,6 +85,7 @@
         self._balancer = balancer
         self._grants = grants
         self._clock = clock
+        self._closer = ShardCloser(held_shards, grants, writer)
         self._stopping = False
         self._kept: set[ShardName] = set()  # could not be given back unheld
         self.before_move: BeforeMove = _allow_move
@@ -161,41 +167,22 @@
             if write is not None:
                 start(self._move, write)
 
-    def _is_store_unreachable(self, shard: ShardName) -> bool:
-        """Return whether the store, unreachable at the last read, still is."""
-        if self._writer.is_store_reachable:
-            return False
-        return not self._writer.try_refresh(shard)
-
     def _move(self, write: ShardWrite) -> None:
-        if not self._stopping and self._is_store_unreachable(write.shard):
+        if not self._stopping and self._closer.is_store_unreachable(write):
             self._finish(write, WriteProgress.NOT_SENT)
             return
-        self._release(write.shard)
+        self._closer.release(write)
         handovers = self._grants.handovers(write.shard)
         write.record = replace(write.record, handovers=handovers)
         # A move that begins during a store outage would keep its shard closed
         # until the outage ends.
-        answers = self._writer.try_refresh(write.shard)
-        if answers and self.before_move(write.shard, write.record.succession):
+        if self._closer.is_store_answering(write) and self._is_handed_over(
+            write
+        ):
             self._execute(write)
         else:
             self._finish(write, WriteProgress.NOT_SENT)
 
-    def _release(self, shard: ShardName) -> None:
-        """Block until the worker has released a shard and nothing runs in it.
-
-        The shard is withdrawn first, and closed once it is released.
-        """
-        self._grants.withdraw(shard)
-        while not self._grants.is_released(shard):
-            eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
-        self._held_shards.close(shard)
-        # Requests that wait for a grant of the shard go to the next owner.
-        self._grants.changes.notify_all()
-        while not self._held_shards.is_idle(shard):
-            eventlet.sleep(_IDLE_POLL_MS / MS_PER_SECOND)
-
     def _begin_split(self, split: Split) -> None:
         shard = ShardName(self._service, split.shard)
         write = self._ownership.begin_split(shard, split.ranges)
@@ -203,17 +190,17 @@
             start(self._split, write, split)
 
     def _split(self, write: ShardWrite, split: Split) -> None:
-        if self._is_store_unreachable(write.shard):
+        if self._closer.is_store_unreachable(write):
             self._finish(write, WriteProgress.NOT_SENT)
             return
         # The worker releases the whole shard, so that it holds nothing of the
         # parts while they have no owner.
-        self._release(write.shard)
-        if not self._writer.try_refresh(write.shard):
+        self._closer.release(write)
+        if not self._closer.is_store_answering(write):
             self._finish(write, WriteProgress.NOT_SENT)
             return
         handovers = [self._grants.handover_for(keys) for keys in split.ranges]
-        self._finish(write, self._writer.execute(write))
+        self._execute(write)
         entry = self._view.directory.shard(write.shard)
         if entry is None:
             return
@@ -254,7 +241,7 @@
             self._writer.start(self._execute, write)
 
     def _release_and_execute(self, write: ShardWrite) -> None:
-        self._release(write.shard)
+        self._closer.release(write)
         self._execute(write)
 
     def _may_give_back(self, owner: NodeName) -> bool:
@@ -272,8 +259,8 @@
     def _release_and_write(self, write: ShardWrite) -> None:
         # The worker may have been granted the shard before it became clear
         # that this node has to write the record first.
-        self._release(write.shard)
-        if self.before_move(write.shard, write.record.succession):
+        self._closer.release(write)
+        if self._is_handed_over(write):
             self._execute(write)
             return
         # The other node would lack what this one knows, so this one acts first.
@@ -291,7 +278,12 @@
             shard = ShardName(self._service, move.shard)
             self._begin_move(shard, move.target)
 
+    def _is_handed_over(self, write: ShardWrite) -> bool:
+        self._closer.note_wait(write, WriteWait.LEDGER)
+        return self.before_move(write.shard, write.record.succession)
+
     def _execute(self, write: ShardWrite) -> None:
+        self._closer.note_wait(write, WriteWait.RECORD)
         self._finish(write, self._writer.execute(write))
 
     def _finish(self, write: ShardWrite, progress: WriteProgress) -> None:
--- a/laburnumwood/placement/shard_write.py
+++ b/laburnumwood/placement/shard_write.py
@@ -34,6 +34,16 @@
         return self not in {WriteProgress.NEEDS_FLOOR, WriteProgress.UNSETTLED}
 
 
+class WriteWait(Enum):
+    """What a write waits for while its shard is not served."""
+
+    RELEASE = 'the worker to release it'
+    USES = 'the requests that run in it'
+    STORE = 'an answer of the store'
+    LEDGER = 'its next owner to get the run ledger'
+    RECORD = 'its record to be written'
+
+
 class ShardWrite:
     """A conditional write of a shard's record by one incarnation.
 
