Open a shard again in which requests run for too long to write it

What callers saw: `not-owner` for a shard whose move, split or give-back waits for a request in it, for as long as that request ran.

Cause: that wait had no bound.

Change: after 1.5 s the write ends without being sent (the event `write-given-up` names shard and target) and the shard is open again; moves for the load, splits and give-backs leave it alone for 10 s then. A planned stop goes on waiting, within its own limit. The wait for the worker needs no limit of its own: a withdrawn shard's grant expires with the lease.

Not covered: a write whose answer was lost stays closed until its outcome is known.

--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -171,6 +171,13 @@
     'shards-served-again',
     'shards of an earlier shards-unserved are served or no longer held',
 )
+WRITE_GIVEN_UP = _event(
+    308,
+    logbook.INFO,
+    'write-given-up',
+    'requests ran for too long in a closed shard, which is open again',
+    'no action required; a move or split of it is tried again later',
+)
 RECORD_REFUSED = _event(
     401,
     logbook.ERROR,
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -85,7 +85,7 @@
         self._balancer = balancer
         self._grants = grants
         self._clock = clock
-        self._closer = ShardCloser(held_shards, grants, writer)
+        self._closer = ShardCloser(held_shards, grants, writer, clock)
         self._stopping = False
         self._kept: set[ShardName] = set()  # could not be given back unheld
         self.before_move: BeforeMove = _allow_move
@@ -130,6 +130,7 @@
     def withdraw_all(self) -> None:
         """Withdraw all shards from the worker; running requests continue."""
         self._stopping = True
+        self._closer.stop()
         for shard in self._held_shards.tokens():
             self._grants.withdraw(shard)
 
@@ -171,7 +172,8 @@
         if not self._stopping and self._closer.is_store_unreachable(write):
             self._finish(write, WriteProgress.NOT_SENT)
             return
-        self._closer.release(write)
+        if not self._is_released(write):
+            return
         handovers = self._grants.handovers(write.shard)
         write.record = replace(write.record, handovers=handovers)
         # A move that begins during a store outage would keep its shard closed
@@ -185,6 +187,8 @@
 
     def _begin_split(self, split: Split) -> None:
         shard = ShardName(self._service, split.shard)
+        if self._closer.is_busy(shard):
+            return
         write = self._ownership.begin_split(shard, split.ranges)
         if write is not None:
             start(self._split, write, split)
@@ -195,7 +199,8 @@
             return
         # The worker releases the whole shard, so that it holds nothing of the
         # parts while they have no owner.
-        self._closer.release(write)
+        if not self._is_released(write):
+            return
         if not self._closer.is_store_answering(write):
             self._finish(write, WriteProgress.NOT_SENT)
             return
@@ -241,8 +246,8 @@
             self._writer.start(self._execute, write)
 
     def _release_and_execute(self, write: ShardWrite) -> None:
-        self._closer.release(write)
-        self._execute(write)
+        if self._is_released(write):
+            self._execute(write)
 
     def _may_give_back(self, owner: NodeName) -> bool:
         is_stable = self._balancer.is_stable(owner.node_id)
@@ -251,15 +256,16 @@
     def _give_back(self, shard: ShardName, owner: NodeName) -> None:
         """Return a shard to the node that lost it: its worker has its data."""
         write = self._ownership.begin_give_back(shard, owner)
-        if write is None:
+        if write is None and not self._closer.is_busy(shard):
             self._begin_move(shard, owner)
-        else:
+        elif write is not None:
             start(self._release_and_write, write)
 
     def _release_and_write(self, write: ShardWrite) -> None:
         # The worker may have been granted the shard before it became clear
         # that this node has to write the record first.
-        self._closer.release(write)
+        if not self._is_released(write):
+            return
         if self._is_handed_over(write):
             self._execute(write)
             return
@@ -276,7 +282,18 @@
     def _begin_planned_moves(self) -> None:
         for move in self._balancer.plan_moves(self._ownership.pending_owners):
             shard = ShardName(self._service, move.shard)
-            self._begin_move(shard, move.target)
+            if not self._closer.is_busy(shard):
+                self._begin_move(shard, move.target)
+
+    def _is_released(self, write: ShardWrite) -> bool:
+        """Wait for the release of a shard; return whether to write it.
+
+        If not, its write has ended and the shard is open again.
+        """
+        if self._closer.release(write):
+            return True
+        self._finish(write, WriteProgress.NOT_SENT)
+        return False
 
     def _is_handed_over(self, write: ShardWrite) -> bool:
         self._closer.note_wait(write, WriteWait.LEDGER)
--- a/tests/features/handing_over.feature
+++ b/tests/features/handing_over.feature
@@ -78,3 +78,25 @@
     Given a node whose store answers and whose worker releases shards after 0 ms
     When it creates a part of a shard for another node
     Then the notes of the shard were sent for the part before it was written
+
+  # Guards against a shard that is closed for good by a request that doesn't end.
+  Scenario Outline: a <change> waits only a short time for requests
+    Given a node whose store answers and whose worker releases shards after 0 ms
+    And a request in a shard does not end
+    When a <change> of a shard is begun, and <span> ms pass
+    Then the write of the shard <ends>
+
+    Examples:
+      | change | span | ends        |
+      | move   | 1400 | goes on     |
+      | move   | 1600 | is given up |
+      | split  | 1600 | is given up |
+
+  # Guards against a shard that is closed again as soon as it was opened.
+  Scenario: a shard in which requests ran for too long stays open for some time
+    Given a node whose store answers and whose worker releases shards after 0 ms
+    And a request in a shard does not end
+    When a move of a shard is begun, and 1600 ms pass
+    Then it may be moved for its load: no
+    When 10000 ms pass after that
+    Then it may be moved for its load: yes
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -23,6 +23,7 @@
 PART = ShardName('s', 2)
 STEP_MS = 10
 LIMIT_S = 10
+SOON_S = 0.05  # for tasks to get their turn
 
 
 class SlowWorker:
@@ -225,3 +226,47 @@
 def check_sent(context: Context) -> None:
     assert context.sent == [(SHARD, PART, (RETURNED, OWN))], context.sent
     assert context.written_owner == RETURNED
+
+
+@given('a request in a shard does not end')
+def begin_request(context: Context) -> None:
+    context.use = context.held_shards.acquire(SHARD)
+
+
+@when('a {change} of a shard is begun, and {span:d} ms pass')
+def begin_change(context: Context, change: str, span: int) -> None:
+    context.ended = []
+    context.ownership.finish = lambda _write, progress: context.ended.append(
+        progress
+    )
+    write = _write_for(RETURNED, OWN)
+    work = {
+        'move': partial(context.manager._move, write),
+        'split': partial(context.manager._split, write, None),
+    }
+    context.add_cleanup(eventlet.spawn(work[change]).kill)
+    eventlet.sleep(SOON_S)
+    context.clock.pass_ms(span)
+    eventlet.sleep(SOON_S)
+
+
+@when('{span:d} ms pass after that')
+def pass_time(context: Context, span: int) -> None:
+    context.clock.pass_ms(span)
+
+
+@then('the write of the shard {ends}')
+def check_ended(context: Context, ends: str) -> None:
+    given_up = [WriteProgress.NOT_SENT] if ends == 'is given up' else []
+    assert context.ended == given_up, context.ended
+
+
+@then('it may be moved for its load: {may}')
+def check_may_move(context: Context, may: str) -> None:
+    begun = []
+    context.ownership.pending_owners = {}
+    move = SimpleNamespace(shard=SHARD.number, target=RETURNED)
+    context.manager._balancer.plan_moves = lambda _pending: [move]
+    context.ownership.begin_move = lambda shard, _target: begun.append(shard)
+    context.manager._begin_planned_moves()
+    assert (begun == [SHARD]) == (may == 'yes'), begun
--- a/tests/features/steps/unserved_steps.py
+++ b/tests/features/steps/unserved_steps.py
@@ -71,7 +71,9 @@
 @when('the shard is to move')
 def begin_move(context: Context) -> None:
     writer: Any = SimpleNamespace(try_refresh=lambda _shard: True)
-    closer = ShardCloser(context.held_shards, context.worker, writer)
+    closer = ShardCloser(
+        context.held_shards, context.worker, writer, context.clock
+    )
     record = SimpleNamespace(succession=(NEXT,))
     write = SimpleNamespace(shard=SHARD, record=record)
     task = eventlet.spawn(closer.release, write)
