Check in the simulated worlds that no shard stays closed without a fault

After every step: a node that holds its lease keeps no shard closed for more than 2 s since the last fault (store, pause, links) ended.

The worlds have no running requests, so a use that is never released is checked in handing_over.feature.

--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -30,6 +30,16 @@
       | the reopening after a split         | NoActingOwnerError   | split 0; tick 8; await-owners 20 |
       | the automatic end of lost nodes     | NoActingOwnerError   | crash a; crash d; crash e; tick 20; restart d; restart e; await-owners 300 |
 
+  # Guards against a shard that its owner holds and doesn't serve, although
+  # nothing fails any more.
+  Scenario: a shard that stays closed for two seconds is detected
+    Given the script
+      """
+      store refused; move 1 d; tick 4; store up; tick 60
+      """
+    Then the code without "the reopening after a move that was not sent" fails on it with "UnservedShardError"
+    And the whole code passes on it
+
   # Guards against two workers that hold the same keys: the end of a node's
   # incarnation was announced while its worker still held its grants.
   Scenario Outline: workers that report release shards before others get them
--- a/tests/ownership/checks.py
+++ b/tests/ownership/checks.py
@@ -7,11 +7,50 @@
 from tests.ownership.keys import find_shared_keys
 from tests.ownership.node import FakeNode
 
+_MAX_CLOSED_MS = 2_000  # users allow two seconds
+
 
 class TwoActingOwnersError(AssertionError):
     """More than one incarnation may act for a shard at the same time."""
 
 
+class UnservedShardError(AssertionError):
+    """A node that could serve a shard keeps it closed for too long."""
+
+
+class ServiceChecks:
+    """Checks that no node keeps a shard closed without any fault.
+
+    The time counts from when the last fault ended.
+    """
+
+    def __init__(self, script: list[str]) -> None:
+        self._script = script
+        self._closed_since_ms: dict[tuple[NodeName, ShardName], int] = {}
+
+    def check(
+        self, nodes: Iterable[FakeNode], now_ms: int, *, is_faulty: bool
+    ) -> None:
+        """Check what all nodes hold now."""
+        closed = {
+            (node.name, shard)
+            for node in nodes
+            if node.lease.is_held() and not is_faulty
+            for shard in node.held_shards.tokens()
+            if node.held_shards.is_closed(shard)
+        }
+        self._closed_since_ms = {
+            each: self._closed_since_ms.get(each, now_ms) for each in closed
+        }
+        late = [
+            f'{shard} at {name}'
+            for (name, shard), since_ms in self._closed_since_ms.items()
+            if now_ms - since_ms > _MAX_CLOSED_MS
+        ]
+        if late:
+            raise UnservedShardError(f'{late} {self._script}')
+
+
 class KeyChecks:
     """Checks owners and their tokens by shards, and by keys.
 
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -143,6 +143,17 @@
             super()._apply_written(write)
 
 
+class _MoveEndsLost(OwnershipTracker):
+    """Leaves a shard closed whose move did not reach the store."""
+
+    def finish(self, write: ShardWrite, progress: WriteProgress) -> None:
+        """Apply the end of a write, unless nothing was sent."""
+        if progress is WriteProgress.NOT_SENT:
+            self._writes.pop(write.shard, None)
+        else:
+            super().finish(write, progress)
+
+
 class _NoExpiredLeases(QuorumLossDetector):
     """Records no end of lost nodes, which is left to an operator."""
 
@@ -244,6 +255,9 @@
     'the reopening after a split': Components(
         ownership_tracker=_NoReopeningAfterSplit
     ),
+    'the reopening after a move that was not sent': Components(
+        ownership_tracker=_MoveEndsLost
+    ),
     'the wait for the worker': Components(attached_grants=_NoWaitForWorker),
     'the wait for an unsettled move': Components(
         ownership_tracker=_ReopenBeforeOutcome
--- a/tests/ownership/network.py
+++ b/tests/ownership/network.py
@@ -34,6 +34,11 @@
         self._is_reversed = False
         self._messages: list[Message] = []
 
+    @property
+    def is_faulty(self) -> bool:
+        """Return whether a VM is paused or a link is held or silent."""
+        return bool(self.paused or self._held_links or self._silent_links)
+
     def send(self, message: Message) -> None:
         """Add a message to those in transit, or lose it."""
         if not self._is_silent(message):
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -24,7 +24,7 @@
     to_value,
 )
 from laburnumwood.store.writes import new_mark
-from tests.ownership.checks import KeyChecks
+from tests.ownership.checks import KeyChecks, ServiceChecks
 from tests.ownership.clocks import STEP_MS, DriftingClock, SimulatedTime
 from tests.ownership.keys import SERVICE, SHARDS, upper_half
 from tests.ownership.network import VMS, Message, Network
@@ -98,6 +98,7 @@
         self._nodes: dict[str, FakeNode] = {}
         self._unrecorded_ends: dict[str, list[FakeNode]] = {}
         self._checks = KeyChecks(self.script)
+        self._service_checks = ServiceChecks(self.script)
         self._clocks = {
             vm: DriftingClock(self._time, number * 977, _CLOCK_RATES[number])
             for number, vm in enumerate(VMS)
@@ -278,9 +279,20 @@
         if self._workers is not None:
             self._workers.check_holders()
         self._checks.check_keys(self._nodes.values())
+        self._service_checks.check(
+            self._nodes.values(),
+            self._time.now_ms,
+            is_faulty=self._is_faulty(),
+        )
         for shard in SHARDS:
             self._checks.check_shard(shard, self._acting_owners(shard))
 
+    def _is_faulty(self) -> bool:
+        """Return whether the store, a VM or a link fails now."""
+        is_any_refused = any(each.is_refused for each in self.clients.values())
+        is_store_up = self.store.mode == 'up' and not is_any_refused
+        return not is_store_up or self.network.is_faulty
+
     def _crash(self, vm: str) -> None:
         self._unrecorded_ends.pop(vm, None)
         self._nodes.pop(vm, None)
