Bound what an owner asks others about the run ledger of a shard

What callers saw: a shard stays closed while its move asks the nodes that may have entries of its run ledger, if a link to one of them neither opens nor fails.

Cause: opening the link and sending the question had no limit.

Change: link, question and whole answer together end after 1.5 s; that node has told nothing then, as one that can't be reached.

Evidence: the new scenario of ledger_exchange.feature failed before ("it still waits for an answer") and passes.

--- a/laburnumwood/routing/ledger_recovery.py
+++ b/laburnumwood/routing/ledger_recovery.py
@@ -12,12 +12,14 @@
 )
 from laburnumwood.protocol.peers import Peers
 from laburnumwood.protocol.streams import Stream
+from laburnumwood.protocol.time_limit import time_limit
 from laburnumwood.records import NodeName, ShardHistory, ShardName, ShardRecord
 from laburnumwood.routing.ledger import RunLedger, known_for_ms
 from laburnumwood.tasks import start_joinable
 
 _ENTRIES_PER_MESSAGE = 200
-_ANSWER_TIMEOUT_MS = 500
+_ANSWER_TIMEOUT_MS = 500  # for each part of the answer
+_QUESTION_LIMIT_MS = 1_500  # for a link, the question and the whole answer
 
 
 def in_batches(
@@ -109,7 +111,9 @@
     ) -> tuple[ShardHistory, ...]:
         question = LedgerUpdate(str(shard), epoch, (), False, True)
         try:
-            return self._receive(self._peers.open_stream(name), shard, question)
+            with time_limit(_QUESTION_LIMIT_MS, 'not told'):
+                stream = self._peers.open_stream(name)
+                return self._receive(stream, shard, question)
         except LinkError:
             return ()
 
--- a/tests/features/ledger_exchange.feature
+++ b/tests/features/ledger_exchange.feature
@@ -28,3 +28,11 @@
     When "b" asks about shard 1
     Then "b" answers the payment "new" in shard 1 with "past-unknown"
     And "a" confirmed 1 message
+
+  # Guards against a shard that stays closed while its move waits for a link.
+  Scenario: a node that no link can be opened to holds up nobody
+    Given the nodes a and b join anew
+    And shard 1 has the record of epoch 2 with succession "b#2 a#2" by "b#2"
+    And no link to "a" is opened, and none refused
+    When "b" asks about shard 1 for at most 2000 ms
+    Then "b" answers the payment "new" in shard 1 with "past-unknown"
--- a/tests/features/steps/ledger_exchange_steps.py
+++ b/tests/features/steps/ledger_exchange_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import LinkRefusedError
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
@@ -55,6 +56,8 @@
         node = self._nodes[peer.node_id]
         if node.name != peer:
             raise LinkRefusedError(f'{peer} has ended')
+        if node.is_unreachable:
+            eventlet.sleep(LONG_MS)
         near, far = local_pair()
         eventlet.spawn_n(self._serve, node.dispatcher, far)
         return near
@@ -88,6 +91,7 @@
         directory=directory,
         dispatcher=dispatcher,
         replicator=replicator,
+        is_unreachable=False,
     )
 
 
@@ -171,6 +175,20 @@
     _apply(context, shard_object_name(shard), record)
 
 
+@given('no link to "{node_id}" is opened, and none refused')
+def make_unreachable(context: Context, node_id: str) -> None:
+    context.nodes[node_id].is_unreachable = True
+
+
+@when('"{node_id}" asks about shard {number:d} for at most {limit_ms:d} ms')
+def ask_within(
+    context: Context, node_id: str, number: int, limit_ms: int
+) -> None:
+    late = AssertionError('it still waits for an answer')
+    with eventlet.Timeout(limit_ms / MS_PER_SECOND, late):
+        ask(context, node_id, number)
+
+
 @when('"{node_id}" asks about shard {number:d}')
 def ask(context: Context, node_id: str, number: int) -> None:
     node, shard = context.nodes[node_id], ShardName('s', number)
