--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -98,6 +98,13 @@
     'settings-read',
     'the settings were reread; changes take effect at the next start',
 )
+STOOD_STILL = _event(
+    110,
+    logbook.WARNING,
+    'stood-still',
+    'this process did not run for some time',
+    'check the load and the pauses of this VM',
+)
 LEASE_HELD = _event(201, logbook.INFO, 'lease-held', 'the lease is held')
 LEASE_LOST = _event(
     202,
@@ -151,6 +158,26 @@
     'this node lost a shard without having moved it',
     'look for an earlier node-sealed, lease-lost or rejoining event',
 )
+SHARDS_UNSERVED = _event(
+    306,
+    logbook.WARNING,
+    'shards-unserved',
+    'this node holds shards and has not served them for about a second',
+    'the cause says what is waited for; shards-served-again tells the end',
+)
+SHARDS_SERVED_AGAIN = _event(
+    307,
+    logbook.INFO,
+    'shards-served-again',
+    'shards of an earlier shards-unserved are served or no longer held',
+)
+WRITE_GIVEN_UP = _event(
+    308,
+    logbook.INFO,
+    'write-given-up',
+    'requests ran for too long in a closed shard, which is open again',
+    'no action required; a move or split of it is tried again later',
+)
 RECORD_REFUSED = _event(
     401,
     logbook.ERROR,
--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -219,3 +219,31 @@
       | when           | report                                                     |
       | before joining | the worker reports that it holds shard 2 before the node has joined |
       | too late       | an earlier instance reports late that it holds shard 2     |
+
+  # Guards against keys that their owner holds and never serves again: a shard
+  # that was left out of one reply stayed closed after it was granted again.
+  Scenario: a shard left out of a reply is served once it is granted again
+    Given replies of at most 400 bytes
+    When the worker reports
+    Then it is granted the shards "1 2" for 2940 ms
+    When another node announces the handovers of its worker for shard 2
+    And the worker reports
+    Then it is granted the shards "1" for 2940 ms
+    When the worker reports that it holds shard 2
+    Then it is granted the shards "1 2" for 2940 ms
+    And shard 2 is covered by a grant
+    And shard 2 admits requests
+
+  # Guards against a node that moves all shards away, and keeps them closed
+  # meanwhile, because it stood still itself while its worker reported.
+  Scenario: a standstill of the node is no silence of its worker
+    When the worker reports
+    And shard 1 is withdrawn
+    And the node checks its worker for 500 ms
+    And 3000 ms pass
+    Then it may be sent requests
+    And shard 1 is released
+    When the node checks its worker for 1700 ms
+    Then it may be sent requests
+    When the node checks its worker for 200 ms
+    Then it may not be sent requests
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -13,6 +13,7 @@
     HeldRange,
     WorkerReport,
 )
+from laburnumwood.upstream.running_time import CHECK_INTERVAL_MS
 from tests.features.steps.fake_clock import FakeClock
 
 SERVICE = Service(
@@ -266,6 +267,13 @@
     context.clock.pass_ms(span)
 
 
+@when('the node checks its worker for {span:d} ms')
+def check_worker(context: Context, span: int) -> None:
+    for _ in range(span // CHECK_INTERVAL_MS):
+        context.worker.presence.check_silence()
+        context.clock.pass_ms(CHECK_INTERVAL_MS)
+
+
 @when('shard {number:d} is withdrawn')
 def withdraw(context: Context, number: int) -> None:
     context.worker.withdraw(shard(number))
@@ -362,6 +370,11 @@
     assert not context.worker.covers(shard(number), 8)
 
 
+@then('shard {number:d} admits requests')
+def check_open(context: Context, number: int) -> None:
+    assert context.source.held_shards.is_open(shard(number))
+
+
 @then('shard {number:d} is not released yet')
 def check_not_released(context: Context, number: int) -> None:
     assert not context.worker.is_released(shard(number))
