Wait for what runs in a shard as long as its worker leaves

A move that is given up after 1.5 s opens the shard again. While the worker is lost or leaves that helps nobody: new requests come in until it takes none, and the move begins anew.

--- a/laburnumwood/placement/shard_closing.py
+++ b/laburnumwood/placement/shard_closing.py
@@ -1,5 +1,7 @@
 """What has to end in a shard before its record is written."""
 
+from collections.abc import Callable
+
 import eventlet
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
@@ -20,8 +22,10 @@
 
     It notes what each write waits for.  Each wait has a bound: the worker's
     grant of a withdrawn shard expires with the lease at the latest, and a shard
-    in which requests still run after `_USES_LIMIT_MS` is not written.  Until
-    `stop` is called it should be opened again then.
+    in which requests still run after `_USES_LIMIT_MS` is not written and should
+    be opened again.  That is in vain while `is_serving` returns False, because
+    the worker is lost or leaves, and once `stop` was called: what runs then is
+    waited for until it ends, by its deadline or the limit of a planned stop.
     """
 
     def __init__(
@@ -29,20 +33,19 @@
         held_shards: HeldShards,
         grants: Grants,
         writer: ShardWriter,
+        is_serving: Callable[[], bool],
         clock: Clock,
     ) -> None:
+        self._is_serving = is_serving
+        self._is_stopping = False
         self._held_shards = held_shards
         self._grants = grants
         self._writer = writer
         self._clock = clock
-        self._is_stopping = False
         self._busy_until_ms: dict[ShardName, int] = {}
 
     def stop(self) -> None:
-        """Wait without a limit for running requests from now on.
-
-        A planned stop has a limit of its own.
-        """
+        """Wait without a limit for running requests from now on."""
         self._is_stopping = True
 
     def is_busy(self, shard: ShardName) -> bool:
@@ -76,12 +79,16 @@
         self.note_wait(write, WriteWait.USES)
         return self._is_drained(write)
 
+    @property
+    def _may_open(self) -> bool:
+        return self._is_serving() and not self._is_stopping
+
     def _is_drained(self, write: ShardWrite) -> bool:
         """Wait for the requests that run in a shard; return if all ended."""
         until_ms = self._clock.now_ms() + _USES_LIMIT_MS
         while not self._held_shards.is_idle(write.shard):
             now_ms = self._clock.now_ms()
-            if now_ms >= until_ms and not self._is_stopping:
+            if now_ms >= until_ms and self._may_open:
                 self._busy_until_ms[write.shard] = now_ms + _BUSY_MS
                 target = write.record.succession[0]
                 WRITE_GIVEN_UP.report(shard=write.shard, target=target)
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -85,7 +85,13 @@
         self._balancer = balancer
         self._grants = grants
         self._clock = clock
-        self._closer = ShardCloser(held_shards, grants, writer, clock)
+        self._closer = ShardCloser(
+            held_shards,
+            grants,
+            writer,
+            lambda: ownership.own in ownership.live(),
+            clock,
+        )
         self._stopping = False
         self._kept: set[ShardName] = set()  # could not be given back unheld
         self.before_move: BeforeMove = _allow_move
--- a/tests/features/handing_over.feature
+++ b/tests/features/handing_over.feature
@@ -92,6 +92,14 @@
       | move   | 1600 | is given up |
       | split  | 1600 | is given up |
 
+  # Guards against moves that a worker which leaves gets ever new requests between.
+  Scenario: a move waits for the requests while the worker leaves
+    Given a node whose store answers and whose worker releases shards after 0 ms
+    And a request in a shard does not end
+    And the worker of the node leaves
+    When a move of a shard is begun, and 1600 ms pass
+    Then the write of the shard goes on
+
   # Guards against a shard that is closed again as soon as it was opened.
   Scenario: a shard in which requests ran for too long stays open for some time
     Given a node whose store answers and whose worker releases shards after 0 ms
--- a/tests/features/steps/handing_over_steps.py
+++ b/tests/features/steps/handing_over_steps.py
@@ -61,7 +61,9 @@
     held_shards = HeldShards()
     held_shards.hold(SHARD, 8)
     ownership = SimpleNamespace(
-        own=OWN, live=dict, begin_move=lambda _shard, _target: None
+        own=OWN,
+        live=lambda: {OWN: None},
+        begin_move=lambda _shard, _target: None,
     )
     directory = SimpleNamespace(shard=lambda _shard: None)
     view = SimpleNamespace(directory=directory)
@@ -233,6 +235,11 @@
     context.use = context.held_shards.acquire(SHARD)
 
 
+@given('the worker of the node leaves')
+def leave(context: Context) -> None:
+    context.ownership.live = dict
+
+
 @when('a {change} of a shard is begun, and {span:d} ms pass')
 def begin_change(context: Context, change: str, span: int) -> None:
     context.ended = []
--- a/tests/features/steps/unserved_steps.py
+++ b/tests/features/steps/unserved_steps.py
@@ -72,7 +72,11 @@
 def begin_move(context: Context) -> None:
     writer: Any = SimpleNamespace(try_refresh=lambda _shard: True)
     closer = ShardCloser(
-        context.held_shards, context.worker, writer, context.clock
+        context.held_shards,
+        context.worker,
+        writer,
+        lambda: True,
+        context.clock,
     )
     record = SimpleNamespace(succession=(NEXT,))
     write = SimpleNamespace(shard=SHARD, record=record)
