End the watcher of a test before its process does

The process of the features ended with status 139 after silence.feature, with every scenario passed: 5 of 5 plays on. The watcher of the store ran in a daemon thread that nobody ended, and its eventlet hub was still in use while the interpreter ended. A green thread hangs instead: the store's client blocks in sockets that are not green in this process, one call after the other, so that the test itself never gets a turn (played once, given up after 60 s).

The thread is now told to end at its next watch and is joined by the cleanup of the scenario, before the store and the relay stop. What the steps check is unchanged.

--- a/tests/features/steps/silence_steps.py
+++ b/tests/features/steps/silence_steps.py
@@ -2,8 +2,9 @@
 
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from functools import partial
-from threading import Thread
+from threading import Event, Thread
 from time import sleep
 from urllib.parse import urlsplit
 
@@ -27,7 +28,7 @@
 from laburnumwood.protocol.peers import Dispatcher, Peers, listen
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
-from laburnumwood.records import Digest, NodeName, NodeRecord
+from laburnumwood.records import Digest, NodeName, NodeRecord, StoredObject
 from laburnumwood.store.objects import node_object_name, to_value
 from laburnumwood.upstream.worker import WorkerClient, WorkerRequest
 from tests.features.steps.processes import Process
@@ -42,6 +43,50 @@
 _SCOPES = {'records': '', 'configuration': 'config'}
 
 
+class _EndedError(Exception):
+    """The watcher was told to end."""
+
+
+class _EndableStore(PlatformStore):
+    """A client of the store whose next watch ends the thread of its watcher.
+
+    Its calls block, so that the watcher needs a thread of its own.  An eventlet
+    hub that still runs there while the interpreter ends would crash it.
+    """
+
+    def __init__(self, url: str) -> None:
+        super().__init__(url)
+        self._is_ending = Event()
+        self._thread = Thread()
+
+    def start(self, watcher: StoreWatcher, scope: str) -> None:
+        """Start the thread in which a watcher watches a scope."""
+        self._thread = Thread(target=self._run, args=(watcher, scope))
+        self._thread.start()
+
+    def end(self) -> None:
+        """End the thread; return when it has ended."""
+        self._is_ending.set()
+        self._thread.join()
+
+    def watch(
+        self,
+        prefix: str,
+        since: int,
+        wait_ms: int,
+        *,
+        may_be_stale: bool = False,
+    ) -> tuple[tuple[StoredObject, ...], int]:
+        """Return the changes under a prefix, as the store's client does."""
+        if self._is_ending.is_set():
+            raise _EndedError
+        return super().watch(prefix, since, wait_ms, may_be_stale=may_be_stale)
+
+    def _run(self, watcher: StoreWatcher, scope: str) -> None:
+        with suppress(_EndedError):
+            watcher.run(scope)
+
+
 def _record() -> NodeRecord:
     return NodeRecord(1, (1,), 'h', 1, 1, 1, 'd', 's', 'o', 1, 1)
 
@@ -71,10 +116,11 @@
     )
     context.directory = Directory()
     view = FleetView(context.directory, SealRegistry())
-    relayed = PlatformStore(f'http://{_HOST}:{opened["port"]}')
+    relayed = _EndableStore(f'http://{_HOST}:{opened["port"]}')
     watcher = StoreWatcher(_OWN, relayed, view, Clock())
     watcher.list_all()
-    Thread(target=watcher.run, args=(_SCOPES[scope],), daemon=True).start()
+    relayed.start(watcher, _SCOPES[scope])
+    context.add_cleanup(relayed.end)
     sleep(_SETTLE_S)
 
 
