--- a/tests/features/steps/held_steps.py
+++ b/tests/features/steps/held_steps.py
@@ -66,8 +66,11 @@
 }
 
 
-def _manifest(version: int, timeout_ms: int) -> dict[str, Any]:
-    content = manifest(version, {SERVICE: True})
+def manifest_with_timeout(
+    version: int, timeout_ms: int, **others: bool
+) -> dict[str, Any]:
+    """Return a manifest; other services map to whether they have keys."""
+    content = manifest(version, {SERVICE: True, **others})
     for route in content['routes']:
         route['timeout_ms'] = timeout_ms
     return content
@@ -82,7 +85,7 @@
     context.add_cleanup(context.fleet.close)
     context.fleet.declare()
     context.timeout_ms = timeout_ms
-    context.fleet.write_manifest(_manifest(2, timeout_ms))
+    context.fleet.write_manifest(manifest_with_timeout(2, timeout_ms))
     for number in range(count):
         context.fleet.add(f'p{number + 1}', DOMAINS[number], SERVICE)
     for member in context.fleet.members.values():
@@ -94,11 +97,11 @@
 @when('the route timeout becomes {timeout_ms:d} ms, and {span_ms:d} ms pass')
 def change_timeout(context: Context, timeout_ms: int, span_ms: int) -> None:
     context.timeout_ms = timeout_ms
-    context.fleet.write_manifest(_manifest(3, timeout_ms))
+    context.fleet.write_manifest(manifest_with_timeout(3, timeout_ms))
     time.sleep(span_ms / MS_PER_SECOND)
 
 
-def _keys_of(context: Context, node: str) -> list[int]:
+def keys_of(context: Context, node: str) -> list[int]:
     """Return sample keys that the worker of a node serves."""
     door = context.fleet.members['p1']
     answers = {key: request_key(context, door, key) for key in SAMPLE_KEYS}
@@ -117,7 +120,13 @@
         time.sleep(form.body_ms / form.parts / MS_PER_SECOND)
 
 
-def _elapsed_ms(port: int, form: Form, key: int) -> int:
+def door_port(context: Context, node: str) -> int:
+    """Return the port for the callers of a node."""
+    address = context.fleet.members[node].settings['door_address']
+    return int(address.rpartition(':')[2])
+
+
+def request_elapsed_ms(port: int, form: Form, key: int) -> int:
     """Return the time from the first byte of a request to its answer's end."""
     with closing(socket.create_connection((HOST, port))) as sock:
         clock = Clock()
@@ -139,13 +148,12 @@
 def request_while_still(
     context: Context, what: str, node: str, count: int, requests: str, door: str
 ) -> None:
-    keys = _keys_of(context, node)
+    keys = keys_of(context, node)
     member = context.fleet.members[node]
-    address = context.fleet.members[door].settings['door_address']
-    port = int(address.rpartition(':')[2])
+    port = door_port(context, door)
     (member.node if what == 'node' else member.worker).pause()
     with ThreadPoolExecutor(count) as pool:
-        call = partial(_elapsed_ms, port, FORMS[requests])
+        call = partial(request_elapsed_ms, port, FORMS[requests])
         context.elapsed_ms = sorted(pool.map(call, islice(cycle(keys), count)))
 
 
