Don't act by a split whose listing the store has forgotten

Two nodes could own the same keys: a store came back from an older copy without a split, all who knew it had joined anew, and late news of it reached one node. That node claimed the split-off shard by its own memory of the listing record, while another claimed the parent as the store had it, without the split. Nobody wrote the listing back, since the node had confirmed the era when it joined.

A node no longer creates or begins to act for a shard whose listing record the store has forgotten, and it writes back records of shards that it hears of after it has confirmed the era (at most one list of the store in 2 s, none while there is nothing to write). No key waits for good: the record is then either written back, or replaced here by the one that was written before, and in both cases the listing is the store's.

The known script failed in a simulation whose service was not declared, in which lost splits are never looked for. With a declared service (lives of workers) it needs that neither node hears of the other's claim: new row "both safeguards against late news" in fences.feature; the code without both fails on it with TwoActingOwnersError. Either safeguard alone is enough on that script; no script that needs one of them alone was found with a declared service.

--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -1,6 +1,6 @@
 """A node's cached copy of the records in the store."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Set
 from dataclasses import dataclass, replace
 from typing import Any, Generic, TypeVar
 
@@ -150,7 +150,7 @@
         self._era = max(era, self._era)
 
     @property
-    def forgotten(self) -> frozenset[str]:
+    def forgotten(self) -> Set[str]:
         """Return the names of objects that the store has lost or has older."""
         return self._objects.forgotten
 
--- a/laburnumwood/membership/era_recovery.py
+++ b/laburnumwood/membership/era_recovery.py
@@ -25,12 +25,17 @@
 _REVIEW_MS = 200
 _SPREAD_MS = 300  # over which the nodes of a fleet spread their first calls
 _INTERVAL_MS = 400  # between two tries to confirm an era
+_LATE_INTERVAL_MS = 2_000  # between two tries to write back what came late
 # After which the chosen node, and then any that knows it, writes a record back
 # that its own node has not written back.
 _CHOSEN_DELAY_MS = 600
 _ANY_DELAY_MS = 1_200
 
 
+def _is_shard(stored: StoredObject) -> bool:
+    return stored.name.startswith(SHARD_PREFIX)
+
+
 class EraRecovery(EraWork):
     """Restores, in a new era, what the store has forgotten.
 
@@ -39,6 +44,9 @@
     a delay.  It confirms the era once the store has all that it remembers, and
     the records of all holders whose leases it renews as a witness: others wait
     for the nodes on record to do so.
+
+    Records of shards that it hears of later are written back too, so that all
+    nodes act on the same ones.
     """
 
     def __init__(
@@ -75,8 +83,11 @@
             if own_record is None:
                 return
             self._confirmed_era = own_record.confirmed_era
-        if directory.era != self._confirmed_era and self._is_due():
-            self._restore(directory.era)
+        if directory.era != self._confirmed_era:
+            if self._is_due():
+                self._restore(directory.era)
+        elif self._is_late_due():
+            self._records.write_back(directory.era, _is_shard)
 
     def _is_due(self) -> bool:
         """Return whether to make the calls of an era now."""
@@ -89,6 +100,16 @@
         self._due_ms = now_ms + _INTERVAL_MS
         return True
 
+    def _is_late_due(self) -> bool:
+        """Return whether to write back now what came late."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._due_ms or not any(
+            map(_is_shard, self._records.find())
+        ):
+            return False
+        self._due_ms = now_ms + _LATE_INTERVAL_MS
+        return True
+
     def _restore(self, era: int) -> None:
         is_whole = self._records.write_back(era, self._is_responsible)
         renewed = self._witness.renewed_holders()
@@ -106,7 +127,7 @@
         return self._elapsed_ms >= _ANY_DELAY_MS or self._is_chosen(forgotten)
 
     def _is_own(self, forgotten: StoredObject) -> bool:
-        if forgotten.name.startswith(SHARD_PREFIX):
+        if _is_shard(forgotten):
             return self._is_owner(to_record(ShardRecord, forgotten))
         return forgotten.name == node_object_name(self._own.node_id)
 
--- a/laburnumwood/membership/object_cache.py
+++ b/laburnumwood/membership/object_cache.py
@@ -4,7 +4,7 @@
 forgotten stays known here, with the condition to write it again.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 from dataclasses import replace
 from typing import Any
 
@@ -58,9 +58,9 @@
         self._forgotten: set[str] = set()
 
     @property
-    def forgotten(self) -> frozenset[str]:
+    def forgotten(self) -> Set[str]:
         """Return the names of objects that the store has lost or has older."""
-        return frozenset(self._forgotten)
+        return self._forgotten
 
     def find(self, name: str) -> StoredObject | None:
         """Return the newest known version of an object, also a deleted one."""
--- a/laburnumwood/placement/lost_splits.py
+++ b/laburnumwood/placement/lost_splits.py
@@ -5,9 +5,12 @@
 another node wrote back, or whose creation arrived late.  The record of the new
 shard counts: who holds it goes on serving the range.  Nobody else begins to,
 until the owner of the other shard has listed the split in its record.
+
+A record that lists a split and that the store has forgotten doesn't count for
+this: others may know, and act on, the older one that the store has.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from laburnumwood.config.declarations import Service
 from laburnumwood.membership.view import FleetView
@@ -18,6 +21,7 @@
 )
 from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.records import KeyRange, ShardName, ShardRecord
+from laburnumwood.store.objects import shard_object_name
 
 _Ranges = tuple[KeyRange, ...]
 _FIRST_ERA = 1
@@ -56,11 +60,15 @@
         self._seen_changes = -1
         self._lost: dict[int, _Ranges] = {}
         self._unlisted: frozenset[int] = frozenset()
+        self._parents: dict[int, ShardName] = {}
 
     def is_unlisted(self, shard: ShardName) -> bool:
-        """Return whether a shard was split off from one that doesn't say so."""
+        """Return whether a shard was split off from one that doesn't say so.
+
+        The store's record of that other shard counts.
+        """
         self._update()
-        return shard.number in self._unlisted
+        return shard.number in self._unlisted or self._is_listing_lost(shard)
 
     def least_epoch(self, shard: ShardName) -> int:
         """Return the least epoch in which a shard may be owned anew.
@@ -100,6 +108,12 @@
         )
         return next(parents, None)
 
+    def _is_listing_lost(self, shard: ShardName) -> bool:
+        parent = self._parents.get(shard.number)
+        if parent is None:
+            return False
+        return shard_object_name(parent) in self._view.directory.forgotten
+
     def _update(self) -> None:
         directory = self._view.directory
         if directory.era <= _FIRST_ERA:
@@ -112,6 +126,15 @@
                 for ranges in self._lost.values()
                 for keys in ranges
             )
+            self._parents = dict(self._find_parents())
+
+    def _find_parents(self) -> Iterator[tuple[int, ShardName]]:
+        """Yield the shards that were split off, and which lists each."""
+        records = self._view.directory.shard_records(self._service)
+        for number, record in records.items():
+            for keys in record.split_off:
+                parent = ShardName(self._service, number)
+                yield split_shard_number(keys), parent
 
     def _find(self) -> dict[int, _Ranges]:
         directory = self._view.directory
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -394,6 +394,8 @@
             if number in known:
                 continue
             shard = ShardName(self._service, number)
+            if self._lost_splits.is_unlisted(shard):
+                continue
             if self._may_claim(shard):
                 yield shard
 
--- a/tests/features/fences.feature
+++ b/tests/features/fences.feature
@@ -55,6 +55,7 @@
       | safeguard                         | script |
       | the listing of lost splits        | restart c; restart e; tick 8; stop-updates a; cut a all; tick 40; restart e; put-back 2; tick 7; restart b; restart c; heal e; await-holders 400; split 0; tick 20; crash e; put-back 10; tick 4; restart a; restart c; tick 16; put-back 11; heal a; await-owners 300; await-holders 400 |
       | the wait for a split to be listed | await-holders 100; split 0 e; tick 14; store late; tick 3; crash-vm all; store up; put-back 1; start-vm all; await-holders 400; tick 1; stop-updates a; apply-late; tick 60; resume-updates a; await-owners 300; await-holders 400 |
+      | both safeguards against late news | split 1; tick 18; put-back 2; restart b; restart d; restart e; replay-updates d; tick 42; stop-updates d; stop-updates b; tick 60; resume-updates d; resume-updates b; await-owners 300; await-holders 400 |
 
   # Guards against an old token for keys of a split-off shard: the store had
   # forgotten the split, and the shard that had the keys again got higher ones.
--- a/tests/ownership/fence_mutations.py
+++ b/tests/ownership/fence_mutations.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from laburnumwood.clock import Clock
+from laburnumwood.membership.era_recovery import EraRecovery
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.lost_splits import LostSplits
 from laburnumwood.placement.ownership import OwnershipState
@@ -119,6 +120,24 @@
     lost_splits_class = _UnlistedPartsTaken
 
 
+class _ForgottenListingsTrusted(LostSplits):
+    """Relies on records that list a split and that the store has forgotten."""
+
+    def _is_listing_lost(self, shard: ShardName) -> bool:
+        return False
+
+
+class _WithForgottenListings(OwnershipTracker):
+    lost_splits_class = _ForgottenListingsTrusted
+
+
+class _NothingWrittenBackLate(EraRecovery):
+    """Writes back nothing once it has confirmed an era."""
+
+    def _is_late_due(self) -> bool:
+        return False
+
+
 class _SecondSplitsIgnored(LostSplits):
     """Takes no split for a second one."""
 
@@ -156,6 +175,10 @@
     'the wait for a split to be listed': Components(
         ownership_tracker=_WithUnlistedParts
     ),
+    'both safeguards against late news': Components(
+        ownership_tracker=_WithForgottenListings,
+        era_recovery=_NothingWrittenBackLate,
+    ),
     'the memory of earlier instances': Components(
         reporting_worker=_WithoutMemory
     ),
