--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -190,7 +190,8 @@
     def _left_ms(self, until_ms: int) -> int:
         return until_ms - self._clock.now_ms()
 
-    def _time_limit(self, attempt: Attempt) -> Timeout:
+    def _until_deadline(self, attempt: Attempt) -> Timeout:
+        """Return a context in which waiting ends at the deadline."""
         return time_limit(self._left_ms(attempt.until_ms), _DEADLINE_PASSED)
 
     def _open(self, attempt: Attempt) -> OutgoingExchange:
@@ -200,13 +201,13 @@
         and `LinkTimeoutError` at the deadline.
         """
         if attempt.target != self._own:
-            with self._time_limit(attempt):
+            with self._until_deadline(attempt):
                 return self._open_remote(attempt)
         if attempt.caller.poll():
             raise CallerDisconnectedError(CALLER_GONE)
         local_end, remote_end = local_pair()
         attempt.may_run = attempt.work.is_whole
-        start(self._serve, remote_end, self._timed_work(attempt))
+        start(self._serve, remote_end, self._work_with_time_left(attempt))
         return local_end
 
     def _open_remote(self, attempt: Attempt) -> OutgoingExchange:
@@ -216,10 +217,10 @@
         if attempt.caller.poll():
             exchange.close()
             raise CallerDisconnectedError(CALLER_GONE)
-        attempt.send_work(exchange, self._timed_work(attempt))
+        attempt.send_work(exchange, self._work_with_time_left(attempt))
         return exchange
 
-    def _timed_work(self, attempt: Attempt) -> Work:
+    def _work_with_time_left(self, attempt: Attempt) -> Work:
         """Return the work of an attempt with the time that is left now."""
         left_ms = self._left_ms(attempt.until_ms)
         return replace(attempt.work, deadline_ms=left_ms)
@@ -230,7 +231,7 @@
         until_ms = attempt.until_ms
         try:
             if attempt.body:
-                with self._time_limit(attempt):
+                with self._until_deadline(attempt):
                     attempt.send_body(exchange)
             head = self._receive_head(exchange, until_ms + _DEADLINE_GRACE_MS)
             return self._handle_head(head, exchange, until_ms)
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -150,7 +150,7 @@
   Scenario: requests on a blocked link end within their time
     Given a peer whose first connection becomes silent
     When requests of 1000000 bytes are sent on it within 100 ms each until one was not sent
-    Then one before it may have been sent
+    Then it ended within 500 ms, and one before it may have been sent
 
   # Guards against a blocked link that the one check of all links waits for.
   Scenario: a link that is blocked by many requests is closed in time
--- a/tests/features/steps/time_limit_steps.py
+++ b/tests/features/steps/time_limit_steps.py
@@ -29,21 +29,25 @@
 def send_requests(context: Context, size: int, limit_ms: int) -> None:
     work = replace(PLAIN_WORK, body=bytes(size), body_length=size)
     context.failures = []
+    clock = Clock()
     for _ in range(MAX_REQUESTS):
+        started_ms = clock.now_ms()
         stream = context.peers.open_stream(PEER, survives_silence=True)
         try:
             with time_limit(limit_ms, 'the time was over'):
                 stream.send(work)
         except LinkTimeoutError as failure:
             context.failures.append(failure)
+            context.took_ms = clock.now_ms() - started_ms
             eventlet.sleep(0)  # what is left of it is sent by another task
             if isinstance(failure, MessageNotSentError):
                 return
     raise AssertionError('the link was not blocked')
 
 
-@then('one before it may have been sent')
-def check_failures(context: Context) -> None:
+@then('it ended within {limit_ms:d} ms, and one before it may have been sent')
+def check_failures(context: Context, limit_ms: int) -> None:
+    assert context.took_ms <= limit_ms, context.took_ms
     first = context.failures[0]
     assert not isinstance(first, MessageNotSentError), repr(first)
 
