--- a/laburnumwood/routing/pending_answer.py
+++ b/laburnumwood/routing/pending_answer.py
@@ -98,11 +98,7 @@
         return message.content
 
     def _receive(self) -> object:
-        """Return the next message; raises `LinkTimeoutError` in time.
-
-        Reading makes room for more at the sender, which is told on the link:
-        that may take time as well.
-        """
+        """Return the next message; raises `LinkTimeoutError` in time."""
         left_ms = max(0, self.left_ms)
         limit_ms = left_ms + _LATE_PARTS_MS
         if not left_ms:
