--- a/bench/reporting.py
+++ b/bench/reporting.py
@@ -3,6 +3,7 @@
 import json
 import tempfile
 from dataclasses import dataclass
+from functools import partial
 from itertools import count
 from pathlib import Path
 from typing import Any
@@ -194,6 +195,12 @@
         }
         return self.http.request('GET', f'{member.door}{path}', headers=sent)
 
+    def wait_ready(self, limit_s: float) -> None:
+        """Wait until each node says that it is ready; raises TimeoutError."""
+        for member in self.members.values():
+            ready = partial(self.is_ready, member)
+            wait_for(f'{member.name} to be ready', ready, limit_s)
+
     def is_ready(self, member: ReportingMember) -> bool:
         """Tell whether a node says that it is ready."""
         return bool(self.http.request('GET', member.ready).status == _OK)
--- a/tests/features/steps/held_steps.py
+++ b/tests/features/steps/held_steps.py
@@ -13,7 +13,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from bench.deployment import HOST, wait_for
+from bench.deployment import HOST
 from bench.reporting import HOST_NAME, ReportingDeployment, manifest
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from tests.features.steps.platform_steps import (
@@ -89,9 +89,7 @@
     context.fleet.write_manifest(manifest_with_timeout(2, timeout_ms))
     for number in range(count):
         context.fleet.add(f'p{number + 1}', DOMAINS[number], SERVICE)
-    for member in context.fleet.members.values():
-        ready = partial(context.fleet.is_ready, member)
-        wait_for(f'{member.name} to be ready', ready, TIMEOUT_S)
+    context.fleet.wait_ready(TIMEOUT_S)
     check_all_keys(context, TIMEOUT_S)
 
 
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -48,9 +48,7 @@
     context.fleet.declare()
     for row in context.table:
         context.fleet.add(*row.cells)
-    for member in context.fleet.members.values():
-        ready = partial(context.fleet.is_ready, member)
-        wait_for(f'{member.name} to be ready', ready, TIMEOUT_S)
+    context.fleet.wait_ready(TIMEOUT_S)
     wait_for(
         'all keys to be served',
         partial(_serves_all_keys, context, 'p1', SAMPLE_KEYS),
--- a/tests/features/steps/put_back_fence_steps.py
+++ b/tests/features/steps/put_back_fence_steps.py
@@ -39,9 +39,7 @@
     for number in range(count):
         domain = DOMAINS[number % len(DOMAINS)]
         context.fleet.add(f'p{number + 1}', domain, name)
-    for member in context.fleet.members.values():
-        ready = partial(context.fleet.is_ready, member)
-        wait_for(f'{member.name} to be ready', ready, TIMEOUT_S)
+    context.fleet.wait_ready(TIMEOUT_S)
     check_served(context, TIMEOUT_S)
 
 
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -15,7 +15,7 @@
 from standins.journal.entry import JournalEntry, Outcome
 from tests.soak.callers import Callers
 from tests.soak.faults import FAULTS, LOSS_FAULTS, SIGNAL_FAULTS
-from tests.soak.fleet import SHARDED_SERVICE, SoakFleet
+from tests.soak.fleet import SHARDED_SERVICE, START_TIMEOUT_S, SoakFleet
 from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
 from tests.soak.judge import Record, find_violations
 from tests.soak.plans import ResponsePlan
@@ -78,7 +78,7 @@
 def start_fleet(context: Context, nodes: int, seconds: int) -> None:
     fleet = SoakFleet(nodes)
     context.add_cleanup(fleet.close)
-    fleet.wait_ready()
+    fleet.wait_ready(START_TIMEOUT_S)
     fleet.replace_manifest(seconds * 1_000)
     context.fleet = fleet
     context.callers = Callers(fleet, CALLERS, seed=1)
--- a/tests/features/steps/standstill_steps.py
+++ b/tests/features/steps/standstill_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from bench.deployment import Process, wait_for
+from bench.deployment import Process
 from bench.reporting import ReportingDeployment, ReportingMember
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from tests.features.steps.held_steps import (
@@ -54,9 +54,7 @@
         context.fleet.add(f'p{number + 1}', domain, SERVICE)
     for number, domain in enumerate(DOMAINS[:2], 1):
         context.fleet.add(f'd{number}', domain, PLAIN)
-    for member in context.fleet.members.values():
-        ready = partial(context.fleet.is_ready, member)
-        wait_for(f'{member.name} to be ready', ready, TIMEOUT_S)
+    context.fleet.wait_ready(TIMEOUT_S)
     check_all_keys(context, TIMEOUT_S)
     context.unserved = []
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -260,12 +260,6 @@
         rows = self.http.request('GET', self.journal_url).json()
         return [JournalEntry(**each) for each in rows]
 
-    def wait_ready(self) -> None:
-        """Wait until all nodes report that they are ready."""
-        for member in self.members.values():
-            ready = partial(self.is_ready, member)
-            wait_for(f'{member.name} to be ready', ready, START_TIMEOUT_S)
-
     def copy_logs(self, folder: Path) -> None:
         """Copy logs, settings and what the store has into a folder."""
         copytree(self._root, folder, dirs_exist_ok=True)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,7 +16,12 @@
 from bench.deployment import wait_for
 from tests.soak.callers import Call, Callers
 from tests.soak.faults import FAULTS, Lane
-from tests.soak.fleet import SHARDED_SERVICE, UNSHARDED_SERVICE, SoakFleet
+from tests.soak.fleet import (
+    SHARDED_SERVICE,
+    START_TIMEOUT_S,
+    UNSHARDED_SERVICE,
+    SoakFleet,
+)
 from tests.soak.judge import Record, Violation, find_violations
 from tests.soak.overdue import OverdueCall
 
@@ -155,7 +160,7 @@
 def run(options: Options) -> Report:
     """Run a soak; if it finds violations, keep its logs under `build/`."""
     with closing(SoakFleet(options.nodes)) as fleet:
-        fleet.wait_ready()
+        fleet.wait_ready(START_TIMEOUT_S)
         callers = Callers(fleet, options.callers, options.seed, options.patient)
         callers.start()
         lanes = _inject_faults(fleet, options)
