--- a/laburnumwood/placement/shard_closing.py
+++ b/laburnumwood/placement/shard_closing.py
@@ -23,9 +23,9 @@
     It notes what each write waits for.  Each wait has a bound: the worker's
     grant of a withdrawn shard expires with the lease at the latest, and a shard
     in which requests still run after `_USES_LIMIT_MS` is not written and should
-    be opened again.  That is in vain while `is_serving` returns False, because
-    the worker is lost or leaves, and once `stop` was called: what runs then is
-    waited for until it ends, by its deadline or the limit of a planned stop.
+    be opened again.  That is in vain while `may_open` returns False, because
+    the worker is lost or leaves or the node stops: what runs then is waited for
+    until it ends, by its deadline or the limit of a planned stop.
     """
 
     def __init__(
@@ -33,21 +33,16 @@
         held_shards: HeldShards,
         grants: Grants,
         writer: ShardWriter,
-        is_serving: Callable[[], bool],
+        may_open: Callable[[], bool],
         clock: Clock,
     ) -> None:
-        self._is_serving = is_serving
-        self._is_stopping = False
+        self._may_open = may_open
         self._held_shards = held_shards
         self._grants = grants
         self._writer = writer
         self._clock = clock
         self._busy_until_ms: dict[ShardName, int] = {}
 
-    def stop(self) -> None:
-        """Wait without a limit for running requests from now on."""
-        self._is_stopping = True
-
     def is_busy(self, shard: ShardName) -> bool:
         """Return whether a shard was opened again a short time ago.
 
@@ -79,16 +74,12 @@
         self.note_wait(write, WriteWait.USES)
         return self._is_drained(write)
 
-    @property
-    def _may_open(self) -> bool:
-        return self._is_serving() and not self._is_stopping
-
     def _is_drained(self, write: ShardWrite) -> bool:
         """Wait for the requests that run in a shard; return if all ended."""
         until_ms = self._clock.now_ms() + _USES_LIMIT_MS
         while not self._held_shards.is_idle(write.shard):
             now_ms = self._clock.now_ms()
-            if now_ms >= until_ms and self._may_open:
+            if now_ms >= until_ms and self._may_open():
                 self._busy_until_ms[write.shard] = now_ms + _BUSY_MS
                 target = write.record.succession[0]
                 WRITE_GIVEN_UP.report(shard=write.shard, target=target)
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -89,7 +89,7 @@
             held_shards,
             grants,
             writer,
-            lambda: ownership.own in ownership.live(),
+            lambda: not self._stopping and ownership.own in ownership.live(),
             clock,
         )
         self._stopping = False
@@ -136,7 +136,6 @@
     def withdraw_all(self) -> None:
         """Withdraw all shards from the worker; running requests continue."""
         self._stopping = True
-        self._closer.stop()
         for shard in self._held_shards.tokens():
             self._grants.withdraw(shard)
 
