Take the time of a request in one place each

A part of an answer was awaited under two limits of the same length, the outer of which was for a credit that has a task of its own since; the arrival was taken on two branches; the time that has passed was subtracted in both caller interfaces, and a call between nodes computed its deadline twice. Behaviour stays.

--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -83,7 +83,7 @@
 
     def time_left_ms(self, environ: Environ) -> int:
         """Return for how long a caller waits; raises `RequestRefusedError`."""
-        return _time_left_ms(environ) - environ[TIME_KEY].elapsed_ms
+        return _time_left_ms(environ)
 
     def read_request(
         self, environ: Environ, declarations: Declarations, request_id: str
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -130,10 +130,9 @@
         """
         until_ms = self._clock.now_ms() + timeout_ms
         try:
-            return self._call_once(peer, message, timeout_ms)
+            return self._call_once(peer, message, until_ms)
         except StreamNotReceivedError:
-            left_ms = until_ms - self._clock.now_ms()
-            return self._call_once(peer, message, max(0, left_ms))
+            return self._call_once(peer, message, until_ms)
 
     def close(self) -> None:
         """Close all links that this node opened."""
@@ -146,9 +145,8 @@
         for link in self._links.values():
             link.release()
 
-    def _call_once(self, peer: NodeName, message: Any, timeout_ms: int) -> Any:
-        until_ms = self._clock.now_ms() + timeout_ms
-        with time_limit(timeout_ms, 'no link'):
+    def _call_once(self, peer: NodeName, message: Any, until_ms: int) -> Any:
+        with time_limit(until_ms - self._clock.now_ms(), 'no link'):
             stream = self.open_stream(peer)
         try:
             with time_limit(until_ms - self._clock.now_ms(), 'not sent'):
--- a/laburnumwood/routing/caller_interface.py
+++ b/laburnumwood/routing/caller_interface.py
@@ -5,7 +5,6 @@
 
 from laburnumwood.config.declarations import Declarations
 from laburnumwood.protocol.messages import Answer, Failure
-from laburnumwood.routing.caller_protocol import TIME_KEY
 from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.headers import end_to_end_headers
 from laburnumwood.routing.problems import (
@@ -66,7 +65,7 @@
 
     def time_left_ms(self, environ: Environ) -> int:
         """Return for how long a caller waits; raises `RequestRefusedError`."""
-        return read_time_left_ms(environ) - environ[TIME_KEY].elapsed_ms
+        return read_time_left_ms(environ)
 
     def read_request(
         self, environ: Environ, declarations: Declarations, request_id: str
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -331,6 +331,7 @@
         for _ in range(_MAX_EMPTY_LINES + 1):
             if not self._await_bytes():
                 return None
+            self._record_arrival()
             head = self._receive_head()
             if head is not None:
                 return head
@@ -340,10 +341,7 @@
         """Wait for bytes; return whether any came before limit and end."""
         idle_s = self._get_limits().idle_timeout_ms / MS_PER_SECOND
         with Timeout(idle_s, exception=False):
-            has_bytes = bool(self.rfile.peek(1))
-            self._record_arrival()
-            return has_bytes
-        self._record_arrival()
+            return bool(self.rfile.peek(1))
         return self._has_unread_bytes()
 
     def _record_arrival(self) -> None:
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -14,7 +14,7 @@
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.routing.caller import Caller, CallerMonitor
 from laburnumwood.routing.caller_interface import CallerInterface, send_problem
-from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY
+from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY, TIME_KEY
 from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.pending_answer import PendingAnswer
 from laburnumwood.routing.problems import StartResponse, status_line
@@ -88,8 +88,9 @@
             if error.failure.kind != _UNKNOWN:
                 raise
             detail = error.failure.detail
-        patience_ms = max(0, self._caller_interface.time_left_ms(environ) // 2)
-        if not self._confirm_config(patience_ms):
+        left_ms = self._caller_interface.time_left_ms(environ)
+        left_ms -= environ[TIME_KEY].elapsed_ms
+        if not self._confirm_config(max(0, left_ms // 2)):
             raise RequestRefusedError('config-unconfirmed', detail)
         return read(self._get_declarations(), request_id)
 
--- a/laburnumwood/routing/pending_answer.py
+++ b/laburnumwood/routing/pending_answer.py
@@ -15,7 +15,6 @@
     End,
     WholeAnswer,
 )
-from laburnumwood.protocol.time_limit import time_limit
 from laburnumwood.routing.exchange import OutgoingExchange
 from laburnumwood.routing.headers import header_values
 from laburnumwood.tasks import start
@@ -100,20 +99,17 @@
     def _receive(self) -> object:
         """Return the next message; raises `LinkTimeoutError` in time."""
         left_ms = max(0, self.left_ms)
-        limit_ms = left_ms + _LATE_PARTS_MS
         if not left_ms:
-            limit_ms = self._late_parts_left_ms()
-        with time_limit(limit_ms, _TIME_OVER):
-            return self._exchange.receive(left_ms)
+            self._check_late_part()
+        return self._exchange.receive(left_ms)
 
-    def _late_parts_left_ms(self) -> int:
-        """Return for how long parts are still read after the deadline."""
+    def _check_late_part(self) -> None:
+        """Raise `LinkTimeoutError` once late parts are read no more."""
         now_ms = self._clock.now_ms()
         if self._ends_ms is None:
             self._ends_ms = now_ms + _LATE_PARTS_MS
         if now_ms >= self._ends_ms:
             raise LinkTimeoutError(_TIME_OVER)
-        return self._ends_ms - now_ms
 
     def _truncation_error(self) -> LinkError:
         # The gate also aborts at the deadline; its message may arrive first.
