Review case 2: hold a second report up, so that the case is steady

Cause: beside other load the first report with keys reached the new process while it still started, together with the late one, and the node then waited for the release.

Change: that report is a second late too. The stand-in worker can answer with a body of a chosen length and notes when an answer was given to the connection.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,6 +14,7 @@
 _KILLS_BEFORE = 4
 _BETWEEN_KILLS_S = 2.0
 _RESTART_DELAY_S = 0.1
+_LATE_S = 1.0
 _WORK_MS = 3_000
 _BUDGET_MS = 4_000
 _LONGEST_OVERLAP_S = 0.5
@@ -107,6 +108,25 @@
     world.wait('a report', lambda: worker.answered > answered, 3)
 
 
+def _delay_next_report(world: World) -> None:
+    """Let the worker's next report, with its keys, be a second late too."""
+    worker = world.members['p1'].worker
+
+    def intercept(_body: bytes, content: Report) -> bool:
+        worker.intercept = None
+        world.record.note('report-delayed', seq=content['seq'])
+        world.in_background(lambda: _deliver_after(world, content, _LATE_S))
+        return False
+
+    worker.intercept = intercept
+
+
+def _deliver_after(world: World, report: Report, delay_s: float) -> None:
+    time.sleep(delay_s)
+    world.members['p1'].worker.post('Heartbeat', report)
+    world.record.note('report-arrives-late', seq=report['seq'])
+
+
 def _run_and_kill(world: World, delayed: list[Report], trouble: bool) -> bool:
     key = _await_keys(world)
     _await_report(world)
@@ -120,6 +140,7 @@
         'the request to run', lambda: len(world.ledger.runs) > runs_before, 2
     )
     if trouble:
+        _delay_next_report(world)
         world.kill('p1')
         if os.environ.get('LATE', '1') != '0':
             until_s = now_s() + _WATCH_S
--- a/review/lib/worker.py
+++ b/review/lib/worker.py
@@ -421,7 +421,10 @@
         if status == 0:
             return False
         stamped = {**echoed, 'Response-Stamp': f'{attempt}.{self.name}'}
-        return self._reply(connection, status, stamped, f'{attempt} {target}\n')
+        body = _body(attempt, target)
+        is_sent = self._reply(connection, status, stamped, body)
+        self.record.note('sent', worker=self.name, attempt=attempt)
+        return is_sent
 
     def _reply(
         self,
@@ -472,6 +475,12 @@
         return 200
 
 
+def _body(attempt: str, target: str) -> str:
+    """Return the body of an answer, of as many bytes as the query asks."""
+    query = parse_qs(urlsplit(target).query)
+    return f'{attempt} {target}\n'.ljust(int(query.get('bytes', ['0'])[0]))
+
+
 def _is_closed(connection: socket.socket) -> bool:
     readable, _, _ = select.select((connection,), (), (), 0)
     if not readable:
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -105,7 +105,13 @@
 class World:
     """Store, nodes and workers of a case; `close` ends all processes."""
 
-    def __init__(self, folder: Path, services: dict[str, bool]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        services: dict[str, bool],
+        timeout_ms: int = 4_000,
+    ) -> None:
+        self.timeout_ms = timeout_ms
         self.record = Record(folder / 'record.txt')
         self.ledger = Ledger()
         self.services = services
@@ -312,7 +318,7 @@
                 'host': HOST_NAME,
                 'path_prefix': f'/{service}/{kind}/',
                 'type': kind,
-                'timeout_ms': 4_000,
+                'timeout_ms': self.timeout_ms,
                 'objective_ms': 1_000,
                 'priority': 1,
                 'service': service,
