A late report proves nothing to a process that has just started

Cause: a node that had been killed and started again heard a report first that its worker had sent before its last grants and that was held up.

A report shows now that a worker holds nothing only if the worker sent it after an answer of this process, as the connection of both tells. Without that proof the longest grant is waited for as before, counted from when the process began to listen instead of from its join. earlier-ended says when and why. Workers on the users' platform keep these connections, so a killed node gets its keys back as soon as before there.

--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -15,6 +15,7 @@
     SettingsError,
 )
 from laburnumwood.events import (
+    EARLIER_ENDED,
     NODE_ID_TAKEN,
     NODE_JOINED,
     NODE_LEFT,
@@ -84,6 +85,7 @@
         self._rejoin_backoff = RejoinBackoff(self._clock)
         self._avoided: frozenset[str] = frozenset()
         self._unfinished: list[Incarnation] = []
+        self._listening_since_ms = 0
         self._stopping_since_ms: int | None = None
         self._security = LinkSecurity(settings.shared_key, settings.tls)
         self._operators = OperatorEndpoint(settings, self.stop)
@@ -146,6 +148,7 @@
 
     def _listen(self) -> None:
         settings = self._settings
+        self._listening_since_ms = self._clock.now_ms()
         start(
             listen,
             (settings.host, settings.peer_port),
@@ -294,18 +297,23 @@
         forgotten it.
 
         Their process has ended, since this one listens on its ports.  The
-        worker may still hold grants of it until the worker reports that it
-        does not, or until the longest grant has expired.  The node's record
-        should say by then that the worker serves, so that its shards return
-        to this node.
+        worker may still hold grants of it until the worker shows that it does
+        not, or until the longest grant has expired.  The node's record should
+        say by then that the worker serves, so that its shards return to this
+        node.
         """
-        until_ms = self._clock.now_ms() + self._settings.lease.grant_ms
+        until_ms = self._listening_since_ms + self._settings.lease.grant_ms
         while self._clock.now_ms() < until_ms and not self._is_worker_ready():
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         if self._incarnation is not None:
             self._incarnation.announce_handovers()
         with suppress(_StoppingError):
             self._retry_until_answered(incarnation.record_earlier_ends)
+            EARLIER_ENDED.report(
+                node=incarnation.name,
+                worker_released_all=self.worker.has_released_all,
+                after_ms=self._clock.now_ms() - self._listening_since_ms,
+            )
 
     def _is_worker_ready(self) -> bool:
         incarnation = self._incarnation
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -130,6 +130,12 @@
     'a node can no longer hold its lease; its end is recorded',
     'find out why it did not come back',
 )
+EARLIER_ENDED = _event(
+    206,
+    logbook.INFO,
+    'earlier-ended',
+    'the incarnations of earlier processes of this node are recorded as ended',
+)
 SHARD_CLAIMED = _event(
     301, logbook.INFO, 'shard-claimed', 'this node became owner of a shard'
 )
--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -16,6 +16,7 @@
     encode,
 )
 from laburnumwood.records import KeyRange, ReleasedRange
+from laburnumwood.routing.caller_protocol import ANSWERED_KEY
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.report_answers import ReportAnswers
@@ -55,7 +56,9 @@
     )
 
 
-def decode_report(worker_id: str, body: bytes) -> WorkerReport:
+def decode_report(
+    worker_id: str, body: bytes, *, follows_answer: bool = False
+) -> WorkerReport:
     """Return the report in a request body; raises `BodyError`."""
     wire_report = decode_as(_Report, decode(body))
     return WorkerReport(
@@ -73,6 +76,7 @@
             ReleasedRange(KeyRange(first, last), handover)
             for first, last, handover in wire_report.released
         ),
+        follows_answer=follows_answer,
     )
 
 
@@ -111,15 +115,18 @@
         if not path.startswith(_REPORT_PATH):
             return _reply(start_response, HTTPStatus.NOT_FOUND, b'')
         try:
-            report = self._read(path.removeprefix(_REPORT_PATH), body)
+            report = self._read(
+                path.removeprefix(_REPORT_PATH), body, environ[ANSWERED_KEY]
+            )
         except BodyError as invalid:
             REPORT_REFUSED.report(path=path, reason=invalid)
             return _reply(start_response, HTTPStatus.BAD_REQUEST, b'')
         reply = self._answers.answer(report)
         return _reply(start_response, HTTPStatus.OK, encode_reply(reply))
 
-    def _read(self, worker_id: str, body: bytes) -> WorkerReport:
-        report = decode_report(worker_id, body)
+    def _read(self, worker_id: str, body: bytes, answered: int) -> WorkerReport:
+        # A worker sends one request at a time on a connection.
+        report = decode_report(worker_id, body, follows_answer=answered > 0)
         if report.service != self._service:
             raise BodyError(
                 f'service: found {report.service!r}; expected {self._service!r}'
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -50,6 +50,7 @@
 LimitsProvider = Callable[[], CallerLimits]
 
 # Keys of the WSGI environment.
+ANSWERED_KEY = 'laburnumwood.answered'  # requests answered before it here
 CLOSE_KEY = 'laburnumwood.close'  # function: close after this answer
 HEADERS_KEY = 'laburnumwood.headers'  # the `HeaderIndex` of the request
 REQUEST_ID_KEY = 'laburnumwood.request'  # request id, once it is known
@@ -170,6 +171,7 @@
     ) -> None:
         self._get_limits = get_limits
         self._clock = clock
+        self._answered = 0  # requests on this connection
         super().__init__(conn_state, server)
 
     def parse_request(self) -> bool:
@@ -222,6 +224,7 @@
             HEADERS_KEY: headers,
             TARGET_KEY: self.path,
             TIME_KEY: RequestTime(self._clock, self._arrived_ms),
+            ANSWERED_KEY: self._answered,
             CLOSE_KEY: self._close_after_answer,
         }
 
@@ -249,6 +252,7 @@
             self._end_response(answer, body)
 
     def _end_response(self, answer: _AnswerWriter, body: wsgi.Input) -> None:
+        self._answered += 1
         self._record_overrun(answer)
         self._discard_unread_body(body)
 
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -49,7 +49,7 @@
         self._intervals_ms = DecayingMean(_INTERVAL_HALF_LIFE_MS, clock)
         self._leaving_since_ms: int | None = None
         self._is_silence_reported = False
-        self._reports_no_keys = False
+        self._has_shown_no_keys = False
         self.slots = 0
 
     @property
@@ -89,9 +89,13 @@
         return self._leaving_since_ms is not None
 
     @property
-    def reports_no_keys(self) -> bool:
-        """Return whether the last report lists no keys as held."""
-        return self._reports_no_keys
+    def has_shown_no_keys(self) -> bool:
+        """Return whether the last report proves that the worker holds no keys.
+
+        It lists none, and is no older than this process: an earlier one may
+        have granted keys after a report that was held up.
+        """
+        return self._has_shown_no_keys
 
     def accepts_requests(self) -> bool:
         """Return whether new requests may be sent to the worker.
@@ -115,7 +119,7 @@
             self._leaving_since_ms = None
         self._record_interval(status)
         self._is_silence_reported = False
-        self._reports_no_keys = not report.held
+        self._has_shown_no_keys = report.follows_answer and not report.held
         self.slots = report.slots
         if report.is_leaving:
             # The worker may have said so long ago, to an earlier process.
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -140,9 +140,10 @@
     def has_released_all(self) -> bool:
         """Return whether the worker holds no keys and has no grants.
 
-        It holds no keys if its last report lists none.
+        Before its first report that proves so, it may have grants of an earlier
+        process of the node.
         """
-        return self.presence.reports_no_keys and not self._grants
+        return self.presence.has_shown_no_keys and not self._grants
 
     def attach(self, source: GrantSource | None) -> None:
         """Replace the source of grants; None if there is no incarnation."""
--- a/laburnumwood/upstream/reports.py
+++ b/laburnumwood/upstream/reports.py
@@ -19,7 +19,10 @@
 
     `started_ms` is the start time of its process in milliseconds since the
     Unix epoch and distinguishes instances of the worker.  `sequence_number`
-    increases with each report of an instance.
+    increases with each report of an instance.  `follows_answer` is whether the
+    worker sent it after an answer of this process, as shown by the connection
+    that both came on.  Any other report may have been held up since a time
+    before this process started.
     """
 
     worker_id: str
@@ -30,6 +33,7 @@
     is_leaving: bool
     held: tuple[HeldRange, ...] = ()
     released: tuple[ReleasedRange, ...] = ()
+    follows_answer: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/features/fences.feature
+++ b/tests/features/fences.feature
@@ -88,6 +88,22 @@
       | 305   |
       | 320   |
 
+  # Guards against two workers that hold a key: the process of a node that had
+  # just started heard a late report without keys, and recorded its earlier
+  # incarnations as ended while the worker had their grants.
+  Scenario Outline: late reports prove nothing to a process that has just started, <which>
+    Given the script
+      """
+      await-holders 100; reports a late; restart-worker a; tick <ticks>; reports a up; await-holders 200; tick 4; reports a lost; restart a; deliver-reports a in-order; tick 60; reports a up; await-holders 400
+      """
+    Then the code without "the proof that a report is new" fails with "TwoHoldersError" on lives of workers
+    And the whole code passes on it with lives of workers
+
+    Examples:
+      | which           | ticks |
+      | a single report | 8     |
+      | two of them     | 28    |
+
   # Guards against a key that two lives of workers, or two workers, have under one
   # fencing token, in any order of failures.
   Scenario: random simulations with workers that die and start again
--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -32,6 +32,18 @@
     When the worker reports
     Then it has released all keys
 
+  # Guards against two workers that hold the same keys: a report that was held up
+  # until the node had started again says nothing about later grants.
+  Scenario Outline: reports without keys, <connections>, show <what>
+    Given the node's endpoint for reports
+    When two reports without keys arrive there <connections>
+    Then it <what>
+
+    Examples:
+      | connections             | what                  |
+      | on one connection       | has released all keys |
+      | on a connection each    | may still hold keys   |
+
   Scenario: a stale report changes nothing
     When the worker reports
     And a report of an earlier instance arrives
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -1,12 +1,20 @@
 """Steps about the grants of a reporting worker."""
 
+from http import HTTPStatus
+
 from behave import given, then, when
 from behave.runner import Context
+from cbor2 import dumps
+from eventlet.green.http.client import HTTPConnection
 
+from bench.deployment import HOST, free_port
+from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import KeySource, Service
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import key_ranges
+from laburnumwood.platform.reports import ReportEndpoint
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
+from laburnumwood.routing.server import HttpListener
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.reports import (
@@ -15,6 +23,7 @@
 )
 from laburnumwood.upstream.running_time import CHECK_INTERVAL_MS
 from tests.features.steps.fake_clock import FakeClock
+from tests.ownership.world import node_settings
 
 SERVICE = Service(
     key=KeySource(source='header', name='Key'), shards=64, stripe_width=64
@@ -126,6 +135,7 @@
         is_leaving=is_leaving,
         held=held,
         released=released,
+        follows_answer=context.number > 1,
     )
     context.reply = context.worker.handle_report(context.last)
 
@@ -204,6 +214,42 @@
     _report(context, is_leaving=True)
 
 
+@given("the node's endpoint for reports")
+def open_endpoint(context: Context) -> None:
+    _make(context, ReportSettings(), 0)
+    context.port = free_port()
+    settings = node_settings('a').model_copy(update={'service': 'keyed'})
+    HttpListener(
+        (HOST, context.port),
+        ReportEndpoint(settings, context.worker, context.clock),
+        Clock(),
+    )
+
+
+def _post_report(link: HTTPConnection, number: int) -> None:
+    content = {
+        'service': 'keyed',
+        'slots': 18,
+        'state': 'ready',
+        'seq': number,
+        'born': STARTED_MS,
+        'holds': [],
+    }
+    link.request('POST', '/Instances.Heartbeat/w', dumps(content))
+    answer = link.getresponse()
+    answer.read()
+    assert answer.status == HTTPStatus.OK, answer.status
+
+
+@when('two reports without keys arrive there {how}')
+def post_reports(context: Context, how: str) -> None:
+    links = [HTTPConnection(HOST, context.port) for _ in range(2)]
+    if how == 'on one connection':
+        links[1] = links[0]
+    for number, link in enumerate(links):
+        _post_report(link, number)
+
+
 @when('the worker deregisters')
 def deregister(context: Context) -> None:
     context.worker.presence.deregister(f'worker-{context.instance}')
--- a/tests/ownership/fence_mutations.py
+++ b/tests/ownership/fence_mutations.py
@@ -13,6 +13,7 @@
 from laburnumwood.settings import ReportSettings
 from laburnumwood.store.versions import first_number
 from laburnumwood.upstream.reporting_worker import ReportingWorker
+from laburnumwood.upstream.reports import GrantReply, WorkerReport
 from laburnumwood.upstream.token_history import TokenHistory
 from tests.ownership.node import Components
 
@@ -45,6 +46,14 @@
         self._tokens = _LenientHistory()
 
 
+class _AnyReportBelieved(ReportingWorker):
+    """Takes each report for one that is no older than its process."""
+
+    def handle_report(self, report: WorkerReport) -> GrantReply:
+        """Process a report and return the grants to reply with."""
+        return super().handle_report(replace(report, follows_answer=True))
+
+
 class _TokensNotRequired(HeldShards):
     """Writes no record when the worker needs a higher token."""
 
@@ -185,6 +194,9 @@
     'the higher token of a new instance': Components(
         reporting_worker=_WithEqualTokens
     ),
+    'the proof that a report is new': Components(
+        reporting_worker=_AnyReportBelieved
+    ),
     'the write for a required token': Components(
         held_shards=_TokensNotRequired
     ),
--- a/tests/ownership/lives_machine.py
+++ b/tests/ownership/lives_machine.py
@@ -59,6 +59,24 @@
         ):
             self._run(line)
 
+    @rule(
+        vm=_VMS, command=_WORKER_COMMANDS, late=_STEP_COUNTS, count=_STEP_COUNTS
+    )
+    def restart_beside_late_reports(
+        self, vm: str, command: str, late: int, count: int
+    ) -> None:
+        """Let a process that has just started hear late reports first."""
+        for line in (
+            f'reports {vm} late',
+            f'{command} {vm}',
+            f'tick {late}',
+            f'reports {vm} up',
+            f'tick {count}',
+            f'restart {vm}',
+            f'deliver-reports {vm} in-order',
+        ):
+            self._run(line)
+
     @rule(vm=_VM_OR_ALL, count=_STEP_COUNTS, forgotten=_WRITE_COUNTS)
     def lose_vm(self, vm: str, count: int, forgotten: int) -> None:
         """Let VMs lose power, and perhaps the store its last writes."""
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -159,6 +159,7 @@
         self._record_updated_ms = _NEVER_MS
         self._started_ms = clock.now_ms()
         self._has_recorded_earlier_ends = False
+        self._reporting = worker
         self._rejoin_backoff = RejoinBackoff(clock)
         self.worker: AttachedGrants | None = None
         if worker is not None:
@@ -387,10 +388,10 @@
         with suppress(PlatformError):
             self._record_updater.write_changes()
         elapsed_ms = self._clock.now_ms() - self._started_ms
-        if (
-            self._has_recorded_earlier_ends
-            or elapsed_ms < self._settings.grant_ms
-        ):
+        may_hold_keys = elapsed_ms < self._settings.grant_ms and not (
+            self._reporting and self._reporting.has_released_all
+        )
+        if self._has_recorded_earlier_ends or may_hold_keys:
             return
         with suppress(PlatformError):
             record_earlier_ends(self._cached_store, self.witness.name)
--- a/tests/ownership/worker.py
+++ b/tests/ownership/worker.py
@@ -1,6 +1,7 @@
 """Simulated workers that report to the nodes on their VMs."""
 
 from collections.abc import Iterator, Mapping
+from dataclasses import replace
 
 from laburnumwood.placement.sharding import KEY_SPACE
 from laburnumwood.records import KeyRange
@@ -122,6 +123,8 @@
         self._clock_steps_ms = dict.fromkeys(clocks, 0)
         self._delivery = dict.fromkeys(clocks, 'up')
         self._late_reports: dict[str, list[WorkerReport]] = {}
+        # Those whose worker has got an answer of the process that runs.
+        self._answered: set[str] = set()
         self.reporting_workers: dict[str, ReportingWorker] = {}
         self._workers: dict[str, FakeWorker] = {}
         for number, vm in enumerate(clocks):
@@ -129,6 +132,7 @@
 
     def start_process(self, vm: str) -> None:
         """Replace a VM's process by one without any state of the worker."""
+        self._answered.discard(vm)
         self.reporting_workers[vm] = self._reporting_class(
             _SETTINGS, self._clocks[vm]
         )
@@ -136,6 +140,7 @@
     def start(self, vm: str, phase_ms: int = 0) -> None:
         """Begin another life of the worker, which reports after `phase_ms`."""
         self._lives[vm] += 1
+        self._answered.discard(vm)
         # Lives begin at any millisecond, not only where a step ends.
         passed_ms = self._lives[vm] % STEP_MS
         started_ms = self._time.now_ms + self._clock_steps_ms[vm] + passed_ms
@@ -180,12 +185,8 @@
         """Send the reports that are due; only running nodes answer."""
         for vm, worker in self._workers.items():
             report = worker.due_report()
-            if report is None:
-                continue
-            if self._delivery[vm] == 'late':
-                self._late_reports.setdefault(vm, []).append(report)
-            elif vm in running and self._delivery[vm] != 'lost':
-                self._exchange(vm, worker, report)
+            if report is not None:
+                self._deliver(vm, worker, report, is_running=vm in running)
 
     def check_holders(self) -> None:
         """Raise `TwoHoldersError` if several workers hold a key now."""
@@ -204,12 +205,31 @@
             for held in worker.held_now():
                 yield held.keys, vm
 
+    def _deliver(
+        self,
+        vm: str,
+        worker: FakeWorker,
+        report: WorkerReport,
+        *,
+        is_running: bool,
+    ) -> None:
+        if self._delivery[vm] == 'late':
+            self._late_reports.setdefault(vm, []).append(report)
+        elif is_running and self._delivery[vm] != 'lost':
+            self._exchange(vm, worker, report)
+            return
+        self._answered.discard(vm)  # the worker gives the connection up
+
     def _exchange(
         self, vm: str, worker: FakeWorker, report: WorkerReport
     ) -> None:
-        reply = self.reporting_workers[vm].handle_report(report)
+        reply = self.reporting_workers[vm].handle_report(
+            replace(report, follows_answer=vm in self._answered)
+        )
         if self._delivery[vm] == 'unanswered':
+            self._answered.discard(vm)
             return
+        self._answered.add(vm)
         life = f'{vm}#{self._lives[vm]}'
         for held in worker.apply_reply(reply):
             taking = Taking(life, held.keys.first, held.keys.last, held.token)
