No request goes on a connection that has carried its id

Cause: a request that its worker refused is sent again at once on the connection used last, which is the one of the refusal.

A connection remembers the ids it has carried until 5 s after their deadline, and the pool passes it over for these. That covers a 421, and an idempotent request that comes again after a peer's link was lost, too.

--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -180,7 +180,12 @@
             raise WorkerDeadlineError('no time is left to run')
         headers = self._worker_interface.headers(run, left_ms)
         return WorkerRequest(
-            work.method, work.target, headers, run.body, left_ms
+            work.method,
+            work.target,
+            headers,
+            run.body,
+            left_ms,
+            work.request_id,
         )
 
     def _forward_answer(
--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -27,6 +27,7 @@
     HeadError,
     read_headers,
 )
+from laburnumwood.upstream.sent_requests import SentRequests
 
 _MAX_LINE_BYTES = 65_536
 # Interim answers, head and trailers of one answer together.
@@ -204,6 +205,7 @@
         self._idle_deadline_ms: int | None = None
         self._requests_sent = 0
         self.last_used_ms = 0  # when a request was sent, or the answer read
+        self.sent_requests = SentRequests(clock)
 
     def send_request(
         self, head: bytes, body: bytes, method: str, timeout_ms: int
--- a/laburnumwood/upstream/pool.py
+++ b/laburnumwood/upstream/pool.py
@@ -139,17 +139,34 @@
         self._clock = clock
         self._idle: deque[WorkerConnection] = deque(maxlen=max_idle)
 
-    def acquire(self, limit_ms: int) -> WorkerConnection:
-        """Return an open connection, reusing an idle one if possible.
+    def acquire(self, limit_ms: int, request_id: str = '') -> WorkerConnection:
+        """Return an open connection for a request with a given id, if any.
 
-        A new one is waited for no longer than `limit_ms`.  Raises the errors of
-        urllib3 if no connection can be made.
+        An idle one is reused if possible.  A new one is waited for no longer
+        than `limit_ms`.  Raises the errors of urllib3 if no connection can be
+        made.
         """
-        while self._idle:
-            idle = self._idle.pop()
-            if idle.is_connected:
-                return idle
-            idle.close()
+        connection = self._take_idle(request_id) or self._open(limit_ms)
+        connection.sent_requests.add(request_id, limit_ms)
+        return connection
+
+    def _take_idle(self, request_id: str) -> WorkerConnection | None:
+        """Take the last idle connection on which a request was not sent."""
+        passed_over = []
+        try:
+            while self._idle:
+                idle = self._idle.pop()
+                if request_id in idle.sent_requests:
+                    passed_over.append(idle)
+                elif idle.is_connected:
+                    return idle
+                else:
+                    idle.close()
+        finally:
+            self._idle.extend(reversed(passed_over))
+        return None
+
+    def _open(self, limit_ms: int) -> WorkerConnection:
         opened = WorkerConnection(
             self._host,
             self._port,
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -38,7 +38,9 @@
 class WorkerRequest:
     """A request to the worker.
 
-    `timeout_ms` is the time left until the deadline of the request.
+    `timeout_ms` is the time left until the deadline of the request.  A request
+    with a `request_id` goes on no connection on which one with the same id was
+    sent: a late second answer to that one would be taken for its own.
     """
 
     method: str
@@ -46,6 +48,7 @@
     headers: tuple[Header, ...]
     body: bytes
     timeout_ms: int
+    request_id: str = ''
 
     @property
     def all_headers(self) -> tuple[Header, ...]:
@@ -98,7 +101,9 @@
             head = request_head(
                 request.method, request.target, request.all_headers
             )
-            connection = self._request_pool.acquire(request.timeout_ms)
+            connection = self._request_pool.acquire(
+                request.timeout_ms, request.request_id
+            )
         except (HTTPError, OSError, ValueError) as failure:
             raise WorkerUnreachableError(repr(failure)) from failure
         response = None
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -1,6 +1,7 @@
 """Steps about the answers of a fake worker and how they end."""
 
 from contextlib import suppress
+from dataclasses import replace
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
 from types import SimpleNamespace
@@ -23,6 +24,11 @@
 BODY = b'whole'
 WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n%b' % BODY
 TIMEOUT_MS = 10_000
+SECOND = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nAttempt-Id: own\r\n'
+    b'Response-Stamp: second\r\n\r\n'
+)
+OWN_REQUEST = WorkerRequest('POST', '/', (), b'', TIMEOUT_MS, 'own')
 RESET_ON_CLOSE = pack('ii', 1, 0)  # makes a close send a reset
 
 
@@ -226,6 +232,56 @@
     return context.worker.send(WorkerRequest('GET', '/', (), b'', TIMEOUT_MS))
 
 
+@given(
+    "a platform's worker that repeats its first answer when the request comes "
+    'again'
+)
+def start_repeating(context: Context) -> None:
+    context.sockets = []
+    listener = eventlet.listen((HOST, 0))
+
+    def serve(sock: Any) -> None:
+        while sock.recv(TIMEOUT_MS):
+            context.sockets.append(sock)
+            context.sockets[0].sendall(context.first)
+            if len(context.sockets) > 1:
+                eventlet.sleep(0)
+                sock.sendall(SECOND)
+
+    def accept() -> None:
+        while True:
+            eventlet.spawn_n(serve, listener.accept()[0])
+
+    eventlet.spawn_n(accept)
+    context.worker = WorkerClient(
+        f'http://{HOST}:{listener.getsockname()[1]}', 4, Clock()
+    )
+
+
+@when('a request that it answers with {status:d} and "{header}" is sent twice')
+def send_twice(context: Context, status: int, header: str) -> None:
+    head = f'HTTP/1.1 {status} Any\r\nContent-Length: 0\r\n{header}'
+    context.first = f'{head}\r\nAttempt-Id: own\r\n\r\n'.encode()
+    for _ in range(2):
+        context.answer = context.worker.send(OWN_REQUEST)
+        assert not context.answer.read_body(0)
+        context.answer.release()
+
+
+@then('the second answer is that to the second sending')
+def check_second(context: Context) -> None:
+    assert context.answer.index.first('response-stamp') == 'second'
+
+
+@when('{number:d} requests are sent to it, each of them twice')
+def send_each_twice(context: Context, number: int) -> None:
+    for each in range(2 * number):
+        request = replace(OWN_REQUEST, request_id=str(each // 2))
+        answer = context.worker.send(request)
+        assert answer.read_body(len(BODY)) == BODY
+        answer.release()
+
+
 @when('the answer to a request is released twice and closed')
 def release_twice(context: Context) -> None:
     answer = _send_request(context)
--- a/tests/features/worker_answers.feature
+++ b/tests/features/worker_answers.feature
@@ -53,6 +53,24 @@
       | reused | 421    | Not-Executed: 1                     | discarded |
       | reused | 500    | Response-Stamp: s                   | discarded |
 
+  # Guards against a request that runs and is answered as refused: a late
+  # duplicate of the refusal was taken for the answer to its second sending.
+  Scenario Outline: a request that is sent again after <first> gets its own answer
+    Given a platform's worker that repeats its first answer when the request comes again
+    When a request that it answers with <first> is sent twice
+    Then the second answer is that to the second sending
+
+    Examples:
+      | first                            |
+      | 503 and "Not-Executed: 1"        |
+      | 421 and "Not-Executed: 1"        |
+      | 200 and "Response-Stamp: first"  |
+
+  Scenario: a connection is used again for the requests that it has not carried
+    Given a worker that answers every request on a connection
+    When 300 requests are sent to it, each of them twice
+    Then it has accepted 2 connections
+
   Scenario Outline: a refusal with the load <load> is <kind>
     When the platform's worker refuses a request with <status> and load "<load>"
     Then that is interpreted as "<kind>"
