Count the runs that one crash cuts off as one death

Several workers that crash at once had the same effect: each node adds its own death to the one it was told.

Of the deaths under a request that did not run alone only one counts; the next one counts if the request was suspected when it began, so that nothing else ran on that worker. The events say whether it ran alone.

--- a/laburnumwood/routing/quarantine.py
+++ b/laburnumwood/routing/quarantine.py
@@ -23,6 +23,10 @@
     After one death, every request that was in flight is suspected.  A
     suspected request should run alone, so that a second death identifies the
     cause; one that is answered is cleared.  Suspicions expire.
+
+    Of the deaths under a request that did not run alone only one counts.  A
+    single crash cuts off several runs of a request that many callers send, and
+    several workers may crash at once.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -44,9 +48,11 @@
             return 0
         return suspect.until_ms - self._clock.now_ms()
 
-    def record_death(self, fingerprint: str) -> int:
-        """Record a worker death under a request; return all its deaths."""
-        deaths = self._deaths(fingerprint) + 1
+    def record_death(self, fingerprint: str, *, ran_alone: bool) -> int:
+        """Record a worker death under a request; return those that count."""
+        deaths = self._deaths(fingerprint)
+        if ran_alone or not deaths:
+            deaths += 1
         self.update(fingerprint, deaths)
         return deaths
 
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -139,12 +139,12 @@
             fingerprint
         )
         with self._lock.acquired(run.until_ms, exclusive=is_suspected):
-            answer = self._run_on_live_worker(run)
+            answer = self._run_on_live_worker(run, is_alone=is_suspected)
         if is_suspected:
             self._shared_quarantine.clear(service, fingerprint)
         return answer
 
-    def _run_on_live_worker(self, run: Run) -> WorkerAnswer:
+    def _run_on_live_worker(self, run: Run, *, is_alone: bool) -> WorkerAnswer:
         # A request to a worker that was already dead did not kill it.
         if self._may_be_dead and not self._worker.is_responding():
             raise WorkerUnreachableError('the worker was lost')
@@ -158,7 +158,7 @@
             if self._worker.is_dead():
                 self._may_be_dead = True
                 self._shared_quarantine.record_death(
-                    run.work.service, run.fingerprint
+                    run.work.service, run.fingerprint, ran_alone=is_alone
                 )
             raise
 
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -34,16 +34,23 @@
         self.quarantine = Quarantine(clock)
         dispatcher.on(Suspicion)(self._handle_suspicion)
 
-    def record_death(self, service: str, fingerprint: str) -> None:
+    def record_death(
+        self, service: str, fingerprint: str, *, ran_alone: bool
+    ) -> None:
         """Record a worker death under a request and notify the other nodes.
 
         Returns once they have acknowledged or can't be reached, so that a
         retry of the caller does not run before they know of it.
         """
-        deaths = self.quarantine.record_death(fingerprint)
+        deaths = self.quarantine.record_death(fingerprint, ran_alone=ran_alone)
         is_barred = deaths >= DEATHS_TO_BAR
         event = REQUEST_BARRED if is_barred else REQUEST_SUSPECTED
-        event.report(service=service, fingerprint=fingerprint, deaths=deaths)
+        event.report(
+            service=service,
+            fingerprint=fingerprint,
+            deaths=deaths,
+            ran_alone=ran_alone,
+        )
         for call in self._broadcast(service, Suspicion(fingerprint, deaths)):
             call.wait()
 
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -33,6 +33,20 @@
     And a worker dies while it runs "poison"
     Then "poison" is barred
 
+  # Guards against a bar on a harmless request that many callers send: each run
+  # that a crash had cut off counted as a death, and each of two crashes at once.
+  Scenario Outline: runs that are cut off together count as one death, <what>
+    When <workers> workers crash, each with <runs> runs of one request
+    Then it is suspected at each of their nodes, and not barred
+    When a worker crashes again that runs it alone
+    Then it is barred at each of their nodes
+
+    Examples:
+      | what                   | workers | runs |
+      | in one crash           | 1       | 2    |
+      | in one crash of many   | 1       | 10   |
+      | in two crashes at once | 2       | 2    |
+
   Scenario: an answer does not clear a barred request
     When another node reports 2 deaths under "poison"
     And "poison" is answered
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -1,11 +1,87 @@
 """Steps for the quarantine of requests that crash workers."""
 
+import sys
+from types import SimpleNamespace
+from typing import Any
+
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
+from eventlet.event import Event
 
+from laburnumwood.errors import WorkerAnswerError
+from laburnumwood.protocol.messages import Suspicion, Work
+from laburnumwood.protocol.peers import Dispatcher
+from laburnumwood.records import NodeName
 from laburnumwood.routing.quarantine import Quarantine
+from laburnumwood.routing.run import Run
+from laburnumwood.routing.runner import Runner
+from laburnumwood.routing.shared_quarantine import SharedQuarantine
+from laburnumwood.routing.worker_interface import NativeWorkerInterface
 from tests.features.steps.fake_clock import FakeClock
 
+WORK = Work('id', 's', -1, '', 'GET', '/plan', (), 0, 60_000, True, '')
+RUN = Run(WORK, b'', None, sys.maxsize)
+EXCHANGE: Any = SimpleNamespace(
+    send=lambda _message: None, set_message_handler=lambda _handler: None
+)
+
+
+class CrashingWorkers:
+    """Workers that run requests until all crash, and their nodes."""
+
+    def __init__(self, number: int, clock: FakeClock) -> None:
+        self._crash = Event()
+        self._shared: dict[NodeName, SharedQuarantine] = {}
+        names = [NodeName(f'n{each}', 1) for each in range(number)]
+        view: Any = SimpleNamespace(serving_nodes=lambda _service: names)
+        peers: Any = SimpleNamespace(call=self._tell)
+        worker: Any = SimpleNamespace(
+            send=self._send,
+            is_dead=lambda: True,
+            is_responding=lambda: True,
+        )
+        for name in names:
+            self._shared[name] = SharedQuarantine(
+                name, view, peers, Dispatcher(), clock
+            )
+        self._runners = [
+            Runner(worker, NativeWorkerInterface(), each, clock)
+            for each in self._shared.values()
+        ]
+
+    @property
+    def quarantines(self) -> list[Quarantine]:
+        """Return what each node knows."""
+        return [each.quarantine for each in self._shared.values()]
+
+    def crash_under(self, runs: int) -> None:
+        """Let each worker begin a number of runs, and crash under them."""
+        begun = [
+            eventlet.spawn(runner.run, RUN, EXCHANGE)
+            for runner in self._runners
+            for _ in range(runs)
+        ]
+        eventlet.sleep(0)
+        self._crash.send()
+        for each in begun:
+            each.wait()
+        self._crash = Event()
+
+    def crash_alone(self) -> None:
+        """Let the first worker crash under a single run."""
+        self._crash.send()
+        self._runners[0].run(RUN, EXCHANGE)
+
+    def _send(self, _request: object) -> None:
+        self._crash.wait()
+        raise WorkerAnswerError('the worker crashed')
+
+    def _tell(self, name: NodeName, suspicion: Suspicion, _ms: int) -> None:
+        self._shared[name].quarantine.update(
+            suspicion.fingerprint, suspicion.deaths
+        )
+
 
 @given('a quarantine')
 def make_quarantine(context: Context) -> None:
@@ -15,7 +91,8 @@
 
 @when('a worker dies while it runs "{request}"')
 def record_death(context: Context, request: str) -> None:
-    context.quarantine.record_death(request)
+    ran_alone = context.quarantine.is_suspected(request)
+    context.quarantine.record_death(request, ran_alone=ran_alone)
 
 
 @when('"{request}" is answered')
@@ -36,10 +113,35 @@
 @when('workers die while they run {count:d} different requests')
 def record_deaths(context: Context, count: int) -> None:
     for number in range(count):
-        context.quarantine.record_death(str(number))
+        record_death(context, str(number))
     context.last = str(count - 1)
 
 
+@when('{workers:d} workers crash, each with {runs:d} runs of one request')
+def crash_under_runs(context: Context, workers: int, runs: int) -> None:
+    context.workers = CrashingWorkers(workers, context.clock)
+    context.workers.crash_under(runs)
+
+
+@when('a worker crashes again that runs it alone')
+def crash_alone(context: Context) -> None:
+    context.workers.crash_alone()
+
+
+@then('it is suspected at each of their nodes, and not barred')
+def check_suspected_everywhere(context: Context) -> None:
+    for quarantine in context.workers.quarantines:
+        context.quarantine = quarantine
+        check_suspected(context, RUN.fingerprint)
+
+
+@then('it is barred at each of their nodes')
+def check_barred_everywhere(context: Context) -> None:
+    for quarantine in context.workers.quarantines:
+        context.quarantine = quarantine
+        check_barred(context, RUN.fingerprint)
+
+
 @then('"{request}" is suspected')
 def check_suspected(context: Context, request: str) -> None:
     assert context.quarantine.is_suspected(request)
