Count store calls that fail together as one failure

What would be seen: after one reset of all connections to the store, a node makes no calls for 0.7 s though the store answers, since two calls that were under way then are "two failures in a row".

A failure counts only if its call began after the last one that was counted. An outage opens the breaker as before, at the second call in a row.

store_failures.feature, "calls that fail together open no circuit breaker", failed before: the next call did not reach the store.

--- a/laburnumwood/store/breaker.py
+++ b/laburnumwood/store/breaker.py
@@ -19,11 +19,17 @@
 
 
 class CircuitBreaker:
-    """Decides whether to make a call, from the results of the last calls."""
+    """Decides whether to make a call, from the results of the last calls.
+
+    Calls that were under way together when one failed count as one failure: a
+    reset of all connections is no outage.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._failures = 0
+        self._calls = 0
+        self._calls_before_failure = 0
         self._last_call_ms = 0
 
     @property
@@ -31,17 +37,24 @@
         """Return whether the last calls got no answer."""
         return self._failures >= _MAX_FAILURES
 
-    def allows_call(self) -> bool:
-        """Return whether a call may be made now, and record it if so."""
+    def begin_call(self) -> int | None:
+        """Return the number of a call that may be made now, else None."""
         now_ms = self._clock.now_ms()
         if self.is_open and now_ms - self._last_call_ms < _PROBE_INTERVAL_MS:
-            return False
+            return None
         self._last_call_ms = now_ms
-        return True
+        self._calls += 1
+        return self._calls
+
+    def record_answer(self) -> None:
+        """Record that a call was answered."""
+        self._failures = 0
 
-    def record_result(self, *, answered: bool) -> None:
-        """Record whether a call was answered."""
-        self._failures = 0 if answered else self._failures + 1
+    def record_failure(self, call: int) -> None:
+        """Record that the call with a number was not answered."""
+        if call > self._calls_before_failure:
+            self._failures += 1
+            self._calls_before_failure = self._calls
 
 
 class CircuitBreakerStore(StoreWrapper):
@@ -56,7 +69,8 @@
         self._breaker = CircuitBreaker(clock)
 
     def _forward(self, call: Callable[[], _Result]) -> _Result:
-        if not self._breaker.allows_call():
+        number = self._breaker.begin_call()
+        if number is None:
             raise PlatformNotReachedError(
                 'circuit breaker open: no answer to the last calls'
             )
@@ -64,16 +78,16 @@
         try:
             result = call()
         except PlatformUnavailableError as failure:
-            self._breaker.record_result(answered=False)
+            self._breaker.record_failure(number)
             if self._breaker.is_open and not was_open:
                 # The cause is the exception of the HTTP client, if any.
                 cause = type(failure.__cause__).__name__
                 STORE_UNREACHABLE.report(reason=failure, cause=cause)
             raise
         except Exception:
-            self._breaker.record_result(answered=True)
+            self._breaker.record_answer()
             raise
-        self._breaker.record_result(answered=True)
+        self._breaker.record_answer()
         if was_open:
             STORE_REACHED.report()
         return result
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -5,8 +5,10 @@
 from random import Random
 from typing import Any
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
+from eventlet.event import Event
 
 from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
@@ -226,6 +228,7 @@
     def __init__(self) -> None:
         self.calls = 0
         self.answers = False
+        self.failing: Event | None = None  # when calls under way fail
 
     @property
     def scopes(self) -> tuple[str, ...]:
@@ -235,6 +238,8 @@
     def get(self, name: str) -> Any:
         """Return None, or raise as if the store did not answer."""
         self.calls += 1
+        if self.failing is not None:
+            self.failing.wait()
         if not self.answers:
             raise PlatformUnavailableError(name)
 
@@ -259,6 +264,22 @@
     _call(context, count)
 
 
+@when('{count:d} calls under way fail at the same moment')
+def fail_together(context: Context, count: int) -> None:
+    context.counting_store.failing = Event()
+    calls = [eventlet.spawn(_call, context, 1) for _ in range(count)]
+    eventlet.sleep(0)
+    context.counting_store.failing.send()
+    for each in calls:
+        each.wait()
+
+
+@then('one more reaches the store')
+def check_one_reached(context: Context) -> None:
+    _call(context, 1)
+    assert context.counting_store.calls == 1, context.counting_store.calls
+
+
 @when('{span_ms:d} ms pass and {count:d} calls are made')
 def make_later_calls(context: Context, span_ms: int, count: int) -> None:
     context.clock.pass_ms(span_ms)
--- a/tests/features/store_failures.feature
+++ b/tests/features/store_failures.feature
@@ -24,6 +24,14 @@
     When 2 calls are made
     Then one more fails because the store was not reached
 
+  # Guards against a store that counts as away although it answers: one reset of
+  # all connections counted as a failure for each call that was under way.
+  Scenario: calls that fail together open no circuit breaker
+    Given a guarded store that does not answer
+    When 5 calls under way fail at the same moment
+    Then one more reaches the store
+    And one more fails because the store was not reached
+
   Scenario Outline: a move whose attempts are <attempts>
     Given a move to a store whose calls are "<attempts>" in turn
     When it is stepped <steps> times
