A deregistration binds reports that arrive after it

Cause: the node noted that a worker leaves, but not which one, and any new instance takes that back.

The ids of workers that have deregistered are kept for a minute, with the time by the clock that instances start by. A report of one that had started before counts as one of a worker that leaves, since then.

reports.feature, "a worker that deregisters before its first report is leaving as well", failed before.

--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -13,6 +13,7 @@
     WORKER_SILENT,
 )
 from laburnumwood.settings import ReportSettings
+from laburnumwood.upstream.deregistrations import Deregistrations
 from laburnumwood.upstream.instances import ReportStatus, WorkerInstanceTracker
 from laburnumwood.upstream.reports import WorkerReport
 from laburnumwood.upstream.running_time import CHECK_INTERVAL_MS, RunningTime
@@ -48,6 +49,7 @@
         self._last_heard_ms = 0  # in the running time
         self._intervals_ms = DecayingMean(_INTERVAL_HALF_LIFE_MS, clock)
         self._leaving_since_ms: int | None = None
+        self._deregistrations = Deregistrations(clock)
         self._is_silence_reported = False
         self._has_shown_no_keys = False
         self.slots = 0
@@ -116,7 +118,7 @@
             self._log_stale(report)
             return status
         if status is ReportStatus.NEW_INSTANCE:
-            self._leaving_since_ms = None
+            self._leaving_since_ms = self._deregistrations.since_ms(report)
         self._record_interval(status)
         self._is_silence_reported = False
         self._has_shown_no_keys = report.follows_answer and not report.held
@@ -145,9 +147,10 @@
     def deregister(self, worker_id: str) -> None:
         """Record that a worker has deregistered because it is ending.
 
-        This is ignored for any instance but the current one, except before
-        the first report.
+        If it is not the current instance, and not the first that is heard of,
+        that takes effect with a report of it that arrives later.
         """
+        self._deregistrations.record(worker_id)
         if worker_id == self.worker_id or self._last_report_ms is None:
             if self._last_report_ms is None:
                 self._record_heard()
--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -137,6 +137,16 @@
     And 1800 ms pass
     Then it may not be sent requests
 
+  # Guards against sending requests to a worker that has deregistered: a report
+  # that was held up over a restart of the node counted as a new instance's.
+  Scenario: a worker that deregisters before its first report is leaving as well
+    When the worker deregisters
+    And 1800 ms pass
+    And the worker reports
+    Then it may not be sent requests
+    When the worker starts again under its id and reports
+    Then it may be sent requests
+
   Scenario: a worker that has stopped reporting gets no more requests
     When the worker reports
     And 2600 ms pass
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -1,5 +1,6 @@
 """Steps about the grants of a reporting worker."""
 
+from dataclasses import replace
 from http import HTTPStatus
 
 from behave import given, then, when
@@ -255,6 +256,12 @@
     context.worker.presence.deregister(f'worker-{context.instance}')
 
 
+@when('the worker starts again under its id and reports')
+def report_same_id(context: Context) -> None:
+    context.last = replace(context.last, started_ms=context.clock.wall_ms() + 1)
+    context.worker.handle_report(context.last)
+
+
 @when('a report of an earlier instance arrives')
 def report_earlier(context: Context) -> None:
     instance, context.instance = context.instance, context.instance - 1
