Nodes tell each other for how long a worker has been leaving

Seen once (worker_signals.feature, "a node that is killed and restarted sends no requests to a leaving worker", 21 requests that were sent up to 3.1 s too late, no logs): a worker that had said that it leaves got requests after its node had started again.

Cause, by reading: the new process heard it in an answer to one of its own callers first. It took that for news, which gives the worker 1.8 s more, and what other nodes had known for longer was ignored, since it was leaving already.

WorkerNotice has a last field with the time since when the worker leaves; the longest time counts. Notices without it are handled as before.

worker_limit.feature: the row with 1800 ms failed before.

--- a/laburnumwood/placement/worker_notices.py
+++ b/laburnumwood/placement/worker_notices.py
@@ -1,6 +1,6 @@
 """What the workers of other nodes say about themselves."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from laburnumwood.clock import Clock
 from laburnumwood.records import NodeName, WorkerNotice
@@ -18,6 +18,13 @@
     notice: WorkerNotice
     received_ms: int
 
+    def present(self, now_ms: int) -> WorkerNotice:
+        """Return the notice with the times that it names as of now."""
+        if self.notice.leaving_for_ms is None:
+            return self.notice
+        leaving_for_ms = self.notice.leaving_for_ms + now_ms - self.received_ms
+        return replace(self.notice, leaving_for_ms=leaving_for_ms)
+
 
 def _is_ordinary(notice: WorkerNotice) -> bool:
     return notice.limit_per_second is None and not notice.is_leaving
@@ -43,22 +50,23 @@
 
     def latest(self, node: NodeName) -> WorkerNotice | None:
         """Return the last notice about the worker of a node, if any."""
-        return self._latest_within(node, _MAX_AGE_MS)
+        received = self._latest_within(node, _MAX_AGE_MS)
+        return received.present(self._clock.now_ms()) if received else None
 
     def usable_slots(self, node: NodeName, slots: int) -> float:
         """Return how many slots of a node can be kept busy."""
-        notice = self._latest_within(node, _MAX_LIMIT_AGE_MS)
-        if notice is None or notice.usable_slots is None:
+        received = self._latest_within(node, _MAX_LIMIT_AGE_MS)
+        if received is None or received.notice.usable_slots is None:
             return slots
-        return min(slots, max(notice.usable_slots, _MIN_SLOTS))
+        return min(slots, max(received.notice.usable_slots, _MIN_SLOTS))
 
     def _latest_within(
         self, node: NodeName, max_age_ms: int
-    ) -> WorkerNotice | None:
+    ) -> _ReceivedNotice | None:
         received = self._received.get(node.node_id)
         if received is None:
             return None
         age_ms = self._clock.now_ms() - received.received_ms
         if age_ms >= _MAX_AGE_MS:
             self._received.pop(node.node_id)
-        return received.notice if age_ms < max_age_ms else None
+        return received if age_ms < max_age_ms else None
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -341,7 +341,8 @@
     one may have the id of the one before.  `limit_per_second` is the rate of
     requests that it accepts from all nodes together, None if it names no
     limit.  `usable_slots` is how many of its slots that rate keeps busy, None
-    if not known.
+    if not known.  `leaving_for_ms` is how long ago it said that it is leaving,
+    None if not known.
     """
 
     worker_id: str
@@ -349,3 +350,4 @@
     is_leaving: bool
     limit_per_second: float | None = None
     usable_slots: float | None = None
+    leaving_for_ms: int | None = None
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -90,6 +90,13 @@
         """Return whether the worker has said that it is about to end."""
         return self._leaving_since_ms is not None
 
+    @property
+    def leaving_for_ms(self) -> int | None:
+        """Return how long ago the worker said so, None if it has not."""
+        if self._leaving_since_ms is None:
+            return None
+        return self._clock.now_ms() - self._leaving_since_ms
+
     @property
     def has_shown_no_keys(self) -> bool:
         """Return whether the last report proves that the worker holds no keys.
@@ -125,7 +132,8 @@
         self.slots = report.slots
         if report.is_leaving:
             # The worker may have said so long ago, to an earlier process.
-            self.begin_leaving(_REPORT, was_known=is_first)
+            known_for_ms = self._settings.leave_ms if is_first else 0
+            self.begin_leaving(_REPORT, known_for_ms)
         return status
 
     def is_current(self, report: WorkerReport) -> bool:
@@ -156,19 +164,32 @@
                 self._record_heard()
             self.begin_leaving(_REPORT)
 
-    def begin_leaving(self, source: str, *, was_known: bool = False) -> None:
-        """Record that the worker is about to end.
+    def begin_leaving(self, source: str, known_for_ms: int = 0) -> None:
+        """Record that the worker is about to end, and for how long it has been.
 
-        It gets requests for a short time more, unless others knew it before.
+        It gets requests for `leave_ms` altogether.
         """
-        if self._leaving_since_ms is not None and not was_known:
+        since_ms = self._clock.now_ms() - known_for_ms
+        earlier_ms = self._leaving_since_ms
+        if earlier_ms is not None and earlier_ms <= since_ms:
             return
         if self.phase is not WorkerPhase.LEAVING:
             WORKER_LEAVES.report(
-                worker=self.worker_id, source=source, was_known=was_known
+                worker=self.worker_id, source=source, known_for_ms=known_for_ms
             )
-        known_for_ms = self._settings.leave_ms if was_known else 0
-        self._leaving_since_ms = self._clock.now_ms() - known_for_ms
+        self._leaving_since_ms = since_ms
+
+    def adopt_leaving(self, source: str, known_for_ms: int | None) -> None:
+        """Record what another node knows, also if the worker has said it here.
+
+        The process before this one may have heard it earlier.  None: for how
+        long is not known, but it is news here only if it is old.
+        """
+        if known_for_ms is None and self.is_leaving:
+            return
+        if known_for_ms is None:
+            known_for_ms = self._settings.leave_ms
+        self.begin_leaving(source, known_for_ms)
 
     def watch(self) -> None:
         """Check for silence of the worker periodically; does not return."""
--- a/laburnumwood/upstream/worker_signals.py
+++ b/laburnumwood/upstream/worker_signals.py
@@ -63,8 +63,8 @@
         instance = self._presence.worker_id, self._presence.started_ms
         if (notice.worker_id, notice.started_ms) != instance:
             return
-        if notice.is_leaving and not self._presence.is_leaving:
-            self._presence.begin_leaving(OTHER_NODE, was_known=True)
+        if notice.is_leaving:
+            self._presence.adopt_leaving(OTHER_NODE, notice.leaving_for_ms)
         if notice.limit_per_second is not None:
             self.limit.adopt(notice.limit_per_second)
 
@@ -93,6 +93,7 @@
             is_leaving=self._presence.is_leaving,
             limit_per_second=limit,
             usable_slots=usable_slots or None,
+            leaving_for_ms=self._presence.leaving_for_ms,
         )
 
     def _report_invalid(self, header: str) -> None:
--- a/tests/features/steps/worker_limit_steps.py
+++ b/tests/features/steps/worker_limit_steps.py
@@ -321,6 +321,25 @@
     _hear(context, worker, None)
 
 
+@when('the worker says in an answer that it leaves')
+def say_leaving(context: Context) -> None:
+    now_ms = context.gate.clock.now_ms()
+    context.gate.signals.record(AnswerSignals(is_leaving=True), now_ms)
+
+
+@when('another node hears that the worker leaves, {span_ms:d} ms before')
+def hear_leaving_before(context: Context, span_ms: int) -> None:
+    context.notices = WorkerNotices(context.gate.clock)
+    heard = WorkerNotice('worker', 1, True, leaving_for_ms=0)
+    context.notices.record(NODE, heard)
+    context.gate.clock.pass_ms(span_ms)
+
+
+@when('that other node sends a request')
+def send_notice(context: Context) -> None:
+    context.gate.signals.record_notice(context.notices.latest(NODE))
+
+
 @then('the worker is sent {what}')
 def check_sent(context: Context, what: str) -> None:
     accepts = context.gate.presence.accepts_requests()
--- a/tests/features/worker_limit.feature
+++ b/tests/features/worker_limit.feature
@@ -112,6 +112,21 @@
     And another node has heard "worker#1" say that it leaves
     Then the worker is sent requests
 
+  # Guards against sending requests to a leaving worker after a restart of the
+  # node: it said so to the new process first, and that counted as news.
+  Scenario Outline: a worker that says that it leaves has said so <span> ms ago to another node
+    When another node hears that the worker leaves, <span> ms before
+    And the worker says in an answer that it leaves
+    And that other node sends a request
+    And 100 ms pass without a request
+    Then the worker is sent <what>
+
+    Examples:
+      | span | what     |
+      | 0    | requests |
+      | 1600 | requests |
+      | 1800 | nothing  |
+
   Scenario: the log of a limit is bounded
     When the worker names another limit in each answer for 5 s
     Then "worker-limit" was logged at most 6 times
