Take repeated calls and unfinished incarnations out of the node

No change of behaviour: StoreRetry repeats a call of the store until it is answered, UnfinishedIncarnations records ends as incarnations finish.

--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -1,19 +1,21 @@
 """The node: its listeners, and its successive incarnations."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from contextlib import suppress
-from typing import Any, TypeVar
+from typing import Any
 
 import eventlet
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.declarations import CallerLimits
 from laburnumwood.daemon.incarnation import Incarnation
-from laburnumwood.errors import (
-    LaburnumwoodError,
-    PlatformError,
-    SettingsError,
+from laburnumwood.daemon.store_retry import (
+    RETRY_MS,
+    StoppingError,
+    StoreRetry,
 )
+from laburnumwood.daemon.unfinished import UnfinishedIncarnations
+from laburnumwood.errors import SettingsError
 from laburnumwood.events import (
     EARLIER_ENDED,
     NODE_ID_TAKEN,
@@ -23,7 +25,6 @@
     NODE_STARTED,
     NODE_STOPPING,
     REJOINING,
-    STORE_UNREACHABLE,
 )
 from laburnumwood.integration import INTEGRATIONS
 from laburnumwood.leases.witness import Witness
@@ -50,18 +51,11 @@
 from laburnumwood.tasks import start, start_joinable, supervise
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 
-_JOIN_RETRY_MS = 500
 _POLL_MS = 100
 _RESIGN_HANDOVER_MS = 800
 
 _LOGGED_SETTINGS = {'node_id', 'failure_domain', 'service', 'borders'}
 
-_Result = TypeVar('_Result')
-
-
-class _StoppingError(LaburnumwoodError):
-    """A call of the store was abandoned because the node is stopping."""
-
 
 class Node:
     """The process of a node, which runs beside one worker."""
@@ -84,9 +78,10 @@
         self._caller_listener: HttpListener | None = None
         self._rejoin_backoff = RejoinBackoff(self._clock)
         self._avoided: frozenset[str] = frozenset()
-        self._unfinished: list[Incarnation] = []
         self._listening_since_ms = 0
         self._stopping_since_ms: int | None = None
+        self._retry = StoreRetry(lambda: self._is_stopping)
+        self._unfinished = UnfinishedIncarnations(self._retry)
         self._security = LinkSecurity(settings.shared_key, settings.tls)
         self._operators = OperatorEndpoint(settings, self.stop)
         self.worker = ReportingWorker(settings.reports, self._clock)
@@ -113,7 +108,7 @@
         while not self._is_stopping:
             try:
                 incarnation = self._join(ended)
-            except _StoppingError:
+            except StoppingError:
                 break
             NODE_JOINED.report(node=incarnation.name)
             start(self._record_earlier_ends, incarnation)
@@ -127,7 +122,7 @@
             REJOINING.report(
                 node=incarnation.name, held_for_ms=incarnation.held_for_ms
             )
-            ended = self._end_or_defer(incarnation)
+            ended = self._unfinished.end_or_defer(incarnation)
         self._stop_gracefully()
 
     def stop(self) -> None:
@@ -252,17 +247,18 @@
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         incarnation.hand_over(_RESIGN_HANDOVER_MS)
         while not self._is_stopping and not incarnation.is_worker_reachable():
-            eventlet.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
+            eventlet.sleep(RETRY_MS / MS_PER_SECOND)
 
     def _join(self, ended: NodeName | None) -> Incarnation:
         mark = new_mark(self._settings.node_id)
-        unfinished = tuple(each.name.incarnation for each in self._unfinished)
         first = self._witness.name.incarnation if self._witness else None
         confirmed_era = (
             self._incarnation.confirmed_era if self._incarnation else 0
         )
-        history = ProcessHistory(ended, unfinished, first, confirmed_era)
-        name, _ = self._retry_until_answered(
+        history = ProcessHistory(
+            ended, self._unfinished.numbers, first, confirmed_era
+        )
+        name, _ = self._retry.until_answered(
             lambda: join(
                 self._platform, self._settings, mark, history, serves=False
             )
@@ -281,7 +277,7 @@
             self._incarnation,
         )
         avoided, self._avoided = self._avoided, frozenset()
-        self._retry_until_answered(lambda: incarnation.start(avoided))
+        self._retry.until_answered(lambda: incarnation.start(avoided))
         previous = self._incarnation
         if previous is not None:
             inherit_config(incarnation.view.directory, previous.view.directory)
@@ -307,8 +303,8 @@
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         if self._incarnation is not None:
             self._incarnation.announce_handovers()
-        with suppress(_StoppingError):
-            self._retry_until_answered(incarnation.record_earlier_ends)
+        with suppress(StoppingError):
+            self._retry.until_answered(incarnation.record_earlier_ends)
             EARLIER_ENDED.report(
                 node=incarnation.name,
                 worker_released_all=self.worker.has_released_all,
@@ -320,48 +316,6 @@
         is_announced = incarnation is None or incarnation.is_worker_announced
         return self.worker.has_released_all and is_announced
 
-    def _retry_until_answered(self, call: Callable[[], _Result]) -> _Result:
-        """Repeat a call of the store until it is answered; return the result.
-
-        Raises `_StoppingError` if a call fails while the node is stopping.
-        """
-        while True:
-            try:
-                return call()
-            except PlatformError as failure:
-                # The guarded store has logged it.
-                if self._is_stopping:
-                    raise _StoppingError from failure
-            eventlet.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
-
-    def _end_or_defer(self, incarnation: Incarnation) -> NodeName | None:
-        """Return the name of an incarnation if it has finished, else None.
-
-        An incarnation with requests in progress, or whose worker may still
-        hold its grants, is recorded as ended later, when it has finished.
-        """
-        if incarnation.has_finished:
-            return incarnation.name
-        self._unfinished.append(incarnation)
-        start(self._end_when_finished, incarnation)
-        return None
-
-    def _end_when_finished(self, incarnation: Incarnation) -> None:
-        while not incarnation.has_finished:
-            eventlet.sleep(_POLL_MS / MS_PER_SECOND)
-        with suppress(_StoppingError):
-            self._retry_until_answered(incarnation.record_end)
-            self._unfinished.remove(incarnation)
-
-    def _record_ends(self, last: Incarnation) -> None:
-        """Record the ends of the incarnations that have finished."""
-        try:
-            for each in (*self._unfinished, last):
-                if each.has_finished:
-                    each.record_end()
-        except PlatformError as failure:
-            STORE_UNREACHABLE.report(reason=failure)
-
     def _stop_gracefully(self) -> None:
         incarnation = self._incarnation
         if incarnation is None:
@@ -376,7 +330,7 @@
         # leaves, and go on sending requests.
         incarnation.gate.close()
         self._await_finished(incarnation, self._remaining_stop_ms())
-        self._record_ends(incarnation)
+        self._unfinished.record_ends(incarnation)
         incarnation.deactivate()
         incarnation.close()
         NODE_LEFT.report(node=incarnation.name)
@@ -401,7 +355,7 @@
 
     def _await_finished(self, last: Incarnation, patience_ms: int) -> None:
         deadline_ms = self._clock.now_ms() + patience_ms
-        while not all(each.has_finished for each in (*self._unfinished, last)):
+        while not (last.has_finished and self._unfinished.have_finished):
             if self._clock.now_ms() >= deadline_ms:
                 return
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
--- /dev/null
+++ b/laburnumwood/daemon/store_retry.py
@@ -0,0 +1,38 @@
+"""Repeating calls of the store until they are answered."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+import eventlet
+
+from laburnumwood.clock import MS_PER_SECOND
+from laburnumwood.errors import LaburnumwoodError, PlatformError
+
+RETRY_MS = 500
+
+_Result = TypeVar('_Result')
+
+
+class StoppingError(LaburnumwoodError):
+    """A call of the store was abandoned because the node is stopping."""
+
+
+class StoreRetry:
+    """Repeats calls of the store for as long as the node is not stopping."""
+
+    def __init__(self, is_stopping: Callable[[], bool]) -> None:
+        self._is_stopping = is_stopping
+
+    def until_answered(self, call: Callable[[], _Result]) -> _Result:
+        """Repeat a call of the store until it is answered; return the result.
+
+        Raises `StoppingError` if a call fails while the node is stopping.
+        """
+        while True:
+            try:
+                return call()
+            except PlatformError as failure:
+                # The guarded store has logged it.
+                if self._is_stopping():
+                    raise StoppingError from failure
+            eventlet.sleep(RETRY_MS / MS_PER_SECOND)
--- a/tests/features/steps/worker_release_steps.py
+++ b/tests/features/steps/worker_release_steps.py
@@ -97,7 +97,7 @@
 @when('the node gives the incarnation up')
 def give_up(context: Context) -> None:
     context.first.deactivate()
-    assert context.node._end_or_defer(context.first) is None
+    assert context.node._unfinished.end_or_defer(context.first) is None
 
 
 @when('the worker reports to the next incarnation, which takes the shard away')
@@ -123,7 +123,7 @@
     gossip: Any = context.first._member.gossip
     gossip.notify = lambda names, message: context.sent.append(message)
     context.first.hand_over(0)
-    context.node._record_ends(context.first)
+    context.node._unfinished.record_ends(context.first)
 
 
 @then('no witness was asked to seal')
