A join that the store has forgotten is done again

Cause: the first write after the join was a conflict, since the record of the join was gone, and was repeated for ever with the same incarnation.

--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -15,9 +15,10 @@
     StoreRetry,
 )
 from laburnumwood.daemon.unfinished import UnfinishedIncarnations
-from laburnumwood.errors import SettingsError
+from laburnumwood.errors import PlatformConflictError, SettingsError
 from laburnumwood.events import (
     EARLIER_ENDED,
+    JOIN_LOST,
     NODE_ID_TAKEN,
     NODE_JOINED,
     NODE_LEFT,
@@ -250,6 +251,20 @@
             eventlet.sleep(RETRY_MS / MS_PER_SECOND)
 
     def _join(self, ended: NodeName | None) -> Incarnation:
+        incarnation = self._new_incarnation(ended)
+        while not self._start(incarnation):
+            eventlet.sleep(RETRY_MS / MS_PER_SECOND)
+            incarnation = self._new_incarnation(ended)
+        previous = self._incarnation
+        if previous is not None:
+            inherit_config(incarnation.view.directory, previous.view.directory)
+        self._incarnation = incarnation
+        if previous is not None:
+            previous.release()
+        return incarnation
+
+    def _new_incarnation(self, ended: NodeName | None) -> Incarnation:
+        """Record a new incarnation and return it before it is started."""
         mark = new_mark(self._settings.node_id)
         first = self._witness.name.incarnation if self._witness else None
         confirmed_era = (
@@ -266,7 +281,7 @@
         self._witness = self._witness or Witness(
             name, self._settings.lease, self._clock
         )
-        incarnation = Incarnation(
+        return Incarnation(
             name,
             self._settings,
             self._integration,
@@ -276,15 +291,27 @@
             self._clock,
             self._incarnation,
         )
-        avoided, self._avoided = self._avoided, frozenset()
-        self._retry.until_answered(lambda: incarnation.start(avoided))
-        previous = self._incarnation
-        if previous is not None:
-            inherit_config(incarnation.view.directory, previous.view.directory)
-        self._incarnation = incarnation
-        if previous is not None:
-            previous.release()
-        return incarnation
+
+    def _start(self, incarnation: Incarnation) -> bool:
+        """Start an incarnation; return False if its join no longer stands.
+
+        The store has come back from a copy of before the join then, or another
+        process has joined under the same id.
+        """
+        try:
+            self._retry.until_answered(
+                lambda: incarnation.start(self._avoided),
+                lasting=(PlatformConflictError,),
+            )
+        except PlatformConflictError as conflict:
+            JOIN_LOST.report(node=incarnation.name, reason=conflict)
+            incarnation.deactivate()
+            incarnation.close()
+            if self._incarnation is None:
+                self._witness = None  # no node was able to ask it
+            return False
+        self._avoided = frozenset()
+        return True
 
     def _record_earlier_ends(self, incarnation: Incarnation) -> None:
         """Record the ends of the incarnations of earlier processes.
--- a/laburnumwood/daemon/store_retry.py
+++ b/laburnumwood/daemon/store_retry.py
@@ -23,14 +23,21 @@
     def __init__(self, is_stopping: Callable[[], bool]) -> None:
         self._is_stopping = is_stopping
 
-    def until_answered(self, call: Callable[[], _Result]) -> _Result:
+    def until_answered(
+        self,
+        call: Callable[[], _Result],
+        lasting: tuple[type[PlatformError], ...] = (),
+    ) -> _Result:
         """Repeat a call of the store until it is answered; return the result.
 
+        Errors of the `lasting` types are raised: repetition would not end them.
         Raises `StoppingError` if a call fails while the node is stopping.
         """
         while True:
             try:
                 return call()
+            except lasting:
+                raise
             except PlatformError as failure:
                 # The guarded store has logged it.
                 if self._is_stopping():
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -105,6 +105,13 @@
     'this process did not run for some time',
     'check the load and the pauses of this VM',
 )
+JOIN_LOST = _event(
+    111,
+    logbook.WARNING,
+    'join-lost',
+    'the record of a join was lost or replaced; this node joins again',
+    'check that no other process has the id of this node',
+)
 LEASE_HELD = _event(201, logbook.INFO, 'lease-held', 'the lease is held')
 LEASE_LOST = _event(
     202,
--- a/tests/features/joining.feature
+++ b/tests/features/joining.feature
@@ -18,3 +18,10 @@
     When generation 4 comes into force on it while the store's list is older
     And it joins anew
     Then generation 4 is in force on it
+
+  # Guards against a node that never joins: the store came back from a copy of
+  # before its join, and every further write of it was a conflict (review/4).
+  Scenario: a node whose join the store has forgotten joins again
+    Given a store with generation 3 that forgets a join before its list is read
+    When a node begins to join
+    Then it is ready within 2 s, with generation 3
--- a/tests/features/steps/joining_steps.py
+++ b/tests/features/steps/joining_steps.py
@@ -31,6 +31,17 @@
         raise PlatformUnavailableError('status 503')
 
 
+class _ForgettingStore(_UnwatchedStore):
+    """A store that comes back from an older copy at the first list."""
+
+    def list(self, prefix: str = '') -> tuple[tuple[StoredObject, ...], int]:
+        """Return all objects, but the first time none."""
+        if self.backing.era == 1:
+            self.backing.put_back(1)
+            raise PlatformUnavailableError('away')
+        return super().list(prefix)
+
+
 def _config(generation: int) -> dict[str, Any]:
     return to_value(ConfigRecord(generation))
 
@@ -47,6 +58,15 @@
     context.store.create(CONFIG_NAME, _config(generation))
 
 
+@given(
+    'a store with generation {generation:d} that forgets a join before its '
+    'list is read'
+)
+def make_forgetting_store(context: Context, generation: int) -> None:
+    context.store = _ForgettingStore()
+    context.store.create(CONFIG_NAME, _config(generation))
+
+
 @when('a node begins to join')
 def begin(context: Context) -> None:
     if 'platform' not in INTEGRATIONS:
