Hold signals back while the program is imported

Seen by the review: a SIGHUP in the first half second after the start ended the process (three of three), and SIGTERM ended it with a signal status.

The handlers were installed after all imports. Now the first module that the program imports keeps the signals, and they are handled when the handlers are there. Before it, the interpreter itself starts (some 50 ms): not covered.

starting.feature sends both once the libraries begin to load; both rows failed before.

--- a/laburnumwood/daemon/main.py
+++ b/laburnumwood/daemon/main.py
@@ -8,6 +8,12 @@
 from itertools import pairwise
 from pathlib import Path
 
+from laburnumwood.daemon.early_signals import EarlySignals
+
+# The other imports take long.
+_EARLY_SIGNALS = EarlySignals()
+_EARLY_SIGNALS.hold()
+
 # Nodes address each other by IP address, and eventlet's DNS resolver is slow to
 # import.
 os.environ.setdefault('EVENTLET_NO_GREENDNS', 'yes')
@@ -44,7 +50,7 @@
     gc.freeze()
     gc.set_threshold(_GC_THRESHOLD)
     gc.enable()
-    status: int = program.main()
+    status: int = program.main(_EARLY_SIGNALS)
     return status
 
 
--- a/laburnumwood/daemon/program.py
+++ b/laburnumwood/daemon/program.py
@@ -8,6 +8,7 @@
 
 from laburnumwood import platform
 from laburnumwood.clock import Clock
+from laburnumwood.daemon.early_signals import EarlySignals
 from laburnumwood.daemon.node import Node
 from laburnumwood.errors import SettingsError
 from laburnumwood.events import SETTINGS_READ, add_filter
@@ -24,17 +25,24 @@
 
 
 class _SignalHandlers:
-    """Handles SIGTERM and SIGINT (planned stop) and SIGHUP (read settings)."""
+    """Handles SIGTERM and SIGINT (planned stop) and SIGHUP (read settings).
+
+    Those that arrived before are handled when the handlers are installed.
+    """
 
     def __init__(self, node: Node, path: Path) -> None:
         self._node = node
         self._path = path
 
-    def install(self) -> None:
+    def install(self, early: EarlySignals) -> None:
         """Install the handlers."""
-        signal.signal(signal.SIGTERM, self._stop)
-        signal.signal(signal.SIGINT, self._stop)
-        signal.signal(signal.SIGHUP, self._reread_settings)
+        early.release(
+            {
+                signal.SIGTERM: self._stop,
+                signal.SIGINT: self._stop,
+                signal.SIGHUP: self._reread_settings,
+            }
+        )
 
     def _stop(self, _number: int, _frame: FrameType | None) -> None:
         self._node.stop()
@@ -49,7 +57,7 @@
         SETTINGS_READ.report(path=self._path, changed=','.join(changed))
 
 
-def main() -> int:
+def main(early_signals: EarlySignals) -> int:
     """Run a node until it is stopped; return the exit status."""
     platform.register()
     path: Path = _arguments().settings
@@ -61,7 +69,7 @@
     handler = JsonHandler(node.settings.node_id, Clock())
     handler.push_application()
     add_filter(handler.allows)
-    _SignalHandlers(node, path).install()
+    _SignalHandlers(node, path).install(early_signals)
     node.run()
     handler.close()
     return 0
--- a/tests/features/starting.feature
+++ b/tests/features/starting.feature
@@ -25,3 +25,14 @@
     Given a node whose store does not answer
     When it is stopped while it joins
     Then it exits with status 0 within 4 s
+
+  # Guards against a node that ends at a signal which comes before its handlers.
+  Scenario Outline: a node that gets <signal> while it is imported <does>
+    Given a node whose store does not answer
+    When it gets <signal> while it is imported
+    Then it <does>
+
+    Examples:
+      | signal  | does                            |
+      | SIGHUP  | goes on and reads its settings  |
+      | SIGTERM | exits with status 0 within 20 s |
--- a/tests/features/steps/starting_steps.py
+++ b/tests/features/steps/starting_steps.py
@@ -1,6 +1,7 @@
 """Steps about a node that listens before it is ready, and about its start."""
 
 import json
+import signal
 import tempfile
 from pathlib import Path
 
@@ -15,6 +16,7 @@
 
 HOST = '127.0.0.1'
 LIMIT_S = 10
+START_S = 20
 
 
 def _write(context: Context, content: str) -> None:
@@ -104,6 +106,20 @@
     context.node.terminate()
 
 
+@when('it gets {name} while it is imported')
+def send_early(context: Context, name: str) -> None:
+    node = context.node
+    maps = Path(f'/proc/{node.pid}/maps')
+    wait_for('imports', lambda: 'greenlet' in maps.read_text(), LIMIT_S)
+    node.signal(signal.Signals[name])
+
+
+@then('it goes on and reads its settings')
+def check_settings_read(context: Context) -> None:
+    log = context.node.log
+    wait_for('settings', lambda: 'settings-read' in log.read_text(), START_S)
+
+
 @then('it exits with status {status:d} within {limit_s:d} s')
 def check_exit(context: Context, status: int, limit_s: int) -> None:
     assert context.node.wait(limit_s) == status
