A node that joins learns which requests are suspected

The question is an added field of the message that tells of a suspicion, so that older nodes answer it as before.

quarantine.feature, "a node that joins learns what the others suspect", fails without the question.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -136,6 +136,7 @@
         others.  Raises `PlatformError` if the store does not answer.
         """
         self._store_watcher.list_all()
+        self._quarantine.learn(self._settings.service)
         if self._granter is not None:
             self._granter.probe()
         self._member.renewer.start(
@@ -348,14 +349,14 @@
             ledger = self._ledger_replicator
             self._shard_manager.before_move = ledger.hand_over
             self._shard_manager.before_create = ledger.hand_over_part
-        shared_quarantine = SharedQuarantine(
+        self._quarantine = SharedQuarantine(
             self.name, self.view, self._peers, self.dispatcher, clock
         )
         executor = Executor(
             self._worker,
             self._integration.make_worker_interface(self._reporting),
             self._ledger_replicator,
-            shared_quarantine,
+            self._quarantine,
             clock,
         )
         gate = AdmissionGate(
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -253,10 +253,31 @@
     worker: WorkerNotice | None = None
 
 
-@message('suspicion')
+@message('suspicion', added=('wants_all',))
 @dataclass(frozen=True, slots=True)
 class Suspicion:
-    """How many workers died while they ran a request; 0 clears it."""
+    """How many workers died while they ran a request; 0 clears it.
+
+    A sender that `wants_all` is answered with `Suspicions`.
+    """
+
+    fingerprint: str
+    deaths: int
+    wants_all: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class KnownSuspect:
+    """A suspected request, and for how many ms more it is suspected."""
 
     fingerprint: str
     deaths: int
+    left_ms: int
+
+
+@message('suspicions')
+@dataclass(frozen=True, slots=True)
+class Suspicions:
+    """The requests that a node suspects, oldest first."""
+
+    suspects: tuple[KnownSuspect, ...]
--- a/laburnumwood/routing/quarantine.py
+++ b/laburnumwood/routing/quarantine.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from laburnumwood.clock import Clock
+from laburnumwood.protocol.messages import KnownSuspect
 
 DEATHS_TO_BAR = 2
 _SUSPICION_DURATION_MS = 300_000
@@ -66,6 +67,22 @@
         self._suspects.pop(fingerprint)
         return True
 
+    def suspects(self, most: int) -> tuple[KnownSuspect, ...]:
+        """Return the requests suspected last, at most so many."""
+        now_ms = self._clock.now_ms()
+        known = tuple(
+            KnownSuspect(fingerprint, each.deaths, each.until_ms - now_ms)
+            for fingerprint, each in self._suspects.items()
+            if each.until_ms > now_ms
+        )
+        return known[-most:]
+
+    def adopt(self, suspect: KnownSuspect) -> None:
+        """Add a request that another node suspects, for as long as it does."""
+        if suspect.deaths > self._deaths(suspect.fingerprint):
+            until_ms = self._clock.now_ms() + suspect.left_ms
+            self._add(suspect.fingerprint, _Suspect(suspect.deaths, until_ms))
+
     def update(self, fingerprint: str, deaths: int) -> None:
         """Merge the number of deaths known elsewhere; 0 clears a suspect."""
         if not deaths:
@@ -78,7 +95,10 @@
             else _SUSPICION_DURATION_MS
         )
         until_ms = self._clock.now_ms() + duration_ms
-        self._suspects[fingerprint] = _Suspect(deaths, until_ms)
+        self._add(fingerprint, _Suspect(deaths, until_ms))
+
+    def _add(self, fingerprint: str, suspect: _Suspect) -> None:
+        self._suspects[fingerprint] = suspect
         self._suspects.move_to_end(fingerprint)
         while len(self._suspects) > _MAX_SUSPECTS:
             self._suspects.popitem(last=False)
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -47,6 +47,17 @@
       | in one crash of many   | 1       | 10   |
       | in two crashes at once | 2       | 2    |
 
+  # Guards against a request that crashes workers and goes on to: its quarantine
+  # was forgotten by each node that started again.
+  Scenario: a node that joins learns what the others suspect
+    When 2 workers crash, each with 1 runs of one request
+    And a worker crashes again that runs it alone
+    And 599 s pass for the quarantine
+    And another node joins
+    Then it is barred at each of their nodes
+    When 2 s pass for the quarantine
+    Then it is not suspected at any of their nodes
+
   Scenario: an answer does not clear a barred request
     When another node reports 2 deaths under "poison"
     And "poison" is answered
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -32,19 +32,15 @@
 
     def __init__(self, number: int, clock: FakeClock) -> None:
         self._crash = Event()
+        self._clock = clock
         self._shared: dict[NodeName, SharedQuarantine] = {}
-        names = [NodeName(f'n{each}', 1) for each in range(number)]
-        view: Any = SimpleNamespace(serving_nodes=lambda _service: names)
-        peers: Any = SimpleNamespace(call=self._tell)
         worker: Any = SimpleNamespace(
             send=self._send,
             is_dead=lambda: True,
             is_responding=lambda: True,
         )
-        for name in names:
-            self._shared[name] = SharedQuarantine(
-                name, view, peers, Dispatcher(), clock
-            )
+        for index in range(number):
+            self.add(f'n{index}')
         self._runners = [
             Runner(worker, NativeWorkerInterface(), each, clock)
             for each in self._shared.values()
@@ -55,6 +51,16 @@
         """Return what each node knows."""
         return [each.quarantine for each in self._shared.values()]
 
+    def add(self, node_id: str) -> SharedQuarantine:
+        """Add a node, which knows nothing."""
+        view: Any = SimpleNamespace(serving_nodes=lambda _: self._shared)
+        peers: Any = SimpleNamespace(call=self._call)
+        name = NodeName(node_id, 1)
+        self._shared[name] = SharedQuarantine(
+            name, view, peers, Dispatcher(), self._clock
+        )
+        return self._shared[name]
+
     def crash_under(self, runs: int) -> None:
         """Let each worker begin a number of runs, and crash under them."""
         begun = [
@@ -77,10 +83,12 @@
         self._crash.wait()
         raise WorkerAnswerError('the worker crashed')
 
-    def _tell(self, name: NodeName, suspicion: Suspicion, _ms: int) -> None:
-        self._shared[name].quarantine.update(
-            suspicion.fingerprint, suspicion.deaths
-        )
+    def _call(self, name: NodeName, suspicion: Suspicion, _ms: int) -> Any:
+        answers: list[Any] = []
+        stream: Any = SimpleNamespace(send=answers.append)
+        link: Any = None
+        self._shared[name]._handle_suspicion(link, stream, suspicion)
+        return answers[0]
 
 
 @given('a quarantine')
@@ -128,6 +136,17 @@
     context.workers.crash_alone()
 
 
+@when('another node joins')
+def join_node(context: Context) -> None:
+    context.workers.add('joined').learn('s')
+
+
+@then('it is not suspected at any of their nodes')
+def check_not_suspected_anywhere(context: Context) -> None:
+    for quarantine in context.workers.quarantines:
+        assert not quarantine.is_suspected(RUN.fingerprint)
+
+
 @then('it is suspected at each of their nodes, and not barred')
 def check_suspected_everywhere(context: Context) -> None:
     for quarantine in context.workers.quarantines:
