--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -9,6 +9,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.declarations import CallerLimits
 from laburnumwood.daemon.incarnation import Incarnation
+from laburnumwood.daemon.planned_stop import PlannedStop
 from laburnumwood.daemon.store_retry import (
     RETRY_MS,
     StoppingError,
@@ -21,10 +22,8 @@
     JOIN_LOST,
     NODE_ID_TAKEN,
     NODE_JOINED,
-    NODE_LEFT,
     NODE_RESIGNED,
     NODE_STARTED,
-    NODE_STOPPING,
     REJOINING,
 )
 from laburnumwood.integration import INTEGRATIONS
@@ -49,7 +48,7 @@
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.breaker import CircuitBreakerStore
 from laburnumwood.store.writes import new_mark
-from laburnumwood.tasks import start, start_joinable, supervise
+from laburnumwood.tasks import start, supervise
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 
 _POLL_MS = 100
@@ -80,8 +79,8 @@
         self._rejoin_backoff = RejoinBackoff(self._clock)
         self._avoided: frozenset[str] = frozenset()
         self._listening_since_ms = 0
-        self._stopping_since_ms: int | None = None
-        self._retry = StoreRetry(lambda: self._is_stopping)
+        self._stop = PlannedStop(settings, self._clock)
+        self._retry = StoreRetry(lambda: self._stop.has_begun)
         self._unfinished = UnfinishedIncarnations(self._retry)
         self._security = LinkSecurity(settings.shared_key, settings.tls)
         self._operators = OperatorEndpoint(settings, self.stop)
@@ -95,7 +94,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether callers may be routed to this node."""
-        if self._incarnation is None or self._is_stopping:
+        if self._incarnation is None or self._stop.has_begun:
             return False
         return self._incarnation.view.directory.config.generation > 0
 
@@ -106,7 +105,7 @@
             **self._settings.model_dump(include=_LOGGED_SETTINGS)
         )
         ended: NodeName | None = None
-        while not self._is_stopping:
+        while not self._stop.has_begun:
             try:
                 incarnation = self._join(ended)
             except StoppingError:
@@ -114,7 +113,7 @@
             NODE_JOINED.report(node=incarnation.name)
             start(self._record_earlier_ends, incarnation)
             status = self._await_end(incarnation)
-            if self._is_stopping:
+            if self._stop.has_begun:
                 break
             incarnation.deactivate()
             if status is IncarnationStatus.REPLACED:
@@ -124,12 +123,14 @@
                 node=incarnation.name, held_for_ms=incarnation.held_for_ms
             )
             ended = self._unfinished.end_or_defer(incarnation)
-        self._stop_gracefully()
+        if self._incarnation is not None:
+            self._stop.run(
+                self._incarnation, self._unfinished, self._caller_listener
+            )
 
     def stop(self) -> None:
         """Begin a planned stop; `run` returns when it is complete."""
-        if self._stopping_since_ms is None:
-            self._stopping_since_ms = self._clock.now_ms()
+        self._stop.begin()
 
     def changed_settings(self, settings: DaemonSettings) -> tuple[str, ...]:
         """Return the names of settings that differ from those in use."""
@@ -138,10 +139,6 @@
             name for name in sorted(current) if current[name] != new[name]
         )
 
-    @property
-    def _is_stopping(self) -> bool:
-        return self._stopping_since_ms is not None
-
     def _listen(self) -> None:
         settings = self._settings
         self._listening_since_ms = self._clock.now_ms()
@@ -183,7 +180,7 @@
     def _serve_caller(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        if self._is_stopping:
+        if self._stop.has_begun:
             close_after_answer(environ)
         if self._incarnation is None:
             refusal = make_failure(
@@ -212,7 +209,7 @@
         return (pages.metrics() if pages else exposition(),)
 
     def _await_end(self, incarnation: Incarnation) -> IncarnationStatus:
-        while not self._is_stopping:
+        while not self._stop.has_begun:
             status = incarnation_status(incarnation.lease, incarnation.view)
             if status is not IncarnationStatus.ACTIVE:
                 return status
@@ -247,7 +244,9 @@
         while self._clock.now_ms() < granted_until_ms:
             eventlet.sleep(_POLL_MS / MS_PER_SECOND)
         incarnation.hand_over(_RESIGN_HANDOVER_MS)
-        while not self._is_stopping and not incarnation.is_worker_reachable():
+        while (
+            not self._stop.has_begun and not incarnation.is_worker_reachable()
+        ):
             eventlet.sleep(RETRY_MS / MS_PER_SECOND)
 
     def _join(self, ended: NodeName | None) -> Incarnation:
@@ -342,47 +341,3 @@
         incarnation = self._incarnation
         is_announced = incarnation is None or incarnation.is_worker_announced
         return self.worker.has_released_all and is_announced
-
-    def _stop_gracefully(self) -> None:
-        incarnation = self._incarnation
-        if incarnation is None:
-            return
-        NODE_STOPPING.report(node=incarnation.name)
-        # Requests that were read are answered meanwhile: a long move of shards
-        # takes none of their time.
-        closing = start_joinable(self._close_caller_listener)
-        incarnation.hand_over(self._remaining_stop_ms())
-        closing.wait()
-        # While the store is unreachable, peers may not know yet that this node
-        # leaves, and go on sending requests.
-        incarnation.gate.close()
-        self._await_finished(incarnation, self._remaining_stop_ms())
-        self._unfinished.record_ends(incarnation)
-        incarnation.deactivate()
-        incarnation.close()
-        NODE_LEFT.report(node=incarnation.name)
-
-    def _close_caller_listener(self) -> None:
-        self._linger()
-        if self._caller_listener is not None:
-            self._caller_listener.close(self._remaining_stop_ms())
-
-    def _remaining_stop_ms(self) -> int:
-        """Return how many ms of the time for a planned stop are left."""
-        since_ms = self._stopping_since_ms or self._clock.now_ms()
-        elapsed_ms = self._clock.now_ms() - since_ms
-        return max(0, self._settings.stop_limit_ms - elapsed_ms)
-
-    def _linger(self) -> None:
-        """Wait while callers may not know yet that this node is stopping."""
-        settings = self._settings
-        spent_ms = settings.stop_limit_ms - self._remaining_stop_ms()
-        left_ms = settings.stop_linger_ms - spent_ms
-        eventlet.sleep(max(0, left_ms) / MS_PER_SECOND)
-
-    def _await_finished(self, last: Incarnation, patience_ms: int) -> None:
-        deadline_ms = self._clock.now_ms() + patience_ms
-        while not (last.has_finished and self._unfinished.have_finished):
-            if self._clock.now_ms() >= deadline_ms:
-                return
-            eventlet.sleep(_POLL_MS / MS_PER_SECOND)
