Run the checks side by side

Tools and files run as processes of their own now, one for each two cores, with a temporary folder each; those that took longest in the last run first. A file that hangs, crashes or leaves no report fails by its name, and Ctrl-C ends the groups of processes that were started. The same checks run, none twice.

--- /dev/null
+++ b/tests/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Running the checks of the project side by side."""
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,108 +1,103 @@
 """Run every check of the project and print one line of totals.
 
 A check is either a tool (formatter, linter, type checker, import rules) or a
-scenario of the features.  A failed check that is listed in KNOWN-RED.txt is
-printed but does not fail the run; a listed check that passes is printed too,
-so that its entry can be removed, and so is one that is not run here.
+scenario of the features.  Tools and feature files run side by side, those that
+took longest in the last run first.  A failed check that is listed in
+KNOWN-RED.txt is printed but does not fail the run; a listed check that passes
+is printed too, so that its entry can be removed, and so is one that is not run
+here.
 """
 
 import json
-import subprocess
+import os
 import sys
 import tempfile
-from collections.abc import Iterator
-from dataclasses import dataclass
+from argparse import ArgumentParser
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor, as_completed
 from pathlib import Path
-from typing import Any
 
-ROOT = Path(__file__).resolve().parent.parent
-BIN = Path(sys.executable).parent
-KNOWN_RED = ROOT / 'KNOWN-RED.txt'
-SOURCES = ('laburnumwood', 'standins', 'tests', 'bench')
-TOOLS: dict[str, tuple[str, ...]] = {
-    'format': ('ruff', 'format', '--check', '.'),
-    'lint': ('ruff', 'check', '.'),
-    'style': ('flake8', *SOURCES),
-    'types': ('mypy', *SOURCES),
-    'imports': ('lint-imports',),
-}
-
-
-@dataclass(frozen=True, slots=True)
-class Outcome:
-    """The name of one check and whether it passed."""
-
-    name: str
-    passed: bool
-
-
-def _read_known_red() -> set[str]:
-    """Return the names of the checks listed in KNOWN-RED.txt."""
-    lines = KNOWN_RED.read_text().splitlines()
-    entries = [line for line in lines if line and not line.startswith('#')]
-    return {entry.split('|')[0].strip() for entry in entries}
-
-
-def _run_tool(name: str, command: tuple[str, ...]) -> Outcome:
-    executable = str(BIN / command[0])
-    completed = subprocess.run(
-        [executable, *command[1:]], cwd=ROOT, check=False
+from tests.checks.jobs import Job, JobResult, all_jobs
+from tests.checks.outcomes import print_summary
+from tests.checks.processes import ROOT, CheckProcesses
+
+_JOBS_VARIABLE = 'LABURNUMWOOD_TEST_JOBS'
+_CORES_PER_JOB = 2
+_SECONDS_FILE = ROOT / 'build' / 'check-seconds.json'  # of the last run
+# The first run begins with these, which start many processes.
+_USUALLY_SLOW = (
+    *('soak', 'standstill', 'store_put_back', 'worker_signals', 'faults_owner'),
+    *('platform', 'faults_together', 'tool', 'held', 'faults_stops'),
+    *('put_back_fences', 'ownership', 'request_links', 'balance', 'path'),
+)
+
+
+def _default_jobs() -> int:
+    cores = len(os.sched_getaffinity(0))
+    usual = max(1, cores // _CORES_PER_JOB)
+    return int(os.environ.get(_JOBS_VARIABLE) or usual)
+
+
+def _usual_seconds() -> dict[str, float]:
+    """Return how long each job is expected to take."""
+    count = len(_USUALLY_SLOW)
+    usual = {
+        name: float(count - rank) for rank, name in enumerate(_USUALLY_SLOW)
+    }
+    try:
+        return usual | json.loads(_SECONDS_FILE.read_text())
+    except (OSError, ValueError):
+        return usual
+
+
+def _print_result(result: JobResult) -> None:
+    failed = [each for each in result.outcomes if not each.passed]
+    verdict = f'{len(failed)} FAILED' if failed else 'passed'
+    count = len(result.outcomes)
+    print(
+        f'{result.name}: {count} checks in {result.seconds:.0f} s, {verdict}',
+        flush=True,
     )
-    return Outcome(name, completed.returncode == 0)
-
-
-def _scenario_outcomes(report: list[dict[str, Any]]) -> Iterator[Outcome]:
-    for feature in report:
-        elements = feature.get('elements', ())
-        for element in elements:
-            if element['type'] == 'scenario':
-                name = '{}: {}'.format(feature['name'], element['name']).strip()
-                yield Outcome(name, element['status'] == 'passed')
-
-
-def _run_features() -> list[Outcome]:
-    with tempfile.TemporaryDirectory() as folder:
-        report = Path(folder) / 'report.json'
-        format_options = ('-f', 'json', '-o', str(report), '-f', 'progress3')
-        command = [
-            sys.executable,
-            '-m',
-            'behave',
-            '--no-capture',
-            *format_options,
-        ]
-        completed = subprocess.run(command, cwd=ROOT, check=False)
-        outcomes = list(_scenario_outcomes(json.loads(report.read_text())))
-    if completed.returncode and all(outcome.passed for outcome in outcomes):
-        outcomes.append(Outcome('features as a whole', passed=False))
-    return outcomes
-
-
-def _print_names(label: str, names: set[str]) -> None:
-    for name in sorted(names):
-        print(f'{label}: {name}')
-
-
-def _print_summary(outcomes: list[Outcome]) -> int:
-    """Print the totals and exceptions; return the exit status."""
-    known = _read_known_red()
-    ran = {outcome.name for outcome in outcomes}
-    failed = {outcome.name for outcome in outcomes if not outcome.passed}
-    unexpected = failed.difference(known)
-    _print_names('known red', failed.intersection(known))
-    _print_names('FAILED', unexpected)
-    _print_names('listed as known red but passed', known & ran - failed)
-    _print_names('listed as known red, not run here', known - ran)
-    passed = len(outcomes) - len(failed)
-    print(f'{passed} passed, {len(unexpected)} failed')
-    return 1 if unexpected or not passed else 0
+    if failed:
+        print(result.output, flush=True)
+
+
+def _keep_seconds(done: Iterable[JobResult]) -> None:
+    _SECONDS_FILE.parent.mkdir(exist_ok=True)
+    seconds = {result.name: round(result.seconds, 1) for result in done}
+    _SECONDS_FILE.write_text(json.dumps(seconds))
+
+
+def _run_side_by_side(
+    jobs: list[Job], folder: Path, at_once: int
+) -> list[JobResult]:
+    """Run jobs, print each result as it comes and return all of them."""
+    processes = CheckProcesses(folder)
+    done = []
+    with ThreadPoolExecutor(at_once) as pool:
+        pending = [pool.submit(job.run, processes) for job in jobs]
+        try:
+            for each in as_completed(pending):
+                done.append(each.result())
+                _print_result(done[-1])
+        finally:
+            pool.shutdown(wait=False, cancel_futures=True)
+            processes.end_all()
+    return done
 
 
 def main() -> int:
     """Run all checks; return 0 only if none failed unexpectedly."""
-    outcomes = [_run_tool(name, command) for name, command in TOOLS.items()]
-    outcomes.extend(_run_features())
-    return _print_summary(outcomes)
+    parser = ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument('--jobs', type=int, default=_default_jobs())
+    at_once = parser.parse_args().jobs
+    usual = _usual_seconds()
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        jobs = sorted(all_jobs(folder), key=lambda job: -usual.get(job.name, 0))
+        done = _run_side_by_side(jobs, folder, at_once)
+    _keep_seconds(done)
+    return print_summary([each for result in done for each in result.outcomes])
 
 
 if __name__ == '__main__':
