Answers on their way get the rest of the time for a planned stop

A stop ended for everything after five sixths of the time that the platform gives. Shards, the gate and the record of the end still have that long; answers that are on their way now have all but 300 ms.

--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -20,6 +20,7 @@
 MAX_PORT = 65_535
 _ADDRESS = r'^[^:]+:\d{1,5}$'
 _USABLE_GRACE = 5 / 6  # share of the time until the process would be killed
+_END_MS = 300  # from the last answer to the end of the process
 SECRET_FIELDS = frozenset(('shared_key', 'token'))
 
 
@@ -165,6 +166,14 @@
             return self.stop_patience_ms
         return round(self.stop_grace_s * MS_PER_SECOND * _USABLE_GRACE)
 
+    @property
+    def last_answer_ms(self) -> int:
+        """Return how long answers on their way may take in a planned stop."""
+        if self.stop_grace_s is None:
+            return self.stop_patience_ms
+        grace_ms = round(self.stop_grace_s * MS_PER_SECOND)
+        return max(self.stop_limit_ms, grace_ms - _END_MS)
+
     @property
     def caller_address(self) -> tuple[str, int]:
         """Return the host and the port at which callers connect."""
--- a/tests/features/operators.feature
+++ b/tests/features/operators.feature
@@ -34,13 +34,14 @@
   Scenario Outline: the settings determine how long a planned stop may take
     Given settings with <settings>
     Then a planned stop may take <limit> ms
+    And answers that are on their way may take <last> ms in it
 
     Examples:
-      | settings                    | limit |
-      | {}                          | 60000 |
-      | {"stop_patience_ms": 7000}  | 7000  |
-      | {"stop_grace_s": 6}         | 5000  |
-      | {"stop_grace_s": 10.0}      | 8333  |
+      | settings                    | limit | last  |
+      | {}                          | 60000 | 60000 |
+      | {"stop_patience_ms": 7000}  | 7000  | 7000  |
+      | {"stop_grace_s": 6}         | 5000  | 5700  |
+      | {"stop_grace_s": 10.0}      | 8333  | 9700  |
 
   Scenario Outline: a daemon refuses invalid settings
     Then a daemon with <settings> ends with status 2 and "<message>"
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -10,7 +10,9 @@
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
+from unittest.mock import MagicMock
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
 from hypothesis import given as for_all
@@ -33,12 +35,16 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.acceptance import replace_configuration
 from laburnumwood.config.declarations import Declarations
+from laburnumwood.daemon.planned_stop import PlannedStop
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.client import HttpStore
 from tests.features.steps.certificates import write_certificates
 from tests.features.steps.fake_clock import FakeClock
 
+TICK_MS = 50
+TICK_S = 0.001
+
 LIMIT_S = 120
 SHARDS = 6
 ROUNDING_MS = 20  # one millisecond for each of the 20 requests
@@ -185,6 +191,49 @@
     assert context.settings.stop_limit_ms == limit
 
 
+class SlowAnswer:
+    """An answer on its way to a caller while the listener closes."""
+
+    def __init__(self, takes_ms: int, clock: FakeClock) -> None:
+        self._clock = clock
+        self._ends_ms = clock.now_ms() + takes_ms
+        self.is_whole = False
+
+    def close(self, patience_ms: int) -> None:
+        """Wait for the end of the answer, as the listener does."""
+        until_ms = min(self._clock.now_ms() + patience_ms, self._ends_ms)
+        while self._clock.now_ms() < until_ms:
+            eventlet.sleep(0)
+        self.is_whole = until_ms == self._ends_ms
+
+
+def _pass_time(clock: FakeClock) -> None:
+    while True:
+        clock.pass_ms(TICK_MS)
+        eventlet.sleep(TICK_S)
+
+
+def _stop_during(context: Context, takes_ms: int) -> bool:
+    """Stop a node during an answer; return whether it was whole."""
+    clock = FakeClock()
+    answer: Any = SlowAnswer(takes_ms, clock)
+    incarnation: Any = MagicMock(is_busy=False, has_finished=True)
+    whole_at_end: list[bool] = []
+    incarnation.close = lambda: whole_at_end.append(answer.is_whole)
+    stop = PlannedStop(context.settings, clock)
+    stop.begin()
+    passing = eventlet.spawn(_pass_time, clock)
+    stop.run(incarnation, MagicMock(), answer)
+    passing.kill()
+    return whole_at_end == [True]
+
+
+@then('answers that are on their way may take {limit_ms:d} ms in it')
+def check_last_answer(context: Context, limit_ms: int) -> None:
+    assert _stop_during(context, limit_ms - 2 * TICK_MS)
+    assert not _stop_during(context, limit_ms + 2 * TICK_MS)
+
+
 @then('a daemon with {changes} ends with status {status:d} and "{message}"')
 def check_refused_settings(
     context: Context, changes: str, status: int, message: str
