Answer callers that wait for a node which is stopped before it serves

A node without an incarnation now closes its listener as any other does: callers that have connected get 503.

starting.feature, "a caller that waits for a node which is told to stop is answered", failed before.

--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -123,10 +123,7 @@
                 node=incarnation.name, held_for_ms=incarnation.held_for_ms
             )
             ended = self._unfinished.end_or_defer(incarnation)
-        if self._incarnation is not None:
-            self._stop.run(
-                self._incarnation, self._unfinished, self._caller_listener
-            )
+        self._end()
 
     def stop(self) -> None:
         """Begin a planned stop; `run` returns when it is complete."""
@@ -139,6 +136,15 @@
             name for name in sorted(current) if current[name] != new[name]
         )
 
+    def _end(self) -> None:
+        """Answer callers that have connected, and end the last incarnation."""
+        if self._incarnation is None:
+            self._stop.close(self._caller_listener)
+            return
+        self._stop.run(
+            self._incarnation, self._unfinished, self._caller_listener
+        )
+
     def _listen(self) -> None:
         settings = self._settings
         self._listening_since_ms = self._clock.now_ms()
--- a/tests/features/starting.feature
+++ b/tests/features/starting.feature
@@ -36,3 +36,11 @@
       | signal  | does                            |
       | SIGHUP  | goes on and reads its settings  |
       | SIGTERM | exits with status 0 within 20 s |
+
+  # Guards against callers whose connections end without an answer, since the
+  # node they have connected to is told to stop before it has begun to serve.
+  Scenario: a caller that waits for a node which is told to stop is answered
+    Given a node whose store does not answer
+    When a caller sends a request, and it gets SIGTERM while it is imported
+    Then the caller is answered with status 503
+    And it exits with status 0 within 20 s
--- a/tests/features/steps/starting_steps.py
+++ b/tests/features/steps/starting_steps.py
@@ -3,6 +3,8 @@
 import json
 import signal
 import tempfile
+from contextlib import suppress
+from http.client import HTTPConnection
 from pathlib import Path
 
 import eventlet
@@ -81,11 +83,12 @@
 @given('a node whose store does not answer')
 def start_node(context: Context) -> None:
     nowhere = f'http://{HOST}:{free_port()}'
+    context.door = f'{HOST}:{free_port()}'
     settings = {
         'node_id': 'a',
         'failure_domain': 'x',
         'peer_port': free_port(),
-        'door_port': free_port(),
+        'door_address': context.door,
         'platform_url': nowhere,
         'worker_url': nowhere,
         'service': 's',
@@ -114,6 +117,27 @@
     node.signal(signal.Signals[name])
 
 
+@when('a caller sends a request, and it gets SIGTERM while it is imported')
+def send_request_early(context: Context) -> None:
+    address = context.door.rsplit(':', 1)
+    context.caller = HTTPConnection(address[0], int(address[1]), LIMIT_S)
+    context.add_cleanup(context.caller.close)
+
+    def is_connected() -> bool:
+        with suppress(OSError):
+            context.caller.connect()
+        return context.caller.sock is not None
+
+    wait_for('the door', is_connected, LIMIT_S)
+    context.caller.request('GET', '/s/x')
+    context.node.terminate()
+
+
+@then('the caller is answered with status {status:d}')
+def check_answered(context: Context, status: int) -> None:
+    assert context.caller.getresponse().status == status
+
+
 @then('it goes on and reads its settings')
 def check_settings_read(context: Context) -> None:
     log = context.node.log
