A node waits for its record to be readable instead of ending

An invalid record was not one of the failures of a call that are tried again. It is now, wherever records are read: whoever wrote it may replace it.

joining.feature, "a node whose record is of an unknown form joins once it is removed", failed before.

--- a/laburnumwood/daemon/store_retry.py
+++ b/laburnumwood/daemon/store_retry.py
@@ -6,7 +6,12 @@
 import eventlet
 
 from laburnumwood.clock import MS_PER_SECOND
-from laburnumwood.errors import LaburnumwoodError, PlatformError
+from laburnumwood.errors import (
+    LaburnumwoodError,
+    PlatformError,
+    RecordError,
+)
+from laburnumwood.events import RECORD_REFUSED
 
 RETRY_MS = 500
 
@@ -22,6 +27,7 @@
 
     def __init__(self, is_stopping: Callable[[], bool]) -> None:
         self._is_stopping = is_stopping
+        self._refused = ''  # the last invalid record that was logged
 
     def until_answered(
         self,
@@ -39,7 +45,13 @@
             except lasting:
                 raise
             except PlatformError as failure:
-                # The guarded store has logged it.
+                self._report_invalid(failure)
                 if self._is_stopping():
                     raise StoppingError from failure
             eventlet.sleep(RETRY_MS / MS_PER_SECOND)
+
+    def _report_invalid(self, failure: PlatformError) -> None:
+        """Log an invalid record once; the guarded store logs the rest."""
+        if isinstance(failure, RecordError) and str(failure) != self._refused:
+            self._refused = str(failure)
+            RECORD_REFUSED.report(reason=failure)
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -52,8 +52,11 @@
     """The platform no longer keeps the requested changes."""
 
 
-class RecordError(LaburnumwoodError):
-    """An object in the store does not match the schema of its record."""
+class RecordError(PlatformError):
+    """An object in the store does not match the schema of its record.
+
+    Whoever has written it may replace it, so a call may succeed later.
+    """
 
 
 class ProtocolError(LaburnumwoodError):
--- a/tests/features/joining.feature
+++ b/tests/features/joining.feature
@@ -25,3 +25,14 @@
     Given a store with generation 3 that forgets a join before its list is read
     When a node begins to join
     Then it is ready within 2 s, with generation 3
+
+  # Guards against a node that ends at each start, since the store has its record
+  # in a form that is not known.
+  Scenario: a node whose record is of an unknown form joins once it is removed
+    Given a store with generation 3
+    And its record of the node is of an unknown form
+    When a node begins to join
+    Then it answers 503 and is not ready
+    And "record-refused" was logged once
+    When the record is removed
+    Then it is ready within 2 s, with generation 3
--- a/tests/features/steps/joining_steps.py
+++ b/tests/features/steps/joining_steps.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import eventlet
+import logbook
 from behave import given, then, when
 from behave.runner import Context
 
@@ -87,6 +88,19 @@
     context.add_cleanup(context.first.deactivate)
 
 
+@given('its record of the node is of an unknown form')
+def corrupt_record(context: Context) -> None:
+    context.log = logbook.TestHandler()
+    context.log.push_application()
+    context.add_cleanup(context.log.pop_application)
+    context.store.backing.corrupt('nodes/a')
+
+
+@when('the record is removed')
+def remove_record(context: Context) -> None:
+    context.store.backing.put_back(1)
+
+
 @then('it answers 503 and is not ready')
 def check_refused(context: Context) -> None:
     statuses: list[str] = []
