Ask for suspicions in a way that older nodes understand

The question is now a suspicion without a fingerprint, which older nodes take for one to be cleared.

messages.feature lists the messages that have added fields; it fails if one gets a field that nodes of that handshake reject.

--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -253,17 +253,16 @@
     worker: WorkerNotice | None = None
 
 
-@message('suspicion', added=('wants_all',))
+@message('suspicion')
 @dataclass(frozen=True, slots=True)
 class Suspicion:
     """How many workers died while they ran a request; 0 clears it.
 
-    A sender that `wants_all` is answered with `Suspicions`.
+    One without a fingerprint asks for `Suspicions`; older nodes ignore it.
     """
 
     fingerprint: str
     deaths: int
-    wants_all: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumwood/routing/shared_quarantine.py
+++ b/laburnumwood/routing/shared_quarantine.py
@@ -87,9 +87,7 @@
 
     def _ask(self, name: NodeName) -> None:
         try:
-            reply = self._peers.call(
-                name, Suspicion('', 0, wants_all=True), _CALL_TIMEOUT_MS
-            )
+            reply = self._peers.call(name, Suspicion('', 0), _CALL_TIMEOUT_MS)
         except LinkError:
             return  # the others that are asked know the same
         if isinstance(reply, Suspicions):
@@ -105,7 +103,7 @@
     def _handle_suspicion(
         self, _link: Link, stream: Stream, suspicion: Suspicion
     ) -> None:
-        if suspicion.wants_all:
+        if not suspicion.fingerprint:
             stream.send(Suspicions(self.quarantine.suspects(_MAX_TOLD)))
             return
         self.quarantine.update(suspicion.fingerprint, suspicion.deaths)
--- a/tests/features/messages.feature
+++ b/tests/features/messages.feature
@@ -25,6 +25,19 @@
       | new    | old      | no   |
       | old    | new      | no   |
 
+  # Guards against links that break with nodes of an earlier version: they reject
+  # a message that has more values than they know.
+  Scenario: no message has values that nodes with added fields do not know
+    Then these messages have added fields, and no others
+      | kind         | fields |
+      | work         | worker |
+      | answer       | worker |
+      | whole-answer | worker |
+      | load         | worker |
+      | pull         | era    |
+      | changes      | era    |
+      | shard        | era    |
+
   Scenario Outline: a frequent message with an invalid value is rejected
     When a frame of kind "<kind>" has the values <values>
     Then the frame is rejected
--- a/tests/features/steps/message_steps.py
+++ b/tests/features/steps/message_steps.py
@@ -23,7 +23,7 @@
     accepts_added_fields,
     dial,
 )
-from laburnumwood.protocol.kinds import KINDS
+from laburnumwood.protocol.kinds import ADDED, KINDS
 from laburnumwood.protocol.messages import Answer, LoadReport, WholeAnswer
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.store_messages import Changes, Memory
@@ -156,3 +156,9 @@
     for caller, receiver, used in context.table:
         found = _is_used(caller, receiver)
         assert found == {used == 'yes'}, (caller, receiver, found)
+
+
+@then('these messages have added fields, and no others')
+def check_added_fields(context: Context) -> None:
+    known = {row['kind']: tuple(row['fields'].split()) for row in context.table}
+    assert known == {kind: added for kind, added in ADDED.items() if added}
