--- a/laburnumwood/routing/body_memory.py
+++ b/laburnumwood/routing/body_memory.py
@@ -1,16 +1,15 @@
 """A limit on the request bodies that a process holds in memory at a time."""
 
+import sys
 from types import TracebackType
 
 from laburnumwood.errors import BodyMemoryError
 
-_DEFAULT_BYTES = 150_994_944
-
 
 class BodyMemory:
     """The memory for request bodies, of which parts are reserved."""
 
-    def __init__(self, max_bytes: int = _DEFAULT_BYTES) -> None:
+    def __init__(self, max_bytes: int = sys.maxsize) -> None:
         self.max_bytes = max_bytes
         self._reserved_bytes = 0
 
@@ -68,4 +67,4 @@
         self._memory.add(-size)
 
 
-BODY_MEMORY = BodyMemory()  # of this process
+BODY_MEMORY = BodyMemory()  # of this process; the settings limit it
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -50,7 +50,7 @@
 LimitsProvider = Callable[[], CallerLimits]
 
 # Keys of the WSGI environment.
-ANSWERED_KEY = 'laburnumwood.answered'  # requests answered before it here
+ANSWERED_KEY = 'laburnumwood.answered'  # requests answered on the connection
 CLOSE_KEY = 'laburnumwood.close'  # function: close after this answer
 HEADERS_KEY = 'laburnumwood.headers'  # the `HeaderIndex` of the request
 REQUEST_ID_KEY = 'laburnumwood.request'  # request id, once it is known
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -182,8 +182,8 @@
     def adopt_leaving(self, source: str, known_for_ms: int | None) -> None:
         """Record what another node knows, also if the worker has said it here.
 
-        The process before this one may have heard it earlier.  None: for how
-        long is not known, but it is news here only if it is old.
+        The process before this one may have heard it earlier.  None: the other
+        node does not say for how long, so it counts only if it is new here.
         """
         if known_for_ms is None and self.is_leaving:
             return
