One way to run a check's command, and to run several lines of a simulation

No change of behaviour. Both kinds of checks started a process and waited for it in the same two steps; three rules of the random simulation had the same loop.

--- a/tests/checks/jobs.py
+++ b/tests/checks/jobs.py
@@ -12,7 +12,6 @@
 from tests.checks.processes import (
     MAX_SILENCE_S,
     ROOT,
-    CheckProcess,
     CheckProcesses,
     HungError,
 )
@@ -58,8 +57,8 @@
     def run(self, processes: CheckProcesses) -> JobResult:
         """Run the tool; it passes if its exit status is zero."""
         executable = str(_BIN / self.command[0])
-        process = processes.start(self.name, (executable, *self.command[1:]))
-        result, status = _wait(self.name, process, processes, MAX_SILENCE_S)
+        command = (executable, *self.command[1:])
+        result, status = _run(self.name, command, processes, MAX_SILENCE_S)
         result.outcomes.append(Outcome(self.name, status == 0, result.seconds))
         return result
 
@@ -84,10 +83,7 @@
             *('-f', 'json', '-o', str(self.report), '-f', 'progress3'),
             str(self.path),
         )
-        process = processes.start(self.name, command)
-        result, status = _wait(
-            self.name, process, processes, self.max_silence_s
-        )
+        result, status = _run(self.name, command, processes, self.max_silence_s)
         result.outcomes.extend(self._outcomes(status))
         return result
 
@@ -120,14 +116,15 @@
     return [*tools, *features]
 
 
-def _wait(
+def _run(
     name: str,
-    process: CheckProcess,
+    command: tuple[str, ...],
     processes: CheckProcesses,
     max_silence_s: float,
 ) -> tuple[JobResult, int | None]:
-    """Wait for a process; return its status, None if it hung."""
+    """Run a command to its end; return its status, None if it hung."""
     started_s = time.monotonic()
+    process = processes.start(name, command)
     status = None
     try:
         with suppress(HungError):
--- a/tests/ownership/lives_machine.py
+++ b/tests/ownership/lives_machine.py
@@ -36,28 +36,26 @@
         self, vm: str, step_ms: int, count: int
     ) -> None:
         """Begin another life after the clock of the VM was stepped."""
-        for line in (
+        self._run_all(
             f'kill-worker {vm}',
             f'step-clock {vm} {step_ms}',
             f'tick {count}',
             f'start-worker {vm}',
-        ):
-            self._run(line)
+        )
 
     @rule(vm=_VMS, delivery=_DELIVERIES, order=_ORDERS, count=_STEP_COUNTS)
     def delay_reports(
         self, vm: str, delivery: str, order: str, count: int
     ) -> None:
         """Deliver the reports of a life after those of the next one."""
-        for line in (
+        self._run_all(
             f'reports {vm} {delivery}',
             f'tick {count}',
             f'restart-worker {vm}',
             f'reports {vm} up',
             'tick 2',
             f'deliver-reports {vm} {order}',
-        ):
-            self._run(line)
+        )
 
     @rule(
         vm=_VMS, command=_WORKER_COMMANDS, late=_STEP_COUNTS, count=_STEP_COUNTS
@@ -66,7 +64,7 @@
         self, vm: str, command: str, late: int, count: int
     ) -> None:
         """Let a process that has just started hear late reports first."""
-        for line in (
+        self._run_all(
             f'reports {vm} late',
             f'{command} {vm}',
             f'tick {late}',
@@ -74,8 +72,7 @@
             f'tick {count}',
             f'restart {vm}',
             f'deliver-reports {vm} in-order',
-        ):
-            self._run(line)
+        )
 
     @rule(vm=_VM_OR_ALL, count=_STEP_COUNTS, forgotten=_WRITE_COUNTS)
     def lose_vm(self, vm: str, count: int, forgotten: int) -> None:
@@ -126,6 +123,10 @@
         """Move a shard, also one that was split off."""
         self._run(f'move {shard} {to_vm}')
 
+    def _run_all(self, *lines: str) -> None:
+        for line in lines:
+            self._run(line)
+
     def _clear_faults_of_vm(self, vm: str) -> None:
         super()._clear_faults_of_vm(vm)
         self._run('end-silence')
