--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -42,6 +42,7 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
+from laburnumwood.routing.body_memory import BODY_MEMORY
 from laburnumwood.routing.caller_interface import send_problem
 from laburnumwood.routing.problems import StartResponse, make_failure
 from laburnumwood.routing.server import HttpListener, close_after_answer
@@ -66,6 +67,7 @@
             text = f'borders: found {settings.borders!r}; allowed: {allowed}'
             raise SettingsError(text)
         self._settings = settings
+        BODY_MEMORY.max_bytes = settings.body_memory_bytes
         self._clock = Clock()
         self._integration = INTEGRATIONS[settings.borders]
         self._caller_interface = self._integration.make_caller_interface(
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -131,6 +131,16 @@
         self.limit_per_second = limit_per_second
 
 
+class BodyMemoryError(LaburnumwoodError):
+    """There is no memory for a request's body."""
+
+    def __init__(self, size: int, reserved: int, most: int) -> None:
+        super().__init__(
+            f'no memory for {size} bytes; {reserved} of {most} are in use'
+        )
+        self.never_fits = size > most
+
+
 class WorkerTimeoutError(WorkerAnswerError):
     """The worker did not answer before the timeout."""
 
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -57,8 +57,9 @@
 TARGET_KEY = 'laburnumwood.target'  # path and query as the caller sent them
 TIME_KEY = 'laburnumwood.time'  # the `RequestTime` of the request
 
-_DRAIN_TIMEOUT_S = 0.5
-_MAX_DRAIN_BYTES = 1_048_576  # most unread bytes to discard
+_DRAIN_TIMEOUT_S = 1
+_DRAIN_SIZE = 65_536  # bytes
+_MAX_DRAIN_BYTES = 67_108_864  # most unread bytes to discard
 _CONTINUE_LINE = b'HTTP/1.1 100 Continue\r\n'
 _BODYLESS_STATUSES = frozenset(('204', '304'))
 _MAX_EMPTY_LINES = 8  # before a request
@@ -298,11 +299,18 @@
                 answer.finish()
 
     def _discard_unread_body(self, body: wsgi.Input) -> None:
-        """Discard the unread rest of a body, or close the connection."""
+        """Discard the unread rest of a body, or close the connection.
+
+        A caller may send all of it before it reads the answer.
+        """
         if body.should_send_hundred_continue:
             self.close_connection = True
         has_unread = body.chunked_input or body.position < body.content_length
-        if self.close_connection or not has_unread:
+        if not has_unread:
+            return
+        if self.close_connection:
+            with suppress(OSError):
+                self._drain()
             return
         try:
             body.discard()
@@ -396,5 +404,5 @@
         remaining = _MAX_DRAIN_BYTES
         with Timeout(_DRAIN_TIMEOUT_S, exception=False):
             while remaining > 0:
-                received = self.request.recv(remaining)
+                received = self.request.recv(_DRAIN_SIZE)
                 remaining -= len(received) or remaining
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -4,6 +4,7 @@
 from contextlib import AbstractContextManager, suppress
 from dataclasses import dataclass, replace
 from functools import partial
+from io import BytesIO
 from traceback import format_exc
 from typing import Protocol
 
@@ -15,6 +16,7 @@
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service
 from laburnumwood.errors import (
+    BodyMemoryError,
     BodyTimeoutError,
     LinkError,
     LinkTimeoutError,
@@ -37,6 +39,7 @@
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
 from laburnumwood.protocol.send_queue import SEND_QUEUE
 from laburnumwood.records import ShardName, ShardRecord, WorkerNotice
+from laburnumwood.routing.body_memory import BODY_MEMORY
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.execution import ExecutionCheck, Executor
 from laburnumwood.routing.observed import (
@@ -109,16 +112,16 @@
     """
     if work.is_whole:
         return work.body
-    parts: list[bytes] = []
+    body = BytesIO()  # its value is not copied
     while True:
         try:
             message = exchange.receive(max(0, until_ms - clock.now_ms()))
         except LinkTimeoutError as error:
             raise BodyTimeoutError('the body did not come in time') from error
         if isinstance(message, Chunk):
-            parts.append(message.content)
+            body.write(message.content)
         elif isinstance(message, End):
-            return _checked_body(b''.join(parts), message.length)
+            return _checked_body(body.getvalue(), message.length)
         else:
             raise LinkError('the sender aborted the body')
 
@@ -129,9 +132,18 @@
     return body
 
 
-def _not_run_failure(reason: OverloadedError | BodyTimeoutError) -> Failure:
+def _length_to_receive(work: Work) -> int:
+    """Return how long a body is that has not come with the request."""
+    return 0 if work.is_whole else work.body_length
+
+
+def _not_run_failure(
+    reason: OverloadedError | BodyTimeoutError | BodyMemoryError,
+) -> Failure:
     if isinstance(reason, OverloadedError):
         return make_overload_failure(reason)
+    if isinstance(reason, BodyMemoryError):
+        return make_failure('overloaded', str(reason), ran=False)
     return make_failure('deadline', str(reason), ran=False)
 
 
@@ -230,8 +242,13 @@
         # After a link error there is no peer left to answer.
         with suppress(LinkError):
             try:
-                self._serve_in_shard(exchange, work)
-            except (OverloadedError, BodyTimeoutError) as reason:
+                with BODY_MEMORY.reserve(_length_to_receive(work)):
+                    self._serve_in_shard(exchange, work)
+            except (
+                OverloadedError,
+                BodyTimeoutError,
+                BodyMemoryError,
+            ) as reason:
                 self._return_request(exchange, work, _not_run_failure(reason))
             except LinkError:
                 raise
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -18,7 +18,11 @@
 from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.pending_answer import PendingAnswer
 from laburnumwood.routing.problems import StartResponse, status_line
-from laburnumwood.routing.request_parsing import Environ, RequestRefusedError
+from laburnumwood.routing.request_parsing import (
+    Environ,
+    RequestRefusedError,
+    release_body,
+)
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.server import close_after_answer, reset_caller
 
@@ -59,6 +63,14 @@
         """Route one request and return the parts of its answer."""
         request_id = self._caller_interface.request_id(environ)
         environ[REQUEST_ID_KEY] = request_id
+        try:
+            return self._route(environ, start_response, request_id)
+        finally:
+            release_body(environ)  # the rest is the answer
+
+    def _route(
+        self, environ: Environ, start_response: StartResponse, request_id: str
+    ) -> Iterable[bytes]:
         try:
             request = self._read_request(environ, request_id)
         except RequestRefusedError as error:
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -1,6 +1,7 @@
 """Parsing of a caller's request from its WSGI environment."""
 
 import re
+from io import BytesIO
 from typing import Any
 from urllib.parse import parse_qs
 from uuid import uuid4
@@ -10,9 +11,10 @@
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import KeySource, Service
-from laburnumwood.errors import LaburnumwoodError
+from laburnumwood.errors import BodyMemoryError, LaburnumwoodError
 from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.protocol.messages import Work
+from laburnumwood.routing.body_memory import BODY_MEMORY, BodyReservation
 from laburnumwood.routing.caller_protocol import TIME_KEY
 from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.headers import forwarded_headers, header_values
@@ -26,6 +28,7 @@
 _MAX_IDENTIFIER_LENGTH = 256  # characters of a request id or key
 _DEFAULT_DEADLINE_MS = 10_000
 _READ_SIZE = 65_536  # bytes
+_RESERVATION_KEY = 'laburnumwood.body'  # of the WSGI environment
 _INTEGER = re.compile('-?[0-9]{1,12}')
 _METHOD = re.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _PRINTABLE = re.compile(r'[^\x00-\x1f\x7f]+')
@@ -101,31 +104,51 @@
     return f'/work/{path}?{query}' if query else f'/work/{path}'
 
 
-def _read_stream(environ: Environ, max_bytes: int) -> bytes:
+def _read_stream(
+    environ: Environ, max_bytes: int, reservation: BodyReservation
+) -> bytes:
     stream = environ['wsgi.input']
-    body = bytearray()
+    body = BytesIO()  # its value is not copied
     while chunk := stream.read(_READ_SIZE):
-        body.extend(chunk)
-        if len(body) > max_bytes:
+        body.write(chunk)
+        if body.tell() > max_bytes:
             raise RequestRefusedError('too-large', f'over {max_bytes} bytes')
-    return bytes(body)
+        reservation.grow_to(body.tell())
+    return body.getvalue()
+
+
+def _no_memory(error: BodyMemoryError) -> RequestRefusedError:
+    kind = 'too-large' if error.never_fits else 'overloaded'
+    return RequestRefusedError(kind, str(error))
+
+
+def release_body(environ: Environ) -> None:
+    """Release the memory of a request's body, which is needed no longer."""
+    reservation = environ.pop(_RESERVATION_KEY, None)
+    if reservation is not None:
+        reservation.release()
 
 
 def read_body(environ: Environ, max_bytes: int) -> bytes:
     """Return the whole body of a request; raises `RequestRefusedError`.
 
-    The deadline of the request is set.
+    The deadline of the request is set.  The memory for the body is reserved
+    until `release_body` is called.
     """
     content_length = environ.get('CONTENT_LENGTH')
     if not content_length and not environ['wsgi.input'].chunked_input:
         return b''
     if content_length and int(content_length) > max_bytes:
         raise RequestRefusedError('too-large', f'over {max_bytes} bytes')
+    reservation = environ.setdefault(_RESERVATION_KEY, BODY_MEMORY.reserve())
     too_late = RequestRefusedError('deadline', 'the body did not come in time')
     left_s = max(0, environ[TIME_KEY].left_ms) / MS_PER_SECOND
     try:
+        reservation.grow_to(int(content_length or 0))
         with Timeout(left_s, too_late):
-            body = _read_stream(environ, max_bytes)
+            body = _read_stream(environ, max_bytes, reservation)
+    except BodyMemoryError as error:
+        raise _no_memory(error) from error
     except (ChunkReadError, OSError) as error:
         raise RequestRefusedError('bad-request', f'body: {error}') from error
     if content_length and len(body) != int(content_length):
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -163,6 +163,8 @@
         notice = self._balancer.notices.latest(target)
         if notice is not None:
             work = replace(work, worker=notice)
+        if target == self._own:
+            work = replace(work, body=body)  # no copy, as on the way to others
         unsent = b'' if work.is_whole else body
         attempt = Attempt(work, unsent, target, until_ms, caller)
         try:
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -19,6 +19,7 @@
 
 MAX_PORT = 65_535
 _ADDRESS = r'^[^:]+:\d{1,5}$'
+_BYTES_PER_MB = 1_048_576
 _USABLE_GRACE = 5 / 6  # share of the time until the process would be killed
 _END_MS = 300  # from the last answer to the end of the process
 SECRET_FIELDS = frozenset(('shared_key', 'token'))
@@ -130,6 +131,7 @@
     lease: LeaseSettings = LeaseSettings()
     reports: ReportSettings = ReportSettings()
     placement: PlacementSettings = PlacementSettings()
+    body_memory_mb: int = Field(default=144, ge=1, le=65_536)
     stop_patience_ms: int = Field(default=60_000, ge=0, le=3_600_000)
     stop_grace_s: float | None = Field(default=None, ge=1, le=3_600)
     stop_linger_ms: int = Field(default=0, ge=0, le=60_000)
@@ -174,6 +176,11 @@
         grace_ms = round(self.stop_grace_s * MS_PER_SECOND)
         return max(self.stop_limit_ms, grace_ms - _END_MS)
 
+    @property
+    def body_memory_bytes(self) -> int:
+        """Return how many bytes of request bodies are held at a time."""
+        return self.body_memory_mb * _BYTES_PER_MB
+
     @property
     def caller_address(self) -> tuple[str, int]:
         """Return the host and the port at which callers connect."""
--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -35,6 +35,7 @@
 _STATUS_LINE = re.compile(rb'HTTP/1\.([01]) ([1-9][0-9]{2})(?: .*)?\r?\n')
 _HEADER_LINE = re.compile(rb'([^\s:\0]+):([^\r\n\0]*)\r?\n')
 _MAX_HEADERS = 100
+_MAX_COPIED_BYTES = 65_536  # of a body, to send it with the head
 _CONTENT_LENGTH = re.compile('[0-9]{1,18}')
 _CHUNK_LINE = re.compile(rb'([0-9a-fA-F]{1,15})[ \t]*(?:;[^\r\n]*)?\r?\n')
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
@@ -219,11 +220,18 @@
         self.last_used_ms = self._clock.now_ms()
         self.sock.settimeout(timeout_ms / MS_PER_SECOND)
         self.sock.set_read_deadline(self.last_used_ms + timeout_ms)
-        self.sock.sendall(head + body)
+        self._send(head, body)
         response = StrictResponse(self.sock, method)
         response.begin()
         return response
 
+    def _send(self, head: bytes, body: bytes) -> None:
+        if len(body) <= _MAX_COPIED_BYTES:
+            self.sock.sendall(head + body)
+            return
+        self.sock.sendall(head)
+        self.sock.sendall(memoryview(body))  # what is left is not copied
+
     @property
     def is_reused(self) -> bool:
         """Return whether more than one request was sent on the connection."""
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -64,6 +64,28 @@
       | two empty lines before it     | ;;GET /p/x               | Host: a.example                           | plain   | GET /p/x     |
       | no key where parts need none  | GET /mixed/x             | Host: a.example                           | plain   | GET /mixed/x |
 
+  # Guards against a process that exceeds the memory of its VM (review/3): what
+  # does not fit is rejected before it is read, as not run.
+  Scenario Outline: a body is <answered> beside <held> bytes of others in memory for <most>
+    Given bodies of <held> bytes in memory for <most> bytes
+    When a caller sends a body with "<headers>" as "<body>"
+    Then the door answers with status <status>
+    And bodies of <held> bytes are in memory again
+
+    Examples:
+      | answered                         | held | most | headers                    | body           | status |
+      | served                           | 500  | 1500 | Content-Length: 1000       | LONGEST        | 200    |
+      | served in chunks                 | 500  | 1500 | Transfer-Encoding: chunked | 3e8;LONGEST;0;; | 200    |
+      | rejected before it comes         | 501  | 1500 | Content-Length: 1000       |                | 503    |
+      | rejected in chunks               | 501  | 1500 | Transfer-Encoding: chunked | 3e8;LONGEST;0;; | 503    |
+      | rejected as it would never fit   | 0    | 999  | Content-Length: 1000       |                | 413    |
+
+  # Guards against a caller that loses an answer which came before it had sent
+  # its body: the connection was reset.
+  Scenario: a caller that sends its whole body first gets the answer
+    When a caller sends a body of 16000000 bytes, and then reads
+    Then the door answers with status 413
+
   # Guards against a 4xx for a proper form of a body (DENIED).
   Scenario Outline: a proper body is served: <why>
     When a caller sends a body with "<headers>" as "<body>"
--- a/tests/features/steps/limit_steps.py
+++ b/tests/features/steps/limit_steps.py
@@ -14,6 +14,7 @@
 from laburnumwood.membership.directory import Directory
 from laburnumwood.platform.manifest import read_manifest
 from laburnumwood.records import StoredObject
+from laburnumwood.routing.body_memory import BODY_MEMORY
 from laburnumwood.store.objects import CONFIG_NAME
 from tests.fuzz.inputs import send_malformed
 from tests.request_stack.door import RecordingRouter, serve_door
@@ -268,6 +269,26 @@
     )
 
 
+@when('a caller sends a body of {size:d} bytes, and then reads')
+def send_long_body(context: Context, size: int) -> None:
+    head = f'POST /p/x HTTP/1.1{END}{HOST_HEADER}{END}Content-Length: {size}'
+    _exchange(context, f'{head}{END}{END}{"x" * size}')
+
+
+@given('bodies of {held:d} bytes in memory for {most:d} bytes')
+def hold_bodies(context: Context, held: int, most: int) -> None:
+    context.add_cleanup(
+        setattr, BODY_MEMORY, 'max_bytes', BODY_MEMORY.max_bytes
+    )
+    BODY_MEMORY.max_bytes = most
+    context.add_cleanup(BODY_MEMORY.reserve(held).release)
+
+
+@then('bodies of {held:d} bytes are in memory again')
+def check_held(_context: Context, held: int) -> None:
+    assert BODY_MEMORY.reserved_bytes == held, BODY_MEMORY.reserved_bytes
+
+
 @then('the worker is sent a body of {length:d} bytes')
 def check_body(context: Context, length: int) -> None:
     assert len(context.router.request.body) == length
