Tell by class where requests wait, and how late a process runs

Cause of the blindness: gate-load counts all classes together, a line is written only for requests that were sent away, and nothing tells how late a process gets its turn.

Change: door-load (in time, late, refused, failed and mean times by service and rank, once a second), classes with mean times in gate-load, loop_ms and the histogram laburnumwood.loop.delay.

--- a/laburnumwood/admission/admitter.py
+++ b/laburnumwood/admission/admitter.py
@@ -67,9 +67,11 @@
         """
         if ticket.is_cancelled:
             raise RunCancelledError(_CANCELLED)
+        offered_ms = self._clock.now_ms()
         try:
             self._acquire(ticket)
-            self.counters.record_admitted()
+            waited_ms = self._clock.now_ms() - offered_ms
+            self.counters.record_admitted(ticket, waited_ms)
             yield
         finally:
             self._responding.discard(ticket)
@@ -94,12 +96,12 @@
             return
         if ticket.is_cancelled:
             raise RunCancelledError(_CANCELLED)
-        self.counters.record_shed()
+        self.counters.record_shed(ticket)
         raise OverloadedError(ticket.retry_after_ms, ticket.shed_by_limit)
 
     def _release(self, ticket: Ticket) -> None:
         if ticket.state is TicketState.RUNNING:
-            self.counters.record_released()
+            self.counters.record_released(ticket)
         self._policy.release(ticket)
         self._pace_starts()
 
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -149,6 +149,7 @@
             *self._worker_tasks(),
             self._account.run,
             self.ingress.report_served,
+            self.ingress.report_load,
             self.load.run,
             self._shard_manager.follow_ownership,
             self._shard_manager.write_records,
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -28,6 +28,7 @@
 )
 from laburnumwood.integration import INTEGRATIONS
 from laburnumwood.leases.witness import Witness
+from laburnumwood.loop_delay import LOOP_DELAY
 from laburnumwood.membership.config_inheritance import inherit_config
 from laburnumwood.membership.incarnation_ends import (
     IncarnationStatus,
@@ -172,6 +173,7 @@
         for listener in self._integration.listeners(settings, self):
             HttpListener(listener.address, listener.application, self._clock)
         start(supervise, self.worker.presence.watch)
+        start(supervise, LOOP_DELAY.watch)
 
     def _serve_peer(self, link: Link, stream: Stream, message: Any) -> None:
         if self._incarnation is None:
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -479,6 +479,13 @@
     'a request was answered after its deadline',
     'compare what was waited unread, what the body took and what followed',
 )
+DOOR_LOAD = _event(
+    716,
+    logbook.INFO,
+    'door-load',
+    'requests that were answered at this door in the last second, by service '
+    'and rank',
+)
 TASK_FAILED = _event(
     901,
     logbook.ERROR,
--- a/laburnumwood/metrics.py
+++ b/laburnumwood/metrics.py
@@ -114,6 +114,11 @@
     'time from the deadline of a request to the end of its answer at this '
     'door, of answers that came after it',
 )
+LOOP_DELAYS = _histogram(
+    'laburnumwood.loop.delay',
+    'ms',
+    'time by which a timer of this process fired late, ten times a second',
+)
 CALLER_GONE_WITHIN = _histogram(
     'laburnumwood.caller.gone',
     'ms',
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -231,6 +231,9 @@
             let_in=counts.admitted,
             shed=counts.shed,
             shards=len(self._held_shards.tokens()),
+            classes={
+                name: each.summary() for name, each in counts.classes.items()
+            },
         )
 
     def close(self) -> None:
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -16,6 +16,7 @@
 from laburnumwood.routing.caller_interface import CallerInterface, send_problem
 from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY, TIME_KEY
 from laburnumwood.routing.caller_request import CallerRequest
+from laburnumwood.routing.door_counters import DoorCounters
 from laburnumwood.routing.pending_answer import PendingAnswer
 from laburnumwood.routing.problems import StartResponse, status_line
 from laburnumwood.routing.request_parsing import (
@@ -56,6 +57,7 @@
         self._get_config_status = get_config_status
         self._confirm_config = confirm_config
         self._callers = CallerMonitor(clock)
+        self.counters = DoorCounters()
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -80,6 +82,8 @@
         sock = environ['eventlet.input'].get_socket()
         caller = self._callers.register(sock, request_id)
         answer = self._router.send(request, caller)
+        elapsed_ms = environ[TIME_KEY].elapsed_ms
+        self.counters.record(request.work, answer, elapsed_ms)
         if isinstance(answer, Failure):
             caller.stop_monitoring()
             return self._send_problem(answer, request_id, start_response)
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -56,6 +56,12 @@
             if counts:
                 REQUESTS_SERVED.report(answers=dict(counts))
 
+    def report_load(self) -> None:
+        """Log the requests of each second by rank; does not return."""
+        while True:
+            eventlet.sleep(1)
+            self._ingress.counters.report()
+
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -77,6 +77,14 @@
     When 9 more requests of one key arrive within 500 ms
     And the gate reports its load
     Then it reported 4 busy slots, 4 requests admitted and 5 shed
+    And of class "ordinary" it reported let_in=4 shed=5 wait_ms=0 head_ms=0 slot_ms=0
+
+  # Without the classes, a second with many refusals did not show whether the
+  # answers were late at the door, in the queue or at the worker.
+  Scenario: a door reports what it answered of each service and rank
+    Given requests of rank 2 with an objective of 800 ms
+    When a door answers them after 100, 700, 900 and 1200 ms, and refuses 1
+    Then it reported in_time=2 late=2 refused=1 failed=0 served_ms=725 of "s 2"
 
   # Guards against leaving a restarted worker idle: its gate went on with the
   # limit to which the losses of the instance before had lowered it.
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -27,8 +27,11 @@
     ShardRecord,
     StoredObject,
 )
+from laburnumwood.routing.door_counters import DoorCounters
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.gate import AdmissionGate, WorkerState
+from laburnumwood.routing.pending_answer import PendingAnswer
+from laburnumwood.routing.problems import make_failure
 from laburnumwood.store.objects import shard_object_name, to_value
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
@@ -462,3 +465,45 @@
     assert fields['event'] == 'gate-load', fields
     found = fields['busy'], fields['let_in'], fields['shed']
     assert found == (busy, admitted, shed), fields
+
+
+def _check_summary(summary: dict[str, int], expected: str) -> None:
+    pairs = (pair.split('=') for pair in expected.split(' '))
+    wanted = {name: int(number) for name, number in pairs}
+    assert wanted.items() <= summary.items(), summary
+
+
+@then('of class "{name}" it reported {expected}')
+def check_class_load(context: Context, name: str, expected: str) -> None:
+    classes = context.log.records[-1].extra['classes']
+    _check_summary(classes[name], expected)
+
+
+@given('requests of rank {rank:d} with an objective of {span_ms:d} ms')
+def make_ranked_work(context: Context, rank: int, span_ms: int) -> None:
+    context.work = replace(PLAIN_WORK, priority=rank, objective_ms=span_ms)
+
+
+@when(
+    'a door answers them after {first:d}, {second:d}, {third:d} and '
+    '{last:d} ms, and refuses {refused:d}'
+)
+def answer_at_door(context: Context, refused: int, **spans_ms: int) -> None:
+    counters = DoorCounters()
+    clock = FakeClock()
+    answer = PendingAnswer(WholeAnswer(200, (), b''), local_pair()[0], 0, clock)
+    for span_ms in spans_ms.values():
+        counters.record(context.work, answer, span_ms)
+    failure = make_failure('overloaded', '', ran=False)
+    for _ in range(refused):
+        counters.record(context.work, failure, 0)
+    context.log = TestHandler()
+    with context.log.applicationbound():
+        counters.report()
+
+
+@then('it reported {expected} of "{name}"')
+def check_door_load(context: Context, expected: str, name: str) -> None:
+    fields = context.log.records[-1].extra
+    assert fields['event'] == 'door-load', fields
+    _check_summary(fields['classes'][name], expected)
