--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -42,6 +42,7 @@
 
 # Extra wait in which the gate can report at the deadline how a request ended.
 _DEADLINE_GRACE_MS = 60
+_NO_TIME_MS = 1  # zero would mean that there is no objective
 _DEADLINE_PASSED = 'the deadline passed before it was sent'
 
 # Version of a shard record, and the node that may act as owner.
@@ -223,9 +224,14 @@
         return exchange
 
     def _work_with_time_left(self, attempt: Attempt) -> Work:
-        """Return the work of an attempt with the time that is left now."""
+        """Return the work of an attempt with the times that are left now."""
+        work = attempt.work
         left_ms = self._left_ms(attempt.until_ms)
-        return replace(attempt.work, deadline_ms=left_ms)
+        objective_ms = work.objective_ms
+        if objective_ms:
+            passed_ms = work.deadline_ms - left_ms
+            objective_ms = max(_NO_TIME_MS, objective_ms - passed_ms)
+        return replace(work, deadline_ms=left_ms, objective_ms=objective_ms)
 
     def _exchange_messages(
         self, exchange: OutgoingExchange, attempt: Attempt
