Read long answers to their end while they wait to be sent

Cause: an answer of over 128 KB was read from the worker as fast as it could be sent, so that it kept its slot while it waited for the network.

--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -345,24 +345,18 @@
         self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> None:
         work = run.work
-        service = self._services().get(work.service)
         answer_wait_ms = self._answer_delays.expected_wait_ms(work.priority)
-        useful_ms = useful_until_ms(work, self._clock.now_ms(), run.until_ms)
-        useful_ms -= answer_wait_ms
-        traffic_class = classify(work, service)
-        ticket = Ticket(work.key, run.until_ms, useful_ms, traffic_class)
+        ticket = self._make_ticket(run, answer_wait_ms)
         self._note_instance()
         busy = self._capacity_account.occupy_slot(work.service)
         exchange.set_message_handler(partial(self._admitter.cancel, ticket))
         try:
             with self._admitter.hold_slot(ticket), busy:
+                on_read = partial(self._release_slot, ticket, work.priority)
                 observed = ObservedExchange(
-                    exchange,
-                    ticket,
-                    self._clock,
-                    partial(self._release_slot, ticket, work.priority),
-                    self._worker_notice,
+                    exchange, ticket, self._clock, on_read, self._worker_notice
                 )
+                run = replace(run, on_answer_read=on_read)
                 self._serve_admitted(observed, run, may_execute)
             if observed.failure is not None:
                 self._report_returned(work, observed.failure)
@@ -383,6 +377,17 @@
             busy_ms = self._clock.now_ms() - ticket.started_ms
             self._meter.record(work.shard, work.key, busy_ms)
 
+    def _make_ticket(self, run: Run, answer_wait_ms: int) -> Ticket:
+        """Return a ticket for a run whose answer will wait to be sent."""
+        work = run.work
+        useful_ms = useful_until_ms(work, self._clock.now_ms(), run.until_ms)
+        return Ticket(
+            work.key,
+            run.until_ms,
+            useful_ms - answer_wait_ms,
+            classify(work, self._services().get(work.service)),
+        )
+
     def _worker_notice(self) -> WorkerNotice | None:
         return self._worker.notice(self._admitter.mean_slot_ms)
 
--- a/laburnumwood/routing/run.py
+++ b/laburnumwood/routing/run.py
@@ -1,5 +1,6 @@
 """A run: a request that the gate has accepted for its worker."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import cached_property
 
@@ -8,18 +9,24 @@
 from laburnumwood.protocol.messages import Work
 
 
+def _ignore(_length: int) -> None:
+    """Do nothing."""
+
+
 @dataclass(frozen=True)  # no slots: cached_property needs a __dict__
 class Run:
     """A request with its body, fencing token and deadline.
 
     `token` is None for a service that is not divided by key; `until_ms` is the
-    deadline as a time of the clock.
+    deadline as a time of the clock.  `on_answer_read` is called with the length
+    of an answer that is streamed once the worker has finished it.
     """
 
     work: Work
     body: bytes
     token: int | None
     until_ms: int
+    on_answer_read: Callable[[int], None] = _ignore
 
     @cached_property
     def fingerprint(self) -> str:
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -20,13 +20,13 @@
 from laburnumwood.events import RUN_CANCELLED
 from laburnumwood.protocol.messages import (
     Answer,
-    Chunk,
     End,
     Failure,
     WholeAnswer,
 )
 from laburnumwood.routing.exchange import MAX_INLINE_BODY_BYTES, Exchange
 from laburnumwood.routing.problems import make_failure
+from laburnumwood.routing.read_ahead import ReadAhead
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.shared_lock import SharedLock
 from laburnumwood.routing.shared_quarantine import SharedQuarantine
@@ -197,7 +197,7 @@
     ) -> RunResult:
         result = RunResult(Answer(answer.status, answer.headers))
         try:
-            self._forward(answer, result, exchange, max_kept_bytes)
+            self._forward(run, answer, result, exchange, max_kept_bytes)
         except RunCancelledError:
             answer.close()
             raise
@@ -217,6 +217,7 @@
 
     def _forward(
         self,
+        run: Run,
         answer: WorkerAnswer,
         result: RunResult,
         exchange: Exchange,
@@ -224,13 +225,28 @@
     ) -> None:
         body = self._read_short_body(answer, result)
         if body is None:
-            _stream(answer, exchange)
+            self._stream(run, answer, exchange)
+            return
         # The connection is free before the caller can send its next request.
         answer.release()
         if body is not None and result.failure is None:
             result.body = body if len(body) <= max_kept_bytes else None
             exchange.send(WholeAnswer(answer.status, answer.headers, body))
 
+    def _stream(
+        self, run: Run, answer: WorkerAnswer, exchange: Exchange
+    ) -> None:
+        exchange.send(Answer(answer.status, answer.headers))
+        read_ahead = ReadAhead(exchange)
+        try:
+            length = read_ahead.read(answer.chunks())
+            answer.release()
+            run.on_answer_read(length)
+            read_ahead.wait()
+        finally:
+            read_ahead.close()
+        exchange.send(End(length))
+
     def _read_short_body(
         self, answer: WorkerAnswer, result: RunResult
     ) -> bytes | None:
@@ -276,12 +292,3 @@
 def _fail(failure: Failure, exchange: Exchange) -> RunResult:
     exchange.send(failure)
     return RunResult(failure=failure)
-
-
-def _stream(answer: WorkerAnswer, exchange: Exchange) -> None:
-    exchange.send(Answer(answer.status, answer.headers))
-    length = 0
-    for part in answer.chunks():
-        exchange.send(Chunk(part))
-        length += len(part)
-    exchange.send(End(length))
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -60,6 +60,18 @@
     Then the worker has answered all of them
     And the gate counts all of them until their answers are sent
 
+  # Guards against slots of the worker that are kept by answers on their way:
+  # downloads had half of them, and calls waited (SHORT, issue 60).
+  Scenario Outline: a long answer is read while its parts wait to be sent
+    Given an answer of <parts> parts of 32768 bytes to a caller that does not read
+    Then <read> parts of it are read within 300 ms
+    And all <parts> parts are sent in order once the caller reads
+
+    Examples:
+      | parts | read |
+      | 16    | 16   |
+      | 40    | 33   |
+
   # Without the rank, a returned call and a returned download look alike.
   Scenario Outline: the event about a returned request contains its rank
     Given the gate is closed for a planned stop of its node
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -1,6 +1,6 @@
 """Steps for requests at the admission gate of a node."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from functools import partial
 from typing import Any
@@ -32,6 +32,7 @@
 from laburnumwood.routing.gate import AdmissionGate, WorkerState
 from laburnumwood.routing.pending_answer import PendingAnswer
 from laburnumwood.routing.problems import make_failure
+from laburnumwood.routing.read_ahead import ReadAhead
 from laburnumwood.store.objects import shard_object_name, to_value
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK
@@ -507,3 +508,44 @@
     fields = context.log.records[-1].extra
     assert fields['event'] == 'door-load', fields
     _check_summary(fields['classes'][name], expected)
+
+
+def _make_parts(context: Context, count: int, size: int) -> Iterator[bytes]:
+    for number in range(count):
+        context.parts_read = number + 1
+        yield bytes([number]) * size
+
+
+@given(
+    'an answer of {count:d} parts of {size:d} bytes to a caller that does not '
+    'read'
+)
+def read_ahead(context: Context, count: int, size: int) -> None:
+    context.blocked = BlockedStream()
+    context.parts_read = 0
+
+    def forward() -> int:
+        reader = ReadAhead(context.blocked)
+        length = reader.read(_make_parts(context, count, size))
+        reader.wait()
+        reader.close()
+        return length
+
+    context.forwarding = eventlet.spawn(forward)
+
+
+@then('{count:d} parts of it are read within {span_ms:d} ms')
+def check_read_ahead(context: Context, count: int, span_ms: int) -> None:
+    eventlet.sleep(span_ms / MS_PER_SECOND)
+    # The next part is taken from the worker before there is room for it.
+    assert context.parts_read == count, context.parts_read
+    assert len(context.blocked.sending) == 1, len(context.blocked.sending)
+
+
+@then('all {count:d} parts are sent in order once the caller reads')
+def check_all_sent(context: Context, count: int) -> None:
+    context.blocked.unblocked.send(None)
+    with eventlet.Timeout(LIMIT_S):
+        context.forwarding.wait()
+    first_bytes = [chunk.content[0] for chunk in context.blocked.sending]
+    assert first_bytes == list(range(count)), first_bytes
