Join neighbouring keys in the replies to workers, and count bytes as encoded

Cause: each stripe of 64 keys had a row of its own, and a row was counted as 11 bytes. It takes 7 to 10, and 13 with a token above 65,535, which was not counted either.

Whether a worker has a grant is told by the row that has its keys, under its token, as rows no longer begin where a shard's ranges do.

The steps compare the keys that are granted, not the rows, and that no key is in two rows. The two new scenarios fail on the code before (shard 2 left out; 176 bytes counted where 206 are encoded).

--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -11,7 +11,7 @@
 """
 
 from bisect import bisect_right
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from itertools import accumulate
 from typing import Protocol
@@ -26,6 +26,11 @@
 from laburnumwood.notifier import Notifier
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
+from laburnumwood.upstream.grant_rows import (
+    count_fitting,
+    encoded_size,
+    join_rows,
+)
 from laburnumwood.upstream.handovers import Handovers
 from laburnumwood.upstream.instances import ReportStatus
 from laburnumwood.upstream.presence import Presence, WorkerPhase
@@ -39,7 +44,7 @@
 
 _EMPTY_GRANT_MS = 1_000  # duration of a reply that grants nothing
 _MIN_GRANT_MS = 50  # a shorter grant would expire before it is used
-_MAX_RANGE_BYTES = 11  # maximum for a range with its token, without handover
+_ENVELOPE_BYTES = 40  # of a reply, besides the rows
 
 
 def _join(shards: Iterable[object]) -> str:
@@ -50,20 +55,29 @@
     """The keys that a worker reports to hold or still to process."""
 
     def __init__(self, report: WorkerReport) -> None:
-        rows = sorted(each.keys for each in report.held)
+        self._rows = sorted(report.held, key=lambda each: each.keys)
+        rows = [each.keys for each in self._rows]
         self._first_keys = [keys.first for keys in rows]
-        self._first_key_set = frozenset(self._first_keys)
         # For each first key, the highest last key of the rows up to it.
         self._last_keys = list(accumulate((keys.last for keys in rows), max))
 
-    def starts_any(self, ranges: tuple[KeyRange, ...]) -> bool:
-        """Return whether a row starts at the first key of one of the ranges."""
-        return any(keys.first in self._first_key_set for keys in ranges)
+    def has_any(self, grant: '_Grant') -> bool:
+        """Return whether a row has keys of a grant under its token."""
+        return any(
+            self._token_at(keys.first) == grant.token for keys in grant.ranges
+        )
 
     def overlaps_any(self, ranges: tuple[KeyRange, ...]) -> bool:
         """Return whether a row shares a key with one of the ranges."""
         return any(self._overlaps(keys) for keys in ranges)
 
+    def _token_at(self, key: int) -> int | None:
+        """Return the token of the last row that has a key, if any."""
+        index = bisect_right(self._first_keys, key) - 1
+        if index < 0 or self._rows[index].keys.last < key:
+            return None
+        return self._rows[index].token
+
     def _overlaps(self, keys: KeyRange) -> bool:
         index = bisect_right(self._first_keys, keys.last)
         return index > 0 and self._last_keys[index - 1] >= keys.first
@@ -271,7 +285,7 @@
         released_shards: list[ShardName] = []
         for shard in tuple(self._grants):
             grant = self._grants[shard]
-            grant.is_reported = held.starts_any(grant.ranges)
+            grant.is_reported = held.has_any(grant)
             if grant.is_withdrawn and not held.overlaps_any(grant.ranges):
                 self._grants.pop(shard)
                 released_shards.append(shard)
@@ -296,8 +310,7 @@
             self._tokens.record(grant.ranges, token)
             grant.inherit(self._grants.get(shard))
             self._grants[shard] = grant
-        rows = tuple(self._granted_ranges(wanted, source))
-        return GrantReply(rows, duration_ms)
+        return GrantReply(self._rows(wanted, source), duration_ms)
 
     def _reply_without_lease(self, source: GrantSource) -> GrantReply:
         """Return the reply of a node whose lease is too short for grants.
@@ -317,20 +330,26 @@
         Shards that are granted already come first, because the worker would
         otherwise release them.
         """
-        wanted: dict[ShardName, int] = {}
         self.lacks_tokens = False
-        bytes_left = self._settings.most_bytes
         tokens = source.tokens()
-        ungranted = tokens.keys() - self._grants.keys()
-        for shard in (*sorted(tokens.keys() - ungranted), *sorted(ungranted)):
-            if not self._may_grant(shard, tokens[shard], source):
-                continue
-            bytes_left -= self._encoded_size(shard, source)
-            if bytes_left < 0:
-                self._log_truncation(shard, len(wanted), len(tokens))
-                break
-            wanted[shard] = tokens[shard]
-        return wanted
+        allowed = [
+            shard
+            for shard in sorted(tokens)
+            if self._may_grant(shard, tokens[shard], source)
+        ]
+        # The sort is stable, so that those that are granted stay in order.
+        allowed.sort(key=lambda shard: shard not in self._grants)
+        room = self._settings.most_bytes - _ENVELOPE_BYTES
+
+        def size_of(count: int) -> int:
+            selected = {shard: tokens[shard] for shard in allowed[:count]}
+            return encoded_size(self._rows(selected, source))
+
+        granted = sum(shard in self._grants for shard in allowed)
+        number = count_fitting(len(allowed), granted, room, size_of)
+        if number < len(allowed):
+            self._log_truncation(allowed[number], number, len(tokens))
+        return {shard: tokens[shard] for shard in allowed[:number]}
 
     def _may_grant(
         self, shard: ShardName, token: int, source: GrantSource
@@ -371,11 +390,6 @@
                 started_ms=self.presence.started_ms,
             )
 
-    def _encoded_size(self, shard: ShardName, source: GrantSource) -> int:
-        handovers = self._handovers_for(shard, source)
-        rows = len(source.stripes(shard)) * _MAX_RANGE_BYTES
-        return rows + sum(len(each) for each in handovers)
-
     def _withdraw_others(
         self, wanted: dict[ShardName, int], source: GrantSource
     ) -> None:
@@ -395,11 +409,17 @@
             return ()
         return source.handovers(shard) or self.handovers(shard)
 
+    def _rows(
+        self, tokens: Mapping[ShardName, int], source: GrantSource
+    ) -> tuple[GrantedRange, ...]:
+        """Return the rows of a reply that grants some shards."""
+        return tuple(join_rows(self._granted_ranges(tokens, source)))
+
     def _granted_ranges(
-        self, wanted: dict[ShardName, int], source: GrantSource
+        self, tokens: Mapping[ShardName, int], source: GrantSource
     ) -> Iterator[GrantedRange]:
-        for shard, token in wanted.items():
-            ranges = self._grants[shard].ranges
+        for shard, token in tokens.items():
+            ranges = source.stripes(shard)
             handovers = self._handovers_for(shard, source) or ('',) * len(
                 ranges
             )
--- a/tests/features/reports.feature
+++ b/tests/features/reports.feature
@@ -155,12 +155,30 @@
     Then it may be sent requests
 
   Scenario: shards that do not fit into a reply are left out, but never held ones
-    Given replies of at most 200 bytes
+    Given replies of at most 200 bytes, and shards 3 and 5
     When the worker reports
-    Then it is granted the shards "1" for 2940 ms
-    When the node also holds shard 0
+    Then it is granted the shards "3" for 2940 ms
+    When the node also holds shard 1
     And the worker reports
-    Then it is granted the shards "1" for 2940 ms
+    Then it is granted the shards "3" for 2940 ms
+
+  # Guards against keys without service for want of room in a reply: shards of
+  # a worker that stayed alone with others did not fit (issue 56).
+  Scenario: neighbouring keys under one token share a row
+    Given replies of at most 200 bytes, and shards 1 and 2
+    When the worker reports
+    Then it is granted the shards "1 2" for 2940 ms
+    And the reply has 16 rows
+    And the rows take 142 bytes, as they are encoded
+    When the worker reports that it holds shard 1
+    Then it is granted the shards "1 2" for 2940 ms
+
+  # Guards against replies that are too long because tokens have grown.
+  Scenario: what rows take is counted as they are encoded
+    Given a node that holds shard 1 under token 65536
+    When the worker reports
+    Then the reply has 16 rows
+    And the rows take 206 bytes, as they are encoded
 
   # Guards against keys without service: a life of the worker that began by a
   # clock that was behind counted as ended, for as long as it lived.
@@ -245,7 +263,7 @@
   # Guards against keys that their owner holds and never serves again: a shard
   # that was left out of one reply stayed closed after it was granted again.
   Scenario: a shard left out of a reply is served once it is granted again
-    Given replies of at most 400 bytes
+    Given replies of at most 400 bytes, and shards 1 and 2
     When the worker reports
     Then it is granted the shards "1 2" for 2940 ms
     When another node announces the handovers of its worker for shard 2
--- a/tests/features/steps/report_steps.py
+++ b/tests/features/steps/report_steps.py
@@ -1,5 +1,6 @@
 """Steps about the grants of a reporting worker."""
 
+from collections.abc import Iterable
 from dataclasses import replace
 from http import HTTPStatus
 
@@ -13,12 +14,14 @@
 from laburnumwood.config.declarations import KeySource, Service
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.layout import key_ranges
-from laburnumwood.platform.reports import ReportEndpoint
+from laburnumwood.platform.reports import ReportEndpoint, encode_reply
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.routing.server import HttpListener
 from laburnumwood.settings import ReportSettings
+from laburnumwood.upstream.grant_rows import encoded_size
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.reports import (
+    GrantReply,
     HeldRange,
     WorkerReport,
 )
@@ -112,10 +115,10 @@
     hold_under_token(context, number, token)
 
 
-@given('replies of at most {size:d} bytes')
-def limit_replies(context: Context, size: int) -> None:
+@given('replies of at most {size:d} bytes, and shards {first:d} and {second:d}')
+def limit_replies(context: Context, size: int, first: int, second: int) -> None:
     _make(context, ReportSettings(most_bytes=size), context.lease_ms)
-    for number in (1, 2):
+    for number in (first, second):
         context.source.held_shards.hold(shard(number), 8)
 
 
@@ -392,13 +395,36 @@
 
 
 def _check_shards(context: Context, numbers: str) -> None:
-    wanted = {
+    wanted = _all_keys(
         keys for number in numbers.split() for keys in stripes(int(number))
-    }
-    found = {each.keys for each in context.reply.ranges}
+    )
+    found = _all_keys(each.keys for each in context.reply.ranges)
     assert found == wanted, found ^ wanted
 
 
+def _all_keys(ranges: Iterable[KeyRange]) -> set[int]:
+    keys: set[int] = set()
+    for each in ranges:
+        added = set(range(each.first, each.last + 1))
+        assert keys.isdisjoint(added), each
+        keys |= added
+    return keys
+
+
+@then('the reply has {count:d} rows')
+def check_row_count(context: Context, count: int) -> None:
+    assert len(context.reply.ranges) == count, context.reply
+
+
+@then('the rows take {size:d} bytes, as they are encoded')
+def check_encoded_size(context: Context, size: int) -> None:
+    rows = context.reply.ranges
+    counted = encoded_size(rows)
+    encoded = len(encode_reply(context.reply)) - len(encode_reply(GrantReply()))
+    assert counted == size, counted
+    assert counted <= encoded <= counted + 40, encoded
+
+
 @then('no grant is renewed')
 def check_not_renewed(context: Context) -> None:
     assert context.reply.ranges is None, context.reply
