Send long answers in parts of 32 KB, one after the other at first

Cause: answers of up to 128 KB were one message, and 96 KB of long messages were in transit at least. A connection of 6 Mbit/s carries that in 130 ms, and short answers wait behind it.

Change: answers over 32 KB are sent in parts, and the window of long messages begins with one of them.

--- a/laburnumwood/protocol/send_queue.py
+++ b/laburnumwood/protocol/send_queue.py
@@ -14,7 +14,7 @@
 from laburnumwood.notifier import Notifier
 
 LARGE_MESSAGE_SIZE = 16_384  # bytes; smaller messages are not queued
-_MIN_WINDOW = 98_304  # bytes in transit, of several messages
+_MIN_WINDOW = 32_768  # bytes in transit, of several messages
 _MAX_WINDOW = 4_194_304
 _FAST_MS = 50  # a transfer this short does not delay others
 _SLOW_MS = 100
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -41,6 +41,9 @@
     WorkerUnreachableError: 'worker-unreachable',
 }
 
+# A longer answer is sent in parts, between which others can be sent.
+_MAX_WHOLE_ANSWER_BYTES = 32_768
+
 _NOT_SENT_ERRORS = tuple(_KIND_BY_ERROR)
 
 
@@ -72,7 +75,7 @@
         worker_interface: WorkerInterface,
         shared_quarantine: SharedQuarantine,
         clock: Clock,
-        max_buffered_bytes: int = MAX_INLINE_BODY_BYTES,
+        max_buffered_bytes: int = _MAX_WHOLE_ANSWER_BYTES,
     ) -> None:
         self._max_buffered_bytes = max_buffered_bytes
         self._worker = worker
