Leave no reserve in replies whose rows fit apart

Three workers of a service with 64 shards, whose neighbours belong to others, were left with one shard of 21 without a grant for good: the tenth of a reply that keeps free was asked also where no rows are joined, so that nothing can come apart.

--- a/laburnumwood/upstream/grant_rows.py
+++ b/laburnumwood/upstream/grant_rows.py
@@ -5,7 +5,7 @@
 """
 
 from bisect import bisect_right
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from laburnumwood.records import KeyRange
 from laburnumwood.upstream.reports import GrantedRange
@@ -15,8 +15,8 @@
 # sizes of the numbers below, between and above them.
 _LIMITS = (24, 256, 65_536, 4_294_967_296)
 _SIZES = (1, 2, 3, 5, 9)  # bytes
-# Part of a reply that new grants may not fill: the rows of those that are
-# there take more space when their tokens change.
+# Part of a reply that new grants may not fill if they fit only because rows are
+# joined: these come apart when tokens change.
 _RESERVED_SHARE = 0.1
 
 
@@ -65,18 +65,26 @@
         yield current
 
 
+def size_of_new(rows: Iterable[GrantedRange]) -> int:
+    """Return how many bytes rows take if they are not granted yet.
+
+    That is with a reserve for joined rows that come apart, but no more than
+    what they take then.
+    """
+    apart = tuple(rows)
+    joined_size = encoded_size(join_rows(apart))
+    with_reserve = round(joined_size / (1 - _RESERVED_SHARE))
+    return min(encoded_size(apart), with_reserve)
+
+
 def count_fitting(
-    total: int, granted: int, room: int, size_of: Callable[[int], int]
+    numbers: Sequence[int], room: int, size_of: Callable[[int], int]
 ) -> int:
-    """Return how many shards fit into some bytes of a reply.
+    """Return the largest number of shards that fits into some bytes.
 
-    `size_of` returns the size of the rows of the first shards.  Those that are
-    granted already come first and may fill all of the room.
+    `size_of` returns how many bytes so many shards take.
     """
-    most_new = room * (1 - _RESERVED_SHARE)
-    if size_of(total) <= most_new:
-        return total
-    numbers = range(total + 1)
-    fitting = bisect_right(numbers, room, key=size_of) - 1
-    fitting_new = bisect_right(numbers, most_new, key=size_of) - 1
-    return max(min(granted, fitting), fitting_new)
+    if size_of(numbers[-1]) <= room:
+        return numbers[-1]
+    index = bisect_right(numbers, room, key=size_of) - 1
+    return numbers[max(0, index)]
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -30,6 +30,7 @@
     count_fitting,
     encoded_size,
     join_rows,
+    size_of_new,
 )
 from laburnumwood.upstream.handovers import Handovers
 from laburnumwood.upstream.instances import ReportStatus
@@ -310,7 +311,8 @@
             self._tokens.record(grant.ranges, token)
             grant.inherit(self._grants.get(shard))
             self._grants[shard] = grant
-        return GrantReply(self._rows(wanted, source), duration_ms)
+        rows = tuple(join_rows(self._granted_ranges(wanted, source)))
+        return GrantReply(rows, duration_ms)
 
     def _reply_without_lease(self, source: GrantSource) -> GrantReply:
         """Return the reply of a node whose lease is too short for grants.
@@ -341,12 +343,22 @@
         allowed.sort(key=lambda shard: shard not in self._grants)
         room = self._settings.most_bytes - _ENVELOPE_BYTES
 
-        def size_of(count: int) -> int:
+        def rows_of(count: int) -> Iterator[GrantedRange]:
             selected = {shard: tokens[shard] for shard in allowed[:count]}
-            return encoded_size(self._rows(selected, source))
+            return self._granted_ranges(selected, source)
 
         granted = sum(shard in self._grants for shard in allowed)
-        number = count_fitting(len(allowed), granted, room, size_of)
+        number = count_fitting(
+            range(granted + 1),
+            room,
+            lambda count: encoded_size(join_rows(rows_of(count))),
+        )
+        if number == granted:
+            number = count_fitting(
+                range(granted, len(allowed) + 1),
+                room,
+                lambda count: size_of_new(rows_of(count)),
+            )
         if number < len(allowed):
             self._log_truncation(allowed[number], number, len(tokens))
         return {shard: tokens[shard] for shard in allowed[:number]}
@@ -409,12 +421,6 @@
             return ()
         return source.handovers(shard) or self.handovers(shard)
 
-    def _rows(
-        self, tokens: Mapping[ShardName, int], source: GrantSource
-    ) -> tuple[GrantedRange, ...]:
-        """Return the rows of a reply that grants some shards."""
-        return tuple(join_rows(self._granted_ranges(tokens, source)))
-
     def _granted_ranges(
         self, tokens: Mapping[ShardName, int], source: GrantSource
     ) -> Iterator[GrantedRange]:
