Count what a request waits for a busy process where the system does not tell

Cause: the time of a request begins at its arrival as TCP_INFO tells it; where the system tells nothing it began when the request was read.

Change: without TCP_INFO a request counts from the end of the event loop's wait before: what a turn handles came after that. If the loop had nothing to do, it counts from the end of the wait that the event ended.

The new scenario fails on the code before (0 ms of 405).

--- a/laburnumwood/hub.py
+++ b/laburnumwood/hub.py
@@ -8,6 +8,11 @@
 
 from eventlet.hubs import epolls, hub
 
+from laburnumwood.clock import Clock
+from laburnumwood.turns import TURNS
+
+_CLOCK = Clock()
+
 
 def is_available() -> bool:
     """Return whether the operating system has epoll."""
@@ -62,7 +67,9 @@
 
         Waits for no longer than `seconds`.
         """
+        began_ms = _CLOCK.now_ms()
         ready: list[tuple[int, int]] = super().do_poll(seconds)
+        TURNS.record_wait(began_ms, _CLOCK.now_ms())
         for fileno, event in ready:
             awaited = self._awaited_mask(fileno)
             if not awaited or event & ~awaited & self._registered.get(
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -46,6 +46,7 @@
     read_request_head,
 )
 from laburnumwood.routing.request_time import RequestTime, unread_for_ms
+from laburnumwood.turns import TURNS
 
 LimitsProvider = Callable[[], CallerLimits]
 
@@ -357,7 +358,7 @@
         return self._has_unread_bytes()
 
     def _record_arrival(self) -> None:
-        self._unread_ms = unread_for_ms(self.connection)
+        self._unread_ms = unread_for_ms(self.connection, TURNS)
         self._arrived_ms = self._clock.now_ms() - self._unread_ms
 
     def _has_unread_bytes(self) -> bool:
--- a/laburnumwood/routing/request_time.py
+++ b/laburnumwood/routing/request_time.py
@@ -5,30 +5,39 @@
 from typing import Any
 
 from laburnumwood.clock import Clock
+from laburnumwood.turns import Turns
 
 # The Linux socket option TCP_INFO: see tcp(7) and linux/tcp.h.
 _TCP_INFO = 11
 _LAST_DATA_RECEIVED = struct.Struct('=I')
 _LAST_DATA_RECEIVED_OFFSET = 52  # bytes; the time since then, in ms
 _TCP_INFO_SIZE = 56  # bytes
+_NO_STATE = 0  # in place of a connection's state: nothing is told
 _MAX_WAIT_MS = 60_000  # more than any request is worth waiting for
 _UNKNOWN_TIMEOUT_MS = 3_600_000  # until the route of a request is known
 
 
-def unread_for_ms(sock: Any) -> int:
-    """Return for how long the last bytes received on a connection have waited.
-
-    They may have waited in the backlog of a listener or while this process was
-    busy.  The result is 0 where the system does not tell.
-    """
+def _told_by_system_ms(sock: Any) -> int | None:
     try:
         info = sock.getsockopt(IPPROTO_TCP, _TCP_INFO, _TCP_INFO_SIZE)
         waited_ms: int = _LAST_DATA_RECEIVED.unpack_from(
             info, _LAST_DATA_RECEIVED_OFFSET
         )[0]
     except (OSError, struct.error):
-        return 0
-    return waited_ms if waited_ms <= _MAX_WAIT_MS else 0
+        return None
+    is_known = info[0] != _NO_STATE and waited_ms <= _MAX_WAIT_MS
+    return waited_ms if is_known else None
+
+
+def unread_for_ms(sock: Any, turns: Turns) -> int:
+    """Return for how long the last bytes received on a connection have waited.
+
+    They may have waited in the backlog of a listener or while this process was
+    busy.  Where the system does not tell, the result is how long they may have
+    waited by the turns of the event loop.
+    """
+    waited_ms = _told_by_system_ms(sock)
+    return turns.longest_wait_ms if waited_ms is None else waited_ms
 
 
 class RequestTime:
--- a/tests/features/hub.feature
+++ b/tests/features/hub.feature
@@ -45,3 +45,16 @@
     Given a connection and an event loop
     When it is closed
     Then a read wait for it fails with ValueError
+
+  # Guards against requests that are held past their timeout because nobody
+  # counts what they wait for a busy process (issue 60).
+  Scenario Outline: a request has waited for as long as the loop was busy
+    Given an event loop that waited for events until 10 ms
+    When it is busy until <busy> ms, and waits for events for <wait> ms
+    And a request is read 5 ms later on a connection of which the system tells nothing
+    Then it has waited for up to <waited> ms
+
+    Examples:
+      | busy | wait | waited |
+      | 410  | 0    | 405    |
+      | 410  | 20   | 5      |
--- a/tests/features/steps/hub_steps.py
+++ b/tests/features/steps/hub_steps.py
@@ -7,6 +7,9 @@
 from behave.runner import Context
 
 from laburnumwood.hub import Hub
+from laburnumwood.routing.request_time import unread_for_ms
+from laburnumwood.turns import Turns
+from tests.features.steps.fake_clock import FakeClock
 
 POLLS = 5
 
@@ -125,3 +128,40 @@
         assert not context.hub.listeners[context.hub.READ]
     else:
         raise AssertionError('the wait did not fail')
+
+
+@given('an event loop that waited for events until {until_ms:d} ms')
+def make_turns(context: Context, until_ms: int) -> None:
+    _connect(context)
+    context.clock = FakeClock()
+    context.turns = Turns(context.clock)
+    _wait_for_events(context, until_ms)
+
+
+def _wait_for_events(context: Context, span_ms: int) -> None:
+    began_ms = context.clock.now_ms()
+    context.clock.pass_ms(span_ms)
+    context.turns.record_wait(began_ms, context.clock.now_ms())
+    context.waited_until_ms = context.clock.now_ms()
+
+
+@when(
+    'it is busy until {until_ms:d} ms, and waits for events for {wait_ms:d} ms'
+)
+def be_busy(context: Context, until_ms: int, wait_ms: int) -> None:
+    context.clock.pass_ms(until_ms - 10)
+    _wait_for_events(context, wait_ms)
+
+
+@when(
+    'a request is read {span_ms:d} ms later on a connection of which the '
+    'system tells nothing'
+)
+def read_later(context: Context, span_ms: int) -> None:
+    context.clock.pass_ms(span_ms)
+    context.unread_ms = unread_for_ms(context.near, context.turns)
+
+
+@then('it has waited for up to {span_ms:d} ms')
+def check_unread(context: Context, span_ms: int) -> None:
+    assert context.unread_ms == span_ms, context.unread_ms
