Take runs without an answer for long ones, and leave room before deadlines

Cause: only answers that came in time told how long a class takes, so that a worker that answers hardly anybody in time seemed quick; and the mean was compared with the deadline, which half of the requests miss.

Change: a run that ended unanswered counts with its time; the margin for deviations holds for deadlines too; and a key's share of the queue counts only requests that are as urgent: payments were turned away for look-ups of the same key.

--- a/bench/calling_load.py
+++ b/bench/calling_load.py
@@ -16,7 +16,7 @@
 
 from laburnumwood.admission.control import ADMISSION_POLICIES, AdmissionPolicy
 from laburnumwood.admission.rate_limiter import RateLimiter
-from laburnumwood.admission.tickets import Ticket, TicketState
+from laburnumwood.admission.tickets import Ticket, TicketResult, TicketState
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.protocol.messages import Work
 from laburnumwood.routing.priorities import classify, useful_until_ms
@@ -261,7 +261,10 @@
         self._after(run.step_ms, partial(self._advance, run, has_been_served))
 
     def _finish(self, run: _Run, *, served: bool) -> None:
-        run.ticket.answer(self._clock.now_ms())
+        if self._clock.time_ms > run.ticket.deadline_ms:
+            run.ticket.result = TicketResult.UNANSWERED
+        else:
+            run.ticket.answer(self._clock.now_ms())
         sending_ms = run.request.kind.sending_ms if served else 0
         self._after(sending_ms, partial(run.gate.policy.release, run.ticket))
         self._after(_HOP_MS, partial(self._end, run.request, served=served))
@@ -270,7 +273,9 @@
         kind = request.kind
         if not served and kind.is_safe and self._comes_back(request, 0):
             return
-        took_ms = self._clock.time_ms - request.arrived_ms
+        now_ms = self._clock.time_ms
+        served = served and now_ms <= request.until_ms
+        took_ms = now_ms - request.arrived_ms
         in_time = 'in time' if took_ms <= kind.objective_ms else 'late'
         self.outcomes[kind.name, in_time if served else 'failed'] += 1
         request.on_end(served)
--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -212,10 +212,11 @@
             self._rate_limiter.wait_for_ms(int(sum(ahead.values())) + 1),
         )
         needed_ms = start_in_ms + self._expected_latency_ms(name)
-        if self._must_be_useful(ticket):
-            needed_ms += self._latencies.margin_of(name)
+        needed_ms += self._latencies.margin_of(name)
         left_ms = self._answer_by_ms(ticket) - self._clock.now_ms()
-        return needed_ms < left_ms and self._queue.has_room(ticket.key)
+        weight = ticket.traffic_class.weight
+        has_room = self._queue.has_room(ticket.key, weight)
+        return needed_ms < left_ms and has_room
 
     def _answer_by_ms(self, ticket: Ticket) -> int:
         """Return until when a ticket that waits has to be answered."""
@@ -249,12 +250,16 @@
             self._limit.record_refusal()
         elif ticket.result is TicketResult.LOST:
             self._limit.record_loss()
+        name = ticket.traffic_class.name
+        slot_ms = self._clock.now_ms() - ticket.started_ms
+        if ticket.result is TicketResult.UNANSWERED:
+            # The answer would have taken longer.
+            self._latencies.add(name, slot_ms)
+            self._slot_durations.add(name, slot_ms)
         if ticket.answered_ms is None:
             return
-        name = ticket.traffic_class.name
         latency_ms = ticket.answered_ms - ticket.started_ms
         self._latencies.add(name, latency_ms)
-        slot_ms = self._clock.now_ms() - ticket.started_ms
         self._slot_durations.add(name, slot_ms)
         self._limit.observe(latency_ms, self.running)
 
--- a/laburnumwood/admission/queue.py
+++ b/laburnumwood/admission/queue.py
@@ -88,16 +88,19 @@
         """Return the number of waiting tickets."""
         return self._length
 
-    def has_room(self, key: str) -> bool:
+    def has_room(self, key: str, weight: int) -> bool:
         """Return whether a key occupies less than its share of the queue.
 
-        The share of a key is half the capacity.  Tickets without a key may
-        occupy the whole queue; adding one to a full queue removes another.
+        The share of a key is half the capacity; its tickets of classes with
+        less than `weight` do not count.  Tickets without a key may occupy the
+        whole queue; adding one to a full queue removes another.
         """
         if not key:
             return True
         queued = sum(
-            len(each.keys.get(key, ())) for each in self._classes.values()
+            len(each.keys.get(key, ()))
+            for each in self._classes.values()
+            if each.weight >= weight
         )
         return queued < max(1, self._capacity() // 2)
 
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -24,6 +24,7 @@
     REFUSED = 'the worker refused it for its load'
     REJECTED = 'the worker rejected it with slots free'
     LOST = 'the worker gave no whole answer'
+    UNANSWERED = 'the worker did not answer before its time was over'
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -358,6 +358,7 @@
                 )
                 run = replace(run, on_answer_read=on_read)
                 self._serve_admitted(observed, run, may_execute)
+                observed.note_end()
             if observed.failure is not None:
                 self._report_returned(work, observed.failure)
         except RunCancelledError:
--- a/laburnumwood/routing/observed.py
+++ b/laburnumwood/routing/observed.py
@@ -45,6 +45,12 @@
         return round(self._send_queue.queueing_delay_ms)
 
 
+def _result_of(failure: Failure) -> TicketResult | None:
+    if failure.kind == 'deadline' and failure.ran:
+        return TicketResult.UNANSWERED
+    return _RESULT_BY_KIND.get(failure.kind)
+
+
 class ObservedExchange(ExchangeWrapper):
     """An exchange that records the result of its request on the ticket.
 
@@ -79,10 +85,18 @@
                 message = replace(message, worker=notice)
         elif isinstance(message, Failure):
             self.failure = message
-            result = _RESULT_BY_KIND.get(message.kind)
-            self._ticket.result = result or self._ticket.result
+            self._ticket.result = _result_of(message) or self._ticket.result
         super().send(message)
 
+    def note_end(self) -> None:
+        """Note that the request has ended.
+
+        Without an answer or a failure its caller left while the worker ran it.
+        """
+        has_answer = self._ticket.answered_ms is not None
+        if self.failure is None and not has_answer:
+            self._ticket.result = TicketResult.UNANSWERED
+
     def _record_answer(self, answer: Answer) -> None:
         if answer.status in _OVERLOAD_STATUSES:
             self._ticket.result = TicketResult.REFUSED
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -135,6 +135,37 @@
       | downloads | 400  | is shed |
       | downloads | 1200 | waits   |
 
+  # Guards against requests that are let in until all of them run out of time:
+  # only the answers that came in time told how long a worker takes (issue 60).
+  Scenario Outline: runs without an answer count as long ones
+    Given 3 runs that ended after 800 ms with the result "<result>"
+    When 4 requests with different keys arrive
+    And a request with key "next" and 600 ms left arrives
+    Then the request with key "next" <what>
+
+    Examples:
+      | result     | what    |
+      | UNANSWERED | is shed |
+      | REJECTED   | waits   |
+
+  # Guards against slots for requests whose callers leave before the answer.
+  Scenario Outline: the deadline leaves room for times that differ
+    Given 20 earlier answers that took 100 and 300 ms in turn
+    When 4 requests with different keys arrive
+    And a request with key "next" and <left> ms left arrives
+    Then the request with key "next" <what>
+
+    Examples:
+      | left | what    |
+      | 350  | is shed |
+      | 550  | waits   |
+
+  # Guards against payments that are turned away for look-ups of the same key.
+  Scenario: less urgent requests of a key do not fill the share of urgent ones
+    When 20 requests with key "hot" arrive
+    And a request with key "hot" of class "paying" with weight 4 arrives
+    Then the request with key "hot" waits
+
   Scenario Outline: under lasting overload a request has to be useful
     Given an earlier answer took 100 ms
     When requests have waited without a break for <span> ms
--- a/tests/features/steps/admission_steps.py
+++ b/tests/features/steps/admission_steps.py
@@ -128,6 +128,31 @@
     context.harness.tickets.clear()
 
 
+@given(
+    '{count:d} runs that ended after {span_ms:d} ms with the result "{result}"'
+)
+def observe_ends(
+    context: Context, count: int, span_ms: int, result: str
+) -> None:
+    for _ in range(count):
+        ticket = context.harness.offer('seen')
+        context.harness.clock.pass_ms(span_ms)
+        ticket.result = TicketResult[result]
+        context.harness.admission.release(ticket)
+    context.harness.tickets.clear()
+
+
+@given(
+    '{count:d} earlier answers that took {first_ms:d} and {second_ms:d} ms in '
+    'turn'
+)
+def observe_answers(
+    context: Context, count: int, first_ms: int, second_ms: int
+) -> None:
+    for number in range(count):
+        observe_answer(context, second_ms if number % 2 else first_ms)
+
+
 @when('{count:d} requests with different keys arrive')
 def offer_with_different_keys(context: Context, count: int) -> None:
     for number in range(count):
