Take TCP_INFO without a retransmission timeout for untold

The timeout is never zero where the kernel tells. The scenario with the state alone fails on the code before (0 ms of 405).

--- a/laburnumwood/routing/request_time.py
+++ b/laburnumwood/routing/request_time.py
@@ -9,10 +9,10 @@
 
 # The Linux socket option TCP_INFO: see tcp(7) and linux/tcp.h.
 _TCP_INFO = 11
-_LAST_DATA_RECEIVED = struct.Struct('=I')
-_LAST_DATA_RECEIVED_OFFSET = 52  # bytes; the time since then, in ms
 _TCP_INFO_SIZE = 56  # bytes
-_NO_STATE = 0  # in place of a connection's state: nothing is told
+# The retransmission timeout, which is never 0, and the time in ms since the
+# last data were received.
+_TCP_INFO_FIELDS = struct.Struct('=8xI40xI')
 _MAX_WAIT_MS = 60_000  # more than any request is worth waiting for
 _UNKNOWN_TIMEOUT_MS = 3_600_000  # until the route of a request is known
 
@@ -20,13 +20,11 @@
 def _told_by_system_ms(sock: Any) -> int | None:
     try:
         info = sock.getsockopt(IPPROTO_TCP, _TCP_INFO, _TCP_INFO_SIZE)
-        waited_ms: int = _LAST_DATA_RECEIVED.unpack_from(
-            info, _LAST_DATA_RECEIVED_OFFSET
-        )[0]
+        timeout, waited_ms = _TCP_INFO_FIELDS.unpack(info)
     except (OSError, struct.error):
         return None
-    is_known = info[0] != _NO_STATE and waited_ms <= _MAX_WAIT_MS
-    return waited_ms if is_known else None
+    is_told = timeout > 0 and waited_ms <= _MAX_WAIT_MS
+    return int(waited_ms) if is_told else None
 
 
 def unread_for_ms(sock: Any, turns: Turns) -> int:
--- a/tests/features/hub.feature
+++ b/tests/features/hub.feature
@@ -51,10 +51,12 @@
   Scenario Outline: a request has waited for as long as the loop was busy
     Given an event loop that waited for events until 10 ms
     When it is busy until <busy> ms, and waits for events for <wait> ms
-    And a request is read 5 ms later on a connection of which the system tells nothing
+    And a request is read 5 ms later on a connection of which the system tells <what>
     Then it has waited for up to <waited> ms
 
     Examples:
-      | busy | wait | waited |
-      | 410  | 0    | 405    |
-      | 410  | 20   | 5      |
+      | busy | wait | what                 | waited |
+      | 410  | 0    | nothing              | 405    |
+      | 410  | 0    | its state alone      | 405    |
+      | 410  | 0    | data since 300 ms    | 300    |
+      | 410  | 20   | nothing              | 5      |
--- a/tests/features/steps/hub_steps.py
+++ b/tests/features/steps/hub_steps.py
@@ -1,6 +1,7 @@
 """Steps about the hub, whose event loop does not run."""
 
 import socket
+import struct
 from typing import Any
 
 from behave import given, then, when
@@ -153,13 +154,32 @@
     _wait_for_events(context, wait_ms)
 
 
+class _InformedSocket:
+    """A socket of which the system tells given TCP_INFO."""
+
+    def __init__(self, info: bytes) -> None:
+        self._info = info
+
+    def getsockopt(self, _level: int, _option: int, size: int) -> bytes:
+        return self._info.ljust(size, bytes(1))
+
+
+TCP_INFO = {
+    'its state alone': b'\x01',
+    'data since 300 ms': struct.pack('=8xI40xI', 200_000, 300),
+}
+
+
 @when(
     'a request is read {span_ms:d} ms later on a connection of which the '
-    'system tells nothing'
+    'system tells {what}'
 )
-def read_later(context: Context, span_ms: int) -> None:
+def read_later(context: Context, span_ms: int, what: str) -> None:
     context.clock.pass_ms(span_ms)
-    context.unread_ms = unread_for_ms(context.near, context.turns)
+    sock = context.near
+    if what in TCP_INFO:
+        sock = _InformedSocket(TCP_INFO[what])
+    context.unread_ms = unread_for_ms(sock, context.turns)
 
 
 @then('it has waited for up to {span_ms:d} ms')
