Let requests with an objective wait for half of their time at most

Cause: lets urgent requests wait up to the deadline, which the gate takes from when the request came to it; a busy process and the way back take what is left.

Change: where a request has an objective, its answer is wanted within half of its time; what can't be answered by then is rejected at once and can come again.

--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -15,6 +15,9 @@
 _MIN_RETRY_AFTER_MS = 100
 _MAX_RETRY_AFTER_MS = 10_000
 _RETRY_HORIZON_MS = 1_000  # callers rarely retry after a longer delay
+# The part of its time for which a request that has an objective may take: what
+# comes later leaves its caller no time for another try.
+_PATIENCE = 0.5
 # A queue that is not empty for longer will not drain by itself.
 _BURST_MS = 500
 
@@ -136,6 +139,7 @@
 
     def offer(self, ticket: Ticket) -> None:
         """Start, queue or shed a new ticket."""
+        ticket.offered_ms = self._clock.now_ms()
         self._weights[ticket.traffic_class.name] = ticket.traffic_class.weight
         self.dispatch()
         left_ms = ticket.deadline_ms - self._clock.now_ms()
@@ -220,9 +224,12 @@
 
     def _answer_by_ms(self, ticket: Ticket) -> int:
         """Return until when a ticket that waits has to be answered."""
+        useful_until_ms = min(ticket.useful_until_ms, ticket.deadline_ms)
         if self._must_be_useful(ticket):
-            return min(ticket.useful_until_ms, ticket.deadline_ms)
-        return ticket.deadline_ms
+            return useful_until_ms
+        span_ms = ticket.deadline_ms - ticket.offered_ms
+        patience_ms = round(span_ms * _PATIENCE)
+        return max(useful_until_ms, ticket.offered_ms + patience_ms)
 
     def _must_be_useful(self, ticket: Ticket) -> bool:
         full_for_ms = self._clock.now_ms() - self._last_empty_ms
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -56,6 +56,7 @@
     traffic_class: TrafficClass = TrafficClass()
     state: TicketState = TicketState.WAITING
     result: TicketResult = TicketResult.NOT_SENT
+    offered_ms: int = 0
     started_ms: int = 0
     answered_ms: int | None = None
     retry_after_ms: int = 0
