Count answers that are read ahead as work of the network

Cause: since a slot no longer limits how many downloads leave at once, and the wait that admission counts with was of the parts in the send queue alone, one for each answer; one part in transit at a time left a slow connection idle while its arrival was told.

Change: parts that are read ahead count as queued; two parts are in transit at least. The new scenario fails on the code before (there is no such count).

--- a/laburnumwood/protocol/send_queue.py
+++ b/laburnumwood/protocol/send_queue.py
@@ -14,7 +14,9 @@
 from laburnumwood.notifier import Notifier
 
 LARGE_MESSAGE_SIZE = 16_384  # bytes; smaller messages are not queued
-_MIN_WINDOW = 32_768  # bytes in transit, of several messages
+# Bytes in transit, of several messages: two parts of a body, so that the next
+# one is on its way when the arrival of the first is known.
+_MIN_WINDOW = 65_536
 _MAX_WINDOW = 4_194_304
 _FAST_MS = 50  # a transfer this short does not delay others
 _SLOW_MS = 100
@@ -41,12 +43,17 @@
         self._window: float = _MIN_WINDOW
         self._ms_per_byte = DecayingMean(_HALF_LIFE_MS, clock)
         self._changed = Notifier()
+        self._backlog = 0
 
     @property
     def queueing_delay_ms(self) -> float:
         """Return how long another large message would wait for its turn."""
         queued_size = sum(each.size for each in self._waiting)
-        return queued_size * self._ms_per_byte.mean
+        return (queued_size + self._backlog) * self._ms_per_byte.mean
+
+    def change_backlog(self, size: int) -> None:
+        """Add to the bytes that senders hold and have not queued yet."""
+        self._backlog += size
 
     def acquire(self, size: int) -> Transfer:
         """Wait until a large message of some size may be sent."""
--- a/laburnumwood/routing/read_ahead.py
+++ b/laburnumwood/routing/read_ahead.py
@@ -12,6 +12,7 @@
 from laburnumwood.errors import BodyMemoryError, LinkError, WorkerAnswerError
 from laburnumwood.notifier import Notifier
 from laburnumwood.protocol.messages import Chunk
+from laburnumwood.protocol.send_queue import SEND_QUEUE, SendQueue
 from laburnumwood.routing.body_memory import BodyMemory
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.tasks import start_joinable
@@ -26,12 +27,16 @@
 class ReadAhead:
     """Sends the parts of one answer in a task while further ones are read."""
 
-    def __init__(self, exchange: Exchange) -> None:
+    def __init__(
+        self, exchange: Exchange, send_queue: SendQueue = SEND_QUEUE
+    ) -> None:
         self._exchange = exchange
+        self._send_queue = send_queue
         self._reader = eventlet.getcurrent()
         self._is_reading = True
         self._parts: LightQueue = LightQueue()
         self._unsent = 0
+        self._backlog = 0
         self._sent = Notifier()
         self._failure: LinkError | None = None
         self._memory = _ANSWER_MEMORY.reserve()
@@ -66,6 +71,7 @@
         """Stop sending, and forget what has not been sent."""
         self._is_reading = False
         self._sender.kill()
+        self._change_backlog(-self._backlog)
         self._memory.release()
 
     def _end_reading(self) -> None:
@@ -77,6 +83,12 @@
         while self._unsent and not self._reserve(size):
             self._sent.wait(_ROOM_CHECK_MS)
         self._unsent += size
+        self._change_backlog(size)
+
+    def _change_backlog(self, size: int) -> None:
+        """Note parts that wait here, not yet in the send queue."""
+        self._backlog += size
+        self._send_queue.change_backlog(size)
 
     def _reserve(self, size: int) -> bool:
         if self._unsent + size > _MAX_UNSENT_BYTES:
@@ -90,6 +102,7 @@
     def _send(self) -> None:
         try:
             for part in iter(self._parts.get, None):
+                self._change_backlog(-len(part))
                 self._exchange.send(Chunk(part))
                 self._unsent -= len(part)
                 self._sent.notify_all()
--- a/tests/features/steps/send_queue_steps.py
+++ b/tests/features/steps/send_queue_steps.py
@@ -20,6 +20,7 @@
 from laburnumwood.records import NodeName
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.observed import LongAnswerDelays
+from laburnumwood.routing.read_ahead import ReadAhead
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.gate_steps import make_gate_with
 from tests.features.steps.plain_work import PLAIN_WORK
@@ -50,6 +51,7 @@
     context.sent[number] = context.send_queue.acquire(size)
 
 
+@when('{count:d} message of {size:d} bytes is queued')
 @when('{count:d} messages of {size:d} bytes are queued')
 def queue_messages(context: Context, count: int, size: int) -> None:
     for number in range(count):
@@ -259,3 +261,23 @@
 @then('all requests ran')
 def check_ran(context: Context) -> None:
     assert context.executor.count == context.count, context.executor.count
+
+
+class _BlockedExchange:
+    """An exchange on which nothing is ever sent."""
+
+    def send(self, _message: Any) -> None:
+        eventlet.sleep(LIMIT_S)
+
+
+@when('an answer of {size:d} bytes is read ahead')
+def read_ahead(context: Context, size: int) -> None:
+    exchange: Any = _BlockedExchange()
+    context.read_ahead = ReadAhead(exchange, context.send_queue)
+    context.add_cleanup(context.read_ahead.close)
+    context.read_ahead.read((bytes(size // 2), bytes(size // 2)))
+
+
+@when('that answer is given up')
+def give_up(context: Context) -> None:
+    context.read_ahead.close()
