--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -216,8 +216,7 @@
             self._rate_limiter.wait_for_ms(int(sum(ahead.values())) + 1),
         )
         needed_ms = start_in_ms + self._expected_latency_ms(name)
-        if not self._must_be_useful(ticket):
-            needed_ms += self._latencies.margin_of(name)
+        needed_ms += self._latencies.margin_of(name)
         left_ms = self._answer_by_ms(ticket) - self._clock.now_ms()
         weight = ticket.traffic_class.weight
         has_room = self._queue.has_room(ticket.key, weight)
