Complete long answers one after the other, and let in only what can leave

Cause: parts of all answers took turns in the order in which they were queued, so that all answers of a slow connection progressed together and all came late; and since a request that is late for want of the network, not of slots, got a slot as soon as one was free.

Change: all parts of an answer have the turn of the first; a request whose answer would leave after its objective is rejected at once and says so, unless it is late already and a quarter of its time is enough.

The new scenarios fail on the code before (the second answer's part was sent; all were served).

--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -134,6 +134,10 @@
         self.limit_per_second = limit_per_second
 
 
+class NetworkBusyError(OverloadedError):
+    """A request was not admitted because its answer could not leave in time."""
+
+
 class BodyMemoryError(LaburnumwoodError):
     """There is no memory for a request's body."""
 
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -146,6 +146,7 @@
         self._unsent = b''  # bytes that the socket has not accepted yet
         self._is_rest_due = False  # a task is to send them
         self._transfers: dict[bytes, Transfer] = {}  # by payloads of pings
+        self._turns: dict[int, int] = {}  # of streams with large messages
         self._last_ping = 0
         self._is_open = True
 
@@ -218,8 +219,9 @@
         ):
             self._send_frame(frame)
             return
+        turn = self._turns.setdefault(stream, SEND_QUEUE.new_turn())
         with _before_sending():
-            transfer = SEND_QUEUE.acquire(len(frame))
+            transfer = SEND_QUEUE.acquire(len(frame), turn)
         self._last_ping += 1
         ping = str(self._last_ping).encode()
         self._transfers[ping] = transfer
@@ -232,6 +234,7 @@
     def remove_stream(self, stream: int) -> None:
         """Remove a stream that has ended."""
         self._streams.pop(stream, None)
+        self._turns.pop(stream, None)
 
     def _send_frame(self, frame: bytes, ping: bytes | None = None) -> None:
         with _holding(self._lock):
@@ -262,6 +265,7 @@
         for stream in tuple(self._streams.values()):
             stream.fail(LinkLostError(f'link to {self._peer} was lost'))
         self._streams.clear()
+        self._turns.clear()
         for ping in tuple(self._transfers):
             self._complete_transfer(ping)
 
--- a/laburnumwood/protocol/send_queue.py
+++ b/laburnumwood/protocol/send_queue.py
@@ -6,8 +6,9 @@
 So a large part of a body is sent when those before it have arrived.
 """
 
-from collections import deque
+from bisect import insort
 from dataclasses import dataclass
+from itertools import count
 
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
@@ -27,18 +28,27 @@
 
 @dataclass(slots=True, eq=False)
 class Transfer:
-    """One large message; `sent_ms` is when it could be sent."""
+    """One large message; `sent_ms` is when it could be sent.
+
+    Of the messages that wait, the one with the lowest turn is sent first.
+    """
 
     size: int
+    turn: int
     sent_ms: int = 0
 
 
+def _turn(transfer: Transfer) -> int:
+    return transfer.turn
+
+
 class SendQueue:
     """Sends large messages in order, with a limit on the bytes in transit."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._waiting: deque[Transfer] = deque()
+        self._waiting: list[Transfer] = []  # in the order of their turns
+        self._turns = count()
         self._in_transit: dict[Transfer, None] = {}
         self._window: float = _MIN_WINDOW
         self._ms_per_byte = DecayingMean(_HALF_LIFE_MS, clock)
@@ -55,10 +65,18 @@
         """Add to the bytes that senders hold and have not queued yet."""
         self._backlog += size
 
-    def acquire(self, size: int) -> Transfer:
-        """Wait until a large message of some size may be sent."""
-        transfer = Transfer(size)
-        self._waiting.append(transfer)
+    def new_turn(self) -> int:
+        """Return a turn after all those that were returned before."""
+        return next(self._turns)
+
+    def acquire(self, size: int, turn: int | None = None) -> Transfer:
+        """Wait until a large message of some size may be sent.
+
+        All parts of an answer have the turn of the first one, so that answers
+        are completed one after the other.
+        """
+        transfer = Transfer(size, self.new_turn() if turn is None else turn)
+        insort(self._waiting, transfer, key=_turn)
         try:
             while not self._may_send(transfer):
                 self._changed.wait(_ACK_TIMEOUT_MS / 2)
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -20,6 +20,7 @@
     BodyTimeoutError,
     LinkError,
     LinkTimeoutError,
+    NetworkBusyError,
     OverloadedError,
     RunCancelledError,
 )
@@ -99,6 +100,9 @@
 # Part of the remaining time that is reserved to answer that a request did not
 # run.
 _REFUSAL_RESERVE_MS = 60
+# The part of its time for which an answer that is late already may wait for the
+# network connection.
+_NETWORK_PATIENCE = 0.25
 
 
 def receive_body(
@@ -347,6 +351,8 @@
         work = run.work
         answer_wait_ms = self._answer_delays.expected_wait_ms(work.priority)
         ticket = self._make_ticket(run, answer_wait_ms)
+        if answer_wait_ms and self._leaves_too_late(ticket, answer_wait_ms):
+            raise NetworkBusyError(answer_wait_ms)
         self._note_instance()
         busy = self._capacity_account.occupy_slot(work.service)
         exchange.set_message_handler(partial(self._admitter.cancel, ticket))
@@ -378,6 +384,15 @@
             busy_ms = self._clock.now_ms() - ticket.started_ms
             self._meter.record(work.shard, work.key, busy_ms)
 
+    def _leaves_too_late(self, ticket: Ticket, wait_ms: int) -> bool:
+        """Return whether an answer would leave this machine too late.
+
+        Its network connection is what is short then, whatever slots are free.
+        """
+        now_ms = self._clock.now_ms()
+        patience_ms = round((ticket.deadline_ms - now_ms) * _NETWORK_PATIENCE)
+        return now_ms > ticket.useful_until_ms and wait_ms > patience_ms
+
     def _make_ticket(self, run: Run, answer_wait_ms: int) -> Ticket:
         """Return a ticket for a run whose answer will wait to be sent."""
         work = run.work
--- a/laburnumwood/routing/problems.py
+++ b/laburnumwood/routing/problems.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from laburnumwood.clock import MS_PER_SECOND
-from laburnumwood.errors import OverloadedError
+from laburnumwood.errors import NetworkBusyError, OverloadedError
 from laburnumwood.protocol.messages import Failure
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -112,6 +112,8 @@
 def make_overload_failure(overload: OverloadedError) -> Failure:
     """Return the failure message for a request that was not admitted."""
     detail = 'no slot is free'
+    if isinstance(overload, NetworkBusyError):
+        detail = 'its answer would wait too long for the network connection'
     if overload.limit_per_second is not None:
         detail = (
             'the worker accepts no more than '
--- a/tests/features/send_queue.feature
+++ b/tests/features/send_queue.feature
@@ -81,3 +81,25 @@
     When 4 messages of 90000 bytes are queued
     And the first message arrives after 100 ms
     Then an answer of rank 2 would wait for 200 ms and one of rank 1 for 0 ms
+
+  # Guards against downloads that are all late because all progress together.
+  Scenario: an answer that was begun first is completed first
+    Given a send queue
+    And two answers of which the first parts of 65536 bytes are on their way
+    When the next part of the second and then that of the first are queued
+    And the first message arrives after 100 ms
+    Then the next part of the first answer is sent and that of the second is not
+
+  # Guards against downloads that get a slot and are not delivered in time
+  # because the network connection, not the worker, has too much to do.
+  Scenario Outline: a request whose answer could not leave in time gets no slot
+    Given a gate with free slots whose answers of rank 2 wait <wait> ms to be sent
+    When a request useful for <useful> ms and with <left> ms left arrives
+    Then the request for a large answer is <what>
+
+    Examples:
+      | wait | useful | left | what     |
+      | 700  | 800    | 3000 | served   |
+      | 900  | 800    | 3000 | returned |
+      | 700  | 1      | 3000 | served   |
+      | 700  | 1      | 2000 | returned |
--- a/tests/features/steps/send_queue_steps.py
+++ b/tests/features/steps/send_queue_steps.py
@@ -14,7 +14,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.protocol import link as links
 from laburnumwood.protocol.codec import decode
-from laburnumwood.protocol.messages import WholeAnswer
+from laburnumwood.protocol.messages import Failure, WholeAnswer
 from laburnumwood.protocol.peers import Dispatcher
 from laburnumwood.protocol.send_queue import SendQueue, Transfer
 from laburnumwood.records import NodeName
@@ -281,3 +281,72 @@
 @when('that answer is given up')
 def give_up(context: Context) -> None:
     context.read_ahead.close()
+
+
+@given(
+    'two answers of which the first parts of {size:d} bytes are on their way'
+)
+def begin_answers(context: Context, size: int) -> None:
+    context.turns = [context.send_queue.new_turn() for _ in range(2)]
+    _queue_part(context, 0, size, 0)
+
+
+def _queue_part(context: Context, number: int, size: int, place: int) -> None:
+    def acquire() -> None:
+        turn = context.turns[place]
+        context.sent[number] = context.send_queue.acquire(size, turn)
+
+    task = eventlet.spawn(acquire)
+    context.add_cleanup(task.kill)
+    eventlet.sleep(0)
+
+
+@when('the next part of the second and then that of the first are queued')
+def queue_next_parts(context: Context) -> None:
+    _queue_part(context, 1, LARGE, 1)
+    _queue_part(context, 2, LARGE, 0)
+
+
+@then('the next part of the first answer is sent and that of the second is not')
+def check_order(context: Context) -> None:
+    assert context.sent.keys() == {0, 2}, context.sent
+
+
+@given(
+    'a gate with free slots whose answers of rank {rank:d} wait {wait_ms:d} ms '
+    'to be sent'
+)
+def make_gate_with_delays(context: Context, rank: int, wait_ms: int) -> None:
+    def wait_of(_delays: LongAnswerDelays, of_rank: int) -> int:
+        return wait_ms if of_rank == rank else 0
+
+    delays = patch.object(LongAnswerDelays, 'expected_wait_ms', wait_of)
+    context.add_cleanup(delays.stop)
+    delays.start()
+    make_gate_with(context, 0, _LargeAnswers())
+
+
+@when(
+    'a request useful for {objective_ms:d} ms and with {left_ms:d} ms left '
+    'arrives'
+)
+def send_with_objective(
+    context: Context, objective_ms: int, left_ms: int
+) -> None:
+    context.near, far = local_pair()
+    work = replace(
+        PLAIN_WORK,
+        shard=-1,
+        priority=2,
+        idempotent=True,
+        objective_ms=objective_ms,
+        deadline_ms=left_ms,
+    )
+    context.gate.serve(far, work)
+
+
+@then('the request for a large answer is {what}')
+def check_admitted(context: Context, what: str) -> None:
+    found = context.near.receive(LIMIT_S * MS_PER_SECOND)
+    wanted = {'served': WholeAnswer, 'returned': Failure}[what]
+    assert isinstance(found, wanted), type(found)
