--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -215,12 +215,15 @@
             self._drain_time_ms(ahead),
             self._rate_limiter.wait_for_ms(int(sum(ahead.values())) + 1),
         )
-        needed_ms = start_in_ms + self._expected_latency_ms(name)
-        needed_ms += self._latencies.margin_of(name)
-        left_ms = self._answer_by_ms(ticket) - self._clock.now_ms()
+        answered_ms = self._clock.now_ms() + start_in_ms
+        answered_ms += self._expected_latency_ms(name)
+        latest_ms = answered_ms + self._latencies.margin_of(name)
+        is_in_time = (
+            answered_ms < self._answer_by_ms(ticket)
+            and latest_ms < ticket.deadline_ms
+        )
         weight = ticket.traffic_class.weight
-        has_room = self._queue.has_room(ticket.key, weight)
-        return needed_ms < left_ms and has_room
+        return is_in_time and self._queue.has_room(ticket.key, weight)
 
     def _answer_by_ms(self, ticket: Ticket) -> int:
         """Return until when a ticket that waits has to be answered."""
