--- a/laburnumwood/protocol/send_queue.py
+++ b/laburnumwood/protocol/send_queue.py
@@ -61,6 +61,14 @@
         queued_size = sum(each.size for each in self._waiting)
         return (queued_size + self._backlog) * self._ms_per_byte.mean
 
+    @property
+    def window(self) -> float:
+        """Return how many bytes of large messages may be in transit.
+
+        It is large while the network is fast.
+        """
+        return self._window
+
     def change_backlog(self, size: int) -> None:
         """Add to the bytes that senders hold and have not queued yet."""
         self._backlog += size
--- a/laburnumwood/routing/runner.py
+++ b/laburnumwood/routing/runner.py
@@ -24,6 +24,7 @@
     Failure,
     WholeAnswer,
 )
+from laburnumwood.protocol.send_queue import SEND_QUEUE
 from laburnumwood.routing.exchange import MAX_INLINE_BODY_BYTES, Exchange
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.read_ahead import ReadAhead
@@ -41,8 +42,10 @@
     WorkerUnreachableError: 'worker-unreachable',
 }
 
-# A longer answer is sent in parts, between which others can be sent.
-_MAX_WHOLE_ANSWER_BYTES = 32_768
+# Of the window of the send queue: where a longer answer takes a noticeable time
+# on the network, it is sent in parts, between which others can be sent.
+_WHOLE_ANSWER_SHARE = 0.25
+_ALWAYS_WHOLE_BYTES = 32_768
 
 _NOT_SENT_ERRORS = tuple(_KIND_BY_ERROR)
 
@@ -75,7 +78,7 @@
         worker_interface: WorkerInterface,
         shared_quarantine: SharedQuarantine,
         clock: Clock,
-        max_buffered_bytes: int = _MAX_WHOLE_ANSWER_BYTES,
+        max_buffered_bytes: int = MAX_INLINE_BODY_BYTES,
     ) -> None:
         self._max_buffered_bytes = max_buffered_bytes
         self._worker = worker
@@ -250,6 +253,12 @@
             read_ahead.close()
         exchange.send(End(length))
 
+    @property
+    def _longest_whole(self) -> int:
+        """Return how long an answer may be to be sent in one message, bytes."""
+        share = round(SEND_QUEUE.window * _WHOLE_ANSWER_SHARE)
+        return min(self._max_buffered_bytes, max(share, _ALWAYS_WHOLE_BYTES))
+
     def _read_short_body(
         self, answer: WorkerAnswer, result: RunResult
     ) -> bytes | None:
@@ -260,9 +269,7 @@
         """
         length = answer.body_length
         may_refuse = self._worker_interface.may_refuse(answer)
-        if not may_refuse and (
-            length is None or length > self._max_buffered_bytes
-        ):
+        if not may_refuse and (length is None or length > self._longest_whole):
             return None
         # A worker that follows the protocol sends no longer refusals.
         body = answer.read_body(
