--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -27,10 +27,9 @@
 from laburnumwood.records import KeyRange, ReleasedRange, ShardName
 from laburnumwood.settings import ReportSettings
 from laburnumwood.upstream.grant_rows import (
+    RowSizes,
     count_fitting,
-    encoded_size,
     join_rows,
-    size_of_new,
 )
 from laburnumwood.upstream.handovers import Handovers
 from laburnumwood.upstream.instances import ReportStatus
@@ -146,6 +145,8 @@
         self._tokens = TokenHistory()
         self._handovers = Handovers()
         self._logged_truncation = (0, 0)
+        self._row_sizes = RowSizes()
+        self._must_join = False
         self.presence = Presence(settings, clock)
         self.signals = WorkerSignals(self.presence, clock)
         self.changes = Notifier()
@@ -311,8 +312,9 @@
             self._tokens.record(grant.ranges, token)
             grant.inherit(self._grants.get(shard))
             self._grants[shard] = grant
-        rows = tuple(join_rows(self._granted_ranges(wanted, source)))
-        return GrantReply(rows, duration_ms)
+        rows = self._granted_ranges(wanted, source)
+        joined = join_rows(rows) if self._must_join else rows
+        return GrantReply(tuple(joined), duration_ms)
 
     def _reply_without_lease(self, source: GrantSource) -> GrantReply:
         """Return the reply of a node whose lease is too short for grants.
@@ -342,27 +344,29 @@
         # The sort is stable, so that those that are granted stay in order.
         allowed.sort(key=lambda shard: shard not in self._grants)
         room = self._settings.most_bytes - _ENVELOPE_BYTES
+        sizes = (self._size_of(each, tokens[each], source) for each in allowed)
+        self._must_join = sum(sizes) > room
+        if not self._must_join:
+            return {shard: tokens[shard] for shard in allowed}
 
         def rows_of(count: int) -> Iterator[GrantedRange]:
             selected = {shard: tokens[shard] for shard in allowed[:count]}
             return self._granted_ranges(selected, source)
 
         granted = sum(shard in self._grants for shard in allowed)
-        number = count_fitting(
-            range(granted + 1),
-            room,
-            lambda count: encoded_size(join_rows(rows_of(count))),
-        )
-        if number == granted:
-            number = count_fitting(
-                range(granted, len(allowed) + 1),
-                room,
-                lambda count: size_of_new(rows_of(count)),
-            )
+        number = count_fitting(granted, len(allowed), room, rows_of)
         if number < len(allowed):
             self._log_truncation(allowed[number], number, len(tokens))
         return {shard: tokens[shard] for shard in allowed[:number]}
 
+    def _size_of(
+        self, shard: ShardName, token: int, source: GrantSource
+    ) -> int:
+        """Return how many bytes the rows of a shard take."""
+        handovers = self._handovers_for(shard, source)
+        rows_size = self._row_sizes.size_of(shard, source.stripes(shard), token)
+        return rows_size + sum(len(each) + 2 for each in handovers)
+
     def _may_grant(
         self, shard: ShardName, token: int, source: GrantSource
     ) -> bool:
