Ask about the configuration also before a known route is served

A node asks the store before it denies a route, but handled requests on routes that it knows by whatever version it had: a route that was dropped or sent to another service, a shorter timeout, other weights. By reading: nothing bounds how old that version is at a node that hears neither its watch nor its peers.

A node that nobody has confirmed its configuration to for 1 s (several renewals of its lease do so meanwhile) asks the store once for all that come, for 200 ms at most; without an answer it serves on by what it knows. Answers of the store that may be seconds old confirm nothing. The new scenario of a dropped route fails on the code before (200 and no question asked).

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -399,6 +399,7 @@
             lambda: self.view.directory.declarations,
             self.view.directory.config_monitor.status,
             ConfigConfirmation(platform, self.view.directory, clock).confirm,
+            lambda: self.view.directory.config_monitor.unheard_ms,
             clock,
         )
         self.operators = OperatorApi(
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -1,7 +1,7 @@
 """Metrics of the ingress."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import eventlet
@@ -34,6 +34,7 @@
         get_declarations: DeclarationsProvider,
         get_config_status: ConfigStatusProvider,
         confirm_config: ConfigConfirmer,
+        unheard_ms: Callable[[], int],
         clock: Clock,
     ) -> None:
         self._ingress = Ingress(
@@ -42,6 +43,7 @@
             get_declarations,
             get_config_status,
             confirm_config,
+            unheard_ms,
             clock,
         )
         self._get_declarations = get_declarations
--- a/tests/features/config_confirmation.feature
+++ b/tests/features/config_confirmation.feature
@@ -60,3 +60,26 @@
     When a caller requests "/old/x"
     Then the door answers 200
     And the door asked the store 0 times
+
+  # Guards against requests that are handled as an older version says by a node
+  # that hears of no news: what it denied was asked about, the rest was not.
+  Scenario Outline: a door that has heard nothing for long asks before it serves: <what>
+    Given a door with generation 1, which has no service "new"
+    And the store of the door has generation 2 without services
+    When nobody confirms the configuration of the door for 1100 ms
+    And <what>
+    And a caller requests "/old/x"
+    Then the door answers <status>
+    And the door asked the store <calls> time
+
+    Examples:
+      | what                                 | status | calls |
+      | an answer that may be old confirms it | 404    | 1     |
+      | another node confirms it             | 200    | 0     |
+
+  Scenario: a door that has heard nothing for long serves on without the store
+    Given a door with generation 1, which has no service "new"
+    And the store of the door does not answer
+    When nobody confirms the configuration of the door for 1100 ms
+    And a caller requests "/old/x"
+    Then the door answers 200 within 500 ms
--- a/tests/features/steps/config_confirmation_steps.py
+++ b/tests/features/steps/config_confirmation_steps.py
@@ -13,6 +13,7 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import PlatformUnavailableError
 from laburnumwood.membership.config_confirmation import ConfigConfirmation
+from laburnumwood.membership.config_status import FROM_STALE_STORE
 from laburnumwood.membership.directory import Directory
 from laburnumwood.protocol.messages import Answer, Chunk, End
 from laburnumwood.records import ConfigRecord, StoredObject
@@ -88,6 +89,7 @@
         router,
         lambda: context.directory.declarations,
         confirmation.confirm,
+        lambda: context.directory.config_monitor.unheard_ms,
     )
     context.address = HOST, free_port()
     server = HttpListener(context.address, ingress, clock)
@@ -198,3 +200,23 @@
 @then('the door asked the store at most {count:d} times')
 def check_few_calls(context: Context, count: int) -> None:
     assert 1 <= context.store.call_count <= count, context.store.call_count
+
+
+@given('the store of the door has generation {generation:d} without services')
+def drop_services(context: Context, generation: int) -> None:
+    context.store.stored = _config(generation)
+
+
+@when('nobody confirms the configuration of the door for {span_ms:d} ms')
+def hear_nothing(_context: Context, span_ms: int) -> None:
+    eventlet.sleep(span_ms / MS_PER_SECOND)
+
+
+@when('an answer that may be old confirms it')
+def hear_old_answer(context: Context) -> None:
+    context.directory.config_monitor.record_latest(FROM_STALE_STORE)
+
+
+@when('another node confirms it')
+def hear_node(context: Context) -> None:
+    context.directory.config_monitor.record_current(1, 'p2')
--- a/tests/request_stack/door.py
+++ b/tests/request_stack/door.py
@@ -65,6 +65,7 @@
         lambda: directory.declarations,
         directory.config_monitor.status,
         always_current,
+        lambda: directory.config_monitor.unheard_ms,
         Clock(),
     )
     return HttpListener(
--- a/tests/request_stack/ingress.py
+++ b/tests/request_stack/ingress.py
@@ -1,5 +1,6 @@
 """An ingress for tests."""
 
+from collections.abc import Callable
 from typing import Any
 
 from laburnumwood.clock import Clock
@@ -18,6 +19,7 @@
     router: Any,
     get_declarations: DeclarationsProvider,
     confirm_config: ConfigConfirmer = always_current,
+    unheard_ms: Callable[[], int] = int,
 ) -> Ingress:
     """Return an ingress that reads the project's own kind of requests."""
     clock = Clock()
@@ -27,5 +29,6 @@
         get_declarations,
         ConfigMonitor(clock).status,
         confirm_config,
+        unheard_ms,
         clock,
     )
