Reject at the door what the gate would most likely reject

Change: adaptive throttling by service, shard and rank: doors send a gate at most twice what it admits of a kind, and a fifth at least, so that it is noticed soon when it admits more. request-throttled tells of each.

--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -486,6 +486,13 @@
     'requests that were answered at this door in the last second, by service '
     'and rank',
 )
+REQUEST_THROTTLED = _event(
+    717,
+    logbook.INFO,
+    'request-throttled',
+    'a request was rejected at this door because its gate rejects most that '
+    'are like it',
+)
 TASK_FAILED = _event(
     901,
     logbook.ERROR,
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -1,10 +1,12 @@
 """Routing of a caller's request to the node that answers it."""
 
 from dataclasses import replace
+from random import Random
 
 from eventlet import Timeout
 
 from laburnumwood.admission.retry_budget import RetryBudgets
+from laburnumwood.admission.throttle import AdaptiveThrottle
 from laburnumwood.clock import Clock
 from laburnumwood.errors import (
     CallerDisconnectedError,
@@ -12,6 +14,7 @@
     LinkTimeoutError,
     StreamNotReceivedError,
 )
+from laburnumwood.events import REQUEST_THROTTLED
 from laburnumwood.membership.gossip import apply_shard_notice
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.layout import locate_text_key
@@ -43,6 +46,7 @@
 # Extra wait in which the gate can report at the deadline how a request ended.
 _DEADLINE_GRACE_MS = 60
 _NO_TIME_MS = 1  # zero would mean that there is no objective
+_THROTTLED = 'its gate rejects most requests like it'
 _DEADLINE_PASSED = 'the deadline passed before it was sent'
 
 # Version of a shard record, and the node that may act as owner.
@@ -78,6 +82,7 @@
         self._balancer = balancer
         self._budgets = budgets
         self._clock = clock
+        self._throttle = AdaptiveThrottle(Random(f'throttle {own_name}'), clock)
 
     def send(
         self, request: CallerRequest, caller: Caller
@@ -87,8 +92,34 @@
         A request that provably did not run is retried for a limited time until
         its shard has an owner.  One that may have run is sent again only if it
         is idempotent.  Neither is retried after the deadline, and a request
-        that is not retried fails at once.
+        that is not retried fails at once.  While most requests of its kind are
+        rejected for the load of their gate, some are not sent to it at all.
         """
+        target = request.work.service, request.work.shard, request.work.priority
+        retry_after_ms = self._throttle.rejects(target)
+        if retry_after_ms is not None:
+            return self._reject(request, retry_after_ms)
+        answer = self._send(request, caller)
+        if not isinstance(answer, Failure) or answer.ran:
+            self._throttle.record_admitted(target)
+        elif answer.kind == 'overloaded':
+            self._throttle.record_rejected(target, answer.retry_after_ms)
+        return answer
+
+    def _reject(self, request: CallerRequest, retry_after_ms: int) -> Failure:
+        work = request.work
+        REQUEST_THROTTLED.report(
+            request=work.request_id,
+            service=work.service,
+            shard=work.shard,
+            rank=work.priority,
+            retry_after_ms=retry_after_ms,
+        )
+        return Failure('overloaded', False, _THROTTLED, retry_after_ms)
+
+    def _send(
+        self, request: CallerRequest, caller: Caller
+    ) -> PendingAnswer | Failure:
         work = _with_inline_body(request)
         budget = self._budgets.for_service(work.service)
         budget.record_request()
--- a/tests/features/admission_limit.feature
+++ b/tests/features/admission_limit.feature
@@ -96,3 +96,23 @@
     When 1000 requests arrive over 5 s
     And 20 s pass and each of 50 requests asks for a retry
     Then at most 7 retries were allowed
+
+  # Guards against doors and gates that are busy with requests that are rejected
+  # anyway, so that everything is late (requests held past their timeout, issue 60).
+  Scenario Outline: a door sends a gate no more than twice what it admits
+    Given a door whose gate admits <admitted> requests a second
+    When callers send it 100 requests a second for 10 s
+    Then in the last 5 s the gate got between <least> and <most> requests a second
+
+    Examples:
+      | admitted | least | most |
+      | 100      | 100   | 100  |
+      | 60       | 95    | 100  |
+      | 20       | 35    | 50   |
+      | 0        | 15    | 25   |
+
+  Scenario: a gate that admits all again gets all again
+    Given a door whose gate admits 10 requests a second
+    When callers send it 100 requests a second for 10 s
+    And the gate admits all, and 5 s pass
+    Then in the last 1 s the gate got between 95 and 100 requests a second
--- a/tests/features/steps/admission_limit_steps.py
+++ b/tests/features/steps/admission_limit_steps.py
@@ -1,10 +1,14 @@
 """Steps about the concurrency limit and the retry budget."""
 
+from random import Random
+
 from behave import given, then, when
 from behave.runner import Context
 
 from laburnumwood.admission.limit import ConcurrencyLimit
 from laburnumwood.admission.retry_budget import RetryBudget
+from laburnumwood.admission.throttle import AdaptiveThrottle
+from laburnumwood.clock import MS_PER_SECOND
 from tests.features.steps.fake_clock import FakeClock
 
 ANSWER_MS = 10
@@ -139,3 +143,59 @@
 @then('at least {least:d} retries were allowed')
 def check_least_retries(context: Context, least: int) -> None:
     assert context.retries >= least, context.retries
+
+
+class _ThrottledDoor:
+    """A door that throttles what it sends to a gate."""
+
+    def __init__(self, admitted_per_second: int) -> None:
+        self.admitted_per_second = admitted_per_second
+        self.sent_at_ms: list[int] = []
+        self._clock = FakeClock()
+        self._allowance: float = 0  # requests that the gate admits at present
+        self._throttle = AdaptiveThrottle(Random(2), self._clock)
+
+    def receive(self, span_s: int, per_second: int) -> None:
+        for _ in range(span_s * per_second):
+            self._clock.pass_ms(MS_PER_SECOND // per_second)
+            gained = self.admitted_per_second / per_second
+            self._allowance = min(self._allowance + gained, 2)
+            if self._throttle.rejects('gate') is None:
+                self._send()
+
+    def sent_per_second(self, last_s: int) -> float:
+        since_ms = self._clock.now_ms() - last_s * MS_PER_SECOND
+        return sum(at_ms > since_ms for at_ms in self.sent_at_ms) / last_s
+
+    def _send(self) -> None:
+        self.sent_at_ms.append(self._clock.now_ms())
+        if self._allowance >= 1:
+            self._allowance -= 1
+            self._throttle.record_admitted('gate')
+        else:
+            self._throttle.record_rejected('gate', 500)
+
+
+@given('a door whose gate admits {admitted:d} requests a second')
+def make_throttled_door(context: Context, admitted: int) -> None:
+    context.door = _ThrottledDoor(admitted)
+
+
+@when('callers send it {rate:d} requests a second for {span_s:d} s')
+def send_to_throttled_door(context: Context, rate: int, span_s: int) -> None:
+    context.door.receive(span_s, rate)
+
+
+@when('the gate admits all, and {span_s:d} s pass')
+def admit_all(context: Context, span_s: int) -> None:
+    context.door.admitted_per_second = 100
+    context.door.receive(span_s, 100)
+
+
+@then(
+    'in the last {span_s:d} s the gate got between {least:d} and {most:d} '
+    'requests a second'
+)
+def check_sent(context: Context, span_s: int, least: int, most: int) -> None:
+    found = context.door.sent_per_second(span_s)
+    assert least <= found <= most, found
