--- a/tests/features/large_service.feature
+++ b/tests/features/large_service.feature
@@ -38,3 +38,14 @@
     When a request for shard 7 arrives at a door
     Then the door sent it to the last owner, and then to the next one
     And the next owner answered it within 100 ms
+
+  Scenario Outline: the tokens of <ranges> ranges of keys
+    Given a worker whose <ranges> ranges of keys were given under their own tokens
+    When the least tokens of 20 of them are computed
+    Then they are those of the ranges
+    And it took at most 2000 calls of functions
+
+    Examples:
+      | ranges |
+      | 100    |
+      | 5000   |
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -1,6 +1,7 @@
 """Steps about decisions of one node in a service of hundreds of nodes."""
 
 from collections.abc import Callable
+from cProfile import Profile
 from dataclasses import replace
 from itertools import count
 from random import Random
@@ -22,6 +23,7 @@
 from laburnumwood.protocol.messages import Failure, WholeAnswer
 from laburnumwood.protocol.store_messages import ShardNotice
 from laburnumwood.records import (
+    KeyRange,
     NodeName,
     NodeRecord,
     ShardName,
@@ -37,6 +39,7 @@
     shard_object_name,
     to_value,
 )
+from laburnumwood.upstream.token_history import TokenHistory
 from tests.features.steps.counting_view import CountingView
 from tests.features.steps.fake_clock import FakeClock
 from tests.features.steps.plain_work import PLAIN_WORK, caller_request
@@ -264,3 +267,43 @@
 def check_answered(context: Context, limit_ms: int) -> None:
     assert b''.join(context.reply.body()) == b'whole'
     assert context.took_ms < limit_ms, context.took_ms
+
+
+_RANGE_KEYS = 10
+
+
+def _range(number: int) -> KeyRange:
+    first = number * _RANGE_KEYS
+    return KeyRange(first, first + _RANGE_KEYS - 1)
+
+
+@given(
+    'a worker whose {count:d} ranges of keys were given under their own tokens'
+)
+def give_ranges(context: Context, count: int) -> None:
+    context.tokens = TokenHistory()
+    context.tokens.record((KeyRange(0, count * _RANGE_KEYS),), 1)
+    for number in range(count):
+        context.tokens.record((_range(number),), number + 2)
+
+
+@when('the least tokens of {count:d} of them are computed')
+def compute_tokens(context: Context, count: int) -> None:
+    profile = Profile()
+    with profile:
+        context.found = [
+            context.tokens.least_token((_range(number),))
+            for number in range(count)
+        ]
+    context.calls = sum(each.callcount for each in profile.getstats())
+
+
+@then('they are those of the ranges')
+def check_tokens(context: Context) -> None:
+    expected = [number + 2 for number in range(len(context.found))]
+    assert context.found == expected, context.found
+
+
+@then('it took at most {most:d} calls of functions')
+def check_calls(context: Context, most: int) -> None:
+    assert context.calls <= most, context.calls
