Tell how old the proof of the configuration was at each decision

No change of behaviour. A node logged as 'current' what any peer of the same generation had said, however long that peer had heard nothing, so that no line told on what a request had been decided. An answer of the store with a configuration that this node can not use proves nothing.

--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -264,6 +264,13 @@
 CONFIG_IN_FORCE = _event(
     501, logbook.INFO, 'config-in-force', 'a configuration is in force'
 )
+CONFIG_UNCONFIRMED = _event(
+    503,
+    logbook.INFO,
+    'config-unconfirmed',
+    'requests were handled by a configuration that was not confirmed lately',
+    'if it goes on, find out why this node and its peers can not read the store',
+)
 CONFIG_REFUSED = _event(
     502,
     logbook.ERROR,
--- a/laburnumwood/membership/config_confirmation.py
+++ b/laburnumwood/membership/config_confirmation.py
@@ -21,6 +21,16 @@
 ConfigConfirmer = Callable[[int], bool]
 
 
+def has_in_force(directory: Directory, stored: StoredObject) -> bool:
+    """Return whether a stored configuration, or a later one, is in force.
+
+    It is not if the node can not use it.  Raises `RecordError` if the object
+    is not a configuration.
+    """
+    record = to_record(ConfigRecord, stored)
+    return record.generation <= directory.config.generation
+
+
 class ConfigConfirmation:
     """Asks the store for the latest configuration, when a request needs it.
 
@@ -72,15 +82,21 @@
 
     def _ask(self, call: Event) -> None:
         try:
+            called_at_ms = self._clock.now_ms()
             if self._has_latest(self._store.get(CONFIG_NAME)):
-                self._confirmed_at_ms = self._called_at_ms
-                self._directory.config_monitor.record_latest(FROM_STORE)
+                self._record_confirmed(called_at_ms)
         except (PlatformError, RecordError):
             return  # the guarded store has logged its failures
         finally:
             self._call = None
             call.send(None)
 
+    def _record_confirmed(self, called_at_ms: int) -> None:
+        monitor = self._directory.config_monitor
+        self._confirmed_at_ms = called_at_ms
+        monitor.record_latest(FROM_STORE)
+        monitor.record_confirmed(FROM_STORE, called_at_ms)
+
     def _has_latest(self, found: StoredObject | None) -> bool:
         """Apply the stored configuration; return whether it is in force.
 
@@ -89,5 +105,4 @@
         if found is None:
             return not self._directory.config.generation
         self._directory.apply(found, FROM_STORE)
-        stored = to_record(ConfigRecord, found)
-        return stored.generation <= self._directory.config.generation
+        return has_in_force(self._directory, found)
--- a/laburnumwood/membership/config_status.py
+++ b/laburnumwood/membership/config_status.py
@@ -15,8 +15,10 @@
     """The configuration in force on a node, and how the node knows it.
 
     `version` is that of the stored object, and `source` says who sent it.
-    `current_from` is who last said to know no later configuration.  Ages are
-    in ms, -1 if there is none.
+    `current_from` is who last said to know no later configuration, which proves
+    nothing: it may not have heard of one.  `confirmed_by` is who last proved
+    that the store had none, and `confirmed_age_ms` how old that proof is.  Ages
+    are in ms, -1 if there is none.
     """
 
     generation: int
@@ -25,6 +27,8 @@
     in_force_for_ms: int
     current_from: str
     current_age_ms: int
+    confirmed_by: str
+    confirmed_age_ms: int
 
 
 class ConfigMonitor:
@@ -39,6 +43,8 @@
         self._current_from = FROM_NOBODY
         self._current_at_ms: int | None = None
         self._heard_at_ms: int | None = None
+        self._confirmed_by = FROM_NOBODY
+        self._confirmed_at_ms: int | None = None
 
     @property
     def unheard_ms(self) -> int:
@@ -71,6 +77,23 @@
         """Record that a source knows no later configuration than this node."""
         self.record_current(self._generation, source)
 
+    @property
+    def confirmed_age_ms(self) -> int:
+        """Return the age of the last proof that there is no later one.
+
+        It is -1 if there is none.
+        """
+        return self._age_ms(self._confirmed_at_ms)
+
+    def record_confirmed(self, source: str, at_ms: int) -> None:
+        """Record that the store had no later configuration at some time.
+
+        This stays true when a later configuration comes into force.
+        """
+        if self._confirmed_at_ms is None or at_ms > self._confirmed_at_ms:
+            self._confirmed_by = source
+            self._confirmed_at_ms = at_ms
+
     def status(self) -> ConfigStatus:
         """Return what is known now."""
         return ConfigStatus(
@@ -80,6 +103,8 @@
             self._age_ms(self._in_force_since_ms),
             self._current_from,
             self._age_ms(self._current_at_ms),
+            self._confirmed_by,
+            self.confirmed_age_ms,
         )
 
     def _age_ms(self, since_ms: int | None) -> int:
--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -12,8 +12,10 @@
 from laburnumwood.errors import (
     CompactedError,
     PlatformError,
+    RecordError,
 )
 from laburnumwood.membership.choice import rendezvous_order
+from laburnumwood.membership.config_confirmation import has_in_force
 from laburnumwood.membership.config_status import (
     FROM_STALE_STORE,
     FROM_STORE,
@@ -21,6 +23,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import NodeName, StoredObject
 from laburnumwood.store.interface import Store
+from laburnumwood.store.objects import CONFIG_NAME
 
 _SOURCE_POLL_MS = 500
 _RETRY_MS = 500
@@ -144,6 +147,7 @@
         self._clock = clock
         self._revisions = dict.fromkeys(platform.scopes, 0)
         self._listed_at_ms: dict[str, int] = {}
+        self._can_use_config = True  # the one that the store has
 
     @property
     def tasks(self) -> tuple[Callable[[], None], ...]:
@@ -182,6 +186,7 @@
         )
 
     def _list(self, scope: str) -> None:
+        asked_ms = self._clock.now_ms()
         objects, version = self._platform.list(scope)
         self._listed_at_ms[scope] = self._clock.now_ms()
         if self._is_record_scope(scope):
@@ -190,7 +195,7 @@
             directory.apply_listing(objects, version, scope)
             directory.revision = version
         else:
-            self._apply(scope, objects, FROM_STORE)
+            self._apply(scope, objects, FROM_STORE, asked_ms)
         # What was known before may be of a history that the store has lost.
         self._revisions[scope] = version
 
@@ -202,14 +207,36 @@
         self._list(scope)
 
     def _apply(
-        self, scope: str, objects: tuple[StoredObject, ...], source: str
+        self,
+        scope: str,
+        objects: tuple[StoredObject, ...],
+        source: str,
+        asked_ms: int,
     ) -> None:
         directory = self._view.directory
         directory.learn_era(self._platform.era)
         for stored in objects:
             directory.apply(stored, source)
         if not self._is_record_scope(scope):
-            directory.config_monitor.record_latest(source)
+            self._record_latest(objects, source, asked_ms)
+
+    def _record_latest(
+        self, objects: tuple[StoredObject, ...], source: str, asked_ms: int
+    ) -> None:
+        """Record what an answer of the store proves about the configuration."""
+        monitor = self._view.directory.config_monitor
+        monitor.record_latest(source)
+        for stored in objects:
+            if stored.name == CONFIG_NAME:
+                self._can_use_config = self._is_in_force(stored)
+        if source == FROM_STORE and self._can_use_config:
+            monitor.record_confirmed(source, asked_ms)
+
+    def _is_in_force(self, stored: StoredObject) -> bool:
+        try:
+            return has_in_force(self._view.directory, stored)
+        except RecordError:
+            return False
 
     def _try_watch(self, scope: str, *, may_be_stale: bool) -> None:
         try:
@@ -222,6 +249,7 @@
         wait_ms = watch_wait_ms(
             self._own, self._view, self._watch_policy(scope)
         )
+        asked_ms = self._clock.now_ms()
         try:
             changes, version = self._platform.watch(
                 scope,
@@ -233,7 +261,7 @@
             self._list_again(scope)
             return
         source = FROM_STALE_STORE if may_be_stale else FROM_STORE
-        self._apply(scope, changes, source)
+        self._apply(scope, changes, source, asked_ms)
         self._revisions[scope] = max(version, self._revisions[scope])
         if self._is_record_scope(scope):
             directory = self._view.directory
--- a/laburnumwood/metrics.py
+++ b/laburnumwood/metrics.py
@@ -103,6 +103,12 @@
     '1',
     'requests that this door answered with a problem of its own, by kind',
 )
+CONFIG_DECISIONS = _counter(
+    'laburnumwood.config.decisions',
+    '1',
+    'requests by the age of the proof, at their decision, that the '
+    'configuration was the latest: the least bound in ms, or inf',
+)
 LATENCY = _histogram(
     'laburnumwood.latency',
     'ms',
@@ -163,8 +169,8 @@
 CONFIG_AGE = _gauge(
     'laburnumwood.config.age',
     'ms',
-    'time since the store or a node last confirmed that the configuration in '
-    'force is the latest; -1: never',
+    'age of the last proof that the store has no later configuration than the '
+    'one in force; -1: there is none',
 )
 EVENTS = _counter(
     'laburnumwood.events',
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -84,7 +84,7 @@
         SHARDS_UNSERVED.record(len(self._unserved.overdue()))
         directory = self._view.directory
         GENERATION.record(directory.config.generation)
-        CONFIG_AGE.record(directory.config_monitor.status().current_age_ms)
+        CONFIG_AGE.record(directory.config_monitor.confirmed_age_ms)
         return exposition()
 
     @_register_page('/status')
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -9,13 +9,13 @@
 from laburnumwood.errors import LinkError
 from laburnumwood.events import ANSWER_CUT, REQUEST_REJECTED
 from laburnumwood.membership.config_confirmation import ConfigConfirmer
-from laburnumwood.membership.config_status import ConfigStatus
 from laburnumwood.metrics import PROBLEM_ANSWERS
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.routing.caller import Caller, CallerMonitor
 from laburnumwood.routing.caller_interface import CallerInterface, send_problem
 from laburnumwood.routing.caller_protocol import REQUEST_ID_KEY, TIME_KEY
 from laburnumwood.routing.caller_request import CallerRequest
+from laburnumwood.routing.config_ages import ConfigAges, ConfigStatusProvider
 from laburnumwood.routing.door_counters import DoorCounters
 from laburnumwood.routing.pending_answer import PendingAnswer
 from laburnumwood.routing.problems import StartResponse, status_line
@@ -32,7 +32,6 @@
 _MAX_UNHEARD_WAIT_MS = 200  # for the store, which usually answers in a few ms
 
 DeclarationsProvider = Callable[[], Declarations]
-ConfigStatusProvider = Callable[[], ConfigStatus]
 
 
 class Ingress:
@@ -63,6 +62,7 @@
         self._unheard_ms = unheard_ms
         self._callers = CallerMonitor(clock)
         self.counters = DoorCounters()
+        self.config_ages = ConfigAges(get_config_status)
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -109,6 +109,7 @@
         if self._unheard_ms() > _MAX_UNHEARD_MS:
             # Without an answer of the store, what is known holds.
             self._confirm_config(_MAX_UNHEARD_WAIT_MS)
+        self.config_ages.record(self._get_config_status().confirmed_age_ms)
         try:
             return read(self._get_declarations(), request_id)
         except RequestRefusedError as error:
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -11,11 +11,8 @@
 from laburnumwood.membership.config_confirmation import ConfigConfirmer
 from laburnumwood.metrics import LATENCY, REQUESTS
 from laburnumwood.routing.caller_interface import CallerInterface
-from laburnumwood.routing.ingress import (
-    ConfigStatusProvider,
-    DeclarationsProvider,
-    Ingress,
-)
+from laburnumwood.routing.config_ages import ConfigStatusProvider
+from laburnumwood.routing.ingress import DeclarationsProvider, Ingress
 from laburnumwood.routing.problems import StartResponse
 from laburnumwood.routing.request_parsing import Environ
 from laburnumwood.routing.router import Router
@@ -63,6 +60,7 @@
         while True:
             eventlet.sleep(1)
             self._ingress.counters.report()
+            self._ingress.config_ages.report()
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
