Let the proof that a configuration is the latest travel with its age

Cause of what is mended here: any digest or pull of a peer with the same generation counted as proof that it is the latest, however long that peer had heard nothing. Nodes with the older version confirmed each other for good; routes that were dropped or moved ran on, and only 404 was bounded. Change: only the store's answer is a proof, as of when it was asked; a peer's is as old as it says plus the time since it was asked. A door renews it when it is 700 ms old, over a tree of the fleet whose root asks the store, and waits beyond 1,000 ms. The message is sent only over links that negotiated it.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -12,7 +12,7 @@
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.cached_store import CachedStore
-from laburnumwood.membership.config_confirmation import ConfigConfirmation
+from laburnumwood.membership.config_freshness import ConfigFreshness
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.member import Member
 from laburnumwood.membership.node_records import (
@@ -393,13 +393,16 @@
             clock,
             self._settings.owner_patience_ms,
         )
+        config_freshness = ConfigFreshness(
+            self.name, self.view, platform, self._peers, self.dispatcher, clock
+        )
         self.ingress = MeasuredIngress(
             router,
             self._integration.make_caller_interface(self._settings),
             lambda: self.view.directory.declarations,
             self.view.directory.config_monitor.status,
-            ConfigConfirmation(platform, self.view.directory, clock).confirm,
-            lambda: self.view.directory.config_monitor.unheard_ms,
+            config_freshness.confirm_latest,
+            config_freshness.ensure_recent,
             clock,
         )
         self.operators = OperatorApi(
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -83,6 +83,10 @@
     """The time was over before anything of a message was sent."""
 
 
+class MessageUnknownError(LinkError):
+    """The peer does not know a message of this version; it was not sent."""
+
+
 class BodyTimeoutError(LinkTimeoutError):
     """The body of a request was incomplete at its deadline."""
 
--- a/laburnumwood/membership/config_status.py
+++ b/laburnumwood/membership/config_status.py
@@ -42,19 +42,9 @@
         self._in_force_since_ms: int | None = None
         self._current_from = FROM_NOBODY
         self._current_at_ms: int | None = None
-        self._heard_at_ms: int | None = None
         self._confirmed_by = FROM_NOBODY
         self._confirmed_at_ms: int | None = None
 
-    @property
-    def unheard_ms(self) -> int:
-        """Return for how long nobody has confirmed the configuration.
-
-        An answer of the store that may be seconds old confirms nothing.  The
-        result is 0 while no configuration is known.
-        """
-        return max(0, self._age_ms(self._heard_at_ms))
-
     def record_in_force(
         self, generation: int, version: int, source: str
     ) -> None:
@@ -70,8 +60,6 @@
         if generation == self._generation:
             self._current_from = source
             self._current_at_ms = self._clock.now_ms()
-            if source != FROM_STALE_STORE or self._heard_at_ms is None:
-                self._heard_at_ms = self._current_at_ms
 
     def record_latest(self, source: str) -> None:
         """Record that a source knows no later configuration than this node."""
--- a/laburnumwood/membership/gossip.py
+++ b/laburnumwood/membership/gossip.py
@@ -6,7 +6,7 @@
 from laburnumwood.errors import LinkError
 from laburnumwood.events import NODE_SEALED, RECORD_REFUSED
 from laburnumwood.membership.directory import Directory, VersionedRecord
-from laburnumwood.membership.sent_objects import to_sent
+from laburnumwood.membership.sent_objects import from_sent, to_sent
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import Done, SealNotice
@@ -145,9 +145,7 @@
     def _apply_changes(self, changes: Changes, source: str) -> None:
         directory = self._view.directory
         for stored in changes.objects:
-            version = _version(directory, stored.era, stored.version)
-            found = StoredObject(stored.name, stored.value, version)
-            directory.apply(found, source)
+            directory.apply(from_sent(stored, directory.first_era), source)
         reached = _version(directory, changes.era, changes.revision)
         directory.revision = max(reached, directory.revision)
         self.add_seals(changes.seals)
--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -15,7 +15,12 @@
 from laburnumwood.errors import ProtocolError
 from laburnumwood.metrics import MESSAGE_BYTES, MESSAGES
 from laburnumwood.protocol import messages, store_messages
-from laburnumwood.protocol.kinds import ADDED, FREQUENT, KINDS
+from laburnumwood.protocol.kinds import (
+    ADDED,
+    ADDED_KINDS,
+    FREQUENT,
+    KINDS,
+)
 
 MAX_FRAME_SIZE = 4 * 1024 * 1024  # bytes
 
@@ -124,6 +129,11 @@
     }
 
 
+def is_added(message: Any) -> bool:
+    """Return whether only peers that accept added messages know a message."""
+    return _KIND_BY_TYPE[type(message)] in ADDED_KINDS
+
+
 def encode(
     stream: int, message: Any, *, accepts_added_fields: bool = True
 ) -> bytes:
--- a/laburnumwood/protocol/handshake.py
+++ b/laburnumwood/protocol/handshake.py
@@ -25,7 +25,10 @@
 _RECEIVED_HEADER = 'Laburnumwood-Received'
 # Offered by nodes that accept messages with added fields.
 ADDED_FIELDS = Subprotocol('laburnumwood.added-fields')
-OFFERED = [ADDED_FIELDS]
+# Offered by nodes that also know added messages.
+ADDED_MESSAGES = Subprotocol('laburnumwood.added-messages')
+_KNOWN = (ADDED_MESSAGES, ADDED_FIELDS)  # the latest first
+OFFERED = list(_KNOWN)
 _READ_SIZE = 4_096
 _NUMBER = re.compile('[0-9]{1,18}')
 _DIAL_TIMEOUT_S = 0.5
@@ -98,7 +101,12 @@
 
 def accepts_added_fields(protocol: Protocol) -> bool:
     """Return whether both sides of a connection accept added fields."""
-    return protocol.subprotocol == ADDED_FIELDS
+    return protocol.subprotocol in {ADDED_FIELDS, ADDED_MESSAGES}
+
+
+def accepts_added_messages(protocol: Protocol) -> bool:
+    """Return whether both sides of a connection know added messages."""
+    return protocol.subprotocol == ADDED_MESSAGES
 
 
 def dial(
@@ -146,7 +154,7 @@
 def _select_subprotocol(
     _protocol: ServerProtocol, offered: Sequence[Subprotocol]
 ) -> Subprotocol | None:
-    return ADDED_FIELDS if ADDED_FIELDS in offered else None
+    return next((known for known in _KNOWN if known in offered), None)
 
 
 def _read_identity(headers: Headers) -> LinkIdentity:
--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -17,12 +17,16 @@
     LinkLostError,
     LinkTimeoutError,
     MessageNotSentError,
+    MessageUnknownError,
     ProtocolError,
     StreamNotReceivedError,
 )
 from laburnumwood.events import LINK_LOST, MESSAGE_REFUSED
-from laburnumwood.protocol.codec import decode, encode
-from laburnumwood.protocol.handshake import accepts_added_fields
+from laburnumwood.protocol.codec import decode, encode, is_added
+from laburnumwood.protocol.handshake import (
+    accepts_added_fields,
+    accepts_added_messages,
+)
 from laburnumwood.protocol.messages import Chunk, WholeAnswer
 from laburnumwood.protocol.send_queue import (
     LARGE_MESSAGE_SIZE,
@@ -203,12 +207,17 @@
         return stream
 
     def send(self, stream: int, message: Any) -> None:
-        """Send a message on a stream; raises `LinkLostError`.
+        """Send a message on a stream.
+
+        A large part of a body waits for its turn in the send queue.
 
-        A large part of a body waits for its turn in the send queue.  Within a
-        time limit it also raises `LinkTimeoutError`: the message is sent later
-        then, unless it is a `MessageNotSentError`.
+        Raises `LinkLostError`, and `MessageUnknownError` if the peer does not
+        know such messages.  Within a time limit it also raises
+        `LinkTimeoutError`: the message is sent later then, unless it is a
+        `MessageNotSentError`.
         """
+        if is_added(message) and not accepts_added_messages(self._protocol):
+            raise MessageUnknownError(f'{self._peer} does not know it')
         frame = encode(
             stream,
             message,
--- a/laburnumwood/protocol/store_messages.py
+++ b/laburnumwood/protocol/store_messages.py
@@ -69,6 +69,32 @@
     last_set: int
 
 
+@message('config-check', is_added=True)
+@dataclass(frozen=True, slots=True)
+class ConfigCheck:
+    """Requests a proof that a generation of the configuration is the latest.
+
+    A peer that `renews` has its own proof renewed first if it is old.
+    """
+
+    generation: int
+    renews: bool
+
+
+@message('config-state', is_added=True)
+@dataclass(frozen=True, slots=True)
+class ConfigState:
+    """The configuration in force, and the age of the proof that none is later.
+
+    `age_ms` is -1 if there is no proof, and `config` is sent only if it is
+    later than what the requester knows.
+    """
+
+    generation: int
+    age_ms: int
+    config: SentObject | None
+
+
 @message('memory-request')
 @dataclass(frozen=True, slots=True)
 class MemoryRequest:
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -28,8 +28,6 @@
 from laburnumwood.routing.server import close_after_answer, reset_caller
 
 _UNKNOWN = 'unknown-service'
-_MAX_UNHEARD_MS = 1_000  # several renewals of the lease confirm it meanwhile
-_MAX_UNHEARD_WAIT_MS = 200  # for the store, which usually answers in a few ms
 
 DeclarationsProvider = Callable[[], Declarations]
 
@@ -41,7 +39,7 @@
     `get_declarations` returns the declarations in force, and
     `get_config_status` how this node knows them.  `confirm_config` returns
     whether they are the latest, after a wait of some ms at most, and
-    `unheard_ms` for how long nobody has confirmed that they are.
+    `refresh_config` has an old proof renewed that they are.
     """
 
     def __init__(
@@ -51,7 +49,7 @@
         get_declarations: DeclarationsProvider,
         get_config_status: ConfigStatusProvider,
         confirm_config: ConfigConfirmer,
-        unheard_ms: Callable[[], int],
+        refresh_config: Callable[[], None],
         clock: Clock,
     ) -> None:
         self._router = router
@@ -59,7 +57,7 @@
         self._get_declarations = get_declarations
         self._get_config_status = get_config_status
         self._confirm_config = confirm_config
-        self._unheard_ms = unheard_ms
+        self._refresh_config = refresh_config
         self._callers = CallerMonitor(clock)
         self.counters = DoorCounters()
         self.config_ages = ConfigAges(get_config_status)
@@ -101,14 +99,12 @@
 
         What the configuration in force does not have is denied only if that
         configuration is the latest, and looked up again after it was confirmed.
-        A node that has not heard for some time that it has the latest asks
-        before it handles any request: a route may have been dropped or sent to
-        another service.
+        A node whose proof that it has the latest is old has it renewed before
+        it handles any request: a route may have been dropped or sent to another
+        service.
         """
         read = partial(self._caller_interface.read_request, environ)
-        if self._unheard_ms() > _MAX_UNHEARD_MS:
-            # Without an answer of the store, what is known holds.
-            self._confirm_config(_MAX_UNHEARD_WAIT_MS)
+        self._refresh_config()
         self.config_ages.record(self._get_config_status().confirmed_age_ms)
         try:
             return read(self._get_declarations(), request_id)
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -31,7 +31,7 @@
         get_declarations: DeclarationsProvider,
         get_config_status: ConfigStatusProvider,
         confirm_config: ConfigConfirmer,
-        unheard_ms: Callable[[], int],
+        refresh_config: Callable[[], None],
         clock: Clock,
     ) -> None:
         self._ingress = Ingress(
@@ -40,7 +40,7 @@
             get_declarations,
             get_config_status,
             confirm_config,
-            unheard_ms,
+            refresh_config,
             clock,
         )
         self._get_declarations = get_declarations
--- a/tests/features/config_confirmation.feature
+++ b/tests/features/config_confirmation.feature
@@ -77,6 +77,23 @@
       | an answer that may be old confirms it | 404    | 1     |
       | another node confirms it              | 404    | 1     |
 
+  # Guards against nodes that take each other's word for proof, and against a
+  # number of store calls that grows with the fleet.
+  Scenario Outline: no door of <size> nodes decides by an old proof, and few ask the store: <trouble>
+    Given <size> nodes whose watches of the store have fallen silent
+    And the store rejects the calls of <trouble>
+    When the configuration is replaced and callers ask all doors for 2500 ms
+    Then from 1200 ms on each door has decided by the new one
+    And the store was asked at most <calls> times
+
+    Examples:
+      | size | trouble        | calls |
+      | 10   | nobody         | 10    |
+      | 80   | nobody         | 10    |
+      | 80   | the first root | 15    |
+      | 80   | both roots     | 480   |
+      | 80   | a third        | 180   |
+
   Scenario: a door that has heard nothing for long serves on without the store
     Given a door with generation 1, which has no service "new"
     And the store of the door does not answer
--- a/tests/features/messages.feature
+++ b/tests/features/messages.feature
@@ -18,12 +18,20 @@
       | whole-answer | 3     |
       | load         | 2     |
 
-  Scenario: a link uses the added fields only if both nodes know them
-    Then links between nodes use the added fields as follows
-      | caller | receiver | used |
-      | new    | new      | yes  |
-      | new    | old      | no   |
-      | old    | new      | no   |
+  Scenario: a link uses added fields and messages only if both nodes know them
+    Then links between nodes use added fields and messages as follows
+      | caller | receiver | fields | messages |
+      | new    | new      | yes    | yes      |
+      | new    | old      | no     | no       |
+      | old    | new      | no     | no       |
+      | middle | new      | yes    | no       |
+      | new    | middle   | yes    | no       |
+
+  # Guards against links that nodes of two versions close again and again.
+  Scenario: a message that the peer does not know is not sent
+    When a node asks one of an earlier version for its configuration
+    Then it learns at once that the peer does not know the message
+    And the link is still open
 
   # Guards against links that break with nodes of an earlier version: they reject
   # a message that has more values than they know.
--- a/tests/features/steps/config_confirmation_steps.py
+++ b/tests/features/steps/config_confirmation_steps.py
@@ -12,11 +12,14 @@
 from bench.deployment import HOST, free_port
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import PlatformUnavailableError
-from laburnumwood.membership.config_confirmation import ConfigConfirmation
-from laburnumwood.membership.config_status import FROM_STALE_STORE
+from laburnumwood.leases.seals import SealRegistry
+from laburnumwood.membership.config_freshness import ConfigFreshness
+from laburnumwood.membership.config_status import FROM_STALE_STORE, FROM_STORE
 from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.messages import Answer, Chunk, End
-from laburnumwood.records import ConfigRecord, StoredObject
+from laburnumwood.protocol.peers import Dispatcher
+from laburnumwood.records import ConfigRecord, NodeName, StoredObject
 from laburnumwood.routing.caller import Caller
 from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.exchange import local_pair
@@ -83,13 +86,24 @@
     context.directory = Directory(clock)
     context.directory.apply(_config(generation, 'old'))
     context.store = _CountingStore(_config(generation, 'old'))
+    context.directory.config_monitor.record_confirmed(
+        FROM_STORE, clock.now_ms()
+    )
     router: Any = _AnsweringRouter()
-    confirmation = ConfigConfirmation(context.store, context.directory, clock)
+    no_peers: Any = None
+    freshness = ConfigFreshness(
+        NodeName('a', 1),
+        FleetView(context.directory, SealRegistry()),
+        context.store,
+        no_peers,
+        Dispatcher(),
+        clock,
+    )
     ingress = make_ingress(
         router,
         lambda: context.directory.declarations,
-        confirmation.confirm,
-        lambda: context.directory.config_monitor.unheard_ms,
+        freshness.confirm_latest,
+        freshness.ensure_recent,
     )
     context.address = HOST, free_port()
     server = HttpListener(context.address, ingress, clock)
--- a/tests/features/steps/config_news_steps.py
+++ b/tests/features/steps/config_news_steps.py
@@ -1,5 +1,7 @@
 """Steps about configurations that nodes tell each other."""
 
+from functools import partial
+from types import SimpleNamespace
 from typing import Any
 
 import eventlet
@@ -10,9 +12,13 @@
 from bench.config_news import LOADS, Fleet, slowest_times_ms
 from bench.spreading import record_of
 from laburnumwood.clock import Clock
+from laburnumwood.errors import PlatformUnavailableError
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
+from laburnumwood.membership.choice import rendezvous_order
+from laburnumwood.membership.config_freshness import TREES, ConfigFreshness
+from laburnumwood.membership.config_status import FROM_STORE
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.member import Member
 from laburnumwood.membership.view import FleetView
@@ -26,6 +32,7 @@
 )
 
 LIMIT_S = 10
+_DOOR_PAUSE_S = 0.05
 PEER = NodeName('b', 1)
 
 
@@ -105,6 +112,27 @@
         )
 
 
+class _Store:
+    """A store of one configuration that counts the calls of each node."""
+
+    def __init__(self) -> None:
+        self.stored = _config(1)
+        self.call_count = 0
+        self.rejected: set[NodeName] = set()
+
+    def view_of(self, name: NodeName) -> Any:
+        """Return the store as a node sees it."""
+        view: Any = SimpleNamespace(get=partial(self._get, name))
+        return view
+
+    def _get(self, name: NodeName, _object: str) -> StoredObject:
+        self.call_count += 1
+        eventlet.sleep(0)
+        if name in self.rejected:
+            raise PlatformUnavailableError('status 503')
+        return self.stored
+
+
 def _fill(directory: Directory, names: list[NodeName]) -> None:
     for place, name in enumerate(names):
         value = to_value(record_of(place))
@@ -157,6 +185,75 @@
     assert before <= count, before
 
 
+@given('{size:d} nodes whose watches of the store have fallen silent')
+def make_blind_fleet(context: Context, size: int) -> None:
+    make_fleet(context, size)
+    context.store = _Store()
+    context.doors = {}
+    fleet, clock = context.fleet, Clock()
+    for name, directory in fleet.directories.items():
+        directory.config_monitor.record_confirmed(FROM_STORE, clock.now_ms())
+        links: Any = _Links(name, fleet)
+        context.doors[name] = ConfigFreshness(
+            name,
+            FleetView(directory, SealRegistry()),
+            context.store.view_of(name),
+            links,
+            fleet.dispatchers[name],
+            clock,
+        )
+
+
+@given('the store rejects the calls of {trouble}')
+def reject_some(context: Context, trouble: str) -> None:
+    names = list(context.doors)
+    roots = [rendezvous_order(tree, names)[0] for tree in TREES]
+    context.store.rejected = {
+        'nobody': set(),
+        'the first root': {roots[0]},
+        'both roots': set(roots),
+        'a third': set(names[::3]),
+    }[trouble]
+
+
+def _ask_door(context: Context, name: NodeName, until_ms: int) -> None:
+    directory, clock = context.fleet.directories[name], Clock()
+    while clock.now_ms() < until_ms:
+        context.doors[name].ensure_recent()
+        decided = clock.now_ms(), directory.config.generation
+        context.decisions.append(decided)
+        eventlet.sleep(_DOOR_PAUSE_S)
+
+
+@when(
+    'the configuration is replaced and callers ask all doors for {span_ms:d} ms'
+)
+def replace_and_ask(context: Context, span_ms: int) -> None:
+    context.store.stored = _config(2)
+    context.replaced_ms = Clock().now_ms()
+    context.decisions = []
+    pool = eventlet.GreenPool()
+    for name in context.doors:
+        until_ms = context.replaced_ms + span_ms
+        pool.spawn_n(_ask_door, context, name, until_ms)
+    pool.waitall()
+
+
+@then('from {since_ms:d} ms on each door has decided by the new one')
+def check_decisions(context: Context, since_ms: int) -> None:
+    late = [
+        at_ms - context.replaced_ms
+        for at_ms, generation in context.decisions
+        if generation == 1 and at_ms - context.replaced_ms > since_ms
+    ]
+    assert not late, (len(late), max(late))
+
+
+@then('the store was asked at most {count:d} times')
+def check_store_calls(context: Context, count: int) -> None:
+    assert 1 <= context.store.call_count <= count, context.store.call_count
+
+
 @given('a simulated fleet of {size:d} nodes that is "{load}"')
 def simulate_fleet(context: Context, size: int, load: str) -> None:
     context.load = next(each for each in LOADS if each.name == load)
--- a/tests/features/steps/message_steps.py
+++ b/tests/features/steps/message_steps.py
@@ -1,7 +1,8 @@
 """Steps about messages between nodes."""
 
 import json
-from contextlib import nullcontext
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 from typing import Any
 from unittest.mock import patch
@@ -15,18 +16,26 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from laburnumwood.errors import ProtocolError
+from laburnumwood.clock import Clock
+from laburnumwood.errors import LinkError, MessageUnknownError, ProtocolError
 from laburnumwood.protocol import handshake
 from laburnumwood.protocol.codec import decode, encode
 from laburnumwood.protocol.handshake import (
     accept_handshake,
     accepts_added_fields,
+    accepts_added_messages,
     dial,
 )
 from laburnumwood.protocol.kinds import ADDED, KINDS
+from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.messages import Answer, LoadReport, WholeAnswer
 from laburnumwood.protocol.security import LinkSecurity
-from laburnumwood.protocol.store_messages import Changes, Memory
+from laburnumwood.protocol.store_messages import (
+    Changes,
+    ConfigCheck,
+    ConfigState,
+    Memory,
+)
 from laburnumwood.records import NodeName, SentObject, WorkerNotice
 from tests.features.steps.plain_work import PLAIN_WORK
 
@@ -38,6 +47,12 @@
     'load': LoadReport(3, {1: 0.5}),
 }
 SECURITY = LinkSecurity('a key of the tests only')
+# What nodes of each version of the protocol offer and know.
+OFFERS: dict[str, Any] = {
+    'old': None,
+    'middle': [handshake.ADDED_FIELDS],
+    'new': handshake.OFFERED,
+}
 _NAMES = st.builds(NodeName, st.sampled_from('abc'), st.integers(1, 9))
 
 
@@ -58,6 +73,8 @@
         st.integers(0, 9),
         st.integers(0, 3),
     )
+    if message_type is ConfigState:
+        return st.builds(message_type, config=st.none() | objects)
     if message_type in {Changes, Memory}:
         return st.builds(
             message_type, objects=st.lists(objects, max_size=2).map(tuple)
@@ -121,41 +138,66 @@
         assert _value_count(frame) == count, loads(frame)
 
 
-def _accept_once(listener: Any, accepted: list[Any], is_old: bool) -> None:
+def _accept_once(listener: Any, accepted: list[Any], receiver: str) -> None:
     sock, _ = listener.accept()
-    with (
-        patch.object(handshake, '_select_subprotocol', _select_none)
-        if is_old
-        else nullcontext()
-    ):
+    known = OFFERS[receiver] or ()
+    with patch.object(handshake, '_KNOWN', known):
         accepted.append(accept_handshake(sock, SECURITY)[0])
 
 
-def _select_none(_protocol: Any, _offered: Any) -> None:
-    """Select no subprotocol, as nodes did before there was one."""
-
-
-def _is_used(caller: str, receiver: str) -> set[bool]:
+@contextmanager
+def _connection(caller: str, receiver: str) -> Iterator[tuple[Any, Any, Any]]:
+    """Connect nodes of two versions; yield both protocols and the socket."""
     listener = socket.socket()
     listener.bind(('127.0.0.1', 0))
     listener.listen()
     accepted: list[Any] = []
-    server = eventlet.spawn(_accept_once, listener, accepted, receiver == 'old')
-    offered = None if caller == 'old' else [handshake.ADDED_FIELDS]
-    with patch.object(handshake, 'OFFERED', offered):
+    server = eventlet.spawn(_accept_once, listener, accepted, receiver)
+    with patch.object(handshake, 'OFFERED', OFFERS[caller]):
         host, port = listener.getsockname()
         protocol, sock = dial(host, port, NodeName('a', 1), SECURITY)
     server.wait()
+    yield protocol, accepted[0], sock
     sock.close()
     listener.close()
-    return {accepts_added_fields(each) for each in (protocol, *accepted)}
 
 
-@then('links between nodes use the added fields as follows')
+def _is_used(caller: str, receiver: str) -> set[tuple[bool, bool]]:
+    with _connection(caller, receiver) as (*protocols, _):
+        return {
+            (accepts_added_fields(each), accepts_added_messages(each))
+            for each in protocols
+        }
+
+
+@when('a node asks one of an earlier version for its configuration')
+def ask_earlier(context: Context) -> None:
+    unused: Any = None
+    with _connection('new', 'middle') as (protocol, _, sock):
+        link = Link(protocol, sock, NodeName('b', 1), unused, Clock())
+        try:
+            link.open_stream().send(ConfigCheck(1, renews=True))
+        except LinkError as error:
+            context.error = error
+        context.is_open = link.is_open
+
+
+@then('it learns at once that the peer does not know the message')
+def check_unknown(context: Context) -> None:
+    assert isinstance(context.error, MessageUnknownError), context.error
+
+
+@then('the link is still open')
+def check_open(context: Context) -> None:
+    assert context.is_open
+
+
+@then('links between nodes use added fields and messages as follows')
 def check_links(context: Context) -> None:
-    for caller, receiver, used in context.table:
+    for caller, receiver, fields, messages in context.table:
         found = _is_used(caller, receiver)
-        assert found == {used == 'yes'}, (caller, receiver, found)
+        expected = fields == 'yes', messages == 'yes'
+        assert found == {expected}, (caller, receiver, found)
 
 
 @then('these messages have added fields, and no others')
--- a/tests/request_stack/door.py
+++ b/tests/request_stack/door.py
@@ -14,7 +14,7 @@
 from laburnumwood.routing.pending_answer import PendingAnswer
 from laburnumwood.routing.server import HttpListener
 from laburnumwood.settings import DaemonSettings
-from tests.request_stack.ingress import always_current
+from tests.request_stack.ingress import always_current, do_nothing
 
 _DEADLINE_MS = 2_000
 _SETTINGS = DaemonSettings(
@@ -65,7 +65,7 @@
         lambda: directory.declarations,
         directory.config_monitor.status,
         always_current,
-        lambda: directory.config_monitor.unheard_ms,
+        do_nothing,
         Clock(),
     )
     return HttpListener(
--- a/tests/request_stack/ingress.py
+++ b/tests/request_stack/ingress.py
@@ -15,11 +15,15 @@
     return True
 
 
+def do_nothing() -> None:
+    """Leave the proof that the configuration is the latest as it is."""
+
+
 def make_ingress(
     router: Any,
     get_declarations: DeclarationsProvider,
     confirm_config: ConfigConfirmer = always_current,
-    unheard_ms: Callable[[], int] = int,
+    refresh_config: Callable[[], None] = do_nothing,
 ) -> Ingress:
     """Return an ingress that reads the project's own kind of requests."""
     clock = Clock()
@@ -29,6 +33,6 @@
         get_declarations,
         ConfigMonitor(clock).status,
         confirm_config,
-        unheard_ms,
+        refresh_config,
         clock,
     )
