Judge all forms of CONFIG in the soak, and a silent watch with real processes

Five forms had no check that judges whole runs: handled by a replaced configuration, by an invalid one, back to an earlier one within the life of a process, added routes served less, shares off their weights. Each is a rule of the soak now, each with rows of altered records on which it fails and rows that it must let pass. The soak's operator moves, splits, adds and drops routes, writes damaged manifests, and watches bring nothing for a time; callers use such routes, and 7 s without faults end a run.

--- a/bench/reporting.py
+++ b/bench/reporting.py
@@ -2,6 +2,7 @@
 
 import json
 import tempfile
+from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import partial
 from itertools import count
@@ -62,6 +63,17 @@
     }
 
 
+def split_route(name: str, weights: Mapping[str, int]) -> dict[str, Any]:
+    """Return a route whose requests services share by their weights."""
+    parts = [
+        {'service': service, 'weight': weight}
+        for service, weight in weights.items()
+    ]
+    route = _route(name, 'safe')
+    route.pop('service')
+    return {**route, 'weighted_services': parts}
+
+
 @dataclass(slots=True)
 class ReportingMember:
     """A node and the worker beside it, with their addresses."""
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -28,6 +28,44 @@
       | 2010 | 30      | shards that nobody claimed after a loss of power  |
       | 6019 | 20      | a door that listened for long before it served    |
 
+  Scenario Outline: routes that change beside <others>, seed <seed>, <why>
+    When a soak of 4 nodes runs for <seconds> s with seed <seed> and changes of routes beside <others>
+    Then the soak found no violations
+
+    Examples:
+      | seed | seconds | others       | why            |
+      | 1    | 15      | nothing else | the first seed |
+
+  # Guards against nodes that take each other's word for proof that they have the
+  # latest configuration, while none of them hears of a later one.
+  Scenario: a route that moves while the watches of all nodes bring nothing
+    Given a soak of 4 nodes whose watches of the store bring nothing
+    When a route moves to another service, and 2 s pass
+    Then no door sends its requests to the former service
+
+  # Guards against rules that can't fail, or that blame what is allowed.
+  Scenario Outline: what was handled by another configuration is found, <what>
+    Given a node, a manifest, a second one at 5000 ms that moves "moved" from docs to portal and adds "added-2", and an invalid one at 6000 ms with "bad"
+    When it decides <decisions>
+    Then the soak finds: <found>
+
+    Examples:
+      | what                           | decisions                               | found                                             |
+      | within 2 s                     | moved:docs@6900 added-2:none@6900       | nothing                                           |
+      | the former service             | moved:docs@7100                         | a request was handled by a replaced configuration |
+      | a route that was added         | added-2:none@7100                       | a request was handled by a replaced configuration |
+      | by the latest                  | moved:portal@7100 added-2:docs@7100     | nothing                                           |
+      | back within 250 ms             | moved:portal@6000 moved:docs@6200       | nothing                                           |
+      | back after 250 ms              | moved:portal@6000 moved:docs@6300       | a process went back to an earlier configuration   |
+      | by an invalid one              | bad:docs@6500                           | a request was handled by an invalid configuration |
+      | an invalid one's route, denied | bad:none@6500                           | nothing                                           |
+      | added routes, a fifth          | 20*moved:portal@8000 4*added-2:docs@8000 16*added-2:busy@8000 | added routes were served less than the first ones |
+      | added routes, a quarter        | 20*moved:portal@8000 5*added-2:docs@8000 15*added-2:busy@8000 | nothing |
+      | too few added                  | 20*moved:portal@8000 19*added-2:busy@8000 | nothing                                         |
+      | weights, 0.25 off              | 150*split:docs@9000 50*split:portal@9000 | services got other shares than their weights     |
+      | weights, 0.2 off               | 140*split:docs@9000 60*split:portal@9000 | nothing                                          |
+      | too few by weight              | 199*split:docs@9000                     | nothing                                           |
+
   Scenario: a long request does not keep a stopping node from closing its door
     Given a soak of 4 nodes whose requests may last 10 s
     When requests of 8 s run at "n2" and the node is stopped
--- a/tests/features/steps/overdue_steps.py
+++ b/tests/features/steps/overdue_steps.py
@@ -9,8 +9,8 @@
 from tests.soak.callers import Call, CallEnd
 from tests.soak.fleet import SHARDED_SERVICE, NodeIncarnation
 from tests.soak.judge import RULES, Record
+from tests.soak.manifests import ManifestChange
 from tests.soak.plans import ResponsePlan
-from tests.soak.timeouts import TimeoutChange
 
 NODE = 'n1'
 SENT_MS = 10_000
@@ -43,8 +43,8 @@
 @given('a timeout that was shortened to 1000 ms at {changed:d} ms')
 def set_timeouts(context: Context, changed: int) -> None:
     context.changes = [
-        TimeoutChange(EARLIER_TIMEOUT_MS, 0, 0),
-        TimeoutChange(TIMEOUT_MS, changed, changed),
+        ManifestChange(EARLIER_TIMEOUT_MS, 0, 0),
+        ManifestChange(TIMEOUT_MS, changed, changed),
     ]
     context.calls = []
 
@@ -77,7 +77,7 @@
         context.calls,
         context.incarnations,
         worker_incarnations=(),
-        timeout_changes=context.changes,
+        manifest_changes=context.changes,
     )
     broken = [
         name for name, rule in HELD_RULES.items() if list(RULES[rule](record))
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -14,7 +14,12 @@
 
 from standins.journal.entry import JournalEntry, Outcome
 from tests.soak.callers import Callers
-from tests.soak.faults import FAULTS, LOSS_FAULTS, SIGNAL_FAULTS
+from tests.soak.faults import (
+    FAULTS,
+    LOSS_FAULTS,
+    ROUTE_FAULTS,
+    SIGNAL_FAULTS,
+)
 from tests.soak.fleet import SHARDED_SERVICE, START_TIMEOUT_S, SoakFleet
 from tests.soak.holds import WorkerIncarnation, find_concurrent_holders
 from tests.soak.judge import Record, find_violations
@@ -43,9 +48,12 @@
 @when('a soak of {nodes:d} nodes runs for {seconds:d} s with seed {seed:d}')
 def run_soak(context: Context, nodes: int, seconds: int, seed: int) -> None:
     # With other faults the seeds in the list would draw other scripts.
-    later = SIGNAL_FAULTS + LOSS_FAULTS
-    faults = tuple(name for name in FAULTS if name not in later)
-    _run(context, Options(seed, seconds, nodes, faults=faults))
+    later = SIGNAL_FAULTS + LOSS_FAULTS + ROUTE_FAULTS
+    _run(context, Options(seed, seconds, nodes, faults=_all_but(later)))
+
+
+def _all_but(names: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(name for name in FAULTS if name not in names)
 
 
 @when(
@@ -65,7 +73,18 @@
 def run_soak_of_all_faults(
     context: Context, nodes: int, seconds: int, seed: int
 ) -> None:
-    _run(context, Options(seed, seconds, nodes))
+    _run(context, Options(seed, seconds, nodes, faults=_all_but(ROUTE_FAULTS)))
+
+
+@when(
+    'a soak of {nodes:d} nodes runs for {seconds:d} s with seed {seed:d} and '
+    'changes of routes beside {others}'
+)
+def run_soak_of_routes(
+    context: Context, nodes: int, seconds: int, seed: int, others: str
+) -> None:
+    faults = ROUTE_FAULTS if others == 'nothing else' else tuple(FAULTS)
+    _run(context, Options(seed, seconds, nodes, faults=faults))
 
 
 def _run(context: Context, options: Options) -> None:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,16 +6,16 @@
 from tests.soak.faults import FAULTS
 from tests.soak.soak import Options, run
 
+_COUNTS = {'nodes': 4, 'callers': 16, 'patient': 12, 'routed': 6, 'lanes': 3}
+
 
 def main() -> int:
     """Run one soak; return 0 if it found no violations, otherwise 1."""
     parser = ArgumentParser(prog='tests.soak')
     parser.add_argument('--seed', type=int, required=True)
     parser.add_argument('--seconds', type=float, required=True)
-    parser.add_argument('--nodes', type=int, default=4)
-    parser.add_argument('--callers', type=int, default=16)
-    parser.add_argument('--patient', type=int, default=12)
-    parser.add_argument('--lanes', type=int, default=3)
+    for name, default in _COUNTS.items():
+        parser.add_argument(f'--{name}', type=int, default=default)
     parser.add_argument('--faults', nargs='+', default=list(FAULTS))
     given = parser.parse_args()
     given.faults = tuple(given.faults)
--- a/tests/soak/caller_requests.py
+++ b/tests/soak/caller_requests.py
@@ -39,6 +39,7 @@
     abandon_after_ms: int | None = None  # for a caller that stops waiting early
     part_count: int = 1  # in how many parts it is sent
     part_ms: int = 0  # the time after each part
+    route_changes: bool = False  # the route may be moved, dropped or added
 
     @property
     def content(self) -> bytes:
@@ -118,6 +119,28 @@
     )
 
 
+def draw_routed_request(
+    rng: Random,
+    attempt_id: str,
+    nodes: Sequence[str],
+    *,
+    get_routes: Callable[[], Sequence[str]],
+) -> CallerRequest:
+    """Draw a request on one of the routes that change."""
+    return CallerRequest(
+        attempt_id=attempt_id,
+        node=rng.choice(nodes),
+        is_relayed=False,
+        is_idempotent=True,
+        service=rng.choice(get_routes()),
+        plan=ResponsePlan(size=40),
+        deadline_ms=1_000,
+        key=rng.randrange(_KEY_COUNT),
+        body=b'',
+        route_changes=True,
+    )
+
+
 def _draw_slow_plan(rng: Random) -> ResponsePlan:
     return ResponsePlan(
         work_ms=rng.choice((5, rng.randint(0, _MAX_WORK_MS), _MAX_WORK_MS)),
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,8 +18,10 @@
     Draw,
     draw_patient_request,
     draw_request,
+    draw_routed_request,
 )
 from tests.soak.fleet import SoakFleet
+from tests.soak.manifests import recent_routes
 
 RESPONSE_GRACE_MS = 15_000  # how long a caller waits after its deadline
 _CONNECT_TIMEOUT_S = 1
@@ -250,11 +252,17 @@
 class Callers:
     """A number of callers, each in its own thread.
 
-    `patient` more of them wait for longer than any timeout of a route.
+    `patient` more of them wait for longer than any timeout of a route, and
+    `routed` more use routes that change.
     """
 
     def __init__(
-        self, fleet: SoakFleet, number: int, seed: int, patient: int = 0
+        self,
+        fleet: SoakFleet,
+        number: int,
+        seed: int,
+        patient: int = 0,
+        routed: int = 0,
     ) -> None:
         self._stop_event = Event()
         self._callers = [
@@ -275,6 +283,12 @@
             )
             for each in range(patient)
         ]
+        get_routes = partial(recent_routes, fleet.manifest_changes)
+        draw = partial(draw_routed_request, get_routes=get_routes)
+        self._callers += [
+            Caller(fleet, f'r{each}', draw, Random(f'{seed} routed {each}'))
+            for each in range(routed)
+        ]
         self._threads = [
             Thread(
                 target=caller.send_until, args=(self._stop_event,), daemon=True
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,7 +18,16 @@
 
 from bench.reporting import ReportingMember
 from standins.clock import MS_PER_SECOND, boottime_ms
-from tests.soak.fleet import SoakFleet
+from tests.soak.disturbances import Disturbance
+from tests.soak.fleet import (
+    ADDED_PREFIX,
+    MOVED_ROUTE,
+    SHARDED_SERVICE,
+    SPLIT_ROUTE,
+    UNSHARDED_SERVICE,
+    SoakFleet,
+)
+from tests.soak.manifests import RouteServices
 from tests.soak.signals import SignalKind, SignalSpan
 
 _MAX_PAUSE_MS = 2_500
@@ -30,6 +39,8 @@
 _LINGER_MS = 300  # `stop_linger_ms` in the settings of the nodes
 _DIRECTIONS = ('to_target', 'to_client')
 _MIN_COPY_AGE_MS, _MAX_COPY_AGE_MS = 1_000, 4_000
+_KEPT_SHARE = 0.6  # of the added routes, at each change
+_ROUTE_NAMES = 1_000_000  # so that a name seldom comes twice
 _WAYS = ('peer', 'worker', 'store', 'reports', 'door')
 _LINKS = ('peer', 'peer', 'worker', 'store', 'reports', 'door')
 
@@ -288,6 +299,66 @@
     yield f'timeout {timeout_ms} ms'
 
 
+@_fault('routes of the manifest change')
+def change_routes(context: FaultContext) -> Iterator[str]:
+    """Move, split anew, add and drop routes, in one new manifest."""
+    with suppress(HTTPError):  # another lane may have disrupted the store
+        context.fleet.replace_routes(_draw_routes(context))
+    yield str(context.fleet.routes)
+
+
+def _draw_routes(context: FaultContext) -> RouteServices:
+    rng, services = context.rng, (SHARDED_SERVICE, UNSHARDED_SERVICE)
+    known = context.fleet.routes
+    added = [name for name in known if name.startswith(ADDED_PREFIX)]
+    kept = [name for name in added if rng.random() < _KEPT_SHARE]
+    new = f'{ADDED_PREFIX}{rng.randrange(_ROUTE_NAMES)}'
+    return {
+        MOVED_ROUTE: {rng.choice(services): 1},
+        SPLIT_ROUTE: {name: rng.randint(1, 4) for name in services},
+        **{name: known[name] for name in kept},
+        new: {rng.choice(services): 1},
+    }
+
+
+def _drop_timeouts(content: dict[str, Any]) -> None:
+    for route in content['routes']:
+        route.pop('timeout_ms')
+
+
+def _cut_short(content: dict[str, Any]) -> None:
+    content.pop('services')
+
+
+def _name_unknown_service(content: dict[str, Any]) -> None:
+    content['routes'][0]['service'] = 'unheard-of'
+
+
+@_fault('an invalid manifest is written')
+def write_invalid_manifest(context: FaultContext) -> Iterator[str]:
+    """Write a damaged manifest with other routes, and a sound one after it."""
+    damage = context.rng.choice(
+        (_drop_timeouts, _cut_short, _name_unknown_service)
+    )
+    routes = _draw_routes(context)
+    with suppress(HTTPError):  # another lane may have disrupted the store
+        context.fleet.write_invalid_manifest(routes, damage)
+    yield damage.__name__
+
+
+@_fault('the watches of the store bring nothing')
+def stall_watches(context: FaultContext) -> Iterator[str]:
+    """Hide all changes from watches; reads are answered."""
+    context.fleet.set_store_faults(watch_stall=True)
+    yield ''
+    context.fleet.set_store_faults(watch_stall=False)
+
+
+ROUTE_FAULTS = (
+    'routes of the manifest change',
+    'an invalid manifest is written',
+    'the watches of the store bring nothing',
+)
 LOSS_FAULTS = (
     'the store comes back from an older copy',
     'open connections go silent for good',
@@ -300,7 +371,7 @@
     """A sequence of faults that runs concurrently with other lanes.
 
     `log` holds a line for each fault, `injection_errors` one for each fault
-    that raised an exception.
+    that raised an exception, and `disturbances` say what each harmed.
     """
 
     def __init__(
@@ -309,6 +380,7 @@
         self._faults = faults
         self.log: list[str] = []
         self.injection_errors: list[str] = []
+        self.disturbances: list[Disturbance] = []
         self._context = FaultContext(fleet, rng)
 
     def run_until(self, stop_event: Event) -> None:
@@ -329,7 +401,10 @@
         with FAULTS[name](self._context) as detail:
             self.log.append(f'{started_ms:.0f} {name}: {detail}')
             self._wait_random_time(stop_event, _MAX_FAULT_MS)
-        self.log.append(f'{boottime_ms():.0f} mended: {name}')
+            words = frozenset(detail.replace('.', ' ').split())
+        ended_ms = boottime_ms()
+        self.log.append(f'{ended_ms:.0f} mended: {name}')
+        self.disturbances.append(Disturbance(name, words, started_ms, ended_ms))
 
     def _wait_random_time(self, stop_event: Event, max_ms: int) -> None:
         stop_event.wait(self._context.rng.randint(0, max_ms) / MS_PER_SECOND)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -2,9 +2,9 @@
 
 import json
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from math import inf
 from pathlib import Path
@@ -16,17 +16,29 @@
 from cbor2 import dumps, loads
 
 from bench.deployment import HOST, UNHINDERED, Process, free_port, wait_for
-from bench.reporting import ReportingDeployment, ReportingMember, manifest
+from bench.reporting import (
+    ReportingDeployment,
+    ReportingMember,
+    manifest,
+    split_route,
+)
 from standins.clock import MS_PER_SECOND, boottime_ms
 from standins.journal.entry import JournalEntry
 from tests.soak.holds import WorkerIncarnation
+from tests.soak.manifests import ManifestChange, RouteServices
 from tests.soak.signals import SignalSpan
-from tests.soak.timeouts import TimeoutChange
 
 SHARDED_SERVICE, UNSHARDED_SERVICE = 'portal', 'docs'
 FAILURE_DOMAINS = ('caerdydd', 'abertawe', 'wrecsam')
+# Routes that change in a soak: each is the first part of a path.
+MOVED_ROUTE, SPLIT_ROUTE, ADDED_PREFIX = 'moved', 'split', 'added-'
+FIRST_ROUTES: RouteServices = {
+    MOVED_ROUTE: {UNSHARDED_SERVICE: 1},
+    SPLIT_ROUTE: {SHARDED_SERVICE: 1, UNSHARDED_SERVICE: 1},
+}
 START_TIMEOUT_S = 90
 STOP_TIMEOUT_S = 30
+_INVALID_S = 1.5  # for which the store has an invalid manifest
 _STARTED_EVENT = b'"node-started"'
 _OK = 200
 
@@ -121,8 +133,9 @@
         self.node_incarnations: list[NodeIncarnation] = []
         self.worker_incarnations: list[WorkerIncarnation] = []
         self.signal_spans: list[SignalSpan] = []
-        self._manifest = manifest(1, self._services)
-        self.timeout_changes: list[TimeoutChange] = []
+        self.routes = FIRST_ROUTES
+        self._manifest = self._new_manifest(1, 2_000)
+        self.manifest_changes: list[ManifestChange] = []
         self._worker_ports: dict[str, int] = {}
         self._process_locks: dict[str, Lock] = {}
         journal_port, relay_port = free_port(), free_port()
@@ -134,8 +147,8 @@
         self.relays = Relays(relay, f'http://{HOST}:{relay_port}', self.http)
         for url in (self.journal_url, f'{self.relays.url}/routes'):
             wait_for(url, partial(self._responds, url), START_TIMEOUT_S)
-        self.declare()
-        self._record_timeout(boottime_ms(), is_settled=True)
+        if not self._write_change():
+            raise ValueError('the manifest was not written')
         for number in range(nodes):
             service = SHARDED_SERVICE if number % 3 else UNSHARDED_SERVICE
             domain = FAILURE_DOMAINS[number // 2 % len(FAILURE_DOMAINS)]
@@ -230,10 +243,41 @@
         """Replace the manifest by a new version with other timeouts."""
         with self.process_lock('operator'):
             version = self._manifest['version'] + 1
-            self._manifest = manifest(version, self._services)
-            for route in self._manifest['routes']:
-                route['timeout_ms'] = timeout_ms
-            self._write_timeout()
+            self._manifest = self._new_manifest(version, timeout_ms)
+            self._write_change()
+
+    def replace_routes(self, routes: RouteServices) -> None:
+        """Replace the manifest by a new version with other routes."""
+        with self.process_lock('operator'):
+            self.routes = routes
+            version, timeout_ms = (
+                self._manifest['version'] + 1,
+                self._timeout_ms,
+            )
+            self._manifest = self._new_manifest(version, timeout_ms)
+            self._write_change()
+
+    def write_invalid_manifest(
+        self, routes: RouteServices, damage: Callable[[dict[str, Any]], None]
+    ) -> None:
+        """Write a damaged version with other routes, then a sound one."""
+        with self.process_lock('operator'):
+            version, timeout_ms = (
+                self._manifest['version'] + 1,
+                self._timeout_ms,
+            )
+            sound, since_ms = self._manifest, boottime_ms()
+            self._manifest = self._new_manifest(version, timeout_ms, routes)
+            damage(self._manifest)
+            try:
+                self._write_manifest()
+            finally:
+                self._manifest = {**sound, 'version': version + 1}
+                self.manifest_changes.append(
+                    ManifestChange(timeout_ms, since_ms, None, routes, False)
+                )
+            time.sleep(_INVALID_S)
+            self._write_change()
 
     def restore_manifest(self) -> None:
         """Write the manifest again until the store has it.
@@ -241,19 +285,20 @@
         Raises TimeoutError if that takes too long.
         """
         with self.process_lock('operator'):
-            wait_for('the manifest', self._write_timeout, START_TIMEOUT_S)
+            wait_for('the manifest', self._write_change, START_TIMEOUT_S)
 
     def put_store_back(self, span_ms: int) -> None:
         """Let the store come back from a copy that is `span_ms` old.
 
-        Each timeout that was ever written may be in force again.
+        Each manifest that was ever written may be in force again.
         """
         with self.process_lock('operator'):
             super().put_store_back(span_ms)
-            timeout_ms = max(each.timeout_ms for each in self.timeout_changes)
-            self.timeout_changes.append(
-                TimeoutChange(timeout_ms, boottime_ms(), None)
-            )
+            now_ms = boottime_ms()
+            self.manifest_changes += [
+                replace(each, since_ms=now_ms, settled_ms=None)
+                for each in self.manifest_changes
+            ]
 
     def journal_entries(self) -> list[JournalEntry]:
         """Return the entries that the workers wrote into the journal."""
@@ -274,23 +319,40 @@
         self.relays.process.kill()
         super().close()
 
-    def _write_timeout(self) -> bool:
-        """Write the manifest; record its timeout and whether it worked."""
+    @property
+    def _timeout_ms(self) -> int:
+        return int(self._manifest['routes'][0]['timeout_ms'])
+
+    def _new_manifest(
+        self,
+        version: int,
+        timeout_ms: int,
+        routes: RouteServices | None = None,
+    ) -> dict[str, Any]:
+        content = manifest(version, self._services)
+        content['routes'] += [
+            split_route(name, weights)
+            for name, weights in (routes or self.routes).items()
+        ]
+        for route in content['routes']:
+            route['timeout_ms'] = timeout_ms
+        return content
+
+    def _write_change(self) -> bool:
+        """Write the manifest; record it and whether it worked."""
         since_ms = boottime_ms()
         is_settled = False
         try:
             is_settled = self._write_manifest()
         finally:
-            self._record_timeout(since_ms, is_settled=is_settled)
+            settled_ms = boottime_ms() if is_settled else None
+            self.manifest_changes.append(
+                ManifestChange(
+                    self._timeout_ms, since_ms, settled_ms, self.routes
+                )
+            )
         return is_settled
 
-    def _record_timeout(self, since_ms: float, *, is_settled: bool) -> None:
-        timeout_ms = self._manifest['routes'][0]['timeout_ms']
-        settled_ms = boottime_ms() if is_settled else None
-        self.timeout_changes.append(
-            TimeoutChange(timeout_ms, since_ms, settled_ms)
-        )
-
     def _write_manifest(self) -> bool:
         """Write the manifest, anew if there is none; return if it worked."""
         body = dumps({'metadata': {'name': 'main'}, 'spec': self._manifest})
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -3,21 +3,28 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
+from functools import partial
 from itertools import chain
 
 from standins.journal.entry import JournalEntry, Outcome
 from standins.worker.bodies import body_of
 from tests.soak.callers import Call, CallEnd
+from tests.soak.configurations import (
+    CONFIG_RULES,
+    ConfigRecord,
+    ConfigRule,
+)
+from tests.soak.disturbances import Disturbance
 from tests.soak.fleet import NodeIncarnation
 from tests.soak.holds import (
     WorkerIncarnation,
     find_concurrent_holders,
     find_repeated_fences,
 )
+from tests.soak.manifests import ManifestChange
 from tests.soak.overdue import OverdueCall, find_held, find_overdue
 from tests.soak.plans import Framing
 from tests.soak.signals import SignalSpan, find_excess, find_late_requests
-from tests.soak.timeouts import TimeoutChange
 
 _READ_TIME_MS = 1_000  # more than a node takes to read a request
 _MAX_SHOWN_BYTES = 60  # of each body, in the evidence of a violation
@@ -35,7 +42,8 @@
     node_incarnations: Sequence[NodeIncarnation]
     worker_incarnations: Sequence[WorkerIncarnation]
     signal_spans: Sequence[SignalSpan] = ()
-    timeout_changes: Sequence[TimeoutChange] = ()
+    manifest_changes: Sequence[ManifestChange] = ()
+    disturbances: Sequence[Disturbance] = ()
     runs: dict[str, list[JournalEntry]] = field(default_factory=dict)
 
     @classmethod
@@ -46,7 +54,8 @@
         worker_incarnations: Sequence[WorkerIncarnation],
         journal_entries: Sequence[JournalEntry],
         signal_spans: Sequence[SignalSpan] = (),
-        timeout_changes: Sequence[TimeoutChange] = (),
+        manifest_changes: Sequence[ManifestChange] = (),
+        disturbances: Sequence[Disturbance] = (),
     ) -> 'Record':
         """Return the record with the journal entries grouped by attempt id."""
         runs = defaultdict(list)
@@ -57,7 +66,8 @@
             node_incarnations,
             worker_incarnations,
             signal_spans,
-            timeout_changes,
+            manifest_changes,
+            disturbances,
             runs,
         )
 
@@ -69,10 +79,21 @@
     @property
     def overdue_calls(self) -> list[OverdueCall]:
         """Return the calls that outlasted the timeout at nodes in touch."""
-        if not self.timeout_changes:
+        if not self.manifest_changes:
             return []
         return find_overdue(
-            self.calls, self.timeout_changes, self.node_incarnations
+            self.calls, self.manifest_changes, self.node_incarnations
+        )
+
+    @property
+    def configurations(self) -> ConfigRecord:
+        """Return what concerns the routes that change."""
+        return ConfigRecord(
+            [call for call in self.calls if call.request.route_changes],
+            self.runs,
+            self.manifest_changes,
+            self.node_incarnations,
+            self.disturbances,
         )
 
     def has_run(self, call: Call) -> bool:
@@ -267,7 +288,10 @@
     """Yield error responses of the node itself that no fault explains."""
     for call in record.calls:
         from_node = call.end is CallEnd.answered and not call.stamp
-        if from_node and call.status not in _NODE_STATUSES:
+        is_known = call.status in _NODE_STATUSES
+        # The rules about configurations judge routes that change.
+        is_known = is_known or call.request.route_changes
+        if from_node and not is_known:
             yield _describe(call, record)
 
 
@@ -301,6 +325,18 @@
     yield from find_late_requests(record.signal_spans, entries, sent_ms, starts)
 
 
+def _register_config_rules() -> None:
+    for name, find in CONFIG_RULES.items():
+        RULES[name] = partial(_apply_config_rule, find)
+
+
+def _apply_config_rule(find: ConfigRule, record: Record) -> Iterator[str]:
+    yield from find(record.configurations)
+
+
+_register_config_rules()
+
+
 @_rule('a process did not end as it should')
 def unexpected_exits(record: Record) -> Iterator[str]:
     """Yield node processes that exited unasked or with an error status."""
--- a/tests/soak/overdue.py
+++ b/tests/soak/overdue.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass
 
 from tests.soak.callers import Call, CallEnd
+from tests.soak.disturbances import was_signalled
 from tests.soak.fleet import NodeIncarnation
-from tests.soak.timeouts import TimeoutChange, longest_timeout_ms
+from tests.soak.manifests import ManifestChange, longest_timeout_ms
 
 _HELD_MS = 500  # after the timeout
 _MIN_HELD_COUNT = 8
 _MAX_HELD_SHARE = 0.25  # of the calls that outlast the timeout
 _LONG_HELD_MS = 2_000  # after the timeout; not allowed for a single call
-_IN_TOUCH_MS = 3_000  # for how long a node must have run undisturbed
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +36,7 @@
 
 def find_overdue(
     calls: Iterable[Call],
-    changes: Sequence[TimeoutChange],
+    changes: Sequence[ManifestChange],
     incarnations: Sequence[NodeIncarnation],
 ) -> list[OverdueCall]:
     """Return the calls that outlasted the timeout at nodes in touch.
@@ -46,12 +46,16 @@
     return [
         overdue
         for overdue in _find_late(calls, changes)
-        if _is_in_touch(overdue, incarnations)
+        if not was_signalled(
+            overdue.call,
+            overdue.call.sent_ms + overdue.timeout_ms + _LONG_HELD_MS,
+            incarnations,
+        )
     ]
 
 
 def _find_late(
-    calls: Iterable[Call], changes: Sequence[TimeoutChange]
+    calls: Iterable[Call], changes: Sequence[ManifestChange]
 ) -> Iterator[OverdueCall]:
     for call in calls:
         if call.request.is_relayed or call.end is CallEnd.abandoned:
@@ -62,21 +66,6 @@
             yield OverdueCall(call, timeout_ms, late_ms)
 
 
-def _is_in_touch(
-    overdue: OverdueCall, incarnations: Iterable[NodeIncarnation]
-) -> bool:
-    """Return whether no signal to the node can explain the late end."""
-    call = overdue.call
-    since_ms = call.sent_ms - _IN_TOUCH_MS
-    until_ms = call.sent_ms + overdue.timeout_ms + _LONG_HELD_MS
-    return not any(
-        started_ms <= until_ms and ended_ms >= since_ms
-        for incarnation in incarnations
-        if incarnation.node == call.request.node
-        for started_ms, ended_ms in incarnation.disturbances
-    )
-
-
 def find_held(
     overdue: Iterable[OverdueCall],
 ) -> Iterator[tuple[list[OverdueCall], int]]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,8 @@
 
 from bench.deployment import wait_for
 from tests.soak.callers import Call, Callers
-from tests.soak.faults import FAULTS, Lane
+from tests.soak.disturbances import Disturbance
+from tests.soak.faults import FAULTS, ROUTE_FAULTS, Lane
 from tests.soak.fleet import (
     SHARDED_SERVICE,
     START_TIMEOUT_S,
@@ -27,6 +28,7 @@
 
 LOGS_FOLDER = Path(__file__).resolve().parents[2] / 'build' / 'soak'
 _RECOVERY_TIMEOUT_S = 60  # after all faults are undone
+_STEADY_S = 7  # without faults, for the rules about steady times
 _LATE_EXECUTION_S = 4  # for requests that outlast their callers
 _MAX_SHOWN_VIOLATIONS = 12  # violations in the printed report
 
@@ -40,9 +42,15 @@
     nodes: int = 4
     callers: int = 16
     patient: int = 12  # callers that wait for longer than any timeout
+    routed: int = 6  # callers of routes that change, if any do
     lanes: int = 3
     faults: tuple[str, ...] = tuple(FAULTS)
 
+    @property
+    def changes_routes(self) -> bool:
+        """Return whether routes are changed."""
+        return not set(ROUTE_FAULTS).isdisjoint(self.faults)
+
 
 @dataclass(frozen=True, slots=True)
 class Report:
@@ -138,7 +146,11 @@
     return []
 
 
-def end_and_record(fleet: SoakFleet, calls: Sequence[Call]) -> Record:
+def end_and_record(
+    fleet: SoakFleet,
+    calls: Sequence[Call],
+    disturbances: Sequence[Disturbance] = (),
+) -> Record:
     """End the workers and return the record of a soak.
 
     A worker that lives on would change its log while the others' are read.
@@ -153,7 +165,8 @@
         fleet.worker_incarnations,
         journal_entries,
         fleet.signal_spans,
-        fleet.timeout_changes,
+        fleet.manifest_changes,
+        disturbances,
     )
 
 
@@ -161,13 +174,22 @@
     """Run a soak; if it finds violations, keep its logs under `build/`."""
     with closing(SoakFleet(options.nodes)) as fleet:
         fleet.wait_ready(START_TIMEOUT_S)
-        callers = Callers(fleet, options.callers, options.seed, options.patient)
+        callers = Callers(
+            fleet,
+            options.callers,
+            options.seed,
+            options.patient,
+            options.routed if options.changes_routes else 0,
+        )
         callers.start()
         lanes = _inject_faults(fleet, options)
         violations = _check_recovery(fleet)
+        if options.changes_routes:
+            time.sleep(_STEADY_S)
         calls = callers.finish()
         time.sleep(_LATE_EXECUTION_S)
-        record = end_and_record(fleet, calls)
+        disturbances = [each for lane in lanes for each in lane.disturbances]
+        record = end_and_record(fleet, calls, disturbances)
         violations += find_violations(record)
         violations += [
             Violation('an injection failed', failure)
