Keep the shares of weights that are fractions

Callers of a route split 0.4 to 0.6 all got the second service. Cause: the weights of a manifest were rounded to whole numbers. Weights that are not whole are scaled up before they are rounded; negative ones make a manifest invalid. The new scenario gave the first service 0 of 10,000 requests before.

--- a/bench/reporting.py
+++ b/bench/reporting.py
@@ -63,7 +63,7 @@
     }
 
 
-def split_route(name: str, weights: Mapping[str, int]) -> dict[str, Any]:
+def split_route(name: str, weights: Mapping[str, float]) -> dict[str, Any]:
     """Return a route whose requests services share by their weights."""
     parts = [
         {'service': service, 'weight': weight}
--- a/laburnumwood/platform/manifest.py
+++ b/laburnumwood/platform/manifest.py
@@ -21,11 +21,12 @@
 SHARDS = 64
 SHARDS_PER_NODE = 3
 _MAX_BODY_BYTES = 67_108_864
+_WEIGHT_STEPS = 10_000  # for the greatest of weights that are not whole
 
 
 class _WeightedService(BaseModel):
     service: str
-    weight: FiniteFloat
+    weight: FiniteFloat = Field(ge=0)
 
 
 class _Route(BaseModel):
@@ -62,11 +63,14 @@
 
 
 def _service_weights(route: _Route) -> dict[str, int]:
-    if route.weighted_services:
-        return {
-            each.service: round(each.weight) for each in route.weighted_services
-        }
-    return {route.service or '': 1}
+    """Return whole weights, scaled up if the manifest has others."""
+    if not route.weighted_services:
+        return {route.service or '': 1}
+    weights = {each.service: each.weight for each in route.weighted_services}
+    if not all(weight.is_integer() for weight in weights.values()):
+        scale = _WEIGHT_STEPS / max(weights.values())
+        weights = {name: weight * scale for name, weight in weights.items()}
+    return {name: round(weight) for name, weight in weights.items()}
 
 
 def _declare_route(route: _Route) -> dict[str, Any]:
--- a/tests/features/routes.feature
+++ b/tests/features/routes.feature
@@ -19,6 +19,11 @@
     Given a route with the weights 90 and 10
     Then of 10000 requests between 8700 and 9300 go to the first service
 
+  # Guards against weights that are rounded to whole numbers: 0 and 1 here.
+  Scenario: weights of a manifest may be fractions
+    Given a manifest with a route with the weights 0.4 and 0.6
+    Then of 10000 requests between 3700 and 4300 go to the first service
+
   Scenario Outline: whether a request is sent again
     Given a <kind> request to a service <divided> by key, with at most 2 workers
     When its attempts fail with "<failures>"
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -10,6 +10,7 @@
 from behave.runner import Context
 from eventlet.event import Event
 
+from bench.reporting import manifest, split_route
 from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations, Route, Service
@@ -17,6 +18,7 @@
 from laburnumwood.errors import PlatformUnavailableError
 from laburnumwood.membership.directory import Directory
 from laburnumwood.placement.load_reports import LoadReports
+from laburnumwood.platform.manifest import read_manifest
 from laburnumwood.protocol.messages import Work
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.exchange import OutgoingExchange, local_pair
@@ -73,6 +75,14 @@
     context.route = _route('h', '/', one=first, two=second)
 
 
+@given('a manifest with a route with the weights {first:g} and {second:g}')
+def make_manifest(context: Context, first: float, second: float) -> None:
+    content = manifest(1, {'one': False, 'two': False})
+    content['routes'] = [split_route('x', {'one': first, 'two': second})]
+    file = next(iter(read_manifest(content)['files'].values()))
+    context.route = Route.model_validate(next(iter(file['routes'].values())))
+
+
 @then(
     'of {count:d} requests between {least:d} and {most:d} go to the first '
     'service'
