--- a/tests/features/steps/config_news_steps.py
+++ b/tests/features/steps/config_news_steps.py
@@ -259,7 +259,7 @@
 
 @then('no proof was older than {limit_ms:d} ms')
 def check_ages(context: Context, limit_ms: int) -> None:
-    assert 0 <= min(context.ages_ms), min(context.ages_ms)
+    assert min(context.ages_ms) >= 0, min(context.ages_ms)
     assert max(context.ages_ms) <= limit_ms, max(context.ages_ms)
 
 
