--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -50,21 +50,21 @@
     Then the soak finds: <found>
 
     Examples:
-      | what                           | decisions                               | found                                             |
-      | within 2 s                     | moved:docs@6900 added-2:none@6900       | nothing                                           |
-      | the former service             | moved:docs@7100                         | a request was handled by a replaced configuration |
-      | a route that was added         | added-2:none@7100                       | a request was handled by a replaced configuration |
-      | by the latest                  | moved:portal@7100 added-2:docs@7100     | nothing                                           |
-      | back within 250 ms             | moved:portal@6000 moved:docs@6200       | nothing                                           |
-      | back after 250 ms              | moved:portal@6000 moved:docs@6300       | a process went back to an earlier configuration   |
-      | by an invalid one              | bad:docs@6500                           | a request was handled by an invalid configuration |
-      | an invalid one's route, denied | bad:none@6500                           | nothing                                           |
+      | what                           | decisions                                                     | found                                             |
+      | within 2 s                     | moved:docs@6900 added-2:none@6900                             | nothing                                           |
+      | the former service             | moved:docs@7100                                               | a request was handled by a replaced configuration |
+      | a route that was added         | added-2:none@7100                                             | a request was handled by a replaced configuration |
+      | by the latest                  | moved:portal@7100 added-2:docs@7100                           | nothing                                           |
+      | back within 250 ms             | moved:portal@6000 moved:docs@6200                             | nothing                                           |
+      | back after 250 ms              | moved:portal@6000 moved:docs@6300                             | a process went back to an earlier configuration   |
+      | by an invalid one              | bad:docs@6500                                                 | a request was handled by an invalid configuration |
+      | an invalid one's route, denied | bad:none@6500                                                 | nothing                                           |
       | added routes, a fifth          | 20*moved:portal@8000 4*added-2:docs@8000 16*added-2:busy@8000 | added routes were served less than the first ones |
-      | added routes, a quarter        | 20*moved:portal@8000 5*added-2:docs@8000 15*added-2:busy@8000 | nothing |
-      | too few added                  | 20*moved:portal@8000 19*added-2:busy@8000 | nothing                                         |
-      | weights, 0.25 off              | 150*split:docs@9000 50*split:portal@9000 | services got other shares than their weights     |
-      | weights, 0.2 off               | 140*split:docs@9000 60*split:portal@9000 | nothing                                          |
-      | too few by weight              | 199*split:docs@9000                     | nothing                                           |
+      | added routes, a quarter        | 20*moved:portal@8000 5*added-2:docs@8000 15*added-2:busy@8000 | nothing                                           |
+      | too few added                  | 20*moved:portal@8000 19*added-2:busy@8000                     | nothing                                           |
+      | weights, 0.25 off              | 150*split:docs@9000 50*split:portal@9000                      | services got other shares than their weights      |
+      | weights, 0.2 off               | 140*split:docs@9000 60*split:portal@9000                      | nothing                                           |
+      | too few by weight              | 199*split:docs@9000                                           | nothing                                           |
 
   Scenario: a long request does not keep a stopping node from closing its door
     Given a soak of 4 nodes whose requests may last 10 s
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -6,6 +6,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field, replace
 from functools import partial
+from itertools import count
 from math import inf
 from pathlib import Path
 from shutil import copytree
@@ -38,6 +39,7 @@
 }
 START_TIMEOUT_S = 90
 STOP_TIMEOUT_S = 30
+_TIMEOUT_MS = 2_000  # of all routes, at first
 _INVALID_S = 1.5  # for which the store has an invalid manifest
 _STARTED_EVENT = b'"node-started"'
 _OK = 200
@@ -134,7 +136,8 @@
         self.worker_incarnations: list[WorkerIncarnation] = []
         self.signal_spans: list[SignalSpan] = []
         self.routes = FIRST_ROUTES
-        self._manifest = self._new_manifest(1, 2_000)
+        self._versions = count(1)
+        self._manifest = self._new_manifest(_TIMEOUT_MS)
         self.manifest_changes: list[ManifestChange] = []
         self._worker_ports: dict[str, int] = {}
         self._process_locks: dict[str, Lock] = {}
@@ -242,19 +245,14 @@
     def replace_manifest(self, timeout_ms: int) -> None:
         """Replace the manifest by a new version with other timeouts."""
         with self.process_lock('operator'):
-            version = self._manifest['version'] + 1
-            self._manifest = self._new_manifest(version, timeout_ms)
+            self._manifest = self._new_manifest(timeout_ms)
             self._write_change()
 
     def replace_routes(self, routes: RouteServices) -> None:
         """Replace the manifest by a new version with other routes."""
         with self.process_lock('operator'):
             self.routes = routes
-            version, timeout_ms = (
-                self._manifest['version'] + 1,
-                self._timeout_ms,
-            )
-            self._manifest = self._new_manifest(version, timeout_ms)
+            self._manifest = self._new_manifest(self._timeout_ms)
             self._write_change()
 
     def write_invalid_manifest(
@@ -262,20 +260,17 @@
     ) -> None:
         """Write a damaged version with other routes, then a sound one."""
         with self.process_lock('operator'):
-            version, timeout_ms = (
-                self._manifest['version'] + 1,
-                self._timeout_ms,
+            sound = self._manifest
+            invalid = ManifestChange(
+                self._timeout_ms, boottime_ms(), None, routes, is_valid=False
             )
-            sound, since_ms = self._manifest, boottime_ms()
-            self._manifest = self._new_manifest(version, timeout_ms, routes)
+            self.manifest_changes.append(invalid)
+            self._manifest = self._new_manifest(self._timeout_ms, routes)
             damage(self._manifest)
             try:
                 self._write_manifest()
             finally:
-                self._manifest = {**sound, 'version': version + 1}
-                self.manifest_changes.append(
-                    ManifestChange(timeout_ms, since_ms, None, routes, False)
-                )
+                self._manifest = {**sound, 'version': next(self._versions)}
             time.sleep(_INVALID_S)
             self._write_change()
 
@@ -324,12 +319,9 @@
         return int(self._manifest['routes'][0]['timeout_ms'])
 
     def _new_manifest(
-        self,
-        version: int,
-        timeout_ms: int,
-        routes: RouteServices | None = None,
+        self, timeout_ms: int, routes: RouteServices | None = None
     ) -> dict[str, Any]:
-        content = manifest(version, self._services)
+        content = manifest(next(self._versions), self._services)
         content['routes'] += [
             split_route(name, weights)
             for name, weights in (routes or self.routes).items()
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -29,6 +29,7 @@
 _READ_TIME_MS = 1_000  # more than a node takes to read a request
 _MAX_SHOWN_BYTES = 60  # of each body, in the evidence of a violation
 _SUCCESS = range(200, 300)
+_NOT_FOUND = 404
 # Each of these states that the request was not executed.
 _NODE_REFUSALS = frozenset((408, 421, 429, 503))
 _NODE_STATUSES = frozenset((502, 504)) | _NODE_REFUSALS
@@ -283,15 +284,19 @@
     return call.body == body
 
 
+def _known_statuses(call: Call) -> frozenset[int]:
+    """Return the statuses of a node that other rules judge."""
+    if call.request.route_changes:
+        return _NODE_STATUSES | {_NOT_FOUND}
+    return _NODE_STATUSES
+
+
 @_rule('a proper request was denied or failed inside')
 def unexplained_errors(record: Record) -> Iterator[str]:
     """Yield error responses of the node itself that no fault explains."""
     for call in record.calls:
         from_node = call.end is CallEnd.answered and not call.stamp
-        is_known = call.status in _NODE_STATUSES
-        # The rules about configurations judge routes that change.
-        is_known = is_known or call.request.route_changes
-        if from_node and not is_known:
+        if from_node and call.status not in _known_statuses(call):
             yield _describe(call, record)
 
 
