--- a/laburnumwood/membership/config_status.py
+++ b/laburnumwood/membership/config_status.py
@@ -45,6 +45,14 @@
         self._confirmed_by = FROM_NOBODY
         self._confirmed_at_ms: int | None = None
 
+    @property
+    def confirmed_age_ms(self) -> int:
+        """Return the age of the last proof that there is no later one.
+
+        It is -1 if there is none.
+        """
+        return self._age_ms(self._confirmed_at_ms)
+
     def record_in_force(
         self, generation: int, version: int, source: str
     ) -> None:
@@ -65,14 +73,6 @@
         """Record that a source knows no later configuration than this node."""
         self.record_current(self._generation, source)
 
-    @property
-    def confirmed_age_ms(self) -> int:
-        """Return the age of the last proof that there is no later one.
-
-        It is -1 if there is none.
-        """
-        return self._age_ms(self._confirmed_at_ms)
-
     def record_confirmed(self, source: str, at_ms: int) -> None:
         """Record that the store had no later configuration at some time.
 
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -1,12 +1,14 @@
 """Steps about the rules of the soak for configurations, and what they guard."""
 
 import time
+from dataclasses import replace
 from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
 
-from standins.journal.entry import JournalEntry, Outcome
+from standins.journal.entry import JournalEntry
+from tests.features.steps.plain_run import PLAIN_RUN
 from tests.soak.caller_requests import CallerRequest
 from tests.soak.callers import Call, CallEnd
 from tests.soak.configurations import CONFIG_RULES
@@ -78,18 +80,8 @@
 
 
 def _run(attempt_id: str, service: str, started_ms: int) -> JournalEntry:
-    return JournalEntry(
-        boot='',
-        index=0,
-        worker='',
-        request=attempt_id,
-        key='',
-        service=service,
-        shard=None,
-        token=None,
-        method='GET',
-        started_ms=started_ms,
-        outcome=Outcome.ran,
+    return replace(
+        PLAIN_RUN, request=attempt_id, service=service, started_ms=started_ms
     )
 
 
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -3,6 +3,7 @@
 import json
 import time
 from contextlib import suppress
+from dataclasses import replace
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from threading import Thread
@@ -12,7 +13,8 @@
 from behave.runner import Context
 from urllib3.exceptions import HTTPError
 
-from standins.journal.entry import JournalEntry, Outcome
+from standins.journal.entry import JournalEntry
+from tests.features.steps.plain_run import PLAIN_RUN
 from tests.soak.callers import Callers
 from tests.soak.faults import (
     FAULTS,
@@ -202,19 +204,13 @@
 
 
 def _entry(request: str, started_ms: int) -> JournalEntry:
-    return JournalEntry(
-        boot='',
-        index=0,
+    return replace(
+        PLAIN_RUN,
         worker=LEAVER,
         request=request,
-        key='',
         service=SHARDED_SERVICE,
-        shard=None,
-        token=None,
-        method='GET',
         started_ms=started_ms,
         finished_ms=started_ms + RUN_MS,
-        outcome=Outcome.ran,
     )
 
 
--- a/tests/soak/configurations.py
+++ b/tests/soak/configurations.py
@@ -106,13 +106,12 @@
 
 def find_regressions(record: ConfigRecord) -> Iterator[str]:
     """Yield requests by which a process went back to an earlier manifest."""
+    decisions = list(record.decisions())
     for incarnation in record.incarnations:
-        decisions = [
-            each
-            for each in record.decisions()
-            if _is_served_by(each.call, incarnation)
+        served = [
+            each for each in decisions if _is_served_by(each.call, incarnation)
         ]
-        yield from _find_regressions(record, incarnation, decisions)
+        yield from _find_regressions(record, incarnation, served)
 
 
 def _is_served_by(call: Call, incarnation: NodeIncarnation) -> bool:
--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -1,6 +1,6 @@
 """What harmed the processes of a soak, and when."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from tests.soak.callers import Call
@@ -57,26 +57,29 @@
     )
 
 
+def _faults_about(
+    call: Call, disturbances: Iterable[Disturbance]
+) -> Iterator[Disturbance]:
+    """Yield the faults that were in force about a call."""
+    for each in disturbances:
+        is_about = each.overlaps(call.sent_ms - CONTACT_MS, call.done_ms)
+        if is_about and not each.is_planned:
+            yield each
+
+
 def is_in_touch(
     call: Call,
     incarnations: Iterable[NodeIncarnation],
     disturbances: Iterable[Disturbance],
 ) -> bool:
     """Return whether nothing harmed a node, its links or the store."""
-    since_ms = call.sent_ms - CONTACT_MS
     is_harmed = any(
-        each.harms(call.request.node) and each.overlaps(since_ms, call.done_ms)
-        for each in disturbances
-        if not each.is_planned
+        fault.harms(call.request.node)
+        for fault in _faults_about(call, disturbances)
     )
     return not is_harmed and not was_signalled(call, call.done_ms, incarnations)
 
 
 def is_steady(call: Call, disturbances: Iterable[Disturbance]) -> bool:
     """Return whether no fault at all was in force about a call."""
-    since_ms = call.sent_ms - CONTACT_MS
-    return not any(
-        each.overlaps(since_ms, call.done_ms)
-        for each in disturbances
-        if not each.is_planned
-    )
+    return not any(_faults_about(call, disturbances))
