Add warm-up and pace to what nodes tell each other of a worker

Cause: cold workers and VMs on which work takes longer are known only beside them. Change: two optional last fields of WorkerNotice, ignored by nodes that don't know them; nothing fills them yet. No measured result: no behaviour changes.

--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -342,7 +342,8 @@
     requests that it accepts from all nodes together, None if it names no
     limit.  `usable_slots` is how many of its slots that rate keeps busy, None
     if not known.  `leaving_for_ms` is how long ago it said that it is leaving,
-    None if not known.
+    `warming_ms` for how much longer it is cold, and `pace` how long work takes
+    on its VM, where 1 is as usual; None if not known.
     """
 
     worker_id: str
@@ -351,3 +352,5 @@
     limit_per_second: float | None = None
     usable_slots: float | None = None
     leaving_for_ms: int | None = None
+    warming_ms: int | None = None
+    pace: float | None = None
