--- a/tests/features/steps/worker_signal_steps.py
+++ b/tests/features/steps/worker_signal_steps.py
@@ -93,6 +93,11 @@
     context.add_cleanup(thread.join)
 
 
+def _sleep_until(time_s: float) -> None:
+    """Sleep until a monotonic time, which may have passed on a busy machine."""
+    sleep(max(0, time_s - monotonic()))
+
+
 @when(
     'its answers name a limit of {limit:g} requests a second after {delay:d} s'
 )
@@ -108,7 +113,7 @@
 
 @when('the process of its node is killed and restarted after {delay:d} s')
 def restart_its_node(context: Context, delay: int) -> None:
-    sleep(context.began_s + delay - monotonic())
+    _sleep_until(context.began_s + delay)
     context.member.node.kill()
     context.member.node = context.fleet.start_node(context.member.path)
 
@@ -124,7 +129,7 @@
 
 @when('the process of node "{node}" is {ended} after {delay:d} s')
 def end_node(context: Context, node: str, ended: str, delay: int) -> None:
-    sleep(context.began_s + delay - monotonic())
+    _sleep_until(context.began_s + delay)
     process = context.fleet.members[node].node
     if ended == 'killed':
         process.kill()
