Keep waiting on a silent link when no time is left for another attempt

Cause: a stream whose link has been silent for a second fails so that its request can be sent elsewhere, also when it can't be any more. Its link is slow rather than lost, and its answer may still come.

Change: whether a stream survives the silence is asked when the link falls silent: a request that can be sent again fails if it has time for another attempt.

--- a/laburnumwood/protocol/link.py
+++ b/laburnumwood/protocol/link.py
@@ -34,7 +34,7 @@
     Transfer,
 )
 from laburnumwood.protocol.silence import CHECK_INTERVAL_MS, SilenceCounter
-from laburnumwood.protocol.streams import Stream
+from laburnumwood.protocol.streams import Stream, never
 from laburnumwood.records import NodeName
 from laburnumwood.tasks import run_logged, start, supervise
 
@@ -192,11 +192,14 @@
             _MONITOR.remove(self)
             self._end(reason)
 
-    def open_stream(self, *, survives_silence: bool = False) -> Stream:
+    def open_stream(
+        self, *, survives_silence: Callable[[], bool] = never
+    ) -> Stream:
         """Open a stream to the peer.
 
-        A stream that `survives_silence` does not fail while the link is
-        silent: use it for a request that can't be retried elsewhere.
+        While the link is silent, the stream does not fail if
+        `survives_silence()`: use that for a request that can't be retried
+        elsewhere by then.
         """
         self._last_own_stream += 1
         stream = Stream(
--- a/laburnumwood/protocol/peers.py
+++ b/laburnumwood/protocol/peers.py
@@ -30,7 +30,7 @@
 )
 from laburnumwood.protocol.link import Handler, Link
 from laburnumwood.protocol.security import LinkSecurity
-from laburnumwood.protocol.streams import Stream
+from laburnumwood.protocol.streams import Stream, never
 from laburnumwood.protocol.time_limit import time_limit
 from laburnumwood.records import NodeName
 from laburnumwood.tasks import start, start_joinable
@@ -107,13 +107,13 @@
         self._last_refused_ms: dict[NodeName, int] = {}
 
     def open_stream(
-        self, peer: NodeName, *, survives_silence: bool = False
+        self, peer: NodeName, *, survives_silence: Callable[[], bool] = never
     ) -> Stream:
         """Open a stream to a peer, on a new link if necessary.
 
-        A stream that `survives_silence` does not fail while its link is
-        silent.  Raises `LinkRefusedError`, and `LinkTimeoutError` within a time
-        limit.
+        While its link is silent, the stream does not fail if
+        `survives_silence()`.  Raises `LinkRefusedError`, and `LinkTimeoutError`
+        within a time limit.
         """
         link = self._links.get(peer)
         if link is None or not self._is_usable(link):
--- a/laburnumwood/protocol/streams.py
+++ b/laburnumwood/protocol/streams.py
@@ -26,6 +26,11 @@
 MessageHandler = Callable[[], None]
 
 
+def never() -> bool:
+    """Return False: a stream fails while its link is silent."""
+    return False
+
+
 class FrameSender(Protocol):
     """The part of a link that a stream uses."""
 
@@ -44,7 +49,11 @@
     """
 
     def __init__(
-        self, number: int, link: FrameSender, *, survives_silence: bool = False
+        self,
+        number: int,
+        link: FrameSender,
+        *,
+        survives_silence: Callable[[], bool] = never,
     ) -> None:
         self._number = number
         self._link = link
@@ -54,6 +63,7 @@
         self._unread = 0
         self._uncredited = 0  # bytes read since the last credit was sent
         self._answered = False
+        self._has_begun = False  # the answer
         self._survives_silence = survives_silence
         self._failure: LinkError | None = None
         self._message_handler: MessageHandler | None = None
@@ -64,7 +74,7 @@
 
         It also does so once an answer has begun: the rest may still arrive.
         """
-        return self._survives_silence
+        return self._has_begun or self._survives_silence()
 
     def send(self, message: Any) -> None:
         """Send a message; a chunk waits until the window has room.
@@ -114,7 +124,7 @@
         if isinstance(message, Credit):
             self._credits.put(message.size)
             return
-        self._survives_silence = True
+        self._has_begun = True
         if isinstance(message, Chunk):
             self._unread += len(message.content)
             if self._unread > _MAX_UNREAD:
--- a/laburnumwood/routing/retry_policy.py
+++ b/laburnumwood/routing/retry_policy.py
@@ -67,6 +67,11 @@
         """Return whether any attempt may have run."""
         return self._may_have_run
 
+    @property
+    def has_time(self) -> bool:
+        """Return whether the time that is left allows another attempt."""
+        return self._clock.now_ms() + _MIN_REMAINING_MS < self._until_ms
+
     def record_failure(self, failure: Failure) -> None:
         """Record the failure of an attempt."""
         self._may_have_run = self._may_have_run or failure.ran
@@ -110,7 +115,7 @@
 
         `nodes` are those that currently serve the service.
         """
-        if self._clock.now_ms() + _MIN_REMAINING_MS >= self._until_ms:
+        if not self.has_time:
             return None
         if not failure.ran and failure.kind in self._owner_wait_until_ms:
             return self._owner_delay_ms(self._owner_wait_until_ms[failure.kind])
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -200,7 +200,7 @@
         unsent = b'' if work.is_whole else body
         attempt = Attempt(work, unsent, target, until_ms, caller)
         try:
-            exchange = self._open(attempt)
+            exchange = self._open(attempt, retry_policy)
         except LinkError as error:
             return self._open_failure(error, attempt)
         if work.shard < 0:
@@ -228,7 +228,9 @@
         """Return a context in which waiting ends at the deadline."""
         return time_limit(self._left_ms(attempt.until_ms), _DEADLINE_PASSED)
 
-    def _open(self, attempt: Attempt) -> OutgoingExchange:
+    def _open(
+        self, attempt: Attempt, retry_policy: RetryPolicy
+    ) -> OutgoingExchange:
         """Send a request to a node and return the exchange.
 
         Raises `CallerDisconnectedError` if the caller has disconnected before,
@@ -236,7 +238,7 @@
         """
         if attempt.target != self._own:
             with self._until_deadline(attempt):
-                return self._open_remote(attempt)
+                return self._open_remote(attempt, retry_policy)
         if attempt.caller.poll():
             raise CallerDisconnectedError(CALLER_GONE)
         local_end, remote_end = local_pair()
@@ -244,9 +246,16 @@
         start(self._serve, remote_end, self._work_with_time_left(attempt))
         return local_end
 
-    def _open_remote(self, attempt: Attempt) -> OutgoingExchange:
+    def _open_remote(
+        self, attempt: Attempt, retry_policy: RetryPolicy
+    ) -> OutgoingExchange:
+        is_idempotent = attempt.work.idempotent
         exchange = self._peers.open_stream(
-            attempt.target, survives_silence=not attempt.work.idempotent
+            attempt.target,
+            # Without time for another attempt, an answer may still come.
+            survives_silence=lambda: (
+                not (is_idempotent and retry_policy.has_time)
+            ),
         )
         if attempt.caller.poll():
             exchange.close()
--- a/tests/features/request_links.feature
+++ b/tests/features/request_links.feature
@@ -35,12 +35,18 @@
     When an answer starts on the silent link and continues 2000 ms later
     Then the call receives the whole answer
 
-  # Guards against early failure of requests that can't be retried.
-  Scenario: a call that can't be retried does not fail while its link is silent
+  # Guards against early failure of requests that can't be retried, or not any
+  # more: their answer may still come, and nothing else can.
+  Scenario Outline: a call that can't be retried does not fail while its link is silent
     Given a peer whose first connection becomes silent
-    When a non-retryable call on the silent link is answered after 2000 ms
+    When a call on the silent link, non-retryable after <final> ms, is answered after 2000 ms
     Then the non-retryable call is answered
 
+    Examples:
+      | final |
+      | 0     |
+      | 300   |
+
   # Guards against requests that are sent on a failed link.
   Scenario: a silent peer that refuses new links gets no more calls
     Given a peer whose first connection becomes silent
@@ -174,7 +180,7 @@
   # Guards against a request that fails although its peer is of an earlier version.
   Scenario: a silent link is replaced at a peer that knows no replacement
     Given a peer whose first connection becomes silent
-    When a non-retryable call on the silent link is answered after 2000 ms
+    When a call on the silent link, non-retryable after 0 ms, is answered after 2000 ms
     And another call is made once the link is suspect
     Then the non-retryable call is answered
 
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -402,9 +402,16 @@
     return [_outcome(stream.receive, LIMIT_MS) for _ in ('head', 'end')]
 
 
-@when('a non-retryable call on the silent link is answered after {span:d} ms')
-def call_unretryable(context: Context, span: int) -> None:
-    stream = context.peers.open_stream(PEER, survives_silence=True)
+@when(
+    'a call on the silent link, non-retryable after {final:d} ms, is answered '
+    'after {span:d} ms'
+)
+def call_unretryable(context: Context, final: int, span: int) -> None:
+    clock = Clock()
+    final_ms = clock.now_ms() + final
+    stream = context.peers.open_stream(
+        PEER, survives_silence=lambda: clock.now_ms() >= final_ms
+    )
     stream.send(Cancel())
     context.waiting = eventlet.spawn(_outcome, stream.receive, LIMIT_MS)
     eventlet.sleep(span / MS_PER_SECOND)
--- a/tests/features/steps/time_limit_steps.py
+++ b/tests/features/steps/time_limit_steps.py
@@ -32,7 +32,7 @@
     clock = Clock()
     for _ in range(MAX_REQUESTS):
         started_ms = clock.now_ms()
-        stream = context.peers.open_stream(PEER, survives_silence=True)
+        stream = context.peers.open_stream(PEER, survives_silence=lambda: True)
         try:
             with time_limit(limit_ms, 'the time was over'):
                 stream.send(work)
@@ -68,11 +68,13 @@
     context: Context, count: int, size: int, limit_ms: int
 ) -> None:
     work = replace(PLAIN_WORK, body=bytes(size), body_length=size)
-    context.stream = context.peers.open_stream(PEER, survives_silence=True)
+    context.stream = context.peers.open_stream(
+        PEER, survives_silence=lambda: True
+    )
     senders = [
         eventlet.spawn(
             _send_within,
-            context.peers.open_stream(PEER, survives_silence=True),
+            context.peers.open_stream(PEER, survives_silence=lambda: True),
             work,
             limit_ms,
         )
