Read the pace in the load header of a worker

A worker that told its load with four figures counted as one without a free slot, so that a rejection by a worker that fails on purpose lowered the concurrency limit of its gate. The header is decoded once into a typed load; whether a slot was free is decided there. The mean pace of a VM that is slow for seconds is passed on in the worker's notice.

The row '4,0,18,310' of worker_answers.feature is 'refused' before this change: _has_free_slot('4,0,18,100') was False, of '4,0,18' True.

--- a/laburnumwood/platform/headers.py
+++ b/laburnumwood/platform/headers.py
@@ -7,6 +7,6 @@
 ORIGIN_HEADER = 'Caller-Service'  # the service of the node that was called
 STAMP_HEADER = 'Response-Stamp'  # proves that a worker made the answer
 NOT_RUN_HEADER = 'Not-Executed'  # the worker did not run the request
-LOAD_HEADER = 'Server-Load'  # running requests, waiting requests, slots
+LOAD_HEADER = 'Server-Load'  # running, waiting, slots, pace
 LIMIT_HEADER = 'Server-Limit'  # requests a second that the worker accepts
 LEAVING_HEADER = 'Server-Leaving'  # '1': the worker is about to end
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -26,13 +26,17 @@
 from laburnumwood.upstream.pool import WorkerAnswer
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.worker import WorkerClient
+from laburnumwood.upstream.worker_load import WorkerLoad
 from laburnumwood.upstream.worker_signals import AnswerSignals
 
 _ID = ID_HEADER.lower()
 _STAMP = STAMP_HEADER.lower()
 _NOT_RUN = NOT_RUN_HEADER.lower()
 _LOAD = LOAD_HEADER.lower()
-_LOAD_PARTS = 3
+_LOAD_FORM = re.compile(
+    '([0-9]{1,9}),([0-9]{1,9}),([0-9]{1,9})(?:,([0-9]{1,9})(?:,.*)?)?'
+)
+_USUAL_PACE = 100  # how the platform states that work takes as long as usual
 _LIMIT = LIMIT_HEADER.lower()
 _LEAVING = LEAVING_HEADER.lower()
 _IS_LEAVING = '1'
@@ -42,21 +46,22 @@
 )
 
 
-def _has_free_slot(load: str) -> bool:
-    """Return whether a load header says that the worker has a free slot."""
-    parts = load.split(',')
-    if len(parts) != _LOAD_PARTS or not all(map(str.isdecimal, parts)):
-        return False
-    running, waiting, slots = map(int, parts)
-    return not waiting and running < slots
+def decode_load(index: HeaderIndex) -> WorkerLoad | None:
+    """Return the load that the headers of an answer state, None if none."""
+    match = _LOAD_FORM.fullmatch(index.first(_LOAD))
+    if match is None:
+        return None
+    running, waiting, slots, pace = (int(each or 0) for each in match.groups())
+    return WorkerLoad(running, waiting, slots, pace / _USUAL_PACE or None)
 
 
 def decode_signals(index: HeaderIndex) -> AnswerSignals:
     """Return what the headers of an answer say about the worker."""
+    load = decode_load(index)
     limits = index.all(_LIMIT)
     leaving = index.all(_LEAVING)
     if not limits and not leaving:
-        return _NO_SIGNALS
+        return AnswerSignals(load=load) if load else _NO_SIGNALS
     is_limit_valid = not limits or (
         len(limits) == 1 and _DECIMAL.fullmatch(limits[0])
     )
@@ -67,6 +72,7 @@
         limit_per_second=float(limits[0]) if limits and not invalid else None,
         is_leaving=leaving == [_IS_LEAVING],
         invalid=invalid,
+        load=load,
     )
 
 
@@ -103,9 +109,8 @@
         """Return the kind of problem of a request that did not run."""
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             return NOT_OWNER
-        return (
-            REJECTED if _has_free_slot(answer.index.first(_LOAD)) else REFUSED
-        )
+        load = decode_load(answer.index)
+        return REJECTED if load and load.has_free_slot else REFUSED
 
     def check_answer(self, run: Run, answer: WorkerAnswer) -> None:
         """Raise `WorkerAnswerError` if an answer belongs to another request.
--- a/laburnumwood/upstream/worker_signals.py
+++ b/laburnumwood/upstream/worker_signals.py
@@ -11,6 +11,7 @@
     AnnouncedLimit,
 )
 from laburnumwood.upstream.presence import Presence
+from laburnumwood.upstream.worker_load import LastingPace, WorkerLoad
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,12 +20,14 @@
 
     `limit_per_second` is the rate of requests, from all nodes together, that
     the worker accepts; None if it names no limit.  `invalid` describes headers
-    that could not be read; they say nothing.
+    that could not be read; they say nothing.  `load` is
+    None if the worker does not tell it.
     """
 
     limit_per_second: float | None = None
     is_leaving: bool = False
     invalid: str = ''
+    load: WorkerLoad | None = None
 
 
 class WorkerSignals:
@@ -40,12 +43,14 @@
         self._instance_since_ms = clock.now_ms()
         self._refused = ''  # the last invalid header that was logged
         self.limit = AnnouncedLimit(clock)
+        self.pace = LastingPace(clock)
 
     def begin_instance(self) -> None:
         """Forget everything: another instance of the worker has started."""
         self._instance_since_ms = self._clock.now_ms()
         self._refused = ''
         self.limit.begin_instance(self._presence.worker_id)
+        self.pace.begin_instance()
 
     def record(self, signals: AnswerSignals, sent_ms: int) -> None:
         """Record what an answer says; its request was sent at `sent_ms`."""
@@ -53,6 +58,8 @@
             return
         if signals.is_leaving:
             self._presence.begin_leaving(ANSWER)
+        if signals.load is not None:
+            self.pace.record(signals.load)
         if signals.invalid:
             self._report_invalid(signals.invalid)
         else:
@@ -74,9 +81,10 @@
         `mean_slot_ms` is the mean time for which a request keeps a slot.
         """
         is_limited = self.limit.recent_per_second is not None
-        if not is_limited and not self._presence.is_leaving:
-            return None
-        return self._make_notice(mean_slot_ms)
+        is_slow = self.pace.slow_pace is not None
+        if is_limited or is_slow or self._presence.is_leaving:
+            return self._make_notice(mean_slot_ms)
+        return None
 
     def known_notice(self, mean_slot_ms: float) -> WorkerNotice | None:
         """Return what is known of the worker, None if it was not heard yet."""
@@ -94,6 +102,7 @@
             limit_per_second=limit,
             usable_slots=usable_slots or None,
             leaving_for_ms=self._presence.leaving_for_ms,
+            pace=self.pace.slow_pace,
         )
 
     def _report_invalid(self, header: str) -> None:
--- a/tests/features/worker_answers.feature
+++ b/tests/features/worker_answers.feature
@@ -81,6 +81,9 @@
       | 503    | 18,0,18 | refused   |
       | 503    | 4,1,18  | refused   |
       | 503    | 4,0,18  | rejected  |
+      | 503    | 4,0,18,310 | rejected  |
+      | 503    | 18,0,18,100 | refused  |
+      | 503    | 4,0,18,,9 | refused  |
       | 429    | 4,0,18  | rejected  |
       | 503    | 4,0     | refused   |
       | 503    | -       | refused   |
