Choose nodes by the expected time to the answer

The choice for services without keys knew the load of nodes, but not that workers differ in speed, and gave locality up at half load whatever the difference. It is a package of its own now, balancing/: two nodes are compared by the work ahead, the usable slots and how long the own tries took there; with balancing.crossing_ms a request goes to another failure domain only if it is expected to be answered sooner there by more than that. Nodes that all shed requests are still compared by load. The pace of a worker that is slow for seconds lowers the usable slots of its node, and loads measured there count at the usual pace.

--- /dev/null
+++ b/laburnumwood/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the node that a request of a service without keys goes to."""
--- a/laburnumwood/daemon/load.py
+++ b/laburnumwood/daemon/load.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from laburnumwood.admission.retry_budget import RetryBudgets
+from laburnumwood.balancing.request_balancer import RequestBalancer
 from laburnumwood.clock import Clock
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.balancer import Balancer
@@ -12,7 +13,6 @@
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.records import NodeName
 from laburnumwood.routing.gate import AdmissionGate
-from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.settings import DaemonSettings
 
 _RETRY_FRACTION = 0.1  # highest ratio of retries to requests
@@ -42,6 +42,7 @@
             Random(str(own)),
             clock,
             lambda: view.domain_share(domain),
+            settings.balancing.crossing_ms,
         )
         self.retries = RetryBudgets(_RETRY_FRACTION, clock)
         self._own = own
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -48,6 +48,8 @@
     """
     reported = reports.shards(name).get(shard)
     measured_here = measured.get(shard)
+    if reported is not None:
+        reported /= reports.notices.pace(name)
     if reported is not None and (
         measured_here is None or measured_here <= reported
     ):
@@ -67,11 +69,19 @@
             yield shard, estimate
 
 
+def _at_usual_pace(
+    measured: Mapping[int, float], pace: float
+) -> Mapping[int, float]:
+    if pace == 1:
+        return measured
+    return {shard: load / pace for shard, load in measured.items()}
+
+
 @dataclass(frozen=True, slots=True)
 class LoadEstimates:
     """The loads of the shards of which something is known, and their mean.
 
-    A load is the number of slots that a shard keeps busy.
+    A load is the number of slots that a shard keeps busy at the usual pace.
     """
 
     known: Mapping[int, float]
@@ -86,8 +96,11 @@
 ) -> LoadEstimates:
     """Return the loads of shards by what is measured and reported.
 
-    As a report ages, its loads approach the mean of the known shards.
+    As a report ages, its loads approach the mean of the known shards.  Work on
+    a slow node keeps slots busy for longer than it would elsewhere: it counts
+    with what it would take at the usual pace.
     """
+    measured = _at_usual_pace(measured, reports.notices.pace(own))
     known = {
         shard: _Estimate(measured.get(shard, 0))
         for shard in shards_by_node[own]
--- a/laburnumwood/placement/worker_notices.py
+++ b/laburnumwood/placement/worker_notices.py
@@ -3,11 +3,13 @@
 from dataclasses import dataclass, replace
 
 from laburnumwood.clock import Clock
+from laburnumwood.decay import weight_of_age
 from laburnumwood.records import NodeName, WorkerNotice
 
 _MAX_AGE_MS = 600_000  # a worker that said that it leaves has ended by then
 # A limit of which nothing was heard for so long may have ended.
 _MAX_LIMIT_AGE_MS = 10_000
+_PACE_HALF_LIFE_MS = 5_000
 # Even a worker that accepts next to nothing is given some requests: only
 # their answers tell when it accepts more.
 _MIN_SLOTS = 0.1
@@ -27,7 +29,8 @@
 
 
 def _is_ordinary(notice: WorkerNotice) -> bool:
-    return notice.limit_per_second is None and not notice.is_leaving
+    is_unlimited = notice.limit_per_second is None and notice.pace is None
+    return is_unlimited and not notice.is_leaving
 
 
 class WorkerNotices:
@@ -54,11 +57,28 @@
         return received.present(self._clock.now_ms()) if received else None
 
     def usable_slots(self, node: NodeName, slots: int) -> float:
-        """Return how many slots of a node can be kept busy."""
+        """Return how many slots of a node can be kept busy.
+
+        A slot in which work takes twice as long as usual counts half.
+        """
         received = self._latest_within(node, _MAX_LIMIT_AGE_MS)
-        if received is None or received.notice.usable_slots is None:
+        if received is None:
             return slots
-        return min(slots, max(received.notice.usable_slots, _MIN_SLOTS))
+        usable = received.notice.usable_slots
+        limited = slots if usable is None else min(slots, usable)
+        return max(limited / self.pace(node), _MIN_SLOTS)
+
+    def pace(self, node: NodeName) -> float:
+        """Return how long work takes on the VM of a node, 1 if as usual.
+
+        The older a notice is, the nearer to the usual is what it tells.
+        """
+        received = self._latest_within(node, _MAX_LIMIT_AGE_MS)
+        if received is None or received.notice.pace is None:
+            return 1
+        age_ms = self._clock.now_ms() - received.received_ms
+        weight = weight_of_age(age_ms, _PACE_HALF_LIFE_MS)
+        return max(1, 1 + (received.notice.pace - 1) * weight)
 
     def _latest_within(
         self, node: NodeName, max_age_ms: int
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -7,6 +7,8 @@
 
 from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.admission.throttle import AdaptiveThrottle
+from laburnumwood.balancing.avoidance import AVOID_MS
+from laburnumwood.balancing.request_balancer import RequestBalancer
 from laburnumwood.clock import Clock
 from laburnumwood.errors import (
     CallerDisconnectedError,
@@ -39,8 +41,8 @@
     cancel_exchange,
 )
 from laburnumwood.routing.problems import make_failure
-from laburnumwood.routing.request_balancer import AVOID_MS, RequestBalancer
 from laburnumwood.routing.retry_policy import MAX_OWNER_WAIT_MS, RetryPolicy
+from laburnumwood.routing.tracked_exchange import TrackedExchange
 from laburnumwood.tasks import start
 
 # Extra wait in which the gate can report at the deadline how a request ended.
@@ -60,6 +62,11 @@
     return request.work
 
 
+def _kind_of(work: Work) -> tuple[str, int, int]:
+    """Return what requests that take about as long have in common."""
+    return work.service, work.priority, work.objective_ms
+
+
 class Router:
     """Sends requests to the owners of their shards, with retries."""
 
@@ -181,7 +188,9 @@
     ) -> NodeName | None:
         nodes = self._view.serving_nodes(work.service)
         return self._balancer.choose(
-            retry_policy.without_full(nodes) or nodes, work.priority
+            retry_policy.without_full(nodes) or nodes,
+            work.priority,
+            _kind_of(work),
         )
 
     def _attempt(
@@ -204,7 +213,7 @@
         except LinkError as error:
             return self._open_failure(error, attempt)
         if work.shard < 0:
-            exchange = self._balancer.track(exchange, target, work.priority)
+            exchange = self._track(exchange, work, target)
         caller.set_gone_handler(lambda: cancel_exchange(exchange))
         answer = self._exchange_messages(exchange, attempt)
         if isinstance(answer, Failure):
@@ -213,6 +222,16 @@
             self._balancer.notices.record(target, answer.head.worker)
         return answer
 
+    def _track(
+        self, exchange: OutgoingExchange, work: Work, target: NodeName
+    ) -> OutgoingExchange:
+        record = self._view.serving_nodes(work.service).get(target)
+        slots = record.slots if record else 1
+        begun = self._balancer.begin(
+            target, slots, work.priority, _kind_of(work)
+        )
+        return TrackedExchange(exchange, begun, self._balancer)
+
     def _open_failure(self, error: LinkError, attempt: Attempt) -> Failure:
         if isinstance(error, CallerDisconnectedError):
             return make_failure('cancelled', str(error), ran=False)
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -73,6 +73,19 @@
     moves_per_minute: int = Field(default=4, ge=0, le=600)
 
 
+class BalancingSettings(BaseModel):
+    """How nodes are chosen for requests of services without keys.
+
+    A request goes to another failure domain if it is expected to be answered
+    sooner there by more than `crossing_ms`.  None: local nodes are preferred
+    while they are not busy.
+    """
+
+    model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
+
+    crossing_ms: int | None = Field(default=None, ge=0, le=60_000)
+
+
 class AdmissionSettings(BaseModel):
     """How requests are admitted to the worker."""
 
@@ -137,6 +150,7 @@
     stop_linger_ms: int = Field(default=0, ge=0, le=60_000)
     owner_patience_ms: int = Field(default=3_000, ge=0, le=60_000)
     admission: AdmissionSettings = AdmissionSettings()
+    balancing: BalancingSettings = BalancingSettings()
 
     @model_validator(mode='after')
     def _check_links(self) -> Self:
--- a/tests/features/balance.feature
+++ b/tests/features/balance.feature
@@ -198,6 +198,92 @@
       | overloaded | 2    | none     |
       | refused    | 0    | none     |
 
+  # Guards against requests that queue behind others because all nodes of a full
+  # service are avoided and one of them gets everything.
+  Scenario: nodes that all shed requests are still compared
+    Given nodes "a", "b" and "c" of a service without keys
+    And "a" reported 40 requests in flight
+    When a request of rank 1 to "a" fails as "overloaded"
+    And a request of rank 1 to "b" fails as "overloaded"
+    And a request of rank 1 to "c" fails as "refused"
+    Then none of 50 requests of rank 1 go to "c"
+    And none of 50 requests of rank 1 go to "a"
+
+  # Guards against requests that wait at slow workers while others are idle.
+  # Load: workers of uneven speed, with slow spells of 400 ms in a fifth of the
+  # time, at two thirds of what they can serve.
+  Scenario: workers get requests by their speed
+    Given the workers "a", "b" and "c" of slowness 0.7, 0.7 and 1.6
+    And a door that knows only its own tries
+    When 20 requests of 200 ms a second come for 30 s, with slow spells
+    Then "c" has between 9 and 26 in 100 of them
+
+  # Guards against bodies that cross domains although the own domain is no slower.
+  # Load: a domain at most of its slots, and one whose callers would wait.
+  Scenario Outline: requests cross to another domain if they wait longer here
+    Given nodes "a", "b" and "c" of a service without keys
+    And a crossing from the domain of "a" costs <cost> ms
+    And answers take 200 ms
+    And "a" reported <busy> requests in flight
+    And "b" reported 2 requests in flight
+    And "c" reported 2 requests in flight
+    Then <how many> of 50 requests of rank 1 go to "a"
+
+    Examples:
+      | cost | busy | how many |
+      | 100  | 0    | all      |
+      | 100  | 18   | all      |
+      | 100  | 26   | all      |
+      | 100  | 36   | none     |
+      | 400  | 36   | all      |
+
+  # Guards against a full service of which every other domain looks idle.
+  Scenario: nodes that have not reported count as busy as others
+    Given nodes "a", "b" and "c" of a service without keys
+    And a crossing from the domain of "a" costs 100 ms
+    And answers take 200 ms
+    And "a" reported 36 requests in flight
+    Then all of 50 requests of rank 1 go to "a"
+
+  # Guards against a node behind a squeezed link that looks idle for its answers
+  # that do not come.
+  Scenario: a node whose answers stay out gets fewer requests
+    Given nodes "a", "b" and "c" of a service without keys
+    And answers take 200 ms
+    When the callers of 12 requests to "a" leave after 2000 ms
+    Then "a" gets at most 10 of 50 more requests
+
+  # Guards against requests for cold nodes at the rate of warm ones.
+  Scenario: a node with few usable slots gets few requests although it is local
+    Given nodes "a", "b" and "c" of a service without keys
+    And a crossing from the domain of "a" costs 100 ms
+    And answers take 200 ms
+    When the worker of "a" can use 2 of its 20 slots
+    And 42 requests are spread and none ends
+    Then "a" has at most 6 of them
+
+  # Guards against shards that move for slow spells of 400 ms, and against
+  # shards that stay on a worker that is slow for long.
+  Scenario Outline: a worker that is at <pace> in <share> of 5 spells is slow or not
+    Given a worker whose answers tell its pace
+    When it is <pace> in 100 as slow in <share> of 5 spells of 400 ms for 12 s
+    Then other nodes count between <least> and <most> of its 20 slots
+    When it is 100 in 100 as slow in 5 of 5 spells of 400 ms for 8 s
+    Then other nodes count between 20 and 20 of its 20 slots
+
+    Examples:
+      | pace | share | least | most |
+      | 300  | 1     | 20    | 20   |
+      | 300  | 5     | 6     | 8    |
+      | 150  | 5     | 20    | 20   |
+
+  # Guards against taking the work of a slow node for work that takes as long
+  # anywhere.
+  Scenario: the load of shards on a slow worker counts at the usual pace
+    Given a report of load 9 for shard 4 of "b", and of 9 for shard 5
+    When the worker of "b" works at the pace 3
+    Then the load of shard 4 is estimated as 3
+
   Scenario: a node below the least utilization moves nothing for the load
     Given shards 0 to 3 on "a" and 4 to 7 on "b"
     And shards with these loads in slots
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -19,6 +19,7 @@
 
 from bench.deployment import free_port
 from laburnumwood.admission.retry_budget import RetryBudgets
+from laburnumwood.balancing.request_balancer import RequestBalancer
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations, Service
 from laburnumwood.errors import LinkLostError, LinkTimeoutError
@@ -31,7 +32,6 @@
 from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.exchange import Exchange, local_pair
 from laburnumwood.routing.pending_answer import PendingAnswer
-from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.server import HttpListener
 from tests.request_stack.ingress import make_ingress
--- a/tests/features/steps/large_service_steps.py
+++ b/tests/features/steps/large_service_steps.py
@@ -12,6 +12,7 @@
 
 from bench.spreading import record_of
 from laburnumwood.admission.retry_budget import RetryBudgets
+from laburnumwood.balancing.request_balancer import RequestBalancer
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Weights
 from laburnumwood.leases.lease import Lease
@@ -31,7 +32,6 @@
     StoredObject,
 )
 from laburnumwood.routing.exchange import local_pair
-from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import (
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -17,6 +17,7 @@
 from logbook import TestHandler
 
 from laburnumwood.admission.retry_budget import RetryBudgets
+from laburnumwood.balancing.request_balancer import RequestBalancer
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import LinkError, LinkTimeoutError
 from laburnumwood.placement.load_reports import LoadReports
@@ -31,7 +32,6 @@
     local_pair,
 )
 from laburnumwood.routing.problems import make_failure
-from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from tests.features.steps.plain_work import PLAIN_WORK, caller_request
 from tests.request_stack.stack import GATE_NAME, INGRESS_NAME, SingleGateView
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -12,6 +12,7 @@
 
 from bench.reporting import manifest, split_route
 from laburnumwood.admission.retry_budget import RetryBudgets
+from laburnumwood.balancing.request_balancer import RequestBalancer
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations, Route, Service
 from laburnumwood.decay import DecayingRate
@@ -23,7 +24,6 @@
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.exchange import OutgoingExchange, local_pair
 from laburnumwood.routing.problems import make_failure
-from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.retry_policy import RetryPolicy
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.routes import RouteTable, choose_service
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -14,6 +14,7 @@
 import eventlet
 
 from laburnumwood.admission.retry_budget import RetryBudgets
+from laburnumwood.balancing.request_balancer import RequestBalancer
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import (
     Declarations,
@@ -31,7 +32,6 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.routing.gate import receive_body
-from laburnumwood.routing.request_balancer import RequestBalancer
 from laburnumwood.routing.router import Router
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.runner import Runner
