Limit what a cold worker is sent

Cause: nothing read the declared warm-up of a service, the time left in reports or the health answers: a worker that came back cold got all its requests at once. Change: package warmup: when the worker is cold (reports, health answers, lost worker, start of this process) and a limiter for any one second, enforced at the gate and in WorkerClient.send. Other nodes learn it with the worker's notice. The declaration travels in optional files, of which nodes ignore what they don't know. The list of allowed sections in config.feature has the new one.

--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -7,7 +7,7 @@
 from laburnumwood.admission.class_times import ClassTimes
 from laburnumwood.admission.limit import ConcurrencyLimit, SlotCount
 from laburnumwood.admission.queue import FairQueue
-from laburnumwood.admission.rate_limiter import RateLimiter
+from laburnumwood.admission.rate_limiter import StartLimiter
 from laburnumwood.admission.tickets import Ticket, TicketResult, TicketState
 from laburnumwood.clock import Clock
 from laburnumwood.settings import AdmissionSettings
@@ -65,7 +65,7 @@
 
 
 PolicyFactory = Callable[
-    [AdmissionSettings, SlotCount, Clock, RateLimiter], AdmissionPolicy
+    [AdmissionSettings, SlotCount, Clock, StartLimiter], AdmissionPolicy
 ]
 ADMISSION_POLICIES: dict[str, PolicyFactory] = {}
 
@@ -108,7 +108,7 @@
         settings: AdmissionSettings,
         slots: SlotCount,
         clock: Clock,
-        rate_limiter: RateLimiter,
+        rate_limiter: StartLimiter,
     ) -> None:
         self._clock = clock
         self._rate_limiter = rate_limiter
@@ -357,7 +357,7 @@
         _settings: AdmissionSettings,
         slots: SlotCount,
         clock: Clock,
-        _rate_limiter: RateLimiter,
+        _rate_limiter: StartLimiter,
     ) -> None:
         self._slots = slots
         self._clock = clock
--- a/laburnumwood/config/declarations.py
+++ b/laburnumwood/config/declarations.py
@@ -151,6 +151,17 @@
     idle_timeout_ms: int = Field(default=3_600_000, ge=1, le=LONGEST_TIMEOUT_MS)
 
 
+class WarmUp(Declaration):
+    """What the workers of a service need after their start.
+
+    A worker is cold for `duration_ms`, and takes `per_second` requests a second
+    from all nodes together meanwhile.
+    """
+
+    duration_ms: int = Field(ge=0, le=3_600_000)
+    per_second: float = Field(gt=0, allow_inf_nan=False)
+
+
 class Weights(Declaration):
     """The weights of the terms of the cost function that places shards."""
 
@@ -170,3 +181,4 @@
     weights: Weights | None = None
     routes: dict[str, Route] = Field(default_factory=dict)
     caller_limits: CallerLimits = CallerLimits()
+    warm_ups: dict[Name, WarmUp] = Field(default_factory=dict)
--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -10,6 +10,7 @@
 from laburnumwood.config.declarations import Declarations, OverrideRule
 from laburnumwood.config.references import find_violations
 from laburnumwood.errors import DeclarationError
+from laburnumwood.records import ConfigRecord
 from laburnumwood.settings import describe_validation_error
 
 _WILDCARD_SUFFIX = '.*'
@@ -178,6 +179,24 @@
     return merger.result()
 
 
+def merge_record(record: ConfigRecord) -> Declarations:
+    """Return the declarations of an accepted configuration.
+
+    Sections of its optional files that this version does not know are left
+    out.  Raises `DeclarationError` with a line for each error.
+    """
+    known = Declarations.model_fields.keys()
+    optional = {
+        name: {
+            section: value
+            for section, value in content.items()
+            if section in known
+        }
+        for name, content in record.optional_files.items()
+    }
+    return merge_declarations({**record.all_files, **optional})
+
+
 def merge_declarations(files: Mapping[str, Mapping[str, Any]]) -> Declarations:
     """Merge files like `merge_files` and return only the declarations."""
     return merge_files(files).declarations
--- a/laburnumwood/config/references.py
+++ b/laburnumwood/config/references.py
@@ -113,3 +113,9 @@
         yield _undeclared(
             domain_path, pin.failure_domain, 'failure domain', declared
         )
+
+
+@_register_check
+def _check_warm_ups(merged: Declarations) -> Iterator[Violation]:
+    for name in merged.warm_ups.keys() - merged.services.keys():
+        yield _undeclared(f'warm_ups.{name}', name, 'service', merged.services)
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -100,8 +100,13 @@
             settings.lease,
             clock,
         )
+        self._worker_interface = integration.make_worker_interface(reporting)
         self._worker = WorkerClient(
-            settings.worker_url, settings.connections, clock
+            settings.worker_url,
+            settings.connections,
+            clock,
+            reporting.signals.warm_up,
+            self._worker_interface.record_health,
         )
         self._granter: Granter | None = None
         self._grants = self._make_grants(clock)
@@ -276,6 +281,11 @@
             grant_source = ShardGrantSource(
                 self._settings.service, self.lease, self.held_shards, self.view
             )
+            self._reporting.signals.warm_up.period.terms = lambda: (
+                self.view.directory.declarations.warm_ups.get(
+                    self._settings.service
+                )
+            )
             return grant_source.attach(self._reporting)
         self._granter = Granter(
             self._worker,
@@ -355,7 +365,7 @@
         )
         executor = Executor(
             self._worker,
-            self._integration.make_worker_interface(self._reporting),
+            self._worker_interface,
             self._ledger_replicator,
             self._quarantine,
             clock,
@@ -373,7 +383,7 @@
             WorkerState(
                 self._may_start,
                 self._slots,
-                self._reporting.signals.limit.rate_limiter,
+                self._reporting.signals.start_limiter,
                 self._reporting.signals.notice,
                 self._reporting.signals.known_notice,
                 self._reporting.signals.record_notice,
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -391,6 +391,12 @@
     'the worker reports tokens that this process has not granted it',
     'no action required if this node was restarted beside its worker',
 )
+WORKER_COLD = _event(
+    623,
+    logbook.INFO,
+    'worker-cold',
+    'the worker is cold, or not known to be warm, and is sent less',
+)
 REQUEST_FAILED = _event(
     701,
     logbook.INFO,
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -6,7 +6,7 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations
-from laburnumwood.config.merge import merge_declarations
+from laburnumwood.config.merge import merge_record
 from laburnumwood.errors import DeclarationError, RecordError
 from laburnumwood.events import (
     CONFIG_IN_FORCE,
@@ -297,7 +297,7 @@
         if record.generation <= self._config.generation:
             return
         try:
-            declared = merge_declarations(record.all_files)
+            declared = merge_record(record)
         except DeclarationError as invalid:
             CONFIG_REFUSED.report(generation=record.generation, reason=invalid)
             return
--- a/laburnumwood/metrics.py
+++ b/laburnumwood/metrics.py
@@ -145,6 +145,11 @@
     '1/s',
     'requests a second that the worker accepts; -1: it has named no limit',
 )
+WORKER_WARMING = _gauge(
+    'laburnumwood.worker.warming',
+    'ms',
+    'time for which the worker is still cold, as last heard; 0: it is warm',
+)
 LIMITED_REQUESTS = _counter(
     'laburnumwood.worker.limited',
     '1',
--- a/laburnumwood/placement/worker_notices.py
+++ b/laburnumwood/placement/worker_notices.py
@@ -20,14 +20,30 @@
 
     def present(self, now_ms: int) -> WorkerNotice:
         """Return the notice with the times that it names as of now."""
-        if self.notice.leaving_for_ms is None:
+        age_ms = now_ms - self.received_ms
+        leaving_for_ms = self.notice.leaving_for_ms
+        warming_ms = self.notice.warming_ms
+        if leaving_for_ms is None and warming_ms is None:
             return self.notice
-        leaving_for_ms = self.notice.leaving_for_ms + now_ms - self.received_ms
-        return replace(self.notice, leaving_for_ms=leaving_for_ms)
+        if leaving_for_ms is not None:
+            leaving_for_ms += age_ms
+        if warming_ms is not None:
+            warming_ms = max(0, warming_ms - age_ms)
+        return replace(
+            self.notice, leaving_for_ms=leaving_for_ms, warming_ms=warming_ms
+        )
+
+    def usable_slots(self, now_ms: int) -> float | None:
+        """Return how many slots can be kept busy, None if all of them."""
+        notice = self.present(now_ms)
+        if notice.limit_per_second is None and not notice.warming_ms:
+            return None
+        return notice.usable_slots
 
 
 def _is_ordinary(notice: WorkerNotice) -> bool:
-    return notice.limit_per_second is None and not notice.is_leaving
+    is_limited = notice.limit_per_second is not None or notice.warming_ms
+    return not is_limited and not notice.is_leaving
 
 
 class WorkerNotices:
@@ -56,9 +72,10 @@
     def usable_slots(self, node: NodeName, slots: int) -> float:
         """Return how many slots of a node can be kept busy."""
         received = self._latest_within(node, _MAX_LIMIT_AGE_MS)
-        if received is None or received.notice.usable_slots is None:
+        if received is None:
             return slots
-        return min(slots, max(received.notice.usable_slots, _MIN_SLOTS))
+        usable = received.usable_slots(self._clock.now_ms())
+        return slots if usable is None else min(slots, max(usable, _MIN_SLOTS))
 
     def _latest_within(
         self, node: NodeName, max_age_ms: int
--- a/laburnumwood/platform/headers.py
+++ b/laburnumwood/platform/headers.py
@@ -9,4 +9,5 @@
 NOT_RUN_HEADER = 'Not-Executed'  # the worker did not run the request
 LOAD_HEADER = 'Server-Load'  # running requests, waiting requests, slots
 LIMIT_HEADER = 'Server-Limit'  # requests a second that the worker accepts
+WARMING_HEADER = 'Warmup-Ms'  # for how much longer the worker is cold
 LEAVING_HEADER = 'Server-Leaving'  # '1': the worker is about to end
--- a/laburnumwood/platform/manifest.py
+++ b/laburnumwood/platform/manifest.py
@@ -4,6 +4,7 @@
 
 from pydantic import BaseModel, Field, FiniteFloat
 
+from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import LONGEST_HEAD, LONGEST_TIMEOUT_MS
 from laburnumwood.platform.bodies import decode_as
 from laburnumwood.platform.headers import KEY_HEADER
@@ -12,6 +13,7 @@
 
 _FILE = 'manifest'
 _LIMITS_FILE = 'manifest-limits'
+_WARM_UPS_FILE = 'manifest-warm-ups'
 _OPERATOR = 'operator'
 _IDEMPOTENT_TYPES = frozenset(('safe', 'download'))
 
@@ -46,6 +48,8 @@
     name: str
     max_conns: int | None = None
     sharded: bool = False
+    warmup_s: FiniteFloat | None = None
+    warmup_per_s: FiniteFloat | None = None
 
 
 class _Limits(BaseModel):
@@ -100,6 +104,18 @@
     return declaration
 
 
+def _declare_warm_ups(services: list[_Service]) -> dict[str, Any]:
+    """Return what cold workers tolerate, where a service names a rate."""
+    return {
+        each.name: {
+            'duration_ms': max(0, round((each.warmup_s or 0) * MS_PER_SECOND)),
+            'per_second': each.warmup_per_s,
+        }
+        for each in services
+        if each.warmup_per_s is not None and each.warmup_per_s > 0
+    }
+
+
 def _declare_limits(limits: _Limits) -> dict[str, Any]:
     given = {
         'longest_head': (limits.max_header_bytes, LONGEST_HEAD),
@@ -127,11 +143,14 @@
         'routes': {each.name: _declare_route(each) for each in manifest.routes},
     }
     limits = {'caller_limits': _declare_limits(manifest.limits)}
+    warm_ups = _declare_warm_ups(manifest.services)
+    optional = {_WARM_UPS_FILE: {'warm_ups': warm_ups}} if warm_ups else {}
     return to_value(
         ConfigRecord(
             manifest.version,
             {_FILE: declaration},
             _OPERATOR,
             added_files={_LIMITS_FILE: limits},
+            optional_files=optional,
         )
     )
--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterable
 from http import HTTPStatus
+from math import ceil
 from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, Field, StrictInt, StrictStr
+from pydantic import BaseModel, Field, FiniteFloat, StrictInt, StrictStr
 
 from laburnumwood.clock import Clock
 from laburnumwood.events import REPORT_REFUSED
@@ -48,6 +49,7 @@
     state: Literal['ready', 'draining']
     seq: StrictInt
     born: StrictInt
+    warmup_left_ms: FiniteFloat | None = None
     holds: list[tuple[StrictInt, StrictInt, _Token]] = Field(
         default_factory=list
     )
@@ -77,6 +79,7 @@
             for first, last, handover in wire_report.released
         ),
         follows_answer=follows_answer,
+        warming_ms=max(0, ceil(wire_report.warmup_left_ms or 0)),
     )
 
 
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -1,7 +1,9 @@
 """Request headers for the platform's workers, and checks of their answers."""
 
 import re
+from collections.abc import Mapping
 from http import HTTPStatus
+from math import ceil
 
 from laburnumwood.errors import WorkerAnswerError
 from laburnumwood.header_index import HeaderIndex
@@ -14,6 +16,7 @@
     ORIGIN_HEADER,
     STAMP_HEADER,
     TIME_LEFT_HEADER,
+    WARMING_HEADER,
     WORKER_HEADER,
 )
 from laburnumwood.routing.run import Run
@@ -132,6 +135,12 @@
         """Record what an answer says about the worker itself."""
         self._worker.signals.record(decode_signals(answer.index), sent_ms)
 
+    def record_health(self, headers: Mapping[str, str]) -> None:
+        """Record what the answer to a health check says about the worker."""
+        left = headers.get(WARMING_HEADER, '')
+        if _DECIMAL.fullmatch(left):
+            self._worker.signals.warm_up.period.record_health(ceil(float(left)))
+
     def cancel(self, _worker: WorkerClient, _run: Run) -> bool:
         """Return False: a worker stops a request if its connection closes."""
         return False
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -294,7 +294,8 @@
     (None: a file did not exist), and `from_version` the version of the object
     that it replaced, so that any node can complete the audit trail.
     `added_files` declare what nodes of an earlier version would refuse; such
-    nodes ignore them.
+    nodes ignore them.  Sections of `optional_files` that a node does not know
+    are ignored by it, as is the whole field by nodes of earlier versions.
     """
 
     generation: int
@@ -306,6 +307,7 @@
     from_version: int | None = None
     reason: str = ''
     added_files: dict[str, dict[str, Any]] = field(default_factory=dict)
+    optional_files: dict[str, dict[str, Any]] = field(default_factory=dict)
 
     @property
     def all_files(self) -> dict[str, dict[str, Any]]:
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -11,7 +11,7 @@
 from laburnumwood.admission.admitter import Admitter
 from laburnumwood.admission.control import ADMISSION_POLICIES
 from laburnumwood.admission.limit import SlotCount
-from laburnumwood.admission.rate_limiter import RateLimiter
+from laburnumwood.admission.rate_limiter import StartLimiter
 from laburnumwood.admission.tickets import Ticket, TicketResult
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Service
@@ -79,7 +79,7 @@
 
     accepts_requests: Callable[[], bool]
     slots: SlotCount
-    rate_limiter: RateLimiter
+    rate_limiter: StartLimiter
     notice: Callable[[float], WorkerNotice | None]
     known_notice: Callable[[float], WorkerNotice | None]
     record_notice: Callable[[WorkerNotice], None]
--- a/laburnumwood/routing/worker_interface.py
+++ b/laburnumwood/routing/worker_interface.py
@@ -1,5 +1,6 @@
 """HTTP conventions between a node and its worker."""
 
+from collections.abc import Mapping
 from typing import Protocol
 
 from laburnumwood.routing.run import Run
@@ -35,6 +36,9 @@
         `sent_ms` is when the request was sent.
         """
 
+    def record_health(self, headers: Mapping[str, str]) -> None:
+        """Record what the answer to a health check says about the worker."""
+
     def cancel(self, worker: WorkerClient, run: Run) -> bool:
         """Ask the worker to stop a request.
 
@@ -76,6 +80,9 @@
     def record_signals(self, answer: WorkerAnswer, sent_ms: int) -> None:
         """Do nothing: the worker says in no answer how it is."""
 
+    def record_health(self, headers: Mapping[str, str]) -> None:
+        """Do nothing: the worker says nothing about itself."""
+
     def cancel(self, worker: WorkerClient, run: Run) -> bool:
         """Call the cancel path of the worker; always returns True."""
         worker.cancel(run.work.request_id)
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -19,7 +19,7 @@
 NODE_PREFIX = 'nodes/'
 SHARD_PREFIX = 'shards/'
 AUDIT_PREFIX = 'audit/'
-_ADDED_FILES = 'added_files'  # of a configuration
+_ADDED_FIELDS = ('added_files', 'optional_files')  # of a configuration
 
 _Record = TypeVar('_Record', AuditRecord, ConfigRecord, NodeRecord, ShardRecord)
 _ADAPTERS: dict[type[Any], TypeAdapter[Any]] = {}  # created at first use
@@ -67,8 +67,9 @@
     value: dict[str, Any] = _adapter(type(record)).dump_python(
         record, mode='json'
     )
-    if not value.get(_ADDED_FILES, True):
-        value.pop(_ADDED_FILES)  # the form that earlier versions wrote
+    for name in _ADDED_FIELDS:
+        if not value.get(name, True):
+            value.pop(name)  # the form that earlier versions wrote
     return value
 
 
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -182,6 +182,10 @@
             return GrantReply()
         if status is ReportStatus.NEW_INSTANCE:
             self._start_instance(report)
+        self.signals.warm_up.period.record_report(
+            report.warming_ms,
+            is_new_instance=status is ReportStatus.NEW_INSTANCE,
+        )
         self._tokens.record_report(report)
         if self._source is not None:
             self._record_held(report)
--- a/laburnumwood/upstream/reports.py
+++ b/laburnumwood/upstream/reports.py
@@ -22,7 +22,8 @@
     increases with each report of an instance.  `follows_answer` is whether the
     worker sent it after an answer of this process, as shown by the connection
     that both came on.  Any other report may have been held up since a time
-    before this process started.
+    before this process started.  `warming_ms` is for how much longer the worker
+    is cold.
     """
 
     worker_id: str
@@ -34,6 +35,7 @@
     held: tuple[HeldRange, ...] = ()
     released: tuple[ReleasedRange, ...] = ()
     follows_answer: bool = False
+    warming_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -1,6 +1,6 @@
 """The client of the worker on this node's VM."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from http.client import HTTPException
 from typing import Any
@@ -16,15 +16,16 @@
 )
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
-from laburnumwood.errors import WorkerUnreachableError
+from laburnumwood.errors import WorkerBusyError, WorkerUnreachableError
 from laburnumwood.header_index import Header
 from laburnumwood.records import ShardName
-from laburnumwood.upstream.connection import request_head
+from laburnumwood.upstream.connection import WorkerConnection, request_head
 from laburnumwood.upstream.pool import (
     ConnectionPool,
     WorkerAnswer,
     to_worker_error,
 )
+from laburnumwood.warmup.worker_warmup import WorkerWarmUp
 
 _CONTROL_TIMEOUT_S = 0.5
 _MAX_SILENCE_MS = 10_000  # between two parts of an answer
@@ -77,14 +78,28 @@
     return is_timeout and not isinstance(reason, NewConnectionError)
 
 
+def _ignore_headers(_headers: Mapping[str, str]) -> None:
+    """Do nothing: the worker says nothing in its headers."""
+
+
 class WorkerClient:
     """A client of the worker at a URL.
 
-    Control calls and requests use separate connections.
+    Control calls and requests use separate connections.  `on_health` is called
+    with the headers of the worker's answers to health checks.
     """
 
-    def __init__(self, url: str, connections: int, clock: Clock) -> None:
+    def __init__(
+        self,
+        url: str,
+        connections: int,
+        clock: Clock,
+        warm_up: WorkerWarmUp | None = None,
+        on_health: Callable[[Mapping[str, str]], None] = _ignore_headers,
+    ) -> None:
         self._clock = clock
+        self._warm_up = warm_up or WorkerWarmUp(clock)
+        self._on_health = on_health
         self._request_pool = ConnectionPool(url, connections, clock)
         self._control_pool = connection_from_url(
             url, maxsize=_CONTROL_CONNECTIONS, retries=Retry(0, redirect=False)
@@ -93,20 +108,16 @@
     def send(self, request: WorkerRequest) -> WorkerAnswer:
         """Send a request once; return its answer, of which the head was read.
 
-        Raises `WorkerUnreachableError` if nothing was sent, and
-        `WorkerAnswerError` if the request may have run.
+        Raises `WorkerUnreachableError` or, while the worker is cold,
+        `WorkerBusyError` if nothing was sent, and `WorkerAnswerError` if the
+        request may have run.
         """
+        if not self._warm_up.limiter.may_send():
+            raise WorkerBusyError('the worker is cold and was sent enough')
         until_ms = self._clock.now_ms() + request.timeout_ms
-        try:
-            head = request_head(
-                request.method, request.target, request.all_headers
-            )
-            connection = self._request_pool.acquire(
-                request.timeout_ms, request.request_id
-            )
-        except (HTTPError, OSError, ValueError) as failure:
-            raise WorkerUnreachableError(repr(failure)) from failure
+        head, connection = self._prepare(request)
         response = None
+        self._warm_up.limiter.record_send()
         try:
             # Connecting may have taken a part of the time.
             left_ms = max(1, until_ms - self._clock.now_ms())
@@ -153,7 +164,10 @@
         eventlet.sleep(_SHUTDOWN_GRACE_MS / MS_PER_SECOND)
         failure = self._health_failure()
         # A worker that times out is busy or hangs, but has not ended.
-        return failure is not None and not _is_timeout(_reason(failure))
+        is_dead = failure is not None and not _is_timeout(_reason(failure))
+        if is_dead:
+            self._warm_up.period.record_loss()
+        return is_dead
 
     def load(self) -> int | None:
         """Return how many requests the worker reports to be running.
@@ -168,12 +182,32 @@
             return None
         return report.running if answer.status == _OK else None
 
+    def _prepare(
+        self, request: WorkerRequest
+    ) -> tuple[bytes, WorkerConnection]:
+        """Return the head of a request and a connection to send it on."""
+        try:
+            head = request_head(
+                request.method, request.target, request.all_headers
+            )
+            connection = self._request_pool.acquire(
+                request.timeout_ms, request.request_id
+            )
+        except (HTTPError, OSError, ValueError) as failure:
+            if isinstance(failure, NewConnectionError):
+                self._warm_up.period.record_loss()
+            raise WorkerUnreachableError(repr(failure)) from failure
+        return head, connection
+
     def _health_failure(self) -> HTTPError | None:
         timeout = Timeout(_CONTROL_TIMEOUT_S)
         try:
-            self._control_pool.request('GET', '/health', timeout=timeout)
+            answer = self._control_pool.request(
+                'GET', '/health', timeout=timeout
+            )
         except HTTPError as failure:
             return failure
+        self._on_health(answer.headers)
         return None
 
     def _control(self, method: str, path: str, **fields: Any) -> bool:
--- a/laburnumwood/upstream/worker_signals.py
+++ b/laburnumwood/upstream/worker_signals.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from laburnumwood.admission.rate_limiter import CombinedLimiter, StartLimiter
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import SIGNAL_REFUSED
 from laburnumwood.records import WorkerNotice
@@ -11,6 +12,9 @@
     AnnouncedLimit,
 )
 from laburnumwood.upstream.presence import Presence
+from laburnumwood.warmup.worker_warmup import WorkerWarmUp
+
+_ASSUMED_SLOT_MS = 200  # for which a request keeps a slot, before one ended
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,12 +44,23 @@
         self._instance_since_ms = clock.now_ms()
         self._refused = ''  # the last invalid header that was logged
         self.limit = AnnouncedLimit(clock)
+        self.warm_up = WorkerWarmUp(clock)
+        self.start_limiter: StartLimiter = CombinedLimiter(
+            self.limit.rate_limiter, self.warm_up.limiter
+        )
+
+    @property
+    def _recent_limit(self) -> float | None:
+        """Return the lower one of the limits of which was heard lately."""
+        limits = (self.limit.recent_per_second, self.warm_up.limiter.limit)
+        return min((each for each in limits if each is not None), default=None)
 
     def begin_instance(self) -> None:
         """Forget everything: another instance of the worker has started."""
         self._instance_since_ms = self._clock.now_ms()
         self._refused = ''
         self.limit.begin_instance(self._presence.worker_id)
+        self.warm_up.period.worker_id = self._presence.worker_id
 
     def record(self, signals: AnswerSignals, sent_ms: int) -> None:
         """Record what an answer says; its request was sent at `sent_ms`."""
@@ -73,7 +88,7 @@
 
         `mean_slot_ms` is the mean time for which a request keeps a slot.
         """
-        is_limited = self.limit.recent_per_second is not None
+        is_limited = self._recent_limit is not None
         if not is_limited and not self._presence.is_leaving:
             return None
         return self._make_notice(mean_slot_ms)
@@ -85,15 +100,16 @@
         return self.notice(mean_slot_ms)
 
     def _make_notice(self, mean_slot_ms: float) -> WorkerNotice:
-        limit = self.limit.recent_per_second
-        usable_slots = (limit or 0) * mean_slot_ms / MS_PER_SECOND
+        slot_ms = mean_slot_ms or _ASSUMED_SLOT_MS * self.warm_up.is_cold
+        usable_slots = (self._recent_limit or 0) * slot_ms / MS_PER_SECOND
         return WorkerNotice(
             worker_id=self._presence.worker_id,
             started_ms=self._presence.started_ms,
             is_leaving=self._presence.is_leaving,
-            limit_per_second=limit,
+            limit_per_second=self.limit.recent_per_second,
             usable_slots=usable_slots or None,
             leaving_for_ms=self._presence.leaving_for_ms,
+            warming_ms=self.warm_up.period.left_ms or None,
         )
 
     def _report_invalid(self, header: str) -> None:
--- /dev/null
+++ b/laburnumwood/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""How much a worker is sent while it is cold."""
--- a/tests/features/config.feature
+++ b/tests/features/config.feature
@@ -49,7 +49,7 @@
       40-bad.json: services.docs.key.name: Field required; found {'from': 5}
       40-bad.json: services.docs.key.from: unknown field; allowed: name, source
       40-bad.json: services.docs.deadline_ms: Input should be a valid integer; found '10s'
-      40-bad.json: service: unknown field; allowed: caller_limits, capacity_owners, failure_domains, pins, routes, rules, services, weights
+      40-bad.json: service: unknown field; allowed: caller_limits, capacity_owners, failure_domains, pins, routes, rules, services, warm_ups, weights
       50-more.json: weights.churn: Input should be greater than or equal to 0; found -1
       """
 
