Test and describe the warm-up of workers

Decisions on a fake clock: each way of turning cold, a node that restarts beside a cold worker, the end of the warm-up, what other nodes count, the manifest. The gate of the limit scenarios is now that of a reporting worker and moved to a module of its own; its assertions stay.

--- a/laburnumwood/warmup/cold_period.py
+++ b/laburnumwood/warmup/cold_period.py
@@ -35,8 +35,8 @@
 
     The worker counts as cold, too, while nothing shows that it is warm: before
     the first report to this process, and from when it could not be reached
-    until reports show how the worker is that answers now.  `terms` returns those
-    of the worker's service, None if its workers need no warm-up.
+    until reports show how the worker is that answers now.  `terms` returns
+    those of the service, None if its workers need no warm-up.
     """
 
     def __init__(self, clock: Clock) -> None:
--- a/tests/features/steps/worker_limit_steps.py
+++ b/tests/features/steps/worker_limit_steps.py
@@ -1,7 +1,6 @@
 """Steps about the limit that a worker names, as decisions on a fake clock."""
 
 from bisect import bisect_left, bisect_right
-from functools import partial
 from typing import Any
 
 import eventlet
@@ -9,7 +8,6 @@
 from behave.runner import Context
 from logbook import TestHandler
 
-from laburnumwood.admission.control import AdaptivePolicy
 from laburnumwood.admission.tickets import Ticket, TicketState, TrafficClass
 from laburnumwood.header_index import HeaderIndex
 from laburnumwood.placement.load_exchange import LoadExchange
@@ -20,16 +18,9 @@
 from laburnumwood.platform.workers import decode_signals
 from laburnumwood.protocol.messages import LoadReport, LoadRequest
 from laburnumwood.records import NodeName, WorkerNotice
-from laburnumwood.settings import AdmissionSettings, ReportSettings
-from laburnumwood.upstream.presence import Presence
-from laburnumwood.upstream.reports import WorkerReport
-from laburnumwood.upstream.worker_signals import AnswerSignals, WorkerSignals
-from tests.features.steps.fake_clock import FakeClock
-
-SLOTS = 18
-WORK_MS = 90
-OBJECTIVE_MS = 300
-DEADLINE_MS = 2_000
+from laburnumwood.upstream.worker_signals import AnswerSignals
+from tests.features.steps.limited_gate import WORK_MS, LimitedGate
+
 ROUND_S = 1.1  # more than a round of load reports
 NODE = NodeName('a', 1)
 WINDOW_MS = 4_000
@@ -41,71 +32,6 @@
     return None if text == 'none' else float(text)
 
 
-class LimitedGate:
-    """Admission in front of a worker that names a limit in its answers."""
-
-    def __init__(self) -> None:
-        self.clock = FakeClock()
-        self.presence = Presence(ReportSettings(), self.clock)
-        self.signals = WorkerSignals(self.presence, self.clock)
-        self.policy = AdaptivePolicy(
-            AdmissionSettings(),
-            lambda: SLOTS,
-            self.clock,
-            self.signals.limit.rate_limiter,
-        )
-        self.limit: float | None = None  # in the worker's answers
-        self.changed_ms: int | None = None  # first answer with that limit
-        self.tickets: list[tuple[int, Ticket]] = []  # by time of arrival
-        self._running: set[Ticket] = set()
-        self.report(1)
-
-    def report(self, number: int) -> None:
-        """Let the instance of the worker with a number report."""
-        self.presence.record_report(
-            WorkerReport('worker', 's', number, 1, SLOTS, False)
-        )
-        self.signals.begin_instance()
-
-    def offer(self, traffic_class: TrafficClass) -> None:
-        """Let a request arrive."""
-        now_ms = self.clock.now_ms()
-        ticket = Ticket(
-            f'key-{len(self.tickets)}',
-            now_ms + DEADLINE_MS,
-            now_ms + OBJECTIVE_MS,
-            traffic_class,
-        )
-        ticket.on_settled = partial(self._running.add, ticket)
-        self.tickets.append((now_ms, ticket))
-        self.policy.offer(ticket)
-
-    def pass_ms(self) -> None:
-        """Let a millisecond pass."""
-        self.clock.pass_ms(1)
-        now_ms = self.clock.now_ms()
-        if self.policy.next_start_in_ms == 0:
-            self.policy.dispatch()
-        for ticket in tuple(self._running):
-            if ticket.state is not TicketState.RUNNING:
-                self._running.discard(ticket)
-            elif ticket.started_ms + WORK_MS <= now_ms:
-                self._answer(ticket)
-
-    def _answer(self, ticket: Ticket) -> None:
-        now_ms = self.clock.now_ms()
-        if self.changed_ms is None:
-            self.changed_ms = now_ms
-        ticket.answer(now_ms)
-        self.signals.record(AnswerSignals(self.limit), ticket.started_ms)
-        self.policy.release(ticket)
-
-    def starts(self, since_ms: int) -> list[int]:
-        """Return the times at which requests started."""
-        times = [ticket.started_ms for _, ticket in self.tickets]
-        return sorted(each for each in times if each >= since_ms)
-
-
 @given('a gate whose worker may name a limit')
 def make_gate(context: Context) -> None:
     context.gate = LimitedGate()
--- a/tests/features/worker_limit.feature
+++ b/tests/features/worker_limit.feature
@@ -148,3 +148,62 @@
     When a request is answered with the limit none
     And its node reports its load
     Then the other node still knows the limit none
+
+  # A failure domain's workers come back cold while its requests wait for them.
+  Scenario Outline: a worker that <turns cold> gets no more than it tolerates
+    Given the workers of its service take 6 requests a second for 3000 ms when cold
+    When 60 requests a second arrive for 2 s
+    Then at least 100 requests started
+    When the worker <turns cold>
+    And 60 requests a second arrive for 3 s
+    Then within any second since, at most 8 requests started, and 10 in all
+    And each rejected request was rejected within 510 ms
+
+    Examples:
+      | turns cold                                       |
+      | reports that it is cold for 3100 ms              |
+      | starts anew and reports to be cold for 3100 ms   |
+      | cannot be reached                                |
+      | says in a health check that it is cold for 3100 ms |
+
+  # Guards against a burst beside what the process before has sent.
+  Scenario: a node that restarts beside a cold worker sends nothing in its first second
+    Given the workers of its service take 6 requests a second for 3000 ms when cold
+    And the process of the node restarts
+    When 60 requests a second arrive for 1 s
+    Then no request started within 1000 ms
+    When the worker reports that it is cold for 3100 ms
+    And 60 requests a second arrive for 2 s
+    Then within any second since, at most 8 requests started, and 8 in all
+
+  Scenario Outline: all is sent again when a worker is known to be warm
+    Given the workers of its service take 6 requests a second for 3000 ms when cold
+    When the worker <turns cold>
+    And the worker reports <count> times that it is warm
+    And 60 requests a second arrive for 2 s
+    Then <number> requests started
+
+    Examples:
+      | turns cold                                         | count | number       |
+      | reports that it is cold for 2900 ms                | 1     | at least 100 |
+      | cannot be reached                                  | 1     | at most 14   |
+      | cannot be reached                                  | 2     | at least 100 |
+      | says in a health check that it is cold for 2900 ms | 1     | at most 14   |
+      | says in a health check that it is cold for 2900 ms | 2     | at least 100 |
+
+  Scenario: workers of a service without a warm-up are sent all
+    When the worker reports that it is cold for 2900 ms
+    And 60 requests a second arrive for 2 s
+    Then at least 100 requests started
+    And other nodes count between 18 and 18 usable slots of 18
+
+  Scenario: other nodes count less of a cold worker until it is warm
+    Given the workers of its service take 6 requests a second for 3000 ms when cold
+    When the worker reports that it is cold for 2900 ms
+    Then other nodes count between 1 and 2 usable slots of 18
+    And 2900 ms later they count 18 usable slots of 18
+
+  Scenario: a manifest declares the warm-up, a later version something unknown
+    When a manifest declares that workers of "s" are cold for 3.5 s and take 6 a second
+    And a later version declares "unknown" beside it
+    Then cold workers of "s" take 6 requests a second for 3500 ms
