--- a/laburnumwood/metrics.py
+++ b/laburnumwood/metrics.py
@@ -153,7 +153,7 @@
 LIMITED_REQUESTS = _counter(
     'laburnumwood.worker.limited',
     '1',
-    'requests rejected because of a limit that the worker named, by service',
+    'requests rejected because of a limit on the worker, by service',
 )
 LEASE_HELD = _gauge(
     'laburnumwood.lease.held', '1', '1 while the lease of this node is held'
