--- a/laburnumwood/placement/worker_notices.py
+++ b/laburnumwood/placement/worker_notices.py
@@ -22,15 +22,30 @@
 
     def present(self, now_ms: int) -> WorkerNotice:
         """Return the notice with the times that it names as of now."""
-        if self.notice.leaving_for_ms is None:
+        age_ms = now_ms - self.received_ms
+        leaving_for_ms = self.notice.leaving_for_ms
+        warming_ms = self.notice.warming_ms
+        if leaving_for_ms is None and warming_ms is None:
             return self.notice
-        leaving_for_ms = self.notice.leaving_for_ms + now_ms - self.received_ms
-        return replace(self.notice, leaving_for_ms=leaving_for_ms)
+        if leaving_for_ms is not None:
+            leaving_for_ms += age_ms
+        if warming_ms is not None:
+            warming_ms = max(0, warming_ms - age_ms)
+        return replace(
+            self.notice, leaving_for_ms=leaving_for_ms, warming_ms=warming_ms
+        )
+
+    def usable_slots(self, now_ms: int) -> float | None:
+        """Return how many slots can be kept busy, None if all of them."""
+        notice = self.present(now_ms)
+        if notice.limit_per_second is None and not notice.warming_ms:
+            return None
+        return notice.usable_slots
 
 
 def _is_ordinary(notice: WorkerNotice) -> bool:
-    is_unlimited = notice.limit_per_second is None and notice.pace is None
-    return is_unlimited and not notice.is_leaving
+    takes_all = notice.limit_per_second is None and not notice.warming_ms
+    return takes_all and notice.pace is None and not notice.is_leaving
 
 
 class WorkerNotices:
@@ -64,7 +79,7 @@
         received = self._latest_within(node, _MAX_LIMIT_AGE_MS)
         if received is None:
             return slots
-        usable = received.notice.usable_slots
+        usable = received.usable_slots(self._clock.now_ms())
         limited = slots if usable is None else min(slots, usable)
         return max(limited / self.pace(node), _MIN_SLOTS)
 
