Show what callers that stop short of the end do to a node

Cause: in a trial callers that nobody controls ended a process: many large bodies at once, whole, in pieces or in chunks, most of them left open just short of their end.

Crowds and bounds are fixed here, before the product changes.

--- /dev/null
+++ b/tests/features/steps/uncontrolled_client_steps.py
@@ -0,0 +1,160 @@
+"""Steps about crowds of callers that stop before the end of a request."""
+
+import socket
+from contextlib import suppress
+from functools import partial
+from resource import RLIMIT_NOFILE, getrlimit, setrlimit
+
+import psutil
+from behave import given, then, when
+from behave.runner import Context
+
+from bench.deployment import HOST, Deployment, Place, wait_for
+from laburnumwood.clock import Clock
+from laburnumwood.config.acceptance import replace_configuration
+from laburnumwood.store.client import HttpStore
+
+SERVICE = 'portal'
+LIMIT_S = 60
+SEND_LIMIT_S = 20
+COMPLETE_ONE_OF = 8  # callers; the others stop
+PIECE_SIZE = 100_000  # bytes
+MB = 1_048_576  # bytes
+SMALL_BODY = b'x' * 1_000
+CONFIGURATION = {
+    'services': {
+        # The deadline comes after the end of a scenario.
+        SERVICE: {'deadline_ms': 600_000, 'longest_body': MB},
+    },
+    'failure_domains': ['a'],
+    'capacity_owners': {'licensing': {'contact': 'x'}},
+}
+
+
+def _connect(context: Context) -> socket.socket:
+    port = context.member.settings['door_port']
+    return socket.create_connection((HOST, port), SEND_LIMIT_S)
+
+
+def _head(fields: str) -> bytes:
+    return f'PUT /{SERVICE}/x HTTP/1.1\r\nHost: a\r\n{fields}\r\n\r\n'.encode()
+
+
+def _is_answered(context: Context) -> bool:
+    """Return whether a request with a body is answered on a new connection."""
+    head = _head(f'Content-Length: {len(SMALL_BODY)}')
+    with suppress(OSError), _connect(context) as caller:
+        caller.sendall(head + SMALL_BODY)
+        return caller.recv(PIECE_SIZE).startswith(b'HTTP/1.1 200 ')
+    return False
+
+
+@given('a node with {size:d} MB for bodies and {descriptors:d} descriptors')
+def start_node(context: Context, size: int, descriptors: int) -> None:
+    context.deployment = Deployment()
+    context.add_cleanup(context.deployment.close)
+    store = HttpStore(context.deployment.platform_url)
+    files = {'10-all.json': CONFIGURATION}
+    replace_configuration(store, files, 'scenario', Clock())
+    limits = getrlimit(RLIMIT_NOFILE)
+    setrlimit(RLIMIT_NOFILE, (descriptors, limits[1]))
+    try:
+        context.member = context.deployment.add(
+            Place('p1', 'a', SERVICE), body_memory_mb=size
+        )
+    finally:
+        setrlimit(RLIMIT_NOFILE, limits)
+    wait_for('an answer', partial(_is_answered, context), LIMIT_S)
+    context.process = psutil.Process(context.member.node.pid)
+    context.memory_before = context.process.memory_info().rss
+    context.most_grown = 0
+
+
+def _send_crowd(
+    context: Context, count: int, content: bytes, piece_size: int
+) -> None:
+    """Send a request on many connections, on most without its last byte."""
+    crowd = [_connect(context) for _ in range(count)]
+    for caller in crowd:
+        context.add_cleanup(caller.close)
+    stopping = count - count // COMPLETE_ONE_OF
+    _send_in_pieces(context, crowd[:stopping], content[:-1], piece_size)
+    _send_in_pieces(context, crowd[stopping:], content, piece_size)
+
+
+def _send_in_pieces(
+    context: Context,
+    callers: list[socket.socket],
+    content: bytes,
+    piece_size: int,
+) -> None:
+    """Send a request on all connections, a piece on each at a time."""
+    for offset in range(0, len(content), piece_size):
+        for caller in callers:
+            with suppress(OSError):  # refused, or closed
+                caller.sendall(content[offset : offset + piece_size])
+        _note_memory(context)
+
+
+def _note_memory(context: Context) -> None:
+    grown = context.process.memory_info().rss - context.memory_before
+    context.most_grown = max(context.most_grown, grown)
+
+
+@when(
+    '{count:d} callers send bodies of {size:d} bytes, and most stop just '
+    'short of the end'
+)
+def send_bodies(context: Context, count: int, size: int) -> None:
+    content = _head(f'Content-Length: {size}') + b'x' * size
+    _send_crowd(context, count, content, len(content))
+
+
+@when(
+    '{count:d} callers send bodies of {size:d} bytes in pieces, and most stop '
+    'just short of the end'
+)
+def send_bodies_in_pieces(context: Context, count: int, size: int) -> None:
+    content = _head(f'Content-Length: {size}') + b'x' * size
+    _send_crowd(context, count, content, PIECE_SIZE)
+
+
+@when(
+    '{count:d} callers send bodies of {size:d} bytes in chunks of '
+    '{chunk_size:d}, and most stop just short of the end'
+)
+def send_chunks(
+    context: Context, count: int, size: int, chunk_size: int
+) -> None:
+    chunk = b'%x\r\n%b\r\n' % (chunk_size, b'x' * chunk_size)
+    chunks = chunk * (size // chunk_size)
+    head = _head('Transfer-Encoding: chunked')
+    content = b'%b%b0\r\n\r\n' % (head, chunks)
+    _send_crowd(context, count, content, PIECE_SIZE)
+
+
+@when(
+    '{count:d} callers send heads of {size:d} bytes, and most stop just short '
+    'of the end'
+)
+def send_heads(context: Context, count: int, size: int) -> None:
+    head = _head(f'X: {"x" * size}')
+    _send_crowd(context, count, head, len(head))
+
+
+@then(
+    'the node runs with at most {size:d} MB more memory and {descriptors:d} '
+    'descriptors'
+)
+def check_process(context: Context, size: int, descriptors: int) -> None:
+    assert context.member.node.is_running
+    _note_memory(context)
+    assert context.most_grown <= size * MB, context.most_grown / MB
+    opened = context.process.num_fds()
+    assert opened <= descriptors, opened
+
+
+@then('an ordinary request with a body is answered')
+def check_answered(context: Context) -> None:
+    wait_for('an answer', partial(_is_answered, context), LIMIT_S)
+    assert context.member.node.is_running
--- a/tests/run.py
+++ b/tests/run.py
@@ -2,10 +2,10 @@
 
 A check is either a tool (formatter, linter, type checker, import rules) or a
 scenario of the features.  Tools and feature files run side by side, those that
-took longest in the last run first.  A failed check that is listed in
-KNOWN-RED.txt is printed but does not fail the run; a listed check that passes
-is printed too, so that its entry can be removed, and so is one that is not run
-here.
+took longest in the last run first; some files run alone after them.  A failed
+check that is listed in KNOWN-RED.txt is printed but does not fail the run; a
+listed check that passes is printed too, so that its entry can be removed, and
+so is one that is not run here.
 """
 
 import json
@@ -30,6 +30,8 @@
     *('platform', 'faults_together', 'tool', 'held', 'faults_stops'),
     *('put_back_fences', 'ownership', 'request_links', 'balance', 'path'),
 )
+# These measure the memory of processes and run after all others.
+_ALONE = frozenset(('uncontrolled_clients',))
 
 
 def _default_jobs() -> int:
@@ -95,7 +97,10 @@
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         jobs = sorted(all_jobs(folder), key=lambda job: -usual.get(job.name, 0))
-        done = _run_side_by_side(jobs, folder, at_once)
+        alone = [job for job in jobs if job.name in _ALONE]
+        others = [job for job in jobs if job.name not in _ALONE]
+        done = _run_side_by_side(others, folder, at_once)
+        done += _run_side_by_side(alone, folder, 1)
     _keep_seconds(done)
     return print_summary([each for result in done for each in result.outcomes])
 
