Bound what callers hold of unfinished requests, and their connections

Cause: a body was reserved by its length at once and kept until its deadline, so few callers that stopped short held all of the memory; chunks were kept as an object each, up to 64 KB of them unreserved for each caller, and read without a turn for other tasks; connections were limited at 4,096 whatever the descriptors; the memory of the VM played no part.

Change: memory is reserved as bytes come, from a budget that follows the memory of the VM; when it is short, what has made no progress for longest is refused as not run; an eighth is left to short requests. Bodies are read in the parts in which they come into one buffer, with turns for others. Heads in pieces count. Connections are limited by descriptors and memory; at the limit the one that has waited longest for its caller is closed. A caller that reads nothing for a minute is given up. body_memory moves to the package resources.

--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -43,7 +43,8 @@
 from laburnumwood.protocol.security import LinkSecurity
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import NodeName
-from laburnumwood.routing.body_memory import BODY_MEMORY
+from laburnumwood.resources.body_memory import BODY_MEMORY
+from laburnumwood.resources.connections import connection_limit
 from laburnumwood.routing.caller_interface import send_problem
 from laburnumwood.routing.problems import StartResponse, make_failure
 from laburnumwood.routing.server import HttpListener, close_after_answer
@@ -163,6 +164,9 @@
             self._serve_caller,
             self._clock,
             self._caller_limits,
+            connection_limit(
+                settings.max_descriptors, settings.usable_memory_bytes
+            ),
         )
         if settings.operator_port is not None:
             operators = (settings.host, settings.operator_port)
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -143,13 +143,21 @@
 
 
 class BodyMemoryError(LaburnumwoodError):
-    """There is no memory for a request's body."""
+    """There is no memory for a request's body, which has not run.
 
-    def __init__(self, size: int, reserved: int, most: int) -> None:
-        super().__init__(
-            f'no memory for {size} bytes; {reserved} of {most} are in use'
-        )
-        self.never_fits = size > most
+    `never_fits` is whether there would be none without other requests either.
+    """
+
+    def __init__(self, reason: str, *, never_fits: bool = False) -> None:
+        super().__init__(reason)
+        self.never_fits = never_fits
+
+
+class BodyEvictedError(BodyMemoryError):
+    """A request that has stalled made room for others."""
+
+    def __init__(self, stalled_ms: int) -> None:
+        super().__init__(f'it stalled for {stalled_ms} ms, others need memory')
 
 
 class WorkerTimeoutError(WorkerAnswerError):
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -500,6 +500,21 @@
     'a request was rejected at this door because its gate rejects most that '
     'are like it',
 )
+BODY_EVICTED = _event(
+    721,
+    logbook.WARNING,
+    'body-evicted',
+    'a request that had stopped coming was refused, as memory was short',
+    'find out which callers stop in the middle of their requests',
+)
+CONNECTION_EVICTED = _event(
+    722,
+    logbook.WARNING,
+    'connection-evicted',
+    'the connection of a caller was closed, as too many were open',
+    'find out which callers open so many; compare with the descriptors and '
+    'the memory of the VM',
+)
 TASK_FAILED = _event(
     901,
     logbook.ERROR,
--- a/laburnumwood/metrics.py
+++ b/laburnumwood/metrics.py
@@ -103,6 +103,16 @@
     '1',
     'requests that this door answered with a problem of its own, by kind',
 )
+BODIES_EVICTED = _counter(
+    'laburnumwood.bodies.evicted',
+    '1',
+    'requests that had stopped coming and were refused, as memory was short',
+)
+CONNECTIONS_EVICTED = _counter(
+    'laburnumwood.connections.evicted',
+    '1',
+    'connections of callers that were closed because too many were open',
+)
 CONFIG_DECISIONS = _counter(
     'laburnumwood.config.decisions',
     '1',
--- /dev/null
+++ b/laburnumwood/resources/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on the memory and the connections that callers may use."""
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -14,13 +14,18 @@
 from typing import Any
 from urllib.parse import unquote
 
+import eventlet
 from eventlet import Timeout, wsgi
 from eventlet.green import socket
 from eventlet.hubs import notify_close
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.config.declarations import CallerLimits
-from laburnumwood.errors import LaburnumwoodError
+from laburnumwood.errors import (
+    BodyEvictedError,
+    BodyMemoryError,
+    LaburnumwoodError,
+)
 from laburnumwood.events import (
     ANSWER_FAILED,
     ANSWER_LATE,
@@ -29,6 +34,13 @@
 )
 from laburnumwood.header_index import Header, HeadError
 from laburnumwood.metrics import ANSWER_OVERRUN, PROBLEM_ANSWERS
+from laburnumwood.resources.body_memory import (
+    BODY_MEMORY,
+    BodyReservation,
+    evict_current_task,
+)
+from laburnumwood.resources.connections import ConnectionTable
+from laburnumwood.routing.body_input import BodyInput, ChunkReader
 from laburnumwood.routing.problems import (
     PROBLEMS,
     make_failure,
@@ -37,7 +49,6 @@
     status_line,
 )
 from laburnumwood.routing.request_head import (
-    ChunkReader,
     HeadReader,
     HeadTimeoutError,
     HeadTooLargeError,
@@ -52,6 +63,7 @@
 
 # Keys of the WSGI environment.
 ANSWERED_KEY = 'laburnumwood.answered'  # requests answered on the connection
+CONNECTION_KEY = 'laburnumwood.connection'  # its `CallerConnection`
 CLOSE_KEY = 'laburnumwood.close'  # function: close after this answer
 HEADERS_KEY = 'laburnumwood.headers'  # the `HeaderIndex` of the request
 REQUEST_ID_KEY = 'laburnumwood.request'  # request id, once it is known
@@ -63,10 +75,15 @@
 _MAX_DRAIN_BYTES = 67_108_864  # most unread bytes to discard
 _CONTINUE_LINE = b'HTTP/1.1 100 Continue\r\n'
 _BODYLESS_STATUSES = frozenset(('204', '304'))
+_HEAD_BUFFER = 16_384  # bytes of a head that are read ahead
 _MAX_EMPTY_LINES = 8  # before a request
 _END_OF_HEAD = b'\r\n\r\n'
 _PEEK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
+_WRITE_BUFFER_SIZE = 512  # bytes; answers are sent without it
+_SEND_TIMEOUT_S = 60  # in which a caller has to read anything
 _PROBLEM_KINDS: dict[type[LaburnumwoodError], str] = {
+    BodyMemoryError: 'overloaded',
+    BodyEvictedError: 'overloaded',
     HeadError: 'bad-request',
     HeadTooLargeError: 'headers-too-large',
     TargetTooLongError: 'target-too-long',
@@ -153,7 +170,7 @@
         if not content:
             return
         try:
-            self._protocol.connection.sendall(content)
+            self._protocol.send(content)
         except OSError as error:
             raise _CallerLostError(repr(error)) from error
 
@@ -161,20 +178,33 @@
 class CallerProtocol(wsgi.HttpProtocol):
     """Answers a request that can't be parsed with a problem.
 
-    `get_limits` returns the limits in force.
+    `get_limits` returns the limits in force; `connections` has all those of
+    the listener.
     """
 
+    wbufsize = _WRITE_BUFFER_SIZE
+
     def __init__(
         self,
         get_limits: LimitsProvider,
         clock: Clock,
+        connections: ConnectionTable,
         conn_state: list[Any],
         server: Any,
     ) -> None:
         self._get_limits = get_limits
         self._clock = clock
         self._answered = 0  # requests on this connection
-        super().__init__(conn_state, server)
+        self._head_memory: BodyReservation | None = None
+        connection = connections.open(conn_state[1])
+        if connection is None:
+            return  # the server closes it
+        self._connection = connection
+        try:
+            super().__init__(conn_state, server)
+        finally:
+            self._release_head()
+            connections.remove(connection)
 
     def parse_request(self) -> bool:
         """Set what the library reads of a head; return True.
@@ -200,7 +230,7 @@
         content_length = headers.first('content-length')
         is_chunked = headers.has('transfer-encoding')
         expects_continue = headers.first('expect').lower() == '100-continue'
-        body = wsgi.Input(
+        body = BodyInput(
             ChunkReader(self.rfile, self._longest_line)
             if is_chunked
             else self.rfile,
@@ -225,6 +255,7 @@
             'headers_raw': self._head.fields,
             HEADERS_KEY: headers,
             TARGET_KEY: self.path,
+            CONNECTION_KEY: self._connection,
             TIME_KEY: RequestTime(self._clock, self._arrived_ms),
             ANSWERED_KEY: self._answered,
             CLOSE_KEY: self._close_after_answer,
@@ -253,8 +284,22 @@
                 parts.close()
             self._end_response(answer, body)
 
-    def _end_response(self, answer: _AnswerWriter, body: wsgi.Input) -> None:
+    def send(self, content: bytes) -> None:
+        """Send a part of an answer; raises `OSError`.
+
+        A caller that does not read is given up after a while.
+        """
+        self._connection.begin_wait()
+        self.connection.settimeout(_SEND_TIMEOUT_S)
+        try:
+            self.connection.sendall(content)
+        finally:
+            self.connection.settimeout(None)
+            self._connection.end_wait()
+
+    def _end_response(self, answer: _AnswerWriter, body: BodyInput) -> None:
         self._answered += 1
+        self._release_head()
         self._record_overrun(answer)
         self._discard_unread_body(body)
 
@@ -299,7 +344,7 @@
             with suppress(_CallerLostError):
                 answer.finish()
 
-    def _discard_unread_body(self, body: wsgi.Input) -> None:
+    def _discard_unread_body(self, body: BodyInput) -> None:
         """Discard the unread rest of a body, or close the connection.
 
         A caller may send all of it before it reads the answer.
@@ -314,7 +359,7 @@
                 self._drain()
             return
         try:
-            body.discard()
+            body.skip_rest()
         except (wsgi.ChunkReadError, OSError):
             self.close_connection = True
 
@@ -325,7 +370,8 @@
         """Read a whole head; return its request line, '' if there is none."""
         try:
             head = self._await_head()
-        except (HeadError, HeadTimeoutError) as error:
+        except (HeadError, HeadTimeoutError, BodyMemoryError) as error:
+            self._release_head()
             self._refuse(_PROBLEM_KINDS[type(error)], str(error))
             return ''
         except OSError:
@@ -333,6 +379,7 @@
         if head is None or self.conn_state[2] == wsgi.STATE_CLOSE:
             # Closed while it was idle: an answer could no longer be sent.
             return ''
+        self._connection.end_wait()
         self._head = head
         return f'{head.method} {head.target} {head.version}'
 
@@ -353,6 +400,7 @@
     def _await_bytes(self) -> bool:
         """Wait for bytes; return whether any came before limit and end."""
         idle_s = self._get_limits().idle_timeout_ms / MS_PER_SECOND
+        self._connection.begin_wait()
         with Timeout(idle_s, exception=False):
             return bool(self.rfile.peek(1))
         return self._has_unread_bytes()
@@ -374,12 +422,22 @@
     def _receive_head(self) -> RequestHead | None:
         limits = self._get_limits()
         self._longest_line = limits.longest_head
-        reader = HeadReader(self.rfile, limits.longest_head)
         if _END_OF_HEAD in self.rfile.peek(1):
+            reader = HeadReader(self.rfile, limits.longest_head)
             return read_request_head(reader.read_line)  # needs no time limit
+        self._head_memory = BODY_MEMORY.reserve(evict=evict_current_task())
+        self._head_memory.grow(_HEAD_BUFFER)
+        reader = HeadReader(self.rfile, limits.longest_head, self._head_memory)
         timed_out = HeadTimeoutError(f'{limits.head_timeout_ms} ms have passed')
         with Timeout(limits.head_timeout_ms / MS_PER_SECOND, timed_out):
-            return read_request_head(reader.read_line)
+            head = read_request_head(reader.read_line)
+        self._head_memory.complete()
+        return head
+
+    def _release_head(self) -> None:
+        if self._head_memory is not None:
+            self._head_memory.release()
+            self._head_memory = None
 
     def _refuse(self, kind: str, detail: str) -> None:
         failure = make_failure(kind, detail, ran=False)
@@ -406,4 +464,5 @@
         with Timeout(_DRAIN_TIMEOUT_S, exception=False):
             while remaining > 0:
                 received = self.request.recv(_DRAIN_SIZE)
+                eventlet.sleep(0)  # the time ends also while more comes
                 remaining -= len(received) or remaining
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -40,7 +40,7 @@
 from laburnumwood.protocol.messages import Chunk, End, Failure, Work
 from laburnumwood.protocol.send_queue import SEND_QUEUE
 from laburnumwood.records import ShardName, ShardRecord, WorkerNotice
-from laburnumwood.routing.body_memory import BODY_MEMORY
+from laburnumwood.resources.body_memory import BODY_MEMORY
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.routing.execution import ExecutionCheck, Executor
 from laburnumwood.routing.observed import (
--- a/laburnumwood/routing/read_ahead.py
+++ b/laburnumwood/routing/read_ahead.py
@@ -13,7 +13,7 @@
 from laburnumwood.notifier import Notifier
 from laburnumwood.protocol.messages import Chunk
 from laburnumwood.protocol.send_queue import SEND_QUEUE, SendQueue
-from laburnumwood.routing.body_memory import BodyMemory
+from laburnumwood.resources.body_memory import BodyMemory
 from laburnumwood.routing.exchange import Exchange
 from laburnumwood.tasks import start_joinable
 
@@ -21,7 +21,7 @@
 _MAX_UNSENT_OF_ALL_BYTES = 16_777_216  # of all answers of the process
 _ROOM_CHECK_MS = 50  # other answers may have made room
 
-_ANSWER_MEMORY = BodyMemory(_MAX_UNSENT_OF_ALL_BYTES)
+_ANSWER_MEMORY = BodyMemory(_MAX_UNSENT_OF_ALL_BYTES, large_share=1)
 
 
 class ReadAhead:
--- a/laburnumwood/routing/request_head.py
+++ b/laburnumwood/routing/request_head.py
@@ -3,9 +3,7 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import BinaryIO, Protocol
-
-from eventlet.wsgi import ChunkReadError
+from typing import Protocol
 
 from laburnumwood.errors import LaburnumwoodError
 from laburnumwood.header_index import (
@@ -15,6 +13,7 @@
     HeadError,
     read_headers,
 )
+from laburnumwood.resources.body_memory import BodyReservation
 
 _REQUEST_LINE = re.compile(
     r'([^\x00-\x20\x7f]+) ([^\x00-\x20\x7f]+) (HTTP/1\.[01])\r?\n'
@@ -25,6 +24,7 @@
 _LENGTH_PATTERN = re.compile('[0-9]{1,18}')
 _MAX_QUOTED_LENGTH = 80  # characters of an invalid line in an error message
 _LONGEST_EMPTY_LINE = 2  # bytes
+_LINE_OVERHEAD = 256  # bytes that a parsed header takes besides its text
 
 
 class HeadTooLargeError(HeadError):
@@ -49,12 +49,19 @@
 class HeadReader:
     """Reads the lines of one head, of at most `max_bytes` together.
 
-    The empty line that ends a head does not count.
+    The empty line that ends a head does not count.  `memory` grows with what
+    is read.
     """
 
-    def __init__(self, stream: LineStream, max_bytes: int) -> None:
+    def __init__(
+        self,
+        stream: LineStream,
+        max_bytes: int,
+        memory: BodyReservation | None = None,
+    ) -> None:
         self._stream = stream
         self._left = max_bytes
+        self._memory = memory
 
     def read_line(self) -> bytes:
         """Return the next line; raises `HeadTooLargeError`."""
@@ -64,28 +71,8 @@
         self._left -= len(line)
         if self._left < 0:
             raise HeadTooLargeError('a header or all of them')
-        return line
-
-
-class ChunkReader:
-    """Reads a body in chunks, of which no line is longer than `max_bytes`.
-
-    The lines are those with the sizes of chunks, and the trailers.
-    """
-
-    def __init__(self, stream: BinaryIO, max_bytes: int) -> None:
-        self._stream = stream
-        self._max_bytes = max_bytes
-
-    def read(self, size: int) -> bytes:
-        """Return the next bytes of a chunk."""
-        return self._stream.read(size)
-
-    def readline(self) -> bytes:
-        """Return the next line; raises `ChunkReadError`."""
-        line = self._stream.readline(self._max_bytes + 1)
-        if len(line) > self._max_bytes:
-            raise ChunkReadError(f'a line of over {self._max_bytes} bytes')
+        if self._memory is not None:
+            self._memory.grow(len(line) + _LINE_OVERHEAD)
         return line
 
 
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -14,8 +14,13 @@
 from laburnumwood.errors import BodyMemoryError, LaburnumwoodError
 from laburnumwood.placement.sharding import initial_shard
 from laburnumwood.protocol.messages import Work
-from laburnumwood.routing.body_memory import BODY_MEMORY, BodyReservation
-from laburnumwood.routing.caller_protocol import TIME_KEY
+from laburnumwood.resources.body_memory import (
+    BODY_MEMORY,
+    BodyReservation,
+    evict_current_task,
+)
+from laburnumwood.resources.connections import CallerConnection
+from laburnumwood.routing.caller_protocol import CONNECTION_KEY, TIME_KEY
 from laburnumwood.routing.caller_request import CallerRequest
 from laburnumwood.routing.headers import forwarded_headers, header_values
 from laburnumwood.routing.problems import make_failure
@@ -27,7 +32,7 @@
 _DEADLINE_HEADER = 'Laburnumwood-Deadline-Ms'
 _MAX_IDENTIFIER_LENGTH = 256  # characters of a request id or key
 _DEFAULT_DEADLINE_MS = 10_000
-_READ_SIZE = 65_536  # bytes
+_READ_SIZE = 16_384  # bytes
 _RESERVATION_KEY = 'laburnumwood.body'  # of the WSGI environment
 _INTEGER = re.compile('-?[0-9]{1,12}')
 _METHOD = re.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+")
@@ -108,12 +113,17 @@
     environ: Environ, max_bytes: int, reservation: BodyReservation
 ) -> bytes:
     stream = environ['wsgi.input']
+    connection: CallerConnection = environ[CONNECTION_KEY]
     body = BytesIO()  # its value is not copied
-    while chunk := stream.read(_READ_SIZE):
-        body.write(chunk)
+    connection.begin_wait()
+    while part := stream.read_part(_READ_SIZE):
+        body.write(part)
         if body.tell() > max_bytes:
             raise RequestRefusedError('too-large', f'over {max_bytes} bytes')
         reservation.grow_to(body.tell())
+        connection.begin_wait(reservation.progressed_ms)
+    connection.end_wait()
+    reservation.complete()
     return body.getvalue()
 
 
@@ -140,11 +150,13 @@
         return b''
     if content_length and int(content_length) > max_bytes:
         raise RequestRefusedError('too-large', f'over {max_bytes} bytes')
-    reservation = environ.setdefault(_RESERVATION_KEY, BODY_MEMORY.reserve())
+    reservation = environ.setdefault(
+        _RESERVATION_KEY, BODY_MEMORY.reserve(evict=evict_current_task())
+    )
     too_late = RequestRefusedError('deadline', 'the body did not come in time')
     left_s = max(0, environ[TIME_KEY].left_ms) / MS_PER_SECOND
     try:
-        reservation.grow_to(int(content_length or 0))
+        reservation.expect(int(content_length or 0))
         with Timeout(left_s, too_late):
             body = _read_stream(environ, max_bytes, reservation)
     except BodyMemoryError as error:
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -13,6 +13,7 @@
 from laburnumwood.config.declarations import CallerLimits
 from laburnumwood.events import NOT_ACCEPTED
 from laburnumwood.listening import Address, listen
+from laburnumwood.resources.connections import ConnectionTable, connection_limit
 from laburnumwood.routing.caller_protocol import (
     CLOSE_KEY,
     CallerProtocol,
@@ -21,7 +22,7 @@
 )
 from laburnumwood.tasks import start, start_joinable
 
-_MAX_CONNECTIONS = 4_096
+_REFUSED_AT_ONCE = 16  # connections that are accepted beyond the limit
 
 
 def reset_caller(environ: dict[str, Any]) -> None:
@@ -40,16 +41,18 @@
     application: Any,
     clock: Clock,
     get_limits: LimitsProvider = CallerLimits,
+    max_connections: int | None = None,
 ) -> None:
     """Serve callers on a listening socket; does not return.
 
     `get_limits` returns the limits in force on what they send.
     """
+    connections = ConnectionTable(max_connections or connection_limit(), clock)
     wsgi.server(
         listener,
         application,
-        protocol=partial(CallerProtocol, get_limits, clock),
-        max_size=_MAX_CONNECTIONS,
+        protocol=partial(CallerProtocol, get_limits, clock, connections),
+        max_size=connections.most + _REFUSED_AT_ONCE,
         url_length_limit=sys.maxsize,  # the protocol limits whole heads
         minimum_chunk_size=1,
         log_output=False,
@@ -66,10 +69,16 @@
         application: Any,
         clock: Clock,
         get_limits: LimitsProvider = CallerLimits,
+        max_connections: int | None = None,
     ) -> None:
         self._listener = listen(address, NOT_ACCEPTED.report)
         self._server = start_joinable(
-            serve_callers, self._listener, application, clock, get_limits
+            serve_callers,
+            self._listener,
+            application,
+            clock,
+            get_limits,
+            max_connections,
         )
 
     def close(self, patience_ms: int) -> None:
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -20,6 +20,9 @@
 MAX_PORT = 65_535
 _ADDRESS = r'^[^:]+:\d{1,5}$'
 _BYTES_PER_MB = 1_048_576
+_PROCESS_MB = 64  # of a process that does nothing
+_LEAST_USABLE_MB = 8
+_BODY_SHARE = 0.6  # of the memory besides the process
 _USABLE_GRACE = 5 / 6  # share of the time until the process would be killed
 _END_MS = 300  # from the last answer to the end of the process
 SECRET_FIELDS = frozenset(('shared_key', 'token'))
@@ -131,6 +134,8 @@
     lease: LeaseSettings = LeaseSettings()
     reports: ReportSettings = ReportSettings()
     placement: PlacementSettings = PlacementSettings()
+    memory_mb: int | None = Field(default=None, ge=1)
+    max_descriptors: int | None = Field(default=None, ge=1)
     body_memory_mb: int = Field(default=144, ge=1, le=65_536)
     stop_patience_ms: int = Field(default=60_000, ge=0, le=3_600_000)
     stop_grace_s: float | None = Field(default=None, ge=1, le=3_600)
@@ -178,8 +183,22 @@
 
     @property
     def body_memory_bytes(self) -> int:
-        """Return how many bytes of request bodies are held at a time."""
-        return self.body_memory_mb * _BYTES_PER_MB
+        """Return how many bytes of request bodies are held at a time.
+
+        On a VM of little memory it is less than the settings allow.
+        """
+        most = self.body_memory_mb * _BYTES_PER_MB
+        if self.usable_memory_bytes is None:
+            return most
+        return min(most, int(self.usable_memory_bytes * _BODY_SHARE))
+
+    @property
+    def usable_memory_bytes(self) -> int | None:
+        """Return what the VM has besides the process, None if not known."""
+        if self.memory_mb is None:
+            return None
+        usable_mb = max(_LEAST_USABLE_MB, self.memory_mb - _PROCESS_MB)
+        return usable_mb * _BYTES_PER_MB
 
     @property
     def caller_address(self) -> tuple[str, int]:
--- a/tests/features/steps/limit_steps.py
+++ b/tests/features/steps/limit_steps.py
@@ -14,7 +14,7 @@
 from laburnumwood.membership.directory import Directory
 from laburnumwood.platform.manifest import read_manifest
 from laburnumwood.records import StoredObject
-from laburnumwood.routing.body_memory import BODY_MEMORY
+from laburnumwood.resources.body_memory import BODY_MEMORY
 from laburnumwood.store.objects import CONFIG_NAME
 from tests.fuzz.inputs import send_malformed
 from tests.request_stack.door import RecordingRouter, serve_door
--- a/tests/features/steps/uncontrolled_client_steps.py
+++ b/tests/features/steps/uncontrolled_client_steps.py
@@ -12,7 +12,11 @@
 from bench.deployment import HOST, Deployment, Place, wait_for
 from laburnumwood.clock import Clock
 from laburnumwood.config.acceptance import replace_configuration
+from laburnumwood.errors import BodyMemoryError
+from laburnumwood.resources.body_memory import BodyMemory
+from laburnumwood.resources.connections import ConnectionTable
 from laburnumwood.store.client import HttpStore
+from tests.features.steps.fake_clock import FakeClock
 
 SERVICE = 'portal'
 LIMIT_S = 60
@@ -20,6 +24,7 @@
 COMPLETE_ONE_OF = 8  # callers; the others stop
 PIECE_SIZE = 100_000  # bytes
 MB = 1_048_576  # bytes
+CALLERS = 10  # of whom each holds a part of the memory
 SMALL_BODY = b'x' * 1_000
 CONFIGURATION = {
     'services': {
@@ -158,3 +163,73 @@
 def check_answered(context: Context) -> None:
     wait_for('an answer', partial(_is_answered, context), LIMIT_S)
     assert context.member.node.is_running
+
+
+@given(
+    'memory for {size:d} bytes, all held by callers that stopped {span_ms:d} '
+    'ms ago'
+)
+def fill_memory(context: Context, size: int, span_ms: int) -> None:
+    clock = FakeClock()
+    context.evicted = []
+    context.memory = BodyMemory(size, clock)
+    for _ in range(CALLERS):
+        held = context.memory.reserve(evict=context.evicted.append)
+        held.grow(size // CALLERS)
+    clock.pass_ms(span_ms)
+
+
+@when('a caller sends {size:d} bytes')
+def send_bytes(context: Context, size: int) -> None:
+    try:
+        context.memory.reserve(evict=context.evicted.append).grow(size)
+    except BodyMemoryError:
+        context.end = 'refused'
+    else:
+        context.end = 'received'
+
+
+@then('it is {end} and {count:d} others were evicted')
+def check_evicted(context: Context, end: str, count: int) -> None:
+    assert context.end == end, context.end
+    assert len(context.evicted) == count, context.evicted
+
+
+@given(
+    '{count:d} of {most:d} connections, of which all but one have waited '
+    '{span_ms:d} ms'
+)
+def fill_connections(
+    context: Context, count: int, most: int, span_ms: int
+) -> None:
+    clock = FakeClock()
+    context.connections = ConnectionTable(most, clock)
+    context.pairs = [socket.socketpair() for _ in range(count)]
+    opened = [context.connections.open(first) for first, _ in context.pairs]
+    for each in opened[1:]:
+        clock.pass_ms(1)
+        each.begin_wait()
+    opened[1].end_wait()
+    clock.pass_ms(span_ms - count + 1)
+
+
+@when('another connection is opened')
+def open_connection(context: Context) -> None:
+    pair = socket.socketpair()
+    context.pairs.append(pair)
+    context.opened = context.connections.open(pair[0])
+
+
+@then('that connection is {end}')
+def check_connection(context: Context, end: str) -> None:
+    assert bool(context.opened) == (end != 'refused'), context.opened
+    ended = [second for _, second in context.pairs if _has_ended(second)]
+    longest = [context.pairs[0][1]] if context.opened else []
+    assert ended == longest, ended
+
+
+def _has_ended(sock: socket.socket) -> bool:
+    sock.setblocking(False)
+    with suppress(BlockingIOError):
+        return not sock.recv(1)
+    return False
--- a/tests/features/uncontrolled_clients.feature
+++ b/tests/features/uncontrolled_clients.feature
@@ -17,3 +17,28 @@
       | 160   | bodies of 65536 bytes in chunks of 65536   |
       | 60    | bodies of 64000 bytes in chunks of 2       |
       | 300   | heads of 8000 bytes                        |
+
+  # The load: callers that stop short hold all memory when another one comes.
+  Scenario Outline: <size> bytes <end> beside callers that stopped <stopped> ms ago
+    Given memory for 500000 bytes, all held by callers that stopped <stopped> ms ago
+    When a caller sends <size> bytes
+    Then it is <end> and <evicted> others were evicted
+
+    Examples:
+      | size   | stopped | end      | evicted |
+      | 1000   | 999     | refused  | 0       |
+      | 1000   | 1000    | received | 1       |
+      | 200000 | 1000    | received | 6       |
+      | 437500 | 1000    | received | 10      |
+      | 437501 | 1000    | refused  | 0       |
+
+  # The load: callers keep all connections open when another one comes.
+  Scenario Outline: a connection beside others that have waited <waited> ms is <end>
+    Given 3 of 3 connections, of which all but one have waited <waited> ms
+    When another connection is opened
+    Then that connection is <end>
+
+    Examples:
+      | waited | end                            |
+      | 999    | refused                        |
+      | 1000   | opened in place of the longest |
