Take a status outside 200 to 599 for no answer

What callers saw: a worker in trouble sent a status that none has, and the caller got it as an answer. 000 and 099 were refused already; 600 to 999 were passed on, and 101 counted as an interim answer. Over links any number was trusted.

Change: from the worker such a status counts as a lost answer, which may have run; in a message of another node it is a protocol error.

Measured: 6 of the 14 new rows fail on (600 and 999 of a worker; 0, 101, 199 and 600 on a link), none after; both features whole 80 of 80.

--- a/laburnumwood/protocol/codec.py
+++ b/laburnumwood/protocol/codec.py
@@ -25,6 +25,7 @@
 MAX_FRAME_SIZE = 4 * 1024 * 1024  # bytes
 
 Headers = messages.Headers
+Status = messages.Status
 MESSAGE_MODULES = (messages, store_messages)  # which register their kinds
 _KIND_BY_TYPE = {message_type: kind for kind, message_type in KINDS.items()}
 # The fields of the first version of the protocol.
@@ -55,9 +56,8 @@
         self._message_type = message_type
         self._field_names = _FIELDS[kind]
         self._headers_index = types.index(Headers) if Headers in types else -1
-        self._value_types = [
-            list if each is Headers else each for each in types
-        ]
+        self._status_index = types.index(Status) if Status in types else -1
+        self._value_types = [_sent_type(each) for each in types]
 
     def to_values(self, message: Any) -> list[Any]:
         """Return the values of a message in the form in which they are sent."""
@@ -77,12 +77,26 @@
             values[self._headers_index] = _pair_headers(
                 values[self._headers_index]
             )
+        if self._status_index >= 0:
+            _check_status(values[self._status_index])
         if added:
             content = dict(zip(self._field_names, values, strict=True))
             return self._message_type(**content, **added)
         return self._message_type(*values)
 
 
+def _sent_type(annotation: Any) -> Any:
+    """Return the type in which the values of a field are sent."""
+    if annotation is Headers:
+        return list
+    return int if annotation is Status else annotation
+
+
+def _check_status(status: int) -> None:
+    if not messages.FIRST_STATUS <= status <= messages.LAST_STATUS:
+        raise ProtocolError(f'no answer has status {status}')
+
+
 def _pair_headers(values: list[Any]) -> Headers:
     """Return a list of alternating names and values as pairs."""
     if len(values) % 2 or not _STR.issuperset(map(type, values)):
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -1,6 +1,9 @@
 """The messages between nodes, but for those about the store."""
 
 from dataclasses import dataclass, field
+from typing import Annotated
+
+from annotated_types import Interval
 
 from laburnumwood.protocol.kinds import message
 from laburnumwood.records import (
@@ -13,6 +16,9 @@
     WorkerNotice,
 )
 
+FIRST_STATUS = 200
+LAST_STATUS = 599
+Status = Annotated[int, Interval(ge=FIRST_STATUS, le=LAST_STATUS)]
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -127,7 +133,7 @@
     `worker` is what the worker says about itself, None if nothing special.
     """
 
-    status: int
+    status: Status
     headers: Headers
     worker: WorkerNotice | None = field(default=None, kw_only=True)
 
--- a/laburnumwood/upstream/connection.py
+++ b/laburnumwood/upstream/connection.py
@@ -38,6 +38,9 @@
 _MAX_COPIED_BYTES = 65_536  # of a body, to send it with the head
 _CONTENT_LENGTH = re.compile('[0-9]{1,18}')
 _CHUNK_LINE = re.compile(rb'([0-9a-fA-F]{1,15})[ \t]*(?:;[^\r\n]*)?\r?\n')
+# Status 101 ends HTTP on a connection and isn't asked for.
+_INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
+_FINAL_STATUSES = range(200, 600)
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 _ENDS_OF_TRAILERS = frozenset((b'\r\n', b'\n', b''))
 _TIMEOUT_PARAMETER = re.compile(r'timeout\s*=\s*([0-9]+)', re.IGNORECASE)
@@ -117,13 +120,16 @@
     def begin(self) -> None:
         """Read the head, skipping interim answers.
 
-        Raises `HTTPException` or `OSError`.
+        Raises `HTTPException`, also for a status that no answer has, or
+        `OSError`.
         """
         minor, status = self._read_status_line()
         self.fields = self._read_fields()
-        while 100 <= status < 200:
+        while status in _INTERIM_STATUSES:
             minor, status = self._read_status_line()
             self.fields = self._read_fields()
+        if status not in _FINAL_STATUSES:
+            raise BadStatusLine(str(status))
         self.index = HeaderIndex(self.fields)
         self.status = status
         self.code = status
--- a/tests/features/messages.feature
+++ b/tests/features/messages.feature
@@ -59,4 +59,8 @@
       | answer  | [200, [["a"]]]            |
       | answer  | [200, [["a", 1]]]         |
       | answer  | ["200", []]               |
+      | answer  | [0, []]                   |
+      | answer  | [101, []]                 |
+      | answer  | [199, []]                 |
+      | answer  | [600, []]                 |
       | failure | ["x", "no", "detail", 0]  |
--- a/tests/features/steps/worker_answer_steps.py
+++ b/tests/features/steps/worker_answer_steps.py
@@ -72,6 +72,12 @@
     answer_once(context, f'HTTP/1.1 200 OK\r\n{fields}\r\n\r\nabc'.encode())
 
 
+@given('a worker that answers with status "{status}" and three bytes')
+def start_status_answer(context: Context, status: str) -> None:
+    head = f'HTTP/1.1 {status} X\r\nContent-Length: 3\r\n\r\n'
+    answer_once(context, f'{head}abc'.encode())
+
+
 def answer_once(context: Context, answer: bytes) -> None:
     """Start a worker that answers one request and closes the connection."""
 
--- a/tests/features/worker_answers.feature
+++ b/tests/features/worker_answers.feature
@@ -33,6 +33,25 @@
       | Transfer-Encoding: gzip, Content-Length: 3      | truncated |
       | Transfer-Encoding: chunked, Content-Length: 3   | truncated |
 
+  # Guards against a worker in trouble whose answer has a status that is none.
+  Scenario Outline: a body of three bytes after status <status> is <outcome>
+    Given a worker that answers with status "<status>" and three bytes
+    When the answer to a request is read completely, up to 100 bytes
+    Then the body is <outcome>
+
+    Examples:
+      | status | outcome   |
+      | 000    | truncated |
+      | 099    | truncated |
+      | 101    | truncated |
+      | 199    | truncated |
+      | 200    | complete  |
+      | 599    | complete  |
+      | 600    | truncated |
+      | 999    | truncated |
+      | 20     | truncated |
+      | 2000   | truncated |
+
   # Guards against sending a late duplicate of an answer to the next caller.
   Scenario Outline: on a <use> connection, an answer <status> with <headers> is <outcome>
     Given a connection to the platform's worker that is <use>
