Evacuate failure domains at the operator's request

Nothing followed the evacuation of a failure domain: its workers went on getting requests and shards.

Nodes now keep the store's list of evacuated domains with its version and the age of its proof. Gates of such a domain refuse, serving_nodes leaves it out, so that doors, successions and claims do too, and its owners move their shards to nodes with room. A domain that is taken back counts with more of its slots second by second. Only nodes with follow_evacuations in their settings make calls for it.

--- a/bench/reporting.py
+++ b/bench/reporting.py
@@ -27,6 +27,7 @@
 _START_S = 60
 _REPORT_MS = 200
 _WORKER = 'standins.reporter'
+_EVACUATION_KIND = 'evacuations'
 _OWN_KIND = 'laburnumwood'  # of the router's records in the store
 
 
@@ -104,10 +105,13 @@
 class ReportingDeployment:
     """A store, nodes and reporting workers, all ended by `close`."""
 
-    def __init__(self, services: dict[str, bool]) -> None:
+    def __init__(
+        self, services: dict[str, bool], *, follow_evacuations: bool = False
+    ) -> None:
         self._folder = tempfile.TemporaryDirectory()
         self._root = Path(self._folder.name)
         self._services = services
+        self._follow_evacuations = follow_evacuations
         self._numbers = count()  # threads may start processes at once
         self.members: dict[str, ReportingMember] = {}
         self.http = PoolManager(maxsize=64, retries=Retry(0), timeout=15)
@@ -142,6 +146,17 @@
         if answer.status != _OK:
             raise ValueError(f'manifest: {answer.data!r}')
 
+    def evacuate(self, domain: str) -> None:
+        """Evacuate a failure domain, as an operator."""
+        body = dumps({'metadata': {'name': domain}, 'spec': {}})
+        url = f'{self.store_url}/objects/{_EVACUATION_KIND}'
+        assert self.http.request('POST', url, body=body).status == _OK
+
+    def take_back(self, domain: str) -> None:
+        """End the evacuation of a failure domain."""
+        url = f'{self.store_url}/objects/{_EVACUATION_KIND}/{domain}'
+        assert self.http.request('DELETE', url).status == _OK
+
     def set_store_faults(self, **faults: Any) -> None:
         """Set the fault switches of the store."""
         self.http.request(
@@ -267,6 +282,7 @@
             'stop_patience_ms': 5_000,
             'stop_linger_ms': 300,
             'owner_patience_ms': 1_500,
+            'follow_evacuations': self._follow_evacuations,
             **addresses,
         }
 
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -88,7 +88,9 @@
         self.load = LoadComponents(
             settings, name, self.view, self._peers, clock
         )
-        self._store_watcher = StoreWatcher(name, platform, self.view, clock)
+        self._store_watcher = StoreWatcher(
+            name, platform, self.view, clock, settings
+        )
         self._cached_store = CachedStore(platform, self.view.directory)
         self._member = Member(
             self.lease,
@@ -378,6 +380,7 @@
                 self._reporting.signals.known_notice,
                 self._reporting.signals.record_notice,
                 lambda: self._reporting.presence.instance,
+                lambda: self.view.is_evacuated(self._settings.failure_domain),
             ),
             clock,
         )
--- /dev/null
+++ b/laburnumwood/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of failure domains, whose workers then get no requests."""
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -261,6 +261,18 @@
     'record-written-back',
     'a record that the store had forgotten was written again',
 )
+DOMAIN_EVACUATED = _event(
+    412,
+    logbook.WARNING,
+    'domain-evacuated',
+    'an operator evacuated a failure domain; its workers get no requests',
+)
+DOMAIN_TAKEN_BACK = _event(
+    413,
+    logbook.INFO,
+    'domain-taken-back',
+    'a failure domain is no longer evacuated; its workers get requests again',
+)
 CONFIG_IN_FORCE = _event(
     501, logbook.INFO, 'config-in-force', 'a configuration is in force'
 )
--- a/laburnumwood/membership/gossip.py
+++ b/laburnumwood/membership/gossip.py
@@ -85,6 +85,8 @@
         )
         directory = self._view.directory
         directory.learn_era(digest.era)
+        if digest.evacuations is not None:
+            self._view.evacuations.learn_notice(digest.evacuations, str(peer))
         known_version = _version(directory, digest.era, digest.revision)
         newer = (
             known_version > directory.revision
--- a/laburnumwood/membership/member.py
+++ b/laburnumwood/membership/member.py
@@ -43,8 +43,10 @@
             settings,
             clock,
         )
+        self._view = view
         self._config_news = ConfigNews(lease.holder, view, self.gossip, clock)
         view.directory.on_config_change = self._announce_config
+        view.evacuations.on_change = self._announce_evacuations
         self._witness_service = WitnessService(
             witness, self.gossip, view, dispatcher
         )
@@ -74,3 +76,8 @@
         # Renewals reach nodes that do not know what a pull tells them.
         self.renewer.renew_now()
         self._config_news.spread()
+
+    def _announce_evacuations(self) -> None:
+        # Renewals carry what is known of them.
+        self.renewer.renew_now()
+        self._view.directory.changes.notify_all()
--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from functools import partial
+from random import Random
 
 import eventlet
 from xxhash import xxh3_64_intdigest
@@ -14,6 +15,7 @@
     PlatformError,
     RecordError,
 )
+from laburnumwood.evacuation.watcher import EvacuationWatcher
 from laburnumwood.membership.choice import rendezvous_order
 from laburnumwood.membership.config_confirmation import has_in_force
 from laburnumwood.membership.config_status import (
@@ -22,6 +24,7 @@
 )
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import NodeName, StoredObject
+from laburnumwood.settings import DaemonSettings
 from laburnumwood.store.interface import Store
 from laburnumwood.store.objects import CONFIG_NAME
 
@@ -71,6 +74,9 @@
 CONFIG_WATCH_POLICY = WatchPolicy(
     watchers_per_domain=32, fresh_per_domain=8, fresh_domains=32, wait_ms=30_000
 )
+EVACUATION_WATCH_POLICY = WatchPolicy(
+    watchers_per_domain=2, fresh_per_domain=2, fresh_domains=32, wait_ms=10_000
+)
 
 
 def _domain_order(domain: str) -> int:
@@ -131,15 +137,32 @@
     return policy.prompt_wait_ms if is_prompt else policy.wait_ms
 
 
+def evacuation_wait_ms(own: NodeName, view: FleetView) -> int | None:
+    """Return for how long a node's watch of the evacuations waits.
+
+    None if other nodes watch them.
+    """
+    source = update_source(own, view, EVACUATION_WATCH_POLICY)
+    if source is UpdateSource.PEERS:
+        return None
+    return watch_wait_ms(own, view, EVACUATION_WATCH_POLICY)
+
+
 class StoreWatcher:
     """Keeps a node's directory up to date with the store.
 
     The first of the store's scopes holds the records of the fleet; only its
-    revision is compared between nodes.
+    revision is compared between nodes.  Without settings, or if these don't
+    ask for it, evacuations of failure domains are not followed.
     """
 
     def __init__(
-        self, own: NodeName, platform: Store, view: FleetView, clock: Clock
+        self,
+        own: NodeName,
+        platform: Store,
+        view: FleetView,
+        clock: Clock,
+        settings: DaemonSettings | None = None,
     ) -> None:
         self._own = own
         self._platform = platform
@@ -148,11 +171,25 @@
         self._revisions = dict.fromkeys(platform.scopes, 0)
         self._listed_at_ms: dict[str, int] = {}
         self._can_use_config = True  # the one that the store has
+        self._evacuations = (
+            EvacuationWatcher(
+                platform,
+                view.evacuations,
+                lambda: evacuation_wait_ms(own, view),
+                clock,
+                Random(str(own)),
+            )
+            if settings is not None and settings.follow_evacuations
+            else None
+        )
 
     @property
     def tasks(self) -> tuple[Callable[[], None], ...]:
-        """Return the tasks that watch the store, one for each scope."""
-        return tuple(partial(self.run, scope) for scope in self._revisions)
+        """Return the tasks that watch the store."""
+        scopes = tuple(partial(self.run, scope) for scope in self._revisions)
+        if self._evacuations is None:
+            return scopes
+        return (*scopes, *self._evacuations.tasks)
 
     def list_all(self) -> None:
         """Read all objects of all scopes.
@@ -161,6 +198,8 @@
         """
         for scope in self._revisions:
             self._list(scope)
+        if self._evacuations is not None:
+            self._evacuations.list_domains()
 
     def run(self, scope: str) -> None:
         """Watch a scope whenever this node has to; does not return."""
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -2,7 +2,10 @@
 
 from collections import Counter
 from collections.abc import Iterator, Set
+from dataclasses import replace
 
+from laburnumwood.clock import Clock
+from laburnumwood.evacuation.register import EvacuationRegister
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.records import Digest, NodeName, NodeRecord, Seal, ShardName
@@ -11,26 +14,46 @@
 _NO_NODE_IDS: Set[str] = frozenset()
 
 
+def _with_share_of_slots(record: NodeRecord, share: float) -> NodeRecord:
+    if share == 1:
+        return record
+    return replace(record, slots=max(1, round(record.slots * share)))
+
+
 class FleetView:
     """Combines directory and seals to tell which nodes exist and are live."""
 
-    def __init__(self, directory: Directory, seals: SealRegistry) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        seals: SealRegistry,
+        evacuations: EvacuationRegister | None = None,
+    ) -> None:
         self.directory = directory
         self.seals = seals
+        self.evacuations = evacuations or EvacuationRegister(Clock())
         self._live: dict[NodeName, NodeRecord] = {}
         self._serving: dict[str, dict[NodeName, NodeRecord]] = {}
         self._domain_counts: Counter[str] = Counter()
-        self._refreshed_at = (-1, -1)
+        self._refreshed_at = (-1, -1, -1)
 
     @property
-    def version(self) -> tuple[int, int]:
-        """Return a value that differs after each change of records or seals."""
-        return self.directory.change_count, self.seals.change_count
+    def version(self) -> tuple[int, int, int]:
+        """Return a value that differs after each change of what is known."""
+        return (
+            self.directory.change_count,
+            self.seals.change_count,
+            self.evacuations.change_count,
+        )
 
     @property
-    def node_version(self) -> tuple[int, int]:
-        """Return a value that differs whenever other nodes may be live."""
-        return self.directory.node_change_count, self.seals.change_count
+    def node_version(self) -> tuple[int, int, int]:
+        """Return a value that differs whenever other nodes may serve."""
+        return (
+            self.directory.node_change_count,
+            self.seals.change_count,
+            self.evacuations.change_count,
+        )
 
     def digest(self) -> Digest:
         """Return a summary of what this node knows, for peers to compare."""
@@ -40,6 +63,7 @@
             revision_of(known_version),
             self.seals.digest(),
             era_of(known_version),
+            self.evacuations.notice(),
         )
 
     def live_nodes(self) -> Iterator[tuple[NodeName, NodeRecord]]:
@@ -85,10 +109,18 @@
         return entry.record.has_ended(entry.record.incarnation)
 
     def serving_nodes(self, service: str) -> dict[NodeName, NodeRecord]:
-        """Return the live nodes of a service whose workers accept work."""
+        """Return the live nodes of a service whose workers accept work.
+
+        Those in evacuated failure domains are left out.  Where a domain was
+        taken back just now, the records name a part of the slots only.
+        """
         self._refresh()
         return dict(self._serving.get(service, {}))
 
+    def is_evacuated(self, failure_domain: str) -> bool:
+        """Return whether workers of a failure domain may get no requests."""
+        return self.evacuations.is_evacuated(failure_domain)
+
     def domain_share(self, domain: str) -> float:
         """Return the fraction of live nodes that are in a failure domain."""
         self._refresh()
@@ -103,9 +135,10 @@
             record.failure_domain for record in self._live.values()
         )
         for name, record in self._live.items():
-            if not record.serves:
-                continue
-            self._serving.setdefault(record.service, {})[name] = record
+            share = self.evacuations.usable_share(record.failure_domain)
+            if record.serves and share:
+                serving = self._serving.setdefault(record.service, {})
+                serving[name] = _with_share_of_slots(record, share)
         # Finding live nodes may detect ends, which changes the version itself.
         self._refreshed_at = self.node_version
 
--- a/laburnumwood/metrics.py
+++ b/laburnumwood/metrics.py
@@ -172,6 +172,22 @@
     'age of the last proof that the store has no later configuration than the '
     'one in force; -1: there is none',
 )
+EVACUATED_DOMAINS = _gauge(
+    'laburnumwood.evacuation.domains',
+    '1',
+    'failure domains that this node knows to be evacuated',
+)
+EVACUATION_AGE = _gauge(
+    'laburnumwood.evacuation.age',
+    'ms',
+    'age of the last proof of which failure domains are evacuated; -1: there '
+    'is none',
+)
+SHARDS_TO_EVACUATE = _gauge(
+    'laburnumwood.evacuation.shards',
+    '1',
+    'shards that this node holds though its failure domain is evacuated',
+)
 EVENTS = _counter(
     'laburnumwood.events',
     '1',
--- a/laburnumwood/operators/api.py
+++ b/laburnumwood/operators/api.py
@@ -1,5 +1,6 @@
 """The pages of a node for operators."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs
@@ -8,10 +9,13 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.metrics import (
     CONFIG_AGE,
+    EVACUATED_DOMAINS,
+    EVACUATION_AGE,
     GENERATION,
     IDLE_SLOTS,
     LEASE_HELD,
     SHARDS_OWNED,
+    SHARDS_TO_EVACUATE,
     SHARDS_UNSERVED,
     exposition,
 )
@@ -85,8 +89,20 @@
         directory = self._view.directory
         GENERATION.record(directory.config.generation)
         CONFIG_AGE.record(directory.config_monitor.confirmed_age_ms)
+        self._record_evacuations()
         return exposition()
 
+    def _record_evacuations(self) -> None:
+        evacuations = self._view.evacuations
+        EVACUATED_DOMAINS.record(len(evacuations.domains))
+        EVACUATION_AGE.record(evacuations.confirmed_age_ms)
+        own = self._view.directory.node(self._lease.holder)
+        is_evacuated = own is not None and evacuations.is_evacuated(
+            own.failure_domain
+        )
+        held = len(self._held_shards.tokens())
+        SHARDS_TO_EVACUATE.record(held if is_evacuated else 0)
+
     @_register_page('/status')
     def _status(self, _query: Query) -> dict[str, Any]:
         held = sorted(self._held_shards.tokens())
@@ -116,6 +132,34 @@
             'generation': self._view.directory.config.generation,
         }
 
+    @_register_page('/evacuations')
+    def _evacuations(self, _query: Query) -> dict[str, Any]:
+        """Return the evacuated domains, and how many shards are left there."""
+        evacuations = self._view.evacuations
+        left = self._shards_by_domain() if evacuations.domains else Counter()
+        return {
+            'proof_age_ms': evacuations.confirmed_age_ms,
+            'domains': {
+                domain: {
+                    'known_for_ms': evacuations.known_for_ms(domain),
+                    'shards': left[domain],
+                }
+                for domain in sorted(evacuations.domains)
+            },
+        }
+
+    def _shards_by_domain(self) -> Counter[str]:
+        directory = self._view.directory
+        owners = (
+            acting_owner(entry.record, self._view)
+            for service in directory.services()
+            for entry in directory.shards(service).values()
+        )
+        records = (directory.node(name) for name in owners if name is not None)
+        return Counter(
+            record.failure_domain for record in records if record is not None
+        )
+
     @_register_page('/owners')
     def _owners(self, _query: Query) -> dict[str, dict[str, str | None]]:
         directory = self._view.directory
--- a/laburnumwood/placement/balancer.py
+++ b/laburnumwood/placement/balancer.py
@@ -17,6 +17,7 @@
 )
 from laburnumwood.placement.ownership import acting_owner
 from laburnumwood.placement.planner import MovePlanner
+from laburnumwood.placement.relocation import relocate
 from laburnumwood.placement.splitting import Part, Split, Splitter, hot_parts
 from laburnumwood.records import KeyRange, NodeName, NodeRecord
 from laburnumwood.settings import PlacementSettings
@@ -144,6 +145,21 @@
             return ()
         return self._planner.plan(self._snapshot(live, pending_owners))
 
+    def plan_relocation(self, pending_owners: Owners) -> tuple[Move, ...]:
+        """Return a move for each shard of this node if its domain is evacuated.
+
+        Without other nodes of the service there are none.
+        """
+        record = self._view.directory.node(self._own)
+        if record is None or not self._view.is_evacuated(record.failure_domain):
+            return ()
+        live = self._view.serving_nodes(self._service) | {self._own: record}
+        records = self._view.directory.shard_records(self._service)
+        return relocate(
+            self._snapshot(live, pending_owners),
+            {number: each.succession for number, each in records.items()},
+        )
+
     def is_stable(self, node_id: str) -> bool:
         """Return whether a node has not arrived too often lately."""
         return self._planner.is_stable(node_id)
--- a/laburnumwood/placement/ownership_tracker.py
+++ b/laburnumwood/placement/ownership_tracker.py
@@ -119,7 +119,7 @@
         return tuple(self._stale)
 
     @property
-    def version(self) -> tuple[int, int, bool, bool]:
+    def version(self) -> tuple[int, int, int, bool, bool]:
         """Return a value that differs when held shards may need an update."""
         # Time alone makes the records of a store that came back reliable.
         is_reliable = self._trust.may_create()
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -279,10 +279,20 @@
         self._finish(write, WriteProgress.NOT_SENT)
 
     def _move_all_away(self) -> None:
-        # The worker is lost or leaves: others are to serve its keys.
+        # The worker is lost or leaves, or its failure domain is evacuated:
+        # others are to serve its keys.
         own = self._ownership.own
+        planned = {
+            move.shard: move.target
+            for move in self._balancer.plan_relocation(
+                self._ownership.pending_owners
+            )
+        }
         for place, shard in enumerate(sorted(self._held_shards.tokens())):
-            self._begin_move(shard, self._move_target(shard, own, place))
+            target = planned.get(shard.number) or self._move_target(
+                shard, own, place
+            )
+            self._begin_move(shard, target)
 
     def _begin_planned_moves(self) -> None:
         for move in self._balancer.plan_moves(self._ownership.pending_owners):
--- a/laburnumwood/platform/store.py
+++ b/laburnumwood/platform/store.py
@@ -32,12 +32,13 @@
 from laburnumwood.records import StoredObject
 from laburnumwood.store.calls import StoreCalls
 from laburnumwood.store.eras import EraTracker
-from laburnumwood.store.objects import CONFIG_NAME
+from laburnumwood.store.objects import CONFIG_NAME, EVACUATION_PREFIX
 from laburnumwood.store.versions import era_of, make_version, revision_of
 
 _OWN_KIND = 'laburnumwood'
 _MANIFEST_KIND = 'config'
 _MANIFEST_NAME = 'main'
+_EVACUATION_KIND = 'evacuations'
 _RECORDS = ''  # the scope of the router's records
 _SEPARATORS = ('/', '.')  # in the names of the router, of the platform
 
@@ -94,6 +95,18 @@
     return stored.metadata.name.replace(_SEPARATORS[1], _SEPARATORS[0])
 
 
+def _name_of(kind: str, stored: _Object) -> str:
+    if kind == _EVACUATION_KIND:
+        return f'{EVACUATION_PREFIX}{stored.metadata.name}'
+    return _router_name(stored)
+
+
+def _to_evacuation(stored: _Object, era: int) -> StoredObject:
+    """Return an evacuation, which has no content: that it exists is enough."""
+    version = make_version(era, stored.metadata.revision)
+    return StoredObject(_name_of(_EVACUATION_KIND, stored), {}, version)
+
+
 def _to_configuration(stored: _Object, era: int) -> StoredObject | None:
     """Return the manifest as a configuration, None if it is not usable.
 
@@ -207,9 +220,9 @@
         changes = read_changes(_checked_body(answer, kind))
         version = make_version(era, changes.at)
         deletions = [
-            StoredObject(_router_name(each.object), None, version)
+            StoredObject(_name_of(kind, each.object), None, version)
             for each in changes.events
-            if each.deleted and kind == _OWN_KIND
+            if each.deleted and kind != _MANIFEST_KIND
         ]
         kept = [each.object for each in changes.events if not each.deleted]
         return (*self._to_objects(kind, kept, prefix, era), *deletions), version
@@ -238,6 +251,8 @@
         if kind == _MANIFEST_KIND:
             manifests = (_to_configuration(each, era) for each in objects)
             return tuple(each for each in manifests if each is not None)
+        if kind == _EVACUATION_KIND:
+            return tuple(_to_evacuation(each, era) for each in objects)
         records = (self._to_record(each, era) for each in objects)
         return tuple(each for each in records if each.name.startswith(prefix))
 
@@ -261,6 +276,8 @@
 
 
 def _kind(prefix: str) -> str:
+    if prefix == EVACUATION_PREFIX:
+        return _EVACUATION_KIND
     return _MANIFEST_KIND if prefix == CONFIG_NAME else _OWN_KIND
 
 
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -273,17 +273,31 @@
     era: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationNotice:
+    """The evacuated failure domains, as nodes tell each other.
+
+    The store listed them at `version`, and still did `age_ms` ago.
+    """
+
+    version: int
+    age_ms: int
+    domains: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Digest:
     """Summarizes what a node knows, for comparison with other nodes.
 
     `revision` is a revision of the store in `era`; 0: it names no era.
+    `evacuations` is None if nothing is known of any.
     """
 
     generation: int = 0
     revision: int = 0
     seals: int = 0
     era: int = 0
+    evacuations: EvacuationNotice | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -57,6 +57,10 @@
 Services = Callable[[], Mapping[str, Service]]
 
 
+def _never() -> bool:
+    return False
+
+
 class BusySlotCounter(Protocol):
     """Counts the busy slots of each capacity owner."""
 
@@ -74,7 +78,7 @@
     special, and `known_notice` the same, None if it was not heard yet.
     `record_notice` is called with what other nodes have heard of it.
     `instance` returns the id and the start time of the current instance of the
-    worker.
+    worker, and `is_evacuated` whether its failure domain is evacuated.
     """
 
     accepts_requests: Callable[[], bool]
@@ -84,6 +88,7 @@
     known_notice: Callable[[float], WorkerNotice | None]
     record_notice: Callable[[WorkerNotice], None]
     instance: Callable[[], tuple[str, int]]
+    is_evacuated: Callable[[], bool] = _never
 
 
 class ShardDirectory(Protocol):
@@ -300,8 +305,8 @@
         until_ms = self._clock.now_ms() + work.deadline_ms
         if work.worker is not None:
             self._worker.record_notice(work.worker)
-        if self._is_closed:
-            detail = f'{self._settings.node_id} is about to end'
+        if self._is_closed or self._worker.is_evacuated():
+            detail = f'{self._settings.node_id} accepts no requests'
             failure = make_failure('not-owner', detail, ran=False)
             self._return_request(exchange, work, failure)
             return
@@ -415,7 +420,8 @@
     def _serve_admitted(
         self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> None:
-        if self._worker.accepts_requests():
+        worker = self._worker
+        if worker.accepts_requests() and not worker.is_evacuated():
             self._executor.execute(exchange, run, may_execute)
             return
         detail = f'the worker of {self._settings.node_id} takes no work'
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -136,6 +136,7 @@
     stop_grace_s: float | None = Field(default=None, ge=1, le=3_600)
     stop_linger_ms: int = Field(default=0, ge=0, le=60_000)
     owner_patience_ms: int = Field(default=3_000, ge=0, le=60_000)
+    follow_evacuations: bool = False
     admission: AdmissionSettings = AdmissionSettings()
 
     @model_validator(mode='after')
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -19,6 +19,7 @@
 NODE_PREFIX = 'nodes/'
 SHARD_PREFIX = 'shards/'
 AUDIT_PREFIX = 'audit/'
+EVACUATION_PREFIX = 'evacuations/'  # written by operators
 _ADDED_FILES = 'added_files'  # of a configuration
 
 _Record = TypeVar('_Record', AuditRecord, ConfigRecord, NodeRecord, ShardRecord)
--- a/standins/objects/api.py
+++ b/standins/objects/api.py
@@ -114,6 +114,8 @@
             self._begin_call(READS, path)
             return _cbor_answer(_object_content(self._store.read(path)))
         self._begin_call(WRITES, path)
+        if request.method == 'DELETE':
+            return self._delete(path)
         content = loads(request.body(_MAX_VALUE_BYTES))
         expected = content['metadata'].get('revision')
         current = self._store.read(path)
@@ -123,6 +125,12 @@
             path, lambda: self._store.update(path, content['spec'], expected)
         )
 
+    def _delete(self, path: str) -> Answer:
+        found = self._store.read(path)
+        deletion = self._store.delete(path, found.version)
+        self._watches.notify()
+        return _cbor_answer(_object_content(deletion))
+
     def _create(self, request: Request, kind: str) -> Answer:
         content = loads(request.body(_MAX_VALUE_BYTES))
         path = '{}/{}'.format(kind, content['metadata']['name'])
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -32,6 +32,11 @@
     When a request without a shard arrives
     Then it was returned as "not-owner" at once
 
+  Scenario: a request in an evacuated failure domain is returned
+    Given the failure domain of the gate is evacuated
+    When a request without a shard arrives
+    Then it was returned as "not-owner" at once
+
   # Guards against callers that wait for the answer of a failed task.
   Scenario: a request whose task fails is answered at once
     Given the gate raises an exception when it runs a request
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -214,6 +214,7 @@
     context.grants = DelayedGrants(span_ms, clock)
     gate: Any = AdmissionGate
     context.worker_instance = ('worker', 1)
+    context.is_evacuated = False
     context.gate = gate(
         SETTINGS,
         UnlimitedLease(),
@@ -232,11 +233,17 @@
             lambda _mean_slot_ms: None,
             lambda _notice: None,
             lambda: context.worker_instance,
+            lambda: context.is_evacuated,
         ),
         clock,
     )
 
 
+@given('the failure domain of the gate is evacuated')
+def evacuate_gate(context: Context) -> None:
+    context.is_evacuated = True
+
+
 @given('the shard is closed after {span_ms:d} ms')
 def close_shard(context: Context, span_ms: int) -> None:
     at_ms = context.clock.now_ms() + span_ms
