--- a/laburnumwood/placement/relocation.py
+++ b/laburnumwood/placement/relocation.py
@@ -43,7 +43,7 @@
     others = [name for name in snapshot.shards_by_node if name != own]
     if not others:
         return ()
-    added = dict.fromkeys(others, 0.0)
+    added: dict[NodeName, float] = dict.fromkeys(others, 0)
     moves = []
     for shard in _busiest_first(snapshot):
         candidates = _candidates(shard, successions.get(shard, ()), others)
