--- a/tests/features/evacuation.feature
+++ b/tests/features/evacuation.feature
@@ -51,10 +51,11 @@
       | p1   | a      | portal  |
       | p2   | b      | portal  |
       | p3   | b      | portal  |
+      | p4   | c      | portal  |
       | d1   | a      | docs    |
       | d2   | b      | docs    |
     When the domain "a" is evacuated
-    Then only workers of "p2, p3, d2" serve within 20 s, at the doors of all nodes
+    Then only workers of "p2, p3, p4, d2" serve within 20 s, at the doors of all nodes
     And the workers of "p1, d1" receive no more requests, nor after a restart
     When the domain "a" is taken back
     Then a worker of "d1" serves again within 20 s
