Don't retry requests of a service that is evacuated as a whole

Cause: with all domains of a service evacuated, a door waited for an owner as after a crash: up to owner_patience_ms (3 s by default), a request of a key at least 250 ms with an attempt at the gate each 300 ms.

Change: the router ends after the first attempt while all live nodes of the service are in evacuated domains. It asks only after a failed attempt, and only goes through the nodes while a domain is evacuated. An evacuated node without shards no longer plans moves.

--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -121,6 +121,20 @@
         """Return whether workers of a failure domain may get no requests."""
         return self.evacuations.is_evacuated(failure_domain)
 
+    def is_service_evacuated(self, service: str) -> bool:
+        """Return whether all live nodes of a service are in evacuated domains.
+
+        Its requests can't be served until a domain is taken back.
+        """
+        if not self.evacuations.domains or self.serving_nodes(service):
+            return False
+        domains = {
+            record.failure_domain
+            for _, record in self.live_nodes()
+            if record.service == service
+        }
+        return bool(domains) and domains <= self.evacuations.domains
+
     def domain_share(self, domain: str) -> float:
         """Return the fraction of live nodes that are in a failure domain."""
         self._refresh()
--- a/laburnumwood/placement/shard_manager.py
+++ b/laburnumwood/placement/shard_manager.py
@@ -282,6 +282,8 @@
         # The worker is lost or leaves, or its failure domain is evacuated:
         # others are to serve its keys.
         own = self._ownership.own
+        if not self._held_shards.tokens():
+            return
         planned = {
             move.shard: move.target
             for move in self._balancer.plan_relocation(
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -136,7 +136,8 @@
             retry_policy.record_failure(answer)
             nodes = self._view.serving_nodes(work.service)
             pause_ms = None
-            if not caller.is_gone:
+            in_vain = self._view.is_service_evacuated(work.service)
+            if not caller.is_gone and not in_vain:
                 pause_ms = retry_policy.retry_delay_ms(answer, nodes)
             retry_policy.report_failure(answer, pause_ms)
             if pause_ms is None:
--- a/tests/features/steps/route_steps.py
+++ b/tests/features/steps/route_steps.py
@@ -154,6 +154,10 @@
         """Return the nodes of the service."""
         return dict(self._nodes)
 
+    def is_service_evacuated(self, _service: str) -> bool:
+        """Return whether no node may serve: never."""
+        return False
+
     def open_stream(self, target: NodeName, **_how: bool) -> OutgoingExchange:
         """Return an exchange on which the gate of a node has answered."""
         local_end, remote_end = local_pair()
--- a/tests/request_stack/stack.py
+++ b/tests/request_stack/stack.py
@@ -147,6 +147,10 @@
         record = NodeRecord(1, (1,), HOST, 1, 1, 1, 'x', 'x', 'x', 10, 10)
         return {GATE_NAME: record}
 
+    def is_service_evacuated(self, _service: str) -> bool:
+        """Return whether no node may serve: never."""
+        return False
+
 
 def _serve(handle: Callable[..., None], listener: Any) -> None:
     while True:
