Let owners serve what has not moved for a part of the evacuation's limit

Cause: owners of an evacuated domain refused at once, though their shards take up to 0.6 s to the next review, the worker's release and a write of the record to move; requests of these keys had nobody to serve them meanwhile.

Change: with evacuation_limit_s (5 s in the template) gates go on serving requests of shards that they hold, for at most a quarter of it since the news and half of it since the last proof that the domain was not evacuated. Without such a proof, or without the setting, they refuse at once, as do all requests without a key. The check is made again once a request has its slot.

A node without follow_evacuations beside others that have it (a change of settings under way) hears of evacuations, but kept a domain that was taken back at a quarter of its slots for good: what it hears now brings the time forward.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -2,7 +2,7 @@
 
 from contextlib import suppress
 
-from laburnumwood.clock import Clock
+from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.daemon.grant_source import ShardGrantSource
 from laburnumwood.daemon.handover_announcer import HandoverAnnouncer
 from laburnumwood.daemon.load import LoadComponents
@@ -381,6 +381,10 @@
                 self._reporting.signals.record_notice,
                 lambda: self._reporting.presence.instance,
                 lambda: self.view.is_evacuated(self._settings.failure_domain),
+                lambda: self.view.evacuations.may_owners_serve(
+                    self._settings.failure_domain,
+                    round(self._settings.evacuation_limit_s * MS_PER_SECOND),
+                ),
             ),
             clock,
         )
--- a/laburnumwood/evacuation/register.py
+++ b/laburnumwood/evacuation/register.py
@@ -11,6 +11,11 @@
 # For how long a domain stays evacuated that a store which came back from an
 # older copy has forgotten: the operator writes it again meanwhile.
 _FORGOTTEN_HOLD_MS = 10_000
+# The parts of the limit of an evacuation for which owners go on at most: since
+# the domain was last proved not to be evacuated, and since the news, because
+# that proof may have been long on its way.
+_OWNER_PART = 0.5
+_OWNER_PART_OF_NEWS = 0.25
 _RETURN_STEPS = 4
 _RETURN_STEP_MS = 1_000
 
@@ -35,7 +40,9 @@
         self._version = 0
         self._listed = _NO_DOMAINS
         self._confirmed_at_ms: int | None = None
+        self._earlier_proof_ms: int | None = None  # before the last one
         self._since_ms: dict[str, int] = {}
+        self._not_before_ms: dict[str, int] = {}
         self._held_until_ms: dict[str, int] = {}
         self._returned_ms: dict[str, int] = {}
         self._shares: dict[str, float] = {}
@@ -76,6 +83,21 @@
         now_ms = self._clock.now_ms()
         return now_ms - self._since_ms.get(failure_domain, now_ms)
 
+    def may_owners_serve(self, failure_domain: str, limit_ms: int) -> bool:
+        """Return whether owners in an evacuated domain may still serve.
+
+        `limit_ms` after its evacuation its workers must get no more requests.
+        """
+        earliest_ms = self._not_before_ms.get(failure_domain)
+        if earliest_ms is None:
+            return False
+        now_ms = self._clock.now_ms()
+        return (
+            now_ms - earliest_ms < limit_ms * _OWNER_PART
+            and self.known_for_ms(failure_domain)
+            < limit_ms * _OWNER_PART_OF_NEWS
+        )
+
     def usable_share(self, failure_domain: str) -> float:
         """Return the share of a domain's slots that may be used now.
 
@@ -119,6 +141,7 @@
         if version >= self._version:
             self._replace(version, listed)
         known_ms = self._confirmed_at_ms
+        self._earlier_proof_ms = known_ms
         self._confirmed_at_ms = (
             confirmed_at_ms
             if known_ms is None
@@ -129,7 +152,6 @@
     def review(self) -> None:
         """Apply what changes by time alone; call it a few times a second."""
         self._update_domains('the time since the store forgot it')
-        self._update_shares()
 
     def _replace(self, version: int, listed: frozenset[str]) -> None:
         if era_of(version) > era_of(self._version):
@@ -153,13 +175,16 @@
             self._begin(evacuated, source)
         for returned in sorted(ended):
             self._end(returned, source)
+        # Nodes that only hear of evacuations have no other occasion for it.
+        self._update_shares()
         if begun or ended:
-            self._update_shares()
             self.on_change()
 
     def _begin(self, domain: str, source: str) -> None:
         self._since_ms[domain] = self._clock.now_ms()
         self._returned_ms.pop(domain, None)
+        if self._earlier_proof_ms is not None:
+            self._not_before_ms[domain] = self._earlier_proof_ms
         DOMAIN_EVACUATED.report(
             failure_domain=domain,
             source=source,
@@ -169,6 +194,7 @@
     def _end(self, domain: str, source: str) -> None:
         now_ms = self._clock.now_ms()
         since_ms = self._since_ms.pop(domain)
+        self._not_before_ms.pop(domain, None)
         self._returned_ms[domain] = now_ms
         DOMAIN_TAKEN_BACK.report(
             failure_domain=domain, source=source, after_ms=now_ms - since_ms
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -79,6 +79,8 @@
     `record_notice` is called with what other nodes have heard of it.
     `instance` returns the id and the start time of the current instance of the
     worker, and `is_evacuated` whether its failure domain is evacuated.
+    `may_owners_serve` returns whether the requests of its shards are served all
+    the same, until these have moved.
     """
 
     accepts_requests: Callable[[], bool]
@@ -89,6 +91,7 @@
     record_notice: Callable[[WorkerNotice], None]
     instance: Callable[[], tuple[str, int]]
     is_evacuated: Callable[[], bool] = _never
+    may_owners_serve: Callable[[], bool] = _never
 
 
 class ShardDirectory(Protocol):
@@ -305,7 +308,7 @@
         until_ms = self._clock.now_ms() + work.deadline_ms
         if work.worker is not None:
             self._worker.record_notice(work.worker)
-        if self._is_closed or self._worker.is_evacuated():
+        if self._is_closed or self._is_evacuated(work):
             detail = f'{self._settings.node_id} accepts no requests'
             failure = make_failure('not-owner', detail, ran=False)
             self._return_request(exchange, work, failure)
@@ -420,13 +423,19 @@
     def _serve_admitted(
         self, exchange: Exchange, run: Run, may_execute: ExecutionCheck
     ) -> None:
-        worker = self._worker
-        if worker.accepts_requests() and not worker.is_evacuated():
+        is_evacuated = self._is_evacuated(run.work)
+        if self._worker.accepts_requests() and not is_evacuated:
             self._executor.execute(exchange, run, may_execute)
             return
         detail = f'the worker of {self._settings.node_id} takes no work'
         exchange.send(make_failure('not-owner', detail, ran=False))
 
+    def _is_evacuated(self, work: Work) -> bool:
+        """Return whether an evacuation keeps a request from the worker."""
+        if not self._worker.is_evacuated():
+            return False
+        return work.shard < 0 or not self._worker.may_owners_serve()
+
     def _is_key_in_shard(self, work: Work) -> bool:
         """Return whether the key still belongs to the requested shard.
 
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -137,6 +137,7 @@
     stop_linger_ms: int = Field(default=0, ge=0, le=60_000)
     owner_patience_ms: int = Field(default=3_000, ge=0, le=60_000)
     follow_evacuations: bool = False
+    evacuation_limit_s: float = Field(default=0, ge=0, le=3_600)
     admission: AdmissionSettings = AdmissionSettings()
 
     @model_validator(mode='after')
--- a/tests/features/evacuation.feature
+++ b/tests/features/evacuation.feature
@@ -16,6 +16,13 @@
     And a peer tells it that none was evacuated at version 6, proved 10 ms ago
     Then "a" is evacuated, by a proof that is 900 ms old
 
+  Scenario: a node that only hears from peers counts a domain whole in the end
+    Given a node that knows 3 nodes in each of the domains "a, b, c"
+    When a peer tells it that "a" was evacuated at version 7, proved 900 ms ago
+    And a peer tells it that none was evacuated at version 8, proved 10 ms ago
+    And a peer tells it that none was evacuated at version 8 after 3000 ms
+    Then the nodes in "a" count with all of 8 slots
+
   Scenario: a node asks the store once nobody proves what it knows
     Given a node that knows 3 nodes in each of the domains "a, b, c"
     And it watches a store that lists "a"
@@ -45,6 +52,41 @@
     Given an evacuated node with 3 busy shards, a busy successor and an idle node
     Then its shards go to the idle node
 
+  # Requests of keys come while their shards are still on their way.
+  Scenario: owners serve what has not moved for a part of the limit only
+    Given a node that knows 3 nodes in each of the domains "a, b, c"
+    And it watches a store that lists "none"
+    When 400 ms pass
+    And the store lists "a" as evacuated
+    Then owners in "a" may serve for 1250 ms more, with a limit of 5000 ms
+
+  Scenario: owners serve no longer once the last proof is old
+    Given a node that knows 3 nodes in each of the domains "a, b, c"
+    And it watches a store that lists "none"
+    When 2000 ms pass
+    And the store lists "a" as evacuated
+    Then owners in "a" may serve for 500 ms more, with a limit of 5000 ms
+
+  Scenario: owners that never knew the domain without evacuation serve nothing
+    Given a node that knows 3 nodes in each of the domains "a, b, c"
+    When the store lists "a" as evacuated
+    Then owners in "a" may serve for 0 ms more, with a limit of 5000 ms
+
+  Scenario: a service whose nodes are all in evacuated domains can't be served
+    Given a node that knows 3 nodes in each of the domains "a"
+    When the store lists "b" as evacuated
+    Then the service is not wholly evacuated
+    When the store lists "a" as evacuated
+    Then the service is wholly evacuated
+
+  # Without an end, such requests would wait for an owner that can't come.
+  Scenario: requests of a wholly evacuated service are tried once
+    Given a node that knows 3 nodes in each of the domains "a"
+    And shard 0 is owned by "n1", whose gate refuses
+    When the store lists "a" as evacuated
+    Then a request of shard 0 fails as not run, after 1 attempts at "n1"
+    And a request of shard -1 fails as not run, after 0 attempts at "n1"
+
   Scenario: the workers of a real deployment are evacuated and taken back
     Given a deployment that follows evacuations
       | node | domain | service |
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -37,6 +37,23 @@
     When a request without a shard arrives
     Then it was returned as "not-owner" at once
 
+  Scenario: an owner in an evacuated failure domain still serves its shards
+    Given the failure domain of the gate is evacuated
+    When a request arrives with 1000 ms to its deadline
+    Then it was returned as "not-owner" at once
+    Given its owners still serve
+    When a request without a shard arrives
+    Then it was returned as "not-owner" at once
+    When a request arrives with 1000 ms to its deadline
+    Then it was answered by the worker after 300 ms
+
+  # Its grant or slot may come long after the request.
+  Scenario: a request that waits is not run once owners have to end
+    Given the failure domain of the gate is evacuated
+    And its owners serve for 100 ms more
+    When a request arrives with 1000 ms to its deadline
+    Then it was returned as "not-owner" after 300 ms
+
   # Guards against callers that wait for the answer of a failed task.
   Scenario: a request whose task fails is answered at once
     Given the gate raises an exception when it runs a request
--- a/tests/features/steps/evacuation_steps.py
+++ b/tests/features/steps/evacuation_steps.py
@@ -4,6 +4,7 @@
 from functools import partial
 from itertools import product
 from random import Random
+from types import SimpleNamespace
 from typing import Any
 
 from behave import given, then, when
@@ -12,28 +13,41 @@
 from bench.deployment import wait_for
 from bench.reporting import ReportingDeployment
 from bench.spreading import record_of
-from laburnumwood.errors import CompactedError, PlatformUnavailableError
+from laburnumwood.admission.retry_budget import RetryBudgets
+from laburnumwood.clock import Clock
+from laburnumwood.errors import (
+    CompactedError,
+    LinkError,
+    PlatformUnavailableError,
+)
 from laburnumwood.evacuation.register import EvacuationRegister
 from laburnumwood.evacuation.watcher import EvacuationWatcher
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.view import FleetView
+from laburnumwood.placement.load_reports import LoadReports
 from laburnumwood.placement.move_policy import PlacementSnapshot
 from laburnumwood.placement.relocation import relocate
 from laburnumwood.placement.succession import choose_succession
+from laburnumwood.protocol.messages import Failure
 from laburnumwood.records import (
     EvacuationNotice,
     NodeName,
     ShardName,
+    ShardRecord,
     StoredObject,
 )
+from laburnumwood.routing.request_balancer import RequestBalancer
+from laburnumwood.routing.router import Router
 from laburnumwood.store.objects import (
     EVACUATION_PREFIX,
     node_object_name,
+    shard_object_name,
     to_value,
 )
 from laburnumwood.store.versions import make_version
 from tests.features.steps.fake_clock import FakeClock
+from tests.features.steps.plain_work import PLAIN_WORK, caller_request
 from tests.features.steps.platform_steps import (
     OK,
     SAMPLE_KEYS,
@@ -145,6 +159,78 @@
     return {each.slots for each in serving if each.failure_domain == domain}
 
 
+@then(
+    'owners in "{domain}" may serve for {span_ms:d} ms more, with a limit of '
+    '{limit_ms:d} ms'
+)
+def check_owners(
+    context: Context, domain: str, span_ms: int, limit_ms: int
+) -> None:
+    may_serve = partial(context.register.may_owners_serve, domain, limit_ms)
+    if span_ms:
+        context.clock.pass_ms(span_ms - 1)
+        assert may_serve()
+        context.clock.pass_ms(1)
+    assert not may_serve()
+
+
+@then('the service is wholly evacuated')
+def check_wholly(context: Context) -> None:
+    assert context.view.is_service_evacuated(SERVICE)
+
+
+@then('the service is not wholly evacuated')
+def check_not_wholly(context: Context) -> None:
+    assert not context.view.is_service_evacuated(SERVICE)
+
+
+class _RefusingLinks:
+    """Links to nodes that can't be reached."""
+
+    def __init__(self) -> None:
+        self.opened: list[str] = []
+
+    def open_stream(self, peer: NodeName, **_how: bool) -> Any:
+        """Raise an error: nothing is sent."""
+        self.opened.append(peer.node_id)
+        raise LinkError(f'{peer} is out of reach')
+
+
+@given('shard {number:d} is owned by "{node_id}", whose gate refuses')
+def own_shard(context: Context, number: int, node_id: str) -> None:
+    shard = ShardName(SERVICE, number)
+    record = ShardRecord(1, (NodeName(node_id, 1),))
+    context.view.directory.apply(
+        StoredObject(shard_object_name(shard), to_value(record), 90)
+    )
+
+
+@then(
+    'a request of shard {number:d} fails as not run, after {count:d} attempts '
+    'at "{node_id}"'
+)
+def check_attempts(
+    context: Context, number: int, count: int, node_id: str
+) -> None:
+    links: Any = _RefusingLinks()
+    clock = Clock()
+    caller: Any = SimpleNamespace(is_gone=False)
+    work = replace(PLAIN_WORK, service=SERVICE, shard=number)
+    router = Router(
+        NodeName('door', 1),
+        context.view,
+        links,
+        lambda *_: None,
+        RequestBalancer(LoadReports(clock), 'x', Random(1), clock),
+        RetryBudgets(0, clock),
+        clock,
+    )
+    outcome = router.send(caller_request(work, clock), caller)
+    assert isinstance(outcome, Failure) and not outcome.ran, outcome
+    assert len(links.opened) == count
+    assert set(links.opened) <= {node_id}
+
+
 @when(
     'a peer tells it that "{domain}" was evacuated at version {version:d}, '
     'proved {age_ms:d} ms ago'
@@ -162,6 +248,20 @@
     tell(context, 'none', version, age_ms)
 
 
+@when(
+    'a peer tells it that none was evacuated at version {version:d} after '
+    '{span_ms:d} ms'
+)
+def tell_later(context: Context, version: int, span_ms: int) -> None:
+    context.clock.pass_ms(span_ms)
+    tell_none(context, version, 0)
+
+
+@then('the nodes in "{domain}" count with all of {slots:d} slots')
+def check_all_slots(context: Context, domain: str, slots: int) -> None:
+    assert _slots_in(context, domain) == {slots}
+
+
 @then('"{domain}" is evacuated, by a proof that is {age_ms:d} ms old')
 def check_proof(context: Context, domain: str, age_ms: int) -> None:
     assert context.view.is_evacuated(domain)
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -215,6 +215,7 @@
     gate: Any = AdmissionGate
     context.worker_instance = ('worker', 1)
     context.is_evacuated = False
+    context.owners_serve_until_ms = 0
     context.gate = gate(
         SETTINGS,
         UnlimitedLease(),
@@ -234,6 +235,7 @@
             lambda _notice: None,
             lambda: context.worker_instance,
             lambda: context.is_evacuated,
+            lambda: clock.now_ms() < context.owners_serve_until_ms,
         ),
         clock,
     )
@@ -244,6 +246,16 @@
     context.is_evacuated = True
 
 
+@given('its owners still serve')
+def let_owners_serve(context: Context, span_ms: int = 60_000) -> None:
+    context.owners_serve_until_ms = context.clock.now_ms() + span_ms
+
+
+@given('its owners serve for {span_ms:d} ms more')
+def let_owners_serve_for(context: Context, span_ms: int) -> None:
+    let_owners_serve(context, span_ms)
+
+
 @given('the shard is closed after {span_ms:d} ms')
 def close_shard(context: Context, span_ms: int) -> None:
     at_ms = context.clock.now_ms() + span_ms
