--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -391,6 +391,10 @@
                 self._reporting.signals.record_notice,
                 lambda: self._reporting.presence.instance,
                 lambda: self.view.is_evacuated(self._settings.failure_domain),
+                lambda: self.view.evacuations.may_owners_serve(
+                    self._settings.failure_domain,
+                    self._settings.evacuation_limit_ms,
+                ),
             ),
             clock,
         )
