--- a/bench/calling_load.py
+++ b/bench/calling_load.py
@@ -8,13 +8,14 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
 
-from laburnumwood.admission.control import ADMISSION_POLICIES, AdmissionPolicy
+from laburnumwood.admission.control import AdmissionPolicy
+from laburnumwood.admission.policies import ADMISSION_POLICIES
 from laburnumwood.admission.rate_limiter import RateLimiter
 from laburnumwood.admission.tickets import Ticket, TicketResult, TicketState
 from laburnumwood.clock import MS_PER_SECOND, Clock
@@ -114,11 +115,17 @@
     """
 
     def __init__(
-        self, fleet: Fleet, kinds: tuple[Kind, ...], seed: int
+        self,
+        fleet: Fleet,
+        kinds: tuple[Kind, ...],
+        seed: int,
+        settings: AdmissionSettings | None = None,
     ) -> None:
+        self._settings = settings or AdmissionSettings()
         self._clock = _SimulatedClock()
         self.outcomes: Counter[tuple[str, str]] = Counter()
         self._kinds = kinds
+        self._calls = {each.call for each in kinds}
         self._random = Random(seed)
         self._events: list[tuple[float, int, Callable[[], object]]] = []
         self._order = count()
@@ -160,8 +167,8 @@
         ]
 
     def _make_policy(self, slots: int) -> AdmissionPolicy:
-        return ADMISSION_POLICIES['adaptive'](
-            AdmissionSettings(),
+        return ADMISSION_POLICIES[self._settings.policy](
+            self._settings,
             lambda: slots,
             self._clock,
             RateLimiter(self._clock),
@@ -215,17 +222,30 @@
         request.tried.append(gate)
         left_ms = max(0, int(until_ms) - now_ms)
         work = _work(kind, left_ms)
+        if self._settings.policy == 'least-cost':
+            work = self._with_cost(work, request)
         ticket = Ticket(
             str(request.key) if kind.service == KEYED else '',
             now_ms + left_ms,
             useful_until_ms(work, now_ms, now_ms + left_ms),
             classify(work, None),
+            route=kind.name,
+            is_call=bool(work.is_call),
         )
         ticket.on_settled = partial(self._settle, request, ticket, gate)
         gate.policy.offer(ticket)
         if ticket.state is TicketState.WAITING:
             self._after(left_ms, partial(_give_up, gate, ticket))
 
+    def _with_cost(self, work: Work, request: _Request) -> Work:
+        """Return a work with what doors add for admission by cost."""
+        used_ms = int(self._clock.time_ms - request.arrived_ms)
+        return replace(
+            work,
+            is_call=request.kind in self._calls,
+            objective_ms=max(1, work.objective_ms - used_ms),
+        )
+
     def _settle(self, request: _Request, ticket: Ticket, gate: _Gate) -> None:
         if ticket.state is TicketState.RUNNING:
             run = _Run(request, ticket, gate)
--- a/laburnumwood/admission/class_times.py
+++ b/laburnumwood/admission/class_times.py
@@ -1,4 +1,6 @@
-"""How long requests of each traffic class take at the worker."""
+"""How long requests of each traffic class or route take at the worker."""
+
+from collections.abc import Iterable
 
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
@@ -57,11 +59,12 @@
         times = self._classes.get(class_name, self._all)
         return _USUAL_DEVIATIONS * times.deviation
 
-    def add(self, class_name: str, time_ms: float) -> None:
-        """Add a sample."""
-        times = self._classes.get(class_name)
-        if times is None:
-            times = _Times(self._clock)
-            self._classes[class_name] = times
-        times.add(time_ms)
+    def add(self, names: Iterable[str], time_ms: float) -> None:
+        """Add a sample of the classes with these names."""
+        for name in names:
+            times = self._classes.get(name)
+            if times is None:
+                times = _Times(self._clock)
+                self._classes[name] = times
+            times.add(time_ms)
         self._all.add(time_ms)
--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -115,8 +115,8 @@
         self._limit = ConcurrencyLimit(slots, clock)
         self._latencies = ClassTimes(clock)
         self._slot_durations = ClassTimes(clock)
-        self._queue = FairQueue(
-            lambda: slots() * settings.queue_per_slot, self._slot_ms
+        self._queue = self._make_queue(
+            lambda: slots() * settings.queue_per_slot
         )
         self._last_empty_ms = clock.now_ms()
         self._next_late_check_ms = 0
@@ -215,14 +215,12 @@
         now_ms = self._clock.now_ms()
         age_ms = self._mean_unanswered_age_ms()
         mean_of = self._latencies.mean_of
-        answered_ms = {
-            name: now_ms + max(mean_of(name), age_ms) for name in self._weights
-        }
         must_be_useful = self._classes_to_be_useful()
         for ticket in self._queue.tickets():
             name = ticket.traffic_class.name
             limit_ms = _answer_by_ms(ticket, is_strict=name in must_be_useful)
-            if answered_ms[name] > limit_ms:
+            latency_ms = max(mean_of(ticket.time_class), age_ms)
+            if now_ms + latency_ms > limit_ms:
                 self._queue.remove(ticket)
                 self._shed(ticket)
 
@@ -243,7 +241,7 @@
     def _shed(self, ticket: Ticket) -> None:
         if self._rate_limiter.wait_for_ms(len(self._queue) + 1):
             ticket.shed_by_limit = self._rate_limiter.limit
-        ticket.shed(self._retry_after_ms())
+        ticket.shed(self._retry_after_ms(ticket))
 
     def _can_wait(self, ticket: Ticket) -> bool:
         name = ticket.traffic_class.name
@@ -253,8 +251,8 @@
             self._rate_limiter.wait_for_ms(int(sum(ahead.values())) + 1),
         )
         answered_ms = self._clock.now_ms() + start_in_ms
-        answered_ms += self._expected_latency_ms(name)
-        latest_ms = answered_ms + self._latencies.margin_of(name)
+        answered_ms += self._expected_latency_ms(ticket.time_class)
+        latest_ms = answered_ms + self._margin_ms(ticket)
         is_strict = name in self._classes_to_be_useful()
         is_in_time = (
             answered_ms < _answer_by_ms(ticket, is_strict=is_strict)
@@ -283,21 +281,32 @@
             self._limit.record_refusal()
         elif ticket.result is TicketResult.LOST:
             self._limit.record_loss()
-        name = ticket.traffic_class.name
         slot_ms = self._clock.now_ms() - ticket.started_ms
         if ticket.result is TicketResult.UNANSWERED:
             # The answer would have taken longer.
-            self._latencies.add(name, slot_ms)
-            self._slot_durations.add(name, slot_ms)
+            self._record_times(ticket, slot_ms, slot_ms)
         if ticket.answered_ms is None:
             return
         latency_ms = ticket.answered_ms - ticket.started_ms
-        self._latencies.add(name, latency_ms)
-        self._slot_durations.add(name, slot_ms)
+        self._record_times(ticket, latency_ms, slot_ms)
         self._limit.observe(latency_ms, self.running)
 
+    def _record_times(
+        self, ticket: Ticket, latency_ms: int, slot_ms: int
+    ) -> None:
+        names = {ticket.traffic_class.name, ticket.time_class}
+        self._latencies.add(names, latency_ms)
+        self._slot_durations.add(names, slot_ms)
+
+    def _make_queue(self, capacity: Callable[[], int]) -> FairQueue:
+        return FairQueue(capacity, self._slot_ms)
+
+    def _margin_ms(self, ticket: Ticket) -> float:
+        """Return how much later than expected an answer is assumed to be."""
+        return self._latencies.margin_of(ticket.time_class)
+
     def _slot_ms(self, class_name: str) -> float:
-        """Return for how long a ticket of a class is expected to run."""
+        """Return for how long a ticket of a class or route should run."""
         return max(1, self._slot_durations.mean_of(class_name))
 
     def _expected_latency_ms(self, class_name: str) -> float:
@@ -329,7 +338,11 @@
             needed_ms += number * max(mean_ms, least_ms)
         return needed_ms / self.limit
 
-    def _retry_after_ms(self) -> int:
+    def _retry_horizon_ms(self, _ticket: Ticket) -> int:
+        """Return over which time retries are spread."""
+        return _RETRY_HORIZON_MS
+
+    def _retry_after_ms(self, ticket: Ticket) -> int:
         """Return the delay after which a shed request should be retried.
 
         Each shed request is scheduled after all requests that run, wait or
@@ -341,7 +354,7 @@
             self._drain_time_ms({'': waiting + self.running - 1}),
             self._rate_limiter.wait_for_ms(waiting + 1),
         )
-        horizon_ms = max(drained_ms, now_ms + _RETRY_HORIZON_MS)
+        horizon_ms = max(drained_ms, now_ms + self._retry_horizon_ms(ticket))
         interval_ms = max(
             self._drain_time_ms({}), self._rate_limiter.interval_ms
         )
--- a/laburnumwood/admission/queue.py
+++ b/laburnumwood/admission/queue.py
@@ -19,12 +19,15 @@
 
 
 @dataclass(slots=True)
-class _ClassQueue:
+class ClassQueue:
+    """The waiting tickets of one class, by key and in turn."""
+
     weight: int
     start_tag: float = 0
     keys: dict[str, deque[Ticket]] = field(default_factory=dict)
 
     def __len__(self) -> int:
+        """Return the number of waiting tickets."""
         return sum(len(waiting) for waiting in self.keys.values())
 
     @property
@@ -46,9 +49,11 @@
         return longest[-1]
 
     def next_key(self, running: Counter[str]) -> str:
+        """Return the key with the fewest running requests."""
         return min(self.keys, key=lambda key: running[key])
 
     def pop(self, key: str) -> Ticket:
+        """Remove and return the first ticket of a key."""
         waiting = self.keys.pop(key)
         ticket = waiting.popleft()
         if waiting:
@@ -56,6 +61,7 @@
         return ticket
 
     def remove(self, ticket: Ticket) -> None:
+        """Remove a ticket."""
         waiting = self.keys[ticket.key]
         waiting.remove(ticket)
         if not waiting:
@@ -80,7 +86,7 @@
     ) -> None:
         self._capacity = capacity
         self._cost_of = cost_of
-        self._classes: dict[str, _ClassQueue] = {}
+        self._classes: dict[str, ClassQueue] = {}
         self._length = 0
         self._virtual_time: float = 0
 
@@ -134,7 +140,7 @@
         """
         class_queue = self._classes.get(ticket.traffic_class.name)
         if class_queue is None:
-            class_queue = _ClassQueue(ticket.traffic_class.weight)
+            class_queue = ClassQueue(ticket.traffic_class.weight)
             self._classes[ticket.traffic_class.name] = class_queue
         if not class_queue.keys:
             class_queue.start_tag = max(
@@ -145,8 +151,7 @@
         self._length += 1
         if self._length <= self._capacity():
             return None
-        largest = max(self._classes.values(), key=lambda each: each.excess)
-        victim = largest.eviction_candidate(ticket)
+        victim = self._eviction_candidate(ticket)
         self.remove(victim)
         return victim
 
@@ -159,9 +164,11 @@
         name = min(waiting, key=lambda each: self._classes[each].start_tag)
         next_class = self._classes[name]
         self._virtual_time = next_class.start_tag
-        next_class.start_tag += self._cost_of(name) / next_class.weight
         self._length -= 1
-        return next_class.pop(next_class.next_key(running))
+        ticket = self._take(next_class, next_class.next_key(running))
+        cost = self._cost_of(ticket.time_class)
+        next_class.start_tag += cost / next_class.weight
+        return ticket
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a waiting ticket."""
@@ -176,3 +183,12 @@
             for tickets in each.keys.values()
         ]
         return list(chain.from_iterable(by_key))
+
+    def _eviction_candidate(self, added: Ticket) -> Ticket:
+        """Return the ticket to remove after `added` overfilled the queue."""
+        largest = max(self._classes.values(), key=lambda each: each.excess)
+        return largest.eviction_candidate(added)
+
+    def _take(self, class_queue: ClassQueue, key: str) -> Ticket:
+        """Remove and return the next ticket of a class and key."""
+        return class_queue.pop(key)
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -48,6 +48,8 @@
     is better shed at once than kept waiting until `deadline_ms`.  `on_settled`
     is called when the request is given a slot or is shed.  `shed_by_limit` is
     the limit on the worker's request rate because of which it was shed.
+    `route` tells apart requests of a class that take different times, if it is
+    known.  A ticket that `is_call` is of a request that another run waits for.
     """
 
     key: str
@@ -63,6 +65,13 @@
     shed_by_limit: float | None = None
     is_cancelled: bool = False  # no caller waits for the answer any more
     on_settled: Callable[[], None] = _do_nothing
+    route: str = ''
+    is_call: bool = False
+
+    @property
+    def time_class(self) -> str:
+        """Return the name under which its times are observed."""
+        return self.route or self.traffic_class.name
 
     def start(self, now_ms: int) -> None:
         """Give the request a slot."""
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -366,7 +366,7 @@
             self.held_shards,
             self._grants,
             executor,
-            lambda: self.view.directory.declarations.services,
+            lambda: self.view.directory.declarations,
             self.view.directory,
             self._account,
             self.load.meter,
@@ -392,6 +392,7 @@
             self.load.retries,
             clock,
             self._settings.owner_patience_ms,
+            self._settings.admission,
         )
         config_freshness = ConfigFreshness(
             self.name, self.view, platform, self._peers, self.dispatcher, clock
--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -4,6 +4,7 @@
 from math import isnan, nan
 from random import Random
 
+from laburnumwood.admission.policies import LEAST_COST
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Declarations, Route
 from laburnumwood.header_index import HeaderIndex
@@ -25,7 +26,7 @@
     read_body,
     validate_head,
 )
-from laburnumwood.routing.routes import RouteTable
+from laburnumwood.routing.routes import RouteTable, route_name
 from laburnumwood.settings import DaemonSettings
 
 _DEFAULT_DEADLINE_MS = 3_600_000
@@ -73,6 +74,8 @@
 
     def __init__(self, settings: DaemonSettings, random: Random) -> None:
         self._origin = settings.service
+        self._host = settings.host
+        self._tells_calls = settings.admission.policy == LEAST_COST
         self._random = random
         self._declarations = Declarations()
         self._routes = RouteTable(self._declarations)
@@ -97,7 +100,8 @@
             route, declarations.services, environ, self._random
         )
         service = declarations.services[destination.service]
-        deadline_ms = min(_time_left_ms(environ), route.timeout_ms)
+        caller_left_ms = _time_left_ms(environ)
+        deadline_ms = min(caller_left_ms, route.timeout_ms)
         until_ms = environ[TIME_KEY].limit(deadline_ms)
         body = read_body(environ, service.longest_body)
         work = Work(
@@ -115,8 +119,16 @@
             origin=self._origin,
             priority=route.priority,
             objective_ms=route.objective_ms,
+            is_call=self._is_call(environ),
+        )
+        return CallerRequest(
+            work,
+            body,
+            until_ms,
+            route.attempts,
+            route_name(route),
+            caller_left_ms,
         )
-        return CallerRequest(work, body, until_ms, route.attempts)
 
     def problem_answer(
         self, failure: Failure, request_id: str
@@ -138,6 +150,12 @@
         """Return the end-to-end headers of a worker's answer, unchanged."""
         return list(end_to_end_headers(head.headers))
 
+    def _is_call(self, environ: Environ) -> bool | None:
+        """Return whether the worker of this host makes the request."""
+        if not self._tells_calls:
+            return None
+        return environ['REMOTE_ADDR'] == self._host or None
+
     def _route(self, environ: Environ, declarations: Declarations) -> Route:
         path = environ['RAW_PATH_INFO']
         host = _first_header(environ, _HOST)
--- a/laburnumwood/routing/caller_request.py
+++ b/laburnumwood/routing/caller_request.py
@@ -11,10 +11,13 @@
 class CallerRequest:
     """A request, its whole body, and the most workers it may be sent to.
 
-    `until_ms` is its deadline, a time of the clock.
+    `until_ms` is its deadline, a time of the clock.  `caller_left_ms` is how
+    long its caller waits from its arrival, whatever the `route` allows.
     """
 
     work: Work
     body: bytes
     until_ms: int
     attempts: int = UNLIMITED_ATTEMPTS
+    route: str = ''
+    caller_left_ms: int = 0
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -1,6 +1,6 @@
 """The admission gate: every request to the worker of a node passes it."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from contextlib import AbstractContextManager, suppress
 from dataclasses import dataclass, replace
 from functools import partial
@@ -9,12 +9,12 @@
 from typing import Protocol
 
 from laburnumwood.admission.admitter import Admitter
-from laburnumwood.admission.control import ADMISSION_POLICIES
 from laburnumwood.admission.limit import SlotCount
+from laburnumwood.admission.policies import ADMISSION_POLICIES, LEAST_COST
 from laburnumwood.admission.rate_limiter import RateLimiter
 from laburnumwood.admission.tickets import Ticket, TicketResult
 from laburnumwood.clock import Clock
-from laburnumwood.config.declarations import Service
+from laburnumwood.config.declarations import Declarations
 from laburnumwood.errors import (
     BodyMemoryError,
     BodyTimeoutError,
@@ -49,12 +49,13 @@
 )
 from laburnumwood.routing.priorities import classify, useful_until_ms
 from laburnumwood.routing.problems import make_failure, make_overload_failure
+from laburnumwood.routing.routes import CurrentRoutes
 from laburnumwood.routing.run import Run
 from laburnumwood.routing.shard_release import ShardReleasingExchange
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.grants import Grants
 
-Services = Callable[[], Mapping[str, Service]]
+DeclarationsProvider = Callable[[], Declarations]
 
 
 class BusySlotCounter(Protocol):
@@ -169,7 +170,7 @@
         held_shards: HeldShards,
         grants: Grants,
         executor: Executor,
-        services: Services,
+        get_declarations: DeclarationsProvider,
         shards: ShardDirectory,
         capacity_account: BusySlotCounter,
         meter: LoadMeter,
@@ -181,7 +182,9 @@
         self._held_shards = held_shards
         self._grants = grants
         self._worker = worker
-        self._services = services
+        self._get_declarations = get_declarations
+        self._routes = CurrentRoutes(get_declarations)
+        self._is_by_cost = settings.admission.policy == LEAST_COST
         self._directory = shards
         self._capacity_account = capacity_account
         self._meter = meter
@@ -397,12 +400,17 @@
         """Return a ticket for a run whose answer will wait to be sent."""
         work = run.work
         useful_ms = useful_until_ms(work, self._clock.now_ms(), run.until_ms)
-        return Ticket(
+        services = self._get_declarations().services
+        ticket = Ticket(
             work.key,
             run.until_ms,
             useful_ms - answer_wait_ms,
-            classify(work, self._services().get(work.service)),
+            classify(work, services.get(work.service)),
         )
+        if self._is_by_cost:
+            ticket.is_call = bool(work.is_call)
+            ticket.route = self._routes.name_of(work)
+        return ticket
 
     def _worker_notice(self) -> WorkerNotice | None:
         return self._worker.notice(self._admitter.mean_slot_ms)
--- a/laburnumwood/routing/priorities.py
+++ b/laburnumwood/routing/priorities.py
@@ -8,6 +8,7 @@
 
 _DEFAULT_CLASS = TrafficClass()
 _HIGHEST_RANK = 0
+_CALL_CLASS = TrafficClass('call', 64)
 _RANK_CLASSES = tuple(
     TrafficClass(f'rank-{rank}', weight)
     for rank, weight in enumerate((16, 4, 1))
@@ -27,6 +28,8 @@
 
 def classify(work: Work, service: Service | None) -> TrafficClass:
     """Return the traffic class of a request: the heaviest that matches."""
+    if work.is_call:
+        return _CALL_CLASS
     if work.priority >= 0:
         return _RANK_CLASSES[min(work.priority, len(_RANK_CLASSES) - 1)]
     if service is None or not service.priorities:
@@ -43,9 +46,10 @@
 def useful_until_ms(work: Work, now_ms: int, until_ms: int) -> int:
     """Return until when it is useful that a request waits for a slot.
 
-    That is the deadline for requests of the highest rank: other requests
-    depend on them, so that a late answer is better than none.
+    That is the deadline for calls and for requests of the highest rank: other
+    requests depend on them, so that a late answer is better than none.
     """
-    if not work.objective_ms or work.priority == _HIGHEST_RANK:
+    is_depended_on = work.is_call or work.priority == _HIGHEST_RANK
+    if not work.objective_ms or is_depended_on:
         return until_ms
     return min(until_ms, now_ms + work.objective_ms)
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -5,6 +5,7 @@
 
 from eventlet import Timeout
 
+from laburnumwood.admission.policies import make_caller_times
 from laburnumwood.admission.retry_budget import RetryBudgets
 from laburnumwood.admission.throttle import AdaptiveThrottle
 from laburnumwood.clock import Clock
@@ -41,6 +42,7 @@
 from laburnumwood.routing.problems import make_failure
 from laburnumwood.routing.request_balancer import AVOID_MS, RequestBalancer
 from laburnumwood.routing.retry_policy import MAX_OWNER_WAIT_MS, RetryPolicy
+from laburnumwood.settings import AdmissionSettings
 from laburnumwood.tasks import start
 
 # Extra wait in which the gate can report at the deadline how a request ended.
@@ -49,6 +51,7 @@
 _THROTTLED = 'its gate rejects most requests like it'
 _DEADLINE_PASSED = 'the deadline passed before it was sent'
 
+DEFAULT_ADMISSION = AdmissionSettings()
 # Version of a shard record, and the node that may act as owner.
 OwnerVersion = tuple[int, NodeName | None]
 
@@ -73,6 +76,7 @@
         budgets: RetryBudgets,
         clock: Clock,
         max_owner_wait_ms: int = MAX_OWNER_WAIT_MS,
+        admission: AdmissionSettings = DEFAULT_ADMISSION,
     ) -> None:
         self._owner_wait_ms = max_owner_wait_ms
         self._own = own_name
@@ -82,6 +86,7 @@
         self._balancer = balancer
         self._budgets = budgets
         self._clock = clock
+        self._caller_times = make_caller_times(admission, clock)
         self._throttle = AdaptiveThrottle(Random(f'throttle {own_name}'), clock)
 
     def send(
@@ -95,6 +100,7 @@
         that is not retried fails at once.  While most requests of its kind are
         rejected for the load of their gate, some are not sent to it at all.
         """
+        request = self._with_used_time(request)
         target = request.work.service, request.work.shard, request.work.priority
         retry_after_ms = self._throttle.rejects(target)
         if retry_after_ms is not None:
@@ -106,6 +112,17 @@
             self._throttle.record_rejected(target, answer.retry_after_ms)
         return answer
 
+    def _with_used_time(self, request: CallerRequest) -> CallerRequest:
+        """Return a request less the time of its caller's earlier tries."""
+        work, times = request.work, self._caller_times
+        if times is None or not work.objective_ms or work.is_call:
+            return request
+        used_ms = times.used_ms(request.route, request.caller_left_ms)
+        if not used_ms:
+            return request
+        left_ms = max(_NO_TIME_MS, work.objective_ms - used_ms)
+        return replace(request, work=replace(work, objective_ms=left_ms))
+
     def _reject(self, request: CallerRequest, retry_after_ms: int) -> Failure:
         work = request.work
         REQUEST_THROTTLED.report(
--- a/laburnumwood/routing/routes.py
+++ b/laburnumwood/routing/routes.py
@@ -1,9 +1,11 @@
 """Lookup of the route of a request by host and path."""
 
 import re
+from collections.abc import Callable
 from random import Random
 
 from laburnumwood.config.declarations import Declarations, Route
+from laburnumwood.protocol.messages import Work
 
 _PORT_AND_ROOT = re.compile(r'\.?(:[0-9]*)?$')  # at the end of a host
 
@@ -38,6 +40,35 @@
         )
 
 
+def route_name(route: Route) -> str:
+    """Return what tells a route apart from the others."""
+    return f'{route.host}{route.path_prefix}'
+
+
+class CurrentRoutes:
+    """The routes of the configuration in force."""
+
+    def __init__(self, get_declarations: Callable[[], Declarations]) -> None:
+        self._get_declarations = get_declarations
+        self._declarations = Declarations()
+        self._table = RouteTable(self._declarations)
+
+    def name_of(self, work: Work) -> str:
+        """Return the name of the route of a request, '' if it has none."""
+        host = next(
+            (text for name, text in work.headers if name.lower() == 'host'), ''
+        )
+        route = self._current_table().find(host, work.target)
+        return '' if route is None else route_name(route)
+
+    def _current_table(self) -> RouteTable:
+        declarations = self._get_declarations()
+        if declarations is not self._declarations:
+            self._declarations = declarations
+            self._table = RouteTable(declarations)
+        return self._table
+
+
 def choose_service(route: Route, random: Random) -> str:
     """Return a service of a route, drawn at random by weight.
 
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -78,7 +78,9 @@
 
     model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
 
-    policy: Literal['adaptive', 'unlimited', 'fixed-queue'] = 'adaptive'
+    policy: Literal['adaptive', 'least-cost', 'unlimited', 'fixed-queue'] = (
+        'adaptive'
+    )
     queue_per_slot: int = Field(default=2, ge=1, le=1_000)
 
 
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -220,7 +220,7 @@
         context.held_shards,
         context.grants,
         executor,
-        lambda: declarations.services,
+        lambda: declarations,
         context.directory,
         CapacityAccount(SETTINGS, lambda: declarations, clock),
         LoadMeter(1_500, clock),
