--- a/laburnumwood/admission/class_times.py
+++ b/laburnumwood/admission/class_times.py
@@ -8,6 +8,7 @@
 _HALF_LIFE_MS = 2_000
 # Most times are below the mean and twice the mean deviation.
 _USUAL_DEVIATIONS = 2
+_MAX_CLASSES = 1_024
 
 
 class _Times:
@@ -64,7 +65,13 @@
         for name in names:
             times = self._classes.get(name)
             if times is None:
+                self._forget_oldest()
                 times = _Times(self._clock)
                 self._classes[name] = times
             times.add(time_ms)
         self._all.add(time_ms)
+
+    def _forget_oldest(self) -> None:
+        """Make room for another class; routes come and go."""
+        if len(self._classes) >= _MAX_CLASSES:
+            self._classes.pop(next(iter(self._classes)))
--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -252,7 +252,7 @@
         )
         answered_ms = self._clock.now_ms() + start_in_ms
         answered_ms += self._expected_latency_ms(ticket.time_class)
-        latest_ms = answered_ms + self._margin_ms(ticket)
+        latest_ms = answered_ms + self._latencies.margin_of(ticket.time_class)
         is_strict = name in self._classes_to_be_useful()
         is_in_time = (
             answered_ms < _answer_by_ms(ticket, is_strict=is_strict)
@@ -301,10 +301,6 @@
     def _make_queue(self, capacity: Callable[[], int]) -> FairQueue:
         return FairQueue(capacity, self._slot_ms)
 
-    def _margin_ms(self, ticket: Ticket) -> float:
-        """Return how much later than expected an answer is assumed to be."""
-        return self._latencies.margin_of(ticket.time_class)
-
     def _slot_ms(self, class_name: str) -> float:
         """Return for how long a ticket of a class or route should run."""
         return max(1, self._slot_durations.mean_of(class_name))
--- a/laburnumwood/admission/least_cost.py
+++ b/laburnumwood/admission/least_cost.py
@@ -60,11 +60,7 @@
 
 @admission_policy(LEAST_COST)
 class LeastCostPolicy(AdaptivePolicy):
-    """The adaptive policy with the order of least cost.
-
-    A call may wait unless its expected answer is too late: its caller's run is
-    lost with it.
-    """
+    """The adaptive policy with the order of least cost."""
 
     def _make_queue(self, capacity: Callable[[], int]) -> FairQueue:
         return LeastCostQueue(capacity, self._slot_ms, self._prospect)
@@ -73,6 +69,3 @@
         name = ticket.time_class
         answered_ms = self._clock.now_ms() + self._latencies.mean_of(name)
         return Prospect(ticket, answered_ms, self._slot_ms(name))
-
-    def _margin_ms(self, ticket: Ticket) -> float:
-        return 0 if ticket.is_call else super()._margin_ms(ticket)
