Tell calls by their missing objective: no field that older nodes reject

Cause: a node of the version before rejects a Work with more values than it knows (codec.decode; messages.feature:38 failed).

--- a/bench/calling_load.py
+++ b/bench/calling_load.py
@@ -230,7 +230,7 @@
             useful_until_ms(work, now_ms, now_ms + left_ms),
             classify(work, None),
             route=kind.name,
-            is_call=bool(work.is_call),
+            is_call=work.is_call,
         )
         ticket.on_settled = partial(self._settle, request, ticket, gate)
         gate.policy.offer(ticket)
@@ -239,12 +239,10 @@
 
     def _with_cost(self, work: Work, request: _Request) -> Work:
         """Return a work with what doors add for admission by cost."""
+        if request.kind in self._calls:
+            return replace(work, objective_ms=0)
         used_ms = int(self._clock.time_ms - request.arrived_ms)
-        return replace(
-            work,
-            is_call=request.kind in self._calls,
-            objective_ms=max(1, work.objective_ms - used_ms),
-        )
+        return replace(work, objective_ms=max(1, work.objective_ms - used_ms))
 
     def _settle(self, request: _Request, ticket: Ticket, gate: _Gate) -> None:
         if ticket.state is TicketState.RUNNING:
--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -118,8 +118,7 @@
             idempotency_key='',
             origin=self._origin,
             priority=route.priority,
-            objective_ms=route.objective_ms,
-            is_call=self._is_call(environ),
+            objective_ms=0 if self._is_call(environ) else route.objective_ms,
         )
         return CallerRequest(
             work,
@@ -150,11 +149,9 @@
         """Return the end-to-end headers of a worker's answer, unchanged."""
         return list(end_to_end_headers(head.headers))
 
-    def _is_call(self, environ: Environ) -> bool | None:
+    def _is_call(self, environ: Environ) -> bool:
         """Return whether the worker of this host makes the request."""
-        if not self._tells_calls:
-            return None
-        return environ['REMOTE_ADDR'] == self._host or None
+        return self._tells_calls and environ['REMOTE_ADDR'] == self._host
 
     def _route(self, environ: Environ, declarations: Declarations) -> Route:
         path = environ['RAW_PATH_INFO']
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -82,7 +82,7 @@
     """Confirms that a request was carried out."""
 
 
-@message('work', is_frequent=True, added=('worker', 'is_call'))
+@message('work', is_frequent=True, added=('worker',))
 @dataclass(frozen=True, slots=True)
 class Work:
     """A caller's request, forwarded to the owner of its shard.
@@ -94,7 +94,6 @@
     `priority` the rank of its route: 0 is the highest, negative means none.
     `objective_ms` is the time within which an answer is useful; 0: any time.
     `worker` is what the sender last heard of the worker beside the receiver.
-    `is_call` says that a run of another worker waits for it, if it is known.
     """
 
     request_id: str
@@ -113,13 +112,20 @@
     objective_ms: int = 0
     body: bytes = b''
     worker: WorkerNotice | None = None
-    is_call: bool | None = None
 
     @property
     def is_whole(self) -> bool:
         """Return whether the request includes the whole body."""
         return self.body_length == len(self.body)
 
+    @property
+    def is_call(self) -> bool:
+        """Return whether a run of another worker waits for it.
+
+        Such a request has a rank, but is useful until its deadline.
+        """
+        return self.priority >= 0 and not self.objective_ms
+
 
 @message('answer', is_frequent=True, added=('worker',))
 @dataclass(frozen=True, slots=True)
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -408,7 +408,7 @@
             classify(work, services.get(work.service)),
         )
         if self._is_by_cost:
-            ticket.is_call = bool(work.is_call)
+            ticket.is_call = work.is_call
             ticket.route = self._routes.name_of(work)
         return ticket
 
--- a/laburnumwood/routing/priorities.py
+++ b/laburnumwood/routing/priorities.py
@@ -46,10 +46,9 @@
 def useful_until_ms(work: Work, now_ms: int, until_ms: int) -> int:
     """Return until when it is useful that a request waits for a slot.
 
-    That is the deadline for calls and for requests of the highest rank: other
-    requests depend on them, so that a late answer is better than none.
+    That is the deadline for requests of the highest rank: other requests
+    depend on them, so that a late answer is better than none.
     """
-    is_depended_on = work.is_call or work.priority == _HIGHEST_RANK
-    if not work.objective_ms or is_depended_on:
+    if not work.objective_ms or work.priority == _HIGHEST_RANK:
         return until_ms
     return min(until_ms, now_ms + work.objective_ms)
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -115,7 +115,7 @@
     def _with_used_time(self, request: CallerRequest) -> CallerRequest:
         """Return a request less the time of its caller's earlier tries."""
         work, times = request.work, self._caller_times
-        if times is None or not work.objective_ms or work.is_call:
+        if times is None or not work.objective_ms:
             return request
         used_ms = times.used_ms(request.route, request.caller_left_ms)
         if not used_ms:
