--- a/laburnumwood/admission/class_times.py
+++ b/laburnumwood/admission/class_times.py
@@ -47,6 +47,10 @@
         """Return the mean of all classes; 0 before the first sample."""
         return self._all.mean
 
+    def has(self, class_name: str) -> bool:
+        """Return whether a class has been observed."""
+        return class_name in self._classes
+
     def mean_of(self, class_name: str) -> float:
         """Return the mean of a class; 0 before the first sample of any."""
         return self._classes.get(class_name, self._all).mean
--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -152,6 +152,7 @@
     def offer(self, ticket: Ticket) -> None:
         """Start, queue or shed a new ticket."""
         ticket.offered_ms = self._clock.now_ms()
+        ticket.time_class = self._time_class(ticket)
         self._weights[ticket.traffic_class.name] = ticket.traffic_class.weight
         self.dispatch()
         left_ms = ticket.deadline_ms - self._clock.now_ms()
@@ -291,10 +292,17 @@
         self._record_times(ticket, latency_ms, slot_ms)
         self._limit.observe(latency_ms, self.running)
 
+    def _time_class(self, ticket: Ticket) -> str:
+        """Return the route of a ticket if it was observed, else its class."""
+        if self._latencies.has(ticket.route):
+            return ticket.route
+        return ticket.traffic_class.name
+
     def _record_times(
         self, ticket: Ticket, latency_ms: int, slot_ms: int
     ) -> None:
-        names = {ticket.traffic_class.name, ticket.time_class}
+        class_name = ticket.traffic_class.name
+        names = {class_name, ticket.route or class_name}
         self._latencies.add(names, latency_ms)
         self._slot_durations.add(names, slot_ms)
 
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -67,11 +67,7 @@
     on_settled: Callable[[], None] = _do_nothing
     route: str = ''
     is_call: bool = False
-
-    @property
-    def time_class(self) -> str:
-        """Return the name under which its times are observed."""
-        return self.route or self.traffic_class.name
+    time_class: str = ''  # the name of the times that are expected of it
 
     def start(self, now_ms: int) -> None:
         """Give the request a slot."""
