Least cost: tell calls by address only where an operator says so

Cause: a door took each request from its own host's address for a call of the worker. Where callers run on the hosts of the workers, all or no requests come from that address; if all do, ranks, objectives and used times have no effect. Change: the setting admission.calls_from_host, false by default; without it, a call has the rank of its route.

--- a/laburnumwood/platform/callers.py
+++ b/laburnumwood/platform/callers.py
@@ -75,7 +75,10 @@
     def __init__(self, settings: DaemonSettings, random: Random) -> None:
         self._origin = settings.service
         self._host = settings.host
-        self._tells_calls = settings.admission.policy == LEAST_COST
+        admission = settings.admission
+        self._tells_calls = (
+            admission.calls_from_host and admission.policy == LEAST_COST
+        )
         self._random = random
         self._declarations = Declarations()
         self._routes = RouteTable(self._declarations)
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -82,6 +82,7 @@
         'adaptive'
     )
     queue_per_slot: int = Field(default=2, ge=1, le=1_000)
+    calls_from_host: bool = False
 
 
 class OperatorSettings(BaseModel):
