--- a/bench/calling_load.py
+++ b/bench/calling_load.py
@@ -8,13 +8,18 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
 
-from laburnumwood.admission.control import ADMISSION_POLICIES, AdmissionPolicy
+from laburnumwood.admission.control import AdmissionPolicy
+from laburnumwood.admission.policies import (
+    ADMISSION_POLICIES,
+    LEAST_COST,
+    make_caller_times,
+)
 from laburnumwood.admission.rate_limiter import RateLimiter
 from laburnumwood.admission.tickets import Ticket, TicketResult, TicketState
 from laburnumwood.clock import MS_PER_SECOND, Clock
@@ -85,7 +90,10 @@
 
 @dataclass(slots=True, eq=False)
 class _Request:
-    """A request; `until_ms` is when its caller leaves."""
+    """A request; `until_ms` is when its caller leaves.
+
+    `used_ms` is the time that the door takes earlier tries to have used.
+    """
 
     kind: Kind
     key: int
@@ -94,6 +102,7 @@
     returns_left: int
     on_end: Callable[[bool], object] = bool
     tried: list[_Gate] = field(default_factory=list)
+    used_ms: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -114,11 +123,18 @@
     """
 
     def __init__(
-        self, fleet: Fleet, kinds: tuple[Kind, ...], seed: int
+        self,
+        fleet: Fleet,
+        kinds: tuple[Kind, ...],
+        seed: int,
+        settings: AdmissionSettings | None = None,
     ) -> None:
+        self._settings = settings or AdmissionSettings()
         self._clock = _SimulatedClock()
+        self._caller_times = make_caller_times(self._settings, self._clock)
         self.outcomes: Counter[tuple[str, str]] = Counter()
         self._kinds = kinds
+        self._calls = {each.call for each in kinds}
         self._random = Random(seed)
         self._events: list[tuple[float, int, Callable[[], object]]] = []
         self._order = count()
@@ -160,8 +176,8 @@
         ]
 
     def _make_policy(self, slots: int) -> AdmissionPolicy:
-        return ADMISSION_POLICIES['adaptive'](
-            AdmissionSettings(),
+        return ADMISSION_POLICIES[self._settings.policy](
+            self._settings,
             lambda: slots,
             self._clock,
             RateLimiter(self._clock),
@@ -197,6 +213,7 @@
 
     def _send(self, request: _Request) -> None:
         request.tried = []
+        request.used_ms = self._estimate_used_ms(request)
         timeout_ms = self._clock.time_ms + request.kind.timeout_ms
         until_ms = min(request.until_ms, timeout_ms)
         self._after(_HOP_MS, partial(self._offer, request, until_ms))
@@ -215,17 +232,35 @@
         request.tried.append(gate)
         left_ms = max(0, int(until_ms) - now_ms)
         work = _work(kind, left_ms)
+        is_by_cost = self._settings.policy == LEAST_COST
+        if is_by_cost:
+            work = self._with_cost(work, request)
         ticket = Ticket(
             str(request.key) if kind.service == KEYED else '',
             now_ms + left_ms,
             useful_until_ms(work, now_ms, now_ms + left_ms),
             classify(work, None),
+            route=kind.name if is_by_cost else '',
+            is_call=work.is_call,
         )
         ticket.on_settled = partial(self._settle, request, ticket, gate)
         gate.policy.offer(ticket)
         if ticket.state is TicketState.WAITING:
             self._after(left_ms, partial(_give_up, gate, ticket))
 
+    def _with_cost(self, work: Work, request: _Request) -> Work:
+        """Return a work with what doors add for admission by cost."""
+        if request.kind in self._calls:
+            return replace(work, objective_ms=0)
+        left_ms = max(1, work.objective_ms - request.used_ms)
+        return replace(work, objective_ms=left_ms)
+
+    def _estimate_used_ms(self, request: _Request) -> int:
+        if self._caller_times is None or request.kind in self._calls:
+            return 0
+        left_ms = int(request.until_ms - self._clock.time_ms)
+        return self._caller_times.used_ms(request.kind.name, left_ms)
+
     def _settle(self, request: _Request, ticket: Ticket, gate: _Gate) -> None:
         if ticket.state is TicketState.RUNNING:
             run = _Run(request, ticket, gate)
--- a/laburnumwood/admission/class_times.py
+++ b/laburnumwood/admission/class_times.py
@@ -1,4 +1,6 @@
-"""How long requests of each traffic class take at the worker."""
+"""How long requests of each traffic class or route take at the worker."""
+
+from collections.abc import Iterable
 
 from laburnumwood.clock import Clock
 from laburnumwood.decay import DecayingMean
@@ -6,6 +8,7 @@
 _HALF_LIFE_MS = 2_000
 # Most times are below the mean and twice the mean deviation.
 _USUAL_DEVIATIONS = 2
+_MAX_CLASSES = 1_024
 
 
 class _Times:
@@ -44,6 +47,10 @@
         """Return the mean of all classes; 0 before the first sample."""
         return self._all.mean
 
+    def has(self, class_name: str) -> bool:
+        """Return whether a class has been observed."""
+        return class_name in self._classes
+
     def mean_of(self, class_name: str) -> float:
         """Return the mean of a class; 0 before the first sample of any."""
         return self._classes.get(class_name, self._all).mean
@@ -57,11 +64,18 @@
         times = self._classes.get(class_name, self._all)
         return _USUAL_DEVIATIONS * times.deviation
 
-    def add(self, class_name: str, time_ms: float) -> None:
-        """Add a sample."""
-        times = self._classes.get(class_name)
-        if times is None:
-            times = _Times(self._clock)
-            self._classes[class_name] = times
-        times.add(time_ms)
+    def add(self, names: Iterable[str], time_ms: float) -> None:
+        """Add a sample of the classes with these names."""
+        for name in names:
+            times = self._classes.get(name)
+            if times is None:
+                self._forget_oldest()
+                times = _Times(self._clock)
+                self._classes[name] = times
+            times.add(time_ms)
         self._all.add(time_ms)
+
+    def _forget_oldest(self) -> None:
+        """Make room for another class; routes come and go."""
+        if len(self._classes) >= _MAX_CLASSES:
+            self._classes.pop(next(iter(self._classes)))
--- a/laburnumwood/admission/control.py
+++ b/laburnumwood/admission/control.py
@@ -115,8 +115,8 @@
         self._limit = ConcurrencyLimit(slots, clock)
         self._latencies = ClassTimes(clock)
         self._slot_durations = ClassTimes(clock)
-        self._queue = FairQueue(
-            lambda: slots() * settings.queue_per_slot, self._slot_ms
+        self._queue = self._make_queue(
+            lambda: slots() * settings.queue_per_slot
         )
         self._last_empty_ms = clock.now_ms()
         self._next_late_check_ms = 0
@@ -152,6 +152,7 @@
     def offer(self, ticket: Ticket) -> None:
         """Start, queue or shed a new ticket."""
         ticket.offered_ms = self._clock.now_ms()
+        ticket.time_class = self._time_class(ticket)
         self._weights[ticket.traffic_class.name] = ticket.traffic_class.weight
         self.dispatch()
         left_ms = ticket.deadline_ms - self._clock.now_ms()
@@ -215,14 +216,12 @@
         now_ms = self._clock.now_ms()
         age_ms = self._mean_unanswered_age_ms()
         mean_of = self._latencies.mean_of
-        answered_ms = {
-            name: now_ms + max(mean_of(name), age_ms) for name in self._weights
-        }
         must_be_useful = self._classes_to_be_useful()
         for ticket in self._queue.tickets():
             name = ticket.traffic_class.name
             limit_ms = _answer_by_ms(ticket, is_strict=name in must_be_useful)
-            if answered_ms[name] > limit_ms:
+            latency_ms = max(mean_of(ticket.time_class), age_ms)
+            if now_ms + latency_ms > limit_ms:
                 self._queue.remove(ticket)
                 self._shed(ticket)
 
@@ -253,8 +252,8 @@
             self._rate_limiter.wait_for_ms(int(sum(ahead.values())) + 1),
         )
         answered_ms = self._clock.now_ms() + start_in_ms
-        answered_ms += self._expected_latency_ms(name)
-        latest_ms = answered_ms + self._latencies.margin_of(name)
+        answered_ms += self._expected_latency_ms(ticket.time_class)
+        latest_ms = answered_ms + self._latencies.margin_of(ticket.time_class)
         is_strict = name in self._classes_to_be_useful()
         is_in_time = (
             answered_ms < _answer_by_ms(ticket, is_strict=is_strict)
@@ -283,21 +282,35 @@
             self._limit.record_refusal()
         elif ticket.result is TicketResult.LOST:
             self._limit.record_loss()
-        name = ticket.traffic_class.name
         slot_ms = self._clock.now_ms() - ticket.started_ms
         if ticket.result is TicketResult.UNANSWERED:
             # The answer would have taken longer.
-            self._latencies.add(name, slot_ms)
-            self._slot_durations.add(name, slot_ms)
+            self._record_times(ticket, slot_ms, slot_ms)
         if ticket.answered_ms is None:
             return
         latency_ms = ticket.answered_ms - ticket.started_ms
-        self._latencies.add(name, latency_ms)
-        self._slot_durations.add(name, slot_ms)
+        self._record_times(ticket, latency_ms, slot_ms)
         self._limit.observe(latency_ms, self.running)
 
+    def _time_class(self, ticket: Ticket) -> str:
+        """Return the route of a ticket if it was observed, else its class."""
+        if self._latencies.has(ticket.route):
+            return ticket.route
+        return ticket.traffic_class.name
+
+    def _record_times(
+        self, ticket: Ticket, latency_ms: int, slot_ms: int
+    ) -> None:
+        class_name = ticket.traffic_class.name
+        names = {class_name, ticket.route or class_name}
+        self._latencies.add(names, latency_ms)
+        self._slot_durations.add(names, slot_ms)
+
+    def _make_queue(self, capacity: Callable[[], int]) -> FairQueue:
+        return FairQueue(capacity, self._slot_ms)
+
     def _slot_ms(self, class_name: str) -> float:
-        """Return for how long a ticket of a class is expected to run."""
+        """Return for how long a ticket of a class or route should run."""
         return max(1, self._slot_durations.mean_of(class_name))
 
     def _expected_latency_ms(self, class_name: str) -> float:
--- a/laburnumwood/protocol/messages.py
+++ b/laburnumwood/protocol/messages.py
@@ -124,6 +124,14 @@
         """Return whether the request includes the whole body."""
         return self.body_length == len(self.body)
 
+    @property
+    def is_call(self) -> bool:
+        """Return whether a run of another worker waits for it.
+
+        Such a request has a rank, but is useful until its deadline.
+        """
+        return self.priority >= 0 and not self.objective_ms
+
 
 @message('answer', is_frequent=True, added=('worker',))
 @dataclass(frozen=True, slots=True)
--- a/laburnumwood/routing/priorities.py
+++ b/laburnumwood/routing/priorities.py
@@ -8,6 +8,7 @@
 
 _DEFAULT_CLASS = TrafficClass()
 _HIGHEST_RANK = 0
+_CALL_CLASS = TrafficClass('call', 64)
 _RANK_CLASSES = tuple(
     TrafficClass(f'rank-{rank}', weight)
     for rank, weight in enumerate((16, 4, 1))
@@ -27,6 +28,8 @@
 
 def classify(work: Work, service: Service | None) -> TrafficClass:
     """Return the traffic class of a request: the heaviest that matches."""
+    if work.is_call:
+        return _CALL_CLASS
     if work.priority >= 0:
         return _RANK_CLASSES[min(work.priority, len(_RANK_CLASSES) - 1)]
     if service is None or not service.priorities:
--- a/tests/features/steps/evacuation_steps.py
+++ b/tests/features/steps/evacuation_steps.py
@@ -9,12 +9,12 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from laburnumwood.routing.request_balancer import RequestBalancer
 
 from bench.deployment import wait_for
 from bench.reporting import ReportingDeployment
 from bench.spreading import record_of
 from laburnumwood.admission.retry_budget import RetryBudgets
+from laburnumwood.balancing.request_balancer import RequestBalancer
 from laburnumwood.clock import Clock
 from laburnumwood.errors import (
     CompactedError,
