Accept manifests that declare a long warm-up

Cause: a warm-up of more than an hour made the whole configuration invalid; before warm-ups were read it was ignored. Change: the duration in a manifest is cut to the longest one that may be declared, as its other times are.

--- a/laburnumwood/config/declarations.py
+++ b/laburnumwood/config/declarations.py
@@ -158,7 +158,7 @@
     from all nodes together meanwhile.
     """
 
-    duration_ms: int = Field(ge=0, le=3_600_000)
+    duration_ms: int = Field(ge=0, le=LONGEST_TIMEOUT_MS)
     per_second: float = Field(gt=0, allow_inf_nan=False)
 
 
--- a/laburnumwood/platform/manifest.py
+++ b/laburnumwood/platform/manifest.py
@@ -104,11 +104,15 @@
     return declaration
 
 
+def _to_duration_ms(seconds: float) -> int:
+    return round(min(max(0, seconds * MS_PER_SECOND), LONGEST_TIMEOUT_MS))
+
+
 def _declare_warm_ups(services: list[_Service]) -> dict[str, Any]:
     """Return what cold workers tolerate, where a service names a rate."""
     return {
         each.name: {
-            'duration_ms': max(0, round((each.warmup_s or 0) * MS_PER_SECOND)),
+            'duration_ms': _to_duration_ms(each.warmup_s or 0),
             'per_second': each.warmup_per_s,
         }
         for each in services
