Close three gaps in what a cold worker is sent

Cause: send() checked the limit, then opened a connection, and counted after that: 40 requests that waited for connections together were all sent (8 allowed). A worker that counts its reports anew with the same start time was not seen to be cold, as such reports count as stale. Requests sent before a warm-up was declared, and by the gate of an earlier incarnation while the next one had not read the configuration yet, were neither counted nor limited. Change: the check follows the opening of the connection, with no switch before the request is counted; a stale report may begin a cold period; without a declaration the last second counts as unknown; the terms of the earlier incarnation stay until the next one has read the store.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -141,6 +141,13 @@
         others.  Raises `PlatformError` if the store does not answer.
         """
         self._store_watcher.list_all()
+        if self._integration.worker_reports:
+            # Until now those of the earlier incarnation were in force.
+            self._reporting.signals.warm_up.period.terms = lambda: (
+                self.view.directory.declarations.warm_ups.get(
+                    self._settings.service
+                )
+            )
         self._quarantine.learn(self._settings.service)
         if self._granter is not None:
             self._granter.probe()
@@ -281,11 +288,6 @@
             grant_source = ShardGrantSource(
                 self._settings.service, self.lease, self.held_shards, self.view
             )
-            self._reporting.signals.warm_up.period.terms = lambda: (
-                self.view.directory.declarations.warm_ups.get(
-                    self._settings.service
-                )
-            )
             return grant_source.attach(self._reporting)
         self._granter = Granter(
             self._worker,
--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -157,4 +157,7 @@
 
 
 class WorkerBusyError(WorkerError):
-    """A request that must run alone found the worker busy; nothing was sent."""
+    """The worker could not take a request in time; nothing was sent.
+
+    The request has to run alone, or the worker is cold.
+    """
--- a/laburnumwood/platform/workers.py
+++ b/laburnumwood/platform/workers.py
@@ -30,6 +30,7 @@
 from laburnumwood.upstream.reporting_worker import ReportingWorker
 from laburnumwood.upstream.worker import WorkerClient
 from laburnumwood.upstream.worker_signals import AnswerSignals
+from laburnumwood.warmup.cold_period import HEALTH_CHECK
 
 _ID = ID_HEADER.lower()
 _STAMP = STAMP_HEADER.lower()
@@ -139,7 +140,9 @@
         """Record what the answer to a health check says about the worker."""
         left = headers.get(WARMING_HEADER, '')
         if _DECIMAL.fullmatch(left):
-            self._worker.signals.warm_up.period.record_health(ceil(float(left)))
+            self._worker.signals.warm_up.period.record_hint(
+                ceil(float(left)), HEALTH_CHECK
+            )
 
     def cancel(self, _worker: WorkerClient, _run: Run) -> bool:
         """Return False: a worker stops a request if its connection closes."""
--- a/laburnumwood/upstream/reporting_worker.py
+++ b/laburnumwood/upstream/reporting_worker.py
@@ -41,6 +41,7 @@
 )
 from laburnumwood.upstream.token_history import TokenHistory
 from laburnumwood.upstream.worker_signals import WorkerSignals
+from laburnumwood.warmup.cold_period import STALE_REPORT
 
 _EMPTY_GRANT_MS = 1_000  # duration of a reply that grants nothing
 _MIN_GRANT_MS = 50  # a shorter grant would expire before it is used
@@ -173,12 +174,16 @@
     def handle_report(self, report: WorkerReport) -> GrantReply:
         """Process a report and return the grants to reply with.
 
-        A stale report changes nothing.
+        A stale report grants nothing.  It may still be of a worker that has
+        started again, so its warm-up counts.
         """
         status = self.presence.record_report(report)
         if status is ReportStatus.STALE:
             if not self.presence.is_current(report):
                 self._tokens.record_earlier(report)
+            self.signals.warm_up.period.record_hint(
+                report.warming_ms, STALE_REPORT
+            )
             return GrantReply()
         if status is ReportStatus.NEW_INSTANCE:
             self._start_instance(report)
--- a/laburnumwood/upstream/worker.py
+++ b/laburnumwood/upstream/worker.py
@@ -112,10 +112,12 @@
         `WorkerBusyError` if nothing was sent, and `WorkerAnswerError` if the
         request may have run.
         """
-        if not self._warm_up.limiter.may_send():
-            raise WorkerBusyError('the worker is cold and was sent enough')
         until_ms = self._clock.now_ms() + request.timeout_ms
         head, connection = self._prepare(request)
+        # Others may have been sent while the connection was opened.
+        if not self._warm_up.limiter.may_send():
+            self._request_pool.release(connection)
+            raise WorkerBusyError('the worker is cold and was sent enough')
         response = None
         self._warm_up.limiter.record_send()
         try:
--- a/laburnumwood/warmup/cold_limiter.py
+++ b/laburnumwood/warmup/cold_limiter.py
@@ -73,9 +73,13 @@
 
     def record_send(self) -> None:
         """Count a request that is sent to the worker now."""
-        if self._period.terms() is not None:
-            self._forget_old()
-            self._sent_ms.append(self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        if self._period.terms() is None:
+            # It is not counted, in case a warm-up is declared right after it.
+            self._unknown_until_ms = now_ms + MS_PER_SECOND
+            return
+        self._forget_old()
+        self._sent_ms.append(now_ms)
 
     def _room_in_ms(self, terms: WarmUpTerms) -> int:
         """Return when the last second will have room for one more request."""
--- a/laburnumwood/warmup/cold_period.py
+++ b/laburnumwood/warmup/cold_period.py
@@ -11,6 +11,7 @@
 # was sent after the answer to it.
 _REPORTS_AS_PROOF = 2
 REPORT = 'a report of the worker'
+STALE_REPORT = 'a report that counts as stale'
 HEALTH_CHECK = 'an answer to a health check'
 LOST_WORKER = 'the worker could not be reached'
 
@@ -74,15 +75,16 @@
             self._until_ms = self._clock.now_ms() + left_ms
         self._report_change(REPORT)
 
-    def record_health(self, left_ms: int) -> None:
-        """Record what the worker says in its answer to a health check.
+    def record_hint(self, left_ms: int, source: str) -> None:
+        """Record for how long the worker is cold if a source is right.
 
-        Only reports show that it is warm: the answer to a check may be false.
+        An answer to a health check may be false, and a stale report may be of
+        an earlier instance: only reports that count show that it is warm.
         """
         if left_ms:
             self._until_ms = self._clock.now_ms() + left_ms
             self._reports_needed = _REPORTS_AS_PROOF
-            self._report_change(HEALTH_CHECK)
+            self._report_change(source)
 
     def record_loss(self) -> None:
         """Record that the worker could not be reached: it may have ended."""
--- a/tests/features/steps/cold_worker_steps.py
+++ b/tests/features/steps/cold_worker_steps.py
@@ -1,12 +1,15 @@
 """Steps about a cold worker, as decisions on a fake clock."""
 
 from bisect import bisect_left
+from unittest.mock import patch
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
 
 from laburnumwood.config.declarations import WarmUp
 from laburnumwood.config.merge import merge_record
+from laburnumwood.errors import WorkerBusyError, WorkerError
 from laburnumwood.placement.worker_notices import WorkerNotices
 from laburnumwood.platform.bodies import encode
 from laburnumwood.platform.headers import WARMING_HEADER
@@ -15,10 +18,35 @@
 from laburnumwood.platform.workers import PlatformWorkerInterface
 from laburnumwood.records import ConfigRecord, NodeName, StoredObject
 from laburnumwood.store.objects import CONFIG_NAME, to_record
+from laburnumwood.upstream.worker import WorkerClient, WorkerRequest
 from tests.features.steps.limited_gate import SLOTS, WORK_MS, LimitedGate
 
 NODE = NodeName('a', 1)
 SECOND_MS = 1_000
+CONNECT_S = 0.02
+
+
+class SlowPool:
+    """Connections that take time to open and lose each request sent."""
+
+    def __init__(self, *_settings: object) -> None:
+        self.sent = 0
+
+    def acquire(self, *_limits: object) -> 'SlowPool':
+        """Open a connection; other requests go on meanwhile."""
+        eventlet.sleep(CONNECT_S)
+        return self
+
+    def release(self, _connection: object) -> None:
+        """Keep a connection."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+    def send_request(self, *_parts: object) -> None:
+        """Lose a request."""
+        self.sent += 1
+        raise ConnectionResetError
 
 
 def _report(context: Context, left_ms: int) -> None:
@@ -61,6 +89,12 @@
     _report(context, left_ms)
 
 
+@when('the worker counts its reports anew and is cold for {left_ms:d} ms')
+def count_anew(context: Context, left_ms: int) -> None:
+    context.number = 0
+    _report(context, left_ms)
+
+
 @when('the worker reports {count:d} times that it is warm')
 def report_warm(context: Context, count: int) -> None:
     for _ in range(count):
@@ -80,6 +114,40 @@
     interface.record_health({WARMING_HEADER: str(left_ms)})
 
 
+@when('{span_ms:d} ms pass without requests')
+def pass_without_requests(context: Context, span_ms: int) -> None:
+    for _ in range(span_ms):
+        context.gate.pass_ms()
+
+
+@when('{count:d} requests are sent to it at once on new connections')
+def send_at_once(context: Context, count: int) -> None:
+    signals, clock = context.gate.signals, context.gate.clock
+    context.pool = SlowPool()
+    with patch(
+        'laburnumwood.upstream.worker.ConnectionPool', return_value=context.pool
+    ):
+        client = WorkerClient('http://worker', 1, clock, signals.warm_up)
+    request = WorkerRequest('GET', '/', (), b'', SECOND_MS)
+    pool = eventlet.GreenPool()
+    context.refused = sum(
+        pool.imap(lambda _: _is_refused(client, request), range(count))
+    )
+
+
+def _is_refused(client: WorkerClient, request: WorkerRequest) -> bool:
+    try:
+        client.send(request)
+    except WorkerError as error:
+        return isinstance(error, WorkerBusyError)
+    return False
+
+
+@then('{sent:d} of them reach it and {refused:d} are refused unsent')
+def check_reached(context: Context, sent: int, refused: int) -> None:
+    assert (context.pool.sent, context.refused) == (sent, refused)
+
+
 @then(
     'within any second since, at most {most:d} requests started, and {least:d} '
     'in all'
@@ -114,6 +182,13 @@
     assert min(context.gate.starts(1)) >= begin_ms + span_ms
 
 
+@then('no request started until {span_ms:d} ms after that')
+def check_none_started_since(context: Context, span_ms: int) -> None:
+    assert min(context.gate.starts(context.since_ms + 1)) >= (
+        context.since_ms + span_ms
+    )
+
+
 @then('{span_ms:d} ms later they count {usable:d} usable slots of {slots:d}')
 def check_usable_later(
     context: Context, span_ms: int, usable: int, slots: int
--- a/tests/features/worker_limit.feature
+++ b/tests/features/worker_limit.feature
@@ -165,6 +165,24 @@
       | starts anew and reports to be cold for 3100 ms   |
       | cannot be reached                                |
       | says in a health check that it is cold for 3100 ms |
+      | counts its reports anew and is cold for 3100 ms  |
+
+  # Connections to a worker that came back are opened for many at the same time.
+  Scenario: requests that wait for connections to a cold worker count when sent
+    Given the workers of its service take 6 requests a second for 3000 ms when cold
+    When 60 requests a second arrive for 2 s
+    And 1000 ms pass without requests
+    And the worker reports that it is cold for 3100 ms
+    And 40 requests are sent to it at once on new connections
+    Then 8 of them reach it and 32 are refused unsent
+
+  # What was sent before the declaration was not counted.
+  Scenario: a warm-up is declared while requests are sent to a worker that turns cold
+    When 60 requests a second arrive for 2 s
+    Given the workers of its service take 6 requests a second for 3000 ms when cold
+    When the worker reports that it is cold for 3100 ms
+    And 60 requests a second arrive for 2 s
+    Then no request started until 900 ms after that
 
   # Guards against a burst beside what the process before has sent.
   Scenario: a node that restarts beside a cold worker sends nothing in its first second
