Run nothing of a connection closed for others, nor cut callers that read slowly

Cause (review): a request that had arrived on an idle connection when that was closed at the limit was still passed on, and its answer lost. A caller that reads slowly was cut after 60 s in which the system took no more, although it read, and was closed before idle ones at the limit. A refused body could be evicted once more while its refusal waited (500), and stayed in memory as long as the error's frame. An unread rest of a body was awaited in a connection that could never be closed for others.

Change: a closed connection is marked; what came on it, head or body, is refused before it is sent on. Those on which an answer is sent are closed last. A caller is given up only if in 300 s nothing of its answer has left the send queue of the system. Reading a body ends its eviction however it ends, and frees the buffer. The wait for an unread rest counts as a wait.

--- a/laburnumwood/resources/body_memory.py
+++ b/laburnumwood/resources/body_memory.py
@@ -6,7 +6,8 @@
 """
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from functools import partial
 from types import TracebackType
 
@@ -169,6 +170,14 @@
         """Keep the memory of a request that was received whole."""
         self._memory.end_receiving(self)
 
+    @contextmanager
+    def receiving(self) -> Iterator[None]:
+        """Evict the request no more after this context, however it ends."""
+        try:
+            yield
+        finally:
+            self.complete()
+
     def evict(self, stalled_ms: int) -> None:
         """Release the memory and end the task that receives the request."""
         self.release()
--- a/laburnumwood/resources/connections.py
+++ b/laburnumwood/resources/connections.py
@@ -1,7 +1,8 @@
 """A limit on the connections that callers keep open.
 
 Beyond it the connection that has waited for its caller for the longest time
-is closed, or the new one if none has waited for long.
+is closed, or the new one if none has waited for long.  Those on which an answer
+is sent come last.
 """
 
 from collections.abc import Callable
@@ -48,7 +49,9 @@
     def __init__(self, close: Callable[[], None], clock: Clock) -> None:
         self._clock = clock
         self._waiting_since_ms: int | None = clock.now_ms()
-        self.close = close
+        self._close = close
+        self.is_answering = False
+        self.is_closed = False
 
     @property
     def waited_ms(self) -> int:
@@ -62,9 +65,20 @@
         now_ms = self._clock.now_ms() if since_ms is None else since_ms
         self._waiting_since_ms = now_ms
 
+    def begin_answer(self) -> None:
+        """Record that the caller is to read an answer from now."""
+        self.begin_wait()
+        self.is_answering = True
+
     def end_wait(self) -> None:
         """Record that the connection does not wait for its caller."""
         self._waiting_since_ms = None
+        self.is_answering = False
+
+    def close(self) -> None:
+        """Close it; what its caller has sent must not be run any more."""
+        self.is_closed = True
+        self._close()
 
 
 class ConnectionTable:
@@ -93,7 +107,7 @@
 
     def _evict(self) -> bool:
         """Close the connection that has waited longest; return if any has."""
-        idlest = max(self._connections, key=lambda each: each.waited_ms)
+        idlest = max(self._connections, key=_eviction_rank)
         waited_ms = idlest.waited_ms
         is_idle = waited_ms >= _MIN_WAIT_MS
         CONNECTION_EVICTED.report(
@@ -106,6 +120,16 @@
         return is_idle
 
 
+def _eviction_rank(connection: CallerConnection) -> tuple[bool, bool, int]:
+    """Return a value that is greater for what is closed earlier.
+
+    A caller that reads an answer slowly would lose it.
+    """
+    waited_ms = connection.waited_ms
+    is_idle = waited_ms >= _MIN_WAIT_MS
+    return is_idle, not connection.is_answering, waited_ms
+
+
 def _shut_down(sock: Any) -> None:
     """End the reading and writing of a connection in its own task."""
     with suppress(OSError):
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -5,9 +5,13 @@
 library takes longer than all other work that the ingress does for a request.
 """
 
+import fcntl
 import os
 import struct
+import sys
+import termios
 import traceback
+from array import array
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from http import HTTPStatus
@@ -80,7 +84,7 @@
 _END_OF_HEAD = b'\r\n\r\n'
 _PEEK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
 _WRITE_BUFFER_SIZE = 512  # bytes; answers are sent without it
-_SEND_TIMEOUT_S = 60  # in which a caller has to read anything
+_SEND_TIMEOUT_S = 300  # in which a caller has to read anything
 _PROBLEM_KINDS: dict[type[LaburnumwoodError], str] = {
     BodyMemoryError: 'overloaded',
     BodyEvictedError: 'overloaded',
@@ -93,6 +97,13 @@
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
+def unread_size(sock: Any) -> int:
+    """Return how many bytes that were sent have not arrived yet."""
+    size = array('i', (0,))
+    fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, size)
+    return size[0]
+
+
 def reset_connection(sock: Any) -> None:
     """Close a connection with a TCP reset instead of an orderly end."""
     with suppress(OSError):
@@ -289,14 +300,26 @@
 
         A caller that does not read is given up after a while.
         """
-        self._connection.begin_wait()
+        self._connection.begin_answer()
         self.connection.settimeout(_SEND_TIMEOUT_S)
         try:
-            self.connection.sendall(content)
+            self._send_all(memoryview(content))
         finally:
             self.connection.settimeout(None)
             self._connection.end_wait()
 
+    def _send_all(self, rest: memoryview) -> None:
+        unread = sys.maxsize
+        while rest:
+            try:
+                rest = rest[self.connection.send(rest) :]
+                unread = sys.maxsize
+            except TimeoutError:
+                # The system may take no more although the caller reads slowly.
+                before, unread = unread, unread_size(self.connection)
+                if unread >= before:
+                    raise
+
     def _end_response(self, answer: _AnswerWriter, body: BodyInput) -> None:
         self._answered += 1
         self._release_head()
@@ -354,6 +377,7 @@
         has_unread = body.chunked_input or body.position < body.content_length
         if not has_unread:
             return
+        self._connection.begin_wait()
         if self.close_connection:
             with suppress(OSError):
                 self._drain()
@@ -376,7 +400,8 @@
             return ''
         except OSError:
             return ''
-        if head is None or self.conn_state[2] == wsgi.STATE_CLOSE:
+        is_closed = self._connection.is_closed
+        if head is None or is_closed or self.conn_state[2] == wsgi.STATE_CLOSE:
             # Closed while it was idle: an answer could no longer be sent.
             return ''
         self._connection.end_wait()
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -114,17 +114,21 @@
 ) -> bytes:
     stream = environ['wsgi.input']
     connection: CallerConnection = environ[CONNECTION_KEY]
-    body = BytesIO()  # its value is not copied
     connection.begin_wait()
-    while part := stream.read_part(_READ_SIZE):
-        body.write(part)
-        if body.tell() > max_bytes:
-            raise RequestRefusedError('too-large', f'over {max_bytes} bytes')
-        reservation.grow_to(body.tell())
-        connection.begin_wait(reservation.progressed_ms)
-    connection.end_wait()
-    reservation.complete()
-    return body.getvalue()
+    # Closed at once if it is not complete: errors may keep this frame a while.
+    with BytesIO() as body, reservation.receiving():
+        while part := stream.read_part(_READ_SIZE):
+            body.write(part)
+            if body.tell() > max_bytes:
+                raise RequestRefusedError(
+                    'too-large', f'over {max_bytes} bytes'
+                )
+            reservation.grow_to(body.tell())
+            connection.begin_wait(reservation.progressed_ms)
+        connection.end_wait()
+        if connection.is_closed:
+            raise OSError('the connection was closed')
+        return body.getvalue()  # not a copy
 
 
 def _no_memory(error: BodyMemoryError) -> RequestRefusedError:
--- a/tests/features/steps/uncontrolled_client_steps.py
+++ b/tests/features/steps/uncontrolled_client_steps.py
@@ -210,9 +210,15 @@
         clock.pass_ms(1)
         each.begin_wait()
     opened[1].end_wait()
+    context.entries = opened
     clock.pass_ms(span_ms - count + 1)
 
 
+@given('the one that has waited longest is sent an answer')
+def begin_answer(context: Context) -> None:
+    context.entries[0].is_answering = True
+
+
 @when('another connection is opened')
 def open_connection(context: Context) -> None:
     pair = socket.socketpair()
@@ -228,6 +234,14 @@
     assert ended == longest, ended
 
 
+@then('the idle one is closed, and what it has sent is not run')
+def check_idle_closed(context: Context) -> None:
+    ended = [_has_ended(second) for _, second in context.pairs]
+    assert ended == [False, False, True, False], ended
+    closed = [each.is_closed for each in context.entries]
+    assert closed == [False, False, True], closed
+
+
 def _has_ended(sock: socket.socket) -> bool:
     sock.setblocking(False)
     with suppress(BlockingIOError):
--- a/tests/features/uncontrolled_clients.feature
+++ b/tests/features/uncontrolled_clients.feature
@@ -42,3 +42,10 @@
       | waited | end                            |
       | 999    | refused                        |
       | 1000   | opened in place of the longest |
+
+  # The load: as above, and a caller reads its answer slowly.
+  Scenario: a connection on which an answer is sent outlasts idle ones
+    Given 3 of 3 connections, of which all but one have waited 2000 ms
+    And the one that has waited longest is sent an answer
+    When another connection is opened
+    Then the idle one is closed, and what it has sent is not run
