--- a/laburnumwood/balancing/request_balancer.py
+++ b/laburnumwood/balancing/request_balancer.py
@@ -80,8 +80,9 @@
 
         Only two nodes that are drawn at random are compared, or two of the own
         domain and two of others: ingress nodes with the same load reports
-        would otherwise all choose the same node.  Rank 0 is the most urgent.
-        Returns None if there are no nodes.
+        would otherwise all choose the same node.  Rank 0 is the most urgent;
+        requests of a `kind` take about as long.  Returns None if there are no
+        nodes.
         """
         usable = self._avoided.usable(nodes, rank)
         if not usable:
@@ -113,17 +114,13 @@
 
     def record_answer(self, answered: Try) -> None:
         """Learn from a try whose answer begins now."""
-        passed_ms = self._clock.now_ms() - answered.started_ms
-        pace = self.notices.pace(answered.target) * answered.queueing
-        self._times.add(answered.kind, answered.target, passed_ms / pace)
+        work_ms = self._work_ms(answered)
+        self._times.add(answered.kind, answered.target, work_ms)
 
     def record_unanswered(self, unanswered: Try) -> None:
         """Learn from a try that ends without an answer."""
-        passed_ms = self._clock.now_ms() - unanswered.started_ms
-        pace = self.notices.pace(unanswered.target) * unanswered.queueing
-        self._times.add_unanswered(
-            unanswered.kind, unanswered.target, passed_ms / pace
-        )
+        work_ms = self._work_ms(unanswered)
+        self._times.add_unanswered(unanswered.kind, unanswered.target, work_ms)
 
     def avoid(
         self, target: NodeName, duration_ms: int, rank: int = ALL_RANKS
@@ -134,6 +131,11 @@
         """
         self._avoided.avoid(target, duration_ms, rank)
 
+    def _work_ms(self, tried: Try) -> float:
+        """Return the time of a try less what pace and work ahead explain."""
+        passed_ms = self._clock.now_ms() - tried.started_ms
+        return passed_ms / (self.notices.pace(tried.target) * tried.queueing)
+
     def _draw(self, candidates: list[NodeName], nodes: Nodes) -> NodeName:
         """Return the better one of two nodes drawn at random."""
         sampled = self._random.sample(candidates, min(2, len(candidates)))
@@ -189,7 +191,7 @@
         return max(self._in_flight.count(name), self._loads.running(name))
 
     def _cost(self, name: NodeName, record: NodeRecord) -> float:
-        """Return what a request more at a node costs, to compare nodes."""
+        """Return the time of one more request at a node, to compare nodes."""
         slots = self.notices.usable_slots(name, record.slots)
         return (self._ahead(name) + 1) / slots * self._times.slowness(name)
 
