Docstrings and comments that a newcomer can read; no change of behaviour

Renamed inside the package: Terms (TermsProvider), _LEAST_WHOLE (_LEAST_WHOLE_SHARE), _TENTHS (_DECIMAL_PLACES), in_vain (is_evacuated), draws (random), _has_begun (_answer_has_begun).

--- a/laburnumwood/admission/caller_times.py
+++ b/laburnumwood/admission/caller_times.py
@@ -8,15 +8,20 @@
 _HALF_LIFE_MS = 20_000
 # Requests with less of the longest time than this have waited elsewhere.
 _WHOLE_SHARE = 0.98
-# Of so many requests the callers have the longest time, if they all begin
-# with it and come back twice or less.
-_LEAST_WHOLE = 0.25
-_MIN_REQUESTS = 8  # too few tell nothing
+# The least share of requests with the longest time from which on that counts
+# as the time that callers begin with.  It is a third if all come back twice.
+_LEAST_WHOLE_SHARE = 0.25
+_MIN_REQUESTS = 8  # fewer tell nothing
 _MAX_ROUTES = 1_024
 
 
 @dataclass(slots=True)
 class _Route:
+    """Decaying numbers of a route's requests.
+
+    `whole` counts those that came with about the longest time.
+    """
+
     longest_ms: int = 0
     requests: float = 0
     whole: float = 0
@@ -26,7 +31,7 @@
     def is_regular(self) -> bool:
         """Return whether callers begin with the same time, as it seems."""
         has_many = self.requests >= _MIN_REQUESTS
-        return has_many and self.whole >= _LEAST_WHOLE * self.requests
+        return has_many and self.whole >= _LEAST_WHOLE_SHARE * self.requests
 
     def record(self, left_ms: int, now_ms: int) -> None:
         """Count a request; `longest_ms` begins anew if it is not the usual."""
@@ -56,7 +61,7 @@
         self._routes: dict[str, _Route] = {}
 
     def used_ms(self, route: str, left_ms: int) -> int:
-        """Return the time that a request with `left_ms` left has used.
+        """Return the time in ms that a request with `left_ms` left has used.
 
         It is 0 unless many requests of its route come with the same time.
         """
--- a/laburnumwood/admission/cost.py
+++ b/laburnumwood/admission/cost.py
@@ -4,9 +4,10 @@
 
 from laburnumwood.admission.tickets import Ticket
 
-# What an answer after its objective is worth of one in time.
+# The benefit of an answer after its objective, as a part of one in time.
 _LATE_SHARE = 0.3
-# The run that waits for a call is lost with it, and took longer until then.
+# A run of another worker waits for a call.  It is lost with the call, and so
+# is the longer time that it has taken until then.
 _CALL_FACTOR = 4
 
 
@@ -14,7 +15,8 @@
 class Prospect:
     """When a ticket would be answered if it started now.
 
-    `work_ms` is the time for which it is expected to keep its slot.
+    `answered_ms` is a time of the clock, `work_ms` for how long the ticket is
+    expected to keep its slot.
     """
 
     ticket: Ticket
@@ -28,7 +30,7 @@
 
     @property
     def rejection_cost(self) -> float:
-        """Return what callers lose by each ms that a rejection frees."""
+        """Return the benefit lost for each ms that a rejection frees."""
         ticket = self.ticket
         if self.answered_ms > ticket.deadline_ms:
             return 0
--- a/laburnumwood/admission/policies.py
+++ b/laburnumwood/admission/policies.py
@@ -12,5 +12,5 @@
 def make_caller_times(
     settings: AdmissionSettings, clock: Clock
 ) -> CallerTimes | None:
-    """Return what a door estimates times of callers with, if it does so."""
+    """Return the estimates that a door makes for a policy, None if none."""
     return CallerTimes(clock) if settings.policy == LEAST_COST else None
--- a/laburnumwood/admission/tickets.py
+++ b/laburnumwood/admission/tickets.py
@@ -48,8 +48,10 @@
     is better shed at once than kept waiting until `deadline_ms`.  `on_settled`
     is called when the request is given a slot or is shed.  `shed_by_limit` is
     the limit on the worker's request rate because of which it was shed.
-    `route` tells apart requests of a class that take different times, if it is
-    known.  A ticket that `is_call` is of a request that another run waits for.
+    `route` tells apart requests of a class that take different times; '' if it
+    is not known.  `time_class` is the name of the route or traffic class whose
+    times are expected of it.  `is_call` is whether a run of another worker
+    waits for the answer.
     """
 
     key: str
@@ -67,7 +69,7 @@
     on_settled: Callable[[], None] = _do_nothing
     route: str = ''
     is_call: bool = False
-    time_class: str = ''  # the name of the times that are expected of it
+    time_class: str = ''
 
     def start(self, now_ms: int) -> None:
         """Give the request a slot."""
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -144,7 +144,7 @@
         """
         self._store_watcher.list_all()
         if self._integration.worker_reports:
-            # Until now those of the earlier incarnation were in force.
+            # Until now the terms of the earlier incarnation were in force.
             self._reporting.signals.warm_up.period.terms = lambda: (
                 self.view.directory.declarations.warm_ups.get(
                     self._settings.service
--- a/laburnumwood/evacuation/register.py
+++ b/laburnumwood/evacuation/register.py
@@ -7,15 +7,16 @@
 from laburnumwood.records import EvacuationNotice
 from laburnumwood.store.versions import era_of
 
-NO_PROOF = -1  # the age of a proof that there is not
-# For how long a domain stays evacuated that a store which came back from an
-# older copy has forgotten: the operator writes it again meanwhile.
+NO_PROOF = -1  # in place of an age, if there is no proof
+# A store that came back from an older copy may have forgotten an evacuation.
+# It holds for this time, in which the operator can write it again.
 _FORGOTTEN_HOLD_MS = 10_000
-# The parts of the limit of an evacuation for which owners go on at most: since
-# the domain was last proved not to be evacuated, and since the news, because
-# that proof may have been long on its way.
+# Owners go on for these parts of the limit of an evacuation at most: since the
+# domain was last proved not to be evacuated, and since this node has known of
+# the evacuation, because that proof may have been long on its way.
 _OWNER_PART = 0.5
 _OWNER_PART_OF_NEWS = 0.25
+# A domain that is taken back gets its share in steps.
 _RETURN_STEPS = 4
 _RETURN_STEP_MS = 1_000
 
@@ -41,8 +42,11 @@
         self._listed = _NO_DOMAINS
         self._confirmed_at_ms: int | None = None
         self._earlier_proof_ms: int | None = None  # before the last one
+        # By evacuated domain: since when this node has known of it, and when
+        # it was last proved not to be evacuated.
         self._since_ms: dict[str, int] = {}
         self._not_before_ms: dict[str, int] = {}
+        # By domain that a store which came back has forgotten.
         self._held_until_ms: dict[str, int] = {}
         self._returned_ms: dict[str, int] = {}
         self._shares: dict[str, float] = {}
@@ -75,7 +79,7 @@
         return max(0, self._clock.now_ms() - self._confirmed_at_ms)
 
     def is_evacuated(self, failure_domain: str) -> bool:
-        """Return whether workers of a domain may get no requests."""
+        """Return whether workers of a domain must not get requests."""
         return failure_domain in self._since_ms
 
     def known_for_ms(self, failure_domain: str) -> int:
@@ -86,7 +90,7 @@
     def may_owners_serve(self, failure_domain: str, limit_ms: int) -> bool:
         """Return whether owners in an evacuated domain may still serve.
 
-        `limit_ms` after its evacuation its workers must get no more requests.
+        `limit_ms` after its evacuation its workers must not get any requests.
         """
         earliest_ms = self._not_before_ms.get(failure_domain)
         if earliest_ms is None:
@@ -99,7 +103,7 @@
         )
 
     def usable_share(self, failure_domain: str) -> float:
-        """Return the share of a domain's slots that may be used now.
+        """Return the share of a domain's slots that may be used now, 0 to 1.
 
         It is 0 for an evacuated domain, and rises by steps afterwards: the
         workers of a domain that is taken back may be cold.
--- a/laburnumwood/evacuation/watcher.py
+++ b/laburnumwood/evacuation/watcher.py
@@ -20,7 +20,7 @@
 # differs from node to node.
 _MAX_AGE_MS = 2_500
 _SPREAD_MS = 1_000
-_LIST_INTERVAL_MS = 1_000
+_LIST_INTERVAL_MS = 1_000  # at least, between two questions of that kind
 
 # Returns for how long a watch of this node waits in ms, None if it has none.
 WatchWait = Callable[[], int | None]
@@ -56,13 +56,13 @@
         register: EvacuationRegister,
         watch_wait_ms: WatchWait,
         clock: Clock,
-        draws: Random,
+        random: Random,
     ) -> None:
         self._store = store
         self._register = register
         self._watch_wait_ms = watch_wait_ms
         self._clock = clock
-        self._draws = draws
+        self._random = random
         self._listed_ms = 0
         self._max_age_ms = self._draw_max_age()
 
@@ -102,7 +102,11 @@
             self.review()
 
     def watch_once(self, wait_ms: int) -> None:
-        """Wait for changes, and list the domains if their history is lost."""
+        """Wait for changes, and list the domains if their history is lost.
+
+        Raises `CompactedError` if it is, and `PlatformError` if the store does
+        not answer.
+        """
         asked_ms = self._clock.now_ms()
         version, listed = self._register.version, self._register.listed
         try:
@@ -139,4 +143,4 @@
         return age_ms == NO_PROOF or age_ms > self._max_age_ms
 
     def _draw_max_age(self) -> int:
-        return _MAX_AGE_MS + self._draws.randrange(_SPREAD_MS)
+        return _MAX_AGE_MS + self._random.randrange(_SPREAD_MS)
--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -138,9 +138,9 @@
 
 
 def evacuation_wait_ms(own: NodeName, view: FleetView) -> int | None:
-    """Return for how long a node's watch of the evacuations waits.
+    """Return for how many ms a node's watch of the evacuations waits.
 
-    None if other nodes watch them.
+    Returns None if other nodes watch them.
     """
     source = update_source(own, view, EVACUATION_WATCH_POLICY)
     if source is UpdateSource.PEERS:
--- a/laburnumwood/membership/view.py
+++ b/laburnumwood/membership/view.py
@@ -118,7 +118,7 @@
         return dict(self._serving.get(service, {}))
 
     def is_evacuated(self, failure_domain: str) -> bool:
-        """Return whether workers of a failure domain may get no requests."""
+        """Return whether workers of a failure domain must not get requests."""
         return self.evacuations.is_evacuated(failure_domain)
 
     def is_service_evacuated(self, service: str) -> bool:
--- a/laburnumwood/protocol/streams.py
+++ b/laburnumwood/protocol/streams.py
@@ -63,7 +63,7 @@
         self._unread = 0
         self._uncredited = 0  # bytes read since the last credit was sent
         self._answered = False
-        self._has_begun = False  # the answer
+        self._answer_has_begun = False
         self._survives_silence = survives_silence
         self._failure: LinkError | None = None
         self._message_handler: MessageHandler | None = None
@@ -74,7 +74,7 @@
 
         It also does so once an answer has begun: the rest may still arrive.
         """
-        return self._has_begun or self._survives_silence()
+        return self._answer_has_begun or self._survives_silence()
 
     def send(self, message: Any) -> None:
         """Send a message; a chunk waits until the window has room.
@@ -124,7 +124,7 @@
         if isinstance(message, Credit):
             self._credits.put(message.size)
             return
-        self._has_begun = True
+        self._answer_has_begun = True
         if isinstance(message, Chunk):
             self._unread += len(message.content)
             if self._unread > _MAX_UNREAD:
--- a/laburnumwood/resources/body_memory.py
+++ b/laburnumwood/resources/body_memory.py
@@ -18,8 +18,8 @@
 from laburnumwood.events import BODY_EVICTED
 from laburnumwood.metrics import BODIES_EVICTED
 
-_SMALL_SIZE = 65_536  # bytes
-# The share of the memory for what is larger: the rest is left for small bodies.
+_SMALL_SIZE = 65_536  # bytes of a whole request, up to which it is small
+# The share of the memory for larger requests: the rest is left to small ones.
 _LARGE_SHARE = 7 / 8
 # A request that advances by less within the stall time may be evicted: honest
 # callers are faster, also over a poor network.
@@ -60,7 +60,7 @@
         """Reserve memory for a request; raises `BodyMemoryError`.
 
         A request with an `evict` function may be evicted while it is
-        received.  The function is called with the reason.
+        received.  The function is called with a `BodyEvictedError`.
         """
         reservation = BodyReservation(self, evict)
         reservation.grow(size)
@@ -85,7 +85,7 @@
         self._reserved_bytes += size
 
     def end_receiving(self, reservation: 'BodyReservation') -> None:
-        """Evict a request no more."""
+        """Exempt a request from eviction: it was received or has ended."""
         self._receiving.pop(reservation, None)
 
     def _allowed_bytes(self, total: int) -> int:
@@ -172,7 +172,7 @@
 
     @contextmanager
     def receiving(self) -> Iterator[None]:
-        """Evict the request no more after this context, however it ends."""
+        """Exempt the request from eviction after this context, or its error."""
         try:
             yield
         finally:
--- a/laburnumwood/resources/connections.py
+++ b/laburnumwood/resources/connections.py
@@ -17,11 +17,11 @@
 from laburnumwood.metrics import CONNECTIONS_EVICTED
 
 _MOST_CONNECTIONS = 4_096
-# The share of descriptors and of memory that the connections of callers get.
+# The shares of descriptors and of memory that the connections of callers get.
 _DESCRIPTOR_SHARE = 3 / 4
 _MEMORY_SHARE = 1 / 4
 _CONNECTION_SIZE = 32_768  # bytes of memory, besides what it sends
-_MIN_WAIT_MS = 1_000
+_MIN_WAIT_MS = 1_000  # a connection that has waited for less is not closed
 
 
 def connection_limit(
@@ -55,15 +55,16 @@
 
     @property
     def waited_ms(self) -> int:
-        """Return how long it has waited for its caller, 0 if it does not."""
+        """Return the ms of waiting for its caller, 0 if it does not wait."""
         if self._waiting_since_ms is None:
             return 0
         return self._clock.now_ms() - self._waiting_since_ms
 
     def begin_wait(self, since_ms: int | None = None) -> None:
         """Record that the caller's next move is awaited, usually from now."""
-        now_ms = self._clock.now_ms() if since_ms is None else since_ms
-        self._waiting_since_ms = now_ms
+        if since_ms is None:
+            since_ms = self._clock.now_ms()
+        self._waiting_since_ms = since_ms
 
     def begin_answer(self) -> None:
         """Record that the caller is to read an answer from now."""
@@ -81,6 +82,22 @@
         self._close()
 
 
+def _eviction_rank(connection: CallerConnection) -> tuple[bool, bool, int]:
+    """Return a value that is greater for what is closed earlier.
+
+    A caller that reads an answer slowly would lose it.
+    """
+    waited_ms = connection.waited_ms
+    is_idle = waited_ms >= _MIN_WAIT_MS
+    return is_idle, not connection.is_answering, waited_ms
+
+
+def _shut_down(sock: Any) -> None:
+    """End the reading and writing of a connection in its own task."""
+    with suppress(OSError):
+        greenio.shutdown_safe(sock)
+
+
 class ConnectionTable:
     """The connections of callers at one listener."""
 
@@ -106,7 +123,10 @@
         self._connections.pop(connection, None)
 
     def _evict(self) -> bool:
-        """Close the connection that has waited longest; return if any has."""
+        """Close the connection that has waited longest.
+
+        Returns False, and closes none, if none has waited for long.
+        """
         idlest = max(self._connections, key=_eviction_rank)
         waited_ms = idlest.waited_ms
         is_idle = waited_ms >= _MIN_WAIT_MS
@@ -118,19 +138,3 @@
             self.remove(idlest)
             idlest.close()
         return is_idle
-
-
-def _eviction_rank(connection: CallerConnection) -> tuple[bool, bool, int]:
-    """Return a value that is greater for what is closed earlier.
-
-    A caller that reads an answer slowly would lose it.
-    """
-    waited_ms = connection.waited_ms
-    is_idle = waited_ms >= _MIN_WAIT_MS
-    return is_idle, not connection.is_answering, waited_ms
-
-
-def _shut_down(sock: Any) -> None:
-    """End the reading and writing of a connection in its own task."""
-    with suppress(OSError):
-        greenio.shutdown_safe(sock)
--- a/laburnumwood/routing/caller_protocol.py
+++ b/laburnumwood/routing/caller_protocol.py
@@ -84,7 +84,7 @@
 _END_OF_HEAD = b'\r\n\r\n'
 _PEEK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
 _WRITE_BUFFER_SIZE = 512  # bytes; answers are sent without it
-_SEND_TIMEOUT_S = 300  # in which a caller has to read anything
+_SEND_TIMEOUT_S = 300  # in which a caller has to read some of an answer
 _PROBLEM_KINDS: dict[type[LaburnumwoodError], str] = {
     BodyMemoryError: 'overloaded',
     BodyEvictedError: 'overloaded',
@@ -98,7 +98,7 @@
 
 
 def unread_size(sock: Any) -> int:
-    """Return how many bytes that were sent have not arrived yet."""
+    """Return how many bytes that were sent the peer has not confirmed."""
     size = array('i', (0,))
     fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, size)
     return size[0]
@@ -298,7 +298,7 @@
     def send(self, content: bytes) -> None:
         """Send a part of an answer; raises `OSError`.
 
-        A caller that does not read is given up after a while.
+        A caller that reads nothing is given up within twice `_SEND_TIMEOUT_S`.
         """
         self._connection.begin_answer()
         self.connection.settimeout(_SEND_TIMEOUT_S)
--- a/laburnumwood/routing/caller_request.py
+++ b/laburnumwood/routing/caller_request.py
@@ -11,8 +11,9 @@
 class CallerRequest:
     """A request, its whole body, and the most workers it may be sent to.
 
-    `until_ms` is its deadline, a time of the clock.  `caller_left_ms` is how
-    long its caller waits from its arrival, whatever the `route` allows.
+    `until_ms` is its deadline, a time of the clock.  `route` is the name of its
+    route, '' if it has none.  `caller_left_ms` is how long its caller waits
+    from its arrival, whatever the route allows.
     """
 
     work: Work
--- a/laburnumwood/routing/router.py
+++ b/laburnumwood/routing/router.py
@@ -66,7 +66,7 @@
 
 
 def _kind_of(work: Work) -> tuple[str, int, int]:
-    """Return what requests that take about as long have in common."""
+    """Return service, rank and objective in ms: what sets a request's time."""
     return work.service, work.priority, work.objective_ms
 
 
@@ -160,8 +160,8 @@
             retry_policy.record_failure(answer)
             nodes = self._view.serving_nodes(work.service)
             pause_ms = None
-            in_vain = self._view.is_service_evacuated(work.service)
-            if not caller.is_gone and not in_vain:
+            is_evacuated = self._view.is_service_evacuated(work.service)
+            if not caller.is_gone and not is_evacuated:
                 pause_ms = retry_policy.retry_delay_ms(answer, nodes)
             retry_policy.report_failure(answer, pause_ms)
             if pause_ms is None:
@@ -243,6 +243,7 @@
     def _track(
         self, exchange: OutgoingExchange, work: Work, target: NodeName
     ) -> OutgoingExchange:
+        """Return an exchange from which the balancer learns."""
         record = self._view.serving_nodes(work.service).get(target)
         slots = record.slots if record else 1
         begun = self._balancer.begin(
--- a/laburnumwood/routing/server.py
+++ b/laburnumwood/routing/server.py
@@ -45,7 +45,8 @@
 ) -> None:
     """Serve callers on a listening socket; does not return.
 
-    `get_limits` returns the limits in force on what they send.
+    `get_limits` returns the limits in force on what they send;
+    `max_connections` is how many they keep open, None: what the system allows.
     """
     connections = ConnectionTable(max_connections or connection_limit(), clock)
     wsgi.server(
--- a/laburnumwood/routing/tracked_exchange.py
+++ b/laburnumwood/routing/tracked_exchange.py
@@ -1,4 +1,4 @@
-"""Exchanges of which the balancer learns."""
+"""Exchanges from which the balancer learns how nodes answer."""
 
 from collections.abc import Callable
 from http import HTTPStatus
@@ -15,7 +15,10 @@
 
 
 class TrackedExchange:
-    """An exchange that counts as in flight until it is closed."""
+    """An exchange whose try counts as in flight until it is closed.
+
+    The balancer learns the time of its answer, and avoids a node that failed.
+    """
 
     def __init__(
         self,
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -21,7 +21,7 @@
 _ADDRESS = r'^[^:]+:\d{1,5}$'
 _BYTES_PER_MB = 1_048_576
 _PROCESS_MB = 64  # of a process that does nothing
-_LEAST_USABLE_MB = 8
+_LEAST_USABLE_MB = 8  # besides the process, however small the VM
 _BODY_SHARE = 0.6  # of the memory besides the process
 _USABLE_GRACE = 5 / 6  # share of the time until the process would be killed
 _END_MS = 300  # from the last answer to the end of the process
@@ -90,7 +90,11 @@
 
 
 class AdmissionSettings(BaseModel):
-    """How requests are admitted to the worker."""
+    """How requests are admitted to the worker.
+
+    `calls_from_host` is whether requests from the address of the node's own
+    host are calls of its worker; only the policy `least-cost` uses it.
+    """
 
     model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
 
--- a/laburnumwood/upstream/worker_load.py
+++ b/laburnumwood/upstream/worker_load.py
@@ -7,22 +7,23 @@
 
 _HALF_LIFE_MS = 3_000
 _MAX_AGE_MS = 10_000  # a pace of which nothing was heard for so long has ended
-# A VM that others slow down for a part of the time is below this on average.
+# Means of the pace from which on a VM is slow, and below which it is usual
+# again.  Slow spells that are short and rare stay below the first.
 _SLOW_FROM = 2.0
 _USUAL_BELOW = 1.5
 _LASTING_MS = 2_000  # for which the mean has to stay high before it counts
-_MAX_GAP_MS = 1_000  # without a word, after which that time begins anew
-_MAX_PACE = 10  # more is no more to be believed, and tells no more
-_TENTHS = 1  # decimal places
+_MAX_GAP_MS = 1_000  # without a stated pace, after which that time begins anew
+_MAX_PACE = 10  # a higher one is not believed, and counts as this
+_DECIMAL_PLACES = 1
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerLoad:
     """The load of a worker as it states it with an answer.
 
-    `running` and `waiting` are numbers of requests.  `pace` is how long work
-    takes on the worker's VM at this moment, where 1 is as usual; None if the
-    worker does not tell.
+    `running` and `waiting` are numbers of requests, and `slots` is how many run
+    at a time.  `pace` is how long work takes on the worker's VM at this moment,
+    where 1 is as usual; None if the worker does not tell.
     """
 
     running: int
@@ -40,8 +41,8 @@
     """The mean pace of a worker's VM over some seconds, while it is slow.
 
     The pace at a moment changes many times a second: it has changed before
-    anybody else hears of it.  The mean begins to count when it has been well
-    above the usual for a while, and ends to count when it is nearly usual
+    another node hears of it.  The mean begins to count when it has been well
+    above the usual for a while, and stops counting when it is nearly usual
     again, so that what follows from it is not reversed at once.
     """
 
@@ -58,7 +59,7 @@
         is_recent = self._clock.now_ms() - self._heard_ms < _MAX_AGE_MS
         if not self._is_slow or not is_recent:
             return None
-        return round(self._mean.mean, _TENTHS)
+        return round(self._mean.mean, _DECIMAL_PLACES)
 
     def begin_instance(self) -> None:
         """Forget everything: another instance of the worker has started."""
--- a/laburnumwood/upstream/worker_signals.py
+++ b/laburnumwood/upstream/worker_signals.py
@@ -15,7 +15,7 @@
 from laburnumwood.upstream.worker_load import LastingPace, WorkerLoad
 from laburnumwood.warmup.worker_warmup import WorkerWarmUp
 
-_ASSUMED_SLOT_MS = 200  # for which a request keeps a slot, before one ended
+_ASSUMED_SLOT_MS = 200  # for which a request keeps a slot, until one has ended
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,8 +24,8 @@
 
     `limit_per_second` is the rate of requests, from all nodes together, that
     the worker accepts; None if it names no limit.  `invalid` describes headers
-    that could not be read; they say nothing.  `load` is
-    None if the worker does not tell it.
+    that could not be read; they say nothing.  `load` is None if the worker does
+    not tell it.
     """
 
     limit_per_second: float | None = None
--- a/laburnumwood/warmup/cold_limiter.py
+++ b/laburnumwood/warmup/cold_limiter.py
@@ -7,11 +7,12 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.warmup.cold_period import ColdPeriod, WarmUpTerms
 
-# What may be sent in one second beyond the even rate, as a part of it.
+# What may be sent in any one second beyond the even rate, as a part of it.
 _BURST_SHARE = 0.2
 
 
 def _most_in_a_second(terms: WarmUpTerms) -> int:
+    """Return how many requests may be sent in any one second."""
     return 1 + int(terms.per_second * (1 + _BURST_SHARE))
 
 
@@ -82,7 +83,7 @@
         self._sent_ms.append(now_ms)
 
     def _room_in_ms(self, terms: WarmUpTerms) -> int:
-        """Return when the last second will have room for one more request."""
+        """Return in how many ms a second has room for one more request."""
         self._forget_old()
         room_at_ms = self._unknown_until_ms
         most = _most_in_a_second(terms)
--- a/laburnumwood/warmup/cold_period.py
+++ b/laburnumwood/warmup/cold_period.py
@@ -7,8 +7,8 @@
 from laburnumwood.events import WORKER_COLD
 from laburnumwood.metrics import WORKER_WARMING
 
-# A report may have been on its way when the worker ended.  The one after it
-# was sent after the answer to it.
+# The first report may have been on its way when the worker ended.  The next
+# one was sent after the answer to the first.
 _REPORTS_AS_PROOF = 2
 REPORT = 'a report of the worker'
 STALE_REPORT = 'a report that counts as stale'
@@ -28,7 +28,7 @@
         """Return how many requests a second a cold worker tolerates."""
 
 
-Terms = Callable[[], WarmUpTerms | None]
+TermsProvider = Callable[[], WarmUpTerms | None]
 
 
 class ColdPeriod:
@@ -46,7 +46,7 @@
         self._reports_needed = 1
         self._is_logged = False
         self.worker_id = ''
-        self.terms: Terms = lambda: None
+        self.terms: TermsProvider = lambda: None
 
     @property
     def current_terms(self) -> WarmUpTerms | None:
@@ -56,7 +56,7 @@
 
     @property
     def left_ms(self) -> int:
-        """Return for how long the worker is expected to stay cold."""
+        """Return for how many ms the worker is expected to stay cold."""
         terms = self.current_terms
         if terms is None:
             return 0
