--- a/tests/features/evacuation.feature
+++ b/tests/features/evacuation.feature
@@ -26,9 +26,9 @@
   Scenario: a node asks the store once nobody proves what it knows
     Given a node that knows 3 nodes in each of the domains "a, b, c"
     And it watches a store that lists "a"
-    When 2000 ms pass
+    When 2000 ms pass at the watching node
     Then it has not asked the store again
-    When 1600 ms pass
+    When 1600 ms pass at the watching node
     Then it has asked the store again
     When the store is silent for 60000 ms
     Then "a" is evacuated, by a proof that is 60000 ms old
@@ -44,7 +44,7 @@
     And it watches a store that lists "a"
     When the store begins another era and lists none
     Then the evacuated domains are "a"
-    When 10000 ms pass
+    When 10000 ms pass at the watching node
     Then no domain is evacuated
 
   # Three busy shards leave a node for two others, one of which is busy.
@@ -56,14 +56,14 @@
   Scenario: owners serve what has not moved for a part of the limit only
     Given a node that knows 3 nodes in each of the domains "a, b, c"
     And it watches a store that lists "none"
-    When 400 ms pass
+    When 400 ms pass at the watching node
     And the store lists "a" as evacuated
     Then owners in "a" may serve for 1250 ms more, with a limit of 5000 ms
 
   Scenario: owners serve no longer once the last proof is old
     Given a node that knows 3 nodes in each of the domains "a, b, c"
     And it watches a store that lists "none"
-    When 2000 ms pass
+    When 2000 ms pass at the watching node
     And the store lists "a" as evacuated
     Then owners in "a" may serve for 500 ms more, with a limit of 5000 ms
 
--- a/tests/features/steps/evacuation_steps.py
+++ b/tests/features/steps/evacuation_steps.py
@@ -268,7 +268,7 @@
     assert context.register.confirmed_age_ms == age_ms
 
 
-@when('{span_ms:d} ms pass')
+@when('{span_ms:d} ms pass at the watching node')
 def pass_ms(context: Context, span_ms: int) -> None:
     context.calls = context.store.calls
     context.clock.pass_ms(span_ms)
