--- a/tests/features/steps/least_cost_steps.py
+++ b/tests/features/steps/least_cost_steps.py
@@ -119,13 +119,17 @@
         context.policy.offer(ticket)
 
 
-@then('only "{name}" is shed')
-def check_only_shed(context: Context, name: str) -> None:
-    shed = [
+def _names_in_state(context: Context, state: TicketState) -> list[str]:
+    return [
         name
         for name, ticket in context.tickets.items()
-        if ticket.state is TicketState.SHED
+        if ticket.state is state
     ]
+
+
+@then('only "{name}" is shed')
+def check_only_shed(context: Context, name: str) -> None:
+    shed = _names_in_state(context, TicketState.SHED)
     assert shed == [name], shed
 
 
@@ -133,11 +137,7 @@
 def check_next(context: Context, name: str) -> None:
     context.running.answer(context.clock.now_ms())
     context.policy.release(context.running)
-    running = [
-        name
-        for name, ticket in context.tickets.items()
-        if ticket.state is TicketState.RUNNING
-    ]
+    running = _names_in_state(context, TicketState.RUNNING)
     assert running == [name], running
 
 
