--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -140,9 +140,11 @@
         self.signal(signal.SIGKILL)
         self.process.wait()
 
-    def start_worker(self, **options: Any) -> Worker:
+    def start_worker(
+        self, kind: type[Worker] = Worker, **options: Any
+    ) -> Worker:
         """Start a life of the worker beside the node."""
-        self.worker = Worker(
+        self.worker = kind(
             self.service,
             options.pop('report_address', self.control),
             self.worker_port,
@@ -203,12 +205,12 @@
         self.nodes[name] = Node(self, name, zone, service)
         return self.nodes[name]
 
-    def start(self) -> None:
+    def start(self, kind: type[Worker] = Worker) -> None:
         """Write the manifest, start all machines and wait until all serve."""
         self.write_manifest(manifest(1, self.services))
         for node in self.nodes.values():
             node.start()
-            node.start_worker()
+            node.start_worker(kind)
         self.wait_until_served()
 
     def wait_until_served(self) -> None:
