--- a/review/lib2/callers.py
+++ b/review/lib2/callers.py
@@ -55,6 +55,10 @@
         self._is_stopped.set()
         self._thread.join()
 
+    def stop_soon(self) -> None:
+        """Stop without waiting."""
+        self._is_stopped.set()
+
     def _run(self) -> None:
         while not self._is_stopped.wait(1 / self.per_s):
             threading.Thread(target=self.ask, daemon=True).start()
--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -14,6 +14,7 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 from cbor2 import dumps, loads
@@ -72,6 +73,8 @@
     def end(self) -> None:
         """End at once: no more answers, and no more heartbeats."""
         self.is_alive = False
+        with suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)  # wakes its thread
         self.listener.close()
         with self.lock:
             open_now = tuple(self._connections)
