--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -126,7 +126,7 @@
 
     def deregister(self) -> bool:
         """Deregister; return whether the node acknowledged it."""
-        return self.post('Deregister', dumps({'born': self.born})) is not None
+        return self.post('Deregister', b'') is not None
 
     def _report_repeatedly(self) -> None:
         while self.is_alive:
