What bodies may take follows from what the process really takes

What callers saw: nothing yet; a process of 200 nodes, thousands of routes, long answers and links takes more than the 64 MB that the settings assume, and bodies would take it over its VM's memory all the same. Cause: _PROCESS_MB is a constant. Change: with memory_mb in the settings, bodies get at most three quarters of what the rest of the process leaves of the VM (resources/resident_limit.py). The rest is the resident memory, measured by psutil at most each 100 ms or each 1 MB of bodies, less what has come of bodies. A body that has still to come over a link counts as not there. The share by the settings stays the upper bound, so nothing changes while the process takes less than the estimate. psutil was a library of the tests and is one of the product now. Result: "200000 bytes in a process that takes 600000 of 1000000" and four other rows; without the limit the rows that say refused are received (the memory by the settings has room). A request that only the process leaves no room for is refused as overloaded, never as too large.

--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -45,6 +45,7 @@
 from laburnumwood.records import NodeName
 from laburnumwood.resources.body_memory import BODY_MEMORY
 from laburnumwood.resources.connections import connection_limit
+from laburnumwood.resources.resident_limit import ResidentLimit
 from laburnumwood.routing.caller_interface import send_problem
 from laburnumwood.routing.problems import StartResponse, make_failure
 from laburnumwood.routing.server import HttpListener, close_after_answer
@@ -69,8 +70,12 @@
             text = f'borders: found {settings.borders!r}; allowed: {allowed}'
             raise SettingsError(text)
         self._settings = settings
-        BODY_MEMORY.max_bytes = settings.body_memory_bytes
         self._clock = Clock()
+        BODY_MEMORY.max_bytes = settings.body_memory_bytes
+        if settings.vm_bytes is not None:
+            BODY_MEMORY.set_resident_limit(
+                ResidentLimit(settings.vm_bytes, self._clock)
+            )
         self._integration = INTEGRATIONS[settings.borders]
         self._caller_interface = self._integration.make_caller_interface(
             settings
--- a/laburnumwood/resources/body_memory.py
+++ b/laburnumwood/resources/body_memory.py
@@ -18,6 +18,7 @@
 from laburnumwood.events import BODY_EVICTED
 from laburnumwood.metrics import BODIES_EVICTED
 from laburnumwood.resources.bodies import Body, release_body
+from laburnumwood.resources.resident_limit import ResidentLimit
 
 _SMALL_SIZE = 65_536  # bytes of a whole request, up to which it is small
 # The share of the memory for larger requests: the rest is left to small ones.
@@ -47,7 +48,9 @@
         self.max_bytes = max_bytes
         self.clock = clock or Clock()
         self._large_share = large_share
+        self._resident_limit: ResidentLimit | None = None
         self._reserved_bytes = 0
+        self._missing_bytes = 0  # reserved for what has not come
         self._receiving: dict[BodyReservation, None] = {}
 
     @property
@@ -55,6 +58,10 @@
         """Return how many bytes are reserved."""
         return self._reserved_bytes
 
+    def set_resident_limit(self, limit: ResidentLimit) -> None:
+        """Limit bodies also by what the whole process takes."""
+        self._resident_limit = limit
+
     def reserve(
         self, size: int = 0, evict: Evict | None = None
     ) -> 'BodyReservation':
@@ -80,24 +87,36 @@
             if stalled is None:
                 raise self._shortage(size, total, allowed)
             self._evict(stalled)
+            allowed = self._allowed_bytes(total)
 
     def add(self, size: int) -> None:
         """Add to the reserved bytes, for which there is room."""
         self._reserved_bytes += size
 
+    def add_missing(self, size: int) -> None:
+        """Add to the reserved bytes that have not come yet."""
+        self._missing_bytes += size
+
     def end_receiving(self, reservation: 'BodyReservation') -> None:
         """Exempt a request from eviction: it was received or has ended."""
         self._receiving.pop(reservation, None)
 
     def _allowed_bytes(self, total: int) -> int:
-        if total <= _SMALL_SIZE:
-            return self.max_bytes
-        return int(self.max_bytes * self._large_share)
+        """Return what a request of some size may leave reserved now."""
+        most = self.max_bytes
+        if self._resident_limit is not None:
+            held = self._reserved_bytes - self._missing_bytes
+            most = min(most, self._resident_limit.allowed_bytes(held))
+        return self._share_of(most, total)
+
+    def _share_of(self, most: int, total: int) -> int:
+        return most if total <= _SMALL_SIZE else int(most * self._large_share)
 
     def _shortage(self, size: int, total: int, allowed: int) -> BodyMemoryError:
         in_use = f'{self._reserved_bytes} of {allowed} are in use'
         return BodyMemoryError(
-            f'no memory for {size} bytes; {in_use}', never_fits=total > allowed
+            f'no memory for {size} bytes; {in_use}',
+            never_fits=total > self._share_of(self.max_bytes, total),
         )
 
     def _most_stalled(self) -> 'BodyReservation | None':
@@ -129,6 +148,7 @@
         self._memory = memory
         self._evict = evict
         self._size = 0
+        self._missing = 0
         self._body: Body = b''
         self._progressed_size = 0
         self.progressed_ms = memory.clock.now_ms()
@@ -168,6 +188,14 @@
         """Reserve bytes up to a size; raises `BodyMemoryError`."""
         self.grow(max(0, size - self._size))
 
+    def expect_parts(self) -> None:
+        """Count all that is reserved as not come yet."""
+        self._change_missing(self._size)
+
+    def record_part(self, size: int) -> None:
+        """Count a part as come, for which memory was reserved before."""
+        self._change_missing(-size)
+
     def hold(self, body: Body) -> None:
         """Release a body together with its memory."""
         self._body = body
@@ -195,8 +223,13 @@
         size, self._size = self._size, 0
         body, self._body = self._body, b''
         release_body(body)
+        self._change_missing(-self._missing)
         self._memory.end_receiving(self)
         self._memory.add(-size)
 
+    def _change_missing(self, change: int) -> None:
+        self._missing += change
+        self._memory.add_missing(change)
+
 
 BODY_MEMORY = BodyMemory()  # of this process; the settings limit it
--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -117,6 +117,7 @@
     """
     if work.is_whole:
         return work.body
+    reservation.expect_parts()
     left = work.body_length
     with BodyBuffer(work.body_length) as buffer:
         for part in _parts(exchange, until_ms, clock):
@@ -124,6 +125,7 @@
             if left < 0:
                 break
             buffer.append(part)
+            reservation.record_part(len(part))
         if left:
             raise LinkError('the body length differs from the announced length')
         body = buffer.finish()
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -215,6 +215,11 @@
             return most
         return min(most, int(self.usable_memory_bytes * _BODY_SHARE))
 
+    @property
+    def vm_bytes(self) -> int | None:
+        """Return the memory of the VM, None if not known."""
+        return self.memory_mb and self.memory_mb * _BYTES_PER_MB
+
     @property
     def usable_memory_bytes(self) -> int | None:
         """Return what the VM has besides the process, None if not known."""
--- a/tests/features/steps/uncontrolled_client_steps.py
+++ b/tests/features/steps/uncontrolled_client_steps.py
@@ -15,6 +15,7 @@
 from laburnumwood.errors import BodyMemoryError
 from laburnumwood.resources.body_memory import BodyMemory
 from laburnumwood.resources.connections import ConnectionTable
+from laburnumwood.resources.resident_limit import ResidentLimit
 from laburnumwood.store.client import HttpStore
 from tests.features.steps.fake_clock import FakeClock
 
@@ -179,11 +180,28 @@
     clock.pass_ms(span_ms)
 
 
+@given(
+    'memory for {size:d} bytes in a VM of {vm_size:d} bytes, {held:d} held and '
+    '{other:d} used otherwise'
+)
+def limit_memory(
+    context: Context, size: int, vm_size: int, held: int, other: int
+) -> None:
+    clock = FakeClock()
+    context.evicted = []
+    context.memory = BodyMemory(size, clock)
+    context.memory.reserve(evict=context.evicted.append).grow(held)
+    clock.pass_ms(500)
+    limit = ResidentLimit(vm_size, clock, lambda: held + other)
+    context.memory.set_resident_limit(limit)
+
+
 @when('a caller sends {size:d} bytes')
 def send_bytes(context: Context, size: int) -> None:
     try:
         context.memory.reserve(evict=context.evicted.append).grow(size)
-    except BodyMemoryError:
+    except BodyMemoryError as error:
+        assert not error.never_fits or size > context.memory.max_bytes * 7 / 8
         context.end = 'refused'
     else:
         context.end = 'received'
--- a/tests/features/uncontrolled_clients.feature
+++ b/tests/features/uncontrolled_clients.feature
@@ -32,6 +32,20 @@
       | 437500 | 1000    | received | 10      |
       | 437501 | 1000    | refused  | 0       |
 
+  # Guards against bodies for which the rest of the process leaves no memory.
+  Scenario Outline: <size> bytes in a process that takes <other> of 1000000 bytes besides
+    Given memory for 500000 bytes in a VM of 1000000 bytes, <held> held and <other> used otherwise
+    When a caller sends <size> bytes
+    Then it is <end> and 0 others were evicted
+
+    Examples:
+      | held   | other   | size   | end      |
+      | 0      | 200000  | 400000 | received |
+      | 0      | 600000  | 200000 | received |
+      | 0      | 600000  | 400000 | refused  |
+      | 200000 | 600000  | 150000 | refused  |
+      | 0      | 1000000 | 1      | refused  |
+
   # The load: callers keep all connections open when another one comes.
   Scenario Outline: a connection beside others that have waited <waited> ms is <end>
     Given 3 of 3 connections, of which all but one have waited <waited> ms
