Listeners beside the one for callers have limits of their own

Cause: the endpoint read up to 1 MB of each body, 150 at once, into buffers on the heap that counted nowhere; and each such listener took as many connections as callers may. Change: reports are read as bodies of callers are, into a memory of 4 MB of their own, so that no crowd of callers keeps the reports of the worker out, nor the reverse; a report has 10 s to come, and one of over 1 MB is answered 413 (it was cut and answered 400). Each of these listeners has 128 connections.

--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -28,6 +28,7 @@
 )
 from laburnumwood.integration import INTEGRATIONS
 from laburnumwood.leases.witness import Witness
+from laburnumwood.listening import Address
 from laburnumwood.loop_delay import LOOP_DELAY
 from laburnumwood.membership.config_inheritance import inherit_config
 from laburnumwood.membership.incarnation_ends import (
@@ -57,6 +58,8 @@
 
 _POLL_MS = 100
 _RESIGN_HANDOVER_MS = 800
+# At each listener beside the one for callers.
+_MAX_OTHER_CONNECTIONS = 128
 
 _LOGGED_SETTINGS = {'node_id', 'failure_domain', 'service', 'borders'}
 
@@ -175,15 +178,24 @@
         )
         if settings.operator_port is not None:
             operators = (settings.host, settings.operator_port)
-            HttpListener(operators, self._serve_operator, self._clock)
+            self._listen_beside(operators, self._serve_operator)
         if settings.metrics_port is not None:
             metrics = (settings.host, settings.metrics_port)
-            HttpListener(metrics, self._serve_metrics, self._clock)
+            self._listen_beside(metrics, self._serve_metrics)
         for listener in self._integration.listeners(settings, self):
-            HttpListener(listener.address, listener.application, self._clock)
+            self._listen_beside(listener.address, listener.application)
         start(supervise, self.worker.presence.watch)
         start(supervise, LOOP_DELAY.watch)
 
+    def _listen_beside(self, address: Address, application: Any) -> None:
+        """Serve others than callers, on few connections."""
+        HttpListener(
+            address,
+            application,
+            self._clock,
+            max_connections=_MAX_OTHER_CONNECTIONS,
+        )
+
     def _serve_peer(self, link: Link, stream: Stream, message: Any) -> None:
         if self._incarnation is None:
             link.close()
--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -17,8 +17,19 @@
     encode,
 )
 from laburnumwood.records import KeyRange, ReleasedRange
-from laburnumwood.routing.caller_protocol import ANSWERED_KEY
-from laburnumwood.routing.problems import StartResponse, status_line
+from laburnumwood.resources.body_memory import BodyMemory
+from laburnumwood.routing.caller_protocol import ANSWERED_KEY, TIME_KEY
+from laburnumwood.routing.problems import (
+    PROBLEMS,
+    StartResponse,
+    status_line,
+)
+from laburnumwood.routing.request_parsing import (
+    RequestRefusedError,
+    read_body,
+    release_body,
+)
+from laburnumwood.routing.server import close_after_answer
 from laburnumwood.settings import DaemonSettings
 from laburnumwood.upstream.report_answers import ReportAnswers
 from laburnumwood.upstream.reporting_worker import ReportingWorker
@@ -31,6 +42,8 @@
 _REPORT_PATH = '/Instances.Heartbeat/'
 _DEREGISTER_PATH = '/Instances.Deregister/'
 _MAX_REPORT_BYTES = 1_048_576
+_MAX_BYTES_OF_ALL = 4 * _MAX_REPORT_BYTES  # reports that are received
+_REPORT_TIMEOUT_MS = 10_000
 _MAX_TOKEN = (1 << 53) - 1  # larger ones are no integers in JSON everywhere
 
 _Token = Annotated[StrictInt, Field(ge=0, le=_MAX_TOKEN)]
@@ -103,13 +116,31 @@
         self._service = settings.service
         self._worker = worker
         self._answers = ReportAnswers(worker, clock)
+        self._memory = BodyMemory(_MAX_BYTES_OF_ALL, clock)
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one request."""
+        environ[TIME_KEY].limit(_REPORT_TIMEOUT_MS)
+        try:
+            body = read_body(environ, _MAX_REPORT_BYTES, self._memory)
+            return self._answer(environ, bytes(body), start_response)
+        except RequestRefusedError as refused:
+            close_after_answer(environ)
+            REPORT_REFUSED.report(path=environ['PATH_INFO'], reason=refused)
+            status = PROBLEMS[refused.failure.kind].status
+            return _reply(start_response, status, b'')
+        finally:
+            release_body(environ)
+
+    def _answer(
+        self,
+        environ: dict[str, Any],
+        body: bytes,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
         path = environ['PATH_INFO']
-        body = environ['wsgi.input'].read(_MAX_REPORT_BYTES)
         if path.startswith(_DEREGISTER_PATH):
             self._worker.presence.deregister(
                 path.removeprefix(_DEREGISTER_PATH)
--- a/laburnumwood/routing/request_parsing.py
+++ b/laburnumwood/routing/request_parsing.py
@@ -16,6 +16,7 @@
 from laburnumwood.resources.bodies import Body, BodyBuffer
 from laburnumwood.resources.body_memory import (
     BODY_MEMORY,
+    BodyMemory,
     BodyReservation,
     evict_current_task,
 )
@@ -146,7 +147,9 @@
         reservation.release()
 
 
-def read_body(environ: Environ, max_bytes: int) -> Body:
+def read_body(
+    environ: Environ, max_bytes: int, memory: BodyMemory = BODY_MEMORY
+) -> Body:
     """Return the whole body of a request; raises `RequestRefusedError`.
 
     The deadline of the request is set.  The memory for the body is reserved
@@ -158,7 +161,7 @@
     if content_length and int(content_length) > max_bytes:
         raise _too_large(max_bytes)
     reservation = environ.setdefault(
-        _RESERVATION_KEY, BODY_MEMORY.reserve(evict=evict_current_task())
+        _RESERVATION_KEY, memory.reserve(evict=evict_current_task())
     )
     too_late = RequestRefusedError('deadline', 'the body did not come in time')
     left_s = max(0, environ[TIME_KEY].left_ms) / MS_PER_SECOND
