The body in another node's request counts as memory

Cause: the gate reserved nothing for a body of up to 128 KB, which comes in the message, and could not tell it from one of its own ingress, which is reserved. Change: the ingress of the node serves its requests by serve_local; for those of other nodes the whole length is reserved, or the request is refused as not run. Result: "a body that came with the request of another node counts as memory" failed before (answered) and passes.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -406,7 +406,7 @@
             self.name,
             self.view,
             self._peers,
-            gate.serve,
+            gate.serve_local,
             self.load.request_balancer,
             self.load.retries,
             clock,
--- a/laburnumwood/routing/gate.py
+++ b/laburnumwood/routing/gate.py
@@ -219,11 +219,17 @@
 
     def serve(self, exchange: Exchange, work: Work) -> None:
         """Answer one request on its exchange."""
+        self._serve(exchange, work, work.body_length)
+
+    def serve_local(self, exchange: Exchange, work: Work) -> None:
+        """Answer a request, for whose body this node has reserved memory."""
+        self._serve(exchange, work, 0)
+
+    def _serve(self, exchange: Exchange, work: Work, body_size: int) -> None:
         # After a link error there is no peer left to answer.
         with suppress(LinkError):
             try:
-                length = 0 if work.is_whole else work.body_length
-                with BODY_MEMORY.reserve(length) as reservation:
+                with BODY_MEMORY.reserve(body_size) as reservation:
                     self._serve_in_shard(exchange, work, reservation)
             except (
                 OverloadedError,
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -26,6 +26,15 @@
     Then the first message was the shard record with owner "b#1"
     And it was returned as "not-owner" at once
 
+  # Guards against requests of other nodes that take a node over its VM's memory.
+  Scenario: a body that came with the request of another node counts as memory
+    Given bodies of 80000 bytes in memory for 100000 bytes
+    When a request of another node arrives with a body of 30000 bytes
+    Then it was returned as "overloaded" at once
+    When a request of this node arrives with a body of 30000 bytes
+    Then it was answered by the worker after 300 ms
+    And bodies of 80000 bytes are in memory again
+
   # Guards against answers that are lost when the process of a node ends.
   Scenario: a request that arrives after the gate was closed is returned
     Given the gate is closed for a planned stop of its node
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -414,10 +414,15 @@
     left_ms: int,
     shard: int = SHARD.number,
     rank: int = PLAIN_WORK.priority,
+    body: bytes = b'',
+    *,
+    is_local: bool = False,
 ) -> None:
     local_end, remote_end = local_pair()
     work = replace(
         PLAIN_WORK,
+        body=body,
+        body_length=len(body),
         service=SHARD.service,
         shard=shard,
         key='1',
@@ -426,12 +431,19 @@
         priority=rank,
     )
     started_ms = context.clock.now_ms()
-    context.gate.serve(remote_end, work)
+    gate = context.gate
+    (gate.serve_local if is_local else gate.serve)(remote_end, work)
     context.took_ms = context.clock.now_ms() - started_ms
     context.local_end = local_end
     context.answer = local_end.receive(left_ms)
 
 
+@when('a request of {which} node arrives with a body of {size:d} bytes')
+def send_body(context: Context, which: str, size: int) -> None:
+    is_local = which == 'this'
+    send(context, PLAIN_WORK.deadline_ms, body=bytes(size), is_local=is_local)
+
+
 @then('it was answered by the worker after {span_ms:d} ms')
 def check_answered(context: Context, span_ms: int) -> None:
     assert isinstance(context.answer, WholeAnswer), context.answer
