A process starts also where the system tells it another number than /proc

Cause: asked psutil for the process by the number that the process is told; on the users' machines /proc has it under another, and psutil raised.

--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -533,6 +533,13 @@
     'find out which callers open so many; compare with the descriptors and '
     'the memory of the VM',
 )
+MEMORY_UNKNOWN = _event(
+    723,
+    logbook.WARNING,
+    'memory-unknown',
+    'the system does not tell what memory this process takes',
+    'make /proc readable, or leave more memory to what is not a body',
+)
 TASK_FAILED = _event(
     901,
     logbook.ERROR,
--- a/tests/features/steps/uncontrolled_client_steps.py
+++ b/tests/features/steps/uncontrolled_client_steps.py
@@ -192,7 +192,13 @@
     context.memory = BodyMemory(size, clock)
     context.memory.reserve(evict=context.evicted.append).grow(held)
     clock.pass_ms(500)
-    limit = ResidentLimit(vm_size, clock, lambda: held + other)
+
+    def measure() -> int:
+        if other < 0:
+            raise FileNotFoundError('not told')
+        return held + other
+
+    limit = ResidentLimit(vm_size, clock, measure)
     context.memory.set_resident_limit(limit)
 
 
--- a/tests/features/uncontrolled_clients.feature
+++ b/tests/features/uncontrolled_clients.feature
@@ -45,6 +45,7 @@
       | 0      | 600000  | 400000 | refused  |
       | 200000 | 600000  | 150000 | refused  |
       | 0      | 1000000 | 1      | refused  |
+      | 0      | -1      | 400000 | received |
 
   # The load: callers keep all connections open when another one comes.
   Scenario Outline: a connection beside others that have waited <waited> ms is <end>
