A body is checked again against the length at its end

Cause: moved the reception of bodies and compared what came only with the length that the request announces, no longer with the one in End. So a check was looser than before; no sender of ours sends such an End. Change: both are compared.

--- a/laburnumwood/routing/exchange.py
+++ b/laburnumwood/routing/exchange.py
@@ -14,6 +14,7 @@
 from laburnumwood.resources.body_memory import BodyReservation
 
 MAX_INLINE_BODY_BYTES = 131_072  # a longer body follows in chunks
+_WRONG_LENGTH = 'the body length differs from the announced length'
 
 
 class Exchange(Protocol):
@@ -98,18 +99,27 @@
 ServeHandler = Callable[[Exchange, Any], None]
 
 
+def _next_part(exchange: Exchange, until_ms: int, clock: Clock) -> Chunk | End:
+    """Return the next part of a body; raises `LinkError`."""
+    try:
+        message = exchange.receive(max(0, until_ms - clock.now_ms()))
+    except LinkTimeoutError as error:
+        raise BodyTimeoutError('the body did not come in time') from error
+    if not isinstance(message, Chunk | End):
+        raise LinkError('the sender aborted the body')
+    return message
+
+
 def _parts(exchange: Exchange, until_ms: int, clock: Clock) -> Iterator[bytes]:
     """Yield the parts of a body that is received; raises `LinkError`."""
-    while True:
-        try:
-            message = exchange.receive(max(0, until_ms - clock.now_ms()))
-        except LinkTimeoutError as error:
-            raise BodyTimeoutError('the body did not come in time') from error
-        if isinstance(message, End):
-            return
-        if not isinstance(message, Chunk):
-            raise LinkError('the sender aborted the body')
-        yield message.content
+    length = 0
+    part = _next_part(exchange, until_ms, clock)
+    while isinstance(part, Chunk):
+        length += len(part.content)
+        yield part.content
+        part = _next_part(exchange, until_ms, clock)
+    if part.length != length:
+        raise LinkError(_WRONG_LENGTH)
 
 
 def receive_body(
@@ -137,7 +147,7 @@
             buffer.append(part)
             reservation.record_part(len(part))
         if left:
-            raise LinkError('the body length differs from the announced length')
+            raise LinkError(_WRONG_LENGTH)
         body = buffer.finish()
     reservation.hold(body)
     return body
--- a/tests/features/gate.feature
+++ b/tests/features/gate.feature
@@ -35,6 +35,17 @@
     Then it was answered by the worker after 300 ms
     And bodies of 80000 bytes are in memory again
 
+  Scenario Outline: a body of <size> bytes announced with <announced> and ended with <ended> is <received>
+    When the gate receives <size> bytes announced with <announced> and ended with <ended>
+    Then the announced body is <received>
+
+    Examples:
+      | size  | announced | ended | received |
+      | 20000 | 20000     | 20000 | whole    |
+      | 20000 | 20000     | 19999 | refused  |
+      | 20000 | 19999     | 20000 | refused  |
+      | 20000 | 20001     | 20000 | refused  |
+
   # Guards against bodies and answers that stay until garbage is collected.
   Scenario: the two ends of an exchange do not keep each other in memory
     When an exchange inside one node has ended with a message unread
--- a/tests/features/steps/gate_steps.py
+++ b/tests/features/steps/gate_steps.py
@@ -3,6 +3,7 @@
 import gc
 import weakref
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from dataclasses import replace
 from functools import partial
 from typing import Any
@@ -16,11 +17,18 @@
 from laburnumwood.admission.rate_limiter import RateLimiter
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.config.declarations import Declarations, Service
+from laburnumwood.errors import LinkError
 from laburnumwood.membership.directory import Directory
 from laburnumwood.operators.capacity import CapacityAccount
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.meter import LoadMeter
-from laburnumwood.protocol.messages import Cancel, Failure, WholeAnswer
+from laburnumwood.protocol.messages import (
+    Cancel,
+    Chunk,
+    End,
+    Failure,
+    WholeAnswer,
+)
 from laburnumwood.protocol.store_messages import ShardNotice
 from laburnumwood.protocol.streams import Stream
 from laburnumwood.records import (
@@ -29,8 +37,13 @@
     ShardRecord,
     StoredObject,
 )
+from laburnumwood.resources.body_memory import BODY_MEMORY
 from laburnumwood.routing.door_counters import DoorCounters
-from laburnumwood.routing.exchange import Exchange, local_pair
+from laburnumwood.routing.exchange import (
+    Exchange,
+    local_pair,
+    receive_body,
+)
 from laburnumwood.routing.gate import AdmissionGate, WorkerState
 from laburnumwood.routing.pending_answer import PendingAnswer
 from laburnumwood.routing.problems import make_failure
@@ -446,6 +459,28 @@
     send(context, PLAIN_WORK.deadline_ms, body=bytes(size), is_local=is_local)
 
 
+@when(
+    'the gate receives {size:d} bytes announced with {announced:d} and ended '
+    'with {ended:d}'
+)
+def receive_parts(
+    context: Context, size: int, announced: int, ended: int
+) -> None:
+    near, far = local_pair()
+    near.send(Chunk(bytes(size)))
+    near.send(End(ended))
+    work = replace(PLAIN_WORK, body_length=announced)
+    context.body = b''
+    with BODY_MEMORY.reserve() as reservation, suppress(LinkError):
+        body = receive_body(far, work, LIMIT_S, FakeClock(), reservation)
+        context.body = bytes(body)
+
+
+@then('the announced body is {received}')
+def check_received(context: Context, received: str) -> None:
+    assert bool(context.body) == (received == 'whole'), len(context.body)
+
+
 @when('an exchange inside one node has ended with a message unread')
 def end_exchange(context: Context) -> None:
     gc.disable()
