Tests: one way to ask for an ordinary answer, and to build chunks

uncontrolled_client_steps and crowd_steps each had both; crowds.py serves them now. A crowd is closed by contextlib, and what it may leave in use is worked out in one place. No bound or assertion changes.

--- a/tests/features/steps/crowd_steps.py
+++ b/tests/features/steps/crowd_steps.py
@@ -1,9 +1,8 @@
 """Steps about crowds that come one after the other to one process."""
 
 import signal
-import socket
 from collections.abc import Callable
-from contextlib import suppress
+from contextlib import closing, suppress
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -21,12 +20,11 @@
 from laburnumwood.config.acceptance import replace_configuration
 from laburnumwood.listening import split_address
 from laburnumwood.store.client import HttpStore
-from tests.features.steps.crowds import Crowd, CrowdPlan
+from tests.features.steps.crowds import Crowd, CrowdPlan, is_answered
 
 MB = 1_048_576  # bytes
 LIMIT_S = 60
 CROWD_S = 8
-ANSWER_LIMIT_S = 20
 GIVE_BACK_LIMIT_S = 10
 DESCRIPTORS = 256
 OWN_DESCRIPTORS = DESCRIPTORS // 4  # what callers do not get
@@ -131,14 +129,7 @@
 def _is_answered(context: Context, name: str) -> bool:
     """Return whether a request with a body is answered on a new connection."""
     head = context.fleet.head(f'Content-Length: {len(SMALL_BODY)}', 0)
-    address = context.fleet.door(name)
-    with (
-        suppress(OSError),
-        socket.create_connection(address, ANSWER_LIMIT_S) as caller,
-    ):
-        caller.sendall(head + SMALL_BODY)
-        return caller.recv(MB).startswith(b'HTTP/1.1 200 ')
-    return False
+    return is_answered(context.fleet.door(name), head + SMALL_BODY)
 
 
 def _peak_bytes(process: psutil.Process) -> int:
@@ -193,11 +184,8 @@
     random = Random(int(context.config.userdata.get('seed', seed)))
     address, head = context.fleet.door(name), context.fleet.head
     for row in context.table:
-        crowd = Crowd(address, _plan(row), head, random)
-        try:
+        with closing(Crowd(address, _plan(row), head, random)) as crowd:
             crowd.send(CROWD_S)
-        finally:
-            crowd.close()
         _check_after_crowd(context, name)
 
 
@@ -209,7 +197,7 @@
     process = context.processes[name]
     wait_for('few descriptors', partial(_has_closed, process), LIMIT_S)
     with suppress(TimeoutError):
-        given_back = partial(_has_given_back, context, name)
+        given_back = partial(_has_given_back, context, process, name)
         wait_for('the memory', given_back, GIVE_BACK_LIMIT_S)
     rest_bytes = process.memory_info().rss
     measured = _Measured(name, _peak_bytes(process), rest_bytes)
@@ -217,9 +205,16 @@
     print(measured)
 
 
-def _has_given_back(context: Context, name: str) -> bool:
-    kept = context.processes[name].memory_info().rss - context.calm_bytes[name]
-    return kept <= context.vm_bytes * GIVEN_BACK_SHARE
+def _is_little(context: Context, name: str, rest_bytes: int) -> bool:
+    """Return whether a crowd has left little memory in use."""
+    kept = rest_bytes - context.calm_bytes[name]
+    return bool(kept <= context.vm_bytes * GIVEN_BACK_SHARE)
+
+
+def _has_given_back(
+    context: Context, process: psutil.Process, name: str
+) -> bool:
+    return _is_little(context, name, process.memory_info().rss)
 
 
 def _has_closed(process: psutil.Process) -> bool:
@@ -270,11 +265,8 @@
     settings = context.fleet.deployment.members[name].settings
     address = split_address(settings['report_address'])
     plan = CrowdPlan(callers, (size,), (0, 100_000))
-    crowd = Crowd(address, plan, _report_head, Random(callers))
-    try:
+    with closing(Crowd(address, plan, _report_head, Random(callers))) as crowd:
         crowd.send(CROWD_S)
-    finally:
-        crowd.close()
 
 
 @then('each node has stayed within its VM and has given back what they took')
@@ -284,9 +276,8 @@
             _check_after_crowd(context, name)
     for each in context.measured:
         assert each.peak_bytes <= context.vm_bytes, context.measured
-        kept = each.rest_bytes - context.calm_bytes[each.name]
-        most = context.vm_bytes * GIVEN_BACK_SHARE
-        assert kept <= most, context.measured
+        is_given_back = _is_little(context, each.name, each.rest_bytes)
+        assert is_given_back, context.measured
 
 
 @then('"{name}" ends within its grace once it gets SIGTERM')
--- a/tests/features/steps/crowds.py
+++ b/tests/features/steps/crowds.py
@@ -13,6 +13,7 @@
 SLOW_PIECE_SIZE = 2_000  # of a caller that goes on slowly
 SLOW_INTERVAL_S = 0.2
 CONNECT_LIMIT_S = 10
+ANSWER_LIMIT_S = 20
 _COMPLETE, _SLOW, _STOPS = 'complete', 'slow', 'stops'
 _ENDINGS = (_COMPLETE, _SLOW, *6 * (_STOPS,))
 _NUMBERS = count(1)
@@ -52,6 +53,17 @@
     return b'%b0\r\n\r\n' % (chunk * (size // chunk_size))
 
 
+def is_answered(address: tuple[str, int], request: bytes) -> bool:
+    """Return whether a request is answered 200 on a new connection."""
+    with (
+        suppress(OSError),
+        socket.create_connection(address, ANSWER_LIMIT_S) as caller,
+    ):
+        caller.sendall(request)
+        return caller.recv(PIECE_SIZE).startswith(b'HTTP/1.1 200 ')
+    return False
+
+
 class Crowd:
     """Callers that come to one address, and come again once refused."""
 
@@ -95,9 +107,8 @@
         chunk_size = self._random.choice(self._plan.chunk_sizes)
         with suppress(OSError):  # refused: one caller fewer
             sock = socket.create_connection(self._address, CONNECT_LIMIT_S)
-            is_chunked = bool(chunk_size)
             framing = f'Content-Length: {size}'
-            if is_chunked:
+            if chunk_size:
                 framing = 'Transfer-Encoding: chunked'
             sock.sendall(self._head(framing, next(_NUMBERS)))
             sock.setblocking(False)
--- a/tests/features/steps/uncontrolled_client_steps.py
+++ b/tests/features/steps/uncontrolled_client_steps.py
@@ -17,6 +17,7 @@
 from laburnumwood.resources.connections import ConnectionTable
 from laburnumwood.resources.resident_limit import ResidentLimit
 from laburnumwood.store.client import HttpStore
+from tests.features.steps.crowds import chunked, is_answered
 from tests.features.steps.fake_clock import FakeClock
 
 SERVICE = 'portal'
@@ -49,10 +50,8 @@
 def _is_answered(context: Context) -> bool:
     """Return whether a request with a body is answered on a new connection."""
     head = _head(f'Content-Length: {len(SMALL_BODY)}')
-    with suppress(OSError), _connect(context) as caller:
-        caller.sendall(head + SMALL_BODY)
-        return caller.recv(PIECE_SIZE).startswith(b'HTTP/1.1 200 ')
-    return False
+    address = HOST, context.member.settings['door_port']
+    return is_answered(address, head + SMALL_BODY)
 
 
 @given('a node with {size:d} MB for bodies and {descriptors:d} descriptors')
@@ -132,10 +131,7 @@
 def send_chunks(
     context: Context, count: int, size: int, chunk_size: int
 ) -> None:
-    chunk = b'%x\r\n%b\r\n' % (chunk_size, b'x' * chunk_size)
-    chunks = chunk * (size // chunk_size)
-    head = _head('Transfer-Encoding: chunked')
-    content = b'%b%b0\r\n\r\n' % (head, chunks)
+    content = _head('Transfer-Encoding: chunked') + chunked(size, chunk_size)
     _send_crowd(context, count, content, PIECE_SIZE)
 
 
