A worker's departure outlives the process that has acknowledged it

Cause: what was acknowledged was known to one process. It was killed 50 ms later, and the next one took a report that had been held up for that of a worker that serves. Nothing that it could read said otherwise: the record of the node said only 'serves: false', of no particular worker, after up to 200 ms, and the join wrote it anew. The word 'draining' in a report had the same gap.

Change: the record of the node names the last instances of its worker that have left (id, start time). A join keeps them, and the new process adopts them before it has an incarnation that could send anything. An instance that starts later, also under the same id, serves at once.

No more calls of the store: the write was made before, up to 200 ms later.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -120,6 +120,7 @@
             self.view,
             self._cached_store,
             self._worker_state,
+            reporting.presence.departures,
             lambda: (
                 reporting.has_released_all and not reporting.released_ranges
             ),
@@ -156,7 +157,8 @@
         self._member.renewer.start(
             avoided, self._worker_announcer.with_initial_worker_state
         )
-        for watch in self._store_watcher.tasks:
+        # What is acknowledged to the worker is recorded as long as it can be.
+        for watch in (*self._store_watcher.tasks, self._worker_announcer.run):
             self._watch_tasks.start(watch)
         for task in (
             *self._member.tasks,
@@ -304,10 +306,9 @@
         ledger = (
             self._ledger_replicator.run,
         ) * self._integration.has_idempotency_keys
-        tasks = (*ledger, self._worker_announcer.run)
         if self._granter is not None:
-            return (*tasks, self._granter.run, self._load_poller.run)
-        return tasks
+            return (*ledger, self._granter.run, self._load_poller.run)
+        return ledger
 
     def _worker_state(self) -> tuple[bool, int]:
         if self._granter is not None:
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -303,11 +303,12 @@
         history = ProcessHistory(
             ended, self._unfinished.numbers, first, confirmed_era
         )
-        name, _ = self._retry.until_answered(
+        name, record = self._retry.until_answered(
             lambda: join(
                 self._platform, self._settings, mark, history, serves=False
             )
         )
+        self.worker.presence.adopt_departures(record.worker_departures)
         self._witness = self._witness or Witness(
             name, self._settings.lease, self._clock
         )
--- a/laburnumwood/events.py
+++ b/laburnumwood/events.py
@@ -409,6 +409,14 @@
     'worker-cold',
     'the worker is cold, or not known to be warm, and is sent less',
 )
+DEPARTURE_UNRECORDED = _event(
+    624,
+    logbook.WARNING,
+    'departure-unrecorded',
+    'the worker was answered that it may stop before the store had recorded '
+    'that; if this process is killed, the next one may not know of it',
+    'find out why the store does not answer',
+)
 REQUEST_FAILED = _event(
     701,
     logbook.INFO,
--- a/laburnumwood/membership/node_records.py
+++ b/laburnumwood/membership/node_records.py
@@ -87,6 +87,7 @@
         confirmed_era=era if history.first is None else history.confirmed_era,
         incarnation_era=era,
         forgotten=_forgotten_numbers(before, history.first or incarnation),
+        worker_departures=before.worker_departures,
     )
 
 
--- a/laburnumwood/membership/worker_announcer.py
+++ b/laburnumwood/membership/worker_announcer.py
@@ -15,6 +15,7 @@
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import NodeName, NodeRecord
 from laburnumwood.store.interface import Store
+from laburnumwood.upstream.departures import Departures
 
 _POLL_MS = 200
 _RETRY_MS = 500
@@ -24,7 +25,7 @@
     """Keeps the state of the worker in its node's record up to date.
 
     `worker_state` returns whether the worker accepts work, and its number of
-    slots.  `holds_nothing` returns whether the worker neither holds shards from
+    slots.  `departures` are those of its instances.  `holds_nothing` returns whether the worker neither holds shards from
     earlier processes of the node nor has released any that the next owners
     are to learn of.
     """
@@ -35,18 +36,21 @@
         view: FleetView,
         store: Store,
         worker_state: Callable[[], tuple[bool, int]],
+        departures: Departures,
         holds_nothing: Callable[[], bool],
     ) -> None:
         self._own = own
         self._view = view
         self._store = store
         self._worker_state = worker_state
+        self._departures = departures
         self._holds_nothing = holds_nothing
 
     def run(self) -> None:
         """Record each change of the worker's state; does not return."""
         while True:
-            eventlet.sleep(_POLL_MS / MS_PER_SECOND)
+            self._learn_recorded()
+            self._departures.changes.wait(_POLL_MS)
             if not self.is_announced:
                 with suppress(PlatformError):  # retried after a pause
                     self.announce()
@@ -79,4 +83,14 @@
         if record.incarnation != self._own.incarnation:
             return record
         serves, slots = self._worker_state()
-        return replace(record, serves=serves, slots=slots or record.slots)
+        return replace(
+            record,
+            serves=serves,
+            slots=slots or record.slots,
+            worker_departures=self._departures.known,
+        )
+
+    def _learn_recorded(self) -> None:
+        record = self._view.directory.node(self._own)
+        if record is not None:
+            self._departures.recorded = record.worker_departures
--- a/laburnumwood/platform/reports.py
+++ b/laburnumwood/platform/reports.py
@@ -114,7 +114,6 @@
         self, settings: DaemonSettings, worker: ReportingWorker, clock: Clock
     ) -> None:
         self._service = settings.service
-        self._worker = worker
         self._answers = ReportAnswers(worker, clock)
         self._memory = BodyMemory(_MAX_BYTES_OF_ALL, clock)
 
@@ -142,9 +141,7 @@
     ) -> Iterable[bytes]:
         path = environ['PATH_INFO']
         if path.startswith(_DEREGISTER_PATH):
-            self._worker.presence.deregister(
-                path.removeprefix(_DEREGISTER_PATH)
-            )
+            self._answers.deregister(path.removeprefix(_DEREGISTER_PATH))
             return _reply(start_response, HTTPStatus.OK, encode({}))
         if not path.startswith(_REPORT_PATH):
             return _reply(start_response, HTTPStatus.NOT_FOUND, b'')
--- a/laburnumwood/records.py
+++ b/laburnumwood/records.py
@@ -182,6 +182,20 @@
     is_current: bool
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerDeparture:
+    """An instance of a worker that has said that it is about to end.
+
+    `started_ms` is its start time in milliseconds since the Unix epoch, None
+    if it was not known, and `said_ms` the time at which it said so, on the
+    clock of its VM.
+    """
+
+    worker_id: str
+    started_ms: int | None
+    said_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class NodeRecord:
     """What a node announces about itself.
@@ -199,6 +213,8 @@
     Incarnations in `forgotten` may have been recorded and forgotten by the
     store, so that they are not known to have ended.  A node with
     `shares_memory` tells other nodes what it remembers of the store.
+    `worker_departures` are those of its worker's last instances that have left:
+    a process that starts may hear them again by reports that were held up.
     """
 
     incarnation: int
@@ -222,6 +238,7 @@
     incarnation_era: int = 0
     forgotten: NumberRange | None = None
     shares_memory: bool = False
+    worker_departures: tuple[WorkerDeparture, ...] = ()
 
     @property
     def first_open_incarnation(self) -> int:
--- a/laburnumwood/store/objects.py
+++ b/laburnumwood/store/objects.py
@@ -20,7 +20,8 @@
 SHARD_PREFIX = 'shards/'
 AUDIT_PREFIX = 'audit/'
 EVACUATION_PREFIX = 'evacuations/'  # written by operators
-_ADDED_FIELDS = ('added_files', 'optional_files')  # of a configuration
+# Of configurations and nodes, left out where they are empty.
+_ADDED_FIELDS = ('added_files', 'optional_files', 'worker_departures')
 
 _Record = TypeVar('_Record', AuditRecord, ConfigRecord, NodeRecord, ShardRecord)
 _ADAPTERS: dict[type[Any], TypeAdapter[Any]] = {}  # created at first use
--- a/laburnumwood/upstream/presence.py
+++ b/laburnumwood/upstream/presence.py
@@ -1,5 +1,6 @@
 """The presence of the worker on the node's VM, known from its reports."""
 
+from collections.abc import Iterable
 from enum import Enum
 
 import eventlet
@@ -12,8 +13,9 @@
     WORKER_LEAVES,
     WORKER_SILENT,
 )
+from laburnumwood.records import WorkerDeparture
 from laburnumwood.settings import ReportSettings
-from laburnumwood.upstream.deregistrations import Deregistrations
+from laburnumwood.upstream.departures import Departures
 from laburnumwood.upstream.instances import ReportStatus, WorkerInstanceTracker
 from laburnumwood.upstream.reports import WorkerReport
 from laburnumwood.upstream.running_time import CHECK_INTERVAL_MS, RunningTime
@@ -22,6 +24,7 @@
 _MIN_INTERVAL_MS = 250  # shorter intervals precede reports of a release
 _INTERVAL_HALF_LIFE_MS = 5_000
 _REPORT = 'a report of the worker'
+_EARLIER = 'an earlier report of the worker'
 
 
 class WorkerPhase(Enum):
@@ -49,9 +52,9 @@
         self._last_heard_ms = 0  # in the running time
         self._intervals_ms = DecayingMean(_INTERVAL_HALF_LIFE_MS, clock)
         self._leaving_since_ms: int | None = None
-        self._deregistrations = Deregistrations(clock)
         self._is_silence_reported = False
         self._has_shown_no_keys = False
+        self.departures = Departures(clock)
         self.slots = 0
 
     @property
@@ -125,7 +128,8 @@
             self._log_stale(report)
             return status
         if status is ReportStatus.NEW_INSTANCE:
-            self._leaving_since_ms = self._deregistrations.since_ms(report)
+            self._leaving_since_ms = None
+            self._apply_departure()
         self._record_interval(status)
         self._is_silence_reported = False
         self._has_shown_no_keys = report.follows_answer and not report.held
@@ -158,8 +162,11 @@
         If it is not the current instance, and not the first that is heard of,
         that takes effect with a report of it that arrives later.
         """
-        self._deregistrations.record(worker_id)
-        if worker_id == self.worker_id or self._last_report_ms is None:
+        is_current = worker_id == self.worker_id
+        self.departures.record(
+            worker_id, self.started_ms if is_current else None
+        )
+        if is_current or self._last_report_ms is None:
             if self._last_report_ms is None:
                 self._record_heard()
             self.begin_leaving(_REPORT)
@@ -169,15 +176,17 @@
 
         It gets requests for `leave_ms` altogether.
         """
-        since_ms = self._clock.now_ms() - known_for_ms
-        earlier_ms = self._leaving_since_ms
-        if earlier_ms is not None and earlier_ms <= since_ms:
-            return
-        if self.phase is not WorkerPhase.LEAVING:
-            WORKER_LEAVES.report(
-                worker=self.worker_id, source=source, known_for_ms=known_for_ms
-            )
-        self._leaving_since_ms = since_ms
+        if self.worker_id:
+            self.departures.record(*self.instance)
+        self._leave_since(self._clock.now_ms() - known_for_ms, source)
+
+    def adopt_departures(self, departures: Iterable[WorkerDeparture]) -> None:
+        """Record which instances told an earlier process that they leave.
+
+        They get no more requests: that may have been long ago.
+        """
+        self.departures.adopt(departures, self._settings.leave_ms)
+        self._apply_departure()
 
     def adopt_leaving(self, source: str, known_for_ms: int | None) -> None:
         """Record what another node knows, also if the worker has said it here.
@@ -191,6 +200,24 @@
             known_for_ms = self._settings.leave_ms
         self.begin_leaving(source, known_for_ms)
 
+    def _apply_departure(self) -> None:
+        """Note if the current instance has left before its last report."""
+        since_ms = self.departures.since_ms(*self.instance)
+        if since_ms is not None:
+            self._leave_since(since_ms, _EARLIER)
+
+    def _leave_since(self, since_ms: int, source: str) -> None:
+        earlier_ms = self._leaving_since_ms
+        if earlier_ms is not None and earlier_ms <= since_ms:
+            return
+        if self.phase is not WorkerPhase.LEAVING:
+            WORKER_LEAVES.report(
+                worker=self.worker_id,
+                source=source,
+                known_for_ms=self._clock.now_ms() - since_ms,
+            )
+        self._leaving_since_ms = since_ms
+
     def watch(self) -> None:
         """Check for silence of the worker periodically; does not return."""
         while True:
--- a/tests/features/joining.feature
+++ b/tests/features/joining.feature
@@ -36,3 +36,30 @@
     And "record-refused" was logged once
     When the record is removed
     Then it is ready within 2 s, with generation 3
+
+  # Guards against requests to a worker that an earlier process of its node has
+  # told that its leaving is known: a late report took it back (DRAIN, review/7).
+  Scenario Outline: a node that starts knows that its worker has <left>
+    Given a store with generation 3
+    And a node that has joined
+    And its worker has <left>, which was answered
+    When the process of the node is killed, and another one joins
+    And an earlier report of the worker arrives
+    Then its worker may not be sent requests, and its record says so
+    When the worker has started again under its id and reports
+    Then its worker may be sent requests
+
+    Examples:
+      | left                                |
+      | deregistered                        |
+      | deregistered before its first report |
+      | reported that it is draining        |
+
+  # Guards against a worker that waits in vain: the store may be away.
+  Scenario: a worker that leaves is answered in time while the store is away
+    Given a store with generation 3
+    And a node that has joined
+    And its store does not answer
+    When its worker has deregistered, which was answered
+    Then that took less than 1000 ms
+    And "departure-unrecorded" was logged once
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -28,6 +28,7 @@
 from laburnumwood.settings import LeaseSettings
 from laburnumwood.store.objects import node_object_name, to_record
 from laburnumwood.store.writes import new_mark
+from laburnumwood.upstream.departures import Departures
 from tests.features.steps.fake_clock import FakeClock
 from tests.ownership.keys import SHARDS
 from tests.ownership.node import Components
@@ -203,6 +204,7 @@
         FleetView(directory, SealRegistry()),
         context.cached_store,
         lambda: (serves, 6),
+        Departures(Clock()),
         lambda: holds_nothing,
     )
     context.store.reads = 0
