Rooms in membership for the eras of the store and for the configuration

Ten modules of membership/ had the name of their room as a prefix: those about eras of the store (era_*.py, forgotten_records.py) move to membership/eras/, those about the configuration (config_*.py) to membership/configuration/. 24 files side by side become 14. No line of code but imports is changed.

Run: formatter, linters, types, import rules; membership, config_confirmation, put_back_fences, fences, joining, spreading, config_acceptance.

--- a/bench/config_news.py
+++ b/bench/config_news.py
@@ -14,7 +14,7 @@
 from bench.spreading import record_of
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.membership.choice import choose_witnesses
-from laburnumwood.membership.config_news import news_targets
+from laburnumwood.membership.configuration.news import news_targets
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.store_watcher import (
     CONFIG_WATCH_POLICY,
--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -12,7 +12,7 @@
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.cached_store import CachedStore
-from laburnumwood.membership.config_freshness import ConfigFreshness
+from laburnumwood.membership.configuration.freshness import ConfigFreshness
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.member import Member
 from laburnumwood.membership.node_records import (
--- a/laburnumwood/daemon/node.py
+++ b/laburnumwood/daemon/node.py
@@ -30,7 +30,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.listening import Address
 from laburnumwood.loop_delay import LOOP_DELAY
-from laburnumwood.membership.config_inheritance import inherit_config
+from laburnumwood.membership.configuration.inheritance import inherit_config
 from laburnumwood.membership.incarnation_ends import (
     IncarnationStatus,
     RejoinBackoff,
--- a/laburnumwood/membership/cached_store.py
+++ b/laburnumwood/membership/cached_store.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from laburnumwood.errors import PlatformConflictError
-from laburnumwood.membership.config_status import FROM_OWN_WRITE
+from laburnumwood.membership.configuration.status import FROM_OWN_WRITE
 from laburnumwood.membership.directory import Directory
 from laburnumwood.records import StoredObject
 from laburnumwood.store.interface import Store
--- a/laburnumwood/membership/config_confirmation.py
+++ b/laburnumwood/membership/configuration/confirmation.py
@@ -4,7 +4,7 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import PlatformError
-from laburnumwood.membership.config_status import FROM_STORE
+from laburnumwood.membership.configuration.status import FROM_STORE
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.shared_call import SharedCall
 from laburnumwood.records import ConfigRecord, StoredObject
--- a/laburnumwood/membership/config_freshness.py
+++ b/laburnumwood/membership/configuration/freshness.py
@@ -11,7 +11,9 @@
 from laburnumwood.clock import Clock
 from laburnumwood.errors import LinkError
 from laburnumwood.membership.choice import rendezvous_order
-from laburnumwood.membership.config_confirmation import ConfigConfirmation
+from laburnumwood.membership.configuration.confirmation import (
+    ConfigConfirmation,
+)
 from laburnumwood.membership.sent_objects import from_sent, to_sent
 from laburnumwood.membership.shared_call import SharedCall
 from laburnumwood.membership.view import FleetView
--- a/laburnumwood/membership/directory.py
+++ b/laburnumwood/membership/directory.py
@@ -13,7 +13,10 @@
     CONFIG_REFUSED,
     RECORD_REFUSED,
 )
-from laburnumwood.membership.config_status import FROM_STORE, ConfigMonitor
+from laburnumwood.membership.configuration.status import (
+    FROM_STORE,
+    ConfigMonitor,
+)
 from laburnumwood.membership.object_cache import ObjectCache, is_newer
 from laburnumwood.notifier import Notifier
 from laburnumwood.records import (
--- a/laburnumwood/membership/era_recovery.py
+++ b/laburnumwood/membership/eras/recovery.py
@@ -12,7 +12,7 @@
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.choice import rendezvous_order
-from laburnumwood.membership.era_work import EraWork
+from laburnumwood.membership.eras.work import EraWork
 from laburnumwood.membership.node_records import confirm_era
 from laburnumwood.membership.view import FleetView
 from laburnumwood.records import ShardRecord, StoredObject
--- a/laburnumwood/membership/era_work.py
+++ b/laburnumwood/membership/eras/work.py
@@ -4,7 +4,7 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.cached_store import CachedStore
-from laburnumwood.membership.forgotten_records import ForgottenRecords
+from laburnumwood.membership.eras.forgotten_records import ForgottenRecords
 from laburnumwood.membership.view import FleetView
 
 
--- a/laburnumwood/membership/incarnation_ends.py
+++ b/laburnumwood/membership/incarnation_ends.py
@@ -13,7 +13,7 @@
 from laburnumwood.leases.quorum_loss import Candidate, QuorumLossDetector
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import rendezvous_order
-from laburnumwood.membership.era_barrier import EraBarrier
+from laburnumwood.membership.eras.barrier import EraBarrier
 from laburnumwood.membership.node_records import (
     drop_older_witness_sets,
     record_end,
--- a/laburnumwood/membership/member.py
+++ b/laburnumwood/membership/member.py
@@ -6,9 +6,9 @@
 from laburnumwood.leases.lease import Lease
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.cached_store import CachedStore
-from laburnumwood.membership.config_news import ConfigNews
-from laburnumwood.membership.era_proxy import EraProxy
-from laburnumwood.membership.era_recovery import EraRecovery
+from laburnumwood.membership.configuration.news import ConfigNews
+from laburnumwood.membership.eras.proxy import EraProxy
+from laburnumwood.membership.eras.recovery import EraRecovery
 from laburnumwood.membership.gossip import Gossip
 from laburnumwood.membership.incarnation_ends import NodeRecordUpdater
 from laburnumwood.membership.memory_exchange import MemoryExchange
--- a/laburnumwood/membership/memory_exchange.py
+++ b/laburnumwood/membership/memory_exchange.py
@@ -7,7 +7,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.errors import LinkError, PlatformError
-from laburnumwood.membership.era_proxy import EraProxy
+from laburnumwood.membership.eras.proxy import EraProxy
 from laburnumwood.protocol.link import Link
 from laburnumwood.protocol.peers import Dispatcher, Peers
 from laburnumwood.protocol.store_messages import Memory, MemoryRequest
--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -17,8 +17,8 @@
 )
 from laburnumwood.evacuation.watcher import EvacuationWatcher
 from laburnumwood.membership.choice import rendezvous_order
-from laburnumwood.membership.config_confirmation import has_in_force
-from laburnumwood.membership.config_status import (
+from laburnumwood.membership.configuration.confirmation import has_in_force
+from laburnumwood.membership.configuration.status import (
     FROM_STALE_STORE,
     FROM_STORE,
 )
--- a/laburnumwood/placement/record_trust.py
+++ b/laburnumwood/placement/record_trust.py
@@ -1,7 +1,7 @@
 """Whether a node may act on a shard's record, or begin to write it."""
 
 from laburnumwood.clock import Clock
-from laburnumwood.membership.era_barrier import EraBarrier
+from laburnumwood.membership.eras.barrier import EraBarrier
 from laburnumwood.membership.view import FleetView
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.ownership import fencing_token
--- a/laburnumwood/routing/config_ages.py
+++ b/laburnumwood/routing/config_ages.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from laburnumwood.events import CONFIG_UNCONFIRMED
-from laburnumwood.membership.config_status import ConfigStatus
+from laburnumwood.membership.configuration.status import ConfigStatus
 from laburnumwood.metrics import CONFIG_DECISIONS
 
 ConfigStatusProvider = Callable[[], ConfigStatus]
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -8,7 +8,7 @@
 from laburnumwood.config.declarations import Declarations
 from laburnumwood.errors import LinkError
 from laburnumwood.events import ANSWER_CUT, REQUEST_REJECTED
-from laburnumwood.membership.config_confirmation import ConfigConfirmer
+from laburnumwood.membership.configuration.confirmation import ConfigConfirmer
 from laburnumwood.metrics import PROBLEM_ANSWERS
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.routing.caller import Caller, CallerMonitor
--- a/laburnumwood/routing/measured_ingress.py
+++ b/laburnumwood/routing/measured_ingress.py
@@ -8,7 +8,7 @@
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.events import REQUESTS_SERVED
-from laburnumwood.membership.config_confirmation import ConfigConfirmer
+from laburnumwood.membership.configuration.confirmation import ConfigConfirmer
 from laburnumwood.metrics import LATENCY, REQUESTS
 from laburnumwood.routing.caller_interface import CallerInterface
 from laburnumwood.routing.config_ages import ConfigStatusProvider
--- a/tests/features/steps/config_confirmation_steps.py
+++ b/tests/features/steps/config_confirmation_steps.py
@@ -13,8 +13,11 @@
 from laburnumwood.clock import MS_PER_SECOND, Clock
 from laburnumwood.errors import PlatformUnavailableError
 from laburnumwood.leases.seals import SealRegistry
-from laburnumwood.membership.config_freshness import ConfigFreshness
-from laburnumwood.membership.config_status import FROM_STALE_STORE, FROM_STORE
+from laburnumwood.membership.configuration.freshness import ConfigFreshness
+from laburnumwood.membership.configuration.status import (
+    FROM_STALE_STORE,
+    FROM_STORE,
+)
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.messages import Answer, Chunk, End
--- a/tests/features/steps/config_news_steps.py
+++ b/tests/features/steps/config_news_steps.py
@@ -17,8 +17,11 @@
 from laburnumwood.leases.seals import SealRegistry
 from laburnumwood.leases.witness import Witness
 from laburnumwood.membership.choice import rendezvous_order
-from laburnumwood.membership.config_freshness import TREES, ConfigFreshness
-from laburnumwood.membership.config_status import FROM_STORE
+from laburnumwood.membership.configuration.freshness import (
+    TREES,
+    ConfigFreshness,
+)
+from laburnumwood.membership.configuration.status import FROM_STORE
 from laburnumwood.membership.directory import Directory
 from laburnumwood.membership.member import Member
 from laburnumwood.membership.view import FleetView
--- a/tests/ownership/fence_mutations.py
+++ b/tests/ownership/fence_mutations.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from laburnumwood.clock import Clock
-from laburnumwood.membership.era_recovery import EraRecovery
+from laburnumwood.membership.eras.recovery import EraRecovery
 from laburnumwood.placement.held_shards import HeldShards
 from laburnumwood.placement.lost_splits import LostSplits
 from laburnumwood.placement.ownership import OwnershipState
--- a/tests/ownership/mutations.py
+++ b/tests/ownership/mutations.py
@@ -10,9 +10,9 @@
     QuorumLossDetector,
 )
 from laburnumwood.leases.witness import Witness
-from laburnumwood.membership.era_proxy import EraProxy
-from laburnumwood.membership.era_recovery import EraRecovery
-from laburnumwood.membership.forgotten_records import ForgottenRecords
+from laburnumwood.membership.eras.forgotten_records import ForgottenRecords
+from laburnumwood.membership.eras.proxy import EraProxy
+from laburnumwood.membership.eras.recovery import EraRecovery
 from laburnumwood.placement.ownership import OwnershipState, ownership_state
 from laburnumwood.placement.ownership_tracker import OwnershipTracker
 from laburnumwood.placement.shard_write import ShardWrite, WriteProgress
--- a/tests/ownership/node.py
+++ b/tests/ownership/node.py
@@ -14,8 +14,8 @@
 from laburnumwood.membership.cached_store import CachedStore
 from laburnumwood.membership.choice import choose_witnesses
 from laburnumwood.membership.directory import Directory
-from laburnumwood.membership.era_proxy import EraProxy
-from laburnumwood.membership.era_recovery import EraRecovery
+from laburnumwood.membership.eras.proxy import EraProxy
+from laburnumwood.membership.eras.recovery import EraRecovery
 from laburnumwood.membership.incarnation_ends import (
     NodeRecordUpdater,
     RejoinBackoff,
--- a/tests/request_stack/ingress.py
+++ b/tests/request_stack/ingress.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from laburnumwood.clock import Clock
-from laburnumwood.membership.config_confirmation import ConfigConfirmer
-from laburnumwood.membership.config_status import ConfigMonitor
+from laburnumwood.membership.configuration.confirmation import ConfigConfirmer
+from laburnumwood.membership.configuration.status import ConfigMonitor
 from laburnumwood.routing.caller_interface import NativeCallerInterface
 from laburnumwood.routing.ingress import DeclarationsProvider, Ingress
 
