A request waits for the proof of its configuration while anybody answers

What callers could see: a request that a door handles as an older version says, seconds after a change was acknowledged, while the store answers everybody.

Cause: a door renews its proof by asking two parents (150 ms each), then the store, but a request waited for 200 ms of that and then went by what was known, however old; with two parents lost, or late, the store was not asked in time. And one renewal that had proved nothing let all later requests pass without a wait until another one succeeded, so that a door without traffic began, after an outage of the store, with a proof as old as the outage.

Change: a request waits for as long as a renewal may take (it ends at once when there is a proof); a failure counts for a second only; the store gets twice the longest time of its last four answers, 200 ms at least.

The five rows of config_fleet.feature failed before.

--- a/laburnumwood/membership/configuration/confirmation.py
+++ b/laburnumwood/membership/configuration/confirmation.py
@@ -1,5 +1,6 @@
 """Asking the store whether the configuration in force is the latest."""
 
+from collections import deque
 from collections.abc import Callable
 
 from laburnumwood.clock import Clock
@@ -14,6 +15,8 @@
 CONFIRMED_FOR_MS = 1_000  # for which an answer of the store counts
 CALL_INTERVAL_MS = 500  # at least, from the start of a call to the next
 MAX_WAIT_MS = 1_000  # of a request for an answer of the store
+_LEAST_PATIENCE_MS = 200
+_REMEMBERED_CALLS = 4  # by which the patience is chosen
 
 ConfigConfirmer = Callable[[int], bool]
 
@@ -43,6 +46,17 @@
         self._clock = clock
         self._call = SharedCall(self._ask, CALL_INTERVAL_MS, clock)
         self._confirmed_at_ms: int | None = None
+        self._answer_times_ms: deque[int] = deque(maxlen=_REMEMBERED_CALLS)
+
+    @property
+    def usual_patience_ms(self) -> int:
+        """Return after how long an answer is later than usual, in ms.
+
+        It is twice the longest time of the last answers, within limits: a store
+        or a node under load takes its time, and is not away.
+        """
+        longest_ms = max(self._answer_times_ms, default=0)
+        return min(max(2 * longest_ms, _LEAST_PATIENCE_MS), MAX_WAIT_MS)
 
     def confirm(
         self, patience_ms: int, max_age_ms: int = CONFIRMED_FOR_MS
@@ -71,6 +85,7 @@
             is_latest = self._has_latest(self._store.get(CONFIG_NAME))
         except PlatformError:
             return  # the guarded store has logged its failures
+        self._answer_times_ms.append(self._clock.now_ms() - called_at_ms)
         if is_latest:
             monitor = self._directory.config_monitor
             self._confirmed_at_ms = called_at_ms
--- a/laburnumwood/membership/configuration/freshness.py
+++ b/laburnumwood/membership/configuration/freshness.py
@@ -14,6 +14,7 @@
 from laburnumwood.membership.configuration.confirmation import (
     ConfigConfirmation,
 )
+from laburnumwood.membership.configuration.recent_failure import RecentFailure
 from laburnumwood.membership.sent_objects import from_sent, to_sent
 from laburnumwood.membership.shared_call import SharedCall
 from laburnumwood.membership.view import FleetView
@@ -30,9 +31,9 @@
 _ANSWERED_AGE_MS = 500  # up to which a node answers by the proof that it has
 _INTERVAL_MS = 250  # at least, from the start of a renewal to the next
 _PEER_TIMEOUT_MS = 150
-_STORE_PATIENCE_MS = 200
 _OTHERS = 3  # nodes that are asked if neither parents nor the store answer
-_REQUEST_WAIT_MS = 200  # of a request, for a renewal
+# Of a request, for a renewal: as long as it may take while anybody answers.
+_REQUEST_WAIT_MS = 1_000
 _CHILD_WAIT_MS = 100  # of a child in the tree, for a renewal
 _FANOUT = 32
 TREES = ('first configuration tree', 'second configuration tree')
@@ -82,8 +83,8 @@
         self._peers = peers
         self._clock = clock
         self._renewal = SharedCall(self._renew, _INTERVAL_MS, clock)
-        self._does_store_answer = True
-        self._is_blind = False  # nobody has proved anything lately
+        self._store_failure = RecentFailure(clock)
+        self._renewal_failure = RecentFailure(clock)  # nobody proved anything
         self._parents: tuple[NodeName, ...] = ()
         self._parents_for: object = None
         dispatcher.on(ConfigCheck)(self._serve)
@@ -91,8 +92,9 @@
     def ensure_recent(self) -> None:
         """Have the proof renewed before it is older than `MAX_AGE_MS`.
 
-        Waits for a moment if it is.  Requests do not wait while nobody can
-        prove anything: what is known holds then.
+        Waits for a renewal if it is, since the one that is asked first may be
+        gone or late.  Requests do not wait while nobody has been able to prove
+        anything for the last second: what is known holds then.
         """
         self._ensure(REFRESH_AGE_MS, MAX_AGE_MS, _REQUEST_WAIT_MS)
 
@@ -108,7 +110,7 @@
     ) -> None:
         if not self._is_recent(renewed_age_ms):
             self._renewal.ensure_started()
-        if not self._is_recent(max_age_ms) and not self._is_blind:
+        if not self._is_recent(max_age_ms) and not self._renewal_failure:
             self._renewal.wait(wait_ms)
 
     def _is_recent(self, max_age_ms: int) -> bool:
@@ -121,7 +123,9 @@
             or self._ask_store()
             or self._ask_any(self._some_others(), renews=False)
         )
-        self._is_blind = not (is_confirmed or self._is_recent(MAX_AGE_MS))
+        self._renewal_failure.record(
+            has_failed=not (is_confirmed or self._is_recent(MAX_AGE_MS))
+        )
 
     def _ask_any(
         self, names: Iterable[NodeName], *, renews: bool = True
@@ -136,14 +140,15 @@
     def _ask_store(self) -> bool:
         """Ask the store; return whether it proved enough in time.
 
-        A store that was silent the last time is not waited for: what it says
+        A store that was silent just before is not waited for: what it says
         counts in the next renewal.
         """
-        patience_ms = _STORE_PATIENCE_MS if self._does_store_answer else 0
-        self._does_store_answer = self._confirmation.confirm(
-            patience_ms, _ANSWERED_AGE_MS
+        patience_ms = self._confirmation.usual_patience_ms
+        is_confirmed = self._confirmation.confirm(
+            0 if self._store_failure else patience_ms, _ANSWERED_AGE_MS
         )
-        return self._does_store_answer
+        self._store_failure.record(has_failed=not is_confirmed)
+        return is_confirmed
 
     def _some_others(self) -> list[NodeName]:
         """Return nodes to ask for the proof that they have.
