--- a/laburnumwood/config/merge.py
+++ b/laburnumwood/config/merge.py
@@ -196,6 +196,26 @@
     return merger.result()
 
 
+def _join(files: Mapping[str, Mapping[str, Any]]) -> Declarations | None:
+    """Return the declarations of accepted files that set different entries.
+
+    Returns None if two files set an entry, or if something is not valid.  This
+    costs a fourth of a merge that knows which file sets which value.
+    """
+    joined: dict[str, dict[str, Any]] = {}
+    for _, content in sorted(files.items()):
+        for section, entries in content.items():
+            known = joined.setdefault(section, {})
+            if not isinstance(entries, dict) or known.keys() & entries.keys():
+                return None
+            known.update(entries)
+    try:
+        declarations = _parse_declarations('merged files', joined, ACCEPTED)
+    except DeclarationError:
+        return None
+    return None if any(find_violations(declarations)) else declarations
+
+
 def merge_record(record: ConfigRecord) -> Declarations:
     """Return the declarations of an accepted configuration.
 
@@ -212,4 +232,5 @@
         }
         for name, content in record.optional_files.items()
     }
-    return _merge({**record.all_files, **optional}, ACCEPTED).declarations
+    files = {**record.all_files, **optional}
+    return _join(files) or _merge(files, ACCEPTED).declarations
--- a/tests/config_fleet/node.py
+++ b/tests/config_fleet/node.py
@@ -10,7 +10,7 @@
 import eventlet
 from eventlet.greenthread import spawn_n
 
-from laburnumwood.daemon.store_retry import StoreRetry
+from laburnumwood.daemon.store_retry import StoppingError, StoreRetry
 from laburnumwood.evacuation.register import EvacuationRegister
 from laburnumwood.header_index import HeaderIndex
 from laburnumwood.leases.lease import Lease
@@ -285,7 +285,10 @@
         avoided: frozenset[str] = frozenset()
         ended: NodeName | None = None
         while not self._is_stopping:
-            incarnation = self._join(platform, ended, avoided)
+            try:
+                incarnation = self._join(platform, ended, avoided)
+            except StoppingError:
+                return
             avoided = self._await_end(incarnation, platform, backoff)
             incarnation.lease.resign()
             incarnation.tasks.kill()
--- a/tests/features/config.feature
+++ b/tests/features/config.feature
@@ -90,3 +90,13 @@
       """
       {"services": {"x": {}, "y": {}, "x": {"shards": 1}}}
       """
+
+  # Guards against an accepted configuration that means something else when its
+  # files are put together without a look at each value.
+  Scenario: an accepted configuration means what its files mean
+    Given the file "25-docs.json"
+      """
+      {"services": {"docs": {"shards": 4, "key": {"source": "query", "name": "k"}}},
+       "caller_limits": {"longest_head": 9000}}
+      """
+    Then an accepted configuration of them, with or without rules, means the same
--- a/tests/features/steps/config_steps.py
+++ b/tests/features/steps/config_steps.py
@@ -19,7 +19,7 @@
 )
 from laburnumwood.config.audit import read_audit_trail
 from laburnumwood.config.files import digest, parse_file
-from laburnumwood.config.merge import merge_files
+from laburnumwood.config.merge import merge_files, merge_record
 from laburnumwood.errors import (
     ConcurrentChangeError,
     DeclarationError,
@@ -50,6 +50,21 @@
     assert merged.origin(steps) == file, merged.set_by
 
 
+@then(
+    'an accepted configuration of them, with or without rules, means the same'
+)
+def check_same_meaning(context: Context) -> None:
+    first = min(context.files)
+    plain = {
+        name: content
+        for name, content in context.files[first].items()
+        if name != 'rules'
+    }
+    for files in (context.files, {**context.files, first: plain}):
+        declared = merge_record(ConfigRecord(1, files))
+        assert declared == merge_files(files).declarations, declared
+
+
 @then('the files are refused with')
 def check_refusal(context: Context) -> None:
     try:
