The end of a watch proves nothing about the configuration

What callers could see: a request handled by a replaced configuration, by a node whose watch of the store had heard nothing of it and ended. A watch that ended without a change counted as the store's word that there was none, as of its begin; DESIGN rejects that (found by reading).

A proof by a watch needs a change in its answer now. The new row of config_confirmation.feature failed before (200, the store not asked).

--- a/laburnumwood/membership/store_watcher.py
+++ b/laburnumwood/membership/store_watcher.py
@@ -262,13 +262,17 @@
     def _record_latest(
         self, objects: tuple[StoredObject, ...], source: str, asked_ms: int
     ) -> None:
-        """Record what an answer of the store proves about the configuration."""
+        """Record what an answer of the store proves about the configuration.
+
+        A watch that ends without a change proves nothing: it may have heard of
+        none.
+        """
         monitor = self._view.directory.config_monitor
         monitor.record_latest(source)
         for stored in objects:
             if stored.name == CONFIG_NAME:
                 self._can_use_config = self._is_in_force(stored)
-        if source == FROM_STORE and self._can_use_config:
+        if objects and source == FROM_STORE and self._can_use_config:
             monitor.record_confirmed(source, asked_ms)
 
     def _is_in_force(self, stored: StoredObject) -> bool:
--- a/tests/features/config_confirmation.feature
+++ b/tests/features/config_confirmation.feature
@@ -76,6 +76,7 @@
       | what                                 | status | calls |
       | an answer that may be old confirms it | 404    | 1     |
       | another node confirms it              | 404    | 1     |
+      | a watch ends without a change         | 404    | 1     |
 
   # Guards against nodes that take each other's word for proof, and against a
   # number of store calls that grows with the fleet: four a second while the
--- a/tests/features/steps/config_confirmation_steps.py
+++ b/tests/features/steps/config_confirmation_steps.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from contextlib import closing, suppress
+from types import SimpleNamespace
 from typing import Any
 
 import eventlet
@@ -19,6 +20,7 @@
     FROM_STORE,
 )
 from laburnumwood.membership.directory import Directory
+from laburnumwood.membership.store_watcher import StoreWatcher
 from laburnumwood.membership.view import FleetView
 from laburnumwood.protocol.messages import Answer, Chunk, End
 from laburnumwood.protocol.peers import Dispatcher
@@ -234,6 +236,20 @@
     context.directory.config_monitor.record_latest(FROM_STALE_STORE)
 
 
+def _hear_nothing(*_: Any, **_options: Any) -> tuple[tuple[()], int]:
+    return (), 1
+
+
+@when('a watch ends without a change')
+def end_watch(context: Context) -> None:
+    platform: Any = SimpleNamespace(
+        scopes=('', CONFIG_NAME), era=0, watch=_hear_nothing
+    )
+    view = FleetView(context.directory, SealRegistry())
+    watcher = StoreWatcher(NodeName('a', 1), platform, view, Clock())
+    watcher._watch(CONFIG_NAME, may_be_stale=False)
+
+
 @when('another node confirms it')
 def hear_node(context: Context) -> None:
     context.directory.config_monitor.record_current(1, 'p2')
