--- a/tests/config_fleet/fleet.py
+++ b/tests/config_fleet/fleet.py
@@ -71,11 +71,9 @@
         self._manifest = FIRST_MANIFEST
         self._condition: int | None = None
         self._attempts = 0
-        self._start_s: float = 0
 
     def run(self) -> None:
         """Play the schedule."""
-        self._start_s = hub().now_s
         self._write(FIRST_MANIFEST)
         for _ in range(self.world.size):
             self._add_node(self._random.uniform(0, _START_SPREAD_S))
--- a/tests/config_fleet/network.py
+++ b/tests/config_fleet/network.py
@@ -8,7 +8,7 @@
 from eventlet.event import Event
 from eventlet.greenthread import spawn_n
 
-from laburnumwood.errors import LinkRefusedError, LinkTimeoutError
+from laburnumwood.errors import LinkRefusedError
 from laburnumwood.protocol.peers import Dispatcher
 from laburnumwood.protocol.store_messages import Changes, ConfigState
 from laburnumwood.protocol.time_limit import time_limit
@@ -44,7 +44,6 @@
 
     process: Process
     dispatcher: Callable[[], Dispatcher | None]
-    own_name: Callable[[], NodeName]
     link_free_s: float = 0
 
 
@@ -133,7 +132,6 @@
         self._network.carry(source, target, message, take)
         with time_limit(timeout_ms, f'{peer} did not answer'):
             return reply.wait()
-        raise LinkTimeoutError(str(peer))
 
 
 def _give(event: Event, sent: Any) -> None:
--- a/tests/config_fleet/node.py
+++ b/tests/config_fleet/node.py
@@ -95,7 +95,7 @@
         self.services: dict[str, str] = {}
 
     def send(self, request: CallerRequest, _caller: Any) -> Failure:
-        """Note the service and the age of the proof, and refuse."""
+        """Note the service of a request, and refuse it."""
         self.services[request.work.request_id] = request.work.service
         return Failure('overloaded', False, 'nobody serves in the simulation')
 
@@ -156,9 +156,9 @@
 
 @dataclass(slots=True)
 class DoorAnswer:
-    """What a door decided: a service, '' for no route, None for neither.
+    """What a door decided, and the age in ms of the proof by which it did.
 
-    `age_ms` is that of the proof by which it did.
+    Without a service the status tells whether it found no route.
     """
 
     status: int
@@ -208,9 +208,7 @@
         self.incarnation, self._witness = None, None
         self._is_stopping = False
         self.lives.append(Life(_CLOCK.now_ms()))
-        self._network.hosts[self.node_id] = Host(
-            self.process, self._dispatcher, lambda: NodeName(self.node_id, 0)
-        )
+        self._network.hosts[self.node_id] = Host(self.process, self._dispatcher)
         hub().call_for(self.process, 0, spawn_n, self._run)
 
     def kill(self) -> None:
