What has come is read before late time limits end

Cause: after a long turn eventlet's loop fires all timers that are due and only then looks at the connections. A task whose answer came in time, but while its process was busy, was told that there was none; each fixed wait of 150 or 200 ms is shorter than a turn of a drowned node, so such a node took its own load for the silence of its peers and of the store. That is not of the configuration alone: leases, health checks, calls of the store and waits for owners end by the same timers.

Change: time limits whose turn is late end after the tasks that were woken by what had come (hub.fire_timers); the simulation does the same.

--- a/laburnumwood/hub.py
+++ b/laburnumwood/hub.py
@@ -1,17 +1,29 @@
-"""An eventlet hub that keeps file descriptors registered with epoll.
+"""An eventlet hub for a process that is busy at times.
 
-Eventlet's own hub registers a descriptor for each wait and unregisters it
-afterwards, which costs two system calls for most reads of a connection.
+It keeps file descriptors registered with epoll.  Eventlet's own hub registers a
+descriptor for each wait and unregisters it afterwards, which costs two system
+calls for most reads of a connection.
+
+It reads what has come before it lets late time limits end.  After a long turn
+eventlet's own hub fires all timers that are due first, so that a task whose
+answer came in time, but during that turn, is told that there was none.
 """
 
+import heapq
 from typing import Any
 
 from eventlet.hubs import epolls, hub
+from eventlet.hubs.timer import Timer
 
 from laburnumwood.clock import Clock
 from laburnumwood.turns import TURNS
 
 _CLOCK = Clock()
+_LATE_S = 0.005  # from which a turn is late for a time limit
+# From the task that reads to the one that waits for what it has read.
+_TASKS_TO_WAITER = 4
+
+Timers = list[tuple[float, Timer]]
 
 
 def is_available() -> bool:
@@ -20,10 +32,17 @@
     return available
 
 
+def is_time_limit(timer: Timer) -> bool:
+    """Return whether a timer ends the wait of a task by an exception."""
+    return not timer.called and timer.tpl[0].__name__ == 'throw'
+
+
 class Hub(epolls.Hub):
     """An epoll hub that unregisters descriptors lazily.
 
     A descriptor is unregistered when it is ready while no task waits for it.
+    A time limit whose turn comes late ends after the tasks that were woken by
+    what had come until then.
     """
 
     def __init__(self, clock: Any = None) -> None:
@@ -78,6 +97,31 @@
                 self._narrow_registration(fileno, awaited)
         return ready
 
+    def fire_timers(self, when: float) -> None:
+        """Run the timers that are due, late time limits last."""
+        late = self._take_late_limits(when)
+        super().fire_timers(when)
+        if late:
+            self.wait(0)
+            for _ in range(_TASKS_TO_WAITER):
+                self.prepare_timers()
+                super().fire_timers(self.clock())
+            for each in late:
+                heapq.heappush(self.timers, each)
+            super().fire_timers(when)
+
+    def _take_late_limits(self, when: float) -> Timers:
+        if not self.timers or self.timers[0][0] > when - _LATE_S:
+            return []
+        due: Timers = []
+        while self.timers and self.timers[0][0] <= when:
+            due.append(heapq.heappop(self.timers))
+        late = [each for each in due if is_time_limit(each[1])]
+        for each in due:
+            if not is_time_limit(each[1]):
+                heapq.heappush(self.timers, each)
+        return late
+
     def _awaited_mask(self, fileno: int) -> int:
         mask = 0
         for evtype, each in self._masks.items():
--- a/tests/config_fleet/virtual_time.py
+++ b/tests/config_fleet/virtual_time.py
@@ -12,8 +12,10 @@
 from greenlet import getcurrent
 
 from laburnumwood.clock import MS_PER_SECOND, Clock
+from laburnumwood.hub import is_time_limit
 
 _START_S = 1_000.0
+_LIMIT_S = 1e-4  # after a turn begins, late time limits end
 
 
 class Process:
@@ -87,7 +89,9 @@
     def _fire(self, timer: Timer, when: float) -> None:
         owner = timer.owner
         if owner is not None and owner.busy_until_s > when:
-            self.next_timers.append((owner.busy_until_s, timer))
+            # As the hub of the product: what has come goes before time limits.
+            wait_s = _LIMIT_S if is_time_limit(timer) else 0
+            self.next_timers.append((owner.busy_until_s + wait_s, timer))
             return
         thread = getattr(timer.tpl[0], '__self__', None)
         if owner is not None and hasattr(thread, 'gr_frame'):
--- a/tests/features/hub.feature
+++ b/tests/features/hub.feature
@@ -46,6 +46,26 @@
     When it is closed
     Then a read wait for it fails with ValueError
 
+  # Guards against answers that came in time and are taken for missing, since a
+  # time limit is looked at before the connection: load taken for an outage.
+  Scenario Outline: an answer that came during a long turn is read before its time limit ends: <tasks> tasks
+    Given a connection and an event loop
+    And a task waits 100 ms for data that <tasks> other tasks hand on
+    When data arrives and the loop is busy for 1000 ms
+    Then the task has the data
+
+    Examples:
+      | tasks |
+      | 0     |
+      | 1     |
+      | 3     |
+
+  Scenario: a time limit ends in a late turn if nothing has come
+    Given a connection and an event loop
+    And a task waits 100 ms for data that 1 other tasks hand on
+    When the loop is busy for 1000 ms
+    Then the task has waited too long
+
   # Guards against requests that are held past their timeout because nobody
   # counts what they wait for a busy process (issue 60).
   Scenario Outline: a request has waited for as long as the loop was busy
--- a/tests/features/steps/hub_steps.py
+++ b/tests/features/steps/hub_steps.py
@@ -6,7 +6,9 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from eventlet.hubs.timer import Timer
 
+from laburnumwood.clock import MS_PER_SECOND
 from laburnumwood.hub import Hub
 from laburnumwood.routing.request_time import unread_for_ms
 from laburnumwood.turns import Turns
@@ -131,6 +133,68 @@
         raise AssertionError('the wait did not fail')
 
 
+class _WaitingTask:
+    """A task that waits for data, as `throw` ends it or `take` does."""
+
+    def __init__(self, hub: Hub) -> None:
+        self.ended_by = ''
+        self.limit = Timer(0.1, self.throw)
+        hub.add_timer(self.limit)
+
+    def throw(self) -> None:
+        """End the wait at its time limit."""
+        self.ended_by = 'time limit'
+
+    def take(self) -> None:
+        """End the wait with data."""
+        if not self.ended_by:
+            self.ended_by = 'data'
+            self.limit.cancel()
+
+
+@given('a task waits 100 ms for data that {tasks:d} other tasks hand on')
+def wait_for_data(context: Context, tasks: int) -> None:
+    hub = context.hub
+    context.loop_s = [float()]
+    hub.clock = lambda: context.loop_s[0]
+    context.task = _WaitingTask(hub)
+
+    def hand_on(left: int) -> None:
+        if left:
+            hub.add_timer(Timer(0, hand_on, left - 1))
+        else:
+            context.task.take()
+
+    def read(_fileno: int) -> None:
+        context.near.recv(100)
+        hand_on(tasks)
+
+    hub.add(hub.READ, context.near.fileno(), read, None, None)
+
+
+@when('data arrives and the loop is busy for {span_ms:d} ms')
+def be_busy_with_data(context: Context, span_ms: int) -> None:
+    send_bytes(context)
+    be_busy_alone(context, span_ms)
+
+
+@when('the loop is busy for {span_ms:d} ms')
+def be_busy_alone(context: Context, span_ms: int) -> None:
+    context.hub.prepare_timers()
+    context.loop_s[0] += span_ms / MS_PER_SECOND
+    context.hub.fire_timers(context.hub.clock())
+
+
+@then('the task has the data')
+def check_taken(context: Context) -> None:
+    assert context.task.ended_by == 'data', context.task.ended_by
+
+
+@then('the task has waited too long')
+def check_limit(context: Context) -> None:
+    assert context.task.ended_by == 'time limit', context.task.ended_by
+
+
 @given('an event loop that waited for events until {until_ms:d} ms')
 def make_turns(context: Context, until_ms: int) -> None:
     _connect(context)
