No request is handled by an overdue proof because the fleet is late

Cause: load taken for an outage. A renewal asked one source after the other and gave each up after a fixed wait; a request waited 1,000 ms for it and then went by whatever was known; one renewal without a proof let all requests of the next second pass without a wait, however old the proof. The events told: the last renewals before such decisions were proved or store-late, not store-failed.

Change: a late source is not given up, the next is asked as well, and a late answer is worth its age. An overdue proof handles a request only if the store is away: it refused or let time out a call of the last second, or has been silent for 600 ms or twice its usual time. Else the request is rejected at once with 503. A wait is for half of the caller's time at most.

--- a/laburnumwood/daemon/incarnation.py
+++ b/laburnumwood/daemon/incarnation.py
@@ -415,15 +415,20 @@
             self._settings.admission,
         )
         config_freshness = ConfigFreshness(
-            self.name, self.view, platform, self._peers, self.dispatcher, clock
+            self.name,
+            self.view,
+            platform,
+            self._peers,
+            self.dispatcher,
+            clock,
+            self._settings.config_limit_ms,
         )
         self.ingress = MeasuredIngress(
             router,
             self._integration.make_caller_interface(self._settings),
             lambda: self.view.directory.declarations,
             self.view.directory.config_monitor.status,
-            config_freshness.confirm_latest,
-            config_freshness.ensure_recent,
+            config_freshness,
             clock,
         )
         self.operators = OperatorApi(
--- a/laburnumwood/membership/configuration/confirmation.py
+++ b/laburnumwood/membership/configuration/confirmation.py
@@ -1,7 +1,6 @@
 """Asking the store whether the configuration in force is the latest."""
 
 from collections import deque
-from collections.abc import Callable
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import PlatformError
@@ -21,8 +20,6 @@
 _LEAST_PATIENCE_MS = 200
 _REMEMBERED_CALLS = 4  # by which the patience is chosen
 
-ConfigConfirmer = Callable[[int], bool]
-
 
 def has_in_force(directory: Directory, stored: StoredObject) -> bool:
     """Return whether a stored configuration, or a later one, is in force.
@@ -51,14 +48,21 @@
         self._confirmed_at_ms: int | None = None
         self._answer_times_ms: deque[int] = deque(maxlen=_REMEMBERED_CALLS)
         self._failure = RecentFailure(clock)
+        self._unanswered_since_ms: int | None = None
 
-    @property
-    def has_failed(self) -> bool:
-        """Return whether a call failed within the last second.
+    def is_away(self, silence_ms: int) -> bool:
+        """Return whether the store can't tell what it has.
 
-        The store refused it, did not answer it, or has what can't be used.
+        A call failed within the last second: the store refused it, let it time
+        out, or has what can't be used.  Or the call under way, and those that
+        failed before it, have had no answer for `silence_ms`.
         """
-        return bool(self._failure)
+        if self._failure:
+            return True
+        since_ms = self._unanswered_since_ms
+        if since_ms is None or not self._call.is_under_way:
+            return False
+        return self._clock.now_ms() - since_ms >= silence_ms
 
     @property
     def usual_patience_ms(self) -> int:
@@ -68,7 +72,7 @@
         under load takes its time, and is not away.
         """
         longest_ms = max(self._answer_times_ms, default=0)
-        return max(2 * longest_ms, _LEAST_PATIENCE_MS)
+        return min(max(2 * longest_ms, _LEAST_PATIENCE_MS), MAX_WAIT_MS)
 
     def confirm(
         self, patience_ms: int, max_age_ms: int = CONFIRMED_FOR_MS
@@ -93,6 +97,8 @@
 
     def _ask(self) -> None:
         called_at_ms = self._clock.now_ms()
+        if not self._failure:
+            self._unanswered_since_ms = called_at_ms
         try:
             is_latest = self._has_latest(self._store.get(CONFIG_NAME))
         except PlatformError:
--- a/laburnumwood/membership/configuration/status.py
+++ b/laburnumwood/membership/configuration/status.py
@@ -69,6 +69,10 @@
         """
         return self._age_ms(self._confirmed_at_ms)
 
+    def is_confirmed_within(self, span_ms: int) -> bool:
+        """Return whether the last proof is no older than a time."""
+        return 0 <= self.confirmed_age_ms <= span_ms
+
     def record_in_force(
         self, generation: int, version: int, source: str
     ) -> None:
--- a/laburnumwood/membership/shared_call.py
+++ b/laburnumwood/membership/shared_call.py
@@ -24,6 +24,11 @@
         self._end: Event | None = None
         self._started_ms: int | None = None
 
+    @property
+    def is_under_way(self) -> bool:
+        """Return whether a call has been started and has not ended."""
+        return self._end is not None
+
     def ensure_started(self) -> None:
         """Start the call unless it is under way or was started just now."""
         now_ms = self._clock.now_ms()
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import asdict
 from functools import partial
+from typing import Protocol
 
 from laburnumwood.clock import Clock
 from laburnumwood.config.declarations import Declarations
 from laburnumwood.errors import LinkError
 from laburnumwood.events import ANSWER_CUT, REQUEST_REJECTED
-from laburnumwood.membership.configuration.confirmation import ConfigConfirmer
 from laburnumwood.metrics import PROBLEM_ANSWERS
 from laburnumwood.protocol.messages import Failure
 from laburnumwood.routing.caller import Caller, CallerMonitor
@@ -28,18 +28,31 @@
 from laburnumwood.routing.server import close_after_answer, reset_caller
 
 _UNKNOWN = 'unknown-service'
+_OVERDUE = 'nobody has proved lately that it is the latest'
 
 DeclarationsProvider = Callable[[], Declarations]
 
 
+class ConfigProofs(Protocol):
+    """Proofs that the configuration in force is the latest."""
+
+    def is_recent(self) -> bool:
+        """Return whether requests may be handled without a wait."""
+
+    def ensure_recent(self, patience_ms: int) -> bool:
+        """Return whether a request may be handled, after a wait at most."""
+
+    def confirm_latest(self, patience_ms: int) -> bool:
+        """Return whether the store has just confirmed it, after a wait."""
+
+
 class Ingress:
     """A WSGI application that routes every request to its owner.
 
     `caller_interface` parses requests and formats answers;
     `get_declarations` returns the declarations in force, and
-    `get_config_status` how this node knows them.  `confirm_config` returns
-    whether they are the latest, after a wait of some ms at most, and
-    `refresh_config` has an old proof renewed that they are.
+    `get_config_status` how this node knows them.  `config` tells whether they
+    are the latest.
     """
 
     def __init__(
@@ -48,16 +61,14 @@
         caller_interface: CallerInterface,
         get_declarations: DeclarationsProvider,
         get_config_status: ConfigStatusProvider,
-        confirm_config: ConfigConfirmer,
-        refresh_config: Callable[[], None],
+        config: ConfigProofs,
         clock: Clock,
     ) -> None:
         self._router = router
         self._caller_interface = caller_interface
         self._get_declarations = get_declarations
         self._get_config_status = get_config_status
-        self._confirm_config = confirm_config
-        self._refresh_config = refresh_config
+        self._config = config
         self._callers = CallerMonitor(clock)
         self.counters = DoorCounters()
         self.config_ages = ConfigAges(get_config_status)
@@ -101,10 +112,13 @@
         configuration is the latest, and looked up again after it was confirmed.
         A node whose proof that it has the latest is old has it renewed before
         it handles any request: a route may have been dropped or sent to another
-        service.
+        service.  What nobody can prove in time is not handled.
         """
         read = partial(self._caller_interface.read_request, environ)
-        self._refresh_config()
+        if not self._config.is_recent():
+            patience_ms = self._config_patience_ms(environ)
+            if not self._config.ensure_recent(patience_ms):
+                raise RequestRefusedError('config-unconfirmed', _OVERDUE)
         self.config_ages.record(self._get_config_status().confirmed_age_ms)
         try:
             return read(self._get_declarations(), request_id)
@@ -112,12 +126,15 @@
             if error.failure.kind != _UNKNOWN:
                 raise
             detail = error.failure.detail
-        left_ms = self._caller_interface.time_left_ms(environ)
-        left_ms -= environ[TIME_KEY].elapsed_ms
-        if not self._confirm_config(max(0, left_ms // 2)):
+        if not self._config.confirm_latest(self._config_patience_ms(environ)):
             raise RequestRefusedError('config-unconfirmed', detail)
         return read(self._get_declarations(), request_id)
 
+    def _config_patience_ms(self, environ: Environ) -> int:
+        """Return how long a request may wait to be looked up: half its time."""
+        left_ms = self._caller_interface.time_left_ms(environ)
+        return max(0, left_ms - environ[TIME_KEY].elapsed_ms) // 2
+
     def _report_rejected(self, failure: Failure, request_id: str) -> None:
         REQUEST_REJECTED.report(
             request=request_id,
--- a/laburnumwood/settings.py
+++ b/laburnumwood/settings.py
@@ -160,6 +160,7 @@
     stop_patience_ms: int = Field(default=60_000, ge=0, le=3_600_000)
     stop_grace_s: float | None = Field(default=None, ge=1, le=3_600)
     stop_linger_ms: int = Field(default=0, ge=0, le=60_000)
+    config_apply_s: float = Field(default=2, ge=0.1, le=3_600)
     owner_patience_ms: int = Field(default=3_000, ge=0, le=60_000)
     follow_evacuations: bool = False
     evacuation_limit_ms: int = Field(default=0, ge=0, le=3_600_000)
@@ -196,6 +197,11 @@
             return self.stop_patience_ms
         return round(self.stop_grace_s * MS_PER_SECOND * _USABLE_GRACE)
 
+    @property
+    def config_limit_ms(self) -> int:
+        """Return how old a proof of the configuration may be at most."""
+        return round(self.config_apply_s * MS_PER_SECOND)
+
     @property
     def last_answer_ms(self) -> int:
         """Return how long answers on their way may take in a planned stop."""
--- a/tests/config_fleet/fleet.py
+++ b/tests/config_fleet/fleet.py
@@ -38,6 +38,7 @@
 from tests.soak.fleet import FIRST_ROUTES, NodeIncarnation
 from tests.soak.manifests import ManifestChange, recent_routes
 
+_REJECTED = 503
 _START_SPREAD_S = 0.3
 _LINK_FILL_S = 0.2  # at most, from one fill of a link to the next
 _CLOCK = VirtualClock()
@@ -54,6 +55,11 @@
     age_ms: int
     renewal: str
 
+    @property
+    def is_rejected(self) -> bool:
+        """Return whether it was handled by no configuration."""
+        return self.call.status == _REJECTED and not self.call.stamp
+
 
 @dataclass(slots=True)
 class Observed:
