A call that the store turned away for its rate is no sign of an outage

Cause: 429 counted like silence or a reset, so that nodes went by what they knew, while the store served the operator and the rest. The circuit breaker hid it as well: two such answers open it, and what it holds back looked like a store that can't be reached.

Change: 429 is an error of its own (PlatformRateLimitedError), also while the breaker holds calls back (PlatformHeldBackError); it doesn't excuse an overdue proof. Writes are treated as before: one with such an answer is settled.

--- a/laburnumwood/errors.py
+++ b/laburnumwood/errors.py
@@ -44,6 +44,14 @@
     """The call had no effect: it was not sent, or the platform rejected it."""
 
 
+class PlatformRateLimitedError(PlatformUnavailableError):
+    """The platform serves others and turned a call away for its rate."""
+
+
+class PlatformHeldBackError(PlatformNotReachedError, PlatformRateLimitedError):
+    """The call was not made, as the rate of the platform was just exceeded."""
+
+
 class PlatformConflictError(PlatformError):
     """The object does not have the version that the write expects."""
 
--- a/laburnumwood/membership/configuration/confirmation.py
+++ b/laburnumwood/membership/configuration/confirmation.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from laburnumwood.clock import Clock
-from laburnumwood.errors import PlatformError
+from laburnumwood.errors import PlatformError, PlatformRateLimitedError
 from laburnumwood.membership.configuration.recent_failure import (
     RecentFailure,
 )
@@ -101,6 +101,9 @@
             self._unanswered_since_ms = called_at_ms
         try:
             is_latest = self._has_latest(self._store.get(CONFIG_NAME))
+        except PlatformRateLimitedError:
+            self._failure.record(has_failed=False)  # it serves others
+            return
         except PlatformError:
             self._failure.record(has_failed=True)
             return  # the guarded store has logged its failures
--- a/laburnumwood/membership/configuration/status.py
+++ b/laburnumwood/membership/configuration/status.py
@@ -18,7 +18,7 @@
     NONE = 'none'  # there was no renewal yet
     PROVED = 'proved'
     STORE_FAILED = 'store-failed'  # it refused a call, or let it time out
-    STORE_LATE = 'store-late'  # no peer proved enough, nor the store yet
+    STORE_LATE = 'store-late'  # not away: nothing came yet, or too many called
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumwood/platform/store.py
+++ b/laburnumwood/platform/store.py
@@ -18,6 +18,7 @@
     PlatformConflictError,
     PlatformError,
     PlatformNotReachedError,
+    PlatformRateLimitedError,
     PlatformUnavailableError,
 )
 from laburnumwood.events import RECORD_REFUSED
@@ -300,6 +301,8 @@
 
 
 def _unavailable_error(status: int) -> type[PlatformUnavailableError]:
+    if status == HTTPStatus.TOO_MANY_REQUESTS:
+        return PlatformRateLimitedError
     # The platform guarantees that a call with this status had no effect.
     if status == HTTPStatus.SERVICE_UNAVAILABLE:
         return PlatformNotReachedError
--- a/laburnumwood/store/breaker.py
+++ b/laburnumwood/store/breaker.py
@@ -5,7 +5,9 @@
 
 from laburnumwood.clock import Clock
 from laburnumwood.errors import (
+    PlatformHeldBackError,
     PlatformNotReachedError,
+    PlatformRateLimitedError,
     PlatformUnavailableError,
 )
 from laburnumwood.events import STORE_REACHED, STORE_UNREACHABLE
@@ -61,24 +63,27 @@
     """Forwards calls to a store unless its last calls got no answer.
 
     A call that is not forwarded raises `PlatformNotReachedError`, like one
-    that did not reach the store.
+    that did not reach the store, and after an answer that the rate of calls was
+    exceeded its subclass `PlatformHeldBackError`.
     """
 
     def __init__(self, store: Store, clock: Clock) -> None:
         super().__init__(store)
         self._breaker = CircuitBreaker(clock)
+        self._is_rate_limited = False  # by the last failure
 
     def _forward(self, call: Callable[[], _Result]) -> _Result:
         number = self._breaker.begin_call()
         if number is None:
-            raise PlatformNotReachedError(
-                'circuit breaker open: no answer to the last calls'
-            )
+            raise self._held_back_error()
         was_open = self._breaker.is_open
         try:
             result = call()
         except PlatformUnavailableError as failure:
             self._breaker.record_failure(number)
+            self._is_rate_limited = isinstance(
+                failure, PlatformRateLimitedError
+            )
             if self._breaker.is_open and not was_open:
                 # The cause is the exception of the HTTP client, if any.
                 cause = type(failure.__cause__).__name__
@@ -91,3 +96,10 @@
         if was_open:
             STORE_REACHED.report()
         return result
+
+    def _held_back_error(self) -> PlatformNotReachedError:
+        if self._is_rate_limited:
+            return PlatformHeldBackError('circuit breaker open: too many calls')
+        return PlatformNotReachedError(
+            'circuit breaker open: no answer to the last calls'
+        )
--- a/laburnumwood/store/client.py
+++ b/laburnumwood/store/client.py
@@ -1,6 +1,7 @@
 """A client of the platform's object API."""
 
 import json
+from http import HTTPStatus
 from typing import Any
 from urllib.parse import quote
 
@@ -10,6 +11,7 @@
     CompactedError,
     PlatformConflictError,
     PlatformError,
+    PlatformRateLimitedError,
     PlatformUnavailableError,
 )
 from laburnumwood.records import StoredObject
@@ -18,16 +20,18 @@
 _CALL_TIMEOUT_S = 2
 _OK = 200
 _NOT_FOUND = 404
-_GONE = 410
-_CONFLICT = 412
 _SERVER_ERROR = 500
+_ERRORS: dict[int, type[PlatformError]] = {
+    HTTPStatus.PRECONDITION_FAILED: PlatformConflictError,
+    HTTPStatus.GONE: CompactedError,
+    HTTPStatus.TOO_MANY_REQUESTS: PlatformRateLimitedError,
+}
 
 
 def _json(answer: BaseHTTPResponse, description: str) -> Any:
-    if answer.status == _CONFLICT:
-        raise PlatformConflictError(description)
-    if answer.status == _GONE:
-        raise CompactedError(description)
+    error = _ERRORS.get(answer.status)
+    if error is not None:
+        raise error(description)
     if answer.status >= _SERVER_ERROR:
         # The write may have taken effect before the platform failed.
         raise PlatformUnavailableError(f'{description}: status {answer.status}')
--- a/tests/config_fleet/store.py
+++ b/tests/config_fleet/store.py
@@ -16,6 +16,7 @@
     PlatformConflictError,
     PlatformError,
     PlatformNotReachedError,
+    PlatformRateLimitedError,
     PlatformUnavailableError,
 )
 from laburnumwood.records import StoredObject
@@ -256,7 +257,7 @@
         if self._store.take_read():
             serve(reply)
         else:
-            reply(PlatformUnavailableError('status 429'))
+            reply(PlatformRateLimitedError('the rate'))
 
     def _write(self, operation: Callable[[], int]) -> int:
         troubles = self._store.troubles
@@ -313,6 +314,8 @@
             return None
         if kind == 'busy':
             return PlatformNotReachedError('status 503')
+        if kind == 'many':
+            return PlatformRateLimitedError(kind)
         return '' if kind == 'silent' else PlatformUnavailableError(kind)
 
 
