--- a/tests/config_fleet/mutants.py
+++ b/tests/config_fleet/mutants.py
@@ -1,12 +1,19 @@
 """Variants of the code without one safeguard, to show that runs detect it."""
 
 from collections.abc import Callable
+from functools import partial
+from types import SimpleNamespace
 from typing import Any
 
+from laburnumwood.errors import (
+    PlatformRateLimitedError,
+    PlatformUnavailableError,
+)
 from laburnumwood.membership.configuration.confirmation import (
     ConfigConfirmation,
 )
 from laburnumwood.membership.configuration.freshness import ConfigFreshness
+from laburnumwood.membership.configuration.renewal import ConfigRenewal
 from laburnumwood.membership.configuration.status import (
     FROM_STORE,
     ConfigMonitor,
@@ -97,6 +104,31 @@
     _replace(ConfigFreshness, 'ensure_recent', ensure)
 
 
+@_mutant('the limit of an old proof')
+def _handle_by_any_proof() -> None:
+    _replace(ConfigRenewal, 'is_overdue', property(lambda _: False))
+
+
+@_mutant('429 as no outage')
+def _take_rates_for_outages() -> None:
+    ask = ConfigConfirmation._ask
+
+    def ask_as_before(confirmation: Any) -> None:
+        get = confirmation._store.get
+        confirmation._store = SimpleNamespace(get=partial(_get, get))
+        ask(confirmation)
+        confirmation._store = SimpleNamespace(get=get)
+
+    _replace(ConfigConfirmation, '_ask', ask_as_before)
+
+
+def _get(get: Callable[[str], Any], name: str) -> Any:
+    try:
+        return get(name)
+    except PlatformRateLimitedError as refused:
+        raise PlatformUnavailableError(str(refused)) from refused
+
+
 @_mutant('the order of generations')
 def _take_any_generation() -> None:
     apply = Directory._apply_config
--- a/tests/features/config_fleet.feature
+++ b/tests/features/config_fleet.feature
@@ -60,3 +60,13 @@
       | the look at the store before a refusal | 24   | a request was decided by an old proof                |
       | the order of generations               | 11   | a process went back to an earlier configuration      |
       | the weights                            | 6    | services got other shares than their weights         |
+
+  # Guards against load that is taken for an outage: these hold it off.
+  Scenario Outline: a safeguard that a drowned fleet lacks is detected: <safeguard>
+    When a fleet without "<safeguard>" is simulated with the options "<options>"
+    Then the broken rule is "a request was decided by an old proof"
+
+    Examples:
+      | safeguard                 | options                                                                    |
+      | the limit of an old proof | --seed 900026 --nodes 10 30 80 --late-loops-ms 500 800 1500                |
+      | 429 as no outage          | --seed 920007 --nodes 10 30 --late-loops-ms 0 20 100 --reads-per-s 0.3 1 3 |
--- a/tests/features/steps/config_fleet_steps.py
+++ b/tests/features/steps/config_fleet_steps.py
@@ -45,6 +45,13 @@
     _run(context, *options.split())
 
 
+@when('a fleet without "{safeguard}" is simulated with the options "{options}"')
+def simulate_mutant_with_options(
+    context: Context, safeguard: str, options: str
+) -> None:
+    _run(context, *options.split(), '--mutant', safeguard)
+
+
 @when(
     'fleets of {nodes:d} nodes are simulated with 1 seed from {first:d} on, '
     'without "{safeguard}"'
