--- a/laburnumwood/membership/configuration/freshness.py
+++ b/laburnumwood/membership/configuration/freshness.py
@@ -64,10 +64,10 @@
         self._outage = RecentFailure(clock)  # nobody could prove anything
         dispatcher.on(ConfigCheck)(self._serve)
 
-    def is_recent(self) -> bool:
-        """Return whether a request may be handled without a wait.
+    def refresh(self) -> bool:
+        """Have the proof renewed if a request should not go by it for long.
 
-        Has the proof renewed before it is older than `MAX_AGE_MS`.
+        Returns whether a request may be handled without a wait.
         """
         if not self._monitor.is_confirmed_within(REFRESH_AGE_MS):
             self._call.ensure_started()
@@ -79,7 +79,7 @@
         Waits for a renewal up to `patience_ms`, and never longer than a second,
         but not if the store has been found to be away within the last second.
         """
-        if not self.is_recent() and not self._is_outage:
+        if not self.refresh() and not self._is_outage:
             self._call.wait(min(patience_ms, _REQUEST_WAIT_MS))
         return self._is_outage or not self._renewal.is_overdue
 
--- a/laburnumwood/routing/ingress.py
+++ b/laburnumwood/routing/ingress.py
@@ -36,8 +36,8 @@
 class ConfigProofs(Protocol):
     """Proofs that the configuration in force is the latest."""
 
-    def is_recent(self) -> bool:
-        """Return whether requests may be handled without a wait."""
+    def refresh(self) -> bool:
+        """Have them renewed; return whether requests need no wait for it."""
 
     def ensure_recent(self, patience_ms: int) -> bool:
         """Return whether a request may be handled, after a wait at most."""
@@ -115,7 +115,7 @@
         service.  What nobody can prove in time is not handled.
         """
         read = partial(self._caller_interface.read_request, environ)
-        if not self._config.is_recent():
+        if not self._config.refresh():
             patience_ms = self._config_patience_ms(environ)
             if not self._config.ensure_recent(patience_ms):
                 raise RequestRefusedError('config-unconfirmed', _OVERDUE)
--- a/tests/config_fleet/mutants.py
+++ b/tests/config_fleet/mutants.py
@@ -100,7 +100,7 @@
     def ensure(_freshness: Any, _patience_ms: int = 0) -> bool:
         return True
 
-    _replace(ConfigFreshness, 'is_recent', ensure)
+    _replace(ConfigFreshness, 'refresh', ensure)
     _replace(ConfigFreshness, 'ensure_recent', ensure)
 
 
--- a/tests/request_stack/ingress.py
+++ b/tests/request_stack/ingress.py
@@ -15,7 +15,7 @@
 class AlwaysCurrent:
     """The configuration in force is the latest."""
 
-    def is_recent(self) -> bool:
+    def refresh(self) -> bool:
         """Return that it is known to be."""
         return True
 
