A late turn of the loop bears timers whose callable has no name

Found in a reading of: such a timer (a partial) that came due in a long turn would have ended the loop with an AttributeError. No timer of the product is of that kind, so no caller saw it. Also, timers that were cancelled are dropped where the late time limits are picked out, and not pushed back.

--- a/laburnumwood/hub.py
+++ b/laburnumwood/hub.py
@@ -32,9 +32,13 @@
     return available
 
 
+def _name(function: Any) -> str:
+    return getattr(function, '__name__', '')
+
+
 def is_time_limit(timer: Timer) -> bool:
     """Return whether a timer ends the wait of a task by an exception."""
-    return not timer.called and timer.tpl[0].__name__ == 'throw'
+    return not timer.called and _name(timer.tpl[0]) == 'throw'
 
 
 class Hub(epolls.Hub):
@@ -113,13 +117,16 @@
     def _take_late_limits(self, when: float) -> Timers:
         if not self.timers or self.timers[0][0] > when - _LATE_S:
             return []
-        due: Timers = []
+        late: Timers = []
+        others: Timers = []
         while self.timers and self.timers[0][0] <= when:
-            due.append(heapq.heappop(self.timers))
-        late = [each for each in due if is_time_limit(each[1])]
-        for each in due:
-            if not is_time_limit(each[1]):
-                heapq.heappush(self.timers, each)
+            due = heapq.heappop(self.timers)
+            if due[1].called:
+                self.timers_canceled -= 1
+            else:
+                (late if is_time_limit(due[1]) else others).append(due)
+        for each in others:
+            heapq.heappush(self.timers, each)
         return late
 
     def _awaited_mask(self, fileno: int) -> int:
--- a/tests/features/steps/hub_steps.py
+++ b/tests/features/steps/hub_steps.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+from functools import partial
 from typing import Any
 
 from behave import given, then, when
@@ -158,6 +159,7 @@
     context.loop_s = [0]
     hub.clock = lambda: context.loop_s[0]
     context.task = _WaitingTask(hub)
+    hub.add_timer(Timer(0.05, partial(str)))  # callables may have no name
 
     def hand_on(left: int) -> None:
         if left:
