--- a/laburnumwood/membership/configuration/renewal.py
+++ b/laburnumwood/membership/configuration/renewal.py
@@ -25,11 +25,10 @@
 MAX_AGE_MS = 1_000  # of the proof by which a request is handled
 ANSWERED_AGE_MS = 500  # up to which a node answers by the proof that it has
 RENEWAL_LIMIT_MS = 1_000  # of a renewal, and of a question to a peer
-# After which the next source is asked as well, and when a proof is overdue.
-_HEDGE_MS = 150
-_OVERDUE_HEDGE_MS = 50
-# For which a store must be silent to be away while a proof is overdue.
-LONG_SILENCE_MS = 600
+_HEDGE_MS = 150  # after which the next source is asked as well
+_OVERDUE_HEDGE_MS = 50  # the same while the proof is overdue
+# At least, for which a store is silent that is away, while a proof is overdue.
+_LONG_SILENCE_MS = 600
 _LOOK_MS = 50  # between two looks at how long the store has been silent
 _OTHERS = 3  # nodes that are asked if neither parents nor the store answer
 _FANOUT = 32
@@ -101,7 +100,7 @@
         """
         silence_ms = self._confirmation.usual_patience_ms
         if self.is_overdue:
-            silence_ms = max(silence_ms, LONG_SILENCE_MS)
+            silence_ms = max(silence_ms, _LONG_SILENCE_MS)
         return self._confirmation.is_away(silence_ms)
 
     def run(self) -> None:
