A renewal returns how it ended, and nobody works it out again

ConfigFreshness looked at the proof and at the store once more to tell an outage, right after the renewal had done the same for its record. The two conditions were equal, and nothing runs between them.

--- a/laburnumwood/membership/configuration/freshness.py
+++ b/laburnumwood/membership/configuration/freshness.py
@@ -21,7 +21,10 @@
     RENEWAL_LIMIT_MS,
     ConfigRenewal,
 )
-from laburnumwood.membership.configuration.status import ConfigMonitor
+from laburnumwood.membership.configuration.status import (
+    ConfigMonitor,
+    RenewalEnd,
+)
 from laburnumwood.membership.sent_objects import to_sent
 from laburnumwood.membership.shared_call import SharedCall
 from laburnumwood.membership.view import FleetView
@@ -100,11 +103,8 @@
         return bool(self._outage) and self._renewal.is_store_away
 
     def _renew(self) -> None:
-        self._renewal.run()
-        is_young = self._monitor.is_confirmed_within(MAX_AGE_MS)
-        self._outage.record(
-            has_failed=not is_young and self._renewal.is_store_away
-        )
+        end = self._renewal.run()
+        self._outage.record(has_failed=end is RenewalEnd.STORE_FAILED)
 
     def _serve(self, _link: Link, stream: Stream, request: ConfigCheck) -> None:
         if request.renews:
--- a/laburnumwood/membership/configuration/renewal.py
+++ b/laburnumwood/membership/configuration/renewal.py
@@ -103,11 +103,16 @@
             silence_ms = max(silence_ms, _LONG_SILENCE_MS)
         return self._confirmation.is_away(silence_ms)
 
-    def run(self) -> None:
-        """Ask until the proof is young, all have answered or time is over."""
+    def run(self) -> RenewalEnd:
+        """Ask until the proof is young, all have answered or time is over.
+
+        Returns how it ended.
+        """
         began_ms = self._clock.now_ms()
         self._ask_all(began_ms + RENEWAL_LIMIT_MS)
-        self._monitor.record_renewal(self._end(), began_ms)
+        end = self._end()
+        self._monitor.record_renewal(end, began_ms)
+        return end
 
     @property
     def _monitor(self) -> ConfigMonitor:
