Simulated fleets: the mutant of 429 replaces the error, names stand before their use

Strain stands above World, so that its name needs no quotes. The six scenarios about safeguards pass.

--- a/tests/config_fleet/mutants.py
+++ b/tests/config_fleet/mutants.py
@@ -1,14 +1,9 @@
 """Variants of the code without one safeguard, to show that runs detect it."""
 
 from collections.abc import Callable
-from functools import partial
-from types import SimpleNamespace
 from typing import Any
 
-from laburnumwood.errors import (
-    PlatformRateLimitedError,
-    PlatformUnavailableError,
-)
+from laburnumwood.membership.configuration import confirmation
 from laburnumwood.membership.configuration.confirmation import (
     ConfigConfirmation,
 )
@@ -109,24 +104,13 @@
     _replace(ConfigRenewal, 'is_overdue', property(lambda _: False))
 
 
-@_mutant('429 as no outage')
-def _take_rates_for_outages() -> None:
-    ask = ConfigConfirmation._ask
-
-    def ask_as_before(confirmation: Any) -> None:
-        get = confirmation._store.get
-        confirmation._store = SimpleNamespace(get=partial(_get, get))
-        ask(confirmation)
-        confirmation._store = SimpleNamespace(get=get)
+class _NeverRaisedError(Exception):
+    """An error in place of one that is to be handled like all others."""
 
-    _replace(ConfigConfirmation, '_ask', ask_as_before)
 
-
-def _get(get: Callable[[str], Any], name: str) -> Any:
-    try:
-        return get(name)
-    except PlatformRateLimitedError as refused:
-        raise PlatformUnavailableError(str(refused)) from refused
+@_mutant('429 as no outage')
+def _take_rates_for_outages() -> None:
+    _replace(confirmation, 'PlatformRateLimitedError', _NeverRaisedError)
 
 
 @_mutant('the order of generations')
--- a/tests/config_fleet/schedule.py
+++ b/tests/config_fleet/schedule.py
@@ -23,6 +23,19 @@
 _SERVICES = (SHARDED_SERVICE, UNSHARDED_SERVICE)
 
 
+@dataclass(frozen=True, slots=True)
+class Strain:
+    """What its own load does to a fleet, beyond the turns of its loops.
+
+    Other messages fill a node's link, so that one that leaves now waits for up
+    to `link_wait_ms`.  The store answers `reads_per_s` reads of each node, on
+    average over all nodes, and turns away what goes beyond; 0: it answers all.
+    """
+
+    link_wait_ms: int = 0
+    reads_per_s: float = 0
+
+
 @dataclass(frozen=True, slots=True)
 class World:
     """A fleet and how well its processes, links and store work.
@@ -44,20 +57,7 @@
     requests_per_s: float
     more_routes: int
     asks_for_all: bool
-    strain: 'Strain'
-
-
-@dataclass(frozen=True, slots=True)
-class Strain:
-    """What its own load does to a fleet, beyond the turns of its loops.
-
-    Other messages fill a node's link, so that one that leaves now waits for up
-    to `link_wait_ms`.  The store answers `reads_per_s` reads of each node, on
-    average over all nodes, and turns away what goes beyond; 0: it answers all.
-    """
-
-    link_wait_ms: int = 0
-    reads_per_s: float = 0
+    strain: Strain
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/config_fleet/store.py
+++ b/tests/config_fleet/store.py
@@ -38,7 +38,7 @@
     scope: str
     since: int
     lag_s: float
-    reply: '_Reply'
+    reply: _Reply
 
 
 @dataclass(slots=True)
